Lay out the packages, the schemas and the interfaces

Cause: the parts are to be built side by side, so the borders come first. Change: thirteen packages whose references give the dependency direction; schemas for jobs, configuration, terms, reasons and log records; the interfaces Log, TargetClient, InstanceList and Policy; the gts linter and formatter, the build and a test runner over tap. Ruled out: tap's own runner.

--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,2 @@
+/** Benchmarks: policy, decision time, slopes and the whole path. */
+export {};
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** galenavalve: the command-line tool. */
+export {};
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,2 @@
+/** galenavalved: the entry, scheduler and lease keeper roles in one program. */
+export {};
--- /dev/null
+++ b/packages/demo/src/index.ts
@@ -0,0 +1,2 @@
+/** The demonstration: daemons in three failure domains, with the stand-ins. */
+export {};
--- /dev/null
+++ b/packages/placement/src/index.ts
@@ -0,0 +1,4 @@
+/** Pure placement decisions: cells, guarantees, queue order, reclaim and backfill. */
+
+// Decisions
+export * from './policy.js';
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,2 @@
+/** HTTP adapters for the log, the instance list and the targets of the platform. */
+export {};
--- /dev/null
+++ b/packages/scheduler/src/index.ts
@@ -0,0 +1,2 @@
+/** The scheduler role of one failure domain: passes, gang start, takeover and preemption. */
+export {};
--- /dev/null
+++ b/packages/shared/__tests__/failure.spec.ts
@@ -0,0 +1,24 @@
+import t from 'tap';
+import {Failure, errorTemplates, isFailure} from '../src/index.js';
+
+t.test('a failure', async t => {
+  t.test('names what happened and the remedy', async t => {
+    const failure = new Failure('workspace-limit', {
+      workspace: 'escorts',
+      count: 5,
+    });
+    t.equal(
+      failure.message,
+      'Workspace escorts already has 5 waiting jobs, its limit. The job was not run.',
+    );
+    t.match(failure.remedy, 'send the request again');
+    t.equal(failure.status, 429);
+    t.ok(isFailure(failure, 'workspace-limit'));
+  });
+
+  t.test('has a remedy for every code', async t => {
+    for (const [code, template] of Object.entries(errorTemplates)) {
+      t.ok(template.remedy.length > 10, code);
+    }
+  });
+});
--- /dev/null
+++ b/packages/shared/src/error_codes.ts
@@ -0,0 +1,181 @@
+/** Every error code, with the message template that names the remedy. */
+
+/** The template of one error code. */
+export interface ErrorTemplate {
+  /** HTTP status that an entry instance answers with. */
+  readonly status: number;
+  /** What happened. `{name}` is replaced by the detail of that name. */
+  readonly message: string;
+  /** What the reader can do about it. */
+  readonly remedy: string;
+}
+
+/** All error codes of the project. A code's meaning never changes. */
+export const errorTemplates = {
+  'bad-request': {
+    status: 400,
+    message: 'The request is not valid: {problem}.',
+    remedy: 'Correct the named field and send the request again.',
+  },
+  'body-too-large': {
+    status: 413,
+    message: 'The request body is larger than {limitBytes} bytes.',
+    remedy: 'Shorten the payload, or store it elsewhere and send a reference.',
+  },
+  'not-found': {
+    status: 404,
+    message: '{kind} {id} is not known here.',
+    remedy:
+      'Check the id; an old job is forgotten after the retention window of {kind}.',
+  },
+  'request-conflict': {
+    status: 409,
+    message: 'Request id {requestId} was used before with another body.',
+    remedy: 'Use a new request id for a new request.',
+  },
+  'request-expired': {
+    status: 422,
+    message:
+      'The request was created {ageSeconds} s ago, longer than the window of {windowSeconds} s in which ids are remembered. It was not run.',
+    remedy:
+      'Make sure that it is still wanted, and submit it with a new request id.',
+  },
+  'unknown-workspace': {
+    status: 422,
+    message: 'Workspace {workspace} does not exist. The job was not run.',
+    remedy: 'List workspaces with "galenavalve workspaces", or create it.',
+  },
+  'never-runnable': {
+    status: 422,
+    message: 'The job can never run: {constraint}. It was not run.',
+    remedy:
+      'Change the gang so that it fits, or ask the operators to change the inventory.',
+  },
+  'workspace-limit': {
+    status: 429,
+    message:
+      'Workspace {workspace} already has {count} waiting jobs, its limit. The job was not run.',
+    remedy:
+      'Wait until some of them have started, or cancel some, and send the request again.',
+  },
+  overloaded: {
+    status: 503,
+    message:
+      'This instance has too many requests waiting for the log. The job was not run.',
+    remedy: 'Send the same request again after the time in Retry-After.',
+  },
+  'log-unavailable': {
+    status: 503,
+    message:
+      "The platform's log cannot be reached. The request was not run and nothing was recorded.",
+    remedy: 'Send the same request again after the time in Retry-After.',
+  },
+  'outcome-unknown': {
+    status: 504,
+    message:
+      'It is not known yet whether request {requestId} was recorded before the deadline.',
+    remedy:
+      'Ask again with the same request id; it runs at most once, however often you ask.',
+  },
+  stopping: {
+    status: 503,
+    message:
+      'This instance is stopping and takes no new requests. The request was not run.',
+    remedy: 'Send it to another entry instance.',
+  },
+  'not-ready': {
+    status: 503,
+    message: 'This instance has not caught up with the log yet.',
+    remedy: 'Send the request to another entry instance, or again in a second.',
+  },
+  'config-conflict': {
+    status: 409,
+    message:
+      '{entity} is at version {currentVersion}, but the change is based on version {baseVersion}.',
+    remedy:
+      'Read the present value with "galenavalve config diff", and apply the change to it.',
+  },
+  'config-invalid': {
+    status: 422,
+    message: 'The configuration change is refused: {problem}.',
+    remedy: 'Correct the change; nothing of it was put in force.',
+  },
+  'guarantee-shortfall': {
+    status: 422,
+    message:
+      'The inventory cannot hold what the guarantees promise: {shortfall}.',
+    remedy:
+      'Lower the named guarantee, or add targets to the named failure domain first.',
+  },
+  'settings-invalid': {
+    status: 500,
+    message: '{file}: {key}: {problem}.',
+    remedy: 'Correct the file: {remedy}.',
+  },
+  'record-invalid': {
+    status: 500,
+    message: 'The log record at offset {offset} cannot be read: {problem}.',
+    remedy:
+      'It is skipped by every instance alike; correct its writer and append it again.',
+  },
+  'snapshot-invalid': {
+    status: 500,
+    message: 'Snapshot {snapshotId} cannot be used: {problem}.',
+    remedy: 'An older snapshot, or a peer, is used instead.',
+  },
+  'frame-invalid': {
+    status: 500,
+    message: 'A peer sent a frame that cannot be read: {problem}.',
+    remedy: 'The connection is closed and opened again.',
+  },
+  'peer-timeout': {
+    status: 504,
+    message: 'Peer {peer} did not answer within {timeoutMs} ms.',
+    remedy: 'The call is repeated with another peer.',
+  },
+  'peer-unavailable': {
+    status: 503,
+    message: 'There is no working connection to peer {peer}: {problem}.',
+    remedy: 'The call is repeated with another peer.',
+  },
+  'append-rejected': {
+    status: 503,
+    message: 'The log refused the append: {problem}. Nothing was recorded.',
+    remedy: 'Send the request again later.',
+  },
+  'append-uncertain': {
+    status: 504,
+    message: 'The log did not say whether the append took effect: {problem}.',
+    remedy: 'Read the log from the last known offset to learn its fate.',
+  },
+  'read-failed': {
+    status: 503,
+    message: 'The log could not be read from offset {offset}: {problem}.',
+    remedy: 'The read is repeated; the state stays as it was.',
+  },
+  'offset-expired': {
+    status: 500,
+    message:
+      'Offset {offset} is before the oldest record that the log keeps, {oldest}.',
+    remedy: 'Start from a snapshot, or from a peer.',
+  },
+  'target-unreachable': {
+    status: 503,
+    message: 'Target {target} did not answer: {problem}.',
+    remedy: 'Other targets are tried; its work is checked when it answers.',
+  },
+  'target-refused': {
+    status: 409,
+    message: 'Target {target} refused: {problem}.',
+    remedy: 'Other targets are tried.',
+  },
+  internal: {
+    status: 500,
+    message: 'The request failed inside the instance: {problem}.',
+    remedy:
+      'Ask again with the same request id; report the problem with the log lines of that time.',
+  },
+} as const satisfies Record<string, ErrorTemplate>;
+
+/** The code of an error. */
+export type ErrorCode = keyof typeof errorTemplates;
--- /dev/null
+++ b/packages/shared/src/index.ts
@@ -0,0 +1,36 @@
+/** Identifiers, units, the clock and typed errors that every other package uses. */
+
+// Time
+export {
+  type Clock,
+  type Instant,
+  type Milliseconds,
+  ManualClock,
+  SystemClock,
+} from './clock.js';
+
+// Errors
+export {
+  type ErrorCode,
+  type ErrorTemplate,
+  errorTemplates,
+} from './error_codes.js';
+export {
+  Failure,
+  type FailureBody,
+  type FailureDetails,
+  describeError,
+  isFailure,
+} from './failure.js';
+
+// Random numbers and hashes
+export {
+  type Random,
+  SeededRandom,
+  jitteredBackoff,
+  nextInteger,
+} from './random.js';
+export {chooseByRendezvous, hashText, hashValue} from './hash.js';
+
+// Logs
+export {type Logger, type LogFields, SilentLogger} from './logger.js';
--- /dev/null
+++ b/packages/targets/src/target_client.ts
@@ -0,0 +1,164 @@
+/**
+ * Targets as the scheduler sees them. A target arbitrates what runs on it: it
+ * refuses a term lower than the highest it has seen, and a start without an
+ * unexpired reservation of the same term.
+ */
+import {z} from 'zod';
+import {name, term} from '@galenavalve/model';
+import type {Milliseconds} from '@galenavalve/shared';
+
+/** Where a target is reached. */
+export interface TargetAddress {
+  id: string;
+  /** Base URL of the control interface. */
+  endpoint: string;
+}
+
+/** Names one part of one attempt on one target. */
+export const leaseKey = z.strictObject({
+  jobId: z.string().min(1).max(100),
+  attempt: z.int().positive(),
+});
+export type LeaseKey = z.infer<typeof leaseKey>;
+
+/** Asks a target to keep room for the tasks of an attempt. */
+export const reservation = z.strictObject({
+  ...leaseKey.shape,
+  term,
+  workspace: name,
+  firstTask: z.int().nonnegative(),
+  tasks: z.int().positive(),
+  /** Bit mask of accelerators. */
+  accelerators: z.int().nonnegative(),
+  /** Of one task. */
+  processors: z.number().nonnegative(),
+  /** Of one task, in mebibytes. */
+  memoryMb: z.number().nonnegative(),
+  checkpointable: z.boolean(),
+  /** The reservation lapses after this many milliseconds if it is not started or renewed. */
+  ttlMs: z.number().positive(),
+});
+export type Reservation = z.infer<typeof reservation>;
+
+/** Starts the reserved tasks of an attempt. */
+export const startOrder = z.strictObject({
+  ...leaseKey.shape,
+  term,
+  /** Run time lease in milliseconds: the tasks stop when it is not renewed. */
+  leaseMs: z.number().positive(),
+  /** Progress to resume from, in seconds. */
+  progressSeconds: z.number().nonnegative(),
+  payload: z.record(z.string(), z.json()),
+});
+export type StartOrder = z.infer<typeof startOrder>;
+
+/** Ends an attempt on a target, whether it is reserved or running. */
+export const stopOrder = z.strictObject({
+  ...leaseKey.shape,
+  term,
+  /** True to save progress first, if the tasks can. */
+  checkpoint: z.boolean(),
+  /** Time that the tasks get to save their progress, in milliseconds. */
+  graceMs: z.number().nonnegative(),
+});
+export type StopOrder = z.infer<typeof stopOrder>;
+
+/** Keeps the leases on a target alive, all in one message. */
+export const renewal = z.strictObject({
+  term,
+  leaseMs: z.number().positive(),
+  /** Leases to renew; those not named lapse. */
+  leases: z.array(leaseKey).max(4096),
+  /** Finished leases whose result is recorded: the target may forget them. */
+  forget: z.array(leaseKey).max(4096),
+});
+export type Renewal = z.infer<typeof renewal>;
+
+/** State of the tasks of one attempt on one target. */
+export const leaseState = z.enum([
+  'reserved',
+  'running',
+  'succeeded',
+  'failed',
+  'stopped',
+  /** The lease was not renewed in time and the tasks were stopped. */
+  'lapsed',
+]);
+export type LeaseState = z.infer<typeof leaseState>;
+
+/** What a target says of one attempt. */
+export const leaseReport = z.strictObject({
+  ...leaseKey.shape,
+  term,
+  state: leaseState,
+  firstTask: z.int().nonnegative(),
+  tasks: z.int().positive(),
+  /** Saved or made progress in seconds. */
+  progressSeconds: z.number().nonnegative(),
+  /** Outputs by task, in order, once succeeded. */
+  results: z.array(z.json()).optional(),
+  /** Why it failed. */
+  problem: z.string().max(500).optional(),
+});
+export type LeaseReport = z.infer<typeof leaseReport>;
+
+/** Use of one attempt, measured a while ago. */
+export const usageReport = z.strictObject({
+  ...leaseKey.shape,
+  processors: z.number().nonnegative(),
+  memoryMb: z.number().nonnegative(),
+});
+export type UsageReport = z.infer<typeof usageReport>;
+
+/** What a target says of itself. */
+export const targetReport = z.strictObject({
+  target: name,
+  /** Highest term that the target has seen. */
+  term,
+  leaving: z.boolean(),
+  leases: z.array(leaseReport),
+  usage: z.array(usageReport),
+  /** Age of the usage figures in milliseconds. */
+  usageAgeMs: z.number().nonnegative(),
+});
+export type TargetReport = z.infer<typeof targetReport>;
+
+/**
+ * Commands to targets. Each throws `target-refused` when the target said no,
+ * and `target-unreachable` when its answer did not come; the command may then
+ * have taken effect. Each is idempotent.
+ */
+export interface TargetClient {
+  reserve(
+    target: TargetAddress,
+    order: Reservation,
+    timeout: Milliseconds,
+  ): Promise<void>;
+  start(
+    target: TargetAddress,
+    order: StartOrder,
+    timeout: Milliseconds,
+  ): Promise<void>;
+  stop(
+    target: TargetAddress,
+    order: StopOrder,
+    timeout: Milliseconds,
+  ): Promise<LeaseReport | undefined>;
+  renew(
+    target: TargetAddress,
+    order: Renewal,
+    timeout: Milliseconds,
+  ): Promise<TargetReport>;
+  /** Makes the target refuse every lower term, and reads back its leases. */
+  fence(
+    target: TargetAddress,
+    order: {term: Renewal['term']},
+    timeout: Milliseconds,
+  ): Promise<TargetReport>;
+  /** Limits an attempt to a share of one processor count. */
+  throttle(
+    target: TargetAddress,
+    order: LeaseKey & {term: Renewal['term']; processors: number},
+    timeout: Milliseconds,
+  ): Promise<void>;
+}
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,2 @@
+/** TCP frames with cbor-x: correlation, heartbeats and deadlines. */
+export {};
--- /dev/null
+++ b/scripts/bench.mjs
@@ -0,0 +1,2 @@
+/** Runs a benchmark by name: `npm run bench NAME -- [--json]`. */
+await import('../packages/bench/dist/src/main.js');
--- /dev/null
+++ b/scripts/demo.mjs
@@ -0,0 +1,2 @@
+/** Runs the demonstration; `--keep` leaves it up. */
+await import('../packages/demo/dist/src/main.js');
--- /dev/null
+++ b/scripts/ensure_installed.mjs
@@ -0,0 +1,8 @@
+/** Installs the dependencies when the repository was cloned without them. */
+import {spawnSync} from 'node:child_process';
+import {existsSync} from 'node:fs';
+
+if (!existsSync('node_modules/typescript/package.json')) {
+  const install = spawnSync('npm', ['ci'], {stdio: 'inherit'});
+  process.exitCode = install.status ?? 1;
+}
