--- /dev/null
+++ b/packages/daemon/src/commands/append_command.ts
@@ -0,0 +1,24 @@
+/** Appends the record of a command and says truthfully what became of it. */
+import type {Applied} from '@galenavalve/ledger';
+import type {RecordBody} from '@galenavalve/model';
+import {Failure, isFailure} from '@galenavalve/shared';
+import type {Node} from '../node.js';
+import {checkServing} from './check_serving.js';
+
+/** Throws `outcome-unknown` when the log did not say in time whether it took the record. */
+export async function appendCommand(
+  node: Node,
+  requestId: string,
+  body: RecordBody,
+): Promise<Applied> {
+  checkServing(node);
+  const deadline = node.clock.now() + node.settings.timings.appendTimeoutMs;
+  try {
+    return await node.writer.append(body, {deadline});
+  } catch (error) {
+    if (isFailure(error, 'append-uncertain')) {
+      throw new Failure('outcome-unknown', {requestId}, {cause: error});
+    }
+    throw error;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/commands/apply_configuration.ts
@@ -0,0 +1,98 @@
+/** Commands of operators on the configuration. */
+import {
+  type ConfigurationChange,
+  type ConfigurationResult,
+  type Domain,
+  type Edit,
+  configurationChange,
+} from '@galenavalve/model';
+import {Failure} from '@galenavalve/shared';
+import {parseBody} from '../http/parse_body.js';
+import type {Node} from '../node.js';
+import {appendCommand} from './append_command.js';
+import {checkServing} from './check_serving.js';
+
+/**
+ * Records a change and says whether it was accepted. Throws `config-conflict`,
+ * `config-invalid` or `guarantee-shortfall` when nothing of it is in force.
+ */
+export async function applyConfiguration(
+  node: Node,
+  body: unknown,
+): Promise<ConfigurationResult> {
+  checkServing(node);
+  const change = parseBody(configurationChange, body);
+  checkVersions(node, change.edits);
+  const applied = await appendCommand(node, change.changeId, {
+    type: 'configured',
+    change,
+  });
+  node.logger.info('configured', {
+    changeId: change.changeId,
+    author: change.author,
+    accepted: applied.accepted,
+    problem: applied.problem?.message,
+  });
+  if (!applied.accepted) {
+    throw (
+      applied.problem ??
+      new Failure('config-invalid', {problem: applied.rejection ?? 'rejected'})
+    );
+  }
+  return describeResult(node, change, applied.offset);
+}
+
+/** Takes a failure domain out of service, or brings it back. */
+export async function setDomainState(
+  node: Node,
+  domainId: string,
+  state: Domain['state'],
+  author: string,
+): Promise<ConfigurationResult> {
+  const domain = node.state.configuration.domains.get(domainId);
+  if (!domain) {
+    throw new Failure('not-found', {kind: 'failure domain', id: domainId});
+  }
+  const entity = `domain/${domainId}`;
+  const baseVersion = node.state.entityVersion(entity);
+  if (state !== 'in-service') {
+    // Peers hold back starts at once; the record makes it last.
+    node.mesh.addHold({
+      entity,
+      by: author,
+      id: `${entity}@${baseVersion}`,
+      offset: node.state.nextOffset,
+    });
+    node.scheduler.poke();
+  }
+  return applyConfiguration(node, {
+    changeId: `${entity}-${state}-after-${baseVersion}`,
+    author,
+    edits: [{entity, baseVersion, value: {...domain, state}}],
+  });
+}
+
+/** Finds conflicts early, before the log is troubled; the fold decides. */
+function checkVersions(node: Node, edits: readonly Edit[]): void {
+  for (const {entity, baseVersion} of edits) {
+    const currentVersion = node.state.entityVersion(entity);
+    if (currentVersion > baseVersion) {
+      throw new Failure('config-conflict', {
+        entity,
+        currentVersion,
+        baseVersion,
+      });
+    }
+  }
+}
+
+function describeResult(
+  node: Node,
+  change: ConfigurationChange,
+  offset: number,
+): ConfigurationResult {
+  const versions = Object.fromEntries(
+    change.edits.map(({entity}) => [entity, node.state.entityVersion(entity)]),
+  );
+  return {changeId: change.changeId, offset, versions};
+}
--- /dev/null
+++ b/packages/daemon/src/commands/submit_job.ts
@@ -0,0 +1,126 @@
+/** Admits a job: checks it, routes it to a failure domain and records it. */
+import type {Job} from '@galenavalve/ledger';
+import {type JobRequest, describeReason, jobRequest} from '@galenavalve/model';
+import type {WaitingJob} from '@galenavalve/placement';
+import {Failure, hashText, hashValue} from '@galenavalve/shared';
+import type {Node} from '../node.js';
+import {parseBody} from '../http/parse_body.js';
+import {appendCommand} from './append_command.js';
+import {type Route, routeJob} from './route_job.js';
+import {checkServing} from './check_serving.js';
+
+/**
+ * Records the job once, however often its request is sent. Returns when the
+ * job is durable. Throws a `Failure` that says truthfully whether it may run.
+ */
+export async function submitJob(node: Node, body: unknown): Promise<Job> {
+  checkServing(node);
+  const request = parseBody(jobRequest, body);
+  const bodyHash = hashRequest(request);
+  const known = findKnown(node, request.requestId, bodyHash);
+  if (known) {
+    return known;
+  }
+  checkAge(node, request);
+  checkWorkspace(node, request);
+  const now = node.clock.wallTime();
+  const route = routeJob(node, describeWaiting(request, now), now);
+  const jobId = createJobId(request.requestId);
+  node.logger.info('routed', {
+    jobId,
+    requestId: request.requestId,
+    to: route.domain,
+    reason: route.reason.code,
+    text: describeReason(route.reason),
+  });
+  return record(node, request, bodyHash, jobId, route);
+}
+
+/** The id of a job: the same for the same request id on every instance. */
+export function createJobId(requestId: string): string {
+  return `job-${hashText(requestId).slice(0, 20)}`;
+}
+
+/** A request as the placement package sees it. */
+export function describeWaiting(
+  request: JobRequest,
+  now: number,
+): WaitingJob {
+  return {
+    jobId: createJobId(request.requestId),
+    workspace: request.workspace,
+    gang: request.gang,
+    kind: request.kind,
+    urgent: request.urgent,
+    repeatable: request.repeatable,
+    checkpointable: request.checkpointable,
+    expectedSeconds: request.expectedSeconds,
+    submittedAt: now,
+    avoidTargets: [],
+  };
+}
+
+function hashRequest(request: JobRequest): string {
+  return hashValue({...request, createdAt: undefined});
+}
+
+function findKnown(
+  node: Node,
+  requestId: string,
+  bodyHash: string,
+): Job | undefined {
+  const job = node.state.jobByRequest(requestId);
+  if (job && job.bodyHash !== bodyHash) {
+    throw new Failure('request-conflict', {requestId});
+  }
+  return job;
+}
+
+function checkAge(node: Node, request: JobRequest): void {
+  const ageSeconds = Math.round(
+    (node.clock.wallTime() - request.createdAt) / 1000,
+  );
+  const windowSeconds = node.settings.limits.requestWindowSeconds;
+  if (ageSeconds > windowSeconds) {
+    throw new Failure('request-expired', {ageSeconds, windowSeconds});
+  }
+}
+
+function checkWorkspace(node: Node, request: JobRequest): void {
+  const {state} = node;
+  const workspace = state.configuration.workspaces.get(request.workspace);
+  if (!workspace) {
+    throw new Failure('unknown-workspace', {workspace: request.workspace});
+  }
+  const count = state.queuedCount(workspace.id);
+  if (count >= workspace.queueLimit) {
+    throw new Failure('workspace-limit', {workspace: workspace.id, count});
+  }
+}
+
+async function record(
+  node: Node,
+  request: JobRequest,
+  bodyHash: string,
+  jobId: string,
+  route: Route,
+): Promise<Job> {
+  await appendCommand(node, request.requestId, {
+    type: 'submitted',
+    jobId,
+    request,
+    bodyHash,
+    domain: route.domain,
+    reason: route.reason,
+  });
+  const job = findKnown(node, request.requestId, bodyHash);
+  if (!job) {
+    throw new Failure('request-expired', {
+      ageSeconds: Math.round(
+        (node.clock.wallTime() - request.createdAt) / 1000,
+      ),
+      windowSeconds: node.settings.limits.requestWindowSeconds,
+    });
+  }
+  return job;
+}
--- /dev/null
+++ b/packages/daemon/src/container.ts
@@ -0,0 +1,244 @@
+/** Binds the parts of a daemon, by inversify. Adapters for the platform are injected here. */
+import {Container} from 'inversify';
+import {LedgerState, LogFollower, LogWriter} from '@galenavalve/ledger';
+import type {Log} from '@galenavalve/ledger';
+import {FreshnessTracker, PeerMesh} from '@galenavalve/membership';
+import type {InstanceList} from '@galenavalve/membership';
+import {GalenaPolicy, type Policy} from '@galenavalve/placement';
+import {
+  HttpInstanceList,
+  HttpLog,
+  HttpTargetClient,
+} from '@galenavalve/platform';
+import {CellsMirror, Scheduler} from '@galenavalve/scheduler';
+import {
+  type Clock,
+  type Logger,
+  type Random,
+  SeededRandom,
+  hashText,
+} from '@galenavalve/shared';
+import {
+  GangStarter,
+  LeaseKeeper,
+  TakeoverReader,
+  type TargetAddress,
+  type TargetClient,
+  TargetHealth,
+} from '@galenavalve/targets';
+import {PeerClient, PeerServer} from '@galenavalve/wire';
+import {Daemon} from './daemon.js';
+import {JobWaiters} from './job_waiters.js';
+import type {Node} from './node.js';
+import {Metrics} from './observability/metrics.js';
+import {createSelfReport} from './roles/self_report.js';
+import {chooseMove} from './roles/queue_moves.js';
+import {findStartBar} from './roles/start_bar.js';
+import type {Settings} from './settings/settings.js';
+import {tokens} from './tokens.js';
+
+/** Creates the container of one daemon. Rebind a platform token to inject another adapter. */
+export function createContainer(
+  settings: Settings,
+  clock: Clock,
+  logger: Logger,
+): Container {
+  const container = new Container({defaultScope: 'Singleton'});
+  container.bind(tokens.settings).toConstantValue(settings);
+  container.bind(tokens.clock).toConstantValue(clock);
+  container.bind(tokens.logger).toConstantValue(logger);
+  const seed = parseInt(hashText(settings.instance).slice(0, 8), 16);
+  container
+    .bind(tokens.random)
+    .toConstantValue(new SeededRandom((seed ^ Date.now()) | 0));
+  bindPlatform(container, settings);
+  bindLedger(container);
+  bindPeers(container);
+  bindNode(container);
+  container
+    .bind(Daemon)
+    .toDynamicValue(context => createDaemon(name => context.get(name)));
+  return container;
+}
+
+type Getter = <T>(name: symbol) => T;
+
+function bindPlatform(container: Container, settings: Settings): void {
+  const {logUrl, instanceListUrl} = settings.platform;
+  container
+    .bind<Log>(tokens.log)
+    .toDynamicValue(() => new HttpLog({baseUrl: logUrl}));
+  container
+    .bind<InstanceList>(tokens.instanceList)
+    .toDynamicValue(() => new HttpInstanceList({baseUrl: instanceListUrl}));
+  container
+    .bind<TargetClient>(tokens.targetClient)
+    .toDynamicValue(() => new HttpTargetClient());
+  container
+    .bind<Policy>(tokens.policy)
+    .toDynamicValue(() => new GalenaPolicy());
+}
+
+function bindLedger(container: Container): void {
+  container.bind(tokens.state).toDynamicValue(() => new LedgerState());
+  container.bind(tokens.follower).toDynamicValue(context => {
+    const {timings} = context.get<Settings>(tokens.settings);
+    return new LogFollower({
+      log: context.get(tokens.log),
+      state: context.get(tokens.state),
+      clock: context.get(tokens.clock),
+      random: context.get(tokens.random),
+      logger: context.get(tokens.logger),
+      options: {
+        waitMs: timings.logWaitMs,
+        timeoutMs: timings.platformTimeoutMs,
+      },
+    });
+  });
+  container.bind(tokens.writer).toDynamicValue(context => {
+    const {instance, limits, timings} = context.get<Settings>(tokens.settings);
+    return new LogWriter({
+      log: context.get(tokens.log),
+      follower: context.get(tokens.follower),
+      clock: context.get(tokens.clock),
+      random: context.get(tokens.random),
+      logger: context.get(tokens.logger),
+      instance,
+      options: {
+        maxPending: limits.pendingAppends,
+        appendsPerSecond: limits.appendsPerSecond,
+        appendTimeoutMs: timings.platformTimeoutMs,
+      },
+    });
+  });
+}
+
+function bindPeers(container: Container): void {
+  container.bind(tokens.freshness).toDynamicValue(() => new FreshnessTracker());
+  container.bind(tokens.peerServer).toDynamicValue(context => {
+    const {instance, peer} = context.get<Settings>(tokens.settings);
+    return new PeerServer({
+      ...peer,
+      instance,
+      clock: context.get(tokens.clock),
+      logger: context.get(tokens.logger),
+    });
+  });
+  container.bind(tokens.peerClient).toDynamicValue(context => {
+    const {instance} = context.get<Settings>(tokens.settings);
+    return new PeerClient({
+      self: instance,
+      clock: context.get(tokens.clock),
+      random: context.get(tokens.random),
+      logger: context.get(tokens.logger),
+    });
+  });
+  container.bind(tokens.mesh).toDynamicValue(context => {
+    const {instance, domain, peer, seeds, timings} = context.get<Settings>(
+      tokens.settings,
+    );
+    return new PeerMesh({
+      self: {instance, domain, ...peer},
+      client: context.get(tokens.peerClient),
+      server: context.get(tokens.peerServer),
+      instanceList: context.get(tokens.instanceList),
+      seeds,
+      clock: context.get(tokens.clock),
+      random: context.get(tokens.random),
+      logger: context.get(tokens.logger),
+      report: () => createSelfReport(context.get<Node>(tokens.node)),
+      options: {
+        heartbeatMs: timings.heartbeatMs,
+        suspectMs: timings.suspectMs,
+      },
+    });
+  });
+}
+
+function bindNode(container: Container): void {
+  container
+    .bind<Node>(tokens.node)
+    .toDynamicValue(context => createNode(name => context.get(name)));
+}
+
+function createNode(get: Getter): Node {
+  const state = get<LedgerState>(tokens.state);
+  const clock = get<Clock>(tokens.clock);
+  const policy = get<Policy>(tokens.policy);
+  const mirrors = new Map<string, CellsMirror>();
+  const mirrorOf = (domain: string): CellsMirror => {
+    const mirror =
+      mirrors.get(domain) ?? new CellsMirror(domain, state, policy);
+    mirrors.set(domain, mirror);
+    return mirror;
+  };
+  const node: Omit<Node, 'scheduler'> = {
+    settings: get(tokens.settings),
+    clock,
+    random: get<Random>(tokens.random),
+    logger: get<Logger>(tokens.logger),
+    metrics: new Metrics(),
+    state,
+    follower: get(tokens.follower),
+    writer: get(tokens.writer),
+    policy,
+    mesh: get(tokens.mesh),
+    freshness: get(tokens.freshness),
+    waiters: new JobWaiters(state, clock),
+    stage: 'starting',
+    mirrorOf,
+    mirrors: () => mirrors.values(),
+  };
+  return Object.assign(node, {scheduler: createScheduler(node as Node, get)});
+}
+
+function createScheduler(node: Node, get: Getter): Scheduler {
+  const {settings, state, clock, logger} = node;
+  const {timings} = settings;
+  const client = get<TargetClient>(tokens.targetClient);
+  const addressOf = (id: string): TargetAddress | undefined => {
+    const target = state.configuration.targets.get(id);
+    return target && {id, endpoint: target.endpoint};
+  };
+  const parts = {client, addressOf, clock, logger};
+  return new Scheduler({
+    domain: settings.domain,
+    state,
+    writer: node.writer,
+    policy: node.policy,
+    mirror: node.mirrorOf(settings.domain),
+    starter: new GangStarter({
+      ...parts,
+      options: {
+        reservationTtlMs: timings.reservationMs,
+        callTimeoutMs: timings.targetTimeoutMs,
+        leaseMs: timings.leaseMs,
+      },
+    }),
+    keeper: new LeaseKeeper({
+      ...parts,
+      options: {
+        leaseMs: timings.leaseMs,
+        renewMs: timings.renewMs,
+        callTimeoutMs: timings.targetTimeoutMs,
+      },
+    }),
+    takeover: new TakeoverReader({
+      ...parts,
+      options: {callTimeoutMs: timings.targetTimeoutMs},
+    }),
+    health: new TargetHealth(() => state.configuration.rules),
+    clock,
+    random: node.random,
+    logger,
+    findBar: (now, targets) => findStartBar(node, now, targets),
+    chooseMove: (jobId, now) => chooseMove(node, jobId, now),
+  });
+}
+
+function createDaemon(get: Getter): Daemon {
+  return new Daemon(get(tokens.node), {
+    peerServer: get(tokens.peerServer),
+    peerClient: get(tokens.peerClient),
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,201 @@
+/** One daemon: starts its loops, serves, and stops without cutting a request. */
+import {z} from 'zod';
+import type {Applied} from '@galenavalve/ledger';
+import {type Milliseconds, Failure, describeError} from '@galenavalve/shared';
+import type {PeerClient, PeerServer} from '@galenavalve/wire';
+import {type HttpServer, startHttpServer} from './http/http_server.js';
+import type {Node} from './node.js';
+import {Election} from './roles/election.js';
+
+/** Time between two ticks of the freshness loop. */
+const TICK_MS: Milliseconds = 100;
+
+/** How long a balancer may still send requests after `/readyz` says no. */
+const UNLISTED_MS: Milliseconds = 500;
+
+const waitQuestion = z.strictObject({jobId: z.string().max(100)});
+
+/** Network parts that only the daemon itself opens and closes. */
+export interface DaemonParts {
+  peerServer: PeerServer;
+  peerClient: PeerClient;
+}
+
+/** The daemon of one entry instance. */
+export class Daemon {
+  private readonly loops = new AbortController();
+  private readonly election: Election;
+  private running: Promise<unknown>[] = [];
+  private http: HttpServer | undefined;
+  private stopped: Promise<void> | undefined;
+
+  constructor(
+    readonly node: Node,
+    private readonly parts: DaemonParts,
+  ) {
+    this.election = new Election(node);
+    node.follower.onApplied(applied => this.onApplied(applied));
+  }
+
+  /** Port of the HTTP interface. */
+  get port(): number | undefined {
+    return this.http?.port;
+  }
+
+  /** Starts all loops; resolves when the daemon serves. */
+  async start(): Promise<void> {
+    const {node} = this;
+    const {signal} = this.loops;
+    this.handlePeers();
+    await this.parts.peerServer.start();
+    this.http = await startHttpServer(node);
+    this.keep('follower', node.follower.run(signal));
+    this.keep('writer', node.writer.run(signal));
+    this.keep('mesh', node.mesh.run(signal));
+    this.keep('keeper', node.scheduler.keepLeases(signal));
+    this.keep('freshness', this.tickFreshness(signal));
+    await this.waitUntilCaughtUp(signal);
+    if (node.stage === 'starting') {
+      node.stage = 'serving';
+      node.logger.info('serving', {
+        port: this.http.port,
+        offset: node.state.nextOffset,
+      });
+    }
+    this.keep('election', this.election.run(signal));
+  }
+
+  /** Stops in order: no new requests, roles handed over, callers answered, loops ended. */
+  stop(cause: string): Promise<void> {
+    this.stopped ??= this.drain(cause);
+    return this.stopped;
+  }
+
+  private async drain(cause: string): Promise<void> {
+    const {node} = this;
+    const {clock, settings} = node;
+    node.logger.info('stopping', {cause});
+    node.stage = 'stopping';
+    const deadline = clock.now() + settings.timings.drainMs;
+    await clock.sleep(UNLISTED_MS);
+    await withDeadline(node.scheduler.settle(), deadline - clock.now());
+    node.scheduler.deactivate('a planned stop');
+    // Callers that still wait learn where their job stands, and resume
+    // elsewhere by their request id.
+    node.waiters.close();
+    if (this.http) {
+      await withDeadline(this.http.close(), deadline - clock.now());
+    }
+    this.loops.abort();
+    await withDeadline(Promise.all(this.running), 1_000);
+    this.parts.peerClient.close();
+    await this.parts.peerServer.close();
+    node.logger.info('stopped', {cause});
+  }
+
+  private onApplied(applied: Applied): void {
+    const {node} = this;
+    const {record} = applied;
+    node.metrics.records.inc({
+      type: record?.type ?? 'invalid',
+      verdict: applied.accepted ? 'accepted' : 'rejected',
+    });
+    for (const mirror of node.mirrors()) {
+      mirror.onApplied(applied);
+    }
+    this.election.onApplied(applied);
+    node.scheduler.onApplied(applied);
+    node.waiters.onApplied(applied);
+    if (record?.type === 'started' && applied.accepted) {
+      this.observeStart(record.jobId);
+    }
+  }
+
+  private observeStart(jobId: string): void {
+    const job = this.node.state.job(jobId);
+    if (job?.attempts === 1 && job.startedAt !== undefined) {
+      this.node.metrics.submitToStart.observe(
+        {urgent: String(job.request.urgent)},
+        (job.startedAt - job.submittedAt) / 1000,
+      );
+    }
+  }
+
+  private handlePeers(): void {
+    const {parts, node} = this;
+    parts.peerServer.handle('wait-reason', waitQuestion, async ({jobId}) => {
+      const reason = node.scheduler.waitReason(jobId);
+      if (!reason) {
+        throw new Failure('not-found', {kind: 'waiting reason', id: jobId});
+      }
+      return reason;
+    });
+    node.mesh.onReport((report, receivedAt) => {
+      node.freshness.notePeer(report, node.state.nextOffset, receivedAt);
+    });
+  }
+
+  /** Joins what the follower and the peers know of freshness, and sees pauses. */
+  private async tickFreshness(signal: AbortSignal): Promise<void> {
+    const {node} = this;
+    while (!signal.aborted) {
+      const now = node.clock.now();
+      if (node.freshness.tick(now)) {
+        node.logger.warn('paused', {
+          remedy: 'the process was paused; starts wait for a new read of the log',
+        });
+      }
+      const readAt = node.follower.lastFresh();
+      if (readAt !== undefined) {
+        node.freshness.noteRead(readAt);
+      }
+      node.freshness.noteOffset(node.state.nextOffset);
+      this.updateMetrics(now);
+      await node.clock.sleep(TICK_MS, signal);
+    }
+  }
+
+  private updateMetrics(now: number): void {
+    const {node, parts} = this;
+    const {metrics} = node;
+    metrics.offset.set(node.state.nextOffset);
+    metrics.freshness.set(node.freshness.ageAt(now) / 1000);
+    metrics.scheduling.set(node.scheduler.term ? 1 : 0);
+    metrics.heldCallers.set(node.waiters.count);
+    const sent = parts.peerClient.bytesSent + parts.peerServer.bytesSent;
+    const received =
+      parts.peerClient.bytesReceived + parts.peerServer.bytesReceived;
+    metrics.peerBytes.set({direction: 'sent'}, sent);
+    metrics.peerBytes.set({direction: 'received'}, received);
+  }
+
+  private async waitUntilCaughtUp(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted && !this.node.follower.isCaughtUp) {
+      await this.node.clock.sleep(TICK_MS / 4, signal);
+    }
+  }
+
+  private keep(name: string, loop: Promise<unknown>): void {
+    const guarded = loop.catch(error => {
+      this.node.logger.error('loop-failed', {
+        loop: name,
+        problem: describeError(error),
+      });
+      void this.stop(`the ${name} loop failed`);
+    });
+    this.running.push(guarded);
+  }
+}
+
+/** Resolves when `work` has ended, or after `timeout` milliseconds. */
+async function withDeadline(
+  work: Promise<unknown>,
+  timeout: Milliseconds,
+): Promise<void> {
+  let timer: NodeJS.Timeout | undefined;
+  const expired = new Promise<void>(resolve => {
+    timer = setTimeout(resolve, Math.max(0, timeout));
+  });
+  await Promise.race([work, expired]);
+  clearTimeout(timer);
+}
--- /dev/null
+++ b/packages/daemon/src/http/http_server.ts
@@ -0,0 +1,160 @@
+/** The HTTP interface for callers and operators, by restify. */
+import restify, {type Request, type Response, type Server} from 'restify';
+import {MAX_REQUEST_BYTES} from '@galenavalve/model';
+import {Failure, describeError} from '@galenavalve/shared';
+import type {Node} from '../node.js';
+import {addClusterRoutes} from './cluster_routes.js';
+import {addJobRoutes} from './job_routes.js';
+import {addProbeRoutes} from './probe_routes.js';
+
+/** Largest body of a configuration change, in bytes. */
+const MAX_CONFIGURATION_BYTES = 4_194_304;
+
+/** Seconds after which a caller that was told "not run" may try again. */
+const RETRY_AFTER_SECONDS = 1;
+
+/** Answers one request. What it returns is the body; errors become typed bodies. */
+export type Route = (
+  request: Request,
+  response: Response,
+) => Promise<Reply> | Reply;
+
+/** A status with its body. */
+export interface Reply {
+  status: number;
+  body: unknown;
+  /** Content type; JSON when absent. */
+  contentType?: string;
+}
+
+/** Registers routes on the server. */
+export interface Router {
+  add(method: 'get' | 'post' | 'del', path: string, route: Route): void;
+}
+
+/** The running server. */
+export interface HttpServer {
+  port: number;
+  /** Stops taking connections and resolves when the last answer is sent. */
+  close(): Promise<void>;
+}
+
+/** Starts the server of a daemon. */
+export async function startHttpServer(node: Node): Promise<HttpServer> {
+  const server = restify.createServer({
+    name: 'galenavalved',
+    handleUncaughtExceptions: false,
+  });
+  server.pre((request: Request, response: Response, next: restify.Next) => {
+    if (node.stage === 'stopping') {
+      // Lets the balancer move its connections to other instances.
+      response.setHeader('Connection', 'close');
+    }
+    next();
+  });
+  server.use(restify.plugins.queryParser({mapParams: false}));
+  server.use(
+    restify.plugins.bodyParser({
+      mapParams: false,
+      maxBodySize: MAX_CONFIGURATION_BYTES,
+    }),
+  );
+  server.on('restifyError', onRestifyError);
+  const router = createRouter(node, server);
+  addJobRoutes(node, router);
+  addClusterRoutes(node, router);
+  addProbeRoutes(node, router);
+  await listen(server, node.settings.http.port, node.settings.http.host);
+  return {port: server.address().port, close: () => closeServer(server)};
+}
+
+/** Throws `body-too-large` for a job request that is too long. */
+export function checkRequestSize(request: Request): void {
+  if (request.getContentLength() > MAX_REQUEST_BYTES) {
+    throw new Failure('body-too-large', {limitBytes: MAX_REQUEST_BYTES});
+  }
+}
+
+function createRouter(node: Node, server: Server): Router {
+  return {
+    add(method, path, route) {
+      server[method](path, async (request: Request, response: Response) => {
+        const reply = await answer(node, route, request, response);
+        node.metrics.requests.inc({route: path, status: reply.status});
+        send(response, reply);
+      });
+    },
+  };
+}
+
+async function answer(
+  node: Node,
+  route: Route,
+  request: Request,
+  response: Response,
+): Promise<Reply> {
+  try {
+    return await route(request, response);
+  } catch (error) {
+    const failure = toFailure(error);
+    if (failure.status === 429 || failure.status === 503) {
+      response.setHeader('Retry-After', String(RETRY_AFTER_SECONDS));
+    }
+    node.logger.info('refused', {
+      path: request.path(),
+      code: failure.code,
+      text: failure.message,
+    });
+    return {status: failure.status, body: failure.toJSON()};
+  }
+}
+
+function send(response: Response, reply: Reply): void {
+  if (reply.contentType) {
+    response.sendRaw(reply.status, String(reply.body), {
+      'Content-Type': reply.contentType,
+    });
+    return;
+  }
+  response.sendRaw(reply.status, JSON.stringify(reply.body), {
+    'Content-Type': 'application/json',
+  });
+}
+
+/** Errors of restify itself, such as a body that is not JSON, get a typed body too. */
+function onRestifyError(
+  _request: Request,
+  _response: Response,
+  error: Error & {statusCode?: number; toJSON?: () => unknown},
+  next: restify.Next,
+): void {
+  const status = error.statusCode ?? 500;
+  const failure =
+    status === 413
+      ? new Failure('body-too-large', {limitBytes: MAX_CONFIGURATION_BYTES})
+      : status === 404 || status === 405
+        ? new Failure('not-found', {kind: 'route', id: error.message})
+        : new Failure('bad-request', {problem: error.message});
+  error.toJSON = () => failure.toJSON();
+  next();
+}
+
+function toFailure(error: unknown): Failure {
+  return error instanceof Failure
+    ? error
+    : new Failure('internal', {problem: describeError(error)}, {cause: error});
+}
+
+function listen(server: Server, port: number, host: string): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => resolve());
+  });
+}
+
+function closeServer(server: Server): Promise<void> {
+  return new Promise(resolve => {
+    server.close(() => resolve());
+    server.server.closeIdleConnections();
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/http/parse_body.ts
@@ -0,0 +1,19 @@
+/** Checks what callers send against a schema. */
+import type {z} from 'zod';
+import {Failure} from '@galenavalve/shared';
+
+/** Returns the checked value. Throws `bad-request`, which names the field. */
+export function parseBody<T extends z.ZodType>(
+  schema: T,
+  body: unknown,
+): z.infer<T> {
+  const result = schema.safeParse(body);
+  if (result.success) {
+    return result.data;
+  }
+  const issue = result.error.issues[0];
+  const field = issue?.path.join('.') || 'body';
+  throw new Failure('bad-request', {
+    problem: `${field}: ${issue?.message ?? 'not valid'}`,
+  });
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,2 +1,14 @@
 /** galenavalved: the entry, scheduler and lease keeper roles in one program. */
-export {};
+
+// The daemon
+export {Daemon, type DaemonParts} from './daemon.js';
+export type {Node, Stage} from './node.js';
+
+// Putting one together
+export {createContainer} from './container.js';
+export {tokens} from './tokens.js';
+export {createJsonLogger} from './observability/json_logger.js';
+
+// Settings
+export {type Settings, settings} from './settings/settings.js';
+export {loadSettings, parseSettings} from './settings/load_settings.js';
--- /dev/null
+++ b/packages/daemon/src/node.ts
@@ -0,0 +1,34 @@
+/** What the roles, commands and queries of one daemon share. */
+import type {LedgerState, LogFollower, LogWriter} from '@galenavalve/ledger';
+import type {FreshnessTracker, PeerMesh} from '@galenavalve/membership';
+import type {Policy} from '@galenavalve/placement';
+import type {CellsMirror, Scheduler} from '@galenavalve/scheduler';
+import type {Clock, Logger, Random} from '@galenavalve/shared';
+import type {Metrics} from './observability/metrics.js';
+import type {JobWaiters} from './job_waiters.js';
+import type {Settings} from './settings/settings.js';
+
+/** Where the daemon is in its life. */
+export type Stage = 'starting' | 'serving' | 'stopping';
+
+/** The parts of one daemon. */
+export interface Node {
+  settings: Settings;
+  clock: Clock;
+  random: Random;
+  logger: Logger;
+  metrics: Metrics;
+  state: LedgerState;
+  follower: LogFollower;
+  writer: LogWriter;
+  policy: Policy;
+  mesh: PeerMesh;
+  freshness: FreshnessTracker;
+  scheduler: Scheduler;
+  waiters: JobWaiters;
+  stage: Stage;
+  /** The cells of a failure domain; made on first use. */
+  mirrorOf(domain: string): CellsMirror;
+  /** The cells of every failure domain that has been asked for. */
+  mirrors(): Iterable<CellsMirror>;
+}
--- /dev/null
+++ b/packages/daemon/src/queries/cluster_queries.ts
@@ -0,0 +1,100 @@
+/** Questions about the inventory, the workspaces and the configuration. */
+import type {Job} from '@galenavalve/ledger';
+import type {
+  DomainView,
+  GuaranteeView,
+  InventoryView,
+  Target,
+  TargetView,
+  Workspace,
+  WorkspaceView,
+} from '@galenavalve/model';
+import {measureGuarantees} from '@galenavalve/placement';
+import type {Node} from '../node.js';
+
+/** The inventory as this instance knows it, with its age. */
+export function viewInventory(node: Node): InventoryView {
+  const domains = [...node.state.configuration.domains.keys()].sort();
+  return {
+    offset: node.state.nextOffset,
+    freshnessAgeMs: Math.round(node.freshness.ageAt(node.clock.now())),
+    domains: domains.map(id => viewDomain(node, id)),
+  };
+}
+
+/** Every workspace with its promises and what it uses. */
+export function viewWorkspaces(node: Node): WorkspaceView[] {
+  const {workspaces, domains} = node.state.configuration;
+  const active = [...domains.keys()].flatMap(id => [
+    ...node.state.activeIn(id),
+  ]);
+  const ids = [...workspaces.keys()].sort();
+  return ids.map(id => viewWorkspace(node, workspaces.get(id)!, active));
+}
+
+function viewDomain(node: Node, id: string): DomainView {
+  const {state} = node;
+  const domain = state.configuration.domains.get(id)!;
+  const targets = [...state.configuration.targets.values()].filter(
+    target => target.domain === id,
+  );
+  targets.sort((a, b) => (a.id < b.id ? -1 : 1));
+  return {
+    id,
+    region: domain.region,
+    version: state.entityVersion(`domain/${id}`),
+    state: domain.state,
+    scheduler: state.schedulerTerm(id)?.instance,
+    queued: count(state.queuedIn(id)),
+    running: count(state.activeIn(id)),
+    targets: targets.map(target => viewTarget(node, target)),
+  };
+}
+
+function viewTarget(node: Node, target: Target): TargetView {
+  const {cells} = node.mirrorOf(target.domain);
+  return {
+    id: target.id,
+    rack: target.rack,
+    version: node.state.entityVersion(`target/${target.id}`),
+    state: target.state,
+    accelerators: target.accelerators,
+    acceleratorsUsed: cells.acceleratorsUsed(target.id),
+    tasks: cells.tasksOn(target.id),
+    condition: cells.condition(target.id),
+  };
+}
+
+function viewWorkspace(
+  node: Node,
+  workspace: Workspace,
+  active: readonly Job[],
+): WorkspaceView {
+  const own = active.filter(job => job.request.workspace === workspace.id);
+  return {
+    id: workspace.id,
+    version: node.state.entityVersion(`workspace/${workspace.id}`),
+    weight: workspace.weight,
+    queued: node.state.queuedCount(workspace.id),
+    running: own.length,
+    acceleratorsGuaranteed: sumAccelerators(own.filter(job => job.guaranteed)),
+    acceleratorsBorrowed: sumAccelerators(own.filter(job => !job.guaranteed)),
+    guarantees: viewGuarantees(node, workspace),
+  };
+}
+
+function viewGuarantees(node: Node, workspace: Workspace): GuaranteeView[] {
+  const conditionOf = (target: string, domain: string) =>
+    node.mirrorOf(domain).cells.condition(target);
+  return measureGuarantees(node.state.configuration, workspace.id, conditionOf);
+}
+
+function sumAccelerators(jobs: readonly Job[]): number {
+  return jobs.reduce((sum, {request: {gang}}) => {
+    return sum + gang.tasks * gang.perTask.accelerators;
+  }, 0);
+}
+
+function count(items: Iterable<unknown>): number {
+  return [...items].length;
+}
--- /dev/null
+++ b/packages/daemon/src/queries/config_queries.ts
@@ -0,0 +1,25 @@
+/** Questions about the configuration and its history. */
+import type {VersionedEntity} from '@galenavalve/model';
+import type {Node} from '../node.js';
+
+/** One entity with its key. */
+export interface KeyedEntity extends VersionedEntity {
+  entity: string;
+}
+
+/** Every entity with the version to base a change on. */
+export function viewConfiguration(node: Node): {
+  offset: number;
+  entities: KeyedEntity[];
+} {
+  const entities = [...node.state.entities()].map(([entity, versioned]) => ({
+    entity,
+    ...versioned,
+  }));
+  return {offset: node.state.nextOffset, entities};
+}
+
+/** The latest changes with their verdicts, newest first. */
+export function viewHistory(node: Node, limit: number): {changes: unknown[]} {
+  return {changes: [...node.state.changes(limit)]};
+}
--- /dev/null
+++ b/packages/daemon/src/queries/plan_job.ts
@@ -0,0 +1,64 @@
+/** Says what would happen to a job that was submitted now, without running it. */
+import {
+  type PlanView,
+  type Reason,
+  describeReason,
+  jobRequest,
+} from '@galenavalve/model';
+import {Failure} from '@galenavalve/shared';
+import {toWaitingJob} from '@galenavalve/scheduler';
+import {routeJob} from '../commands/route_job.js';
+import {describeWaiting} from '../commands/submit_job.js';
+import {parseBody} from '../http/parse_body.js';
+import type {Node} from '../node.js';
+
+/** The plan for a job request. Nothing is recorded. */
+export function planJob(node: Node, body: unknown): PlanView {
+  const request = parseBody(jobRequest, body);
+  if (!node.state.configuration.workspaces.has(request.workspace)) {
+    throw new Failure('unknown-workspace', {workspace: request.workspace});
+  }
+  const now = node.clock.wallTime();
+  const job = describeWaiting(request, now);
+  let route;
+  try {
+    route = routeJob(node, job, now);
+  } catch (error) {
+    if (error instanceof Failure && error.code === 'never-runnable') {
+      return {
+        verdict: 'never',
+        assignments: [],
+        victims: [],
+        reasons: [
+          {
+            reason: {code: 'never-size', details: {}},
+            text: String(error.details['constraint']),
+          },
+        ],
+      };
+    }
+    throw error;
+  }
+  const queue = [...node.state.queuedIn(route.domain)].map(toWaitingJob);
+  const {cells} = node.mirrorOf(route.domain);
+  const decisions = node.policy.decide(
+    cells,
+    [...queue, job],
+    now,
+  );
+  const placement = decisions.placements.find(p => p.jobId === job.jobId);
+  const reclaim = decisions.reclaims.find(r => r.forJob === job.jobId);
+  const wait = decisions.waits.find(w => w.jobId === job.jobId);
+  const reasons = [route.reason, placement?.reason, reclaim?.reason, wait?.reason];
+  return {
+    verdict: placement ? 'starts-now' : 'waits',
+    domain: route.domain,
+    assignments: placement?.assignments ?? [],
+    victims: reclaim?.victims ?? [],
+    reasons: reasons.flatMap(reason => (reason ? [explain(reason)] : [])),
+  };
+}
+
+function explain(reason: Reason): {reason: Reason; text: string} {
+  return {reason, text: describeReason(reason)};
+}
--- /dev/null
+++ b/packages/daemon/src/roles/election.ts
@@ -0,0 +1,147 @@
+/** Decides, again and again, whether this instance should schedule its failure domain. */
+import type {Applied} from '@galenavalve/ledger';
+import {type Term, isSameTerm} from '@galenavalve/model';
+import {
+  type ClaimSituation,
+  TAKEOVER_WINDOW_MS,
+  decideClaim,
+  nextClaimAt,
+} from '@galenavalve/membership';
+import {
+  type Instant,
+  type Milliseconds,
+  describeError,
+} from '@galenavalve/shared';
+import type {Node} from '../node.js';
+
+/** Time between two decisions. */
+const INTERVAL_MS: Milliseconds = 200;
+
+/** After how long a claim that the log does not answer is given up. */
+const CLAIM_TIMEOUT_MS: Milliseconds = 3_000;
+
+/** The election of the scheduler of this instance's failure domain. */
+export class Election {
+  private heldTerm: Term | undefined;
+  private presentTerm: Term | undefined;
+  private termSeenAt: Instant;
+  private attempts = 0;
+  private notBefore: Instant | undefined;
+  private takeovers: Instant[] = [];
+
+  constructor(private readonly node: Node) {
+    this.termSeenAt = node.clock.now();
+  }
+
+  /** Runs until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.step();
+      await this.node.clock.sleep(INTERVAL_MS, signal);
+    }
+  }
+
+  /** Takes notice of claims. */
+  onApplied(applied: Applied): void {
+    const {record} = applied;
+    if (
+      record?.type === 'claimed' &&
+      record.domain === this.domain &&
+      applied.accepted
+    ) {
+      this.noteTerm(record.term);
+      this.takeovers.push(this.node.clock.now());
+    }
+  }
+
+  private get domain(): string {
+    return this.node.settings.domain;
+  }
+
+  private async step(): Promise<void> {
+    const {node} = this;
+    const now = node.clock.now();
+    this.noteTerm(node.state.schedulerTerm(this.domain));
+    const decision = decideClaim(this.describe(now));
+    if (decision.kind !== 'claim') {
+      return;
+    }
+    node.logger.info('claiming', {
+      domain: this.domain,
+      after: this.presentTerm,
+      reason: decision.reason,
+    });
+    await this.claim();
+  }
+
+  private async claim(): Promise<void> {
+    const {node} = this;
+    const term: Term = {
+      log: (this.presentTerm?.log ?? 0) + 1,
+      outage: 0,
+      instance: node.settings.instance,
+    };
+    this.notBefore = nextClaimAt(
+      node.clock.now(),
+      this.attempts++,
+      node.random,
+    );
+    try {
+      const deadline = node.clock.now() + CLAIM_TIMEOUT_MS;
+      const applied = await node.writer.append(
+        {type: 'claimed', domain: this.domain, term},
+        {deadline},
+      );
+      if (applied.accepted) {
+        this.onClaimed(term);
+      }
+    } catch (error) {
+      node.logger.warn('claim-failed', {problem: describeError(error)});
+    }
+  }
+
+  private onClaimed(term: Term): void {
+    const present = this.node.state.schedulerTerm(this.domain);
+    if (present && isSameTerm(present, term) && this.node.stage !== 'stopping') {
+      this.heldTerm = term;
+      this.attempts = 0;
+      this.node.scheduler.activate(term);
+    }
+  }
+
+  private noteTerm(term: Term | undefined): void {
+    const isKnown =
+      term === undefined ||
+      (this.presentTerm !== undefined && isSameTerm(term, this.presentTerm));
+    if (!isKnown) {
+      this.presentTerm = term;
+      this.termSeenAt = this.node.clock.now();
+    }
+  }
+
+  private describe(now: Instant): ClaimSituation {
+    const {node} = this;
+    this.takeovers = this.takeovers.filter(at => now - at < TAKEOVER_WINDOW_MS);
+    const holder = this.presentTerm?.instance;
+    const status = node.mesh
+      .peers()
+      .find(peer => peer.address.instance === holder);
+    return {
+      now,
+      domain: this.domain,
+      self: node.settings.instance,
+      selfReady: node.stage === 'serving',
+      selfLeaving: node.stage === 'stopping',
+      presentTerm: this.presentTerm,
+      termSeenAt: this.termSeenAt,
+      heldTerm: this.heldTerm,
+      candidates: node.mesh.aliveIn(this.domain, now),
+      holderHeardAt: status?.lastHeardAt,
+      holderLeaving:
+        status?.listed === 'leaving' || status?.report?.leaving === true,
+      recentTakeovers: this.takeovers.length,
+      notBefore: this.notBefore,
+      suspectMs: node.settings.timings.suspectMs,
+    };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/tokens.ts
@@ -0,0 +1,19 @@
+/** Names of the parts in the container. */
+export const tokens = {
+  settings: Symbol('settings'),
+  clock: Symbol('clock'),
+  logger: Symbol('logger'),
+  random: Symbol('random'),
+  log: Symbol('log'),
+  instanceList: Symbol('instance list'),
+  targetClient: Symbol('target client'),
+  policy: Symbol('policy'),
+  state: Symbol('state'),
+  follower: Symbol('follower'),
+  writer: Symbol('writer'),
+  freshness: Symbol('freshness'),
+  peerServer: Symbol('peer server'),
+  peerClient: Symbol('peer client'),
+  mesh: Symbol('mesh'),
+  node: Symbol('node'),
+} as const;
--- /dev/null
+++ b/packages/demo/src/kestrelway.ts
@@ -0,0 +1,76 @@
+/** The deployment of the demonstration: the sizes of Kestrelway Junior Travel Desk. */
+import type {Entity, Target} from '@galenavalve/model';
+import {entity} from '@galenavalve/model';
+
+/** The failure domains, all in one region. */
+export const DOMAINS = ['za-1', 'za-2', 'za-3'] as const;
+
+/** Targets of each failure domain, in racks of eight. */
+const TARGETS_PER_DOMAIN = 10;
+const RACK_SIZE = 8;
+
+const ACCELERATORS = 8;
+const SLOTS = 8;
+const PROCESSORS = 64;
+const MEMORY_MB = 130 * 1024;
+
+/** Names of the targets of a failure domain. */
+export function targetsOf(domain: string): string[] {
+  return Array.from(
+    {length: TARGETS_PER_DOMAIN},
+    (_, index) => `${domain}-t${String(index + 1).padStart(2, '0')}`,
+  );
+}
+
+/** The whole configuration. `targetUrls` gives the server of the targets of each domain. */
+export function createConfiguration(
+  targetUrls: ReadonlyMap<string, string>,
+): Entity[] {
+  const entities: unknown[] = [{kind: 'rules', checkpointGraceSeconds: 1}];
+  for (const domain of DOMAINS) {
+    entities.push({kind: 'domain', id: domain, region: 'za'});
+    entities.push(...createTargets(domain, targetUrls.get(domain) ?? ''));
+  }
+  entities.push(...createWorkspaces());
+  return entities.map(value => entity.parse(value));
+}
+
+function createTargets(domain: string, url: string): Target[] {
+  return targetsOf(domain).map((id, index) => ({
+    kind: 'target',
+    id,
+    domain,
+    rack: `${domain}-r${Math.floor(index / RACK_SIZE) + 1}`,
+    endpoint: `${url}/targets/${id}`,
+    accelerators: ACCELERATORS,
+    processors: PROCESSORS,
+    memoryMb: MEMORY_MB,
+    slots: SLOTS,
+    state: 'in-service',
+  }));
+}
+
+function createWorkspaces(): unknown[] {
+  const halfRack = {level: 'target', count: 4};
+  return [
+    {
+      kind: 'workspace',
+      id: 'handover-plans',
+      weight: 4,
+      guarantees: DOMAINS.map(domain => ({...halfRack, domain})),
+    },
+    {
+      kind: 'workspace',
+      id: 'reshuffles',
+      weight: 3,
+      guarantees: DOMAINS.map(domain => ({level: 'target', count: 2, domain})),
+    },
+    {
+      kind: 'workspace',
+      id: 'identity-checks',
+      weight: 1,
+      guarantees: DOMAINS.map(domain => ({level: 'half', count: 1, domain})),
+    },
+    {kind: 'workspace', id: 'reports', weight: 1},
+  ];
+}
--- /dev/null
+++ b/packages/scheduler/src/cells_mirror.ts
@@ -0,0 +1,145 @@
+/**
+ * Keeps the cells of one failure domain in step with the ledger. Every instance
+ * mirrors every domain, to route and to plan; the domain's scheduler also
+ * adds the gangs that it is about to start.
+ */
+import type {Configuration} from '@galenavalve/model';
+import type {Applied, Job, LedgerState} from '@galenavalve/ledger';
+import type {
+  DomainCells,
+  Policy,
+  RunningGang,
+  TargetCondition,
+} from '@galenavalve/placement';
+
+/** The cells of one domain, derived from the ledger. */
+export class CellsMirror {
+  readonly cells: DomainCells;
+  private configuration: Configuration;
+  private readonly observed = new Map<string, TargetCondition>();
+  /** Gangs that are about to start but are not in the ledger yet. */
+  private readonly pending = new Set<string>();
+
+  constructor(
+    readonly domain: string,
+    private readonly state: LedgerState,
+    policy: Policy,
+  ) {
+    this.configuration = state.configuration;
+    this.cells = policy.createCells(domain, state.configuration);
+    for (const job of state.activeIn(domain)) {
+      this.cells.occupy(toRunningGang(job));
+    }
+  }
+
+  /** Takes over the effect of an accepted record. */
+  onApplied(applied: Applied): void {
+    const record = applied.record;
+    if (!applied.accepted || !record) {
+      return;
+    }
+    if (record.type === 'configured') {
+      this.followConfiguration();
+    }
+    if ('jobId' in record) {
+      this.followJob(record.jobId);
+    }
+  }
+
+  /** Occupies cells for a gang whose `placed` record is not accepted yet. */
+  addPending(gang: RunningGang): void {
+    this.pending.add(gang.jobId);
+    this.cells.occupy(gang);
+  }
+
+  /** Frees the cells of a pending gang, unless the ledger holds it by now. */
+  dropPending(jobId: string): void {
+    this.pending.delete(jobId);
+    this.followJob(jobId);
+  }
+
+  /** Notes what is seen of a target; `well` when there is nothing against it. */
+  setCondition(target: string, condition: TargetCondition): void {
+    if ((this.observed.get(target) ?? 'well') === condition) {
+      return;
+    }
+    this.observed.set(target, condition);
+    this.cells.setCondition(target, condition);
+  }
+
+  /** Marks a gang that was told to stop, so that it is not chosen again as a victim. */
+  markStopping(jobId: string): void {
+    const job = this.state.job(jobId);
+    if (job) {
+      this.cells.vacate(jobId);
+      this.cells.occupy({...toRunningGang(job), stopping: true});
+    }
+  }
+
+  private followConfiguration(): void {
+    if (this.configuration === this.state.configuration) {
+      return;
+    }
+    this.configuration = this.state.configuration;
+    this.cells.configure(this.configuration);
+    for (const [target, condition] of this.observed) {
+      this.cells.setCondition(target, condition);
+    }
+  }
+
+  private followJob(jobId: string): void {
+    const job = this.state.job(jobId);
+    const isHere =
+      job?.domain === this.domain &&
+      (job.phase === 'placed' || job.phase === 'running');
+    if (isHere && !this.pending.has(jobId)) {
+      this.cells.vacate(jobId);
+      this.cells.occupy(toRunningGang(job));
+    }
+    if (!isHere && !this.pending.has(jobId)) {
+      this.cells.vacate(jobId);
+    }
+    if (job?.domain === this.domain && job.outcome === 'succeeded') {
+      this.learnFrom(job);
+    }
+  }
+
+  private learnFrom(job: Job): void {
+    if (job.startedAt === undefined || job.finishedAt === undefined) {
+      return;
+    }
+    const actualSeconds =
+      job.progressSeconds + (job.finishedAt - job.startedAt) / 1000;
+    this.cells.learn(
+      job.request.workspace,
+      job.request.kind,
+      job.request.expectedSeconds,
+      actualSeconds,
+    );
+  }
+}
+
+/** An active job as the placement package sees it. */
+export function toRunningGang(job: Job): RunningGang {
+  const startedAt = job.startedAt ?? job.placedAt ?? job.submittedAt;
+  return {
+    jobId: job.jobId,
+    workspace: job.request.workspace,
+    gang: job.request.gang,
+    kind: job.request.kind,
+    assignments: job.assignments,
+    guaranteed: job.guaranteed,
+    urgent: job.request.urgent,
+    repeatable: job.request.repeatable,
+    checkpointable: job.request.checkpointable,
+    startedAt,
+    savedAt: startedAt,
+    expectedSeconds: remainingSeconds(job),
+    stopping: job.cancelRequested,
+  };
+}
+
+/** The caller's estimate of the run time that is left, in seconds. */
+export function remainingSeconds(job: Job): number {
+  return Math.max(1, job.request.expectedSeconds - job.progressSeconds);
+}
--- /dev/null
+++ b/packages/scheduler/src/gang_watch.ts
@@ -0,0 +1,191 @@
+/** Turns what the lease keeper sees into records: results, failures and lost members. */
+import type {Job} from '@galenavalve/ledger';
+import {
+  MAX_RESULT_BYTES,
+  type Outcome,
+  type Reason,
+  createReason,
+  describeReason,
+} from '@galenavalve/model';
+import {hashValue} from '@galenavalve/shared';
+import type {KeeperEvent} from '@galenavalve/targets';
+import type {GangStop} from './gang_stop.js';
+import {toGangOrder} from './gang_order.js';
+import type {SchedulerContext} from './schedule_context.js';
+
+/** The end of a job, ready to be recorded. */
+interface Ending {
+  outcome: Outcome;
+  results: unknown[];
+  ranSeconds: number;
+  reason: Reason;
+}
+
+/** Watches the running gangs for one term of a domain's scheduler. */
+export class GangWatch {
+  constructor(
+    private readonly context: SchedulerContext,
+    private readonly stop: GangStop,
+  ) {}
+
+  /** Handles one event of the lease keeper. */
+  onKeeperEvent(event: KeeperEvent): void {
+    switch (event.kind) {
+      case 'succeeded':
+        this.onSucceeded(event);
+        return;
+      case 'failed':
+        this.onFailed(event);
+        return;
+      case 'member-lost':
+        this.onMemberLost(event);
+        return;
+      case 'target-leaving':
+        this.onTargetLeaving(event.target);
+        return;
+      case 'target-silent':
+        this.context.mirror.setCondition(event.target, 'unreachable');
+        this.context.logger.warn('target-silent', {target: event.target});
+        return;
+      case 'target-answering':
+        this.context.mirror.setCondition(event.target, 'well');
+        this.context.logger.info('target-answering', {target: event.target});
+        this.context.poke();
+        return;
+      default:
+        return;
+    }
+  }
+
+  private onSucceeded(event: KeeperEvent & {kind: 'succeeded'}): void {
+    const job = this.findPresent(event.jobId, event.attempt);
+    if (!job) {
+      return;
+    }
+    for (const {target} of job.assignments) {
+      this.context.health.noteSuccess(target, this.context.clock.now());
+    }
+    const bytes = JSON.stringify(event.results).length;
+    const tooLarge = bytes > MAX_RESULT_BYTES;
+    void this.finish(job, {
+      outcome: tooLarge ? 'failed' : 'succeeded',
+      results: tooLarge ? [] : event.results,
+      ranSeconds: event.ranSeconds,
+      reason: tooLarge
+        ? createReason('result-too-large', {
+            bytes,
+            limitBytes: MAX_RESULT_BYTES,
+          })
+        : createReason('finished', {tasks: job.request.gang.tasks}),
+    });
+  }
+
+  private onFailed(event: KeeperEvent & {kind: 'failed'}): void {
+    const job = this.findPresent(event.jobId, event.attempt);
+    if (!job || this.stop.isStopping(job.jobId)) {
+      return;
+    }
+    const {clock, health, mirror, logger} = this.context;
+    const reason = createReason('task-failed', {
+      task: event.task ?? 0,
+      target: event.culprit,
+      problem: event.problem,
+    });
+    logger.info('task-failed', {
+      jobId: job.jobId,
+      attempt: event.attempt,
+      target: event.culprit,
+      text: describeReason(reason),
+    });
+    health.noteFailure(event.culprit, job.jobId, clock.now());
+    mirror.setCondition(
+      event.culprit,
+      health.condition(event.culprit, clock.now()),
+    );
+    const failedTargets = new Set(job.failures.map(({target}) => target));
+    failedTargets.add(event.culprit);
+    const limit = this.context.state.configuration.rules.jobFailures;
+    if (!job.request.repeatable || failedTargets.size >= limit) {
+      void this.endFailing(job, failedTargets.size, reason);
+      return;
+    }
+    this.stop.begin(job, {reason, culprit: event.culprit, checkpoint: false});
+  }
+
+  private onMemberLost(event: KeeperEvent & {kind: 'member-lost'}): void {
+    const job = this.findPresent(event.jobId, event.attempt);
+    if (job) {
+      const reason = createReason('stopped-member', {
+        target: event.culprit,
+        problem: event.problem,
+      });
+      this.stop.begin(job, {reason, checkpoint: false});
+    }
+  }
+
+  private onTargetLeaving(target: string): void {
+    const {mirror, state, domain} = this.context;
+    mirror.setCondition(target, 'leaving');
+    this.context.logger.info('target-leaving', {target});
+    const reason = createReason('preempted-target-leaving', {target});
+    for (const job of [...state.activeIn(domain)]) {
+      const isOnTarget = job.assignments.some(part => part.target === target);
+      if (isOnTarget && job.request.repeatable) {
+        this.stop.begin(job, {reason, checkpoint: true});
+      }
+    }
+  }
+
+  /** Ends a job that failed for good: its other tasks are stopped first. */
+  private async endFailing(
+    job: Job,
+    failures: number,
+    cause: Reason,
+  ): Promise<void> {
+    const order = toGangOrder(job, this.context.term);
+    await this.context.starter.stop(order, {checkpoint: false, graceMs: 0});
+    await this.finish(job, {
+      outcome: 'failed',
+      results: [],
+      ranSeconds: 0,
+      reason:
+        failures > 1 ? createReason('job-failing', {failures}) : cause,
+    });
+  }
+
+  private async finish(job: Job, ending: Ending): Promise<void> {
+    const {keeper, record, domain, term, logger} = this.context;
+    const {jobId, attempts: attempt} = job;
+    logger.info('finished', {
+      jobId,
+      attempt,
+      outcome: ending.outcome,
+      text: describeReason(ending.reason),
+    });
+    const isAccepted = await record({
+      type: 'finished',
+      jobId,
+      attempt,
+      domain,
+      term,
+      outcome: ending.outcome,
+      results: ending.results as never[],
+      resultHash: hashValue(ending.results),
+      ranSeconds: ending.ranSeconds,
+      reason: ending.reason,
+    });
+    if (isAccepted) {
+      keeper.forget(jobId, attempt);
+    }
+    keeper.unfollow(jobId);
+    this.context.poke();
+  }
+
+  private findPresent(jobId: string, attempt: number): Job | undefined {
+    const job = this.context.state.job(jobId);
+    const isPresent =
+      job?.attempts === attempt &&
+      (job.phase === 'placed' || job.phase === 'running');
+    return isPresent ? job : undefined;
+  }
+}
