--- /dev/null
+++ b/packages/ledger/__tests__/fixtures.ts
@@ -0,0 +1,238 @@
+/** Records and states for the specs. */
+import {
+  type Entity,
+  type JobRequest,
+  type LogRecord,
+  type RecordBody,
+  type Term,
+  createReason,
+  entity,
+  jobRequest,
+  keyOf,
+} from '@galenavalve/model';
+import {
+  ManualClock,
+  SeededRandom,
+  SilentLogger,
+  hashValue,
+} from '@galenavalve/shared';
+import {
+  type Applied,
+  type FollowerOptions,
+  type LedgerOptions,
+  type LogFaults,
+  type WriterOptions,
+  LedgerState,
+  LogFollower,
+  LogWriter,
+  MemoryLog,
+  applyEntry,
+} from '../src/index.js';
+
+export const T0 = 1_700_000_000_000;
+export const TERM: Term = {log: 1, outage: 0, instance: 'i1'};
+export const REASON = createReason('routed-only', {domain: 'd1'});
+
+let sequence = 0;
+
+export function createRequest(fields: Partial<JobRequest> = {}): JobRequest {
+  return jobRequest.parse({
+    requestId: 'r1',
+    workspace: 'ws1',
+    gang: {tasks: 2, perTask: {accelerators: 1}},
+    expectedSeconds: 60,
+    createdAt: T0,
+    ...fields,
+  });
+}
+
+/** Entities of two failure domains with two targets each, and a workspace. */
+export function createEntities(): Entity[] {
+  const domains = ['d1', 'd2'].map(id => ({kind: 'domain', id, region: 'r'}));
+  const targets = ['t1', 't2', 't3', 't4'].map((id, i) => ({
+    kind: 'target',
+    id,
+    domain: i < 2 ? 'd1' : 'd2',
+    rack: `k${i}`,
+    endpoint: `http://127.0.0.1:${9000 + i}`,
+    accelerators: 8,
+    processors: 32,
+    memoryMb: 65_536,
+    slots: 8,
+  }));
+  const workspace = {kind: 'workspace', id: 'ws1', queueLimit: 50};
+  return [...domains, ...targets, workspace].map(value => entity.parse(value));
+}
+
+export function configure(
+  values: readonly Entity[],
+  baseVersion = 0,
+  changeId = `c${(sequence += 1)}`,
+): RecordBody {
+  const edits = values.map(value => ({
+    entity: keyOf(value),
+    baseVersion,
+    value,
+  }));
+  return {type: 'configured', change: {changeId, author: 'op', edits}};
+}
+
+export function submit(
+  jobId = 'j1',
+  fields: Partial<JobRequest> = {},
+): RecordBody {
+  const request = createRequest({requestId: `r-${jobId}`, ...fields});
+  return {
+    type: 'submitted',
+    jobId,
+    request,
+    bodyHash: hashValue(request),
+    domain: 'd1',
+    reason: REASON,
+  };
+}
+
+export function attemptFields(jobId = 'j1', attempt = 1, term = TERM) {
+  return {jobId, attempt, domain: 'd1', term};
+}
+
+export function place(jobId = 'j1', attempt = 1, term = TERM): RecordBody {
+  return {
+    type: 'placed',
+    ...attemptFields(jobId, attempt, term),
+    assignments: [{target: 't1', firstTask: 0, tasks: 2, accelerators: 3}],
+    guaranteed: true,
+    reason: createReason('placed-guaranteed'),
+  };
+}
+
+export function start(jobId = 'j1', attempt = 1, term = TERM): RecordBody {
+  return {type: 'started', ...attemptFields(jobId, attempt, term)};
+}
+
+export function unplace(
+  mayHaveRun: boolean,
+  jobId = 'j1',
+  attempt = 1,
+  term = TERM,
+): RecordBody {
+  return {
+    type: 'unplaced',
+    ...attemptFields(jobId, attempt, term),
+    mayHaveRun,
+    progressSeconds: 0,
+    reason: createReason('preempted-reclaim'),
+  };
+}
+
+export function finish(
+  outcome: 'succeeded' | 'failed' | 'cancelled' | 'not-run',
+  jobId = 'j1',
+  attempt = 1,
+  term = TERM,
+): RecordBody {
+  const results = outcome === 'succeeded' ? ['a', {b: 1}] : [];
+  return {
+    type: 'finished',
+    ...attemptFields(jobId, attempt, term),
+    outcome,
+    results,
+    resultHash: hashValue(results),
+    ranSeconds: 1,
+    reason: createReason('finished', {tasks: 2}),
+  };
+}
+
+export function cancel(jobId = 'j1'): RecordBody {
+  return {
+    type: 'cancelled',
+    jobId,
+    reason: createReason('cancelled', {by: 'op'}),
+  };
+}
+
+export function claim(term = TERM, domain = 'd1'): RecordBody {
+  return {type: 'claimed', domain, term};
+}
+
+export function createRecord(
+  body: RecordBody,
+  header: {at?: number; by?: string; recordId?: string} = {},
+): LogRecord {
+  sequence += 1;
+  return {
+    v: 1,
+    recordId: `rec${sequence}`,
+    at: T0,
+    by: 'i1',
+    ...header,
+    ...body,
+  };
+}
+
+/** Folds the next record of a state. */
+export function fold(
+  state: LedgerState,
+  body: RecordBody | LogRecord,
+  header: {at?: number; by?: string} = {},
+): Applied {
+  const value = 'recordId' in body ? body : createRecord(body, header);
+  return applyEntry(state, {
+    offset: state.nextOffset,
+    value: JSON.parse(JSON.stringify(value)) as unknown,
+  });
+}
+
+/** A state with the entities of `createEntities` and a scheduler of d1. */
+export function createState(options: Partial<LedgerOptions> = {}): LedgerState {
+  const state = new LedgerState(options);
+  fold(state, configure(createEntities()));
+  fold(state, claim());
+  return state;
+}
+
+/** An instance that follows and writes a log in memory. */
+export class Instance {
+  readonly state = new LedgerState();
+  readonly follower: LogFollower;
+  readonly writer: LogWriter;
+  private readonly controller = new AbortController();
+
+  constructor(
+    readonly clock: ManualClock,
+    readonly log: MemoryLog,
+    name = 'i1',
+    options: Partial<FollowerOptions> & Partial<WriterOptions> = {},
+  ) {
+    const shared = {
+      log,
+      clock,
+      logger: new SilentLogger(),
+      random: new SeededRandom(name.length),
+      options,
+    };
+    const {state} = this;
+    this.follower = new LogFollower({...shared, state});
+    const {follower} = this;
+    this.writer = new LogWriter({...shared, follower, instance: name});
+    void this.follower.run(this.controller.signal);
+    void this.writer.run(this.controller.signal);
+  }
+
+  stop(): void {
+    this.controller.abort();
+  }
+}
+
+/** An instance on a log that holds the entities of `createEntities`. */
+export async function createInstance(
+  faults: Partial<LogFaults> = {},
+  options: Partial<FollowerOptions> & Partial<WriterOptions> = {},
+): Promise<Instance> {
+  const clock = new ManualClock(T0);
+  const log = new MemoryLog(clock, faults);
+  log.write(createRecord(configure(createEntities())), createRecord(claim()));
+  const instance = new Instance(clock, log, 'i1', options);
+  await clock.advance(1000);
+  return instance;
+}
--- /dev/null
+++ b/packages/ledger/__tests__/fold.spec.ts
@@ -0,0 +1,159 @@
+import t from 'tap';
+import {LedgerState, applyEntry} from '../src/index.js';
+import {
+  T0,
+  TERM,
+  cancel,
+  claim,
+  createRecord,
+  createState,
+  finish,
+  fold,
+  place,
+  start,
+  submit,
+  unplace,
+} from './fixtures.js';
+
+t.test('a request', async t => {
+  t.test('is one job, however often it is recorded', async t => {
+    const state = createState();
+    t.equal(fold(state, submit()).accepted, true);
+    const again = fold(state, {...submit(), jobId: 'j2'} as never);
+    t.match(again, {accepted: true, duplicate: true});
+    t.equal(state.jobByRequest('r-j1')?.jobId, 'j1');
+    t.equal(state.job('j2'), undefined);
+  });
+
+  t.test('with a used id and another body is a conflict', async t => {
+    const state = createState();
+    fold(state, submit());
+    const other = fold(state, submit('j2', {requestId: 'r-j1', urgent: true}));
+    t.match(other, {accepted: false, rejection: 'request-conflict'});
+  });
+
+  t.test('that was withdrawn before never becomes a job', async t => {
+    const state = createState();
+    fold(state, {type: 'withdrawn', requestId: 'r-j1'});
+    t.equal(fold(state, submit()).rejection, 'request-withdrawn');
+  });
+
+  t.test('older than the window is refused as expired', async t => {
+    const state = createState({requestWindow: 1000});
+    fold(state, cancel(), {at: T0 + 5000, by: 'i2'});
+    fold(state, cancel(), {at: T0 + 5000, by: 'i1'});
+    t.equal(fold(state, submit()).problem?.code, 'request-expired');
+  });
+
+  t.test('over the limit of its workspace is refused', async t => {
+    const state = createState();
+    for (let i = 0; i < 50; i++) {
+      fold(state, submit(`j${i}`));
+    }
+    t.equal(fold(state, submit('j50')).problem?.code, 'workspace-limit');
+  });
+});
+
+t.test('one writer with a wrong clock does not move log time', async t => {
+  const state = createState();
+  fold(state, cancel(), {at: T0 + 10, by: 'i2'});
+  fold(state, cancel(), {at: T0 * 2, by: 'i3'});
+  t.equal(state.logTime.value, T0 + 10);
+});
+
+t.test('an attempt', async t => {
+  t.test('is accepted once, under the present term', async t => {
+    const state = createState();
+    fold(state, submit());
+    const other = {...TERM, instance: 'i9'};
+    t.equal(fold(state, place('j1', 1, other)).rejection, 'stale-term');
+    t.equal(fold(state, place('j1', 2)).rejection, 'wrong-attempt');
+    t.equal(fold(state, place()).accepted, true);
+    t.equal(fold(state, place()).rejection, 'job-not-queued');
+    t.equal([...state.activeIn('d1')].length, 1);
+  });
+
+  t.test('is refused to a scheduler that was replaced', async t => {
+    const state = createState();
+    fold(state, submit());
+    fold(state, claim({log: 2, outage: 0, instance: 'i2'}));
+    t.equal(fold(state, place()).rejection, 'stale-term');
+  });
+
+  t.test('that may have run ends a job that may not be repeated', async t => {
+    const state = createState();
+    fold(state, submit('j1', {repeatable: false}));
+    fold(state, place());
+    const applied = fold(state, unplace(true));
+    t.equal(applied.released?.length, 1);
+    t.match(state.job('j1'), {phase: 'finished', outcome: 'lost'});
+  });
+
+  t.test('that did not run is repeated, with the next number', async t => {
+    const state = createState();
+    fold(state, submit('j1', {repeatable: false}));
+    fold(state, place());
+    fold(state, unplace(false));
+    t.equal(fold(state, place()).rejection, 'wrong-attempt');
+    t.equal(fold(state, place('j1', 2)).accepted, true);
+  });
+
+  t.test('needs an approval where the workspace asks for it', async t => {
+    const state = createState();
+    const value = {...state.workspace('ws1')!, requiresApproval: true};
+    fold(state, {
+      type: 'configured',
+      change: {
+        changeId: 'approval',
+        author: 'op',
+        edits: [{entity: 'workspace/ws1', baseVersion: 1, value}],
+      },
+    });
+    fold(state, submit());
+    t.equal(fold(state, place()).rejection, 'not-approved');
+    fold(state, {type: 'approved', jobId: 'j1', author: 'op'});
+    t.equal(fold(state, place()).accepted, true);
+  });
+});
+
+t.test('a job that ran is never recorded as "not run"', async t => {
+  const state = createState();
+  fold(state, submit());
+  fold(state, place());
+  fold(state, start());
+  t.equal(fold(state, finish('not-run')).rejection, 'wrong-outcome');
+  t.equal(fold(state, finish('succeeded')).accepted, true);
+  t.equal(fold(state, finish('succeeded')).rejection, 'job-finished');
+  t.strictSame(state.job('j1')?.results, ['a', {b: 1}]);
+});
+
+t.test('a cancelled job', async t => {
+  t.test('ends at once while it waits', async t => {
+    const state = createState();
+    fold(state, submit());
+    fold(state, cancel());
+    t.equal(state.job('j1')?.outcome, 'cancelled');
+  });
+
+  t.test('ends when its attempt was stopped', async t => {
+    const state = createState();
+    fold(state, submit());
+    fold(state, place());
+    fold(state, cancel());
+    t.equal(state.job('j1')?.cancelRequested, true);
+    fold(state, unplace(true));
+    t.equal(state.job('j1')?.outcome, 'cancelled');
+  });
+});
+
+t.test('a damaged record is skipped and counted', async t => {
+  const state = new LedgerState();
+  const applied = applyEntry(state, {offset: 0, value: {v: 9}});
+  t.equal(applied.problem?.code, 'record-invalid');
+  applyEntry(state, {
+    offset: 1,
+    value: {...createRecord(claim()), type: 'unknown'},
+  });
+  t.equal(state.skipped, 2);
+  t.equal(state.nextOffset, 2);
+});
--- /dev/null
+++ b/packages/ledger/__tests__/writer.spec.ts
@@ -0,0 +1,60 @@
+import {isFailure} from '@galenavalve/shared';
+import t from 'tap';
+import {cancel, createInstance, submit} from './fixtures.js';
+
+t.test('records that wait together share one append', async t => {
+  const {clock, writer, log} = await createInstance();
+  const before = log.appendCount;
+  const deadline = clock.now() + 5000;
+  const bodies = Array.from({length: 5000}, (_, i) => cancel(`j${i}`));
+  const done = writer.appendAll(bodies, {deadline});
+  await clock.advance(1000);
+  t.equal((await done).length, 5000);
+  t.equal(log.appendCount - before, 5);
+});
+
+t.test('a lost answer is found in the log', async t => {
+  const {clock, writer, log, state} = await createInstance({lostAnswers: 1});
+  const done = writer.append(submit(), {deadline: clock.now() + 5000});
+  await clock.advance(2000);
+  t.equal((await done).accepted, true);
+  t.equal(log.entries().length, 3);
+  t.ok(state.job('j1'));
+});
+
+t.test(
+  'a lost append is repeated, and a late copy changes nothing',
+  async t => {
+    const faults = {lateAppends: 1, lateBy: 10_000};
+    const {clock, writer, log, state} = await createInstance(faults);
+    const done = writer.append(submit(), {deadline: clock.now() + 5000});
+    await clock.advance(4000);
+    t.equal((await done).accepted, true);
+    const job = structuredClone(state.job('j1'));
+    await clock.advance(10_000);
+    t.equal(log.entries().length, 4);
+    t.strictSame(state.job('j1'), job);
+  },
+);
+
+t.test('"log-unavailable" is said only if nothing was written', async t => {
+  const {clock, writer, log} = await createInstance();
+  log.faults.outage = 'refused';
+  const refused = writer.append(submit(), {deadline: clock.now() + 3000});
+  t.rejects(refused, {code: 'log-unavailable'});
+  await clock.advance(4000);
+  log.faults.outage = 'silent';
+  const unknown = writer.append(submit(), {deadline: clock.now() + 3000});
+  t.rejects(unknown, {code: 'append-uncertain'});
+  await clock.advance(4000);
+});
+
+t.test('a full queue refuses at once and writes nothing', async t => {
+  const {clock, writer} = await createInstance({}, {queueRecords: 1});
+  const options = {deadline: clock.now() + 1000};
+  const first = writer.append(submit(), options);
+  const error: unknown = await writer.append(submit(), options).catch(e => e);
+  t.ok(isFailure(error, 'overloaded'));
+  await clock.advance(1000);
+  t.equal((await first).accepted, true);
+});
--- /dev/null
+++ b/packages/ledger/src/applied.ts
@@ -0,0 +1,64 @@
+/** What the fold made of one log entry. */
+import type {Assignment, LogRecord} from '@galenavalve/model';
+import type {Failure} from '@galenavalve/shared';
+
+/** Why the fold rejected a record. */
+export type Rejection =
+  | 'record-invalid'
+  | 'request-conflict'
+  | 'request-expired'
+  | 'request-withdrawn'
+  | 'request-known'
+  | 'job-id-taken'
+  | 'unknown-workspace'
+  | 'unknown-domain'
+  | 'workspace-limit'
+  | 'unknown-job'
+  | 'job-finished'
+  | 'job-not-queued'
+  | 'job-not-active'
+  | 'wrong-domain'
+  | 'wrong-attempt'
+  | 'wrong-outcome'
+  | 'wrong-gang'
+  | 'stale-term'
+  | 'term-taken'
+  | 'cancel-requested'
+  | 'not-approved'
+  | 'domain-not-in-service'
+  | 'target-not-in-service'
+  | 'duplicate-record'
+  | 'config-conflict'
+  | 'config-invalid'
+  | 'guarantee-shortfall';
+
+/** The verdict on one entry, the same on every instance. */
+export interface Applied {
+  offset: number;
+  accepted: boolean;
+  /** Absent when the entry is not a valid record. */
+  record?: LogRecord;
+  rejection?: Rejection;
+  /** The rejection as an error for the caller, where there is one. */
+  problem?: Failure;
+  /** An accepted copy that changed nothing, such as a request submitted again. */
+  duplicate?: boolean;
+  /** Where an attempt was placed that the record ended. */
+  released?: readonly Assignment[];
+}
+
+/** A verdict before the offset and the record are added. */
+export type Verdict = Omit<Applied, 'offset' | 'record'>;
+
+/** The verdict on a record that takes effect. */
+export const ACCEPTED: Verdict = {accepted: true};
+
+/** The verdict on a copy of a record that took effect before. */
+export const DUPLICATE: Verdict = {accepted: true, duplicate: true};
+
+/** A verdict against a record. */
+export function reject(rejection: Rejection, problem?: Failure): Verdict {
+  return problem
+    ? {accepted: false, rejection, problem}
+    : {accepted: false, rejection};
+}
--- /dev/null
+++ b/packages/ledger/src/fold/configuration.ts
@@ -0,0 +1,164 @@
+/** Verdicts on configuration changes. */
+import {
+  type Configuration,
+  type ConfigurationChange,
+  type Configured,
+  type Edit,
+  keyOf,
+} from '@galenavalve/model';
+import {Failure, errorTemplates} from '@galenavalve/shared';
+import {
+  ACCEPTED,
+  DUPLICATE,
+  type Rejection,
+  type Verdict,
+  reject,
+} from '../applied.js';
+import type {RecordedChange} from '../change_history.js';
+import {idOf, kindOf} from '../configuration_store.js';
+import type {LedgerState} from '../state.js';
+import {findReferenceProblem} from './references.js';
+
+/** The first change of a version wins; the same change again gets the same verdict. */
+export function foldConfigured(
+  state: LedgerState,
+  record: Configured,
+  offset: number,
+): Verdict {
+  const {change} = record;
+  const earlier = state.changeHistory.get(change.changeId);
+  if (earlier) {
+    return verdictOf(earlier);
+  }
+  const problem = decideChange(state, change);
+  state.changeHistory.add({
+    changeId: change.changeId,
+    author: change.author,
+    offset,
+    at: state.logTime.value,
+    accepted: !problem,
+    ...(problem && {problem: problem.toJSON()}),
+    edits: change.edits.length,
+    entities: change.edits.map(edit => edit.entity),
+  });
+  return problem ? reject(problem.code as Rejection, problem) : ACCEPTED;
+}
+
+/** Puts the change in force, or returns why it is refused. */
+function decideChange(
+  state: LedgerState,
+  change: ConfigurationChange,
+): Failure | undefined {
+  const problem =
+    findConflict(state, change.edits) ?? findInvalidEdit(state, change.edits);
+  if (problem) {
+    return problem;
+  }
+  const next = state.store.preview(change.edits);
+  const refusal = findUnsuitable(state, next);
+  if (!refusal) {
+    state.store.commit(change.edits, next);
+  }
+  return refusal;
+}
+
+function findConflict(
+  state: LedgerState,
+  edits: readonly Edit[],
+): Failure | undefined {
+  const stale = edits.find(
+    edit => !state.store.isCurrent(edit.entity, edit.baseVersion),
+  );
+  return (
+    stale &&
+    new Failure('config-conflict', {
+      entity: stale.entity,
+      baseVersion: stale.baseVersion,
+      currentVersion: state.entityVersion(stale.entity),
+    })
+  );
+}
+
+function findInvalidEdit(
+  state: LedgerState,
+  edits: readonly Edit[],
+): Failure | undefined {
+  const seen = new Set<string>();
+  for (const edit of edits) {
+    const problem = seen.has(edit.entity)
+      ? `${edit.entity} is edited twice`
+      : findEditProblem(state, edit);
+    if (problem) {
+      return new Failure('config-invalid', {problem});
+    }
+    seen.add(edit.entity);
+  }
+  return undefined;
+}
+
+function findEditProblem(state: LedgerState, edit: Edit): string | undefined {
+  const {entity: key, value} = edit;
+  if (value) {
+    return keyOf(value) === key
+      ? findUseProblem(state, edit)
+      : `the value of ${key} is that of ${keyOf(value)}`;
+  }
+  if (!state.entity(key)) {
+    return `${key} does not exist`;
+  }
+  return findUseProblem(state, edit);
+}
+
+/** What is in use must not disappear under a job: its tasks could not be stopped. */
+function findUseProblem(state: LedgerState, edit: Edit): string | undefined {
+  const id = idOf(edit.entity);
+  const count = edit.value
+    ? countOfMovedTarget(state, edit)
+    : countOfUsers(state, edit);
+  return count
+    ? `${kindOf(edit.entity)} ${id} is still used by ${count} unfinished jobs`
+    : undefined;
+}
+
+function countOfMovedTarget(state: LedgerState, {value}: Edit): number {
+  if (value?.kind !== 'target') {
+    return 0;
+  }
+  const present = state.target(value.id);
+  return present && present.domain !== value.domain
+    ? state.jobs.activeCountOn(value.id)
+    : 0;
+}
+
+function countOfUsers(state: LedgerState, {entity: key}: Edit): number {
+  const id = idOf(key);
+  switch (kindOf(key)) {
+    case 'domain':
+      return state.jobs.unfinishedCountIn(id);
+    case 'target':
+      return state.jobs.activeCountOn(id);
+    case 'workspace':
+      return state.jobs.unfinishedCount(id);
+    case 'rules':
+      return 0;
+  }
+}
+
+function findUnsuitable(
+  state: LedgerState,
+  next: Configuration,
+): Failure | undefined {
+  const problem = findReferenceProblem(next, state.configuration);
+  return problem
+    ? new Failure('config-invalid', {problem})
+    : state.options.validateConfiguration?.(next);
+}
+
+function verdictOf({accepted, problem}: RecordedChange): Verdict {
+  if (accepted || !problem) {
+    return DUPLICATE;
+  }
+  const known =
+    problem.code in errorTemplates ? problem.code : 'config-invalid';
+  return reject(known as Rejection, new Failure(known, problem.details));
+}
--- /dev/null
+++ b/packages/ledger/src/fold/end_job.ts
@@ -0,0 +1,32 @@
+/** The end of a job. */
+import type {Assignment, Outcome} from '@galenavalve/model';
+import type {Job} from '../job.js';
+import type {LedgerState} from '../state.js';
+
+/** How a job ends. */
+export interface JobEnd {
+  /** Wall-clock time of the record in milliseconds since the Unix epoch. */
+  at: number;
+  offset: number;
+  outcome: Outcome;
+  results?: unknown[];
+  resultHash?: string;
+}
+
+/** Ends a job, and returns where it was placed. */
+export function endJob(
+  state: LedgerState,
+  job: Job,
+  end: JobEnd,
+): readonly Assignment[] {
+  const released = job.assignments;
+  state.jobs.update(job, {phase: 'finished', assignments: []});
+  job.finishedAt = end.at;
+  job.finishedOffset = end.offset;
+  job.outcome = end.outcome;
+  job.results = end.results;
+  job.resultHash = end.resultHash;
+  job.request = {...job.request, payload: {}};
+  state.finished.add(job);
+  return released;
+}
--- /dev/null
+++ b/packages/ledger/src/fold/fold.ts
@@ -0,0 +1,104 @@
+/**
+ * The fold: a pure function of the state and the next entry. Every instance
+ * reaches the same verdict, because it uses nothing but the log's content.
+ */
+import {type LogRecord, record as recordSchema} from '@galenavalve/model';
+import {Failure} from '@galenavalve/shared';
+import {ACCEPTED, type Applied, type Verdict, reject} from '../applied.js';
+import type {LogEntry} from '../log.js';
+import type {LedgerState} from '../state.js';
+import {
+  foldFinished,
+  foldPlaced,
+  foldStarted,
+  foldUnplaced,
+} from './attempts.js';
+import {foldClaimed} from './claims.js';
+import {foldConfigured} from './configuration.js';
+import {
+  foldApproved,
+  foldCancelled,
+  foldMoved,
+  foldSubmitted,
+  foldWithdrawn,
+} from './jobs.js';
+
+/** How often in log time forgotten things are looked for. */
+const SWEEP_INTERVAL_MS = 60_000;
+
+/** Applies the next entry of the log, and returns the verdict on it. */
+export function applyEntry(state: LedgerState, entry: LogEntry): Applied {
+  state.nextOffset = entry.offset + 1;
+  const parsed = recordSchema.safeParse(entry.value);
+  if (!parsed.success) {
+    return skipEntry(state, entry, parsed.error.issues[0]);
+  }
+  const record = parsed.data;
+  state.logTime.observe(record.by, record.at);
+  sweep(state);
+  const verdict = foldRecord(state, record, entry.offset);
+  return {offset: entry.offset, record, ...verdict};
+}
+
+function foldRecord(
+  state: LedgerState,
+  record: LogRecord,
+  offset: number,
+): Verdict {
+  switch (record.type) {
+    case 'submitted':
+      return foldSubmitted(state, record, offset);
+    case 'withdrawn':
+      return foldWithdrawn(state, record);
+    case 'moved':
+      return foldMoved(state, record);
+    case 'approved':
+      return foldApproved(state, record);
+    case 'cancelled':
+      return foldCancelled(state, record, offset);
+    case 'claimed':
+      return foldClaimed(state, record);
+    case 'placed':
+      return foldPlaced(state, record);
+    case 'started':
+      return foldStarted(state, record);
+    case 'unplaced':
+      return foldUnplaced(state, record, offset);
+    case 'finished':
+      return foldFinished(state, record, offset);
+    case 'configured':
+      return foldConfigured(state, record, offset);
+    case 'snapshot-chunk':
+      return ACCEPTED;
+  }
+}
+
+function skipEntry(
+  state: LedgerState,
+  entry: LogEntry,
+  issue: {path: PropertyKey[]; message: string} | undefined,
+): Applied {
+  state.skipped += 1;
+  const path = issue?.path.map(String).join('.') || 'record';
+  const problem = new Failure('record-invalid', {
+    offset: entry.offset,
+    problem: `${path}: ${issue?.message ?? 'not valid'}`,
+  });
+  return {offset: entry.offset, ...reject('record-invalid', problem)};
+}
+
+/** Forgets what is older than the request window, by log time. */
+function sweep(state: LedgerState): void {
+  const logTime = state.logTime.value;
+  const sweepNumber = Math.floor(logTime / SWEEP_INTERVAL_MS);
+  if (sweepNumber === state.sweepNumber) {
+    return;
+  }
+  state.sweepNumber = sweepNumber;
+  const {requestWindow} = state.options;
+  for (const job of state.finished.forget(logTime, requestWindow)) {
+    state.jobs.remove(job);
+  }
+  state.withdrawn.forget(logTime);
+  state.changeHistory.forget(logTime, requestWindow);
+}
--- /dev/null
+++ b/packages/ledger/src/fold/jobs.ts
@@ -0,0 +1,240 @@
+/** Verdicts on what callers and operators want of a job. */
+import type {
+  Approved,
+  Cancelled,
+  HistoryEntry,
+  LogRecord,
+  Moved,
+  Reason,
+  Submitted,
+  Withdrawn,
+} from '@galenavalve/model';
+import {Failure} from '@galenavalve/shared';
+import {ACCEPTED, DUPLICATE, type Verdict, reject} from '../applied.js';
+import {type Job, addHistory, isActive} from '../job.js';
+import type {LedgerState} from '../state.js';
+import {endJob} from './end_job.js';
+
+/** Furthest that a request's creation time may be ahead of its record's time. */
+export const MAX_CREATION_SKEW_MS = 60 * 60 * 1000;
+
+/** Most `moved` records of a job whose copies are recognised. */
+const MAX_MOVE_IDS = 16;
+
+/** The first request of an id wins; the same again is a duplicate. */
+export function foldSubmitted(
+  state: LedgerState,
+  record: Submitted,
+  offset: number,
+): Verdict {
+  const {requestId} = record.request;
+  const known = state.jobByRequest(requestId);
+  if (known) {
+    return known.bodyHash === record.bodyHash
+      ? DUPLICATE
+      : reject(
+          'request-conflict',
+          new Failure('request-conflict', {requestId}),
+        );
+  }
+  const refusal = refuseSubmitted(state, record);
+  if (refusal) {
+    return refusal;
+  }
+  state.jobs.add(createJob(record, offset));
+  return ACCEPTED;
+}
+
+/** A request id that has no job yet will never have one. */
+export function foldWithdrawn(state: LedgerState, record: Withdrawn): Verdict {
+  if (state.jobByRequest(record.requestId)) {
+    return reject('request-known');
+  }
+  const latest = Math.max(record.at, state.logTime.value);
+  const until = latest + MAX_CREATION_SKEW_MS + state.options.requestWindow;
+  state.withdrawn.add(record.requestId, until);
+  return ACCEPTED;
+}
+
+/** A queued job goes from one failure domain to another. */
+export function foldMoved(state: LedgerState, record: Moved): Verdict {
+  const job = state.job(record.jobId);
+  if (!job) {
+    return reject('unknown-job');
+  }
+  if (job.moveIds.includes(record.recordId)) {
+    return reject('duplicate-record');
+  }
+  if (job.phase !== 'queued') {
+    return reject('job-not-queued');
+  }
+  if (job.domain !== record.from) {
+    return reject('wrong-domain');
+  }
+  if (!state.domain(record.to)) {
+    return reject('unknown-domain');
+  }
+  state.jobs.update(job, {phase: 'queued', domain: record.to});
+  job.moveIds = [...job.moveIds, record.recordId].slice(-MAX_MOVE_IDS);
+  note(job, record, record.reason);
+  return ACCEPTED;
+}
+
+/** An operator lets a job start. */
+export function foldApproved(state: LedgerState, record: Approved): Verdict {
+  const job = state.job(record.jobId);
+  if (!job) {
+    return reject('unknown-job');
+  }
+  if (job.phase === 'finished') {
+    return reject('job-finished');
+  }
+  if (job.approved) {
+    return DUPLICATE;
+  }
+  job.approved = true;
+  addHistory(job, {at: record.at, event: 'approved', by: record.author});
+  return ACCEPTED;
+}
+
+/** A queued job ends at once; a placed or running one is to be stopped. */
+export function foldCancelled(
+  state: LedgerState,
+  record: Cancelled,
+  offset: number,
+): Verdict {
+  const job = state.job(record.jobId);
+  if (!job) {
+    return reject('unknown-job');
+  }
+  if (job.phase === 'finished') {
+    return reject('job-finished');
+  }
+  if (job.cancelRequested) {
+    return DUPLICATE;
+  }
+  job.cancelRequested = true;
+  job.cancelReason = record.reason;
+  note(job, record, record.reason);
+  if (!isActive(job)) {
+    endJob(state, job, {at: record.at, offset, outcome: 'cancelled'});
+  }
+  return ACCEPTED;
+}
+
+/** Adds a record to the history of its job. */
+export function note(job: Job, record: LogRecord, reason: Reason): void {
+  const entry: HistoryEntry = {
+    at: record.at,
+    event: record.type,
+    by: record.by,
+    reason,
+  };
+  job.lastReason = reason;
+  addHistory(job, entry);
+}
+
+function refuseSubmitted(
+  state: LedgerState,
+  record: Submitted,
+): Verdict | undefined {
+  const {request} = record;
+  const {requestId, workspace} = request;
+  if (state.isWithdrawn(requestId)) {
+    return reject(
+      'request-withdrawn',
+      new Failure('log-unavailable', {requestId}),
+    );
+  }
+  if (state.job(record.jobId)) {
+    return reject('job-id-taken', new Failure('request-conflict', {requestId}));
+  }
+  return (
+    refuseCreationTime(state, record) ??
+    refuseReferences(state, record) ??
+    refuseQueueLimit(state, workspace)
+  );
+}
+
+/**
+ * Refuses what may be a copy of a forgotten request. A time far ahead would
+ * make the id remembered for too long.
+ */
+function refuseCreationTime(
+  state: LedgerState,
+  record: Submitted,
+): Verdict | undefined {
+  const {createdAt} = record.request;
+  const {requestWindow} = state.options;
+  const age = state.logTime.value - createdAt;
+  if (age > requestWindow) {
+    const problem = new Failure('request-expired', {
+      ageSeconds: Math.round(age / 1000),
+      windowSeconds: Math.round(requestWindow / 1000),
+    });
+    return reject('request-expired', problem);
+  }
+  if (createdAt > record.at + MAX_CREATION_SKEW_MS) {
+    const problem = new Failure('bad-request', {
+      problem: 'createdAt is more than an hour in the future',
+    });
+    return reject('request-expired', problem);
+  }
+  return undefined;
+}
+
+function refuseReferences(
+  state: LedgerState,
+  record: Submitted,
+): Verdict | undefined {
+  const {workspace} = record.request;
+  if (!state.workspace(workspace)) {
+    return reject(
+      'unknown-workspace',
+      new Failure('unknown-workspace', {workspace}),
+    );
+  }
+  if (!state.domain(record.domain)) {
+    const problem = `failure domain ${record.domain} does not exist`;
+    return reject('unknown-domain', new Failure('bad-request', {problem}));
+  }
+  return undefined;
+}
+
+function refuseQueueLimit(
+  state: LedgerState,
+  workspace: string,
+): Verdict | undefined {
+  const count = state.queuedCount(workspace);
+  const limit = state.workspace(workspace)?.queueLimit ?? 0;
+  return count < limit
+    ? undefined
+    : reject(
+        'workspace-limit',
+        new Failure('workspace-limit', {workspace, count}),
+      );
+}
+
+function createJob(record: Submitted, offset: number): Job {
+  const job: Job = {
+    jobId: record.jobId,
+    request: record.request,
+    bodyHash: record.bodyHash,
+    domain: record.domain,
+    phase: 'queued',
+    attempts: 0,
+    submittedOffset: offset,
+    submittedAt: record.at,
+    approved: false,
+    cancelRequested: false,
+    assignments: [],
+    guaranteed: false,
+    progressSeconds: 0,
+    failures: [],
+    mayHaveRun: false,
+    history: [],
+    moveIds: [],
+  };
+  note(job, record, record.reason);
+  return job;
+}
--- /dev/null
+++ b/packages/ledger/src/follower.ts
@@ -0,0 +1,227 @@
+/** Follows the log: reads, folds, and tells listeners the verdicts. */
+import {
+  type Clock,
+  type Instant,
+  type Logger,
+  type Milliseconds,
+  type Random,
+  describeError,
+  jitteredBackoff,
+} from '@galenavalve/shared';
+import type {Applied} from './applied.js';
+import {applyEntry} from './fold/fold.js';
+import type {Log, LogEntry, LogPage} from './log.js';
+import type {LedgerState} from './state.js';
+
+/** Times and sizes of the reads. */
+export interface FollowerOptions {
+  /** Most entries of one read. */
+  pageLimit: number;
+  /** How long the log may hold an answer back; short, since freshness counts from the sending. */
+  readWait: Milliseconds;
+  /** After how long a read is given up. */
+  readTimeout: Milliseconds;
+  /** First and longest pause after a failed read. */
+  backoffBase: Milliseconds;
+  backoffCap: Milliseconds;
+}
+
+const DEFAULT_OPTIONS: FollowerOptions = {
+  pageLimit: 500,
+  readWait: 400,
+  readTimeout: 1500,
+  backoffBase: 50,
+  backoffCap: 1000,
+};
+
+/** What a follower needs. */
+export interface FollowerDependencies {
+  log: Log;
+  state: LedgerState;
+  clock: Clock;
+  logger: Logger;
+  /** Spreads retries; the generator of the runtime by default. */
+  random?: Random;
+  options?: Partial<FollowerOptions>;
+}
+
+/** Entries that a peer read from the log. */
+export interface RelayedEntries {
+  entries: readonly LogEntry[];
+  /** Offset after the last of them. */
+  nextOffset: number;
+}
+
+type AppliedListener = (applied: Applied) => void;
+
+/** Keeps the state up with the log. */
+export class LogFollower {
+  private readonly options: FollowerOptions;
+  private readonly listeners = new Set<AppliedListener>();
+  private readonly freshListeners = new Set<() => void>();
+  private freshAt: Instant | undefined;
+  private failures = 0;
+
+  constructor(private readonly dependencies: FollowerDependencies) {
+    this.options = {...DEFAULT_OPTIONS, ...dependencies.options};
+  }
+
+  get state(): LedgerState {
+    return this.dependencies.state;
+  }
+
+  /** Whether the state has included the end of the log at least once. */
+  get isCaughtUp(): boolean {
+    return this.freshAt !== undefined;
+  }
+
+  /**
+   * Latest time at which the state is known to have included the end of the
+   * log: the sending of the read that showed it, not its answer.
+   */
+  lastFresh(): Instant | undefined {
+    return this.freshAt;
+  }
+
+  /** Calls `listener` after each entry; returns a function that ends this. */
+  onApplied(listener: AppliedListener): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  /** Calls `listener` whenever `lastFresh` rises; returns a function that ends this. */
+  onFresh(listener: () => void): () => void {
+    this.freshListeners.add(listener);
+    return () => this.freshListeners.delete(listener);
+  }
+
+  /** Reads until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      try {
+        await this.readOnce();
+        this.failures = 0;
+      } catch (error) {
+        await this.backOff(error, signal);
+      }
+    }
+  }
+
+  /** Reads one page and folds it. Throws what the log throws. */
+  async readOnce(): Promise<void> {
+    const {log, clock} = this.dependencies;
+    const sentAt = clock.now();
+    const page = await log.read(this.state.nextOffset, {
+      limit: this.options.pageLimit,
+      wait: this.options.readWait,
+      timeout: this.options.readTimeout,
+    });
+    this.applyPage(page, sentAt);
+  }
+
+  /**
+   * Folds entries that a peer relays. Ignored unless they continue the state;
+   * returns whether the state includes them now.
+   */
+  ingest({entries, nextOffset}: RelayedEntries): boolean {
+    const first = entries[0]?.offset ?? nextOffset;
+    if (first > this.state.nextOffset) {
+      return false;
+    }
+    this.applyEntries(entries);
+    this.state.nextOffset = Math.max(this.state.nextOffset, nextOffset);
+    return true;
+  }
+
+  /**
+   * Takes over a peer's word that its state, up to `nextOffset`, included the
+   * end of the log at the local time `at`. Ignored if this state is behind.
+   */
+  relayFreshness(nextOffset: number, at: Instant): void {
+    if (this.state.nextOffset >= nextOffset) {
+      this.noteFresh(at);
+    }
+  }
+
+  /** Resolves to whether the state includes the record at `offset` within `timeout`. */
+  async waitFor(offset: number, timeout: Milliseconds): Promise<boolean> {
+    const isIncluded = () => this.state.nextOffset > offset;
+    if (isIncluded()) {
+      return true;
+    }
+    const controller = new AbortController();
+    const stop = this.onApplied(() => {
+      if (isIncluded()) {
+        controller.abort();
+      }
+    });
+    await this.dependencies.clock.sleep(timeout, controller.signal);
+    stop();
+    return isIncluded();
+  }
+
+  private applyPage(page: LogPage, sentAt: Instant): void {
+    this.applyEntries(page.entries);
+    this.state.nextOffset = Math.max(this.state.nextOffset, page.nextOffset);
+    if (page.endOffset <= this.state.nextOffset) {
+      this.noteFresh(sentAt);
+    }
+  }
+
+  private applyEntries(entries: readonly LogEntry[]): void {
+    for (const entry of entries) {
+      // Entries that came another way while the read was on its way.
+      if (entry.offset < this.state.nextOffset) {
+        continue;
+      }
+      const applied = applyEntry(this.state, entry);
+      if (applied.rejection === 'record-invalid') {
+        this.dependencies.logger.warn('record-skipped', {
+          offset: entry.offset,
+          problem: applied.problem?.message,
+        });
+      }
+      this.tell(applied);
+    }
+  }
+
+  private noteFresh(at: Instant): void {
+    if (this.freshAt !== undefined && at <= this.freshAt) {
+      return;
+    }
+    this.freshAt = at;
+    for (const listener of [...this.freshListeners]) {
+      listener();
+    }
+  }
+
+  private tell(applied: Applied): void {
+    for (const listener of [...this.listeners]) {
+      try {
+        listener(applied);
+      } catch (error) {
+        this.dependencies.logger.error('listener-failed', {
+          offset: applied.offset,
+          problem: describeError(error),
+        });
+      }
+    }
+  }
+
+  private async backOff(error: unknown, signal: AbortSignal): Promise<void> {
+    const {clock, logger, random = {next: Math.random}} = this.dependencies;
+    const {backoffBase, backoffCap} = this.options;
+    this.failures += 1;
+    const pause = jitteredBackoff(
+      this.failures,
+      backoffBase,
+      backoffCap,
+      random,
+    );
+    logger.warn('log-read-failed', {
+      failures: this.failures,
+      problem: describeError(error),
+    });
+    await clock.sleep(pause, signal);
+  }
+}
--- a/packages/ledger/src/index.ts
+++ b/packages/ledger/src/index.ts
@@ -1,4 +1,44 @@
 /** The fold of log records to state, snapshots, idempotent append and group commit. */
 
 // The platform's log
-export * from './log.js';
+export type {
+  AppendReceipt,
+  Log,
+  LogEntry,
+  LogPage,
+  ReadOptions,
+} from './log.js';
+
+// State
+export {
+  type LedgerOptions,
+  LedgerState,
+  REQUEST_WINDOW_MS,
+  RESULT_BYTES,
+} from './state.js';
+export {type Job, type JobFailure, isActive} from './job.js';
+export type {RecordedChange} from './change_history.js';
+
+// The fold
+export {applyEntry} from './fold/fold.js';
+export type {Applied, Rejection} from './applied.js';
+export {MAX_CREATION_SKEW_MS} from './fold/jobs.js';
+
+// Reading
+export {
+  type FollowerDependencies,
+  type FollowerOptions,
+  type RelayedEntries,
+  LogFollower,
+} from './follower.js';
+
+// Writing
+export {
+  type AppendOptions,
+  type WriterDependencies,
+  type WriterOptions,
+  LogWriter,
+} from './writer.js';
+
+// Testing
+export {type LogFaults, MemoryLog} from './testing/memory_log.js';
--- /dev/null
+++ b/packages/ledger/src/state.ts
@@ -0,0 +1,138 @@
+/** The state that all instances fold from the same records. */
+import type {
+  Configuration,
+  Domain,
+  Target,
+  Term,
+  VersionedEntity,
+  Workspace,
+} from '@galenavalve/model';
+import type {Failure, Milliseconds} from '@galenavalve/shared';
+import {type RecordedChange, ChangeHistory} from './change_history.js';
+import {ConfigurationStore} from './configuration_store.js';
+import {FinishedJobs} from './finished_jobs.js';
+import type {Job} from './job.js';
+import {JobIndex} from './job_index.js';
+import {LogTime} from './log_time.js';
+import {WithdrawnRequests} from './withdrawn_requests.js';
+
+/** How long a request id is remembered after its job ended. */
+export const REQUEST_WINDOW_MS = 24 * 60 * 60 * 1000;
+
+/** Most bytes of JSON of the results that are kept in memory. */
+export const RESULT_BYTES = 8 * 1024 * 1024;
+
+/** Parameters of the fold. They must be the same on every instance. */
+export interface LedgerOptions {
+  requestWindow: Milliseconds;
+  resultBytes: number;
+  /** A further check of a configuration before it is accepted: a pure function. */
+  validateConfiguration?: (configuration: Configuration) => Failure | undefined;
+}
+
+/** The folded state. One loop owns it, and only the fold changes it. */
+export class LedgerState {
+  /** Offset of the first record that is not folded yet. */
+  nextOffset = 0;
+  /** Entries that were no valid records. */
+  skipped = 0;
+  readonly options: LedgerOptions;
+  /** For the fold. */
+  readonly jobs = new JobIndex();
+  /** For the fold. */
+  readonly store = new ConfigurationStore();
+  /** For the fold. */
+  readonly finished: FinishedJobs;
+  /** For the fold. */
+  readonly withdrawn = new WithdrawnRequests();
+  /** For the fold. */
+  readonly changeHistory = new ChangeHistory();
+  /** For the fold. */
+  readonly terms = new Map<string, Term>();
+  readonly logTime = new LogTime();
+  /** Log time of the latest sweep, in whole sweep intervals. For the fold. */
+  sweepNumber = 0;
+
+  constructor(options: Partial<LedgerOptions> = {}) {
+    this.options = {
+      requestWindow: REQUEST_WINDOW_MS,
+      resultBytes: RESULT_BYTES,
+      ...options,
+    };
+    this.finished = new FinishedJobs(this.options.resultBytes);
+  }
+
+  /** An immutable snapshot of the configuration; a change replaces it. */
+  get configuration(): Configuration {
+    return this.store.configuration;
+  }
+
+  domain(id: string): Domain | undefined {
+    return this.configuration.domains.get(id);
+  }
+
+  target(id: string): Target | undefined {
+    return this.configuration.targets.get(id);
+  }
+
+  workspace(id: string): Workspace | undefined {
+    return this.configuration.workspaces.get(id);
+  }
+
+  /** Version of an entity; 0 for one that never existed. */
+  entityVersion(key: string): number {
+    return this.store.version(key);
+  }
+
+  entity(key: string): VersionedEntity | undefined {
+    return this.store.entity(key);
+  }
+
+  job(jobId: string): Job | undefined {
+    return this.jobs.get(jobId);
+  }
+
+  jobByRequest(requestId: string): Job | undefined {
+    return this.jobs.getByRequest(requestId);
+  }
+
+  isWithdrawn(requestId: string): boolean {
+    return this.withdrawn.has(requestId);
+  }
+
+  /** Unfinished jobs of a domain: those that are placed or running first. */
+  *jobsIn(domain: string): Iterable<Job> {
+    yield* this.activeIn(domain);
+    yield* this.queuedIn(domain);
+  }
+
+  /** Waiting jobs of a domain, in the order in which they began to wait. */
+  queuedIn(domain: string): Iterable<Job> {
+    return this.jobs.queuedIn(domain);
+  }
+
+  /** Placed and running jobs of a domain, in the order in which they were placed. */
+  activeIn(domain: string): Iterable<Job> {
+    return this.jobs.activeIn(domain);
+  }
+
+  /** Jobs that have ended and are still remembered, earliest end first. */
+  finishedJobs(): Iterable<Job> {
+    return this.finished.jobs();
+  }
+
+  /** Waiting jobs of a workspace. */
+  queuedCount(workspace: string): number {
+    return this.jobs.queuedCount(workspace);
+  }
+
+  /** Term of the latest accepted claim of a domain. */
+  schedulerTerm(domain: string): Term | undefined {
+    return this.terms.get(domain);
+  }
+
+  /** The latest configuration changes with their verdicts, newest first. */
+  changes(limit: number): RecordedChange[] {
+    return this.changeHistory.latest(limit);
+  }
+}
--- /dev/null
+++ b/packages/ledger/src/writer.ts
@@ -0,0 +1,330 @@
+/**
+ * Group commit: batches the records that wait into one append, and learns the
+ * fate of an append whose answer was lost.
+ */
+import {
+  type LogRecord,
+  type RecordBody,
+  RECORD_VERSION,
+} from '@galenavalve/model';
+import {
+  type Clock,
+  type Instant,
+  type Logger,
+  type Milliseconds,
+  type Random,
+  Failure,
+  describeError,
+  isFailure,
+  jitteredBackoff,
+} from '@galenavalve/shared';
+import type {Applied} from './applied.js';
+import type {LogFollower} from './follower.js';
+import type {Log} from './log.js';
+import type {PendingRecord} from './pending_record.js';
+import {Signal} from './signal.js';
+
+/** Sizes and times of the appends. */
+export interface WriterOptions {
+  /** Most records and bytes of one append. */
+  batchRecords: number;
+  batchBytes: number;
+  /** Most records and bytes that wait; more are refused as overloaded. */
+  queueRecords: number;
+  queueBytes: number;
+  /** Appends a second that this instance allows itself. */
+  appendsPerSecond: number;
+  /** Appends that may be under way at once. */
+  appendsInFlight: number;
+  /** After how long an append is given up as uncertain. */
+  appendTimeout: Milliseconds;
+  /** First and longest pause after a failed append. */
+  backoffBase: Milliseconds;
+  backoffCap: Milliseconds;
+}
+
+const DEFAULT_OPTIONS: WriterOptions = {
+  batchRecords: 1000,
+  batchBytes: 1024 * 1024,
+  queueRecords: 20_000,
+  queueBytes: 8 * 1024 * 1024,
+  appendsPerSecond: 30,
+  appendsInFlight: 2,
+  appendTimeout: 1000,
+  backoffBase: 50,
+  backoffCap: 1000,
+};
+
+/** Longest sleep of the loop. */
+const IDLE_MS = 1000;
+
+/** What a writer needs. */
+export interface WriterDependencies {
+  log: Log;
+  follower: LogFollower;
+  clock: Clock;
+  random: Random;
+  logger: Logger;
+  /** The instance's id, which stands in each record. */
+  instance: string;
+  options?: Partial<WriterOptions>;
+}
+
+/** Until when the caller wants to know the verdict. */
+export interface AppendOptions {
+  deadline: Instant;
+}
+
+/** Appends records and reports the verdicts that the own fold reached. */
+export class LogWriter {
+  private readonly options: WriterOptions;
+  private readonly pending = new Map<string, PendingRecord>();
+  private readonly work = new Signal();
+  private readonly idPrefix: string;
+  private sequence = 0;
+  private pendingBytes = 0;
+  private inFlight = 0;
+  private failures = 0;
+  private nextAppendAt: Instant = -Infinity;
+  private isStopped = false;
+
+  constructor(private readonly dependencies: WriterDependencies) {
+    const {instance, random, clock, follower, options} = dependencies;
+    this.options = {...DEFAULT_OPTIONS, ...options};
+    const salt = Math.floor(random.next() * 2 ** 32).toString(36);
+    // Instances restart under the same id, so the wall time and salt make ids unique.
+    this.idPrefix = `${instance}-${clock.wallTime().toString(36)}${salt}`;
+    follower.onApplied(applied => this.onApplied(applied));
+    follower.onFresh(() => this.work.notify());
+  }
+
+  /** Records whose verdict is not known yet. */
+  get pendingCount(): number {
+    return this.pending.size;
+  }
+
+  /**
+   * Appends a record. Resolves with the verdict of the own fold. Throws
+   * `overloaded` or `log-unavailable` when the record is certainly not in the
+   * log and never will be, and `append-uncertain` when the deadline passed
+   * before its fate was known.
+   */
+  append(body: RecordBody, options: AppendOptions): Promise<Applied> {
+    const record = this.addHeader(body);
+    const bytes = Buffer.byteLength(JSON.stringify(record));
+    if (this.isStopped) {
+      return Promise.reject(new Failure('stopping'));
+    }
+    if (!this.hasRoom(bytes)) {
+      return Promise.reject(new Failure('overloaded'));
+    }
+    return new Promise((resolve, reject) => {
+      this.pending.set(record.recordId, {
+        record,
+        bytes,
+        deadline: options.deadline,
+        stage: 'queued',
+        isUncertain: false,
+        uncertainAt: -Infinity,
+        resolve,
+        reject,
+      });
+      this.pendingBytes += bytes;
+      this.work.notify();
+    });
+  }
+
+  /** Appends records in order, in as few appends as they fit in. */
+  appendAll(
+    bodies: readonly RecordBody[],
+    options: AppendOptions,
+  ): Promise<Applied[]> {
+    return Promise.all(bodies.map(body => this.append(body, options)));
+  }
+
+  /** Sends what waits until `signal` aborts; then what still waits is refused. */
+  async run(signal: AbortSignal): Promise<void> {
+    const {clock} = this.dependencies;
+    while (!signal.aborted) {
+      const now = clock.now();
+      this.refuseOverdue(now);
+      this.requeueUncertain();
+      this.send(now);
+      await this.work.wait(clock, this.pauseFrom(now), signal);
+    }
+    this.isStopped = true;
+    this.refuseAll();
+  }
+
+  private addHeader(body: RecordBody): LogRecord {
+    const {clock, instance} = this.dependencies;
+    this.sequence += 1;
+    return {
+      v: RECORD_VERSION,
+      recordId: `${this.idPrefix}-${this.sequence}`,
+      at: Math.round(clock.wallTime()),
+      by: instance,
+      ...body,
+    };
+  }
+
+  private hasRoom(bytes: number): boolean {
+    const {queueRecords, queueBytes} = this.options;
+    return (
+      this.pending.size < queueRecords &&
+      this.pendingBytes + bytes <= queueBytes
+    );
+  }
+
+  private send(now: Instant): void {
+    const {appendsInFlight, appendsPerSecond} = this.options;
+    if (this.inFlight >= appendsInFlight || now < this.nextAppendAt) {
+      return;
+    }
+    const batch = this.takeBatch();
+    if (batch.length === 0) {
+      return;
+    }
+    this.nextAppendAt = now + 1000 / appendsPerSecond;
+    void this.appendBatch(batch);
+  }
+
+  private takeBatch(): PendingRecord[] {
+    const {batchRecords, batchBytes} = this.options;
+    const batch: PendingRecord[] = [];
+    let bytes = 0;
+    for (const item of this.pending.values()) {
+      if (item.stage !== 'queued') {
+        continue;
+      }
+      bytes += item.bytes;
+      const isFull = batch.length === batchRecords || bytes > batchBytes;
+      if (isFull && batch.length > 0) {
+        break;
+      }
+      batch.push(item);
+    }
+    return batch;
+  }
+
+  private async appendBatch(batch: PendingRecord[]): Promise<void> {
+    const {log, clock, logger} = this.dependencies;
+    const records = batch.map(item => item.record);
+    setStage(batch, 'sent');
+    this.inFlight += 1;
+    try {
+      await log.append(records, this.options.appendTimeout);
+      this.failures = 0;
+      setStage(batch, 'recorded');
+    } catch (error) {
+      logger.warn('append-failed', {
+        records: batch.length,
+        problem: describeError(error),
+      });
+      this.onAppendFailed(batch, error, clock.now());
+    }
+    this.inFlight -= 1;
+    this.work.notify();
+  }
+
+  private onAppendFailed(
+    batch: PendingRecord[],
+    error: unknown,
+    now: Instant,
+  ): void {
+    const {backoffBase, backoffCap} = this.options;
+    this.failures += 1;
+    const pause = jitteredBackoff(
+      this.failures,
+      backoffBase,
+      backoffCap,
+      this.dependencies.random,
+    );
+    this.nextAppendAt = Math.max(this.nextAppendAt, now + pause);
+    if (isFailure(error, 'append-rejected')) {
+      setStage(batch, 'queued');
+      return;
+    }
+    setStage(batch, 'uncertain');
+    for (const item of batch) {
+      item.isUncertain = true;
+      item.uncertainAt = now;
+    }
+  }
+
+  /**
+   * Queues again what a read after the append without an answer did not show.
+   * The append may still take effect later: the fold makes the second copy
+   * harmless.
+   */
+  private requeueUncertain(): void {
+    const fresh = this.dependencies.follower.lastFresh() ?? -Infinity;
+    for (const item of this.pending.values()) {
+      if (item.stage === 'uncertain' && fresh > item.uncertainAt) {
+        item.stage = 'queued';
+      }
+    }
+  }
+
+  private refuseOverdue(now: Instant): void {
+    for (const item of this.pending.values()) {
+      if (now >= item.deadline) {
+        this.refuse(item);
+      }
+    }
+  }
+
+  private refuseAll(): void {
+    for (const item of this.pending.values()) {
+      this.refuse(item);
+    }
+  }
+
+  private refuse(item: PendingRecord): void {
+    this.forget(item);
+    const isAbsent = item.stage === 'queued' && !item.isUncertain;
+    const problem = `${item.record.type} record was ${item.stage} at the deadline`;
+    item.reject(
+      isAbsent
+        ? new Failure('log-unavailable')
+        : new Failure('append-uncertain', {problem}),
+    );
+  }
+
+  private onApplied(applied: Applied): void {
+    const item = this.pending.get(applied.record?.recordId ?? '');
+    if (item) {
+      this.forget(item);
+      item.resolve(applied);
+    }
+  }
+
+  private forget(item: PendingRecord): void {
+    this.pending.delete(item.record.recordId);
+    this.pendingBytes -= item.bytes;
+  }
+
+  /** How long the loop may sleep: until a deadline, or until it may send. */
+  private pauseFrom(now: Instant): Milliseconds {
+    let wakeAt = now + IDLE_MS;
+    let isWaiting = false;
+    for (const item of this.pending.values()) {
+      wakeAt = Math.min(wakeAt, item.deadline);
+      isWaiting ||= item.stage === 'queued';
+    }
+    const maySend = this.inFlight < this.options.appendsInFlight;
+    if (isWaiting && maySend) {
+      wakeAt = Math.min(wakeAt, this.nextAppendAt);
+    }
+    return Math.max(0, wakeAt - now);
+  }
+}
+
+function setStage(
+  batch: readonly PendingRecord[],
+  stage: PendingRecord['stage'],
+): void {
+  for (const item of batch) {
+    item.stage = stage;
+  }
+}
