--- /dev/null
+++ b/packages/placement/src/accelerator_mask.ts
@@ -0,0 +1,60 @@
+/** Bit masks of the accelerators of one target; bit 0 is the first accelerator. */
+
+/** Number of bits that are set. */
+export function countBits(mask: number): number {
+  let rest = mask - ((mask >>> 1) & 0x55555555);
+  rest = (rest & 0x33333333) + ((rest >>> 2) & 0x33333333);
+  return (((rest + (rest >>> 4)) & 0x0f0f0f0f) * 0x01010101) >>> 24;
+}
+
+/** The mask of the first `count` accelerators. */
+export function fullMask(count: number): number {
+  return 2 ** count - 1;
+}
+
+/** The masks of the two halves of a target with `count` accelerators. */
+export function halfMasks(count: number): [number, number] {
+  const size = Math.floor(count / 2);
+  const first = fullMask(size);
+  return [first, first << size];
+}
+
+/** The lowest `count` bits of `mask`. */
+export function lowestBits(mask: number, count: number): number {
+  let chosen = 0;
+  let rest = mask;
+  for (let i = 0; i < count; i++) {
+    const bit = rest & -rest;
+    chosen |= bit;
+    rest ^= bit;
+  }
+  return chosen;
+}
+
+/**
+ * Chooses `count` accelerators out of `available` on a target with `total`
+ * accelerators, so that as few halves as possible are broken.
+ */
+export function chooseAccelerators(
+  available: number,
+  count: number,
+  total: number,
+): number {
+  const [low, high] = halfMasks(total);
+  const lowFree = available & low;
+  const highFree = available & high;
+  const lowCount = countBits(lowFree);
+  const highCount = countBits(highFree);
+  const [small, smallCount, large, largeCount] =
+    lowCount <= highCount
+      ? [lowFree, lowCount, highFree, highCount]
+      : [highFree, highCount, lowFree, lowCount];
+  if (count <= smallCount) {
+    return lowestBits(small, count);
+  }
+  if (count <= largeCount) {
+    return lowestBits(large, count);
+  }
+  const rest = available & ~large;
+  return large | lowestBits(rest, count - largeCount);
+}
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -2,3 +2,5 @@
 
 // Decisions
 export * from './policy.js';
+export {GalenaPolicy} from './galena_policy.js';
+export {FirstFit} from './first_fit.js';
