Reach the platform's log and instance list over HTTP, with stand-ins

Cause: the ledger and membership packages know only interfaces; a daemon needs them over the network, and tests need something to talk to.

Change: HttpLog and HttpInstanceList over got, without retries, with a deadline a request and answers checked by schema. An append counts as rejected only if no byte was sent or the service itself says `written: false`; everything else is uncertain. A request that timed out closes every idle pooled socket, since a lost connection table loses them together. Stand-ins for the log (budget, retention, outage, late, lost and delayed answers) and for the lagging list, each startable as a process. New error codes in shared: instances-unavailable, entry-unreachable.

Ruled out: taking any 503 for a refusal, since a balancer's 503 may come after the write; Agent.destroy() on silence, since it also cuts requests that are still within their deadline.

--- /dev/null
+++ b/packages/platform/src/http/json_client.ts
@@ -0,0 +1,104 @@
+/** One JSON request over HTTP with a deadline, without retries. */
+import got, {RequestError, TimeoutError} from 'got';
+import {describeError, type Milliseconds} from '@galenavalve/shared';
+import type {ConnectionPool} from './connection_pool.js';
+
+/** Longest time to open a connection, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 1000;
+
+/** Codes of errors that precede the first byte of a request. */
+const CONNECT_ERRORS = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'ENOTFOUND',
+  'EADDRNOTAVAIL',
+]);
+
+/** Phases of a request, by got's names, in which nothing was sent yet. */
+const CONNECT_PHASES = new Set(['lookup', 'connect']);
+
+/** A request with a JSON body and a JSON answer. */
+export interface JsonRequest {
+  method: 'GET' | 'POST' | 'DELETE';
+  url: string;
+  body?: unknown;
+  timeout: Milliseconds;
+  /** A longer answer is given up, in bytes. */
+  maxAnswerBytes: number;
+}
+
+/** An answer that came whole; `body` is undefined when it is not JSON. */
+export interface JsonAnswer {
+  status: number;
+  body: unknown;
+}
+
+/** No whole answer came. */
+export class NoAnswer extends Error {
+  constructor(
+    /** False only when no byte of the request can have reached the service. */
+    readonly wasSent: boolean,
+    problem: string,
+    options?: ErrorOptions,
+  ) {
+    super(problem, options);
+    this.name = 'NoAnswer';
+  }
+}
+
+/** Sends one request. Throws `NoAnswer`. */
+export async function sendJson(
+  pool: ConnectionPool,
+  request: JsonRequest,
+): Promise<JsonAnswer> {
+  const call = got(request.url, {
+    method: request.method,
+    json: request.body,
+    agent: {http: pool.agent},
+    retry: {limit: 0},
+    timeout: {
+      connect: Math.min(CONNECT_TIMEOUT_MS, request.timeout),
+      request: request.timeout,
+    },
+    throwHttpErrors: false,
+    followRedirect: false,
+    decompress: false,
+    responseType: 'text',
+  });
+  let isTooLong = false;
+  void call.on('downloadProgress', ({transferred}) => {
+    if (transferred > request.maxAnswerBytes && !isTooLong) {
+      isTooLong = true;
+      call.cancel();
+    }
+  });
+  try {
+    const answer = await call;
+    return {status: answer.statusCode, body: parseJson(answer.body)};
+  } catch (error) {
+    if (isTooLong) {
+      const problem = `the answer has more than ${request.maxAnswerBytes} bytes`;
+      throw new NoAnswer(true, problem, {cause: error});
+    }
+    if (error instanceof TimeoutError) {
+      pool.dropIdle();
+    }
+    throw new NoAnswer(wasSent(error), describeError(error), {cause: error});
+  }
+}
+
+function wasSent(error: unknown): boolean {
+  if (error instanceof TimeoutError) {
+    return !CONNECT_PHASES.has(error.event);
+  }
+  return !(error instanceof RequestError && CONNECT_ERRORS.has(error.code));
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,2 +1,20 @@
 /** HTTP adapters for the log, the instance list and the targets of the platform. */
-export {};
+
+// Connections
+export {ConnectionPool} from './http/connection_pool.js';
+export {
+  type JsonAnswer,
+  type JsonRequest,
+  NoAnswer,
+  sendJson,
+} from './http/json_client.js';
+
+// The log
+export {HttpLog, type HttpLogOptions} from './log/http_log.js';
+export * from './log/log_protocol.js';
+
+// The list of instances
+export {
+  HttpInstanceList,
+  type HttpInstanceListOptions,
+} from './instances/http_instance_list.js';
--- /dev/null
+++ b/packages/platform/src/instances/http_instance_list.ts
@@ -0,0 +1,62 @@
+/** The platform's list of instances over HTTP. */
+import type {Agent} from 'node:http';
+import {z} from 'zod';
+import {
+  type InstanceList,
+  type ListedInstance,
+  listedInstance,
+} from '@galenavalve/membership';
+import {describeError, Failure, type Milliseconds} from '@galenavalve/shared';
+import {ConnectionPool} from '../http/connection_pool.js';
+import {type JsonAnswer, sendJson} from '../http/json_client.js';
+
+/** Largest list, in bytes: about 10,000 instances. */
+const MAX_LIST_BYTES = 4 * 1024 * 1024;
+
+/** Where the list is. */
+export interface HttpInstanceListOptions {
+  /** Base URL of the service, by IP number. */
+  baseUrl: string;
+  /** Connections to use; by default a pool of its own. */
+  agent?: Agent;
+}
+
+/** The list of instances over HTTP. Throws `instances-unavailable`. */
+export class HttpInstanceList implements InstanceList {
+  private readonly url: string;
+  private readonly pool: ConnectionPool;
+
+  constructor({baseUrl, agent}: HttpInstanceListOptions) {
+    this.url = `${baseUrl.replace(/\/+$/, '')}/v1/instances`;
+    this.pool = new ConnectionPool(agent);
+  }
+
+  async list(timeoutMs: Milliseconds): Promise<ListedInstance[]> {
+    const {status, body} = await this.fetch(timeoutMs);
+    const list = z.array(listedInstance).safeParse(body);
+    if (status === 200 && list.success) {
+      return list.data;
+    }
+    const problem = `the answer with status ${status} is not a list`;
+    throw new Failure('instances-unavailable', {problem});
+  }
+
+  /** Closes the connections. */
+  close(): void {
+    this.pool.close();
+  }
+
+  private async fetch(timeout: Milliseconds): Promise<JsonAnswer> {
+    try {
+      return await sendJson(this.pool, {
+        method: 'GET',
+        url: this.url,
+        timeout,
+        maxAnswerBytes: MAX_LIST_BYTES,
+      });
+    } catch (error) {
+      const problem = describeError(error);
+      throw new Failure('instances-unavailable', {problem}, {cause: error});
+    }
+  }
+}
--- a/packages/shared/src/error_codes.ts
+++ b/packages/shared/src/error_codes.ts
@@ -159,6 +159,18 @@
       'Offset {offset} is before the oldest record that the log keeps, {oldest}.',
     remedy: 'Start from a snapshot, or from a peer.',
   },
+  'instances-unavailable': {
+    status: 503,
+    message: 'The list of instances could not be read: {problem}.',
+    remedy: 'The last list stays in use, and the read is repeated.',
+  },
+  'entry-unreachable': {
+    status: 503,
+    message:
+      'No entry instance could be reached: {problem}. The request was not run.',
+    remedy:
+      'Check the entry addresses and the network, and send the same request again.',
+  },
   'target-unreachable': {
     status: 503,
     message: 'Target {target} did not answer: {problem}.',
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,2 +1,26 @@
 /** Small stand-ins for the platform: the log, the instance list and the targets. */
-export {};
+
+// Servers
+export {
+  createHttpServer,
+  listen,
+  type ListenAddress,
+  type RunningServer,
+} from './http/http_server.js';
+
+// The log
+export {LogControl, type LogFaults, logFaults} from './log/log_control.js';
+export {
+  type LogServerOptions,
+  type RunningLog,
+  startLogServer,
+} from './log/log_server.js';
+
+// The list of instances
+export {
+  type InstanceChange,
+  instanceChange,
+  type InstanceServerOptions,
+  type RunningInstanceList,
+  startInstanceServer,
+} from './instances/instance_server.js';
