Add the peer protocol, the peer mesh and the claim decision

Cause: the daemon needs calls between instances, liveness, relayed freshness, holds and elections.

Ruled out: a check of CBOR's structure before decoding (an own parser); a CRC-32 from zlib in each frame keeps foreign bytes from the decoder instead. A received report does not count as fresh from its receipt, as it may have been held up on the way: each beat echoes the other end's latest time, and only that bounds its age.

Change: `wire` has frames, correlation, deadlines and connections that are dropped when silent. `membership` has the mesh (full within a domain, two peers of each other domain), holds, freshness, `decideClaim`, `assignRacks` and `decideOutageMode`. `decideClaim` names its arguments in `ClaimSituation`; a report carries `schedulerHeardAgeMs`.

--- /dev/null
+++ b/packages/membership/__tests__/fixtures.ts
@@ -0,0 +1,108 @@
+/** Meshes over real sockets on the loopback interface. */
+import {SeededRandom, SilentLogger, SystemClock} from '@galenavalve/shared';
+import {PeerClient, PeerServer} from '@galenavalve/wire';
+import {
+  FreshnessTracker,
+  type ListedInstance,
+  PeerMesh,
+  type PeerSeed,
+  type SelfReport,
+} from '../src/index.js';
+
+/** One running instance. */
+export interface Node {
+  seed: PeerSeed;
+  mesh: PeerMesh;
+  client: PeerClient;
+  server: PeerServer;
+  freshness: FreshnessTracker;
+  report: SelfReport;
+  stop(): Promise<void>;
+}
+
+/** A report of an instance that is well. */
+export function createReport(
+  instance: string,
+  domain: string,
+  changes: Partial<SelfReport> = {},
+): SelfReport {
+  return {
+    instance,
+    domain,
+    offset: 10,
+    freshnessAgeMs: 0,
+    leaving: false,
+    ready: true,
+    holds: [],
+    ...changes,
+  };
+}
+
+/** Starts an instance whose seeds are `known`. */
+export async function startNode(
+  instance: string,
+  domain: string,
+  known: readonly PeerSeed[],
+  listed: readonly ListedInstance[] = [],
+): Promise<Node> {
+  const clock = new SystemClock();
+  const logger = new SilentLogger();
+  const random = new SeededRandom(instance.length + known.length);
+  const options = {heartbeat: 200, silence: 900, connectTimeout: 300};
+  const settings = {instance, host: '127.0.0.1', port: 0};
+  const server = new PeerServer({...settings, logger, clock, options});
+  const client = new PeerClient({
+    self: instance,
+    logger,
+    clock,
+    random,
+    options,
+  });
+  const {port} = await server.start();
+  const seed = {instance, host: '127.0.0.1', port, domain};
+  const report = createReport(instance, domain);
+  const freshness = new FreshnessTracker();
+  const mesh = new PeerMesh({
+    self: seed,
+    client,
+    server,
+    instanceList: {list: async () => [...listed]},
+    seeds: known,
+    clock,
+    logger,
+    random,
+    report: () => report,
+    options: {heartbeatMs: 50, suspectMs: 600},
+  });
+  const stopping = new AbortController();
+  const running = mesh.run(stopping.signal);
+  return {
+    seed,
+    mesh,
+    client,
+    server,
+    freshness,
+    report,
+    stop: async () => {
+      stopping.abort();
+      client.close();
+      await server.close();
+      await running;
+    },
+  };
+}
+
+/** Resolves when `condition` holds; throws after `limitMs`. */
+export async function waitFor(
+  condition: () => boolean,
+  limitMs = 10_000,
+): Promise<void> {
+  const clock = new SystemClock();
+  const end = clock.now() + limitMs;
+  while (!condition()) {
+    if (clock.now() > end) {
+      throw new Error('the condition did not come to hold');
+    }
+    await clock.sleep(5);
+  }
+}
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,2 +1,24 @@
 /** TCP frames with cbor-x: correlation, heartbeats and deadlines. */
-export {};
+
+// Both ends
+export type {PeerAddress} from './peer_address.js';
+export {DEFAULT_WIRE_OPTIONS, type WireOptions} from './options.js';
+
+// The end that answers
+export {
+  type PeerHandler,
+  PeerServer,
+  type PeerServerSettings,
+} from './peer_server.js';
+
+// The end that asks
+export {PeerClient, type PeerClientSettings} from './peer_client.js';
+
+// Frames and messages
+export {FRAME_HEADER_BYTES, FrameDecoder, encodeFrame} from './frame.js';
+export {
+  type Message,
+  WIRE_VERSION,
+  decodeMessage,
+  encodeMessage,
+} from './message.js';
