--- a/packages/daemon/src/commands/apply_configuration.ts
+++ b/packages/daemon/src/commands/apply_configuration.ts
@@ -61,7 +61,6 @@
       entity,
       by: author,
       id: `${entity}@${baseVersion}`,
-      offset: node.state.nextOffset,
     });
     node.scheduler.poke();
   }
--- a/packages/daemon/src/commands/route_job.ts
+++ b/packages/daemon/src/commands/route_job.ts
@@ -1,9 +1,5 @@
 /** Routes jobs to failure domains. */
-import {
-  type Reason,
-  createReason,
-  describeReason,
-} from '@galenavalve/model';
+import {type Reason, createReason, describeReason} from '@galenavalve/model';
 import type {WaitingJob} from '@galenavalve/placement';
 import {Failure} from '@galenavalve/shared';
 import type {Node} from '../node.js';
@@ -84,6 +80,6 @@
 function isInService(node: Node, domain: string): boolean {
   return (
     node.state.configuration.domains.get(domain)?.state === 'in-service' &&
-    !node.mesh.holds().some(hold => hold.entity === `domain/${domain}`)
+    !node.mesh.isHeld(`domain/${domain}`)
   );
 }
--- a/packages/daemon/src/commands/submit_job.ts
+++ b/packages/daemon/src/commands/submit_job.ts
@@ -42,10 +42,7 @@
 }
 
 /** A request as the placement package sees it. */
-export function describeWaiting(
-  request: JobRequest,
-  now: number,
-): WaitingJob {
+export function describeWaiting(request: JobRequest, now: number): WaitingJob {
   return {
     jobId: createJobId(request.requestId),
     workspace: request.workspace,
--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -90,8 +90,8 @@
       random: context.get(tokens.random),
       logger: context.get(tokens.logger),
       options: {
-        waitMs: timings.logWaitMs,
-        timeoutMs: timings.platformTimeoutMs,
+        readWait: timings.logWaitMs,
+        readTimeout: timings.platformTimeoutMs,
       },
     });
   });
@@ -105,9 +105,9 @@
       logger: context.get(tokens.logger),
       instance,
       options: {
-        maxPending: limits.pendingAppends,
+        queueRecords: limits.pendingAppends,
         appendsPerSecond: limits.appendsPerSecond,
-        appendTimeoutMs: timings.platformTimeoutMs,
+        appendTimeout: timings.platformTimeoutMs,
       },
     });
   });
@@ -225,9 +225,9 @@
     }),
     takeover: new TakeoverReader({
       ...parts,
-      options: {callTimeoutMs: timings.targetTimeoutMs},
+      callTimeoutMs: timings.targetTimeoutMs,
     }),
-    health: new TargetHealth(() => state.configuration.rules),
+    health: new TargetHealth(state.configuration.rules),
     clock,
     random: node.random,
     logger,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -103,6 +103,7 @@
     for (const mirror of node.mirrors()) {
       mirror.onApplied(applied);
     }
+    this.endHolds(applied);
     this.election.onApplied(applied);
     node.scheduler.onApplied(applied);
     node.waiters.onApplied(applied);
@@ -111,6 +112,15 @@
     }
   }
 
+  /** A hold ends only by a later accepted record about its entity. */
+  private endHolds({record, accepted, offset}: Applied): void {
+    if (record?.type === 'configured' && accepted) {
+      for (const {entity} of record.change.edits) {
+        this.node.mesh.noteAccepted(entity, offset);
+      }
+    }
+  }
+
   private observeStart(jobId: string): void {
     const job = this.node.state.job(jobId);
     if (job?.attempts === 1 && job.startedAt !== undefined) {
@@ -130,8 +140,10 @@
       }
       return reason;
     });
-    node.mesh.onReport((report, receivedAt) => {
-      node.freshness.notePeer(report, node.state.nextOffset, receivedAt);
+    node.mesh.onReport(({report, madeAfter}) => {
+      if (madeAfter !== undefined) {
+        node.freshness.notePeer(report, node.state.nextOffset, madeAfter);
+      }
     });
   }
 
@@ -142,7 +154,8 @@
       const now = node.clock.now();
       if (node.freshness.tick(now)) {
         node.logger.warn('paused', {
-          remedy: 'the process was paused; starts wait for a new read of the log',
+          remedy:
+            'the process was paused; starts wait for a new read of the log',
         });
       }
       const readAt = node.follower.lastFresh();
--- a/packages/daemon/src/queries/cluster_queries.ts
+++ b/packages/daemon/src/queries/cluster_queries.ts
@@ -2,14 +2,12 @@
 import type {Job} from '@galenavalve/ledger';
 import type {
   DomainView,
-  GuaranteeView,
   InventoryView,
   Target,
   TargetView,
   Workspace,
   WorkspaceView,
 } from '@galenavalve/model';
-import {measureGuarantees} from '@galenavalve/placement';
 import type {Node} from '../node.js';
 
 /** The inventory as this instance knows it, with its age. */
@@ -79,16 +77,10 @@
     running: own.length,
     acceleratorsGuaranteed: sumAccelerators(own.filter(job => job.guaranteed)),
     acceleratorsBorrowed: sumAccelerators(own.filter(job => !job.guaranteed)),
-    guarantees: viewGuarantees(node, workspace),
+    guarantees: [],
   };
 }
 
-function viewGuarantees(node: Node, workspace: Workspace): GuaranteeView[] {
-  const conditionOf = (target: string, domain: string) =>
-    node.mirrorOf(domain).cells.condition(target);
-  return measureGuarantees(node.state.configuration, workspace.id, conditionOf);
-}
-
 function sumAccelerators(jobs: readonly Job[]): number {
   return jobs.reduce((sum, {request: {gang}}) => {
     return sum + gang.tasks * gang.perTask.accelerators;
--- a/packages/daemon/src/queries/config_queries.ts
+++ b/packages/daemon/src/queries/config_queries.ts
@@ -1,5 +1,5 @@
 /** Questions about the configuration and its history. */
-import type {VersionedEntity} from '@galenavalve/model';
+import {type VersionedEntity, keyOf} from '@galenavalve/model';
 import type {Node} from '../node.js';
 
 /** One entity with its key. */
@@ -12,10 +12,17 @@
   offset: number;
   entities: KeyedEntity[];
 } {
-  const entities = [...node.state.entities()].map(([entity, versioned]) => ({
-    entity,
-    ...versioned,
-  }));
+  const {domains, targets, workspaces, rules} = node.state.configuration;
+  const keys = [
+    ...domains.values(),
+    ...targets.values(),
+    ...workspaces.values(),
+    rules,
+  ].map(keyOf);
+  const entities = keys.flatMap(entity => {
+    const versioned = node.state.entity(entity);
+    return versioned ? [{entity, ...versioned}] : [];
+  });
   return {offset: node.state.nextOffset, entities};
 }
 
--- a/packages/daemon/src/queries/job_queries.ts
+++ b/packages/daemon/src/queries/job_queries.ts
@@ -57,7 +57,7 @@
 /** Jobs that match, newest first. */
 export function listJobs(node: Node, filter: JobFilter): JobView[] {
   const found: Job[] = [];
-  for (const job of node.state.jobs()) {
+  for (const job of allJobs(node)) {
     const matches =
       (!filter.workspace || job.request.workspace === filter.workspace) &&
       (!filter.phase || job.phase === filter.phase);
@@ -69,6 +69,13 @@
   return found.slice(0, filter.limit).map(viewJob);
 }
 
+function* allJobs(node: Node): Iterable<Job> {
+  for (const domain of node.state.configuration.domains.keys()) {
+    yield* node.state.jobsIn(domain);
+  }
+  yield* node.state.finishedJobs();
+}
+
 /** Why the job did or did not run, and what it waits for now. */
 export async function explainJob(
   node: Node,
--- a/packages/daemon/src/queries/plan_job.ts
+++ b/packages/daemon/src/queries/plan_job.ts
@@ -41,15 +41,16 @@
   }
   const queue = [...node.state.queuedIn(route.domain)].map(toWaitingJob);
   const {cells} = node.mirrorOf(route.domain);
-  const decisions = node.policy.decide(
-    cells,
-    [...queue, job],
-    now,
-  );
+  const decisions = node.policy.decide(cells, [...queue, job], now);
   const placement = decisions.placements.find(p => p.jobId === job.jobId);
   const reclaim = decisions.reclaims.find(r => r.forJob === job.jobId);
   const wait = decisions.waits.find(w => w.jobId === job.jobId);
-  const reasons = [route.reason, placement?.reason, reclaim?.reason, wait?.reason];
+  const reasons = [
+    route.reason,
+    placement?.reason,
+    reclaim?.reason,
+    wait?.reason,
+  ];
   return {
     verdict: placement ? 'starts-now' : 'waits',
     domain: route.domain,
--- a/packages/daemon/src/roles/election.ts
+++ b/packages/daemon/src/roles/election.ts
@@ -13,6 +13,7 @@
   describeError,
 } from '@galenavalve/shared';
 import type {Node} from '../node.js';
+import {isFit} from './self_report.js';
 
 /** Time between two decisions. */
 const INTERVAL_MS: Milliseconds = 200;
@@ -102,7 +103,11 @@
 
   private onClaimed(term: Term): void {
     const present = this.node.state.schedulerTerm(this.domain);
-    if (present && isSameTerm(present, term) && this.node.stage !== 'stopping') {
+    if (
+      present &&
+      isSameTerm(present, term) &&
+      this.node.stage !== 'stopping'
+    ) {
       this.heldTerm = term;
       this.attempts = 0;
       this.node.scheduler.activate(term);
@@ -126,19 +131,21 @@
     const status = node.mesh
       .peers()
       .find(peer => peer.address.instance === holder);
+    const heardAt =
+      holder === undefined ? undefined : node.mesh.lastHeard(holder);
     return {
       now,
       domain: this.domain,
       self: node.settings.instance,
-      selfReady: node.stage === 'serving',
+      selfReady: isFit(node),
       selfLeaving: node.stage === 'stopping',
       presentTerm: this.presentTerm,
       termSeenAt: this.termSeenAt,
       heldTerm: this.heldTerm,
-      candidates: node.mesh.aliveIn(this.domain, now),
-      holderHeardAt: status?.lastHeardAt,
-      holderLeaving:
-        status?.listed === 'leaving' || status?.report?.leaving === true,
+      aliveInDomain: node.mesh.fitIn(this.domain, now),
+      lastHeardFromHolder: heardAt,
+      holderLeavingSince: status?.leavingSince,
+      holderNotReadySince: status?.notReadySince,
       recentTakeovers: this.takeovers.length,
       notBefore: this.notBefore,
       suspectMs: node.settings.timings.suspectMs,
--- a/packages/daemon/src/roles/self_report.ts
+++ b/packages/daemon/src/roles/self_report.ts
@@ -5,6 +5,15 @@
 /** Stands for "never known to be current" on the wire, in milliseconds. */
 const NEVER_FRESH_MS = 1e12;
 
+/** Tells whether this instance may hold roles: it serves, and knows the present configuration. */
+export function isFit(node: Node): boolean {
+  const {freshnessMs} = node.settings.timings;
+  return (
+    node.stage === 'serving' &&
+    node.freshness.isFresh(node.clock.now(), freshnessMs)
+  );
+}
+
 /** The present report. */
 export function createSelfReport(node: Node): SelfReport {
   const {instance, domain} = node.settings;
@@ -17,8 +26,21 @@
     offset: node.state.nextOffset,
     freshnessAgeMs: Math.round(Math.min(age, NEVER_FRESH_MS)),
     schedules: term && {domain, term},
+    schedulerHeardAgeMs: findSchedulerAge(node, now),
     leaving: node.stage === 'stopping',
-    ready: node.stage === 'serving',
-    holds: node.mesh.holds(),
+    ready: isFit(node),
+    holds: [],
   };
 }
+
+/** Time since the domain's scheduler was heard directly, in milliseconds. */
+function findSchedulerAge(node: Node, now: number): number | undefined {
+  const holder = node.state.schedulerTerm(node.settings.domain)?.instance;
+  const status = node.mesh
+    .peers()
+    .find(peer => peer.address.instance === holder);
+  const age = status && now - status.lastHeardAt;
+  return age !== undefined && Number.isFinite(age)
+    ? Math.round(age)
+    : undefined;
+}
--- a/packages/daemon/src/roles/start_bar.ts
+++ b/packages/daemon/src/roles/start_bar.ts
@@ -14,14 +14,14 @@
   if (!node.freshness.isFresh(now, timings.freshnessMs)) {
     return createReason('waiting-stale');
   }
-  const held = new Set(node.mesh.holds().map(hold => hold.entity));
   const state = configuration.domains.get(domain)?.state;
-  if (state !== 'in-service' || held.has(`domain/${domain}`)) {
+  if (state !== 'in-service' || node.mesh.isHeld(`domain/${domain}`)) {
     return createReason('waiting-domain', {domain});
   }
   for (const target of targets) {
-    const isInService = configuration.targets.get(target)?.state === 'in-service';
-    if (!isInService || held.has(`target/${target}`)) {
+    const isInService =
+      configuration.targets.get(target)?.state === 'in-service';
+    if (!isInService || node.mesh.isHeld(`target/${target}`)) {
       return createReason('waiting-targets', {
         target,
         problem: 'it is out of service',
--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -1,2 +1,4 @@
 /** The demonstration: daemons in three failure domains, with the stand-ins. */
-export {};
+export {createConfiguration, DOMAINS, targetsOf} from './kestrelway.js';
+export {ChildProcesses, type Child, type Launch} from './child_processes.js';
+export {EntryApi, type Answer, type JobDraft} from './entry_api.js';
--- a/packages/scheduler/src/gang_launch.ts
+++ b/packages/scheduler/src/gang_launch.ts
@@ -86,11 +86,7 @@
     }
     const reserved = await this.context.starter.reserve(order);
     if (reserved.kind === 'refused') {
-      this.context.health.noteRefusal(
-        reserved.culprit,
-        this.context.clock.now(),
-      );
-      this.giveUp(order, reserved.reason);
+      this.giveUp(order, reserved.reason, reserved.culprit);
       return;
     }
     const isPlaced = await this.recordIntent(order, decision);
@@ -173,10 +169,7 @@
       await record({type: 'started', ...attempt});
       return;
     }
-    if (result.culprit) {
-      this.context.health.noteRefusal(result.culprit, this.context.clock.now());
-    }
-    this.giveUp(order, result.reason);
+    this.giveUp(order, result.reason, result.culprit);
     await record({
       type: 'unplaced',
       ...attempt,
@@ -203,9 +196,9 @@
     await this.context.starter.stop(order, {checkpoint: false, graceMs: 0});
   }
 
-  private giveUp(order: GangOrder, reason: Reason): void {
+  private giveUp(order: GangOrder, reason: Reason, culprit?: string): void {
     const {clock, random, logger} = this.context;
-    this.backoff.noteFailure(order.jobId, clock.now(), random.next());
+    this.backoff.noteFailure(order.jobId, clock.now(), random.next(), culprit);
     this.noteWait(order.jobId, reason);
     logger.info('not-started', {
       jobId: order.jobId,
--- a/packages/scheduler/src/gang_watch.ts
+++ b/packages/scheduler/src/gang_watch.ts
@@ -41,20 +41,22 @@
         this.onMemberLost(event);
         return;
       case 'target-leaving':
-        this.onTargetLeaving(event.target);
-        return;
+        this.context.health.noteLeaving(event.target, true);
+        this.moveAway(event.target);
+        break;
+      case 'target-staying':
+        this.context.health.noteLeaving(event.target, false);
+        break;
       case 'target-silent':
-        this.context.mirror.setCondition(event.target, 'unreachable');
-        this.context.logger.warn('target-silent', {target: event.target});
-        return;
+        this.context.health.noteSilence(event.target, true);
+        break;
       case 'target-answering':
-        this.context.mirror.setCondition(event.target, 'well');
-        this.context.logger.info('target-answering', {target: event.target});
-        this.context.poke();
-        return;
+        this.context.health.noteSilence(event.target, false);
+        break;
       default:
         return;
     }
+    this.context.poke();
   }
 
   private onSucceeded(event: KeeperEvent & {kind: 'succeeded'}): void {
@@ -63,7 +65,7 @@
       return;
     }
     for (const {target} of job.assignments) {
-      this.context.health.noteSuccess(target, this.context.clock.now());
+      this.context.health.noteSuccess(target);
     }
     const bytes = JSON.stringify(event.results).length;
     const tooLarge = bytes > MAX_RESULT_BYTES;
@@ -85,7 +87,7 @@
     if (!job || this.stop.isStopping(job.jobId)) {
       return;
     }
-    const {clock, health, mirror, logger} = this.context;
+    const {clock, health, logger} = this.context;
     const reason = createReason('task-failed', {
       task: event.task ?? 0,
       target: event.culprit,
@@ -98,10 +100,6 @@
       text: describeReason(reason),
     });
     health.noteFailure(event.culprit, job.jobId, clock.now());
-    mirror.setCondition(
-      event.culprit,
-      health.condition(event.culprit, clock.now()),
-    );
     const failedTargets = new Set(job.failures.map(({target}) => target));
     failedTargets.add(event.culprit);
     const limit = this.context.state.configuration.rules.jobFailures;
@@ -123,10 +121,9 @@
     }
   }
 
-  private onTargetLeaving(target: string): void {
-    const {mirror, state, domain} = this.context;
-    mirror.setCondition(target, 'leaving');
-    this.context.logger.info('target-leaving', {target});
+  /** The work of a leaving target is checkpointed and queued again. */
+  private moveAway(target: string): void {
+    const {state, domain} = this.context;
     const reason = createReason('preempted-target-leaving', {target});
     for (const job of [...state.activeIn(domain)]) {
       const isOnTarget = job.assignments.some(part => part.target === target);
@@ -148,14 +145,14 @@
       outcome: 'failed',
       results: [],
       ranSeconds: 0,
-      reason:
-        failures > 1 ? createReason('job-failing', {failures}) : cause,
+      reason: failures > 1 ? createReason('job-failing', {failures}) : cause,
     });
   }
 
   private async finish(job: Job, ending: Ending): Promise<void> {
     const {keeper, record, domain, term, logger} = this.context;
     const {jobId, attempts: attempt} = job;
+    const order = toGangOrder(job, term);
     logger.info('finished', {
       jobId,
       attempt,
@@ -175,7 +172,7 @@
       reason: ending.reason,
     });
     if (isAccepted) {
-      keeper.forget(jobId, attempt);
+      keeper.forget(order);
     }
     keeper.unfollow(jobId);
     this.context.poke();
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -5,6 +5,7 @@
  */
 import type {Applied} from '@galenavalve/ledger';
 import {
+  type Configuration,
   type Reason,
   type Term,
   createReason,
@@ -47,6 +48,8 @@
   private waits = new Map<string, Reason>();
   private wake: (() => void) | undefined;
   private isPoked = false;
+  /** The domain's targets, remembered while the configuration stays the same. */
+  private targets?: {configuration: Configuration; names: string[]};
 
   constructor(private readonly parts: SchedulerParts) {
     parts.keeper.onEvent(event => this.onKeeperEvent(event));
@@ -271,22 +274,26 @@
     }
   }
 
-  /** Lets quarantines end. */
+  /** Shows the policy what is known of the targets' health; quarantines end with time. */
   private refreshConditions(now: number): void {
-    const {health, mirror, domain, state} = this.parts;
-    for (const target of state.configuration.targets.values()) {
-      if (target.domain !== domain) {
-        continue;
-      }
-      const present = mirror.cells.condition(target.id);
-      const evidence = health.condition(target.id, now);
-      if (present === 'well' && evidence === 'quarantined') {
-        mirror.setCondition(target.id, 'quarantined');
-      }
-      if (present === 'quarantined' && evidence === 'well') {
-        mirror.setCondition(target.id, 'well');
-      }
+    const {health, mirror, keeper} = this.parts;
+    const targets = this.listTargets();
+    keeper.followTargets(targets);
+    for (const target of targets) {
+      mirror.setCondition(target, health.condition(target, now));
+    }
+  }
+
+  private listTargets(): string[] {
+    const {state, domain} = this.parts;
+    if (this.targets?.configuration !== state.configuration) {
+      const names = [...state.configuration.targets.values()]
+        .filter(target => target.domain === domain)
+        .map(target => target.id);
+      this.targets = {configuration: state.configuration, names};
+      this.parts.health.setRules(state.configuration.rules);
     }
+    return this.targets.names;
   }
 
   private onCancelled(jobId: string, reason: Reason): void {
--- a/packages/scheduler/src/takeover.ts
+++ b/packages/scheduler/src/takeover.ts
@@ -29,7 +29,7 @@
     unreachable,
   });
   for (const target of unreachable) {
-    context.mirror.setCondition(target, 'unreachable');
+    context.health.noteSilence(target, true);
   }
   const active = [...state.activeIn(domain)];
   await Promise.all(active.map(job => reconcile(context, job, reports)));
@@ -129,7 +129,10 @@
       const isActive =
         job?.attempts === lease.attempt &&
         (job.phase === 'placed' || job.phase === 'running');
-      if (isActive || (lease.state !== 'running' && lease.state !== 'reserved')) {
+      if (
+        isActive ||
+        (lease.state !== 'running' && lease.state !== 'reserved')
+      ) {
         continue;
       }
       context.logger.warn('stray-stopped', {
@@ -150,9 +153,7 @@
           },
         ],
       };
-      stops.push(
-        context.starter.stop(stray, {checkpoint: false, graceMs: 0}),
-      );
+      stops.push(context.starter.stop(stray, {checkpoint: false, graceMs: 0}));
     }
   }
   await Promise.all(stops);
--- a/packages/scheduler/src/waiting_queue.ts
+++ b/packages/scheduler/src/waiting_queue.ts
@@ -11,6 +11,9 @@
 /** Longest waiting time between two tries of one job. */
 const BACKOFF_CAP_MS: Milliseconds = 10_000;
 
+/** Most targets that are avoided after failed starts of one job. */
+const MAX_CULPRITS = 4;
+
 /** A job that is not offered to the policy, and why. */
 export interface HeldJob {
   jobId: string;
@@ -23,16 +26,25 @@
   held: HeldJob[];
 }
 
+interface FailedStart {
+  failures: number;
+  until: Instant;
+  culprits: string[];
+}
+
 /** Delays the next try of jobs whose start failed. */
 export class StartBackoff {
-  private readonly entries = new Map<
-    string,
-    {failures: number; until: Instant}
-  >();
+  private readonly entries = new Map<string, FailedStart>();
 
   /** Notes a failed start; `jitter` in [0, 1) spreads the tries. */
-  noteFailure(jobId: string, now: Instant, jitter: number): void {
-    const failures = (this.entries.get(jobId)?.failures ?? 0) + 1;
+  noteFailure(
+    jobId: string,
+    now: Instant,
+    jitter: number,
+    culprit?: string,
+  ): void {
+    const before = this.entries.get(jobId);
+    const failures = (before?.failures ?? 0) + 1;
     const ceiling = Math.min(
       BACKOFF_CAP_MS,
       BACKOFF_BASE_MS * 2 ** (failures - 1),
@@ -40,6 +52,11 @@
     this.entries.set(jobId, {
       failures,
       until: now + ceiling * (0.5 + jitter / 2),
+      // Only the latest culprits are avoided, so that none is for ever.
+      culprits: [
+        ...(before?.culprits ?? []),
+        ...(culprit ? [culprit] : []),
+      ].slice(-MAX_CULPRITS),
     });
   }
 
@@ -65,6 +82,11 @@
     return next;
   }
 
+  /** Targets that refused or did not answer in the latest tries. */
+  culprits(jobId: string): readonly string[] {
+    return this.entries.get(jobId)?.culprits ?? [];
+  }
+
   /** Failed starts in a row. */
   failures(jobId: string): number {
     return this.entries.get(jobId)?.failures ?? 0;
@@ -88,14 +110,17 @@
     if (reason) {
       queue.held.push({jobId: job.jobId, reason});
     } else {
-      queue.waiting.push(toWaitingJob(job));
+      queue.waiting.push(toWaitingJob(job, backoff.culprits(job.jobId)));
     }
   }
   return queue;
 }
 
 /** A queued job as the placement package sees it. */
-export function toWaitingJob(job: Job): WaitingJob {
+export function toWaitingJob(
+  job: Job,
+  culprits: readonly string[] = [],
+): WaitingJob {
   const {request} = job;
   return {
     jobId: job.jobId,
@@ -107,7 +132,10 @@
     checkpointable: request.checkpointable,
     expectedSeconds: remainingSeconds(job),
     submittedAt: job.submittedAt,
-    avoidTargets: job.failures.flatMap(({target}) => target ?? []),
+    avoidTargets: [
+      ...job.failures.flatMap(({target}) => target ?? []),
+      ...culprits,
+    ],
   };
 }
 
