Start, keep and stop whole gangs

Cause: the scheduler needs reservations, an all-or-nothing start, leases that end a gang as one, and a take-over that reads back what runs.

Change: GangStarter, LeaseKeeper, TakeoverReader, TargetHealth, and an in-memory target with faults. Each extension of a lease is counted from a time that the target stamped itself: a start names the grant and a renewal the report that it relies on. `reserve` therefore answers a grant, and `startOrder.grantedAt`, `renewal.basedOn` and `targetReport.clock` are new.

Ruled out: counting from receipt, because a delayed order would then start or extend work later than its sender knew; tombstones of ended attempts, because the grant already refuses an order that outlived its attempt.

--- /dev/null
+++ b/packages/targets/__tests__/lease_keeper.spec.ts
@@ -0,0 +1,115 @@
+import t from 'tap';
+import type {GangOrder, KeeperEvent, RunEvent} from '../src/index.js';
+import {
+  CALL_TIMEOUT_MS,
+  LEASE_MS,
+  createKeeper,
+  createOrder,
+  createStarter,
+  createTargets,
+} from './fixtures.js';
+
+/** A gang on three targets that runs and is kept. */
+async function runGang(changes: Partial<GangOrder> = {}) {
+  const {clock, targets, runs} = createTargets(3);
+  const starter = createStarter(clock, targets);
+  const order = createOrder(3, changes);
+  await starter.reserve(order);
+  await starter.start(order, () => undefined);
+  const {keeper, events} = createKeeper(clock, targets);
+  keeper.follow(order);
+  const stop = new AbortController();
+  t.teardown(() => stop.abort());
+  void keeper.run(stop.signal);
+  await clock.advance(0);
+  return {clock, targets, runs, order, keeper, events, stop};
+}
+
+function endsOf(runs: readonly RunEvent[]): number[] {
+  return runs.filter(run => run.kind === 'ended').map(run => run.at);
+}
+
+function kindsOf(events: readonly KeeperEvent[]): string[] {
+  return events.map(event => event.kind).filter(kind => kind !== 'usage');
+}
+
+t.test('a kept gang', async t => {
+  t.test('runs on beyond its first lease, and gives all results', async t => {
+    const {clock, events} = await runGang({payload: {durationMs: 20_000}});
+    await clock.advance(25_000);
+    const succeeded = events.find(event => event.kind === 'succeeded');
+    t.match(succeeded, {jobId: 'job1', results: [0, 1, 2], ranSeconds: 20});
+  });
+
+  t.test('keeps its results until they are forgotten', async t => {
+    const {clock, targets, order, keeper} = await runGang({
+      payload: {durationMs: 1000},
+    });
+    await clock.advance(60_000);
+    t.equal(targets.model('t0').report(clock.now()).leases.length, 1);
+    keeper.unfollow(order.jobId);
+    keeper.forget(order);
+    await clock.advance(3000);
+    t.same(targets.model('t0').report(clock.now()).leases, []);
+  });
+
+  t.test('survives a silence shorter than its lease', async t => {
+    const {clock, targets, runs, events} = await runGang();
+    await clock.advance(5000);
+    targets.setFault('t1', {silent: true});
+    await clock.advance(2000);
+    targets.setFault('t1', undefined);
+    await clock.advance(20_000);
+    t.same(endsOf(runs), []);
+    t.same(kindsOf(events), ['target-silent', 'target-answering']);
+  });
+
+  t.test('ends in all members soon after one has died', async t => {
+    const {clock, targets, runs, events} = await runGang();
+    await clock.advance(5000);
+    const diedAt = clock.now();
+    targets.kill('t1');
+    await clock.advance(60_000);
+    targets.advance();
+    t.match(
+      events.find(event => event.kind === 'member-lost'),
+      {culprit: 't1'},
+    );
+    t.equal(endsOf(runs).length, 3);
+    const bound = diedAt + LEASE_MS + 2 * CALL_TIMEOUT_MS;
+    t.ok(Math.max(...endsOf(runs)) <= bound);
+  });
+
+  t.test('names the task that failed', async t => {
+    const {clock, events} = await runGang({
+      payload: {durationMs: 3000, fail: 2},
+    });
+    await clock.advance(6000);
+    t.match(
+      events.find(event => event.kind === 'failed'),
+      {culprit: 't2', task: 2},
+    );
+  });
+
+  t.test('is read again after a pause, and not renewed in part', async t => {
+    const {clock, targets, runs, order, keeper, events, stop} = await runGang();
+    await clock.advance(5000);
+    stop.abort();
+    await clock.advance(LEASE_MS + 2000);
+    await keeper.tick();
+    targets.advance();
+    t.equal(endsOf(runs).length, 3);
+    t.match(events.at(-1), {kind: 'member-lost', jobId: order.jobId});
+  });
+});
+
+t.test('an idle target is asked, and tells that it leaves', async t => {
+  const {clock, targets} = createTargets(1);
+  const {keeper, events} = createKeeper(clock, targets);
+  keeper.followTargets(['t0']);
+  await keeper.tick();
+  targets.model('t0').leaving = true;
+  await clock.advance(10_000);
+  await keeper.tick();
+  t.same(events, [{kind: 'target-leaving', target: 't0'}]);
+});
--- /dev/null
+++ b/packages/targets/src/gang_watch.ts
@@ -0,0 +1,166 @@
+/** Judges one gang by what its members' targets report. */
+import type {Instant, Milliseconds} from '@galenavalve/shared';
+import {type GangOrder, leaseKeyOf} from './gang_order.js';
+import type {GangVerdict} from './keeper_event.js';
+import type {LeaseReport} from './target_client.js';
+
+/** One member as last heard of. */
+interface Member {
+  target: string;
+  firstTask: number;
+  /** Absent until the target has reported. */
+  report?: LeaseReport;
+  /** Whether its target answered in the latest round. */
+  isAnswering: boolean;
+  /** Local time before which its lease cannot have lapsed. */
+  expiresAt: Instant;
+}
+
+/** The members of one gang, and the verdict on it. */
+export class GangWatch {
+  private readonly members: Map<string, Member>;
+  private verdict?: GangVerdict;
+
+  constructor(
+    readonly order: GangOrder,
+    followedAt: Instant,
+    leaseMs: Milliseconds,
+  ) {
+    this.members = new Map(
+      order.assignments.map(({target, firstTask}) => [
+        target,
+        {
+          target,
+          firstTask,
+          isAnswering: false,
+          expiresAt: followedAt + leaseMs,
+        },
+      ]),
+    );
+  }
+
+  // Commands
+
+  /** Takes in what a target said of this gang; undefined when it said nothing of it. */
+  onReport(target: string, report: LeaseReport | undefined): void {
+    const member = this.members.get(target);
+    if (!member || member.report?.state === 'succeeded') {
+      return;
+    }
+    member.isAnswering = true;
+    if (report) {
+      member.report = report;
+    } else {
+      this.conclude(target, 'the target does not know its tasks');
+    }
+  }
+
+  /** The target did not answer. */
+  onSilence(target: string): void {
+    const member = this.members.get(target);
+    if (member) {
+      member.isAnswering = member.report?.state === 'succeeded';
+    }
+  }
+
+  /** The target acknowledged a renewal that lasts at least until then. */
+  onRenewed(target: string, expiresAt: Instant): void {
+    const member = this.members.get(target);
+    if (member) {
+      member.expiresAt = Math.max(member.expiresAt, expiresAt);
+    }
+  }
+
+  /** Nothing that was heard before counts any more. */
+  doubt(): void {
+    for (const member of this.members.values()) {
+      member.isAnswering = member.report?.state === 'succeeded';
+    }
+  }
+
+  /** Decides; returns the verdict only when it is new. A member that is silent until `marginMs` before its lease ends is lost. */
+  judge(now: Instant, marginMs: Milliseconds): GangVerdict | undefined {
+    if (this.verdict) {
+      return undefined;
+    }
+    for (const member of this.members.values()) {
+      this.judgeMember(member, now, marginMs);
+    }
+    if (!this.verdict && this.isComplete()) {
+      this.verdict = this.succeed();
+    }
+    return this.verdict;
+  }
+
+  // Queries
+
+  get targets(): Iterable<string> {
+    return this.members.keys();
+  }
+
+  /** Whether every member was well in the latest round. */
+  isRenewable(): boolean {
+    if (this.verdict) {
+      return false;
+    }
+    return [...this.members.values()].every(
+      member =>
+        member.isAnswering &&
+        (member.report?.state === 'running' ||
+          member.report?.state === 'succeeded'),
+    );
+  }
+
+  private judgeMember(
+    member: Member,
+    now: Instant,
+    marginMs: Milliseconds,
+  ): void {
+    if (this.verdict) {
+      return;
+    }
+    const {target, report} = member;
+    if (!member.isAnswering) {
+      if (now >= member.expiresAt - marginMs) {
+        this.conclude(target, 'it was silent until its lease ended');
+      }
+    } else if (report?.state === 'failed') {
+      this.verdict = {
+        kind: 'failed',
+        ...leaseKeyOf(this.order),
+        culprit: target,
+        task: report.failedTask,
+        problem: report.problem ?? 'the task failed',
+      };
+    } else if (report?.state !== 'running' && report?.state !== 'succeeded') {
+      this.conclude(target, `its tasks are ${report?.state ?? 'unknown'}`);
+    }
+  }
+
+  private conclude(culprit: string, problem: string): void {
+    this.verdict ??= {
+      kind: 'member-lost',
+      ...leaseKeyOf(this.order),
+      culprit,
+      problem,
+    };
+  }
+
+  private isComplete(): boolean {
+    return [...this.members.values()].every(
+      member => member.report?.state === 'succeeded',
+    );
+  }
+
+  private succeed(): GangVerdict {
+    const members = [...this.members.values()];
+    members.sort((a, b) => a.firstTask - b.firstTask);
+    const progress = members.map(item => item.report?.progressSeconds ?? 0);
+    return {
+      kind: 'succeeded',
+      ...leaseKeyOf(this.order),
+      results: members.flatMap(member => member.report?.results ?? []),
+      ranSeconds: Math.max(...progress) - this.order.progressSeconds,
+    };
+  }
+}
--- a/packages/targets/src/target_client.ts
+++ b/packages/targets/src/target_client.ts
@@ -40,10 +40,23 @@
 });
 export type Reservation = z.infer<typeof reservation>;
 
-/** Starts the reserved tasks of an attempt. */
+/** A target's answer to a reservation. */
+export const grant = z.strictObject({
+  /** The target's own monotonic clock in milliseconds; only handed back to it. */
+  grantedAt: z.number(),
+});
+export type Grant = z.infer<typeof grant>;
+
+/**
+ * Starts the reserved tasks of an attempt. The target counts the reservation's
+ * time to live and the lease from `grantedAt`, which it stamped itself, so
+ * that an order that was delayed on its way starts nothing late.
+ */
 export const startOrder = z.strictObject({
   ...leaseKey.shape,
   term,
+  /** The latest grant that the sender has seen. */
+  grantedAt: z.number(),
   /** Run time lease in milliseconds: the tasks stop when it is not renewed. */
   leaseMs: z.number().positive(),
   /** Progress to resume from, in seconds. */
@@ -63,9 +76,15 @@
 });
 export type StopOrder = z.infer<typeof stopOrder>;
 
-/** Keeps the leases on a target alive, all in one message. */
+/**
+ * Keeps the leases on a target alive, all in one message. A lease is extended
+ * to `leaseMs` after `basedOn`, so that a delayed renewal extends nothing
+ * beyond what its sender knew.
+ */
 export const renewal = z.strictObject({
   term,
+  /** `clock` of the latest report that the sender has seen; absent when it has seen none, and then nothing is renewed. */
+  basedOn: z.number().optional(),
   leaseMs: z.number().positive(),
   /** Leases to renew; those not named lapse. */
   leases: z.array(leaseKey).max(4096),
@@ -97,6 +116,8 @@
   progressSeconds: z.number().nonnegative(),
   /** Outputs by task, in order, once succeeded. */
   results: z.array(z.json()).optional(),
+  /** Index of the task that failed. */
+  failedTask: z.int().nonnegative().optional(),
   /** Why it failed. */
   problem: z.string().max(500).optional(),
 });
@@ -113,6 +134,8 @@
 /** What a target says of itself. */
 export const targetReport = z.strictObject({
   target: name,
+  /** The target's own monotonic clock in milliseconds; only handed back to it. */
+  clock: z.number(),
   /** Highest term that the target has seen. */
   term,
   leaving: z.boolean(),
@@ -133,12 +156,17 @@
     target: TargetAddress,
     order: Reservation,
     timeout: Milliseconds,
-  ): Promise<void>;
+  ): Promise<Grant>;
   start(
     target: TargetAddress,
     order: StartOrder,
     timeout: Milliseconds,
   ): Promise<void>;
+  /**
+   * Ends an attempt. The report tells what it was: `reserved` proves that no
+   * task had started and none will, `running` that tasks still save their
+   * progress. Undefined when the target knows nothing of it.
+   */
   stop(
     target: TargetAddress,
     order: StopOrder,
--- /dev/null
+++ b/packages/targets/src/testing/model_lease.ts
@@ -0,0 +1,187 @@
+/** One attempt on a modelled target: its reservation, its run and its end. */
+import type {Term} from '@galenavalve/model';
+import type {Instant} from '@galenavalve/shared';
+import type {
+  LeaseReport,
+  LeaseState,
+  Reservation,
+  StartOrder,
+  StopOrder,
+} from '../target_client.js';
+import {TaskPlan} from './task_plan.js';
+
+/** A start or an end of the tasks of one attempt on one target. */
+export interface RunEvent {
+  kind: 'started' | 'ended';
+  target: string;
+  jobId: string;
+  attempt: number;
+  term: Term;
+  firstTask: number;
+  tasks: number;
+  at: Instant;
+}
+
+interface Run {
+  startedAt: Instant;
+  resumedFromSeconds: number;
+  plan: TaskPlan;
+}
+
+/** The life of one attempt on one target. */
+export class ModelLease {
+  term: Term;
+  state: LeaseState = 'reserved';
+  /** Processor limit of the whole lease, once throttled. */
+  processorLimit = Infinity;
+  private expiresAt: Instant;
+  private run?: Run;
+  private savedSeconds = 0;
+  private stopsAt?: Instant;
+  private failedTask?: number;
+
+  constructor(
+    readonly reservation: Reservation,
+    readonly createdAt: Instant,
+    private readonly observe: (kind: RunEvent['kind'], at: Instant) => void,
+  ) {
+    this.term = reservation.term;
+    this.expiresAt = createdAt + reservation.ttlMs;
+  }
+
+  get isOccupying(): boolean {
+    return this.state === 'reserved' || this.state === 'running';
+  }
+
+  get isExpiredReservation(): boolean {
+    return this.state === 'lapsed' && !this.run;
+  }
+
+  /** Processors that the tasks use now. */
+  get processorsUsed(): number {
+    if (!this.run || this.state !== 'running') {
+      return 0;
+    }
+    const wanted = this.run.plan.usesProcessors ?? this.reservation.processors;
+    return Math.min(this.processorLimit, wanted * this.reservation.tasks);
+  }
+
+  /** Keeps the reservation for another time to live. */
+  extendReservation(ttlMs: number, now: Instant): void {
+    if (this.state === 'reserved') {
+      this.expiresAt = now + ttlMs;
+    }
+  }
+
+  /** Whether a start based on this grant is in time. */
+  isGrantValid(grantedAt: Instant, now: Instant): boolean {
+    const deadline = grantedAt + this.reservation.ttlMs;
+    return this.createdAt <= grantedAt && grantedAt <= now && now < deadline;
+  }
+
+  start(order: StartOrder, plan: TaskPlan, now: Instant): void {
+    this.state = 'running';
+    this.term = order.term;
+    this.savedSeconds = order.progressSeconds;
+    this.run = {
+      startedAt: now,
+      resumedFromSeconds: order.progressSeconds,
+      plan,
+    };
+    this.expiresAt = order.grantedAt + order.leaseMs;
+    this.observe('started', now);
+  }
+
+  /** Extends the lease of running tasks; never shortens it. */
+  renew(term: Term, expiresAt: Instant): void {
+    this.term = term;
+    if (this.state === 'running') {
+      this.expiresAt = Math.max(this.expiresAt, expiresAt);
+    }
+  }
+
+  /** Ends the tasks, at once or after they have saved their progress. */
+  stop(order: StopOrder, now: Instant): void {
+    if (this.state !== 'running' || !this.run) {
+      return;
+    }
+    const saveMs = this.run.plan.checkpointMs;
+    const canSave =
+      order.checkpoint &&
+      this.reservation.checkpointable &&
+      saveMs <= order.graceMs;
+    if (!canSave) {
+      this.end('stopped', now);
+    } else if (this.stopsAt === undefined) {
+      this.stopsAt = now + saveMs;
+      this.expiresAt = Math.max(this.expiresAt, this.stopsAt + 1);
+    }
+  }
+
+  /** Lets everything happen that is due by `now`; unless `lapses`, leases last for ever. */
+  advance(now: Instant, lapses: boolean): void {
+    if (this.state === 'reserved' && this.expiresAt <= now) {
+      this.state = 'lapsed';
+    }
+    if (this.state !== 'running' || !this.run) {
+      return;
+    }
+    const {plan, startedAt} = this.run;
+    const {at, failedTask} = plan.findEnd(
+      startedAt,
+      this.run.resumedFromSeconds,
+    );
+    const expiresAt = lapses ? this.expiresAt : Infinity;
+    const next = Math.min(at, expiresAt, this.stopsAt ?? Infinity);
+    if (next > now) {
+      return;
+    }
+    if (next === this.stopsAt) {
+      this.savedSeconds = this.madeSeconds(next);
+      this.end('stopped', next);
+    } else if (next === expiresAt) {
+      this.end('lapsed', next);
+    } else {
+      this.savedSeconds = this.madeSeconds(next);
+      this.failedTask = failedTask;
+      this.end(failedTask === undefined ? 'succeeded' : 'failed', next);
+    }
+  }
+
+  /** The target died with everything on it. */
+  kill(now: Instant): void {
+    this.end('stopped', now);
+  }
+
+  report(now: Instant): LeaseReport {
+    const isRunning = this.state === 'running';
+    return {
+      jobId: this.reservation.jobId,
+      attempt: this.reservation.attempt,
+      term: this.term,
+      state: this.state,
+      firstTask: this.reservation.firstTask,
+      tasks: this.reservation.tasks,
+      progressSeconds: isRunning ? this.madeSeconds(now) : this.savedSeconds,
+      ...(this.state === 'succeeded' && {results: this.run?.plan.results()}),
+      ...(this.failedTask !== undefined && {
+        failedTask: this.failedTask,
+        problem: 'the task ended with an error',
+      }),
+    };
+  }
+
+  private madeSeconds(now: Instant): number {
+    if (!this.run) {
+      return 0;
+    }
+    return this.run.resumedFromSeconds + (now - this.run.startedAt) / 1000;
+  }
+
+  private end(state: LeaseState, at: Instant): void {
+    if (this.state === 'running') {
+      this.observe('ended', at);
+    }
+    this.state = state;
+  }
+}
