Let the scheduler ask the lease keeper what it keeps

Cause: the scheduler takes back placed jobs that nobody starts, and must not mistake a kept gang for one. Change: isFollowing, clear and a readable leaseMs on LeaseKeeper. Conclusion: the scheduler package builds.

--- a/packages/daemon/src/queries/plan_job.ts
+++ b/packages/daemon/src/queries/plan_job.ts
@@ -39,7 +39,9 @@
     }
     throw error;
   }
-  const queue = [...node.state.queuedIn(route.domain)].map(toWaitingJob);
+  const queue = [...node.state.queuedIn(route.domain)].map(queued =>
+    toWaitingJob(queued),
+  );
   const {cells} = node.mirrorOf(route.domain);
   const decisions = node.policy.decide(cells, [...queue, job], now);
   const placement = decisions.placements.find(p => p.jobId === job.jobId);
--- a/packages/targets/src/lease_keeper.ts
+++ b/packages/targets/src/lease_keeper.ts
@@ -67,7 +67,8 @@
   private idle = new Set<string>();
   private term: Term = NO_TERM;
   private lastTickAt?: Instant;
-  private readonly leaseMs: Milliseconds;
+  /** Time that tasks run on without renewal, in milliseconds. */
+  readonly leaseMs: Milliseconds;
   private readonly renewMs: Milliseconds;
   private readonly idlePollMs: Milliseconds;
   private readonly callTimeoutMs: Milliseconds;
@@ -105,6 +106,13 @@
     }
   }
 
+  /** Keeps nothing any more; for a scheduler whose term ended. */
+  clear(): void {
+    this.gangs.clear();
+    this.targets.clear();
+    this.idle.clear();
+  }
+
   /** Also asks these targets for their reports, slowly while they have no work. */
   followTargets(targets: readonly string[]): void {
     this.idle = new Set(targets);
@@ -161,6 +169,11 @@
 
   // Queries
 
+  /** Tells whether the job is kept. */
+  isFollowing(jobId: string): boolean {
+    return this.gangs.has(jobId);
+  }
+
   /** Jobs that are kept. */
   followed(): string[] {
     return [...this.gangs.keys()];
