--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,4 +1,5 @@
 /** One daemon: starts its loops, serves, and stops without cutting a request. */
+import {setMaxListeners} from 'node:events';
 import {z} from 'zod';
 import type {Applied} from '@galenavalve/ledger';
 import {type Milliseconds, Failure, describeError} from '@galenavalve/shared';
@@ -34,6 +35,8 @@
     private readonly parts: DaemonParts,
   ) {
     this.election = new Election(node);
+    // Every loop listens to the end of the daemon.
+    setMaxListeners(0, this.loops.signal);
     node.follower.onApplied(applied => this.onApplied(applied));
   }
 
--- a/packages/daemon/src/queries/plan_job.ts
+++ b/packages/daemon/src/queries/plan_job.ts
@@ -40,7 +40,7 @@
     throw error;
   }
   const queue = [...node.state.queuedIn(route.domain)].map(queued =>
-    toWaitingJob(queued),
+    toWaitingJob(queued, now),
   );
   const {cells} = node.mirrorOf(route.domain);
   const decisions = node.policy.decide(cells, [...queue, job], now);
--- a/packages/daemon/src/roles/queue_moves.ts
+++ b/packages/daemon/src/roles/queue_moves.ts
@@ -30,7 +30,7 @@
   if (!isOut && now - waitedSince < PATIENCE_MS) {
     return undefined;
   }
-  const best = rankDomains(node, toWaitingJob(job), now).find(
+  const best = rankDomains(node, toWaitingJob(job, now), now).find(
     candidate => candidate.domain !== from && (isOut || candidate.startsNow),
   );
   if (!best) {
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -3,6 +3,7 @@
  * domain's term; everything it does is fenced by that term, at the targets
  * and in the ledger.
  */
+import {setMaxListeners} from 'node:events';
 import type {Applied} from '@galenavalve/ledger';
 import {
   type Configuration,
@@ -76,6 +77,8 @@
     }
     this.deactivate('a newer term of its own');
     const abort = new AbortController();
+    // Every launch and stop under way listens to the end of the term.
+    setMaxListeners(0, abort.signal);
     const context = this.createContext(term, abort.signal);
     const stop = new GangStop(context);
     const tenure: Tenure = {
@@ -192,6 +195,7 @@
       jobId => tenure.launch.isStarting(jobId),
       this.backoff,
       now,
+      clock.wallTime(),
     );
     for (const {jobId, reason} of queue.held) {
       this.noteWait(jobId, reason);
--- a/packages/scheduler/src/waiting_queue.ts
+++ b/packages/scheduler/src/waiting_queue.ts
@@ -11,6 +11,12 @@
 /** Longest waiting time between two tries of one job. */
 const BACKOFF_CAP_MS: Milliseconds = 10_000;
 
+/** How long a target is avoided that refused a start or did not answer. */
+const AVOIDANCE_MS: Milliseconds = 5_000;
+
+/** How long a job avoids a target on which it failed. */
+const FAILURE_AVOIDANCE_MS: Milliseconds = 60_000;
+
 /** Most targets that are avoided after failed starts of one job. */
 const MAX_CULPRITS = 4;
 
@@ -30,6 +36,7 @@
   failures: number;
   until: Instant;
   culprits: string[];
+  failedAt: Instant;
 }
 
 /** Delays the next try of jobs whose start failed. */
@@ -52,7 +59,7 @@
     this.entries.set(jobId, {
       failures,
       until: now + ceiling * (0.5 + jitter / 2),
-      // Only the latest culprits are avoided, so that none is for ever.
+      failedAt: now,
       culprits: [
         ...(before?.culprits ?? []),
         ...(culprit ? [culprit] : []),
@@ -83,8 +90,10 @@
   }
 
   /** Targets that refused or did not answer in the latest tries. */
-  culprits(jobId: string): readonly string[] {
-    return this.entries.get(jobId)?.culprits ?? [];
+  culprits(jobId: string, now: Instant): readonly string[] {
+    const entry = this.entries.get(jobId);
+    const isRecent = entry && now - entry.failedAt < AVOIDANCE_MS;
+    return isRecent ? entry.culprits : [];
   }
 
   /** Failed starts in a row. */
@@ -100,6 +109,7 @@
   isStarting: (jobId: string) => boolean,
   backoff: StartBackoff,
   now: Instant,
+  wallNow: number,
 ): Queue {
   const queue: Queue = {waiting: [], held: []};
   for (const job of state.queuedIn(domain)) {
@@ -110,15 +120,21 @@
     if (reason) {
       queue.held.push({jobId: job.jobId, reason});
     } else {
-      queue.waiting.push(toWaitingJob(job, backoff.culprits(job.jobId)));
+      queue.waiting.push(
+        toWaitingJob(job, wallNow, backoff.culprits(job.jobId, now)),
+      );
     }
   }
   return queue;
 }
 
-/** A queued job as the placement package sees it. */
+/**
+ * A queued job as the placement package sees it. `wallNow` is wall-clock time;
+ * `culprits` are avoided besides the targets on which the job failed lately.
+ */
 export function toWaitingJob(
   job: Job,
+  wallNow: number,
   culprits: readonly string[] = [],
 ): WaitingJob {
   const {request} = job;
@@ -133,7 +149,11 @@
     expectedSeconds: remainingSeconds(job),
     submittedAt: job.submittedAt,
     avoidTargets: [
-      ...job.failures.flatMap(({target}) => target ?? []),
+      ...job.failures.flatMap(({target, at}) =>
+        target !== undefined && wallNow - at < FAILURE_AVOIDANCE_MS
+          ? [target]
+          : [],
+      ),
       ...culprits,
     ],
   };
--- a/packages/shared/src/clock.ts
+++ b/packages/shared/src/clock.ts
@@ -48,7 +48,7 @@
 
 interface Sleeper {
   wakeAt: Instant;
-  resolve: () => void;
+  finish: () => void;
 }
 
 /** A clock for tests: time moves only when `advance` is called. */
@@ -74,9 +74,14 @@
         resolve();
         return;
       }
-      const sleeper: Sleeper = {wakeAt: this.current + duration, resolve};
+      const onAbort = () => this.wake(sleeper);
+      const finish = () => {
+        signal?.removeEventListener('abort', onAbort);
+        resolve();
+      };
+      const sleeper: Sleeper = {wakeAt: this.current + duration, finish};
       this.sleepers.push(sleeper);
-      signal?.addEventListener('abort', () => this.wake(sleeper), {once: true});
+      signal?.addEventListener('abort', onAbort, {once: true});
     });
   }
 
@@ -104,7 +109,7 @@
 
   private wake(sleeper: Sleeper): void {
     this.sleepers = this.sleepers.filter(other => other !== sleeper);
-    sleeper.resolve();
+    sleeper.finish();
   }
 }
 
