Reach targets over HTTP, with a stand-in server

Cause: the daemon and the demonstration need targets behind their HTTP interface, and the drafted scheduler calls a few methods under other names.

Change: HttpTargetClient with a pool of sockets per address, so that one silent target costs the others no connection; a restify server that hosts many modelled targets, with faults over /control; LeaseKeeper.clear, isFollowing and forget(jobId, attempt); TargetHealth.noteRefusal.

Ruled out: repeating commands in the client, because only the gang starter knows whether a second try is safe; taking any 409 for a refusal, because only the target's own words prove that nothing was done.

The drafted daemon does not build yet, for names of other packages.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -18,3 +18,7 @@
   HttpInstanceList,
   type HttpInstanceListOptions,
 } from './instances/http_instance_list.js';
+
+// The targets
+export {HttpTargetClient} from './targets/http_target_client.js';
+export * from './targets/target_protocol.js';
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -24,3 +24,17 @@
   type RunningInstanceList,
   startInstanceServer,
 } from './instances/instance_server.js';
+
+// The targets
+export {
+  TargetControl,
+  type TargetControlChange,
+  targetControl,
+} from './targets/target_control.js';
+export {
+  type RunningTargets,
+  type TargetDefinition,
+  targetDefinition,
+  type TargetServerOptions,
+  startTargetServer,
+} from './targets/target_server.js';
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -6,6 +6,7 @@
 import type {RunningServer} from './http/http_server.js';
 import {startInstanceServer} from './instances/instance_server.js';
 import {startLogServer} from './log/log_server.js';
+import {startTargetServer, targetDefinition} from './targets/target_server.js';
 
 interface LogCommandOptions {
   host: string;
@@ -21,6 +22,12 @@
   file: string;
 }
 
+interface TargetsCommandOptions {
+  host: string;
+  port: number;
+  file: string;
+}
+
 const program = new Command('standins').description(
   'stand-ins for the platform, for tests and the demonstration',
 );
@@ -41,6 +48,14 @@
     announce(await startInstanceServer({...options, instances}));
   });
 
+addAddressOptions(program.command('targets'))
+  .requiredOption('--file <path>', 'JSON file with the list of targets')
+  .action(async (options: TargetsCommandOptions) => {
+    const text = readFileSync(options.file, 'utf8');
+    const targets = z.array(targetDefinition).parse(JSON.parse(text));
+    announce(await startTargetServer({...options, targets}));
+  });
+
 await program.parseAsync();
 
 function addAddressOptions(command: Command): Command {
--- a/packages/targets/__tests__/lease_keeper.spec.ts
+++ b/packages/targets/__tests__/lease_keeper.spec.ts
@@ -47,8 +47,8 @@
     });
     await clock.advance(60_000);
     t.equal(targets.model('t0').report(clock.now()).leases.length, 1);
+    keeper.forget(order.jobId, order.attempt);
     keeper.unfollow(order.jobId);
-    keeper.forget(order);
     await clock.advance(3000);
     t.same(targets.model('t0').report(clock.now()).leases, []);
   });
--- /dev/null
+++ b/packages/targets/__tests__/target_health.spec.ts
@@ -0,0 +1,61 @@
+import t from 'tap';
+import {TargetHealth} from '../src/index.js';
+
+const SECOND = 1000;
+const RULES = {quarantineFailures: 3, quarantineSeconds: 60};
+
+function createHealth(failedJobs: readonly string[]): TargetHealth {
+  const health = new TargetHealth(() => RULES);
+  for (const job of failedJobs) {
+    health.noteFailure('t0', job, 0);
+  }
+  return health;
+}
+
+t.test('a target', async t => {
+  t.test('that fails different jobs is quarantined', async t => {
+    t.equal(createHealth(['a', 'b']).condition('t0', 0), 'well');
+    const health = createHealth(['a', 'b', 'c']);
+    t.equal(health.condition('t0', 59 * SECOND), 'quarantined');
+    t.equal(health.condition('t0', 60 * SECOND), 'well');
+    t.ok(health.isOnProbation('t0', 60 * SECOND));
+  });
+
+  t.test('is not blamed for one job that fails again and again', async t => {
+    t.equal(createHealth(['a', 'a', 'a', 'a']).condition('t0', 0), 'well');
+  });
+
+  t.test('is not blamed for jobs that fail elsewhere too', async t => {
+    const health = new TargetHealth(() => RULES);
+    for (const job of ['a', 'b', 'c']) {
+      health.noteFailure('t1', job, 0);
+      health.noteSuccess('t1', 0);
+      health.noteFailure('t0', job, 0);
+    }
+    t.equal(health.condition('t0', 0), 'well');
+  });
+
+  t.test('is quarantined for longer when its probe fails', async t => {
+    const health = createHealth(['a', 'b', 'c']);
+    health.noteFailure('t0', 'd', 60 * SECOND);
+    t.equal(health.condition('t0', 179 * SECOND), 'quarantined');
+    t.equal(health.condition('t0', 180 * SECOND), 'well');
+    health.noteSuccess('t0', 180 * SECOND);
+    t.notOk(health.isOnProbation('t0', 180 * SECOND));
+  });
+
+  t.test('is avoided for a while after a refusal', async t => {
+    const health = createHealth([]);
+    health.noteRefusal('t0', 0);
+    t.equal(health.condition('t0', 499), 'quarantined');
+    t.equal(health.condition('t0', 500), 'well');
+  });
+
+  t.test('gets no work while it is silent or leaving', async t => {
+    const health = createHealth([]);
+    health.noteSilence('t0', true);
+    t.equal(health.condition('t0', 0), 'unreachable');
+    health.noteLeaving('t0', true);
+    t.equal(health.condition('t0', 0), 'leaving');
+  });
+});
--- a/packages/targets/src/lease_keeper.ts
+++ b/packages/targets/src/lease_keeper.ts
@@ -10,7 +10,6 @@
 } from '@galenavalve/shared';
 import {
   type AddressLookup,
-  type GangMembers,
   type GangOrder,
   leaseKeyOf,
   leaseKeyText,
@@ -67,7 +66,8 @@
   private idle = new Set<string>();
   private term: Term = NO_TERM;
   private lastTickAt?: Instant;
-  private readonly leaseMs: Milliseconds;
+  /** Length of a lease in milliseconds. */
+  readonly leaseMs: Milliseconds;
   private readonly renewMs: Milliseconds;
   private readonly idlePollMs: Milliseconds;
   private readonly callTimeoutMs: Milliseconds;
@@ -113,10 +113,22 @@
     }
   }
 
-  /** Lets the targets of an attempt forget it, now that its end is recorded. */
-  forget(gang: GangMembers): void {
-    for (const {target} of gang.assignments) {
-      this.watch(target).forget.set(leaseKeyText(gang), leaseKeyOf(gang));
+  /** Keeps nothing any more, because the term is lost. Targets may be kept by another. */
+  clear(): void {
+    this.gangs.clear();
+    this.targets.clear();
+    this.idle = new Set();
+    this.lastTickAt = undefined;
+  }
+
+  /** Lets the targets of a kept attempt forget it, now that its end is recorded. */
+  forget(jobId: string, attempt: number): void {
+    const order = this.gangs.get(jobId)?.order;
+    if (order?.attempt !== attempt) {
+      return;
+    }
+    for (const {target} of order.assignments) {
+      this.watch(target).forget.set(leaseKeyText(order), leaseKeyOf(order));
     }
   }
 
@@ -161,6 +173,11 @@
 
   // Queries
 
+  /** Whether the job is kept. */
+  isFollowing(jobId: string): boolean {
+    return this.gangs.has(jobId);
+  }
+
   /** Jobs that are kept. */
   followed(): string[] {
     return [...this.gangs.keys()];
--- a/packages/targets/src/takeover.ts
+++ b/packages/targets/src/takeover.ts
@@ -17,7 +17,7 @@
   client: TargetClient;
   addressOf: AddressLookup;
   logger: Logger;
-  callTimeoutMs: Milliseconds;
+  options: {callTimeoutMs: Milliseconds};
 }
 
 /** Fences targets against earlier schedulers. */
@@ -54,9 +54,9 @@
     if (!address) {
       return undefined;
     }
-    const {client, callTimeoutMs} = this.parts;
+    const {client, options} = this.parts;
     try {
-      return await client.fence(address, {term}, callTimeoutMs);
+      return await client.fence(address, {term}, options.callTimeoutMs);
     } catch {
       return undefined;
     }
--- a/packages/targets/src/target_health.ts
+++ b/packages/targets/src/target_health.ts
@@ -12,6 +12,10 @@
 
 const MAX_QUARANTINE_MS: Milliseconds = 3_600_000;
 
+/** Time for which a target is avoided after a refusal; doubled at each repetition. */
+const BASE_BACKOFF_MS: Milliseconds = 500;
+const MAX_BACKOFF_MS: Milliseconds = 30_000;
+
 /** Jobs whose failures are remembered. */
 const MAX_REMEMBERED_JOBS = 10_000;
 
@@ -21,6 +25,9 @@
   isLeaving: boolean;
   /** Jobs that failed on it since its last success. */
   failedJobs: Set<string>;
+  /** Refusals since its last success. */
+  refusals: number;
+  avoidedUntil: Instant;
   quarantines: number;
   quarantinedUntil: Instant;
 }
@@ -31,14 +38,11 @@
   /** Targets on which a job failed; a job that fails everywhere blames none. */
   private readonly failuresOfJob = new Map<string, Set<string>>();
 
-  constructor(private rules: QuarantineRules) {}
+  /** `rules` gives those in force. */
+  constructor(private readonly rules: () => QuarantineRules) {}
 
   // Commands
 
-  setRules(rules: QuarantineRules): void {
-    this.rules = rules;
-  }
-
   /** A task of the job failed on the target, or the target lost it. */
   noteFailure(target: string, jobId: string, now: Instant): void {
     const evidence = this.of(target);
@@ -46,18 +50,29 @@
     this.rememberJob(jobId, target);
     const isProbe =
       evidence.quarantines > 0 && now >= evidence.quarantinedUntil;
-    const isEnough = this.weigh(evidence) >= this.rules.quarantineFailures;
+    const isEnough = this.weigh(evidence) >= this.rules().quarantineFailures;
     if (now >= evidence.quarantinedUntil && (isProbe || isEnough)) {
       this.quarantine(evidence, now);
     }
   }
 
-  /** A gang with a member on the target succeeded. */
-  noteSuccess(target: string): void {
+  /** The target refused a reservation or a start, or did not answer it. */
+  noteRefusal(target: string, now: Instant): void {
     const evidence = this.of(target);
+    evidence.refusals += 1;
+    const backoff = BASE_BACKOFF_MS * 2 ** (evidence.refusals - 1);
+    evidence.avoidedUntil = now + Math.min(backoff, MAX_BACKOFF_MS);
+  }
+
+  /** A gang with a member on the target succeeded. One that started before a quarantine does not end it. */
+  noteSuccess(target: string, now: Instant): void {
+    const evidence = this.of(target);
+    evidence.refusals = 0;
+    evidence.avoidedUntil = -Infinity;
     evidence.failedJobs.clear();
-    evidence.quarantines = 0;
-    evidence.quarantinedUntil = -Infinity;
+    if (now >= evidence.quarantinedUntil) {
+      evidence.quarantines = 0;
+    }
   }
 
   noteSilence(target: string, isSilent: boolean): void {
@@ -86,7 +101,8 @@
     if (evidence.isSilent) {
       return 'unreachable';
     }
-    return now < evidence.quarantinedUntil ? 'quarantined' : 'well';
+    const until = Math.max(evidence.quarantinedUntil, evidence.avoidedUntil);
+    return now < until ? 'quarantined' : 'well';
   }
 
   /** Whether the target has left a quarantine and has not succeeded since: it gets repeatable work only. */
@@ -101,7 +117,7 @@
 
   private quarantine(evidence: Evidence, now: Instant): void {
     const length =
-      this.rules.quarantineSeconds * 1000 * 2 ** evidence.quarantines;
+      this.rules().quarantineSeconds * 1000 * 2 ** evidence.quarantines;
     evidence.quarantinedUntil = now + Math.min(length, MAX_QUARANTINE_MS);
     evidence.quarantines += 1;
     evidence.failedJobs.clear();
@@ -133,6 +149,8 @@
         isSilent: false,
         isLeaving: false,
         failedJobs: new Set(),
+        refusals: 0,
+        avoidedUntil: -Infinity,
         quarantines: 0,
         quarantinedUntil: -Infinity,
       };
