--- a/packages/scheduler/__tests__/fixtures.ts
+++ b/packages/scheduler/__tests__/fixtures.ts
@@ -113,8 +113,11 @@
         renewMs: 1_000,
       },
     }),
-    takeover: new TakeoverReader({...parts, callTimeoutMs: CALL_TIMEOUT_MS}),
-    health: new TargetHealth(state.configuration.rules),
+    takeover: new TakeoverReader({
+      ...parts,
+      options: {callTimeoutMs: CALL_TIMEOUT_MS},
+    }),
+    health: new TargetHealth(() => state.configuration.rules),
     findBar: now => {
       const freshAt = follower.lastFresh() ?? -Infinity;
       return now - freshAt > FRESH_MS
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -295,7 +295,6 @@
         .filter(target => target.domain === domain)
         .map(target => target.id);
       this.targets = {configuration: state.configuration, names};
-      this.parts.health.setRules(state.configuration.rules);
     }
     return this.targets.names;
   }
--- a/packages/scheduler/src/waiting_queue.ts
+++ b/packages/scheduler/src/waiting_queue.ts
@@ -11,15 +11,9 @@
 /** Longest waiting time between two tries of one job. */
 const BACKOFF_CAP_MS: Milliseconds = 10_000;
 
-/** How long a target is avoided that refused a start or did not answer. */
-const AVOIDANCE_MS: Milliseconds = 5_000;
-
 /** How long a job avoids a target on which it failed. */
 const FAILURE_AVOIDANCE_MS: Milliseconds = 60_000;
 
-/** Most targets that are avoided after failed starts of one job. */
-const MAX_CULPRITS = 4;
-
 /** A job that is not offered to the policy, and why. */
 export interface HeldJob {
   jobId: string;
@@ -35,8 +29,6 @@
 interface FailedStart {
   failures: number;
   until: Instant;
-  culprits: string[];
-  failedAt: Instant;
 }
 
 /** Delays the next try of jobs whose start failed. */
@@ -44,14 +36,8 @@
   private readonly entries = new Map<string, FailedStart>();
 
   /** Notes a failed start; `jitter` in [0, 1) spreads the tries. */
-  noteFailure(
-    jobId: string,
-    now: Instant,
-    jitter: number,
-    culprit?: string,
-  ): void {
-    const before = this.entries.get(jobId);
-    const failures = (before?.failures ?? 0) + 1;
+  noteFailure(jobId: string, now: Instant, jitter: number): void {
+    const failures = (this.entries.get(jobId)?.failures ?? 0) + 1;
     const ceiling = Math.min(
       BACKOFF_CAP_MS,
       BACKOFF_BASE_MS * 2 ** (failures - 1),
@@ -59,11 +45,6 @@
     this.entries.set(jobId, {
       failures,
       until: now + ceiling * (0.5 + jitter / 2),
-      failedAt: now,
-      culprits: [
-        ...(before?.culprits ?? []),
-        ...(culprit ? [culprit] : []),
-      ].slice(-MAX_CULPRITS),
     });
   }
 
@@ -89,13 +70,6 @@
     return next;
   }
 
-  /** Targets that refused or did not answer in the latest tries. */
-  culprits(jobId: string, now: Instant): readonly string[] {
-    const entry = this.entries.get(jobId);
-    const isRecent = entry && now - entry.failedAt < AVOIDANCE_MS;
-    return isRecent ? entry.culprits : [];
-  }
-
   /** Failed starts in a row. */
   failures(jobId: string): number {
     return this.entries.get(jobId)?.failures ?? 0;
@@ -120,9 +94,7 @@
     if (reason) {
       queue.held.push({jobId: job.jobId, reason});
     } else {
-      queue.waiting.push(
-        toWaitingJob(job, wallNow, backoff.culprits(job.jobId, now)),
-      );
+      queue.waiting.push(toWaitingJob(job, wallNow));
     }
   }
   return queue;
@@ -130,13 +102,9 @@
 
 /**
  * A queued job as the placement package sees it. `wallNow` is wall-clock time;
- * `culprits` are avoided besides the targets on which the job failed lately.
+ * targets on which the job failed lately are avoided.
  */
-export function toWaitingJob(
-  job: Job,
-  wallNow: number,
-  culprits: readonly string[] = [],
-): WaitingJob {
+export function toWaitingJob(job: Job, wallNow: number): WaitingJob {
   const {request} = job;
   return {
     jobId: job.jobId,
@@ -148,14 +116,11 @@
     checkpointable: request.checkpointable,
     expectedSeconds: remainingSeconds(job),
     submittedAt: job.submittedAt,
-    avoidTargets: [
-      ...job.failures.flatMap(({target, at}) =>
-        target !== undefined && wallNow - at < FAILURE_AVOIDANCE_MS
-          ? [target]
-          : [],
-      ),
-      ...culprits,
-    ],
+    avoidTargets: job.failures.flatMap(({target, at}) =>
+      target !== undefined && wallNow - at < FAILURE_AVOIDANCE_MS
+        ? [target]
+        : [],
+    ),
   };
 }
 
