Add the command line galenavalve and a client of entry instances

Cause: callers and operators need a tool, and programs need the same client.

Change: HttpEntryClient calls the entry that answered last and the next one when it fails, with the same ids, full jitter and a total deadline. Once an attempt may have been recorded, a later "not run" is about that attempt only, so the call ends as outcome-unknown. A 503 without the daemon's own body counts as uncertain. Commands submit, plan, status, explain, list, cancel, approve, workspaces, inventory, drain, restore, check and config show/diff/apply/history; exit codes in one file. A configuration file that names no service state leaves it as it is, so that applying one does not bring a drained failure domain back.

The cli package takes HTTP from the platform package instead of using got a second time.

--- /dev/null
+++ b/packages/cli/__tests__/entry_client.spec.ts
@@ -0,0 +1,141 @@
+import fc from 'fast-check';
+import t, {type Test} from 'tap';
+import {jobRequest, type JobRequest} from '@galenavalve/model';
+import {isFailure, SeededRandom} from '@galenavalve/shared';
+import {HttpEntryClient, type RetryPolicy} from '../src/index.js';
+import {createJobView, refuse, startFakeEntry} from './fake_entry.js';
+
+const answered = {status: 200, body: createJobView()};
+
+function createClient(
+  test: Test,
+  entries: string[],
+  policy: Partial<RetryPolicy> = {},
+): HttpEntryClient {
+  const client = new HttpEntryClient({
+    entries,
+    random: new SeededRandom(7),
+    policy: {attemptTimeout: 150, backoffBase: 5, backoffCap: 5, ...policy},
+  });
+  test.teardown(() => client.close());
+  return client;
+}
+
+function createRequest(): JobRequest {
+  return jobRequest.parse({
+    requestId: 'r-1',
+    workspace: 'escorts',
+    gang: {tasks: 2, perTask: {accelerators: 4}},
+    expectedSeconds: 60,
+    createdAt: 1_700_000_000_000,
+  });
+}
+
+t.test('a submit', async t => {
+  t.test('goes to the next entry when one is silent', async t => {
+    const first = await startFakeEntry(t, 'silent');
+    const second = await startFakeEntry(t, answered);
+    const client = createClient(t, [first.url, second.url]);
+    const job = await client.submit(createRequest(), 0);
+    t.equal(job.jobId, 'job-1');
+    t.same(first.seen[0], second.seen[0], 'with the same request id and body');
+    await client.readJob('job-1', 0);
+    t.equal(first.seen.length, 1, 'and stays with the one that answers');
+  });
+
+  t.test('asks again with the same id after 504', async t => {
+    const unknown = refuse('outcome-unknown', {requestId: 'r-1'});
+    const entry = await startFakeEntry(t, unknown, 'cut', answered);
+    const client = createClient(t, [entry.url]);
+    await t.resolves(client.submit(createRequest(), 0));
+    t.equal(entry.seen.length, 3);
+    t.same(entry.seen[0]?.body, entry.seen[2]?.body);
+  });
+
+  t.test('is repeated after "not run" until the deadline', async t => {
+    const entry = await startFakeEntry(t, refuse('overloaded'));
+    const client = createClient(t, [entry.url], {deadline: 100});
+    const submit = client.submit(createRequest(), 0);
+    await t.rejects(submit, {code: 'overloaded'});
+    t.ok(entry.seen.length > 1);
+  });
+
+  t.test('does not wait for longer than its deadline', async t => {
+    const later = refuse('overloaded', {}, {'retry-after': '600'});
+    const entry = await startFakeEntry(t, later);
+    const client = createClient(t, [entry.url]);
+    await t.rejects(client.submit(createRequest(), 0), {code: 'overloaded'});
+    t.equal(entry.seen.length, 1);
+  });
+
+  t.test('is not repeated after a refusal', async t => {
+    const entry = await startFakeEntry(t, refuse('request-conflict'));
+    const client = createClient(t, [entry.url]);
+    const submit = client.submit(createRequest(), 0);
+    await t.rejects(submit, {code: 'request-conflict'});
+    t.equal(entry.seen.length, 1);
+  });
+
+  t.test('was not run when nothing listens', async t => {
+    const client = createClient(t, ['http://127.0.0.1:1'], {maxAttempts: 2});
+    const submit = client.submit(createRequest(), 0);
+    await t.rejects(submit, {code: 'entry-unreachable'});
+  });
+});
+
+t.test('"not run" is not said once an attempt may have been recorded', t => {
+  const uncertain = fc.constantFrom(
+    'cut' as const,
+    {status: 503, body: 'upstream timed out'},
+    {status: 200, body: {jobId: 7}},
+    refuse('internal', {problem: 'x'}),
+    refuse('outcome-unknown', {requestId: 'r-1'}),
+  );
+  const notRun = fc.constantFrom(
+    refuse('overloaded'),
+    refuse('stopping'),
+    refuse('unknown-workspace', {workspace: 'escorts'}),
+  );
+  const scripts = fc.tuple(
+    fc.array(fc.constant(refuse('overloaded')), {maxLength: 1}),
+    fc.array(uncertain, {minLength: 1, maxLength: 2}),
+    fc.array(notRun, {minLength: 1, maxLength: 2}),
+  );
+  return fc.assert(
+    fc.asyncProperty(scripts, async parts => {
+      const all = parts.flat();
+      const entry = await startFakeEntry(t, ...all);
+      const client = createClient(t, [entry.url], {maxAttempts: all.length});
+      const error = await client.submit(createRequest(), 0).catch(e => e);
+      t.ok(isFailure(error, 'outcome-unknown'), JSON.stringify(all));
+    }),
+    {numRuns: 40, seed: 11},
+  );
+});
+
+t.test('answers of any form end in a view or a failure', t => {
+  const body = fc.oneof(
+    fc.json().map(text => JSON.parse(text) as unknown),
+    fc.record({code: fc.string(), message: fc.string()}),
+    fc.record({...mapToArbitraries(createJobView())}, {requiredKeys: []}),
+  );
+  const status = fc.constantFrom(200, 202, 302, 400, 404, 409, 418, 500, 503);
+  return fc.assert(
+    fc.asyncProperty(status, body, async (status, body) => {
+      const entry = await startFakeEntry(t, {status, body});
+      const client = createClient(t, [entry.url], {maxAttempts: 1});
+      const result = await client.submit(createRequest(), 0).catch(e => e);
+      t.ok(isFailure(result) || typeof result.jobId === 'string');
+    }),
+    {numRuns: 100, seed: 12},
+  );
+});
+
+function mapToArbitraries(view: object): Record<string, fc.Arbitrary<unknown>> {
+  return Object.fromEntries(
+    Object.entries(view).map(([key, value]) => [
+      key,
+      fc.oneof(fc.constant(value), fc.jsonValue()),
+    ]),
+  );
+}
--- /dev/null
+++ b/packages/cli/src/commands/approve.ts
@@ -0,0 +1,13 @@
+/** `galenavalve approve`. */
+import {ExitCode} from '../exit_code.js';
+import {renderJob} from '../output/job_text.js';
+import type {Session} from '../session.js';
+
+/** Lets a job of a workspace with approval start. */
+export async function approve(
+  {client, settings, output}: Session,
+  jobId: string,
+): Promise<ExitCode> {
+  output.printResult(await client.approve(jobId, settings.author), renderJob);
+  return ExitCode.ok;
+}
--- /dev/null
+++ b/packages/cli/src/commands/cancel.ts
@@ -0,0 +1,26 @@
+/** `galenavalve cancel`. */
+import type {JobView} from '@galenavalve/model';
+import {ExitCode, exitCodeOf} from '../exit_code.js';
+import {renderJobs} from '../output/job_text.js';
+import type {Session} from '../session.js';
+
+/** Cancels each job; one that cannot be cancelled does not keep the others. */
+export async function cancel(
+  {client, output}: Session,
+  jobIds: readonly string[],
+): Promise<ExitCode> {
+  const jobs: JobView[] = [];
+  let exitCode: ExitCode = ExitCode.ok;
+  for (const jobId of jobIds) {
+    try {
+      jobs.push(await client.cancel(jobId));
+    } catch (error) {
+      output.printError(error);
+      exitCode = exitCodeOf(error);
+    }
+  }
+  if (jobs.length > 0) {
+    output.printResult(jobs, renderJobs);
+  }
+  return exitCode;
+}
--- /dev/null
+++ b/packages/cli/src/commands/submit.ts
@@ -0,0 +1,51 @@
+/** `galenavalve submit`. */
+import type {JobRequest, JobView} from '@galenavalve/model';
+import {isFailure, type Milliseconds} from '@galenavalve/shared';
+import {ExitCode, exitCodeOfJob} from '../exit_code.js';
+import {describeState, renderJob} from '../output/job_text.js';
+import type {Session} from '../session.js';
+import {followJob} from './follow_job.js';
+
+/** Submits a job and waits for it up to `wait`. The exit code tells how it stands. */
+export async function submit(
+  session: Session,
+  request: JobRequest,
+  wait: Milliseconds,
+): Promise<ExitCode> {
+  const {client, clock, output} = session;
+  const deadline = clock.now() + wait;
+  output.printProgress(`request ${request.requestId}`);
+  const accepted = await submitOrTellHow(session, request, wait);
+  const job = await followJob(client, accepted, {
+    clock,
+    deadline,
+    onChange: view => output.printProgress(describeProgress(view)),
+  });
+  output.printResult(job, renderJob);
+  return wait > 0 || job.phase === 'finished'
+    ? exitCodeOfJob(job)
+    : ExitCode.ok;
+}
+
+async function submitOrTellHow(
+  {client, output}: Session,
+  request: JobRequest,
+  wait: Milliseconds,
+): Promise<JobView> {
+  try {
+    return await client.submit(request, wait);
+  } catch (error) {
+    if (isFailure(error, 'outcome-unknown')) {
+      const {requestId, createdAt} = request;
+      output.printProgress(
+        `to ask again, add --request-id ${requestId} --created-at ${createdAt}`,
+      );
+    }
+    throw error;
+  }
+}
+
+function describeProgress(job: JobView): string {
+  const reason = job.text ? `: ${job.text}` : '';
+  return `job ${job.jobId} ${describeState(job)} in ${job.domain}${reason}`;
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,24 @@
-/** galenavalve: the command-line tool. */
-export {};
+/** galenavalve: the command-line tool, and the client of entry instances for programs. */
+
+// The client
+export type {EntryClient, JobFilter} from './client/entry_client.js';
+export {
+  HttpEntryClient,
+  type HttpEntryClientOptions,
+} from './client/http_entry_client.js';
+export type {RetryListener} from './client/entry_caller.js';
+export {defaultRetryPolicy, type RetryPolicy} from './client/retry_policy.js';
+export {followJob, type FollowOptions} from './commands/follow_job.js';
+
+// The command line
+export {runCommandLine, type Surroundings} from './command_line.js';
+export {ExitCode} from './exit_code.js';
+
+// Configuration files
+export {
+  type DesiredConfiguration,
+  type DesiredEntity,
+  type Difference,
+  findDifferences,
+  readDesiredConfiguration,
+} from './input/desired_configuration.js';
--- /dev/null
+++ b/packages/cli/src/output/cluster_text.ts
@@ -0,0 +1,98 @@
+/** Workspaces and inventory as text. */
+import type {
+  DomainView,
+  GuaranteeView,
+  InventoryView,
+  TargetView,
+  WorkspaceView,
+} from '@galenavalve/model';
+import {type Column, renderTable} from './table.js';
+import {formatCount, formatDuration} from './text.js';
+
+const workspaceColumns: Column<WorkspaceView>[] = [
+  {title: 'workspace', text: view => view.id},
+  {title: 'weight', text: view => String(view.weight), alignRight: true},
+  {title: 'queued', text: view => String(view.queued), alignRight: true},
+  {title: 'running', text: view => String(view.running), alignRight: true},
+  {
+    title: 'guaranteed',
+    text: view => String(view.acceleratorsGuaranteed),
+    alignRight: true,
+  },
+  {
+    title: 'borrowed',
+    text: view => String(view.acceleratorsBorrowed),
+    alignRight: true,
+  },
+  {
+    title: 'guarantees',
+    text: view => view.guarantees.map(describeGuarantee).join(', '),
+  },
+];
+
+const domainColumns: Column<DomainView>[] = [
+  {title: 'domain', text: view => view.id},
+  {title: 'state', text: view => view.state},
+  {title: 'scheduler', text: view => view.scheduler ?? '-'},
+  {title: 'queued', text: view => String(view.queued), alignRight: true},
+  {title: 'running', text: view => String(view.running), alignRight: true},
+  {title: 'accelerators', text: describeUse, alignRight: true},
+];
+
+const targetColumns: Column<TargetView>[] = [
+  {title: 'target', text: view => view.id},
+  {title: 'rack', text: view => view.rack},
+  {title: 'state', text: view => view.state},
+  {title: 'condition', text: view => view.condition},
+  {title: 'tasks', text: view => String(view.tasks), alignRight: true},
+  {
+    title: 'accelerators',
+    text: view => `${view.acceleratorsUsed}/${view.accelerators}`,
+    alignRight: true,
+  },
+];
+
+/** Workspaces as a table. */
+export function renderWorkspaces(views: readonly WorkspaceView[]): string {
+  return views.length === 0
+    ? 'no workspaces'
+    : renderTable(workspaceColumns, views);
+}
+
+/** Failure domains as a table, and with `targets` the targets of each. */
+export function renderInventory(
+  view: InventoryView,
+  {targets}: {targets: boolean},
+): string {
+  const age = formatDuration(view.freshnessAgeMs);
+  const parts = [
+    renderTable(domainColumns, view.domains),
+    `read up to offset ${view.offset}, known to be current ${age} ago`,
+  ];
+  if (targets) {
+    for (const domain of view.domains) {
+      parts.push('', renderTable(targetColumns, domain.targets));
+    }
+  }
+  return parts.join('\n');
+}
+
+/** How far a failure domain has come out of service or back. */
+export function renderDomainProgress(view: DomainView): string {
+  const running = formatCount(view.running, 'job');
+  const queued = formatCount(view.queued, 'job');
+  return `${view.id} is ${view.state}: ${running} running, ${queued} queued`;
+}
+
+function describeGuarantee(view: GuaranteeView): string {
+  const promise = `${view.promised} ${view.level} in ${view.domain}`;
+  return view.satisfiable < view.promised
+    ? `${promise} (short: ${view.satisfiable} can be met)`
+    : promise;
+}
+
+function describeUse({targets}: DomainView): string {
+  const used = targets.reduce((sum, view) => sum + view.acceleratorsUsed, 0);
+  const all = targets.reduce((sum, view) => sum + view.accelerators, 0);
+  return `${used}/${all}`;
+}
--- /dev/null
+++ b/packages/cli/src/output/text.ts
@@ -0,0 +1,49 @@
+/** Small pieces of text for people. */
+import type {Assignment} from '@galenavalve/model';
+
+/** A wall-clock time in milliseconds since the Unix epoch, to the second. */
+export function formatTime(wallTime: number | undefined): string {
+  return wallTime === undefined
+    ? '-'
+    : new Date(wallTime).toISOString().replace(/\.\d+Z$/, 'Z');
+}
+
+/** A length of time in milliseconds, such as "2.5 s" or "3 min 5 s". */
+export function formatDuration(milliseconds: number): string {
+  const seconds = milliseconds / 1000;
+  if (seconds < 60) {
+    return `${seconds.toFixed(1)} s`;
+  }
+  const minutes = Math.floor(seconds / 60);
+  if (minutes < 60) {
+    return `${minutes} min ${Math.floor(seconds % 60)} s`;
+  }
+  return `${Math.floor(minutes / 60)} h ${minutes % 60} min`;
+}
+
+/** A number with its noun, such as "1 job" or "3 jobs". */
+export function formatCount(count: number, noun: string): string {
+  return `${count} ${noun}${count === 1 ? '' : 's'}`;
+}
+
+/** Where the tasks of a gang are, such as "jnb-r1-t3: tasks 0-7, accelerators 0-7". */
+export function formatAssignment(assignment: Assignment): string {
+  const {target, firstTask, tasks} = assignment;
+  const last = firstTask + tasks - 1;
+  const range =
+    tasks === 1 ? `task ${firstTask}` : `tasks ${firstTask}-${last}`;
+  const accelerators = listBits(assignment.accelerators);
+  return accelerators.length === 0
+    ? `${target}: ${range}`
+    : `${target}: ${range}, accelerators ${accelerators.join(' ')}`;
+}
+
+function listBits(mask: number): number[] {
+  const bits: number[] = [];
+  for (let bit = 0; 2 ** bit <= mask; bit++) {
+    if (Math.floor(mask / 2 ** bit) % 2 === 1) {
+      bits.push(bit);
+    }
+  }
+  return bits;
+}
--- /dev/null
+++ b/packages/cli/src/queries/read_cluster.ts
@@ -0,0 +1,26 @@
+/** `galenavalve workspaces` and `inventory`. */
+import {ExitCode} from '../exit_code.js';
+import {renderInventory, renderWorkspaces} from '../output/cluster_text.js';
+import type {Session} from '../session.js';
+
+/** Prints workspaces with their guarantees. */
+export async function showWorkspaces({
+  client,
+  output,
+}: Session): Promise<ExitCode> {
+  output.printResult(await client.listWorkspaces(), renderWorkspaces);
+  return ExitCode.ok;
+}
+
+/** Prints failure domains, or one with its targets. */
+export async function showInventory(
+  {client, output}: Session,
+  {domain, targets}: {domain?: string; targets: boolean},
+): Promise<ExitCode> {
+  const inventory = await client.readInventory();
+  const domains = inventory.domains.filter(({id}) => !domain || id === domain);
+  output.printResult({...inventory, domains}, view =>
+    renderInventory(view, {targets: targets || domain !== undefined}),
+  );
+  return ExitCode.ok;
+}
--- /dev/null
+++ b/packages/cli/src/queries/read_configuration.ts
@@ -0,0 +1,51 @@
+/** `galenavalve config show`, `config diff` and `config history`. */
+import type {ConfigurationView} from '@galenavalve/model';
+import {ExitCode} from '../exit_code.js';
+import {
+  type DesiredConfiguration,
+  findDifferences,
+} from '../input/desired_configuration.js';
+import {
+  renderChanges,
+  renderDifferences,
+} from '../output/configuration_text.js';
+import type {Session} from '../session.js';
+
+/** Prints the configuration in force as a file that `config apply` takes. */
+export async function showConfiguration({
+  client,
+  output,
+}: Session): Promise<ExitCode> {
+  const file = createFile(await client.readConfiguration());
+  output.printResult(file, value => JSON.stringify(value, null, 2));
+  return ExitCode.ok;
+}
+
+/** Prints what `config apply` would change. */
+export async function showDifferences(
+  {client, output}: Session,
+  desired: DesiredConfiguration,
+  prune: boolean,
+): Promise<ExitCode> {
+  const present = await client.readConfiguration();
+  const differences = findDifferences(desired, present, prune);
+  output.printResult(differences, renderDifferences);
+  return ExitCode.ok;
+}
+
+/** Prints the latest changes, accepted or rejected. */
+export async function showChanges({
+  client,
+  output,
+}: Session): Promise<ExitCode> {
+  output.printResult(await client.listChanges(), renderChanges);
+  return ExitCode.ok;
+}
+
+function createFile({entities}: ConfigurationView): object {
+  const versions = entities.map(({entity, version}) => [entity, version]);
+  return {
+    entities: entities.map(({value}) => value),
+    versions: Object.fromEntries(versions),
+  };
+}
--- /dev/null
+++ b/packages/cli/src/queries/read_jobs.ts
@@ -0,0 +1,48 @@
+/** `galenavalve status`, `explain`, `list` and `plan`. */
+import type {JobRequest} from '@galenavalve/model';
+import type {JobFilter} from '../client/entry_client.js';
+import {ExitCode} from '../exit_code.js';
+import {
+  renderExplanation,
+  renderJob,
+  renderJobs,
+  renderPlan,
+} from '../output/job_text.js';
+import type {Session} from '../session.js';
+
+/** Prints a job. */
+export async function showJob(
+  {client, output}: Session,
+  jobId: string,
+): Promise<ExitCode> {
+  output.printResult(await client.readJob(jobId, 0), renderJob);
+  return ExitCode.ok;
+}
+
+/** Prints a job with its history and what it waits for. */
+export async function explainJob(
+  {client, output}: Session,
+  jobId: string,
+): Promise<ExitCode> {
+  output.printResult(await client.explain(jobId), renderExplanation);
+  return ExitCode.ok;
+}
+
+/** Prints jobs. */
+export async function listJobs(
+  {client, output}: Session,
+  filter: JobFilter,
+): Promise<ExitCode> {
+  output.printResult(await client.listJobs(filter), renderJobs);
+  return ExitCode.ok;
+}
+
+/** Prints what would happen to a job that was submitted now. */
+export async function planJob(
+  {client, output}: Session,
+  request: JobRequest,
+): Promise<ExitCode> {
+  const plan = await client.plan(request);
+  output.printResult(plan, renderPlan);
+  return plan.verdict === 'never' ? ExitCode.rejected : ExitCode.ok;
+}
--- a/packages/platform/src/http/json_client.ts
+++ b/packages/platform/src/http/json_client.ts
@@ -32,6 +32,8 @@
 export interface JsonAnswer {
   status: number;
   body: unknown;
+  /** Time that the service asks to wait before another request. */
+  retryAfter?: Milliseconds;
 }
 
 /** No whole answer came. */
@@ -75,7 +77,11 @@
   });
   try {
     const answer = await call;
-    return {status: answer.statusCode, body: parseJson(answer.body)};
+    return {
+      status: answer.statusCode,
+      body: parseJson(answer.body),
+      retryAfter: parseRetryAfter(answer.headers['retry-after']),
+    };
   } catch (error) {
     if (isTooLong) {
       const problem = `the answer has more than ${request.maxAnswerBytes} bytes`;
@@ -95,6 +101,11 @@
   return !(error instanceof RequestError && CONNECT_ERRORS.has(error.code));
 }
 
+/** Reads a Retry-After header in seconds; dates are ignored. */
+function parseRetryAfter(value: string | undefined): Milliseconds | undefined {
+  return value && /^\d{1,5}$/.test(value) ? Number(value) * 1000 : undefined;
+}
+
 function parseJson(text: string): unknown {
   try {
     return JSON.parse(text);
