Serve the ledger's MemoryLog as the log stand-in

Cause: the stand-in held a second log of its own, with faults that the ledger's MemoryLog also has.

Change: the stand-in is an HTTP skin over MemoryLog; POST /control maps to its faults, with one more: an append that takes effect after its connection was cut.

--- a/packages/standins/__tests__/log_server.spec.ts
+++ b/packages/standins/__tests__/log_server.spec.ts
@@ -59,23 +59,35 @@
     const {log, server} = await startLog(t, {appendsPerSecond: 1, clock});
     const control = {method: 'POST', body: '{"outage":true}'};
     const headers = {'content-type': 'application/json'};
-    clock.sleep = async () => {};
     await log.append([1], 1000);
     await t.rejects(log.append([2], 1000), {code: 'append-rejected'});
     await fetch(`${server.url}/control`, {...control, headers});
     await clock.advance(1000);
     await t.rejects(log.append([3], 1000), {code: 'append-rejected'});
-    t.equal(server.store.endOffset, 1);
+    t.equal(server.log.endOffset, 1);
   });
 
   t.test('may lose an answer after the append took effect', async t => {
     const {log, server} = await startLog(t);
-    server.control.set({loseAnswers: 1});
+    server.control({loseAnswers: 1});
     await t.rejects(log.append([1], 1000), {code: 'append-uncertain'});
-    t.equal(server.store.endOffset, 1);
+    t.equal(server.log.endOffset, 1);
   });
 });
 
+t.test(
+  'an append may take effect long after its connection was cut',
+  async t => {
+    const clock = new ManualClock();
+    const {log, server} = await startLog(t, {clock});
+    server.control({delayedAppendMs: 5000});
+    await t.rejects(log.append([1], 1000), {code: 'append-uncertain'});
+    t.equal(server.log.endOffset, 0);
+    await clock.advance(5000);
+    t.equal(server.log.endOffset, 1);
+  },
+);
+
 t.test('the list of instances shows changes late', async t => {
   const clock = new ManualClock();
   const server = await startInstanceServer({
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -9,7 +9,7 @@
 } from './http/http_server.js';
 
 // The log
-export {LogControl, type LogFaults, logFaults} from './log/log_control.js';
+export {controlLog, type LogControl, logControl} from './log/log_control.js';
 export {
   type LogServerOptions,
   type RunningLog,
--- a/packages/standins/src/log/log_control.ts
+++ b/packages/standins/src/log/log_control.ts
@@ -1,45 +1,42 @@
-/** Faults of the log stand-in, set by `POST /control`. */
+/** Faults of the log stand-in as `POST /control` sets them. */
 import {z} from 'zod';
+import type {MemoryLog} from '@galenavalve/ledger';
 
 /** Faults to set; those not named stay as they are. */
-export const logFaults = z.strictObject({
+export const logControl = z.strictObject({
   /** Every request is refused, and nothing is written. */
   outage: z.boolean().optional(),
   /** No request is answered; connections stay open. */
   silent: z.boolean().optional(),
-  /** Answers are this late, in milliseconds, after the append took effect. */
+  /** Time that each append and each read takes, in milliseconds. */
   delayMs: z.number().nonnegative().optional(),
   /** The connections of this many appends are cut after the append took effect. */
   loseAnswers: z.int().nonnegative().optional(),
-  /** Appends take effect this late, in milliseconds. */
-  delayedAppendMs: z.number().nonnegative().optional(),
+  /** The connection of the next append is cut, and it takes effect this much later, in milliseconds. */
+  delayedAppendMs: z.number().positive().optional(),
 });
-export type LogFaults = z.infer<typeof logFaults>;
+export type LogControl = z.infer<typeof logControl>;
 
-/** The faults in force. */
-export class LogControl {
-  private faults: Required<LogFaults> = {
-    outage: false,
-    silent: false,
-    delayMs: 0,
-    loseAnswers: 0,
-    delayedAppendMs: 0,
-  };
-
-  get current(): Readonly<Required<LogFaults>> {
-    return this.faults;
+/** Puts faults in force. */
+export function controlLog({faults}: MemoryLog, control: LogControl): void {
+  if (control.outage !== undefined || control.silent !== undefined) {
+    faults.outage = chooseOutage(control);
   }
-
-  set(faults: LogFaults): void {
-    this.faults = {...this.faults, ...faults};
+  faults.appendLatency = control.delayMs ?? faults.appendLatency;
+  faults.readLatency = control.delayMs ?? faults.readLatency;
+  faults.lostAnswers = control.loseAnswers ?? faults.lostAnswers;
+  if (control.delayedAppendMs !== undefined) {
+    faults.lateAppends = 1;
+    faults.lateBy = control.delayedAppendMs;
   }
+}
 
-  /** True if the answer that is about to be sent has to be lost. */
-  takeLostAnswer(): boolean {
-    if (this.faults.loseAnswers === 0) {
-      return false;
-    }
-    this.faults.loseAnswers--;
-    return true;
+function chooseOutage({
+  outage,
+  silent,
+}: LogControl): MemoryLog['faults']['outage'] {
+  if (silent) {
+    return 'silent';
   }
+  return outage ? 'refused' : 'none';
 }
--- a/packages/standins/src/log/log_server.ts
+++ b/packages/standins/src/log/log_server.ts
@@ -1,16 +1,21 @@
 /** The log stand-in over HTTP. */
 import type {Request, Response} from 'restify';
 import {z} from 'zod';
+import {MemoryLog} from '@galenavalve/ledger';
 import {appendBody, type LogRefusal} from '@galenavalve/platform';
-import {type Clock, isFailure, SystemClock} from '@galenavalve/shared';
+import {
+  type Clock,
+  describeError,
+  isFailure,
+  SystemClock,
+} from '@galenavalve/shared';
 import {
   createHttpServer,
   listen,
   type ListenAddress,
   type RunningServer,
 } from '../http/http_server.js';
-import {LogControl, logFaults} from './log_control.js';
-import {LogStore} from './log_store.js';
+import {controlLog, type LogControl, logControl} from './log_control.js';
 
 const DEFAULT_APPENDS_PER_SECOND = 400;
 const DEFAULT_RETENTION_RECORDS = 1_000_000;
@@ -30,127 +35,108 @@
 
 /** Address and limits of the log stand-in. */
 export interface LogServerOptions extends ListenAddress {
+  /** Appends that the log takes in a second, whatever their size. */
   appendsPerSecond?: number;
+  /** Number of latest records that are kept. */
   retentionRecords?: number;
   clock?: Clock;
 }
 
 /** A log stand-in that listens. */
 export interface RunningLog extends RunningServer {
-  control: LogControl;
-  store: LogStore;
+  log: MemoryLog;
+  /** Does what `POST /control` does. */
+  control(control: LogControl): void;
 }
 
 /** Starts the log stand-in. */
 export async function startLogServer(
   options: LogServerOptions,
 ): Promise<RunningLog> {
-  const clock = options.clock ?? new SystemClock();
-  const store = new LogStore({
+  const log = new MemoryLog(options.clock ?? new SystemClock(), {
     appendsPerSecond: options.appendsPerSecond ?? DEFAULT_APPENDS_PER_SECOND,
-    retentionRecords: options.retentionRecords ?? DEFAULT_RETENTION_RECORDS,
-    clock,
+    retention: options.retentionRecords ?? DEFAULT_RETENTION_RECORDS,
   });
-  const control = new LogControl();
-  const handlers = new LogHandlers(store, control, clock);
   const server = createHttpServer('log');
   server.post('/v1/records', async (request, response) =>
-    handlers.append(request, response),
+    serveAppend(log, request, response),
   );
   server.get('/v1/records', async (request, response) =>
-    handlers.read(request, response),
+    serveRead(log, request, response),
   );
   server.post('/control', async (request, response) =>
-    handlers.setFaults(request, response),
+    serveControl(log, request, response),
   );
-  return {...(await listen(server, options)), control, store};
+  const running = await listen(server, options);
+  return {...running, log, control: control => controlLog(log, control)};
 }
 
-class LogHandlers {
-  constructor(
-    private readonly store: LogStore,
-    private readonly control: LogControl,
-    private readonly clock: Clock,
-  ) {}
-
-  async append(request: Request, response: Response): Promise<void> {
-    const body = appendBody.safeParse(request.body);
-    if (!body.success) {
-      refuse(response, 400, 'bad-request', z.prettifyError(body.error));
-      return;
-    }
-    if (!(await this.isServing(response))) {
-      return;
-    }
-    await this.clock.sleep(this.control.current.delayedAppendMs);
-    try {
-      const receipt = this.store.append(body.data.values);
-      await this.answerAppend(response, receipt);
-    } catch (error) {
-      if (!isFailure(error, 'append-rejected')) {
-        throw error;
-      }
+async function serveAppend(
+  log: MemoryLog,
+  request: Request,
+  response: Response,
+): Promise<void> {
+  const body = appendBody.safeParse(request.body);
+  if (!body.success) {
+    refuse(response, 400, 'bad-request', z.prettifyError(body.error));
+    return;
+  }
+  const {outage, appendLatency} = log.faults;
+  if (outage === 'silent') {
+    return;
+  }
+  try {
+    response.send(200, await log.append(body.data.values, appendLatency));
+  } catch (error) {
+    if (!isFailure(error, 'append-rejected')) {
+      response.socket?.destroy();
+    } else if (outage === 'refused') {
+      refuse(response, 503, 'outage', error.message);
+    } else {
       refuse(response, 429, 'append-budget-used', error.message);
     }
   }
+}
 
-  async read(request: Request, response: Response): Promise<void> {
-    const query = readQuery.safeParse(request.query);
-    if (!query.success) {
-      refuse(response, 400, 'bad-request', z.prettifyError(query.error));
-      return;
-    }
-    const {offset, limit, waitMs} = query.data;
-    if (!(await this.isServing(response))) {
-      return;
-    }
-    await this.store.waitFor(offset, waitMs);
-    if (!(await this.isServing(response))) {
-      return;
-    }
-    try {
-      const page = this.store.read(offset, limit);
-      await this.clock.sleep(this.control.current.delayMs);
-      response.send(200, page);
-    } catch (error) {
-      if (!isFailure(error, 'offset-expired')) {
-        throw error;
-      }
-      const oldestOffset = Number(error.details.oldest);
-      refuse(response, 410, 'offset-expired', error.message, oldestOffset);
-    }
+async function serveRead(
+  log: MemoryLog,
+  request: Request,
+  response: Response,
+): Promise<void> {
+  const query = readQuery.safeParse(request.query);
+  if (!query.success) {
+    refuse(response, 400, 'bad-request', z.prettifyError(query.error));
+    return;
   }
-
-  async setFaults(request: Request, response: Response): Promise<void> {
-    const faults = logFaults.safeParse(request.body);
-    if (!faults.success) {
-      response.send(400, {message: z.prettifyError(faults.error)});
-      return;
-    }
-    this.control.set(faults.data);
-    response.send(200, this.control.current);
+  const {offset, limit, waitMs} = query.data;
+  if (log.faults.outage === 'silent') {
+    return;
   }
-
-  private async answerAppend(
-    response: Response,
-    receipt: object,
-  ): Promise<void> {
-    if (this.control.takeLostAnswer()) {
-      response.socket?.destroy();
-      return;
+  try {
+    const options = {limit, wait: waitMs, timeout: waitMs};
+    response.send(200, await log.read(offset, options));
+  } catch (error) {
+    if (isFailure(error, 'offset-expired')) {
+      const oldest = Number(error.details['oldest']);
+      refuse(response, 410, 'offset-expired', error.message, oldest);
+    } else {
+      refuse(response, 503, 'outage', describeError(error));
     }
-    await this.clock.sleep(this.control.current.delayMs);
-    response.send(200, receipt);
   }
+}
 
-  /** False when a fault keeps the request from being served; it was answered if it is answered at all. */
-  private async isServing(response: Response): Promise<boolean> {
-    const {outage, silent} = this.control.current;
-    if (outage && !silent) {
-      refuse(response, 503, 'outage', 'the log has an outage');
-    }
-    return !outage && !silent;
+async function serveControl(
+  log: MemoryLog,
+  request: Request,
+  response: Response,
+): Promise<void> {
+  const control = logControl.safeParse(request.body);
+  if (!control.success) {
+    response.send(400, {message: z.prettifyError(control.error)});
+    return;
   }
+  controlLog(log, control.data);
+  response.send(200, log.faults);
 }
 
 function refuse(
