Measure the whole path

Cause: latency, throughput and the load of a daemon had no figures. Change: npm run bench path, on the cluster of the demonstration; daemons count their bytes with the platform.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -2,6 +2,7 @@
 import {setMaxListeners} from 'node:events';
 import {z} from 'zod';
 import type {Applied} from '@galenavalve/ledger';
+import {platformTraffic} from '@galenavalve/platform';
 import {type Milliseconds, Failure, describeError} from '@galenavalve/shared';
 import type {PeerClient, PeerServer} from '@galenavalve/wire';
 import {type HttpServer, startHttpServer} from './http/http_server.js';
@@ -183,6 +184,11 @@
       parts.peerClient.bytesReceived + parts.peerServer.bytesReceived;
     metrics.peerBytes.set({direction: 'sent'}, sent);
     metrics.peerBytes.set({direction: 'received'}, received);
+    metrics.platformBytes.set({direction: 'sent'}, platformTraffic.sent);
+    metrics.platformBytes.set(
+      {direction: 'received'},
+      platformTraffic.received,
+    );
   }
 
   private async waitUntilCaughtUp(signal: AbortSignal): Promise<void> {
--- a/packages/daemon/src/observability/metrics.ts
+++ b/packages/daemon/src/observability/metrics.ts
@@ -74,6 +74,13 @@
     registers: [this.registry],
   });
 
+  readonly platformBytes = new Gauge({
+    name: 'galenavalve_platform_bytes',
+    help: "Bytes exchanged with the platform's log, list and targets by direction.",
+    labelNames: ['direction'],
+    registers: [this.registry],
+  });
+
   /** The text that `/metrics` answers with. */
   async render(): Promise<string> {
     const usage = process.cpuUsage();
--- a/packages/demo/src/cluster.ts
+++ b/packages/demo/src/cluster.ts
@@ -20,6 +20,17 @@
   peerPort: number;
 }
 
+/** What of the deployment can be changed. */
+export interface ClusterOptions {
+  /** First HTTP port and first peer port of the daemons. */
+  httpPortBase?: number;
+  peerPortBase?: number;
+  /** Settings that are merged into those of every daemon. */
+  settings?: Record<string, unknown>;
+  /** Waiting jobs that each workspace may have. */
+  queueLimit?: number;
+}
+
 /** The running demonstration. */
 export interface Cluster {
   processes: ChildProcesses;
@@ -33,10 +44,13 @@
 }
 
 /** Starts everything and puts the configuration in force. `dir` holds settings and output. */
-export async function startCluster(dir: string): Promise<Cluster> {
+export async function startCluster(
+  dir: string,
+  options: ClusterOptions = {},
+): Promise<Cluster> {
   mkdirSync(dir, {recursive: true});
   const processes = new ChildProcesses(join(dir, 'output'));
-  const entries = listEntries();
+  const entries = listEntries(options);
   const logUrl = await startStandin(processes, 'log', []);
   const instanceListUrl = await startStandin(processes, 'instances', [
     '--file',
@@ -49,7 +63,10 @@
   }
   const api = new EntryApi(entries.map(entry => entry.url));
   const startEntry = async (entry: Entry) => {
-    const file = writeSettings(dir, entry, entries, {logUrl, instanceListUrl});
+    const file = writeSettings(dir, entry, entries, {
+      ...options.settings,
+      platform: {logUrl, instanceListUrl},
+    });
     processes.start({
       name: entry.instance,
       script: scriptOf('daemon'),
@@ -58,7 +75,9 @@
     await api.waitUntilReady(entry.url);
   };
   await Promise.all(entries.map(startEntry));
-  const answer = await api.configure(createConfiguration(targetUrls));
+  const answer = await api.configure(
+    createConfiguration(targetUrls, options.queueLimit),
+  );
   if (answer.status !== 200) {
     throw new Error(`configuration refused: ${JSON.stringify(answer.body)}`);
   }
@@ -73,16 +92,18 @@
   };
 }
 
-function listEntries(): Entry[] {
+function listEntries(options: ClusterOptions): Entry[] {
+  const httpPortBase = options.httpPortBase ?? HTTP_PORT_BASE;
+  const peerPortBase = options.peerPortBase ?? PEER_PORT_BASE;
   return DOMAINS.flatMap((domain, domainIndex) =>
     Array.from({length: ENTRIES_PER_DOMAIN}, (_, index) => {
       const port = domainIndex * ENTRIES_PER_DOMAIN + index;
       return {
         instance: `${domain}-entry-${index + 1}`,
         domain,
-        url: `http://${HOST}:${HTTP_PORT_BASE + port}`,
-        httpPort: HTTP_PORT_BASE + port,
-        peerPort: PEER_PORT_BASE + port,
+        url: `http://${HOST}:${httpPortBase + port}`,
+        httpPort: httpPortBase + port,
+        peerPort: peerPortBase + port,
       };
     }),
   );
@@ -139,7 +160,7 @@
   dir: string,
   entry: Entry,
   entries: Entry[],
-  platform: {logUrl: string; instanceListUrl: string},
+  settings: Record<string, unknown>,
 ): string {
   const seeds = entries
     .filter(other => other !== entry)
@@ -154,8 +175,8 @@
     domain: entry.domain,
     http: {host: HOST, port: entry.httpPort},
     peer: {host: HOST, port: entry.peerPort},
-    platform,
     seeds,
+    ...settings,
   });
 }
 
--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -2,3 +2,10 @@
 export {createConfiguration, DOMAINS, targetsOf} from './kestrelway.js';
 export {ChildProcesses, type Child, type Launch} from './child_processes.js';
 export {EntryApi, type Answer, type JobDraft} from './entry_api.js';
+export {
+  type Cluster,
+  type ClusterOptions,
+  type Entry,
+  startCluster,
+} from './cluster.js';
+export {type RunEvent, readRuns} from './run_history.js';
--- a/packages/demo/src/kestrelway.ts
+++ b/packages/demo/src/kestrelway.ts
@@ -14,6 +14,9 @@
 const PROCESSORS = 64;
 const MEMORY_MB = 130 * 1024;
 
+/** Waiting jobs that a workspace may have, unless said otherwise. */
+const DEFAULT_QUEUE_LIMIT = 1_000;
+
 /** Names of the targets of a failure domain. */
 export function targetsOf(domain: string): string[] {
   return Array.from(
@@ -25,13 +28,14 @@
 /** The whole configuration. `targetUrls` gives the server of the targets of each domain. */
 export function createConfiguration(
   targetUrls: ReadonlyMap<string, string>,
+  queueLimit = DEFAULT_QUEUE_LIMIT,
 ): Entity[] {
   const entities: unknown[] = [{kind: 'rules', checkpointGraceSeconds: 1}];
   for (const domain of DOMAINS) {
     entities.push({kind: 'domain', id: domain, region: 'za'});
     entities.push(...createTargets(domain, targetUrls.get(domain) ?? ''));
   }
-  entities.push(...createWorkspaces());
+  entities.push(...createWorkspaces(queueLimit));
   return entities.map(value => entity.parse(value));
 }
 
@@ -50,9 +54,9 @@
   }));
 }
 
-function createWorkspaces(): unknown[] {
+function createWorkspaces(queueLimit: number): unknown[] {
   const halfRack = {level: 'target', count: 4};
-  return [
+  const workspaces = [
     {
       kind: 'workspace',
       id: 'handover-plans',
@@ -73,4 +77,5 @@
     },
     {kind: 'workspace', id: 'reports', weight: 1},
   ];
+  return workspaces.map(workspace => ({...workspace, queueLimit}));
 }
--- a/packages/platform/src/http/connection_pool.ts
+++ b/packages/platform/src/http/connection_pool.ts
@@ -1,5 +1,7 @@
 /** Keep-alive connections that are dropped as soon as one of them goes silent. */
-import {Agent} from 'node:http';
+import {Agent, type AgentOptions} from 'node:http';
+import type {Socket} from 'node:net';
+import {platformTraffic} from './traffic.js';
 
 /** Most sockets to one service. */
 const MAX_SOCKETS = 32;
@@ -21,7 +23,7 @@
   constructor(agent?: Agent) {
     this.agent =
       agent ??
-      new Agent({
+      new CountedAgent({
         keepAlive: true,
         maxSockets: MAX_SOCKETS,
         maxFreeSockets: MAX_IDLE_SOCKETS,
@@ -44,3 +46,18 @@
     this.agent.destroy();
   }
 }
+
+/** Counts the traffic of its connections. */
+class CountedAgent extends Agent {
+  constructor(options: AgentOptions) {
+    super(options);
+  }
+
+  override createConnection(
+    ...args: Parameters<Agent['createConnection']>
+  ): ReturnType<Agent['createConnection']> {
+    const socket = super.createConnection(...args);
+    platformTraffic.add(socket as Socket);
+    return socket;
+  }
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -2,6 +2,7 @@
 
 // Connections
 export {ConnectionPool} from './http/connection_pool.js';
+export {TrafficCounter, platformTraffic} from './http/traffic.js';
 export {
   type JsonAnswer,
   type JsonRequest,
