--- /dev/null
+++ b/packages/ledger/__tests__/fold_properties.spec.ts
@@ -0,0 +1,144 @@
+import type {LogRecord} from '@galenavalve/model';
+import fc from 'fast-check';
+import t from 'tap';
+import {
+  type Applied,
+  type Job,
+  LedgerState,
+  decodeState,
+  encodeState,
+} from '../src/index.js';
+import {records} from './arbitraries.js';
+import {fold} from './fixtures.js';
+
+const RUNS = {seed: 20261204, numRuns: 400};
+const OPTIONS = {requestWindow: 8 * 3_600_000, resultBytes: 40};
+
+function foldAll(values: readonly LogRecord[], state = createEmpty()) {
+  const verdicts = values.map(value => fold(state, value));
+  return {state, verdicts};
+}
+
+function createEmpty(): LedgerState {
+  return new LedgerState(OPTIONS);
+}
+
+function hashOf(state: LedgerState): string {
+  return encodeState(state, 'test').hash;
+}
+
+/** What callers, schedulers and operators see of a state. */
+function viewOf(state: LedgerState): unknown {
+  const unfinished = ['d1', 'd2'].flatMap(id => [...state.jobsIn(id)]);
+  const jobs = [...unfinished, ...state.finishedJobs()];
+  jobs.sort((a, b) => (a.jobId < b.jobId ? -1 : 1));
+  const {domains, targets} = state.configuration;
+  const configuration = [...domains.values(), ...targets.values()];
+  const term = state.schedulerTerm('d1');
+  const sorted = configuration.map(value => JSON.stringify(value)).sort();
+  return JSON.parse(JSON.stringify([jobs, sorted, term]));
+}
+
+t.test('a snapshot and the records after it give the folded state', async t => {
+  fc.assert(
+    fc.property(records, fc.nat(), (values, at) => {
+      const cut = at % (values.length + 1);
+      const {state: part} = foldAll(values.slice(0, cut));
+      const restored = decodeState(encodeState(part, 's'), OPTIONS);
+      const tail = values.slice(cut);
+      const whole = foldAll(values);
+      const {state, verdicts} = foldAll(tail, restored);
+      t.equal(hashOf(state), hashOf(whole.state));
+      const expected = whole.verdicts.slice(cut);
+      if (JSON.stringify(verdicts) !== JSON.stringify(expected)) {
+        throw new Error('other verdicts after the snapshot');
+      }
+    }),
+    RUNS,
+  );
+});
+
+t.test('a late copy of any record changes nothing', async t => {
+  fc.assert(
+    fc.property(records, fc.nat(), fc.nat(), (values, from, to) => {
+      const copied = from % values.length;
+      const later = copied + 1 + (to % (values.length - copied));
+      const {state} = foldAll(values.slice(0, later));
+      const before = viewOf(state);
+      const {at, by} = values[later - 1]!;
+      fold(state, {...values[copied]!, at, by});
+      // A copy of a rejected record may take effect: it is the first that does.
+      const {verdicts} = foldAll(values.slice(0, later));
+      if (verdicts[copied]!.accepted) {
+        t.strictSame(viewOf(state), before);
+      }
+    }),
+    RUNS,
+  );
+});
+
+t.test('no attempt is placed where none may be', async t => {
+  fc.assert(
+    fc.property(records, values => {
+      const state = createEmpty();
+      const ran = new Set<string>();
+      for (const value of values) {
+        const before = jobOf(state, value);
+        const snapshot = before && {...before};
+        const applied = fold(state, value);
+        checkStep(applied, snapshot, ran);
+        const after = jobOf(state, value);
+        if (after?.mayHaveRun) {
+          ran.add(after.jobId);
+        }
+      }
+    }),
+    RUNS,
+  );
+
+  function checkStep(
+    {accepted, record, duplicate}: Applied,
+    before: Job | undefined,
+    ran: Set<string>,
+  ) {
+    if (!accepted || duplicate || !record) {
+      return;
+    }
+    if (record.type === 'placed') {
+      t.equal(before?.phase, 'queued', 'one attempt at a time');
+      t.notOk(before?.cancelRequested, 'not after a cancellation');
+      const mayRun = before?.request.repeatable || !ran.has(record.jobId);
+      t.ok(mayRun, 'not repeatable: at most one attempt that may have run');
+    }
+    if (record.type === 'finished' && record.outcome === 'not-run') {
+      t.notOk(ran.has(record.jobId), '"not run" is true');
+    }
+    if ('jobId' in record && record.type !== 'submitted') {
+      t.not(before?.phase, 'finished', 'nothing follows the end of a job');
+    }
+  }
+});
+
+function jobOf(state: LedgerState, record: LogRecord): Job | undefined {
+  return 'jobId' in record ? state.job(record.jobId) : undefined;
+}
+
+t.test('versions never fall, and indexes agree with the jobs', async t => {
+  const keys = ['domain/d1', 'domain/d2', 'target/t1', 'target/t4'];
+  fc.assert(
+    fc.property(records, values => {
+      const state = createEmpty();
+      let versions = keys.map(() => 0);
+      for (const value of values) {
+        fold(state, value);
+        const next = keys.map(key => state.entityVersion(key));
+        t.ok(next.every((version, i) => version >= versions[i]!));
+        versions = next;
+      }
+      const queued = ['d1', 'd2'].flatMap(id => [...state.queuedIn(id)]);
+      t.equal(queued.length, state.queuedCount('ws1'));
+      t.ok(queued.every(job => job.phase === 'queued'));
+    }),
+    RUNS,
+  );
+});
--- /dev/null
+++ b/packages/ledger/__tests__/snapshot.spec.ts
@@ -0,0 +1,173 @@
+import {ManualClock, SeededRandom, SilentLogger} from '@galenavalve/shared';
+import t from 'tap';
+import {
+  LedgerState,
+  LogFollower,
+  MemoryLog,
+  type Snapshot,
+  SnapshotWriter,
+  type StateSource,
+  StateRestorer,
+  createChunks,
+  decodeState,
+  encodeState,
+  isSnapshotDue,
+} from '../src/index.js';
+import {
+  T0,
+  TERM,
+  createInstance,
+  createRecord,
+  createState,
+  fold,
+  place,
+  submit,
+} from './fixtures.js';
+
+const logger = new SilentLogger();
+
+function createRestorer(log: MemoryLog, sources: StateSource[] = []) {
+  return new StateRestorer({
+    log,
+    logger,
+    sources: () => sources,
+    ledger: {},
+    options: {pageLimit: 3},
+  });
+}
+
+function writeSnapshot(log: MemoryLog, snapshot: Snapshot): void {
+  log.write(...createChunks(snapshot).map(chunk => createRecord(chunk)));
+}
+
+/** A log whose first records have expired, with two snapshots. */
+function createExpiredLog(
+  damage?: (latest: Snapshot) => void,
+  clock = new ManualClock(T0),
+) {
+  const state = createState();
+  const log = new MemoryLog(clock);
+  log.write({}, {});
+  writeSnapshot(log, encodeState(state, 'early'));
+  state.nextOffset = log.endOffset;
+  const record = createRecord(submit());
+  log.write(record);
+  fold(state, record);
+  const latest = encodeState(state, 'late');
+  damage?.(latest);
+  writeSnapshot(log, latest);
+  log.write(createRecord(place()));
+  log.faults.retention = log.endOffset - 1;
+  log.write(createRecord(submit('j2')));
+  return log;
+}
+
+t.test('a new process starts from the latest whole snapshot', async t => {
+  const clock = new ManualClock(T0);
+  const log = createExpiredLog(undefined, clock);
+  const state = new LedgerState();
+  const restorer = createRestorer(log);
+  const follower = new LogFollower({log, state, clock, logger, restorer});
+  const controller = new AbortController();
+  const run = follower.run(controller.signal);
+  await clock.advance(1000);
+  controller.abort();
+  await Promise.all([run, clock.advance(2000)]);
+  t.equal(follower.isCaughtUp, true);
+  t.equal(state.job('j1')?.phase, 'placed');
+  t.equal(state.job('j2')?.phase, 'queued');
+});
+
+t.test('a damaged snapshot gives way to an older one', async t => {
+  const log = createExpiredLog(latest => {
+    latest.sections[0] = `${latest.sections[0]!.slice(0, -4)}AAA=`;
+  });
+  const state = await createRestorer(log).restore();
+  t.equal(state?.nextOffset, 2);
+});
+
+t.test('a snapshot that is damaged within is refused', async t => {
+  const snapshot = encodeState(createState(), 's');
+  t.throws(() => decodeState({...snapshot, hash: ''}), {
+    code: 'snapshot-invalid',
+  });
+});
+
+t.test('the peer with the highest offset goes before the log', async t => {
+  const far = createState();
+  far.nextOffset = 100;
+  const sources = [
+    createSource('near', createState()),
+    createSource('far', far),
+    createSource('silent', undefined),
+  ];
+  const log = createExpiredLog();
+  const state = await createRestorer(log, sources).restore();
+  t.equal(state?.nextOffset, 100);
+  log.faults.outage = 'refused';
+  const during = await createRestorer(log, sources).restore();
+  t.equal(during?.nextOffset, 100);
+
+  function createSource(name: string, state?: LedgerState): StateSource {
+    const fail = () => Promise.reject(new Error('no answer'));
+    return {
+      name,
+      nextOffset: state ? async () => state.nextOffset : fail,
+      fetch: state ? async () => encodeState(state, name) : fail,
+    };
+  }
+});
+
+t.test('the scheduler of the first domain records a snapshot', async t => {
+  const {clock, follower, writer, state, log} = await createInstance();
+  const snapshots = new SnapshotWriter({
+    follower,
+    writer,
+    clock,
+    random: new SeededRandom(1),
+    logger,
+    instance: 'i1',
+  });
+  const controller = new AbortController();
+  void snapshots.run(controller.signal);
+  for (let i = 0; i < 20; i++) {
+    await clock.advance(1000);
+  }
+  controller.abort();
+  t.ok(state.snapshots.latest, 'it is whole in the log');
+  const count = log.entries().length - 2;
+  t.equal(count, state.snapshots.latest?.chunks, 'and only one was due');
+  const restored = await createRestorer(log).restore();
+  t.equal(restored?.schedulerTerm('d1')?.instance, 'i1');
+});
+
+t.test('the schedule', async t => {
+  const schedule = {interval: 1000, records: 100, keptShare: 0.4};
+  const kept = {oldestOffset: 0, endOffset: 10};
+  const state = createState();
+  fold(state, {type: 'claimed', domain: 'd2', term: {...TERM, instance: 'i2'}});
+  state.snapshots.restore({
+    partial: [],
+    latest: {
+      snapshotId: 's',
+      nextOffset: 0,
+      firstOffset: 0,
+      completedAt: T0,
+      bytes: 1,
+      chunks: 1,
+    },
+  });
+  const isDue = (instance: string, now: number, retention = kept) =>
+    isSnapshotDue(state, instance, now, retention, schedule);
+
+  t.equal(isDue('i1', T0 + 999), false, 'waits for its interval');
+  t.equal(isDue('i1', T0 + 1000), true);
+  t.equal(isDue('i2', T0 + 1000), false, 'leaves it to the first domain');
+  t.equal(isDue('i2', T0 + 1250), true, 'and steps in after it');
+  t.equal(isDue('i3', T0 + 9000), false, 'is for schedulers only');
+  t.equal(
+    isDue('i1', T0, {oldestOffset: 5, endOffset: 10}),
+    true,
+    'comes early when the log forgets the snapshot',
+  );
+});
--- a/packages/ledger/src/fold/fold.ts
+++ b/packages/ledger/src/fold/fold.ts
@@ -69,6 +69,7 @@
     case 'configured':
       return foldConfigured(state, record, offset);
     case 'snapshot-chunk':
+      state.snapshots.observe(record, offset, state.logTime.value);
       return ACCEPTED;
   }
 }
--- a/packages/ledger/src/follower.ts
+++ b/packages/ledger/src/follower.ts
@@ -6,11 +6,14 @@
   type Milliseconds,
   type Random,
   describeError,
+  isFailure,
   jitteredBackoff,
 } from '@galenavalve/shared';
 import type {Applied} from './applied.js';
 import {applyEntry} from './fold/fold.js';
 import type {Log, LogEntry, LogPage} from './log.js';
+import type {StateRestorer} from './snapshot/restorer.js';
+import type {Retention} from './snapshot/snapshot_policy.js';
 import type {LedgerState} from './state.js';
 
 /** Times and sizes of the reads. */
@@ -42,6 +45,8 @@
   logger: Logger;
   /** Spreads retries; the generator of the runtime by default. */
   random?: Random;
+  /** Gets a state when the log no longer holds what this one needs. */
+  restorer?: StateRestorer;
   options?: Partial<FollowerOptions>;
 }
 
@@ -60,6 +65,9 @@
   private readonly listeners = new Set<AppliedListener>();
   private readonly freshListeners = new Set<() => void>();
   private freshAt: Instant | undefined;
+  private readonly replacedListeners = new Set<() => void>();
+  private held: Promise<unknown> | undefined;
+  private keptOffsets: Retention | undefined;
   private failures = 0;
 
   constructor(private readonly dependencies: FollowerDependencies) {
@@ -95,8 +103,39 @@
     return () => this.freshListeners.delete(listener);
   }
 
-  /** Reads until `signal` aborts. */
+  /**
+   * Calls `listener` when another state took the place of the folded one, so
+   * that no verdicts were told for the offsets between; returns a function
+   * that ends this.
+   */
+  onReplaced(listener: () => void): () => void {
+    this.replacedListeners.add(listener);
+    return () => this.replacedListeners.delete(listener);
+  }
+
+  /** Offsets that the log held at the latest answer. */
+  get retention(): Retention | undefined {
+    return this.keptOffsets;
+  }
+
+  /** Folds nothing until `action` has ended. */
+  async hold<T>(action: () => Promise<T>): Promise<T> {
+    while (this.held) {
+      await this.held;
+    }
+    const running = action();
+    const ended = running.catch(() => undefined);
+    this.held = ended;
+    await ended;
+    this.held = undefined;
+    return running;
+  }
+
+  /** Reads until `signal` aborts. A new state starts from the latest snapshot. */
   async run(signal: AbortSignal): Promise<void> {
+    if (this.state.nextOffset === 0) {
+      await this.restore();
+    }
     while (!signal.aborted) {
       try {
         await this.readOnce();
@@ -116,16 +155,17 @@
       wait: this.options.readWait,
       timeout: this.options.readTimeout,
     });
+    await this.held;
     this.applyPage(page, sentAt);
   }
 
   /**
-   * Folds entries that a peer relays. Ignored unless they continue the state;
-   * returns whether the state includes them now.
+   * Folds entries that a peer relays. Ignored while folding is held, and
+   * unless they continue the state; returns whether it includes them now.
    */
   ingest({entries, nextOffset}: RelayedEntries): boolean {
     const first = entries[0]?.offset ?? nextOffset;
-    if (first > this.state.nextOffset) {
+    if (this.held || first > this.state.nextOffset) {
       return false;
     }
     this.applyEntries(entries);
@@ -161,9 +201,11 @@
   }
 
   private applyPage(page: LogPage, sentAt: Instant): void {
+    const {oldestOffset, endOffset} = page;
+    this.keptOffsets = {oldestOffset, endOffset};
     this.applyEntries(page.entries);
     this.state.nextOffset = Math.max(this.state.nextOffset, page.nextOffset);
-    if (page.endOffset <= this.state.nextOffset) {
+    if (endOffset <= this.state.nextOffset) {
       this.noteFresh(sentAt);
     }
   }
@@ -185,6 +227,17 @@
     }
   }
 
+  /** Replaces the state by one that is further, if one can be had. */
+  private async restore(): Promise<void> {
+    const restored = await this.dependencies.restorer?.restore();
+    if (restored && restored.nextOffset > this.state.nextOffset) {
+      this.state.takeOver(restored);
+      for (const listener of [...this.replacedListeners]) {
+        listener();
+      }
+    }
+  }
+
   private noteFresh(at: Instant): void {
     if (this.freshAt !== undefined && at <= this.freshAt) {
       return;
@@ -222,6 +275,10 @@
       failures: this.failures,
       problem: describeError(error),
     });
+    const isEmpty = this.state.nextOffset === 0;
+    if (isEmpty || isFailure(error, 'offset-expired')) {
+      await this.restore();
+    }
     await clock.sleep(pause, signal);
   }
 }
--- a/packages/ledger/src/index.ts
+++ b/packages/ledger/src/index.ts
@@ -40,5 +40,26 @@
   LogWriter,
 } from './writer.js';
 
+// Snapshots
+export {
+  type Snapshot,
+  decodeState,
+  encodeState,
+  encodeStateGradually,
+} from './snapshot/codec.js';
+export {ChunkCollector, createChunks} from './snapshot/chunks.js';
+export type {StateSource} from './snapshot/state_source.js';
+export {type RestorerDependencies, StateRestorer} from './snapshot/restorer.js';
+export {
+  type Retention,
+  type SnapshotSchedule,
+  isSnapshotDue,
+} from './snapshot/snapshot_policy.js';
+export {
+  type SnapshotWriterDependencies,
+  SnapshotWriter,
+} from './snapshot/snapshot_writer.js';
+export type {RecordedSnapshot} from './snapshot/snapshot_tracker.js';
+
 // Testing
 export {type LogFaults, MemoryLog} from './testing/memory_log.js';
--- /dev/null
+++ b/packages/ledger/src/snapshot/codec.ts
@@ -0,0 +1,105 @@
+/** Snapshots: the state as compressed sections with a checksum. */
+import {createHash} from 'node:crypto';
+import {deflateRawSync, inflateRawSync} from 'node:zlib';
+import {Failure, describeError} from '@galenavalve/shared';
+import {type LedgerOptions, LedgerState} from '../state.js';
+import {
+  type Section,
+  SNAPSHOT_FORMAT,
+  applySection,
+  createSections,
+} from './sections.js';
+
+/** Speed goes before size: the loop waits for each section. */
+const COMPRESSION_LEVEL = 3;
+
+/** A state at one offset. */
+export interface Snapshot {
+  snapshotId: string;
+  /** The snapshot holds the effect of every record before this offset. */
+  nextOffset: number;
+  /** Sections as compressed JSON in base64. */
+  sections: string[];
+  /** SHA-256 of the sections, in hexadecimal. */
+  hash: string;
+}
+
+/** Encodes a state at once. */
+export function encodeState(state: LedgerState, snapshotId: string): Snapshot {
+  const sections = [...createSections(state)].map(compress);
+  return createSnapshot(snapshotId, state.nextOffset, sections);
+}
+
+/**
+ * Encodes a state with a turn of the loop between sections. The caller keeps
+ * the state from changing until then.
+ */
+export async function encodeStateGradually(
+  state: LedgerState,
+  snapshotId: string,
+): Promise<Snapshot> {
+  const sections: string[] = [];
+  for (const text of createSections(state)) {
+    sections.push(compress(text));
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  return createSnapshot(snapshotId, state.nextOffset, sections);
+}
+
+/** Restores a state. Throws `snapshot-invalid` when the snapshot is damaged. */
+export function decodeState(
+  snapshot: Snapshot,
+  options: Partial<LedgerOptions> = {},
+): LedgerState {
+  const {snapshotId, nextOffset, sections, hash} = snapshot;
+  if (hashSections(sections) !== hash) {
+    throw invalid(snapshotId, 'its checksum does not match');
+  }
+  const state = new LedgerState(options);
+  try {
+    for (const data of sections) {
+      applySection(state, decompress(data));
+    }
+  } catch (error) {
+    throw invalid(snapshotId, describeError(error));
+  }
+  if (state.nextOffset !== nextOffset) {
+    throw invalid(snapshotId, `it is of offset ${state.nextOffset}`);
+  }
+  return state;
+}
+
+/** SHA-256 of sections, in hexadecimal. */
+export function hashSections(sections: readonly string[]): string {
+  const hash = createHash('sha256');
+  for (const section of sections) {
+    hash.update(section).update('\n');
+  }
+  return hash.digest('hex');
+}
+
+function createSnapshot(
+  snapshotId: string,
+  nextOffset: number,
+  sections: string[],
+): Snapshot {
+  return {snapshotId, nextOffset, sections, hash: hashSections(sections)};
+}
+
+function compress(text: string): string {
+  const options = {level: COMPRESSION_LEVEL};
+  return deflateRawSync(text, options).toString('base64');
+}
+
+function decompress(data: string): Section {
+  const text = inflateRawSync(Buffer.from(data, 'base64')).toString();
+  const section = JSON.parse(text) as Section;
+  if (section.kind === 'header' && section.format !== SNAPSHOT_FORMAT) {
+    throw new Error(`format ${section.format} is not known`);
+  }
+  return section;
+}
+
+function invalid(snapshotId: string, problem: string): Failure {
+  return new Failure('snapshot-invalid', {snapshotId, problem});
+}
--- a/packages/ledger/src/state.ts
+++ b/packages/ledger/src/state.ts
@@ -14,6 +14,7 @@
 import type {Job} from './job.js';
 import {JobIndex} from './job_index.js';
 import {LogTime} from './log_time.js';
+import {SnapshotTracker} from './snapshot/snapshot_tracker.js';
 import {WithdrawnRequests} from './withdrawn_requests.js';
 
 /** How long a request id is remembered after its job ended. */
@@ -38,18 +39,20 @@
   skipped = 0;
   readonly options: LedgerOptions;
   /** For the fold. */
-  readonly jobs = new JobIndex();
+  jobs = new JobIndex();
   /** For the fold. */
-  readonly store = new ConfigurationStore();
+  store = new ConfigurationStore();
   /** For the fold. */
-  readonly finished: FinishedJobs;
+  finished: FinishedJobs;
   /** For the fold. */
-  readonly withdrawn = new WithdrawnRequests();
+  withdrawn = new WithdrawnRequests();
   /** For the fold. */
-  readonly changeHistory = new ChangeHistory();
+  changeHistory = new ChangeHistory();
   /** For the fold. */
-  readonly terms = new Map<string, Term>();
-  readonly logTime = new LogTime();
+  terms = new Map<string, Term>();
+  logTime = new LogTime();
+  /** Snapshots that the log holds whole. */
+  snapshots = new SnapshotTracker();
   /** Log time of the latest sweep, in whole sweep intervals. For the fold. */
   sweepNumber = 0;
 
@@ -62,6 +65,20 @@
     this.finished = new FinishedJobs(this.options.resultBytes);
   }
 
+  /** Becomes a copy of `other`, which must not be used further. */
+  takeOver(other: LedgerState): void {
+    const {options} = this;
+    Object.assign(this, other, {options});
+  }
+
+  /** Adds a job of a snapshot. */
+  restoreJob(job: Job): void {
+    this.jobs.add(job);
+    if (job.phase === 'finished') {
+      this.finished.add(job);
+    }
+  }
+
   /** An immutable snapshot of the configuration; a change replaces it. */
   get configuration(): Configuration {
     return this.store.configuration;
--- a/packages/ledger/src/writer.ts
+++ b/packages/ledger/src/writer.ts
@@ -96,6 +96,7 @@
     this.idPrefix = `${instance}-${clock.wallTime().toString(36)}${salt}`;
     follower.onApplied(applied => this.onApplied(applied));
     follower.onFresh(() => this.work.notify());
+    follower.onReplaced(() => this.onReplaced());
   }
 
   /** Records whose verdict is not known yet. */
@@ -283,7 +284,7 @@
   private refuse(item: PendingRecord): void {
     this.forget(item);
     const isAbsent = item.stage === 'queued' && !item.isUncertain;
-    const problem = `${item.record.type} record was ${item.stage} at the deadline`;
+    const problem = `${item.record.type} record was ${item.stage}`;
     item.reject(
       isAbsent
         ? new Failure('log-unavailable')
@@ -299,6 +300,18 @@
     }
   }
 
+  /**
+   * The new state may include records whose verdicts were not told. Sending
+   * them again would show the verdicts on the copies.
+   */
+  private onReplaced(): void {
+    for (const item of this.pending.values()) {
+      if (item.stage !== 'queued' || item.isUncertain) {
+        this.refuse(item);
+      }
+    }
+  }
+
   private forget(item: PendingRecord): void {
     this.pending.delete(item.record.recordId);
     this.pendingBytes -= item.bytes;
