Keep every workspace's guaranteed cells in reach

Cause: the thin policy treated all work as borrowed, so a promise meant nothing. Guarantees are apportioned over failure domains and every guaranteed cell has a home; homes never overlap, and move by exchanging equal blocks in which no guaranteed work runs. Guaranteed jobs start in free homes, else where a home can be moved, else by stopping the borrowers that lose least work. A place is kept for the oldest large job.

Ruled out: planning all homes again at each start (linear in the inventory), and quotas (they promise no adjacency).

Checked: 400 random runs against a brute-force packing; with the bound check of exchanges removed the same property fails.

--- a/packages/placement/src/cells.ts
+++ b/packages/placement/src/cells.ts
@@ -1,22 +1,39 @@
 /** What one failure domain holds, with indices of free capacity kept up to date. */
-import type {Adjacency, Configuration, Rules, Target} from '@galenavalve/model';
+import type {Adjacency, Configuration, Rules} from '@galenavalve/model';
 import {countBits} from './accelerator_mask.js';
+import {apportionGuarantees} from './apportion.js';
 import {EstimateBook} from './estimate.js';
+import type {HomeMap, Part} from './home.js';
+import {claimPlace} from './home_exchange.js';
+import {type HomePlan, type MissingHomes, planHomes} from './home_planner.js';
+import {buildInventory} from './inventory.js';
 import type {DomainCells, RunningGang, TargetCondition} from './policy.js';
-import {RackCell} from './rack_cell.js';
-import {TargetCell, addTasks, subtractTasks} from './target_cell.js';
+import type {DomainPromise} from './promise.js';
+import type {RackCell} from './rack_cell.js';
+import type {Reservation} from './reservation.js';
+import {type TargetCell, addTasks, subtractTasks} from './target_cell.js';
+
+const NO_PROMISES: readonly DomainPromise[] = [];
 
 /** Capacity and running gangs of one failure domain. */
 export class Cells implements DomainCells {
-  readonly targets = new Map<string, TargetCell>();
-  readonly racks = new Map<string, RackCell>();
+  targets = new Map<string, TargetCell>();
+  racks = new Map<string, RackCell>();
   /** Racks by their number of free accelerators. */
   readonly racksByFree: Set<RackCell>[] = [];
   readonly running = new Map<string, RunningGang>();
   readonly estimates = new EstimateBook();
-  /** Rises with each change of capacity or of gangs. */
-  version = 0;
+  /** Accelerators that workspaces use. */
+  readonly usedByWorkspace = new Map<string, number>();
+  /** Accelerators of the largest target. */
+  targetSize = 0;
   configuration!: Configuration;
+  /** What is promised in this domain. */
+  promises: readonly DomainPromise[] = NO_PROMISES;
+  /** The place that is kept for the oldest large job. */
+  reservation: Reservation | undefined;
+  private plan: HomePlan | undefined;
+  private previousHomes: HomeMap | undefined;
 
   constructor(
     readonly domain: string,
@@ -42,11 +59,14 @@
       conditions.set(target.id, target.condition);
     }
     this.configuration = configuration;
+    this.usedByWorkspace.clear();
+    this.promises =
+      apportionGuarantees(configuration).get(this.domain) ?? NO_PROMISES;
+    this.invalidateHomes();
     this.rebuild(conditions);
     for (const gang of this.running.values()) {
       this.take(gang);
     }
-    this.version++;
   }
 
   setCondition(id: string, condition: TargetCondition): void {
@@ -57,14 +77,16 @@
     this.change(target, () => {
       target.condition = condition;
     });
-    this.version++;
+    this.invalidateHomes();
   }
 
   occupy(gang: RunningGang): void {
     this.vacate(gang.jobId);
     this.running.set(gang.jobId, gang);
     this.take(gang);
-    this.version++;
+    if (gang.guaranteed && this.plan) {
+      this.useHomes(gang);
+    }
   }
 
   vacate(jobId: string): void {
@@ -74,7 +96,11 @@
     }
     this.running.delete(jobId);
     this.release(gang);
-    this.version++;
+    if (gang.guaranteed && this.plan) {
+      for (const part of this.listParts(gang)) {
+        this.plan.homes.unuse(gang, part, part.tasks);
+      }
+    }
   }
 
   learn(
@@ -88,6 +114,16 @@
 
   // Queries
 
+  /** The homes of all guaranteed cells, planned anew after a change of inventory. */
+  get homes(): HomeMap {
+    return this.homePlan.homes;
+  }
+
+  /** Guaranteed cells that no well target can hold now. */
+  get missingHomes(): readonly MissingHomes[] {
+    return this.homePlan.missing;
+  }
+
   gangs(): Iterable<RunningGang> {
     return this.running.values();
   }
@@ -118,56 +154,98 @@
     return Math.max(0, ...sizes);
   }
 
+  // Homes
+
+  private get homePlan(): HomePlan {
+    this.plan ??= planHomes({
+      inventory: this,
+      promises: this.promises,
+      isAvailable: target => target.isWell,
+      guaranteedGangs: [...this.running.values()].filter(
+        gang => gang.guaranteed,
+      ),
+      previous: this.previousHomes,
+    });
+    return this.plan;
+  }
+
+  private invalidateHomes(): void {
+    this.previousHomes = this.plan?.homes ?? this.previousHomes;
+    this.plan = undefined;
+  }
+
+  /** Binds homes to a guaranteed gang; plans anew when none can be moved there. */
+  private useHomes(gang: RunningGang): void {
+    const parts = this.listParts(gang);
+    const {homes} = this;
+    const {masks} = homes.of(gang.workspace);
+    const isHome = parts.every(
+      ({target, mask}) => (mask & ~(masks.get(target) ?? 0)) === 0,
+    );
+    if (!isHome && !claimPlace(this, gang, gang.assignments)) {
+      this.invalidateHomes();
+      return;
+    }
+    parts.forEach(part => homes.use(gang, part, part.tasks));
+  }
+
+  private listParts(gang: RunningGang): (Part & {tasks: number})[] {
+    const parts: (Part & {tasks: number})[] = [];
+    for (const {target: id, tasks, accelerators} of gang.assignments) {
+      const target = this.targets.get(id);
+      if (target) {
+        parts.push({target, tasks, mask: accelerators});
+      }
+    }
+    return parts;
+  }
+
   // Indices
 
   private rebuild(conditions: ReadonlyMap<string, TargetCondition>): void {
-    this.targets.clear();
-    this.racks.clear();
+    const {targets, racks} = buildInventory(this.configuration, this.domain);
+    this.targets = targets;
+    this.racks = racks;
     this.racksByFree.length = 0;
-    for (const spec of sortedTargets(this.configuration, this.domain)) {
-      this.addTarget(spec, conditions.get(spec.id) ?? 'well');
+    this.targetSize = 0;
+    for (const target of targets.values()) {
+      this.targetSize = Math.max(this.targetSize, target.spec.accelerators);
+      target.condition = conditions.get(target.id) ?? 'well';
     }
-    for (const rack of this.racks.values()) {
+    for (const rack of racks.values()) {
       rack.targets.forEach(target => rack.count(target, 1));
       this.file(rack);
     }
   }
 
-  private addTarget(spec: Target, condition: TargetCondition): void {
-    let rack = this.racks.get(spec.rack);
-    if (!rack) {
-      rack = new RackCell(spec.rack);
-      this.racks.set(spec.rack, rack);
-    }
-    const target = new TargetCell(spec, rack, this.targets.size);
-    target.condition = condition;
-    rack.targets.push(target);
-    this.targets.set(spec.id, target);
-  }
-
   private take(gang: RunningGang): void {
-    for (const {target: id, tasks, accelerators} of gang.assignments) {
-      const target = this.targets.get(id);
-      if (target) {
-        this.change(target, () => {
-          subtractTasks(target.free, gang.gang.perTask, tasks, accelerators);
-          target.tasksByJob.set(gang.jobId, tasks);
-        });
-      }
+    for (const {target, tasks, mask} of this.listParts(gang)) {
+      // A caller's mask may overlap after a fault; each accelerator is taken once.
+      const taken = mask & target.free.accelerators;
+      this.change(target, () => {
+        subtractTasks(target.free, gang.gang.perTask, tasks, taken);
+        target.occupants.set(gang.jobId, {gang, tasks, mask: taken});
+      });
+      this.countUse(gang.workspace, countBits(taken));
     }
   }
 
   private release(gang: RunningGang): void {
-    for (const {target: id, tasks, accelerators} of gang.assignments) {
-      const target = this.targets.get(id);
-      if (target?.tasksByJob.delete(gang.jobId)) {
-        this.change(target, () =>
-          addTasks(target.free, gang.gang.perTask, tasks, accelerators),
-        );
-      }
+    for (const {target, tasks} of this.listParts(gang)) {
+      const mask = target.occupants.get(gang.jobId)?.mask ?? 0;
+      this.change(target, () => {
+        addTasks(target.free, gang.gang.perTask, tasks, mask);
+        target.occupants.delete(gang.jobId);
+      });
+      this.countUse(gang.workspace, -countBits(mask));
     }
   }
 
+  private countUse(workspace: string, accelerators: number): void {
+    const before = this.usedByWorkspace.get(workspace) ?? 0;
+    this.usedByWorkspace.set(workspace, before + accelerators);
+  }
+
   /** Runs a change of one target and keeps the counts of its rack. */
   private change(target: TargetCell, apply: () => void): void {
     const rack = target.rack;
@@ -194,13 +272,3 @@
   }
   return count;
 }
-
-function sortedTargets(configuration: Configuration, domain: string): Target[] {
-  return [...configuration.targets.values()]
-    .filter(target => target.domain === domain)
-    .sort((a, b) => compareNames(a.rack, b.rack) || compareNames(a.id, b.id));
-}
-
-function compareNames(a: string, b: string): number {
-  return a < b ? -1 : a > b ? 1 : 0;
-}
--- /dev/null
+++ b/packages/placement/src/promise.ts
@@ -0,0 +1,33 @@
+/** What is promised to workspaces in one failure domain. */
+import type {CellLevel} from '@galenavalve/model';
+
+/** A number of cells of one level that a workspace is promised in one failure domain. */
+export interface DomainPromise {
+  workspace: string;
+  level: CellLevel;
+  count: number;
+}
+
+/** Levels from the largest cell to the smallest. */
+export const LEVELS_DOWNWARDS: readonly CellLevel[] = [
+  'domain',
+  'rack',
+  'target',
+  'half',
+  'accelerator',
+];
+
+/** A promise that cannot be kept whole. */
+export interface Shortfall extends DomainPromise {
+  domain: string;
+  /** Cells that can be had, of the `count` that are promised. */
+  satisfiable: number;
+}
+
+/** Counts by level. */
+export type LevelCounts = Record<CellLevel, number>;
+
+/** No cells of any level. */
+export function emptyLevelCounts(): LevelCounts {
+  return {domain: 0, rack: 0, target: 0, half: 0, accelerator: 0};
+}
--- a/packages/placement/src/search.ts
+++ b/packages/placement/src/search.ts
@@ -1,8 +1,7 @@
-/** The search for a place: best fit by level, in the free capacity of a domain. */
+/** The search for a place: best fit by level, in the capacity that a view shows. */
 import type {Assignment, GangShape} from '@galenavalve/model';
 import {chooseAccelerators} from './accelerator_mask.js';
 import type {Cells} from './cells.js';
-import type {RackCell} from './rack_cell.js';
 import {type Room, type TargetCell, countFitting} from './target_cell.js';
 
 /** What a search needs to know of a job. */
@@ -15,84 +14,82 @@
 /** The part of a target that a search may use; undefined when it may use nothing. */
 export type RoomView = (target: TargetCell) => Room | undefined;
 
-/** A target with the number of tasks that go there. */
-interface Portion {
+/** A target with the number of tasks that fit, or that go there. */
+export interface Portion {
   target: TargetCell;
   room: Room;
   tasks: number;
 }
 
-/** The free capacity of targets that can take work of the job. */
-export function freeRoom(request: SearchRequest): RoomView {
-  return target =>
+/** Whether new work of a job may start on a target at all. */
+export function isUsable(request: SearchRequest, target: TargetCell): boolean {
+  return (
     target.isWell &&
     target.permits(request.workspace) &&
     !request.avoidTargets.includes(target.id)
-      ? target.free
-      : undefined;
+  );
+}
+
+/** The free capacity of targets that can take work of the job. */
+export function freeRoom(request: SearchRequest): RoomView {
+  return target => (isUsable(request, target) ? target.free : undefined);
 }
 
-/** Finds the place that leaves the largest blocks whole, or undefined. */
+/** Finds the place in a domain that leaves the largest blocks whole, or undefined. */
 export function findBestFit(
   cells: Cells,
   request: SearchRequest,
   view: RoomView = freeRoom(request),
 ): Assignment[] | undefined {
   const {tasks, perTask, adjacency} = request.gang;
-  const needed = tasks * perTask.accelerators;
-  if (adjacency !== 'domain') {
-    for (let free = needed; free < cells.racksByFree.length; free++) {
-      for (const rack of cells.racksByFree[free]!) {
-        const portions =
-          rack.boundTasks(perTask.accelerators) >= tasks &&
-          fillRack(rack, request.gang, view);
-        if (portions) {
-          return toAssignments(portions, request.gang);
-        }
-      }
-    }
-    return undefined;
-  }
-  return findInDomain(cells, request.gang, view);
+  const isInDomain = adjacency === 'domain';
+  const smallest = isInDomain
+    ? perTask.accelerators
+    : tasks * perTask.accelerators;
+  const needed = isInDomain ? 1 : tasks;
+  return placeAmong(listRacks(cells, smallest, perTask.accelerators, needed), {
+    gang: request.gang,
+    view,
+  });
 }
 
-/** Places a gang in one rack, on its fullest sufficient targets. */
-function fillRack(
-  rack: RackCell,
-  gang: GangShape,
-  view: RoomView,
-): Portion[] | undefined {
-  const portions = listPortions(rack.targets, gang, view);
-  return choosePortions(portions, gang);
+/** What is placed, and in which capacity. */
+export interface Placement {
+  gang: GangShape;
+  view: RoomView;
 }
 
-function findInDomain(
-  cells: Cells,
-  gang: GangShape,
-  view: RoomView,
+/** Places a gang on groups of targets, each of one rack, the fullest group first. */
+export function placeAmong(
+  groups: Iterable<readonly TargetCell[]>,
+  {gang, view}: Placement,
 ): Assignment[] | undefined {
   const chosen: Portion[] = [];
   let missing = gang.tasks;
-  for (const racks of cells.racksByFree) {
-    for (const rack of racks) {
-      if (rack.boundTasks(gang.perTask.accelerators) === 0) {
-        continue;
-      }
-      const portions = listPortions(rack.targets, gang, view);
-      const whole = choosePortions(portions, {...gang, tasks: missing});
-      const used = whole ?? portions;
-      chosen.push(...used);
-      missing -= used.reduce((sum, portion) => sum + portion.tasks, 0);
-      if (missing === 0) {
-        return toAssignments(chosen, gang);
+  for (const targets of groups) {
+    const portions = listPortions(targets, gang, view);
+    const whole = choosePortions(portions, gang, missing);
+    if (gang.adjacency !== 'domain') {
+      if (whole) {
+        return toAssignments(whole, gang);
       }
+      continue;
+    }
+    const used = whole ?? portions;
+    for (const portion of used) {
+      chosen.push(portion);
+      missing -= portion.tasks;
+    }
+    if (missing === 0) {
+      return toAssignments(chosen, gang);
     }
   }
   return undefined;
 }
 
-function listPortions(
-  targets: readonly TargetCell[],
+/** The targets that hold at least one task. */
+export function listPortions(
+  targets: Iterable<TargetCell>,
   gang: GangShape,
   view: RoomView,
 ): Portion[] {
@@ -107,30 +104,54 @@
   return portions;
 }
 
-/** Chooses the fullest targets that hold the gang; the last one is the smallest that holds the rest. */
+/** The targets of the racks that may hold `needed` tasks, the fullest rack first. */
+function* listRacks(
+  cells: Cells,
+  smallest: number,
+  perTask: number,
+  needed: number,
+): Iterable<readonly TargetCell[]> {
+  for (let free = smallest; free < cells.racksByFree.length; free++) {
+    for (const rack of cells.racksByFree[free]!) {
+      if (rack.boundTasks(perTask) >= needed) {
+        yield rack.targets;
+      }
+    }
+  }
+}
+
+/**
+ * Chooses the fullest target that holds the tasks alone, else as few targets
+ * as possible, the last of them the fullest that holds the rest.
+ */
 function choosePortions(
   portions: Portion[],
   gang: GangShape,
+  tasks: number,
 ): Portion[] | undefined {
-  portions.sort((a, b) => a.tasks - b.tasks || a.target.index - b.target.index);
-  const single = portions.find(portion => portion.tasks >= gang.tasks);
-  if (single) {
-    return [{...single, tasks: gang.tasks}];
-  }
-  if (gang.adjacency === 'target') {
-    return undefined;
-  }
+  portions.sort(
+    (a, b) =>
+      a.tasks - b.tasks ||
+      a.target.freeAccelerators - b.target.freeAccelerators ||
+      a.target.index - b.target.index,
+  );
   const chosen: Portion[] = [];
-  let missing = gang.tasks;
-  for (let i = portions.length - 1; i >= 0 && missing > 0; i--) {
-    const rest = portions.find(
-      portion => portion.tasks >= missing && !chosen.includes(portion),
-    );
-    const portion = rest ?? portions[i]!;
-    chosen.push({...portion, tasks: Math.min(portion.tasks, missing)});
-    missing -= Math.min(portion.tasks, missing);
+  let missing = tasks;
+  let end = portions.length;
+  while (missing > 0 && end > 0) {
+    const rest = portions.findIndex(portion => portion.tasks >= missing);
+    if (rest >= 0 && rest < end) {
+      chosen.push({...portions[rest]!, tasks: missing});
+      return chosen;
+    }
+    if (gang.adjacency === 'target') {
+      return undefined;
+    }
+    end--;
+    chosen.push(portions[end]!);
+    missing -= portions[end]!.tasks;
   }
-  return missing === 0 ? chosen : undefined;
+  return undefined;
 }
 
 function toAssignments(portions: Portion[], gang: GangShape): Assignment[] {
--- a/packages/placement/src/target_cell.ts
+++ b/packages/placement/src/target_cell.ts
@@ -1,7 +1,7 @@
 /** The capacity of one target, and what is left of it. */
 import type {Target, TaskDemand} from '@galenavalve/model';
 import {countBits, fullMask} from './accelerator_mask.js';
-import type {TargetCondition} from './policy.js';
+import type {RunningGang, TargetCondition} from './policy.js';
 import type {RackCell} from './rack_cell.js';
 
 /** An amount of each resource of one target. */
@@ -13,6 +13,14 @@
   slots: number;
 }
 
+/** The part of a gang on one target. */
+export interface Occupant {
+  gang: RunningGang;
+  tasks: number;
+  /** Accelerators that it took here. */
+  mask: number;
+}
+
 /** Rounding tolerance for sums of processor cores and memory. */
 const TOLERANCE = 1e-6;
 
@@ -21,8 +29,8 @@
   condition: TargetCondition = 'well';
   /** What no gang uses. */
   readonly free: Room;
-  /** Tasks that run here, by job. */
-  readonly tasksByJob = new Map<string, number>();
+  /** What runs here, by job. */
+  readonly occupants = new Map<string, Occupant>();
   private readonly permitted: ReadonlySet<string> | undefined;
 
   constructor(
