--- /dev/null
+++ b/packages/standins/src/log/log_server.ts
@@ -0,0 +1,151 @@
+/** The log stand-in over HTTP. */
+import type {Request, Response} from 'restify';
+import {z} from 'zod';
+import {MemoryLog} from '@galenavalve/ledger';
+import {appendBody, type LogRefusal} from '@galenavalve/platform';
+import {
+  type Clock,
+  describeError,
+  isFailure,
+  SystemClock,
+} from '@galenavalve/shared';
+import {
+  createHttpServer,
+  listen,
+  type ListenAddress,
+  type RunningServer,
+} from '../http/http_server.js';
+import {controlLog, type LogControl, logControl} from './log_control.js';
+
+const DEFAULT_APPENDS_PER_SECOND = 400;
+const DEFAULT_RETENTION_RECORDS = 1_000_000;
+
+/** Longest time that a read waits for a record, in milliseconds. */
+const MAX_WAIT_MS = 30_000;
+
+/** Most records of one page. */
+const MAX_PAGE_RECORDS = 10_000;
+
+/** The query of `GET /v1/records`. */
+const readQuery = z.object({
+  offset: z.coerce.number().int().nonnegative(),
+  limit: z.coerce.number().int().positive().max(MAX_PAGE_RECORDS),
+  waitMs: z.coerce.number().nonnegative().max(MAX_WAIT_MS).default(0),
+});
+
+/** Address and limits of the log stand-in. */
+export interface LogServerOptions extends ListenAddress {
+  /** Appends that the log takes in a second, whatever their size. */
+  appendsPerSecond?: number;
+  /** Number of latest records that are kept. */
+  retentionRecords?: number;
+  clock?: Clock;
+}
+
+/** A log stand-in that listens. */
+export interface RunningLog extends RunningServer {
+  log: MemoryLog;
+  /** Does what `POST /control` does. */
+  control(control: LogControl): void;
+}
+
+/** Starts the log stand-in. */
+export async function startLogServer(
+  options: LogServerOptions,
+): Promise<RunningLog> {
+  const log = new MemoryLog(options.clock ?? new SystemClock(), {
+    appendsPerSecond: options.appendsPerSecond ?? DEFAULT_APPENDS_PER_SECOND,
+    retention: options.retentionRecords ?? DEFAULT_RETENTION_RECORDS,
+  });
+  const server = createHttpServer('log');
+  server.post('/v1/records', async (request, response) =>
+    serveAppend(log, request, response),
+  );
+  server.get('/v1/records', async (request, response) =>
+    serveRead(log, request, response),
+  );
+  server.post('/control', async (request, response) =>
+    serveControl(log, request, response),
+  );
+  const running = await listen(server, options);
+  return {...running, log, control: control => controlLog(log, control)};
+}
+
+async function serveAppend(
+  log: MemoryLog,
+  request: Request,
+  response: Response,
+): Promise<void> {
+  const body = appendBody.safeParse(request.body);
+  if (!body.success) {
+    refuse(response, 400, 'bad-request', z.prettifyError(body.error));
+    return;
+  }
+  const {outage, appendLatency} = log.faults;
+  if (outage === 'silent') {
+    return;
+  }
+  try {
+    response.send(200, await log.append(body.data.values, appendLatency));
+  } catch (error) {
+    if (!isFailure(error, 'append-rejected')) {
+      response.socket?.destroy();
+    } else if (outage === 'refused') {
+      refuse(response, 503, 'outage', error.message);
+    } else {
+      refuse(response, 429, 'append-budget-used', error.message);
+    }
+  }
+}
+
+async function serveRead(
+  log: MemoryLog,
+  request: Request,
+  response: Response,
+): Promise<void> {
+  const query = readQuery.safeParse(request.query);
+  if (!query.success) {
+    refuse(response, 400, 'bad-request', z.prettifyError(query.error));
+    return;
+  }
+  const {offset, limit, waitMs} = query.data;
+  if (log.faults.outage === 'silent') {
+    return;
+  }
+  try {
+    const options = {limit, wait: waitMs, timeout: waitMs};
+    response.send(200, await log.read(offset, options));
+  } catch (error) {
+    if (isFailure(error, 'offset-expired')) {
+      const oldest = Number(error.details['oldest']);
+      refuse(response, 410, 'offset-expired', error.message, oldest);
+    } else {
+      refuse(response, 503, 'outage', describeError(error));
+    }
+  }
+}
+
+async function serveControl(
+  log: MemoryLog,
+  request: Request,
+  response: Response,
+): Promise<void> {
+  const control = logControl.safeParse(request.body);
+  if (!control.success) {
+    response.send(400, {message: z.prettifyError(control.error)});
+    return;
+  }
+  controlLog(log, control.data);
+  response.send(200, log.faults);
+}
+
+function refuse(
+  response: Response,
+  status: number,
+  code: LogRefusal['code'],
+  message: string,
+  oldestOffset?: number,
+): void {
+  const body: LogRefusal = {code, message, written: false, oldestOffset};
+  response.send(status, body);
+}
