--- a/packages/placement/src/cells.ts
+++ b/packages/placement/src/cells.ts
@@ -1,5 +1,10 @@
 /** What one failure domain holds, with indices of free capacity kept up to date. */
-import type {Adjacency, Configuration, Rules} from '@galenavalve/model';
+import type {
+  Adjacency,
+  CellLevel,
+  Configuration,
+  Rules,
+} from '@galenavalve/model';
 import {countBits} from './accelerator_mask.js';
 import {apportionGuarantees} from './apportion.js';
 import {EstimateBook} from './estimate.js';
@@ -142,6 +147,21 @@
     return target ? target.spec.slots - target.free.slots : 0;
   }
 
+  /** Accelerators of the largest cell of a level. */
+  sizeOfLevel(level: CellLevel): number {
+    const racks = [...this.racks.values()].map(({targets}) =>
+      targets.reduce((sum, {spec}) => sum + spec.accelerators, 0),
+    );
+    const sizes: Record<CellLevel, number> = {
+      accelerator: 1,
+      half: Math.floor(this.targetSize / 2),
+      target: this.targetSize,
+      rack: Math.max(0, ...racks),
+      domain: racks.reduce((sum, size) => sum + size, 0),
+    };
+    return sizes[level];
+  }
+
   /** Free accelerators of the emptiest cell of a level that can take work. */
   largestFree(level: Adjacency): number {
     const racks = [...this.racks.values()];
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -4,6 +4,7 @@
 export * from './policy.js';
 export {GalenaPolicy} from './galena_policy.js';
 export {FirstFit} from './first_fit.js';
+export {Quota} from './quota.js';
 
 // Guarantees
 export {type Apportionment, apportionGuarantees} from './apportion.js';
@@ -19,3 +20,31 @@
 // Cells
 export {Cells} from './cells.js';
 export type {Home, HomeMap, Part, WorkspaceHomes} from './home.js';
+
+// Failure domains
+export {
+  type DomainSummary,
+  type Move,
+  type Route,
+  type StartOption,
+  chooseDomain,
+  findMove,
+  startOptions,
+  summarizeDomain,
+} from './routing.js';
+export {
+  type EvacuationDecision,
+  type EvacuationRequest,
+  type EvacuationStep,
+  decideEvacuation,
+} from './evacuation.js';
+
+// Evidence and usage
+export {type Standing, TargetEvidence} from './target_evidence.js';
+export {
+  type Throttle,
+  type UsageReport,
+  MAX_REPORT_AGE_MS,
+  decideThrottle,
+} from './throttle.js';
+export {EstimateBook, MEDIAN, UPPER} from './estimate.js';
--- /dev/null
+++ b/packages/placement/src/routing.ts
@@ -0,0 +1,172 @@
+/** Chooses the failure domain of a job, and moves queued jobs whose domain cannot serve them. */
+import {type Reason, createReason} from '@galenavalve/model';
+import type {Cells} from './cells.js';
+import {MEDIAN} from './estimate.js';
+import {findGuaranteedPlace} from './guaranteed_search.js';
+import {findConstraint} from './impossibility.js';
+import type {WaitingJob} from './policy.js';
+import {sizeOf} from './queue_order.js';
+import {planReclaim} from './reclaim.js';
+import {expectedEnd} from './reservation.js';
+import {findBestFit} from './search.js';
+
+/** How a job could start in a domain at once, best first. */
+export const startOptions = [
+  'guaranteed',
+  'borrowed',
+  'reclaim',
+  'none',
+] as const;
+export type StartOption = (typeof startOptions)[number];
+
+/** What routing knows of one failure domain for one job. */
+export interface DomainSummary {
+  domain: string;
+  isInService: boolean;
+  /** Why the job can never run there, if it cannot. */
+  impossibility?: Reason;
+  startOption: StartOption;
+  /** Expected time until the queue and the running gangs are done, in seconds. */
+  backlogSeconds: number;
+}
+
+/** A chosen failure domain. */
+export interface Route {
+  domain: string;
+  reason: Reason;
+}
+
+/** A decision to move a queued job. */
+export interface Move {
+  jobId: string;
+  from: string;
+  to: string;
+  reason: Reason;
+}
+
+/**
+ * Time that a job stays in a domain before it moves to free capacity, in
+ * milliseconds. It keeps work from thrashing when a domain comes back.
+ */
+const MOVE_AFTER_MS = 10_000;
+
+/** Sums up one domain for one job. */
+export function summarizeDomain(
+  cells: Cells,
+  queue: readonly WaitingJob[],
+  job: WaitingJob,
+  now: number,
+): DomainSummary {
+  const impossibility = findConstraint(cells, job);
+  const {domain, isInService} = cells;
+  return {
+    domain,
+    isInService,
+    impossibility,
+    startOption:
+      impossibility || !isInService ? 'none' : findStartOption(cells, job, now),
+    backlogSeconds: backlogOf(cells, queue, now),
+  };
+}
+
+/**
+ * Chooses a domain: in service before out of service, then by how the job can
+ * start, then by backlog. Undefined when the job can run in none.
+ */
+export function chooseDomain(
+  summaries: readonly DomainSummary[],
+): Route | undefined {
+  const possible = summaries.filter(({impossibility}) => !impossibility);
+  const best = [...possible].sort(compareSummaries)[0];
+  if (!best) {
+    return undefined;
+  }
+  const {domain} = best;
+  if (possible.length === 1) {
+    return {domain, reason: createReason('routed-only', {domain})};
+  }
+  const code = best.startOption === 'none' ? 'routed-queue' : 'routed-capacity';
+  return {domain, reason: createReason(code, {domain})};
+}
+
+/** Finds a better domain for a job that waits in `from`; undefined when it should stay. */
+export function findMove(
+  job: WaitingJob,
+  from: DomainSummary,
+  others: readonly DomainSummary[],
+  /** Wall-clock milliseconds at which the job came to `from`. */
+  arrivedAt: number,
+  now: number,
+): Move | undefined {
+  const candidates = others.filter(
+    ({impossibility, isInService, domain}) =>
+      !impossibility && isInService && domain !== from.domain,
+  );
+  const best = candidates.sort(compareSummaries)[0];
+  if (!best) {
+    return undefined;
+  }
+  const details = {from: from.domain, domain: best.domain};
+  const move = {jobId: job.jobId, from: from.domain, to: best.domain};
+  if (!from.isInService) {
+    return {...move, reason: createReason('moved-domain-out', details)};
+  }
+  const canStart =
+    best.startOption === 'guaranteed' || best.startOption === 'borrowed';
+  const isStuck =
+    from.impossibility !== undefined || from.startOption === 'none';
+  if (!canStart || !isStuck || now - arrivedAt < MOVE_AFTER_MS) {
+    return undefined;
+  }
+  return {...move, reason: createReason('moved-capacity', details)};
+}
+
+function compareSummaries(a: DomainSummary, b: DomainSummary): number {
+  return (
+    Number(b.isInService) - Number(a.isInService) ||
+    startOptions.indexOf(a.startOption) - startOptions.indexOf(b.startOption) ||
+    a.backlogSeconds - b.backlogSeconds ||
+    (a.domain < b.domain ? -1 : 1)
+  );
+}
+
+function findStartOption(
+  cells: Cells,
+  job: WaitingJob,
+  now: number,
+): StartOption {
+  const isOpen = () => true;
+  const open = {home: isOpen, elsewhere: isOpen};
+  const hasGuarantee = cells.homes.of(job.workspace).unused >= sizeOf(job);
+  if (hasGuarantee && findGuaranteedPlace(cells, job, open)) {
+    return 'guaranteed';
+  }
+  if (cells.rules.borrowing && findBestFit(cells, job)) {
+    return 'borrowed';
+  }
+  return hasGuarantee && planReclaim(cells, job, now) ? 'reclaim' : 'none';
+}
+
+/** Work that waits or runs, spread over all well accelerators. */
+function backlogOf(
+  cells: Cells,
+  queue: readonly WaitingJob[],
+  now: number,
+): number {
+  let work = 0;
+  for (const job of queue) {
+    const {workspace, kind, expectedSeconds} = job;
+    const seconds = cells.estimates.estimate(
+      workspace,
+      kind,
+      expectedSeconds,
+      MEDIAN,
+    );
+    work += seconds * sizeOf(job);
+  }
+  for (const gang of cells.gangs()) {
+    work += ((expectedEnd(cells, gang, now) - now) / 1000) * sizeOf(gang);
+  }
+  const capacity = cells.sizeOfLevel('domain');
+  return capacity === 0 ? Infinity : work / capacity;
+}
