--- a/packages/cli/src/queries/check_configuration.ts
+++ b/packages/cli/src/queries/check_configuration.ts
@@ -1,62 +1,66 @@
 /** `galenavalve check`. */
-import type {Entity} from '@galenavalve/model';
+import {applyEntry, LedgerState} from '@galenavalve/ledger';
+import {type Entity, keyOf, RECORD_VERSION} from '@galenavalve/model';
 import {ExitCode} from '../exit_code.js';
 import {readDesiredConfiguration} from '../input/desired_configuration.js';
+import {formatCount} from '../output/text.js';
 import type {OfflineSession} from '../session.js';
 
 /** Result of a check. */
 export interface CheckResult {
-  entities: number;
-  /** What is wrong, as sentences. */
-  problems: string[];
+  /** Number of entities by kind. */
+  counts: Record<string, number>;
+  accelerators: number;
+  /** Why the configuration would be refused. */
+  problem?: string;
 }
 
-/** Checks a configuration file: its schema and what its entities name. */
+/** Tells whether the daemons of an empty cluster would accept a configuration file. */
 export async function checkConfiguration(
   {output}: OfflineSession,
   file: string,
 ): Promise<ExitCode> {
   const desired = readDesiredConfiguration(file);
   const entities = [...desired.entities.values()].map(({value}) => value);
-  const problems = findMissingDomains(entities);
-  const result: CheckResult = {entities: entities.length, problems};
+  const problem = findProblem(entities);
+  const result: CheckResult = {...countEntities(entities), problem};
   output.printResult(result, renderCheck);
-  return problems.length === 0 ? ExitCode.ok : ExitCode.rejected;
+  return problem === undefined ? ExitCode.ok : ExitCode.rejected;
 }
 
-function findMissingDomains(entities: readonly Entity[]): string[] {
-  const domains = new Set<string>();
-  for (const value of entities) {
-    if (value.kind === 'domain') {
-      domains.add(value.id);
-    }
-  }
-  return entities.flatMap(value =>
-    namedDomains(value)
-      .filter(id => !domains.has(id))
-      .map(
-        id =>
-          `${value.kind}/${value.id} names domain ${id}, which is not listed`,
-      ),
-  );
+/** Folds the file as the first record of a log, as every daemon would. */
+function findProblem(entities: readonly Entity[]): string | undefined {
+  const edits = entities.map(value => ({
+    entity: keyOf(value),
+    baseVersion: 0,
+    value,
+  }));
+  const change = {changeId: 'check', author: 'check', edits};
+  const header = {v: RECORD_VERSION, recordId: 'check', at: 0, by: 'check'};
+  const value = {...header, type: 'configured', change};
+  const state = new LedgerState();
+  const {accepted, rejection, problem} = applyEntry(state, {offset: 0, value});
+  return accepted ? undefined : (problem?.message ?? rejection);
 }
 
-function namedDomains(value: Entity): string[] {
-  switch (value.kind) {
-    case 'target':
-      return [value.domain];
-    case 'workspace':
-      return [
-        ...value.guarantees.flatMap(({domain}) => domain ?? []),
-        ...(value.permittedDomains ?? []),
-      ];
-    default:
-      return [];
+function countEntities(
+  entities: readonly Entity[],
+): Pick<CheckResult, 'counts' | 'accelerators'> {
+  const counts: Record<string, number> = {};
+  let accelerators = 0;
+  for (const value of entities) {
+    counts[value.kind] = (counts[value.kind] ?? 0) + 1;
+    accelerators += value.kind === 'target' ? value.accelerators : 0;
   }
+  return {counts, accelerators};
 }
 
-function renderCheck({entities, problems}: CheckResult): string {
-  return problems.length === 0
-    ? `${entities} entities, no problems`
-    : problems.join('\n');
+function renderCheck({counts, accelerators, problem}: CheckResult): string {
+  if (problem !== undefined) {
+    return problem;
+  }
+  const kinds = Object.entries(counts)
+    .filter(([kind]) => kind !== 'rules')
+    .map(([kind, count]) => formatCount(count, kind));
+  return `${[...kinds, formatCount(accelerators, 'accelerator')].join(', ')}: no problems`;
 }
