--- a/packages/scheduler/src/gang_watch.ts
+++ b/packages/scheduler/src/gang_watch.ts
@@ -65,7 +65,7 @@
       return;
     }
     for (const {target} of job.assignments) {
-      this.context.health.noteSuccess(target);
+      this.context.health.noteSuccess(target, this.context.clock.now());
     }
     const bytes = JSON.stringify(event.results).length;
     const tooLarge = bytes > MAX_RESULT_BYTES;
@@ -152,7 +152,6 @@
   private async finish(job: Job, ending: Ending): Promise<void> {
     const {keeper, record, domain, term, logger} = this.context;
     const {jobId, attempts: attempt} = job;
-    const order = toGangOrder(job, term);
     logger.info('finished', {
       jobId,
       attempt,
@@ -172,7 +171,7 @@
       reason: ending.reason,
     });
     if (isAccepted) {
-      keeper.forget(order);
+      keeper.forget(jobId, attempt);
     }
     keeper.unfollow(jobId);
     this.context.poke();
