Try the command line against daemons, and mend what was wrong

Cause: a run of every command against six daemons over the stand-ins showed faults that the specs did not.

Change: - a command waits 8 s for an instance, longer than a daemon waits for the log; with 3 s a log outage ended as "unknown" although the daemon was about to say "not run" - the daemon gives a change that was decided before its verdict again; a retry after a lost answer was told of a conflict with itself - the history's changes are newest first and carry a sentence, as ChangeView says; a rejected change could not be read at all - config diff marks a stale base version, accelerators show as ranges, timeouts read "no answer within 3000 ms" - the remedy of not-found spoke of the retention of a failure domain

--- a/packages/cli/__tests__/command_line.spec.ts
+++ b/packages/cli/__tests__/command_line.spec.ts
@@ -173,15 +173,17 @@
       at: 1_700_000_000_000,
       offset: 8,
       accepted: true,
+      edits: 1,
       entities: ['domain/jnb'],
     };
+    const older = {...change, changeId: 'c-8', author: 'lerato'};
     const details = {entity: 'domain/jnb', currentVersion: 4, baseVersion: 3};
     const {url} = await startEntry(t, ({method, path}) => {
       if (method === 'POST') {
         return refuse('config-conflict', details);
       }
       const body = path.endsWith('/history')
-        ? {changes: [change]}
+        ? {changes: [change, older]}
         : createConfigurationView([createDomain('out')], 3);
       return {status: 200, body};
     });
--- a/packages/cli/__tests__/entry_client.spec.ts
+++ b/packages/cli/__tests__/entry_client.spec.ts
@@ -15,7 +15,13 @@
   const client = new HttpEntryClient({
     entries,
     random: new SeededRandom(7),
-    policy: {attemptTimeout: 150, backoffBase: 5, backoffCap: 5, ...policy},
+    policy: {
+      queryTimeout: 150,
+      commandTimeout: 150,
+      backoffBase: 5,
+      backoffCap: 5,
+      ...policy,
+    },
   });
   test.teardown(() => client.close());
   return client;
--- a/packages/cli/src/client/entry_caller.ts
+++ b/packages/cli/src/client/entry_caller.ts
@@ -87,14 +87,16 @@
   ): Promise<AttemptResult<T> | undefined> {
     const {policy, clock} = this.options;
     const remaining = Math.max(1, deadline - clock.now());
-    const timeout = policy.attemptTimeout + (call.wait ?? 0);
+    const timeout = call.commandId
+      ? policy.commandTimeout
+      : policy.queryTimeout;
     const entry = this.entries[this.current] ?? '';
     try {
       const answer = await sendJson(this.pool, {
         method: call.method,
         url: entry + call.path,
         body: call.body,
-        timeout: Math.min(timeout, remaining),
+        timeout: Math.ceil(Math.min(timeout + (call.wait ?? 0), remaining)),
         maxAnswerBytes: MAX_ANSWER_BYTES,
       });
       return this.note(entry, readAnswer(answer, call.schema), fate);
@@ -103,7 +105,7 @@
         throw error;
       }
       if (error.wasSent) {
-        const problem = `${entry}: ${error.message}`;
+        const {message: problem} = error;
         return this.note(entry, {kind: 'uncertain', problem}, fate);
       }
       fate.noteUnsent(`${entry}: ${error.message}`);
--- a/packages/cli/src/client/entry_client.ts
+++ b/packages/cli/src/client/entry_client.ts
@@ -49,6 +49,6 @@
   listWorkspaces(): Promise<WorkspaceView[]>;
   readInventory(): Promise<InventoryView>;
   readConfiguration(): Promise<ConfigurationView>;
-  /** The latest changes of the configuration, oldest first. */
+  /** The latest changes of the configuration, newest first. */
   listChanges(): Promise<ChangeView[]>;
 }
--- a/packages/cli/src/client/retry_policy.ts
+++ b/packages/cli/src/client/retry_policy.ts
@@ -5,8 +5,10 @@
 export interface RetryPolicy {
   /** The whole call is given up after this time, besides the time it asks the instance to wait. */
   deadline: Milliseconds;
-  /** An instance that does not answer for this time counts as silent. */
-  attemptTimeout: Milliseconds;
+  /** An instance that does not answer a query for this time counts as silent. */
+  queryTimeout: Milliseconds;
+  /** The same for a command; longer than a daemon waits for the log. */
+  commandTimeout: Milliseconds;
   maxAttempts: number;
   /** Pauses are a random share of `backoffBase * 2^round`, at most `backoffCap`. */
   backoffBase: Milliseconds;
@@ -16,7 +18,8 @@
 /** The policy of the command line. */
 export const defaultRetryPolicy: RetryPolicy = {
   deadline: 30_000,
-  attemptTimeout: 3000,
+  queryTimeout: 3000,
+  commandTimeout: 8000,
   maxAttempts: 30,
   backoffBase: 100,
   backoffCap: 5000,
--- a/packages/cli/src/commands/apply_configuration.ts
+++ b/packages/cli/src/commands/apply_configuration.ts
@@ -66,7 +66,7 @@
   const changes = await client.listChanges().catch(() => []);
   const keys = new Set(differences.map(({edit}) => edit.entity));
   const named = conflict.details['entity'];
-  const rival = changes.findLast(
+  const rival = changes.find(
     ({accepted, entities}) =>
       accepted && entities.some(key => (named ? key === named : keys.has(key))),
   );
--- a/packages/cli/src/input/desired_configuration.ts
+++ b/packages/cli/src/input/desired_configuration.ts
@@ -38,7 +38,9 @@
 /** One difference between the configuration in force and the file. */
 export interface Difference {
   edit: Edit;
+  /** Present value and version; undefined and 0 for an entity that does not exist. */
   before: Entity | undefined;
+  presentVersion: number;
 }
 
 /** Reads a configuration file. Throws `settings-invalid`. */
@@ -91,8 +93,10 @@
   view: EntityView | undefined,
   {versions}: DesiredConfiguration,
 ): Difference {
-  const baseVersion = versions[key] ?? view?.version ?? 0;
-  return {edit: {entity: key, baseVersion, value}, before: view?.value};
+  const presentVersion = view?.version ?? 0;
+  const baseVersion = versions[key] ?? presentVersion;
+  const edit = {entity: key, baseVersion, value};
+  return {edit, before: view?.value, presentVersion};
 }
 
 function keepState(value: Entity, present: Entity | undefined): Entity {
--- a/packages/cli/src/output/configuration_text.ts
+++ b/packages/cli/src/output/configuration_text.ts
@@ -12,7 +12,7 @@
   {title: 'author', text: change => change.author},
   {title: 'change', text: change => change.changeId},
   {title: 'offset', text: change => String(change.offset), alignRight: true},
-  {title: 'entities', text: change => nameEntities(change.entities)},
+  {title: 'entities', text: nameEntities},
   {
     title: 'result',
     text: change =>
@@ -34,17 +34,22 @@
     : differences.flatMap(renderDifference).join('\n');
 }
 
-function renderDifference({edit, before}: Difference): string[] {
+function renderDifference({
+  edit,
+  before,
+  presentVersion,
+}: Difference): string[] {
+  const version =
+    edit.baseVersion === presentVersion
+      ? `(version ${presentVersion})`
+      : `(conflict: based on version ${edit.baseVersion}, now at ${presentVersion})`;
   if (!edit.value) {
-    return [`- ${edit.entity} (version ${edit.baseVersion})`];
+    return [`- ${edit.entity} ${version}`];
   }
   if (!before) {
     return [`+ ${edit.entity}`];
   }
-  return [
-    `~ ${edit.entity} (version ${edit.baseVersion})`,
-    ...renderFields(before, edit.value),
-  ];
+  return [`~ ${edit.entity} ${version}`, ...renderFields(before, edit.value)];
 }
 
 function renderFields(before: Entity, after: Entity): string[] {
@@ -61,8 +66,8 @@
   return value === undefined ? 'unset' : JSON.stringify(value);
 }
 
-function nameEntities(entities: readonly string[]): string {
+function nameEntities({entities, edits}: ChangeView): string {
   const named = entities.slice(0, MAX_NAMED_ENTITIES).join(' ');
-  const others = entities.length - MAX_NAMED_ENTITIES;
+  const others = edits - Math.min(entities.length, MAX_NAMED_ENTITIES);
   return others > 0 ? `${named} and ${formatCount(others, 'other')}` : named;
 }
--- a/packages/cli/src/output/text.ts
+++ b/packages/cli/src/output/text.ts
@@ -35,7 +35,23 @@
   const accelerators = listBits(assignment.accelerators);
   return accelerators.length === 0
     ? `${target}: ${range}`
-    : `${target}: ${range}, accelerators ${accelerators.join(' ')}`;
+    : `${target}: ${range}, accelerators ${formatRanges(accelerators)}`;
+}
+
+/** Ascending numbers as ranges, such as "0-3 6". */
+function formatRanges(numbers: readonly number[]): string {
+  const ranges: {first: number; last: number}[] = [];
+  for (const number of numbers) {
+    const latest = ranges.at(-1);
+    if (latest && number === latest.last + 1) {
+      latest.last = number;
+    } else {
+      ranges.push({first: number, last: number});
+    }
+  }
+  return ranges
+    .map(({first, last}) => (first === last ? `${first}` : `${first}-${last}`))
+    .join(' ');
 }
 
 function listBits(mask: number): number[] {
--- a/packages/daemon/src/commands/apply_configuration.ts
+++ b/packages/daemon/src/commands/apply_configuration.ts
@@ -22,7 +22,9 @@
 ): Promise<ConfigurationResult> {
   checkServing(node);
   const change = parseBody(configurationChange, body);
-  checkVersions(node, change.edits);
+  if (!node.state.changeHistory.get(change.changeId)) {
+    checkVersions(node, change.edits);
+  }
   const applied = await appendCommand(node, change.changeId, {
     type: 'configured',
     change,
@@ -71,7 +73,10 @@
   });
 }
 
-/** Finds conflicts early, before the log is troubled; the fold decides. */
+/**
+ * Finds conflicts early, before the log is troubled; the fold decides. A change
+ * that was decided before keeps its verdict, however the versions went on.
+ */
 function checkVersions(node: Node, edits: readonly Edit[]): void {
   for (const {entity, baseVersion} of edits) {
     const currentVersion = node.state.entityVersion(entity);
--- a/packages/daemon/src/queries/config_queries.ts
+++ b/packages/daemon/src/queries/config_queries.ts
@@ -1,5 +1,9 @@
 /** Questions about the configuration and its history. */
-import {type VersionedEntity, keyOf} from '@galenavalve/model';
+import {
+  type ChangeListView,
+  type VersionedEntity,
+  keyOf,
+} from '@galenavalve/model';
 import type {Node} from '../node.js';
 
 /** One entity with its key. */
@@ -27,6 +31,10 @@
 }
 
 /** The latest changes with their verdicts, newest first. */
-export function viewHistory(node: Node, limit: number): {changes: unknown[]} {
-  return {changes: [...node.state.changes(limit)]};
+export function viewHistory(node: Node, limit: number): ChangeListView {
+  const changes = node.state.changes(limit).map(change => ({
+    ...change,
+    problem: change.problem?.message,
+  }));
+  return {changes};
 }
--- a/packages/model/src/view.ts
+++ b/packages/model/src/view.ts
@@ -178,12 +178,14 @@
   accepted: z.boolean(),
   /** Why the change was rejected. */
   problem: z.string().optional(),
-  /** Keys of the entities that the change names. */
+  /** Number of entities that the change edits. */
+  edits: count,
+  /** Keys of the first of them. */
   entities: z.array(z.string()),
 });
 export type ChangeView = z.infer<typeof changeView>;
 
-/** The body of `GET /v1/config/history`, oldest change first. */
+/** The body of `GET /v1/config/history`, newest change first. */
 export const changeListView = z.object({changes: z.array(changeView)});
 export type ChangeListView = z.infer<typeof changeListView>;
 
--- a/packages/platform/src/http/json_client.ts
+++ b/packages/platform/src/http/json_client.ts
@@ -89,6 +89,8 @@
     }
     if (error instanceof TimeoutError) {
       pool.dropIdle();
+      const problem = `no answer within ${request.timeout} ms`;
+      throw new NoAnswer(wasSent(error), problem, {cause: error});
     }
     throw new NoAnswer(wasSent(error), describeError(error), {cause: error});
   }
--- a/packages/shared/src/error_codes.ts
+++ b/packages/shared/src/error_codes.ts
@@ -26,7 +26,7 @@
     status: 404,
     message: '{kind} {id} is not known here.',
     remedy:
-      'Check the id; an old job is forgotten after the retention window of {kind}.',
+      'Check the id; a finished job is known for as long as its request id is remembered.',
   },
   'request-conflict': {
     status: 409,
@@ -110,7 +110,7 @@
   'settings-invalid': {
     status: 500,
     message: '{file}: {key}: {problem}.',
-    remedy: 'Correct the file: {remedy}.',
+    remedy: 'Correct it: {remedy}.',
   },
   'record-invalid': {
     status: 500,
