Refuse what was made to break the decoders of the daemon and the fold

Change: body_reader.ts in daemon refuses compressed bodies and forms and measures the body as it came; exceedsDepth in shared bounds bodies to 48 levels and records to 64, in the fold by depth alone; answers of targets likewise. decoders.spec.ts in daemon fuzzes settings, bodies and records with fixed seeds; the example settings are checked there too.

Ruled out: catching RangeError, since the verdict would still depend on the stack.

--- /dev/null
+++ b/packages/daemon/__tests__/fixtures.ts
@@ -0,0 +1,76 @@
+/** Fixtures: a daemon over a log in memory. */
+import type {Test} from 'tap';
+import {MemoryLog} from '@galenavalve/ledger';
+import type {InstanceList, ListedInstance} from '@galenavalve/membership';
+import {type Entity, keyOf} from '@galenavalve/model';
+import {SilentLogger, SystemClock} from '@galenavalve/shared';
+import {
+  createContainer,
+  Daemon,
+  settings as settingsSchema,
+  tokens,
+} from '../src/index.js';
+
+/** A daemon that serves. */
+export interface RunningDaemon {
+  url: string;
+  daemon: Daemon;
+  log: MemoryLog;
+}
+
+/** Settings of a daemon that listens on free local ports. */
+export function createSettings(): object {
+  return {
+    instance: 'jnb-entry-1',
+    domain: 'jnb',
+    http: {host: '127.0.0.1', port: 0},
+    peer: {host: '127.0.0.1', port: 0},
+    platform: {
+      logUrl: 'http://127.0.0.1:1',
+      instanceListUrl: 'http://127.0.0.1:1',
+    },
+    timings: {drainMs: 100, logWaitMs: 50},
+  };
+}
+
+/** Starts a daemon over an empty log, and stops it with the test. */
+export async function startDaemon(test: Test): Promise<RunningDaemon> {
+  const clock = new SystemClock();
+  const log = new MemoryLog(clock);
+  const settings = settingsSchema.parse(createSettings());
+  const container = createContainer(settings, clock, new SilentLogger());
+  (await container.rebind(tokens.log)).toConstantValue(log);
+  (await container.rebind(tokens.instanceList)).toConstantValue(
+    new EmptyInstanceList(),
+  );
+  const daemon = container.get(Daemon);
+  await daemon.start();
+  test.teardown(() => daemon.stop('the end of the test'));
+  return {url: `http://127.0.0.1:${daemon.port}`, daemon, log};
+}
+
+/** A `configured` record as operators append it themselves. */
+export function createConfigured(
+  changeId: string,
+  ...values: Entity[]
+): Record<string, unknown> {
+  const edits = values.map(value => ({
+    entity: keyOf(value),
+    baseVersion: 0,
+    value,
+  }));
+  return {
+    v: 1,
+    type: 'configured',
+    recordId: changeId,
+    at: 1,
+    by: 'asset-register',
+    change: {changeId, author: 'asset-register', edits},
+  };
+}
+
+class EmptyInstanceList implements InstanceList {
+  async list(): Promise<ListedInstance[]> {
+    return [];
+  }
+}
--- a/packages/daemon/src/commands/submit_job.ts
+++ b/packages/daemon/src/commands/submit_job.ts
@@ -102,7 +102,7 @@
   jobId: string,
   route: Route,
 ): Promise<Job> {
-  await appendCommand(node, request.requestId, {
+  const applied = await appendCommand(node, request.requestId, {
     type: 'submitted',
     jobId,
     request,
@@ -112,12 +112,9 @@
   });
   const job = findKnown(node, request.requestId, bodyHash);
   if (!job) {
-    throw new Failure('request-expired', {
-      ageSeconds: Math.round(
-        (node.clock.wallTime() - request.createdAt) / 1000,
-      ),
-      windowSeconds: node.settings.limits.requestWindowSeconds,
-    });
+    // Other writers came first: the fold decided on a later state than the checks above.
+    const problem = applied.rejection ?? 'it was not recorded';
+    throw applied.problem ?? new Failure('internal', {problem});
   }
   return job;
 }
--- a/packages/daemon/src/http/http_server.ts
+++ b/packages/daemon/src/http/http_server.ts
@@ -3,6 +3,7 @@
 import {MAX_REQUEST_BYTES} from '@galenavalve/model';
 import {Failure, describeError} from '@galenavalve/shared';
 import type {Node} from '../node.js';
+import {bodyBytes, createBodyReader} from './body_reader.js';
 import {addClusterRoutes} from './cluster_routes.js';
 import {addJobRoutes} from './job_routes.js';
 import {addProbeRoutes} from './probe_routes.js';
@@ -53,12 +54,7 @@
     next();
   });
   server.use(restify.plugins.queryParser({mapParams: false}));
-  server.use(
-    restify.plugins.bodyParser({
-      mapParams: false,
-      maxBodySize: MAX_CONFIGURATION_BYTES,
-    }),
-  );
+  server.use(...createBodyReader(MAX_CONFIGURATION_BYTES));
   server.on('restifyError', onRestifyError);
   const router = createRouter(node, server);
   addJobRoutes(node, router);
@@ -70,7 +66,7 @@
 
 /** Throws `body-too-large` for a job request that is too long. */
 export function checkRequestSize(request: Request): void {
-  if (request.getContentLength() > MAX_REQUEST_BYTES) {
+  if (bodyBytes(request) > MAX_REQUEST_BYTES) {
     throw new Failure('body-too-large', {limitBytes: MAX_REQUEST_BYTES});
   }
 }
--- a/packages/platform/src/log/log_protocol.ts
+++ b/packages/platform/src/log/log_protocol.ts
@@ -5,7 +5,7 @@
 
 /** The body of `POST /v1/records`. */
 export const appendBody = z.strictObject({
-  values: z.array(z.json()).min(1).max(10_000),
+  values: z.array(z.unknown()).min(1).max(10_000),
 });
 
 /** The answer to an append that took effect. */
--- a/packages/platform/src/targets/http_target_client.ts
+++ b/packages/platform/src/targets/http_target_client.ts
@@ -1,7 +1,12 @@
 /** The platform's targets over HTTP. */
 import {Agent} from 'node:http';
 import type {z} from 'zod';
-import {Failure, type Milliseconds, describeError} from '@galenavalve/shared';
+import {
+  Failure,
+  type Milliseconds,
+  describeError,
+  exceedsDepth,
+} from '@galenavalve/shared';
 import {
   type Grant,
   type LeaseReport,
@@ -131,6 +136,9 @@
     schema: S,
   ): Promise<z.infer<S>> {
     const answer = await this.post(target, command, order, timeout);
+    if (exceedsDepth(answer.body)) {
+      throw createFailure(target, {...answer, body: undefined});
+    }
     const body = schema.safeParse(answer.body);
     if (answer.status === 200 && body.success) {
       return body.data;
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -32,5 +32,8 @@
 } from './random.js';
 export {chooseByRendezvous, hashText, hashValue} from './hash.js';
 
+// JSON
+export {MAX_BODY_DEPTH, MAX_JSON_DEPTH, exceedsDepth} from './json_depth.js';
+
 // Logs
 export {type Logger, type LogFields, SilentLogger} from './logger.js';
