Relay records and states between peers, and test the peer protocol's faults

Cause: an instance cut off from the log needs records, freshness and a start state from its peers; connections fail silently.

The mesh and the client are split by job.

--- /dev/null
+++ b/packages/membership/__tests__/relay.spec.ts
@@ -0,0 +1,131 @@
+import fc from 'fast-check';
+import t from 'tap';
+import {Failure} from '@galenavalve/shared';
+import {
+  type ChunkRequest,
+  type PeerCall,
+  RecordRelay,
+  STATE_OPEN_METHOD,
+  StateServer,
+  assignRacks,
+  chooseLinks,
+  fetchState,
+  pullRecords,
+} from '../src/index.js';
+import type {PeerStatus} from '../src/index.js';
+
+function createEntries(from: number, count: number) {
+  return Array.from({length: count}, (_, index) => ({
+    offset: from + index,
+    value: {text: 'x'.repeat(50)},
+  }));
+}
+
+t.test('a record relay', async t => {
+  t.test('serves every kept record once, in order, page by page', async t => {
+    const relay = new RecordRelay({maxEntries: 20_000, maxBytes: 1e9});
+    relay.note(createEntries(5, 10_000), 10_005);
+    const call: PeerCall = async (_peer, _method, body) =>
+      relay.serve(body as {from: number});
+    const sources = [{instance: 'a', offset: 10_005}];
+    const offsets: number[] = [];
+    for (let from = 7; from < 10_005;) {
+      const page = (await pullRecords(from, sources, call, 1000))!;
+      offsets.push(...page.entries.map(entry => entry.offset));
+      from = page.nextOffset;
+    }
+    t.equal(offsets.length, 9_998);
+    t.ok(offsets.every((offset, index) => offset === 7 + index));
+    t.equal(await pullRecords(10_005, sources, call, 1000), undefined);
+  });
+
+  t.test('never serves across a gap, and stays within its size', async t => {
+    const batch = fc.record({skip: fc.nat({max: 3}), count: fc.nat({max: 30})});
+    fc.assert(
+      fc.property(fc.array(batch), fc.nat(), (batches, wanted) => {
+        const relay = new RecordRelay({maxEntries: 40});
+        let next = 0;
+        for (const {skip, count} of batches) {
+          next += skip;
+          relay.note(createEntries(next, count), next + count);
+          next += count;
+        }
+        const from = wanted % (next + 1);
+        try {
+          const {entries} = relay.serve({from});
+          const isDense = entries.every(
+            (entry, index) => entry.offset === from + index,
+          );
+          return isDense && from + entries.length === next;
+        } catch (error) {
+          return (error as Failure).code === 'offset-expired';
+        }
+      }),
+      {seed: 31, numRuns: 1000},
+    );
+    t.pass();
+  });
+});
+
+t.test('a state transfer', async t => {
+  const text = 'schüler '.repeat(60_000);
+
+  t.test('goes on with the next peer when one fails', async t => {
+    const server = new StateServer(() => ({nextOffset: 9, text}));
+    const asked: string[] = [];
+    const call: PeerCall = async (instance, method, body) => {
+      asked.push(instance);
+      if (instance === 'ahead') {
+        throw new Failure('peer-timeout', {peer: instance, timeoutMs: 1});
+      }
+      return method === STATE_OPEN_METHOD
+        ? server.open(0)
+        : server.chunk(body as ChunkRequest, 0);
+    };
+    const sources = [
+      {instance: 'behind', offset: 9},
+      {instance: 'ahead', offset: 10},
+    ];
+    const state = await fetchState(sources, call, 1000);
+    t.equal(state.nextOffset, 9);
+    t.ok(state.text === text);
+    t.same(asked.slice(0, 2), ['ahead', 'behind']);
+  });
+
+  t.test('refuses a state that was damaged', async t => {
+    const server = new StateServer(() => ({nextOffset: 9, text}));
+    const call: PeerCall = async (_instance, method, body) =>
+      method === STATE_OPEN_METHOD
+        ? server.open(0)
+        : server.chunk(body as ChunkRequest, 0).toUpperCase();
+    const fetched = fetchState([{instance: 'a', offset: 9}], call, 1000);
+    await t.rejects(fetched, {code: 'peer-unavailable'});
+  });
+});
+
+t.test('shares', async t => {
+  t.test('of a lost instance alone move to others', async t => {
+    const racks = Array.from({length: 147}, (_, index) => `r${index}`);
+    const before = assignRacks(racks, ['a', 'b', 'c', 'd']);
+    const after = assignRacks(racks, ['a', 'b', 'c']);
+    for (const rack of racks) {
+      const kept = before.get(rack);
+      t.ok(kept === 'd' || kept === after.get(rack), rack);
+    }
+  });
+
+  t.test('of links stay bounded across failure domains', async t => {
+    const peers = ['north', 'south', 'west'].flatMap(domain =>
+      Array.from(
+        {length: 20},
+        (_, index) =>
+          ({
+            domain,
+            address: {instance: `${domain}${index}`},
+          }) as PeerStatus,
+      ),
+    );
+    const self = {instance: 'north0', domain: 'north'};
+    t.equal(chooseLinks(self, peers.slice(1), 2).length, 19 + 2 + 2);
+  });
+});
--- /dev/null
+++ b/packages/membership/src/exchange.ts
@@ -0,0 +1,123 @@
+/** The exchange of beats with one peer: which details it has seen, and what its echoes prove. */
+import {type Instant, type Random, nextInteger} from '@galenavalve/shared';
+import {type Beat, type BeatDetails, toReport} from './beat.js';
+import type {SelfReport} from './report.js';
+
+/** Sent beats whose echo is accepted. */
+const KEPT_TOKENS = 4;
+
+const MAX_BASE_VERSION = 2 ** 31;
+
+/** This instance's details with their version, which rises with each change. */
+export class OwnDetails {
+  /** Random, so that versions of a former process of the same name are not taken for own ones. */
+  private readonly baseVersion: number;
+  private current: number;
+  private text = '';
+  private value: BeatDetails | undefined;
+
+  constructor(random: Random) {
+    this.baseVersion = 1 + nextInteger(random, MAX_BASE_VERSION);
+    this.current = this.baseVersion;
+  }
+
+  get version(): number {
+    return this.current;
+  }
+
+  get details(): BeatDetails | undefined {
+    return this.value;
+  }
+
+  /** Takes over the present details. */
+  update(details: BeatDetails): void {
+    const text = JSON.stringify(details);
+    if (text !== this.text) {
+      this.text = text;
+      this.value = details;
+      this.current += 1;
+    }
+  }
+
+  /** Tells whether this process had the given version. */
+  includes(version: number): boolean {
+    return version > this.baseVersion && version <= this.current;
+  }
+}
+
+/** The fields of a beat that are the same for every peer. */
+export type BeatNews = Pick<
+  Beat,
+  'offset' | 'freshnessAgeMs' | 'schedulerHeardAgeMs' | 'load'
+>;
+
+/** A report from a beat. */
+export interface ReceivedReport {
+  report: SelfReport;
+  details: BeatDetails;
+  /** A local time that is certainly not after the report was made; undefined when none is known. */
+  madeAfter?: Instant;
+}
+
+/** What is remembered about the exchange with one peer. */
+export class Exchange {
+  /** A beat is on its way. */
+  isPending = false;
+  wasAlive = false;
+  /** The `sentAt` of the latest beats to the peer, newest first. */
+  private sentTokens: Instant[] = [];
+  /** Latest `sentAt` that the peer sent. */
+  private peerSentAt: Instant | undefined;
+  /** The peer's details and their version. */
+  private details: BeatDetails | undefined;
+  private seenVersion = 0;
+  /** Version of this instance's details that the peer has. */
+  private ackedVersion = 0;
+
+  constructor(
+    private readonly peer: string,
+    private readonly own: OwnDetails,
+  ) {}
+
+  /** Makes the next beat to the peer. */
+  createBeat(news: BeatNews, now: Instant): Beat {
+    const sentAt = Math.floor(now);
+    this.sentTokens = [sentAt, ...this.sentTokens].slice(0, KEPT_TOKENS);
+    const isSeen = this.ackedVersion === this.own.version;
+    return {
+      ...news,
+      sentAt,
+      echo: this.peerSentAt,
+      version: this.own.version,
+      seenVersion: this.seenVersion,
+      details: isSeen ? undefined : this.own.details,
+    };
+  }
+
+  /** Takes in a beat. Undefined while the peer's details are not known. */
+  receive(beat: Beat): ReceivedReport | undefined {
+    if (beat.details) {
+      this.details = beat.details;
+      this.seenVersion = beat.version;
+    } else if (beat.version !== this.seenVersion) {
+      // Makes the peer send its details again.
+      this.seenVersion = 0;
+    }
+    this.ackedVersion = beat.seenVersion;
+    this.peerSentAt = beat.sentAt;
+    if (!this.details) {
+      return undefined;
+    }
+    const report = toReport(this.peer, beat, this.details);
+    const madeAfter = this.findMadeAfter(beat);
+    return {report, details: this.details, madeAfter};
+  }
+
+  /** An echo of a former process of the same name is refused: it names another version. */
+  private findMadeAfter(beat: Beat): Instant | undefined {
+    const isOfThisProcess = this.own.includes(beat.seenVersion);
+    const isKnown =
+      beat.echo !== undefined && this.sentTokens.includes(beat.echo);
+    return isOfThisProcess && isKnown ? beat.echo : undefined;
+  }
+}
--- a/packages/membership/src/hold_book.ts
+++ b/packages/membership/src/hold_book.ts
@@ -5,8 +5,9 @@
 export type DatedHold = Hold & {offset: number};
 
 /**
- * The holds in force. A hold ends only by an accepted record about its entity
- * at or after the hold's offset, never by time or by a peer's word.
+ * The holds in force, one an entity: the one that ends last. A hold ends only
+ * by an accepted record about its entity at or after the hold's offset, never
+ * by time or by a peer's word.
  */
 export class HoldBook {
   private readonly holds = new Map<string, DatedHold>();
@@ -15,24 +16,24 @@
 
   /** Adds a hold, unless a later record ended it already. Returns whether it is new. */
   add(hold: DatedHold): boolean {
-    if (this.holds.has(hold.id) || this.isEnded(hold)) {
+    const held = this.holds.get(hold.entity);
+    if (this.isEnded(hold) || (held && held.offset >= hold.offset)) {
       return false;
     }
-    this.holds.set(hold.id, hold);
+    this.holds.set(hold.entity, hold);
     return true;
   }
 
-  /** Notes an accepted record about `entity`. Returns the holds that it ends. */
-  noteAccepted(entity: string, offset: number): DatedHold[] {
+  /** Notes an accepted record about `entity`. Returns the hold that it ends. */
+  noteAccepted(entity: string, offset: number): DatedHold | undefined {
     const latest = Math.max(offset, this.acceptedAt.get(entity) ?? -1);
     this.acceptedAt.set(entity, latest);
-    const ended = this.list().filter(
-      hold => hold.entity === entity && this.isEnded(hold),
-    );
-    for (const hold of ended) {
-      this.holds.delete(hold.id);
+    const held = this.holds.get(entity);
+    if (!held || !this.isEnded(held)) {
+      return undefined;
     }
-    return ended;
+    this.holds.delete(entity);
+    return held;
   }
 
   /** The holds in force. */
@@ -42,7 +43,7 @@
 
   /** Tells whether a hold takes `entity` out. */
   isHeld(entity: string): boolean {
-    return this.list().some(hold => hold.entity === entity);
+    return this.holds.has(entity);
   }
 
   private isEnded(hold: DatedHold): boolean {
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -6,14 +6,13 @@
 // Peers
 export {type Hold, type SelfReport, hold, selfReport} from './report.js';
 export {type PeerSeed, type PeerStatus, PeerTable} from './peer_table.js';
-export {
-  BEAT_METHOD,
-  PeerMesh,
-  type PeerMeshOptions,
-  type PeerMeshSettings,
-  type ReportEvent,
-  type ReportListener,
-} from './peer_mesh.js';
+export {BEAT_METHOD, PeerMesh} from './peer_mesh.js';
+export type {
+  PeerMeshOptions,
+  PeerMeshSettings,
+  ReportEvent,
+  ReportListener,
+} from './mesh_settings.js';
 export {type DatedHold, HoldBook} from './hold_book.js';
 export {DEFAULT_DEGREE, chooseLinks} from './links.js';
 
@@ -31,6 +30,31 @@
   decideOutageMode,
 } from './outage_mode.js';
 
+// Records and states from peers
+export {
+  type PeerCall,
+  RECORDS_METHOD,
+  RecordRelay,
+  type RecordRelayOptions,
+  type RecordSource,
+  type RecordsPage,
+  type RecordsRequest,
+  type RelayedEntry,
+  pullRecords,
+  recordsRequest,
+} from './record_relay.js';
+export {
+  type ChunkRequest,
+  type EncodedState,
+  STATE_CHUNK_METHOD,
+  STATE_OPEN_METHOD,
+  StateServer,
+  type TransferOffer,
+  chunkRequest,
+  emptyBody,
+  fetchState,
+} from './state_transfer.js';
+
 // Roles
 export {
   type ClaimDecision,
--- a/packages/membership/src/peer_mesh.ts
+++ b/packages/membership/src/peer_mesh.ts
@@ -1,98 +1,36 @@
 /** Exchanges heartbeats with peers, and knows which of them are alive. */
-import type {
-  Clock,
-  Instant,
-  Logger,
-  Milliseconds,
-  Random,
+import {
+  type Instant,
+  type Milliseconds,
+  describeError,
 } from '@galenavalve/shared';
-import {describeError, nextInteger} from '@galenavalve/shared';
-import type {PeerAddress, PeerClient, PeerServer} from '@galenavalve/wire';
+import type {PeerAddress} from '@galenavalve/wire';
 import {
   type Beat,
-  type BeatDetails,
+  type CompactBeat,
   compactBeat,
   decodeBeat,
   encodeBeat,
-  toReport,
 } from './beat.js';
+import {Exchange, OwnDetails} from './exchange.js';
 import {type DatedHold, HoldBook} from './hold_book.js';
-import type {InstanceList} from './instance_list.js';
-import {DEFAULT_DEGREE, chooseLinks} from './links.js';
-import {type PeerSeed, type PeerStatus, PeerTable} from './peer_table.js';
-import type {Hold, SelfReport} from './report.js';
+import {chooseLinks} from './links.js';
+import {
+  DEFAULT_MESH_OPTIONS,
+  type PeerMeshOptions,
+  type PeerMeshSettings,
+  type ReportListener,
+} from './mesh_settings.js';
+import {type PeerStatus, PeerTable} from './peer_table.js';
+import type {Hold} from './report.js';
+import {lastHeardOf, schedulerHeardAge} from './scheduler_watch.js';
 
 /** Method of the peer protocol that exchanges beats. */
 export const BEAT_METHOD = 'beat';
 
-/** Intervals of a mesh. */
-export interface PeerMeshOptions {
-  heartbeatMs: Milliseconds;
-  /** Silence after which a peer no longer counts as alive. */
-  suspectMs: Milliseconds;
-  /** Peers of each other failure domain that beats are exchanged with. */
-  degree: number;
-  /** Time between two reads of the platform's list. */
-  listMs: Milliseconds;
-}
-
-/** What a mesh needs. */
-export interface PeerMeshSettings {
-  self: PeerSeed;
-  client: PeerClient;
-  server: PeerServer;
-  instanceList: InstanceList;
-  seeds: readonly PeerSeed[];
-  clock: Clock;
-  logger: Logger;
-  random: Random;
-  /** Makes this instance's report, without the holds that the mesh adds. */
-  report: () => SelfReport;
-  options?: Partial<PeerMeshOptions>;
-}
-
-/** A report that was received. */
-export interface ReportEvent {
-  report: SelfReport;
-  /** A local time that is certainly not after the report was made; undefined when none is known. */
-  madeAfter?: Instant;
-  receivedAt: Instant;
-}
-
-/** Told of every report that is received. */
-export type ReportListener = (event: ReportEvent) => void;
-
-const DEFAULT_OPTIONS: PeerMeshOptions = {
-  heartbeatMs: 500,
-  suspectMs: 1600,
-  degree: DEFAULT_DEGREE,
-  listMs: 2000,
-};
-
 /** Quiet heartbeats after which the passive end of a pair opens a connection too. */
 const PASSIVE_PATIENCE = 2;
 
-/** Sent beats whose echo is accepted. */
-const KEPT_TOKENS = 4;
-
-const MAX_BASE_VERSION = 2 ** 31;
-
-/** What is remembered about the exchange with one peer. */
-interface Exchange {
-  /** The `sentAt` of the latest beats to the peer, newest first. */
-  sentTokens: Instant[];
-  /** Latest `sentAt` that the peer sent. */
-  peerSentAt?: Instant;
-  /** Version of the peer's details that this instance has. */
-  seenVersion: number;
-  details?: BeatDetails;
-  /** Version of this instance's details that the peer has. */
-  ackedVersion: number;
-  /** A beat is on its way. */
-  isPending: boolean;
-  wasAlive: boolean;
-}
-
 /** The peers of this instance. */
 export class PeerMesh {
   private readonly options: PeerMeshOptions;
@@ -100,17 +38,13 @@
   private readonly book = new HoldBook();
   private readonly exchanges = new Map<string, Exchange>();
   private readonly listeners: ReportListener[] = [];
-  /** Random, so that versions of a former process of the same name are not taken for own ones. */
-  private readonly baseVersion: number;
-  private ownVersion: number;
-  private ownDetails = '';
+  private readonly ownDetails: OwnDetails;
   private wake = new AbortController();
 
   constructor(private readonly settings: PeerMeshSettings) {
-    this.options = {...DEFAULT_OPTIONS, ...settings.options};
+    this.options = {...DEFAULT_MESH_OPTIONS, ...settings.options};
     const {self, seeds, clock, server, random} = settings;
-    this.baseVersion = 1 + nextInteger(random, MAX_BASE_VERSION);
-    this.ownVersion = this.baseVersion;
+    this.ownDetails = new OwnDetails(random);
     this.table = new PeerTable(self.instance, seeds, clock.now());
     server.handle(BEAT_METHOD, compactBeat, async (compact, from) =>
       this.onBeat(from, decodeBeat(compact)),
@@ -161,23 +95,12 @@
     });
   }
 
-  /** When an instance was last heard, directly or by the word of its domain's peers about their scheduler. */
+  /** When a scheduler of this failure domain was last heard, directly or by a peer's word. */
   lastHeard(instance: string): Instant | undefined {
-    let latest = this.table.get(instance)?.lastHeardAt ?? -Infinity;
-    for (const peer of this.peers()) {
-      const isOfSelfDomain = peer.domain === this.settings.self.domain;
-      const heardAge = peer.report?.schedulerHeardAgeMs;
-      if (
-        isOfSelfDomain &&
-        heardAge !== undefined &&
-        this.scheduler(peer.domain) === instance
-      ) {
-        latest = Math.max(latest, peer.lastHeardAt - heardAge);
-      }
-    }
-    return Number.isFinite(latest) ? latest : undefined;
+    return lastHeardOf(this.peers(), this.settings.self.domain, instance);
   }
 
+  /** Where an instance is reached; undefined when it is not known. */
   addressOf(instance: string): PeerAddress | undefined {
     return this.table.get(instance)?.address;
   }
@@ -219,8 +142,9 @@
 
   /** Notes an accepted configuration record about `entity`; it ends older holds. */
   noteAccepted(entity: string, offset: number): void {
-    for (const hold of this.book.noteAccepted(entity, offset)) {
-      this.settings.logger.info('hold-ended', {...hold, endedBy: offset});
+    const ended = this.book.noteAccepted(entity, offset);
+    if (ended) {
+      this.settings.logger.info('hold-ended', {...ended, endedBy: offset});
     }
   }
 
@@ -273,7 +197,7 @@
   }
 
   private async beat(peer: PeerStatus): Promise<void> {
-    const {client, clock} = this.settings;
+    const {client, logger} = this.settings;
     const {instance} = peer.address;
     const exchange = this.exchangeWith(instance);
     if (exchange.isPending) {
@@ -281,7 +205,7 @@
     }
     exchange.isPending = true;
     try {
-      const beat = encodeBeat(this.createBeat(exchange, clock.now()));
+      const beat = this.createBeat(exchange);
       const timeoutMs = this.options.suspectMs / 2;
       const answer = await client.call(
         peer.address,
@@ -290,99 +214,59 @@
         timeoutMs,
       );
       this.receive(instance, decodeBeat(compactBeat.parse(answer)));
-    } catch {
+    } catch (error) {
       // A peer that does not answer is seen by its silence.
+      logger.debug('beat-failed', {
+        peer: instance,
+        problem: describeError(error),
+      });
     } finally {
       exchange.isPending = false;
     }
   }
 
-  private onBeat(from: string, beat: Beat): unknown {
+  private onBeat(from: string, beat: Beat): CompactBeat {
     this.receive(from, beat);
-    const exchange = this.exchangeWith(from);
-    return encodeBeat(this.createBeat(exchange, this.settings.clock.now()));
-  }
-
-  private createBeat(exchange: Exchange, now: Instant): Beat {
-    const report = this.settings.report();
-    const details = this.createDetails(report);
-    this.updateVersion(details);
-    const isSeen = exchange.ackedVersion === this.ownVersion;
-    const sentAt = Math.floor(now);
-    exchange.sentTokens = [sentAt, ...exchange.sentTokens].slice(
-      0,
-      KEPT_TOKENS,
-    );
-    return {
-      sentAt,
-      echo: exchange.peerSentAt,
-      version: this.ownVersion,
-      seenVersion: exchange.seenVersion,
-      offset: report.offset,
-      freshnessAgeMs: report.freshnessAgeMs,
-      schedulerHeardAgeMs: this.schedulerHeardAge(now),
-      load: report.load,
-      details: isSeen ? undefined : details,
-    };
+    return this.createBeat(this.exchangeWith(from));
   }
 
-  private createDetails(report: SelfReport): BeatDetails {
-    const {domain, schedules, leaving, ready, racks} = report;
-    const {host, port} = this.settings.self;
+  private createBeat(exchange: Exchange): CompactBeat {
+    const {report, self, clock} = this.settings;
+    const now = clock.now();
+    const {domain, schedules, leaving, ready, racks, ...rest} = report();
+    const {host, port} = self;
     const holds = this.book.list();
-    return {domain, schedules, leaving, ready, racks, holds, host, port};
-  }
-
-  private updateVersion(details: BeatDetails): void {
-    const text = JSON.stringify(details);
-    if (text !== this.ownDetails) {
-      this.ownDetails = text;
-      this.ownVersion += 1;
-    }
-  }
-
-  /**
-   * The local time that a beat is certainly not older than. An echo of a
-   * former process of the same name is refused: it names another version.
-   */
-  private findMadeAfter(exchange: Exchange, beat: Beat): Instant | undefined {
-    const isOfThisProcess =
-      beat.seenVersion > this.baseVersion &&
-      beat.seenVersion <= this.ownVersion;
-    const isKnown = exchange.sentTokens.includes(beat.echo ?? -1);
-    return isOfThisProcess && isKnown ? beat.echo : undefined;
+    this.ownDetails.update({
+      domain,
+      schedules,
+      leaving,
+      ready,
+      racks,
+      holds,
+      host,
+      port,
+    });
+    const news = {
+      offset: rest.offset,
+      freshnessAgeMs: rest.freshnessAgeMs,
+      schedulerHeardAgeMs: schedulerHeardAge(this.peers(), self.domain, now),
+      load: rest.load,
+    };
+    return encodeBeat(exchange.createBeat(news, now));
   }
 
   private receive(from: string, beat: Beat): void {
-    const exchange = this.exchangeWith(from);
-    if (beat.details) {
-      exchange.details = beat.details;
-      exchange.seenVersion = beat.version;
-    } else if (beat.version !== exchange.seenVersion) {
-      exchange.seenVersion = 0;
-    }
-    exchange.ackedVersion = beat.seenVersion;
-    exchange.peerSentAt = beat.sentAt;
-    if (exchange.details) {
-      const madeAfter = this.findMadeAfter(exchange, beat);
-      this.publish(from, beat, exchange.details, madeAfter);
-    }
-  }
-
-  private publish(
-    from: string,
-    beat: Beat,
-    details: BeatDetails,
-    madeAfter: Instant | undefined,
-  ): void {
     const now = this.settings.clock.now();
+    const received = this.exchangeWith(from).receive(beat);
+    if (!received) {
+      return;
+    }
+    const {report, details, madeAfter} = received;
     const {host, port, domain} = details;
-    const seed = {instance: from, host, port, domain};
-    const status = this.table.learn(seed, now);
+    const status = this.table.learn({instance: from, host, port, domain}, now);
     if (!status) {
       return;
     }
-    const report = toReport(from, beat, details);
     this.table.noteReport(status, report, now);
     this.takeHolds(report.holds);
     for (const listener of this.listeners) {
@@ -400,35 +284,10 @@
     }
   }
 
-  /** The scheduler of a failure domain by its own word; the highest term wins. */
-  private scheduler(domain: string): string | undefined {
-    const holders = this.peers().filter(
-      peer => peer.report?.schedules?.domain === domain,
-    );
-    holders.sort(
-      (a, b) =>
-        b.report!.schedules!.term.log - a.report!.schedules!.term.log ||
-        b.report!.schedules!.term.outage - a.report!.schedules!.term.outage,
-    );
-    return holders[0]?.address.instance;
-  }
-
-  private schedulerHeardAge(now: Instant): Milliseconds | undefined {
-    const holder = this.scheduler(this.settings.self.domain);
-    const status = holder === undefined ? undefined : this.table.get(holder);
-    return status && now - status.lastHeardAt;
-  }
-
   private exchangeWith(instance: string): Exchange {
     let exchange = this.exchanges.get(instance);
     if (!exchange) {
-      exchange = {
-        sentTokens: [],
-        seenVersion: 0,
-        ackedVersion: 0,
-        isPending: false,
-        wasAlive: false,
-      };
+      exchange = new Exchange(instance, this.ownDetails);
       this.exchanges.set(instance, exchange);
     }
     return exchange;
--- a/packages/membership/src/report.ts
+++ b/packages/membership/src/report.ts
@@ -24,8 +24,8 @@
 });
 export type Hold = z.infer<typeof hold>;
 
-/** Most holds of one report. */
-export const MAX_HOLDS = 1024;
+/** Most holds of one report: more than a cluster has failure domains and targets. */
+export const MAX_HOLDS = 10_000;
 
 /** The state of an instance. */
 export const selfReport = z.strictObject({
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -12,7 +12,8 @@
 } from './peer_server.js';
 
 // The end that asks
-export {PeerClient, type PeerClientSettings} from './peer_client.js';
+export {PeerClient} from './peer_client.js';
+export type {PeerClientSettings} from './peer_link.js';
 
 // Frames and messages
 export {FRAME_HEADER_BYTES, FrameDecoder, encodeFrame} from './frame.js';
@@ -22,3 +23,6 @@
   decodeMessage,
   encodeMessage,
 } from './message.js';
+
+// For tests
+export {type RelayMode, TcpRelay} from './testing/tcp_relay.js';
