--- a/packages/scheduler/src/gang_launch.ts
+++ b/packages/scheduler/src/gang_launch.ts
@@ -197,8 +197,11 @@
   }
 
   private giveUp(order: GangOrder, reason: Reason, culprit?: string): void {
-    const {clock, random, logger} = this.context;
-    this.backoff.noteFailure(order.jobId, clock.now(), random.next(), culprit);
+    const {clock, random, logger, health} = this.context;
+    if (culprit !== undefined) {
+      health.noteRefusal(culprit, clock.now());
+    }
+    this.backoff.noteFailure(order.jobId, clock.now(), random.next());
     this.noteWait(order.jobId, reason);
     logger.info('not-started', {
       jobId: order.jobId,
--- a/packages/scheduler/src/waiting_queue.ts
+++ b/packages/scheduler/src/waiting_queue.ts
@@ -11,8 +11,8 @@
 /** Longest waiting time between two tries of one job. */
 const BACKOFF_CAP_MS: Milliseconds = 10_000;
 
-/** Most targets that are avoided after failed starts of one job. */
-const MAX_CULPRITS = 4;
+/** How long a job avoids a target on which it failed. */
+const FAILURE_AVOIDANCE_MS: Milliseconds = 60_000;
 
 /** A job that is not offered to the policy, and why. */
 export interface HeldJob {
@@ -29,7 +29,6 @@
 interface FailedStart {
   failures: number;
   until: Instant;
-  culprits: string[];
 }
 
 /** Delays the next try of jobs whose start failed. */
@@ -37,14 +36,8 @@
   private readonly entries = new Map<string, FailedStart>();
 
   /** Notes a failed start; `jitter` in [0, 1) spreads the tries. */
-  noteFailure(
-    jobId: string,
-    now: Instant,
-    jitter: number,
-    culprit?: string,
-  ): void {
-    const before = this.entries.get(jobId);
-    const failures = (before?.failures ?? 0) + 1;
+  noteFailure(jobId: string, now: Instant, jitter: number): void {
+    const failures = (this.entries.get(jobId)?.failures ?? 0) + 1;
     const ceiling = Math.min(
       BACKOFF_CAP_MS,
       BACKOFF_BASE_MS * 2 ** (failures - 1),
@@ -52,11 +45,6 @@
     this.entries.set(jobId, {
       failures,
       until: now + ceiling * (0.5 + jitter / 2),
-      // Only the latest culprits are avoided, so that none is for ever.
-      culprits: [
-        ...(before?.culprits ?? []),
-        ...(culprit ? [culprit] : []),
-      ].slice(-MAX_CULPRITS),
     });
   }
 
@@ -82,11 +70,6 @@
     return next;
   }
 
-  /** Targets that refused or did not answer in the latest tries. */
-  culprits(jobId: string): readonly string[] {
-    return this.entries.get(jobId)?.culprits ?? [];
-  }
-
   /** Failed starts in a row. */
   failures(jobId: string): number {
     return this.entries.get(jobId)?.failures ?? 0;
@@ -100,6 +83,7 @@
   isStarting: (jobId: string) => boolean,
   backoff: StartBackoff,
   now: Instant,
+  wallNow: number,
 ): Queue {
   const queue: Queue = {waiting: [], held: []};
   for (const job of state.queuedIn(domain)) {
@@ -110,17 +94,17 @@
     if (reason) {
       queue.held.push({jobId: job.jobId, reason});
     } else {
-      queue.waiting.push(toWaitingJob(job, backoff.culprits(job.jobId)));
+      queue.waiting.push(toWaitingJob(job, wallNow));
     }
   }
   return queue;
 }
 
-/** A queued job as the placement package sees it. */
-export function toWaitingJob(
-  job: Job,
-  culprits: readonly string[] = [],
-): WaitingJob {
+/**
+ * A queued job as the placement package sees it. `wallNow` is wall-clock time;
+ * targets on which the job failed lately are avoided.
+ */
+export function toWaitingJob(job: Job, wallNow: number): WaitingJob {
   const {request} = job;
   return {
     jobId: job.jobId,
@@ -132,10 +116,11 @@
     checkpointable: request.checkpointable,
     expectedSeconds: remainingSeconds(job),
     submittedAt: job.submittedAt,
-    avoidTargets: [
-      ...job.failures.flatMap(({target}) => target ?? []),
-      ...culprits,
-    ],
+    avoidTargets: job.failures.flatMap(({target, at}) =>
+      target !== undefined && wallNow - at < FAILURE_AVOIDANCE_MS
+        ? [target]
+        : [],
+    ),
   };
 }
 
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -9,7 +9,7 @@
 } from './http/http_server.js';
 
 // The log
-export {LogControl, type LogFaults, logFaults} from './log/log_control.js';
+export {controlLog, type LogControl, logControl} from './log/log_control.js';
 export {
   type LogServerOptions,
   type RunningLog,
@@ -24,3 +24,17 @@
   type RunningInstanceList,
   startInstanceServer,
 } from './instances/instance_server.js';
+
+// The targets
+export {
+  TargetControl,
+  type TargetControlChange,
+  targetControl,
+} from './targets/target_control.js';
+export {
+  type RunningTargets,
+  type TargetDefinition,
+  targetDefinition,
+  type TargetServerOptions,
+  startTargetServer,
+} from './targets/target_server.js';
--- a/packages/targets/src/lease_keeper.ts
+++ b/packages/targets/src/lease_keeper.ts
@@ -10,7 +10,6 @@
 } from '@galenavalve/shared';
 import {
   type AddressLookup,
-  type GangMembers,
   type GangOrder,
   leaseKeyOf,
   leaseKeyText,
@@ -67,7 +66,7 @@
   private idle = new Set<string>();
   private term: Term = NO_TERM;
   private lastTickAt?: Instant;
-  /** Time that tasks run on without renewal, in milliseconds. */
+  /** Length of a lease in milliseconds. */
   readonly leaseMs: Milliseconds;
   private readonly renewMs: Milliseconds;
   private readonly idlePollMs: Milliseconds;
@@ -106,13 +105,6 @@
     }
   }
 
-  /** Keeps nothing any more; for a scheduler whose term ended. */
-  clear(): void {
-    this.gangs.clear();
-    this.targets.clear();
-    this.idle.clear();
-  }
-
   /** Also asks these targets for their reports, slowly while they have no work. */
   followTargets(targets: readonly string[]): void {
     this.idle = new Set(targets);
@@ -121,10 +113,22 @@
     }
   }
 
-  /** Lets the targets of an attempt forget it, now that its end is recorded. */
-  forget(gang: GangMembers): void {
-    for (const {target} of gang.assignments) {
-      this.watch(target).forget.set(leaseKeyText(gang), leaseKeyOf(gang));
+  /** Keeps nothing any more, because the term is lost. Targets may be kept by another. */
+  clear(): void {
+    this.gangs.clear();
+    this.targets.clear();
+    this.idle = new Set();
+    this.lastTickAt = undefined;
+  }
+
+  /** Lets the targets of a kept attempt forget it, now that its end is recorded. */
+  forget(jobId: string, attempt: number): void {
+    const order = this.gangs.get(jobId)?.order;
+    if (order?.attempt !== attempt) {
+      return;
+    }
+    for (const {target} of order.assignments) {
+      this.watch(target).forget.set(leaseKeyText(order), leaseKeyOf(order));
     }
   }
 
@@ -169,7 +173,7 @@
 
   // Queries
 
-  /** Tells whether the job is kept. */
+  /** Whether the job is kept. */
   isFollowing(jobId: string): boolean {
     return this.gangs.has(jobId);
   }
