Decide the outage question: nothing starts without fresh knowledge

Cause: the design notes leave open whether a domain may start work while the log is down for everyone.

A job that starts without an accepted `placed` can be moved by others and run twice, and no evidence from peers shows that operators cannot write to the log.

Beats that time out are sent again at once over a new connection. The mesh is split by job.

--- a/packages/membership/__tests__/peer_mesh.spec.ts
+++ b/packages/membership/__tests__/peer_mesh.spec.ts
@@ -1,5 +1,6 @@
 import t, {type Test} from 'tap';
 import {SystemClock} from '@galenavalve/shared';
+import type {ReportEvent} from '../src/index.js';
 import {type Node, startNode, waitFor} from './fixtures.js';
 
 const clock = new SystemClock();
@@ -44,4 +45,37 @@
     third.mesh.noteAccepted('domain/north', 20);
     t.notOk(first.mesh.isHeld('domain/north'));
   });
+
+  t.test('outlives connections that go silent for good', async t => {
+    const [first, second] = await startPair(t);
+    const before = second.relay.opened;
+    second.relay.forgetConnections();
+    await waitFor(() => second.relay.opened > before);
+    await waitFor(() => knows(first, second) && knows(second, first));
+  });
+
+  for (const mode of ['cut-requests', 'cut-answers'] as const) {
+    t.test(`goes the other way round after "${mode}"`, async t => {
+      const [first, second] = await startPair(t);
+      second.relay.setMode(mode);
+      await waitFor(() => first.relay.opened > 0);
+      await waitFor(() => knows(first, second) && knows(second, first));
+      first.relay.setMode(mode);
+      await waitFor(() => !knows(first, second) && !knows(second, first));
+      second.relay.setMode('open');
+      await waitFor(() => knows(first, second) && knows(second, first));
+    });
+  }
+
+  t.test('bounds the age of a report by the echo of its own beat', async t => {
+    const [first, second] = await startPair(t);
+    const events: ReportEvent[] = [];
+    first.mesh.onReport(event => events.push(event));
+    second.report.freshnessAgeMs = 70;
+    await waitFor(() =>
+      events.some(({report}) => report.freshnessAgeMs === 70),
+    );
+    await waitFor(() => events.some(({madeAfter}) => madeAfter !== undefined));
+    t.ok(events.every(({madeAfter = 0, receivedAt}) => madeAfter < receivedAt));
+  });
 });
--- a/packages/membership/src/exchange.ts
+++ b/packages/membership/src/exchange.ts
@@ -63,7 +63,6 @@
 export class Exchange {
   /** A beat is on its way. */
   isPending = false;
-  wasAlive = false;
   /** The `sentAt` of the latest beats to the peer, newest first. */
   private sentTokens: Instant[] = [];
   /** Latest `sentAt` that the peer sent. */
@@ -121,3 +120,29 @@
     return isOfThisProcess && isKnown ? beat.echo : undefined;
   }
 }
+
+/** The exchanges of an instance, one a peer. */
+export class ExchangeTable {
+  private readonly exchanges = new Map<string, Exchange>();
+
+  constructor(private readonly own: OwnDetails) {}
+
+  /** The exchange with a peer; begun when there was none. */
+  with(peer: string): Exchange {
+    let exchange = this.exchanges.get(peer);
+    if (!exchange) {
+      exchange = new Exchange(peer, this.own);
+      this.exchanges.set(peer, exchange);
+    }
+    return exchange;
+  }
+
+  /** Forgets the exchanges with peers that are no longer known. */
+  retain(isKnown: (peer: string) => boolean): void {
+    for (const peer of this.exchanges.keys()) {
+      if (!isKnown(peer)) {
+        this.exchanges.delete(peer);
+      }
+    }
+  }
+}
--- a/packages/membership/src/outage_mode.ts
+++ b/packages/membership/src/outage_mode.ts
@@ -5,11 +5,17 @@
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {FreshnessTracker} from './freshness.js';
 
-/** The operators' choice: `off` starts nothing new without the log. */
+/**
+ * The operators' choice. `off` starts nothing without fresh knowledge of the
+ * log. `finish-placed` also starts jobs whose `placed` record was accepted
+ * before an outage that every known instance sees; it gives up the promise
+ * about take-outs towards operators who write to the log by other ways.
+ */
 export type OutageSetting = 'off' | 'finish-placed';
 
 /** An instance as it was heard last. */
 export interface HeardPeer {
+  /** Minus infinity when it was never heard. */
   lastHeardAt: Instant;
   /** Age of its newest proof of freshness when it was heard, in milliseconds. */
   freshnessAgeMs: Milliseconds;
@@ -19,9 +25,9 @@
 export interface OutageSituation {
   now: Instant;
   freshness: Pick<FreshnessTracker, 'isFresh'>;
-  /** Known instances by failure domain, this instance's domain included. */
+  /** Every known instance by failure domain, except this one. */
   peersByDomain: ReadonlyMap<string, readonly HeardPeer[]>;
-  /** Every failure domain of the configuration. */
+  /** The other failure domains of the configuration. */
   domains: readonly string[];
   setting: OutageSetting;
   /** Bound of freshness in milliseconds. */
@@ -30,20 +36,24 @@
   suspectMs: Milliseconds;
 }
 
-/** `normal`: start as usual; `declared`: finish the starts of placed jobs; `cut-off`: start nothing. */
+/** `normal`: start as usual; `finish-placed`: finish the starts of placed jobs; `cut-off`: start nothing. */
 export interface OutageDecision {
-  mode: 'normal' | 'declared' | 'cut-off';
-  /** The failure domain that ended the mode, if one did. */
+  mode: 'normal' | 'finish-placed' | 'cut-off';
+  /** The failure domain that decided, if one did. */
   domain?: string;
   reason:
     | 'fresh'
     | 'setting-off'
-    | 'domain-silent'
+    | 'domain-unknown'
+    | 'peer-silent'
     | 'peer-fresh'
     | 'outage-everywhere';
 }
 
-/** Decides the mode. One silent domain is a possible partition and ends the declared mode. */
+/**
+ * Decides the mode. One silent instance may be on the log's side of a
+ * partition, so it ends the outage mode, and so does one that is fresh.
+ */
 export function decideOutageMode(situation: OutageSituation): OutageDecision {
   const {now, freshness, freshMs} = situation;
   if (freshness.isFresh(now, freshMs)) {
@@ -52,24 +62,25 @@
   if (situation.setting === 'off') {
     return {mode: 'cut-off', reason: 'setting-off'};
   }
-  for (const domain of situation.domains) {
-    const reachable = listReachable(situation, domain);
-    if (reachable.length === 0) {
-      return {mode: 'cut-off', domain, reason: 'domain-silent'};
+  const unknown = situation.domains.find(
+    domain => !situation.peersByDomain.get(domain)?.length,
+  );
+  if (unknown !== undefined) {
+    return {mode: 'cut-off', domain: unknown, reason: 'domain-unknown'};
+  }
+  for (const [domain, peers] of situation.peersByDomain) {
+    if (peers.some(peer => isSilent(peer, situation))) {
+      return {mode: 'cut-off', domain, reason: 'peer-silent'};
     }
-    if (reachable.some(peer => isPeerFresh(peer, situation))) {
+    if (peers.some(peer => isPeerFresh(peer, situation))) {
       return {mode: 'cut-off', domain, reason: 'peer-fresh'};
     }
   }
-  return {mode: 'declared', reason: 'outage-everywhere'};
+  return {mode: 'finish-placed', reason: 'outage-everywhere'};
 }
 
-function listReachable(
-  {now, peersByDomain, suspectMs}: OutageSituation,
-  domain: string,
-): HeardPeer[] {
-  const peers = peersByDomain.get(domain) ?? [];
-  return peers.filter(peer => now - peer.lastHeardAt <= suspectMs);
+function isSilent(peer: HeardPeer, {now, suspectMs}: OutageSituation): boolean {
+  return now - peer.lastHeardAt > suspectMs;
 }
 
 function isPeerFresh(peer: HeardPeer, situation: OutageSituation): boolean {
--- a/packages/membership/src/peer_mesh.ts
+++ b/packages/membership/src/peer_mesh.ts
@@ -3,6 +3,7 @@
   type Instant,
   type Milliseconds,
   describeError,
+  isFailure,
 } from '@galenavalve/shared';
 import type {PeerAddress} from '@galenavalve/wire';
 import {
@@ -12,16 +13,17 @@
   decodeBeat,
   encodeBeat,
 } from './beat.js';
-import {Exchange, OwnDetails} from './exchange.js';
+import {type Exchange, ExchangeTable, OwnDetails} from './exchange.js';
 import {type DatedHold, HoldBook} from './hold_book.js';
 import {chooseLinks} from './links.js';
+import {LivenessLog} from './liveness_log.js';
 import {
   DEFAULT_MESH_OPTIONS,
   type PeerMeshOptions,
   type PeerMeshSettings,
   type ReportListener,
 } from './mesh_settings.js';
-import {type PeerStatus, PeerTable} from './peer_table.js';
+import {type PeerStatus, PeerTable, isFit} from './peer_table.js';
 import type {Hold} from './report.js';
 import {lastHeardOf, schedulerHeardAge} from './scheduler_watch.js';
 
@@ -36,7 +38,8 @@
   private readonly options: PeerMeshOptions;
   private readonly table: PeerTable;
   private readonly book = new HoldBook();
-  private readonly exchanges = new Map<string, Exchange>();
+  private readonly exchanges: ExchangeTable;
+  private readonly liveness: LivenessLog;
   private readonly listeners: ReportListener[] = [];
   private readonly ownDetails: OwnDetails;
   private wake = new AbortController();
@@ -45,6 +48,8 @@
     this.options = {...DEFAULT_MESH_OPTIONS, ...settings.options};
     const {self, seeds, clock, server, random} = settings;
     this.ownDetails = new OwnDetails(random);
+    this.exchanges = new ExchangeTable(this.ownDetails);
+    this.liveness = new LivenessLog(settings.logger);
     this.table = new PeerTable(self.instance, seeds, clock.now());
     server.handle(BEAT_METHOD, compactBeat, async (compact, from) =>
       this.onBeat(from, decodeBeat(compact)),
@@ -63,36 +68,28 @@
 
   /** Tells whether an instance was heard within the suspicion time. This instance is always alive. */
   isAlive(instance: string, now: Instant): boolean {
-    if (instance === this.settings.self.instance) {
-      return true;
-    }
-    const status = this.table.get(instance);
-    return (
-      status !== undefined && now - status.lastHeardAt <= this.options.suspectMs
-    );
+    const isSelf = instance === this.settings.self.instance;
+    return isSelf || this.table.isAlive(instance, now, this.options.suspectMs);
   }
 
   /** Instances of a failure domain that are alive, this one included. */
   aliveIn(domain: string, now: Instant): string[] {
     const {self} = this.settings;
-    const alive = this.peers()
-      .filter(peer => peer.domain === domain)
-      .map(peer => peer.address.instance)
-      .filter(instance => this.isAlive(instance, now));
-    return self.domain === domain ? [self.instance, ...alive] : alive;
+    const alive = this.table.aliveIn(domain, now, this.options.suspectMs);
+    const others = alive.map(peer => peer.address.instance);
+    return self.domain === domain ? [self.instance, ...others] : others;
   }
 
   /** Alive instances of a failure domain that may take over roles: ready and not leaving. */
   fitIn(domain: string, now: Instant): string[] {
     const {self, report} = this.settings;
-    return this.aliveIn(domain, now).filter(instance => {
-      if (instance === self.instance) {
-        const own = report();
-        return own.ready && !own.leaving;
-      }
-      const status = this.table.get(instance)!;
-      return status.report?.ready && status.leavingSince === undefined;
-    });
+    const fit = this.table
+      .aliveIn(domain, now, this.options.suspectMs)
+      .filter(isFit)
+      .map(peer => peer.address.instance);
+    const {ready, leaving} = report();
+    const isSelfFit = self.domain === domain && ready && !leaving;
+    return isSelfFit ? [self.instance, ...fit] : fit;
   }
 
   /** When a scheduler of this failure domain was last heard, directly or by a peer's word. */
@@ -177,9 +174,9 @@
   private beatAll(): void {
     const {self, clock} = this.settings;
     const now = clock.now();
-    this.forgetExchanges();
+    this.exchanges.retain(peer => this.table.get(peer) !== undefined);
     for (const peer of chooseLinks(self, this.peers(), this.options.degree)) {
-      this.logLiveness(peer, now);
+      this.liveness.note(peer, this.isAlive(peer.address.instance, now));
       if (this.isInitiator(peer, now)) {
         void this.beat(peer);
       }
@@ -197,26 +194,18 @@
   }
 
   private async beat(peer: PeerStatus): Promise<void> {
-    const {client, logger} = this.settings;
     const {instance} = peer.address;
-    const exchange = this.exchangeWith(instance);
+    const exchange = this.exchanges.with(instance);
     if (exchange.isPending) {
       return;
     }
     exchange.isPending = true;
     try {
-      const beat = this.createBeat(exchange);
-      const timeoutMs = this.options.suspectMs / 2;
-      const answer = await client.call(
-        peer.address,
-        BEAT_METHOD,
-        beat,
-        timeoutMs,
-      );
+      const answer = await this.sendBeat(peer, exchange);
       this.receive(instance, decodeBeat(compactBeat.parse(answer)));
     } catch (error) {
       // A peer that does not answer is seen by its silence.
-      logger.debug('beat-failed', {
+      this.settings.logger.debug('beat-failed', {
         peer: instance,
         problem: describeError(error),
       });
@@ -225,9 +214,32 @@
     }
   }
 
+  /** A beat without an answer is sent again at once: its connection may have gone silent, and the next is new. */
+  private async sendBeat(
+    peer: PeerStatus,
+    exchange: Exchange,
+  ): Promise<unknown> {
+    const {client} = this.settings;
+    const send = () =>
+      client.call(
+        peer.address,
+        BEAT_METHOD,
+        this.createBeat(exchange),
+        this.options.heartbeatMs,
+      );
+    try {
+      return await send();
+    } catch (error) {
+      if (!isFailure(error, 'peer-timeout')) {
+        throw error;
+      }
+      return send();
+    }
+  }
+
   private onBeat(from: string, beat: Beat): CompactBeat {
     this.receive(from, beat);
-    return this.createBeat(this.exchangeWith(from));
+    return this.createBeat(this.exchanges.with(from));
   }
 
   private createBeat(exchange: Exchange): CompactBeat {
@@ -257,7 +269,7 @@
 
   private receive(from: string, beat: Beat): void {
     const now = this.settings.clock.now();
-    const received = this.exchangeWith(from).receive(beat);
+    const received = this.exchanges.with(from).receive(beat);
     if (!received) {
       return;
     }
@@ -283,33 +295,4 @@
       this.wake.abort();
     }
   }
-
-  private exchangeWith(instance: string): Exchange {
-    let exchange = this.exchanges.get(instance);
-    if (!exchange) {
-      exchange = new Exchange(instance, this.ownDetails);
-      this.exchanges.set(instance, exchange);
-    }
-    return exchange;
-  }
-
-  private forgetExchanges(): void {
-    for (const instance of this.exchanges.keys()) {
-      if (!this.table.get(instance)) {
-        this.exchanges.delete(instance);
-      }
-    }
-  }
-
-  private logLiveness(peer: PeerStatus, now: Instant): void {
-    const {instance} = peer.address;
-    const exchange = this.exchangeWith(instance);
-    const isAlive = this.isAlive(instance, now);
-    if (isAlive !== exchange.wasAlive) {
-      exchange.wasAlive = isAlive;
-      const {domain} = peer;
-      const event = isAlive ? 'peer-alive' : 'peer-suspected';
-      this.settings.logger.info(event, {peer: instance, domain});
-    }
-  }
 }
--- a/packages/membership/src/peer_table.ts
+++ b/packages/membership/src/peer_table.ts
@@ -54,6 +54,19 @@
     return [...this.peers.values()];
   }
 
+  /** Tells whether a peer was heard within `suspectMs`. */
+  isAlive(instance: string, now: Instant, suspectMs: Milliseconds): boolean {
+    const status = this.peers.get(instance);
+    return status !== undefined && now - status.lastHeardAt <= suspectMs;
+  }
+
+  /** The peers of a failure domain that were heard within `suspectMs`. */
+  aliveIn(domain: string, now: Instant, suspectMs: Milliseconds): PeerStatus[] {
+    return this.list().filter(
+      peer => peer.domain === domain && now - peer.lastHeardAt <= suspectMs,
+    );
+  }
+
   /** Notes where a peer is. Returns its status; undefined for the instance itself. */
   learn(seed: PeerSeed, now: Instant): PeerStatus | undefined {
     if (seed.instance === this.self) {
@@ -133,3 +146,8 @@
     }
   }
 }
+
+/** Tells whether a peer may take over roles: it is ready and not leaving. */
+export function isFit(peer: PeerStatus): boolean {
+  return peer.report?.ready === true && peer.leavingSince === undefined;
+}
--- a/packages/wire/src/options.ts
+++ b/packages/wire/src/options.ts
@@ -13,6 +13,8 @@
   heartbeat: Milliseconds;
   /** Silence of the other end after which a connection is dropped. */
   silence: Milliseconds;
+  /** A call of at least this length that times out drops a connection that brought nothing meanwhile. */
+  callSilence: Milliseconds;
   /** Time within which a connection must be opened and greeted. */
   connectTimeout: Milliseconds;
   /** A client closes a connection that was not used for this long. */
@@ -29,6 +31,7 @@
   maxRequests: 256,
   heartbeat: 1000,
   silence: 3000,
+  callSilence: 500,
   connectTimeout: 1000,
   idle: 30_000,
   backoffBase: 100,
--- a/packages/wire/src/peer_link.ts
+++ b/packages/wire/src/peer_link.ts
@@ -16,9 +16,6 @@
 import type {WireOptions} from './options.js';
 import type {PeerAddress} from './peer_address.js';
 
-/** Shorter calls that time out do not show that a connection is silent. */
-const MIN_SILENCE_MS = 500;
-
 /** What a client needs. */
 export interface PeerClientSettings {
   /** Name of this instance. */
@@ -134,7 +131,7 @@
   /** A connection that brought nothing during a whole call may have gone silent for good. */
   private dropIfSilentSince(startedAt: Instant, duration: Milliseconds): void {
     const {connection} = this;
-    const isLongEnough = duration >= MIN_SILENCE_MS;
+    const isLongEnough = duration >= this.options.callSilence;
     if (connection && isLongEnough && connection.receivedAt < startedAt) {
       connection.close('it was silent during a call');
     }
@@ -221,16 +218,26 @@
     if (this.connection === connection) {
       this.connection = undefined;
     }
-    const {clock, random, logger} = this.settings;
-    const {backoffBase, backoffCap} = this.options;
-    this.retryAt =
-      clock.now() +
-      jitteredBackoff(this.failures, backoffBase, backoffCap, random);
+    const {clock, logger} = this.settings;
+    this.retryAt = clock.now() + this.chooseBackoff();
     this.failures += 1;
     logger.debug('peer-connection-closed', {peer: this.peer.instance, problem});
     this.rejectAll(problem);
   }
 
+  /** A connection that had worked is opened again at once. */
+  private chooseBackoff(): Milliseconds {
+    const {backoffBase, backoffCap} = this.options;
+    return this.failures === 0
+      ? 0
+      : jitteredBackoff(
+          this.failures,
+          backoffBase,
+          backoffCap,
+          this.settings.random,
+        );
+  }
+
   private onAnswer(connection: Connection, message: Message): void {
     if (message.type !== 'response' && message.type !== 'refusal') {
       connection.close(`it sent an unexpected ${message.type}`);
