--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -44,15 +44,15 @@
   recordsRequest,
 } from './record_relay.js';
 export {
-  type ChunkRequest,
-  type EncodedState,
-  STATE_CHUNK_METHOD,
+  type PeerSnapshot,
+  PeerStateSource,
   STATE_OPEN_METHOD,
+  STATE_SECTION_METHOD,
+  type SectionRequest,
+  type StateOffer,
   StateServer,
-  type TransferOffer,
-  chunkRequest,
   emptyBody,
-  fetchState,
+  sectionRequest,
 } from './state_transfer.js';
 
 // Roles
--- a/packages/membership/src/state_transfer.ts
+++ b/packages/membership/src/state_transfer.ts
@@ -1,158 +1,131 @@
 /**
  * Hands the folded state to an instance that starts while the log's records
- * or snapshots cannot be read. The state goes in chunks under one hash.
+ * or snapshots cannot be read. The state goes section by section.
  */
-import {randomUUID} from 'node:crypto';
 import {z} from 'zod';
-import {
-  Failure,
-  type Instant,
-  type Milliseconds,
-  hashText,
-} from '@galenavalve/shared';
-import {
-  type PeerCall,
-  type RecordSource,
-  findFarthest,
-  parseAnswer,
-} from './record_relay.js';
+import {Failure, type Instant, type Milliseconds} from '@galenavalve/shared';
+import {type PeerCall, parseAnswer} from './record_relay.js';
 
 /** Methods of the peer protocol for a transfer. */
 export const STATE_OPEN_METHOD = 'state-open';
-export const STATE_CHUNK_METHOD = 'state-chunk';
+export const STATE_SECTION_METHOD = 'state-section';
 
-/** Characters of one chunk; well under the largest frame also as UTF-8. */
-export const CHUNK_CHARACTERS = 131_072;
+/** Time after its last use at which an offered state is dropped. */
+export const OFFER_TTL_MS: Milliseconds = 30_000;
 
-/** Time after its last use at which a transfer is dropped. */
-export const TRANSFER_TTL_MS: Milliseconds = 30_000;
-
-/** An encoded state, as the ledger writes it. */
-export interface EncodedState {
+/** An encoded state, in the form of the ledger's snapshots. */
+export interface PeerSnapshot {
+  snapshotId: string;
   /** The state holds the effect of every record before this offset. */
   nextOffset: number;
-  text: string;
+  /** Each well under the largest frame. */
+  sections: string[];
+  /** Checked by the reader of the sections. */
+  hash: string;
 }
 
 /** What a transfer will bring. */
-export const transferOffer = z.strictObject({
-  transferId: z.string().min(1).max(100),
+export const stateOffer = z.strictObject({
+  snapshotId: z.string().min(1).max(100),
   nextOffset: z.int().nonnegative(),
-  chunks: z.int().positive().max(100_000),
+  sections: z.int().positive().max(100_000),
   hash: z.string().max(100),
 });
-export type TransferOffer = z.infer<typeof transferOffer>;
+export type StateOffer = z.infer<typeof stateOffer>;
 
-/** Asks for one chunk. */
-export const chunkRequest = z.strictObject({
-  transferId: z.string().min(1).max(100),
+/** Asks for one section. */
+export const sectionRequest = z.strictObject({
+  snapshotId: z.string().min(1).max(100),
   index: z.int().nonnegative(),
 });
-export type ChunkRequest = z.infer<typeof chunkRequest>;
-
-const chunkAnswer = z.string().max(CHUNK_CHARACTERS);
+export type SectionRequest = z.infer<typeof sectionRequest>;
 
 /** A body without fields. */
 export const emptyBody = z.strictObject({});
 
-interface Transfer {
-  offer: TransferOffer;
-  text: string;
+interface Offer {
+  snapshot: Promise<PeerSnapshot>;
   usedAt: Instant;
 }
 
 /** Serves one state at a time, so that memory holds one copy however many ask. */
 export class StateServer {
-  private transfer: Transfer | undefined;
+  private offer: Offer | undefined;
 
-  constructor(private readonly encode: () => EncodedState) {}
+  constructor(private readonly encode: () => Promise<PeerSnapshot>) {}
 
   /** Offers the present state, or the one that is already being fetched. */
-  open(now: Instant): TransferOffer {
-    this.dropUnused(now);
-    this.transfer ??= this.create(now);
-    this.transfer.usedAt = now;
-    return this.transfer.offer;
+  async open(now: Instant): Promise<StateOffer> {
+    const {snapshotId, nextOffset, sections, hash} = await this.use(now);
+    return {snapshotId, nextOffset, sections: sections.length, hash};
   }
 
-  /** One chunk of an offered state. Throws `not-found` once the offer is dropped. */
-  chunk({transferId, index}: ChunkRequest, now: Instant): string {
-    const {transfer} = this;
-    if (transfer?.offer.transferId !== transferId) {
-      throw new Failure('not-found', {kind: 'state transfer', id: transferId});
+  /** One section of an offered state. Throws `not-found` once the offer is dropped. */
+  async section(
+    {snapshotId, index}: SectionRequest,
+    now: Instant,
+  ): Promise<string> {
+    const snapshot = this.offer && (await this.use(now));
+    const section = snapshot?.sections[index];
+    if (snapshot?.snapshotId !== snapshotId || section === undefined) {
+      throw new Failure('not-found', {kind: 'state section', id: snapshotId});
     }
-    transfer.usedAt = now;
-    const start = index * CHUNK_CHARACTERS;
-    return transfer.text.slice(start, start + CHUNK_CHARACTERS);
+    return section;
   }
 
   /** Frees the memory of an offer that nobody fetches; the owner calls it now and then. */
   dropUnused(now: Instant): void {
-    if (this.transfer && now - this.transfer.usedAt > TRANSFER_TTL_MS) {
-      this.transfer = undefined;
+    if (this.offer && now - this.offer.usedAt > OFFER_TTL_MS) {
+      this.offer = undefined;
     }
   }
 
-  private create(now: Instant): Transfer {
-    const {nextOffset, text} = this.encode();
-    const offer = {
-      transferId: randomUUID(),
-      nextOffset,
-      chunks: Math.max(1, Math.ceil(text.length / CHUNK_CHARACTERS)),
-      hash: hashText(text),
-    };
-    return {offer, text, usedAt: now};
+  private use(now: Instant): Promise<PeerSnapshot> {
+    this.dropUnused(now);
+    this.offer ??= {snapshot: this.encode(), usedAt: now};
+    this.offer.usedAt = now;
+    const {offer} = this;
+    offer.snapshot.catch(() => {
+      if (this.offer === offer) {
+        this.offer = undefined;
+      }
+    });
+    return offer.snapshot;
   }
 }
 
-/**
- * Fetches the state of the source that is farthest ahead, or of the next one
- * when it fails. Throws the last failure, or `peer-unavailable` when there is
- * no source.
- */
-export async function fetchState(
-  sources: readonly RecordSource[],
-  call: PeerCall,
-  timeoutMs: Milliseconds,
-): Promise<EncodedState> {
-  const waiting = [...sources];
-  let failure: unknown = new Failure('peer-unavailable', {
-    peer: 'any',
-    problem: 'no peer has a state',
-  });
-  for (
-    let source = findFarthest(waiting);
-    source;
-    source = findFarthest(waiting)
-  ) {
-    waiting.splice(waiting.indexOf(source), 1);
-    try {
-      return await fetchFrom(source.instance, call, timeoutMs);
-    } catch (error) {
-      failure = error;
+/** The state of one peer, for the ledger's restorer. */
+export class PeerStateSource {
+  constructor(
+    /** Instance of the peer. */
+    readonly name: string,
+    private readonly call: PeerCall,
+    private readonly timeoutMs: Milliseconds,
+  ) {}
+
+  /** Offset of the state that the peer offers. Throws what the call throws. */
+  async nextOffset(): Promise<number> {
+    return (await this.open()).nextOffset;
+  }
+
+  /** Fetches the whole state. Throws what the calls throw. */
+  async fetch(): Promise<PeerSnapshot> {
+    const {sections: count, ...offer} = await this.open();
+    const sections: string[] = [];
+    for (let index = 0; index < count; index++) {
+      const request: SectionRequest = {snapshotId: offer.snapshotId, index};
+      const answer = await this.ask(STATE_SECTION_METHOD, request);
+      sections.push(parseAnswer(z.string(), answer, this.name));
     }
+    return {...offer, sections};
   }
-  throw failure;
-}
 
-async function fetchFrom(
-  instance: string,
-  call: PeerCall,
-  timeoutMs: Milliseconds,
-): Promise<EncodedState> {
-  const answer = await call(instance, STATE_OPEN_METHOD, {}, timeoutMs);
-  const offer = parseAnswer(transferOffer, answer, instance);
-  const {transferId, nextOffset, chunks, hash} = offer;
-  const parts: string[] = [];
-  for (let index = 0; index < chunks; index++) {
-    const request: ChunkRequest = {transferId, index};
-    const part = await call(instance, STATE_CHUNK_METHOD, request, timeoutMs);
-    parts.push(parseAnswer(chunkAnswer, part, instance));
+  private async open(): Promise<StateOffer> {
+    const answer = await this.ask(STATE_OPEN_METHOD, {});
+    return parseAnswer(stateOffer, answer, this.name);
   }
-  const text = parts.join('');
-  if (hashText(text) !== hash) {
-    const problem = 'its state does not match the hash';
-    throw new Failure('peer-unavailable', {peer: instance, problem});
+
+  private ask(method: string, body: unknown): Promise<unknown> {
+    return this.call(this.name, method, body, this.timeoutMs);
   }
-  return {nextOffset, text};
 }
