Measure slopes of the ledger, renewals, peers and decisions

Cause: docs/CAPACITY.md is to be worked out from measured slopes.

Platform stand-ins run in threads, so that the busy time is that of the client alone.

--- /dev/null
+++ b/packages/bench/src/slopes/ledger_slopes.ts
@@ -0,0 +1,188 @@
+/** What jobs, tasks and configuration cost in the folded state and in the log. */
+import type {RecordBody} from '@galenavalve/model';
+import {
+  TASKS_PER_PART,
+  bytesOf,
+  createConfigured,
+  createEntities,
+  createJobRecords,
+  createState,
+  createTarget,
+  foldAll,
+  foldTexts,
+  toTexts,
+} from './fixtures.js';
+import {heapOf, timeOf} from './meter.js';
+import {type Slope, measureSlope} from './slope.js';
+
+const JOB_COUNTS = [500, 1000, 2000, 4000];
+const PART_COUNTS = [1, 8, 32, 128];
+const ENTITY_COUNTS = [500, 1000, 2000, 4000];
+const TARGETS = 400;
+const WORKSPACES = 4;
+
+/** Jobs of which the parts are measured. */
+const PARTED_JOBS = 200;
+
+/** Records of a job that bring it to a phase. */
+const QUEUED = 1;
+const RUNNING = 3;
+const FINISHED = 4;
+
+/** Changes whose time is measured together. */
+const CHANGES = 20;
+
+/** All slopes of the ledger. */
+export async function measureLedger(): Promise<Slope[]> {
+  return [
+    await measureSlope(
+      {
+        id: 'state-queued-job',
+        over: 'queued jobs',
+        measured: 'heap bytes of the state',
+      },
+      JOB_COUNTS,
+      jobs => measureJobs(jobs, TASKS_PER_PART, QUEUED),
+    ),
+    await measureSlope(
+      {
+        id: 'state-running-job',
+        over: 'running gangs of one part',
+        measured: 'heap bytes of the state',
+      },
+      JOB_COUNTS,
+      jobs => measureJobs(jobs, TASKS_PER_PART, RUNNING),
+    ),
+    await measureSlope(
+      {
+        id: 'state-running-part',
+        over: `parts (${TASKS_PER_PART} tasks on one target) of ${PARTED_JOBS} running gangs`,
+        measured: 'heap bytes of the state',
+      },
+      PART_COUNTS.map(parts => parts * PARTED_JOBS),
+      parts =>
+        measureJobs(
+          PARTED_JOBS,
+          (parts / PARTED_JOBS) * TASKS_PER_PART,
+          RUNNING,
+        ),
+    ),
+    await measureSlope(
+      {
+        id: 'state-finished-job',
+        over: `finished jobs of ${TASKS_PER_PART} tasks`,
+        measured: 'heap bytes of the state',
+      },
+      JOB_COUNTS,
+      jobs => measureJobs(jobs, TASKS_PER_PART, FINISHED),
+    ),
+    await measureSlope(
+      {
+        id: 'state-target',
+        over: 'configured targets',
+        measured: 'heap bytes of the state',
+      },
+      ENTITY_COUNTS,
+      targets => heapOf(() => createState(targets, WORKSPACES)),
+    ),
+    await measureSlope(
+      {
+        id: 'state-workspace',
+        over: 'configured workspaces',
+        measured: 'heap bytes of the state',
+      },
+      ENTITY_COUNTS,
+      workspaces => heapOf(() => createState(TARGETS, workspaces)),
+    ),
+    await measureSlope(
+      {
+        id: 'fold-record',
+        over: `records of jobs of ${TASKS_PER_PART} tasks`,
+        measured: 'ms to parse and fold',
+      },
+      JOB_COUNTS.map(jobs => jobs * FINISHED),
+      records => timeFold(records / FINISHED),
+    ),
+    await measureSlope(
+      {
+        id: 'fold-change',
+        over: 'configured targets',
+        measured: 'ms to parse and fold one change of one target',
+      },
+      [...ENTITY_COUNTS, 8200],
+      timeChange,
+    ),
+    await measureSlope(
+      {
+        id: 'record-job',
+        over: 'tasks of one job',
+        measured: 'bytes of its four records',
+      },
+      [4, 32, 128, 512],
+      tasks => sumBytes(createJobRecords(1, tasks)),
+    ),
+    await measureSlope(
+      {
+        id: 'record-change',
+        over: 'targets that one change edits',
+        measured: 'bytes of its record',
+      },
+      [1, 8, 64, 512],
+      targets =>
+        bytesOf(createConfigured(createEntities(targets, 0).slice(1), 1)),
+    ),
+  ];
+}
+
+function listRecords(jobs: number, tasks: number, perJob: number) {
+  const records: RecordBody[] = [];
+  for (let index = 0; index < jobs; index++) {
+    records.push(...createJobRecords(index, tasks).slice(0, perJob));
+  }
+  return records;
+}
+
+function measureJobs(jobs: number, tasks: number, perJob: number): number {
+  const state = createState(TARGETS, WORKSPACES);
+  return heapOf(() => {
+    foldAll(state, listRecords(jobs, tasks, perJob));
+    return state;
+  });
+}
+
+function timeFold(jobs: number): number {
+  const records = listRecords(jobs, TASKS_PER_PART, FINISHED);
+  const texts = toTexts(records, createState(TARGETS, WORKSPACES).nextOffset);
+  return timeOf(
+    () => createState(TARGETS, WORKSPACES),
+    state => foldTexts(state, texts),
+  );
+}
+
+function timeChange(targets: number): number {
+  const time = timeOf(
+    () => {
+      const state = createState(targets, WORKSPACES);
+      return {state, texts: createChanges(state.nextOffset)};
+    },
+    ({state, texts}) => {
+      for (const text of texts) {
+        foldTexts(state, [text]);
+        // Deciding code reads the new configuration after every change.
+        void state.configuration.targets.size;
+      }
+    },
+  );
+  return time / CHANGES;
+}
+
+function createChanges(offset: number): string[] {
+  const bodies = Array.from({length: CHANGES}, (_, index) =>
+    createConfigured([createTarget(0, 1024 * (index + 2))], index + 1),
+  );
+  return toTexts(bodies, offset);
+}
+
+function sumBytes(records: readonly RecordBody[]): number {
+  return records.reduce((total, record) => total + bytesOf(record), 0);
+}
--- /dev/null
+++ b/packages/bench/src/slopes/peer_slopes.ts
@@ -0,0 +1,192 @@
+/** What heartbeats and relays cost an instance. */
+import {
+  PeerMesh,
+  type PeerSeed,
+  RECORDS_METHOD,
+  RecordRelay,
+  type SelfReport,
+  pullRecords,
+  recordsRequest,
+} from '@galenavalve/membership';
+import {SeededRandom, SilentLogger, SystemClock} from '@galenavalve/shared';
+import {PeerClient, PeerServer} from '@galenavalve/wire';
+import {createEntries, createJobRecords} from './fixtures.js';
+import {busyTimeOf} from './meter.js';
+import {type Slope, measureSlopes} from './slope.js';
+
+const PEER_COUNTS = [1, 2, 4, 8, 16];
+const RECORD_COUNTS = [400, 800, 1600, 3200];
+
+/** Short, so that many beats are measured in a short time. */
+const HEARTBEAT_MS = 100;
+const WARM_UP_MS = 1000;
+const MEASURED_MS = 2000;
+
+const HOST = '127.0.0.1';
+const DOMAIN = 'north';
+const clock = new SystemClock();
+const logger = new SilentLogger();
+
+/** Bytes both ways, and busy time, of a part of an instance's work. */
+type Cost = Record<'bytes' | 'busyMs', number>;
+
+/** All slopes of the peer protocol. */
+export async function measurePeers(): Promise<Slope[]> {
+  const beats = await measureSlopes(
+    {
+      bytes: {
+        id: 'beat-bytes',
+        over: 'peers in the same failure domain',
+        measured: 'bytes sent and received a heartbeat interval',
+      },
+      busyMs: {
+        id: 'beat-time',
+        over: 'peers in the same failure domain',
+        measured: 'busy ms a heartbeat interval',
+      },
+    },
+    PEER_COUNTS,
+    measureBeats,
+  );
+  const relays = await measureSlopes(
+    {
+      bytes: {
+        id: 'relay-bytes',
+        over: 'records pulled from a peer',
+        measured: 'bytes sent and received',
+      },
+      busyMs: {
+        id: 'relay-time',
+        over: 'records pulled from a peer',
+        measured: 'busy ms of both ends',
+      },
+    },
+    RECORD_COUNTS,
+    measureRelay,
+  );
+  return [...beats, ...relays];
+}
+
+/** The cost of one instance among `peers` others, in one heartbeat interval. */
+async function measureBeats(peers: number): Promise<Cost> {
+  const seeds: PeerSeed[] = [];
+  const instances: Instance[] = [];
+  for (let index = 0; index <= peers; index++) {
+    const instance = await startInstance(`entry-north-${index}`, [...seeds]);
+    instances.push(instance);
+    seeds.push(instance.seed);
+  }
+  await clock.sleep(WARM_UP_MS);
+  const before = instances.map(bytesOfInstance);
+  const busyMs = await busyTimeOf(() => clock.sleep(MEASURED_MS));
+  const bytes = instances.map(
+    (instance, index) => bytesOfInstance(instance) - before[index]!,
+  );
+  await Promise.all(instances.map(instance => instance.stop()));
+  const intervals = MEASURED_MS / HEARTBEAT_MS;
+  const total = bytes.reduce((sum, value) => sum + value, 0);
+  return {
+    bytes: total / instances.length / intervals,
+    busyMs: busyMs / instances.length / intervals,
+  };
+}
+
+/** The cost of pulling `records` records of jobs from a peer. */
+async function measureRelay(records: number): Promise<Cost> {
+  const {server, client} = createEnds('entry-north-1');
+  const relay = new RecordRelay();
+  const bodies = Array.from({length: records / 4}, (_, index) =>
+    createJobRecords(index, 4),
+  ).flat();
+  relay.note(createEntries(bodies, 0), records);
+  server.handle(RECORDS_METHOD, recordsRequest, async body =>
+    relay.serve(body),
+  );
+  const {port} = await server.start();
+  const peer = {instance: 'entry-north-1', host: HOST, port};
+  const sources = [{instance: peer.instance, offset: records}];
+  const busyMs = await busyTimeOf(async () => {
+    for (let from = 0; from < records;) {
+      const page = await pullRecords(
+        from,
+        sources,
+        (_instance, method, body, timeoutMs) =>
+          client.call(peer, method, body, timeoutMs),
+        5000,
+      );
+      from = page?.nextOffset ?? records;
+    }
+  });
+  const bytes = client.bytesSent + client.bytesReceived;
+  client.close();
+  await server.close();
+  return {bytes, busyMs};
+}
+
+interface Instance {
+  seed: PeerSeed;
+  server: PeerServer;
+  client: PeerClient;
+  stop(): Promise<void>;
+}
+
+async function startInstance(
+  instance: string,
+  seeds: readonly PeerSeed[],
+): Promise<Instance> {
+  const {server, client, random} = createEnds(instance);
+  const {port} = await server.start();
+  const seed = {instance, host: HOST, port, domain: DOMAIN};
+  const mesh = new PeerMesh({
+    self: seed,
+    client,
+    server,
+    instanceList: {list: async () => []},
+    seeds,
+    clock,
+    logger,
+    random,
+    report: () => createReport(instance),
+    options: {heartbeatMs: HEARTBEAT_MS},
+  });
+  const stopping = new AbortController();
+  const running = mesh.run(stopping.signal);
+  const stop = async () => {
+    stopping.abort();
+    client.close();
+    await server.close();
+    await running;
+  };
+  return {seed, server, client, stop};
+}
+
+function createEnds(instance: string) {
+  const random = new SeededRandom(1);
+  const listen = {host: HOST, port: 0};
+  const server = new PeerServer({...listen, instance, logger, clock});
+  const client = new PeerClient({self: instance, logger, clock, random});
+  return {server, client, random};
+}
+
+function createReport(instance: string): SelfReport {
+  return {
+    instance,
+    domain: DOMAIN,
+    // The size of numbers on the wire grows with them.
+    offset: 10_000_000 + Math.floor(clock.now()),
+    freshnessAgeMs: 300,
+    leaving: false,
+    ready: true,
+    holds: [],
+    load: {queued: 200, freeAccelerators: 500},
+  };
+}
+
+function bytesOfInstance({server, client}: Instance): number {
+  return (
+    server.bytesSent +
+    server.bytesReceived +
+    client.bytesSent +
+    client.bytesReceived
+  );
+}
--- /dev/null
+++ b/packages/bench/src/slopes/run_slopes.ts
@@ -0,0 +1,69 @@
+/** Measures every slope, and shows them. */
+import {arch, cpus, release} from 'node:os';
+import {measureCatchUp} from './catch_up_slopes.js';
+import {measureDecisions} from './decision_slopes.js';
+import {measureLedger} from './ledger_slopes.js';
+import {measurePeers} from './peer_slopes.js';
+import {measureRenewals} from './renewal_slopes.js';
+import type {Slope} from './slope.js';
+
+/** All slopes with the machine that they were measured on. */
+export interface SlopeReport {
+  /** When the run began, as an ISO date. */
+  date: string;
+  machine: {
+    processor: string;
+    cores: number;
+    kernel: string;
+    architecture: string;
+    node: string;
+  };
+  /** Length of the run in seconds. */
+  seconds: number;
+  slopes: Slope[];
+}
+
+/** Measures every slope. Takes less than two minutes. */
+export async function runSlopes(): Promise<SlopeReport> {
+  const startedAt = performance.now();
+  const date = new Date().toISOString();
+  const slopes = [
+    ...(await measureLedger()),
+    ...(await measureCatchUp()),
+    ...(await measureDecisions()),
+    ...(await measureRenewals()),
+    ...(await measurePeers()),
+  ];
+  return {
+    date,
+    machine: describeMachine(),
+    seconds: Math.round((performance.now() - startedAt) / 1000),
+    slopes,
+  };
+}
+
+/** The slopes as a table. */
+export function formatSlopes({slopes}: SlopeReport): string {
+  const rows = slopes.map(slope => {
+    const {id, over, measured, intercept, residual, points} = slope;
+    const line = `${format(intercept)} + ${format(slope.slope)} x`;
+    const share = `${(residual * 100).toFixed(1)}%`;
+    return `${id}: ${measured} over ${over}: ${line} (${points.length} points, residual ${share})`;
+  });
+  return rows.join('\n');
+}
+
+function describeMachine(): SlopeReport['machine'] {
+  const processors = cpus();
+  return {
+    processor: processors[0]?.model ?? 'unknown',
+    cores: processors.length,
+    kernel: release(),
+    architecture: arch(),
+    node: process.version,
+  };
+}
+
+function format(value: number): string {
+  return Number(value.toPrecision(4)).toString();
+}
--- a/packages/wire/src/testing/tcp_relay.ts
+++ b/packages/wire/src/testing/tcp_relay.ts
@@ -28,6 +28,9 @@
 
   /** Connections that were opened so far. */
   opened = 0;
+  /** Bytes that came from the near ends, and from the far ends. */
+  bytesForth = 0;
+  bytesBack = 0;
 
   /** Starts to listen; resolves to the port. */
   start(): Promise<number> {
@@ -74,8 +77,14 @@
     const far = createConnection(this.targetPort, '127.0.0.1');
     const connection: RelayedConnection = {near, far, mode: this.mode};
     this.connections.add(connection);
-    near.on('data', data => pass(connection, far, 'cut-requests', data));
-    far.on('data', data => pass(connection, near, 'cut-answers', data));
+    near.on('data', data => {
+      this.bytesForth += data.length;
+      pass(connection, far, 'cut-requests', data);
+    });
+    far.on('data', data => {
+      this.bytesBack += data.length;
+      pass(connection, near, 'cut-answers', data);
+    });
     for (const [end, other] of [
       [near, far],
       [far, near],
