--- a/packages/targets/__tests__/target_health.spec.ts
+++ b/packages/targets/__tests__/target_health.spec.ts
@@ -5,7 +5,7 @@
 const RULES = {quarantineFailures: 3, quarantineSeconds: 60};
 
 function createHealth(failedJobs: readonly string[]): TargetHealth {
-  const health = new TargetHealth(() => RULES);
+  const health = new TargetHealth(RULES);
   for (const job of failedJobs) {
     health.noteFailure('t0', job, 0);
   }
@@ -26,10 +26,10 @@
   });
 
   t.test('is not blamed for jobs that fail elsewhere too', async t => {
-    const health = new TargetHealth(() => RULES);
+    const health = new TargetHealth(RULES);
     for (const job of ['a', 'b', 'c']) {
       health.noteFailure('t1', job, 0);
-      health.noteSuccess('t1', 0);
+      health.noteSuccess('t1');
       health.noteFailure('t0', job, 0);
     }
     t.equal(health.condition('t0', 0), 'well');
@@ -40,7 +40,7 @@
     health.noteFailure('t0', 'd', 60 * SECOND);
     t.equal(health.condition('t0', 179 * SECOND), 'quarantined');
     t.equal(health.condition('t0', 180 * SECOND), 'well');
-    health.noteSuccess('t0', 180 * SECOND);
+    health.noteSuccess('t0');
     t.notOk(health.isOnProbation('t0', 180 * SECOND));
   });
 
--- a/packages/targets/src/lease_keeper.ts
+++ b/packages/targets/src/lease_keeper.ts
@@ -10,6 +10,7 @@
 } from '@galenavalve/shared';
 import {
   type AddressLookup,
+  type GangMembers,
   type GangOrder,
   leaseKeyOf,
   leaseKeyText,
@@ -121,14 +122,10 @@
     this.lastTickAt = undefined;
   }
 
-  /** Lets the targets of a kept attempt forget it, now that its end is recorded. */
-  forget(jobId: string, attempt: number): void {
-    const order = this.gangs.get(jobId)?.order;
-    if (order?.attempt !== attempt) {
-      return;
-    }
-    for (const {target} of order.assignments) {
-      this.watch(target).forget.set(leaseKeyText(order), leaseKeyOf(order));
+  /** Lets the targets of an attempt forget it, now that its end is recorded. */
+  forget(gang: GangMembers): void {
+    for (const {target} of gang.assignments) {
+      this.watch(target).forget.set(leaseKeyText(gang), leaseKeyOf(gang));
     }
   }
 
--- a/packages/targets/src/takeover.ts
+++ b/packages/targets/src/takeover.ts
@@ -17,7 +17,7 @@
   client: TargetClient;
   addressOf: AddressLookup;
   logger: Logger;
-  options: {callTimeoutMs: Milliseconds};
+  callTimeoutMs: Milliseconds;
 }
 
 /** Fences targets against earlier schedulers. */
@@ -54,9 +54,9 @@
     if (!address) {
       return undefined;
     }
-    const {client, options} = this.parts;
+    const {client, callTimeoutMs} = this.parts;
     try {
-      return await client.fence(address, {term}, options.callTimeoutMs);
+      return await client.fence(address, {term}, callTimeoutMs);
     } catch {
       return undefined;
     }
