Renew leases by digest, and check gangs under seeded faults

A report that was asked for before a gang started could also be taken as saying that its tasks are gone.

Change: a renewal carries a digest of the leases that its sender knows; when it matches, the target renews all and reports only changes. An answer counts only for gangs that were followed when the question was made. ManualClock no longer keeps abort listeners of sleepers that woke.

Ruled out: a sequence number of changes, because a restarted target could repeat it; the digest also shows a restart.

--- a/packages/shared/src/clock.ts
+++ b/packages/shared/src/clock.ts
@@ -74,9 +74,16 @@
         resolve();
         return;
       }
-      const sleeper: Sleeper = {wakeAt: this.current + duration, resolve};
+      const onAbort = () => this.wake(sleeper);
+      const sleeper: Sleeper = {
+        wakeAt: this.current + duration,
+        resolve: () => {
+          signal?.removeEventListener('abort', onAbort);
+          resolve();
+        },
+      };
       this.sleepers.push(sleeper);
-      signal?.addEventListener('abort', () => this.wake(sleeper), {once: true});
+      signal?.addEventListener('abort', onAbort, {once: true});
     });
   }
 
--- a/packages/targets/__tests__/fixtures.ts
+++ b/packages/targets/__tests__/fixtures.ts
@@ -12,6 +12,7 @@
 
 export const CALL_TIMEOUT_MS = 500;
 export const LEASE_MS = 6000;
+export const RENEW_MS = 2000;
 export const TTL_MS = 2000;
 
 export const CAPACITY = {
@@ -86,7 +87,11 @@
     addressOf: targets.addressOf,
     clock,
     logger: new SilentLogger(),
-    options: {leaseMs: LEASE_MS, callTimeoutMs: CALL_TIMEOUT_MS},
+    options: {
+      leaseMs: LEASE_MS,
+      renewMs: RENEW_MS,
+      callTimeoutMs: CALL_TIMEOUT_MS,
+    },
   });
   const events: KeeperEvent[] = [];
   keeper.onEvent(event => events.push(event));
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -20,6 +20,9 @@
 } from './gang_start.js';
 export {type GangStopResult, type StopOptions} from './gang_stop.js';
 
+// Bounds
+export {type GangTimes, longestPartialRunMs} from './bounds.js';
+
 // Keeping leases
 export * from './keeper_event.js';
 export {
@@ -28,6 +31,8 @@
   type LeaseKeeperParts,
 } from './lease_keeper.js';
 
+export {digestLeases} from './lease_digest.js';
+
 // Taking over from an earlier scheduler
 export {
   TakeoverReader,
@@ -46,6 +51,7 @@
   type TargetFault,
 } from './testing/memory_targets.js';
 export type {RunEvent} from './testing/model_lease.js';
+export {RunAudit} from './testing/run_audit.js';
 export {
   type TargetCapacity,
   type TargetGuards,
--- a/packages/targets/src/lease_keeper.ts
+++ b/packages/targets/src/lease_keeper.ts
@@ -1,6 +1,5 @@
 /** Renews the leases of running gangs, each as a whole, and tells what became of them. */
-import type {Term} from '@galenavalve/model';
-import {NO_TERM} from '@galenavalve/model';
+import {NO_TERM, type Term} from '@galenavalve/model';
 import {
   type Clock,
   type Instant,
@@ -8,16 +7,11 @@
   type Milliseconds,
   isFailure,
 } from '@galenavalve/shared';
-import {
-  type AddressLookup,
-  type GangMembers,
-  type GangOrder,
-  leaseKeyOf,
-  leaseKeyText,
-} from './gang_order.js';
+import type {AddressLookup, GangMembers, GangOrder} from './gang_order.js';
 import {GangWatch} from './gang_watch.js';
-import type {KeeperEvent, TargetEvent} from './keeper_event.js';
-import type {LeaseKey, TargetClient, TargetReport} from './target_client.js';
+import type {KeeperEvent} from './keeper_event.js';
+import type {Renewal, TargetClient, TargetReport} from './target_client.js';
+import {type Question, WatchedTarget} from './watched_target.js';
 
 /** Times of the lease keeper, in milliseconds. */
 export interface LeaseKeeperOptions {
@@ -27,6 +21,8 @@
   callTimeoutMs: Milliseconds;
   /** Time between two questions to a target without work. */
   idlePollMs?: Milliseconds;
+  /** Time between two questions for usage. */
+  usageMs?: Milliseconds;
 }
 
 /** What the keeper works with. */
@@ -41,36 +37,24 @@
 const DEFAULT_LEASE_MS = 6000;
 const DEFAULT_RENEW_MS = 2000;
 const DEFAULT_IDLE_POLL_MS = 10_000;
+const DEFAULT_USAGE_MS = 30_000;
 
 /** Times that a target is asked in one round. */
 const CALLS_PER_ROUND = 2;
 
-/** One target as last heard of. */
-interface WatchedTarget {
-  id: string;
-  /** Jobs of the gangs that it is a member of. */
-  jobs: Set<string>;
-  forget: Map<string, LeaseKey>;
-  /** The target's own clock at its latest report. */
-  clock?: number;
-  /** Local time when the question for that report was sent. */
-  askedAt: Instant;
-  isSilent: boolean;
-  isLeaving: boolean;
-}
-
 /** Keeps the leases of gangs. */
 export class LeaseKeeper {
+  /** Length of a lease in milliseconds. */
+  readonly leaseMs: Milliseconds;
   private readonly gangs = new Map<string, GangWatch>();
   private readonly targets = new Map<string, WatchedTarget>();
   private readonly listeners: ((event: KeeperEvent) => void)[] = [];
   private idle = new Set<string>();
   private term: Term = NO_TERM;
   private lastTickAt?: Instant;
-  /** Length of a lease in milliseconds. */
-  readonly leaseMs: Milliseconds;
   private readonly renewMs: Milliseconds;
   private readonly idlePollMs: Milliseconds;
+  private readonly usageMs: Milliseconds;
   private readonly callTimeoutMs: Milliseconds;
 
   constructor(private readonly parts: LeaseKeeperParts) {
@@ -78,6 +62,7 @@
     this.leaseMs = options.leaseMs ?? DEFAULT_LEASE_MS;
     this.renewMs = options.renewMs ?? DEFAULT_RENEW_MS;
     this.idlePollMs = options.idlePollMs ?? DEFAULT_IDLE_POLL_MS;
+    this.usageMs = options.usageMs ?? DEFAULT_USAGE_MS;
     this.callTimeoutMs = options.callTimeoutMs;
   }
 
@@ -93,7 +78,7 @@
     const watch = new GangWatch(order, this.parts.clock.now(), this.leaseMs);
     this.gangs.set(order.jobId, watch);
     for (const target of watch.targets) {
-      this.watch(target).jobs.add(order.jobId);
+      this.watch(target).gangs.set(order.jobId, watch);
     }
   }
 
@@ -102,7 +87,7 @@
     const watch = this.gangs.get(jobId);
     this.gangs.delete(jobId);
     for (const target of watch?.targets ?? []) {
-      this.targets.get(target)?.jobs.delete(jobId);
+      this.targets.get(target)?.gangs.delete(jobId);
     }
   }
 
@@ -114,7 +99,7 @@
     }
   }
 
-  /** Keeps nothing any more, because the term is lost. Targets may be kept by another. */
+  /** Keeps nothing any more; for a scheduler whose term ended. */
   clear(): void {
     this.gangs.clear();
     this.targets.clear();
@@ -125,7 +110,7 @@
   /** Lets the targets of an attempt forget it, now that its end is recorded. */
   forget(gang: GangMembers): void {
     for (const {target} of gang.assignments) {
-      this.watch(target).forget.set(leaseKeyText(gang), leaseKeyOf(gang));
+      this.watch(target).forget(gang);
     }
   }
 
@@ -152,11 +137,11 @@
     const now = this.parts.clock.now();
     this.doubtAfterPause(now);
     this.dropUnused();
-    const renewed = this.findRenewable();
-    await this.ask(this.findDue(now), renewed);
+    const renewable = this.findRenewable();
+    await this.askAll(this.findDue(now), renewable, CALLS_PER_ROUND);
     const isOnTime = this.parts.clock.now() <= now + this.renewMs;
     if (isOnTime) {
-      await this.renewRecovered(renewed);
+      await this.renewRecovered(renewable);
     }
     this.judge();
   }
@@ -164,13 +149,13 @@
   /** Asks the silent members of gangs once more, and renews the gangs that are well again. */
   async probe(): Promise<void> {
     const renewable = this.findRenewable();
-    await this.ask(this.findSuspects(), new Set(), 1);
+    await this.askAll(this.findSuspects(), new Set(), 1);
     await this.renewRecovered(renewable);
   }
 
   // Queries
 
-  /** Whether the job is kept. */
+  /** Tells whether the job is kept. */
   isFollowing(jobId: string): boolean {
     return this.gangs.has(jobId);
   }
@@ -195,7 +180,7 @@
 
   private findSuspects(): WatchedTarget[] {
     return [...this.targets.values()].filter(
-      target => target.isSilent && target.jobs.size > 0,
+      target => target.isSilent && target.gangs.size > 0,
     );
   }
 
@@ -207,154 +192,112 @@
     );
   }
 
-  private findRenewable(): Set<string> {
-    const jobs = [...this.gangs]
-      .filter(([, watch]) => watch.isRenewable())
-      .map(([jobId]) => jobId);
-    return new Set(jobs);
+  private findRenewable(): Set<GangWatch> {
+    const watches = [...this.gangs.values()];
+    return new Set(watches.filter(watch => watch.isRenewable()));
   }
 
-  /** Gangs whose members all answered well only in this round. */
-  private async renewRecovered(renewed: ReadonlySet<string>): Promise<void> {
-    const recovered = this.findRenewable();
-    for (const jobId of renewed) {
-      recovered.delete(jobId);
-    }
+  /** Renews gangs whose members all answered well, but not yet when the round began. */
+  private async renewRecovered(renewed: ReadonlySet<GangWatch>): Promise<void> {
     const targets = new Set<WatchedTarget>();
-    for (const jobId of recovered) {
-      for (const target of this.gangs.get(jobId)?.targets ?? []) {
-        targets.add(this.watch(target));
+    for (const watch of this.findRenewable()) {
+      if (!renewed.has(watch)) {
+        [...watch.targets].forEach(target => targets.add(this.watch(target)));
       }
     }
-    await this.ask([...targets], recovered);
+    await this.askAll([...targets], this.findRenewable(), CALLS_PER_ROUND);
   }
 
   private findDue(now: Instant): WatchedTarget[] {
     return [...this.targets.values()].filter(
-      target =>
-        target.jobs.size > 0 ||
-        target.forget.size > 0 ||
-        target.isSilent ||
-        now - target.askedAt >= this.idlePollMs,
+      target => target.isUsed || now - target.triedAt >= this.idlePollMs,
     );
   }
 
-  private async ask(
+  private async askAll(
     targets: readonly WatchedTarget[],
-    renewable: ReadonlySet<string>,
-    calls = CALLS_PER_ROUND,
+    renewable: ReadonlySet<GangWatch>,
+    calls: number,
   ): Promise<void> {
-    await Promise.all(
-      targets.map(target => this.askTarget(target, renewable, calls)),
-    );
+    const now = this.parts.clock.now();
+    const terms = {term: this.term, leaseMs: this.leaseMs};
+    const questions = targets.map(target => {
+      target.triedAt = now;
+      const withUsage = target.isUsageDue(now, this.usageMs);
+      const question = target.createQuestion(terms, renewable, withUsage);
+      return this.ask(target, question, calls);
+    });
+    await Promise.all(questions);
   }
 
-  private async askTarget(
+  private async ask(
     target: WatchedTarget,
-    renewable: ReadonlySet<string>,
+    question: Question,
     calls: number,
   ): Promise<void> {
-    const jobs = [...target.jobs].filter(jobId => renewable.has(jobId));
-    const base = {clock: target.clock, askedAt: target.askedAt};
-    const forget = [...target.forget.values()];
     for (let call = 0; call < calls; call++) {
       const sentAt = this.parts.clock.now();
-      const report = await this.renew(target, jobs, base.clock, forget);
-      const isLate = this.parts.clock.now() > sentAt + 2 * this.callTimeoutMs;
+      const report = await this.renew(target, question.order);
       if (report === 'superseded') {
         this.emit({kind: 'target-superseded', target: target.id});
         break;
       }
-      if (report && !isLate) {
-        this.acknowledge(target, jobs, base.askedAt, forget);
-        this.onReport(target, report, sentAt);
+      if (report && !this.isLate(sentAt)) {
+        this.onReport(target, report, question, sentAt);
         return;
       }
     }
-    this.onSilence(target);
+    this.onSilence(target, question);
+  }
+
+  /** An answer that lay unread while the process was paused is too old to act on. */
+  private isLate(sentAt: Instant): boolean {
+    return this.parts.clock.now() > sentAt + 2 * this.callTimeoutMs;
   }
 
   private async renew(
     target: WatchedTarget,
-    jobs: readonly string[],
-    basedOn: number | undefined,
-    forget: LeaseKey[],
+    order: Renewal,
   ): Promise<TargetReport | 'superseded' | undefined> {
     const address = this.parts.addressOf(target.id);
     if (!address) {
       return undefined;
     }
-    const leases = jobs.flatMap(jobId => {
-      const watch = this.gangs.get(jobId);
-      return watch ? [leaseKeyOf(watch.order)] : [];
-    });
-    const {term, leaseMs} = this;
     try {
-      return await this.parts.client.renew(
-        address,
-        {term, basedOn, leaseMs, leases, forget},
-        this.callTimeoutMs,
-      );
+      const {client} = this.parts;
+      return await client.renew(address, order, this.callTimeoutMs);
     } catch (error) {
       return isFailure(error, 'target-refused') ? 'superseded' : undefined;
     }
   }
 
-  private acknowledge(
-    target: WatchedTarget,
-    jobs: readonly string[],
-    basedAt: Instant,
-    forget: readonly LeaseKey[],
-  ): void {
-    for (const jobId of jobs) {
-      this.gangs.get(jobId)?.onRenewed(target.id, basedAt + this.leaseMs);
-    }
-    for (const key of forget) {
-      target.forget.delete(leaseKeyText(key));
-    }
-  }
-
   private onReport(
     target: WatchedTarget,
     report: TargetReport,
+    question: Question,
     sentAt: Instant,
   ): void {
-    target.clock = report.clock;
-    target.askedAt = sentAt;
-    const leases = new Map(
-      report.leases.map(lease => [leaseKeyText(lease), lease]),
-    );
-    for (const jobId of target.jobs) {
-      const watch = this.gangs.get(jobId);
-      const key = watch && leaseKeyText(watch.order);
-      watch?.onReport(target.id, key ? leases.get(key) : undefined);
-    }
-    if (target.isSilent) {
+    const {id, isSilent, isLeaving} = target;
+    target.onReport(report, question, sentAt);
+    if (isSilent) {
       target.isSilent = false;
-      this.emit({kind: 'target-answering', target: target.id});
+      this.emit({kind: 'target-answering', target: id});
     }
-    this.noteLeaving(target, report.leaving);
-    if (report.usage.length > 0) {
-      const {usage, usageAgeMs: ageMs} = report;
-      this.emit({kind: 'usage', target: target.id, ageMs, usage});
+    if (isLeaving !== target.isLeaving) {
+      const kind = target.isLeaving ? 'target-leaving' : 'target-staying';
+      this.emit({kind, target: id});
     }
-  }
-
-  private noteLeaving(target: WatchedTarget, isLeaving: boolean): void {
-    if (target.isLeaving === isLeaving) {
-      return;
+    if (question.order.withUsage) {
+      target.onUsageAsked(sentAt);
+      const {usage, usageAgeMs: ageMs} = report;
+      if (usage.length > 0) {
+        this.emit({kind: 'usage', target: id, ageMs, usage});
+      }
     }
-    target.isLeaving = isLeaving;
-    const kind: TargetEvent['kind'] = isLeaving
-      ? 'target-leaving'
-      : 'target-staying';
-    this.emit({kind, target: target.id});
   }
 
-  private onSilence(target: WatchedTarget): void {
-    for (const jobId of target.jobs) {
-      this.gangs.get(jobId)?.onSilence(target.id);
-    }
+  private onSilence(target: WatchedTarget, question: Question): void {
+    question.watches.forEach(watch => watch.onSilence(target.id));
     if (!target.isSilent) {
       target.isSilent = true;
       this.emit({kind: 'target-silent', target: target.id});
@@ -372,25 +315,14 @@
   }
 
   private watch(target: string): WatchedTarget {
-    let watched = this.targets.get(target);
-    if (!watched) {
-      watched = {
-        id: target,
-        jobs: new Set(),
-        forget: new Map(),
-        askedAt: -Infinity,
-        isSilent: false,
-        isLeaving: false,
-      };
-      this.targets.set(target, watched);
-    }
+    const watched = this.targets.get(target) ?? new WatchedTarget(target);
+    this.targets.set(target, watched);
     return watched;
   }
 
   private dropUnused(): void {
     for (const [id, target] of this.targets) {
-      const isUsed = target.jobs.size > 0 || target.forget.size > 0;
-      if (!isUsed && !this.idle.has(id)) {
+      if (!target.isUsed && !this.idle.has(id)) {
         this.targets.delete(id);
       }
     }
--- a/packages/targets/src/target_client.ts
+++ b/packages/targets/src/target_client.ts
@@ -88,6 +88,15 @@
   leaseMs: z.number().positive(),
   /** Leases to renew; those not named lapse. */
   leases: z.array(leaseKey).max(4096),
+  /**
+   * Digest of the leases that the sender knows of, beyond reservations. If it
+   * is the target's own, the report holds only what changed since `basedOn`.
+   */
+  digest: z.string().max(64).optional(),
+  /** Renews every running lease in place of `leases`, if the digest is the target's own. */
+  renewsAll: z.boolean().optional(),
+  /** Asks for usage too. */
+  withUsage: z.boolean().optional(),
   /** Finished leases whose result is recorded: the target may forget them. */
   forget: z.array(leaseKey).max(4096),
 });
@@ -140,6 +149,8 @@
   term,
   leaving: z.boolean(),
   leases: z.array(leaseReport),
+  /** True when leases that have not changed since the sender's `basedOn` are left out. */
+  changesOnly: z.boolean().optional(),
   usage: z.array(usageReport),
   /** Age of the usage figures in milliseconds. */
   usageAgeMs: z.number().nonnegative(),
--- a/packages/targets/src/testing/memory_targets.ts
+++ b/packages/targets/src/testing/memory_targets.ts
@@ -39,7 +39,11 @@
   /** Commands sent so far. */
   commandCount = 0;
 
-  constructor(private readonly clock: Clock) {}
+  /** Each command and each answer waits for `network`, which decides their order. */
+  constructor(
+    private readonly clock: Clock,
+    private readonly network: () => Promise<void> = () => Promise.resolve(),
+  ) {}
 
   // Commands
 
@@ -119,6 +123,7 @@
     if (delayMs > 0) {
       await this.clock.sleep(delayMs);
     }
+    await this.network();
     if (this.dead.has(target)) {
       throw new Failure('target-unreachable', {
         target,
@@ -129,6 +134,7 @@
     if (fault.losesAnswers) {
       return this.giveUp(target, timeout - delayMs);
     }
+    await this.network();
     return answer;
   }
 
--- a/packages/targets/src/testing/model_lease.ts
+++ b/packages/targets/src/testing/model_lease.ts
@@ -19,6 +19,8 @@
   term: Term;
   firstTask: number;
   tasks: number;
+  /** State that the tasks are in from now on. */
+  state: LeaseState;
   at: Instant;
 }
 
@@ -34,6 +36,8 @@
   state: LeaseState = 'reserved';
   /** Processor limit of the whole lease, once throttled. */
   processorLimit = Infinity;
+  /** Time of the latest change of state. */
+  changedAt: Instant;
   private expiresAt: Instant;
   private run?: Run;
   private savedSeconds = 0;
@@ -46,6 +50,7 @@
     private readonly observe: (kind: RunEvent['kind'], at: Instant) => void,
   ) {
     this.term = reservation.term;
+    this.changedAt = createdAt;
     this.expiresAt = createdAt + reservation.ttlMs;
   }
 
@@ -81,6 +86,7 @@
 
   start(order: StartOrder, plan: TaskPlan, now: Instant): void {
     this.state = 'running';
+    this.changedAt = now;
     this.term = order.term;
     this.savedSeconds = order.progressSeconds;
     this.run = {
@@ -179,9 +185,11 @@
   }
 
   private end(state: LeaseState, at: Instant): void {
-    if (this.state === 'running') {
+    const hasRun = this.state === 'running';
+    this.state = state;
+    this.changedAt = at;
+    if (hasRun) {
       this.observe('ended', at);
     }
-    this.state = state;
   }
 }
--- a/packages/targets/src/testing/target_model.ts
+++ b/packages/targets/src/testing/target_model.ts
@@ -12,6 +12,8 @@
   TargetReport,
   UsageReport,
 } from '../target_client.js';
+import {leaseKeyText} from '../gang_order.js';
+import {digestLeases} from '../lease_digest.js';
 import {ModelLease, type RunEvent} from './model_lease.js';
 import {TaskPlan} from './task_plan.js';
 
@@ -44,6 +46,13 @@
   onRun?: (event: RunEvent) => void;
 }
 
+/** What a report holds. */
+interface ReportOptions {
+  /** Leaves out leases that have not changed since then. */
+  since?: Instant;
+  withUsage?: boolean;
+}
+
 const ALL_GUARDS: TargetGuards = {
   terms: true,
   reservations: true,
@@ -80,7 +89,7 @@
   reserve(order: Reservation, now: Instant): Grant {
     this.advance(now);
     this.checkTerm(order.term);
-    const known = this.leases.get(keyText(order));
+    const known = this.leases.get(leaseKeyText(order));
     if (known && isSameTerm(known.term, order.term) && known.isOccupying) {
       known.extendReservation(order.ttlMs, now);
       return {grantedAt: now};
@@ -92,14 +101,14 @@
     const lease = new ModelLease(order, now, (kind, at) =>
       this.observe(lease, kind, at),
     );
-    this.leases.set(keyText(order), lease);
+    this.leases.set(leaseKeyText(order), lease);
     return {grantedAt: now};
   }
 
   start(order: StartOrder, now: Instant): void {
     this.advance(now);
     this.checkTerm(order.term);
-    const lease = this.leases.get(keyText(order));
+    const lease = this.leases.get(leaseKeyText(order));
     if (!lease) {
       throw this.refuse('there is no reservation');
     }
@@ -119,9 +128,9 @@
   stop(order: StopOrder, now: Instant): LeaseReport | undefined {
     this.advance(now);
     this.checkTerm(order.term);
-    const lease = this.leases.get(keyText(order));
+    const lease = this.leases.get(leaseKeyText(order));
     if (lease?.state === 'reserved') {
-      this.leases.delete(keyText(order));
+      this.leases.delete(leaseKeyText(order));
     }
     lease?.stop(order, now);
     return lease?.report(now);
@@ -130,16 +139,16 @@
   renew(order: Renewal, now: Instant): TargetReport {
     this.advance(now);
     this.checkTerm(order.term);
-    if (order.basedOn !== undefined && order.basedOn <= now) {
-      for (const key of order.leases) {
-        const lease = this.leases.get(keyText(key));
-        lease?.renew(order.term, order.basedOn + order.leaseMs);
-      }
+    const isKnown =
+      order.basedOn !== undefined && order.digest === this.digest();
+    for (const lease of this.findRenewed(order, isKnown, now)) {
+      lease.renew(order.term, (order.basedOn ?? now) + order.leaseMs);
     }
     for (const key of order.forget) {
       this.forget(key);
     }
-    return this.report(now);
+    const since = isKnown ? order.basedOn : undefined;
+    return this.report(now, {since, withUsage: order.withUsage});
   }
 
   fence(order: {term: Term}, now: Instant): TargetReport {
@@ -154,7 +163,7 @@
   ): void {
     this.advance(now);
     this.checkTerm(order.term);
-    const lease = this.leases.get(keyText(order));
+    const lease = this.leases.get(leaseKeyText(order));
     if (!lease) {
       throw this.refuse('the attempt is not known');
     }
@@ -189,18 +198,46 @@
 
   // Queries
 
-  report(now: Instant): TargetReport {
+  report(now: Instant, options: ReportOptions = {}): TargetReport {
+    const {since, withUsage = true} = options;
+    const leases = [...this.leases.values()].filter(
+      lease => lease.changedAt >= (since ?? -Infinity),
+    );
     return {
       target: this.id,
       clock: now,
       term: this.term,
       leaving: this.leaving,
-      leases: [...this.leases.values()].map(lease => lease.report(now)),
-      usage: this.usage,
+      leases: leases.map(lease => lease.report(now)),
+      ...(since !== undefined && {changesOnly: true}),
+      usage: withUsage ? this.usage : [],
       usageAgeMs: now - (this.measuredAt ?? now),
     };
   }
 
+  private digest(): string {
+    const started = [...this.leases].filter(
+      ([, lease]) => lease.state !== 'reserved',
+    );
+    return digestLeases(started.map(([key]) => key));
+  }
+
+  private findRenewed(
+    order: Renewal,
+    isKnown: boolean,
+    now: Instant,
+  ): ModelLease[] {
+    if (order.basedOn === undefined || order.basedOn > now) {
+      return [];
+    }
+    if (order.renewsAll) {
+      return isKnown ? [...this.leases.values()] : [];
+    }
+    return order.leases.flatMap(
+      key => this.leases.get(leaseKeyText(key)) ?? [],
+    );
+  }
+
   private checkTerm(term: Term): void {
     if (!this.guards.terms) {
       return;
@@ -274,9 +311,9 @@
   }
 
   private forget(key: LeaseKey): void {
-    const lease = this.leases.get(keyText(key));
+    const lease = this.leases.get(leaseKeyText(key));
     if (lease && !lease.isOccupying) {
-      this.leases.delete(keyText(key));
+      this.leases.delete(leaseKeyText(key));
     }
   }
 
@@ -298,7 +335,7 @@
     at: Instant,
   ): void {
     const {jobId, attempt, firstTask, tasks} = lease.reservation;
-    const {term} = lease;
+    const {state, term} = lease;
     this.onRun?.({
       kind,
       target: this.id,
@@ -307,6 +344,7 @@
       term,
       firstTask,
       tasks,
+      state,
       at,
     });
   }
@@ -316,10 +354,6 @@
   }
 }
 
-function keyText(key: LeaseKey): string {
-  return `${key.jobId}/${key.attempt}`;
-}
-
 function sum<T>(items: readonly T[], valueOf: (item: T) => number): number {
   return items.reduce((total, item) => total + valueOf(item), 0);
 }
