--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -225,9 +225,9 @@
     }),
     takeover: new TakeoverReader({
       ...parts,
-      callTimeoutMs: timings.targetTimeoutMs,
+      options: {callTimeoutMs: timings.targetTimeoutMs},
     }),
-    health: new TargetHealth(state.configuration.rules),
+    health: new TargetHealth(() => state.configuration.rules),
     clock,
     random: node.random,
     logger,
--- a/packages/shared/src/clock.ts
+++ b/packages/shared/src/clock.ts
@@ -48,7 +48,7 @@
 
 interface Sleeper {
   wakeAt: Instant;
-  resolve: () => void;
+  finish: () => void;
 }
 
 /** A clock for tests: time moves only when `advance` is called. */
@@ -75,13 +75,11 @@
         return;
       }
       const onAbort = () => this.wake(sleeper);
-      const sleeper: Sleeper = {
-        wakeAt: this.current + duration,
-        resolve: () => {
-          signal?.removeEventListener('abort', onAbort);
-          resolve();
-        },
+      const finish = () => {
+        signal?.removeEventListener('abort', onAbort);
+        resolve();
       };
+      const sleeper: Sleeper = {wakeAt: this.current + duration, finish};
       this.sleepers.push(sleeper);
       signal?.addEventListener('abort', onAbort, {once: true});
     });
@@ -111,7 +109,7 @@
 
   private wake(sleeper: Sleeper): void {
     this.sleepers = this.sleepers.filter(other => other !== sleeper);
-    sleeper.resolve();
+    sleeper.finish();
   }
 }
 
--- a/packages/standins/src/targets/target_server.ts
+++ b/packages/standins/src/targets/target_server.ts
@@ -4,6 +4,7 @@
 import {REFUSED_STATUS, fenceOrder, throttleOrder} from '@galenavalve/platform';
 import {type Clock, SystemClock, isFailure} from '@galenavalve/shared';
 import {
+  type RunEvent,
   TargetModel,
   renewal,
   reservation,
@@ -18,6 +19,9 @@
 } from '../http/http_server.js';
 import {TargetControl, targetControl} from './target_control.js';
 
+/** Latest starts and ends of tasks that `GET /control/runs` tells. */
+const MAX_RUNS = 100_000;
+
 /** One target to stand in for. */
 export const targetDefinition = z.object({
   id: z.string().min(1).max(100),
@@ -60,7 +64,13 @@
   options: TargetServerOptions,
 ): Promise<RunningTargets> {
   const clock = options.clock ?? new SystemClock();
-  const models = createModels(options.targets);
+  const runs: RunEvent[] = [];
+  const models = createModels(options.targets, event => {
+    // Run events carry the clock of the process; readers need wall-clock time.
+    const at = event.at + clock.wallTime() - clock.now();
+    runs.push({...event, at});
+    runs.splice(0, runs.length - MAX_RUNS);
+  });
   const control = new TargetControl(models, clock);
   const server = createHttpServer('targets');
   for (const [command, handler] of Object.entries(handlers)) {
@@ -76,15 +86,19 @@
     }
     response.send(200, {});
   });
+  server.get('/control/runs', async (_request, response) => {
+    response.send(200, {runs});
+  });
   return {...(await listen(server, options)), control, models};
 }
 
 function createModels(
   targets: readonly TargetDefinition[],
+  onRun: (event: RunEvent) => void,
 ): Map<string, TargetModel> {
   const models = new Map<string, TargetModel>();
   for (const {id, ...capacity} of targets) {
-    models.set(id, new TargetModel({id, capacity}));
+    models.set(id, new TargetModel({id, capacity, onRun}));
   }
   return models;
 }
--- a/packages/targets/__tests__/gang_faults.spec.ts
+++ b/packages/targets/__tests__/gang_faults.spec.ts
@@ -187,7 +187,7 @@
     client: targets.clientFor('i2'),
     addressOf: targets.addressOf,
     logger: new SilentLogger(),
-    callTimeoutMs: CALL_TIMEOUT_MS,
+    options: {callTimeoutMs: CALL_TIMEOUT_MS},
   });
   const precede = async () => {
     const {kind} = await predecessor.reserve(first);
--- a/packages/targets/src/lease_keeper.ts
+++ b/packages/targets/src/lease_keeper.ts
@@ -7,7 +7,7 @@
   type Milliseconds,
   isFailure,
 } from '@galenavalve/shared';
-import type {AddressLookup, GangMembers, GangOrder} from './gang_order.js';
+import type {AddressLookup, GangOrder} from './gang_order.js';
 import {GangWatch} from './gang_watch.js';
 import type {KeeperEvent} from './keeper_event.js';
 import type {Renewal, TargetClient, TargetReport} from './target_client.js';
@@ -107,10 +107,14 @@
     this.lastTickAt = undefined;
   }
 
-  /** Lets the targets of an attempt forget it, now that its end is recorded. */
-  forget(gang: GangMembers): void {
-    for (const {target} of gang.assignments) {
-      this.watch(target).forget(gang);
+  /** Lets the targets of a kept attempt forget it, now that its end is recorded. */
+  forget(jobId: string, attempt: number): void {
+    const order = this.gangs.get(jobId)?.order;
+    if (order?.attempt !== attempt) {
+      return;
+    }
+    for (const {target} of order.assignments) {
+      this.watch(target).forget(order);
     }
   }
 
--- a/packages/targets/src/target_health.ts
+++ b/packages/targets/src/target_health.ts
@@ -38,14 +38,11 @@
   /** Targets on which a job failed; a job that fails everywhere blames none. */
   private readonly failuresOfJob = new Map<string, Set<string>>();
 
-  constructor(private rules: QuarantineRules) {}
+  /** `rules` gives those in force. */
+  constructor(private readonly rules: () => QuarantineRules) {}
 
   // Commands
 
-  setRules(rules: QuarantineRules): void {
-    this.rules = rules;
-  }
-
   /** A task of the job failed on the target, or the target lost it. */
   noteFailure(target: string, jobId: string, now: Instant): void {
     const evidence = this.of(target);
@@ -53,7 +50,7 @@
     this.rememberJob(jobId, target);
     const isProbe =
       evidence.quarantines > 0 && now >= evidence.quarantinedUntil;
-    const isEnough = this.weigh(evidence) >= this.rules.quarantineFailures;
+    const isEnough = this.weigh(evidence) >= this.rules().quarantineFailures;
     if (now >= evidence.quarantinedUntil && (isProbe || isEnough)) {
       this.quarantine(evidence, now);
     }
@@ -67,14 +64,15 @@
     evidence.avoidedUntil = now + Math.min(backoff, MAX_BACKOFF_MS);
   }
 
-  /** A gang with a member on the target succeeded. */
-  noteSuccess(target: string): void {
+  /** A gang with a member on the target succeeded. One that started before a quarantine does not end it. */
+  noteSuccess(target: string, now: Instant): void {
     const evidence = this.of(target);
     evidence.refusals = 0;
     evidence.avoidedUntil = -Infinity;
     evidence.failedJobs.clear();
-    evidence.quarantines = 0;
-    evidence.quarantinedUntil = -Infinity;
+    if (now >= evidence.quarantinedUntil) {
+      evidence.quarantines = 0;
+    }
   }
 
   noteSilence(target: string, isSilent: boolean): void {
@@ -119,7 +117,7 @@
 
   private quarantine(evidence: Evidence, now: Instant): void {
     const length =
-      this.rules.quarantineSeconds * 1000 * 2 ** evidence.quarantines;
+      this.rules().quarantineSeconds * 1000 * 2 ** evidence.quarantines;
     evidence.quarantinedUntil = now + Math.min(length, MAX_QUARANTINE_MS);
     evidence.quarantines += 1;
     evidence.failedJobs.clear();
