--- a/packages/targets/__tests__/fixtures.ts
+++ b/packages/targets/__tests__/fixtures.ts
@@ -8,6 +8,7 @@
   LeaseKeeper,
   MemoryTargets,
   type RunEvent,
+  type TargetClient,
 } from '../src/index.js';
 
 export const CALL_TIMEOUT_MS = 500;
@@ -16,7 +17,7 @@
 export const TTL_MS = 2000;
 
 export const CAPACITY = {
-  slots: 8,
+  slots: 64,
   accelerators: 8,
   processors: 64,
   memoryMb: 131_072,
@@ -81,9 +82,13 @@
   });
 }
 
-export function createKeeper(clock: ManualClock, targets: MemoryTargets) {
+export function createKeeper(
+  clock: ManualClock,
+  targets: MemoryTargets,
+  client: TargetClient = targets.clientFor('i1'),
+) {
   const keeper = new LeaseKeeper({
-    client: targets.clientFor('i1'),
+    client,
     addressOf: targets.addressOf,
     clock,
     logger: new SilentLogger(),
--- a/packages/targets/__tests__/lease_keeper.spec.ts
+++ b/packages/targets/__tests__/lease_keeper.spec.ts
@@ -103,6 +103,42 @@
   });
 });
 
+t.test('a renewal has the same size for one lease and for many', async t => {
+  const sizes = await Promise.all([1, 23].map(measureRound));
+  t.equal(sizes[0], sizes[1]);
+  t.ok(Number(sizes[1]) < 500);
+});
+
+/** Bytes of one renewal and its answer, as JSON, with so many gangs on one target. */
+async function measureRound(gangs: number): Promise<number> {
+  const {clock, targets} = createTargets(1);
+  const starter = createStarter(clock, targets);
+  const client = targets.clientFor('i1');
+  let bytes = 0;
+  const {keeper} = createKeeper(clock, targets, {
+    ...client,
+    renew: async (...call) => {
+      const report = await client.renew(...call);
+      bytes = JSON.stringify([call[1], report]).length;
+      return report;
+    },
+  });
+  for (let i = 0; i < gangs; i++) {
+    const order = createOrder(1, {
+      jobId: `job${i}`,
+      assignments: [{target: 't0', firstTask: 0, tasks: 1, accelerators: 0}],
+    });
+    await starter.reserve(order);
+    await starter.start(order, () => undefined);
+    keeper.follow(order);
+  }
+  for (let round = 0; round < 3; round++) {
+    await clock.advance(1000);
+    await keeper.tick();
+  }
+  return bytes;
+}
+
 t.test('an idle target is asked, and tells that it leaves', async t => {
   const {clock, targets} = createTargets(1);
   const {keeper, events} = createKeeper(clock, targets);
--- a/packages/targets/src/testing/target_model.ts
+++ b/packages/targets/src/testing/target_model.ts
@@ -148,7 +148,7 @@
       this.forget(key);
     }
     const since = isKnown ? order.basedOn : undefined;
-    return this.report(now, {since, withUsage: order.withUsage});
+    return this.report(now, {since, withUsage: order.withUsage === true});
   }
 
   fence(order: {term: Term}, now: Instant): TargetReport {
