--- a/packages/daemon/src/commands/route_job.ts
+++ b/packages/daemon/src/commands/route_job.ts
@@ -1,62 +1,47 @@
 /** Routes jobs to failure domains. */
 import {type Reason, createReason, describeReason} from '@galenavalve/model';
-import type {WaitingJob} from '@galenavalve/placement';
+import {
+  type DomainSummary,
+  type Route,
+  type WaitingJob,
+  chooseDomain,
+  summarizeDomain,
+} from '@galenavalve/placement';
+import {toWaitingJob} from '@galenavalve/scheduler';
 import {Failure} from '@galenavalve/shared';
 import type {Node} from '../node.js';
 
-/** Where a job goes, and why. */
-export interface Route {
-  domain: string;
-  reason: Reason;
-}
-
-/** A failure domain that can hold a job. */
-export interface Candidate {
-  domain: string;
-  /** Whether the policy would start the job there at once. */
-  startsNow: boolean;
-  queued: number;
-}
+/** Most queued jobs of a domain that its backlog is estimated from. */
+const BACKLOG_SAMPLE = 200;
 
-/** Chooses the failure domain of a job. Throws `never-runnable`. */
+/** Chooses the failure domain of a job. `now` is wall-clock time. Throws `never-runnable`. */
 export function routeJob(node: Node, job: WaitingJob, now: number): Route {
-  const ranked = rankDomains(node, job, now);
-  const best = ranked[0];
-  if (!best) {
+  const summaries = summarizeDomains(node, job, now);
+  const route = chooseDomain(summaries);
+  if (!route) {
     throw new Failure('never-runnable', {
-      constraint: describeReason(findConstraint(node, job)),
+      constraint: describeReason(findConstraint(job, summaries)),
     });
   }
-  const {domain} = best;
-  if (ranked.length === 1) {
-    return {domain, reason: createReason('routed-only', {domain})};
-  }
-  const code = best.startsNow ? 'routed-capacity' : 'routed-queue';
-  return {domain, reason: createReason(code, {domain})};
+  return route;
 }
 
-/** The domains that can ever hold the job: those in service first, the best first. */
-export function rankDomains(
+/** What each failure domain that the workspace may use can do for the job. */
+export function summarizeDomains(
   node: Node,
   job: WaitingJob,
   now: number,
-): Candidate[] {
-  const candidates = permittedDomains(node, job.workspace).flatMap(domain => {
+): DomainSummary[] {
+  return listPermitted(node, job.workspace).map(domain => {
     const {cells} = node.mirrorOf(domain);
-    if (node.policy.findImpossibility(cells, job)) {
-      return [];
-    }
-    const placements = node.policy.decide(cells, [job], now).placements;
-    const queued = [...node.state.queuedIn(domain)].length;
-    return [{domain, startsNow: placements.length > 0, queued}];
+    const queue = sampleQueue(node, domain, now);
+    const summary = summarizeDomain(cells, queue, job, now);
+    const isHeld = node.mesh.isHeld(`domain/${domain}`);
+    return isHeld ? {...summary, isInService: false} : summary;
   });
-  const rank = (candidate: Candidate) =>
-    (isInService(node, candidate.domain) ? 0 : 4) +
-    (candidate.queued === 0 && candidate.startsNow ? 0 : 2);
-  return candidates.sort((a, b) => rank(a) - rank(b) || a.queued - b.queued);
 }
 
-function permittedDomains(node: Node, workspaceId: string): string[] {
+function listPermitted(node: Node, workspaceId: string): string[] {
   const {workspaces, domains} = node.state.configuration;
   const permitted = workspaces.get(workspaceId)?.permittedDomains;
   return [...domains.keys()].filter(
@@ -64,22 +49,25 @@
   );
 }
 
-function findConstraint(node: Node, job: WaitingJob): Reason {
-  for (const domain of permittedDomains(node, job.workspace)) {
-    const reason = node.policy.findImpossibility(
-      node.mirrorOf(domain).cells,
-      job,
-    );
-    if (reason) {
-      return reason;
+/** The first jobs of the queue; a bound keeps routing cheap when queues are long. */
+function sampleQueue(node: Node, domain: string, now: number): WaitingJob[] {
+  const sample: WaitingJob[] = [];
+  for (const job of node.state.queuedIn(domain)) {
+    if (sample.length === BACKLOG_SAMPLE) {
+      break;
     }
+    sample.push(toWaitingJob(job, now));
   }
-  return createReason('never-permitted', {workspace: job.workspace});
+  return sample;
 }
 
-function isInService(node: Node, domain: string): boolean {
+function findConstraint(
+  job: WaitingJob,
+  summaries: readonly DomainSummary[],
+): Reason {
+  const constraint = summaries.find(({impossibility}) => impossibility);
   return (
-    node.state.configuration.domains.get(domain)?.state === 'in-service' &&
-    !node.mesh.isHeld(`domain/${domain}`)
+    constraint?.impossibility ??
+    createReason('never-permitted', {workspace: job.workspace})
   );
 }
--- a/packages/daemon/src/commands/submit_job.ts
+++ b/packages/daemon/src/commands/submit_job.ts
@@ -1,12 +1,12 @@
 /** Admits a job: checks it, routes it to a failure domain and records it. */
 import type {Job} from '@galenavalve/ledger';
 import {type JobRequest, describeReason, jobRequest} from '@galenavalve/model';
-import type {WaitingJob} from '@galenavalve/placement';
+import type {Route, WaitingJob} from '@galenavalve/placement';
 import {Failure, hashText, hashValue} from '@galenavalve/shared';
 import type {Node} from '../node.js';
 import {parseBody} from '../http/parse_body.js';
 import {appendCommand} from './append_command.js';
-import {type Route, routeJob} from './route_job.js';
+import {routeJob} from './route_job.js';
 import {checkServing} from './check_serving.js';
 
 /**
--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -1,10 +1,17 @@
 /** Binds the parts of a daemon, by inversify. Adapters for the platform are injected here. */
 import {Container} from 'inversify';
-import {LedgerState, LogFollower, LogWriter} from '@galenavalve/ledger';
-import type {Log} from '@galenavalve/ledger';
-import {FreshnessTracker, PeerMesh} from '@galenavalve/membership';
+import {
+  type LedgerOptions,
+  LedgerState,
+  type Log,
+  LogFollower,
+  LogWriter,
+  SnapshotWriter,
+  StateRestorer,
+} from '@galenavalve/ledger';
+import {FreshnessTracker, PeerMesh, RecordRelay} from '@galenavalve/membership';
 import type {InstanceList} from '@galenavalve/membership';
-import {GalenaPolicy, type Policy} from '@galenavalve/placement';
+import {GalenaPolicy} from '@galenavalve/placement';
 import {
   HttpInstanceList,
   HttpLog,
@@ -31,6 +38,9 @@
 import {JobWaiters} from './job_waiters.js';
 import type {Node} from './node.js';
 import {Metrics} from './observability/metrics.js';
+import {findGuaranteeFailure} from './guarantee_check.js';
+import {listStateSources} from './roles/peer_catch_up.js';
+import {RelayingLog} from './roles/relaying_log.js';
 import {createSelfReport} from './roles/self_report.js';
 import {chooseMove} from './roles/queue_moves.js';
 import {findStartBar} from './roles/start_bar.js';
@@ -66,8 +76,18 @@
 function bindPlatform(container: Container, settings: Settings): void {
   const {logUrl, instanceListUrl} = settings.platform;
   container
-    .bind<Log>(tokens.log)
+    .bind<Log>(tokens.platformLog)
     .toDynamicValue(() => new HttpLog({baseUrl: logUrl}));
+  container.bind(tokens.relay).toDynamicValue(() => new RecordRelay());
+  container
+    .bind<Log>(tokens.log)
+    .toDynamicValue(
+      context =>
+        new RelayingLog(
+          context.get(tokens.platformLog),
+          context.get(tokens.relay),
+        ),
+    );
   container
     .bind<InstanceList>(tokens.instanceList)
     .toDynamicValue(() => new HttpInstanceList({baseUrl: instanceListUrl}));
@@ -75,12 +95,20 @@
     .bind<TargetClient>(tokens.targetClient)
     .toDynamicValue(() => new HttpTargetClient());
   container
-    .bind<Policy>(tokens.policy)
+    .bind<GalenaPolicy>(tokens.policy)
     .toDynamicValue(() => new GalenaPolicy());
 }
 
 function bindLedger(container: Container): void {
-  container.bind(tokens.state).toDynamicValue(() => new LedgerState());
+  container.bind(tokens.ledgerOptions).toDynamicValue(context => {
+    const {limits} = context.get<Settings>(tokens.settings);
+    return createLedgerOptions(limits.requestWindowSeconds);
+  });
+  container
+    .bind(tokens.state)
+    .toDynamicValue(
+      context => new LedgerState(context.get(tokens.ledgerOptions)),
+    );
   container.bind(tokens.follower).toDynamicValue(context => {
     const {timings} = context.get<Settings>(tokens.settings);
     return new LogFollower({
@@ -89,6 +117,12 @@
       clock: context.get(tokens.clock),
       random: context.get(tokens.random),
       logger: context.get(tokens.logger),
+      restorer: new StateRestorer({
+        log: context.get(tokens.log),
+        logger: context.get(tokens.logger),
+        sources: () => listStateSources(context.get<Node>(tokens.node)),
+        ledger: context.get(tokens.ledgerOptions),
+      }),
       options: {
         readWait: timings.logWaitMs,
         readTimeout: timings.platformTimeoutMs,
@@ -113,6 +147,16 @@
   });
 }
 
+/** The fold's parameters; the same on every instance. */
+function createLedgerOptions(
+  requestWindowSeconds: number,
+): Partial<LedgerOptions> {
+  return {
+    requestWindow: requestWindowSeconds * 1000,
+    validateConfiguration: findGuaranteeFailure,
+  };
+}
+
 function bindPeers(container: Container): void {
   container.bind(tokens.freshness).toDynamicValue(() => new FreshnessTracker());
   container.bind(tokens.peerServer).toDynamicValue(context => {
@@ -164,7 +208,7 @@
 function createNode(get: Getter): Node {
   const state = get<LedgerState>(tokens.state);
   const clock = get<Clock>(tokens.clock);
-  const policy = get<Policy>(tokens.policy);
+  const policy = get<GalenaPolicy>(tokens.policy);
   const mirrors = new Map<string, CellsMirror>();
   const mirrorOf = (domain: string): CellsMirror => {
     const mirror =
@@ -237,8 +281,18 @@
 }
 
 function createDaemon(get: Getter): Daemon {
-  return new Daemon(get(tokens.node), {
+  const node = get<Node>(tokens.node);
+  return new Daemon(node, {
     peerServer: get(tokens.peerServer),
     peerClient: get(tokens.peerClient),
+    relay: get(tokens.relay),
+    snapshots: new SnapshotWriter({
+      follower: node.follower,
+      writer: node.writer,
+      clock: node.clock,
+      random: node.random,
+      logger: node.logger,
+      instance: node.settings.instance,
+    }),
   });
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,13 +1,15 @@
 /** One daemon: starts its loops, serves, and stops without cutting a request. */
 import {setMaxListeners} from 'node:events';
-import {z} from 'zod';
-import type {Applied} from '@galenavalve/ledger';
+import type {Applied, SnapshotWriter} from '@galenavalve/ledger';
+import type {RecordRelay, StateServer} from '@galenavalve/membership';
 import {platformTraffic} from '@galenavalve/platform';
-import {type Milliseconds, Failure, describeError} from '@galenavalve/shared';
+import {type Milliseconds, describeError} from '@galenavalve/shared';
 import type {PeerClient, PeerServer} from '@galenavalve/wire';
 import {type HttpServer, startHttpServer} from './http/http_server.js';
 import type {Node} from './node.js';
 import {Election} from './roles/election.js';
+import {catchUpByPeers} from './roles/peer_catch_up.js';
+import {servePeers} from './roles/peer_services.js';
 
 /** Time between two ticks of the freshness loop. */
 const TICK_MS: Milliseconds = 100;
@@ -15,12 +17,12 @@
 /** How long a balancer may still send requests after `/readyz` says no. */
 const UNLISTED_MS: Milliseconds = 500;
 
-const waitQuestion = z.strictObject({jobId: z.string().max(100)});
-
 /** Network parts that only the daemon itself opens and closes. */
 export interface DaemonParts {
   peerServer: PeerServer;
   peerClient: PeerClient;
+  relay: RecordRelay;
+  snapshots: SnapshotWriter;
 }
 
 /** The daemon of one entry instance. */
@@ -30,6 +32,7 @@
   private running: Promise<unknown>[] = [];
   private http: HttpServer | undefined;
   private stopped: Promise<void> | undefined;
+  private states: StateServer | undefined;
 
   constructor(
     readonly node: Node,
@@ -39,6 +42,7 @@
     // Every loop listens to the end of the daemon.
     setMaxListeners(0, this.loops.signal);
     node.follower.onApplied(applied => this.onApplied(applied));
+    node.follower.onReplaced(() => this.onReplaced());
   }
 
   /** Port of the HTTP interface. */
@@ -53,9 +57,12 @@
     this.handlePeers();
     await this.parts.peerServer.start();
     this.http = await startHttpServer(node);
+    this.keep('mesh', node.mesh.run(signal));
+    await this.waitForPeers(signal);
     this.keep('follower', node.follower.run(signal));
     this.keep('writer', node.writer.run(signal));
-    this.keep('mesh', node.mesh.run(signal));
+    this.keep('catch-up', catchUpByPeers(node, signal));
+    this.keep('snapshots', this.parts.snapshots.run(signal));
     this.keep('keeper', node.scheduler.keepLeases(signal));
     this.keep('freshness', this.tickFreshness(signal));
     await this.waitUntilCaughtUp(signal);
@@ -97,6 +104,17 @@
     node.logger.info('stopped', {cause});
   }
 
+  /** A restored state took the place of the folded one. */
+  private onReplaced(): void {
+    const {node} = this;
+    node.logger.info('state-replaced', {offset: node.state.nextOffset});
+    node.scheduler.deactivate('the state was replaced');
+    for (const mirror of node.mirrors()) {
+      mirror.rebuild();
+    }
+    node.waiters.recheck();
+  }
+
   private onApplied(applied: Applied): void {
     const {node} = this;
     const {record} = applied;
@@ -136,14 +154,8 @@
   }
 
   private handlePeers(): void {
-    const {parts, node} = this;
-    parts.peerServer.handle('wait-reason', waitQuestion, async ({jobId}) => {
-      const reason = node.scheduler.waitReason(jobId);
-      if (!reason) {
-        throw new Failure('not-found', {kind: 'waiting reason', id: jobId});
-      }
-      return reason;
-    });
+    const {node} = this;
+    this.states = servePeers(node, this.parts.peerServer, this.parts.relay);
     node.mesh.onReport(({report, madeAfter}) => {
       if (madeAfter !== undefined) {
         node.freshness.notePeer(report, node.state.nextOffset, madeAfter);
@@ -167,6 +179,7 @@
         node.freshness.noteRead(readAt);
       }
       node.freshness.noteOffset(node.state.nextOffset);
+      this.states?.dropUnused(now);
       this.updateMetrics(now);
       await node.clock.sleep(TICK_MS, signal);
     }
@@ -191,6 +204,20 @@
     );
   }
 
+  /** Gives peers a moment to answer, so that a state can be had from them too. */
+  private async waitForPeers(signal: AbortSignal): Promise<void> {
+    const {clock, mesh, settings} = this.node;
+    const end = clock.now() + settings.timings.heartbeatMs;
+    while (
+      settings.seeds.length > 0 &&
+      clock.now() < end &&
+      !signal.aborted &&
+      !mesh.peers().some(({report}) => report?.ready)
+    ) {
+      await clock.sleep(TICK_MS / 4, signal);
+    }
+  }
+
   private async waitUntilCaughtUp(signal: AbortSignal): Promise<void> {
     while (!signal.aborted && !this.node.follower.isCaughtUp) {
       await this.node.clock.sleep(TICK_MS / 4, signal);
--- a/packages/daemon/src/job_waiters.ts
+++ b/packages/daemon/src/job_waiters.ts
@@ -52,6 +52,15 @@
     }
   }
 
+  /** Wakes the callers whose jobs have ended; for a state that was replaced. */
+  recheck(): void {
+    for (const jobId of [...this.waiting.keys()]) {
+      if (this.state.job(jobId)?.phase === 'finished') {
+        this.wake(jobId);
+      }
+    }
+  }
+
   /** Answers all callers with what is known now; for a planned stop. */
   close(): void {
     this.isClosed = true;
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -1,7 +1,7 @@
 /** What the roles, commands and queries of one daemon share. */
 import type {LedgerState, LogFollower, LogWriter} from '@galenavalve/ledger';
 import type {FreshnessTracker, PeerMesh} from '@galenavalve/membership';
-import type {Policy} from '@galenavalve/placement';
+import type {GalenaPolicy} from '@galenavalve/placement';
 import type {CellsMirror, Scheduler} from '@galenavalve/scheduler';
 import type {Clock, Logger, Random} from '@galenavalve/shared';
 import type {Metrics} from './observability/metrics.js';
@@ -21,7 +21,7 @@
   state: LedgerState;
   follower: LogFollower;
   writer: LogWriter;
-  policy: Policy;
+  policy: GalenaPolicy;
   mesh: PeerMesh;
   freshness: FreshnessTracker;
   scheduler: Scheduler;
--- a/packages/daemon/src/queries/cluster_queries.ts
+++ b/packages/daemon/src/queries/cluster_queries.ts
@@ -2,12 +2,14 @@
 import type {Job} from '@galenavalve/ledger';
 import type {
   DomainView,
+  GuaranteeView,
   InventoryView,
   Target,
   TargetView,
   Workspace,
   WorkspaceView,
 } from '@galenavalve/model';
+import {describeGuarantees, inServiceOnly} from '@galenavalve/placement';
 import type {Node} from '../node.js';
 
 /** The inventory as this instance knows it, with its age. */
@@ -26,8 +28,24 @@
   const active = [...domains.keys()].flatMap(id => [
     ...node.state.activeIn(id),
   ]);
+  const guarantees = describeAvailable(node);
   const ids = [...workspaces.keys()].sort();
-  return ids.map(id => viewWorkspace(node, workspaces.get(id)!, active));
+  return ids.map(id => ({
+    ...viewWorkspace(node, workspaces.get(id)!, active),
+    guarantees: guarantees.get(id) ?? [],
+  }));
+}
+
+/** Every guarantee, as it can be met with the targets that are in service and well. */
+function describeAvailable(node: Node): Map<string, GuaranteeView[]> {
+  const {configuration} = node.state;
+  const isInService = inServiceOnly(configuration);
+  return describeGuarantees(
+    configuration,
+    target =>
+      isInService(target) &&
+      node.mirrorOf(target.domain).cells.condition(target.id) === 'well',
+  );
 }
 
 function viewDomain(node: Node, id: string): DomainView {
@@ -67,7 +85,7 @@
   node: Node,
   workspace: Workspace,
   active: readonly Job[],
-): WorkspaceView {
+): Omit<WorkspaceView, 'guarantees'> {
   const own = active.filter(job => job.request.workspace === workspace.id);
   return {
     id: workspace.id,
@@ -77,7 +95,6 @@
     running: own.length,
     acceleratorsGuaranteed: sumAccelerators(own.filter(job => job.guaranteed)),
     acceleratorsBorrowed: sumAccelerators(own.filter(job => !job.guaranteed)),
-    guarantees: [],
   };
 }
 
--- a/packages/daemon/src/queries/job_queries.ts
+++ b/packages/daemon/src/queries/job_queries.ts
@@ -12,6 +12,7 @@
 } from '@galenavalve/model';
 import {Failure, hashValue} from '@galenavalve/shared';
 import type {Node} from '../node.js';
+import {WAIT_REASON_METHOD} from '../roles/peer_services.js';
 
 const PEER_TIMEOUT_MS = 1_000;
 
@@ -107,7 +108,7 @@
   try {
     const answer = await node.mesh.ask(
       holder,
-      'wait-reason',
+      WAIT_REASON_METHOD,
       {jobId: job.jobId},
       PEER_TIMEOUT_MS,
     );
--- /dev/null
+++ b/packages/daemon/src/roles/peer_services.ts
@@ -0,0 +1,55 @@
+/** What this instance answers to its peers. */
+import {z} from 'zod';
+import {encodeStateGradually} from '@galenavalve/ledger';
+import {
+  RECORDS_METHOD,
+  type RecordRelay,
+  STATE_OPEN_METHOD,
+  STATE_SECTION_METHOD,
+  StateServer,
+  emptyBody,
+  recordsRequest,
+  sectionRequest,
+} from '@galenavalve/membership';
+import {Failure} from '@galenavalve/shared';
+import type {PeerServer} from '@galenavalve/wire';
+import type {Node} from '../node.js';
+
+/** Method that asks a domain's scheduler what a job waits for. */
+export const WAIT_REASON_METHOD = 'wait-reason';
+
+const waitQuestion = z.strictObject({jobId: z.string().max(100)});
+
+/** Registers every method. Returns what frees the memory of unused offers. */
+export function servePeers(
+  node: Node,
+  server: PeerServer,
+  relay: RecordRelay,
+): StateServer {
+  server.handle(WAIT_REASON_METHOD, waitQuestion, async ({jobId}) => {
+    const reason = node.scheduler.waitReason(jobId);
+    if (!reason) {
+      throw new Failure('not-found', {kind: 'waiting reason', id: jobId});
+    }
+    return reason;
+  });
+  server.handle(RECORDS_METHOD, recordsRequest, async request =>
+    relay.serve(request),
+  );
+  const states = new StateServer(() => encodeState(node));
+  server.handle(STATE_OPEN_METHOD, emptyBody, () =>
+    states.open(node.clock.now()),
+  );
+  server.handle(STATE_SECTION_METHOD, sectionRequest, request =>
+    states.section(request, node.clock.now()),
+  );
+  return states;
+}
+
+function encodeState(node: Node) {
+  const {instance} = node.settings;
+  const {follower, state} = node;
+  return follower.hold(() =>
+    encodeStateGradually(state, `${instance}-${state.nextOffset}`),
+  );
+}
--- a/packages/daemon/src/roles/queue_moves.ts
+++ b/packages/daemon/src/roles/queue_moves.ts
@@ -1,14 +1,12 @@
 /** Chooses where to send a queued job that its failure domain cannot serve. */
-import {type Reason, createReason} from '@galenavalve/model';
+import {findMove} from '@galenavalve/placement';
 import {toWaitingJob} from '@galenavalve/scheduler';
+import type {Reason} from '@galenavalve/model';
+import {summarizeDomains} from '../commands/route_job.js';
 import type {Node} from '../node.js';
-import {rankDomains} from '../commands/route_job.js';
 
-/** Time that a job waits in a domain in service before it may move, in milliseconds of wall-clock time. */
-const PATIENCE_MS = 5_000;
-
-/** A move of a queued job. */
-export interface Move {
+/** Where a queued job is sent, and why. */
+export interface QueueMove {
   domain: string;
   reason: Reason;
 }
@@ -18,27 +16,18 @@
   node: Node,
   jobId: string,
   now: number,
-): Move | undefined {
+): QueueMove | undefined {
   const job = node.state.job(jobId);
-  if (!job || job.phase !== 'queued') {
-    return undefined;
-  }
-  const from = job.domain;
-  const isOut =
-    node.state.configuration.domains.get(from)?.state !== 'in-service';
-  const waitedSince = job.lastUnplacedAt ?? job.submittedAt;
-  if (!isOut && now - waitedSince < PATIENCE_MS) {
+  if (job?.phase !== 'queued') {
     return undefined;
   }
-  const best = rankDomains(node, toWaitingJob(job, now), now).find(
-    candidate => candidate.domain !== from && (isOut || candidate.startsNow),
-  );
-  if (!best) {
+  const waiting = toWaitingJob(job, now);
+  const summaries = summarizeDomains(node, waiting, now);
+  const from = summaries.find(({domain}) => domain === job.domain);
+  if (!from) {
     return undefined;
   }
-  const code = isOut ? 'moved-domain-out' : 'moved-capacity';
-  return {
-    domain: best.domain,
-    reason: createReason(code, {from, domain: best.domain}),
-  };
+  const arrivedAt = job.lastUnplacedAt ?? job.submittedAt;
+  const move = findMove(waiting, from, summaries, arrivedAt, now);
+  return move && {domain: move.to, reason: move.reason};
 }
--- a/packages/daemon/src/tokens.ts
+++ b/packages/daemon/src/tokens.ts
@@ -4,7 +4,12 @@
   clock: Symbol('clock'),
   logger: Symbol('logger'),
   random: Symbol('random'),
+  /** The platform's log itself. */
+  platformLog: Symbol('platform log'),
+  /** The log as the ledger reads it; what is read is kept for peers. */
   log: Symbol('log'),
+  relay: Symbol('relay'),
+  ledgerOptions: Symbol('ledger options'),
   instanceList: Symbol('instance list'),
   targetClient: Symbol('target client'),
   policy: Symbol('policy'),
--- a/packages/scheduler/src/cells_mirror.ts
+++ b/packages/scheduler/src/cells_mirror.ts
@@ -6,15 +6,15 @@
 import type {Configuration} from '@galenavalve/model';
 import type {Applied, Job, LedgerState} from '@galenavalve/ledger';
 import type {
-  DomainCells,
-  Policy,
+  Cells,
+  GalenaPolicy,
   RunningGang,
   TargetCondition,
 } from '@galenavalve/placement';
 
 /** The cells of one domain, derived from the ledger. */
 export class CellsMirror {
-  readonly cells: DomainCells;
+  cells: Cells;
   private configuration: Configuration;
   private readonly observed = new Map<string, TargetCondition>();
   /** Gangs that are about to start but are not in the ledger yet. */
@@ -23,12 +23,19 @@
   constructor(
     readonly domain: string,
     private readonly state: LedgerState,
-    policy: Policy,
+    private readonly policy: GalenaPolicy,
   ) {
     this.configuration = state.configuration;
-    this.cells = policy.createCells(domain, state.configuration);
-    for (const job of state.activeIn(domain)) {
-      this.cells.occupy(toRunningGang(job));
+    this.cells = this.createCells();
+  }
+
+  /** Derives the cells anew; for a state that was replaced. */
+  rebuild(): void {
+    this.configuration = this.state.configuration;
+    this.pending.clear();
+    this.cells = this.createCells();
+    for (const [target, condition] of this.observed) {
+      this.cells.setCondition(target, condition);
     }
   }
 
@@ -76,6 +83,14 @@
     }
   }
 
+  private createCells(): Cells {
+    const cells = this.policy.createCells(this.domain, this.configuration);
+    for (const job of this.state.activeIn(this.domain)) {
+      cells.occupy(toRunningGang(job));
+    }
+    return cells;
+  }
+
   private followConfiguration(): void {
     if (this.configuration === this.state.configuration) {
       return;
--- a/packages/scheduler/src/schedule_context.ts
+++ b/packages/scheduler/src/schedule_context.ts
@@ -1,7 +1,7 @@
 /** What the parts of a domain's scheduler share. */
 import type {LedgerState, LogWriter} from '@galenavalve/ledger';
 import type {Reason, RecordBody, Term} from '@galenavalve/model';
-import type {Policy} from '@galenavalve/placement';
+import type {GalenaPolicy} from '@galenavalve/placement';
 import type {Clock, Instant, Logger, Random} from '@galenavalve/shared';
 import type {
   GangStarter,
@@ -16,7 +16,7 @@
   domain: string;
   state: LedgerState;
   writer: Pick<LogWriter, 'append'>;
-  policy: Policy;
+  policy: GalenaPolicy;
   mirror: CellsMirror;
   starter: GangStarter;
   keeper: LeaseKeeper;
