--- a/packages/bench/src/fold/fold_slopes.ts
+++ b/packages/bench/src/fold/fold_slopes.ts
@@ -1,5 +1,11 @@
 /** Measures how the ledger's fold grows with the cluster: rate, memory, and size of a snapshot. */
-import {type LogEntry, LedgerState, applyEntry} from '@galenavalve/ledger';
+import {
+  type LogEntry,
+  LedgerState,
+  applyEntry,
+  decodeState,
+  encodeState,
+} from '@galenavalve/ledger';
 import {createRecords, type FoldSizes} from './fold_records.js';
 
 /** Figures of one size. */
@@ -11,6 +17,10 @@
   /** Growth of the heap by the whole state, in bytes; 0 where the runtime cannot collect on request. */
   stateBytes: number;
   stateBytesPerJob: number;
+  /** Bytes of the snapshot's records, compressed and in base64. */
+  snapshotBytes: number;
+  encodeMs: number;
+  decodeMs: number;
 }
 
 /** Folds a log of the given sizes, and measures it. Run with `--expose-gc` for the memory. */
@@ -36,6 +46,26 @@
     slowestRecordMs: roundMs(slowestRecordMs),
     stateBytes,
     stateBytesPerJob: Math.round(stateBytes / Math.max(1, jobs)),
+    ...measureSnapshot(state),
+  };
+}
+
+function measureSnapshot(
+  state: LedgerState,
+): Pick<FoldFigures, 'snapshotBytes' | 'encodeMs' | 'decodeMs'> {
+  let snapshot = encodeState(new LedgerState(), 'empty');
+  const encodeMs = timeOf(() => {
+    snapshot = encodeState(state, 'measured');
+  });
+  const decodeMs = timeOf(() => decodeState(snapshot));
+  const snapshotBytes = snapshot.sections.reduce(
+    (sum, section) => sum + section.length,
+    0,
+  );
+  return {
+    snapshotBytes,
+    encodeMs: roundMs(encodeMs),
+    decodeMs: roundMs(decodeMs),
   };
 }
 
--- a/packages/ledger/src/configuration_store.ts
+++ b/packages/ledger/src/configuration_store.ts
@@ -11,16 +11,17 @@
   defaultRules,
   keyOf,
 } from '@galenavalve/model';
+import {OverlayMap} from './overlay_map.js';
 
 /** Entities with their versions. Versions only rise, also over a removal. */
 export class ConfigurationStore {
   private readonly entities = new Map<string, VersionedEntity>();
   /** Last versions of removed entities. */
   private readonly removed = new Map<string, number>();
-  private present: Configuration = {
-    domains: new Map(),
-    targets: new Map(),
-    workspaces: new Map(),
+  private present: LayeredConfiguration = {
+    domains: new OverlayMap(),
+    targets: new OverlayMap(),
+    workspaces: new OverlayMap(),
     rules: defaultRules,
   };
 
@@ -45,16 +46,12 @@
   }
 
   /** The configuration as it would be after the edits. */
-  preview(edits: readonly Edit[]): Configuration {
-    const next = copyTouchedKinds(this.present, edits);
-    for (const edit of edits) {
-      applyEdit(next, edit);
-    }
-    return next;
+  preview(edits: readonly Edit[]): LayeredConfiguration {
+    return applyEdits(this.present, edits);
   }
 
   /** Puts edits in force; `configuration` is what `preview` made of them. */
-  commit(edits: readonly Edit[], configuration: Configuration): void {
+  commit(edits: readonly Edit[], configuration: LayeredConfiguration): void {
     for (const {entity: key, value} of edits) {
       const version = this.version(key) + 1;
       if (value) {
@@ -97,67 +94,44 @@
   removed: [key: string, version: number][];
 }
 
-interface MutableConfiguration {
-  domains: Map<string, Domain>;
-  targets: Map<string, Target>;
-  workspaces: Map<string, Workspace>;
-  rules: Rules;
+/** Configuration whose maps make cheap changed copies. */
+export interface LayeredConfiguration extends Configuration {
+  readonly domains: OverlayMap<Domain>;
+  readonly targets: OverlayMap<Target>;
+  readonly workspaces: OverlayMap<Workspace>;
 }
 
-/** Copies only the maps that the edits touch: a change costs what its kind holds. */
-function copyTouchedKinds(
-  present: Configuration,
+function applyEdits(
+  present: LayeredConfiguration,
   edits: readonly Edit[],
-): MutableConfiguration {
-  const kinds = new Set(edits.map(edit => kindOf(edit.entity)));
-  const copy = <T>(kind: Entity['kind'], map: ReadonlyMap<string, T>) =>
-    kinds.has(kind) ? new Map(map) : (map as Map<string, T>);
+): LayeredConfiguration {
   return {
-    domains: copy('domain', present.domains),
-    targets: copy('target', present.targets),
-    workspaces: copy('workspace', present.workspaces),
-    rules: present.rules,
+    domains: applyToMap(present.domains, 'domain', edits),
+    targets: applyToMap(present.targets, 'target', edits),
+    workspaces: applyToMap(present.workspaces, 'workspace', edits),
+    rules: applyToRules(present.rules, edits),
   };
 }
 
-function applyEdit(configuration: MutableConfiguration, edit: Edit): void {
-  const {value} = edit;
-  if (!value) {
-    removeEntity(configuration, edit.entity);
-    return;
-  }
-  switch (value.kind) {
-    case 'domain':
-      configuration.domains.set(value.id, value);
-      break;
-    case 'target':
-      configuration.targets.set(value.id, value);
-      break;
-    case 'workspace':
-      configuration.workspaces.set(value.id, value);
-      break;
-    case 'rules':
-      configuration.rules = value;
-      break;
-  }
+function applyToMap<Value extends Entity>(
+  map: OverlayMap<Value>,
+  kind: Value['kind'],
+  edits: readonly Edit[],
+): OverlayMap<Value> {
+  const ofKind = edits.filter(edit => kindOf(edit.entity) === kind);
+  const removed = ofKind.filter(edit => !edit.value);
+  const set = ofKind.flatMap(({value}) => value ?? []) as Value[];
+  return map
+    .without(removed.map(edit => idOf(edit.entity)))
+    .with(set.map(value => [value.id, value] as const));
 }
 
-function removeEntity(configuration: MutableConfiguration, key: string): void {
-  const id = idOf(key);
-  switch (kindOf(key)) {
-    case 'domain':
-      configuration.domains.delete(id);
-      break;
-    case 'target':
-      configuration.targets.delete(id);
-      break;
-    case 'workspace':
-      configuration.workspaces.delete(id);
-      break;
-    case 'rules':
-      configuration.rules = defaultRules;
-      break;
+function applyToRules(present: Rules, edits: readonly Edit[]): Rules {
+  const edit = edits.find(({entity: key}) => kindOf(key) === 'rules');
+  if (!edit) {
+    return present;
   }
+  return edit.value?.kind === 'rules' ? edit.value : defaultRules;
 }
 
 /** The kind that an entity key names. */
--- a/packages/ledger/src/fold/configuration.ts
+++ b/packages/ledger/src/fold/configuration.ts
@@ -55,7 +55,7 @@
     return problem;
   }
   const next = state.store.preview(change.edits);
-  const refusal = findUnsuitable(state, next);
+  const refusal = findUnsuitable(state, next, change.edits);
   if (!refusal) {
     state.store.commit(change.edits, next);
   }
@@ -147,8 +147,9 @@
 function findUnsuitable(
   state: LedgerState,
   next: Configuration,
+  edits: readonly Edit[],
 ): Failure | undefined {
-  const problem = findReferenceProblem(next, state.configuration);
+  const problem = findReferenceProblem(next, edits);
   return problem
     ? new Failure('config-invalid', {problem})
     : state.options.validateConfiguration?.(next);
--- a/packages/ledger/src/fold/references.ts
+++ b/packages/ledger/src/fold/references.ts
@@ -1,28 +1,27 @@
 /** Checks that the entities of a configuration name only entities that exist. */
-import type {Configuration, Target, Workspace} from '@galenavalve/model';
+import type {
+  Configuration,
+  Edit,
+  Entity,
+  Target,
+  Workspace,
+} from '@galenavalve/model';
 
 /**
  * The first name that leads nowhere, as a sentence; undefined when there is
- * none. Entities that are the same in `previous` are checked only if the
- * entities that they could name have changed.
+ * none. Only edited entities are checked, unless an edit removes something
+ * that others may name.
  */
 export function findReferenceProblem(
   next: Configuration,
-  previous: Configuration,
+  edits: readonly Edit[],
 ): string | undefined {
-  const isNameRemoved =
-    isAnyRemoved(previous.domains, next.domains) ||
-    isAnyRemoved(previous.workspaces, next.workspaces);
-  for (const target of next.targets.values()) {
-    if (isNameRemoved || previous.targets.get(target.id) !== target) {
-      const problem = findTargetProblem(next, target);
-      if (problem) {
-        return problem;
-      }
-    }
-  }
-  for (const workspace of next.workspaces.values()) {
-    const problem = findWorkspaceProblem(next, workspace);
+  const isAnyRemoved = edits.some(({value}) => value === null);
+  const entities = isAnyRemoved
+    ? [...next.targets.values(), ...next.workspaces.values()]
+    : edits.flatMap(({value}) => value ?? []);
+  for (const entity of entities) {
+    const problem = findProblem(next, entity);
     if (problem) {
       return problem;
     }
@@ -30,6 +29,17 @@
   return undefined;
 }
 
+function findProblem(next: Configuration, entity: Entity): string | undefined {
+  switch (entity.kind) {
+    case 'target':
+      return findTargetProblem(next, entity);
+    case 'workspace':
+      return findWorkspaceProblem(next, entity);
+    default:
+      return undefined;
+  }
+}
+
 function findTargetProblem(
   {domains, workspaces}: Configuration,
   target: Target,
@@ -55,18 +65,3 @@
     ? undefined
     : `workspace ${id} names the unknown failure domain ${unknown}`;
 }
-
-function isAnyRemoved(
-  previous: ReadonlyMap<string, unknown>,
-  next: ReadonlyMap<string, unknown>,
-): boolean {
-  if (previous === next) {
-    return false;
-  }
-  for (const id of previous.keys()) {
-    if (!next.has(id)) {
-      return true;
-    }
-  }
-  return false;
-}
