--- /dev/null
+++ b/packages/bench/src/policy/command.ts
@@ -0,0 +1,85 @@
+/** `bench policy`: completion time, fragmentation, goodput and promises of each policy. */
+import {
+  FirstFit,
+  GalenaPolicy,
+  type Policy,
+  Quota,
+} from '@galenavalve/placement';
+import type {Command} from 'commander';
+import {deployments} from './deployment.js';
+import {findLowerBound} from './lower_bound.js';
+import type {RunFigures} from './metrics.js';
+import {PolicyRun} from './policy_run.js';
+import {formatReport} from './report.js';
+import {type ScenarioName, createScenario, scenarioNames} from './stream.js';
+
+interface PolicyOptions {
+  json?: boolean;
+  seeds: string;
+  deployment?: string;
+  scenario?: string;
+  policy?: string;
+}
+
+const policies: readonly Policy[] = [
+  new FirstFit(),
+  new Quota(),
+  new GalenaPolicy(),
+];
+
+/** Adds `policy` to the command line. */
+export function registerPolicyCommand(program: Command): void {
+  program
+    .command('policy')
+    .description('compares policies on the same seeded streams')
+    .option('--json', 'prints JSON')
+    .option('--seeds <count>', 'number of seeds', '3')
+    .option('--deployment <name>', 'only this deployment')
+    .option('--scenario <name>', 'only this scenario')
+    .option('--policy <name>', 'only this policy')
+    .action((options: PolicyOptions) => {
+      const runs = runPolicies(options);
+      const text = options.json
+        ? JSON.stringify({runs}, null, 2)
+        : formatReport(runs);
+      console.log(text);
+    });
+}
+
+/** Runs every policy on every stream that the options name. */
+export function runPolicies(options: PolicyOptions): RunFigures[] {
+  const runs: RunFigures[] = [];
+  for (const deployment of deployments.filter(isNamed(options.deployment))) {
+    for (const scenario of scenarioNames) {
+      if (options.scenario && options.scenario !== scenario) {
+        continue;
+      }
+      for (let seed = 1; seed <= Number(options.seeds); seed++) {
+        runs.push(...runSeed(deployment, scenario, seed, options));
+      }
+    }
+  }
+  return runs;
+}
+
+function runSeed(
+  deployment: (typeof deployments)[number],
+  name: ScenarioName,
+  seed: number,
+  options: PolicyOptions,
+): RunFigures[] {
+  const scenario = createScenario(deployment, name, seed);
+  const {serviceMean, relaxedMean} = findLowerBound(scenario.jobs);
+  const bound = Math.max(serviceMean, relaxedMean);
+  return policies
+    .filter(isNamed(options.policy))
+    .map(policy =>
+      new PolicyRun(policy, deployment, scenario).run(seed, bound),
+    );
+}
+
+function isNamed(
+  name: string | undefined,
+): (item: {readonly name: string}) => boolean {
+  return item => !name || item.name === name;
+}
--- /dev/null
+++ b/packages/bench/src/policy/fragmentation.ts
@@ -0,0 +1,93 @@
+/** Free accelerators that no shape can use. */
+import type {CellLevel, GangShape} from '@galenavalve/model';
+import {
+  type Cells,
+  type TargetCell,
+  type WaitingJob,
+  countBits,
+  countFitting,
+  halfMasks,
+} from '@galenavalve/placement';
+
+/** Counts the free accelerators of a domain that neither a queued nor an promised shape can use. */
+export function countFragmented(
+  cells: Cells,
+  queue: readonly WaitingJob[],
+  promisedLevels: ReadonlySet<CellLevel>,
+): number {
+  const usable = new Map<TargetCell, number>();
+  const shapes = distinctShapes(queue);
+  for (const {targets} of cells.racks.values()) {
+    for (const target of targets) {
+      usable.set(target, guaranteedUsable(target, promisedLevels));
+    }
+    if (promisedLevels.has('rack') && targets.every(isEmpty)) {
+      targets.forEach(target => usable.set(target, target.freeAccelerators));
+    }
+  }
+  for (const {gang} of shapes) {
+    markUsable(cells, gang, usable);
+  }
+  let fragmented = 0;
+  for (const [target, count] of usable) {
+    fragmented += target.isWell ? target.freeAccelerators - count : 0;
+  }
+  return fragmented;
+}
+
+function guaranteedUsable(
+  target: TargetCell,
+  levels: ReadonlySet<CellLevel>,
+): number {
+  const {free, spec} = target;
+  if (levels.has('accelerator')) {
+    return target.freeAccelerators;
+  }
+  if (levels.has('target') && isEmpty(target)) {
+    return spec.accelerators;
+  }
+  if (!levels.has('half')) {
+    return 0;
+  }
+  return halfMasks(spec.accelerators)
+    .filter(half => (free.accelerators & half) === half)
+    .reduce((sum, half) => sum + countBits(half), 0);
+}
+
+/** Adds what a shape can use wherever a whole gang of it fits. */
+function markUsable(
+  cells: Cells,
+  gang: GangShape,
+  usable: Map<TargetCell, number>,
+): void {
+  const groups = [...cells.racks.values()].map(({targets}) => targets);
+  const scopes =
+    gang.adjacency === 'target'
+      ? groups.flat().map(target => [target])
+      : gang.adjacency === 'rack'
+        ? groups
+        : [groups.flat()];
+  for (const scope of scopes) {
+    const fits = scope.map(target =>
+      target.isWell ? countFitting(target.free, gang.perTask) : 0,
+    );
+    if (fits.reduce((sum, n) => sum + n, 0) >= gang.tasks) {
+      scope.forEach((target, i) => {
+        const count = fits[i]! * gang.perTask.accelerators;
+        usable.set(target, Math.max(usable.get(target) ?? 0, count));
+      });
+    }
+  }
+}
+
+function isEmpty(target: TargetCell): boolean {
+  return target.isWell && target.freeAccelerators === target.spec.accelerators;
+}
+
+function distinctShapes(queue: readonly WaitingJob[]): WaitingJob[] {
+  const shapes = new Map<string, WaitingJob>();
+  for (const job of queue) {
+    shapes.set(JSON.stringify(job.gang), job);
+  }
+  return [...shapes.values()];
+}
--- /dev/null
+++ b/packages/bench/src/policy/promise_check.ts
@@ -0,0 +1,90 @@
+/**
+ * Checks promises in the same way for every policy: each workspace is compared
+ * with a cluster of its own that consists of the cells it is promised.
+ */
+import type {CellLevel, Configuration, Target} from '@galenavalve/model';
+import {
+  Cells,
+  type DomainPromise,
+  type RunningGang,
+  type WaitingJob,
+  findBestFit,
+} from '@galenavalve/placement';
+
+/** The promised cells of one workspace in one domain, with what it runs. */
+export class PromiseCheck {
+  private readonly own: Cells;
+
+  constructor(cells: Cells, promises: readonly DomainPromise[]) {
+    this.own = new Cells('own', toConfiguration(cells, promises));
+  }
+
+  /** Whether the unused part of the promise holds a job. */
+  holds(job: WaitingJob): boolean {
+    return findBestFit(this.own, {...job, avoidTargets: []}) !== undefined;
+  }
+
+  /** Counts a gang against the promise, as far as it fits. */
+  onStart(gang: RunningGang): void {
+    const assignments = findBestFit(this.own, {...gang, avoidTargets: []});
+    if (assignments) {
+      this.own.occupy({...gang, assignments, guaranteed: false});
+    }
+  }
+
+  onEnd(jobId: string): void {
+    this.own.vacate(jobId);
+  }
+}
+
+function toConfiguration(
+  cells: Cells,
+  promises: readonly DomainPromise[],
+): Configuration {
+  const [sample] = cells.targets.values();
+  const targets = new Map<string, Target>();
+  let rack = 0;
+  for (const {level, count} of promises) {
+    for (let i = 0; i < count; i++) {
+      for (const target of toTargets(cells, sample!.spec, level, `r${rack}`)) {
+        targets.set(target.id, target);
+      }
+      rack++;
+    }
+  }
+  const domain = {
+    kind: 'domain',
+    id: 'own',
+    region: 'own',
+    state: 'in-service',
+  } as const;
+  return {
+    ...cells.configuration,
+    domains: new Map([['own', domain]]),
+    targets,
+    workspaces: new Map(),
+  };
+}
+
+function toTargets(
+  cells: Cells,
+  sample: Target,
+  level: CellLevel,
+  rack: string,
+): Target[] {
+  const accelerators = cells.sizeOfLevel(level);
+  const perTarget = Math.min(accelerators, sample.accelerators);
+  const share = perTarget / sample.accelerators;
+  const count = accelerators / perTarget;
+  return Array.from({length: count}, (_, i) => ({
+    ...sample,
+    id: `${rack}-t${i}`,
+    domain: 'own',
+    rack,
+    accelerators: perTarget,
+    processors: sample.processors * share,
+    memoryMb: sample.memoryMb * share,
+    slots: Math.floor(sample.slots * share),
+    permittedWorkspaces: undefined,
+  }));
+}
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -20,6 +20,9 @@
 // Cells
 export {Cells} from './cells.js';
 export type {Home, HomeMap, Part, WorkspaceHomes} from './home.js';
+export {type Room, TargetCell, countFitting} from './target_cell.js';
+export {countBits, halfMasks} from './accelerator_mask.js';
+export {type SearchRequest, findBestFit} from './search.js';
 
 // Failure domains
 export {
