--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,11 +1,15 @@
-/** Runs a benchmark by name. */
+/** The benchmarks' command line: `npm run bench NAME -- [--json]`. */
 import {Command} from 'commander';
-import {addPathCommand} from './path/path_command.js';
+import {registerDecideCommand} from './decide/command.js';
+import {registerPathCommand} from './path/command.js';
+import {registerPolicyCommand} from './policy/command.js';
 import {registerSlopesCommand} from './slopes/command.js';
 
 const program = new Command('bench').description(
-  'measurements of galenavalve; --json prints figures for programs',
+  'Measures galenavalve; --json prints figures for programs.',
 );
-addPathCommand(program);
+registerPolicyCommand(program);
+registerDecideCommand(program);
+registerPathCommand(program);
 registerSlopesCommand(program);
 await program.parseAsync();
