Bound the links between failure domains, and beat them less often

Cause: at seven domains, two links to each other domain at the rate within a domain would take more than the whole byte budget of an instance.

Change: one link a domain and instance, with a next one while it is silent; every second heartbeat goes to other domains, holds go at once. A peer's word about the scheduler counts from the echo of an own beat, not from receipt.

--- a/packages/membership/__tests__/relay.spec.ts
+++ b/packages/membership/__tests__/relay.spec.ts
@@ -128,6 +128,17 @@
       ),
     );
     const self = {instance: 'north0', domain: 'north'};
-    t.equal(chooseLinks(self, peers.slice(1), 2).length, 19 + 2 + 2);
+    const choose = (isAlive: (peer: PeerStatus) => boolean) =>
+      chooseLinks(self, peers.slice(1), 2, isAlive).length;
+    t.equal(
+      choose(() => true),
+      19 + 2 + 2,
+    );
+    t.equal(
+      choose(() => false),
+      19 + 3 + 3,
+      'no link works',
+    );
+    t.ok(choose(peer => peer.address.instance !== 'south3') <= 19 + 3 + 3);
   });
 });
--- a/packages/membership/src/beat.ts
+++ b/packages/membership/src/beat.ts
@@ -6,7 +6,8 @@
  */
 import {z} from 'zod';
 import type {Instant} from '@galenavalve/shared';
-import {type SelfReport, selfReport} from './report.js';
+import type {PeerAddress} from '@galenavalve/wire';
+import {type Hold, type SelfReport, selfReport} from './report.js';
 
 /** What a peer learns besides the report. */
 const beatDetails = selfReport
@@ -101,6 +102,25 @@
   };
 }
 
+/** The details of this instance's report. */
+export function toDetails(
+  report: SelfReport,
+  {host, port}: PeerAddress,
+  holds: readonly Hold[],
+): BeatDetails {
+  const {domain, schedules, leaving, ready, racks} = report;
+  return {
+    domain,
+    schedules,
+    leaving,
+    ready,
+    racks,
+    holds: [...holds],
+    host,
+    port,
+  };
+}
+
 /** The report that a beat stands for, given the sender's latest details. */
 export function toReport(
   instance: string,
--- a/packages/membership/src/peer_mesh.ts
+++ b/packages/membership/src/peer_mesh.ts
@@ -12,11 +12,13 @@
   compactBeat,
   decodeBeat,
   encodeBeat,
+  toDetails,
 } from './beat.js';
+import {followList} from './follow_list.js';
 import {type Exchange, ExchangeTable, OwnDetails} from './exchange.js';
 import {type DatedHold, HoldBook} from './hold_book.js';
 import {chooseLinks} from './links.js';
-import {LivenessLog} from './liveness_log.js';
+import {FAR_BEAT_RATIO, Liveness} from './liveness.js';
 import {
   DEFAULT_MESH_OPTIONS,
   type PeerMeshOptions,
@@ -39,18 +41,22 @@
   private readonly table: PeerTable;
   private readonly book = new HoldBook();
   private readonly exchanges: ExchangeTable;
-  private readonly liveness: LivenessLog;
+  private readonly liveness: Liveness;
   private readonly listeners: ReportListener[] = [];
   private readonly ownDetails: OwnDetails;
   private wake = new AbortController();
+  private round = 0;
+  /** A hold was added since the last round. */
+  private hasNews = false;
 
   constructor(private readonly settings: PeerMeshSettings) {
     this.options = {...DEFAULT_MESH_OPTIONS, ...settings.options};
-    const {self, seeds, clock, server, random} = settings;
+    const {self, seeds, clock, server, random, logger} = settings;
     this.ownDetails = new OwnDetails(random);
     this.exchanges = new ExchangeTable(this.ownDetails);
-    this.liveness = new LivenessLog(settings.logger);
     this.table = new PeerTable(self.instance, seeds, clock.now());
+    const {suspectMs} = this.options;
+    this.liveness = new Liveness(self.domain, this.table, suspectMs, logger);
     server.handle(BEAT_METHOD, compactBeat, async (compact, from) =>
       this.onBeat(from, decodeBeat(compact)),
     );
@@ -58,7 +64,11 @@
 
   /** Exchanges beats and reads the list until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    await Promise.all([this.runBeats(signal), this.runList(signal)]);
+    const listed = followList(
+      {...this.settings, intervalMs: this.options.listMs, table: this.table},
+      signal,
+    );
+    await Promise.all([this.runBeats(signal), listed]);
   }
 
   /** All known peers, without this instance. */
@@ -68,23 +78,27 @@
 
   /** Tells whether an instance was heard within the suspicion time. This instance is always alive. */
   isAlive(instance: string, now: Instant): boolean {
-    const isSelf = instance === this.settings.self.instance;
-    return isSelf || this.table.isAlive(instance, now, this.options.suspectMs);
+    const status = this.table.get(instance);
+    return (
+      instance === this.settings.self.instance ||
+      (status !== undefined && this.liveness.isHeard(status, now))
+    );
   }
 
   /** Instances of a failure domain that are alive, this one included. */
   aliveIn(domain: string, now: Instant): string[] {
     const {self} = this.settings;
-    const alive = this.table.aliveIn(domain, now, this.options.suspectMs);
-    const others = alive.map(peer => peer.address.instance);
+    const others = this.liveness
+      .listHeard(domain, now)
+      .map(peer => peer.address.instance);
     return self.domain === domain ? [self.instance, ...others] : others;
   }
 
   /** Alive instances of a failure domain that may take over roles: ready and not leaving. */
   fitIn(domain: string, now: Instant): string[] {
     const {self, report} = this.settings;
-    const fit = this.table
-      .aliveIn(domain, now, this.options.suspectMs)
+    const fit = this.liveness
+      .listHeard(domain, now)
       .filter(isFit)
       .map(peer => peer.address.instance);
     const {ready, leaving} = report();
@@ -123,7 +137,7 @@
     const offset = hold.offset ?? this.settings.report().offset;
     if (this.book.add({...hold, offset})) {
       this.settings.logger.info('hold-added', {...hold, offset});
-      this.wake.abort();
+      this.tellNews();
     }
   }
 
@@ -150,6 +164,7 @@
     signal.addEventListener('abort', () => this.wake.abort(), {once: true});
     while (!signal.aborted) {
       this.beatAll();
+      this.hasNews = false;
       const jitter = 0.9 + 0.2 * random.next();
       await clock.sleep(this.options.heartbeatMs * jitter, this.wake.signal);
       if (!signal.aborted) {
@@ -158,31 +173,33 @@
     }
   }
 
-  private async runList(signal: AbortSignal): Promise<void> {
-    const {clock, instanceList, logger} = this.settings;
-    while (!signal.aborted) {
-      try {
-        const listed = await instanceList.list(this.options.listMs);
-        this.table.noteList(listed, clock.now());
-      } catch (error) {
-        logger.warn('instance-list-failed', {problem: describeError(error)});
-      }
-      await clock.sleep(this.options.listMs, signal);
-    }
+  private tellNews(): void {
+    this.hasNews = true;
+    this.wake.abort();
   }
 
   private beatAll(): void {
     const {self, clock} = this.settings;
     const now = clock.now();
+    this.round += 1;
     this.exchanges.retain(peer => this.table.get(peer) !== undefined);
-    for (const peer of chooseLinks(self, this.peers(), this.options.degree)) {
-      this.liveness.note(peer, this.isAlive(peer.address.instance, now));
-      if (this.isInitiator(peer, now)) {
+    const links = chooseLinks(self, this.peers(), this.options.degree, peer =>
+      this.liveness.isHeard(peer, now),
+    );
+    for (const peer of links) {
+      this.liveness.logChange(peer, now);
+      if (this.isDue(peer) && this.isInitiator(peer, now)) {
         void this.beat(peer);
       }
     }
   }
 
+  /** Peers of other failure domains are sent a beat less often, but news at once. */
+  private isDue(peer: PeerStatus): boolean {
+    const isNear = this.liveness.isNear(peer);
+    return isNear || this.hasNews || this.round % FAR_BEAT_RATIO === 0;
+  }
+
   /** One end of a pair in the same failure domain opens the connection; the other only after a silence. */
   private isInitiator(peer: PeerStatus, now: Instant): boolean {
     const {self} = this.settings;
@@ -245,24 +262,13 @@
   private createBeat(exchange: Exchange): CompactBeat {
     const {report, self, clock} = this.settings;
     const now = clock.now();
-    const {domain, schedules, leaving, ready, racks, ...rest} = report();
-    const {host, port} = self;
-    const holds = this.book.list();
-    this.ownDetails.update({
-      domain,
-      schedules,
-      leaving,
-      ready,
-      racks,
-      holds,
-      host,
-      port,
-    });
+    const own = report();
+    this.ownDetails.update(toDetails(own, self, this.book.list()));
     const news = {
-      offset: rest.offset,
-      freshnessAgeMs: rest.freshnessAgeMs,
+      offset: own.offset,
+      freshnessAgeMs: own.freshnessAgeMs,
       schedulerHeardAgeMs: schedulerHeardAge(this.peers(), self.domain, now),
-      load: rest.load,
+      load: own.load,
     };
     return encodeBeat(exchange.createBeat(news, now));
   }
@@ -279,7 +285,7 @@
     if (!status) {
       return;
     }
-    this.table.noteReport(status, report, now);
+    this.table.noteReport(status, report, madeAfter, now);
     this.takeHolds(report.holds);
     for (const listener of this.listeners) {
       listener({report, madeAfter, receivedAt: now});
@@ -292,7 +298,7 @@
       isNews = this.book.add({...hold, offset: hold.offset ?? 0}) || isNews;
     }
     if (isNews) {
-      this.wake.abort();
+      this.tellNews();
     }
   }
 }
--- a/packages/membership/src/peer_table.ts
+++ b/packages/membership/src/peer_table.ts
@@ -14,6 +14,8 @@
   /** When a beat of it was last received; minus infinity when never. */
   lastHeardAt: Instant;
   report?: SelfReport;
+  /** A local time that is certainly not after the report was made; minus infinity when none is known. */
+  reportMadeAfter: Instant;
   /** What the platform's list said last; `unlisted` also while the list was never read. */
   listed: 'live' | 'leaving' | 'unlisted';
   /** Since when it says, or the list says, that it is leaving. */
@@ -54,19 +56,6 @@
     return [...this.peers.values()];
   }
 
-  /** Tells whether a peer was heard within `suspectMs`. */
-  isAlive(instance: string, now: Instant, suspectMs: Milliseconds): boolean {
-    const status = this.peers.get(instance);
-    return status !== undefined && now - status.lastHeardAt <= suspectMs;
-  }
-
-  /** The peers of a failure domain that were heard within `suspectMs`. */
-  aliveIn(domain: string, now: Instant, suspectMs: Milliseconds): PeerStatus[] {
-    return this.list().filter(
-      peer => peer.domain === domain && now - peer.lastHeardAt <= suspectMs,
-    );
-  }
-
   /** Notes where a peer is. Returns its status; undefined for the instance itself. */
   learn(seed: PeerSeed, now: Instant): PeerStatus | undefined {
     if (seed.instance === this.self) {
@@ -84,6 +73,7 @@
       address,
       domain,
       lastHeardAt: -Infinity,
+      reportMadeAfter: -Infinity,
       listed: 'unlisted',
       knownSince: now,
     };
@@ -92,8 +82,14 @@
   }
 
   /** Notes a report that a peer sent. */
-  noteReport(status: PeerStatus, report: SelfReport, now: Instant): void {
+  noteReport(
+    status: PeerStatus,
+    report: SelfReport,
+    madeAfter: Instant | undefined,
+    now: Instant,
+  ): void {
     status.report = report;
+    status.reportMadeAfter = madeAfter ?? -Infinity;
     status.lastHeardAt = now;
     status.notReadySince = report.ready
       ? undefined
--- a/packages/membership/src/scheduler_watch.ts
+++ b/packages/membership/src/scheduler_watch.ts
@@ -55,8 +55,8 @@
 ): Instant[] {
   return peers
     .filter(peer => peer.domain === domain)
-    .map(({lastHeardAt, report}) => {
+    .map(({reportMadeAfter, report}) => {
       const age = report?.schedulerHeardAgeMs;
-      return age === undefined ? -Infinity : lastHeardAt - age;
+      return age === undefined ? -Infinity : reportMadeAfter - age;
     });
 }
