Keep gangs while a target of others stays silent

Once the gap passed renewMs + timeout every round looked like a pause, members were only read, and no gang on that keeper was renewed again.

Change: the keeper's calls take at most a quarter of the time between rounds.

--- a/packages/targets/__tests__/fixtures.ts
+++ b/packages/targets/__tests__/fixtures.ts
@@ -6,6 +6,7 @@
   GangStarter,
   type KeeperEvent,
   LeaseKeeper,
+  type LeaseKeeperOptions,
   MemoryTargets,
   type RunEvent,
   type TargetClient,
@@ -85,6 +86,7 @@
 export function createKeeper(
   clock: ManualClock,
   targets: MemoryTargets,
+  times: Partial<LeaseKeeperOptions> = {},
   client: TargetClient = targets.clientFor('i1'),
 ) {
   const keeper = new LeaseKeeper({
@@ -96,6 +98,7 @@
       leaseMs: LEASE_MS,
       renewMs: RENEW_MS,
       callTimeoutMs: CALL_TIMEOUT_MS,
+      ...times,
     },
   });
   const events: KeeperEvent[] = [];
--- a/packages/targets/__tests__/lease_keeper.spec.ts
+++ b/packages/targets/__tests__/lease_keeper.spec.ts
@@ -1,7 +1,13 @@
 import t from 'tap';
-import type {GangOrder, KeeperEvent, RunEvent} from '../src/index.js';
+import type {
+  GangOrder,
+  KeeperEvent,
+  LeaseKeeperOptions,
+  RunEvent,
+} from '../src/index.js';
 import {
   CALL_TIMEOUT_MS,
+  CAPACITY,
   LEASE_MS,
   createKeeper,
   createOrder,
@@ -10,13 +16,16 @@
 } from './fixtures.js';
 
 /** A gang on three targets that runs and is kept. */
-async function runGang(changes: Partial<GangOrder> = {}) {
+async function runGang(
+  changes: Partial<GangOrder> = {},
+  times: Partial<LeaseKeeperOptions> = {},
+) {
   const {clock, targets, runs} = createTargets(3);
   const starter = createStarter(clock, targets);
   const order = createOrder(3, changes);
   await starter.reserve(order);
   await starter.start(order, () => undefined);
-  const {keeper, events} = createKeeper(clock, targets);
+  const {keeper, events} = createKeeper(clock, targets, times);
   keeper.follow(order);
   const stop = new AbortController();
   t.teardown(() => stop.abort());
@@ -80,6 +89,19 @@
     t.ok(Math.max(...endsOf(runs)) <= bound);
   });
 
+  t.test('is kept while another target is silent for long', async t => {
+    const slow = {renewMs: 1000, callTimeoutMs: 1100};
+    const {clock, targets, runs, keeper} = await runGang({}, slow);
+    targets.add({id: 'idle', capacity: CAPACITY});
+    const [part] = createOrder(1).assignments;
+    const assignments = [{...part!, target: 'idle'}];
+    keeper.follow(createOrder(1, {jobId: 'job2', assignments}));
+    targets.setFault('idle', {silent: true});
+    await clock.advance(30_000);
+    targets.advance();
+    t.same(endsOf(runs), []);
+  });
+
   t.test('names the task that failed', async t => {
     const {clock, events} = await runGang({
       payload: {durationMs: 3000, fail: 2},
@@ -115,14 +137,19 @@
   const starter = createStarter(clock, targets);
   const client = targets.clientFor('i1');
   let bytes = 0;
-  const {keeper} = createKeeper(clock, targets, {
-    ...client,
-    renew: async (...call) => {
-      const report = await client.renew(...call);
-      bytes = JSON.stringify([call[1], report]).length;
-      return report;
+  const {keeper} = createKeeper(
+    clock,
+    targets,
+    {},
+    {
+      ...client,
+      renew: async (...call) => {
+        const report = await client.renew(...call);
+        bytes = JSON.stringify([call[1], report]).length;
+        return report;
+      },
     },
-  });
+  );
   for (let i = 0; i < gangs; i++) {
     const order = createOrder(1, {
       jobId: `job${i}`,
--- a/packages/targets/src/lease_keeper.ts
+++ b/packages/targets/src/lease_keeper.ts
@@ -16,8 +16,9 @@
 /** Times of the lease keeper, in milliseconds. */
 export interface LeaseKeeperOptions {
   leaseMs?: Milliseconds;
-  /** Time between two rounds; at least two call timeouts. */
+  /** Time between two rounds. */
   renewMs?: Milliseconds;
+  /** Shortened to a quarter of `renewMs`, so that a round with silent targets ends before the next. */
   callTimeoutMs: Milliseconds;
   /** Time between two questions to a target without work. */
   idlePollMs?: Milliseconds;
@@ -39,9 +40,12 @@
 const DEFAULT_IDLE_POLL_MS = 10_000;
 const DEFAULT_USAGE_MS = 30_000;
 
-/** Times that a target is asked in one round. */
+/** Times that a target is asked before it counts as silent. */
 const CALLS_PER_ROUND = 2;
 
+/** Calls one after the other in a round in which gangs recover. */
+const CALLS_OF_LONGEST_ROUND = 2 * CALLS_PER_ROUND;
+
 /** Keeps the leases of gangs. */
 export class LeaseKeeper {
   /** Length of a lease in milliseconds. */
@@ -63,7 +67,10 @@
     this.renewMs = options.renewMs ?? DEFAULT_RENEW_MS;
     this.idlePollMs = options.idlePollMs ?? DEFAULT_IDLE_POLL_MS;
     this.usageMs = options.usageMs ?? DEFAULT_USAGE_MS;
-    this.callTimeoutMs = options.callTimeoutMs;
+    this.callTimeoutMs = Math.min(
+      options.callTimeoutMs,
+      this.renewMs / CALLS_OF_LONGEST_ROUND,
+    );
   }
 
   // Commands
