See the end of short tasks soon after it

Cause: targets were asked every renewal interval only, so a 20 ms task was answered after 1 s, and its capacity stood idle until then. Change: a young gang's members are asked at doubling ages from 50 ms to 2 s; such a look renews nothing and its silence counts for nothing. When a gang lapses because a member was silent, that member is named as the culprit. The manual clock lets woken code run before it jumps; a spec had jumped over a sleep.

--- a/packages/shared/src/clock.ts
+++ b/packages/shared/src/clock.ts
@@ -88,6 +88,8 @@
   /** Moves time forward by `duration` and wakes the sleepers that are due, earliest first. */
   async advance(duration: Milliseconds): Promise<void> {
     const end = this.current + duration;
+    // What was just woken by other means may still be about to sleep.
+    await yieldToPromises();
     for (;;) {
       const next = this.nextDue(end);
       if (!next) {
--- a/packages/targets/src/gang_watch.ts
+++ b/packages/targets/src/gang_watch.ts
@@ -4,6 +4,12 @@
 import type {GangVerdict} from './keeper_event.js';
 import type {LeaseReport} from './target_client.js';
 
+/** Age at which a gang's members are asked first, before the next round. */
+const FIRST_LOOK_MS: Milliseconds = 50;
+
+/** Age from which the rounds alone ask a gang's members. */
+const LAST_LOOK_MS: Milliseconds = 2_000;
+
 /** One member as last heard of. */
 interface Member {
   target: string;
@@ -18,14 +24,17 @@
 
 /** The members of one gang, and the verdict on it. */
 export class GangWatch {
+  /** When its members are asked next in between rounds; infinite once the rounds suffice. */
+  nextLookAt: Instant;
   private readonly members: Map<string, Member>;
   private verdict?: GangVerdict;
 
   constructor(
     readonly order: GangOrder,
-    followedAt: Instant,
+    private readonly followedAt: Instant,
     leaseMs: Milliseconds,
   ) {
+    this.nextLookAt = followedAt + FIRST_LOOK_MS;
     this.members = new Map(
       order.assignments.map(({target, firstTask}) => [
         target,
@@ -71,6 +80,12 @@
     }
   }
 
+  /** Its members were asked; the next look comes when the gang is twice as old. */
+  onLooked(now: Instant): void {
+    const age = now - this.followedAt;
+    this.nextLookAt = age < LAST_LOOK_MS ? now + age : Infinity;
+  }
+
   /** Nothing that was heard before counts any more. */
   doubt(): void {
     for (const member of this.members.values()) {
@@ -83,7 +98,7 @@
     if (this.verdict) {
       return undefined;
     }
-    for (const member of this.members.values()) {
+    for (const member of this.listSilentFirst()) {
       this.judgeMember(member, now, marginMs);
     }
     if (!this.verdict && this.isComplete()) {
@@ -111,6 +126,14 @@
     );
   }
 
+  /** The others' leases lapse because of a silent member, which is then the culprit. */
+  private listSilentFirst(): Member[] {
+    const members = [...this.members.values()];
+    return members.sort(
+      (a, b) => Number(a.isAnswering) - Number(b.isAnswering),
+    );
+  }
+
   private judgeMember(
     member: Member,
     now: Instant,
--- a/packages/targets/src/lease_keeper.ts
+++ b/packages/targets/src/lease_keeper.ts
@@ -40,6 +40,9 @@
 const DEFAULT_IDLE_POLL_MS = 10_000;
 const DEFAULT_USAGE_MS = 30_000;
 
+/** Share of the call timeout that a look may take. */
+const LOOK_SHARE = 0.5;
+
 /** Times that a target is asked before it counts as silent. */
 const CALLS_PER_ROUND = 2;
 
@@ -56,6 +59,8 @@
   private idle = new Set<string>();
   private term: Term = NO_TERM;
   private lastTickAt?: Instant;
+  /** Aborted when a gang is followed, to end a sleep between rounds. */
+  private wake = new AbortController();
   private readonly renewMs: Milliseconds;
   private readonly idlePollMs: Milliseconds;
   private readonly usageMs: Milliseconds;
@@ -87,6 +92,7 @@
     for (const target of watch.targets) {
       this.watch(target).gangs.set(order.jobId, watch);
     }
+    this.wake.abort();
   }
 
   /** Renews the leases of a job no longer. */
@@ -139,7 +145,7 @@
         await clock.sleep(this.callTimeoutMs / 2, signal);
         await this.probe();
       }
-      await clock.sleep(Math.max(0, nextAt - clock.now()), signal);
+      await this.lookUntil(nextAt, signal);
     }
   }
 
@@ -157,6 +163,53 @@
     this.judge();
   }
 
+  /** Asks young gangs in between rounds, so that the end of a short task is seen soon. */
+  private async lookUntil(nextAt: Instant, signal: AbortSignal): Promise<void> {
+    const {clock} = this.parts;
+    while (!signal.aborted && clock.now() < nextAt) {
+      this.wake = new AbortController();
+      const wakeAt = Math.min(nextAt, this.findNextLook());
+      const either = AbortSignal.any([signal, this.wake.signal]);
+      await clock.sleep(Math.max(0, wakeAt - clock.now()), either);
+      await this.look();
+    }
+  }
+
+  private findNextLook(): Instant {
+    const looks = [...this.gangs.values()].map(watch => watch.nextLookAt);
+    return Math.min(Infinity, ...looks);
+  }
+
+  /**
+   * Asks the targets of the gangs whose next look is due, and judges. A look
+   * renews nothing, and its silence says nothing: the rounds do that, and a
+   * look must not hold them up.
+   */
+  private async look(): Promise<void> {
+    const now = this.parts.clock.now();
+    const targets = new Set<WatchedTarget>();
+    for (const watch of this.gangs.values()) {
+      if (watch.nextLookAt <= now) {
+        watch.onLooked(now);
+        [...watch.targets].forEach(target => targets.add(this.watch(target)));
+      }
+    }
+    const answering = [...targets].filter(target => !target.isSilent);
+    await Promise.all(answering.map(target => this.lookAt(target)));
+    this.judge();
+  }
+
+  private async lookAt(target: WatchedTarget): Promise<void> {
+    const terms = {term: this.term, leaseMs: this.leaseMs};
+    const question = target.createQuestion(terms, new Set(), false);
+    const sentAt = this.parts.clock.now();
+    const timeout = this.callTimeoutMs * LOOK_SHARE;
+    const report = await this.renew(target, question.order, timeout);
+    if (report && report !== 'superseded' && !this.isLate(sentAt)) {
+      this.onReport(target, report, question, sentAt);
+    }
+  }
+
   /** Asks the silent members of gangs once more, and renews the gangs that are well again. */
   async probe(): Promise<void> {
     const renewable = this.findRenewable();
@@ -269,6 +322,7 @@
   private async renew(
     target: WatchedTarget,
     order: Renewal,
+    timeout = this.callTimeoutMs,
   ): Promise<TargetReport | 'superseded' | undefined> {
     const address = this.parts.addressOf(target.id);
     if (!address) {
@@ -276,7 +330,7 @@
     }
     try {
       const {client} = this.parts;
-      return await client.renew(address, order, this.callTimeoutMs);
+      return await client.renew(address, order, timeout);
     } catch (error) {
       return isFailure(error, 'target-refused') ? 'superseded' : undefined;
     }
