Prove the promises against real processes

Cause: kills, pauses, silent connections, log outages and planned stops had only been seen in the demonstration. They found that a scheduler that is cut off from the log alone kept its role for ever: peers relayed freshness to it, so it called itself ready, and its domain stood still (seen: no new scheduler within 30 s). An instance now holds roles only while it reaches the log itself. Ruled out: fewer relays of freshness, which entries need for truthful answers.

--- a/packages/daemon/src/roles/self_report.ts
+++ b/packages/daemon/src/roles/self_report.ts
@@ -2,15 +2,23 @@
 import type {SelfReport} from '@galenavalve/membership';
 import type {Node} from '../node.js';
 
+/** Time beyond the freshness bound after which an instance without the log gives up its roles, in milliseconds. */
+const UNFIT_AFTER_MS = 1_000;
+
 /** Stands for "never known to be current" on the wire, in milliseconds. */
 const NEVER_FRESH_MS = 1e12;
 
-/** Tells whether this instance may hold roles: it serves, and knows the present configuration. */
+/**
+ * Tells whether this instance may hold roles: it serves, and reaches the log
+ * itself. Freshness that peers relay does not count here, since a scheduler
+ * that cannot append is of no use to its failure domain.
+ */
 export function isFit(node: Node): boolean {
+  const readAt = node.follower.lastFresh() ?? -Infinity;
   const {freshnessMs} = node.settings.timings;
   return (
     node.stage === 'serving' &&
-    node.freshness.isFresh(node.clock.now(), freshnessMs)
+    node.clock.now() - readAt <= freshnessMs + UNFIT_AFTER_MS
   );
 }
 
--- a/packages/demo/src/child_processes.ts
+++ b/packages/demo/src/child_processes.ts
@@ -74,6 +74,11 @@
     this.children.delete(name);
   }
 
+  /** Freezes a process, or lets it go on. */
+  signal(name: string, signal: 'SIGSTOP' | 'SIGCONT'): void {
+    this.children.get(name)?.process.kill(signal);
+  }
+
   /** Asks a process to stop, and resolves to its exit code. */
   async stop(name: string): Promise<number | null> {
     const child = this.children.get(name);
--- a/packages/demo/src/cluster.ts
+++ b/packages/demo/src/cluster.ts
@@ -27,6 +27,8 @@
   peerPortBase?: number;
   /** Settings that are merged into those of every daemon. */
   settings?: Record<string, unknown>;
+  /** The log as an instance reaches it, given its URL; by default directly. */
+  logUrlOf?: (instance: string, logUrl: string) => Promise<string>;
   /** Waiting jobs that each workspace may have. */
   queueLimit?: number;
 }
@@ -63,9 +65,11 @@
   }
   const api = new EntryApi(entries.map(entry => entry.url));
   const startEntry = async (entry: Entry) => {
+    const ownLogUrl =
+      (await options.logUrlOf?.(entry.instance, logUrl)) ?? logUrl;
     const file = writeSettings(dir, entry, entries, {
       ...options.settings,
-      platform: {logUrl, instanceListUrl},
+      platform: {logUrl: ownLogUrl, instanceListUrl},
     });
     processes.start({
       name: entry.instance,
--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -9,3 +9,10 @@
   startCluster,
 } from './cluster.js';
 export {type RunEvent, readRuns} from './run_history.js';
+export {
+  type Evidence,
+  type Outage,
+  type Verdict,
+  checkPromises,
+} from './promises.js';
+export {createJobs} from './workload.js';
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -38,3 +38,6 @@
   type TargetServerOptions,
   startTargetServer,
 } from './targets/target_server.js';
+
+// The network
+export {type TcpRelay, startTcpRelay} from './relay/tcp_relay.js';
