Pack finished jobs, and appends without a deadline

Cause: finished jobs took most of the state's memory, though they are rarely read; and a scheduler's records must survive an outage without new copies, whose verdicts would differ. Ruled out: dropping histories at the end of a job (callers who come back ask why), packing of unfinished jobs (every pass over the queue reads them). AppendOptions takes a signal, and the deadline may be Infinity. Shared names, terms and empty lists.

--- a/packages/ledger/__tests__/fold.spec.ts
+++ b/packages/ledger/__tests__/fold.spec.ts
@@ -146,6 +146,19 @@
   });
 });
 
+t.test('results beyond the bound are dropped, oldest first', async t => {
+  const state = createState({resultBytes: 20});
+  for (const id of ['j1', 'j2', 'j3']) {
+    fold(state, submit(id));
+    fold(state, place(id));
+    fold(state, finish('succeeded', id));
+  }
+  const results = ['j1', 'j2', 'j3'].map(id => state.job(id)?.results);
+  t.strictSame(results, [undefined, undefined, ['a', {b: 1}]]);
+  t.ok(state.job('j1')?.resultHash, 'the hash is kept');
+  t.equal(state.job('j1')?.finishedOffset, 4, 'and where the log has them');
+});
+
 t.test('a damaged record is skipped and counted', async t => {
   const state = new LedgerState();
   const applied = applyEntry(state, {offset: 0, value: {v: 9}});
--- a/packages/ledger/__tests__/writer.spec.ts
+++ b/packages/ledger/__tests__/writer.spec.ts
@@ -58,3 +58,20 @@
   await clock.advance(1000);
   t.equal((await first).accepted, true);
 });
+
+t.test('a record without a deadline waits for the log', async t => {
+  const {clock, writer, log} = await createInstance({outage: 'refused'});
+  const controller = new AbortController();
+  const {signal} = controller;
+  const kept = writer.append(submit(), {deadline: Infinity, signal});
+  await clock.advance(60_000);
+  t.equal(writer.pendingCount, 1);
+  log.faults.outage = 'none';
+  await clock.advance(3000);
+  t.equal((await kept).accepted, true);
+  log.faults.outage = 'refused';
+  const dropped = writer.append(cancel(), {deadline: Infinity, signal});
+  t.rejects(dropped, {code: 'log-unavailable'});
+  controller.abort();
+  await clock.advance(10);
+});
--- a/packages/ledger/src/finished_jobs.ts
+++ b/packages/ledger/src/finished_jobs.ts
@@ -1,15 +1,13 @@
 /** Finished jobs: remembered for the request window, their results within a bound of bytes. */
 import type {Job} from './job.js';
-
-interface KeptResult {
-  job: Job;
-  bytes: number;
-}
+import {type PackedJob, packJob, unpackJob} from './packed_job.js';
 
 /** Finished jobs in the order in which they ended. */
 export class FinishedJobs {
-  private readonly byId = new Map<string, Job>();
-  private readonly kept = new Map<string, KeptResult>();
+  private readonly byId = new Map<string, PackedJob>();
+  private readonly idByRequest = new Map<string, string>();
+  /** Ids of the jobs whose results are kept. */
+  private readonly kept = new Set<string>();
   private bytes = 0;
 
   /** @param resultBytes Most bytes of JSON of the kept results. */
@@ -24,60 +22,64 @@
     return this.bytes;
   }
 
+  /** The job, as a new object at each call. */
+  get(jobId: string): Job | undefined {
+    const packed = this.byId.get(jobId);
+    return packed && unpackJob(packed);
+  }
+
+  getByRequest(requestId: string): Job | undefined {
+    return this.get(this.idByRequest.get(requestId) ?? '');
+  }
+
   /** Jobs, earliest end first. */
-  jobs(): Iterable<Job> {
-    return this.byId.values();
+  *jobs(): Iterable<Job> {
+    for (const packed of this.byId.values()) {
+      yield unpackJob(packed);
+    }
   }
 
   /** Adds a job that has ended, and drops the oldest results beyond the bound. */
   add(job: Job): void {
-    this.byId.set(job.jobId, job);
-    if (!job.results) {
-      return;
+    const packed = packJob(job);
+    this.byId.set(job.jobId, packed);
+    this.idByRequest.set(packed.requestId, job.jobId);
+    if (packed.results !== undefined) {
+      this.kept.add(job.jobId);
+      this.bytes += packed.resultBytes;
+      this.dropOldResults();
     }
-    const bytes = JSON.stringify(job.results).length;
-    this.kept.set(job.jobId, {job, bytes});
-    this.bytes += bytes;
-    this.dropOldResults();
   }
 
-  /** Removes and returns the jobs whose request ids need not be remembered at `logTime`. */
-  forget(logTime: number, window: number): Job[] {
-    const forgotten: Job[] = [];
-    for (const job of this.byId.values()) {
-      if (logTime > rememberedFrom(job) + window) {
-        this.byId.delete(job.jobId);
-        this.dropResult(job.jobId);
-        forgotten.push(job);
+  /**
+   * Removes the jobs whose request ids need not be remembered at `logTime`. A
+   * copy of such a request was created before log time minus the window, so
+   * that it is refused as expired.
+   */
+  forget(logTime: number, window: number): void {
+    for (const [jobId, packed] of this.byId) {
+      if (logTime > packed.rememberedFrom + window) {
+        this.dropResults(jobId);
+        this.byId.delete(jobId);
+        this.idByRequest.delete(packed.requestId);
       }
     }
-    return forgotten;
   }
 
   private dropOldResults(): void {
-    for (const jobId of this.kept.keys()) {
+    for (const jobId of this.kept) {
       if (this.bytes <= this.resultBytes) {
         return;
       }
-      this.dropResult(jobId);
+      this.dropResults(jobId);
     }
   }
 
-  private dropResult(jobId: string): void {
-    const result = this.kept.get(jobId);
-    if (result) {
-      this.kept.delete(jobId);
-      this.bytes -= result.bytes;
-      result.job.results = undefined;
+  private dropResults(jobId: string): void {
+    const packed = this.byId.get(jobId);
+    if (packed && this.kept.delete(jobId)) {
+      this.bytes -= packed.resultBytes;
+      packed.results = undefined;
     }
   }
 }
-
-/**
- * From when the window of a job's request id counts. A second copy of the
- * request that comes after the window has an older creation time than log
- * time minus the window, so that it is refused as expired.
- */
-function rememberedFrom(job: Job): number {
-  return Math.max(job.finishedAt ?? 0, job.request.createdAt);
-}
--- a/packages/ledger/src/fold/attempts.ts
+++ b/packages/ledger/src/fold/attempts.ts
@@ -1,10 +1,12 @@
 /** Verdicts on what the scheduler of a domain records about attempts. */
-import type {
-  Assignment,
-  Finished,
-  Placed,
-  Started,
-  Unplaced,
+import {
+  type Assignment,
+  type Finished,
+  type Placed,
+  type Started,
+  type Term,
+  type Unplaced,
+  isSameTerm,
 } from '@galenavalve/model';
 import {ACCEPTED, DUPLICATE, type Verdict, reject} from '../applied.js';
 import {type Job, MAX_FAILURES, isActive} from '../job.js';
@@ -28,7 +30,7 @@
   const assignments = record.assignments.map(part => shareName(state, part));
   state.jobs.update(job!, {phase: 'placed', assignments});
   job!.attempts = record.attempt;
-  job!.term = record.term;
+  job!.term = shareTerm(state, record);
   job!.guaranteed = record.guaranteed;
   job!.placedAt = record.at;
   job!.startedAt = undefined;
@@ -225,6 +227,12 @@
   return job.cancelRequested ? 'cancelled' : undefined;
 }
 
+/** Uses the domain's copy of the term, where it is the same. */
+function shareTerm(state: LedgerState, {domain, term}: Placed): Term {
+  const present = state.terms.get(domain);
+  return present && isSameTerm(present, term) ? present : term;
+}
+
 /** Uses the configuration's copy of the target's name, which saves memory. */
 function shareName(state: LedgerState, part: Assignment): Assignment {
   return {...part, target: state.target(part.target)?.id ?? part.target};
--- a/packages/ledger/src/fold/end_job.ts
+++ b/packages/ledger/src/fold/end_job.ts
@@ -20,7 +20,9 @@
   end: JobEnd,
 ): readonly Assignment[] {
   const released = job.assignments;
-  state.jobs.update(job, {phase: 'finished', assignments: []});
+  state.jobs.remove(job);
+  job.phase = 'finished';
+  job.assignments = [];
   job.finishedAt = end.at;
   job.finishedOffset = end.offset;
   job.outcome = end.outcome;
--- a/packages/ledger/src/fold/fold.ts
+++ b/packages/ledger/src/fold/fold.ts
@@ -101,9 +101,7 @@
   }
   state.sweepNumber = sweepNumber;
   const {requestWindow} = state.options;
-  for (const job of state.finished.forget(logTime, requestWindow)) {
-    state.jobs.remove(job);
-  }
+  state.finished.forget(logTime, requestWindow);
   state.withdrawn.forget(logTime);
   state.changeHistory.forget(logTime, requestWindow);
 }
--- a/packages/ledger/src/fold/jobs.ts
+++ b/packages/ledger/src/fold/jobs.ts
@@ -21,6 +21,9 @@
 /** Most `moved` records of a job whose copies are recognised. */
 const MAX_MOVE_IDS = 16;
 
+/** Shared by the jobs that have none of something. */
+const NONE: readonly never[] = [];
+
 /** The first request of an id wins; the same again is a duplicate. */
 export function foldSubmitted(
   state: LedgerState,
@@ -41,7 +44,7 @@
   if (refusal) {
     return refusal;
   }
-  state.jobs.add(createJob(record, offset));
+  state.jobs.add(createJob(state, record, offset));
   return ACCEPTED;
 }
 
@@ -215,25 +218,27 @@
       );
 }
 
-function createJob(record: Submitted, offset: number): Job {
+function createJob(state: LedgerState, record: Submitted, offset: number): Job {
+  const workspace = state.workspace(record.request.workspace)!;
   const job: Job = {
     jobId: record.jobId,
-    request: record.request,
+    // The configuration's copies of the names save memory.
+    request: {...record.request, workspace: workspace.id},
     bodyHash: record.bodyHash,
-    domain: record.domain,
+    domain: state.domain(record.domain)!.id,
     phase: 'queued',
     attempts: 0,
     submittedOffset: offset,
     submittedAt: record.at,
     approved: false,
     cancelRequested: false,
-    assignments: [],
+    assignments: NONE,
     guaranteed: false,
     progressSeconds: 0,
-    failures: [],
+    failures: NONE,
     mayHaveRun: false,
-    history: [],
-    moveIds: [],
+    history: NONE,
+    moveIds: NONE,
   };
   note(job, record, record.reason);
   return job;
--- a/packages/ledger/src/job_index.ts
+++ b/packages/ledger/src/job_index.ts
@@ -1,4 +1,4 @@
-/** Jobs by id, request, domain and phase. */
+/** Unfinished jobs by id, request, domain and phase. */
 import type {JobPhase} from '@galenavalve/model';
 import {type Job, isActive} from './job.js';
 
@@ -7,7 +7,7 @@
   active: Map<string, Job>;
 }
 
-/** The jobs that are remembered, and the indexes that follow their changes. */
+/** The unfinished jobs, and the indexes that follow their changes. */
 export class JobIndex {
   private readonly jobs = new Map<string, Job>();
   private readonly byRequest = new Map<string, Job>();
@@ -67,7 +67,7 @@
     this.link(job);
   }
 
-  /** Forgets a job. */
+  /** Removes a job that ends. */
   remove(job: Job): void {
     this.unlink(job);
     this.jobs.delete(job.jobId);
@@ -85,9 +85,6 @@
   }
 
   private link(job: Job): void {
-    if (job.phase === 'finished') {
-      return;
-    }
     const {workspace} = job.request;
     addCount(this.unfinishedByWorkspace, workspace, 1);
     const jobs = this.jobsOf(job.domain);
@@ -101,9 +98,6 @@
   }
 
   private unlink(job: Job): void {
-    if (job.phase === 'finished') {
-      return;
-    }
     const {workspace} = job.request;
     addCount(this.unfinishedByWorkspace, workspace, -1);
     const jobs = this.jobsOf(job.domain);
--- a/packages/ledger/src/pending_record.ts
+++ b/packages/ledger/src/pending_record.ts
@@ -15,6 +15,7 @@
   /** Bytes of the record as JSON. */
   readonly bytes: number;
   readonly deadline: Instant;
+  readonly signal?: AbortSignal;
   stage: PendingStage;
   /** Whether an append without an answer may have written the record. */
   isUncertain: boolean;
--- a/packages/ledger/src/state.ts
+++ b/packages/ledger/src/state.ts
@@ -73,9 +73,10 @@
 
   /** Adds a job of a snapshot. */
   restoreJob(job: Job): void {
-    this.jobs.add(job);
     if (job.phase === 'finished') {
       this.finished.add(job);
+    } else {
+      this.jobs.add(job);
     }
   }
 
@@ -105,12 +106,15 @@
     return this.store.entity(key);
   }
 
+  /** A job by its id. One that has finished is a new object at each call. */
   job(jobId: string): Job | undefined {
-    return this.jobs.get(jobId);
+    return this.jobs.get(jobId) ?? this.finished.get(jobId);
   }
 
   jobByRequest(requestId: string): Job | undefined {
-    return this.jobs.getByRequest(requestId);
+    return (
+      this.jobs.getByRequest(requestId) ?? this.finished.getByRequest(requestId)
+    );
   }
 
   isWithdrawn(requestId: string): boolean {
--- a/packages/ledger/src/writer.ts
+++ b/packages/ledger/src/writer.ts
@@ -72,7 +72,10 @@
 
 /** Until when the caller wants to know the verdict. */
 export interface AppendOptions {
+  /** `Infinity` for a record that must not be given up. */
   deadline: Instant;
+  /** Gives the record up when it aborts, as the deadline does. */
+  signal?: AbortSignal;
 }
 
 /** Appends records and reports the verdicts that the own fold reached. */
@@ -81,6 +84,7 @@
   private readonly pending = new Map<string, PendingRecord>();
   private readonly work = new Signal();
   private readonly idPrefix: string;
+  private readonly wake = () => this.work.notify();
   private sequence = 0;
   private pendingBytes = 0;
   private inFlight = 0;
@@ -95,7 +99,7 @@
     // Instances restart under the same id, so the wall time and salt make ids unique.
     this.idPrefix = `${instance}-${clock.wallTime().toString(36)}${salt}`;
     follower.onApplied(applied => this.onApplied(applied));
-    follower.onFresh(() => this.work.notify());
+    follower.onFresh(this.wake);
     follower.onReplaced(() => this.onReplaced());
   }
 
@@ -124,6 +128,7 @@
         record,
         bytes,
         deadline: options.deadline,
+        signal: options.signal,
         stage: 'queued',
         isUncertain: false,
         uncertainAt: -Infinity,
@@ -132,6 +137,7 @@
       });
       this.pendingBytes += bytes;
       this.work.notify();
+      options.signal?.addEventListener('abort', this.wake, {once: true});
     });
   }
 
@@ -269,7 +275,7 @@
 
   private refuseOverdue(now: Instant): void {
     for (const item of this.pending.values()) {
-      if (now >= item.deadline) {
+      if (now >= item.deadline || item.signal?.aborted) {
         this.refuse(item);
       }
     }
@@ -313,6 +319,7 @@
   }
 
   private forget(item: PendingRecord): void {
+    item.signal?.removeEventListener('abort', this.wake);
     this.pending.delete(item.record.recordId);
     this.pendingBytes -= item.bytes;
   }
