--- a/packages/bench/src/path/path_command.ts
+++ b/packages/bench/src/path/command.ts
@@ -21,8 +21,8 @@
   throughput: Throughput;
 }
 
-/** Adds the subcommand. */
-export function addPathCommand(program: Command): void {
+/** Registers `path`. */
+export function registerPathCommand(program: Command): void {
   program
     .command('path')
     .description('latency, throughput and load of the whole path')
