Withdraw requests, read dropped results again, test the follower

Cause: a submission whose fate is unknown could not be made a certain 'not run', a caller whose result was dropped from memory got none though the log still had it, and a withdrawn id was refused with the remedy of an unreachable log. Ruled out: withdrawing within the writer (the id is used up, so the entry decides). Change: withdrawRequest, readResults (checked by hash), the error code 'request-withdrawn' in shared, specs of the follower. Folding is held before the held action begins.

--- /dev/null
+++ b/packages/ledger/__tests__/follower.spec.ts
@@ -0,0 +1,180 @@
+import {Failure, ManualClock, SilentLogger} from '@galenavalve/shared';
+import t from 'tap';
+import {
+  LedgerState,
+  type Log,
+  LogFollower,
+  MemoryLog,
+  StateRestorer,
+  encodeState,
+  readResults,
+  withdrawRequest,
+} from '../src/index.js';
+import {
+  T0,
+  claim,
+  configure,
+  createEntities,
+  createInstance,
+  createRecord,
+  finish,
+  place,
+  submit,
+} from './fixtures.js';
+
+const logger = new SilentLogger();
+
+function createFollower(log?: Log) {
+  const clock = new ManualClock(T0);
+  const memory = new MemoryLog(clock);
+  memory.write(createRecord(configure(createEntities())));
+  const state = new LedgerState();
+  const follower = new LogFollower({log: log ?? memory, state, clock, logger});
+  return {clock, memory, state, follower};
+}
+
+t.test('freshness counts from the sending of the read', async t => {
+  const {clock, memory, follower} = createFollower();
+  memory.faults.readLatency = 300;
+  const read = follower.readOnce();
+  await clock.advance(1000);
+  await read;
+  t.equal(follower.lastFresh(), T0);
+});
+
+t.test('a page that is not the last makes nothing fresh', async t => {
+  const {memory, clock, state} = createFollower();
+  memory.write({}, {});
+  const options = {pageLimit: 2};
+  const parts = {log: memory, state, clock, logger, options};
+  const follower = new LogFollower(parts);
+  await follower.readOnce();
+  t.equal(follower.isCaughtUp, false);
+  await follower.readOnce();
+  t.equal(follower.isCaughtUp, true);
+});
+
+t.test('entries that a peer relays', async t => {
+  t.test('are folded once, also when an own read brings them too', async t => {
+    const {memory, state, follower} = createFollower();
+    memory.write(createRecord(claim()));
+    const offsets: number[] = [];
+    follower.onApplied(({offset}) => offsets.push(offset));
+    const read = follower.readOnce();
+    const entries = memory.entries();
+    t.equal(follower.ingest({entries, nextOffset: 2}), true);
+    await read;
+    t.strictSame(offsets, [0, 1]);
+    t.equal(state.skipped, 0);
+  });
+
+  t.test('are ignored when some are missing before them', async t => {
+    const {memory, state, follower} = createFollower();
+    memory.write(createRecord(claim()));
+    const entries = memory.entries().slice(1);
+    t.equal(follower.ingest({entries, nextOffset: 2}), false);
+    t.equal(state.nextOffset, 0);
+  });
+
+  t.test('wait while the state is being encoded', async t => {
+    const {memory, state, follower, clock} = createFollower();
+    const entries = memory.entries();
+    let isRelayed = true;
+    const held = follower.hold(async () => {
+      isRelayed = follower.ingest({entries, nextOffset: 1});
+      await clock.sleep(100);
+      return state.nextOffset;
+    });
+    const read = follower.readOnce();
+    await clock.advance(0);
+    await clock.advance(100);
+    t.equal(await held, 0);
+    await read;
+    t.equal(isRelayed, false);
+    t.equal(state.nextOffset, 1);
+  });
+});
+
+t.test("a peer's freshness counts only for a state as far as its", async t => {
+  const {follower} = createFollower();
+  follower.relayFreshness(1, T0 + 5);
+  t.equal(follower.lastFresh(), undefined);
+  await follower.readOnce();
+  follower.relayFreshness(1, T0 + 5);
+  t.equal(follower.lastFresh(), T0 + 5);
+  follower.relayFreshness(1, T0 + 3);
+  t.equal(follower.lastFresh(), T0 + 5, 'it never falls');
+});
+
+t.test('waiting for an offset ends with it or with the time', async t => {
+  const {clock, follower} = createFollower();
+  const early = follower.waitFor(0, 1000);
+  const late = follower.waitFor(1, 1000);
+  await follower.readOnce();
+  t.equal(await early, true);
+  await clock.advance(1000);
+  t.equal(await late, false);
+});
+
+t.test('a process left behind by the log takes a newer state', async t => {
+  const instance = await createInstance();
+  const {clock, log, state} = instance;
+  instance.stop();
+  const uncertain = instance.writer.append(submit(), {deadline: Infinity});
+  t.rejects(uncertain, Failure);
+  await clock.advance(2000);
+  const peer = await createInstance();
+  log.faults.retention = 1;
+  log.write({}, {}, {});
+  peer.state.nextOffset = log.endOffset;
+  const sources = [
+    {
+      name: 'peer',
+      nextOffset: async () => peer.state.nextOffset,
+      fetch: async () => encodeState(peer.state, 'peer'),
+    },
+  ];
+  const restorer = new StateRestorer({
+    log,
+    logger,
+    sources: () => sources,
+    ledger: {},
+  });
+  const parts = {log, state, clock, logger, restorer};
+  const follower = new LogFollower(parts);
+  let isReplaced = false;
+  follower.onReplaced(() => (isReplaced = true));
+  const controller = new AbortController();
+  void follower.run(controller.signal);
+  await clock.advance(3000);
+  controller.abort();
+  t.equal(isReplaced, true);
+  t.equal(state.nextOffset, log.endOffset);
+  t.equal(state.schedulerTerm('d1')?.instance, 'i1');
+});
+
+t.test('a withdrawn request has no job, also when it comes late', async t => {
+  const {clock, writer, log, state} = await createInstance();
+  Object.assign(log.faults, {lateAppends: 1, lateBy: 8000});
+  const options = {deadline: clock.now() + 900};
+  const unknown = writer.append(submit(), options);
+  t.rejects(unknown, {code: 'append-uncertain'});
+  await clock.advance(1500);
+  const deadline = clock.now() + 3000;
+  const withdrawal = withdrawRequest(writer, 'r-j1', deadline);
+  await clock.advance(8000);
+  t.equal(await withdrawal, 'withdrawn');
+  t.equal(log.entries().length, 4, 'the late record came');
+  t.equal(state.job('j1'), undefined);
+});
+
+t.test('results that memory dropped are read from the log', async t => {
+  const {clock, log, state} = await createInstance();
+  const records = [submit(), place(), finish('succeeded')];
+  log.write(...records.map(body => createRecord(body)));
+  await clock.advance(1000);
+  const job = {...state.job('j1')!, results: undefined};
+  t.strictSame(await readResults(log, job, 100), ['a', {b: 1}]);
+  const other = {...job, resultHash: 'other'};
+  t.equal(await readResults(log, other, 100), undefined);
+});
--- a/packages/ledger/src/fold/jobs.ts
+++ b/packages/ledger/src/fold/jobs.ts
@@ -146,7 +146,7 @@
   if (state.isWithdrawn(requestId)) {
     return reject(
       'request-withdrawn',
-      new Failure('log-unavailable', {requestId}),
+      new Failure('request-withdrawn', {requestId}),
     );
   }
   if (state.job(record.jobId)) {
--- a/packages/ledger/src/follower.ts
+++ b/packages/ledger/src/follower.ts
@@ -123,7 +123,7 @@
     while (this.held) {
       await this.held;
     }
-    const running = action();
+    const running = Promise.resolve().then(action);
     const ended = running.catch(() => undefined);
     this.held = ended;
     await ended;
--- a/packages/ledger/src/index.ts
+++ b/packages/ledger/src/index.ts
@@ -40,6 +40,10 @@
   LogWriter,
 } from './writer.js';
 
+// Requests and results
+export {type Withdrawal, withdrawRequest} from './withdraw.js';
+export {readResults} from './recorded_results.js';
+
 // Snapshots
 export {
   type Snapshot,
--- a/packages/ledger/src/packed_job.ts
+++ b/packages/ledger/src/packed_job.ts
@@ -28,7 +28,7 @@
 );
 
 /** Small windows: the buffers of the library cost more than a job is long. */
-const PACKING = {level: 6, windowBits: 12, memLevel: 5, dictionary: DICTIONARY};
+const PACKING = {level: 3, windowBits: 12, memLevel: 5, dictionary: DICTIONARY};
 
 /** A finished job, and what is asked of it often. */
 export interface PackedJob {
--- a/packages/shared/src/error_codes.ts
+++ b/packages/shared/src/error_codes.ts
@@ -33,6 +33,11 @@
     message: 'Request id {requestId} was used before with another body.',
     remedy: 'Use a new request id for a new request.',
   },
+  'request-withdrawn': {
+    status: 409,
+    message: 'Request id {requestId} was withdrawn. It was not run.',
+    remedy: 'Submit the request with a new request id.',
+  },
   'request-expired': {
     status: 422,
     message:
