Check guarantees only where a change can touch them

A page of 500 large records could also take more memory than the limit. Ruled out: remembering the last verdict by the maps' identity (each change makes new maps). Change: edits of nothing but service states skip the check; LedgerOptions states that it must not depend on them. A withdrawn id withdrawn again is a duplicate. Reads ask for fewer entries while entries are large.

--- a/packages/ledger/__tests__/configuration.spec.ts
+++ b/packages/ledger/__tests__/configuration.spec.ts
@@ -87,3 +87,14 @@
   t.ok(state.target('t4'));
   t.match(state.changes(1), [{changeId: 'rm', accepted: false}]);
 });
+
+t.test('a take-out is never refused for a guarantee', async t => {
+  const state = createState({
+    validateConfiguration: ({targets}) =>
+      targets.get('t4')?.state === 'out'
+        ? new Failure('guarantee-shortfall', {shortfall: 'ws1 lacks 1 rack'})
+        : undefined,
+  });
+  const out = {...find('t4'), state: 'out'} as Entity;
+  t.equal(fold(state, configure([out], 1)).accepted, true);
+});
--- a/packages/ledger/__tests__/snapshot.spec.ts
+++ b/packages/ledger/__tests__/snapshot.spec.ts
@@ -86,6 +86,16 @@
   t.equal(state?.nextOffset, 2);
 });
 
+t.test('a snapshot whose writer died halfway is not used', async t => {
+  const log = createExpiredLog();
+  const incomplete = new MemoryLog(new ManualClock(T0));
+  const isLast = (value: unknown) => (value as {index?: number}).index === 3;
+  const values = log.entries().map(entry => entry.value);
+  incomplete.write({}, {}, ...values.filter(value => !isLast(value)));
+  const state = await createRestorer(incomplete).restore();
+  t.equal(state?.nextOffset, 2);
+});
+
 t.test('a snapshot that is damaged within is refused', async t => {
   const snapshot = encodeState(createState(), 's');
   t.throws(() => decodeState({...snapshot, hash: ''}), {
--- a/packages/ledger/src/fold/configuration.ts
+++ b/packages/ledger/src/fold/configuration.ts
@@ -1,4 +1,5 @@
 /** Verdicts on configuration changes. */
+import {isDeepStrictEqual} from 'node:util';
 import {
   type Configuration,
   type ConfigurationChange,
@@ -150,9 +151,23 @@
   edits: readonly Edit[],
 ): Failure | undefined {
   const problem = findReferenceProblem(next, edits);
-  return problem
-    ? new Failure('config-invalid', {problem})
-    : state.options.validateConfiguration?.(next);
+  if (problem) {
+    return new Failure('config-invalid', {problem});
+  }
+  const changesMore = edits.some(edit => !changesOnlyServiceState(state, edit));
+  return changesMore ? state.options.validateConfiguration?.(next) : undefined;
+}
+
+function changesOnlyServiceState(state: LedgerState, edit: Edit): boolean {
+  const present = state.entity(edit.entity)?.value;
+  return (
+    present !== undefined &&
+    edit.value !== null &&
+    isDeepStrictEqual(
+      {...present, state: undefined},
+      {...edit.value, state: undefined},
+    )
+  );
 }
 
 function verdictOf({accepted, problem}: RecordedChange): Verdict {
--- a/packages/ledger/src/fold/jobs.ts
+++ b/packages/ledger/src/fold/jobs.ts
@@ -53,6 +53,9 @@
   if (state.jobByRequest(record.requestId)) {
     return reject('request-known');
   }
+  if (state.isWithdrawn(record.requestId)) {
+    return DUPLICATE;
+  }
   const latest = Math.max(record.at, state.logTime.value);
   const until = latest + MAX_CREATION_SKEW_MS + state.options.requestWindow;
   state.withdrawn.add(record.requestId, until);
--- a/packages/ledger/src/follower.ts
+++ b/packages/ledger/src/follower.ts
@@ -12,13 +12,14 @@
 import type {Applied} from './applied.js';
 import {applyEntry} from './fold/fold.js';
 import type {Log, LogEntry, LogPage} from './log.js';
+import {PageSize} from './page_size.js';
 import type {StateRestorer} from './snapshot/restorer.js';
 import type {Retention} from './snapshot/snapshot_policy.js';
 import type {LedgerState} from './state.js';
 
 /** Times and sizes of the reads. */
 export interface FollowerOptions {
-  /** Most entries of one read. */
+  /** Most entries of one read; fewer are asked for while entries are large. */
   pageLimit: number;
   /** How long the log may hold an answer back; short, since freshness counts from the sending. */
   readWait: Milliseconds;
@@ -68,10 +69,12 @@
   private readonly replacedListeners = new Set<() => void>();
   private held: Promise<unknown> | undefined;
   private keptOffsets: Retention | undefined;
+  private readonly pageSize: PageSize;
   private failures = 0;
 
   constructor(private readonly dependencies: FollowerDependencies) {
     this.options = {...DEFAULT_OPTIONS, ...dependencies.options};
+    this.pageSize = new PageSize(this.options.pageLimit);
   }
 
   get state(): LedgerState {
@@ -151,10 +154,11 @@
     const {log, clock} = this.dependencies;
     const sentAt = clock.now();
     const page = await log.read(this.state.nextOffset, {
-      limit: this.options.pageLimit,
+      limit: this.pageSize.limit,
       wait: this.options.readWait,
       timeout: this.options.readTimeout,
     });
+    this.pageSize.observe(page.entries);
     await this.held;
     this.applyPage(page, sentAt);
   }
--- a/packages/ledger/src/state.ts
+++ b/packages/ledger/src/state.ts
@@ -27,7 +27,11 @@
 export interface LedgerOptions {
   requestWindow: Milliseconds;
   resultBytes: number;
-  /** A further check of a configuration before it is accepted: a pure function. */
+  /**
+   * A further check of a configuration before it is accepted: a pure function.
+   * It must not depend on the service states of domains and targets: operators
+   * can always take them out, and it is not called for that.
+   */
   validateConfiguration?: (configuration: Configuration) => Failure | undefined;
 }
 
