Keep "not run" true at the deadline, and show holds

Cause, seen against daemons in a log outage: an attempt that had less time left than a daemon takes to answer turned a series of "not run" into "unknown"; an inventory whose age is not known came as null and could not be read; a failure domain that a hold keeps back showed as in-service.

Change: no attempt is begun that the deadline would cut short while the command is certainly not run. freshnessAgeMs is null when not known. The inventory shows such a domain as "held".

--- a/packages/cli/src/client/call_fate.ts
+++ b/packages/cli/src/client/call_fate.ts
@@ -16,6 +16,11 @@
     private readonly commandId: string | undefined,
   ) {}
 
+  /** True for a command while every instance that was reached said that it did nothing. */
+  get isNotRun(): boolean {
+    return this.commandId !== undefined && !this.maybeDone;
+  }
+
   /** Notes an attempt that did not settle the call. */
   note(result: AttemptResult<unknown>): void {
     if (result.kind === 'not-run') {
--- a/packages/cli/src/client/entry_caller.ts
+++ b/packages/cli/src/client/entry_caller.ts
@@ -65,7 +65,12 @@
         throw fate.settle(result.failure);
       }
       const pause = this.choosePause(attempt, result);
-      if (clock.now() + pause >= deadline) {
+      const remaining = deadline - clock.now() - pause;
+      if (
+        remaining <= 0 ||
+        (fate.isNotRun && remaining < this.timeoutOf(call))
+      ) {
+        // An attempt that is cut short would only turn "not run" into "unknown".
         break;
       }
       this.moveToNextEntry();
@@ -85,18 +90,14 @@
     deadline: Instant,
     fate: CallFate,
   ): Promise<AttemptResult<T> | undefined> {
-    const {policy, clock} = this.options;
-    const remaining = Math.max(1, deadline - clock.now());
-    const timeout = call.commandId
-      ? policy.commandTimeout
-      : policy.queryTimeout;
+    const remaining = Math.max(1, deadline - this.options.clock.now());
     const entry = this.entries[this.current] ?? '';
     try {
       const answer = await sendJson(this.pool, {
         method: call.method,
         url: entry + call.path,
         body: call.body,
-        timeout: Math.ceil(Math.min(timeout + (call.wait ?? 0), remaining)),
+        timeout: Math.ceil(Math.min(this.timeoutOf(call), remaining)),
         maxAnswerBytes: MAX_ANSWER_BYTES,
       });
       return this.note(entry, readAnswer(answer, call.schema), fate);
@@ -114,6 +115,12 @@
     }
   }
 
+  /** How long one attempt may take. */
+  private timeoutOf({commandId, wait}: EntryCall<unknown>): Milliseconds {
+    const {commandTimeout, queryTimeout} = this.options.policy;
+    return (commandId ? commandTimeout : queryTimeout) + (wait ?? 0);
+  }
+
   private note<T>(
     entry: string,
     result: AttemptResult<T>,
--- a/packages/cli/src/output/cluster_text.ts
+++ b/packages/cli/src/output/cluster_text.ts
@@ -64,10 +64,9 @@
   view: InventoryView,
   {targets}: {targets: boolean},
 ): string {
-  const age = formatDuration(view.freshnessAgeMs);
   const parts = [
     renderTable(domainColumns, view.domains),
-    `read up to offset ${view.offset}, known to be current ${age} ago`,
+    `read up to offset ${view.offset}, ${describeFreshness(view)}`,
   ];
   if (targets) {
     for (const domain of view.domains) {
@@ -84,6 +83,12 @@
   return `${view.id} is ${view.state}: ${running} running, ${queued} queued`;
 }
 
+function describeFreshness({freshnessAgeMs}: InventoryView): string {
+  return freshnessAgeMs === null
+    ? 'not known to be current'
+    : `known to be current ${formatDuration(freshnessAgeMs)} ago`;
+}
+
 function describeGuarantee(view: GuaranteeView): string {
   const promise = `${view.promised} ${view.level} in ${view.domain}`;
   return view.satisfiable < view.promised
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -80,14 +80,14 @@
 
   program
     .command('status <job>')
-    .description('print a job')
+    .description('print a job, by its id or its request id')
     .action(async (jobId: string) =>
       runner().run(session => showJob(session, jobId)),
     );
 
   program
     .command('explain <job>')
-    .description('print why a job ran or did not run')
+    .description('print why a job ran or did not run, by either id')
     .action(async (jobId: string) =>
       runner().run(session => explainJob(session, jobId)),
     );
--- a/packages/daemon/src/queries/cluster_queries.ts
+++ b/packages/daemon/src/queries/cluster_queries.ts
@@ -1,6 +1,7 @@
 /** Questions about the inventory, the workspaces and the configuration. */
 import type {Job} from '@galenavalve/ledger';
 import type {
+  Domain,
   DomainView,
   InventoryView,
   Target,
@@ -15,11 +16,16 @@
   const domains = [...node.state.configuration.domains.keys()].sort();
   return {
     offset: node.state.nextOffset,
-    freshnessAgeMs: Math.round(node.freshness.ageAt(node.clock.now())),
+    freshnessAgeMs: freshnessAge(node),
     domains: domains.map(id => viewDomain(node, id)),
   };
 }
 
+function freshnessAge(node: Node): number | null {
+  const age = node.freshness.ageAt(node.clock.now());
+  return Number.isFinite(age) ? Math.round(age) : null;
+}
+
 /** Every workspace with its promises and what it uses. */
 export function viewWorkspaces(node: Node): WorkspaceView[] {
   const {workspaces, domains} = node.state.configuration;
@@ -41,7 +47,7 @@
     id,
     region: domain.region,
     version: state.entityVersion(`domain/${id}`),
-    state: domain.state,
+    state: viewState(node, domain),
     scheduler: state.schedulerTerm(id)?.instance,
     queued: count(state.queuedIn(id)),
     running: count(state.activeIn(id)),
@@ -49,6 +55,12 @@
   };
 }
 
+/** A hold keeps starts back before, or without, a record in the log. */
+function viewState(node: Node, {id, state}: Domain): string {
+  const isHeld = state === 'in-service' && node.mesh.isHeld(`domain/${id}`);
+  return isHeld ? 'held' : state;
+}
+
 function viewTarget(node: Node, target: Target): TargetView {
   const {cells} = node.mirrorOf(target.domain);
   return {
--- a/packages/model/src/view.ts
+++ b/packages/model/src/view.ts
@@ -146,8 +146,8 @@
 export const inventoryView = z.object({
   /** Offset up to which the answering instance has read the log. */
   offset: count,
-  /** Milliseconds since the configuration was last known to be current. */
-  freshnessAgeMs: z.number(),
+  /** Milliseconds since the configuration was last known to be current; null when it is not known. */
+  freshnessAgeMs: z.number().nullable(),
   domains: z.array(domainView),
 });
 export type InventoryView = z.infer<typeof inventoryView>;
