Check guarantees offline by the function that daemons use

Change: findGuaranteeFailure moves from daemon to placement, so that `galenavalve check` folds a file with the same further check.

--- a/packages/cli/__tests__/command_line.spec.ts
+++ b/packages/cli/__tests__/command_line.spec.ts
@@ -201,6 +201,15 @@
   });
 });
 
+t.test('check names the guarantee that the inventory cannot hold', async t => {
+  const guarantees = [{level: 'target', count: 1}];
+  const workspace = {kind: 'workspace', id: 'escorts', guarantees};
+  const file = writeFile(t, {entities: [createDomain(), workspace]});
+  const {exitCode, out} = await run('check', file);
+  t.equal(exitCode, ExitCode.rejected);
+  t.match(out, 'escorts is promised 1 cells of level target in jnb');
+});
+
 t.test('drain waits until nothing runs in the failure domain', async t => {
   let reads = 0;
   const {url} = await startEntry(t, ({method}) => {
--- a/packages/cli/src/queries/check_configuration.ts
+++ b/packages/cli/src/queries/check_configuration.ts
@@ -1,6 +1,7 @@
 /** `galenavalve check`. */
 import {applyEntry, LedgerState} from '@galenavalve/ledger';
 import {type Entity, keyOf, RECORD_VERSION} from '@galenavalve/model';
+import {findGuaranteeFailure} from '@galenavalve/placement';
 import {ExitCode} from '../exit_code.js';
 import {readDesiredConfiguration} from '../input/desired_configuration.js';
 import {formatCount} from '../output/text.js';
@@ -38,7 +39,7 @@
   const change = {changeId: 'check', author: 'check', edits};
   const header = {v: RECORD_VERSION, recordId: 'check', at: 0, by: 'check'};
   const value = {...header, type: 'configured', change};
-  const state = new LedgerState();
+  const state = new LedgerState({validateConfiguration: findGuaranteeFailure});
   const {accepted, rejection, problem} = applyEntry(state, {offset: 0, value});
   return accepted ? undefined : (problem?.message ?? rejection);
 }
--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -11,7 +11,7 @@
 } from '@galenavalve/ledger';
 import {FreshnessTracker, PeerMesh, RecordRelay} from '@galenavalve/membership';
 import type {InstanceList} from '@galenavalve/membership';
-import {GalenaPolicy} from '@galenavalve/placement';
+import {GalenaPolicy, findGuaranteeFailure} from '@galenavalve/placement';
 import {
   HttpInstanceList,
   HttpLog,
@@ -38,7 +38,6 @@
 import {JobWaiters} from './job_waiters.js';
 import type {Node} from './node.js';
 import {Metrics} from './observability/metrics.js';
-import {findGuaranteeFailure} from './guarantee_check.js';
 import {listStateSources} from './roles/peer_catch_up.js';
 import {RelayingLog} from './roles/relaying_log.js';
 import {createSelfReport} from './roles/self_report.js';
--- a/packages/daemon/src/guarantee_check.ts
+++ b/packages/placement/src/guarantee_check.ts
@@ -1,7 +1,7 @@
 /** Refuses configurations that promise more than their inventory holds. */
 import type {Configuration} from '@galenavalve/model';
-import {describeShortfall, findShortfall} from '@galenavalve/placement';
 import {Failure} from '@galenavalve/shared';
+import {describeShortfall, findShortfall} from './shortfall.js';
 
 /** The failure that names the first shortfall, or undefined. A pure function: the fold calls it. */
 export function findGuaranteeFailure(
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -16,6 +16,7 @@
   findShortfall,
   inServiceOnly,
 } from './shortfall.js';
+export {findGuaranteeFailure} from './guarantee_check.js';
 
 // Cells
 export {Cells} from './cells.js';
