Tell after a failed drain that a hold may remain

Cause: "not run" is true of the record only; peers hold starts back already.

Also checks the record of the operators' page by its schema.

--- a/packages/cli/__tests__/examples.spec.ts
+++ b/packages/cli/__tests__/examples.spec.ts
@@ -1,6 +1,7 @@
-import {readdirSync} from 'node:fs';
+import {readdirSync, readFileSync} from 'node:fs';
 import {fileURLToPath} from 'node:url';
 import t from 'tap';
+import {record} from '@galenavalve/model';
 import {ExitCode, runCommandLine} from '../src/index.js';
 import {buildJobRequest} from '../src/input/job_input.js';
 import {loadSettings} from '../src/input/settings.js';
@@ -11,6 +12,16 @@
 );
 const notJobs = ['cluster.jsonc', 'daemon.jsonc', 'galenavalve.jsonc'];
 
+t.test("the record in the operators' pages is valid", async t => {
+  const page = fileURLToPath(
+    new URL('../docs/operators/configuration.md', `file://${examples}`),
+  );
+  const [, block = ''] = /```json\n(.*?)```/s.exec(
+    readFileSync(page, 'utf8'),
+  ) as RegExpExecArray;
+  t.same(record.safeParse(JSON.parse(block)).error, undefined);
+});
+
 for (const user of readdirSync(examples)) {
   const dir = `${examples}${user}`;
   t.test(`the examples of ${user}`, async t => {
--- a/packages/cli/src/commands/change_service.ts
+++ b/packages/cli/src/commands/change_service.ts
@@ -1,5 +1,9 @@
 /** `galenavalve drain` and `galenavalve restore`. */
-import type {DomainView, InventoryView} from '@galenavalve/model';
+import type {
+  ConfigurationResult,
+  DomainView,
+  InventoryView,
+} from '@galenavalve/model';
 import {isFailure, type Milliseconds} from '@galenavalve/shared';
 import type {EntryClient} from '../client/entry_client.js';
 import {ExitCode} from '../exit_code.js';
@@ -14,8 +18,7 @@
   domain: string,
   wait: Milliseconds,
 ): Promise<ExitCode> {
-  const {client, settings} = session;
-  const {offset} = await client.drain(domain, settings.author);
+  const {offset} = await recordDrain(session, domain);
   return watchDomain(session, {domain, offset, wait, isDone: isDrained});
 }
 
@@ -30,6 +33,23 @@
   return watchDomain(session, {domain, offset, wait, isDone: isRestored});
 }
 
+/** Without a record only a hold may keep starts back, which the failure does not say. */
+async function recordDrain(
+  {client, settings, output}: Session,
+  domain: string,
+): Promise<ConfigurationResult> {
+  try {
+    return await client.drain(domain, settings.author);
+  } catch (error) {
+    if (isFailure(error) && error.status >= 500) {
+      output.printProgress(
+        `${domain} may be held: "galenavalve inventory" shows it. Repeat the command until it is recorded.`,
+      );
+    }
+    throw error;
+  }
+}
+
 interface Watch {
   domain: string;
   /** Offset of the change; an older view does not show it. */
