Ask the next entry instance when one is slow

Change: a call runs in rounds; in a round each entry is asked once, the next as soon as the latest failed or has not answered for 2 s, with the same ids, and the first answer counts. A refusal waits for attempts that are still pending, since one of them may have been recorded. `submit` does not wait in its first request; followJob waits.

Ruled out: a command timeout of 2 s, which makes every "not run" of a log outage "unknown".

Also: arbitrary answers to HttpLog end in a page, a receipt or a failure (100 runs, fixed seed).

--- a/packages/cli/__tests__/entry_client.spec.ts
+++ b/packages/cli/__tests__/entry_client.spec.ts
@@ -49,6 +49,38 @@
     t.equal(first.seen.length, 1, 'and stays with the one that answers');
   });
 
+  t.test('does not wait out an instance that is slow', async t => {
+    const slow = await startFakeEntry(t, 'silent');
+    const second = await startFakeEntry(t, answered);
+    const entries = [slow.url, second.url];
+    const policy = {hedgeDelay: 20, commandTimeout: 60_000};
+    const client = createClient(t, entries, policy);
+    t.equal((await client.submit(createRequest(), 0)).jobId, 'job-1');
+    t.same(slow.seen, second.seen);
+  });
+
+  t.test('asks every entry while the first is slow', async t => {
+    const slow = await startFakeEntry(t, 'silent');
+    const stopping = await startFakeEntry(t, refuse('stopping'));
+    const fourth = await startFakeEntry(t, answered);
+    const entries = [slow.url, 'http://127.0.0.1:1', stopping.url, fourth.url];
+    const policy = {hedgeDelay: 20, commandTimeout: 60_000, deadline: 1000};
+    const client = createClient(t, entries, policy);
+    t.equal((await client.submit(createRequest(), 0)).jobId, 'job-1');
+  });
+
+  t.test('is unknown when the slow instance may have recorded it', async t => {
+    const slow = await startFakeEntry(t, 'silent');
+    for (const code of ['overloaded', 'unknown-workspace'] as const) {
+      const second = await startFakeEntry(t, refuse(code));
+      const entries = [slow.url, second.url];
+      const policy = {hedgeDelay: 20, maxAttempts: 1};
+      const client = createClient(t, entries, policy);
+      const submit = client.submit(createRequest(), 0);
+      await t.rejects(submit, {code: 'outcome-unknown'}, code);
+    }
+  });
+
   t.test('asks again with the same id after 504', async t => {
     const unknown = refuse('outcome-unknown', {requestId: 'r-1'});
     const entry = await startFakeEntry(t, unknown, 'cut', answered);
--- a/packages/cli/src/client/attempt_result.ts
+++ b/packages/cli/src/client/attempt_result.ts
@@ -1,7 +1,7 @@
 /** What one attempt of a call tells about its fate. */
 import type {z} from 'zod';
 import {failureView, type FailureView} from '@galenavalve/model';
-import type {JsonAnswer} from '@galenavalve/platform';
+import {type JsonAnswer, NoAnswer} from '@galenavalve/platform';
 import {
   type ErrorCode,
   errorTemplates,
@@ -17,9 +17,33 @@
   | {kind: 'refused'; failure: Failure}
   /** The instance says that this attempt did nothing. */
   | {kind: 'not-run'; failure: Failure; retryAfter?: Milliseconds}
+  /** Nothing was sent. */
+  | {kind: 'unsent'; problem: string}
   /** The attempt may have taken effect. */
   | {kind: 'uncertain'; problem: string};
 
+/** Why a further attempt is needed; undefined when none is. */
+export function problemOf(result: AttemptResult<unknown>): string | undefined {
+  switch (result.kind) {
+    case 'not-run':
+      return result.failure.message;
+    case 'unsent':
+    case 'uncertain':
+      return result.problem;
+    default:
+      return undefined;
+  }
+}
+
+/** Reads what `sendJson` threw. */
+export function readError(error: unknown): AttemptResult<never> {
+  if (!(error instanceof NoAnswer)) {
+    throw error;
+  }
+  const kind = error.wasSent ? 'uncertain' : 'unsent';
+  return {kind, problem: error.message};
+}
+
 /**
  * Reads an answer. Only a body in the daemon's own form counts as its word: a
  * balancer's 503 may come after the request was recorded.
--- a/packages/cli/src/client/call_fate.ts
+++ b/packages/cli/src/client/call_fate.ts
@@ -16,12 +16,13 @@
     private readonly commandId: string | undefined,
   ) {}
 
-  /** True for a command while every instance that was reached said that it did nothing. */
+  /** True for a command once an instance said "not run" and none may have run it. */
   get isNotRun(): boolean {
-    return this.commandId !== undefined && !this.maybeDone;
+    const isCommand = this.commandId !== undefined;
+    return isCommand && !this.maybeDone && this.lastFailure !== undefined;
   }
 
-  /** Notes an attempt that did not settle the call. */
+  /** Notes the result of an attempt. */
   note(result: AttemptResult<unknown>): void {
     if (result.kind === 'not-run') {
       this.lastFailure = result.failure;
@@ -30,11 +31,9 @@
       this.maybeDone = true;
       this.lastProblem = result.problem;
     }
-  }
-
-  /** Notes an attempt of which no byte was sent. */
-  noteUnsent(problem: string): void {
-    this.lastProblem = problem;
+    if (result.kind === 'unsent') {
+      this.lastProblem = result.problem;
+    }
   }
 
   /** The failure to report when an instance refused for good. */
--- a/packages/cli/src/client/entry_caller.ts
+++ b/packages/cli/src/client/entry_caller.ts
@@ -1,15 +1,9 @@
-/** Calls entry instances, one after the other, until one of them settles the call. */
+/** Sends calls to entry instances. */
 import type {z} from 'zod';
-import {ConnectionPool, NoAnswer, sendJson} from '@galenavalve/platform';
-import {
-  type Clock,
-  type Instant,
-  jitteredBackoff,
-  type Milliseconds,
-  type Random,
-} from '@galenavalve/shared';
-import {type AttemptResult, readAnswer} from './attempt_result.js';
-import {CallFate} from './call_fate.js';
+import {ConnectionPool, sendJson} from '@galenavalve/platform';
+import type {Clock, Milliseconds, Random} from '@galenavalve/shared';
+import {type AttemptResult, readAnswer, readError} from './attempt_result.js';
+import {CallRun} from './call_run.js';
 import type {RetryPolicy} from './retry_policy.js';
 
 /** Largest answer, in bytes: an inventory of 8,200 targets has about 2 MB. */
@@ -28,7 +22,7 @@
   commandId?: string;
 }
 
-/** Told when a call goes on with another attempt. */
+/** Told of each attempt that did not settle its call. */
 export type RetryListener = (entry: string, problem: string) => void;
 
 /** What a caller needs. */
@@ -41,7 +35,7 @@
   onRetry?: RetryListener;
 }
 
-/** Sends calls to the entry instance that answered last, and to the next one when it fails. */
+/** Asks the entry instance that answered last, and the others when it fails or is slow. */
 export class EntryCaller {
   private readonly pool = new ConnectionPool();
   private readonly entries: string[];
@@ -52,107 +46,47 @@
   }
 
   /** Makes a call. Throws a `Failure` that tells what is known of it. */
-  async call<T>(call: EntryCall<T>): Promise<T> {
-    const {policy, clock} = this.options;
-    const deadline = clock.now() + policy.deadline + (call.wait ?? 0);
-    const fate = new CallFate(call.commandId);
-    for (let attempt = 1; attempt <= policy.maxAttempts; attempt++) {
-      const result = await this.attempt(call, deadline, fate);
-      if (result?.kind === 'answered') {
-        return result.value;
-      }
-      if (result?.kind === 'refused') {
-        throw fate.settle(result.failure);
-      }
-      const pause = this.choosePause(attempt, result);
-      const remaining = deadline - clock.now() - pause;
-      if (
-        remaining <= 0 ||
-        (fate.isNotRun && remaining < this.timeoutOf(call))
-      ) {
-        // An attempt that is cut short would only turn "not run" into "unknown".
-        break;
-      }
-      this.moveToNextEntry();
-      await clock.sleep(pause);
-    }
-    throw fate.conclude();
+  call<T>(call: EntryCall<T>): Promise<T> {
+    const {policy, clock, random} = this.options;
+    const run = new CallRun<T>({
+      attempt: (entry, timeout) => this.attempt(call, entry, timeout),
+      entryCount: this.entries.length,
+      firstEntry: this.current,
+      commandId: call.commandId,
+      wait: call.wait ?? 0,
+      onProblem: (entry, problem) =>
+        this.options.onRetry?.(this.entries[entry] ?? '', problem),
+      policy,
+      clock,
+      random,
+    });
+    return run.run();
   }
 
-  /** Closes the connections. */
+  /** Closes the connections; attempts that are not answered yet end. */
   close(): void {
     this.pool.close();
   }
 
-  /** Makes one attempt; undefined when nothing could be sent. */
   private async attempt<T>(
     call: EntryCall<T>,
-    deadline: Instant,
-    fate: CallFate,
-  ): Promise<AttemptResult<T> | undefined> {
-    const remaining = Math.max(1, deadline - this.options.clock.now());
-    const entry = this.entries[this.current] ?? '';
-    try {
-      const answer = await sendJson(this.pool, {
-        method: call.method,
-        url: entry + call.path,
-        body: call.body,
-        timeout: Math.ceil(Math.min(this.timeoutOf(call), remaining)),
-        maxAnswerBytes: MAX_ANSWER_BYTES,
-      });
-      return this.note(entry, readAnswer(answer, call.schema), fate);
-    } catch (error) {
-      if (!(error instanceof NoAnswer)) {
-        throw error;
-      }
-      if (error.wasSent) {
-        const {message: problem} = error;
-        return this.note(entry, {kind: 'uncertain', problem}, fate);
-      }
-      fate.noteUnsent(`${entry}: ${error.message}`);
-      this.options.onRetry?.(entry, error.message);
-      return undefined;
-    }
-  }
-
-  /** How long one attempt may take. */
-  private timeoutOf({commandId, wait}: EntryCall<unknown>): Milliseconds {
-    const {commandTimeout, queryTimeout} = this.options.policy;
-    return (commandId ? commandTimeout : queryTimeout) + (wait ?? 0);
-  }
-
-  private note<T>(
-    entry: string,
-    result: AttemptResult<T>,
-    fate: CallFate,
-  ): AttemptResult<T> {
-    fate.note(result);
-    if (result.kind === 'not-run') {
-      this.options.onRetry?.(entry, result.failure.message);
-    }
-    if (result.kind === 'uncertain') {
-      this.options.onRetry?.(entry, result.problem);
+    index: number,
+    timeout: Milliseconds,
+  ): Promise<AttemptResult<T>> {
+    const entry = this.entries[index] ?? '';
+    const result = await sendJson(this.pool, {
+      method: call.method,
+      url: entry + call.path,
+      body: call.body,
+      timeout,
+      maxAnswerBytes: MAX_ANSWER_BYTES,
+    }).then(
+      answer => readAnswer(answer, call.schema),
+      (error: unknown) => readError(error),
+    );
+    if (result.kind === 'answered') {
+      this.current = index;
     }
     return result;
   }
-
-  private moveToNextEntry(): void {
-    this.current = (this.current + 1) % this.entries.length;
-  }
-
-  /** No pause before each entry was tried once; then full jitter, after what the instance asks for. */
-  private choosePause(
-    attempt: number,
-    result: AttemptResult<unknown> | undefined,
-  ): Milliseconds {
-    if (attempt % this.entries.length !== 0) {
-      return 0;
-    }
-    const {policy, random} = this.options;
-    const round = attempt / this.entries.length - 1;
-    const {backoffBase, backoffCap} = policy;
-    const backoff = jitteredBackoff(round, backoffBase, backoffCap, random);
-    const retryAfter = result?.kind === 'not-run' ? result.retryAfter : 0;
-    return (retryAfter ?? 0) + backoff;
-  }
 }
--- a/packages/cli/src/client/http_entry_client.ts
+++ b/packages/cli/src/client/http_entry_client.ts
@@ -33,7 +33,7 @@
 import {defaultRetryPolicy, type RetryPolicy} from './retry_policy.js';
 
 /** Longest time that one request asks an instance to wait; a longer one would hide its silence. */
-const MAX_WAIT_MS = 10_000;
+const MAX_WAIT_MS = 5000;
 
 /** Where the entry instances are, and how to call them. */
 export interface HttpEntryClientOptions {
--- a/packages/cli/src/client/retry_policy.ts
+++ b/packages/cli/src/client/retry_policy.ts
@@ -9,6 +9,8 @@
   queryTimeout: Milliseconds;
   /** The same for a command; longer than a daemon waits for the log. */
   commandTimeout: Milliseconds;
+  /** After this time the next instance is asked as well; the first answer counts. */
+  hedgeDelay: Milliseconds;
   maxAttempts: number;
   /** Pauses are a random share of `backoffBase * 2^round`, at most `backoffCap`. */
   backoffBase: Milliseconds;
@@ -20,6 +22,7 @@
   deadline: 30_000,
   queryTimeout: 3000,
   commandTimeout: 8000,
+  hedgeDelay: 2000,
   maxAttempts: 30,
   backoffBase: 100,
   backoffCap: 5000,
--- a/packages/cli/src/commands/submit.ts
+++ b/packages/cli/src/commands/submit.ts
@@ -15,7 +15,7 @@
   const {client, clock, output} = session;
   const deadline = clock.now() + wait;
   output.printProgress(`request ${request.requestId}`);
-  const accepted = await submitOrTellHow(session, request, wait);
+  const accepted = await submitOrTellHow(session, request);
   const job = await followJob(client, accepted, {
     clock,
     deadline,
@@ -30,10 +30,10 @@
 async function submitOrTellHow(
   {client, output}: Session,
   request: JobRequest,
-  wait: Milliseconds,
 ): Promise<JobView> {
   try {
-    return await client.submit(request, wait);
+    // A wait would hide an instance that went silent; followJob waits instead.
+    return await client.submit(request, 0);
   } catch (error) {
     if (isFailure(error, 'outcome-unknown')) {
       const {requestId, createdAt} = request;
--- a/packages/platform/__tests__/http_log.spec.ts
+++ b/packages/platform/__tests__/http_log.spec.ts
@@ -1,7 +1,9 @@
 import {createServer, type RequestListener, type Server} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
+import fc from 'fast-check';
 import t, {type Test} from 'tap';
-import type {ErrorCode} from '@galenavalve/shared';
+import type {LogPage} from '@galenavalve/ledger';
+import {type ErrorCode, isFailure} from '@galenavalve/shared';
 import {HttpLog} from '../src/index.js';
 
 const TIMEOUT_MS = 200;
@@ -146,3 +148,43 @@
   await t.rejects(log.append([{}], TIMEOUT_MS), {code: 'append-uncertain'});
   await t.resolves(log.append([{}], 1000), 'the next one opens a connection');
 });
+
+t.test('answers of any form end in a page, a receipt or a failure', t => {
+  const entries = fc.array(
+    fc.record({offset: fc.nat(4), value: fc.jsonValue()}),
+    {maxLength: 3},
+  );
+  const offset = fc.oneof(fc.nat(4), fc.constant(-1), fc.constant(0.5));
+  const body = fc.oneof(
+    fc.record(
+      {entries, nextOffset: offset, endOffset: offset, oldestOffset: offset},
+      {requiredKeys: ['entries']},
+    ),
+    fc.record({firstOffset: offset, nextOffset: offset}),
+    fc.record({code: fc.string(), message: fc.string()}),
+    fc.jsonValue(),
+  );
+  const status = fc.constantFrom(200, 204, 302, 400, 410, 429, 500, 503);
+  return fc.assert(
+    fc.asyncProperty(status, body, async (status, body) => {
+      const {url} = await startService(t, answerWith(status, body));
+      const log = createLog(t, url);
+      const options = {limit: 9, wait: 0, timeout: 1000};
+      const page = await log.read(1, options).catch((error: unknown) => error);
+      t.ok(isFailure(page) || isPageFrom(1, page as LogPage));
+      const receipt = await log.append([{}], 1000).catch((e: unknown) => e);
+      const isReceipt = !(receipt instanceof Error);
+      t.ok(isReceipt || isFailure(receipt, 'append-uncertain'));
+    }),
+    {numRuns: 100, seed: 31},
+  );
+});
+
+/** A page that the fold can take: no record is skipped or repeated. */
+function isPageFrom(offset: number, page: LogPage): boolean {
+  const {entries, nextOffset} = page;
+  return (
+    entries.every((entry, index) => entry.offset === offset + index) &&
+    nextOffset === offset + entries.length
+  );
+}
