--- a/packages/ledger/src/fold/configuration.ts
+++ b/packages/ledger/src/fold/configuration.ts
@@ -152,7 +152,7 @@
   const problem = findReferenceProblem(next, edits);
   return problem
     ? new Failure('config-invalid', {problem})
-    : state.options.validateConfiguration?.(next);
+    : state.options.validateConfiguration?.(next, state.configuration);
 }
 
 function verdictOf({accepted, problem}: RecordedChange): Verdict {
--- a/packages/ledger/src/state.ts
+++ b/packages/ledger/src/state.ts
@@ -27,8 +27,11 @@
 export interface LedgerOptions {
   requestWindow: Milliseconds;
   resultBytes: number;
-  /** A further check of a configuration before it is accepted: a pure function. */
-  validateConfiguration?: (configuration: Configuration) => Failure | undefined;
+  /** A further check of a configuration before it goes over the one in force: a pure function. */
+  validateConfiguration?: (
+    next: Configuration,
+    previous: Configuration,
+  ) => Failure | undefined;
 }
 
 /** The folded state. One loop owns it, and only the fold changes it. */
