--- /dev/null
+++ b/packages/bench/src/slopes/platform_worker.ts
@@ -0,0 +1,61 @@
+/** A thread with the platform's stand-ins behind relays that count bytes. */
+import {parentPort, workerData} from 'node:worker_threads';
+import {
+  startInstanceServer,
+  startLogServer,
+  startTargetServer,
+} from '@galenavalve/standins';
+import {TcpRelay} from '@galenavalve/wire';
+import {createEntries, createLogBodies} from './fixtures.js';
+import type {
+  ByteCounts,
+  PlatformSettings,
+  PlatformUrls,
+} from './platform_thread.js';
+import {createClusterRecords} from './two_year_size.js';
+
+const HOST = '127.0.0.1';
+
+if (parentPort) {
+  const port = parentPort;
+  const {urls, count} = await start(workerData as PlatformSettings);
+  port.postMessage(urls);
+  port.on('message', () => port.postMessage(count()));
+}
+
+async function start({targets, records, clusterShare}: PlatformSettings) {
+  const listen = {host: HOST, port: 0};
+  const log = await startLogServer(listen);
+  const bodies =
+    clusterShare === undefined
+      ? createLogBodies(records)
+      : createClusterRecords(clusterShare);
+  log.log.write(...createEntries(bodies, 0).map(entry => entry.value));
+  const list = await startInstanceServer({...listen, instances: []});
+  const definitions = Array.from({length: targets}, (_, index) => ({
+    id: `target-${index}`,
+    slots: 4096,
+    accelerators: 8,
+    processors: 65_536,
+    memoryMb: 67_108_864,
+  }));
+  const server = await startTargetServer({...listen, targets: definitions});
+  const logRelay = new TcpRelay(portOf(log.url));
+  const targetRelay = new TcpRelay(portOf(server.url));
+  const urls: PlatformUrls = {
+    log: `http://${HOST}:${await logRelay.start()}`,
+    instances: list.url,
+    targets: `http://${HOST}:${await targetRelay.start()}`,
+  };
+  const count = (): ByteCounts => ({
+    toLog: logRelay.bytesForth,
+    fromLog: logRelay.bytesBack,
+    toTargets: targetRelay.bytesForth,
+    fromTargets: targetRelay.bytesBack,
+  });
+  return {urls, count};
+}
+
+function portOf(url: string): number {
+  return Number(new URL(url).port);
+}
--- a/packages/bench/src/slopes/run_slopes.ts
+++ b/packages/bench/src/slopes/run_slopes.ts
@@ -1,11 +1,14 @@
 /** Measures every slope, and shows them. */
 import {arch, cpus, release} from 'node:os';
-import {measureCatchUp} from './catch_up_slopes.js';
+import {measureReading} from './catch_up_slopes.js';
+import {measureDaemons} from './daemon_slopes.js';
 import {measureDecisions} from './decision_slopes.js';
+import {measureGangs} from './gang_slopes.js';
 import {measureLedger} from './ledger_slopes.js';
 import {measurePeers} from './peer_slopes.js';
 import {measureRenewals} from './renewal_slopes.js';
 import type {Slope} from './slope.js';
+import {measureSnapshots} from './snapshot_slopes.js';
 
 /** All slopes with the machine that they were measured on. */
 export interface SlopeReport {
@@ -23,17 +26,25 @@
   slopes: Slope[];
 }
 
+const MEASUREMENTS = [
+  measureLedger,
+  measureSnapshots,
+  measureReading,
+  measureDecisions,
+  measureRenewals,
+  measureGangs,
+  measurePeers,
+  measureDaemons,
+];
+
 /** Measures every slope. Takes less than two minutes. */
 export async function runSlopes(): Promise<SlopeReport> {
   const startedAt = performance.now();
   const date = new Date().toISOString();
-  const slopes = [
-    ...(await measureLedger()),
-    ...(await measureCatchUp()),
-    ...(await measureDecisions()),
-    ...(await measureRenewals()),
-    ...(await measurePeers()),
-  ];
+  const slopes: Slope[] = [];
+  for (const measure of MEASUREMENTS) {
+    slopes.push(...(await measure()));
+  }
   return {
     date,
     machine: describeMachine(),
--- /dev/null
+++ b/packages/bench/src/slopes/snapshot_slopes.ts
@@ -0,0 +1,63 @@
+/** What a snapshot of the state costs, by shares of the two-year size. */
+import {
+  LedgerState,
+  type Snapshot,
+  createChunks,
+  decodeState,
+  encodeState,
+} from '@galenavalve/ledger';
+import {bytesOf, foldAll} from './fixtures.js';
+import {timeOf} from './meter.js';
+import {type Slope, measureSlopes} from './slope.js';
+import {createClusterRecords} from './two_year_size.js';
+
+const SHARES = [0.1, 0.25, 0.5, 1];
+
+const titles = {
+  bytes: {
+    id: 'snapshot-bytes',
+    over: 'share of the two-year size',
+    measured: 'bytes of the records of a snapshot',
+  },
+  encodeMs: {
+    id: 'snapshot-encode',
+    over: 'share of the two-year size',
+    measured: 'ms to encode a snapshot',
+  },
+  decodeMs: {
+    id: 'snapshot-decode',
+    over: 'share of the two-year size',
+    measured: 'ms to restore a state from a snapshot',
+  },
+};
+
+/** All slopes of snapshots. */
+export async function measureSnapshots(): Promise<Slope[]> {
+  return measureSlopes(titles, SHARES, measureSnapshot);
+}
+
+async function measureSnapshot(
+  share: number,
+): Promise<Record<keyof typeof titles, number>> {
+  const state = new LedgerState();
+  foldAll(state, createClusterRecords(share));
+  const snapshot = encodeState(state, 'snapshot-1');
+  return {
+    bytes: sumBytes(snapshot),
+    encodeMs: timeOf(
+      () => state,
+      input => void encodeState(input, 'snapshot-2'),
+    ),
+    decodeMs: timeOf(
+      () => snapshot,
+      input => void decodeState(input),
+    ),
+  };
+}
+
+function sumBytes(snapshot: Snapshot): number {
+  return createChunks(snapshot).reduce(
+    (total, chunk) => total + bytesOf(chunk),
+    0,
+  );
+}
