--- a/packages/bench/src/slopes/fixtures.ts
+++ b/packages/bench/src/slopes/fixtures.ts
@@ -36,6 +36,10 @@
     {kind: 'domain', id: DOMAIN, region: 'eu', state: 'in-service'},
     {kind: 'domain', id: 'south', region: 'eu', state: 'in-service'},
   ];
+  for (let index = 0; index < targets; index++) {
+    entities.push(createTarget(index));
+  }
+  // Guarantees are refused before the targets that they need.
   for (let index = 0; index < workspaces; index++) {
     entities.push({
       kind: 'workspace',
@@ -46,9 +50,6 @@
       requiresApproval: false,
     });
   }
-  for (let index = 0; index < targets; index++) {
-    entities.push(createTarget(index));
-  }
   return entities;
 }
 
--- a/packages/bench/src/slopes/platform_worker.ts
+++ b/packages/bench/src/slopes/platform_worker.ts
@@ -1,12 +1,19 @@
 /** A thread with the platform's stand-ins behind relays that count bytes. */
 import {parentPort, workerData} from 'node:worker_threads';
+import {
+  LedgerState,
+  type MemoryLog,
+  createChunks,
+  encodeState,
+} from '@galenavalve/ledger';
+import type {RecordBody} from '@galenavalve/model';
 import {
   startInstanceServer,
   startLogServer,
   startTargetServer,
 } from '@galenavalve/standins';
 import {TcpRelay} from '@galenavalve/wire';
-import {createEntries, createLogBodies} from './fixtures.js';
+import {createEntries, createLogBodies, foldAll} from './fixtures.js';
 import type {
   ByteCounts,
   PlatformSettings,
@@ -31,6 +38,9 @@
       ? createLogBodies(records)
       : createClusterRecords(clusterShare);
   log.log.write(...createEntries(bodies, 0).map(entry => entry.value));
+  if (clusterShare !== undefined) {
+    writeSnapshot(log.log, bodies);
+  }
   const list = await startInstanceServer({...listen, instances: []});
   const definitions = Array.from({length: targets}, (_, index) => ({
     id: `target-${index}`,
@@ -56,6 +66,15 @@
   return {urls, count};
 }
 
+/** Adds the snapshot that the log of a running cluster holds. */
+function writeSnapshot(log: MemoryLog, bodies: readonly RecordBody[]): void {
+  const state = new LedgerState();
+  foldAll(state, bodies);
+  const chunks = createChunks(encodeState(state, 'snapshot-1'));
+  const entries = createEntries(chunks, state.nextOffset);
+  log.write(...entries.map(entry => entry.value));
+}
+
 function portOf(url: string): number {
   return Number(new URL(url).port);
 }
