Explore faults by seeds over the whole system in one process (first version)

Cause: each promise was proven by specs of single parts only. Change: a private package of seeded explorations over the log, targets and instances in memory, on a virtual clock, with all promises checked after each step.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -4,6 +4,10 @@
 export {Daemon, type DaemonParts} from './daemon.js';
 export type {Node, Stage} from './node.js';
 
+// Commands
+export {submitJob} from './commands/submit_job.js';
+export {cancelJob} from './commands/job_commands.js';
+
 // Putting one together
 export {createContainer} from './container.js';
 export {tokens} from './tokens.js';
--- a/packages/targets/src/testing/target_model.ts
+++ b/packages/targets/src/testing/target_model.ts
@@ -33,6 +33,8 @@
   reservations: boolean;
   /** Stops tasks whose lease was not renewed. */
   leases: boolean;
+  /** Refuses new work while it is leaving. */
+  leaving: boolean;
 }
 
 /** Settings of a modelled target. */
@@ -57,6 +59,7 @@
   terms: true,
   reservations: true,
   leases: true,
+  leaving: true,
 };
 const DEFAULT_USAGE_LAG_MS = 5000;
 
@@ -262,7 +265,7 @@
   }
 
   private checkRoom(order: Reservation): void {
-    if (this.leaving) {
+    if (this.leaving && this.guards.leaving) {
       throw this.refuse('it is leaving');
     }
     const held = [...this.leases.values()]
@@ -292,7 +295,7 @@
     order: StartOrder,
     now: Instant,
   ): void {
-    if (this.leaving) {
+    if (this.leaving && this.guards.leaving) {
       throw this.refuse('it is leaving');
     }
     if (!isSameTerm(lease.term, order.term)) {
--- /dev/null
+++ b/scripts/test_faults.mjs
@@ -0,0 +1,2 @@
+/** Explores faults: `npm run test:faults -- --runs N --seed S`. */
+await import('../packages/faults/dist/src/main.js');
