Give the verdict on a member whose target forgot it

Cause: a target that crashed and came back knows nothing of a gang's tasks. Change: the report is noted, the verdict falls in one place.

--- a/packages/faults/src/facts.ts
+++ b/packages/faults/src/facts.ts
@@ -10,6 +10,8 @@
   request: JobRequest;
   jobId: string;
   answer: CallerAnswer;
+  /** Whether an earlier answer left it open. */
+  wasUnknown: boolean;
   isCancelled: boolean;
 }
 
--- a/packages/faults/src/promises.ts
+++ b/packages/faults/src/promises.ts
@@ -14,6 +14,8 @@
   | 'at-most-once'
   | 'no-overlapping-attempts'
   | 'true-not-run'
+  /** The same, said to a caller who asks again after an answer that left it open. */
+  | 'true-not-run-when-repeated'
   | 'true-outcome'
   | 'every-request-ends'
   | 'versions-never-fall'
@@ -208,7 +210,10 @@
     const isSaidNotRun = fact.answer === 'not-run' || job.outcome === 'not-run';
     if (isSaidNotRun && hasRun) {
       const detail = `${requestId} was said not to have run`;
-      return [{promise: 'true-not-run', detail}];
+      const promise = fact.wasUnknown
+        ? 'true-not-run-when-repeated'
+        : 'true-not-run';
+      return [{promise, detail}];
     }
     const problem = job.outcome && findFalseOutcome(world, fact, job);
     const detail = `${requestId}: ${problem}`;
--- a/packages/faults/src/world.ts
+++ b/packages/faults/src/world.ts
@@ -93,6 +93,7 @@
       request,
       jobId: '',
       answer: 'none',
+      wasUnknown: false,
       isCancelled: false,
     };
     this.facts.requests.set(request.requestId, fact);
@@ -101,6 +102,7 @@
       if (fact.answer !== 'unknown') {
         return;
       }
+      fact.wasUnknown = true;
     }
   }
 
--- a/packages/targets/__tests__/lease_keeper.spec.ts
+++ b/packages/targets/__tests__/lease_keeper.spec.ts
@@ -89,6 +89,18 @@
     t.ok(Math.max(...endsOf(runs)) <= bound);
   });
 
+  t.test('is lost when a target comes back without it', async t => {
+    const {clock, targets, events} = await runGang();
+    await clock.advance(5000);
+    targets.kill('t1');
+    targets.revive('t1');
+    await clock.advance(3000);
+    t.match(
+      events.find(event => event.kind === 'member-lost'),
+      {culprit: 't1'},
+    );
+  });
+
   t.test('is kept while another target is silent for long', async t => {
     const slow = {renewMs: 1000, callTimeoutMs: 1100};
     const {clock, targets, runs, keeper} = await runGang({}, slow);
--- a/packages/targets/src/gang_watch.ts
+++ b/packages/targets/src/gang_watch.ts
@@ -8,7 +8,7 @@
 interface Member {
   target: string;
   firstTask: number;
-  /** Absent until the target has reported. */
+  /** Absent until the target has reported, and when it knows nothing of the tasks. */
   report?: LeaseReport;
   /** Whether its target answered in the latest round. */
   isAnswering: boolean;
@@ -48,11 +48,7 @@
       return;
     }
     member.isAnswering = true;
-    if (report) {
-      member.report = report;
-    } else {
-      this.conclude(target, 'the target does not know its tasks');
-    }
+    member.report = report;
   }
 
   /** The target did not answer. */
@@ -133,7 +129,10 @@
         problem: report.problem ?? 'the task failed',
       };
     } else if (report?.state !== 'running' && report?.state !== 'succeeded') {
-      this.conclude(target, `its tasks are ${report?.state ?? 'unknown'}`);
+      this.conclude(
+        target,
+        `its tasks are ${report?.state ?? 'unknown to it'}`,
+      );
     }
   }
 
