End jobs that fail wherever they fit, and say how a target is at first sight

Change: a job also ends after twice jobFailures failures wherever they were; the keeper tells of each target at its first answer.

Ruled out: counting failures without regard to the target, because a bad target would then end good jobs sooner.

--- a/packages/faults/src/instance.ts
+++ b/packages/faults/src/instance.ts
@@ -7,7 +7,8 @@
 } from '@galenavalve/ledger';
 import {type Node, settings} from '@galenavalve/daemon';
 import {type Reason, createReason} from '@galenavalve/model';
-import {FirstFit, GalenaPolicy} from '@galenavalve/placement';
+import {GalenaPolicy} from '@galenavalve/placement';
+import {PolicyWithoutReclaim} from './policy_without_reclaim.js';
 import {CellsMirror, Scheduler} from '@galenavalve/scheduler';
 import {
   type Clock,
@@ -59,7 +60,7 @@
   private readonly random: SeededRandom;
   private readonly clock: Clock;
   private readonly logger = new SilentLogger();
-  private readonly policy;
+  private readonly policy: GalenaPolicy;
 
   constructor(private readonly parts: InstanceParts) {
     this.name = parts.name;
@@ -67,7 +68,9 @@
     this.process = new SimulatedProcess(parts.base);
     this.clock = this.process.createClock();
     this.random = new SeededRandom(parts.seed);
-    this.policy = parts.guards.guarantees ? new GalenaPolicy() : new FirstFit();
+    this.policy = parts.guards.guarantees
+      ? new GalenaPolicy()
+      : new PolicyWithoutReclaim();
     const {state, clock, random, logger} = this;
     const log = this.process.createLog(this.chooseLog());
     this.follower = new LogFollower({log, state, clock, random, logger});
--- a/packages/scheduler/src/gang_watch.ts
+++ b/packages/scheduler/src/gang_watch.ts
@@ -103,7 +103,10 @@
     const failedTargets = new Set(job.failures.map(({target}) => target));
     failedTargets.add(event.culprit);
     const limit = this.context.state.configuration.rules.jobFailures;
-    if (!job.request.repeatable || failedTargets.size >= limit) {
+    // A gang that fits in few places cannot fail on many targets.
+    const isHopeless =
+      failedTargets.size >= limit || job.failures.length + 1 >= 2 * limit;
+    if (!job.request.repeatable || isHopeless) {
       void this.endFailing(job, failedTargets.size, reason);
       return;
     }
--- a/packages/targets/src/lease_keeper.ts
+++ b/packages/targets/src/lease_keeper.ts
@@ -244,7 +244,7 @@
 
   private findSuspects(): WatchedTarget[] {
     return [...this.targets.values()].filter(
-      target => target.isSilent && target.gangs.size > 0,
+      target => target.isSilent === true && target.gangs.size > 0,
     );
   }
 
@@ -344,7 +344,8 @@
   ): void {
     const {id, isSilent, isLeaving} = target;
     target.onReport(report, question, sentAt);
-    if (isSilent) {
+    // Also at the first answer: an earlier keeper may have found it otherwise.
+    if (isSilent !== false) {
       target.isSilent = false;
       this.emit({kind: 'target-answering', target: id});
     }
--- a/packages/targets/src/watched_target.ts
+++ b/packages/targets/src/watched_target.ts
@@ -32,8 +32,10 @@
 export class WatchedTarget {
   /** Gangs with a member on the target, by job. */
   readonly gangs = new Map<string, GangWatch>();
-  isSilent = false;
-  isLeaving = false;
+  /** Absent until it has answered, or failed to. */
+  isSilent?: boolean;
+  /** Absent until it has said. */
+  isLeaving?: boolean;
   /** Local time of the latest try to ask it. */
   triedAt: Instant = -Infinity;
   private readonly forgettable = new Map<string, LeaseKey>();
