Divide the scheduler into passes, and use the decisions on evacuation, usage and moves

Cause: scheduler.ts had grown to 377 lines with two jobs; leaving targets of the platform's list, over-use and evacuation were decided in the placement package but not carried out; every waiting job was weighed for a move in every pass.

--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -39,6 +39,7 @@
 import type {Node} from './node.js';
 import {Metrics} from './observability/metrics.js';
 import {listStateSources} from './roles/peer_catch_up.js';
+import {ObservedInstanceList} from './roles/observed_instance_list.js';
 import {RelayingLog} from './roles/relaying_log.js';
 import {createSelfReport} from './roles/self_report.js';
 import {chooseMove} from './roles/queue_moves.js';
@@ -88,8 +89,13 @@
         ),
     );
   container
-    .bind<InstanceList>(tokens.instanceList)
+    .bind<InstanceList>(tokens.platformList)
     .toDynamicValue(() => new HttpInstanceList({baseUrl: instanceListUrl}));
+  container
+    .bind(tokens.instanceList)
+    .toDynamicValue(
+      context => new ObservedInstanceList(context.get(tokens.platformList)),
+    );
   container
     .bind<TargetClient>(tokens.targetClient)
     .toDynamicValue(() => new HttpTargetClient());
@@ -250,6 +256,8 @@
     writer: node.writer,
     policy: node.policy,
     mirror: node.mirrorOf(settings.domain),
+    client,
+    addressOf,
     starter: new GangStarter({
       ...parts,
       options: {
@@ -285,6 +293,7 @@
     peerServer: get(tokens.peerServer),
     peerClient: get(tokens.peerClient),
     relay: get(tokens.relay),
+    instanceList: get(tokens.instanceList),
     snapshots: new SnapshotWriter({
       follower: node.follower,
       writer: node.writer,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -9,6 +9,7 @@
 import type {Node} from './node.js';
 import {Election} from './roles/election.js';
 import {catchUpByPeers} from './roles/peer_catch_up.js';
+import type {ObservedInstanceList} from './roles/observed_instance_list.js';
 import {servePeers} from './roles/peer_services.js';
 
 /** Time between two ticks of the freshness loop. */
@@ -25,6 +26,7 @@
   peerServer: PeerServer;
   peerClient: PeerClient;
   relay: RecordRelay;
+  instanceList: ObservedInstanceList;
   snapshots: SnapshotWriter;
 }
 
@@ -159,6 +161,13 @@
   private handlePeers(): void {
     const {node} = this;
     this.states = servePeers(node, this.parts.peerServer, this.parts.relay);
+    this.parts.instanceList.onListed(instances => {
+      const leaving = instances
+        .filter(({role, state}) => role === 'target' && state === 'leaving')
+        .filter(({domain}) => domain === node.settings.domain)
+        .map(({id}) => id);
+      node.scheduler.onTargetsListed(new Set(leaving));
+    });
     node.mesh.onReport(({report, madeAfter}) => {
       if (madeAfter !== undefined) {
         node.freshness.notePeer(report, node.state.nextOffset, madeAfter);
--- a/packages/daemon/src/tokens.ts
+++ b/packages/daemon/src/tokens.ts
@@ -10,6 +10,9 @@
   log: Symbol('log'),
   relay: Symbol('relay'),
   ledgerOptions: Symbol('ledger options'),
+  /** The platform's list itself. */
+  platformList: Symbol('platform list'),
+  /** The list as the daemon reads and observes it. */
   instanceList: Symbol('instance list'),
   targetClient: Symbol('target client'),
   policy: Symbol('policy'),
--- a/packages/faults/src/instance.ts
+++ b/packages/faults/src/instance.ts
@@ -178,6 +178,8 @@
       clock,
       random,
       logger,
+      client,
+      addressOf: targets.addressOf,
       starter: new GangStarter({
         ...parts,
         options: {...options, reservationTtlMs: guards.reservationMs},
--- a/packages/scheduler/__tests__/fixtures.ts
+++ b/packages/scheduler/__tests__/fixtures.ts
@@ -101,6 +101,8 @@
     clock,
     random,
     logger,
+    client,
+    addressOf: targets.addressOf,
     starter: new GangStarter({
       ...parts,
       options: {callTimeoutMs: CALL_TIMEOUT_MS, leaseMs: LEASE_MS},
--- a/packages/scheduler/src/gang_launch.ts
+++ b/packages/scheduler/src/gang_launch.ts
@@ -10,6 +10,7 @@
 import type {GangOrder} from '@galenavalve/targets';
 import {createGangOrder, listTargets} from './gang_order.js';
 import type {SchedulerContext} from './schedule_context.js';
+import type {WaitBook} from './wait_book.js';
 import type {StartBackoff} from './waiting_queue.js';
 
 /** Longest time that reservations are kept while the append is pending. */
@@ -22,7 +23,7 @@
   constructor(
     private readonly context: SchedulerContext,
     private readonly backoff: StartBackoff,
-    private readonly noteWait: (jobId: string, reason: Reason) => void,
+    private readonly waits: WaitBook,
   ) {}
 
   /** Tells whether the job is between decision and start. */
@@ -202,7 +203,7 @@
       health.noteRefusal(culprit, clock.now());
     }
     this.backoff.noteFailure(order.jobId, clock.now(), random.next());
-    this.noteWait(order.jobId, reason);
+    this.waits.note(order.jobId, reason);
     logger.info('not-started', {
       jobId: order.jobId,
       attempt: order.attempt,
--- a/packages/scheduler/src/gang_watch.ts
+++ b/packages/scheduler/src/gang_watch.ts
@@ -42,7 +42,6 @@
         return;
       case 'target-leaving':
         this.context.health.noteLeaving(event.target, true);
-        this.moveAway(event.target);
         break;
       case 'target-staying':
         this.context.health.noteLeaving(event.target, false);
@@ -124,18 +123,6 @@
     }
   }
 
-  /** The work of a leaving target is checkpointed and queued again. */
-  private moveAway(target: string): void {
-    const {state, domain} = this.context;
-    const reason = createReason('preempted-target-leaving', {target});
-    for (const job of [...state.activeIn(domain)]) {
-      const isOnTarget = job.assignments.some(part => part.target === target);
-      if (isOnTarget && job.request.repeatable) {
-        this.stop.begin(job, {reason, checkpoint: true});
-      }
-    }
-  }
-
   /** Ends a job that failed for good: its other tasks are stopped first. */
   private async endFailing(
     job: Job,
--- a/packages/scheduler/src/schedule_context.ts
+++ b/packages/scheduler/src/schedule_context.ts
@@ -4,10 +4,12 @@
 import type {GalenaPolicy} from '@galenavalve/placement';
 import type {Clock, Instant, Logger, Random} from '@galenavalve/shared';
 import type {
+  AddressLookup,
   GangStarter,
   LeaseKeeper,
   TargetHealth,
   TakeoverReader,
+  TargetClient,
 } from '@galenavalve/targets';
 import type {CellsMirror} from './cells_mirror.js';
 
@@ -18,6 +20,8 @@
   writer: Pick<LogWriter, 'append'>;
   policy: GalenaPolicy;
   mirror: CellsMirror;
+  client: TargetClient;
+  addressOf: AddressLookup;
   starter: GangStarter;
   keeper: LeaseKeeper;
   takeover: TakeoverReader;
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -5,25 +5,19 @@
  */
 import {setMaxListeners} from 'node:events';
 import type {Applied} from '@galenavalve/ledger';
-import {
-  type Configuration,
-  type Reason,
-  type Term,
-  createReason,
-  describeReason,
-  isSameTerm,
-} from '@galenavalve/model';
+import {type Reason, type Term, isSameTerm} from '@galenavalve/model';
 import {type Milliseconds, describeError} from '@galenavalve/shared';
 import type {KeeperEvent} from '@galenavalve/targets';
 import {appendDurably} from './durable_append.js';
-import {QueueMoves, evacuate} from './evacuation.js';
 import {GangLaunch} from './gang_launch.js';
 import {GangStop} from './gang_stop.js';
 import {GangWatch} from './gang_watch.js';
-import {listTargets} from './gang_order.js';
+import {QueuePass} from './queue_pass.js';
 import type {SchedulerContext, SchedulerParts} from './schedule_context.js';
 import {takeOver} from './takeover.js';
-import {StartBackoff, readQueue} from './waiting_queue.js';
+import {UsageThrottle} from './usage_throttle.js';
+import {WaitBook} from './wait_book.js';
+import {StartBackoff} from './waiting_queue.js';
 
 /** Longest time between two passes over the queue. */
 const IDLE_PASS_MS: Milliseconds = 1_000;
@@ -38,7 +32,8 @@
   launch: GangLaunch;
   stop: GangStop;
   watch: GangWatch;
-  moves: QueueMoves;
+  throttle: UsageThrottle;
+  pass: QueuePass;
   done: Promise<void>;
 }
 
@@ -46,13 +41,13 @@
 export class Scheduler {
   private tenure: Tenure | undefined;
   private readonly backoff = new StartBackoff();
-  private waits = new Map<string, Reason>();
+  private readonly waits: WaitBook;
   private wake: (() => void) | undefined;
   private isPoked = false;
-  /** The domain's targets, remembered while the configuration stays the same. */
-  private targets?: {configuration: Configuration; names: string[]};
+  private listedLeaving: ReadonlySet<string> = new Set();
 
   constructor(private readonly parts: SchedulerParts) {
+    this.waits = new WaitBook(parts.logger);
     parts.keeper.onEvent(event => this.onKeeperEvent(event));
   }
 
@@ -65,7 +60,7 @@
 
   /** What a queued job waits for, as of the last pass. */
   waitReason(jobId: string): Reason | undefined {
-    return this.waits.get(jobId);
+    return this.waits.reasonOf(jobId);
   }
 
   // Commands
@@ -81,15 +76,21 @@
     setMaxListeners(0, abort.signal);
     const context = this.createContext(term, abort.signal);
     const stop = new GangStop(context);
+    const launch = new GangLaunch(context, this.backoff, this.waits);
     const tenure: Tenure = {
       context,
       abort,
       stop,
-      launch: new GangLaunch(context, this.backoff, (jobId, reason) =>
-        this.noteWait(jobId, reason),
-      ),
+      launch,
       watch: new GangWatch(context, stop),
-      moves: new QueueMoves(context),
+      throttle: new UsageThrottle(context),
+      pass: new QueuePass({
+        context,
+        launch,
+        stop,
+        backoff: this.backoff,
+        waits: this.waits,
+      }),
       done: Promise.resolve(),
     };
     this.tenure = tenure;
@@ -141,15 +142,34 @@
         return;
       }
     }
-    if (record.type === 'cancelled') {
-      this.onCancelled(record.jobId, record.reason);
-    }
     if (record.type === 'finished' || record.type === 'cancelled') {
-      this.waits.delete(record.jobId);
+      this.waits.forget(record.jobId);
     }
     this.poke();
   }
 
+  /**
+   * Takes notice of the targets that the platform's list calls leaving. The list
+   * lags: only its changes count, so that it never overrules a target's own word.
+   */
+  onTargetsListed(leaving: ReadonlySet<string>): void {
+    for (const target of leaving) {
+      if (!this.listedLeaving.has(target)) {
+        this.parts.logger.info('target-listed-leaving', {target});
+        this.parts.health.noteLeaving(target, true);
+        this.poke();
+      }
+    }
+    for (const target of this.listedLeaving) {
+      if (!leaving.has(target)) {
+        this.parts.logger.info('target-listed-live', {target});
+        this.parts.health.noteLeaving(target, false);
+        this.poke();
+      }
+    }
+    this.listedLeaving = leaving;
+  }
+
   /** Asks for a pass over the queue. */
   poke(): void {
     this.isPoked = true;
@@ -172,7 +192,7 @@
     while (!signal.aborted) {
       const begin = this.parts.clock.now();
       this.isPoked = false;
-      this.pass(tenure);
+      tenure.pass.run();
       const length = this.parts.clock.now() - begin;
       if (length * PASS_SPACING > 1) {
         await this.parts.clock.sleep(length * PASS_SPACING, signal);
@@ -181,159 +201,11 @@
     }
   }
 
-  private pass(tenure: Tenure): void {
-    const {domain, state, mirror, policy, clock} = this.parts;
-    const now = clock.now();
-    this.refreshConditions(now);
-    this.takeBackOrphans(tenure);
-    this.stopCancelled(tenure);
-    evacuate(tenure.context, tenure.stop);
-    const bar = this.parts.findBar(now, []);
-    const queue = readQueue(
-      state,
-      domain,
-      jobId => tenure.launch.isStarting(jobId),
-      this.backoff,
-      now,
-      clock.wallTime(),
-    );
-    for (const {jobId, reason} of queue.held) {
-      this.noteWait(jobId, reason);
-    }
-    if (bar) {
-      for (const {jobId} of queue.waiting) {
-        this.noteWait(jobId, bar);
-        tenure.moves.consider(jobId, clock.wallTime());
-      }
-      return;
-    }
-    const decisions = policy.decide(
-      mirror.cells,
-      queue.waiting,
-      clock.wallTime(),
-    );
-    for (const decision of decisions.placements) {
-      this.parts.logger.info('placed', {
-        jobId: decision.jobId,
-        targets: listTargets(decision.assignments),
-        guaranteed: decision.guaranteed,
-        reason: decision.reason.code,
-        text: describeReason(decision.reason),
-      });
-      this.waits.delete(decision.jobId);
-      tenure.launch.begin(decision);
-    }
-    for (const decision of decisions.reclaims) {
-      this.noteWait(decision.forJob, decision.reason);
-      this.reclaim(tenure, decision.forJob, decision.victims);
-    }
-    for (const {jobId, reason} of decisions.waits) {
-      this.noteWait(jobId, reason);
-      tenure.moves.consider(jobId, clock.wallTime());
-    }
-  }
-
-  private reclaim(
-    tenure: Tenure,
-    forJob: string,
-    victims: readonly string[],
-  ): void {
-    const workspace = this.parts.state.job(forJob)?.request.workspace ?? '';
-    const reason = createReason('preempted-reclaim', {workspace});
-    this.parts.logger.info('reclaim', {forJob, victims});
-    for (const jobId of victims) {
-      const job = this.parts.state.job(jobId);
-      if (job) {
-        tenure.stop.begin(job, {reason, checkpoint: true});
-      }
-    }
-  }
-
-  /**
-   * An append of unknown fate can be accepted after its launch was given up.
-   * This scheduler started nothing for it, and nobody else can under its term.
-   */
-  private takeBackOrphans(tenure: Tenure): void {
-    const {state, domain} = this.parts;
-    for (const job of state.activeIn(domain)) {
-      const isOrphan =
-        job.phase === 'placed' &&
-        job.term !== undefined &&
-        isSameTerm(job.term, tenure.context.term) &&
-        !tenure.launch.isStarting(job.jobId) &&
-        !tenure.stop.isStopping(job.jobId) &&
-        !this.parts.keeper.isFollowing(job.jobId);
-      if (isOrphan) {
-        void tenure.context.record({
-          type: 'unplaced',
-          jobId: job.jobId,
-          attempt: job.attempts,
-          domain,
-          term: tenure.context.term,
-          mayHaveRun: false,
-          progressSeconds: job.progressSeconds,
-          reason: createReason('fenced-not-started'),
-        });
-      }
-    }
-  }
-
-  /** Shows the policy what is known of the targets' health; quarantines end with time. */
-  private refreshConditions(now: number): void {
-    const {health, mirror, keeper} = this.parts;
-    const targets = this.listTargets();
-    keeper.followTargets(targets);
-    for (const target of targets) {
-      mirror.setCondition(target, health.condition(target, now));
-    }
-  }
-
-  private listTargets(): string[] {
-    const {state, domain} = this.parts;
-    if (this.targets?.configuration !== state.configuration) {
-      const names = [...state.configuration.targets.values()]
-        .filter(target => target.domain === domain)
-        .map(target => target.id);
-      this.targets = {configuration: state.configuration, names};
-    }
-    return this.targets.names;
-  }
-
-  private onCancelled(jobId: string, reason: Reason): void {
-    const job = this.parts.state.job(jobId);
-    if (!job || !this.tenure || job.domain !== this.parts.domain) {
-      return;
-    }
-    if (job.phase === 'running') {
-      this.tenure.stop.begin(job, {reason, checkpoint: false});
-    }
-  }
-
-  /** Stops gangs that were cancelled while they started. */
-  private stopCancelled(tenure: Tenure): void {
-    const cancelled = [...this.parts.state.activeIn(this.parts.domain)].filter(
-      job => job.phase === 'running' && job.cancelRequested,
-    );
-    for (const job of cancelled) {
-      const reason =
-        job.cancelReason ?? createReason('cancelled', {by: 'its caller'});
-      tenure.stop.begin(job, {reason, checkpoint: false});
-    }
-  }
-
   private onKeeperEvent(event: KeeperEvent): void {
-    this.tenure?.watch.onKeeperEvent(event);
-  }
-
-  private noteWait(jobId: string, reason: Reason): void {
-    const before = this.waits.get(jobId);
-    this.waits.set(jobId, reason);
-    if (before?.code !== reason.code) {
-      this.parts.logger.info('waits', {
-        jobId,
-        reason: reason.code,
-        text: describeReason(reason),
-      });
+    if (event.kind === 'usage') {
+      this.tenure?.throttle.onUsage(event);
+    } else {
+      this.tenure?.watch.onKeeperEvent(event);
     }
   }
 
