--- a/packages/ledger/__tests__/fold_properties.spec.ts
+++ b/packages/ledger/__tests__/fold_properties.spec.ts
@@ -7,6 +7,7 @@
   LedgerState,
   decodeState,
   encodeState,
+  encodeStateGradually,
 } from '../src/index.js';
 import {records} from './arbitraries.js';
 import {fold} from './fixtures.js';
@@ -58,6 +59,20 @@
   );
 });
 
+t.test('a snapshot is of one offset while the fold goes on', async t => {
+  await fc.assert(
+    fc.asyncProperty(records, fc.nat(), async (values, at) => {
+      const cut = at % (values.length + 1);
+      const {state} = foldAll(values.slice(0, cut));
+      const expected = hashOf(state);
+      const encoding = encodeStateGradually(state, 'test');
+      foldAll(values.slice(cut), state);
+      t.equal((await encoding).hash, expected);
+    }),
+    {...RUNS, numRuns: 100},
+  );
+});
+
 t.test('a late copy of any record changes nothing', async t => {
   fc.assert(
     fc.property(records, fc.nat(), fc.nat(), (values, from, to) => {
--- a/packages/ledger/src/finished_jobs.ts
+++ b/packages/ledger/src/finished_jobs.ts
@@ -39,6 +39,11 @@
     }
   }
 
+  /** Packed copies that later changes do not reach, earliest end first. */
+  capture(): PackedJob[] {
+    return [...this.byId.values()].map(packed => ({...packed}));
+  }
+
   /** Adds a job that has ended, and drops the oldest results beyond the bound. */
   add(job: Job): void {
     const packed = packJob(job);
--- /dev/null
+++ b/packages/ledger/src/snapshot/capture.ts
@@ -0,0 +1,63 @@
+/**
+ * A state at one offset, taken in one step that copies references only. The
+ * fold replaces the values that these lead to and changes none of them, so
+ * that it can go on while the capture is encoded.
+ */
+import type {VersionedEntity} from '@galenavalve/model';
+import type {RecordedChange} from '../change_history.js';
+import type {Job} from '../job.js';
+import type {PackedJob} from '../packed_job.js';
+import type {LedgerState} from '../state.js';
+import {type HeaderSection, SNAPSHOT_FORMAT} from './sections.js';
+
+/** What a snapshot is made of. */
+export interface StateCapture {
+  readonly nextOffset: number;
+  /** The header as JSON. */
+  readonly header: string;
+  readonly entities: readonly VersionedEntity[];
+  readonly removed: readonly [key: string, version: number][];
+  /** In an order from which the indexes are rebuilt as they are. */
+  readonly unfinished: readonly Job[];
+  readonly finished: readonly PackedJob[];
+  readonly changes: readonly RecordedChange[];
+  readonly withdrawn: readonly [requestId: string, until: number][];
+}
+
+/** Captures a state. */
+export function captureState(state: LedgerState): StateCapture {
+  const {entities, removed} = state.store.encode();
+  return {
+    nextOffset: state.nextOffset,
+    header: JSON.stringify(createHeader(state)),
+    entities,
+    removed,
+    unfinished: copyUnfinished(state),
+    finished: state.finished.capture(),
+    changes: state.changeHistory.encode(),
+    withdrawn: state.withdrawn.encode(),
+  };
+}
+
+function createHeader(state: LedgerState): HeaderSection {
+  return {
+    kind: 'header',
+    format: SNAPSHOT_FORMAT,
+    nextOffset: state.nextOffset,
+    skipped: state.skipped,
+    sweepNumber: state.sweepNumber,
+    logTime: state.logTime.encode(),
+    terms: [...state.terms],
+    snapshots: state.snapshots.encode(),
+  };
+}
+
+function copyUnfinished(state: LedgerState): Job[] {
+  const copies: Job[] = [];
+  for (const domain of state.jobs.domainNames()) {
+    for (const job of state.jobsIn(domain)) {
+      copies.push({...job});
+    }
+  }
+  return copies;
+}
--- a/packages/ledger/src/snapshot/codec.ts
+++ b/packages/ledger/src/snapshot/codec.ts
@@ -3,6 +3,7 @@
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {Failure, describeError} from '@galenavalve/shared';
 import {type LedgerOptions, LedgerState} from '../state.js';
+import {captureState} from './capture.js';
 import {
   type Section,
   SNAPSHOT_FORMAT,
@@ -26,24 +27,25 @@
 
 /** Encodes a state at once. */
 export function encodeState(state: LedgerState, snapshotId: string): Snapshot {
-  const sections = [...createSections(state)].map(compress);
+  const sections = [...createSections(captureState(state))].map(compress);
   return createSnapshot(snapshotId, state.nextOffset, sections);
 }
 
 /**
- * Encodes a state with a turn of the loop between sections. The caller keeps
- * the state from changing until then.
+ * Encodes a state with a turn of the loop between sections. The snapshot is of
+ * the moment of the call; the state may change meanwhile.
  */
 export async function encodeStateGradually(
   state: LedgerState,
   snapshotId: string,
 ): Promise<Snapshot> {
+  const capture = captureState(state);
   const sections: string[] = [];
-  for (const text of createSections(state)) {
+  for (const text of createSections(capture)) {
     sections.push(compress(text));
     await new Promise(resolve => setImmediate(resolve));
   }
-  return createSnapshot(snapshotId, state.nextOffset, sections);
+  return createSnapshot(snapshotId, capture.nextOffset, sections);
 }
 
 /** Restores a state. Throws `snapshot-invalid` when the snapshot is damaged. */
--- a/packages/ledger/src/snapshot/sections.ts
+++ b/packages/ledger/src/snapshot/sections.ts
@@ -6,7 +6,9 @@
 import type {RecordedChange} from '../change_history.js';
 import type {Job} from '../job.js';
 import type {TimeSample} from '../log_time.js';
+import {unpackJob} from '../packed_job.js';
 import type {LedgerState} from '../state.js';
+import type {StateCapture} from './capture.js';
 import type {EncodedTracker} from './snapshot_tracker.js';
 
 /** Version of the snapshot format. */
@@ -43,15 +45,14 @@
 
 export type Section = HeaderSection | ItemSection;
 
-/** Yields the sections of a state as JSON. The state must not change in between. */
-export function* createSections(state: LedgerState): Generator<string> {
-  yield JSON.stringify(createHeader(state));
-  const {entities, removed} = state.store.encode();
-  yield* splitItems('entities', entities);
-  yield* splitItems('removed', removed);
-  yield* splitItems('jobs', jobsOf(state));
-  yield* splitItems('changes', state.changeHistory.encode());
-  yield* splitItems('withdrawn', state.withdrawn.encode());
+/** Yields the sections of a captured state as JSON. */
+export function* createSections(capture: StateCapture): Generator<string> {
+  yield capture.header;
+  yield* splitItems('entities', capture.entities);
+  yield* splitItems('removed', capture.removed);
+  yield* splitItems('jobs', jobsOf(capture));
+  yield* splitItems('changes', capture.changes);
+  yield* splitItems('withdrawn', capture.withdrawn);
 }
 
 /** Adds what a section holds to a new state. Sections come in their order. */
@@ -78,19 +79,6 @@
   }
 }
 
-function createHeader(state: LedgerState): HeaderSection {
-  return {
-    kind: 'header',
-    format: SNAPSHOT_FORMAT,
-    nextOffset: state.nextOffset,
-    skipped: state.skipped,
-    sweepNumber: state.sweepNumber,
-    logTime: state.logTime.encode(),
-    terms: [...state.terms],
-    snapshots: state.snapshots.encode(),
-  };
-}
-
 function applyHeader(state: LedgerState, header: HeaderSection): void {
   state.nextOffset = header.nextOffset;
   state.skipped = header.skipped;
@@ -102,16 +90,13 @@
   state.snapshots.restore(header.snapshots);
 }
 
-/** Jobs in an order from which the indexes are rebuilt as they are. */
-function* jobsOf(state: LedgerState): Generator<Job> {
-  for (const domain of state.jobs.domainNames()) {
-    for (const job of state.jobsIn(domain)) {
-      yield orderFields(job);
-    }
-  }
-  for (const job of state.finishedJobs()) {
+function* jobsOf({unfinished, finished}: StateCapture): Generator<Job> {
+  for (const job of unfinished) {
     yield orderFields(job);
   }
+  for (const packed of finished) {
+    yield orderFields(unpackJob(packed));
+  }
 }
 
 /** Equal jobs get equal text, whatever the order in which their fields were set. */
--- a/packages/ledger/src/snapshot/snapshot_writer.ts
+++ b/packages/ledger/src/snapshot/snapshot_writer.ts
@@ -57,9 +57,7 @@
   async record(): Promise<void> {
     const {follower, writer, clock, logger, instance} = this.dependencies;
     const snapshotId = `${instance}-${follower.state.nextOffset}-${Math.round(clock.wallTime())}`;
-    const snapshot = await follower.hold(() =>
-      encodeStateGradually(follower.state, snapshotId),
-    );
+    const snapshot = await encodeStateGradually(follower.state, snapshotId);
     const chunks = createChunks(snapshot);
     // One by one: a large snapshot must not fill the queue before requests.
     for (const chunk of chunks) {
