Gate placements on permissions, and bound what a chunk may claim

Cause: a permission that is withdrawn while a placement is under way was checked by the scheduler only; and a chunk record that claims 2^53 parts would have thrown in the fold of every instance. Ruled out: catching errors in the fold (a half-applied record would stay). Change: 'placed' is rejected as not-permitted by the workspaces of a target and the domains of a workspace; chunk counts are bounded; a property damages random fields of random records, and none may stop the fold.

--- a/packages/ledger/__tests__/fold.spec.ts
+++ b/packages/ledger/__tests__/fold.spec.ts
@@ -98,6 +98,16 @@
     t.equal(fold(state, place('j1', 2)).accepted, true);
   });
 
+  t.test('keeps to the targets that its workspace may use', async t => {
+    const state = createState();
+    fold(state, submit());
+    const value = {...state.target('t1')!, permittedWorkspaces: []};
+    const edits = [{entity: 'target/t1', baseVersion: 1, value}];
+    const change = {changeId: 'permit', author: 'op', edits};
+    fold(state, {type: 'configured', change});
+    t.equal(fold(state, place()).rejection, 'not-permitted');
+  });
+
   t.test('needs an approval where the workspace asks for it', async t => {
     const state = createState();
     const value = {...state.workspace('ws1')!, requiresApproval: true};
--- a/packages/ledger/__tests__/fold_properties.spec.ts
+++ b/packages/ledger/__tests__/fold_properties.spec.ts
@@ -5,6 +5,7 @@
   type Applied,
   type Job,
   LedgerState,
+  applyEntry,
   decodeState,
   encodeState,
   encodeStateGradually,
@@ -138,6 +139,59 @@
   return 'jobId' in record ? state.job(record.jobId) : undefined;
 }
 
+t.test('no entry stops the fold, whatever was written', async t => {
+  const damage = fc.record({
+    at: fc.nat(),
+    key: fc.nat(),
+    value: fc.oneof(
+      fc.jsonValue(),
+      fc.constantFrom(-1, 2 ** 53 - 1, 1e300, '', '__proto__'),
+    ),
+  });
+  fc.assert(
+    fc.property(
+      records,
+      fc.array(damage, {minLength: 1}),
+      (values, damages) => {
+        const entries: unknown[] = structuredClone(values);
+        for (const {at, key, value} of damages) {
+          const index = at % entries.length;
+          entries[index] = damageEntry(entries[index], key, value);
+        }
+        const state = createEmpty();
+        entries.forEach((value, offset) => applyEntry(state, {offset, value}));
+        t.equal(state.nextOffset, entries.length);
+        t.ok(decodeState(encodeState(state, 'test'), OPTIONS));
+      },
+    ),
+    RUNS,
+  );
+
+  /** Replaces one field somewhere in the entry, or the entry. */
+  function damageEntry(entry: unknown, key: number, value: unknown): unknown {
+    if (entry === null || typeof entry !== 'object') {
+      return value;
+    }
+    const names = Object.keys(entry);
+    const name = names[key % (names.length + 1)];
+    if (name === undefined) {
+      return value;
+    }
+    const inner = (entry as Record<string, unknown>)[name];
+    const next = damageEntry(inner, Math.floor(key / 7), value);
+    return {...entry, [name]: next};
+  }
+});
+
+t.test('a chunk that claims too many parts is refused', async t => {
+  const chunk = {
+    type: 'snapshot-chunk' as const,
+    ...{snapshotId: 's', nextOffset: 0, index: 0, hash: '', data: ''},
+    count: Number.MAX_SAFE_INTEGER,
+  };
+  t.equal(fold(createEmpty(), chunk).rejection, 'record-invalid');
+});
+
 t.test('versions never fall, and indexes agree with the jobs', async t => {
   const keys = ['domain/d1', 'domain/d2', 'target/t1', 'target/t4'];
   fc.assert(
--- a/packages/ledger/src/applied.ts
+++ b/packages/ledger/src/applied.ts
@@ -27,6 +27,7 @@
   | 'not-approved'
   | 'domain-not-in-service'
   | 'target-not-in-service'
+  | 'not-permitted'
   | 'duplicate-record'
   | 'config-conflict'
   | 'config-invalid'
--- a/packages/ledger/src/fold/attempts.ts
+++ b/packages/ledger/src/fold/attempts.ts
@@ -153,7 +153,7 @@
   return undefined;
 }
 
-/** Checks that the whole gang, and no more, lies on targets that take new work. */
+/** Checks that the whole gang, and no more, lies on targets that take its workspace's new work. */
 function refuseAssignments(
   state: LedgerState,
   job: Job,
@@ -163,11 +163,20 @@
   if (targets.size !== assignments.length || !isWholeGang(job, assignments)) {
     return reject('wrong-gang');
   }
+  const {workspace} = job.request;
+  if (
+    state.workspace(workspace)?.permittedDomains?.includes(domain) === false
+  ) {
+    return reject('not-permitted');
+  }
   for (const id of targets) {
     const target = state.target(id);
     if (target?.domain !== domain || target.state !== 'in-service') {
       return reject('target-not-in-service');
     }
+    if (target.permittedWorkspaces?.includes(workspace) === false) {
+      return reject('not-permitted');
+    }
   }
   return undefined;
 }
--- a/packages/ledger/src/fold/fold.ts
+++ b/packages/ledger/src/fold/fold.ts
@@ -73,8 +73,9 @@
     case 'configured':
       return foldConfigured(state, record, offset);
     case 'snapshot-chunk':
-      state.snapshots.observe(record, offset, state.logTime.value);
-      return ACCEPTED;
+      return state.snapshots.observe(record, offset, state.logTime.value)
+        ? ACCEPTED
+        : reject('record-invalid');
   }
 }
 
--- a/packages/ledger/src/snapshot/snapshot_tracker.ts
+++ b/packages/ledger/src/snapshot/snapshot_tracker.ts
@@ -4,6 +4,9 @@
 /** Snapshots that may be incomplete and are tracked at once. */
 const MAX_PARTIAL = 8;
 
+/** Most chunks of a snapshot. */
+const MAX_CHUNKS = 10_000;
+
 /** A snapshot whose chunks are all in the log. */
 export interface RecordedSnapshot {
   snapshotId: string;
@@ -41,17 +44,22 @@
     return this.current;
   }
 
-  observe(chunk: SnapshotChunk, offset: number, logTime: number): void {
+  /** Returns false when the chunk cannot be part of a snapshot. */
+  observe(chunk: SnapshotChunk, offset: number, logTime: number): boolean {
+    if (chunk.count > MAX_CHUNKS || chunk.index >= chunk.count) {
+      return false;
+    }
     const snapshot = this.find(chunk, offset);
     const position = snapshot.missing.indexOf(chunk.index);
     if (position < 0) {
-      return;
+      return true;
     }
     snapshot.missing.splice(position, 1);
     snapshot.bytes += chunk.data.length;
     if (snapshot.missing.length === 0) {
       this.complete(snapshot, chunk, logTime);
     }
+    return true;
   }
 
   /** Everything, for a snapshot. */
