--- a/packages/ledger/src/state.ts
+++ b/packages/ledger/src/state.ts
@@ -28,11 +28,14 @@
   requestWindow: Milliseconds;
   resultBytes: number;
   /**
-   * A further check of a configuration before it is accepted: a pure function.
-   * It must not depend on the service states of domains and targets: operators
-   * can always take them out, and it is not called for that.
+   * A further check of a configuration before it goes over the one in force: a
+   * pure function. It must not depend on the service states of domains and
+   * targets: operators can always take them out, and it is not called for that.
    */
-  validateConfiguration?: (configuration: Configuration) => Failure | undefined;
+  validateConfiguration?: (
+    next: Configuration,
+    previous: Configuration,
+  ) => Failure | undefined;
 }
 
 /** The folded state. One loop owns it, and only the fold changes it. */
