Keep large blocks whole: small racks first, moved homes, packed domains

Cause: guaranteed small jobs lay in homes of large racks and stopped large borrowers.

The spec of the reclaimed shapes did not end: it iterated the set of homes while jobs moved them. It iterates a copy now; the oracle checks each workspace's gangs as soon as its cells are placed, and is as strict as before.

--- a/packages/bench/src/policy/domain_state.ts
+++ b/packages/bench/src/policy/domain_state.ts
@@ -5,6 +5,7 @@
   type Policy,
   type RunningGang,
   type WaitingJob,
+  estimateBacklog,
 } from '@galenavalve/placement';
 import {countFragmented} from './fragmentation.js';
 import type {JobState} from './job_state.js';
@@ -19,6 +20,8 @@
   readonly queue = new Map<string, JobState>();
   fragmented = 0;
   busy = 0;
+  private backlogAt = -1;
+  private backlogSeconds = 0;
   private readonly checks = new Map<string, PromiseCheck>();
 
   constructor(
@@ -35,6 +38,15 @@
     }
   }
 
+  /** Time in seconds that the domain's work takes, computed once a moment. */
+  backlog(now: number): number {
+    if (this.backlogAt !== now) {
+      this.backlogAt = now;
+      this.backlogSeconds = estimateBacklog(this.cells, this.waiting(), now);
+    }
+    return this.backlogSeconds;
+  }
+
   waiting(): WaitingJob[] {
     return [...this.queue.values()].map(job => job.toWaitingJob());
   }
@@ -79,32 +91,37 @@
       this.cells.missingHomes.map(({workspace}) => workspace),
     );
     let count = 0;
-    for (const job of this.queue.values()) {
+    const fits = new Map<string, boolean>();
+    const largest = new Map<string, number>();
+    for (const job of this.inOrderOfArrival()) {
       const {workspace} = job.stream;
-      const isPromised =
-        !short.has(workspace) &&
-        this.checks.get(workspace)!.holds(job.toWaitingJob()) &&
-        !this.isBehindOwn(job);
-      job.promisedSince = isPromised ? (job.promisedSince ?? now) : undefined;
-      const isLate = now - (job.promisedSince ?? now) > PROMISE_SECONDS;
-      if (isLate && !job.isViolated) {
-        job.isViolated = true;
-        count++;
+      const key = `${workspace} ${JSON.stringify(job.stream.gang)}`;
+      if (!fits.has(key)) {
+        const check = this.checks.get(workspace)!;
+        fits.set(key, check.holds(job.toWaitingJob()));
       }
+      // Behind an older and larger job the order is the workspace's own.
+      const isBehind = (largest.get(workspace) ?? 0) > job.size;
+      largest.set(workspace, Math.max(largest.get(workspace) ?? 0, job.size));
+      const isPromised = !short.has(workspace) && fits.get(key)! && !isBehind;
+      count += this.noteWait(job, isPromised, now) ? 1 : 0;
     }
     return count;
   }
 
-  /** Whether an older and larger job of the same workspace waits; their order is the workspace's own. */
-  private isBehindOwn(job: JobState): boolean {
-    for (const other of this.queue.values()) {
-      const isOwn = other.stream.workspace === job.stream.workspace;
-      const isOlder = other.stream.arrival < job.stream.arrival;
-      if (isOwn && isOlder && other.size > job.size) {
-        return true;
-      }
-    }
-    return false;
+  /** Notes whether a job waits against the promise; true when it is late for the first time. */
+  private noteWait(job: JobState, isPromised: boolean, now: number): boolean {
+    job.promisedSince = isPromised ? (job.promisedSince ?? now) : undefined;
+    const isLate = now - (job.promisedSince ?? now) > PROMISE_SECONDS;
+    const isNew = isLate && !job.isViolated;
+    job.isViolated ||= isLate;
+    return isNew;
+  }
+
+  private inOrderOfArrival(): JobState[] {
+    return [...this.queue.values()].sort(
+      (a, b) => a.stream.arrival - b.stream.arrival,
+    );
   }
 
   private promisedLevels(): Set<CellLevel> {
--- a/packages/bench/src/policy/policy_run.ts
+++ b/packages/bench/src/policy/policy_run.ts
@@ -22,6 +22,7 @@
 const TICK_SECONDS = 30;
 const BAD_TARGET_FAILS_AFTER_SECONDS = 5;
 const STOP_SECONDS = 0.2;
+const PASS_DELAY_SECONDS = 0.5;
 
 interface TimedEvent {
   at: number;
@@ -46,6 +47,7 @@
   private configuration: Configuration;
   private now = 0;
   private order = 0;
+  private isPassDue = false;
   private unfinished = 0;
   private outstanding = 0;
   private wasted = 0;
@@ -71,9 +73,7 @@
       const event = this.events.pop()!;
       this.advance(event.at);
       event.apply();
-      if (this.events.peek()?.at !== this.now) {
-        this.decide();
-      }
+      this.schedulePass();
     }
     return this.toFigures(seed, boundMean);
   }
@@ -219,7 +219,16 @@
     this.now = to;
   }
 
+  /** A scheduler decides a moment after a change, for all changes of that moment. */
+  private schedulePass(): void {
+    if (this.changed.size > 0 && !this.isPassDue) {
+      this.isPassDue = true;
+      this.at(this.now + PASS_DELAY_SECONDS, () => this.decide());
+    }
+  }
+
   private decide(): void {
+    this.isPassDue = false;
     for (const domain of this.changed) {
       this.pass(domain);
       this.violations += domain.countViolations(this.now);
@@ -336,10 +345,11 @@
 
   private summaries(job: JobState): DomainSummary[] {
     const waiting = job.toWaitingJob();
-    return this.domains.map(({cells, queue}) => {
-      const jobs = [...queue.values()].map(other => other.toWaitingJob());
+    return this.domains.map(domain => {
+      const {cells} = domain;
       const now = this.now * 1000;
-      const summary = summarizeDomain(cells, jobs, waiting, now);
+      const backlog = domain.backlog(now);
+      const summary = summarizeDomain(cells, backlog, waiting, now);
       if (this.policy.name === 'galenavalve') {
         return summary;
       }
--- a/packages/model/src/reason.ts
+++ b/packages/model/src/reason.ts
@@ -33,6 +33,8 @@
   'never-unknown-workspace': 'workspace {workspace} does not exist',
   'preempted-reclaim':
     'stopped so that {workspace} gets back what it is promised',
+  'preempted-large':
+    'stopped so that {reservedFor}, the oldest large job, can start; its progress is kept',
   'preempted-domain-out': 'stopped because {domain} was taken out of service',
   'preempted-target-leaving': 'stopped because {target} is leaving',
   'stopped-member': 'stopped because {target} failed: {problem}',
--- a/packages/placement/__tests__/guarantee.property.spec.ts
+++ b/packages/placement/__tests__/guarantee.property.spec.ts
@@ -181,7 +181,8 @@
           driver.queue = [];
           const {homes} = driver.cells;
           for (const workspace of workspaces) {
-            for (const home of homes.of(workspace).homes) {
+            // Starting a job moves homes, so the set is copied first.
+            for (const home of [...homes.of(workspace).homes]) {
               if (!homes.isBound(home) && !startsAfterReclaim(driver, home)) {
                 return false;
               }
--- a/packages/placement/__tests__/oracle.ts
+++ b/packages/placement/__tests__/oracle.ts
@@ -21,11 +21,18 @@
   const gangs = [...cells.gangs()].filter(gang => gang.guaranteed);
   const wanted: WantedCell[] = [];
   for (const {workspace, level, count} of promises) {
-    const blocks = listBlocks(cells, workspace, level);
+    const own = gangs.filter(gang => gang.workspace === workspace);
+    const isUsed = (block: Block) =>
+      own.some(gang => overlaps(blockOf(gang), block));
+    // Blocks that are used already are tried first.
+    const blocks = listBlocks(cells, workspace, level).sort(
+      (a, b) => Number(isUsed(b)) - Number(isUsed(a)),
+    );
     for (let i = 0; i < count; i++) {
       wanted.push({workspace, blocks});
     }
   }
+  wanted.sort((a, b) => (a.workspace < b.workspace ? -1 : 1));
   return search(wanted, 0, 0, [], gangs);
 }
 
@@ -37,6 +44,14 @@
   gangs: RunningGang[],
 ): boolean {
   const cell = wanted[index];
+  // Once all cells of a workspace have a place, its gangs must lie inside them.
+  const done = wanted[index - 1]?.workspace;
+  if (done !== undefined && done !== cell?.workspace) {
+    const own = gangs.filter(gang => gang.workspace === done);
+    if (!own.every(gang => isCovered(gang, chosen))) {
+      return false;
+    }
+  }
   if (!cell) {
     return gangs.every(gang => isCovered(gang, chosen));
   }
--- a/packages/placement/src/cells.ts
+++ b/packages/placement/src/cells.ts
@@ -37,6 +37,8 @@
   promises: readonly DomainPromise[] = NO_PROMISES;
   /** The place that is kept for the oldest large job. */
   reservation: Reservation | undefined;
+  /** Jobs for which gangs were told to stop; what becomes free is theirs first. */
+  readonly reclaiming = new Set<string>();
   private plan: HomePlan | undefined;
   private previousHomes: HomeMap | undefined;
 
--- a/packages/placement/src/decision_pass.ts
+++ b/packages/placement/src/decision_pass.ts
@@ -11,9 +11,9 @@
 import {type OpenTargets, findGuaranteedPlace} from './guaranteed_search.js';
 import {describeGang} from './impossibility.js';
 import type {PassDecisions, RunningGang, WaitingJob} from './policy.js';
-import {orderQueue, sizeOf} from './queue_order.js';
+import {type RankedJob, orderQueue, sizeOf} from './queue_order.js';
 import {planReclaim} from './reclaim.js';
-import {isLarge, isOpenTo, reserve} from './reservation.js';
+import {isLarge, isOpenTo, listMovable, reserve} from './reservation.js';
 import {type RoomView, findBestFit, isUsable} from './search.js';
 
 /** Oldest large jobs that are tried for the reservation. */
@@ -48,16 +48,28 @@
     this.chooseReservation(queue);
     const order = orderQueue(this.cells, queue, this.now);
     const others: WaitingJob[] = [];
-    for (const {job} of order) {
+    for (const job of this.reclaimingFirst(order)) {
       if (!this.decideGuaranteed(job)) {
         others.push(job);
       }
     }
     others.forEach(job => this.decideBorrowed(job));
+    this.clearReservation(queue);
     this.trials.forEach(id => this.cells.vacate(id));
     return this.decisions;
   }
 
+  /** Jobs whose victims were told to stop come first, so that nobody takes what became free. */
+  private reclaimingFirst(order: readonly RankedJob[]): WaitingJob[] {
+    const jobs = order.map(({job}) => job);
+    const {reclaiming} = this.cells;
+    const isFirst = (job: WaitingJob) => reclaiming.has(job.jobId);
+    const first = jobs.filter(isFirst);
+    reclaiming.clear();
+    first.forEach(({jobId}) => reclaiming.add(jobId));
+    return [...first, ...jobs.filter(job => !isFirst(job))];
+  }
+
   /** Keeps a place for the oldest large job that well targets can hold. */
   private chooseReservation(queue: readonly WaitingJob[]): void {
     const large = queue
@@ -83,6 +95,7 @@
     }
     const place = findGuaranteedPlace(this.cells, job, this.openTargets(job));
     if (place) {
+      this.cells.reclaiming.delete(job.jobId);
       this.place(job, place, true);
       return true;
     }
@@ -99,6 +112,7 @@
       return false;
     }
     this.hold(job, plan.assignments);
+    this.cells.reclaiming.add(job.jobId);
     const all = [...plan.victims, ...plan.stopping].map(({jobId}) => jobId);
     const reason = createReason('waiting-reclaim', {victims: all.join(', ')});
     this.decisions.waits.push({jobId: job.jobId, reason});
@@ -127,6 +141,30 @@
     this.explainWait(job);
   }
 
+  /**
+   * Checkpoints smaller borrowers in the kept place when the oldest large job
+   * has waited for `ageingSeconds`.
+   */
+  private clearReservation(queue: readonly WaitingJob[]): void {
+    const {reservation, rules} = this.cells;
+    const job = queue.find(({jobId}) => jobId === reservation?.jobId);
+    const waited = job ? (this.now - job.submittedAt) / 1000 : 0;
+    const isStarted = job && this.cells.running.has(job.jobId);
+    if (!reservation || !job || isStarted || waited < rules.ageingSeconds) {
+      return;
+    }
+    const victims = listMovable(reservation, sizeOf(job)).filter(
+      gang => !this.victims.has(gang),
+    );
+    if (victims.length > 0) {
+      this.decisions.reclaims.push({
+        forJob: job.jobId,
+        victims: victims.map(({jobId}) => jobId),
+        reason: createReason('preempted-large', {reservedFor: job.jobId}),
+      });
+    }
+  }
+
   private borrowableRoom(
     job: WaitingJob,
     isOpen: OpenTargets['elsewhere'],
--- a/packages/placement/src/guaranteed_search.ts
+++ b/packages/placement/src/guaranteed_search.ts
@@ -28,22 +28,31 @@
   request: SearchRequest,
   isOpen: OpenTargets,
 ): Assignment[] | undefined {
-  const inHomes = placeAmong(listHomeGroups(cells, request.workspace), {
-    gang: request.gang,
-    view: target =>
-      isOpen.home(target) ? freeHomeRoom(cells, request, target) : undefined,
-  });
-  if (inHomes || request.gang.perTask.accelerators === 0) {
-    return inHomes;
+  return (
+    findClaimable(cells, request, isOpen) ??
+    placeAmong(listHomeGroups(cells, request.workspace), {
+      gang: request.gang,
+      view: target =>
+        isOpen.home(target) ? freeHomeRoom(cells, request, target) : undefined,
+    })
+  );
+}
+
+/** The place that leaves the largest blocks whole, if homes can be moved there. */
+function findClaimable(
+  cells: Cells,
+  request: SearchRequest,
+  isOpen: OpenTargets,
+): Assignment[] | undefined {
+  if (request.gang.perTask.accelerators === 0) {
+    return undefined;
   }
   const view: RoomView = target =>
     isOpen.elsewhere(target) && isUsable(request, target)
       ? target.free
       : undefined;
-  const elsewhere = findBestFit(cells, request, view);
-  return elsewhere && claimPlace(cells, request, elsewhere)
-    ? elsewhere
-    : undefined;
+  const place = findBestFit(cells, request, view);
+  return place && claimPlace(cells, request, place) ? place : undefined;
 }
 
 /** What a workspace may use of a target within its guarantee, counting borrowers as absent. */
--- a/packages/placement/src/home_planner.ts
+++ b/packages/placement/src/home_planner.ts
@@ -66,9 +66,10 @@
 
   constructor(private readonly request: PlanRequest) {
     this.inventory = request.inventory;
-    this.targets = [...request.inventory.targets.values()];
     this.racks = [...request.inventory.racks.values()];
     this.racks.sort((a, b) => countRack(b) - countRack(a));
+    // Small cells lie in small racks, so that large racks stay whole.
+    this.targets = [...this.racks].reverse().flatMap(rack => rack.targets);
     this.isRestricted = this.targets.some(
       target => target.spec.permittedWorkspaces,
     );
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -31,6 +31,7 @@
   type Route,
   type StartOption,
   chooseDomain,
+  estimateBacklog,
   findMove,
   startOptions,
   summarizeDomain,
--- a/packages/placement/src/reservation.ts
+++ b/packages/placement/src/reservation.ts
@@ -88,6 +88,24 @@
   return target => !reservation.targets.has(target);
 }
 
+/** Borrowers in the kept place that are smaller than the large job and keep their progress when stopped. */
+export function listMovable(
+  {targets}: Reservation,
+  size: number,
+): RunningGang[] {
+  const gangs = new Set<RunningGang>();
+  for (const target of targets) {
+    for (const {gang} of target.occupants.values()) {
+      const isSmaller = gang.gang.tasks * gang.gang.perTask.accelerators < size;
+      const isMovable = gang.checkpointable && !gang.guaranteed;
+      if (isSmaller && isMovable && !gang.stopping) {
+        gangs.add(gang);
+      }
+    }
+  }
+  return [...gangs];
+}
+
 /** When a gang is expected to have ended, with the upper estimate. */
 export function expectedEnd(
   cells: Cells,
--- a/packages/placement/src/routing.ts
+++ b/packages/placement/src/routing.ts
@@ -1,5 +1,5 @@
 /** Chooses the failure domain of a job, and moves queued jobs whose domain cannot serve them. */
-import {type Reason, createReason} from '@galenavalve/model';
+import {type Assignment, type Reason, createReason} from '@galenavalve/model';
 import type {Cells} from './cells.js';
 import {MEDIAN} from './estimate.js';
 import {findGuaranteedPlace} from './guaranteed_search.js';
@@ -26,6 +26,8 @@
   /** Why the job can never run there, if it cannot. */
   impossibility?: Reason;
   startOption: StartOption;
+  /** Free accelerators of the rack in which the job would start; 0 when it would wait. */
+  rackFree: number;
   /** Expected time until the queue and the running gangs are done, in seconds. */
   backlogSeconds: number;
 }
@@ -53,25 +55,21 @@
 /** Sums up one domain for one job. */
 export function summarizeDomain(
   cells: Cells,
-  queue: readonly WaitingJob[],
+  backlogSeconds: number,
   job: WaitingJob,
   now: number,
 ): DomainSummary {
   const impossibility = findConstraint(cells, job);
   const {domain, isInService} = cells;
-  return {
-    domain,
-    isInService,
-    impossibility,
-    startOption:
-      impossibility || !isInService ? 'none' : findStartOption(cells, job, now),
-    backlogSeconds: backlogOf(cells, queue, now),
-  };
+  const start =
+    impossibility || !isInService ? NO_START : findStart(cells, job, now);
+  return {domain, isInService, impossibility, ...start, backlogSeconds};
 }
 
 /**
  * Chooses a domain: in service before out of service, then by how the job can
- * start, then by backlog. Undefined when the job can run in none.
+ * start, then the fullest rack, so that large blocks stay whole, then by
+ * backlog. Undefined when the job can run in none.
  */
 export function chooseDomain(
   summaries: readonly DomainSummary[],
@@ -111,8 +109,7 @@
   if (!from.isInService) {
     return {...move, reason: createReason('moved-domain-out', details)};
   }
-  const canStart =
-    best.startOption === 'guaranteed' || best.startOption === 'borrowed';
+  const canStart = best.startOption !== 'none';
   const isStuck =
     from.impossibility !== undefined || from.startOption === 'none';
   if (!canStart || !isStuck || now - arrivedAt < MOVE_AFTER_MS) {
@@ -121,34 +118,8 @@
   return {...move, reason: createReason('moved-capacity', details)};
 }
 
-function compareSummaries(a: DomainSummary, b: DomainSummary): number {
-  return (
-    Number(b.isInService) - Number(a.isInService) ||
-    startOptions.indexOf(a.startOption) - startOptions.indexOf(b.startOption) ||
-    a.backlogSeconds - b.backlogSeconds ||
-    (a.domain < b.domain ? -1 : 1)
-  );
-}
-
-function findStartOption(
-  cells: Cells,
-  job: WaitingJob,
-  now: number,
-): StartOption {
-  const isOpen = () => true;
-  const open = {home: isOpen, elsewhere: isOpen};
-  const hasGuarantee = cells.homes.of(job.workspace).unused >= sizeOf(job);
-  if (hasGuarantee && findGuaranteedPlace(cells, job, open)) {
-    return 'guaranteed';
-  }
-  if (cells.rules.borrowing && findBestFit(cells, job)) {
-    return 'borrowed';
-  }
-  return hasGuarantee && planReclaim(cells, job, now) ? 'reclaim' : 'none';
-}
-
-/** Work that waits or runs, spread over all well accelerators. */
-function backlogOf(
+/** Time in seconds until all accelerators have done the work that waits or runs. */
+export function estimateBacklog(
   cells: Cells,
   queue: readonly WaitingJob[],
   now: number,
@@ -170,3 +141,43 @@
   const capacity = cells.sizeOfLevel('domain');
   return capacity === 0 ? Infinity : work / capacity;
 }
+
+function compareSummaries(a: DomainSummary, b: DomainSummary): number {
+  return (
+    Number(b.isInService) - Number(a.isInService) ||
+    startOptions.indexOf(a.startOption) - startOptions.indexOf(b.startOption) ||
+    a.rackFree - b.rackFree ||
+    a.backlogSeconds - b.backlogSeconds ||
+    (a.domain < b.domain ? -1 : 1)
+  );
+}
+
+type Start = Pick<DomainSummary, 'startOption' | 'rackFree'>;
+
+const NO_START: Start = {startOption: 'none', rackFree: 0};
+
+function findStart(cells: Cells, job: WaitingJob, now: number): Start {
+  const isOpen = () => true;
+  const open = {home: isOpen, elsewhere: isOpen};
+  const hasGuarantee = cells.homes.of(job.workspace).unused >= sizeOf(job);
+  const guaranteed = hasGuarantee && findGuaranteedPlace(cells, job, open);
+  if (guaranteed) {
+    return toStart(cells, 'guaranteed', guaranteed);
+  }
+  const borrowed = cells.rules.borrowing && findBestFit(cells, job);
+  if (borrowed) {
+    return toStart(cells, 'borrowed', borrowed);
+  }
+  return hasGuarantee && planReclaim(cells, job, now)
+    ? {startOption: 'reclaim', rackFree: 0}
+    : NO_START;
+}
+
+function toStart(
+  cells: Cells,
+  startOption: StartOption,
+  assignments: readonly Assignment[],
+): Start {
+  const target = cells.targets.get(assignments[0]!.target)!;
+  return {startOption, rackFree: target.rack.free};
+}
