Keep the cells of a domain that a configuration change does not touch

Cause: at 8,200 targets, 540 workspaces and 7 domains every change rebuilt the cells of every domain on every instance, and the next pass over each planned all homes again.

Change: Cells.configure keeps everything when the domain, its targets and all that promises rest on are the same; weights, limits and rules are read when needed.

--- a/packages/placement/src/cells.ts
+++ b/packages/placement/src/cells.ts
@@ -8,6 +8,7 @@
 import {countBits} from './accelerator_mask.js';
 import {apportionGuarantees} from './apportion.js';
 import {EstimateBook} from './estimate.js';
+import {hasPromiseChange} from './guarantee_check.js';
 import type {HomeMap, Part} from './home.js';
 import {claimPlace} from './home_exchange.js';
 import {type HomePlan, type MissingHomes, planHomes} from './home_planner.js';
@@ -59,6 +60,10 @@
   // Commands
 
   configure(configuration: Configuration): void {
+    if (this.configuration && this.isUnaffectedBy(configuration)) {
+      this.configuration = configuration;
+      return;
+    }
     const conditions = new Map<string, TargetCondition>();
     for (const target of this.targets.values()) {
       conditions.set(target.id, target.condition);
@@ -222,6 +227,16 @@
 
   // Indices
 
+  /** Tells whether the domain holds and promises the same; weights, limits and rules are read when needed. */
+  private isUnaffectedBy(next: Configuration): boolean {
+    const domain = next.domains.get(this.domain);
+    return (
+      domain === this.configuration.domains.get(this.domain) &&
+      !hasPromiseChange(next, this.configuration) &&
+      [...this.targets].every(([id, {spec}]) => next.targets.get(id) === spec)
+    );
+  }
+
   private rebuild(conditions: ReadonlyMap<string, TargetCondition>): void {
     const {targets, racks} = buildInventory(this.configuration, this.domain);
     this.targets = targets;
--- a/packages/placement/src/guarantee_check.ts
+++ b/packages/placement/src/guarantee_check.ts
@@ -22,8 +22,8 @@
   );
 }
 
-/** Service states do not count: a take-out must pass, and leaves promises short for a while. */
-function hasPromiseChange(
+/** Tells whether anything changed that promises rest on. Service states do not count: a take-out must pass, and leaves promises short for a while. */
+export function hasPromiseChange(
   next: Configuration,
   previous: Configuration,
 ): boolean {
