--- a/packages/ledger/src/state.ts
+++ b/packages/ledger/src/state.ts
@@ -27,7 +27,11 @@
 export interface LedgerOptions {
   requestWindow: Milliseconds;
   resultBytes: number;
-  /** A further check of a configuration before it goes over the one in force: a pure function. */
+  /**
+   * A further check of a configuration before it goes over the one in force: a pure function.
+   * It must not depend on the service states of domains and targets: operators
+   * can always take them out, and it is not called for that.
+   */
   validateConfiguration?: (
     next: Configuration,
     previous: Configuration,
@@ -76,9 +80,10 @@
 
   /** Adds a job of a snapshot. */
   restoreJob(job: Job): void {
-    this.jobs.add(job);
     if (job.phase === 'finished') {
       this.finished.add(job);
+    } else {
+      this.jobs.add(job);
     }
   }
 
@@ -108,12 +113,15 @@
     return this.store.entity(key);
   }
 
+  /** A job by its id. One that has finished is a new object at each call. */
   job(jobId: string): Job | undefined {
-    return this.jobs.get(jobId);
+    return this.jobs.get(jobId) ?? this.finished.get(jobId);
   }
 
   jobByRequest(requestId: string): Job | undefined {
-    return this.jobs.getByRequest(requestId);
+    return (
+      this.jobs.getByRequest(requestId) ?? this.finished.getByRequest(requestId)
+    );
   }
 
   isWithdrawn(requestId: string): boolean {
