--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -34,6 +34,7 @@
   TargetHealth,
 } from '@galenavalve/targets';
 import {PeerClient, PeerServer} from '@galenavalve/wire';
+import {BacklogBook} from './backlog_book.js';
 import {Daemon} from './daemon.js';
 import {JobWaiters} from './job_waiters.js';
 import type {Node} from './node.js';
@@ -233,6 +234,7 @@
     policy,
     mesh: get(tokens.mesh),
     freshness: get(tokens.freshness),
+    backlogs: new BacklogBook(state, mirrorOf),
     waiters: new JobWaiters(state, clock),
     stage: 'starting',
     mirrorOf,
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -5,6 +5,7 @@
 import type {CellsMirror, Scheduler} from '@galenavalve/scheduler';
 import type {Clock, Logger, Random} from '@galenavalve/shared';
 import type {Metrics} from './observability/metrics.js';
+import type {BacklogBook} from './backlog_book.js';
 import type {JobWaiters} from './job_waiters.js';
 import type {Settings} from './settings/settings.js';
 
@@ -25,6 +26,7 @@
   mesh: PeerMesh;
   freshness: FreshnessTracker;
   scheduler: Scheduler;
+  backlogs: BacklogBook;
   waiters: JobWaiters;
   stage: Stage;
   /** The cells of a failure domain; made on first use. */
