--- a/packages/ledger/src/fold/configuration.ts
+++ b/packages/ledger/src/fold/configuration.ts
@@ -155,7 +155,9 @@
     return new Failure('config-invalid', {problem});
   }
   const changesMore = edits.some(edit => !changesOnlyServiceState(state, edit));
-  return changesMore ? state.options.validateConfiguration?.(next) : undefined;
+  return changesMore
+    ? state.options.validateConfiguration?.(next, state.configuration)
+    : undefined;
 }
 
 function changesOnlyServiceState(state: LedgerState, edit: Edit): boolean {
