--- /dev/null
+++ b/packages/bench/__tests__/fit.spec.ts
@@ -0,0 +1,22 @@
+import t from 'tap';
+import {fitLine} from '../src/slopes/fit.js';
+
+t.test('a fitted line', async t => {
+  t.test('goes through points on a line', async t => {
+    const points = [1, 2, 5, 9].map(x => ({x, y: 7 + 3 * x}));
+    t.match(fitLine(points), {slope: 3, intercept: 7, residual: 0});
+  });
+
+  t.test('tells how far the points are from it', async t => {
+    const points = [
+      {x: 0, y: 0},
+      {x: 1, y: 10},
+      {x: 2, y: 0},
+      {x: 3, y: 10},
+    ];
+    const {slope, intercept, residual} = fitLine(points);
+    t.equal(slope, 2);
+    t.equal(intercept, 2);
+    t.equal(residual, 0.6);
+  });
+});
--- a/scripts/capacity/entry_tables.mjs
+++ b/scripts/capacity/entry_tables.mjs
@@ -19,6 +19,9 @@
   {renewSeconds: 30, isFull: false},
 ];
 
+/** Peers of the domain that an instance would beat if a full mesh cost too much. */
+const MOST_PEERS = 8;
+
 /** The tables about the number of entry instances. */
 export function entryTables(slopes) {
   return {
@@ -46,28 +49,27 @@
 function countTable(slopes) {
   const cost = renewal(slopes, derived.leasesPerTarget);
   const rest = slopes.measured('daemon-processor', WHOLE);
+  const entries = assumed.entriesPerDomain;
   const rows = VARIANTS.map(({renewSeconds, isFull}) => {
     const bytes = isFull ? cost.full : cost.empty;
-    const rate = derived.targetsPerDomain / renewSeconds;
-    const needed = fewestEntries(
-      slopes,
-      bytes,
-      renewSeconds,
-      limits.bytesPerSecond,
-    );
-    const now = entryBytes(
-      slopes,
-      assumed.entriesPerDomain,
-      bytes,
-      renewSeconds,
-    );
+    const keeping =
+      (derived.targetsPerDomain / renewSeconds / entries) * cost.busyMs;
+    const fewest = mostPeers =>
+      fewestEntries(
+        slopes,
+        bytes,
+        renewSeconds,
+        limits.bytesPerSecond,
+        mostPeers,
+      );
     return [
       `${renewSeconds} s`,
       isFull ? 'whole report' : 'only what changed',
       figure(bytes),
-      figure(now),
-      figure(needed),
-      figure((rate * cost.busyMs) / 10 / assumed.entriesPerDomain + rest),
+      figure(entryBytes(slopes, entries, bytes, renewSeconds)),
+      figure(fewest(Infinity)),
+      figure(fewest(MOST_PEERS)),
+      figure(keeping / 10 + rest),
     ];
   });
   return table(
@@ -75,9 +77,10 @@
       'renewal every',
       'report',
       'bytes a renewal',
-      `bytes a second of an instance, of ${assumed.entriesPerDomain}`,
-      'fewest instances of a domain within 5 KB/s',
-      `processor of an instance, of ${assumed.entriesPerDomain}, %`,
+      `bytes a second of an instance, of ${entries}`,
+      'fewest instances within 5 KB/s, beats to all of the domain',
+      `the same, beats to ${MOST_PEERS} of them`,
+      `processor of an instance, of ${entries}, %`,
     ],
     rows,
   );
--- a/scripts/capacity/model.mjs
+++ b/scripts/capacity/model.mjs
@@ -59,10 +59,11 @@
   };
 }
 
-/** Bytes a second of heartbeats of one of `entries` instances of a domain. */
-export function beats(slopes, entries) {
+/** Bytes a second of heartbeats of one of `entries` instances of a domain, with at most `mostPeers` of them. */
+export function beats(slopes, entries, mostPeers = Infinity) {
   const bytes = slopes.get('beat-bytes').slope;
-  const near = ((entries - 1) * bytes) / settings.heartbeatSeconds;
+  const peers = Math.min(entries - 1, mostPeers);
+  const near = (peers * bytes) / settings.heartbeatSeconds;
   const farLinks = 2 * (target.domains - 1);
   const farSeconds = settings.heartbeatSeconds * settings.farBeatRatio;
   const far = (farLinks * bytes) / farSeconds;
@@ -70,10 +71,10 @@
 }
 
 /** Bytes a second that an entry instance spends before it keeps any lease. */
-export function fixedBytes(slopes, entries) {
+export function fixedBytes(slopes, entries, mostPeers = Infinity) {
   const log = slopes.measured('daemon-log-bytes', WHOLE);
   const records = recordRates(slopes, target, derived.tasksPerJob);
-  const beat = beats(slopes, entries);
+  const beat = beats(slopes, entries, mostPeers);
   return {
     log,
     records: records.bytesPerSecond,
@@ -83,17 +84,40 @@
 }
 
 /** Bytes a second of an entry instance that keeps its share of a domain's leases. */
-export function entryBytes(slopes, entries, renewalBytes, renewSeconds) {
+export function entryBytes(
+  slopes,
+  entries,
+  renewalBytes,
+  renewSeconds,
+  mostPeers = Infinity,
+) {
   const perTarget = renewalBytes / renewSeconds;
   const shard = derived.targetsPerDomain / entries;
-  return fixedBytes(slopes, entries).total + shard * perTarget;
+  return fixedBytes(slopes, entries, mostPeers).total + shard * perTarget;
 }
 
-/** The fewest entry instances of a domain that stay within `limit` bytes a second; Infinity when none do. */
-export function fewestEntries(slopes, renewalBytes, renewSeconds, limit) {
+/**
+ * The fewest entry instances of a domain that stay within `limit` bytes a
+ * second, each with beats to at most `mostPeers` of them; Infinity when no
+ * number does.
+ */
+export function fewestEntries(
+  slopes,
+  renewalBytes,
+  renewSeconds,
+  limit,
+  mostPeers,
+) {
   const most = derived.targetsPerDomain;
   for (let entries = 1; entries <= most; entries++) {
-    if (entryBytes(slopes, entries, renewalBytes, renewSeconds) <= limit) {
+    const bytes = entryBytes(
+      slopes,
+      entries,
+      renewalBytes,
+      renewSeconds,
+      mostPeers,
+    );
+    if (bytes <= limit) {
       return entries;
     }
   }
