--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -32,6 +32,7 @@
   type Route,
   type StartOption,
   chooseDomain,
+  estimateBacklog,
   findMove,
   startOptions,
   summarizeDomain,
