--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -8,6 +8,9 @@
 export {submitJob} from './commands/submit_job.js';
 export {cancelJob} from './commands/job_commands.js';
 
+// Decisions of roles
+export {chooseMove} from './roles/queue_moves.js';
+
 // Putting one together
 export {createContainer} from './container.js';
 export {tokens} from './tokens.js';
--- a/packages/faults/src/exploration.ts
+++ b/packages/faults/src/exploration.ts
@@ -75,7 +75,7 @@
 }
 
 /** Others fill the domain, then the workspace asks for what it is promised. */
-async function checkReclaim(world: World): Promise<Violation[]> {
+export async function checkReclaim(world: World): Promise<Violation[]> {
   const [entry] = world.servingInstances();
   if (entry === undefined) {
     return [];
--- a/packages/faults/src/instance.ts
+++ b/packages/faults/src/instance.ts
@@ -5,7 +5,7 @@
   LogWriter,
   type MemoryLog,
 } from '@galenavalve/ledger';
-import {type Node, settings} from '@galenavalve/daemon';
+import {type Node, chooseMove, settings} from '@galenavalve/daemon';
 import {type Reason, createReason} from '@galenavalve/model';
 import {GalenaPolicy} from '@galenavalve/placement';
 import {PolicyWithoutReclaim} from './policy_without_reclaim.js';
@@ -189,7 +189,7 @@
       takeover: new TakeoverReader({...parts, options}),
       health: new TargetHealth(() => state.configuration.rules),
       findBar: (now, ids) => this.findBar(now, ids),
-      chooseMove: () => undefined,
+      chooseMove: (jobId, now) => chooseMove(this.node, jobId, now),
     });
   }
 
--- a/packages/targets/src/testing/model_lease.ts
+++ b/packages/targets/src/testing/model_lease.ts
@@ -94,7 +94,7 @@
       resumedFromSeconds: order.progressSeconds,
       plan,
     };
-    this.expiresAt = order.grantedAt + order.leaseMs;
+    this.expiresAt = Math.max(now, order.grantedAt + order.leaseMs);
     this.observe('started', now);
   }
 
@@ -124,9 +124,13 @@
     }
   }
 
-  /** Lets everything happen that is due by `now`; unless `lapses`, leases last for ever. */
-  advance(now: Instant, lapses: boolean): void {
-    if (this.state === 'reserved' && this.expiresAt <= now) {
+  /** Lets everything happen that is due by `now`; what does not lapse lasts for ever. */
+  advance(
+    now: Instant,
+    lapses: {reservations: boolean; leases: boolean},
+  ): void {
+    const isLapsed = lapses.reservations && this.expiresAt <= now;
+    if (this.state === 'reserved' && isLapsed) {
       this.state = 'lapsed';
     }
     if (this.state !== 'running' || !this.run) {
@@ -137,7 +141,7 @@
       startedAt,
       this.run.resumedFromSeconds,
     );
-    const expiresAt = lapses ? this.expiresAt : Infinity;
+    const expiresAt = lapses.leases ? this.expiresAt : Infinity;
     const next = Math.min(at, expiresAt, this.stopsAt ?? Infinity);
     if (next > now) {
       return;
--- a/packages/targets/src/testing/target_model.ts
+++ b/packages/targets/src/testing/target_model.ts
@@ -29,7 +29,7 @@
 export interface TargetGuards {
   /** Refuses lower terms. */
   terms: boolean;
-  /** Refuses a start without an unexpired reservation. */
+  /** Ends reservations that were not renewed, and refuses a start without one. */
   reservations: boolean;
   /** Stops tasks whose lease was not renewed. */
   leases: boolean;
@@ -178,7 +178,7 @@
   /** Lets everything happen that is due by `now`. */
   advance(now: Instant): void {
     for (const [key, lease] of this.leases) {
-      lease.advance(now, this.guards.leases);
+      lease.advance(now, this.guards);
       if (lease.isExpiredReservation) {
         this.leases.delete(key);
       }
