Append once, read dropped results back, and share the log's budget

Cause (found by the ledger's maker): each retry of a scheduler's record had a new record id, so a second copy could be called rejected although the first was in force; results that memory had dropped were missing from answers; every instance took 40 appends a second, however many there were. Change: one append with an open deadline; single answers read their results from the log; the live instances share limits.appendsPerSecond (240). Lists carry no results.

--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -228,6 +228,7 @@
     random: get<Random>(tokens.random),
     logger: get<Logger>(tokens.logger),
     metrics: new Metrics(),
+    log: get<Log>(tokens.platformLog),
     state,
     follower: get(tokens.follower),
     writer: get(tokens.writer),
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -192,11 +192,22 @@
       }
       node.freshness.noteOffset(node.state.nextOffset);
       this.states?.dropUnused(now);
+      this.shareBudget(now);
       this.updateMetrics(now);
       await node.clock.sleep(TICK_MS, signal);
     }
   }
 
+  /** The log's appends are shared by all live instances. */
+  private shareBudget(now: number): void {
+    const {node} = this;
+    const alive = node.mesh
+      .peers()
+      .filter(({address}) => node.mesh.isAlive(address.instance, now));
+    const {appendsPerSecond} = node.settings.limits;
+    node.writer.setBudget(appendsPerSecond / (alive.length + 1));
+  }
+
   private updateMetrics(now: number): void {
     const {node, parts} = this;
     const {metrics} = node;
--- a/packages/daemon/src/http/job_routes.ts
+++ b/packages/daemon/src/http/job_routes.ts
@@ -52,7 +52,7 @@
     const job = findJob(node, idOf(request));
     const latest =
       (await node.waiters.waitForEnd(job.jobId, wait * 1000)) ?? job;
-    return {status: 200, body: viewJob(latest)};
+    return {status: 200, body: await viewJob(node, latest)};
   });
   router.add('get', '/v1/jobs/:id/explain', async request => ({
     status: 200,
@@ -60,12 +60,12 @@
   }));
   router.add('del', '/v1/jobs/:id', async request => {
     const job = await cancelJob(node, idOf(request), 'its caller');
-    return {status: 200, body: viewJob(job)};
+    return {status: 200, body: await viewJob(node, job)};
   });
   router.add('post', '/v1/jobs/:id/approve', async request => {
     const {author} = parseBody(approval, request.body);
     const job = await approveJob(node, idOf(request), author);
-    return {status: 200, body: viewJob(job)};
+    return {status: 200, body: await viewJob(node, job)};
   });
   router.add('post', '/v1/plan', request => {
     checkRequestSize(request);
@@ -87,7 +87,7 @@
   const latest =
     (await node.waiters.waitForEnd(job.jobId, waitSeconds * 1000)) ?? job;
   const status = latest.phase === 'finished' ? 200 : 202;
-  return {status, body: viewJob(latest)};
+  return {status, body: await viewJob(node, latest)};
 }
 
 function idOf(request: Request): string {
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -1,5 +1,10 @@
 /** What the roles, commands and queries of one daemon share. */
-import type {LedgerState, LogFollower, LogWriter} from '@galenavalve/ledger';
+import type {
+  LedgerState,
+  Log,
+  LogFollower,
+  LogWriter,
+} from '@galenavalve/ledger';
 import type {FreshnessTracker, PeerMesh} from '@galenavalve/membership';
 import type {GalenaPolicy} from '@galenavalve/placement';
 import type {CellsMirror, Scheduler} from '@galenavalve/scheduler';
@@ -19,6 +24,8 @@
   random: Random;
   logger: Logger;
   metrics: Metrics;
+  /** The platform's log, for results that memory has dropped. */
+  log: Log;
   state: LedgerState;
   follower: LogFollower;
   writer: LogWriter;
--- a/packages/daemon/src/queries/job_queries.ts
+++ b/packages/daemon/src/queries/job_queries.ts
@@ -1,5 +1,5 @@
 /** Questions about jobs. */
-import type {Job} from '@galenavalve/ledger';
+import {type Job, readResults} from '@galenavalve/ledger';
 import {
   type ExplanationView,
   type HistoryEntry,
@@ -32,9 +32,23 @@
   return job;
 }
 
-/** The job as its caller sees it. Throws `internal` when its results are damaged. */
-export function viewJob(job: Job): JobView {
-  checkResults(job);
+/**
+ * The job as its caller sees it, with its whole answer. Results that memory has
+ * dropped are read back from the log. Throws `internal` when they are damaged.
+ */
+export async function viewJob(node: Node, job: Job): Promise<JobView> {
+  const timeout = node.settings.timings.platformTimeoutMs;
+  const results = await readResults(node.log, job, timeout);
+  if (results && job.resultHash !== hashValue(results)) {
+    throw new Failure('internal', {
+      problem: `the results of ${job.jobId} do not match their hash`,
+    });
+  }
+  return {...summarizeJob(job), results, resultHash: job.resultHash};
+}
+
+/** The job without its results. */
+export function summarizeJob(job: Job): JobView {
   return {
     jobId: job.jobId,
     requestId: job.request.requestId,
@@ -47,15 +61,13 @@
     startedAt: job.startedAt,
     finishedAt: job.finishedAt,
     outcome: job.outcome,
-    results: job.results as unknown[] | undefined,
-    resultHash: job.resultHash,
     cancelRequested: job.cancelRequested,
     reason: job.lastReason,
     text: job.lastReason && describeReason(job.lastReason),
   };
 }
 
-/** Jobs that match, newest first. */
+/** Jobs that match, newest first, without their results. */
 export function listJobs(node: Node, filter: JobFilter): JobView[] {
   const found: Job[] = [];
   for (const job of allJobs(node)) {
@@ -67,7 +79,7 @@
     }
   }
   found.sort((a, b) => b.submittedOffset - a.submittedOffset);
-  return found.slice(0, filter.limit).map(viewJob);
+  return found.slice(0, filter.limit).map(summarizeJob);
 }
 
 function* allJobs(node: Node): Iterable<Job> {
@@ -86,7 +98,7 @@
   const waitingFor =
     job.phase === 'queued' ? await findWaitReason(node, job) : undefined;
   return {
-    ...viewJob(job),
+    ...(await viewJob(node, job)),
     request: job.request,
     assignments: [...job.assignments],
     history: job.history.map(describeEntry),
@@ -127,11 +139,3 @@
 function describeEntry(entry: HistoryEntry): HistoryEntry {
   return {...entry, text: entry.reason && describeReason(entry.reason)};
 }
-
-function checkResults(job: Job): void {
-  if (job.results && job.resultHash !== hashValue(job.results)) {
-    throw new Failure('internal', {
-      problem: `the results of ${job.jobId} do not match their hash`,
-    });
-  }
-}
--- a/packages/daemon/src/roles/peer_services.ts
+++ b/packages/daemon/src/roles/peer_services.ts
@@ -48,8 +48,6 @@
 
 function encodeState(node: Node) {
   const {instance} = node.settings;
-  const {follower, state} = node;
-  return follower.hold(() =>
-    encodeStateGradually(state, `${instance}-${state.nextOffset}`),
-  );
+  const {state} = node;
+  return encodeStateGradually(state, `${instance}-${state.nextOffset}`);
 }
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -23,8 +23,8 @@
   pendingAppends: z.int().positive().default(2_000),
   /** Callers that may be held for an answer. */
   heldCallers: z.int().positive().default(5_000),
-  /** Appends a second that this instance may use of the log's budget. */
-  appendsPerSecond: z.number().positive().default(40),
+  /** Appends a second that the log takes from all instances together; the live ones share them. */
+  appendsPerSecond: z.number().positive().default(240),
   /** How long request ids are remembered, in seconds. */
   requestWindowSeconds: z.int().positive().default(86_400),
 });
--- a/packages/scheduler/src/durable_append.ts
+++ b/packages/scheduler/src/durable_append.ts
@@ -7,10 +7,11 @@
   type Milliseconds,
   type Random,
   describeError,
+  isFailure,
   jitteredBackoff,
 } from '@galenavalve/shared';
 
-const APPEND_TIMEOUT_MS: Milliseconds = 5_000;
+const MAX_DOUBLINGS = 10;
 const RETRY_BASE_MS: Milliseconds = 50;
 const RETRY_CAP_MS: Milliseconds = 2_000;
 
@@ -23,9 +24,10 @@
 }
 
 /**
- * Appends `body` until the log has it; every record of a scheduler is
- * idempotent, so a second copy does no harm. Resolves to whether the fold
- * accepted it; false too when `signal` aborts first.
+ * Appends `body` for as long as it takes. Resolves to whether the fold
+ * accepted it; false too when `signal` aborts first. The writer repeats an
+ * append of unknown fate under the same record id, so the verdict is that of
+ * the first copy. Only a full queue, which wrote nothing, is tried again here.
  */
 export async function appendDurably(
   parts: DurableAppendParts,
@@ -34,18 +36,21 @@
 ): Promise<boolean> {
   for (let attempt = 0; !signal.aborted; attempt++) {
     try {
-      const deadline = parts.clock.now() + APPEND_TIMEOUT_MS;
-      const applied = await parts.writer.append(body, {deadline});
+      const options = {deadline: Infinity, signal};
+      const applied = await parts.writer.append(body, options);
       return applied.accepted;
     } catch (error) {
-      parts.logger.warn('append-retried', {
+      parts.logger.warn('append-failed', {
         type: body.type,
         attempt,
         problem: describeError(error),
       });
+      if (!isFailure(error, 'overloaded')) {
+        return false;
+      }
     }
     const pause = jitteredBackoff(
-      Math.min(attempt, 10),
+      Math.min(attempt, MAX_DOUBLINGS),
       RETRY_BASE_MS,
       RETRY_CAP_MS,
       parts.random,
