Forget what was seen of targets when a term ends

Conclusion: left to the placement package: findMove does not move a stuck job to a domain where its guarantee can be reclaimed.

--- a/packages/faults/__tests__/promises.spec.ts
+++ b/packages/faults/__tests__/promises.spec.ts
@@ -6,6 +6,7 @@
   [1, 'a failing gang as large as its domain never ended'],
   [6, 'a failing gang moved between two targets for ever'],
   [27, 'a crashed target came back, and its job ran for ever'],
+  [30, 'routing rested on what an earlier scheduler had seen of targets'],
   [38, 'a target found silent at a takeover stayed out of use'],
 ];
 
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -116,6 +116,7 @@
     this.tenure = undefined;
     this.waits.clear();
     this.parts.keeper.clear();
+    this.forgetConditions();
   }
 
   /** Renews leases until `signal` aborts. */
@@ -288,6 +289,13 @@
     }
   }
 
+  /** Without a term nothing more is seen of the targets, and old sights would mislead routing. */
+  private forgetConditions(): void {
+    for (const target of this.listTargets()) {
+      this.parts.mirror.setCondition(target, 'well');
+    }
+  }
+
   private listTargets(): string[] {
     const {state, domain} = this.parts;
     if (this.targets?.configuration !== state.configuration) {
