--- a/packages/faults/__tests__/guards.spec.ts
+++ b/packages/faults/__tests__/guards.spec.ts
@@ -125,20 +125,26 @@
   return book.check(world);
 };
 
-const lostAnswer: Scenario = async world => {
+const lostAnswer: Scenario = world => loseAnswer(world, ['d1-i1']);
+
+/** The log loses the answer to a submission, and has an outage right after it. */
+async function loseAnswer(
+  world: World,
+  entries: readonly string[],
+): Promise<Violation[]> {
   // The entry's read is still without an answer when its append takes effect.
   world.log.faults.outage = 'silent';
   await world.advance(1000);
   world.log.faults.outage = 'none';
   world.log.faults.lostAnswers = 1;
-  void world.submit(createRequest('r1', world.clock.wallTime()), ['d1-i1']);
+  void world.submit(createRequest('r1', world.clock.wallTime()), entries);
   await world.advance(50);
   world.log.faults.outage = 'refused';
-  await world.advance(9000);
+  await world.advance(9000 * entries.length);
   world.log.faults.outage = 'none';
   await world.advance(20_000);
   return check(world);
-};
+}
 
 const deadSchedulers: Scenario = async world => {
   for (const domain of ['d1', 'd2']) {
@@ -189,3 +195,11 @@
     t.ok(violations.some(violation => violation.promise === promise));
   });
 }
+
+t.test(
+  'an entry says "not run" only of what no other entry recorded',
+  async t => {
+    const world = await createWorld({});
+    t.same(await loseAnswer(world, ['d1-i1', 'd2-i1']), []);
+  },
+);
