--- a/packages/daemon/src/commands/route_job.ts
+++ b/packages/daemon/src/commands/route_job.ts
@@ -7,13 +7,9 @@
   chooseDomain,
   summarizeDomain,
 } from '@galenavalve/placement';
-import {toWaitingJob} from '@galenavalve/scheduler';
 import {Failure} from '@galenavalve/shared';
 import type {Node} from '../node.js';
 
-/** Most queued jobs of a domain that its backlog is estimated from. */
-const BACKLOG_SAMPLE = 200;
-
 /** Chooses the failure domain of a job. `now` is wall-clock time. Throws `never-runnable`. */
 export function routeJob(node: Node, job: WaitingJob, now: number): Route {
   const summaries = summarizeDomains(node, job, now);
@@ -34,8 +30,8 @@
 ): DomainSummary[] {
   return listPermitted(node, job.workspace).map(domain => {
     const {cells} = node.mirrorOf(domain);
-    const queue = sampleQueue(node, domain, now);
-    const summary = summarizeDomain(cells, queue, job, now);
+    const backlog = node.backlogs.secondsOf(domain, now);
+    const summary = summarizeDomain(cells, backlog, job, now);
     const isHeld = node.mesh.isHeld(`domain/${domain}`);
     return isHeld ? {...summary, isInService: false} : summary;
   });
@@ -49,18 +45,6 @@
   );
 }
 
-/** The first jobs of the queue; a bound keeps routing cheap when queues are long. */
-function sampleQueue(node: Node, domain: string, now: number): WaitingJob[] {
-  const sample: WaitingJob[] = [];
-  for (const job of node.state.queuedIn(domain)) {
-    if (sample.length === BACKLOG_SAMPLE) {
-      break;
-    }
-    sample.push(toWaitingJob(job, now));
-  }
-  return sample;
-}
-
 function findConstraint(
   job: WaitingJob,
   summaries: readonly DomainSummary[],
--- a/packages/faults/src/instance.ts
+++ b/packages/faults/src/instance.ts
@@ -5,7 +5,12 @@
   LogWriter,
   type MemoryLog,
 } from '@galenavalve/ledger';
-import {type Node, chooseMove, settings} from '@galenavalve/daemon';
+import {
+  BacklogBook,
+  type Node,
+  chooseMove,
+  settings,
+} from '@galenavalve/daemon';
 import {type Reason, createReason} from '@galenavalve/model';
 import {GalenaPolicy} from '@galenavalve/placement';
 import {PolicyWithoutReclaim} from './policy_without_reclaim.js';
@@ -178,6 +183,8 @@
       clock,
       random,
       logger,
+      client,
+      addressOf: targets.addressOf,
       starter: new GangStarter({
         ...parts,
         options: {...options, reservationTtlMs: guards.reservationMs},
@@ -237,6 +244,7 @@
       scheduler: this.scheduler,
       mesh: {isHeld: () => false} as unknown as Node['mesh'],
       stage: 'serving',
+      backlogs: new BacklogBook(state, domain => this.mirrorOf(domain)),
       mirrorOf: domain => this.mirrorOf(domain),
       mirrors: () => this.mirrors.values(),
     };
