--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -9,6 +9,7 @@
 export {cancelJob} from './commands/job_commands.js';
 
 // Decisions of roles
+export {BacklogBook} from './backlog_book.js';
 export {chooseMove} from './roles/queue_moves.js';
 
 // Putting one together
--- a/packages/faults/src/world.ts
+++ b/packages/faults/src/world.ts
@@ -217,8 +217,10 @@
       fact.jobId = job.jobId;
       return 'accepted';
     } catch (error) {
-      const isUnknown = !isFailure(error) || UNKNOWN_CODES.has(error.code);
-      return isUnknown ? 'unknown' : 'not-run';
+      if (!isFailure(error)) {
+        throw error;
+      }
+      return UNKNOWN_CODES.has(error.code) ? 'unknown' : 'not-run';
     }
   }
 
--- a/packages/scheduler/src/cells_mirror.ts
+++ b/packages/scheduler/src/cells_mirror.ts
@@ -74,6 +74,14 @@
     this.cells.setCondition(target, condition);
   }
 
+  /** Forgets what was seen of targets: after the term it would only mislead routing. */
+  forgetConditions(): void {
+    for (const target of this.observed.keys()) {
+      this.cells.setCondition(target, 'well');
+    }
+    this.observed.clear();
+  }
+
   /** Marks a gang that was told to stop, so that it is not chosen again as a victim. */
   markStopping(jobId: string): void {
     const job = this.state.job(jobId);
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -117,6 +117,7 @@
     this.tenure = undefined;
     this.waits.clear();
     this.parts.keeper.clear();
+    this.parts.mirror.forgetConditions();
   }
 
   /** Renews leases until `signal` aborts. */
