Measure single decisions; reserve after ageingSeconds only

Cause: there were no figures of decision time, and a place was kept from the first moment a large job waited, which held back short work.

Jobs that had gangs stopped for them are now exempt from the reservation; its effect is measured next.

--- a/packages/bench/src/decide/command.ts
+++ b/packages/bench/src/decide/command.ts
@@ -1,7 +1,149 @@
-/** `bench decide`: time and memory of decisions, by size. */
+/** `bench decide`: time and memory of a placement, a reclaim and a queue pass, by size. */
+import {GalenaPolicy, type WaitingJob} from '@galenavalve/placement';
 import type {Command} from 'commander';
+import {
+  type DecideSize,
+  createFilledCells,
+  createWaitingJob,
+  hasPlace,
+} from './fixture.js';
+
+/** The time of one kind of decision, in milliseconds. */
+interface DecisionTime {
+  median: number;
+  p99: number;
+  /** Placements, or victims of a reclaim. */
+  decided: number;
+}
+
+/** The figures of one size. */
+export interface DecideFigures extends DecideSize {
+  /** Heap that the filled cells take, in mebibytes. */
+  heapMb: number;
+  /** First plan of all homes, in milliseconds. */
+  planMs: number;
+  /** Placement of one gang by its number of tasks; absent when it does not fit. */
+  placement: Record<string, DecisionTime>;
+  reclaim: DecisionTime;
+  /** A pass over many waiting jobs. */
+  queuePass: DecisionTime & {queued: number};
+}
+
+const sizes: readonly DecideSize[] = [
+  {targets: 30, workspaces: 4, tasks: 150},
+  {targets: 300, workspaces: 20, tasks: 4000},
+  {targets: 1200, workspaces: 80, tasks: 24_000},
+  {targets: 8200, workspaces: 540, tasks: 190_000},
+];
+const gangTasks: readonly number[] = [1, 8, 64, 512];
+const REPETITIONS = 31;
+const QUEUED = 1000;
+const NOW = 1000;
+
+const policy = new GalenaPolicy();
 
 /** Adds `decide` to the command line. */
 export function registerDecideCommand(program: Command): void {
-  program.command('decide');
+  program
+    .command('decide')
+    .description('measures single decisions from 30 to 8,200 targets')
+    .option('--json', 'prints JSON')
+    .action((options: {json?: boolean}) => {
+      const figures = sizes.map(measureSize);
+      const text = options.json
+        ? JSON.stringify({sizes: figures}, null, 2)
+        : figures.map(formatFigures).join('\n\n');
+      console.log(text);
+    });
+}
+
+function measureSize(size: DecideSize): DecideFigures {
+  const before = process.memoryUsage().heapUsed;
+  const cells = createFilledCells(size);
+  const heapMb = (process.memoryUsage().heapUsed - before) / 2 ** 20;
+  const start = performance.now();
+  void cells.homes;
+  const planMs = performance.now() - start;
+  const placement: Record<string, DecisionTime> = {};
+  for (const tasks of gangTasks) {
+    const job = createWaitingJob('job', 'w0', {tasks, accelerators: 1});
+    if (hasPlace(cells, job)) {
+      placement[tasks] = measure(() => policy.decide(cells, [job], NOW));
+    }
+  }
+  const reclaim = measureReclaim(size);
+  const queue = createQueue(size.workspaces);
+  const pass = measure(() => policy.decide(cells, queue, NOW));
+  const queuePass = {...pass, queued: queue.length};
+  return {...size, heapMb, planMs, placement, reclaim, queuePass};
+}
+
+/** Measures a reclaim where every accelerator is borrowed. */
+function measureReclaim(size: DecideSize): DecisionTime {
+  const cells = createFilledCells(size);
+  for (const target of cells.targets.values()) {
+    const job = createWaitingJob(`full/${target.id}`, 'w1', {
+      tasks: 1,
+      accelerators: 8,
+    });
+    if (target.freeAccelerators === 8) {
+      const accelerators = target.free.accelerators;
+      cells.occupy({
+        ...job,
+        assignments: [
+          {target: target.id, firstTask: 0, tasks: 1, accelerators},
+        ],
+        guaranteed: false,
+        startedAt: 0,
+        savedAt: 0,
+        stopping: false,
+      });
+    }
+  }
+  const job = createWaitingJob('job', 'w0', {
+    accelerators: 8,
+    adjacency: 'target',
+  });
+  return measure(() => policy.decide(cells, [job], NOW));
+}
+
+function createQueue(workspaces: number): WaitingJob[] {
+  return Array.from({length: QUEUED}, (_, i) =>
+    createWaitingJob(`q${i}`, `w${i % workspaces}`, {
+      tasks: 1 + (i % 16),
+      accelerators: 1 + (i % 3),
+      adjacency: i % 2 === 0 ? 'rack' : 'domain',
+    }),
+  );
+}
+
+function measure(
+  decide: () => ReturnType<GalenaPolicy['decide']>,
+): DecisionTime {
+  const times: number[] = [];
+  let decided = 0;
+  for (let i = 0; i < REPETITIONS; i++) {
+    const start = performance.now();
+    const {placements, reclaims} = decide();
+    times.push(performance.now() - start);
+    const victims = reclaims.flatMap(reclaim => reclaim.victims);
+    decided = placements.length + victims.length;
+  }
+  times.sort((a, b) => a - b);
+  const median = times[Math.floor(REPETITIONS / 2)]!;
+  return {median, p99: times[REPETITIONS - 1]!, decided};
+}
+
+function formatFigures(figures: DecideFigures): string {
+  const {targets, workspaces, tasks, heapMb, planMs} = figures;
+  const line = (name: string, {median, p99, decided}: DecisionTime) =>
+    `  ${name.padEnd(24)} median ${median.toFixed(3)} ms, p99 ${p99.toFixed(3)} ms, decided ${decided}`;
+  return [
+    `${targets} targets, ${workspaces} workspaces, ${tasks} tasks: ${heapMb.toFixed(1)} MiB, plan of homes ${planMs.toFixed(1)} ms`,
+    ...Object.entries(figures.placement).map(([count, time]) =>
+      line(`gang of ${count}`, time),
+    ),
+    line('reclaim of a target', figures.reclaim),
+    line(`pass over ${figures.queuePass.queued}`, figures.queuePass),
+  ].join('\n');
 }
--- a/packages/bench/src/policy/policy_run.ts
+++ b/packages/bench/src/policy/policy_run.ts
@@ -240,8 +240,10 @@
   private pass(domain: DomainState): void {
     const {cells, policy} = domain;
     const decisions = policy.decide(cells, domain.waiting(), this.now * 1000);
-    for (const {victims, forJob} of decisions.reclaims) {
-      this.jobs.get(forJob)!.reclaimSince ??= this.now;
+    for (const {victims, forJob, reason} of decisions.reclaims) {
+      if (reason.code === 'preempted-reclaim') {
+        this.jobs.get(forJob)!.reclaimSince ??= this.now;
+      }
       victims.forEach(id => this.stop(this.jobs.get(id)!, false));
     }
     for (const {jobId, assignments, guaranteed} of decisions.placements) {
--- a/packages/placement/src/decision_pass.ts
+++ b/packages/placement/src/decision_pass.ts
@@ -72,8 +72,9 @@
 
   /** Keeps a place for the oldest large job that well targets can hold. */
   private chooseReservation(queue: readonly WaitingJob[]): void {
+    const oldest = this.now - this.cells.rules.ageingSeconds * 1000;
     const large = queue
-      .filter(job => isLarge(this.cells, job))
+      .filter(job => isLarge(this.cells, job) && job.submittedAt <= oldest)
       .sort((a, b) => a.submittedAt - b.submittedAt)
       .slice(0, MAX_RESERVATION_TRIES);
     for (const job of large) {
@@ -184,8 +185,11 @@
   }
 
   private openTargets(job: WaitingJob): OpenTargets {
-    const {reservation} = this.cells;
-    const elsewhere = isOpenTo(reservation, job, this.endsAt(job));
+    const {reservation, reclaiming} = this.cells;
+    const isReclaiming = reclaiming.has(job.jobId);
+    // Capacity that was cleared for a job is not kept from it later.
+    const kept = isReclaiming ? undefined : reservation;
+    const elsewhere = isOpenTo(kept, job, this.endsAt(job));
     const home =
       reservation?.workspace === job.workspace ? elsewhere : () => true;
     return {home, elsewhere};
@@ -193,9 +197,10 @@
 
   /** Whether the reservation keeps a job from reclaiming in its own homes. */
   private isKeptFromHomes(job: WaitingJob): boolean {
-    const {reservation} = this.cells;
+    const {reservation, reclaiming} = this.cells;
     return (
       reservation !== undefined &&
+      !reclaiming.has(job.jobId) &&
       reservation.isInHomes &&
       reservation.workspace === job.workspace &&
       reservation.jobId !== job.jobId
