Describe and specify the placement decisions

Cause: evidence, routing, evacuation, reservation and apportionment had no specs, and the design had no record of what was weighed.

--- /dev/null
+++ b/packages/placement/__tests__/reservation.spec.ts
@@ -0,0 +1,57 @@
+import t from 'tap';
+import {GalenaPolicy, type WaitingJob} from '../src/index.js';
+import {createConfiguration, createJob} from './fixtures.js';
+
+const LARGE_WAIT_SECONDS = 3600;
+const policy = new GalenaPolicy();
+
+/** A rack in which one small gang runs until 2,000 s, and a large job that waits since 0 s. */
+function createFixture() {
+  const configuration = createConfiguration(
+    [{id: 'd', racks: 1, targetsPerRack: 2}],
+    {w: []},
+    {largeJobWaitSeconds: LARGE_WAIT_SECONDS},
+  );
+  const cells = policy.createCells('d', configuration);
+  for (let i = 0; i < 20; i++) {
+    cells.learn('w', 'k', 100, 100);
+  }
+  const running = createJob('running', {}, {expectedSeconds: 2000});
+  cells.occupy({
+    ...running,
+    assignments: [{target: 'd-r0-t0', firstTask: 0, tasks: 1, accelerators: 1}],
+    guaranteed: false,
+    startedAt: 0,
+    savedAt: 0,
+    stopping: false,
+  });
+  const large = createJob('large', {tasks: 16, adjacency: 'rack'});
+  return {cells, large};
+}
+
+function startedAt(
+  {cells, large}: ReturnType<typeof createFixture>,
+  small: WaitingJob,
+  seconds: number,
+): string[] {
+  const {placements} = policy.decide(cells, [large, small], seconds * 1000);
+  return placements.map(({jobId}) => jobId);
+}
+
+t.test('while the oldest large job waits', async t => {
+  t.test('short work fills its place, long work does not', async t => {
+    const fixture = createFixture();
+    const short = createJob('small', {}, {expectedSeconds: 500});
+    const long = createJob('small', {}, {expectedSeconds: 5000});
+    t.same(startedAt(fixture, short, 1000), ['small']);
+    t.same(startedAt(fixture, long, 1000), []);
+  });
+
+  t.test('nothing overtakes it after largeJobWaitSeconds', async t => {
+    const fixture = createFixture();
+    const short = createJob('small', {}, {expectedSeconds: 1});
+    t.same(startedAt(fixture, short, LARGE_WAIT_SECONDS), []);
+    fixture.cells.vacate('running');
+    t.same(startedAt(fixture, short, LARGE_WAIT_SECONDS + 1), ['large']);
+  });
+});
--- /dev/null
+++ b/packages/placement/__tests__/routing.spec.ts
@@ -0,0 +1,86 @@
+import t from 'tap';
+import {
+  type DomainSummary,
+  GalenaPolicy,
+  chooseDomain,
+  decideEvacuation,
+  findMove,
+} from '../src/index.js';
+import {createConfiguration, createJob} from './fixtures.js';
+
+function summary(
+  domain: string,
+  overrides: Partial<DomainSummary> = {},
+): DomainSummary {
+  return {
+    domain,
+    isInService: true,
+    startOption: 'none',
+    rackFree: 0,
+    backlogSeconds: 10,
+    ...overrides,
+  };
+}
+
+t.test('a job is routed', async t => {
+  t.test('to where it can start, the fullest rack first', async t => {
+    const route = chooseDomain([
+      summary('a', {startOption: 'borrowed', rackFree: 64}),
+      summary('b', {startOption: 'borrowed', rackFree: 8}),
+      summary('c', {backlogSeconds: 0}),
+    ]);
+    t.match(route, {domain: 'b', reason: {code: 'routed-capacity'}});
+  });
+
+  t.test('never to a domain that is out while another serves', async t => {
+    const out = summary('a', {isInService: false, backlogSeconds: 0});
+    t.equal(chooseDomain([out, summary('b')])?.domain, 'b');
+  });
+});
+
+t.test('a waiting job', async t => {
+  const job = createJob('j', {});
+  const free = summary('b', {startOption: 'borrowed'});
+
+  t.test('leaves a domain that is out at once', async t => {
+    const from = summary('a', {isInService: false});
+    t.match(findMove(job, from, [summary('b')], 0, 1), {
+      to: 'b',
+      reason: {code: 'moved-domain-out'},
+    });
+  });
+
+  t.test('moves to free capacity only after it has settled', async t => {
+    t.equal(findMove(job, summary('a'), [free], 0, 9_999), undefined);
+    t.equal(findMove(job, summary('a'), [free], 0, 10_000)?.to, 'b');
+  });
+});
+
+t.test('an evacuation checkpoints, waits for the rest', async t => {
+  const configuration = createConfiguration([
+    {id: 'd', racks: 1, targetsPerRack: 1},
+  ]);
+  const cells = new GalenaPolicy().createCells('d', configuration);
+  for (const [index, checkpointable] of [true, false].entries()) {
+    cells.occupy({
+      ...createJob(`j${index}`, {}, {checkpointable, repeatable: false}),
+      assignments: [
+        {target: 'd-r0-t0', firstTask: 0, tasks: 1, accelerators: 1 << index},
+      ],
+      guaranteed: false,
+      startedAt: 0,
+      savedAt: 0,
+      stopping: false,
+    });
+  }
+  t.same(decideEvacuation(cells, {}, 1000), []);
+  cells.setCondition('d-r0-t0', 'leaving');
+  const steps = decideEvacuation(cells, {deadline: 5000}, 1000);
+  t.same(
+    steps.map(({jobId, step}) => [jobId, step]),
+    [
+      ['j0', 'checkpoint'],
+      ['j1', 'wait'],
+    ],
+  );
+});
