--- a/packages/placement/src/queue_order.ts
+++ b/packages/placement/src/queue_order.ts
@@ -54,7 +54,7 @@
     job.expectedSeconds,
     MEDIAN,
   );
-  const work = Math.log2(1 + seconds * Math.max(1, sizeOf(job)));
+  const work = Math.log2(1 + seconds);
   const waited = Math.max(0, now - job.submittedAt) / 1000;
   const age = waited / cells.rules.ageingSeconds;
   return work + shares.stepsOf(job.workspace) - age;
