Stop fewer borrowers, and fill homes in use first

Cause: a guaranteed job stopped borrowers although free capacity lay elsewhere, and small jobs of one workspace bound a new home each, which broke its own unused shapes. A repeatable job starts on free borrowed capacity rather than by a reclaim; a job that may not be repeated still reclaims. Free room in bound homes is used before a home is moved.

--- a/packages/placement/src/decision_pass.ts
+++ b/packages/placement/src/decision_pass.ts
@@ -100,6 +100,10 @@
       this.place(job, place, true);
       return true;
     }
+    if (job.repeatable && this.findBorrowedPlace(job)) {
+      // It starts at once without stopping anybody, and can still reclaim later.
+      return false;
+    }
     if (this.isKeptFromHomes(job) || !this.reclaim(job)) {
       this.remember(job, key);
       return false;
@@ -130,10 +134,9 @@
 
   private decideBorrowed(job: WaitingJob): void {
     const key = this.keyOf(job, 'borrowed');
-    const isOpen = this.openTargets(job).elsewhere;
     const place = this.failed.has(key)
       ? undefined
-      : findBestFit(this.cells, job, this.borrowableRoom(job, isOpen));
+      : this.findBorrowedPlace(job);
     if (place) {
       this.place(job, place, false);
       return;
@@ -166,6 +169,11 @@
     }
   }
 
+  private findBorrowedPlace(job: WaitingJob): Assignment[] | undefined {
+    const isOpen = this.openTargets(job).elsewhere;
+    return findBestFit(this.cells, job, this.borrowableRoom(job, isOpen));
+  }
+
   private borrowableRoom(
     job: WaitingJob,
     isOpen: OpenTargets['elsewhere'],
--- a/packages/placement/src/guaranteed_search.ts
+++ b/packages/placement/src/guaranteed_search.ts
@@ -1,6 +1,7 @@
 /** The search for a place within a workspace's guarantee. */
 import type {Assignment} from '@galenavalve/model';
 import type {Cells} from './cells.js';
+import {maskOn} from './home.js';
 import {claimPlace} from './home_exchange.js';
 import {
   type RoomView,
@@ -28,7 +29,13 @@
   request: SearchRequest,
   isOpen: OpenTargets,
 ): Assignment[] | undefined {
+  const inBound = placeAmong(listHomeGroups(cells, request.workspace), {
+    gang: request.gang,
+    view: target =>
+      isOpen.home(target) ? freeBoundRoom(cells, request, target) : undefined,
+  });
   return (
+    inBound ??
     findClaimable(cells, request, isOpen) ??
     placeAmong(listHomeGroups(cells, request.workspace), {
       gang: request.gang,
@@ -98,6 +105,26 @@
   };
 }
 
+/** Free room in homes that are in use already; filling them keeps the others whole. */
+function freeBoundRoom(
+  cells: Cells,
+  request: SearchRequest,
+  target: TargetCell,
+): Room | undefined {
+  const {homes} = cells;
+  if (!homes.of(request.workspace).uses.has(target)) {
+    return undefined;
+  }
+  let bound = 0;
+  for (const home of homes.on(target)) {
+    if (home.workspace === request.workspace && homes.isBound(home)) {
+      bound |= maskOn(home, target);
+    }
+  }
+  const room = freeHomeRoom(cells, request, target);
+  return room && {...room, accelerators: room.accelerators & bound};
+}
+
 function freeHomeRoom(
   cells: Cells,
   request: SearchRequest,
