--- a/packages/bench/src/policy/promise_check.ts
+++ b/packages/bench/src/policy/promise_check.ts
@@ -14,6 +14,8 @@
 /** The promised cells of one workspace in one domain, with what it runs. */
 export class PromiseCheck {
   private readonly own: Cells;
+  /** Gangs that run beyond the promise. */
+  private readonly beyond = new Map<string, RunningGang>();
 
   constructor(cells: Cells, promises: readonly DomainPromise[]) {
     this.own = new Cells('own', toConfiguration(cells, promises));
@@ -24,16 +26,29 @@
     return findBestFit(this.own, {...job, avoidTargets: []}) !== undefined;
   }
 
-  /** Counts a gang against the promise, as far as it fits. */
+  /** Counts a gang against the promise, now or as soon as it fits. */
   onStart(gang: RunningGang): void {
-    const assignments = findBestFit(this.own, {...gang, avoidTargets: []});
-    if (assignments) {
-      this.own.occupy({...gang, assignments, guaranteed: false});
+    if (!this.fit(gang)) {
+      this.beyond.set(gang.jobId, gang);
     }
   }
 
   onEnd(jobId: string): void {
     this.own.vacate(jobId);
+    this.beyond.delete(jobId);
+    for (const gang of [...this.beyond.values()]) {
+      if (this.fit(gang)) {
+        this.beyond.delete(gang.jobId);
+      }
+    }
+  }
+
+  private fit(gang: RunningGang): boolean {
+    const assignments = findBestFit(this.own, {...gang, avoidTargets: []});
+    if (assignments) {
+      this.own.occupy({...gang, assignments, guaranteed: false});
+    }
+    return assignments !== undefined;
   }
 }
 
