--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,11 +1,15 @@
 /** The benchmarks' command line: `npm run bench NAME -- [--json]`. */
 import {Command} from 'commander';
 import {registerDecideCommand} from './decide/command.js';
+import {registerPathCommand} from './path/command.js';
 import {registerPolicyCommand} from './policy/command.js';
+import {registerSlopesCommand} from './slopes/command.js';
 
 const program = new Command('bench').description(
-  'Measures the decisions of galenavalve.',
+  'Measures galenavalve; --json prints figures for programs.',
 );
 registerPolicyCommand(program);
 registerDecideCommand(program);
+registerPathCommand(program);
+registerSlopesCommand(program);
 await program.parseAsync();
--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -1,10 +1,17 @@
 /** Binds the parts of a daemon, by inversify. Adapters for the platform are injected here. */
 import {Container} from 'inversify';
-import {LedgerState, LogFollower, LogWriter} from '@galenavalve/ledger';
-import type {Log} from '@galenavalve/ledger';
-import {FreshnessTracker, PeerMesh} from '@galenavalve/membership';
+import {
+  type LedgerOptions,
+  LedgerState,
+  type Log,
+  LogFollower,
+  LogWriter,
+  SnapshotWriter,
+  StateRestorer,
+} from '@galenavalve/ledger';
+import {FreshnessTracker, PeerMesh, RecordRelay} from '@galenavalve/membership';
 import type {InstanceList} from '@galenavalve/membership';
-import {GalenaPolicy, type Policy} from '@galenavalve/placement';
+import {GalenaPolicy, findGuaranteeFailure} from '@galenavalve/placement';
 import {
   HttpInstanceList,
   HttpLog,
@@ -27,10 +34,14 @@
   TargetHealth,
 } from '@galenavalve/targets';
 import {PeerClient, PeerServer} from '@galenavalve/wire';
+import {BacklogBook} from './backlog_book.js';
 import {Daemon} from './daemon.js';
 import {JobWaiters} from './job_waiters.js';
 import type {Node} from './node.js';
 import {Metrics} from './observability/metrics.js';
+import {listStateSources} from './roles/peer_catch_up.js';
+import {ObservedInstanceList} from './roles/observed_instance_list.js';
+import {RelayingLog} from './roles/relaying_log.js';
 import {createSelfReport} from './roles/self_report.js';
 import {chooseMove} from './roles/queue_moves.js';
 import {findStartBar} from './roles/start_bar.js';
@@ -66,21 +77,44 @@
 function bindPlatform(container: Container, settings: Settings): void {
   const {logUrl, instanceListUrl} = settings.platform;
   container
-    .bind<Log>(tokens.log)
+    .bind<Log>(tokens.platformLog)
     .toDynamicValue(() => new HttpLog({baseUrl: logUrl}));
+  container.bind(tokens.relay).toDynamicValue(() => new RecordRelay());
   container
-    .bind<InstanceList>(tokens.instanceList)
+    .bind<Log>(tokens.log)
+    .toDynamicValue(
+      context =>
+        new RelayingLog(
+          context.get(tokens.platformLog),
+          context.get(tokens.relay),
+        ),
+    );
+  container
+    .bind<InstanceList>(tokens.platformList)
     .toDynamicValue(() => new HttpInstanceList({baseUrl: instanceListUrl}));
+  container
+    .bind(tokens.instanceList)
+    .toDynamicValue(
+      context => new ObservedInstanceList(context.get(tokens.platformList)),
+    );
   container
     .bind<TargetClient>(tokens.targetClient)
     .toDynamicValue(() => new HttpTargetClient());
   container
-    .bind<Policy>(tokens.policy)
+    .bind<GalenaPolicy>(tokens.policy)
     .toDynamicValue(() => new GalenaPolicy());
 }
 
 function bindLedger(container: Container): void {
-  container.bind(tokens.state).toDynamicValue(() => new LedgerState());
+  container.bind(tokens.ledgerOptions).toDynamicValue(context => {
+    const {limits} = context.get<Settings>(tokens.settings);
+    return createLedgerOptions(limits.requestWindowSeconds);
+  });
+  container
+    .bind(tokens.state)
+    .toDynamicValue(
+      context => new LedgerState(context.get(tokens.ledgerOptions)),
+    );
   container.bind(tokens.follower).toDynamicValue(context => {
     const {timings} = context.get<Settings>(tokens.settings);
     return new LogFollower({
@@ -89,6 +123,12 @@
       clock: context.get(tokens.clock),
       random: context.get(tokens.random),
       logger: context.get(tokens.logger),
+      restorer: new StateRestorer({
+        log: context.get(tokens.log),
+        logger: context.get(tokens.logger),
+        sources: () => listStateSources(context.get<Node>(tokens.node)),
+        ledger: context.get(tokens.ledgerOptions),
+      }),
       options: {
         readWait: timings.logWaitMs,
         readTimeout: timings.platformTimeoutMs,
@@ -113,6 +153,16 @@
   });
 }
 
+/** The fold's parameters; the same on every instance. */
+function createLedgerOptions(
+  requestWindowSeconds: number,
+): Partial<LedgerOptions> {
+  return {
+    requestWindow: requestWindowSeconds * 1000,
+    validateConfiguration: findGuaranteeFailure,
+  };
+}
+
 function bindPeers(container: Container): void {
   container.bind(tokens.freshness).toDynamicValue(() => new FreshnessTracker());
   container.bind(tokens.peerServer).toDynamicValue(context => {
@@ -164,7 +214,7 @@
 function createNode(get: Getter): Node {
   const state = get<LedgerState>(tokens.state);
   const clock = get<Clock>(tokens.clock);
-  const policy = get<Policy>(tokens.policy);
+  const policy = get<GalenaPolicy>(tokens.policy);
   const mirrors = new Map<string, CellsMirror>();
   const mirrorOf = (domain: string): CellsMirror => {
     const mirror =
@@ -184,6 +234,7 @@
     policy,
     mesh: get(tokens.mesh),
     freshness: get(tokens.freshness),
+    backlogs: new BacklogBook(state, mirrorOf),
     waiters: new JobWaiters(state, clock),
     stage: 'starting',
     mirrorOf,
@@ -207,6 +258,8 @@
     writer: node.writer,
     policy: node.policy,
     mirror: node.mirrorOf(settings.domain),
+    client,
+    addressOf,
     starter: new GangStarter({
       ...parts,
       options: {
@@ -237,8 +290,19 @@
 }
 
 function createDaemon(get: Getter): Daemon {
-  return new Daemon(get(tokens.node), {
+  const node = get<Node>(tokens.node);
+  return new Daemon(node, {
     peerServer: get(tokens.peerServer),
     peerClient: get(tokens.peerClient),
+    relay: get(tokens.relay),
+    instanceList: get(tokens.instanceList),
+    snapshots: new SnapshotWriter({
+      follower: node.follower,
+      writer: node.writer,
+      clock: node.clock,
+      random: node.random,
+      logger: node.logger,
+      instance: node.settings.instance,
+    }),
   });
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,25 +1,33 @@
 /** One daemon: starts its loops, serves, and stops without cutting a request. */
 import {setMaxListeners} from 'node:events';
-import {z} from 'zod';
-import type {Applied} from '@galenavalve/ledger';
-import {type Milliseconds, Failure, describeError} from '@galenavalve/shared';
+import type {Applied, SnapshotWriter} from '@galenavalve/ledger';
+import type {RecordRelay, StateServer} from '@galenavalve/membership';
+import {platformTraffic} from '@galenavalve/platform';
+import {type Milliseconds, describeError} from '@galenavalve/shared';
 import type {PeerClient, PeerServer} from '@galenavalve/wire';
 import {type HttpServer, startHttpServer} from './http/http_server.js';
 import type {Node} from './node.js';
 import {Election} from './roles/election.js';
+import {catchUpByPeers} from './roles/peer_catch_up.js';
+import type {ObservedInstanceList} from './roles/observed_instance_list.js';
+import {servePeers} from './roles/peer_services.js';
 
 /** Time between two ticks of the freshness loop. */
-const TICK_MS: Milliseconds = 100;
+const TICK_MS: Milliseconds = 200;
+
+/** Time between two looks at whether a starting daemon is ready. */
+const START_POLL_MS: Milliseconds = 25;
 
 /** How long a balancer may still send requests after `/readyz` says no. */
 const UNLISTED_MS: Milliseconds = 500;
 
-const waitQuestion = z.strictObject({jobId: z.string().max(100)});
-
 /** Network parts that only the daemon itself opens and closes. */
 export interface DaemonParts {
   peerServer: PeerServer;
   peerClient: PeerClient;
+  relay: RecordRelay;
+  instanceList: ObservedInstanceList;
+  snapshots: SnapshotWriter;
 }
 
 /** The daemon of one entry instance. */
@@ -29,6 +37,7 @@
   private running: Promise<unknown>[] = [];
   private http: HttpServer | undefined;
   private stopped: Promise<void> | undefined;
+  private states: StateServer | undefined;
 
   constructor(
     readonly node: Node,
@@ -38,6 +47,7 @@
     // Every loop listens to the end of the daemon.
     setMaxListeners(0, this.loops.signal);
     node.follower.onApplied(applied => this.onApplied(applied));
+    node.follower.onReplaced(() => this.onReplaced());
   }
 
   /** Port of the HTTP interface. */
@@ -52,9 +62,12 @@
     this.handlePeers();
     await this.parts.peerServer.start();
     this.http = await startHttpServer(node);
+    this.keep('mesh', node.mesh.run(signal));
+    await this.waitForPeers(signal);
     this.keep('follower', node.follower.run(signal));
     this.keep('writer', node.writer.run(signal));
-    this.keep('mesh', node.mesh.run(signal));
+    this.keep('catch-up', catchUpByPeers(node, signal));
+    this.keep('snapshots', this.parts.snapshots.run(signal));
     this.keep('keeper', node.scheduler.keepLeases(signal));
     this.keep('freshness', this.tickFreshness(signal));
     await this.waitUntilCaughtUp(signal);
@@ -96,6 +109,17 @@
     node.logger.info('stopped', {cause});
   }
 
+  /** A restored state took the place of the folded one. */
+  private onReplaced(): void {
+    const {node} = this;
+    node.logger.info('state-replaced', {offset: node.state.nextOffset});
+    node.scheduler.deactivate('the state was replaced');
+    for (const mirror of node.mirrors()) {
+      mirror.rebuild();
+    }
+    node.waiters.recheck();
+  }
+
   private onApplied(applied: Applied): void {
     const {node} = this;
     const {record} = applied;
@@ -135,13 +159,14 @@
   }
 
   private handlePeers(): void {
-    const {parts, node} = this;
-    parts.peerServer.handle('wait-reason', waitQuestion, async ({jobId}) => {
-      const reason = node.scheduler.waitReason(jobId);
-      if (!reason) {
-        throw new Failure('not-found', {kind: 'waiting reason', id: jobId});
-      }
-      return reason;
+    const {node} = this;
+    this.states = servePeers(node, this.parts.peerServer, this.parts.relay);
+    this.parts.instanceList.onListed(instances => {
+      const leaving = instances
+        .filter(({role, state}) => role === 'target' && state === 'leaving')
+        .filter(({domain}) => domain === node.settings.domain)
+        .map(({id}) => id);
+      node.scheduler.onTargetsListed(new Set(leaving));
     });
     node.mesh.onReport(({report, madeAfter}) => {
       if (madeAfter !== undefined) {
@@ -166,6 +191,7 @@
         node.freshness.noteRead(readAt);
       }
       node.freshness.noteOffset(node.state.nextOffset);
+      this.states?.dropUnused(now);
       this.updateMetrics(now);
       await node.clock.sleep(TICK_MS, signal);
     }
@@ -183,11 +209,30 @@
       parts.peerClient.bytesReceived + parts.peerServer.bytesReceived;
     metrics.peerBytes.set({direction: 'sent'}, sent);
     metrics.peerBytes.set({direction: 'received'}, received);
+    metrics.platformBytes.set({direction: 'sent'}, platformTraffic.sent);
+    metrics.platformBytes.set(
+      {direction: 'received'},
+      platformTraffic.received,
+    );
+  }
+
+  /** Gives peers a moment to answer, so that a state can be had from them too. */
+  private async waitForPeers(signal: AbortSignal): Promise<void> {
+    const {clock, mesh, settings} = this.node;
+    const end = clock.now() + settings.timings.heartbeatMs;
+    while (
+      settings.seeds.length > 0 &&
+      clock.now() < end &&
+      !signal.aborted &&
+      !mesh.peers().some(({report}) => report?.ready)
+    ) {
+      await clock.sleep(START_POLL_MS, signal);
+    }
   }
 
   private async waitUntilCaughtUp(signal: AbortSignal): Promise<void> {
     while (!signal.aborted && !this.node.follower.isCaughtUp) {
-      await this.node.clock.sleep(TICK_MS / 4, signal);
+      await this.node.clock.sleep(START_POLL_MS, signal);
     }
   }
 
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -1,10 +1,11 @@
 /** What the roles, commands and queries of one daemon share. */
 import type {LedgerState, LogFollower, LogWriter} from '@galenavalve/ledger';
 import type {FreshnessTracker, PeerMesh} from '@galenavalve/membership';
-import type {Policy} from '@galenavalve/placement';
+import type {GalenaPolicy} from '@galenavalve/placement';
 import type {CellsMirror, Scheduler} from '@galenavalve/scheduler';
 import type {Clock, Logger, Random} from '@galenavalve/shared';
 import type {Metrics} from './observability/metrics.js';
+import type {BacklogBook} from './backlog_book.js';
 import type {JobWaiters} from './job_waiters.js';
 import type {Settings} from './settings/settings.js';
 
@@ -21,10 +22,11 @@
   state: LedgerState;
   follower: LogFollower;
   writer: LogWriter;
-  policy: Policy;
+  policy: GalenaPolicy;
   mesh: PeerMesh;
   freshness: FreshnessTracker;
   scheduler: Scheduler;
+  backlogs: BacklogBook;
   waiters: JobWaiters;
   stage: Stage;
   /** The cells of a failure domain; made on first use. */
--- a/packages/daemon/src/queries/cluster_queries.ts
+++ b/packages/daemon/src/queries/cluster_queries.ts
@@ -1,13 +1,16 @@
 /** Questions about the inventory, the workspaces and the configuration. */
 import type {Job} from '@galenavalve/ledger';
 import type {
+  Domain,
   DomainView,
+  GuaranteeView,
   InventoryView,
   Target,
   TargetView,
   Workspace,
   WorkspaceView,
 } from '@galenavalve/model';
+import {describeGuarantees, inServiceOnly} from '@galenavalve/placement';
 import type {Node} from '../node.js';
 
 /** The inventory as this instance knows it, with its age. */
@@ -15,19 +18,40 @@
   const domains = [...node.state.configuration.domains.keys()].sort();
   return {
     offset: node.state.nextOffset,
-    freshnessAgeMs: Math.round(node.freshness.ageAt(node.clock.now())),
+    freshnessAgeMs: freshnessAge(node),
     domains: domains.map(id => viewDomain(node, id)),
   };
 }
 
+function freshnessAge(node: Node): number | null {
+  const age = node.freshness.ageAt(node.clock.now());
+  return Number.isFinite(age) ? Math.round(age) : null;
+}
+
 /** Every workspace with its promises and what it uses. */
 export function viewWorkspaces(node: Node): WorkspaceView[] {
   const {workspaces, domains} = node.state.configuration;
   const active = [...domains.keys()].flatMap(id => [
     ...node.state.activeIn(id),
   ]);
+  const guarantees = describeAvailable(node);
   const ids = [...workspaces.keys()].sort();
-  return ids.map(id => viewWorkspace(node, workspaces.get(id)!, active));
+  return ids.map(id => ({
+    ...viewWorkspace(node, workspaces.get(id)!, active),
+    guarantees: guarantees.get(id) ?? [],
+  }));
+}
+
+/** Every guarantee, as it can be met with the targets that are in service and well. */
+function describeAvailable(node: Node): Map<string, GuaranteeView[]> {
+  const {configuration} = node.state;
+  const isInService = inServiceOnly(configuration);
+  return describeGuarantees(
+    configuration,
+    target =>
+      isInService(target) &&
+      node.mirrorOf(target.domain).cells.condition(target.id) === 'well',
+  );
 }
 
 function viewDomain(node: Node, id: string): DomainView {
@@ -41,7 +65,7 @@
     id,
     region: domain.region,
     version: state.entityVersion(`domain/${id}`),
-    state: domain.state,
+    state: viewState(node, domain),
     scheduler: state.schedulerTerm(id)?.instance,
     queued: count(state.queuedIn(id)),
     running: count(state.activeIn(id)),
@@ -49,6 +73,12 @@
   };
 }
 
+/** A hold keeps starts back before, or without, a record in the log. */
+function viewState(node: Node, {id, state}: Domain): string {
+  const isHeld = state === 'in-service' && node.mesh.isHeld(`domain/${id}`);
+  return isHeld ? 'held' : state;
+}
+
 function viewTarget(node: Node, target: Target): TargetView {
   const {cells} = node.mirrorOf(target.domain);
   return {
@@ -67,7 +97,7 @@
   node: Node,
   workspace: Workspace,
   active: readonly Job[],
-): WorkspaceView {
+): Omit<WorkspaceView, 'guarantees'> {
   const own = active.filter(job => job.request.workspace === workspace.id);
   return {
     id: workspace.id,
@@ -77,7 +107,6 @@
     running: own.length,
     acceleratorsGuaranteed: sumAccelerators(own.filter(job => job.guaranteed)),
     acceleratorsBorrowed: sumAccelerators(own.filter(job => !job.guaranteed)),
-    guarantees: [],
   };
 }
 
--- a/packages/ledger/src/fold/configuration.ts
+++ b/packages/ledger/src/fold/configuration.ts
@@ -1,4 +1,5 @@
 /** Verdicts on configuration changes. */
+import {isDeepStrictEqual} from 'node:util';
 import {
   type Configuration,
   type ConfigurationChange,
@@ -55,7 +56,7 @@
     return problem;
   }
   const next = state.store.preview(change.edits);
-  const refusal = findUnsuitable(state, next);
+  const refusal = findUnsuitable(state, next, change.edits);
   if (!refusal) {
     state.store.commit(change.edits, next);
   }
@@ -147,11 +148,28 @@
 function findUnsuitable(
   state: LedgerState,
   next: Configuration,
+  edits: readonly Edit[],
 ): Failure | undefined {
-  const problem = findReferenceProblem(next, state.configuration);
-  return problem
-    ? new Failure('config-invalid', {problem})
-    : state.options.validateConfiguration?.(next);
+  const problem = findReferenceProblem(next, edits);
+  if (problem) {
+    return new Failure('config-invalid', {problem});
+  }
+  const changesMore = edits.some(edit => !changesOnlyServiceState(state, edit));
+  return changesMore
+    ? state.options.validateConfiguration?.(next, state.configuration)
+    : undefined;
+}
+
+function changesOnlyServiceState(state: LedgerState, edit: Edit): boolean {
+  const present = state.entity(edit.entity)?.value;
+  return (
+    present !== undefined &&
+    edit.value !== null &&
+    isDeepStrictEqual(
+      {...present, state: undefined},
+      {...edit.value, state: undefined},
+    )
+  );
 }
 
 function verdictOf({accepted, problem}: RecordedChange): Verdict {
--- a/packages/ledger/src/state.ts
+++ b/packages/ledger/src/state.ts
@@ -14,6 +14,7 @@
 import type {Job} from './job.js';
 import {JobIndex} from './job_index.js';
 import {LogTime} from './log_time.js';
+import {SnapshotTracker} from './snapshot/snapshot_tracker.js';
 import {WithdrawnRequests} from './withdrawn_requests.js';
 
 /** How long a request id is remembered after its job ended. */
@@ -26,8 +27,15 @@
 export interface LedgerOptions {
   requestWindow: Milliseconds;
   resultBytes: number;
-  /** A further check of a configuration before it is accepted: a pure function. */
-  validateConfiguration?: (configuration: Configuration) => Failure | undefined;
+  /**
+   * A further check of a configuration before it goes over the one in force: a
+   * pure function. It must not depend on the service states of domains and
+   * targets: operators can always take them out, and it is not called for that.
+   */
+  validateConfiguration?: (
+    next: Configuration,
+    previous: Configuration,
+  ) => Failure | undefined;
 }
 
 /** The folded state. One loop owns it, and only the fold changes it. */
@@ -38,18 +46,20 @@
   skipped = 0;
   readonly options: LedgerOptions;
   /** For the fold. */
-  readonly jobs = new JobIndex();
+  jobs = new JobIndex();
   /** For the fold. */
-  readonly store = new ConfigurationStore();
+  store = new ConfigurationStore();
   /** For the fold. */
-  readonly finished: FinishedJobs;
+  finished: FinishedJobs;
   /** For the fold. */
-  readonly withdrawn = new WithdrawnRequests();
+  withdrawn = new WithdrawnRequests();
   /** For the fold. */
-  readonly changeHistory = new ChangeHistory();
+  changeHistory = new ChangeHistory();
   /** For the fold. */
-  readonly terms = new Map<string, Term>();
-  readonly logTime = new LogTime();
+  terms = new Map<string, Term>();
+  logTime = new LogTime();
+  /** Snapshots that the log holds whole. */
+  snapshots = new SnapshotTracker();
   /** Log time of the latest sweep, in whole sweep intervals. For the fold. */
   sweepNumber = 0;
 
@@ -62,6 +72,21 @@
     this.finished = new FinishedJobs(this.options.resultBytes);
   }
 
+  /** Becomes a copy of `other`, which must not be used further. */
+  takeOver(other: LedgerState): void {
+    const {options} = this;
+    Object.assign(this, other, {options});
+  }
+
+  /** Adds a job of a snapshot. */
+  restoreJob(job: Job): void {
+    if (job.phase === 'finished') {
+      this.finished.add(job);
+    } else {
+      this.jobs.add(job);
+    }
+  }
+
   /** An immutable snapshot of the configuration; a change replaces it. */
   get configuration(): Configuration {
     return this.store.configuration;
@@ -88,12 +113,15 @@
     return this.store.entity(key);
   }
 
+  /** A job by its id. One that has finished is a new object at each call. */
   job(jobId: string): Job | undefined {
-    return this.jobs.get(jobId);
+    return this.jobs.get(jobId) ?? this.finished.get(jobId);
   }
 
   jobByRequest(requestId: string): Job | undefined {
-    return this.jobs.getByRequest(requestId);
+    return (
+      this.jobs.getByRequest(requestId) ?? this.finished.getByRequest(requestId)
+    );
   }
 
   isWithdrawn(requestId: string): boolean {
--- a/packages/membership/src/peer_mesh.ts
+++ b/packages/membership/src/peer_mesh.ts
@@ -1,117 +1,62 @@
 /** Exchanges heartbeats with peers, and knows which of them are alive. */
-import type {
-  Clock,
-  Instant,
-  Logger,
-  Milliseconds,
-  Random,
+import {
+  type Instant,
+  type Milliseconds,
+  describeError,
+  isFailure,
 } from '@galenavalve/shared';
-import {describeError, nextInteger} from '@galenavalve/shared';
-import type {PeerAddress, PeerClient, PeerServer} from '@galenavalve/wire';
+import type {PeerAddress} from '@galenavalve/wire';
 import {
   type Beat,
-  type BeatDetails,
+  type CompactBeat,
   compactBeat,
   decodeBeat,
   encodeBeat,
-  toReport,
+  toDetails,
 } from './beat.js';
+import {followList} from './follow_list.js';
+import {type Exchange, ExchangeTable, OwnDetails} from './exchange.js';
 import {type DatedHold, HoldBook} from './hold_book.js';
-import type {InstanceList} from './instance_list.js';
-import {DEFAULT_DEGREE, chooseLinks} from './links.js';
-import {type PeerSeed, type PeerStatus, PeerTable} from './peer_table.js';
-import type {Hold, SelfReport} from './report.js';
+import {chooseLinks} from './links.js';
+import {FAR_BEAT_RATIO, Liveness} from './liveness.js';
+import {
+  DEFAULT_MESH_OPTIONS,
+  type PeerMeshOptions,
+  type PeerMeshSettings,
+  type ReportListener,
+} from './mesh_settings.js';
+import {type PeerStatus, PeerTable, isFit} from './peer_table.js';
+import type {Hold} from './report.js';
+import {lastHeardOf, schedulerHeardAge} from './scheduler_watch.js';
 
 /** Method of the peer protocol that exchanges beats. */
 export const BEAT_METHOD = 'beat';
 
-/** Intervals of a mesh. */
-export interface PeerMeshOptions {
-  heartbeatMs: Milliseconds;
-  /** Silence after which a peer no longer counts as alive. */
-  suspectMs: Milliseconds;
-  /** Peers of each other failure domain that beats are exchanged with. */
-  degree: number;
-  /** Time between two reads of the platform's list. */
-  listMs: Milliseconds;
-}
-
-/** What a mesh needs. */
-export interface PeerMeshSettings {
-  self: PeerSeed;
-  client: PeerClient;
-  server: PeerServer;
-  instanceList: InstanceList;
-  seeds: readonly PeerSeed[];
-  clock: Clock;
-  logger: Logger;
-  random: Random;
-  /** Makes this instance's report, without the holds that the mesh adds. */
-  report: () => SelfReport;
-  options?: Partial<PeerMeshOptions>;
-}
-
-/** A report that was received. */
-export interface ReportEvent {
-  report: SelfReport;
-  /** A local time that is certainly not after the report was made; undefined when none is known. */
-  madeAfter?: Instant;
-  receivedAt: Instant;
-}
-
-/** Told of every report that is received. */
-export type ReportListener = (event: ReportEvent) => void;
-
-const DEFAULT_OPTIONS: PeerMeshOptions = {
-  heartbeatMs: 500,
-  suspectMs: 1600,
-  degree: DEFAULT_DEGREE,
-  listMs: 2000,
-};
-
 /** Quiet heartbeats after which the passive end of a pair opens a connection too. */
 const PASSIVE_PATIENCE = 2;
 
-/** Sent beats whose echo is accepted. */
-const KEPT_TOKENS = 4;
-
-const MAX_BASE_VERSION = 2 ** 31;
-
-/** What is remembered about the exchange with one peer. */
-interface Exchange {
-  /** The `sentAt` of the latest beats to the peer, newest first. */
-  sentTokens: Instant[];
-  /** Latest `sentAt` that the peer sent. */
-  peerSentAt?: Instant;
-  /** Version of the peer's details that this instance has. */
-  seenVersion: number;
-  details?: BeatDetails;
-  /** Version of this instance's details that the peer has. */
-  ackedVersion: number;
-  /** A beat is on its way. */
-  isPending: boolean;
-  wasAlive: boolean;
-}
-
 /** The peers of this instance. */
 export class PeerMesh {
   private readonly options: PeerMeshOptions;
   private readonly table: PeerTable;
   private readonly book = new HoldBook();
-  private readonly exchanges = new Map<string, Exchange>();
+  private readonly exchanges: ExchangeTable;
+  private readonly liveness: Liveness;
   private readonly listeners: ReportListener[] = [];
-  /** Random, so that versions of a former process of the same name are not taken for own ones. */
-  private readonly baseVersion: number;
-  private ownVersion: number;
-  private ownDetails = '';
+  private readonly ownDetails: OwnDetails;
   private wake = new AbortController();
+  private round = 0;
+  /** A hold was added since the last round. */
+  private hasNews = false;
 
   constructor(private readonly settings: PeerMeshSettings) {
-    this.options = {...DEFAULT_OPTIONS, ...settings.options};
-    const {self, seeds, clock, server, random} = settings;
-    this.baseVersion = 1 + nextInteger(random, MAX_BASE_VERSION);
-    this.ownVersion = this.baseVersion;
+    this.options = {...DEFAULT_MESH_OPTIONS, ...settings.options};
+    const {self, seeds, clock, server, random, logger} = settings;
+    this.ownDetails = new OwnDetails(random);
+    this.exchanges = new ExchangeTable(this.ownDetails);
     this.table = new PeerTable(self.instance, seeds, clock.now());
+    const {suspectMs} = this.options;
+    this.liveness = new Liveness(self.domain, this.table, suspectMs, logger);
     server.handle(BEAT_METHOD, compactBeat, async (compact, from) =>
       this.onBeat(from, decodeBeat(compact)),
     );
@@ -119,7 +64,11 @@
 
   /** Exchanges beats and reads the list until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    await Promise.all([this.runBeats(signal), this.runList(signal)]);
+    const listed = followList(
+      {...this.settings, intervalMs: this.options.listMs, table: this.table},
+      signal,
+    );
+    await Promise.all([this.runBeats(signal), listed]);
   }
 
   /** All known peers, without this instance. */
@@ -129,55 +78,40 @@
 
   /** Tells whether an instance was heard within the suspicion time. This instance is always alive. */
   isAlive(instance: string, now: Instant): boolean {
-    if (instance === this.settings.self.instance) {
-      return true;
-    }
     const status = this.table.get(instance);
     return (
-      status !== undefined && now - status.lastHeardAt <= this.options.suspectMs
+      instance === this.settings.self.instance ||
+      (status !== undefined && this.liveness.isHeard(status, now))
     );
   }
 
   /** Instances of a failure domain that are alive, this one included. */
   aliveIn(domain: string, now: Instant): string[] {
     const {self} = this.settings;
-    const alive = this.peers()
-      .filter(peer => peer.domain === domain)
-      .map(peer => peer.address.instance)
-      .filter(instance => this.isAlive(instance, now));
-    return self.domain === domain ? [self.instance, ...alive] : alive;
+    const others = this.liveness
+      .listHeard(domain, now)
+      .map(peer => peer.address.instance);
+    return self.domain === domain ? [self.instance, ...others] : others;
   }
 
   /** Alive instances of a failure domain that may take over roles: ready and not leaving. */
   fitIn(domain: string, now: Instant): string[] {
     const {self, report} = this.settings;
-    return this.aliveIn(domain, now).filter(instance => {
-      if (instance === self.instance) {
-        const own = report();
-        return own.ready && !own.leaving;
-      }
-      const status = this.table.get(instance)!;
-      return status.report?.ready && status.leavingSince === undefined;
-    });
+    const fit = this.liveness
+      .listHeard(domain, now)
+      .filter(isFit)
+      .map(peer => peer.address.instance);
+    const {ready, leaving} = report();
+    const isSelfFit = self.domain === domain && ready && !leaving;
+    return isSelfFit ? [self.instance, ...fit] : fit;
   }
 
-  /** When an instance was last heard, directly or by the word of its domain's peers about their scheduler. */
+  /** When a scheduler of this failure domain was last heard, directly or by a peer's word. */
   lastHeard(instance: string): Instant | undefined {
-    let latest = this.table.get(instance)?.lastHeardAt ?? -Infinity;
-    for (const peer of this.peers()) {
-      const isOfSelfDomain = peer.domain === this.settings.self.domain;
-      const heardAge = peer.report?.schedulerHeardAgeMs;
-      if (
-        isOfSelfDomain &&
-        heardAge !== undefined &&
-        this.scheduler(peer.domain) === instance
-      ) {
-        latest = Math.max(latest, peer.lastHeardAt - heardAge);
-      }
-    }
-    return Number.isFinite(latest) ? latest : undefined;
+    return lastHeardOf(this.peers(), this.settings.self.domain, instance);
   }
 
+  /** Where an instance is reached; undefined when it is not known. */
   addressOf(instance: string): PeerAddress | undefined {
     return this.table.get(instance)?.address;
   }
@@ -203,7 +137,7 @@
     const offset = hold.offset ?? this.settings.report().offset;
     if (this.book.add({...hold, offset})) {
       this.settings.logger.info('hold-added', {...hold, offset});
-      this.wake.abort();
+      this.tellNews();
     }
   }
 
@@ -219,8 +153,9 @@
 
   /** Notes an accepted configuration record about `entity`; it ends older holds. */
   noteAccepted(entity: string, offset: number): void {
-    for (const hold of this.book.noteAccepted(entity, offset)) {
-      this.settings.logger.info('hold-ended', {...hold, endedBy: offset});
+    const ended = this.book.noteAccepted(entity, offset);
+    if (ended) {
+      this.settings.logger.info('hold-ended', {...ended, endedBy: offset});
     }
   }
 
@@ -229,6 +164,7 @@
     signal.addEventListener('abort', () => this.wake.abort(), {once: true});
     while (!signal.aborted) {
       this.beatAll();
+      this.hasNews = false;
       const jitter = 0.9 + 0.2 * random.next();
       await clock.sleep(this.options.heartbeatMs * jitter, this.wake.signal);
       if (!signal.aborted) {
@@ -237,31 +173,33 @@
     }
   }
 
-  private async runList(signal: AbortSignal): Promise<void> {
-    const {clock, instanceList, logger} = this.settings;
-    while (!signal.aborted) {
-      try {
-        const listed = await instanceList.list(this.options.listMs);
-        this.table.noteList(listed, clock.now());
-      } catch (error) {
-        logger.warn('instance-list-failed', {problem: describeError(error)});
-      }
-      await clock.sleep(this.options.listMs, signal);
-    }
+  private tellNews(): void {
+    this.hasNews = true;
+    this.wake.abort();
   }
 
   private beatAll(): void {
     const {self, clock} = this.settings;
     const now = clock.now();
-    this.forgetExchanges();
-    for (const peer of chooseLinks(self, this.peers(), this.options.degree)) {
-      this.logLiveness(peer, now);
-      if (this.isInitiator(peer, now)) {
+    this.round += 1;
+    this.exchanges.retain(peer => this.table.get(peer) !== undefined);
+    const links = chooseLinks(self, this.peers(), this.options.degree, peer =>
+      this.liveness.isHeard(peer, now),
+    );
+    for (const peer of links) {
+      this.liveness.logChange(peer, now);
+      if (this.isDue(peer) && this.isInitiator(peer, now)) {
         void this.beat(peer);
       }
     }
   }
 
+  /** Peers of other failure domains are sent a beat less often, but news at once. */
+  private isDue(peer: PeerStatus): boolean {
+    const isNear = this.liveness.isNear(peer);
+    return isNear || this.hasNews || this.round % FAR_BEAT_RATIO === 0;
+  }
+
   /** One end of a pair in the same failure domain opens the connection; the other only after a silence. */
   private isInitiator(peer: PeerStatus, now: Instant): boolean {
     const {self} = this.settings;
@@ -273,117 +211,81 @@
   }
 
   private async beat(peer: PeerStatus): Promise<void> {
-    const {client, clock} = this.settings;
     const {instance} = peer.address;
-    const exchange = this.exchangeWith(instance);
+    const exchange = this.exchanges.with(instance);
     if (exchange.isPending) {
       return;
     }
     exchange.isPending = true;
     try {
-      const beat = encodeBeat(this.createBeat(exchange, clock.now()));
-      const timeoutMs = this.options.suspectMs / 2;
-      const answer = await client.call(
-        peer.address,
-        BEAT_METHOD,
-        beat,
-        timeoutMs,
-      );
+      const answer = await this.sendBeat(peer, exchange);
       this.receive(instance, decodeBeat(compactBeat.parse(answer)));
-    } catch {
+    } catch (error) {
       // A peer that does not answer is seen by its silence.
+      this.settings.logger.debug('beat-failed', {
+        peer: instance,
+        problem: describeError(error),
+      });
     } finally {
       exchange.isPending = false;
     }
   }
 
-  private onBeat(from: string, beat: Beat): unknown {
-    this.receive(from, beat);
-    const exchange = this.exchangeWith(from);
-    return encodeBeat(this.createBeat(exchange, this.settings.clock.now()));
-  }
-
-  private createBeat(exchange: Exchange, now: Instant): Beat {
-    const report = this.settings.report();
-    const details = this.createDetails(report);
-    this.updateVersion(details);
-    const isSeen = exchange.ackedVersion === this.ownVersion;
-    const sentAt = Math.floor(now);
-    exchange.sentTokens = [sentAt, ...exchange.sentTokens].slice(
-      0,
-      KEPT_TOKENS,
-    );
-    return {
-      sentAt,
-      echo: exchange.peerSentAt,
-      version: this.ownVersion,
-      seenVersion: exchange.seenVersion,
-      offset: report.offset,
-      freshnessAgeMs: report.freshnessAgeMs,
-      schedulerHeardAgeMs: this.schedulerHeardAge(now),
-      load: report.load,
-      details: isSeen ? undefined : details,
-    };
-  }
-
-  private createDetails(report: SelfReport): BeatDetails {
-    const {domain, schedules, leaving, ready, racks} = report;
-    const {host, port} = this.settings.self;
-    const holds = this.book.list();
-    return {domain, schedules, leaving, ready, racks, holds, host, port};
-  }
-
-  private updateVersion(details: BeatDetails): void {
-    const text = JSON.stringify(details);
-    if (text !== this.ownDetails) {
-      this.ownDetails = text;
-      this.ownVersion += 1;
+  /** A beat without an answer is sent again at once: its connection may have gone silent, and the next is new. */
+  private async sendBeat(
+    peer: PeerStatus,
+    exchange: Exchange,
+  ): Promise<unknown> {
+    const {client} = this.settings;
+    const send = () =>
+      client.call(
+        peer.address,
+        BEAT_METHOD,
+        this.createBeat(exchange),
+        this.options.heartbeatMs,
+      );
+    try {
+      return await send();
+    } catch (error) {
+      if (!isFailure(error, 'peer-timeout')) {
+        throw error;
+      }
+      return send();
     }
   }
 
-  /**
-   * The local time that a beat is certainly not older than. An echo of a
-   * former process of the same name is refused: it names another version.
-   */
-  private findMadeAfter(exchange: Exchange, beat: Beat): Instant | undefined {
-    const isOfThisProcess =
-      beat.seenVersion > this.baseVersion &&
-      beat.seenVersion <= this.ownVersion;
-    const isKnown = exchange.sentTokens.includes(beat.echo ?? -1);
-    return isOfThisProcess && isKnown ? beat.echo : undefined;
+  private onBeat(from: string, beat: Beat): CompactBeat {
+    this.receive(from, beat);
+    return this.createBeat(this.exchanges.with(from));
   }
 
-  private receive(from: string, beat: Beat): void {
-    const exchange = this.exchangeWith(from);
-    if (beat.details) {
-      exchange.details = beat.details;
-      exchange.seenVersion = beat.version;
-    } else if (beat.version !== exchange.seenVersion) {
-      exchange.seenVersion = 0;
-    }
-    exchange.ackedVersion = beat.seenVersion;
-    exchange.peerSentAt = beat.sentAt;
-    if (exchange.details) {
-      const madeAfter = this.findMadeAfter(exchange, beat);
-      this.publish(from, beat, exchange.details, madeAfter);
-    }
+  private createBeat(exchange: Exchange): CompactBeat {
+    const {report, self, clock} = this.settings;
+    const now = clock.now();
+    const own = report();
+    this.ownDetails.update(toDetails(own, self, this.book.list()));
+    const news = {
+      offset: own.offset,
+      freshnessAgeMs: own.freshnessAgeMs,
+      schedulerHeardAgeMs: schedulerHeardAge(this.peers(), self.domain, now),
+      load: own.load,
+    };
+    return encodeBeat(exchange.createBeat(news, now));
   }
 
-  private publish(
-    from: string,
-    beat: Beat,
-    details: BeatDetails,
-    madeAfter: Instant | undefined,
-  ): void {
+  private receive(from: string, beat: Beat): void {
     const now = this.settings.clock.now();
+    const received = this.exchanges.with(from).receive(beat);
+    if (!received) {
+      return;
+    }
+    const {report, details, madeAfter} = received;
     const {host, port, domain} = details;
-    const seed = {instance: from, host, port, domain};
-    const status = this.table.learn(seed, now);
+    const status = this.table.learn({instance: from, host, port, domain}, now);
     if (!status) {
       return;
     }
-    const report = toReport(from, beat, details);
-    this.table.noteReport(status, report, now);
+    this.table.noteReport(status, report, madeAfter, now);
     this.takeHolds(report.holds);
     for (const listener of this.listeners) {
       listener({report, madeAfter, receivedAt: now});
@@ -396,61 +298,7 @@
       isNews = this.book.add({...hold, offset: hold.offset ?? 0}) || isNews;
     }
     if (isNews) {
-      this.wake.abort();
-    }
-  }
-
-  /** The scheduler of a failure domain by its own word; the highest term wins. */
-  private scheduler(domain: string): string | undefined {
-    const holders = this.peers().filter(
-      peer => peer.report?.schedules?.domain === domain,
-    );
-    holders.sort(
-      (a, b) =>
-        b.report!.schedules!.term.log - a.report!.schedules!.term.log ||
-        b.report!.schedules!.term.outage - a.report!.schedules!.term.outage,
-    );
-    return holders[0]?.address.instance;
-  }
-
-  private schedulerHeardAge(now: Instant): Milliseconds | undefined {
-    const holder = this.scheduler(this.settings.self.domain);
-    const status = holder === undefined ? undefined : this.table.get(holder);
-    return status && now - status.lastHeardAt;
-  }
-
-  private exchangeWith(instance: string): Exchange {
-    let exchange = this.exchanges.get(instance);
-    if (!exchange) {
-      exchange = {
-        sentTokens: [],
-        seenVersion: 0,
-        ackedVersion: 0,
-        isPending: false,
-        wasAlive: false,
-      };
-      this.exchanges.set(instance, exchange);
-    }
-    return exchange;
-  }
-
-  private forgetExchanges(): void {
-    for (const instance of this.exchanges.keys()) {
-      if (!this.table.get(instance)) {
-        this.exchanges.delete(instance);
-      }
-    }
-  }
-
-  private logLiveness(peer: PeerStatus, now: Instant): void {
-    const {instance} = peer.address;
-    const exchange = this.exchangeWith(instance);
-    const isAlive = this.isAlive(instance, now);
-    if (isAlive !== exchange.wasAlive) {
-      exchange.wasAlive = isAlive;
-      const {domain} = peer;
-      const event = isAlive ? 'peer-alive' : 'peer-suspected';
-      this.settings.logger.info(event, {peer: instance, domain});
+      this.tellNews();
     }
   }
 }
--- a/packages/membership/src/peer_table.ts
+++ b/packages/membership/src/peer_table.ts
@@ -14,6 +14,8 @@
   /** When a beat of it was last received; minus infinity when never. */
   lastHeardAt: Instant;
   report?: SelfReport;
+  /** A local time that is certainly not after the report was made; minus infinity when none is known. */
+  reportMadeAfter: Instant;
   /** What the platform's list said last; `unlisted` also while the list was never read. */
   listed: 'live' | 'leaving' | 'unlisted';
   /** Since when it says, or the list says, that it is leaving. */
@@ -71,6 +73,7 @@
       address,
       domain,
       lastHeardAt: -Infinity,
+      reportMadeAfter: -Infinity,
       listed: 'unlisted',
       knownSince: now,
     };
@@ -79,8 +82,14 @@
   }
 
   /** Notes a report that a peer sent. */
-  noteReport(status: PeerStatus, report: SelfReport, now: Instant): void {
+  noteReport(
+    status: PeerStatus,
+    report: SelfReport,
+    madeAfter: Instant | undefined,
+    now: Instant,
+  ): void {
     status.report = report;
+    status.reportMadeAfter = madeAfter ?? -Infinity;
     status.lastHeardAt = now;
     status.notReadySince = report.ready
       ? undefined
@@ -133,3 +142,8 @@
     }
   }
 }
+
+/** Tells whether a peer may take over roles: it is ready and not leaving. */
+export function isFit(peer: PeerStatus): boolean {
+  return peer.report?.ready === true && peer.leavingSince === undefined;
+}
--- a/packages/scheduler/src/schedule_context.ts
+++ b/packages/scheduler/src/schedule_context.ts
@@ -1,13 +1,15 @@
 /** What the parts of a domain's scheduler share. */
 import type {LedgerState, LogWriter} from '@galenavalve/ledger';
 import type {Reason, RecordBody, Term} from '@galenavalve/model';
-import type {Policy} from '@galenavalve/placement';
+import type {GalenaPolicy} from '@galenavalve/placement';
 import type {Clock, Instant, Logger, Random} from '@galenavalve/shared';
 import type {
+  AddressLookup,
   GangStarter,
   LeaseKeeper,
   TargetHealth,
   TakeoverReader,
+  TargetClient,
 } from '@galenavalve/targets';
 import type {CellsMirror} from './cells_mirror.js';
 
@@ -16,8 +18,10 @@
   domain: string;
   state: LedgerState;
   writer: Pick<LogWriter, 'append'>;
-  policy: Policy;
+  policy: GalenaPolicy;
   mirror: CellsMirror;
+  client: TargetClient;
+  addressOf: AddressLookup;
   starter: GangStarter;
   keeper: LeaseKeeper;
   takeover: TakeoverReader;
--- a/packages/targets/src/testing/model_lease.ts
+++ b/packages/targets/src/testing/model_lease.ts
@@ -19,6 +19,8 @@
   term: Term;
   firstTask: number;
   tasks: number;
+  /** State that the tasks are in from now on. */
+  state: LeaseState;
   at: Instant;
 }
 
@@ -34,6 +36,8 @@
   state: LeaseState = 'reserved';
   /** Processor limit of the whole lease, once throttled. */
   processorLimit = Infinity;
+  /** Time of the latest change of state. */
+  changedAt: Instant;
   private expiresAt: Instant;
   private run?: Run;
   private savedSeconds = 0;
@@ -46,6 +50,7 @@
     private readonly observe: (kind: RunEvent['kind'], at: Instant) => void,
   ) {
     this.term = reservation.term;
+    this.changedAt = createdAt;
     this.expiresAt = createdAt + reservation.ttlMs;
   }
 
@@ -81,6 +86,7 @@
 
   start(order: StartOrder, plan: TaskPlan, now: Instant): void {
     this.state = 'running';
+    this.changedAt = now;
     this.term = order.term;
     this.savedSeconds = order.progressSeconds;
     this.run = {
@@ -88,7 +94,7 @@
       resumedFromSeconds: order.progressSeconds,
       plan,
     };
-    this.expiresAt = order.grantedAt + order.leaseMs;
+    this.expiresAt = Math.max(now, order.grantedAt + order.leaseMs);
     this.observe('started', now);
   }
 
@@ -118,9 +124,13 @@
     }
   }
 
-  /** Lets everything happen that is due by `now`; unless `lapses`, leases last for ever. */
-  advance(now: Instant, lapses: boolean): void {
-    if (this.state === 'reserved' && this.expiresAt <= now) {
+  /** Lets everything happen that is due by `now`; what does not lapse lasts for ever. */
+  advance(
+    now: Instant,
+    lapses: {reservations: boolean; leases: boolean},
+  ): void {
+    const isLapsed = lapses.reservations && this.expiresAt <= now;
+    if (this.state === 'reserved' && isLapsed) {
       this.state = 'lapsed';
     }
     if (this.state !== 'running' || !this.run) {
@@ -131,7 +141,7 @@
       startedAt,
       this.run.resumedFromSeconds,
     );
-    const expiresAt = lapses ? this.expiresAt : Infinity;
+    const expiresAt = lapses.leases ? this.expiresAt : Infinity;
     const next = Math.min(at, expiresAt, this.stopsAt ?? Infinity);
     if (next > now) {
       return;
@@ -179,9 +189,11 @@
   }
 
   private end(state: LeaseState, at: Instant): void {
-    if (this.state === 'running') {
+    const hasRun = this.state === 'running';
+    this.state = state;
+    this.changedAt = at;
+    if (hasRun) {
       this.observe('ended', at);
     }
-    this.state = state;
   }
 }
--- a/packages/targets/src/testing/target_model.ts
+++ b/packages/targets/src/testing/target_model.ts
@@ -12,6 +12,8 @@
   TargetReport,
   UsageReport,
 } from '../target_client.js';
+import {leaseKeyText} from '../gang_order.js';
+import {digestLeases} from '../lease_digest.js';
 import {ModelLease, type RunEvent} from './model_lease.js';
 import {TaskPlan} from './task_plan.js';
 
@@ -27,10 +29,12 @@
 export interface TargetGuards {
   /** Refuses lower terms. */
   terms: boolean;
-  /** Refuses a start without an unexpired reservation. */
+  /** Ends reservations that were not renewed, and refuses a start without one. */
   reservations: boolean;
   /** Stops tasks whose lease was not renewed. */
   leases: boolean;
+  /** Refuses new work while it is leaving. */
+  leaving: boolean;
 }
 
 /** Settings of a modelled target. */
@@ -44,10 +48,18 @@
   onRun?: (event: RunEvent) => void;
 }
 
+/** What a report holds. */
+interface ReportOptions {
+  /** Leaves out leases that have not changed since then. */
+  since?: Instant;
+  withUsage?: boolean;
+}
+
 const ALL_GUARDS: TargetGuards = {
   terms: true,
   reservations: true,
   leases: true,
+  leaving: true,
 };
 const DEFAULT_USAGE_LAG_MS = 5000;
 
@@ -80,7 +92,7 @@
   reserve(order: Reservation, now: Instant): Grant {
     this.advance(now);
     this.checkTerm(order.term);
-    const known = this.leases.get(keyText(order));
+    const known = this.leases.get(leaseKeyText(order));
     if (known && isSameTerm(known.term, order.term) && known.isOccupying) {
       known.extendReservation(order.ttlMs, now);
       return {grantedAt: now};
@@ -92,14 +104,14 @@
     const lease = new ModelLease(order, now, (kind, at) =>
       this.observe(lease, kind, at),
     );
-    this.leases.set(keyText(order), lease);
+    this.leases.set(leaseKeyText(order), lease);
     return {grantedAt: now};
   }
 
   start(order: StartOrder, now: Instant): void {
     this.advance(now);
     this.checkTerm(order.term);
-    const lease = this.leases.get(keyText(order));
+    const lease = this.leases.get(leaseKeyText(order));
     if (!lease) {
       throw this.refuse('there is no reservation');
     }
@@ -119,9 +131,9 @@
   stop(order: StopOrder, now: Instant): LeaseReport | undefined {
     this.advance(now);
     this.checkTerm(order.term);
-    const lease = this.leases.get(keyText(order));
+    const lease = this.leases.get(leaseKeyText(order));
     if (lease?.state === 'reserved') {
-      this.leases.delete(keyText(order));
+      this.leases.delete(leaseKeyText(order));
     }
     lease?.stop(order, now);
     return lease?.report(now);
@@ -130,16 +142,16 @@
   renew(order: Renewal, now: Instant): TargetReport {
     this.advance(now);
     this.checkTerm(order.term);
-    if (order.basedOn !== undefined && order.basedOn <= now) {
-      for (const key of order.leases) {
-        const lease = this.leases.get(keyText(key));
-        lease?.renew(order.term, order.basedOn + order.leaseMs);
-      }
+    const isKnown =
+      order.basedOn !== undefined && order.digest === this.digest();
+    for (const lease of this.findRenewed(order, isKnown, now)) {
+      lease.renew(order.term, (order.basedOn ?? now) + order.leaseMs);
     }
     for (const key of order.forget) {
       this.forget(key);
     }
-    return this.report(now);
+    const since = isKnown ? order.basedOn : undefined;
+    return this.report(now, {since, withUsage: order.withUsage === true});
   }
 
   fence(order: {term: Term}, now: Instant): TargetReport {
@@ -154,7 +166,7 @@
   ): void {
     this.advance(now);
     this.checkTerm(order.term);
-    const lease = this.leases.get(keyText(order));
+    const lease = this.leases.get(leaseKeyText(order));
     if (!lease) {
       throw this.refuse('the attempt is not known');
     }
@@ -166,7 +178,7 @@
   /** Lets everything happen that is due by `now`. */
   advance(now: Instant): void {
     for (const [key, lease] of this.leases) {
-      lease.advance(now, this.guards.leases);
+      lease.advance(now, this.guards);
       if (lease.isExpiredReservation) {
         this.leases.delete(key);
       }
@@ -189,18 +201,46 @@
 
   // Queries
 
-  report(now: Instant): TargetReport {
+  report(now: Instant, options: ReportOptions = {}): TargetReport {
+    const {since, withUsage = true} = options;
+    const leases = [...this.leases.values()].filter(
+      lease => lease.changedAt >= (since ?? -Infinity),
+    );
     return {
       target: this.id,
       clock: now,
       term: this.term,
       leaving: this.leaving,
-      leases: [...this.leases.values()].map(lease => lease.report(now)),
-      usage: this.usage,
+      leases: leases.map(lease => lease.report(now)),
+      ...(since !== undefined && {changesOnly: true}),
+      usage: withUsage ? this.usage : [],
       usageAgeMs: now - (this.measuredAt ?? now),
     };
   }
 
+  private digest(): string {
+    const started = [...this.leases].filter(
+      ([, lease]) => lease.state !== 'reserved',
+    );
+    return digestLeases(started.map(([key]) => key));
+  }
+
+  private findRenewed(
+    order: Renewal,
+    isKnown: boolean,
+    now: Instant,
+  ): ModelLease[] {
+    if (order.basedOn === undefined || order.basedOn > now) {
+      return [];
+    }
+    if (order.renewsAll) {
+      return isKnown ? [...this.leases.values()] : [];
+    }
+    return order.leases.flatMap(
+      key => this.leases.get(leaseKeyText(key)) ?? [],
+    );
+  }
+
   private checkTerm(term: Term): void {
     if (!this.guards.terms) {
       return;
@@ -225,7 +265,7 @@
   }
 
   private checkRoom(order: Reservation): void {
-    if (this.leaving) {
+    if (this.leaving && this.guards.leaving) {
       throw this.refuse('it is leaving');
     }
     const held = [...this.leases.values()]
@@ -255,7 +295,7 @@
     order: StartOrder,
     now: Instant,
   ): void {
-    if (this.leaving) {
+    if (this.leaving && this.guards.leaving) {
       throw this.refuse('it is leaving');
     }
     if (!isSameTerm(lease.term, order.term)) {
@@ -274,9 +314,9 @@
   }
 
   private forget(key: LeaseKey): void {
-    const lease = this.leases.get(keyText(key));
+    const lease = this.leases.get(leaseKeyText(key));
     if (lease && !lease.isOccupying) {
-      this.leases.delete(keyText(key));
+      this.leases.delete(leaseKeyText(key));
     }
   }
 
@@ -298,7 +338,7 @@
     at: Instant,
   ): void {
     const {jobId, attempt, firstTask, tasks} = lease.reservation;
-    const {term} = lease;
+    const {state, term} = lease;
     this.onRun?.({
       kind,
       target: this.id,
@@ -307,6 +347,7 @@
       term,
       firstTask,
       tasks,
+      state,
       at,
     });
   }
@@ -316,10 +357,6 @@
   }
 }
 
-function keyText(key: LeaseKey): string {
-  return `${key.jobId}/${key.attempt}`;
-}
-
 function sum<T>(items: readonly T[], valueOf: (item: T) => number): number {
   return items.reduce((total, item) => total + valueOf(item), 0);
 }
