--- a/packages/placement/src/decision_pass.ts
+++ b/packages/placement/src/decision_pass.ts
@@ -72,8 +72,9 @@
 
   /** Keeps a place for the oldest large job that well targets can hold. */
   private chooseReservation(queue: readonly WaitingJob[]): void {
+    const oldest = this.now - this.cells.rules.ageingSeconds * 1000;
     const large = queue
-      .filter(job => isLarge(this.cells, job))
+      .filter(job => isLarge(this.cells, job) && job.submittedAt <= oldest)
       .sort((a, b) => a.submittedAt - b.submittedAt)
       .slice(0, MAX_RESERVATION_TRIES);
     for (const job of large) {
@@ -99,6 +100,10 @@
       this.place(job, place, true);
       return true;
     }
+    if (job.repeatable && this.findBorrowedPlace(job)) {
+      // It starts at once without stopping anybody, and can still reclaim later.
+      return false;
+    }
     if (this.isKeptFromHomes(job) || !this.reclaim(job)) {
       this.remember(job, key);
       return false;
@@ -129,10 +134,9 @@
 
   private decideBorrowed(job: WaitingJob): void {
     const key = this.keyOf(job, 'borrowed');
-    const isOpen = this.openTargets(job).elsewhere;
     const place = this.failed.has(key)
       ? undefined
-      : findBestFit(this.cells, job, this.borrowableRoom(job, isOpen));
+      : this.findBorrowedPlace(job);
     if (place) {
       this.place(job, place, false);
       return;
@@ -165,6 +169,11 @@
     }
   }
 
+  private findBorrowedPlace(job: WaitingJob): Assignment[] | undefined {
+    const isOpen = this.openTargets(job).elsewhere;
+    return findBestFit(this.cells, job, this.borrowableRoom(job, isOpen));
+  }
+
   private borrowableRoom(
     job: WaitingJob,
     isOpen: OpenTargets['elsewhere'],
@@ -184,8 +193,11 @@
   }
 
   private openTargets(job: WaitingJob): OpenTargets {
-    const {reservation} = this.cells;
-    const elsewhere = isOpenTo(reservation, job, this.endsAt(job));
+    const {reservation, reclaiming} = this.cells;
+    const isReclaiming = reclaiming.has(job.jobId);
+    // Capacity that was cleared for a job is not kept from it later.
+    const kept = isReclaiming ? undefined : reservation;
+    const elsewhere = isOpenTo(kept, job, this.endsAt(job));
     const home =
       reservation?.workspace === job.workspace ? elsewhere : () => true;
     return {home, elsewhere};
@@ -193,9 +205,10 @@
 
   /** Whether the reservation keeps a job from reclaiming in its own homes. */
   private isKeptFromHomes(job: WaitingJob): boolean {
-    const {reservation} = this.cells;
+    const {reservation, reclaiming} = this.cells;
     return (
       reservation !== undefined &&
+      !reclaiming.has(job.jobId) &&
       reservation.isInHomes &&
       reservation.workspace === job.workspace &&
       reservation.jobId !== job.jobId
