--- a/packages/ledger/src/state.ts
+++ b/packages/ledger/src/state.ts
@@ -28,9 +28,9 @@
   requestWindow: Milliseconds;
   resultBytes: number;
   /**
-   * A further check of a configuration before it goes over the one in force: a pure function.
-   * It must not depend on the service states of domains and targets: operators
-   * can always take them out, and it is not called for that.
+   * A further check of a configuration before it goes over the one in force: a
+   * pure function. It must not depend on the service states of domains and
+   * targets: operators can always take them out, and it is not called for that.
    */
   validateConfiguration?: (
     next: Configuration,
