Inject the platform's log and list below the daemon's own layers

Cause: the container now wraps the platform's list; a spec that replaced the wrapper by a bare list could not start a daemon (5 failures seen).

Change: the fixture rebinds platformLog and platformList, so that the relaying log and the observed list are under test as well. No test eased.

--- a/packages/daemon/__tests__/fixtures.ts
+++ b/packages/daemon/__tests__/fixtures.ts
@@ -39,8 +39,8 @@
   const log = new MemoryLog(clock);
   const settings = settingsSchema.parse(createSettings());
   const container = createContainer(settings, clock, new SilentLogger());
-  (await container.rebind(tokens.log)).toConstantValue(log);
-  (await container.rebind(tokens.instanceList)).toConstantValue(
+  (await container.rebind(tokens.platformLog)).toConstantValue(log);
+  (await container.rebind(tokens.platformList)).toConstantValue(
     new EmptyInstanceList(),
   );
   const daemon = container.get(Daemon);
