Renew every 2 s, and part the lease keeper from its times

Change: timings.renewMs is 2 s (the stated bound of a gang in part is then lease + 2 s + 1 s = 9 s); options and defaults stand in a file of their own.

--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -47,7 +47,7 @@
   /** How long a target keeps tasks running without renewal, in milliseconds. */
   leaseMs: z.int().positive().default(6_000),
   /** Time between two renewals, in milliseconds. */
-  renewMs: z.int().positive().default(1_000),
+  renewMs: z.int().positive().default(2_000),
   /** After how long a call to a target is given up, in milliseconds. */
   targetTimeoutMs: z.int().positive().default(1_000),
   /** Longest time that a planned stop waits for callers, in milliseconds. */
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -25,11 +25,11 @@
 
 // Keeping leases
 export * from './keeper_event.js';
-export {
-  LeaseKeeper,
-  type LeaseKeeperOptions,
-  type LeaseKeeperParts,
-} from './lease_keeper.js';
+export {LeaseKeeper} from './lease_keeper.js';
+export type {
+  LeaseKeeperOptions,
+  LeaseKeeperParts,
+} from './lease_keeper_options.js';
 
 export {digestLeases} from './lease_digest.js';
 
--- a/packages/targets/src/lease_keeper.ts
+++ b/packages/targets/src/lease_keeper.ts
@@ -1,54 +1,21 @@
 /** Renews the leases of running gangs, each as a whole, and tells what became of them. */
 import {NO_TERM, type Term} from '@galenavalve/model';
-import {
-  type Clock,
-  type Instant,
-  type Logger,
-  type Milliseconds,
-  isFailure,
-} from '@galenavalve/shared';
-import type {AddressLookup, GangOrder} from './gang_order.js';
+import {type Instant, type Milliseconds, isFailure} from '@galenavalve/shared';
+import type {GangOrder} from './gang_order.js';
 import {GangWatch} from './gang_watch.js';
 import type {KeeperEvent} from './keeper_event.js';
-import type {Renewal, TargetClient, TargetReport} from './target_client.js';
+import type {Renewal, TargetReport} from './target_client.js';
+import {
+  CALLS_PER_ROUND,
+  type KeeperTimes,
+  type LeaseKeeperParts,
+  completeTimes,
+} from './lease_keeper_options.js';
 import {type Question, WatchedTarget} from './watched_target.js';
 
-/** Times of the lease keeper, in milliseconds. */
-export interface LeaseKeeperOptions {
-  leaseMs?: Milliseconds;
-  /** Time between two rounds. */
-  renewMs?: Milliseconds;
-  /** Shortened to a quarter of `renewMs`, so that a round with silent targets ends before the next. */
-  callTimeoutMs: Milliseconds;
-  /** Time between two questions to a target without work. */
-  idlePollMs?: Milliseconds;
-  /** Time between two questions for usage. */
-  usageMs?: Milliseconds;
-}
-
-/** What the keeper works with. */
-export interface LeaseKeeperParts {
-  client: TargetClient;
-  addressOf: AddressLookup;
-  clock: Clock;
-  logger: Logger;
-  options: LeaseKeeperOptions;
-}
-
-const DEFAULT_LEASE_MS = 6000;
-const DEFAULT_RENEW_MS = 2000;
-const DEFAULT_IDLE_POLL_MS = 10_000;
-const DEFAULT_USAGE_MS = 30_000;
-
 /** Share of the call timeout that a look may take. */
 const LOOK_SHARE = 0.5;
 
-/** Times that a target is asked before it counts as silent. */
-const CALLS_PER_ROUND = 2;
-
-/** Calls one after the other in a round in which gangs recover. */
-const CALLS_OF_LONGEST_ROUND = 2 * CALLS_PER_ROUND;
-
 /** Keeps the leases of gangs. */
 export class LeaseKeeper {
   /** Length of a lease in milliseconds. */
@@ -61,21 +28,11 @@
   private lastTickAt?: Instant;
   /** Aborted when a gang is followed, to end a sleep between rounds. */
   private wake = new AbortController();
-  private readonly renewMs: Milliseconds;
-  private readonly idlePollMs: Milliseconds;
-  private readonly usageMs: Milliseconds;
-  private readonly callTimeoutMs: Milliseconds;
+  private readonly times: KeeperTimes;
 
   constructor(private readonly parts: LeaseKeeperParts) {
-    const {options} = parts;
-    this.leaseMs = options.leaseMs ?? DEFAULT_LEASE_MS;
-    this.renewMs = options.renewMs ?? DEFAULT_RENEW_MS;
-    this.idlePollMs = options.idlePollMs ?? DEFAULT_IDLE_POLL_MS;
-    this.usageMs = options.usageMs ?? DEFAULT_USAGE_MS;
-    this.callTimeoutMs = Math.min(
-      options.callTimeoutMs,
-      this.renewMs / CALLS_OF_LONGEST_ROUND,
-    );
+    this.times = completeTimes(parts.options);
+    this.leaseMs = this.times.leaseMs;
   }
 
   // Commands
@@ -139,10 +96,10 @@
   async run(signal: AbortSignal): Promise<void> {
     const {clock} = this.parts;
     while (!signal.aborted) {
-      const nextAt = clock.now() + this.renewMs;
+      const nextAt = clock.now() + this.times.renewMs;
       await this.tick();
       while (!signal.aborted && this.canProbeBefore(nextAt)) {
-        await clock.sleep(this.callTimeoutMs / 2, signal);
+        await clock.sleep(this.times.callTimeoutMs / 2, signal);
         await this.probe();
       }
       await this.lookUntil(nextAt, signal);
@@ -156,7 +113,7 @@
     this.dropUnused();
     const renewable = this.findRenewable();
     await this.askAll(this.findDue(now), renewable, CALLS_PER_ROUND);
-    const isOnTime = this.parts.clock.now() <= now + this.renewMs;
+    const isOnTime = this.parts.clock.now() <= now + this.times.renewMs;
     if (isOnTime) {
       await this.renewRecovered(renewable);
     }
@@ -203,7 +160,7 @@
     const terms = {term: this.term, leaseMs: this.leaseMs};
     const question = target.createQuestion(terms, new Set(), false);
     const sentAt = this.parts.clock.now();
-    const timeout = this.callTimeoutMs * LOOK_SHARE;
+    const timeout = this.times.callTimeoutMs * LOOK_SHARE;
     const report = await this.renew(target, question.order, timeout);
     if (report && report !== 'superseded' && !this.isLate(sentAt)) {
       this.onReport(target, report, question, sentAt);
@@ -233,7 +190,7 @@
   private doubtAfterPause(now: Instant): void {
     const gap = now - (this.lastTickAt ?? now);
     this.lastTickAt = now;
-    if (gap <= this.renewMs + this.callTimeoutMs) {
+    if (gap <= this.times.renewMs + this.times.callTimeoutMs) {
       return;
     }
     this.parts.logger.warn('lease-keeper-paused', {gapMs: gap});
@@ -249,7 +206,7 @@
   }
 
   private canProbeBefore(nextAt: Instant): boolean {
-    const probeMs = 1.5 * this.callTimeoutMs;
+    const probeMs = 1.5 * this.times.callTimeoutMs;
     return (
       this.findSuspects().length > 0 &&
       this.parts.clock.now() + probeMs <= nextAt
@@ -274,7 +231,7 @@
 
   private findDue(now: Instant): WatchedTarget[] {
     return [...this.targets.values()].filter(
-      target => target.isUsed || now - target.triedAt >= this.idlePollMs,
+      target => target.isUsed || now - target.triedAt >= this.times.idlePollMs,
     );
   }
 
@@ -287,7 +244,7 @@
     const terms = {term: this.term, leaseMs: this.leaseMs};
     const questions = targets.map(target => {
       target.triedAt = now;
-      const withUsage = target.isUsageDue(now, this.usageMs);
+      const withUsage = target.isUsageDue(now, this.times.usageMs);
       const question = target.createQuestion(terms, renewable, withUsage);
       return this.ask(target, question, calls);
     });
@@ -316,13 +273,13 @@
 
   /** An answer that lay unread while the process was paused is too old to act on. */
   private isLate(sentAt: Instant): boolean {
-    return this.parts.clock.now() > sentAt + 2 * this.callTimeoutMs;
+    return this.parts.clock.now() > sentAt + 2 * this.times.callTimeoutMs;
   }
 
   private async renew(
     target: WatchedTarget,
     order: Renewal,
-    timeout = this.callTimeoutMs,
+    timeout = this.times.callTimeoutMs,
   ): Promise<TargetReport | 'superseded' | undefined> {
     const address = this.parts.addressOf(target.id);
     if (!address) {
@@ -373,7 +330,7 @@
   private judge(): void {
     const now = this.parts.clock.now();
     for (const watch of [...this.gangs.values()]) {
-      const verdict = watch.judge(now, this.callTimeoutMs);
+      const verdict = watch.judge(now, this.times.callTimeoutMs);
       if (verdict) {
         this.emit(verdict);
       }
