Record take-outs however long the log is down, and age queues more slowly

Change: a take-out is appended with an open deadline, and its operator is told take-out-pending; the window is a constant; one step of priority takes six ageing periods; the ports follow the process id.

--- a/packages/daemon/__tests__/fixtures.ts
+++ b/packages/daemon/__tests__/fixtures.ts
@@ -29,7 +29,7 @@
       logUrl: 'http://127.0.0.1:1',
       instanceListUrl: 'http://127.0.0.1:1',
     },
-    timings: {drainMs: 100, logWaitMs: 50},
+    timings: {drainMs: 100, logWaitMs: 50, appendTimeoutMs: 1_500},
   };
 }
 
--- a/packages/daemon/src/commands/apply_configuration.ts
+++ b/packages/daemon/src/commands/apply_configuration.ts
@@ -6,7 +6,8 @@
   type Edit,
   configurationChange,
 } from '@galenavalve/model';
-import {Failure} from '@galenavalve/shared';
+import type {Applied} from '@galenavalve/ledger';
+import {Failure, describeError} from '@galenavalve/shared';
 import {parseBody} from '../http/parse_body.js';
 import type {Node} from '../node.js';
 import {appendCommand} from './append_command.js';
@@ -29,19 +30,7 @@
     type: 'configured',
     change,
   });
-  node.logger.info('configured', {
-    changeId: change.changeId,
-    author: change.author,
-    accepted: applied.accepted,
-    problem: applied.problem?.message,
-  });
-  if (!applied.accepted) {
-    throw (
-      applied.problem ??
-      new Failure('config-invalid', {problem: applied.rejection ?? 'rejected'})
-    );
-  }
-  return describeResult(node, change, applied.offset);
+  return conclude(node, change, applied);
 }
 
 /** Takes a failure domain out of service, or brings it back. */
@@ -51,26 +40,77 @@
   state: Domain['state'],
   author: string,
 ): Promise<ConfigurationResult> {
+  checkServing(node);
   const domain = node.state.configuration.domains.get(domainId);
   if (!domain) {
     throw new Failure('not-found', {kind: 'failure domain', id: domainId});
   }
   const entity = `domain/${domainId}`;
   const baseVersion = node.state.entityVersion(entity);
-  if (state !== 'in-service') {
-    // Peers hold back starts at once; the record makes it last.
-    node.mesh.addHold({
-      entity,
-      by: author,
-      id: `${entity}@${baseVersion}`,
-    });
-    node.scheduler.poke();
-  }
-  return applyConfiguration(node, {
+  const change: ConfigurationChange = {
     changeId: `${entity}-${state}-after-${baseVersion}`,
     author,
     edits: [{entity, baseVersion, value: {...domain, state}}],
+  };
+  return state === 'in-service'
+    ? applyConfiguration(node, change)
+    : takeOut(node, entity, change);
+}
+
+/**
+ * Peers hold back starts at once; the record, which makes the take-out last, is
+ * appended however long the log is down. Throws `take-out-pending` when the
+ * log has not taken it in time.
+ */
+async function takeOut(
+  node: Node,
+  entity: string,
+  change: ConfigurationChange,
+): Promise<ConfigurationResult> {
+  const {author: by, changeId: id} = change;
+  node.mesh.addHold({entity, by, id});
+  node.scheduler.poke();
+  const recorded = node.writer.append(
+    {type: 'configured', change},
+    {deadline: Infinity},
+  );
+  recorded.catch(error => {
+    const problem = describeError(error);
+    node.logger.error('take-out-not-recorded', {entity, problem});
   });
+  const limit = new AbortController();
+  const {appendTimeoutMs} = node.settings.timings;
+  const late = node.clock
+    .sleep(appendTimeoutMs, limit.signal)
+    .then(() => undefined);
+  const applied = await Promise.race([recorded, late]).finally(() =>
+    limit.abort(),
+  );
+  if (!applied) {
+    throw new Failure('take-out-pending', {entity});
+  }
+  return conclude(node, change, applied);
+}
+
+/** Says what became of a change that the fold has seen. */
+function conclude(
+  node: Node,
+  change: ConfigurationChange,
+  applied: Applied,
+): ConfigurationResult {
+  node.logger.info('configured', {
+    changeId: change.changeId,
+    author: change.author,
+    accepted: applied.accepted,
+    problem: applied.problem?.message,
+  });
+  if (!applied.accepted) {
+    throw (
+      applied.problem ??
+      new Failure('config-invalid', {problem: applied.rejection ?? 'rejected'})
+    );
+  }
+  return describeResult(node, change, applied.offset);
 }
 
 /**
--- a/packages/daemon/src/commands/submit_job.ts
+++ b/packages/daemon/src/commands/submit_job.ts
@@ -1,5 +1,5 @@
 /** Admits a job: checks it, routes it to a failure domain and records it. */
-import type {Job} from '@galenavalve/ledger';
+import {type Job, REQUEST_WINDOW_MS} from '@galenavalve/ledger';
 import {type JobRequest, describeReason, jobRequest} from '@galenavalve/model';
 import type {Route, WaitingJob} from '@galenavalve/placement';
 import {Failure, hashText, hashValue} from '@galenavalve/shared';
@@ -77,7 +77,7 @@
   const ageSeconds = Math.round(
     (node.clock.wallTime() - request.createdAt) / 1000,
   );
-  const windowSeconds = node.settings.limits.requestWindowSeconds;
+  const windowSeconds = REQUEST_WINDOW_MS / 1000;
   if (ageSeconds > windowSeconds) {
     throw new Failure('request-expired', {ageSeconds, windowSeconds});
   }
--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -106,10 +106,10 @@
 }
 
 function bindLedger(container: Container): void {
-  container.bind(tokens.ledgerOptions).toDynamicValue(context => {
-    const {limits} = context.get<Settings>(tokens.settings);
-    return createLedgerOptions(limits.requestWindowSeconds);
-  });
+  // The fold's parameters are no settings: they must be the same on every instance.
+  container
+    .bind<Partial<LedgerOptions>>(tokens.ledgerOptions)
+    .toConstantValue({validateConfiguration: findGuaranteeFailure});
   container
     .bind(tokens.state)
     .toDynamicValue(
@@ -153,16 +153,6 @@
   });
 }
 
-/** The fold's parameters; the same on every instance. */
-function createLedgerOptions(
-  requestWindowSeconds: number,
-): Partial<LedgerOptions> {
-  return {
-    requestWindow: requestWindowSeconds * 1000,
-    validateConfiguration: findGuaranteeFailure,
-  };
-}
-
 function bindPeers(container: Container): void {
   container.bind(tokens.freshness).toDynamicValue(() => new FreshnessTracker());
   container.bind(tokens.peerServer).toDynamicValue(context => {
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -25,8 +25,6 @@
   heldCallers: z.int().positive().default(5_000),
   /** Appends a second that the log takes from all instances together; the live ones share them. */
   appendsPerSecond: z.number().positive().default(240),
-  /** How long request ids are remembered, in seconds. */
-  requestWindowSeconds: z.int().positive().default(86_400),
 });
 
 const timings = z.strictObject({
--- a/packages/demo/__tests__/failures.spec.ts
+++ b/packages/demo/__tests__/failures.spec.ts
@@ -9,7 +9,8 @@
   startRelayedCluster,
 } from './fixtures.js';
 
-const PORT_BASE = 18_700;
+/** Runs side by side must not meet on one port. */
+const PORT_BASE = 20_000 + (process.pid % 400) * 100;
 const LEASE_MS = 6_000;
 
 const cluster = await startRelayedCluster(PORT_BASE);
--- a/packages/model/src/inventory.ts
+++ b/packages/model/src/inventory.ts
@@ -77,7 +77,7 @@
   id: z.literal('cluster').default('cluster'),
   /** Time that a preempted job gets to save its progress, in seconds. */
   checkpointGraceSeconds: z.number().nonnegative().max(600).default(2),
-  /** Waiting time that is worth one step of priority, in seconds. */
+  /** Waiting time after which a large job gets a place kept, in seconds; six times this is worth one step of priority. */
   ageingSeconds: z.number().positive().default(600),
   /** Longest time that the oldest large job is overtaken by backfill, in seconds. */
   largeJobWaitSeconds: z.number().positive().default(3600),
--- a/packages/placement/src/queue_order.ts
+++ b/packages/placement/src/queue_order.ts
@@ -13,6 +13,12 @@
   rank: number;
 }
 
+/**
+ * Periods of `ageingSeconds` that are worth one step. With one period a step,
+ * a burst was served in the order of its arrival, long work first.
+ */
+const AGEING_PERIODS_PER_STEP = 6;
+
 /** Largest correction by fair share, in steps of priority. */
 const MAX_SHARE_STEPS = 2;
 
@@ -41,7 +47,7 @@
   return gang.tasks * gang.perTask.accelerators;
 }
 
-/** One step doubles the expected work; each `ageingSeconds` of waiting takes one step back. */
+/** One step doubles the expected work; waiting takes steps back. */
 function rankOf(
   cells: Cells,
   shares: FairShares,
@@ -56,7 +62,7 @@
   );
   const work = Math.log2(1 + seconds);
   const waited = Math.max(0, now - job.submittedAt) / 1000;
-  const age = waited / cells.rules.ageingSeconds;
+  const age = waited / (cells.rules.ageingSeconds * AGEING_PERIODS_PER_STEP);
   return work + shares.stepsOf(job.workspace) - age;
 }
 
--- a/packages/shared/src/error_codes.ts
+++ b/packages/shared/src/error_codes.ts
@@ -82,6 +82,13 @@
     remedy:
       'Ask again with the same request id; it runs at most once, however often you ask.',
   },
+  'take-out-pending': {
+    status: 504,
+    message:
+      'The take-out of {entity} is in force on the instances in reach, but the log has not recorded it yet.',
+    remedy:
+      'It is recorded when the log returns; send the same command again to see, and if the instance was replaced meanwhile.',
+  },
   stopping: {
     status: 503,
     message:
