Say "not run" of no request that is known

Cause (read in the code): an instance with too many held callers, or one that was stopping, told a caller who asked again that the request was not run, though it was recorded. Change: known requests are answered first; a caller that cannot be held is told at once where the job stands.

--- a/packages/daemon/__tests__/commands.spec.ts
+++ b/packages/daemon/__tests__/commands.spec.ts
@@ -100,6 +100,19 @@
   );
 });
 
+t.test('an instance that is stopping', async t => {
+  t.test('takes no new request, and knows those that it has', async t => {
+    const daemon = await startConfigured(t);
+    const job = createJob('r1');
+    await post(daemon, '/v1/jobs', job);
+    daemon.daemon.node.stage = 'stopping';
+    const repeated = await post(daemon, '/v1/jobs', job);
+    t.match(repeated, {statusCode: 202, body: {requestId: 'r1'}});
+    const other = await post(daemon, '/v1/jobs', createJob('r2'));
+    t.match(other, {statusCode: 503, body: {code: 'stopping'}});
+  });
+});
+
 t.test('a take-out while the log is down', async t => {
   t.test('is in force at once, and recorded when the log returns', async t => {
     const daemon = await startConfigured(t);
--- a/packages/daemon/src/commands/submit_job.ts
+++ b/packages/daemon/src/commands/submit_job.ts
@@ -14,13 +14,13 @@
  * job is durable. Throws a `Failure` that says truthfully whether it may run.
  */
 export async function submitJob(node: Node, body: unknown): Promise<Job> {
-  checkServing(node);
   const request = parseBody(jobRequest, body);
   const bodyHash = hashRequest(request);
   const known = findKnown(node, request.requestId, bodyHash);
   if (known) {
     return known;
   }
+  checkServing(node);
   checkAge(node, request);
   checkWorkspace(node, request);
   const now = node.clock.wallTime();
--- a/packages/daemon/src/http/job_routes.ts
+++ b/packages/daemon/src/http/job_routes.ts
@@ -3,7 +3,6 @@
 import {z} from 'zod';
 import type {Job} from '@galenavalve/ledger';
 import {jobPhase} from '@galenavalve/model';
-import {Failure} from '@galenavalve/shared';
 import {approveJob, cancelJob} from '../commands/job_commands.js';
 import {submitJob} from '../commands/submit_job.js';
 import type {Node} from '../node.js';
@@ -37,11 +36,8 @@
   router.add('post', '/v1/jobs', async request => {
     checkRequestSize(request);
     const {wait} = parseBody(waitQuery, request.query);
-    if (wait > 0) {
-      checkHeldCallers(node);
-    }
     const job = await submitJob(node, request.body);
-    return replyWhenEnded(node, job, wait);
+    return replyWhenEnded(node, job, canHold(node) ? wait : 0);
   });
   router.add('get', '/v1/jobs', request => {
     const filter = parseBody(listQuery, request.query);
@@ -73,10 +69,9 @@
   });
 }
 
-function checkHeldCallers(node: Node): void {
-  if (node.waiters.count >= node.settings.limits.heldCallers) {
-    throw new Failure('overloaded');
-  }
+/** With too many callers held, the next ones are told at once where their job stands. */
+function canHold(node: Node): boolean {
+  return node.waiters.count < node.settings.limits.heldCallers;
 }
 
 async function replyWhenEnded(
