--- a/packages/faults/__tests__/promises.spec.ts
+++ b/packages/faults/__tests__/promises.spec.ts
@@ -8,6 +8,9 @@
   [27, 'a crashed target came back, and its job ran for ever'],
   [30, 'routing rested on what an earlier scheduler had seen of targets'],
   [38, 'a target found silent at a takeover stayed out of use'],
+  [10_115, 'a late end of one attempt left the next one without a keeper'],
+  [20_055, 'a restarted target did not know that it had run a job'],
+  [70_029, 'a job was queued again while its lost start still ran'],
 ];
 
 /** Seeds that CI explores besides. */
--- a/packages/scheduler/src/gang_launch.ts
+++ b/packages/scheduler/src/gang_launch.ts
@@ -9,6 +9,7 @@
 import {type Milliseconds, describeError, isFailure} from '@galenavalve/shared';
 import type {GangOrder} from '@galenavalve/targets';
 import {createGangOrder, listTargets} from './gang_order.js';
+import {STOP_NOW, stopWhole} from './gang_stop.js';
 import type {SchedulerContext} from './schedule_context.js';
 import type {WaitBook} from './wait_book.js';
 import type {StartBackoff} from './waiting_queue.js';
@@ -171,6 +172,9 @@
       return;
     }
     this.giveUp(order, result.reason, result.culprit);
+    if (result.mayHaveRun) {
+      await stopWhole(this.context, order, STOP_NOW);
+    }
     await record({
       type: 'unplaced',
       ...attempt,
@@ -194,7 +198,7 @@
   }
 
   private async release(order: GangOrder): Promise<void> {
-    await this.context.starter.stop(order, {checkpoint: false, graceMs: 0});
+    await this.context.starter.stop(order, STOP_NOW);
   }
 
   private giveUp(order: GangOrder, reason: Reason, culprit?: string): void {
--- a/packages/scheduler/src/gang_stop.ts
+++ b/packages/scheduler/src/gang_stop.ts
@@ -2,12 +2,16 @@
 import type {Job} from '@galenavalve/ledger';
 import {type Reason, describeReason} from '@galenavalve/model';
 import {type Milliseconds, describeError} from '@galenavalve/shared';
+import type {GangMembers, GangStopResult} from '@galenavalve/targets';
 import {toGangOrder} from './gang_order.js';
 import type {SchedulerContext} from './schedule_context.js';
 
 /** Pause between two tries to stop a gang. */
 const RETRY_MS: Milliseconds = 500;
 
+/** Ends the members at once, without saving. */
+export const STOP_NOW = {checkpoint: false, graceMs: 0};
+
 /** Options of a stop. */
 export interface StopOptions {
   reason: Reason;
@@ -20,9 +24,24 @@
 /** Stops gangs for one term of a domain's scheduler. */
 export class GangStop {
   private readonly stopping = new Map<string, Promise<void>>();
+  /** Jobs whose end is being recorded: there is nothing left to stop. */
+  private readonly ending = new Set<string>();
 
   constructor(private readonly context: SchedulerContext) {}
 
+  /** Keeps a job from being stopped while `record` records its end. */
+  async whileEnding(
+    jobId: string,
+    record: () => Promise<boolean>,
+  ): Promise<boolean> {
+    this.ending.add(jobId);
+    try {
+      return await record();
+    } finally {
+      this.ending.delete(jobId);
+    }
+  }
+
   /** Tells whether the job is being stopped. */
   isStopping(jobId: string): boolean {
     return this.stopping.has(jobId);
@@ -30,7 +49,8 @@
 
   /** Begins to stop a gang; a second call for the same job changes nothing. */
   begin(job: Job, options: StopOptions): void {
-    if (this.isStopping(job.jobId) || !isActive(job)) {
+    const isOver = this.ending.has(job.jobId) || !isActive(job);
+    if (this.isStopping(job.jobId) || isOver) {
       return;
     }
     this.context.mirror.markStopping(job.jobId);
@@ -54,7 +74,7 @@
   }
 
   private async stop(job: Job, options: StopOptions): Promise<void> {
-    const {keeper, starter, record, domain, term, logger} = this.context;
+    const {keeper, record, domain, term, logger} = this.context;
     const {attempts: attempt, jobId} = job;
     const rules = this.context.state.configuration.rules;
     const checkpoint = options.checkpoint && job.request.checkpointable;
@@ -66,14 +86,14 @@
       reason: options.reason.code,
       text: describeReason(options.reason),
     });
-    const result = await starter.stop(order, {
-      checkpoint,
-      graceMs: checkpoint ? rules.checkpointGraceSeconds * 1000 : 0,
-    });
-    keeper.unfollow(jobId);
-    if (result.unreachable.length > 0) {
-      await this.waitForLapse(job, result.unreachable);
-    }
+    const graceMs = checkpoint ? rules.checkpointGraceSeconds * 1000 : 0;
+    const result = await stopWhole(
+      this.context,
+      order,
+      {checkpoint, graceMs},
+      // Its leases must lapse from now on where the stop did not arrive.
+      () => keeper.unfollow(jobId),
+    );
     await record({
       type: 'unplaced',
       jobId,
@@ -88,29 +108,35 @@
       reason: options.reason,
     });
   }
+}
 
-  /**
-   * A member that cannot be reached runs on until its lease lapses. The job is
-   * queued again only after that, so that two attempts never overlap.
-   */
-  private async waitForLapse(
-    job: Job,
-    unreachable: readonly string[],
-  ): Promise<void> {
-    const {clock, keeper, signal, starter, term} = this.context;
-    const end = clock.now() + keeper.leaseMs;
-    const members = job.assignments.filter(({target}) =>
-      unreachable.includes(target),
+/**
+ * Stops every member of a gang. One that cannot be reached runs on until its
+ * lease lapses, so this resolves only then; a job that is queued again
+ * afterwards never overlaps with its earlier attempt. `onAsked` is called once
+ * every member that answers has stopped.
+ */
+export async function stopWhole(
+  context: SchedulerContext,
+  gang: GangMembers,
+  options: {checkpoint: boolean; graceMs: Milliseconds},
+  onAsked: () => void = () => {},
+): Promise<GangStopResult> {
+  const {clock, keeper, signal, starter} = context;
+  const end = clock.now() + options.graceMs + keeper.leaseMs;
+  const result = await starter.stop(gang, options);
+  onAsked();
+  let unreachable = result.unreachable;
+  while (unreachable.length > 0 && clock.now() < end && !signal.aborted) {
+    await clock.sleep(Math.min(RETRY_MS, end - clock.now()), signal);
+    const silent = new Set(unreachable);
+    const assignments = gang.assignments.filter(part =>
+      silent.has(part.target),
     );
-    const order = {...toGangOrder(job, term), assignments: members};
-    while (clock.now() < end && !signal.aborted) {
-      await clock.sleep(Math.min(RETRY_MS, end - clock.now()), signal);
-      const result = await starter.stop(order, {checkpoint: false, graceMs: 0});
-      if (result.unreachable.length === 0) {
-        return;
-      }
-    }
+    const again = await starter.stop({...gang, assignments}, STOP_NOW);
+    unreachable = again.unreachable;
   }
+  return result;
 }
 
 function isActive(job: Job): boolean {
--- a/packages/scheduler/src/gang_watch.ts
+++ b/packages/scheduler/src/gang_watch.ts
@@ -9,7 +9,7 @@
 } from '@galenavalve/model';
 import {hashValue} from '@galenavalve/shared';
 import type {KeeperEvent} from '@galenavalve/targets';
-import type {GangStop} from './gang_stop.js';
+import {type GangStop, STOP_NOW, stopWhole} from './gang_stop.js';
 import {toGangOrder} from './gang_order.js';
 import type {SchedulerContext} from './schedule_context.js';
 
@@ -130,7 +130,7 @@
     cause: Reason,
   ): Promise<void> {
     const order = toGangOrder(job, this.context.term);
-    await this.context.starter.stop(order, {checkpoint: false, graceMs: 0});
+    await stopWhole(this.context, order, STOP_NOW);
     await this.finish(job, {
       outcome: 'failed',
       results: [],
@@ -148,22 +148,27 @@
       outcome: ending.outcome,
       text: describeReason(ending.reason),
     });
-    const isAccepted = await record({
-      type: 'finished',
-      jobId,
-      attempt,
-      domain,
-      term,
-      outcome: ending.outcome,
-      results: ending.results as never[],
-      resultHash: hashValue(ending.results),
-      ranSeconds: ending.ranSeconds,
-      reason: ending.reason,
-    });
+    const isAccepted = await this.stop.whileEnding(jobId, () =>
+      record({
+        type: 'finished',
+        jobId,
+        attempt,
+        domain,
+        term,
+        outcome: ending.outcome,
+        results: ending.results as never[],
+        resultHash: hashValue(ending.results),
+        ranSeconds: ending.ranSeconds,
+        reason: ending.reason,
+      }),
+    );
     if (isAccepted) {
       keeper.forget(jobId, attempt);
     }
-    keeper.unfollow(jobId);
+    // The record may come too late, when another attempt is already kept.
+    if (this.context.state.job(jobId)?.attempts === attempt) {
+      keeper.unfollow(jobId);
+    }
     this.context.poke();
   }
 
--- a/packages/scheduler/src/takeover.ts
+++ b/packages/scheduler/src/takeover.ts
@@ -8,6 +8,7 @@
 import type {Milliseconds} from '@galenavalve/shared';
 import type {LeaseReport, TargetReport} from '@galenavalve/targets';
 import {toGangOrder} from './gang_order.js';
+import {STOP_NOW, stopWhole} from './gang_stop.js';
 import type {SchedulerContext} from './schedule_context.js';
 
 /** Pause between two tries to fence targets that did not answer. */
@@ -94,25 +95,21 @@
   job: Job,
   leases: Map<string, LeaseReport | undefined>,
 ): Promise<void> {
-  const hasSilentMember = job.assignments.some(
-    ({target}) => !leases.has(target),
-  );
-  const hasRun = [...leases.values()].some(
-    lease => lease !== undefined && lease.state !== 'reserved',
-  );
   const order = toGangOrder(job, context.term);
-  await context.starter.stop(order, {checkpoint: false, graceMs: 0});
-  const mayHaveRun = hasRun || hasSilentMember;
-  const culprit = job.assignments.find(({target}) => !leases.has(target));
+  await stopWhole(context, order, STOP_NOW);
+  // Only a reservation proves that a member has not started: a target that was
+  // restarted since does not know what it ran before.
+  const suspect = job.assignments.find(
+    ({target}) => leases.get(target)?.state !== 'reserved',
+  );
+  const mayHaveRun = suspect !== undefined;
   await context.record({
     type: 'unplaced',
     ...attemptOf(context, job),
     mayHaveRun,
     progressSeconds: job.progressSeconds,
-    reason: mayHaveRun
-      ? createReason('start-unknown', {
-          target: culprit?.target ?? job.assignments[0]?.target ?? '',
-        })
+    reason: suspect
+      ? createReason('start-unknown', {target: suspect.target})
       : createReason('fenced-not-started'),
   });
 }
@@ -153,7 +150,7 @@
           },
         ],
       };
-      stops.push(context.starter.stop(stray, {checkpoint: false, graceMs: 0}));
+      stops.push(context.starter.stop(stray, STOP_NOW));
     }
   }
   await Promise.all(stops);
