--- /dev/null
+++ b/packages/dispatch/src/dispatch_service.ts
@@ -0,0 +1,172 @@
+/** Holds the office when it is vacant, and dispatches while it is held. */
+import {type Instant, describeError} from '@galenavalve/shared';
+import type {
+  Follower,
+  JobEntry,
+  JobRecord,
+  Leadership,
+} from '@galenavalve/workload';
+import {encodeLeadership} from '@galenavalve/workload';
+import {Dispatcher, type DispatcherParts} from './dispatcher.js';
+import {OfficeWatch, nextEpoch} from './office.js';
+import type {TargetInfo} from './target_info.js';
+
+/** Longest wait for the answer to a claim, and for reading it back, in milliseconds. */
+const CLAIM_TIMEOUT = 1500;
+
+/** The office is looked at this often, in milliseconds. */
+const WATCH_INTERVAL = 100;
+
+/** What the registry of targets says; followed only while the office is held. */
+export interface TargetRegistry {
+  /** Calls back for every change until closed; resolves with what is listed now. */
+  open(events: {
+    onTarget(info: TargetInfo): void;
+    onTargetGone(id: string): void;
+  }): Promise<TargetInfo[]>;
+  close(): void;
+}
+
+/** The part of an instance that dispatches when it is its turn. */
+export class DispatchService {
+  private readonly watch: OfficeWatch;
+  private dispatcher?: Dispatcher;
+  private isClosed = false;
+
+  constructor(
+    private readonly parts: Omit<DispatcherParts, 'onLost'>,
+    private readonly follower: Follower,
+    private readonly registry: TargetRegistry,
+    private readonly holder: string,
+  ) {
+    this.watch = new OfficeWatch(parts.clock.now(), parts.random);
+  }
+
+  /** Whether this instance dispatches now. */
+  get isDispatching(): boolean {
+    return this.dispatcher !== undefined && !this.dispatcher.isOver;
+  }
+
+  /** Claims the office whenever it is vacant, until closed. */
+  async run(): Promise<void> {
+    const {clock, logger} = this.parts;
+    while (!this.isClosed) {
+      await clock.sleep(WATCH_INTERVAL);
+      const now = clock.now();
+      const isIdle = !this.isClosed && !this.isDispatching;
+      if (isIdle && this.follower.isCaughtUp && this.watch.isVacant(now)) {
+        try {
+          await this.claim(now);
+        } catch (error) {
+          logger.warn('claim-failed', {problem: describeError(error)});
+          this.watch.onClaimFailed(clock.now());
+        }
+      }
+    }
+  }
+
+  /** Steps down and claims no more. */
+  async close(): Promise<void> {
+    this.isClosed = true;
+    this.registry.close();
+    await this.dispatcher?.resign();
+  }
+
+  /** The log answered. */
+  onLogAnswer(now: Instant): void {
+    this.watch.onLogAnswer(now);
+  }
+
+  /** A record of the job log was applied. */
+  onRecord(record: JobRecord, now: Instant): void {
+    if (record.kind === 'leadership') {
+      this.onLeadership(record.leadership, now);
+    } else if (record.kind === 'progress') {
+      this.watch.onHolderRecord(undefined, now);
+    } else if (record.kind === 'accepted') {
+      const entry = this.parts.table.find(record.id);
+      if (entry) {
+        this.onAccepted(entry);
+      }
+    } else if (record.kind === 'cancelled') {
+      this.dispatcher?.onCancelled(record.id);
+    }
+  }
+
+  private onAccepted(entry: JobEntry): void {
+    if (this.isDispatching) {
+      this.dispatcher!.onAccepted(entry);
+    }
+  }
+
+  private onLeadership(leadership: Leadership, now: Instant): void {
+    this.watch.onHolderRecord(leadership, now);
+    const own = this.dispatcher;
+    if (own && leadership.epoch > own.epoch) {
+      own.onFenced();
+    }
+  }
+
+  private async claim(now: Instant): Promise<void> {
+    const {log, table, random, clock, logger} = this.parts;
+    const leadership: Leadership = {
+      epoch: nextEpoch(table.leadership, random),
+      holder: this.holder,
+    };
+    logger.info('office-claimed', {
+      epoch: leadership.epoch,
+      before: table.leadership,
+    });
+    this.watch.onClaimFailed(now);
+    const record = encodeLeadership(leadership);
+    const result = await log.append(
+      [record],
+      leadership.epoch,
+      0,
+      CLAIM_TIMEOUT,
+    );
+    if (result.kind !== 'appended') {
+      logger.info('office-not-held', {epoch: leadership.epoch, result});
+      return;
+    }
+    // A rival with the same epoch would be told of this claim's place, or of its own.
+    const isRead = await this.follower.reach(result.offset, CLAIM_TIMEOUT);
+    const isOwn =
+      table.leadership?.epoch === leadership.epoch &&
+      table.leadership.holder === this.holder;
+    if (!isRead || !isOwn || this.isClosed) {
+      logger.info('office-not-held', {epoch: leadership.epoch, isRead});
+      return;
+    }
+    await this.dispatch(leadership, clock.now());
+  }
+
+  private async dispatch(leadership: Leadership, now: Instant): Promise<void> {
+    const dispatcher = new Dispatcher(
+      {...this.parts, onLost: () => this.registry.close()},
+      leadership,
+      now,
+    );
+    const early: Array<() => void> = [];
+    let isOpen = false;
+    const later = (call: () => void) => (isOpen ? call() : early.push(call));
+    const targets = await this.registry.open({
+      onTarget: info => later(() => dispatcher.onTarget(info)),
+      onTargetGone: id => later(() => dispatcher.onTargetGone(id)),
+    });
+    if (this.isClosed) {
+      await dispatcher.resign();
+      return;
+    }
+    this.dispatcher = dispatcher;
+    this.parts.logger.info('office-held', {
+      epoch: leadership.epoch,
+      targets: targets.length,
+    });
+    isOpen = true;
+    const running = dispatcher.run(targets);
+    early.forEach(call => call());
+    await running;
+    this.registry.close();
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/dispatcher.ts
@@ -0,0 +1,444 @@
+/** One term of office: everything that is decided about jobs and targets, and carried out. */
+import type {Clock, Instant, Logger, Random} from '@galenavalve/shared';
+import {
+  type JobEntry,
+  type JobTable,
+  type KeyedRecord,
+  type Leadership,
+  encodeForgotten,
+  encodeProgress,
+  parseTaskName,
+} from '@galenavalve/workload';
+import {Estimates} from './estimates.js';
+import type {OfficeLog} from './job_log.js';
+import {addDueOccurrences, createJobRun, settleJob} from './job_runs.js';
+import {takeListing} from './listings.js';
+import {Orders} from './orders.js';
+import {decide} from './policy/index.js';
+import {type Batch, RecordWriter} from './record_writer.js';
+import {RoomDirectory} from './room_directory.js';
+import {RunBook} from './run_book.js';
+import type {Booking, JobRun, UnitRun} from './runs.js';
+import {
+  type DispatchSettings,
+  SLOWEST_CLOCK,
+  TICK,
+  UNCONFIRMED_LIMIT,
+} from './settings.js';
+import {watchRuns} from './straggler_watch.js';
+import type {TargetInfo} from './target_info.js';
+import type {TargetListing, TargetPort} from './target_port.js';
+import type {TargetRoom} from './target_room.js';
+import {TargetSessions} from './target_sessions.js';
+
+/** What the desired state says to the dispatcher. */
+export interface DispatchRules {
+  guarantees: ReadonlyMap<string, number>;
+  evacuated: ReadonlySet<string>;
+}
+
+/** What a dispatcher works with. */
+export interface DispatcherParts {
+  table: JobTable;
+  log: OfficeLog;
+  targets: TargetPort;
+  rules: () => DispatchRules;
+  settings: DispatchSettings;
+  clock: Clock;
+  random: Random;
+  logger: Logger;
+  /** The office was lost. */
+  onLost: () => void;
+}
+
+/** A pass waits this long for more news, in milliseconds: ends of one gang come together. */
+const PASS_DELAY = 2;
+
+/** Ended jobs are looked for this often, in milliseconds. */
+const FORGET_INTERVAL = 5000;
+
+/** Most jobs forgotten in one append. */
+const MAX_FORGOTTEN = 50;
+
+/** The dispatcher of one epoch. */
+export class Dispatcher {
+  isOver = false;
+  readonly epoch: number;
+  readonly estimates = new Estimates();
+  private readonly jobs = new Map<string, JobRun>();
+  private readonly changed = new Set<JobRun>();
+  private readonly directory: RoomDirectory;
+  private readonly book: RunBook;
+  private readonly orders: Orders;
+  private readonly sessions: TargetSessions;
+  private readonly writer: RecordWriter;
+  private isPassDue = false;
+  private forgottenAt: Instant;
+
+  constructor(
+    private readonly parts: DispatcherParts,
+    leadership: Leadership,
+    now: Instant,
+  ) {
+    const {settings, clock, random, logger, targets} = parts;
+    this.epoch = leadership.epoch;
+    this.forgottenAt = now;
+    this.book = new RunBook(
+      {
+        onChange: job => this.onChange(job),
+        onStop: booking => void this.orders.stop(booking),
+      },
+      this.estimates,
+      logger,
+    );
+    this.orders = new Orders(this, targets, this.book, settings, clock, logger);
+    this.sessions = new TargetSessions(this, targets, settings, clock, logger);
+    const othersOverAt =
+      now + UNCONFIRMED_LIMIT + settings.maxLease / SLOWEST_CLOCK;
+    this.directory = new RoomDirectory(
+      {
+        onRoom: room => void this.sessions.keep(room),
+        onReplaced: (room, next) => this.onReplaced(room, next),
+      },
+      othersOverAt,
+    );
+    this.writer = new RecordWriter(
+      parts.log,
+      leadership,
+      maxLength => this.gather(maxLength),
+      () => this.onFenced(),
+      clock,
+      random,
+      logger,
+    );
+  }
+
+  /** Takes over what the log says, then ticks until the office is lost. */
+  async run(targets: Iterable<TargetInfo>): Promise<void> {
+    const {clock, table} = this.parts;
+    const now = clock.now();
+    for (const info of targets) {
+      this.directory.onListed(info, now);
+    }
+    for (const entry of table.all()) {
+      this.onAccepted(entry);
+    }
+    while (!this.isOver) {
+      this.tick(clock.now());
+      await clock.sleep(TICK);
+    }
+  }
+
+  /** Steps down in good order. */
+  async resign(): Promise<void> {
+    if (!this.isOver) {
+      this.close();
+      await this.writer.resign();
+    }
+  }
+
+  /** The registry lists a target. */
+  onTarget(info: TargetInfo): void {
+    this.directory.onListed(info, this.parts.clock.now());
+    this.requestPass();
+  }
+
+  /** The registry dropped a target. */
+  onTargetGone(id: string): void {
+    this.directory.onUnlisted(id);
+  }
+
+  /** A job was accepted, by this instance or another. */
+  onAccepted(entry: JobEntry): void {
+    const {clock} = this.parts;
+    const outcome = entry.progress?.outcome ?? 'active';
+    if (this.jobs.has(entry.id) || outcome !== 'active') {
+      return;
+    }
+    const now = clock.now();
+    const job = createJobRun(entry, now, clock.wallTime());
+    this.jobs.set(job.id, job);
+    for (const unit of job.units) {
+      this.adopt(unit, now);
+    }
+    if (job.isCancelled) {
+      this.stopJob(job, 'the job was cancelled');
+    }
+    this.requestPass();
+  }
+
+  /** A job was cancelled. */
+  onCancelled(id: string): void {
+    const job = this.jobs.get(id);
+    if (job && !job.isCancelled) {
+      job.isCancelled = true;
+      this.stopJob(job, 'the job was cancelled');
+    }
+  }
+
+  onListing(room: TargetRoom, listing: TargetListing): void {
+    const context = {
+      book: this.book,
+      epoch: this.epoch,
+      findUnit: (task: string) => this.findUnit(task),
+      onStray: (stray: Booking) => void this.orders.stop(stray),
+    };
+    takeListing(room, listing, context, this.parts.clock.now());
+    this.requestPass();
+    this.writer.poke();
+  }
+
+  onOtherLife(room: TargetRoom, born: number): void {
+    this.directory.onOtherLife(room, born);
+  }
+
+  onStopped(room: TargetRoom): void {
+    void this.sessions.look(room);
+  }
+
+  onFenced(): void {
+    if (!this.isOver) {
+      this.parts.logger.warn('office-lost', {epoch: this.epoch});
+      this.close();
+      this.parts.onLost();
+    }
+  }
+
+  mayExtend(): boolean {
+    const {clock} = this.parts;
+    const steady = clock.now() - this.writer.confirmedAt;
+    const wall = clock.wallTime() - this.writer.confirmedWallAt;
+    return Math.max(steady, wall) < UNCONFIRMED_LIMIT;
+  }
+
+  ticketFor(): string | undefined {
+    return undefined;
+  }
+
+  /** Everything that is due by time alone. */
+  private tick(now: Instant): void {
+    const {clock, settings, logger} = this.parts;
+    for (const job of this.jobs.values()) {
+      const early = clock.wallTime() + settings.earlyTime / 2;
+      if (job.job.spec.schedule && addDueOccurrences(job, early)) {
+        this.onChange(job);
+      }
+    }
+    for (const room of [...this.directory.all()]) {
+      this.dropLapsed(room, now);
+    }
+    watchRuns(this.jobs.values(), this.book, this.estimates, now, logger);
+    this.directory.sweep(now, settings.maxLease);
+    this.forget(now);
+    this.pass(now);
+    this.writer.poke();
+    this.writer.beat(now);
+  }
+
+  private close(): void {
+    this.isOver = true;
+    this.writer.close();
+  }
+
+  /** Books the run that the log says may be alive. */
+  private adopt(unit: UnitRun, now: Instant): void {
+    const {placedOn} = unit.progress;
+    if (!placedOn) {
+      return;
+    }
+    for (const [member, life] of placedOn.entries()) {
+      const room = this.directory.findLife(life);
+      const booking = this.book.book(unit, member, room, 0, now);
+      booking.state = 'ordered';
+    }
+    unit.phase = unit.progress.isDone ? 'running' : 'starting';
+  }
+
+  private onReplaced(room: TargetRoom, next: TargetRoom): void {
+    this.parts.logger.info('target-reborn', {
+      target: room.info.id,
+      from: room.info.born,
+      to: next.info.born,
+      runs: room.bookings.size,
+    });
+    for (const booking of [...room.bookings.values()]) {
+      // An order to the former life that was not answered may yet reach the new one.
+      const isOpen =
+        booking.epoch === this.epoch &&
+        (booking.state === 'ordered' ||
+          (booking.state === 'stopping' && booking.settledClock === undefined));
+      if (isOpen) {
+        room.release(booking);
+        booking.room = next;
+        booking.isBeingStopped = false;
+        next.book(booking);
+        void this.orders.stop(booking);
+      } else {
+        this.book.onGone(booking, 'its target started anew');
+      }
+    }
+  }
+
+  /** Runs whose lease is over are gone, whatever became of their target. */
+  private dropLapsed(room: TargetRoom, now: Instant): void {
+    if (now <= room.leaseOverAt || room.bookings.size === 0) {
+      return;
+    }
+    for (const booking of [...room.bookings.values()]) {
+      if (booking.state !== 'planned') {
+        this.book.onGone(booking, 'its lease is over');
+      }
+    }
+  }
+
+  private onChange(job: JobRun): void {
+    if (this.jobs.get(job.id) !== job) {
+      return;
+    }
+    this.changed.add(job);
+    if (job.hasFailed) {
+      this.stopJob(job, 'the job has failed');
+    }
+    this.requestPass();
+  }
+
+  private stopJob(job: JobRun, reason: string): void {
+    this.changed.add(job);
+    for (const unit of job.units) {
+      this.book.stop(unit, reason);
+    }
+    this.writer.poke();
+  }
+
+  private requestPass(): void {
+    if (this.isPassDue || this.isOver) {
+      return;
+    }
+    this.isPassDue = true;
+    void this.parts.clock.sleep(PASS_DELAY).then(() => {
+      if (!this.isOver) {
+        this.pass(this.parts.clock.now());
+        this.writer.poke();
+      }
+    });
+  }
+
+  private pass(now: Instant): void {
+    this.isPassDue = false;
+    const {guarantees, evacuated} = this.parts.rules();
+    const decision = decide(
+      {
+        jobs: [...this.jobs.values()],
+        rooms: [...this.directory.all()],
+        estimates: this.estimates,
+        guarantees,
+        evacuated,
+        settings: this.parts.settings,
+        allowedFor: unit =>
+          unit.job.job.terms.needsAdvice ? new Set() : undefined,
+      },
+      now,
+    );
+    for (const start of decision.starts) {
+      this.book.place(start, this.epoch, now);
+    }
+    for (const {unit, for: claimant} of decision.stops) {
+      this.book.stop(unit, `urgent job ${claimant} needs its room`);
+    }
+  }
+
+  private findUnit(task: string): UnitRun | undefined {
+    const name = parseTaskName(task);
+    const job = name && this.jobs.get(name.jobId);
+    return job?.units.find(
+      unit =>
+        unit.occurrence === name!.occurrence &&
+        unit.stepIndex === name!.step &&
+        (unit.step.isGang || unit.unitIndex === name!.index),
+    );
+  }
+
+  /** Gathers the progress of changed jobs; what waits for it follows once it is written. */
+  private gather(maxLength: number): Batch | undefined {
+    const wallNow = this.parts.clock.wallTime();
+    const rooms = [...this.directory.all()].filter(
+      room => room.seenEnd > room.recordedEnd,
+    );
+    const ends = rooms.map(room => ({room, number: room.seenEnd}));
+    const records: KeyedRecord[] = [];
+    const jobs: JobRun[] = [];
+    let length = 0;
+    for (const job of this.changed) {
+      if (length > maxLength) {
+        break;
+      }
+      settleJob(job, wallNow);
+      const record = encodeProgress(job.id, job.progress);
+      records.push(record);
+      jobs.push(job);
+      length += record.value.length;
+      this.changed.delete(job);
+    }
+    const isWhole = this.changed.size === 0;
+    const onWritten = () => {
+      if (isWhole) {
+        ends.forEach(({room, number}) => (room.recordedEnd = number));
+      }
+      jobs.forEach(job => this.onRecorded(job));
+    };
+    if (records.length === 0) {
+      onWritten();
+      return undefined;
+    }
+    const starting = jobs.flatMap(job =>
+      job.units.filter(({phase}) => phase === 'recording'),
+    );
+    const runs = starting.map(unit => unit.progress.run);
+    return {
+      records,
+      onWritten: () => {
+        onWritten();
+        starting.forEach((unit, index) => {
+          const isSame = unit.progress.run === runs[index];
+          if (unit.phase === 'recording' && isSame && !this.isOver) {
+            this.orders.startUnit(unit);
+          }
+        });
+      },
+    };
+  }
+
+  private onRecorded(job: JobRun): void {
+    const {outcome} = job.progress;
+    if (outcome === 'active' || this.changed.has(job)) {
+      return;
+    }
+    this.jobs.delete(job.id);
+    this.parts.logger.info('job-ended', {
+      job: job.id,
+      queue: job.job.queue,
+      outcome,
+      afterMs: Math.round(this.parts.clock.now() - job.acceptedAt),
+    });
+  }
+
+  /** Drops jobs from the log that ended long ago. */
+  private forget(now: Instant): void {
+    if (now - this.forgottenAt < FORGET_INTERVAL) {
+      return;
+    }
+    this.forgottenAt = now;
+    const limit =
+      this.parts.clock.wallTime() - 2 * this.parts.settings.keepEnded;
+    const old = [...this.parts.table.all()].filter(
+      ({progress}) =>
+        progress?.endedAt !== undefined && progress.endedAt < limit,
+    );
+    const records = old
+      .slice(0, MAX_FORGOTTEN)
+      .flatMap(({id}) => encodeForgotten(id));
+    if (records.length > 0) {
+      this.writer.add(records);
+    }
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/estimates.ts
@@ -0,0 +1,32 @@
+/** Corrects callers' estimates by what tasks of the same queue really took. */
+import type {Milliseconds} from '@galenavalve/shared';
+
+/** Weight of the newest observation. */
+const NEWEST_WEIGHT = 0.15;
+
+/** Ratios beyond these are taken as misreadings. */
+const LEAST_RATIO = 0.1;
+const MOST_RATIO = 10;
+
+/** Ratios of real to estimated durations, by queue. */
+export class Estimates {
+  private readonly ratios = new Map<string, number>();
+
+  /** Notes that a task of `queue` took `actual`. */
+  note(queue: string, estimate: Milliseconds, actual: Milliseconds): void {
+    if (estimate <= 0) {
+      return;
+    }
+    const raw = actual / estimate;
+    const ratio = Math.min(MOST_RATIO, Math.max(LEAST_RATIO, raw));
+    const known = this.ratios.get(queue);
+    const next =
+      known === undefined ? ratio : known + (ratio - known) * NEWEST_WEIGHT;
+    this.ratios.set(queue, next);
+  }
+
+  /** Expected duration of a task. */
+  expect(queue: string, estimate: Milliseconds): Milliseconds {
+    return estimate * (this.ratios.get(queue) ?? 1);
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/listings.ts
@@ -0,0 +1,122 @@
+/** Takes a target's listing into the books: ends, progress, strays, and runs that are gone. */
+import type {Instant} from '@galenavalve/shared';
+import type {Demand} from '@galenavalve/workload';
+import type {RunBook} from './run_book.js';
+import type {Booking, UnitRun} from './runs.js';
+import type {ListedRun, TargetListing} from './target_port.js';
+import type {TargetRoom} from './target_room.js';
+
+/** Most ends that one listing carries; runs may be missing from a longer one. */
+const MAX_LISTED_ENDS = 500;
+
+/** Finds the unit that a task belongs to. */
+export type FindUnit = (task: string) => UnitRun | undefined;
+
+/** Takes a listing of `room` made under `epoch`. */
+export function takeListing(
+  room: TargetRoom,
+  listing: TargetListing,
+  context: {
+    book: RunBook;
+    findUnit: FindUnit;
+    epoch: number;
+    onStray: (booking: Booking) => void;
+  },
+  now: Instant,
+): void {
+  room.onAnswer(listing.clock, now);
+  if (listing.clock < room.listedClock) {
+    return;
+  }
+  room.listedClock = listing.clock;
+  room.hasAnswered = true;
+  for (const end of [...listing.ended].sort((a, b) => a.number - b.number)) {
+    if (end.number > room.seenEnd) {
+      room.seenEnd = end.number;
+      context.book.onEnd(room, end, context.findUnit(end.task), now);
+    }
+  }
+  const listed = new Set<Booking>();
+  for (const run of listing.running) {
+    const booking = room.find(run.task, run.run);
+    if (booking) {
+      listed.add(booking);
+      takeProgress(booking, run, listing.clock, context.book, now);
+    } else {
+      const stray = bookStray(room, run, context.findUnit(run.task), now);
+      listed.add(stray);
+      context.onStray(stray);
+    }
+  }
+  if (listing.ended.length < MAX_LISTED_ENDS) {
+    dropAbsent(room, listed, listing.clock, context);
+  }
+}
+
+function takeProgress(
+  booking: Booking,
+  run: ListedRun,
+  clock: number,
+  book: RunBook,
+  now: Instant,
+): void {
+  book.onStarted(booking, clock, now);
+  if (run.percent > booking.percent) {
+    if (booking.percent === 0) {
+      booking.firstPercent = run.percent;
+      booking.firstPercentAt = now;
+    }
+    booking.percent = run.percent;
+    booking.percentAt = now;
+  }
+  const {unit} = booking;
+  if (unit && run.checkpoint !== '' && unit.progress.run === run.run) {
+    unit.progress.checkpoint = run.checkpoint;
+  }
+}
+
+function dropAbsent(
+  room: TargetRoom,
+  listed: ReadonlySet<Booking>,
+  clock: number,
+  context: {book: RunBook; epoch: number},
+): void {
+  for (const booking of [...room.bookings.values()]) {
+    if (listed.has(booking) || booking.state === 'planned') {
+      continue;
+    }
+    const isSettled =
+      booking.settledClock !== undefined && booking.settledClock < clock;
+    // The first listing under a new epoch fences all orders of older ones.
+    const isFencedOff = booking.epoch < context.epoch;
+    if (isSettled || isFencedOff) {
+      context.book.onGone(booking, 'its target does not list it');
+    }
+  }
+}
+
+/** A run that nobody expected still takes room until it is gone. */
+function bookStray(
+  room: TargetRoom,
+  {task, run}: ListedRun,
+  unit: UnitRun | undefined,
+  now: Instant,
+): Booking {
+  const none: Demand = {cpu: 0, memoryMb: 0, accelerators: 0};
+  const booking: Booking = {
+    task,
+    run,
+    demand: unit?.step.demand ?? none,
+    room,
+    memberIndex: 0,
+    state: 'confirmed',
+    epoch: 0,
+    percent: 0,
+    percentAt: now,
+    firstPercent: 0,
+    firstPercentAt: now,
+    isBeingStopped: false,
+  };
+  room.book(booking);
+  return booking;
+}
--- /dev/null
+++ b/packages/dispatch/src/office.ts
@@ -0,0 +1,73 @@
+/** Who dispatches: one instance at a time, by an epoch in the job log. */
+import type {Instant, Milliseconds, Random} from '@galenavalve/shared';
+import type {Leadership} from '@galenavalve/workload';
+
+/** Epochs of one claim differ in this many low values, so that rivals do not pick the same. */
+const EPOCH_SPREAD = 4096;
+
+/** The holder writes at least this often. */
+export const OFFICE_BEAT: Milliseconds = 400;
+
+/** A holder that wrote nothing for this long has lost the office: three beats and a slow append. */
+export const OFFICE_SILENCE: Milliseconds = 1500;
+
+/** Rivals wait a random part of this, so that they rarely claim together. */
+const CLAIM_SPREAD: Milliseconds = 250;
+
+/** A log that was silent itself says nothing of the holder. */
+const LOG_FRESHNESS: Milliseconds = 900;
+
+/** Watches the office from the records of the log. */
+export class OfficeWatch {
+  private lastSign: Instant;
+  private lastRead: Instant = -Infinity;
+  private patience: Milliseconds;
+
+  constructor(
+    now: Instant,
+    private readonly random: Random,
+  ) {
+    this.lastSign = now;
+    this.patience = this.drawPatience(OFFICE_SILENCE);
+  }
+
+  /** Any record of the holder proves that it holds the office. */
+  onHolderRecord(leadership: Leadership | undefined, now: Instant): void {
+    this.lastSign = now;
+    const silence = leadership?.hasResigned ? 0 : OFFICE_SILENCE;
+    this.patience = this.drawPatience(silence);
+  }
+
+  /** The log answered. While it did not, the holder could not write either. */
+  onLogAnswer(now: Instant): void {
+    if (now - this.lastRead > LOG_FRESHNESS + OFFICE_SILENCE) {
+      this.lastSign = Math.max(this.lastSign, now - OFFICE_SILENCE / 2);
+    }
+    this.lastRead = now;
+  }
+
+  /** Whether the office is to be claimed now. */
+  isVacant(now: Instant): boolean {
+    const isLogFresh = now - this.lastRead <= LOG_FRESHNESS;
+    return isLogFresh && now - this.lastSign >= this.patience;
+  }
+
+  /** Waits before the next claim after one that failed. */
+  onClaimFailed(now: Instant): void {
+    this.lastSign = now;
+    this.patience = this.drawPatience(OFFICE_SILENCE / 2);
+  }
+
+  private drawPatience(base: Milliseconds): Milliseconds {
+    return base + this.random.next() * CLAIM_SPREAD;
+  }
+}
+
+/** An epoch above `leadership`'s that a rival is unlikely to pick as well. */
+export function nextEpoch(
+  leadership: Leadership | undefined,
+  random: Random,
+): number {
+  const term = Math.floor((leadership?.epoch ?? 0) / EPOCH_SPREAD) + 1;
+  return term * EPOCH_SPREAD + Math.floor(random.next() * EPOCH_SPREAD);
+}
--- /dev/null
+++ b/packages/dispatch/src/policy/reclaim.ts
@@ -0,0 +1,139 @@
+/** Chooses whom to stop so that urgent work finds room, with the least work thrown away. */
+import type {Demand} from '@galenavalve/workload';
+import type {Booking, UnitRun} from '../runs.js';
+import {
+  type Seeker,
+  type Space,
+  allowedMembers,
+  countFits,
+  give,
+  groupByRack,
+} from './space.js';
+
+/** What stopping a unit would throw away; Infinity for one that may not be stopped. */
+export type StopCost = (unit: UnitRun) => number;
+
+/** Units to stop, and where the room will be. */
+export interface Reclaim {
+  victims: UnitRun[];
+  spaces: Space[];
+  cost: number;
+}
+
+/** The cheapest way to make room for `seeker`; undefined when there is none. */
+export function planReclaim(
+  seeker: Seeker,
+  spaces: readonly Space[],
+  costOf: StopCost,
+): Reclaim | undefined {
+  const groups = seeker.isRackSensitive
+    ? [...groupByRack(spaces).values()]
+    : [[...spaces]];
+  let best: Reclaim | undefined;
+  for (const group of groups) {
+    const plan = planGroup(seeker, group, costOf);
+    if (plan && (!best || plan.cost < best.cost)) {
+      best = plan;
+    }
+  }
+  return best;
+}
+
+function planGroup(
+  seeker: Seeker,
+  group: readonly Space[],
+  costOf: StopCost,
+): Reclaim | undefined {
+  const usable = group.filter(space => allowedMembers(seeker, space) > 0);
+  const free = new Map<Space, Demand>();
+  const candidates = new Set<UnitRun>();
+  for (const space of usable) {
+    // Room of runs that are being stopped comes by itself.
+    let room = space.free;
+    for (const booking of space.room.bookings.values()) {
+      const {unit} = booking;
+      if (isLeaving(booking)) {
+        room = give(room, booking);
+      } else if (unit && Number.isFinite(costOf(unit))) {
+        candidates.add(unit);
+      }
+    }
+    free.set(space, room);
+  }
+  const victims: UnitRun[] = [];
+  let cost = 0;
+  while (countAll(seeker, free) < seeker.count) {
+    const next = chooseVictim(seeker, free, candidates, costOf);
+    if (!next) {
+      return undefined;
+    }
+    candidates.delete(next);
+    victims.push(next);
+    cost += costOf(next);
+    for (const [space, room] of freedBy(next, free)) {
+      free.set(space, room);
+    }
+  }
+  const spaces = [...free]
+    .filter(([space, room]) => fitsOf(seeker, space, room) > 0)
+    .map(([space]) => space);
+  return {victims, spaces, cost};
+}
+
+/** The unit that gives most members a place for its cost. */
+function chooseVictim(
+  seeker: Seeker,
+  free: ReadonlyMap<Space, Demand>,
+  candidates: ReadonlySet<UnitRun>,
+  costOf: StopCost,
+): UnitRun | undefined {
+  const before = countAll(seeker, free);
+  let best: UnitRun | undefined;
+  let bestRate = Infinity;
+  for (const unit of candidates) {
+    let gain = 0;
+    for (const [space, room] of freedBy(unit, free)) {
+      gain += fitsOf(seeker, space, room);
+      gain -= fitsOf(seeker, space, free.get(space)!);
+    }
+    gain = Math.min(gain, seeker.count - before);
+    // Several small runs may have to go before one member fits.
+    const rate = (costOf(unit) + 1e-6) / Math.max(gain, 0.1);
+    if (rate < bestRate) {
+      best = unit;
+      bestRate = rate;
+    }
+  }
+  return best;
+}
+
+function freedBy(
+  unit: UnitRun,
+  free: ReadonlyMap<Space, Demand>,
+): Map<Space, Demand> {
+  const after = new Map<Space, Demand>();
+  for (const booking of unit.bookings) {
+    for (const space of free.keys()) {
+      if (space.room === booking.room) {
+        after.set(space, give(after.get(space) ?? free.get(space)!, booking));
+      }
+    }
+  }
+  return after;
+}
+
+function isLeaving(booking: Booking): boolean {
+  return booking.isBeingStopped || booking.unit?.phase === 'stopping';
+}
+
+function countAll(seeker: Seeker, free: ReadonlyMap<Space, Demand>): number {
+  let total = 0;
+  for (const [space, room] of free) {
+    total += fitsOf(seeker, space, room);
+  }
+  return total;
+}
+
+function fitsOf(seeker: Seeker, space: Space, room: Demand): number {
+  return countFits(room, seeker.demand, allowedMembers(seeker, space));
+}
--- /dev/null
+++ b/packages/dispatch/src/record_writer.ts
@@ -0,0 +1,158 @@
+/** Writes the progress of jobs under one epoch: one append at a time, in order, each until it is known. */
+import {
+  type Clock,
+  type Instant,
+  type Logger,
+  type Random,
+  jitteredBackoff,
+} from '@galenavalve/shared';
+import {
+  type KeyedRecord,
+  type Leadership,
+  encodeLeadership,
+} from '@galenavalve/workload';
+import type {OfficeLog} from './job_log.js';
+import {OFFICE_BEAT} from './office.js';
+
+/** Longest wait for the answer to an append; some hundred times the usual answer. */
+const APPEND_TIMEOUT = 1500;
+
+/** Backoff between tries of an append, in milliseconds. */
+const RETRY_BASE = 50;
+const RETRY_CAP = 500;
+
+/** Records of one append, in characters; the platform limits a call to 2 MiB. */
+const MAX_BATCH_LENGTH = 1_000_000;
+
+/** What is to be written, and what follows once it is. */
+export interface Batch {
+  records: KeyedRecord[];
+  onWritten: () => void;
+}
+
+/** Gathers what is to be written now; undefined when there is nothing. */
+export type GatherBatch = (maxLength: number) => Batch | undefined;
+
+/** The writer of one term of office. */
+export class RecordWriter {
+  /** Send time of the last append that was confirmed. */
+  confirmedAt: Instant;
+  /** The same by the wall clock, which goes on while an instance is suspended. */
+  confirmedWallAt: number;
+  private sequence = 1;
+  private isWriting = false;
+  private extra: KeyedRecord[] = [];
+  private isOver = false;
+
+  constructor(
+    private readonly log: OfficeLog,
+    private readonly leadership: Leadership,
+    private readonly gather: GatherBatch,
+    private readonly onFenced: () => void,
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly logger: Logger,
+  ) {
+    this.confirmedAt = clock.now();
+    this.confirmedWallAt = clock.wallTime();
+  }
+
+  /** Writes these records with the next append. */
+  add(records: readonly KeyedRecord[]): void {
+    this.extra.push(...records);
+  }
+
+  /** Writes what is waiting, unless a write is under way: it then goes next. */
+  poke(): void {
+    if (!this.isWriting && !this.isOver) {
+      void this.writeAll();
+    }
+  }
+
+  /** Writes a sign of life when nothing else was written for a while. */
+  beat(now: Instant): void {
+    if (!this.isWriting && now - this.confirmedAt >= OFFICE_BEAT) {
+      void this.writeAll(true);
+    }
+  }
+
+  /** Writes nothing more. */
+  close(): void {
+    this.isOver = true;
+  }
+
+  /** Waits until no write is under way, then writes that the office is free. */
+  async resign(): Promise<void> {
+    this.isOver = true;
+    while (this.isWriting) {
+      await this.clock.sleep(10);
+    }
+    const record = encodeLeadership({...this.leadership, hasResigned: true});
+    await this.log.append(
+      [record],
+      this.leadership.epoch,
+      this.sequence++,
+      APPEND_TIMEOUT,
+    );
+  }
+
+  private async writeAll(withBeat = false): Promise<void> {
+    this.isWriting = true;
+    try {
+      let needsBeat = withBeat;
+      while (!this.isOver) {
+        const batch = this.gather(MAX_BATCH_LENGTH);
+        if (!batch && !needsBeat && this.extra.length === 0) {
+          return;
+        }
+        needsBeat = false;
+        const records = [...(batch?.records ?? []), ...this.extra];
+        this.extra = [];
+        const beat = encodeLeadership(this.leadership);
+        const isWritten = await this.write(records.length ? records : [beat]);
+        if (!isWritten) {
+          return;
+        }
+        batch?.onWritten();
+      }
+    } finally {
+      this.isWriting = false;
+    }
+  }
+
+  /** Sends one append until it is known to be in the log; false when the office is lost. */
+  private async write(records: readonly KeyedRecord[]): Promise<boolean> {
+    const sequence = this.sequence++;
+    for (let attempt = 0; !this.isOver; attempt++) {
+      const sentAt = this.clock.now();
+      const sentWallAt = this.clock.wallTime();
+      const result = await this.log.append(
+        records,
+        this.leadership.epoch,
+        sequence,
+        APPEND_TIMEOUT,
+      );
+      if (result.kind === 'appended') {
+        this.confirmedAt = sentAt;
+        this.confirmedWallAt = sentWallAt;
+        return !this.isOver;
+      }
+      if (result.kind === 'fenced') {
+        this.isOver = true;
+        this.onFenced();
+        return false;
+      }
+      this.logger.warn('record-delayed', {
+        epoch: this.leadership.epoch,
+        sequence,
+        attempt,
+        problem: result.problem,
+      });
+      await this.clock.sleep(
+        RETRY_BASE +
+          jitteredBackoff(attempt, RETRY_BASE, RETRY_CAP, this.random),
+      );
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/runs.ts
@@ -0,0 +1,109 @@
+/** Runs as the dispatcher sees them: units of jobs, and their bookings on targets. */
+import type {Instant} from '@galenavalve/shared';
+import type {
+  AcceptedJob,
+  Demand,
+  Progress,
+  Step,
+  UnitProgress,
+} from '@galenavalve/workload';
+import type {TargetRoom} from './target_room.js';
+
+/** A job that has not ended. */
+export interface JobRun {
+  id: string;
+  job: AcceptedJob;
+  /** When this dispatcher first knew it, less its age at that time. */
+  acceptedAt: Instant;
+  progress: Progress;
+  isCancelled: boolean;
+  /** A task ran out of attempts. */
+  hasFailed: boolean;
+  units: UnitRun[];
+}
+
+/** Where a unit stands. */
+export type UnitPhase =
+  /** No run of it may be alive. */
+  | 'waiting'
+  /** Its placement is being recorded. */
+  | 'recording'
+  /** Start orders are under way. */
+  | 'starting'
+  | 'running'
+  /** It is stopped; its room is not free yet. */
+  | 'stopping';
+
+/** The unit of a step that runs as one. */
+export interface UnitRun {
+  job: JobRun;
+  occurrence: number;
+  stepIndex: number;
+  unitIndex: number;
+  step: Step;
+  progress: UnitProgress;
+  phase: UnitPhase;
+  /** Bookings whose room is not known to be free. */
+  bookings: Booking[];
+  /** When the present run was placed. */
+  placedAt: Instant;
+  /** When all members were seen started. */
+  runningSince: Instant;
+  /** Not placed again before this time. */
+  retryAt: Instant;
+  /** Targets on which runs of this unit failed or stood still. */
+  avoid: Set<string>;
+  /** The run whose failure was counted. */
+  failedRun: number;
+  /** Far from its data or across racks: it takes longer by the rack factor. */
+  isFar: boolean;
+  /** Checkpoint that every member of the present run starts from. */
+  resumeFrom: string;
+  /** Reason of the stop under way. */
+  stopReason?: string;
+}
+
+/** What is known of one member's run at its target. */
+export type BookingState = 'planned' | 'ordered' | 'confirmed' | 'stopping';
+
+/** Room that one member's run takes at a target. */
+export interface Booking {
+  task: string;
+  run: number;
+  demand: Demand;
+  room: TargetRoom;
+  /** Absent for a run that nobody expected there. */
+  unit?: UnitRun;
+  memberIndex: number;
+  state: BookingState;
+  /** Epoch under which it was ordered; an older epoch's orders are refused by now. */
+  epoch: number;
+  /** Target clock after which a listing without the run proves that it is gone. */
+  settledClock?: number;
+  percent: number;
+  /** When `percent` last rose. */
+  percentAt: Instant;
+  /** Percent and time at the first sign of life, for its pace. */
+  firstPercent: number;
+  firstPercentAt: Instant;
+  isBeingStopped: boolean;
+}
+
+/** Number of tasks that a unit starts at once. */
+export function memberCount(unit: UnitRun): number {
+  return unit.step.isGang ? unit.step.count : 1;
+}
+
+/** Room that each member counts against its target. */
+export function countedDemand(step: Step): Demand {
+  return step.usesIdleCpu ? {...step.demand, cpu: 0} : step.demand;
+}
+
+/** Whether a unit can be considered for a start. */
+export function isUnitWaiting(unit: UnitRun): boolean {
+  return (
+    unit.phase === 'waiting' &&
+    !unit.progress.isDone &&
+    unit.bookings.length === 0
+  );
+}
--- /dev/null
+++ b/packages/dispatch/src/target_sessions.ts
@@ -0,0 +1,119 @@
+/** Keeps a listing of every target under way, renews its lease and acknowledges ends. */
+import type {Clock, Logger} from '@galenavalve/shared';
+import {leaseUntil} from './orders.js';
+import {HOLD_WAIT, type DispatchSettings} from './settings.js';
+import type {HoldOutcome, TargetListing, TargetPort} from './target_port.js';
+import type {TargetRoom} from './target_room.js';
+
+/** Longest wait for an answer beyond the wait that was asked for, in milliseconds; a calm target takes a few. */
+const ANSWER_TIME = 500;
+
+/** Pause after a listing that did not come, in milliseconds. */
+const FAILED_PAUSE = 150;
+
+/** Longest wait for the log before ends are asked for again, in milliseconds. */
+const RECORD_WAIT = 60;
+
+/** What sessions need of the dispatcher. */
+export interface SessionDesk {
+  readonly epoch: number;
+  readonly isOver: boolean;
+  /** Whether leases may be extended: the office is surely still held. */
+  mayExtend(): boolean;
+  onListing(room: TargetRoom, listing: TargetListing): void;
+  onOtherLife(room: TargetRoom, born: number): void;
+  onFenced(): void;
+}
+
+/** Sessions with all targets of one term of office. */
+export class TargetSessions {
+  constructor(
+    private readonly desk: SessionDesk,
+    private readonly port: TargetPort,
+    private readonly settings: DispatchSettings,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Keeps listings coming until the room is over. */
+  async keep(room: TargetRoom): Promise<void> {
+    let failures = 0;
+    while (!this.isOver(room)) {
+      const wait = room.hasAnswered ? HOLD_WAIT : 0;
+      const outcome = await this.hold(room, wait);
+      if (this.isOver(room)) {
+        return;
+      }
+      if (outcome.kind === 'listed') {
+        if (failures > 0) {
+          this.logger.info('target-reached', {target: room.info.id, failures});
+        }
+        failures = 0;
+        await this.awaitRecord(room);
+        continue;
+      }
+      if (failures === 0) {
+        this.logger.warn('target-unreachable', {target: room.info.id, outcome});
+      }
+      failures++;
+      await this.clock.sleep(FAILED_PAUSE);
+    }
+  }
+
+  /** Asks for one listing at once. */
+  async look(room: TargetRoom): Promise<void> {
+    if (!this.isOver(room)) {
+      await this.hold(room, 0);
+    }
+  }
+
+  private async hold(room: TargetRoom, wait: number): Promise<HoldOutcome> {
+    const now = this.clock.now();
+    const until = this.desk.mayExtend()
+      ? leaseUntil(room, this.settings, now)
+      : undefined;
+    if (until !== undefined) {
+      room.onLeaseSent(until);
+    }
+    const outcome = await this.port.hold(
+      room.info,
+      {
+        epoch: this.desk.epoch,
+        leaseUntil: until,
+        acknowledgedEnd: room.recordedEnd,
+        wait,
+      },
+      wait + ANSWER_TIME,
+    );
+    this.take(room, outcome);
+    return outcome;
+  }
+
+  private take(room: TargetRoom, outcome: HoldOutcome): void {
+    if (this.isOver(room)) {
+      return;
+    }
+    if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
+      this.desk.onFenced();
+    } else if (outcome.kind === 'listed') {
+      const {born} = outcome.listing;
+      if (born !== 0 && room.info.born !== 0 && born !== room.info.born) {
+        this.desk.onOtherLife(room, born);
+      } else {
+        this.desk.onListing(room, outcome.listing);
+      }
+    }
+  }
+
+  /** Ends are listed until they are acknowledged; asking again before would only repeat them. */
+  private async awaitRecord(room: TargetRoom): Promise<void> {
+    const until = this.clock.now() + RECORD_WAIT;
+    while (room.recordedEnd < room.seenEnd && this.clock.now() < until) {
+      await this.clock.sleep(5);
+    }
+  }
+
+  private isOver(room: TargetRoom): boolean {
+    return this.desk.isOver || room.isOver;
+  }
+}
--- /dev/null
+++ b/packages/workload/src/follower.ts
@@ -0,0 +1,170 @@
+/** Follows a keyed log: the newest records first, then each new one. */
+import {
+  type Clock,
+  type Instant,
+  type Logger,
+  type Milliseconds,
+  type Random,
+  describeError,
+  jitteredBackoff,
+} from '@galenavalve/shared';
+import type {KeyedLog} from './keyed_log.js';
+import type {StoredRecord} from './keyed_record.js';
+
+/** Backoff after a failed read, in milliseconds: soon enough to be back within a second of the log. */
+const RETRY_BASE = 60;
+const RETRY_CAP = 500;
+
+/** Takes what a follower reads. */
+export interface FollowerSink {
+  onRecord(record: StoredRecord): void;
+  /** The newest records were read again; keys that are not among `keys` were dropped meanwhile. */
+  onReload?(keys: ReadonlySet<string>): void;
+  /** The log answered; all records up to the end of the answer were taken. */
+  onAnswer?(now: Instant): void;
+}
+
+/** Reads one keyed log for as long as it is not closed. */
+export class Follower {
+  /** Records before this offset were taken. */
+  next = 0;
+  /** Whether the whole log was read once. */
+  isCaughtUp = false;
+  lastAnswerAt: Instant = -Infinity;
+  private isClosed = false;
+  private waiters: Array<{offset: number; resolve: () => void}> = [];
+
+  constructor(
+    private readonly name: string,
+    private readonly log: KeyedLog,
+    private readonly sink: FollowerSink,
+    private readonly wait: Milliseconds,
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Follows until closed. */
+  async run(): Promise<void> {
+    let needsReload = true;
+    let failures = 0;
+    while (!this.isClosed) {
+      try {
+        if (needsReload) {
+          await this.reload();
+        }
+        needsReload = !(await this.readTail());
+        this.onAnswer(failures);
+        failures = 0;
+      } catch (error) {
+        if (failures === 0) {
+          this.logger.warn('log-unreachable', {
+            log: this.name,
+            next: this.next,
+            problem: describeError(error),
+          });
+        }
+        const pause = jitteredBackoff(
+          failures,
+          RETRY_BASE,
+          RETRY_CAP,
+          this.random,
+        );
+        failures++;
+        await this.clock.sleep(RETRY_BASE + pause);
+      }
+    }
+  }
+
+  /** Reads nothing more. */
+  close(): void {
+    this.isClosed = true;
+  }
+
+  /** Resolves when the record at `offset` was taken, or after `timeout`. Returns whether it was. */
+  async reach(offset: number, timeout: Milliseconds): Promise<boolean> {
+    if (this.next <= offset) {
+      const stop = new AbortController();
+      const reached = new Promise<void>(resolve => {
+        this.waiters.push({offset, resolve});
+      });
+      await Promise.race([reached, this.clock.sleep(timeout, stop.signal)]);
+      stop.abort();
+    }
+    return this.next > offset;
+  }
+
+  /** Reads what was written before this call; stops waiting after `timeout`. */
+  async refresh(timeout: Milliseconds): Promise<void> {
+    const read = async () => {
+      const page = await this.log.tail(this.next, 0);
+      if (page.kind === 'records' && page.end > this.next) {
+        await this.reach(page.end - 1, timeout);
+      }
+      this.lastAnswerAt = this.clock.now();
+    };
+    const stop = new AbortController();
+    const reading = read().catch(error => {
+      this.logger.warn('log-unreachable', {
+        log: this.name,
+        next: this.next,
+        problem: describeError(error),
+      });
+    });
+    await Promise.race([reading, this.clock.sleep(timeout, stop.signal)]);
+    stop.abort();
+  }
+
+  private async reload(): Promise<void> {
+    const keys = new Set<string>();
+    const records: StoredRecord[] = [];
+    let next: number | undefined;
+    let after: string | undefined;
+    do {
+      const page = await this.log.newest(after);
+      // Later pages may miss what was written after the first.
+      next ??= page.end;
+      records.push(...page.records);
+      after = page.after;
+    } while (after !== undefined);
+    records.sort((a, b) => a.offset - b.offset);
+    for (const record of records) {
+      keys.add(record.key);
+      this.sink.onRecord(record);
+    }
+    this.sink.onReload?.(keys);
+    this.next = next;
+    this.logger.info('log-loaded', {log: this.name, records: keys.size, next});
+  }
+
+  /** Returns false when the records that come next have expired. */
+  private async readTail(): Promise<boolean> {
+    const wait = this.isCaughtUp ? this.wait : 0;
+    const page = await this.log.tail(this.next, wait);
+    if (this.isClosed) {
+      return true;
+    }
+    if (page.kind === 'expired') {
+      this.logger.warn('log-expired', {log: this.name, next: this.next});
+      return false;
+    }
+    for (const record of page.records) {
+      this.sink.onRecord(record);
+    }
+    this.next = page.next;
+    this.isCaughtUp ||= this.next >= page.end;
+    return true;
+  }
+
+  private onAnswer(failures: number): void {
+    const now = this.clock.now();
+    this.lastAnswerAt = now;
+    if (failures > 0) {
+      this.logger.info('log-reached', {log: this.name, failures});
+    }
+    this.sink.onAnswer?.(now);
+    const reached = this.waiters.filter(({offset}) => this.next > offset);
+    this.waiters = this.waiters.filter(({offset}) => this.next <= offset);
+    reached.forEach(({resolve}) => resolve());
+  }
+}
--- /dev/null
+++ b/packages/workload/src/progress.ts
@@ -0,0 +1,93 @@
+/**
+ * How far a job is. A step is made of units that run as one: a gang is one
+ * unit, a step of single tasks has one unit a task.
+ */
+import {z} from 'zod';
+import type {JobSpec, Step} from './job_spec.js';
+
+/** What became of a job. */
+export const outcomeSchema = z.enum([
+  'active',
+  'complete',
+  'failed',
+  'cancelled',
+]);
+
+/** The durable part of a unit. */
+export const unitProgressSchema = z.object({
+  /** Number of the last run that was recorded before it was started; 0 before the first. */
+  run: z.number().int().nonnegative(),
+  /** Runs that ended as failed. */
+  failed: z.number().int().nonnegative(),
+  isDone: z.boolean(),
+  /** Newest checkpoint; empty when there is none. */
+  checkpoint: z.string(),
+  /** Target life of each member while the run may be alive. */
+  placedOn: z.array(z.string()).optional(),
+});
+
+/** Progress of one occurrence: units by step. */
+export const occurrenceSchema = z.object({
+  index: z.number().int().nonnegative(),
+  steps: z.array(z.array(unitProgressSchema)),
+});
+
+/** The record of a job's progress. */
+export const progressSchema = z.object({
+  outcome: outcomeSchema,
+  /** Whether a task was ever started. */
+  hasBegun: z.boolean(),
+  /** Occurrences that have all ended; they are no longer listed. */
+  doneOccurrences: z.number().int().nonnegative(),
+  occurrences: z.array(occurrenceSchema),
+  /** Wall-clock time of the end, in Unix milliseconds. */
+  endedAt: z.number().optional(),
+});
+
+export type Outcome = z.infer<typeof outcomeSchema>;
+export type UnitProgress = z.infer<typeof unitProgressSchema>;
+export type Occurrence = z.infer<typeof occurrenceSchema>;
+export type Progress = z.infer<typeof progressSchema>;
+
+/** Progress of a job that was just accepted. */
+export function createProgress(spec: JobSpec): Progress {
+  const isScheduled = spec.schedule !== undefined;
+  return {
+    outcome: 'active',
+    hasBegun: false,
+    doneOccurrences: 0,
+    occurrences: isScheduled ? [] : [createOccurrence(spec, 0)],
+  };
+}
+
+/** Progress of an occurrence that has not begun. */
+export function createOccurrence(spec: JobSpec, index: number): Occurrence {
+  return {index, steps: spec.steps.map(createUnits)};
+}
+
+/** Whether every unit of a step is done. */
+export function isStepDone(units: readonly UnitProgress[]): boolean {
+  return units.every(unit => unit.isDone);
+}
+
+/** Whether the steps that `step` depends on are done. */
+export function isStepReady(step: Step, occurrence: Occurrence): boolean {
+  return step.dependsOn.every(other =>
+    isStepDone(occurrence.steps[other] ?? []),
+  );
+}
+
+/** How many times the steps of a job run. */
+export function countOccurrences(spec: JobSpec): number {
+  return spec.schedule?.times ?? 1;
+}
+
+function createUnits(step: Step): UnitProgress[] {
+  const count = step.isGang ? 1 : step.count;
+  return Array.from({length: count}, () => ({
+    run: 0,
+    failed: 0,
+    isDone: false,
+    checkpoint: '',
+  }));
+}
