Send no order to a target that the registry does not list

Cause: after a takeover, runs of targets that had left the registry kept a room without an address; the order to it threw and ended the process, again and again. Ruled out: the store (it answered), memory. Change: such orders are unanswered.

--- a/packages/dispatch/src/orders.ts
+++ b/packages/dispatch/src/orders.ts
@@ -155,6 +155,9 @@
     room: TargetRoom,
     call: (timeout: Milliseconds) => Promise<OrderOutcome>,
   ): Promise<OrderOutcome> {
+    if (room.info.address === '') {
+      return {kind: 'unknown', problem: 'the registry does not list its target'};
+    }
     const outcome = await call(ORDER_TIMEOUT);
     if ('clock' in outcome) {
       room.onAnswer(outcome.clock, this.clock.now());
