Keep the room that is made for urgent work, and wait for runs that end in time

Cause: room that was freed for one urgent unit was taken by another, and the next pass stopped more; victims near their end were stopped; victims started again far from their rack for three times the time. Ruled out: lack of room (processors and accelerators were below 0.9 in use). Change: a unit claims the targets that are cleared for it; runs that are expected to end within half of the unit's slack count as free; the cost of a stop counts the victim's lateness; only units that fit nowhere near go far; slow targets are learnt from single tasks and left to patient work.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -344,6 +344,9 @@
     for (const start of decision.starts) {
       this.book.place(start, this.epoch, now);
     }
+    for (const {unit, rooms, until} of decision.claims) {
+      unit.claim = {rooms, until};
+    }
     for (const {unit, for: claimant} of decision.stops) {
       this.book.stop(unit, `urgent job ${claimant} needs its room`);
     }
--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -2,6 +2,7 @@
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import {isStepReady} from '@galenavalve/workload';
 import type {Estimates} from '../estimates.js';
+import {remainingTime} from '../pace.js';
 import {
   type Booking,
   type JobRun,
@@ -25,8 +26,26 @@
 /** Most waiting units that one pass looks at; bounds its time when thousands wait. */
 const MAX_CONSIDERED = 1500;
 
-/** What an urgent job beyond its guarantee may cost others, in core-seconds thrown away for each of its own. */
-const RECLAIM_COST_RATIO = 0.5;
+/** What an urgent job beyond its guarantee may cost others, in core-seconds for each of its own, if it ends on time by it. */
+const TIMELY_COST_RATIO = 4;
+
+/** The same if it is late anyway. */
+const LATE_COST_RATIO = 0.5;
+
+/** Accelerators of room that twice the time on a target weighs as much as, for urgent work. */
+const URGENT_SLOWNESS_WEIGHT = 40;
+
+/** The same for other work: it leaves the fast targets to urgent work. */
+const PATIENT_SLOWNESS_WEIGHT = -5;
+
+/** A claim on targets lasts this much longer than what it waits for, in milliseconds. */
+const CLAIM_MARGIN = 400;
+
+/** Share of its slack that an urgent job waits for others to end by themselves: their estimates are rough. */
+const WAIT_SHARE = 0.5;
+
+/** A guaranteed job waits for runs to end by themselves until this much before its bound, in milliseconds. */
+const RECLAIM_MARGIN = 1200;
 
 /** What a decision is made from. */
 export interface Situation {
@@ -53,6 +72,12 @@
   starts: Start[];
   /** Units to stop for urgent work. */
   stops: Array<{unit: UnitRun; for: string}>;
+  /** Targets kept for units until there is room. */
+  claims: Array<{
+    unit: UnitRun;
+    rooms: ReadonlySet<TargetRoom>;
+    until: Instant;
+  }>;
 }
 
 interface Waiting {
@@ -66,9 +91,14 @@
 }
 
 class Pass {
-  private readonly decision: Decision = {starts: [], stops: []};
+  private readonly decision: Decision = {
+    starts: [],
+    stops: [],
+    claims: [],
+  };
   private readonly spaces: Space[];
   private readonly withinGuarantee: ReadonlySet<JobRun>;
+  private readonly claims = new Map<TargetRoom, UnitRun>();
   /** Shapes that found no room in this pass: the same shape finds none either. */
   private readonly misfits = new Set<string>();
   private reservations = 0;
@@ -79,6 +109,11 @@
   ) {
     this.spaces = this.openSpaces();
     this.withinGuarantee = findGuaranteed(situation);
+    for (const unit of situation.jobs.flatMap(({units}) => units)) {
+      if (unit.claim && isUnitWaiting(unit) && unit.claim.until > now) {
+        unit.claim.rooms.forEach(room => this.claims.set(room, unit));
+      }
+    }
   }
 
   run(): Decision {
@@ -143,7 +178,7 @@
 
   private consider(unit: UnitRun, urgency: Urgency): void {
     const shape = shapeOf(unit);
-    if (this.misfits.has(shape)) {
+    if (this.misfits.has(shape) && !this.hasClaim(unit)) {
       return;
     }
     const seeker = this.seekerOf(unit);
@@ -155,7 +190,8 @@
     }
     this.misfits.add(shape);
     const isReclaimed =
-      urgency.tier === Tier.Urgent && this.reclaim(unit, seeker, spaces);
+      urgency.tier === Tier.Urgent &&
+      (this.hasClaim(unit) || this.reclaim(unit, urgency, seeker, spaces));
     if (!isReclaimed && this.reservations < MAX_RESERVATIONS) {
       const expectEnd = (booking: Booking) => this.expectEnd(booking);
       if (reserve(seeker, spaces, expectEnd, this.now)) {
@@ -176,14 +212,12 @@
     if (near || !mindsDistance) {
       return near;
     }
-    // Far away it takes longer; worth it only when waiting for a near place already costs more.
-    const far = duration * this.situation.settings.rackFactor;
-    const canWait = this.now + far - duration < urgency.latestStart;
-    const isForced = this.withinGuarantee.has(unit.job);
+    // Far away it takes longer: only for want of any near place, or to keep a guarantee.
     const waited = this.now - unit.job.acceptedAt;
+    const isForced = this.withinGuarantee.has(unit.job);
     const isOverdue = isForced && waited > this.reclaimPatience();
-    const neverFitsNear = !canEverFitNear(seeker, spaces);
-    if (isOverdue || neverFitsNear || (!isForced && !canWait && isLong(unit))) {
+    if (isOverdue || !canEverFitNear(seeker, spaces)) {
+      const far = duration * this.situation.settings.rackFactor;
       return findAnywhere(seeker, spaces, this.now + far);
     }
     return undefined;
@@ -192,7 +226,7 @@
   /** Time that a guaranteed job may wait for a near place before any place must do. */
   private reclaimPatience(): Milliseconds {
     const {reclaimTime, stopTime} = this.situation.settings;
-    return Math.max(0, (reclaimTime - stopTime) / 2);
+    return Math.max(0, reclaimTime - 2 * stopTime - RECLAIM_MARGIN / 2);
   }
 
   private start(unit: UnitRun, seeker: Seeker, placement: Placement): void {
@@ -202,42 +236,77 @@
     this.decision.starts.push({unit, placement});
   }
 
-  /** Stops others for an urgent unit and keeps their room for it. */
+  private hasClaim(unit: UnitRun): boolean {
+    return unit.claim !== undefined && unit.claim.until > this.now;
+  }
+
+  /** Stops others for an urgent unit, or waits for some that end soon, and claims their targets. */
   private reclaim(
     unit: UnitRun,
+    urgency: Urgency,
     seeker: Seeker,
     spaces: readonly Space[],
   ): boolean {
     const isForced = this.withinGuarantee.has(unit.job);
-    const stopping = new Set(this.decision.stops.map(({unit}) => unit));
-    const costOf = (victim: UnitRun) =>
-      stopping.has(victim)
-        ? Infinity
-        : stopCost(victim, unit.job, this.situation.settings, this.now);
-    let plan = planReclaim(seeker, spaces, costOf);
+    const startBy = this.startBy(unit, urgency, isForced);
+    const costOf = this.stopCosts(unit);
+    const endsInTime = (booking: Booking) => this.expectEnd(booking) <= startBy;
+    let plan = planReclaim(seeker, spaces, costOf, endsInTime);
     const waited = this.now - unit.job.acceptedAt;
-    if (!plan && isForced && waited > this.reclaimPatience()) {
-      plan = planReclaim({...seeker, isRackSensitive: false}, spaces, costOf);
+    if (!plan && isForced && waited > this.reclaimPatience() / 2) {
+      const anywhere = {...seeker, isRackSensitive: false};
+      plan = planReclaim(anywhere, spaces, costOf, endsInTime);
     }
-    if (!plan) {
-      return false;
-    }
-    const limit = isForced ? Infinity : RECLAIM_COST_RATIO * workOf(unit);
-    if (plan.cost > limit) {
+    const isTimely = this.now <= urgency.latestStart;
+    const ratio = isTimely ? TIMELY_COST_RATIO : LATE_COST_RATIO;
+    const limit = isForced ? Infinity : ratio * workOf(unit);
+    if (!plan || plan.cost > limit) {
       return false;
     }
     for (const victim of plan.victims) {
       this.decision.stops.push({unit: victim, for: unit.job.id});
     }
-    for (const space of plan.spaces) {
-      space.keptFrom = this.now;
-    }
+    const rooms = new Set(plan.spaces.map(({room}) => room));
+    rooms.forEach(room => this.claims.set(room, unit));
+    const {stopTime} = this.situation.settings;
+    const until = Math.max(startBy, this.now + stopTime) + CLAIM_MARGIN;
+    this.decision.claims.push({unit, rooms, until});
     return true;
   }
 
+  /** Until when the unit can wait for others to end by themselves. */
+  private startBy(unit: UnitRun, urgency: Urgency, isForced: boolean): Instant {
+    const {reclaimTime} = this.situation.settings;
+    const slack = Math.max(0, urgency.latestStart - this.now);
+    const wished = this.now + slack * WAIT_SHARE;
+    const bound = unit.job.acceptedAt + reclaimTime - RECLAIM_MARGIN;
+    return isForced ? Math.min(wished, bound) : wished;
+  }
+
+  private stopCosts(claimant: UnitRun): (victim: UnitRun) => number {
+    const {settings, estimates} = this.situation;
+    const stopping = new Set(this.decision.stops.map(({unit}) => unit));
+    const known = new Map<UnitRun, number>();
+    return victim => {
+      let cost = known.get(victim);
+      if (cost === undefined) {
+        const urgency = rateUrgency(victim.job, estimates, this.now);
+        cost = stopping.has(victim)
+          ? Infinity
+          : stopCost(victim, claimant.job, urgency, settings, this.now);
+        known.set(victim, cost);
+      }
+      return cost;
+    };
+  }
+
   private spacesOf(unit: UnitRun): readonly Space[] {
     const {pool} = unit.job.job.terms;
-    return this.spaces.filter(space => space.room.info.pool === pool);
+    return this.spaces.filter(({room}) => {
+      const claimant = this.claims.get(room);
+      const isFree = claimant === undefined || claimant === unit;
+      return isFree && room.info.pool === pool;
+    });
   }
 
   private seekerOf(unit: UnitRun): Seeker {
@@ -251,6 +320,10 @@
       vacancy: this.vacancyOf(unit),
       avoid: unit.avoid,
       allowed: this.situation.allowedFor(unit),
+      slownessWeight:
+        unit.job.job.terms.priority === 0
+          ? URGENT_SLOWNESS_WEIGHT
+          : PATIENT_SLOWNESS_WEIGHT,
     };
   }
 
@@ -290,10 +363,11 @@
     if (unit.phase === 'stopping') {
       return this.now + this.situation.settings.stopTime;
     }
-    const {rackFactor} = this.situation.settings;
-    const factor = unit.isFar ? rackFactor : 1;
-    const whole = this.durationOf(unit) * factor * booking.room.slowness;
-    return this.now + whole * (1 - booking.percent / 100);
+    const {estimates, settings} = this.situation;
+    const {rackFactor} = settings;
+    return (
+      this.now + remainingTime(booking, unit, estimates, rackFactor, this.now)
+    );
   }
 }
 
@@ -355,10 +429,6 @@
   return findPlacement(seeker, empty, -Infinity) !== undefined;
 }
 
-function isLong(unit: UnitRun): boolean {
-  return unit.job.job.terms.priority > 0;
-}
-
 function isSameStep(a: UnitRun, b: UnitRun): boolean {
   return (
     a.job === b.job &&
--- a/packages/dispatch/src/policy/reclaim.ts
+++ b/packages/dispatch/src/policy/reclaim.ts
@@ -1,6 +1,7 @@
 /** Chooses whom to stop so that urgent work finds room, with the least work thrown away. */
 import type {Demand} from '@galenavalve/workload';
 import type {Booking, UnitRun} from '../runs.js';
+import {chooseFullest} from './reservation.js';
 import {
   type Seeker,
   type Space,
@@ -13,6 +14,9 @@
 /** What stopping a unit would throw away; Infinity for one that may not be stopped. */
 export type StopCost = (unit: UnitRun) => number;
 
+/** Whether the run of a booking ends by itself in time for the seeker. */
+export type EndsInTime = (booking: Booking) => boolean;
+
 /** Units to stop, and where the room will be. */
 export interface Reclaim {
   victims: UnitRun[];
@@ -25,13 +29,14 @@
   seeker: Seeker,
   spaces: readonly Space[],
   costOf: StopCost,
+  endsInTime: EndsInTime,
 ): Reclaim | undefined {
   const groups = seeker.isRackSensitive
     ? [...groupByRack(spaces).values()]
     : [[...spaces]];
   let best: Reclaim | undefined;
   for (const group of groups) {
-    const plan = planGroup(seeker, group, costOf);
+    const plan = planGroup(seeker, group, costOf, endsInTime);
     if (plan && (!best || plan.cost < best.cost)) {
       best = plan;
     }
@@ -43,16 +48,17 @@
   seeker: Seeker,
   group: readonly Space[],
   costOf: StopCost,
+  endsInTime: EndsInTime,
 ): Reclaim | undefined {
   const usable = group.filter(space => allowedMembers(seeker, space) > 0);
   const free = new Map<Space, Demand>();
   const candidates = new Set<UnitRun>();
   for (const space of usable) {
-    // Room of runs that are being stopped comes by itself.
+    // Room of runs that are being stopped, or end in time, comes by itself.
     let room = space.free;
     for (const booking of space.room.bookings.values()) {
       const {unit} = booking;
-      if (isLeaving(booking)) {
+      if (isLeaving(booking) || endsInTime(booking)) {
         room = give(room, booking);
       } else if (unit && Number.isFinite(costOf(unit))) {
         candidates.add(unit);
@@ -74,10 +80,7 @@
       free.set(space, room);
     }
   }
-  const spaces = [...free]
-    .filter(([space, room]) => fitsOf(seeker, space, room) > 0)
-    .map(([space]) => space);
-  return {victims, spaces, cost};
+  return {victims, spaces: chooseFullest(seeker, free), cost};
 }
 
 /** The unit that gives most members a place for its cost. */
--- a/packages/dispatch/src/policy/reservation.ts
+++ b/packages/dispatch/src/policy/reservation.ts
@@ -84,7 +84,7 @@
 }
 
 /** The fewest targets that together take all members. */
-function chooseFullest(
+export function chooseFullest(
   seeker: Seeker,
   free: ReadonlyMap<Space, Demand>,
 ): Space[] {
--- a/packages/dispatch/src/policy/search.ts
+++ b/packages/dispatch/src/policy/search.ts
@@ -8,9 +8,6 @@
   groupByRack,
 } from './space.js';
 
-/** Accelerators of room that an extra 0.1 of slowness weighs as much as. */
-const SLOWNESS_WEIGHT = 4;
-
 /** Members on one target. */
 export interface Share {
   space: Space;
@@ -60,7 +57,7 @@
       continue;
     }
     const shares = fillGroup(seeker, members);
-    const cost = shares && costOf(shares, members);
+    const cost = shares && costOf(shares, members, seeker);
     if (shares && cost! < bestCost) {
       best = shares;
       bestCost = cost!;
@@ -104,12 +101,16 @@
 /** Room left on a target that takes all it can, in accelerators; slow targets count as emptier. */
 function leftover({space, members}: Share, seeker: Seeker): number {
   const left = space.free.accelerators - members * seeker.demand.accelerators;
-  return left + (space.slowness - 1) * 10 * SLOWNESS_WEIGHT;
+  return left + (space.slowness - 1) * seeker.slownessWeight;
 }
 
 /** Prefers the rack that is left with least room. */
-function costOf(shares: readonly Share[], rack: readonly Space[]): number {
+function costOf(
+  shares: readonly Share[],
+  rack: readonly Space[],
+  seeker: Seeker,
+): number {
   const free = rack.reduce((sum, {free}) => sum + free.accelerators, 0);
   const slowest = Math.max(...shares.map(({space}) => space.slowness));
-  return free + (slowest - 1) * 10 * SLOWNESS_WEIGHT;
+  return free + (slowest - 1) * seeker.slownessWeight;
 }
--- a/packages/dispatch/src/policy/space.ts
+++ b/packages/dispatch/src/policy/space.ts
@@ -26,6 +26,8 @@
   /** Members of the step's occurrence that one target may still take. */
   vacancy: (targetId: string) => number;
   avoid: ReadonlySet<string>;
+  /** Accelerators of room that twice the time on a target weighs as much as. */
+  slownessWeight: number;
   /** Targets that the queue's advisor allows; absent without an advisor. */
   allowed?: ReadonlySet<string>;
 }
--- a/packages/dispatch/src/policy/stop_cost.ts
+++ b/packages/dispatch/src/policy/stop_cost.ts
@@ -2,10 +2,14 @@
 import type {Instant} from '@galenavalve/shared';
 import {type JobRun, type UnitRun, memberCount} from '../runs.js';
 import type {DispatchSettings} from '../settings.js';
+import {Tier, type Urgency} from './urgency.js';
 
 /** Cores that an accelerator weighs as much as; the platform's prices count so. */
 const CORES_PER_ACCELERATOR = 8;
 
+/** Share of a job's value that it loses by being late; the sheets give two thirds to four fifths. */
+const LATENESS_SHARE = 0.7;
+
 /** Fixed cost of a stop, in seconds of the unit's work: it waits, and is started again. */
 const RESTART_SECONDS = 1;
 
@@ -16,6 +20,7 @@
 export function stopCost(
   victim: UnitRun,
   claimant: JobRun,
+  urgency: Urgency,
   settings: DispatchSettings,
   now: Instant,
 ): number {
@@ -31,5 +36,10 @@
     : ran;
   const cores =
     step.demand.cpu / 1000 + step.demand.accelerators * CORES_PER_ACCELERATOR;
-  return cores * memberCount(victim) * (unsaved / 1000 + RESTART_SECONDS);
+  const lost = cores * memberCount(victim) * (unsaved / 1000 + RESTART_SECONDS);
+  const again = step.savesProgress ? 0 : ran;
+  const becomesLate =
+    urgency.tier === Tier.OnTime && now + again > urgency.latestStart;
+  const whole = (cores * memberCount(victim) * step.estimateMs) / 1000;
+  return lost + (becomesLate ? LATENESS_SHARE * whole : 0);
 }
--- a/packages/dispatch/src/run_book.ts
+++ b/packages/dispatch/src/run_book.ts
@@ -45,6 +45,7 @@
     unit.phase = 'recording';
     unit.placedAt = now;
     unit.isFar = placement.isFar;
+    unit.claim = undefined;
     unit.stopReason = undefined;
     unit.resumeFrom = unit.progress.checkpoint;
     unit.job.progress.hasBegun = true;
@@ -232,7 +233,13 @@
     const hasRunWhole = unit.progress.run === 1 && !unit.isFar && booking;
     if (hasRunWhole) {
       const took = now - unit.runningSince;
-      this.estimates.note(unit.job.job.queue, unit.step.estimateMs, took);
+      const {queue} = unit.job.job;
+      if (!unit.step.isGang) {
+        room.notePace(
+          took / this.estimates.expect(queue, unit.step.estimateMs),
+        );
+      }
+      this.estimates.note(queue, unit.step.estimateMs, took);
     }
   }
 
--- a/packages/dispatch/src/runs.ts
+++ b/packages/dispatch/src/runs.ts
@@ -55,6 +55,8 @@
   avoid: Set<string>;
   /** Far from its data or across racks: it takes longer by the rack factor. */
   isFar: boolean;
+  /** Targets on which room is being made for it. */
+  claim?: {rooms: ReadonlySet<TargetRoom>; until: Instant};
   /** Checkpoint that every member of the present run starts from. */
   resumeFrom: string;
   /** Reason of the stop under way. */
--- a/packages/dispatch/src/straggler_watch.ts
+++ b/packages/dispatch/src/straggler_watch.ts
@@ -1,8 +1,9 @@
 /** Finds runs that stand still, and runs that their draining target will not finish. */
 import type {Instant, Logger, Milliseconds} from '@galenavalve/shared';
 import type {Estimates} from './estimates.js';
+import {remainingTime} from './pace.js';
 import type {RunBook} from './run_book.js';
-import type {Booking, JobRun, UnitRun} from './runs.js';
+import type {JobRun, UnitRun} from './runs.js';
 
 /** A run whose percent did not rise for this long stands still: listings are one second apart, and the longest tasks rise by one within another. */
 const STILL_TIME: Milliseconds = 3000;
@@ -13,9 +14,6 @@
 /** Percent from which on a run is about to end. */
 const NEARLY_DONE = 99;
 
-/** Least progress, in percent, from which a pace can be read. */
-const READABLE = 5;
-
 /** A stop on a draining target leaves this much time for its answer and for the log. */
 const LEAVE_MARGIN: Milliseconds = 700;
 
@@ -83,25 +81,10 @@
       return false;
     }
     const leavesAt = room.drainingSince + (room.info.remainingMs ?? 0);
-    const left = remainingTime(booking, unit, estimates, now);
+    const left = remainingTime(booking, unit, estimates, 1, now);
     const finishes = now + left <= leavesAt;
     // Work that is saved can go on until shortly before the target leaves.
     const isLast = now >= leavesAt - LEAVE_MARGIN;
     return !finishes && (isLast || !unit.step.savesProgress);
   });
 }
-
-function remainingTime(
-  booking: Booking,
-  unit: UnitRun,
-  estimates: Estimates,
-  now: Instant,
-): Milliseconds {
-  const gained = booking.percent - booking.firstPercent;
-  if (gained >= READABLE) {
-    const pace = (booking.percentAt - booking.firstPercentAt) / gained;
-    return pace * (100 - booking.percent) - (now - booking.percentAt);
-  }
-  const whole = estimates.expect(unit.job.job.queue, unit.step.estimateMs);
-  return whole * (1 - booking.percent / 100);
-}
--- a/packages/dispatch/src/target_room.ts
+++ b/packages/dispatch/src/target_room.ts
@@ -5,6 +5,15 @@
 import {SLOWEST_CLOCK} from './settings.js';
 import {type TargetInfo, lifeKey} from './target_info.js';
 
+/** Weight of the newest run in a target's pace. */
+const PACE_WEIGHT = 0.15;
+
+/** Runs from which a target's pace can be read; single tasks differ by a third. */
+const READABLE_PACES = 4;
+
+/** Paces beyond this are taken as faults of the task. */
+const MOST_SLOWNESS = 4;
+
 /** Books of one life of a target. */
 export class TargetRoom {
   readonly key: string;
@@ -37,6 +46,8 @@
   epochOffset = 0;
   /** Time that its tasks take relative to others; 1 is usual. */
   slowness = 1;
+  private pace = 1;
+  private paces = 0;
   private clockSample?: {clock: number; at: Instant};
   private used: Demand = {cpu: 0, memoryMb: 0, accelerators: 0};
 
@@ -103,6 +114,17 @@
     }
   }
 
+  /** Notes that a run took this many times as long as expected. */
+  notePace(ratio: number): void {
+    const bounded = Math.min(MOST_SLOWNESS, Math.max(1 / MOST_SLOWNESS, ratio));
+    this.paces++;
+    const weight = Math.max(1 / this.paces, PACE_WEIGHT);
+    this.pace += (bounded - this.pace) * weight;
+    if (this.paces >= READABLE_PACES) {
+      this.slowness = Math.max(1, this.pace);
+    }
+  }
+
   /** Whether new runs may go there, but for its room. */
   isOpen(now: Instant, freshness: Milliseconds): boolean {
     return (
