Find targets that became slow, and say why urgent work waits

Ruled out: takeover (one dispatcher all the while), lack of room. Change: urgent work waits for a quarter of its slack, and only once; objectives are measured by sound targets; the pace of each run is read, slow targets are avoided and saved work moves off them; each reason to wait is logged once.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -18,7 +18,7 @@
 import {type Batch, RecordWriter} from './record_writer.js';
 import {RoomDirectory} from './room_directory.js';
 import {RunBook} from './run_book.js';
-import type {Booking, JobRun, UnitRun} from './runs.js';
+import {type Booking, type JobRun, type UnitRun, memberCount} from './runs.js';
 import {
   type DispatchSettings,
   SLOWEST_CLOCK,
@@ -344,6 +344,9 @@
     for (const start of decision.starts) {
       this.book.place(start, this.epoch, now);
     }
+    for (const {unit, reason} of decision.waits) {
+      this.logWait(unit, reason);
+    }
     for (const {unit, rooms, until} of decision.claims) {
       unit.claim = {rooms, until};
     }
@@ -352,6 +355,22 @@
     }
   }
 
+  /** Says once why an urgent unit waits. */
+  private logWait(unit: UnitRun, reason: string): void {
+    const kind = reason.replace(/\d+/g, '#');
+    if (unit.waitReason !== kind) {
+      unit.waitReason = kind;
+      this.parts.logger.info('urgent-waits', {
+        job: unit.job.id,
+        step: unit.stepIndex,
+        members: memberCount(unit),
+        demand: unit.step.demand,
+        isRackSensitive: unit.step.isRackSensitive,
+        reason,
+      });
+    }
+  }
+
   private findUnit(task: string): UnitRun | undefined {
     const name = parseTaskName(task);
     const job = name && this.jobs.get(name.jobId);
--- a/packages/dispatch/src/listings.ts
+++ b/packages/dispatch/src/listings.ts
@@ -1,6 +1,7 @@
 /** Takes a target's listing into the books: ends, progress, strays, and runs that are gone. */
 import type {Instant} from '@galenavalve/shared';
 import type {Demand} from '@galenavalve/workload';
+import {samplePace} from './pace.js';
 import type {RunBook} from './run_book.js';
 import type {Booking, UnitRun} from './runs.js';
 import type {ListedRun, TargetListing} from './target_port.js';
@@ -69,6 +70,7 @@
     booking.percent = run.percent;
     booking.percentAt = now;
   }
+  samplePace(booking, now);
   const {unit} = booking;
   if (unit && run.checkpoint !== '' && unit.progress.run === run.run) {
     unit.progress.checkpoint = run.checkpoint;
@@ -115,6 +117,8 @@
     percentAt: now,
     firstPercent: 0,
     firstPercentAt: now,
+    sample: {percent: 0, at: now},
+    bestPace: 0,
     isBeingStopped: false,
   };
   room.book(booking);
--- a/packages/dispatch/src/pace.ts
+++ b/packages/dispatch/src/pace.ts
@@ -6,6 +6,21 @@
 /** Least progress, in percent, from which a pace can be read. */
 const READABLE = 5;
 
+/** Time over which a present pace is read: a few listings, and several percent of usual tasks. */
+const SAMPLE_TIME: Milliseconds = 1500;
+
+/** Notes a reading of the run's progress. */
+export function samplePace(booking: Booking, now: Instant): void {
+  const passed = now - booking.sample.at;
+  if (passed < SAMPLE_TIME) {
+    return;
+  }
+  const pace = (booking.percent - booking.sample.percent) / passed;
+  booking.bestPace = Math.max(booking.bestPace, pace);
+  booking.presentPace = pace;
+  booking.sample = {percent: booking.percent, at: now};
+}
+
 /** Expected time until the run of `booking` ends. */
 export function remainingTime(
   booking: Booking,
--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -42,7 +42,7 @@
 const CLAIM_MARGIN = 400;
 
 /** Share of its slack that an urgent job waits for others to end by themselves: their estimates are rough. */
-const WAIT_SHARE = 0.5;
+const WAIT_SHARE = 0.25;
 
 /** A guaranteed job waits for runs to end by themselves until this much before its bound, in milliseconds. */
 const RECLAIM_MARGIN = 1200;
@@ -72,6 +72,8 @@
   starts: Start[];
   /** Units to stop for urgent work. */
   stops: Array<{unit: UnitRun; for: string}>;
+  /** Why urgent units do not start now. */
+  waits: Array<{unit: UnitRun; reason: string}>;
   /** Targets kept for units until there is room. */
   claims: Array<{
     unit: UnitRun;
@@ -95,6 +97,7 @@
     starts: [],
     stops: [],
     claims: [],
+    waits: [],
   };
   private readonly spaces: Space[];
   private readonly withinGuarantee: ReadonlySet<JobRun>;
@@ -250,7 +253,10 @@
     const isForced = this.withinGuarantee.has(unit.job);
     const startBy = this.startBy(unit, urgency, isForced);
     const costOf = this.stopCosts(unit);
-    const endsInTime = (booking: Booking) => this.expectEnd(booking) <= startBy;
+    // Runs that did not end as expected once are not waited for again.
+    const hasWaited = unit.claim !== undefined;
+    const endsInTime = (booking: Booking) =>
+      !hasWaited && this.expectEnd(booking) <= startBy;
     let plan = planReclaim(seeker, spaces, costOf, endsInTime);
     const waited = this.now - unit.job.acceptedAt;
     if (!plan && isForced && waited > this.reclaimPatience() / 2) {
@@ -261,8 +267,15 @@
     const ratio = isTimely ? TIMELY_COST_RATIO : LATE_COST_RATIO;
     const limit = isForced ? Infinity : ratio * workOf(unit);
     if (!plan || plan.cost > limit) {
+      const reason = plan
+        ? `making room would cost ${Math.round(plan.cost)} core-seconds, more than ${Math.round(limit)}`
+        : 'no room can be made for it';
+      this.decision.waits.push({unit, reason});
       return false;
     }
+    const victims = plan.victims.length;
+    const reason = `room on ${plan.spaces.length} targets: ${victims} units are stopped, others end by themselves`;
+    this.decision.waits.push({unit, reason});
     for (const victim of plan.victims) {
       this.decision.stops.push({unit: victim, for: unit.job.id});
     }
--- a/packages/dispatch/src/policy/stop_cost.ts
+++ b/packages/dispatch/src/policy/stop_cost.ts
@@ -26,7 +26,8 @@
 ): number {
   const isLower = victim.job.job.terms.priority > claimant.job.terms.priority;
   const isStoppable = victim.phase === 'running' || victim.phase === 'starting';
-  if (!isLower || !isStoppable || victim.progress.isDone) {
+  const isServing = victim.step.isLongRunning && victim.step.maxUnavailable > 0;
+  if (isServing || !isLower || !isStoppable || victim.progress.isDone) {
     return Infinity;
   }
   const {step} = victim;
--- a/packages/dispatch/src/policy/urgency.ts
+++ b/packages/dispatch/src/policy/urgency.ts
@@ -38,7 +38,8 @@
     spec,
     spec.steps.map(() => false),
   );
-  const chain = estimates.expect(queue, whole);
+  // What is owed is measured by sound targets: slow ones lengthen the work, not the objective.
+  const chain = Math.min(whole, estimates.expect(queue, whole));
   const objective = terms.stretch * chain + terms.latencyMs;
   const remaining = estimates.expect(queue, remainingChain(run));
   const latestStart = run.acceptedAt + objective - remaining;
--- a/packages/dispatch/src/run_book.ts
+++ b/packages/dispatch/src/run_book.ts
@@ -89,6 +89,8 @@
       percentAt: now,
       firstPercent: 0,
       firstPercentAt: now,
+      sample: {percent: 0, at: now},
+      bestPace: 0,
       isBeingStopped: false,
     };
     unit.bookings.push(booking);
--- a/packages/dispatch/src/runs.ts
+++ b/packages/dispatch/src/runs.ts
@@ -55,6 +55,8 @@
   avoid: Set<string>;
   /** Far from its data or across racks: it takes longer by the rack factor. */
   isFar: boolean;
+  /** Why it was last said to wait. */
+  waitReason?: string;
   /** Targets on which room is being made for it. */
   claim?: {rooms: ReadonlySet<TargetRoom>; until: Instant};
   /** Checkpoint that every member of the present run starts from. */
@@ -86,6 +88,12 @@
   /** Percent and time at the first sign of life, for its pace. */
   firstPercent: number;
   firstPercentAt: Instant;
+  /** An earlier reading, for its present pace. */
+  sample: {percent: number; at: Instant};
+  /** Its pace over the last reading, in percent a millisecond; undefined before the first. */
+  presentPace?: number;
+  /** Fastest pace that it ever had, in percent a millisecond. */
+  bestPace: number;
   isBeingStopped: boolean;
 }
 
--- a/packages/dispatch/src/straggler_watch.ts
+++ b/packages/dispatch/src/straggler_watch.ts
@@ -3,7 +3,7 @@
 import type {Estimates} from './estimates.js';
 import {remainingTime} from './pace.js';
 import type {RunBook} from './run_book.js';
-import type {JobRun, UnitRun} from './runs.js';
+import type {Booking, JobRun, UnitRun} from './runs.js';
 
 /** A run whose percent did not rise for this long stands still: listings are one second apart, and the longest tasks rise by one within another. */
 const STILL_TIME: Milliseconds = 3000;
@@ -11,6 +11,18 @@
 /** Members this much behind the others hold their gang up, in percent. */
 const BEHIND = 4;
 
+/** A pace below this share of the best is a fault of the target; tasks differ by less. */
+const SLOW_SHARE = 0.45;
+
+/** Work without checkpoints is started anew only up to this percent. */
+const EARLY = 20;
+
+/** Time of a stop and a start elsewhere. */
+const RESTART_TIME: Milliseconds = 800;
+
+/** What is started anew must end this much sooner, for it may have to wait. */
+const ANEW_MARGIN = 1.3;
+
 /** Percent from which on a run is about to end. */
 const NEARLY_DONE = 99;
 
@@ -32,6 +44,8 @@
       }
       if (!unit.step.isLongRunning && isStill(unit, now)) {
         onStill(unit, book, now, logger);
+      } else if (isSlowedDown(unit, now)) {
+        onSlowedDown(unit, book, now, logger);
       } else if (mustLeave(unit, estimates, now)) {
         book.stop(unit, 'its target is leaving');
       }
@@ -74,6 +88,56 @@
   book.stop(unit, 'it stands still');
 }
 
+/** Members whose pace fell far below the best that they or others of their gang had. */
+function findSlow(unit: UnitRun): Booking[] {
+  const best = Math.max(...unit.bookings.map(({bestPace}) => bestPace));
+  return unit.bookings.filter(
+    ({presentPace, percent}) =>
+      presentPace !== undefined &&
+      percent < NEARLY_DONE &&
+      presentPace < best * SLOW_SHARE,
+  );
+}
+
+/** Whether starting anew elsewhere ends sooner than going on. */
+function isSlowedDown(unit: UnitRun, now: Instant): boolean {
+  if (unit.step.isLongRunning) {
+    return false;
+  }
+  const best = Math.max(...unit.bookings.map(({bestPace}) => bestPace));
+  return findSlow(unit).some(({percent, presentPace, percentAt}) => {
+    const left = (100 - percent) / Math.max(presentPace!, 1e-9);
+    const isEarly = percent < EARLY;
+    const again = unit.step.savesProgress ? 100 - percent : 100;
+    const anew = RESTART_TIME + (again / best) * ANEW_MARGIN;
+    // Slowness passes; what was done and not saved is lost for good.
+    return (
+      (unit.step.savesProgress || isEarly) && left - (now - percentAt) > anew
+    );
+  });
+}
+
+function onSlowedDown(
+  unit: UnitRun,
+  book: RunBook,
+  now: Instant,
+  logger: Logger,
+): void {
+  const slow = findSlow(unit);
+  logger.warn('run-slowed', {
+    job: unit.job.id,
+    step: unit.stepIndex,
+    unit: unit.unitIndex,
+    run: unit.progress.run,
+    percents: slow.map(({percent}) => percent).slice(0, 16),
+    targets: slow.map(({room}) => room.info.id).slice(0, 8),
+  });
+  for (const {room} of slow) {
+    book.onSuspect(room, 2, now);
+  }
+  book.stop(unit, 'its target has become slow');
+}
+
 function mustLeave(unit: UnitRun, estimates: Estimates, now: Instant): boolean {
   return unit.bookings.some(booking => {
     const {room} = booking;
