--- a/packages/emulator/src/emulated_instance.ts
+++ b/packages/emulator/src/emulated_instance.ts
@@ -17,6 +17,9 @@
 /** A read of the log waits this long, in milliseconds. */
 const READ_WAIT = 1000;
 
+/** Instances that do not dispatch gather the records of this time, in milliseconds. */
+const NEWS_PAUSE = 80;
+
 /** What an instance is wired to. */
 export interface InstanceWiring {
   name: string;
@@ -50,6 +53,7 @@
             this.service.onRecord(applied, clock.now());
           }
         },
+        pauseAfterNews: () => (this.service.isDispatching ? 0 : NEWS_PAUSE),
         onAnswer: now => this.service.onLogAnswer(now),
       },
       READ_WAIT,
--- a/packages/workload/src/follower.ts
+++ b/packages/workload/src/follower.ts
@@ -20,6 +20,8 @@
   onRecord(record: StoredRecord): void;
   /** The newest records were read again; keys that are not among `keys` were dropped meanwhile. */
   onReload?(keys: ReadonlySet<string>): void;
+  /** How long to wait after records before the next read, in milliseconds; 0 where absent. */
+  pauseAfterNews?(): Milliseconds;
   /** The log answered; all records up to the end of the answer were taken. */
   onAnswer?(now: Instant): void;
 }
@@ -31,6 +33,7 @@
   /** Whether the whole log was read once. */
   isCaughtUp = false;
   lastAnswerAt: Instant = -Infinity;
+  private hasNews = false;
   private isClosed = false;
   private waiters: Array<{offset: number; resolve: () => void}> = [];
 
@@ -56,6 +59,7 @@
         needsReload = !(await this.readTail());
         this.onAnswer(failures);
         failures = 0;
+        await this.gatherNews();
       } catch (error) {
         if (failures === 0) {
           this.logger.warn('log-unreachable', {
@@ -153,9 +157,19 @@
     }
     this.next = page.next;
     this.isCaughtUp ||= this.next >= page.end;
+    this.hasNews = page.records.length > 0;
     return true;
   }
 
+  /** Lets several records come together where nobody waits for each. */
+  private async gatherNews(): Promise<void> {
+    const pause = this.sink.pauseAfterNews?.() ?? 0;
+    const isAwaited = this.waiters.length > 0;
+    if (this.hasNews && pause > 0 && this.isCaughtUp && !isAwaited) {
+      await this.clock.sleep(pause);
+    }
+  }
+
   private onAnswer(failures: number): void {
     const now = this.clock.now();
     this.lastAnswerAt = now;
