Let the lease of a silent target run out

Ruled out: takeover and clocks (the first stuck job was placed after both). Change: a target that was silent for 2 s gets no longer lease; a target whose address another one took is over at once; a stop that the former life answered says nothing of the next. Test: the runs of a target that is lost for good start elsewhere once its lease is over; failed before.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -194,6 +194,18 @@
     this.directory.onOtherLife(room, born);
   }
 
+  /** One address serves one life: the former one and its runs are gone, and its orders are refused there. */
+  onSucceeded(room: TargetRoom): void {
+    this.parts.logger.info('target-succeeded', {
+      target: room.info.id,
+      runs: room.bookings.size,
+    });
+    room.isListed = false;
+    for (const booking of [...room.bookings.values()]) {
+      this.book.onGone(booking, 'another target took its address');
+    }
+  }
+
   onStopped(room: TargetRoom): void {
     void this.sessions.look(room);
   }
--- a/packages/dispatch/src/orders.ts
+++ b/packages/dispatch/src/orders.ts
@@ -59,6 +59,10 @@
     while (this.isBooked(booking)) {
       const {room} = booking;
       const outcome = await this.sendStop(booking);
+      if (booking.room !== room) {
+        // The run's order may have reached the next life, whose clock is another.
+        return;
+      }
       if (outcome.kind === 'done') {
         booking.settledClock = outcome.clock;
         this.desk.onStopped(booking.room);
--- a/packages/dispatch/src/target_sessions.ts
+++ b/packages/dispatch/src/target_sessions.ts
@@ -11,6 +11,9 @@
 /** Pause after a listing that did not come, in milliseconds. */
 const FAILED_PAUSE = 150;
 
+/** A target that did not answer for this long gets no longer lease, in milliseconds: one listing that was lost is forgiven. */
+const EXTEND_SILENCE = 2000;
+
 /** Longest wait for the log before ends are asked for again, in milliseconds. */
 const RECORD_WAIT = 60;
 
@@ -22,6 +25,8 @@
   mayExtend(): boolean;
   onListing(room: TargetRoom, listing: TargetListing): void;
   onOtherLife(room: TargetRoom, born: number): void;
+  /** A target of another id answers at the room's address. */
+  onSucceeded(room: TargetRoom): void;
   onFenced(): void;
 }
 
@@ -69,9 +74,12 @@
 
   private async hold(room: TargetRoom, wait: number): Promise<HoldOutcome> {
     const now = this.clock.now();
-    const until = this.desk.mayExtend()
-      ? leaseUntil(room, this.settings, now)
-      : undefined;
+    // The lease of a silent target must run out: only then may its work start elsewhere.
+    const isHeard = now - room.lastAnswerAt <= EXTEND_SILENCE;
+    const until =
+      isHeard && this.desk.mayExtend()
+        ? leaseUntil(room, this.settings, now)
+        : undefined;
     if (until !== undefined) {
       room.onLeaseSent(until);
     }
@@ -95,6 +103,8 @@
     }
     if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
       this.desk.onFenced();
+    } else if (outcome.kind === 'other-life') {
+      this.desk.onSucceeded(room);
     } else if (outcome.kind === 'listed') {
       const {born} = outcome.listing;
       if (born !== 0 && room.info.born !== 0 && born !== room.info.born) {
--- a/packages/emulator/__tests__/faults.spec.ts
+++ b/packages/emulator/__tests__/faults.spec.ts
@@ -237,3 +237,21 @@
     installation.close();
   },
 );
+
+t.test(
+  'the runs of a target that is lost for good start elsewhere once its lease is over',
+  async t => {
+    const installation = await boot(51);
+    const spec = createSpec([createStep({count: 6, estimateMs: 3000})]);
+    void installation.submit(createId(1), spec);
+    await installation.advance(500);
+    const lost = [...installation.fleet.targets.values()].find(
+      ({runs}) => runs.size > 0,
+    )!;
+    installation.fleet.crash(lost.info.id);
+    const isComplete = () => installation.stateOf(createId(1)) === 'complete';
+    t.ok(await installation.until(isComplete, 20_000));
+    t.same(installation.auditor.violations, []);
+    installation.close();
+  },
+);
