--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,10 +2,10 @@
 import gts from 'gts';
 
 export default [
-  {ignores: ['**/dist/**', '**/node_modules/**', '.tap/**']},
+  {ignores: ['**/dist/**', '**/node_modules/**', '.tap/**', 'target/**', 'journal/**']},
   ...gts,
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     languageOptions: {parserOptions: {project: null, projectService: true}},
     rules: {
       '@typescript-eslint/no-floating-promises': 'error',
@@ -17,7 +17,7 @@
   },
   {
     // tap queues subtests by itself; a spec need not await them.
-    files: ['packages/*/__tests__/**/*.ts'],
+    files: ['packages/*/__tests__/**/*.ts', 'platform/__tests__/**/*.ts'],
     rules: {'@typescript-eslint/no-floating-promises': 'off'},
   },
   {
--- a/packages/dispatch/src/office.ts
+++ b/packages/dispatch/src/office.ts
@@ -13,8 +13,8 @@
 /** The holder writes at least this often. */
 export const OFFICE_BEAT: Milliseconds = 400;
 
-/** A holder that wrote nothing for this long has lost the office: three beats and a slow append. */
-export const OFFICE_SILENCE: Milliseconds = 1500;
+/** A holder that wrote nothing for this long has lost the office: two beats, and what a beat and its reading may take. */
+export const OFFICE_SILENCE: Milliseconds = 1200;
 
 /** Rivals wait a random part of this, so that they rarely claim together. */
 const CLAIM_SPREAD: Milliseconds = 250;
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -29,15 +29,19 @@
 
 function findSpecs() {
   const found = [];
-  for (const name of readdirSync('packages').sort()) {
-    const dir = `packages/${name}/__tests__`;
+  const packages = readdirSync('packages').sort();
+  for (const root of [
+    'platform',
+    ...packages.map(name => `packages/${name}`),
+  ]) {
+    const dir = `${root}/__tests__`;
     if (!existsSync(dir)) {
       continue;
     }
     for (const file of readdirSync(dir).sort()) {
       if (file.endsWith('.spec.ts')) {
         const compiled = file.replace(/\.ts$/, '.js');
-        found.push(`packages/${name}/dist/__tests__/${compiled}`);
+        found.push(`${root}/dist/__tests__/${compiled}`);
       }
     }
   }
