--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,15 @@
 import gts from 'gts';
 
 export default [
-  {ignores: ['**/dist/**', '**/node_modules/**', '.tap/**', 'target/**', 'journal/**']},
+  {
+    ignores: [
+      '**/dist/**',
+      '**/node_modules/**',
+      '.tap/**',
+      'target/**',
+      'journal/**',
+    ],
+  },
   ...gts,
   {
     files: ['packages/**/*.ts', 'platform/**/*.ts'],
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -20,6 +20,7 @@
   showDifferences,
 } from './queries/read_configuration.js';
 import {explainJob, listJobs, planJob, showJob} from './queries/read_jobs.js';
+import {traceJob} from './queries/trace_job.js';
 import type {OfflineSession, Session} from './session.js';
 
 const DEFAULT_DRAIN_WAIT_SECONDS = 120;
@@ -92,6 +93,15 @@
       runner().run(session => explainJob(session, jobId)),
     );
 
+  program
+    .command('trace <job> <logs...>')
+    .description(
+      'print the log lines of a job in the order of time, such as: galenavalve trace 5c0e7a21d94b36f8 *.log',
+    )
+    .action(async (jobId: string, files: string[]) =>
+      runner().runOffline(session => traceJob(session, jobId, files)),
+    );
+
   program
     .command('list')
     .description('print jobs')
--- /dev/null
+++ b/packages/cli/src/queries/trace_job.ts
@@ -0,0 +1,88 @@
+/** `galenavalve trace`: the story of one job from the logs of all instances. */
+import {readFileSync} from 'node:fs';
+import {Failure} from '@galenavalve/shared';
+import {ExitCode} from '../exit_code.js';
+import {renderTable} from '../output/table.js';
+import type {OfflineSession} from '../session.js';
+
+/** Fields that stand in columns of their own. */
+const OWN_COLUMNS = new Set([
+  'timestamp',
+  'instance',
+  'message',
+  'domain',
+  'level',
+  'job',
+]);
+
+/** Longest text of a line's other fields. */
+const MAX_DETAIL_LENGTH = 160;
+
+/** A log line of a job. */
+export interface TracedLine {
+  timestamp: string;
+  instance: string;
+  message: string;
+  /** The other fields of the line. */
+  details: Record<string, unknown>;
+}
+
+/** Prints the lines of a job from log files, in the order of time. */
+export async function traceJob(
+  {output}: OfflineSession,
+  jobId: string,
+  files: readonly string[],
+): Promise<ExitCode> {
+  const lines = files.flatMap(file =>
+    findLines(readFileSync(file, 'utf8'), jobId),
+  );
+  if (lines.length === 0) {
+    throw new Failure('not-found', {kind: 'a log line of job', id: jobId});
+  }
+  lines.sort((a, b) => a.timestamp.localeCompare(b.timestamp));
+  output.printResult(lines, renderTrace);
+  return ExitCode.ok;
+}
+
+/** The lines of a job in one log; whatever else stands on a line is passed over. */
+export function findLines(log: string, jobId: string): TracedLine[] {
+  const lines: TracedLine[] = [];
+  for (const text of log.split('\n')) {
+    const line = text.includes(jobId) ? parseLine(text) : undefined;
+    if (line && line.job === jobId) {
+      lines.push({
+        timestamp: String(line.timestamp),
+        instance: String(line.instance),
+        message: String(line.message),
+        details: Object.fromEntries(
+          Object.entries(line).filter(([name]) => !OWN_COLUMNS.has(name)),
+        ),
+      });
+    }
+  }
+  return lines;
+}
+
+function parseLine(text: string): Record<string, unknown> | undefined {
+  try {
+    return JSON.parse(text.slice(text.indexOf('{'))) as Record<string, unknown>;
+  } catch {
+    // A line that was cut by rotation tells nothing.
+    return undefined;
+  }
+}
+
+function renderTrace(lines: readonly TracedLine[]): string {
+  return renderTable(
+    [
+      {title: 'time', text: line => line.timestamp},
+      {title: 'instance', text: line => line.instance},
+      {title: 'event', text: line => line.message},
+      {
+        title: 'details',
+        text: line => JSON.stringify(line.details).slice(0, MAX_DETAIL_LENGTH),
+      },
+    ],
+    lines,
+  );
+}
