--- a/packages/dispatch/src/dispatch_service.ts
+++ b/packages/dispatch/src/dispatch_service.ts
@@ -81,7 +81,7 @@
   onRecord(record: JobRecord, now: Instant): void {
     if (record.kind === 'leadership') {
       this.onLeadership(record.leadership, now);
-    } else if (record.kind === 'progress') {
+    } else if (record.kind === 'progress' && this.follower.isCaughtUp) {
       this.watch.onHolderRecord(undefined, now);
     } else if (record.kind === 'accepted') {
       const entry = this.parts.table.find(record.id);
@@ -100,7 +100,13 @@
   }
 
   private onLeadership(leadership: Leadership, now: Instant): void {
-    this.watch.onHolderRecord(leadership, now);
+    const {writtenAt} = leadership;
+    if (!this.follower.isCaughtUp && writtenAt !== undefined) {
+      const age = this.parts.clock.wallTime() - writtenAt;
+      this.watch.onFirstSign(leadership, age, now);
+    } else {
+      this.watch.onHolderRecord(leadership, now);
+    }
     const own = this.dispatcher;
     if (own && leadership.epoch > own.epoch) {
       own.onFenced();
--- a/packages/dispatch/src/office.ts
+++ b/packages/dispatch/src/office.ts
@@ -43,6 +43,13 @@
     this.patience = this.drawPatience(silence);
   }
 
+  /** The log was read for the first time; its newest sign of a holder is `age` old. */
+  onFirstSign(leadership: Leadership, age: Milliseconds, now: Instant): void {
+    this.onHolderRecord(leadership, now);
+    // The random part of the patience is left, so that not all claim at once.
+    this.lastSign = now - Math.min(Math.max(0, age), OFFICE_SILENCE);
+  }
+
   /** The log answered. While it did not, the holder could not write either. */
   onLogAnswer(now: Instant): void {
     if (now - this.lastRead > LOG_FRESHNESS + OFFICE_SILENCE) {
--- a/packages/dispatch/src/record_writer.ts
+++ b/packages/dispatch/src/record_writer.ts
@@ -108,8 +108,7 @@
         needsBeat = false;
         const records = [...(batch?.records ?? []), ...this.extra];
         this.extra = [];
-        const beat = encodeLeadership(this.leadership);
-        const isWritten = await this.write(records.length ? records : [beat]);
+        const isWritten = await this.write([...records, this.beatRecord()]);
         if (!isWritten) {
           return;
         }
@@ -120,6 +119,11 @@
     }
   }
 
+  private beatRecord(): KeyedRecord {
+    const writtenAt = this.clock.wallTime();
+    return encodeLeadership({...this.leadership, writtenAt});
+  }
+
   /** Sends one append until it is known to be in the log; false when the office is lost. */
   private async write(records: readonly KeyedRecord[]): Promise<boolean> {
     const sequence = this.sequence++;
--- a/packages/emulator/__tests__/faults.spec.ts
+++ b/packages/emulator/__tests__/faults.spec.ts
@@ -255,3 +255,17 @@
     installation.close();
   },
 );
+
+t.test(
+  'after the loss of all instances the office is held within a second of the return',
+  async t => {
+    const installation = await boot(61);
+    const names = [...installation.instances.keys()];
+    names.forEach(name => installation.kill(name));
+    await installation.advance(2000);
+    names.forEach(name => installation.boot(name));
+    const isHeld = () => installation.dispatcher() !== undefined;
+    t.ok(await installation.until(isHeld, 1000));
+    installation.close();
+  },
+);
--- a/packages/workload/src/keyed_record.ts
+++ b/packages/workload/src/keyed_record.ts
@@ -19,6 +19,8 @@
   epoch: number;
   /** Identifies one life of one instance. */
   holder: string;
+  /** Wall-clock time of the record, in Unix milliseconds. */
+  writtenAt?: number;
   /** The holder has stepped down. */
   hasResigned?: boolean;
 }
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -10,7 +10,6 @@
   format: 'esm',
   mainFields: ['module', 'main'],
   legalComments: 'none',
-  alias: {'dtrace-provider': './scripts/no_dtrace.cjs'},
   banner: {
     // Packages in the older module format expect these names.
     js: "import {createRequire} from 'node:module';import {fileURLToPath as toPath} from 'node:url';const require=createRequire(import.meta.url);const __filename=toPath(import.meta.url);const __dirname=__filename.slice(0,__filename.lastIndexOf('/'));",
