Ask the advisor, and start with its tickets

Cause: queues with a policy of their own never ran: only the advisor knows which targets may run a step. Ruled out: asking about every target at once (the answer takes time for each). Test: a step that needs advice runs only where the advisor allows it, with its ticket.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -9,6 +9,8 @@
   encodeProgress,
   parseTaskName,
 } from '@galenavalve/workload';
+import {AdviceBook} from './advice_book.js';
+import type {Advisor} from './advisor.js';
 import {Estimates} from './estimates.js';
 import type {OfficeLog} from './job_log.js';
 import {addDueOccurrences, createJobRun, settleJob} from './job_runs.js';
@@ -42,6 +44,7 @@
   table: JobTable;
   log: OfficeLog;
   targets: TargetPort;
+  advisor: Advisor;
   rules: () => DispatchRules;
   settings: DispatchSettings;
   clock: Clock;
@@ -69,6 +72,7 @@
   private readonly changed = new Set<JobRun>();
   private readonly directory: RoomDirectory;
   private readonly book: RunBook;
+  private readonly advice: AdviceBook;
   private readonly orders: Orders;
   private readonly sessions: TargetSessions;
   private readonly writer: RecordWriter;
@@ -91,6 +95,13 @@
       this.estimates,
       logger,
     );
+    this.advice = new AdviceBook(
+      parts.advisor,
+      () => this.directory.all(),
+      () => this.requestPass(),
+      clock,
+      logger,
+    );
     this.orders = new Orders(this, targets, this.book, settings, clock, logger);
     this.sessions = new TargetSessions(this, targets, settings, clock, logger);
     const othersOverAt =
@@ -225,8 +236,12 @@
     return Math.max(steady, wall) < UNCONFIRMED_LIMIT;
   }
 
-  ticketFor(): string | undefined {
-    return undefined;
+  ticketFor(unit: UnitRun, targetId: string): string | undefined {
+    return this.advice.ticketFor(unit, targetId);
+  }
+
+  onTicketRefused(unit: UnitRun, targetId: string): void {
+    this.advice.onRefused(unit, targetId);
   }
 
   /** Everything that is due by time alone. */
@@ -348,8 +363,7 @@
         guarantees,
         evacuated,
         settings: this.parts.settings,
-        allowedFor: unit =>
-          unit.job.job.terms.needsAdvice ? new Set() : undefined,
+        allowedFor: unit => this.advice.allowedFor(unit, now),
       },
       now,
     );
@@ -450,6 +464,7 @@
       return;
     }
     this.jobs.delete(job.id);
+    this.advice.forget(job.id);
     this.parts.logger.info('job-ended', {
       job: job.id,
       queue: job.job.queue,
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -5,6 +5,8 @@
 export type {OfficeAppend, OfficeLog} from './job_log.js';
 export {type TargetInfo, lifeKey} from './target_info.js';
 
+export {type Advice, type Advisor, NoAdvisor} from './advisor.js';
+
 // The office and its work
 export {DispatchService, type TargetRegistry} from './dispatch_service.js';
 export {
--- a/packages/dispatch/src/orders.ts
+++ b/packages/dispatch/src/orders.ts
@@ -23,6 +23,7 @@
   onFenced(): void;
   /** A fresh listing of the target is wanted. */
   onStopped(room: TargetRoom): void;
+  onTicketRefused(unit: UnitRun, targetId: string): void;
   ticketFor(unit: UnitRun, targetId: string): string | undefined;
 }
 
@@ -117,7 +118,11 @@
       target: booking.room.info.id,
       outcome,
     });
-    this.book.onSuspect(booking.room, 1, this.clock.now());
+    if (outcome.kind === 'refused' && outcome.reason === 'ticket') {
+      this.desk.onTicketRefused(unit, booking.room.info.id);
+    } else {
+      this.book.onSuspect(booking.room, 1, this.clock.now());
+    }
     this.book.stop(unit, 'a member could not be started');
   }
 
--- a/packages/emulator/src/emulated_instance.ts
+++ b/packages/emulator/src/emulated_instance.ts
@@ -1,5 +1,6 @@
 /** One instance of the daemon's parts, without its processes and sockets. */
 import {
+  type Advisor,
   DispatchService,
   type DispatchSettings,
   type TargetPort,
@@ -25,6 +26,7 @@
   name: string;
   log: KeyedLog & JobAppender & OfficeLog;
   targets: TargetPort;
+  advisor: Advisor;
   registry: TargetRegistry;
   desired: DesiredStateBook;
   settings: DispatchSettings;
@@ -66,6 +68,7 @@
         table: this.table,
         log,
         targets: wiring.targets,
+        advisor: wiring.advisor,
         rules: () => desired,
         settings: wiring.settings,
         clock,
--- a/packages/emulator/src/installation.ts
+++ b/packages/emulator/src/installation.ts
@@ -1,7 +1,9 @@
 /** A whole installation in virtual time: instances, targets, the log and an auditor. */
 import {
+  type Advisor,
   DEFAULT_SETTINGS,
   type DispatchSettings,
+  NoAdvisor,
   type TargetInfo,
 } from '@galenavalve/dispatch';
 import {DesiredStateBook, type Queue} from '@galenavalve/gateway';
@@ -32,6 +34,7 @@
   domains: number;
   logger: Logger;
   settings: DispatchSettings;
+  advisor: Advisor;
   /** What really happens to tasks, unless a job says otherwise. */
   fates: (task: string, installation: Installation) => TaskFate;
 }
@@ -62,6 +65,7 @@
       domains: 3,
       logger: new SilentLogger(),
       settings: DEFAULT_SETTINGS,
+      advisor: new NoAdvisor(),
       fates: defaultFate,
       ...options,
     };
@@ -95,6 +99,7 @@
       name,
       log: power.guard(this.log.client(name)),
       targets: power.guard(this.fleet.port()),
+      advisor: power.guard(this.options.advisor),
       registry: power.guard(this.fleet.registry()),
       desired: this.desired,
       settings: this.options.settings,
@@ -140,8 +145,10 @@
     spec: JobSpec,
     priority = 1,
     at = this.pickInstance(),
+    needsAdvice = false,
   ): ReturnType<EmulatedInstance['gateway']['submit']> {
     const queue = createQueue(priority);
+    queue.terms.needsAdvice = needsAdvice || undefined;
     const job: AcceptedJob = {
       queue: queue.name,
       workspace: 'w',
