Count work that was done behind a cut

Ruled out: a start before the lease was over (run 2 was placed 5.1 s after the last extension). Change: an end as done counts for a unit whatever its run; the present run is stopped. Test: work that was done behind a cut counts, though its lease ran out before it was listed; failed before. Conclusion: mended; the platform's rule excepts the case, our auditor does not and stays as it is.

--- a/packages/dispatch/src/run_book.ts
+++ b/packages/dispatch/src/run_book.ts
@@ -148,6 +148,8 @@
     const booking = room.find(end.task, end.run);
     if (unit && unit.progress.run === end.run) {
       this.takeEnd(room, unit, end, booking, now);
+    } else if (unit && end.how === 'done') {
+      this.takeEarlierDone(room, unit, end.run);
     }
     if (booking) {
       this.release(booking);
@@ -197,6 +199,26 @@
     }
   }
 
+  /** A run that was given up, such as behind a cut, did its work all the same. */
+  private takeEarlierDone(room: TargetRoom, unit: UnitRun, run: number): void {
+    const isOpen = !unit.progress.isDone && !unit.step.isLongRunning;
+    if (!isOpen || run > unit.progress.run) {
+      return;
+    }
+    unit.progress.isDone = true;
+    unit.progress.checkpoint = '';
+    this.logger.info('done-earlier', {
+      job: unit.job.id,
+      step: unit.stepIndex,
+      unit: unit.unitIndex,
+      run,
+      present: unit.progress.run,
+      target: room.info.id,
+    });
+    this.stop(unit, 'an earlier run of it is done');
+    this.events.onChange(unit.job);
+  }
+
   private takeEnd(
     room: TargetRoom,
     unit: UnitRun,
--- a/packages/emulator/__tests__/faults.spec.ts
+++ b/packages/emulator/__tests__/faults.spec.ts
@@ -269,3 +269,30 @@
     installation.close();
   },
 );
+
+t.test(
+  'work that was done behind a cut counts, though its lease ran out before it was listed',
+  async t => {
+    const installation = await boot(71);
+    const spec = createSpec([createStep({count: 1, estimateMs: 6000})]);
+    void installation.submit(createId(1), spec);
+    await installation.advance(500);
+    const busy = [...installation.fleet.targets.values()].find(
+      ({runs}) => runs.size > 0,
+    )!;
+    installation.fleet.faults.cuts.add(busy.info.id);
+    const isPlacedAgain = () =>
+      [...installation.fleet.targets.values()].some(
+        ({runs}) => runs.get(`${createId(1)}.0.0.0`)?.run === 2,
+      );
+    t.ok(await installation.until(isPlacedAgain, 20_000));
+    installation.fleet.faults.cuts.clear();
+    const isComplete = () => installation.stateOf(createId(1)) === 'complete';
+    t.ok(
+      await installation.until(isComplete, 3000),
+      'it is not run to the end',
+    );
+    t.same(installation.auditor.violations, []);
+    installation.close();
+  },
+);
