Split the dispatcher and the decision; one copy of what stood twice

Ruled out: nothing to rule out. Change: changed_jobs, guarantee and seeker are files of their own; groupsFor, fitsOf and createBooking stand once. No change of behaviour.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -3,21 +3,20 @@
 import {
   type JobEntry,
   type JobTable,
-  type KeyedRecord,
   type Leadership,
   encodeForgotten,
-  encodeProgress,
   parseTaskName,
 } from '@galenavalve/workload';
 import {AdviceBook} from './advice_book.js';
 import type {Advisor} from './advisor.js';
+import {ChangedJobs} from './changed_jobs.js';
 import {Estimates} from './estimates.js';
 import type {OfficeLog} from './job_log.js';
-import {addDueOccurrences, createJobRun, settleJob} from './job_runs.js';
+import {addDueOccurrences, createJobRun} from './job_runs.js';
 import {takeListing} from './listings.js';
 import {Orders} from './orders.js';
 import {decide} from './policy/index.js';
-import {type Batch, RecordWriter} from './record_writer.js';
+import {RecordWriter} from './record_writer.js';
 import {RoomDirectory} from './room_directory.js';
 import {RunBook} from './run_book.js';
 import {type Booking, type JobRun, type UnitRun, memberCount} from './runs.js';
@@ -69,7 +68,7 @@
   readonly epoch: number;
   readonly estimates = new Estimates();
   private readonly jobs = new Map<string, JobRun>();
-  private readonly changed = new Set<JobRun>();
+  private readonly changes: ChangedJobs;
   private readonly directory: RoomDirectory;
   private readonly book: RunBook;
   private readonly advice: AdviceBook;
@@ -113,10 +112,18 @@
       },
       othersOverAt,
     );
+    this.changes = new ChangedJobs(() => this.directory.all(), {
+      onRecorded: unit => {
+        if (!this.isOver) {
+          this.orders.startUnit(unit);
+        }
+      },
+      onEnded: job => this.onJobEnded(job),
+    });
     this.writer = new RecordWriter(
       parts.log,
       leadership,
-      maxLength => this.gather(maxLength),
+      maxLength => this.changes.gather(maxLength, clock.wallTime()),
       () => this.onFenced(),
       clock,
       random,
@@ -324,7 +331,7 @@
     if (this.jobs.get(job.id) !== job) {
       return;
     }
-    this.changed.add(job);
+    this.changes.add(job);
     if (job.hasFailed) {
       this.stopJob(job, 'the job has failed');
     }
@@ -332,7 +339,7 @@
   }
 
   private stopJob(job: JobRun, reason: string): void {
-    this.changed.add(job);
+    this.changes.add(job);
     for (const unit of job.units) {
       this.book.stop(unit, reason);
     }
@@ -408,67 +415,13 @@
     );
   }
 
-  /** Gathers the progress of changed jobs; what waits for it follows once it is written. */
-  private gather(maxLength: number): Batch | undefined {
-    const wallNow = this.parts.clock.wallTime();
-    const rooms = [...this.directory.all()].filter(
-      room => room.seenEnd > room.recordedEnd,
-    );
-    const ends = rooms.map(room => ({room, number: room.seenEnd}));
-    const records: KeyedRecord[] = [];
-    const jobs: JobRun[] = [];
-    let length = 0;
-    for (const job of this.changed) {
-      if (length > maxLength) {
-        break;
-      }
-      settleJob(job, wallNow);
-      const record = encodeProgress(job.id, job.progress);
-      records.push(record);
-      jobs.push(job);
-      length += record.value.length;
-      this.changed.delete(job);
-    }
-    const isWhole = this.changed.size === 0;
-    const onWritten = () => {
-      if (isWhole) {
-        ends.forEach(({room, number}) => (room.recordedEnd = number));
-      }
-      jobs.forEach(job => this.onRecorded(job));
-    };
-    if (records.length === 0) {
-      onWritten();
-      return undefined;
-    }
-    const starting = jobs.flatMap(job =>
-      job.units.filter(({phase}) => phase === 'recording'),
-    );
-    const runs = starting.map(unit => unit.progress.run);
-    return {
-      records,
-      onWritten: () => {
-        onWritten();
-        starting.forEach((unit, index) => {
-          const isSame = unit.progress.run === runs[index];
-          if (unit.phase === 'recording' && isSame && !this.isOver) {
-            this.orders.startUnit(unit);
-          }
-        });
-      },
-    };
-  }
-
-  private onRecorded(job: JobRun): void {
-    const {outcome} = job.progress;
-    if (outcome === 'active' || this.changed.has(job)) {
-      return;
-    }
+  private onJobEnded(job: JobRun): void {
     this.jobs.delete(job.id);
     this.advice.forget(job.id);
     this.parts.logger.info('job-ended', {
       job: job.id,
       queue: job.job.queue,
-      outcome,
+      outcome: job.progress.outcome,
       afterMs: Math.round(this.parts.clock.now() - job.acceptedAt),
     });
   }
--- a/packages/dispatch/src/listings.ts
+++ b/packages/dispatch/src/listings.ts
@@ -3,7 +3,7 @@
 import type {Demand} from '@galenavalve/workload';
 import {samplePace} from './pace.js';
 import type {RunBook} from './run_book.js';
-import type {Booking, UnitRun} from './runs.js';
+import {type Booking, type UnitRun, createBooking} from './runs.js';
 import type {ListedRun, TargetListing} from './target_port.js';
 import type {TargetRoom} from './target_room.js';
 
@@ -105,22 +105,19 @@
   now: Instant,
 ): Booking {
   const none: Demand = {cpu: 0, memoryMb: 0, accelerators: 0};
-  const booking: Booking = {
-    task,
-    run,
-    demand: unit?.step.demand ?? none,
-    room,
-    memberIndex: 0,
-    state: 'confirmed',
-    epoch: 0,
-    percent: 0,
-    percentAt: now,
-    firstPercent: 0,
-    firstPercentAt: now,
-    sample: {percent: 0, at: now},
-    bestPace: 0,
-    isBeingStopped: false,
-  };
+  const booking = createBooking(
+    {
+      task,
+      run,
+      demand: unit?.step.demand ?? none,
+      room,
+      unit: undefined,
+      memberIndex: 0,
+      state: 'confirmed',
+      epoch: 0,
+    },
+    now,
+  );
   room.book(booking);
   return booking;
 }
--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -7,15 +7,16 @@
   type Booking,
   type JobRun,
   type UnitRun,
-  countedDemand,
   isUnitWaiting,
   memberCount,
 } from '../runs.js';
 import {type DispatchSettings, LISTING_FRESHNESS} from '../settings.js';
 import type {TargetRoom} from '../target_room.js';
+import {findGuaranteed} from './guarantee.js';
 import {planReclaim} from './reclaim.js';
 import {reserve} from './reservation.js';
 import {type Placement, findAnywhere, findPlacement} from './search.js';
+import {type Start, canEverFitNear, createSeeker, shapeOf} from './seeker.js';
 import {type Seeker, type Space, take} from './space.js';
 import {stopCost} from './stop_cost.js';
 import {Tier, type Urgency, rateUrgency} from './urgency.js';
@@ -32,12 +33,6 @@
 /** The same if it is late anyway. */
 const LATE_COST_RATIO = 0.5;
 
-/** Accelerators of room that twice the time on a target weighs as much as, for urgent work. */
-const URGENT_SLOWNESS_WEIGHT = 40;
-
-/** The same for other work: it leaves the fast targets to urgent work. */
-const PATIENT_SLOWNESS_WEIGHT = -5;
-
 /** A claim on targets lasts this much longer than what it waits for, in milliseconds. */
 const CLAIM_MARGIN = 400;
 
@@ -61,12 +56,6 @@
   allowedFor: (unit: UnitRun) => ReadonlySet<string> | undefined;
 }
 
-/** A unit with its place. */
-export interface Start {
-  unit: UnitRun;
-  placement: Placement;
-}
-
 /** What a pass decided. */
 export interface Decision {
   starts: Start[];
@@ -111,7 +100,7 @@
     private readonly now: Instant,
   ) {
     this.spaces = this.openSpaces();
-    this.withinGuarantee = findGuaranteed(situation);
+    this.withinGuarantee = findGuaranteed(situation.jobs, situation.guarantees);
     for (const unit of situation.jobs.flatMap(({units}) => units)) {
       if (unit.claim && isUnitWaiting(unit) && unit.claim.until > now) {
         unit.claim.rooms.forEach(room => this.claims.set(room, unit));
@@ -184,7 +173,11 @@
     if (this.misfits.has(shape) && !this.hasClaim(unit)) {
       return;
     }
-    const seeker = this.seekerOf(unit);
+    const seeker = createSeeker(
+      unit,
+      this.decision.starts,
+      this.situation.allowedFor(unit),
+    );
     const spaces = this.spacesOf(unit);
     const placement = this.place(unit, urgency, seeker, spaces);
     if (placement) {
@@ -322,47 +315,6 @@
     });
   }
 
-  private seekerOf(unit: UnitRun): Seeker {
-    const {step} = unit;
-    return {
-      demand: countedDemand(step),
-      count: memberCount(unit),
-      isRackSensitive: step.isRackSensitive && memberCount(unit) > 1,
-      requiredLabel: step.requiredLabel,
-      dataRack: step.dataRack,
-      vacancy: this.vacancyOf(unit),
-      avoid: unit.avoid,
-      allowed: this.situation.allowedFor(unit),
-      slownessWeight:
-        unit.job.job.terms.priority === 0
-          ? URGENT_SLOWNESS_WEIGHT
-          : PATIENT_SLOWNESS_WEIGHT,
-    };
-  }
-
-  private vacancyOf(unit: UnitRun): (targetId: string) => number {
-    const most = unit.step.maxPerTarget;
-    if (most === undefined) {
-      return () => Infinity;
-    }
-    const taken = new Map<string, number>();
-    const add = (id: string, members: number) =>
-      taken.set(id, (taken.get(id) ?? 0) + members);
-    for (const other of unit.job.units) {
-      if (isSameStep(other, unit)) {
-        other.bookings.forEach(({room}) => add(room.info.id, 1));
-      }
-    }
-    for (const {unit: other, placement} of this.decision.starts) {
-      if (isSameStep(other, unit)) {
-        placement.shares.forEach(share =>
-          add(share.space.room.info.id, share.members),
-        );
-      }
-    }
-    return id => Math.max(0, most - (taken.get(id) ?? 0));
-  }
-
   private durationOf(unit: UnitRun): Milliseconds {
     const {estimates} = this.situation;
     return estimates.expect(unit.job.job.queue, unit.step.estimateMs);
@@ -384,72 +336,6 @@
   }
 }
 
-/** Urgent jobs of workspaces that need no more than their guarantee. */
-function findGuaranteed(situation: Situation): ReadonlySet<JobRun> {
-  const byWorkspace = new Map<string, {needed: number; jobs: JobRun[]}>();
-  for (const job of situation.jobs) {
-    if (job.job.terms.priority !== 0 || job.isCancelled) {
-      continue;
-    }
-    const entry = byWorkspace.get(job.job.workspace) ?? {needed: 0, jobs: []};
-    entry.needed += acceleratorsOf(job);
-    entry.jobs.push(job);
-    byWorkspace.set(job.job.workspace, entry);
-  }
-  const within = new Set<JobRun>();
-  for (const [workspace, {needed, jobs}] of byWorkspace) {
-    if (needed <= (situation.guarantees.get(workspace) ?? 0)) {
-      jobs.forEach(job => within.add(job));
-    }
-  }
-  return within;
-}
-
-/** Accelerators of a job's widest step. */
-function acceleratorsOf({job}: JobRun): number {
-  const needs = job.spec.steps.map(
-    step => step.count * step.demand.accelerators,
-  );
-  return Math.max(...needs);
-}
-
-/** Units of the same shape and constraints find room or not together. */
-function shapeOf(unit: UnitRun): string {
-  const {step, job} = unit;
-  const single = unit.avoid.size > 0 || step.maxPerTarget !== undefined;
-  const own = single ? `${job.id}.${unit.stepIndex}.${unit.unitIndex}` : '';
-  const {cpu, memoryMb, accelerators} = step.demand;
-  return [
-    memberCount(unit),
-    cpu,
-    memoryMb,
-    accelerators,
-    step.isRackSensitive,
-    step.requiredLabel,
-    step.dataRack,
-    step.estimateMs,
-    job.job.queue,
-    own,
-  ].join('|');
-}
-
-/** Whether one rack could hold every member if it were empty. */
-function canEverFitNear(seeker: Seeker, spaces: readonly Space[]): boolean {
-  const empty = spaces.map(space => ({
-    ...space,
-    free: {...space.room.info.capacity},
-  }));
-  return findPlacement(seeker, empty, -Infinity) !== undefined;
-}
-
-function isSameStep(a: UnitRun, b: UnitRun): boolean {
-  return (
-    a.job === b.job &&
-    a.occurrence === b.occurrence &&
-    a.stepIndex === b.stepIndex
-  );
-}
-
 /** Estimated work of a unit in core-seconds. */
 function workOf(unit: UnitRun): number {
   const {cpu, accelerators} = unit.step.demand;
--- a/packages/dispatch/src/policy/reclaim.ts
+++ b/packages/dispatch/src/policy/reclaim.ts
@@ -6,9 +6,9 @@
   type Seeker,
   type Space,
   allowedMembers,
-  countFits,
+  fitsOf,
   give,
-  groupByRack,
+  groupsFor,
 } from './space.js';
 
 /** What stopping a unit would throw away; Infinity for one that may not be stopped. */
@@ -31,11 +31,8 @@
   costOf: StopCost,
   endsInTime: EndsInTime,
 ): Reclaim | undefined {
-  const groups = seeker.isRackSensitive
-    ? [...groupByRack(spaces).values()]
-    : [[...spaces]];
   let best: Reclaim | undefined;
-  for (const group of groups) {
+  for (const group of groupsFor(seeker, spaces)) {
     const plan = planGroup(seeker, group, costOf, endsInTime);
     if (plan && (!best || plan.cost < best.cost)) {
       best = plan;
@@ -136,7 +133,3 @@
   }
   return total;
 }
-
-function fitsOf(seeker: Seeker, space: Space, room: Demand): number {
-  return countFits(room, seeker.demand, allowedMembers(seeker, space));
-}
--- a/packages/dispatch/src/policy/reservation.ts
+++ b/packages/dispatch/src/policy/reservation.ts
@@ -6,9 +6,9 @@
   type Seeker,
   type Space,
   allowedMembers,
-  countFits,
+  fitsOf,
   give,
-  groupByRack,
+  groupsFor,
 } from './space.js';
 
 /** When the run of a booking is expected to end. */
@@ -26,11 +26,8 @@
   expectEnd: ExpectEnd,
   now: Instant,
 ): boolean {
-  const groups = seeker.isRackSensitive
-    ? [...groupByRack(spaces).values()]
-    : [[...spaces]];
   let best: Opening | undefined;
-  for (const group of groups) {
+  for (const group of groupsFor(seeker, spaces)) {
     const opening = findOpening(seeker, group, expectEnd, now);
     if (opening && (!best || opening.at < best.at)) {
       best = opening;
@@ -103,7 +100,3 @@
   }
   return chosen;
 }
-
-function fitsOf(seeker: Seeker, space: Space, room: Demand): number {
-  return countFits(room, seeker.demand, allowedMembers(seeker, space));
-}
--- a/packages/dispatch/src/policy/space.ts
+++ b/packages/dispatch/src/policy/space.ts
@@ -89,3 +89,16 @@
   }
   return racks;
 }
+
+/** The groups of targets of which one must hold all members: racks, or everything. */
+export function groupsFor(
+  seeker: Seeker,
+  spaces: readonly Space[],
+): Array<readonly Space[]> {
+  return seeker.isRackSensitive ? [...groupByRack(spaces).values()] : [spaces];
+}
+
+/** Members that a target with `room` left may take. */
+export function fitsOf(seeker: Seeker, space: Space, room: Demand): number {
+  return countFits(room, seeker.demand, allowedMembers(seeker, space));
+}
--- a/packages/dispatch/src/run_book.ts
+++ b/packages/dispatch/src/run_book.ts
@@ -8,6 +8,7 @@
   type JobRun,
   type UnitRun,
   countedDemand,
+  createBooking,
   hasNoAttemptLeft,
 } from './runs.js';
 import type {ListedEnd} from './target_port.js';
@@ -76,23 +77,19 @@
     epoch: number,
     now: Instant,
   ): Booking {
-    const booking: Booking = {
-      task: taskNameOf(unit, member),
-      run: unit.progress.run,
-      demand: countedDemand(unit.step),
-      room,
-      unit,
-      memberIndex: member,
-      state: 'planned',
-      epoch,
-      percent: 0,
-      percentAt: now,
-      firstPercent: 0,
-      firstPercentAt: now,
-      sample: {percent: 0, at: now},
-      bestPace: 0,
-      isBeingStopped: false,
-    };
+    const booking = createBooking(
+      {
+        task: taskNameOf(unit, member),
+        run: unit.progress.run,
+        demand: countedDemand(unit.step),
+        room,
+        unit,
+        memberIndex: member,
+        state: 'planned',
+        epoch,
+      },
+      now,
+    );
     unit.bookings.push(booking);
     room.book(booking);
     return booking;
--- a/packages/dispatch/src/runs.ts
+++ b/packages/dispatch/src/runs.ts
@@ -121,3 +121,30 @@
   const {maxAttempts} = unit.job.job.terms;
   return !unit.step.isLongRunning && unit.progress.failed >= maxAttempts;
 }
+
+/** A booking that was just made; nothing is known of its progress. */
+export function createBooking(
+  values: Pick<
+    Booking,
+    | 'task'
+    | 'run'
+    | 'demand'
+    | 'room'
+    | 'unit'
+    | 'memberIndex'
+    | 'state'
+    | 'epoch'
+  >,
+  now: Instant,
+): Booking {
+  return {
+    ...values,
+    percent: 0,
+    percentAt: now,
+    firstPercent: 0,
+    firstPercentAt: now,
+    sample: {percent: 0, at: now},
+    bestPace: 0,
+    isBeingStopped: false,
+  };
+}
