Let no missing advice hold up another step of the same shape

Cause: found by reading: units of one shape count as not fitting together, but those that need advice have targets of their own. Ruled out: nothing to rule out. Change: units that need advice are looked at one by one. Test: a step whose advice is missing does not hold up another of its shape; failed before (1 failed), then all passed.

--- a/packages/dispatch/__tests__/decision.spec.ts
+++ b/packages/dispatch/__tests__/decision.spec.ts
@@ -179,3 +179,26 @@
     t.end();
   },
 );
+
+t.test(
+  'a step whose advice is missing does not hold up another of its shape',
+  t => {
+    const rooms = [createRoom('a', 'r1', 0)];
+    const first = createJob('1', createStep({count: 1}));
+    const second = createJob('2', createStep({count: 1}), {
+      acceptedAt: 10,
+      now: 10,
+    });
+    first.job.terms.needsAdvice = true;
+    second.job.terms.needsAdvice = true;
+    const situation = createSituation([first, second], rooms, {
+      allowedFor: unit => new Set(unit.job === second ? ['a'] : []),
+    });
+    const {starts} = decide(situation, 10);
+    t.same(
+      starts.map(({unit}) => unit.job.id),
+      ['2'],
+    );
+    t.end();
+  },
+);
--- a/packages/dispatch/src/policy/seeker.ts
+++ b/packages/dispatch/src/policy/seeker.ts
@@ -41,8 +41,11 @@
 /** Units of the same shape and constraints find room or not together. */
 export function shapeOf(unit: UnitRun): string {
   const {step, job} = unit;
-  const single = unit.avoid.size > 0 || step.maxPerTarget !== undefined;
-  const own = single ? `${job.id}.${unit.stepIndex}.${unit.unitIndex}` : '';
+  const isSpecial =
+    unit.avoid.size > 0 ||
+    step.maxPerTarget !== undefined ||
+    job.job.terms.needsAdvice;
+  const own = isSpecial ? `${job.id}.${unit.stepIndex}.${unit.unitIndex}` : '';
   const {cpu, memoryMb, accelerators} = step.demand;
   return [
     memberCount(unit),
