Start no job again for a repeated request that lands at its end

Change: the table passes on only the first acceptance of a job. Test: a repeated request that lands just before the end of its job does not start it again; failed before.

--- a/packages/emulator/__tests__/faults.spec.ts
+++ b/packages/emulator/__tests__/faults.spec.ts
@@ -296,3 +296,29 @@
     installation.close();
   },
 );
+
+t.test(
+  'a repeated request that lands just before the end of its job does not start it again',
+  async t => {
+    const installation = await boot(81);
+    const id = createId(1);
+    const {log} = installation;
+    const append = log.appendFor.bind(log);
+    log.appendFor = (instance, records, ...rest) => {
+      const isEnd = records.some(
+        ({key, value}) => key === `s/${id}` && value.includes('"complete"'),
+      );
+      const first = log.history.find(({key}) => key === `a/${id}`);
+      if (isEnd && first) {
+        log.put({key: first.key, value: first.value});
+      }
+      return append(instance, records, ...rest);
+    };
+    void installation.submit(id, createSpec([createStep({count: 1})]));
+    const isComplete = () => installation.stateOf(id) === 'complete';
+    t.ok(await installation.until(isComplete, 10_000));
+    await installation.advance(4000);
+    t.same(installation.auditor.violations, []);
+    installation.close();
+  },
+);
--- a/packages/workload/src/job_table.ts
+++ b/packages/workload/src/job_table.ts
@@ -33,7 +33,10 @@
 
   constructor(private readonly logger: Logger) {}
 
-  /** Applies a record unless a newer one of its key was applied. Returns what it said. */
+  /**
+   * Applies a record unless a newer one of its key was applied. Returns what
+   * it said; nothing for a repeated acceptance, which says nothing new.
+   */
   apply(record: StoredRecord): JobRecord | undefined {
     const known = this.newest.get(record.key);
     if (known !== undefined && known >= record.offset) {
@@ -44,9 +47,10 @@
       this.newest.delete(record.key);
     }
     const decoded = this.decode(record);
-    if (decoded) {
-      this.change(decoded);
+    if (!decoded || this.isRepeated(decoded)) {
+      return undefined;
     }
+    this.change(decoded);
     return decoded;
   }
 
@@ -89,6 +93,10 @@
     }
   }
 
+  private isRepeated(record: JobRecord): boolean {
+    return record.kind === 'accepted' && this.entries.has(record.id);
+  }
+
   private change(record: JobRecord): void {
     switch (record.kind) {
       case 'leadership':
@@ -112,11 +120,7 @@
     }
   }
 
-  /** A repeated request changes nothing. */
   private accept(id: string, job: AcceptedJob): void {
-    if (this.entries.has(id)) {
-      return;
-    }
     this.entries.set(id, {
       id,
       job,
