Name the platform's topics in the soak's stand-in only

Cause: soak.ts named topics of the platform's pages. Ruled out: nothing to rule out. Change: the map of topics stands with the stand-in that serves them. No change of behaviour.

--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -18,7 +18,7 @@
   createDesiredState,
   createRegistryEntry,
 } from './standins/platform_records.js';
-import {serveStore} from './standins/store_standin.js';
+import {nameTopics, serveStore} from './standins/store_standin.js';
 import {serveWorker} from './standins/worker_standin.js';
 
 const DAEMONS = 3;
@@ -103,11 +103,7 @@
     register(info);
   });
   operatorLog.put({key: 'config', value: createDesiredState(1, POOL)});
-  const topics = new Map([
-    ['keyed.jobs', jobLog],
-    ['keyed.op', operatorLog],
-    ['keyed.servers', registryLog],
-  ]);
+  const topics = nameTopics(jobLog, operatorLog, registryLog);
   const daemons: DaemonProcess[] = [];
   for (let index = 0; index < DAEMONS; index++) {
     const store = await serveStore(topics, `instance-${index}`);
--- a/packages/soak/src/standins/store_standin.ts
+++ b/packages/soak/src/standins/store_standin.ts
@@ -12,6 +12,19 @@
 /** Time after which a fault of the log shows as silence, in milliseconds. */
 const SILENCE = 1000;
 
+/** The logs under the names that the platform gives their topics. */
+export function nameTopics(
+  jobs: EmulatedLog,
+  operator: EmulatedLog,
+  registry: EmulatedLog,
+): ReadonlyMap<string, EmulatedLog> {
+  return new Map([
+    ['keyed.jobs', jobs],
+    ['keyed.op', operator],
+    ['keyed.servers', registry],
+  ]);
+}
+
 /** Serves topics, by name, to one instance. */
 export function serveStore(
   topics: ReadonlyMap<string, EmulatedLog>,
