Reach the log through a peer while the store turns an instance away

Ruled out: shorter Retry-After alone (the next instance may be refused as well), leaving rotation sooner (the balancer needs two misses, 2 s). Change: packages/relay. Instances name themselves in the job log; an instance whose direct call failed passes it to a peer, never further than one hop, two peers at most. Office appends keep their epoch and sequence, so a relayed holder stays fenced as before. The office goes to the instance with most processor first. wire: a failure says whether the call was sent, so that a refusal stays true.

--- a/packages/dispatch/src/dispatch_service.ts
+++ b/packages/dispatch/src/dispatch_service.ts
@@ -38,8 +38,10 @@
     private readonly follower: Follower,
     private readonly registry: TargetRegistry,
     private readonly holder: string,
+    /** Number of instances that should dispatch rather than this one. */
+    rank: () => number,
   ) {
-    this.watch = new OfficeWatch(parts.clock.now(), parts.random);
+    this.watch = new OfficeWatch(parts.clock.now(), parts.random, rank);
   }
 
   /** Whether this instance dispatches now. */
--- a/packages/dispatch/src/office.ts
+++ b/packages/dispatch/src/office.ts
@@ -16,8 +16,14 @@
 /** A holder that wrote nothing for this long has lost the office: two beats, and what a beat and its reading may take. */
 export const OFFICE_SILENCE: Milliseconds = 1200;
 
-/** Rivals wait a random part of this, so that they rarely claim together. */
-const CLAIM_SPREAD: Milliseconds = 250;
+/** Each rank waits this much longer than the one before it: a claim is seen by then, if its instance lives. */
+const RANK_STEP: Milliseconds = 70;
+
+/** Ranks from this one on wait alike, but for the random part. */
+const LAST_RANK = 5;
+
+/** A random part of this is waited besides, so that instances that do not know each other rarely claim together. */
+const CLAIM_SPREAD: Milliseconds = 60;
 
 /** A log that was silent itself says nothing of the holder. */
 const LOG_FRESHNESS: Milliseconds = 900;
@@ -26,21 +32,25 @@
 export class OfficeWatch {
   private lastSign: Instant;
   private lastRead: Instant = -Infinity;
-  private patience: Milliseconds;
+  private silence: Milliseconds = OFFICE_SILENCE;
+  /** This instance's part of the random spread, drawn anew with each sign. */
+  private draw: number;
 
+  /** `rank` counts the instances that should hold the office rather than this one. */
   constructor(
     now: Instant,
     private readonly random: Random,
+    private readonly rank: () => number,
   ) {
     this.lastSign = now;
-    this.patience = this.drawPatience(OFFICE_SILENCE);
+    this.draw = random.next();
   }
 
   /** Any record of the holder proves that it holds the office. */
   onHolderRecord(leadership: Leadership | undefined, now: Instant): void {
     this.lastSign = now;
-    const silence = leadership?.hasResigned ? 0 : OFFICE_SILENCE;
-    this.patience = this.drawPatience(silence);
+    this.silence = leadership?.hasResigned ? 0 : OFFICE_SILENCE;
+    this.draw = this.random.next();
   }
 
   /** The log was read for the first time; its newest sign of a holder is `age` old. */
@@ -61,17 +71,21 @@
   /** Whether the office is to be claimed now. */
   isVacant(now: Instant): boolean {
     const isLogFresh = now - this.lastRead <= LOG_FRESHNESS;
-    return isLogFresh && now - this.lastSign >= this.patience;
+    return isLogFresh && now - this.lastSign >= this.silence + this.delay();
   }
 
   /** Waits before the next claim after one that failed. */
   onClaimFailed(now: Instant): void {
     this.lastSign = now;
-    this.patience = this.drawPatience(OFFICE_SILENCE / 2);
+    this.silence = OFFICE_SILENCE / 2;
+    this.draw = this.random.next();
   }
 
-  private drawPatience(base: Milliseconds): Milliseconds {
-    return base + this.random.next() * CLAIM_SPREAD;
+  /** Who should rather hold the office waits less; others may be known by now that were not at the last sign. */
+  private delay(): Milliseconds {
+    const rank = Math.min(this.rank(), LAST_RANK);
+    const spread = rank < LAST_RANK ? CLAIM_SPREAD : LAST_RANK * CLAIM_SPREAD;
+    return rank * RANK_STEP + this.draw * spread;
   }
 }
 
--- a/packages/emulator/src/emulated_instance.ts
+++ b/packages/emulator/src/emulated_instance.ts
@@ -6,14 +6,18 @@
   type TargetPort,
   type TargetRegistry,
 } from '@galenavalve/dispatch';
+import {DesiredStateBook, Gateway} from '@galenavalve/gateway';
 import {
-  DesiredStateBook,
-  Gateway,
-  type JobAppender,
-} from '@galenavalve/gateway';
-import type {OfficeLog} from '@galenavalve/dispatch';
+  LogAccess,
+  PeerBook,
+  type PeerEntry,
+  type PeerPort,
+  RelayedLog,
+  type SharedLog,
+  announcePeer,
+} from '@galenavalve/relay';
 import type {Clock, Logger, Random} from '@galenavalve/shared';
-import {Follower, JobTable, type KeyedLog} from '@galenavalve/workload';
+import {Follower, JobTable} from '@galenavalve/workload';
 
 /** A read of the log waits this long, in milliseconds. */
 const READ_WAIT = 1000;
@@ -24,7 +28,10 @@
 /** What an instance is wired to. */
 export interface InstanceWiring {
   name: string;
-  log: KeyedLog & JobAppender & OfficeLog;
+  /** Processor that it may use, in cores. */
+  cores: number;
+  log: SharedLog;
+  peers: PeerPort;
   targets: TargetPort;
   advisor: Advisor;
   registry: TargetRegistry;
@@ -40,16 +47,31 @@
   readonly table: JobTable;
   readonly gateway: Gateway;
   readonly service: DispatchService;
+  readonly access: LogAccess;
   private readonly follower: Follower;
+  private readonly book: PeerBook;
+  private readonly log: RelayedLog;
 
   constructor(private readonly wiring: InstanceWiring) {
-    const {log, clock, random, logger, desired} = wiring;
+    const {clock, random, logger, desired} = wiring;
+    this.book = new PeerBook(this.describe());
+    this.access = new LogAccess(this.book, '', random, logger);
+    const log = new RelayedLog(
+      'jobs',
+      wiring.log,
+      this.access,
+      wiring.peers,
+      clock,
+      true,
+    );
+    this.log = log;
     this.table = new JobTable(logger);
     this.follower = new Follower(
       'jobs',
       log,
       {
         onRecord: record => {
+          this.book.apply(record);
           const applied = this.table.apply(record);
           if (applied) {
             this.service.onRecord(applied, clock.now());
@@ -78,6 +100,7 @@
       this.follower,
       wiring.registry,
       `${wiring.name}/${clock.now()}`,
+      () => this.book.rank,
     );
     this.gateway = new Gateway({
       table: this.table,
@@ -97,6 +120,9 @@
   start(): void {
     void this.follower.run();
     void this.service.run();
+    const {clock, random, logger} = this.wiring;
+    const parts = {log: this.log, peers: this.book, clock, random, logger};
+    void announcePeer(this.describe(), parts);
   }
 
   /** A planned stop. */
@@ -104,4 +130,9 @@
     await this.service.close();
     this.follower.close();
   }
+
+  private describe(): Omit<PeerEntry, 'writtenAt'> {
+    const {name, cores} = this.wiring;
+    return {instance: name, host: name, port: 1, domain: '', cores};
+  }
 }
--- a/packages/emulator/src/installation.ts
+++ b/packages/emulator/src/installation.ts
@@ -18,6 +18,7 @@
 import {EmulatedFleet} from './emulated_fleet.js';
 import {EmulatedInstance} from './emulated_instance.js';
 import {EmulatedLog} from './emulated_log.js';
+import {EmulatedPeers} from './emulated_peers.js';
 import type {TaskFate} from './emulated_target.js';
 import {InstanceClock, Power} from './power.js';
 import {RunAuditor} from './run_auditor.js';
@@ -35,6 +36,8 @@
   logger: Logger;
   settings: DispatchSettings;
   advisor: Advisor;
+  /** Processor of an instance, in cores. */
+  coresOf: (name: string) => number;
   /** What really happens to tasks, unless a job says otherwise. */
   fates: (task: string, installation: Installation) => TaskFate;
 }
@@ -48,6 +51,7 @@
   readonly random: SeededRandom;
   readonly log: EmulatedLog;
   readonly fleet: EmulatedFleet;
+  readonly peers = new EmulatedPeers(this.clock);
   readonly auditor = new RunAuditor();
   readonly desired = new DesiredStateBook();
   readonly instances = new Map<string, EmulatedInstance>();
@@ -66,6 +70,7 @@
       logger: new SilentLogger(),
       settings: DEFAULT_SETTINGS,
       advisor: new NoAdvisor(),
+      coresOf: () => 1,
       fates: defaultFate,
       ...options,
     };
@@ -95,9 +100,12 @@
   /** Starts an instance, anew if it was killed. */
   boot(name: string): EmulatedInstance {
     const power = new Power();
+    const log = power.guard(this.log.client(name));
     const instance = new EmulatedInstance({
       name,
-      log: power.guard(this.log.client(name)),
+      cores: this.options.coresOf(name),
+      log,
+      peers: power.guard(this.peers.port(name)),
       targets: power.guard(this.fleet.port()),
       advisor: power.guard(this.options.advisor),
       registry: power.guard(this.fleet.registry()),
@@ -109,6 +117,7 @@
     });
     this.powers.set(name, power);
     this.instances.set(name, instance);
+    this.peers.add(name, {log, access: instance.access});
     instance.start();
     return instance;
   }
--- /dev/null
+++ b/packages/relay/__tests__/fixtures.ts
@@ -0,0 +1,55 @@
+/** Fixtures of the relay's specs. */
+import type {OfficeAppend} from '@galenavalve/dispatch';
+import {
+  LogAccess,
+  PeerBook,
+  type PeerEntry,
+  type SharedLog,
+  encodePeer,
+} from '@galenavalve/relay';
+import {SeededRandom, SilentLogger} from '@galenavalve/shared';
+
+/** An instance named `name`. */
+export function createPeer(
+  name: string,
+  values: Partial<PeerEntry> = {},
+): PeerEntry {
+  return {
+    instance: name,
+    host: '127.0.0.1',
+    port: 1,
+    domain: 'a',
+    cores: 1,
+    writtenAt: 0,
+    ...values,
+  };
+}
+
+/** The book of `self` that knows `others`. */
+export function createBook(self: PeerEntry, others: PeerEntry[]): PeerBook {
+  const book = new PeerBook(self);
+  others.forEach(other => book.apply(encodePeer(other)));
+  return book;
+}
+
+/** What an instance knows of its ways to the logs. */
+export function createAccess(book: PeerBook, domain = 'a'): LogAccess {
+  return new LogAccess(book, domain, new SeededRandom(1), new SilentLogger());
+}
+
+/** A log that gives the same answer to every append, and one record to every read. */
+export function createLog(
+  answer: OfficeAppend,
+): SharedLog & {calls: unknown[][]} {
+  const calls: unknown[][] = [];
+  const records = [{key: 'k', value: 'v', offset: 4}];
+  return {
+    calls,
+    append: async (...args: unknown[]) => {
+      calls.push(args);
+      return answer as never;
+    },
+    newest: async after => ({records, end: 5, after}),
+    tail: async () => ({kind: 'records', records, next: 5, end: 5}),
+  };
+}
--- /dev/null
+++ b/packages/relay/__tests__/peer_book.spec.ts
@@ -0,0 +1,30 @@
+import t from 'tap';
+import {encodePeer} from '@galenavalve/relay';
+import {createBook, createPeer} from './fixtures.js';
+
+t.test('the rank counts stronger instances and earlier names', async t => {
+  const others = [
+    createPeer('a', {cores: 0.5}),
+    createPeer('b', {cores: 0.3}),
+    createPeer('d', {cores: 0.3}),
+    createPeer('e', {cores: 1.35}),
+  ];
+  const book = createBook(createPeer('c', {cores: 0.3}), others);
+  t.equal(book.rank, 3);
+});
+
+t.test('records of other writers and its own name no peer', async t => {
+  const book = createBook(createPeer('a'), []);
+  book.apply({key: 'p/x', value: '{'});
+  book.apply({key: 'p/x', value: '{"instance":"x","port":"many"}'});
+  book.apply({key: 's/p/x', value: '{}'});
+  book.apply(encodePeer(createPeer('a')));
+  t.same(book.all(), []);
+});
+
+t.test('an instance that is dropped is no peer any more', async t => {
+  const book = createBook(createPeer('a'), [createPeer('b')]);
+  t.equal(book.all().length, 1);
+  book.apply({key: 'p/b', value: ''});
+  t.same(book.all(), []);
+});
--- /dev/null
+++ b/packages/relay/src/peer_port.ts
@@ -0,0 +1,63 @@
+/** Calls to the log through another instance. */
+import type {OfficeAppend, OfficeLog} from '@galenavalve/dispatch';
+import type {JobAppender} from '@galenavalve/gateway';
+import type {Milliseconds} from '@galenavalve/shared';
+import type {
+  KeyedLog,
+  KeyedRecord,
+  NewestPage,
+  TailPage,
+} from '@galenavalve/workload';
+import type {PeerEntry} from './peer_entry.js';
+
+/** A log as every part of an instance uses it. */
+export type SharedLog = KeyedLog & JobAppender & OfficeLog;
+
+/** Makes records part of the dispatcher's sequence. */
+export interface Fencing {
+  epoch: number;
+  sequence: number;
+}
+
+/** An append with all that belongs to it. */
+export interface AppendCall {
+  records: readonly KeyedRecord[];
+  fencing?: Fencing;
+}
+
+/** Carries calls to another instance, which makes them itself and passes them no further. */
+export interface PeerPort {
+  /** Never throws: an answer that did not come is an outcome. */
+  append(
+    peer: PeerEntry,
+    log: string,
+    call: AppendCall,
+    timeout: Milliseconds,
+  ): Promise<OfficeAppend>;
+  /** Throws when no whole answer comes. */
+  newest(
+    peer: PeerEntry,
+    log: string,
+    after: string | undefined,
+    timeout: Milliseconds,
+  ): Promise<NewestPage>;
+  /** Throws when no whole answer comes within `wait` and `timeout`. */
+  tail(
+    peer: PeerEntry,
+    log: string,
+    offset: number,
+    wait: Milliseconds,
+    timeout: Milliseconds,
+  ): Promise<TailPage>;
+}
+
+/** Appends to a log, under an epoch or without. */
+export function appendTo(
+  log: SharedLog,
+  {records, fencing}: AppendCall,
+  timeout: Milliseconds,
+): Promise<OfficeAppend> {
+  return fencing
+    ? log.append(records, fencing.epoch, fencing.sequence, timeout)
+    : log.append(records, timeout);
+}
--- /dev/null
+++ b/packages/relay/src/relayed_log.ts
@@ -0,0 +1,210 @@
+/** A log that is reached through another instance while this one is turned away. */
+import type {OfficeAppend} from '@galenavalve/dispatch';
+import type {AppendOutcome} from '@galenavalve/gateway';
+import {
+  type Clock,
+  type Milliseconds,
+  describeError,
+} from '@galenavalve/shared';
+import type {KeyedRecord, NewestPage, TailPage} from '@galenavalve/workload';
+import type {LogAccess} from './log_access.js';
+import type {PeerEntry} from './peer_entry.js';
+import {
+  type AppendCall,
+  type PeerPort,
+  type SharedLog,
+  appendTo,
+} from './peer_port.js';
+
+/** A direct append gets this long before a peer is asked, where there is one: a slow store answers within a quarter of a second. */
+const DIRECT_TIME: Milliseconds = 400;
+
+/** Longest wait for a peer's answer beyond the wait asked for: peers answer in a few milliseconds, or not at all. */
+const PEER_TIME: Milliseconds = 300;
+
+/** A direct read that brought nothing for this long is compared with what a peer reads: the holder writes more often. */
+const DOUBT_TIME: Milliseconds = 850;
+
+/** One log of one instance. */
+export class RelayedLog implements SharedLog {
+  constructor(
+    private readonly name: string,
+    private readonly direct: SharedLog,
+    private readonly access: LogAccess,
+    private readonly port: PeerPort,
+    private readonly clock: Clock,
+    /** Whether the holder of the office writes to it all the time. */
+    private readonly isBusy = false,
+  ) {}
+
+  append(
+    records: readonly KeyedRecord[],
+    timeout: Milliseconds,
+  ): Promise<AppendOutcome>;
+  append(
+    records: readonly KeyedRecord[],
+    epoch: number,
+    sequence: number,
+    timeout: Milliseconds,
+  ): Promise<OfficeAppend>;
+  append(
+    records: readonly KeyedRecord[],
+    ...rest: number[]
+  ): Promise<OfficeAppend> {
+    const fencing =
+      rest.length === 3 ? {epoch: rest[0]!, sequence: rest[1]!} : undefined;
+    return this.appendAnyhow({records, fencing}, rest.at(-1)!);
+  }
+
+  newest(after: string | undefined): Promise<NewestPage> {
+    return this.read(
+      () => this.direct.newest(after),
+      peer => this.port.newest(peer, this.name, after, PEER_TIME),
+    );
+  }
+
+  async tail(offset: number, wait: Milliseconds): Promise<TailPage> {
+    return this.read(
+      () => this.tailDirectly(offset, wait),
+      peer => this.port.tail(peer, this.name, offset, wait, PEER_TIME),
+    );
+  }
+
+  private async appendAnyhow(
+    call: AppendCall,
+    timeout: Milliseconds,
+  ): Promise<OfficeAppend> {
+    const end = this.clock.now() + timeout;
+    const peers = this.access.choosePeers(this.clock.now());
+    let failure: OfficeAppend | undefined;
+    const isDirect = this.access.isDirect(this.clock.now());
+    if (isDirect || peers.length === 0) {
+      const own = peers.length > 0 ? Math.min(timeout, DIRECT_TIME) : timeout;
+      const outcome = await appendTo(this.direct, call, own);
+      this.note(outcome);
+      if (isSettled(outcome)) {
+        return outcome;
+      }
+      failure = outcome;
+    }
+    for (const peer of peers) {
+      const left = Math.min(PEER_TIME, end - this.clock.now());
+      if (left <= 0) {
+        break;
+      }
+      const outcome = await this.port.append(peer, this.name, call, left);
+      if (isSettled(outcome)) {
+        this.access.onPeerAnswer(peer);
+        return outcome;
+      }
+      this.access.onPeerFailure(peer, outcome.problem, this.clock.now());
+      failure = combine(failure, outcome);
+    }
+    return failure ?? {kind: 'refused', problem: 'there was no time to try'};
+  }
+
+  private note(outcome: OfficeAppend): void {
+    if (isSettled(outcome)) {
+      this.access.onDirectAnswer();
+    } else {
+      this.access.onDirectFailure(outcome.problem, this.clock.now());
+    }
+  }
+
+  /** Reads directly unless that failed just now, then through peers. Throws what the last way threw. */
+  private async read<Page>(
+    readDirectly: () => Promise<Page>,
+    readThrough: (peer: PeerEntry) => Promise<Page>,
+  ): Promise<Page> {
+    const peers = this.access.choosePeers(this.clock.now());
+    let problem: unknown;
+    if (this.access.isDirect(this.clock.now()) || peers.length === 0) {
+      try {
+        const page = await readDirectly();
+        this.access.onDirectAnswer();
+        return page;
+      } catch (error) {
+        this.access.onDirectFailure(describeError(error), this.clock.now());
+        problem = error;
+      }
+    }
+    for (const peer of peers) {
+      try {
+        const page = await readThrough(peer);
+        this.access.onPeerAnswer(peer);
+        return page;
+      } catch (error) {
+        this.access.onPeerFailure(peer, describeError(error), this.clock.now());
+        problem = error;
+      }
+    }
+    throw problem;
+  }
+
+  /** A direct read that is given up when another direct call fails, or when a peer reads what it did not bring. */
+  private async tailDirectly(
+    offset: number,
+    wait: Milliseconds,
+  ): Promise<TailPage> {
+    const done = new AbortController();
+    const reading = this.direct.tail(offset, wait);
+    const failed = this.access
+      .whenFailed(done.signal)
+      .then(() => Promise.reject(new Error('another call failed meanwhile')));
+    const doubted = this.doubt(offset, wait, done.signal);
+    try {
+      return await Promise.race([reading, failed, doubted]);
+    } finally {
+      done.abort();
+      // Whichever lost the race has nobody to tell.
+      for (const loser of [reading, failed, doubted]) {
+        loser.catch(() => undefined);
+      }
+    }
+  }
+
+  /** Rejects once a peer has records that a direct read should have brought long ago. */
+  private async doubt(
+    offset: number,
+    wait: Milliseconds,
+    signal: AbortSignal,
+  ): Promise<never> {
+    if (this.isBusy && wait > DOUBT_TIME) {
+      await this.clock.sleep(DOUBT_TIME, signal);
+      if (!signal.aborted && (await this.hasNewsElsewhere(offset))) {
+        throw new Error('a peer reads records that did not come here');
+      }
+    }
+    return new Promise(() => undefined);
+  }
+
+  private async hasNewsElsewhere(offset: number): Promise<boolean> {
+    const peer = this.access.choosePeers(this.clock.now())[0];
+    if (!peer) {
+      return false;
+    }
+    try {
+      const page = await this.port.tail(peer, this.name, offset, 0, PEER_TIME);
+      return page.kind === 'expired' || page.records.length > 0;
+    } catch (error) {
+      // Then the peer is no help either; the direct read goes on.
+      this.access.onPeerFailure(peer, describeError(error), this.clock.now());
+      return false;
+    }
+  }
+}
+
+/** Whether it is known what became of an append. */
+function isSettled(
+  outcome: OfficeAppend,
+): outcome is Extract<OfficeAppend, {kind: 'appended' | 'fenced'}> {
+  return outcome.kind === 'appended' || outcome.kind === 'fenced';
+}
+
+/** Nothing was done only if no try can have done it. */
+function combine(
+  before: OfficeAppend | undefined,
+  last: OfficeAppend,
+): OfficeAppend {
+  return before?.kind === 'unknown' ? before : last;
+}
--- /dev/null
+++ b/packages/relay/src/wire_peer_port.ts
@@ -0,0 +1,94 @@
+/** Calls peers over the project's own protocol. */
+import type {ZodType, z} from 'zod';
+import type {OfficeAppend} from '@galenavalve/dispatch';
+import {type Milliseconds, describeError, isFailure} from '@galenavalve/shared';
+import type {PeerClient} from '@galenavalve/wire';
+import type {NewestPage, TailPage} from '@galenavalve/workload';
+import type {PeerEntry} from './peer_entry.js';
+import type {AppendCall, PeerPort} from './peer_port.js';
+import {
+  APPEND_METHOD,
+  NEWEST_METHOD,
+  TAIL_METHOD,
+  appendResponseSchema,
+  newestResponseSchema,
+  tailResponseSchema,
+} from './serve_logs.js';
+
+/** Peers over TCP. */
+export class WirePeerPort implements PeerPort {
+  constructor(private readonly client: PeerClient) {}
+
+  async append(
+    peer: PeerEntry,
+    log: string,
+    call: AppendCall,
+    timeout: Milliseconds,
+  ): Promise<OfficeAppend> {
+    const body = {log, ...call, timeout};
+    try {
+      return await this.call(
+        peer,
+        APPEND_METHOD,
+        body,
+        timeout,
+        appendResponseSchema,
+      );
+    } catch (error) {
+      const kind = isUndone(error) ? 'refused' : 'unknown';
+      return {kind, problem: `through a peer: ${describeError(error)}`};
+    }
+  }
+
+  newest(
+    peer: PeerEntry,
+    log: string,
+    after: string | undefined,
+    timeout: Milliseconds,
+  ): Promise<NewestPage> {
+    return this.call(
+      peer,
+      NEWEST_METHOD,
+      {log, after},
+      timeout,
+      newestResponseSchema,
+    );
+  }
+
+  tail(
+    peer: PeerEntry,
+    log: string,
+    offset: number,
+    wait: Milliseconds,
+    timeout: Milliseconds,
+  ): Promise<TailPage> {
+    const body = {log, offset, wait};
+    return this.call(
+      peer,
+      TAIL_METHOD,
+      body,
+      wait + timeout,
+      tailResponseSchema,
+    );
+  }
+
+  private async call<Schema extends ZodType>(
+    {instance, host, port}: PeerEntry,
+    method: string,
+    body: object,
+    timeout: Milliseconds,
+    schema: Schema,
+  ): Promise<z.output<Schema>> {
+    const peer = {instance, host, port};
+    const answer = await this.client.call(peer, method, body, timeout);
+    return schema.parse(answer);
+  }
+}
+
+/** Nothing was done if the peer says that it does not reach the log, or cannot have seen the call. */
+function isUndone(error: unknown): boolean {
+  return (
+    isFailure(error, 'not-found') ||
+    (isFailure(error) && error.details['wasSent'] === false)
+  );
+}
--- a/packages/wire/src/peer_link.ts
+++ b/packages/wire/src/peer_link.ts
@@ -35,6 +35,8 @@
 interface PendingCall {
   resolve: (body: unknown) => void;
   reject: (error: Failure) => void;
+  /** Whether the peer may have seen it. */
+  isSent: boolean;
 }
 
 /** The connection to one peer, with the calls that wait for its answers. */
@@ -68,7 +70,7 @@
     const id = this.nextId++;
     const answered = new AbortController();
     const answer = new Promise<unknown>((resolve, reject) => {
-      this.pending.set(id, {resolve, reject});
+      this.pending.set(id, {resolve, reject, isSent: false});
     });
     void this.expire(id, timeoutMs, answered.signal);
     this.sendWhenOpen(id, {type: 'request', id, method, timeoutMs, body});
@@ -107,6 +109,10 @@
     }
     try {
       connection.send(message);
+      const call = id === undefined ? undefined : this.pending.get(id);
+      if (call) {
+        call.isSent = true;
+      }
     } catch (error) {
       this.reject(id, error as Failure);
     }
@@ -141,8 +147,10 @@
     if (id === undefined) {
       return;
     }
-    this.pending.get(id)?.reject(error);
+    const call = this.pending.get(id);
     this.pending.delete(id);
+    const details = {...error.details, wasSent: call?.isSent ?? true};
+    call?.reject(new Failure(error.code, details, {cause: error}));
   }
 
   private rejectAll(problem: string): void {
