Bundle the frame codec without its native part

Ruled out: a second file in target/ (native code that the build would have to place). Change: an alias to the plain build; the banner uses names of its own.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,4 +1,5 @@
 /** Bundles the program that runs on the users' platform into target/. */
+import {fileURLToPath} from 'node:url';
 import {build} from 'esbuild';
 
 await build({
@@ -10,8 +11,10 @@
   format: 'esm',
   mainFields: ['module', 'main'],
   legalComments: 'none',
+  // The codec without its native part, which a bundle of one file cannot carry.
+  alias: {'cbor-x': fileURLToPath(import.meta.resolve('cbor-x/decode'))},
   banner: {
     // Packages in the older module format expect these names.
-    js: "import {createRequire} from 'node:module';import {fileURLToPath as toPath} from 'node:url';const require=createRequire(import.meta.url);const __filename=toPath(import.meta.url);const __dirname=__filename.slice(0,__filename.lastIndexOf('/'));",
+    js: "import {createRequire as makeRequire} from 'node:module';import {fileURLToPath as toPath} from 'node:url';const require=makeRequire(import.meta.url);const __filename=toPath(import.meta.url);const __dirname=__filename.slice(0,__filename.lastIndexOf('/'));",
   },
 });
