Count stillness by listings, move urgent work off slow targets, and take office up at once after a restart

Ruled out: starting a run anew elsewhere while its order may still arrive (TWICE). Change: stillness adds up listed time only, relative to the expected duration; samples of pace cover several percents; urgent work may lose unsaved work when starting anew ends sooner, and is listed twice as often; a late listing closes a target, two in a domain without any answer close the domain (policy/silent_domains.ts); waiting is bounded by the time of a stop; the former holder's own instance claims at once; an unreachable target is asked without a wait. job-ended names the objective and the most runs. The emulated hold now extends a lease on arrival, as a target would; it had done so with its answer.

--- a/packages/dispatch/__tests__/fixtures.ts
+++ b/packages/dispatch/__tests__/fixtures.ts
@@ -6,6 +6,7 @@
   type Situation,
   TargetRoom,
   type UnitRun,
+  createBooking,
   createJobRun,
 } from '@galenavalve/dispatch';
 import type {Step} from '@galenavalve/workload';
@@ -81,23 +82,19 @@
   unit.placedAt = startedAt;
   unit.runningSince = startedAt;
   unit.progress.run = 1;
-  const booking = {
-    task: `${unit.job.id}.0.0.${unit.bookings.length}`,
-    run: 1,
-    demand: unit.step.demand,
-    room,
-    unit,
-    memberIndex: unit.bookings.length,
-    state: 'confirmed' as const,
-    epoch: 1,
-    percent: 0,
-    percentAt: startedAt,
-    firstPercent: 0,
-    firstPercentAt: startedAt,
-    sample: {percent: 0, at: startedAt},
-    bestPace: 0,
-    isBeingStopped: false,
-  };
+  const booking = createBooking(
+    {
+      task: `${unit.job.id}.0.0.${unit.bookings.length}`,
+      run: 1,
+      demand: unit.step.demand,
+      room,
+      unit,
+      memberIndex: unit.bookings.length,
+      state: 'confirmed',
+      epoch: 1,
+    },
+    startedAt,
+  );
   unit.bookings.push(booking);
   room.book(booking);
 }
--- /dev/null
+++ b/packages/dispatch/__tests__/straggler_watch.spec.ts
@@ -0,0 +1,85 @@
+import t from 'tap';
+import {Estimates, type UnitRun} from '@galenavalve/dispatch';
+import {SilentLogger} from '@galenavalve/shared';
+import {takeListing} from '../src/listings.js';
+import {RunBook} from '../src/run_book.js';
+import {watchRuns} from '../src/straggler_watch.js';
+import type {TargetRoom} from '../src/target_room.js';
+import {createJob, createRoom, createStep, runOn} from './fixtures.js';
+
+const logger = new SilentLogger();
+
+function createWatch(unit: UnitRun, room: TargetRoom) {
+  const estimates = new Estimates();
+  const stopped: string[] = [];
+  const events = {
+    onChange: () => undefined,
+    onStop: ({task}: {task: string}) => stopped.push(task),
+  };
+  const book = new RunBook(events, estimates, logger);
+  const context = {
+    book,
+    epoch: 1,
+    findUnit: () => unit,
+    onStray: () => undefined,
+  };
+  const list = (percent: number, now: number) => {
+    const running = unit.bookings.map(({task, run}) => ({
+      task,
+      run,
+      checkpoint: '',
+      percent,
+    }));
+    takeListing(room, {born: 0, clock: now, running, ended: []}, context, now);
+  };
+  const watch = (now: number) =>
+    watchRuns([unit.job], book, estimates, now, logger);
+  return {list, watch, stopped};
+}
+
+function createRun(values = {}) {
+  const room = createRoom('a', 'r', 0);
+  const step = createStep({count: 1, estimateMs: 10_000, ...values});
+  const job = createJob('1', step);
+  const unit = job.units[0]!;
+  runOn(unit, room, 0);
+  return {unit, room};
+}
+
+t.test(
+  'an order that is answered after a cut says nothing of a run that was not listed since (kwjt-grid trouble-1)',
+  t => {
+    const {unit, room} = createRun();
+    const {list, watch, stopped} = createWatch(unit, room);
+    [1000, 2000, 3000].forEach(now => list(now / 100, now));
+    // The target is cut off until 9000; then a stop of another run is answered first.
+    room.onAnswer(9000, 9000);
+    watch(9005);
+    t.same(stopped, []);
+    list(90, 9010);
+    watch(9015);
+    t.same(stopped, []);
+    t.end();
+  },
+);
+
+t.test('a run that is listed without progress stands still', t => {
+  const {unit, room} = createRun();
+  const {list, watch, stopped} = createWatch(unit, room);
+  [1000, 2000, 3000].forEach(now => list(10, now));
+  watch(3000);
+  t.equal(stopped.length, 1);
+  t.end();
+});
+
+t.test('a long run may take its time for each percent', t => {
+  const {unit, room} = createRun({estimateMs: 100_000});
+  const {list, watch, stopped} = createWatch(unit, room);
+  for (let now = 1000; now <= 40_000; now += 1000) {
+    // Five times as slow as expected.
+    list(Math.floor(now / 5000), now);
+    watch(now);
+  }
+  t.same(stopped, []);
+  t.end();
+});
--- a/packages/dispatch/src/dispatch_service.ts
+++ b/packages/dispatch/src/dispatch_service.ts
@@ -105,7 +105,8 @@
     const {writtenAt} = leadership;
     if (!this.follower.isCaughtUp && writtenAt !== undefined) {
       const age = this.parts.clock.wallTime() - writtenAt;
-      this.watch.onFirstSign(leadership, age, now);
+      const isOwn = instanceOf(leadership.holder) === instanceOf(this.holder);
+      this.watch.onFirstSign(leadership, age, isOwn, now);
     } else {
       this.watch.onHolderRecord(leadership, now);
     }
@@ -178,3 +179,8 @@
     this.registry.close();
   }
 }
+
+/** The instance of a holder's name, whose other parts tell its lives apart. */
+function instanceOf(holder: string): string {
+  return holder.split('/')[0] ?? holder;
+}
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -15,11 +15,17 @@
 import {addDueOccurrences, createJobRun} from './job_runs.js';
 import {takeListing} from './listings.js';
 import {Orders} from './orders.js';
-import {decide} from './policy/index.js';
+import {decide, objectiveOf} from './policy/index.js';
 import {RecordWriter} from './record_writer.js';
 import {RoomDirectory} from './room_directory.js';
 import {RunBook} from './run_book.js';
-import {type Booking, type JobRun, type UnitRun, memberCount} from './runs.js';
+import {
+  type Booking,
+  type JobRun,
+  type UnitRun,
+  countRuns,
+  memberCount,
+} from './runs.js';
 import {
   type DispatchSettings,
   SLOWEST_CLOCK,
@@ -423,6 +429,8 @@
       queue: job.job.queue,
       outcome: job.progress.outcome,
       afterMs: Math.round(this.parts.clock.now() - job.acceptedAt),
+      objectiveMs: Math.round(objectiveOf(job.job)),
+      runs: countRuns(job),
     });
   }
 
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -20,6 +20,11 @@
 // Decisions
 export * from './policy/index.js';
 export {Estimates} from './estimates.js';
-export type {Booking, JobRun, UnitRun} from './runs.js';
+export {
+  type Booking,
+  type JobRun,
+  type UnitRun,
+  createBooking,
+} from './runs.js';
 export {TargetRoom} from './target_room.js';
 export {createJobRun} from './job_runs.js';
--- a/packages/dispatch/src/listings.ts
+++ b/packages/dispatch/src/listings.ts
@@ -1,5 +1,5 @@
 /** Takes a target's listing into the books: ends, progress, strays, and runs that are gone. */
-import type {Instant} from '@galenavalve/shared';
+import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {Demand} from '@galenavalve/workload';
 import {samplePace} from './pace.js';
 import type {RunBook} from './run_book.js';
@@ -10,6 +10,9 @@
 /** Most ends that one listing carries; runs may be missing from a longer one. */
 const MAX_LISTED_ENDS = 500;
 
+/** Most time between two listings in which a run counts as seen: one listing, and its way. */
+const LONGEST_GAP: Milliseconds = 1200;
+
 /** Finds the unit that a task belongs to. */
 export type FindUnit = (task: string) => UnitRun | undefined;
 
@@ -62,7 +65,11 @@
   now: Instant,
 ): void {
   book.onStarted(booking, clock, now);
+  const unseen = now - booking.listedAt;
+  booking.listedAt = now;
+  booking.stillFor += Math.min(unseen, LONGEST_GAP);
   if (run.percent > booking.percent) {
+    booking.stillFor = 0;
     if (booking.percent === 0) {
       booking.firstPercent = run.percent;
       booking.firstPercentAt = now;
@@ -70,8 +77,8 @@
     booking.percent = run.percent;
     booking.percentAt = now;
   }
-  samplePace(booking, now);
   const {unit} = booking;
+  samplePace(booking, unit?.step.estimateMs ?? 0, now);
   if (unit && run.checkpoint !== '' && unit.progress.run === run.run) {
     unit.progress.checkpoint = run.checkpoint;
   }
--- a/packages/dispatch/src/office.ts
+++ b/packages/dispatch/src/office.ts
@@ -32,6 +32,8 @@
 export class OfficeWatch {
   private lastSign: Instant;
   private lastRead: Instant = -Infinity;
+  /** Surely nobody holds the office. */
+  private isFree = false;
   private silence: Milliseconds = OFFICE_SILENCE;
   /** This instance's part of the random spread, drawn anew with each sign. */
   private draw: number;
@@ -49,13 +51,20 @@
   /** Any record of the holder proves that it holds the office. */
   onHolderRecord(leadership: Leadership | undefined, now: Instant): void {
     this.lastSign = now;
+    this.isFree = false;
     this.silence = leadership?.hasResigned ? 0 : OFFICE_SILENCE;
     this.draw = this.random.next();
   }
 
-  /** The log was read for the first time; its newest sign of a holder is `age` old. */
-  onFirstSign(leadership: Leadership, age: Milliseconds, now: Instant): void {
+  /** The log was read for the first time; its newest sign of a holder is `age` old. `isOwn`: the holder was a former life of this instance, so nobody holds the office. */
+  onFirstSign(
+    leadership: Leadership,
+    age: Milliseconds,
+    isOwn: boolean,
+    now: Instant,
+  ): void {
     this.onHolderRecord(leadership, now);
+    this.isFree = isOwn;
     // The random part of the patience is left, so that not all claim at once.
     this.lastSign = now - Math.min(Math.max(0, age), OFFICE_SILENCE);
   }
@@ -71,12 +80,14 @@
   /** Whether the office is to be claimed now. */
   isVacant(now: Instant): boolean {
     const isLogFresh = now - this.lastRead <= LOG_FRESHNESS;
-    return isLogFresh && now - this.lastSign >= this.silence + this.delay();
+    const isSilent = now - this.lastSign >= this.silence + this.delay();
+    return isLogFresh && (this.isFree || isSilent);
   }
 
   /** Waits before the next claim after one that failed. */
   onClaimFailed(now: Instant): void {
     this.lastSign = now;
+    this.isFree = false;
     this.silence = OFFICE_SILENCE / 2;
     this.draw = this.random.next();
   }
--- a/packages/dispatch/src/pace.ts
+++ b/packages/dispatch/src/pace.ts
@@ -6,16 +6,28 @@
 /** Least progress, in percent, from which a pace can be read. */
 const READABLE = 5;
 
-/** Time over which a present pace is read: a few listings, and several percent of usual tasks. */
+/** Shortest time over which a present pace is read: a few listings. */
 const SAMPLE_TIME: Milliseconds = 1500;
 
-/** Notes a reading of the run's progress. */
-export function samplePace(booking: Booking, now: Instant): void {
+/** Percent that a sample covers, or that it would at the best pace: progress is listed in whole percents. */
+const SAMPLE_GAIN = 4;
+const SAMPLE_EXPECTED_GAIN = 8;
+
+/** Notes a reading of the run's progress; `estimate` is what its caller expects of a whole run. */
+export function samplePace(
+  booking: Booking,
+  estimate: Milliseconds,
+  now: Instant,
+): void {
   const passed = now - booking.sample.at;
-  if (passed < SAMPLE_TIME) {
+  const gained = booking.percent - booking.sample.percent;
+  const expectedPace = Math.max(booking.bestPace, 100 / Math.max(estimate, 1));
+  const isReadable =
+    gained >= SAMPLE_GAIN || passed * expectedPace >= SAMPLE_EXPECTED_GAIN;
+  if (passed < SAMPLE_TIME || !isReadable) {
     return;
   }
-  const pace = (booking.percent - booking.sample.percent) / passed;
+  const pace = gained / passed;
   booking.bestPace = Math.max(booking.bestPace, pace);
   booking.presentPace = pace;
   booking.sample = {percent: booking.percent, at: now};
--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -13,6 +13,7 @@
 import {type DispatchSettings, LISTING_FRESHNESS} from '../settings.js';
 import type {TargetRoom} from '../target_room.js';
 import {findGuaranteed} from './guarantee.js';
+import {findSilentDomains} from './silent_domains.js';
 import {planReclaim} from './reclaim.js';
 import {reserve} from './reservation.js';
 import {type Placement, findAnywhere, findPlacement} from './search.js';
@@ -36,7 +37,7 @@
 /** A claim on targets lasts this much longer than what it waits for, in milliseconds. */
 const CLAIM_MARGIN = 400;
 
-/** Share of its slack that an urgent job waits for others to end by themselves: their estimates are rough. */
+/** Share of its slack that an urgent job waits for others to end by themselves: their estimates are rough. A stop would take its time as well, so it never waits longer than that. */
 const WAIT_SHARE = 0.25;
 
 /** A guaranteed job waits for runs to end by themselves until this much before its bound, in milliseconds. */
@@ -116,12 +117,14 @@
   }
 
   private openSpaces(): Space[] {
-    const {evacuated} = this.situation;
+    const {evacuated, rooms} = this.situation;
+    const silent = findSilentDomains(rooms, this.now);
     const spaces: Space[] = [];
-    for (const room of this.situation.rooms) {
+    for (const room of rooms) {
       const {info} = room;
       const isOpen = room.isOpen(this.now, LISTING_FRESHNESS);
-      if (!isOpen || evacuated.has(info.domain)) {
+      const isBarred = evacuated.has(info.domain) || silent.has(info.domain);
+      if (!isOpen || isBarred) {
         continue;
       }
       spaces.push({
@@ -282,9 +285,9 @@
 
   /** Until when the unit can wait for others to end by themselves. */
   private startBy(unit: UnitRun, urgency: Urgency, isForced: boolean): Instant {
-    const {reclaimTime} = this.situation.settings;
+    const {reclaimTime, stopTime} = this.situation.settings;
     const slack = Math.max(0, urgency.latestStart - this.now);
-    const wished = this.now + slack * WAIT_SHARE;
+    const wished = this.now + Math.min(slack * WAIT_SHARE, stopTime);
     const bound = unit.job.acceptedAt + reclaimTime - RECLAIM_MARGIN;
     return isForced ? Math.min(wished, bound) : wished;
   }
--- a/packages/dispatch/src/policy/urgency.ts
+++ b/packages/dispatch/src/policy/urgency.ts
@@ -1,6 +1,10 @@
 /** Whose turn it is: by what a job still earns its caller, and how long it can wait. */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
-import {type JobSpec, isStepDone} from '@galenavalve/workload';
+import {
+  type AcceptedJob,
+  type JobSpec,
+  isStepDone,
+} from '@galenavalve/workload';
 import type {Estimates} from '../estimates.js';
 import type {JobRun} from '../runs.js';
 
@@ -58,6 +62,12 @@
     : {tier: Tier.Hopeless, rank, latestStart};
 }
 
+/** Time from acceptance within which a job is on time, by its caller's estimates. */
+export function objectiveOf({spec, terms}: AcceptedJob): Milliseconds {
+  const none = spec.steps.map(() => false);
+  return terms.stretch * longestChain(spec, none) + terms.latencyMs;
+}
+
 /** Estimated work on the longest path through the steps that are not done. */
 function remainingChain(run: JobRun): Milliseconds {
   const {spec} = run.job;
--- a/packages/dispatch/src/runs.ts
+++ b/packages/dispatch/src/runs.ts
@@ -1,5 +1,5 @@
 /** Runs as the dispatcher sees them: units of jobs, and their bookings on targets. */
-import type {Instant} from '@galenavalve/shared';
+import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {
   AcceptedJob,
   Demand,
@@ -85,6 +85,10 @@
   percent: number;
   /** When `percent` last rose. */
   percentAt: Instant;
+  /** When its target last listed it. */
+  listedAt: Instant;
+  /** Time that it was seen without progress; a target that cannot be seen says nothing. */
+  stillFor: Milliseconds;
   /** Percent and time at the first sign of life, for its pace. */
   firstPercent: number;
   firstPercentAt: Instant;
@@ -102,6 +106,11 @@
   return unit.step.isGang ? unit.step.count : 1;
 }
 
+/** Most runs that one of the job's units had. */
+export function countRuns({units}: JobRun): number {
+  return Math.max(0, ...units.map(({progress}) => progress.run));
+}
+
 /** Room that each member counts against its target. */
 export function countedDemand(step: Step): Demand {
   return step.usesIdleCpu ? {...step.demand, cpu: 0} : step.demand;
@@ -141,6 +150,8 @@
     ...values,
     percent: 0,
     percentAt: now,
+    listedAt: now,
+    stillFor: 0,
     firstPercent: 0,
     firstPercentAt: now,
     sample: {percent: 0, at: now},
--- a/packages/dispatch/src/straggler_watch.ts
+++ b/packages/dispatch/src/straggler_watch.ts
@@ -5,8 +5,11 @@
 import type {RunBook} from './run_book.js';
 import type {Booking, JobRun, UnitRun} from './runs.js';
 
-/** A run whose percent did not rise for this long stands still: listings are one second apart, and the longest tasks rise by one within another. */
-const STILL_TIME: Milliseconds = 3000;
+/** A run stands still when it was seen without progress for this share of its expected time: even at a tenth of the usual pace, its percent had risen. */
+const STILL_SHARE = 0.12;
+
+/** Shortest such time: two listings. */
+const LEAST_STILL_TIME: Milliseconds = 1300;
 
 /** Members this much behind the others hold their gang up, in percent. */
 const BEHIND = 4;
@@ -14,7 +17,7 @@
 /** A pace below this share of the best is a fault of the target; tasks differ by less. */
 const SLOW_SHARE = 0.45;
 
-/** Work without checkpoints is started anew only up to this percent. */
+/** Work without checkpoints that is not urgent is started anew only up to this percent. */
 const EARLY = 20;
 
 /** Time of a stop and a start elsewhere. */
@@ -42,7 +45,7 @@
       if (unit.phase !== 'running' || unit.progress.isDone) {
         continue;
       }
-      if (!unit.step.isLongRunning && isStill(unit, now)) {
+      if (!unit.step.isLongRunning && isStill(unit, estimates)) {
         onStill(unit, book, now, logger);
       } else if (isSlowedDown(unit, now)) {
         onSlowedDown(unit, book, now, logger);
@@ -53,12 +56,12 @@
   }
 }
 
-function isStill(unit: UnitRun, now: Instant): boolean {
+function isStill(unit: UnitRun, estimates: Estimates): boolean {
+  const {queue} = unit.job.job;
+  const expected = estimates.expect(queue, unit.step.estimateMs);
+  const limit = Math.max(LEAST_STILL_TIME, expected * STILL_SHARE);
   return unit.bookings.some(
-    booking =>
-      booking.percent < NEARLY_DONE &&
-      now - booking.percentAt > STILL_TIME &&
-      booking.room.lastAnswerAt > booking.percentAt + STILL_TIME,
+    ({percent, stillFor}) => percent < NEARLY_DONE && stillFor > limit,
   );
 }
 
@@ -104,15 +107,16 @@
   if (unit.step.isLongRunning) {
     return false;
   }
+  const isUrgent = unit.job.job.terms.priority === 0;
   const best = Math.max(...unit.bookings.map(({bestPace}) => bestPace));
   return findSlow(unit).some(({percent, presentPace, percentAt}) => {
     const left = (100 - percent) / Math.max(presentPace!, 1e-9);
-    const isEarly = percent < EARLY;
+    const mayLose = isUrgent || percent < EARLY;
     const again = unit.step.savesProgress ? 100 - percent : 100;
     const anew = RESTART_TIME + (again / best) * ANEW_MARGIN;
-    // Slowness passes; what was done and not saved is lost for good.
+    // Slowness passes; what was done and not saved is lost for good. Urgent work cannot wait for that.
     return (
-      (unit.step.savesProgress || isEarly) && left - (now - percentAt) > anew
+      (unit.step.savesProgress || mayLose) && left - (now - percentAt) > anew
     );
   });
 }
--- a/packages/dispatch/src/target_room.ts
+++ b/packages/dispatch/src/target_room.ts
@@ -14,6 +14,9 @@
 /** Paces beyond this are taken as faults of the task. */
 const MOST_SLOWNESS = 4;
 
+/** An answer is late this long after it was due, in milliseconds: a hundred times the usual way. */
+const LATE_ANSWER = 250;
+
 /** Books of one life of a target. */
 export class TargetRoom {
   readonly key: string;
@@ -25,6 +28,8 @@
   /** Its first listing under this dispatcher came. */
   hasAnswered = false;
   lastAnswerAt: Instant = -Infinity;
+  /** When the answer to the listing under way is due; Infinity while none is. */
+  answerDueAt: Instant = Infinity;
   /** Highest end that was taken into the books. */
   seenEnd = 0;
   /** Highest end that the log holds; targets may forget up to it. */
@@ -78,6 +83,16 @@
     return this.bookings.get(runKey(task, run));
   }
 
+  /** Whether urgent work runs there. */
+  hasUrgentWork(): boolean {
+    for (const {unit} of this.bookings.values()) {
+      if (unit?.job.job.terms.priority === 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Room that no run takes. */
   free(): Demand {
     const {capacity} = this.info;
@@ -91,6 +106,7 @@
   /** Notes the target's clock, read between `sentAt` and `now`. */
   onAnswer(clock: number, now: Instant): void {
     this.lastAnswerAt = now;
+    this.answerDueAt = Infinity;
     if (!this.clockSample || clock > this.clockSample.clock) {
       this.clockSample = {clock, at: now};
     }
@@ -125,6 +141,11 @@
     }
   }
 
+  /** Whether a listing should have come by now: targets answer within milliseconds of the end of the wait. */
+  isAnswerLate(now: Instant): boolean {
+    return now > this.answerDueAt + LATE_ANSWER;
+  }
+
   /** Whether new runs may go there, but for its room. */
   isOpen(now: Instant, freshness: Milliseconds): boolean {
     return (
@@ -133,6 +154,7 @@
       this.hasAnswered &&
       !this.info.isDraining &&
       now >= this.avoidUntil &&
+      !this.isAnswerLate(now) &&
       now - this.lastAnswerAt <= freshness
     );
   }
--- a/packages/dispatch/src/target_sessions.ts
+++ b/packages/dispatch/src/target_sessions.ts
@@ -1,5 +1,5 @@
 /** Keeps a listing of every target under way, renews its lease and acknowledges ends. */
-import type {Clock, Logger} from '@galenavalve/shared';
+import type {Clock, Logger, Milliseconds} from '@galenavalve/shared';
 import {leaseUntil} from './orders.js';
 import {HOLD_WAIT, type DispatchSettings} from './settings.js';
 import type {HoldOutcome, TargetListing, TargetPort} from './target_port.js';
@@ -44,7 +44,7 @@
   async keep(room: TargetRoom): Promise<void> {
     let failures = 0;
     while (!this.isOver(room)) {
-      const wait = room.hasAnswered ? HOLD_WAIT : 0;
+      const wait = chooseWait(room, failures);
       const outcome = await this.hold(room, wait);
       if (this.isOver(room)) {
         return;
@@ -83,6 +83,7 @@
     if (until !== undefined) {
       room.onLeaseSent(until);
     }
+    room.answerDueAt = Math.min(room.answerDueAt, now + wait);
     const outcome = await this.port.hold(
       room.info,
       {
@@ -127,3 +128,12 @@
     return this.desk.isOver || room.isOver;
   }
 }
+
+/** Urgent work is looked at twice as often: it has no time to lose on a target that stands still. */
+function chooseWait(room: TargetRoom, failures: number): Milliseconds {
+  // Whether a target is back is to be known at once: its lease waits for that.
+  if (!room.hasAnswered || failures > 0) {
+    return 0;
+  }
+  return room.hasUrgentWork() ? HOLD_WAIT / 2 : HOLD_WAIT;
+}
--- a/packages/emulator/src/emulated_fleet.ts
+++ b/packages/emulator/src/emulated_fleet.ts
@@ -1,6 +1,7 @@
 /** All targets of an installation, and the network between them and the instances. */
 import type {
   EndKind,
+  HoldOrder,
   HoldOutcome,
   ListedEnd,
   OrderOutcome,
@@ -117,14 +118,10 @@
           found.stop(order, this.clock.now()),
         ),
       hold: (target, order, timeout) =>
-        this.hold(
-          order.wait,
-          () => this.targets.get(target.id)?.lastEnd ?? 0,
-          target.id,
-          () =>
-            call<HoldOutcome>(target, timeout, false, found =>
-              found.hold(order, this.clock.now()),
-            ),
+        this.hold(order, target.id, () =>
+          call<HoldOutcome>(target, timeout, false, found =>
+            found.hold(order, this.clock.now()),
+          ),
         ),
     };
   }
@@ -200,14 +197,17 @@
   }
 
   private async hold(
-    wait: Milliseconds,
-    lastEnd: () => number,
+    order: HoldOrder,
     id: string,
     look: () => Promise<HoldOutcome>,
   ): Promise<HoldOutcome> {
-    const before = lastEnd();
-    const until = this.clock.now() + wait;
     const target = this.targets.get(id);
+    const before = target?.lastEnd ?? 0;
+    const until = this.clock.now() + order.wait;
+    if (order.wait > 0 && target?.isUp && !this.isCut(id)) {
+      // The lease counts from the arrival, not from the answer.
+      target.hold(order, this.clock.now());
+    }
     while (this.clock.now() < until && !target?.hasEndAfter(before)) {
       await this.clock.sleep(STEP);
     }
