Write progress compactly, parse units only to dispatch, and call a job unknown only after reading to the end

Change: a record has a line for everybody and a line of units that is parsed when a dispatcher takes the job over; units refer to targets by place, zeros at the end are left out. A look-up takes what it reads and says whether it reached the end. Records of the former form are not read (nothing of it is kept anywhere). Soak: settings of the peer port.

--- a/packages/dispatch/src/job_runs.ts
+++ b/packages/dispatch/src/job_runs.ts
@@ -21,7 +21,7 @@
     id: entry.id,
     job: entry.job,
     acceptedAt: now - age,
-    progress: structuredClone(entry.progress ?? createProgress(entry.job.spec)),
+    progress: entry.progress?.read() ?? createProgress(entry.job.spec),
     isCancelled: entry.isCancelled,
     hasFailed: false,
     units: [],
--- a/packages/emulator/__tests__/faults.spec.ts
+++ b/packages/emulator/__tests__/faults.spec.ts
@@ -49,8 +49,9 @@
     const gang = createStep({isGang: true});
     void installation.submit(createId(1), createSpec([gang]));
     const failures = () =>
-      [...installation.instances.values()][0]!.table.find(createId(1))?.progress
-        ?.occurrences[0]?.steps[0]?.[0]?.failed ?? 0;
+      [...installation.instances.values()][0]!.table
+        .find(createId(1))
+        ?.progress?.read().occurrences[0]?.steps[0]?.[0]?.failed ?? 0;
     const isExhausted = () => failures() === 3;
     t.ok(await installation.until(isExhausted, 20_000));
     installation.kill(installation.dispatcher()!.name);
@@ -81,8 +82,8 @@
     const failed = () =>
       [...installation.instances.values()].map(
         ({table}) =>
-          table.find(createId(1))?.progress?.occurrences[0]?.steps[0]?.[0]
-            ?.failed ?? 0,
+          table.find(createId(1))?.progress?.read().occurrences[0]
+            ?.steps[0]?.[0]?.failed ?? 0,
       );
     await installation.until(() => failed().some(count => count === 1), 5000);
     installation.kill(installation.dispatcher()!.name);
--- a/packages/emulator/__tests__/stragglers.spec.ts
+++ b/packages/emulator/__tests__/stragglers.spec.ts
@@ -13,7 +13,7 @@
 
 function runOf(installation: Installation, id: string): number | undefined {
   const [instance] = installation.instances.values();
-  const progress = instance!.table.find(id)?.progress;
+  const progress = instance!.table.find(id)?.progress?.read();
   return progress?.occurrences[0]?.steps[0]?.[0]?.run;
 }
 
--- a/packages/gateway/__tests__/gateway.spec.ts
+++ b/packages/gateway/__tests__/gateway.spec.ts
@@ -46,13 +46,15 @@
   const logger = new SilentLogger();
   const table = new JobTable(logger);
   const appended: KeyedRecord[] = [];
+  /** Records that reads still owe: the end of the log is this much ahead. */
+  const unread = {count: 0};
   const keyedLog = {
     newest: async () => ({records: [], end: 0}),
     tail: async (offset: number) => ({
       kind: 'records' as const,
       records: [],
       next: offset,
-      end: offset,
+      end: offset + unread.count,
     }),
   };
   const follower = new Follower(
@@ -80,7 +82,7 @@
     logger,
   });
   const call = {queue, workspace: 'w', jobId: '1', limit: 3000};
-  return {clock, table, appended, gateway, call, follower};
+  return {clock, table, appended, gateway, call, follower, unread};
 }
 
 /** Lets virtual time pass until the answer is there. */
@@ -151,3 +153,16 @@
   const answer = await settle(clock, gateway.submit(call, wrong));
   t.match(answer, {kind: 'invalid', problem: /step 0 depends on step 0/});
 });
+
+t.test(
+  'a job is called unknown only after the log was read to its end (kwjt-grid-grown trouble-1)',
+  async t => {
+    const {gateway, call, clock, unread} = createGateway([]);
+    unread.count = 3;
+    const early = await settle(clock, gateway.state(call));
+    t.equal(early.kind, 'refused');
+    unread.count = 0;
+    const late = await settle(clock, gateway.state(call));
+    t.equal(late.kind, 'unknown-job');
+  },
+);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -43,6 +43,13 @@
 /** Seconds after which a caller should come back when the log is away; outages last seconds. */
 const RETRY_AFTER_SECONDS = 1;
 
+/** The answer for a job that is not known to an instance that could not read on. */
+const UNREAD: Answer = {
+  kind: 'refused',
+  problem: 'the log cannot be read now',
+  retryAfterSeconds: RETRY_AFTER_SECONDS,
+};
+
 /** Who calls, and what for. */
 export interface Call {
   queue: Queue;
@@ -118,10 +125,9 @@
   /** Cancels a job once the log says so. */
   async cancel(call: Call): Promise<Answer> {
     const entry = await this.find(call);
-    if (!entry) {
-      const answer = this.answerUnknown();
-      this.log('cancel', call, answer);
-      return answer;
+    if ('kind' in entry) {
+      this.log('cancel', call, entry);
+      return entry;
     }
     const state = stateOf(entry);
     if (state !== 'queued' && state !== 'running') {
@@ -139,12 +145,11 @@
   /** Tells the state of a job. */
   async state(call: Call): Promise<Answer> {
     const entry = await this.find(call);
-    if (entry) {
-      return {kind: 'state', state: stateOf(entry)};
+    if ('kind' in entry) {
+      this.log('state', call, entry);
+      return entry;
     }
-    const answer = this.answerUnknown();
-    this.log('state', call, answer);
-    return answer;
+    return {kind: 'state', state: stateOf(entry)};
   }
 
   /** Accepted jobs of a queue of which no task has started. */
@@ -153,13 +158,16 @@
   }
 
   /** Looks a job up, catching up with the log before it is called unknown. */
-  private async find(call: Call): Promise<JobEntry | undefined> {
+  private async find(call: Call): Promise<JobEntry | Answer> {
     const known = this.ownEntry(call);
-    if (known || this.logAge() >= LOG_SILENCE) {
+    if (known) {
       return known;
     }
-    await this.parts.follower.refresh(CATCH_UP_TIMEOUT);
-    return this.ownEntry(call);
+    const isLogThere = this.logAge() < LOG_SILENCE;
+    const isCurrent =
+      isLogThere && (await this.parts.follower.refresh(CATCH_UP_TIMEOUT));
+    // "Unknown" is only true of a log that was read to its end just now.
+    return this.ownEntry(call) ?? (isCurrent ? {kind: 'unknown-job'} : UNREAD);
   }
 
   /** A job of another workspace does not exist for the caller. */
@@ -172,18 +180,6 @@
     return isForeign ? undefined : entry;
   }
 
-  /** "Unknown" is only true of a log that was read just now. */
-  private answerUnknown(): Answer {
-    if (this.logAge() < CATCH_UP_TIMEOUT) {
-      return {kind: 'unknown-job'};
-    }
-    return {
-      kind: 'refused',
-      problem: 'the log cannot be read now',
-      retryAfterSeconds: RETRY_AFTER_SECONDS,
-    };
-  }
-
   /** Appends until it is known; the record may be in the log more than once. */
   private async append(
     call: Call,
--- a/packages/soak/src/daemon_process.ts
+++ b/packages/soak/src/daemon_process.ts
@@ -11,6 +11,7 @@
   front: string;
   ready: string;
   metricsPort: number;
+  peerPort: number;
   store: string;
 }
 
@@ -72,6 +73,9 @@
     front: plan.front,
     ready: plan.ready,
     metricsPort: plan.metricsPort,
+    peerPort: plan.peerPort,
+    cores: 1,
+    coreShare: 1,
     log: plan.store,
     bounds: {
       maxLease: 5000,
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -237,6 +237,7 @@
     front: `127.0.0.1:${first}`,
     ready: `127.0.0.1:${first + 1}`,
     metricsPort: first + 2,
+    peerPort: first + 3,
     store,
   });
 }
--- a/packages/workload/src/follower.ts
+++ b/packages/workload/src/follower.ts
@@ -8,7 +8,7 @@
   describeError,
   jitteredBackoff,
 } from '@galenavalve/shared';
-import type {KeyedLog} from './keyed_log.js';
+import type {KeyedLog, TailPage} from './keyed_log.js';
 import type {StoredRecord} from './keyed_record.js';
 
 /** Backoff after a failed read, in milliseconds: soon enough to be back within a second of the log. */
@@ -98,25 +98,43 @@
     return this.next > offset;
   }
 
-  /** Reads what was written before this call; stops waiting after `timeout`. */
-  async refresh(timeout: Milliseconds): Promise<void> {
-    const read = async () => {
+  /** Takes what was written before this call. Returns whether all of it was taken within `timeout`. */
+  async refresh(timeout: Milliseconds): Promise<boolean> {
+    const stop = new AbortController();
+    const expired = this.clock.sleep(timeout, stop.signal).then(() => false);
+    const isCurrent = await Promise.race([this.readNow(), expired]);
+    stop.abort();
+    return isCurrent;
+  }
+
+  private async readNow(): Promise<boolean> {
+    try {
       const page = await this.log.tail(this.next, 0);
-      if (page.kind === 'records' && page.end > this.next) {
-        await this.reach(page.end - 1, timeout);
+      if (page.kind === 'expired' || this.isClosed) {
+        return false;
       }
-      this.lastAnswerAt = this.clock.now();
-    };
-    const stop = new AbortController();
-    const reading = read().catch(error => {
+      this.takePage(page);
+      return this.next >= page.end;
+    } catch (error) {
       this.logger.warn('log-unreachable', {
         log: this.name,
         next: this.next,
         problem: describeError(error),
       });
-    });
-    await Promise.race([reading, this.clock.sleep(timeout, stop.signal)]);
-    stop.abort();
+      return false;
+    }
+  }
+
+  /** Reads may overlap: each record is taken once. */
+  private takePage(page: Extract<TailPage, {kind: 'records'}>): void {
+    for (const record of page.records) {
+      if (record.offset >= this.next) {
+        this.sink.onRecord(record);
+      }
+    }
+    this.next = Math.max(this.next, page.next);
+    this.lastAnswerAt = this.clock.now();
+    this.wakeWaiters();
   }
 
   private async reload(): Promise<void> {
@@ -152,10 +170,7 @@
       this.logger.warn('log-expired', {log: this.name, next: this.next});
       return false;
     }
-    for (const record of page.records) {
-      this.sink.onRecord(record);
-    }
-    this.next = page.next;
+    this.takePage(page);
     this.isCaughtUp ||= this.next >= page.end;
     this.hasNews = page.records.length > 0;
     return true;
@@ -177,6 +192,10 @@
       this.logger.info('log-reached', {log: this.name, failures});
     }
     this.sink.onAnswer?.(now);
+    this.wakeWaiters();
+  }
+
+  private wakeWaiters(): void {
     const reached = this.waiters.filter(({offset}) => this.next > offset);
     this.waiters = this.waiters.filter(({offset}) => this.next <= offset);
     reached.forEach(({resolve}) => resolve());
--- a/packages/workload/src/index.ts
+++ b/packages/workload/src/index.ts
@@ -7,6 +7,11 @@
 
 // How far it is
 export * from './progress.js';
+export {
+  StoredProgress,
+  formatProgress,
+  parseProgress,
+} from './stored_progress.js';
 export {type JobEntry, type JobState, JobTable, stateOf} from './job_table.js';
 
 // What the log keeps
--- a/packages/workload/src/job_table.ts
+++ b/packages/workload/src/job_table.ts
@@ -7,7 +7,7 @@
   type StoredRecord,
   decodeRecord,
 } from './keyed_record.js';
-import type {Progress} from './progress.js';
+import type {StoredProgress} from './stored_progress.js';
 
 /** What callers see of a job. */
 export type JobState =
@@ -19,14 +19,14 @@
   job: AcceptedJob;
   isCancelled: boolean;
   /** Absent until the dispatcher first wrote it. */
-  progress?: Progress;
+  progress?: StoredProgress;
 }
 
 /** The folded state of the job log. */
 export class JobTable {
   private readonly entries = new Map<string, JobEntry>();
   private readonly cancelledBefore = new Set<string>();
-  private readonly progressBefore = new Map<string, Progress>();
+  private readonly progressBefore = new Map<string, StoredProgress>();
   /** Offset of the newest record applied, by key: pages of a snapshot overlap the tail. */
   private readonly newest = new Map<string, number>();
   private office?: Leadership;
@@ -140,7 +140,7 @@
     }
   }
 
-  private advance(id: string, progress: Progress): void {
+  private advance(id: string, progress: StoredProgress): void {
     const entry = this.entries.get(id);
     if (entry) {
       entry.progress = progress;
--- a/packages/workload/src/keyed_record.ts
+++ b/packages/workload/src/keyed_record.ts
@@ -1,6 +1,11 @@
 /** Records of the job log: the newest record of a key stands for the key. */
 import {acceptedJobSchema, type AcceptedJob} from './accepted_job.js';
-import {progressSchema, type Progress} from './progress.js';
+import type {Progress} from './progress.js';
+import {
+  type StoredProgress,
+  formatProgress,
+  parseProgress,
+} from './stored_progress.js';
 
 /** A record as the log keeps it; an empty value drops the key. */
 export interface KeyedRecord {
@@ -34,7 +39,7 @@
 export type JobRecord =
   | {kind: 'accepted'; id: string; job: AcceptedJob}
   | {kind: 'cancelled'; id: string}
-  | {kind: 'progress'; id: string; progress: Progress}
+  | {kind: 'progress'; id: string; progress: StoredProgress}
   | {kind: 'forgotten'; id: string}
   | {kind: 'leadership'; leadership: Leadership};
 
@@ -50,7 +55,7 @@
 
 /** The record of a job's progress. */
 export function encodeProgress(id: string, progress: Progress): KeyedRecord {
-  return {key: PROGRESS + id, value: JSON.stringify(progress)};
+  return {key: PROGRESS + id, value: formatProgress(progress)};
 }
 
 /** The record of who dispatches. */
@@ -85,8 +90,7 @@
     return {kind: 'cancelled', id};
   }
   if (key.startsWith(PROGRESS)) {
-    const progress = progressSchema.parse(JSON.parse(value));
-    return {kind: 'progress', id, progress};
+    return {kind: 'progress', id, progress: parseProgress(value)};
   }
   return undefined;
 }
--- a/packages/workload/src/progress.ts
+++ b/packages/workload/src/progress.ts
@@ -13,43 +13,40 @@
   'cancelled',
 ]);
 
+export type Outcome = z.infer<typeof outcomeSchema>;
+
 /** The durable part of a unit. */
-export const unitProgressSchema = z.object({
+export interface UnitProgress {
   /** Number of the last run that was recorded before it was started; 0 before the first. */
-  run: z.number().int().nonnegative(),
+  run: number;
   /** Runs that ended as failed. */
-  failed: z.number().int().nonnegative(),
+  failed: number;
   /** The last run whose failure is counted in `failed`: ends are listed until they are acknowledged. */
-  failedRun: z.number().int().nonnegative(),
-  isDone: z.boolean(),
+  failedRun: number;
+  isDone: boolean;
   /** Newest checkpoint; empty when there is none. */
-  checkpoint: z.string(),
+  checkpoint: string;
   /** Target life of each member while the run may be alive. */
-  placedOn: z.array(z.string()).optional(),
-});
+  placedOn?: string[];
+}
 
 /** Progress of one occurrence: units by step. */
-export const occurrenceSchema = z.object({
-  index: z.number().int().nonnegative(),
-  steps: z.array(z.array(unitProgressSchema)),
-});
+export interface Occurrence {
+  index: number;
+  steps: UnitProgress[][];
+}
 
-/** The record of a job's progress. */
-export const progressSchema = z.object({
-  outcome: outcomeSchema,
+/** How far a job is. */
+export interface Progress {
+  outcome: Outcome;
   /** Whether a task was ever started. */
-  hasBegun: z.boolean(),
+  hasBegun: boolean;
   /** Occurrences that have all ended; they are no longer listed. */
-  doneOccurrences: z.number().int().nonnegative(),
-  occurrences: z.array(occurrenceSchema),
+  doneOccurrences: number;
+  occurrences: Occurrence[];
   /** Wall-clock time of the end, in Unix milliseconds. */
-  endedAt: z.number().optional(),
-});
-
-export type Outcome = z.infer<typeof outcomeSchema>;
-export type UnitProgress = z.infer<typeof unitProgressSchema>;
-export type Occurrence = z.infer<typeof occurrenceSchema>;
-export type Progress = z.infer<typeof progressSchema>;
+  endedAt?: number;
+}
 
 /** Progress of a job that was just accepted. */
 export function createProgress(spec: JobSpec): Progress {
