Wait only for runs whose own progress says when they end, and plan anew soon after

Ruled out: going back to the longer horizon (its waits were longer still). Change: only runs with progress of their own count as ending in time; a claim lasts 100 ms beyond what it waits for.

--- a/packages/dispatch/__tests__/decision.spec.ts
+++ b/packages/dispatch/__tests__/decision.spec.ts
@@ -202,3 +202,33 @@
     t.end();
   },
 );
+
+t.test(
+  'urgent work waits only for runs whose own progress says that they end soon (txingudi-sched quiet-1)',
+  t => {
+    for (const isKnown of [true, false]) {
+      const rooms = [createRoom('a', 'r1', 5000)];
+      const other = createJob('o', createStep({count: 2, estimateMs: 5200}), {
+        acceptedAt: 0,
+        now: 5000,
+      });
+      const [unit] = other.units;
+      runOn(unit!, rooms[0]!, 0);
+      runOn(unit!, rooms[0]!, 0);
+      for (const booking of unit!.bookings) {
+        booking.percent = isKnown ? 97 : 0;
+        booking.percentAt = isKnown ? 4900 : 0;
+      }
+      const urgent = createJob('u', createStep({count: 1, estimateMs: 5000}), {
+        priority: 0,
+        acceptedAt: 5000,
+        now: 5000,
+      });
+      const situation = createSituation([other, urgent], rooms);
+      const {stops, claims} = decide(situation, 5000);
+      t.equal(stops.length, isKnown ? 0 : 1);
+      t.equal(claims.length, 1);
+    }
+    t.end();
+  },
+);
--- a/packages/dispatch/src/pace.ts
+++ b/packages/dispatch/src/pace.ts
@@ -33,6 +33,11 @@
   booking.sample = {percent: booking.percent, at: now};
 }
 
+/** Whether a run's own progress says when it ends, and not its caller's estimate. */
+export function isPaceKnown(booking: Booking): boolean {
+  return booking.percent - booking.firstPercent >= READABLE;
+}
+
 /** Expected time until the run of `booking` ends. */
 export function remainingTime(
   booking: Booking,
@@ -41,8 +46,8 @@
   rackFactor: number,
   now: Instant,
 ): Milliseconds {
-  const gained = booking.percent - booking.firstPercent;
-  if (gained >= READABLE) {
+  if (isPaceKnown(booking)) {
+    const gained = booking.percent - booking.firstPercent;
     const pace = (booking.percentAt - booking.firstPercentAt) / gained;
     const left = pace * (100 - booking.percent);
     return Math.max(0, left - (now - booking.percentAt));
--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -2,7 +2,7 @@
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import {isStepReady} from '@galenavalve/workload';
 import type {Estimates} from '../estimates.js';
-import {remainingTime} from '../pace.js';
+import {isPaceKnown, remainingTime} from '../pace.js';
 import {
   type Booking,
   type JobRun,
@@ -34,8 +34,8 @@
 /** The same if it is late anyway. */
 const LATE_COST_RATIO = 0.5;
 
-/** A claim on targets lasts this much longer than what it waits for, in milliseconds. */
-const CLAIM_MARGIN = 400;
+/** A claim on targets lasts this much longer than what it waits for, in milliseconds; then room is made elsewhere, too. */
+const CLAIM_MARGIN = 100;
 
 /** Share of its slack that an urgent job waits for others to end by themselves: their estimates are rough. A stop would take its time as well, so it never waits longer than that. */
 const WAIT_SHARE = 0.25;
@@ -252,7 +252,7 @@
     // Runs that did not end as expected once are not waited for again.
     const hasWaited = unit.claim !== undefined;
     const endsInTime = (booking: Booking) =>
-      !hasWaited && this.expectEnd(booking) <= startBy;
+      !hasWaited && isPaceKnown(booking) && this.expectEnd(booking) <= startBy;
     let plan = planReclaim(seeker, spaces, costOf, endsInTime);
     const waited = this.now - unit.job.acceptedAt;
     if (!plan && isForced && waited > this.reclaimPatience() / 2) {
