Let records gather where nobody asks, and read at once for callers who do

Ruled out: a longer pause alone (callers would learn later that their job is done). Change: instances next in line for the office gather for 80 ms, the others for 400; a question about a job that has not ended reads what was gathered first (150 ms at most). The pause is decided by dispatch, not by platform/.

--- a/packages/dispatch/src/dispatch_service.ts
+++ b/packages/dispatch/src/dispatch_service.ts
@@ -1,5 +1,9 @@
 /** Holds the office when it is vacant, and dispatches while it is held. */
-import {type Instant, describeError} from '@galenavalve/shared';
+import {
+  type Instant,
+  type Milliseconds,
+  describeError,
+} from '@galenavalve/shared';
 import type {
   Follower,
   JobEntry,
@@ -20,6 +24,15 @@
 /** Shortest pause between two looks, in milliseconds; ranks are told apart by some ten times as much. */
 const SHORTEST_WATCH = 5;
 
+/** Instances of a rank below this read nearly as fast as the holder, to notice its end. */
+const NEXT_IN_LINE = 3;
+
+/** Time that records gather for those, in milliseconds; a fraction of the silence that makes the office vacant. */
+const HEIR_PAUSE = 80;
+
+/** The same for all others; callers who ask are answered from a read of that moment. */
+const READER_PAUSE = 400;
+
 /** What the registry of targets says; followed only while the office is held. */
 export interface TargetRegistry {
   /** Calls back for every change until closed; resolves with what is listed now. */
@@ -42,7 +55,7 @@
     private readonly registry: TargetRegistry,
     private readonly holder: string,
     /** Number of instances that should dispatch rather than this one. */
-    rank: () => number,
+    private readonly rank: () => number,
   ) {
     this.watch = new OfficeWatch(parts.clock.now(), parts.random, rank);
   }
@@ -52,6 +65,14 @@
     return this.dispatcher !== undefined && !this.dispatcher.isOver;
   }
 
+  /** How long this instance lets records of the job log gather before it reads on: each read is paid for, and its processor is small. */
+  get newsPause(): Milliseconds {
+    if (this.isDispatching) {
+      return 0;
+    }
+    return this.rank() < NEXT_IN_LINE ? HEIR_PAUSE : READER_PAUSE;
+  }
+
   /** Claims the office whenever it is vacant, until closed. */
   async run(): Promise<void> {
     const {clock, logger} = this.parts;
--- a/packages/emulator/src/emulated_instance.ts
+++ b/packages/emulator/src/emulated_instance.ts
@@ -22,9 +22,6 @@
 /** A read of the log waits this long, in milliseconds. */
 const READ_WAIT = 500;
 
-/** Instances that do not dispatch gather the records of this time, in milliseconds. */
-const NEWS_PAUSE = 80;
-
 /** What an instance is wired to. */
 export interface InstanceWiring {
   name: string;
@@ -77,7 +74,7 @@
             this.service.onRecord(applied, clock.now());
           }
         },
-        pauseAfterNews: () => (this.service.isDispatching ? 0 : NEWS_PAUSE),
+        pauseAfterNews: () => this.service.newsPause,
         onAnswer: now => this.service.onLogAnswer(now),
       },
       READ_WAIT,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -40,6 +40,9 @@
 /** Longest wait to catch up with the log before a job is called unknown. */
 const CATCH_UP_TIMEOUT: Milliseconds = 600;
 
+/** Longest wait for news of a job that is known; what is known is told after that. */
+const STATE_TIMEOUT: Milliseconds = 150;
+
 /** Seconds after which a caller should come back when the log is away; outages last seconds. */
 const RETRY_AFTER_SECONDS = 1;
 
@@ -129,8 +132,7 @@
       this.log('cancel', call, entry);
       return entry;
     }
-    const state = stateOf(entry);
-    if (state !== 'queued' && state !== 'running') {
+    if (isEnded(entry)) {
       return {kind: 'cancelled'};
     }
     const record = encodeCancelled(call.jobId);
@@ -149,6 +151,10 @@
       this.log('state', call, entry);
       return entry;
     }
+    const isLogThere = this.logAge() < LOG_SILENCE;
+    if (!isEnded(entry) && isLogThere) {
+      await this.parts.follower.catchUp(STATE_TIMEOUT);
+    }
     return {kind: 'state', state: stateOf(entry)};
   }
 
@@ -233,3 +239,8 @@
     });
   }
 }
+
+function isEnded(entry: JobEntry): boolean {
+  const state = stateOf(entry);
+  return state !== 'queued' && state !== 'running';
+}
--- a/packages/workload/src/follower.ts
+++ b/packages/workload/src/follower.ts
@@ -34,6 +34,9 @@
   isCaughtUp = false;
   lastAnswerAt: Instant = -Infinity;
   private hasNews = false;
+  /** Records may have come that are gathered with later ones; otherwise a read is under way that brings each at once. */
+  private isGathering = false;
+  private reading?: Promise<boolean>;
   private isClosed = false;
   private waiters: Array<{offset: number; resolve: () => void}> = [];
 
@@ -102,11 +105,21 @@
   async refresh(timeout: Milliseconds): Promise<boolean> {
     const stop = new AbortController();
     const expired = this.clock.sleep(timeout, stop.signal).then(() => false);
-    const isCurrent = await Promise.race([this.readNow(), expired]);
+    this.reading ??= this.readNow().finally(() => {
+      this.reading = undefined;
+    });
+    const isCurrent = await Promise.race([this.reading, expired]);
     stop.abort();
     return isCurrent;
   }
 
+  /** Takes at once what is being gathered; resolves after `timeout` at the latest. */
+  async catchUp(timeout: Milliseconds): Promise<void> {
+    if (this.isGathering) {
+      await this.refresh(timeout);
+    }
+  }
+
   private async readNow(): Promise<boolean> {
     try {
       const page = await this.log.tail(this.next, 0);
@@ -181,7 +194,9 @@
     const pause = this.sink.pauseAfterNews?.() ?? 0;
     const isAwaited = this.waiters.length > 0;
     if (this.hasNews && pause > 0 && this.isCaughtUp && !isAwaited) {
+      this.isGathering = true;
       await this.clock.sleep(pause);
+      this.isGathering = false;
     }
   }
 
