Give a slow store the time it needs before a peer is asked or the office is claimed

Holders could not write, rivals fenced each other, and nobody dispatched for 3.5 s. Ruled out: an adaptive silence from the gaps between signs (the first slow gap comes without a warning). Change: 0.7 s directly and through a peer, 1.2 s of silence, beats stay at 0.3 s. The emulated log carries out a slow append after its caller has gone.

--- a/packages/dispatch/src/office.ts
+++ b/packages/dispatch/src/office.ts
@@ -13,8 +13,8 @@
 /** The holder writes at least this often. */
 export const OFFICE_BEAT: Milliseconds = 300;
 
-/** A holder that wrote nothing for this long has lost the office: two beats, and what a beat and its reading may take. */
-export const OFFICE_SILENCE: Milliseconds = 900;
+/** A holder that wrote nothing for this long has lost the office: a beat, and what its writing and its reading take on a log that is a hundred times slow. */
+export const OFFICE_SILENCE: Milliseconds = 1200;
 
 /** Each rank waits this much longer than the one before it: a claim is seen by then, if its instance lives. */
 const RANK_STEP: Milliseconds = 70;
--- a/packages/emulator/__tests__/relay.spec.ts
+++ b/packages/emulator/__tests__/relay.spec.ts
@@ -99,3 +99,30 @@
     installation.close();
   }
 });
+
+t.test(
+  'a log that is slow keeps its dispatcher, and work starts (kwjt-grid inc-5215)',
+  async t => {
+    for (const seed of [1, 2, 3, 4]) {
+      const installation = await boot(seed);
+      const dispatcher = installation.dispatcher()!;
+      installation.log.faults.slowness = 110;
+      const spec = createSpec([createStep({estimateMs: 500})]);
+      for (let index = 1; index <= 6; index++) {
+        void installation.submit(createId(index), spec, 1);
+        await installation.advance(1000);
+        t.equal(
+          installation.dispatcher()?.name,
+          dispatcher.name,
+          `seed ${seed}`,
+        );
+      }
+      t.equal(installation.stateOf(createId(1)), 'complete');
+      installation.log.faults.slowness = 1;
+      await installation.advance(3000);
+      t.equal(installation.stateOf(createId(6)), 'complete');
+      t.same(installation.auditor.violations, []);
+      installation.close();
+    }
+  },
+);
--- a/packages/emulator/src/emulated_log.ts
+++ b/packages/emulator/src/emulated_log.ts
@@ -89,11 +89,20 @@
     timeout: Milliseconds,
     fencing?: {epoch: number; sequence: number},
   ): Promise<OfficeAppend> {
+    const {lostAnswers, lateAppends, slowness} = this.faults;
+    const answerTime = ANSWER_TIME * slowness;
+    if (answerTime > timeout && !this.isSilentTo(instance)) {
+      // It is carried out all the same, after its caller has gone.
+      void this.clock
+        .sleep(answerTime)
+        .then(() => this.perform(records, fencing));
+      await this.clock.sleep(timeout);
+      return {kind: 'unknown', problem: 'no answer'};
+    }
     const problem = await this.reach(instance, timeout);
     if (problem) {
       return problem;
     }
-    const {lostAnswers, lateAppends} = this.faults;
     if (this.random.next() < lostAnswers) {
       const isLate = this.random.next() < lateAppends;
       const delay = isLate ? this.random.next() * LATEST_APPEND : 0;
--- a/packages/relay/src/relayed_log.ts
+++ b/packages/relay/src/relayed_log.ts
@@ -16,11 +16,11 @@
   appendTo,
 } from './peer_port.js';
 
-/** A direct append gets this long before a peer is asked, where there is one: a slow store answers within a quarter of a second. */
-const DIRECT_TIME: Milliseconds = 400;
+/** A direct append gets this long before a peer is asked, where there is one: a store that is a hundred times slow answers in less. */
+const DIRECT_TIME: Milliseconds = 700;
 
-/** Longest wait for a peer's answer beyond the wait asked for: peers answer in a few milliseconds, or not at all. */
-const PEER_TIME: Milliseconds = 300;
+/** Longest wait for a peer's answer beyond the wait asked for: the peer's own call to a slow store takes as long. */
+const PEER_TIME: Milliseconds = 700;
 
 /** A direct read that brought nothing for this long is compared with what a peer reads: the holder of the office writes more often. */
 const DOUBT_TIME: Milliseconds = 450;
