--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -4,7 +4,6 @@
   type JobEntry,
   type JobTable,
   type Leadership,
-  encodeForgotten,
   parseTaskName,
 } from '@galenavalve/workload';
 import {AdviceBook} from './advice_book.js';
@@ -13,7 +12,9 @@
 import {Estimates} from './estimates.js';
 import type {OfficeLog} from './job_log.js';
 import {addDueOccurrences, createJobRun} from './job_runs.js';
+import {LifeEnds} from './life_ends.js';
 import {takeListing} from './listings.js';
+import {OldJobs} from './old_jobs.js';
 import {Orders} from './orders.js';
 import {decide, objectiveOf} from './policy/index.js';
 import {RecordWriter} from './record_writer.js';
@@ -62,12 +63,6 @@
 /** A pass waits this long for more news, in milliseconds: ends of one gang come together. */
 const PASS_DELAY = 2;
 
-/** Ended jobs are looked for this often, in milliseconds. */
-const FORGET_INTERVAL = 5000;
-
-/** Most jobs forgotten in one append. */
-const MAX_FORGOTTEN = 50;
-
 /** The dispatcher of one epoch. */
 export class Dispatcher {
   isOver = false;
@@ -81,8 +76,9 @@
   private readonly orders: Orders;
   private readonly sessions: TargetSessions;
   private readonly writer: RecordWriter;
+  private readonly lifeEnds: LifeEnds;
+  private readonly oldJobs: OldJobs;
   private isPassDue = false;
-  private forgottenAt: Instant;
 
   constructor(
     private readonly parts: DispatcherParts,
@@ -91,7 +87,6 @@
   ) {
     const {settings, clock, random, logger, targets} = parts;
     this.epoch = leadership.epoch;
-    this.forgottenAt = now;
     this.book = new RunBook(
       {
         onChange: job => this.onChange(job),
@@ -108,13 +103,16 @@
       logger,
     );
     this.orders = new Orders(this, targets, this.book, settings, clock, logger);
+    this.lifeEnds = new LifeEnds(this.epoch, this.book, this.orders, logger);
+    const {table} = parts;
+    this.oldJobs = new OldJobs(table, settings.keepEnded, clock, now);
     this.sessions = new TargetSessions(this, targets, settings, clock, logger);
     const othersOverAt =
       now + UNCONFIRMED_LIMIT + settings.maxLease / SLOWEST_CLOCK;
     this.directory = new RoomDirectory(
       {
         onRoom: room => void this.sessions.keep(room),
-        onReplaced: (room, next) => this.onReplaced(room, next),
+        onReplaced: (room, next) => this.lifeEnds.onReplaced(room, next),
       },
       othersOverAt,
     );
@@ -218,16 +216,8 @@
     this.directory.onOtherLife(room, born);
   }
 
-  /** One address serves one life: the former one and its runs are gone, and its orders are refused there. */
   onSucceeded(room: TargetRoom): void {
-    this.parts.logger.info('target-succeeded', {
-      target: room.info.id,
-      runs: room.bookings.size,
-    });
-    room.isListed = false;
-    for (const booking of [...room.bookings.values()]) {
-      this.book.onGone(booking, 'another target took its address');
-    }
+    this.lifeEnds.onSucceeded(room);
   }
 
   onStopped(room: TargetRoom): void {
@@ -267,11 +257,11 @@
       }
     }
     for (const room of [...this.directory.all()]) {
-      this.dropLapsed(room, now);
+      this.lifeEnds.dropLapsed(room, now);
     }
     watchRuns(this.jobs.values(), this.book, this.estimates, now, logger);
     this.directory.sweep(now, settings.maxLease);
-    this.forget(now);
+    this.writer.add(this.oldJobs.takeDue(now));
     this.pass(now);
     this.writer.poke();
     this.writer.beat(now);
@@ -296,43 +286,6 @@
     unit.phase = unit.progress.isDone ? 'running' : 'starting';
   }
 
-  private onReplaced(room: TargetRoom, next: TargetRoom): void {
-    this.parts.logger.info('target-reborn', {
-      target: room.info.id,
-      from: room.info.born,
-      to: next.info.born,
-      runs: room.bookings.size,
-    });
-    for (const booking of [...room.bookings.values()]) {
-      // An order to the former life that was not answered may yet reach the new one.
-      const isOpen =
-        booking.epoch === this.epoch &&
-        (booking.state === 'ordered' ||
-          (booking.state === 'stopping' && booking.settledClock === undefined));
-      if (isOpen) {
-        room.release(booking);
-        booking.room = next;
-        booking.isBeingStopped = false;
-        next.book(booking);
-        void this.orders.stop(booking);
-      } else {
-        this.book.onGone(booking, 'its target started anew');
-      }
-    }
-  }
-
-  /** Runs whose lease is over are gone, whatever became of their target. */
-  private dropLapsed(room: TargetRoom, now: Instant): void {
-    if (now <= room.leaseOverAt || room.bookings.size === 0) {
-      return;
-    }
-    for (const booking of [...room.bookings.values()]) {
-      if (booking.state !== 'planned') {
-        this.book.onGone(booking, 'its lease is over');
-      }
-    }
-  }
-
   private onChange(job: JobRun): void {
     if (this.jobs.get(job.id) !== job) {
       return;
@@ -433,24 +386,4 @@
       runs: countRuns(job),
     });
   }
-
-  /** Drops jobs from the log that ended long ago. */
-  private forget(now: Instant): void {
-    if (now - this.forgottenAt < FORGET_INTERVAL) {
-      return;
-    }
-    this.forgottenAt = now;
-    const limit =
-      this.parts.clock.wallTime() - 2 * this.parts.settings.keepEnded;
-    const old = [...this.parts.table.all()].filter(
-      ({progress}) =>
-        progress?.endedAt !== undefined && progress.endedAt < limit,
-    );
-    const records = old
-      .slice(0, MAX_FORGOTTEN)
-      .flatMap(({id}) => encodeForgotten(id));
-    if (records.length > 0) {
-      this.writer.add(records);
-    }
-  }
 }
--- /dev/null
+++ b/packages/dispatch/src/old_jobs.ts
@@ -0,0 +1,40 @@
+/** Drops jobs from the log that ended long ago. */
+import type {Clock, Instant, Milliseconds} from '@galenavalve/shared';
+import {
+  type JobTable,
+  type KeyedRecord,
+  encodeForgotten,
+} from '@galenavalve/workload';
+
+/** Ended jobs are looked for this often, in milliseconds. */
+const FORGET_INTERVAL = 5000;
+
+/** Most jobs forgotten in one append. */
+const MAX_FORGOTTEN = 50;
+
+/** Ended jobs are kept for this many times as long as callers may ask for them: clocks differ. */
+const KEEP_FACTOR = 2;
+
+/** Finds the jobs that nobody may ask for any more. */
+export class OldJobs {
+  constructor(
+    private readonly table: JobTable,
+    private readonly keepEnded: Milliseconds,
+    private readonly clock: Clock,
+    private lookedAt: Instant,
+  ) {}
+
+  /** The records that drop them; none until the next look is due. */
+  takeDue(now: Instant): KeyedRecord[] {
+    if (now - this.lookedAt < FORGET_INTERVAL) {
+      return [];
+    }
+    this.lookedAt = now;
+    const limit = this.clock.wallTime() - KEEP_FACTOR * this.keepEnded;
+    const old = [...this.table.all()].filter(
+      ({progress}) =>
+        progress?.endedAt !== undefined && progress.endedAt < limit,
+    );
+    return old.slice(0, MAX_FORGOTTEN).flatMap(({id}) => encodeForgotten(id));
+  }
+}
