Learn which targets are slow from the members of gangs

Ruled out: estimates of gangs (they carry the slowest member in them). Change: at the end of a gang of three or more, each member's pace against the median is noted for its target.

--- a/packages/dispatch/src/pace.ts
+++ b/packages/dispatch/src/pace.ts
@@ -38,6 +38,25 @@
   return booking.percent - booking.firstPercent >= READABLE;
 }
 
+/** Members of a gang from which the pace of each can be told from that of the others. */
+const COMPARABLE_MEMBERS = 3;
+
+/** Notes for each target of a gang how long its members take against the gang's median: callers' estimates need not be good for that. */
+export function comparePaces(bookings: readonly Booking[]): void {
+  const known = bookings.filter(isPaceKnown);
+  if (known.length < COMPARABLE_MEMBERS) {
+    return;
+  }
+  const times = known.map(
+    ({percent, percentAt, firstPercent, firstPercentAt}) =>
+      (percentAt - firstPercentAt) / (percent - firstPercent),
+  );
+  const median = [...times].sort((a, b) => a - b)[times.length >> 1]!;
+  if (median > 0) {
+    known.forEach(({room}, index) => room.notePace(times[index]! / median));
+  }
+}
+
 /** Expected time until the run of `booking` ends. */
 export function remainingTime(
   booking: Booking,
--- a/packages/dispatch/src/run_book.ts
+++ b/packages/dispatch/src/run_book.ts
@@ -2,6 +2,7 @@
 import type {Instant, Logger} from '@galenavalve/shared';
 import {formatTaskName} from '@galenavalve/workload';
 import type {Estimates} from './estimates.js';
+import {comparePaces} from './pace.js';
 import type {Start} from './policy/index.js';
 import {
   type Booking,
@@ -255,7 +256,9 @@
     if (hasRunWhole) {
       const took = now - unit.runningSince;
       const {queue} = unit.job.job;
-      if (!unit.step.isGang) {
+      if (unit.step.isGang) {
+        comparePaces(unit.bookings);
+      } else {
         room.notePace(
           took / this.estimates.expect(queue, unit.step.estimateMs),
         );
