Append in the name of an epoch by a method of its own

Change: append and appendAs(fencing, ...), one type for the fencing; methods of the relay have names of their own.

--- a/packages/dispatch/src/dispatch_service.ts
+++ b/packages/dispatch/src/dispatch_service.ts
@@ -155,12 +155,8 @@
     });
     this.watch.onClaimFailed(now);
     const record = encodeLeadership(leadership);
-    const result = await log.append(
-      [record],
-      leadership.epoch,
-      0,
-      CLAIM_TIMEOUT,
-    );
+    const fencing = {epoch: leadership.epoch, sequence: 0};
+    const result = await log.appendAs(fencing, [record], CLAIM_TIMEOUT);
     if (result.kind !== 'appended') {
       logger.info('office-not-held', {epoch: leadership.epoch, result});
       return;
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -2,7 +2,7 @@
 
 // Ports that adapters implement
 export * from './target_port.js';
-export type {OfficeAppend, OfficeLog} from './job_log.js';
+export type {Fencing, OfficeAppend, OfficeLog} from './job_log.js';
 export {type TargetInfo, lifeKey} from './target_info.js';
 
 export {type Advice, type Advisor, NoAdvisor} from './advisor.js';
--- a/packages/dispatch/src/job_log.ts
+++ b/packages/dispatch/src/job_log.ts
@@ -12,12 +12,17 @@
   /** It may have been appended, or may be later; the same sequence number may be sent again. */
   | {kind: 'unknown'; problem: string};
 
+/** Makes an append part of the sequence of an epoch. */
+export interface Fencing {
+  epoch: number;
+  sequence: number;
+}
+
 /** Appends in the name of an epoch; a repeated sequence number is appended once. */
 export interface OfficeLog {
-  append(
+  appendAs(
+    fencing: Fencing,
     records: readonly KeyedRecord[],
-    epoch: number,
-    sequence: number,
     timeout: Milliseconds,
   ): Promise<OfficeAppend>;
 }
--- a/packages/dispatch/src/record_writer.ts
+++ b/packages/dispatch/src/record_writer.ts
@@ -11,7 +11,7 @@
   type Leadership,
   encodeLeadership,
 } from '@galenavalve/workload';
-import type {OfficeLog} from './job_log.js';
+import type {Fencing, OfficeLog} from './job_log.js';
 import {OFFICE_BEAT} from './office.js';
 
 /** Longest wait for the answer to an append; some hundred times the usual answer. */
@@ -88,12 +88,8 @@
       await this.clock.sleep(10);
     }
     const record = encodeLeadership({...this.leadership, hasResigned: true});
-    await this.log.append(
-      [record],
-      this.leadership.epoch,
-      this.sequence++,
-      APPEND_TIMEOUT,
-    );
+    const fencing = this.nextFencing();
+    await this.log.appendAs(fencing, [record], APPEND_TIMEOUT);
   }
 
   private async writeAll(withBeat = false): Promise<void> {
@@ -119,6 +115,10 @@
     }
   }
 
+  private nextFencing(): Fencing {
+    return {epoch: this.leadership.epoch, sequence: this.sequence++};
+  }
+
   private beatRecord(): KeyedRecord {
     const writtenAt = this.clock.wallTime();
     return encodeLeadership({...this.leadership, writtenAt});
@@ -126,16 +126,11 @@
 
   /** Sends one append until it is known to be in the log; false when the office is lost. */
   private async write(records: readonly KeyedRecord[]): Promise<boolean> {
-    const sequence = this.sequence++;
+    const fencing = this.nextFencing();
     for (let attempt = 0; !this.isOver; attempt++) {
       const sentAt = this.clock.now();
       const sentWallAt = this.clock.wallTime();
-      const result = await this.log.append(
-        records,
-        this.leadership.epoch,
-        sequence,
-        APPEND_TIMEOUT,
-      );
+      const result = await this.log.appendAs(fencing, records, APPEND_TIMEOUT);
       if (result.kind === 'appended') {
         this.confirmedAt = sentAt;
         this.confirmedWallAt = sentWallAt;
@@ -147,8 +142,7 @@
         return false;
       }
       this.logger.warn('record-delayed', {
-        epoch: this.leadership.epoch,
-        sequence,
+        ...fencing,
         attempt,
         problem: result.problem,
       });
--- a/packages/emulator/src/emulated_log.ts
+++ b/packages/emulator/src/emulated_log.ts
@@ -1,9 +1,9 @@
 /** The platform's log in memory, in virtual time, with its faults. */
-import type {OfficeAppend, OfficeLog} from '@galenavalve/dispatch';
-import type {AppendOutcome, JobAppender} from '@galenavalve/gateway';
+import type {Fencing, OfficeAppend} from '@galenavalve/dispatch';
+import type {AppendOutcome} from '@galenavalve/gateway';
+import {type SharedLog, withoutFence} from '@galenavalve/relay';
 import type {Clock, Milliseconds, Random} from '@galenavalve/shared';
 import type {
-  KeyedLog,
   KeyedRecord,
   NewestPage,
   StoredRecord,
@@ -60,7 +60,7 @@
   ) {}
 
   /** The log as one instance reaches it. */
-  client(instance: string): KeyedLog & JobAppender & OfficeLog {
+  client(instance: string): SharedLog {
     return new LogClient(this, instance);
   }
 
@@ -87,7 +87,7 @@
     instance: string,
     records: readonly KeyedRecord[],
     timeout: Milliseconds,
-    fencing?: {epoch: number; sequence: number},
+    fencing?: Fencing,
   ): Promise<OfficeAppend> {
     const {lostAnswers, lateAppends, slowness} = this.faults;
     const answerTime = ANSWER_TIME * slowness;
@@ -148,7 +148,7 @@
 
   private perform(
     records: readonly KeyedRecord[],
-    fencing?: {epoch: number; sequence: number},
+    fencing?: Fencing,
   ): OfficeAppend {
     if (!fencing) {
       return {kind: 'appended', offset: this.push(records)};
@@ -212,29 +212,26 @@
   }
 }
 
-class LogClient implements KeyedLog, JobAppender, OfficeLog {
+class LogClient implements SharedLog {
   constructor(
     private readonly log: EmulatedLog,
     private readonly instance: string,
   ) {}
 
-  append(
+  async append(
     records: readonly KeyedRecord[],
     timeout: Milliseconds,
-  ): Promise<AppendOutcome>;
-  append(
+  ): Promise<AppendOutcome> {
+    return withoutFence(
+      await this.log.appendFor(this.instance, records, timeout),
+    );
+  }
+
+  appendAs(
+    fencing: Fencing,
     records: readonly KeyedRecord[],
-    epoch: number,
-    sequence: number,
     timeout: Milliseconds,
-  ): Promise<OfficeAppend>;
-  append(
-    records: readonly KeyedRecord[],
-    ...rest: number[]
   ): Promise<OfficeAppend> {
-    const timeout = rest.at(-1)!;
-    const fencing =
-      rest.length === 3 ? {epoch: rest[0]!, sequence: rest[1]!} : undefined;
     return this.log.appendFor(this.instance, records, timeout, fencing);
   }
 
--- a/packages/relay/__tests__/fixtures.ts
+++ b/packages/relay/__tests__/fixtures.ts
@@ -49,6 +49,10 @@
       calls.push(args);
       return answer as never;
     },
+    appendAs: async (...args: unknown[]) => {
+      calls.push(args);
+      return answer;
+    },
     newest: async after => ({records, end: 5, after}),
     tail: async () => ({kind: 'records', records, next: 5, end: 5}),
   };
--- a/packages/relay/__tests__/relayed_log.spec.ts
+++ b/packages/relay/__tests__/relayed_log.spec.ts
@@ -70,6 +70,8 @@
   'an office that a higher epoch holds is lost through a peer, too',
   async t => {
     const {log} = createRelayed(refused, {kind: 'fenced'});
-    t.same(await log.append([], 5, 1, 500), {kind: 'fenced'});
+    t.same(await log.appendAs({epoch: 5, sequence: 1}, [], 500), {
+      kind: 'fenced',
+    });
   },
 );
--- a/packages/relay/__tests__/wire_peer_port.spec.ts
+++ b/packages/relay/__tests__/wire_peer_port.spec.ts
@@ -41,7 +41,7 @@
     kind: 'appended',
     offset: 7,
   });
-  t.same(log.calls, [[records, 3, 9, 500]]);
+  t.same(log.calls, [[fencing, records, 500]]);
 });
 
 t.test('records are read through the peer', async t => {
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -16,6 +16,7 @@
   type PeerPort,
   type SharedLog,
   appendTo,
+  withoutFence,
 } from './peer_port.js';
 export {LogAccess} from './log_access.js';
 export {RelayedLog} from './relayed_log.js';
--- a/packages/relay/src/peer_port.ts
+++ b/packages/relay/src/peer_port.ts
@@ -1,6 +1,6 @@
 /** Calls to the log through another instance. */
-import type {OfficeAppend, OfficeLog} from '@galenavalve/dispatch';
-import type {JobAppender} from '@galenavalve/gateway';
+import type {Fencing, OfficeAppend, OfficeLog} from '@galenavalve/dispatch';
+import type {AppendOutcome, JobAppender} from '@galenavalve/gateway';
 import type {Milliseconds} from '@galenavalve/shared';
 import type {
   KeyedLog,
@@ -13,12 +13,6 @@
 /** A log as every part of an instance uses it. */
 export type SharedLog = KeyedLog & JobAppender & OfficeLog;
 
-/** Makes records part of the dispatcher's sequence. */
-export interface Fencing {
-  epoch: number;
-  sequence: number;
-}
-
 /** An append with all that belongs to it. */
 export interface AppendCall {
   records: readonly KeyedRecord[];
@@ -58,6 +52,13 @@
   timeout: Milliseconds,
 ): Promise<OfficeAppend> {
   return fencing
-    ? log.append(records, fencing.epoch, fencing.sequence, timeout)
+    ? log.appendAs(fencing, records, timeout)
     : log.append(records, timeout);
 }
+
+/** The outcome of an append without an epoch, which nothing can fence. */
+export function withoutFence(outcome: OfficeAppend): AppendOutcome {
+  return outcome.kind === 'fenced'
+    ? {kind: 'refused', problem: 'the log fenced an append without an epoch'}
+    : outcome;
+}
--- a/packages/relay/src/relayed_log.ts
+++ b/packages/relay/src/relayed_log.ts
@@ -1,5 +1,5 @@
 /** A log that is reached through another instance while this one is turned away. */
-import type {OfficeAppend} from '@galenavalve/dispatch';
+import type {Fencing, OfficeAppend} from '@galenavalve/dispatch';
 import type {AppendOutcome} from '@galenavalve/gateway';
 import {
   type Clock,
@@ -14,6 +14,7 @@
   type PeerPort,
   type SharedLog,
   appendTo,
+  withoutFence,
 } from './peer_port.js';
 
 /** A direct append gets this long before a peer is asked, where there is one: a store that is a hundred times slow answers in less. */
@@ -37,23 +38,19 @@
     private readonly isBusy = false,
   ) {}
 
-  append(
+  async append(
     records: readonly KeyedRecord[],
     timeout: Milliseconds,
-  ): Promise<AppendOutcome>;
-  append(
+  ): Promise<AppendOutcome> {
+    return withoutFence(await this.appendAnyhow({records}, timeout));
+  }
+
+  appendAs(
+    fencing: Fencing,
     records: readonly KeyedRecord[],
-    epoch: number,
-    sequence: number,
     timeout: Milliseconds,
-  ): Promise<OfficeAppend>;
-  append(
-    records: readonly KeyedRecord[],
-    ...rest: number[]
   ): Promise<OfficeAppend> {
-    const fencing =
-      rest.length === 3 ? {epoch: rest[0]!, sequence: rest[1]!} : undefined;
-    return this.appendAnyhow({records, fencing}, rest.at(-1)!);
+    return this.appendAnyhow({records, fencing}, timeout);
   }
 
   newest(after: string | undefined): Promise<NewestPage> {
--- a/packages/relay/src/serve_logs.ts
+++ b/packages/relay/src/serve_logs.ts
@@ -6,9 +6,9 @@
 import {type SharedLog, appendTo} from './peer_port.js';
 
 /** Methods of the peer protocol. */
-export const APPEND_METHOD = 'log-append';
-export const NEWEST_METHOD = 'log-newest';
-export const TAIL_METHOD = 'log-tail';
+export const APPEND_METHOD = 'append-records';
+export const NEWEST_METHOD = 'newest-records';
+export const TAIL_METHOD = 'records-from';
 
 const recordSchema = z.object({key: z.string(), value: z.string()});
 
