--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -339,8 +339,8 @@
     for (const {unit, reason} of decision.waits) {
       this.logWait(unit, reason);
     }
-    for (const {unit, ...claim} of decision.claims) {
-      unit.claim = claim;
+    for (const {unit, rooms, until} of decision.claims) {
+      unit.claim = {rooms, until};
     }
     for (const {unit, for: claimant} of decision.stops) {
       this.book.stop(unit, `urgent job ${claimant} needs its room`);
--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -34,11 +34,8 @@
 /** The same if it is late anyway. */
 const LATE_COST_RATIO = 0.5;
 
-/** A claim on targets lasts this much longer than what it waits for, in milliseconds: the end of a stop is listed by then. */
-const CLAIM_MARGIN = 400;
-
-/** What has not come this long after it was due is not waited for any more, in milliseconds; the claim is planned anew. */
-const REPLAN_MARGIN = 100;
+/** A claim on targets lasts this much longer than what it waits for, in milliseconds; then room is made elsewhere, too. */
+const CLAIM_MARGIN = 100;
 
 /** Share of its slack that an urgent job waits for others to end by themselves: their estimates are rough. A stop would take its time as well, so it never waits longer than that. */
 const WAIT_SHARE = 0.25;
@@ -71,7 +68,6 @@
   claims: Array<{
     unit: UnitRun;
     rooms: ReadonlySet<TargetRoom>;
-    replanAt: Instant;
     until: Instant;
   }>;
 }
@@ -194,7 +190,7 @@
     this.misfits.add(shape);
     const isReclaimed =
       urgency.tier === Tier.Urgent &&
-      (this.isClaimDue(unit) || this.reclaim(unit, urgency, seeker, spaces));
+      (this.hasClaim(unit) || this.reclaim(unit, urgency, seeker, spaces));
     if (!isReclaimed && this.reservations < MAX_RESERVATIONS) {
       const expectEnd = (booking: Booking) => this.expectEnd(booking);
       if (reserve(seeker, spaces, expectEnd, this.now)) {
@@ -243,11 +239,6 @@
     return unit.claim !== undefined && unit.claim.until > this.now;
   }
 
-  /** Whether the room that is being made may still come as planned. */
-  private isClaimDue(unit: UnitRun): boolean {
-    return unit.claim !== undefined && this.now < unit.claim.replanAt;
-  }
-
   /** Stops others for an urgent unit, or waits for some that end soon, and claims their targets. */
   private reclaim(
     unit: UnitRun,
@@ -287,14 +278,8 @@
     const rooms = new Set(plan.spaces.map(({room}) => room));
     rooms.forEach(room => this.claims.set(room, unit));
     const {stopTime} = this.situation.settings;
-    const due = Math.max(startBy, this.now + stopTime);
-    const replanAt = due + REPLAN_MARGIN;
-    this.decision.claims.push({
-      unit,
-      rooms,
-      replanAt,
-      until: due + CLAIM_MARGIN,
-    });
+    const until = Math.max(startBy, this.now + stopTime) + CLAIM_MARGIN;
+    this.decision.claims.push({unit, rooms, until});
     return true;
   }
 
--- a/packages/dispatch/src/runs.ts
+++ b/packages/dispatch/src/runs.ts
@@ -57,12 +57,8 @@
   isFar: boolean;
   /** Why it was last said to wait. */
   waitReason?: string;
-  /** Targets on which room is being made for it: kept until then, and planned anew if it has not come before. */
-  claim?: {
-    rooms: ReadonlySet<TargetRoom>;
-    replanAt: Instant;
-    until: Instant;
-  };
+  /** Targets on which room is being made for it. */
+  claim?: {rooms: ReadonlySet<TargetRoom>; until: Instant};
   /** Checkpoint that every member of the present run starts from. */
   resumeFrom: string;
   /** Reason of the stop under way. */
