Read the pace of a run from its target's clock, from its first listing on

What a checkpoint brought along counted as work of the first second and a half, so the usual pace that followed looked like a collapse: the run was stopped, its target avoided for 3 to 15 s, and the next run of the unit met the same fate (up to run 7). Listings that waited at a busy dispatcher had the same effect, for the pace was read from the time at which they were taken. Change: the first listing of a run is where its pace is read from, and the time is the clock of its target. Shown: both specs failed before.

--- a/packages/dispatch/__tests__/straggler_watch.spec.ts
+++ b/packages/dispatch/__tests__/straggler_watch.spec.ts
@@ -23,14 +23,14 @@
     findUnit: () => unit,
     onStray: () => undefined,
   };
-  const list = (percent: number, now: number) => {
+  const list = (percent: number, now: number, clock = now) => {
     const running = unit.bookings.map(({task, run}) => ({
       task,
       run,
       checkpoint: '',
       percent,
     }));
-    takeListing(room, {born: 0, clock: now, running, ended: []}, context, now);
+    takeListing(room, {born: 0, clock, running, ended: []}, context, now);
   };
   const watch = (now: number) =>
     watchRuns([unit.job], book, estimates, now, logger);
@@ -100,3 +100,33 @@
     t.end();
   },
 );
+
+t.test(
+  'a run that resumed from a checkpoint is not slow for going on at its usual pace (menon-terrain-grown scale-1)',
+  t => {
+    const {unit, room} = createRun({savesProgress: true});
+    const {list, watch, stopped} = createWatch(unit, room);
+    for (let now = 200; now <= 4700; now += 500) {
+      list(51 + now / 100, now);
+      watch(now);
+    }
+    t.same(stopped, []);
+    t.equal(room.strikes, 0, 'its target is not avoided');
+    t.end();
+  },
+);
+
+t.test(
+  'a burst of listings that a busy dispatcher took late says nothing of the pace (menon-terrain-grown scale-1)',
+  t => {
+    const {unit, room} = createRun({savesProgress: true});
+    const {list, watch, stopped} = createWatch(unit, room);
+    for (let clock = 500; clock <= 6000; clock += 500) {
+      const delay = clock < 2500 ? 0 : 2500;
+      list(clock / 100, clock + delay, clock);
+      watch(clock + delay);
+    }
+    t.same(stopped, []);
+    t.end();
+  },
+);
--- a/packages/dispatch/src/listings.ts
+++ b/packages/dispatch/src/listings.ts
@@ -78,7 +78,7 @@
     booking.percentAt = now;
   }
   const {unit} = booking;
-  samplePace(booking, unit?.step.estimateMs ?? 0, now);
+  samplePace(booking, unit?.step.estimateMs ?? 0, clock);
   if (unit && run.checkpoint !== '' && unit.progress.run === run.run) {
     unit.progress.checkpoint = run.checkpoint;
   }
--- a/packages/dispatch/src/pace.ts
+++ b/packages/dispatch/src/pace.ts
@@ -13,13 +13,19 @@
 const SAMPLE_GAIN = 4;
 const SAMPLE_EXPECTED_GAIN = 8;
 
-/** Notes a reading of the run's progress; `estimate` is what its caller expects of a whole run. */
+/**
+ * Notes a reading of the run's progress at `clock`, its target's own, in
+ * milliseconds: listings wait in line at a busy dispatcher. `estimate` is what
+ * its caller expects of a whole run.
+ */
 export function samplePace(
   booking: Booking,
   estimate: Milliseconds,
-  now: Instant,
+  clock: number,
 ): void {
-  const passed = now - booking.sample.at;
+  // What a checkpoint brought along was not done here.
+  booking.sample ??= {percent: booking.percent, clock};
+  const passed = clock - booking.sample.clock;
   const gained = booking.percent - booking.sample.percent;
   const expectedPace = Math.max(booking.bestPace, 100 / Math.max(estimate, 1));
   const isReadable =
@@ -30,7 +36,7 @@
   const pace = gained / passed;
   booking.bestPace = Math.max(booking.bestPace, pace);
   booking.presentPace = pace;
-  booking.sample = {percent: booking.percent, at: now};
+  booking.sample = {percent: booking.percent, clock};
 }
 
 /** Whether a run's own progress says when it ends, and not its caller's estimate. */
--- a/packages/dispatch/src/runs.ts
+++ b/packages/dispatch/src/runs.ts
@@ -92,8 +92,8 @@
   /** Percent and time at the first sign of life, for its pace. */
   firstPercent: number;
   firstPercentAt: Instant;
-  /** An earlier reading, for its present pace. */
-  sample: {percent: number; at: Instant};
+  /** An earlier reading, for its present pace, by the target's clock; undefined before the first. */
+  sample?: {percent: number; clock: number};
   /** Its pace over the last reading, in percent a millisecond; undefined before the first. */
   presentPace?: number;
   /** Fastest pace that it ever had, in percent a millisecond. */
@@ -154,7 +154,6 @@
     stillFor: 0,
     firstPercent: 0,
     firstPercentAt: now,
-    sample: {percent: 0, at: now},
     bestPace: 0,
     isBeingStopped: false,
   };
