Keep a busy dispatcher in office: spaced passes, paced orders, and claims that read the log first

A claim was made on records up to 400 ms old. Ruled out: the record writer; its calls were 40 to 60 a second. Change: passes take at most a quarter of the processor, and progress alone asks for none; calls to targets begin 16 a turn; a listing waits for the record by an event instead of a timer of 5 ms; a stop asks for a listing only if the run was not listed; a claim reads the log to its end first and is made only if nothing was written since (the fourth without the condition, for a slow log); instances with less than half of the strongest one's processor wait 0.4 s longer; after a prompt refusal the log is tried again after 0.3 s, not 1 s.

--- /dev/null
+++ b/packages/dispatch/__tests__/pass_schedule.spec.ts
@@ -0,0 +1,41 @@
+import t from 'tap';
+import {PassSchedule} from '../src/pass_schedule.js';
+
+/** Plays news every two milliseconds for ten seconds; returns the share of time that passes took. */
+function playNews(passTime: number): number {
+  const schedule = new PassSchedule();
+  let busy = 0;
+  for (let now = 0; now < 10_000;) {
+    now += schedule.delay(now);
+    schedule.onPass(now, now + passTime);
+    now += passTime;
+    busy += passTime;
+  }
+  return busy / 10_000;
+}
+
+t.test('news of a quiet installation is decided on at once', t => {
+  t.equal(new PassSchedule().delay(1000), 2);
+  t.ok(new PassSchedule().isOpen(1000));
+  t.end();
+});
+
+t.test(
+  'passes leave most of the processor to listings, however long they take and however much news there is (kwjt-grid-large scale-1, small)',
+  t => {
+    for (const passTime of [1, 10, 60, 400]) {
+      t.ok(playNews(passTime) <= 0.3, `${passTime} ms`);
+    }
+    t.end();
+  },
+);
+
+t.test('a tick that nothing asks for leaves out a pass that is not due', t => {
+  const schedule = new PassSchedule();
+  for (let now = 0; now < 2000; now += 100) {
+    schedule.onPass(now, now + 60);
+  }
+  t.notOk(schedule.isOpen(2000));
+  t.ok(schedule.isOpen(2300));
+  t.end();
+});
--- a/packages/dispatch/src/changed_jobs.ts
+++ b/packages/dispatch/src/changed_jobs.ts
@@ -40,7 +40,7 @@
     const runs = starting.map(unit => unit.progress.run);
     const onWritten = () => {
       if (isWhole) {
-        ends.forEach(({room, number}) => (room.recordedEnd = number));
+        ends.forEach(({room, number}) => room.onRecorded(number));
       }
       jobs.forEach(job => this.onWritten(job));
       starting.forEach((unit, index) => {
--- a/packages/dispatch/src/dispatch_service.ts
+++ b/packages/dispatch/src/dispatch_service.ts
@@ -12,12 +12,16 @@
 } from '@galenavalve/workload';
 import {encodeLeadership} from '@galenavalve/workload';
 import {Dispatcher, type DispatcherParts} from './dispatcher.js';
-import {OfficeWatch, nextEpoch} from './office.js';
+import type {OfficeAppend} from './job_log.js';
+import {OfficeWatch, type Standing, nextEpoch} from './office.js';
 import type {TargetInfo} from './target_info.js';
 
 /** Longest wait for the answer to a claim, and for reading it back, in milliseconds. */
 const CLAIM_TIMEOUT = 1500;
 
+/** Claims that are made only if nothing was written since the log was read, and one more without that condition. */
+const CLAIM_TRIES = 4;
+
 /** The office is looked at this often, in milliseconds. */
 const WATCH_INTERVAL = 100;
 
@@ -54,10 +58,9 @@
     private readonly follower: Follower,
     private readonly registry: TargetRegistry,
     private readonly holder: string,
-    /** Number of instances that should dispatch rather than this one. */
-    private readonly rank: () => number,
+    private readonly standing: () => Standing,
   ) {
-    this.watch = new OfficeWatch(parts.clock.now(), parts.random, rank);
+    this.watch = new OfficeWatch(parts.clock.now(), parts.random, standing);
   }
 
   /** Whether this instance dispatches now. */
@@ -70,7 +73,7 @@
     if (this.isDispatching) {
       return 0;
     }
-    return this.rank() < NEXT_IN_LINE ? HEIR_PAUSE : READER_PAUSE;
+    return this.standing().rank < NEXT_IN_LINE ? HEIR_PAUSE : READER_PAUSE;
   }
 
   /** Claims the office whenever it is vacant, until closed. */
@@ -85,7 +88,7 @@
       const isIdle = !this.isClosed && !this.isDispatching;
       if (isIdle && this.follower.isCaughtUp && this.watch.isVacant(now)) {
         try {
-          await this.claim(now);
+          await this.claim();
         } catch (error) {
           logger.warn('claim-failed', {problem: describeError(error)});
           this.watch.onClaimFailed(clock.now());
@@ -143,34 +146,59 @@
     }
   }
 
-  private async claim(now: Instant): Promise<void> {
+  /** Claims the office if the log, read to its end, says that it is vacant. */
+  private async claim(): Promise<void> {
     const {log, table, random, clock, logger} = this.parts;
-    const leadership: Leadership = {
-      epoch: nextEpoch(table.leadership, random),
-      holder: this.holder,
-    };
-    logger.info('office-claimed', {
-      epoch: leadership.epoch,
-      before: table.leadership,
-    });
-    this.watch.onClaimFailed(now);
-    const record = encodeLeadership(leadership);
-    const fencing = {epoch: leadership.epoch, sequence: 0};
-    const result = await log.appendAs(fencing, [record], CLAIM_TIMEOUT);
-    if (result.kind !== 'appended') {
+    for (let attempt = 1; attempt <= CLAIM_TRIES; attempt++) {
+      const isCurrent = await this.follower.refresh(CLAIM_TIMEOUT);
+      const isVacant = this.watch.isVacant(clock.now());
+      if (!isCurrent || !isVacant || this.isClosed) {
+        logger.info('claim-left', {attempt, isCurrent, isVacant});
+        return;
+      }
+      const leadership: Leadership = {
+        epoch: nextEpoch(table.leadership, random),
+        holder: this.holder,
+      };
+      logger.info('office-claimed', {
+        epoch: leadership.epoch,
+        before: table.leadership,
+        attempt,
+      });
+      const fencing = {
+        epoch: leadership.epoch,
+        sequence: 0,
+        // A slow log may move between every read and append.
+        endsAt: attempt < CLAIM_TRIES ? this.follower.next : undefined,
+      };
+      const record = encodeLeadership(leadership);
+      const result = await log.appendAs(fencing, [record], CLAIM_TIMEOUT);
+      if (await this.isClaimed(leadership, result)) {
+        await this.dispatch(leadership, clock.now());
+        return;
+      }
       logger.info('office-not-held', {epoch: leadership.epoch, result});
-      return;
+      if (result.kind !== 'moved') {
+        this.watch.onClaimFailed(clock.now());
+        return;
+      }
     }
-    // A rival with the same epoch would be told of this claim's place, or of its own.
-    const isRead = await this.follower.reach(result.offset, CLAIM_TIMEOUT);
+  }
+
+  /** Whether the claim is in the log and the newest. A rival with the same epoch would be told of this claim's place, or of its own; a claim that came twice is told that the log moved. */
+  private async isClaimed(
+    leadership: Leadership,
+    result: OfficeAppend,
+  ): Promise<boolean> {
+    const isRead =
+      result.kind === 'appended'
+        ? await this.follower.reach(result.offset, CLAIM_TIMEOUT)
+        : result.kind === 'moved' &&
+          (await this.follower.refresh(CLAIM_TIMEOUT));
+    const newest = this.parts.table.leadership;
     const isOwn =
-      table.leadership?.epoch === leadership.epoch &&
-      table.leadership.holder === this.holder;
-    if (!isRead || !isOwn || this.isClosed) {
-      logger.info('office-not-held', {epoch: leadership.epoch, isRead});
-      return;
-    }
-    await this.dispatch(leadership, clock.now());
+      newest?.epoch === leadership.epoch && newest.holder === this.holder;
+    return isRead && isOwn && !this.isClosed;
   }
 
   private async dispatch(leadership: Leadership, now: Instant): Promise<void> {
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -16,6 +16,8 @@
 import {takeListing} from './listings.js';
 import {OldJobs} from './old_jobs.js';
 import {Orders} from './orders.js';
+import {OrderPacer} from './order_pacer.js';
+import {PassSchedule} from './pass_schedule.js';
 import {decide, objectiveOf} from './policy/index.js';
 import {RecordWriter} from './record_writer.js';
 import {RoomDirectory} from './room_directory.js';
@@ -29,6 +31,7 @@
 } from './runs.js';
 import {
   type DispatchSettings,
+  LISTING_FRESHNESS,
   SLOWEST_CLOCK,
   TICK,
   UNCONFIRMED_LIMIT,
@@ -60,9 +63,6 @@
   onLost: () => void;
 }
 
-/** A pass waits this long for more news, in milliseconds: ends of one gang come together. */
-const PASS_DELAY = 2;
-
 /** The dispatcher of one epoch. */
 export class Dispatcher {
   isOver = false;
@@ -78,6 +78,7 @@
   private readonly writer: RecordWriter;
   private readonly lifeEnds: LifeEnds;
   private readonly oldJobs: OldJobs;
+  private readonly passes = new PassSchedule();
   private isPassDue = false;
 
   constructor(
@@ -102,11 +103,27 @@
       clock,
       logger,
     );
-    this.orders = new Orders(this, targets, this.book, settings, clock, logger);
+    const pacer = new OrderPacer(clock);
+    this.orders = new Orders(
+      this,
+      targets,
+      this.book,
+      settings,
+      pacer,
+      clock,
+      logger,
+    );
     this.lifeEnds = new LifeEnds(this.epoch, this.book, this.orders, logger);
     const {table} = parts;
     this.oldJobs = new OldJobs(table, settings.keepEnded, clock, now);
-    this.sessions = new TargetSessions(this, targets, settings, clock, logger);
+    this.sessions = new TargetSessions(
+      this,
+      targets,
+      settings,
+      pacer,
+      clock,
+      logger,
+    );
     const othersOverAt =
       now + UNCONFIRMED_LIMIT + settings.maxLease / SLOWEST_CLOCK;
     this.directory = new RoomDirectory(
@@ -207,8 +224,13 @@
       findUnit: (task: string) => this.findUnit(task),
       onStray: (stray: Booking) => void this.orders.stop(stray),
     };
-    takeListing(room, listing, context, this.parts.clock.now());
-    this.requestPass();
+    const now = this.parts.clock.now();
+    const wasOpen = room.isOpen(now, LISTING_FRESHNESS);
+    const hasChanged = takeListing(room, listing, context, now);
+    // Mere progress lets nothing start; the next tick sees it.
+    if (hasChanged || !wasOpen) {
+      this.requestPass();
+    }
     this.writer.poke();
   }
 
@@ -262,7 +284,9 @@
     watchRuns(this.jobs.values(), this.book, this.estimates, now, logger);
     this.directory.sweep(now, settings.maxLease);
     this.writer.add(this.oldJobs.takeDue(now));
-    this.pass(now);
+    if (this.passes.isOpen(now)) {
+      this.pass(now);
+    }
     this.writer.poke();
     this.writer.beat(now);
   }
@@ -310,7 +334,8 @@
       return;
     }
     this.isPassDue = true;
-    void this.parts.clock.sleep(PASS_DELAY).then(() => {
+    const delay = this.passes.delay(this.parts.clock.now());
+    void this.parts.clock.sleep(delay).then(() => {
       if (!this.isOver) {
         this.pass(this.parts.clock.now());
         this.writer.poke();
@@ -345,6 +370,7 @@
     for (const {unit, for: claimant} of decision.stops) {
       this.book.stop(unit, `urgent job ${claimant} needs its room`);
     }
+    this.passes.onPass(now, this.parts.clock.now());
   }
 
   /** Says once why an urgent unit waits. */
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -14,7 +14,12 @@
   type DispatchRules,
   type DispatcherParts,
 } from './dispatcher.js';
-export {OFFICE_SILENCE, OfficeWatch, nextEpoch} from './office.js';
+export {
+  OFFICE_SILENCE,
+  OfficeWatch,
+  type Standing,
+  nextEpoch,
+} from './office.js';
 export {DEFAULT_SETTINGS, type DispatchSettings} from './settings.js';
 
 // Decisions
--- a/packages/dispatch/src/job_log.ts
+++ b/packages/dispatch/src/job_log.ts
@@ -7,6 +7,8 @@
   | {kind: 'appended'; offset: number}
   /** A higher epoch holds the office. */
   | {kind: 'fenced'}
+  /** The log did not end where the append was meant to follow; nothing was appended. */
+  | {kind: 'moved'}
   /** Nothing was appended. */
   | {kind: 'refused'; problem: string}
   /** It may have been appended, or may be later; the same sequence number may be sent again. */
@@ -16,6 +18,8 @@
 export interface Fencing {
   epoch: number;
   sequence: number;
+  /** The append is made only if the log ends at this offset. */
+  endsAt?: number;
 }
 
 /** Appends in the name of an epoch; a repeated sequence number is appended once. */
--- a/packages/dispatch/src/listings.ts
+++ b/packages/dispatch/src/listings.ts
@@ -16,7 +16,7 @@
 /** Finds the unit that a task belongs to. */
 export type FindUnit = (task: string) => UnitRun | undefined;
 
-/** Takes a listing of `room` made under `epoch`. */
+/** Takes a listing of `room` made under `epoch`. Returns whether a run ended, was gone, or was not expected there. */
 export function takeListing(
   room: TargetRoom,
   listing: TargetListing,
@@ -27,16 +27,18 @@
     onStray: (booking: Booking) => void;
   },
   now: Instant,
-): void {
+): boolean {
   room.onAnswer(listing.clock, now);
   if (listing.clock < room.listedClock) {
-    return;
+    return false;
   }
+  let hasChanged = false;
   room.listedClock = listing.clock;
   room.hasAnswered = true;
   for (const end of [...listing.ended].sort((a, b) => a.number - b.number)) {
     if (end.number > room.seenEnd) {
       room.seenEnd = end.number;
+      hasChanged = true;
       context.book.onEnd(room, end, context.findUnit(end.task), now);
     }
   }
@@ -50,11 +52,14 @@
       const stray = bookStray(room, run, context.findUnit(run.task), now);
       listed.add(stray);
       context.onStray(stray);
+      hasChanged = true;
     }
   }
   if (listing.ended.length < MAX_LISTED_ENDS) {
-    dropAbsent(room, listed, listing.clock, context);
+    const dropped = dropAbsent(room, listed, listing.clock, context);
+    hasChanged ||= dropped > 0;
   }
+  return hasChanged;
 }
 
 function takeProgress(
@@ -84,12 +89,14 @@
   }
 }
 
+/** Returns how many runs were gone. */
 function dropAbsent(
   room: TargetRoom,
   listed: ReadonlySet<Booking>,
   clock: number,
   context: {book: RunBook; epoch: number},
-): void {
+): number {
+  let dropped = 0;
   for (const booking of [...room.bookings.values()]) {
     if (listed.has(booking) || booking.state === 'planned') {
       continue;
@@ -100,8 +107,10 @@
     const isFencedOff = booking.epoch < context.epoch;
     if (isSettled || isFencedOff) {
       context.book.onGone(booking, 'its target does not list it');
+      dropped++;
     }
   }
+  return dropped;
 }
 
 /** A run that nobody expected still takes room until it is gone. */
--- a/packages/dispatch/src/office.ts
+++ b/packages/dispatch/src/office.ts
@@ -25,9 +25,20 @@
 /** A random part of this is waited besides, so that instances that do not know each other rarely claim together. */
 const CLAIM_SPREAD: Milliseconds = 60;
 
+/** An instance with little processor waits this much longer: it would hold a large installation's office only to lose it. */
+const WEAK_WAIT: Milliseconds = 400;
+
 /** A log that was silent itself says nothing of the holder. */
 const LOG_FRESHNESS: Milliseconds = 900;
 
+/** Where an instance stands among those that could hold the office. */
+export interface Standing {
+  /** Number of instances that should hold it rather than this one. */
+  rank: number;
+  /** It has far less processor than others. */
+  isWeak: boolean;
+}
+
 /** Watches the office from the records of the log. */
 export class OfficeWatch {
   private lastSign: Instant;
@@ -38,11 +49,10 @@
   /** This instance's part of the random spread, drawn anew with each sign. */
   private draw: number;
 
-  /** `rank` counts the instances that should hold the office rather than this one. */
   constructor(
     now: Instant,
     private readonly random: Random,
-    private readonly rank: () => number,
+    private readonly standing: () => Standing,
   ) {
     this.lastSign = now;
     this.draw = random.next();
@@ -98,9 +108,11 @@
 
   /** Who should rather hold the office waits less; others may be known by now that were not at the last sign. */
   private delay(): Milliseconds {
-    const rank = Math.min(this.rank(), LAST_RANK);
+    const standing = this.standing();
+    const rank = Math.min(standing.rank, LAST_RANK);
     const spread = rank < LAST_RANK ? CLAIM_SPREAD : LAST_RANK * CLAIM_SPREAD;
-    return rank * RANK_STEP + this.draw * spread;
+    const wait = standing.isWeak ? WEAK_WAIT : 0;
+    return rank * RANK_STEP + this.draw * spread + wait;
   }
 }
 
--- a/packages/dispatch/src/orders.ts
+++ b/packages/dispatch/src/orders.ts
@@ -1,5 +1,6 @@
 /** Sends start and stop orders until each is settled. */
 import type {Clock, Logger, Milliseconds} from '@galenavalve/shared';
+import type {OrderPacer} from './order_pacer.js';
 import type {RunBook} from './run_book.js';
 import type {Booking, UnitRun} from './runs.js';
 import {
@@ -34,6 +35,7 @@
     private readonly port: TargetPort,
     private readonly book: RunBook,
     private readonly settings: DispatchSettings,
+    private readonly pacer: OrderPacer,
     private readonly clock: Clock,
     private readonly logger: Logger,
   ) {}
@@ -54,10 +56,15 @@
     if (booking.isBeingStopped) {
       return;
     }
+    const wasListed = booking.state === 'confirmed';
     booking.isBeingStopped = true;
     booking.state = 'stopping';
     booking.settledClock = undefined;
-    while (this.isBooked(booking)) {
+    for (;;) {
+      await this.pacer.turn();
+      if (!this.isBooked(booking)) {
+        return;
+      }
       const {room} = booking;
       const outcome = await this.sendStop(booking);
       if (booking.room !== room) {
@@ -66,7 +73,10 @@
       }
       if (outcome.kind === 'done') {
         booking.settledClock = outcome.clock;
-        this.desk.onStopped(booking.room);
+        // The listing under way answers with the end of a run that was there, but not with the absence of another.
+        if (!wasListed) {
+          this.desk.onStopped(booking.room);
+        }
         return;
       }
       if (this.onFenced(room, outcome) || outcome.kind === 'other-life') {
@@ -80,7 +90,11 @@
     const {unit, room} = booking;
     const deadline =
       this.clock.now() + this.settings.gangTime * GANG_START_SHARE;
-    for (let attempt = 0; this.isWanted(booking); attempt++) {
+    for (let attempt = 0; ; attempt++) {
+      await this.pacer.turn();
+      if (!this.isWanted(booking)) {
+        return;
+      }
       const outcome = await this.sendStart(booking);
       const now = this.clock.now();
       if (this.onFenced(room, outcome) || !unit) {
--- a/packages/dispatch/src/record_writer.ts
+++ b/packages/dispatch/src/record_writer.ts
@@ -144,7 +144,7 @@
       this.logger.warn('record-delayed', {
         ...fencing,
         attempt,
-        problem: result.problem,
+        problem: result.kind === 'moved' ? 'the log moved' : result.problem,
       });
       await this.clock.sleep(
         RETRY_BASE +
--- a/packages/dispatch/src/target_room.ts
+++ b/packages/dispatch/src/target_room.ts
@@ -55,6 +55,7 @@
   private paces = 0;
   private clockSample?: {clock: number; at: Instant};
   private used: Demand = {cpu: 0, memoryMb: 0, accelerators: 0};
+  private recordListener?: () => void;
 
   /** `leaseOverAt`: when leases that others granted have surely ended. */
   constructor(
@@ -103,6 +104,18 @@
     };
   }
 
+  /** The log holds the ends up to `number`. */
+  onRecorded(number: number): void {
+    this.recordedEnd = number;
+    this.recordListener?.();
+    this.recordListener = undefined;
+  }
+
+  /** Calls back once when more ends are recorded; a later call takes the place of an earlier one. */
+  onceRecorded(listener: () => void): void {
+    this.recordListener = listener;
+  }
+
   /** Notes the target's clock, read between `sentAt` and `now`. */
   onAnswer(clock: number, now: Instant): void {
     this.lastAnswerAt = now;
--- a/packages/dispatch/src/target_sessions.ts
+++ b/packages/dispatch/src/target_sessions.ts
@@ -1,5 +1,6 @@
 /** Keeps a listing of every target under way, renews its lease and acknowledges ends. */
 import type {Clock, Logger, Milliseconds} from '@galenavalve/shared';
+import type {OrderPacer} from './order_pacer.js';
 import {leaseUntil} from './orders.js';
 import {HOLD_WAIT, type DispatchSettings} from './settings.js';
 import type {HoldOutcome, TargetListing, TargetPort} from './target_port.js';
@@ -36,6 +37,7 @@
     private readonly desk: SessionDesk,
     private readonly port: TargetPort,
     private readonly settings: DispatchSettings,
+    private readonly pacer: OrderPacer,
     private readonly clock: Clock,
     private readonly logger: Logger,
   ) {}
@@ -45,6 +47,10 @@
     let failures = 0;
     while (!this.isOver(room)) {
       const wait = chooseWait(room, failures);
+      await this.pacer.turn();
+      if (this.isOver(room)) {
+        return;
+      }
       const outcome = await this.hold(room, wait);
       if (this.isOver(room)) {
         return;
@@ -67,6 +73,7 @@
 
   /** Asks for one listing at once. */
   async look(room: TargetRoom): Promise<void> {
+    await this.pacer.turn();
     if (!this.isOver(room)) {
       await this.hold(room, 0);
     }
@@ -118,9 +125,10 @@
 
   /** Ends are listed until they are acknowledged; asking again before would only repeat them. */
   private async awaitRecord(room: TargetRoom): Promise<void> {
-    const until = this.clock.now() + RECORD_WAIT;
-    while (room.recordedEnd < room.seenEnd && this.clock.now() < until) {
-      await this.clock.sleep(5);
+    if (room.recordedEnd < room.seenEnd) {
+      const recorded = new AbortController();
+      room.onceRecorded(() => recorded.abort());
+      await this.clock.sleep(RECORD_WAIT, recorded.signal);
     }
   }
 
--- a/packages/emulator/src/emulated_instance.ts
+++ b/packages/emulator/src/emulated_instance.ts
@@ -97,7 +97,7 @@
       this.follower,
       wiring.registry,
       `${wiring.name}/${clock.now()}`,
-      () => this.book.rank,
+      () => this.book.standing,
     );
     this.gateway = new Gateway({
       table: this.table,
--- a/packages/emulator/src/emulated_log.ts
+++ b/packages/emulator/src/emulated_log.ts
@@ -153,7 +153,10 @@
     if (!fencing) {
       return {kind: 'appended', offset: this.push(records)};
     }
-    const {epoch, sequence} = fencing;
+    const {epoch, sequence, endsAt} = fencing;
+    if (endsAt !== undefined && endsAt !== this.end) {
+      return {kind: 'moved'};
+    }
     if (!this.fence || epoch > this.fence.epoch) {
       this.fence = {epoch, appends: []};
     } else if (epoch < this.fence.epoch) {
--- a/packages/relay/__tests__/fixtures.ts
+++ b/packages/relay/__tests__/fixtures.ts
@@ -37,23 +37,25 @@
   return new LogAccess(book, domain, new SeededRandom(1), new SilentLogger());
 }
 
-/** A log that gives the same answer to every append, and one record to every read. */
+/** A log that gives `outcome` to every append, and one record to every read. */
 export function createLog(
-  answer: OfficeAppend,
-): SharedLog & {calls: unknown[][]} {
+  outcome: OfficeAppend,
+): SharedLog & {calls: unknown[][]; outcome: OfficeAppend} {
   const calls: unknown[][] = [];
   const records = [{key: 'k', value: 'v', offset: 4}];
-  return {
+  const log = {
     calls,
+    outcome,
     append: async (...args: unknown[]) => {
       calls.push(args);
-      return answer as never;
+      return log.outcome as never;
     },
     appendAs: async (...args: unknown[]) => {
       calls.push(args);
-      return answer;
+      return log.outcome;
     },
-    newest: async after => ({records, end: 5, after}),
-    tail: async () => ({kind: 'records', records, next: 5, end: 5}),
+    newest: async (after: string | undefined) => ({records, end: 5, after}),
+    tail: async () => ({kind: 'records' as const, records, next: 5, end: 5}),
   };
+  return log;
 }
--- a/packages/relay/__tests__/peer_book.spec.ts
+++ b/packages/relay/__tests__/peer_book.spec.ts
@@ -10,7 +10,9 @@
     createPeer('e', {cores: 1.35}),
   ];
   const book = createBook(createPeer('c', {cores: 0.3}), others);
-  t.equal(book.rank, 3);
+  t.same(book.standing, {rank: 3, isWeak: true});
+  const strong = createBook(createPeer('e', {cores: 1.35}), others);
+  t.same(strong.standing, {rank: 0, isWeak: false});
 });
 
 t.test('records of other writers and its own name no peer', async t => {
--- a/packages/relay/__tests__/relayed_log.spec.ts
+++ b/packages/relay/__tests__/relayed_log.spec.ts
@@ -66,6 +66,19 @@
   },
 );
 
+t.test(
+  'the end of an outage is noticed soon by an instance that was refused at once (menon-terrain-grown scale-1)',
+  async t => {
+    const {log, direct, clock} = createRelayed(refused, refused);
+    await log.append([], 500);
+    t.equal(direct.calls.length, 1);
+    await clock.advance(350);
+    direct.outcome = appended;
+    t.same(await log.append([], 500), appended);
+    t.equal(direct.calls.length, 2);
+  },
+);
+
 t.test(
   'an office that a higher epoch holds is lost through a peer, too',
   async t => {
--- a/packages/relay/__tests__/wire_peer_port.spec.ts
+++ b/packages/relay/__tests__/wire_peer_port.spec.ts
@@ -53,7 +53,7 @@
 
 t.test('a peer that does not reach the log refuses truly', async t => {
   const {access, log, peer, port} = await connect(t);
-  access.onDirectFailure('busy', 0);
+  access.onDirectFailure('busy', 0, 0);
   const outcome = await port.append(peer, 'jobs', {records: []}, 500);
   t.equal(outcome.kind, 'refused');
   t.same(log.calls, []);
--- a/packages/relay/src/log_access.ts
+++ b/packages/relay/src/log_access.ts
@@ -4,8 +4,14 @@
 import type {PeerBook} from './peer_book.js';
 import type {PeerEntry} from './peer_entry.js';
 
-/** After a failed call, calls go through peers for this long before the log is tried directly again. */
-const DIRECT_PAUSE: Milliseconds = 1000;
+/** After a call without an answer, calls go through peers for this long before the log is tried directly again. */
+const SILENCE_PAUSE: Milliseconds = 1000;
+
+/** The same after a refusal, which costs no waiting: the end of an outage for all is then noticed soon. */
+const REFUSAL_PAUSE: Milliseconds = 300;
+
+/** A failure within this time was a refusal; a store that is a hundred times slow answers later. */
+const PROMPT: Milliseconds = 200;
 
 /** A peer that failed is not asked for this long. */
 const PEER_PAUSE: Milliseconds = 1500;
@@ -47,9 +53,10 @@
     this.failedUntil = -Infinity;
   }
 
-  /** A direct call was refused or not answered. */
-  onDirectFailure(problem: string, now: Instant): void {
-    this.failedUntil = now + DIRECT_PAUSE;
+  /** A direct call that began at `startedAt` was refused or not answered. */
+  onDirectFailure(problem: string, startedAt: Instant, now: Instant): void {
+    const isRefusal = now - startedAt <= PROMPT;
+    this.failedUntil = now + (isRefusal ? REFUSAL_PAUSE : SILENCE_PAUSE);
     if (!this.hasFailed) {
       this.hasFailed = true;
       this.logger.warn('log-through-peers', {
--- a/packages/relay/src/peer_book.ts
+++ b/packages/relay/src/peer_book.ts
@@ -1,7 +1,11 @@
 /** The instances that the log names. */
+import type {Standing} from '@galenavalve/dispatch';
 import type {KeyedRecord} from '@galenavalve/workload';
 import {type PeerEntry, decodePeer} from './peer_entry.js';
 
+/** An instance with less than this share of the strongest one's processor is weak. */
+const WEAK_SHARE = 0.5;
+
 /** Instances by name, without this one. */
 export class PeerBook {
   private readonly entries = new Map<string, PeerEntry>();
@@ -26,13 +30,16 @@
     return [...this.entries.values()];
   }
 
-  /** How many other instances have more processor, or as much and an earlier name. */
-  get rank(): number {
+  /** Ranked by processor, then by name. */
+  get standing(): Standing {
     const {cores, instance} = this.self;
-    return this.all().filter(
-      other =>
-        other.cores > cores ||
-        (other.cores === cores && other.instance < instance),
-    ).length;
+    let rank = 0;
+    let strongest = cores;
+    for (const other of this.entries.values()) {
+      const isTie = other.cores === cores && other.instance < instance;
+      rank += other.cores > cores || isTie ? 1 : 0;
+      strongest = Math.max(strongest, other.cores);
+    }
+    return {rank, isWeak: cores < strongest * WEAK_SHARE};
   }
 }
--- a/packages/relay/src/peer_port.ts
+++ b/packages/relay/src/peer_port.ts
@@ -58,7 +58,7 @@
 
 /** The outcome of an append without an epoch, which nothing can fence. */
 export function withoutFence(outcome: OfficeAppend): AppendOutcome {
-  return outcome.kind === 'fenced'
+  return outcome.kind === 'fenced' || outcome.kind === 'moved'
     ? {kind: 'refused', problem: 'the log fenced an append without an epoch'}
     : outcome;
 }
--- a/packages/relay/src/relayed_log.ts
+++ b/packages/relay/src/relayed_log.ts
@@ -3,6 +3,7 @@
 import type {AppendOutcome} from '@galenavalve/gateway';
 import {
   type Clock,
+  type Instant,
   type Milliseconds,
   describeError,
 } from '@galenavalve/shared';
@@ -77,8 +78,9 @@
     const isDirect = this.access.isDirect(this.clock.now());
     if (isDirect || peers.length === 0) {
       const own = peers.length > 0 ? Math.min(timeout, DIRECT_TIME) : timeout;
+      const startedAt = this.clock.now();
       const outcome = await appendTo(this.direct, call, own);
-      this.note(outcome);
+      this.note(outcome, startedAt);
       if (isSettled(outcome)) {
         return outcome;
       }
@@ -100,11 +102,12 @@
     return failure ?? {kind: 'refused', problem: 'there was no time to try'};
   }
 
-  private note(outcome: OfficeAppend): void {
+  private note(outcome: OfficeAppend, startedAt: Instant): void {
     if (isSettled(outcome)) {
       this.access.onDirectAnswer();
     } else {
-      this.access.onDirectFailure(outcome.problem, this.clock.now());
+      const now = this.clock.now();
+      this.access.onDirectFailure(outcome.problem, startedAt, now);
     }
   }
 
@@ -116,12 +119,14 @@
     const peers = this.access.choosePeers(this.clock.now());
     let problem: unknown;
     if (this.access.isDirect(this.clock.now()) || peers.length === 0) {
+      const startedAt = this.clock.now();
       try {
         const page = await readDirectly();
         this.access.onDirectAnswer();
         return page;
       } catch (error) {
-        this.access.onDirectFailure(describeError(error), this.clock.now());
+        const now = this.clock.now();
+        this.access.onDirectFailure(describeError(error), startedAt, now);
         problem = error;
       }
     }
@@ -194,8 +199,8 @@
 /** Whether it is known what became of an append. */
 function isSettled(
   outcome: OfficeAppend,
-): outcome is Extract<OfficeAppend, {kind: 'appended' | 'fenced'}> {
-  return outcome.kind === 'appended' || outcome.kind === 'fenced';
+): outcome is Extract<OfficeAppend, {kind: 'appended' | 'fenced' | 'moved'}> {
+  return outcome.kind !== 'refused' && outcome.kind !== 'unknown';
 }
 
 /** Nothing was done only if no try can have done it. */
--- a/packages/relay/src/serve_logs.ts
+++ b/packages/relay/src/serve_logs.ts
@@ -19,7 +19,11 @@
   log: z.string(),
   records: z.array(recordSchema),
   fencing: z
-    .object({epoch: z.number().int(), sequence: z.number().int()})
+    .object({
+      epoch: z.number().int(),
+      sequence: z.number().int(),
+      endsAt: z.number().int().optional(),
+    })
     .optional(),
   timeout: z.number().positive(),
 });
@@ -27,6 +31,7 @@
 export const appendResponseSchema = z.discriminatedUnion('kind', [
   z.object({kind: z.literal('appended'), offset: z.number().int()}),
   z.object({kind: z.literal('fenced')}),
+  z.object({kind: z.literal('moved')}),
   z.object({kind: z.literal('refused'), problem: z.string()}),
   z.object({kind: z.literal('unknown'), problem: z.string()}),
 ]);
--- a/packages/soak/src/standins/store_standin.ts
+++ b/packages/soak/src/standins/store_standin.ts
@@ -54,7 +54,11 @@
   {query, body}: StandinRequest,
 ): Promise<StandinReply> {
   const fencing = query.has('epoch')
-    ? {epoch: Number(query.get('epoch')), sequence: Number(query.get('seq'))}
+    ? {
+        epoch: Number(query.get('epoch')),
+        sequence: Number(query.get('seq')),
+        endsAt: query.has('at') ? Number(query.get('at')) : undefined,
+      }
     : undefined;
   const records = decodeRecords(body);
   const result = await log.appendFor(instance, records, SILENCE, fencing);
@@ -63,6 +67,8 @@
       return {status: 200, body: {offset: result.offset, end: log.end}};
     case 'fenced':
       return {status: 409, body: {reason: 'fenced'}};
+    case 'moved':
+      return {status: 412, body: {end: log.end}};
     case 'refused':
       return {status: 503, body: {}};
     default:
