Deny a call only by a configuration that was confirmed just now

Ruled out: a version that went back; the instance logged 21, then 31. Change: an unknown queue or key is refused with Retry-After, as not run, unless the operator's log was read to its end within 1.5 s; what the configuration names goes on. The decision moved from the adapter to packages/gateway (admit). Shown: the spec of a configuration that was not confirmed; the old front had no such state, so the spec could not be run on it.

--- a/packages/gateway/src/desired_state.ts
+++ b/packages/gateway/src/desired_state.ts
@@ -1,4 +1,5 @@
 /** What operators want, as far as callers and the dispatcher see it. */
+import type {Instant} from '@galenavalve/shared';
 import type {QueueTerms} from '@galenavalve/workload';
 
 /** A queue that callers reach by host and path. */
@@ -31,6 +32,8 @@
   /** Failure domains that get no new work. */
   readonly evacuated = new Set<string>();
   guarantees: ReadonlyMap<string, number> = new Map();
+  /** When the log was last read to its end: no newer version was there. */
+  confirmedAt: Instant = -Infinity;
   private state?: DesiredState;
   private byHost = new Map<string, Queue[]>();
   private byKey = new Map<string, string>();
@@ -40,6 +43,11 @@
     return this.state?.version;
   }
 
+  /** The log was read to its end. */
+  onConfirmed(now: Instant): void {
+    this.confirmedAt = now;
+  }
+
   /** Puts a version in force unless it is older. Returns whether it did. */
   put(state: DesiredState): boolean {
     if (this.state && state.version <= this.state.version) {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,5 @@
 /** What callers are told: accept, cancel, state and backlog. */
+export {type Admission, type Approach, admit} from './admission.js';
 export {
   type DesiredState,
   DesiredStateBook,
