Let the emulated log carry out its appends one after the other, and list what a slow log does as known red

The emulated log answered every append at once and showed none of it. Change: an append takes 2 ms of the partition times the slowness, waits for those before it, and is refused behind 2 s of them.

--- a/packages/emulator/__tests__/takeover.spec.ts
+++ b/packages/emulator/__tests__/takeover.spec.ts
@@ -65,3 +65,55 @@
     }
   },
 );
+
+t.test(
+  'a holder that lives keeps its office while the log is a hundred times slow and its line of appends is long (kwjt-grid-large trouble-2)',
+  async t => {
+    for (const seed of [1, 2, 3]) {
+      const installation = new Installation({seed, instances: 97});
+      const isHeld = () => installation.dispatcher() !== undefined;
+      await installation.until(isHeld, 9000);
+      await installation.advance(4000);
+      const known = claimsSince(installation, 0);
+      installation.log.faults.slowness = 89;
+      for (let index = 1; index <= 100; index++) {
+        const spec = createSpec([createStep({estimateMs: 300})]);
+        void installation.submit(createId(index), spec);
+        await installation.advance(57);
+      }
+      installation.log.faults.slowness = 1;
+      await installation.advance(3000);
+      const taken = claimsSince(installation, 0);
+      known.forEach(epoch => taken.delete(epoch));
+      installation.close();
+      t.equal(taken.size, 0, `claims with seed ${seed}`);
+    }
+  },
+);
+
+t.test(
+  'callers are accepted while the log is a hundred times slow (kwjt-grid-large trouble-2)',
+  async t => {
+    const installation = new Installation({seed: 4, instances: 35});
+    const isHeld = () => installation.dispatcher() !== undefined;
+    await installation.until(isHeld, 9000);
+    await installation.advance(4000);
+    installation.log.faults.slowness = 89;
+    const instances = [...installation.instances.values()];
+    const answers: string[] = [];
+    for (let index = 1; index <= 100; index++) {
+      const spec = createSpec([createStep({estimateMs: 300})]);
+      void installation
+        .submit(createId(index), spec, 1, instances[index % 35])
+        .then(({kind}) => answers.push(kind));
+      await installation.advance(57);
+    }
+    installation.log.faults.slowness = 1;
+    await installation.advance(4000);
+    const accepted = answers.filter(kind => kind === 'accepted').length;
+    installation.close();
+    t.equal(answers.length, 100);
+    t.ok(accepted >= 90, `${accepted} of 100 were accepted`);
+    t.same(installation.auditor.violations, []);
+  },
+);
--- a/packages/emulator/src/emulated_log.ts
+++ b/packages/emulator/src/emulated_log.ts
@@ -13,6 +13,12 @@
 /** Time of an answer, in milliseconds; the platform's sheets give 4. */
 const ANSWER_TIME = 4;
 
+/** Time that one append takes of its partition, which carries them out one at a time, in milliseconds; from the platform's settings. */
+const APPEND_TIME = 2;
+
+/** An append that would wait longer than this for those before it is refused, in milliseconds; from the platform's pages. */
+const MOST_WAITING = 2000;
+
 /** A read that waits looks for new records this often, in milliseconds. */
 const POLL_INTERVAL = 5;
 
@@ -53,6 +59,8 @@
   private records: StoredRecord[] = [];
   private first = 0;
   private fence?: Fence;
+  /** When the appends that came so far are carried out. */
+  private appendsDoneAt = -Infinity;
 
   constructor(
     private readonly clock: Clock,
@@ -90,7 +98,12 @@
     fencing?: Fencing,
   ): Promise<OfficeAppend> {
     const {lostAnswers, lateAppends, slowness} = this.faults;
-    const answerTime = ANSWER_TIME * slowness;
+    const waiting = Math.max(0, this.appendsDoneAt - this.clock.now());
+    if (waiting > MOST_WAITING) {
+      return {kind: 'refused', problem: 'busy'};
+    }
+    const answerTime = ANSWER_TIME * slowness + waiting;
+    this.appendsDoneAt = this.clock.now() + waiting + APPEND_TIME * slowness;
     if (answerTime > timeout && !this.isSilentTo(instance)) {
       // It is carried out all the same, after its caller has gone.
       void this.clock
@@ -99,6 +112,7 @@
       await this.clock.sleep(timeout);
       return {kind: 'unknown', problem: 'no answer'};
     }
+    await this.clock.sleep(waiting);
     const problem = await this.reach(instance, timeout);
     if (problem) {
       return problem;
