--- a/packages/workload/src/index.ts
+++ b/packages/workload/src/index.ts
@@ -25,6 +25,7 @@
   encodeCancelled,
   encodeForgotten,
   encodeLeadership,
+  holderInstance,
   encodeProgress,
 } from './keyed_record.js';
 
