--- a/packages/dispatch/src/dispatch_service.ts
+++ b/packages/dispatch/src/dispatch_service.ts
@@ -10,7 +10,7 @@
   JobRecord,
   Leadership,
 } from '@galenavalve/workload';
-import {encodeLeadership, holderInstance} from '@galenavalve/workload';
+import {encodeLeadership} from '@galenavalve/workload';
 import {Dispatcher, type DispatcherParts} from './dispatcher.js';
 import type {OfficeAppend} from './job_log.js';
 import {OfficeWatch, type Standing, nextEpoch} from './office.js';
@@ -135,8 +135,7 @@
     const {writtenAt} = leadership;
     if (!this.follower.isCaughtUp && writtenAt !== undefined) {
       const age = this.parts.clock.wallTime() - writtenAt;
-      const own = holderInstance({...leadership, holder: this.holder});
-      const isOwn = holderInstance(leadership) === own;
+      const isOwn = instanceOf(leadership.holder) === instanceOf(this.holder);
       this.watch.onFirstSign(leadership, age, isOwn, now);
     } else {
       this.watch.onHolderRecord(leadership, now);
@@ -151,7 +150,7 @@
   private async claim(): Promise<void> {
     const {log, table, random, clock, logger} = this.parts;
     for (let attempt = 1; attempt <= CLAIM_TRIES; attempt++) {
-      const isCurrent = await this.readLog();
+      const isCurrent = await this.follower.refresh(CLAIM_TIMEOUT);
       const isVacant = this.watch.isVacant(clock.now());
       if (!isCurrent || !isVacant || this.isClosed) {
         logger.info('claim-left', {attempt, isCurrent, isVacant});
@@ -186,16 +185,6 @@
     }
   }
 
-  /** Reads the log to its end, and notes how long that takes. */
-  private async readLog(): Promise<boolean> {
-    const {clock} = this.parts;
-    const startedAt = clock.now();
-    const isCurrent = await this.follower.refresh(CLAIM_TIMEOUT);
-    const now = clock.now();
-    this.watch.onLogTime(now - startedAt, now);
-    return isCurrent;
-  }
-
   /** Whether the claim is in the log and the newest. A rival with the same epoch would be told of this claim's place, or of its own; a claim that came twice is told that the log moved. */
   private async isClaimed(
     leadership: Leadership,
@@ -241,3 +230,8 @@
     this.registry.close();
   }
 }
+
+/** The instance of a holder's name, whose other parts tell its lives apart. */
+function instanceOf(holder: string): string {
+  return holder.split('/')[0] ?? holder;
+}
--- a/packages/dispatch/src/office.ts
+++ b/packages/dispatch/src/office.ts
@@ -28,12 +28,6 @@
 /** An instance with little processor waits this much longer: it would hold a large installation's office only to lose it. */
 const WEAK_WAIT: Milliseconds = 400;
 
-/** The longest answer of the log counts for this long; its line of appends is at most half of that. */
-const MEASURE_LIFE: Milliseconds = 4000;
-
-/** Answers of the log in which a claim is made and seen: its append, others that wait before it, and a read. */
-const ANSWERS_PER_CLAIM = 4;
-
 /** A log that was silent itself says nothing of the holder. */
 const LOG_FRESHNESS: Milliseconds = 900;
 
@@ -52,7 +46,6 @@
   /** Surely nobody holds the office. */
   private isFree = false;
   private silence: Milliseconds = OFFICE_SILENCE;
-  private logTime: {took: Milliseconds; at: Instant} = {took: 0, at: -Infinity};
   /** This instance's part of the random spread, drawn anew with each sign. */
   private draw: number;
 
@@ -94,14 +87,6 @@
     this.lastRead = now;
   }
 
-  /** The log took this long for an answer. */
-  onLogTime(took: Milliseconds, now: Instant): void {
-    // Appends wait in line for a while after reads are fast again.
-    if (took >= this.logTimeAt(now)) {
-      this.logTime = {took, at: now};
-    }
-  }
-
   /** Whether the office is to be claimed now. */
   isVacant(now: Instant): boolean {
     const isLogFresh = now - this.lastRead <= LOG_FRESHNESS;
@@ -110,17 +95,7 @@
 
   /** Time until this instance may claim if no sign of a holder comes. */
   timeToClaim(now: Instant): Milliseconds {
-    if (this.isFree) {
-      return 0;
-    }
-    // On a slow log, signs of the holder and claims of others come later.
-    const claimTime = ANSWERS_PER_CLAIM * this.logTimeAt(now);
-    return this.lastSign + this.silence + claimTime + this.delay(now) - now;
-  }
-
-  private logTimeAt(now: Instant): Milliseconds {
-    const {took, at} = this.logTime;
-    return now - at <= MEASURE_LIFE ? took : 0;
+    return this.isFree ? 0 : this.lastSign + this.silence + this.delay() - now;
   }
 
   /** Waits before the next claim after one that failed. */
@@ -132,13 +107,12 @@
   }
 
   /** Who should rather hold the office waits less; others may be known by now that were not at the last sign. */
-  private delay(now: Instant): Milliseconds {
-    const step = Math.max(RANK_STEP, ANSWERS_PER_CLAIM * this.logTimeAt(now));
+  private delay(): Milliseconds {
     const standing = this.standing();
     const rank = Math.min(standing.rank, LAST_RANK);
-    const spread = rank < LAST_RANK ? CLAIM_SPREAD : LAST_RANK * step;
+    const spread = rank < LAST_RANK ? CLAIM_SPREAD : LAST_RANK * CLAIM_SPREAD;
     const wait = standing.isWeak ? WEAK_WAIT : 0;
-    return rank * step + this.draw * spread + wait;
+    return rank * RANK_STEP + this.draw * spread + wait;
   }
 }
 
--- a/packages/emulator/src/emulated_instance.ts
+++ b/packages/emulator/src/emulated_instance.ts
@@ -17,7 +17,7 @@
   announcePeer,
 } from '@galenavalve/relay';
 import type {Clock, Logger, Random} from '@galenavalve/shared';
-import {Follower, JobTable, holderInstance} from '@galenavalve/workload';
+import {Follower, JobTable} from '@galenavalve/workload';
 
 /** A read of the log waits this long, in milliseconds. */
 const READ_WAIT = 500;
@@ -60,7 +60,6 @@
       wiring.peers,
       clock,
       true,
-      () => holderInstance(this.table.leadership),
     );
     this.log = log;
     this.table = new JobTable(logger);
--- a/packages/emulator/src/installation.ts
+++ b/packages/emulator/src/installation.ts
@@ -15,7 +15,6 @@
 } from '@galenavalve/shared';
 import type {AcceptedJob, JobSpec} from '@galenavalve/workload';
 import {parseTaskName} from '@galenavalve/workload';
-import {GatheredLog} from '@galenavalve/relay';
 import {EmulatedFleet} from './emulated_fleet.js';
 import {EmulatedInstance} from './emulated_instance.js';
 import {EmulatedLog} from './emulated_log.js';
@@ -101,8 +100,7 @@
   /** Starts an instance, anew if it was killed. */
   boot(name: string): EmulatedInstance {
     const power = new Power();
-    const clock = new InstanceClock(this.clock, power);
-    const log = new GatheredLog(power.guard(this.log.client(name)), clock);
+    const log = power.guard(this.log.client(name));
     const instance = new EmulatedInstance({
       name,
       cores: this.options.coresOf(name),
@@ -113,7 +111,7 @@
       registry: power.guard(this.fleet.registry()),
       desired: this.desired,
       settings: this.options.settings,
-      clock,
+      clock: new InstanceClock(this.clock, power),
       random: this.random,
       logger: this.options.logger,
     });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,8 +21,8 @@
 import type {DesiredStateBook, Queue} from './desired_state.js';
 import type {JobAppender} from './job_appender.js';
 
-/** Longest wait for one append: three answers of a log that is a hundred times slow, for the append under way and its own. */
-const APPEND_TIMEOUT: Milliseconds = 1100;
+/** Longest wait for one append; the platform's pages give a few milliseconds as usual, and a hundredfold when it is slow. */
+const APPEND_TIMEOUT: Milliseconds = 700;
 
 /** Share of the caller's time limit that may be spent on appends. */
 const LIMIT_SHARE = 0.75;
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,7 +1,6 @@
 /** Instances that reach the log serve those that do not. */
 
 // Who the other instances are
-export {GatheredLog} from './gathered_log.js';
 export {
   type PeerEntry,
   decodePeer,
--- a/packages/relay/src/log_access.ts
+++ b/packages/relay/src/log_access.ts
@@ -16,12 +16,6 @@
 /** A peer that failed is not asked for this long. */
 const PEER_PAUSE: Milliseconds = 1500;
 
-/** An answer that took this long shows a slow log: usual ones take a few milliseconds. */
-const SLOW_ANSWER: Milliseconds = 150;
-
-/** A log counts as slow for this long after such an answer. */
-const SLOW_TIME: Milliseconds = 2000;
-
 /** Most peers that one call is passed to: where two fail as well, the log is away for all. */
 const MAX_PEERS = 2;
 
@@ -31,7 +25,6 @@
   private hasFailed = false;
   private readonly peersFailedUntil = new Map<string, Instant>();
   private lastGood?: string;
-  private slowUntil: Instant = -Infinity;
   private waiters: Array<() => void> = [];
 
   constructor(
@@ -75,26 +68,6 @@
     this.waiters = [];
   }
 
-  /** Notes how long an answer took, in whatever way. */
-  onAnswerTime(took: Milliseconds, now: Instant): void {
-    if (took >= SLOW_ANSWER) {
-      this.slowUntil = now + SLOW_TIME;
-    }
-  }
-
-  /** Whether appends wait in line at the log, so that each one saved helps all. */
-  isSlow(now: Instant): boolean {
-    return now < this.slowUntil;
-  }
-
-  /** The peer of that name, unless it failed just now. */
-  findPeer(name: string, now: Instant): PeerEntry | undefined {
-    const isOpen = (this.peersFailedUntil.get(name) ?? 0) <= now;
-    return isOpen
-      ? this.peers.all().find(({instance}) => instance === name)
-      : undefined;
-  }
-
   /** Resolves when a direct call fails; what waits on a silent connection need not wait on. */
   whenFailed(signal: AbortSignal): Promise<void> {
     return new Promise(resolve => {
--- a/packages/relay/src/relayed_log.ts
+++ b/packages/relay/src/relayed_log.ts
@@ -37,21 +37,13 @@
     private readonly clock: Clock,
     /** Whether the holder of the office writes to it all the time. */
     private readonly isBusy = false,
-    /** The instance that gathers appends while the log is slow; by name. */
-    private readonly gatherer: () => string | undefined = () => undefined,
   ) {}
 
   async append(
     records: readonly KeyedRecord[],
     timeout: Milliseconds,
   ): Promise<AppendOutcome> {
-    const startedAt = this.clock.now();
-    const outcome = await this.appendGathered({records}, timeout);
-    const now = this.clock.now();
-    if (isSettled(outcome)) {
-      this.access.onAnswerTime(now - startedAt, now);
-    }
-    return withoutFence(outcome);
+    return withoutFence(await this.appendAnyhow({records}, timeout));
   }
 
   appendAs(
@@ -70,38 +62,10 @@
   }
 
   async tail(offset: number, wait: Milliseconds): Promise<TailPage> {
-    const startedAt = this.clock.now();
-    const page = await this.read(
+    return this.read(
       () => this.tailDirectly(offset, wait),
       peer => this.port.tail(peer, this.name, offset, wait, PEER_TIME),
     );
-    if (wait === 0) {
-      const now = this.clock.now();
-      this.access.onAnswerTime(now - startedAt, now);
-    }
-    return page;
-  }
-
-  /** Through the one instance that appends for all while the log is slow; otherwise, or if that fails, as usual. */
-  private async appendGathered(
-    call: AppendCall,
-    timeout: Milliseconds,
-  ): Promise<OfficeAppend> {
-    const startedAt = this.clock.now();
-    const name = this.access.isSlow(startedAt) ? this.gatherer() : undefined;
-    const peer = name && this.access.findPeer(name, startedAt);
-    if (!peer) {
-      return this.appendAnyhow(call, timeout);
-    }
-    const first = await this.port.append(peer, this.name, call, timeout);
-    const left = startedAt + timeout - this.clock.now();
-    if (isSettled(first)) {
-      return first;
-    }
-    this.access.onPeerFailure(peer, first.problem, this.clock.now());
-    return left > 0
-      ? combine(first, await this.appendAnyhow(call, left))
-      : first;
   }
 
   private async appendAnyhow(
@@ -111,18 +75,15 @@
     const end = this.clock.now() + timeout;
     const peers = this.access.choosePeers(this.clock.now());
     let failure: OfficeAppend | undefined;
-    const startedAt = this.clock.now();
-    const isDirect = this.access.isDirect(startedAt);
+    const isDirect = this.access.isDirect(this.clock.now());
     if (isDirect || peers.length === 0) {
-      const isAlone = peers.length === 0 || this.access.isSlow(startedAt);
-      const own = isAlone ? timeout : Math.min(timeout, DIRECT_TIME);
+      const own = peers.length > 0 ? Math.min(timeout, DIRECT_TIME) : timeout;
+      const startedAt = this.clock.now();
       const outcome = await appendTo(this.direct, call, own);
-      const isSlow = this.access.isSlow(this.clock.now());
-      if (isSettled(outcome) || (isSlow && outcome.kind === 'unknown')) {
-        // On a slow log, the same append through others would only lengthen the line.
+      this.note(outcome, startedAt);
+      if (isSettled(outcome)) {
         return outcome;
       }
-      this.note(outcome, startedAt);
       failure = outcome;
     }
     for (const peer of peers) {
@@ -247,5 +208,5 @@
   before: OfficeAppend | undefined,
   last: OfficeAppend,
 ): OfficeAppend {
-  return before?.kind === 'unknown' && !isSettled(last) ? before : last;
+  return before?.kind === 'unknown' ? before : last;
 }
--- a/packages/workload/src/index.ts
+++ b/packages/workload/src/index.ts
@@ -25,7 +25,6 @@
   encodeCancelled,
   encodeForgotten,
   encodeLeadership,
-  holderInstance,
   encodeProgress,
 } from './keyed_record.js';
 
--- a/packages/workload/src/keyed_record.ts
+++ b/packages/workload/src/keyed_record.ts
@@ -63,13 +63,6 @@
   return {key: LEADERSHIP, value: JSON.stringify(leadership)};
 }
 
-/** The instance that holds the office; the other parts of a holder's name tell its lives apart. */
-export function holderInstance(
-  leadership: Leadership | undefined,
-): string | undefined {
-  return leadership?.holder.split('/')[0];
-}
-
 /** The records that drop all that is known of a job; the job itself goes last. */
 export function encodeForgotten(id: string): KeyedRecord[] {
   return [PROGRESS, CANCELLED, ACCEPTED].map(prefix => ({
