--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -23,8 +23,8 @@
 import {OldJobs} from './old_jobs.js';
 import {Orders} from './orders.js';
 import {OrderPacer} from './order_pacer.js';
-import {PassSchedule} from './pass_schedule.js';
-import {decide, objectiveOf} from './policy/index.js';
+import {Passes} from './passes.js';
+import {type Situation, objectiveOf} from './policy/index.js';
 import {RecordWriter} from './record_writer.js';
 import {RoomDirectory} from './room_directory.js';
 import {RunBook} from './run_book.js';
@@ -33,7 +33,6 @@
   type JobRun,
   type UnitRun,
   countRuns,
-  memberCount,
 } from './runs.js';
 import {
   type DispatchSettings,
@@ -84,8 +83,7 @@
   private readonly writer: RecordWriter;
   private readonly lifeEnds: LifeEnds;
   private readonly oldJobs: OldJobs;
-  private readonly passes = new PassSchedule();
-  private isPassDue = false;
+  private readonly passes: Passes;
 
   constructor(
     private readonly parts: DispatcherParts,
@@ -105,7 +103,7 @@
     this.advice = new AdviceBook(
       parts.advisor,
       () => this.directory.all(),
-      () => this.requestPass(),
+      () => this.passes.request(),
       clock,
       logger,
     );
@@ -147,6 +145,17 @@
       },
       onEnded: job => this.onJobEnded(job),
     });
+    this.passes = new Passes(
+      {
+        describe: at => this.describe(at),
+        attempt: (work, act) => this.attempt(work, act),
+        onPass: () => this.writer.poke(),
+      },
+      this,
+      this.book,
+      clock,
+      logger,
+    );
     this.writer = new RecordWriter(
       parts.log,
       leadership,
@@ -185,7 +194,7 @@
   /** The registry lists a target. */
   onTarget(info: TargetInfo): void {
     this.directory.onListed(info, this.parts.clock.now());
-    this.requestPass();
+    this.passes.request();
   }
 
   /** The registry dropped a target. */
@@ -211,7 +220,7 @@
     } else if (job.hasFailed) {
       this.stopJob(job, 'the job has failed');
     }
-    this.requestPass();
+    this.passes.request();
   }
 
   /** A job was cancelled. */
@@ -235,7 +244,7 @@
     const hasChanged = takeListing(room, listing, context, now);
     // Mere progress lets nothing start; the next tick sees it.
     if (hasChanged || !wasOpen) {
-      this.requestPass();
+      this.passes.request();
     }
     this.writer.poke();
   }
@@ -290,9 +299,7 @@
     watchRuns(this.jobs.values(), this.book, this.estimates, now, logger);
     this.directory.sweep(now, settings.maxLease);
     this.writer.add(this.oldJobs.takeDue(now));
-    if (this.passes.isOpen(now)) {
-      this.pass(now);
-    }
+    this.passes.onTick(now);
     this.writer.poke();
     this.writer.beat(now);
   }
@@ -324,7 +331,7 @@
     if (job.hasFailed) {
       this.stopJob(job, 'the job has failed');
     }
-    this.requestPass();
+    this.passes.request();
   }
 
   private stopJob(job: JobRun, reason: string): void {
@@ -335,20 +342,6 @@
     this.writer.poke();
   }
 
-  private requestPass(): void {
-    if (this.isPassDue || this.isOver) {
-      return;
-    }
-    this.isPassDue = true;
-    const delay = this.passes.delay(this.parts.clock.now());
-    void this.parts.clock.sleep(delay).then(() => {
-      if (!this.isOver) {
-        this.attempt('pass', () => this.pass(this.parts.clock.now()));
-        this.writer.poke();
-      }
-    });
-  }
-
   /** An unexpected error costs the work that it came up in, not the office. */
   private attempt(work: string, act: () => void): void {
     try {
@@ -359,50 +352,17 @@
     }
   }
 
-  private pass(now: Instant): void {
-    this.isPassDue = false;
+  private describe(now: Instant): Situation {
     const {guarantees, evacuated} = this.parts.rules();
-    const decision = decide(
-      {
-        jobs: [...this.jobs.values()],
-        rooms: [...this.directory.all()],
-        estimates: this.estimates,
-        guarantees,
-        evacuated,
-        settings: this.parts.settings,
-        allowedFor: unit => this.advice.allowedFor(unit, now),
-      },
-      now,
-    );
-    for (const start of decision.starts) {
-      this.book.place(start, this.epoch, now);
-    }
-    for (const {unit, reason} of decision.waits) {
-      this.logWait(unit, reason);
-    }
-    for (const {unit, rooms, until} of decision.claims) {
-      unit.claim = {rooms, until};
-    }
-    for (const {unit, for: claimant} of decision.stops) {
-      this.book.stop(unit, `urgent job ${claimant} needs its room`);
-    }
-    this.passes.onPass(now, this.parts.clock.now());
-  }
-
-  /** Says once why an urgent unit waits. */
-  private logWait(unit: UnitRun, reason: string): void {
-    const kind = reason.replace(/\d+/g, '#');
-    if (unit.waitReason !== kind) {
-      unit.waitReason = kind;
-      this.parts.logger.info('urgent-waits', {
-        job: unit.job.id,
-        step: unit.stepIndex,
-        members: memberCount(unit),
-        demand: unit.step.demand,
-        isRackSensitive: unit.step.isRackSensitive,
-        reason,
-      });
-    }
+    return {
+      jobs: [...this.jobs.values()],
+      rooms: [...this.directory.all()],
+      estimates: this.estimates,
+      guarantees,
+      evacuated,
+      settings: this.parts.settings,
+      allowedFor: unit => this.advice.allowedFor(unit, now),
+    };
   }
 
   private findUnit(task: string): UnitRun | undefined {
