--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -28,12 +28,7 @@
 import {RecordWriter} from './record_writer.js';
 import {RoomDirectory} from './room_directory.js';
 import {RunBook} from './run_book.js';
-import {
-  type Booking,
-  type JobRun,
-  type UnitRun,
-  countRuns,
-} from './runs.js';
+import {type Booking, type JobRun, type UnitRun, countRuns} from './runs.js';
 import {
   type DispatchSettings,
   LISTING_FRESHNESS,
