--- a/packages/bench/src/dispatch/fixture.ts
+++ b/packages/bench/src/dispatch/fixture.ts
@@ -1,12 +1,12 @@
 /** Full installations and wide jobs for `bench dispatch`. */
 import {
   DEFAULT_SETTINGS,
-  Estimates,
-  type JobRun,
-  type Situation,
-  TargetRoom,
-  createBooking,
-  createJobRun,
+  DurationEstimator,
+  type ActiveJob,
+  type SchedulingSnapshot,
+  TargetState,
+  createAllocation,
+  createActiveJob,
 } from '@galenavalve/dispatch';
 import {
   type Progress,
@@ -36,7 +36,7 @@
 export function createFullSituation(
   {targets, workspaces, waiting}: DispatchSize,
   now: number,
-): Situation {
+): SchedulingSnapshot {
   const rooms = Array.from({length: targets}, (_, index) =>
     createRoom(index, now),
   );
@@ -56,14 +56,14 @@
   const promised = Math.floor((targets * 8 * PROMISED_SHARE) / workspaces);
   return {
     jobs: [...running, ...queue],
-    rooms,
-    estimates: new Estimates(),
+    targets: rooms,
+    estimator: new DurationEstimator(),
     guarantees: new Map(
       Array.from({length: workspaces}, (_, index) => [`w${index}`, promised]),
     ),
     evacuated: new Set(),
     settings: DEFAULT_SETTINGS,
-    allowedFor: () => undefined,
+    findAllowedTargets: () => undefined,
   };
 }
 
@@ -85,9 +85,9 @@
   };
 }
 
-function createRoom(index: number, now: number): TargetRoom {
+function createRoom(index: number, now: number): TargetState {
   const rack = Math.floor(index / TARGETS_PER_RACK);
-  const room = new TargetRoom(
+  const room = new TargetState(
     {
       id: `t${index}`,
       born: 1,
@@ -101,13 +101,13 @@
     },
     0,
   );
-  room.hasAnswered = true;
-  room.lastAnswerAt = now;
+  room.hasListing = true;
+  room.lastResponseAt = now;
   return room;
 }
 
 /** A gang that takes the target, or half of it. */
-function fill(room: TargetRoom, index: number, now: number): JobRun {
+function fill(room: TargetState, index: number, now: number): ActiveJob {
   const count = index % PARTLY_FREE === 0 ? 4 : 8;
   const job = createJob(`r${index}`, 2, 'w0', {count, isGang: true});
   const unit = job.units[0]!;
@@ -115,12 +115,12 @@
   unit.placedAt = now - 5000;
   unit.progress.run = 1;
   for (let member = 0; member < count; member++) {
-    const booking = createBooking(
+    const booking = createAllocation(
       {
         task: `${job.id}.0.0.${member}`,
         run: 1,
         demand: unit.step.demand,
-        room,
+        target: room,
         unit,
         memberIndex: member,
         state: 'confirmed',
@@ -128,8 +128,8 @@
       },
       now - 5000,
     );
-    unit.bookings.push(booking);
-    room.book(booking);
+    unit.allocations.push(booking);
+    room.allocate(booking);
   }
   return job;
 }
@@ -139,7 +139,7 @@
   priority: number,
   workspace: string,
   values: Partial<Step>,
-): JobRun {
+): ActiveJob {
   const job = {
     queue: `q${priority}`,
     workspace,
@@ -147,7 +147,7 @@
     terms: {pool: 'p', priority, maxAttempts: 3, stretch: 3, latencyMs: 1000},
     spec: {payload: '', steps: [createStep(values)]},
   };
-  return createJobRun({id, job, isCancelled: false}, 100_000, 100_000);
+  return createActiveJob({id, job, isCancelled: false}, 100_000, 100_000);
 }
 
 function createStep(values: Partial<Step>): Step {
--- a/packages/dispatch/__tests__/order_pacer.spec.ts
+++ b/packages/dispatch/__tests__/call_pacer.spec.ts
@@ -1,14 +1,14 @@
 import t from 'tap';
 import {ManualClock} from '@galenavalve/shared';
-import {OrderPacer} from '../src/order_pacer.js';
+import {CallPacer} from '../src/call_pacer.js';
 
 /** Asks for `count` calls together; tells how many began by each turn. */
 async function playCalls(count: number, turns: number): Promise<number[]> {
   const clock = new ManualClock(0);
-  const pacer = new OrderPacer(clock);
+  const pacer = new CallPacer(clock);
   let begun = 0;
   for (let call = 0; call < count; call++) {
-    const turn = pacer.turn();
+    const turn = pacer.waitForSlot();
     if (turn) {
       void turn.then(() => begun++);
     } else {
@@ -40,10 +40,10 @@
 
 t.test('calls begin in the order of their asking', async t => {
   const clock = new ManualClock(0);
-  const pacer = new OrderPacer(clock);
+  const pacer = new CallPacer(clock);
   const order: number[] = [];
   for (let call = 0; call < 40; call++) {
-    const turn = pacer.turn() ?? Promise.resolve();
+    const turn = pacer.waitForSlot() ?? Promise.resolve();
     void turn.then(() => order.push(call));
   }
   await clock.advance(50);
--- a/packages/dispatch/__tests__/decision.spec.ts
+++ b/packages/dispatch/__tests__/decision.spec.ts
@@ -2,10 +2,10 @@
 import {decide} from '@galenavalve/dispatch';
 import {
   createJob,
-  createRoom,
-  createSituation,
+  createTarget,
+  createSnapshot,
   createStep,
-  runOn,
+  addRun,
 } from './fixtures.js';
 
 const wide = createStep({
@@ -16,13 +16,15 @@
 
 t.test('a rack-sensitive gang is placed within one rack', t => {
   const rooms = [
-    createRoom('a', 'r1', 0),
-    createRoom('b', 'r2', 0),
-    createRoom('c', 'r2', 0),
+    createTarget('a', 'r1', 0),
+    createTarget('b', 'r2', 0),
+    createTarget('c', 'r2', 0),
   ];
   const job = createJob('1', wide);
-  const {starts} = decide(createSituation([job], rooms), 0);
-  const racks = starts[0]!.placement.shares.map(({space}) => space.rack);
+  const {starts} = decide(createSnapshot([job], rooms), 0);
+  const racks = starts[0]!.placement.shares.map(
+    ({candidate: space}) => space.rack,
+  );
   t.same(racks, ['r2', 'r2']);
   t.end();
 });
@@ -30,12 +32,12 @@
 t.test(
   'a gang waits for its rack and is not spread while a rack could hold it',
   t => {
-    const rooms = [createRoom('a', 'r1', 0), createRoom('b', 'r1', 0)];
-    const other = createRoom('c', 'r2', 0);
+    const rooms = [createTarget('a', 'r1', 0), createTarget('b', 'r1', 0)];
+    const other = createTarget('c', 'r2', 0);
     const filler = createJob('f', createStep({count: 1}), {priority: 1});
-    runOn(filler.units[0]!, rooms[0]!, 0);
+    addRun(filler.units[0]!, rooms[0]!, 0);
     const job = createJob('1', wide);
-    const situation = createSituation([filler, job], [...rooms, other]);
+    const situation = createSnapshot([filler, job], [...rooms, other]);
     t.same(decide(situation, 0).starts, []);
     t.end();
   },
@@ -44,26 +46,26 @@
 t.test(
   'small work does not take the room that a waiting gang will have soon',
   t => {
-    const rooms = [createRoom('a', 'r1', 0), createRoom('b', 'r1', 0)];
+    const rooms = [createTarget('a', 'r1', 0), createTarget('b', 'r1', 0)];
     const filler = createJob('f', createStep({count: 1, estimateMs: 1000}));
-    runOn(filler.units[0]!, rooms[0]!, 0);
+    addRun(filler.units[0]!, rooms[0]!, 0);
     const gang = createJob('1', wide, {acceptedAt: -5000, now: 0});
     const long = createStep({count: 1, estimateMs: 60_000});
     const small = createJob('2', long, {priority: 2});
-    const {starts} = decide(createSituation([filler, gang, small], rooms), 0);
+    const {starts} = decide(createSnapshot([filler, gang, small], rooms), 0);
     t.same(starts, [], 'the long one would outlast the wait');
     t.end();
   },
 );
 
 t.test('small work that ends before the gang can start fills the gap', t => {
-  const rooms = [createRoom('a', 'r1', 0), createRoom('b', 'r1', 0)];
+  const rooms = [createTarget('a', 'r1', 0), createTarget('b', 'r1', 0)];
   const filler = createJob('f', createStep({count: 1, estimateMs: 3000}));
-  runOn(filler.units[0]!, rooms[0]!, 0);
+  addRun(filler.units[0]!, rooms[0]!, 0);
   const gang = createJob('1', wide, {acceptedAt: -5000, now: 0});
   const short = createStep({count: 1, estimateMs: 1000});
   const small = createJob('2', short, {priority: 2});
-  const {starts} = decide(createSituation([filler, gang, small], rooms), 0);
+  const {starts} = decide(createSnapshot([filler, gang, small], rooms), 0);
   t.equal(starts[0]?.unit.job.id, '2');
   t.end();
 });
@@ -71,7 +73,7 @@
 t.test(
   'a burst of urgent work stops the least work, and each keeps its claim',
   t => {
-    const rooms = [createRoom('a', 'r1', 0), createRoom('b', 'r1', 0)];
+    const rooms = [createTarget('a', 'r1', 0), createTarget('b', 'r1', 0)];
     const saved = createStep({
       count: 1,
       savesProgress: true,
@@ -81,20 +83,20 @@
     const unsaved = {...saved, savesProgress: false};
     const first = createJob('saved', saved, {priority: 2});
     const second = createJob('unsaved', unsaved, {priority: 2});
-    runOn(first.units[0]!, rooms[0]!, 0);
-    runOn(second.units[0]!, rooms[1]!, 0);
+    addRun(first.units[0]!, rooms[0]!, 0);
+    addRun(second.units[0]!, rooms[1]!, 0);
     const now = 8000;
-    rooms.forEach(room => (room.lastAnswerAt = now));
+    rooms.forEach(room => (room.lastResponseAt = now));
     const step = createStep({...wide, count: 1, isRackSensitive: false});
     const urgent = createJob('u', step, {priority: 0, acceptedAt: now});
-    const situation = createSituation([first, second, urgent], rooms);
+    const situation = createSnapshot([first, second, urgent], rooms);
     const decision = decide(situation, now);
     t.same(
       decision.stops.map(({unit}) => unit.job.id),
       ['saved'],
     );
-    t.same([...decision.claims[0]!.rooms], [rooms[0]]);
-    urgent.units[0]!.claim = decision.claims[0];
+    t.same([...decision.targetClaims[0]!.rooms], [rooms[0]]);
+    urgent.units[0]!.targetClaim = decision.targetClaims[0];
     const rival = createJob('v', step, {
       priority: 0,
       acceptedAt: now - 500,
@@ -102,7 +104,7 @@
     });
     first.units[0]!.phase = 'stopping';
     const later = decide(
-      createSituation([first, second, urgent, rival], rooms),
+      createSnapshot([first, second, urgent, rival], rooms),
       now + 10,
     );
     t.same(later.starts, [], 'the rival does not take the claimed room');
@@ -115,23 +117,23 @@
 );
 
 t.test('urgent work waits for a run that ends within its slack, once', t => {
-  const rooms = [createRoom('a', 'r1', 0)];
+  const rooms = [createTarget('a', 'r1', 0)];
   const step = createStep({
     count: 1,
     estimateMs: 4000,
     demand: {cpu: 4000, memoryMb: 8000, accelerators: 8},
   });
   const filler = createJob('f', step, {priority: 2});
-  runOn(filler.units[0]!, rooms[0]!, 0);
+  addRun(filler.units[0]!, rooms[0]!, 0);
   const now = 3800;
-  rooms[0]!.lastAnswerAt = now;
-  const booking = filler.units[0]!.bookings[0]!;
+  rooms[0]!.lastResponseAt = now;
+  const booking = filler.units[0]!.allocations[0]!;
   Object.assign(booking, {percent: 95, percentAt: now});
   const urgent = createJob('u', step, {priority: 0, acceptedAt: now});
-  const first = decide(createSituation([filler, urgent], rooms), now);
+  const first = decide(createSnapshot([filler, urgent], rooms), now);
   t.same(first.stops, [], 'it ends by itself');
-  urgent.units[0]!.claim = {rooms: new Set(rooms), until: now};
-  const second = decide(createSituation([filler, urgent], rooms), now + 1);
+  urgent.units[0]!.targetClaim = {rooms: new Set(rooms), until: now};
+  const second = decide(createSnapshot([filler, urgent], rooms), now + 1);
   t.equal(second.stops.length, 1, 'it did not');
   t.end();
 });
@@ -139,13 +141,13 @@
 t.test(
   'a target that drains, is silent, or whose domain is out gets no work',
   t => {
-    const draining = createRoom('a', 'r1', 0);
+    const draining = createTarget('a', 'r1', 0);
     draining.info = {...draining.info, isDraining: true};
-    const silent = createRoom('b', 'r1', -10_000);
-    const out = createRoom('c', 'r1', 0);
+    const silent = createTarget('b', 'r1', -10_000);
+    const out = createTarget('c', 'r1', 0);
     out.info = {...out.info, domain: 'out'};
     const job = createJob('1', createStep({count: 1}));
-    const situation = createSituation([job], [draining, silent, out], {
+    const situation = createSnapshot([job], [draining, silent, out], {
       evacuated: new Set(['out']),
     });
     t.same(decide(situation, 0).starts, []);
@@ -157,7 +159,7 @@
   'a thousand waiting jobs are decided with many targets in bounded steps',
   t => {
     const rooms = Array.from({length: 33}, (_, index) =>
-      createRoom(`t${index}`, `r${index % 4}`, 0),
+      createTarget(`t${index}`, `r${index % 4}`, 0),
     );
     const jobs = Array.from({length: 1000}, (_, index) =>
       createJob(String(index), createStep({count: 1 + (index % 5)}), {
@@ -166,11 +168,11 @@
         now: 1000,
       }),
     );
-    const {starts} = decide(createSituation(jobs, rooms), 1000);
+    const {starts} = decide(createSnapshot(jobs, rooms), 1000);
     const used = new Map<string, number>();
     for (const {placement} of starts) {
-      for (const {space, members} of placement.shares) {
-        const id = space.room.info.id;
+      for (const {candidate: space, members} of placement.shares) {
+        const id = space.target.info.id;
         used.set(id, (used.get(id) ?? 0) + members * 4);
       }
     }
@@ -183,16 +185,16 @@
 t.test(
   'a step whose advice is missing does not hold up another of its shape',
   t => {
-    const rooms = [createRoom('a', 'r1', 0)];
+    const rooms = [createTarget('a', 'r1', 0)];
     const first = createJob('1', createStep({count: 1}));
     const second = createJob('2', createStep({count: 1}), {
       acceptedAt: 10,
       now: 10,
     });
-    first.job.terms.needsAdvice = true;
-    second.job.terms.needsAdvice = true;
-    const situation = createSituation([first, second], rooms, {
-      allowedFor: unit => new Set(unit.job === second ? ['a'] : []),
+    first.accepted.terms.needsAdvice = true;
+    second.accepted.terms.needsAdvice = true;
+    const situation = createSnapshot([first, second], rooms, {
+      findAllowedTargets: unit => new Set(unit.job === second ? ['a'] : []),
     });
     const {starts} = decide(situation, 10);
     t.same(
@@ -207,15 +209,15 @@
   'urgent work waits only for runs whose own progress says that they end soon (txingudi-sched quiet-1)',
   t => {
     for (const isKnown of [true, false]) {
-      const rooms = [createRoom('a', 'r1', 5000)];
+      const rooms = [createTarget('a', 'r1', 5000)];
       const other = createJob('o', createStep({count: 2, estimateMs: 5200}), {
         acceptedAt: 0,
         now: 5000,
       });
       const [unit] = other.units;
-      runOn(unit!, rooms[0]!, 0);
-      runOn(unit!, rooms[0]!, 0);
-      for (const booking of unit!.bookings) {
+      addRun(unit!, rooms[0]!, 0);
+      addRun(unit!, rooms[0]!, 0);
+      for (const booking of unit!.allocations) {
         booking.percent = isKnown ? 97 : 0;
         booking.percentAt = isKnown ? 4900 : 0;
       }
@@ -224,8 +226,8 @@
         acceptedAt: 5000,
         now: 5000,
       });
-      const situation = createSituation([other, urgent], rooms);
-      const {stops, claims} = decide(situation, 5000);
+      const situation = createSnapshot([other, urgent], rooms);
+      const {stops, targetClaims: claims} = decide(situation, 5000);
       t.equal(stops.length, isKnown ? 0 : 1);
       t.equal(claims.length, 1);
     }
--- a/packages/dispatch/__tests__/fixtures.ts
+++ b/packages/dispatch/__tests__/fixtures.ts
@@ -1,13 +1,13 @@
 /** Fixtures of the dispatcher's specs. */
 import {
   DEFAULT_SETTINGS,
-  Estimates,
-  type JobRun,
-  type Situation,
-  TargetRoom,
-  type UnitRun,
-  createBooking,
-  createJobRun,
+  DurationEstimator,
+  type ActiveJob,
+  type SchedulingSnapshot,
+  TargetState,
+  type ActiveUnit,
+  createAllocation,
+  createActiveJob,
 } from '@galenavalve/dispatch';
 import type {Step} from '@galenavalve/workload';
 
@@ -33,7 +33,7 @@
   id: string,
   step: Step,
   values: {priority?: number; acceptedAt?: number; now?: number} = {},
-): JobRun {
+): ActiveJob {
   const {priority = 1, acceptedAt = 0, now = acceptedAt} = values;
   const job = {
     queue: `queue-${priority}`,
@@ -48,12 +48,16 @@
     },
     spec: {payload: '', steps: [step]},
   };
-  return createJobRun({id, job, isCancelled: false}, now, now);
+  return createActiveJob({id, job, isCancelled: false}, now, now);
 }
 
 /** An open target with room for eight accelerators. */
-export function createRoom(id: string, rack: string, now: number): TargetRoom {
-  const room = new TargetRoom(
+export function createTarget(
+  id: string,
+  rack: string,
+  now: number,
+): TargetState {
+  const room = new TargetState(
     {
       id,
       born: 1,
@@ -67,52 +71,52 @@
     },
     0,
   );
-  room.hasAnswered = true;
-  room.lastAnswerAt = now;
+  room.hasListing = true;
+  room.lastResponseAt = now;
   return room;
 }
 
 /** A run of a unit on a target, since `startedAt`. */
-export function runOn(
-  unit: UnitRun,
-  room: TargetRoom,
+export function addRun(
+  unit: ActiveUnit,
+  room: TargetState,
   startedAt: number,
 ): void {
   unit.phase = 'running';
   unit.placedAt = startedAt;
   unit.runningSince = startedAt;
   unit.progress.run = 1;
-  const booking = createBooking(
+  const booking = createAllocation(
     {
-      task: `${unit.job.id}.0.0.${unit.bookings.length}`,
+      task: `${unit.job.id}.0.0.${unit.allocations.length}`,
       run: 1,
       demand: unit.step.demand,
-      room,
+      target: room,
       unit,
-      memberIndex: unit.bookings.length,
+      memberIndex: unit.allocations.length,
       state: 'confirmed',
       epoch: 1,
     },
     startedAt,
   );
-  unit.bookings.push(booking);
-  room.book(booking);
+  unit.allocations.push(booking);
+  room.allocate(booking);
 }
 
 /** What a decision is made from. */
-export function createSituation(
-  jobs: JobRun[],
-  rooms: TargetRoom[],
-  values: Partial<Situation> = {},
-): Situation {
+export function createSnapshot(
+  jobs: ActiveJob[],
+  rooms: TargetState[],
+  values: Partial<SchedulingSnapshot> = {},
+): SchedulingSnapshot {
   return {
     jobs,
-    rooms,
-    estimates: new Estimates(),
+    targets: rooms,
+    estimator: new DurationEstimator(),
     guarantees: new Map([['w', 64]]),
     evacuated: new Set(),
     settings: DEFAULT_SETTINGS,
-    allowedFor: () => undefined,
+    findAllowedTargets: () => undefined,
     ...values,
   };
 }
--- a/packages/dispatch/__tests__/pass_schedule.spec.ts
+++ b/packages/dispatch/__tests__/pass_throttle.spec.ts
@@ -1,12 +1,12 @@
 import t from 'tap';
-import {PassSchedule} from '../src/pass_schedule.js';
+import {PassThrottle} from '../src/pass_throttle.js';
 
 /** Plays news every two milliseconds for ten seconds; returns the share of time that passes took. */
 function playNews(passTime: number): number {
-  const schedule = new PassSchedule();
+  const schedule = new PassThrottle();
   let busy = 0;
   for (let now = 0; now < 10_000;) {
-    now += schedule.delay(now);
+    now += schedule.computeDelay(now);
     schedule.onPass(now, now + passTime);
     now += passTime;
     busy += passTime;
@@ -15,8 +15,8 @@
 }
 
 t.test('news of a quiet installation is decided on at once', t => {
-  t.equal(new PassSchedule().delay(1000), 2);
-  t.ok(new PassSchedule().isOpen(1000));
+  t.equal(new PassThrottle().computeDelay(1000), 2);
+  t.ok(new PassThrottle().isPassAllowed(1000));
   t.end();
 });
 
@@ -31,11 +31,11 @@
 );
 
 t.test('a tick that nothing asks for leaves out a pass that is not due', t => {
-  const schedule = new PassSchedule();
+  const schedule = new PassThrottle();
   for (let now = 0; now < 2000; now += 100) {
     schedule.onPass(now, now + 60);
   }
-  t.notOk(schedule.isOpen(2000));
-  t.ok(schedule.isOpen(2300));
+  t.notOk(schedule.isPassAllowed(2000));
+  t.ok(schedule.isPassAllowed(2300));
   t.end();
 });
--- a/packages/dispatch/__tests__/straggler_watch.spec.ts
+++ b/packages/dispatch/__tests__/stragglers.spec.ts
@@ -1,22 +1,22 @@
 import t from 'tap';
-import {Estimates, type UnitRun} from '@galenavalve/dispatch';
+import {DurationEstimator, type ActiveUnit} from '@galenavalve/dispatch';
 import {SilentLogger} from '@galenavalve/shared';
-import {takeListing} from '../src/listings.js';
-import {RunBook} from '../src/run_book.js';
-import {watchRuns} from '../src/straggler_watch.js';
-import type {TargetRoom} from '../src/target_room.js';
-import {createJob, createRoom, createStep, runOn} from './fixtures.js';
+import {applyListing} from '../src/target_listing.js';
+import {RunTracker} from '../src/run_tracker.js';
+import {stopStragglers} from '../src/stragglers.js';
+import type {TargetState} from '../src/target_state.js';
+import {createJob, createTarget, createStep, addRun} from './fixtures.js';
 
 const logger = new SilentLogger();
 
-function createWatch(unit: UnitRun, room: TargetRoom) {
-  const estimates = new Estimates();
+function createWatch(unit: ActiveUnit, room: TargetState) {
+  const estimates = new DurationEstimator();
   const stopped: string[] = [];
   const events = {
     onChange: () => undefined,
     onStop: ({task}: {task: string}) => stopped.push(task),
   };
-  const book = new RunBook(events, estimates, logger);
+  const book = new RunTracker(events, estimates, logger);
   const context = {
     book,
     epoch: 1,
@@ -24,25 +24,25 @@
     onStray: () => undefined,
   };
   const list = (percent: number, now: number, clock = now) => {
-    const running = unit.bookings.map(({task, run}) => ({
+    const running = unit.allocations.map(({task, run}) => ({
       task,
       run,
       checkpoint: '',
       percent,
     }));
-    takeListing(room, {born: 0, clock, running, ended: []}, context, now);
+    applyListing(room, {born: 0, clock, running, ended: []}, context, now);
   };
   const watch = (now: number) =>
-    watchRuns([unit.job], book, estimates, now, logger);
+    stopStragglers([unit.job], book, estimates, now, logger);
   return {list, watch, stopped};
 }
 
 function createRun(values = {}) {
-  const room = createRoom('a', 'r', 0);
+  const room = createTarget('a', 'r', 0);
   const step = createStep({count: 1, estimateMs: 10_000, ...values});
   const job = createJob('1', step);
   const unit = job.units[0]!;
-  runOn(unit, room, 0);
+  addRun(unit, room, 0);
   return {unit, room};
 }
 
@@ -53,7 +53,7 @@
     const {list, watch, stopped} = createWatch(unit, room);
     [1000, 2000, 3000].forEach(now => list(now / 100, now));
     // The target is cut off until 9000; then a stop of another run is answered first.
-    room.onAnswer(9000, 9000);
+    room.onResponse(9000, 9000);
     watch(9005);
     t.same(stopped, []);
     list(90, 9010);
@@ -111,7 +111,7 @@
       watch(now);
     }
     t.same(stopped, []);
-    t.equal(room.strikes, 0, 'its target is not avoided');
+    t.equal(room.consecutiveFailures, 0, 'its target is not avoided');
     t.end();
   },
 );
--- a/packages/dispatch/src/runs.ts
+++ b/packages/dispatch/src/active_job.ts
@@ -7,19 +7,19 @@
   Step,
   UnitProgress,
 } from '@galenavalve/workload';
-import type {TargetRoom} from './target_room.js';
+import type {TargetState} from './target_state.js';
 
 /** A job that has not ended. */
-export interface JobRun {
+export interface ActiveJob {
   id: string;
-  job: AcceptedJob;
+  accepted: AcceptedJob;
   /** When this dispatcher first knew it, less its age at that time. */
   acceptedAt: Instant;
   progress: Progress;
   isCancelled: boolean;
   /** A task ran out of attempts. */
   hasFailed: boolean;
-  units: UnitRun[];
+  units: ActiveUnit[];
 }
 
 /** Where a unit stands. */
@@ -35,8 +35,8 @@
   | 'stopping';
 
 /** The unit of a step that runs as one. */
-export interface UnitRun {
-  job: JobRun;
+export interface ActiveUnit {
+  job: ActiveJob;
   occurrence: number;
   stepIndex: number;
   unitIndex: number;
@@ -44,7 +44,7 @@
   progress: UnitProgress;
   phase: UnitPhase;
   /** Bookings whose room is not known to be free. */
-  bookings: Booking[];
+  allocations: Allocation[];
   /** When the present run was placed. */
   placedAt: Instant;
   /** When all members were seen started. */
@@ -52,109 +52,109 @@
   /** Not placed again before this time. */
   retryAt: Instant;
   /** Targets on which runs of this unit failed or stood still. */
-  avoid: Set<string>;
+  avoidedTargets: Set<string>;
   /** Far from its data or across racks: it takes longer by the rack factor. */
-  isFar: boolean;
+  hasLocalityPenalty: boolean;
   /** Why it was last said to wait. */
   waitReason?: string;
   /** Targets on which room is being made for it. */
-  claim?: {rooms: ReadonlySet<TargetRoom>; until: Instant};
+  targetClaim?: {rooms: ReadonlySet<TargetState>; until: Instant};
   /** Checkpoint that every member of the present run starts from. */
-  resumeFrom: string;
+  resumeCheckpoint: string;
   /** Reason of the stop under way. */
   stopReason?: string;
 }
 
 /** What is known of one member's run at its target. */
-export type BookingState = 'planned' | 'ordered' | 'confirmed' | 'stopping';
+export type AllocationState = 'planned' | 'ordered' | 'confirmed' | 'stopping';
 
 /** Room that one member's run takes at a target. */
-export interface Booking {
+export interface Allocation {
   task: string;
   run: number;
   demand: Demand;
-  room: TargetRoom;
+  target: TargetState;
   /** Absent for a run that nobody expected there. */
-  unit?: UnitRun;
+  unit?: ActiveUnit;
   memberIndex: number;
-  state: BookingState;
+  state: AllocationState;
   /** Epoch under which it was ordered; an older epoch's orders are refused by now. */
   epoch: number;
   /** Target clock after which a listing without the run proves that it is gone. */
-  settledClock?: number;
+  acknowledgedClock?: number;
   percent: number;
   /** When `percent` last rose. */
   percentAt: Instant;
   /** When its target last listed it. */
   listedAt: Instant;
   /** Time that it was seen without progress; a target that cannot be seen says nothing. */
-  stillFor: Milliseconds;
+  stalledFor: Milliseconds;
   /** Percent and time at the first sign of life, for its pace. */
   firstPercent: number;
   firstPercentAt: Instant;
   /** An earlier reading, for its present pace, by the target's clock; undefined before the first. */
-  sample?: {percent: number; clock: number};
+  rateSample?: {percent: number; clock: number};
   /** Its pace over the last reading, in percent a millisecond; undefined before the first. */
-  presentPace?: number;
+  currentRate?: number;
   /** Fastest pace that it ever had, in percent a millisecond. */
-  bestPace: number;
+  bestRate: number;
   isBeingStopped: boolean;
 }
 
 /** Number of tasks that a unit starts at once. */
-export function memberCount(unit: UnitRun): number {
+export function countMembers(unit: ActiveUnit): number {
   return unit.step.isGang ? unit.step.count : 1;
 }
 
 /** Most runs that one of the job's units had. */
-export function countRuns({units}: JobRun): number {
+export function findMaxRunCount({units}: ActiveJob): number {
   return Math.max(0, ...units.map(({progress}) => progress.run));
 }
 
 /** Room that each member counts against its target. */
-export function countedDemand(step: Step): Demand {
+export function computeAllocatedDemand(step: Step): Demand {
   return step.usesIdleCpu ? {...step.demand, cpu: 0} : step.demand;
 }
 
 /** Whether a unit can be considered for a start. */
-export function isUnitWaiting(unit: UnitRun): boolean {
+export function isUnitWaiting(unit: ActiveUnit): boolean {
   return (
     unit.phase === 'waiting' &&
     !unit.progress.isDone &&
-    unit.bookings.length === 0
+    unit.allocations.length === 0
   );
 }
 
 /** Whether a unit failed as often as its queue allows. */
-export function hasNoAttemptLeft(unit: UnitRun): boolean {
-  const {maxAttempts} = unit.job.job.terms;
+export function hasNoAttemptLeft(unit: ActiveUnit): boolean {
+  const {maxAttempts} = unit.job.accepted.terms;
   return !unit.step.isLongRunning && unit.progress.failed >= maxAttempts;
 }
 
 /** A booking that was just made; nothing is known of its progress. */
-export function createBooking(
+export function createAllocation(
   values: Pick<
-    Booking,
+    Allocation,
     | 'task'
     | 'run'
     | 'demand'
-    | 'room'
+    | 'target'
     | 'unit'
     | 'memberIndex'
     | 'state'
     | 'epoch'
   >,
   now: Instant,
-): Booking {
+): Allocation {
   return {
     ...values,
     percent: 0,
     percentAt: now,
     listedAt: now,
-    stillFor: 0,
+    stalledFor: 0,
     firstPercent: 0,
     firstPercentAt: now,
-    bestPace: 0,
+    bestRate: 0,
     isBeingStopped: false,
   };
 }
--- a/packages/dispatch/src/advice_book.ts
+++ b/packages/dispatch/src/advice_cache.ts
@@ -1,23 +1,23 @@
 /** What the advisor said of each step, and what it is to be asked next. */
 import type {Clock, Instant, Logger, Milliseconds} from '@galenavalve/shared';
 import type {Advisor} from './advisor.js';
-import {type UnitRun, memberCount} from './runs.js';
-import type {TargetRoom} from './target_room.js';
+import {type ActiveUnit, countMembers} from './active_job.js';
+import type {TargetState} from './target_state.js';
 
 /** Targets named in one call: the platform's rules count one call on 30 for a step. */
-const TARGETS_PER_CALL = 30;
+const MAX_TARGETS_PER_CALL = 30;
 
 /** Longest wait for an answer; it takes a fixed time and some for each target. */
-const ADVICE_TIMEOUT: Milliseconds = 4000;
+const ADVICE_TIMEOUT_MS: Milliseconds = 4000;
 
 /** Pause after a call that failed. */
-const RETRY_PAUSE: Milliseconds = 300;
+const RETRY_DELAY_MS: Milliseconds = 300;
 
 /** A ticket is used only while it is valid for this much longer: the placement is recorded first. */
-const TICKET_MARGIN: Milliseconds = 300;
+const TICKET_MARGIN_MS: Milliseconds = 300;
 
 /** Calls that wait for their turn: the advisor takes one at a time of each instance. */
-const MAX_WAITING = 8;
+const MAX_PENDING_CALLS = 8;
 
 interface Ticket {
   text: string;
@@ -26,57 +26,60 @@
 
 interface StepAdvice {
   /** Targets that the advisor was asked about; what it says of them does not change. */
-  asked: Set<string>;
-  good: Map<string, Ticket>;
-  isWaiting: boolean;
+  queriedTargets: Set<string>;
+  tickets: Map<string, Ticket>;
+  isPending: boolean;
   retryAt: Instant;
 }
 
 /** Advice of one term of office. */
-export class AdviceBook {
+export class AdviceCache {
   private readonly steps = new Map<string, StepAdvice>();
   private turn: Promise<void> = Promise.resolve();
   private waiting = 0;
 
   constructor(
     private readonly advisor: Advisor,
-    private readonly rooms: () => Iterable<TargetRoom>,
+    private readonly rooms: () => Iterable<TargetState>,
     private readonly onAdvice: () => void,
     private readonly clock: Clock,
     private readonly logger: Logger,
   ) {}
 
   /** Targets that may run the unit now; undefined where the queue needs no advice. */
-  allowedFor(unit: UnitRun, now: Instant): ReadonlySet<string> | undefined {
-    if (!unit.job.job.terms.needsAdvice) {
+  findAllowedTargets(
+    unit: ActiveUnit,
+    now: Instant,
+  ): ReadonlySet<string> | undefined {
+    if (!unit.job.accepted.terms.needsAdvice) {
       return undefined;
     }
     const advice = this.adviceOf(unit);
-    const valid = [...advice.good].filter(
-      ([, {validUntil}]) => validUntil > now + TICKET_MARGIN,
+    const valid = [...advice.tickets].filter(
+      ([, {validUntil}]) => validUntil > now + TICKET_MARGIN_MS,
     );
-    if (valid.length < memberCount(unit)) {
+    if (valid.length < countMembers(unit)) {
       this.ask(unit, advice, now);
     }
     return new Set(valid.map(([id]) => id));
   }
 
   /** The ticket with which a start is sent. */
-  ticketFor(unit: UnitRun, targetId: string): string | undefined {
-    return unit.job.job.terms.needsAdvice
-      ? this.adviceOf(unit).good.get(targetId)?.text
+  findTicket(unit: ActiveUnit, targetId: string): string | undefined {
+    return unit.job.accepted.terms.needsAdvice
+      ? this.adviceOf(unit).tickets.get(targetId)?.text
       : undefined;
   }
 
   /** A target did not take its ticket: its life may be another. */
-  onRefused(unit: UnitRun, targetId: string): void {
+  onTicketRefused(unit: ActiveUnit, targetId: string): void {
     const advice = this.adviceOf(unit);
-    advice.good.delete(targetId);
-    advice.asked.delete(targetId);
+    advice.tickets.delete(targetId);
+    advice.queriedTargets.delete(targetId);
   }
 
   /** Forgets the steps of a job that has ended. */
-  forget(jobId: string): void {
+  removeJob(jobId: string): void {
     for (const step of this.steps.keys()) {
       if (step.startsWith(`${jobId}.`)) {
         this.steps.delete(step);
@@ -84,14 +87,14 @@
     }
   }
 
-  private adviceOf(unit: UnitRun): StepAdvice {
-    const name = stepName(unit);
+  private adviceOf(unit: ActiveUnit): StepAdvice {
+    const name = formatStepName(unit);
     let advice = this.steps.get(name);
     if (!advice) {
       advice = {
-        asked: new Set(),
-        good: new Map(),
-        isWaiting: false,
+        queriedTargets: new Set(),
+        tickets: new Map(),
+        isPending: false,
         retryAt: -Infinity,
       };
       this.steps.set(name, advice);
@@ -99,68 +102,72 @@
     return advice;
   }
 
-  private ask(unit: UnitRun, advice: StepAdvice, now: Instant): void {
-    const isTooEarly = advice.isWaiting || now < advice.retryAt;
-    if (isTooEarly || this.waiting >= MAX_WAITING) {
+  private ask(unit: ActiveUnit, advice: StepAdvice, now: Instant): void {
+    const isTooEarly = advice.isPending || now < advice.retryAt;
+    if (isTooEarly || this.waiting >= MAX_PENDING_CALLS) {
       return;
     }
     const ids = this.chooseTargets(unit, advice, now);
     if (ids.length === 0) {
       return;
     }
-    advice.isWaiting = true;
+    advice.isPending = true;
     this.waiting++;
     this.turn = this.turn.then(() => this.call(unit, advice, ids));
   }
 
   /** First those whose tickets ran out, then the emptiest that were not asked about. */
   private chooseTargets(
-    unit: UnitRun,
+    unit: ActiveUnit,
     advice: StepAdvice,
     now: Instant,
   ): string[] {
-    const {pool} = unit.job.job.terms;
+    const {pool} = unit.job.accepted.terms;
     const {requiredLabel} = unit.step;
     const open = [...this.rooms()].filter(
-      ({info, isListed}) =>
+      ({info, isRegistered: isListed}) =>
         isListed &&
         !info.isDraining &&
         info.pool === pool &&
         (requiredLabel === undefined || info.labels.includes(requiredLabel)),
     );
     const expired = open.filter(({info}) => {
-      const ticket = advice.good.get(info.id);
-      return ticket && ticket.validUntil <= now + TICKET_MARGIN;
+      const ticket = advice.tickets.get(info.id);
+      return ticket && ticket.validUntil <= now + TICKET_MARGIN_MS;
     });
     const unasked = open
-      .filter(({info}) => !advice.asked.has(info.id))
-      .sort((a, b) => b.free().accelerators - a.free().accelerators);
+      .filter(({info}) => !advice.queriedTargets.has(info.id))
+      .sort(
+        (a, b) =>
+          b.computeFreeCapacity().accelerators -
+          a.computeFreeCapacity().accelerators,
+      );
     return [...expired, ...unasked]
-      .slice(0, TARGETS_PER_CALL)
+      .slice(0, MAX_TARGETS_PER_CALL)
       .map(({info}) => info.id);
   }
 
   private async call(
-    unit: UnitRun,
+    unit: ActiveUnit,
     advice: StepAdvice,
     ids: readonly string[],
   ): Promise<void> {
     const sentAt = this.clock.now();
-    const step = stepName(unit);
-    const said = await this.advisor.advise(step, ids, ADVICE_TIMEOUT);
+    const step = formatStepName(unit);
+    const said = await this.advisor.advise(step, ids, ADVICE_TIMEOUT_MS);
     this.waiting--;
-    advice.isWaiting = false;
+    advice.isPending = false;
     if (said.kind !== 'advised') {
-      advice.retryAt = this.clock.now() + RETRY_PAUSE;
+      advice.retryAt = this.clock.now() + RETRY_DELAY_MS;
       this.logger.warn('advice-missing', {job: unit.job.id, step, said});
       return;
     }
     for (const id of ids) {
-      advice.asked.add(id);
-      advice.good.delete(id);
+      advice.queriedTargets.add(id);
+      advice.tickets.delete(id);
     }
     for (const [id, text] of said.tickets) {
-      advice.good.set(id, {text, validUntil: sentAt + said.validFor});
+      advice.tickets.set(id, {text, validUntil: sentAt + said.validFor});
     }
     this.logger.info('advised', {
       job: unit.job.id,
@@ -172,6 +179,6 @@
   }
 }
 
-function stepName(unit: UnitRun): string {
+function formatStepName(unit: ActiveUnit): string {
   return `${unit.job.id}.${unit.occurrence}.${unit.stepIndex}`;
 }
--- a/packages/dispatch/src/order_pacer.ts
+++ b/packages/dispatch/src/call_pacer.ts
@@ -2,13 +2,13 @@
 import type {Clock, Milliseconds} from '@galenavalve/shared';
 
 /** Calls begun in one turn: some ten milliseconds of a small instance's processor. */
-const CALLS_PER_TURN = 16;
+const CALLS_PER_BATCH = 16;
 
 /** Least time between two turns; the loop reads what came meanwhile. */
-const TURN: Milliseconds = 1;
+const BATCH_INTERVAL_MS: Milliseconds = 1;
 
 /** Lets a bounded number of calls begin in each turn, in the order of their asking. */
-export class OrderPacer {
+export class CallPacer {
   private begun = 0;
   private waiting: Array<() => void> = [];
   private isTurning = false;
@@ -16,9 +16,9 @@
   constructor(private readonly clock: Clock) {}
 
   /** Resolves when the call may begin; undefined when that is at once. */
-  turn(): Promise<void> | undefined {
+  waitForSlot(): Promise<void> | undefined {
     this.turnOver();
-    if (this.begun < CALLS_PER_TURN) {
+    if (this.begun < CALLS_PER_BATCH) {
       this.begun++;
       return undefined;
     }
@@ -30,9 +30,9 @@
       return;
     }
     this.isTurning = true;
-    void this.clock.sleep(TURN).then(() => {
+    void this.clock.sleep(BATCH_INTERVAL_MS).then(() => {
       this.isTurning = false;
-      const next = this.waiting.splice(0, CALLS_PER_TURN);
+      const next = this.waiting.splice(0, CALLS_PER_BATCH);
       this.begun = next.length;
       if (next.length > 0) {
         this.turnOver();
--- a/packages/dispatch/src/changed_jobs.ts
+++ b/packages/dispatch/src/changed_jobs.ts
@@ -1,36 +1,36 @@
 /** Jobs whose progress is to be recorded, and what waits for the record. */
 import {type KeyedRecord, encodeProgress} from '@galenavalve/workload';
-import {settleJob} from './job_runs.js';
+import {updateJobOutcome} from './job_lifecycle.js';
 import type {Batch} from './record_writer.js';
-import type {JobRun, UnitRun} from './runs.js';
-import type {TargetRoom} from './target_room.js';
+import type {ActiveJob, ActiveUnit} from './active_job.js';
+import type {TargetState} from './target_state.js';
 
 /** What follows a record. */
 export interface ChangeEvents {
   /** A unit's placement is in the log: it may start. */
-  onRecorded(unit: UnitRun): void;
+  onRecorded(unit: ActiveUnit): void;
   /** A job's outcome is in the log. */
-  onEnded(job: JobRun): void;
+  onEnded(job: ActiveJob): void;
 }
 
 /** The jobs that changed since they were last written. */
 export class ChangedJobs {
-  private readonly changed = new Set<JobRun>();
+  private readonly changed = new Set<ActiveJob>();
 
   constructor(
-    private readonly rooms: () => Iterable<TargetRoom>,
+    private readonly rooms: () => Iterable<TargetState>,
     private readonly events: ChangeEvents,
   ) {}
 
-  add(job: JobRun): void {
+  add(job: ActiveJob): void {
     this.changed.add(job);
   }
 
   /** Takes changed jobs up to `maxLength` characters of records. `wallNow` is in Unix milliseconds. */
-  gather(maxLength: number, wallNow: number): Batch | undefined {
+  takeBatch(maxLength: number, wallNow: number): Batch | undefined {
     const ends = [...this.rooms()]
-      .filter(room => room.seenEnd > room.recordedEnd)
-      .map(room => ({room, number: room.seenEnd}));
+      .filter(room => room.processedEnd > room.recordedEnd)
+      .map(room => ({room, number: room.processedEnd}));
     const {records, jobs} = this.take(maxLength, wallNow);
     // Ends may belong to jobs that were left for the next batch.
     const isWhole = this.changed.size === 0;
@@ -40,7 +40,7 @@
     const runs = starting.map(unit => unit.progress.run);
     const onWritten = () => {
       if (isWhole) {
-        ends.forEach(({room, number}) => room.onRecorded(number));
+        ends.forEach(({room, number}) => room.onEndsRecorded(number));
       }
       jobs.forEach(job => this.onWritten(job));
       starting.forEach((unit, index) => {
@@ -60,15 +60,15 @@
   private take(
     maxLength: number,
     wallNow: number,
-  ): {records: KeyedRecord[]; jobs: JobRun[]} {
+  ): {records: KeyedRecord[]; jobs: ActiveJob[]} {
     const records: KeyedRecord[] = [];
-    const jobs: JobRun[] = [];
+    const jobs: ActiveJob[] = [];
     let length = 0;
     for (const job of this.changed) {
       if (length > maxLength) {
         break;
       }
-      settleJob(job, wallNow);
+      updateJobOutcome(job, wallNow);
       const record = encodeProgress(job.id, job.progress);
       records.push(record);
       jobs.push(job);
@@ -78,7 +78,7 @@
     return {records, jobs};
   }
 
-  private onWritten(job: JobRun): void {
+  private onWritten(job: ActiveJob): void {
     const isEnded = job.progress.outcome !== 'active';
     if (isEnded && !this.changed.has(job)) {
       this.events.onEnded(job);
--- a/packages/dispatch/src/orders.ts
+++ b/packages/dispatch/src/command_sender.ts
@@ -1,97 +1,97 @@
 /** Sends start and stop orders until each is settled. */
 import type {Clock, Logger, Milliseconds} from '@galenavalve/shared';
-import type {OrderPacer} from './order_pacer.js';
-import type {RunBook} from './run_book.js';
-import type {Booking, UnitRun} from './runs.js';
+import type {CallPacer} from './call_pacer.js';
+import type {RunTracker} from './run_tracker.js';
+import type {Allocation, ActiveUnit} from './active_job.js';
 import {
-  GANG_START_SHARE,
-  LEASE_MARGIN,
-  ORDER_RETRY,
-  ORDER_TIMEOUT,
+  GANG_START_TIMEOUT_SHARE,
+  LEASE_MARGIN_MS,
+  COMMAND_RETRY_DELAY_MS,
+  COMMAND_TIMEOUT_MS,
   type DispatchSettings,
 } from './settings.js';
-import type {OrderOutcome, TargetPort} from './target_port.js';
-import type {TargetRoom} from './target_room.js';
+import type {CommandOutcome, TargetPort} from './target_port.js';
+import type {TargetState} from './target_state.js';
 
 /** Time that single tasks get to start; as long as gangs, so that a cut has one pace. */
-const MAX_START_TRIES = 6;
+const MAX_START_RETRIES = 6;
 
 /** What orders need of the dispatcher. */
-export interface OrderDesk {
+export interface CommandDelegate {
   readonly epoch: number;
-  readonly isOver: boolean;
+  readonly isClosed: boolean;
   /** Another dispatcher holds the office. */
   onFenced(): void;
   /** A fresh listing of the target is wanted. */
-  onStopped(room: TargetRoom): void;
-  onTicketRefused(unit: UnitRun, targetId: string): void;
-  ticketFor(unit: UnitRun, targetId: string): string | undefined;
+  onStopAcknowledged(room: TargetState): void;
+  onTicketRefused(unit: ActiveUnit, targetId: string): void;
+  findTicket(unit: ActiveUnit, targetId: string): string | undefined;
 }
 
 /** Orders of one term of office. */
-export class Orders {
+export class CommandSender {
   constructor(
-    private readonly desk: OrderDesk,
+    private readonly desk: CommandDelegate,
     private readonly port: TargetPort,
-    private readonly book: RunBook,
+    private readonly book: RunTracker,
     private readonly settings: DispatchSettings,
-    private readonly pacer: OrderPacer,
+    private readonly pacer: CallPacer,
     private readonly clock: Clock,
     private readonly logger: Logger,
   ) {}
 
   /** Starts every member of a unit whose placement is recorded. */
-  startUnit(unit: UnitRun): void {
+  startUnit(unit: ActiveUnit): void {
     unit.phase = 'starting';
-    for (const booking of unit.bookings) {
+    for (const booking of unit.allocations) {
       booking.state = 'ordered';
     }
-    for (const booking of [...unit.bookings]) {
+    for (const booking of [...unit.allocations]) {
       void this.start(booking);
     }
   }
 
   /** Stops a run; resolves when the target has answered or the target is over. */
-  async stop(booking: Booking): Promise<void> {
+  async stop(booking: Allocation): Promise<void> {
     if (booking.isBeingStopped) {
       return;
     }
     const wasListed = booking.state === 'confirmed';
     booking.isBeingStopped = true;
     booking.state = 'stopping';
-    booking.settledClock = undefined;
+    booking.acknowledgedClock = undefined;
     for (;;) {
-      await this.pacer.turn();
+      await this.pacer.waitForSlot();
       if (!this.isBooked(booking)) {
         return;
       }
-      const {room} = booking;
+      const {target: room} = booking;
       const outcome = await this.sendStop(booking);
-      if (booking.room !== room) {
+      if (booking.target !== room) {
         // The run's order may have reached the next life, whose clock is another.
         return;
       }
       if (outcome.kind === 'done') {
-        booking.settledClock = outcome.clock;
+        booking.acknowledgedClock = outcome.clock;
         // The listing under way answers with the end of a run that was there, but not with the absence of another.
         if (!wasListed) {
-          this.desk.onStopped(booking.room);
+          this.desk.onStopAcknowledged(booking.target);
         }
         return;
       }
       if (this.onFenced(room, outcome) || outcome.kind === 'other-life') {
         return;
       }
-      await this.clock.sleep(ORDER_RETRY);
+      await this.clock.sleep(COMMAND_RETRY_DELAY_MS);
     }
   }
 
-  private async start(booking: Booking): Promise<void> {
-    const {unit, room} = booking;
+  private async start(booking: Allocation): Promise<void> {
+    const {unit, target: room} = booking;
     const deadline =
-      this.clock.now() + this.settings.gangTime * GANG_START_SHARE;
+      this.clock.now() + this.settings.gangTime * GANG_START_TIMEOUT_SHARE;
     for (let attempt = 0; ; attempt++) {
-      await this.pacer.turn();
+      await this.pacer.waitForSlot();
       if (!this.isWanted(booking)) {
         return;
       }
@@ -106,7 +106,7 @@
       }
       const isHopeless =
         outcome.kind === 'refused' && outcome.reason !== 'late';
-      const isLate = now >= deadline || attempt >= MAX_START_TRIES;
+      const isLate = now >= deadline || attempt >= MAX_START_RETRIES;
       if (isHopeless || outcome.kind === 'invalid' || isLate) {
         if (this.isWanted(booking)) {
           this.onStartFailed(booking, unit, outcome);
@@ -116,33 +116,33 @@
       if (outcome.kind !== 'unknown') {
         this.logger.debug('start-again', {task: booking.task, outcome});
       }
-      room.avoidUntil = Math.max(room.avoidUntil, now + ORDER_RETRY);
-      await this.clock.sleep(ORDER_RETRY);
+      room.avoidUntil = Math.max(room.avoidUntil, now + COMMAND_RETRY_DELAY_MS);
+      await this.clock.sleep(COMMAND_RETRY_DELAY_MS);
     }
   }
 
   private onStartFailed(
-    booking: Booking,
-    unit: UnitRun,
-    outcome: OrderOutcome,
+    booking: Allocation,
+    unit: ActiveUnit,
+    outcome: CommandOutcome,
   ): void {
     this.logger.warn('start-refused', {
       task: booking.task,
       run: booking.run,
-      target: booking.room.info.id,
+      target: booking.target.info.id,
       outcome,
     });
     if (outcome.kind === 'refused' && outcome.reason === 'ticket') {
-      this.desk.onTicketRefused(unit, booking.room.info.id);
+      this.desk.onTicketRefused(unit, booking.target.info.id);
     } else {
-      this.book.onSuspect(booking.room, 1, this.clock.now());
+      this.book.onTargetFault(booking.target, 1, this.clock.now());
     }
     this.book.stop(unit, 'a member could not be started');
   }
 
-  private sendStart(booking: Booking): Promise<OrderOutcome> {
-    const {room, unit} = booking;
-    const until = leaseUntil(room, this.settings, this.clock.now());
+  private sendStart(booking: Allocation): Promise<CommandOutcome> {
+    const {target: room, unit} = booking;
+    const until = computeLeaseEnd(room, this.settings, this.clock.now());
     if (until === undefined || !unit) {
       return Promise.resolve({
         kind: 'unknown',
@@ -156,73 +156,73 @@
         {
           task: booking.task,
           run: booking.run,
-          payload: unit.job.job.spec.payload,
-          checkpoint: unit.resumeFrom,
+          payload: unit.job.accepted.spec.payload,
+          checkpoint: unit.resumeCheckpoint,
           leaseUntil: until,
           epoch: this.epochFor(room),
-          ticket: this.desk.ticketFor(unit, room.info.id),
+          ticket: this.desk.findTicket(unit, room.info.id),
         },
         timeout,
       ),
     );
   }
 
-  private sendStop(booking: Booking): Promise<OrderOutcome> {
-    const {task, run, room} = booking;
+  private sendStop(booking: Allocation): Promise<CommandOutcome> {
+    const {task, run, target: room} = booking;
     const order = {task, run, epoch: this.epochFor(room)};
     return this.send(room, timeout =>
       this.port.stop(room.info, order, timeout),
     );
   }
 
-  private epochFor(room: TargetRoom): number {
+  private epochFor(room: TargetState): number {
     return this.desk.epoch + room.epochOffset;
   }
 
   private async send(
-    room: TargetRoom,
-    call: (timeout: Milliseconds) => Promise<OrderOutcome>,
-  ): Promise<OrderOutcome> {
+    room: TargetState,
+    call: (timeout: Milliseconds) => Promise<CommandOutcome>,
+  ): Promise<CommandOutcome> {
     if (room.info.address === '') {
       return {
         kind: 'unknown',
         problem: 'the registry does not list its target',
       };
     }
-    const outcome = await call(ORDER_TIMEOUT);
+    const outcome = await call(COMMAND_TIMEOUT_MS);
     if ('clock' in outcome) {
-      room.onAnswer(outcome.clock, this.clock.now());
+      room.onResponse(outcome.clock, this.clock.now());
     }
     return outcome;
   }
 
   /** A life that followed refuses orders to the former one; that says nothing of the office. */
-  private onFenced(room: TargetRoom, outcome: OrderOutcome): boolean {
+  private onFenced(room: TargetState, outcome: CommandOutcome): boolean {
     const isFenced = outcome.kind === 'refused' && outcome.reason === 'fenced';
-    if (isFenced && !room.isOver) {
+    if (isFenced && !room.isRemoved) {
       this.desk.onFenced();
     }
-    return isFenced || this.desk.isOver;
+    return isFenced || this.desk.isClosed;
   }
 
-  private isBooked(booking: Booking): boolean {
-    const {room, task, run} = booking;
-    return !this.desk.isOver && room.find(task, run) === booking;
+  private isBooked(booking: Allocation): boolean {
+    const {target: room, task, run} = booking;
+    return !this.desk.isClosed && room.findAllocation(task, run) === booking;
   }
 
-  private isWanted(booking: Booking): boolean {
+  private isWanted(booking: Allocation): boolean {
     return this.isBooked(booking) && booking.state === 'ordered';
   }
 }
 
 /** End of a lease granted now, on the target's clock; undefined while that is unknown. */
-export function leaseUntil(
-  room: TargetRoom,
+export function computeLeaseEnd(
+  room: TargetState,
   settings: DispatchSettings,
   now: number,
 ): number | undefined {
-  const clock = room.leastClock(now);
+  const clock = room.estimateMinClock(now);
   return clock === undefined
     ? undefined
-    : clock + settings.maxLease - LEASE_MARGIN;
+    : clock + settings.maxLease - LEASE_MARGIN_MS;
 }
--- a/packages/dispatch/src/dispatch_service.ts
+++ b/packages/dispatch/src/dispatch_service.ts
@@ -11,31 +11,35 @@
   Leadership,
 } from '@galenavalve/workload';
 import {encodeLeadership} from '@galenavalve/workload';
-import {Dispatcher, type DispatcherParts} from './dispatcher.js';
-import type {OfficeAppend} from './job_log.js';
-import {OfficeWatch, type Standing, nextEpoch} from './office.js';
+import {Dispatcher, type DispatcherDependencies} from './dispatcher.js';
+import type {FencedAppendOutcome} from './fenced_log.js';
+import {
+  LeaderMonitor,
+  type CandidateRank,
+  chooseNextEpoch,
+} from './leader_monitor.js';
 import type {TargetInfo} from './target_info.js';
 
 /** Longest wait for the answer to a claim, and for reading it back, in milliseconds. */
-const CLAIM_TIMEOUT = 1500;
+const CLAIM_TIMEOUT_MS = 1500;
 
 /** Claims that are made only if nothing was written since the log was read, and one more without that condition. */
-const CLAIM_TRIES = 4;
+const MAX_CLAIM_ATTEMPTS = 4;
 
 /** The office is looked at this often, in milliseconds. */
-const WATCH_INTERVAL = 100;
+const LEADER_CHECK_INTERVAL_MS = 100;
 
 /** Shortest pause between two looks, in milliseconds; ranks are told apart by some ten times as much. */
-const SHORTEST_WATCH = 5;
+const MIN_LEADER_CHECK_INTERVAL_MS = 5;
 
 /** Instances of a rank below this read nearly as fast as the holder, to notice its end. */
-const NEXT_IN_LINE = 3;
+const STANDBY_RANKS = 3;
 
 /** Time that records gather for those, in milliseconds; a fraction of the silence that makes the office vacant. */
-const HEIR_PAUSE = 80;
+const STANDBY_READ_DELAY_MS = 80;
 
 /** The same for all others; callers who ask are answered from a read of that moment. */
-const READER_PAUSE = 400;
+const PASSIVE_READ_DELAY_MS = 400;
 
 /** What the registry of targets says; followed only while the office is held. */
 export interface TargetRegistry {
@@ -49,44 +53,49 @@
 
 /** The part of an instance that dispatches when it is its turn. */
 export class DispatchService {
-  private readonly watch: OfficeWatch;
+  private readonly watch: LeaderMonitor;
   private dispatcher?: Dispatcher;
   private isClosed = false;
 
   constructor(
-    private readonly parts: Omit<DispatcherParts, 'onLost'>,
+    private readonly parts: Omit<DispatcherDependencies, 'onLeadershipLost'>,
     private readonly follower: Follower,
     private readonly registry: TargetRegistry,
     private readonly holder: string,
-    private readonly standing: () => Standing,
+    private readonly standing: () => CandidateRank,
   ) {
-    this.watch = new OfficeWatch(parts.clock.now(), parts.random, standing);
+    this.watch = new LeaderMonitor(parts.clock.now(), parts.random, standing);
   }
 
   /** Whether this instance dispatches now. */
   get isDispatching(): boolean {
-    return this.dispatcher !== undefined && !this.dispatcher.isOver;
+    return this.dispatcher !== undefined && !this.dispatcher.isClosed;
   }
 
   /** How long this instance lets records of the job log gather before it reads on: each read is paid for, and its processor is small. */
-  get newsPause(): Milliseconds {
+  get readDelay(): Milliseconds {
     if (this.isDispatching) {
       return 0;
     }
-    return this.standing().rank < NEXT_IN_LINE ? HEIR_PAUSE : READER_PAUSE;
+    return this.standing().rank < STANDBY_RANKS
+      ? STANDBY_READ_DELAY_MS
+      : PASSIVE_READ_DELAY_MS;
   }
 
   /** Claims the office whenever it is vacant, until closed. */
   async run(): Promise<void> {
     const {clock, logger} = this.parts;
     while (!this.isClosed) {
-      const due = this.watch.timeToClaim(clock.now());
+      const due = this.watch.computeTimeToClaim(clock.now());
       await clock.sleep(
-        Math.min(WATCH_INTERVAL, Math.max(SHORTEST_WATCH, due)),
+        Math.min(
+          LEADER_CHECK_INTERVAL_MS,
+          Math.max(MIN_LEADER_CHECK_INTERVAL_MS, due),
+        ),
       );
       const now = clock.now();
       const isIdle = !this.isClosed && !this.isDispatching;
-      if (isIdle && this.follower.isCaughtUp && this.watch.isVacant(now)) {
+      if (isIdle && this.follower.isCaughtUp && this.watch.isClaimDue(now)) {
         try {
           await this.claim();
         } catch (error) {
@@ -105,8 +114,8 @@
   }
 
   /** The log answered. */
-  onLogAnswer(now: Instant): void {
-    this.watch.onLogAnswer(now);
+  onLogResponse(now: Instant): void {
+    this.watch.onLogResponse(now);
   }
 
   /** A record of the job log was applied. */
@@ -114,20 +123,20 @@
     if (record.kind === 'leadership') {
       this.onLeadership(record.leadership, now);
     } else if (record.kind === 'progress' && this.follower.isCaughtUp) {
-      this.watch.onHolderRecord(undefined, now);
+      this.watch.onLeaderRecord(undefined, now);
     } else if (record.kind === 'accepted') {
       const entry = this.parts.table.find(record.id);
       if (entry) {
         this.onAccepted(entry);
       }
     } else if (record.kind === 'cancelled') {
-      this.dispatcher?.onCancelled(record.id);
+      this.dispatcher?.onJobCancelled(record.id);
     }
   }
 
   private onAccepted(entry: JobEntry): void {
     if (this.isDispatching) {
-      this.dispatcher!.onAccepted(entry);
+      this.dispatcher!.onJobAccepted(entry);
     }
   }
 
@@ -135,10 +144,11 @@
     const {writtenAt} = leadership;
     if (!this.follower.isCaughtUp && writtenAt !== undefined) {
       const age = this.parts.clock.wallTime() - writtenAt;
-      const isOwn = instanceOf(leadership.holder) === instanceOf(this.holder);
-      this.watch.onFirstSign(leadership, age, isOwn, now);
+      const isOwn =
+        parseInstanceName(leadership.holder) === parseInstanceName(this.holder);
+      this.watch.onInitialLeaderRecord(leadership, age, isOwn, now);
     } else {
-      this.watch.onHolderRecord(leadership, now);
+      this.watch.onLeaderRecord(leadership, now);
     }
     const own = this.dispatcher;
     if (own && leadership.epoch > own.epoch) {
@@ -149,15 +159,15 @@
   /** Claims the office if the log, read to its end, says that it is vacant. */
   private async claim(): Promise<void> {
     const {log, table, random, clock, logger} = this.parts;
-    for (let attempt = 1; attempt <= CLAIM_TRIES; attempt++) {
-      const isCurrent = await this.follower.refresh(CLAIM_TIMEOUT);
-      const isVacant = this.watch.isVacant(clock.now());
+    for (let attempt = 1; attempt <= MAX_CLAIM_ATTEMPTS; attempt++) {
+      const isCurrent = await this.follower.refresh(CLAIM_TIMEOUT_MS);
+      const isVacant = this.watch.isClaimDue(clock.now());
       if (!isCurrent || !isVacant || this.isClosed) {
         logger.info('claim-left', {attempt, isCurrent, isVacant});
         return;
       }
       const leadership: Leadership = {
-        epoch: nextEpoch(table.leadership, random),
+        epoch: chooseNextEpoch(table.leadership, random),
         holder: this.holder,
       };
       logger.info('office-claimed', {
@@ -169,10 +179,14 @@
         epoch: leadership.epoch,
         sequence: 0,
         // A slow log may move between every read and append.
-        endsAt: attempt < CLAIM_TRIES ? this.follower.next : undefined,
+        endsAt: attempt < MAX_CLAIM_ATTEMPTS ? this.follower.next : undefined,
       };
       const record = encodeLeadership(leadership);
-      const result = await log.appendAs(fencing, [record], CLAIM_TIMEOUT);
+      const result = await log.appendFenced(
+        fencing,
+        [record],
+        CLAIM_TIMEOUT_MS,
+      );
       if (await this.isClaimed(leadership, result)) {
         await this.dispatch(leadership, clock.now());
         return;
@@ -188,13 +202,13 @@
   /** Whether the claim is in the log and the newest. A rival with the same epoch would be told of this claim's place, or of its own; a claim that came twice is told that the log moved. */
   private async isClaimed(
     leadership: Leadership,
-    result: OfficeAppend,
+    result: FencedAppendOutcome,
   ): Promise<boolean> {
     const isRead =
       result.kind === 'appended'
-        ? await this.follower.reach(result.offset, CLAIM_TIMEOUT)
+        ? await this.follower.reach(result.offset, CLAIM_TIMEOUT_MS)
         : result.kind === 'moved' &&
-          (await this.follower.refresh(CLAIM_TIMEOUT));
+          (await this.follower.refresh(CLAIM_TIMEOUT_MS));
     const newest = this.parts.table.leadership;
     const isOwn =
       newest?.epoch === leadership.epoch && newest.holder === this.holder;
@@ -203,7 +217,7 @@
 
   private async dispatch(leadership: Leadership, now: Instant): Promise<void> {
     const dispatcher = new Dispatcher(
-      {...this.parts, onLost: () => this.registry.close()},
+      {...this.parts, onLeadershipLost: () => this.registry.close()},
       leadership,
       now,
     );
@@ -232,6 +246,6 @@
 }
 
 /** The instance of a holder's name, whose other parts tell its lives apart. */
-function instanceOf(holder: string): string {
+function parseInstanceName(holder: string): string {
   return holder.split('/')[0] ?? holder;
 }
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -12,34 +12,39 @@
   type Leadership,
   parseTaskName,
 } from '@galenavalve/workload';
-import {AdviceBook} from './advice_book.js';
+import {AdviceCache} from './advice_cache.js';
 import type {Advisor} from './advisor.js';
 import {ChangedJobs} from './changed_jobs.js';
-import {Estimates} from './estimates.js';
-import type {OfficeLog} from './job_log.js';
-import {addDueOccurrences, createJobRun} from './job_runs.js';
-import {LifeEnds} from './life_ends.js';
-import {takeListing} from './listings.js';
-import {OldJobs} from './old_jobs.js';
-import {Orders} from './orders.js';
-import {OrderPacer} from './order_pacer.js';
-import {Passes} from './passes.js';
-import {type Situation, objectiveOf} from './policy/index.js';
+import {DurationEstimator} from './duration_estimator.js';
+import type {FencedLog} from './fenced_log.js';
+import {addDueOccurrences, createActiveJob} from './job_lifecycle.js';
+import {IncarnationCleanup} from './incarnation_cleanup.js';
+import {applyListing} from './target_listing.js';
+import {ExpiredJobs} from './expired_jobs.js';
+import {CommandSender} from './command_sender.js';
+import {CallPacer} from './call_pacer.js';
+import {PassRunner} from './pass_runner.js';
+import {type SchedulingSnapshot, computeObjective} from './policy/index.js';
 import {RecordWriter} from './record_writer.js';
-import {RoomDirectory} from './room_directory.js';
-import {RunBook} from './run_book.js';
-import {type Booking, type JobRun, type UnitRun, countRuns} from './runs.js';
+import {TargetDirectory} from './target_directory.js';
+import {RunTracker} from './run_tracker.js';
+import {
+  type Allocation,
+  type ActiveJob,
+  type ActiveUnit,
+  findMaxRunCount,
+} from './active_job.js';
 import {
   type DispatchSettings,
-  LISTING_FRESHNESS,
-  SLOWEST_CLOCK,
-  TICK,
-  UNCONFIRMED_LIMIT,
+  MAX_LISTING_AGE_MS,
+  MIN_CLOCK_RATE,
+  TICK_INTERVAL_MS,
+  MAX_UNCONFIRMED_MS,
 } from './settings.js';
-import {watchRuns} from './straggler_watch.js';
+import {stopStragglers} from './stragglers.js';
 import type {TargetInfo} from './target_info.js';
 import type {TargetListing, TargetPort} from './target_port.js';
-import type {TargetRoom} from './target_room.js';
+import type {TargetState} from './target_state.js';
 import {TargetSessions} from './target_sessions.js';
 
 /** What the desired state says to the dispatcher. */
@@ -49,9 +54,9 @@
 }
 
 /** What a dispatcher works with. */
-export interface DispatcherParts {
+export interface DispatcherDependencies {
   table: JobTable;
-  log: OfficeLog;
+  log: FencedLog;
   targets: TargetPort;
   advisor: Advisor;
   rules: () => DispatchRules;
@@ -60,50 +65,50 @@
   random: Random;
   logger: Logger;
   /** The office was lost. */
-  onLost: () => void;
+  onLeadershipLost: () => void;
 }
 
 /** The dispatcher of one epoch. */
 export class Dispatcher {
-  isOver = false;
+  isClosed = false;
   readonly epoch: number;
-  readonly estimates = new Estimates();
-  private readonly jobs = new Map<string, JobRun>();
+  readonly estimator = new DurationEstimator();
+  private readonly jobs = new Map<string, ActiveJob>();
   private readonly changes: ChangedJobs;
-  private readonly directory: RoomDirectory;
-  private readonly book: RunBook;
-  private readonly advice: AdviceBook;
-  private readonly orders: Orders;
+  private readonly directory: TargetDirectory;
+  private readonly book: RunTracker;
+  private readonly advice: AdviceCache;
+  private readonly orders: CommandSender;
   private readonly sessions: TargetSessions;
   private readonly writer: RecordWriter;
-  private readonly lifeEnds: LifeEnds;
-  private readonly oldJobs: OldJobs;
-  private readonly passes: Passes;
+  private readonly lifeEnds: IncarnationCleanup;
+  private readonly oldJobs: ExpiredJobs;
+  private readonly passes: PassRunner;
 
   constructor(
-    private readonly parts: DispatcherParts,
+    private readonly parts: DispatcherDependencies,
     leadership: Leadership,
     now: Instant,
   ) {
     const {settings, clock, random, logger, targets} = parts;
     this.epoch = leadership.epoch;
-    this.book = new RunBook(
+    this.book = new RunTracker(
       {
         onChange: job => this.onChange(job),
         onStop: booking => void this.orders.stop(booking),
       },
-      this.estimates,
+      this.estimator,
       logger,
     );
-    this.advice = new AdviceBook(
+    this.advice = new AdviceCache(
       parts.advisor,
-      () => this.directory.all(),
+      () => this.directory.listTargets(),
       () => this.passes.request(),
       clock,
       logger,
     );
-    const pacer = new OrderPacer(clock);
-    this.orders = new Orders(
+    const pacer = new CallPacer(clock);
+    this.orders = new CommandSender(
       this,
       targets,
       this.book,
@@ -112,9 +117,14 @@
       clock,
       logger,
     );
-    this.lifeEnds = new LifeEnds(this.epoch, this.book, this.orders, logger);
+    this.lifeEnds = new IncarnationCleanup(
+      this.epoch,
+      this.book,
+      this.orders,
+      logger,
+    );
     const {table} = parts;
-    this.oldJobs = new OldJobs(table, settings.keepEnded, clock, now);
+    this.oldJobs = new ExpiredJobs(table, settings.keepEnded, clock, now);
     this.sessions = new TargetSessions(
       this,
       targets,
@@ -124,27 +134,27 @@
       logger,
     );
     const othersOverAt =
-      now + UNCONFIRMED_LIMIT + settings.maxLease / SLOWEST_CLOCK;
-    this.directory = new RoomDirectory(
+      now + MAX_UNCONFIRMED_MS + settings.maxLease / MIN_CLOCK_RATE;
+    this.directory = new TargetDirectory(
       {
-        onRoom: room => void this.sessions.keep(room),
-        onReplaced: (room, next) => this.lifeEnds.onReplaced(room, next),
+        onTargetAdded: room => void this.sessions.maintain(room),
+        onTargetReplaced: (room, next) => this.lifeEnds.onReplaced(room, next),
       },
       othersOverAt,
     );
-    this.changes = new ChangedJobs(() => this.directory.all(), {
+    this.changes = new ChangedJobs(() => this.directory.listTargets(), {
       onRecorded: unit => {
-        if (!this.isOver) {
+        if (!this.isClosed) {
           this.orders.startUnit(unit);
         }
       },
       onEnded: job => this.onJobEnded(job),
     });
-    this.passes = new Passes(
+    this.passes = new PassRunner(
       {
-        describe: at => this.describe(at),
-        attempt: (work, act) => this.attempt(work, act),
-        onPass: () => this.writer.poke(),
+        createSnapshot: at => this.describe(at),
+        runGuarded: (work, act) => this.attempt(work, act),
+        onPass: () => this.writer.flush(),
       },
       this,
       this.book,
@@ -154,7 +164,7 @@
     this.writer = new RecordWriter(
       parts.log,
       leadership,
-      maxLength => this.changes.gather(maxLength, clock.wallTime()),
+      maxLength => this.changes.takeBatch(maxLength, clock.wallTime()),
       () => this.onFenced(),
       clock,
       random,
@@ -167,20 +177,20 @@
     const {clock, table} = this.parts;
     const now = clock.now();
     for (const info of targets) {
-      this.directory.onListed(info, now);
+      this.directory.onRegistered(info, now);
     }
     for (const entry of table.all()) {
-      this.onAccepted(entry);
+      this.onJobAccepted(entry);
     }
-    while (!this.isOver) {
+    while (!this.isClosed) {
       this.attempt('tick', () => this.tick(clock.now()));
-      await clock.sleep(TICK);
+      await clock.sleep(TICK_INTERVAL_MS);
     }
   }
 
   /** Steps down in good order. */
   async resign(): Promise<void> {
-    if (!this.isOver) {
+    if (!this.isClosed) {
       this.close();
       await this.writer.resign();
     }
@@ -188,24 +198,24 @@
 
   /** The registry lists a target. */
   onTarget(info: TargetInfo): void {
-    this.directory.onListed(info, this.parts.clock.now());
+    this.directory.onRegistered(info, this.parts.clock.now());
     this.passes.request();
   }
 
   /** The registry dropped a target. */
   onTargetGone(id: string): void {
-    this.directory.onUnlisted(id);
+    this.directory.onUnregistered(id);
   }
 
   /** A job was accepted, by this instance or another. */
-  onAccepted(entry: JobEntry): void {
+  onJobAccepted(entry: JobEntry): void {
     const {clock} = this.parts;
     const outcome = entry.progress?.outcome ?? 'active';
     if (this.jobs.has(entry.id) || outcome !== 'active') {
       return;
     }
     const now = clock.now();
-    const job = createJobRun(entry, now, clock.wallTime());
+    const job = createActiveJob(entry, now, clock.wallTime());
     this.jobs.set(job.id, job);
     for (const unit of job.units) {
       this.adopt(unit, now);
@@ -219,7 +229,7 @@
   }
 
   /** A job was cancelled. */
-  onCancelled(id: string): void {
+  onJobCancelled(id: string): void {
     const job = this.jobs.get(id);
     if (job && !job.isCancelled) {
       job.isCancelled = true;
@@ -227,56 +237,56 @@
     }
   }
 
-  onListing(room: TargetRoom, listing: TargetListing): void {
+  onListing(room: TargetState, listing: TargetListing): void {
     const context = {
       book: this.book,
       epoch: this.epoch,
       findUnit: (task: string) => this.findUnit(task),
-      onStray: (stray: Booking) => void this.orders.stop(stray),
+      onStray: (stray: Allocation) => void this.orders.stop(stray),
     };
     const now = this.parts.clock.now();
-    const wasOpen = room.isOpen(now, LISTING_FRESHNESS);
-    const hasChanged = takeListing(room, listing, context, now);
+    const wasOpen = room.isSchedulable(now, MAX_LISTING_AGE_MS);
+    const hasChanged = applyListing(room, listing, context, now);
     // Mere progress lets nothing start; the next tick sees it.
     if (hasChanged || !wasOpen) {
       this.passes.request();
     }
-    this.writer.poke();
+    this.writer.flush();
   }
 
-  onOtherLife(room: TargetRoom, born: number): void {
-    this.directory.onOtherLife(room, born);
+  onOtherIncarnation(room: TargetState, born: number): void {
+    this.directory.onOtherIncarnation(room, born);
   }
 
-  onSucceeded(room: TargetRoom): void {
-    this.lifeEnds.onSucceeded(room);
+  onAddressReassigned(room: TargetState): void {
+    this.lifeEnds.onAddressReassigned(room);
   }
 
-  onStopped(room: TargetRoom): void {
-    void this.sessions.look(room);
+  onStopAcknowledged(room: TargetState): void {
+    void this.sessions.pollOnce(room);
   }
 
   onFenced(): void {
-    if (!this.isOver) {
+    if (!this.isClosed) {
       this.parts.logger.warn('office-lost', {epoch: this.epoch});
       this.close();
-      this.parts.onLost();
+      this.parts.onLeadershipLost();
     }
   }
 
-  mayExtend(): boolean {
+  isLeaseExtensionAllowed(): boolean {
     const {clock} = this.parts;
-    const steady = clock.now() - this.writer.confirmedAt;
-    const wall = clock.wallTime() - this.writer.confirmedWallAt;
-    return Math.max(steady, wall) < UNCONFIRMED_LIMIT;
+    const steady = clock.now() - this.writer.lastConfirmedAt;
+    const wall = clock.wallTime() - this.writer.lastConfirmedWallTime;
+    return Math.max(steady, wall) < MAX_UNCONFIRMED_MS;
   }
 
-  ticketFor(unit: UnitRun, targetId: string): string | undefined {
-    return this.advice.ticketFor(unit, targetId);
+  findTicket(unit: ActiveUnit, targetId: string): string | undefined {
+    return this.advice.findTicket(unit, targetId);
   }
 
-  onTicketRefused(unit: UnitRun, targetId: string): void {
-    this.advice.onRefused(unit, targetId);
+  onTicketRefused(unit: ActiveUnit, targetId: string): void {
+    this.advice.onTicketRefused(unit, targetId);
   }
 
   /** Everything that is due by time alone. */
@@ -284,41 +294,41 @@
     const {clock, settings, logger} = this.parts;
     for (const job of this.jobs.values()) {
       const early = clock.wallTime() + settings.earlyTime / 2;
-      if (job.job.spec.schedule && addDueOccurrences(job, early)) {
+      if (job.accepted.spec.schedule && addDueOccurrences(job, early)) {
         this.onChange(job);
       }
     }
-    for (const room of [...this.directory.all()]) {
-      this.lifeEnds.dropLapsed(room, now);
+    for (const room of [...this.directory.listTargets()]) {
+      this.lifeEnds.dropExpiredRuns(room, now);
     }
-    watchRuns(this.jobs.values(), this.book, this.estimates, now, logger);
+    stopStragglers(this.jobs.values(), this.book, this.estimator, now, logger);
     this.directory.sweep(now, settings.maxLease);
-    this.writer.add(this.oldJobs.takeDue(now));
+    this.writer.add(this.oldJobs.encodeDueRemovals(now));
     this.passes.onTick(now);
-    this.writer.poke();
-    this.writer.beat(now);
+    this.writer.flush();
+    this.writer.writeHeartbeatIfDue(now);
   }
 
   private close(): void {
-    this.isOver = true;
+    this.isClosed = true;
     this.writer.close();
   }
 
   /** Books the run that the log says may be alive. */
-  private adopt(unit: UnitRun, now: Instant): void {
+  private adopt(unit: ActiveUnit, now: Instant): void {
     const {placedOn} = unit.progress;
     if (!placedOn) {
       return;
     }
     for (const [member, life] of placedOn.entries()) {
-      const room = this.directory.findLife(life);
-      const booking = this.book.book(unit, member, room, 0, now);
+      const room = this.directory.findOrCreateIncarnation(life);
+      const booking = this.book.allocate(unit, member, room, 0, now);
       booking.state = 'ordered';
     }
     unit.phase = unit.progress.isDone ? 'running' : 'starting';
   }
 
-  private onChange(job: JobRun): void {
+  private onChange(job: ActiveJob): void {
     if (this.jobs.get(job.id) !== job) {
       return;
     }
@@ -329,12 +339,12 @@
     this.passes.request();
   }
 
-  private stopJob(job: JobRun, reason: string): void {
+  private stopJob(job: ActiveJob, reason: string): void {
     this.changes.add(job);
     for (const unit of job.units) {
       this.book.stop(unit, reason);
     }
-    this.writer.poke();
+    this.writer.flush();
   }
 
   /** An unexpected error costs the work that it came up in, not the office. */
@@ -347,20 +357,20 @@
     }
   }
 
-  private describe(now: Instant): Situation {
+  private describe(now: Instant): SchedulingSnapshot {
     const {guarantees, evacuated} = this.parts.rules();
     return {
       jobs: [...this.jobs.values()],
-      rooms: [...this.directory.all()],
-      estimates: this.estimates,
+      targets: [...this.directory.listTargets()],
+      estimator: this.estimator,
       guarantees,
       evacuated,
       settings: this.parts.settings,
-      allowedFor: unit => this.advice.allowedFor(unit, now),
+      findAllowedTargets: unit => this.advice.findAllowedTargets(unit, now),
     };
   }
 
-  private findUnit(task: string): UnitRun | undefined {
+  private findUnit(task: string): ActiveUnit | undefined {
     const name = parseTaskName(task);
     const job = name && this.jobs.get(name.jobId);
     return job?.units.find(
@@ -371,16 +381,16 @@
     );
   }
 
-  private onJobEnded(job: JobRun): void {
+  private onJobEnded(job: ActiveJob): void {
     this.jobs.delete(job.id);
-    this.advice.forget(job.id);
+    this.advice.removeJob(job.id);
     this.parts.logger.info('job-ended', {
       job: job.id,
-      queue: job.job.queue,
+      queue: job.accepted.queue,
       outcome: job.progress.outcome,
       afterMs: Math.round(this.parts.clock.now() - job.acceptedAt),
-      objectiveMs: Math.round(objectiveOf(job.job)),
-      runs: countRuns(job),
+      objectiveMs: Math.round(computeObjective(job.accepted)),
+      runs: findMaxRunCount(job),
     });
   }
 }
--- a/packages/dispatch/src/estimates.ts
+++ b/packages/dispatch/src/duration_estimator.ts
@@ -2,31 +2,37 @@
 import type {Milliseconds} from '@galenavalve/shared';
 
 /** Weight of the newest observation. */
-const NEWEST_WEIGHT = 0.15;
+const NEWEST_RATIO_WEIGHT = 0.15;
 
 /** Ratios beyond these are taken as misreadings. */
-const LEAST_RATIO = 0.1;
-const MOST_RATIO = 10;
+const MIN_RATIO = 0.1;
+const MAX_RATIO = 10;
 
 /** Ratios of real to estimated durations, by queue. */
-export class Estimates {
+export class DurationEstimator {
   private readonly ratios = new Map<string, number>();
 
   /** Notes that a task of `queue` took `actual`. */
-  note(queue: string, estimate: Milliseconds, actual: Milliseconds): void {
+  recordDuration(
+    queue: string,
+    estimate: Milliseconds,
+    actual: Milliseconds,
+  ): void {
     if (estimate <= 0) {
       return;
     }
     const raw = actual / estimate;
-    const ratio = Math.min(MOST_RATIO, Math.max(LEAST_RATIO, raw));
+    const ratio = Math.min(MAX_RATIO, Math.max(MIN_RATIO, raw));
     const known = this.ratios.get(queue);
     const next =
-      known === undefined ? ratio : known + (ratio - known) * NEWEST_WEIGHT;
+      known === undefined
+        ? ratio
+        : known + (ratio - known) * NEWEST_RATIO_WEIGHT;
     this.ratios.set(queue, next);
   }
 
   /** Expected duration of a task. */
-  expect(queue: string, estimate: Milliseconds): Milliseconds {
+  estimateDuration(queue: string, estimate: Milliseconds): Milliseconds {
     return estimate * (this.ratios.get(queue) ?? 1);
   }
 }
--- a/packages/dispatch/src/old_jobs.ts
+++ b/packages/dispatch/src/expired_jobs.ts
@@ -7,16 +7,16 @@
 } from '@galenavalve/workload';
 
 /** Ended jobs are looked for this often, in milliseconds. */
-const FORGET_INTERVAL = 5000;
+const REMOVAL_INTERVAL_MS = 5000;
 
 /** Most jobs forgotten in one append. */
-const MAX_FORGOTTEN = 50;
+const MAX_REMOVALS_PER_APPEND = 50;
 
 /** Ended jobs are kept for this many times as long as callers may ask for them: clocks differ. */
-const KEEP_FACTOR = 2;
+const RETENTION_FACTOR = 2;
 
 /** Finds the jobs that nobody may ask for any more. */
-export class OldJobs {
+export class ExpiredJobs {
   constructor(
     private readonly table: JobTable,
     private readonly keepEnded: Milliseconds,
@@ -25,16 +25,18 @@
   ) {}
 
   /** The records that drop them; none until the next look is due. */
-  takeDue(now: Instant): KeyedRecord[] {
-    if (now - this.lookedAt < FORGET_INTERVAL) {
+  encodeDueRemovals(now: Instant): KeyedRecord[] {
+    if (now - this.lookedAt < REMOVAL_INTERVAL_MS) {
       return [];
     }
     this.lookedAt = now;
-    const limit = this.clock.wallTime() - KEEP_FACTOR * this.keepEnded;
+    const limit = this.clock.wallTime() - RETENTION_FACTOR * this.keepEnded;
     const old = [...this.table.all()].filter(
       ({progress}) =>
         progress?.endedAt !== undefined && progress.endedAt < limit,
     );
-    return old.slice(0, MAX_FORGOTTEN).flatMap(({id}) => encodeForgotten(id));
+    return old
+      .slice(0, MAX_REMOVALS_PER_APPEND)
+      .flatMap(({id}) => encodeForgotten(id));
   }
 }
--- a/packages/dispatch/src/job_log.ts
+++ b/packages/dispatch/src/fenced_log.ts
@@ -3,7 +3,7 @@
 import type {Milliseconds} from '@galenavalve/shared';
 
 /** What became of an append under an epoch. */
-export type OfficeAppend =
+export type FencedAppendOutcome =
   | {kind: 'appended'; offset: number}
   /** A higher epoch holds the office. */
   | {kind: 'fenced'}
@@ -15,7 +15,7 @@
   | {kind: 'unknown'; problem: string};
 
 /** Makes an append part of the sequence of an epoch. */
-export interface Fencing {
+export interface FencingToken {
   epoch: number;
   sequence: number;
   /** The append is made only if the log ends at this offset. */
@@ -23,10 +23,10 @@
 }
 
 /** Appends in the name of an epoch; a repeated sequence number is appended once. */
-export interface OfficeLog {
-  appendAs(
-    fencing: Fencing,
+export interface FencedLog {
+  appendFenced(
+    fencing: FencingToken,
     records: readonly KeyedRecord[],
     timeout: Milliseconds,
-  ): Promise<OfficeAppend>;
+  ): Promise<FencedAppendOutcome>;
 }
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -2,8 +2,12 @@
 
 // Ports that adapters implement
 export * from './target_port.js';
-export type {Fencing, OfficeAppend, OfficeLog} from './job_log.js';
-export {type TargetInfo, lifeKey} from './target_info.js';
+export type {
+  FencingToken,
+  FencedAppendOutcome,
+  FencedLog,
+} from './fenced_log.js';
+export {type TargetInfo, formatIncarnationKey} from './target_info.js';
 
 export {type Advice, type Advisor, NoAdvisor} from './advisor.js';
 
@@ -12,24 +16,24 @@
 export {
   Dispatcher,
   type DispatchRules,
-  type DispatcherParts,
+  type DispatcherDependencies,
 } from './dispatcher.js';
 export {
-  OFFICE_SILENCE,
-  OfficeWatch,
-  type Standing,
-  nextEpoch,
-} from './office.js';
+  LEADER_TIMEOUT_MS,
+  LeaderMonitor,
+  type CandidateRank,
+  chooseNextEpoch,
+} from './leader_monitor.js';
 export {DEFAULT_SETTINGS, type DispatchSettings} from './settings.js';
 
 // Decisions
 export * from './policy/index.js';
-export {Estimates} from './estimates.js';
+export {DurationEstimator} from './duration_estimator.js';
 export {
-  type Booking,
-  type JobRun,
-  type UnitRun,
-  createBooking,
-} from './runs.js';
-export {TargetRoom} from './target_room.js';
-export {createJobRun} from './job_runs.js';
+  type Allocation,
+  type ActiveJob,
+  type ActiveUnit,
+  createAllocation,
+} from './active_job.js';
+export {TargetState} from './target_state.js';
+export {createActiveJob} from './job_lifecycle.js';
--- a/packages/dispatch/src/job_runs.ts
+++ b/packages/dispatch/src/job_lifecycle.ts
@@ -8,18 +8,22 @@
   createProgress,
   isStepDone,
 } from '@galenavalve/workload';
-import {type JobRun, type UnitRun, hasNoAttemptLeft} from './runs.js';
+import {
+  type ActiveJob,
+  type ActiveUnit,
+  hasNoAttemptLeft,
+} from './active_job.js';
 
 /** A job that another dispatcher may have begun. `wallNow` is in Unix milliseconds. */
-export function createJobRun(
+export function createActiveJob(
   entry: JobEntry,
   now: Instant,
   wallNow: number,
-): JobRun {
+): ActiveJob {
   const age = Math.max(0, wallNow - entry.job.acceptedAt);
-  const run: JobRun = {
+  const run: ActiveJob = {
     id: entry.id,
-    job: entry.job,
+    accepted: entry.job,
     acceptedAt: now - age,
     progress: entry.progress?.read() ?? createProgress(entry.job.spec),
     isCancelled: entry.isCancelled,
@@ -35,8 +39,8 @@
 }
 
 /** Adds the occurrences that are due at `wallNow`. Returns whether there were any. */
-export function addDueOccurrences(run: JobRun, wallNow: number): boolean {
-  const {schedule} = run.job.spec;
+export function addDueOccurrences(run: ActiveJob, wallNow: number): boolean {
+  const {schedule} = run.accepted.spec;
   if (!schedule) {
     return false;
   }
@@ -49,7 +53,7 @@
     if (next >= schedule.times || wallNow < dueAt) {
       return hasAdded;
     }
-    const occurrence = createOccurrence(run.job.spec, next);
+    const occurrence = createOccurrence(run.accepted.spec, next);
     progress.occurrences.push(occurrence);
     addUnits(run, occurrence);
     hasAdded = true;
@@ -57,11 +61,11 @@
 }
 
 /** Drops occurrences that have ended and settles the job's outcome. `wallNow` is in Unix milliseconds. */
-export function settleJob(run: JobRun, wallNow: number): void {
+export function updateJobOutcome(run: ActiveJob, wallNow: number): void {
   const {progress} = run;
   dropDoneOccurrences(run);
-  const isAlive = run.units.some(unit => unit.bookings.length > 0);
-  const total = countOccurrences(run.job.spec);
+  const isAlive = run.units.some(unit => unit.allocations.length > 0);
+  const total = countOccurrences(run.accepted.spec);
   if (progress.doneOccurrences >= total) {
     progress.outcome = 'complete';
   } else if (run.hasFailed && !isAlive) {
@@ -75,7 +79,7 @@
 }
 
 /** Occurrences count as ended from the first one on, so that one number says which. */
-function dropDoneOccurrences(run: JobRun): void {
+function dropDoneOccurrences(run: ActiveJob): void {
   const {progress} = run;
   for (;;) {
     const first = progress.occurrences[0];
@@ -83,35 +87,35 @@
       return;
     }
     const isLast =
-      progress.doneOccurrences + 1 >= countOccurrences(run.job.spec);
+      progress.doneOccurrences + 1 >= countOccurrences(run.accepted.spec);
     progress.doneOccurrences++;
     progress.occurrences.shift();
     if (!isLast) {
       run.units = run.units.filter(
-        unit => unit.occurrence !== first.index || unit.bookings.length > 0,
+        unit => unit.occurrence !== first.index || unit.allocations.length > 0,
       );
     }
   }
 }
 
-function addUnits(run: JobRun, occurrence: Occurrence): void {
+function addUnits(run: ActiveJob, occurrence: Occurrence): void {
   for (const [stepIndex, units] of occurrence.steps.entries()) {
     for (const [unitIndex, progress] of units.entries()) {
-      const unit: UnitRun = {
+      const unit: ActiveUnit = {
         job: run,
         occurrence: occurrence.index,
         stepIndex,
         unitIndex,
-        step: run.job.spec.steps[stepIndex]!,
+        step: run.accepted.spec.steps[stepIndex]!,
         progress,
         phase: 'waiting',
-        bookings: [],
+        allocations: [],
         placedAt: run.acceptedAt,
         runningSince: run.acceptedAt,
         retryAt: -Infinity,
-        avoid: new Set(),
-        isFar: false,
-        resumeFrom: '',
+        avoidedTargets: new Set(),
+        hasLocalityPenalty: false,
+        resumeCheckpoint: '',
       };
       run.units.push(unit);
     }
--- a/packages/dispatch/src/policy/space.ts
+++ b/packages/dispatch/src/policy/candidate_target.ts
@@ -1,35 +1,35 @@
 /** The rooms of one decision, as plain numbers that the decision uses up while it places. */
 import type {Instant} from '@galenavalve/shared';
 import type {Demand} from '@galenavalve/workload';
-import type {Booking} from '../runs.js';
-import type {TargetRoom} from '../target_room.js';
+import type {Allocation} from '../active_job.js';
+import type {TargetState} from '../target_state.js';
 
 /** Room of one target during a decision. */
-export interface Space {
-  room: TargetRoom;
+export interface CandidateTarget {
+  target: TargetState;
   free: Demand;
   rack: string;
   domain: string;
   labels: readonly string[];
   slowness: number;
   /** Kept for a larger unit from this instant on: what goes there must have ended by then. */
-  keptFrom: Instant;
+  reservedFrom: Instant;
 }
 
 /** A unit to be placed. */
-export interface Seeker {
+export interface PlacementRequest {
   demand: Demand;
   count: number;
   isRackSensitive: boolean;
   requiredLabel?: string;
   dataRack?: string;
   /** Members of the step's occurrence that one target may still take. */
-  vacancy: (targetId: string) => number;
-  avoid: ReadonlySet<string>;
+  countRemainingMembers: (targetId: string) => number;
+  avoidedTargets: ReadonlySet<string>;
   /** Accelerators of room that twice the time on a target weighs as much as. */
   slownessWeight: number;
   /** Targets that the queue's advisor allows; absent without an advisor. */
-  allowed?: ReadonlySet<string>;
+  allowedTargets?: ReadonlySet<string>;
 }
 
 /** How many members of `seeker` fit into `free`. */
@@ -48,18 +48,27 @@
 }
 
 /** Members that a target may take by the seeker's constraints, whatever its room. */
-export function allowedMembers(seeker: Seeker, space: Space): number {
-  const {id} = space.room.info;
+export function countAllowedMembers(
+  seeker: PlacementRequest,
+  space: CandidateTarget,
+): number {
+  const {id} = space.target.info;
   const isBarred =
     (seeker.requiredLabel !== undefined &&
       !space.labels.includes(seeker.requiredLabel)) ||
-    seeker.avoid.has(id) ||
-    (seeker.allowed !== undefined && !seeker.allowed.has(id));
-  return isBarred ? 0 : Math.min(seeker.count, seeker.vacancy(id));
+    seeker.avoidedTargets.has(id) ||
+    (seeker.allowedTargets !== undefined && !seeker.allowedTargets.has(id));
+  return isBarred
+    ? 0
+    : Math.min(seeker.count, seeker.countRemainingMembers(id));
 }
 
 /** Takes `members` of `demand` out of a space. */
-export function take(space: Space, demand: Demand, members: number): void {
+export function deductCapacity(
+  space: CandidateTarget,
+  demand: Demand,
+  members: number,
+): void {
   space.free = {
     cpu: space.free.cpu - demand.cpu * members,
     memoryMb: space.free.memoryMb - demand.memoryMb * members,
@@ -68,7 +77,7 @@
 }
 
 /** Adds the room of a booking. */
-export function give(free: Demand, {demand}: Booking): Demand {
+export function addAllocation(free: Demand, {demand}: Allocation): Demand {
   return {
     cpu: free.cpu + demand.cpu,
     memoryMb: free.memoryMb + demand.memoryMb,
@@ -77,8 +86,10 @@
 }
 
 /** Groups spaces by rack. */
-export function groupByRack(spaces: readonly Space[]): Map<string, Space[]> {
-  const racks = new Map<string, Space[]>();
+export function groupByRack(
+  spaces: readonly CandidateTarget[],
+): Map<string, CandidateTarget[]> {
+  const racks = new Map<string, CandidateTarget[]>();
   for (const space of spaces) {
     const rack = racks.get(space.rack);
     if (rack) {
@@ -91,14 +102,18 @@
 }
 
 /** The groups of targets of which one must hold all members: racks, or everything. */
-export function groupsFor(
-  seeker: Seeker,
-  spaces: readonly Space[],
-): Array<readonly Space[]> {
+export function listPlacementGroups(
+  seeker: PlacementRequest,
+  spaces: readonly CandidateTarget[],
+): Array<readonly CandidateTarget[]> {
   return seeker.isRackSensitive ? [...groupByRack(spaces).values()] : [spaces];
 }
 
 /** Members that a target with `room` left may take. */
-export function fitsOf(seeker: Seeker, space: Space, room: Demand): number {
-  return countFits(room, seeker.demand, allowedMembers(seeker, space));
+export function countFittingMembers(
+  seeker: PlacementRequest,
+  space: CandidateTarget,
+  room: Demand,
+): number {
+  return countFits(room, seeker.demand, countAllowedMembers(seeker, space));
 }
--- a/packages/dispatch/src/policy/index.ts
+++ b/packages/dispatch/src/policy/index.ts
@@ -1,5 +1,10 @@
 /** Decisions: who starts, where, and who is stopped for it. */
-export {type Decision, type Situation, decide} from './decision.js';
-export type {Start} from './seeker.js';
-export {type Placement, type Share} from './search.js';
-export {Tier, type Urgency, objectiveOf, rateUrgency} from './urgency.js';
+export {type Decision, type SchedulingSnapshot, decide} from './decision.js';
+export type {PlannedStart} from './placement_request.js';
+export {type Placement, type PlacementShare} from './placement_search.js';
+export {
+  UrgencyTier,
+  type Urgency,
+  computeObjective,
+  rateUrgency,
+} from './urgency.js';
--- a/packages/dispatch/src/policy/reclaim.ts
+++ b/packages/dispatch/src/policy/reclaim.ts
@@ -1,39 +1,39 @@
 /** Chooses whom to stop so that urgent work finds room, with the least work thrown away. */
 import type {Demand} from '@galenavalve/workload';
-import type {Booking, UnitRun} from '../runs.js';
-import type {TargetRoom} from '../target_room.js';
-import {chooseFullest} from './reservation.js';
+import type {Allocation, ActiveUnit} from '../active_job.js';
+import type {TargetState} from '../target_state.js';
+import {chooseFewestTargets} from './reservation.js';
 import {
-  type Seeker,
-  type Space,
-  allowedMembers,
-  fitsOf,
-  give,
-  groupsFor,
-} from './space.js';
+  type PlacementRequest,
+  type CandidateTarget,
+  countAllowedMembers,
+  countFittingMembers,
+  addAllocation,
+  listPlacementGroups,
+} from './candidate_target.js';
 
 /** What stopping a unit would throw away; Infinity for one that may not be stopped. */
-export type StopCost = (unit: UnitRun) => number;
+export type StopCostEstimator = (unit: ActiveUnit) => number;
 
 /** Whether the run of a booking ends by itself in time for the seeker. */
-export type EndsInTime = (booking: Booking) => boolean;
+export type EndPredicate = (booking: Allocation) => boolean;
 
 /** Units to stop, and where the room will be. */
-export interface Reclaim {
-  victims: UnitRun[];
-  spaces: Space[];
+export interface ReclaimPlan {
+  victims: ActiveUnit[];
+  candidates: CandidateTarget[];
   cost: number;
 }
 
 /** The cheapest way to make room for `seeker`; undefined when there is none. */
 export function planReclaim(
-  seeker: Seeker,
-  spaces: readonly Space[],
-  costOf: StopCost,
-  endsInTime: EndsInTime,
-): Reclaim | undefined {
-  let best: Reclaim | undefined;
-  for (const group of groupsFor(seeker, spaces)) {
+  seeker: PlacementRequest,
+  spaces: readonly CandidateTarget[],
+  costOf: StopCostEstimator,
+  endsInTime: EndPredicate,
+): ReclaimPlan | undefined {
+  let best: ReclaimPlan | undefined;
+  for (const group of listPlacementGroups(seeker, spaces)) {
     const plan = planGroup(seeker, group, costOf, endsInTime);
     if (plan && (!best || plan.cost < best.cost)) {
       best = plan;
@@ -43,31 +43,31 @@
 }
 
 function planGroup(
-  seeker: Seeker,
-  group: readonly Space[],
-  costOf: StopCost,
-  endsInTime: EndsInTime,
-): Reclaim | undefined {
-  const usable = group.filter(space => allowedMembers(seeker, space) > 0);
-  const free = new Map<Space, Demand>();
-  const candidates = new Set<UnitRun>();
+  seeker: PlacementRequest,
+  group: readonly CandidateTarget[],
+  costOf: StopCostEstimator,
+  endsInTime: EndPredicate,
+): ReclaimPlan | undefined {
+  const usable = group.filter(space => countAllowedMembers(seeker, space) > 0);
+  const free = new Map<CandidateTarget, Demand>();
+  const candidates = new Set<ActiveUnit>();
   for (const space of usable) {
     // Room of runs that are being stopped, or end in time, comes by itself.
     let room = space.free;
-    for (const booking of space.room.bookings.values()) {
+    for (const booking of space.target.allocations.values()) {
       const {unit} = booking;
-      if (isLeaving(booking) || endsInTime(booking)) {
-        room = give(room, booking);
+      if (isBeingFreed(booking) || endsInTime(booking)) {
+        room = addAllocation(room, booking);
       } else if (unit && Number.isFinite(costOf(unit))) {
         candidates.add(unit);
       }
     }
     free.set(space, room);
   }
-  const spaceOf = new Map(usable.map(space => [space.room, space]));
-  const victims: UnitRun[] = [];
+  const spaceOf = new Map(usable.map(space => [space.target, space]));
+  const victims: ActiveUnit[] = [];
   let cost = 0;
-  let fits = countAll(seeker, free);
+  let fits = countAllFittingMembers(seeker, free);
   while (fits < seeker.count) {
     const missing = seeker.count - fits;
     const next = chooseVictim(
@@ -84,31 +84,31 @@
     candidates.delete(next);
     victims.push(next);
     cost += costOf(next);
-    for (const [space, room] of freedBy(next, free, spaceOf)) {
-      fits += fitsOf(seeker, space, room);
-      fits -= fitsOf(seeker, space, free.get(space)!);
+    for (const [space, room] of computeFreedCapacity(next, free, spaceOf)) {
+      fits += countFittingMembers(seeker, space, room);
+      fits -= countFittingMembers(seeker, space, free.get(space)!);
       free.set(space, room);
     }
   }
-  return {victims, spaces: chooseFullest(seeker, free), cost};
+  return {victims, candidates: chooseFewestTargets(seeker, free), cost};
 }
 
 /** The unit that gives most members a place for its cost. */
 function chooseVictim(
-  seeker: Seeker,
-  free: ReadonlyMap<Space, Demand>,
-  spaceOf: ReadonlyMap<TargetRoom, Space>,
-  candidates: ReadonlySet<UnitRun>,
+  seeker: PlacementRequest,
+  free: ReadonlyMap<CandidateTarget, Demand>,
+  spaceOf: ReadonlyMap<TargetState, CandidateTarget>,
+  candidates: ReadonlySet<ActiveUnit>,
   missing: number,
-  costOf: StopCost,
-): UnitRun | undefined {
-  let best: UnitRun | undefined;
+  costOf: StopCostEstimator,
+): ActiveUnit | undefined {
+  let best: ActiveUnit | undefined;
   let bestRate = Infinity;
   for (const unit of candidates) {
     let gain = 0;
-    for (const [space, room] of freedBy(unit, free, spaceOf)) {
-      gain += fitsOf(seeker, space, room);
-      gain -= fitsOf(seeker, space, free.get(space)!);
+    for (const [space, room] of computeFreedCapacity(unit, free, spaceOf)) {
+      gain += countFittingMembers(seeker, space, room);
+      gain -= countFittingMembers(seeker, space, free.get(space)!);
     }
     gain = Math.min(gain, missing);
     // Several small runs may have to go before one member fits.
@@ -121,29 +121,35 @@
   return best;
 }
 
-function freedBy(
-  unit: UnitRun,
-  free: ReadonlyMap<Space, Demand>,
-  spaceOf: ReadonlyMap<TargetRoom, Space>,
-): Map<Space, Demand> {
-  const after = new Map<Space, Demand>();
-  for (const booking of unit.bookings) {
-    const space = spaceOf.get(booking.room);
+function computeFreedCapacity(
+  unit: ActiveUnit,
+  free: ReadonlyMap<CandidateTarget, Demand>,
+  spaceOf: ReadonlyMap<TargetState, CandidateTarget>,
+): Map<CandidateTarget, Demand> {
+  const after = new Map<CandidateTarget, Demand>();
+  for (const booking of unit.allocations) {
+    const space = spaceOf.get(booking.target);
     if (space) {
-      after.set(space, give(after.get(space) ?? free.get(space)!, booking));
+      after.set(
+        space,
+        addAllocation(after.get(space) ?? free.get(space)!, booking),
+      );
     }
   }
   return after;
 }
 
-function isLeaving(booking: Booking): boolean {
+function isBeingFreed(booking: Allocation): boolean {
   return booking.isBeingStopped || booking.unit?.phase === 'stopping';
 }
 
-function countAll(seeker: Seeker, free: ReadonlyMap<Space, Demand>): number {
+function countAllFittingMembers(
+  seeker: PlacementRequest,
+  free: ReadonlyMap<CandidateTarget, Demand>,
+): number {
   let total = 0;
   for (const [space, room] of free) {
-    total += fitsOf(seeker, space, room);
+    total += countFittingMembers(seeker, space, room);
   }
   return total;
 }
--- a/packages/dispatch/src/policy/reservation.ts
+++ b/packages/dispatch/src/policy/reservation.ts
@@ -1,66 +1,70 @@
 /** Keeps room for a unit that does not fit yet, so that small work does not starve it. */
 import type {Instant} from '@galenavalve/shared';
 import type {Demand} from '@galenavalve/workload';
-import type {Booking} from '../runs.js';
+import type {Allocation} from '../active_job.js';
 import {
-  type Seeker,
-  type Space,
-  allowedMembers,
-  fitsOf,
-  give,
-  groupsFor,
-} from './space.js';
+  type PlacementRequest,
+  type CandidateTarget,
+  countAllowedMembers,
+  countFittingMembers,
+  addAllocation,
+  listPlacementGroups,
+} from './candidate_target.js';
 
 /** When the run of a booking is expected to end. */
-export type ExpectEnd = (booking: Booking) => Instant;
+export type EndEstimator = (booking: Allocation) => Instant;
 
-interface Opening {
+interface ReservationPlan {
   at: Instant;
-  spaces: Space[];
+  candidates: CandidateTarget[];
 }
 
 /** Marks the targets that will first have room for all members; false when none ever will. */
-export function reserve(
-  seeker: Seeker,
-  spaces: readonly Space[],
-  expectEnd: ExpectEnd,
+export function reserveTargets(
+  seeker: PlacementRequest,
+  spaces: readonly CandidateTarget[],
+  expectEnd: EndEstimator,
   now: Instant,
 ): boolean {
-  let best: Opening | undefined;
-  for (const group of groupsFor(seeker, spaces)) {
-    const opening = findOpening(seeker, group, expectEnd, now);
+  let best: ReservationPlan | undefined;
+  for (const group of listPlacementGroups(seeker, spaces)) {
+    const opening = planReservation(seeker, group, expectEnd, now);
     if (opening && (!best || opening.at < best.at)) {
       best = opening;
     }
   }
-  for (const space of best?.spaces ?? []) {
-    space.keptFrom = Math.min(space.keptFrom, best!.at);
+  for (const space of best?.candidates ?? []) {
+    space.reservedFrom = Math.min(space.reservedFrom, best!.at);
   }
   return best !== undefined;
 }
 
 /** Lets the bookings of a group end one after the other until the unit fits. */
-function findOpening(
-  seeker: Seeker,
-  group: readonly Space[],
-  expectEnd: ExpectEnd,
+function planReservation(
+  seeker: PlacementRequest,
+  group: readonly CandidateTarget[],
+  expectEnd: EndEstimator,
   now: Instant,
-): Opening | undefined {
-  const free = new Map<Space, Demand>();
-  const ends: Array<{space: Space; booking: Booking; at: Instant}> = [];
+): ReservationPlan | undefined {
+  const free = new Map<CandidateTarget, Demand>();
+  const ends: Array<{
+    space: CandidateTarget;
+    booking: Allocation;
+    at: Instant;
+  }> = [];
   for (const space of group) {
-    if (allowedMembers(seeker, space) === 0) {
+    if (countAllowedMembers(seeker, space) === 0) {
       continue;
     }
     free.set(space, space.free);
-    for (const booking of space.room.bookings.values()) {
+    for (const booking of space.target.allocations.values()) {
       ends.push({space, booking, at: Math.max(now, expectEnd(booking))});
     }
   }
   ends.sort((a, b) => a.at - b.at);
   let total = 0;
   for (const [space, room] of free) {
-    total += fitsOf(seeker, space, room);
+    total += countFittingMembers(seeker, space, room);
   }
   let at = now;
   for (const end of ends) {
@@ -68,28 +72,31 @@
       break;
     }
     const before = free.get(end.space)!;
-    const after = give(before, end.booking);
+    const after = addAllocation(before, end.booking);
     free.set(end.space, after);
-    total += fitsOf(seeker, end.space, after);
-    total -= fitsOf(seeker, end.space, before);
+    total += countFittingMembers(seeker, end.space, after);
+    total -= countFittingMembers(seeker, end.space, before);
     at = end.at;
   }
   if (total < seeker.count) {
     return undefined;
   }
-  return {at, spaces: chooseFullest(seeker, free)};
+  return {at, candidates: chooseFewestTargets(seeker, free)};
 }
 
 /** The fewest targets that together take all members. */
-export function chooseFullest(
-  seeker: Seeker,
-  free: ReadonlyMap<Space, Demand>,
-): Space[] {
+export function chooseFewestTargets(
+  seeker: PlacementRequest,
+  free: ReadonlyMap<CandidateTarget, Demand>,
+): CandidateTarget[] {
   const byFits = [...free]
-    .map(([space, room]) => ({space, fits: fitsOf(seeker, space, room)}))
+    .map(([space, room]) => ({
+      space,
+      fits: countFittingMembers(seeker, space, room),
+    }))
     .filter(({fits}) => fits > 0)
     .sort((a, b) => b.fits - a.fits);
-  const chosen: Space[] = [];
+  const chosen: CandidateTarget[] = [];
   let missing = seeker.count;
   for (const {space, fits} of byFits) {
     if (missing <= 0) {
--- a/packages/dispatch/src/policy/stop_cost.ts
+++ b/packages/dispatch/src/policy/stop_cost.ts
@@ -1,8 +1,8 @@
 /** What stopping a unit throws away. */
 import type {Instant} from '@galenavalve/shared';
-import {type JobRun, type UnitRun, memberCount} from '../runs.js';
+import {type ActiveJob, type ActiveUnit, countMembers} from '../active_job.js';
 import type {DispatchSettings} from '../settings.js';
-import {Tier, type Urgency} from './urgency.js';
+import {UrgencyTier, type Urgency} from './urgency.js';
 
 /** Cores that an accelerator weighs as much as; the platform's prices count so. */
 const CORES_PER_ACCELERATOR = 8;
@@ -11,20 +11,21 @@
 const LATENESS_SHARE = 0.7;
 
 /** Fixed cost of a stop, in seconds of the unit's work: it waits, and is started again. */
-const RESTART_SECONDS = 1;
+const RESTART_COST_SECONDS = 1;
 
 /**
  * Work lost by stopping `victim` for `claimant`, in core-seconds; Infinity
  * for one that must not be stopped for it.
  */
-export function stopCost(
-  victim: UnitRun,
-  claimant: JobRun,
+export function computeStopCost(
+  victim: ActiveUnit,
+  claimant: ActiveJob,
   urgency: Urgency,
   settings: DispatchSettings,
   now: Instant,
 ): number {
-  const isLower = victim.job.job.terms.priority > claimant.job.terms.priority;
+  const isLower =
+    victim.job.accepted.terms.priority > claimant.accepted.terms.priority;
   const isStoppable = victim.phase === 'running' || victim.phase === 'starting';
   const isServing = victim.step.isLongRunning && victim.step.maxUnavailable > 0;
   if (isServing || !isLower || !isStoppable || victim.progress.isDone) {
@@ -37,10 +38,11 @@
     : ran;
   const cores =
     step.demand.cpu / 1000 + step.demand.accelerators * CORES_PER_ACCELERATOR;
-  const lost = cores * memberCount(victim) * (unsaved / 1000 + RESTART_SECONDS);
+  const lost =
+    cores * countMembers(victim) * (unsaved / 1000 + RESTART_COST_SECONDS);
   const again = step.savesProgress ? 0 : ran;
   const becomesLate =
-    urgency.tier === Tier.OnTime && now + again > urgency.latestStart;
-  const whole = (cores * memberCount(victim) * step.estimateMs) / 1000;
+    urgency.tier === UrgencyTier.ON_TIME && now + again > urgency.latestStart;
+  const whole = (cores * countMembers(victim) * step.estimateMs) / 1000;
   return lost + (becomesLate ? LATENESS_SHARE * whole : 0);
 }
--- a/packages/dispatch/src/pace.ts
+++ b/packages/dispatch/src/progress_rate.ts
@@ -1,56 +1,57 @@
 /** How long runs still take, by the progress that their targets list. */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
-import type {Estimates} from './estimates.js';
-import type {Booking, UnitRun} from './runs.js';
+import type {DurationEstimator} from './duration_estimator.js';
+import type {Allocation, ActiveUnit} from './active_job.js';
 
 /** Least progress, in percent, from which a pace can be read. */
-const READABLE = 5;
+const MIN_RATE_PROGRESS_PERCENT = 5;
 
 /** Shortest time over which a present pace is read: a few listings. */
-const SAMPLE_TIME: Milliseconds = 1500;
+const MIN_SAMPLE_INTERVAL_MS: Milliseconds = 1500;
 
 /** Percent that a sample covers, or that it would at the best pace: progress is listed in whole percents. */
-const SAMPLE_GAIN = 4;
-const SAMPLE_EXPECTED_GAIN = 8;
+const MIN_SAMPLE_PROGRESS_PERCENT = 4;
+const MIN_EXPECTED_PROGRESS_PERCENT = 8;
 
 /**
  * Notes a reading of the run's progress at `clock`, its target's own, in
  * milliseconds: listings wait in line at a busy dispatcher. `estimate` is what
  * its caller expects of a whole run.
  */
-export function samplePace(
-  booking: Booking,
+export function sampleProgressRate(
+  booking: Allocation,
   estimate: Milliseconds,
   clock: number,
 ): void {
   // What a checkpoint brought along was not done here.
-  booking.sample ??= {percent: booking.percent, clock};
-  const passed = clock - booking.sample.clock;
-  const gained = booking.percent - booking.sample.percent;
-  const expectedPace = Math.max(booking.bestPace, 100 / Math.max(estimate, 1));
+  booking.rateSample ??= {percent: booking.percent, clock};
+  const passed = clock - booking.rateSample.clock;
+  const gained = booking.percent - booking.rateSample.percent;
+  const expectedPace = Math.max(booking.bestRate, 100 / Math.max(estimate, 1));
   const isReadable =
-    gained >= SAMPLE_GAIN || passed * expectedPace >= SAMPLE_EXPECTED_GAIN;
-  if (passed < SAMPLE_TIME || !isReadable) {
+    gained >= MIN_SAMPLE_PROGRESS_PERCENT ||
+    passed * expectedPace >= MIN_EXPECTED_PROGRESS_PERCENT;
+  if (passed < MIN_SAMPLE_INTERVAL_MS || !isReadable) {
     return;
   }
   const pace = gained / passed;
-  booking.bestPace = Math.max(booking.bestPace, pace);
-  booking.presentPace = pace;
-  booking.sample = {percent: booking.percent, clock};
+  booking.bestRate = Math.max(booking.bestRate, pace);
+  booking.currentRate = pace;
+  booking.rateSample = {percent: booking.percent, clock};
 }
 
 /** Whether a run's own progress says when it ends, and not its caller's estimate. */
-export function isPaceKnown(booking: Booking): boolean {
-  return booking.percent - booking.firstPercent >= READABLE;
+export function isProgressRateKnown(booking: Allocation): boolean {
+  return booking.percent - booking.firstPercent >= MIN_RATE_PROGRESS_PERCENT;
 }
 
 /** Members of a gang from which the pace of each can be told from that of the others. */
-const COMPARABLE_MEMBERS = 3;
+const MIN_COMPARABLE_MEMBERS = 3;
 
 /** Notes for each target of a gang how long its members take against the gang's median: callers' estimates need not be good for that. */
-export function comparePaces(bookings: readonly Booking[]): void {
-  const known = bookings.filter(isPaceKnown);
-  if (known.length < COMPARABLE_MEMBERS) {
+export function compareMemberRates(bookings: readonly Allocation[]): void {
+  const known = bookings.filter(isProgressRateKnown);
+  if (known.length < MIN_COMPARABLE_MEMBERS) {
     return;
   }
   const times = known.map(
@@ -59,28 +60,30 @@
   );
   const median = [...times].sort((a, b) => a - b)[times.length >> 1]!;
   if (median > 0) {
-    known.forEach(({room}, index) => room.notePace(times[index]! / median));
+    known.forEach(({target: room}, index) =>
+      room.recordDurationRatio(times[index]! / median),
+    );
   }
 }
 
 /** Expected time until the run of `booking` ends. */
-export function remainingTime(
-  booking: Booking,
-  unit: UnitRun,
-  estimates: Estimates,
+export function estimateRemainingTime(
+  booking: Allocation,
+  unit: ActiveUnit,
+  estimates: DurationEstimator,
   rackFactor: number,
   now: Instant,
 ): Milliseconds {
-  if (isPaceKnown(booking)) {
+  if (isProgressRateKnown(booking)) {
     const gained = booking.percent - booking.firstPercent;
     const pace = (booking.percentAt - booking.firstPercentAt) / gained;
     const left = pace * (100 - booking.percent);
     return Math.max(0, left - (now - booking.percentAt));
   }
-  const factor = unit.isFar ? rackFactor : 1;
+  const factor = unit.hasLocalityPenalty ? rackFactor : 1;
   const whole =
-    estimates.expect(unit.job.job.queue, unit.step.estimateMs) *
+    estimates.estimateDuration(unit.job.accepted.queue, unit.step.estimateMs) *
     factor *
-    booking.room.slowness;
+    booking.target.slowness;
   return whole * (1 - booking.percent / 100);
 }
--- a/packages/dispatch/src/record_writer.ts
+++ b/packages/dispatch/src/record_writer.ts
@@ -11,18 +11,18 @@
   type Leadership,
   encodeLeadership,
 } from '@galenavalve/workload';
-import type {Fencing, OfficeLog} from './job_log.js';
-import {OFFICE_BEAT} from './office.js';
+import type {FencingToken, FencedLog} from './fenced_log.js';
+import {LEADER_HEARTBEAT_MS} from './leader_monitor.js';
 
 /** Longest wait for the answer to an append; some hundred times the usual answer. */
-const APPEND_TIMEOUT = 1500;
+const APPEND_TIMEOUT_MS = 1500;
 
 /** Backoff between tries of an append, in milliseconds. */
-const RETRY_BASE = 50;
-const RETRY_CAP = 500;
+const RETRY_BASE_MS = 50;
+const RETRY_CAP_MS = 500;
 
 /** Records of one append, in characters; the platform limits a call to 2 MiB. */
-const MAX_BATCH_LENGTH = 1_000_000;
+const MAX_BATCH_CHARS = 1_000_000;
 
 /** What is to be written, and what follows once it is. */
 export interface Batch {
@@ -31,30 +31,30 @@
 }
 
 /** Gathers what is to be written now; undefined when there is nothing. */
-export type GatherBatch = (maxLength: number) => Batch | undefined;
+export type BatchSource = (maxLength: number) => Batch | undefined;
 
 /** The writer of one term of office. */
 export class RecordWriter {
   /** Send time of the last append that was confirmed. */
-  confirmedAt: Instant;
+  lastConfirmedAt: Instant;
   /** The same by the wall clock, which goes on while an instance is suspended. */
-  confirmedWallAt: number;
+  lastConfirmedWallTime: number;
   private sequence = 1;
   private isWriting = false;
   private extra: KeyedRecord[] = [];
   private isOver = false;
 
   constructor(
-    private readonly log: OfficeLog,
+    private readonly log: FencedLog,
     private readonly leadership: Leadership,
-    private readonly gather: GatherBatch,
+    private readonly gather: BatchSource,
     private readonly onFenced: () => void,
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly logger: Logger,
   ) {
-    this.confirmedAt = clock.now();
-    this.confirmedWallAt = clock.wallTime();
+    this.lastConfirmedAt = clock.now();
+    this.lastConfirmedWallTime = clock.wallTime();
   }
 
   /** Writes these records with the next append. */
@@ -63,15 +63,15 @@
   }
 
   /** Writes what is waiting, unless a write is under way: it then goes next. */
-  poke(): void {
+  flush(): void {
     if (!this.isWriting && !this.isOver) {
       void this.writeAll();
     }
   }
 
   /** Writes a sign of life when nothing else was written for a while. */
-  beat(now: Instant): void {
-    if (!this.isWriting && now - this.confirmedAt >= OFFICE_BEAT) {
+  writeHeartbeatIfDue(now: Instant): void {
+    if (!this.isWriting && now - this.lastConfirmedAt >= LEADER_HEARTBEAT_MS) {
       void this.writeAll(true);
     }
   }
@@ -89,7 +89,7 @@
     }
     const record = encodeLeadership({...this.leadership, hasResigned: true});
     const fencing = this.nextFencing();
-    await this.log.appendAs(fencing, [record], APPEND_TIMEOUT);
+    await this.log.appendFenced(fencing, [record], APPEND_TIMEOUT_MS);
   }
 
   private async writeAll(withBeat = false): Promise<void> {
@@ -97,7 +97,7 @@
     try {
       let needsBeat = withBeat;
       while (!this.isOver) {
-        const batch = this.gather(MAX_BATCH_LENGTH);
+        const batch = this.gather(MAX_BATCH_CHARS);
         if (!batch && !needsBeat && this.extra.length === 0) {
           return;
         }
@@ -115,7 +115,7 @@
     }
   }
 
-  private nextFencing(): Fencing {
+  private nextFencing(): FencingToken {
     return {epoch: this.leadership.epoch, sequence: this.sequence++};
   }
 
@@ -130,10 +130,14 @@
     for (let attempt = 0; !this.isOver; attempt++) {
       const sentAt = this.clock.now();
       const sentWallAt = this.clock.wallTime();
-      const result = await this.log.appendAs(fencing, records, APPEND_TIMEOUT);
+      const result = await this.log.appendFenced(
+        fencing,
+        records,
+        APPEND_TIMEOUT_MS,
+      );
       if (result.kind === 'appended') {
-        this.confirmedAt = sentAt;
-        this.confirmedWallAt = sentWallAt;
+        this.lastConfirmedAt = sentAt;
+        this.lastConfirmedWallTime = sentWallAt;
         return !this.isOver;
       }
       if (result.kind === 'fenced') {
@@ -147,8 +151,8 @@
         problem: result.kind === 'moved' ? 'the log moved' : result.problem,
       });
       await this.clock.sleep(
-        RETRY_BASE +
-          jitteredBackoff(attempt, RETRY_BASE, RETRY_CAP, this.random),
+        RETRY_BASE_MS +
+          jitteredBackoff(attempt, RETRY_BASE_MS, RETRY_CAP_MS, this.random),
       );
     }
     return false;
--- a/packages/dispatch/src/run_book.ts
+++ b/packages/dispatch/src/run_tracker.ts
@@ -1,61 +1,61 @@
 /** What happens to runs: they are placed, confirmed, stopped and end; jobs change with them. */
 import type {Instant, Logger} from '@galenavalve/shared';
 import {formatTaskName} from '@galenavalve/workload';
-import type {Estimates} from './estimates.js';
-import {comparePaces} from './pace.js';
-import type {Start} from './policy/index.js';
+import type {DurationEstimator} from './duration_estimator.js';
+import {compareMemberRates} from './progress_rate.js';
+import type {PlannedStart} from './policy/index.js';
 import {
-  type Booking,
-  type JobRun,
-  type UnitRun,
-  countedDemand,
-  createBooking,
+  type Allocation,
+  type ActiveJob,
+  type ActiveUnit,
+  computeAllocatedDemand,
+  createAllocation,
   hasNoAttemptLeft,
-} from './runs.js';
+} from './active_job.js';
 import type {ListedEnd} from './target_port.js';
-import type {TargetRoom} from './target_room.js';
+import type {TargetState} from './target_state.js';
 
 /** Pause before a unit that failed is placed again, in milliseconds. */
-const FAILURE_PAUSE = 150;
+const FAILURE_BACKOFF_MS = 150;
 
 /** First and longest avoidance of a target whose runs fail or stand still, in milliseconds. */
-const FIRST_AVOIDANCE = 3000;
-const LONGEST_AVOIDANCE = 15_000;
+const MIN_AVOIDANCE_MS = 3000;
+const MAX_AVOIDANCE_MS = 15_000;
 
 /** Failures in a row of a target that make it suspect; a single one is usually the task's own. */
-const SUSPECT_STRIKES = 2;
+const AVOIDANCE_FAILURE_THRESHOLD = 2;
 
 /** What a change of a run asks others to do. */
 export interface RunEvents {
   /** The job's progress is to be recorded. */
-  onChange(job: JobRun): void;
+  onChange(job: ActiveJob): void;
   /** A run is to be stopped at its target. */
-  onStop(booking: Booking): void;
+  onStop(booking: Allocation): void;
 }
 
 /** Keeps the runs of one dispatcher. */
-export class RunBook {
+export class RunTracker {
   constructor(
     private readonly events: RunEvents,
-    private readonly estimates: Estimates,
+    private readonly estimates: DurationEstimator,
     private readonly logger: Logger,
   ) {}
 
   /** Books a placement; its orders go out once it is recorded. */
-  place({unit, placement}: Start, epoch: number, now: Instant): void {
+  place({unit, placement}: PlannedStart, epoch: number, now: Instant): void {
     unit.progress.run++;
     unit.phase = 'recording';
     unit.placedAt = now;
-    unit.isFar = placement.isFar;
-    unit.claim = undefined;
+    unit.hasLocalityPenalty = placement.hasLocalityPenalty;
+    unit.targetClaim = undefined;
     unit.stopReason = undefined;
-    unit.resumeFrom = unit.progress.checkpoint;
+    unit.resumeCheckpoint = unit.progress.checkpoint;
     unit.job.progress.hasBegun = true;
-    const rooms = placement.shares.flatMap(({space, members}) =>
-      Array.from({length: members}, () => space.room),
+    const rooms = placement.shares.flatMap(({candidate: space, members}) =>
+      Array.from({length: members}, () => space.target),
     );
     for (const [member, room] of rooms.entries()) {
-      this.book(unit, member, room, epoch, now);
+      this.allocate(unit, member, room, epoch, now);
     }
     unit.progress.placedOn = rooms.map(room => room.key);
     this.events.onChange(unit.job);
@@ -65,25 +65,25 @@
       unit: unit.unitIndex,
       run: unit.progress.run,
       targets: [...new Set(rooms.map(room => room.info.id))].slice(0, 8),
-      isFar: placement.isFar,
+      isFar: placement.hasLocalityPenalty,
       waitedMs: Math.round(now - unit.job.acceptedAt),
     });
   }
 
   /** Books a member's run. */
-  book(
-    unit: UnitRun,
+  allocate(
+    unit: ActiveUnit,
     member: number,
-    room: TargetRoom,
+    room: TargetState,
     epoch: number,
     now: Instant,
-  ): Booking {
-    const booking = createBooking(
+  ): Allocation {
+    const booking = createAllocation(
       {
-        task: taskNameOf(unit, member),
+        task: formatMemberTaskName(unit, member),
         run: unit.progress.run,
-        demand: countedDemand(unit.step),
-        room,
+        demand: computeAllocatedDemand(unit.step),
+        target: room,
         unit,
         memberIndex: member,
         state: 'planned',
@@ -91,22 +91,22 @@
       },
       now,
     );
-    unit.bookings.push(booking);
-    room.book(booking);
+    unit.allocations.push(booking);
+    room.allocate(booking);
     return booking;
   }
 
   /** The target has the run. */
-  onStarted(booking: Booking, clock: number, now: Instant): void {
+  onStarted(booking: Allocation, clock: number, now: Instant): void {
     if (booking.state !== 'ordered') {
       return;
     }
     booking.state = 'confirmed';
-    booking.settledClock = clock;
+    booking.acknowledgedClock = clock;
     booking.percentAt = now;
     booking.firstPercentAt = now;
     const {unit} = booking;
-    const isWhole = unit?.bookings.every(({state}) => state === 'confirmed');
+    const isWhole = unit?.allocations.every(({state}) => state === 'confirmed');
     if (unit && isWhole && unit.phase === 'starting') {
       unit.phase = 'running';
       unit.runningSince = now;
@@ -114,8 +114,8 @@
   }
 
   /** Stops every member of a unit's present run. */
-  stop(unit: UnitRun, reason: string): void {
-    if (unit.bookings.length === 0 || unit.phase === 'stopping') {
+  stop(unit: ActiveUnit, reason: string): void {
+    if (unit.allocations.length === 0 || unit.phase === 'stopping') {
       return;
     }
     unit.phase = 'stopping';
@@ -127,7 +127,7 @@
       run: unit.progress.run,
       reason,
     });
-    for (const booking of [...unit.bookings]) {
+    for (const booking of [...unit.allocations]) {
       if (booking.state === 'planned') {
         this.release(booking);
       } else {
@@ -138,15 +138,15 @@
 
   /** A target listed the end of a run. */
   onEnd(
-    room: TargetRoom,
+    room: TargetState,
     end: ListedEnd,
-    unit: UnitRun | undefined,
+    unit: ActiveUnit | undefined,
     now: Instant,
   ): void {
-    const booking = room.find(end.task, end.run);
+    const booking = room.findAllocation(end.task, end.run);
     if (unit && unit.progress.run === end.run) {
       this.takeEnd(room, unit, end, booking, now);
-    } else if (unit && end.how === 'done') {
+    } else if (unit && end.kind === 'done') {
       this.takeEarlierDone(room, unit, end.run);
     }
     if (booking) {
@@ -155,42 +155,42 @@
   }
 
   /** The run is gone without an end: its target or its lease is over, or it never began. */
-  onGone(booking: Booking, reason: string): void {
+  onRunLost(booking: Allocation, reason: string): void {
     const {unit} = booking;
     this.release(booking);
-    if (unit && !unit.progress.isDone && unit.bookings.length > 0) {
+    if (unit && !unit.progress.isDone && unit.allocations.length > 0) {
       this.stop(unit, reason);
     }
   }
 
   /** Notes that runs on a target fail or stand still. */
-  onSuspect(room: TargetRoom, strikes: number, now: Instant): void {
-    room.strikes += strikes;
-    if (room.strikes < SUSPECT_STRIKES) {
+  onTargetFault(room: TargetState, strikes: number, now: Instant): void {
+    room.consecutiveFailures += strikes;
+    if (room.consecutiveFailures < AVOIDANCE_FAILURE_THRESHOLD) {
       return;
     }
-    const doublings = room.strikes - SUSPECT_STRIKES;
+    const doublings = room.consecutiveFailures - AVOIDANCE_FAILURE_THRESHOLD;
     const length = Math.min(
-      LONGEST_AVOIDANCE,
-      FIRST_AVOIDANCE * 2 ** doublings,
+      MAX_AVOIDANCE_MS,
+      MIN_AVOIDANCE_MS * 2 ** doublings,
     );
     room.avoidUntil = now + length;
     this.logger.warn('target-avoided', {
       target: room.info.id,
-      strikes: room.strikes,
+      strikes: room.consecutiveFailures,
       forMs: length,
     });
   }
 
   /** Frees a booking's room; the last one settles its unit. */
-  release(booking: Booking): void {
-    booking.room.release(booking);
+  release(booking: Allocation): void {
+    booking.target.release(booking);
     const {unit} = booking;
     if (!unit) {
       return;
     }
-    unit.bookings = unit.bookings.filter(other => other !== booking);
-    if (unit.bookings.length === 0) {
+    unit.allocations = unit.allocations.filter(other => other !== booking);
+    if (unit.allocations.length === 0) {
       unit.phase = 'waiting';
       unit.progress.placedOn = undefined;
       this.events.onChange(unit.job);
@@ -198,7 +198,11 @@
   }
 
   /** A run that was given up, such as behind a cut, did its work all the same. */
-  private takeEarlierDone(room: TargetRoom, unit: UnitRun, run: number): void {
+  private takeEarlierDone(
+    room: TargetState,
+    unit: ActiveUnit,
+    run: number,
+  ): void {
     const isOpen = !unit.progress.isDone && !unit.step.isLongRunning;
     if (!isOpen || run > unit.progress.run) {
       return;
@@ -218,58 +222,59 @@
   }
 
   private takeEnd(
-    room: TargetRoom,
-    unit: UnitRun,
+    room: TargetState,
+    unit: ActiveUnit,
     end: ListedEnd,
-    booking: Booking | undefined,
+    booking: Allocation | undefined,
     now: Instant,
   ): void {
     if (end.checkpoint !== '') {
       unit.progress.checkpoint = end.checkpoint;
     }
-    if (end.how === 'done' && !unit.step.isLongRunning) {
+    if (end.kind === 'done' && !unit.step.isLongRunning) {
       this.takeDone(room, unit, booking, now);
-    } else if (end.how === 'failed') {
+    } else if (end.kind === 'failed') {
       this.takeFailure(room, unit, end.run, now);
     }
     // The members of a gang end together; stopping the others makes sure of it.
-    const others = unit.bookings.some(other => other !== booking);
-    if (others && end.how !== 'done') {
-      this.stop(unit, `a member ended as ${end.how}`);
+    const others = unit.allocations.some(other => other !== booking);
+    if (others && end.kind !== 'done') {
+      this.stop(unit, `a member ended as ${end.kind}`);
     }
     this.events.onChange(unit.job);
   }
 
   private takeDone(
-    room: TargetRoom,
-    unit: UnitRun,
-    booking: Booking | undefined,
+    room: TargetState,
+    unit: ActiveUnit,
+    booking: Allocation | undefined,
     now: Instant,
   ): void {
-    room.strikes = 0;
+    room.consecutiveFailures = 0;
     if (unit.progress.isDone) {
       return;
     }
     unit.progress.isDone = true;
     unit.progress.checkpoint = '';
-    const hasRunWhole = unit.progress.run === 1 && !unit.isFar && booking;
+    const hasRunWhole =
+      unit.progress.run === 1 && !unit.hasLocalityPenalty && booking;
     if (hasRunWhole) {
       const took = now - unit.runningSince;
-      const {queue} = unit.job.job;
+      const {queue} = unit.job.accepted;
       if (unit.step.isGang) {
-        comparePaces(unit.bookings);
+        compareMemberRates(unit.allocations);
       } else {
-        room.notePace(
-          took / this.estimates.expect(queue, unit.step.estimateMs),
+        room.recordDurationRatio(
+          took / this.estimates.estimateDuration(queue, unit.step.estimateMs),
         );
       }
-      this.estimates.note(queue, unit.step.estimateMs, took);
+      this.estimates.recordDuration(queue, unit.step.estimateMs, took);
     }
   }
 
   private takeFailure(
-    room: TargetRoom,
-    unit: UnitRun,
+    room: TargetState,
+    unit: ActiveUnit,
     run: number,
     now: Instant,
   ): void {
@@ -277,16 +282,16 @@
       return;
     }
     unit.progress.failedRun = run;
-    unit.retryAt = now + FAILURE_PAUSE;
+    unit.retryAt = now + FAILURE_BACKOFF_MS;
     if (unit.step.isLongRunning) {
       return;
     }
     unit.progress.failed++;
     // A unit that fails wherever it goes says nothing of the targets.
     if (unit.progress.failed === 1) {
-      this.onSuspect(room, 1, now);
+      this.onTargetFault(room, 1, now);
     }
-    unit.avoid.add(room.info.id);
+    unit.avoidedTargets.add(room.info.id);
     this.logger.info('run-failed', {
       job: unit.job.id,
       step: unit.stepIndex,
@@ -294,14 +299,14 @@
       run,
       target: room.info.id,
       failures: unit.progress.failed,
-      allowed: unit.job.job.terms.maxAttempts,
+      allowed: unit.job.accepted.terms.maxAttempts,
     });
     unit.job.hasFailed ||= hasNoAttemptLeft(unit);
   }
 }
 
 /** Name of a member's task. */
-export function taskNameOf(unit: UnitRun, member: number): string {
+export function formatMemberTaskName(unit: ActiveUnit, member: number): string {
   return formatTaskName({
     jobId: unit.job.id,
     occurrence: unit.occurrence,
--- a/packages/dispatch/src/settings.ts
+++ b/packages/dispatch/src/settings.ts
@@ -37,28 +37,28 @@
 };
 
 /** A target's clock may run this much slow; the platform's pages give 2%. */
-export const SLOWEST_CLOCK = 0.98;
+export const MIN_CLOCK_RATE = 0.98;
 
 /** Kept from a lease so that rounding and the answer's way never make it longer than granted. */
-export const LEASE_MARGIN: Milliseconds = 200;
+export const LEASE_MARGIN_MS: Milliseconds = 200;
 
 /** A holder whose writes were not confirmed for this long stops extending leases. With the lease itself it outlasts the usual outage of the log; a successor waits as long for targets that it cannot reach. */
-export const UNCONFIRMED_LIMIT: Milliseconds = 3000;
+export const MAX_UNCONFIRMED_MS: Milliseconds = 3000;
 
 /** A listing waits this long for an end; half of the longest that targets grant. */
-export const HOLD_WAIT: Milliseconds = 1000;
+export const POLL_WAIT_MS: Milliseconds = 1000;
 
 /** An order is normally answered in a few milliseconds; a target that does not answer is asked again after this. */
-export const ORDER_TIMEOUT: Milliseconds = 300;
+export const COMMAND_TIMEOUT_MS: Milliseconds = 300;
 
 /** Pause before an unanswered or refused order is sent again. */
-export const ORDER_RETRY: Milliseconds = 100;
+export const COMMAND_RETRY_DELAY_MS: Milliseconds = 100;
 
 /** A target is used for new runs only while its last listing is younger than this. */
-export const LISTING_FRESHNESS: Milliseconds = 2600;
+export const MAX_LISTING_AGE_MS: Milliseconds = 2600;
 
 /** Share of the gang time after which a start that is still incomplete is taken back. */
-export const GANG_START_SHARE = 0.6;
+export const GANG_START_TIMEOUT_SHARE = 0.6;
 
 /** The dispatcher looks at everything at least this often. */
-export const TICK: Milliseconds = 100;
+export const TICK_INTERVAL_MS: Milliseconds = 100;
--- a/packages/dispatch/src/room_directory.ts
+++ b/packages/dispatch/src/target_directory.ts
@@ -1,34 +1,34 @@
 /** The rooms of all targets, kept in step with the registry. */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
-import {MAX_LIVES} from './office.js';
-import {type TargetInfo, lifeKey} from './target_info.js';
-import {TargetRoom} from './target_room.js';
+import {MAX_INCARNATIONS} from './leader_monitor.js';
+import {type TargetInfo, formatIncarnationKey} from './target_info.js';
+import {TargetState} from './target_state.js';
 
 /** What the directory tells of. */
-export interface DirectoryEvents {
-  onRoom(room: TargetRoom): void;
+export interface TargetDirectoryEvents {
+  onTargetAdded(room: TargetState): void;
   /** Another life took the place of `room`'s. */
-  onReplaced(room: TargetRoom, next: TargetRoom): void;
+  onTargetReplaced(room: TargetState, next: TargetState): void;
 }
 
 /** Rooms by life, and the present life of each id. */
-export class RoomDirectory {
-  private readonly byLife = new Map<string, TargetRoom>();
-  private readonly byId = new Map<string, TargetRoom>();
+export class TargetDirectory {
+  private readonly byLife = new Map<string, TargetState>();
+  private readonly byId = new Map<string, TargetState>();
 
   /** `othersOverAt`: until when leases that former dispatchers granted may be alive. */
   constructor(
-    private readonly events: DirectoryEvents,
+    private readonly events: TargetDirectoryEvents,
     private readonly othersOverAt: Instant,
   ) {}
 
   /** Every room that may hold runs. */
-  all(): IterableIterator<TargetRoom> {
+  listTargets(): IterableIterator<TargetState> {
     return this.byLife.values();
   }
 
   /** Takes an entry of the registry. */
-  onListed(info: TargetInfo, now: Instant): void {
+  onRegistered(info: TargetInfo, now: Instant): void {
     const present = this.byId.get(info.id);
     if (!present) {
       this.add(info);
@@ -42,22 +42,22 @@
       return;
     }
     present.info = info;
-    present.isListed = true;
+    present.isRegistered = true;
     if (info.isDraining) {
       present.drainingSince ??= now;
     }
   }
 
   /** The registry no longer lists the target. */
-  onUnlisted(id: string): void {
+  onUnregistered(id: string): void {
     const room = this.byId.get(id);
     if (room) {
-      room.isListed = false;
+      room.isRegistered = false;
     }
   }
 
   /** The room of a life that a record names; made up when the registry does not know it. */
-  findLife(key: string): TargetRoom {
+  findOrCreateIncarnation(key: string): TargetState {
     const known = this.byLife.get(key);
     if (known) {
       return known;
@@ -74,15 +74,15 @@
       capacity: {cpu: 0, memoryMb: 0, accelerators: 0},
       isDraining: true,
     };
-    const room = new TargetRoom(info, this.othersOverAt);
-    room.isListed = false;
+    const room = new TargetState(info, this.othersOverAt);
+    room.isRegistered = false;
     this.byLife.set(key, room);
     return room;
   }
 
   /** Another life answered at the room's address. */
-  onOtherLife(room: TargetRoom, born: number): void {
-    if (!room.isOver && this.byId.get(room.info.id) === room) {
+  onOtherIncarnation(room: TargetState, born: number): void {
+    if (!room.isRemoved && this.byId.get(room.info.id) === room) {
       this.replace(room, {...room.info, born});
     }
   }
@@ -90,38 +90,38 @@
   /** Forgets rooms that hold nothing and that the registry does not list. */
   sweep(now: Instant, unlistedTime: Milliseconds): void {
     for (const room of this.byLife.values()) {
-      const isSilent = now - room.lastAnswerAt > unlistedTime;
-      if (!room.isListed && room.bookings.size === 0 && isSilent) {
+      const isSilent = now - room.lastResponseAt > unlistedTime;
+      if (!room.isRegistered && room.allocations.size === 0 && isSilent) {
         this.remove(room);
       }
     }
   }
 
-  private add(info: TargetInfo, epochOffset = 0): TargetRoom {
-    const room = new TargetRoom(info, this.othersOverAt);
+  private add(info: TargetInfo, epochOffset = 0): TargetState {
+    const room = new TargetState(info, this.othersOverAt);
     const ghost = this.byLife.get(room.key);
     if (ghost) {
       ghost.info = info;
-      ghost.isListed = true;
+      ghost.isRegistered = true;
     }
     const present = ghost ?? room;
     this.byLife.set(present.key, present);
     this.byId.set(info.id, present);
     present.epochOffset = epochOffset;
-    this.events.onRoom(present);
+    this.events.onTargetAdded(present);
     return present;
   }
 
-  private replace(room: TargetRoom, info: TargetInfo): void {
+  private replace(room: TargetState, info: TargetInfo): void {
     this.remove(room);
-    const next = this.byLife.get(lifeKey(info.id, info.born));
-    const offset = Math.min(room.epochOffset + 1, MAX_LIVES - 1);
+    const next = this.byLife.get(formatIncarnationKey(info.id, info.born));
+    const offset = Math.min(room.epochOffset + 1, MAX_INCARNATIONS - 1);
     const replacement = next ?? this.add(info, offset);
-    this.events.onReplaced(room, replacement);
+    this.events.onTargetReplaced(room, replacement);
   }
 
-  private remove(room: TargetRoom): void {
-    room.isOver = true;
+  private remove(room: TargetState): void {
+    room.isRemoved = true;
     this.byLife.delete(room.key);
     if (this.byId.get(room.info.id) === room) {
       this.byId.delete(room.info.id);
--- a/packages/dispatch/src/target_info.ts
+++ b/packages/dispatch/src/target_info.ts
@@ -18,6 +18,6 @@
 }
 
 /** Identifies one life of a target. */
-export function lifeKey(id: string, born: number): string {
+export function formatIncarnationKey(id: string, born: number): string {
   return `${id}@${born}`;
 }
--- a/packages/dispatch/src/listings.ts
+++ b/packages/dispatch/src/target_listing.ts
@@ -1,80 +1,84 @@
 /** Takes a target's listing into the books: ends, progress, strays, and runs that are gone. */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {Demand} from '@galenavalve/workload';
-import {samplePace} from './pace.js';
-import type {RunBook} from './run_book.js';
-import {type Booking, type UnitRun, createBooking} from './runs.js';
+import {sampleProgressRate} from './progress_rate.js';
+import type {RunTracker} from './run_tracker.js';
+import {
+  type Allocation,
+  type ActiveUnit,
+  createAllocation,
+} from './active_job.js';
 import type {ListedRun, TargetListing} from './target_port.js';
-import type {TargetRoom} from './target_room.js';
+import type {TargetState} from './target_state.js';
 
 /** Most ends that one listing carries; runs may be missing from a longer one. */
 const MAX_LISTED_ENDS = 500;
 
 /** Most time between two listings in which a run counts as seen: one listing, and its way. */
-const LONGEST_GAP: Milliseconds = 1200;
+const MAX_LISTING_GAP_MS: Milliseconds = 1200;
 
 /** Finds the unit that a task belongs to. */
-export type FindUnit = (task: string) => UnitRun | undefined;
+export type UnitLookup = (task: string) => ActiveUnit | undefined;
 
 /** Takes a listing of `room` made under `epoch`. Returns whether a run ended, was gone, or was not expected there. */
-export function takeListing(
-  room: TargetRoom,
+export function applyListing(
+  room: TargetState,
   listing: TargetListing,
   context: {
-    book: RunBook;
-    findUnit: FindUnit;
+    book: RunTracker;
+    findUnit: UnitLookup;
     epoch: number;
-    onStray: (booking: Booking) => void;
+    onStray: (booking: Allocation) => void;
   },
   now: Instant,
 ): boolean {
-  room.onAnswer(listing.clock, now);
-  if (listing.clock < room.listedClock) {
+  room.onResponse(listing.clock, now);
+  if (listing.clock < room.lastListingClock) {
     return false;
   }
   let hasChanged = false;
-  room.listedClock = listing.clock;
-  room.hasAnswered = true;
+  room.lastListingClock = listing.clock;
+  room.hasListing = true;
   for (const end of [...listing.ended].sort((a, b) => a.number - b.number)) {
-    if (end.number > room.seenEnd) {
-      room.seenEnd = end.number;
+    if (end.number > room.processedEnd) {
+      room.processedEnd = end.number;
       hasChanged = true;
       context.book.onEnd(room, end, context.findUnit(end.task), now);
     }
   }
-  const listed = new Set<Booking>();
+  const listed = new Set<Allocation>();
   for (const run of listing.running) {
-    const booking = room.find(run.task, run.run);
+    const booking = room.findAllocation(run.task, run.run);
     if (booking) {
       listed.add(booking);
-      takeProgress(booking, run, listing.clock, context.book, now);
+      applyProgress(booking, run, listing.clock, context.book, now);
     } else {
-      const stray = bookStray(room, run, context.findUnit(run.task), now);
+      const stray = allocateOrphan(room, run, context.findUnit(run.task), now);
       listed.add(stray);
       context.onStray(stray);
       hasChanged = true;
     }
   }
   if (listing.ended.length < MAX_LISTED_ENDS) {
-    const dropped = dropAbsent(room, listed, listing.clock, context);
+    const dropped = dropAbsentRuns(room, listed, listing.clock, context);
     hasChanged ||= dropped > 0;
   }
   return hasChanged;
 }
 
-function takeProgress(
-  booking: Booking,
+function applyProgress(
+  booking: Allocation,
   run: ListedRun,
   clock: number,
-  book: RunBook,
+  book: RunTracker,
   now: Instant,
 ): void {
   book.onStarted(booking, clock, now);
   const unseen = now - booking.listedAt;
   booking.listedAt = now;
-  booking.stillFor += Math.min(unseen, LONGEST_GAP);
+  booking.stalledFor += Math.min(unseen, MAX_LISTING_GAP_MS);
   if (run.percent > booking.percent) {
-    booking.stillFor = 0;
+    booking.stalledFor = 0;
     if (booking.percent === 0) {
       booking.firstPercent = run.percent;
       booking.firstPercentAt = now;
@@ -83,30 +87,31 @@
     booking.percentAt = now;
   }
   const {unit} = booking;
-  samplePace(booking, unit?.step.estimateMs ?? 0, clock);
+  sampleProgressRate(booking, unit?.step.estimateMs ?? 0, clock);
   if (unit && run.checkpoint !== '' && unit.progress.run === run.run) {
     unit.progress.checkpoint = run.checkpoint;
   }
 }
 
 /** Returns how many runs were gone. */
-function dropAbsent(
-  room: TargetRoom,
-  listed: ReadonlySet<Booking>,
+function dropAbsentRuns(
+  room: TargetState,
+  listed: ReadonlySet<Allocation>,
   clock: number,
-  context: {book: RunBook; epoch: number},
+  context: {book: RunTracker; epoch: number},
 ): number {
   let dropped = 0;
-  for (const booking of [...room.bookings.values()]) {
+  for (const booking of [...room.allocations.values()]) {
     if (listed.has(booking) || booking.state === 'planned') {
       continue;
     }
     const isSettled =
-      booking.settledClock !== undefined && booking.settledClock < clock;
+      booking.acknowledgedClock !== undefined &&
+      booking.acknowledgedClock < clock;
     // The first listing under a new epoch fences all orders of older ones.
     const isFencedOff = booking.epoch < context.epoch;
     if (isSettled || isFencedOff) {
-      context.book.onGone(booking, 'its target does not list it');
+      context.book.onRunLost(booking, 'its target does not list it');
       dropped++;
     }
   }
@@ -114,19 +119,19 @@
 }
 
 /** A run that nobody expected still takes room until it is gone. */
-function bookStray(
-  room: TargetRoom,
+function allocateOrphan(
+  room: TargetState,
   {task, run}: ListedRun,
-  unit: UnitRun | undefined,
+  unit: ActiveUnit | undefined,
   now: Instant,
-): Booking {
+): Allocation {
   const none: Demand = {cpu: 0, memoryMb: 0, accelerators: 0};
-  const booking = createBooking(
+  const booking = createAllocation(
     {
       task,
       run,
       demand: unit?.step.demand ?? none,
-      room,
+      target: room,
       unit: undefined,
       memberIndex: 0,
       state: 'confirmed',
@@ -134,6 +139,6 @@
     },
     now,
   );
-  room.book(booking);
+  room.allocate(booking);
   return booking;
 }
--- a/packages/dispatch/src/target_port.ts
+++ b/packages/dispatch/src/target_port.ts
@@ -8,7 +8,7 @@
 }
 
 /** Starts one run of a task. */
-export interface StartOrder {
+export interface StartCommand {
   task: string;
   run: number;
   payload: string;
@@ -21,14 +21,14 @@
 }
 
 /** Stops one run and bars it for ever. */
-export interface StopOrder {
+export interface StopCommand {
   task: string;
   run: number;
   epoch: number;
 }
 
 /** Renews a target's lease, acknowledges ends and asks for what runs. */
-export interface HoldOrder {
+export interface PollRequest {
   epoch: number;
   /** Absent when the lease is not to be extended. */
   leaseUntil?: number;
@@ -43,7 +43,7 @@
   'fenced' | 'superseded' | 'late' | 'room' | 'ticket';
 
 /** What became of an order. `clock` is the target's own clock in milliseconds. */
-export type OrderOutcome =
+export type CommandOutcome =
   | {kind: 'done'; clock: number}
   | {kind: 'refused'; reason: RefusalReason; clock: number}
   /** Another life answers at the address. */
@@ -73,7 +73,7 @@
   number: number;
   task: string;
   run: number;
-  how: EndKind;
+  kind: EndKind;
   checkpoint: string;
 }
 
@@ -87,25 +87,25 @@
 }
 
 /** What became of a hold. */
-export type HoldOutcome =
+export type PollOutcome =
   | {kind: 'listed'; listing: TargetListing}
-  | Exclude<OrderOutcome, {kind: 'done'}>;
+  | Exclude<CommandOutcome, {kind: 'done'}>;
 
 /** Carries orders to targets. */
 export interface TargetPort {
   start(
     target: TargetAddress,
-    order: StartOrder,
+    order: StartCommand,
     timeout: Milliseconds,
-  ): Promise<OrderOutcome>;
+  ): Promise<CommandOutcome>;
   stop(
     target: TargetAddress,
-    order: StopOrder,
+    order: StopCommand,
     timeout: Milliseconds,
-  ): Promise<OrderOutcome>;
-  hold(
+  ): Promise<CommandOutcome>;
+  poll(
     target: TargetAddress,
-    order: HoldOrder,
+    order: PollRequest,
     timeout: Milliseconds,
-  ): Promise<HoldOutcome>;
+  ): Promise<PollOutcome>;
 }
--- a/packages/dispatch/src/target_room.ts
+++ b/packages/dispatch/src/target_state.ts
@@ -1,47 +1,47 @@
 /** One life of a target: its room, its lease, and what it last said. */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {Demand} from '@galenavalve/workload';
-import type {Booking} from './runs.js';
-import {SLOWEST_CLOCK} from './settings.js';
-import {type TargetInfo, lifeKey} from './target_info.js';
+import type {Allocation} from './active_job.js';
+import {MIN_CLOCK_RATE} from './settings.js';
+import {type TargetInfo, formatIncarnationKey} from './target_info.js';
 
 /** Weight of the newest run in a target's pace. */
-const PACE_WEIGHT = 0.15;
+const NEWEST_DURATION_RATIO_WEIGHT = 0.15;
 
 /** Runs from which a target's pace can be read; single tasks differ by a third. */
-const READABLE_PACES = 4;
+const MIN_DURATION_RATIOS = 4;
 
 /** Paces beyond this are taken as faults of the task. */
-const MOST_SLOWNESS = 4;
+const MAX_SLOWNESS = 4;
 
 /** An answer is late this long after it was due, in milliseconds: a hundred times the usual way. */
-const LATE_ANSWER = 250;
+const RESPONSE_GRACE_MS = 250;
 
 /** Books of one life of a target. */
-export class TargetRoom {
+export class TargetState {
   readonly key: string;
-  readonly bookings = new Map<string, Booking>();
+  readonly allocations = new Map<string, Allocation>();
   /** Whether the registry lists this life. */
-  isListed = true;
+  isRegistered = true;
   /** A newer life answers at its address. */
-  isOver = false;
+  isRemoved = false;
   /** Its first listing under this dispatcher came. */
-  hasAnswered = false;
-  lastAnswerAt: Instant = -Infinity;
+  hasListing = false;
+  lastResponseAt: Instant = -Infinity;
   /** When the answer to the listing under way is due; Infinity while none is. */
-  answerDueAt: Instant = Infinity;
+  responseDueAt: Instant = Infinity;
   /** Highest end that was taken into the books. */
-  seenEnd = 0;
+  processedEnd = 0;
   /** Highest end that the log holds; targets may forget up to it. */
   recordedEnd = 0;
   /** Clock of the newest listing that was taken into the books. */
-  listedClock = -1;
+  lastListingClock = -1;
   /** No lease can be alive after this instant. */
-  leaseOverAt: Instant;
+  leaseExpiresAt: Instant;
   /** Not used for new runs before this instant. */
   avoidUntil: Instant = -Infinity;
   /** Failures in a row, for the length of the next avoidance. */
-  strikes = 0;
+  consecutiveFailures = 0;
   /** When it was first said to drain. */
   drainingSince?: Instant;
   /**
@@ -62,32 +62,32 @@
     public info: TargetInfo,
     leaseOverAt: Instant,
   ) {
-    this.key = lifeKey(info.id, info.born);
-    this.leaseOverAt = leaseOverAt;
+    this.key = formatIncarnationKey(info.id, info.born);
+    this.leaseExpiresAt = leaseOverAt;
   }
 
   /** Takes room for a run. */
-  book(booking: Booking): void {
-    this.bookings.set(runKey(booking.task, booking.run), booking);
+  allocate(booking: Allocation): void {
+    this.allocations.set(formatRunKey(booking.task, booking.run), booking);
     this.addUsed(booking.demand, 1);
   }
 
   /** Frees the room of a run. */
-  release(booking: Booking): void {
-    if (this.bookings.delete(runKey(booking.task, booking.run))) {
+  release(booking: Allocation): void {
+    if (this.allocations.delete(formatRunKey(booking.task, booking.run))) {
       this.addUsed(booking.demand, -1);
     }
   }
 
   /** The booking of a run. */
-  find(task: string, run: number): Booking | undefined {
-    return this.bookings.get(runKey(task, run));
+  findAllocation(task: string, run: number): Allocation | undefined {
+    return this.allocations.get(formatRunKey(task, run));
   }
 
   /** Whether urgent work runs there. */
   hasUrgentWork(): boolean {
-    for (const {unit} of this.bookings.values()) {
-      if (unit?.job.job.terms.priority === 0) {
+    for (const {unit} of this.allocations.values()) {
+      if (unit?.job.accepted.terms.priority === 0) {
         return true;
       }
     }
@@ -95,7 +95,7 @@
   }
 
   /** Room that no run takes. */
-  free(): Demand {
+  computeFreeCapacity(): Demand {
     const {capacity} = this.info;
     return {
       cpu: capacity.cpu - this.used.cpu,
@@ -105,70 +105,70 @@
   }
 
   /** The log holds the ends up to `number`. */
-  onRecorded(number: number): void {
+  onEndsRecorded(number: number): void {
     this.recordedEnd = number;
     this.recordListener?.();
     this.recordListener = undefined;
   }
 
   /** Calls back once when more ends are recorded; a later call takes the place of an earlier one. */
-  onceRecorded(listener: () => void): void {
+  setRecordListener(listener: () => void): void {
     this.recordListener = listener;
   }
 
   /** Notes the target's clock, read between `sentAt` and `now`. */
-  onAnswer(clock: number, now: Instant): void {
-    this.lastAnswerAt = now;
-    this.answerDueAt = Infinity;
+  onResponse(clock: number, now: Instant): void {
+    this.lastResponseAt = now;
+    this.responseDueAt = Infinity;
     if (!this.clockSample || clock > this.clockSample.clock) {
       this.clockSample = {clock, at: now};
     }
   }
 
   /** The least that the target's clock can show now; undefined before it first answered. */
-  leastClock(now: Instant): number | undefined {
+  estimateMinClock(now: Instant): number | undefined {
     if (!this.clockSample) {
       return undefined;
     }
     const {clock, at} = this.clockSample;
-    return Math.floor(clock + (now - at) * SLOWEST_CLOCK);
+    return Math.floor(clock + (now - at) * MIN_CLOCK_RATE);
   }
 
   /** Notes that an order with this lease was sent; it counts whether or not it was answered. */
   onLeaseSent(until: number): void {
     if (this.clockSample) {
       const {clock, at} = this.clockSample;
-      const over = at + (until - clock) / SLOWEST_CLOCK;
-      this.leaseOverAt = Math.max(this.leaseOverAt, over);
+      const over = at + (until - clock) / MIN_CLOCK_RATE;
+      this.leaseExpiresAt = Math.max(this.leaseExpiresAt, over);
     }
   }
 
   /** Notes that a run took this many times as long as expected. */
-  notePace(ratio: number): void {
-    const bounded = Math.min(MOST_SLOWNESS, Math.max(1 / MOST_SLOWNESS, ratio));
+  recordDurationRatio(ratio: number): void {
+    const bounded = Math.min(MAX_SLOWNESS, Math.max(1 / MAX_SLOWNESS, ratio));
     this.paces++;
-    const weight = Math.max(1 / this.paces, PACE_WEIGHT);
+    const weight = Math.max(1 / this.paces, NEWEST_DURATION_RATIO_WEIGHT);
     this.pace += (bounded - this.pace) * weight;
-    if (this.paces >= READABLE_PACES) {
+    if (this.paces >= MIN_DURATION_RATIOS) {
       this.slowness = Math.max(1, this.pace);
     }
   }
 
   /** Whether a listing should have come by now: targets answer within milliseconds of the end of the wait. */
-  isAnswerLate(now: Instant): boolean {
-    return now > this.answerDueAt + LATE_ANSWER;
+  isResponseLate(now: Instant): boolean {
+    return now > this.responseDueAt + RESPONSE_GRACE_MS;
   }
 
   /** Whether new runs may go there, but for its room. */
-  isOpen(now: Instant, freshness: Milliseconds): boolean {
+  isSchedulable(now: Instant, freshness: Milliseconds): boolean {
     return (
-      this.isListed &&
-      !this.isOver &&
-      this.hasAnswered &&
+      this.isRegistered &&
+      !this.isRemoved &&
+      this.hasListing &&
       !this.info.isDraining &&
       now >= this.avoidUntil &&
-      !this.isAnswerLate(now) &&
-      now - this.lastAnswerAt <= freshness
+      !this.isResponseLate(now) &&
+      now - this.lastResponseAt <= freshness
     );
   }
 
@@ -179,6 +179,6 @@
   }
 }
 
-function runKey(task: string, run: number): string {
+function formatRunKey(task: string, run: number): string {
   return `${task}#${run}`;
 }
--- a/packages/emulator/src/emulated_fleet.ts
+++ b/packages/emulator/src/emulated_fleet.ts
@@ -1,10 +1,10 @@
 /** All targets of an installation, and the network between them and the instances. */
 import type {
   EndKind,
-  HoldOrder,
-  HoldOutcome,
+  PollRequest,
+  PollOutcome,
   ListedEnd,
-  OrderOutcome,
+  CommandOutcome,
   TargetAddress,
   TargetInfo,
   TargetPort,
@@ -102,7 +102,7 @@
 
   /** The targets as every instance reaches them. */
   port(): TargetPort {
-    const call = <T extends OrderOutcome | HoldOutcome>(
+    const call = <T extends CommandOutcome | PollOutcome>(
       target: TargetAddress,
       timeout: Milliseconds,
       isOrder: boolean,
@@ -117,9 +117,9 @@
         call(target, timeout, true, found =>
           found.stop(order, this.clock.now()),
         ),
-      hold: (target, order, timeout) =>
+      poll: (target, order, timeout) =>
         this.hold(order, target.id, () =>
-          call<HoldOutcome>(target, timeout, false, found =>
+          call<PollOutcome>(target, timeout, false, found =>
             found.hold(order, this.clock.now()),
           ),
         ),
@@ -197,10 +197,10 @@
   }
 
   private async hold(
-    order: HoldOrder,
+    order: PollRequest,
     id: string,
-    look: () => Promise<HoldOutcome>,
-  ): Promise<HoldOutcome> {
+    look: () => Promise<PollOutcome>,
+  ): Promise<PollOutcome> {
     const target = this.targets.get(id);
     const before = target?.lastEnd ?? 0;
     const until = this.clock.now() + order.wait;
@@ -214,7 +214,7 @@
     return look();
   }
 
-  private async call<T extends OrderOutcome | HoldOutcome>(
+  private async call<T extends CommandOutcome | PollOutcome>(
     address: TargetAddress,
     timeout: Milliseconds,
     isOrder: boolean,
--- a/packages/emulator/src/emulated_instance.ts
+++ b/packages/emulator/src/emulated_instance.ts
@@ -74,8 +74,8 @@
             this.service.onRecord(applied, clock.now());
           }
         },
-        pauseAfterNews: () => this.service.newsPause,
-        onAnswer: now => this.service.onLogAnswer(now),
+        pauseAfterNews: () => this.service.readDelay,
+        onAnswer: now => this.service.onLogResponse(now),
       },
       READ_WAIT,
       clock,
--- a/packages/emulator/src/emulated_log.ts
+++ b/packages/emulator/src/emulated_log.ts
@@ -1,5 +1,5 @@
 /** The platform's log in memory, in virtual time, with its faults. */
-import type {Fencing, OfficeAppend} from '@galenavalve/dispatch';
+import type {FencingToken, FencedAppendOutcome} from '@galenavalve/dispatch';
 import type {AppendOutcome} from '@galenavalve/gateway';
 import {type SharedLog, withoutFence} from '@galenavalve/relay';
 import type {Clock, Milliseconds, Random} from '@galenavalve/shared';
@@ -95,8 +95,8 @@
     instance: string,
     records: readonly KeyedRecord[],
     timeout: Milliseconds,
-    fencing?: Fencing,
-  ): Promise<OfficeAppend> {
+    fencing?: FencingToken,
+  ): Promise<FencedAppendOutcome> {
     const {lostAnswers, lateAppends, slowness} = this.faults;
     const waiting = Math.max(0, this.appendsDoneAt - this.clock.now());
     if (waiting > MOST_WAITING) {
@@ -162,8 +162,8 @@
 
   private perform(
     records: readonly KeyedRecord[],
-    fencing?: Fencing,
-  ): OfficeAppend {
+    fencing?: FencingToken,
+  ): FencedAppendOutcome {
     if (!fencing) {
       return {kind: 'appended', offset: this.push(records)};
     }
@@ -202,7 +202,7 @@
   private async reach(
     instance: string,
     timeout: Milliseconds,
-  ): Promise<OfficeAppend | undefined> {
+  ): Promise<FencedAppendOutcome | undefined> {
     await this.clock.sleep(ANSWER_TIME * this.faults.slowness);
     if (this.isSilentTo(instance)) {
       await this.clock.sleep(timeout);
@@ -244,11 +244,11 @@
     );
   }
 
-  appendAs(
-    fencing: Fencing,
+  appendFenced(
+    fencing: FencingToken,
     records: readonly KeyedRecord[],
     timeout: Milliseconds,
-  ): Promise<OfficeAppend> {
+  ): Promise<FencedAppendOutcome> {
     return this.log.appendFor(this.instance, records, timeout, fencing);
   }
 
--- a/packages/emulator/src/emulated_peers.ts
+++ b/packages/emulator/src/emulated_peers.ts
@@ -1,5 +1,5 @@
 /** Calls between emulated instances. */
-import type {OfficeAppend} from '@galenavalve/dispatch';
+import type {FencedAppendOutcome} from '@galenavalve/dispatch';
 import {
   type AppendCall,
   type LogAccess,
@@ -51,7 +51,7 @@
     peer: ReachablePeer | undefined,
     call: AppendCall,
     timeout: Milliseconds,
-  ): Promise<OfficeAppend> {
+  ): Promise<FencedAppendOutcome> {
     if (!peer) {
       return {kind: 'unknown', problem: 'the peer does not answer'};
     }
@@ -60,7 +60,7 @@
       : {kind: 'refused', problem: 'the peer does not reach the log'};
   }
 
-  private async expire(timeout: Milliseconds): Promise<OfficeAppend> {
+  private async expire(timeout: Milliseconds): Promise<FencedAppendOutcome> {
     await this.clock.sleep(timeout);
     return {kind: 'unknown', problem: 'the peer does not answer'};
   }
--- a/packages/emulator/src/emulated_target.ts
+++ b/packages/emulator/src/emulated_target.ts
@@ -1,12 +1,12 @@
 /** One target in virtual time: leases, fences, gangs, checkpoints, and work that takes time. */
 import type {
   EndKind,
-  HoldOrder,
-  HoldOutcome,
+  PollRequest,
+  PollOutcome,
   ListedEnd,
-  OrderOutcome,
-  StartOrder,
-  StopOrder,
+  CommandOutcome,
+  StartCommand,
+  StopCommand,
   TargetInfo,
 } from '@galenavalve/dispatch';
 import type {Instant, Milliseconds} from '@galenavalve/shared';
@@ -26,7 +26,7 @@
 export interface EmulatedRun {
   task: string;
   run: number;
-  order: StartOrder;
+  order: StartCommand;
   fate: TaskFate;
   startedAt: Instant;
   /** Work done, in milliseconds; starts at the checkpoint's. */
@@ -86,7 +86,7 @@
     this.steppedAt = bornAt;
   }
 
-  start(order: StartOrder, now: Instant): OrderOutcome {
+  start(order: StartCommand, now: Instant): CommandOutcome {
     this.step(now);
     const clock = this.clock(now);
     if (order.epoch < this.fence) {
@@ -120,7 +120,7 @@
     return {kind: 'done', clock};
   }
 
-  stop(order: StopOrder, now: Instant): OrderOutcome {
+  stop(order: StopCommand, now: Instant): CommandOutcome {
     this.step(now);
     const clock = this.clock(now);
     if (order.epoch < this.fence) {
@@ -136,7 +136,7 @@
     return {kind: 'done', clock};
   }
 
-  hold(order: HoldOrder, now: Instant): HoldOutcome {
+  hold(order: PollRequest, now: Instant): PollOutcome {
     this.step(now);
     const clock = this.clock(now);
     if (order.epoch < this.fence) {
@@ -202,7 +202,7 @@
       number: ++this.endCount,
       task: run.task,
       run: run.run,
-      how,
+      kind: how,
       checkpoint: this.checkpointOf(run),
     });
     this.witness.onEnd(this, run, how);
--- a/packages/emulator/src/run_auditor.ts
+++ b/packages/emulator/src/run_auditor.ts
@@ -89,9 +89,9 @@
   }
 
   onAcknowledged(end: ListedEnd): void {
-    if (end.how === 'done') {
+    if (end.kind === 'done') {
       this.acknowledgedDone.add(end.task);
-    } else if (end.how === 'failed') {
+    } else if (end.kind === 'failed') {
       const key = this.unitKey(end.task);
       const runs = this.failures.get(key) ?? new Set();
       runs.add(end.run);
--- a/packages/relay/__tests__/fixtures.ts
+++ b/packages/relay/__tests__/fixtures.ts
@@ -1,5 +1,5 @@
 /** Fixtures of the relay's specs. */
-import type {OfficeAppend} from '@galenavalve/dispatch';
+import type {FencedAppendOutcome} from '@galenavalve/dispatch';
 import {
   LogAccess,
   PeerBook,
@@ -39,8 +39,8 @@
 
 /** A log that gives `outcome` to every append, and one record to every read. */
 export function createLog(
-  outcome: OfficeAppend,
-): SharedLog & {calls: unknown[][]; outcome: OfficeAppend} {
+  outcome: FencedAppendOutcome,
+): SharedLog & {calls: unknown[][]; outcome: FencedAppendOutcome} {
   const calls: unknown[][] = [];
   const records = [{key: 'k', value: 'v', offset: 4}];
   const log = {
@@ -50,7 +50,7 @@
       calls.push(args);
       return log.outcome as never;
     },
-    appendAs: async (...args: unknown[]) => {
+    appendFenced: async (...args: unknown[]) => {
       calls.push(args);
       return log.outcome;
     },
--- a/packages/relay/__tests__/relayed_log.spec.ts
+++ b/packages/relay/__tests__/relayed_log.spec.ts
@@ -1,10 +1,10 @@
 import t from 'tap';
-import type {OfficeAppend} from '@galenavalve/dispatch';
+import type {FencedAppendOutcome} from '@galenavalve/dispatch';
 import {type PeerPort, RelayedLog} from '@galenavalve/relay';
 import {ManualClock} from '@galenavalve/shared';
 import {createAccess, createBook, createLog, createPeer} from './fixtures.js';
 
-function createRelayed(own: OfficeAppend, peers: OfficeAppend) {
+function createRelayed(own: FencedAppendOutcome, peers: FencedAppendOutcome) {
   const clock = new ManualClock();
   const direct = createLog(own);
   const asked: string[] = [];
@@ -22,9 +22,9 @@
   return {log, direct, asked, access, clock};
 }
 
-const appended: OfficeAppend = {kind: 'appended', offset: 1};
-const refused: OfficeAppend = {kind: 'refused', problem: 'busy'};
-const unknown: OfficeAppend = {kind: 'unknown', problem: 'silence'};
+const appended: FencedAppendOutcome = {kind: 'appended', offset: 1};
+const refused: FencedAppendOutcome = {kind: 'refused', problem: 'busy'};
+const unknown: FencedAppendOutcome = {kind: 'unknown', problem: 'silence'};
 
 t.test('an append that is answered asks no peer', async t => {
   const {log, asked} = createRelayed(appended, appended);
@@ -83,7 +83,7 @@
   'an office that a higher epoch holds is lost through a peer, too',
   async t => {
     const {log} = createRelayed(refused, {kind: 'fenced'});
-    t.same(await log.appendAs({epoch: 5, sequence: 1}, [], 500), {
+    t.same(await log.appendFenced({epoch: 5, sequence: 1}, [], 500), {
       kind: 'fenced',
     });
   },
--- a/packages/relay/src/peer_book.ts
+++ b/packages/relay/src/peer_book.ts
@@ -1,5 +1,5 @@
 /** The instances that the log names. */
-import type {Standing} from '@galenavalve/dispatch';
+import type {CandidateRank} from '@galenavalve/dispatch';
 import type {KeyedRecord} from '@galenavalve/workload';
 import {type PeerEntry, decodePeer} from './peer_entry.js';
 
@@ -31,7 +31,7 @@
   }
 
   /** Ranked by processor, then by name. */
-  get standing(): Standing {
+  get standing(): CandidateRank {
     const {cores, instance} = this.self;
     let rank = 0;
     let strongest = cores;
--- a/packages/relay/src/peer_port.ts
+++ b/packages/relay/src/peer_port.ts
@@ -1,5 +1,9 @@
 /** Calls to the log through another instance. */
-import type {Fencing, OfficeAppend, OfficeLog} from '@galenavalve/dispatch';
+import type {
+  FencingToken,
+  FencedAppendOutcome,
+  FencedLog,
+} from '@galenavalve/dispatch';
 import type {AppendOutcome, JobAppender} from '@galenavalve/gateway';
 import type {Milliseconds} from '@galenavalve/shared';
 import type {
@@ -11,12 +15,12 @@
 import type {PeerEntry} from './peer_entry.js';
 
 /** A log as every part of an instance uses it. */
-export type SharedLog = KeyedLog & JobAppender & OfficeLog;
+export type SharedLog = KeyedLog & JobAppender & FencedLog;
 
 /** An append with all that belongs to it. */
 export interface AppendCall {
   records: readonly KeyedRecord[];
-  fencing?: Fencing;
+  fencing?: FencingToken;
 }
 
 /** Carries calls to another instance, which makes them itself and passes them no further. */
@@ -27,7 +31,7 @@
     log: string,
     call: AppendCall,
     timeout: Milliseconds,
-  ): Promise<OfficeAppend>;
+  ): Promise<FencedAppendOutcome>;
   /** Throws when no whole answer comes. */
   newest(
     peer: PeerEntry,
@@ -50,14 +54,14 @@
   log: SharedLog,
   {records, fencing}: AppendCall,
   timeout: Milliseconds,
-): Promise<OfficeAppend> {
+): Promise<FencedAppendOutcome> {
   return fencing
-    ? log.appendAs(fencing, records, timeout)
+    ? log.appendFenced(fencing, records, timeout)
     : log.append(records, timeout);
 }
 
 /** The outcome of an append without an epoch, which nothing can fence. */
-export function withoutFence(outcome: OfficeAppend): AppendOutcome {
+export function withoutFence(outcome: FencedAppendOutcome): AppendOutcome {
   return outcome.kind === 'fenced' || outcome.kind === 'moved'
     ? {kind: 'refused', problem: 'the log fenced an append without an epoch'}
     : outcome;
--- a/packages/relay/src/relayed_log.ts
+++ b/packages/relay/src/relayed_log.ts
@@ -1,5 +1,5 @@
 /** A log that is reached through another instance while this one is turned away. */
-import type {Fencing, OfficeAppend} from '@galenavalve/dispatch';
+import type {FencingToken, FencedAppendOutcome} from '@galenavalve/dispatch';
 import type {AppendOutcome} from '@galenavalve/gateway';
 import {
   type Clock,
@@ -46,11 +46,11 @@
     return withoutFence(await this.appendAnyhow({records}, timeout));
   }
 
-  appendAs(
-    fencing: Fencing,
+  appendFenced(
+    fencing: FencingToken,
     records: readonly KeyedRecord[],
     timeout: Milliseconds,
-  ): Promise<OfficeAppend> {
+  ): Promise<FencedAppendOutcome> {
     return this.appendAnyhow({records, fencing}, timeout);
   }
 
@@ -71,10 +71,10 @@
   private async appendAnyhow(
     call: AppendCall,
     timeout: Milliseconds,
-  ): Promise<OfficeAppend> {
+  ): Promise<FencedAppendOutcome> {
     const end = this.clock.now() + timeout;
     const peers = this.access.choosePeers(this.clock.now());
-    let failure: OfficeAppend | undefined;
+    let failure: FencedAppendOutcome | undefined;
     const isDirect = this.access.isDirect(this.clock.now());
     if (isDirect || peers.length === 0) {
       const own = peers.length > 0 ? Math.min(timeout, DIRECT_TIME) : timeout;
@@ -102,7 +102,7 @@
     return failure ?? {kind: 'refused', problem: 'there was no time to try'};
   }
 
-  private note(outcome: OfficeAppend, startedAt: Instant): void {
+  private note(outcome: FencedAppendOutcome, startedAt: Instant): void {
     if (isSettled(outcome)) {
       this.access.onDirectAnswer();
     } else {
@@ -198,15 +198,18 @@
 
 /** Whether it is known what became of an append. */
 function isSettled(
-  outcome: OfficeAppend,
-): outcome is Extract<OfficeAppend, {kind: 'appended' | 'fenced' | 'moved'}> {
+  outcome: FencedAppendOutcome,
+): outcome is Extract<
+  FencedAppendOutcome,
+  {kind: 'appended' | 'fenced' | 'moved'}
+> {
   return outcome.kind !== 'refused' && outcome.kind !== 'unknown';
 }
 
 /** Nothing was done only if no try can have done it. */
 function combine(
-  before: OfficeAppend | undefined,
-  last: OfficeAppend,
-): OfficeAppend {
+  before: FencedAppendOutcome | undefined,
+  last: FencedAppendOutcome,
+): FencedAppendOutcome {
   return before?.kind === 'unknown' ? before : last;
 }
--- a/packages/relay/src/wire_peer_port.ts
+++ b/packages/relay/src/wire_peer_port.ts
@@ -1,6 +1,6 @@
 /** Calls peers over the project's own protocol. */
 import type {ZodType, z} from 'zod';
-import type {OfficeAppend} from '@galenavalve/dispatch';
+import type {FencedAppendOutcome} from '@galenavalve/dispatch';
 import {type Milliseconds, describeError, isFailure} from '@galenavalve/shared';
 import type {PeerClient} from '@galenavalve/wire';
 import type {NewestPage, TailPage} from '@galenavalve/workload';
@@ -24,7 +24,7 @@
     log: string,
     call: AppendCall,
     timeout: Milliseconds,
-  ): Promise<OfficeAppend> {
+  ): Promise<FencedAppendOutcome> {
     const body = {log, ...call, timeout};
     try {
       return await this.call(
--- a/packages/soak/src/standins/worker_standin.ts
+++ b/packages/soak/src/standins/worker_standin.ts
@@ -1,7 +1,7 @@
 /** One worker over HTTP, on an emulated target. */
 import type {
-  HoldOutcome,
-  OrderOutcome,
+  PollOutcome,
+  CommandOutcome,
   TargetPort,
 } from '@galenavalve/dispatch';
 import {type Standin, type StandinReply, serve} from './http_standin.js';
@@ -49,7 +49,7 @@
           acknowledgedEnd: call.ack_offset,
           wait: call.wait_ms ?? 0,
         };
-        return toReply(await port.hold(target, order, SILENCE));
+        return toReply(await port.poll(target, order, SILENCE));
       }
       default:
         return {status: 404, body: {}};
@@ -57,7 +57,7 @@
   });
 }
 
-function toReply(outcome: OrderOutcome | HoldOutcome): StandinReply {
+function toReply(outcome: CommandOutcome | PollOutcome): StandinReply {
   switch (outcome.kind) {
     case 'done':
       return {status: 200, body: {clock_ms: outcome.clock}};
@@ -78,7 +78,7 @@
             end.number,
             end.task,
             end.run,
-            end.how,
+            end.kind,
             end.checkpoint,
           ]),
         },
