--- a/packages/bench/src/decide/fixture.ts
+++ b/packages/bench/src/decide/fixture.ts
@@ -5,7 +5,7 @@
   type GangShape,
   type Target,
   type Workspace,
-  defaultRules,
+  DEFAULT_RULES,
 } from '@galenavalve/model';
 import {Cells, type WaitingJob, findBestFit} from '@galenavalve/placement';
 
@@ -129,7 +129,7 @@
     domains: new Map([['d', domain]]),
     targets: inventory,
     workspaces: customers,
-    rules: defaultRules,
+    rules: DEFAULT_RULES,
   };
 }
 
--- a/packages/bench/src/fold/fold_records.ts
+++ b/packages/bench/src/fold/fold_records.ts
@@ -8,7 +8,7 @@
   type RecordBody,
   createReason,
   entity,
-  keyOf,
+  getEntityKey,
 } from '@galenavalve/model';
 import {hashValue} from '@galenavalve/shared';
 
@@ -124,7 +124,7 @@
 }
 
 function createEdit(value: Entity, baseVersion: number): Edit {
-  return {entity: keyOf(value), baseVersion, value};
+  return {entity: getEntityKey(value), baseVersion, value};
 }
 
 function createChange(changeId: string, edits: Edit[]): RecordBody {
--- a/packages/bench/src/policy/deployment.ts
+++ b/packages/bench/src/policy/deployment.ts
@@ -6,7 +6,7 @@
   type Guarantee,
   type Target,
   type Workspace,
-  defaultRules,
+  DEFAULT_RULES,
 } from '@galenavalve/model';
 
 /** A class of jobs. */
@@ -156,7 +156,7 @@
       requiresApproval: false,
     });
   }
-  return {domains, targets, workspaces, rules: defaultRules};
+  return {domains, targets, workspaces, rules: DEFAULT_RULES};
 }
 
 /** Accelerators of all targets. */
--- a/packages/bench/src/slopes/fixtures.ts
+++ b/packages/bench/src/slopes/fixtures.ts
@@ -8,7 +8,7 @@
   type RecordBody,
   type Term,
   createReason,
-  keyOf,
+  getEntityKey,
 } from '@galenavalve/model';
 import {hashValue} from '@galenavalve/shared';
 
@@ -148,7 +148,7 @@
   change = `change-${baseVersion}`,
 ): RecordBody {
   const edits = entities.map(value => ({
-    entity: keyOf(value),
+    entity: getEntityKey(value),
     baseVersion,
     value,
   }));
--- a/packages/bench/src/slopes/peer_slopes.ts
+++ b/packages/bench/src/slopes/peer_slopes.ts
@@ -164,7 +164,7 @@
   const random = new SeededRandom(1);
   const listen = {host: HOST, port: 0};
   const server = new PeerServer({...listen, instance, logger, clock});
-  const client = new PeerClient({self: instance, logger, clock, random});
+  const client = new PeerClient({instance, logger, clock, random});
   return {server, client, random};
 }
 
--- a/packages/bench/src/slopes/platform_worker.ts
+++ b/packages/bench/src/slopes/platform_worker.ts
@@ -12,7 +12,7 @@
   startLogServer,
   startTargetServer,
 } from '@galenavalve/standins';
-import {TcpRelay} from '@galenavalve/wire';
+import {TcpProxy} from '@galenavalve/wire';
 import {createEntries, createLogBodies, foldAll} from './fixtures.js';
 import type {
   ByteCounts,
@@ -50,18 +50,18 @@
     memoryMb: 67_108_864,
   }));
   const server = await startTargetServer({...listen, targets: definitions});
-  const logRelay = new TcpRelay(portOf(log.url));
-  const targetRelay = new TcpRelay(portOf(server.url));
+  const logRelay = new TcpProxy(portOf(log.url));
+  const targetRelay = new TcpProxy(portOf(server.url));
   const urls: PlatformUrls = {
     log: `http://${HOST}:${await logRelay.start()}`,
     instances: list.url,
     targets: `http://${HOST}:${await targetRelay.start()}`,
   };
   const count = (): ByteCounts => ({
-    toLog: logRelay.bytesForth,
-    fromLog: logRelay.bytesBack,
-    toTargets: targetRelay.bytesForth,
-    fromTargets: targetRelay.bytesBack,
+    toLog: logRelay.bytesFromClients,
+    fromLog: logRelay.bytesFromServer,
+    toTargets: targetRelay.bytesFromClients,
+    fromTargets: targetRelay.bytesFromServer,
   });
   return {urls, count};
 }
--- a/packages/cli/__tests__/fake_entry.ts
+++ b/packages/cli/__tests__/fake_entry.ts
@@ -3,8 +3,8 @@
 import type {AddressInfo} from 'node:net';
 import type {Test} from 'tap';
 import type {ConfigurationView, Entity, JobView} from '@galenavalve/model';
-import {keyOf} from '@galenavalve/model';
-import {errorTemplates, type ErrorCode, Failure} from '@galenavalve/shared';
+import {getEntityKey} from '@galenavalve/model';
+import {ERROR_TEMPLATES, type ErrorCode, Failure} from '@galenavalve/shared';
 
 /** One scripted answer; 'silent' never answers, 'cut' closes the connection. */
 export type Script =
@@ -68,7 +68,7 @@
   details: Record<string, string | number> = {},
   headers: Record<string, string> = {},
 ): Script {
-  const {status} = errorTemplates[code];
+  const {status} = ERROR_TEMPLATES[code];
   return {status, body: new Failure(code, details).toJSON(), headers};
 }
 
@@ -95,7 +95,7 @@
   version: number,
 ): ConfigurationView {
   const entities = values.map(value => ({
-    entity: keyOf(value),
+    entity: getEntityKey(value),
     version,
     value,
   }));
--- a/packages/cli/src/client/attempt_result.ts
+++ b/packages/cli/src/client/attempt_result.ts
@@ -4,7 +4,7 @@
 import {type JsonAnswer, NoAnswer} from '@galenavalve/platform';
 import {
   type ErrorCode,
-  errorTemplates,
+  ERROR_TEMPLATES,
   Failure,
   type Milliseconds,
 } from '@galenavalve/shared';
@@ -98,5 +98,5 @@
 }
 
 function isErrorCode(code: string): code is ErrorCode {
-  return Object.hasOwn(errorTemplates, code);
+  return Object.hasOwn(ERROR_TEMPLATES, code);
 }
--- a/packages/cli/src/client/call_run.ts
+++ b/packages/cli/src/client/call_run.ts
@@ -2,7 +2,7 @@
 import {
   type Clock,
   type Instant,
-  jitteredBackoff,
+  computeJitteredBackoff,
   type Milliseconds,
   type Random,
 } from '@galenavalve/shared';
@@ -165,7 +165,12 @@
   ): Milliseconds {
     const {policy, random} = this.options;
     const {backoffBase, backoffCap} = policy;
-    const backoff = jitteredBackoff(round, backoffBase, backoffCap, random);
+    const backoff = computeJitteredBackoff(
+      round,
+      backoffBase,
+      backoffCap,
+      random,
+    );
     const retryAfter = result?.kind === 'not-run' ? result.retryAfter : 0;
     return (retryAfter ?? 0) + backoff;
   }
--- a/packages/cli/src/input/desired_configuration.ts
+++ b/packages/cli/src/input/desired_configuration.ts
@@ -6,7 +6,7 @@
   type Entity,
   entity,
   type EntityView,
-  keyOf,
+  getEntityKey,
 } from '@galenavalve/model';
 import {Failure, hashValue} from '@galenavalve/shared';
 import {checkValue, readJsonc} from './jsonc_file.js';
@@ -49,7 +49,7 @@
   const entities = new Map<string, DesiredEntity>();
   content.entities.forEach((raw, index) => {
     const value = checkValue(entity, raw, `${file}: entities.${index}`);
-    const key = keyOf(value);
+    const key = getEntityKey(value);
     if (entities.has(key)) {
       throw createDuplicateFailure(file, key);
     }
--- a/packages/cli/src/queries/check_configuration.ts
+++ b/packages/cli/src/queries/check_configuration.ts
@@ -1,6 +1,6 @@
 /** `galenavalve check`. */
 import {applyEntry, LedgerState} from '@galenavalve/ledger';
-import {type Entity, keyOf, RECORD_VERSION} from '@galenavalve/model';
+import {type Entity, getEntityKey, RECORD_VERSION} from '@galenavalve/model';
 import {findGuaranteeFailure} from '@galenavalve/placement';
 import {ExitCode} from '../exit_code.js';
 import {readDesiredConfiguration} from '../input/desired_configuration.js';
@@ -32,7 +32,7 @@
 /** Folds the file as the first record of a log, as every daemon would. */
 function findProblem(entities: readonly Entity[]): string | undefined {
   const edits = entities.map(value => ({
-    entity: keyOf(value),
+    entity: getEntityKey(value),
     baseVersion: 0,
     value,
   }));
--- a/packages/daemon/__tests__/fixtures.ts
+++ b/packages/daemon/__tests__/fixtures.ts
@@ -2,7 +2,7 @@
 import type {Test} from 'tap';
 import {MemoryLog} from '@galenavalve/ledger';
 import type {InstanceList, ListedInstance} from '@galenavalve/membership';
-import {type Entity, keyOf} from '@galenavalve/model';
+import {type Entity, getEntityKey} from '@galenavalve/model';
 import {SilentLogger, SystemClock} from '@galenavalve/shared';
 import {
   createContainer,
@@ -55,7 +55,7 @@
   ...values: Entity[]
 ): Record<string, unknown> {
   const edits = values.map(value => ({
-    entity: keyOf(value),
+    entity: getEntityKey(value),
     baseVersion: 0,
     value,
   }));
--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -167,7 +167,7 @@
   container.bind(tokens.peerClient).toDynamicValue(context => {
     const {instance} = context.get<Settings>(tokens.settings);
     return new PeerClient({
-      self: instance,
+      instance,
       clock: context.get(tokens.clock),
       random: context.get(tokens.random),
       logger: context.get(tokens.logger),
--- a/packages/daemon/src/http/parse_body.ts
+++ b/packages/daemon/src/http/parse_body.ts
@@ -1,13 +1,13 @@
 /** Checks what callers send against a schema. */
 import type {z} from 'zod';
-import {Failure, MAX_BODY_DEPTH, exceedsDepth} from '@galenavalve/shared';
+import {Failure, MAX_BODY_DEPTH, isTooDeep} from '@galenavalve/shared';
 
 /** Returns the checked value. Throws `bad-request`, which names the field. */
 export function parseBody<T extends z.ZodType>(
   schema: T,
   body: unknown,
 ): z.infer<T> {
-  if (exceedsDepth(body, MAX_BODY_DEPTH)) {
+  if (isTooDeep(body, MAX_BODY_DEPTH)) {
     const problem = `the body is nested deeper than ${MAX_BODY_DEPTH} levels`;
     throw new Failure('bad-request', {problem});
   }
--- a/packages/daemon/src/queries/config_queries.ts
+++ b/packages/daemon/src/queries/config_queries.ts
@@ -2,7 +2,7 @@
 import {
   type ChangeListView,
   type VersionedEntity,
-  keyOf,
+  getEntityKey,
 } from '@galenavalve/model';
 import type {Node} from '../node.js';
 
@@ -22,7 +22,7 @@
     ...targets.values(),
     ...workspaces.values(),
     rules,
-  ].map(keyOf);
+  ].map(getEntityKey);
   const entities = keys.flatMap(entity => {
     const versioned = node.state.entity(entity);
     return versioned ? [{entity, ...versioned}] : [];
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -1,6 +1,6 @@
 /** The settings of one process. The file is JSON with comments. */
 import {z} from 'zod';
-import {name} from '@galenavalve/model';
+import {resourceName} from '@galenavalve/model';
 
 const ipAddress = z.union([z.ipv4(), z.ipv6()]);
 const port = z.int().min(0).max(65_535);
@@ -12,8 +12,8 @@
 });
 
 const seed = z.strictObject({
-  instance: name,
-  domain: name,
+  instance: resourceName,
+  domain: resourceName,
   host: ipAddress,
   port,
 });
@@ -55,9 +55,9 @@
 /** Everything that a process is told at its start. */
 export const settings = z.strictObject({
   /** Unique name of this instance. */
-  instance: name,
+  instance: resourceName,
   /** Failure domain that the instance lies in. */
-  domain: name,
+  domain: resourceName,
   http: endpoint,
   peer: endpoint,
   platform: z.strictObject({
--- a/packages/demo/src/entry_api.ts
+++ b/packages/demo/src/entry_api.ts
@@ -9,7 +9,7 @@
   JobView,
   WorkspaceView,
 } from '@galenavalve/model';
-import {keyOf} from '@galenavalve/model';
+import {getEntityKey} from '@galenavalve/model';
 
 const TRIES = 40;
 const PAUSE_MS = 250;
@@ -72,7 +72,7 @@
       changeId: 'demo-configuration',
       author: 'demo',
       edits: entities.map(value => ({
-        entity: keyOf(value),
+        entity: getEntityKey(value),
         baseVersion: 0,
         value,
       })),
--- a/packages/dispatch/src/active_job.ts
+++ b/packages/dispatch/src/active_job.ts
@@ -128,7 +128,7 @@
 /** Whether a unit failed as often as its queue allows. */
 export function hasNoAttemptLeft(unit: ActiveUnit): boolean {
   const {maxAttempts} = unit.job.accepted.terms;
-  return !unit.step.isLongRunning && unit.progress.failed >= maxAttempts;
+  return !unit.step.isLongRunning && unit.progress.failureCount >= maxAttempts;
 }
 
 /** A booking that was just made; nothing is known of its progress. */
--- a/packages/dispatch/src/dispatch_service.ts
+++ b/packages/dispatch/src/dispatch_service.ts
@@ -160,7 +160,7 @@
   private async claim(): Promise<void> {
     const {log, table, random, clock, logger} = this.parts;
     for (let attempt = 1; attempt <= MAX_CLAIM_ATTEMPTS; attempt++) {
-      const isCurrent = await this.follower.refresh(CLAIM_TIMEOUT_MS);
+      const isCurrent = await this.follower.readToEnd(CLAIM_TIMEOUT_MS);
       const isVacant = this.watch.isClaimDue(clock.now());
       if (!isCurrent || !isVacant || this.isClosed) {
         logger.info('claim-left', {attempt, isCurrent, isVacant});
@@ -179,7 +179,8 @@
         epoch: leadership.epoch,
         sequence: 0,
         // A slow log may move between every read and append.
-        endsAt: attempt < MAX_CLAIM_ATTEMPTS ? this.follower.next : undefined,
+        endsAt:
+          attempt < MAX_CLAIM_ATTEMPTS ? this.follower.nextOffset : undefined,
       };
       const record = encodeLeadership(leadership);
       const result = await log.appendFenced(
@@ -206,9 +207,9 @@
   ): Promise<boolean> {
     const isRead =
       result.kind === 'appended'
-        ? await this.follower.reach(result.offset, CLAIM_TIMEOUT_MS)
+        ? await this.follower.waitForOffset(result.offset, CLAIM_TIMEOUT_MS)
         : result.kind === 'moved' &&
-          (await this.follower.refresh(CLAIM_TIMEOUT_MS));
+          (await this.follower.readToEnd(CLAIM_TIMEOUT_MS));
     const newest = this.parts.table.leadership;
     const isOwn =
       newest?.epoch === leadership.epoch && newest.holder === this.holder;
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -179,7 +179,7 @@
     for (const info of targets) {
       this.directory.onRegistered(info, now);
     }
-    for (const entry of table.all()) {
+    for (const entry of table.listEntries()) {
       this.onJobAccepted(entry);
     }
     while (!this.isClosed) {
--- a/packages/dispatch/src/expired_jobs.ts
+++ b/packages/dispatch/src/expired_jobs.ts
@@ -3,7 +3,7 @@
 import {
   type JobTable,
   type KeyedRecord,
-  encodeForgotten,
+  encodeJobTombstones,
 } from '@galenavalve/workload';
 
 /** Ended jobs are looked for this often, in milliseconds. */
@@ -31,12 +31,12 @@
     }
     this.lookedAt = now;
     const limit = this.clock.wallTime() - RETENTION_FACTOR * this.keepEnded;
-    const old = [...this.table.all()].filter(
+    const old = [...this.table.listEntries()].filter(
       ({progress}) =>
         progress?.endedAt !== undefined && progress.endedAt < limit,
     );
     return old
       .slice(0, MAX_REMOVALS_PER_APPEND)
-      .flatMap(({id}) => encodeForgotten(id));
+      .flatMap(({id}) => encodeJobTombstones(id));
   }
 }
--- a/packages/dispatch/src/record_writer.ts
+++ b/packages/dispatch/src/record_writer.ts
@@ -4,7 +4,7 @@
   type Instant,
   type Logger,
   type Random,
-  jitteredBackoff,
+  computeJitteredBackoff,
 } from '@galenavalve/shared';
 import {
   type KeyedRecord,
@@ -152,7 +152,12 @@
       });
       await this.clock.sleep(
         RETRY_BASE_MS +
-          jitteredBackoff(attempt, RETRY_BASE_MS, RETRY_CAP_MS, this.random),
+          computeJitteredBackoff(
+            attempt,
+            RETRY_BASE_MS,
+            RETRY_CAP_MS,
+            this.random,
+          ),
       );
     }
     return false;
--- a/packages/dispatch/src/run_tracker.ts
+++ b/packages/dispatch/src/run_tracker.ts
@@ -278,17 +278,17 @@
     run: number,
     now: Instant,
   ): void {
-    if (unit.progress.failedRun >= run) {
+    if (unit.progress.lastFailedRun >= run) {
       return;
     }
-    unit.progress.failedRun = run;
+    unit.progress.lastFailedRun = run;
     unit.retryAt = now + FAILURE_BACKOFF_MS;
     if (unit.step.isLongRunning) {
       return;
     }
-    unit.progress.failed++;
+    unit.progress.failureCount++;
     // A unit that fails wherever it goes says nothing of the targets.
-    if (unit.progress.failed === 1) {
+    if (unit.progress.failureCount === 1) {
       this.onTargetFault(room, 1, now);
     }
     unit.avoidedTargets.add(room.info.id);
@@ -298,7 +298,7 @@
       unit: unit.unitIndex,
       run,
       target: room.info.id,
-      failures: unit.progress.failed,
+      failures: unit.progress.failureCount,
       allowed: unit.job.accepted.terms.maxAttempts,
     });
     unit.job.hasFailed ||= hasNoAttemptLeft(unit);
--- a/packages/emulator/__tests__/faults.spec.ts
+++ b/packages/emulator/__tests__/faults.spec.ts
@@ -51,7 +51,7 @@
     const failures = () =>
       [...installation.instances.values()][0]!.table
         .find(createId(1))
-        ?.progress?.read().occurrences[0]?.steps[0]?.[0]?.failed ?? 0;
+        ?.progress?.read().occurrences[0]?.steps[0]?.[0]?.failureCount ?? 0;
     const isExhausted = () => failures() === 3;
     t.ok(await installation.until(isExhausted, 20_000));
     installation.kill(installation.dispatcher()!.name);
@@ -83,7 +83,7 @@
       [...installation.instances.values()].map(
         ({table}) =>
           table.find(createId(1))?.progress?.read().occurrences[0]
-            ?.steps[0]?.[0]?.failed ?? 0,
+            ?.steps[0]?.[0]?.failureCount ?? 0,
       );
     await installation.until(() => failed().some(count => count === 1), 5000);
     installation.kill(installation.dispatcher()!.name);
--- a/packages/emulator/__tests__/relay.spec.ts
+++ b/packages/emulator/__tests__/relay.spec.ts
@@ -36,7 +36,7 @@
         Array.from({length: 8}, () => 'accepted'),
         fault,
       );
-      t.ok(turnedAway.gateway.isServing, fault);
+      t.ok(turnedAway.gateway.isReady, fault);
       t.equal(installation.stateOf(createId(1)), 'complete');
       t.same(installation.auditor.violations, []);
       installation.close();
@@ -82,7 +82,7 @@
     await installation.advance(3000);
     t.equal(kind, 'refused');
     t.equal(installation.stateOf(createId(1)), undefined);
-    t.notOk(alone.gateway.isServing);
+    t.notOk(alone.gateway.isReady);
     installation.close();
   },
 );
--- a/packages/emulator/src/emulated_instance.ts
+++ b/packages/emulator/src/emulated_instance.ts
@@ -6,12 +6,12 @@
   type TargetPort,
   type TargetRegistry,
 } from '@galenavalve/dispatch';
-import {DesiredStateBook, Gateway} from '@galenavalve/gateway';
+import {DesiredStateStore, Gateway} from '@galenavalve/gateway';
 import {
-  LogAccess,
-  PeerBook,
+  LogPathTracker,
+  PeerDirectory,
   type PeerEntry,
-  type PeerPort,
+  type PeerLogClient,
   RelayedLog,
   type SharedLog,
   announcePeer,
@@ -28,11 +28,11 @@
   /** Processor that it may use, in cores. */
   cores: number;
   log: SharedLog;
-  peers: PeerPort;
+  peers: PeerLogClient;
   targets: TargetPort;
   advisor: Advisor;
   registry: TargetRegistry;
-  desired: DesiredStateBook;
+  desired: DesiredStateStore;
   settings: DispatchSettings;
   clock: Clock;
   random: Random;
@@ -44,15 +44,15 @@
   readonly table: JobTable;
   readonly gateway: Gateway;
   readonly service: DispatchService;
-  readonly access: LogAccess;
+  readonly access: LogPathTracker;
   private readonly follower: Follower;
-  private readonly book: PeerBook;
+  private readonly book: PeerDirectory;
   private readonly log: RelayedLog;
 
   constructor(private readonly wiring: InstanceWiring) {
     const {clock, random, logger, desired} = wiring;
-    this.book = new PeerBook(this.describe());
-    this.access = new LogAccess(this.book, '', random, logger);
+    this.book = new PeerDirectory(this.describe());
+    this.access = new LogPathTracker(this.book, '', random, logger);
     const log = new RelayedLog(
       'jobs',
       wiring.log,
@@ -74,8 +74,8 @@
             this.service.onRecord(applied, clock.now());
           }
         },
-        pauseAfterNews: () => this.service.readDelay,
-        onAnswer: now => this.service.onLogResponse(now),
+        readDelay: () => this.service.readDelay,
+        onResponse: now => this.service.onLogResponse(now),
       },
       READ_WAIT,
       clock,
@@ -97,12 +97,12 @@
       this.follower,
       wiring.registry,
       `${wiring.name}/${clock.now()}`,
-      () => this.book.standing,
+      () => this.book.candidateRank,
     );
     this.gateway = new Gateway({
       table: this.table,
       follower: this.follower,
-      desired,
+      desiredState: desired,
       log,
       clock,
       random,
--- a/packages/emulator/src/emulated_log.ts
+++ b/packages/emulator/src/emulated_log.ts
@@ -1,7 +1,7 @@
 /** The platform's log in memory, in virtual time, with its faults. */
 import type {FencingToken, FencedAppendOutcome} from '@galenavalve/dispatch';
 import type {AppendOutcome} from '@galenavalve/gateway';
-import {type SharedLog, withoutFence} from '@galenavalve/relay';
+import {type SharedLog, toUnfencedOutcome} from '@galenavalve/relay';
 import type {Clock, Milliseconds, Random} from '@galenavalve/shared';
 import type {
   KeyedRecord,
@@ -239,7 +239,7 @@
     records: readonly KeyedRecord[],
     timeout: Milliseconds,
   ): Promise<AppendOutcome> {
-    return withoutFence(
+    return toUnfencedOutcome(
       await this.log.appendFor(this.instance, records, timeout),
     );
   }
@@ -252,11 +252,11 @@
     return this.log.appendFor(this.instance, records, timeout, fencing);
   }
 
-  newest(): Promise<NewestPage> {
+  readNewest(): Promise<NewestPage> {
     return this.log.newestFor(this.instance);
   }
 
-  tail(offset: number, wait: Milliseconds): Promise<TailPage> {
+  readTail(offset: number, wait: Milliseconds): Promise<TailPage> {
     return this.log.tailFor(this.instance, offset, wait);
   }
 }
--- a/packages/emulator/src/emulated_peers.ts
+++ b/packages/emulator/src/emulated_peers.ts
@@ -2,9 +2,9 @@
 import type {FencedAppendOutcome} from '@galenavalve/dispatch';
 import {
   type AppendCall,
-  type LogAccess,
+  type LogPathTracker,
   type PeerEntry,
-  type PeerPort,
+  type PeerLogClient,
   type SharedLog,
   appendTo,
 } from '@galenavalve/relay';
@@ -17,7 +17,7 @@
 /** An instance as others reach it. */
 export interface ReachablePeer {
   log: SharedLog;
-  access: LogAccess;
+  access: LogPathTracker;
 }
 
 /** The network between instances. */
@@ -34,16 +34,16 @@
   }
 
   /** The network as one instance reaches it. */
-  port(from: string): PeerPort {
+  port(from: string): PeerLogClient {
     const reach = (peer: PeerEntry, timeout: Milliseconds) =>
       this.reach(from, peer, timeout);
     return {
       append: async (peer, _log, call, timeout) =>
         this.append(await reach(peer, timeout), call, timeout),
-      newest: async (peer, _log, after, timeout): Promise<NewestPage> =>
-        expect(await reach(peer, timeout)).newest(after),
-      tail: async (peer, _log, offset, wait, timeout): Promise<TailPage> =>
-        expect(await reach(peer, timeout)).tail(offset, wait),
+      readNewest: async (peer, _log, after, timeout): Promise<NewestPage> =>
+        expect(await reach(peer, timeout)).readNewest(after),
+      readTail: async (peer, _log, offset, wait, timeout): Promise<TailPage> =>
+        expect(await reach(peer, timeout)).readTail(offset, wait),
     };
   }
 
@@ -55,7 +55,7 @@
     if (!peer) {
       return {kind: 'unknown', problem: 'the peer does not answer'};
     }
-    return peer.access.isServing
+    return peer.access.isAvailableToPeers
       ? Promise.race([appendTo(peer.log, call, timeout), this.expire(timeout)])
       : {kind: 'refused', problem: 'the peer does not reach the log'};
   }
@@ -77,7 +77,7 @@
 }
 
 function expect(peer: ReachablePeer | undefined): SharedLog {
-  if (!peer?.access.isServing) {
+  if (!peer?.access.isAvailableToPeers) {
     throw new Error('the peer does not help');
   }
   return peer.log;
--- a/packages/emulator/src/installation.ts
+++ b/packages/emulator/src/installation.ts
@@ -6,7 +6,7 @@
   NoAdvisor,
   type TargetInfo,
 } from '@galenavalve/dispatch';
-import {DesiredStateBook, type Queue} from '@galenavalve/gateway';
+import {DesiredStateStore, type Queue} from '@galenavalve/gateway';
 import {
   type Logger,
   ManualClock,
@@ -53,7 +53,7 @@
   readonly fleet: EmulatedFleet;
   readonly peers = new EmulatedPeers(this.clock);
   readonly auditor = new RunAuditor();
-  readonly desired = new DesiredStateBook();
+  readonly desired = new DesiredStateStore();
   readonly instances = new Map<string, EmulatedInstance>();
   readonly jobs = new Map<string, AcceptedJob>();
   private readonly powers = new Map<string, Power>();
@@ -83,7 +83,7 @@
       task => this.options.fates(task, this),
       this.auditor,
     );
-    this.desired.put({
+    this.desired.apply({
       version: 1,
       queues: [0, 1, 2].map(createQueue),
       workspaces: [{name: 'w', keys: ['k'], guaranteedAccelerators: 16}],
@@ -167,14 +167,14 @@
     };
     this.jobs.set(id, job);
     this.auditor.onSubmitted(id, job);
-    const call = {queue, workspace: 'w', jobId: id, limit: 3000};
+    const call = {queue, workspace: 'w', jobId: id, timeout: 3000};
     return at.gateway.submit(call, spec);
   }
 
   /** Cancels a job at an instance. */
   async cancel(id: string, at = this.pickInstance()): Promise<void> {
     const queue = createQueue(this.jobs.get(id)!.terms.priority);
-    const call = {queue, workspace: 'w', jobId: id, limit: 3000};
+    const call = {queue, workspace: 'w', jobId: id, timeout: 3000};
     const answer = await at.gateway.cancel(call);
     if (answer.kind === 'cancelled') {
       this.auditor.onCancelled(id, this.clock.now());
@@ -223,7 +223,7 @@
     const living = [...this.instances.values()].filter(
       ({name}) => this.powers.get(name)!.isOn,
     );
-    const caughtUp = living.find(({gateway}) => gateway.isServing);
+    const caughtUp = living.find(({gateway}) => gateway.isReady);
     return caughtUp ?? living[0]!;
   }
 }
--- a/packages/faults/src/world.ts
+++ b/packages/faults/src/world.ts
@@ -6,7 +6,7 @@
   type JobRequest,
   entity,
   jobRequest,
-  keyOf,
+  getEntityKey,
 } from '@galenavalve/model';
 import {
   type Instant,
@@ -137,10 +137,10 @@
         changeId: `change-${this.records++}`,
         author: 'operator',
         edits: values.map(value => ({
-          entity: keyOf(value),
+          entity: getEntityKey(value),
           baseVersion: Math.max(
             0,
-            this.observer.entityVersion(keyOf(value)) - baseOffset,
+            this.observer.entityVersion(getEntityKey(value)) - baseOffset,
           ),
           value,
         })),
@@ -245,9 +245,9 @@
     }
     const now = this.clock.now();
     if (value.state === 'in-service') {
-      this.facts.noteIn(keyOf(value), now);
+      this.facts.noteIn(getEntityKey(value), now);
     } else {
-      this.facts.noteOut(keyOf(value), now);
+      this.facts.noteOut(getEntityKey(value), now);
     }
   }
 
--- a/packages/gateway/__tests__/admission.spec.ts
+++ b/packages/gateway/__tests__/admission.spec.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import {DesiredStateBook, admit} from '@galenavalve/gateway';
+import {DesiredStateStore, admit} from '@galenavalve/gateway';
 
 const TERMS = {
   pool: 'p',
@@ -10,10 +10,10 @@
 };
 
 /** A configuration with one public and one private queue, confirmed at 10 s. */
-function createBook(): DesiredStateBook {
-  const book = new DesiredStateBook();
+function createBook(): DesiredStateStore {
+  const book = new DesiredStateStore();
   const queue = {name: 'q', host: 'h', isPublic: false, terms: TERMS};
-  book.put({
+  book.apply({
     version: 7,
     queues: [
       {...queue, pathPrefix: '/p/'},
@@ -61,6 +61,6 @@
 );
 
 t.test('nothing is denied before a configuration was read', t => {
-  t.equal(admit(new DesiredStateBook(), known, 0).kind, 'refused');
+  t.equal(admit(new DesiredStateStore(), known, 0).kind, 'refused');
   t.end();
 });
--- a/packages/gateway/__tests__/gateway.spec.ts
+++ b/packages/gateway/__tests__/gateway.spec.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
 import {
   type AppendOutcome,
-  DesiredStateBook,
+  DesiredStateStore,
   Gateway,
   type Queue,
 } from '@galenavalve/gateway';
@@ -49,8 +49,8 @@
   /** Records that reads still owe: the end of the log is this much ahead. */
   const unread = {count: 0};
   const keyedLog = {
-    newest: async () => ({records: [], end: 0}),
-    tail: async (offset: number) => ({
+    readNewest: async () => ({records: [], end: 0}),
+    readTail: async (offset: number) => ({
       kind: 'records' as const,
       records: [],
       next: offset,
@@ -70,7 +70,7 @@
   const gateway = new Gateway({
     table,
     follower,
-    desired: new DesiredStateBook(),
+    desiredState: new DesiredStateStore(),
     log: {
       append: async records => {
         appended.push(...records);
@@ -81,7 +81,7 @@
     random,
     logger,
   });
-  const call = {queue, workspace: 'w', jobId: '1', limit: 3000};
+  const call = {queue, workspace: 'w', jobId: '1', timeout: 3000};
   return {clock, table, appended, gateway, call, follower, unread};
 }
 
@@ -143,7 +143,7 @@
     spec,
   };
   table.apply({key: 'a/1', value: JSON.stringify(job), offset: 0});
-  const answer = await settle(clock, gateway.state(call));
+  const answer = await settle(clock, gateway.getState(call));
   t.equal(answer.kind, 'unknown-job');
 });
 
@@ -159,10 +159,10 @@
   async t => {
     const {gateway, call, clock, unread} = createGateway([]);
     unread.count = 3;
-    const early = await settle(clock, gateway.state(call));
+    const early = await settle(clock, gateway.getState(call));
     t.equal(early.kind, 'refused');
     unread.count = 0;
-    const late = await settle(clock, gateway.state(call));
+    const late = await settle(clock, gateway.getState(call));
     t.equal(late.kind, 'unknown-job');
   },
 );
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -1,6 +1,6 @@
 /** Which queue and workspace a call is for, and whether that can be denied: only a configuration that was read just now denies truthfully. */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
-import type {DesiredStateBook, Queue} from './desired_state.js';
+import type {DesiredStateStore, Queue} from './desired_state.js';
 
 /** A configuration that was not confirmed for this long may have been replaced: its log answers every second, and changes are in force after two. */
 const CONFIRMATION_LIMIT: Milliseconds = 1500;
@@ -9,7 +9,7 @@
 const RETRY_AFTER_SECONDS = 1;
 
 /** What a call names. */
-export interface Approach {
+export interface AdmissionRequest {
   host: string;
   path: string;
   key?: string;
@@ -25,8 +25,8 @@
 
 /** Finds the queue and the workspace of a call. */
 export function admit(
-  desired: DesiredStateBook,
-  {host, path, key}: Approach,
+  desired: DesiredStateStore,
+  {host, path, key}: AdmissionRequest,
   now: Instant,
 ): Admission {
   if (desired.version === undefined) {
--- a/packages/gateway/src/desired_state.ts
+++ b/packages/gateway/src/desired_state.ts
@@ -28,7 +28,7 @@
 }
 
 /** The newest desired state, indexed; versions never go back within one life of the process. */
-export class DesiredStateBook {
+export class DesiredStateStore {
   /** Failure domains that get no new work. */
   readonly evacuated = new Set<string>();
   guarantees: ReadonlyMap<string, number> = new Map();
@@ -49,7 +49,7 @@
   }
 
   /** Puts a version in force unless it is older. Returns whether it did. */
-  put(state: DesiredState): boolean {
+  apply(state: DesiredState): boolean {
     if (this.state && state.version <= this.state.version) {
       return false;
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,7 +4,7 @@
   type Logger,
   type Milliseconds,
   type Random,
-  jitteredBackoff,
+  computeJitteredBackoff,
 } from '@galenavalve/shared';
 import {
   type Follower,
@@ -16,10 +16,10 @@
   encodeAccepted,
   encodeCancelled,
   findSpecProblem,
-  stateOf,
+  getJobState,
 } from '@galenavalve/workload';
-import type {DesiredStateBook, Queue} from './desired_state.js';
-import type {JobAppender} from './job_appender.js';
+import type {DesiredStateStore, Queue} from './desired_state.js';
+import type {RecordAppender} from './record_appender.js';
 
 /** Longest wait for one append; the platform's pages give a few milliseconds as usual, and a hundredfold when it is slow. */
 const APPEND_TIMEOUT: Milliseconds = 700;
@@ -35,7 +35,7 @@
 const MAX_REFUSALS = 3;
 
 /** A log that did not answer for this long is taken as unreachable: its reads answer every second. */
-export const LOG_SILENCE: Milliseconds = 2200;
+export const LOG_TIMEOUT_MS: Milliseconds = 2200;
 
 /** Longest wait to catch up with the log before a job is called unknown. */
 const CATCH_UP_TIMEOUT: Milliseconds = 600;
@@ -47,24 +47,24 @@
 const RETRY_AFTER_SECONDS = 1;
 
 /** The answer for a job that is not known to an instance that could not read on. */
-const UNREAD: Answer = {
+const UNREAD: GatewayResponse = {
   kind: 'refused',
   problem: 'the log cannot be read now',
   retryAfterSeconds: RETRY_AFTER_SECONDS,
 };
 
 /** Who calls, and what for. */
-export interface Call {
+export interface GatewayRequest {
   queue: Queue;
   /** Absent on public queues. */
   workspace?: string;
   jobId: string;
   /** Time that the caller waits for the answer. */
-  limit: Milliseconds;
+  timeout: Milliseconds;
 }
 
 /** What a caller is told. */
-export type Answer =
+export type GatewayResponse =
   | {kind: 'accepted'}
   | {kind: 'state'; state: JobState}
   | {kind: 'cancelled'}
@@ -78,11 +78,11 @@
   | {kind: 'unresolved'; problem: string};
 
 /** What a gateway works with. */
-export interface GatewayParts {
+export interface GatewayDependencies {
   table: JobTable;
   follower: Follower;
-  desired: DesiredStateBook;
-  log: JobAppender;
+  desiredState: DesiredStateStore;
+  log: RecordAppender;
   clock: Clock;
   random: Random;
   logger: Logger;
@@ -90,20 +90,20 @@
 
 /** The part of an instance that callers talk to. */
 export class Gateway {
-  constructor(private readonly parts: GatewayParts) {}
+  constructor(private readonly parts: GatewayDependencies) {}
 
   /** Whether this instance can serve: it knows what is wanted, and reaches the log. */
-  get isServing(): boolean {
-    const {follower, desired} = this.parts;
+  get isReady(): boolean {
+    const {follower, desiredState: desired} = this.parts;
     return (
       follower.isCaughtUp &&
       desired.version !== undefined &&
-      this.logAge() < LOG_SILENCE
+      this.logAge() < LOG_TIMEOUT_MS
     );
   }
 
   /** Accepts a job once the log holds it. */
-  async submit(call: Call, spec: JobSpec): Promise<Answer> {
+  async submit(call: GatewayRequest, spec: JobSpec): Promise<GatewayResponse> {
     const problem = findSpecProblem(spec);
     if (problem) {
       return {kind: 'invalid', problem};
@@ -126,7 +126,7 @@
   }
 
   /** Cancels a job once the log says so. */
-  async cancel(call: Call): Promise<Answer> {
+  async cancel(call: GatewayRequest): Promise<GatewayResponse> {
     const entry = await this.find(call);
     if ('kind' in entry) {
       this.log('cancel', call, entry);
@@ -145,39 +145,41 @@
   }
 
   /** Tells the state of a job. */
-  async state(call: Call): Promise<Answer> {
+  async getState(call: GatewayRequest): Promise<GatewayResponse> {
     const entry = await this.find(call);
     if ('kind' in entry) {
       this.log('state', call, entry);
       return entry;
     }
-    const isLogThere = this.logAge() < LOG_SILENCE;
+    const isLogThere = this.logAge() < LOG_TIMEOUT_MS;
     if (!isEnded(entry) && isLogThere) {
-      await this.parts.follower.catchUp(STATE_TIMEOUT);
+      await this.parts.follower.readPending(STATE_TIMEOUT);
     }
-    return {kind: 'state', state: stateOf(entry)};
+    return {kind: 'state', state: getJobState(entry)};
   }
 
   /** Accepted jobs of a queue of which no task has started. */
-  countWaiting(queue: Queue): number {
-    return this.parts.table.countWaiting(queue.name);
+  countQueuedJobs(queue: Queue): number {
+    return this.parts.table.countQueuedJobs(queue.name);
   }
 
   /** Looks a job up, catching up with the log before it is called unknown. */
-  private async find(call: Call): Promise<JobEntry | Answer> {
+  private async find(
+    call: GatewayRequest,
+  ): Promise<JobEntry | GatewayResponse> {
     const known = this.ownEntry(call);
     if (known) {
       return known;
     }
-    const isLogThere = this.logAge() < LOG_SILENCE;
+    const isLogThere = this.logAge() < LOG_TIMEOUT_MS;
     const isCurrent =
-      isLogThere && (await this.parts.follower.refresh(CATCH_UP_TIMEOUT));
+      isLogThere && (await this.parts.follower.readToEnd(CATCH_UP_TIMEOUT));
     // "Unknown" is only true of a log that was read to its end just now.
     return this.ownEntry(call) ?? (isCurrent ? {kind: 'unknown-job'} : UNREAD);
   }
 
   /** A job of another workspace does not exist for the caller. */
-  private ownEntry(call: Call): JobEntry | undefined {
+  private ownEntry(call: GatewayRequest): JobEntry | undefined {
     const entry = this.parts.table.find(call.jobId);
     const isForeign =
       entry !== undefined &&
@@ -188,17 +190,17 @@
 
   /** Appends until it is known; the record may be in the log more than once. */
   private async append(
-    call: Call,
+    call: GatewayRequest,
     record: KeyedRecord,
     isDone: () => boolean,
-  ): Promise<Answer | undefined> {
+  ): Promise<GatewayResponse | undefined> {
     const {clock, random, log} = this.parts;
-    const end = clock.now() + call.limit * LIMIT_SHARE;
+    const end = clock.now() + call.timeout * LIMIT_SHARE;
     let isUncertain = false;
     let refusals = 0;
     let problem = 'the log does not answer';
     for (let attempt = 0; clock.now() < end; attempt++) {
-      if (this.logAge() >= LOG_SILENCE) {
+      if (this.logAge() >= LOG_TIMEOUT_MS) {
         break;
       }
       const timeout = Math.min(APPEND_TIMEOUT, end - clock.now());
@@ -213,7 +215,7 @@
         break;
       }
       await clock.sleep(
-        jitteredBackoff(attempt, RETRY_BASE, RETRY_CAP, random),
+        computeJitteredBackoff(attempt, RETRY_BASE, RETRY_CAP, random),
       );
     }
     if (isDone()) {
@@ -228,12 +230,16 @@
     return this.parts.clock.now() - this.parts.follower.lastAnswerAt;
   }
 
-  private log(event: string, call: Call, answer: Answer): void {
+  private log(
+    event: string,
+    call: GatewayRequest,
+    answer: GatewayResponse,
+  ): void {
     this.parts.logger.info(event, {
       job: call.jobId,
       queue: call.queue.name,
       workspace: call.workspace,
-      config: this.parts.desired.version,
+      config: this.parts.desiredState.version,
       logAgeMs: Math.round(this.logAge()),
       answer,
     });
@@ -241,6 +247,6 @@
 }
 
 function isEnded(entry: JobEntry): boolean {
-  const state = stateOf(entry);
+  const state = getJobState(entry);
   return state !== 'queued' && state !== 'running';
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,16 +1,16 @@
 /** What callers are told: accept, cancel, state and backlog. */
-export {type Admission, type Approach, admit} from './admission.js';
+export {type Admission, type AdmissionRequest, admit} from './admission.js';
 export {
   type DesiredState,
-  DesiredStateBook,
+  DesiredStateStore,
   type Queue,
   type Workspace,
 } from './desired_state.js';
-export type {AppendOutcome, JobAppender} from './job_appender.js';
+export type {AppendOutcome, RecordAppender} from './record_appender.js';
 export {
-  type Answer,
-  type Call,
+  type GatewayResponse,
+  type GatewayRequest,
   Gateway,
-  type GatewayParts,
-  LOG_SILENCE,
+  type GatewayDependencies,
+  LOG_TIMEOUT_MS,
 } from './gateway.js';
--- a/packages/gateway/src/job_appender.ts
+++ b/packages/gateway/src/record_appender.ts
@@ -11,7 +11,7 @@
   | {kind: 'unknown'; problem: string};
 
 /** The log as callers' requests use it. */
-export interface JobAppender {
+export interface RecordAppender {
   append(
     records: readonly KeyedRecord[],
     timeout: Milliseconds,
--- a/packages/ledger/__tests__/fixtures.ts
+++ b/packages/ledger/__tests__/fixtures.ts
@@ -8,7 +8,7 @@
   createReason,
   entity,
   jobRequest,
-  keyOf,
+  getEntityKey,
 } from '@galenavalve/model';
 import {
   ManualClock,
@@ -70,7 +70,7 @@
   changeId = `c${(sequence += 1)}`,
 ): RecordBody {
   const edits = values.map(value => ({
-    entity: keyOf(value),
+    entity: getEntityKey(value),
     baseVersion,
     value,
   }));
--- a/packages/ledger/src/configuration_store.ts
+++ b/packages/ledger/src/configuration_store.ts
@@ -8,8 +8,8 @@
   type Target,
   type VersionedEntity,
   type Workspace,
-  defaultRules,
-  keyOf,
+  DEFAULT_RULES,
+  getEntityKey,
 } from '@galenavalve/model';
 import {OverlayMap} from './overlay_map.js';
 
@@ -22,7 +22,7 @@
     domains: new OverlayMap(),
     targets: new OverlayMap(),
     workspaces: new OverlayMap(),
-    rules: defaultRules,
+    rules: DEFAULT_RULES,
   };
 
   /** An immutable snapshot; a change replaces it. */
@@ -77,7 +77,7 @@
   restore(encoded: EncodedConfiguration): void {
     const edits: Edit[] = [];
     for (const {version, value} of encoded.entities) {
-      const key = keyOf(value);
+      const key = getEntityKey(value);
       this.entities.set(key, {version, value});
       edits.push({entity: key, baseVersion: version, value});
     }
@@ -131,7 +131,7 @@
   if (!edit) {
     return present;
   }
-  return edit.value?.kind === 'rules' ? edit.value : defaultRules;
+  return edit.value?.kind === 'rules' ? edit.value : DEFAULT_RULES;
 }
 
 /** The kind that an entity key names. */
--- a/packages/ledger/src/fold/configuration.ts
+++ b/packages/ledger/src/fold/configuration.ts
@@ -5,9 +5,9 @@
   type ConfigurationChange,
   type Configured,
   type Edit,
-  keyOf,
+  getEntityKey,
 } from '@galenavalve/model';
-import {Failure, errorTemplates} from '@galenavalve/shared';
+import {Failure, ERROR_TEMPLATES} from '@galenavalve/shared';
 import {
   ACCEPTED,
   DUPLICATE,
@@ -100,9 +100,9 @@
 function findEditProblem(state: LedgerState, edit: Edit): string | undefined {
   const {entity: key, value} = edit;
   if (value) {
-    return keyOf(value) === key
+    return getEntityKey(value) === key
       ? findUseProblem(state, edit)
-      : `the value of ${key} is that of ${keyOf(value)}`;
+      : `the value of ${key} is that of ${getEntityKey(value)}`;
   }
   if (!state.entity(key)) {
     return `${key} does not exist`;
@@ -177,6 +177,6 @@
     return DUPLICATE;
   }
   const known =
-    problem.code in errorTemplates ? problem.code : 'config-invalid';
+    problem.code in ERROR_TEMPLATES ? problem.code : 'config-invalid';
   return reject(known as Rejection, new Failure(known, problem.details));
 }
--- a/packages/ledger/src/fold/fold.ts
+++ b/packages/ledger/src/fold/fold.ts
@@ -3,7 +3,7 @@
  * reaches the same verdict, because it uses nothing but the log's content.
  */
 import {type LogRecord, record as recordSchema} from '@galenavalve/model';
-import {Failure, MAX_JSON_DEPTH, exceedsDepth} from '@galenavalve/shared';
+import {Failure, MAX_JSON_DEPTH, isTooDeep} from '@galenavalve/shared';
 import {ACCEPTED, type Applied, type Verdict, reject} from '../applied.js';
 import type {LogEntry} from '../log.js';
 import type {LedgerState} from '../state.js';
@@ -29,7 +29,7 @@
 /** Applies the next entry of the log, and returns the verdict on it. */
 export function applyEntry(state: LedgerState, entry: LogEntry): Applied {
   state.nextOffset = entry.offset + 1;
-  if (exceedsDepth(entry.value)) {
+  if (isTooDeep(entry.value)) {
     const message = `nested deeper than ${MAX_JSON_DEPTH} levels`;
     return skipEntry(state, entry, {path: [], message});
   }
--- a/packages/ledger/src/follower.ts
+++ b/packages/ledger/src/follower.ts
@@ -7,7 +7,7 @@
   type Random,
   describeError,
   isFailure,
-  jitteredBackoff,
+  computeJitteredBackoff,
 } from '@galenavalve/shared';
 import type {Applied} from './applied.js';
 import {applyEntry} from './fold/fold.js';
@@ -269,7 +269,7 @@
     const {clock, logger, random = {next: Math.random}} = this.dependencies;
     const {backoffBase, backoffCap} = this.options;
     this.failures += 1;
-    const pause = jitteredBackoff(
+    const pause = computeJitteredBackoff(
       this.failures,
       backoffBase,
       backoffCap,
--- a/packages/ledger/src/writer.ts
+++ b/packages/ledger/src/writer.ts
@@ -16,7 +16,7 @@
   Failure,
   describeError,
   isFailure,
-  jitteredBackoff,
+  computeJitteredBackoff,
 } from '@galenavalve/shared';
 import type {Applied} from './applied.js';
 import type {LogFollower} from './follower.js';
@@ -218,7 +218,7 @@
   ): void {
     const {backoffBase, backoffCap} = this.options;
     this.failures += 1;
-    const pause = jitteredBackoff(
+    const pause = computeJitteredBackoff(
       this.failures,
       backoffBase,
       backoffCap,
--- a/packages/membership/__tests__/fixtures.ts
+++ b/packages/membership/__tests__/fixtures.ts
@@ -1,6 +1,6 @@
 /** Meshes over real sockets on the loopback interface. */
 import {SeededRandom, SilentLogger, SystemClock} from '@galenavalve/shared';
-import {PeerClient, PeerServer, TcpRelay} from '@galenavalve/wire';
+import {PeerClient, PeerServer, TcpProxy} from '@galenavalve/wire';
 import {
   type ListedInstance,
   PeerMesh,
@@ -15,7 +15,7 @@
   client: PeerClient;
   server: PeerServer;
   /** Stands before the server. */
-  relay: TcpRelay;
+  relay: TcpProxy;
   report: SelfReport;
   stop(): Promise<void>;
 }
@@ -49,21 +49,21 @@
   const logger = new SilentLogger();
   const random = new SeededRandom(instance.length + known.length);
   const options = {
-    heartbeat: 300,
-    silence: 900,
-    callSilence: 100,
+    heartbeatInterval: 300,
+    silenceTimeout: 900,
+    minSilentCallDuration: 100,
     connectTimeout: 300,
   };
   const settings = {instance, host: '127.0.0.1', port: 0};
   const server = new PeerServer({...settings, logger, clock, options});
   const client = new PeerClient({
-    self: instance,
+    instance,
     logger,
     clock,
     random,
     options,
   });
-  const relay = new TcpRelay((await server.start()).port);
+  const relay = new TcpProxy((await server.start()).port);
   const port = await relay.start();
   const seed = {instance, host: '127.0.0.1', port, domain};
   const report = createReport(instance, domain);
--- a/packages/membership/__tests__/peer_mesh.spec.ts
+++ b/packages/membership/__tests__/peer_mesh.spec.ts
@@ -48,9 +48,9 @@
 
   t.test('outlives connections that go silent for good', async t => {
     const [first, second] = await startPair(t);
-    const before = second.relay.opened;
-    second.relay.forgetConnections();
-    await waitFor(() => second.relay.opened > before);
+    const before = second.relay.openedConnections;
+    second.relay.stallConnections();
+    await waitFor(() => second.relay.openedConnections > before);
     await waitFor(() => knows(first, second) && knows(second, first));
   });
 
@@ -58,7 +58,7 @@
     t.test(`goes the other way round after "${mode}"`, async t => {
       const [first, second] = await startPair(t);
       second.relay.setMode(mode);
-      await waitFor(() => first.relay.opened > 0);
+      await waitFor(() => first.relay.openedConnections > 0);
       await waitFor(() => knows(first, second) && knows(second, first));
       first.relay.setMode(mode);
       await waitFor(() => !knows(first, second) && !knows(second, first));
--- a/packages/membership/src/instance_list.ts
+++ b/packages/membership/src/instance_list.ts
@@ -1,11 +1,11 @@
 /** The platform's list of instances. It lags behind what happens. */
 import {z} from 'zod';
-import {name} from '@galenavalve/model';
+import {resourceName} from '@galenavalve/model';
 
 /** An entry instance or a target as the platform lists it. */
 export const listedInstance = z.strictObject({
-  id: name,
-  domain: name,
+  id: resourceName,
+  domain: resourceName,
   role: z.enum(['entry', 'target']),
   state: z.enum(['live', 'leaving']),
   /** IP number and port of the peer protocol; only for entry instances. */
--- a/packages/membership/src/report.ts
+++ b/packages/membership/src/report.ts
@@ -1,6 +1,6 @@
 /** What an instance tells its peers about itself. */
 import {z} from 'zod';
-import {name, term} from '@galenavalve/model';
+import {resourceName, term} from '@galenavalve/model';
 
 const instance = z.string().min(1).max(100);
 
@@ -30,13 +30,13 @@
 /** The state of an instance. */
 export const selfReport = z.strictObject({
   instance,
-  domain: name,
+  domain: resourceName,
   /** Offset up to which the instance has read the log. */
   offset: z.int().nonnegative(),
   /** Age of the newest proof that its state is current, in milliseconds. */
   freshnessAgeMs: z.number().nonnegative(),
   /** The domain that it schedules, with its term. */
-  schedules: z.strictObject({domain: name, term}).optional(),
+  schedules: z.strictObject({domain: resourceName, term}).optional(),
   /** Time since it last heard its domain's scheduler, in milliseconds; lets those who cannot hear it know that it lives. */
   schedulerHeardAgeMs: z.number().nonnegative().optional(),
   /** It is stopping in a planned way. */
@@ -44,7 +44,7 @@
   /** It has caught up with the log, and may hold roles. */
   ready: z.boolean(),
   /** Racks whose leases it keeps. */
-  racks: z.array(name).max(4096).optional(),
+  racks: z.array(resourceName).max(4096).optional(),
   holds: z.array(hold).max(MAX_HOLDS),
   load: z
     .strictObject({
--- a/packages/model/src/inventory.ts
+++ b/packages/model/src/inventory.ts
@@ -1,6 +1,6 @@
 /** Cluster configuration: inventory, workspaces and rules, as versioned entities. */
 import {z} from 'zod';
-import {name} from './job.js';
+import {resourceName} from './job.js';
 
 /** Whether operators let new work start on a part of the inventory. */
 export const serviceState = z.enum(['in-service', 'leaving', 'out']);
@@ -9,8 +9,8 @@
 /** A failure domain. */
 export const domain = z.strictObject({
   kind: z.literal('domain'),
-  id: name,
-  region: name,
+  id: resourceName,
+  region: resourceName,
   state: serviceState.default('in-service'),
 });
 export type Domain = z.infer<typeof domain>;
@@ -18,9 +18,9 @@
 /** A back end that runs tasks. */
 export const target = z.strictObject({
   kind: z.literal('target'),
-  id: name,
-  domain: name,
-  rack: name,
+  id: resourceName,
+  domain: resourceName,
+  rack: resourceName,
   /** Base URL of the target's control interface, by IP number. */
   endpoint: z.url(),
   accelerators: z.int().min(0).max(16),
@@ -31,7 +31,7 @@
   /** Largest number of tasks at once. */
   slots: z.int().positive(),
   /** Workspaces that may use the target; absent when all may. */
-  permittedWorkspaces: z.array(name).optional(),
+  permittedWorkspaces: z.array(resourceName).optional(),
   state: serviceState.default('in-service'),
 });
 export type Target = z.infer<typeof target>;
@@ -51,14 +51,14 @@
   level: cellLevel,
   count: z.int().positive(),
   /** The failure domain that holds the cells; absent when they are apportioned over all. */
-  domain: name.optional(),
+  domain: resourceName.optional(),
 });
 export type Guarantee = z.infer<typeof guarantee>;
 
 /** A customer with its promises and limits. */
 export const workspace = z.strictObject({
   kind: z.literal('workspace'),
-  id: name,
+  id: resourceName,
   /** Share of capacity relative to other workspaces. */
   weight: z.number().positive().default(1),
   guarantees: z.array(guarantee).default([]),
@@ -67,7 +67,7 @@
   /** Whether an operator approves each job before it starts. */
   requiresApproval: z.boolean().default(false),
   /** Failure domains that the workspace may use; absent when it may use all. */
-  permittedDomains: z.array(name).optional(),
+  permittedDomains: z.array(resourceName).optional(),
 });
 export type Workspace = z.infer<typeof workspace>;
 
@@ -107,7 +107,7 @@
   .regex(/^(domain|target|workspace|rules)\/[A-Za-z0-9][A-Za-z0-9._-]*$/);
 
 /** The key of an entity. */
-export function keyOf(value: Entity): string {
+export function getEntityKey(value: Entity): string {
   return `${value.kind}/${value.id}`;
 }
 
@@ -145,4 +145,4 @@
 }
 
 /** Rules that hold before any are configured. */
-export const defaultRules: Rules = rules.parse({kind: 'rules'});
+export const DEFAULT_RULES: Rules = rules.parse({kind: 'rules'});
--- a/packages/model/src/job.ts
+++ b/packages/model/src/job.ts
@@ -11,7 +11,7 @@
 export const MAX_GANG_TASKS = 512;
 
 /** Names of workspaces, targets, racks and failure domains. */
-export const name = z
+export const resourceName = z
   .string()
   .min(1)
   .max(100)
@@ -44,7 +44,7 @@
 export const jobRequest = z.strictObject({
   /** The caller's idempotency key. */
   requestId: z.string().min(1).max(128),
-  workspace: name,
+  workspace: resourceName,
   gang: gangShape,
   /** The caller's own estimate of the run time, in seconds. */
   expectedSeconds: z.number().positive().max(31_536_000),
@@ -55,7 +55,7 @@
   /** True when the tasks can save their progress on request. */
   checkpointable: z.boolean().default(false),
   /** Jobs of one kind have similar run times; estimates are corrected per workspace and kind. */
-  kind: name.default('default'),
+  kind: resourceName.default('default'),
   /** When the caller made the request, in milliseconds since the Unix epoch. */
   createdAt: z.int().nonnegative(),
   /** Handed to every task as it is. */
@@ -81,7 +81,7 @@
 
 /** The part of a gang that runs on one target. */
 export const assignment = z.strictObject({
-  target: name,
+  target: resourceName,
   /** Index of the first task of the gang on this target. */
   firstTask: z.int().nonnegative(),
   /** Number of consecutive tasks on this target. */
--- a/packages/model/src/reason.ts
+++ b/packages/model/src/reason.ts
@@ -2,7 +2,7 @@
 import {z} from 'zod';
 
 /** Every reason code with its text. `{name}` is replaced by the detail of that name. */
-export const reasonTemplates = {
+export const REASON_TEMPLATES = {
   'placed-guaranteed':
     'placed on {targets} within the guarantee of {workspace}',
   'placed-borrowed':
@@ -50,9 +50,9 @@
 } as const;
 
 /** The code of a reason. */
-export type ReasonCode = keyof typeof reasonTemplates;
+export type ReasonCode = keyof typeof REASON_TEMPLATES;
 
-const reasonCodes = Object.keys(reasonTemplates) as [
+const reasonCodes = Object.keys(REASON_TEMPLATES) as [
   ReasonCode,
   ...ReasonCode[],
 ];
@@ -76,7 +76,7 @@
 
 /** The reason as a sentence. */
 export function describeReason(value: Reason): string {
-  return reasonTemplates[value.code].replace(
+  return REASON_TEMPLATES[value.code].replace(
     /\{(\w+)\}/g,
     (whole, key: string) =>
       key in value.details ? String(value.details[key]) : whole,
--- a/packages/model/src/record.ts
+++ b/packages/model/src/record.ts
@@ -4,7 +4,7 @@
  * skipped by every instance alike.
  */
 import {z} from 'zod';
-import {assignment, jobRequest, name, outcome} from './job.js';
+import {assignment, jobRequest, resourceName, outcome} from './job.js';
 import {configurationChange} from './inventory.js';
 import {reason} from './reason.js';
 import {term} from './term.js';
@@ -28,7 +28,7 @@
 const attemptFields = {
   jobId,
   attempt: z.int().positive(),
-  domain: name,
+  domain: resourceName,
   term,
 };
 
@@ -40,7 +40,7 @@
   request: jobRequest,
   /** Hash of the request, by which a reuse of the id with another body is seen. */
   bodyHash: z.string(),
-  domain: name,
+  domain: resourceName,
   reason,
 });
 /** A request id will never run if this precedes its `submitted`. */
@@ -54,15 +54,15 @@
   ...header,
   type: z.literal('moved'),
   jobId,
-  from: name,
-  to: name,
+  from: resourceName,
+  to: resourceName,
   reason,
 });
 /** An instance becomes the scheduler of its failure domain. The first of a term wins. */
 export const claimed = z.strictObject({
   ...header,
   type: z.literal('claimed'),
-  domain: name,
+  domain: resourceName,
   term,
 });
 /** Durable intent to start an attempt. */
@@ -91,7 +91,7 @@
   /** Progress that a checkpoint saved, in seconds of run time of the whole job. */
   progressSeconds: z.number().nonnegative(),
   /** Target that caused the end, if one did. */
-  culprit: name.optional(),
+  culprit: resourceName.optional(),
   reason,
 });
 /** The job has ended, with its whole answer. */
--- a/packages/placement/__tests__/fixtures.ts
+++ b/packages/placement/__tests__/fixtures.ts
@@ -7,7 +7,7 @@
   type Rules,
   type Target,
   type Workspace,
-  defaultRules,
+  DEFAULT_RULES,
 } from '@galenavalve/model';
 import type {WaitingJob} from '../src/index.js';
 
@@ -44,7 +44,7 @@
   for (const [id, promised] of Object.entries(guarantees)) {
     workspaces.set(id, createWorkspace(id, promised));
   }
-  return {domains, targets, workspaces, rules: {...defaultRules, ...rules}};
+  return {domains, targets, workspaces, rules: {...DEFAULT_RULES, ...rules}};
 }
 
 export function createWorkspace(
--- a/packages/placement/__tests__/guarantee_check.spec.ts
+++ b/packages/placement/__tests__/guarantee_check.spec.ts
@@ -2,7 +2,7 @@
 import t from 'tap';
 import {
   type Configuration,
-  defaultRules,
+  DEFAULT_RULES,
   type Target,
   type Workspace,
 } from '@galenavalve/model';
@@ -53,7 +53,7 @@
     domains: new Map(domains.map(value => [value.id, value])),
     targets: new Map(targets.map(value => [value.id, value])),
     workspaces: new Map(workspaces.map(value => [value.id, value])),
-    rules: defaultRules,
+    rules: DEFAULT_RULES,
   };
 }
 
--- a/packages/platform/src/targets/http_target_client.ts
+++ b/packages/platform/src/targets/http_target_client.ts
@@ -5,7 +5,7 @@
   Failure,
   type Milliseconds,
   describeError,
-  exceedsDepth,
+  isTooDeep,
 } from '@galenavalve/shared';
 import {
   type Grant,
@@ -136,7 +136,7 @@
     schema: S,
   ): Promise<z.infer<S>> {
     const answer = await this.post(target, command, order, timeout);
-    if (exceedsDepth(answer.body)) {
+    if (isTooDeep(answer.body)) {
       throw createFailure(target, {...answer, body: undefined});
     }
     const body = schema.safeParse(answer.body);
--- a/packages/relay/__tests__/fixtures.ts
+++ b/packages/relay/__tests__/fixtures.ts
@@ -1,8 +1,8 @@
 /** Fixtures of the relay's specs. */
 import type {FencedAppendOutcome} from '@galenavalve/dispatch';
 import {
-  LogAccess,
-  PeerBook,
+  LogPathTracker,
+  PeerDirectory,
   type PeerEntry,
   type SharedLog,
   encodePeer,
@@ -26,15 +26,26 @@
 }
 
 /** The book of `self` that knows `others`. */
-export function createBook(self: PeerEntry, others: PeerEntry[]): PeerBook {
-  const book = new PeerBook(self);
+export function createPeerDirectory(
+  self: PeerEntry,
+  others: PeerEntry[],
+): PeerDirectory {
+  const book = new PeerDirectory(self);
   others.forEach(other => book.apply(encodePeer(other)));
   return book;
 }
 
 /** What an instance knows of its ways to the logs. */
-export function createAccess(book: PeerBook, domain = 'a'): LogAccess {
-  return new LogAccess(book, domain, new SeededRandom(1), new SilentLogger());
+export function createLogPathTracker(
+  book: PeerDirectory,
+  domain = 'a',
+): LogPathTracker {
+  return new LogPathTracker(
+    book,
+    domain,
+    new SeededRandom(1),
+    new SilentLogger(),
+  );
 }
 
 /** A log that gives `outcome` to every append, and one record to every read. */
@@ -54,8 +65,13 @@
       calls.push(args);
       return log.outcome;
     },
-    newest: async (after: string | undefined) => ({records, end: 5, after}),
-    tail: async () => ({kind: 'records' as const, records, next: 5, end: 5}),
+    readNewest: async (after: string | undefined) => ({records, end: 5, after}),
+    readTail: async () => ({
+      kind: 'records' as const,
+      records,
+      next: 5,
+      end: 5,
+    }),
   };
   return log;
 }
--- a/packages/relay/__tests__/peer_book.spec.ts
+++ b/packages/relay/__tests__/peer_directory.spec.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 import {encodePeer} from '@galenavalve/relay';
-import {createBook, createPeer} from './fixtures.js';
+import {createPeerDirectory, createPeer} from './fixtures.js';
 
 t.test('the rank counts stronger instances and earlier names', async t => {
   const others = [
@@ -9,24 +9,24 @@
     createPeer('d', {cores: 0.3}),
     createPeer('e', {cores: 1.35}),
   ];
-  const book = createBook(createPeer('c', {cores: 0.3}), others);
-  t.same(book.standing, {rank: 3, isWeak: true});
-  const strong = createBook(createPeer('e', {cores: 1.35}), others);
-  t.same(strong.standing, {rank: 0, isWeak: false});
+  const book = createPeerDirectory(createPeer('c', {cores: 0.3}), others);
+  t.same(book.candidateRank, {rank: 3, isWeak: true});
+  const strong = createPeerDirectory(createPeer('e', {cores: 1.35}), others);
+  t.same(strong.candidateRank, {rank: 0, isWeak: false});
 });
 
 t.test('records of other writers and its own name no peer', async t => {
-  const book = createBook(createPeer('a'), []);
+  const book = createPeerDirectory(createPeer('a'), []);
   book.apply({key: 'p/x', value: '{'});
   book.apply({key: 'p/x', value: '{"instance":"x","port":"many"}'});
   book.apply({key: 's/p/x', value: '{}'});
   book.apply(encodePeer(createPeer('a')));
-  t.same(book.all(), []);
+  t.same(book.listPeers(), []);
 });
 
 t.test('an instance that is dropped is no peer any more', async t => {
-  const book = createBook(createPeer('a'), [createPeer('b')]);
-  t.equal(book.all().length, 1);
+  const book = createPeerDirectory(createPeer('a'), [createPeer('b')]);
+  t.equal(book.listPeers().length, 1);
   book.apply({key: 'p/b', value: ''});
-  t.same(book.all(), []);
+  t.same(book.listPeers(), []);
 });
--- a/packages/relay/__tests__/relayed_log.spec.ts
+++ b/packages/relay/__tests__/relayed_log.spec.ts
@@ -1,23 +1,30 @@
 import t from 'tap';
 import type {FencedAppendOutcome} from '@galenavalve/dispatch';
-import {type PeerPort, RelayedLog} from '@galenavalve/relay';
+import {type PeerLogClient, RelayedLog} from '@galenavalve/relay';
 import {ManualClock} from '@galenavalve/shared';
-import {createAccess, createBook, createLog, createPeer} from './fixtures.js';
+import {
+  createLogPathTracker,
+  createPeerDirectory,
+  createLog,
+  createPeer,
+} from './fixtures.js';
 
 function createRelayed(own: FencedAppendOutcome, peers: FencedAppendOutcome) {
   const clock = new ManualClock();
   const direct = createLog(own);
   const asked: string[] = [];
-  const port: PeerPort = {
+  const port: PeerLogClient = {
     append: async ({instance}) => {
       asked.push(instance);
       return peers;
     },
-    newest: () => Promise.reject(new Error('no page')),
-    tail: () => Promise.reject(new Error('no page')),
+    readNewest: () => Promise.reject(new Error('no page')),
+    readTail: () => Promise.reject(new Error('no page')),
   };
   const others = [createPeer('b'), createPeer('c', {domain: 'z'})];
-  const access = createAccess(createBook(createPeer('a'), others));
+  const access = createLogPathTracker(
+    createPeerDirectory(createPeer('a'), others),
+  );
   const log = new RelayedLog('jobs', direct, access, port, clock);
   return {log, direct, asked, access, clock};
 }
@@ -56,7 +63,7 @@
     const {log, asked, direct, access, clock} = createRelayed(refused, refused);
     t.equal((await log.append([], 500)).kind, 'refused');
     t.equal(asked.length, 2);
-    t.notOk(access.isServing);
+    t.notOk(access.isAvailableToPeers);
     await log.append([], 500);
     t.equal(asked.length, 2, 'peers that failed are left alone for a while');
     t.equal(direct.calls.length, 2);
--- a/packages/relay/__tests__/wire_peer_port.spec.ts
+++ b/packages/relay/__tests__/wire_peer_log_client.spec.ts
@@ -1,8 +1,13 @@
 import t, {type Test} from 'tap';
-import {WirePeerPort, serveLogs} from '@galenavalve/relay';
+import {WirePeerLogClient, serveLogs} from '@galenavalve/relay';
 import {SeededRandom, SilentLogger, SystemClock} from '@galenavalve/shared';
 import {PeerClient, PeerServer} from '@galenavalve/wire';
-import {createAccess, createBook, createLog, createPeer} from './fixtures.js';
+import {
+  createLogPathTracker,
+  createPeerDirectory,
+  createLog,
+  createPeer,
+} from './fixtures.js';
 
 const clock = new SystemClock();
 const logger = new SilentLogger();
@@ -16,11 +21,11 @@
     logger,
     clock,
   });
-  const access = createAccess(createBook(createPeer('b'), []));
+  const access = createLogPathTracker(createPeerDirectory(createPeer('b'), []));
   serveLogs(server, new Map([['jobs', log]]), access);
   const {port} = await server.start();
   const client = new PeerClient({
-    self: 'a',
+    instance: 'a',
     logger,
     clock,
     random: new SeededRandom(1),
@@ -30,7 +35,7 @@
     await server.close();
   });
   const peer = createPeer('b', {port});
-  return {log, access, peer, server, port: new WirePeerPort(client)};
+  return {log, access, peer, server, port: new WirePeerLogClient(client)};
 }
 
 t.test('an append reaches the log of the peer, with its epoch', async t => {
@@ -47,8 +52,14 @@
 t.test('records are read through the peer', async t => {
   const {peer, port} = await connect(t);
   const records = [{key: 'k', value: 'v', offset: 4}];
-  t.match(await port.newest(peer, 'jobs', undefined, 500), {records, end: 5});
-  t.match(await port.tail(peer, 'jobs', 4, 0, 500), {kind: 'records', records});
+  t.match(await port.readNewest(peer, 'jobs', undefined, 500), {
+    records,
+    end: 5,
+  });
+  t.match(await port.readTail(peer, 'jobs', 4, 0, 500), {
+    kind: 'records',
+    records,
+  });
 });
 
 t.test('a peer that does not reach the log refuses truly', async t => {
@@ -57,7 +68,7 @@
   const outcome = await port.append(peer, 'jobs', {records: []}, 500);
   t.equal(outcome.kind, 'refused');
   t.same(log.calls, []);
-  await t.rejects(port.tail(peer, 'jobs', 4, 0, 500));
+  await t.rejects(port.readTail(peer, 'jobs', 4, 0, 500));
 });
 
 t.test(
--- a/packages/relay/src/announce_peer.ts
+++ b/packages/relay/src/announce_peer.ts
@@ -4,11 +4,11 @@
   type Logger,
   type Milliseconds,
   type Random,
-  jitteredBackoff,
+  computeJitteredBackoff,
 } from '@galenavalve/shared';
-import type {PeerBook} from './peer_book.js';
-import {type PeerEntry, encodePeer, encodePeerGone} from './peer_entry.js';
-import type {SharedLog} from './peer_port.js';
+import type {PeerDirectory} from './peer_directory.js';
+import {type PeerEntry, encodePeer, encodePeerTombstone} from './peer_entry.js';
+import type {SharedLog} from './peer_log_client.js';
 
 /** An instance writes its entry anew this often. */
 const REFRESH: Milliseconds = 600_000;
@@ -29,7 +29,7 @@
   self: Omit<PeerEntry, 'writtenAt'>,
   parts: {
     log: SharedLog;
-    peers: PeerBook;
+    peers: PeerDirectory;
     clock: Clock;
     random: Random;
     logger: Logger;
@@ -40,10 +40,10 @@
     for (let attempt = 0; ; attempt++) {
       const now = clock.wallTime();
       const gone = peers
-        .all()
+        .listPeers()
         .filter(({writtenAt}) => now - writtenAt > GONE_AFTER)
         .slice(0, MAX_DROPPED)
-        .map(({instance}) => encodePeerGone(instance));
+        .map(({instance}) => encodePeerTombstone(instance));
       const records = [encodePeer({...self, writtenAt: now}), ...gone];
       const outcome = await log.append(records, APPEND_TIMEOUT);
       if (outcome.kind === 'appended') {
@@ -51,7 +51,8 @@
         break;
       }
       await clock.sleep(
-        RETRY_BASE + jitteredBackoff(attempt, RETRY_BASE, RETRY_CAP, random),
+        RETRY_BASE +
+          computeJitteredBackoff(attempt, RETRY_BASE, RETRY_CAP, random),
       );
     }
     await clock.sleep(REFRESH);
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -7,20 +7,20 @@
   encodePeer,
   peerEntrySchema,
 } from './peer_entry.js';
-export {PeerBook} from './peer_book.js';
+export {PeerDirectory} from './peer_directory.js';
 export {announcePeer} from './announce_peer.js';
 
 // The log, by oneself or through another
 export {
   type AppendCall,
-  type PeerPort,
+  type PeerLogClient,
   type SharedLog,
   appendTo,
-  withoutFence,
-} from './peer_port.js';
-export {LogAccess} from './log_access.js';
+  toUnfencedOutcome,
+} from './peer_log_client.js';
+export {LogPathTracker} from './log_path_tracker.js';
 export {RelayedLog} from './relayed_log.js';
 
 // Over the network
-export {WirePeerPort} from './wire_peer_port.js';
+export {WirePeerLogClient} from './wire_peer_log_client.js';
 export {serveLogs} from './serve_logs.js';
--- a/packages/relay/src/log_access.ts
+++ b/packages/relay/src/log_path_tracker.ts
@@ -1,7 +1,7 @@
 /** Whether this instance reaches the logs itself, and which peers do. */
 import type {Instant, Logger, Milliseconds, Random} from '@galenavalve/shared';
 import {nextInteger} from '@galenavalve/shared';
-import type {PeerBook} from './peer_book.js';
+import type {PeerDirectory} from './peer_directory.js';
 import type {PeerEntry} from './peer_entry.js';
 
 /** After a call without an answer, calls go through peers for this long before the log is tried directly again. */
@@ -20,7 +20,7 @@
 const MAX_PEERS = 2;
 
 /** What one instance knows of the ways to the store of all logs. */
-export class LogAccess {
+export class LogPathTracker {
   private failedUntil: Instant = -Infinity;
   private hasFailed = false;
   private readonly peersFailedUntil = new Map<string, Instant>();
@@ -28,19 +28,19 @@
   private waiters: Array<() => void> = [];
 
   constructor(
-    private readonly peers: PeerBook,
+    private readonly peers: PeerDirectory,
     private readonly domain: string,
     private readonly random: Random,
     private readonly logger: Logger,
   ) {}
 
   /** Whether the next call is to be made directly. */
-  isDirect(now: Instant): boolean {
+  isDirectPathAvailable(now: Instant): boolean {
     return now >= this.failedUntil;
   }
 
   /** Whether other instances can serve peers through this one. */
-  get isServing(): boolean {
+  get isAvailableToPeers(): boolean {
     return !this.hasFailed;
   }
 
@@ -61,7 +61,7 @@
       this.hasFailed = true;
       this.logger.warn('log-through-peers', {
         problem,
-        peers: this.peers.all().length,
+        peers: this.peers.listPeers().length,
       });
     }
     this.waiters.forEach(wake => wake());
@@ -69,7 +69,7 @@
   }
 
   /** Resolves when a direct call fails; what waits on a silent connection need not wait on. */
-  whenFailed(signal: AbortSignal): Promise<void> {
+  waitForDirectFailure(signal: AbortSignal): Promise<void> {
     return new Promise(resolve => {
       this.waiters.push(resolve);
       signal.addEventListener('abort', () => {
@@ -81,7 +81,7 @@
   /** Peers to ask, best first: the one that served last, then those of this failure domain. */
   choosePeers(now: Instant): PeerEntry[] {
     const open = this.peers
-      .all()
+      .listPeers()
       .filter(
         ({instance}) => (this.peersFailedUntil.get(instance) ?? 0) <= now,
       );
--- a/packages/relay/src/peer_book.ts
+++ b/packages/relay/src/peer_directory.ts
@@ -7,7 +7,7 @@
 const WEAK_SHARE = 0.5;
 
 /** Instances by name, without this one. */
-export class PeerBook {
+export class PeerDirectory {
   private readonly entries = new Map<string, PeerEntry>();
 
   constructor(private readonly self: Omit<PeerEntry, 'writtenAt'>) {}
@@ -26,12 +26,12 @@
   }
 
   /** Every other instance. */
-  all(): PeerEntry[] {
+  listPeers(): PeerEntry[] {
     return [...this.entries.values()];
   }
 
   /** Ranked by processor, then by name. */
-  get standing(): CandidateRank {
+  get candidateRank(): CandidateRank {
     const {cores, instance} = this.self;
     let rank = 0;
     let strongest = cores;
--- a/packages/relay/src/peer_entry.ts
+++ b/packages/relay/src/peer_entry.ts
@@ -25,7 +25,7 @@
 }
 
 /** The record that drops an instance. */
-export function encodePeerGone(instance: string): KeyedRecord {
+export function encodePeerTombstone(instance: string): KeyedRecord {
   return {key: PEER + instance, value: ''};
 }
 
--- a/packages/relay/src/peer_port.ts
+++ b/packages/relay/src/peer_log_client.ts
@@ -4,7 +4,7 @@
   FencedAppendOutcome,
   FencedLog,
 } from '@galenavalve/dispatch';
-import type {AppendOutcome, JobAppender} from '@galenavalve/gateway';
+import type {AppendOutcome, RecordAppender} from '@galenavalve/gateway';
 import type {Milliseconds} from '@galenavalve/shared';
 import type {
   KeyedLog,
@@ -15,7 +15,7 @@
 import type {PeerEntry} from './peer_entry.js';
 
 /** A log as every part of an instance uses it. */
-export type SharedLog = KeyedLog & JobAppender & FencedLog;
+export type SharedLog = KeyedLog & RecordAppender & FencedLog;
 
 /** An append with all that belongs to it. */
 export interface AppendCall {
@@ -24,7 +24,7 @@
 }
 
 /** Carries calls to another instance, which makes them itself and passes them no further. */
-export interface PeerPort {
+export interface PeerLogClient {
   /** Never throws: an answer that did not come is an outcome. */
   append(
     peer: PeerEntry,
@@ -33,14 +33,14 @@
     timeout: Milliseconds,
   ): Promise<FencedAppendOutcome>;
   /** Throws when no whole answer comes. */
-  newest(
+  readNewest(
     peer: PeerEntry,
     log: string,
     after: string | undefined,
     timeout: Milliseconds,
   ): Promise<NewestPage>;
   /** Throws when no whole answer comes within `wait` and `timeout`. */
-  tail(
+  readTail(
     peer: PeerEntry,
     log: string,
     offset: number,
@@ -61,7 +61,7 @@
 }
 
 /** The outcome of an append without an epoch, which nothing can fence. */
-export function withoutFence(outcome: FencedAppendOutcome): AppendOutcome {
+export function toUnfencedOutcome(outcome: FencedAppendOutcome): AppendOutcome {
   return outcome.kind === 'fenced' || outcome.kind === 'moved'
     ? {kind: 'refused', problem: 'the log fenced an append without an epoch'}
     : outcome;
--- a/packages/relay/src/relayed_log.ts
+++ b/packages/relay/src/relayed_log.ts
@@ -8,15 +8,15 @@
   describeError,
 } from '@galenavalve/shared';
 import type {KeyedRecord, NewestPage, TailPage} from '@galenavalve/workload';
-import type {LogAccess} from './log_access.js';
+import type {LogPathTracker} from './log_path_tracker.js';
 import type {PeerEntry} from './peer_entry.js';
 import {
   type AppendCall,
-  type PeerPort,
+  type PeerLogClient,
   type SharedLog,
   appendTo,
-  withoutFence,
-} from './peer_port.js';
+  toUnfencedOutcome,
+} from './peer_log_client.js';
 
 /** A direct append gets this long before a peer is asked, where there is one: a store that is a hundred times slow answers in less. */
 const DIRECT_TIME: Milliseconds = 700;
@@ -32,8 +32,8 @@
   constructor(
     private readonly name: string,
     private readonly direct: SharedLog,
-    private readonly access: LogAccess,
-    private readonly port: PeerPort,
+    private readonly access: LogPathTracker,
+    private readonly port: PeerLogClient,
     private readonly clock: Clock,
     /** Whether the holder of the office writes to it all the time. */
     private readonly isBusy = false,
@@ -43,7 +43,7 @@
     records: readonly KeyedRecord[],
     timeout: Milliseconds,
   ): Promise<AppendOutcome> {
-    return withoutFence(await this.appendAnyhow({records}, timeout));
+    return toUnfencedOutcome(await this.appendAnyhow({records}, timeout));
   }
 
   appendFenced(
@@ -54,17 +54,17 @@
     return this.appendAnyhow({records, fencing}, timeout);
   }
 
-  newest(after: string | undefined): Promise<NewestPage> {
+  readNewest(after: string | undefined): Promise<NewestPage> {
     return this.read(
-      () => this.direct.newest(after),
-      peer => this.port.newest(peer, this.name, after, PEER_TIME),
+      () => this.direct.readNewest(after),
+      peer => this.port.readNewest(peer, this.name, after, PEER_TIME),
     );
   }
 
-  async tail(offset: number, wait: Milliseconds): Promise<TailPage> {
+  async readTail(offset: number, wait: Milliseconds): Promise<TailPage> {
     return this.read(
       () => this.tailDirectly(offset, wait),
-      peer => this.port.tail(peer, this.name, offset, wait, PEER_TIME),
+      peer => this.port.readTail(peer, this.name, offset, wait, PEER_TIME),
     );
   }
 
@@ -75,7 +75,7 @@
     const end = this.clock.now() + timeout;
     const peers = this.access.choosePeers(this.clock.now());
     let failure: FencedAppendOutcome | undefined;
-    const isDirect = this.access.isDirect(this.clock.now());
+    const isDirect = this.access.isDirectPathAvailable(this.clock.now());
     if (isDirect || peers.length === 0) {
       const own = peers.length > 0 ? Math.min(timeout, DIRECT_TIME) : timeout;
       const startedAt = this.clock.now();
@@ -118,7 +118,10 @@
   ): Promise<Page> {
     const peers = this.access.choosePeers(this.clock.now());
     let problem: unknown;
-    if (this.access.isDirect(this.clock.now()) || peers.length === 0) {
+    if (
+      this.access.isDirectPathAvailable(this.clock.now()) ||
+      peers.length === 0
+    ) {
       const startedAt = this.clock.now();
       try {
         const page = await readDirectly();
@@ -149,9 +152,9 @@
     wait: Milliseconds,
   ): Promise<TailPage> {
     const done = new AbortController();
-    const reading = this.direct.tail(offset, wait);
+    const reading = this.direct.readTail(offset, wait);
     const failed = this.access
-      .whenFailed(done.signal)
+      .waitForDirectFailure(done.signal)
       .then(() => Promise.reject(new Error('another call failed meanwhile')));
     const doubted = this.doubt(offset, wait, done.signal);
     try {
@@ -186,7 +189,13 @@
       return false;
     }
     try {
-      const page = await this.port.tail(peer, this.name, offset, 0, PEER_TIME);
+      const page = await this.port.readTail(
+        peer,
+        this.name,
+        offset,
+        0,
+        PEER_TIME,
+      );
       return page.kind === 'expired' || page.records.length > 0;
     } catch (error) {
       // Then the peer is no help either; the direct read goes on.
--- a/packages/relay/src/serve_logs.ts
+++ b/packages/relay/src/serve_logs.ts
@@ -2,8 +2,8 @@
 import * as z from 'zod';
 import {Failure} from '@galenavalve/shared';
 import type {PeerServer} from '@galenavalve/wire';
-import type {LogAccess} from './log_access.js';
-import {type SharedLog, appendTo} from './peer_port.js';
+import type {LogPathTracker} from './log_path_tracker.js';
+import {type SharedLog, appendTo} from './peer_log_client.js';
 
 /** Methods of the peer protocol. */
 export const APPEND_METHOD = 'append-records';
@@ -69,11 +69,11 @@
 export function serveLogs(
   server: PeerServer,
   logs: ReadonlyMap<string, SharedLog>,
-  access: LogAccess,
+  access: LogPathTracker,
 ): void {
   const find = (name: string): SharedLog => {
     const log = logs.get(name);
-    if (!log || !access.isServing) {
+    if (!log || !access.isAvailableToPeers) {
       throw new Failure('not-found', {kind: 'reachable log', id: name});
     }
     return log;
@@ -83,9 +83,9 @@
     return appendTo(find(log), {records, fencing}, timeout);
   });
   server.handle(NEWEST_METHOD, newestRequestSchema, async request =>
-    find(request.log).newest(request.after),
+    find(request.log).readNewest(request.after),
   );
   server.handle(TAIL_METHOD, tailRequestSchema, async request =>
-    find(request.log).tail(request.offset, request.wait),
+    find(request.log).readTail(request.offset, request.wait),
   );
 }
--- a/packages/relay/src/wire_peer_port.ts
+++ b/packages/relay/src/wire_peer_log_client.ts
@@ -5,7 +5,7 @@
 import type {PeerClient} from '@galenavalve/wire';
 import type {NewestPage, TailPage} from '@galenavalve/workload';
 import type {PeerEntry} from './peer_entry.js';
-import type {AppendCall, PeerPort} from './peer_port.js';
+import type {AppendCall, PeerLogClient} from './peer_log_client.js';
 import {
   APPEND_METHOD,
   NEWEST_METHOD,
@@ -16,7 +16,7 @@
 } from './serve_logs.js';
 
 /** Peers over TCP. */
-export class WirePeerPort implements PeerPort {
+export class WirePeerLogClient implements PeerLogClient {
   constructor(private readonly client: PeerClient) {}
 
   async append(
@@ -40,7 +40,7 @@
     }
   }
 
-  newest(
+  readNewest(
     peer: PeerEntry,
     log: string,
     after: string | undefined,
@@ -55,7 +55,7 @@
     );
   }
 
-  tail(
+  readTail(
     peer: PeerEntry,
     log: string,
     offset: number,
--- a/packages/scheduler/__tests__/fixtures.ts
+++ b/packages/scheduler/__tests__/fixtures.ts
@@ -11,7 +11,7 @@
   createReason,
   entity,
   jobRequest,
-  keyOf,
+  getEntityKey,
 } from '@galenavalve/model';
 import {GalenaPolicy} from '@galenavalve/placement';
 import {
@@ -64,7 +64,7 @@
       changeId: 'first',
       author: 'spec',
       edits: createEntities(targetCount).map(value => ({
-        entity: keyOf(value),
+        entity: getEntityKey(value),
         baseVersion: 0,
         value,
       })),
--- a/packages/scheduler/src/durable_append.ts
+++ b/packages/scheduler/src/durable_append.ts
@@ -8,7 +8,7 @@
   type Random,
   describeError,
   isFailure,
-  jitteredBackoff,
+  computeJitteredBackoff,
 } from '@galenavalve/shared';
 
 const MAX_DOUBLINGS = 10;
@@ -49,7 +49,7 @@
         return false;
       }
     }
-    const pause = jitteredBackoff(
+    const pause = computeJitteredBackoff(
       Math.min(attempt, MAX_DOUBLINGS),
       RETRY_BASE_MS,
       RETRY_CAP_MS,
--- a/packages/shared/__tests__/failure.spec.ts
+++ b/packages/shared/__tests__/failure.spec.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import {Failure, errorTemplates, isFailure} from '../src/index.js';
+import {Failure, ERROR_TEMPLATES, isFailure} from '../src/index.js';
 
 t.test('a failure', async t => {
   t.test('names what happened and the remedy', async t => {
@@ -17,7 +17,7 @@
   });
 
   t.test('has a remedy for every code', async t => {
-    for (const [code, template] of Object.entries(errorTemplates)) {
+    for (const [code, template] of Object.entries(ERROR_TEMPLATES)) {
       t.ok(template.remedy.length > 10, code);
     }
   });
--- a/packages/shared/__tests__/json_depth.spec.ts
+++ b/packages/shared/__tests__/json_depth.spec.ts
@@ -1,14 +1,14 @@
 import t from 'tap';
-import {exceedsDepth} from '../src/index.js';
+import {isTooDeep} from '../src/index.js';
 
 function nest(depth: number): unknown {
   return JSON.parse('{"a":['.repeat(depth / 2) + ']}'.repeat(depth / 2));
 }
 
 t.test('nesting is measured up to its limit, however deep it is', async t => {
-  t.notOk(exceedsDepth(nest(4), 4));
-  t.ok(exceedsDepth(nest(6), 4));
-  t.ok(exceedsDepth(nest(6000)));
-  t.notOk(exceedsDepth(null, 0));
-  t.notOk(exceedsDepth({a: [1, 'x', null]}, 2));
+  t.notOk(isTooDeep(nest(4), 4));
+  t.ok(isTooDeep(nest(6), 4));
+  t.ok(isTooDeep(nest(6000)));
+  t.notOk(isTooDeep(null, 0));
+  t.notOk(isTooDeep({a: [1, 'x', null]}, 2));
 });
--- a/packages/shared/src/error_codes.ts
+++ b/packages/shared/src/error_codes.ts
@@ -11,7 +11,7 @@
 }
 
 /** All error codes of the project. A code's meaning never changes. */
-export const errorTemplates = {
+export const ERROR_TEMPLATES = {
   'bad-request': {
     status: 400,
     message: 'The request is not valid: {problem}.',
@@ -202,4 +202,4 @@
 } as const satisfies Record<string, ErrorTemplate>;
 
 /** The code of an error. */
-export type ErrorCode = keyof typeof errorTemplates;
+export type ErrorCode = keyof typeof ERROR_TEMPLATES;
--- a/packages/shared/src/failure.ts
+++ b/packages/shared/src/failure.ts
@@ -1,5 +1,5 @@
 /** The typed error of the project. */
-import {type ErrorCode, errorTemplates} from './error_codes.js';
+import {type ErrorCode, ERROR_TEMPLATES} from './error_codes.js';
 
 /** Values named in the message of a failure. */
 export type FailureDetails = Readonly<
@@ -24,7 +24,7 @@
     readonly details: FailureDetails = {},
     options?: ErrorOptions,
   ) {
-    const template = errorTemplates[code];
+    const template = ERROR_TEMPLATES[code];
     super(fillTemplate(template.message, details), options);
     this.name = 'Failure';
     this.remedy = fillTemplate(template.remedy, details);
@@ -32,7 +32,7 @@
 
   /** HTTP status that belongs to the code. */
   get status(): number {
-    return errorTemplates[this.code].status;
+    return ERROR_TEMPLATES[this.code].status;
   }
 
   /** The form that is sent to callers. */
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -13,7 +13,7 @@
 export {
   type ErrorCode,
   type ErrorTemplate,
-  errorTemplates,
+  ERROR_TEMPLATES,
 } from './error_codes.js';
 export {
   Failure,
@@ -27,13 +27,13 @@
 export {
   type Random,
   SeededRandom,
-  jitteredBackoff,
+  computeJitteredBackoff,
   nextInteger,
 } from './random.js';
 export {chooseByRendezvous, hashText, hashValue} from './hash.js';
 
 // JSON
-export {MAX_BODY_DEPTH, MAX_JSON_DEPTH, exceedsDepth} from './json_depth.js';
+export {MAX_BODY_DEPTH, MAX_JSON_DEPTH, isTooDeep} from './json_depth.js';
 
 // Logs
 export {type Logger, type LogFields, SilentLogger} from './logger.js';
--- a/packages/shared/src/json_depth.ts
+++ b/packages/shared/src/json_depth.ts
@@ -11,12 +11,11 @@
 export const MAX_BODY_DEPTH = 48;
 
 /** Tells whether arrays and objects are nested deeper than `limit`. */
-export function exceedsDepth(value: unknown, limit = MAX_JSON_DEPTH): boolean {
+export function isTooDeep(value: unknown, limit = MAX_JSON_DEPTH): boolean {
   if (typeof value !== 'object' || value === null) {
     return false;
   }
   return (
-    limit === 0 ||
-    Object.values(value).some(item => exceedsDepth(item, limit - 1))
+    limit === 0 || Object.values(value).some(item => isTooDeep(item, limit - 1))
   );
 }
--- a/packages/shared/src/random.ts
+++ b/packages/shared/src/random.ts
@@ -21,7 +21,7 @@
 }
 
 /** Full jitter: a random share of `base * 2^attempt`, at most `cap` milliseconds. */
-export function jitteredBackoff(
+export function computeJitteredBackoff(
   attempt: number,
   base: number,
   cap: number,
--- a/packages/targets/src/target_client.ts
+++ b/packages/targets/src/target_client.ts
@@ -4,7 +4,7 @@
  * unexpired reservation of the same term.
  */
 import {z} from 'zod';
-import {name, term} from '@galenavalve/model';
+import {resourceName, term} from '@galenavalve/model';
 import type {Milliseconds} from '@galenavalve/shared';
 
 /** Where a target is reached. */
@@ -25,7 +25,7 @@
 export const reservation = z.strictObject({
   ...leaseKey.shape,
   term,
-  workspace: name,
+  workspace: resourceName,
   firstTask: z.int().nonnegative(),
   tasks: z.int().positive(),
   /** Bit mask of accelerators. */
@@ -142,7 +142,7 @@
 
 /** What a target says of itself. */
 export const targetReport = z.strictObject({
-  target: name,
+  target: resourceName,
   /** The target's own monotonic clock in milliseconds; only handed back to it. */
   clock: z.number(),
   /** Highest term that the target has seen. */
--- a/packages/wire/__tests__/peer.spec.ts
+++ b/packages/wire/__tests__/peer.spec.ts
@@ -10,7 +10,7 @@
 import {
   PeerClient,
   PeerServer,
-  TcpRelay,
+  TcpProxy,
   type WireOptions,
   encodeFrame,
   encodeMessage,
@@ -19,8 +19,8 @@
 const clock = new SystemClock();
 const logger = new SilentLogger();
 const options: Partial<WireOptions> = {
-  heartbeat: 60,
-  silence: 300,
+  heartbeatInterval: 60,
+  silenceTimeout: 300,
   connectTimeout: 500,
   backoffBase: 5,
   backoffCap: 20,
@@ -47,7 +47,13 @@
 
 function createClient(t: Test): PeerClient {
   const random = new SeededRandom(1);
-  const client = new PeerClient({self: 'a', logger, clock, random, options});
+  const client = new PeerClient({
+    instance: 'a',
+    logger,
+    clock,
+    random,
+    options,
+  });
   t.teardown(() => client.close());
   return client;
 }
@@ -126,7 +132,7 @@
 t.test('a connection', async t => {
   async function startRelay(t: Test) {
     const {server, peer} = await startServer(t);
-    const relay = new TcpRelay(peer.port);
+    const relay = new TcpProxy(peer.port);
     t.teardown(() => relay.close());
     const client = createClient(t);
     const relayed = {...peer, port: await relay.start()};
@@ -137,10 +143,10 @@
 
   t.test('that goes silent for good is replaced', async t => {
     const {relay, call} = await startRelay(t);
-    relay.forgetConnections();
+    relay.stallConnections();
     await t.rejects(call(), {code: 'peer-unavailable'});
     t.match(await callUntilAnswered(call), {body: 1});
-    t.equal(relay.opened, 2);
+    t.equal(relay.openedConnections, 2);
   });
 
   for (const mode of ['cut-requests', 'cut-answers'] as const) {
@@ -156,10 +162,10 @@
   t.test('that is only idle stays open by heartbeats', async t => {
     const {relay, client, call} = await startRelay(t);
     const before = client.bytesSent;
-    await clock.sleep(3 * options.silence!);
+    await clock.sleep(3 * options.silenceTimeout!);
     await call();
     t.ok(client.bytesSent > before);
-    t.equal(relay.opened, 1);
+    t.equal(relay.openedConnections, 1);
   });
 
   t.test('with damaged frames is closed and replaced', async t => {
@@ -175,7 +181,7 @@
     const late = encodeMessage({type: 'response', id: 1, body: 'late'});
     relay.inject(encodeFrame(late, 100));
     t.match(await call(), {body: 1});
-    t.equal(client.lateAnswers, 1);
+    t.equal(client.lateResponses, 1);
   });
 
   t.test('that sends rubbish does not harm the server', async t => {
--- a/packages/wire/src/connection.ts
+++ b/packages/wire/src/connection.ts
@@ -9,7 +9,7 @@
 } from '@galenavalve/shared';
 import {FrameDecoder, encodeFrame} from './frame.js';
 import {type Message, decodeMessage, encodeMessage} from './message.js';
-import type {WireOptions} from './options.js';
+import type {WireOptions} from './wire_options.js';
 
 /** Fractions of the silence limit at which a connection is looked at. */
 const CHECKS_PER_SILENCE = 6;
@@ -36,7 +36,7 @@
   private readonly closing = new AbortController();
   private isOpen = true;
   /** When bytes were last received. */
-  receivedAt: Instant;
+  lastReceivedAt: Instant;
   private hasReceived = true;
   private hasSent = true;
 
@@ -48,7 +48,7 @@
     private readonly options: WireOptions,
   ) {
     this.decoder = new FrameDecoder(options.maxFrameBytes);
-    this.receivedAt = clock.now();
+    this.lastReceivedAt = clock.now();
     socket.setNoDelay(true);
     socket.on('data', chunk => this.onData(chunk as Buffer));
     socket.on('error', error => this.close(describeError(error)));
@@ -89,7 +89,7 @@
 
   private onData(chunk: Buffer): void {
     this.hasReceived = true;
-    this.receivedAt = this.clock.now();
+    this.lastReceivedAt = this.clock.now();
     this.counter.bytesReceived += chunk.length;
     try {
       for (const payload of this.decoder.push(chunk)) {
@@ -118,10 +118,11 @@
    * process the bytes that came in the meantime have not been read yet.
    */
   private async watchSilence(): Promise<void> {
-    const interval: Milliseconds = this.options.silence / CHECKS_PER_SILENCE;
+    const interval: Milliseconds =
+      this.options.silenceTimeout / CHECKS_PER_SILENCE;
     const quietLimit = Math.max(
       1,
-      Math.floor(this.options.heartbeat / interval),
+      Math.floor(this.options.heartbeatInterval / interval),
     );
     let silentChecks = 0;
     let quietChecks = 0;
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -2,7 +2,7 @@
 
 // Both ends
 export type {PeerAddress} from './peer_address.js';
-export {DEFAULT_WIRE_OPTIONS, type WireOptions} from './options.js';
+export {DEFAULT_WIRE_OPTIONS, type WireOptions} from './wire_options.js';
 
 // The end that answers
 export {
@@ -25,4 +25,4 @@
 } from './message.js';
 
 // For tests
-export {type RelayMode, TcpRelay} from './testing/tcp_relay.js';
+export {type RelayMode, TcpProxy} from './testing/tcp_proxy.js';
--- a/packages/wire/src/peer_client.ts
+++ b/packages/wire/src/peer_client.ts
@@ -1,6 +1,6 @@
 /** Calls the methods of peers, over one connection a peer. */
 import type {Milliseconds} from '@galenavalve/shared';
-import {type WireOptions, completeOptions} from './options.js';
+import {type WireOptions, applyDefaultOptions} from './wire_options.js';
 import type {PeerAddress} from './peer_address.js';
 import {
   type LinkCounter,
@@ -12,13 +12,13 @@
 export class PeerClient implements LinkCounter {
   bytesSent = 0;
   bytesReceived = 0;
-  lateAnswers = 0;
+  lateResponses = 0;
   private readonly options: WireOptions;
   private readonly links = new Map<string, PeerLink>();
   private readonly closing = new AbortController();
 
   constructor(private readonly settings: PeerClientSettings) {
-    this.options = completeOptions(settings.options);
+    this.options = applyDefaultOptions(settings.options);
     void this.closeIdleLinks();
   }
 
@@ -66,11 +66,11 @@
 
   private async closeIdleLinks(): Promise<void> {
     const {clock} = this.settings;
-    const {idle} = this.options;
+    const {idleTimeout: idle} = this.options;
     while (!this.closing.signal.aborted) {
       await clock.sleep(idle / 2, this.closing.signal);
       for (const [key, link] of this.links) {
-        if (clock.now() - link.usedAt > idle) {
+        if (clock.now() - link.lastUsedAt > idle) {
           this.links.delete(key);
           link.close('it was not used');
         }
--- a/packages/wire/src/peer_link.ts
+++ b/packages/wire/src/peer_link.ts
@@ -8,18 +8,18 @@
   type Logger,
   type Milliseconds,
   type Random,
-  errorTemplates,
-  jitteredBackoff,
+  ERROR_TEMPLATES,
+  computeJitteredBackoff,
 } from '@galenavalve/shared';
 import {type ByteCounter, Connection} from './connection.js';
 import {type Message, type Refusal, WIRE_VERSION} from './message.js';
-import type {WireOptions} from './options.js';
+import type {WireOptions} from './wire_options.js';
 import type {PeerAddress} from './peer_address.js';
 
 /** What a client needs. */
 export interface PeerClientSettings {
   /** Name of this instance. */
-  self: string;
+  instance: string;
   logger: Logger;
   clock: Clock;
   random: Random;
@@ -29,7 +29,7 @@
 /** Counts what happens on all links of a client. */
 export interface LinkCounter extends ByteCounter {
   /** Answers that came after their deadline, or that nobody asked for. */
-  lateAnswers: number;
+  lateResponses: number;
 }
 
 interface PendingCall {
@@ -41,7 +41,7 @@
 
 /** The connection to one peer, with the calls that wait for its answers. */
 export class PeerLink {
-  usedAt: Instant;
+  lastUsedAt: Instant;
   private connection: Connection | undefined;
   private opening: Promise<Connection> | undefined;
   private readonly pending = new Map<number, PendingCall>();
@@ -55,7 +55,7 @@
     private readonly options: WireOptions,
     private readonly counter: LinkCounter,
   ) {
-    this.usedAt = settings.clock.now();
+    this.lastUsedAt = settings.clock.now();
   }
 
   get isOpen(): boolean {
@@ -91,7 +91,7 @@
   }
 
   private sendWhenOpen(id: number | undefined, message: Message): void {
-    this.usedAt = this.settings.clock.now();
+    this.lastUsedAt = this.settings.clock.now();
     this.open().then(
       connection => this.send(connection, id, message),
       error => this.reject(id, error as Failure),
@@ -137,8 +137,8 @@
   /** A connection that brought nothing during a whole call may have gone silent for good. */
   private dropIfSilentSince(startedAt: Instant, duration: Milliseconds): void {
     const {connection} = this;
-    const isLongEnough = duration >= this.options.callSilence;
-    if (connection && isLongEnough && connection.receivedAt < startedAt) {
+    const isLongEnough = duration >= this.options.minSilentCallDuration;
+    if (connection && isLongEnough && connection.lastReceivedAt < startedAt) {
       connection.close('it was silent during a call');
     }
   }
@@ -202,7 +202,7 @@
         clock,
         this.options,
       );
-      const {self: from} = this.settings;
+      const {instance: from} = this.settings;
       const to = this.peer.instance;
       connection.send({type: 'hello', version: WIRE_VERSION, from, to});
       void clock.sleep(this.options.connectTimeout, greeted.signal).then(() => {
@@ -238,7 +238,7 @@
     const {backoffBase, backoffCap} = this.options;
     return this.failures === 0
       ? 0
-      : jitteredBackoff(
+      : computeJitteredBackoff(
           this.failures,
           backoffBase,
           backoffCap,
@@ -253,7 +253,7 @@
     }
     const call = this.pending.get(message.id);
     if (!call) {
-      this.counter.lateAnswers += 1;
+      this.counter.lateResponses += 1;
       return;
     }
     this.pending.delete(message.id);
@@ -273,7 +273,7 @@
 }
 
 function toFailure(refusal: Refusal): Failure {
-  return refusal.code in errorTemplates
+  return refusal.code in ERROR_TEMPLATES
     ? new Failure(refusal.code as ErrorCode, refusal.details)
     : new Failure('internal', {problem: `the peer failed: ${refusal.code}`});
 }
--- a/packages/wire/src/peer_server.ts
+++ b/packages/wire/src/peer_server.ts
@@ -17,7 +17,7 @@
   type Request,
   WIRE_VERSION,
 } from './message.js';
-import {type WireOptions, completeOptions} from './options.js';
+import {type WireOptions, applyDefaultOptions} from './wire_options.js';
 
 /** Runs a method for the instance `from`; its result goes back to it. */
 export type PeerHandler<Body> = (body: Body, from: string) => Promise<unknown>;
@@ -49,7 +49,7 @@
   private readonly server: Server;
 
   constructor(private readonly settings: PeerServerSettings) {
-    this.options = completeOptions(settings.options);
+    this.options = applyDefaultOptions(settings.options);
     this.server = createServer(socket => this.onSocket(socket));
   }
 
@@ -150,7 +150,7 @@
     from: string,
     request: Request,
   ): Promise<void> {
-    if (session.requests >= this.options.maxRequests) {
+    if (session.requests >= this.options.maxConcurrentRequests) {
       reply(session, toRefusal(request.id, new Failure('overloaded')));
       return;
     }
--- a/packages/wire/src/testing/tcp_relay.ts
+++ b/packages/wire/src/testing/tcp_proxy.ts
@@ -19,7 +19,7 @@
 }
 
 /** Passes connections on to one port of the loopback interface. */
-export class TcpRelay {
+export class TcpProxy {
   private readonly server = createServer(socket => this.onSocket(socket));
   private readonly connections = new Set<RelayedConnection>();
   private mode: RelayMode = 'open';
@@ -27,10 +27,10 @@
   constructor(private readonly targetPort: number) {}
 
   /** Connections that were opened so far. */
-  opened = 0;
+  openedConnections = 0;
   /** Bytes that came from the near ends, and from the far ends. */
-  bytesForth = 0;
-  bytesBack = 0;
+  bytesFromClients = 0;
+  bytesFromServer = 0;
 
   /** Starts to listen; resolves to the port. */
   start(): Promise<number> {
@@ -50,7 +50,7 @@
   }
 
   /** Makes the present connections silent for good; new ones work. */
-  forgetConnections(): void {
+  stallConnections(): void {
     for (const connection of this.connections) {
       connection.mode = 'silent';
     }
@@ -73,16 +73,16 @@
   }
 
   private onSocket(near: Socket): void {
-    this.opened += 1;
+    this.openedConnections += 1;
     const far = createConnection(this.targetPort, '127.0.0.1');
     const connection: RelayedConnection = {near, far, mode: this.mode};
     this.connections.add(connection);
     near.on('data', data => {
-      this.bytesForth += data.length;
+      this.bytesFromClients += data.length;
       pass(connection, far, 'cut-requests', data);
     });
     far.on('data', data => {
-      this.bytesBack += data.length;
+      this.bytesFromServer += data.length;
       pass(connection, near, 'cut-answers', data);
     });
     for (const [end, other] of [
--- a/packages/wire/src/options.ts
+++ b/packages/wire/src/wire_options.ts
@@ -8,17 +8,17 @@
   /** Most bytes that wait for a peer that does not read; the connection is dropped above it. */
   maxBufferedBytes: number;
   /** Most requests of one connection that are handled at once. */
-  maxRequests: number;
+  maxConcurrentRequests: number;
   /** Longest time in which an open connection sends nothing. */
-  heartbeat: Milliseconds;
+  heartbeatInterval: Milliseconds;
   /** Silence of the other end after which a connection is dropped. */
-  silence: Milliseconds;
+  silenceTimeout: Milliseconds;
   /** A call of at least this length that times out drops a connection that brought nothing meanwhile. */
-  callSilence: Milliseconds;
+  minSilentCallDuration: Milliseconds;
   /** Time within which a connection must be opened and greeted. */
   connectTimeout: Milliseconds;
   /** A client closes a connection that was not used for this long. */
-  idle: Milliseconds;
+  idleTimeout: Milliseconds;
   /** First and longest wait before a failed connection is opened again. */
   backoffBase: Milliseconds;
   backoffCap: Milliseconds;
@@ -28,18 +28,18 @@
 export const DEFAULT_WIRE_OPTIONS: WireOptions = {
   maxFrameBytes: 1_048_576,
   maxBufferedBytes: 4_194_304,
-  maxRequests: 256,
-  heartbeat: 1000,
-  silence: 3000,
-  callSilence: 500,
+  maxConcurrentRequests: 256,
+  heartbeatInterval: 1000,
+  silenceTimeout: 3000,
+  minSilentCallDuration: 500,
   connectTimeout: 1000,
-  idle: 30_000,
+  idleTimeout: 30_000,
   backoffBase: 100,
   backoffCap: 2000,
 };
 
 /** Fills in the options that are not given. */
-export function completeOptions(
+export function applyDefaultOptions(
   options: Partial<WireOptions> = {},
 ): WireOptions {
   return {...DEFAULT_WIRE_OPTIONS, ...options};
--- a/packages/workload/__tests__/follower.spec.ts
+++ b/packages/workload/__tests__/follower.spec.ts
@@ -10,8 +10,8 @@
   const faults = {isSilent: false};
   let reads = 0;
   const log = {
-    newest: async () => ({records: [], end: 0}),
-    tail: async (offset: number, wait: number) => {
+    readNewest: async () => ({records: [], end: 0}),
+    readTail: async (offset: number, wait: number) => {
       reads++;
       if (faults.isSilent) {
         await new Promise(() => undefined);
@@ -33,7 +33,7 @@
     log,
     {
       onRecord: ({key}) => taken.push(key),
-      pauseAfterNews: () => pause,
+      readDelay: () => pause,
     },
     500,
     clock,
@@ -67,7 +67,10 @@
   push('a');
   await clock.advance(20);
   push('b');
-  const asked = Promise.all([follower.catchUp(100), follower.catchUp(100)]);
+  const asked = Promise.all([
+    follower.readPending(100),
+    follower.readPending(100),
+  ]);
   await clock.advance(20);
   await asked;
   t.same(taken, ['a', 'b']);
@@ -84,7 +87,7 @@
   await clock.advance(20);
   faults.isSilent = true;
   let isDone = false;
-  void follower.catchUp(100).then(() => (isDone = true));
+  void follower.readPending(100).then(() => (isDone = true));
   await clock.advance(110);
   t.ok(isDone);
   follower.close();
--- a/packages/workload/__tests__/job_table.spec.ts
+++ b/packages/workload/__tests__/job_table.spec.ts
@@ -6,12 +6,12 @@
   createProgress,
   encodeAccepted,
   encodeCancelled,
-  encodeForgotten,
+  encodeJobTombstones,
   encodeLeadership,
   encodeProgress,
   formatTaskName,
   parseTaskName,
-  stateOf,
+  getJobState,
 } from '@galenavalve/workload';
 
 function createJob(): AcceptedJob {
@@ -47,7 +47,7 @@
   table.apply({...encodeCancelled('1'), offset: 9});
   table.apply({...encodeProgress('1', progress), offset: 7});
   table.apply({...encodeAccepted('1', job), offset: 3});
-  t.equal(stateOf(table.find('1')!), 'cancelled');
+  t.equal(getJobState(table.find('1')!), 'cancelled');
   t.ok(table.find('1')!.progress!.hasBegun);
   t.end();
 });
@@ -60,7 +60,7 @@
   table.apply({...encodeProgress('1', done), offset: 5});
   const old = createProgress(job.spec);
   table.apply({...encodeProgress('1', old), offset: 2});
-  t.equal(stateOf(table.find('1')!), 'complete');
+  t.equal(getJobState(table.find('1')!), 'complete');
   t.end();
 });
 
@@ -80,7 +80,7 @@
     table.apply({key: 'a/1', value: '{"no":"job"}', offset: 1});
     t.equal(table.find('1'), undefined);
     table.apply({...encodeAccepted('2', createJob()), offset: 2});
-    encodeForgotten('2').forEach((record, index) =>
+    encodeJobTombstones('2').forEach((record, index) =>
       table.apply({...record, offset: 3 + index}),
     );
     t.equal(table.find('2'), undefined);
--- a/packages/workload/__tests__/stored_progress.spec.ts
+++ b/packages/workload/__tests__/stored_progress.spec.ts
@@ -10,8 +10,8 @@
 const unit = fc.record(
   {
     run: fc.nat(1000),
-    failed: fc.nat(5),
-    failedRun: fc.nat(1000),
+    failureCount: fc.nat(5),
+    lastFailedRun: fc.nat(1000),
     isDone: fc.boolean(),
     checkpoint: fc.string({maxLength: 16}),
     placedOn: fc.array(fc.constantFrom('a@1', 'b@2', 'c@3'), {
@@ -19,7 +19,15 @@
       maxLength: 4,
     }),
   },
-  {requiredKeys: ['run', 'failed', 'failedRun', 'isDone', 'checkpoint']},
+  {
+    requiredKeys: [
+      'run',
+      'failureCount',
+      'lastFailedRun',
+      'isDone',
+      'checkpoint',
+    ],
+  },
 );
 
 const progress: fc.Arbitrary<Progress> = fc.record(
--- a/packages/workload/src/follower.ts
+++ b/packages/workload/src/follower.ts
@@ -6,7 +6,7 @@
   type Milliseconds,
   type Random,
   describeError,
-  jitteredBackoff,
+  computeJitteredBackoff,
 } from '@galenavalve/shared';
 import type {KeyedLog, TailPage} from './keyed_log.js';
 import type {StoredRecord} from './keyed_record.js';
@@ -21,15 +21,15 @@
   /** The newest records were read again; keys that are not among `keys` were dropped meanwhile. */
   onReload?(keys: ReadonlySet<string>): void;
   /** How long to wait after records before the next read, in milliseconds; 0 where absent. */
-  pauseAfterNews?(): Milliseconds;
+  readDelay?(): Milliseconds;
   /** The log answered; all records up to the end of the answer were taken. */
-  onAnswer?(now: Instant): void;
+  onResponse?(now: Instant): void;
 }
 
 /** Reads one keyed log for as long as it is not closed. */
 export class Follower {
   /** Records before this offset were taken. */
-  next = 0;
+  nextOffset = 0;
   /** Whether the whole log was read once. */
   isCaughtUp = false;
   lastAnswerAt: Instant = -Infinity;
@@ -67,11 +67,11 @@
         if (failures === 0) {
           this.logger.warn('log-unreachable', {
             log: this.name,
-            next: this.next,
+            next: this.nextOffset,
             problem: describeError(error),
           });
         }
-        const pause = jitteredBackoff(
+        const pause = computeJitteredBackoff(
           failures,
           RETRY_BASE,
           RETRY_CAP,
@@ -89,8 +89,8 @@
   }
 
   /** Resolves when the record at `offset` was taken, or after `timeout`. Returns whether it was. */
-  async reach(offset: number, timeout: Milliseconds): Promise<boolean> {
-    if (this.next <= offset) {
+  async waitForOffset(offset: number, timeout: Milliseconds): Promise<boolean> {
+    if (this.nextOffset <= offset) {
       const stop = new AbortController();
       const reached = new Promise<void>(resolve => {
         this.waiters.push({offset, resolve});
@@ -98,11 +98,11 @@
       await Promise.race([reached, this.clock.sleep(timeout, stop.signal)]);
       stop.abort();
     }
-    return this.next > offset;
+    return this.nextOffset > offset;
   }
 
   /** Takes what was written before this call. Returns whether all of it was taken within `timeout`. */
-  async refresh(timeout: Milliseconds): Promise<boolean> {
+  async readToEnd(timeout: Milliseconds): Promise<boolean> {
     const stop = new AbortController();
     const expired = this.clock.sleep(timeout, stop.signal).then(() => false);
     this.reading ??= this.readNow().finally(() => {
@@ -114,24 +114,24 @@
   }
 
   /** Takes at once what is being gathered; resolves after `timeout` at the latest. */
-  async catchUp(timeout: Milliseconds): Promise<void> {
+  async readPending(timeout: Milliseconds): Promise<void> {
     if (this.isGathering) {
-      await this.refresh(timeout);
+      await this.readToEnd(timeout);
     }
   }
 
   private async readNow(): Promise<boolean> {
     try {
-      const page = await this.log.tail(this.next, 0);
+      const page = await this.log.readTail(this.nextOffset, 0);
       if (page.kind === 'expired' || this.isClosed) {
         return false;
       }
       this.takePage(page);
-      return this.next >= page.end;
+      return this.nextOffset >= page.end;
     } catch (error) {
       this.logger.warn('log-unreachable', {
         log: this.name,
-        next: this.next,
+        next: this.nextOffset,
         problem: describeError(error),
       });
       return false;
@@ -141,11 +141,11 @@
   /** Reads may overlap: each record is taken once. */
   private takePage(page: Extract<TailPage, {kind: 'records'}>): void {
     for (const record of page.records) {
-      if (record.offset >= this.next) {
+      if (record.offset >= this.nextOffset) {
         this.sink.onRecord(record);
       }
     }
-    this.next = Math.max(this.next, page.next);
+    this.nextOffset = Math.max(this.nextOffset, page.next);
     this.lastAnswerAt = this.clock.now();
     this.wakeWaiters();
   }
@@ -156,7 +156,7 @@
     let next: number | undefined;
     let after: string | undefined;
     do {
-      const page = await this.log.newest(after);
+      const page = await this.log.readNewest(after);
       // Later pages may miss what was written after the first.
       next ??= page.end;
       records.push(...page.records);
@@ -168,30 +168,30 @@
       this.sink.onRecord(record);
     }
     this.sink.onReload?.(keys);
-    this.next = next;
+    this.nextOffset = next;
     this.logger.info('log-loaded', {log: this.name, records: keys.size, next});
   }
 
   /** Returns false when the records that come next have expired. */
   private async readTail(): Promise<boolean> {
     const wait = this.isCaughtUp ? this.wait : 0;
-    const page = await this.log.tail(this.next, wait);
+    const page = await this.log.readTail(this.nextOffset, wait);
     if (this.isClosed) {
       return true;
     }
     if (page.kind === 'expired') {
-      this.logger.warn('log-expired', {log: this.name, next: this.next});
+      this.logger.warn('log-expired', {log: this.name, next: this.nextOffset});
       return false;
     }
     this.takePage(page);
-    this.isCaughtUp ||= this.next >= page.end;
+    this.isCaughtUp ||= this.nextOffset >= page.end;
     this.hasNews = page.records.length > 0;
     return true;
   }
 
   /** Lets several records come together where nobody waits for each. */
   private async gatherNews(): Promise<void> {
-    const pause = this.sink.pauseAfterNews?.() ?? 0;
+    const pause = this.sink.readDelay?.() ?? 0;
     const isAwaited = this.waiters.length > 0;
     if (this.hasNews && pause > 0 && this.isCaughtUp && !isAwaited) {
       this.isGathering = true;
@@ -206,13 +206,13 @@
     if (failures > 0) {
       this.logger.info('log-reached', {log: this.name, failures});
     }
-    this.sink.onAnswer?.(now);
+    this.sink.onResponse?.(now);
     this.wakeWaiters();
   }
 
   private wakeWaiters(): void {
-    const reached = this.waiters.filter(({offset}) => this.next > offset);
-    this.waiters = this.waiters.filter(({offset}) => this.next <= offset);
+    const reached = this.waiters.filter(({offset}) => this.nextOffset > offset);
+    this.waiters = this.waiters.filter(({offset}) => this.nextOffset <= offset);
     reached.forEach(({resolve}) => resolve());
   }
 }
--- a/packages/workload/src/index.ts
+++ b/packages/workload/src/index.ts
@@ -12,7 +12,12 @@
   formatProgress,
   parseProgress,
 } from './stored_progress.js';
-export {type JobEntry, type JobState, JobTable, stateOf} from './job_table.js';
+export {
+  type JobEntry,
+  type JobState,
+  JobTable,
+  getJobState,
+} from './job_table.js';
 
 // What the log keeps
 export {
@@ -23,7 +28,7 @@
   decodeRecord,
   encodeAccepted,
   encodeCancelled,
-  encodeForgotten,
+  encodeJobTombstones,
   encodeLeadership,
   encodeProgress,
 } from './keyed_record.js';
--- a/packages/workload/src/job_spec.ts
+++ b/packages/workload/src/job_spec.ts
@@ -8,7 +8,7 @@
 export const MAX_STEPS = 64;
 
 /** Longest payload, in characters; the platform's pages give the figure. */
-export const MAX_PAYLOAD_LENGTH = 4000;
+export const MAX_PAYLOAD_CHARS = 4000;
 
 /** Room that one task takes. */
 export const demandSchema = z.object({
@@ -56,7 +56,7 @@
 
 /** A job as the caller asked for it. */
 export const jobSpecSchema = z.object({
-  payload: z.string().max(MAX_PAYLOAD_LENGTH),
+  payload: z.string().max(MAX_PAYLOAD_CHARS),
   steps: z.array(stepSchema).min(1).max(MAX_STEPS),
   schedule: scheduleSchema.optional(),
 });
--- a/packages/workload/src/job_table.ts
+++ b/packages/workload/src/job_table.ts
@@ -60,7 +60,7 @@
   }
 
   /** Every job. */
-  all(): IterableIterator<JobEntry> {
+  listEntries(): IterableIterator<JobEntry> {
     return this.entries.values();
   }
 
@@ -70,11 +70,11 @@
   }
 
   /** Jobs of a queue, without schedules, of which no task has started. */
-  countWaiting(queue: string): number {
+  countQueuedJobs(queue: string): number {
     let count = 0;
     for (const entry of this.entries.values()) {
       const isWaiting =
-        entry.job.queue === queue && stateOf(entry) === 'queued';
+        entry.job.queue === queue && getJobState(entry) === 'queued';
       count += isWaiting ? 1 : 0;
     }
     return count;
@@ -151,7 +151,7 @@
 }
 
 /** What callers are told of a job. */
-export function stateOf(entry: JobEntry): JobState {
+export function getJobState(entry: JobEntry): JobState {
   const outcome = entry.progress?.outcome ?? 'active';
   if (outcome === 'complete' || outcome === 'failed') {
     return outcome;
--- a/packages/workload/src/keyed_log.ts
+++ b/packages/workload/src/keyed_log.ts
@@ -20,7 +20,7 @@
 /** Reads a keyed log. Throws when no whole answer comes. */
 export interface KeyedLog {
   /** A page of the newest records; pages are no snapshot of one moment. */
-  newest(after: string | undefined): Promise<NewestPage>;
+  readNewest(after: string | undefined): Promise<NewestPage>;
   /** Records from `offset` on; waits up to `wait` for the first. */
-  tail(offset: number, wait: Milliseconds): Promise<TailPage>;
+  readTail(offset: number, wait: Milliseconds): Promise<TailPage>;
 }
--- a/packages/workload/src/keyed_record.ts
+++ b/packages/workload/src/keyed_record.ts
@@ -64,7 +64,7 @@
 }
 
 /** The records that drop all that is known of a job; the job itself goes last. */
-export function encodeForgotten(id: string): KeyedRecord[] {
+export function encodeJobTombstones(id: string): KeyedRecord[] {
   return [PROGRESS, CANCELLED, ACCEPTED].map(prefix => ({
     key: prefix + id,
     value: '',
--- a/packages/workload/src/progress.ts
+++ b/packages/workload/src/progress.ts
@@ -6,23 +6,23 @@
 import type {JobSpec, Step} from './job_spec.js';
 
 /** What became of a job. */
-export const outcomeSchema = z.enum([
+export const jobOutcomeSchema = z.enum([
   'active',
   'complete',
   'failed',
   'cancelled',
 ]);
 
-export type Outcome = z.infer<typeof outcomeSchema>;
+export type JobOutcome = z.infer<typeof jobOutcomeSchema>;
 
 /** The durable part of a unit. */
 export interface UnitProgress {
   /** Number of the last run that was recorded before it was started; 0 before the first. */
   run: number;
   /** Runs that ended as failed. */
-  failed: number;
-  /** The last run whose failure is counted in `failed`: ends are listed until they are acknowledged. */
-  failedRun: number;
+  failureCount: number;
+  /** The last run whose failure is counted in `failureCount`: ends are listed until they are acknowledged. */
+  lastFailedRun: number;
   isDone: boolean;
   /** Newest checkpoint; empty when there is none. */
   checkpoint: string;
@@ -38,7 +38,7 @@
 
 /** How far a job is. */
 export interface Progress {
-  outcome: Outcome;
+  outcome: JobOutcome;
   /** Whether a task was ever started. */
   hasBegun: boolean;
   /** Occurrences that have all ended; they are no longer listed. */
@@ -85,8 +85,8 @@
   const count = step.isGang ? 1 : step.count;
   return Array.from({length: count}, () => ({
     run: 0,
-    failed: 0,
-    failedRun: 0,
+    failureCount: 0,
+    lastFailedRun: 0,
     isDone: false,
     checkpoint: '',
   }));
--- a/packages/workload/src/stored_progress.ts
+++ b/packages/workload/src/stored_progress.ts
@@ -8,14 +8,14 @@
 import * as z from 'zod';
 import {
   type Occurrence,
-  type Outcome,
+  type JobOutcome,
   type Progress,
   type UnitProgress,
-  outcomeSchema,
+  jobOutcomeSchema,
 } from './progress.js';
 
 const summarySchema = z.object({
-  outcome: outcomeSchema,
+  outcome: jobOutcomeSchema,
   hasBegun: z.boolean(),
   endedAt: z.number().optional(),
 });
@@ -50,7 +50,7 @@
 
 /** Progress of which the units are parsed when they are asked for. */
 export class StoredProgress {
-  readonly outcome: Outcome;
+  readonly outcome: JobOutcome;
   readonly hasBegun: boolean;
   /** Wall-clock time of the end, in Unix milliseconds. */
   readonly endedAt?: number;
@@ -116,7 +116,13 @@
   placeOf: (target: string) => number,
 ): StoredUnit {
   const places = (unit.placedOn ?? []).map(placeOf);
-  const {run, failed, failedRun, isDone, checkpoint} = unit;
+  const {
+    run,
+    failureCount: failed,
+    lastFailedRun: failedRun,
+    isDone,
+    checkpoint,
+  } = unit;
   const stored: Array<number | string> = [
     run,
     failed,
@@ -143,8 +149,8 @@
   const placedOn = places.map(place => targets[place]!);
   return {
     run,
-    failed,
-    failedRun,
+    failureCount: failed,
+    lastFailedRun: failedRun,
     isDone: done === 1,
     checkpoint,
     ...(placedOn.length > 0 ? {placedOn} : {}),
