--- a/packages/emulator/__tests__/advice.spec.ts
+++ b/packages/emulator/__tests__/advice.spec.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 import type {Advice, Advisor} from '@galenavalve/dispatch';
-import {Installation} from '@galenavalve/emulator';
+import {EmulatedCluster} from '@galenavalve/emulator';
 import {createId, createSpec, createStep} from './fixtures.js';
 
 /** An advisor that allows two targets, for a short time. */
@@ -22,9 +22,9 @@
   'a step that needs advice runs only where the advisor allows it, with its ticket',
   async t => {
     const advisor = new FakeAdvisor();
-    const installation = new Installation({advisor});
-    await installation.until(
-      () => installation.dispatcher() !== undefined,
+    const installation = new EmulatedCluster({advisor});
+    await installation.waitUntil(
+      () => installation.findLeader() !== undefined,
       5000,
     );
     await installation.advance(1000);
@@ -43,8 +43,9 @@
       t.equal(ticket, `${createId(1)}.0.0/${id}`);
     }
     t.equal(advisor.calls, 1);
-    const isComplete = () => installation.stateOf(createId(1)) === 'complete';
-    t.ok(await installation.until(isComplete, 10_000));
+    const isComplete = () =>
+      installation.getJobState(createId(1)) === 'complete';
+    t.ok(await installation.waitUntil(isComplete, 10_000));
     installation.close();
   },
 );
--- a/packages/emulator/__tests__/faults.spec.ts
+++ b/packages/emulator/__tests__/faults.spec.ts
@@ -1,10 +1,13 @@
 import t from 'tap';
-import {Installation} from '@galenavalve/emulator';
+import {EmulatedCluster} from '@galenavalve/emulator';
 import {createId, createSpec, createStep, createStream} from './fixtures.js';
 
-async function boot(seed = 1): Promise<Installation> {
-  const installation = new Installation({seed});
-  await installation.until(() => installation.dispatcher() !== undefined, 5000);
+async function boot(seed = 1): Promise<EmulatedCluster> {
+  const installation = new EmulatedCluster({seed});
+  await installation.waitUntil(
+    () => installation.findLeader() !== undefined,
+    5000,
+  );
   await installation.advance(1000);
   return installation;
 }
@@ -19,12 +22,13 @@
     const lost = [...installation.fleet.targets.values()].find(
       ({runs}) => runs.size > 0,
     )!;
-    installation.fleet.crash(lost.info.id);
+    installation.fleet.crashTarget(lost.info.id);
     installation.fleet.targets.delete(lost.info.id);
     await installation.advance(400);
-    installation.kill(installation.dispatcher()!.name);
-    const isComplete = () => installation.stateOf(createId(1)) === 'complete';
-    t.ok(await installation.until(isComplete, 40_000));
+    installation.killInstance(installation.findLeader()!.name);
+    const isComplete = () =>
+      installation.getJobState(createId(1)) === 'complete';
+    t.ok(await installation.waitUntil(isComplete, 40_000));
     t.same(installation.auditor.violations, []);
     installation.close();
   },
@@ -33,16 +37,16 @@
 t.test(
   'a job without an attempt left is not started again by the next dispatcher',
   async t => {
-    const installation = new Installation({
-      fates: () => ({
+    const installation = new EmulatedCluster({
+      getTaskBehavior: () => ({
         work: 400,
         failsAt: 0.5,
         savesProgress: false,
         gangSize: 2,
       }),
     });
-    await installation.until(
-      () => installation.dispatcher() !== undefined,
+    await installation.waitUntil(
+      () => installation.findLeader() !== undefined,
       5000,
     );
     await installation.advance(1000);
@@ -53,10 +57,10 @@
         .find(createId(1))
         ?.progress?.read().occurrences[0]?.steps[0]?.[0]?.failureCount ?? 0;
     const isExhausted = () => failures() === 3;
-    t.ok(await installation.until(isExhausted, 20_000));
-    installation.kill(installation.dispatcher()!.name);
-    const hasFailed = () => installation.stateOf(createId(1)) === 'failed';
-    t.ok(await installation.until(hasFailed, 20_000));
+    t.ok(await installation.waitUntil(isExhausted, 20_000));
+    installation.killInstance(installation.findLeader()!.name);
+    const hasFailed = () => installation.getJobState(createId(1)) === 'failed';
+    t.ok(await installation.waitUntil(hasFailed, 20_000));
     t.same(installation.auditor.violations, []);
     installation.close();
   },
@@ -65,16 +69,16 @@
 t.test(
   'a failure that is listed again after a takeover counts once',
   async t => {
-    const installation = new Installation({
-      fates: task => ({
+    const installation = new EmulatedCluster({
+      getTaskBehavior: task => ({
         work: 600,
         failsAt: task.endsWith('.0') ? 0.5 : undefined,
         savesProgress: false,
         gangSize: 1,
       }),
     });
-    await installation.until(
-      () => installation.dispatcher() !== undefined,
+    await installation.waitUntil(
+      () => installation.findLeader() !== undefined,
       5000,
     );
     await installation.advance(1000);
@@ -85,10 +89,13 @@
           table.find(createId(1))?.progress?.read().occurrences[0]
             ?.steps[0]?.[0]?.failureCount ?? 0,
       );
-    await installation.until(() => failed().some(count => count === 1), 5000);
-    installation.kill(installation.dispatcher()!.name);
-    await installation.until(
-      () => installation.dispatcher() !== undefined,
+    await installation.waitUntil(
+      () => failed().some(count => count === 1),
+      5000,
+    );
+    installation.killInstance(installation.findLeader()!.name);
+    await installation.waitUntil(
+      () => installation.findLeader() !== undefined,
       5000,
     );
     await installation.advance(60);
@@ -108,19 +115,19 @@
       for (const [index, {id, spec, priority, gap}] of stream.entries()) {
         void installation.submit(id, spec, priority);
         await installation.advance(gap);
-        const dispatcher = installation.dispatcher();
+        const dispatcher = installation.findLeader();
         if (index % 8 === 5 && dispatcher) {
-          installation.kill(dispatcher.name);
+          installation.killInstance(dispatcher.name);
           void installation.clock
             .sleep(1500)
-            .then(() => installation.boot(dispatcher.name));
+            .then(() => installation.startInstance(dispatcher.name));
         }
       }
       installation.log.faults.lostAnswers = 0;
       const isSettled = () =>
-        stream.every(({id}) => installation.stateOf(id) !== 'active');
+        stream.every(({id}) => installation.getJobState(id) !== 'active');
       t.ok(
-        await installation.until(isSettled, 120_000),
+        await installation.waitUntil(isSettled, 120_000),
         `seed ${seed} settles`,
       );
       t.same(installation.auditor.violations, [], `seed ${seed}`);
@@ -132,17 +139,20 @@
 t.test('orders that are carried out seconds late break no promise', async t => {
   for (const seed of [11, 12, 13, 14]) {
     const installation = await boot(seed);
-    installation.fleet.faults.lateOrders = 0.15;
+    installation.fleet.faults.delayedCommands = 0.15;
     const stream = createStream(seed, 25);
     for (const {id, spec, priority, gap} of stream) {
       void installation.submit(id, spec, priority);
       await installation.advance(gap);
     }
     await installation.advance(5000);
-    installation.fleet.faults.lateOrders = 0;
+    installation.fleet.faults.delayedCommands = 0;
     const isSettled = () =>
-      stream.every(({id}) => installation.stateOf(id) !== 'active');
-    t.ok(await installation.until(isSettled, 120_000), `seed ${seed} settles`);
+      stream.every(({id}) => installation.getJobState(id) !== 'active');
+    t.ok(
+      await installation.waitUntil(isSettled, 120_000),
+      `seed ${seed} settles`,
+    );
     const broken = installation.auditor.violations.filter(
       // A start that is carried out late can leave the others of its gang alone.
       ({rule}) => rule !== 'gang-alone',
@@ -162,15 +172,17 @@
         void installation.submit(id, spec, priority);
         await installation.advance(gap);
       }
-      ['t0', 't4', 't7'].forEach(id => installation.fleet.faults.cuts.add(id));
+      ['t0', 't4', 't7'].forEach(id =>
+        installation.fleet.faults.unreachableTargets.add(id),
+      );
       await installation.advance(6000);
-      installation.kill(installation.dispatcher()!.name);
+      installation.killInstance(installation.findLeader()!.name);
       await installation.advance(14_000);
-      installation.fleet.faults.cuts.clear();
+      installation.fleet.faults.unreachableTargets.clear();
       const isSettled = () =>
-        stream.every(({id}) => installation.stateOf(id) !== 'active');
+        stream.every(({id}) => installation.getJobState(id) !== 'active');
       t.ok(
-        await installation.until(isSettled, 120_000),
+        await installation.waitUntil(isSettled, 120_000),
         `seed ${seed} settles`,
       );
       t.same(installation.auditor.violations, [], `seed ${seed}`);
@@ -184,20 +196,20 @@
   async t => {
     for (const seed of [31, 32, 33]) {
       const installation = await boot(seed);
-      installation.fleet.faults.lateOrders = 0.05;
+      installation.fleet.faults.delayedCommands = 0.05;
       const stream = createStream(seed, 20);
       for (const [index, {id, spec, priority, gap}] of stream.entries()) {
         void installation.submit(id, spec, priority);
         await installation.advance(gap);
         if (index % 5 === 4) {
-          await installation.restart(`t${index % 9}`);
+          await installation.restartTarget(`t${index % 9}`);
         }
       }
-      installation.fleet.faults.lateOrders = 0;
+      installation.fleet.faults.delayedCommands = 0;
       const isSettled = () =>
-        stream.every(({id}) => installation.stateOf(id) !== 'active');
+        stream.every(({id}) => installation.getJobState(id) !== 'active');
       t.ok(
-        await installation.until(isSettled, 120_000),
+        await installation.waitUntil(isSettled, 120_000),
         `seed ${seed} settles`,
       );
       const broken = installation.auditor.violations.filter(
@@ -218,18 +230,19 @@
     void installation.submit(createId(2), createSpec());
     await installation.advance(30);
     for (const name of [...installation.instances.keys()]) {
-      installation.kill(name);
+      installation.killInstance(name);
     }
     await installation.advance(1500);
     for (const name of [...installation.instances.keys()]) {
-      installation.boot(name);
+      installation.startInstance(name);
     }
-    const isComplete = () => installation.stateOf(createId(2)) === 'complete';
-    t.ok(await installation.until(isComplete, 30_000));
+    const isComplete = () =>
+      installation.getJobState(createId(2)) === 'complete';
+    t.ok(await installation.waitUntil(isComplete, 30_000));
     const cancelled = installation.cancel(createId(1));
     await installation.advance(1500);
     await cancelled;
-    t.equal(installation.stateOf(createId(1)), 'cancelled');
+    t.equal(installation.getJobState(createId(1)), 'cancelled');
     const left = [...installation.fleet.targets.values()].flatMap(({runs}) => [
       ...runs.keys(),
     ]);
@@ -249,9 +262,10 @@
     const lost = [...installation.fleet.targets.values()].find(
       ({runs}) => runs.size > 0,
     )!;
-    installation.fleet.crash(lost.info.id);
-    const isComplete = () => installation.stateOf(createId(1)) === 'complete';
-    t.ok(await installation.until(isComplete, 20_000));
+    installation.fleet.crashTarget(lost.info.id);
+    const isComplete = () =>
+      installation.getJobState(createId(1)) === 'complete';
+    t.ok(await installation.waitUntil(isComplete, 20_000));
     t.same(installation.auditor.violations, []);
     installation.close();
   },
@@ -262,11 +276,11 @@
   async t => {
     const installation = await boot(61);
     const names = [...installation.instances.keys()];
-    names.forEach(name => installation.kill(name));
+    names.forEach(name => installation.killInstance(name));
     await installation.advance(2000);
-    names.forEach(name => installation.boot(name));
-    const isHeld = () => installation.dispatcher() !== undefined;
-    t.ok(await installation.until(isHeld, 1000));
+    names.forEach(name => installation.startInstance(name));
+    const isHeld = () => installation.findLeader() !== undefined;
+    t.ok(await installation.waitUntil(isHeld, 1000));
     installation.close();
   },
 );
@@ -281,16 +295,17 @@
     const busy = [...installation.fleet.targets.values()].find(
       ({runs}) => runs.size > 0,
     )!;
-    installation.fleet.faults.cuts.add(busy.info.id);
+    installation.fleet.faults.unreachableTargets.add(busy.info.id);
     const isPlacedAgain = () =>
       [...installation.fleet.targets.values()].some(
         ({runs}) => runs.get(`${createId(1)}.0.0.0`)?.run === 2,
       );
-    t.ok(await installation.until(isPlacedAgain, 20_000));
-    installation.fleet.faults.cuts.clear();
-    const isComplete = () => installation.stateOf(createId(1)) === 'complete';
+    t.ok(await installation.waitUntil(isPlacedAgain, 20_000));
+    installation.fleet.faults.unreachableTargets.clear();
+    const isComplete = () =>
+      installation.getJobState(createId(1)) === 'complete';
     t.ok(
-      await installation.until(isComplete, 3000),
+      await installation.waitUntil(isComplete, 3000),
       'it is not run to the end',
     );
     t.same(installation.auditor.violations, []);
@@ -316,8 +331,8 @@
       return append(instance, records, ...rest);
     };
     void installation.submit(id, createSpec([createStep({count: 1})]));
-    const isComplete = () => installation.stateOf(id) === 'complete';
-    t.ok(await installation.until(isComplete, 10_000));
+    const isComplete = () => installation.getJobState(id) === 'complete';
+    t.ok(await installation.waitUntil(isComplete, 10_000));
     await installation.advance(4000);
     t.same(installation.auditor.violations, []);
     installation.close();
--- a/packages/emulator/__tests__/relay.spec.ts
+++ b/packages/emulator/__tests__/relay.spec.ts
@@ -1,17 +1,20 @@
 import t from 'tap';
-import {type EmulatedInstance, Installation} from '@galenavalve/emulator';
+import {type EmulatedInstance, EmulatedCluster} from '@galenavalve/emulator';
 import {createId, createSpec, createStep} from './fixtures.js';
 
-async function boot(seed = 1): Promise<Installation> {
-  const installation = new Installation({seed, instances: 4});
-  await installation.until(() => installation.dispatcher() !== undefined, 5000);
+async function boot(seed = 1): Promise<EmulatedCluster> {
+  const installation = new EmulatedCluster({seed, instances: 4});
+  await installation.waitUntil(
+    () => installation.findLeader() !== undefined,
+    5000,
+  );
   await installation.advance(1500);
   return installation;
 }
 
-function findIdle(installation: Installation): EmulatedInstance {
+function findIdle(installation: EmulatedCluster): EmulatedInstance {
   return [...installation.instances.values()].find(
-    instance => instance !== installation.dispatcher(),
+    instance => instance !== installation.findLeader(),
   )!;
 }
 
@@ -37,7 +40,7 @@
         fault,
       );
       t.ok(turnedAway.gateway.isReady, fault);
-      t.equal(installation.stateOf(createId(1)), 'complete');
+      t.equal(installation.getJobState(createId(1)), 'complete');
       t.same(installation.auditor.violations, []);
       installation.close();
     }
@@ -48,7 +51,7 @@
   'a dispatcher that the log turns away goes on through a peer',
   async t => {
     const installation = await boot();
-    const dispatcher = installation.dispatcher()!;
+    const dispatcher = installation.findLeader()!;
     installation.log.faults.busyTo.add(dispatcher.name);
     const spec = createSpec([createStep({estimateMs: 500})]);
     for (let index = 1; index <= 6; index++) {
@@ -60,8 +63,8 @@
       );
       await installation.advance(1000);
     }
-    t.equal(installation.dispatcher(), dispatcher);
-    t.equal(installation.stateOf(createId(5)), 'complete');
+    t.equal(installation.findLeader(), dispatcher);
+    t.equal(installation.getJobState(createId(5)), 'complete');
     t.same(installation.auditor.violations, []);
     installation.close();
   },
@@ -73,7 +76,7 @@
     const installation = await boot();
     const alone = findIdle(installation);
     installation.log.faults.busyTo.add(alone.name);
-    installation.peers.cutOff.add(alone.name);
+    installation.peers.isolatedInstances.add(alone.name);
     await installation.advance(3000);
     let kind: string | undefined;
     void installation
@@ -81,7 +84,7 @@
       .then(answer => (kind = answer.kind));
     await installation.advance(3000);
     t.equal(kind, 'refused');
-    t.equal(installation.stateOf(createId(1)), undefined);
+    t.equal(installation.getJobState(createId(1)), undefined);
     t.notOk(alone.gateway.isReady);
     installation.close();
   },
@@ -89,13 +92,13 @@
 
 t.test('the strongest instance takes the office', async t => {
   for (const seed of [1, 2, 3]) {
-    const installation = new Installation({
+    const installation = new EmulatedCluster({
       seed,
       instances: 4,
-      coresOf: name => (name === 'instance-2' ? 1.35 : 0.3),
+      getCores: name => (name === 'instance-2' ? 1.35 : 0.3),
     });
     await installation.advance(3000);
-    t.equal(installation.dispatcher()?.name, 'instance-2');
+    t.equal(installation.findLeader()?.name, 'instance-2');
     installation.close();
   }
 });
@@ -105,22 +108,22 @@
   async t => {
     for (const seed of [1, 2, 3, 4]) {
       const installation = await boot(seed);
-      const dispatcher = installation.dispatcher()!;
+      const dispatcher = installation.findLeader()!;
       installation.log.faults.slowness = 110;
       const spec = createSpec([createStep({estimateMs: 500})]);
       for (let index = 1; index <= 6; index++) {
         void installation.submit(createId(index), spec, 1);
         await installation.advance(1000);
         t.equal(
-          installation.dispatcher()?.name,
+          installation.findLeader()?.name,
           dispatcher.name,
           `seed ${seed}`,
         );
       }
-      t.equal(installation.stateOf(createId(1)), 'complete');
+      t.equal(installation.getJobState(createId(1)), 'complete');
       installation.log.faults.slowness = 1;
       await installation.advance(3000);
-      t.equal(installation.stateOf(createId(6)), 'complete');
+      t.equal(installation.getJobState(createId(6)), 'complete');
       t.same(installation.auditor.violations, []);
       installation.close();
     }
--- a/packages/emulator/__tests__/stragglers.spec.ts
+++ b/packages/emulator/__tests__/stragglers.spec.ts
@@ -1,24 +1,27 @@
 import t from 'tap';
-import {Installation} from '@galenavalve/emulator';
+import {EmulatedCluster} from '@galenavalve/emulator';
 import {createId, createSpec, createStep} from './fixtures.js';
 
 const ID = createId(1);
 
-async function boot(seed = 1): Promise<Installation> {
-  const installation = new Installation({seed});
-  await installation.until(() => installation.dispatcher() !== undefined, 5000);
+async function boot(seed = 1): Promise<EmulatedCluster> {
+  const installation = new EmulatedCluster({seed});
+  await installation.waitUntil(
+    () => installation.findLeader() !== undefined,
+    5000,
+  );
   await installation.advance(1000);
   return installation;
 }
 
-function runOf(installation: Installation, id: string): number | undefined {
+function runOf(installation: EmulatedCluster, id: string): number | undefined {
   const [instance] = installation.instances.values();
   const progress = instance!.table.find(id)?.progress?.read();
   return progress?.occurrences[0]?.steps[0]?.[0]?.run;
 }
 
 /** A target that runs tasks of all these jobs. */
-function findTargetOf(installation: Installation, ...ids: string[]) {
+function findTargetOf(installation: EmulatedCluster, ...ids: string[]) {
   return [...installation.fleet.targets.values()].find(({runs}) =>
     ids.every(id => [...runs.keys()].some(task => task.startsWith(id))),
   )!;
@@ -41,16 +44,16 @@
     void installation.submit(createId(2), createSpec([other]));
     await installation.advance(700);
     const {info} = findTargetOf(installation, ID, createId(2));
-    installation.fleet.faults.cuts.add(info.id);
+    installation.fleet.faults.unreachableTargets.add(info.id);
     await installation.advance(500);
     // The stop is repeated, and answered before the first listing after the cut.
     void installation.cancel(createId(2));
     await installation.advance(5200);
-    installation.fleet.faults.cuts.clear();
+    installation.fleet.faults.unreachableTargets.clear();
     await installation.advance(2000);
     t.equal(runOf(installation, ID), 1);
-    const isComplete = () => installation.stateOf(ID) === 'complete';
-    t.ok(await installation.until(isComplete, 8000));
+    const isComplete = () => installation.getJobState(ID) === 'complete';
+    t.ok(await installation.waitUntil(isComplete, 8000));
     t.same(installation.auditor.violations, []);
     installation.close();
   },
@@ -64,8 +67,8 @@
     void installation.submit(ID, spec, 0);
     await installation.advance(1700);
     findTargetOf(installation, ID).faults.slowness = 10;
-    const isComplete = () => installation.stateOf(ID) === 'complete';
-    t.ok(await installation.until(isComplete, 8000), 'it would take 13 s');
+    const isComplete = () => installation.getJobState(ID) === 'complete';
+    t.ok(await installation.waitUntil(isComplete, 8000), 'it would take 13 s');
     t.same(installation.auditor.violations, []);
     installation.close();
   },
@@ -80,8 +83,8 @@
   const ids = [1, 2, 3, 4, 5, 6].map(createId);
   ids.forEach(id => void installation.submit(id, spec, 0));
   const isComplete = () =>
-    ids.every(id => installation.stateOf(id) === 'complete');
-  t.ok(await installation.until(isComplete, 6500));
+    ids.every(id => installation.getJobState(id) === 'complete');
+  t.ok(await installation.waitUntil(isComplete, 6500));
   t.same(installation.auditor.violations, []);
   installation.close();
 });
@@ -91,11 +94,11 @@
   async t => {
     const installation = await boot();
     const names = [...installation.instances.keys()];
-    names.forEach(name => installation.kill(name));
+    names.forEach(name => installation.killInstance(name));
     await installation.advance(300);
-    names.forEach(name => installation.boot(name));
-    const isHeld = () => installation.dispatcher() !== undefined;
-    t.ok(await installation.until(isHeld, 250));
+    names.forEach(name => installation.startInstance(name));
+    const isHeld = () => installation.findLeader() !== undefined;
+    t.ok(await installation.waitUntil(isHeld, 250));
     installation.close();
   },
 );
--- a/packages/emulator/__tests__/takeover.spec.ts
+++ b/packages/emulator/__tests__/takeover.spec.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import {Installation} from '@galenavalve/emulator';
+import {EmulatedCluster} from '@galenavalve/emulator';
 import {decodeRecord} from '@galenavalve/workload';
 import {createId, createSpec, createStep} from './fixtures.js';
 
@@ -7,7 +7,10 @@
 const TAKEOVER_LIMIT = 2500;
 
 /** Epochs under which the office was claimed in the log from `offset` on. */
-function claimsSince(installation: Installation, offset: number): Set<number> {
+function claimsSince(
+  installation: EmulatedCluster,
+  offset: number,
+): Set<number> {
   const epochs = new Set<number>();
   for (const record of installation.log.history.slice(offset)) {
     const decoded = decodeRecord(record);
@@ -20,25 +23,30 @@
 
 /** An installation in which the holder and the strongest instances lose power together, while callers hand jobs in. */
 async function playLoss(instances: number, lost: number, seed: number) {
-  const installation = new Installation({
+  const installation = new EmulatedCluster({
     seed,
     instances,
-    coresOf: name => (Number(name.split('-')[1]) < 15 ? 1.35 : 0.324),
+    getCores: name => (Number(name.split('-')[1]) < 15 ? 1.35 : 0.324),
   });
-  await installation.until(() => installation.dispatcher() !== undefined, 9000);
+  await installation.waitUntil(
+    () => installation.findLeader() !== undefined,
+    9000,
+  );
   await installation.advance(4000);
   const offset = installation.log.end;
   const known = claimsSince(installation, 0);
-  const before = installation.dispatcher()!.name;
+  const before = installation.findLeader()!.name;
   const strongest = [...installation.instances.keys()].slice(0, lost);
-  new Set([before, ...strongest]).forEach(name => installation.kill(name));
+  new Set([before, ...strongest]).forEach(name =>
+    installation.killInstance(name),
+  );
   const lostAt = installation.clock.now();
   let tookOverAt = Infinity;
   for (let index = 1; index <= 100; index++) {
     const spec = createSpec([createStep({estimateMs: 300})]);
     void installation.submit(createId(index), spec);
     await installation.advance(50);
-    if (installation.dispatcher() && tookOverAt === Infinity) {
+    if (installation.findLeader() && tookOverAt === Infinity) {
       tookOverAt = installation.clock.now();
     }
   }
@@ -70,9 +78,9 @@
   'a holder that lives keeps its office while the log is a hundred times slow and its line of appends is long (kwjt-grid-large trouble-2)',
   async t => {
     for (const seed of [1, 2, 3]) {
-      const installation = new Installation({seed, instances: 97});
-      const isHeld = () => installation.dispatcher() !== undefined;
-      await installation.until(isHeld, 9000);
+      const installation = new EmulatedCluster({seed, instances: 97});
+      const isHeld = () => installation.findLeader() !== undefined;
+      await installation.waitUntil(isHeld, 9000);
       await installation.advance(4000);
       const known = claimsSince(installation, 0);
       installation.log.faults.slowness = 89;
@@ -94,9 +102,9 @@
 t.test(
   'callers are accepted while the log is a hundred times slow (kwjt-grid-large trouble-2)',
   async t => {
-    const installation = new Installation({seed: 4, instances: 35});
-    const isHeld = () => installation.dispatcher() !== undefined;
-    await installation.until(isHeld, 9000);
+    const installation = new EmulatedCluster({seed: 4, instances: 35});
+    const isHeld = () => installation.findLeader() !== undefined;
+    await installation.waitUntil(isHeld, 9000);
     await installation.advance(4000);
     installation.log.faults.slowness = 89;
     const instances = [...installation.instances.values()];
--- a/packages/emulator/__tests__/unexpected_errors.spec.ts
+++ b/packages/emulator/__tests__/unexpected_errors.spec.ts
@@ -1,27 +1,27 @@
 import t from 'tap';
-import {Installation} from '@galenavalve/emulator';
+import {EmulatedCluster} from '@galenavalve/emulator';
 import {createId, createSpec, createStep} from './fixtures.js';
 
-async function boot(): Promise<Installation> {
-  const installation = new Installation({seed: 1, instances: 3});
-  const isHeld = () => installation.dispatcher() !== undefined;
-  await installation.until(isHeld, 5000);
+async function boot(): Promise<EmulatedCluster> {
+  const installation = new EmulatedCluster({seed: 1, instances: 3});
+  const isHeld = () => installation.findLeader() !== undefined;
+  await installation.waitUntil(isHeld, 5000);
   return installation;
 }
 
 /** Hands a job in, and tells whether it is complete within ten seconds. */
-async function isServed(installation: Installation): Promise<boolean> {
+async function isServed(installation: EmulatedCluster): Promise<boolean> {
   const spec = createSpec([createStep({estimateMs: 300})]);
   void installation.submit(createId(1), spec);
-  const isComplete = () => installation.stateOf(createId(1)) === 'complete';
-  return installation.until(isComplete, 10_000);
+  const isComplete = () => installation.getJobState(createId(1)) === 'complete';
+  return installation.waitUntil(isComplete, 10_000);
 }
 
 t.test(
   'an unexpected error in a pass costs that pass, not the dispatcher',
   async t => {
     const installation = await boot();
-    const holder = installation.dispatcher()!.name;
+    const holder = installation.findLeader()!.name;
     const {desired} = installation;
     const {guarantees} = desired;
     let errors = 0;
@@ -36,7 +36,7 @@
     });
     t.ok(await isServed(installation));
     t.ok(errors > 5);
-    t.equal(installation.dispatcher()?.name, holder);
+    t.equal(installation.findLeader()?.name, holder);
     t.same(installation.auditor.violations, []);
     installation.close();
   },
--- a/packages/emulator/src/installation.ts
+++ b/packages/emulator/src/emulated_cluster.ts
@@ -18,16 +18,16 @@
 import {EmulatedFleet} from './emulated_fleet.js';
 import {EmulatedInstance} from './emulated_instance.js';
 import {EmulatedLog} from './emulated_log.js';
-import {EmulatedPeers} from './emulated_peers.js';
-import type {TaskFate} from './emulated_target.js';
-import {InstanceClock, Power} from './power.js';
+import {EmulatedPeerNetwork} from './emulated_peer_network.js';
+import type {TaskBehavior} from './emulated_target.js';
+import {InstanceClock, EmulatedProcess} from './emulated_process.js';
 import {RunAuditor} from './run_auditor.js';
 
 /** Virtual time between two looks at the callers, in milliseconds. */
 const PACE = 10;
 
 /** Size of an installation. */
-export interface InstallationOptions {
+export interface EmulatedClusterOptions {
   seed: number;
   instances: number;
   targets: number;
@@ -37,30 +37,33 @@
   settings: DispatchSettings;
   advisor: Advisor;
   /** Processor of an instance, in cores. */
-  coresOf: (name: string) => number;
+  getCores: (name: string) => number;
   /** What really happens to tasks, unless a job says otherwise. */
-  fates: (task: string, installation: Installation) => TaskFate;
+  getTaskBehavior: (
+    task: string,
+    installation: EmulatedCluster,
+  ) => TaskBehavior;
 }
 
 /** Names the emulated queues use. */
 export const POOL = 'pool';
 
 /** An emulated installation. */
-export class Installation {
+export class EmulatedCluster {
   readonly clock = new ManualClock(1_000_000);
   readonly random: SeededRandom;
   readonly log: EmulatedLog;
   readonly fleet: EmulatedFleet;
-  readonly peers = new EmulatedPeers(this.clock);
+  readonly peers = new EmulatedPeerNetwork(this.clock);
   readonly auditor = new RunAuditor();
   readonly desired = new DesiredStateStore();
   readonly instances = new Map<string, EmulatedInstance>();
   readonly jobs = new Map<string, AcceptedJob>();
-  private readonly powers = new Map<string, Power>();
-  private readonly options: InstallationOptions;
+  private readonly powers = new Map<string, EmulatedProcess>();
+  private readonly options: EmulatedClusterOptions;
   private isOver = false;
 
-  constructor(options: Partial<InstallationOptions> = {}) {
+  constructor(options: Partial<EmulatedClusterOptions> = {}) {
     this.options = {
       seed: 1,
       instances: 3,
@@ -70,8 +73,8 @@
       logger: new SilentLogger(),
       settings: DEFAULT_SETTINGS,
       advisor: new NoAdvisor(),
-      coresOf: () => 1,
-      fates: defaultFate,
+      getCores: () => 1,
+      getTaskBehavior: defaultFate,
       ...options,
     };
     this.random = new SeededRandom(this.options.seed);
@@ -80,7 +83,7 @@
       this.clock,
       this.random,
       this.options.settings,
-      task => this.options.fates(task, this),
+      task => this.options.getTaskBehavior(task, this),
       this.auditor,
     );
     this.desired.apply({
@@ -89,26 +92,26 @@
       workspaces: [{name: 'w', keys: ['k'], guaranteedAccelerators: 16}],
     });
     for (let index = 0; index < this.options.targets; index++) {
-      this.fleet.add(this.createTarget(index));
+      this.fleet.addTarget(this.createTarget(index));
     }
     for (let index = 0; index < this.options.instances; index++) {
-      this.boot(`instance-${index}`);
+      this.startInstance(`instance-${index}`);
     }
     void this.fleet.run(() => this.isOver);
   }
 
   /** Starts an instance, anew if it was killed. */
-  boot(name: string): EmulatedInstance {
-    const power = new Power();
-    const log = power.guard(this.log.client(name));
+  startInstance(name: string): EmulatedInstance {
+    const power = new EmulatedProcess();
+    const log = power.wrap(this.log.createClient(name));
     const instance = new EmulatedInstance({
       name,
-      cores: this.options.coresOf(name),
+      cores: this.options.getCores(name),
       log,
-      peers: power.guard(this.peers.port(name)),
-      targets: power.guard(this.fleet.port()),
-      advisor: power.guard(this.options.advisor),
-      registry: power.guard(this.fleet.registry()),
+      peers: power.wrap(this.peers.createPeerLogClient(name)),
+      targets: power.wrap(this.fleet.createTargetPort()),
+      advisor: power.wrap(this.options.advisor),
+      registry: power.wrap(this.fleet.createTargetRegistry()),
       desired: this.desired,
       settings: this.options.settings,
       clock: new InstanceClock(this.clock, power),
@@ -123,14 +126,15 @@
   }
 
   /** An instance loses power. */
-  kill(name: string): void {
-    this.powers.get(name)!.isOn = false;
+  killInstance(name: string): void {
+    this.powers.get(name)!.isRunning = false;
   }
 
   /** The instance that dispatches, if one does. */
-  dispatcher(): EmulatedInstance | undefined {
+  findLeader(): EmulatedInstance | undefined {
     return [...this.instances.values()].find(
-      ({name, service}) => this.powers.get(name)!.isOn && service.isDispatching,
+      ({name, service}) =>
+        this.powers.get(name)!.isRunning && service.isDispatching,
     );
   }
 
@@ -140,7 +144,7 @@
   }
 
   /** Lets time pass until `isReached`; false after `limit` milliseconds without. */
-  async until(isReached: () => boolean, limit: number): Promise<boolean> {
+  async waitUntil(isReached: () => boolean, limit: number): Promise<boolean> {
     const end = this.clock.now() + limit;
     while (!isReached() && this.clock.now() < end) {
       await this.clock.advance(PACE);
@@ -182,7 +186,7 @@
   }
 
   /** State of a job as the first living instance folds it. */
-  stateOf(id: string): string | undefined {
+  getJobState(id: string): string | undefined {
     const instance = this.pickInstance();
     const entry = instance.table.find(id);
     return entry?.progress?.outcome ?? (entry ? 'active' : undefined);
@@ -192,16 +196,16 @@
   close(): void {
     this.isOver = true;
     for (const power of this.powers.values()) {
-      power.isOn = false;
+      power.isRunning = false;
     }
   }
 
   /** The life of a target that is started anew. */
-  async restart(id: string): Promise<void> {
+  async restartTarget(id: string): Promise<void> {
     const {info} = this.fleet.targets.get(id)!;
-    this.fleet.crash(id);
+    this.fleet.crashTarget(id);
     await this.advance(100);
-    this.fleet.add({...info, born: info.born + 100});
+    this.fleet.addTarget({...info, born: info.born + 100});
   }
 
   private createTarget(index: number): TargetInfo {
@@ -221,7 +225,7 @@
 
   private pickInstance(): EmulatedInstance {
     const living = [...this.instances.values()].filter(
-      ({name}) => this.powers.get(name)!.isOn,
+      ({name}) => this.powers.get(name)!.isRunning,
     );
     const caughtUp = living.find(({gateway}) => gateway.isReady);
     return caughtUp ?? living[0]!;
@@ -246,7 +250,10 @@
 }
 
 /** Every run takes what was estimated and succeeds. */
-function defaultFate(task: string, installation: Installation): TaskFate {
+function defaultFate(
+  task: string,
+  installation: EmulatedCluster,
+): TaskBehavior {
   const name = parseTaskName(task)!;
   const step = installation.jobs.get(name.jobId)?.spec.steps[name.step];
   return {
--- a/packages/emulator/src/emulated_fleet.ts
+++ b/packages/emulator/src/emulated_fleet.ts
@@ -16,8 +16,8 @@
   type EmulatedRun,
   EmulatedTarget,
   type TargetBounds,
-  type TargetWitness,
-  type TaskFate,
+  type TargetEnvironment,
+  type TaskBehavior,
 } from './emulated_target.js';
 
 /** One way between an instance and a target, in milliseconds. */
@@ -36,15 +36,18 @@
 /** Faults of the network. */
 export interface FleetFaults {
   /** Ids of targets that no instance reaches. */
-  cuts: Set<string>;
+  unreachableTargets: Set<string>;
   /** Share of orders that get no answer and are carried out late. */
-  lateOrders: number;
+  delayedCommands: number;
 }
 
 /** The targets as instances reach them. */
-export class EmulatedFleet implements TargetWitness {
+export class EmulatedFleet implements TargetEnvironment {
   readonly targets = new Map<string, EmulatedTarget>();
-  readonly faults: FleetFaults = {cuts: new Set(), lateOrders: 0};
+  readonly faults: FleetFaults = {
+    unreachableTargets: new Set(),
+    delayedCommands: 0,
+  };
   private readonly listeners = new Set<{
     onTarget(info: TargetInfo): void;
     onTargetGone(id: string): void;
@@ -54,12 +57,12 @@
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly bounds: TargetBounds,
-    private readonly fates: (task: string) => TaskFate,
+    private readonly fates: (task: string) => TaskBehavior,
     private readonly auditor: RunAuditor,
   ) {}
 
   /** Adds a target, or starts it anew under the same id. */
-  add(info: TargetInfo): EmulatedTarget {
+  addTarget(info: TargetInfo): EmulatedTarget {
     const target = new EmulatedTarget(
       info,
       this.bounds,
@@ -67,12 +70,12 @@
       this.clock.now(),
     );
     this.targets.set(info.id, target);
-    this.announce(info);
+    this.updateRegistration(info);
     return target;
   }
 
   /** Changes an entry of the registry. */
-  announce(info: TargetInfo): void {
+  updateRegistration(info: TargetInfo): void {
     const target = this.targets.get(info.id);
     if (target) {
       target.info = info;
@@ -83,7 +86,7 @@
   }
 
   /** A target goes at once, without a word. */
-  crash(id: string): void {
+  crashTarget(id: string): void {
     this.targets.get(id)?.crash();
     void this.clock.sleep(REGISTRY_LAG).then(() => {
       this.listeners.forEach(listener => listener.onTargetGone(id));
@@ -95,13 +98,13 @@
     while (!isOver()) {
       await this.clock.sleep(STEP);
       for (const target of this.targets.values()) {
-        target.step(this.clock.now());
+        target.advance(this.clock.now());
       }
     }
   }
 
   /** The targets as every instance reaches them. */
-  port(): TargetPort {
+  createTargetPort(): TargetPort {
     const call = <T extends CommandOutcome | PollOutcome>(
       target: TargetAddress,
       timeout: Milliseconds,
@@ -127,7 +130,7 @@
   }
 
   /** The registry as one instance reads it. */
-  registry(): TargetRegistry {
+  createTargetRegistry(): TargetRegistry {
     let listener: Parameters<TargetRegistry['open']>[0] | undefined;
     return {
       open: async events => {
@@ -145,11 +148,11 @@
     };
   }
 
-  fateOf(task: string): TaskFate {
+  getTaskBehavior(task: string): TaskBehavior {
     return this.fates(task);
   }
 
-  countPresent(task: string, run: number): number {
+  countPresentMembers(task: string, run: number): number {
     const gang = gangOf(task);
     let count = 0;
     for (const target of this.targets.values()) {
@@ -167,7 +170,7 @@
 
   onEnd(target: EmulatedTarget, run: EmulatedRun, how: EndKind): void {
     this.auditor.onEnd(target, run, how, this.clock.now());
-    if (run.fate.gangSize > 1 && how !== 'alone') {
+    if (run.behavior.gangSize > 1 && how !== 'alone') {
       this.endGang(run, how === 'done' ? 'done' : 'broken');
     }
   }
@@ -186,7 +189,7 @@
       for (const run of [...target.runs.values()]) {
         const isMember = gangOf(run.task) === gang && run.run === ended.run;
         if (isMember && run !== ended && target.isUp) {
-          target.end(run, how);
+          target.endRun(run, how);
         }
       }
     }
@@ -202,7 +205,7 @@
     look: () => Promise<PollOutcome>,
   ): Promise<PollOutcome> {
     const target = this.targets.get(id);
-    const before = target?.lastEnd ?? 0;
+    const before = target?.lastEndNumber ?? 0;
     const until = this.clock.now() + order.wait;
     if (order.wait > 0 && target?.isUp && !this.isCut(id)) {
       // The lease counts from the arrival, not from the answer.
@@ -228,7 +231,7 @@
       await this.clock.sleep(timeout);
       return silence;
     }
-    if (isOrder && this.random.next() < this.faults.lateOrders) {
+    if (isOrder && this.random.next() < this.faults.delayedCommands) {
       const delay = LATE_FROM + this.random.next() * (LATE_TO - LATE_FROM);
       void this.clock.sleep(delay).then(() => {
         // It reaches whatever life is at the address by then.
@@ -250,7 +253,7 @@
   }
 
   private isCut(id: string): boolean {
-    return this.faults.cuts.has(id);
+    return this.faults.unreachableTargets.has(id);
   }
 }
 
--- a/packages/emulator/src/emulated_instance.ts
+++ b/packages/emulator/src/emulated_instance.ts
@@ -23,7 +23,7 @@
 const READ_WAIT = 500;
 
 /** What an instance is wired to. */
-export interface InstanceWiring {
+export interface InstanceDependencies {
   name: string;
   /** Processor that it may use, in cores. */
   cores: number;
@@ -49,7 +49,7 @@
   private readonly book: PeerDirectory;
   private readonly log: RelayedLog;
 
-  constructor(private readonly wiring: InstanceWiring) {
+  constructor(private readonly wiring: InstanceDependencies) {
     const {clock, random, logger, desired} = wiring;
     this.book = new PeerDirectory(this.describe());
     this.access = new LogPathTracker(this.book, '', random, logger);
--- a/packages/emulator/src/emulated_log.ts
+++ b/packages/emulator/src/emulated_log.ts
@@ -68,7 +68,7 @@
   ) {}
 
   /** The log as one instance reaches it. */
-  client(instance: string): SharedLog {
+  createClient(instance: string): SharedLog {
     return new LogClient(this, instance);
   }
 
--- a/packages/emulator/src/emulated_peers.ts
+++ b/packages/emulator/src/emulated_peer_network.ts
@@ -21,9 +21,9 @@
 }
 
 /** The network between instances. */
-export class EmulatedPeers {
+export class EmulatedPeerNetwork {
   /** Instances that others do not reach, and that reach none. */
-  readonly cutOff = new Set<string>();
+  readonly isolatedInstances = new Set<string>();
   private readonly peers = new Map<string, ReachablePeer>();
 
   constructor(private readonly clock: Clock) {}
@@ -34,7 +34,7 @@
   }
 
   /** The network as one instance reaches it. */
-  port(from: string): PeerLogClient {
+  createPeerLogClient(from: string): PeerLogClient {
     const reach = (peer: PeerEntry, timeout: Milliseconds) =>
       this.reach(from, peer, timeout);
     return {
@@ -70,7 +70,8 @@
     {instance}: PeerEntry,
     timeout: Milliseconds,
   ): Promise<ReachablePeer | undefined> {
-    const isCut = this.cutOff.has(from) || this.cutOff.has(instance);
+    const isCut =
+      this.isolatedInstances.has(from) || this.isolatedInstances.has(instance);
     await this.clock.sleep(isCut ? timeout : WAY);
     return isCut ? undefined : this.peers.get(instance);
   }
--- a/packages/emulator/src/power.ts
+++ b/packages/emulator/src/emulated_process.ts
@@ -2,11 +2,11 @@
 import type {Clock, Instant, Milliseconds} from '@galenavalve/shared';
 
 /** Whether an instance is alive, or frozen for a while. */
-export class Power {
-  isOn = true;
+export class EmulatedProcess {
+  isRunning = true;
 
   /** `part` as the instance sees it: its promises never settle once the power is off. */
-  guard<T extends object>(part: T): T {
+  wrap<T extends object>(part: T): T {
     return new Proxy(part, {
       get: (target, name) => {
         const value: unknown = Reflect.get(target, name);
@@ -14,7 +14,7 @@
           return value;
         }
         return (...args: unknown[]) =>
-          this.isOn ? this.wait(value.apply(target, args)) : never();
+          this.isRunning ? this.wait(value.apply(target, args)) : never();
       },
     });
   }
@@ -24,9 +24,9 @@
       return result;
     }
     return result.then(
-      value => (this.isOn ? value : never()),
+      value => (this.isRunning ? value : never()),
       error => {
-        if (this.isOn) {
+        if (this.isRunning) {
           throw error;
         }
         return never();
@@ -39,7 +39,7 @@
 export class InstanceClock implements Clock {
   constructor(
     private readonly clock: Clock,
-    private readonly power: Power,
+    private readonly power: EmulatedProcess,
     /** What its wall clock shows beyond the true time, in milliseconds. */
     public wallOffset: Milliseconds = 0,
   ) {}
@@ -54,7 +54,7 @@
 
   async sleep(duration: Milliseconds, signal?: AbortSignal): Promise<void> {
     await this.clock.sleep(duration, signal);
-    if (!this.power.isOn) {
+    if (!this.power.isRunning) {
       await never();
     }
   }
--- a/packages/emulator/src/emulated_target.ts
+++ b/packages/emulator/src/emulated_target.ts
@@ -12,7 +12,7 @@
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 
 /** What really happens to a task's run, which no caller's estimate knows. */
-export interface TaskFate {
+export interface TaskBehavior {
   /** Work of a whole run, in milliseconds. */
   work: Milliseconds;
   /** The run fails after this share of its work; undefined when it does not. */
@@ -27,12 +27,12 @@
   task: string;
   run: number;
   order: StartCommand;
-  fate: TaskFate;
+  behavior: TaskBehavior;
   startedAt: Instant;
   /** Work done, in milliseconds; starts at the checkpoint's. */
-  done: Milliseconds;
+  completedWork: Milliseconds;
   /** Work at its start. */
-  resumed: Milliseconds;
+  resumedWork: Milliseconds;
   stoppingAt?: Instant;
 }
 
@@ -54,10 +54,10 @@
 }
 
 /** What others are told of runs. */
-export interface TargetWitness {
-  fateOf(task: string): TaskFate;
+export interface TargetEnvironment {
+  getTaskBehavior(task: string): TaskBehavior;
   /** Members of the run that are present anywhere. */
-  countPresent(task: string, run: number): number;
+  countPresentMembers(task: string, run: number): number;
   onStart(target: EmulatedTarget, run: EmulatedRun): void;
   onEnd(target: EmulatedTarget, run: EmulatedRun, how: EndKind): void;
   onCheckpoint(task: string, checkpoint: string): void;
@@ -80,14 +80,14 @@
   constructor(
     public info: TargetInfo,
     private readonly bounds: TargetBounds,
-    private readonly witness: TargetWitness,
+    private readonly witness: TargetEnvironment,
     private readonly bornAt: Instant,
   ) {
     this.steppedAt = bornAt;
   }
 
   start(order: StartCommand, now: Instant): CommandOutcome {
-    this.step(now);
+    this.advance(now);
     const clock = this.clock(now);
     if (order.epoch < this.fence) {
       return {kind: 'refused', reason: 'fenced', clock};
@@ -104,16 +104,16 @@
     if (isOld || this.runs.has(order.task)) {
       return {kind: 'refused', reason: 'superseded', clock};
     }
-    const fate = this.witness.fateOf(order.task);
+    const fate = this.witness.getTaskBehavior(order.task);
     const saved = order.checkpoint === '' ? 0 : Number(order.checkpoint);
     const run: EmulatedRun = {
       task: order.task,
       run: order.run,
       order,
-      fate,
+      behavior: fate,
       startedAt: now,
-      done: saved,
-      resumed: saved,
+      completedWork: saved,
+      resumedWork: saved,
     };
     this.runs.set(order.task, run);
     this.witness.onStart(this, run);
@@ -121,7 +121,7 @@
   }
 
   stop(order: StopCommand, now: Instant): CommandOutcome {
-    this.step(now);
+    this.advance(now);
     const clock = this.clock(now);
     if (order.epoch < this.fence) {
       return {kind: 'refused', reason: 'fenced', clock};
@@ -137,7 +137,7 @@
   }
 
   hold(order: PollRequest, now: Instant): PollOutcome {
-    this.step(now);
+    this.advance(now);
     const clock = this.clock(now);
     if (order.epoch < this.fence) {
       return {kind: 'refused', reason: 'fenced', clock};
@@ -160,12 +160,12 @@
     return this.endCount > number;
   }
 
-  get lastEnd(): number {
+  get lastEndNumber(): number {
     return this.endCount;
   }
 
   /** Lets time pass: work, leases, stops. */
-  step(now: Instant): void {
+  advance(now: Instant): void {
     const passed = now - this.steppedAt;
     this.steppedAt = now;
     if (!this.isUp) {
@@ -173,7 +173,7 @@
     }
     if (this.clock(now) > this.leaseUntil) {
       for (const run of [...this.runs.values()]) {
-        this.end(run, 'lapsed');
+        this.endRun(run, 'lapsed');
       }
     }
     for (const run of [...this.runs.values()]) {
@@ -194,7 +194,7 @@
   }
 
   /** Ends a run, as when another member of its gang ended. */
-  end(run: EmulatedRun, how: EndKind): void {
+  endRun(run: EmulatedRun, how: EndKind): void {
     this.runs.delete(run.task);
     const barred = this.barred.get(run.task) ?? 0;
     this.barred.set(run.task, Math.max(barred, run.run));
@@ -210,26 +210,26 @@
 
   private stepRun(run: EmulatedRun, passed: Milliseconds, now: Instant): void {
     if (run.stoppingAt !== undefined && now >= run.stoppingAt) {
-      this.end(run, 'stopped');
+      this.endRun(run, 'stopped');
       return;
     }
-    const {fate} = run;
-    const present = this.witness.countPresent(run.task, run.run);
+    const {behavior: fate} = run;
+    const present = this.witness.countPresentMembers(run.task, run.run);
     if (present < fate.gangSize) {
       if (now - run.startedAt > this.bounds.gangTime) {
-        this.end(run, 'alone');
+        this.endRun(run, 'alone');
       }
       return;
     }
     if (this.faults.hangs) {
       return;
     }
-    run.done += passed / this.faults.slowness;
+    run.completedWork += passed / this.faults.slowness;
     const failsAt = this.faults.failsAll ? 0.1 : fate.failsAt;
-    if (failsAt !== undefined && run.done >= fate.work * failsAt) {
-      this.end(run, 'failed');
-    } else if (run.done >= fate.work) {
-      this.end(run, 'done');
+    if (failsAt !== undefined && run.completedWork >= fate.work * failsAt) {
+      this.endRun(run, 'failed');
+    } else if (run.completedWork >= fate.work) {
+      this.endRun(run, 'done');
     }
   }
 
@@ -241,7 +241,10 @@
         task: run.task,
         run: run.run,
         checkpoint: this.checkpointOf(run),
-        percent: Math.min(99, Math.floor((100 * run.done) / run.fate.work)),
+        percent: Math.min(
+          99,
+          Math.floor((100 * run.completedWork) / run.behavior.work),
+        ),
       })),
       ended: this.ends.slice(0, 500),
     };
@@ -249,10 +252,10 @@
 
   /** Saved work is a whole number of milliseconds in decimal. */
   private checkpointOf(run: EmulatedRun): string {
-    if (!run.fate.savesProgress || run.done <= 0) {
+    if (!run.behavior.savesProgress || run.completedWork <= 0) {
       return '';
     }
-    const checkpoint = String(Math.floor(run.done));
+    const checkpoint = String(Math.floor(run.completedWork));
     this.witness.onCheckpoint(run.task, checkpoint);
     return checkpoint;
   }
--- a/packages/emulator/src/index.ts
+++ b/packages/emulator/src/index.ts
@@ -2,17 +2,17 @@
 
 // The installation
 export {
-  Installation,
-  type InstallationOptions,
+  EmulatedCluster,
+  type EmulatedClusterOptions,
   POOL,
   createQueue,
-} from './installation.js';
+} from './emulated_cluster.js';
 export {EmulatedInstance} from './emulated_instance.js';
 
 // The platform
 export {EmulatedLog, type LogFaults} from './emulated_log.js';
 export {EmulatedFleet, type FleetFaults} from './emulated_fleet.js';
-export {EmulatedTarget, type TaskFate} from './emulated_target.js';
+export {EmulatedTarget, type TaskBehavior} from './emulated_target.js';
 
 // The promises
 export {RunAuditor, type Violation} from './run_auditor.js';
--- a/packages/soak/__tests__/soak.spec.ts
+++ b/packages/soak/__tests__/soak.spec.ts
@@ -12,7 +12,7 @@
   t.test(
     `real daemons keep every promise through the faults of seed ${seed}`,
     async t => {
-      const report = await runSoak({seed, jobs: 20, faultPause: 1200});
+      const report = await runSoak({seed, jobs: 20, meanFaultIntervalMs: 1200});
       const broken = report.violations.filter(
         // An order that is carried out late, or a killed dispatcher, can leave a gang without some members.
         ({rule}) => rule !== 'gang-alone',
--- a/packages/soak/src/caller.ts
+++ b/packages/soak/src/caller.ts
@@ -1,6 +1,10 @@
 /** A caller that keeps its connections open and asks again until it knows. */
 import {Agent} from 'undici';
-import {CALLER_KEY, QUEUE_HOST, pathOf} from './standins/platform_records.js';
+import {
+  API_KEY,
+  QUEUE_HOST,
+  getQueuePath,
+} from './standins/platform_records.js';
 
 /** Time limit of one try, in milliseconds. */
 const TRY_LIMIT = 3000;
@@ -35,7 +39,7 @@
   }
 
   /** The state of a job; undefined when no instance could say. */
-  async state(id: string, priority: number): Promise<string | undefined> {
+  async getState(id: string, priority: number): Promise<string | undefined> {
     const answer = await this.call('GET', id, priority);
     return answer?.code === 200
       ? (JSON.parse(answer.text) as {state: string}).state
@@ -58,11 +62,11 @@
     try {
       const {statusCode, body: answer} = await this.agent.request({
         origin: `http://${front}`,
-        path: pathOf(priority) + id,
+        path: getQueuePath(priority) + id,
         method,
         headers: {
           host: QUEUE_HOST,
-          authorization: `Bearer ${CALLER_KEY}`,
+          authorization: `Bearer ${API_KEY}`,
           'deadline-ms': String(TRY_LIMIT),
         },
         body: body && JSON.stringify(body),
--- a/packages/soak/src/daemon_process.ts
+++ b/packages/soak/src/daemon_process.ts
@@ -6,13 +6,13 @@
 import {dirname, join} from 'node:path';
 
 /** Where a daemon listens and what it talks to. */
-export interface DaemonPlan {
+export interface DaemonConfig {
   name: string;
-  front: string;
-  ready: string;
+  frontAddress: string;
+  readinessAddress: string;
   metricsPort: number;
   peerPort: number;
-  store: string;
+  storeAddress: string;
 }
 
 /** Starts, stops, pauses and kills one daemon; only processes that it started itself. */
@@ -21,11 +21,11 @@
   private child?: ChildProcess;
   private readonly settingsFile: string;
 
-  constructor(readonly plan: DaemonPlan) {
+  constructor(readonly config: DaemonConfig) {
     const folder = mkdtempSync(join(tmpdir(), 'galenavalve-soak-'));
     this.settingsFile = join(folder, 'settings.json');
-    this.logFile = join(folder, `${plan.name}.log`);
-    writeFileSync(this.settingsFile, JSON.stringify(createSettings(plan)));
+    this.logFile = join(folder, `${config.name}.log`);
+    writeFileSync(this.settingsFile, JSON.stringify(createSettings(config)));
   }
 
   get isRunning(): boolean {
@@ -57,7 +57,7 @@
   }
 
   /** Resolves once the process is gone. */
-  async gone(): Promise<void> {
+  async waitForExit(): Promise<void> {
     const {child} = this;
     if (child && child.exitCode === null && child.signalCode === null) {
       await new Promise(resolve => child.once('exit', resolve));
@@ -65,18 +65,18 @@
   }
 }
 
-function createSettings(plan: DaemonPlan): object {
+function createSettings(plan: DaemonConfig): object {
   return {
     instance: plan.name,
     domain: 'd0',
     address: '127.0.0.1',
-    front: plan.front,
-    ready: plan.ready,
+    front: plan.frontAddress,
+    ready: plan.readinessAddress,
     metricsPort: plan.metricsPort,
     peerPort: plan.peerPort,
     cores: 1,
     coreShare: 1,
-    log: plan.store,
+    log: plan.storeAddress,
     bounds: {
       maxLease: 5000,
       stopTime: 400,
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -1,22 +1,22 @@
 /** Faults that the soak brings about from outside the daemons; each undoes itself. */
 import {nextInteger} from '@galenavalve/shared';
 import type {DaemonProcess} from './daemon_process.js';
-import type {SoakSite} from './soak.js';
+import type {SoakEnvironment} from './soak.js';
 
 /** One kind of fault. */
 export interface Fault {
   name: string;
-  run(site: SoakSite): Promise<void>;
+  run(site: SoakEnvironment): Promise<void>;
 }
 
 /** Every kind of fault. */
-export const faults: readonly Fault[] = [
+export const FAULTS: readonly Fault[] = [
   {
     name: 'a daemon is killed',
     run: async site => {
       const daemon = pickDaemon(site);
       daemon.signal('SIGKILL');
-      await daemon.gone();
+      await daemon.waitForExit();
       await restart(daemon, 500);
     },
   },
@@ -34,14 +34,14 @@
     run: async site => {
       const daemon = pickDaemon(site);
       daemon.signal('SIGTERM');
-      await daemon.gone();
+      await daemon.waitForExit();
       await restart(daemon, 100);
     },
   },
   {
     name: 'the log turns an instance away',
     run: async site => {
-      const {name} = pickDaemon(site).plan;
+      const {name} = pickDaemon(site).config;
       site.jobLog.faults.busyTo.add(name);
       await pause(3000);
       site.jobLog.faults.busyTo.delete(name);
@@ -70,18 +70,18 @@
   {
     name: 'orders are carried out late',
     run: async site => {
-      site.fleet.faults.lateOrders = 0.2;
+      site.fleet.faults.delayedCommands = 0.2;
       await pause(3000);
-      site.fleet.faults.lateOrders = 0;
+      site.fleet.faults.delayedCommands = 0;
     },
   },
   {
     name: 'a target is cut off',
     run: async site => {
       const id = pickTarget(site);
-      site.fleet.faults.cuts.add(id);
+      site.fleet.faults.unreachableTargets.add(id);
       await pause(2000 + site.random.next() * 6000);
-      site.fleet.faults.cuts.delete(id);
+      site.fleet.faults.unreachableTargets.delete(id);
     },
   },
   {
@@ -90,11 +90,11 @@
   },
 ];
 
-function pickDaemon({daemons, random}: SoakSite): DaemonProcess {
+function pickDaemon({daemons, random}: SoakEnvironment): DaemonProcess {
   return daemons[nextInteger(random, daemons.length)]!;
 }
 
-function pickTarget({fleet, random}: SoakSite): string {
+function pickTarget({fleet, random}: SoakEnvironment): string {
   const ids = [...fleet.targets.keys()];
   return ids[nextInteger(random, ids.length)]!;
 }
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -16,7 +16,7 @@
   const report = await runSoak({
     seed: Number(options.seed) + index,
     jobs: Number(options.jobs),
-    faultPause: Number(options.pause),
+    meanFaultIntervalMs: Number(options.pause),
   });
   const broken =
     report.violations.length +
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -13,13 +13,13 @@
 import {decodeJob} from '@galenavalve/users-platform';
 import {Caller} from './caller.js';
 import {DaemonProcess} from './daemon_process.js';
-import {faults} from './faults.js';
+import {FAULTS} from './faults.js';
 import {
   createDesiredState,
   createRegistryEntry,
 } from './standins/platform_records.js';
-import {nameTopics, serveStore} from './standins/store_standin.js';
-import {serveWorker} from './standins/worker_standin.js';
+import {createTopicMap, serveStore} from './standins/store_standin.js';
+import {serveTarget} from './standins/target_standin.js';
 
 const DAEMONS = 3;
 const TARGETS = 6;
@@ -40,7 +40,7 @@
   seed: number;
   jobs: number;
   /** Mean pause between faults, in milliseconds. */
-  faultPause: number;
+  meanFaultIntervalMs: number;
 }
 
 /** What a run showed. */
@@ -58,7 +58,7 @@
 }
 
 /** What faults can act on. */
-export interface SoakSite {
+export interface SoakEnvironment {
   daemons: DaemonProcess[];
   jobLog: EmulatedLog;
   fleet: EmulatedFleet;
@@ -92,25 +92,25 @@
   let isOver = false;
   const standins = await Promise.all(
     Array.from({length: TARGETS}, (_, index) =>
-      serveWorker(fleet.port(), `t${index}`),
+      serveTarget(fleet.createTargetPort(), `t${index}`),
     ),
   );
   const register = (info: TargetInfo) =>
     registryLog.put({key: info.id, value: createRegistryEntry(info)});
   standins.forEach(({address}, index) => {
     const info = createTarget(index, address);
-    fleet.add(info);
+    fleet.addTarget(info);
     register(info);
   });
   operatorLog.put({key: 'config', value: createDesiredState(1, POOL)});
-  const topics = nameTopics(jobLog, operatorLog, registryLog);
+  const topics = createTopicMap(jobLog, operatorLog, registryLog);
   const daemons: DaemonProcess[] = [];
   for (let index = 0; index < DAEMONS; index++) {
     const store = await serveStore(topics, `instance-${index}`);
     standins.push(store);
     daemons.push(createDaemon(options.seed, index, store.address));
   }
-  const caller = new Caller(daemons.map(({plan}) => plan.front));
+  const caller = new Caller(daemons.map(({config: plan}) => plan.frontAddress));
   const report: SoakReport = {
     seed: options.seed,
     accepted: 0,
@@ -121,16 +121,16 @@
     falselyRejected: [],
     logFiles: daemons.map(({logFile}) => logFile),
   };
-  const site: SoakSite = {
+  const site: SoakEnvironment = {
     daemons,
     jobLog,
     fleet,
     random,
     restartTarget: id => {
       const {info} = fleet.targets.get(id)!;
-      fleet.crash(id);
+      fleet.crashTarget(id);
       const next = {...info, born: info.born + 1};
-      fleet.add(next);
+      fleet.addTarget(next);
       register(next);
     },
   };
@@ -184,15 +184,15 @@
     for (const daemon of daemons) {
       daemon.signal('SIGCONT');
       daemon.signal('SIGKILL');
-      await daemon.gone();
+      await daemon.waitForExit();
     }
     standins.forEach(standin => standin.close());
   }
 }
 
 async function injectFaults(
-  site: SoakSite,
-  {faultPause}: SoakOptions,
+  site: SoakEnvironment,
+  {meanFaultIntervalMs: faultPause}: SoakOptions,
   report: SoakReport,
   isOver: () => boolean,
 ): Promise<void> {
@@ -200,7 +200,7 @@
   while (!isOver()) {
     await pause(faultPause * (0.5 + site.random.next()));
     if (!isOver()) {
-      const fault = faults[nextInteger(site.random, faults.length)]!;
+      const fault = FAULTS[nextInteger(site.random, FAULTS.length)]!;
       report.faults.push(fault.name);
       running.push(fault.run(site));
     }
@@ -218,7 +218,7 @@
   const until = Date.now() + SETTLE_LIMIT;
   while (open.size > 0 && Date.now() < until) {
     for (const [id, priority] of [...open]) {
-      const state = await caller.state(id, priority);
+      const state = await caller.getState(id, priority);
       states.set(id, state);
       if (state === 'complete') {
         open.delete(id);
@@ -234,11 +234,11 @@
   const first = FIRST_PORT + block * PORTS_PER_RUN + index * 4;
   return new DaemonProcess({
     name: `instance-${index}`,
-    front: `127.0.0.1:${first}`,
-    ready: `127.0.0.1:${first + 1}`,
+    frontAddress: `127.0.0.1:${first}`,
+    readinessAddress: `127.0.0.1:${first + 1}`,
     metricsPort: first + 2,
     peerPort: first + 3,
-    store,
+    storeAddress: store,
   });
 }
 
--- a/packages/soak/src/standins/http_standin.ts
+++ b/packages/soak/src/standins/http_standin.ts
@@ -19,7 +19,8 @@
 }
 
 /** A response; undefined leaves the caller without one. */
-export type StandinReply = {status: number; body: Buffer | object} | undefined;
+export type StandinResponse =
+  {status: number; body: Buffer | object} | undefined;
 
 /** A running stand-in. */
 export interface Standin {
@@ -29,8 +30,8 @@
 }
 
 /** Serves on a port of the kernel's choice. */
-export async function serve(
-  answer: (request: StandinRequest) => Promise<StandinReply>,
+export async function serveHttp(
+  answer: (request: StandinRequest) => Promise<StandinResponse>,
 ): Promise<Standin> {
   const server = createServer((request, response) => {
     void respond(answer, request, response);
@@ -42,7 +43,7 @@
 }
 
 async function respond(
-  answer: (request: StandinRequest) => Promise<StandinReply>,
+  answer: (request: StandinRequest) => Promise<StandinResponse>,
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
--- a/packages/soak/src/standins/platform_records.ts
+++ b/packages/soak/src/standins/platform_records.ts
@@ -2,12 +2,12 @@
 import type {TargetInfo} from '@galenavalve/dispatch';
 
 /** Path prefix of the queue of a priority. */
-export function pathOf(priority: number): string {
+export function getQueuePath(priority: number): string {
   return `/queue-${priority}/`;
 }
 
 /** Key that the soak's caller uses. */
-export const CALLER_KEY = 'soak-key';
+export const API_KEY = 'soak-key';
 
 /** Host name of the queues. */
 export const QUEUE_HOST = 'soak.example';
@@ -19,14 +19,14 @@
     routes: [0, 1, 2].map(priority => ({
       name: `queue-${priority}`,
       host: QUEUE_HOST,
-      path_prefix: pathOf(priority),
+      path_prefix: getQueuePath(priority),
       service: pool,
       priority,
       max_attempts: 3,
       stretch: 3,
       target_latency_ms: 1000,
     })),
-    tenants: [{name: 'w', api_keys: [CALLER_KEY], guaranteed: {gpu: 16}}],
+    tenants: [{name: 'w', api_keys: [API_KEY], guaranteed: {gpu: 16}}],
   });
 }
 
--- a/packages/soak/src/standins/store_standin.ts
+++ b/packages/soak/src/standins/store_standin.ts
@@ -4,16 +4,16 @@
 import type {KeyedRecord} from '@galenavalve/workload';
 import {
   type Standin,
-  type StandinReply,
+  type StandinResponse,
   type StandinRequest,
-  serve,
+  serveHttp,
 } from './http_standin.js';
 
 /** Time after which a fault of the log shows as silence, in milliseconds. */
 const SILENCE = 1000;
 
 /** The logs under the names that the platform gives their topics. */
-export function nameTopics(
+export function createTopicMap(
   jobs: EmulatedLog,
   operator: EmulatedLog,
   registry: EmulatedLog,
@@ -30,7 +30,7 @@
   topics: ReadonlyMap<string, EmulatedLog>,
   instance: string,
 ): Promise<Standin> {
-  return serve(async request => {
+  return serveHttp(async request => {
     const log = topics.get(request.query.get('topic') ?? '');
     if (!log) {
       return {status: 404, body: {}};
@@ -52,7 +52,7 @@
   log: EmulatedLog,
   instance: string,
   {query, body}: StandinRequest,
-): Promise<StandinReply> {
+): Promise<StandinResponse> {
   const fencing = query.has('epoch')
     ? {
         epoch: Number(query.get('epoch')),
@@ -80,7 +80,7 @@
   log: EmulatedLog,
   instance: string,
   {query}: StandinRequest,
-): Promise<StandinReply> {
+): Promise<StandinResponse> {
   const from = Number(query.get('from'));
   const wait = Number(query.get('wait_ms') ?? 0);
   const page = await log.tailFor(instance, from, wait);
@@ -98,7 +98,7 @@
 async function newest(
   log: EmulatedLog,
   instance: string,
-): Promise<StandinReply> {
+): Promise<StandinResponse> {
   const page = await log.newestFor(instance);
   const items = page.records.map(({key, value, offset}) => ({
     key,
--- a/packages/soak/src/standins/worker_standin.ts
+++ b/packages/soak/src/standins/target_standin.ts
@@ -4,7 +4,7 @@
   CommandOutcome,
   TargetPort,
 } from '@galenavalve/dispatch';
-import {type Standin, type StandinReply, serve} from './http_standin.js';
+import {type Standin, type StandinResponse, serveHttp} from './http_standin.js';
 
 /** Time after which a fault shows as silence, in milliseconds. */
 const SILENCE = 1000;
@@ -18,8 +18,8 @@
 };
 
 /** Serves the target of that id. */
-export function serveWorker(port: TargetPort, id: string): Promise<Standin> {
-  return serve(async ({path, body}) => {
+export function serveTarget(port: TargetPort, id: string): Promise<Standin> {
+  return serveHttp(async ({path, body}) => {
     const call = JSON.parse(body.toString('utf8'));
     const target = {id, address: id};
     switch (path) {
@@ -57,7 +57,7 @@
   });
 }
 
-function toReply(outcome: CommandOutcome | PollOutcome): StandinReply {
+function toReply(outcome: CommandOutcome | PollOutcome): StandinResponse {
   switch (outcome.kind) {
     case 'done':
       return {status: 200, body: {clock_ms: outcome.clock}};
