--- a/packages/bench/src/decide/command.ts
+++ b/packages/bench/src/decide/command.ts
@@ -1,5 +1,5 @@
 /** `bench decide`: time and memory of a placement, a reclaim and a queue pass, by size. */
-import {GalenaPolicy, type WaitingJob} from '@galenavalve/placement';
+import {GuaranteePolicy, type WaitingJob} from '@galenavalve/placement';
 import type {Command} from 'commander';
 import {
   type DecideSize,
@@ -40,7 +40,7 @@
 const QUEUED = 1000;
 const NOW = 1000;
 
-const policy = new GalenaPolicy();
+const policy = new GuaranteePolicy();
 
 /** Adds `decide` to the command line. */
 export function registerDecideCommand(program: Command): void {
@@ -62,7 +62,7 @@
   const cells = createFilledCells(size);
   const heapMb = (process.memoryUsage().heapUsed - before) / 2 ** 20;
   const start = performance.now();
-  void cells.homes;
+  void cells.guaranteedCells;
   const planMs = performance.now() - start;
   const placement: Record<string, DecisionTime> = {};
   for (const tasks of gangTasks) {
@@ -88,7 +88,7 @@
     });
     if (target.freeAccelerators === 8) {
       const accelerators = target.free.accelerators;
-      cells.occupy({
+      cells.addGang({
         ...job,
         assignments: [
           {target: target.id, firstTask: 0, tasks: 1, accelerators},
@@ -118,7 +118,7 @@
 }
 
 function measure(
-  decide: () => ReturnType<GalenaPolicy['decide']>,
+  decide: () => ReturnType<GuaranteePolicy['decide']>,
 ): DecisionTime {
   const times: number[] = [];
   let decided = 0;
--- a/packages/bench/src/decide/fixture.ts
+++ b/packages/bench/src/decide/fixture.ts
@@ -88,7 +88,7 @@
   const job = createWaitingJob(`r${index}`, workspace, {
     accelerators: accelerators === 0 ? 0 : 1,
   });
-  cells.occupy({
+  cells.addGang({
     ...job,
     assignments: [{target, firstTask: 0, tasks: 1, accelerators}],
     guaranteed: false,
--- a/packages/bench/src/policy/command.ts
+++ b/packages/bench/src/policy/command.ts
@@ -1,9 +1,9 @@
 /** `bench policy`: completion time, fragmentation, goodput and promises of each policy. */
 import {
-  FirstFit,
-  GalenaPolicy,
+  FirstFitPolicy,
+  GuaranteePolicy,
   type Policy,
-  Quota,
+  QuotaPolicy,
 } from '@galenavalve/placement';
 import type {Command} from 'commander';
 import {deployments} from './deployment.js';
@@ -22,9 +22,9 @@
 }
 
 const policies: readonly Policy[] = [
-  new FirstFit(),
-  new Quota(),
-  new GalenaPolicy(),
+  new FirstFitPolicy(),
+  new QuotaPolicy(),
+  new GuaranteePolicy(),
 ];
 
 /** Adds `policy` to the command line. */
--- a/packages/bench/src/policy/domain_state.ts
+++ b/packages/bench/src/policy/domain_state.ts
@@ -31,7 +31,7 @@
   ) {
     this.cells = policy.createCells(id, configuration) as Cells;
     for (const workspace of configuration.workspaces.keys()) {
-      const promises = this.cells.promises.filter(
+      const promises = this.cells.guarantees.filter(
         promise => promise.workspace === workspace,
       );
       this.checks.set(workspace, new PromiseCheck(this.cells, promises));
@@ -52,14 +52,14 @@
   }
 
   start(job: JobState, gang: RunningGang): void {
-    this.cells.occupy(gang);
+    this.cells.addGang(gang);
     this.queue.delete(gang.jobId);
     this.busy += job.size;
     this.checks.get(gang.workspace)!.onStart(gang);
   }
 
   end(job: JobState): void {
-    this.cells.vacate(job.stream.id);
+    this.cells.removeGang(job.stream.id);
     this.busy -= job.size;
     this.checks.get(job.stream.workspace)!.onEnd(job.stream.id);
   }
@@ -68,7 +68,7 @@
   capacity(): number {
     let capacity = 0;
     for (const target of this.cells.targets.values()) {
-      const canStart = this.cells.isInService && target.isWell;
+      const canStart = this.cells.isInService && target.isSchedulable;
       capacity += canStart
         ? target.spec.accelerators
         : target.spec.accelerators - target.freeAccelerators;
@@ -88,7 +88,7 @@
       return 0;
     }
     const short = new Set(
-      this.cells.missingHomes.map(({workspace}) => workspace),
+      this.cells.unplacedCells.map(({workspace}) => workspace),
     );
     let count = 0;
     const fits = new Map<string, boolean>();
@@ -126,7 +126,7 @@
 
   private promisedLevels(): Set<CellLevel> {
     const levels = new Set<CellLevel>();
-    for (const {level} of this.cells.promises) {
+    for (const {level} of this.cells.guarantees) {
       levels.add(level);
     }
     return levels;
--- a/packages/bench/src/policy/fragmentation.ts
+++ b/packages/bench/src/policy/fragmentation.ts
@@ -6,7 +6,7 @@
   type WaitingJob,
   countBits,
   countFitting,
-  halfMasks,
+  listHalfMasks,
 } from '@galenavalve/placement';
 
 /** Counts the free accelerators of a domain that neither a queued nor an promised shape can use. */
@@ -30,7 +30,7 @@
   }
   let fragmented = 0;
   for (const [target, count] of usable) {
-    fragmented += target.isWell ? target.freeAccelerators - count : 0;
+    fragmented += target.isSchedulable ? target.freeAccelerators - count : 0;
   }
   return fragmented;
 }
@@ -49,7 +49,7 @@
   if (!levels.has('half')) {
     return 0;
   }
-  return halfMasks(spec.accelerators)
+  return listHalfMasks(spec.accelerators)
     .filter(half => (free.accelerators & half) === half)
     .reduce((sum, half) => sum + countBits(half), 0);
 }
@@ -69,7 +69,7 @@
         : [groups.flat()];
   for (const scope of scopes) {
     const fits = scope.map(target =>
-      target.isWell ? countFitting(target.free, gang.perTask) : 0,
+      target.isSchedulable ? countFitting(target.free, gang.perTask) : 0,
     );
     if (fits.reduce((sum, n) => sum + n, 0) >= gang.tasks) {
       scope.forEach((target, i) => {
@@ -81,7 +81,9 @@
 }
 
 function isEmpty(target: TargetCell): boolean {
-  return target.isWell && target.freeAccelerators === target.spec.accelerators;
+  return (
+    target.isSchedulable && target.freeAccelerators === target.spec.accelerators
+  );
 }
 
 function distinctShapes(queue: readonly WaitingJob[]): WaitingJob[] {
--- a/packages/bench/src/policy/policy_run.ts
+++ b/packages/bench/src/policy/policy_run.ts
@@ -3,7 +3,7 @@
 import {
   type DomainSummary,
   type Policy,
-  TargetEvidence,
+  FailureTracker,
   chooseDomain,
   decideEvacuation,
   findMove,
@@ -37,7 +37,7 @@
   );
   private readonly domains: DomainState[];
   private readonly jobs = new Map<string, JobState>();
-  private readonly evidence: TargetEvidence;
+  private readonly evidence: FailureTracker;
   private readonly badTargets = new Set<string>();
   private readonly changed = new Set<DomainState>();
   private readonly fragmentation = new TimeIntegral();
@@ -61,7 +61,7 @@
     private readonly scenario: Scenario,
   ) {
     this.configuration = createDeploymentConfiguration(deployment);
-    this.evidence = new TargetEvidence(this.configuration.rules);
+    this.evidence = new FailureTracker(this.configuration.rules);
     this.domains = [...this.configuration.domains.keys()].map(
       id => new DomainState(id, policy, this.configuration),
     );
@@ -128,10 +128,10 @@
     this.vacate(job);
     for (const {cells} of this.domains) {
       const {workspace, kind, declaredSeconds, seconds} = stream;
-      cells.learn(workspace, kind, declaredSeconds, seconds);
+      cells.recordRunTime(workspace, kind, declaredSeconds, seconds);
     }
     gang.assignments.forEach(({target}) =>
-      this.evidence.noteSuccess(stream.id, target),
+      this.evidence.recordSuccess(stream.id, target),
     );
     job.remaining = 0;
     this.end(job);
@@ -160,22 +160,22 @@
     const domain = this.domainOf(job);
     this.wasted += BAD_TARGET_FAILS_AFTER_SECONDS * job.size;
     this.vacate(job);
-    this.evidence.noteFailure(job.stream.id, target, this.now * 1000);
+    this.evidence.recordFailure(job.stream.id, target, this.now * 1000);
     this.applyStanding(domain, target);
-    if (this.evidence.isJobBad(job.stream.id)) {
+    if (this.evidence.isJobFailing(job.stream.id)) {
       this.failedJobs++;
       this.end(job);
       return;
     }
-    job.avoidTargets = this.evidence.avoidedBy(job.stream.id);
+    job.avoidTargets = this.evidence.listFailedTargets(job.stream.id);
     this.enqueue(job, domain);
   }
 
   private applyStanding(domain: DomainState, target: string): void {
-    const standing = this.evidence.standing(target, this.now * 1000);
+    const standing = this.evidence.getQuarantineState(target, this.now * 1000);
     if (standing === 'quarantined') {
       domain.cells.setCondition(target, 'quarantined');
-      const until = this.evidence.quarantinedUntil(target)!;
+      const until = this.evidence.getQuarantineEnd(target)!;
       this.at(until / 1000, () => this.applyStanding(domain, target));
     } else {
       domain.cells.setCondition(target, 'well');
@@ -193,7 +193,7 @@
     }
     const domain = this.domains.find(other => other.id === id)!;
     const steps = decideEvacuation(domain.cells, {}, this.now * 1000);
-    for (const {jobId, step} of steps) {
+    for (const {jobId, action: step} of steps) {
       if (step === 'checkpoint') {
         this.stop(this.jobs.get(jobId)!, true);
       }
@@ -356,7 +356,7 @@
         return summary;
       }
       // The baselines know no shapes: they look at free capacity only.
-      const free = cells.largestFree(job.stream.gang.adjacency);
+      const free = cells.getMaxFreeAccelerators(job.stream.gang.adjacency);
       const startOption = free >= job.size ? 'borrowed' : 'none';
       return {...summary, startOption};
     });
--- a/packages/bench/src/policy/promise_check.ts
+++ b/packages/bench/src/policy/promise_check.ts
@@ -5,7 +5,7 @@
 import type {CellLevel, Configuration, Target} from '@galenavalve/model';
 import {
   Cells,
-  type DomainPromise,
+  type DomainGuarantee,
   type RunningGang,
   type WaitingJob,
   findBestFit,
@@ -17,7 +17,7 @@
   /** Gangs that run beyond the promise. */
   private readonly beyond = new Map<string, RunningGang>();
 
-  constructor(cells: Cells, promises: readonly DomainPromise[]) {
+  constructor(cells: Cells, promises: readonly DomainGuarantee[]) {
     this.own = new Cells('own', toConfiguration(cells, promises));
   }
 
@@ -34,7 +34,7 @@
   }
 
   onEnd(jobId: string): void {
-    this.own.vacate(jobId);
+    this.own.removeGang(jobId);
     this.beyond.delete(jobId);
     for (const gang of [...this.beyond.values()]) {
       if (this.fit(gang)) {
@@ -46,7 +46,7 @@
   private fit(gang: RunningGang): boolean {
     const assignments = findBestFit(this.own, {...gang, avoidTargets: []});
     if (assignments) {
-      this.own.occupy({...gang, assignments, guaranteed: false});
+      this.own.addGang({...gang, assignments, guaranteed: false});
     }
     return assignments !== undefined;
   }
@@ -54,7 +54,7 @@
 
 function toConfiguration(
   cells: Cells,
-  promises: readonly DomainPromise[],
+  promises: readonly DomainGuarantee[],
 ): Configuration {
   const [sample] = cells.targets.values();
   const targets = new Map<string, Target>();
@@ -87,7 +87,7 @@
   level: CellLevel,
   rack: string,
 ): Target[] {
-  const accelerators = cells.sizeOfLevel(level);
+  const accelerators = cells.getMaxCellSize(level);
   const perTarget = Math.min(accelerators, sample.accelerators);
   const share = perTarget / sample.accelerators;
   const count = accelerators / perTarget;
--- a/packages/bench/src/slopes/decision_slopes.ts
+++ b/packages/bench/src/slopes/decision_slopes.ts
@@ -2,7 +2,7 @@
 import {LedgerState} from '@galenavalve/ledger';
 import {
   type DomainCells,
-  GalenaPolicy,
+  GuaranteePolicy,
   type RunningGang,
   type WaitingJob,
 } from '@galenavalve/placement';
@@ -33,7 +33,7 @@
 const PASSES = 10;
 
 const NOW = 1_800_000_000_000;
-const policy = new GalenaPolicy();
+const policy = new GuaranteePolicy();
 
 /** All slopes of decisions. */
 export async function measureDecisions(): Promise<Slope[]> {
@@ -81,7 +81,7 @@
   const partsPerGang = GANG_TASKS / TASKS_PER_PART;
   const gangs = Math.floor((targets * PARTS_PER_TARGET) / partsPerGang);
   for (let index = 0; index < gangs; index++) {
-    cells.occupy(createRunning(index, (index * partsPerGang) % targets));
+    cells.addGang(createRunning(index, (index * partsPerGang) % targets));
   }
   return cells;
 }
--- a/packages/daemon/src/commands/route_job.ts
+++ b/packages/daemon/src/commands/route_job.ts
@@ -49,9 +49,11 @@
   job: WaitingJob,
   summaries: readonly DomainSummary[],
 ): Reason {
-  const constraint = summaries.find(({impossibility}) => impossibility);
+  const constraint = summaries.find(
+    ({infeasibility: impossibility}) => impossibility,
+  );
   return (
-    constraint?.impossibility ??
+    constraint?.infeasibility ??
     createReason('never-permitted', {workspace: job.workspace})
   );
 }
--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -11,7 +11,7 @@
 } from '@galenavalve/ledger';
 import {FreshnessTracker, PeerMesh, RecordRelay} from '@galenavalve/membership';
 import type {InstanceList} from '@galenavalve/membership';
-import {GalenaPolicy, findGuaranteeFailure} from '@galenavalve/placement';
+import {GuaranteePolicy, findGuaranteeFailure} from '@galenavalve/placement';
 import {
   HttpInstanceList,
   HttpLog,
@@ -101,8 +101,8 @@
     .bind<TargetClient>(tokens.targetClient)
     .toDynamicValue(() => new HttpTargetClient());
   container
-    .bind<GalenaPolicy>(tokens.policy)
-    .toDynamicValue(() => new GalenaPolicy());
+    .bind<GuaranteePolicy>(tokens.policy)
+    .toDynamicValue(() => new GuaranteePolicy());
 }
 
 function bindLedger(container: Container): void {
@@ -204,7 +204,7 @@
 function createNode(get: Getter): Node {
   const state = get<LedgerState>(tokens.state);
   const clock = get<Clock>(tokens.clock);
-  const policy = get<GalenaPolicy>(tokens.policy);
+  const policy = get<GuaranteePolicy>(tokens.policy);
   const mirrors = new Map<string, CellsMirror>();
   const mirrorOf = (domain: string): CellsMirror => {
     const mirror =
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -6,7 +6,7 @@
   LogWriter,
 } from '@galenavalve/ledger';
 import type {FreshnessTracker, PeerMesh} from '@galenavalve/membership';
-import type {GalenaPolicy} from '@galenavalve/placement';
+import type {GuaranteePolicy} from '@galenavalve/placement';
 import type {CellsMirror, Scheduler} from '@galenavalve/scheduler';
 import type {Clock, Logger, Random} from '@galenavalve/shared';
 import type {Metrics} from './observability/metrics.js';
@@ -29,7 +29,7 @@
   state: LedgerState;
   follower: LogFollower;
   writer: LogWriter;
-  policy: GalenaPolicy;
+  policy: GuaranteePolicy;
   mesh: PeerMesh;
   freshness: FreshnessTracker;
   scheduler: Scheduler;
--- a/packages/daemon/src/queries/cluster_queries.ts
+++ b/packages/daemon/src/queries/cluster_queries.ts
@@ -10,7 +10,10 @@
   Workspace,
   WorkspaceView,
 } from '@galenavalve/model';
-import {describeGuarantees, inServiceOnly} from '@galenavalve/placement';
+import {
+  listGuaranteeViews,
+  createInServiceFilter,
+} from '@galenavalve/placement';
 import type {Node} from '../node.js';
 
 /** The inventory as this instance knows it, with its age. */
@@ -45,12 +48,12 @@
 /** Every guarantee, as it can be met with the targets that are in service and well. */
 function describeAvailable(node: Node): Map<string, GuaranteeView[]> {
   const {configuration} = node.state;
-  const isInService = inServiceOnly(configuration);
-  return describeGuarantees(
+  const isInService = createInServiceFilter(configuration);
+  return listGuaranteeViews(
     configuration,
     target =>
       isInService(target) &&
-      node.mirrorOf(target.domain).cells.condition(target.id) === 'well',
+      node.mirrorOf(target.domain).cells.getCondition(target.id) === 'well',
   );
 }
 
@@ -87,9 +90,9 @@
     version: node.state.entityVersion(`target/${target.id}`),
     state: target.state,
     accelerators: target.accelerators,
-    acceleratorsUsed: cells.acceleratorsUsed(target.id),
-    tasks: cells.tasksOn(target.id),
-    condition: cells.condition(target.id),
+    acceleratorsUsed: cells.countUsedAccelerators(target.id),
+    tasks: cells.countTasksOn(target.id),
+    condition: cells.getCondition(target.id),
   };
 }
 
--- a/packages/faults/src/instance.ts
+++ b/packages/faults/src/instance.ts
@@ -12,7 +12,7 @@
   settings,
 } from '@galenavalve/daemon';
 import {type Reason, createReason} from '@galenavalve/model';
-import {GalenaPolicy} from '@galenavalve/placement';
+import {GuaranteePolicy} from '@galenavalve/placement';
 import {PolicyWithoutReclaim} from './policy_without_reclaim.js';
 import {CellsMirror, Scheduler} from '@galenavalve/scheduler';
 import {
@@ -65,7 +65,7 @@
   private readonly random: SeededRandom;
   private readonly clock: Clock;
   private readonly logger = new SilentLogger();
-  private readonly policy: GalenaPolicy;
+  private readonly policy: GuaranteePolicy;
 
   constructor(private readonly parts: InstanceParts) {
     this.name = parts.name;
@@ -74,7 +74,7 @@
     this.clock = this.process.createClock();
     this.random = new SeededRandom(parts.seed);
     this.policy = parts.guards.guarantees
-      ? new GalenaPolicy()
+      ? new GuaranteePolicy()
       : new PolicyWithoutReclaim();
     const {state, clock, random, logger} = this;
     const log = this.process.createLog(this.chooseLog());
--- a/packages/faults/src/policy_without_reclaim.ts
+++ b/packages/faults/src/policy_without_reclaim.ts
@@ -1,10 +1,10 @@
 /** A policy that never takes back what others borrowed, to show that the check sees it. */
-import {GalenaPolicy, type PassDecisions} from '@galenavalve/placement';
+import {GuaranteePolicy, type PassDecisions} from '@galenavalve/placement';
 
 /** Leaves out every reclaim. */
-export class PolicyWithoutReclaim extends GalenaPolicy {
+export class PolicyWithoutReclaim extends GuaranteePolicy {
   override decide(
-    ...situation: Parameters<GalenaPolicy['decide']>
+    ...situation: Parameters<GuaranteePolicy['decide']>
   ): PassDecisions {
     return {...super.decide(...situation), reclaims: []};
   }
--- a/packages/placement/__tests__/cells_configure.spec.ts
+++ b/packages/placement/__tests__/cells_configure.spec.ts
@@ -1,9 +1,9 @@
 import t from 'tap';
 import type {Configuration} from '@galenavalve/model';
-import {Cells, GalenaPolicy} from '../src/index.js';
+import {Cells, GuaranteePolicy} from '../src/index.js';
 import {createConfiguration, createJob} from './fixtures.js';
 
-const policy = new GalenaPolicy();
+const policy = new GuaranteePolicy();
 const before = createConfiguration(
   [
     {id: 'jnb', racks: 1, targetsPerRack: 2},
@@ -59,6 +59,6 @@
   t.test('changes what is promised', async t => {
     const guarantees = [{level: 'half' as const, count: 3, domain: 'jnb'}];
     const workspaces = change(before.workspaces, 'w', {guarantees});
-    t.match(configure({workspaces}).promises, [{level: 'half', count: 3}]);
+    t.match(configure({workspaces}).guarantees, [{level: 'half', count: 3}]);
   });
 });
--- a/packages/placement/__tests__/evidence.spec.ts
+++ b/packages/placement/__tests__/failure_tracker.spec.ts
@@ -1,47 +1,47 @@
 import t from 'tap';
 import {
-  EstimateBook,
+  RunTimeEstimator,
   MAX_REPORT_AGE_MS,
-  MEDIAN,
-  TargetEvidence,
-  UPPER,
+  MEDIAN_QUANTILE,
+  FailureTracker,
+  UPPER_QUANTILE,
   decideThrottle,
 } from '../src/index.js';
 
 const rules = {quarantineFailures: 3, quarantineSeconds: 60, jobFailures: 3};
 
 t.test('a target that fails different jobs', async t => {
-  const evidence = new TargetEvidence(rules);
+  const evidence = new FailureTracker(rules);
   for (const job of ['a', 'b', 'c']) {
-    t.equal(evidence.standing('w', 0), 'good');
-    evidence.noteFailure(job, 'w', 0);
+    t.equal(evidence.getQuarantineState('w', 0), 'good');
+    evidence.recordFailure(job, 'w', 0);
   }
 
   t.test('is quarantined, then on trial', async t => {
-    t.equal(evidence.standing('w', 59_999), 'quarantined');
-    t.equal(evidence.standing('w', 60_000), 'on-trial');
+    t.equal(evidence.getQuarantineState('w', 59_999), 'quarantined');
+    t.equal(evidence.getQuarantineState('w', 60_000), 'on-trial');
   });
 
   t.test('is quarantined twice as long after a failed trial', async t => {
-    evidence.noteFailure('d', 'w', 60_000);
-    t.equal(evidence.quarantinedUntil('w'), 180_000);
+    evidence.recordFailure('d', 'w', 60_000);
+    t.equal(evidence.getQuarantineEnd('w'), 180_000);
   });
 
   t.test('does not count against its jobs', async t => {
-    evidence.noteFailure('a', 'x', 0);
-    evidence.noteFailure('a', 'y', 0);
-    t.notOk(evidence.isJobBad('a'));
+    evidence.recordFailure('a', 'x', 0);
+    evidence.recordFailure('a', 'y', 0);
+    t.notOk(evidence.isJobFailing('a'));
   });
 });
 
 t.test('a job that fails on different good targets is ended', async t => {
-  const evidence = new TargetEvidence(rules);
+  const evidence = new FailureTracker(rules);
   for (const target of ['x', 'y', 'z']) {
-    t.notOk(evidence.isJobBad('a'));
-    evidence.noteFailure('a', target, 0);
+    t.notOk(evidence.isJobFailing('a'));
+    evidence.recordFailure('a', target, 0);
   }
-  t.ok(evidence.isJobBad('a'));
-  t.equal(evidence.standing('x', 0), 'good');
+  t.ok(evidence.isJobFailing('a'));
+  t.equal(evidence.getQuarantineState('x', 0), 'good');
 });
 
 t.test('usage', async t => {
@@ -70,11 +70,11 @@
 });
 
 t.test('estimates follow the quantiles of what was seen', async t => {
-  const book = new EstimateBook();
-  t.equal(book.estimate('w', 'k', 100, MEDIAN), 100);
+  const book = new RunTimeEstimator();
+  t.equal(book.estimate('w', 'k', 100, MEDIAN_QUANTILE), 100);
   for (let i = 1; i <= 10; i++) {
-    book.learn('w', 'k', 100, i * 100);
+    book.recordRunTime('w', 'k', 100, i * 100);
   }
-  t.equal(book.estimate('w', 'k', 10, MEDIAN), 50);
-  t.equal(book.estimate('w', 'k', 10, UPPER), 90);
+  t.equal(book.estimate('w', 'k', 10, MEDIAN_QUANTILE), 50);
+  t.equal(book.estimate('w', 'k', 10, UPPER_QUANTILE), 90);
 });
--- a/packages/placement/__tests__/guarantee.property.spec.ts
+++ b/packages/placement/__tests__/guarantee.property.spec.ts
@@ -3,17 +3,17 @@
 import t from 'tap';
 import {
   Cells,
-  GalenaPolicy,
-  type Home,
+  GuaranteePolicy,
+  type GuaranteedCell,
   type WaitingJob,
   apportionGuarantees,
-  findShortfall,
+  findShortfalls,
 } from '../src/index.js';
 import {createConfiguration, createJob} from './fixtures.js';
 import {isSatisfiable} from './oracle.js';
 
 const SEED = 20_260;
-const policy = new GalenaPolicy();
+const policy = new GuaranteePolicy();
 const workspaces = ['a', 'b', 'c'];
 
 const level = fc.constantFrom<CellLevel>(
@@ -70,7 +70,7 @@
     for (const {jobId, assignments, guaranteed} of decisions.placements) {
       const job = this.queue.find(other => other.jobId === jobId)!;
       this.queue = this.queue.filter(other => other !== job);
-      this.cells.occupy({
+      this.cells.addGang({
         ...job,
         assignments,
         guaranteed,
@@ -81,14 +81,14 @@
     }
     decisions.reclaims
       .flatMap(({victims}) => victims)
-      .forEach(id => this.cells.vacate(id));
+      .forEach(id => this.cells.removeGang(id));
     return decisions;
   }
 
   finish(pick: number) {
-    const gangs = [...this.cells.gangs()];
+    const gangs = [...this.cells.listGangs()];
     if (gangs.length > 0) {
-      this.cells.vacate(gangs[pick % gangs.length]!.jobId);
+      this.cells.removeGang(gangs[pick % gangs.length]!.jobId);
     }
   }
 }
@@ -120,7 +120,7 @@
     fc.property(fc.array(promise, {maxLength: 5}), promises => {
       const configuration = configurationOf(promises);
       const own = apportionGuarantees(configuration).get('d')!;
-      const isShort = findShortfall(configuration).length > 0;
+      const isShort = findShortfalls(configuration).length > 0;
       return isShort !== isSatisfiable(cellsOf(configuration), own);
     }),
     {seed: SEED, numRuns: 500},
@@ -136,7 +136,7 @@
       (promises, permissions) => {
         const configuration = configurationOf(promises, permissions);
         const own = apportionGuarantees(configuration).get('d')!;
-        const isShort = findShortfall(configuration).length > 0;
+        const isShort = findShortfalls(configuration).length > 0;
         return isShort !== isSatisfiable(cellsOf(configuration), own);
       },
     ),
@@ -152,14 +152,14 @@
         fc.array(step, {maxLength: 30}),
         (promises, steps) => {
           const configuration = configurationOf(promises);
-          fc.pre(findShortfall(configuration).length === 0);
+          fc.pre(findShortfalls(configuration).length === 0);
           const driver = new Driver(cellsOf(configuration));
           return steps.every((one, i) => {
             run(driver, one, i);
             const {cells} = driver;
             return (
-              cells.missingHomes.length === 0 &&
-              isSatisfiable(cells, cells.promises)
+              cells.unplacedCells.length === 0 &&
+              isSatisfiable(cells, cells.guarantees)
             );
           });
         },
@@ -175,14 +175,14 @@
         fc.array(step, {maxLength: 30}),
         (promises, steps) => {
           const configuration = configurationOf(promises);
-          fc.pre(findShortfall(configuration).length === 0);
+          fc.pre(findShortfalls(configuration).length === 0);
           const driver = new Driver(cellsOf(configuration));
           steps.forEach((one, i) => run(driver, one, i));
           driver.queue = [];
-          const {homes} = driver.cells;
+          const {guaranteedCells: homes} = driver.cells;
           for (const workspace of workspaces) {
             // Starting a job moves homes, so the set is copied first.
-            for (const home of [...homes.of(workspace).homes]) {
+            for (const home of [...homes.getWorkspace(workspace).cells]) {
               const isUnused = !homes.isBound(home);
               if (isUnused && !startsAfterReclaim(driver, home, false)) {
                 return false;
@@ -227,10 +227,10 @@
  */
 function startsAfterReclaim(
   driver: Driver,
-  home: Home,
+  home: GuaranteedCell,
   repeatable: boolean,
 ): boolean {
-  const tasks = home.parts.length;
+  const tasks = home.slices.length;
   const accelerators =
     home.level === 'half' ? 2 : home.level === 'accelerator' ? 1 : 4;
   const adjacency = home.level === 'rack' ? 'rack' : 'target';
@@ -244,7 +244,7 @@
     decisions => decisions.placements,
   );
   driver.queue = [];
-  driver.cells.vacate('shape');
+  driver.cells.removeGang('shape');
   return placements.some(
     ({jobId, guaranteed}) => jobId === 'shape' && (guaranteed || repeatable),
   );
--- a/packages/placement/__tests__/guarantee.spec.ts
+++ b/packages/placement/__tests__/guarantee.spec.ts
@@ -1,11 +1,11 @@
 import t from 'tap';
 import {
-  FirstFit,
-  GalenaPolicy,
-  Quota,
+  FirstFitPolicy,
+  GuaranteePolicy,
+  QuotaPolicy,
   apportionGuarantees,
-  describeGuarantees,
-  findShortfall,
+  listGuaranteeViews,
+  findShortfalls,
 } from '../src/index.js';
 import {createConfiguration, createJob} from './fixtures.js';
 
@@ -24,14 +24,14 @@
       promises => promises.reduce((sum, {count}) => sum + count, 0),
     );
     t.same(counts.sort(), [2, 2, 3]);
-    t.same(findShortfall(configuration), []);
+    t.same(findShortfalls(configuration), []);
   });
 
   t.test('beyond the inventory are refused by name', async t => {
     const configuration = createConfiguration(plans, {
       w: [{level: 'rack', count: 4}],
     });
-    t.match(findShortfall(configuration), [
+    t.match(findShortfalls(configuration), [
       {workspace: 'w', level: 'rack', domain: 'd1', satisfiable: 1},
     ]);
   });
@@ -42,7 +42,7 @@
     });
     const domains = new Map(configuration.domains);
     domains.set('d2', {...domains.get('d2')!, state: 'out'});
-    const views = describeGuarantees({...configuration, domains}).get('w')!;
+    const views = listGuaranteeViews({...configuration, domains}).get('w')!;
     t.same(
       views.map(({domain, promised, satisfiable}) => [
         domain,
@@ -63,10 +63,10 @@
     [{id: 'd', racks: 1, targetsPerRack: 2}],
     {w: [{level: 'target', count: 1}], b: []},
   );
-  const policy = new GalenaPolicy();
+  const policy = new GuaranteePolicy();
   const cells = policy.createCells('d', configuration);
   for (const [i, checkpointable] of [false, true].entries()) {
-    cells.occupy({
+    cells.addGang({
       ...createJob(`b${i}`, {tasks: 8}, {workspace: 'b', checkpointable}),
       assignments: [
         {target: `d-r0-t${i}`, firstTask: 0, tasks: 8, accelerators: 255},
@@ -83,7 +83,7 @@
     const {reclaims, placements} = policy.decide(cells, [job], 100_000);
     t.equal(placements.length, 0);
     t.equal(reclaims[0]?.victims.length, 1);
-    reclaims[0]!.victims.forEach(id => cells.vacate(id));
+    reclaims[0]!.victims.forEach(id => cells.removeGang(id));
     const next = policy.decide(cells, [job], 101_000);
     t.match(next.placements, [{jobId: 'j', guaranteed: true}]);
   });
@@ -93,7 +93,7 @@
   const configuration = createConfiguration(plans, {
     w: [{level: 'target', count: 3}],
   });
-  for (const policy of [new FirstFit(), new Quota()]) {
+  for (const policy of [new FirstFitPolicy(), new QuotaPolicy()]) {
     const cells = policy.createCells('d1', configuration);
     const job = createJob('j', {tasks: 12, adjacency: 'rack'});
     const {placements} = policy.decide(cells, [job], 0);
--- a/packages/placement/__tests__/galena_policy.spec.ts
+++ b/packages/placement/__tests__/guarantee_policy.spec.ts
@@ -1,8 +1,8 @@
 import t from 'tap';
-import {GalenaPolicy} from '../src/index.js';
+import {GuaranteePolicy} from '../src/index.js';
 import {createConfiguration, createJob} from './fixtures.js';
 
-const policy = new GalenaPolicy();
+const policy = new GuaranteePolicy();
 
 t.test('a gang', async t => {
   t.test('is placed whole, within the level that it asks for', async t => {
@@ -30,10 +30,10 @@
       createConfiguration([{id: 'd', racks: 2, targetsPerRack: 2}]),
     );
     const job = createJob('j', {tasks: 17, adjacency: 'rack'});
-    const reason = policy.findImpossibility(cells, job);
+    const reason = policy.findInfeasibility(cells, job);
     t.match(reason, {code: 'never-size', details: {level: 'rack'}});
     const foreign = createJob('k', {}, {workspace: 'nobody'});
-    t.match(policy.findImpossibility(cells, foreign), {
+    t.match(policy.findInfeasibility(cells, foreign), {
       code: 'never-unknown-workspace',
     });
   });
--- a/packages/placement/__tests__/oracle.ts
+++ b/packages/placement/__tests__/oracle.ts
@@ -1,6 +1,6 @@
 /** A brute-force check of promises on small inventories. */
 import type {CellLevel} from '@galenavalve/model';
-import type {Cells, DomainPromise, RunningGang} from '../src/index.js';
+import type {Cells, DomainGuarantee, RunningGang} from '../src/index.js';
 
 /** Accelerators by target. */
 type Block = ReadonlyMap<string, number>;
@@ -16,9 +16,9 @@
  */
 export function isSatisfiable(
   cells: Cells,
-  promises: readonly DomainPromise[],
+  promises: readonly DomainGuarantee[],
 ): boolean {
-  const gangs = [...cells.gangs()].filter(gang => gang.guaranteed);
+  const gangs = [...cells.listGangs()].filter(gang => gang.guaranteed);
   const wanted: WantedCell[] = [];
   for (const {workspace, level, count} of promises) {
     const own = gangs.filter(gang => gang.workspace === workspace);
@@ -83,7 +83,7 @@
   level: CellLevel,
 ): Block[] {
   const targets = [...cells.targets.values()].filter(
-    target => target.isWell && target.permits(workspace),
+    target => target.isSchedulable && target.permits(workspace),
   );
   const whole = (id: string, count: number): [string, number] => [
     id,
--- a/packages/placement/__tests__/reservation.spec.ts
+++ b/packages/placement/__tests__/reservation.spec.ts
@@ -1,9 +1,9 @@
 import t from 'tap';
-import {GalenaPolicy, type WaitingJob} from '../src/index.js';
+import {GuaranteePolicy, type WaitingJob} from '../src/index.js';
 import {createConfiguration, createJob} from './fixtures.js';
 
 const LARGE_WAIT_SECONDS = 3600;
-const policy = new GalenaPolicy();
+const policy = new GuaranteePolicy();
 
 /** A rack in which one small gang runs until 2,000 s, and a large job that waits since 0 s. */
 function createFixture() {
@@ -14,10 +14,10 @@
   );
   const cells = policy.createCells('d', configuration);
   for (let i = 0; i < 20; i++) {
-    cells.learn('w', 'k', 100, 100);
+    cells.recordRunTime('w', 'k', 100, 100);
   }
   const running = createJob('running', {}, {expectedSeconds: 2000});
-  cells.occupy({
+  cells.addGang({
     ...running,
     assignments: [{target: 'd-r0-t0', firstTask: 0, tasks: 1, accelerators: 1}],
     guaranteed: false,
@@ -51,7 +51,7 @@
     const fixture = createFixture();
     const short = createJob('small', {}, {expectedSeconds: 1});
     t.same(startedAt(fixture, short, LARGE_WAIT_SECONDS), []);
-    fixture.cells.vacate('running');
+    fixture.cells.removeGang('running');
     t.same(startedAt(fixture, short, LARGE_WAIT_SECONDS + 1), ['large']);
   });
 });
--- a/packages/placement/__tests__/routing.spec.ts
+++ b/packages/placement/__tests__/routing.spec.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
 import {
   type DomainSummary,
-  GalenaPolicy,
+  GuaranteePolicy,
   chooseDomain,
   decideEvacuation,
   findMove,
@@ -60,9 +60,9 @@
   const configuration = createConfiguration([
     {id: 'd', racks: 1, targetsPerRack: 1},
   ]);
-  const cells = new GalenaPolicy().createCells('d', configuration);
+  const cells = new GuaranteePolicy().createCells('d', configuration);
   for (const [index, checkpointable] of [true, false].entries()) {
-    cells.occupy({
+    cells.addGang({
       ...createJob(`j${index}`, {}, {checkpointable, repeatable: false}),
       assignments: [
         {target: 'd-r0-t0', firstTask: 0, tasks: 1, accelerators: 1 << index},
@@ -77,7 +77,7 @@
   cells.setCondition('d-r0-t0', 'leaving');
   const steps = decideEvacuation(cells, {deadline: 5000}, 1000);
   t.same(
-    steps.map(({jobId, step}) => [jobId, step]),
+    steps.map(({jobId, action: step}) => [jobId, step]),
     [
       ['j0', 'checkpoint'],
       ['j1', 'wait'],
--- a/packages/placement/src/accelerator_mask.ts
+++ b/packages/placement/src/accelerator_mask.ts
@@ -8,19 +8,19 @@
 }
 
 /** The mask of the first `count` accelerators. */
-export function fullMask(count: number): number {
+export function createFullMask(count: number): number {
   return 2 ** count - 1;
 }
 
 /** The masks of the two halves of a target with `count` accelerators. */
-export function halfMasks(count: number): [number, number] {
+export function listHalfMasks(count: number): [number, number] {
   const size = Math.floor(count / 2);
-  const first = fullMask(size);
+  const first = createFullMask(size);
   return [first, first << size];
 }
 
 /** The lowest `count` bits of `mask`. */
-export function lowestBits(mask: number, count: number): number {
+export function selectLowestBits(mask: number, count: number): number {
   let chosen = 0;
   let rest = mask;
   for (let i = 0; i < count; i++) {
@@ -40,7 +40,7 @@
   count: number,
   total: number,
 ): number {
-  const [low, high] = halfMasks(total);
+  const [low, high] = listHalfMasks(total);
   const lowFree = available & low;
   const highFree = available & high;
   const lowCount = countBits(lowFree);
@@ -50,11 +50,11 @@
       ? [lowFree, lowCount, highFree, highCount]
       : [highFree, highCount, lowFree, lowCount];
   if (count <= smallCount) {
-    return lowestBits(small, count);
+    return selectLowestBits(small, count);
   }
   if (count <= largeCount) {
-    return lowestBits(large, count);
+    return selectLowestBits(large, count);
   }
   const rest = available & ~large;
-  return large | lowestBits(rest, count - largeCount);
+  return large | selectLowestBits(rest, count - largeCount);
 }
--- a/packages/placement/src/apportion.ts
+++ b/packages/placement/src/apportionment.ts
@@ -11,23 +11,26 @@
   Workspace,
 } from '@galenavalve/model';
 import {type Inventory, buildInventories, compareNames} from './inventory.js';
-import {type DomainPromise, LEVELS_DOWNWARDS} from './promise.js';
+import {
+  type DomainGuarantee,
+  LEVELS_LARGEST_FIRST,
+} from './domain_guarantee.js';
 
 /** The promises of each failure domain, by its id. */
-export type Apportionment = ReadonlyMap<string, readonly DomainPromise[]>;
+export type Apportionment = ReadonlyMap<string, readonly DomainGuarantee[]>;
 
 /** Apportions every guarantee of a configuration. */
 export function apportionGuarantees(
   configuration: Configuration,
 ): Apportionment {
-  return apportionOver(
+  return apportionOverInventories(
     configuration,
     buildInventories(configuration, configuration.domains.keys()),
   );
 }
 
 /** Apportions over inventories that were built already. */
-export function apportionOver(
+export function apportionOverInventories(
   configuration: Configuration,
   inventories: ReadonlyMap<string, Inventory>,
 ): Apportionment {
@@ -41,7 +44,7 @@
     const pinned = capacities.find(({id}) => id === guarantee.domain);
     pinned?.promise(workspace.id, guarantee.level, guarantee.count);
   }
-  for (const level of LEVELS_DOWNWARDS) {
+  for (const level of LEVELS_LARGEST_FIRST) {
     for (const {workspace, guarantee} of listGuarantees(workspaces)) {
       if (guarantee.level === level && !guarantee.domain) {
         distribute(capacities, workspace, guarantee);
@@ -53,7 +56,7 @@
 
 /** What one failure domain has left to promise. */
 class DomainCapacity {
-  readonly promises: DomainPromise[] = [];
+  readonly promises: DomainGuarantee[] = [];
   private remaining = 0;
   private readonly sizes: Record<CellLevel, number>;
   private readonly isRestricted: boolean;
--- a/packages/placement/src/search.ts
+++ b/packages/placement/src/best_fit_search.ts
@@ -2,7 +2,11 @@
 import type {Assignment, GangShape} from '@galenavalve/model';
 import {chooseAccelerators} from './accelerator_mask.js';
 import type {Cells} from './cells.js';
-import {type Room, type TargetCell, countFitting} from './target_cell.js';
+import {
+  type TargetResources,
+  type TargetCell,
+  countFitting,
+} from './target_cell.js';
 
 /** What a search needs to know of a job. */
 export interface SearchRequest {
@@ -12,26 +16,26 @@
 }
 
 /** The part of a target that a search may use; undefined when it may use nothing. */
-export type RoomView = (target: TargetCell) => Room | undefined;
+export type ResourceView = (target: TargetCell) => TargetResources | undefined;
 
 /** A target with the number of tasks that fit, or that go there. */
-export interface Portion {
+export interface TargetCandidate {
   target: TargetCell;
-  room: Room;
+  resources: TargetResources;
   tasks: number;
 }
 
 /** Whether new work of a job may start on a target at all. */
 export function isUsable(request: SearchRequest, target: TargetCell): boolean {
   return (
-    target.isWell &&
+    target.isSchedulable &&
     target.permits(request.workspace) &&
     !request.avoidTargets.includes(target.id)
   );
 }
 
 /** The free capacity of targets that can take work of the job. */
-export function freeRoom(request: SearchRequest): RoomView {
+export function createFreeView(request: SearchRequest): ResourceView {
   return target => (isUsable(request, target) ? target.free : undefined);
 }
 
@@ -39,7 +43,7 @@
 export function findBestFit(
   cells: Cells,
   request: SearchRequest,
-  view: RoomView = freeRoom(request),
+  view: ResourceView = createFreeView(request),
 ): Assignment[] | undefined {
   const {tasks, perTask, adjacency} = request.gang;
   const isInDomain = adjacency === 'domain';
@@ -54,20 +58,20 @@
 }
 
 /** What is placed, and in which capacity. */
-export interface Placement {
+export interface PlacementQuery {
   gang: GangShape;
-  view: RoomView;
+  view: ResourceView;
 }
 
 /** Places a gang on groups of targets, each of one rack, the fullest group first. */
 export function placeAmong(
   groups: Iterable<readonly TargetCell[]>,
-  {gang, view}: Placement,
+  {gang, view}: PlacementQuery,
 ): Assignment[] | undefined {
-  const chosen: Portion[] = [];
+  const chosen: TargetCandidate[] = [];
   let missing = gang.tasks;
   for (const targets of groups) {
-    const portions = listPortions(targets, gang, view);
+    const portions = listCandidates(targets, gang, view);
     const whole = choosePortions(portions, gang, missing);
     if (gang.adjacency !== 'domain') {
       if (whole) {
@@ -88,17 +92,17 @@
 }
 
 /** The targets that hold at least one task. */
-export function listPortions(
+export function listCandidates(
   targets: Iterable<TargetCell>,
   gang: GangShape,
-  view: RoomView,
-): Portion[] {
-  const portions: Portion[] = [];
+  view: ResourceView,
+): TargetCandidate[] {
+  const portions: TargetCandidate[] = [];
   for (const target of targets) {
     const room = view(target);
     const tasks = room ? countFitting(room, gang.perTask) : 0;
     if (room && tasks > 0) {
-      portions.push({target, room, tasks});
+      portions.push({target, resources: room, tasks});
     }
   }
   return portions;
@@ -113,7 +117,7 @@
 ): Iterable<readonly TargetCell[]> {
   for (let free = smallest; free < cells.racksByFree.length; free++) {
     for (const rack of cells.racksByFree[free]!) {
-      if (rack.boundTasks(perTask) >= needed) {
+      if (rack.getTaskUpperBound(perTask) >= needed) {
         yield rack.targets;
       }
     }
@@ -125,17 +129,17 @@
  * as possible, the last of them the fullest that holds the rest.
  */
 function choosePortions(
-  portions: Portion[],
+  portions: TargetCandidate[],
   gang: GangShape,
   tasks: number,
-): Portion[] | undefined {
+): TargetCandidate[] | undefined {
   portions.sort(
     (a, b) =>
       a.tasks - b.tasks ||
       a.target.freeAccelerators - b.target.freeAccelerators ||
       a.target.index - b.target.index,
   );
-  const chosen: Portion[] = [];
+  const chosen: TargetCandidate[] = [];
   let missing = tasks;
   let end = portions.length;
   while (missing > 0 && end > 0) {
@@ -154,9 +158,12 @@
   return undefined;
 }
 
-function toAssignments(portions: Portion[], gang: GangShape): Assignment[] {
+function toAssignments(
+  portions: TargetCandidate[],
+  gang: GangShape,
+): Assignment[] {
   let firstTask = 0;
-  return portions.map(({target, room, tasks}) => {
+  return portions.map(({target, resources: room, tasks}) => {
     const assignment: Assignment = {
       target: target.id,
       firstTask,
--- a/packages/placement/src/home_binding.ts
+++ b/packages/placement/src/cell_binding.ts
@@ -1,16 +1,20 @@
 /** Binds guaranteed cells to the places where guaranteed work already runs. */
 import type {CellLevel} from '@galenavalve/model';
-import {countBits, halfMasks, lowestBits} from './accelerator_mask.js';
-import type {HomeMap, Part} from './home.js';
-import {type HomePlanner, toWholePart} from './home_planner.js';
+import {
+  countBits,
+  listHalfMasks,
+  selectLowestBits,
+} from './accelerator_mask.js';
+import type {GuaranteedCellMap, TargetSlice} from './guaranteed_cell.js';
+import {type CellPlanner, toWholeSlice} from './cell_planner.js';
 import type {RunningGang} from './policy.js';
 import type {TargetCell} from './target_cell.js';
 
 /** Gives every guaranteed gang a home around it, as small as its workspace's cells allow. */
-export function coverUses(
-  planner: HomePlanner,
+export function bindRunningGangs(
+  planner: CellPlanner,
   gangs: Iterable<RunningGang>,
-  previous: HomeMap | undefined,
+  previous: GuaranteedCellMap | undefined,
 ): void {
   for (const gang of gangs) {
     noteUses(planner, gang);
@@ -18,7 +22,9 @@
   if (previous) {
     keepBound(planner, previous);
   }
-  for (const [workspace, {uses}] of [...planner.homes.all()]) {
+  for (const [workspace, {usageByTarget: uses}] of [
+    ...planner.guaranteedCells.listWorkspaces(),
+  ]) {
     const places = [...uses].sort(
       ([a, use], [b, other]) =>
         countBits(use.accelerators) - countBits(other.accelerators) ||
@@ -30,21 +36,22 @@
   }
 }
 
-function noteUses(planner: HomePlanner, gang: RunningGang): void {
+function noteUses(planner: CellPlanner, gang: RunningGang): void {
   for (const {target: id, tasks, accelerators} of gang.assignments) {
     const target = planner.inventory.targets.get(id);
     if (target) {
-      planner.homes.use(gang, {target, mask: accelerators}, tasks);
+      planner.guaranteedCells.addUse(gang, {target, mask: accelerators}, tasks);
     }
   }
 }
 
 /** Keeps the homes in which guaranteed work runs, as far as they are still promised. */
-function keepBound(planner: HomePlanner, previous: HomeMap): void {
-  for (const [workspace, {homes}] of previous.all()) {
+function keepBound(planner: CellPlanner, previous: GuaranteedCellMap): void {
+  for (const [workspace, {cells: homes}] of previous.listWorkspaces()) {
     for (const home of homes) {
-      const parts = findParts(planner, home.level, home.parts);
-      const {uses} = planner.homes.of(workspace);
+      const parts = findParts(planner, home.level, home.slices);
+      const {usageByTarget: uses} =
+        planner.guaranteedCells.getWorkspace(workspace);
       const isBound = parts.some(
         ({target, mask}) => (uses.get(target)?.accelerators ?? 0) & mask,
       );
@@ -57,11 +64,11 @@
 
 /** The same parts in the planner's inventory, which may have been rebuilt. */
 function findParts(
-  planner: HomePlanner,
+  planner: CellPlanner,
   level: CellLevel,
-  parts: readonly Part[],
-): Part[] {
-  const found: Part[] = [];
+  parts: readonly TargetSlice[],
+): TargetSlice[] {
+  const found: TargetSlice[] = [];
   for (const {target, mask} of parts) {
     const present = planner.inventory.targets.get(target.id);
     if (present && (level !== 'rack' || present.rack.id === target.rack.id)) {
@@ -73,55 +80,61 @@
 
 /** Binds the smallest cells that a workspace has left to the accelerators that it uses. */
 function cover(
-  planner: HomePlanner,
+  planner: CellPlanner,
   workspace: string,
   target: TargetCell,
   used: number,
 ): void {
-  const mask = used & ~(planner.homes.of(workspace).masks.get(target) ?? 0);
+  const mask =
+    used &
+    ~(
+      planner.guaranteedCells
+        .getWorkspace(workspace)
+        .masksByTarget.get(target) ?? 0
+    );
   if (mask === 0) {
     return;
   }
-  const remaining = planner.remainingOf(workspace);
+  const remaining = planner.getRemaining(workspace);
   if (countBits(mask) <= remaining.accelerator) {
     for (let rest = mask; rest !== 0; rest &= rest - 1) {
-      const part = {target, mask: lowestBits(rest, 1)};
+      const part = {target, mask: selectLowestBits(rest, 1)};
       bind(planner, workspace, 'accelerator', [part]);
     }
     return;
   }
-  const halves = halfMasks(target.spec.accelerators)
+  const halves = listHalfMasks(target.spec.accelerators)
     .filter(half => (half & mask) !== 0)
     .map(half => [{target, mask: half}]);
-  if (halves.length <= remaining.half && planner.isUntaken(halves.flat())) {
+  if (halves.length <= remaining.half && planner.isFree(halves.flat())) {
     halves.forEach(parts => bind(planner, workspace, 'half', parts));
     return;
   }
   const isCovered =
-    bind(planner, workspace, 'target', [toWholePart(target)]) ||
-    bind(planner, workspace, 'rack', target.rack.targets.map(toWholePart)) ||
+    bind(planner, workspace, 'target', [toWholeSlice(target)]) ||
+    bind(planner, workspace, 'rack', target.rack.targets.map(toWholeSlice)) ||
     bind(
       planner,
       workspace,
       'domain',
-      [...planner.inventory.targets.values()].map(toWholePart),
+      [...planner.inventory.targets.values()].map(toWholeSlice),
     );
   if (!isCovered) {
-    planner.take([{target, mask}]);
+    planner.markTaken([{target, mask}]);
   }
 }
 
 /** Makes a bound home, when one is promised and its parts have no other owner. */
 function bind(
-  planner: HomePlanner,
+  planner: CellPlanner,
   workspace: string,
   level: CellLevel,
-  parts: Part[],
+  parts: TargetSlice[],
 ): boolean {
-  const isPromised = planner.remainingOf(workspace)[level] > 0;
-  if (!isPromised || parts.length === 0 || !planner.isUntaken(parts)) {
+  const isPromised = planner.getRemaining(workspace)[level] > 0;
+  if (!isPromised || parts.length === 0 || !planner.isFree(parts)) {
     return false;
   }
-  planner.bound.add(planner.addHome(workspace, level, parts));
+  planner.boundCells.add(planner.addCell(workspace, level, parts));
   return true;
 }
--- a/packages/placement/src/home_planner.ts
+++ b/packages/placement/src/cell_planner.ts
@@ -5,66 +5,70 @@
 import type {CellLevel} from '@galenavalve/model';
 import {
   countBits,
-  fullMask,
-  halfMasks,
-  lowestBits,
+  createFullMask,
+  listHalfMasks,
+  selectLowestBits,
 } from './accelerator_mask.js';
-import {type Home, HomeMap, type Part} from './home.js';
+import {
+  type GuaranteedCell,
+  GuaranteedCellMap,
+  type TargetSlice,
+} from './guaranteed_cell.js';
 import type {Inventory} from './inventory.js';
 import type {RunningGang} from './policy.js';
 import {
-  type DomainPromise,
-  LEVELS_DOWNWARDS,
+  type DomainGuarantee,
+  LEVELS_LARGEST_FIRST,
   type LevelCounts,
-  emptyLevelCounts,
-} from './promise.js';
+  createLevelCounts,
+} from './domain_guarantee.js';
 import type {RackCell} from './rack_cell.js';
 import type {TargetCell} from './target_cell.js';
-import {coverUses} from './home_binding.js';
+import {bindRunningGangs} from './cell_binding.js';
 
 /** A promise of which cells have no home. */
-export interface MissingHomes extends DomainPromise {
+export interface UnplacedCells extends DomainGuarantee {
   missing: number;
 }
 
 /** The result of planning. */
-export interface HomePlan {
-  homes: HomeMap;
-  missing: MissingHomes[];
+export interface CellPlan {
+  guaranteedCells: GuaranteedCellMap;
+  unplaced: UnplacedCells[];
 }
 
 /** What a plan has to respect. */
-export interface PlanRequest {
+export interface CellPlanRequest {
   inventory: Inventory;
-  promises: readonly DomainPromise[];
+  guarantees: readonly DomainGuarantee[];
   /** Whether unbound homes may lie on the target. */
   isAvailable: (target: TargetCell) => boolean;
   /** Gangs that run within a guarantee; their places are bound. */
   guaranteedGangs: Iterable<RunningGang>;
   /** The homes until now; those that are bound stay. */
-  previous?: HomeMap;
+  previous?: GuaranteedCellMap;
 }
 
 /** Plans the homes of one domain. */
-export function planHomes(request: PlanRequest): HomePlan {
-  return new HomePlanner(request).plan();
+export function planGuaranteedCells(request: CellPlanRequest): CellPlan {
+  return new CellPlanner(request).plan();
 }
 
 /** The state of one planning. */
-export class HomePlanner {
-  readonly homes = new HomeMap();
+export class CellPlanner {
+  readonly guaranteedCells = new GuaranteedCellMap();
   readonly inventory: Inventory;
   /** Accelerators that have an owner, by target. */
-  readonly taken = new Map<TargetCell, number>();
+  readonly takenMasks = new Map<TargetCell, number>();
   /** Homes in which guaranteed work runs. */
-  readonly bound = new Set<Home>();
+  readonly boundCells = new Set<GuaranteedCell>();
   private readonly remaining = new Map<string, LevelCounts>();
-  private readonly missing: MissingHomes[] = [];
+  private readonly missing: UnplacedCells[] = [];
   private readonly targets: TargetCell[];
   private readonly racks: RackCell[];
   private readonly isRestricted: boolean;
 
-  constructor(private readonly request: PlanRequest) {
+  constructor(private readonly request: CellPlanRequest) {
     this.inventory = request.inventory;
     this.racks = [...request.inventory.racks.values()];
     this.racks.sort((a, b) => countRack(b) - countRack(a));
@@ -73,49 +77,53 @@
     this.isRestricted = this.targets.some(
       target => target.spec.permittedWorkspaces,
     );
-    for (const {workspace, level, count} of request.promises) {
-      this.remainingOf(workspace)[level] += count;
+    for (const {workspace, level, count} of request.guarantees) {
+      this.getRemaining(workspace)[level] += count;
     }
   }
 
-  plan(): HomePlan {
-    coverUses(this, this.request.guaranteedGangs, this.request.previous);
+  plan(): CellPlan {
+    bindRunningGangs(this, this.request.guaranteedGangs, this.request.previous);
     const order = this.orderWorkspaces();
-    for (const level of LEVELS_DOWNWARDS) {
+    for (const level of LEVELS_LARGEST_FIRST) {
       for (const workspace of order) {
         this.placeLevel(workspace, level);
       }
     }
-    return {homes: this.homes, missing: this.missing};
+    return {guaranteedCells: this.guaranteedCells, unplaced: this.missing};
   }
 
-  remainingOf(workspace: string): LevelCounts {
+  getRemaining(workspace: string): LevelCounts {
     let counts = this.remaining.get(workspace);
     if (!counts) {
-      counts = emptyLevelCounts();
+      counts = createLevelCounts();
       this.remaining.set(workspace, counts);
     }
     return counts;
   }
 
   /** Whether no accelerator of the parts has an owner. */
-  isUntaken(parts: readonly Part[]): boolean {
+  isFree(parts: readonly TargetSlice[]): boolean {
     return parts.every(
-      ({target, mask}) => ((this.taken.get(target) ?? 0) & mask) === 0,
+      ({target, mask}) => ((this.takenMasks.get(target) ?? 0) & mask) === 0,
     );
   }
 
-  take(parts: readonly Part[]): void {
+  markTaken(parts: readonly TargetSlice[]): void {
     for (const {target, mask} of parts) {
-      this.taken.set(target, (this.taken.get(target) ?? 0) | mask);
+      this.takenMasks.set(target, (this.takenMasks.get(target) ?? 0) | mask);
     }
   }
 
-  addHome(workspace: string, level: CellLevel, parts: Part[]): Home {
-    const home: Home = {workspace, level, parts};
-    this.remainingOf(workspace)[level]--;
-    this.take(parts);
-    this.homes.add(home);
+  addCell(
+    workspace: string,
+    level: CellLevel,
+    parts: TargetSlice[],
+  ): GuaranteedCell {
+    const home: GuaranteedCell = {workspace, level, slices: parts};
+    this.getRemaining(workspace)[level]--;
+    this.markTaken(parts);
+    this.guaranteedCells.add(home);
     return home;
   }
 
@@ -133,7 +141,7 @@
   }
 
   private placeLevel(workspace: string, level: CellLevel): void {
-    const remaining = this.remainingOf(workspace);
+    const remaining = this.getRemaining(workspace);
     const wanted = remaining[level];
     if (wanted === 0) {
       return;
@@ -151,17 +159,17 @@
   }
 
   private placeLarge(workspace: string, level: 'domain' | 'rack'): void {
-    const remaining = this.remainingOf(workspace);
+    const remaining = this.getRemaining(workspace);
     for (const targets of this.listLarge(level)) {
       if (remaining[level] === 0) {
         return;
       }
-      const parts = targets.map(toWholePart);
+      const parts = targets.map(toWholeSlice);
       const isUsable = targets.every(target =>
         this.isUsable(workspace, target),
       );
-      if (parts.length > 0 && isUsable && this.isUntaken(parts)) {
-        this.addHome(workspace, level, parts);
+      if (parts.length > 0 && isUsable && this.isFree(parts)) {
+        this.addCell(workspace, level, parts);
       }
     }
   }
@@ -174,13 +182,13 @@
     const rests = this.listLarge(level).map(targets =>
       targets
         .filter(target => this.isUsable(workspace, target))
-        .map(toWholePart)
-        .filter(part => this.isUntaken([part])),
+        .map(toWholeSlice)
+        .filter(part => this.isFree([part])),
     );
     rests.sort((a, b) => b.length - a.length);
-    for (const rest of rests.slice(0, this.remainingOf(workspace)[level])) {
+    for (const rest of rests.slice(0, this.getRemaining(workspace)[level])) {
       if (rest.length > 0) {
-        this.addHome(workspace, level, rest);
+        this.addCell(workspace, level, rest);
       }
     }
   }
@@ -195,7 +203,7 @@
     workspace: string,
     level: 'target' | 'half' | 'accelerator',
   ): void {
-    const remaining = this.remainingOf(workspace);
+    const remaining = this.getRemaining(workspace);
     for (const target of this.targets) {
       if (remaining[level] === 0) {
         return;
@@ -218,11 +226,11 @@
   ): void {
     for (const mask of this.listCells(level, target)) {
       const part = {target, mask};
-      if (this.remainingOf(workspace)[level] === 0) {
+      if (this.getRemaining(workspace)[level] === 0) {
         return;
       }
-      if (mask !== 0 && this.isUntaken([part])) {
-        this.addHome(workspace, level, [part]);
+      if (mask !== 0 && this.isFree([part])) {
+        this.addCell(workspace, level, [part]);
       }
     }
   }
@@ -230,15 +238,15 @@
   private listCells(level: CellLevel, target: TargetCell): number[] {
     const total = target.spec.accelerators;
     if (level === 'target') {
-      return [fullMask(total)];
+      return [createFullMask(total)];
     }
     if (level === 'half') {
-      return halfMasks(total);
+      return listHalfMasks(total);
     }
-    const free = fullMask(total) & ~(this.taken.get(target) ?? 0);
+    const free = createFullMask(total) & ~(this.takenMasks.get(target) ?? 0);
     const masks: number[] = [];
     for (let rest = free; rest !== 0; rest &= rest - 1) {
-      masks.push(lowestBits(rest, 1));
+      masks.push(selectLowestBits(rest, 1));
     }
     return masks;
   }
@@ -249,35 +257,35 @@
       if (visited.has(target) || !this.isUsable(workspace, target)) {
         continue;
       }
-      const part = toWholePart(target);
-      const [home] = this.homes.on(target);
-      if (this.isUntaken([part]) && part.mask !== 0) {
-        this.take([part]);
-        this.homes.add({workspace, level: 'target', parts: [part]});
+      const part = toWholeSlice(target);
+      const [home] = this.guaranteedCells.listCellsOn(target);
+      if (this.isFree([part]) && part.mask !== 0) {
+        this.markTaken([part]);
+        this.guaranteedCells.add({workspace, level: 'target', slices: [part]});
         return true;
       }
       visited.add(target);
       if (home && this.isMovable(home, part) && this.evict(home, visited)) {
-        this.homes.add({workspace, level: 'target', parts: [part]});
+        this.guaranteedCells.add({workspace, level: 'target', slices: [part]});
         return true;
       }
     }
     return false;
   }
 
-  private isMovable(home: Home, part: Part): boolean {
+  private isMovable(home: GuaranteedCell, part: TargetSlice): boolean {
     return (
       home.level === 'target' &&
-      home.parts[0]!.mask === part.mask &&
-      !this.bound.has(home)
+      home.slices[0]!.mask === part.mask &&
+      !this.boundCells.has(home)
     );
   }
 
-  private evict(home: Home, visited: Set<TargetCell>): boolean {
+  private evict(home: GuaranteedCell, visited: Set<TargetCell>): boolean {
     if (!this.augment(home.workspace, visited)) {
       return false;
     }
-    this.homes.remove(home);
+    this.guaranteedCells.remove(home);
     return true;
   }
 
@@ -287,13 +295,13 @@
 }
 
 /** All accelerators of a target. */
-export function toWholePart(target: TargetCell): Part {
-  return {target, mask: fullMask(target.spec.accelerators)};
+export function toWholeSlice(target: TargetCell): TargetSlice {
+  return {target, mask: createFullMask(target.spec.accelerators)};
 }
 
 function countRack(rack: RackCell): number {
   return rack.targets.reduce(
-    (sum, target) => sum + countBits(toWholePart(target).mask),
+    (sum, target) => sum + countBits(toWholeSlice(target).mask),
     0,
   );
 }
--- a/packages/placement/src/home_exchange.ts
+++ b/packages/placement/src/cell_relocation.ts
@@ -6,14 +6,22 @@
  * runs, so homes stay disjoint and complete after every step.
  */
 import type {Assignment, CellLevel, GangShape} from '@galenavalve/model';
-import {countBits, halfMasks, lowestBits} from './accelerator_mask.js';
+import {
+  countBits,
+  listHalfMasks,
+  selectLowestBits,
+} from './accelerator_mask.js';
 import type {Cells} from './cells.js';
-import type {Home, HomeMap, Part} from './home.js';
-import {toWholePart} from './home_planner.js';
+import type {
+  GuaranteedCell,
+  GuaranteedCellMap,
+  TargetSlice,
+} from './guaranteed_cell.js';
+import {toWholeSlice} from './cell_planner.js';
 import {type TargetCell, countFitting} from './target_cell.js';
 
 /** Moves homes of the job's workspace under `assignments`; tells whether they now lie within its guarantee. */
-export function claimPlace(
+export function relocateCells(
   cells: Cells,
   request: {workspace: string; gang: GangShape},
   assignments: readonly Assignment[],
@@ -23,7 +31,10 @@
     claim.isMade() &&
     assignments.every(({target: id, tasks}) => {
       const target = cells.targets.get(id)!;
-      const room = cells.homes.guaranteedRoom(request.workspace, target);
+      const room = cells.guaranteedCells.getRemainingGuarantee(
+        request.workspace,
+        target,
+      );
       return room && countFitting(room, request.gang.perTask) >= tasks;
     })
   );
@@ -31,23 +42,23 @@
 
 /** One attempt to bring homes under a place. */
 class Claim {
-  private readonly homes: HomeMap;
-  private readonly parts: Part[];
+  private readonly homes: GuaranteedCellMap;
+  private readonly parts: TargetSlice[];
   private readonly needed: ReadonlyMap<TargetCell, number>;
-  private readonly unbound = new Map<CellLevel, Home[]>();
+  private readonly unbound = new Map<CellLevel, GuaranteedCell[]>();
 
   constructor(
     cells: Cells,
     private readonly workspace: string,
     assignments: readonly Assignment[],
   ) {
-    this.homes = cells.homes;
+    this.homes = cells.guaranteedCells;
     this.parts = assignments.map(({target, accelerators}) => ({
       target: cells.targets.get(target)!,
       mask: accelerators,
     }));
     this.needed = new Map(this.parts.map(part => [part.target, part.mask]));
-    for (const home of this.homes.of(workspace).homes) {
+    for (const home of this.homes.getWorkspace(workspace).cells) {
       if (this.canGive(home)) {
         const homes = this.unbound.get(home.level) ?? [];
         homes.push(home);
@@ -60,15 +71,16 @@
     return this.parts.every(part => this.claim(part));
   }
 
-  private claim({target, mask}: Part): boolean {
-    const owned = this.homes.of(this.workspace).masks.get(target) ?? 0;
+  private claim({target, mask}: TargetSlice): boolean {
+    const owned =
+      this.homes.getWorkspace(this.workspace).masksByTarget.get(target) ?? 0;
     const missing = mask & ~owned;
     return (
       missing === 0 ||
       this.claimBits(target, missing) ||
       this.claimHalves(target, missing) ||
-      this.exchangeOne('target', [toWholePart(target)]) ||
-      this.exchangeOne('rack', target.rack.targets.map(toWholePart))
+      this.exchangeOne('target', [toWholeSlice(target)]) ||
+      this.exchangeOne('rack', target.rack.targets.map(toWholeSlice))
     );
   }
 
@@ -78,7 +90,7 @@
       return false;
     }
     for (let rest = mask; rest !== 0; rest &= rest - 1) {
-      const part = {target, mask: lowestBits(rest, 1)};
+      const part = {target, mask: selectLowestBits(rest, 1)};
       if (!this.exchangeOne('accelerator', [part])) {
         return false;
       }
@@ -87,7 +99,7 @@
   }
 
   private claimHalves(target: TargetCell, mask: number): boolean {
-    const halves = halfMasks(target.spec.accelerators).filter(
+    const halves = listHalfMasks(target.spec.accelerators).filter(
       half => (half & mask) !== 0,
     );
     const isCovered = halves.reduce((sum, half) => sum | half, 0) & mask;
@@ -99,7 +111,7 @@
   }
 
   /** Exchanges one unbound home of a level for a block. */
-  private exchangeOne(level: CellLevel, block: Part[]): boolean {
+  private exchangeOne(level: CellLevel, block: TargetSlice[]): boolean {
     const candidates = this.unbound.get(level) ?? [];
     for (let i = candidates.length - 1; i >= 0; i--) {
       if (exchange(this.homes, candidates[i]!, block)) {
@@ -111,8 +123,8 @@
   }
 
   /** Whether a home is unbound and not itself needed for the place. */
-  private canGive(home: Home): boolean {
-    const isNeeded = home.parts.some(
+  private canGive(home: GuaranteedCell): boolean {
+    const isNeeded = home.slices.some(
       ({target, mask}) => ((this.needed.get(target) ?? 0) & mask) !== 0,
     );
     return !isNeeded && !this.homes.isBound(home);
@@ -120,8 +132,12 @@
 }
 
 /** Puts `home` on `block`, and what lies in the block on the old place of `home`. */
-function exchange(homes: HomeMap, home: Home, block: Part[]): boolean {
-  const old = home.parts;
+function exchange(
+  homes: GuaranteedCellMap,
+  home: GuaranteedCell,
+  block: TargetSlice[],
+): boolean {
+  const old = home.slices;
   if (!isSameShape(old, block)) {
     return false;
   }
@@ -130,15 +146,15 @@
     displaced !== undefined &&
     block.every(
       ({target, mask}) =>
-        target.isWell &&
+        target.isSchedulable &&
         target.permits(home.workspace) &&
-        (homes.usedMask(target) & mask) === 0,
+        (homes.getUsedMask(target) & mask) === 0,
     ) &&
     displaced.every(
       other =>
         !homes.isBound(other) &&
         old.every(
-          ({target}) => target.isWell && target.permits(other.workspace),
+          ({target}) => target.isSchedulable && target.permits(other.workspace),
         ),
     );
   if (!isPossible) {
@@ -147,34 +163,42 @@
   homes.remove(home);
   displaced.forEach(other => homes.remove(other));
   for (const other of displaced) {
-    other.parts = other.parts.map(part => translate(part, block, old));
+    other.slices = other.slices.map(part => translate(part, block, old));
     homes.add(other);
   }
-  home.parts = block;
+  home.slices = block;
   homes.add(home);
   return true;
 }
 
 /** The homes that lie in a block; undefined when one lies in it only in part. */
-function listInside(homes: HomeMap, block: Part[]): Home[] | undefined {
+function listInside(
+  homes: GuaranteedCellMap,
+  block: TargetSlice[],
+): GuaranteedCell[] | undefined {
   const masks = new Map(block.map(({target, mask}) => [target, mask]));
-  const inside = new Set<Home>();
+  const inside = new Set<GuaranteedCell>();
   for (const {target, mask} of block) {
-    for (const home of homes.on(target)) {
-      if (home.parts.some(part => part.target === target && part.mask & mask)) {
+    for (const home of homes.listCellsOn(target)) {
+      if (
+        home.slices.some(part => part.target === target && part.mask & mask)
+      ) {
         inside.add(home);
       }
     }
   }
   const isWhole = [...inside].every(home =>
-    home.parts.every(
+    home.slices.every(
       part => (part.mask & ~(masks.get(part.target) ?? 0)) === 0,
     ),
   );
   return isWhole ? [...inside] : undefined;
 }
 
-function isSameShape(a: readonly Part[], b: readonly Part[]): boolean {
+function isSameShape(
+  a: readonly TargetSlice[],
+  b: readonly TargetSlice[],
+): boolean {
   return (
     a.length === b.length &&
     a.every(
@@ -187,10 +211,10 @@
 
 /** The place of a part after its block was exchanged for another. */
 function translate(
-  part: Part,
-  from: readonly Part[],
-  to: readonly Part[],
-): Part {
+  part: TargetSlice,
+  from: readonly TargetSlice[],
+  to: readonly TargetSlice[],
+): TargetSlice {
   const index = from.findIndex(({target}) => target === part.target);
   const source = from[index]!;
   const destination = to[index]!;
--- a/packages/placement/src/cells.ts
+++ b/packages/placement/src/cells.ts
@@ -6,20 +6,24 @@
   Rules,
 } from '@galenavalve/model';
 import {countBits} from './accelerator_mask.js';
-import {apportionGuarantees} from './apportion.js';
-import {EstimateBook} from './estimate.js';
-import {hasPromiseChange} from './guarantee_check.js';
-import type {HomeMap, Part} from './home.js';
-import {claimPlace} from './home_exchange.js';
-import {type HomePlan, type MissingHomes, planHomes} from './home_planner.js';
+import {apportionGuarantees} from './apportionment.js';
+import {RunTimeEstimator} from './run_time_estimator.js';
+import {hasGuaranteeChange} from './guarantee_check.js';
+import type {GuaranteedCellMap, TargetSlice} from './guaranteed_cell.js';
+import {relocateCells} from './cell_relocation.js';
+import {
+  type CellPlan,
+  type UnplacedCells,
+  planGuaranteedCells,
+} from './cell_planner.js';
 import {buildInventory} from './inventory.js';
 import type {DomainCells, RunningGang, TargetCondition} from './policy.js';
-import type {DomainPromise} from './promise.js';
+import type {DomainGuarantee} from './domain_guarantee.js';
 import type {RackCell} from './rack_cell.js';
 import type {Reservation} from './reservation.js';
 import {type TargetCell, addTasks, subtractTasks} from './target_cell.js';
 
-const NO_PROMISES: readonly DomainPromise[] = [];
+const NO_PROMISES: readonly DomainGuarantee[] = [];
 
 /** Capacity and running gangs of one failure domain. */
 export class Cells implements DomainCells {
@@ -28,20 +32,20 @@
   /** Racks by their number of free accelerators. */
   readonly racksByFree: Set<RackCell>[] = [];
   readonly running = new Map<string, RunningGang>();
-  readonly estimates = new EstimateBook();
+  readonly estimates = new RunTimeEstimator();
   /** Accelerators that workspaces use. */
   readonly usedByWorkspace = new Map<string, number>();
   /** Accelerators of the largest target. */
-  targetSize = 0;
+  maxTargetSize = 0;
   configuration!: Configuration;
   /** What is promised in this domain. */
-  promises: readonly DomainPromise[] = NO_PROMISES;
+  guarantees: readonly DomainGuarantee[] = NO_PROMISES;
   /** The place that is kept for the oldest large job. */
   reservation: Reservation | undefined;
   /** Jobs for which gangs were told to stop; what becomes free is theirs first. */
-  readonly reclaiming = new Set<string>();
-  private plan: HomePlan | undefined;
-  private previousHomes: HomeMap | undefined;
+  readonly reclaimingJobs = new Set<string>();
+  private plan: CellPlan | undefined;
+  private previousHomes: GuaranteedCellMap | undefined;
 
   constructor(
     readonly domain: string,
@@ -72,7 +76,7 @@
     }
     this.configuration = configuration;
     this.usedByWorkspace.clear();
-    this.promises =
+    this.guarantees =
       apportionGuarantees(configuration).get(this.domain) ?? NO_PROMISES;
     this.invalidateHomes();
     this.rebuild(conditions);
@@ -92,8 +96,8 @@
     this.invalidateHomes();
   }
 
-  occupy(gang: RunningGang): void {
-    this.vacate(gang.jobId);
+  addGang(gang: RunningGang): void {
+    this.removeGang(gang.jobId);
     this.running.set(gang.jobId, gang);
     this.take(gang);
     if (gang.guaranteed && this.plan) {
@@ -101,7 +105,7 @@
     }
   }
 
-  vacate(jobId: string): void {
+  removeGang(jobId: string): void {
     const gang = this.running.get(jobId);
     if (!gang) {
       return;
@@ -110,59 +114,64 @@
     this.release(gang);
     if (gang.guaranteed && this.plan) {
       for (const part of this.listParts(gang)) {
-        this.plan.homes.unuse(gang, part, part.tasks);
+        this.plan.guaranteedCells.removeUse(gang, part, part.tasks);
       }
     }
   }
 
-  learn(
+  recordRunTime(
     workspace: string,
     kind: string,
     declaredSeconds: number,
     actualSeconds: number,
   ): void {
-    this.estimates.learn(workspace, kind, declaredSeconds, actualSeconds);
+    this.estimates.recordRunTime(
+      workspace,
+      kind,
+      declaredSeconds,
+      actualSeconds,
+    );
   }
 
   // Queries
 
   /** The homes of all guaranteed cells, planned anew after a change of inventory. */
-  get homes(): HomeMap {
-    return this.homePlan.homes;
+  get guaranteedCells(): GuaranteedCellMap {
+    return this.homePlan.guaranteedCells;
   }
 
   /** Guaranteed cells that no well target can hold now. */
-  get missingHomes(): readonly MissingHomes[] {
-    return this.homePlan.missing;
+  get unplacedCells(): readonly UnplacedCells[] {
+    return this.homePlan.unplaced;
   }
 
-  gangs(): Iterable<RunningGang> {
+  listGangs(): Iterable<RunningGang> {
     return this.running.values();
   }
 
-  condition(target: string): TargetCondition {
+  getCondition(target: string): TargetCondition {
     return this.targets.get(target)?.condition ?? 'out';
   }
 
-  acceleratorsUsed(id: string): number {
+  countUsedAccelerators(id: string): number {
     const target = this.targets.get(id);
     return target ? target.spec.accelerators - target.freeAccelerators : 0;
   }
 
-  tasksOn(id: string): number {
+  countTasksOn(id: string): number {
     const target = this.targets.get(id);
     return target ? target.spec.slots - target.free.slots : 0;
   }
 
   /** Accelerators of the largest cell of a level. */
-  sizeOfLevel(level: CellLevel): number {
+  getMaxCellSize(level: CellLevel): number {
     const racks = [...this.racks.values()].map(({targets}) =>
       targets.reduce((sum, {spec}) => sum + spec.accelerators, 0),
     );
     const sizes: Record<CellLevel, number> = {
       accelerator: 1,
-      half: Math.floor(this.targetSize / 2),
-      target: this.targetSize,
+      half: Math.floor(this.maxTargetSize / 2),
+      target: this.maxTargetSize,
       rack: Math.max(0, ...racks),
       domain: racks.reduce((sum, size) => sum + size, 0),
     };
@@ -170,24 +179,24 @@
   }
 
   /** Free accelerators of the emptiest cell of a level that can take work. */
-  largestFree(level: Adjacency): number {
+  getMaxFreeAccelerators(level: Adjacency): number {
     const racks = [...this.racks.values()];
     if (level === 'domain') {
       return racks.reduce((sum, rack) => sum + rack.free, 0);
     }
     const sizes = racks.map(rack =>
-      level === 'rack' ? rack.free : rack.largestFreeTarget(),
+      level === 'rack' ? rack.free : rack.getMaxFreeOnTarget(),
     );
     return Math.max(0, ...sizes);
   }
 
   // Homes
 
-  private get homePlan(): HomePlan {
-    this.plan ??= planHomes({
+  private get homePlan(): CellPlan {
+    this.plan ??= planGuaranteedCells({
       inventory: this,
-      promises: this.promises,
-      isAvailable: target => target.isWell,
+      guarantees: this.guarantees,
+      isAvailable: target => target.isSchedulable,
       guaranteedGangs: [...this.running.values()].filter(
         gang => gang.guaranteed,
       ),
@@ -197,27 +206,27 @@
   }
 
   private invalidateHomes(): void {
-    this.previousHomes = this.plan?.homes ?? this.previousHomes;
+    this.previousHomes = this.plan?.guaranteedCells ?? this.previousHomes;
     this.plan = undefined;
   }
 
   /** Binds homes to a guaranteed gang; plans anew when none can be moved there. */
   private useHomes(gang: RunningGang): void {
     const parts = this.listParts(gang);
-    const {homes} = this;
-    const {masks} = homes.of(gang.workspace);
+    const {guaranteedCells: homes} = this;
+    const {masksByTarget: masks} = homes.getWorkspace(gang.workspace);
     const isHome = parts.every(
       ({target, mask}) => (mask & ~(masks.get(target) ?? 0)) === 0,
     );
-    if (!isHome && !claimPlace(this, gang, gang.assignments)) {
+    if (!isHome && !relocateCells(this, gang, gang.assignments)) {
       this.invalidateHomes();
       return;
     }
-    parts.forEach(part => homes.use(gang, part, part.tasks));
+    parts.forEach(part => homes.addUse(gang, part, part.tasks));
   }
 
-  private listParts(gang: RunningGang): (Part & {tasks: number})[] {
-    const parts: (Part & {tasks: number})[] = [];
+  private listParts(gang: RunningGang): (TargetSlice & {tasks: number})[] {
+    const parts: (TargetSlice & {tasks: number})[] = [];
     for (const {target: id, tasks, accelerators} of gang.assignments) {
       const target = this.targets.get(id);
       if (target) {
@@ -234,7 +243,7 @@
     const domain = next.domains.get(this.domain);
     return (
       domain === this.configuration.domains.get(this.domain) &&
-      !hasPromiseChange(next, this.configuration) &&
+      !hasGuaranteeChange(next, this.configuration) &&
       [...this.targets].every(([id, {spec}]) => next.targets.get(id) === spec)
     );
   }
@@ -244,13 +253,16 @@
     this.targets = targets;
     this.racks = racks;
     this.racksByFree.length = 0;
-    this.targetSize = 0;
+    this.maxTargetSize = 0;
     for (const target of targets.values()) {
-      this.targetSize = Math.max(this.targetSize, target.spec.accelerators);
+      this.maxTargetSize = Math.max(
+        this.maxTargetSize,
+        target.spec.accelerators,
+      );
       target.condition = conditions.get(target.id) ?? 'well';
     }
     for (const rack of racks.values()) {
-      rack.targets.forEach(target => rack.count(target, 1));
+      rack.targets.forEach(target => rack.updateCounts(target, 1));
       this.file(rack);
     }
   }
@@ -287,9 +299,9 @@
   private change(target: TargetCell, apply: () => void): void {
     const rack = target.rack;
     this.racksByFree[rack.free]?.delete(rack);
-    rack.count(target, -1);
+    rack.updateCounts(target, -1);
     apply();
-    rack.count(target, 1);
+    rack.updateCounts(target, 1);
     this.file(rack);
   }
 
--- a/packages/placement/src/decision_pass.ts
+++ b/packages/placement/src/decision_pass.ts
@@ -6,15 +6,27 @@
   createReason,
 } from '@galenavalve/model';
 import type {Cells} from './cells.js';
-import {UPPER} from './estimate.js';
-import {describeTargets, toRunningGang} from './first_fit.js';
-import {type OpenTargets, findGuaranteedPlace} from './guaranteed_search.js';
-import {describeGang} from './impossibility.js';
+import {UPPER_QUANTILE} from './run_time_estimator.js';
+import {describeTargets, toRunningGang} from './first_fit_policy.js';
+import {
+  type ReservationFilter,
+  findGuaranteedPlace,
+} from './guaranteed_search.js';
+import {describeGang} from './infeasibility.js';
 import type {PassDecisions, RunningGang, WaitingJob} from './policy.js';
-import {type RankedJob, orderQueue, sizeOf} from './queue_order.js';
+import {
+  type RankedJob,
+  orderQueue,
+  countRequiredAccelerators,
+} from './queue_order.js';
 import {planReclaim} from './reclaim.js';
-import {isLarge, isOpenTo, listMovable, reserve} from './reservation.js';
-import {type RoomView, findBestFit, isUsable} from './search.js';
+import {
+  isLarge,
+  createReservationPredicate,
+  listPreemptible,
+  planReservation,
+} from './reservation.js';
+import {type ResourceView, findBestFit, isUsable} from './best_fit_search.js';
 
 /** Oldest large jobs that are tried for the reservation. */
 const MAX_RESERVATION_TRIES = 4;
@@ -55,14 +67,14 @@
     }
     others.forEach(job => this.decideBorrowed(job));
     this.clearReservation(queue);
-    this.trials.forEach(id => this.cells.vacate(id));
+    this.trials.forEach(id => this.cells.removeGang(id));
     return this.decisions;
   }
 
   /** Jobs whose victims were told to stop come first, so that nobody takes what became free. */
   private reclaimingFirst(order: readonly RankedJob[]): WaitingJob[] {
     const jobs = order.map(({job}) => job);
-    const {reclaiming} = this.cells;
+    const {reclaimingJobs: reclaiming} = this.cells;
     const isFirst = (job: WaitingJob) => reclaiming.has(job.jobId);
     const first = jobs.filter(isFirst);
     reclaiming.clear();
@@ -78,7 +90,7 @@
       .sort((a, b) => a.submittedAt - b.submittedAt)
       .slice(0, MAX_RESERVATION_TRIES);
     for (const job of large) {
-      const reservation = reserve(this.cells, job, this.now);
+      const reservation = planReservation(this.cells, job, this.now);
       if (reservation) {
         this.cells.reservation = reservation;
         return;
@@ -89,14 +101,19 @@
 
   /** Starts a job within its guarantee, or makes room for it; false when the guarantee is used up. */
   private decideGuaranteed(job: WaitingJob): boolean {
-    const {unused, masks} = this.cells.homes.of(job.workspace);
+    const {unusedAccelerators: unused, masksByTarget: masks} =
+      this.cells.guaranteedCells.getWorkspace(job.workspace);
     const key = this.keyOf(job, 'guaranteed');
-    if (unused < sizeOf(job) || masks.size === 0 || this.failed.has(key)) {
+    if (
+      unused < countRequiredAccelerators(job) ||
+      masks.size === 0 ||
+      this.failed.has(key)
+    ) {
       return false;
     }
     const place = findGuaranteedPlace(this.cells, job, this.openTargets(job));
     if (place) {
-      this.cells.reclaiming.delete(job.jobId);
+      this.cells.reclaimingJobs.delete(job.jobId);
       this.place(job, place, true);
       return true;
     }
@@ -117,7 +134,7 @@
       return false;
     }
     this.hold(job, plan.assignments);
-    this.cells.reclaiming.add(job.jobId);
+    this.cells.reclaimingJobs.add(job.jobId);
     const all = [...plan.victims, ...plan.stopping].map(({jobId}) => jobId);
     const reason = createReason('waiting-reclaim', {victims: all.join(', ')});
     this.decisions.waits.push({jobId: job.jobId, reason});
@@ -157,9 +174,10 @@
     if (!reservation || !job || isStarted || waited < rules.ageingSeconds) {
       return;
     }
-    const victims = listMovable(reservation, sizeOf(job)).filter(
-      gang => !this.victims.has(gang),
-    );
+    const victims = listPreemptible(
+      reservation,
+      countRequiredAccelerators(job),
+    ).filter(gang => !this.victims.has(gang));
     if (victims.length > 0) {
       this.decisions.reclaims.push({
         forJob: job.jobId,
@@ -170,15 +188,15 @@
   }
 
   private findBorrowedPlace(job: WaitingJob): Assignment[] | undefined {
-    const isOpen = this.openTargets(job).elsewhere;
+    const isOpen = this.openTargets(job).isOpenElsewhere;
     return findBestFit(this.cells, job, this.borrowableRoom(job, isOpen));
   }
 
   private borrowableRoom(
     job: WaitingJob,
-    isOpen: OpenTargets['elsewhere'],
-  ): RoomView {
-    const {homes, rules} = this.cells;
+    isOpen: ReservationFilter['isOpenElsewhere'],
+  ): ResourceView {
+    const {guaranteedCells: homes, rules} = this.cells;
     return target => {
       if (!isUsable(job, target) || !isOpen(target)) {
         return undefined;
@@ -187,29 +205,29 @@
         return target.free;
       }
       const accelerators =
-        target.free.accelerators & ~homes.promisedMask(target);
+        target.free.accelerators & ~homes.getGuaranteedMask(target);
       return {...target.free, accelerators};
     };
   }
 
-  private openTargets(job: WaitingJob): OpenTargets {
-    const {reservation, reclaiming} = this.cells;
+  private openTargets(job: WaitingJob): ReservationFilter {
+    const {reservation, reclaimingJobs: reclaiming} = this.cells;
     const isReclaiming = reclaiming.has(job.jobId);
     // Capacity that was cleared for a job is not kept from it later.
     const kept = isReclaiming ? undefined : reservation;
-    const elsewhere = isOpenTo(kept, job, this.endsAt(job));
+    const elsewhere = createReservationPredicate(kept, job, this.endsAt(job));
     const home =
       reservation?.workspace === job.workspace ? elsewhere : () => true;
-    return {home, elsewhere};
+    return {isOpenInGuarantee: home, isOpenElsewhere: elsewhere};
   }
 
   /** Whether the reservation keeps a job from reclaiming in its own homes. */
   private isKeptFromHomes(job: WaitingJob): boolean {
-    const {reservation, reclaiming} = this.cells;
+    const {reservation, reclaimingJobs: reclaiming} = this.cells;
     return (
       reservation !== undefined &&
       !reclaiming.has(job.jobId) &&
-      reservation.isInHomes &&
+      reservation.isWithinGuarantee &&
       reservation.workspace === job.workspace &&
       reservation.jobId !== job.jobId
     );
@@ -218,7 +236,12 @@
   private endsAt(job: WaitingJob): number {
     const {workspace, kind, expectedSeconds} = job;
     const {estimates} = this.cells;
-    const seconds = estimates.estimate(workspace, kind, expectedSeconds, UPPER);
+    const seconds = estimates.estimate(
+      workspace,
+      kind,
+      expectedSeconds,
+      UPPER_QUANTILE,
+    );
     return this.now + seconds * 1000;
   }
 
@@ -228,7 +251,7 @@
     guaranteed: boolean,
   ): void {
     const gang = toRunningGang(job, assignments, guaranteed, this.now);
-    this.cells.occupy(gang);
+    this.cells.addGang(gang);
     this.trials.push(gang.jobId);
     const reason = this.explainPlacement(job, assignments, guaranteed);
     const {jobId} = job;
@@ -264,7 +287,7 @@
   private hold(job: WaitingJob, assignments: Assignment[]): void {
     const gang = toRunningGang(job, assignments, true, this.now);
     gang.jobId = `hold/${job.jobId}`;
-    this.cells.occupy(gang);
+    this.cells.addGang(gang);
     this.trials.push(gang.jobId);
   }
 
@@ -272,7 +295,10 @@
     const {reservation, rules} = this.cells;
     const {adjacency} = job.gang;
     const free = this.freeAt(adjacency);
-    if (free < sizeOf(job) || reservation?.jobId === job.jobId) {
+    if (
+      free < countRequiredAccelerators(job) ||
+      reservation?.jobId === job.jobId
+    ) {
       this.wait(job, 'waiting-capacity', {
         missing: describeGang(job),
         available: `${free} accelerators`,
@@ -293,7 +319,7 @@
   private freeAt(level: WaitingJob['gang']['adjacency']): number {
     let free = this.largestFree.get(level);
     if (free === undefined) {
-      free = this.cells.largestFree(level);
+      free = this.cells.getMaxFreeAccelerators(level);
       this.largestFree.set(level, free);
     }
     return free;
@@ -321,7 +347,7 @@
     const isReserved = reservation?.jobId === job.jobId;
     const isFree =
       !reservation ||
-      (!reservation.isClosed && this.endsAt(job) <= reservation.freeAt);
+      (!reservation.isExclusive && this.endsAt(job) <= reservation.freeAt);
     return `${phase} ${job.workspace} ${tasks} ${accelerators} ${processors} ${memoryMb} ${adjacency} ${isReserved} ${isFree}`;
   }
 }
--- a/packages/placement/src/promise.ts
+++ b/packages/placement/src/domain_guarantee.ts
@@ -2,14 +2,14 @@
 import type {CellLevel} from '@galenavalve/model';
 
 /** A number of cells of one level that a workspace is promised in one failure domain. */
-export interface DomainPromise {
+export interface DomainGuarantee {
   workspace: string;
   level: CellLevel;
   count: number;
 }
 
 /** Levels from the largest cell to the smallest. */
-export const LEVELS_DOWNWARDS: readonly CellLevel[] = [
+export const LEVELS_LARGEST_FIRST: readonly CellLevel[] = [
   'domain',
   'rack',
   'target',
@@ -18,7 +18,7 @@
 ];
 
 /** A promise that cannot be kept whole. */
-export interface Shortfall extends DomainPromise {
+export interface Shortfall extends DomainGuarantee {
   domain: string;
   /** Cells that can be had, of the `count` that are promised. */
   satisfiable: number;
@@ -28,6 +28,6 @@
 export type LevelCounts = Record<CellLevel, number>;
 
 /** No cells of any level. */
-export function emptyLevelCounts(): LevelCounts {
+export function createLevelCounts(): LevelCounts {
   return {domain: 0, rack: 0, target: 0, half: 0, accelerator: 0};
 }
--- a/packages/placement/src/evacuation.ts
+++ b/packages/placement/src/evacuation.ts
@@ -2,11 +2,11 @@
 import {type Reason, createReason} from '@galenavalve/model';
 import type {Cells} from './cells.js';
 import type {RunningGang} from './policy.js';
-import {expectedEnd} from './reservation.js';
+import {estimateEnd} from './reservation.js';
 import type {TargetCell} from './target_cell.js';
 
 /** What happens to a gang that runs on a part that is being emptied. */
-export type EvacuationStep =
+export type EvacuationAction =
   /** Save its progress, stop it and queue it elsewhere. */
   | 'checkpoint'
   /** Let it end by itself. */
@@ -17,9 +17,9 @@
 /** The decision for one gang. */
 export interface EvacuationDecision {
   jobId: string;
-  step: EvacuationStep;
+  action: EvacuationAction;
   /** Wall-clock milliseconds at which the gang is expected to be gone. */
-  goneAt: number;
+  expectedEndAt: number;
   reason: Reason;
 }
 
@@ -41,16 +41,21 @@
 ): EvacuationDecision[] {
   const decisions: EvacuationDecision[] = [];
   const graceMs = cells.rules.checkpointGraceSeconds * 1000;
-  for (const gang of cells.gangs()) {
+  for (const gang of cells.listGangs()) {
     const part = findLeavingPart(cells, gang);
     if (part && !gang.stopping) {
-      const endsAt = expectedEnd(cells, gang, now);
+      const endsAt = estimateEnd(cells, gang, now);
       const step = chooseStep(gang, endsAt, now + graceMs, deadline);
       const goneAt = step === 'wait' ? endsAt : now + graceMs;
-      decisions.push({jobId: gang.jobId, step, goneAt, reason: part});
+      decisions.push({
+        jobId: gang.jobId,
+        action: step,
+        expectedEndAt: goneAt,
+        reason: part,
+      });
     }
   }
-  return decisions.sort((a, b) => a.goneAt - b.goneAt);
+  return decisions.sort((a, b) => a.expectedEndAt - b.expectedEndAt);
 }
 
 function chooseStep(
@@ -58,7 +63,7 @@
   endsAt: number,
   graceEnd: number,
   deadline: number | undefined,
-): EvacuationStep {
+): EvacuationAction {
   const endsInTime = endsAt <= (deadline ?? Infinity);
   if (endsAt <= graceEnd) {
     return 'wait';
--- a/packages/placement/src/target_evidence.ts
+++ b/packages/placement/src/failure_tracker.ts
@@ -18,10 +18,10 @@
 }
 
 /** Whether work may be placed on a target. */
-export type Standing = 'good' | 'on-trial' | 'quarantined';
+export type QuarantineState = 'good' | 'on-trial' | 'quarantined';
 
 /** Counts failures by target and by job. */
-export class TargetEvidence {
+export class FailureTracker {
   private readonly targets = new Map<string, TargetRecord>();
   private readonly failedTargets = new Map<string, Set<string>>();
 
@@ -35,9 +35,9 @@
   // Commands
 
   /** Notes that a task of a job failed on a target. */
-  noteFailure(jobId: string, target: string, now: number): void {
+  recordFailure(jobId: string, target: string, now: number): void {
     const record = this.recordOf(target);
-    const isTrial = this.standing(target, now) === 'on-trial';
+    const isTrial = this.getQuarantineState(target, now) === 'on-trial';
     record.failedJobs.add(jobId);
     if (isTrial || record.failedJobs.size >= this.rules.quarantineFailures) {
       this.quarantine(record, now);
@@ -46,7 +46,7 @@
   }
 
   /** Notes that a job finished well on a target. */
-  noteSuccess(jobId: string, target: string): void {
+  recordSuccess(jobId: string, target: string): void {
     this.targets.delete(target);
     this.failedTargets.delete(jobId);
   }
@@ -59,7 +59,7 @@
   // Queries
 
   /** A target on trial gets repeatable work only. */
-  standing(target: string, now: number): Standing {
+  getQuarantineState(target: string, now: number): QuarantineState {
     const record = this.targets.get(target);
     if (!record || record.quarantines === 0) {
       return 'good';
@@ -68,7 +68,7 @@
   }
 
   /** When a quarantine ends, in wall-clock milliseconds; undefined when there is none. */
-  quarantinedUntil(target: string): number | undefined {
+  getQuarantineEnd(target: string): number | undefined {
     const record = this.targets.get(target);
     return record && record.quarantines > 0
       ? record.quarantinedUntil
@@ -76,13 +76,13 @@
   }
 
   /** Targets that a job failed on. */
-  avoidedBy(jobId: string): string[] {
+  listFailedTargets(jobId: string): string[] {
     return [...(this.failedTargets.get(jobId) ?? [])];
   }
 
   /** Whether failures on different targets, each good to other jobs, end a job. */
-  isJobBad(jobId: string): boolean {
-    const good = this.avoidedBy(jobId).filter(
+  isJobFailing(jobId: string): boolean {
+    const good = this.listFailedTargets(jobId).filter(
       target => !this.isSuspect(target, jobId),
     );
     return good.length >= this.rules.jobFailures;
--- a/packages/placement/src/first_fit.ts
+++ b/packages/placement/src/first_fit_policy.ts
@@ -6,7 +6,7 @@
   createReason,
 } from '@galenavalve/model';
 import {Cells} from './cells.js';
-import {describeGang, findConstraint} from './impossibility.js';
+import {describeGang, findUnmetConstraint} from './infeasibility.js';
 import type {
   DomainCells,
   PassDecisions,
@@ -17,7 +17,7 @@
 import {findFirstFit} from './first_fit_search.js';
 
 /** Starts each job, in the order of arrival, on the first targets that fit. */
-export class FirstFit implements Policy {
+export class FirstFitPolicy implements Policy {
   readonly name = 'first-fit';
 
   createCells(domain: string, configuration: Configuration): Cells {
@@ -35,7 +35,7 @@
     for (const job of order) {
       const assignments = own.isInService && findFirstFit(own, job);
       if (assignments) {
-        own.occupy(toRunningGang(job, assignments, false, now));
+        own.addGang(toRunningGang(job, assignments, false, now));
         const reason = createReason('placed-borrowed', {
           targets: describeTargets(assignments),
         });
@@ -52,12 +52,12 @@
         });
       }
     }
-    decisions.placements.forEach(({jobId}) => own.vacate(jobId));
+    decisions.placements.forEach(({jobId}) => own.removeGang(jobId));
     return decisions;
   }
 
-  findImpossibility(cells: DomainCells, job: WaitingJob): Reason | undefined {
-    return findConstraint(cells as Cells, job);
+  findInfeasibility(cells: DomainCells, job: WaitingJob): Reason | undefined {
+    return findUnmetConstraint(cells as Cells, job);
   }
 }
 
@@ -100,6 +100,6 @@
   }
   return createReason('waiting-capacity', {
     missing: describeGang(job),
-    available: `${cells.largestFree(job.gang.adjacency)} accelerators`,
+    available: `${cells.getMaxFreeAccelerators(job.gang.adjacency)} accelerators`,
   });
 }
--- a/packages/placement/src/first_fit_search.ts
+++ b/packages/placement/src/first_fit_search.ts
@@ -1,8 +1,8 @@
 /** The search of the baselines: the first targets, in order, that hold a gang. */
 import type {Assignment} from '@galenavalve/model';
-import {lowestBits} from './accelerator_mask.js';
+import {selectLowestBits} from './accelerator_mask.js';
 import type {Cells} from './cells.js';
-import {type SearchRequest, freeRoom} from './search.js';
+import {type SearchRequest, createFreeView} from './best_fit_search.js';
 import {type TargetCell, countFitting} from './target_cell.js';
 
 /** Finds the first place for a gang, or undefined. */
@@ -43,7 +43,7 @@
   request: SearchRequest,
 ): Assignment[] | undefined {
   const {tasks, perTask} = request.gang;
-  const view = freeRoom(request);
+  const view = createFreeView(request);
   const assignments: Assignment[] = [];
   let firstTask = 0;
   for (const target of targets) {
@@ -55,7 +55,7 @@
         target: target.id,
         firstTask,
         tasks: used,
-        accelerators: lowestBits(
+        accelerators: selectLowestBits(
           room.accelerators,
           used * perTask.accelerators,
         ),
--- a/packages/placement/src/guarantee_check.ts
+++ b/packages/placement/src/guarantee_check.ts
@@ -1,7 +1,7 @@
 /** Refuses configurations that promise more than their inventory holds. */
 import type {Configuration, Target, Workspace} from '@galenavalve/model';
 import {Failure, hashValue} from '@galenavalve/shared';
-import {describeShortfall, findShortfall} from './shortfall.js';
+import {describeShortfall, findShortfalls} from './shortfall.js';
 
 /**
  * The failure that names the first shortfall, or undefined. A pure function:
@@ -12,10 +12,10 @@
   configuration: Configuration,
   previous?: Configuration,
 ): Failure | undefined {
-  if (previous && !hasPromiseChange(configuration, previous)) {
+  if (previous && !hasGuaranteeChange(configuration, previous)) {
     return undefined;
   }
-  const first = findShortfall(configuration)[0];
+  const first = findShortfalls(configuration)[0];
   return (
     first &&
     new Failure('guarantee-shortfall', {shortfall: describeShortfall(first)})
@@ -23,7 +23,7 @@
 }
 
 /** Tells whether anything changed that promises rest on. Service states do not count: a take-out must pass, and leaves promises short for a while. */
-export function hasPromiseChange(
+export function hasGuaranteeChange(
   next: Configuration,
   previous: Configuration,
 ): boolean {
--- a/packages/placement/src/galena_policy.ts
+++ b/packages/placement/src/guarantee_policy.ts
@@ -2,7 +2,7 @@
 import type {Configuration, Reason} from '@galenavalve/model';
 import {Cells} from './cells.js';
 import {DecisionPass} from './decision_pass.js';
-import {findConstraint} from './impossibility.js';
+import {findUnmetConstraint} from './infeasibility.js';
 import type {DomainCells, PassDecisions, Policy, WaitingJob} from './policy.js';
 
 /**
@@ -10,7 +10,7 @@
  * expected length, fair share and age, with a place kept for the oldest large
  * job.
  */
-export class GalenaPolicy implements Policy {
+export class GuaranteePolicy implements Policy {
   readonly name = 'galenavalve';
 
   createCells(domain: string, configuration: Configuration): Cells {
@@ -25,7 +25,7 @@
     return new DecisionPass(cells as Cells, now).run(queue);
   }
 
-  findImpossibility(cells: DomainCells, job: WaitingJob): Reason | undefined {
-    return findConstraint(cells as Cells, job);
+  findInfeasibility(cells: DomainCells, job: WaitingJob): Reason | undefined {
+    return findUnmetConstraint(cells as Cells, job);
   }
 }
--- a/packages/placement/src/home.ts
+++ b/packages/placement/src/guaranteed_cell.ts
@@ -9,48 +9,51 @@
 import type {CellLevel} from '@galenavalve/model';
 import {countBits} from './accelerator_mask.js';
 import type {RunningGang} from './policy.js';
-import type {Room, TargetCell} from './target_cell.js';
-import {addTasks, capacityOf, subtractTasks} from './target_cell.js';
+import type {TargetResources, TargetCell} from './target_cell.js';
+import {addTasks, getCapacity, subtractTasks} from './target_cell.js';
 
 /** Accelerators of one target. */
-export interface Part {
+export interface TargetSlice {
   target: TargetCell;
   mask: number;
 }
 
 /** The physical cell of one guaranteed cell. */
-export interface Home {
+export interface GuaranteedCell {
   readonly workspace: string;
   readonly level: CellLevel;
-  parts: Part[];
+  slices: TargetSlice[];
 }
 
 /** Homes and guaranteed work of one workspace. */
-export interface WorkspaceHomes {
-  readonly homes: Set<Home>;
+export interface WorkspaceCells {
+  readonly cells: Set<GuaranteedCell>;
   /** Accelerators of its homes, by target. */
-  readonly masks: Map<TargetCell, number>;
+  readonly masksByTarget: Map<TargetCell, number>;
   /** What its guaranteed gangs use, by target; sums are negative, the mask is not. */
-  readonly uses: Map<TargetCell, Room>;
+  readonly usageByTarget: Map<TargetCell, TargetResources>;
   /** Accelerators of its homes that its guaranteed gangs do not use. */
-  unused: number;
+  unusedAccelerators: number;
 }
 
 /** The homes of one failure domain. */
-export class HomeMap {
-  private readonly workspaces = new Map<string, WorkspaceHomes>();
-  private readonly homesByTarget = new Map<TargetCell, Set<Home>>();
+export class GuaranteedCellMap {
+  private readonly workspaces = new Map<string, WorkspaceCells>();
+  private readonly homesByTarget = new Map<TargetCell, Set<GuaranteedCell>>();
   private readonly usedMasks = new Map<TargetCell, number>();
 
   // Commands
 
   /** Adds a home whose parts no other home covers. */
-  add(home: Home): void {
-    const own = this.of(home.workspace);
-    own.homes.add(home);
-    for (const {target, mask} of home.parts) {
-      own.masks.set(target, (own.masks.get(target) ?? 0) | mask);
-      own.unused += countBits(mask);
+  add(home: GuaranteedCell): void {
+    const own = this.getWorkspace(home.workspace);
+    own.cells.add(home);
+    for (const {target, mask} of home.slices) {
+      own.masksByTarget.set(
+        target,
+        (own.masksByTarget.get(target) ?? 0) | mask,
+      );
+      own.unusedAccelerators += countBits(mask);
       let homes = this.homesByTarget.get(target);
       if (!homes) {
         homes = new Set();
@@ -60,25 +63,25 @@
     }
   }
 
-  remove(home: Home): void {
-    const own = this.of(home.workspace);
-    own.homes.delete(home);
-    for (const {target, mask} of home.parts) {
-      const rest = (own.masks.get(target) ?? 0) & ~mask;
+  remove(home: GuaranteedCell): void {
+    const own = this.getWorkspace(home.workspace);
+    own.cells.delete(home);
+    for (const {target, mask} of home.slices) {
+      const rest = (own.masksByTarget.get(target) ?? 0) & ~mask;
       if (rest === 0) {
-        own.masks.delete(target);
+        own.masksByTarget.delete(target);
       } else {
-        own.masks.set(target, rest);
+        own.masksByTarget.set(target, rest);
       }
-      own.unused -= countBits(mask);
+      own.unusedAccelerators -= countBits(mask);
       this.homesByTarget.get(target)?.delete(home);
     }
   }
 
   /** Notes that a guaranteed gang runs on a target. */
-  use(gang: RunningGang, {target, mask}: Part, tasks: number): void {
-    const own = this.of(gang.workspace);
-    const {uses} = own;
+  addUse(gang: RunningGang, {target, mask}: TargetSlice, tasks: number): void {
+    const own = this.getWorkspace(gang.workspace);
+    const {usageByTarget: uses} = own;
     let used = uses.get(target);
     if (!used) {
       used = {accelerators: 0, processors: 0, memoryMb: 0, slots: 0};
@@ -86,14 +89,18 @@
     }
     subtractTasks(used, gang.gang.perTask, tasks, 0);
     used.accelerators |= mask;
-    own.unused -= countBits(mask);
-    this.usedMasks.set(target, this.usedMask(target) | mask);
+    own.unusedAccelerators -= countBits(mask);
+    this.usedMasks.set(target, this.getUsedMask(target) | mask);
   }
 
   /** Takes back what `use` noted. */
-  unuse(gang: RunningGang, {target, mask}: Part, tasks: number): void {
-    const own = this.of(gang.workspace);
-    const {uses} = own;
+  removeUse(
+    gang: RunningGang,
+    {target, mask}: TargetSlice,
+    tasks: number,
+  ): void {
+    const own = this.getWorkspace(gang.workspace);
+    const {usageByTarget: uses} = own;
     const used = uses.get(target);
     if (!used) {
       return;
@@ -103,47 +110,52 @@
     if (used.slots === 0) {
       uses.delete(target);
     }
-    own.unused += countBits(mask);
-    this.usedMasks.set(target, this.usedMask(target) & ~mask);
+    own.unusedAccelerators += countBits(mask);
+    this.usedMasks.set(target, this.getUsedMask(target) & ~mask);
   }
 
   // Queries
 
-  of(workspace: string): WorkspaceHomes {
+  getWorkspace(workspace: string): WorkspaceCells {
     let own = this.workspaces.get(workspace);
     if (!own) {
-      own = {homes: new Set(), masks: new Map(), uses: new Map(), unused: 0};
+      own = {
+        cells: new Set(),
+        masksByTarget: new Map(),
+        usageByTarget: new Map(),
+        unusedAccelerators: 0,
+      };
       this.workspaces.set(workspace, own);
     }
     return own;
   }
 
-  all(): Iterable<[string, WorkspaceHomes]> {
+  listWorkspaces(): Iterable<[string, WorkspaceCells]> {
     return this.workspaces;
   }
 
-  on(target: TargetCell): ReadonlySet<Home> {
+  listCellsOn(target: TargetCell): ReadonlySet<GuaranteedCell> {
     return this.homesByTarget.get(target) ?? NO_HOMES;
   }
 
   /** Accelerators of a target that are promised to anybody. */
-  promisedMask(target: TargetCell): number {
+  getGuaranteedMask(target: TargetCell): number {
     let mask = 0;
-    for (const home of this.on(target)) {
-      mask |= maskOn(home, target);
+    for (const home of this.listCellsOn(target)) {
+      mask |= getMaskOn(home, target);
     }
     return mask;
   }
 
   /** Accelerators of a target that guaranteed gangs use. */
-  usedMask(target: TargetCell): number {
+  getUsedMask(target: TargetCell): number {
     return this.usedMasks.get(target) ?? 0;
   }
 
   /** Whether guaranteed work of its workspace runs in a home. */
-  isBound(home: Home): boolean {
-    const {uses} = this.of(home.workspace);
-    return home.parts.some(({target, mask}) => {
+  isBound(home: GuaranteedCell): boolean {
+    const {usageByTarget: uses} = this.getWorkspace(home.workspace);
+    return home.slices.some(({target, mask}) => {
       const used = uses.get(target);
       return (
         used !== undefined &&
@@ -156,12 +168,15 @@
    * The part of a target that a workspace is promised. Processors, memory and
    * slots are shared in proportion to accelerators.
    */
-  promisedRoom(workspace: string, target: TargetCell): Room | undefined {
-    const mask = this.of(workspace).masks.get(target);
+  getGuaranteedResources(
+    workspace: string,
+    target: TargetCell,
+  ): TargetResources | undefined {
+    const mask = this.getWorkspace(workspace).masksByTarget.get(target);
     if (!mask) {
       return undefined;
     }
-    const capacity = capacityOf(target.spec);
+    const capacity = getCapacity(target.spec);
     const share = countBits(mask) / target.spec.accelerators;
     return {
       accelerators: mask,
@@ -172,9 +187,12 @@
   }
 
   /** What a workspace may still use of a target within its guarantee, counting borrowers as absent. */
-  guaranteedRoom(workspace: string, target: TargetCell): Room | undefined {
-    const room = this.promisedRoom(workspace, target);
-    const used = this.of(workspace).uses.get(target);
+  getRemainingGuarantee(
+    workspace: string,
+    target: TargetCell,
+  ): TargetResources | undefined {
+    const room = this.getGuaranteedResources(workspace, target);
+    const used = this.getWorkspace(workspace).usageByTarget.get(target);
     if (room && used) {
       room.accelerators &= ~used.accelerators;
       room.processors += used.processors;
@@ -186,8 +204,8 @@
 }
 
 /** The accelerators of a home on one target. */
-export function maskOn(home: Home, target: TargetCell): number {
-  return home.parts.find(part => part.target === target)?.mask ?? 0;
+export function getMaskOn(home: GuaranteedCell, target: TargetCell): number {
+  return home.slices.find(part => part.target === target)?.mask ?? 0;
 }
 
-const NO_HOMES: ReadonlySet<Home> = new Set();
+const NO_HOMES: ReadonlySet<GuaranteedCell> = new Set();
--- a/packages/placement/src/guaranteed_search.ts
+++ b/packages/placement/src/guaranteed_search.ts
@@ -1,23 +1,23 @@
 /** The search for a place within a workspace's guarantee. */
 import type {Assignment} from '@galenavalve/model';
 import type {Cells} from './cells.js';
-import {maskOn} from './home.js';
-import {claimPlace} from './home_exchange.js';
+import {getMaskOn} from './guaranteed_cell.js';
+import {relocateCells} from './cell_relocation.js';
 import {
-  type RoomView,
+  type ResourceView,
   type SearchRequest,
   findBestFit,
   isUsable,
   placeAmong,
-} from './search.js';
-import type {Room, TargetCell} from './target_cell.js';
+} from './best_fit_search.js';
+import type {TargetResources, TargetCell} from './target_cell.js';
 
 /** The targets that a reservation leaves open to a job. */
-export interface OpenTargets {
+export interface ReservationFilter {
   /** Whether it may start there in its own homes. */
-  home: (target: TargetCell) => boolean;
+  isOpenInGuarantee: (target: TargetCell) => boolean;
   /** Whether it may start there otherwise. */
-  elsewhere: (target: TargetCell) => boolean;
+  isOpenElsewhere: (target: TargetCell) => boolean;
 }
 
 /**
@@ -27,20 +27,27 @@
 export function findGuaranteedPlace(
   cells: Cells,
   request: SearchRequest,
-  isOpen: OpenTargets,
+  isOpen: ReservationFilter,
 ): Assignment[] | undefined {
-  const inBound = placeAmong(listHomeGroups(cells, request.workspace), {
-    gang: request.gang,
-    view: target =>
-      isOpen.home(target) ? freeBoundRoom(cells, request, target) : undefined,
-  });
+  const inBound = placeAmong(
+    groupGuaranteedTargetsByRack(cells, request.workspace),
+    {
+      gang: request.gang,
+      view: target =>
+        isOpen.isOpenInGuarantee(target)
+          ? freeBoundRoom(cells, request, target)
+          : undefined,
+    },
+  );
   return (
     inBound ??
     findClaimable(cells, request, isOpen) ??
-    placeAmong(listHomeGroups(cells, request.workspace), {
+    placeAmong(groupGuaranteedTargetsByRack(cells, request.workspace), {
       gang: request.gang,
       view: target =>
-        isOpen.home(target) ? freeHomeRoom(cells, request, target) : undefined,
+        isOpen.isOpenInGuarantee(target)
+          ? freeHomeRoom(cells, request, target)
+          : undefined,
     })
   );
 }
@@ -49,37 +56,39 @@
 function findClaimable(
   cells: Cells,
   request: SearchRequest,
-  isOpen: OpenTargets,
+  isOpen: ReservationFilter,
 ): Assignment[] | undefined {
   if (request.gang.perTask.accelerators === 0) {
     return undefined;
   }
-  const view: RoomView = target =>
-    isOpen.elsewhere(target) && isUsable(request, target)
+  const view: ResourceView = target =>
+    isOpen.isOpenElsewhere(target) && isUsable(request, target)
       ? target.free
       : undefined;
   const place = findBestFit(cells, request, view);
-  return place && claimPlace(cells, request, place) ? place : undefined;
+  return place && relocateCells(cells, request, place) ? place : undefined;
 }
 
 /** What a workspace may use of a target within its guarantee, counting borrowers as absent. */
-export function reclaimableRoom(
+export function createReclaimableView(
   cells: Cells,
   request: SearchRequest,
-): RoomView {
+): ResourceView {
   return target =>
     isUsable(request, target)
-      ? cells.homes.guaranteedRoom(request.workspace, target)
+      ? cells.guaranteedCells.getRemainingGuarantee(request.workspace, target)
       : undefined;
 }
 
 /** The targets with homes of a workspace, grouped by rack, the smallest group first. */
-export function listHomeGroups(
+export function groupGuaranteedTargetsByRack(
   cells: Cells,
   workspace: string,
 ): (readonly TargetCell[])[] {
   const groups = new Map<object, TargetCell[]>();
-  for (const target of cells.homes.of(workspace).masks.keys()) {
+  for (const target of cells.guaranteedCells
+    .getWorkspace(workspace)
+    .masksByTarget.keys()) {
     const group = groups.get(target.rack);
     if (group) {
       group.push(target);
@@ -96,7 +105,10 @@
 }
 
 /** The smaller of two amounts of each resource. */
-export function intersectRooms(a: Room, b: Room): Room {
+export function intersectResources(
+  a: TargetResources,
+  b: TargetResources,
+): TargetResources {
   return {
     accelerators: a.accelerators & b.accelerators,
     processors: Math.min(a.processors, b.processors),
@@ -110,15 +122,15 @@
   cells: Cells,
   request: SearchRequest,
   target: TargetCell,
-): Room | undefined {
-  const {homes} = cells;
-  if (!homes.of(request.workspace).uses.has(target)) {
+): TargetResources | undefined {
+  const {guaranteedCells: homes} = cells;
+  if (!homes.getWorkspace(request.workspace).usageByTarget.has(target)) {
     return undefined;
   }
   let bound = 0;
-  for (const home of homes.on(target)) {
+  for (const home of homes.listCellsOn(target)) {
     if (home.workspace === request.workspace && homes.isBound(home)) {
-      bound |= maskOn(home, target);
+      bound |= getMaskOn(home, target);
     }
   }
   const room = freeHomeRoom(cells, request, target);
@@ -129,10 +141,13 @@
   cells: Cells,
   request: SearchRequest,
   target: TargetCell,
-): Room | undefined {
+): TargetResources | undefined {
   if (!isUsable(request, target)) {
     return undefined;
   }
-  const room = cells.homes.guaranteedRoom(request.workspace, target);
-  return room && intersectRooms(room, target.free);
+  const room = cells.guaranteedCells.getRemainingGuarantee(
+    request.workspace,
+    target,
+  );
+  return room && intersectResources(room, target.free);
 }
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -2,28 +2,33 @@
 
 // Decisions
 export * from './policy.js';
-export {GalenaPolicy} from './galena_policy.js';
-export {FirstFit} from './first_fit.js';
-export {Quota} from './quota.js';
+export {GuaranteePolicy} from './guarantee_policy.js';
+export {FirstFitPolicy} from './first_fit_policy.js';
+export {QuotaPolicy} from './quota_policy.js';
 
 // Guarantees
-export {type Apportionment, apportionGuarantees} from './apportion.js';
-export type {DomainPromise, Shortfall} from './promise.js';
+export {type Apportionment, apportionGuarantees} from './apportionment.js';
+export type {DomainGuarantee, Shortfall} from './domain_guarantee.js';
 export {
   type TargetPredicate,
-  describeGuarantees,
+  listGuaranteeViews,
   describeShortfall,
-  findShortfall,
-  inServiceOnly,
+  findShortfalls,
+  createInServiceFilter,
 } from './shortfall.js';
 export {findGuaranteeFailure} from './guarantee_check.js';
 
 // Cells
 export {Cells} from './cells.js';
-export type {Home, HomeMap, Part, WorkspaceHomes} from './home.js';
-export {type Room, TargetCell, countFitting} from './target_cell.js';
-export {countBits, halfMasks} from './accelerator_mask.js';
-export {type SearchRequest, findBestFit} from './search.js';
+export type {
+  GuaranteedCell,
+  GuaranteedCellMap,
+  TargetSlice,
+  WorkspaceCells,
+} from './guaranteed_cell.js';
+export {type TargetResources, TargetCell, countFitting} from './target_cell.js';
+export {countBits, listHalfMasks} from './accelerator_mask.js';
+export {type SearchRequest, findBestFit} from './best_fit_search.js';
 
 // Failure domains
 export {
@@ -34,22 +39,26 @@
   chooseDomain,
   estimateBacklog,
   findMove,
-  startOptions,
+  START_OPTIONS,
   summarizeDomain,
 } from './routing.js';
 export {
   type EvacuationDecision,
   type EvacuationRequest,
-  type EvacuationStep,
+  type EvacuationAction,
   decideEvacuation,
 } from './evacuation.js';
 
 // Evidence and usage
-export {type Standing, TargetEvidence} from './target_evidence.js';
+export {type QuarantineState, FailureTracker} from './failure_tracker.js';
 export {
   type Throttle,
   type UsageReport,
   MAX_REPORT_AGE_MS,
   decideThrottle,
 } from './throttle.js';
-export {EstimateBook, MEDIAN, UPPER} from './estimate.js';
+export {
+  RunTimeEstimator,
+  MEDIAN_QUANTILE,
+  UPPER_QUANTILE,
+} from './run_time_estimator.js';
--- a/packages/placement/src/impossibility.ts
+++ b/packages/placement/src/infeasibility.ts
@@ -2,17 +2,17 @@
 import {type Reason, createReason} from '@galenavalve/model';
 import type {Cells} from './cells.js';
 import type {WaitingJob} from './policy.js';
-import {capacityOf, countFitting} from './target_cell.js';
+import {getCapacity, countFitting} from './target_cell.js';
 
 /** Tasks of one demand that an empty domain can hold, at each level. */
-export interface Holding {
+export interface TaskCapacity {
   target: number;
   rack: number;
   domain: number;
 }
 
 /** The constraint that a job can never meet in the domain, or undefined. */
-export function findConstraint(
+export function findUnmetConstraint(
   cells: Cells,
   job: WaitingJob,
 ): Reason | undefined {
@@ -22,7 +22,7 @@
     return createReason('never-unknown-workspace', {workspace: id});
   }
   const permitted = workspace.permittedDomains;
-  const holding = countHolding(cells, job);
+  const holding = computeTaskCapacity(cells, job);
   if (holding.target === 0 || permitted?.includes(cells.domain) === false) {
     return createReason('never-permitted', {workspace: id});
   }
@@ -38,17 +38,17 @@
 }
 
 /** Counts the tasks that fit when nothing else runs and every target is well. */
-export function countHolding(
+export function computeTaskCapacity(
   cells: Cells,
   job: WaitingJob,
   isUsable: (target: string) => boolean = () => true,
-): Holding {
-  const holding: Holding = {target: 0, rack: 0, domain: 0};
+): TaskCapacity {
+  const holding: TaskCapacity = {target: 0, rack: 0, domain: 0};
   for (const rack of cells.racks.values()) {
     let inRack = 0;
     for (const target of rack.targets) {
       if (target.permits(job.workspace) && isUsable(target.id)) {
-        const tasks = countFitting(capacityOf(target.spec), job.gang.perTask);
+        const tasks = countFitting(getCapacity(target.spec), job.gang.perTask);
         holding.target = Math.max(holding.target, tasks);
         inRack += tasks;
       }
--- a/packages/placement/src/policy.ts
+++ b/packages/placement/src/policy.ts
@@ -87,10 +87,10 @@
   /** Takes over inventory, workspaces and rules. Running gangs stay. */
   configure(configuration: Configuration): void;
   setCondition(target: string, condition: TargetCondition): void;
-  occupy(gang: RunningGang): void;
-  vacate(jobId: string): void;
+  addGang(gang: RunningGang): void;
+  removeGang(jobId: string): void;
   /** Notes a run time, to correct later estimates. */
-  learn(
+  recordRunTime(
     workspace: string,
     kind: string,
     declaredSeconds: number,
@@ -98,10 +98,10 @@
   ): void;
 
   // Queries
-  gangs(): Iterable<RunningGang>;
-  condition(target: string): TargetCondition;
-  acceleratorsUsed(target: string): number;
-  tasksOn(target: string): number;
+  listGangs(): Iterable<RunningGang>;
+  getCondition(target: string): TargetCondition;
+  countUsedAccelerators(target: string): number;
+  countTasksOn(target: string): number;
 }
 
 /** A way to decide who runs where. */
@@ -116,5 +116,5 @@
     now: number,
   ): PassDecisions;
   /** Why the job can never run in this domain, or undefined when it can. */
-  findImpossibility(cells: DomainCells, job: WaitingJob): Reason | undefined;
+  findInfeasibility(cells: DomainCells, job: WaitingJob): Reason | undefined;
 }
--- a/packages/placement/src/queue_order.ts
+++ b/packages/placement/src/queue_order.ts
@@ -3,7 +3,7 @@
  * by the fair share of workspaces and by age.
  */
 import type {Cells} from './cells.js';
-import {MEDIAN} from './estimate.js';
+import {MEDIAN_QUANTILE} from './run_time_estimator.js';
 import type {WaitingJob} from './policy.js';
 
 /** A job with its place in the order. */
@@ -43,7 +43,9 @@
 }
 
 /** Accelerators that a job needs. */
-export function sizeOf({gang}: Pick<WaitingJob, 'gang'>): number {
+export function countRequiredAccelerators({
+  gang,
+}: Pick<WaitingJob, 'gang'>): number {
   return gang.tasks * gang.perTask.accelerators;
 }
 
@@ -58,7 +60,7 @@
     job.workspace,
     job.kind,
     job.expectedSeconds,
-    MEDIAN,
+    MEDIAN_QUANTILE,
   );
   const work = Math.log2(1 + seconds);
   const waited = Math.max(0, now - job.submittedAt) / 1000;
--- a/packages/placement/src/quota.ts
+++ b/packages/placement/src/quota_policy.ts
@@ -10,9 +10,9 @@
   describeCapacityWait,
   describeTargets,
   toRunningGang,
-} from './first_fit.js';
+} from './first_fit_policy.js';
 import {findFirstFit} from './first_fit_search.js';
-import {findConstraint} from './impossibility.js';
+import {findUnmetConstraint} from './infeasibility.js';
 import type {
   DomainCells,
   PassDecisions,
@@ -20,13 +20,13 @@
   RunningGang,
   WaitingJob,
 } from './policy.js';
-import {sizeOf} from './queue_order.js';
+import {countRequiredAccelerators} from './queue_order.js';
 
 /**
  * Starts jobs in the order of arrival, those within the quota of their
  * workspace first; they stop the youngest borrowers when there is no room.
  */
-export class Quota implements Policy {
+export class QuotaPolicy implements Policy {
   readonly name = 'quota';
 
   createCells(domain: string, configuration: Configuration): Cells {
@@ -41,8 +41,8 @@
     return new QuotaPass(cells as Cells, now).run(queue);
   }
 
-  findImpossibility(cells: DomainCells, job: WaitingJob): Reason | undefined {
-    return findConstraint(cells as Cells, job);
+  findInfeasibility(cells: DomainCells, job: WaitingJob): Reason | undefined {
+    return findUnmetConstraint(cells as Cells, job);
   }
 }
 
@@ -60,7 +60,7 @@
     private readonly now: number,
   ) {
     this.quotas = countQuotas(cells);
-    for (const gang of cells.gangs()) {
+    for (const gang of cells.listGangs()) {
       if (gang.guaranteed) {
         this.spend(gang.workspace, countAccelerators(gang));
       }
@@ -71,20 +71,20 @@
     const order = [...queue].sort((a, b) => a.submittedAt - b.submittedAt);
     const others = order.filter(job => !this.decideWithin(job));
     others.forEach(job => this.decideBeyond(job));
-    this.trials.forEach(id => this.cells.vacate(id));
+    this.trials.forEach(id => this.cells.removeGang(id));
     return this.decisions;
   }
 
   private decideWithin(job: WaitingJob): boolean {
     const quota = this.quotas.get(job.workspace) ?? 0;
-    if (!this.cells.isInService || quota < sizeOf(job)) {
+    if (!this.cells.isInService || quota < countRequiredAccelerators(job)) {
       return false;
     }
     const place = findFirstFit(this.cells, job);
     if (!place && !this.reclaim(job)) {
       return false;
     }
-    this.spend(job.workspace, sizeOf(job));
+    this.spend(job.workspace, countRequiredAccelerators(job));
     if (place) {
       this.place(job, place, true);
     }
@@ -103,7 +103,7 @@
 
   /** Stops the youngest borrowers until the job would fit. */
   private reclaim(job: WaitingJob): boolean {
-    const borrowers = [...this.cells.gangs()]
+    const borrowers = [...this.cells.listGangs()]
       .filter(gang => !gang.guaranteed)
       .sort(
         (a, b) =>
@@ -112,14 +112,14 @@
     const removed: RunningGang[] = [];
     let place: Assignment[] | undefined;
     for (const gang of borrowers) {
-      this.cells.vacate(gang.jobId);
+      this.cells.removeGang(gang.jobId);
       removed.push(gang);
       place = findFirstFit(this.cells, job);
       if (place) {
         break;
       }
     }
-    removed.forEach(gang => this.cells.occupy(gang));
+    removed.forEach(gang => this.cells.addGang(gang));
     if (!place) {
       return false;
     }
@@ -151,7 +151,7 @@
   private hold(job: WaitingJob, place: Assignment[]): void {
     const gang = toRunningGang(job, place, true, this.now);
     gang.jobId = `hold/${job.jobId}`;
-    this.cells.occupy(gang);
+    this.cells.addGang(gang);
     this.trials.push(gang.jobId);
   }
 
@@ -160,7 +160,7 @@
     assignments: Assignment[],
     guaranteed: boolean,
   ): void {
-    this.cells.occupy(toRunningGang(job, assignments, guaranteed, this.now));
+    this.cells.addGang(toRunningGang(job, assignments, guaranteed, this.now));
     this.trials.push(job.jobId);
     const code = guaranteed ? 'placed-guaranteed' : 'placed-borrowed';
     const {jobId, workspace} = job;
@@ -178,9 +178,9 @@
 /** Accelerators that workspaces are promised in the domain. */
 function countQuotas(cells: Cells): Map<string, number> {
   const quotas = new Map<string, number>();
-  for (const {workspace, level, count} of cells.promises) {
+  for (const {workspace, level, count} of cells.guarantees) {
     const before = quotas.get(workspace) ?? 0;
-    quotas.set(workspace, before + count * cells.sizeOfLevel(level));
+    quotas.set(workspace, before + count * cells.getMaxCellSize(level));
   }
   return quotas;
 }
--- a/packages/placement/src/reclaim.ts
+++ b/packages/placement/src/reclaim.ts
@@ -3,14 +3,18 @@
 import {chooseAccelerators} from './accelerator_mask.js';
 import {type Cells, countAccelerators} from './cells.js';
 import {
-  intersectRooms,
-  listHomeGroups,
-  reclaimableRoom,
+  intersectResources,
+  groupGuaranteedTargetsByRack,
+  createReclaimableView,
 } from './guaranteed_search.js';
 import type {RunningGang} from './policy.js';
-import {type Portion, type SearchRequest, listPortions} from './search.js';
 import {
-  type Room,
+  type TargetCandidate,
+  type SearchRequest,
+  listCandidates,
+} from './best_fit_search.js';
+import {
+  type TargetResources,
   type TargetCell,
   addTasks,
   countFitting,
@@ -54,7 +58,7 @@
 }
 
 /** Expected loss of work when a gang is stopped now, in accelerator seconds. */
-export function costOfStop(gang: RunningGang, now: number): number {
+export function estimateStopCost(gang: RunningGang, now: number): number {
   const accelerators = Math.max(1, countAccelerators(gang));
   const since = gang.checkpointable ? gang.savedAt : gang.startedAt;
   const seconds = Math.max(0, now - since) / 1000;
@@ -71,7 +75,7 @@
   cells: Cells,
   request: SearchRequest,
 ): (readonly TargetCell[])[] {
-  const groups = listHomeGroups(cells, request.workspace);
+  const groups = groupGuaranteedTargetsByRack(cells, request.workspace);
   if (request.gang.adjacency === 'rack') {
     return groups;
   }
@@ -103,8 +107,8 @@
 
   plan(): ReclaimPlan | undefined {
     const {gang} = this.request;
-    const view = reclaimableRoom(this.cells, this.request);
-    const portions = listPortions(this.targets, gang, view);
+    const view = createReclaimableView(this.cells, this.request);
+    const portions = listCandidates(this.targets, gang, view);
     const most = portions.reduce((sum, {tasks}) => sum + tasks, 0);
     if (most < gang.tasks) {
       return undefined;
@@ -134,7 +138,7 @@
   }
 
   /** Clears targets, the cheapest per task first, until the gang fits. */
-  private chooseVictims(portions: readonly Portion[]): void {
+  private chooseVictims(portions: readonly TargetCandidate[]): void {
     if (this.missing <= 0) {
       return;
     }
@@ -205,7 +209,7 @@
       .map(({target}) => target);
   }
 
-  private priceOf({target, tasks}: Portion): number {
+  private priceOf({target, tasks}: TargetCandidate): number {
     const gain = tasks - this.fits.get(target)!;
     const cost = this.borrowersOn(target)
       .filter(gang => !this.gone.has(gang))
@@ -237,15 +241,15 @@
   }
 
   /** Room within the guarantee that is free once the chosen gangs are gone. */
-  private roomOn(target: TargetCell): Room {
+  private roomOn(target: TargetCell): TargetResources {
     const free = {...target.free};
     for (const {gang, tasks, mask} of target.occupants.values()) {
       if (this.gone.has(gang)) {
         addTasks(free, gang.gang.perTask, tasks, mask);
       }
     }
-    const whole = reclaimableRoom(this.cells, this.request)(target)!;
-    return intersectRooms(whole, free);
+    const whole = createReclaimableView(this.cells, this.request)(target)!;
+    return intersectResources(whole, free);
   }
 
   private goneOn(target: TargetCell): RunningGang[] {
@@ -254,7 +258,9 @@
 
   /** Borrowers that use accelerators of the guarantee, or hold back its other resources. */
   private borrowersOn(target: TargetCell): RunningGang[] {
-    const own = this.cells.homes.of(this.request.workspace).masks.get(target)!;
+    const own = this.cells.guaranteedCells
+      .getWorkspace(this.request.workspace)
+      .masksByTarget.get(target)!;
     const isShort = this.isShort(target);
     const gangs: RunningGang[] = [];
     for (const {gang, mask} of target.occupants.values()) {
@@ -268,7 +274,7 @@
   /** Whether processors, memory or slots allow fewer tasks than the guarantee. */
   private isShort(target: TargetCell): boolean {
     const {perTask} = this.request.gang;
-    const whole = reclaimableRoom(this.cells, this.request)(target)!;
+    const whole = createReclaimableView(this.cells, this.request)(target)!;
     const room = {...target.free, accelerators: whole.accelerators};
     return countFitting(room, perTask) < countFitting(whole, perTask);
   }
@@ -276,7 +282,7 @@
   private costOf(gang: RunningGang): number {
     let cost = this.costs.get(gang);
     if (cost === undefined) {
-      cost = costOfStop(gang, this.now);
+      cost = estimateStopCost(gang, this.now);
       this.costs.set(gang, cost);
     }
     return cost;
--- a/packages/placement/src/reservation.ts
+++ b/packages/placement/src/reservation.ts
@@ -7,14 +7,14 @@
  * `rules.largeJobWaitSeconds`, nobody else starts there.
  */
 import type {Cells} from './cells.js';
-import {UPPER} from './estimate.js';
-import {listHomeGroups} from './guaranteed_search.js';
+import {UPPER_QUANTILE} from './run_time_estimator.js';
+import {groupGuaranteedTargetsByRack} from './guaranteed_search.js';
 import type {RunningGang, WaitingJob} from './policy.js';
-import {isUsable} from './search.js';
+import {isUsable} from './best_fit_search.js';
 import {
-  type Room,
+  type TargetResources,
   type TargetCell,
-  capacityOf,
+  getCapacity,
   countFitting,
 } from './target_cell.js';
 
@@ -23,12 +23,12 @@
   jobId: string;
   workspace: string;
   /** Whether the place lies within the guarantee of the job's workspace. */
-  isInHomes: boolean;
+  isWithinGuarantee: boolean;
   targets: ReadonlySet<TargetCell>;
   /** Wall-clock milliseconds at which the place is expected to be free. */
   freeAt: number;
   /** True when nobody else may start there. */
-  isClosed: boolean;
+  isExclusive: boolean;
 }
 
 /** Racks that are compared, those with the most free accelerators first. */
@@ -46,11 +46,11 @@
 
 /** Whether a job is large: it needs a whole target or more. */
 export function isLarge(cells: Cells, {gang}: WaitingJob): boolean {
-  return gang.tasks * gang.perTask.accelerators >= cells.targetSize;
+  return gang.tasks * gang.perTask.accelerators >= cells.maxTargetSize;
 }
 
 /** The place to keep for a job; undefined when no well targets can hold it. */
-export function reserve(
+export function planReservation(
   cells: Cells,
   job: WaitingJob,
   now: number,
@@ -60,21 +60,23 @@
   const kept = findKept(cells, job, now);
   const inHomes = kept ? undefined : findOpenings(cells, job, now, true);
   const openings = kept ?? inHomes ?? findOpenings(cells, job, now, false);
-  const isInHomes = kept ? cells.reservation!.isInHomes : inHomes !== undefined;
+  const isInHomes = kept
+    ? cells.reservation!.isWithinGuarantee
+    : inHomes !== undefined;
   return (
     openings && {
       jobId: job.jobId,
       workspace: job.workspace,
-      isInHomes,
+      isWithinGuarantee: isInHomes,
       targets: new Set(openings.map(({target}) => target)),
       freeAt: latest(openings),
-      isClosed,
+      isExclusive: isClosed,
     }
   );
 }
 
 /** Whether a job may start on a target in spite of the reservation. */
-export function isOpenTo(
+export function createReservationPredicate(
   reservation: Reservation | undefined,
   job: WaitingJob,
   endsAt: number,
@@ -82,14 +84,14 @@
   if (!reservation || reservation.jobId === job.jobId) {
     return () => true;
   }
-  if (!reservation.isClosed && endsAt <= reservation.freeAt) {
+  if (!reservation.isExclusive && endsAt <= reservation.freeAt) {
     return () => true;
   }
   return target => !reservation.targets.has(target);
 }
 
 /** Borrowers in the kept place that are smaller than the large job and keep their progress when stopped. */
-export function listMovable(
+export function listPreemptible(
   {targets}: Reservation,
   size: number,
 ): RunningGang[] {
@@ -107,7 +109,7 @@
 }
 
 /** When a gang is expected to have ended, with the upper estimate. */
-export function expectedEnd(
+export function estimateEnd(
   cells: Cells,
   gang: RunningGang,
   now: number,
@@ -116,7 +118,7 @@
     gang.workspace,
     gang.kind,
     gang.expectedSeconds,
-    UPPER,
+    UPPER_QUANTILE,
   );
   const end = gang.startedAt + seconds * 1000;
   const overdue = now + (now - gang.startedAt) * OVERDUE_SHARE;
@@ -135,7 +137,9 @@
   }
   const targets = [...kept.targets].map(({id}) => cells.targets.get(id));
   const present = targets.filter(target => target !== undefined);
-  const view = kept.isInHomes ? homeCapacity(cells, job) : wholeCapacity;
+  const view = kept.isWithinGuarantee
+    ? homeCapacity(cells, job)
+    : wholeCapacity;
   return fill(listOpenings(cells, job, present, now, view), job);
 }
 
@@ -147,12 +151,12 @@
   isInHomes: boolean,
 ): Opening[] | undefined {
   const groups = isInHomes
-    ? listHomeGroups(cells, job.workspace)
+    ? groupGuaranteedTargetsByRack(cells, job.workspace)
     : emptiestRacks(cells);
   const view = isInHomes ? homeCapacity(cells, job) : wholeCapacity;
   if (job.gang.adjacency === 'domain') {
     const targets = isInHomes
-      ? cells.homes.of(job.workspace).masks.keys()
+      ? cells.guaranteedCells.getWorkspace(job.workspace).masksByTarget.keys()
       : cells.targets.values();
     return fill(listOpenings(cells, job, targets, now, view), job);
   }
@@ -168,19 +172,20 @@
 
 /** What a target can hold for the job once others are gone, and which others it waits for. */
 interface Capacity {
-  room: (target: TargetCell) => Room | undefined;
+  room: (target: TargetCell) => TargetResources | undefined;
   isWaitedFor: (gang: RunningGang) => boolean;
 }
 
 const wholeCapacity: Capacity = {
-  room: target => capacityOf(target.spec),
+  room: target => getCapacity(target.spec),
   isWaitedFor: () => true,
 };
 
 /** Within a guarantee only the workspace's own guaranteed gangs are waited for. */
 function homeCapacity(cells: Cells, {workspace}: WaitingJob): Capacity {
   return {
-    room: target => cells.homes.promisedRoom(workspace, target),
+    room: target =>
+      cells.guaranteedCells.getGuaranteedResources(workspace, target),
     isWaitedFor: gang => gang.guaranteed && gang.workspace === workspace,
   };
 }
@@ -226,7 +231,7 @@
   let at = now;
   for (const {gang} of target.occupants.values()) {
     if (isWaitedFor(gang)) {
-      at = Math.max(at, expectedEnd(cells, gang, now));
+      at = Math.max(at, estimateEnd(cells, gang, now));
     }
   }
   return at;
--- a/packages/placement/src/routing.ts
+++ b/packages/placement/src/routing.ts
@@ -1,30 +1,30 @@
 /** Chooses the failure domain of a job, and moves queued jobs whose domain cannot serve them. */
 import {type Assignment, type Reason, createReason} from '@galenavalve/model';
 import type {Cells} from './cells.js';
-import {MEDIAN} from './estimate.js';
+import {MEDIAN_QUANTILE} from './run_time_estimator.js';
 import {findGuaranteedPlace} from './guaranteed_search.js';
-import {findConstraint} from './impossibility.js';
+import {findUnmetConstraint} from './infeasibility.js';
 import type {WaitingJob} from './policy.js';
-import {sizeOf} from './queue_order.js';
+import {countRequiredAccelerators} from './queue_order.js';
 import {planReclaim} from './reclaim.js';
-import {expectedEnd} from './reservation.js';
-import {findBestFit} from './search.js';
+import {estimateEnd} from './reservation.js';
+import {findBestFit} from './best_fit_search.js';
 
 /** How a job could start in a domain at once, best first. */
-export const startOptions = [
+export const START_OPTIONS = [
   'guaranteed',
   'borrowed',
   'reclaim',
   'none',
 ] as const;
-export type StartOption = (typeof startOptions)[number];
+export type StartOption = (typeof START_OPTIONS)[number];
 
 /** What routing knows of one failure domain for one job. */
 export interface DomainSummary {
   domain: string;
   isInService: boolean;
   /** Why the job can never run there, if it cannot. */
-  impossibility?: Reason;
+  infeasibility?: Reason;
   startOption: StartOption;
   /** Free accelerators of the rack in which the job would start; 0 when it would wait. */
   rackFree: number;
@@ -59,11 +59,17 @@
   job: WaitingJob,
   now: number,
 ): DomainSummary {
-  const impossibility = findConstraint(cells, job);
+  const impossibility = findUnmetConstraint(cells, job);
   const {domain, isInService} = cells;
   const start =
     impossibility || !isInService ? NO_START : findStart(cells, job, now);
-  return {domain, isInService, impossibility, ...start, backlogSeconds};
+  return {
+    domain,
+    isInService,
+    infeasibility: impossibility,
+    ...start,
+    backlogSeconds,
+  };
 }
 
 /**
@@ -74,7 +80,9 @@
 export function chooseDomain(
   summaries: readonly DomainSummary[],
 ): Route | undefined {
-  const possible = summaries.filter(({impossibility}) => !impossibility);
+  const possible = summaries.filter(
+    ({infeasibility: impossibility}) => !impossibility,
+  );
   const best = [...possible].sort(compareSummaries)[0];
   if (!best) {
     return undefined;
@@ -97,7 +105,7 @@
   now: number,
 ): Move | undefined {
   const candidates = others.filter(
-    ({impossibility, isInService, domain}) =>
+    ({infeasibility: impossibility, isInService, domain}) =>
       !impossibility && isInService && domain !== from.domain,
   );
   const best = candidates.sort(compareSummaries)[0];
@@ -111,7 +119,7 @@
   }
   const canStart = best.startOption !== 'none';
   const isStuck =
-    from.impossibility !== undefined || from.startOption === 'none';
+    from.infeasibility !== undefined || from.startOption === 'none';
   if (!canStart || !isStuck || now - arrivedAt < MOVE_AFTER_MS) {
     return undefined;
   }
@@ -131,21 +139,24 @@
       workspace,
       kind,
       expectedSeconds,
-      MEDIAN,
+      MEDIAN_QUANTILE,
     );
-    work += seconds * sizeOf(job);
+    work += seconds * countRequiredAccelerators(job);
   }
-  for (const gang of cells.gangs()) {
-    work += ((expectedEnd(cells, gang, now) - now) / 1000) * sizeOf(gang);
+  for (const gang of cells.listGangs()) {
+    work +=
+      ((estimateEnd(cells, gang, now) - now) / 1000) *
+      countRequiredAccelerators(gang);
   }
-  const capacity = cells.sizeOfLevel('domain');
+  const capacity = cells.getMaxCellSize('domain');
   return capacity === 0 ? Infinity : work / capacity;
 }
 
 function compareSummaries(a: DomainSummary, b: DomainSummary): number {
   return (
     Number(b.isInService) - Number(a.isInService) ||
-    startOptions.indexOf(a.startOption) - startOptions.indexOf(b.startOption) ||
+    START_OPTIONS.indexOf(a.startOption) -
+      START_OPTIONS.indexOf(b.startOption) ||
     a.rackFree - b.rackFree ||
     a.backlogSeconds - b.backlogSeconds ||
     (a.domain < b.domain ? -1 : 1)
@@ -158,8 +169,10 @@
 
 function findStart(cells: Cells, job: WaitingJob, now: number): Start {
   const isOpen = () => true;
-  const open = {home: isOpen, elsewhere: isOpen};
-  const hasGuarantee = cells.homes.of(job.workspace).unused >= sizeOf(job);
+  const open = {isOpenInGuarantee: isOpen, isOpenElsewhere: isOpen};
+  const hasGuarantee =
+    cells.guaranteedCells.getWorkspace(job.workspace).unusedAccelerators >=
+    countRequiredAccelerators(job);
   const guaranteed = hasGuarantee && findGuaranteedPlace(cells, job, open);
   if (guaranteed) {
     return toStart(cells, 'guaranteed', guaranteed);
--- a/packages/placement/src/estimate.ts
+++ b/packages/placement/src/run_time_estimator.ts
@@ -10,17 +10,17 @@
 const UNKNOWN_UPPER_FACTOR = 3;
 
 /** Quantile for planning of the order. */
-export const MEDIAN = 0.5;
+export const MEDIAN_QUANTILE = 0.5;
 
 /** Quantile for promises, such as backfill that must not delay another job. */
-export const UPPER = 0.9;
+export const UPPER_QUANTILE = 0.9;
 
 /** Ratios of actual to declared run time, per workspace and kind. */
-export class EstimateBook {
+export class RunTimeEstimator {
   private readonly ratios = new Map<string, RatioWindow>();
 
   /** Notes one run. */
-  learn(
+  recordRunTime(
     workspace: string,
     kind: string,
     declaredSeconds: number,
@@ -46,7 +46,7 @@
     quantile: number,
   ): number {
     const window = this.ratios.get(`${workspace}/${kind}`);
-    const guess = quantile > MEDIAN ? UNKNOWN_UPPER_FACTOR : 1;
+    const guess = quantile > MEDIAN_QUANTILE ? UNKNOWN_UPPER_FACTOR : 1;
     if (!window) {
       return declaredSeconds * guess;
     }
--- a/packages/placement/src/shortfall.ts
+++ b/packages/placement/src/shortfall.ts
@@ -1,9 +1,9 @@
 /** Says which promises an inventory cannot keep. */
 import type {Configuration, GuaranteeView, Target} from '@galenavalve/model';
-import {apportionOver} from './apportion.js';
-import {planHomes} from './home_planner.js';
+import {apportionOverInventories} from './apportionment.js';
+import {planGuaranteedCells} from './cell_planner.js';
 import {type Inventory, buildInventories} from './inventory.js';
-import type {DomainPromise, Shortfall} from './promise.js';
+import type {DomainGuarantee, Shortfall} from './domain_guarantee.js';
 
 /** Whether a target counts as capacity. */
 export type TargetPredicate = (target: Target) => boolean;
@@ -13,7 +13,7 @@
  * default all targets count, whatever their state: that is the check of a
  * configuration, which a take-out must pass.
  */
-export function findShortfall(
+export function findShortfalls(
   configuration: Configuration,
   isAvailable: TargetPredicate = () => true,
 ): Shortfall[] {
@@ -22,7 +22,7 @@
     configuration,
     configuration.domains.keys(),
   );
-  const apportionment = apportionOver(configuration, inventories);
+  const apportionment = apportionOverInventories(configuration, inventories);
   for (const [domain, promises] of apportionment) {
     const inventory = inventories.get(domain)!;
     const missing = findMissing(inventory, promises, isAvailable);
@@ -32,23 +32,25 @@
 }
 
 /** Counts a target when neither it nor its domain is leaving or out. */
-export function inServiceOnly(configuration: Configuration): TargetPredicate {
+export function createInServiceFilter(
+  configuration: Configuration,
+): TargetPredicate {
   return target =>
     target.state === 'in-service' &&
     configuration.domains.get(target.domain)?.state === 'in-service';
 }
 
 /** Every guarantee of every workspace, as promised and as it can be met with available targets. */
-export function describeGuarantees(
+export function listGuaranteeViews(
   configuration: Configuration,
-  isAvailable: TargetPredicate = inServiceOnly(configuration),
+  isAvailable: TargetPredicate = createInServiceFilter(configuration),
 ): Map<string, GuaranteeView[]> {
   const views = new Map<string, GuaranteeView[]>();
   const inventories = buildInventories(
     configuration,
     configuration.domains.keys(),
   );
-  const apportionment = apportionOver(configuration, inventories);
+  const apportionment = apportionOverInventories(configuration, inventories);
   for (const [domain, promises] of apportionment) {
     const missing = findMissing(
       inventories.get(domain)!,
@@ -76,12 +78,12 @@
 
 function findMissing(
   inventory: Inventory,
-  promises: readonly DomainPromise[],
+  promises: readonly DomainGuarantee[],
   isAvailable: TargetPredicate,
 ): Omit<Shortfall, 'domain'>[] {
-  const {missing} = planHomes({
+  const {unplaced: missing} = planGuaranteedCells({
     inventory,
-    promises,
+    guarantees: promises,
     isAvailable: target => isAvailable(target.spec),
     guaranteedGangs: [],
   });
@@ -93,8 +95,10 @@
   }));
 }
 
-function mergePromises(promises: readonly DomainPromise[]): DomainPromise[] {
-  const merged = new Map<string, DomainPromise>();
+function mergePromises(
+  promises: readonly DomainGuarantee[],
+): DomainGuarantee[] {
+  const merged = new Map<string, DomainGuarantee>();
   for (const promise of promises) {
     const key = `${promise.workspace} ${promise.level}`;
     const count = (merged.get(key)?.count ?? 0) + promise.count;
--- a/packages/placement/src/target_cell.ts
+++ b/packages/placement/src/target_cell.ts
@@ -1,11 +1,11 @@
 /** The capacity of one target, and what is left of it. */
 import type {Target, TaskDemand} from '@galenavalve/model';
-import {countBits, fullMask} from './accelerator_mask.js';
+import {countBits, createFullMask} from './accelerator_mask.js';
 import type {RunningGang, TargetCondition} from './policy.js';
 import type {RackCell} from './rack_cell.js';
 
 /** An amount of each resource of one target. */
-export interface Room {
+export interface TargetResources {
   /** Bit mask of accelerators. */
   accelerators: number;
   processors: number;
@@ -28,7 +28,7 @@
 export class TargetCell {
   condition: TargetCondition = 'well';
   /** What no gang uses. */
-  readonly free: Room;
+  readonly free: TargetResources;
   /** What runs here, by job. */
   readonly occupants = new Map<string, Occupant>();
   private readonly permitted: ReadonlySet<string> | undefined;
@@ -39,7 +39,7 @@
     /** Position in the domain's list of targets. */
     readonly index: number,
   ) {
-    this.free = capacityOf(spec);
+    this.free = getCapacity(spec);
     this.permitted =
       spec.permittedWorkspaces && new Set(spec.permittedWorkspaces);
   }
@@ -49,7 +49,7 @@
   }
 
   /** Whether operators and evidence let new work start here. */
-  get isWell(): boolean {
+  get isSchedulable(): boolean {
     return this.condition === 'well' && this.spec.state === 'in-service';
   }
 
@@ -63,9 +63,9 @@
 }
 
 /** All that a target has. */
-export function capacityOf(spec: Target): Room {
+export function getCapacity(spec: Target): TargetResources {
   return {
-    accelerators: fullMask(spec.accelerators),
+    accelerators: createFullMask(spec.accelerators),
     processors: spec.processors,
     memoryMb: spec.memoryMb,
     slots: spec.slots,
@@ -73,7 +73,10 @@
 }
 
 /** Number of tasks of one demand that fit into `room`. */
-export function countFitting(room: Room, demand: TaskDemand): number {
+export function countFitting(
+  room: TargetResources,
+  demand: TaskDemand,
+): number {
   let count = room.slots;
   if (demand.accelerators > 0) {
     const accelerators = countBits(room.accelerators);
@@ -92,7 +95,7 @@
 
 /** Takes the resources of `tasks` tasks out of `room`. */
 export function subtractTasks(
-  room: Room,
+  room: TargetResources,
   demand: TaskDemand,
   tasks: number,
   mask: number,
@@ -105,7 +108,7 @@
 
 /** Puts the resources of `tasks` tasks back into `room`. */
 export function addTasks(
-  room: Room,
+  room: TargetResources,
   demand: TaskDemand,
   tasks: number,
   mask: number,
--- a/packages/scheduler/__tests__/fixtures.ts
+++ b/packages/scheduler/__tests__/fixtures.ts
@@ -13,7 +13,7 @@
   jobRequest,
   getEntityKey,
 } from '@galenavalve/model';
-import {GalenaPolicy} from '@galenavalve/placement';
+import {GuaranteePolicy} from '@galenavalve/placement';
 import {
   ManualClock,
   type Milliseconds,
@@ -88,7 +88,7 @@
     instance: name,
     options: {appendsPerSecond: 1000},
   });
-  const policy = new GalenaPolicy();
+  const policy = new GuaranteePolicy();
   const mirror = new CellsMirror('d1', state, policy);
   const client = targets.clientFor(name);
   const parts = {client, addressOf: targets.addressOf, clock, logger};
--- a/packages/scheduler/src/cells_mirror.ts
+++ b/packages/scheduler/src/cells_mirror.ts
@@ -7,7 +7,7 @@
 import type {Applied, Job, LedgerState} from '@galenavalve/ledger';
 import type {
   Cells,
-  GalenaPolicy,
+  GuaranteePolicy,
   RunningGang,
   TargetCondition,
 } from '@galenavalve/placement';
@@ -23,7 +23,7 @@
   constructor(
     readonly domain: string,
     private readonly state: LedgerState,
-    private readonly policy: GalenaPolicy,
+    private readonly policy: GuaranteePolicy,
   ) {
     this.configuration = state.configuration;
     this.cells = this.createCells();
@@ -56,7 +56,7 @@
   /** Occupies cells for a gang whose `placed` record is not accepted yet. */
   addPending(gang: RunningGang): void {
     this.pending.add(gang.jobId);
-    this.cells.occupy(gang);
+    this.cells.addGang(gang);
   }
 
   /** Frees the cells of a pending gang, unless the ledger holds it by now. */
@@ -86,15 +86,15 @@
   markStopping(jobId: string): void {
     const job = this.state.job(jobId);
     if (job) {
-      this.cells.vacate(jobId);
-      this.cells.occupy({...toRunningGang(job), stopping: true});
+      this.cells.removeGang(jobId);
+      this.cells.addGang({...toRunningGang(job), stopping: true});
     }
   }
 
   private createCells(): Cells {
     const cells = this.policy.createCells(this.domain, this.configuration);
     for (const job of this.state.activeIn(this.domain)) {
-      cells.occupy(toRunningGang(job));
+      cells.addGang(toRunningGang(job));
     }
     return cells;
   }
@@ -116,11 +116,11 @@
       job?.domain === this.domain &&
       (job.phase === 'placed' || job.phase === 'running');
     if (isHere && !this.pending.has(jobId)) {
-      this.cells.vacate(jobId);
-      this.cells.occupy(toRunningGang(job));
+      this.cells.removeGang(jobId);
+      this.cells.addGang(toRunningGang(job));
     }
     if (!isHere && !this.pending.has(jobId)) {
-      this.cells.vacate(jobId);
+      this.cells.removeGang(jobId);
     }
     if (job?.domain === this.domain && job.outcome === 'succeeded') {
       this.learnFrom(job);
@@ -133,7 +133,7 @@
     }
     const actualSeconds =
       job.progressSeconds + (job.finishedAt - job.startedAt) / 1000;
-    this.cells.learn(
+    this.cells.recordRunTime(
       job.request.workspace,
       job.request.kind,
       job.request.expectedSeconds,
--- a/packages/scheduler/src/evacuation.ts
+++ b/packages/scheduler/src/evacuation.ts
@@ -7,7 +7,7 @@
 export function evacuate(context: SchedulerContext, stop: GangStop): void {
   const {mirror, state, clock} = context;
   const decisions = decideEvacuation(mirror.cells, {}, clock.wallTime());
-  for (const {jobId, step, reason} of decisions) {
+  for (const {jobId, action: step, reason} of decisions) {
     const job = state.job(jobId);
     if (job?.phase === 'running' && step !== 'wait') {
       stop.begin(job, {reason, checkpoint: step === 'checkpoint'});
--- a/packages/scheduler/src/schedule_context.ts
+++ b/packages/scheduler/src/schedule_context.ts
@@ -1,7 +1,7 @@
 /** What the parts of a domain's scheduler share. */
 import type {LedgerState, LogWriter} from '@galenavalve/ledger';
 import type {Reason, RecordBody, Term} from '@galenavalve/model';
-import type {GalenaPolicy} from '@galenavalve/placement';
+import type {GuaranteePolicy} from '@galenavalve/placement';
 import type {Clock, Instant, Logger, Random} from '@galenavalve/shared';
 import type {
   AddressLookup,
@@ -18,7 +18,7 @@
   domain: string;
   state: LedgerState;
   writer: Pick<LogWriter, 'append'>;
-  policy: GalenaPolicy;
+  policy: GuaranteePolicy;
   mirror: CellsMirror;
   client: TargetClient;
   addressOf: AddressLookup;
