--- a/packages/bench/src/slopes/catch_up_slopes.ts
+++ b/packages/bench/src/slopes/catch_up_slopes.ts
@@ -112,7 +112,7 @@
   const [entry] = createEntries([body], 1 + change);
   const {firstOffset} = await log.append([entry!.value], TIMEOUT_MS);
   const folded = followers.map(follower =>
-    follower.waitFor(firstOffset, TIMEOUT_MS),
+    follower.waitForOffset(firstOffset, TIMEOUT_MS),
   );
   if ((await Promise.all(folded)).includes(false)) {
     throw new Error('a follower did not fold the change in time');
--- a/packages/daemon/__tests__/commands.spec.ts
+++ b/packages/daemon/__tests__/commands.spec.ts
@@ -45,7 +45,7 @@
   const daemon = await startDaemon(test);
   daemon.log.write(createConfigured('first', DOMAIN, WORKSPACE, TARGET));
   const {follower} = daemon.daemon.node;
-  await follower.waitFor(daemon.log.endOffset - 1, 5_000);
+  await follower.waitForOffset(daemon.log.endOffset - 1, 5_000);
   return daemon;
 }
 
@@ -75,7 +75,7 @@
     const gang = {tasks: 9, perTask: {accelerators: 8}};
     const answer = await post(daemon, '/v1/jobs', createJob('r1', {gang}));
     t.match(answer, {statusCode: 422, body: {code: 'never-runnable'}});
-    t.equal(daemon.daemon.node.state.jobByRequest('r1'), undefined);
+    t.equal(daemon.daemon.node.state.getJobByRequest('r1'), undefined);
   });
 
   t.test('over the limit of its workspace is refused as "not run"', async t => {
@@ -123,7 +123,7 @@
     t.ok(node.mesh.isHeld('domain/jnb'));
     const recordedAt = daemon.log.endOffset;
     daemon.log.faults.outage = 'none';
-    t.ok(await node.follower.waitFor(recordedAt, 10_000));
+    t.ok(await node.follower.waitForOffset(recordedAt, 10_000));
     t.equal(node.state.configuration.domains.get('jnb')?.state, 'out');
   });
 });
--- a/packages/daemon/__tests__/decoders.spec.ts
+++ b/packages/daemon/__tests__/decoders.spec.ts
@@ -184,8 +184,8 @@
     createConfigured('c-3', domain),
   );
   await untilFolded(running);
-  t.ok(state.skipped > 100, `${state.skipped} were skipped`);
-  t.ok(state.domain('jnb'), 'the valid record after them is in force');
+  t.ok(state.skippedCount > 100, `${state.skippedCount} were skipped`);
+  t.ok(state.getDomain('jnb'), 'the valid record after them is in force');
 });
 
 t.test(
@@ -205,7 +205,7 @@
       reason: {code: 'routed-only'},
     });
     await untilFolded(running);
-    t.equal(running.daemon.node.state.skipped, 1);
+    t.equal(running.daemon.node.state.skippedCount, 1);
   },
 );
 
--- a/packages/daemon/src/backlog_book.ts
+++ b/packages/daemon/src/backlog_book.ts
@@ -37,7 +37,7 @@
 
   /** The first jobs stand for all: a longer queue counts in proportion. */
   private estimate(domain: string, now: number): number {
-    const queue = [...this.state.queuedIn(domain)];
+    const queue = [...this.state.listQueuedJobs(domain)];
     const sample = queue
       .slice(0, SAMPLE_SIZE)
       .map(job => toWaitingJob(job, now));
--- a/packages/daemon/src/commands/append_command.ts
+++ b/packages/daemon/src/commands/append_command.ts
@@ -1,5 +1,5 @@
 /** Appends the record of a command and says truthfully what became of it. */
-import type {Applied} from '@galenavalve/ledger';
+import type {FoldResult} from '@galenavalve/ledger';
 import type {RecordBody} from '@galenavalve/model';
 import {Failure, isFailure} from '@galenavalve/shared';
 import type {Node} from '../node.js';
@@ -10,7 +10,7 @@
   node: Node,
   requestId: string,
   body: RecordBody,
-): Promise<Applied> {
+): Promise<FoldResult> {
   checkServing(node);
   const deadline = node.clock.now() + node.settings.timings.appendTimeoutMs;
   try {
--- a/packages/daemon/src/commands/apply_configuration.ts
+++ b/packages/daemon/src/commands/apply_configuration.ts
@@ -6,7 +6,7 @@
   type Edit,
   configurationChange,
 } from '@galenavalve/model';
-import type {Applied} from '@galenavalve/ledger';
+import type {FoldResult} from '@galenavalve/ledger';
 import {Failure, describeError} from '@galenavalve/shared';
 import {parseBody} from '../http/parse_body.js';
 import type {Node} from '../node.js';
@@ -46,7 +46,7 @@
     throw new Failure('not-found', {kind: 'failure domain', id: domainId});
   }
   const entity = `domain/${domainId}`;
-  const baseVersion = node.state.entityVersion(entity);
+  const baseVersion = node.state.getEntityVersion(entity);
   const change: ConfigurationChange = {
     changeId: `${entity}-${state}-after-${baseVersion}`,
     author,
@@ -96,7 +96,7 @@
 function conclude(
   node: Node,
   change: ConfigurationChange,
-  applied: Applied,
+  applied: FoldResult,
 ): ConfigurationResult {
   node.logger.info('configured', {
     changeId: change.changeId,
@@ -119,7 +119,7 @@
  */
 function checkVersions(node: Node, edits: readonly Edit[]): void {
   for (const {entity, baseVersion} of edits) {
-    const currentVersion = node.state.entityVersion(entity);
+    const currentVersion = node.state.getEntityVersion(entity);
     if (currentVersion > baseVersion) {
       throw new Failure('config-conflict', {
         entity,
@@ -136,7 +136,10 @@
   offset: number,
 ): ConfigurationResult {
   const versions = Object.fromEntries(
-    change.edits.map(({entity}) => [entity, node.state.entityVersion(entity)]),
+    change.edits.map(({entity}) => [
+      entity,
+      node.state.getEntityVersion(entity),
+    ]),
   );
   return {changeId: change.changeId, offset, versions};
 }
--- a/packages/daemon/src/commands/submit_job.ts
+++ b/packages/daemon/src/commands/submit_job.ts
@@ -66,7 +66,7 @@
   requestId: string,
   bodyHash: string,
 ): Job | undefined {
-  const job = node.state.jobByRequest(requestId);
+  const job = node.state.getJobByRequest(requestId);
   if (job && job.bodyHash !== bodyHash) {
     throw new Failure('request-conflict', {requestId});
   }
@@ -89,7 +89,7 @@
   if (!workspace) {
     throw new Failure('unknown-workspace', {workspace: request.workspace});
   }
-  const count = state.queuedCount(workspace.id);
+  const count = state.countQueuedJobs(workspace.id);
   if (count >= workspace.queueLimit) {
     throw new Failure('workspace-limit', {workspace: workspace.id, count});
   }
--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -126,8 +126,8 @@
       restorer: new StateRestorer({
         log: context.get(tokens.log),
         logger: context.get(tokens.logger),
-        sources: () => listStateSources(context.get<Node>(tokens.node)),
-        ledger: context.get(tokens.ledgerOptions),
+        listSources: () => listStateSources(context.get<Node>(tokens.node)),
+        ledgerOptions: context.get(tokens.ledgerOptions),
       }),
       options: {
         readWait: timings.logWaitMs,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,6 +1,6 @@
 /** One daemon: starts its loops, serves, and stops without cutting a request. */
 import {setMaxListeners} from 'node:events';
-import type {Applied, SnapshotWriter} from '@galenavalve/ledger';
+import type {FoldResult, SnapshotWriter} from '@galenavalve/ledger';
 import type {RecordRelay, StateServer} from '@galenavalve/membership';
 import {platformTraffic} from '@galenavalve/platform';
 import {type Milliseconds, describeError} from '@galenavalve/shared';
@@ -47,7 +47,7 @@
     // Every loop listens to the end of the daemon.
     setMaxListeners(0, this.loops.signal);
     node.follower.onApplied(applied => this.onApplied(applied));
-    node.follower.onReplaced(() => this.onReplaced());
+    node.follower.onStateReplaced(() => this.onReplaced());
   }
 
   /** Port of the HTTP interface. */
@@ -120,7 +120,7 @@
     node.waiters.recheck();
   }
 
-  private onApplied(applied: Applied): void {
+  private onApplied(applied: FoldResult): void {
     const {node} = this;
     const {record} = applied;
     node.metrics.records.inc({
@@ -140,7 +140,7 @@
   }
 
   /** A hold ends only by a later accepted record about its entity. */
-  private endHolds({record, accepted, offset}: Applied): void {
+  private endHolds({record, accepted, offset}: FoldResult): void {
     if (record?.type === 'configured' && accepted) {
       for (const {entity} of record.change.edits) {
         this.node.mesh.noteAccepted(entity, offset);
@@ -149,7 +149,7 @@
   }
 
   private observeStart(jobId: string): void {
-    const job = this.node.state.job(jobId);
+    const job = this.node.state.getJob(jobId);
     if (job?.attempts === 1 && job.startedAt !== undefined) {
       this.node.metrics.submitToStart.observe(
         {urgent: String(job.request.urgent)},
@@ -186,7 +186,7 @@
             'the process was paused; starts wait for a new read of the log',
         });
       }
-      const readAt = node.follower.lastFresh();
+      const readAt = node.follower.getFreshAt();
       if (readAt !== undefined) {
         node.freshness.noteRead(readAt);
       }
@@ -205,7 +205,7 @@
       .peers()
       .filter(({address}) => node.mesh.isAlive(address.instance, now));
     const {appendsPerSecond} = node.settings.limits;
-    node.writer.setBudget(appendsPerSecond / (alive.length + 1));
+    node.writer.setAppendRate(appendsPerSecond / (alive.length + 1));
   }
 
   private updateMetrics(now: number): void {
--- a/packages/daemon/src/job_waiters.ts
+++ b/packages/daemon/src/job_waiters.ts
@@ -1,5 +1,5 @@
 /** Callers that are held until their job has ended. */
-import type {Applied, LedgerState, Job} from '@galenavalve/ledger';
+import type {FoldResult, LedgerState, Job} from '@galenavalve/ledger';
 import type {Clock, Milliseconds} from '@galenavalve/shared';
 
 /** Wakes callers when their job has finished. */
@@ -23,9 +23,9 @@
     jobId: string,
     timeout: Milliseconds,
   ): Promise<Job | undefined> {
-    const isOver = this.state.job(jobId)?.phase === 'finished';
+    const isOver = this.state.getJob(jobId)?.phase === 'finished';
     if (isOver || this.isClosed || timeout <= 0) {
-      return this.state.job(jobId);
+      return this.state.getJob(jobId);
     }
     const woken = new AbortController();
     const waiters = this.waiting.get(jobId) ?? new Set();
@@ -38,16 +38,16 @@
     if (waiters.size === 0) {
       this.waiting.delete(jobId);
     }
-    return this.state.job(jobId);
+    return this.state.getJob(jobId);
   }
 
   /** Wakes the callers of a job that ended. */
-  onApplied(applied: Applied): void {
+  onApplied(applied: FoldResult): void {
     const record = applied.record;
     if (!record || !('jobId' in record)) {
       return;
     }
-    if (this.state.job(record.jobId)?.phase === 'finished') {
+    if (this.state.getJob(record.jobId)?.phase === 'finished') {
       this.wake(record.jobId);
     }
   }
@@ -55,7 +55,7 @@
   /** Wakes the callers whose jobs have ended; for a state that was replaced. */
   recheck(): void {
     for (const jobId of [...this.waiting.keys()]) {
-      if (this.state.job(jobId)?.phase === 'finished') {
+      if (this.state.getJob(jobId)?.phase === 'finished') {
         this.wake(jobId);
       }
     }
--- a/packages/daemon/src/queries/cluster_queries.ts
+++ b/packages/daemon/src/queries/cluster_queries.ts
@@ -35,7 +35,7 @@
 export function viewWorkspaces(node: Node): WorkspaceView[] {
   const {workspaces, domains} = node.state.configuration;
   const active = [...domains.keys()].flatMap(id => [
-    ...node.state.activeIn(id),
+    ...node.state.listActiveJobs(id),
   ]);
   const guarantees = describeAvailable(node);
   const ids = [...workspaces.keys()].sort();
@@ -67,11 +67,11 @@
   return {
     id,
     region: domain.region,
-    version: state.entityVersion(`domain/${id}`),
+    version: state.getEntityVersion(`domain/${id}`),
     state: viewState(node, domain),
-    scheduler: state.schedulerTerm(id)?.instance,
-    queued: count(state.queuedIn(id)),
-    running: count(state.activeIn(id)),
+    scheduler: state.getSchedulerTerm(id)?.instance,
+    queued: count(state.listQueuedJobs(id)),
+    running: count(state.listActiveJobs(id)),
     targets: targets.map(target => viewTarget(node, target)),
   };
 }
@@ -87,7 +87,7 @@
   return {
     id: target.id,
     rack: target.rack,
-    version: node.state.entityVersion(`target/${target.id}`),
+    version: node.state.getEntityVersion(`target/${target.id}`),
     state: target.state,
     accelerators: target.accelerators,
     acceleratorsUsed: cells.countUsedAccelerators(target.id),
@@ -104,9 +104,9 @@
   const own = active.filter(job => job.request.workspace === workspace.id);
   return {
     id: workspace.id,
-    version: node.state.entityVersion(`workspace/${workspace.id}`),
+    version: node.state.getEntityVersion(`workspace/${workspace.id}`),
     weight: workspace.weight,
-    queued: node.state.queuedCount(workspace.id),
+    queued: node.state.countQueuedJobs(workspace.id),
     running: own.length,
     acceleratorsGuaranteed: sumAccelerators(own.filter(job => job.guaranteed)),
     acceleratorsBorrowed: sumAccelerators(own.filter(job => !job.guaranteed)),
--- a/packages/daemon/src/queries/config_queries.ts
+++ b/packages/daemon/src/queries/config_queries.ts
@@ -24,7 +24,7 @@
     rules,
   ].map(getEntityKey);
   const entities = keys.flatMap(entity => {
-    const versioned = node.state.entity(entity);
+    const versioned = node.state.getEntity(entity);
     return versioned ? [{entity, ...versioned}] : [];
   });
   return {offset: node.state.nextOffset, entities};
@@ -32,7 +32,7 @@
 
 /** The latest changes with their verdicts, newest first. */
 export function viewHistory(node: Node, limit: number): ChangeListView {
-  const changes = node.state.changes(limit).map(change => ({
+  const changes = node.state.listChanges(limit).map(change => ({
     ...change,
     problem: change.problem?.message,
   }));
--- a/packages/daemon/src/queries/job_queries.ts
+++ b/packages/daemon/src/queries/job_queries.ts
@@ -25,7 +25,7 @@
 
 /** The job, or `not-found`. */
 export function findJob(node: Node, jobId: string): Job {
-  const job = node.state.job(jobId) ?? node.state.jobByRequest(jobId);
+  const job = node.state.getJob(jobId) ?? node.state.getJobByRequest(jobId);
   if (!job) {
     throw new Failure('not-found', {kind: 'job', id: jobId});
   }
@@ -84,9 +84,9 @@
 
 function* allJobs(node: Node): Iterable<Job> {
   for (const domain of node.state.configuration.domains.keys()) {
-    yield* node.state.jobsIn(domain);
+    yield* node.state.listUnfinishedJobs(domain);
   }
-  yield* node.state.finishedJobs();
+  yield* node.state.listFinishedJobs();
 }
 
 /** Why the job did or did not run, and what it waits for now. */
@@ -109,7 +109,7 @@
 
 /** The scheduler of the job's domain knows what it waits for. */
 async function findWaitReason(node: Node, job: Job): Promise<Reason> {
-  const holder = node.state.schedulerTerm(job.domain)?.instance;
+  const holder = node.state.getSchedulerTerm(job.domain)?.instance;
   const noScheduler = createReason('waiting-scheduler', {domain: job.domain});
   if (!holder) {
     return noScheduler;
--- a/packages/daemon/src/queries/plan_job.ts
+++ b/packages/daemon/src/queries/plan_job.ts
@@ -39,7 +39,7 @@
     }
     throw error;
   }
-  const queue = [...node.state.queuedIn(route.domain)].map(queued =>
+  const queue = [...node.state.listQueuedJobs(route.domain)].map(queued =>
     toWaitingJob(queued, now),
   );
   const {cells} = node.mirrorOf(route.domain);
--- a/packages/daemon/src/roles/election.ts
+++ b/packages/daemon/src/roles/election.ts
@@ -1,5 +1,5 @@
 /** Decides, again and again, whether this instance should schedule its failure domain. */
-import type {Applied} from '@galenavalve/ledger';
+import type {FoldResult} from '@galenavalve/ledger';
 import {type Term, isSameTerm} from '@galenavalve/model';
 import {
   type ClaimSituation,
@@ -43,7 +43,7 @@
   }
 
   /** Takes notice of claims. */
-  onApplied(applied: Applied): void {
+  onApplied(applied: FoldResult): void {
     const {record} = applied;
     if (
       record?.type === 'claimed' &&
@@ -62,7 +62,7 @@
   private async step(): Promise<void> {
     const {node} = this;
     const now = node.clock.now();
-    this.noteTerm(node.state.schedulerTerm(this.domain));
+    this.noteTerm(node.state.getSchedulerTerm(this.domain));
     const decision = decideClaim(this.describe(now));
     if (decision.kind !== 'claim') {
       return;
@@ -102,7 +102,7 @@
   }
 
   private onClaimed(term: Term): void {
-    const present = this.node.state.schedulerTerm(this.domain);
+    const present = this.node.state.getSchedulerTerm(this.domain);
     if (
       present &&
       isSameTerm(present, term) &&
--- a/packages/daemon/src/roles/peer_catch_up.ts
+++ b/packages/daemon/src/roles/peer_catch_up.ts
@@ -43,7 +43,7 @@
 
 /** Tells whether no read of the log has been answered for longer than reads take. */
 function isCutOff(node: Node): boolean {
-  const readAt = node.follower.lastFresh() ?? -Infinity;
+  const readAt = node.follower.getFreshAt() ?? -Infinity;
   const {logWaitMs, freshnessMs} = node.settings.timings;
   return (
     node.clock.now() - readAt > Math.max(2 * logWaitMs, freshnessMs * 0.75)
@@ -60,7 +60,7 @@
     );
     if (page && page.entries.length > 0) {
       const entries = page.entries.map(({offset, value}) => ({offset, value}));
-      node.follower.ingest({entries, nextOffset: page.nextOffset});
+      node.follower.applyRelayedEntries({entries, nextOffset: page.nextOffset});
       node.logger.info('pulled-from-peer', {
         entries: page.entries.length,
         nextOffset: page.nextOffset,
--- a/packages/daemon/src/roles/peer_services.ts
+++ b/packages/daemon/src/roles/peer_services.ts
@@ -1,6 +1,6 @@
 /** What this instance answers to its peers. */
 import {z} from 'zod';
-import {encodeStateGradually} from '@galenavalve/ledger';
+import {encodeStateAsync} from '@galenavalve/ledger';
 import {
   RECORDS_METHOD,
   type RecordRelay,
@@ -49,5 +49,5 @@
 function encodeState(node: Node) {
   const {instance} = node.settings;
   const {state} = node;
-  return encodeStateGradually(state, `${instance}-${state.nextOffset}`);
+  return encodeStateAsync(state, `${instance}-${state.nextOffset}`);
 }
--- a/packages/daemon/src/roles/queue_moves.ts
+++ b/packages/daemon/src/roles/queue_moves.ts
@@ -17,7 +17,7 @@
   jobId: string,
   now: number,
 ): QueueMove | undefined {
-  const job = node.state.job(jobId);
+  const job = node.state.getJob(jobId);
   if (job?.phase !== 'queued') {
     return undefined;
   }
--- a/packages/daemon/src/roles/self_report.ts
+++ b/packages/daemon/src/roles/self_report.ts
@@ -14,7 +14,7 @@
  * that cannot append is of no use to its failure domain.
  */
 export function isFit(node: Node): boolean {
-  const readAt = node.follower.lastFresh() ?? -Infinity;
+  const readAt = node.follower.getFreshAt() ?? -Infinity;
   const {freshnessMs} = node.settings.timings;
   return (
     node.stage === 'serving' &&
@@ -43,7 +43,7 @@
 
 /** Time since the domain's scheduler was heard directly, in milliseconds. */
 function findSchedulerAge(node: Node, now: number): number | undefined {
-  const holder = node.state.schedulerTerm(node.settings.domain)?.instance;
+  const holder = node.state.getSchedulerTerm(node.settings.domain)?.instance;
   const status = node.mesh
     .peers()
     .find(peer => peer.address.instance === holder);
--- a/packages/faults/__tests__/guards.spec.ts
+++ b/packages/faults/__tests__/guards.spec.ts
@@ -41,9 +41,9 @@
   void world.submit(request, ['d1-i1']);
   for (let i = 0; i < 100; i++) {
     await world.advance(50);
-    const job = world.observer.jobByRequest('r1');
+    const job = world.observer.getJobByRequest('r1');
     if (job?.phase === 'placed' || job?.phase === 'running') {
-      return {job, holder: world.observer.schedulerTerm('d1')!.instance};
+      return {job, holder: world.observer.getSchedulerTerm('d1')!.instance};
     }
   }
   throw new Error('the job was not placed');
@@ -148,7 +148,7 @@
 
 const deadSchedulers: Scenario = async world => {
   for (const domain of ['d1', 'd2']) {
-    const holder = world.observer.schedulerTerm(domain)?.instance;
+    const holder = world.observer.getSchedulerTerm(domain)?.instance;
     world.instances.get(holder ?? '')?.kill();
   }
   const [entry] = world.servingInstances();
--- a/packages/faults/src/exploration.ts
+++ b/packages/faults/src/exploration.ts
@@ -96,7 +96,7 @@
   });
   void world.submit(request, [entry]);
   await world.advance(RECLAIM_BOUND_MS);
-  const job = world.observer.jobByRequest('reclaim');
+  const job = world.observer.getJobByRequest('reclaim');
   const isStarted =
     job !== undefined && hasStarted(world, job.jobId, world.clock.now());
   const detail = `after ${RECLAIM_BOUND_MS} ms it is ${job?.phase}, ${job?.lastReason?.code}`;
--- a/packages/faults/src/instance.ts
+++ b/packages/faults/src/instance.ts
@@ -107,7 +107,7 @@
   isFit(now: Instant): boolean {
     const isRunning = !this.process.isDead && this.process.pauseAge(now) === 0;
     return (
-      isRunning && now - (this.follower.lastFresh() ?? -Infinity) < FRESH_MS
+      isRunning && now - (this.follower.getFreshAt() ?? -Infinity) < FRESH_MS
     );
   }
 
@@ -124,14 +124,14 @@
 
   /** Claims its failure domain under the next term. */
   async claim(): Promise<void> {
-    const present = this.state.schedulerTerm(this.domain);
+    const present = this.state.getSchedulerTerm(this.domain);
     const log = (present?.log ?? 0) + 1;
     const term = {log, outage: 0, instance: this.name};
     try {
       const deadline = this.clock.now() + 3000;
       const body = {type: 'claimed' as const, domain: this.domain, term};
       const {accepted} = await this.writer.append(body, {deadline});
-      const isPresent = this.state.schedulerTerm(this.domain)?.log === log;
+      const isPresent = this.state.getSchedulerTerm(this.domain)?.log === log;
       if (accepted && isPresent) {
         this.scheduler.activate(term);
       }
@@ -153,7 +153,7 @@
     targets: readonly string[],
   ): Reason | undefined {
     const {configuration} = this.state;
-    const age = now - (this.follower.lastFresh() ?? -Infinity);
+    const age = now - (this.follower.getFreshAt() ?? -Infinity);
     if (this.parts.guards.freshness && age > FRESH_MS) {
       return createReason('waiting-stale');
     }
--- a/packages/faults/src/promises.ts
+++ b/packages/faults/src/promises.ts
@@ -67,7 +67,7 @@
       }
       for (const id of ['domain/d1', 'domain/d2', 'workspace/escorts']) {
         const key = `${instance.name} ${id}`;
-        const version = instance.state.entityVersion(id);
+        const version = instance.state.getEntityVersion(id);
         const before = this.versions.get(key) ?? 0;
         if (version < before) {
           const detail = `${key} fell from ${before} to ${version}`;
@@ -87,7 +87,10 @@
         continue;
       }
       this.offsets.set(name, state.nextOffset);
-      const hash = hashValue([...state.jobsIn('d1'), ...state.jobsIn('d2')]);
+      const hash = hashValue([
+        ...state.listUnfinishedJobs('d1'),
+        ...state.listUnfinishedJobs('d2'),
+      ]);
       const other = this.hashes.get(state.nextOffset) ?? hash;
       this.hashes.set(state.nextOffset, other);
       if (other !== hash) {
@@ -248,7 +251,7 @@
 }
 
 function findJob(world: World, fact: RequestFact): Job | undefined {
-  return world.observer.jobByRequest(fact.request.requestId);
+  return world.observer.getJobByRequest(fact.request.requestId);
 }
 
 /** Time until a guaranteed job must have started although others use its cells. */
--- a/packages/faults/src/world.ts
+++ b/packages/faults/src/world.ts
@@ -109,7 +109,7 @@
   /** Cancels a request through one instance. */
   async cancel(fact: RequestFact, entry: string): Promise<void> {
     const instance = this.instances.get(entry);
-    const job = this.observer.jobByRequest(fact.request.requestId);
+    const job = this.observer.getJobByRequest(fact.request.requestId);
     if (!instance?.isServing || !job) {
       return;
     }
@@ -140,7 +140,7 @@
           entity: getEntityKey(value),
           baseVersion: Math.max(
             0,
-            this.observer.entityVersion(getEntityKey(value)) - baseOffset,
+            this.observer.getEntityVersion(getEntityKey(value)) - baseOffset,
           ),
           value,
         })),
@@ -256,14 +256,14 @@
     const now = this.clock.now();
     for (const domain of DOMAINS) {
       const holder = this.instances.get(
-        this.observer.schedulerTerm(domain)?.instance ?? '',
+        this.observer.getSchedulerTerm(domain)?.instance ?? '',
       );
       if (holder?.isFit(now) && holder.scheduler.term) {
         this.unfitSince.set(domain, now);
         continue;
       }
       const since = this.unfitSince.get(domain) ?? -Infinity;
-      const isFirst = !this.observer.schedulerTerm(domain);
+      const isFirst = !this.observer.getSchedulerTerm(domain);
       if (now - since < SUSPECT_MS || !(this.guards.succession || isFirst)) {
         continue;
       }
--- a/packages/ledger/__tests__/arbitraries.ts
+++ b/packages/ledger/__tests__/arbitraries.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import {LedgerState} from '../src/index.js';
 import {
-  T0,
+  START_TIME_MS,
   TERM,
   cancel,
   claim,
@@ -55,7 +55,7 @@
 function createRecords(steps: readonly Step[]): LogRecord[] {
   const state = new LedgerState();
   const result: LogRecord[] = [];
-  let at = T0;
+  let at = START_TIME_MS;
   const add = (body: RecordBody, by = 'i1') => {
     const record = createRecord(body, {at, by});
     result.push(record);
@@ -73,15 +73,15 @@
 function createBody(state: LedgerState, step: Step, at: number): RecordBody {
   const {flag, choice, isWrong} = step;
   const jobId = chooseJob(state, step);
-  const present = state.schedulerTerm('d1') ?? TERM;
+  const present = state.getSchedulerTerm('d1') ?? TERM;
   const term = isWrong && flag ? createTerm(present, choice) : present;
-  const attempt = state.job(jobId)?.attempts ?? 0;
+  const attempt = state.getJob(jobId)?.attempts ?? 0;
   const current = Math.max(1, isWrong ? choice % 3 : attempt);
   switch (step.kind) {
     case 'submit':
       return submit(jobId, {
         repeatable: choice > 6,
-        createdAt: isWrong ? T0 : at,
+        createdAt: isWrong ? START_TIME_MS : at,
         ...(choice === 0 && {requestId: 'r-j1'}),
       });
     case 'place':
@@ -97,7 +97,7 @@
     case 'claim':
       return claim(createTerm(present, choice));
     case 'move':
-      return move(state.job(jobId)?.domain ?? 'd2', jobId);
+      return move(state.getJob(jobId)?.domain ?? 'd2', jobId);
     case 'configure':
       return change(state, step);
     case 'withdraw':
@@ -114,7 +114,7 @@
   if (kind === 'submit') {
     return `j${state.nextOffset}`;
   }
-  const jobs = ['d1', 'd2'].flatMap(id => [...state.jobsIn(id)]);
+  const jobs = ['d1', 'd2'].flatMap(id => [...state.listUnfinishedJobs(id)]);
   const suitable = jobs.filter(job =>
     kind === 'start' || kind === 'unplace'
       ? job.phase !== 'queued'
@@ -137,7 +137,7 @@
 /** Sets an entity's state, mostly to "in-service", or removes it. */
 function change(state: LedgerState, {choice, isWrong}: Step): RecordBody {
   const key = KEYS[choice % 4]!;
-  const baseVersion = isWrong ? choice : state.entityVersion(key);
+  const baseVersion = isWrong ? choice : state.getEntityVersion(key);
   const found = createEntities().find(value => key.endsWith(`/${value.id}`));
   const service = choice < 3 ? 'out' : 'in-service';
   const value = choice > 9 ? null : {...found, state: service};
--- a/packages/ledger/__tests__/configuration.spec.ts
+++ b/packages/ledger/__tests__/configuration.spec.ts
@@ -28,7 +28,7 @@
     code: 'config-conflict',
     details: {entity: 'domain/d1', currentVersion: 2},
   });
-  t.equal(state.domain('d1')?.state, 'out');
+  t.equal(state.getDomain('d1')?.state, 'out');
 });
 
 t.test('a change takes effect whole or not at all', async t => {
@@ -39,7 +39,7 @@
   const applied = fold(state, configure([out, unknown], 1));
   t.match(applied.problem?.message, /unknown failure domain d9/);
   t.equal(state.configuration, configuration);
-  t.equal(state.entityVersion('domain/d1'), 1);
+  t.equal(state.getEntityVersion('domain/d1'), 1);
 });
 
 t.test('the same change again gets the same verdict', async t => {
@@ -50,7 +50,7 @@
   fold(state, remove('target/t4', 1));
   const again = configure([find('t4')], 0, 'rm');
   t.match(fold(state, again), {accepted: true, duplicate: true});
-  t.equal(state.target('t4'), undefined);
+  t.equal(state.getTarget('t4'), undefined);
   const stale = configure([find('t1')], 1, 'stale');
   const first = fold(state, stale);
   t.match(fold(state, stale).problem?.toJSON(), first.problem?.toJSON());
@@ -59,9 +59,9 @@
 t.test('versions go on after a removal', async t => {
   const state = createState();
   fold(state, remove('target/t4', 1));
-  t.equal(state.entityVersion('target/t4'), 2);
+  t.equal(state.getEntityVersion('target/t4'), 2);
   t.equal(fold(state, configure([find('t4')], 0)).accepted, true);
-  t.equal(state.entityVersion('target/t4'), 3);
+  t.equal(state.getEntityVersion('target/t4'), 3);
 });
 
 t.test('what unfinished jobs use cannot be removed', async t => {
@@ -84,8 +84,8 @@
   });
   const applied = fold(state, remove('target/t4', 1));
   t.equal(applied.rejection, 'guarantee-shortfall');
-  t.ok(state.target('t4'));
-  t.match(state.changes(1), [{changeId: 'rm', accepted: false}]);
+  t.ok(state.getTarget('t4'));
+  t.match(state.listChanges(1), [{changeId: 'rm', accepted: false}]);
 });
 
 t.test('a take-out is never refused for a guarantee', async t => {
--- a/packages/ledger/__tests__/fixtures.ts
+++ b/packages/ledger/__tests__/fixtures.ts
@@ -17,11 +17,11 @@
   hashValue,
 } from '@galenavalve/shared';
 import {
-  type Applied,
-  type FollowerOptions,
+  type FoldResult,
+  type LogFollowerOptions,
   type LedgerOptions,
   type LogFaults,
-  type WriterOptions,
+  type LogWriterOptions,
   LedgerState,
   LogFollower,
   LogWriter,
@@ -29,7 +29,7 @@
   applyEntry,
 } from '../src/index.js';
 
-export const T0 = 1_700_000_000_000;
+export const START_TIME_MS = 1_700_000_000_000;
 export const TERM: Term = {log: 1, outage: 0, instance: 'i1'};
 export const REASON = createReason('routed-only', {domain: 'd1'});
 
@@ -41,7 +41,7 @@
     workspace: 'ws1',
     gang: {tasks: 2, perTask: {accelerators: 1}},
     expectedSeconds: 60,
-    createdAt: T0,
+    createdAt: START_TIME_MS,
     ...fields,
   });
 }
@@ -92,14 +92,14 @@
   };
 }
 
-export function attemptFields(jobId = 'j1', attempt = 1, term = TERM) {
+export function createAttemptFields(jobId = 'j1', attempt = 1, term = TERM) {
   return {jobId, attempt, domain: 'd1', term};
 }
 
 export function place(jobId = 'j1', attempt = 1, term = TERM): RecordBody {
   return {
     type: 'placed',
-    ...attemptFields(jobId, attempt, term),
+    ...createAttemptFields(jobId, attempt, term),
     assignments: [{target: 't1', firstTask: 0, tasks: 2, accelerators: 3}],
     guaranteed: true,
     reason: createReason('placed-guaranteed'),
@@ -107,7 +107,7 @@
 }
 
 export function start(jobId = 'j1', attempt = 1, term = TERM): RecordBody {
-  return {type: 'started', ...attemptFields(jobId, attempt, term)};
+  return {type: 'started', ...createAttemptFields(jobId, attempt, term)};
 }
 
 export function unplace(
@@ -118,7 +118,7 @@
 ): RecordBody {
   return {
     type: 'unplaced',
-    ...attemptFields(jobId, attempt, term),
+    ...createAttemptFields(jobId, attempt, term),
     mayHaveRun,
     progressSeconds: 0,
     reason: createReason('preempted-reclaim'),
@@ -134,7 +134,7 @@
   const results = outcome === 'succeeded' ? ['a', {b: 1}] : [];
   return {
     type: 'finished',
-    ...attemptFields(jobId, attempt, term),
+    ...createAttemptFields(jobId, attempt, term),
     outcome,
     results,
     resultHash: hashValue(results),
@@ -163,7 +163,7 @@
   return {
     v: 1,
     recordId: `rec${sequence}`,
-    at: T0,
+    at: START_TIME_MS,
     by: 'i1',
     ...header,
     ...body,
@@ -175,7 +175,7 @@
   state: LedgerState,
   body: RecordBody | LogRecord,
   header: {at?: number; by?: string} = {},
-): Applied {
+): FoldResult {
   const value = 'recordId' in body ? body : createRecord(body, header);
   return applyEntry(state, {
     offset: state.nextOffset,
@@ -202,7 +202,7 @@
     readonly clock: ManualClock,
     readonly log: MemoryLog,
     name = 'i1',
-    options: Partial<FollowerOptions> & Partial<WriterOptions> = {},
+    options: Partial<LogFollowerOptions> & Partial<LogWriterOptions> = {},
   ) {
     const shared = {
       log,
@@ -227,9 +227,9 @@
 /** An instance on a log that holds the entities of `createEntities`. */
 export async function createInstance(
   faults: Partial<LogFaults> = {},
-  options: Partial<FollowerOptions> & Partial<WriterOptions> = {},
+  options: Partial<LogFollowerOptions> & Partial<LogWriterOptions> = {},
 ): Promise<Instance> {
-  const clock = new ManualClock(T0);
+  const clock = new ManualClock(START_TIME_MS);
   const log = new MemoryLog(clock, faults);
   log.write(createRecord(configure(createEntities())), createRecord(claim()));
   const instance = new Instance(clock, log, 'i1', options);
--- a/packages/ledger/__tests__/fold.spec.ts
+++ b/packages/ledger/__tests__/fold.spec.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
 import {LedgerState, applyEntry} from '../src/index.js';
 import {
-  T0,
+  START_TIME_MS,
   TERM,
   cancel,
   claim,
@@ -21,8 +21,8 @@
     t.equal(fold(state, submit()).accepted, true);
     const again = fold(state, {...submit(), jobId: 'j2'} as never);
     t.match(again, {accepted: true, duplicate: true});
-    t.equal(state.jobByRequest('r-j1')?.jobId, 'j1');
-    t.equal(state.job('j2'), undefined);
+    t.equal(state.getJobByRequest('r-j1')?.jobId, 'j1');
+    t.equal(state.getJob('j2'), undefined);
   });
 
   t.test('with a used id and another body is a conflict', async t => {
@@ -40,8 +40,8 @@
 
   t.test('older than the window is refused as expired', async t => {
     const state = createState({requestWindow: 1000});
-    fold(state, cancel(), {at: T0 + 5000, by: 'i2'});
-    fold(state, cancel(), {at: T0 + 5000, by: 'i1'});
+    fold(state, cancel(), {at: START_TIME_MS + 5000, by: 'i2'});
+    fold(state, cancel(), {at: START_TIME_MS + 5000, by: 'i1'});
     t.equal(fold(state, submit()).problem?.code, 'request-expired');
   });
 
@@ -56,9 +56,9 @@
 
 t.test('one writer with a wrong clock does not move log time', async t => {
   const state = createState();
-  fold(state, cancel(), {at: T0 + 10, by: 'i2'});
-  fold(state, cancel(), {at: T0 * 2, by: 'i3'});
-  t.equal(state.logTime.value, T0 + 10);
+  fold(state, cancel(), {at: START_TIME_MS + 10, by: 'i2'});
+  fold(state, cancel(), {at: START_TIME_MS * 2, by: 'i3'});
+  t.equal(state.logTime.value, START_TIME_MS + 10);
 });
 
 t.test('an attempt', async t => {
@@ -70,7 +70,7 @@
     t.equal(fold(state, place('j1', 2)).rejection, 'wrong-attempt');
     t.equal(fold(state, place()).accepted, true);
     t.equal(fold(state, place()).rejection, 'job-not-queued');
-    t.equal([...state.activeIn('d1')].length, 1);
+    t.equal([...state.listActiveJobs('d1')].length, 1);
   });
 
   t.test('is refused to a scheduler that was replaced', async t => {
@@ -85,8 +85,8 @@
     fold(state, submit('j1', {repeatable: false}));
     fold(state, place());
     const applied = fold(state, unplace(true));
-    t.equal(applied.released?.length, 1);
-    t.match(state.job('j1'), {phase: 'finished', outcome: 'lost'});
+    t.equal(applied.releasedAssignments?.length, 1);
+    t.match(state.getJob('j1'), {phase: 'finished', outcome: 'lost'});
   });
 
   t.test('that did not run is repeated, with the next number', async t => {
@@ -101,7 +101,7 @@
   t.test('keeps to the targets that its workspace may use', async t => {
     const state = createState();
     fold(state, submit());
-    const value = {...state.target('t1')!, permittedWorkspaces: []};
+    const value = {...state.getTarget('t1')!, permittedWorkspaces: []};
     const edits = [{entity: 'target/t1', baseVersion: 1, value}];
     const change = {changeId: 'permit', author: 'op', edits};
     fold(state, {type: 'configured', change});
@@ -110,7 +110,7 @@
 
   t.test('needs an approval where the workspace asks for it', async t => {
     const state = createState();
-    const value = {...state.workspace('ws1')!, requiresApproval: true};
+    const value = {...state.getWorkspace('ws1')!, requiresApproval: true};
     fold(state, {
       type: 'configured',
       change: {
@@ -134,7 +134,7 @@
   t.equal(fold(state, finish('not-run')).rejection, 'wrong-outcome');
   t.equal(fold(state, finish('succeeded')).accepted, true);
   t.equal(fold(state, finish('succeeded')).rejection, 'job-finished');
-  t.strictSame(state.job('j1')?.results, ['a', {b: 1}]);
+  t.strictSame(state.getJob('j1')?.results, ['a', {b: 1}]);
 });
 
 t.test('a cancelled job', async t => {
@@ -142,7 +142,7 @@
     const state = createState();
     fold(state, submit());
     fold(state, cancel());
-    t.equal(state.job('j1')?.outcome, 'cancelled');
+    t.equal(state.getJob('j1')?.outcome, 'cancelled');
   });
 
   t.test('ends when its attempt was stopped', async t => {
@@ -150,9 +150,9 @@
     fold(state, submit());
     fold(state, place());
     fold(state, cancel());
-    t.equal(state.job('j1')?.cancelRequested, true);
+    t.equal(state.getJob('j1')?.cancelRequested, true);
     fold(state, unplace(true));
-    t.equal(state.job('j1')?.outcome, 'cancelled');
+    t.equal(state.getJob('j1')?.outcome, 'cancelled');
   });
 });
 
@@ -163,10 +163,10 @@
     fold(state, place(id));
     fold(state, finish('succeeded', id));
   }
-  const results = ['j1', 'j2', 'j3'].map(id => state.job(id)?.results);
+  const results = ['j1', 'j2', 'j3'].map(id => state.getJob(id)?.results);
   t.strictSame(results, [undefined, undefined, ['a', {b: 1}]]);
-  t.ok(state.job('j1')?.resultHash, 'the hash is kept');
-  t.equal(state.job('j1')?.finishedOffset, 4, 'and where the log has them');
+  t.ok(state.getJob('j1')?.resultHash, 'the hash is kept');
+  t.equal(state.getJob('j1')?.finishedOffset, 4, 'and where the log has them');
 });
 
 t.test('a damaged record is skipped and counted', async t => {
@@ -177,6 +177,6 @@
     offset: 1,
     value: {...createRecord(claim()), type: 'unknown'},
   });
-  t.equal(state.skipped, 2);
+  t.equal(state.skippedCount, 2);
   t.equal(state.nextOffset, 2);
 });
--- a/packages/ledger/__tests__/fold_properties.spec.ts
+++ b/packages/ledger/__tests__/fold_properties.spec.ts
@@ -2,13 +2,13 @@
 import fc from 'fast-check';
 import t from 'tap';
 import {
-  type Applied,
+  type FoldResult,
   type Job,
   LedgerState,
   applyEntry,
   decodeState,
   encodeState,
-  encodeStateGradually,
+  encodeStateAsync,
 } from '../src/index.js';
 import {records} from './arbitraries.js';
 import {fold} from './fixtures.js';
@@ -31,12 +31,14 @@
 
 /** What callers, schedulers and operators see of a state. */
 function viewOf(state: LedgerState): unknown {
-  const unfinished = ['d1', 'd2'].flatMap(id => [...state.jobsIn(id)]);
-  const jobs = [...unfinished, ...state.finishedJobs()];
+  const unfinished = ['d1', 'd2'].flatMap(id => [
+    ...state.listUnfinishedJobs(id),
+  ]);
+  const jobs = [...unfinished, ...state.listFinishedJobs()];
   jobs.sort((a, b) => (a.jobId < b.jobId ? -1 : 1));
   const {domains, targets} = state.configuration;
   const configuration = [...domains.values(), ...targets.values()];
-  const term = state.schedulerTerm('d1');
+  const term = state.getSchedulerTerm('d1');
   const sorted = configuration.map(value => JSON.stringify(value)).sort();
   return JSON.parse(JSON.stringify([jobs, sorted, term]));
 }
@@ -66,7 +68,7 @@
       const cut = at % (values.length + 1);
       const {state} = foldAll(values.slice(0, cut));
       const expected = hashOf(state);
-      const encoding = encodeStateGradually(state, 'test');
+      const encoding = encodeStateAsync(state, 'test');
       foldAll(values.slice(cut), state);
       t.equal((await encoding).hash, expected);
     }),
@@ -113,7 +115,7 @@
   );
 
   function checkStep(
-    {accepted, record, duplicate}: Applied,
+    {accepted, record, duplicate}: FoldResult,
     before: Job | undefined,
     ran: Set<string>,
   ) {
@@ -136,7 +138,7 @@
 });
 
 function jobOf(state: LedgerState, record: LogRecord): Job | undefined {
-  return 'jobId' in record ? state.job(record.jobId) : undefined;
+  return 'jobId' in record ? state.getJob(record.jobId) : undefined;
 }
 
 t.test('no entry stops the fold, whatever was written', async t => {
@@ -200,12 +202,12 @@
       let versions = keys.map(() => 0);
       for (const value of values) {
         fold(state, value);
-        const next = keys.map(key => state.entityVersion(key));
+        const next = keys.map(key => state.getEntityVersion(key));
         t.ok(next.every((version, i) => version >= versions[i]!));
         versions = next;
       }
-      const queued = ['d1', 'd2'].flatMap(id => [...state.queuedIn(id)]);
-      t.equal(queued.length, state.queuedCount('ws1'));
+      const queued = ['d1', 'd2'].flatMap(id => [...state.listQueuedJobs(id)]);
+      t.equal(queued.length, state.countQueuedJobs('ws1'));
       t.ok(queued.every(job => job.phase === 'queued'));
     }),
     RUNS,
--- a/packages/ledger/__tests__/follower.spec.ts
+++ b/packages/ledger/__tests__/follower.spec.ts
@@ -11,7 +11,7 @@
   withdrawRequest,
 } from '../src/index.js';
 import {
-  T0,
+  START_TIME_MS,
   claim,
   configure,
   createEntities,
@@ -25,7 +25,7 @@
 const logger = new SilentLogger();
 
 function createFollower(log?: Log) {
-  const clock = new ManualClock(T0);
+  const clock = new ManualClock(START_TIME_MS);
   const memory = new MemoryLog(clock);
   memory.write(createRecord(configure(createEntities())));
   const state = new LedgerState();
@@ -39,7 +39,7 @@
   const read = follower.readOnce();
   await clock.advance(1000);
   await read;
-  t.equal(follower.lastFresh(), T0);
+  t.equal(follower.getFreshAt(), START_TIME_MS);
 });
 
 t.test('a page that is not the last makes nothing fresh', async t => {
@@ -62,17 +62,17 @@
     follower.onApplied(({offset}) => offsets.push(offset));
     const read = follower.readOnce();
     const entries = memory.entries();
-    t.equal(follower.ingest({entries, nextOffset: 2}), true);
+    t.equal(follower.applyRelayedEntries({entries, nextOffset: 2}), true);
     await read;
     t.strictSame(offsets, [0, 1]);
-    t.equal(state.skipped, 0);
+    t.equal(state.skippedCount, 0);
   });
 
   t.test('are ignored when some are missing before them', async t => {
     const {memory, state, follower} = createFollower();
     memory.write(createRecord(claim()));
     const entries = memory.entries().slice(1);
-    t.equal(follower.ingest({entries, nextOffset: 2}), false);
+    t.equal(follower.applyRelayedEntries({entries, nextOffset: 2}), false);
     t.equal(state.nextOffset, 0);
   });
 
@@ -80,8 +80,8 @@
     const {memory, state, follower, clock} = createFollower();
     const entries = memory.entries();
     let isRelayed = true;
-    const held = follower.hold(async () => {
-      isRelayed = follower.ingest({entries, nextOffset: 1});
+    const held = follower.pauseWhile(async () => {
+      isRelayed = follower.applyRelayedEntries({entries, nextOffset: 1});
       await clock.sleep(100);
       return state.nextOffset;
     });
@@ -97,19 +97,19 @@
 
 t.test("a peer's freshness counts only for a state as far as its", async t => {
   const {follower} = createFollower();
-  follower.relayFreshness(1, T0 + 5);
-  t.equal(follower.lastFresh(), undefined);
+  follower.applyRelayedFreshness(1, START_TIME_MS + 5);
+  t.equal(follower.getFreshAt(), undefined);
   await follower.readOnce();
-  follower.relayFreshness(1, T0 + 5);
-  t.equal(follower.lastFresh(), T0 + 5);
-  follower.relayFreshness(1, T0 + 3);
-  t.equal(follower.lastFresh(), T0 + 5, 'it never falls');
+  follower.applyRelayedFreshness(1, START_TIME_MS + 5);
+  t.equal(follower.getFreshAt(), START_TIME_MS + 5);
+  follower.applyRelayedFreshness(1, START_TIME_MS + 3);
+  t.equal(follower.getFreshAt(), START_TIME_MS + 5, 'it never falls');
 });
 
 t.test('waiting for an offset ends with it or with the time', async t => {
   const {clock, follower} = createFollower();
-  const early = follower.waitFor(0, 1000);
-  const late = follower.waitFor(1, 1000);
+  const early = follower.waitForOffset(0, 1000);
+  const late = follower.waitForOffset(1, 1000);
   await follower.readOnce();
   t.equal(await early, true);
   await clock.advance(1000);
@@ -130,27 +130,27 @@
   const sources = [
     {
       name: 'peer',
-      nextOffset: async () => peer.state.nextOffset,
-      fetch: async () => encodeState(peer.state, 'peer'),
+      fetchNextOffset: async () => peer.state.nextOffset,
+      fetchSnapshot: async () => encodeState(peer.state, 'peer'),
     },
   ];
   const restorer = new StateRestorer({
     log,
     logger,
-    sources: () => sources,
-    ledger: {},
+    listSources: () => sources,
+    ledgerOptions: {},
   });
   const parts = {log, state, clock, logger, restorer};
   const follower = new LogFollower(parts);
   let isReplaced = false;
-  follower.onReplaced(() => (isReplaced = true));
+  follower.onStateReplaced(() => (isReplaced = true));
   const controller = new AbortController();
   void follower.run(controller.signal);
   await clock.advance(3000);
   controller.abort();
   t.equal(isReplaced, true);
   t.equal(state.nextOffset, log.endOffset);
-  t.equal(state.schedulerTerm('d1')?.instance, 'i1');
+  t.equal(state.getSchedulerTerm('d1')?.instance, 'i1');
 });
 
 t.test('a withdrawn request has no job, also when it comes late', async t => {
@@ -165,7 +165,7 @@
   await clock.advance(8000);
   t.equal(await withdrawal, 'withdrawn');
   t.equal(log.entries().length, 4, 'the late record came');
-  t.equal(state.job('j1'), undefined);
+  t.equal(state.getJob('j1'), undefined);
 });
 
 t.test('results that memory dropped are read from the log', async t => {
@@ -173,7 +173,7 @@
   const records = [submit(), place(), finish('succeeded')];
   log.write(...records.map(body => createRecord(body)));
   await clock.advance(1000);
-  const job = {...state.job('j1')!, results: undefined};
+  const job = {...state.getJob('j1')!, results: undefined};
   t.strictSame(await readResults(log, job, 100), ['a', {b: 1}]);
   const other = {...job, resultHash: 'other'};
   t.equal(await readResults(log, other, 100), undefined);
--- a/packages/ledger/__tests__/snapshot.spec.ts
+++ b/packages/ledger/__tests__/snapshot.spec.ts
@@ -14,7 +14,7 @@
   isSnapshotDue,
 } from '../src/index.js';
 import {
-  T0,
+  START_TIME_MS,
   TERM,
   createInstance,
   createRecord,
@@ -30,8 +30,8 @@
   return new StateRestorer({
     log,
     logger,
-    sources: () => sources,
-    ledger: {},
+    listSources: () => sources,
+    ledgerOptions: {},
     options: {pageLimit: 3},
   });
 }
@@ -43,7 +43,7 @@
 /** A log whose first records have expired, with two snapshots. */
 function createExpiredLog(
   damage?: (latest: Snapshot) => void,
-  clock = new ManualClock(T0),
+  clock = new ManualClock(START_TIME_MS),
 ) {
   const state = createState();
   const log = new MemoryLog(clock);
@@ -63,7 +63,7 @@
 }
 
 t.test('a new process starts from the latest whole snapshot', async t => {
-  const clock = new ManualClock(T0);
+  const clock = new ManualClock(START_TIME_MS);
   const log = createExpiredLog(undefined, clock);
   const state = new LedgerState();
   const restorer = createRestorer(log);
@@ -74,8 +74,8 @@
   controller.abort();
   await Promise.all([run, clock.advance(2000)]);
   t.equal(follower.isCaughtUp, true);
-  t.equal(state.job('j1')?.phase, 'placed');
-  t.equal(state.job('j2')?.phase, 'queued');
+  t.equal(state.getJob('j1')?.phase, 'placed');
+  t.equal(state.getJob('j2')?.phase, 'queued');
 });
 
 t.test('a damaged snapshot gives way to an older one', async t => {
@@ -88,7 +88,7 @@
 
 t.test('a snapshot whose writer died halfway is not used', async t => {
   const log = createExpiredLog();
-  const incomplete = new MemoryLog(new ManualClock(T0));
+  const incomplete = new MemoryLog(new ManualClock(START_TIME_MS));
   const isLast = (value: unknown) => (value as {index?: number}).index === 3;
   const values = log.entries().map(entry => entry.value);
   incomplete.write({}, {}, ...values.filter(value => !isLast(value)));
@@ -122,8 +122,8 @@
     const fail = () => Promise.reject(new Error('no answer'));
     return {
       name,
-      nextOffset: state ? async () => state.nextOffset : fail,
-      fetch: state ? async () => encodeState(state, name) : fail,
+      fetchNextOffset: state ? async () => state.nextOffset : fail,
+      fetchSnapshot: state ? async () => encodeState(state, name) : fail,
     };
   }
 });
@@ -144,25 +144,25 @@
     await clock.advance(1000);
   }
   controller.abort();
-  t.ok(state.snapshots.latest, 'it is whole in the log');
+  t.ok(state.snapshotTracker.latest, 'it is whole in the log');
   const count = log.entries().length - 2;
-  t.equal(count, state.snapshots.latest?.chunks, 'and only one was due');
+  t.equal(count, state.snapshotTracker.latest?.chunks, 'and only one was due');
   const restored = await createRestorer(log).restore();
-  t.equal(restored?.schedulerTerm('d1')?.instance, 'i1');
+  t.equal(restored?.getSchedulerTerm('d1')?.instance, 'i1');
 });
 
 t.test('the schedule', async t => {
-  const schedule = {interval: 1000, records: 100, keptShare: 0.4};
+  const schedule = {interval: 1000, maxNewRecords: 100, maxNewerShare: 0.4};
   const kept = {oldestOffset: 0, endOffset: 10};
   const state = createState();
   fold(state, {type: 'claimed', domain: 'd2', term: {...TERM, instance: 'i2'}});
-  state.snapshots.restore({
+  state.snapshotTracker.restore({
     partial: [],
     latest: {
       snapshotId: 's',
       nextOffset: 0,
       firstOffset: 0,
-      completedAt: T0,
+      completedAt: START_TIME_MS,
       bytes: 1,
       chunks: 1,
     },
@@ -170,13 +170,17 @@
   const isDue = (instance: string, now: number, retention = kept) =>
     isSnapshotDue(state, instance, now, retention, schedule);
 
-  t.equal(isDue('i1', T0 + 999), false, 'waits for its interval');
-  t.equal(isDue('i1', T0 + 1000), true);
-  t.equal(isDue('i2', T0 + 1000), false, 'leaves it to the first domain');
-  t.equal(isDue('i2', T0 + 1250), true, 'and steps in after it');
-  t.equal(isDue('i3', T0 + 9000), false, 'is for schedulers only');
+  t.equal(isDue('i1', START_TIME_MS + 999), false, 'waits for its interval');
+  t.equal(isDue('i1', START_TIME_MS + 1000), true);
   t.equal(
-    isDue('i1', T0, {oldestOffset: 5, endOffset: 10}),
+    isDue('i2', START_TIME_MS + 1000),
+    false,
+    'leaves it to the first domain',
+  );
+  t.equal(isDue('i2', START_TIME_MS + 1250), true, 'and steps in after it');
+  t.equal(isDue('i3', START_TIME_MS + 9000), false, 'is for schedulers only');
+  t.equal(
+    isDue('i1', START_TIME_MS, {oldestOffset: 5, endOffset: 10}),
     true,
     'comes early when the log forgets the snapshot',
   );
--- a/packages/ledger/__tests__/writer.spec.ts
+++ b/packages/ledger/__tests__/writer.spec.ts
@@ -19,7 +19,7 @@
   await clock.advance(2000);
   t.equal((await done).accepted, true);
   t.equal(log.entries().length, 3);
-  t.ok(state.job('j1'));
+  t.ok(state.getJob('j1'));
 });
 
 t.test(
@@ -30,10 +30,10 @@
     const done = writer.append(submit(), {deadline: clock.now() + 5000});
     await clock.advance(4000);
     t.equal((await done).accepted, true);
-    const job = structuredClone(state.job('j1'));
+    const job = structuredClone(state.getJob('j1'));
     await clock.advance(10_000);
     t.equal(log.entries().length, 4);
-    t.strictSame(state.job('j1'), job);
+    t.strictSame(state.getJob('j1'), job);
   },
 );
 
--- a/packages/ledger/__tests__/writer_faults.spec.ts
+++ b/packages/ledger/__tests__/writer_faults.spec.ts
@@ -4,7 +4,7 @@
 import {type LogFaults, MemoryLog, encodeState} from '../src/index.js';
 import {
   Instance,
-  T0,
+  START_TIME_MS,
   configure,
   createEntities,
   createRecord,
@@ -41,7 +41,7 @@
 
 /** Submits jobs through two instances while the log misbehaves. */
 async function runThrough(steps: readonly Weather[]) {
-  const clock = new ManualClock(T0);
+  const clock = new ManualClock(START_TIME_MS);
   const log = new MemoryLog(clock);
   log.write(createRecord(configure(createEntities())));
   const instances = ['i1', 'i22'].map(name => new Instance(clock, log, name));
@@ -73,7 +73,7 @@
   const body = submit(`job-${requestId}`, {requestId, createdAt: clock.now()});
   try {
     const {accepted} = await writer.append(body, {deadline});
-    t.equal(accepted && !!state.jobByRequest(requestId), true);
+    t.equal(accepted && !!state.getJobByRequest(requestId), true);
     return 'accepted';
   } catch (error) {
     t.ok(clock.now() < deadline + 1000, 'answered soon after the deadline');
--- a/packages/ledger/src/page_size.ts
+++ b/packages/ledger/src/adaptive_page_limit.ts
@@ -10,7 +10,7 @@
 const MIN_LIMIT = 8;
 
 /** Follows the size of the entries from page to page. */
-export class PageSize {
+export class AdaptivePageLimit {
   private current: number;
 
   constructor(private readonly maxLimit: number) {
--- a/packages/ledger/src/append_budget.ts
+++ b/packages/ledger/src/append_rate_limiter.ts
@@ -5,7 +5,7 @@
 const BURST = 5;
 
 /** Lets `appendsPerSecond` appends through, and a few at once after a quiet time. */
-export class AppendBudget {
+export class AppendRateLimiter {
   private tokens = BURST;
   private filledAt: Instant = -Infinity;
   private pausedUntil: Instant = -Infinity;
@@ -24,7 +24,7 @@
   }
 
   /** Earliest time of the next append. */
-  nextAt(now: Instant): Instant {
+  getNextAllowedAt(now: Instant): Instant {
     this.fill(now);
     const missing = Math.max(0, 1 - this.tokens);
     const refilledAt = now + (missing * 1000) / this.appendsPerSecond;
@@ -32,7 +32,7 @@
   }
 
   /** Counts an append. */
-  spend(now: Instant): void {
+  consume(now: Instant): void {
     this.fill(now);
     this.tokens -= 1;
   }
--- a/packages/ledger/src/change_history.ts
+++ b/packages/ledger/src/change_history.ts
@@ -40,12 +40,12 @@
   }
 
   /** The latest changes, newest first. */
-  latest(limit: number): RecordedChange[] {
+  listLatest(limit: number): RecordedChange[] {
     return [...this.byId.values()].reverse().slice(0, limit);
   }
 
   /** Forgets changes older than `window` at `logTime`, both in milliseconds. */
-  forget(logTime: number, window: number): void {
+  removeExpired(logTime: number, window: number): void {
     for (const change of this.byId.values()) {
       if (logTime > change.at + window) {
         this.byId.delete(change.changeId);
--- a/packages/ledger/src/configuration_store.ts
+++ b/packages/ledger/src/configuration_store.ts
@@ -18,7 +18,7 @@
   private readonly entities = new Map<string, VersionedEntity>();
   /** Last versions of removed entities. */
   private readonly removed = new Map<string, number>();
-  private present: LayeredConfiguration = {
+  private present: OverlayConfiguration = {
     domains: new OverlayMap(),
     targets: new OverlayMap(),
     workspaces: new OverlayMap(),
@@ -30,30 +30,30 @@
     return this.present;
   }
 
-  entity(key: string): VersionedEntity | undefined {
+  getEntity(key: string): VersionedEntity | undefined {
     return this.entities.get(key);
   }
 
   /** Version of an entity; 0 for one that never existed, the last one for a removed one. */
-  version(key: string): number {
+  getVersion(key: string): number {
     return this.entities.get(key)?.version ?? this.removed.get(key) ?? 0;
   }
 
   /** Tells whether a change that is based on `baseVersion` sees the present entity. */
   isCurrent(key: string, baseVersion: number): boolean {
     const isRemoved = !this.entities.has(key);
-    return baseVersion === this.version(key) || (isRemoved && !baseVersion);
+    return baseVersion === this.getVersion(key) || (isRemoved && !baseVersion);
   }
 
   /** The configuration as it would be after the edits. */
-  preview(edits: readonly Edit[]): LayeredConfiguration {
+  preview(edits: readonly Edit[]): OverlayConfiguration {
     return applyEdits(this.present, edits);
   }
 
   /** Puts edits in force; `configuration` is what `preview` made of them. */
-  commit(edits: readonly Edit[], configuration: LayeredConfiguration): void {
+  commit(edits: readonly Edit[], configuration: OverlayConfiguration): void {
     for (const {entity: key, value} of edits) {
-      const version = this.version(key) + 1;
+      const version = this.getVersion(key) + 1;
       if (value) {
         this.entities.set(key, {version, value});
         this.removed.delete(key);
@@ -95,16 +95,16 @@
 }
 
 /** Configuration whose maps make cheap changed copies. */
-export interface LayeredConfiguration extends Configuration {
+export interface OverlayConfiguration extends Configuration {
   readonly domains: OverlayMap<Domain>;
   readonly targets: OverlayMap<Target>;
   readonly workspaces: OverlayMap<Workspace>;
 }
 
 function applyEdits(
-  present: LayeredConfiguration,
+  present: OverlayConfiguration,
   edits: readonly Edit[],
-): LayeredConfiguration {
+): OverlayConfiguration {
   return {
     domains: applyToMap(present.domains, 'domain', edits),
     targets: applyToMap(present.targets, 'target', edits),
@@ -118,16 +118,16 @@
   kind: Value['kind'],
   edits: readonly Edit[],
 ): OverlayMap<Value> {
-  const ofKind = edits.filter(edit => kindOf(edit.entity) === kind);
+  const ofKind = edits.filter(edit => parseEntityKind(edit.entity) === kind);
   const removed = ofKind.filter(edit => !edit.value);
   const set = ofKind.flatMap(({value}) => value ?? []) as Value[];
   return map
-    .without(removed.map(edit => idOf(edit.entity)))
+    .without(removed.map(edit => parseEntityId(edit.entity)))
     .with(set.map(value => [value.id, value] as const));
 }
 
 function applyToRules(present: Rules, edits: readonly Edit[]): Rules {
-  const edit = edits.find(({entity: key}) => kindOf(key) === 'rules');
+  const edit = edits.find(({entity: key}) => parseEntityKind(key) === 'rules');
   if (!edit) {
     return present;
   }
@@ -135,11 +135,11 @@
 }
 
 /** The kind that an entity key names. */
-export function kindOf(key: string): Entity['kind'] {
+export function parseEntityKind(key: string): Entity['kind'] {
   return key.slice(0, key.indexOf('/')) as Entity['kind'];
 }
 
 /** The id that an entity key names. */
-export function idOf(key: string): string {
+export function parseEntityId(key: string): string {
   return key.slice(key.indexOf('/') + 1);
 }
--- a/packages/ledger/src/finished_jobs.ts
+++ b/packages/ledger/src/finished_jobs.ts
@@ -18,7 +18,7 @@
   }
 
   /** Bytes of JSON of the kept results. */
-  get keptBytes(): number {
+  get retainedResultBytes(): number {
     return this.bytes;
   }
 
@@ -33,7 +33,7 @@
   }
 
   /** Jobs, earliest end first. */
-  *jobs(): Iterable<Job> {
+  *listJobs(): Iterable<Job> {
     for (const packed of this.byId.values()) {
       yield unpackJob(packed);
     }
@@ -61,7 +61,7 @@
    * copy of such a request was created before log time minus the window, so
    * that it is refused as expired.
    */
-  forget(logTime: number, window: number): void {
+  removeExpired(logTime: number, window: number): void {
     for (const [jobId, packed] of this.byId) {
       if (logTime > packed.rememberedFrom + window) {
         this.dropResults(jobId);
--- a/packages/ledger/src/fold/attempts.ts
+++ b/packages/ledger/src/fold/attempts.ts
@@ -8,18 +8,23 @@
   type Unplaced,
   isSameTerm,
 } from '@galenavalve/model';
-import {ACCEPTED, DUPLICATE, type Verdict, reject} from '../applied.js';
-import {type Job, MAX_FAILURES, isActive} from '../job.js';
+import {
+  ACCEPTED,
+  DUPLICATE,
+  type FoldDecision,
+  reject,
+} from '../fold_result.js';
+import {type Job, MAX_RETAINED_FAILURES, isActive} from '../job.js';
 import type {LedgerState} from '../state.js';
-import {holdsPresentTerm} from './claims.js';
+import {hasCurrentTerm} from './claims.js';
 import {endJob} from './end_job.js';
-import {note} from './jobs.js';
+import {addRecordToHistory} from './jobs.js';
 
 type AttemptRecord = Placed | Started | Unplaced | Finished;
 
 /** The intent to start a gang, if nothing stands against it at this offset. */
-export function foldPlaced(state: LedgerState, record: Placed): Verdict {
-  const job = state.job(record.jobId);
+export function foldPlaced(state: LedgerState, record: Placed): FoldDecision {
+  const job = state.getJob(record.jobId);
   const refusal =
     refuseAttempt(state, job, record) ??
     refuseStart(state, job!, record) ??
@@ -28,19 +33,19 @@
     return refusal;
   }
   const assignments = record.assignments.map(part => shareName(state, part));
-  state.jobs.update(job!, {phase: 'placed', assignments});
+  state.unfinishedJobs.update(job!, {phase: 'placed', assignments});
   job!.attempts = record.attempt;
   job!.term = shareTerm(state, record);
   job!.guaranteed = record.guaranteed;
   job!.placedAt = record.at;
   job!.startedAt = undefined;
-  note(job!, record, record.reason);
+  addRecordToHistory(job!, record, record.reason);
   return ACCEPTED;
 }
 
 /** Every task of the attempt runs. */
-export function foldStarted(state: LedgerState, record: Started): Verdict {
-  const job = state.job(record.jobId);
+export function foldStarted(state: LedgerState, record: Started): FoldDecision {
+  const job = state.getJob(record.jobId);
   const refusal =
     refuseAttempt(state, job, record) ?? refuseInactive(job!, record);
   if (refusal) {
@@ -49,7 +54,7 @@
   if (job!.phase === 'running') {
     return DUPLICATE;
   }
-  state.jobs.update(job!, {phase: 'running'});
+  state.unfinishedJobs.update(job!, {phase: 'running'});
   job!.startedAt = record.at;
   job!.mayHaveRun = true;
   return ACCEPTED;
@@ -60,8 +65,8 @@
   state: LedgerState,
   record: Unplaced,
   offset: number,
-): Verdict {
-  const job = state.job(record.jobId);
+): FoldDecision {
+  const job = state.getJob(record.jobId);
   const refusal =
     refuseAttempt(state, job, record) ?? refuseInactive(job!, record);
   if (refusal) {
@@ -73,9 +78,9 @@
   if (outcome) {
     endJob(state, job!, {at: record.at, offset, outcome});
   } else {
-    state.jobs.update(job!, {phase: 'queued', assignments: []});
+    state.unfinishedJobs.update(job!, {phase: 'queued', assignments: []});
   }
-  return {accepted: true, released};
+  return {accepted: true, releasedAssignments: released};
 }
 
 /** The job has ended, with its whole answer. */
@@ -83,14 +88,14 @@
   state: LedgerState,
   record: Finished,
   offset: number,
-): Verdict {
-  const job = state.job(record.jobId);
+): FoldDecision {
+  const job = state.getJob(record.jobId);
   const refusal =
     refuseAttempt(state, job, record) ?? refuseOutcome(job!, record);
   if (refusal) {
     return refusal;
   }
-  note(job!, record, record.reason);
+  addRecordToHistory(job!, record, record.reason);
   const {at, outcome, results, resultHash} = record;
   const released = endJob(state, job!, {
     at,
@@ -99,14 +104,14 @@
     results,
     resultHash,
   });
-  return {accepted: true, released};
+  return {accepted: true, releasedAssignments: released};
 }
 
 function refuseAttempt(
   state: LedgerState,
   job: Job | undefined,
   record: AttemptRecord,
-): Verdict | undefined {
+): FoldDecision | undefined {
   if (!job) {
     return reject('unknown-job');
   }
@@ -116,13 +121,16 @@
   if (job.domain !== record.domain) {
     return reject('wrong-domain');
   }
-  if (!holdsPresentTerm(state, record)) {
+  if (!hasCurrentTerm(state, record)) {
     return reject('stale-term');
   }
   return undefined;
 }
 
-function refuseInactive(job: Job, record: AttemptRecord): Verdict | undefined {
+function refuseInactive(
+  job: Job,
+  record: AttemptRecord,
+): FoldDecision | undefined {
   if (job.attempts !== record.attempt) {
     return reject('wrong-attempt');
   }
@@ -133,7 +141,7 @@
   state: LedgerState,
   job: Job,
   record: Placed,
-): Verdict | undefined {
+): FoldDecision | undefined {
   if (job.phase !== 'queued') {
     return reject('job-not-queued');
   }
@@ -143,11 +151,11 @@
   if (job.cancelRequested) {
     return reject('cancel-requested');
   }
-  const workspace = state.workspace(job.request.workspace);
+  const workspace = state.getWorkspace(job.request.workspace);
   if (workspace?.requiresApproval && !job.approved) {
     return reject('not-approved');
   }
-  if (state.domain(record.domain)?.state !== 'in-service') {
+  if (state.getDomain(record.domain)?.state !== 'in-service') {
     return reject('domain-not-in-service');
   }
   return undefined;
@@ -158,19 +166,19 @@
   state: LedgerState,
   job: Job,
   {assignments, domain}: Placed,
-): Verdict | undefined {
+): FoldDecision | undefined {
   const targets = new Set(assignments.map(part => part.target));
   if (targets.size !== assignments.length || !isWholeGang(job, assignments)) {
     return reject('wrong-gang');
   }
   const {workspace} = job.request;
   if (
-    state.workspace(workspace)?.permittedDomains?.includes(domain) === false
+    state.getWorkspace(workspace)?.permittedDomains?.includes(domain) === false
   ) {
     return reject('not-permitted');
   }
   for (const id of targets) {
-    const target = state.target(id);
+    const target = state.getTarget(id);
     if (target?.domain !== domain || target.state !== 'in-service') {
       return reject('target-not-in-service');
     }
@@ -198,7 +206,7 @@
  * A queued job may be ended without an attempt. "Not run" is accepted only
  * where it is true.
  */
-function refuseOutcome(job: Job, record: Finished): Verdict | undefined {
+function refuseOutcome(job: Job, record: Finished): FoldDecision | undefined {
   const {attempt, outcome} = record;
   const isQueued = job.phase === 'queued';
   if (attempt === 0 ? !isQueued : attempt !== job.attempts) {
@@ -223,9 +231,9 @@
   job.guaranteed = false;
   if (record.culprit) {
     const failure = {target: record.culprit, at: record.at};
-    job.failures = [...job.failures, failure].slice(-MAX_FAILURES);
+    job.failures = [...job.failures, failure].slice(-MAX_RETAINED_FAILURES);
   }
-  note(job, record, record.reason);
+  addRecordToHistory(job, record, record.reason);
 }
 
 /** The outcome of a job that must not run again, or undefined when it waits again. */
@@ -244,5 +252,5 @@
 
 /** Uses the configuration's copy of the target's name, which saves memory. */
 function shareName(state: LedgerState, part: Assignment): Assignment {
-  return {...part, target: state.target(part.target)?.id ?? part.target};
+  return {...part, target: state.getTarget(part.target)?.id ?? part.target};
 }
--- a/packages/ledger/src/fold/claims.ts
+++ b/packages/ledger/src/fold/claims.ts
@@ -1,10 +1,10 @@
 /** Verdicts on claims: which instance schedules a failure domain. */
 import type {Claimed, Term} from '@galenavalve/model';
-import {ACCEPTED, type Verdict, reject} from '../applied.js';
+import {ACCEPTED, type FoldDecision, reject} from '../fold_result.js';
 import type {LedgerState} from '../state.js';
 
 /** The first claim of the next term wins. */
-export function foldClaimed(state: LedgerState, record: Claimed): Verdict {
+export function foldClaimed(state: LedgerState, record: Claimed): FoldDecision {
   const present = state.terms.get(record.domain);
   if (record.term.log !== (present?.log ?? 0) + 1) {
     return reject('term-taken');
@@ -17,7 +17,7 @@
  * Tells whether a record's term is the present one of its domain. The outage
  * part may differ: the log knows only the terms that it raised itself.
  */
-export function holdsPresentTerm(
+export function hasCurrentTerm(
   state: LedgerState,
   record: {domain: string; term: Term},
 ): boolean {
--- a/packages/ledger/src/fold/configuration.ts
+++ b/packages/ledger/src/fold/configuration.ts
@@ -12,11 +12,11 @@
   ACCEPTED,
   DUPLICATE,
   type Rejection,
-  type Verdict,
+  type FoldDecision,
   reject,
-} from '../applied.js';
+} from '../fold_result.js';
 import type {RecordedChange} from '../change_history.js';
-import {idOf, kindOf} from '../configuration_store.js';
+import {parseEntityId, parseEntityKind} from '../configuration_store.js';
 import type {LedgerState} from '../state.js';
 import {findReferenceProblem} from './references.js';
 
@@ -25,7 +25,7 @@
   state: LedgerState,
   record: Configured,
   offset: number,
-): Verdict {
+): FoldDecision {
   const {change} = record;
   const earlier = state.changeHistory.get(change.changeId);
   if (earlier) {
@@ -55,10 +55,10 @@
   if (problem) {
     return problem;
   }
-  const next = state.store.preview(change.edits);
+  const next = state.configurationStore.preview(change.edits);
   const refusal = findUnsuitable(state, next, change.edits);
   if (!refusal) {
-    state.store.commit(change.edits, next);
+    state.configurationStore.commit(change.edits, next);
   }
   return refusal;
 }
@@ -68,14 +68,14 @@
   edits: readonly Edit[],
 ): Failure | undefined {
   const stale = edits.find(
-    edit => !state.store.isCurrent(edit.entity, edit.baseVersion),
+    edit => !state.configurationStore.isCurrent(edit.entity, edit.baseVersion),
   );
   return (
     stale &&
     new Failure('config-conflict', {
       entity: stale.entity,
       baseVersion: stale.baseVersion,
-      currentVersion: state.entityVersion(stale.entity),
+      currentVersion: state.getEntityVersion(stale.entity),
     })
   );
 }
@@ -104,7 +104,7 @@
       ? findUseProblem(state, edit)
       : `the value of ${key} is that of ${getEntityKey(value)}`;
   }
-  if (!state.entity(key)) {
+  if (!state.getEntity(key)) {
     return `${key} does not exist`;
   }
   return findUseProblem(state, edit);
@@ -112,12 +112,12 @@
 
 /** What is in use must not disappear under a job: its tasks could not be stopped. */
 function findUseProblem(state: LedgerState, edit: Edit): string | undefined {
-  const id = idOf(edit.entity);
+  const id = parseEntityId(edit.entity);
   const count = edit.value
     ? countOfMovedTarget(state, edit)
     : countOfUsers(state, edit);
   return count
-    ? `${kindOf(edit.entity)} ${id} is still used by ${count} unfinished jobs`
+    ? `${parseEntityKind(edit.entity)} ${id} is still used by ${count} unfinished jobs`
     : undefined;
 }
 
@@ -125,21 +125,21 @@
   if (value?.kind !== 'target') {
     return 0;
   }
-  const present = state.target(value.id);
+  const present = state.getTarget(value.id);
   return present && present.domain !== value.domain
-    ? state.jobs.activeCountOn(value.id)
+    ? state.unfinishedJobs.countActiveOnTarget(value.id)
     : 0;
 }
 
 function countOfUsers(state: LedgerState, {entity: key}: Edit): number {
-  const id = idOf(key);
-  switch (kindOf(key)) {
+  const id = parseEntityId(key);
+  switch (parseEntityKind(key)) {
     case 'domain':
-      return state.jobs.unfinishedCountIn(id);
+      return state.unfinishedJobs.countUnfinishedInDomain(id);
     case 'target':
-      return state.jobs.activeCountOn(id);
+      return state.unfinishedJobs.countActiveOnTarget(id);
     case 'workspace':
-      return state.jobs.unfinishedCount(id);
+      return state.unfinishedJobs.countUnfinishedInWorkspace(id);
     case 'rules':
       return 0;
   }
@@ -161,7 +161,7 @@
 }
 
 function changesOnlyServiceState(state: LedgerState, edit: Edit): boolean {
-  const present = state.entity(edit.entity)?.value;
+  const present = state.getEntity(edit.entity)?.value;
   return (
     present !== undefined &&
     edit.value !== null &&
@@ -172,7 +172,7 @@
   );
 }
 
-function verdictOf({accepted, problem}: RecordedChange): Verdict {
+function verdictOf({accepted, problem}: RecordedChange): FoldDecision {
   if (accepted || !problem) {
     return DUPLICATE;
   }
--- a/packages/ledger/src/fold/end_job.ts
+++ b/packages/ledger/src/fold/end_job.ts
@@ -20,7 +20,7 @@
   end: JobEnd,
 ): readonly Assignment[] {
   const released = job.assignments;
-  state.jobs.remove(job);
+  state.unfinishedJobs.remove(job);
   job.phase = 'finished';
   job.assignments = [];
   job.finishedAt = end.at;
@@ -29,6 +29,6 @@
   job.results = end.results;
   job.resultHash = end.resultHash;
   job.request = {...job.request, payload: {}};
-  state.finished.add(job);
+  state.finishedJobs.add(job);
   return released;
 }
--- a/packages/ledger/src/fold/fold.ts
+++ b/packages/ledger/src/fold/fold.ts
@@ -4,7 +4,12 @@
  */
 import {type LogRecord, record as recordSchema} from '@galenavalve/model';
 import {Failure, MAX_JSON_DEPTH, isTooDeep} from '@galenavalve/shared';
-import {ACCEPTED, type Applied, type Verdict, reject} from '../applied.js';
+import {
+  ACCEPTED,
+  type FoldResult,
+  type FoldDecision,
+  reject,
+} from '../fold_result.js';
 import type {LogEntry} from '../log.js';
 import type {LedgerState} from '../state.js';
 import {
@@ -27,7 +32,7 @@
 const SWEEP_INTERVAL_MS = 60_000;
 
 /** Applies the next entry of the log, and returns the verdict on it. */
-export function applyEntry(state: LedgerState, entry: LogEntry): Applied {
+export function applyEntry(state: LedgerState, entry: LogEntry): FoldResult {
   state.nextOffset = entry.offset + 1;
   if (isTooDeep(entry.value)) {
     const message = `nested deeper than ${MAX_JSON_DEPTH} levels`;
@@ -48,7 +53,7 @@
   state: LedgerState,
   record: LogRecord,
   offset: number,
-): Verdict {
+): FoldDecision {
   switch (record.type) {
     case 'submitted':
       return foldSubmitted(state, record, offset);
@@ -73,7 +78,7 @@
     case 'configured':
       return foldConfigured(state, record, offset);
     case 'snapshot-chunk':
-      return state.snapshots.observe(record, offset, state.logTime.value)
+      return state.snapshotTracker.observe(record, offset, state.logTime.value)
         ? ACCEPTED
         : reject('record-invalid');
   }
@@ -83,8 +88,8 @@
   state: LedgerState,
   entry: LogEntry,
   issue: {path: PropertyKey[]; message: string} | undefined,
-): Applied {
-  state.skipped += 1;
+): FoldResult {
+  state.skippedCount += 1;
   const path = issue?.path.map(String).join('.') || 'record';
   const problem = new Failure('record-invalid', {
     offset: entry.offset,
@@ -102,7 +107,7 @@
   }
   state.sweepNumber = sweepNumber;
   const {requestWindow} = state.options;
-  state.finished.forget(logTime, requestWindow);
-  state.withdrawn.forget(logTime);
-  state.changeHistory.forget(logTime, requestWindow);
+  state.finishedJobs.removeExpired(logTime, requestWindow);
+  state.withdrawnRequests.removeExpired(logTime);
+  state.changeHistory.removeExpired(logTime, requestWindow);
 }
--- a/packages/ledger/src/fold/jobs.ts
+++ b/packages/ledger/src/fold/jobs.ts
@@ -10,8 +10,13 @@
   Withdrawn,
 } from '@galenavalve/model';
 import {Failure} from '@galenavalve/shared';
-import {ACCEPTED, DUPLICATE, type Verdict, reject} from '../applied.js';
-import {type Job, addHistory, isActive} from '../job.js';
+import {
+  ACCEPTED,
+  DUPLICATE,
+  type FoldDecision,
+  reject,
+} from '../fold_result.js';
+import {type Job, addHistoryEntry, isActive} from '../job.js';
 import type {LedgerState} from '../state.js';
 import {endJob} from './end_job.js';
 
@@ -29,9 +34,9 @@
   state: LedgerState,
   record: Submitted,
   offset: number,
-): Verdict {
+): FoldDecision {
   const {requestId} = record.request;
-  const known = state.jobByRequest(requestId);
+  const known = state.getJobByRequest(requestId);
   if (known) {
     return known.bodyHash === record.bodyHash
       ? DUPLICATE
@@ -44,13 +49,16 @@
   if (refusal) {
     return refusal;
   }
-  state.jobs.add(createJob(state, record, offset));
+  state.unfinishedJobs.add(createJob(state, record, offset));
   return ACCEPTED;
 }
 
 /** A request id that has no job yet will never have one. */
-export function foldWithdrawn(state: LedgerState, record: Withdrawn): Verdict {
-  if (state.jobByRequest(record.requestId)) {
+export function foldWithdrawn(
+  state: LedgerState,
+  record: Withdrawn,
+): FoldDecision {
+  if (state.getJobByRequest(record.requestId)) {
     return reject('request-known');
   }
   if (state.isWithdrawn(record.requestId)) {
@@ -58,13 +66,13 @@
   }
   const latest = Math.max(record.at, state.logTime.value);
   const until = latest + MAX_CREATION_SKEW_MS + state.options.requestWindow;
-  state.withdrawn.add(record.requestId, until);
+  state.withdrawnRequests.add(record.requestId, until);
   return ACCEPTED;
 }
 
 /** A queued job goes from one failure domain to another. */
-export function foldMoved(state: LedgerState, record: Moved): Verdict {
-  const job = state.job(record.jobId);
+export function foldMoved(state: LedgerState, record: Moved): FoldDecision {
+  const job = state.getJob(record.jobId);
   if (!job) {
     return reject('unknown-job');
   }
@@ -77,18 +85,21 @@
   if (job.domain !== record.from) {
     return reject('wrong-domain');
   }
-  if (!state.domain(record.to)) {
+  if (!state.getDomain(record.to)) {
     return reject('unknown-domain');
   }
-  state.jobs.update(job, {phase: 'queued', domain: record.to});
+  state.unfinishedJobs.update(job, {phase: 'queued', domain: record.to});
   job.moveIds = [...job.moveIds, record.recordId].slice(-MAX_MOVE_IDS);
-  note(job, record, record.reason);
+  addRecordToHistory(job, record, record.reason);
   return ACCEPTED;
 }
 
 /** An operator lets a job start. */
-export function foldApproved(state: LedgerState, record: Approved): Verdict {
-  const job = state.job(record.jobId);
+export function foldApproved(
+  state: LedgerState,
+  record: Approved,
+): FoldDecision {
+  const job = state.getJob(record.jobId);
   if (!job) {
     return reject('unknown-job');
   }
@@ -99,7 +110,7 @@
     return DUPLICATE;
   }
   job.approved = true;
-  addHistory(job, {at: record.at, event: 'approved', by: record.author});
+  addHistoryEntry(job, {at: record.at, event: 'approved', by: record.author});
   return ACCEPTED;
 }
 
@@ -108,8 +119,8 @@
   state: LedgerState,
   record: Cancelled,
   offset: number,
-): Verdict {
-  const job = state.job(record.jobId);
+): FoldDecision {
+  const job = state.getJob(record.jobId);
   if (!job) {
     return reject('unknown-job');
   }
@@ -121,7 +132,7 @@
   }
   job.cancelRequested = true;
   job.cancelReason = record.reason;
-  note(job, record, record.reason);
+  addRecordToHistory(job, record, record.reason);
   if (!isActive(job)) {
     endJob(state, job, {at: record.at, offset, outcome: 'cancelled'});
   }
@@ -129,7 +140,11 @@
 }
 
 /** Adds a record to the history of its job. */
-export function note(job: Job, record: LogRecord, reason: Reason): void {
+export function addRecordToHistory(
+  job: Job,
+  record: LogRecord,
+  reason: Reason,
+): void {
   const entry: HistoryEntry = {
     at: record.at,
     event: record.type,
@@ -137,13 +152,13 @@
     reason,
   };
   job.lastReason = reason;
-  addHistory(job, entry);
+  addHistoryEntry(job, entry);
 }
 
 function refuseSubmitted(
   state: LedgerState,
   record: Submitted,
-): Verdict | undefined {
+): FoldDecision | undefined {
   const {request} = record;
   const {requestId, workspace} = request;
   if (state.isWithdrawn(requestId)) {
@@ -152,7 +167,7 @@
       new Failure('request-withdrawn', {requestId}),
     );
   }
-  if (state.job(record.jobId)) {
+  if (state.getJob(record.jobId)) {
     return reject('job-id-taken', new Failure('request-conflict', {requestId}));
   }
   return (
@@ -169,7 +184,7 @@
 function refuseCreationTime(
   state: LedgerState,
   record: Submitted,
-): Verdict | undefined {
+): FoldDecision | undefined {
   const {createdAt} = record.request;
   const {requestWindow} = state.options;
   const age = state.logTime.value - createdAt;
@@ -192,15 +207,15 @@
 function refuseReferences(
   state: LedgerState,
   record: Submitted,
-): Verdict | undefined {
+): FoldDecision | undefined {
   const {workspace} = record.request;
-  if (!state.workspace(workspace)) {
+  if (!state.getWorkspace(workspace)) {
     return reject(
       'unknown-workspace',
       new Failure('unknown-workspace', {workspace}),
     );
   }
-  if (!state.domain(record.domain)) {
+  if (!state.getDomain(record.domain)) {
     const problem = `failure domain ${record.domain} does not exist`;
     return reject('unknown-domain', new Failure('bad-request', {problem}));
   }
@@ -210,9 +225,9 @@
 function refuseQueueLimit(
   state: LedgerState,
   workspace: string,
-): Verdict | undefined {
-  const count = state.queuedCount(workspace);
-  const limit = state.workspace(workspace)?.queueLimit ?? 0;
+): FoldDecision | undefined {
+  const count = state.countQueuedJobs(workspace);
+  const limit = state.getWorkspace(workspace)?.queueLimit ?? 0;
   return count < limit
     ? undefined
     : reject(
@@ -222,13 +237,13 @@
 }
 
 function createJob(state: LedgerState, record: Submitted, offset: number): Job {
-  const workspace = state.workspace(record.request.workspace)!;
+  const workspace = state.getWorkspace(record.request.workspace)!;
   const job: Job = {
     jobId: record.jobId,
     // The configuration's copies of the names save memory.
     request: {...record.request, workspace: workspace.id},
     bodyHash: record.bodyHash,
-    domain: state.domain(record.domain)!.id,
+    domain: state.getDomain(record.domain)!.id,
     phase: 'queued',
     attempts: 0,
     submittedOffset: offset,
@@ -243,6 +258,6 @@
     history: NONE,
     moveIds: NONE,
   };
-  note(job, record, record.reason);
+  addRecordToHistory(job, record, record.reason);
   return job;
 }
--- a/packages/ledger/src/applied.ts
+++ b/packages/ledger/src/fold_result.ts
@@ -34,7 +34,7 @@
   | 'guarantee-shortfall';
 
 /** The verdict on one entry, the same on every instance. */
-export interface Applied {
+export interface FoldResult {
   offset: number;
   accepted: boolean;
   /** Absent when the entry is not a valid record. */
@@ -45,20 +45,20 @@
   /** An accepted copy that changed nothing, such as a request submitted again. */
   duplicate?: boolean;
   /** Where an attempt was placed that the record ended. */
-  released?: readonly Assignment[];
+  releasedAssignments?: readonly Assignment[];
 }
 
 /** A verdict before the offset and the record are added. */
-export type Verdict = Omit<Applied, 'offset' | 'record'>;
+export type FoldDecision = Omit<FoldResult, 'offset' | 'record'>;
 
 /** The verdict on a record that takes effect. */
-export const ACCEPTED: Verdict = {accepted: true};
+export const ACCEPTED: FoldDecision = {accepted: true};
 
 /** The verdict on a copy of a record that took effect before. */
-export const DUPLICATE: Verdict = {accepted: true, duplicate: true};
+export const DUPLICATE: FoldDecision = {accepted: true, duplicate: true};
 
 /** A verdict against a record. */
-export function reject(rejection: Rejection, problem?: Failure): Verdict {
+export function reject(rejection: Rejection, problem?: Failure): FoldDecision {
   return problem
     ? {accepted: false, rejection, problem}
     : {accepted: false, rejection};
--- a/packages/ledger/src/follower.ts
+++ b/packages/ledger/src/follower.ts
@@ -9,16 +9,16 @@
   isFailure,
   computeJitteredBackoff,
 } from '@galenavalve/shared';
-import type {Applied} from './applied.js';
+import type {FoldResult} from './fold_result.js';
 import {applyEntry} from './fold/fold.js';
 import type {Log, LogEntry, LogPage} from './log.js';
-import {PageSize} from './page_size.js';
-import type {StateRestorer} from './snapshot/restorer.js';
-import type {Retention} from './snapshot/snapshot_policy.js';
+import {AdaptivePageLimit} from './adaptive_page_limit.js';
+import type {StateRestorer} from './snapshot/state_restorer.js';
+import type {RetainedRange} from './snapshot/snapshot_policy.js';
 import type {LedgerState} from './state.js';
 
 /** Times and sizes of the reads. */
-export interface FollowerOptions {
+export interface LogFollowerOptions {
   /** Most entries of one read; fewer are asked for while entries are large. */
   pageLimit: number;
   /** How long the log may hold an answer back; short, since freshness counts from the sending. */
@@ -30,7 +30,7 @@
   backoffCap: Milliseconds;
 }
 
-const DEFAULT_OPTIONS: FollowerOptions = {
+const DEFAULT_OPTIONS: LogFollowerOptions = {
   pageLimit: 500,
   readWait: 400,
   readTimeout: 1500,
@@ -39,7 +39,7 @@
 };
 
 /** What a follower needs. */
-export interface FollowerDependencies {
+export interface LogFollowerDependencies {
   log: Log;
   state: LedgerState;
   clock: Clock;
@@ -48,7 +48,7 @@
   random?: Random;
   /** Gets a state when the log no longer holds what this one needs. */
   restorer?: StateRestorer;
-  options?: Partial<FollowerOptions>;
+  options?: Partial<LogFollowerOptions>;
 }
 
 /** Entries that a peer read from the log. */
@@ -58,23 +58,23 @@
   nextOffset: number;
 }
 
-type AppliedListener = (applied: Applied) => void;
+type AppliedListener = (applied: FoldResult) => void;
 
 /** Keeps the state up with the log. */
 export class LogFollower {
-  private readonly options: FollowerOptions;
+  private readonly options: LogFollowerOptions;
   private readonly listeners = new Set<AppliedListener>();
   private readonly freshListeners = new Set<() => void>();
   private freshAt: Instant | undefined;
   private readonly replacedListeners = new Set<() => void>();
   private held: Promise<unknown> | undefined;
-  private keptOffsets: Retention | undefined;
-  private readonly pageSize: PageSize;
+  private keptOffsets: RetainedRange | undefined;
+  private readonly pageSize: AdaptivePageLimit;
   private failures = 0;
 
-  constructor(private readonly dependencies: FollowerDependencies) {
+  constructor(private readonly dependencies: LogFollowerDependencies) {
     this.options = {...DEFAULT_OPTIONS, ...dependencies.options};
-    this.pageSize = new PageSize(this.options.pageLimit);
+    this.pageSize = new AdaptivePageLimit(this.options.pageLimit);
   }
 
   get state(): LedgerState {
@@ -90,7 +90,7 @@
    * Latest time at which the state is known to have included the end of the
    * log: the sending of the read that showed it, not its answer.
    */
-  lastFresh(): Instant | undefined {
+  getFreshAt(): Instant | undefined {
     return this.freshAt;
   }
 
@@ -111,18 +111,18 @@
    * that no verdicts were told for the offsets between; returns a function
    * that ends this.
    */
-  onReplaced(listener: () => void): () => void {
+  onStateReplaced(listener: () => void): () => void {
     this.replacedListeners.add(listener);
     return () => this.replacedListeners.delete(listener);
   }
 
   /** Offsets that the log held at the latest answer. */
-  get retention(): Retention | undefined {
+  get logRange(): RetainedRange | undefined {
     return this.keptOffsets;
   }
 
   /** Folds nothing until `action` has ended. */
-  async hold<T>(action: () => Promise<T>): Promise<T> {
+  async pauseWhile<T>(action: () => Promise<T>): Promise<T> {
     while (this.held) {
       await this.held;
     }
@@ -167,7 +167,7 @@
    * Folds entries that a peer relays. Ignored while folding is held, and
    * unless they continue the state; returns whether it includes them now.
    */
-  ingest({entries, nextOffset}: RelayedEntries): boolean {
+  applyRelayedEntries({entries, nextOffset}: RelayedEntries): boolean {
     const first = entries[0]?.offset ?? nextOffset;
     if (this.held || first > this.state.nextOffset) {
       return false;
@@ -181,14 +181,14 @@
    * Takes over a peer's word that its state, up to `nextOffset`, included the
    * end of the log at the local time `at`. Ignored if this state is behind.
    */
-  relayFreshness(nextOffset: number, at: Instant): void {
+  applyRelayedFreshness(nextOffset: number, at: Instant): void {
     if (this.state.nextOffset >= nextOffset) {
       this.noteFresh(at);
     }
   }
 
   /** Resolves to whether the state includes the record at `offset` within `timeout`. */
-  async waitFor(offset: number, timeout: Milliseconds): Promise<boolean> {
+  async waitForOffset(offset: number, timeout: Milliseconds): Promise<boolean> {
     const isIncluded = () => this.state.nextOffset > offset;
     if (isIncluded()) {
       return true;
@@ -235,7 +235,7 @@
   private async restore(): Promise<void> {
     const restored = await this.dependencies.restorer?.restore();
     if (restored && restored.nextOffset > this.state.nextOffset) {
-      this.state.takeOver(restored);
+      this.state.replaceWith(restored);
       for (const listener of [...this.replacedListeners]) {
         listener();
       }
@@ -252,7 +252,7 @@
     }
   }
 
-  private tell(applied: Applied): void {
+  private tell(applied: FoldResult): void {
     for (const listener of [...this.listeners]) {
       try {
         listener(applied);
--- a/packages/ledger/src/index.ts
+++ b/packages/ledger/src/index.ts
@@ -14,20 +14,20 @@
   type LedgerOptions,
   LedgerState,
   REQUEST_WINDOW_MS,
-  RESULT_BYTES,
+  MAX_RETAINED_RESULT_BYTES,
 } from './state.js';
 export {type Job, type JobFailure, isActive} from './job.js';
 export type {RecordedChange} from './change_history.js';
 
 // The fold
 export {applyEntry} from './fold/fold.js';
-export type {Applied, Rejection} from './applied.js';
+export type {FoldResult, Rejection} from './fold_result.js';
 export {MAX_CREATION_SKEW_MS} from './fold/jobs.js';
 
 // Reading
 export {
-  type FollowerDependencies,
-  type FollowerOptions,
+  type LogFollowerDependencies,
+  type LogFollowerOptions,
   type RelayedEntries,
   LogFollower,
 } from './follower.js';
@@ -35,13 +35,13 @@
 // Writing
 export {
   type AppendOptions,
-  type WriterDependencies,
-  type WriterOptions,
+  type LogWriterDependencies,
+  type LogWriterOptions,
   LogWriter,
 } from './writer.js';
 
 // Requests and results
-export {type Withdrawal, withdrawRequest} from './withdraw.js';
+export {type WithdrawalResult, withdrawRequest} from './request_withdrawal.js';
 export {readResults} from './recorded_results.js';
 
 // Snapshots
@@ -49,13 +49,16 @@
   type Snapshot,
   decodeState,
   encodeState,
-  encodeStateGradually,
+  encodeStateAsync,
 } from './snapshot/codec.js';
 export {ChunkCollector, createChunks} from './snapshot/chunks.js';
 export type {StateSource} from './snapshot/state_source.js';
-export {type RestorerDependencies, StateRestorer} from './snapshot/restorer.js';
 export {
-  type Retention,
+  type StateRestorerDependencies,
+  StateRestorer,
+} from './snapshot/state_restorer.js';
+export {
+  type RetainedRange,
   type SnapshotSchedule,
   isSnapshotDue,
 } from './snapshot/snapshot_policy.js';
--- a/packages/ledger/src/job.ts
+++ b/packages/ledger/src/job.ts
@@ -10,10 +10,10 @@
 } from '@galenavalve/model';
 
 /** Most entries of a job's history; older ones but the first are dropped. */
-export const MAX_HISTORY = 24;
+export const MAX_HISTORY_ENTRIES = 24;
 
 /** Most failures that are kept of a job. */
-export const MAX_FAILURES = 16;
+export const MAX_RETAINED_FAILURES = 16;
 
 /** A failed attempt, with the target that caused it. */
 export interface JobFailure {
@@ -73,9 +73,9 @@
 }
 
 /** Adds an entry to the history, and drops the second-oldest when it is full. */
-export function addHistory(job: Job, entry: HistoryEntry): void {
+export function addHistoryEntry(job: Job, entry: HistoryEntry): void {
   const kept =
-    job.history.length < MAX_HISTORY
+    job.history.length < MAX_HISTORY_ENTRIES
       ? job.history
       : [job.history[0]!, ...job.history.slice(2)];
   job.history = [...kept, entry];
--- a/packages/ledger/src/signal.ts
+++ b/packages/ledger/src/notifier.ts
@@ -2,7 +2,7 @@
 import type {Clock, Milliseconds} from '@galenavalve/shared';
 
 /** An event that loops wait for. */
-export class Signal {
+export class Notifier {
   private readonly waiting = new Set<AbortController>();
   private isRaised = false;
 
--- a/packages/ledger/src/pending_record.ts
+++ b/packages/ledger/src/pending_record.ts
@@ -1,7 +1,7 @@
 /** Records on their way into the log. */
 import type {LogRecord} from '@galenavalve/model';
 import type {Instant} from '@galenavalve/shared';
-import type {Applied} from './applied.js';
+import type {FoldResult} from './fold_result.js';
 
 /**
  * Where a record is on its way: waiting for an append, in one, recorded but
@@ -18,9 +18,9 @@
   readonly signal?: AbortSignal;
   stage: PendingStage;
   /** Whether an append without an answer may have written the record. */
-  isUncertain: boolean;
+  hasUncertainAppend: boolean;
   /** When the latest append without an answer ended. */
   uncertainAt: Instant;
-  resolve(applied: Applied): void;
+  resolve(applied: FoldResult): void;
   reject(error: unknown): void;
 }
--- a/packages/ledger/src/pending_records.ts
+++ b/packages/ledger/src/pending_records.ts
@@ -27,7 +27,7 @@
     return this.byId.size;
   }
 
-  hasRoom(bytes: number): boolean {
+  hasCapacity(bytes: number): boolean {
     const {queueRecords, queueBytes} = this.limits;
     return this.size < queueRecords && this.bytes + bytes <= queueBytes;
   }
@@ -37,7 +37,7 @@
   }
 
   /** All records; removing one meanwhile is allowed. */
-  all(): Iterable<PendingRecord> {
+  listAll(): Iterable<PendingRecord> {
     return this.byId.values();
   }
 
@@ -53,7 +53,7 @@
   }
 
   /** The next records to send together; empty when none waits. */
-  takeBatch(): PendingRecord[] {
+  dequeueBatch(): PendingRecord[] {
     const batch: PendingRecord[] = [];
     let bytes = 0;
     for (const item of this.byId.values()) {
@@ -93,7 +93,7 @@
   markUncertain(batch: readonly PendingRecord[], now: Instant): void {
     setStage(batch, 'uncertain');
     for (const item of batch) {
-      item.isUncertain = true;
+      item.hasUncertainAppend = true;
       item.uncertainAt = now;
     }
   }
--- a/packages/ledger/src/withdraw.ts
+++ b/packages/ledger/src/request_withdrawal.ts
@@ -6,14 +6,14 @@
  * `withdrawn`: the request has not run and never will, also when its record
  * arrives late. `recorded`: it has a job. `unknown`: the log did not say.
  */
-export type Withdrawal = 'withdrawn' | 'recorded' | 'unknown';
+export type WithdrawalResult = 'withdrawn' | 'recorded' | 'unknown';
 
 /** Withdraws a request id unless it has a job already. The id cannot be used again. */
 export async function withdrawRequest(
   writer: Pick<LogWriter, 'append'>,
   requestId: string,
   deadline: Instant,
-): Promise<Withdrawal> {
+): Promise<WithdrawalResult> {
   try {
     const body = {type: 'withdrawn', requestId} as const;
     const {accepted} = await writer.append(body, {deadline});
--- a/packages/ledger/src/snapshot/capture.ts
+++ b/packages/ledger/src/snapshot/capture.ts
@@ -8,7 +8,7 @@
 import type {Job} from '../job.js';
 import type {PackedJob} from '../packed_job.js';
 import type {LedgerState} from '../state.js';
-import {type HeaderSection, SNAPSHOT_FORMAT} from './sections.js';
+import {type HeaderSection, SNAPSHOT_FORMAT_VERSION} from './sections.js';
 
 /** What a snapshot is made of. */
 export interface StateCapture {
@@ -26,36 +26,36 @@
 
 /** Captures a state. */
 export function captureState(state: LedgerState): StateCapture {
-  const {entities, removed} = state.store.encode();
+  const {entities, removed} = state.configurationStore.encode();
   return {
     nextOffset: state.nextOffset,
     header: JSON.stringify(createHeader(state)),
     entities,
     removed,
     unfinished: copyUnfinished(state),
-    finished: state.finished.capture(),
+    finished: state.finishedJobs.capture(),
     changes: state.changeHistory.encode(),
-    withdrawn: state.withdrawn.encode(),
+    withdrawn: state.withdrawnRequests.encode(),
   };
 }
 
 function createHeader(state: LedgerState): HeaderSection {
   return {
     kind: 'header',
-    format: SNAPSHOT_FORMAT,
+    format: SNAPSHOT_FORMAT_VERSION,
     nextOffset: state.nextOffset,
-    skipped: state.skipped,
+    skipped: state.skippedCount,
     sweepNumber: state.sweepNumber,
     logTime: state.logTime.encode(),
     terms: [...state.terms],
-    snapshots: state.snapshots.encode(),
+    snapshots: state.snapshotTracker.encode(),
   };
 }
 
 function copyUnfinished(state: LedgerState): Job[] {
   const copies: Job[] = [];
-  for (const domain of state.jobs.domainNames()) {
-    for (const job of state.jobsIn(domain)) {
+  for (const domain of state.unfinishedJobs.listDomains()) {
+    for (const job of state.listUnfinishedJobs(domain)) {
       copies.push({...job});
     }
   }
--- a/packages/ledger/src/snapshot/codec.ts
+++ b/packages/ledger/src/snapshot/codec.ts
@@ -6,7 +6,7 @@
 import {captureState} from './capture.js';
 import {
   type Section,
-  SNAPSHOT_FORMAT,
+  SNAPSHOT_FORMAT_VERSION,
   applySection,
   createSections,
 } from './sections.js';
@@ -35,7 +35,7 @@
  * Encodes a state with a turn of the loop between sections. The snapshot is of
  * the moment of the call; the state may change meanwhile.
  */
-export async function encodeStateGradually(
+export async function encodeStateAsync(
   state: LedgerState,
   snapshotId: string,
 ): Promise<Snapshot> {
@@ -96,7 +96,7 @@
 function decompress(data: string): Section {
   const text = inflateRawSync(Buffer.from(data, 'base64')).toString();
   const section = JSON.parse(text) as Section;
-  if (section.kind === 'header' && section.format !== SNAPSHOT_FORMAT) {
+  if (section.kind === 'header' && section.format !== SNAPSHOT_FORMAT_VERSION) {
     throw new Error(`format ${section.format} is not known`);
   }
   return section;
--- a/packages/ledger/src/snapshot/log_snapshots.ts
+++ b/packages/ledger/src/snapshot/log_snapshots.ts
@@ -18,7 +18,7 @@
 }
 
 /** Asks the log which offsets it holds. Throws what the log throws. */
-export async function readRange(
+export async function readLogRange(
   log: Log,
   options: ScanOptions,
 ): Promise<LogRange> {
--- a/packages/ledger/src/snapshot/sections.ts
+++ b/packages/ledger/src/snapshot/sections.ts
@@ -9,10 +9,10 @@
 import {unpackJob} from '../packed_job.js';
 import type {LedgerState} from '../state.js';
 import type {StateCapture} from './capture.js';
-import type {EncodedTracker} from './snapshot_tracker.js';
+import type {EncodedSnapshotTracker} from './snapshot_tracker.js';
 
 /** Version of the snapshot format. */
-export const SNAPSHOT_FORMAT = 1;
+export const SNAPSHOT_FORMAT_VERSION = 1;
 
 /** Text after which a section is closed, in bytes before compression. */
 const SECTION_BYTES = 256 * 1024;
@@ -26,7 +26,7 @@
   sweepNumber: number;
   logTime: {value: number; samples: TimeSample[]};
   terms: [domain: string, term: Term][];
-  snapshots: EncodedTracker;
+  snapshots: EncodedSnapshotTracker;
 }
 
 /** The types of the items by kind of section. */
@@ -62,10 +62,10 @@
       applyHeader(state, section);
       break;
     case 'entities':
-      state.store.restore({entities: section.items, removed: []});
+      state.configurationStore.restore({entities: section.items, removed: []});
       break;
     case 'removed':
-      state.store.restore({entities: [], removed: section.items});
+      state.configurationStore.restore({entities: [], removed: section.items});
       break;
     case 'jobs':
       section.items.forEach(job => state.restoreJob(job));
@@ -74,20 +74,20 @@
       state.changeHistory.restore(section.items);
       break;
     case 'withdrawn':
-      state.withdrawn.restore(section.items);
+      state.withdrawnRequests.restore(section.items);
       break;
   }
 }
 
 function applyHeader(state: LedgerState, header: HeaderSection): void {
   state.nextOffset = header.nextOffset;
-  state.skipped = header.skipped;
+  state.skippedCount = header.skipped;
   state.sweepNumber = header.sweepNumber;
   state.logTime.restore(header.logTime);
   for (const [domain, term] of header.terms) {
     state.terms.set(domain, term);
   }
-  state.snapshots.restore(header.snapshots);
+  state.snapshotTracker.restore(header.snapshots);
 }
 
 function* jobsOf({unfinished, finished}: StateCapture): Generator<Job> {
--- a/packages/ledger/src/snapshot/snapshot_policy.ts
+++ b/packages/ledger/src/snapshot/snapshot_policy.ts
@@ -7,13 +7,13 @@
   /** Time between snapshots; well below the time that the log keeps records. */
   interval: Milliseconds;
   /** Records after which one is due earlier, to bound how many a new process folds. */
-  records: number;
+  maxNewRecords: number;
   /** Share of the kept records that may be newer than the snapshot once the log forgets. */
-  keptShare: number;
+  maxNewerShare: number;
 }
 
 /** The offsets that the log holds. */
-export interface Retention {
+export interface RetainedRange {
   oldestOffset: number;
   endOffset: number;
 }
@@ -31,7 +31,7 @@
   state: LedgerState,
   instance: string,
   wallTime: number,
-  retention: Retention,
+  retention: RetainedRange,
   schedule: SnapshotSchedule,
 ): boolean {
   const rank = rankOf(state, instance);
@@ -39,11 +39,11 @@
     return false;
   }
   const patience = 1 + STAGGER * rank;
-  const {latest} = state.snapshots;
+  const {latest} = state.snapshotTracker;
   const tail = state.nextOffset - (latest?.nextOffset ?? 0);
   const age = wallTime - (latest?.completedAt ?? 0);
   return (
-    tail >= schedule.records * patience ||
+    tail >= schedule.maxNewRecords * patience ||
     (tail > (latest?.chunks ?? 0) && age >= schedule.interval * patience) ||
     isNearExpiry(latest?.firstOffset ?? 0, retention, schedule, patience)
   );
@@ -53,15 +53,15 @@
 function rankOf(state: LedgerState, instance: string): number | undefined {
   const domains = [...state.configuration.domains.keys()].sort();
   const rank = domains.findIndex(
-    domain => state.schedulerTerm(domain)?.instance === instance,
+    domain => state.getSchedulerTerm(domain)?.instance === instance,
   );
   return rank < 0 ? undefined : rank;
 }
 
 function isNearExpiry(
   firstOffset: number,
-  {oldestOffset, endOffset}: Retention,
-  {keptShare}: SnapshotSchedule,
+  {oldestOffset, endOffset}: RetainedRange,
+  {maxNewerShare: keptShare}: SnapshotSchedule,
   patience: number,
 ): boolean {
   if (oldestOffset === 0) {
--- a/packages/ledger/src/snapshot/snapshot_tracker.ts
+++ b/packages/ledger/src/snapshot/snapshot_tracker.ts
@@ -29,7 +29,7 @@
 }
 
 /** The tracker in a snapshot. */
-export interface EncodedTracker {
+export interface EncodedSnapshotTracker {
   latest?: RecordedSnapshot;
   partial: PartialSnapshot[];
 }
@@ -63,12 +63,12 @@
   }
 
   /** Everything, for a snapshot. */
-  encode(): EncodedTracker {
+  encode(): EncodedSnapshotTracker {
     return {latest: this.current, partial: this.partial};
   }
 
   /** Takes over the state of a snapshot. */
-  restore({latest, partial}: EncodedTracker): void {
+  restore({latest, partial}: EncodedSnapshotTracker): void {
     this.current = latest;
     this.partial = partial;
   }
--- a/packages/ledger/src/snapshot/snapshot_writer.ts
+++ b/packages/ledger/src/snapshot/snapshot_writer.ts
@@ -8,13 +8,13 @@
 import type {LogFollower} from '../follower.js';
 import type {LogWriter} from '../writer.js';
 import {createChunks} from './chunks.js';
-import {encodeStateGradually} from './codec.js';
+import {encodeStateAsync} from './codec.js';
 import {type SnapshotSchedule, isSnapshotDue} from './snapshot_policy.js';
 
 const DEFAULT_SCHEDULE: SnapshotSchedule = {
   interval: 60 * 60 * 1000,
-  records: 20_000,
-  keptShare: 0.4,
+  maxNewRecords: 20_000,
+  maxNewerShare: 0.4,
 };
 
 /** How often the schedule is looked at. */
@@ -57,7 +57,7 @@
   async record(): Promise<void> {
     const {follower, writer, clock, logger, instance} = this.dependencies;
     const snapshotId = `${instance}-${follower.state.nextOffset}-${Math.round(clock.wallTime())}`;
-    const snapshot = await encodeStateGradually(follower.state, snapshotId);
+    const snapshot = await encodeStateAsync(follower.state, snapshotId);
     const chunks = createChunks(snapshot);
     // One by one: a large snapshot must not fill the queue before requests.
     for (const chunk of chunks) {
@@ -72,7 +72,7 @@
 
   private isDue(): boolean {
     const {follower, clock, instance} = this.dependencies;
-    const {retention, state} = follower;
+    const {logRange: retention, state} = follower;
     return (
       retention !== undefined &&
       isSnapshotDue(state, instance, clock.wallTime(), retention, this.schedule)
--- a/packages/ledger/src/snapshot/restorer.ts
+++ b/packages/ledger/src/snapshot/state_restorer.ts
@@ -7,20 +7,20 @@
   type LogRange,
   type ScanOptions,
   findSnapshots,
-  readRange,
+  readLogRange,
 } from './log_snapshots.js';
 import type {StateSource} from './state_source.js';
 
 const DEFAULT_OPTIONS: ScanOptions = {pageLimit: 500, readTimeout: 3000};
 
 /** What a restorer needs. */
-export interface RestorerDependencies {
+export interface StateRestorerDependencies {
   log: Log;
   logger: Logger;
   /** The peers that can be asked now. */
-  sources: () => readonly StateSource[];
+  listSources: () => readonly StateSource[];
   /** Parameters of the fold; the same as those of the running state. */
-  ledger: Partial<LedgerOptions>;
+  ledgerOptions: Partial<LedgerOptions>;
   options?: Partial<ScanOptions>;
 }
 
@@ -28,7 +28,7 @@
 export class StateRestorer {
   private readonly options: ScanOptions;
 
-  constructor(private readonly dependencies: RestorerDependencies) {
+  constructor(private readonly dependencies: StateRestorerDependencies) {
     this.options = {...DEFAULT_OPTIONS, ...dependencies.options};
   }
 
@@ -46,12 +46,14 @@
       return state;
     }
     const isWhole = range?.oldestOffset === 0;
-    return isWhole ? new LedgerState(this.dependencies.ledger) : undefined;
+    return isWhole
+      ? new LedgerState(this.dependencies.ledgerOptions)
+      : undefined;
   }
 
   private async readRange(): Promise<LogRange | undefined> {
     try {
-      return await readRange(this.dependencies.log, this.options);
+      return await readLogRange(this.dependencies.log, this.options);
     } catch (error) {
       this.warn('log-range-unknown', error);
       return undefined;
@@ -61,7 +63,7 @@
   private async restoreFromLog(
     range: LogRange,
   ): Promise<LedgerState | undefined> {
-    const {log, ledger, logger} = this.dependencies;
+    const {log, ledgerOptions: ledger, logger} = this.dependencies;
     try {
       for await (const snapshot of findSnapshots(log, range, this.options)) {
         if (snapshot.nextOffset < range.oldestOffset) {
@@ -87,7 +89,7 @@
     offset: number,
   ): Promise<LedgerState | undefined> {
     const offers = await Promise.all(
-      this.dependencies.sources().map(source => this.askOffset(source)),
+      this.dependencies.listSources().map(source => this.askOffset(source)),
     );
     const useful = offers
       .filter(offer => offer.nextOffset > offset)
@@ -103,7 +105,7 @@
 
   private async askOffset(source: StateSource) {
     try {
-      return {source, nextOffset: await source.nextOffset()};
+      return {source, nextOffset: await source.fetchNextOffset()};
     } catch (error) {
       this.warn('peer-state-unknown', error, source.name);
       return {source, nextOffset: -1};
@@ -112,8 +114,8 @@
 
   private async fetch(source: StateSource): Promise<LedgerState | undefined> {
     try {
-      const snapshot = await source.fetch();
-      const state = decodeState(snapshot, this.dependencies.ledger);
+      const snapshot = await source.fetchSnapshot();
+      const state = decodeState(snapshot, this.dependencies.ledgerOptions);
       const {nextOffset} = state;
       const peer = source.name;
       this.dependencies.logger.info('peer-state-restored', {peer, nextOffset});
--- a/packages/ledger/src/snapshot/state_source.ts
+++ b/packages/ledger/src/snapshot/state_source.ts
@@ -7,8 +7,8 @@
   readonly name: string;
 
   /** Offset up to which the source has folded. Throws a `Failure` when it cannot be asked. */
-  nextOffset(): Promise<number>;
+  fetchNextOffset(): Promise<number>;
 
   /** The whole state. Throws a `Failure` when it cannot be had. */
-  fetch(): Promise<Snapshot>;
+  fetchSnapshot(): Promise<Snapshot>;
 }
--- a/packages/ledger/src/state.ts
+++ b/packages/ledger/src/state.ts
@@ -12,7 +12,7 @@
 import {ConfigurationStore} from './configuration_store.js';
 import {FinishedJobs} from './finished_jobs.js';
 import type {Job} from './job.js';
-import {JobIndex} from './job_index.js';
+import {UnfinishedJobIndex} from './unfinished_job_index.js';
 import {LogTime} from './log_time.js';
 import {SnapshotTracker} from './snapshot/snapshot_tracker.js';
 import {WithdrawnRequests} from './withdrawn_requests.js';
@@ -21,7 +21,7 @@
 export const REQUEST_WINDOW_MS = 24 * 60 * 60 * 1000;
 
 /** Most bytes of JSON of the results that are kept in memory. */
-export const RESULT_BYTES = 8 * 1024 * 1024;
+export const MAX_RETAINED_RESULT_BYTES = 8 * 1024 * 1024;
 
 /** Parameters of the fold. They must be the same on every instance. */
 export interface LedgerOptions {
@@ -43,37 +43,37 @@
   /** Offset of the first record that is not folded yet. */
   nextOffset = 0;
   /** Entries that were no valid records. */
-  skipped = 0;
+  skippedCount = 0;
   readonly options: LedgerOptions;
   /** For the fold. */
-  jobs = new JobIndex();
+  unfinishedJobs = new UnfinishedJobIndex();
   /** For the fold. */
-  store = new ConfigurationStore();
+  configurationStore = new ConfigurationStore();
   /** For the fold. */
-  finished: FinishedJobs;
+  finishedJobs: FinishedJobs;
   /** For the fold. */
-  withdrawn = new WithdrawnRequests();
+  withdrawnRequests = new WithdrawnRequests();
   /** For the fold. */
   changeHistory = new ChangeHistory();
   /** For the fold. */
   terms = new Map<string, Term>();
   logTime = new LogTime();
   /** Snapshots that the log holds whole. */
-  snapshots = new SnapshotTracker();
+  snapshotTracker = new SnapshotTracker();
   /** Log time of the latest sweep, in whole sweep intervals. For the fold. */
   sweepNumber = 0;
 
   constructor(options: Partial<LedgerOptions> = {}) {
     this.options = {
       requestWindow: REQUEST_WINDOW_MS,
-      resultBytes: RESULT_BYTES,
+      resultBytes: MAX_RETAINED_RESULT_BYTES,
       ...options,
     };
-    this.finished = new FinishedJobs(this.options.resultBytes);
+    this.finishedJobs = new FinishedJobs(this.options.resultBytes);
   }
 
   /** Becomes a copy of `other`, which must not be used further. */
-  takeOver(other: LedgerState): void {
+  replaceWith(other: LedgerState): void {
     const {options} = this;
     Object.assign(this, other, {options});
   }
@@ -81,86 +81,87 @@
   /** Adds a job of a snapshot. */
   restoreJob(job: Job): void {
     if (job.phase === 'finished') {
-      this.finished.add(job);
+      this.finishedJobs.add(job);
     } else {
-      this.jobs.add(job);
+      this.unfinishedJobs.add(job);
     }
   }
 
   /** An immutable snapshot of the configuration; a change replaces it. */
   get configuration(): Configuration {
-    return this.store.configuration;
+    return this.configurationStore.configuration;
   }
 
-  domain(id: string): Domain | undefined {
+  getDomain(id: string): Domain | undefined {
     return this.configuration.domains.get(id);
   }
 
-  target(id: string): Target | undefined {
+  getTarget(id: string): Target | undefined {
     return this.configuration.targets.get(id);
   }
 
-  workspace(id: string): Workspace | undefined {
+  getWorkspace(id: string): Workspace | undefined {
     return this.configuration.workspaces.get(id);
   }
 
   /** Version of an entity; 0 for one that never existed. */
-  entityVersion(key: string): number {
-    return this.store.version(key);
+  getEntityVersion(key: string): number {
+    return this.configurationStore.getVersion(key);
   }
 
-  entity(key: string): VersionedEntity | undefined {
-    return this.store.entity(key);
+  getEntity(key: string): VersionedEntity | undefined {
+    return this.configurationStore.getEntity(key);
   }
 
   /** A job by its id. One that has finished is a new object at each call. */
-  job(jobId: string): Job | undefined {
-    return this.jobs.get(jobId) ?? this.finished.get(jobId);
+  getJob(jobId: string): Job | undefined {
+    return this.unfinishedJobs.get(jobId) ?? this.finishedJobs.get(jobId);
   }
 
-  jobByRequest(requestId: string): Job | undefined {
+  getJobByRequest(requestId: string): Job | undefined {
     return (
-      this.jobs.getByRequest(requestId) ?? this.finished.getByRequest(requestId)
+      this.unfinishedJobs.getByRequest(requestId) ??
+      this.finishedJobs.getByRequest(requestId)
     );
   }
 
   isWithdrawn(requestId: string): boolean {
-    return this.withdrawn.has(requestId);
+    return this.withdrawnRequests.has(requestId);
   }
 
   /** Unfinished jobs of a domain: those that are placed or running first. */
-  *jobsIn(domain: string): Iterable<Job> {
-    yield* this.activeIn(domain);
-    yield* this.queuedIn(domain);
+  *listUnfinishedJobs(domain: string): Iterable<Job> {
+    yield* this.listActiveJobs(domain);
+    yield* this.listQueuedJobs(domain);
   }
 
   /** Waiting jobs of a domain, in the order in which they began to wait. */
-  queuedIn(domain: string): Iterable<Job> {
-    return this.jobs.queuedIn(domain);
+  listQueuedJobs(domain: string): Iterable<Job> {
+    return this.unfinishedJobs.listQueued(domain);
   }
 
   /** Placed and running jobs of a domain, in the order in which they were placed. */
-  activeIn(domain: string): Iterable<Job> {
-    return this.jobs.activeIn(domain);
+  listActiveJobs(domain: string): Iterable<Job> {
+    return this.unfinishedJobs.listActive(domain);
   }
 
   /** Jobs that have ended and are still remembered, earliest end first. */
-  finishedJobs(): Iterable<Job> {
-    return this.finished.jobs();
+  listFinishedJobs(): Iterable<Job> {
+    return this.finishedJobs.listJobs();
   }
 
   /** Waiting jobs of a workspace. */
-  queuedCount(workspace: string): number {
-    return this.jobs.queuedCount(workspace);
+  countQueuedJobs(workspace: string): number {
+    return this.unfinishedJobs.countQueuedInWorkspace(workspace);
   }
 
   /** Term of the latest accepted claim of a domain. */
-  schedulerTerm(domain: string): Term | undefined {
+  getSchedulerTerm(domain: string): Term | undefined {
     return this.terms.get(domain);
   }
 
   /** The latest configuration changes with their verdicts, newest first. */
-  changes(limit: number): RecordedChange[] {
-    return this.changeHistory.latest(limit);
+  listChanges(limit: number): RecordedChange[] {
+    return this.changeHistory.listLatest(limit);
   }
 }
--- a/packages/ledger/src/testing/memory_log.ts
+++ b/packages/ledger/src/testing/memory_log.ts
@@ -12,7 +12,7 @@
   LogPage,
   ReadOptions,
 } from '../log.js';
-import {Signal} from '../signal.js';
+import {Notifier} from '../notifier.js';
 
 /** How the log behaves. */
 export interface LogFaults {
@@ -53,7 +53,7 @@
   /** Number of appends that took effect. */
   appendCount = 0;
   private readonly texts: string[] = [];
-  private readonly grown = new Signal();
+  private readonly grown = new Notifier();
   private oldest = 0;
   private secondStart: Instant = -Infinity;
   private secondCount = 0;
--- a/packages/ledger/src/job_index.ts
+++ b/packages/ledger/src/unfinished_job_index.ts
@@ -8,7 +8,7 @@
 }
 
 /** The unfinished jobs, and the indexes that follow their changes. */
-export class JobIndex {
+export class UnfinishedJobIndex {
   private readonly jobs = new Map<string, Job>();
   private readonly byRequest = new Map<string, Job>();
   private readonly domains = new Map<string, DomainJobs>();
@@ -29,35 +29,35 @@
   }
 
   /** Waiting jobs of a domain, in the order in which they began to wait. */
-  queuedIn(domain: string): Iterable<Job> {
+  listQueued(domain: string): Iterable<Job> {
     return this.domains.get(domain)?.queued.values() ?? [];
   }
 
   /** Placed and running jobs of a domain, in the order in which they were placed. */
-  activeIn(domain: string): Iterable<Job> {
+  listActive(domain: string): Iterable<Job> {
     return this.domains.get(domain)?.active.values() ?? [];
   }
 
   /** Domains that have or had unfinished jobs, sorted. */
-  domainNames(): string[] {
+  listDomains(): string[] {
     return [...this.domains.keys()].sort();
   }
 
-  queuedCount(workspace: string): number {
+  countQueuedInWorkspace(workspace: string): number {
     return this.queuedByWorkspace.get(workspace) ?? 0;
   }
 
-  unfinishedCount(workspace: string): number {
+  countUnfinishedInWorkspace(workspace: string): number {
     return this.unfinishedByWorkspace.get(workspace) ?? 0;
   }
 
-  unfinishedCountIn(domain: string): number {
+  countUnfinishedInDomain(domain: string): number {
     const jobs = this.domains.get(domain);
     return jobs ? jobs.queued.size + jobs.active.size : 0;
   }
 
   /** Placed and running jobs that use a target. */
-  activeCountOn(target: string): number {
+  countActiveOnTarget(target: string): number {
     return this.activeByTarget.get(target) ?? 0;
   }
 
--- a/packages/ledger/src/withdrawn_requests.ts
+++ b/packages/ledger/src/withdrawn_requests.ts
@@ -18,7 +18,7 @@
   }
 
   /** Forgets what need not be remembered at `logTime`. */
-  forget(logTime: number): void {
+  removeExpired(logTime: number): void {
     for (const [requestId, until] of this.until) {
       if (logTime > until) {
         this.until.delete(requestId);
--- a/packages/ledger/src/writer.ts
+++ b/packages/ledger/src/writer.ts
@@ -18,16 +18,16 @@
   isFailure,
   computeJitteredBackoff,
 } from '@galenavalve/shared';
-import type {Applied} from './applied.js';
+import type {FoldResult} from './fold_result.js';
 import type {LogFollower} from './follower.js';
 import type {Log} from './log.js';
-import {AppendBudget} from './append_budget.js';
+import {AppendRateLimiter} from './append_rate_limiter.js';
 import type {PendingRecord} from './pending_record.js';
 import {type QueueLimits, PendingRecords} from './pending_records.js';
-import {Signal} from './signal.js';
+import {Notifier} from './notifier.js';
 
 /** Sizes and times of the appends. */
-export interface WriterOptions extends QueueLimits {
+export interface LogWriterOptions extends QueueLimits {
   /** Appends a second that this instance allows itself. */
   appendsPerSecond: number;
   /** Appends that may be under way at once. */
@@ -39,7 +39,7 @@
   backoffCap: Milliseconds;
 }
 
-const DEFAULT_OPTIONS: WriterOptions = {
+const DEFAULT_OPTIONS: LogWriterOptions = {
   batchRecords: 1000,
   batchBytes: 1024 * 1024,
   queueRecords: 20_000,
@@ -55,7 +55,7 @@
 const IDLE_MS = 1000;
 
 /** What a writer needs. */
-export interface WriterDependencies {
+export interface LogWriterDependencies {
   log: Log;
   follower: LogFollower;
   clock: Clock;
@@ -63,7 +63,7 @@
   logger: Logger;
   /** The instance's id, which stands in each record. */
   instance: string;
-  options?: Partial<WriterOptions>;
+  options?: Partial<LogWriterOptions>;
 }
 
 /** Until when the caller wants to know the verdict. */
@@ -76,10 +76,10 @@
 
 /** Appends records and reports the verdicts that the own fold reached. */
 export class LogWriter {
-  private readonly options: WriterOptions;
+  private readonly options: LogWriterOptions;
   private readonly pending: PendingRecords;
-  private readonly budget: AppendBudget;
-  private readonly work = new Signal();
+  private readonly budget: AppendRateLimiter;
+  private readonly work = new Notifier();
   private readonly idPrefix: string;
   private readonly wake = () => this.work.notify();
   private sequence = 0;
@@ -87,17 +87,17 @@
   private failures = 0;
   private isStopped = false;
 
-  constructor(private readonly dependencies: WriterDependencies) {
+  constructor(private readonly dependencies: LogWriterDependencies) {
     const {instance, random, clock, follower, options} = dependencies;
     this.options = {...DEFAULT_OPTIONS, ...options};
     this.pending = new PendingRecords(this.options);
-    this.budget = new AppendBudget(this.options.appendsPerSecond);
+    this.budget = new AppendRateLimiter(this.options.appendsPerSecond);
     const salt = Math.floor(random.next() * 2 ** 32).toString(36);
     // Instances restart under the same id, so the wall time and salt make ids unique.
     this.idPrefix = `${instance}-${clock.wallTime().toString(36)}${salt}`;
     follower.onApplied(applied => this.onApplied(applied));
     follower.onFresh(this.wake);
-    follower.onReplaced(() => this.onReplaced());
+    follower.onStateReplaced(() => this.onReplaced());
   }
 
   /** Records whose verdict is not known yet. */
@@ -111,7 +111,7 @@
    * log and never will be, and `append-uncertain` when the deadline passed
    * before its fate was known.
    */
-  append(body: RecordBody, options: AppendOptions): Promise<Applied> {
+  append(body: RecordBody, options: AppendOptions): Promise<FoldResult> {
     const record = this.addHeader(body);
     const bytes = Buffer.byteLength(JSON.stringify(record));
     if (this.isStopped) {
@@ -121,7 +121,7 @@
     if (bytes > limitBytes) {
       return Promise.reject(new Failure('body-too-large', {limitBytes}));
     }
-    if (!this.pending.hasRoom(bytes)) {
+    if (!this.pending.hasCapacity(bytes)) {
       return Promise.reject(new Failure('overloaded'));
     }
     return new Promise((resolve, reject) => {
@@ -131,7 +131,7 @@
         deadline: options.deadline,
         signal: options.signal,
         stage: 'queued',
-        isUncertain: false,
+        hasUncertainAppend: false,
         uncertainAt: -Infinity,
         resolve,
         reject,
@@ -145,12 +145,12 @@
   appendAll(
     bodies: readonly RecordBody[],
     options: AppendOptions,
-  ): Promise<Applied[]> {
+  ): Promise<FoldResult[]> {
     return Promise.all(bodies.map(body => this.append(body, options)));
   }
 
   /** Changes the rate of appends, such as when the number of instances changes. */
-  setBudget(appendsPerSecond: number): void {
+  setAppendRate(appendsPerSecond: number): void {
     this.budget.setRate(appendsPerSecond, this.dependencies.clock.now());
   }
 
@@ -160,7 +160,7 @@
     while (!signal.aborted) {
       const now = clock.now();
       this.refuseOverdue(now);
-      this.pending.requeueUncertain(follower.lastFresh() ?? -Infinity);
+      this.pending.requeueUncertain(follower.getFreshAt() ?? -Infinity);
       this.send(now);
       await this.work.wait(clock, this.pauseFrom(now), signal);
     }
@@ -182,12 +182,12 @@
 
   private send(now: Instant): void {
     const isBusy = this.inFlight >= this.options.appendsInFlight;
-    if (isBusy || now < this.budget.nextAt(now)) {
+    if (isBusy || now < this.budget.getNextAllowedAt(now)) {
       return;
     }
-    const batch = this.pending.takeBatch();
+    const batch = this.pending.dequeueBatch();
     if (batch.length > 0) {
-      this.budget.spend(now);
+      this.budget.consume(now);
       void this.appendBatch(batch);
     }
   }
@@ -233,7 +233,7 @@
   }
 
   private refuseOverdue(now: Instant): void {
-    for (const item of this.pending.all()) {
+    for (const item of this.pending.listAll()) {
       if (now >= item.deadline || item.signal?.aborted) {
         this.refuse(item);
       }
@@ -241,14 +241,14 @@
   }
 
   private refuseAll(): void {
-    for (const item of this.pending.all()) {
+    for (const item of this.pending.listAll()) {
       this.refuse(item);
     }
   }
 
   private refuse(item: PendingRecord): void {
     this.forget(item);
-    const isAbsent = item.stage === 'queued' && !item.isUncertain;
+    const isAbsent = item.stage === 'queued' && !item.hasUncertainAppend;
     const problem = `${item.record.type} record was ${item.stage}`;
     item.reject(
       isAbsent
@@ -257,7 +257,7 @@
     );
   }
 
-  private onApplied(applied: Applied): void {
+  private onApplied(applied: FoldResult): void {
     const item = this.pending.get(applied.record?.recordId ?? '');
     if (item) {
       this.forget(item);
@@ -270,8 +270,8 @@
    * them again would show the verdicts on the copies.
    */
   private onReplaced(): void {
-    for (const item of this.pending.all()) {
-      if (item.stage !== 'queued' || item.isUncertain) {
+    for (const item of this.pending.listAll()) {
+      if (item.stage !== 'queued' || item.hasUncertainAppend) {
         this.refuse(item);
       }
     }
@@ -286,13 +286,13 @@
   private pauseFrom(now: Instant): Milliseconds {
     let wakeAt = now + IDLE_MS;
     let isWaiting = false;
-    for (const item of this.pending.all()) {
+    for (const item of this.pending.listAll()) {
       wakeAt = Math.min(wakeAt, item.deadline);
       isWaiting ||= item.stage === 'queued';
     }
     const maySend = this.inFlight < this.options.appendsInFlight;
     if (isWaiting && maySend) {
-      wakeAt = Math.min(wakeAt, this.budget.nextAt(now));
+      wakeAt = Math.min(wakeAt, this.budget.getNextAllowedAt(now));
     }
     return Math.max(0, wakeAt - now);
   }
--- a/packages/membership/__tests__/relay.spec.ts
+++ b/packages/membership/__tests__/relay.spec.ts
@@ -89,7 +89,9 @@
   t.test('brings the state whole, encoded once for all who ask', async t => {
     const {call, encodings} = createPeer();
     const sources = ['a', 'b'].map(name => new PeerStateSource(name, call, 1));
-    const states = await Promise.all(sources.map(source => source.fetch()));
+    const states = await Promise.all(
+      sources.map(source => source.fetchSnapshot()),
+    );
     t.match(states, [{sections}, {sections}]);
     t.equal(encodings(), 1);
   });
@@ -100,7 +102,7 @@
       advance(40_000);
       return call(...question);
     };
-    const fetched = new PeerStateSource('a', slowCall, 1).fetch();
+    const fetched = new PeerStateSource('a', slowCall, 1).fetchSnapshot();
     await t.rejects(fetched, {code: 'not-found'});
   });
 });
--- a/packages/membership/src/state_transfer.ts
+++ b/packages/membership/src/state_transfer.ts
@@ -104,12 +104,12 @@
   ) {}
 
   /** Offset of the state that the peer offers. Throws what the call throws. */
-  async nextOffset(): Promise<number> {
+  async fetchNextOffset(): Promise<number> {
     return (await this.open()).nextOffset;
   }
 
   /** Fetches the whole state. Throws what the calls throw. */
-  async fetch(): Promise<PeerSnapshot> {
+  async fetchSnapshot(): Promise<PeerSnapshot> {
     const {sections: count, ...offer} = await this.open();
     const sections: string[] = [];
     for (let index = 0; index < count; index++) {
--- a/packages/scheduler/__tests__/fixtures.ts
+++ b/packages/scheduler/__tests__/fixtures.ts
@@ -121,7 +121,7 @@
     }),
     health: new TargetHealth(() => state.configuration.rules),
     findBar: now => {
-      const freshAt = follower.lastFresh() ?? -Infinity;
+      const freshAt = follower.getFreshAt() ?? -Infinity;
       return now - freshAt > FRESH_MS
         ? createReason('waiting-stale')
         : undefined;
@@ -148,7 +148,7 @@
 export async function claim(world: World, instance: Instance): Promise<void> {
   await world.clock.advance(500);
   const term = {
-    log: (instance.state.schedulerTerm('d1')?.log ?? 0) + 1,
+    log: (instance.state.getSchedulerTerm('d1')?.log ?? 0) + 1,
     outage: 0,
     instance: instance.name,
   };
--- a/packages/scheduler/__tests__/scheduler.spec.ts
+++ b/packages/scheduler/__tests__/scheduler.spec.ts
@@ -14,9 +14,9 @@
 import {createReason} from '@galenavalve/model';
 
 const finished = (instance: Instance, jobId: string) => () =>
-  instance.state.job(jobId)?.phase === 'finished';
+  instance.state.getJob(jobId)?.phase === 'finished';
 const running = (instance: Instance, jobId: string) => () =>
-  instance.state.job(jobId)?.phase === 'running';
+  instance.state.getJob(jobId)?.phase === 'running';
 const startsOf = (world: World, jobId: string) =>
   world.runs.filter(run => run.jobId === jobId && run.kind === 'started');
 
@@ -32,7 +32,7 @@
     const {world, instance} = await createScheduled();
     const jobId = submit(world, 'r1');
     t.ok(await advanceUntil(world, finished(instance, jobId)));
-    const job = instance.state.job(jobId)!;
+    const job = instance.state.getJob(jobId)!;
     t.equal(job.outcome, 'succeeded');
     t.strictSame(job.results, ['r1', 'r1']);
     t.equal(startsOf(world, jobId).length, 2);
@@ -44,7 +44,7 @@
     const jobId = submit(world, 'r1');
     await advanceUntil(world, () => false, 10_000);
     t.equal(startsOf(world, jobId).length, 0);
-    t.equal(instance.state.job(jobId)?.phase, 'queued');
+    t.equal(instance.state.getJob(jobId)?.phase, 'queued');
     world.targets.setFault('t2', undefined);
     t.ok(await advanceUntil(world, finished(instance, jobId)));
   });
@@ -55,10 +55,10 @@
       payload: {durationMs: 20_000, output: 1},
     });
     t.ok(await advanceUntil(world, running(instance, jobId)));
-    const victim = instance.state.job(jobId)!.assignments[0]!.target;
+    const victim = instance.state.getJob(jobId)!.assignments[0]!.target;
     world.targets.kill(victim);
     t.ok(await advanceUntil(world, finished(instance, jobId), 90_000));
-    const job = instance.state.job(jobId)!;
+    const job = instance.state.getJob(jobId)!;
     t.equal(job.outcome, 'succeeded');
     t.equal(job.attempts, 2, 'it was started again as a whole');
   });
@@ -72,9 +72,9 @@
         payload: {durationMs: 20_000},
       });
       t.ok(await advanceUntil(world, running(instance, jobId)));
-      world.targets.kill(instance.state.job(jobId)!.assignments[0]!.target);
+      world.targets.kill(instance.state.getJob(jobId)!.assignments[0]!.target);
       t.ok(await advanceUntil(world, finished(instance, jobId)));
-      t.equal(instance.state.job(jobId)?.outcome, 'lost');
+      t.equal(instance.state.getJob(jobId)?.outcome, 'lost');
       t.equal(startsOf(world, jobId).length, 2, 'each member started once');
     },
   );
@@ -90,8 +90,8 @@
       payload: {durationMs: 100, fail: true},
     });
     t.ok(await advanceUntil(world, finished(instance, jobId)));
-    t.equal(instance.state.job(jobId)?.outcome, 'failed');
-    t.equal(instance.state.job(jobId)?.lastReason?.code, 'job-failing');
+    t.equal(instance.state.getJob(jobId)?.outcome, 'failed');
+    t.equal(instance.state.getJob(jobId)?.lastReason?.code, 'job-failing');
   });
 });
 
@@ -106,7 +106,7 @@
       reason: createReason('cancelled', {by: 'its caller'}),
     });
     t.ok(await advanceUntil(world, finished(instance, jobId), 5_000));
-    t.equal(instance.state.job(jobId)?.outcome, 'cancelled');
+    t.equal(instance.state.getJob(jobId)?.outcome, 'cancelled');
   });
 });
 
@@ -131,8 +131,8 @@
     await advanceUntil(world, () => false, 20_000);
     world.log.faults.outage = 'none';
     t.ok(await advanceUntil(world, finished(instance, first)));
-    t.equal(instance.state.job(first)?.outcome, 'succeeded');
-    t.equal(instance.state.job(first)?.attempts, 1);
+    t.equal(instance.state.getJob(first)?.outcome, 'succeeded');
+    t.equal(instance.state.getJob(first)?.attempts, 1);
   });
 
   t.test('that loses the answer of `placed` starts the gang once', async t => {
@@ -142,7 +142,7 @@
     world.log.faults.lostAnswers = 1;
     t.ok(await advanceUntil(world, finished(instance, jobId)));
     t.equal(startsOf(world, jobId).length, 2);
-    t.equal(instance.state.job(jobId)?.outcome, 'succeeded');
+    t.equal(instance.state.getJob(jobId)?.outcome, 'succeeded');
   });
 
   t.test('that lands `placed` late takes the placement back', async t => {
@@ -151,7 +151,7 @@
     world.log.faults.lateAppends = 1;
     world.log.faults.lateBy = 9_000;
     t.ok(await advanceUntil(world, finished(instance, jobId), 120_000));
-    t.equal(instance.state.job(jobId)?.outcome, 'succeeded');
+    t.equal(instance.state.getJob(jobId)?.outcome, 'succeeded');
     t.equal(startsOf(world, jobId).length, 2, 'each member started once');
   });
 });
@@ -167,7 +167,7 @@
     const successor = createInstance(world, 'b');
     await claim(world, successor);
     t.ok(await advanceUntil(world, finished(successor, jobId)));
-    t.equal(successor.state.job(jobId)?.outcome, 'succeeded');
+    t.equal(successor.state.getJob(jobId)?.outcome, 'succeeded');
     t.equal(startsOf(world, jobId).length, 2, 'nothing started twice');
   });
 
@@ -185,7 +185,7 @@
     const successor = createInstance(world, 'b');
     await claim(world, successor);
     t.ok(await advanceUntil(world, finished(successor, jobId), 2 * LEASE_MS));
-    const {outcome} = successor.state.job(jobId)!;
+    const {outcome} = successor.state.getJob(jobId)!;
     t.ok(outcome === 'lost' || outcome === 'succeeded', `it is ${outcome}`);
     t.ok(startsOf(world, jobId).length <= 2, 'no member started twice');
   });
--- a/packages/scheduler/src/cells_mirror.ts
+++ b/packages/scheduler/src/cells_mirror.ts
@@ -4,7 +4,7 @@
  * adds the gangs that it is about to start.
  */
 import type {Configuration} from '@galenavalve/model';
-import type {Applied, Job, LedgerState} from '@galenavalve/ledger';
+import type {FoldResult, Job, LedgerState} from '@galenavalve/ledger';
 import type {
   Cells,
   GuaranteePolicy,
@@ -40,7 +40,7 @@
   }
 
   /** Takes over the effect of an accepted record. */
-  onApplied(applied: Applied): void {
+  onApplied(applied: FoldResult): void {
     const record = applied.record;
     if (!applied.accepted || !record) {
       return;
@@ -84,7 +84,7 @@
 
   /** Marks a gang that was told to stop, so that it is not chosen again as a victim. */
   markStopping(jobId: string): void {
-    const job = this.state.job(jobId);
+    const job = this.state.getJob(jobId);
     if (job) {
       this.cells.removeGang(jobId);
       this.cells.addGang({...toRunningGang(job), stopping: true});
@@ -93,7 +93,7 @@
 
   private createCells(): Cells {
     const cells = this.policy.createCells(this.domain, this.configuration);
-    for (const job of this.state.activeIn(this.domain)) {
+    for (const job of this.state.listActiveJobs(this.domain)) {
       cells.addGang(toRunningGang(job));
     }
     return cells;
@@ -111,7 +111,7 @@
   }
 
   private followJob(jobId: string): void {
-    const job = this.state.job(jobId);
+    const job = this.state.getJob(jobId);
     const isHere =
       job?.domain === this.domain &&
       (job.phase === 'placed' || job.phase === 'running');
--- a/packages/scheduler/src/evacuation.ts
+++ b/packages/scheduler/src/evacuation.ts
@@ -8,7 +8,7 @@
   const {mirror, state, clock} = context;
   const decisions = decideEvacuation(mirror.cells, {}, clock.wallTime());
   for (const {jobId, action: step, reason} of decisions) {
-    const job = state.job(jobId);
+    const job = state.getJob(jobId);
     if (job?.phase === 'running' && step !== 'wait') {
       stop.begin(job, {reason, checkpoint: step === 'checkpoint'});
     }
--- a/packages/scheduler/src/gang_launch.ts
+++ b/packages/scheduler/src/gang_launch.ts
@@ -3,7 +3,7 @@
  * intent, start. Each step can fail; none leaves a part of the gang running
  * beyond the bound that the targets package states.
  */
-import type {Applied, Job} from '@galenavalve/ledger';
+import type {FoldResult, Job} from '@galenavalve/ledger';
 import {type Reason, createReason, describeReason} from '@galenavalve/model';
 import type {PlacementDecision} from '@galenavalve/placement';
 import {type Milliseconds, describeError, isFailure} from '@galenavalve/shared';
@@ -34,7 +34,7 @@
 
   /** Begins to carry out a decision. */
   begin(decision: PlacementDecision): void {
-    const job = this.context.state.job(decision.jobId);
+    const job = this.context.state.getJob(decision.jobId);
     if (!job || job.phase !== 'queued' || this.isStarting(job.jobId)) {
       return;
     }
@@ -140,7 +140,7 @@
     }
   }
 
-  private isAccepted(order: GangOrder, applied: Applied): boolean {
+  private isAccepted(order: GangOrder, applied: FoldResult): boolean {
     if (applied.accepted) {
       return true;
     }
@@ -189,7 +189,7 @@
     if (this.context.signal.aborted) {
       return createReason('waiting-scheduler', {domain: this.context.domain});
     }
-    const job = this.context.state.job(order.jobId);
+    const job = this.context.state.getJob(order.jobId);
     if (!job || job.cancelRequested || job.phase === 'finished') {
       return createReason('cancelled', {by: 'its caller'});
     }
--- a/packages/scheduler/src/gang_watch.ts
+++ b/packages/scheduler/src/gang_watch.ts
@@ -166,14 +166,14 @@
       keeper.forget(jobId, attempt);
     }
     // The record may come too late, when another attempt is already kept.
-    if (this.context.state.job(jobId)?.attempts === attempt) {
+    if (this.context.state.getJob(jobId)?.attempts === attempt) {
       keeper.unfollow(jobId);
     }
     this.context.poke();
   }
 
   private findPresent(jobId: string, attempt: number): Job | undefined {
-    const job = this.context.state.job(jobId);
+    const job = this.context.state.getJob(jobId);
     const isPresent =
       job?.attempts === attempt &&
       (job.phase === 'placed' || job.phase === 'running');
--- a/packages/scheduler/src/queue_moves.ts
+++ b/packages/scheduler/src/queue_moves.ts
@@ -41,7 +41,7 @@
   }
 
   private considerJob(jobId: string, wallNow: number): void {
-    const isQueued = this.context.state.job(jobId)?.phase === 'queued';
+    const isQueued = this.context.state.getJob(jobId)?.phase === 'queued';
     if (!isQueued || this.moving.has(jobId)) {
       return;
     }
--- a/packages/scheduler/src/queue_pass.ts
+++ b/packages/scheduler/src/queue_pass.ts
@@ -101,11 +101,11 @@
 
   private reclaim(forJob: string, victims: readonly string[]): void {
     const {context, stop} = this.parts;
-    const workspace = context.state.job(forJob)?.request.workspace ?? '';
+    const workspace = context.state.getJob(forJob)?.request.workspace ?? '';
     const reason = createReason('preempted-reclaim', {workspace});
     context.logger.info('reclaim', {forJob, victims});
     for (const jobId of victims) {
-      const job = context.state.job(jobId);
+      const job = context.state.getJob(jobId);
       if (job) {
         stop.begin(job, {reason, checkpoint: true});
       }
@@ -119,7 +119,7 @@
   private takeBackOrphans(): void {
     const {context, launch, stop} = this.parts;
     const {state, domain, term, keeper} = context;
-    for (const job of state.activeIn(domain)) {
+    for (const job of state.listActiveJobs(domain)) {
       const isOrphan =
         job.phase === 'placed' &&
         job.term !== undefined &&
@@ -145,7 +145,7 @@
   /** Stops gangs that were cancelled, also those that were then about to start. */
   private stopCancelled(): void {
     const {context, stop} = this.parts;
-    const cancelled = [...context.state.activeIn(context.domain)].filter(
+    const cancelled = [...context.state.listActiveJobs(context.domain)].filter(
       job => job.phase === 'running' && job.cancelRequested,
     );
     for (const job of cancelled) {
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -4,7 +4,7 @@
  * and in the ledger.
  */
 import {setMaxListeners} from 'node:events';
-import type {Applied} from '@galenavalve/ledger';
+import type {FoldResult} from '@galenavalve/ledger';
 import {type Reason, type Term, isSameTerm} from '@galenavalve/model';
 import {type Milliseconds, describeError} from '@galenavalve/shared';
 import type {KeeperEvent} from '@galenavalve/targets';
@@ -132,7 +132,7 @@
   }
 
   /** Takes notice of a folded record. The mirror must have seen it before. */
-  onApplied(applied: Applied): void {
+  onApplied(applied: FoldResult): void {
     const record = applied.record;
     if (!this.tenure || !applied.accepted || !record) {
       return;
--- a/packages/scheduler/src/takeover.ts
+++ b/packages/scheduler/src/takeover.ts
@@ -32,7 +32,7 @@
   for (const target of unreachable) {
     context.health.noteSilence(target, true);
   }
-  const active = [...state.activeIn(domain)];
+  const active = [...state.listActiveJobs(domain)];
   await Promise.all(active.map(job => reconcile(context, job, reports)));
   await stopStrays(context, reports);
 }
@@ -122,7 +122,7 @@
   const stops: Promise<unknown>[] = [];
   for (const [target, report] of reports) {
     for (const lease of report.leases) {
-      const job = context.state.job(lease.jobId);
+      const job = context.state.getJob(lease.jobId);
       const isActive =
         job?.attempts === lease.attempt &&
         (job.phase === 'placed' || job.phase === 'running');
--- a/packages/scheduler/src/usage_throttle.ts
+++ b/packages/scheduler/src/usage_throttle.ts
@@ -27,7 +27,7 @@
     }
     const now = this.context.clock.wallTime();
     for (const {jobId, attempt, processors, memoryMb} of event.usage) {
-      const job = this.context.state.job(jobId);
+      const job = this.context.state.getJob(jobId);
       const part = job?.assignments.find(({target}) => target === event.target);
       if (!job || !part || job.attempts !== attempt) {
         continue;
--- a/packages/scheduler/src/waiting_queue.ts
+++ b/packages/scheduler/src/waiting_queue.ts
@@ -86,7 +86,7 @@
   wallNow: number,
 ): Queue {
   const queue: Queue = {waiting: [], held: []};
-  for (const job of state.queuedIn(domain)) {
+  for (const job of state.listQueuedJobs(domain)) {
     if (isStarting(job.jobId)) {
       continue;
     }
