--- a/packages/bench/src/slopes/gang_slopes.ts
+++ b/packages/bench/src/slopes/gang_slopes.ts
@@ -1,7 +1,7 @@
 /** What starting a gang on many targets costs. */
 import {HttpTargetClient} from '@galenavalve/platform';
 import {SilentLogger, SystemClock} from '@galenavalve/shared';
-import {type GangOrder, GangStarter} from '@galenavalve/targets';
+import {type GangAttempt, GangStarter} from '@galenavalve/targets';
 import {
   CLAIM,
   TASKS_PER_PART,
@@ -42,7 +42,7 @@
   const clock = new SystemClock();
   const starter = new GangStarter({
     client,
-    addressOf: id => ({
+    findAddress: id => ({
       id,
       endpoint: `${platform.urls.targets}/targets/${id}`,
     }),
@@ -68,7 +68,7 @@
 
 async function startGang(
   starter: GangStarter,
-  order: GangOrder,
+  order: GangAttempt,
 ): Promise<void> {
   const reserved = await starter.reserve(order);
   if (reserved.kind !== 'reserved') {
@@ -80,7 +80,7 @@
   }
 }
 
-function createOrder(index: number, parts: number): GangOrder {
+function createOrder(index: number, parts: number): GangAttempt {
   const tasks = parts * TASKS_PER_PART;
   const {workspace, gang} = createRequest(index, tasks);
   return {
--- a/packages/daemon/src/backlog_book.ts
+++ b/packages/daemon/src/backlog_book.ts
@@ -1,7 +1,7 @@
 /** Remembers the backlog of each failure domain for a moment, so that a burst of requests stays cheap. */
 import type {LedgerState} from '@galenavalve/ledger';
 import {estimateBacklog} from '@galenavalve/placement';
-import {type CellsMirror, toWaitingJob} from '@galenavalve/scheduler';
+import {type CellsProjection, toWaitingJob} from '@galenavalve/scheduler';
 import type {Milliseconds} from '@galenavalve/shared';
 
 /** How long an estimate is used. */
@@ -21,7 +21,7 @@
 
   constructor(
     private readonly state: LedgerState,
-    private readonly mirrorOf: (domain: string) => CellsMirror,
+    private readonly mirrorOf: (domain: string) => CellsProjection,
   ) {}
 
   /** Backlog of a domain in seconds. `now` is wall-clock time. */
--- a/packages/daemon/src/commands/apply_configuration.ts
+++ b/packages/daemon/src/commands/apply_configuration.ts
@@ -69,7 +69,7 @@
 ): Promise<ConfigurationResult> {
   const {author: by, changeId: id} = change;
   node.mesh.addHold({entity, by, id});
-  node.scheduler.poke();
+  node.scheduler.requestPass();
   const recorded = node.writer.append(
     {type: 'configured', change},
     {deadline: Infinity},
--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -17,7 +17,7 @@
   HttpLog,
   HttpTargetClient,
 } from '@galenavalve/platform';
-import {CellsMirror, Scheduler} from '@galenavalve/scheduler';
+import {CellsProjection, Scheduler} from '@galenavalve/scheduler';
 import {
   type Clock,
   type Logger,
@@ -27,8 +27,8 @@
 } from '@galenavalve/shared';
 import {
   GangStarter,
-  LeaseKeeper,
-  TakeoverReader,
+  LeaseRenewer,
+  TargetFencer,
   type TargetAddress,
   type TargetClient,
   TargetHealth,
@@ -205,10 +205,10 @@
   const state = get<LedgerState>(tokens.state);
   const clock = get<Clock>(tokens.clock);
   const policy = get<GuaranteePolicy>(tokens.policy);
-  const mirrors = new Map<string, CellsMirror>();
-  const mirrorOf = (domain: string): CellsMirror => {
+  const mirrors = new Map<string, CellsProjection>();
+  const mirrorOf = (domain: string): CellsProjection => {
     const mirror =
-      mirrors.get(domain) ?? new CellsMirror(domain, state, policy);
+      mirrors.get(domain) ?? new CellsProjection(domain, state, policy);
     mirrors.set(domain, mirror);
     return mirror;
   };
@@ -238,19 +238,19 @@
   const {settings, state, clock, logger} = node;
   const {timings} = settings;
   const client = get<TargetClient>(tokens.targetClient);
-  const addressOf = (id: string): TargetAddress | undefined => {
+  const findAddress = (id: string): TargetAddress | undefined => {
     const target = state.configuration.targets.get(id);
     return target && {id, endpoint: target.endpoint};
   };
-  const parts = {client, addressOf, clock, logger};
+  const parts = {client, findAddress, clock, logger};
   return new Scheduler({
     domain: settings.domain,
     state,
     writer: node.writer,
     policy: node.policy,
-    mirror: node.mirrorOf(settings.domain),
+    projection: node.mirrorOf(settings.domain),
     client,
-    addressOf,
+    findAddress,
     starter: new GangStarter({
       ...parts,
       options: {
@@ -259,7 +259,7 @@
         leaseMs: timings.leaseMs,
       },
     }),
-    keeper: new LeaseKeeper({
+    leaseRenewer: new LeaseRenewer({
       ...parts,
       options: {
         leaseMs: timings.leaseMs,
@@ -267,7 +267,7 @@
         callTimeoutMs: timings.targetTimeoutMs,
       },
     }),
-    takeover: new TakeoverReader({
+    targetFencer: new TargetFencer({
       ...parts,
       options: {callTimeoutMs: timings.targetTimeoutMs},
     }),
@@ -275,7 +275,7 @@
     clock,
     random: node.random,
     logger,
-    findBar: (now, targets) => findStartBar(node, now, targets),
+    findStartBlocker: (now, targets) => findStartBar(node, now, targets),
     chooseMove: (jobId, now) => chooseMove(node, jobId, now),
   });
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -68,7 +68,7 @@
     this.keep('writer', node.writer.run(signal));
     this.keep('catch-up', catchUpByPeers(node, signal));
     this.keep('snapshots', this.parts.snapshots.run(signal));
-    this.keep('keeper', node.scheduler.keepLeases(signal));
+    this.keep('keeper', node.scheduler.renewLeases(signal));
     this.keep('freshness', this.tickFreshness(signal));
     await this.waitUntilCaughtUp(signal);
     if (node.stage === 'starting') {
@@ -94,7 +94,7 @@
     node.stage = 'stopping';
     const deadline = clock.now() + settings.timings.drainMs;
     await clock.sleep(UNLISTED_MS);
-    await withDeadline(node.scheduler.settle(), deadline - clock.now());
+    await withDeadline(node.scheduler.waitUntilIdle(), deadline - clock.now());
     node.scheduler.deactivate('a planned stop');
     // Callers that still wait learn where their job stands, and resume
     // elsewhere by their request id.
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -7,7 +7,7 @@
 } from '@galenavalve/ledger';
 import type {FreshnessTracker, PeerMesh} from '@galenavalve/membership';
 import type {GuaranteePolicy} from '@galenavalve/placement';
-import type {CellsMirror, Scheduler} from '@galenavalve/scheduler';
+import type {CellsProjection, Scheduler} from '@galenavalve/scheduler';
 import type {Clock, Logger, Random} from '@galenavalve/shared';
 import type {Metrics} from './observability/metrics.js';
 import type {BacklogBook} from './backlog_book.js';
@@ -37,7 +37,7 @@
   waiters: JobWaiters;
   stage: Stage;
   /** The cells of a failure domain; made on first use. */
-  mirrorOf(domain: string): CellsMirror;
+  mirrorOf(domain: string): CellsProjection;
   /** The cells of every failure domain that has been asked for. */
-  mirrors(): Iterable<CellsMirror>;
+  mirrors(): Iterable<CellsProjection>;
 }
--- a/packages/daemon/src/queries/job_queries.ts
+++ b/packages/daemon/src/queries/job_queries.ts
@@ -115,7 +115,7 @@
     return noScheduler;
   }
   if (holder === node.settings.instance) {
-    return node.scheduler.waitReason(job.jobId) ?? pending();
+    return node.scheduler.getWaitReason(job.jobId) ?? pending();
   }
   try {
     const answer = await node.mesh.ask(
--- a/packages/daemon/src/roles/peer_services.ts
+++ b/packages/daemon/src/roles/peer_services.ts
@@ -27,7 +27,7 @@
   relay: RecordRelay,
 ): StateServer {
   server.handle(WAIT_REASON_METHOD, waitQuestion, async ({jobId}) => {
-    const reason = node.scheduler.waitReason(jobId);
+    const reason = node.scheduler.getWaitReason(jobId);
     if (!reason) {
       throw new Failure('not-found', {kind: 'waiting reason', id: jobId});
     }
--- a/packages/faults/src/incidents.ts
+++ b/packages/faults/src/incidents.ts
@@ -170,8 +170,8 @@
 function targetRecovery(world: World): string {
   for (const id of listTargets()) {
     world.targets.setFault(id, undefined);
-    world.targets.revive(id);
-    world.targets.model(id).kind = 'well';
+    world.targets.recover(id);
+    world.targets.getModel(id).behavior = 'well';
     world.setLeaving(id, false);
   }
   return 'targets recover';
@@ -185,7 +185,7 @@
 
 function badTarget(world: World, random: Random): string {
   const target = pick(random, listTargets());
-  world.targets.model(target).kind = 'fails-every-task';
+  world.targets.getModel(target).behavior = 'fails-every-task';
   world.facts.hadBadTargets = true;
   return `${target} fails every task`;
 }
--- a/packages/faults/src/instance.ts
+++ b/packages/faults/src/instance.ts
@@ -14,7 +14,7 @@
 import {type Reason, createReason} from '@galenavalve/model';
 import {GuaranteePolicy} from '@galenavalve/placement';
 import {PolicyWithoutReclaim} from './policy_without_reclaim.js';
-import {CellsMirror, Scheduler} from '@galenavalve/scheduler';
+import {CellsProjection, Scheduler} from '@galenavalve/scheduler';
 import {
   type Clock,
   Failure,
@@ -26,9 +26,9 @@
 } from '@galenavalve/shared';
 import {
   GangStarter,
-  LeaseKeeper,
+  LeaseRenewer,
   type MemoryTargets,
-  TakeoverReader,
+  TargetFencer,
   TargetHealth,
 } from '@galenavalve/targets';
 import {FRESH_MS, type Guards} from './guards.js';
@@ -61,7 +61,7 @@
   readonly follower: LogFollower;
   /** The parts that the commands of the daemon use. */
   readonly node: Node;
-  private readonly mirrors = new Map<string, CellsMirror>();
+  private readonly mirrors = new Map<string, CellsProjection>();
   private readonly random: SeededRandom;
   private readonly clock: Clock;
   private readonly logger = new SilentLogger();
@@ -115,7 +115,7 @@
     const never = new AbortController().signal;
     void this.follower.run(never);
     void this.writer.run(never);
-    void this.scheduler.keepLeases(never);
+    void this.scheduler.renewLeases(never);
   }
 
   kill(): void {
@@ -140,10 +140,10 @@
     }
   }
 
-  private mirrorOf(domain: string): CellsMirror {
+  private mirrorOf(domain: string): CellsProjection {
     const mirror =
       this.mirrors.get(domain) ??
-      new CellsMirror(domain, this.state, this.policy);
+      new CellsProjection(domain, this.state, this.policy);
     this.mirrors.set(domain, mirror);
     return mirror;
   }
@@ -171,31 +171,31 @@
   private createScheduler(): Scheduler {
     const {state, writer, policy, clock, random, logger} = this;
     const {targets, guards, name, domain} = this.parts;
-    const client = this.process.createTargetClient(targets.clientFor(name));
-    const parts = {client, addressOf: targets.addressOf, clock, logger};
+    const client = this.process.createTargetClient(targets.createClient(name));
+    const parts = {client, findAddress: targets.findAddress, clock, logger};
     const options = {callTimeoutMs: CALL_TIMEOUT_MS, leaseMs: LEASE_MS};
     return new Scheduler({
       domain,
       state,
       writer,
       policy,
-      mirror: this.mirrorOf(domain),
+      projection: this.mirrorOf(domain),
       clock,
       random,
       logger,
       client,
-      addressOf: targets.addressOf,
+      findAddress: targets.findAddress,
       starter: new GangStarter({
         ...parts,
         options: {...options, reservationTtlMs: guards.reservationMs},
       }),
-      keeper: new LeaseKeeper({
+      leaseRenewer: new LeaseRenewer({
         ...parts,
         options: {...options, renewMs: RENEW_MS},
       }),
-      takeover: new TakeoverReader({...parts, options}),
+      targetFencer: new TargetFencer({...parts, options}),
       health: new TargetHealth(() => state.configuration.rules),
-      findBar: (now, ids) => this.findBar(now, ids),
+      findStartBlocker: (now, ids) => this.findBar(now, ids),
       chooseMove: (jobId, now) => chooseMove(this.node, jobId, now),
     });
   }
--- a/packages/faults/src/promises.ts
+++ b/packages/faults/src/promises.ts
@@ -1,7 +1,7 @@
 /** The promises of the system, as checks over what an exploration noted. */
 import type {Job} from '@galenavalve/ledger';
 import {type Instant, type Milliseconds, hashValue} from '@galenavalve/shared';
-import {type RunEvent, longestPartialRunMs} from '@galenavalve/targets';
+import {type RunEvent, computeLongestPartialRunMs} from '@galenavalve/targets';
 import type {RequestFact} from './facts.js';
 import {FRESH_MS, RESERVATION_MS} from './guards.js';
 import {CALL_TIMEOUT_MS, LEASE_MS, RENEW_MS} from './instance.js';
@@ -37,7 +37,7 @@
 
 /** How long a part of a gang may run. */
 export const PARTIAL_BOUND_MS =
-  longestPartialRunMs({
+  computeLongestPartialRunMs({
     leaseMs: LEASE_MS,
     renewMs: RENEW_MS,
     callTimeoutMs: CALL_TIMEOUT_MS,
@@ -115,7 +115,7 @@
 }
 
 function checkRuns(world: World): Violation[] {
-  const events = world.audit.all();
+  const events = world.audit.listEvents();
   const starts = events.filter(event => event.kind === 'started');
   return [
     ...starts.flatMap(start => checkService(world, start)),
@@ -157,7 +157,7 @@
   for (const [attempt, count] of members) {
     const key = {jobId: job.jobId, attempt};
     const now = world.clock.now();
-    const partial = world.audit.longestPartialMs(key, count, now);
+    const partial = world.audit.measureLongestPartialRunMs(key, count, now);
     if (partial > PARTIAL_BOUND_MS) {
       const detail = `${job.jobId}/${attempt} ran in part for ${partial} ms`;
       found.push({promise: 'no-gang-in-part', detail});
@@ -209,7 +209,7 @@
     if (!job) {
       return [];
     }
-    const hasRun = world.audit.attemptsOf(job.jobId).size > 0;
+    const hasRun = world.audit.findStartedAttempts(job.jobId).size > 0;
     const isSaidNotRun = fact.answer === 'not-run' || job.outcome === 'not-run';
     if (isSaidNotRun && hasRun) {
       const detail = `${requestId} was said not to have run`;
@@ -260,6 +260,6 @@
 /** Whether the job has begun to run by `now`. */
 export function hasStarted(world: World, jobId: string, now: Instant): boolean {
   return world.audit
-    .all()
+    .listEvents()
     .some(event => event.jobId === jobId && event.at <= now);
 }
--- a/packages/faults/src/world.ts
+++ b/packages/faults/src/world.ts
@@ -14,7 +14,7 @@
   type Milliseconds,
   isFailure,
 } from '@galenavalve/shared';
-import {MemoryTargets, RunAudit, leaseKeyText} from '@galenavalve/targets';
+import {MemoryTargets, RunAudit, formatLeaseKey} from '@galenavalve/targets';
 import {type CallerAnswer, Facts, type RequestFact} from './facts.js';
 import type {Guards} from './guards.js';
 import {DOMAINS, Instance} from './instance.js';
@@ -158,10 +158,10 @@
       lateAppends: 0,
       lostAppends: 0,
     });
-    for (const id of this.targets.ids()) {
+    for (const id of this.targets.listIds()) {
       this.targets.setFault(id, undefined);
-      this.targets.revive(id);
-      this.targets.model(id).kind = 'well';
+      this.targets.recover(id);
+      this.targets.getModel(id).behavior = 'well';
       this.setLeaving(id, false);
     }
     for (const [name, instance] of this.instances) {
@@ -174,7 +174,7 @@
   }
 
   setLeaving(target: string, isLeaving: boolean): void {
-    this.targets.model(target).leaving = isLeaving;
+    this.targets.getModel(target).leaving = isLeaving;
     const now = this.clock.now();
     if (isLeaving) {
       this.facts.noteOut(`self/${target}`, now);
@@ -193,7 +193,7 @@
 
   /** Number of targets of an attempt. */
   membersOf(jobId: string, attempt: number): number {
-    return this.memberCounts.get(leaseKeyText({jobId, attempt})) ?? 0;
+    return this.memberCounts.get(formatLeaseKey({jobId, attempt})) ?? 0;
   }
 
   private async ask(name: string, fact: RequestFact): Promise<CallerAnswer> {
@@ -230,7 +230,7 @@
       const {record, accepted} = applyEntry(this.observer, entry);
       this.observer.nextOffset = entry.offset + 1;
       if (record?.type === 'placed' && accepted) {
-        const key = leaseKeyText(record);
+        const key = formatLeaseKey(record);
         this.memberCounts.set(key, record.assignments.length);
       }
       if (record?.type === 'configured' && accepted) {
@@ -281,7 +281,7 @@
       this.targets.add({
         id,
         capacity: CAPACITY,
-        onRun: audit.note,
+        onRun: audit.addEvent,
         guards: guards.targets,
       });
     }
--- a/packages/platform/src/targets/http_target_client.ts
+++ b/packages/platform/src/targets/http_target_client.ts
@@ -12,8 +12,8 @@
   type LeaseReport,
   type Renewal,
   type Reservation,
-  type StartOrder,
-  type StopOrder,
+  type StartCommand,
+  type StopCommand,
   type TargetAddress,
   type TargetClient,
   type TargetReport,
@@ -61,7 +61,7 @@
 
   async start(
     target: TargetAddress,
-    order: StartOrder,
+    order: StartCommand,
     timeout: Milliseconds,
   ): Promise<void> {
     await this.send(target, 'start', order, timeout, emptyAnswer);
@@ -69,7 +69,7 @@
 
   async stop(
     target: TargetAddress,
-    order: StopOrder,
+    order: StopCommand,
     timeout: Milliseconds,
   ): Promise<LeaseReport | undefined> {
     const answer = await this.send(target, 'stop', order, timeout, stopAnswer);
--- a/packages/scheduler/__tests__/fixtures.ts
+++ b/packages/scheduler/__tests__/fixtures.ts
@@ -23,13 +23,13 @@
 } from '@galenavalve/shared';
 import {
   GangStarter,
-  LeaseKeeper,
+  LeaseRenewer,
   MemoryTargets,
   type RunEvent,
-  TakeoverReader,
+  TargetFencer,
   TargetHealth,
 } from '@galenavalve/targets';
-import {CellsMirror, Scheduler} from '../src/index.js';
+import {CellsProjection, Scheduler} from '../src/index.js';
 
 export const LEASE_MS: Milliseconds = 6_000;
 const CALL_TIMEOUT_MS: Milliseconds = 500;
@@ -46,9 +46,9 @@
 export type Instance = ReturnType<typeof createInstance>;
 
 /** The world of one spec. */
-export type World = ReturnType<typeof createWorld>;
+export type TestCluster = ReturnType<typeof createTestCluster>;
 
-export function createWorld(targetCount = 2) {
+export function createTestCluster(targetCount = 2) {
   const clock = new ManualClock(1_000_000);
   const log = new MemoryLog(clock, {appendLatency: 5});
   const targets = new MemoryTargets(clock);
@@ -73,7 +73,7 @@
   return world;
 }
 
-export function createInstance(world: World, name: string) {
+export function createInstance(world: TestCluster, name: string) {
   const {clock, log, targets} = world;
   const random = new SeededRandom(7);
   const logger = new SilentLogger();
@@ -89,25 +89,25 @@
     options: {appendsPerSecond: 1000},
   });
   const policy = new GuaranteePolicy();
-  const mirror = new CellsMirror('d1', state, policy);
-  const client = targets.clientFor(name);
-  const parts = {client, addressOf: targets.addressOf, clock, logger};
+  const mirror = new CellsProjection('d1', state, policy);
+  const client = targets.createClient(name);
+  const parts = {client, findAddress: targets.findAddress, clock, logger};
   const scheduler = new Scheduler({
     domain: 'd1',
     state,
     writer,
     policy,
-    mirror,
+    projection: mirror,
     clock,
     random,
     logger,
     client,
-    addressOf: targets.addressOf,
+    findAddress: targets.findAddress,
     starter: new GangStarter({
       ...parts,
       options: {callTimeoutMs: CALL_TIMEOUT_MS, leaseMs: LEASE_MS},
     }),
-    keeper: new LeaseKeeper({
+    leaseRenewer: new LeaseRenewer({
       ...parts,
       options: {
         callTimeoutMs: CALL_TIMEOUT_MS,
@@ -115,12 +115,12 @@
         renewMs: 1_000,
       },
     }),
-    takeover: new TakeoverReader({
+    targetFencer: new TargetFencer({
       ...parts,
       options: {callTimeoutMs: CALL_TIMEOUT_MS},
     }),
     health: new TargetHealth(() => state.configuration.rules),
-    findBar: now => {
+    findStartBlocker: now => {
       const freshAt = follower.getFreshAt() ?? -Infinity;
       return now - freshAt > FRESH_MS
         ? createReason('waiting-stale')
@@ -135,7 +135,7 @@
   const abort = new AbortController();
   void follower.run(abort.signal);
   void writer.run(abort.signal);
-  void scheduler.keepLeases(abort.signal);
+  void scheduler.renewLeases(abort.signal);
   /** Ends the instance as a kill would. */
   const kill = () => {
     scheduler.deactivate('killed');
@@ -145,7 +145,10 @@
 }
 
 /** Lets `instance` claim the domain under the next term. */
-export async function claim(world: World, instance: Instance): Promise<void> {
+export async function claim(
+  world: TestCluster,
+  instance: Instance,
+): Promise<void> {
   await world.clock.advance(500);
   const term = {
     log: (instance.state.getSchedulerTerm('d1')?.log ?? 0) + 1,
@@ -161,7 +164,7 @@
 
 /** Appends as another instance would. */
 export function appendDirectly(
-  {log, clock}: Pick<World, 'log' | 'clock'>,
+  {log, clock}: Pick<TestCluster, 'log' | 'clock'>,
   body: RecordBody,
 ): void {
   log.write({
@@ -175,7 +178,7 @@
 
 /** Submits a job; returns its id. */
 export function submit(
-  world: World,
+  world: TestCluster,
   requestId: string,
   changes: Partial<JobRequest> = {},
 ): string {
@@ -202,7 +205,7 @@
 
 /** Moves time until `isDone`, at most `limit`; returns whether it was done. */
 export async function advanceUntil(
-  world: World,
+  world: TestCluster,
   isDone: () => boolean,
   limit: Milliseconds = 60_000,
 ): Promise<boolean> {
@@ -215,7 +218,7 @@
 
 /** Changes the domain's state as an operator would. */
 export function setDomainState(
-  world: World,
+  world: TestCluster,
   baseVersion: number,
   state: 'in-service' | 'out',
 ): void {
--- a/packages/scheduler/__tests__/scheduler.spec.ts
+++ b/packages/scheduler/__tests__/scheduler.spec.ts
@@ -2,12 +2,12 @@
 import {
   LEASE_MS,
   type Instance,
-  type World,
+  type TestCluster,
   advanceUntil,
   appendDirectly,
   claim,
   createInstance,
-  createWorld,
+  createTestCluster,
   setDomainState,
   submit,
 } from './fixtures.js';
@@ -17,11 +17,11 @@
   instance.state.getJob(jobId)?.phase === 'finished';
 const running = (instance: Instance, jobId: string) => () =>
   instance.state.getJob(jobId)?.phase === 'running';
-const startsOf = (world: World, jobId: string) =>
+const startsOf = (world: TestCluster, jobId: string) =>
   world.runs.filter(run => run.jobId === jobId && run.kind === 'started');
 
 async function createScheduled(targetCount = 2) {
-  const world = createWorld(targetCount);
+  const world = createTestCluster(targetCount);
   const instance = createInstance(world, 'a');
   await claim(world, instance);
   return {world, instance};
--- a/packages/scheduler/src/durable_append.ts
+++ b/packages/scheduler/src/append_with_retry.ts
@@ -16,7 +16,7 @@
 const RETRY_CAP_MS: Milliseconds = 2_000;
 
 /** What an append that is retried needs. */
-export interface DurableAppendParts {
+export interface AppendRetryDependencies {
   writer: Pick<LogWriter, 'append'>;
   clock: Clock;
   random: Random;
@@ -29,8 +29,8 @@
  * append of unknown fate under the same record id, so the verdict is that of
  * the first copy. Only a full queue, which wrote nothing, is tried again here.
  */
-export async function appendDurably(
-  parts: DurableAppendParts,
+export async function appendWithRetry(
+  parts: AppendRetryDependencies,
   body: RecordBody,
   signal: AbortSignal,
 ): Promise<boolean> {
--- a/packages/scheduler/src/cells_mirror.ts
+++ b/packages/scheduler/src/cells_projection.ts
@@ -13,7 +13,7 @@
 } from '@galenavalve/placement';
 
 /** The cells of one domain, derived from the ledger. */
-export class CellsMirror {
+export class CellsProjection {
   cells: Cells;
   private configuration: Configuration;
   private readonly observed = new Map<string, TargetCondition>();
@@ -60,7 +60,7 @@
   }
 
   /** Frees the cells of a pending gang, unless the ledger holds it by now. */
-  dropPending(jobId: string): void {
+  removePending(jobId: string): void {
     this.pending.delete(jobId);
     this.followJob(jobId);
   }
@@ -75,7 +75,7 @@
   }
 
   /** Forgets what was seen of targets: after the term it would only mislead routing. */
-  forgetConditions(): void {
+  clearConditions(): void {
     for (const target of this.observed.keys()) {
       this.cells.setCondition(target, 'well');
     }
@@ -157,12 +157,12 @@
     checkpointable: job.request.checkpointable,
     startedAt,
     savedAt: startedAt,
-    expectedSeconds: remainingSeconds(job),
+    expectedSeconds: computeRemainingSeconds(job),
     stopping: job.cancelRequested,
   };
 }
 
 /** The caller's estimate of the run time that is left, in seconds. */
-export function remainingSeconds(job: Job): number {
+export function computeRemainingSeconds(job: Job): number {
   return Math.max(1, job.request.expectedSeconds - job.progressSeconds);
 }
--- a/packages/scheduler/src/gang_order.ts
+++ b/packages/scheduler/src/gang_attempt.ts
@@ -1,15 +1,15 @@
 /** The order that starts, keeps and stops one attempt of a job. */
 import type {Job} from '@galenavalve/ledger';
 import type {Assignment, Term} from '@galenavalve/model';
-import type {GangOrder} from '@galenavalve/targets';
+import type {GangAttempt} from '@galenavalve/targets';
 
 /** The order for an attempt of `job` on `assignments`. */
-export function createGangOrder(
+export function createGangAttempt(
   job: Job,
   attempt: number,
   term: Term,
   assignments: readonly Assignment[],
-): GangOrder {
+): GangAttempt {
   const {request} = job;
   return {
     jobId: job.jobId,
@@ -26,12 +26,12 @@
 }
 
 /** The order for the present attempt of an active job. */
-export function toGangOrder(job: Job, term: Term): GangOrder {
-  return createGangOrder(job, job.attempts, term, job.assignments);
+export function toCurrentGangAttempt(job: Job, term: Term): GangAttempt {
+  return createGangAttempt(job, job.attempts, term, job.assignments);
 }
 
 /** The names of the targets of a gang, for people. */
-export function listTargets(assignments: readonly Assignment[]): string {
+export function formatTargets(assignments: readonly Assignment[]): string {
   const names = assignments.map(({target}) => target);
   const shown = names.slice(0, 8).join(', ');
   return names.length > 8 ? `${shown} and ${names.length - 8} more` : shown;
--- a/packages/scheduler/src/gang_launch.ts
+++ b/packages/scheduler/src/gang_launch_coordinator.ts
@@ -7,24 +7,24 @@
 import {type Reason, createReason, describeReason} from '@galenavalve/model';
 import type {PlacementDecision} from '@galenavalve/placement';
 import {type Milliseconds, describeError, isFailure} from '@galenavalve/shared';
-import type {GangOrder} from '@galenavalve/targets';
-import {createGangOrder, listTargets} from './gang_order.js';
-import {STOP_NOW, stopWhole} from './gang_stop.js';
-import type {SchedulerContext} from './schedule_context.js';
-import type {WaitBook} from './wait_book.js';
+import type {GangAttempt} from '@galenavalve/targets';
+import {createGangAttempt, formatTargets} from './gang_attempt.js';
+import {STOP_NOW, stopGangAndWait} from './gang_stop_coordinator.js';
+import type {SchedulerContext} from './scheduler_context.js';
+import type {WaitReasonTracker} from './wait_reason_tracker.js';
 import type {StartBackoff} from './waiting_queue.js';
 
 /** Longest time that reservations are kept while the append is pending. */
 const APPEND_BOUND_MS: Milliseconds = 4_000;
 
 /** Launches gangs for one term of a domain's scheduler. */
-export class GangLaunch {
+export class GangLaunchCoordinator {
   private readonly starting = new Map<string, Promise<void>>();
 
   constructor(
     private readonly context: SchedulerContext,
     private readonly backoff: StartBackoff,
-    private readonly waits: WaitBook,
+    private readonly waits: WaitReasonTracker,
   ) {}
 
   /** Tells whether the job is between decision and start. */
@@ -43,21 +43,21 @@
       .catch(error => this.onUnexpected(job.jobId, error))
       .finally(() => {
         this.starting.delete(job.jobId);
-        this.context.mirror.dropPending(job.jobId);
-        this.context.poke();
+        this.context.projection.removePending(job.jobId);
+        this.context.requestPass();
       });
     this.starting.set(job.jobId, launch);
   }
 
   /** Resolves when no launch is under way. */
-  async settle(): Promise<void> {
+  async waitUntilIdle(): Promise<void> {
     await Promise.all(this.starting.values());
   }
 
   private occupy(job: Job, decision: PlacementDecision): void {
     const now = this.context.clock.wallTime();
     const {request} = job;
-    this.context.mirror.addPending({
+    this.context.projection.addPending({
       jobId: job.jobId,
       workspace: request.workspace,
       gang: request.gang,
@@ -75,7 +75,7 @@
   }
 
   private async launch(job: Job, decision: PlacementDecision): Promise<void> {
-    const order = createGangOrder(
+    const order = createGangAttempt(
       job,
       job.attempts + 1,
       this.context.term,
@@ -101,13 +101,13 @@
 
   /** Appends `placed` while the reservations are renewed. */
   private async recordIntent(
-    order: GangOrder,
+    order: GangAttempt,
     decision: PlacementDecision,
   ): Promise<boolean> {
     const {clock, starter, writer, domain, term} = this.context;
     const deadline = clock.now() + APPEND_BOUND_MS;
     const appended = new AbortController();
-    const kept = starter.keepReserved(order, deadline, appended.signal);
+    const kept = starter.renewReservations(order, deadline, appended.signal);
     try {
       const applied = await writer.append(
         {
@@ -140,7 +140,7 @@
     }
   }
 
-  private isAccepted(order: GangOrder, applied: FoldResult): boolean {
+  private isAccepted(order: GangAttempt, applied: FoldResult): boolean {
     if (applied.accepted) {
       return true;
     }
@@ -152,8 +152,15 @@
     return false;
   }
 
-  private async start(order: GangOrder): Promise<void> {
-    const {starter, keeper, record, domain, term, logger} = this.context;
+  private async start(order: GangAttempt): Promise<void> {
+    const {
+      starter,
+      leaseRenewer: keeper,
+      record,
+      domain,
+      term,
+      logger,
+    } = this.context;
     const result = await starter.start(order, () => this.findBar(order));
     const attempt = {
       jobId: order.jobId,
@@ -164,16 +171,16 @@
     if (result.kind === 'started') {
       logger.info('started', {
         ...attempt,
-        targets: listTargets(order.assignments),
+        targets: formatTargets(order.assignments),
       });
-      this.backoff.forget(order.jobId);
-      keeper.follow(order);
+      this.backoff.reset(order.jobId);
+      keeper.addGang(order);
       await record({type: 'started', ...attempt});
       return;
     }
     this.giveUp(order, result.reason, result.culprit);
     if (result.mayHaveRun) {
-      await stopWhole(this.context, order, STOP_NOW);
+      await stopGangAndWait(this.context, order, STOP_NOW);
     }
     await record({
       type: 'unplaced',
@@ -185,7 +192,7 @@
     });
   }
 
-  private findBar(order: GangOrder): Reason | undefined {
+  private findBar(order: GangAttempt): Reason | undefined {
     if (this.context.signal.aborted) {
       return createReason('waiting-scheduler', {domain: this.context.domain});
     }
@@ -194,24 +201,24 @@
       return createReason('cancelled', {by: 'its caller'});
     }
     const targets = order.assignments.map(({target}) => target);
-    return this.context.findBar(this.context.clock.now(), targets);
+    return this.context.findStartBlocker(this.context.clock.now(), targets);
   }
 
-  private async release(order: GangOrder): Promise<void> {
+  private async release(order: GangAttempt): Promise<void> {
     await this.context.starter.stop(order, STOP_NOW);
   }
 
-  private giveUp(order: GangOrder, reason: Reason, culprit?: string): void {
+  private giveUp(order: GangAttempt, reason: Reason, culprit?: string): void {
     const {clock, random, logger, health} = this.context;
     if (culprit !== undefined) {
       health.noteRefusal(culprit, clock.now());
     }
     this.backoff.noteFailure(order.jobId, clock.now(), random.next());
-    this.waits.note(order.jobId, reason);
+    this.waits.setReason(order.jobId, reason);
     logger.info('not-started', {
       jobId: order.jobId,
       attempt: order.attempt,
-      targets: listTargets(order.assignments),
+      targets: formatTargets(order.assignments),
       reason: reason.code,
       text: describeReason(reason),
     });
--- a/packages/scheduler/src/gang_stop.ts
+++ b/packages/scheduler/src/gang_stop_coordinator.ts
@@ -3,8 +3,8 @@
 import {type Reason, describeReason} from '@galenavalve/model';
 import {type Milliseconds, describeError} from '@galenavalve/shared';
 import type {GangMembers, GangStopResult} from '@galenavalve/targets';
-import {toGangOrder} from './gang_order.js';
-import type {SchedulerContext} from './schedule_context.js';
+import {toCurrentGangAttempt} from './gang_attempt.js';
+import type {SchedulerContext} from './scheduler_context.js';
 
 /** Pause between two tries to stop a gang. */
 const RETRY_MS: Milliseconds = 500;
@@ -13,7 +13,7 @@
 export const STOP_NOW = {checkpoint: false, graceMs: 0};
 
 /** Options of a stop. */
-export interface StopOptions {
+export interface GangStopOptions {
   reason: Reason;
   /** Target that caused the stop, if one did. */
   culprit?: string;
@@ -22,7 +22,7 @@
 }
 
 /** Stops gangs for one term of a domain's scheduler. */
-export class GangStop {
+export class GangStopCoordinator {
   private readonly stopping = new Map<string, Promise<void>>();
   /** Jobs whose end is being recorded: there is nothing left to stop. */
   private readonly ending = new Set<string>();
@@ -30,7 +30,7 @@
   constructor(private readonly context: SchedulerContext) {}
 
   /** Keeps a job from being stopped while `record` records its end. */
-  async whileEnding(
+  async blockStopsDuring(
     jobId: string,
     record: () => Promise<boolean>,
   ): Promise<boolean> {
@@ -48,12 +48,12 @@
   }
 
   /** Begins to stop a gang; a second call for the same job changes nothing. */
-  begin(job: Job, options: StopOptions): void {
+  begin(job: Job, options: GangStopOptions): void {
     const isOver = this.ending.has(job.jobId) || !isActive(job);
     if (this.isStopping(job.jobId) || isOver) {
       return;
     }
-    this.context.mirror.markStopping(job.jobId);
+    this.context.projection.markStopping(job.jobId);
     const stop = this.stop(job, options)
       .catch(error => {
         this.context.logger.error('stop-failed', {
@@ -63,22 +63,22 @@
       })
       .finally(() => {
         this.stopping.delete(job.jobId);
-        this.context.poke();
+        this.context.requestPass();
       });
     this.stopping.set(job.jobId, stop);
   }
 
   /** Resolves when no stop is under way. */
-  async settle(): Promise<void> {
+  async waitUntilIdle(): Promise<void> {
     await Promise.all(this.stopping.values());
   }
 
-  private async stop(job: Job, options: StopOptions): Promise<void> {
-    const {keeper, record, domain, term, logger} = this.context;
+  private async stop(job: Job, options: GangStopOptions): Promise<void> {
+    const {leaseRenewer: keeper, record, domain, term, logger} = this.context;
     const {attempts: attempt, jobId} = job;
     const rules = this.context.state.configuration.rules;
     const checkpoint = options.checkpoint && job.request.checkpointable;
-    const order = toGangOrder(job, term);
+    const order = toCurrentGangAttempt(job, term);
     logger.info('stopping', {
       jobId,
       attempt,
@@ -87,12 +87,12 @@
       text: describeReason(options.reason),
     });
     const graceMs = checkpoint ? rules.checkpointGraceSeconds * 1000 : 0;
-    const result = await stopWhole(
+    const result = await stopGangAndWait(
       this.context,
       order,
       {checkpoint, graceMs},
       // Its leases must lapse from now on where the stop did not arrive.
-      () => keeper.unfollow(jobId),
+      () => keeper.removeGang(jobId),
     );
     await record({
       type: 'unplaced',
@@ -116,13 +116,13 @@
  * afterwards never overlaps with its earlier attempt. `onAsked` is called once
  * every member that answers has stopped.
  */
-export async function stopWhole(
+export async function stopGangAndWait(
   context: SchedulerContext,
   gang: GangMembers,
   options: {checkpoint: boolean; graceMs: Milliseconds},
   onAsked: () => void = () => {},
 ): Promise<GangStopResult> {
-  const {clock, keeper, signal, starter} = context;
+  const {clock, leaseRenewer: keeper, signal, starter} = context;
   const end = clock.now() + options.graceMs + keeper.leaseMs;
   const result = await starter.stop(gang, options);
   onAsked();
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -2,11 +2,14 @@
 
 // The role
 export {Scheduler} from './scheduler.js';
-export type {SchedulerParts} from './schedule_context.js';
+export type {SchedulerDependencies} from './scheduler_context.js';
 
 // What the ledger says, as the placement package sees it
-export {CellsMirror, toRunningGang} from './cells_mirror.js';
+export {CellsProjection, toRunningGang} from './cells_projection.js';
 export {toWaitingJob} from './waiting_queue.js';
 
 // Appends
-export {appendDurably, type DurableAppendParts} from './durable_append.js';
+export {
+  appendWithRetry,
+  type AppendRetryDependencies,
+} from './append_with_retry.js';
--- a/packages/scheduler/src/gang_watch.ts
+++ b/packages/scheduler/src/lease_renewer_event_handler.ts
@@ -8,10 +8,14 @@
   describeReason,
 } from '@galenavalve/model';
 import {hashValue} from '@galenavalve/shared';
-import type {KeeperEvent} from '@galenavalve/targets';
-import {type GangStop, STOP_NOW, stopWhole} from './gang_stop.js';
-import {toGangOrder} from './gang_order.js';
-import type {SchedulerContext} from './schedule_context.js';
+import type {LeaseRenewerEvent} from '@galenavalve/targets';
+import {
+  type GangStopCoordinator,
+  STOP_NOW,
+  stopGangAndWait,
+} from './gang_stop_coordinator.js';
+import {toCurrentGangAttempt} from './gang_attempt.js';
+import type {SchedulerContext} from './scheduler_context.js';
 
 /** The end of a job, ready to be recorded. */
 interface Ending {
@@ -22,14 +26,14 @@
 }
 
 /** Watches the running gangs for one term of a domain's scheduler. */
-export class GangWatch {
+export class LeaseRenewerEventHandler {
   constructor(
     private readonly context: SchedulerContext,
-    private readonly stop: GangStop,
+    private readonly stop: GangStopCoordinator,
   ) {}
 
   /** Handles one event of the lease keeper. */
-  onKeeperEvent(event: KeeperEvent): void {
+  onEvent(event: LeaseRenewerEvent): void {
     switch (event.kind) {
       case 'succeeded':
         this.onSucceeded(event);
@@ -41,24 +45,24 @@
         this.onMemberLost(event);
         return;
       case 'target-leaving':
-        this.context.health.noteLeaving(event.target, true);
+        this.context.health.setLeaving(event.target, true);
         break;
       case 'target-staying':
-        this.context.health.noteLeaving(event.target, false);
+        this.context.health.setLeaving(event.target, false);
         break;
       case 'target-silent':
-        this.context.health.noteSilence(event.target, true);
+        this.context.health.setUnreachable(event.target, true);
         break;
       case 'target-answering':
-        this.context.health.noteSilence(event.target, false);
+        this.context.health.setUnreachable(event.target, false);
         break;
       default:
         return;
     }
-    this.context.poke();
+    this.context.requestPass();
   }
 
-  private onSucceeded(event: KeeperEvent & {kind: 'succeeded'}): void {
+  private onSucceeded(event: LeaseRenewerEvent & {kind: 'succeeded'}): void {
     const job = this.findPresent(event.jobId, event.attempt);
     if (!job) {
       return;
@@ -81,7 +85,7 @@
     });
   }
 
-  private onFailed(event: KeeperEvent & {kind: 'failed'}): void {
+  private onFailed(event: LeaseRenewerEvent & {kind: 'failed'}): void {
     const job = this.findPresent(event.jobId, event.attempt);
     if (!job || this.stop.isStopping(job.jobId)) {
       return;
@@ -112,7 +116,7 @@
     this.stop.begin(job, {reason, culprit: event.culprit, checkpoint: false});
   }
 
-  private onMemberLost(event: KeeperEvent & {kind: 'member-lost'}): void {
+  private onMemberLost(event: LeaseRenewerEvent & {kind: 'member-lost'}): void {
     const job = this.findPresent(event.jobId, event.attempt);
     if (job) {
       const reason = createReason('stopped-member', {
@@ -129,8 +133,8 @@
     failures: number,
     cause: Reason,
   ): Promise<void> {
-    const order = toGangOrder(job, this.context.term);
-    await stopWhole(this.context, order, STOP_NOW);
+    const order = toCurrentGangAttempt(job, this.context.term);
+    await stopGangAndWait(this.context, order, STOP_NOW);
     await this.finish(job, {
       outcome: 'failed',
       results: [],
@@ -140,7 +144,7 @@
   }
 
   private async finish(job: Job, ending: Ending): Promise<void> {
-    const {keeper, record, domain, term, logger} = this.context;
+    const {leaseRenewer: keeper, record, domain, term, logger} = this.context;
     const {jobId, attempts: attempt} = job;
     logger.info('finished', {
       jobId,
@@ -148,7 +152,7 @@
       outcome: ending.outcome,
       text: describeReason(ending.reason),
     });
-    const isAccepted = await this.stop.whileEnding(jobId, () =>
+    const isAccepted = await this.stop.blockStopsDuring(jobId, () =>
       record({
         type: 'finished',
         jobId,
@@ -163,13 +167,13 @@
       }),
     );
     if (isAccepted) {
-      keeper.forget(jobId, attempt);
+      keeper.acknowledgeEnd(jobId, attempt);
     }
     // The record may come too late, when another attempt is already kept.
     if (this.context.state.getJob(jobId)?.attempts === attempt) {
-      keeper.unfollow(jobId);
+      keeper.removeGang(jobId);
     }
-    this.context.poke();
+    this.context.requestPass();
   }
 
   private findPresent(jobId: string, attempt: number): Job | undefined {
--- a/packages/scheduler/src/queue_pass.ts
+++ b/packages/scheduler/src/queue_pass.ts
@@ -9,54 +9,59 @@
 import type {PassDecisions, WaitingJob} from '@galenavalve/placement';
 import type {Instant} from '@galenavalve/shared';
 import {evacuate} from './evacuation.js';
-import type {GangLaunch} from './gang_launch.js';
-import {listTargets} from './gang_order.js';
-import type {GangStop} from './gang_stop.js';
-import {QueueMoves} from './queue_moves.js';
-import type {SchedulerContext} from './schedule_context.js';
-import type {WaitBook} from './wait_book.js';
+import type {GangLaunchCoordinator} from './gang_launch_coordinator.js';
+import {formatTargets} from './gang_attempt.js';
+import type {GangStopCoordinator} from './gang_stop_coordinator.js';
+import {QueuedJobMover} from './queued_job_mover.js';
+import type {SchedulerContext} from './scheduler_context.js';
+import type {WaitReasonTracker} from './wait_reason_tracker.js';
 import {type StartBackoff, readQueue} from './waiting_queue.js';
 
 /** What a pass works with. */
-export interface QueuePassParts {
+export interface QueuePassDependencies {
   context: SchedulerContext;
-  launch: GangLaunch;
-  stop: GangStop;
+  launchCoordinator: GangLaunchCoordinator;
+  stopCoordinator: GangStopCoordinator;
   backoff: StartBackoff;
-  waits: WaitBook;
+  waitReasons: WaitReasonTracker;
 }
 
 /** The passes of one term of a domain's scheduler. */
 export class QueuePass {
-  private readonly moves: QueueMoves;
+  private readonly moves: QueuedJobMover;
   /** The domain's targets, remembered while the configuration stays the same. */
   private targets?: {configuration: Configuration; names: string[]};
 
-  constructor(private readonly parts: QueuePassParts) {
-    this.moves = new QueueMoves(parts.context);
+  constructor(private readonly parts: QueuePassDependencies) {
+    this.moves = new QueuedJobMover(parts.context);
   }
 
   /** Runs a pass now. */
   run(): void {
-    const {context, launch, waits} = this.parts;
+    const {context, launchCoordinator: launch, waitReasons: waits} = this.parts;
     const now = context.clock.now();
     this.refreshConditions(now);
     this.takeBackOrphans();
     this.stopCancelled();
-    evacuate(context, this.parts.stop);
+    evacuate(context, this.parts.stopCoordinator);
     const waiting = this.readWaiting(now);
-    const bar = context.findBar(now, []);
+    const bar = context.findStartBlocker(now, []);
     if (bar) {
-      waiting.forEach(({jobId}) => waits.note(jobId, bar));
+      waiting.forEach(({jobId}) => waits.setReason(jobId, bar));
     } else {
       this.decide(waiting);
     }
     const staying = waiting.filter(({jobId}) => !launch.isStarting(jobId));
-    this.moves.consider(staying, now, context.clock.wallTime());
+    this.moves.moveUnservableJobs(staying, now, context.clock.wallTime());
   }
 
   private readWaiting(now: Instant): WaitingJob[] {
-    const {context, launch, backoff, waits} = this.parts;
+    const {
+      context,
+      launchCoordinator: launch,
+      backoff,
+      waitReasons: waits,
+    } = this.parts;
     const {state, domain, clock} = context;
     const {waiting, held} = readQueue(
       state,
@@ -66,41 +71,41 @@
       now,
       clock.wallTime(),
     );
-    held.forEach(({jobId, reason}) => waits.note(jobId, reason));
+    held.forEach(({jobId, reason}) => waits.setReason(jobId, reason));
     return waiting;
   }
 
   private decide(waiting: readonly WaitingJob[]): void {
-    const {context, waits} = this.parts;
-    const {policy, mirror, clock} = context;
+    const {context, waitReasons: waits} = this.parts;
+    const {policy, projection: mirror, clock} = context;
     const decisions = policy.decide(mirror.cells, waiting, clock.wallTime());
     this.launchPlaced(decisions);
     for (const {forJob, victims, reason} of decisions.reclaims) {
-      waits.note(forJob, reason);
+      waits.setReason(forJob, reason);
       this.reclaim(forJob, victims);
     }
     for (const {jobId, reason} of decisions.waits) {
-      waits.note(jobId, reason);
+      waits.setReason(jobId, reason);
     }
   }
 
   private launchPlaced({placements}: PassDecisions): void {
-    const {context, launch, waits} = this.parts;
+    const {context, launchCoordinator: launch, waitReasons: waits} = this.parts;
     for (const decision of placements) {
       context.logger.info('placed', {
         jobId: decision.jobId,
-        targets: listTargets(decision.assignments),
+        targets: formatTargets(decision.assignments),
         guaranteed: decision.guaranteed,
         reason: decision.reason.code,
         text: describeReason(decision.reason),
       });
-      waits.forget(decision.jobId);
+      waits.remove(decision.jobId);
       launch.begin(decision);
     }
   }
 
   private reclaim(forJob: string, victims: readonly string[]): void {
-    const {context, stop} = this.parts;
+    const {context, stopCoordinator: stop} = this.parts;
     const workspace = context.state.getJob(forJob)?.request.workspace ?? '';
     const reason = createReason('preempted-reclaim', {workspace});
     context.logger.info('reclaim', {forJob, victims});
@@ -117,8 +122,12 @@
    * This scheduler started nothing for it, and nobody else can under its term.
    */
   private takeBackOrphans(): void {
-    const {context, launch, stop} = this.parts;
-    const {state, domain, term, keeper} = context;
+    const {
+      context,
+      launchCoordinator: launch,
+      stopCoordinator: stop,
+    } = this.parts;
+    const {state, domain, term, leaseRenewer: keeper} = context;
     for (const job of state.listActiveJobs(domain)) {
       const isOrphan =
         job.phase === 'placed' &&
@@ -126,7 +135,7 @@
         isSameTerm(job.term, term) &&
         !launch.isStarting(job.jobId) &&
         !stop.isStopping(job.jobId) &&
-        !keeper.isFollowing(job.jobId);
+        !keeper.hasGang(job.jobId);
       if (isOrphan) {
         void context.record({
           type: 'unplaced',
@@ -144,7 +153,7 @@
 
   /** Stops gangs that were cancelled, also those that were then about to start. */
   private stopCancelled(): void {
-    const {context, stop} = this.parts;
+    const {context, stopCoordinator: stop} = this.parts;
     const cancelled = [...context.state.listActiveJobs(context.domain)].filter(
       job => job.phase === 'running' && job.cancelRequested,
     );
@@ -157,11 +166,15 @@
 
   /** Shows the policy what is known of the targets' health; quarantines end with time. */
   private refreshConditions(now: Instant): void {
-    const {health, mirror, keeper} = this.parts.context;
+    const {
+      health,
+      projection: mirror,
+      leaseRenewer: keeper,
+    } = this.parts.context;
     const targets = this.listTargets();
-    keeper.followTargets(targets);
+    keeper.setPolledTargets(targets);
     for (const target of targets) {
-      mirror.setCondition(target, health.condition(target, now));
+      mirror.setCondition(target, health.getCondition(target, now));
     }
   }
 
--- a/packages/scheduler/src/queue_moves.ts
+++ b/packages/scheduler/src/queued_job_mover.ts
@@ -2,7 +2,7 @@
 import {type Reason, describeReason} from '@galenavalve/model';
 import type {WaitingJob} from '@galenavalve/placement';
 import type {Instant, Milliseconds} from '@galenavalve/shared';
-import type {SchedulerContext} from './schedule_context.js';
+import type {SchedulerContext} from './scheduler_context.js';
 
 /** Jobs that are looked at in one pass; the bound keeps passes short when queues are long. */
 const MAX_CONSIDERED = 32;
@@ -11,7 +11,7 @@
 const RECONSIDER_MS: Milliseconds = 2_000;
 
 /** The moves of one term of a domain's scheduler. */
-export class QueueMoves {
+export class QueuedJobMover {
   private readonly moving = new Set<string>();
   /** When each waiting job was looked at last. */
   private consideredAt = new Map<string, Instant>();
@@ -19,7 +19,7 @@
   constructor(private readonly context: SchedulerContext) {}
 
   /** Looks at the jobs that were not looked at lately. `wallNow` is wall-clock time. */
-  consider(
+  moveUnservableJobs(
     waiting: readonly WaitingJob[],
     now: Instant,
     wallNow: number,
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -7,16 +7,19 @@
 import type {FoldResult} from '@galenavalve/ledger';
 import {type Reason, type Term, isSameTerm} from '@galenavalve/model';
 import {type Milliseconds, describeError} from '@galenavalve/shared';
-import type {KeeperEvent} from '@galenavalve/targets';
-import {appendDurably} from './durable_append.js';
-import {GangLaunch} from './gang_launch.js';
-import {GangStop} from './gang_stop.js';
-import {GangWatch} from './gang_watch.js';
+import type {LeaseRenewerEvent} from '@galenavalve/targets';
+import {appendWithRetry} from './append_with_retry.js';
+import {GangLaunchCoordinator} from './gang_launch_coordinator.js';
+import {GangStopCoordinator} from './gang_stop_coordinator.js';
+import {LeaseRenewerEventHandler} from './lease_renewer_event_handler.js';
 import {QueuePass} from './queue_pass.js';
-import type {SchedulerContext, SchedulerParts} from './schedule_context.js';
-import {takeOver} from './takeover.js';
+import type {
+  SchedulerContext,
+  SchedulerDependencies,
+} from './scheduler_context.js';
+import {fenceAndReconcile} from './takeover.js';
 import {UsageThrottle} from './usage_throttle.js';
-import {WaitBook} from './wait_book.js';
+import {WaitReasonTracker} from './wait_reason_tracker.js';
 import {StartBackoff} from './waiting_queue.js';
 
 /** Longest time between two passes over the queue. */
@@ -29,9 +32,9 @@
 interface Tenure {
   context: SchedulerContext;
   abort: AbortController;
-  launch: GangLaunch;
-  stop: GangStop;
-  watch: GangWatch;
+  launch: GangLaunchCoordinator;
+  stop: GangStopCoordinator;
+  watch: LeaseRenewerEventHandler;
   throttle: UsageThrottle;
   pass: QueuePass;
   done: Promise<void>;
@@ -41,14 +44,14 @@
 export class Scheduler {
   private tenure: Tenure | undefined;
   private readonly backoff = new StartBackoff();
-  private readonly waits: WaitBook;
+  private readonly waits: WaitReasonTracker;
   private wake: (() => void) | undefined;
   private isPoked = false;
   private listedLeaving: ReadonlySet<string> = new Set();
 
-  constructor(private readonly parts: SchedulerParts) {
-    this.waits = new WaitBook(parts.logger);
-    parts.keeper.onEvent(event => this.onKeeperEvent(event));
+  constructor(private readonly parts: SchedulerDependencies) {
+    this.waits = new WaitReasonTracker(parts.logger);
+    parts.leaseRenewer.onEvent(event => this.onKeeperEvent(event));
   }
 
   // Queries
@@ -59,8 +62,8 @@
   }
 
   /** What a queued job waits for, as of the last pass. */
-  waitReason(jobId: string): Reason | undefined {
-    return this.waits.reasonOf(jobId);
+  getWaitReason(jobId: string): Reason | undefined {
+    return this.waits.getReason(jobId);
   }
 
   // Commands
@@ -75,26 +78,26 @@
     // Every launch and stop under way listens to the end of the term.
     setMaxListeners(0, abort.signal);
     const context = this.createContext(term, abort.signal);
-    const stop = new GangStop(context);
-    const launch = new GangLaunch(context, this.backoff, this.waits);
+    const stop = new GangStopCoordinator(context);
+    const launch = new GangLaunchCoordinator(context, this.backoff, this.waits);
     const tenure: Tenure = {
       context,
       abort,
       stop,
       launch,
-      watch: new GangWatch(context, stop),
+      watch: new LeaseRenewerEventHandler(context, stop),
       throttle: new UsageThrottle(context),
       pass: new QueuePass({
         context,
-        launch,
-        stop,
+        launchCoordinator: launch,
+        stopCoordinator: stop,
         backoff: this.backoff,
-        waits: this.waits,
+        waitReasons: this.waits,
       }),
       done: Promise.resolve(),
     };
     this.tenure = tenure;
-    this.parts.keeper.setTerm(term);
+    this.parts.leaseRenewer.setTerm(term);
     tenure.done = this.run(tenure).catch(error => {
       this.parts.logger.error('scheduler-failed', {
         domain: this.parts.domain,
@@ -116,19 +119,19 @@
     this.tenure.abort.abort();
     this.tenure = undefined;
     this.waits.clear();
-    this.parts.keeper.clear();
-    this.parts.mirror.forgetConditions();
+    this.parts.leaseRenewer.clear();
+    this.parts.projection.clearConditions();
   }
 
   /** Renews leases until `signal` aborts. */
-  keepLeases(signal: AbortSignal): Promise<void> {
-    return this.parts.keeper.run(signal);
+  renewLeases(signal: AbortSignal): Promise<void> {
+    return this.parts.leaseRenewer.run(signal);
   }
 
   /** Waits for launches and stops under way; for a planned stop. */
-  async settle(): Promise<void> {
-    await this.tenure?.launch.settle();
-    await this.tenure?.stop.settle();
+  async waitUntilIdle(): Promise<void> {
+    await this.tenure?.launch.waitUntilIdle();
+    await this.tenure?.stop.waitUntilIdle();
   }
 
   /** Takes notice of a folded record. The mirror must have seen it before. */
@@ -144,9 +147,9 @@
       }
     }
     if (record.type === 'finished' || record.type === 'cancelled') {
-      this.waits.forget(record.jobId);
+      this.waits.remove(record.jobId);
     }
-    this.poke();
+    this.requestPass();
   }
 
   /**
@@ -157,22 +160,22 @@
     for (const target of leaving) {
       if (!this.listedLeaving.has(target)) {
         this.parts.logger.info('target-listed-leaving', {target});
-        this.parts.health.noteLeaving(target, true);
-        this.poke();
+        this.parts.health.setLeaving(target, true);
+        this.requestPass();
       }
     }
     for (const target of this.listedLeaving) {
       if (!leaving.has(target)) {
         this.parts.logger.info('target-listed-live', {target});
-        this.parts.health.noteLeaving(target, false);
-        this.poke();
+        this.parts.health.setLeaving(target, false);
+        this.requestPass();
       }
     }
     this.listedLeaving = leaving;
   }
 
   /** Asks for a pass over the queue. */
-  poke(): void {
+  requestPass(): void {
     this.isPoked = true;
     this.wake?.();
   }
@@ -182,14 +185,14 @@
       ...this.parts,
       term,
       signal,
-      record: body => appendDurably(this.parts, body, signal),
-      poke: () => this.poke(),
+      record: body => appendWithRetry(this.parts, body, signal),
+      requestPass: () => this.requestPass(),
     };
   }
 
   private async run(tenure: Tenure): Promise<void> {
     const {signal} = tenure.context;
-    await takeOver(tenure.context);
+    await fenceAndReconcile(tenure.context);
     while (!signal.aborted) {
       const begin = this.parts.clock.now();
       this.isPoked = false;
@@ -202,11 +205,11 @@
     }
   }
 
-  private onKeeperEvent(event: KeeperEvent): void {
+  private onKeeperEvent(event: LeaseRenewerEvent): void {
     if (event.kind === 'usage') {
       this.tenure?.throttle.onUsage(event);
     } else {
-      this.tenure?.watch.onKeeperEvent(event);
+      this.tenure?.watch.onEvent(event);
     }
   }
 
@@ -214,7 +217,7 @@
     if (this.isPoked || signal.aborted) {
       return;
     }
-    const due = this.backoff.nextDue(this.parts.clock.now());
+    const due = this.backoff.getNextDueMs(this.parts.clock.now());
     const timeout = Math.min(IDLE_PASS_MS, due ?? IDLE_PASS_MS);
     const woken = new AbortController();
     const onAbort = () => woken.abort();
--- a/packages/scheduler/src/schedule_context.ts
+++ b/packages/scheduler/src/scheduler_context.ts
@@ -6,25 +6,25 @@
 import type {
   AddressLookup,
   GangStarter,
-  LeaseKeeper,
+  LeaseRenewer,
   TargetHealth,
-  TakeoverReader,
+  TargetFencer,
   TargetClient,
 } from '@galenavalve/targets';
-import type {CellsMirror} from './cells_mirror.js';
+import type {CellsProjection} from './cells_projection.js';
 
 /** Parts that the daemon injects. */
-export interface SchedulerParts {
+export interface SchedulerDependencies {
   domain: string;
   state: LedgerState;
   writer: Pick<LogWriter, 'append'>;
   policy: GuaranteePolicy;
-  mirror: CellsMirror;
+  projection: CellsProjection;
   client: TargetClient;
-  addressOf: AddressLookup;
+  findAddress: AddressLookup;
   starter: GangStarter;
-  keeper: LeaseKeeper;
-  takeover: TakeoverReader;
+  leaseRenewer: LeaseRenewer;
+  targetFencer: TargetFencer;
   health: TargetHealth;
   clock: Clock;
   random: Random;
@@ -33,7 +33,10 @@
    * Why nothing may start now, or undefined. The daemon answers from the
    * freshness of the configuration and the holds of its peers.
    */
-  findBar(now: Instant, targets: readonly string[]): Reason | undefined;
+  findStartBlocker(
+    now: Instant,
+    targets: readonly string[],
+  ): Reason | undefined;
   /** Where to send a queued job that this domain cannot serve; undefined to keep it. */
   chooseMove(
     jobId: string,
@@ -42,12 +45,12 @@
 }
 
 /** The parts, with the term that is held. */
-export interface SchedulerContext extends SchedulerParts {
+export interface SchedulerContext extends SchedulerDependencies {
   term: Term;
   /** Aborted when the term is lost or the daemon stops. */
   signal: AbortSignal;
   /** Appends until the record is in the log or the term is lost. */
   record(body: RecordBody): Promise<boolean>;
   /** Asks for another pass over the queue. */
-  poke(): void;
+  requestPass(): void;
 }
--- a/packages/scheduler/src/takeover.ts
+++ b/packages/scheduler/src/takeover.ts
@@ -7,9 +7,9 @@
 import {createReason} from '@galenavalve/model';
 import type {Milliseconds} from '@galenavalve/shared';
 import type {LeaseReport, TargetReport} from '@galenavalve/targets';
-import {toGangOrder} from './gang_order.js';
-import {STOP_NOW, stopWhole} from './gang_stop.js';
-import type {SchedulerContext} from './schedule_context.js';
+import {toCurrentGangAttempt} from './gang_attempt.js';
+import {STOP_NOW, stopGangAndWait} from './gang_stop_coordinator.js';
+import type {SchedulerContext} from './scheduler_context.js';
 
 /** Pause between two tries to fence targets that did not answer. */
 const RETRY_MS: Milliseconds = 300;
@@ -17,8 +17,10 @@
 type Reports = Map<string, TargetReport>;
 
 /** Fences and reconciles. Resolves when passes over the queue may begin. */
-export async function takeOver(context: SchedulerContext): Promise<void> {
-  const {state, domain, takeover, term, logger} = context;
+export async function fenceAndReconcile(
+  context: SchedulerContext,
+): Promise<void> {
+  const {state, domain, targetFencer: takeover, term, logger} = context;
   const targets = [...state.configuration.targets.values()]
     .filter(target => target.domain === domain)
     .map(target => target.id);
@@ -30,7 +32,7 @@
     unreachable,
   });
   for (const target of unreachable) {
-    context.health.noteSilence(target, true);
+    context.health.setUnreachable(target, true);
   }
   const active = [...state.listActiveJobs(domain)];
   await Promise.all(active.map(job => reconcile(context, job, reports)));
@@ -45,8 +47,8 @@
 ): Promise<void> {
   const leases = await readLeases(context, job, reports);
   if (job.phase === 'running' || isWhole(job, leases)) {
-    const order = toGangOrder(job, context.term);
-    context.keeper.follow(order);
+    const order = toCurrentGangAttempt(job, context.term);
+    context.leaseRenewer.addGang(order);
     if (job.phase === 'placed') {
       await context.record({type: 'started', ...attemptOf(context, job)});
     }
@@ -66,7 +68,7 @@
 ): Promise<Map<string, LeaseReport | undefined>> {
   const leases = new Map<string, LeaseReport | undefined>();
   const members = job.assignments.map(({target}) => target);
-  const end = context.clock.now() + context.keeper.leaseMs;
+  const end = context.clock.now() + context.leaseRenewer.leaseMs;
   const noteReports = (from: Reports) => {
     for (const target of members) {
       const report = from.get(target);
@@ -84,7 +86,7 @@
   ) {
     await context.clock.sleep(RETRY_MS, context.signal);
     const missing = members.filter(target => !leases.has(target));
-    const again = await context.takeover.fenceAll(missing, context.term);
+    const again = await context.targetFencer.fenceAll(missing, context.term);
     noteReports(again.reports);
   }
   return leases;
@@ -95,8 +97,8 @@
   job: Job,
   leases: Map<string, LeaseReport | undefined>,
 ): Promise<void> {
-  const order = toGangOrder(job, context.term);
-  await stopWhole(context, order, STOP_NOW);
+  const order = toCurrentGangAttempt(job, context.term);
+  await stopGangAndWait(context, order, STOP_NOW);
   // Only a reservation proves that a member has not started: a target that was
   // restarted since does not know what it ran before.
   const suspect = job.assignments.find(
--- a/packages/scheduler/src/usage_throttle.ts
+++ b/packages/scheduler/src/usage_throttle.ts
@@ -5,8 +5,8 @@
   decideThrottle,
 } from '@galenavalve/placement';
 import {type Milliseconds, describeError} from '@galenavalve/shared';
-import type {KeeperEvent} from '@galenavalve/targets';
-import type {SchedulerContext} from './schedule_context.js';
+import type {LeaseRenewerEvent} from '@galenavalve/targets';
+import type {SchedulerContext} from './scheduler_context.js';
 
 const CALL_TIMEOUT_MS: Milliseconds = 1_000;
 
@@ -21,7 +21,7 @@
   constructor(private readonly context: SchedulerContext) {}
 
   /** Judges the usage that a target reported; what is too old tells nothing. */
-  onUsage(event: KeeperEvent & {kind: 'usage'}): void {
+  onUsage(event: LeaseRenewerEvent & {kind: 'usage'}): void {
     if (event.ageMs > MAX_REPORT_AGE_MS) {
       return;
     }
@@ -72,7 +72,7 @@
     attempt: number,
     processors: number,
   ): Promise<void> {
-    const {client, addressOf, term, logger} = this.context;
+    const {client, findAddress: addressOf, term, logger} = this.context;
     const address = addressOf(target);
     if (!address) {
       return;
--- a/packages/scheduler/src/wait_book.ts
+++ b/packages/scheduler/src/wait_reason_tracker.ts
@@ -3,13 +3,13 @@
 import type {Logger} from '@galenavalve/shared';
 
 /** Remembers the latest reason of each job, and logs when it changes. */
-export class WaitBook {
+export class WaitReasonTracker {
   private readonly reasons = new Map<string, Reason>();
 
   constructor(private readonly logger: Logger) {}
 
   /** Notes why a job waits. */
-  note(jobId: string, reason: Reason): void {
+  setReason(jobId: string, reason: Reason): void {
     const before = this.reasons.get(jobId);
     this.reasons.set(jobId, reason);
     if (before?.code !== reason.code) {
@@ -22,7 +22,7 @@
   }
 
   /** Forgets a job that waits no longer. */
-  forget(jobId: string): void {
+  remove(jobId: string): void {
     this.reasons.delete(jobId);
   }
 
@@ -32,7 +32,7 @@
   }
 
   /** Why a job waits, as of the latest pass. */
-  reasonOf(jobId: string): Reason | undefined {
+  getReason(jobId: string): Reason | undefined {
     return this.reasons.get(jobId);
   }
 }
--- a/packages/scheduler/src/waiting_queue.ts
+++ b/packages/scheduler/src/waiting_queue.ts
@@ -3,7 +3,7 @@
 import {type Reason, createReason} from '@galenavalve/model';
 import type {WaitingJob} from '@galenavalve/placement';
 import type {Instant, Milliseconds} from '@galenavalve/shared';
-import {remainingSeconds} from './cells_mirror.js';
+import {computeRemainingSeconds} from './cells_projection.js';
 
 /** Waiting time after the first failure of a job's start, doubled at each repetition. */
 const BACKOFF_BASE_MS: Milliseconds = 200;
@@ -21,7 +21,7 @@
 }
 
 /** Jobs that may start now, and those that may not yet. */
-export interface Queue {
+export interface WaitingQueue {
   waiting: WaitingJob[];
   held: HeldJob[];
 }
@@ -49,17 +49,17 @@
   }
 
   /** Forgets a job that started or ended. */
-  forget(jobId: string): void {
+  reset(jobId: string): void {
     this.entries.delete(jobId);
   }
 
   /** Milliseconds until the job may be tried again; 0 when it may be tried now. */
-  remaining(jobId: string, now: Instant): Milliseconds {
+  getRemainingMs(jobId: string, now: Instant): Milliseconds {
     return Math.max(0, (this.entries.get(jobId)?.until ?? now) - now);
   }
 
   /** Milliseconds until the next waiting job may be tried; undefined when none waits. */
-  nextDue(now: Instant): Milliseconds | undefined {
+  getNextDueMs(now: Instant): Milliseconds | undefined {
     let next: Milliseconds | undefined;
     for (const {until} of this.entries.values()) {
       const remaining = until - now;
@@ -71,7 +71,7 @@
   }
 
   /** Failed starts in a row. */
-  failures(jobId: string): number {
+  countFailures(jobId: string): number {
     return this.entries.get(jobId)?.failures ?? 0;
   }
 }
@@ -84,8 +84,8 @@
   backoff: StartBackoff,
   now: Instant,
   wallNow: number,
-): Queue {
-  const queue: Queue = {waiting: [], held: []};
+): WaitingQueue {
+  const queue: WaitingQueue = {waiting: [], held: []};
   for (const job of state.listQueuedJobs(domain)) {
     if (isStarting(job.jobId)) {
       continue;
@@ -114,7 +114,7 @@
     urgent: request.urgent,
     repeatable: request.repeatable,
     checkpointable: request.checkpointable,
-    expectedSeconds: remainingSeconds(job),
+    expectedSeconds: computeRemainingSeconds(job),
     submittedAt: job.submittedAt,
     avoidTargets: job.failures.flatMap(({target, at}) =>
       target !== undefined && wallNow - at < FAILURE_AVOIDANCE_MS
@@ -134,11 +134,11 @@
   if (workspace?.requiresApproval && !job.approved) {
     return createReason('waiting-approval');
   }
-  const remaining = backoff.remaining(job.jobId, now);
+  const remaining = backoff.getRemainingMs(job.jobId, now);
   if (remaining > 0) {
     return createReason('waiting-backoff', {
       seconds: Math.ceil(remaining / 100) / 10,
-      failures: backoff.failures(job.jobId),
+      failures: backoff.countFailures(job.jobId),
     });
   }
   return undefined;
--- a/packages/standins/__tests__/target_server.spec.ts
+++ b/packages/standins/__tests__/target_server.spec.ts
@@ -2,9 +2,9 @@
 import {HttpTargetClient} from '@galenavalve/platform';
 import {
   type Reservation,
-  type StartOrder,
+  type StartCommand,
   type TargetAddress,
-  leaseKeyOf,
+  toLeaseKey,
 } from '@galenavalve/targets';
 import {startTargetServer} from '../src/index.js';
 
@@ -49,7 +49,7 @@
   };
 }
 
-function createStart(grantedAt: number, durationMs: number): StartOrder {
+function createStart(grantedAt: number, durationMs: number): StartCommand {
   return {
     ...KEY,
     term: TERM,
@@ -73,7 +73,7 @@
     await client.throttle(address, limit, TIMEOUT_MS);
     const stop = {...KEY, term: TERM, checkpoint: false, graceMs: 0};
     const ended = await client.stop(address, stop, TIMEOUT_MS);
-    t.match(ended && leaseKeyOf(ended), KEY);
+    t.match(ended && toLeaseKey(ended), KEY);
     const other = {...stop, jobId: 'job2'};
     t.equal(await client.stop(address, other, TIMEOUT_MS), undefined);
   });
--- a/packages/standins/src/targets/target_control.ts
+++ b/packages/standins/src/targets/target_control.ts
@@ -65,7 +65,7 @@
     }
     model.leaving = leaving ?? model.leaving;
     if (failsEveryTask !== undefined) {
-      model.kind = failsEveryTask ? 'fails-every-task' : 'well';
+      model.behavior = failsEveryTask ? 'fails-every-task' : 'well';
     }
     this.faults.set(target, {...this.faultsOf(target), ...faults});
     return true;
--- a/packages/standins/src/targets/target_server.ts
+++ b/packages/standins/src/targets/target_server.ts
@@ -8,8 +8,8 @@
   TargetModel,
   renewal,
   reservation,
-  startOrder,
-  stopOrder,
+  startCommand,
+  stopCommand,
 } from '@galenavalve/targets';
 import {
   type ListenAddress,
@@ -49,9 +49,9 @@
 
 const handlers: Record<string, Handler> = {
   reserve: (model, body, now) => model.reserve(reservation.parse(body), now),
-  start: (model, body, now) => model.start(startOrder.parse(body), now),
+  start: (model, body, now) => model.start(startCommand.parse(body), now),
   stop: (model, body, now) => ({
-    report: model.stop(stopOrder.parse(body), now),
+    report: model.stop(stopCommand.parse(body), now),
   }),
   renew: (model, body, now) => model.renew(renewal.parse(body), now),
   fence: (model, body, now) => model.fence(fenceOrder.parse(body), now),
--- a/packages/targets/__tests__/fixtures.ts
+++ b/packages/targets/__tests__/fixtures.ts
@@ -2,11 +2,11 @@
 import {type Term, gangShape} from '@galenavalve/model';
 import {ManualClock, SilentLogger} from '@galenavalve/shared';
 import {
-  type GangOrder,
+  type GangAttempt,
   GangStarter,
-  type KeeperEvent,
-  LeaseKeeper,
-  type LeaseKeeperOptions,
+  type LeaseRenewerEvent,
+  LeaseRenewer,
+  type LeaseRenewerOptions,
   MemoryTargets,
   type RunEvent,
   type TargetClient,
@@ -15,7 +15,7 @@
 export const CALL_TIMEOUT_MS = 500;
 export const LEASE_MS = 6000;
 export const RENEW_MS = 2000;
-export const TTL_MS = 2000;
+export const RESERVATION_TTL_MS = 2000;
 
 export const CAPACITY = {
   slots: 64,
@@ -41,10 +41,10 @@
 }
 
 /** A gang with one task on each of the first `members` targets. */
-export function createOrder(
+export function createGangAttempt(
   members: number,
-  changes: Partial<GangOrder> = {},
-): GangOrder {
+  changes: Partial<GangAttempt> = {},
+): GangAttempt {
   return {
     jobId: 'job1',
     attempt: 1,
@@ -71,27 +71,27 @@
   caller = 'i1',
 ): GangStarter {
   return new GangStarter({
-    client: targets.clientFor(caller),
-    addressOf: targets.addressOf,
+    client: targets.createClient(caller),
+    findAddress: targets.findAddress,
     clock,
     logger: new SilentLogger(),
     options: {
-      reservationTtlMs: TTL_MS,
+      reservationTtlMs: RESERVATION_TTL_MS,
       callTimeoutMs: CALL_TIMEOUT_MS,
       leaseMs: LEASE_MS,
     },
   });
 }
 
-export function createKeeper(
+export function createLeaseRenewer(
   clock: ManualClock,
   targets: MemoryTargets,
-  times: Partial<LeaseKeeperOptions> = {},
-  client: TargetClient = targets.clientFor('i1'),
+  times: Partial<LeaseRenewerOptions> = {},
+  client: TargetClient = targets.createClient('i1'),
 ) {
-  const keeper = new LeaseKeeper({
+  const keeper = new LeaseRenewer({
     client,
-    addressOf: targets.addressOf,
+    findAddress: targets.findAddress,
     clock,
     logger: new SilentLogger(),
     options: {
@@ -101,7 +101,7 @@
       ...times,
     },
   });
-  const events: KeeperEvent[] = [];
+  const events: LeaseRenewerEvent[] = [];
   keeper.onEvent(event => events.push(event));
   keeper.setTerm(createTerm(1));
   return {keeper, events};
--- a/packages/targets/__tests__/gang_faults.spec.ts
+++ b/packages/targets/__tests__/gang_faults.spec.ts
@@ -3,21 +3,21 @@
 import fc from 'fast-check';
 import {ManualClock, SilentLogger} from '@galenavalve/shared';
 import {
-  type GangOrder,
+  type GangAttempt,
   MemoryTargets,
   RunAudit,
-  TakeoverReader,
+  TargetFencer,
   type TargetFault,
   type TargetGuards,
-  longestPartialRunMs,
+  computeLongestPartialRunMs,
 } from '../src/index.js';
 import {
   CALL_TIMEOUT_MS,
   CAPACITY,
   LEASE_MS,
   RENEW_MS,
-  createKeeper,
-  createOrder,
+  createLeaseRenewer,
+  createGangAttempt,
   createStarter,
   createTerm,
 } from './fixtures.js';
@@ -26,7 +26,7 @@
 const MEMBERS = 3;
 const STOP_NOW = {checkpoint: false, graceMs: 0};
 const END_MS = 60_000;
-const BOUND_MS = longestPartialRunMs({
+const BOUND_MS = computeLongestPartialRunMs({
   leaseMs: LEASE_MS,
   renewMs: RENEW_MS,
   callTimeoutMs: CALL_TIMEOUT_MS,
@@ -102,10 +102,15 @@
   const targets = new MemoryTargets(clock);
   const audit = new RunAudit();
   for (let i = 0; i < MEMBERS; i++) {
-    targets.add({id: `t${i}`, capacity: CAPACITY, onRun: audit.note, guards});
+    targets.add({
+      id: `t${i}`,
+      capacity: CAPACITY,
+      onRun: audit.addEvent,
+      guards,
+    });
   }
   const keeperClock = new PausableClock(clock);
-  const {keeper} = createKeeper(keeperClock, targets);
+  const {keeper} = createLeaseRenewer(keeperClock, targets);
   const dead = new AbortController();
   const inject = async (item: Incident) => {
     await clock.sleep(item.at);
@@ -123,7 +128,7 @@
     }
   };
   const injected = incidents.map(inject);
-  const order = createOrder(MEMBERS);
+  const order = createGangAttempt(MEMBERS);
   const starter = createStarter(clock, targets);
   const launch = async () => {
     const reserved = await starter.reserve(order);
@@ -132,7 +137,7 @@
     }
     const started = await starter.start(order, () => undefined);
     if (started.kind === 'started') {
-      keeper.follow(order);
+      keeper.addGang(order);
       await keeper.run(dead.signal);
     }
   };
@@ -143,7 +148,7 @@
   await clock.advance(0);
   await Promise.all(injected);
   targets.advance();
-  return audit.longestPartialMs(order, MEMBERS, clock.now());
+  return audit.measureLongestPartialRunMs(order, MEMBERS, clock.now());
 }
 
 t.test('no gang runs in part beyond the bound', async t => {
@@ -177,15 +182,20 @@
   );
   const audit = new RunAudit();
   for (let i = 0; i < MEMBERS; i++) {
-    targets.add({id: `t${i}`, capacity: CAPACITY, onRun: audit.note, guards});
+    targets.add({
+      id: `t${i}`,
+      capacity: CAPACITY,
+      onRun: audit.addEvent,
+      guards,
+    });
   }
   const first = createRivalOrder(1);
   const second = createRivalOrder(2);
   const predecessor = createStarter(clock, targets, 'i1');
   const successor = createStarter(clock, targets, 'i2');
-  const reader = new TakeoverReader({
-    client: targets.clientFor('i2'),
-    addressOf: targets.addressOf,
+  const reader = new TargetFencer({
+    client: targets.createClient('i2'),
+    findAddress: targets.findAddress,
     logger: new SilentLogger(),
     options: {callTimeoutMs: CALL_TIMEOUT_MS},
   });
@@ -196,7 +206,7 @@
     }
   };
   const succeed = async () => {
-    const {reports} = await reader.fenceAll(targets.ids(), second.term);
+    const {reports} = await reader.fenceAll(targets.listIds(), second.term);
     const leases = [...reports.values()].flatMap(report => report.leases);
     if (leases.filter(({state}) => state === 'running').length === MEMBERS) {
       return;
@@ -211,10 +221,10 @@
   return hasOverlap(audit);
 }
 
-function createRivalOrder(attempt: number): GangOrder {
+function createRivalOrder(attempt: number): GangAttempt {
   const term = createTerm(attempt, `i${attempt}`);
-  const {assignments} = createOrder(MEMBERS);
-  return createOrder(MEMBERS, {
+  const {assignments} = createGangAttempt(MEMBERS);
+  return createGangAttempt(MEMBERS, {
     attempt,
     term,
     assignments: assignments.map(item => ({...item, accelerators: attempt})),
@@ -226,7 +236,7 @@
     [1, 0],
     [2, 0],
   ]);
-  return audit.all().some(({attempt, kind}) => {
+  return audit.listEvents().some(({attempt, kind}) => {
     const change = kind === 'started' ? 1 : -1;
     running.set(attempt, (running.get(attempt) ?? 0) + change);
     return [...running.values()].every(count => count > 0);
--- a/packages/targets/__tests__/gang_start.spec.ts
+++ b/packages/targets/__tests__/gang_starter.spec.ts
@@ -2,8 +2,8 @@
 import {createReason} from '@galenavalve/model';
 import {advanceUntil} from '../src/index.js';
 import {
-  TTL_MS,
-  createOrder,
+  RESERVATION_TTL_MS,
+  createGangAttempt,
   createStarter,
   createTargets,
   createTerm,
@@ -15,7 +15,7 @@
   t.test('starts on every target', async t => {
     const {clock, targets, runs} = createTargets(3);
     const starter = createStarter(clock, targets);
-    const order = createOrder(3);
+    const order = createGangAttempt(3);
     t.match(await starter.reserve(order), {kind: 'reserved'});
     t.same(await starter.start(order, ALLOWED), {kind: 'started'});
     t.equal(runs.length, 3);
@@ -24,16 +24,16 @@
   t.test('is released everywhere when one target refuses', async t => {
     const {clock, targets} = createTargets(3);
     const starter = createStarter(clock, targets);
-    targets.model('t1').leaving = true;
-    const result = await starter.reserve(createOrder(3));
+    targets.getModel('t1').leaving = true;
+    const result = await starter.reserve(createGangAttempt(3));
     t.match(result, {kind: 'refused', culprit: 't1'});
-    t.same(targets.model('t0').report(clock.now()).leases, []);
+    t.same(targets.getModel('t0').report(clock.now()).leases, []);
   });
 
   t.test('does not start when the check objects', async t => {
     const {clock, targets, runs} = createTargets(2);
     const starter = createStarter(clock, targets);
-    const order = createOrder(2);
+    const order = createGangAttempt(2);
     await starter.reserve(order);
     const reason = createReason('waiting-stale');
     const result = await starter.start(order, () => reason);
@@ -49,9 +49,9 @@
   t.test('does not start after its reservations lapsed', async t => {
     const {clock, targets, runs} = createTargets(2);
     const starter = createStarter(clock, targets);
-    const order = createOrder(2);
+    const order = createGangAttempt(2);
     await starter.reserve(order);
-    await clock.advance(TTL_MS);
+    await clock.advance(RESERVATION_TTL_MS);
     const result = await starter.start(order, ALLOWED);
     t.match(result, {kind: 'not-started', mayHaveRun: false});
     t.same(runs, []);
@@ -60,10 +60,10 @@
   t.test('keeps its reservations while an append is pending', async t => {
     const {clock, targets} = createTargets(2);
     const starter = createStarter(clock, targets);
-    const order = createOrder(2);
+    const order = createGangAttempt(2);
     await starter.reserve(order);
     const signal = new AbortController().signal;
-    const kept = starter.keepReserved(order, clock.now() + 5000, signal);
+    const kept = starter.renewReservations(order, clock.now() + 5000, signal);
     await advanceUntil(clock, kept);
     t.same(await starter.start(order, ALLOWED), {kind: 'started'});
   });
@@ -71,7 +71,7 @@
   t.test('ends as a whole when one start gets no answer', async t => {
     const {clock, targets, runs} = createTargets(3);
     const starter = createStarter(clock, targets);
-    const order = createOrder(3);
+    const order = createGangAttempt(3);
     await starter.reserve(order);
     targets.setFault('t2', {silent: true});
     const result = await advanceUntil(clock, starter.start(order, ALLOWED));
@@ -83,7 +83,7 @@
   t.test('is proven unstarted when its only target says so', async t => {
     const {clock, targets, runs} = createTargets(1);
     const starter = createStarter(clock, targets);
-    const order = createOrder(1);
+    const order = createGangAttempt(1);
     await starter.reserve(order);
     targets.setFault('t0', {silent: true, commands: new Set(['start'])});
     const result = await advanceUntil(clock, starter.start(order, ALLOWED));
@@ -94,7 +94,7 @@
   t.test('cannot start late, however long its order was delayed', async t => {
     const {clock, targets, runs} = createTargets(1);
     const starter = createStarter(clock, targets);
-    const order = createOrder(1);
+    const order = createGangAttempt(1);
     await starter.reserve(order);
     targets.setFault('t0', {delayMs: 3000});
     const result = await advanceUntil(clock, starter.start(order, ALLOWED));
@@ -106,9 +106,9 @@
   t.test('of a lower term is refused', async t => {
     const {clock, targets, runs} = createTargets(2);
     const starter = createStarter(clock, targets);
-    const order = createOrder(2);
+    const order = createGangAttempt(2);
     await starter.reserve(order);
-    targets.model('t1').fence({term: createTerm(2)}, clock.now());
+    targets.getModel('t1').fence({term: createTerm(2)}, clock.now());
     const result = await starter.start(order, ALLOWED);
     t.match(result, {kind: 'not-started', mayHaveRun: true, culprit: 't1'});
     t.equal(runs.filter(run => run.kind === 'ended').length, 1);
@@ -117,7 +117,7 @@
   t.test('saves the progress that all of its members have', async t => {
     const {clock, targets} = createTargets(2);
     const starter = createStarter(clock, targets);
-    const order = createOrder(2);
+    const order = createGangAttempt(2);
     await starter.reserve(order);
     await starter.start(order, ALLOWED);
     await clock.advance(3000);
--- a/packages/targets/__tests__/lease_keeper.spec.ts
+++ b/packages/targets/__tests__/lease_renewer.spec.ts
@@ -1,32 +1,32 @@
 import t from 'tap';
 import type {
-  GangOrder,
-  KeeperEvent,
-  LeaseKeeperOptions,
+  GangAttempt,
+  LeaseRenewerEvent,
+  LeaseRenewerOptions,
   RunEvent,
 } from '../src/index.js';
 import {
   CALL_TIMEOUT_MS,
   CAPACITY,
   LEASE_MS,
-  createKeeper,
-  createOrder,
+  createLeaseRenewer,
+  createGangAttempt,
   createStarter,
   createTargets,
 } from './fixtures.js';
 
 /** A gang on three targets that runs and is kept. */
 async function runGang(
-  changes: Partial<GangOrder> = {},
-  times: Partial<LeaseKeeperOptions> = {},
+  changes: Partial<GangAttempt> = {},
+  times: Partial<LeaseRenewerOptions> = {},
 ) {
   const {clock, targets, runs} = createTargets(3);
   const starter = createStarter(clock, targets);
-  const order = createOrder(3, changes);
+  const order = createGangAttempt(3, changes);
   await starter.reserve(order);
   await starter.start(order, () => undefined);
-  const {keeper, events} = createKeeper(clock, targets, times);
-  keeper.follow(order);
+  const {keeper, events} = createLeaseRenewer(clock, targets, times);
+  keeper.addGang(order);
   const stop = new AbortController();
   t.teardown(() => stop.abort());
   void keeper.run(stop.signal);
@@ -38,7 +38,7 @@
   return runs.filter(run => run.kind === 'ended').map(run => run.at);
 }
 
-function kindsOf(events: readonly KeeperEvent[]): string[] {
+function kindsOf(events: readonly LeaseRenewerEvent[]): string[] {
   return events.map(event => event.kind).filter(kind => kind !== 'usage');
 }
 
@@ -55,11 +55,11 @@
       payload: {durationMs: 1000},
     });
     await clock.advance(60_000);
-    t.equal(targets.model('t0').report(clock.now()).leases.length, 1);
-    keeper.forget(order.jobId, order.attempt);
-    keeper.unfollow(order.jobId);
+    t.equal(targets.getModel('t0').report(clock.now()).leases.length, 1);
+    keeper.acknowledgeEnd(order.jobId, order.attempt);
+    keeper.removeGang(order.jobId);
     await clock.advance(3000);
-    t.same(targets.model('t0').report(clock.now()).leases, []);
+    t.same(targets.getModel('t0').report(clock.now()).leases, []);
   });
 
   t.test('survives a silence shorter than its lease', async t => {
@@ -97,7 +97,7 @@
     const {clock, targets, events} = await runGang();
     await clock.advance(5000);
     targets.kill('t1');
-    targets.revive('t1');
+    targets.recover('t1');
     await clock.advance(3000);
     t.match(
       events.find(event => event.kind === 'member-lost'),
@@ -109,9 +109,9 @@
     const slow = {renewMs: 1000, callTimeoutMs: 1100};
     const {clock, targets, runs, keeper} = await runGang({}, slow);
     targets.add({id: 'idle', capacity: CAPACITY});
-    const [part] = createOrder(1).assignments;
+    const [part] = createGangAttempt(1).assignments;
     const assignments = [{...part!, target: 'idle'}];
-    keeper.follow(createOrder(1, {jobId: 'job2', assignments}));
+    keeper.addGang(createGangAttempt(1, {jobId: 'job2', assignments}));
     targets.setFault('idle', {silent: true});
     await clock.advance(30_000);
     targets.advance();
@@ -134,7 +134,7 @@
     await clock.advance(5000);
     stop.abort();
     await clock.advance(LEASE_MS + 2000);
-    await keeper.tick();
+    await keeper.runRound();
     targets.advance();
     t.equal(endsOf(runs).length, 3);
     t.match(events.at(-1), {kind: 'member-lost', jobId: order.jobId});
@@ -151,9 +151,9 @@
 async function measureRound(gangs: number): Promise<number> {
   const {clock, targets} = createTargets(1);
   const starter = createStarter(clock, targets);
-  const client = targets.clientFor('i1');
+  const client = targets.createClient('i1');
   let bytes = 0;
-  const {keeper} = createKeeper(
+  const {keeper} = createLeaseRenewer(
     clock,
     targets,
     {},
@@ -167,29 +167,29 @@
     },
   );
   for (let i = 0; i < gangs; i++) {
-    const order = createOrder(1, {
+    const order = createGangAttempt(1, {
       jobId: `job${i}`,
       assignments: [{target: 't0', firstTask: 0, tasks: 1, accelerators: 0}],
     });
     await starter.reserve(order);
     await starter.start(order, () => undefined);
-    keeper.follow(order);
+    keeper.addGang(order);
   }
   for (let round = 0; round < 3; round++) {
     await clock.advance(1000);
-    await keeper.tick();
+    await keeper.runRound();
   }
   return bytes;
 }
 
 t.test('an idle target is asked, and tells that it leaves', async t => {
   const {clock, targets} = createTargets(1);
-  const {keeper, events} = createKeeper(clock, targets);
-  keeper.followTargets(['t0']);
-  await keeper.tick();
-  targets.model('t0').leaving = true;
+  const {keeper, events} = createLeaseRenewer(clock, targets);
+  keeper.setPolledTargets(['t0']);
+  await keeper.runRound();
+  targets.getModel('t0').leaving = true;
   await clock.advance(10_000);
-  await keeper.tick();
+  await keeper.runRound();
   t.same(events, [
     {kind: 'target-answering', target: 't0'},
     {kind: 'target-staying', target: 't0'},
--- a/packages/targets/__tests__/target_health.spec.ts
+++ b/packages/targets/__tests__/target_health.spec.ts
@@ -14,15 +14,15 @@
 
 t.test('a target', async t => {
   t.test('that fails different jobs is quarantined', async t => {
-    t.equal(createHealth(['a', 'b']).condition('t0', 0), 'well');
+    t.equal(createHealth(['a', 'b']).getCondition('t0', 0), 'well');
     const health = createHealth(['a', 'b', 'c']);
-    t.equal(health.condition('t0', 59 * SECOND), 'quarantined');
-    t.equal(health.condition('t0', 60 * SECOND), 'well');
+    t.equal(health.getCondition('t0', 59 * SECOND), 'quarantined');
+    t.equal(health.getCondition('t0', 60 * SECOND), 'well');
     t.ok(health.isOnProbation('t0', 60 * SECOND));
   });
 
   t.test('is not blamed for one job that fails again and again', async t => {
-    t.equal(createHealth(['a', 'a', 'a', 'a']).condition('t0', 0), 'well');
+    t.equal(createHealth(['a', 'a', 'a', 'a']).getCondition('t0', 0), 'well');
   });
 
   t.test('is not blamed for jobs that fail elsewhere too', async t => {
@@ -32,14 +32,14 @@
       health.noteSuccess('t1', 0);
       health.noteFailure('t0', job, 0);
     }
-    t.equal(health.condition('t0', 0), 'well');
+    t.equal(health.getCondition('t0', 0), 'well');
   });
 
   t.test('is quarantined for longer when its probe fails', async t => {
     const health = createHealth(['a', 'b', 'c']);
     health.noteFailure('t0', 'd', 60 * SECOND);
-    t.equal(health.condition('t0', 179 * SECOND), 'quarantined');
-    t.equal(health.condition('t0', 180 * SECOND), 'well');
+    t.equal(health.getCondition('t0', 179 * SECOND), 'quarantined');
+    t.equal(health.getCondition('t0', 180 * SECOND), 'well');
     health.noteSuccess('t0', 180 * SECOND);
     t.notOk(health.isOnProbation('t0', 180 * SECOND));
   });
@@ -47,15 +47,15 @@
   t.test('is avoided for a while after a refusal', async t => {
     const health = createHealth([]);
     health.noteRefusal('t0', 0);
-    t.equal(health.condition('t0', 499), 'quarantined');
-    t.equal(health.condition('t0', 500), 'well');
+    t.equal(health.getCondition('t0', 499), 'quarantined');
+    t.equal(health.getCondition('t0', 500), 'well');
   });
 
   t.test('gets no work while it is silent or leaving', async t => {
     const health = createHealth([]);
-    health.noteSilence('t0', true);
-    t.equal(health.condition('t0', 0), 'unreachable');
-    health.noteLeaving('t0', true);
-    t.equal(health.condition('t0', 0), 'leaving');
+    health.setUnreachable('t0', true);
+    t.equal(health.getCondition('t0', 0), 'unreachable');
+    health.setLeaving('t0', true);
+    t.equal(health.getCondition('t0', 0), 'leaving');
   });
 });
--- a/packages/targets/src/gang_order.ts
+++ b/packages/targets/src/gang_attempt.ts
@@ -3,7 +3,7 @@
 import type {LeaseKey, Reservation, TargetAddress} from './target_client.js';
 
 /** One attempt to run a gang on given targets. */
-export interface GangOrder {
+export interface GangAttempt {
   jobId: string;
   attempt: number;
   term: Term;
@@ -19,7 +19,7 @@
 
 /** What is needed to stop a gang. */
 export type GangMembers = Pick<
-  GangOrder,
+  GangAttempt,
   'jobId' | 'attempt' | 'term' | 'assignments'
 >;
 
@@ -28,13 +28,13 @@
 
 /** The reservation of one member. */
 export function createReservation(
-  order: GangOrder,
+  order: GangAttempt,
   assignment: Assignment,
   ttlMs: number,
 ): Reservation {
   const {processors, memoryMb} = order.gang.perTask;
   return {
-    ...leaseKeyOf(order),
+    ...toLeaseKey(order),
     term: order.term,
     workspace: order.workspace,
     firstTask: assignment.firstTask,
@@ -48,11 +48,11 @@
 }
 
 /** The lease key of an attempt, the same on each of its targets. */
-export function leaseKeyOf(order: LeaseKey): LeaseKey {
+export function toLeaseKey(order: LeaseKey): LeaseKey {
   return {jobId: order.jobId, attempt: order.attempt};
 }
 
 /** The lease key as a text, for maps. */
-export function leaseKeyText(key: LeaseKey): string {
+export function formatLeaseKey(key: LeaseKey): string {
   return `${key.jobId}/${key.attempt}`;
 }
--- a/packages/targets/src/gang_watch.ts
+++ b/packages/targets/src/gang_monitor.ts
@@ -1,7 +1,7 @@
 /** Judges one gang by what its members' targets report. */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
-import {type GangOrder, leaseKeyOf} from './gang_order.js';
-import type {GangVerdict} from './keeper_event.js';
+import {type GangAttempt, toLeaseKey} from './gang_attempt.js';
+import type {GangOutcome} from './lease_renewer_event.js';
 import type {LeaseReport} from './target_client.js';
 
 /** Age at which a gang's members are asked first, before the next round. */
@@ -23,20 +23,20 @@
 }
 
 /** The members of one gang, and the verdict on it. */
-export class GangWatch {
+export class GangMonitor {
   /** When its members are asked next in between rounds; infinite once the rounds suffice. */
-  nextLookAt: Instant;
+  nextPollAt: Instant;
   private readonly members: Map<string, Member>;
-  private verdict?: GangVerdict;
+  private verdict?: GangOutcome;
 
   constructor(
-    readonly order: GangOrder,
+    readonly gangAttempt: GangAttempt,
     private readonly followedAt: Instant,
     leaseMs: Milliseconds,
   ) {
-    this.nextLookAt = followedAt + FIRST_LOOK_MS;
+    this.nextPollAt = followedAt + FIRST_LOOK_MS;
     this.members = new Map(
-      order.assignments.map(({target, firstTask}) => [
+      gangAttempt.assignments.map(({target, firstTask}) => [
         target,
         {
           target,
@@ -61,7 +61,7 @@
   }
 
   /** The target did not answer. */
-  onSilence(target: string): void {
+  onUnreachable(target: string): void {
     const member = this.members.get(target);
     if (member) {
       member.isAnswering = member.report?.state === 'succeeded';
@@ -77,20 +77,20 @@
   }
 
   /** Its members were asked; the next look comes when the gang is twice as old. */
-  onLooked(now: Instant): void {
+  onPolled(now: Instant): void {
     const age = now - this.followedAt;
-    this.nextLookAt = age < LAST_LOOK_MS ? now + age : Infinity;
+    this.nextPollAt = age < LAST_LOOK_MS ? now + age : Infinity;
   }
 
   /** Nothing that was heard before counts any more. */
-  doubt(): void {
+  invalidateReports(): void {
     for (const member of this.members.values()) {
       member.isAnswering = member.report?.state === 'succeeded';
     }
   }
 
   /** Decides; returns the verdict only when it is new. A member that is silent until `marginMs` before its lease ends is lost. */
-  judge(now: Instant, marginMs: Milliseconds): GangVerdict | undefined {
+  evaluate(now: Instant, marginMs: Milliseconds): GangOutcome | undefined {
     if (this.verdict) {
       return undefined;
     }
@@ -146,7 +146,7 @@
     } else if (report?.state === 'failed') {
       this.verdict = {
         kind: 'failed',
-        ...leaseKeyOf(this.order),
+        ...toLeaseKey(this.gangAttempt),
         culprit: target,
         task: report.failedTask,
         problem: report.problem ?? 'the task failed',
@@ -162,7 +162,7 @@
   private conclude(culprit: string, problem: string): void {
     this.verdict ??= {
       kind: 'member-lost',
-      ...leaseKeyOf(this.order),
+      ...toLeaseKey(this.gangAttempt),
       culprit,
       problem,
     };
@@ -174,15 +174,15 @@
     );
   }
 
-  private succeed(): GangVerdict {
+  private succeed(): GangOutcome {
     const members = [...this.members.values()];
     members.sort((a, b) => a.firstTask - b.firstTask);
     const progress = members.map(item => item.report?.progressSeconds ?? 0);
     return {
       kind: 'succeeded',
-      ...leaseKeyOf(this.order),
+      ...toLeaseKey(this.gangAttempt),
       results: members.flatMap(member => member.report?.results ?? []),
-      ranSeconds: Math.max(...progress) - this.order.progressSeconds,
+      ranSeconds: Math.max(...progress) - this.gangAttempt.progressSeconds,
     };
   }
 }
--- a/packages/targets/src/gang_start.ts
+++ b/packages/targets/src/gang_starter.ts
@@ -13,16 +13,16 @@
 import {
   type AddressLookup,
   type GangMembers,
-  type GangOrder,
+  type GangAttempt,
   createReservation,
-  leaseKeyOf,
-  leaseKeyText,
-} from './gang_order.js';
+  toLeaseKey,
+  formatLeaseKey,
+} from './gang_attempt.js';
 import {
   type GangStopResult,
   GangStopper,
   type StopOptions,
-} from './gang_stop.js';
+} from './gang_stopper.js';
 import type {TargetAddress, TargetClient} from './target_client.js';
 
 /** Result of reserving a gang. */
@@ -51,9 +51,9 @@
 }
 
 /** What the starter works with. */
-export interface GangStarterParts {
+export interface GangStarterDependencies {
   client: TargetClient;
-  addressOf: AddressLookup;
+  findAddress: AddressLookup;
   clock: Clock;
   logger: Logger;
   options: GangStarterOptions;
@@ -86,14 +86,14 @@
   private readonly stopper: GangStopper;
   private readonly ttlMs: Milliseconds;
 
-  constructor(private readonly parts: GangStarterParts) {
+  constructor(private readonly parts: GangStarterDependencies) {
     const {callTimeoutMs, reservationTtlMs} = parts.options;
     this.stopper = new GangStopper({...parts, callTimeoutMs});
     this.ttlMs = reservationTtlMs ?? DEFAULT_RESERVATION_TTL_MS;
   }
 
   /** Reserves every member in parallel. After a refusal all are released. */
-  async reserve(order: GangOrder): Promise<ReservationResult> {
+  async reserve(order: GangAttempt): Promise<ReservationResult> {
     const sentAt = this.parts.clock.now();
     const answers = await this.reserveAll(order);
     const failed = answers.find(answer => answer.kind !== 'ok');
@@ -107,20 +107,20 @@
       return {kind: 'refused', culprit: failed.target, reason};
     }
     const held = {expiresAt: sentAt + this.ttlMs, grants: grantsOf(answers)};
-    this.held.set(leaseKeyText(order), held);
+    this.held.set(formatLeaseKey(order), held);
     return {kind: 'reserved', expiresAt: held.expiresAt};
   }
 
   /** Renews the reservations until `until` or the abort, while an append is pending. */
-  async keepReserved(
-    order: GangOrder,
+  async renewReservations(
+    order: GangAttempt,
     until: Instant,
     signal: AbortSignal,
   ): Promise<void> {
     const {clock} = this.parts;
     while (!signal.aborted && clock.now() < until) {
       await clock.sleep(this.ttlMs * RENEW_SHARE, signal);
-      const held = this.held.get(leaseKeyText(order));
+      const held = this.held.get(formatLeaseKey(order));
       if (signal.aborted || !held) {
         return;
       }
@@ -136,7 +136,7 @@
 
   /** Releases reservations that will not be started. */
   async release(order: GangMembers): Promise<void> {
-    this.held.delete(leaseKeyText(order));
+    this.held.delete(formatLeaseKey(order));
     await this.stopper.stop(order, STOP_NOW);
   }
 
@@ -145,17 +145,17 @@
    * the first order leaves, and gives the reason against the start, if any.
    */
   async start(
-    order: GangOrder,
+    order: GangAttempt,
     isStillAllowed: (now: Instant) => Reason | undefined,
   ): Promise<GangStartResult> {
     const now = this.parts.clock.now();
-    const held = this.held.get(leaseKeyText(order));
+    const held = this.held.get(formatLeaseKey(order));
     const objection = this.findLapse(order, held, now) ?? isStillAllowed(now);
     if (objection || !held) {
       await this.release(order);
       return this.refuse(order, false, objection ?? lapseReason(order));
     }
-    this.held.delete(leaseKeyText(order));
+    this.held.delete(formatLeaseKey(order));
     const answers = await Promise.all(
       order.assignments.map(item => this.startMember(order, item, held)),
     );
@@ -175,11 +175,11 @@
 
   /** Stops every member, and tells what became of it. */
   stop(order: GangMembers, options: StopOptions): Promise<GangStopResult> {
-    this.held.delete(leaseKeyText(order));
+    this.held.delete(formatLeaseKey(order));
     return this.stopper.stop(order, options);
   }
 
-  private reserveAll(order: GangOrder): Promise<MemberAnswer[]> {
+  private reserveAll(order: GangAttempt): Promise<MemberAnswer[]> {
     return Promise.all(
       order.assignments.map(assignment =>
         this.ask(assignment.target, async address => {
@@ -197,7 +197,7 @@
   }
 
   private startMember(
-    order: GangOrder,
+    order: GangAttempt,
     {target}: Assignment,
     held: HeldGang,
   ): Promise<MemberAnswer> {
@@ -205,7 +205,7 @@
       const {callTimeoutMs, leaseMs} = this.parts.options;
       const grantedAt = held.grants.get(target) ?? 0;
       const startOrder = {
-        ...leaseKeyOf(order),
+        ...toLeaseKey(order),
         term: order.term,
         grantedAt,
         leaseMs,
@@ -222,7 +222,7 @@
     call: (address: TargetAddress) => Promise<number>,
   ): Promise<MemberAnswer> {
     try {
-      const address = this.parts.addressOf(target);
+      const address = this.parts.findAddress(target);
       if (!address) {
         const problem = 'it is not in the inventory';
         throw new Failure('target-refused', {target, problem});
@@ -236,7 +236,7 @@
   }
 
   private findLapse(
-    order: GangOrder,
+    order: GangAttempt,
     held: HeldGang | undefined,
     now: Instant,
   ): Reason | undefined {
@@ -245,7 +245,7 @@
   }
 
   private refuse(
-    order: GangOrder,
+    order: GangAttempt,
     mayHaveRun: boolean,
     reason: Reason,
     culprit?: string,
@@ -256,11 +256,11 @@
 
   private log(
     event: string,
-    order: GangOrder,
+    order: GangAttempt,
     fields: Record<string, unknown>,
   ): void {
     const targets = order.assignments.map(assignment => assignment.target);
-    this.parts.logger.info(event, {...leaseKeyOf(order), targets, ...fields});
+    this.parts.logger.info(event, {...toLeaseKey(order), targets, ...fields});
   }
 }
 
@@ -293,7 +293,7 @@
   });
 }
 
-function lapseReason(order: GangOrder): Reason {
+function lapseReason(order: GangAttempt): Reason {
   const target = order.assignments[0]?.target ?? '';
   const problem = 'the reservations lapsed before the start';
   return createReason('start-refused', {target, problem});
--- a/packages/targets/src/gang_stop.ts
+++ b/packages/targets/src/gang_stopper.ts
@@ -9,8 +9,8 @@
 import {
   type AddressLookup,
   type GangMembers,
-  leaseKeyOf,
-} from './gang_order.js';
+  toLeaseKey,
+} from './gang_attempt.js';
 import type {LeaseReport, TargetClient} from './target_client.js';
 
 /** Time between two questions whether progress is saved. */
@@ -31,22 +31,22 @@
   /** Targets that did not answer. Their tasks end with their lease. */
   unreachable: string[];
   /** Targets that knew nothing of the gang. */
-  unknown: string[];
+  targetsWithoutLease: string[];
   /** Progress that every member has saved, in seconds. */
   progressSeconds: number;
 }
 
 /** What the stopper works with. */
-export interface GangStopperParts {
+export interface GangStopperDependencies {
   client: TargetClient;
-  addressOf: AddressLookup;
+  findAddress: AddressLookup;
   clock: Clock;
   callTimeoutMs: Milliseconds;
 }
 
 /** Stops whole gangs. */
 export class GangStopper {
-  constructor(private readonly parts: GangStopperParts) {}
+  constructor(private readonly parts: GangStopperDependencies) {}
 
   /** Stops every member; idempotent. Waits at most the grace and one timeout. */
   async stop(
@@ -91,7 +91,7 @@
     assignment: Assignment,
     options: StopOptions,
   ): Promise<LeaseReport | undefined> {
-    const address = this.parts.addressOf(assignment.target);
+    const address = this.parts.findAddress(assignment.target);
     if (!address) {
       throw new Failure('target-unreachable', {
         target: assignment.target,
@@ -100,7 +100,7 @@
     }
     return this.parts.client.stop(
       address,
-      {...leaseKeyOf(order), term: order.term, ...options},
+      {...toLeaseKey(order), term: order.term, ...options},
       this.parts.callTimeoutMs,
     );
   }
@@ -119,7 +119,7 @@
   return {
     reports,
     unreachable: targets.filter((_, i) => ends[i] === 'unreachable'),
-    unknown: targets.filter((_, i) => ends[i] === 'unknown'),
+    targetsWithoutLease: targets.filter((_, i) => ends[i] === 'unknown'),
     progressSeconds: isWhole ? Math.min(...saved) : 0,
   };
 }
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -7,38 +7,41 @@
 export {
   type AddressLookup,
   type GangMembers,
-  type GangOrder,
-  leaseKeyOf,
-  leaseKeyText,
-} from './gang_order.js';
+  type GangAttempt,
+  toLeaseKey,
+  formatLeaseKey,
+} from './gang_attempt.js';
 export {
   GangStarter,
   type GangStartResult,
   type GangStarterOptions,
-  type GangStarterParts,
+  type GangStarterDependencies,
   type ReservationResult,
-} from './gang_start.js';
-export {type GangStopResult, type StopOptions} from './gang_stop.js';
+} from './gang_starter.js';
+export {type GangStopResult, type StopOptions} from './gang_stopper.js';
 
 // Bounds
-export {type GangTimes, longestPartialRunMs} from './bounds.js';
+export {
+  type LeaseTimings,
+  computeLongestPartialRunMs,
+} from './partial_run_bound.js';
 
 // Keeping leases
-export * from './keeper_event.js';
-export {LeaseKeeper} from './lease_keeper.js';
+export * from './lease_renewer_event.js';
+export {LeaseRenewer} from './lease_renewer.js';
 export type {
-  LeaseKeeperOptions,
-  LeaseKeeperParts,
-} from './lease_keeper_options.js';
+  LeaseRenewerOptions,
+  LeaseRenewerDependencies,
+} from './lease_renewer_options.js';
 
-export {digestLeases} from './lease_digest.js';
+export {computeLeaseDigest} from './lease_digest.js';
 
 // Taking over from an earlier scheduler
 export {
-  TakeoverReader,
-  type TakeoverReaderParts,
-  type TakeoverReading,
-} from './takeover.js';
+  TargetFencer,
+  type TargetFencerDependencies,
+  type FencingResult,
+} from './target_fencer.js';
 
 // Health
 export {type QuarantineRules, TargetHealth} from './target_health.js';
@@ -50,7 +53,7 @@
   type TargetCommand,
   type TargetFault,
 } from './testing/memory_targets.js';
-export type {RunEvent} from './testing/model_lease.js';
+export type {RunEvent} from './testing/lease_model.js';
 export {RunAudit} from './testing/run_audit.js';
 export {
   type TargetCapacity,
--- a/packages/targets/src/lease_digest.ts
+++ b/packages/targets/src/lease_digest.ts
@@ -5,6 +5,6 @@
 const DIGEST_LENGTH = 16;
 
 /** The digest of leases by their key texts, in whatever order. */
-export function digestLeases(keys: readonly string[]): string {
+export function computeLeaseDigest(keys: readonly string[]): string {
   return hashText([...keys].sort().join(' ')).slice(0, DIGEST_LENGTH);
 }
--- a/packages/targets/src/lease_keeper.ts
+++ b/packages/targets/src/lease_renewer.ts
@@ -1,37 +1,37 @@
 /** Renews the leases of running gangs, each as a whole, and tells what became of them. */
 import {NO_TERM, type Term} from '@galenavalve/model';
 import {type Instant, type Milliseconds, isFailure} from '@galenavalve/shared';
-import type {GangOrder} from './gang_order.js';
-import {GangWatch} from './gang_watch.js';
-import type {KeeperEvent} from './keeper_event.js';
+import type {GangAttempt} from './gang_attempt.js';
+import {GangMonitor} from './gang_monitor.js';
+import type {LeaseRenewerEvent} from './lease_renewer_event.js';
 import type {Renewal, TargetReport} from './target_client.js';
 import {
-  CALLS_PER_ROUND,
-  type KeeperTimes,
-  type LeaseKeeperParts,
-  completeTimes,
-} from './lease_keeper_options.js';
-import {type Question, WatchedTarget} from './watched_target.js';
+  MAX_CALLS_PER_ROUND,
+  type ResolvedLeaseRenewerOptions,
+  type LeaseRenewerDependencies,
+  resolveLeaseRenewerOptions,
+} from './lease_renewer_options.js';
+import {type RenewalCall, TargetMonitor} from './target_monitor.js';
 
 /** Share of the call timeout that a look may take. */
 const LOOK_SHARE = 0.5;
 
 /** Keeps the leases of gangs. */
-export class LeaseKeeper {
+export class LeaseRenewer {
   /** Length of a lease in milliseconds. */
   readonly leaseMs: Milliseconds;
-  private readonly gangs = new Map<string, GangWatch>();
-  private readonly targets = new Map<string, WatchedTarget>();
-  private readonly listeners: ((event: KeeperEvent) => void)[] = [];
+  private readonly gangs = new Map<string, GangMonitor>();
+  private readonly targets = new Map<string, TargetMonitor>();
+  private readonly listeners: ((event: LeaseRenewerEvent) => void)[] = [];
   private idle = new Set<string>();
   private term: Term = NO_TERM;
   private lastTickAt?: Instant;
   /** Aborted when a gang is followed, to end a sleep between rounds. */
   private wake = new AbortController();
-  private readonly times: KeeperTimes;
+  private readonly times: ResolvedLeaseRenewerOptions;
 
-  constructor(private readonly parts: LeaseKeeperParts) {
-    this.times = completeTimes(parts.options);
+  constructor(private readonly parts: LeaseRenewerDependencies) {
+    this.times = resolveLeaseRenewerOptions(parts.options);
     this.leaseMs = this.times.leaseMs;
   }
 
@@ -42,9 +42,9 @@
   }
 
   /** Keeps a gang that was started, or that an earlier keeper has kept. */
-  follow(order: GangOrder): void {
-    this.unfollow(order.jobId);
-    const watch = new GangWatch(order, this.parts.clock.now(), this.leaseMs);
+  addGang(order: GangAttempt): void {
+    this.removeGang(order.jobId);
+    const watch = new GangMonitor(order, this.parts.clock.now(), this.leaseMs);
     this.gangs.set(order.jobId, watch);
     for (const target of watch.targets) {
       this.watch(target).gangs.set(order.jobId, watch);
@@ -53,7 +53,7 @@
   }
 
   /** Renews the leases of a job no longer. */
-  unfollow(jobId: string): void {
+  removeGang(jobId: string): void {
     const watch = this.gangs.get(jobId);
     this.gangs.delete(jobId);
     for (const target of watch?.targets ?? []) {
@@ -62,7 +62,7 @@
   }
 
   /** Also asks these targets for their reports, slowly while they have no work. */
-  followTargets(targets: readonly string[]): void {
+  setPolledTargets(targets: readonly string[]): void {
     this.idle = new Set(targets);
     for (const target of targets) {
       this.watch(target);
@@ -78,17 +78,17 @@
   }
 
   /** Lets the targets of a kept attempt forget it, now that its end is recorded. */
-  forget(jobId: string, attempt: number): void {
-    const order = this.gangs.get(jobId)?.order;
+  acknowledgeEnd(jobId: string, attempt: number): void {
+    const order = this.gangs.get(jobId)?.gangAttempt;
     if (order?.attempt !== attempt) {
       return;
     }
     for (const {target} of order.assignments) {
-      this.watch(target).forget(order);
+      this.watch(target).acknowledgeLease(order);
     }
   }
 
-  onEvent(listener: (event: KeeperEvent) => void): void {
+  onEvent(listener: (event: LeaseRenewerEvent) => void): void {
     this.listeners.push(listener);
   }
 
@@ -97,22 +97,22 @@
     const {clock} = this.parts;
     while (!signal.aborted) {
       const nextAt = clock.now() + this.times.renewMs;
-      await this.tick();
+      await this.runRound();
       while (!signal.aborted && this.canProbeBefore(nextAt)) {
         await clock.sleep(this.times.callTimeoutMs / 2, signal);
-        await this.probe();
+        await this.probeUnreachable();
       }
       await this.lookUntil(nextAt, signal);
     }
   }
 
   /** One round: renews each gang that is well, reads all members, judges. */
-  async tick(): Promise<void> {
+  async runRound(): Promise<void> {
     const now = this.parts.clock.now();
     this.doubtAfterPause(now);
     this.dropUnused();
     const renewable = this.findRenewable();
-    await this.askAll(this.findDue(now), renewable, CALLS_PER_ROUND);
+    await this.askAll(this.findDue(now), renewable, MAX_CALLS_PER_ROUND);
     const isOnTime = this.parts.clock.now() <= now + this.times.renewMs;
     if (isOnTime) {
       await this.renewRecovered(renewable);
@@ -133,7 +133,7 @@
   }
 
   private findNextLook(): Instant {
-    const looks = [...this.gangs.values()].map(watch => watch.nextLookAt);
+    const looks = [...this.gangs.values()].map(watch => watch.nextPollAt);
     return Math.min(Infinity, ...looks);
   }
 
@@ -144,31 +144,31 @@
    */
   private async look(): Promise<void> {
     const now = this.parts.clock.now();
-    const targets = new Set<WatchedTarget>();
+    const targets = new Set<TargetMonitor>();
     for (const watch of this.gangs.values()) {
-      if (watch.nextLookAt <= now) {
-        watch.onLooked(now);
+      if (watch.nextPollAt <= now) {
+        watch.onPolled(now);
         [...watch.targets].forEach(target => targets.add(this.watch(target)));
       }
     }
-    const answering = [...targets].filter(target => !target.isSilent);
+    const answering = [...targets].filter(target => !target.isUnreachable);
     await Promise.all(answering.map(target => this.lookAt(target)));
     this.judge();
   }
 
-  private async lookAt(target: WatchedTarget): Promise<void> {
+  private async lookAt(target: TargetMonitor): Promise<void> {
     const terms = {term: this.term, leaseMs: this.leaseMs};
-    const question = target.createQuestion(terms, new Set(), false);
+    const question = target.createRenewalCall(terms, new Set(), false);
     const sentAt = this.parts.clock.now();
     const timeout = this.times.callTimeoutMs * LOOK_SHARE;
-    const report = await this.renew(target, question.order, timeout);
+    const report = await this.renew(target, question.renewal, timeout);
     if (report && report !== 'superseded' && !this.isLate(sentAt)) {
       this.onReport(target, report, question, sentAt);
     }
   }
 
   /** Asks the silent members of gangs once more, and renews the gangs that are well again. */
-  async probe(): Promise<void> {
+  async probeUnreachable(): Promise<void> {
     const renewable = this.findRenewable();
     await this.askAll(this.findSuspects(), new Set(), 1);
     await this.renewRecovered(renewable);
@@ -177,12 +177,12 @@
   // Queries
 
   /** Tells whether the job is kept. */
-  isFollowing(jobId: string): boolean {
+  hasGang(jobId: string): boolean {
     return this.gangs.has(jobId);
   }
 
   /** Jobs that are kept. */
-  followed(): string[] {
+  listJobIds(): string[] {
     return [...this.gangs.keys()];
   }
 
@@ -195,13 +195,13 @@
     }
     this.parts.logger.warn('lease-keeper-paused', {gapMs: gap});
     for (const watch of this.gangs.values()) {
-      watch.doubt();
+      watch.invalidateReports();
     }
   }
 
-  private findSuspects(): WatchedTarget[] {
+  private findSuspects(): TargetMonitor[] {
     return [...this.targets.values()].filter(
-      target => target.isSilent === true && target.gangs.size > 0,
+      target => target.isUnreachable === true && target.gangs.size > 0,
     );
   }
 
@@ -213,52 +213,55 @@
     );
   }
 
-  private findRenewable(): Set<GangWatch> {
+  private findRenewable(): Set<GangMonitor> {
     const watches = [...this.gangs.values()];
     return new Set(watches.filter(watch => watch.isRenewable()));
   }
 
   /** Renews gangs whose members all answered well, but not yet when the round began. */
-  private async renewRecovered(renewed: ReadonlySet<GangWatch>): Promise<void> {
-    const targets = new Set<WatchedTarget>();
+  private async renewRecovered(
+    renewed: ReadonlySet<GangMonitor>,
+  ): Promise<void> {
+    const targets = new Set<TargetMonitor>();
     for (const watch of this.findRenewable()) {
       if (!renewed.has(watch)) {
         [...watch.targets].forEach(target => targets.add(this.watch(target)));
       }
     }
-    await this.askAll([...targets], this.findRenewable(), CALLS_PER_ROUND);
+    await this.askAll([...targets], this.findRenewable(), MAX_CALLS_PER_ROUND);
   }
 
-  private findDue(now: Instant): WatchedTarget[] {
+  private findDue(now: Instant): TargetMonitor[] {
     return [...this.targets.values()].filter(
-      target => target.isUsed || now - target.triedAt >= this.times.idlePollMs,
+      target =>
+        target.hasWork || now - target.lastPolledAt >= this.times.idlePollMs,
     );
   }
 
   private async askAll(
-    targets: readonly WatchedTarget[],
-    renewable: ReadonlySet<GangWatch>,
+    targets: readonly TargetMonitor[],
+    renewable: ReadonlySet<GangMonitor>,
     calls: number,
   ): Promise<void> {
     const now = this.parts.clock.now();
     const terms = {term: this.term, leaseMs: this.leaseMs};
     const questions = targets.map(target => {
-      target.triedAt = now;
-      const withUsage = target.isUsageDue(now, this.times.usageMs);
-      const question = target.createQuestion(terms, renewable, withUsage);
+      target.lastPolledAt = now;
+      const withUsage = target.isUsageDue(now, this.times.usagePollMs);
+      const question = target.createRenewalCall(terms, renewable, withUsage);
       return this.ask(target, question, calls);
     });
     await Promise.all(questions);
   }
 
   private async ask(
-    target: WatchedTarget,
-    question: Question,
+    target: TargetMonitor,
+    question: RenewalCall,
     calls: number,
   ): Promise<void> {
     for (let call = 0; call < calls; call++) {
       const sentAt = this.parts.clock.now();
-      const report = await this.renew(target, question.order);
+      const report = await this.renew(target, question.renewal);
       if (report === 'superseded') {
         this.emit({kind: 'target-superseded', target: target.id});
         break;
@@ -277,11 +280,11 @@
   }
 
   private async renew(
-    target: WatchedTarget,
+    target: TargetMonitor,
     order: Renewal,
     timeout = this.times.callTimeoutMs,
   ): Promise<TargetReport | 'superseded' | undefined> {
-    const address = this.parts.addressOf(target.id);
+    const address = this.parts.findAddress(target.id);
     if (!address) {
       return undefined;
     }
@@ -294,24 +297,24 @@
   }
 
   private onReport(
-    target: WatchedTarget,
+    target: TargetMonitor,
     report: TargetReport,
-    question: Question,
+    question: RenewalCall,
     sentAt: Instant,
   ): void {
-    const {id, isSilent, isLeaving} = target;
+    const {id, isUnreachable: isSilent, isLeaving} = target;
     target.onReport(report, question, sentAt);
     // Also at the first answer: an earlier keeper may have found it otherwise.
     if (isSilent !== false) {
-      target.isSilent = false;
+      target.isUnreachable = false;
       this.emit({kind: 'target-answering', target: id});
     }
     if (isLeaving !== target.isLeaving) {
       const kind = target.isLeaving ? 'target-leaving' : 'target-staying';
       this.emit({kind, target: id});
     }
-    if (question.order.withUsage) {
-      target.onUsageAsked(sentAt);
+    if (question.renewal.withUsage) {
+      target.onUsageRequested(sentAt);
       const {usage, usageAgeMs: ageMs} = report;
       if (usage.length > 0) {
         this.emit({kind: 'usage', target: id, ageMs, usage});
@@ -319,10 +322,10 @@
     }
   }
 
-  private onSilence(target: WatchedTarget, question: Question): void {
-    question.watches.forEach(watch => watch.onSilence(target.id));
-    if (!target.isSilent) {
-      target.isSilent = true;
+  private onSilence(target: TargetMonitor, question: RenewalCall): void {
+    question.monitors.forEach(watch => watch.onUnreachable(target.id));
+    if (!target.isUnreachable) {
+      target.isUnreachable = true;
       this.emit({kind: 'target-silent', target: target.id});
     }
   }
@@ -330,28 +333,28 @@
   private judge(): void {
     const now = this.parts.clock.now();
     for (const watch of [...this.gangs.values()]) {
-      const verdict = watch.judge(now, this.times.callTimeoutMs);
+      const verdict = watch.evaluate(now, this.times.callTimeoutMs);
       if (verdict) {
         this.emit(verdict);
       }
     }
   }
 
-  private watch(target: string): WatchedTarget {
-    const watched = this.targets.get(target) ?? new WatchedTarget(target);
+  private watch(target: string): TargetMonitor {
+    const watched = this.targets.get(target) ?? new TargetMonitor(target);
     this.targets.set(target, watched);
     return watched;
   }
 
   private dropUnused(): void {
     for (const [id, target] of this.targets) {
-      if (!target.isUsed && !this.idle.has(id)) {
+      if (!target.hasWork && !this.idle.has(id)) {
         this.targets.delete(id);
       }
     }
   }
 
-  private emit(event: KeeperEvent): void {
+  private emit(event: LeaseRenewerEvent): void {
     const level = event.kind === 'usage' ? 'debug' : 'info';
     this.parts.logger[level](`keeper-${event.kind}`, {...event});
     for (const listener of this.listeners) {
--- a/packages/targets/src/keeper_event.ts
+++ b/packages/targets/src/lease_renewer_event.ts
@@ -52,8 +52,8 @@
 }
 
 /** Any event of a lease keeper. */
-export type KeeperEvent =
+export type LeaseRenewerEvent =
   GangSucceeded | GangFailed | MemberLost | TargetEvent | UsageMeasured;
 
 /** The verdict on a gang. */
-export type GangVerdict = GangSucceeded | GangFailed | MemberLost;
+export type GangOutcome = GangSucceeded | GangFailed | MemberLost;
--- a/packages/targets/src/lease_keeper_options.ts
+++ b/packages/targets/src/lease_renewer_options.ts
@@ -1,10 +1,10 @@
 /** What a lease keeper works with, and its times. */
 import type {Clock, Logger, Milliseconds} from '@galenavalve/shared';
-import type {AddressLookup} from './gang_order.js';
+import type {AddressLookup} from './gang_attempt.js';
 import type {TargetClient} from './target_client.js';
 
 /** Times of the lease keeper, in milliseconds. */
-export interface LeaseKeeperOptions {
+export interface LeaseRenewerOptions {
   leaseMs?: Milliseconds;
   /** Time between two rounds. */
   renewMs?: Milliseconds;
@@ -13,16 +13,16 @@
   /** Time between two questions to a target without work. */
   idlePollMs?: Milliseconds;
   /** Time between two questions for usage. */
-  usageMs?: Milliseconds;
+  usagePollMs?: Milliseconds;
 }
 
 /** What the keeper works with. */
-export interface LeaseKeeperParts {
+export interface LeaseRenewerDependencies {
   client: TargetClient;
-  addressOf: AddressLookup;
+  findAddress: AddressLookup;
   clock: Clock;
   logger: Logger;
-  options: LeaseKeeperOptions;
+  options: LeaseRenewerOptions;
 }
 
 const DEFAULT_LEASE_MS = 6000;
@@ -31,22 +31,24 @@
 const DEFAULT_USAGE_MS = 30_000;
 
 /** Times that a target is asked before it counts as silent. */
-export const CALLS_PER_ROUND = 2;
+export const MAX_CALLS_PER_ROUND = 2;
 
 /** Calls one after the other in a round in which gangs recover. */
-const CALLS_OF_LONGEST_ROUND = 2 * CALLS_PER_ROUND;
+const CALLS_OF_LONGEST_ROUND = 2 * MAX_CALLS_PER_ROUND;
 
 /** The times with all defaults. */
-export type KeeperTimes = Required<LeaseKeeperOptions>;
+export type ResolvedLeaseRenewerOptions = Required<LeaseRenewerOptions>;
 
 /** Fills in the defaults, and fits the call timeout into a round. */
-export function completeTimes(options: LeaseKeeperOptions): KeeperTimes {
+export function resolveLeaseRenewerOptions(
+  options: LeaseRenewerOptions,
+): ResolvedLeaseRenewerOptions {
   const renewMs = options.renewMs ?? DEFAULT_RENEW_MS;
   return {
     leaseMs: options.leaseMs ?? DEFAULT_LEASE_MS,
     renewMs,
     idlePollMs: options.idlePollMs ?? DEFAULT_IDLE_POLL_MS,
-    usageMs: options.usageMs ?? DEFAULT_USAGE_MS,
+    usagePollMs: options.usagePollMs ?? DEFAULT_USAGE_MS,
     callTimeoutMs: Math.min(
       options.callTimeoutMs,
       renewMs / CALLS_OF_LONGEST_ROUND,
--- a/packages/targets/src/bounds.ts
+++ b/packages/targets/src/partial_run_bound.ts
@@ -2,7 +2,7 @@
 import type {Milliseconds} from '@galenavalve/shared';
 
 /** The times that the bound depends on, in milliseconds. */
-export interface GangTimes {
+export interface LeaseTimings {
   leaseMs: Milliseconds;
   /** Time between two rounds of the keeper. */
   renewMs: Milliseconds;
@@ -13,6 +13,6 @@
  * Longest time that some members of a gang run while another does not, with
  * every message lost, late or repeated and every process dead or paused.
  */
-export function longestPartialRunMs(times: GangTimes): Milliseconds {
+export function computeLongestPartialRunMs(times: LeaseTimings): Milliseconds {
   return times.leaseMs + times.renewMs + 2 * times.callTimeoutMs;
 }
--- a/packages/targets/src/target_client.ts
+++ b/packages/targets/src/target_client.ts
@@ -52,7 +52,7 @@
  * time to live and the lease from `grantedAt`, which it stamped itself, so
  * that an order that was delayed on its way starts nothing late.
  */
-export const startOrder = z.strictObject({
+export const startCommand = z.strictObject({
   ...leaseKey.shape,
   term,
   /** The latest grant that the sender has seen. */
@@ -63,10 +63,10 @@
   progressSeconds: z.number().nonnegative(),
   payload: z.record(z.string(), z.json()),
 });
-export type StartOrder = z.infer<typeof startOrder>;
+export type StartCommand = z.infer<typeof startCommand>;
 
 /** Ends an attempt on a target, whether it is reserved or running. */
-export const stopOrder = z.strictObject({
+export const stopCommand = z.strictObject({
   ...leaseKey.shape,
   term,
   /** True to save progress first, if the tasks can. */
@@ -74,7 +74,7 @@
   /** Time that the tasks get to save their progress, in milliseconds. */
   graceMs: z.number().nonnegative(),
 });
-export type StopOrder = z.infer<typeof stopOrder>;
+export type StopCommand = z.infer<typeof stopCommand>;
 
 /**
  * Keeps the leases on a target alive, all in one message. A lease is extended
@@ -170,7 +170,7 @@
   ): Promise<Grant>;
   start(
     target: TargetAddress,
-    order: StartOrder,
+    order: StartCommand,
     timeout: Milliseconds,
   ): Promise<void>;
   /**
@@ -180,7 +180,7 @@
    */
   stop(
     target: TargetAddress,
-    order: StopOrder,
+    order: StopCommand,
     timeout: Milliseconds,
   ): Promise<LeaseReport | undefined>;
   renew(
--- a/packages/targets/src/takeover.ts
+++ b/packages/targets/src/target_fencer.ts
@@ -1,11 +1,11 @@
 /** Reads back what runs on a domain's targets when a new scheduler takes over. */
 import type {Term} from '@galenavalve/model';
 import type {Logger, Milliseconds} from '@galenavalve/shared';
-import type {AddressLookup} from './gang_order.js';
+import type {AddressLookup} from './gang_attempt.js';
 import type {TargetClient, TargetReport} from './target_client.js';
 
 /** What the targets answered to a new term. */
-export interface TakeoverReading {
+export interface FencingResult {
   /** By target. Each of these refuses every lower term from now on. */
   reports: Map<string, TargetReport>;
   /** May still run work of a lower term, until its lease lapses. */
@@ -13,22 +13,22 @@
 }
 
 /** What the reader works with. */
-export interface TakeoverReaderParts {
+export interface TargetFencerDependencies {
   client: TargetClient;
-  addressOf: AddressLookup;
+  findAddress: AddressLookup;
   logger: Logger;
   options: {callTimeoutMs: Milliseconds};
 }
 
 /** Fences targets against earlier schedulers. */
-export class TakeoverReader {
-  constructor(private readonly parts: TakeoverReaderParts) {}
+export class TargetFencer {
+  constructor(private readonly parts: TargetFencerDependencies) {}
 
   /** Fences every target in parallel. A target that has seen a higher term counts as unreachable. */
   async fenceAll(
     targets: readonly string[],
     term: Term,
-  ): Promise<TakeoverReading> {
+  ): Promise<FencingResult> {
     const reports = new Map<string, TargetReport>();
     const unreachable: string[] = [];
     await Promise.all(
@@ -50,7 +50,7 @@
     target: string,
     term: Term,
   ): Promise<TargetReport | undefined> {
-    const address = this.parts.addressOf(target);
+    const address = this.parts.findAddress(target);
     if (!address) {
       return undefined;
     }
--- a/packages/targets/src/target_health.ts
+++ b/packages/targets/src/target_health.ts
@@ -75,22 +75,22 @@
     }
   }
 
-  noteSilence(target: string, isSilent: boolean): void {
+  setUnreachable(target: string, isSilent: boolean): void {
     this.of(target).isSilent = isSilent;
   }
 
-  noteLeaving(target: string, isLeaving: boolean): void {
+  setLeaving(target: string, isLeaving: boolean): void {
     this.of(target).isLeaving = isLeaving;
   }
 
   /** The target is no longer in the inventory. */
-  forget(target: string): void {
+  remove(target: string): void {
     this.evidence.delete(target);
   }
 
   // Queries
 
-  condition(target: string, now: Instant): TargetCondition {
+  getCondition(target: string, now: Instant): TargetCondition {
     const evidence = this.evidence.get(target);
     if (!evidence) {
       return 'well';
--- a/packages/targets/src/watched_target.ts
+++ b/packages/targets/src/target_monitor.ts
@@ -1,9 +1,9 @@
 /** One target as a lease keeper last heard of it, and what to tell it next. */
 import type {Term} from '@galenavalve/model';
 import type {Instant, Milliseconds} from '@galenavalve/shared';
-import {leaseKeyOf, leaseKeyText} from './gang_order.js';
-import type {GangWatch} from './gang_watch.js';
-import {digestLeases} from './lease_digest.js';
+import {toLeaseKey, formatLeaseKey} from './gang_attempt.js';
+import type {GangMonitor} from './gang_monitor.js';
+import {computeLeaseDigest} from './lease_digest.js';
 import type {
   LeaseKey,
   LeaseReport,
@@ -12,36 +12,36 @@
 } from './target_client.js';
 
 /** Values that are the same for all targets of a round. */
-export interface RenewalTerms {
+export interface RenewalParameters {
   term: Term;
   leaseMs: Milliseconds;
 }
 
 /** A renewal about to be sent, with what its answer will be about. */
-export interface Question {
-  order: Renewal;
+export interface RenewalCall {
+  renewal: Renewal;
   /** Gangs that were followed when it was made; the answer says nothing of others. */
-  watches: GangWatch[];
+  monitors: GangMonitor[];
   /** Those of them that it renews. */
-  renewed: GangWatch[];
+  renewedMonitors: GangMonitor[];
   /** Local time before which `order.basedOn` was not stamped. */
-  basedAt: Instant;
+  basisAskedAt: Instant;
 }
 
 /** One target of a keeper. */
-export class WatchedTarget {
+export class TargetMonitor {
   /** Gangs with a member on the target, by job. */
-  readonly gangs = new Map<string, GangWatch>();
+  readonly gangs = new Map<string, GangMonitor>();
   /** Absent until it has answered, or failed to. */
-  isSilent?: boolean;
+  isUnreachable?: boolean;
   /** Absent until it has said. */
   isLeaving?: boolean;
   /** Local time of the latest try to ask it. */
-  triedAt: Instant = -Infinity;
+  lastPolledAt: Instant = -Infinity;
   private readonly forgettable = new Map<string, LeaseKey>();
   /** Its leases beyond reservations, as far as reported. */
   private known = new Map<string, LeaseReport>();
-  private digest = digestLeases([]);
+  private digest = computeLeaseDigest([]);
   /** The target's own clock at its latest report, and the local time when that was asked for. */
   private heard?: {clock: number; askedAt: Instant};
   private usageAskedAt: Instant = -Infinity;
@@ -50,16 +50,16 @@
 
   // Commands
 
-  forget(key: LeaseKey): void {
-    this.forgettable.set(leaseKeyText(key), leaseKeyOf(key));
+  acknowledgeLease(key: LeaseKey): void {
+    this.forgettable.set(formatLeaseKey(key), toLeaseKey(key));
   }
 
   /** Makes the next renewal, for those gangs that are in `renewable`. */
-  createQuestion(
-    {term, leaseMs}: RenewalTerms,
-    renewable: ReadonlySet<GangWatch>,
+  createRenewalCall(
+    {term, leaseMs}: RenewalParameters,
+    renewable: ReadonlySet<GangMonitor>,
     withUsage: boolean,
-  ): Question {
+  ): RenewalCall {
     const watches = [...this.gangs.values()];
     const renewed = watches.filter(watch => renewable.has(watch));
     const renewsAll = this.coversAllRunning(renewed);
@@ -67,40 +67,49 @@
       term,
       leaseMs,
       basedOn: this.heard?.clock,
-      leases: renewsAll ? [] : renewed.map(watch => leaseKeyOf(watch.order)),
+      leases: renewsAll
+        ? []
+        : renewed.map(watch => toLeaseKey(watch.gangAttempt)),
       digest: this.digest,
       ...(renewsAll && {renewsAll}),
       ...(withUsage && {withUsage}),
       forget: [...this.forgettable.values()],
     };
     const basedAt = this.heard?.askedAt ?? -Infinity;
-    return {order, watches, renewed, basedAt};
+    return {
+      renewal: order,
+      monitors: watches,
+      renewedMonitors: renewed,
+      basisAskedAt: basedAt,
+    };
   }
 
   /** Takes in an answer that came in time. */
-  onReport(report: TargetReport, question: Question, sentAt: Instant): void {
+  onReport(report: TargetReport, question: RenewalCall, sentAt: Instant): void {
     this.heard = {clock: report.clock, askedAt: sentAt};
     this.isLeaving = report.leaving;
-    this.noteForgotten(question.order.forget);
+    this.noteForgotten(question.renewal.forget);
     this.noteLeases(report);
-    for (const watch of question.watches) {
-      const key = leaseKeyText(watch.order);
+    for (const watch of question.monitors) {
+      const key = formatLeaseKey(watch.gangAttempt);
       watch.onReport(this.id, this.known.get(key));
     }
-    const isRenewed = !question.order.renewsAll || report.changesOnly;
+    const isRenewed = !question.renewal.renewsAll || report.changesOnly;
     if (isRenewed) {
-      const expiresAt = question.basedAt + question.order.leaseMs;
-      question.renewed.forEach(watch => watch.onRenewed(this.id, expiresAt));
+      const expiresAt = question.basisAskedAt + question.renewal.leaseMs;
+      question.renewedMonitors.forEach(watch =>
+        watch.onRenewed(this.id, expiresAt),
+      );
     }
   }
 
-  onUsageAsked(now: Instant): void {
+  onUsageRequested(now: Instant): void {
     this.usageAskedAt = now;
   }
 
   // Queries
 
-  get isUsed(): boolean {
+  get hasWork(): boolean {
     return this.gangs.size > 0 || this.forgettable.size > 0;
   }
 
@@ -109,8 +118,10 @@
   }
 
   /** Whether a renewal of all that runs there renews nothing else than these. */
-  private coversAllRunning(renewed: readonly GangWatch[]): boolean {
-    const keys = new Set(renewed.map(watch => leaseKeyText(watch.order)));
+  private coversAllRunning(renewed: readonly GangMonitor[]): boolean {
+    const keys = new Set(
+      renewed.map(watch => formatLeaseKey(watch.gangAttempt)),
+    );
     return [...this.known].every(
       ([key, {state}]) => state !== 'running' || keys.has(key),
     );
@@ -118,9 +129,9 @@
 
   private noteForgotten(keys: readonly LeaseKey[]): void {
     for (const key of keys) {
-      this.forgettable.delete(leaseKeyText(key));
-      if (this.known.get(leaseKeyText(key))?.state !== 'running') {
-        this.known.delete(leaseKeyText(key));
+      this.forgettable.delete(formatLeaseKey(key));
+      if (this.known.get(formatLeaseKey(key))?.state !== 'running') {
+        this.known.delete(formatLeaseKey(key));
       }
     }
   }
@@ -131,9 +142,9 @@
     }
     for (const lease of report.leases) {
       if (lease.state !== 'reserved') {
-        this.known.set(leaseKeyText(lease), lease);
+        this.known.set(formatLeaseKey(lease), lease);
       }
     }
-    this.digest = digestLeases([...this.known.keys()]);
+    this.digest = computeLeaseDigest([...this.known.keys()]);
   }
 }
--- a/packages/targets/src/testing/model_lease.ts
+++ b/packages/targets/src/testing/lease_model.ts
@@ -5,8 +5,8 @@
   LeaseReport,
   LeaseState,
   Reservation,
-  StartOrder,
-  StopOrder,
+  StartCommand,
+  StopCommand,
 } from '../target_client.js';
 import {TaskPlan} from './task_plan.js';
 
@@ -31,7 +31,7 @@
 }
 
 /** The life of one attempt on one target. */
-export class ModelLease {
+export class LeaseModel {
   term: Term;
   state: LeaseState = 'reserved';
   /** Processor limit of the whole lease, once throttled. */
@@ -84,7 +84,7 @@
     return this.createdAt <= grantedAt && grantedAt <= now && now < deadline;
   }
 
-  start(order: StartOrder, plan: TaskPlan, now: Instant): void {
+  start(order: StartCommand, plan: TaskPlan, now: Instant): void {
     this.state = 'running';
     this.changedAt = now;
     this.term = order.term;
@@ -107,7 +107,7 @@
   }
 
   /** Ends the tasks, at once or after they have saved their progress. */
-  stop(order: StopOrder, now: Instant): void {
+  stop(order: StopCommand, now: Instant): void {
     if (this.state !== 'running' || !this.run) {
       return;
     }
@@ -173,7 +173,9 @@
       firstTask: this.reservation.firstTask,
       tasks: this.reservation.tasks,
       progressSeconds: isRunning ? this.madeSeconds(now) : this.savedSeconds,
-      ...(this.state === 'succeeded' && {results: this.run?.plan.results()}),
+      ...(this.state === 'succeeded' && {
+        results: this.run?.plan.createResults(),
+      }),
       ...(this.failedTask !== undefined && {
         failedTask: this.failedTask,
         problem: 'the task ended with an error',
--- a/packages/targets/src/testing/memory_targets.ts
+++ b/packages/targets/src/testing/memory_targets.ts
@@ -63,12 +63,12 @@
 
   /** Ends a target and all its tasks. */
   kill(target: string): void {
-    this.model(target).restart(this.clock.now());
+    this.getModel(target).restart(this.clock.now());
     this.dead.add(target);
   }
 
   /** Brings a killed target back, empty. */
-  revive(target: string): void {
+  recover(target: string): void {
     this.dead.delete(target);
   }
 
@@ -81,7 +81,7 @@
 
   // Queries
 
-  model(target: string): TargetModel {
+  getModel(target: string): TargetModel {
     const model = this.models.get(target);
     if (!model) {
       throw new Failure('not-found', {kind: 'target', id: target});
@@ -89,18 +89,18 @@
     return model;
   }
 
-  ids(): string[] {
+  listIds(): string[] {
     return [...this.models.keys()];
   }
 
-  /** The address of a target, for `addressOf`. */
-  addressOf = (target: string): TargetAddress | undefined =>
+  /** The address of a target, for `findAddress`. */
+  findAddress = (target: string): TargetAddress | undefined =>
     this.models.has(target)
       ? {id: target, endpoint: `memory:${target}`}
       : undefined;
 
   /** The targets as `caller` reaches them. */
-  clientFor(caller: string): TargetClient {
+  createClient(caller: string): TargetClient {
     return new MemoryTargetClient(this, caller);
   }
 
@@ -130,7 +130,7 @@
         problem: 'the connection was refused',
       });
     }
-    const answer = apply(this.model(target), this.clock.now());
+    const answer = apply(this.getModel(target), this.clock.now());
     if (fault.losesAnswers) {
       return this.giveUp(target, timeout - delayMs);
     }
@@ -154,7 +154,7 @@
         return;
       }
       try {
-        apply(this.model(call.target), this.clock.now());
+        apply(this.getModel(call.target), this.clock.now());
       } catch (error) {
         if (!isFailure(error, 'target-refused')) {
           throw error;
--- a/packages/targets/src/testing/run_audit.ts
+++ b/packages/targets/src/testing/run_audit.ts
@@ -1,25 +1,25 @@
 /** Checks what has run, from the starts and ends of tasks. */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
-import {leaseKeyText} from '../gang_order.js';
+import {formatLeaseKey} from '../gang_attempt.js';
 import type {LeaseKey, LeaseState} from '../target_client.js';
-import type {RunEvent} from './model_lease.js';
+import type {RunEvent} from './lease_model.js';
 
 /** A record of all starts and ends. */
 export class RunAudit {
   private readonly events: RunEvent[] = [];
 
   /** Notes one start or end; suits `TargetModelOptions.onRun`. */
-  note = (event: RunEvent): void => {
+  addEvent = (event: RunEvent): void => {
     this.events.push(event);
   };
 
   /** The record, earliest first. */
-  all(): RunEvent[] {
+  listEvents(): RunEvent[] {
     return [...this.events].sort((a, b) => a.at - b.at);
   }
 
   /** Attempts of a job of which any task has started. */
-  attemptsOf(jobId: string): Set<number> {
+  findStartedAttempts(jobId: string): Set<number> {
     const events = this.events.filter(event => event.jobId === jobId);
     return new Set(events.map(event => event.attempt));
   }
@@ -28,7 +28,7 @@
    * Longest time on end in which some members of an attempt ran while another
    * had not started, or had ended without success.
    */
-  longestPartialMs(
+  measureLongestPartialRunMs(
     key: LeaseKey,
     members: number,
     until: Instant,
@@ -51,8 +51,8 @@
   }
 
   private eventsOf(key: LeaseKey): RunEvent[] {
-    return this.all().filter(
-      event => leaseKeyText(event) === leaseKeyText(key),
+    return this.listEvents().filter(
+      event => formatLeaseKey(event) === formatLeaseKey(key),
     );
   }
 }
--- a/packages/targets/src/testing/target_model.ts
+++ b/packages/targets/src/testing/target_model.ts
@@ -7,14 +7,14 @@
   LeaseReport,
   Renewal,
   Reservation,
-  StartOrder,
-  StopOrder,
+  StartCommand,
+  StopCommand,
   TargetReport,
   UsageReport,
 } from '../target_client.js';
-import {leaseKeyText} from '../gang_order.js';
-import {digestLeases} from '../lease_digest.js';
-import {ModelLease, type RunEvent} from './model_lease.js';
+import {formatLeaseKey} from '../gang_attempt.js';
+import {computeLeaseDigest} from '../lease_digest.js';
+import {LeaseModel, type RunEvent} from './lease_model.js';
 import {TaskPlan} from './task_plan.js';
 
 /** What a target holds. */
@@ -42,7 +42,7 @@
   id: string;
   capacity: TargetCapacity;
   /** Time between two measurements of usage. */
-  usageLagMs?: Milliseconds;
+  usageIntervalMs?: Milliseconds;
   guards?: Partial<TargetGuards>;
   /** Is told of each start and end of tasks. */
   onRun?: (event: RunEvent) => void;
@@ -68,11 +68,11 @@
   readonly id: string;
   readonly capacity: TargetCapacity;
   /** Whether it fails every task. */
-  kind: 'well' | 'fails-every-task' = 'well';
+  behavior: 'well' | 'fails-every-task' = 'well';
   /** Whether it refuses new work because it is about to go. */
   leaving = false;
   private term: Term = NO_TERM;
-  private leases = new Map<string, ModelLease>();
+  private leases = new Map<string, LeaseModel>();
   private readonly guards: TargetGuards;
   private readonly usageLagMs: Milliseconds;
   private readonly onRun?: (event: RunEvent) => void;
@@ -83,7 +83,7 @@
     this.id = options.id;
     this.capacity = options.capacity;
     this.guards = {...ALL_GUARDS, ...options.guards};
-    this.usageLagMs = options.usageLagMs ?? DEFAULT_USAGE_LAG_MS;
+    this.usageLagMs = options.usageIntervalMs ?? DEFAULT_USAGE_LAG_MS;
     this.onRun = options.onRun;
   }
 
@@ -92,7 +92,7 @@
   reserve(order: Reservation, now: Instant): Grant {
     this.advance(now);
     this.checkTerm(order.term);
-    const known = this.leases.get(leaseKeyText(order));
+    const known = this.leases.get(formatLeaseKey(order));
     if (known && isSameTerm(known.term, order.term) && known.isOccupying) {
       known.extendReservation(order.ttlMs, now);
       return {grantedAt: now};
@@ -101,17 +101,17 @@
       throw this.refuse('the attempt has ended here');
     }
     this.checkRoom(order);
-    const lease = new ModelLease(order, now, (kind, at) =>
+    const lease = new LeaseModel(order, now, (kind, at) =>
       this.observe(lease, kind, at),
     );
-    this.leases.set(leaseKeyText(order), lease);
+    this.leases.set(formatLeaseKey(order), lease);
     return {grantedAt: now};
   }
 
-  start(order: StartOrder, now: Instant): void {
+  start(order: StartCommand, now: Instant): void {
     this.advance(now);
     this.checkTerm(order.term);
-    const lease = this.leases.get(leaseKeyText(order));
+    const lease = this.leases.get(formatLeaseKey(order));
     if (!lease) {
       throw this.refuse('there is no reservation');
     }
@@ -123,17 +123,17 @@
       this.checkReservation(lease, order, now);
     }
     const {firstTask, tasks} = lease.reservation;
-    const failsEveryTask = this.kind === 'fails-every-task';
+    const failsEveryTask = this.behavior === 'fails-every-task';
     const plan = new TaskPlan(order.payload, firstTask, tasks, failsEveryTask);
     lease.start(order, plan, now);
   }
 
-  stop(order: StopOrder, now: Instant): LeaseReport | undefined {
+  stop(order: StopCommand, now: Instant): LeaseReport | undefined {
     this.advance(now);
     this.checkTerm(order.term);
-    const lease = this.leases.get(leaseKeyText(order));
+    const lease = this.leases.get(formatLeaseKey(order));
     if (lease?.state === 'reserved') {
-      this.leases.delete(leaseKeyText(order));
+      this.leases.delete(formatLeaseKey(order));
     }
     lease?.stop(order, now);
     return lease?.report(now);
@@ -166,7 +166,7 @@
   ): void {
     this.advance(now);
     this.checkTerm(order.term);
-    const lease = this.leases.get(leaseKeyText(order));
+    const lease = this.leases.get(formatLeaseKey(order));
     if (!lease) {
       throw this.refuse('the attempt is not known');
     }
@@ -222,14 +222,14 @@
     const started = [...this.leases].filter(
       ([, lease]) => lease.state !== 'reserved',
     );
-    return digestLeases(started.map(([key]) => key));
+    return computeLeaseDigest(started.map(([key]) => key));
   }
 
   private findRenewed(
     order: Renewal,
     isKnown: boolean,
     now: Instant,
-  ): ModelLease[] {
+  ): LeaseModel[] {
     if (order.basedOn === undefined || order.basedOn > now) {
       return [];
     }
@@ -237,7 +237,7 @@
       return isKnown ? [...this.leases.values()] : [];
     }
     return order.leases.flatMap(
-      key => this.leases.get(leaseKeyText(key)) ?? [],
+      key => this.leases.get(formatLeaseKey(key)) ?? [],
     );
   }
 
@@ -291,8 +291,8 @@
   }
 
   private checkReservation(
-    lease: ModelLease,
-    order: StartOrder,
+    lease: LeaseModel,
+    order: StartCommand,
     now: Instant,
   ): void {
     if (this.leaving && this.guards.leaving) {
@@ -306,7 +306,7 @@
     }
   }
 
-  private checkRepeatedStart(lease: ModelLease, order: StartOrder): void {
+  private checkRepeatedStart(lease: LeaseModel, order: StartCommand): void {
     const isDuplicate = isSameTerm(lease.term, order.term);
     if (!isDuplicate || lease.state === 'stopped' || lease.state === 'lapsed') {
       throw this.refuse('the attempt has ended here');
@@ -314,9 +314,9 @@
   }
 
   private forget(key: LeaseKey): void {
-    const lease = this.leases.get(leaseKeyText(key));
+    const lease = this.leases.get(formatLeaseKey(key));
     if (lease && !lease.isOccupying) {
-      this.leases.delete(leaseKeyText(key));
+      this.leases.delete(formatLeaseKey(key));
     }
   }
 
@@ -333,7 +333,7 @@
   }
 
   private observe(
-    lease: ModelLease,
+    lease: LeaseModel,
     kind: RunEvent['kind'],
     at: Instant,
   ): void {
--- a/packages/targets/src/testing/task_plan.ts
+++ b/packages/targets/src/testing/task_plan.ts
@@ -66,7 +66,7 @@
     return failure ?? {at: last};
   }
 
-  results(): NonNullable<LeaseReport['results']> {
+  createResults(): NonNullable<LeaseReport['results']> {
     return this.indexes().map(task => this.payload.output ?? task);
   }
 
