--- a/packages/dispatch/__tests__/call_pacer.spec.ts
+++ b/packages/dispatch/__tests__/call_pacer.spec.ts
@@ -2,49 +2,57 @@
 import {ManualClock} from '@galenavalve/shared';
 import {CallPacer} from '../src/call_pacer.js';
 
-/** Asks for `count` calls together; tells how many began by each turn. */
-async function playCalls(count: number, turns: number): Promise<number[]> {
+/**
+ * Requests `count` calls at once; returns how many have started initially and
+ * after each batch.
+ */
+async function countStartedCalls(
+  count: number,
+  batches: number,
+): Promise<number[]> {
   const clock = new ManualClock(0);
   const pacer = new CallPacer(clock);
-  let begun = 0;
+  let started = 0;
   for (let call = 0; call < count; call++) {
-    const turn = pacer.waitForSlot();
-    if (turn) {
-      void turn.then(() => begun++);
+    const slot = pacer.waitForSlot();
+    if (slot) {
+      void slot.then(() => started++);
     } else {
-      begun++;
+      started++;
     }
   }
-  const counts = [begun];
-  for (let turn = 0; turn < turns; turn++) {
+  const counts = [started];
+  for (let batch = 0; batch < batches; batch++) {
     await clock.advance(1);
-    counts.push(begun);
+    counts.push(started);
   }
   return counts;
 }
 
-t.test('a few calls begin at once', async t => {
-  t.same(await playCalls(5, 0), [5]);
+t.test('a few calls start at once', async t => {
+  t.same(await countStartedCalls(5, 0), [5]);
 });
 
 t.test(
-  'six hundred starts after a takeover leave turns in which answers are read (menon-terrain-grown scale-1)',
+  'six hundred starts after a takeover leave time to read responses between batches (menon-terrain-grown scale-1)',
   async t => {
-    const counts = await playCalls(600, 60);
+    const counts = await countStartedCalls(600, 60);
     t.equal(counts[0], 16);
     t.equal(counts.at(-1), 600);
-    const most = Math.max(...counts.slice(1).map((n, i) => n - counts[i]!));
-    t.ok(most <= 64, `${most} in one turn`);
+    const maxPerBatch = Math.max(
+      ...counts.slice(1).map((n, i) => n - counts[i]!),
+    );
+    t.ok(maxPerBatch <= 64, `${maxPerBatch} calls in one batch`);
   },
 );
 
-t.test('calls begin in the order of their asking', async t => {
+t.test('calls start in the order in which they were requested', async t => {
   const clock = new ManualClock(0);
   const pacer = new CallPacer(clock);
   const order: number[] = [];
   for (let call = 0; call < 40; call++) {
-    const turn = pacer.waitForSlot() ?? Promise.resolve();
-    void turn.then(() => order.push(call));
+    const slot = pacer.waitForSlot() ?? Promise.resolve();
+    void slot.then(() => order.push(call));
   }
   await clock.advance(50);
   t.same(
--- a/packages/dispatch/__tests__/decision.spec.ts
+++ b/packages/dispatch/__tests__/decision.spec.ts
@@ -15,65 +15,65 @@
 });
 
 t.test('a rack-sensitive gang is placed within one rack', t => {
-  const rooms = [
+  const targets = [
     createTarget('a', 'r1', 0),
     createTarget('b', 'r2', 0),
     createTarget('c', 'r2', 0),
   ];
   const job = createJob('1', wide);
-  const {starts} = decide(createSnapshot([job], rooms), 0);
+  const {starts} = decide(createSnapshot([job], targets), 0);
   const racks = starts[0]!.placement.shares.map(
-    ({candidate: space}) => space.rack,
+    ({candidate}) => candidate.rack,
   );
   t.same(racks, ['r2', 'r2']);
   t.end();
 });
 
 t.test(
-  'a gang waits for its rack and is not spread while a rack could hold it',
+  'a rack-sensitive gang waits and is not spread while a rack could hold it',
   t => {
-    const rooms = [createTarget('a', 'r1', 0), createTarget('b', 'r1', 0)];
+    const targets = [createTarget('a', 'r1', 0), createTarget('b', 'r1', 0)];
     const other = createTarget('c', 'r2', 0);
     const filler = createJob('f', createStep({count: 1}), {priority: 1});
-    addRun(filler.units[0]!, rooms[0]!, 0);
+    addRun(filler.units[0]!, targets[0]!, 0);
     const job = createJob('1', wide);
-    const situation = createSnapshot([filler, job], [...rooms, other]);
-    t.same(decide(situation, 0).starts, []);
+    const snapshot = createSnapshot([filler, job], [...targets, other]);
+    t.same(decide(snapshot, 0).starts, []);
     t.end();
   },
 );
 
 t.test(
-  'small work does not take the room that a waiting gang will have soon',
+  'a small unit does not take capacity that is reserved for a waiting gang',
   t => {
-    const rooms = [createTarget('a', 'r1', 0), createTarget('b', 'r1', 0)];
+    const targets = [createTarget('a', 'r1', 0), createTarget('b', 'r1', 0)];
     const filler = createJob('f', createStep({count: 1, estimateMs: 1000}));
-    addRun(filler.units[0]!, rooms[0]!, 0);
+    addRun(filler.units[0]!, targets[0]!, 0);
     const gang = createJob('1', wide, {acceptedAt: -5000, now: 0});
     const long = createStep({count: 1, estimateMs: 60_000});
     const small = createJob('2', long, {priority: 2});
-    const {starts} = decide(createSnapshot([filler, gang, small], rooms), 0);
-    t.same(starts, [], 'the long one would outlast the wait');
+    const {starts} = decide(createSnapshot([filler, gang, small], targets), 0);
+    t.same(starts, [], 'the small unit would end after the reservation begins');
     t.end();
   },
 );
 
-t.test('small work that ends before the gang can start fills the gap', t => {
-  const rooms = [createTarget('a', 'r1', 0), createTarget('b', 'r1', 0)];
+t.test('a small unit that ends before the gang can start is backfilled', t => {
+  const targets = [createTarget('a', 'r1', 0), createTarget('b', 'r1', 0)];
   const filler = createJob('f', createStep({count: 1, estimateMs: 3000}));
-  addRun(filler.units[0]!, rooms[0]!, 0);
+  addRun(filler.units[0]!, targets[0]!, 0);
   const gang = createJob('1', wide, {acceptedAt: -5000, now: 0});
   const short = createStep({count: 1, estimateMs: 1000});
   const small = createJob('2', short, {priority: 2});
-  const {starts} = decide(createSnapshot([filler, gang, small], rooms), 0);
+  const {starts} = decide(createSnapshot([filler, gang, small], targets), 0);
   t.equal(starts[0]?.unit.job.id, '2');
   t.end();
 });
 
 t.test(
-  'a burst of urgent work stops the least work, and each keeps its claim',
+  'urgent units stop the work with the lowest cost, and each keeps its target claim',
   t => {
-    const rooms = [createTarget('a', 'r1', 0), createTarget('b', 'r1', 0)];
+    const targets = [createTarget('a', 'r1', 0), createTarget('b', 'r1', 0)];
     const saved = createStep({
       count: 1,
       savesProgress: true,
@@ -83,19 +83,19 @@
     const unsaved = {...saved, savesProgress: false};
     const first = createJob('saved', saved, {priority: 2});
     const second = createJob('unsaved', unsaved, {priority: 2});
-    addRun(first.units[0]!, rooms[0]!, 0);
-    addRun(second.units[0]!, rooms[1]!, 0);
+    addRun(first.units[0]!, targets[0]!, 0);
+    addRun(second.units[0]!, targets[1]!, 0);
     const now = 8000;
-    rooms.forEach(room => (room.lastResponseAt = now));
+    targets.forEach(target => (target.lastResponseAt = now));
     const step = createStep({...wide, count: 1, isRackSensitive: false});
     const urgent = createJob('u', step, {priority: 0, acceptedAt: now});
-    const situation = createSnapshot([first, second, urgent], rooms);
-    const decision = decide(situation, now);
+    const snapshot = createSnapshot([first, second, urgent], targets);
+    const decision = decide(snapshot, now);
     t.same(
       decision.stops.map(({unit}) => unit.job.id),
       ['saved'],
     );
-    t.same([...decision.targetClaims[0]!.rooms], [rooms[0]]);
+    t.same([...decision.targetClaims[0]!.targets], [targets[0]]);
     urgent.units[0]!.targetClaim = decision.targetClaims[0];
     const rival = createJob('v', step, {
       priority: 0,
@@ -104,61 +104,69 @@
     });
     first.units[0]!.phase = 'stopping';
     const later = decide(
-      createSnapshot([first, second, urgent, rival], rooms),
+      createSnapshot([first, second, urgent, rival], targets),
       now + 10,
     );
-    t.same(later.starts, [], 'the rival does not take the claimed room');
+    t.same(
+      later.starts,
+      [],
+      'the other urgent unit does not take the claimed target',
+    );
     t.notOk(
       later.stops.some(({unit}) => unit.job.id === 'saved'),
-      'what is being stopped is not stopped again',
+      'a unit that is being stopped is not stopped again',
     );
     t.end();
   },
 );
 
-t.test('urgent work waits for a run that ends within its slack, once', t => {
-  const rooms = [createTarget('a', 'r1', 0)];
+t.test('an urgent unit waits once for a run that ends within its slack', t => {
+  const targets = [createTarget('a', 'r1', 0)];
   const step = createStep({
     count: 1,
     estimateMs: 4000,
     demand: {cpu: 4000, memoryMb: 8000, accelerators: 8},
   });
   const filler = createJob('f', step, {priority: 2});
-  addRun(filler.units[0]!, rooms[0]!, 0);
+  addRun(filler.units[0]!, targets[0]!, 0);
   const now = 3800;
-  rooms[0]!.lastResponseAt = now;
-  const booking = filler.units[0]!.allocations[0]!;
-  Object.assign(booking, {percent: 95, percentAt: now});
+  targets[0]!.lastResponseAt = now;
+  const allocation = filler.units[0]!.allocations[0]!;
+  Object.assign(allocation, {percent: 95, percentAt: now});
   const urgent = createJob('u', step, {priority: 0, acceptedAt: now});
-  const first = decide(createSnapshot([filler, urgent], rooms), now);
-  t.same(first.stops, [], 'it ends by itself');
-  urgent.units[0]!.targetClaim = {rooms: new Set(rooms), until: now};
-  const second = decide(createSnapshot([filler, urgent], rooms), now + 1);
-  t.equal(second.stops.length, 1, 'it did not');
+  const first = decide(createSnapshot([filler, urgent], targets), now);
+  t.same(first.stops, [], 'the run is expected to end by itself');
+  urgent.units[0]!.targetClaim = {targets: new Set(targets), until: now};
+  const second = decide(createSnapshot([filler, urgent], targets), now + 1);
+  t.equal(second.stops.length, 1, 'the run did not end in time');
   t.end();
 });
 
 t.test(
-  'a target that drains, is silent, or whose domain is out gets no work',
+  'a target that drains, does not respond or is in an evacuated domain gets no work',
   t => {
     const draining = createTarget('a', 'r1', 0);
     draining.info = {...draining.info, isDraining: true};
-    const silent = createTarget('b', 'r1', -10_000);
-    const out = createTarget('c', 'r1', 0);
-    out.info = {...out.info, domain: 'out'};
+    const unresponsive = createTarget('b', 'r1', -10_000);
+    const evacuated = createTarget('c', 'r1', 0);
+    evacuated.info = {...evacuated.info, domain: 'out'};
     const job = createJob('1', createStep({count: 1}));
-    const situation = createSnapshot([job], [draining, silent, out], {
-      evacuated: new Set(['out']),
-    });
-    t.same(decide(situation, 0).starts, []);
+    const snapshot = createSnapshot(
+      [job],
+      [draining, unresponsive, evacuated],
+      {
+        evacuated: new Set(['out']),
+      },
+    );
+    t.same(decide(snapshot, 0).starts, []);
     t.end();
   },
 );
 
 t.test(
-  'a thousand waiting jobs are decided with many targets in bounded steps',
+  'a pass over a thousand waiting jobs and many targets places units within capacity',
   t => {
-    const rooms = Array.from({length: 33}, (_, index) =>
+    const targets = Array.from({length: 33}, (_, index) =>
       createTarget(`t${index}`, `r${index % 4}`, 0),
     );
     const jobs = Array.from({length: 1000}, (_, index) =>
@@ -168,11 +176,11 @@
         now: 1000,
       }),
     );
-    const {starts} = decide(createSnapshot(jobs, rooms), 1000);
+    const {starts} = decide(createSnapshot(jobs, targets), 1000);
     const used = new Map<string, number>();
     for (const {placement} of starts) {
-      for (const {candidate: space, members} of placement.shares) {
-        const id = space.target.info.id;
+      for (const {candidate, members} of placement.shares) {
+        const id = candidate.target.info.id;
         used.set(id, (used.get(id) ?? 0) + members * 4);
       }
     }
@@ -183,9 +191,9 @@
 );
 
 t.test(
-  'a step whose advice is missing does not hold up another of its shape',
+  'a step without advice does not block another step of the same shape',
   t => {
-    const rooms = [createTarget('a', 'r1', 0)];
+    const targets = [createTarget('a', 'r1', 0)];
     const first = createJob('1', createStep({count: 1}));
     const second = createJob('2', createStep({count: 1}), {
       acceptedAt: 10,
@@ -193,10 +201,10 @@
     });
     first.accepted.terms.needsAdvice = true;
     second.accepted.terms.needsAdvice = true;
-    const situation = createSnapshot([first, second], rooms, {
+    const snapshot = createSnapshot([first, second], targets, {
       findAllowedTargets: unit => new Set(unit.job === second ? ['a'] : []),
     });
-    const {starts} = decide(situation, 10);
+    const {starts} = decide(snapshot, 10);
     t.same(
       starts.map(({unit}) => unit.job.id),
       ['2'],
@@ -206,30 +214,30 @@
 );
 
 t.test(
-  'urgent work waits only for runs whose own progress says that they end soon (txingudi-sched quiet-1)',
+  'an urgent unit waits only for runs whose own progress shows that they end soon (txingudi-sched quiet-1)',
   t => {
     for (const isKnown of [true, false]) {
-      const rooms = [createTarget('a', 'r1', 5000)];
+      const targets = [createTarget('a', 'r1', 5000)];
       const other = createJob('o', createStep({count: 2, estimateMs: 5200}), {
         acceptedAt: 0,
         now: 5000,
       });
       const [unit] = other.units;
-      addRun(unit!, rooms[0]!, 0);
-      addRun(unit!, rooms[0]!, 0);
-      for (const booking of unit!.allocations) {
-        booking.percent = isKnown ? 97 : 0;
-        booking.percentAt = isKnown ? 4900 : 0;
+      addRun(unit!, targets[0]!, 0);
+      addRun(unit!, targets[0]!, 0);
+      for (const allocation of unit!.allocations) {
+        allocation.percent = isKnown ? 97 : 0;
+        allocation.percentAt = isKnown ? 4900 : 0;
       }
       const urgent = createJob('u', createStep({count: 1, estimateMs: 5000}), {
         priority: 0,
         acceptedAt: 5000,
         now: 5000,
       });
-      const situation = createSnapshot([other, urgent], rooms);
-      const {stops, targetClaims: claims} = decide(situation, 5000);
+      const snapshot = createSnapshot([other, urgent], targets);
+      const {stops, targetClaims} = decide(snapshot, 5000);
       t.equal(stops.length, isKnown ? 0 : 1);
-      t.equal(claims.length, 1);
+      t.equal(targetClaims.length, 1);
     }
     t.end();
   },
--- a/packages/dispatch/__tests__/fixtures.ts
+++ b/packages/dispatch/__tests__/fixtures.ts
@@ -11,7 +11,7 @@
 } from '@galenavalve/dispatch';
 import type {Step} from '@galenavalve/workload';
 
-/** A step of a gang with usual values. */
+/** Creates a gang step with default values. */
 export function createStep(values: Partial<Step> = {}): Step {
   return {
     count: 2,
@@ -28,7 +28,7 @@
   };
 }
 
-/** A waiting job of one step. */
+/** Creates a waiting job with a single step. */
 export function createJob(
   id: string,
   step: Step,
@@ -51,13 +51,13 @@
   return createActiveJob({id, job, isCancelled: false}, now, now);
 }
 
-/** An open target with room for eight accelerators. */
+/** Creates a schedulable target with eight free accelerators. */
 export function createTarget(
   id: string,
   rack: string,
   now: number,
 ): TargetState {
-  const room = new TargetState(
+  const target = new TargetState(
     {
       id,
       born: 1,
@@ -71,27 +71,27 @@
     },
     0,
   );
-  room.hasListing = true;
-  room.lastResponseAt = now;
-  return room;
+  target.hasListing = true;
+  target.lastResponseAt = now;
+  return target;
 }
 
-/** A run of a unit on a target, since `startedAt`. */
+/** Adds a confirmed run of `unit` on `target` that started at `startedAt`. */
 export function addRun(
   unit: ActiveUnit,
-  room: TargetState,
+  target: TargetState,
   startedAt: number,
 ): void {
   unit.phase = 'running';
   unit.placedAt = startedAt;
   unit.runningSince = startedAt;
   unit.progress.run = 1;
-  const booking = createAllocation(
+  const allocation = createAllocation(
     {
       task: `${unit.job.id}.0.0.${unit.allocations.length}`,
       run: 1,
       demand: unit.step.demand,
-      target: room,
+      target,
       unit,
       memberIndex: unit.allocations.length,
       state: 'confirmed',
@@ -99,19 +99,19 @@
     },
     startedAt,
   );
-  unit.allocations.push(booking);
-  room.allocate(booking);
+  unit.allocations.push(allocation);
+  target.allocate(allocation);
 }
 
-/** What a decision is made from. */
+/** Creates the input of a scheduling pass. */
 export function createSnapshot(
   jobs: ActiveJob[],
-  rooms: TargetState[],
+  targets: TargetState[],
   values: Partial<SchedulingSnapshot> = {},
 ): SchedulingSnapshot {
   return {
     jobs,
-    targets: rooms,
+    targets,
     estimator: new DurationEstimator(),
     guarantees: new Map([['w', 64]]),
     evacuated: new Set(),
--- a/packages/dispatch/__tests__/progress_rate.spec.ts
+++ b/packages/dispatch/__tests__/progress_rate.spec.ts
@@ -2,36 +2,39 @@
 import {compareMemberRates} from '../src/progress_rate.js';
 import {createJob, createTarget, createStep, addRun} from './fixtures.js';
 
-/** A gang whose members made this much progress in ten seconds, each on a target of its own. */
+/**
+ * Creates a gang whose members made this progress, in percent, within ten
+ * seconds, each on its own target.
+ */
 function createGang(percents: number[]) {
-  const rooms = percents.map((_, index) => createTarget(`t${index}`, 'r', 0));
+  const targets = percents.map((_, index) => createTarget(`t${index}`, 'r', 0));
   const step = createStep({count: percents.length});
   const unit = createJob('1', step).units[0]!;
-  rooms.forEach(room => addRun(unit, room, 0));
-  for (const [index, booking] of unit.allocations.entries()) {
-    booking.percent = percents[index]!;
-    booking.percentAt = 10_000;
+  targets.forEach(target => addRun(unit, target, 0));
+  for (const [index, allocation] of unit.allocations.entries()) {
+    allocation.percent = percents[index]!;
+    allocation.percentAt = 10_000;
   }
-  return {rooms, bookings: unit.allocations};
+  return {targets, allocations: unit.allocations};
 }
 
-t.test('a target that keeps its gangs waiting is known as slow', t => {
-  const {rooms, bookings} = createGang([90, 90, 60, 90]);
+t.test('a target that delays its gangs is rated as slow', t => {
+  const {targets, allocations} = createGang([90, 90, 60, 90]);
   for (let gang = 0; gang < 6; gang++) {
-    compareMemberRates(bookings);
+    compareMemberRates(allocations);
   }
-  const slownesses = rooms.map(({slowness}) => Number(slowness.toFixed(3)));
+  const slownesses = targets.map(({slowness}) => Number(slowness.toFixed(3)));
   t.same(slownesses, [1, 1, 1.5, 1]);
   t.end();
 });
 
-t.test('two members do not tell which of them is slow', t => {
-  const {rooms, bookings} = createGang([90, 60]);
+t.test('two members do not show which of them is slow', t => {
+  const {targets, allocations} = createGang([90, 60]);
   for (let gang = 0; gang < 6; gang++) {
-    compareMemberRates(bookings);
+    compareMemberRates(allocations);
   }
   t.same(
-    rooms.map(({slowness}) => slowness),
+    targets.map(({slowness}) => slowness),
     [1, 1],
   );
   t.end();
--- a/packages/dispatch/__tests__/stragglers.spec.ts
+++ b/packages/dispatch/__tests__/stragglers.spec.ts
@@ -9,19 +9,19 @@
 
 const logger = new SilentLogger();
 
-function createWatch(unit: ActiveUnit, room: TargetState) {
-  const estimates = new DurationEstimator();
+function createHarness(unit: ActiveUnit, target: TargetState) {
+  const estimator = new DurationEstimator();
   const stopped: string[] = [];
   const events = {
     onChange: () => undefined,
     onStop: ({task}: {task: string}) => stopped.push(task),
   };
-  const book = new RunTracker(events, estimates, logger);
+  const tracker = new RunTracker(events, estimator, logger);
   const context = {
-    book,
+    tracker,
     epoch: 1,
     findUnit: () => unit,
-    onStray: () => undefined,
+    onOrphan: () => undefined,
   };
   const list = (percent: number, now: number, clock = now) => {
     const running = unit.allocations.map(({task, run}) => ({
@@ -30,101 +30,103 @@
       checkpoint: '',
       percent,
     }));
-    applyListing(room, {born: 0, clock, running, ended: []}, context, now);
+    applyListing(target, {born: 0, clock, running, ended: []}, context, now);
   };
-  const watch = (now: number) =>
-    stopStragglers([unit.job], book, estimates, now, logger);
-  return {list, watch, stopped};
+  const check = (now: number) =>
+    stopStragglers([unit.job], tracker, estimator, now, logger);
+  return {list, check, stopped};
 }
 
 function createRun(values = {}) {
-  const room = createTarget('a', 'r', 0);
+  const target = createTarget('a', 'r', 0);
   const step = createStep({count: 1, estimateMs: 10_000, ...values});
   const job = createJob('1', step);
   const unit = job.units[0]!;
-  addRun(unit, room, 0);
-  return {unit, room};
+  addRun(unit, target, 0);
+  return {unit, target};
 }
 
 t.test(
-  'an order that is answered after a cut says nothing of a run that was not listed since (kwjt-grid trouble-1)',
+  'the time in which a target is cut off does not count as a stall, even if a command is acknowledged before the next listing (kwjt-grid trouble-1)',
   t => {
-    const {unit, room} = createRun();
-    const {list, watch, stopped} = createWatch(unit, room);
+    const {unit, target} = createRun();
+    const {list, check, stopped} = createHarness(unit, target);
     [1000, 2000, 3000].forEach(now => list(now / 100, now));
-    // The target is cut off until 9000; then a stop of another run is answered first.
-    room.onResponse(9000, 9000);
-    watch(9005);
+    // The target is cut off until 9000. The response to a stop of another run
+    // is the first to arrive.
+    target.onResponse(9000, 9000);
+    check(9005);
     t.same(stopped, []);
     list(90, 9010);
-    watch(9015);
+    check(9015);
     t.same(stopped, []);
     t.end();
   },
 );
 
-t.test('a run that is listed without progress stands still', t => {
-  const {unit, room} = createRun();
-  const {list, watch, stopped} = createWatch(unit, room);
+t.test('a run that is listed without progress is stopped as stalled', t => {
+  const {unit, target} = createRun();
+  const {list, check, stopped} = createHarness(unit, target);
   [1000, 2000, 3000].forEach(now => list(10, now));
-  watch(3000);
+  check(3000);
   t.equal(stopped.length, 1);
   t.end();
 });
 
-t.test('a long run may take its time for each percent', t => {
-  const {unit, room} = createRun({estimateMs: 100_000});
-  const {list, watch, stopped} = createWatch(unit, room);
+t.test('a long run is not stalled while it takes long for each percent', t => {
+  const {unit, target} = createRun({estimateMs: 100_000});
+  const {list, check, stopped} = createHarness(unit, target);
   for (let now = 1000; now <= 40_000; now += 1000) {
-    // Five times as slow as expected.
+    // The run is five times slower than estimated.
     list(Math.floor(now / 5000), now);
-    watch(now);
+    check(now);
   }
   t.same(stopped, []);
   t.end();
 });
 
 t.test(
-  'work that is saved leaves a target in time, though the notice was heard late (kwjt-grid-grown trouble-3)',
+  'a unit that saves its progress leaves a draining target in time though the notice arrived late (kwjt-grid-grown trouble-3)',
   t => {
-    const {unit, room} = createRun({savesProgress: true});
-    const {list, watch, stopped} = createWatch(unit, room);
+    const {unit, target} = createRun({savesProgress: true});
+    const {list, check, stopped} = createHarness(unit, target);
     list(5, 1000);
-    // The notice gave two seconds, and took 800 ms to get here: the target is gone at 2200.
-    room.info = {...room.info, isDraining: true, remainingMs: 2000};
-    room.drainingSince = 1000;
-    watch(1300);
-    t.same(stopped, [], 'it works on while it can');
-    watch(1450);
+    // The drain notice gave 2000 ms and arrived 800 ms late, so the target
+    // leaves at 2200.
+    target.info = {...target.info, isDraining: true, remainingMs: 2000};
+    target.drainingSince = 1000;
+    check(1300);
+    t.same(stopped, [], 'the run continues while there is time');
+    check(1450);
     t.equal(stopped.length, 1);
     t.end();
   },
 );
 
 t.test(
-  'a run that resumed from a checkpoint is not slow for going on at its usual pace (menon-terrain-grown scale-1)',
+  'a run that resumed from a checkpoint and goes on at its usual rate is not slow (menon-terrain-grown scale-1)',
   t => {
-    const {unit, room} = createRun({savesProgress: true});
-    const {list, watch, stopped} = createWatch(unit, room);
+    const {unit, target} = createRun({savesProgress: true});
+    const {list, check, stopped} = createHarness(unit, target);
     for (let now = 200; now <= 4700; now += 500) {
       list(51 + now / 100, now);
-      watch(now);
+      check(now);
     }
     t.same(stopped, []);
-    t.equal(room.consecutiveFailures, 0, 'its target is not avoided');
+    t.equal(target.consecutiveFailures, 0, 'its target is not avoided');
     t.end();
   },
 );
 
 t.test(
-  'a burst of listings that a busy dispatcher took late says nothing of the pace (menon-terrain-grown scale-1)',
+  'a burst of listings that a busy dispatcher processed late does not change the rate (menon-terrain-grown scale-1)',
   t => {
-    const {unit, room} = createRun({savesProgress: true});
-    const {list, watch, stopped} = createWatch(unit, room);
+    const {unit, target} = createRun({savesProgress: true});
+    const {list, check, stopped} = createHarness(unit, target);
     for (let clock = 500; clock <= 6000; clock += 500) {
       const delay = clock < 2500 ? 0 : 2500;
       list(clock / 100, clock + delay, clock);
-      watch(clock + delay);
+      check(clock + delay);
     }
     t.same(stopped, []);
     t.end();
--- a/packages/dispatch/src/active_job.ts
+++ b/packages/dispatch/src/active_job.ts
@@ -1,4 +1,7 @@
-/** Runs as the dispatcher sees them: units of jobs, and their bookings on targets. */
+/**
+ * State that the leader keeps of jobs that have not ended: their units, and the
+ * allocations of those on targets.
+ */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {
   AcceptedJob,
@@ -9,114 +12,166 @@
 } from '@galenavalve/workload';
 import type {TargetState} from './target_state.js';
 
-/** A job that has not ended. */
+/** A job that has not ended, as the leader tracks it. */
 export interface ActiveJob {
   id: string;
   accepted: AcceptedJob;
-  /** When this dispatcher first knew it, less its age at that time. */
+  /**
+   * Acceptance time on this instance's clock: the time at which the job was
+   * first seen minus its age at that time.
+   */
   acceptedAt: Instant;
+  /** Progress as it is written to the log. */
   progress: Progress;
   isCancelled: boolean;
-  /** A task ran out of attempts. */
+  /** Whether a task has used up its attempts. */
   hasFailed: boolean;
   units: ActiveUnit[];
 }
 
-/** Where a unit stands. */
+/** Phase of a unit. */
 export type UnitPhase =
-  /** No run of it may be alive. */
+  /** No run of the unit can be alive. */
   | 'waiting'
-  /** Its placement is being recorded. */
+  /** The placement is being written to the log. */
   | 'recording'
-  /** Start orders are under way. */
+  /** Start commands are being sent. */
   | 'starting'
   | 'running'
-  /** It is stopped; its room is not free yet. */
+  /** Stop commands are being sent; the allocations are not released yet. */
   | 'stopping';
 
-/** The unit of a step that runs as one. */
+/**
+ * The tasks of a step that are placed together: all members of a gang, or a
+ * single task.
+ */
 export interface ActiveUnit {
   job: ActiveJob;
+  /** Index of the occurrence of a scheduled job; 0 for other jobs. */
   occurrence: number;
   stepIndex: number;
+  /** Index among the units of the step; always 0 for a gang. */
   unitIndex: number;
   step: Step;
+  /** The unit's part of the progress that is written to the log. */
   progress: UnitProgress;
   phase: UnitPhase;
-  /** Bookings whose room is not known to be free. */
+  /**
+   * Allocations that have not been released because their runs may still be
+   * alive.
+   */
   allocations: Allocation[];
-  /** When the present run was placed. */
+  /** When the current run was placed. */
   placedAt: Instant;
-  /** When all members were seen started. */
+  /** When all members were confirmed as started. */
   runningSince: Instant;
-  /** Not placed again before this time. */
+  /** Earliest time of the next placement. */
   retryAt: Instant;
-  /** Targets on which runs of this unit failed or stood still. */
+  /** Targets on which runs of this unit failed or stalled. */
   avoidedTargets: Set<string>;
-  /** Far from its data or across racks: it takes longer by the rack factor. */
+  /**
+   * Whether the unit runs away from its data or, though rack-sensitive, across
+   * racks. Such runs take longer by the rack factor.
+   */
   hasLocalityPenalty: boolean;
-  /** Why it was last said to wait. */
+  /** Last logged reason why the unit waits, with numbers masked. */
   waitReason?: string;
-  /** Targets on which room is being made for it. */
-  targetClaim?: {rooms: ReadonlySet<TargetState>; until: Instant};
-  /** Checkpoint that every member of the present run starts from. */
+  /**
+   * Targets on which capacity is being freed for this urgent unit. Until
+   * `until`, no other unit is placed on them.
+   */
+  targetClaim?: {targets: ReadonlySet<TargetState>; until: Instant};
+  /**
+   * Checkpoint that every member of the current run starts from; empty for a
+   * start from scratch.
+   */
   resumeCheckpoint: string;
-  /** Reason of the stop under way. */
+  /** Reason of the stop in progress. */
   stopReason?: string;
 }
 
-/** What is known of one member's run at its target. */
-export type AllocationState = 'planned' | 'ordered' | 'confirmed' | 'stopping';
+/**
+ * State of one member's run at its target, as far as the leader knows: placed,
+ * start command sent, acknowledged or listed by the target, stop command sent.
+ */
+export type AllocationState = 'planned' | 'starting' | 'confirmed' | 'stopping';
 
-/** Room that one member's run takes at a target. */
+/**
+ * Capacity that one member's run holds at a target until the run is known to
+ * have ended.
+ */
 export interface Allocation {
   task: string;
+  /** Number of the unit's run that the allocation belongs to. */
   run: number;
   demand: Demand;
   target: TargetState;
-  /** Absent for a run that nobody expected there. */
+  /** Undefined for an orphan, which the leader did not place there. */
   unit?: ActiveUnit;
   memberIndex: number;
   state: AllocationState;
-  /** Epoch under which it was ordered; an older epoch's orders are refused by now. */
+  /**
+   * Epoch under which the start command was sent. Once a target has seen a
+   * newer epoch, it refuses commands of this one.
+   */
   epoch: number;
-  /** Target clock after which a listing without the run proves that it is gone. */
+  /**
+   * Target clock in milliseconds; a listing with a later clock that lacks the
+   * run proves that the run is gone.
+   */
   acknowledgedClock?: number;
+  /** Progress in whole percent. */
   percent: number;
-  /** When `percent` last rose. */
+  /** When `percent` last increased. */
   percentAt: Instant;
-  /** When its target last listed it. */
+  /** When the target last listed the run. */
   listedAt: Instant;
-  /** Time that it was seen without progress; a target that cannot be seen says nothing. */
+  /**
+   * Time for which the run was listed without progress. Time in which the
+   * target cannot be reached does not count.
+   */
   stalledFor: Milliseconds;
-  /** Percent and time at the first sign of life, for its pace. */
+  /**
+   * Progress in percent and its time when the run first reported progress;
+   * baseline of its progress rate.
+   */
   firstPercent: number;
   firstPercentAt: Instant;
-  /** An earlier reading, for its present pace, by the target's clock; undefined before the first. */
+  /**
+   * Earlier progress sample that the current rate is measured from, taken at
+   * `clock` of the target; undefined before the first listing.
+   */
   rateSample?: {percent: number; clock: number};
-  /** Its pace over the last reading, in percent a millisecond; undefined before the first. */
+  /**
+   * Progress rate over the last sample interval, in percent per millisecond;
+   * undefined before the first sample interval has passed.
+   */
   currentRate?: number;
-  /** Fastest pace that it ever had, in percent a millisecond. */
+  /** Highest progress rate of the run so far, in percent per millisecond. */
   bestRate: number;
+  /** Whether a stop command was sent or is being sent. */
   isBeingStopped: boolean;
 }
 
-/** Number of tasks that a unit starts at once. */
+/** Returns the number of tasks that a unit starts at once. */
 export function countMembers(unit: ActiveUnit): number {
   return unit.step.isGang ? unit.step.count : 1;
 }
 
-/** Most runs that one of the job's units had. */
+/** Returns the highest run count of the job's units. */
 export function findMaxRunCount({units}: ActiveJob): number {
   return Math.max(0, ...units.map(({progress}) => progress.run));
 }
 
-/** Room that each member counts against its target. */
+/**
+ * Returns the demand that one member deducts from its target's free capacity.
+ * Tasks that use idle processor time deduct no cpu.
+ */
 export function computeAllocatedDemand(step: Step): Demand {
   return step.usesIdleCpu ? {...step.demand, cpu: 0} : step.demand;
 }
 
-/** Whether a unit can be considered for a start. */
+/** Whether a unit waits for placement. */
 export function isUnitWaiting(unit: ActiveUnit): boolean {
   return (
     unit.phase === 'waiting' &&
@@ -125,13 +180,16 @@
   );
 }
 
-/** Whether a unit failed as often as its queue allows. */
+/**
+ * Whether a unit has failed as often as its queue allows. Long-running steps
+ * have no such limit.
+ */
 export function hasNoAttemptLeft(unit: ActiveUnit): boolean {
   const {maxAttempts} = unit.job.accepted.terms;
   return !unit.step.isLongRunning && unit.progress.failureCount >= maxAttempts;
 }
 
-/** A booking that was just made; nothing is known of its progress. */
+/** Creates an allocation without any progress. */
 export function createAllocation(
   values: Pick<
     Allocation,
--- a/packages/dispatch/src/advice_cache.ts
+++ b/packages/dispatch/src/advice_cache.ts
@@ -1,22 +1,34 @@
-/** What the advisor said of each step, and what it is to be asked next. */
+/**
+ * Caches the advisor's responses per step and schedules further calls to it.
+ */
 import type {Clock, Instant, Logger, Milliseconds} from '@galenavalve/shared';
 import type {Advisor} from './advisor.js';
 import {type ActiveUnit, countMembers} from './active_job.js';
 import type {TargetState} from './target_state.js';
 
-/** Targets named in one call: the platform's rules count one call on 30 for a step. */
+/**
+ * Targets per call; the platform provides for one call with 30 targets per
+ * step.
+ */
 const MAX_TARGETS_PER_CALL = 30;
 
-/** Longest wait for an answer; it takes a fixed time and some for each target. */
+/**
+ * Timeout of a call; the advisor needs a fixed time plus some time per target.
+ */
 const ADVICE_TIMEOUT_MS: Milliseconds = 4000;
 
-/** Pause after a call that failed. */
+/** Delay before the retry of a failed call. */
 const RETRY_DELAY_MS: Milliseconds = 300;
 
-/** A ticket is used only while it is valid for this much longer: the placement is recorded first. */
+/**
+ * Minimum remaining validity of a ticket that is used, since the placement is
+ * written to the log before the start.
+ */
 const TICKET_MARGIN_MS: Milliseconds = 300;
 
-/** Calls that wait for their turn: the advisor takes one at a time of each instance. */
+/**
+ * Limit of queued calls; the advisor serves one call at a time per instance.
+ */
 const MAX_PENDING_CALLS = 8;
 
 interface Ticket {
@@ -25,28 +37,38 @@
 }
 
 interface StepAdvice {
-  /** Targets that the advisor was asked about; what it says of them does not change. */
+  /**
+   * Targets that the advisor was queried about. Its decision on a target does
+   * not change.
+   */
   queriedTargets: Set<string>;
+  /** Tickets by target id. */
   tickets: Map<string, Ticket>;
+  /** Whether a call for the step is queued or in progress. */
   isPending: boolean;
+  /** Earliest time of the next call. */
   retryAt: Instant;
 }
 
-/** Advice of one term of office. */
+/** Advice that one leader has collected. */
 export class AdviceCache {
   private readonly steps = new Map<string, StepAdvice>();
-  private turn: Promise<void> = Promise.resolve();
-  private waiting = 0;
+  private lastCall: Promise<void> = Promise.resolve();
+  private pendingCallCount = 0;
 
   constructor(
     private readonly advisor: Advisor,
-    private readonly rooms: () => Iterable<TargetState>,
+    private readonly listTargets: () => Iterable<TargetState>,
     private readonly onAdvice: () => void,
     private readonly clock: Clock,
     private readonly logger: Logger,
   ) {}
 
-  /** Targets that may run the unit now; undefined where the queue needs no advice. */
+  /**
+   * Returns the targets that may run the unit now; undefined if the queue needs
+   * no advice. Calls the advisor if fewer tickets are valid than the unit has
+   * members.
+   */
   findAllowedTargets(
     unit: ActiveUnit,
     now: Instant,
@@ -54,31 +76,34 @@
     if (!unit.job.accepted.terms.needsAdvice) {
       return undefined;
     }
-    const advice = this.adviceOf(unit);
+    const advice = this.getOrCreateAdvice(unit);
     const valid = [...advice.tickets].filter(
       ([, {validUntil}]) => validUntil > now + TICKET_MARGIN_MS,
     );
     if (valid.length < countMembers(unit)) {
-      this.ask(unit, advice, now);
+      this.requestAdvice(unit, advice, now);
     }
     return new Set(valid.map(([id]) => id));
   }
 
-  /** The ticket with which a start is sent. */
+  /** Returns the ticket to send with a start command. */
   findTicket(unit: ActiveUnit, targetId: string): string | undefined {
     return unit.job.accepted.terms.needsAdvice
-      ? this.adviceOf(unit).tickets.get(targetId)?.text
+      ? this.getOrCreateAdvice(unit).tickets.get(targetId)?.text
       : undefined;
   }
 
-  /** A target did not take its ticket: its life may be another. */
+  /**
+   * Discards the advice on a target that refused its ticket: the target may
+   * have a new incarnation.
+   */
   onTicketRefused(unit: ActiveUnit, targetId: string): void {
-    const advice = this.adviceOf(unit);
+    const advice = this.getOrCreateAdvice(unit);
     advice.tickets.delete(targetId);
     advice.queriedTargets.delete(targetId);
   }
 
-  /** Forgets the steps of a job that has ended. */
+  /** Drops the advice for all steps of a job that has ended. */
   removeJob(jobId: string): void {
     for (const step of this.steps.keys()) {
       if (step.startsWith(`${jobId}.`)) {
@@ -87,7 +112,7 @@
     }
   }
 
-  private adviceOf(unit: ActiveUnit): StepAdvice {
+  private getOrCreateAdvice(unit: ActiveUnit): StepAdvice {
     const name = formatStepName(unit);
     let advice = this.steps.get(name);
     if (!advice) {
@@ -102,9 +127,13 @@
     return advice;
   }
 
-  private ask(unit: ActiveUnit, advice: StepAdvice, now: Instant): void {
+  private requestAdvice(
+    unit: ActiveUnit,
+    advice: StepAdvice,
+    now: Instant,
+  ): void {
     const isTooEarly = advice.isPending || now < advice.retryAt;
-    if (isTooEarly || this.waiting >= MAX_PENDING_CALLS) {
+    if (isTooEarly || this.pendingCallCount >= MAX_PENDING_CALLS) {
       return;
     }
     const ids = this.chooseTargets(unit, advice, now);
@@ -112,11 +141,16 @@
       return;
     }
     advice.isPending = true;
-    this.waiting++;
-    this.turn = this.turn.then(() => this.call(unit, advice, ids));
+    this.pendingCallCount++;
+    this.lastCall = this.lastCall.then(() =>
+      this.callAdvisor(unit, advice, ids),
+    );
   }
 
-  /** First those whose tickets ran out, then the emptiest that were not asked about. */
+  /**
+   * Chooses targets whose tickets have expired, then those that were not
+   * queried yet, with most free accelerators first.
+   */
   private chooseTargets(
     unit: ActiveUnit,
     advice: StepAdvice,
@@ -124,56 +158,60 @@
   ): string[] {
     const {pool} = unit.job.accepted.terms;
     const {requiredLabel} = unit.step;
-    const open = [...this.rooms()].filter(
-      ({info, isRegistered: isListed}) =>
-        isListed &&
+    const usable = [...this.listTargets()].filter(
+      ({info, isRegistered}) =>
+        isRegistered &&
         !info.isDraining &&
         info.pool === pool &&
         (requiredLabel === undefined || info.labels.includes(requiredLabel)),
     );
-    const expired = open.filter(({info}) => {
+    const expired = usable.filter(({info}) => {
       const ticket = advice.tickets.get(info.id);
       return ticket && ticket.validUntil <= now + TICKET_MARGIN_MS;
     });
-    const unasked = open
+    const unqueried = usable
       .filter(({info}) => !advice.queriedTargets.has(info.id))
       .sort(
         (a, b) =>
           b.computeFreeCapacity().accelerators -
           a.computeFreeCapacity().accelerators,
       );
-    return [...expired, ...unasked]
+    return [...expired, ...unqueried]
       .slice(0, MAX_TARGETS_PER_CALL)
       .map(({info}) => info.id);
   }
 
-  private async call(
+  private async callAdvisor(
     unit: ActiveUnit,
     advice: StepAdvice,
     ids: readonly string[],
   ): Promise<void> {
     const sentAt = this.clock.now();
     const step = formatStepName(unit);
-    const said = await this.advisor.advise(step, ids, ADVICE_TIMEOUT_MS);
-    this.waiting--;
+    const response = await this.advisor.advise(step, ids, ADVICE_TIMEOUT_MS);
+    this.pendingCallCount--;
     advice.isPending = false;
-    if (said.kind !== 'advised') {
+    if (response.kind !== 'advised') {
       advice.retryAt = this.clock.now() + RETRY_DELAY_MS;
-      this.logger.warn('advice-missing', {job: unit.job.id, step, said});
+      this.logger.warn('advice-missing', {
+        job: unit.job.id,
+        step,
+        said: response,
+      });
       return;
     }
     for (const id of ids) {
       advice.queriedTargets.add(id);
       advice.tickets.delete(id);
     }
-    for (const [id, text] of said.tickets) {
-      advice.tickets.set(id, {text, validUntil: sentAt + said.validFor});
+    for (const [id, text] of response.tickets) {
+      advice.tickets.set(id, {text, validUntil: sentAt + response.validFor});
     }
     this.logger.info('advised', {
       job: unit.job.id,
       step,
       asked: ids.length,
-      good: said.tickets.size,
+      good: response.tickets.size,
     });
     this.onAdvice();
   }
--- a/packages/dispatch/src/advisor.ts
+++ b/packages/dispatch/src/advisor.ts
@@ -1,21 +1,27 @@
-/** The service that knows which targets may run a step of some queues. */
+/**
+ * The advisor: a service that decides which targets may run the steps of
+ * certain queues.
+ */
 import type {Milliseconds} from '@galenavalve/shared';
 
-/** What the advisor said. */
+/** Outcome of a call to the advisor. */
 export type Advice =
   | {
       kind: 'advised';
-      /** Tickets by the ids of the targets that may run the step. */
+      /** Tickets by target id, for the targets that may run the step. */
       tickets: ReadonlyMap<string, string>;
       validFor: Milliseconds;
     }
-  /** It has too much to do. */
+  /** The advisor is overloaded. */
   | {kind: 'busy'}
   | {kind: 'unknown'; problem: string};
 
-/** Asks the advisor. Never throws. */
+/** Client of the advisor. Its methods never throw. */
 export interface Advisor {
-  /** `step` names a job, an occurrence and a step; at most 100 targets a call. */
+  /**
+   * `step` identifies a job, an occurrence and a step. A call may name at most
+   * 100 targets.
+   */
   advise(
     step: string,
     targetIds: readonly string[],
@@ -23,9 +29,12 @@
   ): Promise<Advice>;
 }
 
-/** Where no advisor is set, queues that need one wait. */
+/** Used when no advisor is configured; queues that need advice wait. */
 export class NoAdvisor implements Advisor {
   advise(): Promise<Advice> {
-    return Promise.resolve({kind: 'unknown', problem: 'no advisor is set'});
+    return Promise.resolve({
+      kind: 'unknown',
+      problem: 'no advisor is configured',
+    });
   }
 }
--- a/packages/dispatch/src/call_pacer.ts
+++ b/packages/dispatch/src/call_pacer.ts
@@ -1,43 +1,54 @@
-/** Spreads calls to targets over turns of the loop: a thousand at once would leave no time to read the answers. */
+/**
+ * Limits how many calls to targets start per event-loop turn: a thousand at
+ * once would leave no time to read responses.
+ */
 import type {Clock, Milliseconds} from '@galenavalve/shared';
 
-/** Calls begun in one turn: some ten milliseconds of a small instance's processor. */
+/**
+ * Calls started per batch; they take about ten milliseconds of a small
+ * instance's processor.
+ */
 const CALLS_PER_BATCH = 16;
 
-/** Least time between two turns; the loop reads what came meanwhile. */
+/**
+ * Minimum time between two batches, in which the event loop reads responses.
+ */
 const BATCH_INTERVAL_MS: Milliseconds = 1;
 
-/** Lets a bounded number of calls begin in each turn, in the order of their asking. */
+/** Starts calls in batches of limited size, in the order of their requests. */
 export class CallPacer {
-  private begun = 0;
+  private startedInBatch = 0;
   private waiting: Array<() => void> = [];
-  private isTurning = false;
+  private isTimerPending = false;
 
   constructor(private readonly clock: Clock) {}
 
-  /** Resolves when the call may begin; undefined when that is at once. */
+  /**
+   * Returns undefined if the call may start at once, otherwise a promise that
+   * resolves when it may.
+   */
   waitForSlot(): Promise<void> | undefined {
-    this.turnOver();
-    if (this.begun < CALLS_PER_BATCH) {
-      this.begun++;
+    this.scheduleNextBatch();
+    if (this.startedInBatch < CALLS_PER_BATCH) {
+      this.startedInBatch++;
       return undefined;
     }
     return new Promise(resolve => this.waiting.push(resolve));
   }
 
-  private turnOver(): void {
-    if (this.isTurning) {
+  private scheduleNextBatch(): void {
+    if (this.isTimerPending) {
       return;
     }
-    this.isTurning = true;
+    this.isTimerPending = true;
     void this.clock.sleep(BATCH_INTERVAL_MS).then(() => {
-      this.isTurning = false;
+      this.isTimerPending = false;
       const next = this.waiting.splice(0, CALLS_PER_BATCH);
-      this.begun = next.length;
+      this.startedInBatch = next.length;
       if (next.length > 0) {
-        this.turnOver();
+        this.scheduleNextBatch();
       }
-      next.forEach(begin => begin());
+      next.forEach(start => start());
     });
   }
 }
--- a/packages/dispatch/src/changed_jobs.ts
+++ b/packages/dispatch/src/changed_jobs.ts
@@ -1,51 +1,59 @@
-/** Jobs whose progress is to be recorded, and what waits for the record. */
+/**
+ * Collects jobs whose progress must be written to the log, and runs what
+ * depends on the write.
+ */
 import {type KeyedRecord, encodeProgress} from '@galenavalve/workload';
 import {updateJobOutcome} from './job_lifecycle.js';
 import type {Batch} from './record_writer.js';
 import type {ActiveJob, ActiveUnit} from './active_job.js';
 import type {TargetState} from './target_state.js';
 
-/** What follows a record. */
+/** Called after progress was written. */
 export interface ChangeEvents {
-  /** A unit's placement is in the log: it may start. */
+  /** The unit's placement is in the log, so its start commands may be sent. */
   onRecorded(unit: ActiveUnit): void;
-  /** A job's outcome is in the log. */
+  /** The job's outcome is in the log. */
   onEnded(job: ActiveJob): void;
 }
 
-/** The jobs that changed since they were last written. */
+/** Jobs that have changed since their progress was last written. */
 export class ChangedJobs {
   private readonly changed = new Set<ActiveJob>();
 
   constructor(
-    private readonly rooms: () => Iterable<TargetState>,
+    private readonly listTargets: () => Iterable<TargetState>,
     private readonly events: ChangeEvents,
   ) {}
 
+  /** Marks a job as changed. */
   add(job: ActiveJob): void {
     this.changed.add(job);
   }
 
-  /** Takes changed jobs up to `maxLength` characters of records. `wallNow` is in Unix milliseconds. */
+  /**
+   * Takes changed jobs until their records exceed `maxLength` characters.
+   * `wallNow` is in Unix milliseconds. Returns undefined if nothing has
+   * changed.
+   */
   takeBatch(maxLength: number, wallNow: number): Batch | undefined {
-    const ends = [...this.rooms()]
-      .filter(room => room.processedEnd > room.recordedEnd)
-      .map(room => ({room, number: room.processedEnd}));
-    const {records, jobs} = this.take(maxLength, wallNow);
-    // Ends may belong to jobs that were left for the next batch.
-    const isWhole = this.changed.size === 0;
+    const ends = [...this.listTargets()]
+      .filter(target => target.processedEnd > target.recordedEnd)
+      .map(target => ({target, number: target.processedEnd}));
+    const {records, jobs} = this.takeRecords(maxLength, wallNow);
+    // The ends may belong to jobs that are left for the next batch.
+    const hasTakenAll = this.changed.size === 0;
     const starting = jobs.flatMap(job =>
       job.units.filter(({phase}) => phase === 'recording'),
     );
     const runs = starting.map(unit => unit.progress.run);
     const onWritten = () => {
-      if (isWhole) {
-        ends.forEach(({room, number}) => room.onEndsRecorded(number));
+      if (hasTakenAll) {
+        ends.forEach(({target, number}) => target.onEndsRecorded(number));
       }
       jobs.forEach(job => this.onWritten(job));
       starting.forEach((unit, index) => {
-        const isSame = unit.progress.run === runs[index];
-        if (unit.phase === 'recording' && isSame) {
+        const isSameRun = unit.progress.run === runs[index];
+        if (unit.phase === 'recording' && isSameRun) {
           this.events.onRecorded(unit);
         }
       });
@@ -57,7 +65,7 @@
     return {records, onWritten};
   }
 
-  private take(
+  private takeRecords(
     maxLength: number,
     wallNow: number,
   ): {records: KeyedRecord[]; jobs: ActiveJob[]} {
--- a/packages/dispatch/src/command_sender.ts
+++ b/packages/dispatch/src/command_sender.ts
@@ -1,4 +1,6 @@
-/** Sends start and stop orders until each is settled. */
+/**
+ * Sends start and stop commands, and retries each until its outcome is known.
+ */
 import type {Clock, Logger, Milliseconds} from '@galenavalve/shared';
 import type {CallPacer} from './call_pacer.js';
 import type {RunTracker} from './run_tracker.js';
@@ -13,215 +15,248 @@
 import type {CommandOutcome, TargetPort} from './target_port.js';
 import type {TargetState} from './target_state.js';
 
-/** Time that single tasks get to start; as long as gangs, so that a cut has one pace. */
+/**
+ * Retries of a start command. The limit is the same for single tasks and gangs,
+ * so that both give up after the same time if a target is cut off.
+ */
 const MAX_START_RETRIES = 6;
 
-/** What orders need of the dispatcher. */
+/** What the command sender needs of the dispatcher. */
 export interface CommandDelegate {
   readonly epoch: number;
+  /** Whether leadership has ended. */
   readonly isClosed: boolean;
-  /** Another dispatcher holds the office. */
+  /**
+   * Called when a target refuses a command because it has seen a higher epoch.
+   */
   onFenced(): void;
-  /** A fresh listing of the target is wanted. */
-  onStopAcknowledged(room: TargetState): void;
+  /**
+   * Called when a stop was acknowledged for a run that was not listed; a new
+   * listing is needed.
+   */
+  onStopAcknowledged(target: TargetState): void;
+  /** Called when a target refuses the ticket of a start command. */
   onTicketRefused(unit: ActiveUnit, targetId: string): void;
+  /**
+   * Returns the advisor's ticket for a start on a target; undefined if there is
+   * none.
+   */
   findTicket(unit: ActiveUnit, targetId: string): string | undefined;
 }
 
-/** Orders of one term of office. */
+/** Sends the commands of one leader. */
 export class CommandSender {
   constructor(
-    private readonly desk: CommandDelegate,
+    private readonly delegate: CommandDelegate,
     private readonly port: TargetPort,
-    private readonly book: RunTracker,
+    private readonly tracker: RunTracker,
     private readonly settings: DispatchSettings,
     private readonly pacer: CallPacer,
     private readonly clock: Clock,
     private readonly logger: Logger,
   ) {}
 
-  /** Starts every member of a unit whose placement is recorded. */
+  /**
+   * Sends start commands to all members of a unit whose placement is in the
+   * log.
+   */
   startUnit(unit: ActiveUnit): void {
     unit.phase = 'starting';
-    for (const booking of unit.allocations) {
-      booking.state = 'ordered';
+    for (const allocation of unit.allocations) {
+      allocation.state = 'starting';
     }
-    for (const booking of [...unit.allocations]) {
-      void this.start(booking);
+    for (const allocation of [...unit.allocations]) {
+      void this.start(allocation);
     }
   }
 
-  /** Stops a run; resolves when the target has answered or the target is over. */
-  async stop(booking: Allocation): Promise<void> {
-    if (booking.isBeingStopped) {
+  /**
+   * Stops a run. Resolves when the target has acknowledged the stop, the
+   * allocation is released or moved to another incarnation, or commands of this
+   * leader are no longer accepted.
+   */
+  async stop(allocation: Allocation): Promise<void> {
+    if (allocation.isBeingStopped) {
       return;
     }
-    const wasListed = booking.state === 'confirmed';
-    booking.isBeingStopped = true;
-    booking.state = 'stopping';
-    booking.acknowledgedClock = undefined;
+    const wasListed = allocation.state === 'confirmed';
+    allocation.isBeingStopped = true;
+    allocation.state = 'stopping';
+    allocation.acknowledgedClock = undefined;
     for (;;) {
       await this.pacer.waitForSlot();
-      if (!this.isBooked(booking)) {
+      if (!this.isAllocated(allocation)) {
         return;
       }
-      const {target: room} = booking;
-      const outcome = await this.sendStop(booking);
-      if (booking.target !== room) {
-        // The run's order may have reached the next life, whose clock is another.
+      const {target} = allocation;
+      const outcome = await this.sendStop(allocation);
+      if (allocation.target !== target) {
+        // The start command may have reached the next incarnation, whose clock
+        // is not comparable.
         return;
       }
       if (outcome.kind === 'done') {
-        booking.acknowledgedClock = outcome.clock;
-        // The listing under way answers with the end of a run that was there, but not with the absence of another.
+        allocation.acknowledgedClock = outcome.clock;
+        // The poll in progress returns when a listed run ends, but it does not
+        // report that a run is absent.
         if (!wasListed) {
-          this.desk.onStopAcknowledged(booking.target);
+          this.delegate.onStopAcknowledged(allocation.target);
         }
         return;
       }
-      if (this.onFenced(room, outcome) || outcome.kind === 'other-life') {
+      if (this.checkFenced(target, outcome) || outcome.kind === 'other-life') {
         return;
       }
       await this.clock.sleep(COMMAND_RETRY_DELAY_MS);
     }
   }
 
-  private async start(booking: Allocation): Promise<void> {
-    const {unit, target: room} = booking;
+  private async start(allocation: Allocation): Promise<void> {
+    const {unit, target} = allocation;
     const deadline =
       this.clock.now() + this.settings.gangTime * GANG_START_TIMEOUT_SHARE;
     for (let attempt = 0; ; attempt++) {
       await this.pacer.waitForSlot();
-      if (!this.isWanted(booking)) {
+      if (!this.isStartPending(allocation)) {
         return;
       }
-      const outcome = await this.sendStart(booking);
+      const outcome = await this.sendStart(allocation);
       const now = this.clock.now();
-      if (this.onFenced(room, outcome) || !unit) {
+      if (this.checkFenced(target, outcome) || !unit) {
         return;
       }
       if (outcome.kind === 'done') {
-        this.book.onStarted(booking, outcome.clock, now);
+        this.tracker.onStarted(allocation, outcome.clock, now);
         return;
       }
-      const isHopeless =
+      const isPermanent =
         outcome.kind === 'refused' && outcome.reason !== 'late';
       const isLate = now >= deadline || attempt >= MAX_START_RETRIES;
-      if (isHopeless || outcome.kind === 'invalid' || isLate) {
-        if (this.isWanted(booking)) {
-          this.onStartFailed(booking, unit, outcome);
+      if (isPermanent || outcome.kind === 'invalid' || isLate) {
+        if (this.isStartPending(allocation)) {
+          this.onStartFailed(allocation, unit, outcome);
         }
         return;
       }
       if (outcome.kind !== 'unknown') {
-        this.logger.debug('start-again', {task: booking.task, outcome});
+        this.logger.debug('start-again', {task: allocation.task, outcome});
       }
-      room.avoidUntil = Math.max(room.avoidUntil, now + COMMAND_RETRY_DELAY_MS);
+      target.avoidUntil = Math.max(
+        target.avoidUntil,
+        now + COMMAND_RETRY_DELAY_MS,
+      );
       await this.clock.sleep(COMMAND_RETRY_DELAY_MS);
     }
   }
 
   private onStartFailed(
-    booking: Allocation,
+    allocation: Allocation,
     unit: ActiveUnit,
     outcome: CommandOutcome,
   ): void {
     this.logger.warn('start-refused', {
-      task: booking.task,
-      run: booking.run,
-      target: booking.target.info.id,
+      task: allocation.task,
+      run: allocation.run,
+      target: allocation.target.info.id,
       outcome,
     });
     if (outcome.kind === 'refused' && outcome.reason === 'ticket') {
-      this.desk.onTicketRefused(unit, booking.target.info.id);
+      this.delegate.onTicketRefused(unit, allocation.target.info.id);
     } else {
-      this.book.onTargetFault(booking.target, 1, this.clock.now());
+      this.tracker.onTargetFault(allocation.target, 1, this.clock.now());
     }
-    this.book.stop(unit, 'a member could not be started');
+    this.tracker.stop(unit, 'a member could not be started');
   }
 
-  private sendStart(booking: Allocation): Promise<CommandOutcome> {
-    const {target: room, unit} = booking;
-    const until = computeLeaseEnd(room, this.settings, this.clock.now());
-    if (until === undefined || !unit) {
+  private sendStart(allocation: Allocation): Promise<CommandOutcome> {
+    const {target, unit} = allocation;
+    const leaseEnd = computeLeaseEnd(target, this.settings, this.clock.now());
+    if (leaseEnd === undefined || !unit) {
       return Promise.resolve({
         kind: 'unknown',
-        problem: 'its clock is unknown',
+        problem: 'the target has not reported its clock yet',
       });
     }
-    room.onLeaseSent(until);
-    return this.send(room, timeout =>
+    target.onLeaseSent(leaseEnd);
+    return this.send(target, timeout =>
       this.port.start(
-        room.info,
+        target.info,
         {
-          task: booking.task,
-          run: booking.run,
+          task: allocation.task,
+          run: allocation.run,
           payload: unit.job.accepted.spec.payload,
           checkpoint: unit.resumeCheckpoint,
-          leaseUntil: until,
-          epoch: this.epochFor(room),
-          ticket: this.desk.findTicket(unit, room.info.id),
+          leaseUntil: leaseEnd,
+          epoch: this.computeEpoch(target),
+          ticket: this.delegate.findTicket(unit, target.info.id),
         },
         timeout,
       ),
     );
   }
 
-  private sendStop(booking: Allocation): Promise<CommandOutcome> {
-    const {task, run, target: room} = booking;
-    const order = {task, run, epoch: this.epochFor(room)};
-    return this.send(room, timeout =>
-      this.port.stop(room.info, order, timeout),
+  private sendStop(allocation: Allocation): Promise<CommandOutcome> {
+    const {task, run, target} = allocation;
+    const command = {task, run, epoch: this.computeEpoch(target)};
+    return this.send(target, timeout =>
+      this.port.stop(target.info, command, timeout),
     );
   }
 
-  private epochFor(room: TargetState): number {
-    return this.desk.epoch + room.epochOffset;
+  private computeEpoch(target: TargetState): number {
+    return this.delegate.epoch + target.epochOffset;
   }
 
   private async send(
-    room: TargetState,
+    target: TargetState,
     call: (timeout: Milliseconds) => Promise<CommandOutcome>,
   ): Promise<CommandOutcome> {
-    if (room.info.address === '') {
+    if (target.info.address === '') {
       return {
         kind: 'unknown',
-        problem: 'the registry does not list its target',
+        problem: 'the target is not in the registry',
       };
     }
     const outcome = await call(COMMAND_TIMEOUT_MS);
     if ('clock' in outcome) {
-      room.onResponse(outcome.clock, this.clock.now());
+      target.onResponse(outcome.clock, this.clock.now());
     }
     return outcome;
   }
 
-  /** A life that followed refuses orders to the former one; that says nothing of the office. */
-  private onFenced(room: TargetState, outcome: CommandOutcome): boolean {
+  /**
+   * Whether commands of this leader are no longer accepted. A new incarnation
+   * refuses commands to the former one as fenced, which does not mean that
+   * leadership is lost.
+   */
+  private checkFenced(target: TargetState, outcome: CommandOutcome): boolean {
     const isFenced = outcome.kind === 'refused' && outcome.reason === 'fenced';
-    if (isFenced && !room.isRemoved) {
-      this.desk.onFenced();
+    if (isFenced && !target.isRemoved) {
+      this.delegate.onFenced();
     }
-    return isFenced || this.desk.isClosed;
+    return isFenced || this.delegate.isClosed;
   }
 
-  private isBooked(booking: Allocation): boolean {
-    const {target: room, task, run} = booking;
-    return !this.desk.isClosed && room.findAllocation(task, run) === booking;
+  private isAllocated(item: Allocation): boolean {
+    const {target, task, run} = item;
+    return !this.delegate.isClosed && target.findAllocation(task, run) === item;
   }
 
-  private isWanted(booking: Allocation): boolean {
-    return this.isBooked(booking) && booking.state === 'ordered';
+  private isStartPending(allocation: Allocation): boolean {
+    return this.isAllocated(allocation) && allocation.state === 'starting';
   }
 }
 
-/** End of a lease granted now, on the target's clock; undefined while that is unknown. */
+/**
+ * Returns the end of a lease granted now, in milliseconds of the target's
+ * clock; undefined while the clock is unknown.
+ */
 export function computeLeaseEnd(
-  room: TargetState,
+  target: TargetState,
   settings: DispatchSettings,
   now: number,
 ): number | undefined {
-  const clock = room.estimateMinClock(now);
+  const clock = target.estimateMinClock(now);
   return clock === undefined
     ? undefined
     : clock + settings.maxLease - LEASE_MARGIN_MS;
--- a/packages/dispatch/src/dispatch_service.ts
+++ b/packages/dispatch/src/dispatch_service.ts
@@ -1,4 +1,7 @@
-/** Holds the office when it is vacant, and dispatches while it is held. */
+/**
+ * Claims leadership when there is no leader, and runs the dispatcher while this
+ * instance leads.
+ */
 import {
   type Instant,
   type Milliseconds,
@@ -20,51 +23,78 @@
 } from './leader_monitor.js';
 import type {TargetInfo} from './target_info.js';
 
-/** Longest wait for the answer to a claim, and for reading it back, in milliseconds. */
+/** Timeout of the append of a claim, and of reading it back. */
 const CLAIM_TIMEOUT_MS = 1500;
 
-/** Claims that are made only if nothing was written since the log was read, and one more without that condition. */
+/**
+ * Attempts to claim leadership. All but the last require that the log has not
+ * grown since it was read.
+ */
 const MAX_CLAIM_ATTEMPTS = 4;
 
-/** The office is looked at this often, in milliseconds. */
+/** Interval at which a follower checks whether leadership can be claimed. */
 const LEADER_CHECK_INTERVAL_MS = 100;
 
-/** Shortest pause between two looks, in milliseconds; ranks are told apart by some ten times as much. */
+/**
+ * Minimum delay between two such checks; the claim delays of consecutive ranks
+ * differ by more than ten times as much.
+ */
 const MIN_LEADER_CHECK_INTERVAL_MS = 5;
 
-/** Instances of a rank below this read nearly as fast as the holder, to notice its end. */
+/**
+ * Number of best-ranked instances that read the log nearly as often as the
+ * leader, to detect its failure early.
+ */
 const STANDBY_RANKS = 3;
 
-/** Time that records gather for those, in milliseconds; a fraction of the silence that makes the office vacant. */
+/** Read delay of those instances; a fraction of the leader timeout. */
 const STANDBY_READ_DELAY_MS = 80;
 
-/** The same for all others; callers who ask are answered from a read of that moment. */
+/**
+ * Read delay of all other instances. Queries from callers are not affected:
+ * they trigger a read of their own.
+ */
 const PASSIVE_READ_DELAY_MS = 400;
 
-/** What the registry of targets says; followed only while the office is held. */
+/** Registry of targets, which is watched only while this instance leads. */
 export interface TargetRegistry {
-  /** Calls back for every change until closed; resolves with what is listed now. */
+  /**
+   * Starts to watch the registry. The callbacks are called for every change
+   * until `close`; resolves with the targets that are registered now.
+   */
   open(events: {
     onTarget(info: TargetInfo): void;
     onTargetGone(id: string): void;
   }): Promise<TargetInfo[]>;
+  /** Stops watching. */
   close(): void;
 }
 
-/** The part of an instance that dispatches when it is its turn. */
+/**
+ * Competes for leadership on behalf of one instance and dispatches while it
+ * leads. `leaderName` identifies the incarnation of the instance: its name, a
+ * slash, and parts that differ between incarnations.
+ */
 export class DispatchService {
-  private readonly watch: LeaderMonitor;
+  private readonly monitor: LeaderMonitor;
   private dispatcher?: Dispatcher;
   private isClosed = false;
 
   constructor(
-    private readonly parts: Omit<DispatcherDependencies, 'onLeadershipLost'>,
+    private readonly dependencies: Omit<
+      DispatcherDependencies,
+      'onLeadershipLost'
+    >,
     private readonly follower: Follower,
     private readonly registry: TargetRegistry,
-    private readonly holder: string,
-    private readonly standing: () => CandidateRank,
+    private readonly leaderName: string,
+    private readonly getCandidateRank: () => CandidateRank,
   ) {
-    this.watch = new LeaderMonitor(parts.clock.now(), parts.random, standing);
+    this.monitor = new LeaderMonitor(
+      dependencies.clock.now(),
+      dependencies.random,
+      getCandidateRank,
+    );
   }
 
   /** Whether this instance dispatches now. */
@@ -72,60 +102,63 @@
     return this.dispatcher !== undefined && !this.dispatcher.isClosed;
   }
 
-  /** How long this instance lets records of the job log gather before it reads on: each read is paid for, and its processor is small. */
+  /**
+   * How long to let records of the job log accumulate before the next read.
+   * Every read costs processor time, which is scarce on followers.
+   */
   get readDelay(): Milliseconds {
     if (this.isDispatching) {
       return 0;
     }
-    return this.standing().rank < STANDBY_RANKS
+    return this.getCandidateRank().rank < STANDBY_RANKS
       ? STANDBY_READ_DELAY_MS
       : PASSIVE_READ_DELAY_MS;
   }
 
-  /** Claims the office whenever it is vacant, until closed. */
+  /** Claims leadership whenever a claim is due, until closed. */
   async run(): Promise<void> {
-    const {clock, logger} = this.parts;
+    const {clock, logger} = this.dependencies;
     while (!this.isClosed) {
-      const due = this.watch.computeTimeToClaim(clock.now());
+      const timeToClaim = this.monitor.computeTimeToClaim(clock.now());
       await clock.sleep(
         Math.min(
           LEADER_CHECK_INTERVAL_MS,
-          Math.max(MIN_LEADER_CHECK_INTERVAL_MS, due),
+          Math.max(MIN_LEADER_CHECK_INTERVAL_MS, timeToClaim),
         ),
       );
       const now = clock.now();
       const isIdle = !this.isClosed && !this.isDispatching;
-      if (isIdle && this.follower.isCaughtUp && this.watch.isClaimDue(now)) {
+      if (isIdle && this.follower.isCaughtUp && this.monitor.isClaimDue(now)) {
         try {
           await this.claim();
         } catch (error) {
           logger.warn('claim-failed', {problem: describeError(error)});
-          this.watch.onClaimFailed(clock.now());
+          this.monitor.onClaimFailed(clock.now());
         }
       }
     }
   }
 
-  /** Steps down and claims no more. */
+  /** Resigns and makes no further claims. */
   async close(): Promise<void> {
     this.isClosed = true;
     this.registry.close();
     await this.dispatcher?.resign();
   }
 
-  /** The log answered. */
+  /** Called for every response of the log. */
   onLogResponse(now: Instant): void {
-    this.watch.onLogResponse(now);
+    this.monitor.onLogResponse(now);
   }
 
-  /** A record of the job log was applied. */
+  /** Called for every record of the job log that was applied. */
   onRecord(record: JobRecord, now: Instant): void {
     if (record.kind === 'leadership') {
       this.onLeadership(record.leadership, now);
     } else if (record.kind === 'progress' && this.follower.isCaughtUp) {
-      this.watch.onLeaderRecord(undefined, now);
+      this.monitor.onLeaderRecord(undefined, now);
     } else if (record.kind === 'accepted') {
-      const entry = this.parts.table.find(record.id);
+      const entry = this.dependencies.table.find(record.id);
       if (entry) {
         this.onAccepted(entry);
       }
@@ -143,32 +176,36 @@
   private onLeadership(leadership: Leadership, now: Instant): void {
     const {writtenAt} = leadership;
     if (!this.follower.isCaughtUp && writtenAt !== undefined) {
-      const age = this.parts.clock.wallTime() - writtenAt;
+      const age = this.dependencies.clock.wallTime() - writtenAt;
       const isOwn =
-        parseInstanceName(leadership.holder) === parseInstanceName(this.holder);
-      this.watch.onInitialLeaderRecord(leadership, age, isOwn, now);
+        parseInstanceName(leadership.holder) ===
+        parseInstanceName(this.leaderName);
+      this.monitor.onInitialLeaderRecord(leadership, age, isOwn, now);
     } else {
-      this.watch.onLeaderRecord(leadership, now);
+      this.monitor.onLeaderRecord(leadership, now);
     }
-    const own = this.dispatcher;
-    if (own && leadership.epoch > own.epoch) {
-      own.onFenced();
+    const dispatcher = this.dispatcher;
+    if (dispatcher && leadership.epoch > dispatcher.epoch) {
+      dispatcher.onFenced();
     }
   }
 
-  /** Claims the office if the log, read to its end, says that it is vacant. */
+  /**
+   * Claims leadership if a claim is still due after the log was read to its
+   * end.
+   */
   private async claim(): Promise<void> {
-    const {log, table, random, clock, logger} = this.parts;
+    const {log, table, random, clock, logger} = this.dependencies;
     for (let attempt = 1; attempt <= MAX_CLAIM_ATTEMPTS; attempt++) {
       const isCurrent = await this.follower.readToEnd(CLAIM_TIMEOUT_MS);
-      const isVacant = this.watch.isClaimDue(clock.now());
+      const isVacant = this.monitor.isClaimDue(clock.now());
       if (!isCurrent || !isVacant || this.isClosed) {
         logger.info('claim-left', {attempt, isCurrent, isVacant});
         return;
       }
       const leadership: Leadership = {
         epoch: chooseNextEpoch(table.leadership, random),
-        holder: this.holder,
+        holder: this.leaderName,
       };
       logger.info('office-claimed', {
         epoch: leadership.epoch,
@@ -178,7 +215,7 @@
       const fencing = {
         epoch: leadership.epoch,
         sequence: 0,
-        // A slow log may move between every read and append.
+        // A slow log may grow between every read and append.
         endsAt:
           attempt < MAX_CLAIM_ATTEMPTS ? this.follower.nextOffset : undefined,
       };
@@ -194,13 +231,17 @@
       }
       logger.info('office-not-held', {epoch: leadership.epoch, result});
       if (result.kind !== 'moved') {
-        this.watch.onClaimFailed(clock.now());
+        this.monitor.onClaimFailed(clock.now());
         return;
       }
     }
   }
 
-  /** Whether the claim is in the log and the newest. A rival with the same epoch would be told of this claim's place, or of its own; a claim that came twice is told that the log moved. */
+  /**
+   * Whether the claim is in the log and the newest. A concurrent claim with the
+   * same epoch is answered with the offset of this claim or its own, and a
+   * repeated claim with `moved`, so only the log itself is conclusive.
+   */
   private async isClaimed(
     leadership: Leadership,
     result: FencedAppendOutcome,
@@ -210,43 +251,46 @@
         ? await this.follower.waitForOffset(result.offset, CLAIM_TIMEOUT_MS)
         : result.kind === 'moved' &&
           (await this.follower.readToEnd(CLAIM_TIMEOUT_MS));
-    const newest = this.parts.table.leadership;
+    const newest = this.dependencies.table.leadership;
     const isOwn =
-      newest?.epoch === leadership.epoch && newest.holder === this.holder;
+      newest?.epoch === leadership.epoch && newest.holder === this.leaderName;
     return isRead && isOwn && !this.isClosed;
   }
 
   private async dispatch(leadership: Leadership, now: Instant): Promise<void> {
     const dispatcher = new Dispatcher(
-      {...this.parts, onLeadershipLost: () => this.registry.close()},
+      {...this.dependencies, onLeadershipLost: () => this.registry.close()},
       leadership,
       now,
     );
-    const early: Array<() => void> = [];
-    let isOpen = false;
-    const later = (call: () => void) => (isOpen ? call() : early.push(call));
+    const queued: Array<() => void> = [];
+    let isReady = false;
+    const defer = (call: () => void) => (isReady ? call() : queued.push(call));
     const targets = await this.registry.open({
-      onTarget: info => later(() => dispatcher.onTarget(info)),
-      onTargetGone: id => later(() => dispatcher.onTargetGone(id)),
+      onTarget: info => defer(() => dispatcher.onTarget(info)),
+      onTargetGone: id => defer(() => dispatcher.onTargetGone(id)),
     });
     if (this.isClosed) {
       await dispatcher.resign();
       return;
     }
     this.dispatcher = dispatcher;
-    this.parts.logger.info('office-held', {
+    this.dependencies.logger.info('office-held', {
       epoch: leadership.epoch,
       targets: targets.length,
     });
-    isOpen = true;
+    isReady = true;
     const running = dispatcher.run(targets);
-    early.forEach(call => call());
+    queued.forEach(call => call());
     await running;
     this.registry.close();
   }
 }
 
-/** The instance of a holder's name, whose other parts tell its lives apart. */
-function parseInstanceName(holder: string): string {
-  return holder.split('/')[0] ?? holder;
+/**
+ * Returns the instance part of a leader name; the other parts distinguish
+ * incarnations of the instance.
+ */
+function parseInstanceName(leaderName: string): string {
+  return leaderName.split('/')[0] ?? leaderName;
 }
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -1,4 +1,7 @@
-/** One term of office: everything that is decided about jobs and targets, and carried out. */
+/**
+ * The leader's work: decides on jobs and targets, and carries the decisions
+ * out.
+ */
 import {
   type Clock,
   type Instant,
@@ -47,84 +50,88 @@
 import type {TargetState} from './target_state.js';
 import {TargetSessions} from './target_sessions.js';
 
-/** What the desired state says to the dispatcher. */
+/** The part of the desired state that the dispatcher needs. */
 export interface DispatchRules {
+  /** Guaranteed accelerators by workspace. */
   guarantees: ReadonlyMap<string, number>;
+  /** Failure domains that receive no new work. */
   evacuated: ReadonlySet<string>;
 }
 
-/** What a dispatcher works with. */
+/** Dependencies of a dispatcher. */
 export interface DispatcherDependencies {
   table: JobTable;
   log: FencedLog;
   targets: TargetPort;
   advisor: Advisor;
+  /** Returns the current rules. */
   rules: () => DispatchRules;
   settings: DispatchSettings;
   clock: Clock;
   random: Random;
   logger: Logger;
-  /** The office was lost. */
+  /** Called once when another instance has become leader. */
   onLeadershipLost: () => void;
 }
 
-/** The dispatcher of one epoch. */
+/** Dispatches jobs during one leadership period. */
 export class Dispatcher {
+  /** Whether leadership has ended. */
   isClosed = false;
   readonly epoch: number;
   readonly estimator = new DurationEstimator();
   private readonly jobs = new Map<string, ActiveJob>();
-  private readonly changes: ChangedJobs;
+  private readonly changedJobs: ChangedJobs;
   private readonly directory: TargetDirectory;
-  private readonly book: RunTracker;
-  private readonly advice: AdviceCache;
-  private readonly orders: CommandSender;
+  private readonly tracker: RunTracker;
+  private readonly adviceCache: AdviceCache;
+  private readonly commands: CommandSender;
   private readonly sessions: TargetSessions;
   private readonly writer: RecordWriter;
-  private readonly lifeEnds: IncarnationCleanup;
-  private readonly oldJobs: ExpiredJobs;
-  private readonly passes: PassRunner;
+  private readonly incarnationCleanup: IncarnationCleanup;
+  private readonly expiredJobs: ExpiredJobs;
+  private readonly passRunner: PassRunner;
 
   constructor(
-    private readonly parts: DispatcherDependencies,
+    private readonly dependencies: DispatcherDependencies,
     leadership: Leadership,
     now: Instant,
   ) {
-    const {settings, clock, random, logger, targets} = parts;
+    const {settings, clock, random, logger, targets} = dependencies;
     this.epoch = leadership.epoch;
-    this.book = new RunTracker(
+    this.tracker = new RunTracker(
       {
         onChange: job => this.onChange(job),
-        onStop: booking => void this.orders.stop(booking),
+        onStop: allocation => void this.commands.stop(allocation),
       },
       this.estimator,
       logger,
     );
-    this.advice = new AdviceCache(
-      parts.advisor,
+    this.adviceCache = new AdviceCache(
+      dependencies.advisor,
       () => this.directory.listTargets(),
-      () => this.passes.request(),
+      () => this.passRunner.request(),
       clock,
       logger,
     );
     const pacer = new CallPacer(clock);
-    this.orders = new CommandSender(
+    this.commands = new CommandSender(
       this,
       targets,
-      this.book,
+      this.tracker,
       settings,
       pacer,
       clock,
       logger,
     );
-    this.lifeEnds = new IncarnationCleanup(
+    this.incarnationCleanup = new IncarnationCleanup(
       this.epoch,
-      this.book,
-      this.orders,
+      this.tracker,
+      this.commands,
       logger,
     );
-    const {table} = parts;
-    this.oldJobs = new ExpiredJobs(table, settings.keepEnded, clock, now);
+    const {table} = dependencies;
+    this.expiredJobs = new ExpiredJobs(table, settings.keepEnded, clock, now);
     this.sessions = new TargetSessions(
       this,
       targets,
@@ -133,38 +140,39 @@
       clock,
       logger,
     );
-    const othersOverAt =
+    const earlierLeasesExpireAt =
       now + MAX_UNCONFIRMED_MS + settings.maxLease / MIN_CLOCK_RATE;
     this.directory = new TargetDirectory(
       {
-        onTargetAdded: room => void this.sessions.maintain(room),
-        onTargetReplaced: (room, next) => this.lifeEnds.onReplaced(room, next),
+        onTargetAdded: target => void this.sessions.maintain(target),
+        onTargetReplaced: (target, next) =>
+          this.incarnationCleanup.onReplaced(target, next),
       },
-      othersOverAt,
+      earlierLeasesExpireAt,
     );
-    this.changes = new ChangedJobs(() => this.directory.listTargets(), {
+    this.changedJobs = new ChangedJobs(() => this.directory.listTargets(), {
       onRecorded: unit => {
         if (!this.isClosed) {
-          this.orders.startUnit(unit);
+          this.commands.startUnit(unit);
         }
       },
       onEnded: job => this.onJobEnded(job),
     });
-    this.passes = new PassRunner(
+    this.passRunner = new PassRunner(
       {
-        createSnapshot: at => this.describe(at),
-        runGuarded: (work, act) => this.attempt(work, act),
+        createSnapshot: at => this.createSnapshot(at),
+        runGuarded: (work, action) => this.runGuarded(work, action),
         onPass: () => this.writer.flush(),
       },
       this,
-      this.book,
+      this.tracker,
       clock,
       logger,
     );
     this.writer = new RecordWriter(
-      parts.log,
+      dependencies.log,
       leadership,
-      maxLength => this.changes.takeBatch(maxLength, clock.wallTime()),
+      maxLength => this.changedJobs.takeBatch(maxLength, clock.wallTime()),
       () => this.onFenced(),
       clock,
       random,
@@ -172,9 +180,12 @@
     );
   }
 
-  /** Takes over what the log says, then ticks until the office is lost. */
+  /**
+   * Takes over the targets and the jobs in the log, then runs until leadership
+   * ends.
+   */
   async run(targets: Iterable<TargetInfo>): Promise<void> {
-    const {clock, table} = this.parts;
+    const {clock, table} = this.dependencies;
     const now = clock.now();
     for (const info of targets) {
       this.directory.onRegistered(info, now);
@@ -183,12 +194,12 @@
       this.onJobAccepted(entry);
     }
     while (!this.isClosed) {
-      this.attempt('tick', () => this.tick(clock.now()));
+      this.runGuarded('tick', () => this.tick(clock.now()));
       await clock.sleep(TICK_INTERVAL_MS);
     }
   }
 
-  /** Steps down in good order. */
+  /** Stops dispatching and writes to the log that leadership is free. */
   async resign(): Promise<void> {
     if (!this.isClosed) {
       this.close();
@@ -196,20 +207,20 @@
     }
   }
 
-  /** The registry lists a target. */
+  /** Called when a target is registered or its entry changes. */
   onTarget(info: TargetInfo): void {
-    this.directory.onRegistered(info, this.parts.clock.now());
-    this.passes.request();
+    this.directory.onRegistered(info, this.dependencies.clock.now());
+    this.passRunner.request();
   }
 
-  /** The registry dropped a target. */
+  /** Called when a target is removed from the registry. */
   onTargetGone(id: string): void {
     this.directory.onUnregistered(id);
   }
 
-  /** A job was accepted, by this instance or another. */
+  /** Called when any instance has accepted a job. */
   onJobAccepted(entry: JobEntry): void {
-    const {clock} = this.parts;
+    const {clock} = this.dependencies;
     const outcome = entry.progress?.outcome ?? 'active';
     if (this.jobs.has(entry.id) || outcome !== 'active') {
       return;
@@ -225,10 +236,10 @@
     } else if (job.hasFailed) {
       this.stopJob(job, 'the job has failed');
     }
-    this.passes.request();
+    this.passRunner.request();
   }
 
-  /** A job was cancelled. */
+  /** Called when a job was cancelled. */
   onJobCancelled(id: string): void {
     const job = this.jobs.get(id);
     if (job && !job.isCancelled) {
@@ -237,74 +248,95 @@
     }
   }
 
-  onListing(room: TargetState, listing: TargetListing): void {
+  /** Called for every listing of a target. */
+  onListing(target: TargetState, listing: TargetListing): void {
     const context = {
-      book: this.book,
+      tracker: this.tracker,
       epoch: this.epoch,
       findUnit: (task: string) => this.findUnit(task),
-      onStray: (stray: Allocation) => void this.orders.stop(stray),
+      onOrphan: (orphan: Allocation) => void this.commands.stop(orphan),
     };
-    const now = this.parts.clock.now();
-    const wasOpen = room.isSchedulable(now, MAX_LISTING_AGE_MS);
-    const hasChanged = applyListing(room, listing, context, now);
-    // Mere progress lets nothing start; the next tick sees it.
-    if (hasChanged || !wasOpen) {
-      this.passes.request();
+    const now = this.dependencies.clock.now();
+    const wasSchedulable = target.isSchedulable(now, MAX_LISTING_AGE_MS);
+    const hasChanged = applyListing(target, listing, context, now);
+    // Progress alone cannot allow a start; it is evaluated at the next tick.
+    if (hasChanged || !wasSchedulable) {
+      this.passRunner.request();
     }
     this.writer.flush();
   }
 
-  onOtherIncarnation(room: TargetState, born: number): void {
-    this.directory.onOtherIncarnation(room, born);
+  /** Called when another incarnation responds at a target's address. */
+  onOtherIncarnation(target: TargetState, born: number): void {
+    this.directory.onOtherIncarnation(target, born);
   }
 
-  onAddressReassigned(room: TargetState): void {
-    this.lifeEnds.onAddressReassigned(room);
+  /** Called when a target with another id responds at a target's address. */
+  onAddressReassigned(target: TargetState): void {
+    this.incarnationCleanup.onAddressReassigned(target);
   }
 
-  onStopAcknowledged(room: TargetState): void {
-    void this.sessions.pollOnce(room);
+  /** Called when a stop was acknowledged and a new listing is needed. */
+  onStopAcknowledged(target: TargetState): void {
+    void this.sessions.pollOnce(target);
   }
 
+  /** Ends leadership, since the log or a target has seen a higher epoch. */
   onFenced(): void {
     if (!this.isClosed) {
-      this.parts.logger.warn('office-lost', {epoch: this.epoch});
+      this.dependencies.logger.warn('office-lost', {epoch: this.epoch});
       this.close();
-      this.parts.onLeadershipLost();
+      this.dependencies.onLeadershipLost();
     }
   }
 
+  /**
+   * Whether an append was confirmed recently enough by the monotonic and the
+   * wall clock.
+   */
   isLeaseExtensionAllowed(): boolean {
-    const {clock} = this.parts;
-    const steady = clock.now() - this.writer.lastConfirmedAt;
-    const wall = clock.wallTime() - this.writer.lastConfirmedWallTime;
-    return Math.max(steady, wall) < MAX_UNCONFIRMED_MS;
+    const {clock} = this.dependencies;
+    const sinceConfirmed = clock.now() - this.writer.lastConfirmedAt;
+    const wallSinceConfirmed =
+      clock.wallTime() - this.writer.lastConfirmedWallTime;
+    return Math.max(sinceConfirmed, wallSinceConfirmed) < MAX_UNCONFIRMED_MS;
   }
 
+  /**
+   * Returns the advisor's ticket for a start on a target; undefined if there is
+   * none.
+   */
   findTicket(unit: ActiveUnit, targetId: string): string | undefined {
-    return this.advice.findTicket(unit, targetId);
+    return this.adviceCache.findTicket(unit, targetId);
   }
 
+  /** Called when a target refuses the ticket of a start command. */
   onTicketRefused(unit: ActiveUnit, targetId: string): void {
-    this.advice.onTicketRefused(unit, targetId);
+    this.adviceCache.onTicketRefused(unit, targetId);
   }
 
-  /** Everything that is due by time alone. */
+  /** Does everything that depends on time alone. */
   private tick(now: Instant): void {
-    const {clock, settings, logger} = this.parts;
+    const {clock, settings, logger} = this.dependencies;
     for (const job of this.jobs.values()) {
-      const early = clock.wallTime() + settings.earlyTime / 2;
-      if (job.accepted.spec.schedule && addDueOccurrences(job, early)) {
+      const scheduleTime = clock.wallTime() + settings.earlyTime / 2;
+      if (job.accepted.spec.schedule && addDueOccurrences(job, scheduleTime)) {
         this.onChange(job);
       }
     }
-    for (const room of [...this.directory.listTargets()]) {
-      this.lifeEnds.dropExpiredRuns(room, now);
+    for (const target of [...this.directory.listTargets()]) {
+      this.incarnationCleanup.dropExpiredRuns(target, now);
     }
-    stopStragglers(this.jobs.values(), this.book, this.estimator, now, logger);
+    stopStragglers(
+      this.jobs.values(),
+      this.tracker,
+      this.estimator,
+      now,
+      logger,
+    );
     this.directory.sweep(now, settings.maxLease);
-    this.writer.add(this.oldJobs.encodeDueRemovals(now));
-    this.passes.onTick(now);
+    this.writer.add(this.expiredJobs.encodeDueRemovals(now));
+    this.passRunner.onTick(now);
     this.writer.flush();
     this.writer.writeHeartbeatIfDue(now);
   }
@@ -314,16 +346,16 @@
     this.writer.close();
   }
 
-  /** Books the run that the log says may be alive. */
+  /** Allocates capacity for the run that, by the log, may be alive. */
   private adopt(unit: ActiveUnit, now: Instant): void {
     const {placedOn} = unit.progress;
     if (!placedOn) {
       return;
     }
-    for (const [member, life] of placedOn.entries()) {
-      const room = this.directory.findOrCreateIncarnation(life);
-      const booking = this.book.allocate(unit, member, room, 0, now);
-      booking.state = 'ordered';
+    for (const [member, incarnationKey] of placedOn.entries()) {
+      const target = this.directory.findOrCreateIncarnation(incarnationKey);
+      const allocation = this.tracker.allocate(unit, member, target, 0, now);
+      allocation.state = 'starting';
     }
     unit.phase = unit.progress.isDone ? 'running' : 'starting';
   }
@@ -332,41 +364,45 @@
     if (this.jobs.get(job.id) !== job) {
       return;
     }
-    this.changes.add(job);
+    this.changedJobs.add(job);
     if (job.hasFailed) {
       this.stopJob(job, 'the job has failed');
     }
-    this.passes.request();
+    this.passRunner.request();
   }
 
   private stopJob(job: ActiveJob, reason: string): void {
-    this.changes.add(job);
+    this.changedJobs.add(job);
     for (const unit of job.units) {
-      this.book.stop(unit, reason);
+      this.tracker.stop(unit, reason);
     }
     this.writer.flush();
   }
 
-  /** An unexpected error costs the work that it came up in, not the office. */
-  private attempt(work: string, act: () => void): void {
+  /**
+   * Runs `action` and logs unexpected errors, so that a fault in one piece of
+   * work does not end the leadership.
+   */
+  private runGuarded(work: string, action: () => void): void {
     try {
-      act();
+      action();
     } catch (error) {
       const problem = describeError(error);
-      this.parts.logger.error('dispatch-failed', {work, problem});
+      this.dependencies.logger.error('dispatch-failed', {work, problem});
     }
   }
 
-  private describe(now: Instant): SchedulingSnapshot {
-    const {guarantees, evacuated} = this.parts.rules();
+  private createSnapshot(now: Instant): SchedulingSnapshot {
+    const {guarantees, evacuated} = this.dependencies.rules();
     return {
       jobs: [...this.jobs.values()],
       targets: [...this.directory.listTargets()],
       estimator: this.estimator,
       guarantees,
       evacuated,
-      settings: this.parts.settings,
-      findAllowedTargets: unit => this.advice.findAllowedTargets(unit, now),
+      settings: this.dependencies.settings,
+      findAllowedTargets: unit =>
+        this.adviceCache.findAllowedTargets(unit, now),
     };
   }
 
@@ -383,12 +419,12 @@
 
   private onJobEnded(job: ActiveJob): void {
     this.jobs.delete(job.id);
-    this.advice.removeJob(job.id);
-    this.parts.logger.info('job-ended', {
+    this.adviceCache.removeJob(job.id);
+    this.dependencies.logger.info('job-ended', {
       job: job.id,
       queue: job.accepted.queue,
       outcome: job.progress.outcome,
-      afterMs: Math.round(this.parts.clock.now() - job.acceptedAt),
+      afterMs: Math.round(this.dependencies.clock.now() - job.acceptedAt),
       objectiveMs: Math.round(computeObjective(job.accepted)),
       runs: findMaxRunCount(job),
     });
--- a/packages/dispatch/src/duration_estimator.ts
+++ b/packages/dispatch/src/duration_estimator.ts
@@ -1,18 +1,24 @@
-/** Corrects callers' estimates by what tasks of the same queue really took. */
+/**
+ * Corrects callers' estimates by the actual durations of tasks of the same
+ * queue.
+ */
 import type {Milliseconds} from '@galenavalve/shared';
 
-/** Weight of the newest observation. */
+/** Weight of the newest ratio in the moving average. */
 const NEWEST_RATIO_WEIGHT = 0.15;
 
-/** Ratios beyond these are taken as misreadings. */
+/**
+ * Range of plausible ratios; values outside it are measurement errors and are
+ * clamped.
+ */
 const MIN_RATIO = 0.1;
 const MAX_RATIO = 10;
 
-/** Ratios of real to estimated durations, by queue. */
+/** Moving averages of the ratio of actual to estimated duration, by queue. */
 export class DurationEstimator {
   private readonly ratios = new Map<string, number>();
 
-  /** Notes that a task of `queue` took `actual`. */
+  /** Records the actual duration of a task of `queue`. */
   recordDuration(
     queue: string,
     estimate: Milliseconds,
@@ -31,7 +37,7 @@
     this.ratios.set(queue, next);
   }
 
-  /** Expected duration of a task. */
+  /** Returns the expected duration of a task of `queue`. */
   estimateDuration(queue: string, estimate: Milliseconds): Milliseconds {
     return estimate * (this.ratios.get(queue) ?? 1);
   }
--- a/packages/dispatch/src/expired_jobs.ts
+++ b/packages/dispatch/src/expired_jobs.ts
@@ -1,4 +1,4 @@
-/** Drops jobs from the log that ended long ago. */
+/** Removes jobs from the log whose retention period has passed. */
 import type {Clock, Instant, Milliseconds} from '@galenavalve/shared';
 import {
   type JobTable,
@@ -6,36 +6,42 @@
   encodeJobTombstones,
 } from '@galenavalve/workload';
 
-/** Ended jobs are looked for this often, in milliseconds. */
+/** Interval between two searches for expired jobs. */
 const REMOVAL_INTERVAL_MS = 5000;
 
-/** Most jobs forgotten in one append. */
+/** Limit of jobs that are removed in one append. */
 const MAX_REMOVALS_PER_APPEND = 50;
 
-/** Ended jobs are kept for this many times as long as callers may ask for them: clocks differ. */
+/**
+ * Ended jobs are kept this many times longer than callers may query them, since
+ * clocks differ.
+ */
 const RETENTION_FACTOR = 2;
 
-/** Finds the jobs that nobody may ask for any more. */
+/** Finds jobs that can no longer be queried. */
 export class ExpiredJobs {
   constructor(
     private readonly table: JobTable,
     private readonly keepEnded: Milliseconds,
     private readonly clock: Clock,
-    private lookedAt: Instant,
+    private lastCheckedAt: Instant,
   ) {}
 
-  /** The records that drop them; none until the next look is due. */
+  /**
+   * Returns the tombstones of expired jobs; none until the next search is due.
+   */
   encodeDueRemovals(now: Instant): KeyedRecord[] {
-    if (now - this.lookedAt < REMOVAL_INTERVAL_MS) {
+    if (now - this.lastCheckedAt < REMOVAL_INTERVAL_MS) {
       return [];
     }
-    this.lookedAt = now;
-    const limit = this.clock.wallTime() - RETENTION_FACTOR * this.keepEnded;
-    const old = [...this.table.listEntries()].filter(
+    this.lastCheckedAt = now;
+    const oldestKept =
+      this.clock.wallTime() - RETENTION_FACTOR * this.keepEnded;
+    const expired = [...this.table.listEntries()].filter(
       ({progress}) =>
-        progress?.endedAt !== undefined && progress.endedAt < limit,
+        progress?.endedAt !== undefined && progress.endedAt < oldestKept,
     );
-    return old
+    return expired
       .slice(0, MAX_REMOVALS_PER_APPEND)
       .flatMap(({id}) => encodeJobTombstones(id));
   }
--- a/packages/dispatch/src/fenced_log.ts
+++ b/packages/dispatch/src/fenced_log.ts
@@ -1,28 +1,35 @@
-/** The log as the dispatcher's office uses it. */
+/** The job log as the leader writes it. */
 import type {KeyedRecord} from '@galenavalve/workload';
 import type {Milliseconds} from '@galenavalve/shared';
 
-/** What became of an append under an epoch. */
+/** Outcome of an append under an epoch. */
 export type FencedAppendOutcome =
   | {kind: 'appended'; offset: number}
-  /** A higher epoch holds the office. */
+  /** The log has a record of a higher epoch. */
   | {kind: 'fenced'}
-  /** The log did not end where the append was meant to follow; nothing was appended. */
+  /** The log did not end at the requested offset; nothing was appended. */
   | {kind: 'moved'}
   /** Nothing was appended. */
   | {kind: 'refused'; problem: string}
-  /** It may have been appended, or may be later; the same sequence number may be sent again. */
+  /**
+   * The records may have been appended, or may be later. The append can be
+   * repeated with the same sequence number.
+   */
   | {kind: 'unknown'; problem: string};
 
-/** Makes an append part of the sequence of an epoch. */
+/** Identifies an append within an epoch. */
 export interface FencingToken {
   epoch: number;
+  /** Number of the append within the epoch. */
   sequence: number;
-  /** The append is made only if the log ends at this offset. */
+  /** Makes the append conditional on the log ending at this offset. */
   endsAt?: number;
 }
 
-/** Appends in the name of an epoch; a repeated sequence number is appended once. */
+/**
+ * Appends records under an epoch. Repeated appends with the same sequence
+ * number take effect once.
+ */
 export interface FencedLog {
   appendFenced(
     fencing: FencingToken,
--- a/packages/dispatch/src/incarnation_cleanup.ts
+++ b/packages/dispatch/src/incarnation_cleanup.ts
@@ -1,73 +1,96 @@
-/** What becomes of the runs of a target whose life or lease is over. */
+/**
+ * Cleans up the allocations of targets whose incarnation or lease has ended.
+ */
 import type {Instant, Logger} from '@galenavalve/shared';
 import type {CommandSender} from './command_sender.js';
 import type {RunTracker} from './run_tracker.js';
 import type {Allocation} from './active_job.js';
 import type {TargetState} from './target_state.js';
 
-/** Settles the books of lives that ended, for the dispatcher of one epoch. */
+/**
+ * Releases or moves allocations of ended incarnations, for the dispatcher of
+ * one epoch.
+ */
 export class IncarnationCleanup {
   constructor(
     private readonly epoch: number,
-    private readonly book: RunTracker,
-    private readonly orders: CommandSender,
+    private readonly tracker: RunTracker,
+    private readonly commands: CommandSender,
     private readonly logger: Logger,
   ) {}
 
-  /** Another life took the place of `room`'s. */
-  onReplaced(room: TargetState, next: TargetState): void {
+  /**
+   * Called when incarnation `next` has replaced `target`. Releases its
+   * allocations, except those whose commands are still pending: they move to
+   * `next`.
+   */
+  onReplaced(target: TargetState, next: TargetState): void {
     this.logger.info('target-reborn', {
-      target: room.info.id,
-      from: room.info.born,
+      target: target.info.id,
+      from: target.info.born,
       to: next.info.born,
-      runs: room.allocations.size,
+      runs: target.allocations.size,
     });
-    for (const booking of [...room.allocations.values()]) {
-      if (this.isOpen(booking)) {
-        this.follow(booking, next);
+    for (const allocation of [...target.allocations.values()]) {
+      if (this.isCommandPending(allocation)) {
+        this.moveAllocation(allocation, next);
       } else {
-        this.book.onRunLost(booking, 'its target started anew');
+        this.tracker.onRunLost(allocation, 'the target restarted');
       }
     }
   }
 
-  /** One address serves one life: the former one and its runs are gone, and its orders are refused there. */
-  onAddressReassigned(room: TargetState): void {
+  /**
+   * Called when a target with another id responds at the address. An address
+   * serves one incarnation, so this one and its runs are gone, and late
+   * commands to it are refused.
+   */
+  onAddressReassigned(target: TargetState): void {
     this.logger.info('target-succeeded', {
-      target: room.info.id,
-      runs: room.allocations.size,
+      target: target.info.id,
+      runs: target.allocations.size,
     });
-    room.isRegistered = false;
-    for (const booking of [...room.allocations.values()]) {
-      this.book.onRunLost(booking, 'another target took its address');
+    target.isRegistered = false;
+    for (const allocation of [...target.allocations.values()]) {
+      this.tracker.onRunLost(
+        allocation,
+        'another target uses the address of its target',
+      );
     }
   }
 
-  /** Runs whose lease is over are gone, whatever became of their target. */
-  dropExpiredRuns(room: TargetState, now: Instant): void {
-    if (now <= room.leaseExpiresAt || room.allocations.size === 0) {
+  /**
+   * Releases the allocations of a target whose lease has expired; its tasks
+   * have stopped by then whether or not it can be reached.
+   */
+  dropExpiredRuns(target: TargetState, now: Instant): void {
+    if (now <= target.leaseExpiresAt || target.allocations.size === 0) {
       return;
     }
-    for (const booking of [...room.allocations.values()]) {
-      if (booking.state !== 'planned') {
-        this.book.onRunLost(booking, 'its lease is over');
+    for (const allocation of [...target.allocations.values()]) {
+      if (allocation.state !== 'planned') {
+        this.tracker.onRunLost(allocation, 'the lease of its target expired');
       }
     }
   }
 
-  /** An order to the former life that was not answered may yet reach the new one. */
-  private isOpen(booking: Allocation): boolean {
-    const isUnsettled =
-      booking.state === 'ordered' ||
-      (booking.state === 'stopping' && booking.acknowledgedClock === undefined);
-    return booking.epoch === this.epoch && isUnsettled;
+  /**
+   * Whether a command of this epoch to the former incarnation is
+   * unacknowledged, so that the new one may still receive it.
+   */
+  private isCommandPending(allocation: Allocation): boolean {
+    const isUnacknowledged =
+      allocation.state === 'starting' ||
+      (allocation.state === 'stopping' &&
+        allocation.acknowledgedClock === undefined);
+    return allocation.epoch === this.epoch && isUnacknowledged;
   }
 
-  private follow(booking: Allocation, next: TargetState): void {
-    booking.target.release(booking);
-    booking.target = next;
-    booking.isBeingStopped = false;
-    next.allocate(booking);
-    void this.orders.stop(booking);
+  private moveAllocation(allocation: Allocation, next: TargetState): void {
+    allocation.target.release(allocation);
+    allocation.target = next;
+    allocation.isBeingStopped = false;
+    next.allocate(allocation);
+    void this.commands.stop(allocation);
   }
 }
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,4 +1,6 @@
-/** The dispatcher: rooms of targets, runs of tasks, and who starts next. */
+/**
+ * The dispatcher: state of targets, runs of tasks, and the scheduling decision.
+ */
 
 // Ports that adapters implement
 export * from './target_port.js';
@@ -11,7 +13,7 @@
 
 export {type Advice, type Advisor, NoAdvisor} from './advisor.js';
 
-// The office and its work
+// Leadership and dispatching
 export {DispatchService, type TargetRegistry} from './dispatch_service.js';
 export {
   Dispatcher,
@@ -26,7 +28,7 @@
 } from './leader_monitor.js';
 export {DEFAULT_SETTINGS, type DispatchSettings} from './settings.js';
 
-// Decisions
+// Scheduling decisions
 export * from './policy/index.js';
 export {DurationEstimator} from './duration_estimator.js';
 export {
--- a/packages/dispatch/src/job_lifecycle.ts
+++ b/packages/dispatch/src/job_lifecycle.ts
@@ -1,4 +1,7 @@
-/** Builds the dispatcher's view of a job from its records, and carries its progress on. */
+/**
+ * Creates active jobs from their records and advances their occurrences and
+ * outcomes.
+ */
 import type {Instant} from '@galenavalve/shared';
 import {
   type JobEntry,
@@ -14,14 +17,17 @@
   hasNoAttemptLeft,
 } from './active_job.js';
 
-/** A job that another dispatcher may have begun. `wallNow` is in Unix milliseconds. */
+/**
+ * Creates the state of an accepted job, which a previous leader may have
+ * started. `wallNow` is in Unix milliseconds.
+ */
 export function createActiveJob(
   entry: JobEntry,
   now: Instant,
   wallNow: number,
 ): ActiveJob {
   const age = Math.max(0, wallNow - entry.job.acceptedAt);
-  const run: ActiveJob = {
+  const job: ActiveJob = {
     id: entry.id,
     accepted: entry.job,
     acceptedAt: now - age,
@@ -30,47 +36,57 @@
     hasFailed: false,
     units: [],
   };
-  for (const occurrence of run.progress.occurrences) {
-    addUnits(run, occurrence);
+  for (const occurrence of job.progress.occurrences) {
+    addUnits(job, occurrence);
   }
-  // The former dispatcher may have gone between the last failure and the job's end.
-  run.hasFailed = run.units.some(hasNoAttemptLeft);
-  return run;
+  // The previous leader may have failed after it recorded the last failed
+  // attempt and before it recorded the job's outcome.
+  job.hasFailed = job.units.some(hasNoAttemptLeft);
+  return job;
 }
 
-/** Adds the occurrences that are due at `wallNow`. Returns whether there were any. */
-export function addDueOccurrences(run: ActiveJob, wallNow: number): boolean {
-  const {schedule} = run.accepted.spec;
+/**
+ * Adds the occurrences that are due at `wallNow`, in Unix milliseconds. Returns
+ * whether any was added.
+ */
+export function addDueOccurrences(job: ActiveJob, wallNow: number): boolean {
+  const {schedule} = job.accepted.spec;
   if (!schedule) {
     return false;
   }
-  const {progress} = run;
+  const {progress} = job;
   let hasAdded = false;
   for (;;) {
-    const open = progress.occurrences.map(({index}) => index);
-    const next = Math.max(progress.doneOccurrences, ...open.map(i => i + 1));
+    const openIndexes = progress.occurrences.map(({index}) => index);
+    const next = Math.max(
+      progress.doneOccurrences,
+      ...openIndexes.map(index => index + 1),
+    );
     const dueAt = schedule.startAt + next * schedule.intervalMs;
     if (next >= schedule.times || wallNow < dueAt) {
       return hasAdded;
     }
-    const occurrence = createOccurrence(run.accepted.spec, next);
+    const occurrence = createOccurrence(job.accepted.spec, next);
     progress.occurrences.push(occurrence);
-    addUnits(run, occurrence);
+    addUnits(job, occurrence);
     hasAdded = true;
   }
 }
 
-/** Drops occurrences that have ended and settles the job's outcome. `wallNow` is in Unix milliseconds. */
-export function updateJobOutcome(run: ActiveJob, wallNow: number): void {
-  const {progress} = run;
-  dropDoneOccurrences(run);
-  const isAlive = run.units.some(unit => unit.allocations.length > 0);
-  const total = countOccurrences(run.accepted.spec);
+/**
+ * Drops completed occurrences and determines the job's outcome. `wallNow` is in
+ * Unix milliseconds.
+ */
+export function updateJobOutcome(job: ActiveJob, wallNow: number): void {
+  const {progress} = job;
+  dropCompletedOccurrences(job);
+  const hasAllocations = job.units.some(unit => unit.allocations.length > 0);
+  const total = countOccurrences(job.accepted.spec);
   if (progress.doneOccurrences >= total) {
     progress.outcome = 'complete';
-  } else if (run.hasFailed && !isAlive) {
+  } else if (job.hasFailed && !hasAllocations) {
     progress.outcome = 'failed';
-  } else if (run.isCancelled && !isAlive) {
+  } else if (job.isCancelled && !hasAllocations) {
     progress.outcome = 'cancelled';
   }
   if (progress.outcome !== 'active') {
@@ -78,46 +94,49 @@
   }
 }
 
-/** Occurrences count as ended from the first one on, so that one number says which. */
-function dropDoneOccurrences(run: ActiveJob): void {
-  const {progress} = run;
+/**
+ * Drops completed occurrences in order, so that a single count
+ * (`doneOccurrences`) identifies them.
+ */
+function dropCompletedOccurrences(job: ActiveJob): void {
+  const {progress} = job;
   for (;;) {
     const first = progress.occurrences[0];
     if (!first || !first.steps.every(isStepDone)) {
       return;
     }
     const isLast =
-      progress.doneOccurrences + 1 >= countOccurrences(run.accepted.spec);
+      progress.doneOccurrences + 1 >= countOccurrences(job.accepted.spec);
     progress.doneOccurrences++;
     progress.occurrences.shift();
     if (!isLast) {
-      run.units = run.units.filter(
+      job.units = job.units.filter(
         unit => unit.occurrence !== first.index || unit.allocations.length > 0,
       );
     }
   }
 }
 
-function addUnits(run: ActiveJob, occurrence: Occurrence): void {
+function addUnits(job: ActiveJob, occurrence: Occurrence): void {
   for (const [stepIndex, units] of occurrence.steps.entries()) {
     for (const [unitIndex, progress] of units.entries()) {
       const unit: ActiveUnit = {
-        job: run,
+        job,
         occurrence: occurrence.index,
         stepIndex,
         unitIndex,
-        step: run.accepted.spec.steps[stepIndex]!,
+        step: job.accepted.spec.steps[stepIndex]!,
         progress,
         phase: 'waiting',
         allocations: [],
-        placedAt: run.acceptedAt,
-        runningSince: run.acceptedAt,
+        placedAt: job.acceptedAt,
+        runningSince: job.acceptedAt,
         retryAt: -Infinity,
         avoidedTargets: new Set(),
         hasLocalityPenalty: false,
         resumeCheckpoint: '',
       };
-      run.units.push(unit);
+      job.units.push(unit);
     }
   }
 }
--- a/packages/dispatch/src/leader_monitor.ts
+++ b/packages/dispatch/src/leader_monitor.ts
@@ -1,72 +1,110 @@
-/** Who dispatches: one instance at a time, by an epoch in the job log. */
+/**
+ * Leader election: one instance leads at a time, identified by an epoch in the
+ * job log.
+ */
 import type {Instant, Milliseconds, Random} from '@galenavalve/shared';
 import type {Leadership} from '@galenavalve/workload';
 
-/** Lives of one target that a dispatcher can tell apart by its orders. */
+/**
+ * Number of incarnations of one target that the epochs of a leader's commands
+ * can tell apart.
+ */
 export const MAX_INCARNATIONS = 256;
 
-/** Rivals pick one of this many epochs of a term, so that they rarely pick the same. */
+/**
+ * Each claimant picks one of this many epochs of a round at random, so that
+ * concurrent claims rarely pick the same.
+ */
 const EPOCH_CHOICES_PER_ROUND = 4096;
 
 const EPOCH_VALUES_PER_ROUND = EPOCH_CHOICES_PER_ROUND * MAX_INCARNATIONS;
 
-/** The holder writes at least this often. */
+/** Maximum interval between two appends of the leader. */
 export const LEADER_HEARTBEAT_MS: Milliseconds = 300;
 
-/** A holder that wrote nothing for this long has lost the office: a beat, and what its writing and its reading take on a log that is a hundred times slow. */
+/**
+ * Time without a record of the leader after which leadership can be claimed:
+ * one heartbeat interval plus the latency of an append and a read on a log that
+ * is a hundred times slower than usual.
+ */
 export const LEADER_TIMEOUT_MS: Milliseconds = 1200;
 
-/** Each rank waits this much longer than the one before it: a claim is seen by then, if its instance lives. */
+/**
+ * Additional claim delay per rank; long enough to see the claim of the
+ * preceding rank if that instance is alive.
+ */
 const CLAIM_DELAY_PER_RANK_MS: Milliseconds = 70;
 
-/** Ranks from this one on wait alike, but for the random part. */
+/** Instances from this rank on share one delay, plus jitter. */
 const MAX_DISTINCT_RANK = 5;
 
-/** A random part of this is waited besides, so that instances that do not know each other rarely claim together. */
+/**
+ * Jitter added to the claim delay, so that instances which do not know of each
+ * other rarely claim at the same time.
+ */
 const CLAIM_JITTER_MS: Milliseconds = 60;
 
-/** An instance with little processor waits this much longer: it would hold a large installation's office only to lose it. */
+/**
+ * Additional claim delay of an instance with little processor time, which would
+ * soon lose the leadership of a large cluster again.
+ */
 const WEAK_INSTANCE_DELAY_MS: Milliseconds = 400;
 
-/** A log that was silent itself says nothing of the holder. */
+/**
+ * Age of the last response of the log up to which a missing heartbeat counts
+ * against the leader rather than the log.
+ */
 const MAX_LOG_AGE_MS: Milliseconds = 900;
 
-/** Where an instance stands among those that could hold the office. */
+/** Position of an instance among the candidates for leadership. */
 export interface CandidateRank {
-  /** Number of instances that should hold it rather than this one. */
+  /** Number of instances that should lead in preference to this one. */
   rank: number;
-  /** It has far less processor than others. */
+  /** Whether the instance has much less processor time than others. */
   isWeak: boolean;
 }
 
-/** Watches the office from the records of the log. */
+/**
+ * Tracks from the records of the log whether there is a leader and when to
+ * claim leadership.
+ */
 export class LeaderMonitor {
-  private lastSign: Instant;
-  private lastRead: Instant = -Infinity;
-  /** Surely nobody holds the office. */
-  private isFree = false;
-  private silence: Milliseconds = LEADER_TIMEOUT_MS;
-  /** This instance's part of the random spread, drawn anew with each sign. */
-  private draw: number;
+  private lastRecordAt: Instant;
+  private lastReadAt: Instant = -Infinity;
+  /** Whether it is certain that no instance leads. */
+  private isLeaderless = false;
+  private leaderTimeout: Milliseconds = LEADER_TIMEOUT_MS;
+  /**
+   * Random share of the jitter, from 0 to 1; drawn again with every record of a
+   * leader.
+   */
+  private jitterShare: number;
 
   constructor(
     now: Instant,
     private readonly random: Random,
-    private readonly standing: () => CandidateRank,
+    private readonly getCandidateRank: () => CandidateRank,
   ) {
-    this.lastSign = now;
-    this.draw = random.next();
+    this.lastRecordAt = now;
+    this.jitterShare = random.next();
   }
 
-  /** Any record of the holder proves that it holds the office. */
+  /**
+   * Called for any record that only the leader writes. `leadership` is
+   * undefined for records other than heartbeats, claims and resignations.
+   */
   onLeaderRecord(leadership: Leadership | undefined, now: Instant): void {
-    this.lastSign = now;
-    this.isFree = false;
-    this.silence = leadership?.hasResigned ? 0 : LEADER_TIMEOUT_MS;
-    this.draw = this.random.next();
+    this.lastRecordAt = now;
+    this.isLeaderless = false;
+    this.leaderTimeout = leadership?.hasResigned ? 0 : LEADER_TIMEOUT_MS;
+    this.jitterShare = this.random.next();
   }
 
-  /** The log was read for the first time; its newest sign of a holder is `age` old. `isOwn`: the holder was a former life of this instance, so nobody holds the office. */
+  /**
+   * Called when the log was read for the first time and its newest leadership
+   * record is `age` milliseconds old. `isOwn` means that the leader was an
+   * earlier incarnation of this instance, so there is no leader now.
+   */
   onInitialLeaderRecord(
     leadership: Leadership,
     age: Milliseconds,
@@ -74,58 +112,78 @@
     now: Instant,
   ): void {
     this.onLeaderRecord(leadership, now);
-    this.isFree = isOwn;
-    // The random part of the patience is left, so that not all claim at once.
-    this.lastSign = now - Math.min(Math.max(0, age), LEADER_TIMEOUT_MS);
+    this.isLeaderless = isOwn;
+    // The age is limited, so that the jitter still keeps instances from
+    // claiming at the same time.
+    this.lastRecordAt = now - Math.min(Math.max(0, age), LEADER_TIMEOUT_MS);
   }
 
-  /** The log answered. While it did not, the holder could not write either. */
+  /**
+   * Called for every response of the log. While the log did not respond, the
+   * leader could not write either.
+   */
   onLogResponse(now: Instant): void {
-    if (now - this.lastRead > MAX_LOG_AGE_MS + LEADER_TIMEOUT_MS) {
-      this.lastSign = Math.max(this.lastSign, now - LEADER_TIMEOUT_MS / 2);
+    if (now - this.lastReadAt > MAX_LOG_AGE_MS + LEADER_TIMEOUT_MS) {
+      this.lastRecordAt = Math.max(
+        this.lastRecordAt,
+        now - LEADER_TIMEOUT_MS / 2,
+      );
     }
-    this.lastRead = now;
+    this.lastReadAt = now;
   }
 
-  /** Whether the office is to be claimed now. */
+  /** Whether to claim leadership now. */
   isClaimDue(now: Instant): boolean {
-    const isLogFresh = now - this.lastRead <= MAX_LOG_AGE_MS;
+    const isLogFresh = now - this.lastReadAt <= MAX_LOG_AGE_MS;
     return isLogFresh && this.computeTimeToClaim(now) <= 0;
   }
 
-  /** Time until this instance may claim if no sign of a holder comes. */
+  /**
+   * Returns the time until this instance may claim leadership if no record of a
+   * leader arrives; zero or less if it may now.
+   */
   computeTimeToClaim(now: Instant): Milliseconds {
-    return this.isFree ? 0 : this.lastSign + this.silence + this.delay() - now;
+    return this.isLeaderless
+      ? 0
+      : this.lastRecordAt + this.leaderTimeout + this.computeClaimDelay() - now;
   }
 
-  /** Waits before the next claim after one that failed. */
+  /** Backs off after a failed claim. */
   onClaimFailed(now: Instant): void {
-    this.lastSign = now;
-    this.isFree = false;
-    this.silence = LEADER_TIMEOUT_MS / 2;
-    this.draw = this.random.next();
+    this.lastRecordAt = now;
+    this.isLeaderless = false;
+    this.leaderTimeout = LEADER_TIMEOUT_MS / 2;
+    this.jitterShare = this.random.next();
   }
 
-  /** Who should rather hold the office waits less; others may be known by now that were not at the last sign. */
-  private delay(): Milliseconds {
-    const standing = this.standing();
-    const rank = Math.min(standing.rank, MAX_DISTINCT_RANK);
-    const spread =
+  /**
+   * Returns the delay by rank, so that preferred candidates claim first. The
+   * rank is read again on each call, since more instances may be known than at
+   * the last record.
+   */
+  private computeClaimDelay(): Milliseconds {
+    const candidate = this.getCandidateRank();
+    const rank = Math.min(candidate.rank, MAX_DISTINCT_RANK);
+    const maxJitter =
       rank < MAX_DISTINCT_RANK
         ? CLAIM_JITTER_MS
         : MAX_DISTINCT_RANK * CLAIM_JITTER_MS;
-    const wait = standing.isWeak ? WEAK_INSTANCE_DELAY_MS : 0;
-    return rank * CLAIM_DELAY_PER_RANK_MS + this.draw * spread + wait;
+    const wait = candidate.isWeak ? WEAK_INSTANCE_DELAY_MS : 0;
+    return rank * CLAIM_DELAY_PER_RANK_MS + this.jitterShare * maxJitter + wait;
   }
 }
 
-/** An epoch above `leadership`'s that a rival is unlikely to pick as well; the values up to `MAX_LIVES` above it are its own. */
+/**
+ * Chooses an epoch above the one of `leadership` that a concurrent claimant is
+ * unlikely to choose. The `MAX_INCARNATIONS` values from the epoch on are
+ * reserved for its commands.
+ */
 export function chooseNextEpoch(
   leadership: Leadership | undefined,
   random: Random,
 ): number {
-  const term =
+  const round =
     Math.floor((leadership?.epoch ?? 0) / EPOCH_VALUES_PER_ROUND) + 1;
   const choice = Math.floor(random.next() * EPOCH_CHOICES_PER_ROUND);
-  return term * EPOCH_VALUES_PER_ROUND + choice * MAX_INCARNATIONS;
+  return round * EPOCH_VALUES_PER_ROUND + choice * MAX_INCARNATIONS;
 }
--- a/packages/dispatch/src/pass_runner.ts
+++ b/packages/dispatch/src/pass_runner.ts
@@ -1,74 +1,80 @@
-/** The passes of one term of office: when one is made, and what is done with its decision. */
+/** Runs the scheduling passes of one leader and carries out their decisions. */
 import type {Clock, Instant, Logger} from '@galenavalve/shared';
 import {PassThrottle} from './pass_throttle.js';
 import {type SchedulingSnapshot, decide} from './policy/index.js';
 import type {RunTracker} from './run_tracker.js';
 import {type ActiveUnit, countMembers} from './active_job.js';
 
-/** What passes need of the dispatcher. */
+/** What the pass runner needs of the dispatcher. */
 export interface PassDelegate {
-  /** Everything that a decision is made from. */
+  /** Creates the input of a scheduling decision. */
   createSnapshot(now: Instant): SchedulingSnapshot;
-  /** Runs `act`; an error in it ends nothing else. */
-  runGuarded(work: string, act: () => void): void;
-  /** A pass that news asked for was made. */
+  /** Runs `action` and logs any error that it throws. */
+  runGuarded(work: string, action: () => void): void;
+  /** Called after a requested pass. */
   onPass(): void;
 }
 
-/** Makes passes soon after news, and with each tick. */
+/** Runs passes shortly after they are requested, and on ticks. */
 export class PassRunner {
-  private readonly schedule = new PassThrottle();
-  private isDue = false;
+  private readonly throttle = new PassThrottle();
+  private isRequested = false;
 
   constructor(
-    private readonly desk: PassDelegate,
-    private readonly term: {readonly epoch: number; readonly isClosed: boolean},
-    private readonly book: RunTracker,
+    private readonly delegate: PassDelegate,
+    private readonly leadership: {
+      readonly epoch: number;
+      readonly isClosed: boolean;
+    },
+    private readonly tracker: RunTracker,
     private readonly clock: Clock,
     private readonly logger: Logger,
   ) {}
 
-  /** News may let something start. */
+  /** Requests a pass after an event that may allow a unit to start. */
   request(): void {
-    if (this.isDue || this.term.isClosed) {
+    if (this.isRequested || this.leadership.isClosed) {
       return;
     }
-    this.isDue = true;
-    const delay = this.schedule.computeDelay(this.clock.now());
+    this.isRequested = true;
+    const delay = this.throttle.computeDelay(this.clock.now());
     void this.clock.sleep(delay).then(() => {
-      if (!this.term.isClosed) {
-        this.desk.runGuarded('pass', () => this.pass(this.clock.now()));
-        this.desk.onPass();
+      if (!this.leadership.isClosed) {
+        this.delegate.runGuarded('pass', () => this.runPass(this.clock.now()));
+        this.delegate.onPass();
       }
     });
   }
 
-  /** Time alone may let something start. */
+  /**
+   * Runs a pass unless the throttle defers it, since elapsed time alone may
+   * allow a unit to start.
+   */
   onTick(now: Instant): void {
-    if (this.schedule.isPassAllowed(now)) {
-      this.pass(now);
+    if (this.throttle.isPassAllowed(now)) {
+      this.runPass(now);
     }
   }
 
-  private pass(now: Instant): void {
-    this.isDue = false;
-    const decision = decide(this.desk.createSnapshot(now), now);
+  private runPass(now: Instant): void {
+    this.isRequested = false;
+    const decision = decide(this.delegate.createSnapshot(now), now);
     for (const start of decision.starts) {
-      this.book.place(start, this.term.epoch, now);
+      this.tracker.place(start, this.leadership.epoch, now);
     }
     for (const {unit, reason} of decision.waits) {
       this.logWait(unit, reason);
     }
-    for (const {unit, rooms, until} of decision.targetClaims) {
-      unit.targetClaim = {rooms, until};
+    for (const {unit, targets, until} of decision.targetClaims) {
+      unit.targetClaim = {targets, until};
     }
     for (const {unit, for: claimant} of decision.stops) {
-      this.book.stop(unit, `urgent job ${claimant} needs its room`);
+      this.tracker.stop(unit, `urgent job ${claimant} needs its capacity`);
     }
-    this.schedule.onPass(now, this.clock.now());
+    this.throttle.onPass(now, this.clock.now());
   }
 
-  /** Says once why an urgent unit waits. */
+  /** Logs why an urgent unit waits, once per kind of reason. */
   private logWait(unit: ActiveUnit, reason: string): void {
     const kind = reason.replace(/\d+/g, '#');
     if (unit.waitReason !== kind) {
--- a/packages/dispatch/src/pass_throttle.ts
+++ b/packages/dispatch/src/pass_throttle.ts
@@ -1,29 +1,38 @@
-/** When the next pass over everything that waits is due: soon after news, but never so often that passes take all the processor. */
+/**
+ * Determines when the next scheduling pass may run: shortly after a request,
+ * but within a limited share of the processor.
+ */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 
-/** A pass waits this long for more news: ends of one gang come together. */
+/**
+ * Delay that lets several events share one pass; the ends of a gang's members
+ * arrive together.
+ */
 const PASS_DEBOUNCE_MS: Milliseconds = 2;
 
-/** Most of the processor's time that passes may take; the rest is for listings, orders and records. */
+/**
+ * Maximum share of processor time for passes; the rest is left to listings,
+ * commands and records.
+ */
 const MAX_CPU_SHARE = 0.25;
 
-/** Spaces the passes of one dispatcher. */
+/** Throttles the passes of one dispatcher. */
 export class PassThrottle {
-  /** When the last pass has had its share of the time. */
-  private openAt: Instant = -Infinity;
+  /** When the last pass no longer exceeds its share of processor time. */
+  private nextPassAt: Instant = -Infinity;
 
-  /** Notes a pass. */
+  /** Records that a pass ran. */
   onPass(startedAt: Instant, endedAt: Instant): void {
-    this.openAt = startedAt + (endedAt - startedAt) / MAX_CPU_SHARE;
+    this.nextPassAt = startedAt + (endedAt - startedAt) / MAX_CPU_SHARE;
   }
 
-  /** Time from news at `now` until a pass. */
+  /** Returns the delay until a pass that is requested at `now`. */
   computeDelay(now: Instant): Milliseconds {
-    return Math.max(PASS_DEBOUNCE_MS, this.openAt - now);
+    return Math.max(PASS_DEBOUNCE_MS, this.nextPassAt - now);
   }
 
-  /** Whether a pass that no news asks for may be made. */
+  /** Whether a pass may run at `now` without having been requested. */
   isPassAllowed(now: Instant): boolean {
-    return now >= this.openAt;
+    return now >= this.nextPassAt;
   }
 }
--- a/packages/dispatch/src/policy/candidate_target.ts
+++ b/packages/dispatch/src/policy/candidate_target.ts
@@ -1,40 +1,64 @@
-/** The rooms of one decision, as plain numbers that the decision uses up while it places. */
+/**
+ * Working copies of targets, whose free capacity a scheduling pass deducts as
+ * it places units.
+ */
 import type {Instant} from '@galenavalve/shared';
 import type {Demand} from '@galenavalve/workload';
 import type {Allocation} from '../active_job.js';
 import type {TargetState} from '../target_state.js';
 
-/** Room of one target during a decision. */
+/** A target with its free capacity during one scheduling pass. */
 export interface CandidateTarget {
   target: TargetState;
   free: Demand;
   rack: string;
   domain: string;
   labels: readonly string[];
+  /** Factor by which tasks take longer than usual; at least 1. */
   slowness: number;
-  /** Kept for a larger unit from this instant on: what goes there must have ended by then. */
+  /**
+   * Reserved for a larger unit from this instant on: units placed here must be
+   * expected to end by then. Infinity if there is no reservation.
+   */
   reservedFrom: Instant;
 }
 
-/** A unit to be placed. */
+/** What a unit needs from targets. */
 export interface PlacementRequest {
+  /** Demand of each member. */
   demand: Demand;
+  /** Number of members, all of which must be placed. */
   count: number;
   isRackSensitive: boolean;
   requiredLabel?: string;
+  /** Rack of the step's data; undefined if any rack will do. */
   dataRack?: string;
-  /** Members of the step's occurrence that one target may still take. */
+  /**
+   * Returns how many more members of the step's occurrence a target may take.
+   */
   countRemainingMembers: (targetId: string) => number;
+  /** Ids of targets that receive no member. */
   avoidedTargets: ReadonlySet<string>;
-  /** Accelerators of room that twice the time on a target weighs as much as. */
+  /**
+   * Cost of a target that takes twice the usual time, expressed in free
+   * accelerators.
+   */
   slownessWeight: number;
-  /** Targets that the queue's advisor allows; absent without an advisor. */
+  /**
+   * Targets that the advisor allows; undefined if the queue needs no advice.
+   */
   allowedTargets?: ReadonlySet<string>;
 }
 
-/** How many members of `seeker` fit into `free`. */
-export function countFits(free: Demand, demand: Demand, most: number): number {
-  let fits = most;
+/**
+ * Returns how many members with `demand` fit into `free`, at most `maxMembers`.
+ */
+export function countFits(
+  free: Demand,
+  demand: Demand,
+  maxMembers: number,
+): number {
+  let fits = maxMembers;
   if (demand.cpu > 0) {
     fits = Math.min(fits, Math.floor(free.cpu / demand.cpu));
   }
@@ -47,36 +71,39 @@
   return Math.max(0, fits);
 }
 
-/** Members that a target may take by the seeker's constraints, whatever its room. */
+/**
+ * Returns how many members a target may take by the constraints of the request,
+ * regardless of its capacity.
+ */
 export function countAllowedMembers(
-  seeker: PlacementRequest,
-  space: CandidateTarget,
+  request: PlacementRequest,
+  candidate: CandidateTarget,
 ): number {
-  const {id} = space.target.info;
-  const isBarred =
-    (seeker.requiredLabel !== undefined &&
-      !space.labels.includes(seeker.requiredLabel)) ||
-    seeker.avoidedTargets.has(id) ||
-    (seeker.allowedTargets !== undefined && !seeker.allowedTargets.has(id));
-  return isBarred
+  const {id} = candidate.target.info;
+  const isExcluded =
+    (request.requiredLabel !== undefined &&
+      !candidate.labels.includes(request.requiredLabel)) ||
+    request.avoidedTargets.has(id) ||
+    (request.allowedTargets !== undefined && !request.allowedTargets.has(id));
+  return isExcluded
     ? 0
-    : Math.min(seeker.count, seeker.countRemainingMembers(id));
+    : Math.min(request.count, request.countRemainingMembers(id));
 }
 
-/** Takes `members` of `demand` out of a space. */
+/** Deducts the demand of `members` members from a candidate. */
 export function deductCapacity(
-  space: CandidateTarget,
+  candidate: CandidateTarget,
   demand: Demand,
   members: number,
 ): void {
-  space.free = {
-    cpu: space.free.cpu - demand.cpu * members,
-    memoryMb: space.free.memoryMb - demand.memoryMb * members,
-    accelerators: space.free.accelerators - demand.accelerators * members,
+  candidate.free = {
+    cpu: candidate.free.cpu - demand.cpu * members,
+    memoryMb: candidate.free.memoryMb - demand.memoryMb * members,
+    accelerators: candidate.free.accelerators - demand.accelerators * members,
   };
 }
 
-/** Adds the room of a booking. */
+/** Returns `free` plus the capacity of an allocation. */
 export function addAllocation(free: Demand, {demand}: Allocation): Demand {
   return {
     cpu: free.cpu + demand.cpu,
@@ -85,35 +112,44 @@
   };
 }
 
-/** Groups spaces by rack. */
+/** Groups candidates by rack. */
 export function groupByRack(
-  spaces: readonly CandidateTarget[],
+  candidates: readonly CandidateTarget[],
 ): Map<string, CandidateTarget[]> {
   const racks = new Map<string, CandidateTarget[]>();
-  for (const space of spaces) {
-    const rack = racks.get(space.rack);
+  for (const candidate of candidates) {
+    const rack = racks.get(candidate.rack);
     if (rack) {
-      rack.push(space);
+      rack.push(candidate);
     } else {
-      racks.set(space.rack, [space]);
+      racks.set(candidate.rack, [candidate]);
     }
   }
   return racks;
 }
 
-/** The groups of targets of which one must hold all members: racks, or everything. */
+/**
+ * Returns groups of candidates, one of which must take all members: racks for a
+ * rack-sensitive request, otherwise all candidates.
+ */
 export function listPlacementGroups(
-  seeker: PlacementRequest,
-  spaces: readonly CandidateTarget[],
+  request: PlacementRequest,
+  candidates: readonly CandidateTarget[],
 ): Array<readonly CandidateTarget[]> {
-  return seeker.isRackSensitive ? [...groupByRack(spaces).values()] : [spaces];
+  return request.isRackSensitive
+    ? [...groupByRack(candidates).values()]
+    : [candidates];
 }
 
-/** Members that a target with `room` left may take. */
+/** Returns how many members a target with `free` capacity may take. */
 export function countFittingMembers(
-  seeker: PlacementRequest,
-  space: CandidateTarget,
-  room: Demand,
+  request: PlacementRequest,
+  candidate: CandidateTarget,
+  free: Demand,
 ): number {
-  return countFits(room, seeker.demand, countAllowedMembers(seeker, space));
+  return countFits(
+    free,
+    request.demand,
+    countAllowedMembers(request, candidate),
+  );
 }
--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -1,4 +1,7 @@
-/** One pass over everything that waits: who starts where, and who is stopped for it. */
+/**
+ * The scheduling decision: which waiting units start where, and which running
+ * units are stopped for them.
+ */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import {isStepReady} from '@galenavalve/workload';
 import type {DurationEstimator} from '../duration_estimator.js';
@@ -35,52 +38,75 @@
 import {computeStopCost} from './stop_cost.js';
 import {UrgencyTier, type Urgency, rateUrgency} from './urgency.js';
 
-/** Most units for which room is kept in one pass; more would leave too little to fill the gaps with. */
+/**
+ * Limit of reservations per pass; more would leave too little capacity for
+ * backfill.
+ */
 const MAX_RESERVATIONS = 2;
 
-/** Most waiting units that one pass looks at; bounds its time when thousands wait. */
+/** Limit of waiting units per pass; bounds its duration when thousands wait. */
 const MAX_CONSIDERED_UNITS = 1500;
 
-/** What an urgent job beyond its guarantee may cost others, in core-seconds for each of its own, if it ends on time by it. */
+/**
+ * Maximum stop cost that an urgent job beyond its guarantee may impose on
+ * others if it then ends on time, in core-seconds per core-second of its own
+ * work.
+ */
 const ON_TIME_COST_RATIO = 4;
 
-/** The same if it is late anyway. */
+/** The same limit for a job that ends late in any case. */
 const LATE_COST_RATIO = 0.5;
 
-/** A claim on targets lasts this much longer than what it waits for, in milliseconds; then room is made elsewhere, too. */
+/**
+ * Time that a target claim outlasts the expected end of the runs it waits for.
+ * After that, capacity is freed on other targets as well.
+ */
 const TARGET_CLAIM_MARGIN_MS = 100;
 
-/** Share of its slack that an urgent job waits for others to end by themselves: their estimates are rough. A stop would take its time as well, so it never waits longer than that. */
+/**
+ * Share of its slack that an urgent job waits for other runs to end, since
+ * their estimates are rough. The wait never exceeds the time of a stop, which
+ * is the alternative.
+ */
 const MAX_SLACK_WAIT_SHARE = 0.25;
 
-/** A guaranteed job waits for runs to end by themselves until this much before its bound, in milliseconds. */
+/**
+ * A guaranteed job stops waiting for other runs to end this long before its
+ * start bound.
+ */
 const RECLAIM_MARGIN_MS = 1200;
 
-/** What a decision is made from. */
+/** Input of a scheduling pass. */
 export interface SchedulingSnapshot {
   jobs: readonly ActiveJob[];
   targets: readonly TargetState[];
   estimator: DurationEstimator;
-  /** Accelerators that belong to each workspace's urgent jobs. */
+  /** Accelerators guaranteed to the urgent jobs of each workspace. */
   guarantees: ReadonlyMap<string, number>;
-  /** Failure domains that get no new work. */
+  /** Failure domains that receive no new work. */
   evacuated: ReadonlySet<string>;
   settings: DispatchSettings;
-  /** Targets that the advisor allows for a unit; undefined where no advisor is needed. */
+  /**
+   * Returns the targets that the advisor allows for a unit; undefined if the
+   * unit needs no advice.
+   */
   findAllowedTargets: (unit: ActiveUnit) => ReadonlySet<string> | undefined;
 }
 
-/** What a pass decided. */
+/** Result of a scheduling pass. */
 export interface Decision {
   starts: PlannedStart[];
-  /** Units to stop for urgent work. */
+  /**
+   * Units to stop, each with the id of the urgent job (`for`) that needs its
+   * capacity.
+   */
   stops: Array<{unit: ActiveUnit; for: string}>;
-  /** Why urgent units do not start now. */
+  /** Reasons why urgent units do not start now. */
   waits: Array<{unit: ActiveUnit; reason: string}>;
-  /** Targets kept for units until there is room. */
+  /** Targets to keep free of other work until the unit fits. */
   targetClaims: Array<{
     unit: ActiveUnit;
-    rooms: ReadonlySet<TargetState>;
+    targets: ReadonlySet<TargetState>;
     until: Instant;
   }>;
 }
@@ -90,9 +116,9 @@
   urgency: Urgency;
 }
 
-/** Decides who starts now. Changes nothing but its own working copies. */
-export function decide(situation: SchedulingSnapshot, now: Instant): Decision {
-  return new SchedulingPass(situation, now).run();
+/** Decides which units start now. Modifies only its own working copies. */
+export function decide(snapshot: SchedulingSnapshot, now: Instant): Decision {
+  return new SchedulingPass(snapshot, now).run();
 }
 
 class SchedulingPass {
@@ -102,29 +128,34 @@
     targetClaims: [],
     waits: [],
   };
-  private readonly spaces: CandidateTarget[];
-  private readonly withinGuarantee: ReadonlySet<ActiveJob>;
-  private readonly claims = new Map<TargetState, ActiveUnit>();
-  /** Shapes that found no room in this pass: the same shape finds none either. */
-  private readonly misfits = new Set<string>();
-  private reservations = 0;
+  private readonly candidates: CandidateTarget[];
+  private readonly guaranteedJobs: ReadonlySet<ActiveJob>;
+  private readonly claimants = new Map<TargetState, ActiveUnit>();
+  /**
+   * Shapes that could not be placed in this pass; other units of the same shape
+   * cannot be placed either.
+   */
+  private readonly unplaceableShapes = new Set<string>();
+  private reservationCount = 0;
 
   constructor(
-    private readonly situation: SchedulingSnapshot,
+    private readonly snapshot: SchedulingSnapshot,
     private readonly now: Instant,
   ) {
-    this.spaces = this.openSpaces();
-    this.withinGuarantee = findGuaranteedJobs(
-      situation.jobs,
-      situation.guarantees,
+    this.candidates = this.createCandidates();
+    this.guaranteedJobs = findGuaranteedJobs(
+      snapshot.jobs,
+      snapshot.guarantees,
     );
-    for (const unit of situation.jobs.flatMap(({units}) => units)) {
+    for (const unit of snapshot.jobs.flatMap(({units}) => units)) {
       if (
         unit.targetClaim &&
         isUnitWaiting(unit) &&
         unit.targetClaim.until > now
       ) {
-        unit.targetClaim.rooms.forEach(room => this.claims.set(room, unit));
+        unit.targetClaim.targets.forEach(target =>
+          this.claimants.set(target, unit),
+        );
       }
     }
   }
@@ -136,33 +167,34 @@
     return this.decision;
   }
 
-  private openSpaces(): CandidateTarget[] {
-    const {evacuated, targets: rooms} = this.situation;
-    const silent = findSilentDomains(rooms, this.now);
-    const spaces: CandidateTarget[] = [];
-    for (const room of rooms) {
-      const {info} = room;
-      const isOpen = room.isSchedulable(this.now, MAX_LISTING_AGE_MS);
-      const isBarred = evacuated.has(info.domain) || silent.has(info.domain);
-      if (!isOpen || isBarred) {
+  private createCandidates(): CandidateTarget[] {
+    const {evacuated, targets} = this.snapshot;
+    const silentDomains = findSilentDomains(targets, this.now);
+    const candidates: CandidateTarget[] = [];
+    for (const target of targets) {
+      const {info} = target;
+      const isSchedulable = target.isSchedulable(this.now, MAX_LISTING_AGE_MS);
+      const isExcluded =
+        evacuated.has(info.domain) || silentDomains.has(info.domain);
+      if (!isSchedulable || isExcluded) {
         continue;
       }
-      spaces.push({
-        target: room,
-        free: room.computeFreeCapacity(),
+      candidates.push({
+        target,
+        free: target.computeFreeCapacity(),
         rack: info.rack,
         domain: info.domain,
         labels: info.labels,
-        slowness: room.slowness,
+        slowness: target.slowness,
         reservedFrom: Infinity,
       });
     }
-    return spaces;
+    return candidates;
   }
 
   private listWaiting(): WaitingUnit[] {
     const waiting: WaitingUnit[] = [];
-    for (const job of this.situation.jobs) {
+    for (const job of this.snapshot.jobs) {
       if (job.isCancelled || job.hasFailed) {
         continue;
       }
@@ -172,7 +204,7 @@
           continue;
         }
         if (this.isReady(unit)) {
-          urgency ??= rateUrgency(job, this.situation.estimator, this.now);
+          urgency ??= rateUrgency(job, this.snapshot.estimator, this.now);
           waiting.push({unit, urgency});
         }
       }
@@ -193,29 +225,31 @@
   }
 
   private consider(unit: ActiveUnit, urgency: Urgency): void {
-    const shape = createShapeKey(unit);
-    if (this.misfits.has(shape) && !this.hasClaim(unit)) {
+    const shapeKey = createShapeKey(unit);
+    if (this.unplaceableShapes.has(shapeKey) && !this.hasTargetClaim(unit)) {
       return;
     }
-    const seeker = createPlacementRequest(
+    const request = createPlacementRequest(
       unit,
       this.decision.starts,
-      this.situation.findAllowedTargets(unit),
+      this.snapshot.findAllowedTargets(unit),
     );
-    const spaces = this.spacesOf(unit);
-    const placement = this.place(unit, urgency, seeker, spaces);
+    const candidates = this.listCandidates(unit);
+    const placement = this.place(unit, urgency, request, candidates);
     if (placement) {
-      this.start(unit, seeker, placement);
+      this.addStart(unit, request, placement);
       return;
     }
-    this.misfits.add(shape);
+    this.unplaceableShapes.add(shapeKey);
     const isReclaimed =
       urgency.tier === UrgencyTier.URGENT &&
-      (this.hasClaim(unit) || this.reclaim(unit, urgency, seeker, spaces));
-    if (!isReclaimed && this.reservations < MAX_RESERVATIONS) {
-      const expectEnd = (booking: Allocation) => this.expectEnd(booking);
-      if (reserveTargets(seeker, spaces, expectEnd, this.now)) {
-        this.reservations++;
+      (this.hasTargetClaim(unit) ||
+        this.reclaim(unit, urgency, request, candidates));
+    if (!isReclaimed && this.reservationCount < MAX_RESERVATIONS) {
+      const estimateEnd = (allocation: Allocation) =>
+        this.estimateEnd(allocation);
+      if (reserveTargets(request, candidates, estimateEnd, this.now)) {
+        this.reservationCount++;
       }
     }
   }
@@ -223,159 +257,193 @@
   private place(
     unit: ActiveUnit,
     urgency: Urgency,
-    seeker: PlacementRequest,
-    spaces: readonly CandidateTarget[],
+    request: PlacementRequest,
+    candidates: readonly CandidateTarget[],
   ): Placement | undefined {
-    const duration = this.durationOf(unit);
-    const near = findLocalPlacement(seeker, spaces, this.now + duration);
-    const mindsDistance = seeker.isRackSensitive || seeker.dataRack;
-    if (near || !mindsDistance) {
-      return near;
+    const expectedDuration = this.estimateDuration(unit);
+    const localPlacement = findLocalPlacement(
+      request,
+      candidates,
+      this.now + expectedDuration,
+    );
+    const hasLocalityPreference = request.isRackSensitive || request.dataRack;
+    if (localPlacement || !hasLocalityPreference) {
+      return localPlacement;
     }
-    // Far away it takes longer: only for want of any near place, or to keep a guarantee.
+    // With a locality penalty the run takes longer, so it is accepted only if
+    // no rack can ever hold the unit, or to keep a guarantee.
     const waited = this.now - unit.job.acceptedAt;
-    const isForced = this.withinGuarantee.has(unit.job);
-    const isOverdue = isForced && waited > this.reclaimPatience();
-    if (isOverdue || !isFeasibleWithLocality(seeker, spaces)) {
-      const far = duration * this.situation.settings.rackFactor;
-      return findPlacementAnywhere(seeker, spaces, this.now + far);
+    const isGuaranteed = this.guaranteedJobs.has(unit.job);
+    const isOverdue = isGuaranteed && waited > this.computeLocalWaitLimit();
+    if (isOverdue || !isFeasibleWithLocality(request, candidates)) {
+      const penalizedDuration =
+        expectedDuration * this.snapshot.settings.rackFactor;
+      return findPlacementAnywhere(
+        request,
+        candidates,
+        this.now + penalizedDuration,
+      );
     }
     return undefined;
   }
 
-  /** Time that a guaranteed job may wait for a near place before any place must do. */
-  private reclaimPatience(): Milliseconds {
-    const {reclaimTime, stopTime} = this.situation.settings;
+  /**
+   * Returns how long a guaranteed job waits for a local placement before it
+   * accepts the locality penalty.
+   */
+  private computeLocalWaitLimit(): Milliseconds {
+    const {reclaimTime, stopTime} = this.snapshot.settings;
     return Math.max(0, reclaimTime - 2 * stopTime - RECLAIM_MARGIN_MS / 2);
   }
 
-  private start(
+  private addStart(
     unit: ActiveUnit,
-    seeker: PlacementRequest,
+    request: PlacementRequest,
     placement: Placement,
   ): void {
-    for (const {candidate: space, members} of placement.shares) {
-      deductCapacity(space, seeker.demand, members);
+    for (const {candidate, members} of placement.shares) {
+      deductCapacity(candidate, request.demand, members);
     }
     this.decision.starts.push({unit, placement});
   }
 
-  private hasClaim(unit: ActiveUnit): boolean {
+  private hasTargetClaim(unit: ActiveUnit): boolean {
     return unit.targetClaim !== undefined && unit.targetClaim.until > this.now;
   }
 
-  /** Stops others for an urgent unit, or waits for some that end soon, and claims their targets. */
+  /**
+   * Chooses units to stop or to wait for so that an urgent unit gets capacity,
+   * and claims their targets. Returns whether it did.
+   */
   private reclaim(
     unit: ActiveUnit,
     urgency: Urgency,
-    seeker: PlacementRequest,
-    spaces: readonly CandidateTarget[],
+    request: PlacementRequest,
+    candidates: readonly CandidateTarget[],
   ): boolean {
-    const isForced = this.withinGuarantee.has(unit.job);
-    const startBy = this.startBy(unit, urgency, isForced);
-    const costOf = this.stopCosts(unit);
-    // Runs that did not end as expected once are not waited for again.
+    const isGuaranteed = this.guaranteedJobs.has(unit.job);
+    const startDeadline = this.computeStartDeadline(
+      unit,
+      urgency,
+      isGuaranteed,
+    );
+    const estimateStopCost = this.createStopCostEstimator(unit);
+    // A unit waits at most once for runs to end by themselves; runs that did
+    // not end as expected are not waited for again.
     const hasWaited = unit.targetClaim !== undefined;
-    const endsInTime = (booking: Allocation) =>
+    const endsInTime = (allocation: Allocation) =>
       !hasWaited &&
-      isProgressRateKnown(booking) &&
-      this.expectEnd(booking) <= startBy;
-    let plan = planReclaim(seeker, spaces, costOf, endsInTime);
+      isProgressRateKnown(allocation) &&
+      this.estimateEnd(allocation) <= startDeadline;
+    let plan = planReclaim(request, candidates, estimateStopCost, endsInTime);
     const waited = this.now - unit.job.acceptedAt;
-    if (!plan && isForced && waited > this.reclaimPatience() / 2) {
-      const anywhere = {...seeker, isRackSensitive: false};
-      plan = planReclaim(anywhere, spaces, costOf, endsInTime);
+    if (!plan && isGuaranteed && waited > this.computeLocalWaitLimit() / 2) {
+      const relaxedRequest = {...request, isRackSensitive: false};
+      plan = planReclaim(
+        relaxedRequest,
+        candidates,
+        estimateStopCost,
+        endsInTime,
+      );
     }
-    const isTimely = this.now <= urgency.latestStart;
-    const ratio = isTimely ? ON_TIME_COST_RATIO : LATE_COST_RATIO;
-    const limit = isForced ? Infinity : ratio * computeWork(unit);
-    if (!plan || plan.cost > limit) {
+    const isOnTime = this.now <= urgency.latestStart;
+    const costRatio = isOnTime ? ON_TIME_COST_RATIO : LATE_COST_RATIO;
+    const costLimit = isGuaranteed ? Infinity : costRatio * computeWork(unit);
+    if (!plan || plan.cost > costLimit) {
       const reason = plan
-        ? `making room would cost ${Math.round(plan.cost)} core-seconds, more than ${Math.round(limit)}`
-        : 'no room can be made for it';
+        ? `freeing capacity would cost ${Math.round(plan.cost)} core-seconds, more than the limit of ${Math.round(costLimit)}`
+        : 'no units can be stopped to free enough capacity';
       this.decision.waits.push({unit, reason});
       return false;
     }
     const victims = plan.victims.length;
-    const reason = `room on ${plan.candidates.length} targets: ${victims} units are stopped, others end by themselves`;
+    const reason = `capacity is being freed on ${plan.candidates.length} targets: ${victims} units are stopped, other runs end by themselves`;
     this.decision.waits.push({unit, reason});
     for (const victim of plan.victims) {
       this.decision.stops.push({unit: victim, for: unit.job.id});
     }
-    const rooms = new Set(plan.candidates.map(({target: room}) => room));
-    rooms.forEach(room => this.claims.set(room, unit));
-    const {stopTime} = this.situation.settings;
+    const targets = new Set(plan.candidates.map(({target}) => target));
+    targets.forEach(target => this.claimants.set(target, unit));
+    const {stopTime} = this.snapshot.settings;
     const until =
-      Math.max(startBy, this.now + stopTime) + TARGET_CLAIM_MARGIN_MS;
-    this.decision.targetClaims.push({unit, rooms, until});
+      Math.max(startDeadline, this.now + stopTime) + TARGET_CLAIM_MARGIN_MS;
+    this.decision.targetClaims.push({unit, targets, until});
     return true;
   }
 
-  /** Until when the unit can wait for others to end by themselves. */
-  private startBy(
+  /**
+   * Returns the latest time until which the unit waits for other runs to end.
+   */
+  private computeStartDeadline(
     unit: ActiveUnit,
     urgency: Urgency,
-    isForced: boolean,
+    isGuaranteed: boolean,
   ): Instant {
-    const {reclaimTime, stopTime} = this.situation.settings;
+    const {reclaimTime, stopTime} = this.snapshot.settings;
     const slack = Math.max(0, urgency.latestStart - this.now);
-    const wished = this.now + Math.min(slack * MAX_SLACK_WAIT_SHARE, stopTime);
-    const bound = unit.job.acceptedAt + reclaimTime - RECLAIM_MARGIN_MS;
-    return isForced ? Math.min(wished, bound) : wished;
+    const preferredDeadline =
+      this.now + Math.min(slack * MAX_SLACK_WAIT_SHARE, stopTime);
+    const guaranteeDeadline =
+      unit.job.acceptedAt + reclaimTime - RECLAIM_MARGIN_MS;
+    return isGuaranteed
+      ? Math.min(preferredDeadline, guaranteeDeadline)
+      : preferredDeadline;
   }
 
-  private stopCosts(claimant: ActiveUnit): (victim: ActiveUnit) => number {
-    const {settings, estimator: estimates} = this.situation;
-    const stopping = new Set(this.decision.stops.map(({unit}) => unit));
-    const known = new Map<ActiveUnit, number>();
+  private createStopCostEstimator(
+    claimant: ActiveUnit,
+  ): (victim: ActiveUnit) => number {
+    const {settings, estimator} = this.snapshot;
+    const alreadyStopped = new Set(this.decision.stops.map(({unit}) => unit));
+    const costs = new Map<ActiveUnit, number>();
     return victim => {
-      let cost = known.get(victim);
+      let cost = costs.get(victim);
       if (cost === undefined) {
-        const urgency = rateUrgency(victim.job, estimates, this.now);
-        cost = stopping.has(victim)
+        const urgency = rateUrgency(victim.job, estimator, this.now);
+        cost = alreadyStopped.has(victim)
           ? Infinity
           : computeStopCost(victim, claimant.job, urgency, settings, this.now);
-        known.set(victim, cost);
+        costs.set(victim, cost);
       }
       return cost;
     };
   }
 
-  private spacesOf(unit: ActiveUnit): readonly CandidateTarget[] {
+  private listCandidates(unit: ActiveUnit): readonly CandidateTarget[] {
     const {pool} = unit.job.accepted.terms;
-    return this.spaces.filter(({target: room}) => {
-      const claimant = this.claims.get(room);
-      const isFree = claimant === undefined || claimant === unit;
-      return isFree && room.info.pool === pool;
+    return this.candidates.filter(({target}) => {
+      const claimant = this.claimants.get(target);
+      const isUnclaimed = claimant === undefined || claimant === unit;
+      return isUnclaimed && target.info.pool === pool;
     });
   }
 
-  private durationOf(unit: ActiveUnit): Milliseconds {
-    const {estimator: estimates} = this.situation;
-    return estimates.estimateDuration(
+  private estimateDuration(unit: ActiveUnit): Milliseconds {
+    const {estimator} = this.snapshot;
+    return estimator.estimateDuration(
       unit.job.accepted.queue,
       unit.step.estimateMs,
     );
   }
 
-  private expectEnd(booking: Allocation): Instant {
-    const {unit} = booking;
+  private estimateEnd(allocation: Allocation): Instant {
+    const {unit} = allocation;
     if (!unit) {
-      return this.now + this.situation.settings.stopTime;
+      return this.now + this.snapshot.settings.stopTime;
     }
     if (unit.phase === 'stopping') {
-      return this.now + this.situation.settings.stopTime;
+      return this.now + this.snapshot.settings.stopTime;
     }
-    const {estimator: estimates, settings} = this.situation;
+    const {estimator, settings} = this.snapshot;
     const {rackFactor} = settings;
     return (
       this.now +
-      estimateRemainingTime(booking, unit, estimates, rackFactor, this.now)
+      estimateRemainingTime(allocation, unit, estimator, rackFactor, this.now)
     );
   }
 }
 
-/** Estimated work of a unit in core-seconds. */
+/** Returns the estimated work of a unit in core-seconds. */
 function computeWork(unit: ActiveUnit): number {
   const {cpu, accelerators} = unit.step.demand;
   const cores = cpu / 1000 + accelerators * 8;
--- a/packages/dispatch/src/policy/guarantee.ts
+++ b/packages/dispatch/src/policy/guarantee.ts
@@ -1,7 +1,12 @@
-/** Which urgent jobs are inside the guarantee of their workspace. */
+/**
+ * Determines which urgent jobs are covered by the guarantee of their workspace.
+ */
 import type {ActiveJob} from '../active_job.js';
 
-/** Urgent jobs of workspaces that need no more than their guarantee. */
+/**
+ * Returns the urgent jobs of workspaces whose urgent jobs together need no more
+ * accelerators than guaranteed.
+ */
 export function findGuaranteedJobs(
   jobs: readonly ActiveJob[],
   guarantees: ReadonlyMap<string, number>,
@@ -19,19 +24,19 @@
     entry.jobs.push(job);
     byWorkspace.set(job.accepted.workspace, entry);
   }
-  const within = new Set<ActiveJob>();
+  const guaranteed = new Set<ActiveJob>();
   for (const [workspace, {needed, jobs}] of byWorkspace) {
     if (needed <= (guarantees.get(workspace) ?? 0)) {
-      jobs.forEach(job => within.add(job));
+      jobs.forEach(job => guaranteed.add(job));
     }
   }
-  return within;
+  return guaranteed;
 }
 
-/** Accelerators of a job's widest step. */
+/** Returns the number of accelerators of the job's widest step. */
 function countAccelerators({accepted: job}: ActiveJob): number {
-  const needs = job.spec.steps.map(
+  const counts = job.spec.steps.map(
     step => step.count * step.demand.accelerators,
   );
-  return Math.max(...needs);
+  return Math.max(...counts);
 }
--- a/packages/dispatch/src/policy/placement_request.ts
+++ b/packages/dispatch/src/policy/placement_request.ts
@@ -1,4 +1,4 @@
-/** What a unit asks of targets. */
+/** Creates placement requests from units. */
 import {
   type ActiveUnit,
   computeAllocatedDemand,
@@ -7,23 +7,32 @@
 import {type Placement, findLocalPlacement} from './placement_search.js';
 import type {PlacementRequest, CandidateTarget} from './candidate_target.js';
 
-/** Accelerators of room that twice the time on a target weighs as much as, for urgent work. */
+/**
+ * Slowness weight of urgent units, in accelerators; see
+ * `PlacementRequest.slownessWeight`.
+ */
 const URGENT_SLOWNESS_WEIGHT = 40;
 
-/** The same for other work: it leaves the fast targets to urgent work. */
+/**
+ * Slowness weight of other units. Being negative, it makes them prefer slow
+ * targets and leave the fast ones to urgent work.
+ */
 const NON_URGENT_SLOWNESS_WEIGHT = -5;
 
-/** A unit with its place. */
+/** A unit and the placement with which it starts. */
 export interface PlannedStart {
   unit: ActiveUnit;
   placement: Placement;
 }
 
-/** The unit as the search sees it; `starts` were decided before it in the same pass. */
+/**
+ * Creates the placement request of a unit. `starts` are the decisions made
+ * earlier in the same pass.
+ */
 export function createPlacementRequest(
   unit: ActiveUnit,
   starts: readonly PlannedStart[],
-  allowed: ReadonlySet<string> | undefined,
+  allowedTargets: ReadonlySet<string> | undefined,
 ): PlacementRequest {
   const {step} = unit;
   return {
@@ -34,7 +43,7 @@
     dataRack: step.dataRack,
     countRemainingMembers: createMemberCounter(unit, starts),
     avoidedTargets: unit.avoidedTargets,
-    allowedTargets: allowed,
+    allowedTargets,
     slownessWeight:
       unit.job.accepted.terms.priority === 0
         ? URGENT_SLOWNESS_WEIGHT
@@ -42,14 +51,19 @@
   };
 }
 
-/** Units of the same shape and constraints find room or not together. */
+/**
+ * Returns a key that units with equal demand and constraints share; either all
+ * of them can be placed or none.
+ */
 export function createShapeKey(unit: ActiveUnit): string {
   const {step, job} = unit;
-  const isSpecial =
+  const isUnique =
     unit.avoidedTargets.size > 0 ||
     step.maxPerTarget !== undefined ||
     job.accepted.terms.needsAdvice;
-  const own = isSpecial ? `${job.id}.${unit.stepIndex}.${unit.unitIndex}` : '';
+  const uniqueKey = isUnique
+    ? `${job.id}.${unit.stepIndex}.${unit.unitIndex}`
+    : '';
   const {cpu, memoryMb, accelerators} = step.demand;
   return [
     countMembers(unit),
@@ -61,37 +75,43 @@
     step.dataRack,
     step.estimateMs,
     job.accepted.queue,
-    own,
+    uniqueKey,
   ].join('|');
 }
 
-/** Whether one rack could hold every member if it were empty. */
+/**
+ * Whether the request could be placed without a locality penalty if all targets
+ * were empty.
+ */
 export function isFeasibleWithLocality(
-  seeker: PlacementRequest,
-  spaces: readonly CandidateTarget[],
+  request: PlacementRequest,
+  candidates: readonly CandidateTarget[],
 ): boolean {
-  const empty = spaces.map(space => ({
-    ...space,
-    free: {...space.target.info.capacity},
+  const emptyCandidates = candidates.map(candidate => ({
+    ...candidate,
+    free: {...candidate.target.info.capacity},
   }));
-  return findLocalPlacement(seeker, empty, -Infinity) !== undefined;
+  return findLocalPlacement(request, emptyCandidates, -Infinity) !== undefined;
 }
 
-/** Members of the step that each target may still take. */
+/**
+ * Returns a function that computes how many more members of the unit's step a
+ * target may take.
+ */
 function createMemberCounter(
   unit: ActiveUnit,
   starts: readonly PlannedStart[],
 ): (targetId: string) => number {
-  const most = unit.step.maxPerTarget;
-  if (most === undefined) {
+  const maxPerTarget = unit.step.maxPerTarget;
+  if (maxPerTarget === undefined) {
     return () => Infinity;
   }
-  const taken = new Map<string, number>();
+  const placedCounts = new Map<string, number>();
   const add = (id: string, members: number) =>
-    taken.set(id, (taken.get(id) ?? 0) + members);
+    placedCounts.set(id, (placedCounts.get(id) ?? 0) + members);
   for (const other of unit.job.units) {
     if (isSameStep(other, unit)) {
-      other.allocations.forEach(({target: room}) => add(room.info.id, 1));
+      other.allocations.forEach(({target}) => add(target.info.id, 1));
     }
   }
   for (const {unit: other, placement} of starts) {
@@ -101,7 +121,7 @@
       );
     }
   }
-  return id => Math.max(0, most - (taken.get(id) ?? 0));
+  return id => Math.max(0, maxPerTarget - (placedCounts.get(id) ?? 0));
 }
 
 function isSameStep(a: ActiveUnit, b: ActiveUnit): boolean {
--- a/packages/dispatch/src/policy/placement_search.ts
+++ b/packages/dispatch/src/policy/placement_search.ts
@@ -1,4 +1,7 @@
-/** Finds targets for a unit: the tightest fit, in one rack where that matters. */
+/**
+ * Finds targets for a unit by tightest fit, within one rack if the unit is
+ * rack-sensitive or bound to its data.
+ */
 import type {Instant} from '@galenavalve/shared';
 import {
   type PlacementRequest,
@@ -8,56 +11,70 @@
   groupByRack,
 } from './candidate_target.js';
 
-/** Members on one target. */
+/** Members placed on one target. */
 export interface PlacementShare {
   candidate: CandidateTarget;
   members: number;
 }
 
-/** A complete placement of a unit. */
+/** Targets for all members of a unit. */
 export interface Placement {
   shares: PlacementShare[];
-  /** Across racks though the tasks mind, or away from the data. */
+  /**
+   * Whether the placement spans racks though the unit is rack-sensitive, or is
+   * away from its data.
+   */
   hasLocalityPenalty: boolean;
 }
 
-/** Places every member, near if possible; undefined when they do not all fit. `endsBy` is the expected end. */
+/**
+ * Places all members without a locality penalty; undefined if they do not fit.
+ * `endsBy` is the expected end, which must not be later than a target's
+ * reservation.
+ */
 export function findLocalPlacement(
-  seeker: PlacementRequest,
-  spaces: readonly CandidateTarget[],
+  request: PlacementRequest,
+  candidates: readonly CandidateTarget[],
   endsBy: Instant,
 ): Placement | undefined {
-  const open = spaces.filter(space => space.reservedFrom >= endsBy);
-  return findTightestLocalFit(seeker, open);
+  const available = candidates.filter(
+    candidate => candidate.reservedFrom >= endsBy,
+  );
+  return findTightestLocalFit(request, available);
 }
 
-/** Places every member on whatever has room, however far apart. */
+/**
+ * Places all members on any targets with free capacity, with a locality
+ * penalty; undefined if they do not fit.
+ */
 export function findPlacementAnywhere(
-  seeker: PlacementRequest,
-  spaces: readonly CandidateTarget[],
+  request: PlacementRequest,
+  candidates: readonly CandidateTarget[],
   endsBy: Instant,
 ): Placement | undefined {
-  const open = spaces.filter(space => space.reservedFrom >= endsBy);
-  const shares = fillGroup(seeker, open);
+  const available = candidates.filter(
+    candidate => candidate.reservedFrom >= endsBy,
+  );
+  const shares = fillGroup(request, available);
   return shares && {shares, hasLocalityPenalty: true};
 }
 
 function findTightestLocalFit(
-  seeker: PlacementRequest,
-  spaces: readonly CandidateTarget[],
+  request: PlacementRequest,
+  candidates: readonly CandidateTarget[],
 ): Placement | undefined {
-  if (!seeker.isRackSensitive && seeker.dataRack === undefined) {
-    const shares = fillGroup(seeker, spaces);
+  if (!request.isRackSensitive && request.dataRack === undefined) {
+    const shares = fillGroup(request, candidates);
     return shares && {shares, hasLocalityPenalty: false};
   }
   let best: PlacementShare[] | undefined;
   let bestCost = Infinity;
-  for (const [rack, members] of groupByRack(spaces)) {
-    if (seeker.dataRack !== undefined && rack !== seeker.dataRack) {
+  for (const [rack, rackCandidates] of groupByRack(candidates)) {
+    if (request.dataRack !== undefined && rack !== request.dataRack) {
       continue;
     }
-    const shares = fillGroup(seeker, members);
-    const cost = shares && computeRackCost(shares, members, seeker);
+    const shares = fillGroup(request, rackCandidates);
+    const cost = shares && computeRackCost(shares, rackCandidates, request);
     if (shares && cost! < bestCost) {
       best = shares;
       bestCost = cost!;
@@ -66,56 +83,66 @@
   return best && {shares: best, hasLocalityPenalty: false};
 }
 
-/** Fills the targets that are left with least room, until all members have a place. */
+/**
+ * Places members on the targets with the least capacity left over; undefined if
+ * they do not all fit.
+ */
 function fillGroup(
-  seeker: PlacementRequest,
-  spaces: readonly CandidateTarget[],
+  request: PlacementRequest,
+  candidates: readonly CandidateTarget[],
 ): PlacementShare[] | undefined {
-  const fits: PlacementShare[] = [];
+  const options: PlacementShare[] = [];
   let total = 0;
-  for (const space of spaces) {
-    const most = countAllowedMembers(seeker, space);
-    const members = countFits(space.free, seeker.demand, most);
+  for (const candidate of candidates) {
+    const maxMembers = countAllowedMembers(request, candidate);
+    const members = countFits(candidate.free, request.demand, maxMembers);
     if (members > 0) {
-      fits.push({candidate: space, members});
+      options.push({candidate, members});
       total += members;
     }
   }
-  if (total < seeker.count) {
+  if (total < request.count) {
     return undefined;
   }
-  fits.sort((a, b) => computeLeftover(a, seeker) - computeLeftover(b, seeker));
+  options.sort(
+    (a, b) => computeLeftover(a, request) - computeLeftover(b, request),
+  );
   const shares: PlacementShare[] = [];
-  let missing = seeker.count;
-  for (const {candidate: space, members} of fits) {
+  let missing = request.count;
+  for (const {candidate, members} of options) {
     if (missing === 0) {
       break;
     }
     const taken = Math.min(members, missing);
-    shares.push({candidate: space, members: taken});
+    shares.push({candidate, members: taken});
     missing -= taken;
   }
   return shares;
 }
 
-/** Room left on a target that takes all it can, in accelerators; slow targets count as emptier. */
+/**
+ * Returns the accelerators left over on a target that takes as many members as
+ * it can, plus the cost of its slowness.
+ */
 function computeLeftover(
-  {candidate: space, members}: PlacementShare,
-  seeker: PlacementRequest,
+  {candidate, members}: PlacementShare,
+  request: PlacementRequest,
 ): number {
-  const left = space.free.accelerators - members * seeker.demand.accelerators;
-  return left + (space.slowness - 1) * seeker.slownessWeight;
+  const left =
+    candidate.free.accelerators - members * request.demand.accelerators;
+  return left + (candidate.slowness - 1) * request.slownessWeight;
 }
 
-/** Prefers the rack that is left with least room. */
+/**
+ * Returns the cost of a rack: its free accelerators plus the cost of the slowest
+ * target used. The rack with the least capacity left is preferred.
+ */
 function computeRackCost(
   shares: readonly PlacementShare[],
   rack: readonly CandidateTarget[],
-  seeker: PlacementRequest,
+  request: PlacementRequest,
 ): number {
   const free = rack.reduce((sum, {free}) => sum + free.accelerators, 0);
-  const slowest = Math.max(
-    ...shares.map(({candidate: space}) => space.slowness),
-  );
-  return free + (slowest - 1) * seeker.slownessWeight;
+  const slowest = Math.max(...shares.map(({candidate}) => candidate.slowness));
+  return free + (slowest - 1) * request.slownessWeight;
 }
--- a/packages/dispatch/src/policy/reclaim.ts
+++ b/packages/dispatch/src/policy/reclaim.ts
@@ -1,4 +1,7 @@
-/** Chooses whom to stop so that urgent work finds room, with the least work thrown away. */
+/**
+ * Chooses which units to stop so that urgent work gets capacity, at the lowest
+ * cost in lost work.
+ */
 import type {Demand} from '@galenavalve/workload';
 import type {Allocation, ActiveUnit} from '../active_job.js';
 import type {TargetState} from '../target_state.js';
@@ -12,29 +15,38 @@
   listPlacementGroups,
 } from './candidate_target.js';
 
-/** What stopping a unit would throw away; Infinity for one that may not be stopped. */
+/**
+ * Returns the cost of stopping a unit in core-seconds; Infinity if it may not
+ * be stopped.
+ */
 export type StopCostEstimator = (unit: ActiveUnit) => number;
 
-/** Whether the run of a booking ends by itself in time for the seeker. */
-export type EndPredicate = (booking: Allocation) => boolean;
+/**
+ * Whether the run of an allocation ends by itself early enough for the request.
+ */
+export type EndPredicate = (allocation: Allocation) => boolean;
 
-/** Units to stop, and where the room will be. */
+/** Units to stop, and the targets that then have capacity. */
 export interface ReclaimPlan {
   victims: ActiveUnit[];
   candidates: CandidateTarget[];
+  /** Lost work in core-seconds. */
   cost: number;
 }
 
-/** The cheapest way to make room for `seeker`; undefined when there is none. */
+/**
+ * Finds the cheapest way to free capacity for `request`; undefined if there is
+ * none.
+ */
 export function planReclaim(
-  seeker: PlacementRequest,
-  spaces: readonly CandidateTarget[],
-  costOf: StopCostEstimator,
+  request: PlacementRequest,
+  candidates: readonly CandidateTarget[],
+  estimateStopCost: StopCostEstimator,
   endsInTime: EndPredicate,
 ): ReclaimPlan | undefined {
   let best: ReclaimPlan | undefined;
-  for (const group of listPlacementGroups(seeker, spaces)) {
-    const plan = planGroup(seeker, group, costOf, endsInTime);
+  for (const group of listPlacementGroups(request, candidates)) {
+    const plan = planGroup(request, group, estimateStopCost, endsInTime);
     if (plan && (!best || plan.cost < best.cost)) {
       best = plan;
     }
@@ -43,79 +55,93 @@
 }
 
 function planGroup(
-  seeker: PlacementRequest,
+  request: PlacementRequest,
   group: readonly CandidateTarget[],
-  costOf: StopCostEstimator,
+  estimateStopCost: StopCostEstimator,
   endsInTime: EndPredicate,
 ): ReclaimPlan | undefined {
-  const usable = group.filter(space => countAllowedMembers(seeker, space) > 0);
+  const usable = group.filter(
+    candidate => countAllowedMembers(request, candidate) > 0,
+  );
   const free = new Map<CandidateTarget, Demand>();
-  const candidates = new Set<ActiveUnit>();
-  for (const space of usable) {
-    // Room of runs that are being stopped, or end in time, comes by itself.
-    let room = space.free;
-    for (const booking of space.target.allocations.values()) {
-      const {unit} = booking;
-      if (isBeingFreed(booking) || endsInTime(booking)) {
-        room = addAllocation(room, booking);
-      } else if (unit && Number.isFinite(costOf(unit))) {
-        candidates.add(unit);
+  const stoppable = new Set<ActiveUnit>();
+  for (const candidate of usable) {
+    // Runs that are being stopped or end in time release their capacity without
+    // a cost.
+    let capacity = candidate.free;
+    for (const allocation of candidate.target.allocations.values()) {
+      const {unit} = allocation;
+      if (isBeingFreed(allocation) || endsInTime(allocation)) {
+        capacity = addAllocation(capacity, allocation);
+      } else if (unit && Number.isFinite(estimateStopCost(unit))) {
+        stoppable.add(unit);
       }
     }
-    free.set(space, room);
+    free.set(candidate, capacity);
   }
-  const spaceOf = new Map(usable.map(space => [space.target, space]));
+  const candidateByTarget = new Map(
+    usable.map(candidate => [candidate.target, candidate]),
+  );
   const victims: ActiveUnit[] = [];
   let cost = 0;
-  let fits = countAllFittingMembers(seeker, free);
-  while (fits < seeker.count) {
-    const missing = seeker.count - fits;
+  let fits = countAllFittingMembers(request, free);
+  while (fits < request.count) {
+    const missing = request.count - fits;
     const next = chooseVictim(
-      seeker,
+      request,
       free,
-      spaceOf,
-      candidates,
+      candidateByTarget,
+      stoppable,
       missing,
-      costOf,
+      estimateStopCost,
     );
     if (!next) {
       return undefined;
     }
-    candidates.delete(next);
+    stoppable.delete(next);
     victims.push(next);
-    cost += costOf(next);
-    for (const [space, room] of computeFreedCapacity(next, free, spaceOf)) {
-      fits += countFittingMembers(seeker, space, room);
-      fits -= countFittingMembers(seeker, space, free.get(space)!);
-      free.set(space, room);
+    cost += estimateStopCost(next);
+    for (const [candidate, capacity] of computeFreedCapacity(
+      next,
+      free,
+      candidateByTarget,
+    )) {
+      fits += countFittingMembers(request, candidate, capacity);
+      fits -= countFittingMembers(request, candidate, free.get(candidate)!);
+      free.set(candidate, capacity);
     }
   }
-  return {victims, candidates: chooseFewestTargets(seeker, free), cost};
+  return {victims, candidates: chooseFewestTargets(request, free), cost};
 }
 
-/** The unit that gives most members a place for its cost. */
+/** Chooses the unit that frees capacity at the lowest cost per member. */
 function chooseVictim(
-  seeker: PlacementRequest,
+  request: PlacementRequest,
   free: ReadonlyMap<CandidateTarget, Demand>,
-  spaceOf: ReadonlyMap<TargetState, CandidateTarget>,
-  candidates: ReadonlySet<ActiveUnit>,
+  candidateByTarget: ReadonlyMap<TargetState, CandidateTarget>,
+  stoppable: ReadonlySet<ActiveUnit>,
   missing: number,
-  costOf: StopCostEstimator,
+  estimateStopCost: StopCostEstimator,
 ): ActiveUnit | undefined {
   let best: ActiveUnit | undefined;
-  let bestRate = Infinity;
-  for (const unit of candidates) {
+  let bestCostPerMember = Infinity;
+  for (const unit of stoppable) {
     let gain = 0;
-    for (const [space, room] of computeFreedCapacity(unit, free, spaceOf)) {
-      gain += countFittingMembers(seeker, space, room);
-      gain -= countFittingMembers(seeker, space, free.get(space)!);
+    for (const [candidate, capacity] of computeFreedCapacity(
+      unit,
+      free,
+      candidateByTarget,
+    )) {
+      gain += countFittingMembers(request, candidate, capacity);
+      gain -= countFittingMembers(request, candidate, free.get(candidate)!);
     }
     gain = Math.min(gain, missing);
-    // Several small runs may have to go before one member fits.
-    const rate = (costOf(unit) + 1e-6) / Math.max(gain, 0.1);
-    if (rate < bestRate) {
+    // A member may fit only after several small units are stopped, so a unit
+    // that gains nothing by itself remains eligible with a gain of 0.1.
+    const costPerMember = (estimateStopCost(unit) + 1e-6) / Math.max(gain, 0.1);
+    if (costPerMember < bestCostPerMember) {
       best = unit;
-      bestRate = rate;
+      bestCostPerMember = costPerMember;
     }
   }
   return best;
@@ -124,32 +150,32 @@
 function computeFreedCapacity(
   unit: ActiveUnit,
   free: ReadonlyMap<CandidateTarget, Demand>,
-  spaceOf: ReadonlyMap<TargetState, CandidateTarget>,
+  candidateByTarget: ReadonlyMap<TargetState, CandidateTarget>,
 ): Map<CandidateTarget, Demand> {
   const after = new Map<CandidateTarget, Demand>();
-  for (const booking of unit.allocations) {
-    const space = spaceOf.get(booking.target);
-    if (space) {
+  for (const allocation of unit.allocations) {
+    const candidate = candidateByTarget.get(allocation.target);
+    if (candidate) {
       after.set(
-        space,
-        addAllocation(after.get(space) ?? free.get(space)!, booking),
+        candidate,
+        addAllocation(after.get(candidate) ?? free.get(candidate)!, allocation),
       );
     }
   }
   return after;
 }
 
-function isBeingFreed(booking: Allocation): boolean {
-  return booking.isBeingStopped || booking.unit?.phase === 'stopping';
+function isBeingFreed(allocation: Allocation): boolean {
+  return allocation.isBeingStopped || allocation.unit?.phase === 'stopping';
 }
 
 function countAllFittingMembers(
-  seeker: PlacementRequest,
+  request: PlacementRequest,
   free: ReadonlyMap<CandidateTarget, Demand>,
 ): number {
   let total = 0;
-  for (const [space, room] of free) {
-    total += countFittingMembers(seeker, space, room);
+  for (const [candidate, capacity] of free) {
+    total += countFittingMembers(request, candidate, capacity);
   }
   return total;
 }
--- a/packages/dispatch/src/policy/reservation.ts
+++ b/packages/dispatch/src/policy/reservation.ts
@@ -1,4 +1,7 @@
-/** Keeps room for a unit that does not fit yet, so that small work does not starve it. */
+/**
+ * Reserves targets for a unit that does not fit yet, so that small units do not
+ * starve it.
+ */
 import type {Instant} from '@galenavalve/shared';
 import type {Demand} from '@galenavalve/workload';
 import type {Allocation} from '../active_job.js';
@@ -11,98 +14,109 @@
   listPlacementGroups,
 } from './candidate_target.js';
 
-/** When the run of a booking is expected to end. */
-export type EndEstimator = (booking: Allocation) => Instant;
+/** Returns when the run of an allocation is expected to end. */
+export type EndEstimator = (allocation: Allocation) => Instant;
 
 interface ReservationPlan {
+  /** When the unit is expected to fit. */
   at: Instant;
   candidates: CandidateTarget[];
 }
 
-/** Marks the targets that will first have room for all members; false when none ever will. */
+/**
+ * Reserves the targets that are the first to fit all members; returns false if
+ * none ever will.
+ */
 export function reserveTargets(
-  seeker: PlacementRequest,
-  spaces: readonly CandidateTarget[],
-  expectEnd: EndEstimator,
+  request: PlacementRequest,
+  candidates: readonly CandidateTarget[],
+  estimateEnd: EndEstimator,
   now: Instant,
 ): boolean {
   let best: ReservationPlan | undefined;
-  for (const group of listPlacementGroups(seeker, spaces)) {
-    const opening = planReservation(seeker, group, expectEnd, now);
-    if (opening && (!best || opening.at < best.at)) {
-      best = opening;
+  for (const group of listPlacementGroups(request, candidates)) {
+    const plan = planReservation(request, group, estimateEnd, now);
+    if (plan && (!best || plan.at < best.at)) {
+      best = plan;
     }
   }
-  for (const space of best?.candidates ?? []) {
-    space.reservedFrom = Math.min(space.reservedFrom, best!.at);
+  for (const candidate of best?.candidates ?? []) {
+    candidate.reservedFrom = Math.min(candidate.reservedFrom, best!.at);
   }
   return best !== undefined;
 }
 
-/** Lets the bookings of a group end one after the other until the unit fits. */
+/**
+ * Releases the allocations of a group in the order of their expected ends until
+ * the unit fits.
+ */
 function planReservation(
-  seeker: PlacementRequest,
+  request: PlacementRequest,
   group: readonly CandidateTarget[],
-  expectEnd: EndEstimator,
+  estimateEnd: EndEstimator,
   now: Instant,
 ): ReservationPlan | undefined {
   const free = new Map<CandidateTarget, Demand>();
   const ends: Array<{
-    space: CandidateTarget;
-    booking: Allocation;
+    candidate: CandidateTarget;
+    allocation: Allocation;
     at: Instant;
   }> = [];
-  for (const space of group) {
-    if (countAllowedMembers(seeker, space) === 0) {
+  for (const candidate of group) {
+    if (countAllowedMembers(request, candidate) === 0) {
       continue;
     }
-    free.set(space, space.free);
-    for (const booking of space.target.allocations.values()) {
-      ends.push({space, booking, at: Math.max(now, expectEnd(booking))});
+    free.set(candidate, candidate.free);
+    for (const allocation of candidate.target.allocations.values()) {
+      ends.push({
+        candidate,
+        allocation,
+        at: Math.max(now, estimateEnd(allocation)),
+      });
     }
   }
   ends.sort((a, b) => a.at - b.at);
   let total = 0;
-  for (const [space, room] of free) {
-    total += countFittingMembers(seeker, space, room);
+  for (const [candidate, capacity] of free) {
+    total += countFittingMembers(request, candidate, capacity);
   }
   let at = now;
   for (const end of ends) {
-    if (total >= seeker.count) {
+    if (total >= request.count) {
       break;
     }
-    const before = free.get(end.space)!;
-    const after = addAllocation(before, end.booking);
-    free.set(end.space, after);
-    total += countFittingMembers(seeker, end.space, after);
-    total -= countFittingMembers(seeker, end.space, before);
+    const before = free.get(end.candidate)!;
+    const after = addAllocation(before, end.allocation);
+    free.set(end.candidate, after);
+    total += countFittingMembers(request, end.candidate, after);
+    total -= countFittingMembers(request, end.candidate, before);
     at = end.at;
   }
-  if (total < seeker.count) {
+  if (total < request.count) {
     return undefined;
   }
-  return {at, candidates: chooseFewestTargets(seeker, free)};
+  return {at, candidates: chooseFewestTargets(request, free)};
 }
 
-/** The fewest targets that together take all members. */
+/** Returns the fewest targets that can take all members. */
 export function chooseFewestTargets(
-  seeker: PlacementRequest,
+  request: PlacementRequest,
   free: ReadonlyMap<CandidateTarget, Demand>,
 ): CandidateTarget[] {
-  const byFits = [...free]
-    .map(([space, room]) => ({
-      space,
-      fits: countFittingMembers(seeker, space, room),
+  const byFittingMembers = [...free]
+    .map(([candidate, capacity]) => ({
+      candidate,
+      fits: countFittingMembers(request, candidate, capacity),
     }))
     .filter(({fits}) => fits > 0)
     .sort((a, b) => b.fits - a.fits);
   const chosen: CandidateTarget[] = [];
-  let missing = seeker.count;
-  for (const {space, fits} of byFits) {
+  let missing = request.count;
+  for (const {candidate, fits} of byFittingMembers) {
     if (missing <= 0) {
       break;
     }
-    chosen.push(space);
+    chosen.push(candidate);
     missing -= fits;
   }
   return chosen;
--- a/packages/dispatch/src/policy/silent_domains.ts
+++ b/packages/dispatch/src/policy/silent_domains.ts
@@ -1,38 +1,50 @@
-/** Failure domains that seem to be cut off: nothing new goes there until one of their targets answers. */
+/**
+ * Detects failure domains that appear to be cut off. They receive no new work
+ * until one of their targets responds.
+ */
 import type {Instant} from '@galenavalve/shared';
 import type {TargetState} from '../target_state.js';
 
-/** Targets whose answer is late before their domain is suspected: a single one has a fault of its own. */
+/**
+ * Late responses from which on a domain is suspected; a single late target has
+ * a fault of its own.
+ */
 const MIN_LATE_TARGETS = 2;
 
-/** Domains in which several answers are late, and none came since the first of them was due. */
+/**
+ * Returns the domains in which at least `MIN_LATE_TARGETS` responses are late
+ * and no target has responded since the first of those was due.
+ */
 export function findSilentDomains(
-  rooms: Iterable<TargetState>,
+  targets: Iterable<TargetState>,
   now: Instant,
 ): ReadonlySet<string> {
   const domains = new Map<
     string,
-    {late: number; firstDue: Instant; lastAnswer: Instant}
+    {late: number; firstDueAt: Instant; lastResponseAt: Instant}
   >();
-  for (const room of rooms) {
-    const {domain} = room.info;
+  for (const target of targets) {
+    const {domain} = target.info;
     const entry = domains.get(domain) ?? {
       late: 0,
-      firstDue: Infinity,
-      lastAnswer: -Infinity,
+      firstDueAt: Infinity,
+      lastResponseAt: -Infinity,
     };
     domains.set(domain, entry);
-    entry.lastAnswer = Math.max(entry.lastAnswer, room.lastResponseAt);
-    if (room.isRegistered && room.isResponseLate(now)) {
+    entry.lastResponseAt = Math.max(
+      entry.lastResponseAt,
+      target.lastResponseAt,
+    );
+    if (target.isRegistered && target.isResponseLate(now)) {
       entry.late++;
-      entry.firstDue = Math.min(entry.firstDue, room.responseDueAt);
+      entry.firstDueAt = Math.min(entry.firstDueAt, target.responseDueAt);
     }
   }
-  const silent = new Set<string>();
-  for (const [domain, {late, firstDue, lastAnswer}] of domains) {
-    if (late >= MIN_LATE_TARGETS && lastAnswer < firstDue) {
-      silent.add(domain);
+  const silentDomains = new Set<string>();
+  for (const [domain, {late, firstDueAt, lastResponseAt}] of domains) {
+    if (late >= MIN_LATE_TARGETS && lastResponseAt < firstDueAt) {
+      silentDomains.add(domain);
     }
   }
-  return silent;
+  return silentDomains;
 }
--- a/packages/dispatch/src/policy/stop_cost.ts
+++ b/packages/dispatch/src/policy/stop_cost.ts
@@ -1,21 +1,30 @@
-/** What stopping a unit throws away. */
+/** Computes the work that is lost when a unit is stopped. */
 import type {Instant} from '@galenavalve/shared';
 import {type ActiveJob, type ActiveUnit, countMembers} from '../active_job.js';
 import type {DispatchSettings} from '../settings.js';
 import {UrgencyTier, type Urgency} from './urgency.js';
 
-/** Cores that an accelerator weighs as much as; the platform's prices count so. */
+/**
+ * Cores that count as much as one accelerator; the platform's prices use the
+ * same ratio.
+ */
 const CORES_PER_ACCELERATOR = 8;
 
-/** Share of a job's value that it loses by being late; the sheets give two thirds to four fifths. */
+/**
+ * Share of a job's value that is lost if it ends late; the platform states two
+ * thirds to four fifths.
+ */
 const LATENESS_SHARE = 0.7;
 
-/** Fixed cost of a stop, in seconds of the unit's work: it waits, and is started again. */
+/**
+ * Fixed cost of a stop, in seconds of the unit's work, for the wait and the
+ * restart.
+ */
 const RESTART_COST_SECONDS = 1;
 
 /**
- * Work lost by stopping `victim` for `claimant`, in core-seconds; Infinity
- * for one that must not be stopped for it.
+ * Returns the work lost by stopping `victim` for `claimant`, in core-seconds;
+ * Infinity if it must not be stopped.
  */
 export function computeStopCost(
   victim: ActiveUnit,
@@ -32,17 +41,18 @@
     return Infinity;
   }
   const {step} = victim;
-  const ran = Math.max(0, now - victim.placedAt);
-  const unsaved = step.savesProgress
-    ? Math.min(ran, settings.restoreTime)
-    : ran;
+  const runTime = Math.max(0, now - victim.placedAt);
+  const unsavedTime = step.savesProgress
+    ? Math.min(runTime, settings.restoreTime)
+    : runTime;
   const cores =
     step.demand.cpu / 1000 + step.demand.accelerators * CORES_PER_ACCELERATOR;
-  const lost =
-    cores * countMembers(victim) * (unsaved / 1000 + RESTART_COST_SECONDS);
-  const again = step.savesProgress ? 0 : ran;
+  const lostWork =
+    cores * countMembers(victim) * (unsavedTime / 1000 + RESTART_COST_SECONDS);
+  const repeatedWork = step.savesProgress ? 0 : runTime;
   const becomesLate =
-    urgency.tier === UrgencyTier.ON_TIME && now + again > urgency.latestStart;
-  const whole = (cores * countMembers(victim) * step.estimateMs) / 1000;
-  return lost + (becomesLate ? LATENESS_SHARE * whole : 0);
+    urgency.tier === UrgencyTier.ON_TIME &&
+    now + repeatedWork > urgency.latestStart;
+  const totalWork = (cores * countMembers(victim) * step.estimateMs) / 1000;
+  return lostWork + (becomesLate ? LATENESS_SHARE * totalWork : 0);
 }
--- a/packages/dispatch/src/policy/urgency.ts
+++ b/packages/dispatch/src/policy/urgency.ts
@@ -1,4 +1,7 @@
-/** Whose turn it is: by what a job still earns its caller, and how long it can wait. */
+/**
+ * Orders jobs by the value that they still have for their callers and by their
+ * slack.
+ */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import {
   type AcceptedJob,
@@ -8,50 +11,61 @@
 import type {DurationEstimator} from '../duration_estimator.js';
 import type {ActiveJob} from '../active_job.js';
 
-/** A job that takes up to this many times its objective is late, beyond it of no use; from the platform's rules. */
+/**
+ * Multiple of its objective up to which a late job is still of use; the
+ * platform defines it.
+ */
 export const USEFUL_LATENESS_FACTOR = 3;
 
-/** A lower priority is worth waiting this much longer for. */
+/** Time by which each priority level delays a job in the order of service. */
 const PRIORITY_WEIGHT_MS: Milliseconds = 6000;
 
-/** Groups of jobs, served in this order. */
+/** Tiers of jobs, served in this order. */
 export enum UrgencyTier {
+  /** Jobs of priority 0 that are still of use. */
   URGENT = 0,
+  /** Jobs that can still end on time. */
   ON_TIME = 1,
+  /** Jobs that end late but are still of use. */
   LATE = 2,
+  /** Jobs that end too late to be of use. */
   EXPIRED = 3,
 }
 
-/** Place of a job in the order of service. */
+/** Position of a job in the order of service. */
 export interface Urgency {
   tier: UrgencyTier;
-  /** Within a tier, lower goes first. */
+  /** Sort key within a tier, in milliseconds; lower goes first. */
   sortKey: number;
-  /** Latest start that is still on time. */
+  /** Latest start with which the job ends on time. */
   latestStart: Instant;
 }
 
-/** Rates a job. */
+/** Computes the tier and sort key of a job. */
 export function rateUrgency(
-  run: ActiveJob,
-  estimates: DurationEstimator,
+  job: ActiveJob,
+  estimator: DurationEstimator,
   now: Instant,
 ): Urgency {
-  const {terms, spec, queue} = run.accepted;
-  const whole = computeCriticalPath(
+  const {terms, spec, queue} = job.accepted;
+  const estimatedPath = computeCriticalPath(
     spec,
     spec.steps.map(() => false),
   );
-  // What is owed is measured by sound targets: slow ones lengthen the work, not the objective.
-  const chain = Math.min(whole, estimates.estimateDuration(queue, whole));
-  const objective = terms.stretch * chain + terms.latencyMs;
-  const remaining = estimates.estimateDuration(
+  // The objective is measured on healthy targets: slow targets lengthen the
+  // work, not the objective.
+  const criticalPath = Math.min(
+    estimatedPath,
+    estimator.estimateDuration(queue, estimatedPath),
+  );
+  const objective = terms.stretch * criticalPath + terms.latencyMs;
+  const remaining = estimator.estimateDuration(
     queue,
-    computeRemainingCriticalPath(run),
+    computeRemainingCriticalPath(job),
   );
-  const latestStart = run.acceptedAt + objective - remaining;
+  const latestStart = job.acceptedAt + objective - remaining;
   const lastUseful =
-    run.acceptedAt + objective * USEFUL_LATENESS_FACTOR - remaining;
+    job.acceptedAt + objective * USEFUL_LATENESS_FACTOR - remaining;
   if (terms.priority === 0 && now <= lastUseful) {
     const isLate = now > latestStart;
     const penalty = isLate ? objective * USEFUL_LATENESS_FACTOR : 0;
@@ -61,25 +75,31 @@
       latestStart,
     };
   }
-  const rank = latestStart + terms.priority * PRIORITY_WEIGHT_MS;
+  const sortKey = latestStart + terms.priority * PRIORITY_WEIGHT_MS;
   if (now <= latestStart) {
-    return {tier: UrgencyTier.ON_TIME, sortKey: rank, latestStart};
+    return {tier: UrgencyTier.ON_TIME, sortKey, latestStart};
   }
   return now <= lastUseful
-    ? {tier: UrgencyTier.LATE, sortKey: rank, latestStart}
-    : {tier: UrgencyTier.EXPIRED, sortKey: rank, latestStart};
+    ? {tier: UrgencyTier.LATE, sortKey, latestStart}
+    : {tier: UrgencyTier.EXPIRED, sortKey, latestStart};
 }
 
-/** Time from acceptance within which a job is on time, by its caller's estimates. */
+/**
+ * Returns the time from acceptance within which a job must end to be on time,
+ * based on its caller's estimates.
+ */
 export function computeObjective({spec, terms}: AcceptedJob): Milliseconds {
-  const none = spec.steps.map(() => false);
-  return terms.stretch * computeCriticalPath(spec, none) + terms.latencyMs;
+  const noneDone = spec.steps.map(() => false);
+  return terms.stretch * computeCriticalPath(spec, noneDone) + terms.latencyMs;
 }
 
-/** Estimated work on the longest path through the steps that are not done. */
-function computeRemainingCriticalPath(run: ActiveJob): Milliseconds {
-  const {spec} = run.accepted;
-  const first = run.progress.occurrences[0];
+/**
+ * Returns the estimated work on the critical path of the steps that are not
+ * done.
+ */
+function computeRemainingCriticalPath(job: ActiveJob): Milliseconds {
+  const {spec} = job.accepted;
+  const first = job.progress.occurrences[0];
   const done = spec.steps.map((_, index) =>
     first ? isStepDone(first.steps[index] ?? []) : false,
   );
@@ -92,9 +112,9 @@
 ): Milliseconds {
   const ends: Milliseconds[] = [];
   for (const [index, step] of spec.steps.entries()) {
-    const before = step.dependsOn.map(other => ends[other] ?? 0);
-    const own = done[index] ? 0 : step.estimateMs;
-    ends.push(Math.max(0, ...before) + own);
+    const dependencyEnds = step.dependsOn.map(other => ends[other] ?? 0);
+    const duration = done[index] ? 0 : step.estimateMs;
+    ends.push(Math.max(0, ...dependencyEnds) + duration);
   }
   return Math.max(...ends);
 }
