--- a/packages/dispatch/src/progress_rate.ts
+++ b/packages/dispatch/src/progress_rate.ts
@@ -1,89 +1,112 @@
-/** How long runs still take, by the progress that their targets list. */
+/**
+ * Estimates the remaining time of runs from the progress in their targets'
+ * listings.
+ */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {DurationEstimator} from './duration_estimator.js';
 import type {Allocation, ActiveUnit} from './active_job.js';
 
-/** Least progress, in percent, from which a pace can be read. */
+/** Minimum progress from which a rate can be derived. */
 const MIN_RATE_PROGRESS_PERCENT = 5;
 
-/** Shortest time over which a present pace is read: a few listings. */
+/**
+ * Minimum interval over which the current rate is measured; it spans a few
+ * listings.
+ */
 const MIN_SAMPLE_INTERVAL_MS: Milliseconds = 1500;
 
-/** Percent that a sample covers, or that it would at the best pace: progress is listed in whole percents. */
+/**
+ * Minimum progress in a sample interval, or else the progress expected at the
+ * best rate. Smaller values are too coarse, since progress is listed in whole
+ * percent.
+ */
 const MIN_SAMPLE_PROGRESS_PERCENT = 4;
 const MIN_EXPECTED_PROGRESS_PERCENT = 8;
 
 /**
- * Notes a reading of the run's progress at `clock`, its target's own, in
- * milliseconds: listings wait in line at a busy dispatcher. `estimate` is what
- * its caller expects of a whole run.
+ * Records a sample of a run's progress at `clock`, in milliseconds of the
+ * target's clock: the arrival time is unreliable, since listings queue up at a
+ * busy dispatcher. `estimate` is the duration of a whole run by its caller's
+ * estimate.
  */
 export function sampleProgressRate(
-  booking: Allocation,
+  allocation: Allocation,
   estimate: Milliseconds,
   clock: number,
 ): void {
-  // What a checkpoint brought along was not done here.
-  booking.rateSample ??= {percent: booking.percent, clock};
-  const passed = clock - booking.rateSample.clock;
-  const gained = booking.percent - booking.rateSample.percent;
-  const expectedPace = Math.max(booking.bestRate, 100 / Math.max(estimate, 1));
+  // Progress that was restored from a checkpoint was not made by this run.
+  allocation.rateSample ??= {percent: allocation.percent, clock};
+  const elapsed = clock - allocation.rateSample.clock;
+  const gained = allocation.percent - allocation.rateSample.percent;
+  const expectedRate = Math.max(
+    allocation.bestRate,
+    100 / Math.max(estimate, 1),
+  );
   const isReadable =
     gained >= MIN_SAMPLE_PROGRESS_PERCENT ||
-    passed * expectedPace >= MIN_EXPECTED_PROGRESS_PERCENT;
-  if (passed < MIN_SAMPLE_INTERVAL_MS || !isReadable) {
+    elapsed * expectedRate >= MIN_EXPECTED_PROGRESS_PERCENT;
+  if (elapsed < MIN_SAMPLE_INTERVAL_MS || !isReadable) {
     return;
   }
-  const pace = gained / passed;
-  booking.bestRate = Math.max(booking.bestRate, pace);
-  booking.currentRate = pace;
-  booking.rateSample = {percent: booking.percent, clock};
+  const rate = gained / elapsed;
+  allocation.bestRate = Math.max(allocation.bestRate, rate);
+  allocation.currentRate = rate;
+  allocation.rateSample = {percent: allocation.percent, clock};
 }
 
-/** Whether a run's own progress says when it ends, and not its caller's estimate. */
-export function isProgressRateKnown(booking: Allocation): boolean {
-  return booking.percent - booking.firstPercent >= MIN_RATE_PROGRESS_PERCENT;
+/**
+ * Whether the remaining time can be derived from the run's own progress rather
+ * than its caller's estimate.
+ */
+export function isProgressRateKnown(member: Allocation): boolean {
+  return member.percent - member.firstPercent >= MIN_RATE_PROGRESS_PERCENT;
 }
 
-/** Members of a gang from which the pace of each can be told from that of the others. */
+/** Minimum number of members whose rates can be compared with each other. */
 const MIN_COMPARABLE_MEMBERS = 3;
 
-/** Notes for each target of a gang how long its members take against the gang's median: callers' estimates need not be good for that. */
-export function compareMemberRates(bookings: readonly Allocation[]): void {
-  const known = bookings.filter(isProgressRateKnown);
-  if (known.length < MIN_COMPARABLE_MEMBERS) {
+/**
+ * Records for each target of a gang how long its members take relative to the
+ * gang's median. This does not depend on callers' estimates.
+ */
+export function compareMemberRates(allocations: readonly Allocation[]): void {
+  const comparable = allocations.filter(isProgressRateKnown);
+  if (comparable.length < MIN_COMPARABLE_MEMBERS) {
     return;
   }
-  const times = known.map(
+  const timesPerPercent = comparable.map(
     ({percent, percentAt, firstPercent, firstPercentAt}) =>
       (percentAt - firstPercentAt) / (percent - firstPercent),
   );
-  const median = [...times].sort((a, b) => a - b)[times.length >> 1]!;
+  const median = [...timesPerPercent].sort((a, b) => a - b)[
+    timesPerPercent.length >> 1
+  ]!;
   if (median > 0) {
-    known.forEach(({target: room}, index) =>
-      room.recordDurationRatio(times[index]! / median),
+    comparable.forEach(({target}, index) =>
+      target.recordDurationRatio(timesPerPercent[index]! / median),
     );
   }
 }
 
-/** Expected time until the run of `booking` ends. */
+/** Returns the expected time until the run of `allocation` ends. */
 export function estimateRemainingTime(
-  booking: Allocation,
+  allocation: Allocation,
   unit: ActiveUnit,
-  estimates: DurationEstimator,
+  estimator: DurationEstimator,
   rackFactor: number,
   now: Instant,
 ): Milliseconds {
-  if (isProgressRateKnown(booking)) {
-    const gained = booking.percent - booking.firstPercent;
-    const pace = (booking.percentAt - booking.firstPercentAt) / gained;
-    const left = pace * (100 - booking.percent);
-    return Math.max(0, left - (now - booking.percentAt));
+  if (isProgressRateKnown(allocation)) {
+    const gained = allocation.percent - allocation.firstPercent;
+    const msPerPercent =
+      (allocation.percentAt - allocation.firstPercentAt) / gained;
+    const remaining = msPerPercent * (100 - allocation.percent);
+    return Math.max(0, remaining - (now - allocation.percentAt));
   }
   const factor = unit.hasLocalityPenalty ? rackFactor : 1;
-  const whole =
-    estimates.estimateDuration(unit.job.accepted.queue, unit.step.estimateMs) *
+  const fullDuration =
+    estimator.estimateDuration(unit.job.accepted.queue, unit.step.estimateMs) *
     factor *
-    booking.target.slowness;
-  return whole * (1 - booking.percent / 100);
+    allocation.target.slowness;
+  return fullDuration * (1 - allocation.percent / 100);
 }
--- a/packages/dispatch/src/record_writer.ts
+++ b/packages/dispatch/src/record_writer.ts
@@ -1,4 +1,7 @@
-/** Writes the progress of jobs under one epoch: one append at a time, in order, each until it is known. */
+/**
+ * Writes the progress of jobs under one epoch: one append at a time, in order,
+ * each repeated until its outcome is known.
+ */
 import {
   type Clock,
   type Instant,
@@ -14,40 +17,49 @@
 import type {FencingToken, FencedLog} from './fenced_log.js';
 import {LEADER_HEARTBEAT_MS} from './leader_monitor.js';
 
-/** Longest wait for the answer to an append; some hundred times the usual answer. */
+/** Timeout of an append; about a hundred times the usual latency. */
 const APPEND_TIMEOUT_MS = 1500;
 
-/** Backoff between tries of an append, in milliseconds. */
+/** Minimum and maximum backoff between attempts of an append. */
 const RETRY_BASE_MS = 50;
 const RETRY_CAP_MS = 500;
 
-/** Records of one append, in characters; the platform limits a call to 2 MiB. */
+/**
+ * Maximum size of an append in characters; the platform limits a call to 2 MiB.
+ */
 const MAX_BATCH_CHARS = 1_000_000;
 
-/** What is to be written, and what follows once it is. */
+/** Records to write, and a callback for when they are in the log. */
 export interface Batch {
   records: KeyedRecord[];
+  /** Called once when the records are in the log. */
   onWritten: () => void;
 }
 
-/** Gathers what is to be written now; undefined when there is nothing. */
+/**
+ * Returns the records to write now, about `maxLength` characters; undefined if
+ * there are none.
+ */
 export type BatchSource = (maxLength: number) => Batch | undefined;
 
-/** The writer of one term of office. */
+/** Writes records for one leader. */
 export class RecordWriter {
   /** Send time of the last append that was confirmed. */
   lastConfirmedAt: Instant;
-  /** The same by the wall clock, which goes on while an instance is suspended. */
+  /**
+   * The same in Unix milliseconds; the wall clock also advances while an
+   * instance is suspended.
+   */
   lastConfirmedWallTime: number;
   private sequence = 1;
   private isWriting = false;
-  private extra: KeyedRecord[] = [];
-  private isOver = false;
+  private extraRecords: KeyedRecord[] = [];
+  private isClosed = false;
 
   constructor(
     private readonly log: FencedLog,
     private readonly leadership: Leadership,
-    private readonly gather: BatchSource,
+    private readonly takeBatch: BatchSource,
     private readonly onFenced: () => void,
     private readonly clock: Clock,
     private readonly random: Random,
@@ -57,54 +69,63 @@
     this.lastConfirmedWallTime = clock.wallTime();
   }
 
-  /** Writes these records with the next append. */
+  /** Adds records to the next append. */
   add(records: readonly KeyedRecord[]): void {
-    this.extra.push(...records);
+    this.extraRecords.push(...records);
   }
 
-  /** Writes what is waiting, unless a write is under way: it then goes next. */
+  /**
+   * Writes pending records. If an append is in progress, they follow with the
+   * next one.
+   */
   flush(): void {
-    if (!this.isWriting && !this.isOver) {
+    if (!this.isWriting && !this.isClosed) {
       void this.writeAll();
     }
   }
 
-  /** Writes a sign of life when nothing else was written for a while. */
+  /**
+   * Writes a heartbeat if no append was confirmed within the heartbeat
+   * interval.
+   */
   writeHeartbeatIfDue(now: Instant): void {
     if (!this.isWriting && now - this.lastConfirmedAt >= LEADER_HEARTBEAT_MS) {
       void this.writeAll(true);
     }
   }
 
-  /** Writes nothing more. */
+  /** Stops writing. */
   close(): void {
-    this.isOver = true;
+    this.isClosed = true;
   }
 
-  /** Waits until no write is under way, then writes that the office is free. */
+  /** Waits for the append in progress, then writes that leadership is free. */
   async resign(): Promise<void> {
-    this.isOver = true;
+    this.isClosed = true;
     while (this.isWriting) {
       await this.clock.sleep(10);
     }
     const record = encodeLeadership({...this.leadership, hasResigned: true});
-    const fencing = this.nextFencing();
+    const fencing = this.createFencingToken();
     await this.log.appendFenced(fencing, [record], APPEND_TIMEOUT_MS);
   }
 
-  private async writeAll(withBeat = false): Promise<void> {
+  private async writeAll(withHeartbeat = false): Promise<void> {
     this.isWriting = true;
     try {
-      let needsBeat = withBeat;
-      while (!this.isOver) {
-        const batch = this.gather(MAX_BATCH_CHARS);
-        if (!batch && !needsBeat && this.extra.length === 0) {
+      let needsHeartbeat = withHeartbeat;
+      while (!this.isClosed) {
+        const batch = this.takeBatch(MAX_BATCH_CHARS);
+        if (!batch && !needsHeartbeat && this.extraRecords.length === 0) {
           return;
         }
-        needsBeat = false;
-        const records = [...(batch?.records ?? []), ...this.extra];
-        this.extra = [];
-        const isWritten = await this.write([...records, this.beatRecord()]);
+        needsHeartbeat = false;
+        const records = [...(batch?.records ?? []), ...this.extraRecords];
+        this.extraRecords = [];
+        const isWritten = await this.write([
+          ...records,
+          this.createHeartbeatRecord(),
+        ]);
         if (!isWritten) {
           return;
         }
@@ -115,21 +136,24 @@
     }
   }
 
-  private nextFencing(): FencingToken {
+  private createFencingToken(): FencingToken {
     return {epoch: this.leadership.epoch, sequence: this.sequence++};
   }
 
-  private beatRecord(): KeyedRecord {
+  private createHeartbeatRecord(): KeyedRecord {
     const writtenAt = this.clock.wallTime();
     return encodeLeadership({...this.leadership, writtenAt});
   }
 
-  /** Sends one append until it is known to be in the log; false when the office is lost. */
+  /**
+   * Repeats one append until it is known to be in the log. Returns false if
+   * leadership was lost or the writer was closed.
+   */
   private async write(records: readonly KeyedRecord[]): Promise<boolean> {
-    const fencing = this.nextFencing();
-    for (let attempt = 0; !this.isOver; attempt++) {
+    const fencing = this.createFencingToken();
+    for (let attempt = 0; !this.isClosed; attempt++) {
       const sentAt = this.clock.now();
-      const sentWallAt = this.clock.wallTime();
+      const sentWallTime = this.clock.wallTime();
       const result = await this.log.appendFenced(
         fencing,
         records,
@@ -137,18 +161,21 @@
       );
       if (result.kind === 'appended') {
         this.lastConfirmedAt = sentAt;
-        this.lastConfirmedWallTime = sentWallAt;
-        return !this.isOver;
+        this.lastConfirmedWallTime = sentWallTime;
+        return !this.isClosed;
       }
       if (result.kind === 'fenced') {
-        this.isOver = true;
+        this.isClosed = true;
         this.onFenced();
         return false;
       }
       this.logger.warn('record-delayed', {
         ...fencing,
         attempt,
-        problem: result.kind === 'moved' ? 'the log moved' : result.problem,
+        problem:
+          result.kind === 'moved'
+            ? 'the log does not end at the requested offset'
+            : result.problem,
       });
       await this.clock.sleep(
         RETRY_BASE_MS +
--- a/packages/dispatch/src/run_tracker.ts
+++ b/packages/dispatch/src/run_tracker.ts
@@ -1,4 +1,4 @@
-/** What happens to runs: they are placed, confirmed, stopped and end; jobs change with them. */
+/** Tracks runs from placement to their end and updates their jobs. */
 import type {Instant, Logger} from '@galenavalve/shared';
 import {formatTaskName} from '@galenavalve/workload';
 import type {DurationEstimator} from './duration_estimator.js';
@@ -15,33 +15,42 @@
 import type {ListedEnd} from './target_port.js';
 import type {TargetState} from './target_state.js';
 
-/** Pause before a unit that failed is placed again, in milliseconds. */
+/** Delay before a failed unit is placed again. */
 const FAILURE_BACKOFF_MS = 150;
 
-/** First and longest avoidance of a target whose runs fail or stand still, in milliseconds. */
+/**
+ * Minimum and maximum time for which a target is avoided after runs on it
+ * failed or stalled.
+ */
 const MIN_AVOIDANCE_MS = 3000;
 const MAX_AVOIDANCE_MS = 15_000;
 
-/** Failures in a row of a target that make it suspect; a single one is usually the task's own. */
+/**
+ * Consecutive failures from which on a target is avoided; a single failure is
+ * usually caused by the task.
+ */
 const AVOIDANCE_FAILURE_THRESHOLD = 2;
 
-/** What a change of a run asks others to do. */
+/** Actions that a change of a run requires. */
 export interface RunEvents {
-  /** The job's progress is to be recorded. */
+  /** The job's progress must be written to the log. */
   onChange(job: ActiveJob): void;
-  /** A run is to be stopped at its target. */
-  onStop(booking: Allocation): void;
+  /** The run must be stopped at its target. */
+  onStop(allocation: Allocation): void;
 }
 
-/** Keeps the runs of one dispatcher. */
+/** Tracks the runs of one dispatcher. */
 export class RunTracker {
   constructor(
     private readonly events: RunEvents,
-    private readonly estimates: DurationEstimator,
+    private readonly estimator: DurationEstimator,
     private readonly logger: Logger,
   ) {}
 
-  /** Books a placement; its orders go out once it is recorded. */
+  /**
+   * Allocates capacity for a placement. The start commands are sent once it is
+   * in the log.
+   */
   place({unit, placement}: PlannedStart, epoch: number, now: Instant): void {
     unit.progress.run++;
     unit.phase = 'recording';
@@ -51,39 +60,39 @@
     unit.stopReason = undefined;
     unit.resumeCheckpoint = unit.progress.checkpoint;
     unit.job.progress.hasBegun = true;
-    const rooms = placement.shares.flatMap(({candidate: space, members}) =>
-      Array.from({length: members}, () => space.target),
+    const targets = placement.shares.flatMap(({candidate, members}) =>
+      Array.from({length: members}, () => candidate.target),
     );
-    for (const [member, room] of rooms.entries()) {
-      this.allocate(unit, member, room, epoch, now);
+    for (const [member, target] of targets.entries()) {
+      this.allocate(unit, member, target, epoch, now);
     }
-    unit.progress.placedOn = rooms.map(room => room.key);
+    unit.progress.placedOn = targets.map(target => target.key);
     this.events.onChange(unit.job);
     this.logger.info('placed', {
       job: unit.job.id,
       step: unit.stepIndex,
       unit: unit.unitIndex,
       run: unit.progress.run,
-      targets: [...new Set(rooms.map(room => room.info.id))].slice(0, 8),
+      targets: [...new Set(targets.map(target => target.info.id))].slice(0, 8),
       isFar: placement.hasLocalityPenalty,
       waitedMs: Math.round(now - unit.job.acceptedAt),
     });
   }
 
-  /** Books a member's run. */
+  /** Allocates capacity for one member's run. */
   allocate(
     unit: ActiveUnit,
     member: number,
-    room: TargetState,
+    target: TargetState,
     epoch: number,
     now: Instant,
   ): Allocation {
-    const booking = createAllocation(
+    const allocation = createAllocation(
       {
         task: formatMemberTaskName(unit, member),
         run: unit.progress.run,
         demand: computeAllocatedDemand(unit.step),
-        target: room,
+        target,
         unit,
         memberIndex: member,
         state: 'planned',
@@ -91,29 +100,31 @@
       },
       now,
     );
-    unit.allocations.push(booking);
-    room.allocate(booking);
-    return booking;
+    unit.allocations.push(allocation);
+    target.allocate(allocation);
+    return allocation;
   }
 
-  /** The target has the run. */
-  onStarted(booking: Allocation, clock: number, now: Instant): void {
-    if (booking.state !== 'ordered') {
+  /** Called when the target has acknowledged or listed the run. */
+  onStarted(allocation: Allocation, clock: number, now: Instant): void {
+    if (allocation.state !== 'starting') {
       return;
     }
-    booking.state = 'confirmed';
-    booking.acknowledgedClock = clock;
-    booking.percentAt = now;
-    booking.firstPercentAt = now;
-    const {unit} = booking;
-    const isWhole = unit?.allocations.every(({state}) => state === 'confirmed');
-    if (unit && isWhole && unit.phase === 'starting') {
+    allocation.state = 'confirmed';
+    allocation.acknowledgedClock = clock;
+    allocation.percentAt = now;
+    allocation.firstPercentAt = now;
+    const {unit} = allocation;
+    const isComplete = unit?.allocations.every(
+      ({state}) => state === 'confirmed',
+    );
+    if (unit && isComplete && unit.phase === 'starting') {
       unit.phase = 'running';
       unit.runningSince = now;
     }
   }
 
-  /** Stops every member of a unit's present run. */
+  /** Stops all members of a unit's current run. */
   stop(unit: ActiveUnit, reason: string): void {
     if (unit.allocations.length === 0 || unit.phase === 'stopping') {
       return;
@@ -127,69 +138,78 @@
       run: unit.progress.run,
       reason,
     });
-    for (const booking of [...unit.allocations]) {
-      if (booking.state === 'planned') {
-        this.release(booking);
+    for (const allocation of [...unit.allocations]) {
+      if (allocation.state === 'planned') {
+        this.release(allocation);
       } else {
-        this.events.onStop(booking);
+        this.events.onStop(allocation);
       }
     }
   }
 
-  /** A target listed the end of a run. */
+  /** Called when a target lists the end of a run. */
   onEnd(
-    room: TargetState,
+    target: TargetState,
     end: ListedEnd,
     unit: ActiveUnit | undefined,
     now: Instant,
   ): void {
-    const booking = room.findAllocation(end.task, end.run);
+    const allocation = target.findAllocation(end.task, end.run);
     if (unit && unit.progress.run === end.run) {
-      this.takeEnd(room, unit, end, booking, now);
+      this.applyEnd(target, unit, end, allocation, now);
     } else if (unit && end.kind === 'done') {
-      this.takeEarlierDone(room, unit, end.run);
+      this.applyEarlierDone(target, unit, end.run);
     }
-    if (booking) {
-      this.release(booking);
+    if (allocation) {
+      this.release(allocation);
     }
   }
 
-  /** The run is gone without an end: its target or its lease is over, or it never began. */
-  onRunLost(booking: Allocation, reason: string): void {
-    const {unit} = booking;
-    this.release(booking);
+  /**
+   * Called when a run has ended without a listed end: its target or its lease
+   * is gone, or it never started.
+   */
+  onRunLost(allocation: Allocation, reason: string): void {
+    const {unit} = allocation;
+    this.release(allocation);
     if (unit && !unit.progress.isDone && unit.allocations.length > 0) {
       this.stop(unit, reason);
     }
   }
 
-  /** Notes that runs on a target fail or stand still. */
-  onTargetFault(room: TargetState, strikes: number, now: Instant): void {
-    room.consecutiveFailures += strikes;
-    if (room.consecutiveFailures < AVOIDANCE_FAILURE_THRESHOLD) {
+  /**
+   * Counts `failures` of runs that failed or stalled on a target, and avoids it
+   * from a threshold on. Each further failure doubles the time.
+   */
+  onTargetFault(target: TargetState, failures: number, now: Instant): void {
+    target.consecutiveFailures += failures;
+    if (target.consecutiveFailures < AVOIDANCE_FAILURE_THRESHOLD) {
       return;
     }
-    const doublings = room.consecutiveFailures - AVOIDANCE_FAILURE_THRESHOLD;
-    const length = Math.min(
+    const doublings = target.consecutiveFailures - AVOIDANCE_FAILURE_THRESHOLD;
+    const duration = Math.min(
       MAX_AVOIDANCE_MS,
       MIN_AVOIDANCE_MS * 2 ** doublings,
     );
-    room.avoidUntil = now + length;
+    target.avoidUntil = now + duration;
     this.logger.warn('target-avoided', {
-      target: room.info.id,
-      strikes: room.consecutiveFailures,
-      forMs: length,
+      target: target.info.id,
+      strikes: target.consecutiveFailures,
+      forMs: duration,
     });
   }
 
-  /** Frees a booking's room; the last one settles its unit. */
-  release(booking: Allocation): void {
-    booking.target.release(booking);
-    const {unit} = booking;
+  /**
+   * Releases an allocation. The unit can be placed again once all of its
+   * allocations are released.
+   */
+  release(allocation: Allocation): void {
+    allocation.target.release(allocation);
+    const {unit} = allocation;
     if (!unit) {
       return;
     }
-    unit.allocations = unit.allocations.filter(other => other !== booking);
+    unit.allocations = unit.allocations.filter(other => other !== allocation);
     if (unit.allocations.length === 0) {
       unit.phase = 'waiting';
       unit.progress.placedOn = undefined;
@@ -197,14 +217,17 @@
     }
   }
 
-  /** A run that was given up, such as behind a cut, did its work all the same. */
-  private takeEarlierDone(
-    room: TargetState,
+  /**
+   * Marks a unit as done by an earlier run that was given up, for example
+   * because its target was cut off, but completed nevertheless.
+   */
+  private applyEarlierDone(
+    target: TargetState,
     unit: ActiveUnit,
     run: number,
   ): void {
-    const isOpen = !unit.progress.isDone && !unit.step.isLongRunning;
-    if (!isOpen || run > unit.progress.run) {
+    const isUnfinished = !unit.progress.isDone && !unit.step.isLongRunning;
+    if (!isUnfinished || run > unit.progress.run) {
       return;
     }
     unit.progress.isDone = true;
@@ -215,65 +238,68 @@
       unit: unit.unitIndex,
       run,
       present: unit.progress.run,
-      target: room.info.id,
+      target: target.info.id,
     });
-    this.stop(unit, 'an earlier run of it is done');
+    this.stop(unit, 'an earlier run of the unit is done');
     this.events.onChange(unit.job);
   }
 
-  private takeEnd(
-    room: TargetState,
+  private applyEnd(
+    target: TargetState,
     unit: ActiveUnit,
     end: ListedEnd,
-    booking: Allocation | undefined,
+    allocation: Allocation | undefined,
     now: Instant,
   ): void {
     if (end.checkpoint !== '') {
       unit.progress.checkpoint = end.checkpoint;
     }
     if (end.kind === 'done' && !unit.step.isLongRunning) {
-      this.takeDone(room, unit, booking, now);
+      this.applyDone(target, unit, allocation, now);
     } else if (end.kind === 'failed') {
-      this.takeFailure(room, unit, end.run, now);
+      this.applyFailure(target, unit, end.run, now);
     }
-    // The members of a gang end together; stopping the others makes sure of it.
-    const others = unit.allocations.some(other => other !== booking);
-    if (others && end.kind !== 'done') {
+    // The members of a gang end together; stopping the remaining ones ensures
+    // it.
+    const hasOtherMembers = unit.allocations.some(
+      other => other !== allocation,
+    );
+    if (hasOtherMembers && end.kind !== 'done') {
       this.stop(unit, `a member ended as ${end.kind}`);
     }
     this.events.onChange(unit.job);
   }
 
-  private takeDone(
-    room: TargetState,
+  private applyDone(
+    target: TargetState,
     unit: ActiveUnit,
-    booking: Allocation | undefined,
+    allocation: Allocation | undefined,
     now: Instant,
   ): void {
-    room.consecutiveFailures = 0;
+    target.consecutiveFailures = 0;
     if (unit.progress.isDone) {
       return;
     }
     unit.progress.isDone = true;
     unit.progress.checkpoint = '';
-    const hasRunWhole =
-      unit.progress.run === 1 && !unit.hasLocalityPenalty && booking;
-    if (hasRunWhole) {
-      const took = now - unit.runningSince;
+    const isMeasurable =
+      unit.progress.run === 1 && !unit.hasLocalityPenalty && allocation;
+    if (isMeasurable) {
+      const actual = now - unit.runningSince;
       const {queue} = unit.job.accepted;
       if (unit.step.isGang) {
         compareMemberRates(unit.allocations);
       } else {
-        room.recordDurationRatio(
-          took / this.estimates.estimateDuration(queue, unit.step.estimateMs),
+        target.recordDurationRatio(
+          actual / this.estimator.estimateDuration(queue, unit.step.estimateMs),
         );
       }
-      this.estimates.recordDuration(queue, unit.step.estimateMs, took);
+      this.estimator.recordDuration(queue, unit.step.estimateMs, actual);
     }
   }
 
-  private takeFailure(
-    room: TargetState,
+  private applyFailure(
+    target: TargetState,
     unit: ActiveUnit,
     run: number,
     now: Instant,
@@ -287,17 +313,18 @@
       return;
     }
     unit.progress.failureCount++;
-    // A unit that fails wherever it goes says nothing of the targets.
+    // Only the first failure of a unit counts against a target, since a unit
+    // that fails everywhere has a fault of its own.
     if (unit.progress.failureCount === 1) {
-      this.onTargetFault(room, 1, now);
+      this.onTargetFault(target, 1, now);
     }
-    unit.avoidedTargets.add(room.info.id);
+    unit.avoidedTargets.add(target.info.id);
     this.logger.info('run-failed', {
       job: unit.job.id,
       step: unit.stepIndex,
       unit: unit.unitIndex,
       run,
-      target: room.info.id,
+      target: target.info.id,
       failures: unit.progress.failureCount,
       allowed: unit.job.accepted.terms.maxAttempts,
     });
@@ -305,7 +332,7 @@
   }
 }
 
-/** Name of a member's task. */
+/** Returns the name of a member's task. */
 export function formatMemberTaskName(unit: ActiveUnit, member: number): string {
   return formatTaskName({
     jobId: unit.job.id,
--- a/packages/dispatch/src/settings.ts
+++ b/packages/dispatch/src/settings.ts
@@ -1,29 +1,32 @@
-/** Times and limits of the dispatcher. Each default says where its figure comes from. */
+/** Settings, timeouts and limits of the dispatcher. */
 import type {Milliseconds} from '@galenavalve/shared';
 
-/** Settings of the dispatcher; the platform's bounds replace the first group. */
+/** Settings of the dispatcher. The platform's limits replace the defaults. */
 export interface DispatchSettings {
   /** Longest lease that targets grant. */
   maxLease: Milliseconds;
-  /** A stopped run is gone after this time. */
+  /** Time after which a stopped run has ended. */
   stopTime: Milliseconds;
-  /** Members of a gang wait this long for each other. */
+  /** Time that the members of a gang wait for each other to start. */
   gangTime: Milliseconds;
-  /** Urgent jobs inside a guarantee must have begun after this time. */
+  /**
+   * Time after acceptance within which urgent jobs inside a guarantee must
+   * start.
+   */
   reclaimTime: Milliseconds;
-  /** Slowdown of tasks away from their rack. */
+  /** Factor by which tasks take longer with a locality penalty. */
   rackFactor: number;
   /** Time that a restart from a checkpoint takes. */
   restoreTime: Milliseconds;
-  /** Work between two checkpoints. */
+  /** Time between two checkpoints. */
   checkpointInterval: Milliseconds;
-  /** Occurrences may start this much before they are due. */
+  /** Time by which occurrences may start before they are due. */
   earlyTime: Milliseconds;
-  /** Ended jobs are known for at least this long. */
+  /** Minimum time for which ended jobs can be queried. */
   keepEnded: Milliseconds;
 }
 
-/** Bounds that the first installations share. */
+/** Default settings; they match the limits of the first clusters. */
 export const DEFAULT_SETTINGS: DispatchSettings = {
   maxLease: 10_000,
   stopTime: 400,
@@ -36,29 +39,44 @@
   keepEnded: 120_000,
 };
 
-/** A target's clock may run this much slow; the platform's pages give 2%. */
+/**
+ * Lowest rate of a target's clock relative to this instance's; the platform
+ * guarantees a deviation of at most 2%.
+ */
 export const MIN_CLOCK_RATE = 0.98;
 
-/** Kept from a lease so that rounding and the answer's way never make it longer than granted. */
+/**
+ * Deducted from leases, so that rounding and network latency cannot make one
+ * longer than granted.
+ */
 export const LEASE_MARGIN_MS: Milliseconds = 200;
 
-/** A holder whose writes were not confirmed for this long stops extending leases. With the lease itself it outlasts the usual outage of the log; a successor waits as long for targets that it cannot reach. */
+/**
+ * A leader whose appends were not confirmed for this long stops extending
+ * leases. Together with the lease this outlasts usual outages of the log. A new
+ * leader waits equally long for targets that it cannot reach.
+ */
 export const MAX_UNCONFIRMED_MS: Milliseconds = 3000;
 
-/** A listing waits this long for an end; half of the longest that targets grant. */
+/**
+ * Time that a poll waits for a new end; half of the maximum that targets
+ * support.
+ */
 export const POLL_WAIT_MS: Milliseconds = 1000;
 
-/** An order is normally answered in a few milliseconds; a target that does not answer is asked again after this. */
+/** Timeout of a command; targets usually respond within a few milliseconds. */
 export const COMMAND_TIMEOUT_MS: Milliseconds = 300;
 
-/** Pause before an unanswered or refused order is sent again. */
+/** Delay before a command is repeated that was refused or not acknowledged. */
 export const COMMAND_RETRY_DELAY_MS: Milliseconds = 100;
 
-/** A target is used for new runs only while its last listing is younger than this. */
+/** Maximum age of a target's last listing for placing new runs on it. */
 export const MAX_LISTING_AGE_MS: Milliseconds = 2600;
 
-/** Share of the gang time after which a start that is still incomplete is taken back. */
+/**
+ * Share of the gang time after which an incomplete gang start is rolled back.
+ */
 export const GANG_START_TIMEOUT_SHARE = 0.6;
 
-/** The dispatcher looks at everything at least this often. */
+/** Interval of the dispatcher's periodic work. */
 export const TICK_INTERVAL_MS: Milliseconds = 100;
--- a/packages/dispatch/src/stragglers.ts
+++ b/packages/dispatch/src/stragglers.ts
@@ -1,42 +1,64 @@
-/** Finds runs that stand still, and runs that their draining target will not finish. */
+/**
+ * Detects runs that have stalled or become slow, and runs that will not end
+ * before their draining target leaves.
+ */
 import type {Instant, Logger, Milliseconds} from '@galenavalve/shared';
 import type {DurationEstimator} from './duration_estimator.js';
 import {estimateRemainingTime} from './progress_rate.js';
 import type {RunTracker} from './run_tracker.js';
 import type {Allocation, ActiveJob, ActiveUnit} from './active_job.js';
 
-/** A run stands still when it was seen without progress for this share of its expected time: even at a tenth of the usual pace, its percent had risen. */
+/**
+ * Share of its expected duration without progress after which a run counts as
+ * stalled; at a tenth of the usual rate, a run gains a whole percent in that
+ * time.
+ */
 const STALL_SHARE = 0.12;
 
-/** Shortest such time: two listings. */
+/** Minimum time without progress; two listings. */
 const MIN_STALL_MS: Milliseconds = 1300;
 
-/** Members this much behind the others hold their gang up, in percent. */
+/**
+ * Lag behind the most advanced member from which on a member delays its gang.
+ */
 const MIN_LAG_PERCENT = 4;
 
-/** A pace below this share of the best is a fault of the target; tasks differ by less. */
+/**
+ * Share of the best rate below which the target is at fault; rates of healthy
+ * tasks differ by less.
+ */
 const SLOW_RATE_SHARE = 0.45;
 
-/** Work without checkpoints that is not urgent is started anew only up to this percent. */
+/**
+ * Maximum progress at which work that is neither urgent nor saves progress is
+ * restarted.
+ */
 const MAX_RESTART_PROGRESS_PERCENT = 20;
 
-/** Time of a stop and a start elsewhere. */
+/** Time of a stop and a start on another target. */
 const RESTART_MS: Milliseconds = 800;
 
-/** What is started anew must end this much sooner, for it may have to wait. */
+/**
+ * Safety factor on the expected duration of a restarted run, which may have to
+ * wait for capacity.
+ */
 const RESTART_SAFETY_FACTOR = 1.3;
 
-/** Percent from which on a run is about to end. */
+/** Progress from which on a run counts as about to end. */
 const NEARLY_DONE_PERCENT = 99;
 
-/** A stop on a draining target leaves this much time: 800 ms that the registry may lag behind the notice, 400 for the stop, and 400 for the listing of its end. */
+/**
+ * Time that a stop on a draining target needs: 800 ms by which the registry may
+ * lag behind the drain notice, 400 ms for the stop, and 400 ms for the listing
+ * of its end.
+ */
 const DRAIN_STOP_MARGIN_MS: Milliseconds = 1600;
 
-/** Stops what cannot go on where it is. */
+/** Stops runs that should continue on another target. */
 export function stopStragglers(
   jobs: Iterable<ActiveJob>,
-  book: RunTracker,
-  estimates: DurationEstimator,
+  tracker: RunTracker,
+  estimator: DurationEstimator,
   now: Instant,
   logger: Logger,
 ): void {
@@ -45,127 +67,144 @@
       if (unit.phase !== 'running' || unit.progress.isDone) {
         continue;
       }
-      if (!unit.step.isLongRunning && isStalled(unit, estimates)) {
-        onStalled(unit, book, now, logger);
+      if (!unit.step.isLongRunning && isStalled(unit, estimator)) {
+        onStalled(unit, tracker, now, logger);
       } else if (isRestartFaster(unit, now)) {
-        onSlowedDown(unit, book, now, logger);
-      } else if (isDrainStopDue(unit, estimates, now)) {
-        book.stop(unit, 'its target is leaving');
+        onSlowedDown(unit, tracker, now, logger);
+      } else if (isDrainStopDue(unit, estimator, now)) {
+        tracker.stop(unit, 'its target leaves before the run can end');
       }
     }
   }
 }
 
-function isStalled(unit: ActiveUnit, estimates: DurationEstimator): boolean {
+function isStalled(unit: ActiveUnit, estimator: DurationEstimator): boolean {
   const {queue} = unit.job.accepted;
-  const expected = estimates.estimateDuration(queue, unit.step.estimateMs);
-  const limit = Math.max(MIN_STALL_MS, expected * STALL_SHARE);
+  const expected = estimator.estimateDuration(queue, unit.step.estimateMs);
+  const stallLimit = Math.max(MIN_STALL_MS, expected * STALL_SHARE);
   return unit.allocations.some(
-    ({percent, stalledFor: stillFor}) =>
-      percent < NEARLY_DONE_PERCENT && stillFor > limit,
+    ({percent, stalledFor}) =>
+      percent < NEARLY_DONE_PERCENT && stalledFor > stallLimit,
   );
 }
 
-/** The members that are behind are where the fault is; when all are level, it cannot be told. */
+/**
+ * Avoids the targets of lagging members and stops the unit. If all members of a
+ * gang have the same progress, the faulty target cannot be identified.
+ */
 function onStalled(
   unit: ActiveUnit,
-  book: RunTracker,
+  tracker: RunTracker,
   now: Instant,
   logger: Logger,
 ): void {
   const percents = unit.allocations.map(({percent}) => percent);
-  const most = Math.max(...percents);
-  const behind = unit.allocations.filter(
-    ({percent}) => percent <= most - MIN_LAG_PERCENT,
+  const maxPercent = Math.max(...percents);
+  const lagging = unit.allocations.filter(
+    ({percent}) => percent <= maxPercent - MIN_LAG_PERCENT,
   );
-  const suspects = unit.allocations.length === 1 ? unit.allocations : behind;
+  const suspects = unit.allocations.length === 1 ? unit.allocations : lagging;
   logger.warn('run-still', {
     job: unit.job.id,
     step: unit.stepIndex,
     unit: unit.unitIndex,
     run: unit.progress.run,
     percents: percents.slice(0, 16),
-    suspects: suspects.map(({target: room}) => room.info.id).slice(0, 8),
+    suspects: suspects.map(({target}) => target.info.id).slice(0, 8),
   });
-  for (const {target: room} of suspects) {
-    unit.avoidedTargets.add(room.info.id);
-    book.onTargetFault(room, 2, now);
+  for (const {target} of suspects) {
+    unit.avoidedTargets.add(target.info.id);
+    tracker.onTargetFault(target, 2, now);
   }
-  book.stop(unit, 'it stands still');
+  tracker.stop(unit, 'the run makes no progress');
 }
 
-/** Members whose pace fell far below the best that they or others of their gang had. */
+/**
+ * Returns the members whose rate is far below the best rate of any member of
+ * the unit.
+ */
 function findSlowMembers(unit: ActiveUnit): Allocation[] {
-  const best = Math.max(
-    ...unit.allocations.map(({bestRate: bestPace}) => bestPace),
+  const bestMemberRate = Math.max(
+    ...unit.allocations.map(({bestRate}) => bestRate),
   );
   return unit.allocations.filter(
-    ({currentRate: presentPace, percent}) =>
-      presentPace !== undefined &&
+    ({currentRate, percent}) =>
+      currentRate !== undefined &&
       percent < NEARLY_DONE_PERCENT &&
-      presentPace < best * SLOW_RATE_SHARE,
+      currentRate < bestMemberRate * SLOW_RATE_SHARE,
   );
 }
 
-/** Whether starting anew elsewhere ends sooner than going on. */
+/**
+ * Whether a restart on other targets is expected to end sooner than the current
+ * run.
+ */
 function isRestartFaster(unit: ActiveUnit, now: Instant): boolean {
   if (unit.step.isLongRunning) {
     return false;
   }
   const isUrgent = unit.job.accepted.terms.priority === 0;
-  const best = Math.max(
-    ...unit.allocations.map(({bestRate: bestPace}) => bestPace),
-  );
-  return findSlowMembers(unit).some(
-    ({percent, currentRate: presentPace, percentAt}) => {
-      const left = (100 - percent) / Math.max(presentPace!, 1e-9);
-      const mayLose = isUrgent || percent < MAX_RESTART_PROGRESS_PERCENT;
-      const again = unit.step.savesProgress ? 100 - percent : 100;
-      const anew = RESTART_MS + (again / best) * RESTART_SAFETY_FACTOR;
-      // Slowness passes; what was done and not saved is lost for good. Urgent work cannot wait for that.
-      return (
-        (unit.step.savesProgress || mayLose) && left - (now - percentAt) > anew
-      );
-    },
+  const bestMemberRate = Math.max(
+    ...unit.allocations.map(({bestRate}) => bestRate),
   );
+  return findSlowMembers(unit).some(({percent, currentRate, percentAt}) => {
+    const remaining = (100 - percent) / Math.max(currentRate!, 1e-9);
+    const mayDiscardWork = isUrgent || percent < MAX_RESTART_PROGRESS_PERCENT;
+    const restartPercent = unit.step.savesProgress ? 100 - percent : 100;
+    const restartDuration =
+      RESTART_MS + (restartPercent / bestMemberRate) * RESTART_SAFETY_FACTOR;
+    // Slowness is temporary, but unsaved progress is lost by a restart. Urgent
+    // work cannot wait for the slowness to pass.
+    return (
+      (unit.step.savesProgress || mayDiscardWork) &&
+      remaining - (now - percentAt) > restartDuration
+    );
+  });
 }
 
 function onSlowedDown(
   unit: ActiveUnit,
-  book: RunTracker,
+  tracker: RunTracker,
   now: Instant,
   logger: Logger,
 ): void {
-  const slow = findSlowMembers(unit);
+  const slowMembers = findSlowMembers(unit);
   logger.warn('run-slowed', {
     job: unit.job.id,
     step: unit.stepIndex,
     unit: unit.unitIndex,
     run: unit.progress.run,
-    percents: slow.map(({percent}) => percent).slice(0, 16),
-    targets: slow.map(({target: room}) => room.info.id).slice(0, 8),
+    percents: slowMembers.map(({percent}) => percent).slice(0, 16),
+    targets: slowMembers.map(({target}) => target.info.id).slice(0, 8),
   });
-  for (const {target: room} of slow) {
-    book.onTargetFault(room, 2, now);
+  for (const {target} of slowMembers) {
+    tracker.onTargetFault(target, 2, now);
   }
-  book.stop(unit, 'its target has become slow');
+  tracker.stop(unit, 'the run has become slow; a restart ends sooner');
 }
 
 function isDrainStopDue(
   unit: ActiveUnit,
-  estimates: DurationEstimator,
+  estimator: DurationEstimator,
   now: Instant,
 ): boolean {
-  return unit.allocations.some(booking => {
-    const {target: room} = booking;
-    if (!room.info.isDraining || room.drainingSince === undefined) {
+  return unit.allocations.some(allocation => {
+    const {target} = allocation;
+    if (!target.info.isDraining || target.drainingSince === undefined) {
       return false;
     }
-    const leavesAt = room.drainingSince + (room.info.remainingMs ?? 0);
-    const left = estimateRemainingTime(booking, unit, estimates, 1, now);
-    const finishes = now + left <= leavesAt;
-    // Work that is saved can go on until shortly before the target leaves.
-    const isLast = now >= leavesAt - DRAIN_STOP_MARGIN_MS;
-    return !finishes && (isLast || !unit.step.savesProgress);
+    const leavesAt = target.drainingSince + (target.info.remainingMs ?? 0);
+    const remaining = estimateRemainingTime(
+      allocation,
+      unit,
+      estimator,
+      1,
+      now,
+    );
+    const canFinish = now + remaining <= leavesAt;
+    // A unit that saves its progress can continue until shortly before the
+    // target leaves.
+    const isLastChance = now >= leavesAt - DRAIN_STOP_MARGIN_MS;
+    return !canFinish && (isLastChance || !unit.step.savesProgress);
   });
 }
--- a/packages/dispatch/src/target_directory.ts
+++ b/packages/dispatch/src/target_directory.ts
@@ -1,64 +1,71 @@
-/** The rooms of all targets, kept in step with the registry. */
+/** Directory of target states, updated from the registry. */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import {MAX_INCARNATIONS} from './leader_monitor.js';
 import {type TargetInfo, formatIncarnationKey} from './target_info.js';
 import {TargetState} from './target_state.js';
 
-/** What the directory tells of. */
+/** Events of the directory. */
 export interface TargetDirectoryEvents {
-  onTargetAdded(room: TargetState): void;
-  /** Another life took the place of `room`'s. */
-  onTargetReplaced(room: TargetState, next: TargetState): void;
+  /** Called when an incarnation was registered for the first time. */
+  onTargetAdded(target: TargetState): void;
+  /** Called when incarnation `next` has replaced `target`. */
+  onTargetReplaced(target: TargetState, next: TargetState): void;
 }
 
-/** Rooms by life, and the present life of each id. */
+/** Target states by incarnation, and the current incarnation by target id. */
 export class TargetDirectory {
-  private readonly byLife = new Map<string, TargetState>();
+  private readonly byIncarnation = new Map<string, TargetState>();
   private readonly byId = new Map<string, TargetState>();
 
-  /** `othersOverAt`: until when leases that former dispatchers granted may be alive. */
+  /**
+   * `earlierLeasesExpireAt` is the time at which all leases that previous
+   * leaders granted have expired.
+   */
   constructor(
     private readonly events: TargetDirectoryEvents,
-    private readonly othersOverAt: Instant,
+    private readonly earlierLeasesExpireAt: Instant,
   ) {}
 
-  /** Every room that may hold runs. */
+  /** Returns all target states that may have allocations. */
   listTargets(): IterableIterator<TargetState> {
-    return this.byLife.values();
+    return this.byIncarnation.values();
   }
 
-  /** Takes an entry of the registry. */
+  /** Adds or updates a target from its registry entry. */
   onRegistered(info: TargetInfo, now: Instant): void {
-    const present = this.byId.get(info.id);
-    if (!present) {
+    const current = this.byId.get(info.id);
+    if (!current) {
       this.add(info);
       return;
     }
-    if (info.born < present.info.born) {
+    if (info.born < current.info.born) {
       return;
     }
-    if (info.born > present.info.born) {
-      this.replace(present, info);
+    if (info.born > current.info.born) {
+      this.replace(current, info);
       return;
     }
-    present.info = info;
-    present.isRegistered = true;
+    current.info = info;
+    current.isRegistered = true;
     if (info.isDraining) {
-      present.drainingSince ??= now;
+      current.drainingSince ??= now;
     }
   }
 
-  /** The registry no longer lists the target. */
+  /** Marks a target that was removed from the registry. */
   onUnregistered(id: string): void {
-    const room = this.byId.get(id);
-    if (room) {
-      room.isRegistered = false;
+    const target = this.byId.get(id);
+    if (target) {
+      target.isRegistered = false;
     }
   }
 
-  /** The room of a life that a record names; made up when the registry does not know it. */
+  /**
+   * Returns the state of an incarnation that a record names. Creates a
+   * placeholder if the registry does not list it.
+   */
   findOrCreateIncarnation(key: string): TargetState {
-    const known = this.byLife.get(key);
+    const known = this.byIncarnation.get(key);
     if (known) {
       return known;
     }
@@ -74,57 +81,66 @@
       capacity: {cpu: 0, memoryMb: 0, accelerators: 0},
       isDraining: true,
     };
-    const room = new TargetState(info, this.othersOverAt);
-    room.isRegistered = false;
-    this.byLife.set(key, room);
-    return room;
+    const target = new TargetState(info, this.earlierLeasesExpireAt);
+    target.isRegistered = false;
+    this.byIncarnation.set(key, target);
+    return target;
   }
 
-  /** Another life answered at the room's address. */
-  onOtherIncarnation(room: TargetState, born: number): void {
-    if (!room.isRemoved && this.byId.get(room.info.id) === room) {
-      this.replace(room, {...room.info, born});
+  /** Called when another incarnation responds at the target's address. */
+  onOtherIncarnation(target: TargetState, born: number): void {
+    if (!target.isRemoved && this.byId.get(target.info.id) === target) {
+      this.replace(target, {...target.info, born});
     }
   }
 
-  /** Forgets rooms that hold nothing and that the registry does not list. */
-  sweep(now: Instant, unlistedTime: Milliseconds): void {
-    for (const room of this.byLife.values()) {
-      const isSilent = now - room.lastResponseAt > unlistedTime;
-      if (!room.isRegistered && room.allocations.size === 0 && isSilent) {
-        this.remove(room);
+  /**
+   * Removes targets that are not registered, have no allocations and have not
+   * responded for longer than `idleTimeout`.
+   */
+  sweep(now: Instant, idleTimeout: Milliseconds): void {
+    for (const target of this.byIncarnation.values()) {
+      const isUnresponsive = now - target.lastResponseAt > idleTimeout;
+      if (
+        !target.isRegistered &&
+        target.allocations.size === 0 &&
+        isUnresponsive
+      ) {
+        this.remove(target);
       }
     }
   }
 
   private add(info: TargetInfo, epochOffset = 0): TargetState {
-    const room = new TargetState(info, this.othersOverAt);
-    const ghost = this.byLife.get(room.key);
-    if (ghost) {
-      ghost.info = info;
-      ghost.isRegistered = true;
+    const target = new TargetState(info, this.earlierLeasesExpireAt);
+    const unregistered = this.byIncarnation.get(target.key);
+    if (unregistered) {
+      unregistered.info = info;
+      unregistered.isRegistered = true;
     }
-    const present = ghost ?? room;
-    this.byLife.set(present.key, present);
-    this.byId.set(info.id, present);
-    present.epochOffset = epochOffset;
-    this.events.onTargetAdded(present);
-    return present;
+    const current = unregistered ?? target;
+    this.byIncarnation.set(current.key, current);
+    this.byId.set(info.id, current);
+    current.epochOffset = epochOffset;
+    this.events.onTargetAdded(current);
+    return current;
   }
 
-  private replace(room: TargetState, info: TargetInfo): void {
-    this.remove(room);
-    const next = this.byLife.get(formatIncarnationKey(info.id, info.born));
-    const offset = Math.min(room.epochOffset + 1, MAX_INCARNATIONS - 1);
+  private replace(target: TargetState, info: TargetInfo): void {
+    this.remove(target);
+    const next = this.byIncarnation.get(
+      formatIncarnationKey(info.id, info.born),
+    );
+    const offset = Math.min(target.epochOffset + 1, MAX_INCARNATIONS - 1);
     const replacement = next ?? this.add(info, offset);
-    this.events.onTargetReplaced(room, replacement);
+    this.events.onTargetReplaced(target, replacement);
   }
 
-  private remove(room: TargetState): void {
-    room.isRemoved = true;
-    this.byLife.delete(room.key);
-    if (this.byId.get(room.info.id) === room) {
-      this.byId.delete(room.info.id);
+  private remove(target: TargetState): void {
+    target.isRemoved = true;
+    this.byIncarnation.delete(target.key);
+    if (this.byId.get(target.info.id) === target) {
+      this.byId.delete(target.info.id);
     }
   }
 }
--- a/packages/dispatch/src/target_info.ts
+++ b/packages/dispatch/src/target_info.ts
@@ -1,10 +1,13 @@
-/** A target as the platform's registry lists it. */
+/** Entry of a target in the platform's registry. */
 import type {Demand} from '@galenavalve/workload';
 
-/** One entry of the registry. */
+/** A target as the registry lists it. */
 export interface TargetInfo {
   id: string;
-  /** Unix milliseconds of the life's start; 0 when the entry does not say. */
+  /**
+   * Start time of the incarnation in Unix milliseconds; 0 if the entry has
+   * none.
+   */
   born: number;
   address: string;
   pool: string;
@@ -12,12 +15,13 @@
   rack: string;
   labels: string[];
   capacity: Demand;
+  /** Whether the target takes no new work and is leaving. */
   isDraining: boolean;
-  /** While it drains: least time until it leaves, in milliseconds. */
+  /** Minimum time until a draining target leaves, in milliseconds. */
   remainingMs?: number;
 }
 
-/** Identifies one life of a target. */
+/** Returns the key of one incarnation of a target: its id and start time. */
 export function formatIncarnationKey(id: string, born: number): string {
   return `${id}@${born}`;
 }
--- a/packages/dispatch/src/target_listing.ts
+++ b/packages/dispatch/src/target_listing.ts
@@ -1,4 +1,7 @@
-/** Takes a target's listing into the books: ends, progress, strays, and runs that are gone. */
+/**
+ * Applies a target's listing to its state: ends, progress, orphans, and runs
+ * that are no longer listed.
+ */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {Demand} from '@galenavalve/workload';
 import {sampleProgressRate} from './progress_rate.js';
@@ -11,127 +14,147 @@
 import type {ListedRun, TargetListing} from './target_port.js';
 import type {TargetState} from './target_state.js';
 
-/** Most ends that one listing carries; runs may be missing from a longer one. */
+/**
+ * Maximum number of ends in a listing. A listing that is full may omit ends, so
+ * absence from it proves nothing.
+ */
 const MAX_LISTED_ENDS = 500;
 
-/** Most time between two listings in which a run counts as seen: one listing, and its way. */
+/**
+ * Maximum time between two listings that counts as observed: one poll and its
+ * latency.
+ */
 const MAX_LISTING_GAP_MS: Milliseconds = 1200;
 
 /** Finds the unit that a task belongs to. */
 export type UnitLookup = (task: string) => ActiveUnit | undefined;
 
-/** Takes a listing of `room` made under `epoch`. Returns whether a run ended, was gone, or was not expected there. */
+/**
+ * Applies a listing of `target` under `epoch`. Returns whether a run ended, is
+ * gone or is an orphan.
+ */
 export function applyListing(
-  room: TargetState,
+  target: TargetState,
   listing: TargetListing,
   context: {
-    book: RunTracker;
+    tracker: RunTracker;
     findUnit: UnitLookup;
     epoch: number;
-    onStray: (booking: Allocation) => void;
+    onOrphan: (allocation: Allocation) => void;
   },
   now: Instant,
 ): boolean {
-  room.onResponse(listing.clock, now);
-  if (listing.clock < room.lastListingClock) {
+  target.onResponse(listing.clock, now);
+  if (listing.clock < target.lastListingClock) {
     return false;
   }
   let hasChanged = false;
-  room.lastListingClock = listing.clock;
-  room.hasListing = true;
+  target.lastListingClock = listing.clock;
+  target.hasListing = true;
   for (const end of [...listing.ended].sort((a, b) => a.number - b.number)) {
-    if (end.number > room.processedEnd) {
-      room.processedEnd = end.number;
+    if (end.number > target.processedEnd) {
+      target.processedEnd = end.number;
       hasChanged = true;
-      context.book.onEnd(room, end, context.findUnit(end.task), now);
+      context.tracker.onEnd(target, end, context.findUnit(end.task), now);
     }
   }
   const listed = new Set<Allocation>();
   for (const run of listing.running) {
-    const booking = room.findAllocation(run.task, run.run);
-    if (booking) {
-      listed.add(booking);
-      applyProgress(booking, run, listing.clock, context.book, now);
+    const allocation = target.findAllocation(run.task, run.run);
+    if (allocation) {
+      listed.add(allocation);
+      applyProgress(allocation, run, listing.clock, context.tracker, now);
     } else {
-      const stray = allocateOrphan(room, run, context.findUnit(run.task), now);
-      listed.add(stray);
-      context.onStray(stray);
+      const orphan = allocateOrphan(
+        target,
+        run,
+        context.findUnit(run.task),
+        now,
+      );
+      listed.add(orphan);
+      context.onOrphan(orphan);
       hasChanged = true;
     }
   }
   if (listing.ended.length < MAX_LISTED_ENDS) {
-    const dropped = dropAbsentRuns(room, listed, listing.clock, context);
+    const dropped = dropAbsentRuns(target, listed, listing.clock, context);
     hasChanged ||= dropped > 0;
   }
   return hasChanged;
 }
 
 function applyProgress(
-  booking: Allocation,
+  allocation: Allocation,
   run: ListedRun,
   clock: number,
-  book: RunTracker,
+  tracker: RunTracker,
   now: Instant,
 ): void {
-  book.onStarted(booking, clock, now);
-  const unseen = now - booking.listedAt;
-  booking.listedAt = now;
-  booking.stalledFor += Math.min(unseen, MAX_LISTING_GAP_MS);
-  if (run.percent > booking.percent) {
-    booking.stalledFor = 0;
-    if (booking.percent === 0) {
-      booking.firstPercent = run.percent;
-      booking.firstPercentAt = now;
+  tracker.onStarted(allocation, clock, now);
+  const sinceListed = now - allocation.listedAt;
+  allocation.listedAt = now;
+  allocation.stalledFor += Math.min(sinceListed, MAX_LISTING_GAP_MS);
+  if (run.percent > allocation.percent) {
+    allocation.stalledFor = 0;
+    if (allocation.percent === 0) {
+      allocation.firstPercent = run.percent;
+      allocation.firstPercentAt = now;
     }
-    booking.percent = run.percent;
-    booking.percentAt = now;
+    allocation.percent = run.percent;
+    allocation.percentAt = now;
   }
-  const {unit} = booking;
-  sampleProgressRate(booking, unit?.step.estimateMs ?? 0, clock);
+  const {unit} = allocation;
+  sampleProgressRate(allocation, unit?.step.estimateMs ?? 0, clock);
   if (unit && run.checkpoint !== '' && unit.progress.run === run.run) {
     unit.progress.checkpoint = run.checkpoint;
   }
 }
 
-/** Returns how many runs were gone. */
+/**
+ * Releases runs that the listing proves to be gone, and returns their number.
+ */
 function dropAbsentRuns(
-  room: TargetState,
+  target: TargetState,
   listed: ReadonlySet<Allocation>,
   clock: number,
-  context: {book: RunTracker; epoch: number},
+  context: {tracker: RunTracker; epoch: number},
 ): number {
   let dropped = 0;
-  for (const booking of [...room.allocations.values()]) {
-    if (listed.has(booking) || booking.state === 'planned') {
+  for (const allocation of [...target.allocations.values()]) {
+    if (listed.has(allocation) || allocation.state === 'planned') {
       continue;
     }
-    const isSettled =
-      booking.acknowledgedClock !== undefined &&
-      booking.acknowledgedClock < clock;
-    // The first listing under a new epoch fences all orders of older ones.
-    const isFencedOff = booking.epoch < context.epoch;
-    if (isSettled || isFencedOff) {
-      context.book.onRunLost(booking, 'its target does not list it');
+    const isStopAcknowledged =
+      allocation.acknowledgedClock !== undefined &&
+      allocation.acknowledgedClock < clock;
+    // The first listing under a new epoch makes the target refuse all commands
+    // of older epochs.
+    const isFenced = allocation.epoch < context.epoch;
+    if (isStopAcknowledged || isFenced) {
+      context.tracker.onRunLost(
+        allocation,
+        'the target no longer lists the run',
+      );
       dropped++;
     }
   }
   return dropped;
 }
 
-/** A run that nobody expected still takes room until it is gone. */
+/** Allocates capacity for an orphan, which holds it until it is gone. */
 function allocateOrphan(
-  room: TargetState,
+  target: TargetState,
   {task, run}: ListedRun,
   unit: ActiveUnit | undefined,
   now: Instant,
 ): Allocation {
-  const none: Demand = {cpu: 0, memoryMb: 0, accelerators: 0};
-  const booking = createAllocation(
+  const noDemand: Demand = {cpu: 0, memoryMb: 0, accelerators: 0};
+  const allocation = createAllocation(
     {
       task,
       run,
-      demand: unit?.step.demand ?? none,
-      target: room,
+      demand: unit?.step.demand ?? noDemand,
+      target,
       unit: undefined,
       memberIndex: 0,
       state: 'confirmed',
@@ -139,6 +162,6 @@
     },
     now,
   );
-  room.allocate(booking);
-  return booking;
+  target.allocate(allocation);
+  return allocation;
 }
--- a/packages/dispatch/src/target_port.ts
+++ b/packages/dispatch/src/target_port.ts
@@ -1,7 +1,10 @@
-/** Orders to targets. Ports never throw: an answer that did not come is an outcome. */
+/**
+ * Port through which commands and polls are sent to targets. Its methods never
+ * throw: a missing response is an outcome.
+ */
 import type {Milliseconds} from '@galenavalve/shared';
 
-/** Where and to which life of a target an order goes. */
+/** Id and address of the target that a command is sent to. */
 export interface TargetAddress {
   id: string;
   address: string;
@@ -12,55 +15,68 @@
   task: string;
   run: number;
   payload: string;
+  /** Checkpoint to start from; empty for a start from scratch. */
   checkpoint: string;
-  /** End of the target's lease on the target's own clock, in milliseconds. */
+  /** End of the target's lease, in milliseconds of the target's clock. */
   leaseUntil: number;
+  /**
+   * Fencing token; a target refuses epochs lower than the highest it has seen.
+   */
   epoch: number;
-  /** Permission of the queue's advisor. */
+  /** Ticket of the advisor, if the queue needs one. */
   ticket?: string;
 }
 
-/** Stops one run and bars it for ever. */
+/** Stops one run and prevents it from ever starting. */
 export interface StopCommand {
   task: string;
   run: number;
+  /** Fencing token, as in `StartCommand`. */
   epoch: number;
 }
 
-/** Renews a target's lease, acknowledges ends and asks for what runs. */
+/** Renews a target's lease, acknowledges ends and requests a listing. */
 export interface PollRequest {
+  /** Fencing token, as in `StartCommand`. */
   epoch: number;
-  /** Absent when the lease is not to be extended. */
+  /**
+   * End of the lease, in milliseconds of the target's clock; undefined if it is
+   * not extended.
+   */
   leaseUntil?: number;
-  /** Ends up to this number are recorded and may be forgotten. */
+  /**
+   * Number of the last end that is in the log; the target may forget ends up to
+   * it.
+   */
   acknowledgedEnd: number;
-  /** The answer waits this long for a new end, in milliseconds. */
+  /** Time that the target waits for a new end before it responds. */
   wait: Milliseconds;
 }
 
-/** Why a target refused an order. */
+/** Reason why a target refused a command. */
 export type RefusalReason =
   'fenced' | 'superseded' | 'late' | 'room' | 'ticket';
 
-/** What became of an order. `clock` is the target's own clock in milliseconds. */
+/** Outcome of a command. `clock` is the target's clock in milliseconds. */
 export type CommandOutcome =
   | {kind: 'done'; clock: number}
   | {kind: 'refused'; reason: RefusalReason; clock: number}
-  /** Another life answers at the address. */
+  /** Another incarnation responded at the address. */
   | {kind: 'other-life'}
-  /** The target did nothing and says it is unhealthy. */
+  /** The target did nothing and reports that it is unhealthy. */
   | {kind: 'unhealthy'}
-  /** The order is not valid for this target. */
+  /** The command is not valid for this target. */
   | {kind: 'invalid'; problem: string}
-  /** No answer: it may have been carried out, or may be later. */
+  /** No response: the command may have been carried out, or may be later. */
   | {kind: 'unknown'; problem: string};
 
-/** A run that a target lists. */
+/** A run that a target lists as running. */
 export interface ListedRun {
   task: string;
   run: number;
+  /** Newest checkpoint; empty if there is none. */
   checkpoint: string;
-  /** Share of the work done, in percent. */
+  /** Progress in whole percent. */
   percent: number;
 }
 
@@ -68,44 +84,50 @@
 export type EndKind =
   'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone';
 
-/** An end that a target lists. */
+/** A run that a target lists as ended. */
 export interface ListedEnd {
+  /** Ascending number of the end at its target, by which it is acknowledged. */
   number: number;
   task: string;
   run: number;
   kind: EndKind;
+  /** Newest checkpoint; empty if there is none. */
   checkpoint: string;
 }
 
-/** What a target said of itself. */
+/** A target's report of its running and ended runs. */
 export interface TargetListing {
-  /** Unix milliseconds of the start of the answering life; 0 when it did not say. */
+  /**
+   * Start time of the responding incarnation in Unix milliseconds; 0 if it was
+   * not reported.
+   */
   born: number;
+  /** Clock of the target in milliseconds. */
   clock: number;
   running: ListedRun[];
   ended: ListedEnd[];
 }
 
-/** What became of a hold. */
+/** Outcome of a poll. */
 export type PollOutcome =
   | {kind: 'listed'; listing: TargetListing}
   | Exclude<CommandOutcome, {kind: 'done'}>;
 
-/** Carries orders to targets. */
+/** Sends commands and polls to targets. */
 export interface TargetPort {
   start(
     target: TargetAddress,
-    order: StartCommand,
+    command: StartCommand,
     timeout: Milliseconds,
   ): Promise<CommandOutcome>;
   stop(
     target: TargetAddress,
-    order: StopCommand,
+    command: StopCommand,
     timeout: Milliseconds,
   ): Promise<CommandOutcome>;
   poll(
     target: TargetAddress,
-    order: PollRequest,
+    command: PollRequest,
     timeout: Milliseconds,
   ): Promise<PollOutcome>;
 }
--- a/packages/dispatch/src/target_sessions.ts
+++ b/packages/dispatch/src/target_sessions.ts
@@ -1,4 +1,7 @@
-/** Keeps a listing of every target under way, renews its lease and acknowledges ends. */
+/**
+ * Polls every target continuously, which renews its lease, acknowledges ends
+ * and returns a listing.
+ */
 import {
   type Clock,
   type Logger,
@@ -11,35 +14,49 @@
 import type {PollOutcome, TargetListing, TargetPort} from './target_port.js';
 import type {TargetState} from './target_state.js';
 
-/** Longest wait for an answer beyond the wait that was asked for, in milliseconds; a calm target takes a few. */
+/**
+ * Time that a response may take beyond the wait of the poll; a target that is
+ * not busy takes a few milliseconds.
+ */
 const RESPONSE_TIMEOUT_MS = 500;
 
-/** Pause after a listing that did not come, in milliseconds. */
+/** Delay before the retry of a failed poll. */
 const POLL_RETRY_DELAY_MS = 150;
 
-/** A target that did not answer for this long gets no longer lease, in milliseconds: one listing that was lost is forgiven. */
+/**
+ * Time without a response after which a target's lease is no longer extended;
+ * one lost poll is tolerated.
+ */
 const MAX_LEASE_EXTENSION_SILENCE_MS = 2000;
 
-/** Longest wait for the log before ends are asked for again, in milliseconds. */
+/** Maximum wait for ends to be written to the log before the next poll. */
 const MAX_RECORD_WAIT_MS = 60;
 
-/** What sessions need of the dispatcher. */
+/** What the sessions need of the dispatcher. */
 export interface SessionDelegate {
   readonly epoch: number;
+  /** Whether leadership has ended. */
   readonly isClosed: boolean;
-  /** Whether leases may be extended: the office is surely still held. */
+  /**
+   * Whether leases may be extended, which requires recent proof of leadership.
+   */
   isLeaseExtensionAllowed(): boolean;
-  onListing(room: TargetState, listing: TargetListing): void;
-  onOtherIncarnation(room: TargetState, born: number): void;
-  /** A target of another id answers at the room's address. */
-  onAddressReassigned(room: TargetState): void;
+  /** Called for every listing of a target. */
+  onListing(target: TargetState, listing: TargetListing): void;
+  /** Called when another incarnation responds at the address of `target`. */
+  onOtherIncarnation(target: TargetState, born: number): void;
+  /**
+   * Called when a target with another id responds at the address of `target`.
+   */
+  onAddressReassigned(target: TargetState): void;
+  /** Called when a target refuses a poll because it has seen a higher epoch. */
   onFenced(): void;
 }
 
-/** Sessions with all targets of one term of office. */
+/** Sessions of one leader with all targets. */
 export class TargetSessions {
   constructor(
-    private readonly desk: SessionDelegate,
+    private readonly delegate: SessionDelegate,
     private readonly port: TargetPort,
     private readonly settings: DispatchSettings,
     private readonly pacer: CallPacer,
@@ -47,120 +64,135 @@
     private readonly logger: Logger,
   ) {}
 
-  /** Keeps listings coming until the room is over. */
-  async maintain(room: TargetState): Promise<void> {
+  /** Polls a target until it is removed or leadership ends. */
+  async maintain(target: TargetState): Promise<void> {
     let failures = 0;
-    while (!this.isOver(room)) {
-      const wait = chooseWait(room, failures);
+    while (!this.isClosed(target)) {
+      const wait = chooseWait(target, failures);
       await this.pacer.waitForSlot();
-      if (this.isOver(room)) {
+      if (this.isClosed(target)) {
         return;
       }
-      const outcome = await this.holdSafely(room, wait);
-      if (this.isOver(room)) {
+      const outcome = await this.pollSafely(target, wait);
+      if (this.isClosed(target)) {
         return;
       }
       if (outcome.kind === 'listed') {
         if (failures > 0) {
-          this.logger.info('target-reached', {target: room.info.id, failures});
+          this.logger.info('target-reached', {
+            target: target.info.id,
+            failures,
+          });
         }
         failures = 0;
-        await this.awaitRecord(room);
+        await this.waitForRecord(target);
         continue;
       }
       if (failures === 0) {
-        this.logger.warn('target-unreachable', {target: room.info.id, outcome});
+        this.logger.warn('target-unreachable', {
+          target: target.info.id,
+          outcome,
+        });
       }
       failures++;
       await this.clock.sleep(POLL_RETRY_DELAY_MS);
     }
   }
 
-  /** Asks for one listing at once. */
-  async pollOnce(room: TargetState): Promise<void> {
+  /** Requests one listing without waiting for an end. */
+  async pollOnce(target: TargetState): Promise<void> {
     await this.pacer.waitForSlot();
-    if (!this.isOver(room)) {
-      await this.holdSafely(room, 0);
+    if (!this.isClosed(target)) {
+      await this.pollSafely(target, 0);
     }
   }
 
-  /** An unexpected error costs this listing; the target is asked again. */
-  private async holdSafely(
-    room: TargetState,
+  /** Polls once; an unexpected error counts as a failed poll. */
+  private async pollSafely(
+    target: TargetState,
     wait: number,
   ): Promise<PollOutcome> {
     try {
-      return await this.hold(room, wait);
+      return await this.poll(target, wait);
     } catch (error) {
       const problem = describeError(error);
-      this.logger.error('listing-failed', {target: room.info.id, problem});
+      this.logger.error('listing-failed', {target: target.info.id, problem});
       return {kind: 'unknown', problem};
     }
   }
 
-  private async hold(room: TargetState, wait: number): Promise<PollOutcome> {
+  private async poll(target: TargetState, wait: number): Promise<PollOutcome> {
     const now = this.clock.now();
-    // The lease of a silent target must run out: only then may its work start elsewhere.
-    const isHeard = now - room.lastResponseAt <= MAX_LEASE_EXTENSION_SILENCE_MS;
-    const until =
-      isHeard && this.desk.isLeaseExtensionAllowed()
-        ? computeLeaseEnd(room, this.settings, now)
+    // The lease of a target that does not respond must expire, since only then
+    // can its work start elsewhere.
+    const isResponsive =
+      now - target.lastResponseAt <= MAX_LEASE_EXTENSION_SILENCE_MS;
+    const leaseEnd =
+      isResponsive && this.delegate.isLeaseExtensionAllowed()
+        ? computeLeaseEnd(target, this.settings, now)
         : undefined;
-    if (until !== undefined) {
-      room.onLeaseSent(until);
+    if (leaseEnd !== undefined) {
+      target.onLeaseSent(leaseEnd);
     }
-    room.responseDueAt = Math.min(room.responseDueAt, now + wait);
+    target.responseDueAt = Math.min(target.responseDueAt, now + wait);
     const outcome = await this.port.poll(
-      room.info,
+      target.info,
       {
-        epoch: this.desk.epoch + room.epochOffset,
-        leaseUntil: until,
-        acknowledgedEnd: room.recordedEnd,
+        epoch: this.delegate.epoch + target.epochOffset,
+        leaseUntil: leaseEnd,
+        acknowledgedEnd: target.recordedEnd,
         wait,
       },
       wait + RESPONSE_TIMEOUT_MS,
     );
-    this.take(room, outcome);
+    this.applyOutcome(target, outcome);
     return outcome;
   }
 
-  private take(room: TargetState, outcome: PollOutcome): void {
-    if (this.isOver(room)) {
+  private applyOutcome(target: TargetState, outcome: PollOutcome): void {
+    if (this.isClosed(target)) {
       return;
     }
     if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
-      this.desk.onFenced();
+      this.delegate.onFenced();
     } else if (outcome.kind === 'other-life') {
-      this.desk.onAddressReassigned(room);
+      this.delegate.onAddressReassigned(target);
     } else if (outcome.kind === 'listed') {
       const {born} = outcome.listing;
-      if (born !== 0 && room.info.born !== 0 && born !== room.info.born) {
-        this.desk.onOtherIncarnation(room, born);
+      if (born !== 0 && target.info.born !== 0 && born !== target.info.born) {
+        this.delegate.onOtherIncarnation(target, born);
       } else {
-        this.desk.onListing(room, outcome.listing);
+        this.delegate.onListing(target, outcome.listing);
       }
     }
   }
 
-  /** Ends are listed until they are acknowledged; asking again before would only repeat them. */
-  private async awaitRecord(room: TargetState): Promise<void> {
-    if (room.recordedEnd < room.processedEnd) {
+  /**
+   * Waits until the processed ends are in the log. Ends are listed until they
+   * are acknowledged, so an earlier poll would only return them again.
+   */
+  private async waitForRecord(target: TargetState): Promise<void> {
+    if (target.recordedEnd < target.processedEnd) {
       const recorded = new AbortController();
-      room.setRecordListener(() => recorded.abort());
+      target.setRecordListener(() => recorded.abort());
       await this.clock.sleep(MAX_RECORD_WAIT_MS, recorded.signal);
     }
   }
 
-  private isOver(room: TargetState): boolean {
-    return this.desk.isClosed || room.isRemoved;
+  private isClosed(target: TargetState): boolean {
+    return this.delegate.isClosed || target.isRemoved;
   }
 }
 
-/** Urgent work is looked at twice as often: it has no time to lose on a target that stands still. */
-function chooseWait(room: TargetState, failures: number): Milliseconds {
-  // Whether a target is back is to be known at once: its lease waits for that.
-  if (!room.hasListing || failures > 0) {
+/**
+ * Returns the wait of the next poll. Targets with urgent work are polled twice
+ * as often, so that a stall is noticed early.
+ */
+function chooseWait(target: TargetState, failures: number): Milliseconds {
+  // A target that does not respond is polled without a wait, so that its return
+  // is noticed at once and its lease renewed.
+  if (!target.hasListing || failures > 0) {
     return 0;
   }
-  return room.hasUrgentWork() ? POLL_WAIT_MS / 2 : POLL_WAIT_MS;
+  return target.hasUrgentWork() ? POLL_WAIT_MS / 2 : POLL_WAIT_MS;
 }
--- a/packages/dispatch/src/target_state.ts
+++ b/packages/dispatch/src/target_state.ts
@@ -1,90 +1,124 @@
-/** One life of a target: its room, its lease, and what it last said. */
+/**
+ * State of one incarnation of a target: its allocations, its lease and its last
+ * listing.
+ */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {Demand} from '@galenavalve/workload';
 import type {Allocation} from './active_job.js';
 import {MIN_CLOCK_RATE} from './settings.js';
 import {type TargetInfo, formatIncarnationKey} from './target_info.js';
 
-/** Weight of the newest run in a target's pace. */
+/** Weight of the newest ratio in the moving average. */
 const NEWEST_DURATION_RATIO_WEIGHT = 0.15;
 
-/** Runs from which a target's pace can be read; single tasks differ by a third. */
+/**
+ * Minimum number of ratios from which slowness is derived; durations of single
+ * tasks differ by a third.
+ */
 const MIN_DURATION_RATIOS = 4;
 
-/** Paces beyond this are taken as faults of the task. */
+/**
+ * Highest plausible ratio, and the inverse of the lowest; larger deviations are
+ * caused by the task and are clamped.
+ */
 const MAX_SLOWNESS = 4;
 
-/** An answer is late this long after it was due, in milliseconds: a hundred times the usual way. */
+/**
+ * Time after its due time from which on a response is late; a hundred times the
+ * usual latency.
+ */
 const RESPONSE_GRACE_MS = 250;
 
-/** Books of one life of a target. */
+/** The leader's state of one incarnation of a target. */
 export class TargetState {
+  /** Key of the incarnation; see `formatIncarnationKey`. */
   readonly key: string;
+  /** Allocations by task and run. */
   readonly allocations = new Map<string, Allocation>();
-  /** Whether the registry lists this life. */
+  /** Whether the registry lists this incarnation. */
   isRegistered = true;
-  /** A newer life answers at its address. */
+  /** Whether a newer incarnation has replaced this one. */
   isRemoved = false;
-  /** Its first listing under this dispatcher came. */
+  /** Whether this leader has received a listing. */
   hasListing = false;
   lastResponseAt: Instant = -Infinity;
-  /** When the answer to the listing under way is due; Infinity while none is. */
+  /**
+   * When the response to the poll in progress is due; Infinity if there is
+   * none.
+   */
   responseDueAt: Instant = Infinity;
-  /** Highest end that was taken into the books. */
+  /** Number of the last end that was processed. */
   processedEnd = 0;
-  /** Highest end that the log holds; targets may forget up to it. */
+  /**
+   * Number of the last end that is in the log; the target may forget ends up to
+   * it.
+   */
   recordedEnd = 0;
-  /** Clock of the newest listing that was taken into the books. */
+  /**
+   * Clock of the newest listing that was applied; older listings are ignored.
+   */
   lastListingClock = -1;
-  /** No lease can be alive after this instant. */
+  /** Time at which every lease of the target has expired at the latest. */
   leaseExpiresAt: Instant;
-  /** Not used for new runs before this instant. */
+  /** Time until which no new runs are placed on the target. */
   avoidUntil: Instant = -Infinity;
-  /** Failures in a row, for the length of the next avoidance. */
+  /**
+   * Consecutive failures, which determine how long the target is avoided next.
+   */
   consecutiveFailures = 0;
-  /** When it was first said to drain. */
+  /** When the target was first reported as draining. */
   drainingSince?: Instant;
   /**
-   * Added to the epoch in orders to this life: an order to a former life of
-   * the same id that arrives late is refused as of a lower epoch.
+   * Added to the epoch of commands to this incarnation. A late command to an
+   * earlier incarnation of the same id carries a lower epoch and is refused.
    */
   epochOffset = 0;
-  /** Time that its tasks take relative to others; 1 is usual. */
+  /**
+   * Factor by which tasks take longer than usual on this target; at least 1.
+   */
   slowness = 1;
-  private pace = 1;
-  private paces = 0;
+  private durationRatio = 1;
+  private durationRatioCount = 0;
   private clockSample?: {clock: number; at: Instant};
   private used: Demand = {cpu: 0, memoryMb: 0, accelerators: 0};
   private recordListener?: () => void;
 
-  /** `leaseOverAt`: when leases that others granted have surely ended. */
+  /**
+   * `leaseExpiresAt` is the time at which all leases that previous leaders
+   * granted have expired.
+   */
   constructor(
     public info: TargetInfo,
-    leaseOverAt: Instant,
+    leaseExpiresAt: Instant,
   ) {
     this.key = formatIncarnationKey(info.id, info.born);
-    this.leaseExpiresAt = leaseOverAt;
+    this.leaseExpiresAt = leaseExpiresAt;
   }
 
-  /** Takes room for a run. */
-  allocate(booking: Allocation): void {
-    this.allocations.set(formatRunKey(booking.task, booking.run), booking);
-    this.addUsed(booking.demand, 1);
+  /** Allocates capacity for a run. */
+  allocate(allocation: Allocation): void {
+    this.allocations.set(
+      formatRunKey(allocation.task, allocation.run),
+      allocation,
+    );
+    this.addUsed(allocation.demand, 1);
   }
 
-  /** Frees the room of a run. */
-  release(booking: Allocation): void {
-    if (this.allocations.delete(formatRunKey(booking.task, booking.run))) {
-      this.addUsed(booking.demand, -1);
+  /** Releases the capacity of a run. */
+  release(allocation: Allocation): void {
+    if (
+      this.allocations.delete(formatRunKey(allocation.task, allocation.run))
+    ) {
+      this.addUsed(allocation.demand, -1);
     }
   }
 
-  /** The booking of a run. */
+  /** Finds the allocation of a run. */
   findAllocation(task: string, run: number): Allocation | undefined {
     return this.allocations.get(formatRunKey(task, run));
   }
 
-  /** Whether urgent work runs there. */
+  /** Whether an urgent unit has an allocation on the target. */
   hasUrgentWork(): boolean {
     for (const {unit} of this.allocations.values()) {
       if (unit?.job.accepted.terms.priority === 0) {
@@ -94,7 +128,7 @@
     return false;
   }
 
-  /** Room that no run takes. */
+  /** Returns the capacity that is not allocated. */
   computeFreeCapacity(): Demand {
     const {capacity} = this.info;
     return {
@@ -104,19 +138,22 @@
     };
   }
 
-  /** The log holds the ends up to `number`. */
+  /** Called when the log has the ends up to `number`. */
   onEndsRecorded(number: number): void {
     this.recordedEnd = number;
     this.recordListener?.();
     this.recordListener = undefined;
   }
 
-  /** Calls back once when more ends are recorded; a later call takes the place of an earlier one. */
+  /**
+   * Registers a listener that is called once when more ends are in the log. It
+   * replaces an earlier listener.
+   */
   setRecordListener(listener: () => void): void {
     this.recordListener = listener;
   }
 
-  /** Notes the target's clock, read between `sentAt` and `now`. */
+  /** Records a response that arrived at `now` with the target's clock. */
   onResponse(clock: number, now: Instant): void {
     this.lastResponseAt = now;
     this.responseDueAt = Infinity;
@@ -125,7 +162,10 @@
     }
   }
 
-  /** The least that the target's clock can show now; undefined before it first answered. */
+  /**
+   * Returns the lowest value that the target's clock can show now; undefined
+   * before the first response.
+   */
   estimateMinClock(now: Instant): number | undefined {
     if (!this.clockSample) {
       return undefined;
@@ -134,32 +174,47 @@
     return Math.floor(clock + (now - at) * MIN_CLOCK_RATE);
   }
 
-  /** Notes that an order with this lease was sent; it counts whether or not it was answered. */
+  /**
+   * Records that a lease until `until` of the target's clock was sent. It
+   * counts whether or not the target responds.
+   */
   onLeaseSent(until: number): void {
     if (this.clockSample) {
       const {clock, at} = this.clockSample;
-      const over = at + (until - clock) / MIN_CLOCK_RATE;
-      this.leaseExpiresAt = Math.max(this.leaseExpiresAt, over);
+      const expiresAt = at + (until - clock) / MIN_CLOCK_RATE;
+      this.leaseExpiresAt = Math.max(this.leaseExpiresAt, expiresAt);
     }
   }
 
-  /** Notes that a run took this many times as long as expected. */
+  /** Records the ratio of a run's actual to its expected duration. */
   recordDurationRatio(ratio: number): void {
-    const bounded = Math.min(MAX_SLOWNESS, Math.max(1 / MAX_SLOWNESS, ratio));
-    this.paces++;
-    const weight = Math.max(1 / this.paces, NEWEST_DURATION_RATIO_WEIGHT);
-    this.pace += (bounded - this.pace) * weight;
-    if (this.paces >= MIN_DURATION_RATIOS) {
-      this.slowness = Math.max(1, this.pace);
+    const boundedRatio = Math.min(
+      MAX_SLOWNESS,
+      Math.max(1 / MAX_SLOWNESS, ratio),
+    );
+    this.durationRatioCount++;
+    const weight = Math.max(
+      1 / this.durationRatioCount,
+      NEWEST_DURATION_RATIO_WEIGHT,
+    );
+    this.durationRatio += (boundedRatio - this.durationRatio) * weight;
+    if (this.durationRatioCount >= MIN_DURATION_RATIOS) {
+      this.slowness = Math.max(1, this.durationRatio);
     }
   }
 
-  /** Whether a listing should have come by now: targets answer within milliseconds of the end of the wait. */
+  /**
+   * Whether the response to the poll in progress is overdue; targets respond
+   * within milliseconds after the wait.
+   */
   isResponseLate(now: Instant): boolean {
     return now > this.responseDueAt + RESPONSE_GRACE_MS;
   }
 
-  /** Whether new runs may go there, but for its room. */
+  /**
+   * Whether new runs may be placed on the target, regardless of its capacity.
+   * `freshness` is the maximum age of the last response.
+   */
   isSchedulable(now: Instant, freshness: Milliseconds): boolean {
     return (
       this.isRegistered &&
