Reword workload in the usual terms of logs and leadership

Newcomers stopped at comments and names that were private to the project: records were "gathered" and "taken", the leader was the "holder of the office", and progress counted "places" and "lives".

Ruled out: renaming stored fields, the `forgotten` kind of a decoded record and `Follower.lastAnswerAt`, since other packages or stored records use them.

Comments, locals, private members and test titles now use record, offset, tombstone, epoch, leadership, incarnation and read delay; constants of a quantity end in their unit.

--- a/packages/workload/__tests__/job_table.spec.ts
+++ b/packages/workload/__tests__/job_table.spec.ts
@@ -40,65 +40,71 @@
   };
 }
 
-t.test('pages of a snapshot may list the records of a job in any order', t => {
-  const table = new JobTable(new SilentLogger());
-  const job = createJob();
-  const progress = {...createProgress(job.spec), hasBegun: true};
-  table.apply({...encodeCancelled('1'), offset: 9});
-  table.apply({...encodeProgress('1', progress), offset: 7});
-  table.apply({...encodeAccepted('1', job), offset: 3});
-  t.equal(getJobState(table.find('1')!), 'cancelled');
-  t.ok(table.find('1')!.progress!.hasBegun);
-  t.end();
-});
+t.test(
+  'the records of a job may be applied in any order, as pages of newest records list them',
+  t => {
+    const table = new JobTable(new SilentLogger());
+    const job = createJob();
+    const progress = {...createProgress(job.spec), hasBegun: true};
+    table.apply({...encodeCancelled('1'), offset: 9});
+    table.apply({...encodeProgress('1', progress), offset: 7});
+    table.apply({...encodeAccepted('1', job), offset: 3});
+    t.equal(getJobState(table.find('1')!), 'cancelled');
+    t.ok(table.find('1')!.progress!.hasBegun);
+    t.end();
+  },
+);
 
-t.test('an older record of a key changes nothing', t => {
-  const table = new JobTable(new SilentLogger());
-  const job = createJob();
-  table.apply({...encodeAccepted('1', job), offset: 1});
-  const done = {...createProgress(job.spec), outcome: 'complete' as const};
-  table.apply({...encodeProgress('1', done), offset: 5});
-  const old = createProgress(job.spec);
-  table.apply({...encodeProgress('1', old), offset: 2});
-  t.equal(getJobState(table.find('1')!), 'complete');
-  t.end();
-});
+t.test(
+  'a record with a lower offset than the newest of its key is ignored',
+  t => {
+    const table = new JobTable(new SilentLogger());
+    const job = createJob();
+    table.apply({...encodeAccepted('1', job), offset: 1});
+    const completeProgress = {
+      ...createProgress(job.spec),
+      outcome: 'complete' as const,
+    };
+    table.apply({...encodeProgress('1', completeProgress), offset: 5});
+    const olderProgress = createProgress(job.spec);
+    table.apply({...encodeProgress('1', olderProgress), offset: 2});
+    t.equal(getJobState(table.find('1')!), 'complete');
+    t.end();
+  },
+);
 
-t.test('a repeated request keeps the first job', t => {
+t.test('a repeated acceptance does not replace the first one', t => {
   const table = new JobTable(new SilentLogger());
   table.apply({...encodeAccepted('1', createJob()), offset: 1});
-  const again = {...createJob(), acceptedAt: 99};
-  table.apply({...encodeAccepted('1', again), offset: 2});
+  const repeatedJob = {...createJob(), acceptedAt: 99};
+  table.apply({...encodeAccepted('1', repeatedJob), offset: 2});
   t.equal(table.find('1')!.job.acceptedAt, 5);
   t.end();
 });
 
-t.test(
-  'a record that cannot be read is passed over, and a forgotten job is gone',
-  t => {
-    const table = new JobTable(new SilentLogger());
-    table.apply({key: 'a/1', value: '{"no":"job"}', offset: 1});
-    t.equal(table.find('1'), undefined);
-    table.apply({...encodeAccepted('2', createJob()), offset: 2});
-    encodeJobTombstones('2').forEach((record, index) =>
-      table.apply({...record, offset: 3 + index}),
-    );
-    t.equal(table.find('2'), undefined);
-    t.end();
-  },
-);
+t.test('a malformed record is skipped, and tombstones delete a job', t => {
+  const table = new JobTable(new SilentLogger());
+  table.apply({key: 'a/1', value: '{"no":"job"}', offset: 1});
+  t.equal(table.find('1'), undefined);
+  table.apply({...encodeAccepted('2', createJob()), offset: 2});
+  encodeJobTombstones('2').forEach((record, index) =>
+    table.apply({...record, offset: 3 + index}),
+  );
+  t.equal(table.find('2'), undefined);
+  t.end();
+});
 
-t.test('the office belongs to the highest epoch', t => {
+t.test('the leadership with the highest epoch is kept', t => {
   const table = new JobTable(new SilentLogger());
-  const put = (epoch: number, offset: number) =>
+  const applyLeadership = (epoch: number, offset: number) =>
     table.apply({...encodeLeadership({epoch, holder: `h${epoch}`}), offset});
-  put(4, 1);
-  put(3, 2);
+  applyLeadership(4, 1);
+  applyLeadership(3, 2);
   t.equal(table.leadership?.epoch, 4);
   t.end();
 });
 
-t.test('task names are read as they are written', t => {
+t.test('parsing a formatted task name returns the same name', t => {
   const name = {jobId: 'a', occurrence: 1, step: 2, index: 3};
   t.same(parseTaskName(formatTaskName(name)), name);
   t.equal(parseTaskName('odd.name'), undefined);
--- a/packages/workload/__tests__/stored_progress.spec.ts
+++ b/packages/workload/__tests__/stored_progress.spec.ts
@@ -49,54 +49,60 @@
   },
 );
 
-t.test('progress is read as it was written', t => {
+t.test('parsing formatted progress returns the same progress', t => {
   fc.assert(
-    fc.property(progress, written => {
-      const stored = parseProgress(formatProgress(written));
-      const read = {...stored.read(), endedAt: written.endedAt};
-      t.same(read, {endedAt: undefined, ...written});
-      t.equal(stored.outcome, written.outcome);
+    fc.property(progress, original => {
+      const stored = parseProgress(formatProgress(original));
+      const parsed = {...stored.read(), endedAt: original.endedAt};
+      t.same(parsed, {endedAt: undefined, ...original});
+      t.equal(stored.outcome, original.outcome);
     }),
     {seed: 1, numRuns: 200},
   );
   t.end();
 });
 
-t.test('a wide job takes a few bytes for each task', t => {
-  const step = {
-    count: 138,
-    demand: {cpu: 1, memoryMb: 1, accelerators: 1},
-    estimateMs: 1,
-    dependsOn: [],
-    isGang: false,
-    isRackSensitive: false,
-    savesProgress: false,
-    isLongRunning: false,
-    usesIdleCpu: false,
-    maxUnavailable: 0,
-  };
-  const occurrence = createOccurrence({payload: '', steps: [step]}, 0);
-  for (const [index, each] of occurrence.steps[0]!.entries()) {
-    each.run = 1;
-    each.isDone = index % 2 === 0;
-    each.placedOn = each.isDone
-      ? undefined
-      : [`i-${index % 40}abcdef@1783141169063`];
-  }
-  const value = formatProgress({
-    outcome: 'active',
-    hasBegun: true,
-    doneOccurrences: 0,
-    occurrences: [occurrence],
-  });
-  t.ok(value.length < 138 * 20, `${value.length} characters`);
-  t.end();
-});
+t.test(
+  'the progress of a wide job takes less than 20 characters per task',
+  t => {
+    const step = {
+      count: 138,
+      demand: {cpu: 1, memoryMb: 1, accelerators: 1},
+      estimateMs: 1,
+      dependsOn: [],
+      isGang: false,
+      isRackSensitive: false,
+      savesProgress: false,
+      isLongRunning: false,
+      usesIdleCpu: false,
+      maxUnavailable: 0,
+    };
+    const occurrence = createOccurrence({payload: '', steps: [step]}, 0);
+    for (const [index, unitProgress] of occurrence.steps[0]!.entries()) {
+      unitProgress.run = 1;
+      unitProgress.isDone = index % 2 === 0;
+      unitProgress.placedOn = unitProgress.isDone
+        ? undefined
+        : [`i-${index % 40}abcdef@1783141169063`];
+    }
+    const value = formatProgress({
+      outcome: 'active',
+      hasBegun: true,
+      doneOccurrences: 0,
+      occurrences: [occurrence],
+    });
+    t.ok(value.length < 138 * 20, `${value.length} characters`);
+    t.end();
+  },
+);
 
-t.test('units of a record that another writer broke are not guessed', t => {
-  const stored = parseProgress('{"outcome":"active","hasBegun":true}\n{');
-  t.ok(stored.hasBegun);
-  t.throws(() => stored.read());
-  t.throws(() => parseProgress('nonsense'));
-  t.end();
-});
+t.test(
+  'a malformed summary throws when it is parsed, and malformed details only when they are read',
+  t => {
+    const stored = parseProgress('{"outcome":"active","hasBegun":true}\n{');
+    t.ok(stored.hasBegun);
+    t.throws(() => stored.read());
+    t.throws(() => parseProgress('nonsense'));
+    t.end();
+  },
+);
--- a/packages/workload/src/accepted_job.ts
+++ b/packages/workload/src/accepted_job.ts
@@ -1,24 +1,24 @@
-/** A job that was accepted, with the terms of its queue at that time. */
+/** Schema of an accepted job, which includes the terms of its queue at the time of acceptance. */
 import * as z from 'zod';
 import {jobSpecSchema} from './job_spec.js';
 
-/** How a queue's jobs are treated. */
+/** Terms of a queue: the settings that apply to its jobs. */
 export const queueTermsSchema = z.object({
-  /** Pool of targets that runs the queue's tasks. */
+  /** Name of the pool of targets that runs the queue's tasks. */
   pool: z.string(),
-  /** 0 comes first and may preempt others. */
+  /** Priority of the queue's jobs; 0 is the highest and may preempt others. */
   priority: z.number().int().nonnegative(),
-  /** Failed runs of a task after which its job has failed. */
+  /** Number of failed runs of one task after which the job fails. */
   maxAttempts: z.number().int().positive(),
-  /** A job is on time within this many times its longest chain of work. */
+  /** A job is on time if it ends within this multiple of its critical path (its longest chain of dependent work), plus `latencyMs`. */
   stretch: z.number().positive(),
-  /** Added to the stretched chain, in milliseconds. */
+  /** Time in milliseconds that is added to the stretched critical path. */
   latencyMs: z.number().nonnegative(),
-  /** Only an advisor knows which targets may run the queue's tasks. */
+  /** Whether only an advisor can tell which targets may run the queue's tasks. */
   needsAdvice: z.boolean().optional(),
 });
 
-/** The record that makes a job exist. */
+/** Value of the record that creates a job. */
 export const acceptedJobSchema = z.object({
   queue: z.string(),
   workspace: z.string(),
@@ -28,5 +28,7 @@
   spec: jobSpecSchema,
 });
 
+/** Settings that apply to the jobs of a queue. */
 export type QueueTerms = z.infer<typeof queueTermsSchema>;
+/** A job as the log stores it on acceptance. */
 export type AcceptedJob = z.infer<typeof acceptedJobSchema>;
--- a/packages/workload/src/follower.ts
+++ b/packages/workload/src/follower.ts
@@ -1,4 +1,4 @@
-/** Follows a keyed log: the newest records first, then each new one. */
+/** Follows a keyed log: loads the newest record of each key, then reads each new record. */
 import {
   type Clock,
   type Instant,
@@ -11,46 +11,49 @@
 import type {KeyedLog, TailPage} from './keyed_log.js';
 import type {StoredRecord} from './keyed_record.js';
 
-/** Backoff after a failed read, in milliseconds: soon enough to be back within a second of the log. */
-const RETRY_BASE = 60;
-const RETRY_CAP = 500;
+/** Bounds of the backoff after a failed read; short enough to resume within a second after the log is reachable again. */
+const RETRY_BASE_MS = 60;
+const RETRY_CAP_MS = 500;
 
-/** Takes what a follower reads. */
+/** Receives what a follower reads. */
 export interface FollowerSink {
+  /** Called for each record in offset order; a reload may pass on a record again. */
   onRecord(record: StoredRecord): void;
-  /** The newest records were read again; keys that are not among `keys` were dropped meanwhile. */
+  /** Called after the newest records were loaded; any other key than `keys` was deleted in the meantime. */
   onReload?(keys: ReadonlySet<string>): void;
-  /** How long to wait after records before the next read, in milliseconds; 0 where absent. */
+  /** Returns the delay in milliseconds between a read that returned records and the next read; 0 if the method is absent. */
   readDelay?(): Milliseconds;
-  /** The log answered; all records up to the end of the answer were taken. */
+  /** Called after a response of the log, when all records of the response have been passed on. */
   onResponse?(now: Instant): void;
 }
 
-/** Reads one keyed log for as long as it is not closed. */
+/** Reads one keyed log until it is closed. */
 export class Follower {
-  /** Records before this offset were taken. */
+  /** Offset of the next record to read; all earlier records have been passed to the sink. */
   nextOffset = 0;
-  /** Whether the whole log was read once. */
+  /** Whether the log has been read to its end at least once. */
   isCaughtUp = false;
+  /** Time of the log's last response. */
   lastAnswerAt: Instant = -Infinity;
-  private hasNews = false;
-  /** Records may have come that are gathered with later ones; otherwise a read is under way that brings each at once. */
-  private isGathering = false;
+  private hasNewRecords = false;
+  /** Whether the next read is delayed so that one read returns several records; otherwise a read is in progress that returns each new record immediately. */
+  private isReadDelayed = false;
   private reading?: Promise<boolean>;
   private isClosed = false;
   private waiters: Array<{offset: number; resolve: () => void}> = [];
 
+  /** `pollWait` is the longest time in milliseconds that the log waits for the first new record of a read. */
   constructor(
     private readonly name: string,
     private readonly log: KeyedLog,
     private readonly sink: FollowerSink,
-    private readonly wait: Milliseconds,
+    private readonly pollWait: Milliseconds,
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly logger: Logger,
   ) {}
 
-  /** Follows until closed. */
+  /** Follows the log until `close` is called; retries failed reads with backoff. */
   async run(): Promise<void> {
     let needsReload = true;
     let failures = 0;
@@ -60,9 +63,9 @@
           await this.reload();
         }
         needsReload = !(await this.readTail());
-        this.onAnswer(failures);
+        this.onResponse(failures);
         failures = 0;
-        await this.gatherNews();
+        await this.delayNextRead();
       } catch (error) {
         if (failures === 0) {
           this.logger.warn('log-unreachable', {
@@ -71,62 +74,62 @@
             problem: describeError(error),
           });
         }
-        const pause = computeJitteredBackoff(
+        const backoff = computeJitteredBackoff(
           failures,
-          RETRY_BASE,
-          RETRY_CAP,
+          RETRY_BASE_MS,
+          RETRY_CAP_MS,
           this.random,
         );
         failures++;
-        await this.clock.sleep(RETRY_BASE + pause);
+        await this.clock.sleep(RETRY_BASE_MS + backoff);
       }
     }
   }
 
-  /** Reads nothing more. */
+  /** Stops reading; a response to a read in progress is discarded. */
   close(): void {
     this.isClosed = true;
   }
 
-  /** Resolves when the record at `offset` was taken, or after `timeout`. Returns whether it was. */
+  /** Resolves when the record at `offset` has been read, or after `timeout` milliseconds. Returns whether it has been read. */
   async waitForOffset(offset: number, timeout: Milliseconds): Promise<boolean> {
     if (this.nextOffset <= offset) {
-      const stop = new AbortController();
-      const reached = new Promise<void>(resolve => {
+      const timer = new AbortController();
+      const offsetRead = new Promise<void>(resolve => {
         this.waiters.push({offset, resolve});
       });
-      await Promise.race([reached, this.clock.sleep(timeout, stop.signal)]);
-      stop.abort();
+      await Promise.race([offsetRead, this.clock.sleep(timeout, timer.signal)]);
+      timer.abort();
     }
     return this.nextOffset > offset;
   }
 
-  /** Takes what was written before this call. Returns whether all of it was taken within `timeout`. */
+  /** Reads everything that was written before this call. Returns whether that succeeded within `timeout` milliseconds. */
   async readToEnd(timeout: Milliseconds): Promise<boolean> {
-    const stop = new AbortController();
-    const expired = this.clock.sleep(timeout, stop.signal).then(() => false);
-    this.reading ??= this.readNow().finally(() => {
+    const timer = new AbortController();
+    const expired = this.clock.sleep(timeout, timer.signal).then(() => false);
+    this.reading ??= this.readOnce().finally(() => {
       this.reading = undefined;
     });
-    const isCurrent = await Promise.race([this.reading, expired]);
-    stop.abort();
-    return isCurrent;
+    const hasReachedEnd = await Promise.race([this.reading, expired]);
+    timer.abort();
+    return hasReachedEnd;
   }
 
-  /** Takes at once what is being gathered; resolves after `timeout` at the latest. */
+  /** Reads immediately if the next read is being delayed; resolves after `timeout` milliseconds at the latest. */
   async readPending(timeout: Milliseconds): Promise<void> {
-    if (this.isGathering) {
+    if (this.isReadDelayed) {
       await this.readToEnd(timeout);
     }
   }
 
-  private async readNow(): Promise<boolean> {
+  private async readOnce(): Promise<boolean> {
     try {
       const page = await this.log.readTail(this.nextOffset, 0);
       if (page.kind === 'expired' || this.isClosed) {
         return false;
       }
-      this.takePage(page);
+      this.applyPage(page);
       return this.nextOffset >= page.end;
     } catch (error) {
       this.logger.warn('log-unreachable', {
@@ -138,8 +141,8 @@
     }
   }
 
-  /** Reads may overlap: each record is taken once. */
-  private takePage(page: Extract<TailPage, {kind: 'records'}>): void {
+  /** Passes the records of a page to the sink. Reads may overlap, so records that were passed on before are skipped. */
+  private applyPage(page: Extract<TailPage, {kind: 'records'}>): void {
     for (const record of page.records) {
       if (record.offset >= this.nextOffset) {
         this.sink.onRecord(record);
@@ -147,7 +150,7 @@
     }
     this.nextOffset = Math.max(this.nextOffset, page.next);
     this.lastAnswerAt = this.clock.now();
-    this.wakeWaiters();
+    this.resolveWaiters();
   }
 
   private async reload(): Promise<void> {
@@ -157,7 +160,7 @@
     let after: string | undefined;
     do {
       const page = await this.log.readNewest(after);
-      // Later pages may miss what was written after the first.
+      // Later pages may lack records that were written after the first page was made.
       next ??= page.end;
       records.push(...page.records);
       after = page.after;
@@ -172,9 +175,9 @@
     this.logger.info('log-loaded', {log: this.name, records: keys.size, next});
   }
 
-  /** Returns false when the records that come next have expired. */
+  /** Reads the next records. Returns false if they have expired. */
   private async readTail(): Promise<boolean> {
-    const wait = this.isCaughtUp ? this.wait : 0;
+    const wait = this.isCaughtUp ? this.pollWait : 0;
     const page = await this.log.readTail(this.nextOffset, wait);
     if (this.isClosed) {
       return true;
@@ -183,36 +186,38 @@
       this.logger.warn('log-expired', {log: this.name, next: this.nextOffset});
       return false;
     }
-    this.takePage(page);
+    this.applyPage(page);
     this.isCaughtUp ||= this.nextOffset >= page.end;
-    this.hasNews = page.records.length > 0;
+    this.hasNewRecords = page.records.length > 0;
     return true;
   }
 
-  /** Lets several records come together where nobody waits for each. */
-  private async gatherNews(): Promise<void> {
-    const pause = this.sink.readDelay?.() ?? 0;
-    const isAwaited = this.waiters.length > 0;
-    if (this.hasNews && pause > 0 && this.isCaughtUp && !isAwaited) {
-      this.isGathering = true;
-      await this.clock.sleep(pause);
-      this.isGathering = false;
+  /** Delays the next read, so that it returns several records at once, unless a caller waits for an offset. */
+  private async delayNextRead(): Promise<void> {
+    const delay = this.sink.readDelay?.() ?? 0;
+    const hasWaiters = this.waiters.length > 0;
+    if (this.hasNewRecords && delay > 0 && this.isCaughtUp && !hasWaiters) {
+      this.isReadDelayed = true;
+      await this.clock.sleep(delay);
+      this.isReadDelayed = false;
     }
   }
 
-  private onAnswer(failures: number): void {
+  private onResponse(failures: number): void {
     const now = this.clock.now();
     this.lastAnswerAt = now;
     if (failures > 0) {
       this.logger.info('log-reached', {log: this.name, failures});
     }
     this.sink.onResponse?.(now);
-    this.wakeWaiters();
+    this.resolveWaiters();
   }
 
-  private wakeWaiters(): void {
-    const reached = this.waiters.filter(({offset}) => this.nextOffset > offset);
+  private resolveWaiters(): void {
+    const satisfied = this.waiters.filter(
+      ({offset}) => this.nextOffset > offset,
+    );
     this.waiters = this.waiters.filter(({offset}) => this.nextOffset <= offset);
-    reached.forEach(({resolve}) => resolve());
+    satisfied.forEach(({resolve}) => resolve());
   }
 }
--- a/packages/workload/src/index.ts
+++ b/packages/workload/src/index.ts
@@ -1,11 +1,11 @@
-/** Jobs of steps: their model, their progress, and the records that keep it. */
+/** Model of jobs and their progress, and the log records that store them. */
 
-// What callers ask for
+// Job specifications
 export * from './job_spec.js';
 export * from './accepted_job.js';
 export * from './task_name.js';
 
-// How far it is
+// Progress of jobs
 export * from './progress.js';
 export {
   StoredProgress,
@@ -19,7 +19,7 @@
   getJobState,
 } from './job_table.js';
 
-// What the log keeps
+// Records of the job log
 export {
   type JobRecord,
   type KeyedRecord,
@@ -33,6 +33,6 @@
   encodeProgress,
 } from './keyed_record.js';
 
-// How the log is read
+// Reading the log
 export type {KeyedLog, NewestPage, TailPage} from './keyed_log.js';
 export {Follower, type FollowerSink} from './follower.js';
--- a/packages/workload/src/job_spec.ts
+++ b/packages/workload/src/job_spec.ts
@@ -1,16 +1,16 @@
-/** What a caller asks for: a job of steps, each a gang or a number of single tasks. */
+/** Schema of a job as a caller specifies it: a list of steps, each a gang or a number of single tasks. */
 import * as z from 'zod';
 
-/** Most tasks of one step; the widest gang that the two-year target names is 512. */
+/** Maximum number of tasks in one step; the largest gang expected within two years has 512. */
 export const MAX_STEP_TASKS = 4096;
 
-/** Most steps of a job; keeps a job's progress within one log record. */
+/** Maximum number of steps in a job; keeps a job's progress within one log record. */
 export const MAX_STEPS = 64;
 
-/** Longest payload, in characters; the platform's pages give the figure. */
+/** Maximum length of a payload; a limit of the platform. */
 export const MAX_PAYLOAD_CHARS = 4000;
 
-/** Room that one task takes. */
+/** Resources that one task needs. */
 export const demandSchema = z.object({
   /** Thousandths of a core. */
   cpu: z.number().int().nonnegative(),
@@ -22,56 +22,62 @@
 export const stepSchema = z.object({
   count: z.number().int().min(1).max(MAX_STEP_TASKS),
   demand: demandSchema,
-  /** The caller's rough estimate of a task's duration, in milliseconds. */
+  /** Caller's rough estimate of the duration of one task, in milliseconds. */
   estimateMs: z.number().nonnegative(),
-  /** Earlier steps whose tasks must all be done first. */
+  /** Indexes of earlier steps that must be done before this step starts. */
   dependsOn: z.array(z.number().int().nonnegative()),
   /** All tasks run together or not at all, and end together. */
   isGang: z.boolean(),
-  /** The tasks are slower by the rack factor when they span racks. */
+  /** Whether tasks that span racks are slower, by the rack factor. */
   isRackSensitive: z.boolean(),
-  /** The tasks write checkpoints that a later run resumes from. */
+  /** Whether the tasks write checkpoints from which a later run resumes. */
   savesProgress: z.boolean(),
   /** Label that a target must carry. */
   requiredLabel: z.string().optional(),
   /** Rack that holds the step's data. */
   dataRack: z.string().optional(),
-  /** Most tasks of the step on one target. */
+  /** Maximum number of the step's tasks on one target. */
   maxPerTarget: z.number().int().positive().optional(),
-  /** Tasks run until the job is cancelled and are started again however they end. */
+  /** Whether the tasks run until the job is cancelled, and are restarted whatever the reason for their end. */
   isLongRunning: z.boolean(),
-  /** The step takes processor time that others leave idle and is not counted against it. */
+  /** Whether the step uses idle processor time only, which is not counted as allocated. */
   usesIdleCpu: z.boolean(),
-  /** Tasks of a long-running step that may be away at once by the system's own acts. */
+  /** Maximum number of tasks of a long-running step that the system itself may have stopped at any one time. */
   maxUnavailable: z.number().int().nonnegative(),
 });
 
-/** Repetition of a job's steps. */
+/** Schedule on which a job's steps are repeated. */
 export const scheduleSchema = z.object({
+  /** Number of occurrences. */
   times: z.number().int().positive(),
   /** Unix time of the first occurrence, in milliseconds. */
   startAt: z.number().nonnegative(),
+  /** Time between the starts of two occurrences. */
   intervalMs: z.number().nonnegative(),
 });
 
-/** A job as the caller asked for it. */
+/** A job as the caller specifies it. */
 export const jobSpecSchema = z.object({
   payload: z.string().max(MAX_PAYLOAD_CHARS),
   steps: z.array(stepSchema).min(1).max(MAX_STEPS),
   schedule: scheduleSchema.optional(),
 });
 
+/** Resources that one task needs. */
 export type Demand = z.infer<typeof demandSchema>;
+/** One step of a job. */
 export type Step = z.infer<typeof stepSchema>;
+/** Schedule on which a job's steps are repeated. */
 export type Schedule = z.infer<typeof scheduleSchema>;
+/** A job as the caller specifies it. */
 export type JobSpec = z.infer<typeof jobSpecSchema>;
 
-/** Names the first fault of a job that the schema cannot express, if there is one. */
+/** Describes the first error in a job that the schema cannot detect; returns undefined if there is none. */
 export function findSpecProblem(spec: JobSpec): string | undefined {
   for (const [index, step] of spec.steps.entries()) {
-    const wrong = step.dependsOn.find(other => other >= index);
-    if (wrong !== undefined) {
-      return `step ${index} depends on step ${wrong}, which is not an earlier step`;
+    const invalid = step.dependsOn.find(other => other >= index);
+    if (invalid !== undefined) {
+      return `step ${index} depends on step ${invalid}, which is not an earlier step`;
     }
   }
   return undefined;
--- a/packages/workload/src/job_table.ts
+++ b/packages/workload/src/job_table.ts
@@ -1,4 +1,4 @@
-/** What the job log says: every instance folds the same records to the same table. */
+/** State of the job log. Every instance derives the same table from the same records. */
 import {type Logger, describeError} from '@galenavalve/shared';
 import type {AcceptedJob} from './accepted_job.js';
 import {
@@ -9,7 +9,7 @@
 } from './keyed_record.js';
 import type {StoredProgress} from './stored_progress.js';
 
-/** What callers see of a job. */
+/** State of a job as callers see it. */
 export type JobState =
   'queued' | 'running' | 'complete' | 'failed' | 'cancelled';
 
@@ -18,64 +18,67 @@
   id: string;
   job: AcceptedJob;
   isCancelled: boolean;
-  /** Absent until the dispatcher first wrote it. */
+  /** Absent until the leader has written the first progress record. */
   progress?: StoredProgress;
 }
 
-/** The folded state of the job log. */
+/** Table of jobs, derived from the records of the job log. */
 export class JobTable {
   private readonly entries = new Map<string, JobEntry>();
-  private readonly cancelledBefore = new Set<string>();
-  private readonly progressBefore = new Map<string, StoredProgress>();
-  /** Offset of the newest record applied, by key: pages of a snapshot overlap the tail. */
-  private readonly newest = new Map<string, number>();
-  private office?: Leadership;
+  /** Jobs whose cancellation was read before their acceptance. */
+  private readonly pendingCancellations = new Set<string>();
+  /** Progress that was read before the acceptance of its job, by job. */
+  private readonly pendingProgress = new Map<string, StoredProgress>();
+  /** Offset of the newest applied record of each key; needed because the pages of newest records overlap the tail of the log. */
+  private readonly newestOffsets = new Map<string, number>();
+  private newestLeadership?: Leadership;
 
   constructor(private readonly logger: Logger) {}
 
   /**
-   * Applies a record unless a newer one of its key was applied. Returns what
-   * it said; nothing for a repeated acceptance, which says nothing new.
+   * Applies a record unless one of its key with the same or a higher offset
+   * was applied. Returns the decoded record, or undefined if it was not
+   * applied. A repeated acceptance is not applied, since it adds nothing.
    */
   apply(record: StoredRecord): JobRecord | undefined {
-    const known = this.newest.get(record.key);
-    if (known !== undefined && known >= record.offset) {
+    const appliedOffset = this.newestOffsets.get(record.key);
+    if (appliedOffset !== undefined && appliedOffset >= record.offset) {
       return undefined;
     }
-    this.newest.set(record.key, record.offset);
+    this.newestOffsets.set(record.key, record.offset);
     if (record.value === '') {
-      this.newest.delete(record.key);
+      this.newestOffsets.delete(record.key);
     }
     const decoded = this.decode(record);
-    if (!decoded || this.isRepeated(decoded)) {
+    if (!decoded || this.isRepeatedAcceptance(decoded)) {
       return undefined;
     }
-    this.change(decoded);
+    this.applyDecoded(decoded);
     return decoded;
   }
 
-  /** The job of that id. */
+  /** Returns the job with an id, if there is one. */
   find(id: string): JobEntry | undefined {
     return this.entries.get(id);
   }
 
-  /** Every job. */
+  /** Lists all jobs. */
   listEntries(): IterableIterator<JobEntry> {
     return this.entries.values();
   }
 
-  /** The newest recorded holder of the dispatcher's office. */
+  /** The leadership with the highest epoch that was read. */
   get leadership(): Leadership | undefined {
-    return this.office;
+    return this.newestLeadership;
   }
 
-  /** Jobs of a queue, without schedules, of which no task has started. */
+  /** Counts the jobs of a queue of which no task has started; schedules are not considered. */
   countQueuedJobs(queue: string): number {
     let count = 0;
     for (const entry of this.entries.values()) {
-      const isWaiting =
+      const isQueued =
         entry.job.queue === queue && getJobState(entry) === 'queued';
-      count += isWaiting ? 1 : 0;
+      count += isQueued ? 1 : 0;
     }
     return count;
   }
@@ -93,64 +96,67 @@
     }
   }
 
-  private isRepeated(record: JobRecord): boolean {
+  private isRepeatedAcceptance(record: JobRecord): boolean {
     return record.kind === 'accepted' && this.entries.has(record.id);
   }
 
-  private change(record: JobRecord): void {
+  private applyDecoded(record: JobRecord): void {
     switch (record.kind) {
       case 'leadership':
-        if (!this.office || record.leadership.epoch >= this.office.epoch) {
-          this.office = record.leadership;
+        if (
+          !this.newestLeadership ||
+          record.leadership.epoch >= this.newestLeadership.epoch
+        ) {
+          this.newestLeadership = record.leadership;
         }
         return;
       case 'accepted':
-        this.accept(record.id, record.job);
+        this.addJob(record.id, record.job);
         return;
       case 'cancelled':
-        this.cancel(record.id);
+        this.cancelJob(record.id);
         return;
       case 'progress':
-        this.advance(record.id, record.progress);
+        this.setProgress(record.id, record.progress);
         return;
       case 'forgotten':
         this.entries.delete(record.id);
-        this.cancelledBefore.delete(record.id);
-        this.progressBefore.delete(record.id);
+        this.pendingCancellations.delete(record.id);
+        this.pendingProgress.delete(record.id);
     }
   }
 
-  private accept(id: string, job: AcceptedJob): void {
+  private addJob(id: string, job: AcceptedJob): void {
     this.entries.set(id, {
       id,
       job,
-      isCancelled: this.cancelledBefore.delete(id),
-      progress: this.progressBefore.get(id),
+      isCancelled: this.pendingCancellations.delete(id),
+      progress: this.pendingProgress.get(id),
     });
-    this.progressBefore.delete(id);
+    this.pendingProgress.delete(id);
   }
 
-  /** Pages of a snapshot may list the parts of a job in any order. */
-  private cancel(id: string): void {
+  /** Marks a job as cancelled, or remembers that for its acceptance: the pages of newest records may list the records of a job in any order. */
+  private cancelJob(id: string): void {
     const entry = this.entries.get(id);
     if (entry) {
       entry.isCancelled = true;
     } else {
-      this.cancelledBefore.add(id);
+      this.pendingCancellations.add(id);
     }
   }
 
-  private advance(id: string, progress: StoredProgress): void {
+  private setProgress(id: string, progress: StoredProgress): void {
     const entry = this.entries.get(id);
     if (entry) {
       entry.progress = progress;
     } else {
-      this.progressBefore.set(id, progress);
+      this.pendingProgress.set(id, progress);
     }
   }
 }
 
-/** What callers are told of a job. */
+/** Returns the state of a job as callers see it. */
 export function getJobState(entry: JobEntry): JobState {
   const outcome = entry.progress?.outcome ?? 'active';
   if (outcome === 'complete' || outcome === 'failed') {
--- a/packages/workload/src/keyed_log.ts
+++ b/packages/workload/src/keyed_log.ts
@@ -1,26 +1,27 @@
-/** A log of keyed records, of which the newest of each key is kept. */
+/** Interface of a log of keyed records that retains the newest record of each key. */
 import type {Milliseconds} from '@galenavalve/shared';
 import type {StoredRecord} from './keyed_record.js';
 
-/** A part of the newest records of all keys. */
+/** One page of the newest records of all keys. */
 export interface NewestPage {
   records: StoredRecord[];
-  /** Offset behind the last record of the log when the page was made. */
+  /** Offset after the last record of the log when the page was made. */
   end: number;
-  /** Key to continue after; absent on the last page. */
+  /** Cursor: key after which the next page starts; absent on the last page. */
   after?: string;
 }
 
-/** What a read from an offset gave. */
+/** Result of a read from an offset. */
 export type TailPage =
+  /** `next` is the offset at which to continue, `end` the offset after the last record of the log. */
   | {kind: 'records'; records: StoredRecord[]; next: number; end: number}
-  /** The records from that offset on are no longer kept. */
+  /** The record at that offset is no longer retained. */
   | {kind: 'expired'};
 
-/** Reads a keyed log. Throws when no whole answer comes. */
+/** Reads a keyed log. The methods reject if no complete response arrives. */
 export interface KeyedLog {
-  /** A page of the newest records; pages are no snapshot of one moment. */
+  /** Reads the page of newest records after a key. The pages do not form a consistent snapshot. */
   readNewest(after: string | undefined): Promise<NewestPage>;
-  /** Records from `offset` on; waits up to `wait` for the first. */
+  /** Reads the records from `offset` on; waits up to `wait` milliseconds for the first one. */
   readTail(offset: number, wait: Milliseconds): Promise<TailPage>;
 }
--- a/packages/workload/src/keyed_record.ts
+++ b/packages/workload/src/keyed_record.ts
@@ -1,4 +1,4 @@
-/** Records of the job log: the newest record of a key stands for the key. */
+/** Encodes and decodes the records of the job log, in which the newest record of a key replaces earlier ones. */
 import {acceptedJobSchema, type AcceptedJob} from './accepted_job.js';
 import type {Progress} from './progress.js';
 import {
@@ -7,35 +7,38 @@
   parseProgress,
 } from './stored_progress.js';
 
-/** A record as the log keeps it; an empty value drops the key. */
+/** A record as the log stores it. A record with an empty value is a tombstone, which deletes its key. */
 export interface KeyedRecord {
   key: string;
   value: string;
 }
 
-/** A record with its place in the log. */
+/** A record with its offset in the log. */
 export interface StoredRecord extends KeyedRecord {
   offset: number;
 }
 
-/** The holder of the dispatcher's office. */
+/** Leadership: the right to dispatch, which one instance (the leader) holds. */
 export interface Leadership {
-  /** Rises with every holder; targets refuse orders of a lower one. */
+  /** Number of the leadership period; increases with every leader. Targets refuse commands with a lower epoch. */
   epoch: number;
-  /** Identifies one life of one instance. */
+  /** Identifies the leader: one incarnation of an instance. */
   holder: string;
   /** Wall-clock time of the record, in Unix milliseconds. */
   writtenAt?: number;
-  /** The holder has stepped down. */
+  /** Whether the leader has resigned. */
   hasResigned?: boolean;
 }
 
+/** Key prefixes of the records of a job; the job's id follows. */
 const ACCEPTED = 'a/';
 const CANCELLED = 'x/';
 const PROGRESS = 's/';
+
+/** Key of the leadership record. */
 const LEADERSHIP = 'lead';
 
-/** A record in the terms of the product. */
+/** A decoded record. Of kind `forgotten` is the tombstone of a job's acceptance, which deletes the job. */
 export type JobRecord =
   | {kind: 'accepted'; id: string; job: AcceptedJob}
   | {kind: 'cancelled'; id: string}
@@ -43,27 +46,27 @@
   | {kind: 'forgotten'; id: string}
   | {kind: 'leadership'; leadership: Leadership};
 
-/** The record that makes a job exist. */
+/** Encodes the record that creates a job. */
 export function encodeAccepted(id: string, job: AcceptedJob): KeyedRecord {
   return {key: ACCEPTED + id, value: JSON.stringify(job)};
 }
 
-/** The record that cancels a job. */
+/** Encodes the record that cancels a job. */
 export function encodeCancelled(id: string): KeyedRecord {
   return {key: CANCELLED + id, value: '1'};
 }
 
-/** The record of a job's progress. */
+/** Encodes the record of a job's progress. */
 export function encodeProgress(id: string, progress: Progress): KeyedRecord {
   return {key: PROGRESS + id, value: formatProgress(progress)};
 }
 
-/** The record of who dispatches. */
+/** Encodes the record of the current leadership. */
 export function encodeLeadership(leadership: Leadership): KeyedRecord {
   return {key: LEADERSHIP, value: JSON.stringify(leadership)};
 }
 
-/** The records that drop all that is known of a job; the job itself goes last. */
+/** Encodes the tombstones that delete all records of a job; the acceptance is deleted last. */
 export function encodeJobTombstones(id: string): KeyedRecord[] {
   return [PROGRESS, CANCELLED, ACCEPTED].map(prefix => ({
     key: prefix + id,
@@ -71,7 +74,7 @@
   }));
 }
 
-/** Reads a record; undefined for a key of another kind. Throws on a broken value. */
+/** Decodes a record. Returns undefined for other kinds of keys, and for tombstones other than that of an acceptance. Throws if the value is malformed. */
 export function decodeRecord(record: KeyedRecord): JobRecord | undefined {
   const {key, value} = record;
   if (key === LEADERSHIP) {
--- a/packages/workload/src/progress.ts
+++ b/packages/workload/src/progress.ts
@@ -1,11 +1,11 @@
 /**
- * How far a job is. A step is made of units that run as one: a gang is one
- * unit, a step of single tasks has one unit a task.
+ * Progress of a job. A step consists of units, whose tasks are placed together:
+ * a gang is one unit, and a step of single tasks has one unit per task.
  */
 import * as z from 'zod';
 import type {JobSpec, Step} from './job_spec.js';
 
-/** What became of a job. */
+/** Outcome of a job; `active` until it ends. */
 export const jobOutcomeSchema = z.enum([
   'active',
   'complete',
@@ -13,42 +13,43 @@
   'cancelled',
 ]);
 
+/** Outcome of a job; `active` until it ends. */
 export type JobOutcome = z.infer<typeof jobOutcomeSchema>;
 
-/** The durable part of a unit. */
+/** The state of a unit that is stored in the log. */
 export interface UnitProgress {
-  /** Number of the last run that was recorded before it was started; 0 before the first. */
+  /** Number of the latest run, which is recorded before the run is started; 0 before the first run. */
   run: number;
-  /** Runs that ended as failed. */
+  /** Number of runs that failed. */
   failureCount: number;
-  /** The last run whose failure is counted in `failureCount`: ends are listed until they are acknowledged. */
+  /** Latest run whose failure is included in `failureCount`. Prevents double counting, since targets list an end until it is acknowledged. */
   lastFailedRun: number;
   isDone: boolean;
-  /** Newest checkpoint; empty when there is none. */
+  /** Newest checkpoint; empty if there is none. */
   checkpoint: string;
-  /** Target life of each member while the run may be alive. */
+  /** Incarnation of the target of each member, while the run may still be active. */
   placedOn?: string[];
 }
 
-/** Progress of one occurrence: units by step. */
+/** Progress of one occurrence of a job's steps: the units of each step. */
 export interface Occurrence {
   index: number;
   steps: UnitProgress[][];
 }
 
-/** How far a job is. */
+/** Progress of a job. */
 export interface Progress {
   outcome: JobOutcome;
-  /** Whether a task was ever started. */
+  /** Whether any task has been started. */
   hasBegun: boolean;
-  /** Occurrences that have all ended; they are no longer listed. */
+  /** Number of occurrences that have ended and are no longer in `occurrences`. */
   doneOccurrences: number;
   occurrences: Occurrence[];
   /** Wall-clock time of the end, in Unix milliseconds. */
   endedAt?: number;
 }
 
-/** Progress of a job that was just accepted. */
+/** Creates the progress of a newly accepted job. */
 export function createProgress(spec: JobSpec): Progress {
   const isScheduled = spec.schedule !== undefined;
   return {
@@ -59,24 +60,24 @@
   };
 }
 
-/** Progress of an occurrence that has not begun. */
+/** Creates the progress of an occurrence that has not started. */
 export function createOccurrence(spec: JobSpec, index: number): Occurrence {
   return {index, steps: spec.steps.map(createUnits)};
 }
 
-/** Whether every unit of a step is done. */
+/** Returns whether every unit of a step is done. */
 export function isStepDone(units: readonly UnitProgress[]): boolean {
   return units.every(unit => unit.isDone);
 }
 
-/** Whether the steps that `step` depends on are done. */
+/** Returns whether the steps on which `step` depends are done. */
 export function isStepReady(step: Step, occurrence: Occurrence): boolean {
   return step.dependsOn.every(other =>
     isStepDone(occurrence.steps[other] ?? []),
   );
 }
 
-/** How many times the steps of a job run. */
+/** Returns how many times the steps of a job run. */
 export function countOccurrences(spec: JobSpec): number {
   return spec.schedule?.times ?? 1;
 }
--- a/packages/workload/src/stored_progress.ts
+++ b/packages/workload/src/stored_progress.ts
@@ -1,9 +1,10 @@
 /**
- * Progress as the log keeps it: a line that every instance reads, and a line
- * with the units that only a dispatcher reads when it takes the job over.
+ * Format of progress in the log: a summary line that every instance reads, and
+ * a line with the units that only a new leader reads when it takes over the job.
  *
- * A job of a hundred tasks is written anew with each of them, and read by
- * every instance: what is not needed is not parsed, and little is written.
+ * The progress of a job of a hundred tasks is written again for each task and
+ * read by every instance. The format is therefore compact, and details are
+ * parsed only on demand.
  */
 import * as z from 'zod';
 import {
@@ -22,33 +23,37 @@
 
 type Summary = z.infer<typeof summarySchema>;
 
-const count = z.number().int().nonnegative();
+const countSchema = z.number().int().nonnegative();
 
-/** Run, failed, failedRun, 1 if done, checkpoint, then the places of the members in the list of targets. What is 0 or empty at the end is left out. */
+/** Run, failure count, last failed run, 1 if done, checkpoint, then the index of each member's target in `targets`. Trailing items that are 0 or empty are omitted unless target indexes follow. */
 const unitSchema = z
   .tuple([
-    count,
-    count.default(0),
-    count.default(0),
+    countSchema,
+    countSchema.default(0),
+    countSchema.default(0),
     z.union([z.literal(0), z.literal(1)]).default(0),
     z.string().default(''),
   ])
-  .rest(count);
+  .rest(countSchema);
 
 const detailsSchema = z.object({
-  /** Occurrences that have all ended. */
-  done: count,
-  /** Target lives that units refer to by their place. */
+  /** Number of occurrences that have ended. */
+  done: countSchema,
+  /** Incarnations of targets, to which units refer by index. */
   targets: z.array(z.string()),
-  /** Index and steps of each occurrence; a number stands for a unit with nothing but that run. */
+  /** Index and steps of each occurrence. A unit whose items after the run are all omitted is stored as the number of the run. */
   occurrences: z.array(
-    z.tuple([count, z.array(z.array(z.union([count, unitSchema])))]),
+    z.tuple([
+      countSchema,
+      z.array(z.array(z.union([countSchema, unitSchema]))),
+    ]),
   ),
 });
 
+/** Stored form of a unit, as `unitSchema` describes it. */
 type StoredUnit = number | Array<number | string>;
 
-/** Progress of which the units are parsed when they are asked for. */
+/** Progress whose units are parsed on demand. */
 export class StoredProgress {
   readonly outcome: JobOutcome;
   readonly hasBegun: boolean;
@@ -64,7 +69,7 @@
     this.endedAt = summary.endedAt;
   }
 
-  /** The whole progress, as an object of the caller's own. Throws on a record that another writer broke. */
+  /** Parses the complete progress into a new object. Throws if the record is malformed. */
   read(): Progress {
     const {done, targets, occurrences} = detailsSchema.parse(
       JSON.parse(this.details),
@@ -76,24 +81,26 @@
       doneOccurrences: done,
       occurrences: occurrences.map(([index, steps]) => ({
         index,
-        steps: steps.map(units => units.map(unit => readUnit(unit, targets))),
+        steps: steps.map(units => units.map(unit => decodeUnit(unit, targets))),
       })),
     };
   }
 }
 
-/** Writes progress as a record's value. */
+/** Formats progress as the value of a record. */
 export function formatProgress(progress: Progress): string {
   const {outcome, hasBegun, endedAt, doneOccurrences, occurrences} = progress;
   const targets = new Map<string, number>();
-  const placeOf = (target: string): number => {
-    const known = targets.get(target) ?? targets.size;
-    targets.set(target, known);
-    return known;
+  const getTargetIndex = (target: string): number => {
+    const index = targets.get(target) ?? targets.size;
+    targets.set(target, index);
+    return index;
   };
   const stored = occurrences.map((occurrence: Occurrence) => [
     occurrence.index,
-    occurrence.steps.map(units => units.map(unit => writeUnit(unit, placeOf))),
+    occurrence.steps.map(units =>
+      units.map(unit => encodeUnit(unit, getTargetIndex)),
+    ),
   ]);
   const details = {
     done: doneOccurrences,
@@ -104,34 +111,28 @@
   return `${summary}\n${JSON.stringify(details)}`;
 }
 
-/** Reads a record's value. Throws when its first line is broken. */
+/** Parses the value of a record. Throws if its first line is malformed. */
 export function parseProgress(value: string): StoredProgress {
   const end = value.indexOf('\n');
   const summary = summarySchema.parse(JSON.parse(value.slice(0, end)));
   return new StoredProgress(summary, value.slice(end + 1));
 }
 
-function writeUnit(
+function encodeUnit(
   unit: UnitProgress,
-  placeOf: (target: string) => number,
+  getTargetIndex: (target: string) => number,
 ): StoredUnit {
-  const places = (unit.placedOn ?? []).map(placeOf);
-  const {
-    run,
-    failureCount: failed,
-    lastFailedRun: failedRun,
-    isDone,
-    checkpoint,
-  } = unit;
+  const targetIndexes = (unit.placedOn ?? []).map(getTargetIndex);
+  const {run, failureCount, lastFailedRun, isDone, checkpoint} = unit;
   const stored: Array<number | string> = [
     run,
-    failed,
-    failedRun,
+    failureCount,
+    lastFailedRun,
     isDone ? 1 : 0,
     checkpoint,
-    ...places,
+    ...targetIndexes,
   ];
-  if (places.length === 0) {
+  if (targetIndexes.length === 0) {
     while (stored.length > 1 && !stored.at(-1)) {
       stored.pop();
     }
@@ -139,18 +140,18 @@
   return stored.length === 1 ? run : stored;
 }
 
-function readUnit(
+function decodeUnit(
   stored: number | z.infer<typeof unitSchema>,
   targets: readonly string[],
 ): UnitProgress {
-  const parts = typeof stored === 'number' ? [stored, 0, 0, 0, ''] : stored;
-  const [run, failed, failedRun, done, checkpoint, ...places] =
-    parts as z.infer<typeof unitSchema>;
-  const placedOn = places.map(place => targets[place]!);
+  const items = typeof stored === 'number' ? [stored, 0, 0, 0, ''] : stored;
+  const [run, failureCount, lastFailedRun, done, checkpoint, ...targetIndexes] =
+    items as z.infer<typeof unitSchema>;
+  const placedOn = targetIndexes.map(index => targets[index]!);
   return {
     run,
-    failureCount: failed,
-    lastFailedRun: failedRun,
+    failureCount,
+    lastFailedRun,
     isDone: done === 1,
     checkpoint,
     ...(placedOn.length > 0 ? {placedOn} : {}),
--- a/packages/workload/src/task_name.ts
+++ b/packages/workload/src/task_name.ts
@@ -1,6 +1,6 @@
-/** Names of tasks: job, occurrence, step and index. */
+/** Formats and parses names of tasks, which consist of job id, occurrence, step and index. */
 
-/** A task of a job. */
+/** Parts of a task's name; the numbers count from 0. */
 export interface TaskName {
   jobId: string;
   occurrence: number;
@@ -8,17 +8,17 @@
   index: number;
 }
 
-/** Writes a task's name. */
+/** Formats a task's name as `jobId.occurrence.step.index`. */
 export function formatTaskName(name: TaskName): string {
   return `${name.jobId}.${name.occurrence}.${name.step}.${name.index}`;
 }
 
-/** Reads a task's name; undefined when it is not one. */
+/** Parses a task's name; returns undefined for any other text. */
 export function parseTaskName(text: string): TaskName | undefined {
   const [jobId, ...rest] = text.split('.');
   const [occurrence, step, index] = rest.map(Number);
-  const areNumbers = [occurrence, step, index].every(Number.isInteger);
-  if (!jobId || rest.length !== 3 || !areNumbers) {
+  const areIntegers = [occurrence, step, index].every(Number.isInteger);
+  if (!jobId || rest.length !== 3 || !areIntegers) {
     return undefined;
   }
   return {jobId, occurrence: occurrence!, step: step!, index: index!};
