Reword gateway in terms of requests and responses

Newcomers stopped at "answers that are true", a log that is "away" and "books" of desired state, which stand for responses, an unreachable log and the desired state store.

Ruled out: renaming the log field `answer` and the log events, which operators read. Their names are unchanged.

Comments, locals, private members, test titles and four problem texts are reworded; the texts name what happened, and that of an unconfirmed configuration names the remedy. No behavior changes: the comparison of the programs shows renames and texts only.

--- a/packages/gateway/__tests__/admission.spec.ts
+++ b/packages/gateway/__tests__/admission.spec.ts
@@ -9,11 +9,11 @@
   latencyMs: 100,
 };
 
-/** A configuration with one public and one private queue, confirmed at 10 s. */
-function createBook(): DesiredStateStore {
-  const book = new DesiredStateStore();
+/** Creates a desired state with one public and one private queue, confirmed at 10 s. */
+function createDesiredState(): DesiredStateStore {
+  const desiredState = new DesiredStateStore();
   const queue = {name: 'q', host: 'h', isPublic: false, terms: TERMS};
-  book.apply({
+  desiredState.apply({
     version: 7,
     queues: [
       {...queue, pathPrefix: '/p/'},
@@ -21,46 +21,61 @@
     ],
     workspaces: [{name: 'w', keys: ['k'], guaranteedAccelerators: 0}],
   });
-  book.onConfirmed(10_000);
-  return book;
+  desiredState.onConfirmed(10_000);
+  return desiredState;
 }
 
-const known = {host: 'h', path: '/p/1', key: 'k'};
+const request = {host: 'h', path: '/p/1', key: 'k'};
 
-t.test('a call is admitted by the queue and the key that it names', t => {
-  const book = createBook();
-  t.match(admit(book, known, 10_100), {kind: 'admitted', workspace: 'w'});
-  const open = {host: 'H', path: '/open/1'};
-  t.match(admit(book, open, 10_100), {kind: 'admitted'});
+t.test('a request is admitted by its queue and its key', t => {
+  const desiredState = createDesiredState();
+  t.match(admit(desiredState, request, 10_100), {
+    kind: 'admitted',
+    workspace: 'w',
+  });
+  const publicRequest = {host: 'H', path: '/open/1'};
+  t.match(admit(desiredState, publicRequest, 10_100), {kind: 'admitted'});
   t.end();
 });
 
-t.test('what a configuration read just now does not name is denied', t => {
-  const book = createBook();
-  const other = {...known, path: '/x/1'};
-  t.equal(admit(book, other, 11_000).kind, 'unknown-queue');
-  t.equal(admit(book, {...known, key: 'x'}, 11_000).kind, 'unknown-key');
-  t.end();
-});
+t.test(
+  'a request is denied if a recently confirmed configuration lacks its queue or key',
+  t => {
+    const desiredState = createDesiredState();
+    const unknownQueueRequest = {...request, path: '/x/1'};
+    t.equal(
+      admit(desiredState, unknownQueueRequest, 11_000).kind,
+      'unknown-queue',
+    );
+    t.equal(
+      admit(desiredState, {...request, key: 'x'}, 11_000).kind,
+      'unknown-key',
+    );
+    t.end();
+  },
+);
 
 t.test(
-  'nothing is denied by a configuration that was not confirmed for seconds (menon-terrain-grown fresh-3d19)',
+  'no request is denied by a configuration that was not confirmed for seconds (menon-terrain-grown fresh-3d19)',
   t => {
-    const book = createBook();
-    const other = {...known, path: '/x/1'};
+    const desiredState = createDesiredState();
+    const unknownQueueRequest = {...request, path: '/x/1'};
     const later = 14_000;
-    t.match(admit(book, other, later), {kind: 'refused', retryAfterSeconds: 1});
-    t.equal(admit(book, {...known, key: 'x'}, later).kind, 'refused');
+    t.match(admit(desiredState, unknownQueueRequest, later), {
+      kind: 'refused',
+      retryAfterSeconds: 1,
+    });
+    t.equal(admit(desiredState, {...request, key: 'x'}, later).kind, 'refused');
     t.equal(
-      admit(book, known, later).kind,
+      admit(desiredState, request, later).kind,
       'admitted',
-      'what it names goes on',
+      'a request for a known queue and key is still admitted',
     );
     t.end();
   },
 );
 
-t.test('nothing is denied before a configuration was read', t => {
-  t.equal(admit(new DesiredStateStore(), known, 0).kind, 'refused');
+t.test('no request is denied before a configuration has been read', t => {
+  t.equal(admit(new DesiredStateStore(), request, 0).kind, 'refused');
   t.end();
 });
--- a/packages/gateway/__tests__/gateway.spec.ts
+++ b/packages/gateway/__tests__/gateway.spec.ts
@@ -39,14 +39,14 @@
   ],
 };
 
-/** A gateway over a log that answers as `outcomes` says, then appends. */
+/** Creates a gateway over a log whose first appends have the given outcomes; later ones succeed. */
 function createGateway(outcomes: AppendOutcome[]) {
   const clock = new ManualClock(10_000);
   const random = new SeededRandom(1);
   const logger = new SilentLogger();
   const table = new JobTable(logger);
   const appended: KeyedRecord[] = [];
-  /** Records that reads still owe: the end of the log is this much ahead. */
+  /** Number of records by which the end of the log is ahead of every read. */
   const unread = {count: 0};
   const keyedLog = {
     readNewest: async () => ({records: [], end: 0}),
@@ -81,60 +81,82 @@
     random,
     logger,
   });
-  const call = {queue, workspace: 'w', jobId: '1', timeout: 3000};
-  return {clock, table, appended, gateway, call, follower, unread};
+  const request = {queue, workspace: 'w', jobId: '1', timeout: 3000};
+  return {clock, table, appended, gateway, request, follower, unread};
 }
 
-/** Lets virtual time pass until the answer is there. */
-async function settle<T>(clock: ManualClock, answer: Promise<T>): Promise<T> {
-  let isSettled = false;
-  const watched = answer.finally(() => (isSettled = true));
-  while (!isSettled) {
+/** Advances the clock until a response has arrived. */
+async function waitForResponse<T>(
+  clock: ManualClock,
+  response: Promise<T>,
+): Promise<T> {
+  let hasSettled = false;
+  const observed = response.finally(() => (hasSettled = true));
+  while (!hasSettled) {
     await clock.advance(20);
   }
-  return watched;
+  return observed;
 }
 
-t.test('a job is accepted only once the log holds it', async t => {
-  const {gateway, call, clock, appended} = createGateway([]);
-  const answer = await settle(clock, gateway.submit(call, spec));
-  t.equal(answer.kind, 'accepted');
+t.test('a job is accepted only once its record is in the log', async t => {
+  const {gateway, request, clock, appended} = createGateway([]);
+  const response = await waitForResponse(clock, gateway.submit(request, spec));
+  t.equal(response.kind, 'accepted');
   t.equal(appended.length, 1);
 });
 
-t.test('"not run" is said only when every append was refused', async t => {
-  const refused: AppendOutcome = {kind: 'refused', problem: 'busy'};
-  const {gateway, call, clock} = createGateway([refused, refused, refused]);
-  const answer = await settle(clock, gateway.submit(call, spec));
-  t.match(answer, {kind: 'refused', retryAfterSeconds: 1});
-});
+t.test(
+  'a submission is reported as refused only if every append was refused',
+  async t => {
+    const refused: AppendOutcome = {kind: 'refused', problem: 'busy'};
+    const {gateway, request, clock} = createGateway([
+      refused,
+      refused,
+      refused,
+    ]);
+    const response = await waitForResponse(
+      clock,
+      gateway.submit(request, spec),
+    );
+    t.match(response, {kind: 'refused', retryAfterSeconds: 1});
+  },
+);
 
 t.test(
-  'an append without an answer makes a later refusal unresolved',
+  'an append without a response makes a later refusal unresolved',
   async t => {
     const refused: AppendOutcome = {kind: 'refused', problem: 'busy'};
     const unknown: AppendOutcome = {kind: 'unknown', problem: 'silent'};
-    const {gateway, call, clock} = createGateway([
+    const {gateway, request, clock} = createGateway([
       unknown,
       refused,
       refused,
       refused,
     ]);
-    const answer = await settle(clock, gateway.submit(call, spec));
-    t.equal(answer.kind, 'unresolved');
+    const response = await waitForResponse(
+      clock,
+      gateway.submit(request, spec),
+    );
+    t.equal(response.kind, 'unresolved');
   },
 );
 
-t.test('a log that is away is not waited for', async t => {
-  const {gateway, call, clock, appended, follower} = createGateway([]);
-  follower.lastAnswerAt = clock.now() - 5000;
-  const answer = await settle(clock, gateway.submit(call, spec));
-  t.equal(answer.kind, 'refused');
-  t.same(appended, []);
-});
+t.test(
+  'a submission is refused without an append if the log is unreachable',
+  async t => {
+    const {gateway, request, clock, appended, follower} = createGateway([]);
+    follower.lastAnswerAt = clock.now() - 5000;
+    const response = await waitForResponse(
+      clock,
+      gateway.submit(request, spec),
+    );
+    t.equal(response.kind, 'refused');
+    t.same(appended, []);
+  },
+);
 
-t.test('a job of another workspace does not exist for the caller', async t => {
-  const {gateway, call, clock, table} = createGateway([]);
+t.test('a job of another workspace is reported as unknown', async t => {
+  const {gateway, request, clock, table} = createGateway([]);
   const job = {
     queue: 'q',
     workspace: 'other',
@@ -143,26 +165,35 @@
     spec,
   };
   table.apply({key: 'a/1', value: JSON.stringify(job), offset: 0});
-  const answer = await settle(clock, gateway.getState(call));
-  t.equal(answer.kind, 'unknown-job');
+  const response = await waitForResponse(clock, gateway.getState(request));
+  t.equal(response.kind, 'unknown-job');
 });
 
-t.test('a step that depends on itself is named', async t => {
-  const {gateway, call, clock} = createGateway([]);
-  const wrong = {...spec, steps: [{...spec.steps[0]!, dependsOn: [0]}]};
-  const answer = await settle(clock, gateway.submit(call, wrong));
-  t.match(answer, {kind: 'invalid', problem: /step 0 depends on step 0/});
+t.test('a step that depends on itself is reported as invalid', async t => {
+  const {gateway, request, clock} = createGateway([]);
+  const invalidSpec = {...spec, steps: [{...spec.steps[0]!, dependsOn: [0]}]};
+  const response = await waitForResponse(
+    clock,
+    gateway.submit(request, invalidSpec),
+  );
+  t.match(response, {kind: 'invalid', problem: /step 0 depends on step 0/});
 });
 
 t.test(
-  'a job is called unknown only after the log was read to its end (kwjt-grid-grown trouble-1)',
+  'a job is reported as unknown only after the log was read to its end (kwjt-grid-grown trouble-1)',
   async t => {
-    const {gateway, call, clock, unread} = createGateway([]);
+    const {gateway, request, clock, unread} = createGateway([]);
     unread.count = 3;
-    const early = await settle(clock, gateway.getState(call));
-    t.equal(early.kind, 'refused');
+    const behindResponse = await waitForResponse(
+      clock,
+      gateway.getState(request),
+    );
+    t.equal(behindResponse.kind, 'refused');
     unread.count = 0;
-    const late = await settle(clock, gateway.getState(call));
-    t.equal(late.kind, 'unknown-job');
+    const currentResponse = await waitForResponse(
+      clock,
+      gateway.getState(request),
+    );
+    t.equal(currentResponse.kind, 'unknown-job');
   },
 );
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -1,47 +1,50 @@
-/** Which queue and workspace a call is for, and whether that can be denied: only a configuration that was read just now denies truthfully. */
+/** Admission of requests: finds the queue and the workspace of a request. A request is denied only if the configuration was confirmed recently, since an older one may lack what the request names. */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {DesiredStateStore, Queue} from './desired_state.js';
 
-/** A configuration that was not confirmed for this long may have been replaced: its log answers every second, and changes are in force after two. */
-const CONFIRMATION_LIMIT: Milliseconds = 1500;
+/** Maximum age of a confirmation on which a request is denied. The log of the configuration responds every second, and a change takes effect within two seconds. */
+const MAX_CONFIRMATION_AGE_MS: Milliseconds = 1500;
 
-/** Seconds after which a caller should come back when the configuration cannot be read. */
+/** Time after which a caller should retry if the configuration cannot be read. */
 const RETRY_AFTER_SECONDS = 1;
 
-/** What a call names. */
+/** What identifies the queue and the workspace of a request. */
 export interface AdmissionRequest {
   host: string;
   path: string;
+  /** Key of the workspace; absent if the caller sent none. */
   key?: string;
 }
 
-/** What becomes of a call before anything is done for it. */
+/** Result of admission, which precedes any processing of the request. `workspace` is absent on public queues. */
 export type Admission =
   | {kind: 'admitted'; queue: Queue; workspace?: string}
   | {kind: 'unknown-queue'}
   | {kind: 'unknown-key'}
-  /** It was not run. */
+  /** The request was not processed and may be sent again. */
   | {kind: 'refused'; problem: string; retryAfterSeconds: number};
 
-/** Finds the queue and the workspace of a call. */
+/** Finds the queue and the workspace of a request. */
 export function admit(
-  desired: DesiredStateStore,
+  desiredState: DesiredStateStore,
   {host, path, key}: AdmissionRequest,
   now: Instant,
 ): Admission {
-  if (desired.version === undefined) {
-    return refuse('no configuration was read yet');
+  if (desiredState.version === undefined) {
+    return refuse('no configuration has been read yet');
   }
-  const queue = desired.findQueue(host, path);
-  const workspace = key ? desired.findWorkspace(key) : undefined;
+  const queue = desiredState.findQueue(host, path);
+  const workspace = key ? desiredState.findWorkspace(key) : undefined;
   if (queue?.isPublic) {
     return {kind: 'admitted', queue};
   }
   if (queue && workspace !== undefined) {
     return {kind: 'admitted', queue, workspace};
   }
-  if (now - desired.confirmedAt > CONFIRMATION_LIMIT) {
-    return refuse('the configuration cannot be read now, and may name it');
+  if (now - desiredState.confirmedAt > MAX_CONFIRMATION_AGE_MS) {
+    return refuse(
+      'the configuration cannot be read at present, and a newer version may contain the queue or the key; retry later',
+    );
   }
   return {kind: queue ? 'unknown-key' : 'unknown-queue'};
 }
--- a/packages/gateway/src/desired_state.ts
+++ b/packages/gateway/src/desired_state.ts
@@ -1,13 +1,13 @@
-/** What operators want, as far as callers and the dispatcher see it. */
+/** Desired state: the part of the operators' configuration that concerns callers and the leader. */
 import type {Instant} from '@galenavalve/shared';
 import type {QueueTerms} from '@galenavalve/workload';
 
-/** A queue that callers reach by host and path. */
+/** A queue, which callers address by host and path. */
 export interface Queue {
   name: string;
   host: string;
   pathPrefix: string;
-  /** Calls need no key. */
+  /** Whether requests need no key. */
   isPublic: boolean;
   terms: QueueTerms;
 }
@@ -16,69 +16,76 @@
 export interface Workspace {
   name: string;
   keys: string[];
-  /** Accelerators that belong to its urgent jobs at all times. */
+  /** Number of accelerators that its urgent jobs can get at any time. */
   guaranteedAccelerators: number;
 }
 
-/** One version of the desired state, in full. */
+/** One complete version of the desired state. */
 export interface DesiredState {
   version: number;
   queues: Queue[];
   workspaces: Workspace[];
 }
 
-/** The newest desired state, indexed; versions never go back within one life of the process. */
+/** Holds the newest desired state with indexes for lookups. The version never decreases within one process. */
 export class DesiredStateStore {
-  /** Failure domains that get no new work. */
+  /** Failure domains in which no new work is placed. */
   readonly evacuated = new Set<string>();
+  /** Guaranteed accelerators by workspace. */
   guarantees: ReadonlyMap<string, number> = new Map();
-  /** When the log was last read to its end: no newer version was there. */
+  /** Time at which the log was last read to its end, which shows that there was no newer version. */
   confirmedAt: Instant = -Infinity;
   private state?: DesiredState;
-  private byHost = new Map<string, Queue[]>();
-  private byKey = new Map<string, string>();
+  private queuesByHost = new Map<string, Queue[]>();
+  private workspacesByKey = new Map<string, string>();
 
-  /** Version in force; undefined before the first. */
+  /** Version in effect; undefined until the first one is applied. */
   get version(): number | undefined {
     return this.state?.version;
   }
 
-  /** The log was read to its end. */
+  /** Called when the log has been read to its end. */
   onConfirmed(now: Instant): void {
     this.confirmedAt = now;
   }
 
-  /** Puts a version in force unless it is older. Returns whether it did. */
+  /** Applies a version unless one that is as new or newer is in effect. Returns whether it was applied. */
   apply(state: DesiredState): boolean {
     if (this.state && state.version <= this.state.version) {
       return false;
     }
     this.state = state;
-    this.byHost = new Map();
+    this.queuesByHost = new Map();
     for (const queue of state.queues) {
       const host = queue.host.toLowerCase();
-      this.byHost.set(host, [...(this.byHost.get(host) ?? []), queue]);
+      this.queuesByHost.set(host, [
+        ...(this.queuesByHost.get(host) ?? []),
+        queue,
+      ]);
     }
-    for (const queues of this.byHost.values()) {
+    for (const queues of this.queuesByHost.values()) {
       queues.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
     }
-    this.byKey = new Map(
+    this.workspacesByKey = new Map(
       state.workspaces.flatMap(({name, keys}) => keys.map(key => [key, name])),
     );
     this.guarantees = new Map(
-      state.workspaces.map(each => [each.name, each.guaranteedAccelerators]),
+      state.workspaces.map(workspace => [
+        workspace.name,
+        workspace.guaranteedAccelerators,
+      ]),
     );
     return true;
   }
 
-  /** The queue of the longest prefix that `path` begins with. */
+  /** Finds the queue of a host with the longest prefix that matches `path`. */
   findQueue(host: string, path: string): Queue | undefined {
-    const queues = this.byHost.get(host.toLowerCase()) ?? [];
+    const queues = this.queuesByHost.get(host.toLowerCase()) ?? [];
     return queues.find(({pathPrefix}) => path.startsWith(pathPrefix));
   }
 
-  /** The workspace of a key. */
+  /** Finds the name of the workspace to which a key belongs. */
   findWorkspace(key: string): string | undefined {
-    return this.byKey.get(key);
+    return this.workspacesByKey.get(key);
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,4 @@
-/** Answers callers: each answer is true when it is given, and given as soon as it is known. */
+/** Handles callers' requests. A response states only what is certain at that time, and is sent as soon as it is known. */
 import {
   type Clock,
   type Logger,
@@ -21,63 +21,63 @@
 import type {DesiredStateStore, Queue} from './desired_state.js';
 import type {RecordAppender} from './record_appender.js';
 
-/** Longest wait for one append; the platform's pages give a few milliseconds as usual, and a hundredfold when it is slow. */
-const APPEND_TIMEOUT: Milliseconds = 700;
+/** Timeout of one append. According to the platform, an append usually takes a few milliseconds, and a hundred times as long when the log is slow. */
+const APPEND_TIMEOUT_MS: Milliseconds = 700;
 
-/** Share of the caller's time limit that may be spent on appends. */
-const LIMIT_SHARE = 0.75;
+/** Share of the caller's timeout that may be spent on appends. */
+const APPEND_TIMEOUT_SHARE = 0.75;
 
-/** Backoff between appends of one request, in milliseconds. */
-const RETRY_BASE = 20;
-const RETRY_CAP = 200;
+/** Bounds of the backoff between appends of one request. */
+const RETRY_BASE_MS = 20;
+const RETRY_CAP_MS = 200;
 
-/** Appends that were refused are tried this often before the caller is told. */
+/** Number of refused appends after which the request fails. */
 const MAX_REFUSALS = 3;
 
-/** A log that did not answer for this long is taken as unreachable: its reads answer every second. */
+/** Time without a response after which the log counts as unreachable; reads return every second if it is reachable. */
 export const LOG_TIMEOUT_MS: Milliseconds = 2200;
 
-/** Longest wait to catch up with the log before a job is called unknown. */
-const CATCH_UP_TIMEOUT: Milliseconds = 600;
+/** Maximum time to read the log to its end before a job is reported as unknown. */
+const CATCH_UP_TIMEOUT_MS: Milliseconds = 600;
 
-/** Longest wait for news of a job that is known; what is known is told after that. */
-const STATE_TIMEOUT: Milliseconds = 150;
+/** Maximum time to read pending records of a known job; after that, the last known state is returned. */
+const STATE_READ_TIMEOUT_MS: Milliseconds = 150;
 
-/** Seconds after which a caller should come back when the log is away; outages last seconds. */
+/** Time after which a caller should retry if the log is unreachable; outages last seconds. */
 const RETRY_AFTER_SECONDS = 1;
 
-/** The answer for a job that is not known to an instance that could not read on. */
-const UNREAD: GatewayResponse = {
+/** Response for a job that this instance does not know while it cannot read the log to its end. */
+const LOG_STALE: GatewayResponse = {
   kind: 'refused',
-  problem: 'the log cannot be read now',
+  problem: 'the log cannot be read at present',
   retryAfterSeconds: RETRY_AFTER_SECONDS,
 };
 
-/** Who calls, and what for. */
+/** A caller's request for one job. */
 export interface GatewayRequest {
   queue: Queue;
   /** Absent on public queues. */
   workspace?: string;
   jobId: string;
-  /** Time that the caller waits for the answer. */
+  /** Time in milliseconds that the caller waits for the response. */
   timeout: Milliseconds;
 }
 
-/** What a caller is told. */
+/** Response to a caller. */
 export type GatewayResponse =
   | {kind: 'accepted'}
   | {kind: 'state'; state: JobState}
   | {kind: 'cancelled'}
   /** The job does not exist. */
   | {kind: 'unknown-job'}
-  /** The job cannot be accepted as it is; it was not run. */
+  /** The job's specification is invalid; the job was not accepted. */
   | {kind: 'invalid'; problem: string}
-  /** Nothing was done and nothing will be. */
+  /** The request was not carried out and will not be. */
   | {kind: 'refused'; problem: string; retryAfterSeconds: number}
-  /** It is not known whether it was done; the same request may be sent again. */
+  /** It is not known whether the request was carried out; the same request may be sent again. */
   | {kind: 'unresolved'; problem: string};
 
-/** What a gateway works with. */
+/** Dependencies of a gateway. */
 export interface GatewayDependencies {
   table: JobTable;
   follower: Follower;
@@ -88,124 +88,128 @@
   logger: Logger;
 }
 
-/** The part of an instance that callers talk to. */
+/** The part of an instance that handles callers' requests. */
 export class Gateway {
-  constructor(private readonly parts: GatewayDependencies) {}
+  constructor(private readonly deps: GatewayDependencies) {}
 
-  /** Whether this instance can serve: it knows what is wanted, and reaches the log. */
+  /** Whether this instance can serve requests: it has a configuration, has caught up with the log and can reach it. */
   get isReady(): boolean {
-    const {follower, desiredState: desired} = this.parts;
+    const {follower, desiredState} = this.deps;
     return (
       follower.isCaughtUp &&
-      desired.version !== undefined &&
-      this.logAge() < LOG_TIMEOUT_MS
+      desiredState.version !== undefined &&
+      this.computeLogAge() < LOG_TIMEOUT_MS
     );
   }
 
-  /** Accepts a job once the log holds it. */
-  async submit(call: GatewayRequest, spec: JobSpec): Promise<GatewayResponse> {
+  /** Accepts a job once its record is in the log. */
+  async submit(
+    request: GatewayRequest,
+    spec: JobSpec,
+  ): Promise<GatewayResponse> {
     const problem = findSpecProblem(spec);
     if (problem) {
       return {kind: 'invalid', problem};
     }
-    if (this.parts.table.find(call.jobId)) {
+    if (this.deps.table.find(request.jobId)) {
       return {kind: 'accepted'};
     }
-    const record = encodeAccepted(call.jobId, {
-      queue: call.queue.name,
-      workspace: call.workspace ?? '',
-      acceptedAt: this.parts.clock.wallTime(),
-      terms: call.queue.terms,
+    const record = encodeAccepted(request.jobId, {
+      queue: request.queue.name,
+      workspace: request.workspace ?? '',
+      acceptedAt: this.deps.clock.wallTime(),
+      terms: request.queue.terms,
       spec,
     });
-    const isDone = () => this.parts.table.find(call.jobId) !== undefined;
-    const failure = await this.append(call, record, isDone);
-    const answer = failure ?? {kind: 'accepted' as const};
-    this.log('submitted', call, answer);
-    return answer;
+    const isRecorded = () => this.deps.table.find(request.jobId) !== undefined;
+    const failure = await this.appendWithRetries(request, record, isRecorded);
+    const response = failure ?? {kind: 'accepted' as const};
+    this.logResponse('submitted', request, response);
+    return response;
   }
 
-  /** Cancels a job once the log says so. */
-  async cancel(call: GatewayRequest): Promise<GatewayResponse> {
-    const entry = await this.find(call);
+  /** Cancels a job; reports success once the record of the cancellation is in the log. */
+  async cancel(request: GatewayRequest): Promise<GatewayResponse> {
+    const entry = await this.findEntry(request);
     if ('kind' in entry) {
-      this.log('cancel', call, entry);
+      this.logResponse('cancel', request, entry);
       return entry;
     }
     if (isEnded(entry)) {
       return {kind: 'cancelled'};
     }
-    const record = encodeCancelled(call.jobId);
-    const isDone = () =>
-      this.parts.table.find(call.jobId)?.isCancelled ?? false;
-    const failure = await this.append(call, record, isDone);
-    const answer = failure ?? {kind: 'cancelled' as const};
-    this.log('cancel', call, answer);
-    return answer;
+    const record = encodeCancelled(request.jobId);
+    const isRecorded = () =>
+      this.deps.table.find(request.jobId)?.isCancelled ?? false;
+    const failure = await this.appendWithRetries(request, record, isRecorded);
+    const response = failure ?? {kind: 'cancelled' as const};
+    this.logResponse('cancel', request, response);
+    return response;
   }
 
-  /** Tells the state of a job. */
-  async getState(call: GatewayRequest): Promise<GatewayResponse> {
-    const entry = await this.find(call);
+  /** Returns the state of a job. */
+  async getState(request: GatewayRequest): Promise<GatewayResponse> {
+    const entry = await this.findEntry(request);
     if ('kind' in entry) {
-      this.log('state', call, entry);
+      this.logResponse('state', request, entry);
       return entry;
     }
-    const isLogThere = this.logAge() < LOG_TIMEOUT_MS;
-    if (!isEnded(entry) && isLogThere) {
-      await this.parts.follower.readPending(STATE_TIMEOUT);
+    const isLogReachable = this.computeLogAge() < LOG_TIMEOUT_MS;
+    if (!isEnded(entry) && isLogReachable) {
+      await this.deps.follower.readPending(STATE_READ_TIMEOUT_MS);
     }
     return {kind: 'state', state: getJobState(entry)};
   }
 
-  /** Accepted jobs of a queue of which no task has started. */
+  /** Counts the accepted jobs of a queue of which no task has started. */
   countQueuedJobs(queue: Queue): number {
-    return this.parts.table.countQueuedJobs(queue.name);
+    return this.deps.table.countQueuedJobs(queue.name);
   }
 
-  /** Looks a job up, catching up with the log before it is called unknown. */
-  private async find(
-    call: GatewayRequest,
+  /** Finds the job of a request. Reads the log to its end before the job is reported as unknown. */
+  private async findEntry(
+    request: GatewayRequest,
   ): Promise<JobEntry | GatewayResponse> {
-    const known = this.ownEntry(call);
-    if (known) {
-      return known;
+    const knownEntry = this.lookUp(request);
+    if (knownEntry) {
+      return knownEntry;
     }
-    const isLogThere = this.logAge() < LOG_TIMEOUT_MS;
-    const isCurrent =
-      isLogThere && (await this.parts.follower.readToEnd(CATCH_UP_TIMEOUT));
-    // "Unknown" is only true of a log that was read to its end just now.
-    return this.ownEntry(call) ?? (isCurrent ? {kind: 'unknown-job'} : UNREAD);
+    const isLogReachable = this.computeLogAge() < LOG_TIMEOUT_MS;
+    const isRead =
+      isLogReachable &&
+      (await this.deps.follower.readToEnd(CATCH_UP_TIMEOUT_MS));
+    // A job is certain to be unknown only if the log was just read to its end.
+    return this.lookUp(request) ?? (isRead ? {kind: 'unknown-job'} : LOG_STALE);
   }
 
-  /** A job of another workspace does not exist for the caller. */
-  private ownEntry(call: GatewayRequest): JobEntry | undefined {
-    const entry = this.parts.table.find(call.jobId);
-    const isForeign =
+  /** Looks up a job in the table, unless it belongs to another workspace, in which case the caller is told that it does not exist. */
+  private lookUp(request: GatewayRequest): JobEntry | undefined {
+    const entry = this.deps.table.find(request.jobId);
+    const isOfOtherWorkspace =
       entry !== undefined &&
-      call.workspace !== undefined &&
-      entry.job.workspace !== call.workspace;
-    return isForeign ? undefined : entry;
+      request.workspace !== undefined &&
+      entry.job.workspace !== request.workspace;
+    return isOfOtherWorkspace ? undefined : entry;
   }
 
-  /** Appends until it is known; the record may be in the log more than once. */
-  private async append(
-    call: GatewayRequest,
+  /** Appends a record, with retries, until it is known to be in the log; it may be appended more than once. Returns the response to a failure, or undefined on success. */
+  private async appendWithRetries(
+    request: GatewayRequest,
     record: KeyedRecord,
-    isDone: () => boolean,
+    isRecorded: () => boolean,
   ): Promise<GatewayResponse | undefined> {
-    const {clock, random, log} = this.parts;
-    const end = clock.now() + call.timeout * LIMIT_SHARE;
+    const {clock, random, log} = this.deps;
+    const deadline = clock.now() + request.timeout * APPEND_TIMEOUT_SHARE;
     let isUncertain = false;
     let refusals = 0;
-    let problem = 'the log does not answer';
-    for (let attempt = 0; clock.now() < end; attempt++) {
-      if (this.logAge() >= LOG_TIMEOUT_MS) {
+    let problem = 'the log is not responding';
+    for (let attempt = 0; clock.now() < deadline; attempt++) {
+      if (this.computeLogAge() >= LOG_TIMEOUT_MS) {
         break;
       }
-      const timeout = Math.min(APPEND_TIMEOUT, end - clock.now());
+      const timeout = Math.min(APPEND_TIMEOUT_MS, deadline - clock.now());
       const outcome = await log.append([record], timeout);
-      if (outcome.kind === 'appended' || isDone()) {
+      if (outcome.kind === 'appended' || isRecorded()) {
         return undefined;
       }
       problem = outcome.problem;
@@ -215,10 +219,10 @@
         break;
       }
       await clock.sleep(
-        computeJitteredBackoff(attempt, RETRY_BASE, RETRY_CAP, random),
+        computeJitteredBackoff(attempt, RETRY_BASE_MS, RETRY_CAP_MS, random),
       );
     }
-    if (isDone()) {
+    if (isRecorded()) {
       return undefined;
     }
     return isUncertain
@@ -226,22 +230,22 @@
       : {kind: 'refused', problem, retryAfterSeconds: RETRY_AFTER_SECONDS};
   }
 
-  private logAge(): Milliseconds {
-    return this.parts.clock.now() - this.parts.follower.lastAnswerAt;
+  private computeLogAge(): Milliseconds {
+    return this.deps.clock.now() - this.deps.follower.lastAnswerAt;
   }
 
-  private log(
+  private logResponse(
     event: string,
-    call: GatewayRequest,
-    answer: GatewayResponse,
+    request: GatewayRequest,
+    response: GatewayResponse,
   ): void {
-    this.parts.logger.info(event, {
-      job: call.jobId,
-      queue: call.queue.name,
-      workspace: call.workspace,
-      config: this.parts.desiredState.version,
-      logAgeMs: Math.round(this.logAge()),
-      answer,
+    this.deps.logger.info(event, {
+      job: request.jobId,
+      queue: request.queue.name,
+      workspace: request.workspace,
+      config: this.deps.desiredState.version,
+      logAgeMs: Math.round(this.computeLogAge()),
+      answer: response,
     });
   }
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,4 @@
-/** What callers are told: accept, cancel, state and backlog. */
+/** Serves callers' requests: submit and cancel jobs, and query their state and the number of queued jobs. */
 export {type Admission, type AdmissionRequest, admit} from './admission.js';
 export {
   type DesiredState,
--- a/packages/gateway/src/record_appender.ts
+++ b/packages/gateway/src/record_appender.ts
@@ -1,17 +1,18 @@
-/** Appends records that may be appended more than once, such as an acceptance. */
+/** Interface to append records whose repetition in the log does no harm, such as an acceptance. */
 import type {KeyedRecord} from '@galenavalve/workload';
 import type {Milliseconds} from '@galenavalve/shared';
 
-/** What became of an append. */
+/** Outcome of an append. */
 export type AppendOutcome =
   | {kind: 'appended'; offset: number}
-  /** Nothing was appended, and nothing of this call will be. */
+  /** None of the records was or will be appended by this call. */
   | {kind: 'refused'; problem: string}
-  /** It may have been appended, or may be later. */
+  /** The records may have been appended, or may still be. */
   | {kind: 'unknown'; problem: string};
 
-/** The log as callers' requests use it. */
+/** Appends to the log on behalf of callers. */
 export interface RecordAppender {
+  /** Appends records; waits up to `timeout` milliseconds. Reports every failure as an outcome. */
   append(
     records: readonly KeyedRecord[],
     timeout: Milliseconds,
