Reword relay in terms of paths to the log and peers

Newcomers stopped at an instance that is "turned away", reads that are "doubted" and failures that are "prompt", which stand for a failing direct path, a comparison with a peer's read and a refusal.

Ruled out: changing the method names and the fields of the peer protocol, which instances of other versions use.

Comments, locals, private members, test titles and five problem texts are reworded; `onDirectAnswer` and `onPeerAnswer` of the path tracker became `onDirectResponse` and `onPeerResponse`. No test or tool matches the old texts. No behavior changes: the comparison of the programs shows renames and texts only.

--- a/packages/relay/__tests__/fixtures.ts
+++ b/packages/relay/__tests__/fixtures.ts
@@ -1,4 +1,4 @@
-/** Fixtures of the relay's specs. */
+/** Fixtures of the relay's tests. */
 import type {FencedAppendOutcome} from '@galenavalve/dispatch';
 import {
   LogPathTracker,
@@ -9,7 +9,7 @@
 } from '@galenavalve/relay';
 import {SeededRandom, SilentLogger} from '@galenavalve/shared';
 
-/** An instance named `name`. */
+/** Creates the entry of an instance named `name`. */
 export function createPeer(
   name: string,
   values: Partial<PeerEntry> = {},
@@ -25,30 +25,30 @@
   };
 }
 
-/** The book of `self` that knows `others`. */
+/** Creates the directory of `self` with the entries of `others`. */
 export function createPeerDirectory(
   self: PeerEntry,
   others: PeerEntry[],
 ): PeerDirectory {
-  const book = new PeerDirectory(self);
-  others.forEach(other => book.apply(encodePeer(other)));
-  return book;
+  const directory = new PeerDirectory(self);
+  others.forEach(other => directory.apply(encodePeer(other)));
+  return directory;
 }
 
-/** What an instance knows of its ways to the logs. */
+/** Creates the path tracker of an instance in `domain`. */
 export function createLogPathTracker(
-  book: PeerDirectory,
+  directory: PeerDirectory,
   domain = 'a',
 ): LogPathTracker {
   return new LogPathTracker(
-    book,
+    directory,
     domain,
     new SeededRandom(1),
     new SilentLogger(),
   );
 }
 
-/** A log that gives `outcome` to every append, and one record to every read. */
+/** Creates a log that responds with `outcome` to every append and with one record to every read. */
 export function createLog(
   outcome: FencedAppendOutcome,
 ): SharedLog & {calls: unknown[][]; outcome: FencedAppendOutcome} {
--- a/packages/relay/__tests__/relayed_log.spec.ts
+++ b/packages/relay/__tests__/relayed_log.spec.ts
@@ -9,74 +9,92 @@
   createPeer,
 } from './fixtures.js';
 
-function createRelayed(own: FencedAppendOutcome, peers: FencedAppendOutcome) {
+/** Creates a relayed log whose direct and relayed appends have the given outcomes. */
+function createRelayedLog(
+  directOutcome: FencedAppendOutcome,
+  peerOutcome: FencedAppendOutcome,
+) {
   const clock = new ManualClock();
-  const direct = createLog(own);
-  const asked: string[] = [];
-  const port: PeerLogClient = {
+  const direct = createLog(directOutcome);
+  const calledPeers: string[] = [];
+  const peerClient: PeerLogClient = {
     append: async ({instance}) => {
-      asked.push(instance);
-      return peers;
+      calledPeers.push(instance);
+      return peerOutcome;
     },
     readNewest: () => Promise.reject(new Error('no page')),
     readTail: () => Promise.reject(new Error('no page')),
   };
   const others = [createPeer('b'), createPeer('c', {domain: 'z'})];
-  const access = createLogPathTracker(
+  const pathTracker = createLogPathTracker(
     createPeerDirectory(createPeer('a'), others),
   );
-  const log = new RelayedLog('jobs', direct, access, port, clock);
-  return {log, direct, asked, access, clock};
+  const log = new RelayedLog('jobs', direct, pathTracker, peerClient, clock);
+  return {log, direct, calledPeers, pathTracker, clock};
 }
 
 const appended: FencedAppendOutcome = {kind: 'appended', offset: 1};
 const refused: FencedAppendOutcome = {kind: 'refused', problem: 'busy'};
-const unknown: FencedAppendOutcome = {kind: 'unknown', problem: 'silence'};
+const unknown: FencedAppendOutcome = {kind: 'unknown', problem: 'no response'};
 
-t.test('an append that is answered asks no peer', async t => {
-  const {log, asked} = createRelayed(appended, appended);
+t.test('an append with a direct response calls no peer', async t => {
+  const {log, calledPeers} = createRelayedLog(appended, appended);
   t.same(await log.append([], 500), appended);
-  t.same(asked, []);
+  t.same(calledPeers, []);
 });
 
 t.test(
-  'an append that is refused goes through a peer of the domain',
+  'an append that is refused goes through a peer of the same domain',
   async t => {
-    const {log, asked, direct} = createRelayed(refused, appended);
+    const {log, calledPeers, direct} = createRelayedLog(refused, appended);
     t.same(await log.append([], 500), appended);
-    t.same(asked, ['b']);
+    t.same(calledPeers, ['b']);
     await log.append([], 500);
-    t.equal(direct.calls.length, 1, 'the log is not asked again at once');
+    t.equal(
+      direct.calls.length,
+      1,
+      'the log is not called directly again immediately',
+    );
   },
 );
 
-t.test('nothing counts as refused that a try may have carried out', async t => {
-  const {log} = createRelayed(unknown, refused);
-  t.equal((await log.append([], 500)).kind, 'unknown');
-  const other = createRelayed(refused, unknown);
-  t.equal((await other.log.append([], 500)).kind, 'unknown');
-});
+t.test(
+  'an append does not count as refused if an attempt may have carried it out',
+  async t => {
+    const {log} = createRelayedLog(unknown, refused);
+    t.equal((await log.append([], 500)).kind, 'unknown');
+    const refusedFirst = createRelayedLog(refused, unknown);
+    t.equal((await refusedFirst.log.append([], 500)).kind, 'unknown');
+  },
+);
 
 t.test(
-  'a log that is away for all is asked through two peers at most',
+  'an append tries at most two peers if the log is unreachable for all',
   async t => {
-    const {log, asked, direct, access, clock} = createRelayed(refused, refused);
+    const {log, calledPeers, direct, pathTracker, clock} = createRelayedLog(
+      refused,
+      refused,
+    );
     t.equal((await log.append([], 500)).kind, 'refused');
-    t.equal(asked.length, 2);
-    t.notOk(access.isAvailableToPeers);
+    t.equal(calledPeers.length, 2);
+    t.notOk(pathTracker.isAvailableToPeers);
     await log.append([], 500);
-    t.equal(asked.length, 2, 'peers that failed are left alone for a while');
+    t.equal(
+      calledPeers.length,
+      2,
+      'peers that failed are not called again for a while',
+    );
     t.equal(direct.calls.length, 2);
     await clock.advance(2000);
     await log.append([], 500);
-    t.equal(asked.length, 4);
+    t.equal(calledPeers.length, 4);
   },
 );
 
 t.test(
-  'the end of an outage is noticed soon by an instance that was refused at once (menon-terrain-grown scale-1)',
+  'an instance whose call was refused immediately detects the end of an outage soon (menon-terrain-grown scale-1)',
   async t => {
-    const {log, direct, clock} = createRelayed(refused, refused);
+    const {log, direct, clock} = createRelayedLog(refused, refused);
     await log.append([], 500);
     t.equal(direct.calls.length, 1);
     await clock.advance(350);
@@ -86,12 +104,9 @@
   },
 );
 
-t.test(
-  'an office that a higher epoch holds is lost through a peer, too',
-  async t => {
-    const {log} = createRelayed(refused, {kind: 'fenced'});
-    t.same(await log.appendFenced({epoch: 5, sequence: 1}, [], 500), {
-      kind: 'fenced',
-    });
-  },
-);
+t.test('an append through a peer is fenced by a higher epoch', async t => {
+  const {log} = createRelayedLog(refused, {kind: 'fenced'});
+  t.same(await log.appendFenced({epoch: 5, sequence: 1}, [], 500), {
+    kind: 'fenced',
+  });
+});
--- a/packages/relay/__tests__/wire_peer_log_client.spec.ts
+++ b/packages/relay/__tests__/wire_peer_log_client.spec.ts
@@ -12,6 +12,7 @@
 const clock = new SystemClock();
 const logger = new SilentLogger();
 
+/** Connects a client to a peer that serves the log `jobs`. */
 async function connect(t: Test) {
   const log = createLog({kind: 'appended', offset: 7});
   const server = new PeerServer({
@@ -21,8 +22,10 @@
     logger,
     clock,
   });
-  const access = createLogPathTracker(createPeerDirectory(createPeer('b'), []));
-  serveLogs(server, new Map([['jobs', log]]), access);
+  const pathTracker = createLogPathTracker(
+    createPeerDirectory(createPeer('b'), []),
+  );
+  serveLogs(server, new Map([['jobs', log]]), pathTracker);
   const {port} = await server.start();
   const client = new PeerClient({
     instance: 'a',
@@ -35,48 +38,57 @@
     await server.close();
   });
   const peer = createPeer('b', {port});
-  return {log, access, peer, server, port: new WirePeerLogClient(client)};
+  return {
+    log,
+    pathTracker,
+    peer,
+    server,
+    peerClient: new WirePeerLogClient(client),
+  };
 }
 
-t.test('an append reaches the log of the peer, with its epoch', async t => {
-  const {log, peer, port} = await connect(t);
-  const records = [{key: 'k', value: 'v'}];
-  const fencing = {epoch: 3, sequence: 9};
-  t.same(await port.append(peer, 'jobs', {records, fencing}, 500), {
-    kind: 'appended',
-    offset: 7,
-  });
-  t.same(log.calls, [[fencing, records, 500]]);
-});
+t.test(
+  'an append reaches the log of the peer with its fencing token',
+  async t => {
+    const {log, peer, peerClient} = await connect(t);
+    const records = [{key: 'k', value: 'v'}];
+    const fencing = {epoch: 3, sequence: 9};
+    t.same(await peerClient.append(peer, 'jobs', {records, fencing}, 500), {
+      kind: 'appended',
+      offset: 7,
+    });
+    t.same(log.calls, [[fencing, records, 500]]);
+  },
+);
 
 t.test('records are read through the peer', async t => {
-  const {peer, port} = await connect(t);
+  const {peer, peerClient} = await connect(t);
   const records = [{key: 'k', value: 'v', offset: 4}];
-  t.match(await port.readNewest(peer, 'jobs', undefined, 500), {
+  t.match(await peerClient.readNewest(peer, 'jobs', undefined, 500), {
     records,
     end: 5,
   });
-  t.match(await port.readTail(peer, 'jobs', 4, 0, 500), {
+  t.match(await peerClient.readTail(peer, 'jobs', 4, 0, 500), {
     kind: 'records',
     records,
   });
 });
 
-t.test('a peer that does not reach the log refuses truly', async t => {
-  const {access, log, peer, port} = await connect(t);
-  access.onDirectFailure('busy', 0, 0);
-  const outcome = await port.append(peer, 'jobs', {records: []}, 500);
-  t.equal(outcome.kind, 'refused');
-  t.same(log.calls, []);
-  await t.rejects(port.readTail(peer, 'jobs', 4, 0, 500));
-});
-
 t.test(
-  'an append to a peer that cannot be reached was not carried out',
+  'a peer that does not reach the log refuses calls without executing them',
   async t => {
-    const {peer, port, server} = await connect(t);
-    await server.close();
-    const outcome = await port.append(peer, 'jobs', {records: []}, 500);
+    const {pathTracker, log, peer, peerClient} = await connect(t);
+    pathTracker.onDirectFailure('busy', 0, 0);
+    const outcome = await peerClient.append(peer, 'jobs', {records: []}, 500);
     t.equal(outcome.kind, 'refused');
+    t.same(log.calls, []);
+    await t.rejects(peerClient.readTail(peer, 'jobs', 4, 0, 500));
   },
 );
+
+t.test('an append to an unreachable peer is reported as refused', async t => {
+  const {peer, peerClient, server} = await connect(t);
+  await server.close();
+  const outcome = await peerClient.append(peer, 'jobs', {records: []}, 500);
+  t.equal(outcome.kind, 'refused');
+});
--- a/packages/relay/src/announce_peer.ts
+++ b/packages/relay/src/announce_peer.ts
@@ -1,4 +1,4 @@
-/** Tells the other instances of this one, and drops those that are long gone. */
+/** Announces this instance to its peers (the other instances) through the log, and deletes expired entries. */
 import {
   type Clock,
   type Logger,
@@ -10,24 +10,24 @@
 import {type PeerEntry, encodePeer, encodePeerTombstone} from './peer_entry.js';
 import type {SharedLog} from './peer_log_client.js';
 
-/** An instance writes its entry anew this often. */
-const REFRESH: Milliseconds = 600_000;
+/** Interval at which an instance writes its entry again. */
+const REFRESH_INTERVAL_MS: Milliseconds = 600_000;
 
-/** An entry that was not written anew for this long is dropped: three refreshes. */
-const GONE_AFTER: Milliseconds = 1_800_000;
+/** Age at which an entry expires: three refresh intervals. */
+const ENTRY_TTL_MS: Milliseconds = 1_800_000;
 
-/** Most entries that one refresh drops. */
-const MAX_DROPPED = 50;
+/** Maximum number of entries that are deleted in one refresh. */
+const MAX_DELETED_ENTRIES = 50;
 
-/** Longest wait for an append, and the backoff after one that failed. */
-const APPEND_TIMEOUT: Milliseconds = 1000;
-const RETRY_BASE: Milliseconds = 200;
-const RETRY_CAP: Milliseconds = 5000;
+/** Timeout of an append, and bounds of the backoff after a failed one. */
+const APPEND_TIMEOUT_MS: Milliseconds = 1000;
+const RETRY_BASE_MS: Milliseconds = 200;
+const RETRY_CAP_MS: Milliseconds = 5000;
 
-/** Keeps the entry of `self` fresh for as long as the process lives. */
+/** Writes the entry of `self` at every refresh interval until the process ends. Failed appends are retried. */
 export async function announcePeer(
   self: Omit<PeerEntry, 'writtenAt'>,
-  parts: {
+  deps: {
     log: SharedLog;
     peers: PeerDirectory;
     clock: Clock;
@@ -35,26 +35,29 @@
     logger: Logger;
   },
 ): Promise<never> {
-  const {log, peers, clock, random, logger} = parts;
+  const {log, peers, clock, random, logger} = deps;
   for (;;) {
     for (let attempt = 0; ; attempt++) {
       const now = clock.wallTime();
-      const gone = peers
+      const tombstones = peers
         .listPeers()
-        .filter(({writtenAt}) => now - writtenAt > GONE_AFTER)
-        .slice(0, MAX_DROPPED)
+        .filter(({writtenAt}) => now - writtenAt > ENTRY_TTL_MS)
+        .slice(0, MAX_DELETED_ENTRIES)
         .map(({instance}) => encodePeerTombstone(instance));
-      const records = [encodePeer({...self, writtenAt: now}), ...gone];
-      const outcome = await log.append(records, APPEND_TIMEOUT);
+      const records = [encodePeer({...self, writtenAt: now}), ...tombstones];
+      const outcome = await log.append(records, APPEND_TIMEOUT_MS);
       if (outcome.kind === 'appended') {
-        logger.info('announced', {cores: self.cores, dropped: gone.length});
+        logger.info('announced', {
+          cores: self.cores,
+          dropped: tombstones.length,
+        });
         break;
       }
       await clock.sleep(
-        RETRY_BASE +
-          computeJitteredBackoff(attempt, RETRY_BASE, RETRY_CAP, random),
+        RETRY_BASE_MS +
+          computeJitteredBackoff(attempt, RETRY_BASE_MS, RETRY_CAP_MS, random),
       );
     }
-    await clock.sleep(REFRESH);
+    await clock.sleep(REFRESH_INTERVAL_MS);
   }
 }
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,6 +1,6 @@
-/** Instances that reach the log serve those that do not. */
+/** Access to the log through a peer: instances that reach the log serve those that do not. */
 
-// Who the other instances are
+// Directory of peers
 export {
   type PeerEntry,
   decodePeer,
@@ -10,7 +10,7 @@
 export {PeerDirectory} from './peer_directory.js';
 export {announcePeer} from './announce_peer.js';
 
-// The log, by oneself or through another
+// The log, directly or through a peer
 export {
   type AppendCall,
   type PeerLogClient,
@@ -21,6 +21,6 @@
 export {LogPathTracker} from './log_path_tracker.js';
 export {RelayedLog} from './relayed_log.js';
 
-// Over the network
+// Peer protocol
 export {WirePeerLogClient} from './wire_peer_log_client.js';
 export {serveLogs} from './serve_logs.js';
--- a/packages/relay/src/log_path_tracker.ts
+++ b/packages/relay/src/log_path_tracker.ts
@@ -1,30 +1,30 @@
-/** Whether this instance reaches the logs itself, and which peers do. */
+/** Tracks the paths to the log: whether this instance reaches it directly, and which peers reach it. */
 import type {Instant, Logger, Milliseconds, Random} from '@galenavalve/shared';
 import {nextInteger} from '@galenavalve/shared';
 import type {PeerDirectory} from './peer_directory.js';
 import type {PeerEntry} from './peer_entry.js';
 
-/** After a call without an answer, calls go through peers for this long before the log is tried directly again. */
-const SILENCE_PAUSE: Milliseconds = 1000;
+/** Time for which calls go through peers, after a direct call without a response, before the log is tried directly again. */
+const RETRY_DELAY_AFTER_TIMEOUT_MS: Milliseconds = 1000;
 
-/** The same after a refusal, which costs no waiting: the end of an outage for all is then noticed soon. */
-const REFUSAL_PAUSE: Milliseconds = 300;
+/** The same after a refusal. It is shorter because a refused call costs no waiting, so the end of an outage for all instances is detected soon. */
+const RETRY_DELAY_AFTER_REFUSAL_MS: Milliseconds = 300;
 
-/** A failure within this time was a refusal; a store that is a hundred times slow answers later. */
-const PROMPT: Milliseconds = 200;
+/** A call that fails within this time counts as refused; a log that is slower by a factor of a hundred responds later. */
+const MAX_REFUSAL_TIME_MS: Milliseconds = 200;
 
-/** A peer that failed is not asked for this long. */
-const PEER_PAUSE: Milliseconds = 1500;
+/** Time for which a peer is not called after a failure. */
+const PEER_RETRY_DELAY_MS: Milliseconds = 1500;
 
-/** Most peers that one call is passed to: where two fail as well, the log is away for all. */
+/** Maximum number of peers that one call tries; if two fail as well, the log is taken to be unreachable for all instances. */
 const MAX_PEERS = 2;
 
-/** What one instance knows of the ways to the store of all logs. */
+/** Tracks the paths from one instance to the log service, which hosts all logs. */
 export class LogPathTracker {
-  private failedUntil: Instant = -Infinity;
-  private hasFailed = false;
-  private readonly peersFailedUntil = new Map<string, Instant>();
-  private lastGood?: string;
+  private directRetryTime: Instant = -Infinity;
+  private hasDirectFailed = false;
+  private readonly peerRetryTimes = new Map<string, Instant>();
+  private lastResponsivePeer?: string;
   private waiters: Array<() => void> = [];
 
   constructor(
@@ -34,81 +34,89 @@
     private readonly logger: Logger,
   ) {}
 
-  /** Whether the next call is to be made directly. */
+  /** Returns whether the next call should be made directly. */
   isDirectPathAvailable(now: Instant): boolean {
-    return now >= this.failedUntil;
+    return now >= this.directRetryTime;
   }
 
-  /** Whether other instances can serve peers through this one. */
+  /** Whether this instance can serve calls of its peers: its last direct call did not fail. */
   get isAvailableToPeers(): boolean {
-    return !this.hasFailed;
+    return !this.hasDirectFailed;
   }
 
-  /** A direct call was answered. */
-  onDirectAnswer(): void {
-    if (this.hasFailed) {
-      this.hasFailed = false;
+  /** Called after a response to a direct call. */
+  onDirectResponse(): void {
+    if (this.hasDirectFailed) {
+      this.hasDirectFailed = false;
       this.logger.info('log-direct', {});
     }
-    this.failedUntil = -Infinity;
+    this.directRetryTime = -Infinity;
   }
 
-  /** A direct call that began at `startedAt` was refused or not answered. */
+  /** Called after a direct call, started at `startedAt`, that was refused or got no response. */
   onDirectFailure(problem: string, startedAt: Instant, now: Instant): void {
-    const isRefusal = now - startedAt <= PROMPT;
-    this.failedUntil = now + (isRefusal ? REFUSAL_PAUSE : SILENCE_PAUSE);
-    if (!this.hasFailed) {
-      this.hasFailed = true;
+    const isRefusal = now - startedAt <= MAX_REFUSAL_TIME_MS;
+    this.directRetryTime =
+      now +
+      (isRefusal ? RETRY_DELAY_AFTER_REFUSAL_MS : RETRY_DELAY_AFTER_TIMEOUT_MS);
+    if (!this.hasDirectFailed) {
+      this.hasDirectFailed = true;
       this.logger.warn('log-through-peers', {
         problem,
         peers: this.peers.listPeers().length,
       });
     }
-    this.waiters.forEach(wake => wake());
+    this.waiters.forEach(resolve => resolve());
     this.waiters = [];
   }
 
-  /** Resolves when a direct call fails; what waits on a silent connection need not wait on. */
+  /** Resolves when a direct call fails, so that other calls need not wait for an unresponsive connection. Aborting `signal` ends the wait without resolving. */
   waitForDirectFailure(signal: AbortSignal): Promise<void> {
     return new Promise(resolve => {
       this.waiters.push(resolve);
       signal.addEventListener('abort', () => {
-        this.waiters = this.waiters.filter(each => each !== resolve);
+        this.waiters = this.waiters.filter(waiter => waiter !== resolve);
       });
     });
   }
 
-  /** Peers to ask, best first: the one that served last, then those of this failure domain. */
+  /** Chooses the peers to call, in order of preference: the one that responded last, then one of this failure domain, then any other. */
   choosePeers(now: Instant): PeerEntry[] {
-    const open = this.peers
+    const availablePeers = this.peers
       .listPeers()
-      .filter(
-        ({instance}) => (this.peersFailedUntil.get(instance) ?? 0) <= now,
-      );
-    const chosen: PeerEntry[] = [];
-    const last = open.find(({instance}) => instance === this.lastGood);
+      .filter(({instance}) => (this.peerRetryTimes.get(instance) ?? 0) <= now);
+    const chosenPeers: PeerEntry[] = [];
+    const last = availablePeers.find(
+      ({instance}) => instance === this.lastResponsivePeer,
+    );
     if (last) {
-      chosen.push(last);
+      chosenPeers.push(last);
     }
-    const near = open.filter(peer => peer.domain === this.domain);
-    for (const group of [near, open]) {
-      const rest = group.filter(peer => !chosen.includes(peer));
-      if (rest.length > 0 && chosen.length < MAX_PEERS) {
-        chosen.push(rest[nextInteger(this.random, rest.length)]!);
+    const domainPeers = availablePeers.filter(
+      peer => peer.domain === this.domain,
+    );
+    for (const candidates of [domainPeers, availablePeers]) {
+      const remaining = candidates.filter(peer => !chosenPeers.includes(peer));
+      if (remaining.length > 0 && chosenPeers.length < MAX_PEERS) {
+        chosenPeers.push(
+          remaining[nextInteger(this.random, remaining.length)]!,
+        );
       }
     }
-    return chosen;
+    return chosenPeers;
   }
 
-  onPeerAnswer({instance}: PeerEntry): void {
-    this.lastGood = instance;
+  /** Called after a response of a peer. */
+  onPeerResponse({instance}: PeerEntry): void {
+    this.lastResponsivePeer = instance;
   }
 
+  /** Called after a peer failed to serve a call. */
   onPeerFailure({instance}: PeerEntry, problem: string, now: Instant): void {
-    if (this.lastGood === instance) {
-      this.lastGood = undefined;
+    if (this.lastResponsivePeer === instance) {
+      this.lastResponsivePeer = undefined;
     }
-    this.peersFailedUntil.set(instance, now + PEER_PAUSE);
+    this.peerRetryTimes.set(instance, now + PEER_RETRY_DELAY_MS);
     this.logger.debug('peer-failed', {peer: instance, problem});
   }
 }
--- a/packages/relay/src/peer_directory.ts
+++ b/packages/relay/src/peer_directory.ts
@@ -1,18 +1,18 @@
-/** The instances that the log names. */
+/** Directory of the instances that have an entry in the log. */
 import type {CandidateRank} from '@galenavalve/dispatch';
 import type {KeyedRecord} from '@galenavalve/workload';
 import {type PeerEntry, decodePeer} from './peer_entry.js';
 
-/** An instance with less than this share of the strongest one's processor is weak. */
+/** An instance is weak if it has less than this share of the processor capacity of the strongest one. */
 const WEAK_SHARE = 0.5;
 
-/** Instances by name, without this one. */
+/** Peers by instance name; this instance is not included. */
 export class PeerDirectory {
   private readonly entries = new Map<string, PeerEntry>();
 
   constructor(private readonly self: Omit<PeerEntry, 'writtenAt'>) {}
 
-  /** Takes a record of the log; records of other kinds change nothing. */
+  /** Applies a record of the log. Ignores other kinds of records, malformed ones and the entry of this instance. */
   apply(record: KeyedRecord): void {
     const decoded = decodePeer(record);
     if (!decoded || decoded.instance === this.self.instance) {
@@ -25,12 +25,12 @@
     }
   }
 
-  /** Every other instance. */
+  /** Lists all peers. */
   listPeers(): PeerEntry[] {
     return [...this.entries.values()];
   }
 
-  /** Ranked by processor, then by name. */
+  /** Rank of this instance among those that may claim leadership: ordered by processor capacity, with the name as a tie-break. */
   get candidateRank(): CandidateRank {
     const {cores, instance} = this.self;
     let rank = 0;
--- a/packages/relay/src/peer_entry.ts
+++ b/packages/relay/src/peer_entry.ts
@@ -1,43 +1,45 @@
-/** What an instance says of itself in the log, so that others find it. */
+/** Entry of an instance in the log, by which its peers find it. */
 import * as z from 'zod';
 import type {KeyedRecord} from '@galenavalve/workload';
 
+/** Schema of a peer's entry. */
 export const peerEntrySchema = z.object({
   instance: z.string().min(1),
-  /** IP number and port of its peer protocol. */
+  /** IP address and port at which it serves the peer protocol. */
   host: z.string().min(1),
   port: z.number().int().positive(),
   domain: z.string(),
-  /** Processor that it may use, in cores of usual speed. */
+  /** Processor capacity that it may use, in cores of standard speed. */
   cores: z.number().positive(),
   /** Wall-clock time of the record, in Unix milliseconds. */
   writtenAt: z.number(),
 });
 
-/** One instance. */
+/** Entry of one instance. */
 export type PeerEntry = z.infer<typeof peerEntrySchema>;
 
-const PEER = 'p/';
+/** Key prefix of peer entries; the instance name follows. */
+const PEER_KEY_PREFIX = 'p/';
 
-/** The record of an instance. */
+/** Encodes the record of an instance's entry. */
 export function encodePeer(entry: PeerEntry): KeyedRecord {
-  return {key: PEER + entry.instance, value: JSON.stringify(entry)};
+  return {key: PEER_KEY_PREFIX + entry.instance, value: JSON.stringify(entry)};
 }
 
-/** The record that drops an instance. */
+/** Encodes the tombstone that deletes an instance's entry. */
 export function encodePeerTombstone(instance: string): KeyedRecord {
-  return {key: PEER + instance, value: ''};
+  return {key: PEER_KEY_PREFIX + instance, value: ''};
 }
 
-/** Reads a record: the instance's name, and its entry unless it was dropped. Undefined for other records and broken ones. */
+/** Decodes a record: the instance name, and its entry unless the record is a tombstone. Returns undefined for other kinds of records and malformed entries. */
 export function decodePeer({
   key,
   value,
 }: KeyedRecord): {instance: string; entry?: PeerEntry} | undefined {
-  if (!key.startsWith(PEER)) {
+  if (!key.startsWith(PEER_KEY_PREFIX)) {
     return undefined;
   }
-  const instance = key.slice(PEER.length);
+  const instance = key.slice(PEER_KEY_PREFIX.length);
   if (value === '') {
     return {instance};
   }
@@ -49,7 +51,7 @@
   try {
     return JSON.parse(text);
   } catch {
-    // Another writer's record; it names no instance.
+    // Malformed JSON, such as from another writer, is no peer entry.
     return undefined;
   }
 }
--- a/packages/relay/src/peer_log_client.ts
+++ b/packages/relay/src/peer_log_client.ts
@@ -1,4 +1,4 @@
-/** Calls to the log through another instance. */
+/** Interface of calls to the log through a peer. */
 import type {
   FencingToken,
   FencedAppendOutcome,
@@ -14,32 +14,32 @@
 } from '@galenavalve/workload';
 import type {PeerEntry} from './peer_entry.js';
 
-/** A log as every part of an instance uses it. */
+/** The log as the parts of an instance share it: for reads, and for appends with or without a fencing token. */
 export type SharedLog = KeyedLog & RecordAppender & FencedLog;
 
-/** An append with all that belongs to it. */
+/** Arguments of an append; `fencing` is absent for appends that need no leadership. */
 export interface AppendCall {
   records: readonly KeyedRecord[];
   fencing?: FencingToken;
 }
 
-/** Carries calls to another instance, which makes them itself and passes them no further. */
+/** Sends calls to a peer, which executes them on its direct path to the log and does not forward them. */
 export interface PeerLogClient {
-  /** Never throws: an answer that did not come is an outcome. */
+  /** Appends through a peer. Never rejects: a missing response is reported as an outcome. */
   append(
     peer: PeerEntry,
     log: string,
     call: AppendCall,
     timeout: Milliseconds,
   ): Promise<FencedAppendOutcome>;
-  /** Throws when no whole answer comes. */
+  /** Reads a page of newest records through a peer. Rejects if no complete response arrives within `timeout` milliseconds. */
   readNewest(
     peer: PeerEntry,
     log: string,
     after: string | undefined,
     timeout: Milliseconds,
   ): Promise<NewestPage>;
-  /** Throws when no whole answer comes within `wait` and `timeout`. */
+  /** Reads the records from `offset` on through a peer. Rejects if no complete response arrives within `wait` plus `timeout` milliseconds. */
   readTail(
     peer: PeerEntry,
     log: string,
@@ -49,7 +49,7 @@
   ): Promise<TailPage>;
 }
 
-/** Appends to a log, under an epoch or without. */
+/** Appends to a log, with a fencing token if the call has one. */
 export function appendTo(
   log: SharedLog,
   {records, fencing}: AppendCall,
@@ -60,9 +60,12 @@
     : log.append(records, timeout);
 }
 
-/** The outcome of an append without an epoch, which nothing can fence. */
+/** Converts the outcome of an append without a fencing token, which cannot be fenced. */
 export function toUnfencedOutcome(outcome: FencedAppendOutcome): AppendOutcome {
   return outcome.kind === 'fenced' || outcome.kind === 'moved'
-    ? {kind: 'refused', problem: 'the log fenced an append without an epoch'}
+    ? {
+        kind: 'refused',
+        problem: 'the log fenced an append that has no fencing token',
+      }
     : outcome;
 }
--- a/packages/relay/src/relayed_log.ts
+++ b/packages/relay/src/relayed_log.ts
@@ -1,4 +1,4 @@
-/** A log that is reached through another instance while this one is turned away. */
+/** A log that is called through a peer while the direct path to it fails. */
 import type {FencingToken, FencedAppendOutcome} from '@galenavalve/dispatch';
 import type {AppendOutcome} from '@galenavalve/gateway';
 import {
@@ -18,195 +18,235 @@
   toUnfencedOutcome,
 } from './peer_log_client.js';
 
-/** A direct append gets this long before a peer is asked, where there is one: a store that is a hundred times slow answers in less. */
-const DIRECT_TIME: Milliseconds = 700;
+/** Timeout of a direct append if a peer can be called afterwards; a log that is slower by a factor of a hundred responds in less. */
+const DIRECT_APPEND_TIMEOUT_MS: Milliseconds = 700;
 
-/** Longest wait for a peer's answer beyond the wait asked for: the peer's own call to a slow store takes as long. */
-const PEER_TIME: Milliseconds = 700;
+/** Timeout of a call to a peer, in addition to the requested wait; long enough for the peer's own call to a slow log. */
+const PEER_TIMEOUT_MS: Milliseconds = 700;
 
-/** A direct read that brought nothing for this long is compared with what a peer reads: the holder of the office writes more often. */
-const DOUBT_TIME: Milliseconds = 450;
+/** Time without new records after which a direct read is compared with a peer's read; the leader's heartbeats are more frequent than this. */
+const PEER_COMPARISON_DELAY_MS: Milliseconds = 450;
 
-/** One log of one instance. */
+/** One log as one instance calls it. Calls go directly to the log if that path works, and to peers otherwise. */
 export class RelayedLog implements SharedLog {
   constructor(
     private readonly name: string,
     private readonly direct: SharedLog,
-    private readonly access: LogPathTracker,
-    private readonly port: PeerLogClient,
+    private readonly pathTracker: LogPathTracker,
+    private readonly peerClient: PeerLogClient,
     private readonly clock: Clock,
-    /** Whether the holder of the office writes to it all the time. */
-    private readonly isBusy = false,
+    /** Whether the leader writes its heartbeats to this log, so that new records always arrive. */
+    private readonly hasHeartbeats = false,
   ) {}
 
+  /** Appends records without a fencing token, directly or through a peer. */
   async append(
     records: readonly KeyedRecord[],
     timeout: Milliseconds,
   ): Promise<AppendOutcome> {
-    return toUnfencedOutcome(await this.appendAnyhow({records}, timeout));
+    return toUnfencedOutcome(await this.appendOnAnyPath({records}, timeout));
   }
 
+  /** Appends records with a fencing token, directly or through a peer. */
   appendFenced(
     fencing: FencingToken,
     records: readonly KeyedRecord[],
     timeout: Milliseconds,
   ): Promise<FencedAppendOutcome> {
-    return this.appendAnyhow({records, fencing}, timeout);
+    return this.appendOnAnyPath({records, fencing}, timeout);
   }
 
+  /** Reads a page of newest records, directly or through a peer. */
   readNewest(after: string | undefined): Promise<NewestPage> {
     return this.read(
       () => this.direct.readNewest(after),
-      peer => this.port.readNewest(peer, this.name, after, PEER_TIME),
+      peer =>
+        this.peerClient.readNewest(peer, this.name, after, PEER_TIMEOUT_MS),
     );
   }
 
+  /** Reads the records from `offset` on, directly or through a peer. */
   async readTail(offset: number, wait: Milliseconds): Promise<TailPage> {
     return this.read(
-      () => this.tailDirectly(offset, wait),
-      peer => this.port.readTail(peer, this.name, offset, wait, PEER_TIME),
+      () => this.readTailDirectly(offset, wait),
+      peer =>
+        this.peerClient.readTail(
+          peer,
+          this.name,
+          offset,
+          wait,
+          PEER_TIMEOUT_MS,
+        ),
     );
   }
 
-  private async appendAnyhow(
+  /** Appends directly unless that failed recently, then through peers until the outcome is conclusive. */
+  private async appendOnAnyPath(
     call: AppendCall,
     timeout: Milliseconds,
   ): Promise<FencedAppendOutcome> {
-    const end = this.clock.now() + timeout;
-    const peers = this.access.choosePeers(this.clock.now());
+    const deadline = this.clock.now() + timeout;
+    const peers = this.pathTracker.choosePeers(this.clock.now());
     let failure: FencedAppendOutcome | undefined;
-    const isDirect = this.access.isDirectPathAvailable(this.clock.now());
+    const isDirect = this.pathTracker.isDirectPathAvailable(this.clock.now());
     if (isDirect || peers.length === 0) {
-      const own = peers.length > 0 ? Math.min(timeout, DIRECT_TIME) : timeout;
+      const directTimeout =
+        peers.length > 0
+          ? Math.min(timeout, DIRECT_APPEND_TIMEOUT_MS)
+          : timeout;
       const startedAt = this.clock.now();
-      const outcome = await appendTo(this.direct, call, own);
-      this.note(outcome, startedAt);
-      if (isSettled(outcome)) {
+      const outcome = await appendTo(this.direct, call, directTimeout);
+      this.trackDirectOutcome(outcome, startedAt);
+      if (isConclusive(outcome)) {
         return outcome;
       }
       failure = outcome;
     }
     for (const peer of peers) {
-      const left = Math.min(PEER_TIME, end - this.clock.now());
-      if (left <= 0) {
+      const remaining = Math.min(PEER_TIMEOUT_MS, deadline - this.clock.now());
+      if (remaining <= 0) {
         break;
       }
-      const outcome = await this.port.append(peer, this.name, call, left);
-      if (isSettled(outcome)) {
-        this.access.onPeerAnswer(peer);
+      const outcome = await this.peerClient.append(
+        peer,
+        this.name,
+        call,
+        remaining,
+      );
+      if (isConclusive(outcome)) {
+        this.pathTracker.onPeerResponse(peer);
         return outcome;
       }
-      this.access.onPeerFailure(peer, outcome.problem, this.clock.now());
-      failure = combine(failure, outcome);
+      this.pathTracker.onPeerFailure(peer, outcome.problem, this.clock.now());
+      failure = combineOutcomes(failure, outcome);
     }
-    return failure ?? {kind: 'refused', problem: 'there was no time to try'};
+    return failure ?? {kind: 'refused', problem: 'timed out before any call'};
   }
 
-  private note(outcome: FencedAppendOutcome, startedAt: Instant): void {
-    if (isSettled(outcome)) {
-      this.access.onDirectAnswer();
+  /** Reports the outcome of a direct append to the path tracker. */
+  private trackDirectOutcome(
+    outcome: FencedAppendOutcome,
+    startedAt: Instant,
+  ): void {
+    if (isConclusive(outcome)) {
+      this.pathTracker.onDirectResponse();
     } else {
       const now = this.clock.now();
-      this.access.onDirectFailure(outcome.problem, startedAt, now);
+      this.pathTracker.onDirectFailure(outcome.problem, startedAt, now);
     }
   }
 
-  /** Reads directly unless that failed just now, then through peers. Throws what the last way threw. */
+  /** Reads directly unless that failed recently, then through peers. Throws the error of the last path that was tried. */
   private async read<Page>(
     readDirectly: () => Promise<Page>,
-    readThrough: (peer: PeerEntry) => Promise<Page>,
+    readThroughPeer: (peer: PeerEntry) => Promise<Page>,
   ): Promise<Page> {
-    const peers = this.access.choosePeers(this.clock.now());
-    let problem: unknown;
+    const peers = this.pathTracker.choosePeers(this.clock.now());
+    let lastError: unknown;
     if (
-      this.access.isDirectPathAvailable(this.clock.now()) ||
+      this.pathTracker.isDirectPathAvailable(this.clock.now()) ||
       peers.length === 0
     ) {
       const startedAt = this.clock.now();
       try {
         const page = await readDirectly();
-        this.access.onDirectAnswer();
+        this.pathTracker.onDirectResponse();
         return page;
       } catch (error) {
         const now = this.clock.now();
-        this.access.onDirectFailure(describeError(error), startedAt, now);
-        problem = error;
+        this.pathTracker.onDirectFailure(describeError(error), startedAt, now);
+        lastError = error;
       }
     }
     for (const peer of peers) {
       try {
-        const page = await readThrough(peer);
-        this.access.onPeerAnswer(peer);
+        const page = await readThroughPeer(peer);
+        this.pathTracker.onPeerResponse(peer);
         return page;
       } catch (error) {
-        this.access.onPeerFailure(peer, describeError(error), this.clock.now());
-        problem = error;
+        this.pathTracker.onPeerFailure(
+          peer,
+          describeError(error),
+          this.clock.now(),
+        );
+        lastError = error;
       }
     }
-    throw problem;
+    throw lastError;
   }
 
-  /** A direct read that is given up when another direct call fails, or when a peer reads what it did not bring. */
-  private async tailDirectly(
+  /** Reads directly. Rejects if another direct call fails in the meantime, or if a peer reads records that the direct read did not return. */
+  private async readTailDirectly(
     offset: number,
     wait: Milliseconds,
   ): Promise<TailPage> {
     const done = new AbortController();
-    const reading = this.direct.readTail(offset, wait);
-    const failed = this.access
+    const directRead = this.direct.readTail(offset, wait);
+    const callFailure = this.pathTracker
       .waitForDirectFailure(done.signal)
-      .then(() => Promise.reject(new Error('another call failed meanwhile')));
-    const doubted = this.doubt(offset, wait, done.signal);
+      .then(() =>
+        Promise.reject(
+          new Error('another direct call to the log failed during the read'),
+        ),
+      );
+    const peerAhead = this.rejectIfPeerIsAhead(offset, wait, done.signal);
     try {
-      return await Promise.race([reading, failed, doubted]);
+      return await Promise.race([directRead, callFailure, peerAhead]);
     } finally {
       done.abort();
-      // Whichever lost the race has nobody to tell.
-      for (const loser of [reading, failed, doubted]) {
-        loser.catch(() => undefined);
+      // Ignores the rejections of the promises that lost the race.
+      for (const promise of [directRead, callFailure, peerAhead]) {
+        promise.catch(() => undefined);
       }
     }
   }
 
-  /** Rejects once a peer has records that a direct read should have brought long ago. */
-  private async doubt(
+  /** Rejects if a peer reads records that a direct read should have returned by then; never resolves. */
+  private async rejectIfPeerIsAhead(
     offset: number,
     wait: Milliseconds,
     signal: AbortSignal,
   ): Promise<never> {
-    if (this.isBusy && wait > DOUBT_TIME) {
-      await this.clock.sleep(DOUBT_TIME, signal);
-      if (!signal.aborted && (await this.hasNewsElsewhere(offset))) {
-        throw new Error('a peer reads records that did not come here');
+    if (this.hasHeartbeats && wait > PEER_COMPARISON_DELAY_MS) {
+      await this.clock.sleep(PEER_COMPARISON_DELAY_MS, signal);
+      if (!signal.aborted && (await this.isPeerAhead(offset))) {
+        throw new Error(
+          'a peer reads records that the direct read did not return',
+        );
       }
     }
     return new Promise(() => undefined);
   }
 
-  private async hasNewsElsewhere(offset: number): Promise<boolean> {
-    const peer = this.access.choosePeers(this.clock.now())[0];
+  /** Returns whether a peer reads records from `offset` on. */
+  private async isPeerAhead(offset: number): Promise<boolean> {
+    const peer = this.pathTracker.choosePeers(this.clock.now())[0];
     if (!peer) {
       return false;
     }
     try {
-      const page = await this.port.readTail(
+      const page = await this.peerClient.readTail(
         peer,
         this.name,
         offset,
         0,
-        PEER_TIME,
+        PEER_TIMEOUT_MS,
       );
       return page.kind === 'expired' || page.records.length > 0;
     } catch (error) {
-      // Then the peer is no help either; the direct read goes on.
-      this.access.onPeerFailure(peer, describeError(error), this.clock.now());
+      // The peer cannot read either, so the direct read continues.
+      this.pathTracker.onPeerFailure(
+        peer,
+        describeError(error),
+        this.clock.now(),
+      );
       return false;
     }
   }
 }
 
-/** Whether it is known what became of an append. */
-function isSettled(
+/** Returns whether an outcome is conclusive, so that no other path needs to be tried. */
+function isConclusive(
   outcome: FencedAppendOutcome,
 ): outcome is Extract<
   FencedAppendOutcome,
@@ -215,10 +255,10 @@
   return outcome.kind !== 'refused' && outcome.kind !== 'unknown';
 }
 
-/** Nothing was done only if no try can have done it. */
-function combine(
-  before: FencedAppendOutcome | undefined,
-  last: FencedAppendOutcome,
+/** Combines the outcomes of two attempts: an append counts as refused only if neither attempt can have carried it out. */
+function combineOutcomes(
+  previous: FencedAppendOutcome | undefined,
+  latest: FencedAppendOutcome,
 ): FencedAppendOutcome {
-  return before?.kind === 'unknown' ? before : last;
+  return previous?.kind === 'unknown' ? previous : latest;
 }
--- a/packages/relay/src/serve_logs.ts
+++ b/packages/relay/src/serve_logs.ts
@@ -1,4 +1,4 @@
-/** Serves the logs that this instance reaches to instances that do not. */
+/** Serves the logs that this instance reaches to peers that do not reach them. */
 import * as z from 'zod';
 import {Failure} from '@galenavalve/shared';
 import type {PeerServer} from '@galenavalve/wire';
@@ -10,11 +10,13 @@
 export const NEWEST_METHOD = 'newest-records';
 export const TAIL_METHOD = 'records-from';
 
+/** Schema of a record to append. */
 const recordSchema = z.object({key: z.string(), value: z.string()});
 
-const storedSchema = recordSchema.extend({offset: z.number().int()});
+/** Schema of a record with its offset. */
+const storedRecordSchema = recordSchema.extend({offset: z.number().int()});
 
-/** Appends `records` to a log; answers with an `OfficeAppend`. */
+/** Request to append `records` to a log; `fencing` is the fencing token and `timeout` is in milliseconds. */
 export const appendRequestSchema = z.object({
   log: z.string(),
   records: z.array(recordSchema),
@@ -28,6 +30,7 @@
   timeout: z.number().positive(),
 });
 
+/** Response to an append: a `FencedAppendOutcome`. */
 export const appendResponseSchema = z.discriminatedUnion('kind', [
   z.object({kind: z.literal('appended'), offset: z.number().int()}),
   z.object({kind: z.literal('fenced')}),
@@ -36,56 +39,58 @@
   z.object({kind: z.literal('unknown'), problem: z.string()}),
 ]);
 
-/** Asks for a page of the newest records. */
+/** Request for the page of newest records after a key. */
 export const newestRequestSchema = z.object({
   log: z.string(),
   after: z.string().optional(),
 });
 
+/** Response with a page of newest records: a `NewestPage`. */
 export const newestResponseSchema = z.object({
-  records: z.array(storedSchema),
+  records: z.array(storedRecordSchema),
   end: z.number().int(),
   after: z.string().optional(),
 });
 
-/** Asks for the records from an offset on. */
+/** Request for the records from an offset on; `wait` is the longest wait for the first one, in milliseconds. */
 export const tailRequestSchema = z.object({
   log: z.string(),
   offset: z.number().int().nonnegative(),
   wait: z.number().nonnegative(),
 });
 
+/** Response with the records from an offset on: a `TailPage`. */
 export const tailResponseSchema = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('records'),
-    records: z.array(storedSchema),
+    records: z.array(storedRecordSchema),
     next: z.number().int(),
     end: z.number().int(),
   }),
   z.object({kind: z.literal('expired')}),
 ]);
 
-/** Registers the methods; `logs` are the direct ones, so that no call is passed on twice. */
+/** Registers the methods. `logs` must be the direct ones, so that no call is forwarded twice. A call fails with `not-found` if the log is unknown or cannot be reached directly. */
 export function serveLogs(
   server: PeerServer,
   logs: ReadonlyMap<string, SharedLog>,
-  access: LogPathTracker,
+  pathTracker: LogPathTracker,
 ): void {
-  const find = (name: string): SharedLog => {
+  const findLog = (name: string): SharedLog => {
     const log = logs.get(name);
-    if (!log || !access.isAvailableToPeers) {
+    if (!log || !pathTracker.isAvailableToPeers) {
       throw new Failure('not-found', {kind: 'reachable log', id: name});
     }
     return log;
   };
   server.handle(APPEND_METHOD, appendRequestSchema, async request => {
     const {log, records, fencing, timeout} = request;
-    return appendTo(find(log), {records, fencing}, timeout);
+    return appendTo(findLog(log), {records, fencing}, timeout);
   });
   server.handle(NEWEST_METHOD, newestRequestSchema, async request =>
-    find(request.log).readNewest(request.after),
+    findLog(request.log).readNewest(request.after),
   );
   server.handle(TAIL_METHOD, tailRequestSchema, async request =>
-    find(request.log).readTail(request.offset, request.wait),
+    findLog(request.log).readTail(request.offset, request.wait),
   );
 }
--- a/packages/relay/src/wire_peer_log_client.ts
+++ b/packages/relay/src/wire_peer_log_client.ts
@@ -1,4 +1,4 @@
-/** Calls peers over the project's own protocol. */
+/** Calls the logs of peers with the peer protocol. */
 import type {ZodType, z} from 'zod';
 import type {FencedAppendOutcome} from '@galenavalve/dispatch';
 import {type Milliseconds, describeError, isFailure} from '@galenavalve/shared';
@@ -15,10 +15,11 @@
   tailResponseSchema,
 } from './serve_logs.js';
 
-/** Peers over TCP. */
+/** Client of peers' logs over TCP. */
 export class WirePeerLogClient implements PeerLogClient {
   constructor(private readonly client: PeerClient) {}
 
+  /** Appends through a peer; reports every failure as an outcome. */
   async append(
     peer: PeerEntry,
     log: string,
@@ -35,11 +36,15 @@
         appendResponseSchema,
       );
     } catch (error) {
-      const kind = isUndone(error) ? 'refused' : 'unknown';
-      return {kind, problem: `through a peer: ${describeError(error)}`};
+      const kind = isNotExecuted(error) ? 'refused' : 'unknown';
+      return {
+        kind,
+        problem: `call through a peer failed: ${describeError(error)}`,
+      };
     }
   }
 
+  /** Reads a page of newest records through a peer. */
   readNewest(
     peer: PeerEntry,
     log: string,
@@ -55,6 +60,7 @@
     );
   }
 
+  /** Reads the records from `offset` on through a peer. */
   readTail(
     peer: PeerEntry,
     log: string,
@@ -80,13 +86,13 @@
     schema: Schema,
   ): Promise<z.output<Schema>> {
     const peer = {instance, host, port};
-    const answer = await this.client.call(peer, method, body, timeout);
-    return schema.parse(answer);
+    const response = await this.client.call(peer, method, body, timeout);
+    return schema.parse(response);
   }
 }
 
-/** Nothing was done if the peer says that it does not reach the log, or cannot have seen the call. */
-function isUndone(error: unknown): boolean {
+/** Returns whether an append was certainly not carried out: the peer reported that it does not reach the log, or the call was never sent. */
+function isNotExecuted(error: unknown): boolean {
   return (
     isFailure(error, 'not-found') ||
     (isFailure(error) && error.details['wasSent'] === false)
