Reword shared, and its error messages and remedies

Cause: newcomers stopped at remembered ids, instances in reach, the fate of an append and sleepers, and at error texts that address the reader in figures of speech.

Ruled out: codes, statuses, placeholders and what the texts promise ("not run", "nothing was recorded", Retry-After, the same request id).

Change: comments, test titles, names in ManualClock, and templates. The text of workspace-limit is matched in failure.spec, which changes with it and still compares the whole message. It no longer says that the count is the limit, since more jobs may wait after the limit is lowered.

--- a/packages/shared/__tests__/failure.spec.ts
+++ b/packages/shared/__tests__/failure.spec.ts
@@ -2,14 +2,14 @@
 import {Failure, ERROR_TEMPLATES, isFailure} from '../src/index.js';
 
 t.test('a failure', async t => {
-  t.test('names what happened and the remedy', async t => {
+  t.test('fills the details into its message', async t => {
     const failure = new Failure('workspace-limit', {
       workspace: 'escorts',
       count: 5,
     });
     t.equal(
       failure.message,
-      'Workspace escorts already has 5 waiting jobs, its limit. The job was not run.',
+      'Workspace escorts has reached its limit with 5 waiting jobs. The job was not run.',
     );
     t.match(failure.remedy, 'send the request again');
     t.equal(failure.status, 429);
--- a/packages/shared/src/clock.ts
+++ b/packages/shared/src/clock.ts
@@ -1,25 +1,25 @@
 /**
- * Time as an interface. Deciding functions take `now` as an argument; only the
- * loops at the edge read a clock.
+ * Clock abstraction. Decision functions take `now` as an argument; only the
+ * outer loops of a process read a clock.
  */
 
-/** Monotonic milliseconds since an arbitrary local origin. Never compared between machines. */
+/** Monotonic time in milliseconds since an arbitrary local origin; not comparable between machines. */
 export type Instant = number;
 
-/** A length of time in milliseconds. */
+/** Duration in milliseconds. */
 export type Milliseconds = number;
 
-/** Source of the present time, and of waiting. */
+/** Source of the current time and of delays. */
 export interface Clock {
-  /** Monotonic local time in milliseconds, for deadlines, leases and freshness. */
+  /** Returns monotonic local time, for deadlines, leases and freshness. */
   now(): Instant;
-  /** Wall-clock time in milliseconds since the Unix epoch, for records and people. */
+  /** Returns wall-clock time in milliseconds since the Unix epoch, for records and display. */
   wallTime(): number;
-  /** Resolves after `duration` milliseconds, or earlier when `signal` aborts. */
+  /** Resolves after `duration` milliseconds, or as soon as `signal` aborts. */
   sleep(duration: Milliseconds, signal?: AbortSignal): Promise<void>;
 }
 
-/** The clock of the operating system. */
+/** Clock of the operating system. */
 export class SystemClock implements Clock {
   now(): Instant {
     return performance.now();
@@ -46,15 +46,16 @@
   }
 }
 
-interface Sleeper {
-  wakeAt: Instant;
+/** Call of `sleep` that has not resolved. */
+interface PendingSleep {
+  dueAt: Instant;
   finish: () => void;
 }
 
-/** A clock for tests: time moves only when `advance` is called. */
+/** Clock for tests; time advances only on calls of `advance`. */
 export class ManualClock implements Clock {
   private current: Instant;
-  private sleepers: Sleeper[] = [];
+  private pendingSleeps: PendingSleep[] = [];
 
   constructor(start: Instant = 0) {
     this.current = start;
@@ -74,28 +75,31 @@
         resolve();
         return;
       }
-      const onAbort = () => this.wake(sleeper);
+      const onAbort = () => this.wake(pendingSleep);
       const finish = () => {
         signal?.removeEventListener('abort', onAbort);
         resolve();
       };
-      const sleeper: Sleeper = {wakeAt: this.current + duration, finish};
-      this.sleepers.push(sleeper);
+      const pendingSleep: PendingSleep = {
+        dueAt: this.current + duration,
+        finish,
+      };
+      this.pendingSleeps.push(pendingSleep);
       signal?.addEventListener('abort', onAbort, {once: true});
     });
   }
 
-  /** Moves time forward by `duration` and wakes the sleepers that are due, earliest first. */
+  /** Advances time by `duration` and resolves the sleeps that are due, earliest first. */
   async advance(duration: Milliseconds): Promise<void> {
     const end = this.current + duration;
-    // What was just woken by other means may still be about to sleep.
+    // Code that was resumed by other means may be about to call `sleep`.
     await yieldToPromises();
     for (;;) {
-      const next = this.nextDue(end);
+      const next = this.findNextDue(end);
       if (!next) {
         break;
       }
-      this.current = Math.max(this.current, next.wakeAt);
+      this.current = Math.max(this.current, next.dueAt);
       this.wake(next);
       await yieldToPromises();
     }
@@ -103,18 +107,23 @@
     await yieldToPromises();
   }
 
-  private nextDue(end: Instant): Sleeper | undefined {
-    const due = this.sleepers.filter(sleeper => sleeper.wakeAt <= end);
-    due.sort((a, b) => a.wakeAt - b.wakeAt);
+  private findNextDue(end: Instant): PendingSleep | undefined {
+    const due = this.pendingSleeps.filter(
+      pendingSleep => pendingSleep.dueAt <= end,
+    );
+    due.sort((a, b) => a.dueAt - b.dueAt);
     return due[0];
   }
 
-  private wake(sleeper: Sleeper): void {
-    this.sleepers = this.sleepers.filter(other => other !== sleeper);
-    sleeper.finish();
+  private wake(pendingSleep: PendingSleep): void {
+    this.pendingSleeps = this.pendingSleeps.filter(
+      other => other !== pendingSleep,
+    );
+    pendingSleep.finish();
   }
 }
 
+/** Lets pending promise callbacks run. */
 function yieldToPromises(): Promise<void> {
   return new Promise(resolve => setImmediate(resolve));
 }
--- a/packages/shared/src/error_codes.ts
+++ b/packages/shared/src/error_codes.ts
@@ -1,16 +1,16 @@
-/** Every error code, with the message template that names the remedy. */
+/** Error codes with their HTTP status, message and remedy. */
 
-/** The template of one error code. */
+/** Status and text templates of an error code. */
 export interface ErrorTemplate {
-  /** HTTP status that an entry instance answers with. */
+  /** HTTP status of an entry instance's response. */
   readonly status: number;
-  /** What happened. `{name}` is replaced by the detail of that name. */
+  /** Description of what happened. `{name}` is replaced by the detail of that name. */
   readonly message: string;
-  /** What the reader can do about it. */
+  /** Action that resolves the error, or what the system does about it. */
   readonly remedy: string;
 }
 
-/** All error codes of the project. A code's meaning never changes. */
+/** Templates by error code. Codes are part of the API: the meaning of a code never changes. */
 export const ERROR_TEMPLATES = {
   'bad-request': {
     status: 400,
@@ -24,13 +24,13 @@
   },
   'not-found': {
     status: 404,
-    message: '{kind} {id} is not known here.',
+    message: '{kind} {id} is not known to this instance.',
     remedy:
-      'Check the id; a finished job is known for as long as its request id is remembered.',
+      'Check the id; a finished job is kept until its request id expires.',
   },
   'request-conflict': {
     status: 409,
-    message: 'Request id {requestId} was used before with another body.',
+    message: 'Request id {requestId} was already used with a different body.',
     remedy: 'Use a new request id for a new request.',
   },
   'request-withdrawn': {
@@ -41,14 +41,15 @@
   'request-expired': {
     status: 422,
     message:
-      'The request was created {ageSeconds} s ago, longer than the window of {windowSeconds} s in which ids are remembered. It was not run.',
+      'The request was created {ageSeconds} s ago, longer than the window of {windowSeconds} s in which request ids are kept. It was not run.',
     remedy:
-      'Make sure that it is still wanted, and submit it with a new request id.',
+      'Check that the job is still wanted, and submit it with a new request id.',
   },
   'unknown-workspace': {
     status: 422,
     message: 'Workspace {workspace} does not exist. The job was not run.',
-    remedy: 'List workspaces with "galenavalve workspaces", or create it.',
+    remedy:
+      'List the workspaces with "galenavalve workspaces", or create this one.',
   },
   'never-runnable': {
     status: 422,
@@ -59,9 +60,9 @@
   'workspace-limit': {
     status: 429,
     message:
-      'Workspace {workspace} already has {count} waiting jobs, its limit. The job was not run.',
+      'Workspace {workspace} has reached its limit with {count} waiting jobs. The job was not run.',
     remedy:
-      'Wait until some of them have started, or cancel some, and send the request again.',
+      'Wait until some of the jobs have started, or cancel some, and send the request again.',
   },
   overloaded: {
     status: 503,
@@ -80,19 +81,19 @@
     message:
       'It is not known yet whether request {requestId} was recorded before the deadline.',
     remedy:
-      'Ask again with the same request id; it runs at most once, however often you ask.',
+      'Send the request again with the same request id; it runs at most once, however often it is sent.',
   },
   'take-out-pending': {
     status: 504,
     message:
-      'The take-out of {entity} is in force on the instances in reach, but the log has not recorded it yet.',
+      'The take-out of {entity} is in force on all reachable instances, but is not recorded in the log yet.',
     remedy:
-      'It is recorded when the log returns; send the same command again to see, and if the instance was replaced meanwhile.',
+      'It is recorded when the log is available again. Send the same command again to check this, or if the instance was replaced in the meantime.',
   },
   stopping: {
     status: 503,
     message:
-      'This instance is stopping and takes no new requests. The request was not run.',
+      'This instance is stopping and accepts no new requests. The request was not run.',
     remedy: 'Send it to another entry instance.',
   },
   'not-ready': {
@@ -105,17 +106,16 @@
     message:
       '{entity} is at version {currentVersion}, but the change is based on version {baseVersion}.',
     remedy:
-      'Read the present value with "galenavalve config diff", and apply the change to it.',
+      'Read the current value with "galenavalve config diff", and base the change on it.',
   },
   'config-invalid': {
     status: 422,
-    message: 'The configuration change is refused: {problem}.',
-    remedy: 'Correct the change; nothing of it was put in force.',
+    message: 'The configuration change was rejected: {problem}.',
+    remedy: 'Correct the change; no part of it was applied.',
   },
   'guarantee-shortfall': {
     status: 422,
-    message:
-      'The inventory cannot hold what the guarantees promise: {shortfall}.',
+    message: 'The inventory cannot satisfy the guarantees: {shortfall}.',
     remedy:
       'Lower the named guarantee, or add targets to the named failure domain first.',
   },
@@ -128,21 +128,21 @@
     status: 500,
     message: 'The log record at offset {offset} cannot be read: {problem}.',
     remedy:
-      'It is skipped by every instance alike; correct its writer and append it again.',
+      'Every instance skips the record; correct its writer and append it again.',
   },
   'snapshot-invalid': {
     status: 500,
     message: 'Snapshot {snapshotId} cannot be used: {problem}.',
-    remedy: 'An older snapshot, or a peer, is used instead.',
+    remedy: 'An older snapshot or the state of a peer is used instead.',
   },
   'frame-invalid': {
     status: 500,
     message: 'A peer sent a frame that cannot be read: {problem}.',
-    remedy: 'The connection is closed and opened again.',
+    remedy: 'The connection is closed and reopened.',
   },
   'peer-timeout': {
     status: 504,
-    message: 'Peer {peer} did not answer within {timeoutMs} ms.',
+    message: 'Peer {peer} did not respond within {timeoutMs} ms.',
     remedy: 'The call is repeated with another peer.',
   },
   'peer-unavailable': {
@@ -152,29 +152,31 @@
   },
   'append-rejected': {
     status: 503,
-    message: 'The log refused the append: {problem}. Nothing was recorded.',
+    message: 'The log rejected the append: {problem}. Nothing was recorded.',
     remedy: 'Send the request again later.',
   },
   'append-uncertain': {
     status: 504,
-    message: 'The log did not say whether the append took effect: {problem}.',
-    remedy: 'Read the log from the last known offset to learn its fate.',
+    message:
+      'The log did not confirm whether the append took effect: {problem}.',
+    remedy:
+      'Read the log from the last known offset to find out whether it did.',
   },
   'read-failed': {
     status: 503,
     message: 'The log could not be read from offset {offset}: {problem}.',
-    remedy: 'The read is repeated; the state stays as it was.',
+    remedy: 'The read is retried; the state is unchanged.',
   },
   'offset-expired': {
     status: 500,
     message:
-      'Offset {offset} is before the oldest record that the log keeps, {oldest}.',
-    remedy: 'Start from a snapshot, or from a peer.',
+      'Offset {offset} is before the oldest record in the log, {oldest}.',
+    remedy: 'Start from a snapshot or from the state of a peer.',
   },
   'instances-unavailable': {
     status: 503,
     message: 'The list of instances could not be read: {problem}.',
-    remedy: 'The last list stays in use, and the read is repeated.',
+    remedy: 'The last known list stays in use, and the read is retried.',
   },
   'entry-unreachable': {
     status: 503,
@@ -185,21 +187,21 @@
   },
   'target-unreachable': {
     status: 503,
-    message: 'Target {target} did not answer: {problem}.',
-    remedy: 'Other targets are tried; its work is checked when it answers.',
+    message: 'Target {target} did not respond: {problem}.',
+    remedy: 'Other targets are tried; its work is checked when it responds.',
   },
   'target-refused': {
     status: 409,
-    message: 'Target {target} refused: {problem}.',
+    message: 'Target {target} refused the command: {problem}.',
     remedy: 'Other targets are tried.',
   },
   internal: {
     status: 500,
     message: 'The request failed inside the instance: {problem}.',
     remedy:
-      'Ask again with the same request id; report the problem with the log lines of that time.',
+      'Send the request again with the same request id; report the problem with the log lines of that time.',
   },
 } as const satisfies Record<string, ErrorTemplate>;
 
-/** The code of an error. */
+/** Code of an error. */
 export type ErrorCode = keyof typeof ERROR_TEMPLATES;
--- a/packages/shared/src/failure.ts
+++ b/packages/shared/src/failure.ts
@@ -1,12 +1,12 @@
-/** The typed error of the project. */
+/** Typed error with a code. */
 import {type ErrorCode, ERROR_TEMPLATES} from './error_codes.js';
 
-/** Values named in the message of a failure. */
+/** Values of the placeholders in a failure's message and remedy. */
 export type FailureDetails = Readonly<
   Record<string, string | number | boolean>
 >;
 
-/** The form of a failure in an HTTP body. */
+/** Representation of a failure in an HTTP body. */
 export interface FailureBody {
   code: ErrorCode;
   message: string;
@@ -14,9 +14,9 @@
   details: FailureDetails;
 }
 
-/** An error with a code, a message that says what happened, and a remedy. */
+/** Error with a code, a message that describes what happened, and a remedy. */
 export class Failure extends Error {
-  /** What the reader can do about it. */
+  /** Action that resolves the error. */
   readonly remedy: string;
 
   constructor(
@@ -30,12 +30,12 @@
     this.remedy = fillTemplate(template.remedy, details);
   }
 
-  /** HTTP status that belongs to the code. */
+  /** HTTP status of the error code. */
   get status(): number {
     return ERROR_TEMPLATES[this.code].status;
   }
 
-  /** The form that is sent to callers. */
+  /** Returns the representation that is sent to callers. */
   toJSON(): FailureBody {
     return {
       code: this.code,
@@ -46,18 +46,19 @@
   }
 }
 
-/** Tells whether `error` is a failure, and of the given code if one is given. */
+/** Returns whether `error` is a failure and, if `code` is given, has that code. */
 export function isFailure(error: unknown, code?: ErrorCode): error is Failure {
   return error instanceof Failure && (!code || error.code === code);
 }
 
-/** The message of anything that was thrown. */
+/** Returns the message of a thrown value. */
 export function describeError(error: unknown): string {
   return error instanceof Error ? error.message : String(error);
 }
 
+/** Replaces `{name}` by the detail of that name; a placeholder without a detail stays. */
 function fillTemplate(template: string, details: FailureDetails): string {
-  return template.replace(/\{(\w+)\}/g, (whole, name: string) =>
-    name in details ? String(details[name]) : whole,
+  return template.replace(/\{(\w+)\}/g, (placeholder, name: string) =>
+    name in details ? String(details[name]) : placeholder,
   );
 }
--- a/packages/shared/src/hash.ts
+++ b/packages/shared/src/hash.ts
@@ -1,17 +1,17 @@
-/** Hashes, by the library of Node.js. */
+/** Hash functions, based on the crypto module of Node.js. */
 import {createHash} from 'node:crypto';
 
-/** SHA-256 of a text, in hexadecimal. */
+/** Returns the SHA-256 hash of a text in hexadecimal. */
 export function hashText(text: string): string {
   return createHash('sha256').update(text).digest('hex');
 }
 
-/** SHA-256 of a JSON value whose object keys are sorted, so that equal values have equal hashes. */
+/** Returns the SHA-256 hash of a JSON value with sorted object keys, so that equal values have equal hashes. */
 export function hashValue(value: unknown): string {
   return hashText(JSON.stringify(sortKeys(value)));
 }
 
-/** Rendezvous hashing: the member with the highest hash for `key`; undefined when there are none. */
+/** Returns the member with the highest hash for `key` (rendezvous hashing), so that a change of members moves few keys; undefined without members. */
 export function chooseByRendezvous(
   key: string,
   members: readonly string[],
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,4 +1,4 @@
-/** Identifiers, units, the clock and typed errors that every other package uses. */
+/** Clock, typed errors, random numbers, hashes and logger interface that the other packages share. */
 
 // Time
 export {
--- a/packages/shared/src/json_depth.ts
+++ b/packages/shared/src/json_depth.ts
@@ -1,16 +1,16 @@
-/** A bound on how deeply JSON is nested. */
+/** Limits on the nesting depth of JSON. */
 
 /**
- * Deepest JSON that is read from callers and from the log. Schemas are checked
- * by recursion, and how deep a stack reaches differs between processes, while
- * all of them have to reach the same verdict.
+ * Maximum nesting depth of JSON from callers and from the log. Schemas are
+ * validated recursively, and the available stack depth differs between
+ * processes, while all of them must accept or reject the same values.
  */
 export const MAX_JSON_DEPTH = 64;
 
-/** Deepest JSON body of a request; its record and its results lie a few levels deeper. */
+/** Maximum nesting depth of a request body; lower than `MAX_JSON_DEPTH`, since its record and its results nest it a few levels deeper. */
 export const MAX_BODY_DEPTH = 48;
 
-/** Tells whether arrays and objects are nested deeper than `limit`. */
+/** Returns whether arrays and objects are nested deeper than `limit`. */
 export function isTooDeep(value: unknown, limit = MAX_JSON_DEPTH): boolean {
   if (typeof value !== 'object' || value === null) {
     return false;
--- a/packages/shared/src/logger.ts
+++ b/packages/shared/src/logger.ts
@@ -1,9 +1,9 @@
-/** The logger that packages write to; the daemon injects one that prints JSON lines. */
+/** Logger interface of the packages; the daemon injects an implementation that prints JSON lines. */
 
 /** Fields of a log line. */
 export type LogFields = Readonly<Record<string, unknown>>;
 
-/** Writes one line a call. `event` is a stable name, such as "placed". */
+/** Structured logger that writes one line per call. `event` is a stable name, such as "placed". */
 export interface Logger {
   debug(event: string, fields?: LogFields): void;
   info(event: string, fields?: LogFields): void;
@@ -11,7 +11,7 @@
   error(event: string, fields?: LogFields): void;
 }
 
-/** A logger that writes nothing. */
+/** Logger that discards all lines. */
 export class SilentLogger implements Logger {
   debug(): void {}
   info(): void {}
--- a/packages/shared/src/random.ts
+++ b/packages/shared/src/random.ts
@@ -1,13 +1,13 @@
-/** Seeded random numbers, so that every run can be repeated. */
+/** Seeded random numbers, which make runs reproducible. */
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
 /** Source of random numbers. */
 export interface Random {
-  /** A number in [0, 1). */
+  /** Returns a number in [0, 1). */
   next(): number;
 }
 
-/** A generator that gives the same numbers for the same seed. */
+/** Generator whose sequence is determined by its seed. */
 export class SeededRandom implements Random {
   private readonly generator;
 
@@ -20,17 +20,17 @@
   }
 }
 
-/** Full jitter: a random share of `base * 2^attempt`, at most `cap` milliseconds. */
+/** Returns an exponential backoff with full jitter: a random share of `baseMs * 2^attempt`, at most `capMs`. */
 export function computeJitteredBackoff(
   attempt: number,
-  base: number,
-  cap: number,
+  baseMs: number,
+  capMs: number,
   random: Random,
 ): number {
-  return random.next() * Math.min(cap, base * 2 ** attempt);
+  return random.next() * Math.min(capMs, baseMs * 2 ** attempt);
 }
 
-/** An integer in [0, bound). */
+/** Returns a random integer in [0, `bound`). */
 export function nextInteger(random: Random, bound: number): number {
   return Math.floor(random.next() * bound);
 }
