--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -1,4 +1,4 @@
-/** Schemas and inferred types: jobs, inventory, workspaces, rules, log records. */
+/** Schemas and inferred types of jobs, configuration, log records and HTTP bodies. */
 
 // Jobs
 export * from './job.js';
--- a/packages/model/src/inventory.ts
+++ b/packages/model/src/inventory.ts
@@ -1,12 +1,12 @@
-/** Cluster configuration: inventory, workspaces and rules, as versioned entities. */
+/** Schemas of the cluster configuration: inventory, workspaces and rules, as versioned entities. */
 import {z} from 'zod';
 import {resourceName} from './job.js';
 
-/** Whether operators let new work start on a part of the inventory. */
+/** Service state of a failure domain or target, as set by operators. `leaving` and `out` take no new work. */
 export const serviceState = z.enum(['in-service', 'leaving', 'out']);
 export type ServiceState = z.infer<typeof serviceState>;
 
-/** A failure domain. */
+/** Failure domain: targets that can fail together. */
 export const domain = z.strictObject({
   kind: z.literal('domain'),
   id: resourceName,
@@ -15,28 +15,28 @@
 });
 export type Domain = z.infer<typeof domain>;
 
-/** A back end that runs tasks. */
+/** Machine that runs tasks. */
 export const target = z.strictObject({
   kind: z.literal('target'),
   id: resourceName,
   domain: resourceName,
   rack: resourceName,
-  /** Base URL of the target's control interface, by IP number. */
+  /** Base URL of the target's control interface, with an IP address as host. */
   endpoint: z.url(),
   accelerators: z.int().min(0).max(16),
   /** Processor cores. */
   processors: z.number().positive(),
   /** Memory in mebibytes. */
   memoryMb: z.number().positive(),
-  /** Largest number of tasks at once. */
+  /** Maximum number of concurrent tasks. */
   slots: z.int().positive(),
-  /** Workspaces that may use the target; absent when all may. */
+  /** Workspaces that may use the target; all if absent. */
   permittedWorkspaces: z.array(resourceName).optional(),
   state: serviceState.default('in-service'),
 });
 export type Target = z.infer<typeof target>;
 
-/** Levels of the capacity hierarchy that a guarantee can name. */
+/** Levels of the capacity hierarchy, whose parts are cells: an accelerator, half a target, a target, a rack, a domain. */
 export const cellLevel = z.enum([
   'accelerator',
   'half',
@@ -46,53 +46,53 @@
 ]);
 export type CellLevel = z.infer<typeof cellLevel>;
 
-/** A promise to a workspace: a number of cells of one level. */
+/** Guarantee: a number of cells of one level that a workspace can always get back. */
 export const guarantee = z.strictObject({
   level: cellLevel,
   count: z.int().positive(),
-  /** The failure domain that holds the cells; absent when they are apportioned over all. */
+  /** Failure domain of the cells; if absent, they are apportioned over all domains. */
   domain: resourceName.optional(),
 });
 export type Guarantee = z.infer<typeof guarantee>;
 
-/** A customer with its promises and limits. */
+/** Customer with its guarantees and limits. */
 export const workspace = z.strictObject({
   kind: z.literal('workspace'),
   id: resourceName,
   /** Share of capacity relative to other workspaces. */
   weight: z.number().positive().default(1),
   guarantees: z.array(guarantee).default([]),
-  /** Largest number of waiting jobs. */
+  /** Maximum number of waiting jobs. */
   queueLimit: z.int().positive().default(1000),
-  /** Whether an operator approves each job before it starts. */
+  /** Whether each job needs the approval of an operator before it starts. */
   requiresApproval: z.boolean().default(false),
-  /** Failure domains that the workspace may use; absent when it may use all. */
+  /** Failure domains that the workspace may use; all if absent. */
   permittedDomains: z.array(resourceName).optional(),
 });
 export type Workspace = z.infer<typeof workspace>;
 
-/** Rules for the whole cluster. */
+/** Scheduling rules of the whole cluster. */
 export const rules = z.strictObject({
   kind: z.literal('rules'),
   id: z.literal('cluster').default('cluster'),
-  /** Time that a preempted job gets to save its progress, in seconds. */
+  /** Time in seconds that a preempted job gets to save its progress. */
   checkpointGraceSeconds: z.number().nonnegative().max(600).default(2),
-  /** Waiting time after which a large job gets a place kept, in seconds; six times this is worth one step of priority. */
+  /** Waiting time in seconds after which a large job gets a reservation; six times this time raises a job's priority by one step. */
   ageingSeconds: z.number().positive().default(600),
-  /** Longest time that the oldest large job is overtaken by backfill, in seconds. */
+  /** Maximum time in seconds for which backfill may start jobs ahead of the oldest large job. */
   largeJobWaitSeconds: z.number().positive().default(3600),
-  /** Failures of different jobs on one target that quarantine it. */
+  /** Number of different jobs whose failures on one target quarantine it. */
   quarantineFailures: z.int().positive().default(3),
-  /** First length of a quarantine, in seconds; doubled at each repetition. */
+  /** Duration in seconds of the first quarantine; it doubles with each repetition. */
   quarantineSeconds: z.number().positive().default(60),
-  /** Failures of one job on different targets that end it. */
+  /** Number of different targets on which failures of one job end it. */
   jobFailures: z.int().positive().default(3),
-  /** Whether one workspace may use what others are promised but do not use. */
+  /** Whether a workspace may borrow guaranteed capacity that other workspaces do not use. */
   borrowing: z.boolean().default(true),
 });
 export type Rules = z.infer<typeof rules>;
 
-/** One versioned thing in the configuration. */
+/** Entity: a versioned item of the configuration. */
 export const entity = z.discriminatedUnion('kind', [
   domain,
   target,
@@ -101,27 +101,27 @@
 ]);
 export type Entity = z.infer<typeof entity>;
 
-/** Names an entity, such as "target/w1". */
+/** Key of an entity, such as "target/w1". */
 export const entityKey = z
   .string()
   .regex(/^(domain|target|workspace|rules)\/[A-Za-z0-9][A-Za-z0-9._-]*$/);
 
-/** The key of an entity. */
+/** Returns the key of an entity. */
 export function getEntityKey(value: Entity): string {
   return `${value.kind}/${value.id}`;
 }
 
-/** A change of one entity. */
+/** Change of one entity. */
 export const edit = z.strictObject({
   entity: entityKey,
-  /** Version that the change is based on; 0 for an entity that does not exist. */
+  /** Version that the change is based on; 0 for a new entity. */
   baseVersion: z.int().nonnegative(),
-  /** The new value; null removes the entity. */
+  /** New value; null removes the entity. */
   value: entity.nullable(),
 });
 export type Edit = z.infer<typeof edit>;
 
-/** Edits that are accepted or rejected together. */
+/** Edits that are accepted or rejected as a whole. */
 export const configurationChange = z.strictObject({
   /** Idempotency key of the change. */
   changeId: z.string().min(1).max(128),
@@ -130,13 +130,13 @@
 });
 export type ConfigurationChange = z.infer<typeof configurationChange>;
 
-/** An entity with its version. */
+/** Entity with its version. */
 export interface VersionedEntity {
   version: number;
   value: Entity;
 }
 
-/** The configuration in force, by kind and id. */
+/** Current configuration, by kind and id. */
 export interface Configuration {
   readonly domains: ReadonlyMap<string, Domain>;
   readonly targets: ReadonlyMap<string, Target>;
@@ -144,5 +144,5 @@
   readonly rules: Rules;
 }
 
-/** Rules that hold before any are configured. */
+/** Rules that apply until some are configured. */
 export const DEFAULT_RULES: Rules = rules.parse({kind: 'rules'});
--- a/packages/model/src/job.ts
+++ b/packages/model/src/job.ts
@@ -1,29 +1,29 @@
-/** Jobs as callers submit them. */
+/** Schemas of jobs and of their parts. */
 import {z} from 'zod';
 
-/** Largest JSON body of a job request, in bytes. */
+/** Maximum size of the JSON body of a job request. */
 export const MAX_REQUEST_BYTES = 65_536;
 
-/** Largest recorded result of a job, in bytes of JSON. */
+/** Maximum size of a job's recorded result as JSON. */
 export const MAX_RESULT_BYTES = 65_536;
 
-/** Largest number of tasks in a gang. */
+/** Maximum number of tasks in a gang. */
 export const MAX_GANG_TASKS = 512;
 
-/** Names of workspaces, targets, racks and failure domains. */
+/** Name of a workspace, target, rack or failure domain. */
 export const resourceName = z
   .string()
   .min(1)
   .max(100)
   .regex(/^[A-Za-z0-9][A-Za-z0-9._-]*$/, 'must be letters, digits, . _ or -');
 
-/** How close together the tasks of a gang must be: all within one cell of this level. */
+/** Required proximity of a gang's tasks: all in one cell of this level. */
 export const adjacency = z.enum(['target', 'rack', 'domain']);
 export type Adjacency = z.infer<typeof adjacency>;
 
-/** What one task of a gang needs, all of it on one target. */
+/** Resources that one task of a gang needs on one target. */
 export const taskDemand = z.strictObject({
-  /** Whole accelerators; 0 for a task that needs none. */
+  /** Number of whole accelerators. */
   accelerators: z.int().min(0).max(16),
   /** Processor cores. */
   processors: z.number().min(0).max(1024).default(1),
@@ -32,7 +32,7 @@
 });
 export type TaskDemand = z.infer<typeof taskDemand>;
 
-/** The shape of a gang: equal tasks that run together or not at all. */
+/** Shape of a gang: equal tasks that run together or not at all. */
 export const gangShape = z.strictObject({
   tasks: z.int().min(1).max(MAX_GANG_TASKS),
   perTask: taskDemand,
@@ -40,46 +40,46 @@
 });
 export type GangShape = z.infer<typeof gangShape>;
 
-/** A job as a caller submits it. */
+/** Job as a caller submits it. */
 export const jobRequest = z.strictObject({
-  /** The caller's idempotency key. */
+  /** Idempotency key, chosen by the caller. */
   requestId: z.string().min(1).max(128),
   workspace: resourceName,
   gang: gangShape,
-  /** The caller's own estimate of the run time, in seconds. */
+  /** The caller's estimate of the run time in seconds. */
   expectedSeconds: z.number().positive().max(31_536_000),
-  /** False when a second run would do harm; the job is then started at most once. */
+  /** False when a second run is harmful; the job is then started at most once. */
   repeatable: z.boolean().default(true),
-  /** Urgent jobs start before all others of their class. */
+  /** Whether the job starts before all jobs of its class that are not urgent. */
   urgent: z.boolean().default(false),
-  /** True when the tasks can save their progress on request. */
+  /** Whether the tasks can save their progress on request. */
   checkpointable: z.boolean().default(false),
-  /** Jobs of one kind have similar run times; estimates are corrected per workspace and kind. */
+  /** Kind of the job. Jobs of one kind have similar run times; estimates are corrected per workspace and kind. */
   kind: resourceName.default('default'),
-  /** When the caller made the request, in milliseconds since the Unix epoch. */
+  /** Wall-clock time at which the caller created the request, in milliseconds since the Unix epoch. */
   createdAt: z.int().nonnegative(),
-  /** Handed to every task as it is. */
+  /** Payload that is passed to every task unchanged. */
   payload: z.record(z.string(), z.json()).default({}),
 });
 export type JobRequest = z.infer<typeof jobRequest>;
 
-/** How a job ended. */
+/** Outcome of a job. */
 export const outcome = z.enum([
   'succeeded',
   'failed',
   'cancelled',
-  /** It may have run in part, cannot be repeated, and will not run again. */
+  /** The job may have run in part, is not repeatable, and does not run again. */
   'lost',
-  /** It was ended without having run. */
+  /** The job ended without having run. */
   'not-run',
 ]);
 export type Outcome = z.infer<typeof outcome>;
 
-/** Where a job is in its life. */
+/** Phase of a job. */
 export const jobPhase = z.enum(['queued', 'placed', 'running', 'finished']);
 export type JobPhase = z.infer<typeof jobPhase>;
 
-/** The part of a gang that runs on one target. */
+/** Part of a gang that runs on one target. */
 export const assignment = z.strictObject({
   target: resourceName,
   /** Index of the first task of the gang on this target. */
--- a/packages/model/src/record.ts
+++ b/packages/model/src/record.ts
@@ -1,7 +1,7 @@
 /**
- * Records of the log. The format is public: operators and asset registers may
- * append `configured` records themselves. A record that does not match is
- * skipped by every instance alike.
+ * Schemas of the log's records. The format is public: operators and asset
+ * registers may append `configured` records themselves. Every instance skips
+ * records that do not match a schema, so all derive the same state.
  */
 import {z} from 'zod';
 import {assignment, jobRequest, resourceName, outcome} from './job.js';
@@ -9,14 +9,15 @@
 import {reason} from './reason.js';
 import {term} from './term.js';
 
-/** Version of the record format. */
+/** Version of the record format, in the field `v`. */
 export const RECORD_VERSION = 1;
 
+/** Fields of every record. */
 const header = {
   v: z.literal(RECORD_VERSION),
-  /** Unique id of the record, by which a writer finds it again after a lost answer. */
+  /** Unique id of the record; a writer that lost the response to its append finds the record by it. */
   recordId: z.string().min(1).max(100),
-  /** Wall-clock time of the writer in milliseconds since the Unix epoch; for people, never compared. */
+  /** Wall-clock time of the writer in milliseconds since the Unix epoch; for display only, never compared. */
   at: z.int().nonnegative(),
   /** Instance that wrote the record. */
   by: z.string().min(1).max(100),
@@ -24,7 +25,7 @@
 
 const jobId = z.string().min(1).max(100);
 
-/** Fields of a record that a domain's scheduler writes about one attempt. */
+/** Fields of records that a domain's scheduler writes about one attempt to run a job. */
 const attemptFields = {
   jobId,
   attempt: z.int().positive(),
@@ -32,24 +33,24 @@
   term,
 };
 
-/** A job was accepted. The first in log order wins for its request id. */
+/** Accepts a job. The first such record in log order is valid for its request id. */
 export const submitted = z.strictObject({
   ...header,
   type: z.literal('submitted'),
   jobId,
   request: jobRequest,
-  /** Hash of the request, by which a reuse of the id with another body is seen. */
+  /** Hash of the request, which reveals reuse of the request id with a different body. */
   bodyHash: z.string(),
   domain: resourceName,
   reason,
 });
-/** A request id will never run if this precedes its `submitted`. */
+/** Withdraws a request id: its job never runs if this record precedes its `submitted`. */
 export const withdrawn = z.strictObject({
   ...header,
   type: z.literal('withdrawn'),
   requestId: z.string().min(1).max(128),
 });
-/** A queued job goes to another failure domain. */
+/** Moves a queued job to another failure domain. */
 export const moved = z.strictObject({
   ...header,
   type: z.literal('moved'),
@@ -58,91 +59,91 @@
   to: resourceName,
   reason,
 });
-/** An instance becomes the scheduler of its failure domain. The first of a term wins. */
+/** Makes an instance the scheduler of its failure domain. The first record of a term is valid. */
 export const claimed = z.strictObject({
   ...header,
   type: z.literal('claimed'),
   domain: resourceName,
   term,
 });
-/** Durable intent to start an attempt. */
+/** Records the intent to start an attempt, before any task starts. */
 export const placed = z.strictObject({
   ...header,
   type: z.literal('placed'),
   ...attemptFields,
   assignments: z.array(assignment).min(1).max(512),
-  /** Whether the gang lies within its workspace's guarantee. */
+  /** Whether the gang runs within its workspace's guarantee. */
   guaranteed: z.boolean(),
   reason,
 });
-/** Every task of the attempt has started. */
+/** Records that every task of an attempt has started. */
 export const started = z.strictObject({
   ...header,
   type: z.literal('started'),
   ...attemptFields,
 });
-/** The attempt ended without a result; the job is queued again, or lost. */
+/** Ends an attempt without a result; the job is queued again or is lost. */
 export const unplaced = z.strictObject({
   ...header,
   type: z.literal('unplaced'),
   ...attemptFields,
-  /** False only when no task of the attempt can have started. */
+  /** Whether a task of the attempt may have started; false only when none can have. */
   mayHaveRun: z.boolean(),
-  /** Progress that a checkpoint saved, in seconds of run time of the whole job. */
+  /** Progress that checkpoints saved, in seconds of the whole job's run time. */
   progressSeconds: z.number().nonnegative(),
-  /** Target that caused the end, if one did. */
+  /** Target that caused the end of the attempt, if any. */
   culprit: resourceName.optional(),
   reason,
 });
-/** The job has ended, with its whole answer. */
+/** Ends a job, with its complete result. */
 export const finished = z.strictObject({
   ...header,
   type: z.literal('finished'),
   ...attemptFields,
   attempt: z.int().nonnegative(),
   outcome,
-  /** Outputs of the tasks by task index. */
+  /** Outputs of the tasks, by task index. */
   results: z.array(z.json()).max(512),
-  /** Hash of the results, checked before they are passed on. */
+  /** Hash of the results, verified before they are returned to callers. */
   resultHash: z.string(),
   ranSeconds: z.number().nonnegative(),
   reason,
 });
-/** A caller or operator wants the job stopped. A queued job ends at once. */
+/** Requests the cancellation of a job. A queued job ends at once. */
 export const cancelled = z.strictObject({
   ...header,
   type: z.literal('cancelled'),
   jobId,
   reason,
 });
-/** An operator lets a job of a workspace with approval start. */
+/** Approves a job of a workspace that requires approval. */
 export const approved = z.strictObject({
   ...header,
   type: z.literal('approved'),
   jobId,
   author: z.string().min(1).max(128),
 });
-/** Operators changed the configuration; accepted only if every base version is current. */
+/** Changes the configuration; accepted only if every base version is current. */
 export const configured = z.strictObject({
   ...header,
   type: z.literal('configured'),
   change: configurationChange,
 });
-/** A part of a snapshot. */
+/** Holds one part of a snapshot. */
 export const snapshotChunk = z.strictObject({
   ...header,
   type: z.literal('snapshot-chunk'),
   snapshotId: z.string().min(1).max(100),
-  /** The snapshot holds the effect of every record before this offset. */
+  /** Offset of the first record whose effect is not in the snapshot. */
   nextOffset: z.int().nonnegative(),
   index: z.int().nonnegative(),
   count: z.int().positive(),
-  /** Hash of the whole snapshot. */
+  /** Hash of the complete snapshot. */
   hash: z.string(),
   data: z.string(),
 });
 
-/** Any record. */
+/** Any record of the log. */
 export const record = z.discriminatedUnion('type', [
   submitted,
   withdrawn,
@@ -171,10 +172,10 @@
 export type Configured = z.infer<typeof configured>;
 export type SnapshotChunk = z.infer<typeof snapshotChunk>;
 
-/** The fields that a writer fills in by itself. */
+/** Fields that the log writer adds to every record. */
 export type RecordHeader = Pick<LogRecord, 'v' | 'recordId' | 'at' | 'by'>;
 
 type WithoutHeader<T> = T extends unknown ? Omit<T, keyof RecordHeader> : never;
 
-/** A record before its header is added. */
+/** Record without its header. */
 export type RecordBody = WithoutHeader<LogRecord>;
--- a/packages/model/src/term.ts
+++ b/packages/model/src/term.ts
@@ -1,9 +1,10 @@
-/** Terms: the fencing tokens of domain schedulers. */
+/** Terms, the fencing tokens of the domains' schedulers. */
 import {z} from 'zod';
 
 /**
- * The term of a domain's scheduler. The log raises `log`; while the log is
- * down a successor raises `outage`. Ties are broken by the instance id.
+ * Term of a domain's scheduler. A claim in the log increments `log`; a takeover
+ * while the log is unavailable increments `outage`. Ties are broken by the
+ * instance id.
  */
 export const term = z.strictObject({
   log: z.int().nonnegative(),
@@ -12,10 +13,10 @@
 });
 export type Term = z.infer<typeof term>;
 
-/** Lower than every term that a scheduler holds. */
+/** Term that is lower than every term of a scheduler. */
 export const NO_TERM: Term = {log: 0, outage: 0, instance: ''};
 
-/** Negative when `a` is lower than `b`, 0 when equal, positive when higher. */
+/** Returns a negative number if `a` is lower than `b`, 0 if they are equal, and a positive number if `a` is higher. */
 export function compareTerms(a: Term, b: Term): number {
   if (a.log !== b.log) {
     return a.log - b.log;
@@ -26,7 +27,7 @@
   return a.instance < b.instance ? -1 : a.instance > b.instance ? 1 : 0;
 }
 
-/** Tells whether two terms are the same. */
+/** Returns whether two terms are equal. */
 export function isSameTerm(a: Term, b: Term): boolean {
   return compareTerms(a, b) === 0;
 }
--- a/packages/model/src/view.ts
+++ b/packages/model/src/view.ts
@@ -1,6 +1,6 @@
 /**
- * What daemons answer to callers and operators over HTTP. Fields that a reader
- * does not know are dropped, so that an older reader understands a newer daemon.
+ * Schemas of the daemon's HTTP response bodies. Unknown fields are dropped, so
+ * that older clients can read the responses of newer daemons.
  */
 import {z} from 'zod';
 import {entity, entityKey} from './inventory.js';
@@ -10,11 +10,12 @@
 /** Wall-clock time in milliseconds since the Unix epoch. */
 const wallTime = z.number();
 
+/** Number of items, or an offset or version. */
 const count = z.int().nonnegative();
 
-/** The body of an answer that is not a success: a `FailureBody`. */
+/** Body of an error response: a `FailureBody`. */
 export const failureView = z.object({
-  /** An `ErrorCode`; a newer daemon may send codes that the reader does not know. */
+  /** An `ErrorCode`, or a code of a newer daemon that the client does not know. */
   code: z.string(),
   message: z.string(),
   remedy: z.string().default(''),
@@ -24,19 +25,19 @@
 });
 export type FailureView = z.infer<typeof failureView>;
 
-/** One line of a job's history. */
+/** Entry of a job's history. */
 export const historyEntry = z.object({
   /** Wall-clock time of the writer in milliseconds since the Unix epoch. */
   at: wallTime,
   event: z.string(),
   by: z.string(),
   reason: reason.optional(),
-  /** The reason as a sentence. */
+  /** Text of the reason. */
   text: z.string().optional(),
 });
 export type HistoryEntry = z.infer<typeof historyEntry>;
 
-/** A job as its caller sees it: the body of `GET /v1/jobs/:id`. */
+/** Body of `GET /v1/jobs/:id`: a job as its caller sees it. */
 export const jobView = z.object({
   jobId: z.string(),
   requestId: z.string(),
@@ -49,73 +50,73 @@
   startedAt: wallTime.optional(),
   finishedAt: wallTime.optional(),
   outcome: outcome.optional(),
-  /** Outputs of the tasks by task index, for a job that finished. */
+  /** Outputs of the tasks by task index, if the job has finished. */
   results: z.array(z.unknown()).optional(),
   resultHash: z.string().optional(),
   cancelRequested: z.boolean(),
-  /** Latest reason, and the same as a sentence. */
+  /** Latest reason, and its text. */
   reason: reason.optional(),
   text: z.string().optional(),
 });
 export type JobView = z.infer<typeof jobView>;
 
-/** The body of `GET /v1/jobs`. */
+/** Body of `GET /v1/jobs`. */
 export const jobListView = z.object({jobs: z.array(jobView)});
 export type JobListView = z.infer<typeof jobListView>;
 
-/** The body of `GET /v1/jobs/:id/explain`. */
+/** Body of `GET /v1/jobs/:id/explain`. */
 export const explanationView = jobView.extend({
   request: jobRequest,
   assignments: z.array(assignment),
   history: z.array(historyEntry),
-  /** What the job waits for now, if it waits. */
+  /** Reason why the job is waiting, if it is. */
   waitingFor: reason.optional(),
   waitingText: z.string().optional(),
 });
 export type ExplanationView = z.infer<typeof explanationView>;
 
-/** The body of `POST /v1/plan`: what would happen to a job that was submitted now. */
+/** Body of the response to `POST /v1/plan`: the decision for a job if it were submitted now. */
 export const planView = z.object({
   verdict: z.enum(['starts-now', 'waits', 'never']),
   domain: z.string().optional(),
   assignments: z.array(assignment),
-  /** Jobs that would be stopped to make room. */
+  /** Jobs that would be stopped to free capacity. */
   victims: z.array(z.string()),
   reasons: z.array(z.object({reason, text: z.string()})),
 });
 export type PlanView = z.infer<typeof planView>;
 
-/** One guarantee of a workspace, as promised and as it can be met now. */
+/** Guarantee of a workspace: the guaranteed cells, and those that are available to it now. */
 export const guaranteeView = z.object({
   domain: z.string(),
   level: z.string(),
   promised: count,
-  /** Cells that could be reclaimed or are used by the workspace now. */
+  /** Cells that the workspace uses or could reclaim now. */
   satisfiable: count,
 });
 export type GuaranteeView = z.infer<typeof guaranteeView>;
 
-/** One element of the body of `GET /v1/workspaces`. */
+/** Workspace in the body of `GET /v1/workspaces`. */
 export const workspaceView = z.object({
   id: z.string(),
   version: count,
   weight: z.number(),
   queued: count,
   running: count,
-  /** Accelerators in use, within the guarantee and beyond it. */
+  /** Accelerators in use within the guarantees, and beyond them. */
   acceleratorsGuaranteed: count,
   acceleratorsBorrowed: count,
   guarantees: z.array(guaranteeView),
 });
 export type WorkspaceView = z.infer<typeof workspaceView>;
 
-/** The body of `GET /v1/workspaces`. */
+/** Body of `GET /v1/workspaces`. */
 export const workspaceListView = z.object({
   workspaces: z.array(workspaceView),
 });
 export type WorkspaceListView = z.infer<typeof workspaceListView>;
 
-/** One target in the body of `GET /v1/inventory`. */
+/** Target in the body of `GET /v1/inventory`. */
 export const targetView = z.object({
   id: z.string(),
   rack: z.string(),
@@ -128,13 +129,13 @@
 });
 export type TargetView = z.infer<typeof targetView>;
 
-/** One failure domain in the body of `GET /v1/inventory`. */
+/** Failure domain in the body of `GET /v1/inventory`. */
 export const domainView = z.object({
   id: z.string(),
   region: z.string(),
   version: count,
   state: z.string(),
-  /** Instance that schedules the domain, if one does. */
+  /** Instance that is the domain's scheduler, if any. */
   scheduler: z.string().optional(),
   queued: count,
   running: count,
@@ -142,17 +143,17 @@
 });
 export type DomainView = z.infer<typeof domainView>;
 
-/** The body of `GET /v1/inventory`. */
+/** Body of `GET /v1/inventory`. */
 export const inventoryView = z.object({
-  /** Offset up to which the answering instance has read the log. */
+  /** Offset up to which the responding instance has read the log. */
   offset: count,
-  /** Milliseconds since the configuration was last known to be current; null when it is not known. */
+  /** Milliseconds since the configuration was last known to be current; null if unknown. */
   freshnessAgeMs: z.number().nullable(),
   domains: z.array(domainView),
 });
 export type InventoryView = z.infer<typeof inventoryView>;
 
-/** One element of the body of `GET /v1/config`. */
+/** Entity in the body of `GET /v1/config`. */
 export const entityView = z.object({
   entity: entityKey,
   version: count,
@@ -160,15 +161,15 @@
 });
 export type EntityView = z.infer<typeof entityView>;
 
-/** The body of `GET /v1/config`: the configuration in force. */
+/** Body of `GET /v1/config`: the current configuration. */
 export const configurationView = z.object({
-  /** Offset up to which the answering instance has read the log. */
+  /** Offset up to which the responding instance has read the log. */
   offset: count,
   entities: z.array(entityView),
 });
 export type ConfigurationView = z.infer<typeof configurationView>;
 
-/** One change in the body of `GET /v1/config/history`. */
+/** Change in the body of `GET /v1/config/history`. */
 export const changeView = z.object({
   changeId: z.string(),
   author: z.string(),
@@ -176,24 +177,24 @@
   at: wallTime,
   offset: count,
   accepted: z.boolean(),
-  /** Why the change was rejected. */
+  /** Reason why the change was rejected. */
   problem: z.string().optional(),
   /** Number of entities that the change edits. */
   edits: count,
-  /** Keys of the first of them. */
+  /** Keys of the first of these entities. */
   entities: z.array(z.string()),
 });
 export type ChangeView = z.infer<typeof changeView>;
 
-/** The body of `GET /v1/config/history`, newest change first. */
+/** Body of `GET /v1/config/history`, newest change first. */
 export const changeListView = z.object({changes: z.array(changeView)});
 export type ChangeListView = z.infer<typeof changeListView>;
 
-/** The body of a successful `POST /v1/config`. */
+/** Body of the response to a successful `POST /v1/config`. */
 export const configurationResult = z.object({
   changeId: z.string(),
   offset: count,
-  /** New versions by entity key. */
+  /** New versions, by entity key. */
   versions: z.record(z.string(), z.number()),
 });
 export type ConfigurationResult = z.infer<typeof configurationResult>;
