--- a/packages/wire/__tests__/frame.spec.ts
+++ b/packages/wire/__tests__/frame.spec.ts
@@ -15,19 +15,19 @@
   .uint8Array({minLength: 1, maxLength: MAX_BYTES})
   .map(bytes => Buffer.from(bytes));
 
-/** Splits bytes at the given lengths, over and over. */
+/** Splits bytes into chunks of the given lengths, repeated as needed. */
 function split(bytes: Buffer, lengths: number[]): Buffer[] {
   const chunks: Buffer[] = [];
   let position = 0;
-  for (let turn = 0; position < bytes.length; turn++) {
-    const end = position + lengths[turn % lengths.length]!;
+  for (let index = 0; position < bytes.length; index++) {
+    const end = position + lengths[index % lengths.length]!;
     chunks.push(bytes.subarray(position, end));
     position = end;
   }
   return chunks;
 }
 
-/** The payloads that a decoder yields; throws anything but a typed failure. */
+/** Returns the payloads that a decoder yields up to the first `frame-invalid`; throws all other errors. */
 function decodeAll(decoder: FrameDecoder, chunks: Buffer[]): Buffer[] {
   const found: Buffer[] = [];
   try {
@@ -43,20 +43,25 @@
 }
 
 t.test('a frame decoder', async t => {
-  t.test('finds the frames however the stream is cut', async () => {
-    const cuts = fc.array(fc.integer({min: 1, max: 40}), {minLength: 1});
-    fc.assert(
-      fc.property(fc.array(payloads), cuts, (sent, lengths) => {
-        const frames = sent.map(payload => encodeFrame(payload, MAX_BYTES));
-        const chunks = split(Buffer.concat(frames), lengths);
-        const found = decodeAll(new FrameDecoder(MAX_BYTES), chunks);
-        return Buffer.concat(found).equals(Buffer.concat(sent));
-      }),
-      RUNS,
-    );
-  });
+  t.test(
+    'decodes the frames for any split of the stream into chunks',
+    async () => {
+      const chunkLengths = fc.array(fc.integer({min: 1, max: 40}), {
+        minLength: 1,
+      });
+      fc.assert(
+        fc.property(fc.array(payloads), chunkLengths, (sent, lengths) => {
+          const frames = sent.map(payload => encodeFrame(payload, MAX_BYTES));
+          const chunks = split(Buffer.concat(frames), lengths);
+          const found = decodeAll(new FrameDecoder(MAX_BYTES), chunks);
+          return Buffer.concat(found).equals(Buffer.concat(sent));
+        }),
+        RUNS,
+      );
+    },
+  );
 
-  t.test('passes on no payload that was not sent', async () => {
+  t.test('yields no payload of a frame with a flipped bit', async () => {
     const damage = fc.record({at: fc.nat(), bit: fc.integer({min: 0, max: 7})});
     fc.assert(
       fc.property(payloads, damage, (payload, {at, bit}) => {
@@ -68,7 +73,7 @@
     );
   });
 
-  t.test('keeps a bounded number of bytes of any stream', async () => {
+  t.test('buffers a bounded number of bytes for any input', async () => {
     fc.assert(
       fc.property(fc.array(payloads), chunks => {
         const decoder = new FrameDecoder(MAX_BYTES);
@@ -79,7 +84,7 @@
     );
   });
 
-  t.test('refuses frames that are too long', async t => {
+  t.test('rejects frames above the maximum size', async t => {
     const invalid = {code: 'frame-invalid'};
     const long = Buffer.alloc(MAX_BYTES + 1);
     t.throws(() => encodeFrame(long, MAX_BYTES), invalid);
@@ -89,7 +94,7 @@
 });
 
 t.test('a message', async t => {
-  t.test('arrives as it was sent', async t => {
+  t.test('is unchanged after encoding and decoding', async t => {
     const ids = fc.nat();
     fc.assert(
       fc.property(ids, fc.jsonValue({noUnicodeString: false}), (id, body) => {
@@ -105,20 +110,17 @@
     );
   });
 
-  t.test(
-    'is refused with a typed failure, whatever the bytes are',
-    async () => {
-      fc.assert(
-        fc.property(payloads, payload => {
-          try {
-            decodeMessage(payload);
-          } catch (error) {
-            return isFailure(error, 'frame-invalid');
-          }
-          return true;
-        }),
-        {...RUNS, numRuns: 5000},
-      );
-    },
-  );
+  t.test('is rejected with a typed failure for any invalid bytes', async () => {
+    fc.assert(
+      fc.property(payloads, payload => {
+        try {
+          decodeMessage(payload);
+        } catch (error) {
+          return isFailure(error, 'frame-invalid');
+        }
+        return true;
+      }),
+      {...RUNS, numRuns: 5000},
+    );
+  });
 });
--- a/packages/wire/__tests__/peer.spec.ts
+++ b/packages/wire/__tests__/peer.spec.ts
@@ -28,6 +28,7 @@
 };
 const HOST = '127.0.0.1';
 
+/** Starts a server with test methods; resolves to it and its address. */
 async function startServer(t: Test, port = 0) {
   const settings = {host: HOST, port, instance: 'b', logger, clock, options};
   const server = new PeerServer(settings);
@@ -58,8 +59,8 @@
   return client;
 }
 
-/** Repeats a call until it succeeds. */
-async function callUntilAnswered(call: () => Promise<unknown>) {
+/** Repeats a call until it succeeds, for at most 10 s. */
+async function retryUntilSuccess(call: () => Promise<unknown>) {
   const end = clock.now() + 10_000;
   for (;;) {
     try {
@@ -73,38 +74,46 @@
   }
 }
 
-t.test('a call', async t => {
-  t.test('brings the answer, or the failure of the peer', async t => {
-    const {peer} = await startServer(t);
-    const client = createClient(t);
-    const answer = await client.call(peer, 'echo', 7, 5000);
-    t.same(answer, {body: 7, from: 'a'});
-    await t.rejects(client.call(peer, 'refuse', 0, 5000), {
-      code: 'append-uncertain',
-      details: {problem: 'lost'},
-    });
-    await t.rejects(client.call(peer, 'echo', 'text', 5000), {
-      code: 'bad-request',
-    });
-    await t.rejects(client.call(peer, 'long', 0, 5000), {
-      code: 'frame-invalid',
-    });
-    await t.rejects(client.call(peer, 'none', 0, 5000), {code: 'not-found'});
-    t.equal(client.openConnections, 1);
-  });
+t.test('a peer call', async t => {
+  t.test(
+    'resolves to the response, or rejects with the failure of the peer',
+    async t => {
+      const {peer} = await startServer(t);
+      const client = createClient(t);
+      const response = await client.call(peer, 'echo', 7, 5000);
+      t.same(response, {body: 7, from: 'a'});
+      await t.rejects(client.call(peer, 'refuse', 0, 5000), {
+        code: 'append-uncertain',
+        details: {problem: 'lost'},
+      });
+      await t.rejects(client.call(peer, 'echo', 'text', 5000), {
+        code: 'bad-request',
+      });
+      await t.rejects(client.call(peer, 'long', 0, 5000), {
+        code: 'frame-invalid',
+      });
+      await t.rejects(client.call(peer, 'none', 0, 5000), {code: 'not-found'});
+      t.equal(client.openConnections, 1);
+    },
+  );
 
-  t.test('keeps answers apart and drops those that come late', async t => {
-    const {peer} = await startServer(t);
-    const client = createClient(t);
-    const slow = client.call(peer, 'slow', 120, 5000);
-    await t.rejects(client.call(peer, 'slow', 60, 20), {code: 'peer-timeout'});
-    const many = [3, 2, 1].map(id => client.call(peer, 'echo', id, 5000));
-    const answers = await Promise.all(many);
-    t.match(answers, [{body: 3}, {body: 2}, {body: 1}]);
-    t.equal(await slow, 120);
-  });
+  t.test(
+    'receives its own response, and late responses are discarded',
+    async t => {
+      const {peer} = await startServer(t);
+      const client = createClient(t);
+      const slow = client.call(peer, 'slow', 120, 5000);
+      await t.rejects(client.call(peer, 'slow', 60, 20), {
+        code: 'peer-timeout',
+      });
+      const many = [3, 2, 1].map(id => client.call(peer, 'echo', id, 5000));
+      const responses = await Promise.all(many);
+      t.match(responses, [{body: 3}, {body: 2}, {body: 1}]);
+      t.equal(await slow, 120);
+    },
+  );
 
-  t.test('fails when another instance has taken the address', async t => {
+  t.test('fails when another instance serves the address', async t => {
     const {peer} = await startServer(t);
     const call = createClient(t).call(
       {...peer, instance: 'c'},
@@ -116,7 +125,7 @@
   });
 
   t.test(
-    'fails at once when nobody listens, and works again later',
+    'fails at once when nothing listens, and succeeds after the peer has started',
     async t => {
       const first = await startServer(t);
       await first.server.close();
@@ -124,77 +133,81 @@
       const call = () => client.call(first.peer, 'echo', 1, 5000);
       await t.rejects(call(), {code: 'peer-unavailable'});
       await startServer(t, first.peer.port);
-      t.match(await callUntilAnswered(call), {body: 1});
+      t.match(await retryUntilSuccess(call), {body: 1});
     },
   );
 });
 
-t.test('a connection', async t => {
-  async function startRelay(t: Test) {
+t.test('a peer connection', async t => {
+  /** Starts a server behind a proxy, and a client that has called it once. */
+  async function startProxy(t: Test) {
     const {server, peer} = await startServer(t);
-    const relay = new TcpProxy(peer.port);
-    t.teardown(() => relay.close());
+    const proxy = new TcpProxy(peer.port);
+    t.teardown(() => proxy.close());
     const client = createClient(t);
-    const relayed = {...peer, port: await relay.start()};
-    const call = () => client.call(relayed, 'echo', 1, 5000);
+    const proxiedPeer = {...peer, port: await proxy.start()};
+    const call = () => client.call(proxiedPeer, 'echo', 1, 5000);
     await call();
-    return {server, relay, client, call};
+    return {server, proxy, client, call};
   }
 
-  t.test('that goes silent for good is replaced', async t => {
-    const {relay, call} = await startRelay(t);
-    relay.stallConnections();
+  t.test('that stalls permanently is replaced', async t => {
+    const {proxy, call} = await startProxy(t);
+    proxy.stallConnections();
     await t.rejects(call(), {code: 'peer-unavailable'});
-    t.match(await callUntilAnswered(call), {body: 1});
-    t.equal(relay.openedConnections, 2);
+    t.match(await retryUntilSuccess(call), {body: 1});
+    t.equal(proxy.openedConnections, 2);
   });
 
   for (const mode of ['cut-requests', 'cut-answers'] as const) {
     t.test(`is replaced after the fault "${mode}"`, async t => {
-      const {relay, call} = await startRelay(t);
-      relay.setMode(mode);
+      const {proxy, call} = await startProxy(t);
+      proxy.setMode(mode);
       await t.rejects(call(), {code: 'peer-unavailable'});
-      relay.setMode('open');
-      t.match(await callUntilAnswered(call), {body: 1});
+      proxy.setMode('open');
+      t.match(await retryUntilSuccess(call), {body: 1});
     });
   }
 
-  t.test('that is only idle stays open by heartbeats', async t => {
-    const {relay, client, call} = await startRelay(t);
+  t.test('that is idle is kept open by heartbeats', async t => {
+    const {proxy, client, call} = await startProxy(t);
     const before = client.bytesSent;
     await clock.sleep(3 * options.silenceTimeout!);
     await call();
     t.ok(client.bytesSent > before);
-    t.equal(relay.openedConnections, 1);
+    t.equal(proxy.openedConnections, 1);
   });
 
-  t.test('with damaged frames is closed and replaced', async t => {
-    const {relay, call} = await startRelay(t);
-    const answer = call();
-    relay.inject(Buffer.from('00000001ffffffff00', 'hex'));
-    await t.rejects(answer, {code: 'peer-unavailable'});
-    t.match(await callUntilAnswered(call), {body: 1});
+  t.test('with corrupted frames is closed and replaced', async t => {
+    const {proxy, call} = await startProxy(t);
+    const response = call();
+    proxy.inject(Buffer.from('00000001ffffffff00', 'hex'));
+    await t.rejects(response, {code: 'peer-unavailable'});
+    t.match(await retryUntilSuccess(call), {body: 1});
   });
 
-  t.test('drops answers that nobody waits for any more', async t => {
-    const {relay, client, call} = await startRelay(t);
+  t.test('discards responses that match no pending call', async t => {
+    const {proxy, client, call} = await startProxy(t);
     const late = encodeMessage({type: 'response', id: 1, body: 'late'});
-    relay.inject(encodeFrame(late, 100));
+    proxy.inject(encodeFrame(late, 100));
     t.match(await call(), {body: 1});
     t.equal(client.lateResponses, 1);
   });
 
-  t.test('that sends rubbish does not harm the server', async t => {
-    const {peer} = await startServer(t);
-    const rubbish = [
-      Buffer.from('ffffffff00000000', 'hex'),
-      encodeFrame(Buffer.from('rubbish'), 100),
-    ];
-    for (const bytes of rubbish) {
-      const socket = createConnection(peer.port, HOST);
-      socket.write(bytes);
-      await new Promise(resolve => socket.on('close', resolve));
-    }
-    t.match(await createClient(t).call(peer, 'echo', 5, 5000), {body: 5});
-  });
+  t.test(
+    'that sends invalid bytes is closed, and the server keeps working',
+    async t => {
+      const {peer} = await startServer(t);
+      const invalidInputs = [
+        Buffer.from('ffffffff00000000', 'hex'),
+        encodeFrame(Buffer.from('rubbish'), 100),
+      ];
+      for (const bytes of invalidInputs) {
+        const socket = createConnection(peer.port, HOST);
+        socket.write(bytes);
+        await new Promise(resolve => socket.on('close', resolve));
+      }
+      t.match(await createClient(t).call(peer, 'echo', 5, 5000), {body: 5});
+    },
+  );
 });
--- a/packages/wire/src/connection.ts
+++ b/packages/wire/src/connection.ts
@@ -1,4 +1,4 @@
-/** One end of an open TCP connection that carries messages. */
+/** One side of an open TCP connection that carries messages. */
 import type {Socket} from 'node:net';
 import {
   type Clock,
@@ -11,33 +11,36 @@
 import {type Message, decodeMessage, encodeMessage} from './message.js';
 import type {WireOptions} from './wire_options.js';
 
-/** Fractions of the silence limit at which a connection is looked at. */
-const CHECKS_PER_SILENCE = 6;
+/** Number of activity checks per `silenceTimeout`. */
+const CHECKS_PER_SILENCE_TIMEOUT = 6;
 
-/** What the owner of a connection is told. */
+/** Handlers of a connection's events. */
 export interface ConnectionListener {
   onMessage(message: Message): void;
-  /** Called once; `problem` says why. */
+  /** Called once; `problem` describes the cause. */
   onClose(problem: string): void;
 }
 
-/** Counts bytes over all connections of one end. */
+/** Byte counters over all connections of a client or server. */
 export interface ByteCounter {
   bytesSent: number;
   bytesReceived: number;
 }
 
 /**
- * Sends and receives messages. A connection that is silent for longer than
- * the limit is dropped without waiting for TCP, which may not notice for hours.
+ * Sends and receives messages. A connection that receives nothing for
+ * `silenceTimeout` is closed without waiting for TCP, which may not detect the
+ * failure for hours.
  */
 export class Connection {
   private readonly decoder: FrameDecoder;
-  private readonly closing = new AbortController();
+  private readonly closed = new AbortController();
   private isOpen = true;
-  /** When bytes were last received. */
+  /** Time at which bytes were last received. */
   lastReceivedAt: Instant;
+  /** Whether bytes were received since the last activity check. */
   private hasReceived = true;
+  /** Whether a message other than a ping was sent since the last activity check. */
   private hasSent = true;
 
   constructor(
@@ -52,11 +55,11 @@
     socket.setNoDelay(true);
     socket.on('data', chunk => this.onData(chunk as Buffer));
     socket.on('error', error => this.close(describeError(error)));
-    socket.on('close', () => this.close('the other end closed it'));
-    void this.watchSilence();
+    socket.on('close', () => this.close('the peer closed the connection'));
+    void this.monitorActivity();
   }
 
-  /** Sends a message. Throws `frame-invalid` when it is too long, `peer-unavailable` when the connection is closed. */
+  /** Sends a message. Throws `frame-invalid` when it exceeds the maximum frame size, and `peer-unavailable` when the connection is closed. */
   send(message: Message): void {
     if (!this.isOpen) {
       throw new Failure('peer-unavailable', {
@@ -72,17 +75,17 @@
     this.hasSent = true;
     this.counter.bytesSent += frame.length;
     if (this.socket.writableLength > this.options.maxBufferedBytes) {
-      this.close('the other end does not read');
+      this.close('the peer does not read; its send buffer is full');
     }
   }
 
-  /** Closes at once; what was not sent yet is lost. */
+  /** Closes the connection at once; unsent data is lost. */
   close(problem: string): void {
     if (!this.isOpen) {
       return;
     }
     this.isOpen = false;
-    this.closing.abort();
+    this.closed.abort();
     this.socket.destroy();
     this.listener.onClose(problem);
   }
@@ -114,28 +117,30 @@
   }
 
   /**
-   * Counts checks without a received byte, not time: after a pause of the
-   * process the bytes that came in the meantime have not been read yet.
+   * Closes the connection after `silenceTimeout` without received bytes, and
+   * sends pings. It counts checks without a received byte instead of measuring
+   * time: after a pause of the process, bytes that arrived in the meantime have
+   * not been read yet.
    */
-  private async watchSilence(): Promise<void> {
-    const interval: Milliseconds =
-      this.options.silenceTimeout / CHECKS_PER_SILENCE;
-    const quietLimit = Math.max(
+  private async monitorActivity(): Promise<void> {
+    const intervalMs: Milliseconds =
+      this.options.silenceTimeout / CHECKS_PER_SILENCE_TIMEOUT;
+    const maxChecksWithoutSend = Math.max(
       1,
-      Math.floor(this.options.heartbeatInterval / interval),
+      Math.floor(this.options.heartbeatInterval / intervalMs),
     );
-    let silentChecks = 0;
-    let quietChecks = 0;
+    let checksWithoutReceipt = 0;
+    let checksWithoutSend = 0;
     while (this.isOpen) {
-      await this.clock.sleep(interval, this.closing.signal);
-      silentChecks = this.hasReceived ? 0 : silentChecks + 1;
-      quietChecks = this.hasSent ? 0 : quietChecks + 1;
+      await this.clock.sleep(intervalMs, this.closed.signal);
+      checksWithoutReceipt = this.hasReceived ? 0 : checksWithoutReceipt + 1;
+      checksWithoutSend = this.hasSent ? 0 : checksWithoutSend + 1;
       this.hasReceived = false;
       this.hasSent = false;
-      if (silentChecks >= CHECKS_PER_SILENCE) {
-        this.close('it was silent for too long');
-      } else if (quietChecks >= quietLimit && this.isOpen) {
-        quietChecks = 0;
+      if (checksWithoutReceipt >= CHECKS_PER_SILENCE_TIMEOUT) {
+        this.close('nothing was received within the silence timeout');
+      } else if (checksWithoutSend >= maxChecksWithoutSend && this.isOpen) {
+        checksWithoutSend = 0;
         this.send({type: 'ping'});
         this.hasSent = false;
       }
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -1,21 +1,24 @@
 /**
  * Frames: the length of the payload (4 bytes, big-endian), the CRC-32 of the
- * payload (4 bytes), and the payload. The checksum keeps bytes that no encoder
- * wrote away from the CBOR decoder, which allocates what a length field claims.
+ * payload (4 bytes, big-endian), and the payload. The checksum protects the CBOR
+ * decoder, which allocates as much memory as a length field claims, from
+ * corrupted bytes.
  */
 import {crc32} from 'node:zlib';
 import {Failure} from '@galenavalve/shared';
 
+/** Size of the length field. */
 const LENGTH_BYTES = 4;
+/** Size of the checksum field. */
 const CHECKSUM_BYTES = 4;
 
-/** Bytes that stand before each payload. */
+/** Size of the header before each payload. */
 export const FRAME_HEADER_BYTES = LENGTH_BYTES + CHECKSUM_BYTES;
 
-/** Puts the header before a payload. Throws `frame-invalid` when it is too long. */
+/** Returns a payload with its header. Throws `frame-invalid` when the payload exceeds the limit. */
 export function encodeFrame(payload: Buffer, maxFrameBytes: number): Buffer {
   if (payload.length > maxFrameBytes) {
-    throw oversized(payload.length, maxFrameBytes);
+    throw createLengthFailure(payload.length, maxFrameBytes);
   }
   const frame = Buffer.allocUnsafe(FRAME_HEADER_BYTES + payload.length);
   frame.writeUInt32BE(payload.length, 0);
@@ -25,8 +28,8 @@
 }
 
 /**
- * Cuts a stream of bytes into payloads. It keeps at most one frame of the
- * largest size, and copies each byte at most twice.
+ * Splits a stream of bytes into payloads. It buffers at most one frame of the
+ * maximum size, and copies each byte at most twice.
  */
 export class FrameDecoder {
   private readonly header = Buffer.alloc(FRAME_HEADER_BYTES);
@@ -36,19 +39,19 @@
 
   constructor(private readonly maxFrameBytes: number) {}
 
-  /** Bytes that are kept for a frame that is not whole yet. */
+  /** Number of bytes that are allocated for an incomplete frame. */
   get bufferedBytes(): number {
     return this.headerFilled + (this.payload?.length ?? 0);
   }
 
-  /** Yields the payloads that `chunk` completes. Throws `frame-invalid` for a length above the limit or a wrong checksum. */
+  /** Yields the payloads that `chunk` completes. Throws `frame-invalid` for a length of 0 or above the limit, and for a wrong checksum. */
   *push(chunk: Buffer): Generator<Buffer> {
     let position = 0;
     while (position < chunk.length || this.isComplete()) {
       position = this.fillHeader(chunk, position);
       position = this.fillPayload(chunk, position);
       if (this.isComplete()) {
-        yield this.take();
+        yield this.takePayload();
       }
     }
   }
@@ -73,7 +76,7 @@
 
   private startPayload(length: number): void {
     if (length === 0 || length > this.maxFrameBytes) {
-      throw oversized(length, this.maxFrameBytes);
+      throw createLengthFailure(length, this.maxFrameBytes);
     }
     this.payload = Buffer.allocUnsafe(length);
     this.payloadFilled = 0;
@@ -88,19 +91,19 @@
     return position + copied;
   }
 
-  private take(): Buffer {
+  private takePayload(): Buffer {
     const payload = this.payload!;
     this.payload = undefined;
     this.headerFilled = 0;
     if (crc32(payload) !== this.header.readUInt32BE(LENGTH_BYTES)) {
-      throw new Failure('frame-invalid', {problem: 'its checksum is wrong'});
+      throw new Failure('frame-invalid', {problem: 'checksum mismatch'});
     }
     return payload;
   }
 }
 
-function oversized(length: number, limit: number): Failure {
+function createLengthFailure(length: number, limit: number): Failure {
   return new Failure('frame-invalid', {
-    problem: `its length is ${length}, and must be from 1 to ${limit}`,
+    problem: `payload length ${length} is not between 1 and ${limit} bytes`,
   });
 }
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,17 +1,17 @@
-/** TCP frames with cbor-x: correlation, heartbeats and deadlines. */
+/** Peer protocol: CBOR messages in TCP frames, with correlation ids, heartbeats and timeouts. */
 
-// Both ends
+// Client and server
 export type {PeerAddress} from './peer_address.js';
 export {DEFAULT_WIRE_OPTIONS, type WireOptions} from './wire_options.js';
 
-// The end that answers
+// Server
 export {
   type PeerHandler,
   PeerServer,
   type PeerServerSettings,
 } from './peer_server.js';
 
-// The end that asks
+// Client
 export {PeerClient} from './peer_client.js';
 export type {PeerClientSettings} from './peer_link.js';
 
@@ -25,4 +25,4 @@
 } from './message.js';
 
 // For tests
-export {type RelayMode, TcpProxy} from './testing/tcp_proxy.js';
+export {type ProxyMode, TcpProxy} from './testing/tcp_proxy.js';
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -1,39 +1,39 @@
-/** Messages of the peer protocol, and their compact form in CBOR. */
+/** Messages of the peer protocol, and their compact encoding in CBOR. */
 import {Encoder, setSizeLimits} from 'cbor-x';
 import * as z from 'zod';
 import {Failure, type FailureDetails, describeError} from '@galenavalve/shared';
 
-/** Version of the peer protocol; both ends must speak the same. */
+/** Version of the peer protocol; both sides must use the same. */
 export const WIRE_VERSION = 1;
 
-/** First message of each end. */
+/** First message of each side. */
 export interface Hello {
   type: 'hello';
   version: number;
-  /** Instance that speaks. */
+  /** Name of the sending instance. */
   from: string;
-  /** Instance that is spoken to, as far as the speaker knows. */
+  /** Name of the instance that the sender expects at the other side. */
   to: string;
 }
 
-/** Asks the other end to run a method; answered under the same id. */
+/** Calls a method of the other side; the response or refusal has the same correlation id. */
 export interface Request {
   type: 'request';
   id: number;
   method: string;
-  /** Time after which the answer is of no use, in milliseconds from receipt. */
+  /** Time after receipt at which the response is no longer of use. */
   timeoutMs: number;
   body: unknown;
 }
 
-/** The result of a request. */
+/** Result of a request. */
 export interface Response {
   type: 'response';
   id: number;
   body: unknown;
 }
 
-/** The failure of a request. */
+/** Failure of a request. */
 export interface Refusal {
   type: 'refusal';
   id: number;
@@ -41,19 +41,19 @@
   details: FailureDetails;
 }
 
-/** A request without an answer. */
+/** Call of a method without a response. */
 export interface Notification {
   type: 'notification';
   method: string;
   body: unknown;
 }
 
-/** Shows that the sender lives; the other end replies. */
+/** Heartbeat; the other side replies with a pong. */
 export interface Ping {
   type: 'ping';
 }
 
-/** The reply to a ping. */
+/** Reply to a ping. */
 export interface Pong {
   type: 'pong';
 }
@@ -70,7 +70,7 @@
   z.union([z.string().max(4000), z.number(), z.boolean()]),
 );
 
-/** The compact forms: the first element says which message it is. */
+/** Compact forms of the messages; the first element identifies the type. */
 const compactMessage = z.union([
   z.tuple([z.literal(0), z.int(), instance, instance]),
   z.tuple([z.literal(1), id, method, z.number().positive(), z.unknown()]),
@@ -82,12 +82,12 @@
 ]);
 type CompactMessage = z.infer<typeof compactMessage>;
 
-/** Most elements of one array or map. */
-const MAX_VALUES = 65_536;
+/** Maximum number of elements of one array or map, for the decoder. */
+const MAX_COLLECTION_ELEMENTS = 65_536;
 setSizeLimits({
-  maxArraySize: MAX_VALUES,
-  maxMapSize: MAX_VALUES,
-  maxObjectSize: MAX_VALUES,
+  maxArraySize: MAX_COLLECTION_ELEMENTS,
+  maxMapSize: MAX_COLLECTION_ELEMENTS,
+  maxObjectSize: MAX_COLLECTION_ELEMENTS,
 });
 
 const codec = new Encoder({
@@ -98,16 +98,18 @@
   copyBuffers: true,
 });
 
-/** The payload of a message. */
+/** Encodes a message as the payload of a frame. */
 export function encodeMessage(message: Message): Buffer {
   return codec.encode(toCompact(message));
 }
 
-/** Reads a payload. Throws `frame-invalid` when it is no message. */
+/** Decodes a payload. Throws `frame-invalid` when it is not a message. */
 export function decodeMessage(payload: Buffer): Message {
   const parsed = compactMessage.safeParse(decodeValue(payload));
   if (!parsed.success) {
-    throw new Failure('frame-invalid', {problem: 'it is not a message'});
+    throw new Failure('frame-invalid', {
+      problem: 'the payload is not a message',
+    });
   }
   return fromCompact(parsed.data);
 }
--- a/packages/wire/src/peer_address.ts
+++ b/packages/wire/src/peer_address.ts
@@ -1,8 +1,8 @@
-/** Where an instance serves the peer protocol. */
+/** Address at which an instance serves the peer protocol. */
 export interface PeerAddress {
   /** Name of the instance. */
   instance: string;
-  /** IP number. */
+  /** IP address. */
   host: string;
   port: number;
 }
--- a/packages/wire/src/peer_client.ts
+++ b/packages/wire/src/peer_client.ts
@@ -1,4 +1,4 @@
-/** Calls the methods of peers, over one connection a peer. */
+/** Client of the peer protocol, with one connection per peer. */
 import type {Milliseconds} from '@galenavalve/shared';
 import {type WireOptions, applyDefaultOptions} from './wire_options.js';
 import type {PeerAddress} from './peer_address.js';
@@ -8,14 +8,14 @@
   PeerLink,
 } from './peer_link.js';
 
-/** Calls peers. Connections are opened on demand and opened again after they fail. */
+/** Calls methods of peers. Opens connections on demand, and reopens them after failures. */
 export class PeerClient implements LinkCounter {
   bytesSent = 0;
   bytesReceived = 0;
   lateResponses = 0;
   private readonly options: WireOptions;
   private readonly links = new Map<string, PeerLink>();
-  private readonly closing = new AbortController();
+  private readonly closed = new AbortController();
 
   constructor(private readonly settings: PeerClientSettings) {
     this.options = applyDefaultOptions(settings.options);
@@ -23,8 +23,8 @@
   }
 
   /**
-   * Runs a method of a peer. Throws `peer-timeout`, `peer-unavailable`, or the
-   * failure that the peer answered with.
+   * Calls a method of a peer. Throws `peer-timeout`, `peer-unavailable`, or the
+   * failure that the peer responded with.
    */
   async call(
     peer: PeerAddress,
@@ -32,12 +32,12 @@
     body: unknown,
     timeoutMs: Milliseconds,
   ): Promise<unknown> {
-    return this.linkTo(peer).call(method, body, timeoutMs);
+    return this.getLink(peer).call(method, body, timeoutMs);
   }
 
-  /** Sends a message that is not answered; it is lost when the peer cannot be reached. */
+  /** Sends a notification, which has no response; it is lost when the peer is unreachable. */
   notify(peer: PeerAddress, method: string, body: unknown): void {
-    this.linkTo(peer).notify(method, body);
+    this.getLink(peer).notify(method, body);
   }
 
   /** Number of open connections. */
@@ -45,16 +45,17 @@
     return [...this.links.values()].filter(link => link.isOpen).length;
   }
 
-  /** Drops all connections; calls that wait fail with `peer-unavailable`. */
+  /** Closes all connections; pending calls fail with `peer-unavailable`. */
   close(): void {
-    this.closing.abort();
+    this.closed.abort();
     for (const link of this.links.values()) {
       link.close('this instance is stopping');
     }
     this.links.clear();
   }
 
-  private linkTo(peer: PeerAddress): PeerLink {
+  /** Returns the link to a peer; creates it on the first use. */
+  private getLink(peer: PeerAddress): PeerLink {
     const key = `${peer.instance} ${peer.host} ${peer.port}`;
     let link = this.links.get(key);
     if (!link) {
@@ -64,15 +65,16 @@
     return link;
   }
 
+  /** Closes links without calls for `idleTimeout`, until the client is closed. */
   private async closeIdleLinks(): Promise<void> {
     const {clock} = this.settings;
-    const {idleTimeout: idle} = this.options;
-    while (!this.closing.signal.aborted) {
-      await clock.sleep(idle / 2, this.closing.signal);
+    const {idleTimeout: idleTimeoutMs} = this.options;
+    while (!this.closed.signal.aborted) {
+      await clock.sleep(idleTimeoutMs / 2, this.closed.signal);
       for (const [key, link] of this.links) {
-        if (clock.now() - link.lastUsedAt > idle) {
+        if (clock.now() - link.lastUsedAt > idleTimeoutMs) {
           this.links.delete(key);
-          link.close('it was not used');
+          link.close('the connection was idle');
         }
       }
     }
--- a/packages/wire/src/peer_link.ts
+++ b/packages/wire/src/peer_link.ts
@@ -1,4 +1,4 @@
-/** The connection from this instance to one peer, and the calls on it. */
+/** Connection from this instance to one peer, and the calls on it. */
 import {createConnection} from 'node:net';
 import {
   type Clock,
@@ -16,7 +16,7 @@
 import type {WireOptions} from './wire_options.js';
 import type {PeerAddress} from './peer_address.js';
 
-/** What a client needs. */
+/** Settings and dependencies of a client. */
 export interface PeerClientSettings {
   /** Name of this instance. */
   instance: string;
@@ -26,27 +26,29 @@
   options?: Partial<WireOptions>;
 }
 
-/** Counts what happens on all links of a client. */
+/** Counters over all links of a client. */
 export interface LinkCounter extends ByteCounter {
-  /** Answers that came after their deadline, or that nobody asked for. */
+  /** Responses that arrived after the timeout of their call, or that match no call. */
   lateResponses: number;
 }
 
+/** Call whose response has not arrived. */
 interface PendingCall {
   resolve: (body: unknown) => void;
   reject: (error: Failure) => void;
-  /** Whether the peer may have seen it. */
+  /** Whether the peer may have received the request. */
   isSent: boolean;
 }
 
-/** The connection to one peer, with the calls that wait for its answers. */
+/** Connection to one peer, reopened on demand, with its pending calls by correlation id. */
 export class PeerLink {
+  /** Time of the latest call or notification. */
   lastUsedAt: Instant;
   private connection: Connection | undefined;
-  private opening: Promise<Connection> | undefined;
-  private readonly pending = new Map<number, PendingCall>();
+  private pendingConnection: Promise<Connection> | undefined;
+  private readonly pendingCalls = new Map<number, PendingCall>();
   private nextId = 1;
-  private failures = 0;
+  private consecutiveFailures = 0;
   private retryAt: Instant = -Infinity;
 
   constructor(
@@ -62,29 +64,32 @@
     return this.connection !== undefined;
   }
 
+  /** Calls a method. Throws like `PeerClient.call`; the details of failures other than refusals hold `wasSent`. */
   async call(
     method: string,
     body: unknown,
     timeoutMs: Milliseconds,
   ): Promise<unknown> {
     const id = this.nextId++;
-    const answered = new AbortController();
-    const answer = new Promise<unknown>((resolve, reject) => {
-      this.pending.set(id, {resolve, reject, isSent: false});
+    const settled = new AbortController();
+    const response = new Promise<unknown>((resolve, reject) => {
+      this.pendingCalls.set(id, {resolve, reject, isSent: false});
     });
-    void this.expire(id, timeoutMs, answered.signal);
+    void this.failAfterTimeout(id, timeoutMs, settled.signal);
     this.sendWhenOpen(id, {type: 'request', id, method, timeoutMs, body});
     try {
-      return await answer;
+      return await response;
     } finally {
-      answered.abort();
+      settled.abort();
     }
   }
 
+  /** Sends a notification. */
   notify(method: string, body: unknown): void {
     this.sendWhenOpen(undefined, {type: 'notification', method, body});
   }
 
+  /** Closes the connection; pending calls fail. */
   close(problem: string): void {
     this.connection?.close(problem);
     this.rejectAll(problem);
@@ -92,7 +97,7 @@
 
   private sendWhenOpen(id: number | undefined, message: Message): void {
     this.lastUsedAt = this.settings.clock.now();
-    this.open().then(
+    this.getConnection().then(
       connection => this.send(connection, id, message),
       error => this.reject(id, error as Failure),
     );
@@ -103,13 +108,13 @@
     id: number | undefined,
     message: Message,
   ): void {
-    // The deadline may have passed while the connection was being opened.
-    if (id !== undefined && !this.pending.has(id)) {
+    // The call may have timed out while the connection was being opened.
+    if (id !== undefined && !this.pendingCalls.has(id)) {
       return;
     }
     try {
       connection.send(message);
-      const call = id === undefined ? undefined : this.pending.get(id);
+      const call = id === undefined ? undefined : this.pendingCalls.get(id);
       if (call) {
         call.isSent = true;
       }
@@ -118,15 +123,16 @@
     }
   }
 
-  private async expire(
+  /** Rejects a call with `peer-timeout` unless it settles in time. */
+  private async failAfterTimeout(
     id: number,
     timeoutMs: Milliseconds,
-    answered: AbortSignal,
+    settled: AbortSignal,
   ): Promise<void> {
     const {clock} = this.settings;
     const startedAt = clock.now();
-    await clock.sleep(timeoutMs, answered);
-    if (!this.pending.has(id)) {
+    await clock.sleep(timeoutMs, settled);
+    if (!this.pendingCalls.has(id)) {
       return;
     }
     const peer = this.peer.instance;
@@ -134,12 +140,12 @@
     this.dropIfSilentSince(startedAt, timeoutMs);
   }
 
-  /** A connection that brought nothing during a whole call may have gone silent for good. */
+  /** Closes a connection that received nothing during a whole call: it may be dead without an error. */
   private dropIfSilentSince(startedAt: Instant, duration: Milliseconds): void {
     const {connection} = this;
     const isLongEnough = duration >= this.options.minSilentCallDuration;
     if (connection && isLongEnough && connection.lastReceivedAt < startedAt) {
-      connection.close('it was silent during a call');
+      connection.close('nothing was received during a call that timed out');
     }
   }
 
@@ -147,55 +153,60 @@
     if (id === undefined) {
       return;
     }
-    const call = this.pending.get(id);
-    this.pending.delete(id);
+    const call = this.pendingCalls.get(id);
+    this.pendingCalls.delete(id);
     const details = {...error.details, wasSent: call?.isSent ?? true};
     call?.reject(new Failure(error.code, details, {cause: error}));
   }
 
   private rejectAll(problem: string): void {
-    for (const id of [...this.pending.keys()]) {
-      this.reject(id, this.unavailable(problem));
+    for (const id of [...this.pendingCalls.keys()]) {
+      this.reject(id, this.createUnavailableFailure(problem));
     }
   }
 
-  private async open(): Promise<Connection> {
+  /** Returns the open connection, or opens one unless the backoff is running. */
+  private async getConnection(): Promise<Connection> {
     if (this.connection) {
       return this.connection;
     }
     if (this.settings.clock.now() < this.retryAt) {
-      throw this.unavailable('it failed a moment ago');
+      throw this.createUnavailableFailure(
+        'the last connection failed and the backoff has not ended',
+      );
     }
-    this.opening ??= this.connect().finally(() => {
-      this.opening = undefined;
+    this.pendingConnection ??= this.connect().finally(() => {
+      this.pendingConnection = undefined;
     });
-    return this.opening;
+    return this.pendingConnection;
   }
 
-  /** Opens a connection and greets the peer; resolves after its greeting. */
+  /** Opens a connection and exchanges hello messages. */
   private connect(): Promise<Connection> {
     const {clock} = this.settings;
     return new Promise((resolve, reject) => {
-      const greeted = new AbortController();
+      const handshakeDone = new AbortController();
       const socket = createConnection(this.peer.port, this.peer.host);
       const connection = new Connection(
         socket,
         {
           onMessage: message => {
             if (message.type !== 'hello') {
-              this.onAnswer(connection, message);
-            } else if (this.isExpected(message.from, message.version)) {
-              greeted.abort();
+              this.onResponse(connection, message);
+            } else if (this.isExpectedPeer(message.from, message.version)) {
+              handshakeDone.abort();
               this.onOpen(connection);
               resolve(connection);
             } else {
-              connection.close(`${message.from} is there instead`);
+              connection.close(
+                `${message.from} responded, which is another instance or uses another protocol version`,
+              );
             }
           },
           onClose: problem => {
-            greeted.abort();
+            handshakeDone.abort();
             this.onClose(connection, problem);
-            reject(this.unavailable(problem));
+            reject(this.createUnavailableFailure(problem));
           },
         },
         this.counter,
@@ -205,21 +216,25 @@
       const {instance: from} = this.settings;
       const to = this.peer.instance;
       connection.send({type: 'hello', version: WIRE_VERSION, from, to});
-      void clock.sleep(this.options.connectTimeout, greeted.signal).then(() => {
-        if (!greeted.signal.aborted) {
-          connection.close('it did not answer in time');
-        }
-      });
+      void clock
+        .sleep(this.options.connectTimeout, handshakeDone.signal)
+        .then(() => {
+          if (!handshakeDone.signal.aborted) {
+            connection.close(
+              'no hello message arrived within the connect timeout',
+            );
+          }
+        });
     });
   }
 
-  private isExpected(from: string, version: number): boolean {
+  private isExpectedPeer(from: string, version: number): boolean {
     return from === this.peer.instance && version === WIRE_VERSION;
   }
 
   private onOpen(connection: Connection): void {
     this.connection = connection;
-    this.failures = 0;
+    this.consecutiveFailures = 0;
   }
 
   private onClose(connection: Connection, problem: string): void {
@@ -228,35 +243,35 @@
     }
     const {clock, logger} = this.settings;
     this.retryAt = clock.now() + this.chooseBackoff();
-    this.failures += 1;
+    this.consecutiveFailures += 1;
     logger.debug('peer-connection-closed', {peer: this.peer.instance, problem});
     this.rejectAll(problem);
   }
 
-  /** A connection that had worked is opened again at once. */
+  /** Chooses the delay before the next attempt to connect. A connection that had worked is reopened without delay. */
   private chooseBackoff(): Milliseconds {
     const {backoffBase, backoffCap} = this.options;
-    return this.failures === 0
+    return this.consecutiveFailures === 0
       ? 0
       : computeJitteredBackoff(
-          this.failures,
+          this.consecutiveFailures,
           backoffBase,
           backoffCap,
           this.settings.random,
         );
   }
 
-  private onAnswer(connection: Connection, message: Message): void {
+  private onResponse(connection: Connection, message: Message): void {
     if (message.type !== 'response' && message.type !== 'refusal') {
-      connection.close(`it sent an unexpected ${message.type}`);
+      connection.close(`unexpected message of type ${message.type}`);
       return;
     }
-    const call = this.pending.get(message.id);
+    const call = this.pendingCalls.get(message.id);
     if (!call) {
       this.counter.lateResponses += 1;
       return;
     }
-    this.pending.delete(message.id);
+    this.pendingCalls.delete(message.id);
     if (message.type === 'response') {
       call.resolve(message.body);
     } else {
@@ -264,7 +279,7 @@
     }
   }
 
-  private unavailable(problem: string): Failure {
+  private createUnavailableFailure(problem: string): Failure {
     return new Failure('peer-unavailable', {
       peer: this.peer.instance,
       problem,
@@ -272,8 +287,11 @@
   }
 }
 
+/** Translates a refusal; unknown error codes become `internal`. */
 function toFailure(refusal: Refusal): Failure {
   return refusal.code in ERROR_TEMPLATES
     ? new Failure(refusal.code as ErrorCode, refusal.details)
-    : new Failure('internal', {problem: `the peer failed: ${refusal.code}`});
+    : new Failure('internal', {
+        problem: `the peer responded with the unknown error code ${refusal.code}`,
+      });
 }
--- a/packages/wire/src/peer_server.ts
+++ b/packages/wire/src/peer_server.ts
@@ -1,4 +1,4 @@
-/** Answers the calls of peers. */
+/** Server of the peer protocol. */
 import {type Server, type Socket, createServer} from 'node:net';
 import type {AddressInfo} from 'node:net';
 import * as z from 'zod';
@@ -19,13 +19,13 @@
 } from './message.js';
 import {type WireOptions, applyDefaultOptions} from './wire_options.js';
 
-/** Runs a method for the instance `from`; its result goes back to it. */
+/** Handles a call of the instance `from`; the result is sent as the response. */
 export type PeerHandler<Body> = (body: Body, from: string) => Promise<unknown>;
 
-/** What a server needs. */
+/** Settings and dependencies of a server. */
 export interface PeerServerSettings {
   host: string;
-  /** 0 for any free port. */
+  /** Port to listen at; 0 selects a free port. */
   port: number;
   /** Name of this instance. */
   instance: string;
@@ -34,17 +34,18 @@
   options?: Partial<WireOptions>;
 }
 
-interface Method {
+/** Method with the schema of its body. */
+interface RegisteredMethod {
   schema: z.ZodType;
   handler: PeerHandler<never>;
 }
 
-/** Listens for peers and runs the registered methods. */
+/** Accepts connections of peers and executes the registered methods. */
 export class PeerServer implements ByteCounter {
   bytesSent = 0;
   bytesReceived = 0;
   private readonly options: WireOptions;
-  private readonly methods = new Map<string, Method>();
+  private readonly methods = new Map<string, RegisteredMethod>();
   private readonly sessions = new Set<Session>();
   private readonly server: Server;
 
@@ -53,7 +54,7 @@
     this.server = createServer(socket => this.onSocket(socket));
   }
 
-  /** Registers a method; its body is checked by `schema` first. */
+  /** Registers a method. Bodies are validated with `schema` first. */
   handle<Schema extends z.ZodType>(
     method: string,
     schema: Schema,
@@ -62,7 +63,7 @@
     this.methods.set(method, {schema, handler});
   }
 
-  /** Starts to listen; resolves to the port. */
+  /** Starts listening; resolves to the port. */
   start(): Promise<{port: number}> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
@@ -74,7 +75,7 @@
     });
   }
 
-  /** Stops to listen and drops all connections. */
+  /** Stops listening and closes all connections. */
   close(): Promise<void> {
     for (const session of this.sessions) {
       session.connection.close('this instance is stopping');
@@ -87,7 +88,7 @@
   }
 
   private onSocket(socket: Socket): void {
-    const session: Session = {from: undefined, requests: 0} as Session;
+    const session: Session = {peer: undefined, activeRequests: 0} as Session;
     session.connection = new Connection(
       socket,
       {
@@ -104,7 +105,7 @@
   private onClose(session: Session, problem: string): void {
     this.sessions.delete(session);
     this.settings.logger.debug('peer-connection-closed', {
-      peer: session.from,
+      peer: session.peer,
       problem,
     });
   }
@@ -114,16 +115,16 @@
       this.onHello(session, message.version, message.from, message.to);
       return;
     }
-    if (session.from === undefined) {
-      session.connection.close('it did not say who it is');
+    if (session.peer === undefined) {
+      session.connection.close('the peer did not send a hello message first');
       return;
     }
     if (message.type === 'request') {
-      void this.onRequest(session, session.from, message);
+      void this.onRequest(session, session.peer, message);
     } else if (message.type === 'notification') {
-      void this.onNotification(session.from, message);
+      void this.onNotification(session.peer, message);
     } else {
-      session.connection.close(`it sent an unexpected ${message.type}`);
+      session.connection.close(`unexpected message of type ${message.type}`);
     }
   }
 
@@ -133,7 +134,7 @@
     from: string,
     to: string,
   ): void {
-    session.from = from;
+    session.peer = from;
     session.connection.send({
       type: 'hello',
       version: WIRE_VERSION,
@@ -141,7 +142,9 @@
       to: from,
     });
     if (version !== WIRE_VERSION || to !== this.settings.instance) {
-      session.connection.close('it looks for another instance or version');
+      session.connection.close(
+        'the peer expects another instance or protocol version',
+      );
     }
   }
 
@@ -150,22 +153,26 @@
     from: string,
     request: Request,
   ): Promise<void> {
-    if (session.requests >= this.options.maxConcurrentRequests) {
-      reply(session, toRefusal(request.id, new Failure('overloaded')));
+    if (session.activeRequests >= this.options.maxConcurrentRequests) {
+      sendReply(session, toRefusal(request.id, new Failure('overloaded')));
       return;
     }
     const receivedAt = this.settings.clock.now();
-    session.requests += 1;
-    const answer = await this.answer(request, from);
-    session.requests -= 1;
+    session.activeRequests += 1;
+    const response = await this.executeRequest(request, from);
+    session.activeRequests -= 1;
     if (this.settings.clock.now() - receivedAt <= request.timeoutMs) {
-      reply(session, answer);
+      sendReply(session, response);
     }
   }
 
-  private async answer(request: Request, from: string): Promise<Message> {
+  /** Executes a request; a failure becomes a refusal. */
+  private async executeRequest(
+    request: Request,
+    from: string,
+  ): Promise<Message> {
     try {
-      const body = await this.run(request.method, request.body, from);
+      const body = await this.invokeMethod(request.method, request.body, from);
       return {type: 'response', id: request.id, body};
     } catch (error) {
       return toRefusal(request.id, error);
@@ -177,7 +184,7 @@
     notification: Notification,
   ): Promise<void> {
     try {
-      await this.run(notification.method, notification.body, from);
+      await this.invokeMethod(notification.method, notification.body, from);
     } catch (error) {
       this.settings.logger.warn('peer-notification-failed', {
         peer: from,
@@ -187,44 +194,48 @@
     }
   }
 
-  private async run(
+  /** Validates the body and calls the handler. Throws `not-found` for an unknown method and `bad-request` for an invalid body. */
+  private async invokeMethod(
     method: string,
     body: unknown,
     from: string,
   ): Promise<unknown> {
-    const found = this.methods.get(method);
-    if (!found) {
+    const registered = this.methods.get(method);
+    if (!registered) {
       throw new Failure('not-found', {kind: 'peer method', id: method});
     }
-    const parsed = found.schema.safeParse(body);
+    const parsed = registered.schema.safeParse(body);
     if (!parsed.success) {
       throw new Failure('bad-request', {
         problem: z.prettifyError(parsed.error),
       });
     }
-    return found.handler(parsed.data as never, from);
+    return registered.handler(parsed.data as never, from);
   }
 }
 
+/** State of one accepted connection. */
 interface Session {
   connection: Connection;
-  /** Undefined until the client said who it is. */
-  from: string | undefined;
-  /** Requests that are being handled. */
-  requests: number;
+  /** Name of the peer; undefined until its hello message arrives. */
+  peer: string | undefined;
+  /** Number of requests in progress. */
+  activeRequests: number;
 }
 
-function reply(session: Session, message: Message): void {
+/** Sends the response or refusal of a request. */
+function sendReply(session: Session, message: Message): void {
   try {
     session.connection.send(message);
   } catch (error) {
-    // An answer that is too long becomes a failure; a closed connection needs none.
+    // A response above the maximum frame size is replaced by a refusal. On a closed connection there is nothing to send.
     if (isFailure(error, 'frame-invalid') && message.type === 'response') {
-      reply(session, toRefusal(message.id, error));
+      sendReply(session, toRefusal(message.id, error));
     }
   }
 }
 
+/** Translates an error to a refusal; errors without a code become `internal`. */
 function toRefusal(id: number, error: unknown): Refusal {
   const failure = isFailure(error)
     ? error
--- a/packages/wire/src/testing/tcp_proxy.ts
+++ b/packages/wire/src/testing/tcp_proxy.ts
@@ -1,4 +1,4 @@
-/** A TCP relay for tests, which can lose track of its connections. */
+/** TCP proxy for tests, which can stall or block its connections. */
 import {
   type AddressInfo,
   type Socket,
@@ -7,32 +7,34 @@
 } from 'node:net';
 
 /**
- * What the relay does with bytes: passes them on, swallows them, or swallows
- * those of one direction.
+ * Handling of received bytes: forward them, discard all, or discard those of
+ * one direction: `cut-requests` those from the client, `cut-answers` those from
+ * the server.
  */
-export type RelayMode = 'open' | 'silent' | 'cut-requests' | 'cut-answers';
+export type ProxyMode = 'open' | 'silent' | 'cut-requests' | 'cut-answers';
 
-interface RelayedConnection {
-  near: Socket;
-  far: Socket;
-  mode: RelayMode;
+/** Sockets of one proxied connection. */
+interface ProxiedConnection {
+  clientSocket: Socket;
+  serverSocket: Socket;
+  mode: ProxyMode;
 }
 
-/** Passes connections on to one port of the loopback interface. */
+/** Forwards connections to one port of the loopback interface. */
 export class TcpProxy {
   private readonly server = createServer(socket => this.onSocket(socket));
-  private readonly connections = new Set<RelayedConnection>();
-  private mode: RelayMode = 'open';
+  private readonly connections = new Set<ProxiedConnection>();
+  private mode: ProxyMode = 'open';
 
   constructor(private readonly targetPort: number) {}
 
-  /** Connections that were opened so far. */
+  /** Number of connections opened so far. */
   openedConnections = 0;
-  /** Bytes that came from the near ends, and from the far ends. */
+  /** Numbers of bytes received from clients and from the server. */
   bytesFromClients = 0;
   bytesFromServer = 0;
 
-  /** Starts to listen; resolves to the port. */
+  /** Starts listening; resolves to the port. */
   start(): Promise<number> {
     return new Promise(resolve => {
       this.server.listen(0, '127.0.0.1', () =>
@@ -41,57 +43,61 @@
     });
   }
 
-  /** Sets the mode of present and future connections. */
-  setMode(mode: RelayMode): void {
+  /** Sets the mode of current and future connections. */
+  setMode(mode: ProxyMode): void {
     this.mode = mode;
     for (const connection of this.connections) {
       connection.mode = mode;
     }
   }
 
-  /** Makes the present connections silent for good; new ones work. */
+  /** Discards all further bytes of the current connections; new connections work. */
   stallConnections(): void {
     for (const connection of this.connections) {
       connection.mode = 'silent';
     }
   }
 
-  /** Sends bytes to the near end of every connection. */
+  /** Sends bytes to the client of every connection. */
   inject(bytes: Buffer): void {
-    for (const {near} of this.connections) {
-      near.write(bytes);
+    for (const {clientSocket} of this.connections) {
+      clientSocket.write(bytes);
     }
   }
 
-  /** Drops all connections and stops to listen. */
+  /** Closes all connections and stops listening. */
   close(): Promise<void> {
-    for (const {near, far} of this.connections) {
-      near.destroy();
-      far.destroy();
+    for (const {clientSocket, serverSocket} of this.connections) {
+      clientSocket.destroy();
+      serverSocket.destroy();
     }
     return new Promise(resolve => this.server.close(() => resolve()));
   }
 
-  private onSocket(near: Socket): void {
+  private onSocket(clientSocket: Socket): void {
     this.openedConnections += 1;
-    const far = createConnection(this.targetPort, '127.0.0.1');
-    const connection: RelayedConnection = {near, far, mode: this.mode};
+    const serverSocket = createConnection(this.targetPort, '127.0.0.1');
+    const connection: ProxiedConnection = {
+      clientSocket,
+      serverSocket,
+      mode: this.mode,
+    };
     this.connections.add(connection);
-    near.on('data', data => {
+    clientSocket.on('data', data => {
       this.bytesFromClients += data.length;
-      pass(connection, far, 'cut-requests', data);
+      forward(connection, serverSocket, 'cut-requests', data);
     });
-    far.on('data', data => {
+    serverSocket.on('data', data => {
       this.bytesFromServer += data.length;
-      pass(connection, near, 'cut-answers', data);
+      forward(connection, clientSocket, 'cut-answers', data);
     });
     for (const [end, other] of [
-      [near, far],
-      [far, near],
+      [clientSocket, serverSocket],
+      [serverSocket, clientSocket],
     ] as const) {
       end.on('error', () => undefined);
       end.on('close', () => {
-        // A connection that the relay lost track of tells neither end.
+        // A stalled or blocked connection does not report the close to the other side.
         if (connection.mode === 'open') {
           other.destroy();
           this.connections.delete(connection);
@@ -101,15 +107,16 @@
   }
 }
 
-function pass(
-  connection: RelayedConnection,
+/** Writes data to a socket unless the connection's mode discards it; `droppedBy` is the mode for this direction. */
+function forward(
+  connection: ProxiedConnection,
   to: Socket,
-  cutBy: RelayMode,
+  droppedBy: ProxyMode,
   data: string | Buffer,
 ): void {
   if (connection.mode === 'open') {
     to.write(data);
-  } else if (connection.mode !== 'silent' && connection.mode !== cutBy) {
+  } else if (connection.mode !== 'silent' && connection.mode !== droppedBy) {
     to.write(data);
   }
 }
--- a/packages/wire/src/wire_options.ts
+++ b/packages/wire/src/wire_options.ts
@@ -1,30 +1,30 @@
-/** Limits and intervals of the peer protocol. */
+/** Options of the peer protocol. */
 import type {Milliseconds} from '@galenavalve/shared';
 
-/** Limits and intervals of one end of the peer protocol. */
+/** Limits and intervals of one side of the peer protocol. */
 export interface WireOptions {
-  /** Largest frame that is sent or accepted, without its length, in bytes. */
+  /** Maximum payload size of frames that are sent or accepted. */
   maxFrameBytes: number;
-  /** Most bytes that wait for a peer that does not read; the connection is dropped above it. */
+  /** Maximum number of buffered bytes for a peer that does not read; the connection is closed above it. */
   maxBufferedBytes: number;
-  /** Most requests of one connection that are handled at once. */
+  /** Maximum number of concurrent requests of one connection. */
   maxConcurrentRequests: number;
-  /** Longest time in which an open connection sends nothing. */
+  /** Time without sent messages after which a ping is sent. */
   heartbeatInterval: Milliseconds;
-  /** Silence of the other end after which a connection is dropped. */
+  /** Time without received bytes after which a connection is closed. */
   silenceTimeout: Milliseconds;
-  /** A call of at least this length that times out drops a connection that brought nothing meanwhile. */
+  /** Minimum duration of a timed-out call that closes its connection if nothing was received during the call. */
   minSilentCallDuration: Milliseconds;
-  /** Time within which a connection must be opened and greeted. */
+  /** Timeout for opening a connection and receiving the peer's hello message. */
   connectTimeout: Milliseconds;
-  /** A client closes a connection that was not used for this long. */
+  /** Time without calls after which a client closes a connection. */
   idleTimeout: Milliseconds;
-  /** First and longest wait before a failed connection is opened again. */
+  /** Base and maximum of the backoff before a failed connection is reopened. */
   backoffBase: Milliseconds;
   backoffCap: Milliseconds;
 }
 
-/** The options that hold where none are given. */
+/** Default options. */
 export const DEFAULT_WIRE_OPTIONS: WireOptions = {
   maxFrameBytes: 1_048_576,
   maxBufferedBytes: 4_194_304,
@@ -38,7 +38,7 @@
   backoffCap: 2000,
 };
 
-/** Fills in the options that are not given. */
+/** Returns `options` completed with the defaults. */
 export function applyDefaultOptions(
   options: Partial<WireOptions> = {},
 ): WireOptions {
