--- a/packages/placement/__tests__/cells_configure.spec.ts
+++ b/packages/placement/__tests__/cells_configure.spec.ts
@@ -4,7 +4,7 @@
 import {createConfiguration, createJob} from './fixtures.js';
 
 const policy = new GuaranteePolicy();
-const before = createConfiguration(
+const initialConfiguration = createConfiguration(
   [
     {id: 'jnb', racks: 1, targetsPerRack: 2},
     {id: 'cpt', racks: 1, targetsPerRack: 1},
@@ -12,7 +12,8 @@
   {w: [{level: 'target', count: 1, domain: 'jnb'}]},
 );
 
-function change<T extends object>(
+/** Returns a copy of the map in which the fields of one entity are replaced. */
+function replaceFields<T extends object>(
   values: ReadonlyMap<string, T>,
   id: string,
   fields: Partial<T>,
@@ -21,44 +22,57 @@
   return new Map(values).set(id, {...value, ...fields});
 }
 
-function configure(next: Partial<Configuration>): Cells {
-  const cells = new Cells('jnb', before);
+/** Creates cells with `initialConfiguration`, runs a pass, and applies a changed configuration. */
+function createReconfiguredCells(next: Partial<Configuration>): Cells {
+  const cells = new Cells('jnb', initialConfiguration);
   policy.decide(cells, [createJob('first', {accelerators: 8})], 0);
-  cells.configure({...before, ...next});
+  cells.configure({...initialConfiguration, ...next});
   return cells;
 }
 
-t.test('a new configuration', async t => {
-  t.test('keeps the cells when the domain holds the same', async t => {
-    const kept = new Cells('jnb', before);
-    const {targets} = kept;
-    kept.configure({
-      ...before,
-      workspaces: change(before.workspaces, 'w', {weight: 5}),
-      domains: change(before.domains, 'cpt', {state: 'out'}),
-      rules: {...before.rules, borrowing: false},
+t.test('applying a new configuration', async t => {
+  t.test('keeps the cells if the domain is unchanged', async t => {
+    const cells = new Cells('jnb', initialConfiguration);
+    const {targets} = cells;
+    cells.configure({
+      ...initialConfiguration,
+      workspaces: replaceFields(initialConfiguration.workspaces, 'w', {
+        weight: 5,
+      }),
+      domains: replaceFields(initialConfiguration.domains, 'cpt', {
+        state: 'out',
+      }),
+      rules: {...initialConfiguration.rules, borrowing: false},
     });
-    t.equal(kept.targets, targets);
-    t.equal(kept.rules.borrowing, false);
-    t.equal(kept.configuration.workspaces.get('w')?.weight, 5);
+    t.equal(cells.targets, targets);
+    t.equal(cells.rules.borrowing, false);
+    t.equal(cells.configuration.workspaces.get('w')?.weight, 5);
   });
 
-  t.test('takes targets out', async t => {
-    const states = change(before.targets, 'jnb-r0-t0', {state: 'out'});
-    const targets = change(states, 'jnb-r0-t1', {state: 'out'});
-    const cells = configure({targets});
+  t.test('places nothing on targets that it takes out of service', async t => {
+    const states = replaceFields(initialConfiguration.targets, 'jnb-r0-t0', {
+      state: 'out',
+    });
+    const targets = replaceFields(states, 'jnb-r0-t1', {state: 'out'});
+    const cells = createReconfiguredCells({targets});
     const job = createJob('j', {accelerators: 8});
     t.same(policy.decide(cells, [job], 0).placements, []);
   });
 
-  t.test('takes the domain out', async t => {
-    const domains = change(before.domains, 'jnb', {state: 'out'});
-    t.notOk(configure({domains}).isInService);
+  t.test('takes the domain out of service', async t => {
+    const domains = replaceFields(initialConfiguration.domains, 'jnb', {
+      state: 'out',
+    });
+    t.notOk(createReconfiguredCells({domains}).isInService);
   });
 
-  t.test('changes what is promised', async t => {
+  t.test('updates the guarantees of the domain', async t => {
     const guarantees = [{level: 'half' as const, count: 3, domain: 'jnb'}];
-    const workspaces = change(before.workspaces, 'w', {guarantees});
-    t.match(configure({workspaces}).guarantees, [{level: 'half', count: 3}]);
+    const workspaces = replaceFields(initialConfiguration.workspaces, 'w', {
+      guarantees,
+    });
+    t.match(createReconfiguredCells({workspaces}).guarantees, [
+      {level: 'half', count: 3},
+    ]);
   });
 });
--- a/packages/placement/__tests__/fixtures.ts
+++ b/packages/placement/__tests__/fixtures.ts
@@ -11,7 +11,10 @@
 } from '@galenavalve/model';
 import type {WaitingJob} from '../src/index.js';
 
-/** A domain of `racks` racks with `targetsPerRack` targets each. */
+/**
+ * A domain of `racks` racks with `targetsPerRack` targets each, by default with
+ * 8 accelerators per target.
+ */
 export interface DomainPlan {
   id: string;
   racks: number;
@@ -19,6 +22,7 @@
   accelerators?: number;
 }
 
+/** Creates a configuration in which all domains and targets are in service. */
 export function createConfiguration(
   plans: DomainPlan[],
   guarantees: Record<string, Guarantee[]> = {w: []},
@@ -41,12 +45,13 @@
     }
   }
   const workspaces = new Map<string, Workspace>();
-  for (const [id, promised] of Object.entries(guarantees)) {
-    workspaces.set(id, createWorkspace(id, promised));
+  for (const [id, workspaceGuarantees] of Object.entries(guarantees)) {
+    workspaces.set(id, createWorkspace(id, workspaceGuarantees));
   }
   return {domains, targets, workspaces, rules: {...DEFAULT_RULES, ...rules}};
 }
 
+/** Creates a workspace of weight 1. */
 export function createWorkspace(
   id: string,
   guarantees: Guarantee[],
@@ -61,6 +66,7 @@
   };
 }
 
+/** Creates a job of workspace `w`, by default one task with one accelerator. */
 export function createJob(
   jobId: string,
   gang: {
--- a/packages/placement/__tests__/guarantee.property.spec.ts
+++ b/packages/placement/__tests__/guarantee.property.spec.ts
@@ -16,18 +16,18 @@
 const policy = new GuaranteePolicy();
 const workspaces = ['a', 'b', 'c'];
 
-const level = fc.constantFrom<CellLevel>(
+const levelArbitrary = fc.constantFrom<CellLevel>(
   'accelerator',
   'half',
   'target',
   'rack',
 );
-const promise = fc.record({
+const guaranteeArbitrary = fc.record({
   workspace: fc.constantFrom(...workspaces),
-  level,
+  level: levelArbitrary,
   count: fc.integer({min: 1, max: 2}),
 });
-const shape = fc.record({
+const shapeArbitrary = fc.record({
   tasks: fc.integer({min: 1, max: 4}),
   accelerators: fc.integer({min: 0, max: 4}),
   adjacency: fc.constantFrom<'target' | 'rack' | 'domain'>(
@@ -36,13 +36,13 @@
     'domain',
   ),
 });
-const step = fc.oneof(
+const stepArbitrary = fc.oneof(
   {
     weight: 5,
     arbitrary: fc.record({
       type: fc.constant('submit' as const),
       workspace: fc.constantFrom(...workspaces),
-      shape,
+      shape: shapeArbitrary,
       checkpointable: fc.boolean(),
     }),
   },
@@ -54,11 +54,11 @@
     }),
   },
 );
-const permitted = fc.option(fc.subarray(workspaces, {minLength: 1}), {
+const permittedArbitrary = fc.option(fc.subarray(workspaces, {minLength: 1}), {
   nil: undefined,
 });
 
-/** Runs the decisions of one domain as its scheduler would. */
+/** Applies the decisions of one domain as its scheduler does, except that victims stop at once. */
 class Driver {
   queue: WaitingJob[] = [];
   now = 0;
@@ -93,12 +93,12 @@
   }
 }
 
-function configurationOf(
-  promises: {workspace: string; level: CellLevel; count: number}[],
+function createGuaranteeConfiguration(
+  cellGuarantees: {workspace: string; level: CellLevel; count: number}[],
   permissions: (string[] | undefined)[] = [],
 ) {
   const guarantees: Record<string, Guarantee[]> = {a: [], b: [], c: []};
-  for (const {workspace, level, count} of promises) {
+  for (const {workspace, level, count} of cellGuarantees) {
     guarantees[workspace]!.push({level, count});
   }
   const configuration = createConfiguration(
@@ -111,51 +111,59 @@
   return configuration;
 }
 
-function cellsOf(configuration: ReturnType<typeof configurationOf>) {
+function createCells(
+  configuration: ReturnType<typeof createGuaranteeConfiguration>,
+) {
   return new Cells('d', configuration);
 }
 
-t.test('a shortfall is found exactly when no packing exists', async () => {
+t.test('a shortfall is found if and only if no packing exists', async () => {
   fc.assert(
-    fc.property(fc.array(promise, {maxLength: 5}), promises => {
-      const configuration = configurationOf(promises);
-      const own = apportionGuarantees(configuration).get('d')!;
+    fc.property(fc.array(guaranteeArbitrary, {maxLength: 5}), guarantees => {
+      const configuration = createGuaranteeConfiguration(guarantees);
+      const assigned = apportionGuarantees(configuration).get('d')!;
       const isShort = findShortfalls(configuration).length > 0;
-      return isShort !== isSatisfiable(cellsOf(configuration), own);
+      return isShort !== isSatisfiable(createCells(configuration), assigned);
     }),
     {seed: SEED, numRuns: 500},
   );
 });
 
-t.test('permissions never hide a shortfall of whole targets', async () => {
-  const wholeTargets = promise.map(one => ({...one, level: 'target' as const}));
+t.test('permitted workspaces hide no shortfall of whole targets', async () => {
+  const wholeTargets = guaranteeArbitrary.map(item => ({
+    ...item,
+    level: 'target' as const,
+  }));
   fc.assert(
     fc.property(
       fc.array(wholeTargets, {maxLength: 4}),
-      fc.array(permitted, {minLength: 4, maxLength: 4}),
-      (promises, permissions) => {
-        const configuration = configurationOf(promises, permissions);
-        const own = apportionGuarantees(configuration).get('d')!;
+      fc.array(permittedArbitrary, {minLength: 4, maxLength: 4}),
+      (guarantees, permissions) => {
+        const configuration = createGuaranteeConfiguration(
+          guarantees,
+          permissions,
+        );
+        const assigned = apportionGuarantees(configuration).get('d')!;
         const isShort = findShortfalls(configuration).length > 0;
-        return isShort !== isSatisfiable(cellsOf(configuration), own);
+        return isShort !== isSatisfiable(createCells(configuration), assigned);
       },
     ),
     {seed: SEED, numRuns: 500},
   );
 });
 
-t.test('at every moment', async t => {
+t.test('after any sequence of steps', async t => {
   t.test('all unused guarantees can be satisfied at once', async () => {
     fc.assert(
       fc.property(
-        fc.array(promise, {maxLength: 5}),
-        fc.array(step, {maxLength: 30}),
-        (promises, steps) => {
-          const configuration = configurationOf(promises);
+        fc.array(guaranteeArbitrary, {maxLength: 5}),
+        fc.array(stepArbitrary, {maxLength: 30}),
+        (guarantees, steps) => {
+          const configuration = createGuaranteeConfiguration(guarantees);
           fc.pre(findShortfalls(configuration).length === 0);
-          const driver = new Driver(cellsOf(configuration));
-          return steps.every((one, i) => {
-            run(driver, one, i);
+          const driver = new Driver(createCells(configuration));
+          return steps.every((item, i) => {
+            runStep(driver, item, i);
             const {cells} = driver;
             return (
               cells.unplacedCells.length === 0 &&
@@ -171,23 +179,25 @@
   t.test('an unused guaranteed shape starts after one reclaim', async () => {
     fc.assert(
       fc.property(
-        fc.array(promise, {minLength: 1, maxLength: 5}),
-        fc.array(step, {maxLength: 30}),
-        (promises, steps) => {
-          const configuration = configurationOf(promises);
+        fc.array(guaranteeArbitrary, {minLength: 1, maxLength: 5}),
+        fc.array(stepArbitrary, {maxLength: 30}),
+        (guarantees, steps) => {
+          const configuration = createGuaranteeConfiguration(guarantees);
           fc.pre(findShortfalls(configuration).length === 0);
-          const driver = new Driver(cellsOf(configuration));
-          steps.forEach((one, i) => run(driver, one, i));
+          const driver = new Driver(createCells(configuration));
+          steps.forEach((item, i) => runStep(driver, item, i));
           driver.queue = [];
-          const {guaranteedCells: homes} = driver.cells;
+          const {guaranteedCells} = driver.cells;
           for (const workspace of workspaces) {
-            // Starting a job moves homes, so the set is copied first.
-            for (const home of [...homes.getWorkspace(workspace).cells]) {
-              const isUnused = !homes.isBound(home);
-              if (isUnused && !startsAfterReclaim(driver, home, false)) {
+            // Starting a job relocates cells, so the set is copied first.
+            for (const cell of [
+              ...guaranteedCells.getWorkspace(workspace).cells,
+            ]) {
+              const isUnused = !guaranteedCells.isBound(cell);
+              if (isUnused && !canStartAfterReclaim(driver, cell, false)) {
                 return false;
               }
-              if (isUnused && !startsAfterReclaim(driver, home, true)) {
+              if (isUnused && !canStartAfterReclaim(driver, cell, true)) {
                 return false;
               }
             }
@@ -200,44 +210,44 @@
   });
 });
 
-function run(
+function runStep(
   driver: Driver,
-  one: typeof step extends fc.Arbitrary<infer T> ? T : never,
+  item: typeof stepArbitrary extends fc.Arbitrary<infer T> ? T : never,
   index: number,
 ): void {
-  if (one.type === 'submit') {
-    const {workspace, checkpointable} = one;
+  if (item.type === 'submit') {
+    const {workspace, checkpointable} = item;
     driver.queue.push(
-      createJob(`j${index}`, one.shape, {
+      createJob(`j${index}`, item.shape, {
         workspace,
         checkpointable,
         submittedAt: driver.now,
       }),
     );
   } else {
-    driver.finish(one.pick);
+    driver.finish(item.pick);
   }
   driver.pass();
 }
 
 /**
- * Submits a job of the shape of a home, and takes it away again. A job that
- * may not be repeated must start within the guarantee; a repeatable one may
- * start on other free capacity instead.
+ * Submits a job with the shape of a guaranteed cell, removes it again, and
+ * returns whether it started. A job that is not repeatable must start within the
+ * guarantee; a repeatable job may start on other free capacity instead.
  */
-function startsAfterReclaim(
+function canStartAfterReclaim(
   driver: Driver,
-  home: GuaranteedCell,
+  cell: GuaranteedCell,
   repeatable: boolean,
 ): boolean {
-  const tasks = home.slices.length;
+  const tasks = cell.slices.length;
   const accelerators =
-    home.level === 'half' ? 2 : home.level === 'accelerator' ? 1 : 4;
-  const adjacency = home.level === 'rack' ? 'rack' : 'target';
+    cell.level === 'half' ? 2 : cell.level === 'accelerator' ? 1 : 4;
+  const adjacency = cell.level === 'rack' ? 'rack' : 'target';
   const job = createJob(
     'shape',
     {tasks, accelerators, adjacency},
-    {workspace: home.workspace, submittedAt: driver.now, repeatable},
+    {workspace: cell.workspace, submittedAt: driver.now, repeatable},
   );
   driver.queue = [job];
   const placements = [driver.pass(), driver.pass()].flatMap(
--- a/packages/placement/__tests__/guarantee.spec.ts
+++ b/packages/placement/__tests__/guarantee.spec.ts
@@ -15,19 +15,19 @@
   targetsPerRack: 8,
 }));
 
-t.test('guarantees', async t => {
-  t.test('are apportioned over domains, in total as promised', async t => {
+t.test('guarantees of workspaces', async t => {
+  t.test('are apportioned over domains without loss', async t => {
     const configuration = createConfiguration(plans, {
       w: [{level: 'target', count: 7}],
     });
     const counts = [...apportionGuarantees(configuration).values()].map(
-      promises => promises.reduce((sum, {count}) => sum + count, 0),
+      guarantees => guarantees.reduce((sum, {count}) => sum + count, 0),
     );
     t.same(counts.sort(), [2, 2, 3]);
     t.same(findShortfalls(configuration), []);
   });
 
-  t.test('beyond the inventory are refused by name', async t => {
+  t.test('beyond the inventory are reported as shortfalls', async t => {
     const configuration = createConfiguration(plans, {
       w: [{level: 'rack', count: 4}],
     });
@@ -36,7 +36,7 @@
     ]);
   });
 
-  t.test('are short, and stay apportioned, while a domain is out', async t => {
+  t.test('stay apportioned, and are short, while a domain is out', async t => {
     const configuration = createConfiguration(plans, {
       w: [{level: 'rack', count: 3}],
     });
@@ -58,7 +58,7 @@
   });
 });
 
-t.test('a reclaim', async t => {
+t.test('a reclaim for a guaranteed job', async t => {
   const configuration = createConfiguration(
     [{id: 'd', racks: 1, targetsPerRack: 2}],
     {w: [{level: 'target', count: 1}], b: []},
@@ -79,7 +79,7 @@
   }
   const job = createJob('j', {tasks: 8, adjacency: 'target'});
 
-  t.test('stops whole gangs, and starts when they are gone', async t => {
+  t.test('stops whole gangs; the job starts once they have ended', async t => {
     const {reclaims, placements} = policy.decide(cells, [job], 100_000);
     t.equal(placements.length, 0);
     t.equal(reclaims[0]?.victims.length, 1);
@@ -89,7 +89,7 @@
   });
 });
 
-t.test('the baselines place gangs whole too', async t => {
+t.test('the baseline policies place complete gangs too', async t => {
   const configuration = createConfiguration(plans, {
     w: [{level: 'target', count: 3}],
   });
--- a/packages/placement/__tests__/guarantee_check.spec.ts
+++ b/packages/placement/__tests__/guarantee_check.spec.ts
@@ -57,7 +57,7 @@
   };
 }
 
-const draft = fc.record({
+const draftArbitrary = fc.record({
   domains: fc.uniqueArray(
     fc.record({id: fc.constantFrom(...DOMAINS), isOut: fc.boolean()}),
     {minLength: 1, selector: ({id}) => id},
@@ -83,12 +83,13 @@
   ),
 });
 
-t.test(
-  'the verdict does not depend on whether the search was spared',
-  async t => {
-    let accepted = 0;
-    const property = fc.property(draft, draft, (before, after) => {
-      // Keep some parts as they were, as a change does.
+t.test('a skipped search does not change the result of the check', async t => {
+  let accepted = 0;
+  const property = fc.property(
+    draftArbitrary,
+    draftArbitrary,
+    (before, after) => {
+      // Each change replaces one part of the configuration, as changes by operators do.
       const previous = createConfiguration(before);
       for (const part of ['domains', 'targets', 'workspaces'] as const) {
         const next = createConfiguration({...before, [part]: after[part]});
@@ -101,8 +102,11 @@
           findGuaranteeFailure(next),
         );
       }
-    });
-    fc.assert(property, {numRuns: 500, seed: 41});
-    t.ok(accepted > 100, `${accepted} changes of an accepted configuration`);
-  },
-);
+    },
+  );
+  fc.assert(property, {numRuns: 500, seed: 41});
+  t.ok(
+    accepted > 100,
+    `${accepted} changes started from an accepted configuration`,
+  );
+});
--- a/packages/placement/__tests__/guarantee_policy.spec.ts
+++ b/packages/placement/__tests__/guarantee_policy.spec.ts
@@ -4,8 +4,8 @@
 
 const policy = new GuaranteePolicy();
 
-t.test('a gang', async t => {
-  t.test('is placed whole, within the level that it asks for', async t => {
+t.test('a submitted gang', async t => {
+  t.test('is placed completely, within its required adjacency', async t => {
     const cells = policy.createCells(
       'd',
       createConfiguration([{id: 'd', racks: 2, targetsPerRack: 2}]),
@@ -24,7 +24,7 @@
     t.equal(new Set(racks).size, 1);
   });
 
-  t.test('is refused at once when no level can hold it', async t => {
+  t.test('is infeasible if no part of the domain can hold it', async t => {
     const cells = policy.createCells(
       'd',
       createConfiguration([{id: 'd', racks: 2, targetsPerRack: 2}]),
--- a/packages/placement/__tests__/oracle.ts
+++ b/packages/placement/__tests__/oracle.ts
@@ -1,30 +1,31 @@
-/** A brute-force check of promises on small inventories. */
+/** Brute-force check of guarantees on small inventories, as a reference for the planner. */
 import type {CellLevel} from '@galenavalve/model';
 import type {Cells, DomainGuarantee, RunningGang} from '../src/index.js';
 
-/** Accelerators by target. */
+/** Accelerator masks by target id. */
 type Block = ReadonlyMap<string, number>;
 
+/** A cell to place, and the blocks on which it may be placed. */
 interface WantedCell {
   workspace: string;
   blocks: Block[];
 }
 
 /**
- * Whether all promised cells fit at once, each workspace's guaranteed gangs
- * inside its own cells, as if nothing else ran.
+ * Returns whether all guaranteed cells fit at once, with the guaranteed gangs of
+ * each workspace inside its own cells, as if nothing else ran.
  */
 export function isSatisfiable(
   cells: Cells,
-  promises: readonly DomainGuarantee[],
+  guarantees: readonly DomainGuarantee[],
 ): boolean {
   const gangs = [...cells.listGangs()].filter(gang => gang.guaranteed);
   const wanted: WantedCell[] = [];
-  for (const {workspace, level, count} of promises) {
-    const own = gangs.filter(gang => gang.workspace === workspace);
+  for (const {workspace, level, count} of guarantees) {
+    const ownGangs = gangs.filter(gang => gang.workspace === workspace);
     const isUsed = (block: Block) =>
-      own.some(gang => overlaps(blockOf(gang), block));
-    // Blocks that are used already are tried first.
+      ownGangs.some(gang => overlaps(toBlock(gang), block));
+    // Tries blocks first on which guaranteed gangs already run.
     const blocks = listBlocks(cells, workspace, level).sort(
       (a, b) => Number(isUsed(b)) - Number(isUsed(a)),
     );
@@ -33,10 +34,14 @@
     }
   }
   wanted.sort((a, b) => (a.workspace < b.workspace ? -1 : 1));
-  return search(wanted, 0, 0, [], gangs);
+  return canPlaceFrom(wanted, 0, 0, [], gangs);
 }
 
-function search(
+/**
+ * Returns whether the cells from `index` on can be placed, the first on a block
+ * from `start` on; searches depth first.
+ */
+function canPlaceFrom(
   wanted: WantedCell[],
   index: number,
   start: number,
@@ -44,11 +49,11 @@
   gangs: RunningGang[],
 ): boolean {
   const cell = wanted[index];
-  // Once all cells of a workspace have a place, its gangs must lie inside them.
-  const done = wanted[index - 1]?.workspace;
-  if (done !== undefined && done !== cell?.workspace) {
-    const own = gangs.filter(gang => gang.workspace === done);
-    if (!own.every(gang => isCovered(gang, chosen))) {
+  // Once all cells of a workspace are placed, its gangs must lie inside them.
+  const completed = wanted[index - 1]?.workspace;
+  if (completed !== undefined && completed !== cell?.workspace) {
+    const ownGangs = gangs.filter(gang => gang.workspace === completed);
+    if (!ownGangs.every(gang => isCovered(gang, chosen))) {
       return false;
     }
   }
@@ -61,15 +66,17 @@
       chosen.every(other => !overlaps(other.block, block)) &&
       gangs.every(
         gang =>
-          gang.workspace === cell.workspace || !overlaps(blockOf(gang), block),
+          gang.workspace === cell.workspace || !overlaps(toBlock(gang), block),
       );
     if (!isFree) {
       continue;
     }
     chosen.push({workspace: cell.workspace, block});
-    // Equal cells are tried in one order only.
-    const isSame = wanted[index + 1]?.blocks === cell.blocks;
-    if (search(wanted, index + 1, isSame ? i + 1 : 0, chosen, gangs)) {
+    // Equal cells are interchangeable, so only one order of them is tried.
+    const isEqualCell = wanted[index + 1]?.blocks === cell.blocks;
+    if (
+      canPlaceFrom(wanted, index + 1, isEqualCell ? i + 1 : 0, chosen, gangs)
+    ) {
       return true;
     }
     chosen.pop();
@@ -85,12 +92,14 @@
   const targets = [...cells.targets.values()].filter(
     target => target.isSchedulable && target.permits(workspace),
   );
-  const whole = (id: string, count: number): [string, number] => [
+  const toFullEntry = (id: string, count: number): [string, number] => [
     id,
     2 ** count - 1,
   ];
   if (level === 'target') {
-    return targets.map(({id, spec}) => new Map([whole(id, spec.accelerators)]));
+    return targets.map(
+      ({id, spec}) => new Map([toFullEntry(id, spec.accelerators)]),
+    );
   }
   if (level === 'half') {
     return targets.flatMap(({id, spec}) => {
@@ -114,11 +123,12 @@
   return groups
     .filter(group => group.every(target => targets.includes(target)))
     .map(
-      group => new Map(group.map(({id, spec}) => whole(id, spec.accelerators))),
+      group =>
+        new Map(group.map(({id, spec}) => toFullEntry(id, spec.accelerators))),
     );
 }
 
-function blockOf(gang: RunningGang): Block {
+function toBlock(gang: RunningGang): Block {
   return new Map(
     gang.assignments.map(({target, accelerators}) => [target, accelerators]),
   );
@@ -133,9 +143,9 @@
   chosen: readonly {workspace: string; block: Block}[],
 ): boolean {
   return gang.assignments.every(({target, accelerators}) => {
-    const own = chosen
+    const coveredMask = chosen
       .filter(({workspace}) => workspace === gang.workspace)
       .reduce((mask, {block}) => mask | (block.get(target) ?? 0), 0);
-    return (accelerators & ~own) === 0;
+    return (accelerators & ~coveredMask) === 0;
   });
 }
--- a/packages/placement/__tests__/reservation.spec.ts
+++ b/packages/placement/__tests__/reservation.spec.ts
@@ -5,7 +5,10 @@
 const LARGE_WAIT_SECONDS = 3600;
 const policy = new GuaranteePolicy();
 
-/** A rack in which one small gang runs until 2,000 s, and a large job that waits since 0 s. */
+/**
+ * Creates a rack in which one small gang runs until 2,000 s, and a large job
+ * that was submitted at 0 s.
+ */
 function createFixture() {
   const configuration = createConfiguration(
     [{id: 'd', racks: 1, targetsPerRack: 2}],
@@ -29,7 +32,8 @@
   return {cells, large};
 }
 
-function startedAt(
+/** Returns the jobs that a pass starts `seconds` after the submission of the large job. */
+function listStartedJobs(
   {cells, large}: ReturnType<typeof createFixture>,
   small: WaitingJob,
   seconds: number,
@@ -39,19 +43,22 @@
 }
 
 t.test('while the oldest large job waits', async t => {
-  t.test('short work fills its place, long work does not', async t => {
-    const fixture = createFixture();
-    const short = createJob('small', {}, {expectedSeconds: 500});
-    const long = createJob('small', {}, {expectedSeconds: 5000});
-    t.same(startedAt(fixture, short, 1000), ['small']);
-    t.same(startedAt(fixture, long, 1000), []);
-  });
+  t.test(
+    'a short job backfills its reservation, and a long job does not',
+    async t => {
+      const fixture = createFixture();
+      const short = createJob('small', {}, {expectedSeconds: 500});
+      const long = createJob('small', {}, {expectedSeconds: 5000});
+      t.same(listStartedJobs(fixture, short, 1000), ['small']);
+      t.same(listStartedJobs(fixture, long, 1000), []);
+    },
+  );
 
-  t.test('nothing overtakes it after largeJobWaitSeconds', async t => {
+  t.test('no job overtakes it after largeJobWaitSeconds', async t => {
     const fixture = createFixture();
     const short = createJob('small', {}, {expectedSeconds: 1});
-    t.same(startedAt(fixture, short, LARGE_WAIT_SECONDS), []);
+    t.same(listStartedJobs(fixture, short, LARGE_WAIT_SECONDS), []);
     fixture.cells.removeGang('running');
-    t.same(startedAt(fixture, short, LARGE_WAIT_SECONDS + 1), ['large']);
+    t.same(listStartedJobs(fixture, short, LARGE_WAIT_SECONDS + 1), ['large']);
   });
 });
--- a/packages/placement/__tests__/routing.spec.ts
+++ b/packages/placement/__tests__/routing.spec.ts
@@ -8,7 +8,7 @@
 } from '../src/index.js';
 import {createConfiguration, createJob} from './fixtures.js';
 
-function summary(
+function createSummary(
   domain: string,
   overrides: Partial<DomainSummary> = {},
 ): DomainSummary {
@@ -22,41 +22,44 @@
   };
 }
 
-t.test('a job is routed', async t => {
-  t.test('to where it can start, the fullest rack first', async t => {
+t.test('a new job is routed', async t => {
+  t.test('to a domain where it can start, the fullest rack first', async t => {
     const route = chooseDomain([
-      summary('a', {startOption: 'borrowed', rackFree: 64}),
-      summary('b', {startOption: 'borrowed', rackFree: 8}),
-      summary('c', {backlogSeconds: 0}),
+      createSummary('a', {startOption: 'borrowed', rackFree: 64}),
+      createSummary('b', {startOption: 'borrowed', rackFree: 8}),
+      createSummary('c', {backlogSeconds: 0}),
     ]);
     t.match(route, {domain: 'b', reason: {code: 'routed-capacity'}});
   });
 
-  t.test('never to a domain that is out while another serves', async t => {
-    const out = summary('a', {isInService: false, backlogSeconds: 0});
-    t.equal(chooseDomain([out, summary('b')])?.domain, 'b');
-  });
+  t.test(
+    'never to a domain that is out while another is in service',
+    async t => {
+      const out = createSummary('a', {isInService: false, backlogSeconds: 0});
+      t.equal(chooseDomain([out, createSummary('b')])?.domain, 'b');
+    },
+  );
 });
 
 t.test('a waiting job', async t => {
   const job = createJob('j', {});
-  const free = summary('b', {startOption: 'borrowed'});
+  const free = createSummary('b', {startOption: 'borrowed'});
 
-  t.test('leaves a domain that is out at once', async t => {
-    const from = summary('a', {isInService: false});
-    t.match(findMove(job, from, [summary('b')], 0, 1), {
+  t.test('leaves at once a domain that is out', async t => {
+    const from = createSummary('a', {isInService: false});
+    t.match(findMove(job, from, [createSummary('b')], 0, 1), {
       to: 'b',
       reason: {code: 'moved-domain-out'},
     });
   });
 
-  t.test('moves to free capacity only after it has settled', async t => {
-    t.equal(findMove(job, summary('a'), [free], 0, 9_999), undefined);
-    t.equal(findMove(job, summary('a'), [free], 0, 10_000)?.to, 'b');
+  t.test('moves to free capacity only after the minimum stay', async t => {
+    t.equal(findMove(job, createSummary('a'), [free], 0, 9_999), undefined);
+    t.equal(findMove(job, createSummary('a'), [free], 0, 10_000)?.to, 'b');
   });
 });
 
-t.test('an evacuation checkpoints, waits for the rest', async t => {
+t.test('an evacuation checkpoints gangs, or waits for their end', async t => {
   const configuration = createConfiguration([
     {id: 'd', racks: 1, targetsPerRack: 1},
   ]);
@@ -75,9 +78,9 @@
   }
   t.same(decideEvacuation(cells, {}, 1000), []);
   cells.setCondition('d-r0-t0', 'leaving');
-  const steps = decideEvacuation(cells, {deadline: 5000}, 1000);
+  const decisions = decideEvacuation(cells, {deadline: 5000}, 1000);
   t.same(
-    steps.map(({jobId, action: step}) => [jobId, step]),
+    decisions.map(({jobId, action}) => [jobId, action]),
     [
       ['j0', 'checkpoint'],
       ['j1', 'wait'],
--- a/packages/placement/src/accelerator_mask.ts
+++ b/packages/placement/src/accelerator_mask.ts
@@ -1,39 +1,42 @@
-/** Bit masks of the accelerators of one target; bit 0 is the first accelerator. */
+/** Operations on bit masks of the accelerators of one target; bit 0 is the first accelerator. */
 
-/** Number of bits that are set. */
+/** Returns the number of set bits. */
 export function countBits(mask: number): number {
   let rest = mask - ((mask >>> 1) & 0x55555555);
   rest = (rest & 0x33333333) + ((rest >>> 2) & 0x33333333);
   return (((rest + (rest >>> 4)) & 0x0f0f0f0f) * 0x01010101) >>> 24;
 }
 
-/** The mask of the first `count` accelerators. */
+/** Returns the mask of the first `count` accelerators. */
 export function createFullMask(count: number): number {
   return 2 ** count - 1;
 }
 
-/** The masks of the two halves of a target with `count` accelerators. */
+/**
+ * Returns the masks of the two halves of a target with `count` accelerators:
+ * the lower half first. The last accelerator of an odd count is in neither.
+ */
 export function listHalfMasks(count: number): [number, number] {
   const size = Math.floor(count / 2);
   const first = createFullMask(size);
   return [first, first << size];
 }
 
-/** The lowest `count` bits of `mask`. */
+/** Returns the lowest `count` set bits of `mask`. */
 export function selectLowestBits(mask: number, count: number): number {
-  let chosen = 0;
+  let selected = 0;
   let rest = mask;
   for (let i = 0; i < count; i++) {
     const bit = rest & -rest;
-    chosen |= bit;
+    selected |= bit;
     rest ^= bit;
   }
-  return chosen;
+  return selected;
 }
 
 /**
- * Chooses `count` accelerators out of `available` on a target with `total`
- * accelerators, so that as few halves as possible are broken.
+ * Chooses `count` accelerators from the mask `available` of a target with
+ * `total` accelerators, so that as few halves as possible become partly used.
  */
 export function chooseAccelerators(
   available: number,
--- a/packages/placement/src/apportionment.ts
+++ b/packages/placement/src/apportionment.ts
@@ -1,8 +1,10 @@
 /**
- * Apportions guarantees over failure domains: a pure function of the
- * configuration, so that every domain keeps its part while it is cut off.
- * Service states do not matter here; a domain that is out is short of its
- * part, and its part does not move.
+ * Apportions the guarantees of workspaces over failure domains.
+ *
+ * Apportionment is a pure function of the configuration, so every domain knows
+ * its share also while it is cut off from the others. Service states are
+ * ignored: while a domain is out, its share cannot be satisfied, and does not
+ * move to another domain.
  */
 import type {
   CellLevel,
@@ -16,7 +18,7 @@
   LEVELS_LARGEST_FIRST,
 } from './domain_guarantee.js';
 
-/** The promises of each failure domain, by its id. */
+/** Guarantees of each failure domain, by domain id. */
 export type Apportionment = ReadonlyMap<string, readonly DomainGuarantee[]>;
 
 /** Apportions every guarantee of a configuration. */
@@ -29,7 +31,7 @@
   );
 }
 
-/** Apportions over inventories that were built already. */
+/** Apportions every guarantee over inventories that are already built. */
 export function apportionOverInventories(
   configuration: Configuration,
   inventories: ReadonlyMap<string, Inventory>,
@@ -41,24 +43,26 @@
     compareNames(a.id, b.id),
   );
   for (const {workspace, guarantee} of listGuarantees(workspaces)) {
-    const pinned = capacities.find(({id}) => id === guarantee.domain);
-    pinned?.promise(workspace.id, guarantee.level, guarantee.count);
+    const fixedDomain = capacities.find(({id}) => id === guarantee.domain);
+    fixedDomain?.addGuarantee(workspace.id, guarantee.level, guarantee.count);
   }
   for (const level of LEVELS_LARGEST_FIRST) {
     for (const {workspace, guarantee} of listGuarantees(workspaces)) {
       if (guarantee.level === level && !guarantee.domain) {
-        distribute(capacities, workspace, guarantee);
+        distributeGuarantee(capacities, workspace, guarantee);
       }
     }
   }
-  return new Map(capacities.map(({id, promises}) => [id, promises]));
+  return new Map(capacities.map(({id, guarantees}) => [id, guarantees]));
 }
 
-/** What one failure domain has left to promise. */
+/** Capacity of one failure domain that no guarantee claims yet. */
 class DomainCapacity {
-  readonly promises: DomainGuarantee[] = [];
+  readonly guarantees: DomainGuarantee[] = [];
+  /** Accelerators that no guarantee claims; negative when the domain is overcommitted. */
   private remaining = 0;
-  private readonly sizes: Record<CellLevel, number>;
+  /** Accelerators of the largest cell of each level. */
+  private readonly cellSizes: Record<CellLevel, number>;
   private readonly isRestricted: boolean;
 
   constructor(
@@ -75,32 +79,40 @@
       this.remaining += sum;
     }
     const half = Math.floor(target / 2);
-    this.sizes = {domain: this.remaining, rack, target, half, accelerator: 1};
+    this.cellSizes = {
+      domain: this.remaining,
+      rack,
+      target,
+      half,
+      accelerator: 1,
+    };
     this.isRestricted = [...inventory.targets.values()].some(
       ({spec}) => spec.permittedWorkspaces,
     );
   }
 
-  promise(workspace: string, level: CellLevel, count: number): void {
+  /** Assigns cells to a workspace; does nothing if `count` is 0. */
+  addGuarantee(workspace: string, level: CellLevel, count: number): void {
     if (count > 0) {
-      this.promises.push({workspace, level, count});
-      this.remaining -= count * this.sizes[level];
+      this.guarantees.push({workspace, level, count});
+      this.remaining -= count * this.cellSizes[level];
     }
   }
 
-  /** Cells of a level that can still be promised to a workspace. */
-  available(workspace: string, level: CellLevel): number {
-    const size = this.sizes[level];
+  /** Counts the cells of a level that can still be guaranteed to a workspace. */
+  countAvailable(workspace: string, level: CellLevel): number {
+    const size = this.cellSizes[level];
     if (size === 0) {
       return 0;
     }
     const remaining = this.isRestricted
-      ? Math.min(this.remaining, this.permitted(workspace))
+      ? Math.min(this.remaining, this.countPermitted(workspace))
       : this.remaining;
     return Math.max(0, Math.floor(remaining / size));
   }
 
-  private permitted(workspace: string): number {
+  /** Counts the accelerators of targets on which a workspace may run. */
+  private countPermitted(workspace: string): number {
     let sum = 0;
     for (const target of this.inventory.targets.values()) {
       sum += target.permits(workspace) ? target.spec.accelerators : 0;
@@ -109,8 +121,12 @@
   }
 }
 
-/** Distributes a guarantee in proportion to what domains have left, by the largest remainder. */
-function distribute(
+/**
+ * Distributes a guarantee over the permitted domains in proportion to their
+ * remaining capacity, by the largest remainder method. Ties go to the domain
+ * with more available cells.
+ */
+function distributeGuarantee(
   capacities: readonly DomainCapacity[],
   workspace: Workspace,
   {level, count}: Guarantee,
@@ -119,33 +135,35 @@
     ({id}) => workspace.permittedDomains?.includes(id) !== false,
   );
   const shares = permitted.map(capacity => {
-    const available = capacity.available(workspace.id, level);
-    return {capacity, available, given: 0, exact: 0};
+    const available = capacity.countAvailable(workspace.id, level);
+    return {capacity, available, assigned: 0, exact: 0};
   });
   const total = shares.reduce((sum, {available}) => sum + available, 0);
   const satisfiable = Math.min(count, total);
   let rest = satisfiable;
   for (const share of shares) {
     share.exact = total === 0 ? 0 : (satisfiable * share.available) / total;
-    share.given = Math.floor(share.exact);
-    rest -= share.given;
+    share.assigned = Math.floor(share.exact);
+    rest -= share.assigned;
   }
   const byRemainder = [...shares].sort(
     (a, b) =>
-      b.exact - b.given - (a.exact - a.given) || b.available - a.available,
+      b.exact - b.assigned - (a.exact - a.assigned) ||
+      b.available - a.available,
   );
   for (const share of byRemainder) {
-    if (rest > 0 && share.given < share.available) {
-      share.given++;
+    if (rest > 0 && share.assigned < share.available) {
+      share.assigned++;
       rest--;
     }
   }
-  // What no domain can hold is promised by the first, and reported as short there.
+  // Cells that fit in no domain are assigned to the first, which reports them
+  // as a shortfall.
   if (shares[0]) {
-    shares[0].given += count - satisfiable;
+    shares[0].assigned += count - satisfiable;
   }
-  shares.forEach(({capacity, given}) =>
-    capacity.promise(workspace.id, level, given),
+  shares.forEach(({capacity, assigned}) =>
+    capacity.addGuarantee(workspace.id, level, assigned),
   );
 }
 
--- a/packages/placement/src/best_fit_search.ts
+++ b/packages/placement/src/best_fit_search.ts
@@ -1,4 +1,4 @@
-/** The search for a place: best fit by level, in the capacity that a view shows. */
+/** Best-fit search for a placement, level by level, in the capacity that a view exposes. */
 import type {Assignment, GangShape} from '@galenavalve/model';
 import {chooseAccelerators} from './accelerator_mask.js';
 import type {Cells} from './cells.js';
@@ -8,24 +8,25 @@
   countFitting,
 } from './target_cell.js';
 
-/** What a search needs to know of a job. */
+/** Properties of a job that a placement search needs. */
 export interface SearchRequest {
   workspace: string;
   gang: GangShape;
   avoidTargets: readonly string[];
 }
 
-/** The part of a target that a search may use; undefined when it may use nothing. */
+/** Returns the resources of a target that a search may use, or undefined if it may use none. */
 export type ResourceView = (target: TargetCell) => TargetResources | undefined;
 
-/** A target with the number of tasks that fit, or that go there. */
+/** A target with the resources that a search may use there. */
 export interface TargetCandidate {
   target: TargetCell;
   resources: TargetResources;
+  /** Tasks that fit on the target, or that are placed there once it is chosen. */
   tasks: number;
 }
 
-/** Whether new work of a job may start on a target at all. */
+/** Returns whether a target may take new work of a job, whatever its free capacity. */
 export function isUsable(request: SearchRequest, target: TargetCell): boolean {
   return (
     target.isSchedulable &&
@@ -34,12 +35,15 @@
   );
 }
 
-/** The free capacity of targets that can take work of the job. */
+/** Creates a view of the free resources of the targets that may take work of a job. */
 export function createFreeView(request: SearchRequest): ResourceView {
   return target => (isUsable(request, target) ? target.free : undefined);
 }
 
-/** Finds the place in a domain that leaves the largest blocks whole, or undefined. */
+/**
+ * Finds the placement in a domain that leaves the largest free blocks intact.
+ * Returns undefined if the gang does not fit.
+ */
 export function findBestFit(
   cells: Cells,
   request: SearchRequest,
@@ -47,23 +51,27 @@
 ): Assignment[] | undefined {
   const {tasks, perTask, adjacency} = request.gang;
   const isInDomain = adjacency === 'domain';
-  const smallest = isInDomain
+  const minFree = isInDomain
     ? perTask.accelerators
     : tasks * perTask.accelerators;
-  const needed = isInDomain ? 1 : tasks;
-  return placeAmong(listRacks(cells, smallest, perTask.accelerators, needed), {
+  const minTasks = isInDomain ? 1 : tasks;
+  return placeAmong(listRacks(cells, minFree, perTask.accelerators, minTasks), {
     gang: request.gang,
     view,
   });
 }
 
-/** What is placed, and in which capacity. */
+/** A gang to place, and the capacity that it may use. */
 export interface PlacementQuery {
   gang: GangShape;
   view: ResourceView;
 }
 
-/** Places a gang on groups of targets, each of one rack, the fullest group first. */
+/**
+ * Places a gang on groups of targets, trying the groups in the given order.
+ * Each group is within one rack; a gang with domain adjacency may span groups.
+ * Returns undefined if the gang does not fit.
+ */
 export function placeAmong(
   groups: Iterable<readonly TargetCell[]>,
   {gang, view}: PlacementQuery,
@@ -71,18 +79,18 @@
   const chosen: TargetCandidate[] = [];
   let missing = gang.tasks;
   for (const targets of groups) {
-    const portions = listCandidates(targets, gang, view);
-    const whole = choosePortions(portions, gang, missing);
+    const candidates = listCandidates(targets, gang, view);
+    const selected = chooseCandidates(candidates, gang, missing);
     if (gang.adjacency !== 'domain') {
-      if (whole) {
-        return toAssignments(whole, gang);
+      if (selected) {
+        return toAssignments(selected, gang);
       }
       continue;
     }
-    const used = whole ?? portions;
-    for (const portion of used) {
-      chosen.push(portion);
-      missing -= portion.tasks;
+    const used = selected ?? candidates;
+    for (const candidate of used) {
+      chosen.push(candidate);
+      missing -= candidate.tasks;
     }
     if (missing === 0) {
       return toAssignments(chosen, gang);
@@ -91,33 +99,36 @@
   return undefined;
 }
 
-/** The targets that hold at least one task. */
+/** Lists the targets on which at least one task fits. */
 export function listCandidates(
   targets: Iterable<TargetCell>,
   gang: GangShape,
   view: ResourceView,
 ): TargetCandidate[] {
-  const portions: TargetCandidate[] = [];
+  const candidates: TargetCandidate[] = [];
   for (const target of targets) {
-    const room = view(target);
-    const tasks = room ? countFitting(room, gang.perTask) : 0;
-    if (room && tasks > 0) {
-      portions.push({target, resources: room, tasks});
+    const resources = view(target);
+    const tasks = resources ? countFitting(resources, gang.perTask) : 0;
+    if (resources && tasks > 0) {
+      candidates.push({target, resources, tasks});
     }
   }
-  return portions;
+  return candidates;
 }
 
-/** The targets of the racks that may hold `needed` tasks, the fullest rack first. */
+/**
+ * Lists the targets of the racks that may hold `minTasks` tasks, the rack with the
+ * fewest free accelerators first.
+ */
 function* listRacks(
   cells: Cells,
-  smallest: number,
+  minFree: number,
   perTask: number,
-  needed: number,
+  minTasks: number,
 ): Iterable<readonly TargetCell[]> {
-  for (let free = smallest; free < cells.racksByFree.length; free++) {
+  for (let free = minFree; free < cells.racksByFree.length; free++) {
     for (const rack of cells.racksByFree[free]!) {
-      if (rack.getTaskUpperBound(perTask) >= needed) {
+      if (rack.getTaskUpperBound(perTask) >= minTasks) {
         yield rack.targets;
       }
     }
@@ -125,15 +136,16 @@
 }
 
 /**
- * Chooses the fullest target that holds the tasks alone, else as few targets
- * as possible, the last of them the fullest that holds the rest.
+ * Chooses the fullest target that holds all tasks, else as few targets as
+ * possible: the targets that hold the most tasks, and for the rest of the tasks
+ * the fullest target that holds them. Returns undefined if the tasks do not fit.
  */
-function choosePortions(
-  portions: TargetCandidate[],
+function chooseCandidates(
+  candidates: TargetCandidate[],
   gang: GangShape,
   tasks: number,
 ): TargetCandidate[] | undefined {
-  portions.sort(
+  candidates.sort(
     (a, b) =>
       a.tasks - b.tasks ||
       a.target.freeAccelerators - b.target.freeAccelerators ||
@@ -141,35 +153,35 @@
   );
   const chosen: TargetCandidate[] = [];
   let missing = tasks;
-  let end = portions.length;
+  let end = candidates.length;
   while (missing > 0 && end > 0) {
-    const rest = portions.findIndex(portion => portion.tasks >= missing);
-    if (rest >= 0 && rest < end) {
-      chosen.push({...portions[rest]!, tasks: missing});
+    const last = candidates.findIndex(candidate => candidate.tasks >= missing);
+    if (last >= 0 && last < end) {
+      chosen.push({...candidates[last]!, tasks: missing});
       return chosen;
     }
     if (gang.adjacency === 'target') {
       return undefined;
     }
     end--;
-    chosen.push(portions[end]!);
-    missing -= portions[end]!.tasks;
+    chosen.push(candidates[end]!);
+    missing -= candidates[end]!.tasks;
   }
   return undefined;
 }
 
 function toAssignments(
-  portions: TargetCandidate[],
+  candidates: TargetCandidate[],
   gang: GangShape,
 ): Assignment[] {
   let firstTask = 0;
-  return portions.map(({target, resources: room, tasks}) => {
+  return candidates.map(({target, resources, tasks}) => {
     const assignment: Assignment = {
       target: target.id,
       firstTask,
       tasks,
       accelerators: chooseAccelerators(
-        room.accelerators,
+        resources.accelerators,
         tasks * gang.perTask.accelerators,
         target.spec.accelerators,
       ),
--- a/packages/placement/src/cell_binding.ts
+++ b/packages/placement/src/cell_binding.ts
@@ -1,4 +1,9 @@
-/** Binds guaranteed cells to the places where guaranteed work already runs. */
+/**
+ * Binds guaranteed cells to the accelerators on which guaranteed gangs run.
+ *
+ * A guaranteed cell is bound while guaranteed work of its workspace runs in it;
+ * the planner does not move bound cells.
+ */
 import type {CellLevel} from '@galenavalve/model';
 import {
   countBits,
@@ -10,33 +15,37 @@
 import type {RunningGang} from './policy.js';
 import type {TargetCell} from './target_cell.js';
 
-/** Gives every guaranteed gang a home around it, as small as its workspace's cells allow. */
+/**
+ * Binds cells around every running guaranteed gang, with the smallest levels
+ * that the guarantees of its workspace allow. Cells of `previous` that are
+ * still in use and still guaranteed are kept.
+ */
 export function bindRunningGangs(
   planner: CellPlanner,
   gangs: Iterable<RunningGang>,
   previous: GuaranteedCellMap | undefined,
 ): void {
   for (const gang of gangs) {
-    noteUses(planner, gang);
+    recordUsage(planner, gang);
   }
   if (previous) {
-    keepBound(planner, previous);
+    keepBoundCells(planner, previous);
   }
-  for (const [workspace, {usageByTarget: uses}] of [
+  for (const [workspace, {usageByTarget}] of [
     ...planner.guaranteedCells.listWorkspaces(),
   ]) {
-    const places = [...uses].sort(
-      ([a, use], [b, other]) =>
-        countBits(use.accelerators) - countBits(other.accelerators) ||
+    const usedTargets = [...usageByTarget].sort(
+      ([a, usage], [b, otherUsage]) =>
+        countBits(usage.accelerators) - countBits(otherUsage.accelerators) ||
         a.index - b.index,
     );
-    for (const [target, use] of places) {
-      cover(planner, workspace, target, use.accelerators);
+    for (const [target, usage] of usedTargets) {
+      bindAccelerators(planner, workspace, target, usage.accelerators);
     }
   }
 }
 
-function noteUses(planner: CellPlanner, gang: RunningGang): void {
+function recordUsage(planner: CellPlanner, gang: RunningGang): void {
   for (const {target: id, tasks, accelerators} of gang.assignments) {
     const target = planner.inventory.targets.get(id);
     if (target) {
@@ -45,41 +54,47 @@
   }
 }
 
-/** Keeps the homes in which guaranteed work runs, as far as they are still promised. */
-function keepBound(planner: CellPlanner, previous: GuaranteedCellMap): void {
-  for (const [workspace, {cells: homes}] of previous.listWorkspaces()) {
-    for (const home of homes) {
-      const parts = findParts(planner, home.level, home.slices);
-      const {usageByTarget: uses} =
-        planner.guaranteedCells.getWorkspace(workspace);
-      const isBound = parts.some(
-        ({target, mask}) => (uses.get(target)?.accelerators ?? 0) & mask,
+/** Keeps the previous cells in which guaranteed work runs, as far as they are still guaranteed. */
+function keepBoundCells(
+  planner: CellPlanner,
+  previous: GuaranteedCellMap,
+): void {
+  for (const [workspace, {cells}] of previous.listWorkspaces()) {
+    for (const cell of cells) {
+      const slices = findCurrentSlices(planner, cell.level, cell.slices);
+      const {usageByTarget} = planner.guaranteedCells.getWorkspace(workspace);
+      const isBound = slices.some(
+        ({target, mask}) =>
+          (usageByTarget.get(target)?.accelerators ?? 0) & mask,
       );
       if (isBound) {
-        bind(planner, workspace, home.level, parts);
+        bindCell(planner, workspace, cell.level, slices);
       }
     }
   }
 }
 
-/** The same parts in the planner's inventory, which may have been rebuilt. */
-function findParts(
+/** Finds the same slices in the planner's inventory, which may have been rebuilt. */
+function findCurrentSlices(
   planner: CellPlanner,
   level: CellLevel,
-  parts: readonly TargetSlice[],
+  slices: readonly TargetSlice[],
 ): TargetSlice[] {
-  const found: TargetSlice[] = [];
-  for (const {target, mask} of parts) {
-    const present = planner.inventory.targets.get(target.id);
-    if (present && (level !== 'rack' || present.rack.id === target.rack.id)) {
-      found.push({target: present, mask});
+  const currentSlices: TargetSlice[] = [];
+  for (const {target, mask} of slices) {
+    const current = planner.inventory.targets.get(target.id);
+    if (current && (level !== 'rack' || current.rack.id === target.rack.id)) {
+      currentSlices.push({target: current, mask});
     }
   }
-  return found;
+  return currentSlices;
 }
 
-/** Binds the smallest cells that a workspace has left to the accelerators that it uses. */
-function cover(
+/**
+ * Binds the smallest remaining cells of a workspace that cover the accelerators
+ * it uses on a target.
+ */
+function bindAccelerators(
   planner: CellPlanner,
   workspace: string,
   target: TargetCell,
@@ -98,8 +113,8 @@
   const remaining = planner.getRemaining(workspace);
   if (countBits(mask) <= remaining.accelerator) {
     for (let rest = mask; rest !== 0; rest &= rest - 1) {
-      const part = {target, mask: selectLowestBits(rest, 1)};
-      bind(planner, workspace, 'accelerator', [part]);
+      const slice = {target, mask: selectLowestBits(rest, 1)};
+      bindCell(planner, workspace, 'accelerator', [slice]);
     }
     return;
   }
@@ -107,13 +122,18 @@
     .filter(half => (half & mask) !== 0)
     .map(half => [{target, mask: half}]);
   if (halves.length <= remaining.half && planner.isFree(halves.flat())) {
-    halves.forEach(parts => bind(planner, workspace, 'half', parts));
+    halves.forEach(slices => bindCell(planner, workspace, 'half', slices));
     return;
   }
   const isCovered =
-    bind(planner, workspace, 'target', [toWholeSlice(target)]) ||
-    bind(planner, workspace, 'rack', target.rack.targets.map(toWholeSlice)) ||
-    bind(
+    bindCell(planner, workspace, 'target', [toWholeSlice(target)]) ||
+    bindCell(
+      planner,
+      workspace,
+      'rack',
+      target.rack.targets.map(toWholeSlice),
+    ) ||
+    bindCell(
       planner,
       workspace,
       'domain',
@@ -124,17 +144,20 @@
   }
 }
 
-/** Makes a bound home, when one is promised and its parts have no other owner. */
-function bind(
+/**
+ * Adds a bound cell if the workspace has one left at that level and no other
+ * cell owns its slices. Returns whether it was added.
+ */
+function bindCell(
   planner: CellPlanner,
   workspace: string,
   level: CellLevel,
-  parts: TargetSlice[],
+  slices: TargetSlice[],
 ): boolean {
-  const isPromised = planner.getRemaining(workspace)[level] > 0;
-  if (!isPromised || parts.length === 0 || !planner.isFree(parts)) {
+  const isGuaranteed = planner.getRemaining(workspace)[level] > 0;
+  if (!isGuaranteed || slices.length === 0 || !planner.isFree(slices)) {
     return false;
   }
-  planner.boundCells.add(planner.addCell(workspace, level, parts));
+  planner.boundCells.add(planner.addCell(workspace, level, slices));
   return true;
 }
--- a/packages/placement/src/cell_planner.ts
+++ b/packages/placement/src/cell_planner.ts
@@ -1,6 +1,7 @@
 /**
- * Finds a home for every guaranteed cell of a failure domain: largest cells
- * first, workspaces with the fewest permitted targets first.
+ * Plans the guaranteed cells of a failure domain: assigns accelerators to every
+ * guarantee, the largest cells first and, within a level, the workspaces with
+ * the fewest permitted targets first.
  */
 import type {CellLevel} from '@galenavalve/model';
 import {
@@ -26,44 +27,46 @@
 import type {TargetCell} from './target_cell.js';
 import {bindRunningGangs} from './cell_binding.js';
 
-/** A promise of which cells have no home. */
+/** A guarantee of which some cells fit on no available targets. */
 export interface UnplacedCells extends DomainGuarantee {
+  /** Cells without a complete place, of the `count` that were still to be placed. */
   missing: number;
 }
 
 /** The result of planning. */
 export interface CellPlan {
+  /** All placed cells, including degraded ones. */
   guaranteedCells: GuaranteedCellMap;
   unplaced: UnplacedCells[];
 }
 
-/** What a plan has to respect. */
+/** Input of a plan. */
 export interface CellPlanRequest {
   inventory: Inventory;
   guarantees: readonly DomainGuarantee[];
-  /** Whether unbound homes may lie on the target. */
+  /** Returns whether unbound cells may use the target. */
   isAvailable: (target: TargetCell) => boolean;
-  /** Gangs that run within a guarantee; their places are bound. */
+  /** Gangs that run within a guarantee; the cells around them are bound. */
   guaranteedGangs: Iterable<RunningGang>;
-  /** The homes until now; those that are bound stay. */
+  /** The cells of the previous plan; bound cells are kept. */
   previous?: GuaranteedCellMap;
 }
 
-/** Plans the homes of one domain. */
+/** Plans the guaranteed cells of one domain. */
 export function planGuaranteedCells(request: CellPlanRequest): CellPlan {
   return new CellPlanner(request).plan();
 }
 
-/** The state of one planning. */
+/** Working state of one plan. */
 export class CellPlanner {
   readonly guaranteedCells = new GuaranteedCellMap();
   readonly inventory: Inventory;
-  /** Accelerators that have an owner, by target. */
+  /** Accelerators that belong to a cell or to running guaranteed work, by target. */
   readonly takenMasks = new Map<TargetCell, number>();
-  /** Homes in which guaranteed work runs. */
+  /** Cells in which guaranteed work runs. */
   readonly boundCells = new Set<GuaranteedCell>();
   private readonly remaining = new Map<string, LevelCounts>();
-  private readonly missing: UnplacedCells[] = [];
+  private readonly unplaced: UnplacedCells[] = [];
   private readonly targets: TargetCell[];
   private readonly racks: RackCell[];
   private readonly isRestricted: boolean;
@@ -71,8 +74,11 @@
   constructor(private readonly request: CellPlanRequest) {
     this.inventory = request.inventory;
     this.racks = [...request.inventory.racks.values()];
-    this.racks.sort((a, b) => countRack(b) - countRack(a));
-    // Small cells lie in small racks, so that large racks stay whole.
+    this.racks.sort(
+      (a, b) => countRackAccelerators(b) - countRackAccelerators(a),
+    );
+    // Small cells are placed in small racks first, so that large racks stay
+    // intact for rack cells.
     this.targets = [...this.racks].reverse().flatMap(rack => rack.targets);
     this.isRestricted = this.targets.some(
       target => target.spec.permittedWorkspaces,
@@ -82,6 +88,7 @@
     }
   }
 
+  /** Binds cells to running gangs, then places the remaining cells. */
   plan(): CellPlan {
     bindRunningGangs(this, this.request.guaranteedGangs, this.request.previous);
     const order = this.orderWorkspaces();
@@ -90,9 +97,10 @@
         this.placeLevel(workspace, level);
       }
     }
-    return {guaranteedCells: this.guaranteedCells, unplaced: this.missing};
+    return {guaranteedCells: this.guaranteedCells, unplaced: this.unplaced};
   }
 
+  /** Returns the numbers of guaranteed cells of a workspace that are still to be placed. */
   getRemaining(workspace: string): LevelCounts {
     let counts = this.remaining.get(workspace);
     if (!counts) {
@@ -102,29 +110,31 @@
     return counts;
   }
 
-  /** Whether no accelerator of the parts has an owner. */
-  isFree(parts: readonly TargetSlice[]): boolean {
-    return parts.every(
+  /** Returns whether no accelerator of the slices is taken. */
+  isFree(slices: readonly TargetSlice[]): boolean {
+    return slices.every(
       ({target, mask}) => ((this.takenMasks.get(target) ?? 0) & mask) === 0,
     );
   }
 
-  markTaken(parts: readonly TargetSlice[]): void {
-    for (const {target, mask} of parts) {
+  /** Marks the accelerators of the slices as taken. */
+  markTaken(slices: readonly TargetSlice[]): void {
+    for (const {target, mask} of slices) {
       this.takenMasks.set(target, (this.takenMasks.get(target) ?? 0) | mask);
     }
   }
 
+  /** Places one cell of a workspace on slices that are free. */
   addCell(
     workspace: string,
     level: CellLevel,
-    parts: TargetSlice[],
+    slices: TargetSlice[],
   ): GuaranteedCell {
-    const home: GuaranteedCell = {workspace, level, slices: parts};
+    const cell: GuaranteedCell = {workspace, level, slices};
     this.getRemaining(workspace)[level]--;
-    this.markTaken(parts);
-    this.guaranteedCells.add(home);
-    return home;
+    this.markTaken(slices);
+    this.guaranteedCells.add(cell);
+    return cell;
   }
 
   private orderWorkspaces(): string[] {
@@ -142,58 +152,69 @@
 
   private placeLevel(workspace: string, level: CellLevel): void {
     const remaining = this.getRemaining(workspace);
-    const wanted = remaining[level];
-    if (wanted === 0) {
+    const count = remaining[level];
+    if (count === 0) {
       return;
     }
     if (level === 'domain' || level === 'rack') {
-      this.placeLarge(workspace, level);
+      this.placeOnRacksOrDomain(workspace, level);
     } else {
       this.placeOnTargets(workspace, level);
     }
     const missing = remaining[level];
     if (missing > 0) {
-      this.missing.push({workspace, level, count: wanted, missing});
+      this.unplaced.push({workspace, level, count, missing});
       this.placeDegraded(workspace, level);
     }
   }
 
-  private placeLarge(workspace: string, level: 'domain' | 'rack'): void {
+  private placeOnRacksOrDomain(
+    workspace: string,
+    level: 'domain' | 'rack',
+  ): void {
     const remaining = this.getRemaining(workspace);
-    for (const targets of this.listLarge(level)) {
+    for (const targets of this.listTargetGroups(level)) {
       if (remaining[level] === 0) {
         return;
       }
-      const parts = targets.map(toWholeSlice);
+      const slices = targets.map(toWholeSlice);
       const isUsable = targets.every(target =>
         this.isUsable(workspace, target),
       );
-      if (parts.length > 0 && isUsable && this.isFree(parts)) {
-        this.addCell(workspace, level, parts);
+      if (slices.length > 0 && isUsable && this.isFree(slices)) {
+        this.addCell(workspace, level, slices);
       }
     }
   }
 
-  /** Gives cells without a whole home what is left of one, the largest rest first. */
+  /**
+   * Places cells that fit nowhere completely on the free targets of a group,
+   * the group with the most free targets first.
+   */
   private placeDegraded(workspace: string, level: CellLevel): void {
     if (level !== 'domain' && level !== 'rack') {
       return;
     }
-    const rests = this.listLarge(level).map(targets =>
+    const freeSlices = this.listTargetGroups(level).map(targets =>
       targets
         .filter(target => this.isUsable(workspace, target))
         .map(toWholeSlice)
-        .filter(part => this.isFree([part])),
+        .filter(slice => this.isFree([slice])),
     );
-    rests.sort((a, b) => b.length - a.length);
-    for (const rest of rests.slice(0, this.getRemaining(workspace)[level])) {
-      if (rest.length > 0) {
-        this.addCell(workspace, level, rest);
+    freeSlices.sort((a, b) => b.length - a.length);
+    for (const slices of freeSlices.slice(
+      0,
+      this.getRemaining(workspace)[level],
+    )) {
+      if (slices.length > 0) {
+        this.addCell(workspace, level, slices);
       }
     }
   }
 
-  private listLarge(level: 'domain' | 'rack'): (readonly TargetCell[])[] {
+  private listTargetGroups(
+    level: 'domain' | 'rack',
+  ): (readonly TargetCell[])[] {
     return level === 'domain'
       ? [this.targets]
       : this.racks.map(rack => rack.targets);
@@ -213,7 +234,10 @@
       }
     }
     if (level === 'target' && this.isRestricted) {
-      while (remaining.target > 0 && this.augment(workspace, new Set())) {
+      while (
+        remaining.target > 0 &&
+        this.placeByAugmentingPath(workspace, new Set())
+      ) {
         remaining.target--;
       }
     }
@@ -224,18 +248,18 @@
     level: 'target' | 'half' | 'accelerator',
     target: TargetCell,
   ): void {
-    for (const mask of this.listCells(level, target)) {
-      const part = {target, mask};
+    for (const mask of this.listCellMasks(level, target)) {
+      const slice = {target, mask};
       if (this.getRemaining(workspace)[level] === 0) {
         return;
       }
-      if (mask !== 0 && this.isFree([part])) {
-        this.addCell(workspace, level, [part]);
+      if (mask !== 0 && this.isFree([slice])) {
+        this.addCell(workspace, level, [slice]);
       }
     }
   }
 
-  private listCells(level: CellLevel, target: TargetCell): number[] {
+  private listCellMasks(level: CellLevel, target: TargetCell): number[] {
     const total = target.spec.accelerators;
     if (level === 'target') {
       return [createFullMask(total)];
@@ -251,41 +275,54 @@
     return masks;
   }
 
-  /** Finds a whole target for a workspace by moving other unbound whole-target homes. */
-  private augment(workspace: string, visited: Set<TargetCell>): boolean {
+  /**
+   * Finds a whole target for a workspace along an augmenting path: each unbound
+   * target cell on the path moves to another target that its workspace may use.
+   */
+  private placeByAugmentingPath(
+    workspace: string,
+    visited: Set<TargetCell>,
+  ): boolean {
     for (const target of this.targets) {
       if (visited.has(target) || !this.isUsable(workspace, target)) {
         continue;
       }
-      const part = toWholeSlice(target);
-      const [home] = this.guaranteedCells.listCellsOn(target);
-      if (this.isFree([part]) && part.mask !== 0) {
-        this.markTaken([part]);
-        this.guaranteedCells.add({workspace, level: 'target', slices: [part]});
+      const slice = toWholeSlice(target);
+      const [cell] = this.guaranteedCells.listCellsOn(target);
+      if (this.isFree([slice]) && slice.mask !== 0) {
+        this.markTaken([slice]);
+        this.guaranteedCells.add({workspace, level: 'target', slices: [slice]});
         return true;
       }
       visited.add(target);
-      if (home && this.isMovable(home, part) && this.evict(home, visited)) {
-        this.guaranteedCells.add({workspace, level: 'target', slices: [part]});
+      if (
+        cell &&
+        this.isMovable(cell, slice) &&
+        this.moveElsewhere(cell, visited)
+      ) {
+        this.guaranteedCells.add({workspace, level: 'target', slices: [slice]});
         return true;
       }
     }
     return false;
   }
 
-  private isMovable(home: GuaranteedCell, part: TargetSlice): boolean {
+  private isMovable(cell: GuaranteedCell, slice: TargetSlice): boolean {
     return (
-      home.level === 'target' &&
-      home.slices[0]!.mask === part.mask &&
-      !this.boundCells.has(home)
+      cell.level === 'target' &&
+      cell.slices[0]!.mask === slice.mask &&
+      !this.boundCells.has(cell)
     );
   }
 
-  private evict(home: GuaranteedCell, visited: Set<TargetCell>): boolean {
-    if (!this.augment(home.workspace, visited)) {
+  private moveElsewhere(
+    cell: GuaranteedCell,
+    visited: Set<TargetCell>,
+  ): boolean {
+    if (!this.placeByAugmentingPath(cell.workspace, visited)) {
       return false;
     }
-    this.guaranteedCells.remove(home);
+    this.guaranteedCells.remove(cell);
     return true;
   }
 
@@ -294,12 +331,12 @@
   }
 }
 
-/** All accelerators of a target. */
+/** Returns the slice with all accelerators of a target. */
 export function toWholeSlice(target: TargetCell): TargetSlice {
   return {target, mask: createFullMask(target.spec.accelerators)};
 }
 
-function countRack(rack: RackCell): number {
+function countRackAccelerators(rack: RackCell): number {
   return rack.targets.reduce(
     (sum, target) => sum + countBits(toWholeSlice(target).mask),
     0,
--- a/packages/placement/src/cell_relocation.ts
+++ b/packages/placement/src/cell_relocation.ts
@@ -1,9 +1,10 @@
 /**
- * Exchanges unbound homes for equal parts of the domain, so that a workspace
- * can use its guarantee where capacity is free instead of stopping borrowers.
+ * Relocates unbound guaranteed cells to equal blocks of the domain, so that a
+ * workspace can use its guarantee where capacity is free instead of stopping
+ * borrowers.
  *
- * Each exchange moves whole blocks of equal size in which no guaranteed work
- * runs, so homes stay disjoint and complete after every step.
+ * Each exchange swaps complete blocks of equal shape in which no guaranteed work
+ * runs, so cells stay disjoint and complete after every step.
  */
 import type {Assignment, CellLevel, GangShape} from '@galenavalve/model';
 import {
@@ -20,101 +21,109 @@
 import {toWholeSlice} from './cell_planner.js';
 import {type TargetCell, countFitting} from './target_cell.js';
 
-/** Moves homes of the job's workspace under `assignments`; tells whether they now lie within its guarantee. */
+/**
+ * Moves cells of the job's workspace to the accelerators of `assignments`.
+ * Returns whether the assignments are now within the guarantee; cells that were
+ * moved before a failure stay where they are.
+ */
 export function relocateCells(
   cells: Cells,
   request: {workspace: string; gang: GangShape},
   assignments: readonly Assignment[],
 ): boolean {
-  const claim = new Claim(cells, request.workspace, assignments);
+  const relocation = new Relocation(cells, request.workspace, assignments);
   return (
-    claim.isMade() &&
+    relocation.relocate() &&
     assignments.every(({target: id, tasks}) => {
       const target = cells.targets.get(id)!;
-      const room = cells.guaranteedCells.getRemainingGuarantee(
+      const unused = cells.guaranteedCells.getRemainingGuarantee(
         request.workspace,
         target,
       );
-      return room && countFitting(room, request.gang.perTask) >= tasks;
+      return unused && countFitting(unused, request.gang.perTask) >= tasks;
     })
   );
 }
 
-/** One attempt to bring homes under a place. */
-class Claim {
-  private readonly homes: GuaranteedCellMap;
-  private readonly parts: TargetSlice[];
-  private readonly needed: ReadonlyMap<TargetCell, number>;
-  private readonly unbound = new Map<CellLevel, GuaranteedCell[]>();
+/** One attempt to move cells of a workspace to the accelerators of a placement. */
+class Relocation {
+  private readonly cellMap: GuaranteedCellMap;
+  private readonly slices: TargetSlice[];
+  private readonly neededMasks: ReadonlyMap<TargetCell, number>;
+  private readonly unboundCells = new Map<CellLevel, GuaranteedCell[]>();
 
   constructor(
     cells: Cells,
     private readonly workspace: string,
     assignments: readonly Assignment[],
   ) {
-    this.homes = cells.guaranteedCells;
-    this.parts = assignments.map(({target, accelerators}) => ({
+    this.cellMap = cells.guaranteedCells;
+    this.slices = assignments.map(({target, accelerators}) => ({
       target: cells.targets.get(target)!,
       mask: accelerators,
     }));
-    this.needed = new Map(this.parts.map(part => [part.target, part.mask]));
-    for (const home of this.homes.getWorkspace(workspace).cells) {
-      if (this.canGive(home)) {
-        const homes = this.unbound.get(home.level) ?? [];
-        homes.push(home);
-        this.unbound.set(home.level, homes);
+    this.neededMasks = new Map(
+      this.slices.map(slice => [slice.target, slice.mask]),
+    );
+    for (const cell of this.cellMap.getWorkspace(workspace).cells) {
+      if (this.canMove(cell)) {
+        const cells = this.unboundCells.get(cell.level) ?? [];
+        cells.push(cell);
+        this.unboundCells.set(cell.level, cells);
       }
     }
   }
 
-  isMade(): boolean {
-    return this.parts.every(part => this.claim(part));
+  /** Moves cells until they cover the placement; returns whether that succeeded. */
+  relocate(): boolean {
+    return this.slices.every(slice => this.coverSlice(slice));
   }
 
-  private claim({target, mask}: TargetSlice): boolean {
-    const owned =
-      this.homes.getWorkspace(this.workspace).masksByTarget.get(target) ?? 0;
-    const missing = mask & ~owned;
+  /** Covers the accelerators of a slice, with the smallest cells that can be moved there. */
+  private coverSlice({target, mask}: TargetSlice): boolean {
+    const coveredMask =
+      this.cellMap.getWorkspace(this.workspace).masksByTarget.get(target) ?? 0;
+    const missing = mask & ~coveredMask;
     return (
       missing === 0 ||
-      this.claimBits(target, missing) ||
-      this.claimHalves(target, missing) ||
-      this.exchangeOne('target', [toWholeSlice(target)]) ||
-      this.exchangeOne('rack', target.rack.targets.map(toWholeSlice))
+      this.coverWithAccelerators(target, missing) ||
+      this.coverWithHalves(target, missing) ||
+      this.exchangeCell('target', [toWholeSlice(target)]) ||
+      this.exchangeCell('rack', target.rack.targets.map(toWholeSlice))
     );
   }
 
-  private claimBits(target: TargetCell, mask: number): boolean {
-    const homes = this.unbound.get('accelerator') ?? [];
-    if (homes.length < countBits(mask)) {
+  private coverWithAccelerators(target: TargetCell, mask: number): boolean {
+    const cells = this.unboundCells.get('accelerator') ?? [];
+    if (cells.length < countBits(mask)) {
       return false;
     }
     for (let rest = mask; rest !== 0; rest &= rest - 1) {
-      const part = {target, mask: selectLowestBits(rest, 1)};
-      if (!this.exchangeOne('accelerator', [part])) {
+      const slice = {target, mask: selectLowestBits(rest, 1)};
+      if (!this.exchangeCell('accelerator', [slice])) {
         return false;
       }
     }
     return true;
   }
 
-  private claimHalves(target: TargetCell, mask: number): boolean {
+  private coverWithHalves(target: TargetCell, mask: number): boolean {
     const halves = listHalfMasks(target.spec.accelerators).filter(
       half => (half & mask) !== 0,
     );
-    const isCovered = halves.reduce((sum, half) => sum | half, 0) & mask;
+    const covered = halves.reduce((sum, half) => sum | half, 0) & mask;
     return (
-      isCovered === mask &&
-      (this.unbound.get('half')?.length ?? 0) >= halves.length &&
-      halves.every(half => this.exchangeOne('half', [{target, mask: half}]))
+      covered === mask &&
+      (this.unboundCells.get('half')?.length ?? 0) >= halves.length &&
+      halves.every(half => this.exchangeCell('half', [{target, mask: half}]))
     );
   }
 
-  /** Exchanges one unbound home of a level for a block. */
-  private exchangeOne(level: CellLevel, block: TargetSlice[]): boolean {
-    const candidates = this.unbound.get(level) ?? [];
+  /** Moves one unbound cell of a level to a block. */
+  private exchangeCell(level: CellLevel, block: TargetSlice[]): boolean {
+    const candidates = this.unboundCells.get(level) ?? [];
     for (let i = candidates.length - 1; i >= 0; i--) {
-      if (exchange(this.homes, candidates[i]!, block)) {
+      if (exchangeCells(this.cellMap, candidates[i]!, block)) {
         candidates.splice(i, 1);
         return true;
       }
@@ -122,103 +131,108 @@
     return false;
   }
 
-  /** Whether a home is unbound and not itself needed for the place. */
-  private canGive(home: GuaranteedCell): boolean {
-    const isNeeded = home.slices.some(
-      ({target, mask}) => ((this.needed.get(target) ?? 0) & mask) !== 0,
+  /** Returns whether a cell is unbound and does not overlap the placement. */
+  private canMove(cell: GuaranteedCell): boolean {
+    const isNeeded = cell.slices.some(
+      ({target, mask}) => ((this.neededMasks.get(target) ?? 0) & mask) !== 0,
     );
-    return !isNeeded && !this.homes.isBound(home);
+    return !isNeeded && !this.cellMap.isBound(cell);
   }
 }
 
-/** Puts `home` on `block`, and what lies in the block on the old place of `home`. */
-function exchange(
-  homes: GuaranteedCellMap,
-  home: GuaranteedCell,
+/**
+ * Moves `cell` to `block`, and the cells in the block to the old slices of
+ * `cell`. Returns false, and changes nothing, if that is not allowed.
+ */
+function exchangeCells(
+  cellMap: GuaranteedCellMap,
+  cell: GuaranteedCell,
   block: TargetSlice[],
 ): boolean {
-  const old = home.slices;
-  if (!isSameShape(old, block)) {
+  const oldBlock = cell.slices;
+  if (!hasSameShape(oldBlock, block)) {
     return false;
   }
-  const displaced = listInside(homes, block);
+  const displaced = listCellsInside(cellMap, block);
   const isPossible =
     displaced !== undefined &&
     block.every(
       ({target, mask}) =>
         target.isSchedulable &&
-        target.permits(home.workspace) &&
-        (homes.getUsedMask(target) & mask) === 0,
+        target.permits(cell.workspace) &&
+        (cellMap.getUsedMask(target) & mask) === 0,
     ) &&
     displaced.every(
       other =>
-        !homes.isBound(other) &&
-        old.every(
+        !cellMap.isBound(other) &&
+        oldBlock.every(
           ({target}) => target.isSchedulable && target.permits(other.workspace),
         ),
     );
   if (!isPossible) {
     return false;
   }
-  homes.remove(home);
-  displaced.forEach(other => homes.remove(other));
+  cellMap.remove(cell);
+  displaced.forEach(other => cellMap.remove(other));
   for (const other of displaced) {
-    other.slices = other.slices.map(part => translate(part, block, old));
-    homes.add(other);
+    other.slices = other.slices.map(slice =>
+      translateSlice(slice, block, oldBlock),
+    );
+    cellMap.add(other);
   }
-  home.slices = block;
-  homes.add(home);
+  cell.slices = block;
+  cellMap.add(cell);
   return true;
 }
 
-/** The homes that lie in a block; undefined when one lies in it only in part. */
-function listInside(
-  homes: GuaranteedCellMap,
+/** Lists the cells inside a block; returns undefined if a cell overlaps it only partly. */
+function listCellsInside(
+  cellMap: GuaranteedCellMap,
   block: TargetSlice[],
 ): GuaranteedCell[] | undefined {
   const masks = new Map(block.map(({target, mask}) => [target, mask]));
   const inside = new Set<GuaranteedCell>();
   for (const {target, mask} of block) {
-    for (const home of homes.listCellsOn(target)) {
+    for (const cell of cellMap.listCellsOn(target)) {
       if (
-        home.slices.some(part => part.target === target && part.mask & mask)
+        cell.slices.some(slice => slice.target === target && slice.mask & mask)
       ) {
-        inside.add(home);
+        inside.add(cell);
       }
     }
   }
-  const isWhole = [...inside].every(home =>
-    home.slices.every(
-      part => (part.mask & ~(masks.get(part.target) ?? 0)) === 0,
+  const isComplete = [...inside].every(cell =>
+    cell.slices.every(
+      slice => (slice.mask & ~(masks.get(slice.target) ?? 0)) === 0,
     ),
   );
-  return isWhole ? [...inside] : undefined;
+  return isComplete ? [...inside] : undefined;
 }
 
-function isSameShape(
+function hasSameShape(
   a: readonly TargetSlice[],
   b: readonly TargetSlice[],
 ): boolean {
   return (
     a.length === b.length &&
     a.every(
-      (part, i) =>
-        countBits(part.mask) === countBits(b[i]!.mask) &&
-        part.target.spec.accelerators === b[i]!.target.spec.accelerators,
+      (slice, i) =>
+        countBits(slice.mask) === countBits(b[i]!.mask) &&
+        slice.target.spec.accelerators === b[i]!.target.spec.accelerators,
     )
   );
 }
 
-/** The place of a part after its block was exchanged for another. */
-function translate(
-  part: TargetSlice,
+/** Returns the position of a slice after its block is exchanged for another of the same shape. */
+function translateSlice(
+  slice: TargetSlice,
   from: readonly TargetSlice[],
   to: readonly TargetSlice[],
 ): TargetSlice {
-  const index = from.findIndex(({target}) => target === part.target);
+  const index = from.findIndex(({target}) => target === slice.target);
   const source = from[index]!;
   const destination = to[index]!;
-  const offset = part.mask / (source.mask & -source.mask);
+  const offset = slice.mask / (source.mask & -source.mask);
   return {
     target: destination.target,
     mask: offset * (destination.mask & -destination.mask),
--- a/packages/placement/src/cells.ts
+++ b/packages/placement/src/cells.ts
@@ -1,4 +1,7 @@
-/** What one failure domain holds, with indices of free capacity kept up to date. */
+/**
+ * Capacity, running gangs and guaranteed cells of one failure domain, with
+ * up-to-date indices of free capacity.
+ */
 import type {
   Adjacency,
   CellLevel,
@@ -23,29 +26,29 @@
 import type {Reservation} from './reservation.js';
 import {type TargetCell, addTasks, subtractTasks} from './target_cell.js';
 
-const NO_PROMISES: readonly DomainGuarantee[] = [];
+const NO_GUARANTEES: readonly DomainGuarantee[] = [];
 
 /** Capacity and running gangs of one failure domain. */
 export class Cells implements DomainCells {
   targets = new Map<string, TargetCell>();
   racks = new Map<string, RackCell>();
-  /** Racks by their number of free accelerators. */
+  /** Racks by their number of free accelerators on schedulable targets. */
   readonly racksByFree: Set<RackCell>[] = [];
   readonly running = new Map<string, RunningGang>();
   readonly estimates = new RunTimeEstimator();
-  /** Accelerators that workspaces use. */
+  /** Accelerators in use, by workspace. */
   readonly usedByWorkspace = new Map<string, number>();
-  /** Accelerators of the largest target. */
+  /** Number of accelerators of the largest target. */
   maxTargetSize = 0;
   configuration!: Configuration;
-  /** What is promised in this domain. */
-  guarantees: readonly DomainGuarantee[] = NO_PROMISES;
-  /** The place that is kept for the oldest large job. */
+  /** Guarantees that are apportioned to this domain. */
+  guarantees: readonly DomainGuarantee[] = NO_GUARANTEES;
+  /** Targets that are reserved for the oldest large job. */
   reservation: Reservation | undefined;
-  /** Jobs for which gangs were told to stop; what becomes free is theirs first. */
+  /** Jobs for which gangs were told to stop; they are first to use the freed capacity. */
   readonly reclaimingJobs = new Set<string>();
   private plan: CellPlan | undefined;
-  private previousHomes: GuaranteedCellMap | undefined;
+  private previousCells: GuaranteedCellMap | undefined;
 
   constructor(
     readonly domain: string,
@@ -58,7 +61,7 @@
     return this.configuration.rules;
   }
 
-  /** Whether operators let work start in the domain. */
+  /** Whether the configuration lets work start in the domain. */
   get isInService(): boolean {
     return this.configuration.domains.get(this.domain)?.state === 'in-service';
   }
@@ -77,11 +80,11 @@
     this.configuration = configuration;
     this.usedByWorkspace.clear();
     this.guarantees =
-      apportionGuarantees(configuration).get(this.domain) ?? NO_PROMISES;
-    this.invalidateHomes();
-    this.rebuild(conditions);
+      apportionGuarantees(configuration).get(this.domain) ?? NO_GUARANTEES;
+    this.invalidatePlan();
+    this.rebuildInventory(conditions);
     for (const gang of this.running.values()) {
-      this.take(gang);
+      this.allocate(gang);
     }
   }
 
@@ -90,18 +93,18 @@
     if (!target || target.condition === condition) {
       return;
     }
-    this.change(target, () => {
+    this.changeTarget(target, () => {
       target.condition = condition;
     });
-    this.invalidateHomes();
+    this.invalidatePlan();
   }
 
   addGang(gang: RunningGang): void {
     this.removeGang(gang.jobId);
     this.running.set(gang.jobId, gang);
-    this.take(gang);
+    this.allocate(gang);
     if (gang.guaranteed && this.plan) {
-      this.useHomes(gang);
+      this.bindGuaranteedCells(gang);
     }
   }
 
@@ -113,8 +116,8 @@
     this.running.delete(jobId);
     this.release(gang);
     if (gang.guaranteed && this.plan) {
-      for (const part of this.listParts(gang)) {
-        this.plan.guaranteedCells.removeUse(gang, part, part.tasks);
+      for (const slice of this.listSlices(gang)) {
+        this.plan.guaranteedCells.removeUse(gang, slice, slice.tasks);
       }
     }
   }
@@ -135,14 +138,17 @@
 
   // Queries
 
-  /** The homes of all guaranteed cells, planned anew after a change of inventory. */
+  /**
+   * The guaranteed cells of all workspaces; planned again after the inventory,
+   * the guarantees or a target condition changed.
+   */
   get guaranteedCells(): GuaranteedCellMap {
-    return this.homePlan.guaranteedCells;
+    return this.cellPlan.guaranteedCells;
   }
 
-  /** Guaranteed cells that no well target can hold now. */
+  /** Guaranteed cells that no schedulable targets can hold now. */
   get unplacedCells(): readonly UnplacedCells[] {
-    return this.homePlan.unplaced;
+    return this.cellPlan.unplaced;
   }
 
   listGangs(): Iterable<RunningGang> {
@@ -163,7 +169,7 @@
     return target ? target.spec.slots - target.free.slots : 0;
   }
 
-  /** Accelerators of the largest cell of a level. */
+  /** Returns the number of accelerators of the largest cell of a level. */
   getMaxCellSize(level: CellLevel): number {
     const racks = [...this.racks.values()].map(({targets}) =>
       targets.reduce((sum, {spec}) => sum + spec.accelerators, 0),
@@ -178,7 +184,10 @@
     return sizes[level];
   }
 
-  /** Free accelerators of the emptiest cell of a level that can take work. */
+  /**
+   * Returns the number of free accelerators of the emptiest cell of a level, on
+   * schedulable targets.
+   */
   getMaxFreeAccelerators(level: Adjacency): number {
     const racks = [...this.racks.values()];
     if (level === 'domain') {
@@ -190,9 +199,9 @@
     return Math.max(0, ...sizes);
   }
 
-  // Homes
+  // Guaranteed cells
 
-  private get homePlan(): CellPlan {
+  private get cellPlan(): CellPlan {
     this.plan ??= planGuaranteedCells({
       inventory: this,
       guarantees: this.guarantees,
@@ -200,45 +209,49 @@
       guaranteedGangs: [...this.running.values()].filter(
         gang => gang.guaranteed,
       ),
-      previous: this.previousHomes,
+      previous: this.previousCells,
     });
     return this.plan;
   }
 
-  private invalidateHomes(): void {
-    this.previousHomes = this.plan?.guaranteedCells ?? this.previousHomes;
+  private invalidatePlan(): void {
+    this.previousCells = this.plan?.guaranteedCells ?? this.previousCells;
     this.plan = undefined;
   }
 
-  /** Binds homes to a guaranteed gang; plans anew when none can be moved there. */
-  private useHomes(gang: RunningGang): void {
-    const parts = this.listParts(gang);
-    const {guaranteedCells: homes} = this;
-    const {masksByTarget: masks} = homes.getWorkspace(gang.workspace);
-    const isHome = parts.every(
-      ({target, mask}) => (mask & ~(masks.get(target) ?? 0)) === 0,
+  /** Binds cells to a guaranteed gang; invalidates the plan if no cells can be moved to it. */
+  private bindGuaranteedCells(gang: RunningGang): void {
+    const slices = this.listSlices(gang);
+    const {guaranteedCells} = this;
+    const {masksByTarget} = guaranteedCells.getWorkspace(gang.workspace);
+    const isWithinCells = slices.every(
+      ({target, mask}) => (mask & ~(masksByTarget.get(target) ?? 0)) === 0,
     );
-    if (!isHome && !relocateCells(this, gang, gang.assignments)) {
-      this.invalidateHomes();
+    if (!isWithinCells && !relocateCells(this, gang, gang.assignments)) {
+      this.invalidatePlan();
       return;
     }
-    parts.forEach(part => homes.addUse(gang, part, part.tasks));
+    slices.forEach(slice => guaranteedCells.addUse(gang, slice, slice.tasks));
   }
 
-  private listParts(gang: RunningGang): (TargetSlice & {tasks: number})[] {
-    const parts: (TargetSlice & {tasks: number})[] = [];
+  private listSlices(gang: RunningGang): (TargetSlice & {tasks: number})[] {
+    const slices: (TargetSlice & {tasks: number})[] = [];
     for (const {target: id, tasks, accelerators} of gang.assignments) {
       const target = this.targets.get(id);
       if (target) {
-        parts.push({target, tasks, mask: accelerators});
+        slices.push({target, tasks, mask: accelerators});
       }
     }
-    return parts;
+    return slices;
   }
 
   // Indices
 
-  /** Tells whether the domain holds and promises the same; weights, limits and rules are read when needed. */
+  /**
+   * Returns whether the inventory and the guarantees of the domain stay the same
+   * under the next configuration. Weights, limits and rules do not count, since
+   * they are read from the configuration when they are needed.
+   */
   private isUnaffectedBy(next: Configuration): boolean {
     const domain = next.domains.get(this.domain);
     return (
@@ -248,7 +261,9 @@
     );
   }
 
-  private rebuild(conditions: ReadonlyMap<string, TargetCondition>): void {
+  private rebuildInventory(
+    conditions: ReadonlyMap<string, TargetCondition>,
+  ): void {
     const {targets, racks} = buildInventory(this.configuration, this.domain);
     this.targets = targets;
     this.racks = racks;
@@ -263,49 +278,49 @@
     }
     for (const rack of racks.values()) {
       rack.targets.forEach(target => rack.updateCounts(target, 1));
-      this.file(rack);
+      this.indexRack(rack);
     }
   }
 
-  private take(gang: RunningGang): void {
-    for (const {target, tasks, mask} of this.listParts(gang)) {
-      // A caller's mask may overlap after a fault; each accelerator is taken once.
-      const taken = mask & target.free.accelerators;
-      this.change(target, () => {
-        subtractTasks(target.free, gang.gang.perTask, tasks, taken);
-        target.occupants.set(gang.jobId, {gang, tasks, mask: taken});
+  private allocate(gang: RunningGang): void {
+    for (const {target, tasks, mask} of this.listSlices(gang)) {
+      // Masks of gangs may overlap after a fault; each accelerator is allocated once.
+      const allocated = mask & target.free.accelerators;
+      this.changeTarget(target, () => {
+        subtractTasks(target.free, gang.gang.perTask, tasks, allocated);
+        target.occupants.set(gang.jobId, {gang, tasks, mask: allocated});
       });
-      this.countUse(gang.workspace, countBits(taken));
+      this.addWorkspaceUsage(gang.workspace, countBits(allocated));
     }
   }
 
   private release(gang: RunningGang): void {
-    for (const {target, tasks} of this.listParts(gang)) {
+    for (const {target, tasks} of this.listSlices(gang)) {
       const mask = target.occupants.get(gang.jobId)?.mask ?? 0;
-      this.change(target, () => {
+      this.changeTarget(target, () => {
         addTasks(target.free, gang.gang.perTask, tasks, mask);
         target.occupants.delete(gang.jobId);
       });
-      this.countUse(gang.workspace, -countBits(mask));
+      this.addWorkspaceUsage(gang.workspace, -countBits(mask));
     }
   }
 
-  private countUse(workspace: string, accelerators: number): void {
+  private addWorkspaceUsage(workspace: string, accelerators: number): void {
     const before = this.usedByWorkspace.get(workspace) ?? 0;
     this.usedByWorkspace.set(workspace, before + accelerators);
   }
 
-  /** Runs a change of one target and keeps the counts of its rack. */
-  private change(target: TargetCell, apply: () => void): void {
+  /** Applies a change to one target and updates the counts and the index of its rack. */
+  private changeTarget(target: TargetCell, apply: () => void): void {
     const rack = target.rack;
     this.racksByFree[rack.free]?.delete(rack);
     rack.updateCounts(target, -1);
     apply();
     rack.updateCounts(target, 1);
-    this.file(rack);
+    this.indexRack(rack);
   }
 
-  private file(rack: RackCell): void {
+  private indexRack(rack: RackCell): void {
     while (this.racksByFree.length <= rack.free) {
       this.racksByFree.push(new Set());
     }
@@ -313,7 +328,7 @@
   }
 }
 
-/** Accelerators that a gang occupies. */
+/** Returns the number of accelerators that a gang occupies. */
 export function countAccelerators(gang: RunningGang): number {
   let count = 0;
   for (const {accelerators} of gang.assignments) {
--- a/packages/placement/src/decision_pass.ts
+++ b/packages/placement/src/decision_pass.ts
@@ -1,4 +1,8 @@
-/** One pass over the queue: guaranteed work first, then borrowed work. */
+/**
+ * One scheduling pass over the queue of a failure domain: work within
+ * guarantees first, then borrowed work, which uses capacity outside the
+ * guarantee of its workspace and can be reclaimed.
+ */
 import {
   type Assignment,
   type Reason,
@@ -28,67 +32,80 @@
 } from './reservation.js';
 import {type ResourceView, findBestFit, isUsable} from './best_fit_search.js';
 
-/** Oldest large jobs that are tried for the reservation. */
-const MAX_RESERVATION_TRIES = 4;
+/** Number of oldest large jobs that are tried for the reservation. */
+const MAX_RESERVATION_CANDIDATES = 4;
 
-/** The state of one pass. */
+/** Working state of one pass. */
 export class DecisionPass {
   private readonly decisions: PassDecisions = {
     placements: [],
     reclaims: [],
     waits: [],
   };
-  /** Ids of gangs that stand in the cells only during the pass. */
-  private readonly trials: string[] = [];
-  /** Shapes that found no place; capacity only shrinks during a pass. */
-  private readonly failed = new Set<string>();
+  /** Ids of gangs that are in the cells only during the pass. */
+  private readonly tentativeGangs: string[] = [];
+  /**
+   * Keys of shapes that do not fit; they need no second search, since capacity
+   * only shrinks during a pass.
+   */
+  private readonly failedShapes = new Set<string>();
+  /** Gangs that this pass chose to stop for a reclaim. */
   private readonly victims = new Set<RunningGang>();
-  private readonly largestFree = new Map<string, number>();
+  private readonly maxFreeByLevel = new Map<string, number>();
 
   constructor(
     private readonly cells: Cells,
     private readonly now: number,
   ) {}
 
+  /**
+   * Decides for every job of the queue. Gangs that the pass adds to the cells
+   * are removed at its end.
+   */
   run(queue: readonly WaitingJob[]): PassDecisions {
     if (!this.cells.isInService) {
       queue.forEach(job =>
-        this.wait(job, 'waiting-domain', {domain: this.cells.domain}),
+        this.addWait(job, 'waiting-domain', {domain: this.cells.domain}),
       );
       return this.decisions;
     }
     this.chooseReservation(queue);
     const order = orderQueue(this.cells, queue, this.now);
-    const others: WaitingJob[] = [];
-    for (const job of this.reclaimingFirst(order)) {
-      if (!this.decideGuaranteed(job)) {
-        others.push(job);
+    const otherJobs: WaitingJob[] = [];
+    for (const job of this.orderReclaimingFirst(order)) {
+      if (!this.tryGuaranteed(job)) {
+        otherJobs.push(job);
       }
     }
-    others.forEach(job => this.decideBorrowed(job));
-    this.clearReservation(queue);
-    this.trials.forEach(id => this.cells.removeGang(id));
+    otherJobs.forEach(job => this.decideBorrowed(job));
+    this.preemptForReservation(queue);
+    this.tentativeGangs.forEach(id => this.cells.removeGang(id));
     return this.decisions;
   }
 
-  /** Jobs whose victims were told to stop come first, so that nobody takes what became free. */
-  private reclaimingFirst(order: readonly RankedJob[]): WaitingJob[] {
+  /**
+   * Puts jobs whose victims were told to stop first, so that no other job takes
+   * the freed capacity, and forgets those that are no longer queued.
+   */
+  private orderReclaimingFirst(order: readonly RankedJob[]): WaitingJob[] {
     const jobs = order.map(({job}) => job);
-    const {reclaimingJobs: reclaiming} = this.cells;
-    const isFirst = (job: WaitingJob) => reclaiming.has(job.jobId);
+    const {reclaimingJobs} = this.cells;
+    const isFirst = (job: WaitingJob) => reclaimingJobs.has(job.jobId);
     const first = jobs.filter(isFirst);
-    reclaiming.clear();
-    first.forEach(({jobId}) => reclaiming.add(jobId));
+    reclaimingJobs.clear();
+    first.forEach(({jobId}) => reclaimingJobs.add(jobId));
     return [...first, ...jobs.filter(job => !isFirst(job))];
   }
 
-  /** Keeps a place for the oldest large job that well targets can hold. */
+  /** Reserves targets for the oldest large job that schedulable targets can hold. */
   private chooseReservation(queue: readonly WaitingJob[]): void {
-    const oldest = this.now - this.cells.rules.ageingSeconds * 1000;
+    const maxSubmittedAt = this.now - this.cells.rules.ageingSeconds * 1000;
     const large = queue
-      .filter(job => isLarge(this.cells, job) && job.submittedAt <= oldest)
+      .filter(
+        job => isLarge(this.cells, job) && job.submittedAt <= maxSubmittedAt,
+      )
       .sort((a, b) => a.submittedAt - b.submittedAt)
-      .slice(0, MAX_RESERVATION_TRIES);
+      .slice(0, MAX_RESERVATION_CANDIDATES);
     for (const job of large) {
       const reservation = planReservation(this.cells, job, this.now);
       if (reservation) {
@@ -99,44 +116,56 @@
     this.cells.reservation = undefined;
   }
 
-  /** Starts a job within its guarantee, or makes room for it; false when the guarantee is used up. */
-  private decideGuaranteed(job: WaitingJob): boolean {
-    const {unusedAccelerators: unused, masksByTarget: masks} =
+  /**
+   * Starts a job within its guarantee, or reclaims capacity for it. Returns
+   * false if neither is possible, or if a repeatable job can start at once on
+   * borrowed capacity instead.
+   */
+  private tryGuaranteed(job: WaitingJob): boolean {
+    const {unusedAccelerators, masksByTarget} =
       this.cells.guaranteedCells.getWorkspace(job.workspace);
-    const key = this.keyOf(job, 'guaranteed');
+    const key = this.createShapeKey(job, 'guaranteed');
     if (
-      unused < countRequiredAccelerators(job) ||
-      masks.size === 0 ||
-      this.failed.has(key)
+      unusedAccelerators < countRequiredAccelerators(job) ||
+      masksByTarget.size === 0 ||
+      this.failedShapes.has(key)
     ) {
       return false;
     }
-    const place = findGuaranteedPlace(this.cells, job, this.openTargets(job));
-    if (place) {
+    const assignments = findGuaranteedPlace(
+      this.cells,
+      job,
+      this.createReservationFilter(job),
+    );
+    if (assignments) {
       this.cells.reclaimingJobs.delete(job.jobId);
-      this.place(job, place, true);
+      this.addPlacement(job, assignments, true);
       return true;
     }
-    if (job.repeatable && this.findBorrowedPlace(job)) {
-      // It starts at once without stopping anybody, and can still reclaim later.
+    if (job.repeatable && this.findBorrowedPlacement(job)) {
+      // The job starts at once without stopping a gang, and can still reclaim later.
       return false;
     }
-    if (this.isKeptFromHomes(job) || !this.reclaim(job)) {
-      this.remember(job, key);
+    if (this.isReclaimBlocked(job) || !this.tryReclaim(job)) {
+      this.recordFailedShape(job, key);
       return false;
     }
     return true;
   }
 
-  private reclaim(job: WaitingJob): boolean {
+  private tryReclaim(job: WaitingJob): boolean {
     const plan = planReclaim(this.cells, job, this.now, this.victims);
     if (!plan || (plan.victims.length === 0 && plan.stopping.length === 0)) {
       return false;
     }
-    this.hold(job, plan.assignments);
+    this.holdCapacity(job, plan.assignments);
     this.cells.reclaimingJobs.add(job.jobId);
-    const all = [...plan.victims, ...plan.stopping].map(({jobId}) => jobId);
-    const reason = createReason('waiting-reclaim', {victims: all.join(', ')});
+    const stoppedIds = [...plan.victims, ...plan.stopping].map(
+      ({jobId}) => jobId,
+    );
+    const reason = createReason('waiting-reclaim', {
+      victims: stoppedIds.join(', '),
+    });
     this.decisions.waits.push({jobId: job.jobId, reason});
     if (plan.victims.length > 0) {
       plan.victims.forEach(victim => this.victims.add(victim));
@@ -150,28 +179,33 @@
   }
 
   private decideBorrowed(job: WaitingJob): void {
-    const key = this.keyOf(job, 'borrowed');
-    const place = this.failed.has(key)
+    const key = this.createShapeKey(job, 'borrowed');
+    const assignments = this.failedShapes.has(key)
       ? undefined
-      : this.findBorrowedPlace(job);
-    if (place) {
-      this.place(job, place, false);
+      : this.findBorrowedPlacement(job);
+    if (assignments) {
+      this.addPlacement(job, assignments, false);
       return;
     }
-    this.remember(job, key);
+    this.recordFailedShape(job, key);
     this.explainWait(job);
   }
 
   /**
-   * Checkpoints smaller borrowers in the kept place when the oldest large job
-   * has waited for `ageingSeconds`.
+   * Preempts smaller checkpointable borrowers on the reserved targets once the
+   * oldest large job has waited for `ageingSeconds`.
    */
-  private clearReservation(queue: readonly WaitingJob[]): void {
+  private preemptForReservation(queue: readonly WaitingJob[]): void {
     const {reservation, rules} = this.cells;
     const job = queue.find(({jobId}) => jobId === reservation?.jobId);
-    const waited = job ? (this.now - job.submittedAt) / 1000 : 0;
+    const waitedSeconds = job ? (this.now - job.submittedAt) / 1000 : 0;
     const isStarted = job && this.cells.running.has(job.jobId);
-    if (!reservation || !job || isStarted || waited < rules.ageingSeconds) {
+    if (
+      !reservation ||
+      !job ||
+      isStarted ||
+      waitedSeconds < rules.ageingSeconds
+    ) {
       return;
     }
     const victims = listPreemptible(
@@ -187,16 +221,16 @@
     }
   }
 
-  private findBorrowedPlace(job: WaitingJob): Assignment[] | undefined {
-    const isOpen = this.openTargets(job).isOpenElsewhere;
-    return findBestFit(this.cells, job, this.borrowableRoom(job, isOpen));
+  private findBorrowedPlacement(job: WaitingJob): Assignment[] | undefined {
+    const isOpen = this.createReservationFilter(job).isOpenElsewhere;
+    return findBestFit(this.cells, job, this.createBorrowableView(job, isOpen));
   }
 
-  private borrowableRoom(
+  private createBorrowableView(
     job: WaitingJob,
     isOpen: ReservationFilter['isOpenElsewhere'],
   ): ResourceView {
-    const {guaranteedCells: homes, rules} = this.cells;
+    const {guaranteedCells, rules} = this.cells;
     return target => {
       if (!isUsable(job, target) || !isOpen(target)) {
         return undefined;
@@ -205,35 +239,47 @@
         return target.free;
       }
       const accelerators =
-        target.free.accelerators & ~homes.getGuaranteedMask(target);
+        target.free.accelerators & ~guaranteedCells.getGuaranteedMask(target);
       return {...target.free, accelerators};
     };
   }
 
-  private openTargets(job: WaitingJob): ReservationFilter {
-    const {reservation, reclaimingJobs: reclaiming} = this.cells;
-    const isReclaiming = reclaiming.has(job.jobId);
-    // Capacity that was cleared for a job is not kept from it later.
-    const kept = isReclaiming ? undefined : reservation;
-    const elsewhere = createReservationPredicate(kept, job, this.endsAt(job));
-    const home =
-      reservation?.workspace === job.workspace ? elsewhere : () => true;
-    return {isOpenInGuarantee: home, isOpenElsewhere: elsewhere};
+  private createReservationFilter(job: WaitingJob): ReservationFilter {
+    const {reservation, reclaimingJobs} = this.cells;
+    const isReclaiming = reclaimingJobs.has(job.jobId);
+    // A later reservation does not block a job from the capacity that was
+    // reclaimed for it.
+    const applicable = isReclaiming ? undefined : reservation;
+    const isOpenElsewhere = createReservationPredicate(
+      applicable,
+      job,
+      this.estimateEndAt(job),
+    );
+    const isOpenInGuarantee =
+      reservation?.workspace === job.workspace ? isOpenElsewhere : () => true;
+    return {isOpenInGuarantee, isOpenElsewhere};
   }
 
-  /** Whether the reservation keeps a job from reclaiming in its own homes. */
-  private isKeptFromHomes(job: WaitingJob): boolean {
-    const {reservation, reclaimingJobs: reclaiming} = this.cells;
+  /**
+   * Returns whether the reservation of another job of the same workspace, within
+   * its guarantee, blocks a job from reclaiming.
+   */
+  private isReclaimBlocked(job: WaitingJob): boolean {
+    const {reservation, reclaimingJobs} = this.cells;
     return (
       reservation !== undefined &&
-      !reclaiming.has(job.jobId) &&
+      !reclaimingJobs.has(job.jobId) &&
       reservation.isWithinGuarantee &&
       reservation.workspace === job.workspace &&
       reservation.jobId !== job.jobId
     );
   }
 
-  private endsAt(job: WaitingJob): number {
+  /**
+   * Returns the wall-clock milliseconds at which a job would end, by the upper
+   * estimate, if it started now.
+   */
+  private estimateEndAt(job: WaitingJob): number {
     const {workspace, kind, expectedSeconds} = job;
     const {estimates} = this.cells;
     const seconds = estimates.estimate(
@@ -245,14 +291,14 @@
     return this.now + seconds * 1000;
   }
 
-  private place(
+  private addPlacement(
     job: WaitingJob,
     assignments: Assignment[],
     guaranteed: boolean,
   ): void {
     const gang = toRunningGang(job, assignments, guaranteed, this.now);
     this.cells.addGang(gang);
-    this.trials.push(gang.jobId);
+    this.tentativeGangs.push(gang.jobId);
     const reason = this.explainPlacement(job, assignments, guaranteed);
     const {jobId} = job;
     this.decisions.placements.push({jobId, assignments, guaranteed, reason});
@@ -283,49 +329,51 @@
       : createReason('placed-borrowed', {targets});
   }
 
-  /** Keeps capacity that becomes free for a job whose victims are still stopping. */
-  private hold(job: WaitingJob, assignments: Assignment[]): void {
+  /** Holds capacity during the pass for a job whose victims are still stopping. */
+  private holdCapacity(job: WaitingJob, assignments: Assignment[]): void {
     const gang = toRunningGang(job, assignments, true, this.now);
     gang.jobId = `hold/${job.jobId}`;
     this.cells.addGang(gang);
-    this.trials.push(gang.jobId);
+    this.tentativeGangs.push(gang.jobId);
   }
 
   private explainWait(job: WaitingJob): void {
     const {reservation, rules} = this.cells;
     const {adjacency} = job.gang;
-    const free = this.freeAt(adjacency);
+    const free = this.getMaxFree(adjacency);
     if (
       free < countRequiredAccelerators(job) ||
       reservation?.jobId === job.jobId
     ) {
-      this.wait(job, 'waiting-capacity', {
+      this.addWait(job, 'waiting-capacity', {
         missing: describeGang(job),
         available: `${free} accelerators`,
       });
     } else if (!rules.borrowing) {
       const {workspace} = job;
-      this.wait(job, 'waiting-guarantee', {workspace});
+      this.addWait(job, 'waiting-guarantee', {workspace});
     } else if (reservation) {
-      this.wait(job, 'waiting-reservation', {reservedFor: reservation.jobId});
+      this.addWait(job, 'waiting-reservation', {
+        reservedFor: reservation.jobId,
+      });
     } else {
-      this.wait(job, 'waiting-capacity', {
+      this.addWait(job, 'waiting-capacity', {
         missing: describeGang(job),
-        available: `${free} accelerators in parts that are too small`,
+        available: `${free} accelerators in blocks that are too small`,
       });
     }
   }
 
-  private freeAt(level: WaitingJob['gang']['adjacency']): number {
-    let free = this.largestFree.get(level);
+  private getMaxFree(level: WaitingJob['gang']['adjacency']): number {
+    let free = this.maxFreeByLevel.get(level);
     if (free === undefined) {
       free = this.cells.getMaxFreeAccelerators(level);
-      this.largestFree.set(level, free);
+      this.maxFreeByLevel.set(level, free);
     }
     return free;
   }
 
-  private wait(
+  private addWait(
     {jobId}: WaitingJob,
     code: ReasonCode,
     details: Record<string, string | number>,
@@ -333,21 +381,25 @@
     this.decisions.waits.push({jobId, reason: createReason(code, details)});
   }
 
-  private remember(job: WaitingJob, key: string): void {
+  private recordFailedShape(job: WaitingJob, key: string): void {
     if (job.avoidTargets.length === 0) {
-      this.failed.add(key);
+      this.failedShapes.add(key);
     }
   }
 
-  /** Equal for jobs that fail alike. */
-  private keyOf(job: WaitingJob, phase: 'guaranteed' | 'borrowed'): string {
+  /** Creates a key that is equal for jobs whose searches have the same result. */
+  private createShapeKey(
+    job: WaitingJob,
+    phase: 'guaranteed' | 'borrowed',
+  ): string {
     const {tasks, perTask, adjacency} = job.gang;
     const {accelerators, processors, memoryMb} = perTask;
     const {reservation} = this.cells;
     const isReserved = reservation?.jobId === job.jobId;
-    const isFree =
+    const isUnrestricted =
       !reservation ||
-      (!reservation.isExclusive && this.endsAt(job) <= reservation.freeAt);
-    return `${phase} ${job.workspace} ${tasks} ${accelerators} ${processors} ${memoryMb} ${adjacency} ${isReserved} ${isFree}`;
+      (!reservation.isExclusive &&
+        this.estimateEndAt(job) <= reservation.freeAt);
+    return `${phase} ${job.workspace} ${tasks} ${accelerators} ${processors} ${memoryMb} ${adjacency} ${isReserved} ${isUnrestricted}`;
   }
 }
--- a/packages/placement/src/domain_guarantee.ts
+++ b/packages/placement/src/domain_guarantee.ts
@@ -1,14 +1,14 @@
-/** What is promised to workspaces in one failure domain. */
+/** Guarantees of workspaces in one failure domain, and their shortfalls. */
 import type {CellLevel} from '@galenavalve/model';
 
-/** A number of cells of one level that a workspace is promised in one failure domain. */
+/** A number of cells of one level that are guaranteed to a workspace in one failure domain. */
 export interface DomainGuarantee {
   workspace: string;
   level: CellLevel;
   count: number;
 }
 
-/** Levels from the largest cell to the smallest. */
+/** Cell levels, from the largest to the smallest. */
 export const LEVELS_LARGEST_FIRST: readonly CellLevel[] = [
   'domain',
   'rack',
@@ -17,17 +17,17 @@
   'accelerator',
 ];
 
-/** A promise that cannot be kept whole. */
+/** A guarantee of which some cells cannot be placed. */
 export interface Shortfall extends DomainGuarantee {
   domain: string;
-  /** Cells that can be had, of the `count` that are promised. */
+  /** Cells that can be placed, of the `count` that are guaranteed. */
   satisfiable: number;
 }
 
-/** Counts by level. */
+/** Numbers of cells, by level. */
 export type LevelCounts = Record<CellLevel, number>;
 
-/** No cells of any level. */
+/** Creates counts of zero for every level. */
 export function createLevelCounts(): LevelCounts {
   return {domain: 0, rack: 0, target: 0, half: 0, accelerator: 0};
 }
--- a/packages/placement/src/evacuation.ts
+++ b/packages/placement/src/evacuation.ts
@@ -1,38 +1,41 @@
-/** Decides how a failure domain or a target is emptied. */
+/** Decides how the gangs of a failure domain or target that leaves service are removed. */
 import {type Reason, createReason} from '@galenavalve/model';
 import type {Cells} from './cells.js';
 import type {RunningGang} from './policy.js';
 import {estimateEnd} from './reservation.js';
 import type {TargetCell} from './target_cell.js';
 
-/** What happens to a gang that runs on a part that is being emptied. */
+/** What happens to a gang on a domain or target that is being evacuated. */
 export type EvacuationAction =
-  /** Save its progress, stop it and queue it elsewhere. */
+  /** Saves its progress, stops it and queues it elsewhere. */
   | 'checkpoint'
-  /** Let it end by itself. */
+  /** Lets it end by itself. */
   | 'wait'
-  /** Stop it and run it again elsewhere. */
+  /** Stops it and runs it again elsewhere. */
   | 'restart';
 
-/** The decision for one gang. */
+/** Decision for one gang. */
 export interface EvacuationDecision {
   jobId: string;
   action: EvacuationAction;
-  /** Wall-clock milliseconds at which the gang is expected to be gone. */
+  /** Wall-clock milliseconds at which the gang is expected to have ended. */
   expectedEndAt: number;
   reason: Reason;
 }
 
-/** How soon a part has to be empty. */
+/** Time limit of an evacuation. */
 export interface EvacuationRequest {
-  /** Wall-clock milliseconds after which nothing can run there; absent when gangs may end by themselves. */
+  /**
+   * Wall-clock milliseconds after which nothing can run there; absent if gangs
+   * may end by themselves.
+   */
   deadline?: number;
 }
 
 /**
- * Decides for every gang that touches a part which is leaving or out. A gang
- * that may not be repeated is never stopped here: it ends by itself, or with
- * the deadline.
+ * Decides for every gang that uses a domain or target which is leaving or out,
+ * and orders the decisions by expected end. A gang that is neither checkpointable
+ * nor repeatable is never stopped here: it ends by itself, or at the deadline.
  */
 export function decideEvacuation(
   cells: Cells,
@@ -42,40 +45,43 @@
   const decisions: EvacuationDecision[] = [];
   const graceMs = cells.rules.checkpointGraceSeconds * 1000;
   for (const gang of cells.listGangs()) {
-    const part = findLeavingPart(cells, gang);
-    if (part && !gang.stopping) {
+    const reason = findEvacuationReason(cells, gang);
+    if (reason && !gang.stopping) {
       const endsAt = estimateEnd(cells, gang, now);
-      const step = chooseStep(gang, endsAt, now + graceMs, deadline);
-      const goneAt = step === 'wait' ? endsAt : now + graceMs;
+      const action = chooseAction(gang, endsAt, now + graceMs, deadline);
+      const expectedEndAt = action === 'wait' ? endsAt : now + graceMs;
       decisions.push({
         jobId: gang.jobId,
-        action: step,
-        expectedEndAt: goneAt,
-        reason: part,
+        action,
+        expectedEndAt,
+        reason,
       });
     }
   }
   return decisions.sort((a, b) => a.expectedEndAt - b.expectedEndAt);
 }
 
-function chooseStep(
+function chooseAction(
   gang: RunningGang,
   endsAt: number,
   graceEnd: number,
   deadline: number | undefined,
 ): EvacuationAction {
-  const endsInTime = endsAt <= (deadline ?? Infinity);
+  const isEndingInTime = endsAt <= (deadline ?? Infinity);
   if (endsAt <= graceEnd) {
     return 'wait';
   }
   if (gang.checkpointable) {
     return 'checkpoint';
   }
-  return endsInTime || !gang.repeatable ? 'wait' : 'restart';
+  return isEndingInTime || !gang.repeatable ? 'wait' : 'restart';
 }
 
-/** Why a gang has to go; undefined when all its targets stay. */
-function findLeavingPart(cells: Cells, gang: RunningGang): Reason | undefined {
+/** Returns why a gang has to be evacuated, or undefined if all its targets stay in service. */
+function findEvacuationReason(
+  cells: Cells,
+  gang: RunningGang,
+): Reason | undefined {
   if (!cells.isInService) {
     return createReason('preempted-domain-out', {domain: cells.domain});
   }
--- a/packages/placement/src/failure_tracker.ts
+++ b/packages/placement/src/failure_tracker.ts
@@ -1,28 +1,32 @@
 /**
- * Evidence of bad targets and bad jobs, kept apart: a target that fails
- * different jobs is quarantined; a job that fails on different targets is
- * ended.
+ * Tracks failures in order to tell faulty targets from faulty jobs: a target on
+ * which different jobs fail is quarantined, and a job that fails on different
+ * targets is ended.
  */
 import type {Rules} from '@galenavalve/model';
 
-/** Longest quarantine, in seconds. */
+/** Maximum length of a quarantine. */
 const MAX_QUARANTINE_SECONDS = 3600;
 
-/** What is known against one target. */
-interface TargetRecord {
-  /** Jobs that failed here since the last success. */
+/** Failure history of one target. */
+interface TargetFailures {
+  /** Jobs that failed here since the last success or quarantine. */
   failedJobs: Set<string>;
+  /** Number of quarantines since the last success. */
   quarantines: number;
   /** Wall-clock milliseconds until which the target gets no work. */
   quarantinedUntil: number;
 }
 
-/** Whether work may be placed on a target. */
+/**
+ * Whether work may be placed on a target. `on-trial` is probation: the time after
+ * a quarantine until the first run there ends.
+ */
 export type QuarantineState = 'good' | 'on-trial' | 'quarantined';
 
-/** Counts failures by target and by job. */
+/** Tracks failures by target and by job. */
 export class FailureTracker {
-  private readonly targets = new Map<string, TargetRecord>();
+  private readonly targets = new Map<string, TargetFailures>();
   private readonly failedTargets = new Map<string, Set<string>>();
 
   constructor(
@@ -34,31 +38,38 @@
 
   // Commands
 
-  /** Notes that a task of a job failed on a target. */
+  /**
+   * Records that a task of a job failed on a target at `now` (wall-clock
+   * milliseconds). A failure on probation starts the next quarantine at once;
+   * each quarantine is twice as long as the one before.
+   */
   recordFailure(jobId: string, target: string, now: number): void {
-    const record = this.recordOf(target);
-    const isTrial = this.getQuarantineState(target, now) === 'on-trial';
+    const record = this.getRecord(target);
+    const isOnProbation = this.getQuarantineState(target, now) === 'on-trial';
     record.failedJobs.add(jobId);
-    if (isTrial || record.failedJobs.size >= this.rules.quarantineFailures) {
+    if (
+      isOnProbation ||
+      record.failedJobs.size >= this.rules.quarantineFailures
+    ) {
       this.quarantine(record, now);
     }
-    this.noteTargetOf(jobId, target);
+    this.addFailedTarget(jobId, target);
   }
 
-  /** Notes that a job finished well on a target. */
+  /** Records that a job succeeded on a target; clears the failures of both. */
   recordSuccess(jobId: string, target: string): void {
     this.targets.delete(target);
     this.failedTargets.delete(jobId);
   }
 
-  /** Drops what is known of a job that has ended. */
+  /** Removes the failures of a job that has ended. */
   forgetJob(jobId: string): void {
     this.failedTargets.delete(jobId);
   }
 
   // Queries
 
-  /** A target on trial gets repeatable work only. */
+  /** Returns the quarantine state of a target; on probation it gets repeatable work only. */
   getQuarantineState(target: string, now: number): QuarantineState {
     const record = this.targets.get(target);
     if (!record || record.quarantines === 0) {
@@ -67,7 +78,10 @@
     return now < record.quarantinedUntil ? 'quarantined' : 'on-trial';
   }
 
-  /** When a quarantine ends, in wall-clock milliseconds; undefined when there is none. */
+  /**
+   * Returns the wall-clock milliseconds at which the last quarantine ends or
+   * ended, or undefined if there is none.
+   */
   getQuarantineEnd(target: string): number | undefined {
     const record = this.targets.get(target);
     return record && record.quarantines > 0
@@ -75,20 +89,23 @@
       : undefined;
   }
 
-  /** Targets that a job failed on. */
+  /** Lists the targets on which a job failed. */
   listFailedTargets(jobId: string): string[] {
     return [...(this.failedTargets.get(jobId) ?? [])];
   }
 
-  /** Whether failures on different targets, each good to other jobs, end a job. */
+  /**
+   * Returns whether a job failed on so many targets without failures of other
+   * jobs that it has to be ended.
+   */
   isJobFailing(jobId: string): boolean {
-    const good = this.listFailedTargets(jobId).filter(
+    const unsuspectedTargets = this.listFailedTargets(jobId).filter(
       target => !this.isSuspect(target, jobId),
     );
-    return good.length >= this.rules.jobFailures;
+    return unsuspectedTargets.length >= this.rules.jobFailures;
   }
 
-  /** Whether a target failed another job since its last success. */
+  /** Returns whether another job failed on a target since its last success. */
   private isSuspect(target: string, jobId: string): boolean {
     const record = this.targets.get(target);
     if (!record) {
@@ -100,7 +117,7 @@
     );
   }
 
-  private quarantine(record: TargetRecord, now: number): void {
+  private quarantine(record: TargetFailures, now: number): void {
     const seconds = Math.min(
       MAX_QUARANTINE_SECONDS,
       this.rules.quarantineSeconds * 2 ** record.quarantines,
@@ -110,7 +127,7 @@
     record.failedJobs.clear();
   }
 
-  private recordOf(target: string): TargetRecord {
+  private getRecord(target: string): TargetFailures {
     let record = this.targets.get(target);
     if (!record) {
       record = {
@@ -123,7 +140,7 @@
     return record;
   }
 
-  private noteTargetOf(jobId: string, target: string): void {
+  private addFailedTarget(jobId: string, target: string): void {
     const targets = this.failedTargets.get(jobId) ?? new Set();
     targets.add(target);
     this.failedTargets.set(jobId, targets);
--- a/packages/placement/src/first_fit_policy.ts
+++ b/packages/placement/src/first_fit_policy.ts
@@ -1,4 +1,4 @@
-/** A baseline: first come, first fit, with no promises. */
+/** Baseline policy without guarantees: first come, first served, with first-fit placement. */
 import {
   type Assignment,
   type Configuration,
@@ -16,7 +16,7 @@
 } from './policy.js';
 import {findFirstFit} from './first_fit_search.js';
 
-/** Starts each job, in the order of arrival, on the first targets that fit. */
+/** Starts each job, in order of submission, on the first targets that hold it. */
 export class FirstFitPolicy implements Policy {
   readonly name = 'first-fit';
 
@@ -29,13 +29,14 @@
     queue: readonly WaitingJob[],
     now: number,
   ): PassDecisions {
-    const own = cells as Cells;
+    const domainCells = cells as Cells;
     const decisions: PassDecisions = {placements: [], reclaims: [], waits: []};
     const order = [...queue].sort((a, b) => a.submittedAt - b.submittedAt);
     for (const job of order) {
-      const assignments = own.isInService && findFirstFit(own, job);
+      const assignments =
+        domainCells.isInService && findFirstFit(domainCells, job);
       if (assignments) {
-        own.addGang(toRunningGang(job, assignments, false, now));
+        domainCells.addGang(toRunningGang(job, assignments, false, now));
         const reason = createReason('placed-borrowed', {
           targets: describeTargets(assignments),
         });
@@ -48,11 +49,11 @@
       } else {
         decisions.waits.push({
           jobId: job.jobId,
-          reason: describeCapacityWait(own, job),
+          reason: describeCapacityWait(domainCells, job),
         });
       }
     }
-    decisions.placements.forEach(({jobId}) => own.removeGang(jobId));
+    decisions.placements.forEach(({jobId}) => domainCells.removeGang(jobId));
     return decisions;
   }
 
@@ -61,7 +62,7 @@
   }
 }
 
-/** The gang that a job becomes when it starts at `now`. */
+/** Returns the gang of a job that starts at `now`, in wall-clock milliseconds. */
 export function toRunningGang(
   job: WaitingJob,
   assignments: readonly Assignment[],
@@ -85,15 +86,17 @@
   };
 }
 
-/** Names of targets, shortened after the first few. */
+/** Formats the ids of targets; only the first four are listed. */
 export function describeTargets(assignments: readonly Assignment[]): string {
-  const SHOWN = 4;
-  const names = assignments.slice(0, SHOWN).map(({target}) => target);
+  const MAX_LISTED_TARGETS = 4;
+  const names = assignments
+    .slice(0, MAX_LISTED_TARGETS)
+    .map(({target}) => target);
   const rest = assignments.length - names.length;
   return names.join(', ') + (rest > 0 ? ` and ${rest} more` : '');
 }
 
-/** Why a job without a place waits. */
+/** Returns the reason why a job without a placement waits. */
 export function describeCapacityWait(cells: Cells, job: WaitingJob): Reason {
   if (!cells.isInService) {
     return createReason('waiting-domain', {domain: cells.domain});
--- a/packages/placement/src/first_fit_search.ts
+++ b/packages/placement/src/first_fit_search.ts
@@ -1,44 +1,47 @@
-/** The search of the baselines: the first targets, in order, that hold a gang. */
+/**
+ * First-fit search of the baseline policies: the first targets, in inventory
+ * order, that hold a gang.
+ */
 import type {Assignment} from '@galenavalve/model';
 import {selectLowestBits} from './accelerator_mask.js';
 import type {Cells} from './cells.js';
 import {type SearchRequest, createFreeView} from './best_fit_search.js';
 import {type TargetCell, countFitting} from './target_cell.js';
 
-/** Finds the first place for a gang, or undefined. */
+/** Finds the first placement for a gang; returns undefined if it does not fit. */
 export function findFirstFit(
   cells: Cells,
   request: SearchRequest,
 ): Assignment[] | undefined {
   if (request.gang.adjacency === 'domain') {
-    return fillInOrder([...cells.targets.values()], request);
+    return fillTargetsInOrder([...cells.targets.values()], request);
   }
   for (const rack of cells.racks.values()) {
-    const found =
+    const assignments =
       request.gang.adjacency === 'rack'
-        ? fillInOrder(rack.targets, request)
-        : fillOne(rack.targets, request);
-    if (found) {
-      return found;
+        ? fillTargetsInOrder(rack.targets, request)
+        : findOnOneTarget(rack.targets, request);
+    if (assignments) {
+      return assignments;
     }
   }
   return undefined;
 }
 
-function fillOne(
+function findOnOneTarget(
   targets: readonly TargetCell[],
   request: SearchRequest,
 ): Assignment[] | undefined {
   for (const target of targets) {
-    const found = fillInOrder([target], request);
-    if (found) {
-      return found;
+    const assignments = fillTargetsInOrder([target], request);
+    if (assignments) {
+      return assignments;
     }
   }
   return undefined;
 }
 
-function fillInOrder(
+function fillTargetsInOrder(
   targets: readonly TargetCell[],
   request: SearchRequest,
 ): Assignment[] | undefined {
@@ -47,20 +50,20 @@
   const assignments: Assignment[] = [];
   let firstTask = 0;
   for (const target of targets) {
-    const room = view(target);
-    const fitting = room ? countFitting(room, perTask) : 0;
-    const used = Math.min(fitting, tasks - firstTask);
-    if (room && used > 0) {
+    const resources = view(target);
+    const fittingTasks = resources ? countFitting(resources, perTask) : 0;
+    const placedTasks = Math.min(fittingTasks, tasks - firstTask);
+    if (resources && placedTasks > 0) {
       assignments.push({
         target: target.id,
         firstTask,
-        tasks: used,
+        tasks: placedTasks,
         accelerators: selectLowestBits(
-          room.accelerators,
-          used * perTask.accelerators,
+          resources.accelerators,
+          placedTasks * perTask.accelerators,
         ),
       });
-      firstTask += used;
+      firstTask += placedTasks;
     }
     if (firstTask === tasks) {
       return assignments;
--- a/packages/placement/src/guarantee_check.ts
+++ b/packages/placement/src/guarantee_check.ts
@@ -1,12 +1,13 @@
-/** Refuses configurations that promise more than their inventory holds. */
+/** Rejects configurations that guarantee more than their inventory holds. */
 import type {Configuration, Target, Workspace} from '@galenavalve/model';
 import {Failure, hashValue} from '@galenavalve/shared';
 import {describeShortfall, findShortfalls} from './shortfall.js';
 
 /**
- * The failure that names the first shortfall, or undefined. A pure function:
- * the fold calls it. `previous` is the configuration in force, which has none;
- * when nothing that promises rest on has changed, the search is spared.
+ * Returns a failure that names the first shortfall, or undefined if there is
+ * none. A pure function, since the fold of the ledger calls it. `previous` is
+ * the current configuration, which has no shortfall; the search is skipped if
+ * nothing that guarantees depend on has changed since.
  */
 export function findGuaranteeFailure(
   configuration: Configuration,
@@ -22,23 +23,27 @@
   );
 }
 
-/** Tells whether anything changed that promises rest on. Service states do not count: a take-out must pass, and leaves promises short for a while. */
+/**
+ * Returns whether anything changed that guarantees depend on. Service states do
+ * not count: taking a domain or target out of service must be accepted, although
+ * guarantees are short in the meantime.
+ */
 export function hasGuaranteeChange(
   next: Configuration,
   previous: Configuration,
 ): boolean {
   return (
     hasChange(next.domains, previous.domains, ({id}) => id) ||
-    hasChange(next.targets, previous.targets, describeCapacity) ||
-    hasChange(next.workspaces, previous.workspaces, describePromises)
+    hasChange(next.targets, previous.targets, selectCapacityFields) ||
+    hasChange(next.workspaces, previous.workspaces, selectGuaranteeFields)
   );
 }
 
-/** Compares what `describe` tells of the entities that are not the same objects. */
+/** Returns whether entities were added, removed or changed, by the fields that `select` returns. */
 function hasChange<T>(
   next: ReadonlyMap<string, T>,
   previous: ReadonlyMap<string, T>,
-  describe: (value: T) => unknown,
+  select: (value: T) => unknown,
 ): boolean {
   if (next === previous) {
     return false;
@@ -53,7 +58,7 @@
     }
     const isSame =
       before === value ||
-      hashValue(describe(before)) === hashValue(describe(value));
+      hashValue(select(before)) === hashValue(select(value));
     if (!isSame) {
       return true;
     }
@@ -61,10 +66,13 @@
   return false;
 }
 
-function describeCapacity(target: Target): unknown {
+function selectCapacityFields(target: Target): unknown {
   return {...target, state: undefined, endpoint: undefined};
 }
 
-function describePromises({guarantees, permittedDomains}: Workspace): unknown {
+function selectGuaranteeFields({
+  guarantees,
+  permittedDomains,
+}: Workspace): unknown {
   return {guarantees, permittedDomains};
 }
--- a/packages/placement/src/guarantee_policy.ts
+++ b/packages/placement/src/guarantee_policy.ts
@@ -1,4 +1,4 @@
-/** The policy of galenavalve. */
+/** Scheduling policy of galenavalve: guarantees with borrowing and reclaim. */
 import type {Configuration, Reason} from '@galenavalve/model';
 import {Cells} from './cells.js';
 import {DecisionPass} from './decision_pass.js';
@@ -6,9 +6,9 @@
 import type {DomainCells, PassDecisions, Policy, WaitingJob} from './policy.js';
 
 /**
- * Guaranteed work first, by reclaim where needed; then borrowed work by
- * expected length, fair share and age, with a place kept for the oldest large
- * job.
+ * Places guaranteed work first, with reclaim where needed. Then places borrowed
+ * work, ordered by expected run time, fair share and age, with a reservation for
+ * the oldest large job.
  */
 export class GuaranteePolicy implements Policy {
   readonly name = 'galenavalve';
--- a/packages/placement/src/guaranteed_cell.ts
+++ b/packages/placement/src/guaranteed_cell.ts
@@ -1,10 +1,10 @@
 /**
- * Homes: the physical cell of every guaranteed cell.
+ * Guaranteed cells: the accelerators that currently back each guarantee.
  *
- * Homes never overlap, so as long as every guaranteed cell has one, all unused
- * guarantees can be satisfied at once. A home in which its workspace runs
- * guaranteed work is bound; any other home is only a witness and can be
- * exchanged with an equal part of the domain at any time.
+ * Guaranteed cells never overlap, so while every guarantee has its cells, all
+ * unused guarantees can be satisfied at once. A cell in which its workspace runs
+ * guaranteed work is bound. Any other cell only proves that the guarantee can be
+ * satisfied, and can be exchanged with an equal block of the domain at any time.
  */
 import type {CellLevel} from '@galenavalve/model';
 import {countBits} from './accelerator_mask.js';
@@ -12,151 +12,165 @@
 import type {TargetResources, TargetCell} from './target_cell.js';
 import {addTasks, getCapacity, subtractTasks} from './target_cell.js';
 
-/** Accelerators of one target. */
+/** Accelerators of one target, as a bit mask. */
 export interface TargetSlice {
   target: TargetCell;
   mask: number;
 }
 
-/** The physical cell of one guaranteed cell. */
+/** A part of the capacity hierarchy that currently backs one cell of a guarantee. */
 export interface GuaranteedCell {
   readonly workspace: string;
   readonly level: CellLevel;
   slices: TargetSlice[];
 }
 
-/** Homes and guaranteed work of one workspace. */
+/** Guaranteed cells and guaranteed work of one workspace. */
 export interface WorkspaceCells {
   readonly cells: Set<GuaranteedCell>;
-  /** Accelerators of its homes, by target. */
+  /** Masks of the accelerators of its cells, by target. */
   readonly masksByTarget: Map<TargetCell, number>;
-  /** What its guaranteed gangs use, by target; sums are negative, the mask is not. */
+  /**
+   * Usage by its guaranteed gangs, by target: the mask of used accelerators, and
+   * the other resources as negative amounts.
+   */
   readonly usageByTarget: Map<TargetCell, TargetResources>;
-  /** Accelerators of its homes that its guaranteed gangs do not use. */
+  /** Number of accelerators of its cells that its guaranteed gangs do not use. */
   unusedAccelerators: number;
 }
 
-/** The homes of one failure domain. */
+/** The guaranteed cells of one failure domain. */
 export class GuaranteedCellMap {
   private readonly workspaces = new Map<string, WorkspaceCells>();
-  private readonly homesByTarget = new Map<TargetCell, Set<GuaranteedCell>>();
+  private readonly cellsByTarget = new Map<TargetCell, Set<GuaranteedCell>>();
   private readonly usedMasks = new Map<TargetCell, number>();
 
   // Commands
 
-  /** Adds a home whose parts no other home covers. */
-  add(home: GuaranteedCell): void {
-    const own = this.getWorkspace(home.workspace);
-    own.cells.add(home);
-    for (const {target, mask} of home.slices) {
-      own.masksByTarget.set(
+  /** Adds a cell; its slices must not overlap other cells. */
+  add(cell: GuaranteedCell): void {
+    const entry = this.getWorkspace(cell.workspace);
+    entry.cells.add(cell);
+    for (const {target, mask} of cell.slices) {
+      entry.masksByTarget.set(
         target,
-        (own.masksByTarget.get(target) ?? 0) | mask,
+        (entry.masksByTarget.get(target) ?? 0) | mask,
       );
-      own.unusedAccelerators += countBits(mask);
-      let homes = this.homesByTarget.get(target);
-      if (!homes) {
-        homes = new Set();
-        this.homesByTarget.set(target, homes);
+      entry.unusedAccelerators += countBits(mask);
+      let cells = this.cellsByTarget.get(target);
+      if (!cells) {
+        cells = new Set();
+        this.cellsByTarget.set(target, cells);
       }
-      homes.add(home);
+      cells.add(cell);
     }
   }
 
-  remove(home: GuaranteedCell): void {
-    const own = this.getWorkspace(home.workspace);
-    own.cells.delete(home);
-    for (const {target, mask} of home.slices) {
-      const rest = (own.masksByTarget.get(target) ?? 0) & ~mask;
+  /** Removes a cell; usage by running gangs is kept. */
+  remove(cell: GuaranteedCell): void {
+    const entry = this.getWorkspace(cell.workspace);
+    entry.cells.delete(cell);
+    for (const {target, mask} of cell.slices) {
+      const rest = (entry.masksByTarget.get(target) ?? 0) & ~mask;
       if (rest === 0) {
-        own.masksByTarget.delete(target);
+        entry.masksByTarget.delete(target);
       } else {
-        own.masksByTarget.set(target, rest);
+        entry.masksByTarget.set(target, rest);
       }
-      own.unusedAccelerators -= countBits(mask);
-      this.homesByTarget.get(target)?.delete(home);
+      entry.unusedAccelerators -= countBits(mask);
+      this.cellsByTarget.get(target)?.delete(cell);
     }
   }
 
-  /** Notes that a guaranteed gang runs on a target. */
+  /** Records that a guaranteed gang runs on a target. */
   addUse(gang: RunningGang, {target, mask}: TargetSlice, tasks: number): void {
-    const own = this.getWorkspace(gang.workspace);
-    const {usageByTarget: uses} = own;
-    let used = uses.get(target);
+    const entry = this.getWorkspace(gang.workspace);
+    const {usageByTarget} = entry;
+    let used = usageByTarget.get(target);
     if (!used) {
       used = {accelerators: 0, processors: 0, memoryMb: 0, slots: 0};
-      uses.set(target, used);
+      usageByTarget.set(target, used);
     }
     subtractTasks(used, gang.gang.perTask, tasks, 0);
     used.accelerators |= mask;
-    own.unusedAccelerators -= countBits(mask);
+    entry.unusedAccelerators -= countBits(mask);
     this.usedMasks.set(target, this.getUsedMask(target) | mask);
   }
 
-  /** Takes back what `use` noted. */
+  /** Reverts `addUse`. */
   removeUse(
     gang: RunningGang,
     {target, mask}: TargetSlice,
     tasks: number,
   ): void {
-    const own = this.getWorkspace(gang.workspace);
-    const {usageByTarget: uses} = own;
-    const used = uses.get(target);
+    const entry = this.getWorkspace(gang.workspace);
+    const {usageByTarget} = entry;
+    const used = usageByTarget.get(target);
     if (!used) {
       return;
     }
     addTasks(used, gang.gang.perTask, tasks, 0);
     used.accelerators &= ~mask;
     if (used.slots === 0) {
-      uses.delete(target);
+      usageByTarget.delete(target);
     }
-    own.unusedAccelerators += countBits(mask);
+    entry.unusedAccelerators += countBits(mask);
     this.usedMasks.set(target, this.getUsedMask(target) & ~mask);
   }
 
   // Queries
 
+  /** Returns the cells of a workspace; creates an empty entry if there is none. */
   getWorkspace(workspace: string): WorkspaceCells {
-    let own = this.workspaces.get(workspace);
-    if (!own) {
-      own = {
+    let entry = this.workspaces.get(workspace);
+    if (!entry) {
+      entry = {
         cells: new Set(),
         masksByTarget: new Map(),
         usageByTarget: new Map(),
         unusedAccelerators: 0,
       };
-      this.workspaces.set(workspace, own);
+      this.workspaces.set(workspace, entry);
     }
-    return own;
+    return entry;
   }
 
+  /** Lists the workspaces that have an entry, with their cells. */
   listWorkspaces(): Iterable<[string, WorkspaceCells]> {
     return this.workspaces;
   }
 
+  /** Returns the cells of all workspaces on a target. */
   listCellsOn(target: TargetCell): ReadonlySet<GuaranteedCell> {
-    return this.homesByTarget.get(target) ?? NO_HOMES;
+    return this.cellsByTarget.get(target) ?? NO_CELLS;
   }
 
-  /** Accelerators of a target that are promised to anybody. */
+  /**
+   * Returns the mask of a target's accelerators that belong to guaranteed cells
+   * of any workspace.
+   */
   getGuaranteedMask(target: TargetCell): number {
     let mask = 0;
-    for (const home of this.listCellsOn(target)) {
-      mask |= getMaskOn(home, target);
+    for (const cell of this.listCellsOn(target)) {
+      mask |= getMaskOn(cell, target);
     }
     return mask;
   }
 
-  /** Accelerators of a target that guaranteed gangs use. */
+  /** Returns the mask of a target's accelerators that guaranteed gangs use. */
   getUsedMask(target: TargetCell): number {
     return this.usedMasks.get(target) ?? 0;
   }
 
-  /** Whether guaranteed work of its workspace runs in a home. */
-  isBound(home: GuaranteedCell): boolean {
-    const {usageByTarget: uses} = this.getWorkspace(home.workspace);
-    return home.slices.some(({target, mask}) => {
-      const used = uses.get(target);
+  /**
+   * Returns whether guaranteed work of its workspace runs in a cell. A gang
+   * without accelerators binds every cell of its workspace on the target, if no
+   * guaranteed gang uses accelerators there.
+   */
+  isBound(cell: GuaranteedCell): boolean {
+    const {usageByTarget} = this.getWorkspace(cell.workspace);
+    return cell.slices.some(({target, mask}) => {
+      const used = usageByTarget.get(target);
       return (
         used !== undefined &&
         (used.accelerators === 0 || (used.accelerators & mask) !== 0)
@@ -165,8 +179,9 @@
   }
 
   /**
-   * The part of a target that a workspace is promised. Processors, memory and
-   * slots are shared in proportion to accelerators.
+   * Returns the resources of a target that are guaranteed to a workspace, or
+   * undefined if it has no cell there. Processors, memory and slots are
+   * proportional to the accelerators.
    */
   getGuaranteedResources(
     workspace: string,
@@ -186,26 +201,29 @@
     };
   }
 
-  /** What a workspace may still use of a target within its guarantee, counting borrowers as absent. */
+  /**
+   * Returns the resources of a target that a workspace may still use within its
+   * guarantee, as if no borrowers ran there.
+   */
   getRemainingGuarantee(
     workspace: string,
     target: TargetCell,
   ): TargetResources | undefined {
-    const room = this.getGuaranteedResources(workspace, target);
+    const resources = this.getGuaranteedResources(workspace, target);
     const used = this.getWorkspace(workspace).usageByTarget.get(target);
-    if (room && used) {
-      room.accelerators &= ~used.accelerators;
-      room.processors += used.processors;
-      room.memoryMb += used.memoryMb;
-      room.slots += used.slots;
+    if (resources && used) {
+      resources.accelerators &= ~used.accelerators;
+      resources.processors += used.processors;
+      resources.memoryMb += used.memoryMb;
+      resources.slots += used.slots;
     }
-    return room;
+    return resources;
   }
 }
 
-/** The accelerators of a home on one target. */
-export function getMaskOn(home: GuaranteedCell, target: TargetCell): number {
-  return home.slices.find(part => part.target === target)?.mask ?? 0;
+/** Returns the mask of a cell's accelerators on one target. */
+export function getMaskOn(cell: GuaranteedCell, target: TargetCell): number {
+  return cell.slices.find(slice => slice.target === target)?.mask ?? 0;
 }
 
-const NO_HOMES: ReadonlySet<GuaranteedCell> = new Set();
+const NO_CELLS: ReadonlySet<GuaranteedCell> = new Set();
--- a/packages/placement/src/guaranteed_search.ts
+++ b/packages/placement/src/guaranteed_search.ts
@@ -1,4 +1,4 @@
-/** The search for a place within a workspace's guarantee. */
+/** Search for a placement within the guarantee of a workspace. */
 import type {Assignment} from '@galenavalve/model';
 import type {Cells} from './cells.js';
 import {getMaskOn} from './guaranteed_cell.js';
@@ -12,48 +12,53 @@
 } from './best_fit_search.js';
 import type {TargetResources, TargetCell} from './target_cell.js';
 
-/** The targets that a reservation leaves open to a job. */
+/** The targets on which a reservation lets a job start. */
 export interface ReservationFilter {
-  /** Whether it may start there in its own homes. */
+  /** Returns whether the job may start on a target in guaranteed cells of its own workspace. */
   isOpenInGuarantee: (target: TargetCell) => boolean;
-  /** Whether it may start there otherwise. */
+  /** Returns whether the job may start on a target outside these cells. */
   isOpenElsewhere: (target: TargetCell) => boolean;
 }
 
 /**
- * Finds a free place within the guarantee of the job's workspace: in its
- * homes, or where a home can be moved to. Stops nobody.
+ * Finds a free placement within the guarantee of the job's workspace: in cells
+ * that are bound already, else where cells can be moved to, else in any of its
+ * cells. Stops no gangs, but may relocate cells. Returns undefined if there is
+ * none.
  */
 export function findGuaranteedPlace(
   cells: Cells,
   request: SearchRequest,
   isOpen: ReservationFilter,
 ): Assignment[] | undefined {
-  const inBound = placeAmong(
+  const inBoundCells = placeAmong(
     groupGuaranteedTargetsByRack(cells, request.workspace),
     {
       gang: request.gang,
       view: target =>
         isOpen.isOpenInGuarantee(target)
-          ? freeBoundRoom(cells, request, target)
+          ? getFreeInBoundCells(cells, request, target)
           : undefined,
     },
   );
   return (
-    inBound ??
-    findClaimable(cells, request, isOpen) ??
+    inBoundCells ??
+    findByRelocation(cells, request, isOpen) ??
     placeAmong(groupGuaranteedTargetsByRack(cells, request.workspace), {
       gang: request.gang,
       view: target =>
         isOpen.isOpenInGuarantee(target)
-          ? freeHomeRoom(cells, request, target)
+          ? getFreeInGuarantee(cells, request, target)
           : undefined,
     })
   );
 }
 
-/** The place that leaves the largest blocks whole, if homes can be moved there. */
-function findClaimable(
+/**
+ * Finds the placement that leaves the largest free blocks intact, and moves
+ * cells there if possible.
+ */
+function findByRelocation(
   cells: Cells,
   request: SearchRequest,
   isOpen: ReservationFilter,
@@ -65,11 +70,16 @@
     isOpen.isOpenElsewhere(target) && isUsable(request, target)
       ? target.free
       : undefined;
-  const place = findBestFit(cells, request, view);
-  return place && relocateCells(cells, request, place) ? place : undefined;
+  const assignments = findBestFit(cells, request, view);
+  return assignments && relocateCells(cells, request, assignments)
+    ? assignments
+    : undefined;
 }
 
-/** What a workspace may use of a target within its guarantee, counting borrowers as absent. */
+/**
+ * Creates a view of the resources that the job's workspace may still use within
+ * its guarantee, as if no borrowers ran.
+ */
 export function createReclaimableView(
   cells: Cells,
   request: SearchRequest,
@@ -80,7 +90,10 @@
       : undefined;
 }
 
-/** The targets with homes of a workspace, grouped by rack, the smallest group first. */
+/**
+ * Groups the targets with guaranteed cells of a workspace by rack, the rack
+ * with the fewest free accelerators first.
+ */
 export function groupGuaranteedTargetsByRack(
   cells: Cells,
   workspace: string,
@@ -104,7 +117,10 @@
   return order.map(({targets}) => targets);
 }
 
-/** The smaller of two amounts of each resource. */
+/**
+ * Returns the resources that both amounts contain: common accelerators, and the
+ * minimum of the rest.
+ */
 export function intersectResources(
   a: TargetResources,
   b: TargetResources,
@@ -117,27 +133,30 @@
   };
 }
 
-/** Free room in homes that are in use already; filling them keeps the others whole. */
-function freeBoundRoom(
+/** Returns the free resources in bound cells; filling these first keeps other cells unbound. */
+function getFreeInBoundCells(
   cells: Cells,
   request: SearchRequest,
   target: TargetCell,
 ): TargetResources | undefined {
-  const {guaranteedCells: homes} = cells;
-  if (!homes.getWorkspace(request.workspace).usageByTarget.has(target)) {
+  const {guaranteedCells} = cells;
+  if (
+    !guaranteedCells.getWorkspace(request.workspace).usageByTarget.has(target)
+  ) {
     return undefined;
   }
-  let bound = 0;
-  for (const home of homes.listCellsOn(target)) {
-    if (home.workspace === request.workspace && homes.isBound(home)) {
-      bound |= getMaskOn(home, target);
+  let boundMask = 0;
+  for (const cell of guaranteedCells.listCellsOn(target)) {
+    if (cell.workspace === request.workspace && guaranteedCells.isBound(cell)) {
+      boundMask |= getMaskOn(cell, target);
     }
   }
-  const room = freeHomeRoom(cells, request, target);
-  return room && {...room, accelerators: room.accelerators & bound};
+  const free = getFreeInGuarantee(cells, request, target);
+  return free && {...free, accelerators: free.accelerators & boundMask};
 }
 
-function freeHomeRoom(
+/** Returns the free resources of a target within the guarantee of the job's workspace. */
+function getFreeInGuarantee(
   cells: Cells,
   request: SearchRequest,
   target: TargetCell,
@@ -145,9 +164,9 @@
   if (!isUsable(request, target)) {
     return undefined;
   }
-  const room = cells.guaranteedCells.getRemainingGuarantee(
+  const resources = cells.guaranteedCells.getRemainingGuarantee(
     request.workspace,
     target,
   );
-  return room && intersectResources(room, target.free);
+  return resources && intersectResources(resources, target.free);
 }
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,4 +1,4 @@
-/** Pure placement decisions: cells, guarantees, queue order, reclaim and backfill. */
+/** Pure scheduling decisions: cells, guarantees, queue order, reclaim and backfill. */
 
 // Decisions
 export * from './policy.js';
@@ -49,7 +49,7 @@
   decideEvacuation,
 } from './evacuation.js';
 
-// Evidence and usage
+// Failures, usage and run times
 export {type QuarantineState, FailureTracker} from './failure_tracker.js';
 export {
   type Throttle,
--- a/packages/placement/src/infeasibility.ts
+++ b/packages/placement/src/infeasibility.ts
@@ -1,17 +1,23 @@
-/** Finds jobs that can never run in a domain, and the constraint that makes them so. */
+/** Finds infeasible jobs, which can never run in a domain, and the constraint that they violate. */
 import {type Reason, createReason} from '@galenavalve/model';
 import type {Cells} from './cells.js';
 import type {WaitingJob} from './policy.js';
 import {getCapacity, countFitting} from './target_cell.js';
 
-/** Tasks of one demand that an empty domain can hold, at each level. */
+/**
+ * Number of tasks of one demand that the largest target, the largest rack and
+ * the whole domain can hold when empty.
+ */
 export interface TaskCapacity {
   target: number;
   rack: number;
   domain: number;
 }
 
-/** The constraint that a job can never meet in the domain, or undefined. */
+/**
+ * Returns the constraint that a job can never meet in the domain, or undefined
+ * if it is feasible.
+ */
 export function findUnmetConstraint(
   cells: Cells,
   job: WaitingJob,
@@ -21,47 +27,56 @@
   if (!workspace) {
     return createReason('never-unknown-workspace', {workspace: id});
   }
-  const permitted = workspace.permittedDomains;
-  const holding = computeTaskCapacity(cells, job);
-  if (holding.target === 0 || permitted?.includes(cells.domain) === false) {
+  const permittedDomains = workspace.permittedDomains;
+  const capacity = computeTaskCapacity(cells, job);
+  if (
+    capacity.target === 0 ||
+    permittedDomains?.includes(cells.domain) === false
+  ) {
     return createReason('never-permitted', {workspace: id});
   }
-  if (holding[gang.adjacency] >= gang.tasks) {
+  if (capacity[gang.adjacency] >= gang.tasks) {
     return undefined;
   }
   return createReason('never-size', {
     level: gang.adjacency,
     workspace: id,
     needed: describeGang(job),
-    available: holding[gang.adjacency],
+    available: capacity[gang.adjacency],
   });
 }
 
-/** Counts the tasks that fit when nothing else runs and every target is well. */
+/**
+ * Counts the tasks that fit if nothing else runs and every target that
+ * `isUsable` accepts is schedulable.
+ */
 export function computeTaskCapacity(
   cells: Cells,
   job: WaitingJob,
   isUsable: (target: string) => boolean = () => true,
 ): TaskCapacity {
-  const holding: TaskCapacity = {target: 0, rack: 0, domain: 0};
+  const capacity: TaskCapacity = {target: 0, rack: 0, domain: 0};
   for (const rack of cells.racks.values()) {
-    let inRack = 0;
+    let rackTasks = 0;
     for (const target of rack.targets) {
       if (target.permits(job.workspace) && isUsable(target.id)) {
         const tasks = countFitting(getCapacity(target.spec), job.gang.perTask);
-        holding.target = Math.max(holding.target, tasks);
-        inRack += tasks;
+        capacity.target = Math.max(capacity.target, tasks);
+        rackTasks += tasks;
       }
     }
-    holding.rack = Math.max(holding.rack, inRack);
-    holding.domain += inRack;
+    capacity.rack = Math.max(capacity.rack, rackTasks);
+    capacity.domain += rackTasks;
   }
-  return holding;
+  return capacity;
 }
 
-/** The gang in words, such as "16 tasks of 2 accelerators in one rack". */
+/**
+ * Formats a gang, such as "16 tasks of 2 accelerators, 4 processors, 1024 MiB in
+ * one rack".
+ */
 export function describeGang({gang}: Pick<WaitingJob, 'gang'>): string {
   const {tasks, perTask, adjacency} = gang;
-  const each = `${perTask.accelerators} accelerators, ${perTask.processors} processors, ${perTask.memoryMb} MiB`;
-  return `${tasks} tasks of ${each} in one ${adjacency}`;
+  const demand = `${perTask.accelerators} accelerators, ${perTask.processors} processors, ${perTask.memoryMb} MiB`;
+  return `${tasks} tasks of ${demand} in one ${adjacency}`;
 }
--- a/packages/placement/src/inventory.ts
+++ b/packages/placement/src/inventory.ts
@@ -1,9 +1,9 @@
-/** The racks and targets of failure domains, as cells. */
+/** Builds the racks and targets of failure domains as cells. */
 import type {Configuration, Target} from '@galenavalve/model';
 import {RackCell} from './rack_cell.js';
 import {TargetCell} from './target_cell.js';
 
-/** Racks and targets of one failure domain, in the order of their names. */
+/** Racks and targets of one failure domain, each ordered by rack and id. */
 export interface Inventory {
   readonly racks: Map<string, RackCell>;
   readonly targets: Map<string, TargetCell>;
@@ -35,7 +35,7 @@
   return inventories;
 }
 
-/** Orders names by their code units. */
+/** Compares names by UTF-16 code units, so that the order does not depend on the locale. */
 export function compareNames(a: string, b: string): number {
   return a < b ? -1 : a > b ? 1 : 0;
 }
--- a/packages/placement/src/policy.ts
+++ b/packages/placement/src/policy.ts
@@ -1,6 +1,8 @@
 /**
- * The decisions of one failure domain. All are pure: time comes as `now` in
- * wall-clock milliseconds, and nothing is read or written elsewhere.
+ * Interfaces of the scheduling decisions of one failure domain.
+ *
+ * Decisions are pure: the time is passed as `now`, in wall-clock milliseconds,
+ * and no other state is read or written than the cells of the domain.
  */
 import type {
   Assignment,
@@ -9,24 +11,30 @@
   Reason,
 } from '@galenavalve/model';
 
-/** Whether a target can take work, as its scheduler knows. */
+/**
+ * Whether a target can take work, as far as its scheduler knows; only `well`
+ * targets get new work.
+ */
 export type TargetCondition =
   'well' | 'leaving' | 'out' | 'unreachable' | 'quarantined';
 
-/** A job that waits for a place. */
+/** A job that waits for placement. */
 export interface WaitingJob {
   jobId: string;
   workspace: string;
   gang: GangShape;
+  /** The caller's name for jobs with similar run times. */
   kind: string;
   urgent: boolean;
+  /** Whether the job may be run again after it was stopped. */
   repeatable: boolean;
+  /** Whether the job can save its progress before it is stopped. */
   checkpointable: boolean;
   /** The caller's estimate of the remaining run time, in seconds. */
   expectedSeconds: number;
-  /** Wall-clock milliseconds. */
+  /** Wall-clock milliseconds of the submission. */
   submittedAt: number;
-  /** Targets that it should not run on again. */
+  /** Ids of targets that the job should not run on again. */
   avoidTargets: readonly string[];
 }
 
@@ -37,21 +45,22 @@
   gang: GangShape;
   kind: string;
   assignments: readonly Assignment[];
+  /** Whether the gang runs within the guarantee of its workspace; otherwise it borrows. */
   guaranteed: boolean;
   urgent: boolean;
   repeatable: boolean;
   checkpointable: boolean;
-  /** Wall-clock milliseconds. */
+  /** Wall-clock milliseconds of the start. */
   startedAt: number;
-  /** Wall-clock milliseconds of the last saved progress; `startedAt` when there is none. */
+  /** Wall-clock milliseconds of the last saved progress; `startedAt` if there is none. */
   savedAt: number;
-  /** The caller's estimate, in seconds. */
+  /** The caller's estimate of the run time, in seconds. */
   expectedSeconds: number;
-  /** True once it was told to stop. */
+  /** Whether the gang was told to stop. */
   stopping: boolean;
 }
 
-/** Start this job there. */
+/** Decision to start a job on the assigned targets. */
 export interface PlacementDecision {
   jobId: string;
   assignments: Assignment[];
@@ -59,37 +68,42 @@
   reason: Reason;
 }
 
-/** Stop these gangs so that a job with a guarantee can start. */
+/** Decision to stop gangs so that another job can start. */
 export interface ReclaimDecision {
+  /** Id of the job that gets the capacity. */
   forJob: string;
+  /** Ids of the jobs whose gangs are stopped. */
   victims: string[];
   reason: Reason;
 }
 
-/** This job waits. */
+/** Decision that a job waits. */
 export interface WaitDecision {
   jobId: string;
   reason: Reason;
 }
 
-/** What one pass over the queue decided. */
+/** Decisions of one pass over the queue. */
 export interface PassDecisions {
   placements: PlacementDecision[];
   reclaims: ReclaimDecision[];
   waits: WaitDecision[];
 }
 
-/** What one failure domain holds: capacity, running gangs and what is promised. */
+/** Capacity, running gangs and guarantees of one failure domain. */
 export interface DomainCells {
   readonly domain: string;
 
   // Commands
-  /** Takes over inventory, workspaces and rules. Running gangs stay. */
+  /** Applies inventory, workspaces and rules. Running gangs are kept. */
   configure(configuration: Configuration): void;
+  /** Sets the condition of a target; unknown targets are ignored. */
   setCondition(target: string, condition: TargetCondition): void;
+  /** Adds a running gang, or replaces the gang of the same job. */
   addGang(gang: RunningGang): void;
+  /** Removes the gang of a job, if there is one, and releases its resources. */
   removeGang(jobId: string): void;
-  /** Notes a run time, to correct later estimates. */
+  /** Records a run time, which corrects later estimates. */
   recordRunTime(
     workspace: string,
     kind: string,
@@ -99,22 +113,25 @@
 
   // Queries
   listGangs(): Iterable<RunningGang>;
+  /** Returns the condition of a target; `out` if it is not in the inventory. */
   getCondition(target: string): TargetCondition;
+  /** Counts the accelerators of a target that gangs use. */
   countUsedAccelerators(target: string): number;
+  /** Counts the tasks that run on a target. */
   countTasksOn(target: string): number;
 }
 
-/** A way to decide who runs where. */
+/** A scheduling policy: decides which jobs run where. */
 export interface Policy {
   readonly name: string;
-  /** Creates the cells that this policy decides on. */
+  /** Creates the cells on which this policy decides. */
   createCells(domain: string, configuration: Configuration): DomainCells;
-  /** Decides for the whole queue; the caller then carries the decisions out. */
+  /** Decides for the whole queue; the caller carries the decisions out. */
   decide(
     cells: DomainCells,
     queue: readonly WaitingJob[],
     now: number,
   ): PassDecisions;
-  /** Why the job can never run in this domain, or undefined when it can. */
+  /** Returns why the job can never run in this domain, or undefined if it can. */
   findInfeasibility(cells: DomainCells, job: WaitingJob): Reason | undefined;
 }
--- a/packages/placement/src/queue_order.ts
+++ b/packages/placement/src/queue_order.ts
@@ -1,28 +1,33 @@
 /**
- * The order of the queue: urgent jobs first, then short work first, corrected
- * by the fair share of workspaces and by age.
+ * Orders the queue: urgent jobs first, then the shortest jobs first, corrected by
+ * the fair share of workspaces and by ageing, which raises the priority of jobs
+ * with their waiting time.
  */
 import type {Cells} from './cells.js';
 import {MEDIAN_QUANTILE} from './run_time_estimator.js';
 import type {WaitingJob} from './policy.js';
 
-/** A job with its place in the order. */
+/** A job with its rank in the queue; lower ranks start first. */
 export interface RankedJob {
   job: WaitingJob;
-  /** Steps of priority: one less doubles the work that a job may bring. */
+  /**
+   * Rank in priority steps, a binary logarithm: one step less makes up for twice
+   * the expected run time.
+   */
   rank: number;
 }
 
 /**
- * Periods of `ageingSeconds` that are worth one step. With one period a step,
- * a burst was served in the order of its arrival, long work first.
+ * Periods of `ageingSeconds` after which ageing amounts to one priority step.
+ * With one period per step, ageing dominates, and a burst is served in order of
+ * arrival, long jobs before short ones.
  */
 const AGEING_PERIODS_PER_STEP = 6;
 
-/** Largest correction by fair share, in steps of priority. */
-const MAX_SHARE_STEPS = 2;
+/** Largest correction by fair share, in priority steps. */
+const MAX_FAIR_SHARE_STEPS = 2;
 
-/** Orders jobs, the first to start first. */
+/** Orders jobs by urgency and rank; ties go to the job that was submitted first. */
 export function orderQueue(
   cells: Cells,
   queue: readonly WaitingJob[],
@@ -31,7 +36,7 @@
   const shares = new FairShares(cells);
   const ranked = queue.map(job => ({
     job,
-    rank: rankOf(cells, shares, job, now),
+    rank: computeRank(cells, shares, job, now),
   }));
   return ranked.sort(
     (a, b) =>
@@ -42,15 +47,18 @@
   );
 }
 
-/** Accelerators that a job needs. */
+/** Returns the number of accelerators that a gang needs in total. */
 export function countRequiredAccelerators({
   gang,
 }: Pick<WaitingJob, 'gang'>): number {
   return gang.tasks * gang.perTask.accelerators;
 }
 
-/** One step doubles the expected work; waiting takes steps back. */
-function rankOf(
+/**
+ * Computes the rank: each doubling of the expected run time adds a step,
+ * waiting subtracts steps.
+ */
+function computeRank(
   cells: Cells,
   shares: FairShares,
   job: WaitingJob,
@@ -62,13 +70,14 @@
     job.expectedSeconds,
     MEDIAN_QUANTILE,
   );
-  const work = Math.log2(1 + seconds);
-  const waited = Math.max(0, now - job.submittedAt) / 1000;
-  const age = waited / (cells.rules.ageingSeconds * AGEING_PERIODS_PER_STEP);
-  return work + shares.stepsOf(job.workspace) - age;
+  const lengthSteps = Math.log2(1 + seconds);
+  const waitedSeconds = Math.max(0, now - job.submittedAt) / 1000;
+  const ageSteps =
+    waitedSeconds / (cells.rules.ageingSeconds * AGEING_PERIODS_PER_STEP);
+  return lengthSteps + shares.getSteps(job.workspace) - ageSteps;
 }
 
-/** How far each workspace is over or under its weighted share of what is used. */
+/** Compares the usage of each workspace with its share by weight of all used accelerators. */
 class FairShares {
   private totalUsed = 0;
   private totalWeight = 0;
@@ -82,15 +91,22 @@
     }
   }
 
-  stepsOf(workspace: string): number {
+  /**
+   * Returns the correction in priority steps; negative for a workspace that
+   * uses less than its share.
+   */
+  getSteps(workspace: string): number {
     const weight = this.cells.configuration.workspaces.get(workspace)?.weight;
     if (!weight || this.totalUsed === 0) {
       return 0;
     }
-    const due = (this.totalUsed * weight) / this.totalWeight;
+    const fairShare = (this.totalUsed * weight) / this.totalWeight;
     const used = this.cells.usedByWorkspace.get(workspace) ?? 0;
-    const ratio = (used + 1) / (due + 1);
+    const ratio = (used + 1) / (fairShare + 1);
     const steps = Math.log2(ratio);
-    return Math.max(-MAX_SHARE_STEPS, Math.min(MAX_SHARE_STEPS, steps));
+    return Math.max(
+      -MAX_FAIR_SHARE_STEPS,
+      Math.min(MAX_FAIR_SHARE_STEPS, steps),
+    );
   }
 }
--- a/packages/placement/src/quota_policy.ts
+++ b/packages/placement/src/quota_policy.ts
@@ -1,4 +1,7 @@
-/** A baseline: quotas of accelerators, without shapes or adjacency. */
+/**
+ * Baseline policy with quotas: a guarantee counts as a number of accelerators,
+ * without shape or adjacency.
+ */
 import {
   type Assignment,
   type Configuration,
@@ -23,8 +26,9 @@
 import {countRequiredAccelerators} from './queue_order.js';
 
 /**
- * Starts jobs in the order of arrival, those within the quota of their
- * workspace first; they stop the youngest borrowers when there is no room.
+ * Starts jobs in order of submission with first-fit placement, those within the
+ * quota of their workspace first. These reclaim capacity from the youngest
+ * borrowers if they do not fit.
  */
 export class QuotaPolicy implements Policy {
   readonly name = 'quota';
@@ -46,63 +50,69 @@
   }
 }
 
+/** Working state of one pass. */
 class QuotaPass {
   private readonly decisions: PassDecisions = {
     placements: [],
     reclaims: [],
     waits: [],
   };
-  private readonly trials: string[] = [];
-  private readonly quotas: Map<string, number>;
+  /** Ids of gangs that are in the cells only during the pass. */
+  private readonly tentativeGangs: string[] = [];
+  /** Accelerators that each workspace may still use within its quota. */
+  private readonly remainingQuotas: Map<string, number>;
 
   constructor(
     private readonly cells: Cells,
     private readonly now: number,
   ) {
-    this.quotas = countQuotas(cells);
+    this.remainingQuotas = computeQuotas(cells);
     for (const gang of cells.listGangs()) {
       if (gang.guaranteed) {
-        this.spend(gang.workspace, countAccelerators(gang));
+        this.consumeQuota(gang.workspace, countAccelerators(gang));
       }
     }
   }
 
   run(queue: readonly WaitingJob[]): PassDecisions {
     const order = [...queue].sort((a, b) => a.submittedAt - b.submittedAt);
-    const others = order.filter(job => !this.decideWithin(job));
-    others.forEach(job => this.decideBeyond(job));
-    this.trials.forEach(id => this.cells.removeGang(id));
+    const otherJobs = order.filter(job => !this.tryWithinQuota(job));
+    otherJobs.forEach(job => this.decideBeyondQuota(job));
+    this.tentativeGangs.forEach(id => this.cells.removeGang(id));
     return this.decisions;
   }
 
-  private decideWithin(job: WaitingJob): boolean {
-    const quota = this.quotas.get(job.workspace) ?? 0;
+  private tryWithinQuota(job: WaitingJob): boolean {
+    const quota = this.remainingQuotas.get(job.workspace) ?? 0;
     if (!this.cells.isInService || quota < countRequiredAccelerators(job)) {
       return false;
     }
-    const place = findFirstFit(this.cells, job);
-    if (!place && !this.reclaim(job)) {
+    const assignments = findFirstFit(this.cells, job);
+    if (!assignments && !this.tryReclaim(job)) {
       return false;
     }
-    this.spend(job.workspace, countRequiredAccelerators(job));
-    if (place) {
-      this.place(job, place, true);
+    this.consumeQuota(job.workspace, countRequiredAccelerators(job));
+    if (assignments) {
+      this.addPlacement(job, assignments, true);
     }
     return true;
   }
 
-  private decideBeyond(job: WaitingJob): void {
-    const place = this.cells.isInService && findFirstFit(this.cells, job);
-    if (place) {
-      this.place(job, place, false);
+  private decideBeyondQuota(job: WaitingJob): void {
+    const assignments = this.cells.isInService && findFirstFit(this.cells, job);
+    if (assignments) {
+      this.addPlacement(job, assignments, false);
       return;
     }
     const reason = describeCapacityWait(this.cells, job);
     this.decisions.waits.push({jobId: job.jobId, reason});
   }
 
-  /** Stops the youngest borrowers until the job would fit. */
-  private reclaim(job: WaitingJob): boolean {
+  /**
+   * Chooses borrowers to stop, the youngest first, until the job would fit. Gangs
+   * that are stopping already are counted first. Returns whether it would fit.
+   */
+  private tryReclaim(job: WaitingJob): boolean {
     const borrowers = [...this.cells.listGangs()]
       .filter(gang => !gang.guaranteed)
       .sort(
@@ -110,36 +120,36 @@
           Number(b.stopping) - Number(a.stopping) || b.startedAt - a.startedAt,
       );
     const removed: RunningGang[] = [];
-    let place: Assignment[] | undefined;
+    let assignments: Assignment[] | undefined;
     for (const gang of borrowers) {
       this.cells.removeGang(gang.jobId);
       removed.push(gang);
-      place = findFirstFit(this.cells, job);
-      if (place) {
+      assignments = findFirstFit(this.cells, job);
+      if (assignments) {
         break;
       }
     }
     removed.forEach(gang => this.cells.addGang(gang));
-    if (!place) {
+    if (!assignments) {
       return false;
     }
-    const used = new Set(place.map(({target}) => target));
-    const inTheWay = removed.filter(gang =>
+    const used = new Set(assignments.map(({target}) => target));
+    const overlapping = removed.filter(gang =>
       gang.assignments.some(({target}) => used.has(target)),
     );
-    this.stop(job, inTheWay);
-    this.hold(job, place);
+    this.addReclaim(job, overlapping);
+    this.holdCapacity(job, assignments);
     return true;
   }
 
-  private stop(job: WaitingJob, gangs: readonly RunningGang[]): void {
+  private addReclaim(job: WaitingJob, gangs: readonly RunningGang[]): void {
     const victims = gangs
       .filter(gang => !gang.stopping)
       .map(({jobId}) => jobId);
-    const all = gangs.map(({jobId}) => jobId).join(', ');
+    const stoppedIds = gangs.map(({jobId}) => jobId).join(', ');
     this.decisions.waits.push({
       jobId: job.jobId,
-      reason: createReason('waiting-reclaim', {victims: all}),
+      reason: createReason('waiting-reclaim', {victims: stoppedIds}),
     });
     if (victims.length > 0) {
       const {workspace} = job;
@@ -148,20 +158,21 @@
     }
   }
 
-  private hold(job: WaitingJob, place: Assignment[]): void {
-    const gang = toRunningGang(job, place, true, this.now);
+  /** Holds capacity during the pass for a job whose victims are still stopping. */
+  private holdCapacity(job: WaitingJob, assignments: Assignment[]): void {
+    const gang = toRunningGang(job, assignments, true, this.now);
     gang.jobId = `hold/${job.jobId}`;
     this.cells.addGang(gang);
-    this.trials.push(gang.jobId);
+    this.tentativeGangs.push(gang.jobId);
   }
 
-  private place(
+  private addPlacement(
     job: WaitingJob,
     assignments: Assignment[],
     guaranteed: boolean,
   ): void {
     this.cells.addGang(toRunningGang(job, assignments, guaranteed, this.now));
-    this.trials.push(job.jobId);
+    this.tentativeGangs.push(job.jobId);
     const code = guaranteed ? 'placed-guaranteed' : 'placed-borrowed';
     const {jobId, workspace} = job;
     const targets = describeTargets(assignments);
@@ -169,14 +180,14 @@
     this.decisions.placements.push({jobId, assignments, guaranteed, reason});
   }
 
-  private spend(workspace: string, accelerators: number): void {
-    const before = this.quotas.get(workspace) ?? 0;
-    this.quotas.set(workspace, before - accelerators);
+  private consumeQuota(workspace: string, accelerators: number): void {
+    const before = this.remainingQuotas.get(workspace) ?? 0;
+    this.remainingQuotas.set(workspace, before - accelerators);
   }
 }
 
-/** Accelerators that workspaces are promised in the domain. */
-function countQuotas(cells: Cells): Map<string, number> {
+/** Computes the accelerators that are guaranteed to each workspace in the domain. */
+function computeQuotas(cells: Cells): Map<string, number> {
   const quotas = new Map<string, number>();
   for (const {workspace, level, count} of cells.guarantees) {
     const before = quotas.get(workspace) ?? 0;
--- a/packages/placement/src/rack_cell.ts
+++ b/packages/placement/src/rack_cell.ts
@@ -1,20 +1,23 @@
-/** The targets of one rack, with counts of their free accelerators. */
+/** The targets of one rack, with counts of free accelerators. */
 import type {TargetCell} from './target_cell.js';
 
-/** Largest number of accelerators of a target. */
+/** Largest number of accelerators that a target may have. */
 export const MAX_TARGET_ACCELERATORS = 16;
 
-/** One rack as its scheduler sees it. Counts cover targets that can take work. */
+/** State of one rack, as its scheduler knows it. Counts cover schedulable targets only. */
 export class RackCell {
   readonly targets: TargetCell[] = [];
   /** Number of targets by their number of free accelerators. */
   readonly targetsByFree = new Uint16Array(MAX_TARGET_ACCELERATORS + 1);
-  /** Free accelerators. */
+  /** Number of free accelerators. */
   free = 0;
 
   constructor(readonly id: string) {}
 
-  /** Counts a target in or out, before and after its free accelerators change. */
+  /**
+   * Adds a target to the counts or subtracts it; called around each change of
+   * its free accelerators.
+   */
   updateCounts(target: TargetCell, sign: 1 | -1): void {
     if (!target.isSchedulable) {
       return;
@@ -24,7 +27,7 @@
     this.free += sign * free;
   }
 
-  /** An upper bound of the tasks that fit, by accelerators alone. */
+  /** Returns an upper bound on the tasks that fit, by `accelerators` per task alone. */
   getTaskUpperBound(accelerators: number): number {
     if (accelerators === 0) {
       return Infinity;
@@ -36,7 +39,7 @@
     return tasks;
   }
 
-  /** Free accelerators of the emptiest target. */
+  /** Returns the number of free accelerators of the emptiest target. */
   getMaxFreeOnTarget(): number {
     let free = MAX_TARGET_ACCELERATORS;
     while (free > 0 && this.targetsByFree[free] === 0) {
--- a/packages/placement/src/reclaim.ts
+++ b/packages/placement/src/reclaim.ts
@@ -1,4 +1,7 @@
-/** Chooses the borrowers to stop so that a guaranteed job can start: least lost work first. */
+/**
+ * Reclaim: chooses borrowers to stop so that a job can start within the guarantee
+ * of its workspace, with the least expected loss of work.
+ */
 import type {Assignment} from '@galenavalve/model';
 import {chooseAccelerators} from './accelerator_mask.js';
 import {type Cells, countAccelerators} from './cells.js';
@@ -20,27 +23,31 @@
   countFitting,
 } from './target_cell.js';
 
-/** A place within the guarantee, and the borrowers that are in the way. */
+/** A placement within the guarantee, and the borrowers that have to stop for it. */
 export interface ReclaimPlan {
   assignments: Assignment[];
-  /** Borrowers that were told to stop before. */
+  /** Borrowers that were already told to stop. */
   stopping: RunningGang[];
   /** Borrowers to stop now. */
   victims: RunningGang[];
-  /** Expected loss of work, in accelerator seconds. */
+  /** Expected loss of work by stopping the victims, in accelerator seconds. */
   cost: number;
 }
 
-/** Share of the progress since the last checkpoint that a graceful stop loses on average. */
-const CHECKPOINT_LOSS = 0.05;
+/** Average share of the progress since the last checkpoint that is lost in a graceful stop. */
+const CHECKPOINT_LOSS_SHARE = 0.05;
 
-/** Weight of the progress of a job that cannot be run again. */
-const LOST_WEIGHT = 1e6;
+/** Factor for the progress of jobs that cannot be run again, which makes them the last choice. */
+const NON_REPEATABLE_LOSS_FACTOR = 1e6;
 
-/** Loss of each stop apart from progress, in seconds. */
-const RESTART_SECONDS = 5;
+/** Cost of each stop in addition to lost progress, in seconds of run time. */
+const RESTART_COST_SECONDS = 5;
 
-/** Finds the cheapest place within the guarantee; undefined when it has no room even without borrowers. */
+/**
+ * Finds the placement within the guarantee with the lowest cost. `chosen` are
+ * gangs that are already chosen to be stopped for other jobs. Returns undefined
+ * if the guarantee cannot hold the job even without borrowers.
+ */
 export function planReclaim(
   cells: Cells,
   request: SearchRequest,
@@ -48,8 +55,14 @@
   chosen: ReadonlySet<RunningGang> = new Set(),
 ): ReclaimPlan | undefined {
   let best: ReclaimPlan | undefined;
-  for (const targets of listScopes(cells, request)) {
-    const plan = new Reclaim(cells, request, now, chosen, targets).plan();
+  for (const targets of listTargetGroups(cells, request)) {
+    const plan = new VictimSelection(
+      cells,
+      request,
+      now,
+      chosen,
+      targets,
+    ).plan();
     if (plan && (!best || plan.cost < best.cost)) {
       best = plan;
     }
@@ -57,21 +70,21 @@
   return best;
 }
 
-/** Expected loss of work when a gang is stopped now, in accelerator seconds. */
+/** Estimates the loss of work if a gang is stopped now, in accelerator seconds. */
 export function estimateStopCost(gang: RunningGang, now: number): number {
   const accelerators = Math.max(1, countAccelerators(gang));
-  const since = gang.checkpointable ? gang.savedAt : gang.startedAt;
-  const seconds = Math.max(0, now - since) / 1000;
-  const weight = gang.checkpointable
-    ? CHECKPOINT_LOSS
+  const lossStartAt = gang.checkpointable ? gang.savedAt : gang.startedAt;
+  const seconds = Math.max(0, now - lossStartAt) / 1000;
+  const lossFactor = gang.checkpointable
+    ? CHECKPOINT_LOSS_SHARE
     : gang.repeatable
       ? 1
-      : LOST_WEIGHT;
-  return accelerators * (seconds * weight + RESTART_SECONDS);
+      : NON_REPEATABLE_LOSS_FACTOR;
+  return accelerators * (seconds * lossFactor + RESTART_COST_SECONDS);
 }
 
-/** The sets of targets in which a gang may lie whole. */
-function listScopes(
+/** Lists the groups of targets within which the adjacency of a gang is met. */
+function listTargetGroups(
   cells: Cells,
   request: SearchRequest,
 ): (readonly TargetCell[])[] {
@@ -85,94 +98,101 @@
     : targets.map(target => [target]);
 }
 
-/** The choice of victims within one set of targets. */
-class Reclaim {
-  /** Gangs that are counted as gone. */
-  private readonly gone = new Set<RunningGang>();
+/** Selection of victims within one group of targets. */
+class VictimSelection {
+  /** Gangs that are treated as removed. */
+  private readonly removed = new Set<RunningGang>();
   private readonly costs = new Map<RunningGang, number>();
-  /** Tasks that fit on each target once the gangs that are counted as gone are gone. */
-  private readonly fits = new Map<TargetCell, number>();
-  private missing: number;
+  /** Tasks that fit on each target without the removed gangs. */
+  private readonly fittingTasks = new Map<TargetCell, number>();
+  /** Tasks of the gang that do not fit yet. */
+  private missingTasks: number;
 
   constructor(
     private readonly cells: Cells,
     private readonly request: SearchRequest,
     private readonly now: number,
-    /** Gangs that were chosen for other jobs before. */
-    private readonly chosen: ReadonlySet<RunningGang>,
+    /** Gangs that are already chosen to be stopped for other jobs. */
+    private readonly chosenBefore: ReadonlySet<RunningGang>,
     private readonly targets: readonly TargetCell[],
   ) {
-    this.missing = request.gang.tasks;
+    this.missingTasks = request.gang.tasks;
   }
 
   plan(): ReclaimPlan | undefined {
     const {gang} = this.request;
     const view = createReclaimableView(this.cells, this.request);
-    const portions = listCandidates(this.targets, gang, view);
-    const most = portions.reduce((sum, {tasks}) => sum + tasks, 0);
-    if (most < gang.tasks) {
+    const candidates = listCandidates(this.targets, gang, view);
+    const maxTasks = candidates.reduce((sum, {tasks}) => sum + tasks, 0);
+    if (maxTasks < gang.tasks) {
       return undefined;
     }
-    for (const {target} of portions) {
-      this.fits.set(target, 0);
-      this.refit(target);
+    for (const {target} of candidates) {
+      this.fittingTasks.set(target, 0);
+      this.updateFitting(target);
     }
-    this.addStopping();
-    this.chooseVictims(portions);
-    this.spareVictims();
+    this.removeStoppingGangs();
+    this.chooseVictims(candidates);
+    this.dropNeedlessVictims();
     return this.toPlan();
   }
 
-  private isStopping(gang: RunningGang): boolean {
-    return gang.stopping || this.chosen.has(gang);
+  private isAlreadyStopping(gang: RunningGang): boolean {
+    return gang.stopping || this.chosenBefore.has(gang);
   }
 
-  private addStopping(): void {
-    for (const target of this.fits.keys()) {
-      for (const gang of this.borrowersOn(target)) {
-        if (this.isStopping(gang)) {
-          this.setGone(gang, true);
+  private removeStoppingGangs(): void {
+    for (const target of this.fittingTasks.keys()) {
+      for (const gang of this.listBorrowersOn(target)) {
+        if (this.isAlreadyStopping(gang)) {
+          this.setRemoved(gang, true);
         }
       }
     }
   }
 
-  /** Clears targets, the cheapest per task first, until the gang fits. */
-  private chooseVictims(portions: readonly TargetCandidate[]): void {
-    if (this.missing <= 0) {
+  /**
+   * Removes the borrowers of targets, the lowest cost per gained task first,
+   * until the gang fits.
+   */
+  private chooseVictims(candidates: readonly TargetCandidate[]): void {
+    if (this.missingTasks <= 0) {
       return;
     }
-    const order = portions
-      .map(portion => ({portion, price: this.priceOf(portion)}))
-      .sort((a, b) => a.price - b.price);
-    for (const {portion} of order) {
-      if (this.missing > 0) {
-        this.clear(portion.target);
+    const order = candidates
+      .map(candidate => ({
+        candidate,
+        costPerTask: this.computeCostPerTask(candidate),
+      }))
+      .sort((a, b) => a.costPerTask - b.costPerTask);
+    for (const {candidate} of order) {
+      if (this.missingTasks > 0) {
+        this.removeBorrowersOn(candidate.target);
       }
     }
   }
 
-  /** Stops borrowers on one target, the cheapest first, while tasks are missing. */
-  private clear(target: TargetCell): void {
-    const borrowers = this.borrowersOn(target)
-      .filter(gang => !this.gone.has(gang))
-      .sort((a, b) => this.costOf(a) - this.costOf(b));
+  /** Removes borrowers on one target, the lowest cost first, while tasks are missing. */
+  private removeBorrowersOn(target: TargetCell): void {
+    const borrowers = this.listBorrowersOn(target)
+      .filter(gang => !this.removed.has(gang))
+      .sort((a, b) => this.getStopCost(a) - this.getStopCost(b));
     for (const gang of borrowers) {
-      if (this.missing > 0) {
-        this.setGone(gang, true);
+      if (this.missingTasks > 0) {
+        this.setRemoved(gang, true);
       }
     }
   }
 
-  /** Takes back victims without which the gang fits too, the dearest first. */
-  private spareVictims(): void {
-    const victims = [...this.gone]
-      .filter(gang => !this.isStopping(gang))
-      .sort((a, b) => this.costOf(b) - this.costOf(a));
+  /** Drops victims that need not stop for the gang to fit, the highest cost first. */
+  private dropNeedlessVictims(): void {
+    const victims = [...this.removed]
+      .filter(gang => !this.isAlreadyStopping(gang))
+      .sort((a, b) => this.getStopCost(b) - this.getStopCost(a));
     for (const gang of victims) {
-      this.setGone(gang, false);
-      if (this.missing > 0) {
-        this.setGone(gang, true);
+      this.setRemoved(gang, false);
+      if (this.missingTasks > 0) {
+        this.setRemoved(gang, true);
       }
     }
   }
@@ -182,104 +202,117 @@
     const assignments: Assignment[] = [];
     const needed = new Set<RunningGang>();
     let firstTask = 0;
-    for (const target of this.orderByPresence()) {
-      const tasks = Math.min(this.fits.get(target)!, gang.tasks - firstTask);
+    for (const target of this.orderByRemovedGangs()) {
+      const tasks = Math.min(
+        this.fittingTasks.get(target)!,
+        gang.tasks - firstTask,
+      );
       if (tasks > 0) {
         const accelerators = chooseAccelerators(
-          this.roomOn(target).accelerators,
+          this.getFreeInGuarantee(target).accelerators,
           tasks * gang.perTask.accelerators,
           target.spec.accelerators,
         );
         assignments.push({target: target.id, firstTask, tasks, accelerators});
-        this.goneOn(target).forEach(borrower => needed.add(borrower));
+        this.listRemovedOn(target).forEach(borrower => needed.add(borrower));
         firstTask += tasks;
       }
     }
-    const victims = [...this.gone].filter(other => !this.isStopping(other));
-    const cost = victims.reduce((sum, other) => sum + this.costOf(other), 0);
-    const stopping = [...needed].filter(other => this.isStopping(other));
+    const victims = [...this.removed].filter(
+      other => !this.isAlreadyStopping(other),
+    );
+    const cost = victims.reduce(
+      (sum, other) => sum + this.getStopCost(other),
+      0,
+    );
+    const stopping = [...needed].filter(other => this.isAlreadyStopping(other));
     return {assignments, stopping, victims, cost};
   }
 
-  /** Targets that need no stop first. */
-  private orderByPresence(): TargetCell[] {
-    return [...this.fits.keys()]
-      .map(target => ({target, count: this.goneOn(target).length}))
+  /** Orders targets by the number of removed gangs on them, targets without any first. */
+  private orderByRemovedGangs(): TargetCell[] {
+    return [...this.fittingTasks.keys()]
+      .map(target => ({target, count: this.listRemovedOn(target).length}))
       .sort((a, b) => a.count - b.count || a.target.index - b.target.index)
       .map(({target}) => target);
   }
 
-  private priceOf({target, tasks}: TargetCandidate): number {
-    const gain = tasks - this.fits.get(target)!;
-    const cost = this.borrowersOn(target)
-      .filter(gang => !this.gone.has(gang))
-      .reduce((sum, gang) => sum + this.costOf(gang), 0);
+  /** Returns the cost of removing all borrowers of a target per task that fits in addition. */
+  private computeCostPerTask({target, tasks}: TargetCandidate): number {
+    const gain = tasks - this.fittingTasks.get(target)!;
+    const cost = this.listBorrowersOn(target)
+      .filter(gang => !this.removed.has(gang))
+      .reduce((sum, gang) => sum + this.getStopCost(gang), 0);
     return gain > 0 ? cost / gain : Infinity;
   }
 
-  private setGone(gang: RunningGang, isGone: boolean): void {
-    if (isGone) {
-      this.gone.add(gang);
+  /** Marks a gang as removed or not, and updates the tasks that fit. */
+  private setRemoved(gang: RunningGang, isRemoved: boolean): void {
+    if (isRemoved) {
+      this.removed.add(gang);
     } else {
-      this.gone.delete(gang);
+      this.removed.delete(gang);
     }
     for (const {target: id} of gang.assignments) {
       const target = this.cells.targets.get(id);
-      if (target && this.fits.has(target)) {
-        this.refit(target);
+      if (target && this.fittingTasks.has(target)) {
+        this.updateFitting(target);
       }
     }
   }
 
-  private refit(target: TargetCell): void {
-    const fitting = countFitting(
-      this.roomOn(target),
+  private updateFitting(target: TargetCell): void {
+    const tasks = countFitting(
+      this.getFreeInGuarantee(target),
       this.request.gang.perTask,
     );
-    this.missing += this.fits.get(target)! - fitting;
-    this.fits.set(target, fitting);
+    this.missingTasks += this.fittingTasks.get(target)! - tasks;
+    this.fittingTasks.set(target, tasks);
   }
 
-  /** Room within the guarantee that is free once the chosen gangs are gone. */
-  private roomOn(target: TargetCell): TargetResources {
+  /** Returns the resources within the guarantee that are free without the removed gangs. */
+  private getFreeInGuarantee(target: TargetCell): TargetResources {
     const free = {...target.free};
     for (const {gang, tasks, mask} of target.occupants.values()) {
-      if (this.gone.has(gang)) {
+      if (this.removed.has(gang)) {
         addTasks(free, gang.gang.perTask, tasks, mask);
       }
     }
-    const whole = createReclaimableView(this.cells, this.request)(target)!;
-    return intersectResources(whole, free);
+    const guaranteed = createReclaimableView(this.cells, this.request)(target)!;
+    return intersectResources(guaranteed, free);
   }
 
-  private goneOn(target: TargetCell): RunningGang[] {
-    return this.borrowersOn(target).filter(gang => this.gone.has(gang));
+  private listRemovedOn(target: TargetCell): RunningGang[] {
+    return this.listBorrowersOn(target).filter(gang => this.removed.has(gang));
   }
 
-  /** Borrowers that use accelerators of the guarantee, or hold back its other resources. */
-  private borrowersOn(target: TargetCell): RunningGang[] {
-    const own = this.cells.guaranteedCells
+  /**
+   * Lists the borrowers on a target that use accelerators of the guarantee. Lists
+   * all its borrowers if its other resources limit the guarantee.
+   */
+  private listBorrowersOn(target: TargetCell): RunningGang[] {
+    const guaranteedMask = this.cells.guaranteedCells
       .getWorkspace(this.request.workspace)
       .masksByTarget.get(target)!;
-    const isShort = this.isShort(target);
+    const isLimited = this.isLimitedByOtherResources(target);
     const gangs: RunningGang[] = [];
     for (const {gang, mask} of target.occupants.values()) {
-      if (!gang.guaranteed && ((mask & own) !== 0 || isShort)) {
+      if (!gang.guaranteed && ((mask & guaranteedMask) !== 0 || isLimited)) {
         gangs.push(gang);
       }
     }
     return gangs;
   }
 
-  /** Whether processors, memory or slots allow fewer tasks than the guarantee. */
-  private isShort(target: TargetCell): boolean {
+  /** Returns whether free processors, memory or slots allow fewer tasks than the guarantee. */
+  private isLimitedByOtherResources(target: TargetCell): boolean {
     const {perTask} = this.request.gang;
-    const whole = createReclaimableView(this.cells, this.request)(target)!;
-    const room = {...target.free, accelerators: whole.accelerators};
-    return countFitting(room, perTask) < countFitting(whole, perTask);
+    const guaranteed = createReclaimableView(this.cells, this.request)(target)!;
+    const available = {...target.free, accelerators: guaranteed.accelerators};
+    return countFitting(available, perTask) < countFitting(guaranteed, perTask);
   }
 
-  private costOf(gang: RunningGang): number {
+  private getStopCost(gang: RunningGang): number {
     let cost = this.costs.get(gang);
     if (cost === undefined) {
       cost = estimateStopCost(gang, this.now);
