--- a/packages/placement/src/reservation.ts
+++ b/packages/placement/src/reservation.ts
@@ -1,10 +1,11 @@
 /**
- * Keeps a place for the oldest large job, so that smaller jobs cannot
- * overtake it for ever.
+ * Reserves targets for the oldest large job, so that smaller jobs cannot
+ * overtake it forever.
  *
- * Others may start in the place only while they are expected to end before
- * the large job could start anyway. Once it has waited
- * `rules.largeJobWaitSeconds`, nobody else starts there.
+ * Other jobs may start on reserved targets only as backfill, that is, if they are
+ * expected to end before the large job could start anyway. Once the large job has
+ * waited for `rules.largeJobWaitSeconds`, the reservation is exclusive: no other
+ * job starts there.
  */
 import type {Cells} from './cells.js';
 import {UPPER_QUANTILE} from './run_time_estimator.js';
@@ -18,64 +19,74 @@
   countFitting,
 } from './target_cell.js';
 
-/** The place that is kept for a job. */
+/** Targets that are reserved for a job. */
 export interface Reservation {
   jobId: string;
   workspace: string;
-  /** Whether the place lies within the guarantee of the job's workspace. */
+  /** Whether the reservation is within the guarantee of the job's workspace. */
   isWithinGuarantee: boolean;
   targets: ReadonlySet<TargetCell>;
-  /** Wall-clock milliseconds at which the place is expected to be free. */
+  /** Wall-clock milliseconds at which the targets are expected to be free. */
   freeAt: number;
-  /** True when nobody else may start there. */
+  /** Whether no other job may start there. */
   isExclusive: boolean;
 }
 
-/** Racks that are compared, those with the most free accelerators first. */
-const MAX_RACKS = 64;
+/** Number of racks that are compared, those with the most free accelerators first. */
+const MAX_COMPARED_RACKS = 64;
 
-/** Share of its age that an overdue gang is expected to go on for. */
-const OVERDUE_SHARE = 0.5;
+/** Remaining run time of an overdue gang, as a share of its run time so far. */
+const OVERDUE_EXTENSION_SHARE = 0.5;
 
-/** A target with the time at which it can hold tasks. */
+/** A target, the number of tasks that it can hold, and when. */
 interface Opening {
   target: TargetCell;
   tasks: number;
+  /** Wall-clock milliseconds at which the awaited gangs are expected to have ended. */
   freeAt: number;
 }
 
-/** Whether a job is large: it needs a whole target or more. */
+/**
+ * Returns whether a job is large: needs at least as many accelerators as the
+ * largest target has.
+ */
 export function isLarge(cells: Cells, {gang}: WaitingJob): boolean {
   return gang.tasks * gang.perTask.accelerators >= cells.maxTargetSize;
 }
 
-/** The place to keep for a job; undefined when no well targets can hold it. */
+/** Plans the reservation for a job; returns undefined if no schedulable targets can hold it. */
 export function planReservation(
   cells: Cells,
   job: WaitingJob,
   now: number,
 ): Reservation | undefined {
-  const waited = (now - job.submittedAt) / 1000;
-  const isClosed = waited >= cells.rules.largeJobWaitSeconds;
-  const kept = findKept(cells, job, now);
-  const inHomes = kept ? undefined : findOpenings(cells, job, now, true);
-  const openings = kept ?? inHomes ?? findOpenings(cells, job, now, false);
-  const isInHomes = kept
+  const waitedSeconds = (now - job.submittedAt) / 1000;
+  const isExclusive = waitedSeconds >= cells.rules.largeJobWaitSeconds;
+  const previous = findPreviousOpenings(cells, job, now);
+  const inGuarantee = previous
+    ? undefined
+    : findOpenings(cells, job, now, true);
+  const openings =
+    previous ?? inGuarantee ?? findOpenings(cells, job, now, false);
+  const isWithinGuarantee = previous
     ? cells.reservation!.isWithinGuarantee
-    : inHomes !== undefined;
+    : inGuarantee !== undefined;
   return (
     openings && {
       jobId: job.jobId,
       workspace: job.workspace,
-      isWithinGuarantee: isInHomes,
+      isWithinGuarantee,
       targets: new Set(openings.map(({target}) => target)),
-      freeAt: latest(openings),
-      isExclusive: isClosed,
+      freeAt: getLatestFreeAt(openings),
+      isExclusive,
     }
   );
 }
 
-/** Whether a job may start on a target in spite of the reservation. */
+/**
+ * Creates a predicate of the targets on which a job that ends at `endsAt`
+ * (wall-clock milliseconds) may start despite the reservation.
+ */
 export function createReservationPredicate(
   reservation: Reservation | undefined,
   job: WaitingJob,
@@ -90,7 +101,10 @@
   return target => !reservation.targets.has(target);
 }
 
-/** Borrowers in the kept place that are smaller than the large job and keep their progress when stopped. */
+/**
+ * Lists borrowers on the reserved targets that need fewer than `size`
+ * accelerators and keep their progress when they are stopped.
+ */
 export function listPreemptible(
   {targets}: Reservation,
   size: number,
@@ -99,8 +113,8 @@
   for (const target of targets) {
     for (const {gang} of target.occupants.values()) {
       const isSmaller = gang.gang.tasks * gang.gang.perTask.accelerators < size;
-      const isMovable = gang.checkpointable && !gang.guaranteed;
-      if (isSmaller && isMovable && !gang.stopping) {
+      const isPreemptible = gang.checkpointable && !gang.guaranteed;
+      if (isSmaller && isPreemptible && !gang.stopping) {
         gangs.add(gang);
       }
     }
@@ -108,7 +122,10 @@
   return [...gangs];
 }
 
-/** When a gang is expected to have ended, with the upper estimate. */
+/**
+ * Returns the wall-clock milliseconds at which a gang is expected to have
+ * ended, by the upper estimate.
+ */
 export function estimateEnd(
   cells: Cells,
   gang: RunningGang,
@@ -120,83 +137,99 @@
     gang.expectedSeconds,
     UPPER_QUANTILE,
   );
-  const end = gang.startedAt + seconds * 1000;
-  const overdue = now + (now - gang.startedAt) * OVERDUE_SHARE;
-  return end > now ? end : overdue;
+  const endAt = gang.startedAt + seconds * 1000;
+  const overdueEndAt = now + (now - gang.startedAt) * OVERDUE_EXTENSION_SHARE;
+  return endAt > now ? endAt : overdueEndAt;
 }
 
-/** The place that was kept before, if it still can hold the job. */
-function findKept(
+/** Finds openings on the targets that were reserved before, if they can still hold the job. */
+function findPreviousOpenings(
   cells: Cells,
   job: WaitingJob,
   now: number,
 ): Opening[] | undefined {
-  const kept = cells.reservation;
-  if (kept?.jobId !== job.jobId) {
+  const previous = cells.reservation;
+  if (previous?.jobId !== job.jobId) {
     return undefined;
   }
-  const targets = [...kept.targets].map(({id}) => cells.targets.get(id));
-  const present = targets.filter(target => target !== undefined);
-  const view = kept.isWithinGuarantee
-    ? homeCapacity(cells, job)
-    : wholeCapacity;
-  return fill(listOpenings(cells, job, present, now, view), job);
+  const targets = [...previous.targets].map(({id}) => cells.targets.get(id));
+  const existing = targets.filter(target => target !== undefined);
+  const view = previous.isWithinGuarantee
+    ? createGuaranteeCapacity(cells, job)
+    : WHOLE_CAPACITY;
+  return selectOpenings(listOpenings(cells, job, existing, now, view), job);
 }
 
-/** The earliest place: in the workspace's own homes if they can hold the job, else anywhere. */
+/**
+ * Finds the openings that are free earliest, in the guaranteed cells of the
+ * workspace or in the whole domain.
+ */
 function findOpenings(
   cells: Cells,
   job: WaitingJob,
   now: number,
-  isInHomes: boolean,
+  isWithinGuarantee: boolean,
 ): Opening[] | undefined {
-  const groups = isInHomes
+  const groups = isWithinGuarantee
     ? groupGuaranteedTargetsByRack(cells, job.workspace)
-    : emptiestRacks(cells);
-  const view = isInHomes ? homeCapacity(cells, job) : wholeCapacity;
+    : listEmptiestRacks(cells);
+  const view = isWithinGuarantee
+    ? createGuaranteeCapacity(cells, job)
+    : WHOLE_CAPACITY;
   if (job.gang.adjacency === 'domain') {
-    const targets = isInHomes
+    const targets = isWithinGuarantee
       ? cells.guaranteedCells.getWorkspace(job.workspace).masksByTarget.keys()
       : cells.targets.values();
-    return fill(listOpenings(cells, job, targets, now, view), job);
+    return selectOpenings(listOpenings(cells, job, targets, now, view), job);
   }
   let best: Opening[] | undefined;
   for (const targets of groups) {
-    const found = fill(listOpenings(cells, job, targets, now, view), job);
-    if (found && (!best || latest(found) < latest(best))) {
+    const found = selectOpenings(
+      listOpenings(cells, job, targets, now, view),
+      job,
+    );
+    if (found && (!best || getLatestFreeAt(found) < getLatestFreeAt(best))) {
       best = found;
     }
   }
   return best;
 }
 
-/** What a target can hold for the job once others are gone, and which others it waits for. */
-interface Capacity {
-  room: (target: TargetCell) => TargetResources | undefined;
-  isWaitedFor: (gang: RunningGang) => boolean;
+/** The capacity of targets that a reservation may use once the awaited gangs have ended. */
+interface CapacityView {
+  /** Returns the resources of a target that the job may use, or undefined if none. */
+  getResources: (target: TargetCell) => TargetResources | undefined;
+  /** Returns whether the job has to wait for a gang to end. */
+  isAwaited: (gang: RunningGang) => boolean;
 }
 
-const wholeCapacity: Capacity = {
-  room: target => getCapacity(target.spec),
-  isWaitedFor: () => true,
+const WHOLE_CAPACITY: CapacityView = {
+  getResources: target => getCapacity(target.spec),
+  isAwaited: () => true,
 };
 
-/** Within a guarantee only the workspace's own guaranteed gangs are waited for. */
-function homeCapacity(cells: Cells, {workspace}: WaitingJob): Capacity {
+/**
+ * Creates the view of a guarantee, in which only guaranteed gangs of the same
+ * workspace are awaited.
+ */
+function createGuaranteeCapacity(
+  cells: Cells,
+  {workspace}: WaitingJob,
+): CapacityView {
   return {
-    room: target =>
+    getResources: target =>
       cells.guaranteedCells.getGuaranteedResources(workspace, target),
-    isWaitedFor: gang => gang.guaranteed && gang.workspace === workspace,
+    isAwaited: gang => gang.guaranteed && gang.workspace === workspace,
   };
 }
 
-function* emptiestRacks(cells: Cells): Iterable<readonly TargetCell[]> {
+function* listEmptiestRacks(cells: Cells): Iterable<readonly TargetCell[]> {
   let count = 0;
   for (let free = cells.racksByFree.length - 1; free >= 0; free--) {
     for (const rack of cells.racksByFree[free]!) {
       yield rack.targets;
       count++;
-      if (count === MAX_RACKS) {
+      if (count === MAX_COMPARED_RACKS) {
         return;
       }
     }
@@ -208,37 +241,45 @@
   job: WaitingJob,
   targets: Iterable<TargetCell>,
   now: number,
-  capacity: Capacity,
+  capacity: CapacityView,
 ): Opening[] {
   const openings: Opening[] = [];
   for (const target of targets) {
-    const room = isUsable(job, target) ? capacity.room(target) : undefined;
-    const tasks = room ? countFitting(room, job.gang.perTask) : 0;
+    const resources = isUsable(job, target)
+      ? capacity.getResources(target)
+      : undefined;
+    const tasks = resources ? countFitting(resources, job.gang.perTask) : 0;
     if (tasks > 0) {
-      const freeAt = clearAt(cells, target, now, capacity);
+      const freeAt = estimateFreeAt(cells, target, now, capacity);
       openings.push({target, tasks, freeAt});
     }
   }
   return openings;
 }
 
-function clearAt(
+function estimateFreeAt(
   cells: Cells,
   target: TargetCell,
   now: number,
-  {isWaitedFor}: Capacity,
+  {isAwaited}: CapacityView,
 ): number {
-  let at = now;
+  let freeAt = now;
   for (const {gang} of target.occupants.values()) {
-    if (isWaitedFor(gang)) {
-      at = Math.max(at, estimateEnd(cells, gang, now));
+    if (isAwaited(gang)) {
+      freeAt = Math.max(freeAt, estimateEnd(cells, gang, now));
     }
   }
-  return at;
+  return freeAt;
 }
 
-/** The earliest openings that hold the job together. */
-function fill(openings: Opening[], {gang}: WaitingJob): Opening[] | undefined {
+/**
+ * Selects the earliest openings that together hold the job; returns undefined
+ * if they do not suffice.
+ */
+function selectOpenings(
+  openings: Opening[],
+  {gang}: WaitingJob,
+): Opening[] | undefined {
   openings.sort((a, b) => a.freeAt - b.freeAt || b.tasks - a.tasks);
   if (gang.adjacency === 'target') {
     const single = openings.find(({tasks}) => tasks >= gang.tasks);
@@ -256,6 +297,6 @@
   return undefined;
 }
 
-function latest(openings: readonly Opening[]): number {
-  return openings.reduce((at, {freeAt}) => Math.max(at, freeAt), 0);
+function getLatestFreeAt(openings: readonly Opening[]): number {
+  return openings.reduce((latest, {freeAt}) => Math.max(latest, freeAt), 0);
 }
--- a/packages/placement/src/routing.ts
+++ b/packages/placement/src/routing.ts
@@ -1,4 +1,4 @@
-/** Chooses the failure domain of a job, and moves queued jobs whose domain cannot serve them. */
+/** Chooses the failure domain of a job, and moves queued jobs that cannot start in their domain. */
 import {type Assignment, type Reason, createReason} from '@galenavalve/model';
 import type {Cells} from './cells.js';
 import {MEDIAN_QUANTILE} from './run_time_estimator.js';
@@ -10,7 +10,7 @@
 import {estimateEnd} from './reservation.js';
 import {findBestFit} from './best_fit_search.js';
 
-/** How a job could start in a domain at once, best first. */
+/** Ways in which a job could start in a domain at once, best first. */
 export const START_OPTIONS = [
   'guaranteed',
   'borrowed',
@@ -19,16 +19,16 @@
 ] as const;
 export type StartOption = (typeof START_OPTIONS)[number];
 
-/** What routing knows of one failure domain for one job. */
+/** Properties of one failure domain that routing of one job considers. */
 export interface DomainSummary {
   domain: string;
   isInService: boolean;
-  /** Why the job can never run there, if it cannot. */
+  /** Why the job can never run there; undefined if it can. */
   infeasibility?: Reason;
   startOption: StartOption;
-  /** Free accelerators of the rack in which the job would start; 0 when it would wait. */
+  /** Free accelerators of the rack in which the job would start; 0 if it would wait or reclaim. */
   rackFree: number;
-  /** Expected time until the queue and the running gangs are done, in seconds. */
+  /** Expected time until the queue and the running gangs are finished, in seconds. */
   backlogSeconds: number;
 }
 
@@ -47,66 +47,64 @@
 }
 
 /**
- * Time that a job stays in a domain before it moves to free capacity, in
- * milliseconds. It keeps work from thrashing when a domain comes back.
+ * Minimum time that a job stays in a domain before it moves to free capacity.
+ * Prevents thrashing when a domain returns to service.
  */
-const MOVE_AFTER_MS = 10_000;
+const MIN_STAY_MS = 10_000;
 
-/** Sums up one domain for one job. */
+/** Summarizes one domain for one job. */
 export function summarizeDomain(
   cells: Cells,
   backlogSeconds: number,
   job: WaitingJob,
   now: number,
 ): DomainSummary {
-  const impossibility = findUnmetConstraint(cells, job);
+  const infeasibility = findUnmetConstraint(cells, job);
   const {domain, isInService} = cells;
   const start =
-    impossibility || !isInService ? NO_START : findStart(cells, job, now);
+    infeasibility || !isInService ? NO_START : findStart(cells, job, now);
   return {
     domain,
     isInService,
-    infeasibility: impossibility,
+    infeasibility,
     ...start,
     backlogSeconds,
   };
 }
 
 /**
- * Chooses a domain: in service before out of service, then by how the job can
- * start, then the fullest rack, so that large blocks stay whole, then by
- * backlog. Undefined when the job can run in none.
+ * Chooses a domain: in service before out of service, then by start option, then
+ * the fullest rack, so that large blocks stay intact, then the shortest backlog.
+ * Returns undefined if the job can run in none.
  */
 export function chooseDomain(
   summaries: readonly DomainSummary[],
 ): Route | undefined {
-  const possible = summaries.filter(
-    ({infeasibility: impossibility}) => !impossibility,
-  );
-  const best = [...possible].sort(compareSummaries)[0];
+  const feasible = summaries.filter(({infeasibility}) => !infeasibility);
+  const best = [...feasible].sort(compareSummaries)[0];
   if (!best) {
     return undefined;
   }
   const {domain} = best;
-  if (possible.length === 1) {
+  if (feasible.length === 1) {
     return {domain, reason: createReason('routed-only', {domain})};
   }
   const code = best.startOption === 'none' ? 'routed-queue' : 'routed-capacity';
   return {domain, reason: createReason(code, {domain})};
 }
 
-/** Finds a better domain for a job that waits in `from`; undefined when it should stay. */
+/** Finds a better domain for a job that waits in `from`; returns undefined if it should stay. */
 export function findMove(
   job: WaitingJob,
   from: DomainSummary,
   others: readonly DomainSummary[],
-  /** Wall-clock milliseconds at which the job came to `from`. */
+  /** Wall-clock milliseconds at which the job arrived in `from`. */
   arrivedAt: number,
   now: number,
 ): Move | undefined {
   const candidates = others.filter(
-    ({infeasibility: impossibility, isInService, domain}) =>
-      !impossibility && isInService && domain !== from.domain,
+    ({infeasibility, isInService, domain}) =>
+      !infeasibility && isInService && domain !== from.domain,
   );
   const best = candidates.sort(compareSummaries)[0];
   if (!best) {
@@ -120,19 +118,22 @@
   const canStart = best.startOption !== 'none';
   const isStuck =
     from.infeasibility !== undefined || from.startOption === 'none';
-  if (!canStart || !isStuck || now - arrivedAt < MOVE_AFTER_MS) {
+  if (!canStart || !isStuck || now - arrivedAt < MIN_STAY_MS) {
     return undefined;
   }
   return {...move, reason: createReason('moved-capacity', details)};
 }
 
-/** Time in seconds until all accelerators have done the work that waits or runs. */
+/**
+ * Estimates the time in seconds in which all accelerators together finish the
+ * waiting and running work.
+ */
 export function estimateBacklog(
   cells: Cells,
   queue: readonly WaitingJob[],
   now: number,
 ): number {
-  let work = 0;
+  let acceleratorSeconds = 0;
   for (const job of queue) {
     const {workspace, kind, expectedSeconds} = job;
     const seconds = cells.estimates.estimate(
@@ -141,15 +142,15 @@
       expectedSeconds,
       MEDIAN_QUANTILE,
     );
-    work += seconds * countRequiredAccelerators(job);
+    acceleratorSeconds += seconds * countRequiredAccelerators(job);
   }
   for (const gang of cells.listGangs()) {
-    work +=
+    acceleratorSeconds +=
       ((estimateEnd(cells, gang, now) - now) / 1000) *
       countRequiredAccelerators(gang);
   }
   const capacity = cells.getMaxCellSize('domain');
-  return capacity === 0 ? Infinity : work / capacity;
+  return capacity === 0 ? Infinity : acceleratorSeconds / capacity;
 }
 
 function compareSummaries(a: DomainSummary, b: DomainSummary): number {
@@ -168,25 +169,25 @@
 const NO_START: Start = {startOption: 'none', rackFree: 0};
 
 function findStart(cells: Cells, job: WaitingJob, now: number): Start {
-  const isOpen = () => true;
-  const open = {isOpenInGuarantee: isOpen, isOpenElsewhere: isOpen};
+  const allowAll = () => true;
+  const filter = {isOpenInGuarantee: allowAll, isOpenElsewhere: allowAll};
   const hasGuarantee =
     cells.guaranteedCells.getWorkspace(job.workspace).unusedAccelerators >=
     countRequiredAccelerators(job);
-  const guaranteed = hasGuarantee && findGuaranteedPlace(cells, job, open);
+  const guaranteed = hasGuarantee && findGuaranteedPlace(cells, job, filter);
   if (guaranteed) {
-    return toStart(cells, 'guaranteed', guaranteed);
+    return createStart(cells, 'guaranteed', guaranteed);
   }
   const borrowed = cells.rules.borrowing && findBestFit(cells, job);
   if (borrowed) {
-    return toStart(cells, 'borrowed', borrowed);
+    return createStart(cells, 'borrowed', borrowed);
   }
   return hasGuarantee && planReclaim(cells, job, now)
     ? {startOption: 'reclaim', rackFree: 0}
     : NO_START;
 }
 
-function toStart(
+function createStart(
   cells: Cells,
   startOption: StartOption,
   assignments: readonly Assignment[],
--- a/packages/placement/src/run_time_estimator.ts
+++ b/packages/placement/src/run_time_estimator.ts
@@ -1,25 +1,25 @@
-/** Estimates of run times: the caller's estimate, corrected by what was seen. */
+/** Estimates run times: the caller's estimate, corrected by observed run times. */
 
-/** Number of latest observations that are kept per workspace and kind. */
-const WINDOW = 64;
+/** Number of most recent observations that are kept per workspace and kind. */
+const WINDOW_SIZE = 64;
 
-/** Observations before the estimate rests on them alone. */
-const ENOUGH = 8;
+/** Number of observations from which the estimate relies on them alone. */
+const MIN_TRUSTED_OBSERVATIONS = 8;
 
-/** Factor for kinds that were never seen, when an upper estimate is asked for. */
-const UNKNOWN_UPPER_FACTOR = 3;
+/** Factor on the caller's estimate for an upper estimate of kinds without observations. */
+const UNKNOWN_UPPER_ESTIMATE_FACTOR = 3;
 
-/** Quantile for planning of the order. */
+/** Quantile for the queue order. */
 export const MEDIAN_QUANTILE = 0.5;
 
-/** Quantile for promises, such as backfill that must not delay another job. */
+/** Quantile for decisions that rely on an end, such as backfill that must not delay another job. */
 export const UPPER_QUANTILE = 0.9;
 
-/** Ratios of actual to declared run time, per workspace and kind. */
+/** Corrects estimates by the ratios of actual to declared run time, per workspace and kind. */
 export class RunTimeEstimator {
-  private readonly ratios = new Map<string, RatioWindow>();
+  private readonly windows = new Map<string, RatioWindow>();
 
-  /** Notes one run. */
+  /** Records one run. Ignores run times that are not positive. */
   recordRunTime(
     workspace: string,
     kind: string,
@@ -30,33 +30,37 @@
       return;
     }
     const key = `${workspace}/${kind}`;
-    let window = this.ratios.get(key);
+    let window = this.windows.get(key);
     if (!window) {
       window = new RatioWindow();
-      this.ratios.set(key, window);
+      this.windows.set(key, window);
     }
     window.add(actualSeconds / declaredSeconds);
   }
 
-  /** The run time in seconds that a share `quantile` of such jobs stays under. */
+  /**
+   * Returns the `quantile` (0 to 1) of the run times of such jobs, in seconds.
+   * With few observations, the default factor is mixed in.
+   */
   estimate(
     workspace: string,
     kind: string,
     declaredSeconds: number,
     quantile: number,
   ): number {
-    const window = this.ratios.get(`${workspace}/${kind}`);
-    const guess = quantile > MEDIAN_QUANTILE ? UNKNOWN_UPPER_FACTOR : 1;
+    const window = this.windows.get(`${workspace}/${kind}`);
+    const defaultFactor =
+      quantile > MEDIAN_QUANTILE ? UNKNOWN_UPPER_ESTIMATE_FACTOR : 1;
     if (!window) {
-      return declaredSeconds * guess;
+      return declaredSeconds * defaultFactor;
     }
-    const seen = window.quantile(quantile);
-    const trust = Math.min(1, window.size / ENOUGH);
-    return declaredSeconds * (seen * trust + guess * (1 - trust));
+    const observed = window.getQuantile(quantile);
+    const weight = Math.min(1, window.size / MIN_TRUSTED_OBSERVATIONS);
+    return declaredSeconds * (observed * weight + defaultFactor * (1 - weight));
   }
 }
 
-/** The latest ratios of one workspace and kind. */
+/** Most recent ratios of one workspace and kind, in a ring buffer. */
 class RatioWindow {
   private readonly values: number[] = [];
   private sorted: number[] | undefined;
@@ -68,13 +72,13 @@
 
   add(value: number): void {
     this.values[this.next] = value;
-    this.next = (this.next + 1) % WINDOW;
+    this.next = (this.next + 1) % WINDOW_SIZE;
     this.sorted = undefined;
   }
 
-  quantile(share: number): number {
+  getQuantile(quantile: number): number {
     this.sorted ??= [...this.values].sort((a, b) => a - b);
-    const index = Math.ceil(share * this.sorted.length) - 1;
+    const index = Math.ceil(quantile * this.sorted.length) - 1;
     return this.sorted[Math.max(0, index)]!;
   }
 }
--- a/packages/placement/src/shortfall.ts
+++ b/packages/placement/src/shortfall.ts
@@ -1,17 +1,18 @@
-/** Says which promises an inventory cannot keep. */
+/** Finds the guarantees that an inventory cannot satisfy. */
 import type {Configuration, GuaranteeView, Target} from '@galenavalve/model';
 import {apportionOverInventories} from './apportionment.js';
 import {planGuaranteedCells} from './cell_planner.js';
 import {type Inventory, buildInventories} from './inventory.js';
 import type {DomainGuarantee, Shortfall} from './domain_guarantee.js';
 
-/** Whether a target counts as capacity. */
+/** Returns whether a target counts as capacity. */
 export type TargetPredicate = (target: Target) => boolean;
 
 /**
- * The promises that cannot be kept with the targets that `isAvailable`. By
- * default all targets count, whatever their state: that is the check of a
- * configuration, which a take-out must pass.
+ * Finds the guarantees that cannot be satisfied with the targets that
+ * `isAvailable` accepts. By default all targets count, whatever their state: this
+ * is the check of a configuration, and taking a domain or target out of service
+ * must pass it.
  */
 export function findShortfalls(
   configuration: Configuration,
@@ -23,15 +24,15 @@
     configuration.domains.keys(),
   );
   const apportionment = apportionOverInventories(configuration, inventories);
-  for (const [domain, promises] of apportionment) {
+  for (const [domain, guarantees] of apportionment) {
     const inventory = inventories.get(domain)!;
-    const missing = findMissing(inventory, promises, isAvailable);
-    shortfalls.push(...missing.map(shortfall => ({...shortfall, domain})));
+    const unplaced = findUnplacedCells(inventory, guarantees, isAvailable);
+    shortfalls.push(...unplaced.map(shortfall => ({...shortfall, domain})));
   }
   return [...shortfalls, ...findUnknownDomains(configuration)];
 }
 
-/** Counts a target when neither it nor its domain is leaving or out. */
+/** Creates a predicate that accepts targets if neither they nor their domain are leaving or out. */
 export function createInServiceFilter(
   configuration: Configuration,
 ): TargetPredicate {
@@ -40,7 +41,10 @@
     configuration.domains.get(target.domain)?.state === 'in-service';
 }
 
-/** Every guarantee of every workspace, as promised and as it can be met with available targets. */
+/**
+ * Lists the guarantees of every workspace, with the cells promised and the
+ * cells that available targets can satisfy.
+ */
 export function listGuaranteeViews(
   configuration: Configuration,
   isAvailable: TargetPredicate = createInServiceFilter(configuration),
@@ -51,63 +55,63 @@
     configuration.domains.keys(),
   );
   const apportionment = apportionOverInventories(configuration, inventories);
-  for (const [domain, promises] of apportionment) {
-    const missing = findMissing(
+  for (const [domain, guarantees] of apportionment) {
+    const unplaced = findUnplacedCells(
       inventories.get(domain)!,
-      promises,
+      guarantees,
       isAvailable,
     );
-    for (const {workspace, level, count} of mergePromises(promises)) {
-      const short = missing.find(
+    for (const {workspace, level, count} of mergeGuarantees(guarantees)) {
+      const shortfall = unplaced.find(
         other => other.workspace === workspace && other.level === level,
       );
-      const satisfiable = short?.satisfiable ?? count;
-      const own = views.get(workspace) ?? [];
-      own.push({domain, level, promised: count, satisfiable});
-      views.set(workspace, own);
+      const satisfiable = shortfall?.satisfiable ?? count;
+      const workspaceViews = views.get(workspace) ?? [];
+      workspaceViews.push({domain, level, promised: count, satisfiable});
+      views.set(workspace, workspaceViews);
     }
   }
   return views;
 }
 
-/** A shortfall in words, for errors and status. */
+/** Formats a shortfall for errors and status. */
 export function describeShortfall(shortfall: Shortfall): string {
   const {workspace, level, count, satisfiable, domain} = shortfall;
   return `${workspace} is promised ${count} cells of level ${level} in ${domain}, which can hold ${satisfiable}`;
 }
 
-function findMissing(
+function findUnplacedCells(
   inventory: Inventory,
-  promises: readonly DomainGuarantee[],
+  guarantees: readonly DomainGuarantee[],
   isAvailable: TargetPredicate,
 ): Omit<Shortfall, 'domain'>[] {
-  const {unplaced: missing} = planGuaranteedCells({
+  const {unplaced} = planGuaranteedCells({
     inventory,
-    guarantees: promises,
+    guarantees,
     isAvailable: target => isAvailable(target.spec),
     guaranteedGangs: [],
   });
-  return missing.map(({workspace, level, count, missing: short}) => ({
+  return unplaced.map(({workspace, level, count, missing}) => ({
     workspace,
     level,
     count,
-    satisfiable: count - short,
+    satisfiable: count - missing,
   }));
 }
 
-function mergePromises(
-  promises: readonly DomainGuarantee[],
+function mergeGuarantees(
+  guarantees: readonly DomainGuarantee[],
 ): DomainGuarantee[] {
   const merged = new Map<string, DomainGuarantee>();
-  for (const promise of promises) {
-    const key = `${promise.workspace} ${promise.level}`;
-    const count = (merged.get(key)?.count ?? 0) + promise.count;
-    merged.set(key, {...promise, count});
+  for (const guarantee of guarantees) {
+    const key = `${guarantee.workspace} ${guarantee.level}`;
+    const count = (merged.get(key)?.count ?? 0) + guarantee.count;
+    merged.set(key, {...guarantee, count});
   }
   return [...merged.values()];
 }
 
-/** Guarantees in domains that do not exist. */
+/** Finds guarantees in domains that do not exist. */
 function findUnknownDomains(configuration: Configuration): Shortfall[] {
   return [...configuration.workspaces.values()].flatMap(workspace =>
     workspace.guarantees
--- a/packages/placement/src/target_cell.ts
+++ b/packages/placement/src/target_cell.ts
@@ -1,42 +1,45 @@
-/** The capacity of one target, and what is left of it. */
+/** Capacity and usage of one target. */
 import type {Target, TaskDemand} from '@galenavalve/model';
 import {countBits, createFullMask} from './accelerator_mask.js';
 import type {RunningGang, TargetCondition} from './policy.js';
 import type {RackCell} from './rack_cell.js';
 
-/** An amount of each resource of one target. */
+/** Amounts of the resources of one target. */
 export interface TargetResources {
   /** Bit mask of accelerators. */
   accelerators: number;
+  /** Processor cores. */
   processors: number;
+  /** Mebibytes. */
   memoryMb: number;
+  /** Number of tasks. */
   slots: number;
 }
 
-/** The part of a gang on one target. */
+/** A gang on one target, with the tasks and accelerators that it has there. */
 export interface Occupant {
   gang: RunningGang;
   tasks: number;
-  /** Accelerators that it took here. */
+  /** Bit mask of the accelerators that are allocated to it here. */
   mask: number;
 }
 
-/** Rounding tolerance for sums of processor cores and memory. */
-const TOLERANCE = 1e-6;
+/** Absolute tolerance for rounding errors in sums of processor cores and of mebibytes. */
+const ROUNDING_TOLERANCE = 1e-6;
 
-/** One target as its scheduler sees it. */
+/** State of one target, as its scheduler knows it. */
 export class TargetCell {
   condition: TargetCondition = 'well';
-  /** What no gang uses. */
+  /** Resources that no gang uses. */
   readonly free: TargetResources;
-  /** What runs here, by job. */
+  /** Gangs that run here, by job id. */
   readonly occupants = new Map<string, Occupant>();
   private readonly permitted: ReadonlySet<string> | undefined;
 
   constructor(
     readonly spec: Target,
     readonly rack: RackCell,
-    /** Position in the domain's list of targets. */
+    /** Position in the domain's list of targets; breaks ties. */
     readonly index: number,
   ) {
     this.free = getCapacity(spec);
@@ -48,7 +51,7 @@
     return this.spec.id;
   }
 
-  /** Whether operators and evidence let new work start here. */
+  /** Whether the configuration and the condition let new work start here. */
   get isSchedulable(): boolean {
     return this.condition === 'well' && this.spec.state === 'in-service';
   }
@@ -57,12 +60,13 @@
     return countBits(this.free.accelerators);
   }
 
+  /** Returns whether a workspace may use the target; without a list of permitted workspaces, all may. */
   permits(workspace: string): boolean {
     return !this.permitted || this.permitted.has(workspace);
   }
 }
 
-/** All that a target has. */
+/** Returns all resources of a target. */
 export function getCapacity(spec: Target): TargetResources {
   return {
     accelerators: createFullMask(spec.accelerators),
@@ -72,49 +76,50 @@
   };
 }
 
-/** Number of tasks of one demand that fit into `room`. */
+/** Counts the tasks of one demand that fit into `resources`. */
 export function countFitting(
-  room: TargetResources,
+  resources: TargetResources,
   demand: TaskDemand,
 ): number {
-  let count = room.slots;
+  let count = resources.slots;
   if (demand.accelerators > 0) {
-    const accelerators = countBits(room.accelerators);
+    const accelerators = countBits(resources.accelerators);
     count = Math.min(count, Math.floor(accelerators / demand.accelerators));
   }
   if (demand.processors > 0) {
-    const processors = (room.processors + TOLERANCE) / demand.processors;
+    const processors =
+      (resources.processors + ROUNDING_TOLERANCE) / demand.processors;
     count = Math.min(count, Math.floor(processors));
   }
   if (demand.memoryMb > 0) {
-    const memory = (room.memoryMb + TOLERANCE) / demand.memoryMb;
+    const memory = (resources.memoryMb + ROUNDING_TOLERANCE) / demand.memoryMb;
     count = Math.min(count, Math.floor(memory));
   }
   return Math.max(0, count);
 }
 
-/** Takes the resources of `tasks` tasks out of `room`. */
+/** Subtracts the demand of `tasks` tasks and the accelerators `mask` from `resources`, in place. */
 export function subtractTasks(
-  room: TargetResources,
+  resources: TargetResources,
   demand: TaskDemand,
   tasks: number,
   mask: number,
 ): void {
-  room.accelerators &= ~mask;
-  room.processors -= demand.processors * tasks;
-  room.memoryMb -= demand.memoryMb * tasks;
-  room.slots -= tasks;
+  resources.accelerators &= ~mask;
+  resources.processors -= demand.processors * tasks;
+  resources.memoryMb -= demand.memoryMb * tasks;
+  resources.slots -= tasks;
 }
 
-/** Puts the resources of `tasks` tasks back into `room`. */
+/** Adds the demand of `tasks` tasks and the accelerators `mask` to `resources`, in place. */
 export function addTasks(
-  room: TargetResources,
+  resources: TargetResources,
   demand: TaskDemand,
   tasks: number,
   mask: number,
 ): void {
-  room.accelerators |= mask;
-  room.processors += demand.processors * tasks;
-  room.memoryMb += demand.memoryMb * tasks;
-  room.slots += tasks;
+  resources.accelerators |= mask;
+  resources.processors += demand.processors * tasks;
+  resources.memoryMb += demand.memoryMb * tasks;
+  resources.slots += tasks;
 }
--- a/packages/placement/src/throttle.ts
+++ b/packages/placement/src/throttle.ts
@@ -1,7 +1,7 @@
-/** Decides which gangs are throttled because they use more than they declared. */
+/** Decides which gangs are throttled because they use more resources than they declared. */
 import type {GangShape} from '@galenavalve/model';
 
-/** What a target last reported of one gang's tasks on it. */
+/** Latest usage of one gang's tasks on a target, as the target reported it. */
 export interface UsageReport {
   jobId: string;
   target: string;
@@ -15,7 +15,7 @@
   measuredAt: number;
 }
 
-/** Limits that a target puts on a gang's tasks. */
+/** Limits that a target applies to a gang's tasks, in total. */
 export interface Throttle {
   jobId: string;
   target: string;
@@ -25,15 +25,16 @@
   memoryMb: number;
 }
 
-/** Age at which a report says nothing about the present, in milliseconds. */
+/** Age beyond which a usage report is ignored as outdated. */
 export const MAX_REPORT_AGE_MS = 30_000;
 
-/** Use above the declared amount that is tolerated. */
-const TOLERANCE = 1.1;
+/** Factor on the declared amount up to which usage is tolerated. */
+const USAGE_TOLERANCE_FACTOR = 1.1;
 
 /**
- * The throttle for a gang on one target. `undefined` means that the report is
- * too old to tell: an existing throttle stays as it is. `null` means none.
+ * Returns the throttle for a gang on one target, or null if it needs none.
+ * Returns undefined if the report is outdated; an existing throttle then stays
+ * unchanged.
  */
 export function decideThrottle(
   report: UsageReport,
@@ -47,7 +48,7 @@
   const processors = gang.perTask.processors * tasks;
   const memoryMb = gang.perTask.memoryMb * tasks;
   const isOver =
-    report.processors > processors * TOLERANCE ||
-    report.memoryMb > memoryMb * TOLERANCE;
+    report.processors > processors * USAGE_TOLERANCE_FACTOR ||
+    report.memoryMb > memoryMb * USAGE_TOLERANCE_FACTOR;
   return isOver ? {jobId, target, processors, memoryMb} : null;
 }
