Write the soak test in the terms of the field

Newcomers stopped at figurative and private words in the soak test: sites, tries, fronts, silence, answers, orders, and targets that "start anew".

Change: comments and doc comments say what the code does or why, constants name their unit, and locals, private members, fault names and option help use the usual terms: environment, attempt, timeout, response, command.

The names of the faults in the report are descriptions, which no program here matches.

--- a/packages/soak/src/daemon_process.ts
+++ b/packages/soak/src/daemon_process.ts
@@ -1,11 +1,11 @@
-/** One daemon as a process of its own, with signals as faults. */
+/** Runs a daemon as a child process, with signals for fault injection. */
 import {type ChildProcess, spawn} from 'node:child_process';
 import {createWriteStream, mkdtempSync, writeFileSync} from 'node:fs';
 import {createRequire} from 'node:module';
 import {tmpdir} from 'node:os';
 import {dirname, join} from 'node:path';
 
-/** Where a daemon listens and what it talks to. */
+/** Name and addresses of a daemon; addresses are IP:PORT. */
 export interface DaemonConfig {
   name: string;
   frontAddress: string;
@@ -15,8 +15,9 @@
   storeAddress: string;
 }
 
-/** Starts, stops, pauses and kills one daemon; only processes that it started itself. */
+/** Starts and signals one daemon; acts only on processes that it started itself. */
 export class DaemonProcess {
+  /** File that receives the daemon's standard output and error. */
   readonly logFile: string;
   private child?: ChildProcess;
   private readonly settingsFile: string;
@@ -32,6 +33,7 @@
     return this.child !== undefined;
   }
 
+  /** Starts a new process of the daemon. */
   start(): void {
     const require = createRequire(import.meta.url);
     const index = require.resolve('@galenavalve/users-platform');
@@ -51,12 +53,12 @@
     this.child = child;
   }
 
-  /** Sends a signal to the process, if it runs. */
+  /** Sends a signal to the process if it is running. */
   signal(name: 'SIGKILL' | 'SIGTERM' | 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
     this.child?.kill(name);
   }
 
-  /** Resolves once the process is gone. */
+  /** Resolves once the process has exited. */
   async waitForExit(): Promise<void> {
     const {child} = this;
     if (child && child.exitCode === null && child.signalCode === null) {
@@ -65,18 +67,19 @@
   }
 }
 
-function createSettings(plan: DaemonConfig): object {
+/** Returns the contents of the daemon's settings file. */
+function createSettings(config: DaemonConfig): object {
   return {
-    instance: plan.name,
+    instance: config.name,
     domain: 'd0',
     address: '127.0.0.1',
-    front: plan.frontAddress,
-    ready: plan.readinessAddress,
-    metricsPort: plan.metricsPort,
-    peerPort: plan.peerPort,
+    front: config.frontAddress,
+    ready: config.readinessAddress,
+    metricsPort: config.metricsPort,
+    peerPort: config.peerPort,
     cores: 1,
     coreShare: 1,
-    log: plan.storeAddress,
+    log: config.storeAddress,
     bounds: {
       maxLease: 5000,
       stopTime: 400,
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -1,92 +1,101 @@
-/** Faults that the soak brings about from outside the daemons; each undoes itself. */
+/** Faults that the soak test injects from outside the daemons; each ends by itself. */
 import {nextInteger} from '@galenavalve/shared';
 import type {DaemonProcess} from './daemon_process.js';
 import type {SoakEnvironment} from './soak.js';
 
-/** One kind of fault. */
+/** A kind of fault. */
 export interface Fault {
+  /** Name of the fault in the report. */
   name: string;
-  run(site: SoakEnvironment): Promise<void>;
+  /** Injects the fault and resolves once it has ended. */
+  run(environment: SoakEnvironment): Promise<void>;
 }
 
-/** Every kind of fault. */
+/** All kinds of faults. */
 export const FAULTS: readonly Fault[] = [
   {
     name: 'a daemon is killed',
-    run: async site => {
-      const daemon = pickDaemon(site);
+    run: async environment => {
+      const daemon = pickDaemon(environment);
       daemon.signal('SIGKILL');
       await daemon.waitForExit();
-      await restart(daemon, 500);
+      await restartIfStopped(daemon, 500);
     },
   },
   {
     name: 'a daemon is paused beyond its leases',
-    run: async site => {
-      const daemon = pickDaemon(site);
+    run: async environment => {
+      const daemon = pickDaemon(environment);
       daemon.signal('SIGSTOP');
-      await pause(1000 + site.random.next() * 5000);
+      await sleep(1000 + environment.random.next() * 5000);
       daemon.signal('SIGCONT');
     },
   },
   {
-    name: 'a daemon is stopped as planned',
-    run: async site => {
-      const daemon = pickDaemon(site);
+    name: 'a daemon is stopped gracefully',
+    run: async environment => {
+      const daemon = pickDaemon(environment);
       daemon.signal('SIGTERM');
       await daemon.waitForExit();
-      await restart(daemon, 100);
+      await restartIfStopped(daemon, 100);
     },
   },
   {
-    name: 'the log turns an instance away',
-    run: async site => {
-      const {name} = pickDaemon(site).config;
-      site.jobLog.faults.busyTo.add(name);
-      await pause(3000);
-      site.jobLog.faults.busyTo.delete(name);
+    name: 'the log refuses requests of an instance',
+    run: async environment => {
+      const {name} = pickDaemon(environment).config;
+      environment.jobLog.faults.busyTo.add(name);
+      await sleep(3000);
+      environment.jobLog.faults.busyTo.delete(name);
     },
   },
   {
-    name: 'the log is silent for all',
-    run: async site => {
-      site.jobLog.faults.silentTo.add('all');
-      await pause(2000);
-      site.jobLog.faults.silentTo.delete('all');
+    name: 'the log responds to no instance',
+    run: async environment => {
+      environment.jobLog.faults.silentTo.add('all');
+      await sleep(2000);
+      environment.jobLog.faults.silentTo.delete('all');
     },
   },
   {
-    name: 'answers of the log are lost, and some appends land late',
-    run: async site => {
-      Object.assign(site.jobLog.faults, {lostAnswers: 0.3, lateAppends: 0.5});
-      await pause(3000);
-      Object.assign(site.jobLog.faults, {lostAnswers: 0, lateAppends: 0});
+    name: 'responses of the log are lost, and some appends are executed late',
+    run: async environment => {
+      Object.assign(environment.jobLog.faults, {
+        lostAnswers: 0.3,
+        lateAppends: 0.5,
+      });
+      await sleep(3000);
+      Object.assign(environment.jobLog.faults, {
+        lostAnswers: 0,
+        lateAppends: 0,
+      });
     },
   },
   {
-    name: 'the log forgets its history',
-    run: async site => site.jobLog.compact(),
+    name: 'the log expires its history',
+    run: async environment => environment.jobLog.compact(),
   },
   {
-    name: 'orders are carried out late',
-    run: async site => {
-      site.fleet.faults.delayedCommands = 0.2;
-      await pause(3000);
-      site.fleet.faults.delayedCommands = 0;
+    name: 'commands are executed late',
+    run: async environment => {
+      environment.fleet.faults.delayedCommands = 0.2;
+      await sleep(3000);
+      environment.fleet.faults.delayedCommands = 0;
     },
   },
   {
-    name: 'a target is cut off',
-    run: async site => {
-      const id = pickTarget(site);
-      site.fleet.faults.unreachableTargets.add(id);
-      await pause(2000 + site.random.next() * 6000);
-      site.fleet.faults.unreachableTargets.delete(id);
+    name: 'a target is unreachable',
+    run: async environment => {
+      const id = pickTarget(environment);
+      environment.fleet.faults.unreachableTargets.add(id);
+      await sleep(2000 + environment.random.next() * 6000);
+      environment.fleet.faults.unreachableTargets.delete(id);
     },
   },
   {
-    name: 'a target starts anew',
-    run: async site => site.restartTarget(pickTarget(site)),
+    name: 'a target is restarted',
+    run: async environment =>
+      environment.restartTarget(pickTarget(environment)),
   },
 ];
 
@@ -99,14 +108,17 @@
   return ids[nextInteger(random, ids.length)]!;
 }
 
-/** Another fault may have started it meanwhile. */
-async function restart(daemon: DaemonProcess, after: number): Promise<void> {
-  await pause(after);
+/** Starts a daemon after a delay in milliseconds, unless another fault has started it meanwhile. */
+async function restartIfStopped(
+  daemon: DaemonProcess,
+  delay: number,
+): Promise<void> {
+  await sleep(delay);
   if (!daemon.isRunning) {
     daemon.start();
   }
 }
 
-function pause(duration: number): Promise<void> {
+function sleep(duration: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, duration));
 }
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,2 +1,2 @@
-/** A randomized soak of real daemons as processes, with faults from outside them. */
+/** A randomized soak test of real daemon processes with external fault injection. */
 export {type SoakOptions, type SoakReport, runSoak} from './soak.js';
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -1,4 +1,4 @@
-/** One seeded run: real daemons, emulated platform, callers, and faults that overlap. */
+/** Runs one seeded soak test: real daemons, an emulated platform, callers and overlapping faults. */
 import type {TargetInfo} from '@galenavalve/dispatch';
 import {
   EmulatedFleet,
@@ -21,53 +21,57 @@
 import {createTopicMap, serveStore} from './standins/store_standin.js';
 import {serveTarget} from './standins/target_standin.js';
 
-const DAEMONS = 3;
-const TARGETS = 6;
+const DAEMON_COUNT = 3;
+const TARGET_COUNT = 6;
 
-/** Daemons listen below the ports that the kernel gives out; runs side by side use other blocks. */
+/** First port of the daemons, below the kernel's ephemeral ports; concurrent runs with different seeds use different blocks. */
 const FIRST_PORT = 22_000;
 const PORTS_PER_RUN = 16;
-const PORT_BLOCKS = 200;
+const PORT_BLOCK_COUNT = 200;
 
-/** Longest pause between two jobs, in milliseconds. */
-const JOB_GAP = 800;
+/** Longest delay before a job is submitted. */
+const MAX_JOB_INTERVAL_MS = 800;
 
-/** Jobs must have ended this long after the last fault, in milliseconds. */
-const SETTLE_LIMIT = 60_000;
+/** Time after the last fault within which all accepted jobs must have completed. */
+const SETTLE_TIMEOUT_MS = 60_000;
 
-/** What a run is made of. */
+/** Options of a soak run. */
 export interface SoakOptions {
   seed: number;
+  /** Number of jobs to submit. */
   jobs: number;
-  /** Mean pause between faults, in milliseconds. */
+  /** Mean interval between faults, in milliseconds. */
   meanFaultIntervalMs: number;
 }
 
-/** What a run showed. */
+/** Result of a soak run. */
 export interface SoakReport {
   seed: number;
+  /** Number of accepted jobs. */
   accepted: number;
+  /** Number of jobs of which every attempt was rejected. */
   rejected: number;
+  /** Names of the injected faults, in order. */
   faults: string[];
   violations: Violation[];
-  /** Accepted jobs that did not end in time, with their last known state. */
+  /** Accepted jobs that did not complete in time, with their last known state. */
   unfinished: string[];
-  /** Jobs of which every try was rejected and that ran all the same. */
+  /** Jobs that were recorded although every attempt to submit them was rejected. */
   falselyRejected: string[];
   logFiles: string[];
 }
 
-/** What faults can act on. */
+/** The parts of a soak run that faults act on. */
 export interface SoakEnvironment {
   daemons: DaemonProcess[];
   jobLog: EmulatedLog;
   fleet: EmulatedFleet;
-  /** Starts a target anew under its id. */
+  /** Crashes a target and starts a new incarnation of it under the same id. */
   restartTarget(id: string): void;
   random: SeededRandom;
 }
 
-/** Plays one run and stops everything that it started. */
+/** Executes one soak run, and stops all processes and stand-ins that it started. */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
   const random = new SeededRandom(options.seed);
   const clock = new SystemClock();
@@ -89,9 +93,9 @@
     }),
     auditor,
   );
-  let isOver = false;
+  let isFinished = false;
   const standins = await Promise.all(
-    Array.from({length: TARGETS}, (_, index) =>
+    Array.from({length: TARGET_COUNT}, (_, index) =>
       serveTarget(fleet.createTargetPort(), `t${index}`),
     ),
   );
@@ -105,12 +109,12 @@
   operatorLog.put({key: 'config', value: createDesiredState(1, POOL)});
   const topics = createTopicMap(jobLog, operatorLog, registryLog);
   const daemons: DaemonProcess[] = [];
-  for (let index = 0; index < DAEMONS; index++) {
+  for (let index = 0; index < DAEMON_COUNT; index++) {
     const store = await serveStore(topics, `instance-${index}`);
     standins.push(store);
     daemons.push(createDaemon(options.seed, index, store.address));
   }
-  const caller = new Caller(daemons.map(({config: plan}) => plan.frontAddress));
+  const caller = new Caller(daemons.map(({config}) => config.frontAddress));
   const report: SoakReport = {
     seed: options.seed,
     accepted: 0,
@@ -121,7 +125,7 @@
     falselyRejected: [],
     logFiles: daemons.map(({logFile}) => logFile),
   };
-  const site: SoakEnvironment = {
+  const environment: SoakEnvironment = {
     daemons,
     jobLog,
     fleet,
@@ -129,22 +133,27 @@
     restartTarget: id => {
       const {info} = fleet.targets.get(id)!;
       fleet.crashTarget(id);
-      const next = {...info, born: info.born + 1};
-      fleet.addTarget(next);
-      register(next);
+      const restarted = {...info, born: info.born + 1};
+      fleet.addTarget(restarted);
+      register(restarted);
     },
   };
   try {
-    void fleet.run(() => isOver);
+    void fleet.run(() => isFinished);
     daemons.forEach(daemon => daemon.start());
-    let isLoadOver = false;
-    const injecting = injectFaults(site, options, report, () => isLoadOver);
+    let isSubmissionDone = false;
+    const injection = injectFaults(
+      environment,
+      options,
+      report,
+      () => isSubmissionDone,
+    );
     const accepted = new Map<string, number>();
     const rejected: string[] = [];
     for (let index = 0; index < options.jobs; index++) {
       const id = (options.seed * 1000 + index).toString(16).padStart(16, '0');
       const priority = nextInteger(random, 3);
-      const body = createBody(random);
+      const body = createJobBody(random);
       const decoded = decodeJob(body);
       if ('spec' in decoded) {
         const [step] = decoded.spec.steps;
@@ -161,25 +170,25 @@
           spec: decoded.spec,
         });
       }
-      await pause(random.next() * JOB_GAP);
-      const answer = await caller.submit(id, priority, body, 8);
-      if (answer === 'accepted') {
+      await sleep(random.next() * MAX_JOB_INTERVAL_MS);
+      const response = await caller.submit(id, priority, body, 8);
+      if (response === 'accepted') {
         accepted.set(id, priority);
-      } else if (answer === 'rejected') {
+      } else if (response === 'rejected') {
         rejected.push(id);
       }
     }
     report.accepted = accepted.size;
     report.rejected = rejected.length;
-    isLoadOver = true;
-    await injecting;
-    report.unfinished = await settle(caller, accepted);
+    isSubmissionDone = true;
+    await injection;
+    report.unfinished = await waitForJobs(caller, accepted);
     report.falselyRejected = rejected.filter(id =>
       jobLog.history.some(({key}) => key === `s/${id}`),
     );
     return report;
   } finally {
-    isOver = true;
+    isFinished = true;
     caller.close();
     for (const daemon of daemons) {
       daemon.signal('SIGCONT');
@@ -190,55 +199,56 @@
   }
 }
 
+/** Injects random faults, which may overlap, until `isFinished` returns true; resolves once all have ended. */
 async function injectFaults(
-  site: SoakEnvironment,
-  {meanFaultIntervalMs: faultPause}: SoakOptions,
+  environment: SoakEnvironment,
+  {meanFaultIntervalMs}: SoakOptions,
   report: SoakReport,
-  isOver: () => boolean,
+  isFinished: () => boolean,
 ): Promise<void> {
   const running: Array<Promise<void>> = [];
-  while (!isOver()) {
-    await pause(faultPause * (0.5 + site.random.next()));
-    if (!isOver()) {
-      const fault = FAULTS[nextInteger(site.random, FAULTS.length)]!;
+  while (!isFinished()) {
+    await sleep(meanFaultIntervalMs * (0.5 + environment.random.next()));
+    if (!isFinished()) {
+      const fault = FAULTS[nextInteger(environment.random, FAULTS.length)]!;
       report.faults.push(fault.name);
-      running.push(fault.run(site));
+      running.push(fault.run(environment));
     }
   }
   await Promise.all(running);
 }
 
-/** Asks until every accepted job has ended. */
-async function settle(
+/** Polls until every accepted job is complete or the timeout has passed; returns the others with their last state. */
+async function waitForJobs(
   caller: Caller,
   accepted: ReadonlyMap<string, number>,
 ): Promise<string[]> {
-  const open = new Map(accepted);
+  const pending = new Map(accepted);
   const states = new Map<string, string | undefined>();
-  const until = Date.now() + SETTLE_LIMIT;
-  while (open.size > 0 && Date.now() < until) {
-    for (const [id, priority] of [...open]) {
+  const until = Date.now() + SETTLE_TIMEOUT_MS;
+  while (pending.size > 0 && Date.now() < until) {
+    for (const [id, priority] of [...pending]) {
       const state = await caller.getState(id, priority);
       states.set(id, state);
       if (state === 'complete') {
-        open.delete(id);
+        pending.delete(id);
       }
     }
-    await pause(100);
+    await sleep(100);
   }
-  return [...open.keys()].map(id => `${id}: ${states.get(id)}`);
+  return [...pending.keys()].map(id => `${id}: ${states.get(id)}`);
 }
 
-function createDaemon(seed: number, index: number, store: string) {
-  const block = seed % PORT_BLOCKS;
-  const first = FIRST_PORT + block * PORTS_PER_RUN + index * 4;
+function createDaemon(seed: number, index: number, storeAddress: string) {
+  const block = seed % PORT_BLOCK_COUNT;
+  const firstPort = FIRST_PORT + block * PORTS_PER_RUN + index * 4;
   return new DaemonProcess({
     name: `instance-${index}`,
-    frontAddress: `127.0.0.1:${first}`,
-    readinessAddress: `127.0.0.1:${first + 1}`,
-    metricsPort: first + 2,
-    peerPort: first + 3,
-    storeAddress: store,
+    frontAddress: `127.0.0.1:${firstPort}`,
+    readinessAddress: `127.0.0.1:${firstPort + 1}`,
+    metricsPort: firstPort + 2,
+    peerPort: firstPort + 3,
+    storeAddress,
   });
 }
 
@@ -257,7 +267,8 @@
   };
 }
 
-function createBody(random: SeededRandom): object {
+/** Returns the request body of a random job with one step. */
+function createJobBody(random: SeededRandom): object {
   const isGang = random.next() < 0.5;
   const step = {
     count: 1 + nextInteger(random, 4),
@@ -270,6 +281,6 @@
   return {spec: 'soak', steps: [step]};
 }
 
-function pause(duration: number): Promise<void> {
+function sleep(duration: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, duration));
 }
--- a/packages/soak/src/standins/http_standin.ts
+++ b/packages/soak/src/standins/http_standin.ts
@@ -1,4 +1,4 @@
-/** A small HTTP server on a loopback port, for stand-ins. */
+/** HTTP server on a loopback port, for stand-ins of the platform's services. */
 import {
   type IncomingMessage,
   type Server,
@@ -8,17 +8,17 @@
 import type {AddressInfo} from 'node:net';
 import getRawBody from 'raw-body';
 
-/** Largest body, in bytes. */
+/** Largest accepted request body. */
 const MAX_BODY_BYTES = 4_194_304;
 
-/** A request as stand-ins see it. */
+/** A request to a stand-in. */
 export interface StandinRequest {
   path: string;
   query: URLSearchParams;
   body: Buffer;
 }
 
-/** A response; undefined leaves the caller without one. */
+/** A response; undefined if none is sent. An object is sent as JSON. */
 export type StandinResponse =
   {status: number; body: Buffer | object} | undefined;
 
@@ -29,12 +29,12 @@
   close(): void;
 }
 
-/** Serves on a port of the kernel's choice. */
+/** Serves requests on an ephemeral port of the loopback interface. */
 export async function serveHttp(
-  answer: (request: StandinRequest) => Promise<StandinResponse>,
+  handleRequest: (request: StandinRequest) => Promise<StandinResponse>,
 ): Promise<Standin> {
   const server = createServer((request, response) => {
-    void respond(answer, request, response);
+    void respond(handleRequest, request, response);
   });
   server.keepAliveTimeout = 60_000;
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
@@ -43,27 +43,27 @@
 }
 
 async function respond(
-  answer: (request: StandinRequest) => Promise<StandinResponse>,
+  handleRequest: (request: StandinRequest) => Promise<StandinResponse>,
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
   try {
     const body = await getRawBody(request, {limit: MAX_BODY_BYTES});
     const url = new URL(request.url ?? '/', 'http://standin');
-    const reply = await answer({
+    const result = await handleRequest({
       path: url.pathname,
       query: url.searchParams,
       body,
     });
-    if (!reply) {
-      // The connection stays open and silent, as it does behind a cut.
+    if (!result) {
+      // The connection stays open without a response, as in a network partition.
       return;
     }
-    response.statusCode = reply.status;
-    const isBytes = Buffer.isBuffer(reply.body);
-    response.end(isBytes ? reply.body : JSON.stringify(reply.body));
+    response.statusCode = result.status;
+    const isBytes = Buffer.isBuffer(result.body);
+    response.end(isBytes ? result.body : JSON.stringify(result.body));
   } catch {
-    // The caller went away, or what it asked for failed: either way it gets no answer.
+    // The caller disconnected or its request failed; in both cases no response is sent.
     request.destroy();
   }
 }
--- a/packages/soak/src/standins/platform_records.ts
+++ b/packages/soak/src/standins/platform_records.ts
@@ -1,18 +1,18 @@
-/** What the operator and the workers write to the platform's store. */
+/** Records that the operator and the targets write to the platform's store. */
 import type {TargetInfo} from '@galenavalve/dispatch';
 
-/** Path prefix of the queue of a priority. */
+/** Returns the path prefix of the queue of a priority. */
 export function getQueuePath(priority: number): string {
   return `/queue-${priority}/`;
 }
 
-/** Key that the soak's caller uses. */
+/** API key of the soak test's caller. */
 export const API_KEY = 'soak-key';
 
 /** Host name of the queues. */
 export const QUEUE_HOST = 'soak.example';
 
-/** A desired state with a queue for each priority. */
+/** Returns a desired state with one queue for each priority, as JSON. */
 export function createDesiredState(version: number, pool: string): string {
   return JSON.stringify({
     version,
@@ -30,7 +30,7 @@
   });
 }
 
-/** A worker's entry in the registry. */
+/** Returns a target's registry entry as JSON. */
 export function createRegistryEntry(info: TargetInfo): string {
   return JSON.stringify({
     service: info.pool,
--- a/packages/soak/src/standins/store_standin.ts
+++ b/packages/soak/src/standins/store_standin.ts
@@ -1,4 +1,4 @@
-/** The platform's store over HTTP, for one instance: faults can be aimed at it. */
+/** Stand-in for the platform's store over HTTP; one per instance, so that faults can apply to single instances. */
 import type {EmulatedLog} from '@galenavalve/emulator';
 import {encodeRecords} from '@galenavalve/users-platform';
 import type {KeyedRecord} from '@galenavalve/workload';
@@ -9,10 +9,10 @@
   serveHttp,
 } from './http_standin.js';
 
-/** Time after which a fault of the log shows as silence, in milliseconds. */
-const SILENCE = 1000;
+/** Timeout of an append; afterwards no response is sent. */
+const APPEND_TIMEOUT_MS = 1000;
 
-/** The logs under the names that the platform gives their topics. */
+/** Returns the logs by the topic names of the platform. */
 export function createTopicMap(
   jobs: EmulatedLog,
   operator: EmulatedLog,
@@ -25,7 +25,7 @@
   ]);
 }
 
-/** Serves topics, by name, to one instance. */
+/** Serves topics to one instance. */
 export function serveStore(
   topics: ReadonlyMap<string, EmulatedLog>,
   instance: string,
@@ -37,18 +37,18 @@
     }
     switch (request.path) {
       case '/v1/log-append':
-        return append(log, instance, request);
+        return handleAppend(log, instance, request);
       case '/v1/log-read':
-        return read(log, instance, request);
+        return handleRead(log, instance, request);
       case '/v1/log-newest':
-        return newest(log, instance);
+        return handleNewest(log, instance);
       default:
         return {status: 404, body: {}};
     }
   });
 }
 
-async function append(
+async function handleAppend(
   log: EmulatedLog,
   instance: string,
   {query, body}: StandinRequest,
@@ -61,7 +61,12 @@
       }
     : undefined;
   const records = decodeRecords(body);
-  const result = await log.appendFor(instance, records, SILENCE, fencing);
+  const result = await log.appendFor(
+    instance,
+    records,
+    APPEND_TIMEOUT_MS,
+    fencing,
+  );
   switch (result.kind) {
     case 'appended':
       return {status: 200, body: {offset: result.offset, end: log.end}};
@@ -76,7 +81,7 @@
   }
 }
 
-async function read(
+async function handleRead(
   log: EmulatedLog,
   instance: string,
   {query}: StandinRequest,
@@ -95,7 +100,7 @@
   };
 }
 
-async function newest(
+async function handleNewest(
   log: EmulatedLog,
   instance: string,
 ): Promise<StandinResponse> {
@@ -108,6 +113,7 @@
   return {status: 200, body: {items, has_more: false, end: page.end}};
 }
 
+/** Decodes records, each a 4-byte length, a 1-byte key length, the key and the value. */
 function decodeRecords(body: Buffer): KeyedRecord[] {
   const records: KeyedRecord[] = [];
   let position = 0;
--- a/packages/soak/src/standins/target_standin.ts
+++ b/packages/soak/src/standins/target_standin.ts
@@ -1,4 +1,4 @@
-/** One worker over HTTP, on an emulated target. */
+/** Stand-in for a target's HTTP interface, backed by an emulated target. */
 import type {
   PollOutcome,
   CommandOutcome,
@@ -6,10 +6,11 @@
 } from '@galenavalve/dispatch';
 import {type Standin, type StandinResponse, serveHttp} from './http_standin.js';
 
-/** Time after which a fault shows as silence, in milliseconds. */
-const SILENCE = 1000;
+/** Timeout of a command or poll; afterwards no response is sent. */
+const COMMAND_TIMEOUT_MS = 1000;
 
-const reasons = {
+/** Reasons of refusals in the platform's protocol. */
+const REFUSAL_REASONS = {
   fenced: 'fence',
   superseded: 'old',
   late: 'late',
@@ -17,39 +18,47 @@
   ticket: 'ticket',
 };
 
-/** Serves the target of that id. */
+/** Serves the emulated target with the given id. */
 export function serveTarget(port: TargetPort, id: string): Promise<Standin> {
   return serveHttp(async ({path, body}) => {
-    const call = JSON.parse(body.toString('utf8'));
+    const request = JSON.parse(body.toString('utf8'));
     const target = {id, address: id};
     switch (path) {
       case '/v1/run-start':
-        return toReply(
+        return createResponse(
           await port.start(
             target,
             {
-              task: call.task,
-              run: call.run,
-              payload: call.spec,
-              checkpoint: call.checkpoint ?? '',
-              leaseUntil: call.until_ms,
-              epoch: call.fence,
+              task: request.task,
+              run: request.run,
+              payload: request.spec,
+              checkpoint: request.checkpoint ?? '',
+              leaseUntil: request.until_ms,
+              epoch: request.fence,
             },
-            SILENCE,
+            COMMAND_TIMEOUT_MS,
           ),
         );
       case '/v1/run-stop': {
-        const order = {task: call.task, run: call.run, epoch: call.fence};
-        return toReply(await port.stop(target, order, SILENCE));
+        const command = {
+          task: request.task,
+          run: request.run,
+          epoch: request.fence,
+        };
+        return createResponse(
+          await port.stop(target, command, COMMAND_TIMEOUT_MS),
+        );
       }
       case '/v1/hold': {
-        const order = {
-          epoch: call.fence,
-          leaseUntil: call.until_ms,
-          acknowledgedEnd: call.ack_offset,
-          wait: call.wait_ms ?? 0,
+        const poll = {
+          epoch: request.fence,
+          leaseUntil: request.until_ms,
+          acknowledgedEnd: request.ack_offset,
+          wait: request.wait_ms ?? 0,
         };
-        return toReply(await port.poll(target, order, SILENCE));
+        return createResponse(
+          await port.poll(target, poll, COMMAND_TIMEOUT_MS),
+        );
       }
       default:
         return {status: 404, body: {}};
@@ -57,7 +66,10 @@
   });
 }
 
-function toReply(outcome: CommandOutcome | PollOutcome): StandinResponse {
+/** Converts an outcome to a response; unknown outcomes get none. */
+function createResponse(
+  outcome: CommandOutcome | PollOutcome,
+): StandinResponse {
   switch (outcome.kind) {
     case 'done':
       return {status: 200, body: {clock_ms: outcome.clock}};
@@ -87,7 +99,10 @@
     case 'refused':
       return {
         status: 409,
-        body: {clock_ms: outcome.clock, reason: reasons[outcome.reason]},
+        body: {
+          clock_ms: outcome.clock,
+          reason: REFUSAL_REASONS[outcome.reason],
+        },
       };
     default:
       return undefined;
