--- a/packages/ledger/__tests__/fixtures.ts
+++ b/packages/ledger/__tests__/fixtures.ts
@@ -1,4 +1,4 @@
-/** Records and states for the specs. */
+/** Creates records, states and instances for the specs. */
 import {
   type Entity,
   type JobRequest,
@@ -46,7 +46,7 @@
   });
 }
 
-/** Entities of two failure domains with two targets each, and a workspace. */
+/** Creates entities of two failure domains with two targets each, and a workspace. */
 export function createEntities(): Entity[] {
   const domains = ['d1', 'd2'].map(id => ({kind: 'domain', id, region: 'r'}));
   const targets = ['t1', 't2', 't3', 't4'].map((id, i) => ({
@@ -170,7 +170,7 @@
   };
 }
 
-/** Folds the next record of a state. */
+/** Folds a record into a state at its next offset. */
 export function fold(
   state: LedgerState,
   body: RecordBody | LogRecord,
@@ -183,7 +183,7 @@
   });
 }
 
-/** A state with the entities of `createEntities` and a scheduler of d1. */
+/** Creates a state with the entities of `createEntities` and a scheduler of d1. */
 export function createState(options: Partial<LedgerOptions> = {}): LedgerState {
   const state = new LedgerState(options);
   fold(state, configure(createEntities()));
@@ -191,8 +191,8 @@
   return state;
 }
 
-/** An instance that follows and writes a log in memory. */
-export class Instance {
+/** An instance that follows and appends to an in-memory log. */
+export class TestInstance {
   readonly state = new LedgerState();
   readonly follower: LogFollower;
   readonly writer: LogWriter;
@@ -224,15 +224,18 @@
   }
 }
 
-/** An instance on a log that holds the entities of `createEntities`. */
+/**
+ * Creates an instance on a log that contains the entities of `createEntities`
+ * and a claim of d1.
+ */
 export async function createInstance(
   faults: Partial<LogFaults> = {},
   options: Partial<LogFollowerOptions> & Partial<LogWriterOptions> = {},
-): Promise<Instance> {
+): Promise<TestInstance> {
   const clock = new ManualClock(START_TIME_MS);
   const log = new MemoryLog(clock, faults);
   log.write(createRecord(configure(createEntities())), createRecord(claim()));
-  const instance = new Instance(clock, log, 'i1', options);
+  const instance = new TestInstance(clock, log, 'i1', options);
   await clock.advance(1000);
   return instance;
 }
--- a/packages/ledger/__tests__/fold.spec.ts
+++ b/packages/ledger/__tests__/fold.spec.ts
@@ -16,7 +16,7 @@
 } from './fixtures.js';
 
 t.test('a request', async t => {
-  t.test('is one job, however often it is recorded', async t => {
+  t.test('creates one job, however often it is recorded', async t => {
     const state = createState();
     t.equal(fold(state, submit()).accepted, true);
     const again = fold(state, {...submit(), jobId: 'j2'} as never);
@@ -38,14 +38,14 @@
     t.equal(fold(state, submit()).rejection, 'request-withdrawn');
   });
 
-  t.test('older than the window is refused as expired', async t => {
+  t.test('older than the request window is rejected as expired', async t => {
     const state = createState({requestWindow: 1000});
     fold(state, cancel(), {at: START_TIME_MS + 5000, by: 'i2'});
     fold(state, cancel(), {at: START_TIME_MS + 5000, by: 'i1'});
     t.equal(fold(state, submit()).problem?.code, 'request-expired');
   });
 
-  t.test('over the limit of its workspace is refused', async t => {
+  t.test('over the queue limit of its workspace is rejected', async t => {
     const state = createState();
     for (let i = 0; i < 50; i++) {
       fold(state, submit(`j${i}`));
@@ -54,7 +54,7 @@
   });
 });
 
-t.test('one writer with a wrong clock does not move log time', async t => {
+t.test('one writer with a wrong clock does not change log time', async t => {
   const state = createState();
   fold(state, cancel(), {at: START_TIME_MS + 10, by: 'i2'});
   fold(state, cancel(), {at: START_TIME_MS * 2, by: 'i3'});
@@ -62,7 +62,7 @@
 });
 
 t.test('an attempt', async t => {
-  t.test('is accepted once, under the present term', async t => {
+  t.test('is accepted once, and only under the current term', async t => {
     const state = createState();
     fold(state, submit());
     const other = {...TERM, instance: 'i9'};
@@ -73,23 +73,23 @@
     t.equal([...state.listActiveJobs('d1')].length, 1);
   });
 
-  t.test('is refused to a scheduler that was replaced', async t => {
+  t.test('is rejected from a scheduler that was replaced', async t => {
     const state = createState();
     fold(state, submit());
     fold(state, claim({log: 2, outage: 0, instance: 'i2'}));
     t.equal(fold(state, place()).rejection, 'stale-term');
   });
 
-  t.test('that may have run ends a job that may not be repeated', async t => {
+  t.test('that may have run ends a job that is not repeatable', async t => {
     const state = createState();
     fold(state, submit('j1', {repeatable: false}));
     fold(state, place());
-    const applied = fold(state, unplace(true));
-    t.equal(applied.releasedAssignments?.length, 1);
+    const result = fold(state, unplace(true));
+    t.equal(result.releasedAssignments?.length, 1);
     t.match(state.getJob('j1'), {phase: 'finished', outcome: 'lost'});
   });
 
-  t.test('that did not run is repeated, with the next number', async t => {
+  t.test('that did not run is retried with the next number', async t => {
     const state = createState();
     fold(state, submit('j1', {repeatable: false}));
     fold(state, place());
@@ -98,7 +98,7 @@
     t.equal(fold(state, place('j1', 2)).accepted, true);
   });
 
-  t.test('keeps to the targets that its workspace may use', async t => {
+  t.test('is rejected on targets that its workspace may not use', async t => {
     const state = createState();
     fold(state, submit());
     const value = {...state.getTarget('t1')!, permittedWorkspaces: []};
@@ -108,7 +108,7 @@
     t.equal(fold(state, place()).rejection, 'not-permitted');
   });
 
-  t.test('needs an approval where the workspace asks for it', async t => {
+  t.test('needs an approval if the workspace requires one', async t => {
     const state = createState();
     const value = {...state.getWorkspace('ws1')!, requiresApproval: true};
     fold(state, {
@@ -138,14 +138,14 @@
 });
 
 t.test('a cancelled job', async t => {
-  t.test('ends at once while it waits', async t => {
+  t.test('ends at once while it is queued', async t => {
     const state = createState();
     fold(state, submit());
     fold(state, cancel());
     t.equal(state.getJob('j1')?.outcome, 'cancelled');
   });
 
-  t.test('ends when its attempt was stopped', async t => {
+  t.test('ends when its attempt has been stopped', async t => {
     const state = createState();
     fold(state, submit());
     fold(state, place());
@@ -156,7 +156,7 @@
   });
 });
 
-t.test('results beyond the bound are dropped, oldest first', async t => {
+t.test('results beyond the size limit are dropped, oldest first', async t => {
   const state = createState({resultBytes: 20});
   for (const id of ['j1', 'j2', 'j3']) {
     fold(state, submit(id));
@@ -165,14 +165,18 @@
   }
   const results = ['j1', 'j2', 'j3'].map(id => state.getJob(id)?.results);
   t.strictSame(results, [undefined, undefined, ['a', {b: 1}]]);
-  t.ok(state.getJob('j1')?.resultHash, 'the hash is kept');
-  t.equal(state.getJob('j1')?.finishedOffset, 4, 'and where the log has them');
+  t.ok(state.getJob('j1')?.resultHash, 'the hash is retained');
+  t.equal(
+    state.getJob('j1')?.finishedOffset,
+    4,
+    'the offset of the results in the log is retained',
+  );
 });
 
-t.test('a damaged record is skipped and counted', async t => {
+t.test('an invalid record is skipped and counted', async t => {
   const state = new LedgerState();
-  const applied = applyEntry(state, {offset: 0, value: {v: 9}});
-  t.equal(applied.problem?.code, 'record-invalid');
+  const result = applyEntry(state, {offset: 0, value: {v: 9}});
+  t.equal(result.problem?.code, 'record-invalid');
   applyEntry(state, {
     offset: 1,
     value: {...createRecord(claim()), type: 'unknown'},
--- a/packages/ledger/__tests__/fold_properties.spec.ts
+++ b/packages/ledger/__tests__/fold_properties.spec.ts
@@ -17,20 +17,20 @@
 const OPTIONS = {requestWindow: 8 * 3_600_000, resultBytes: 40};
 
 function foldAll(values: readonly LogRecord[], state = createEmpty()) {
-  const verdicts = values.map(value => fold(state, value));
-  return {state, verdicts};
+  const results = values.map(value => fold(state, value));
+  return {state, results};
 }
 
 function createEmpty(): LedgerState {
   return new LedgerState(OPTIONS);
 }
 
-function hashOf(state: LedgerState): string {
+function computeHash(state: LedgerState): string {
   return encodeState(state, 'test').hash;
 }
 
-/** What callers, schedulers and operators see of a state. */
-function viewOf(state: LedgerState): unknown {
+/** Creates a comparable view of what callers, schedulers and operators see of a state. */
+function createView(state: LedgerState): unknown {
   const unfinished = ['d1', 'd2'].flatMap(id => [
     ...state.listUnfinishedJobs(id),
   ]);
@@ -43,31 +43,31 @@
   return JSON.parse(JSON.stringify([jobs, sorted, term]));
 }
 
-t.test('a snapshot and the records after it give the folded state', async t => {
+t.test('a snapshot and the later records give the folded state', async t => {
   fc.assert(
     fc.property(records, fc.nat(), (values, at) => {
       const cut = at % (values.length + 1);
-      const {state: part} = foldAll(values.slice(0, cut));
-      const restored = decodeState(encodeState(part, 's'), OPTIONS);
-      const tail = values.slice(cut);
-      const whole = foldAll(values);
-      const {state, verdicts} = foldAll(tail, restored);
-      t.equal(hashOf(state), hashOf(whole.state));
-      const expected = whole.verdicts.slice(cut);
-      if (JSON.stringify(verdicts) !== JSON.stringify(expected)) {
-        throw new Error('other verdicts after the snapshot');
+      const {state: partial} = foldAll(values.slice(0, cut));
+      const restored = decodeState(encodeState(partial, 's'), OPTIONS);
+      const newer = values.slice(cut);
+      const full = foldAll(values);
+      const {state, results} = foldAll(newer, restored);
+      t.equal(computeHash(state), computeHash(full.state));
+      const expected = full.results.slice(cut);
+      if (JSON.stringify(results) !== JSON.stringify(expected)) {
+        throw new Error('fold results after the snapshot differ');
       }
     }),
     RUNS,
   );
 });
 
-t.test('a snapshot is of one offset while the fold goes on', async t => {
+t.test('a snapshot has one offset while the fold continues', async t => {
   await fc.assert(
     fc.asyncProperty(records, fc.nat(), async (values, at) => {
       const cut = at % (values.length + 1);
       const {state} = foldAll(values.slice(0, cut));
-      const expected = hashOf(state);
+      const expected = computeHash(state);
       const encoding = encodeStateAsync(state, 'test');
       foldAll(values.slice(cut), state);
       t.equal((await encoding).hash, expected);
@@ -82,66 +82,81 @@
       const copied = from % values.length;
       const later = copied + 1 + (to % (values.length - copied));
       const {state} = foldAll(values.slice(0, later));
-      const before = viewOf(state);
+      const before = createView(state);
       const {at, by} = values[later - 1]!;
       fold(state, {...values[copied]!, at, by});
-      // A copy of a rejected record may take effect: it is the first that does.
-      const {verdicts} = foldAll(values.slice(0, later));
-      if (verdicts[copied]!.accepted) {
-        t.strictSame(viewOf(state), before);
+      // A copy of a rejected record may take effect, as the first copy that does.
+      const {results} = foldAll(values.slice(0, later));
+      if (results[copied]!.accepted) {
+        t.strictSame(createView(state), before);
       }
     }),
     RUNS,
   );
 });
 
-t.test('no attempt is placed where none may be', async t => {
+t.test('an attempt is placed only for a job that may run', async t => {
   fc.assert(
     fc.property(records, values => {
       const state = createEmpty();
-      const ran = new Set<string>();
+      const startedIds = new Set<string>();
       for (const value of values) {
-        const before = jobOf(state, value);
-        const snapshot = before && {...before};
-        const applied = fold(state, value);
-        checkStep(applied, snapshot, ran);
-        const after = jobOf(state, value);
+        const before = findJobOf(state, value);
+        const copy = before && {...before};
+        const result = fold(state, value);
+        checkFoldResult(result, copy, startedIds);
+        const after = findJobOf(state, value);
         if (after?.mayHaveRun) {
-          ran.add(after.jobId);
+          startedIds.add(after.jobId);
         }
       }
     }),
     RUNS,
   );
 
-  function checkStep(
+  function checkFoldResult(
     {accepted, record, duplicate}: FoldResult,
     before: Job | undefined,
-    ran: Set<string>,
+    startedIds: Set<string>,
   ) {
     if (!accepted || duplicate || !record) {
       return;
     }
     if (record.type === 'placed') {
-      t.equal(before?.phase, 'queued', 'one attempt at a time');
-      t.notOk(before?.cancelRequested, 'not after a cancellation');
-      const mayRun = before?.request.repeatable || !ran.has(record.jobId);
-      t.ok(mayRun, 'not repeatable: at most one attempt that may have run');
+      t.equal(
+        before?.phase,
+        'queued',
+        'a job has at most one attempt at a time',
+      );
+      t.notOk(before?.cancelRequested, 'no attempt follows a cancellation');
+      const mayRun =
+        before?.request.repeatable || !startedIds.has(record.jobId);
+      t.ok(
+        mayRun,
+        'a job that is not repeatable has at most one attempt that may have run',
+      );
     }
     if (record.type === 'finished' && record.outcome === 'not-run') {
-      t.notOk(ran.has(record.jobId), '"not run" is true');
+      t.notOk(
+        startedIds.has(record.jobId),
+        'no task of a "not run" job has run',
+      );
     }
     if ('jobId' in record && record.type !== 'submitted') {
-      t.not(before?.phase, 'finished', 'nothing follows the end of a job');
+      t.not(
+        before?.phase,
+        'finished',
+        'no record is accepted after the end of a job',
+      );
     }
   }
 });
 
-function jobOf(state: LedgerState, record: LogRecord): Job | undefined {
+function findJobOf(state: LedgerState, record: LogRecord): Job | undefined {
   return 'jobId' in record ? state.getJob(record.jobId) : undefined;
 }
 
-t.test('no entry stops the fold, whatever was written', async t => {
+t.test('no log entry stops the fold, whatever its content', async t => {
   const damage = fc.record({
     at: fc.nat(),
     key: fc.nat(),
@@ -169,7 +184,7 @@
     RUNS,
   );
 
-  /** Replaces one field somewhere in the entry, or the entry. */
+  /** Replaces one field at any depth of the entry, or the whole entry. */
   function damageEntry(entry: unknown, key: number, value: unknown): unknown {
     if (entry === null || typeof entry !== 'object') {
       return value;
@@ -185,7 +200,7 @@
   }
 });
 
-t.test('a chunk that claims too many parts is refused', async t => {
+t.test('a snapshot chunk with too large a count is rejected', async t => {
   const chunk = {
     type: 'snapshot-chunk' as const,
     ...{snapshotId: 's', nextOffset: 0, index: 0, hash: '', data: ''},
@@ -194,7 +209,7 @@
   t.equal(fold(createEmpty(), chunk).rejection, 'record-invalid');
 });
 
-t.test('versions never fall, and indexes agree with the jobs', async t => {
+t.test('versions never decrease, and indexes match the jobs', async t => {
   const keys = ['domain/d1', 'domain/d2', 'target/t1', 'target/t4'];
   fc.assert(
     fc.property(records, values => {
--- a/packages/ledger/__tests__/follower.spec.ts
+++ b/packages/ledger/__tests__/follower.spec.ts
@@ -33,7 +33,7 @@
   return {clock, memory, state, follower};
 }
 
-t.test('freshness counts from the sending of the read', async t => {
+t.test('freshness is measured from when the read was sent', async t => {
   const {clock, memory, follower} = createFollower();
   memory.faults.readLatency = 300;
   const read = follower.readOnce();
@@ -42,20 +42,20 @@
   t.equal(follower.getFreshAt(), START_TIME_MS);
 });
 
-t.test('a page that is not the last makes nothing fresh', async t => {
+t.test('only a page up to the end of the log gives freshness', async t => {
   const {memory, clock, state} = createFollower();
   memory.write({}, {});
   const options = {pageLimit: 2};
-  const parts = {log: memory, state, clock, logger, options};
-  const follower = new LogFollower(parts);
+  const dependencies = {log: memory, state, clock, logger, options};
+  const follower = new LogFollower(dependencies);
   await follower.readOnce();
   t.equal(follower.isCaughtUp, false);
   await follower.readOnce();
   t.equal(follower.isCaughtUp, true);
 });
 
-t.test('entries that a peer relays', async t => {
-  t.test('are folded once, also when an own read brings them too', async t => {
+t.test('entries relayed by a peer', async t => {
+  t.test('are folded once, even if a read also returns them', async t => {
     const {memory, state, follower} = createFollower();
     memory.write(createRecord(claim()));
     const offsets: number[] = [];
@@ -68,7 +68,7 @@
     t.equal(state.skippedCount, 0);
   });
 
-  t.test('are ignored when some are missing before them', async t => {
+  t.test('are ignored when entries before them are missing', async t => {
     const {memory, state, follower} = createFollower();
     memory.write(createRecord(claim()));
     const entries = memory.entries().slice(1);
@@ -76,11 +76,11 @@
     t.equal(state.nextOffset, 0);
   });
 
-  t.test('wait while the state is being encoded', async t => {
+  t.test('are not folded while folding is paused', async t => {
     const {memory, state, follower, clock} = createFollower();
     const entries = memory.entries();
     let isRelayed = true;
-    const held = follower.pauseWhile(async () => {
+    const paused = follower.pauseWhile(async () => {
       isRelayed = follower.applyRelayedEntries({entries, nextOffset: 1});
       await clock.sleep(100);
       return state.nextOffset;
@@ -88,14 +88,14 @@
     const read = follower.readOnce();
     await clock.advance(0);
     await clock.advance(100);
-    t.equal(await held, 0);
+    t.equal(await paused, 0);
     await read;
     t.equal(isRelayed, false);
     t.equal(state.nextOffset, 1);
   });
 });
 
-t.test("a peer's freshness counts only for a state as far as its", async t => {
+t.test('freshness of a peer is ignored by a state behind it', async t => {
   const {follower} = createFollower();
   follower.applyRelayedFreshness(1, START_TIME_MS + 5);
   t.equal(follower.getFreshAt(), undefined);
@@ -103,10 +103,10 @@
   follower.applyRelayedFreshness(1, START_TIME_MS + 5);
   t.equal(follower.getFreshAt(), START_TIME_MS + 5);
   follower.applyRelayedFreshness(1, START_TIME_MS + 3);
-  t.equal(follower.getFreshAt(), START_TIME_MS + 5, 'it never falls');
+  t.equal(follower.getFreshAt(), START_TIME_MS + 5, 'it never decreases');
 });
 
-t.test('waiting for an offset ends with it or with the time', async t => {
+t.test('a wait for an offset ends with its fold or the timeout', async t => {
   const {clock, follower} = createFollower();
   const early = follower.waitForOffset(0, 1000);
   const late = follower.waitForOffset(1, 1000);
@@ -116,7 +116,7 @@
   t.equal(await late, false);
 });
 
-t.test('a process left behind by the log takes a newer state', async t => {
+t.test('a process whose next record expired gets a newer state', async t => {
   const instance = await createInstance();
   const {clock, log, state} = instance;
   instance.stop();
@@ -140,8 +140,8 @@
     listSources: () => sources,
     ledgerOptions: {},
   });
-  const parts = {log, state, clock, logger, restorer};
-  const follower = new LogFollower(parts);
+  const dependencies = {log, state, clock, logger, restorer};
+  const follower = new LogFollower(dependencies);
   let isReplaced = false;
   follower.onStateReplaced(() => (isReplaced = true));
   const controller = new AbortController();
@@ -153,7 +153,7 @@
   t.equal(state.getSchedulerTerm('d1')?.instance, 'i1');
 });
 
-t.test('a withdrawn request has no job, also when it comes late', async t => {
+t.test('a withdrawn request gets no job from a late record', async t => {
   const {clock, writer, log, state} = await createInstance();
   Object.assign(log.faults, {lateAppends: 1, lateBy: 8000});
   const options = {deadline: clock.now() + 900};
@@ -164,11 +164,11 @@
   const withdrawal = withdrawRequest(writer, 'r-j1', deadline);
   await clock.advance(8000);
   t.equal(await withdrawal, 'withdrawn');
-  t.equal(log.entries().length, 4, 'the late record came');
+  t.equal(log.entries().length, 4, 'the late record was appended');
   t.equal(state.getJob('j1'), undefined);
 });
 
-t.test('results that memory dropped are read from the log', async t => {
+t.test('results dropped from memory are read from the log', async t => {
   const {clock, log, state} = await createInstance();
   const records = [submit(), place(), finish('succeeded')];
   log.write(...records.map(body => createRecord(body)));
--- a/packages/ledger/__tests__/overlay_map.spec.ts
+++ b/packages/ledger/__tests__/overlay_map.spec.ts
@@ -2,7 +2,7 @@
 import t from 'tap';
 import {OverlayMap} from '../src/overlay_map.js';
 
-t.test('it holds the same in the same order as a Map', async t => {
+t.test('an overlay map has the entries and order of a Map', async t => {
   const key = fc.nat(400).map(String);
   const change = fc.oneof(
     {weight: 9, arbitrary: fc.array(key, {maxLength: 60})},
@@ -22,7 +22,11 @@
           change.forEach(k => expected.set(k, {i}));
           map = map.with(change.map(k => [k, {i}]));
         }
-        t.strictSame([...previous], before, 'the former copy stays');
+        t.strictSame(
+          [...previous],
+          before,
+          'the previous copy does not change',
+        );
       });
       t.strictSame([...map], [...expected]);
       t.equal(map.size, expected.size);
--- a/packages/ledger/__tests__/snapshot.spec.ts
+++ b/packages/ledger/__tests__/snapshot.spec.ts
@@ -40,7 +40,7 @@
   log.write(...createChunks(snapshot).map(chunk => createRecord(chunk)));
 }
 
-/** A log whose first records have expired, with two snapshots. */
+/** Creates a log whose first records have expired, with two snapshots. */
 function createExpiredLog(
   damage?: (latest: Snapshot) => void,
   clock = new ManualClock(START_TIME_MS),
@@ -62,7 +62,7 @@
   return log;
 }
 
-t.test('a new process starts from the latest whole snapshot', async t => {
+t.test('a new process starts from the latest complete snapshot', async t => {
   const clock = new ManualClock(START_TIME_MS);
   const log = createExpiredLog(undefined, clock);
   const state = new LedgerState();
@@ -78,7 +78,7 @@
   t.equal(state.getJob('j2')?.phase, 'queued');
 });
 
-t.test('a damaged snapshot gives way to an older one', async t => {
+t.test('an older snapshot is used when the latest one is damaged', async t => {
   const log = createExpiredLog(latest => {
     latest.sections[0] = `${latest.sections[0]!.slice(0, -4)}AAA=`;
   });
@@ -86,7 +86,7 @@
   t.equal(state?.nextOffset, 2);
 });
 
-t.test('a snapshot whose writer died halfway is not used', async t => {
+t.test('an incomplete snapshot, whose writer crashed, is not used', async t => {
   const log = createExpiredLog();
   const incomplete = new MemoryLog(new ManualClock(START_TIME_MS));
   const isLast = (value: unknown) => (value as {index?: number}).index === 3;
@@ -96,30 +96,30 @@
   t.equal(state?.nextOffset, 2);
 });
 
-t.test('a snapshot that is damaged within is refused', async t => {
+t.test('a snapshot with a wrong checksum is rejected', async t => {
   const snapshot = encodeState(createState(), 's');
   t.throws(() => decodeState({...snapshot, hash: ''}), {
     code: 'snapshot-invalid',
   });
 });
 
-t.test('the peer with the highest offset goes before the log', async t => {
-  const far = createState();
-  far.nextOffset = 100;
+t.test('the peer with the highest offset is preferred to the log', async t => {
+  const newest = createState();
+  newest.nextOffset = 100;
   const sources = [
-    createSource('near', createState()),
-    createSource('far', far),
-    createSource('silent', undefined),
+    createSource('older', createState()),
+    createSource('newest', newest),
+    createSource('unreachable', undefined),
   ];
   const log = createExpiredLog();
   const state = await createRestorer(log, sources).restore();
   t.equal(state?.nextOffset, 100);
   log.faults.outage = 'refused';
-  const during = await createRestorer(log, sources).restore();
-  t.equal(during?.nextOffset, 100);
+  const duringOutage = await createRestorer(log, sources).restore();
+  t.equal(duringOutage?.nextOffset, 100);
 
   function createSource(name: string, state?: LedgerState): StateSource {
-    const fail = () => Promise.reject(new Error('no answer'));
+    const fail = () => Promise.reject(new Error('no response'));
     return {
       name,
       fetchNextOffset: state ? async () => state.nextOffset : fail,
@@ -144,16 +144,20 @@
     await clock.advance(1000);
   }
   controller.abort();
-  t.ok(state.snapshotTracker.latest, 'it is whole in the log');
+  t.ok(state.snapshotTracker.latest, 'the snapshot is complete in the log');
   const count = log.entries().length - 2;
-  t.equal(count, state.snapshotTracker.latest?.chunks, 'and only one was due');
+  t.equal(
+    count,
+    state.snapshotTracker.latest?.chunks,
+    'only one snapshot was due',
+  );
   const restored = await createRestorer(log).restore();
   t.equal(restored?.getSchedulerTerm('d1')?.instance, 'i1');
 });
 
-t.test('the schedule', async t => {
+t.test('the snapshot schedule', async t => {
   const schedule = {interval: 1000, maxNewRecords: 100, maxNewerShare: 0.4};
-  const kept = {oldestOffset: 0, endOffset: 10};
+  const fullRange = {oldestOffset: 0, endOffset: 10};
   const state = createState();
   fold(state, {type: 'claimed', domain: 'd2', term: {...TERM, instance: 'i2'}});
   state.snapshotTracker.restore({
@@ -167,21 +171,33 @@
       chunks: 1,
     },
   });
-  const isDue = (instance: string, now: number, retention = kept) =>
-    isSnapshotDue(state, instance, now, retention, schedule);
+  const isDue = (instance: string, now: number, logRange = fullRange) =>
+    isSnapshotDue(state, instance, now, logRange, schedule);
 
-  t.equal(isDue('i1', START_TIME_MS + 999), false, 'waits for its interval');
+  t.equal(
+    isDue('i1', START_TIME_MS + 999),
+    false,
+    'is not due before the interval has passed',
+  );
   t.equal(isDue('i1', START_TIME_MS + 1000), true);
   t.equal(
     isDue('i2', START_TIME_MS + 1000),
     false,
-    'leaves it to the first domain',
+    'is due for the scheduler of the first domain first',
+  );
+  t.equal(
+    isDue('i2', START_TIME_MS + 1250),
+    true,
+    'is due for the scheduler of the next domain after a delay',
+  );
+  t.equal(
+    isDue('i3', START_TIME_MS + 9000),
+    false,
+    'is due for schedulers only',
   );
-  t.equal(isDue('i2', START_TIME_MS + 1250), true, 'and steps in after it');
-  t.equal(isDue('i3', START_TIME_MS + 9000), false, 'is for schedulers only');
   t.equal(
     isDue('i1', START_TIME_MS, {oldestOffset: 5, endOffset: 10}),
     true,
-    'comes early when the log forgets the snapshot',
+    'is due early when the latest snapshot is about to expire',
   );
 });
--- a/packages/ledger/__tests__/writer.spec.ts
+++ b/packages/ledger/__tests__/writer.spec.ts
@@ -2,7 +2,7 @@
 import t from 'tap';
 import {cancel, createInstance, submit} from './fixtures.js';
 
-t.test('records that wait together share one append', async t => {
+t.test('queued records share one append', async t => {
   const {clock, writer, log} = await createInstance();
   const before = log.appendCount;
   const deadline = clock.now() + 5000;
@@ -13,7 +13,7 @@
   t.equal(log.appendCount - before, 5);
 });
 
-t.test('a lost answer is found in the log', async t => {
+t.test('an append whose response was lost is found in the log', async t => {
   const {clock, writer, log, state} = await createInstance({lostAnswers: 1});
   const done = writer.append(submit(), {deadline: clock.now() + 5000});
   await clock.advance(2000);
@@ -23,7 +23,7 @@
 });
 
 t.test(
-  'a lost append is repeated, and a late copy changes nothing',
+  'an uncertain append is repeated, and its late copy changes nothing',
   async t => {
     const faults = {lateAppends: 1, lateBy: 10_000};
     const {clock, writer, log, state} = await createInstance(faults);
@@ -37,11 +37,11 @@
   },
 );
 
-t.test('"log-unavailable" is said only if nothing was written', async t => {
+t.test('"log-unavailable" is returned only if nothing was written', async t => {
   const {clock, writer, log} = await createInstance();
   log.faults.outage = 'refused';
-  const refused = writer.append(submit(), {deadline: clock.now() + 3000});
-  t.rejects(refused, {code: 'log-unavailable'});
+  const rejected = writer.append(submit(), {deadline: clock.now() + 3000});
+  t.rejects(rejected, {code: 'log-unavailable'});
   await clock.advance(4000);
   log.faults.outage = 'silent';
   const unknown = writer.append(submit(), {deadline: clock.now() + 3000});
@@ -49,7 +49,7 @@
   await clock.advance(4000);
 });
 
-t.test('a full queue refuses at once and writes nothing', async t => {
+t.test('a full queue rejects a record at once and writes nothing', async t => {
   const {clock, writer} = await createInstance({}, {queueRecords: 1});
   const options = {deadline: clock.now() + 1000};
   const first = writer.append(submit(), options);
@@ -63,20 +63,20 @@
   const {clock, writer, log} = await createInstance({outage: 'refused'});
   const controller = new AbortController();
   const {signal} = controller;
-  const kept = writer.append(submit(), {deadline: Infinity, signal});
+  const pending = writer.append(submit(), {deadline: Infinity, signal});
   await clock.advance(60_000);
   t.equal(writer.pendingCount, 1);
   log.faults.outage = 'none';
   await clock.advance(3000);
-  t.equal((await kept).accepted, true);
+  t.equal((await pending).accepted, true);
   log.faults.outage = 'refused';
-  const dropped = writer.append(cancel(), {deadline: Infinity, signal});
-  t.rejects(dropped, {code: 'log-unavailable'});
+  const aborted = writer.append(cancel(), {deadline: Infinity, signal});
+  t.rejects(aborted, {code: 'log-unavailable'});
   controller.abort();
   await clock.advance(10);
 });
 
-t.test('a record that the log refuses does not hold up others', async t => {
+t.test('a record that the log rejects does not block others', async t => {
   const {clock, writer, log} = await createInstance();
   const append = log.append.bind(log);
   log.append = async (values, timeout) => {
@@ -93,12 +93,12 @@
   const bodies = Array.from({length: 40}, (_, i) => submit(`j${i}`));
   const others = writer.appendAll(bodies, {deadline});
   await clock.advance(10_000);
-  t.ok((await others).every(applied => applied.accepted));
+  t.ok((await others).every(result => result.accepted));
   controller.abort();
   await clock.advance(10);
 });
 
-t.test('appends keep to their rate', async t => {
+t.test('appends stay within the rate limit', async t => {
   const {clock, writer, log} = await createInstance({}, {appendsPerSecond: 10});
   const before = log.appendCount;
   for (let i = 0; i < 500; i++) {
--- a/packages/ledger/__tests__/writer_faults.spec.ts
+++ b/packages/ledger/__tests__/writer_faults.spec.ts
@@ -3,7 +3,7 @@
 import t from 'tap';
 import {type LogFaults, MemoryLog, encodeState} from '../src/index.js';
 import {
-  Instance,
+  TestInstance,
   START_TIME_MS,
   configure,
   createEntities,
@@ -13,14 +13,18 @@
 
 const DEADLINE_MS = 2500;
 
-/** What happens to the log in one step, and how long it lasts. */
-interface Weather {
+/**
+ * Faults of the log during one phase, with its duration and the number of
+ * requests submitted in it.
+ */
+interface FaultPhase {
   faults: Partial<LogFaults>;
+  /** In milliseconds. */
   duration: number;
   requests: number;
 }
 
-const weather: fc.Arbitrary<Weather> = fc.record({
+const faultPhase: fc.Arbitrary<FaultPhase> = fc.record({
   faults: fc.oneof(
     fc.constant<Partial<LogFaults>>({outage: 'none'}),
     fc.constantFrom<Partial<LogFaults>>(
@@ -37,38 +41,40 @@
   requests: fc.nat(3),
 });
 
-type Answer = 'accepted' | 'not-written' | 'uncertain';
+type AppendOutcome = 'accepted' | 'not-written' | 'uncertain';
 
-/** Submits jobs through two instances while the log misbehaves. */
-async function runThrough(steps: readonly Weather[]) {
+/** Submits jobs through two instances while the log has faults. */
+async function submitDuringFaults(phases: readonly FaultPhase[]) {
   const clock = new ManualClock(START_TIME_MS);
   const log = new MemoryLog(clock);
   log.write(createRecord(configure(createEntities())));
-  const instances = ['i1', 'i22'].map(name => new Instance(clock, log, name));
-  const answers = new Map<string, Answer>();
-  const answered: Promise<void>[] = [];
+  const instances = ['i1', 'i22'].map(
+    name => new TestInstance(clock, log, name),
+  );
+  const outcomes = new Map<string, AppendOutcome>();
+  const settled: Promise<void>[] = [];
   let count = 0;
-  for (const {faults, duration, requests} of steps) {
+  for (const {faults, duration, requests} of phases) {
     Object.assign(log.faults, faults);
     for (let i = 0; i < requests; i++) {
       count += 1;
       const requestId = `r${count}`;
-      const answer = submitOne(instances[count % 2]!, requestId);
-      answered.push(answer.then(value => void answers.set(requestId, value)));
+      const outcome = submitOne(instances[count % 2]!, requestId);
+      settled.push(outcome.then(value => void outcomes.set(requestId, value)));
     }
     await clock.advance(duration);
   }
   Object.assign(log.faults, new MemoryLog(clock).faults);
   await clock.advance(20_000);
-  await Promise.all(answered);
+  await Promise.all(settled);
   instances.forEach(instance => instance.stop());
-  return {log, instances, answers};
+  return {log, instances, outcomes};
 }
 
 async function submitOne(
-  {writer, clock, state}: Instance,
+  {writer, clock, state}: TestInstance,
   requestId: string,
-): Promise<Answer> {
+): Promise<AppendOutcome> {
   const deadline = clock.now() + DEADLINE_MS;
   const body = submit(`job-${requestId}`, {requestId, createdAt: clock.now()});
   try {
@@ -76,7 +82,10 @@
     t.equal(accepted && !!state.getJobByRequest(requestId), true);
     return 'accepted';
   } catch (error) {
-    t.ok(clock.now() < deadline + 1000, 'answered soon after the deadline');
+    t.ok(
+      clock.now() < deadline + 1000,
+      'the append settles soon after the deadline',
+    );
     if (isFailure(error, 'log-unavailable')) {
       return 'not-written';
     }
@@ -92,21 +101,21 @@
     .length;
 }
 
-t.test('through any faults of the log, each answer is true', async t => {
-  const seen = {accepted: 0, 'not-written': 0, uncertain: 0};
+t.test('under random log faults, each append outcome is true', async t => {
+  const counts = {accepted: 0, 'not-written': 0, uncertain: 0};
   await fc.assert(
     fc.asyncProperty(
-      fc.array(weather, {minLength: 3, maxLength: 12}),
-      async steps => {
-        const {log, instances, answers} = await runThrough(steps);
-        for (const [requestId, answer] of answers) {
-          seen[answer] += 1;
+      fc.array(faultPhase, {minLength: 3, maxLength: 12}),
+      async phases => {
+        const {log, instances, outcomes} = await submitDuringFaults(phases);
+        for (const [requestId, outcome] of outcomes) {
+          counts[outcome] += 1;
           const copies = countRecords(log, requestId);
           const isTrue =
-            answer === 'not-written'
+            outcome === 'not-written'
               ? copies === 0
-              : answer === 'uncertain' || copies > 0;
-          t.ok(isTrue, `${answer} with ${copies} records`);
+              : outcome === 'uncertain' || copies > 0;
+          t.ok(isTrue, `${outcome} with ${copies} records`);
         }
         const [one, two] = instances.map(({state}) => encodeState(state, 's'));
         t.equal(one!.hash, two!.hash, 'all instances have the same state');
@@ -115,7 +124,7 @@
     {seed: 4, numRuns: 150},
   );
   t.ok(
-    Object.values(seen).every(count => count > 20),
-    JSON.stringify(seen),
+    Object.values(counts).every(count => count > 20),
+    JSON.stringify(counts),
   );
 });
--- a/packages/ledger/src/adaptive_page_limit.ts
+++ b/packages/ledger/src/adaptive_page_limit.ts
@@ -1,41 +1,44 @@
-/** How many entries a read asks for, so that a page of large ones fits in memory. */
+/**
+ * Adapts the number of entries that a read requests, so that a page of large
+ * entries fits in memory.
+ */
 import type {LogEntry} from './log.js';
 
-/** Bytes that a page should have at most, as JSON. */
-const PAGE_BYTES = 2 * 1024 * 1024;
+/** Largest size of a page, as JSON. */
+const MAX_PAGE_BYTES = 2 * 1024 * 1024;
 
-/** Entries of a page that are measured. */
-const SAMPLES = 8;
+/** Largest number of entries of a page whose size is measured. */
+const MAX_SAMPLED_ENTRIES = 8;
 
-const MIN_LIMIT = 8;
+const MIN_LIMIT_ENTRIES = 8;
 
-/** Follows the size of the entries from page to page. */
+/** Computes the limit of the next page from the entry sizes of the previous ones. */
 export class AdaptivePageLimit {
-  private current: number;
+  private currentLimit: number;
 
   constructor(private readonly maxLimit: number) {
-    this.current = maxLimit;
+    this.currentLimit = maxLimit;
   }
 
-  /** Most entries to ask for. */
+  /** Largest number of entries to request. */
   get limit(): number {
-    return this.current;
+    return this.currentLimit;
   }
 
-  /** Learns from a page. */
+  /** Updates the limit from the entry sizes of a page. */
   observe(entries: readonly LogEntry[]): void {
     if (entries.length === 0) {
       return;
     }
-    const step = Math.ceil(entries.length / SAMPLES);
-    const sample = entries.filter((_, i) => i % step === 0);
+    const stride = Math.ceil(entries.length / MAX_SAMPLED_ENTRIES);
+    const sample = entries.filter((_, i) => i % stride === 0);
     const bytes = sample.reduce(
       (sum, {value}) => sum + JSON.stringify(value).length,
       0,
     );
-    const fitting = Math.floor((PAGE_BYTES * sample.length) / bytes);
-    const limit = Math.max(MIN_LIMIT, fitting);
-    // Rises slowly, since a sample may miss large entries.
-    this.current = Math.min(limit, this.current * 2, this.maxLimit);
+    const fittingEntries = Math.floor((MAX_PAGE_BYTES * sample.length) / bytes);
+    const limit = Math.max(MIN_LIMIT_ENTRIES, fittingEntries);
+    // At most doubles per page, since the sample may miss large entries.
+    this.currentLimit = Math.min(limit, this.currentLimit * 2, this.maxLimit);
   }
 }
--- a/packages/ledger/src/append_rate_limiter.ts
+++ b/packages/ledger/src/append_rate_limiter.ts
@@ -1,46 +1,46 @@
-/** How often an instance may append: a token bucket. */
+/** Rate limit for the appends of an instance: a token bucket. */
 import type {Instant} from '@galenavalve/shared';
 
-/** Appends that may follow each other at once after a quiet time. */
-const BURST = 5;
+/** Capacity of the bucket: appends that may be sent at once after an idle period. */
+const MAX_BURST_APPENDS = 5;
 
-/** Lets `appendsPerSecond` appends through, and a few at once after a quiet time. */
+/** Allows `appendsPerSecond` appends on average, with bursts of up to `MAX_BURST_APPENDS`. */
 export class AppendRateLimiter {
-  private tokens = BURST;
-  private filledAt: Instant = -Infinity;
+  private tokens = MAX_BURST_APPENDS;
+  private refilledAt: Instant = -Infinity;
   private pausedUntil: Instant = -Infinity;
 
   constructor(private appendsPerSecond: number) {}
 
   /** Changes the rate, such as when the number of instances that share the log changes. */
   setRate(appendsPerSecond: number, now: Instant): void {
-    this.fill(now);
+    this.refill(now);
     this.appendsPerSecond = appendsPerSecond;
   }
 
-  /** Allows nothing before `until`. */
+  /** Allows no append before `until`. */
   pause(until: Instant): void {
     this.pausedUntil = Math.max(this.pausedUntil, until);
   }
 
-  /** Earliest time of the next append. */
+  /** Returns the earliest time at which the next append is allowed. */
   getNextAllowedAt(now: Instant): Instant {
-    this.fill(now);
-    const missing = Math.max(0, 1 - this.tokens);
-    const refilledAt = now + (missing * 1000) / this.appendsPerSecond;
-    return Math.max(refilledAt, this.pausedUntil);
+    this.refill(now);
+    const missingTokens = Math.max(0, 1 - this.tokens);
+    const availableAt = now + (missingTokens * 1000) / this.appendsPerSecond;
+    return Math.max(availableAt, this.pausedUntil);
   }
 
-  /** Counts an append. */
+  /** Takes the token of one append. */
   consume(now: Instant): void {
-    this.fill(now);
+    this.refill(now);
     this.tokens -= 1;
   }
 
-  private fill(now: Instant): void {
-    const elapsed = now - this.filledAt;
-    const earned = (elapsed * this.appendsPerSecond) / 1000;
-    this.tokens = Math.min(BURST, this.tokens + earned);
-    this.filledAt = now;
+  private refill(now: Instant): void {
+    const elapsedMs = now - this.refilledAt;
+    const newTokens = (elapsedMs * this.appendsPerSecond) / 1000;
+    this.tokens = Math.min(MAX_BURST_APPENDS, this.tokens + newTokens);
+    this.refilledAt = now;
   }
 }
--- a/packages/ledger/src/change_history.ts
+++ b/packages/ledger/src/change_history.ts
@@ -1,15 +1,15 @@
-/** Configuration changes with their verdicts. */
+/** Configuration changes with their outcomes. */
 import type {FailureBody} from '@galenavalve/shared';
 
-/** Most entity keys that are kept of one change. */
-const MAX_KEYS = 20;
+/** Number of entity keys that are kept for one change. */
+const MAX_RETAINED_KEYS = 20;
 
-/** A configuration change that was decided. */
+/** A configuration change that the fold accepted or rejected. */
 export interface RecordedChange {
   changeId: string;
   author: string;
   offset: number;
-  /** Wall-clock time of the writer in milliseconds since the Unix epoch. */
+  /** Log time of the record in milliseconds since the Unix epoch. */
   at: number;
   accepted: boolean;
   /** Why it was rejected. */
@@ -20,7 +20,7 @@
   entities: string[];
 }
 
-/** Decided changes in log order, for as long as ids are remembered. */
+/** Accepted and rejected changes in log order, until the request window has passed. */
 export class ChangeHistory {
   private readonly byId = new Map<string, RecordedChange>();
 
@@ -35,30 +35,33 @@
   add(change: RecordedChange): void {
     this.byId.set(change.changeId, {
       ...change,
-      entities: change.entities.slice(0, MAX_KEYS),
+      entities: change.entities.slice(0, MAX_RETAINED_KEYS),
     });
   }
 
-  /** The latest changes, newest first. */
+  /** Lists the latest changes, newest first. */
   listLatest(limit: number): RecordedChange[] {
     return [...this.byId.values()].reverse().slice(0, limit);
   }
 
-  /** Forgets changes older than `window` at `logTime`, both in milliseconds. */
-  removeExpired(logTime: number, window: number): void {
+  /**
+   * Removes the changes that are older than `windowMs` at `logTime`, in
+   * milliseconds since the Unix epoch.
+   */
+  removeExpired(logTime: number, windowMs: number): void {
     for (const change of this.byId.values()) {
-      if (logTime > change.at + window) {
+      if (logTime > change.at + windowMs) {
         this.byId.delete(change.changeId);
       }
     }
   }
 
-  /** Everything, for a snapshot. */
+  /** Returns all changes, for a snapshot. */
   encode(): RecordedChange[] {
     return [...this.byId.values()];
   }
 
-  /** Takes over the changes of a snapshot. */
+  /** Adds the changes of a snapshot. */
   restore(encoded: readonly RecordedChange[]): void {
     for (const change of encoded) {
       this.byId.set(change.changeId, change);
--- a/packages/ledger/src/configuration_store.ts
+++ b/packages/ledger/src/configuration_store.ts
@@ -13,67 +13,78 @@
 } from '@galenavalve/model';
 import {OverlayMap} from './overlay_map.js';
 
-/** Entities with their versions. Versions only rise, also over a removal. */
+/**
+ * Stores entities with their versions. A version only increases, even when the
+ * entity is removed and added again.
+ */
 export class ConfigurationStore {
   private readonly entities = new Map<string, VersionedEntity>();
   /** Last versions of removed entities. */
-  private readonly removed = new Map<string, number>();
-  private present: OverlayConfiguration = {
+  private readonly removedVersions = new Map<string, number>();
+  private currentConfiguration: OverlayConfiguration = {
     domains: new OverlayMap(),
     targets: new OverlayMap(),
     workspaces: new OverlayMap(),
     rules: DEFAULT_RULES,
   };
 
-  /** An immutable snapshot; a change replaces it. */
+  /** The current configuration. It is immutable; a change replaces it. */
   get configuration(): Configuration {
-    return this.present;
+    return this.currentConfiguration;
   }
 
   getEntity(key: string): VersionedEntity | undefined {
     return this.entities.get(key);
   }
 
-  /** Version of an entity; 0 for one that never existed, the last one for a removed one. */
+  /**
+   * Returns the version of an entity: 0 if it never existed, its last version
+   * if it was removed.
+   */
   getVersion(key: string): number {
-    return this.entities.get(key)?.version ?? this.removed.get(key) ?? 0;
+    return (
+      this.entities.get(key)?.version ?? this.removedVersions.get(key) ?? 0
+    );
   }
 
-  /** Tells whether a change that is based on `baseVersion` sees the present entity. */
+  /**
+   * Tells whether `baseVersion` is the current version of an entity. 0 is also
+   * valid for a removed entity.
+   */
   isCurrent(key: string, baseVersion: number): boolean {
     const isRemoved = !this.entities.has(key);
     return baseVersion === this.getVersion(key) || (isRemoved && !baseVersion);
   }
 
-  /** The configuration as it would be after the edits. */
+  /** Returns the configuration that the edits would produce. Changes nothing. */
   preview(edits: readonly Edit[]): OverlayConfiguration {
-    return applyEdits(this.present, edits);
+    return applyEdits(this.currentConfiguration, edits);
   }
 
-  /** Puts edits in force; `configuration` is what `preview` made of them. */
+  /** Applies edits; `configuration` is the result of `preview` for them. */
   commit(edits: readonly Edit[], configuration: OverlayConfiguration): void {
     for (const {entity: key, value} of edits) {
       const version = this.getVersion(key) + 1;
       if (value) {
         this.entities.set(key, {version, value});
-        this.removed.delete(key);
+        this.removedVersions.delete(key);
       } else {
         this.entities.delete(key);
-        this.removed.set(key, version);
+        this.removedVersions.set(key, version);
       }
     }
-    this.present = configuration;
+    this.currentConfiguration = configuration;
   }
 
-  /** Everything, for a snapshot. */
+  /** Returns all entities and versions, for a snapshot. */
   encode(): EncodedConfiguration {
     return {
       entities: [...this.entities.values()],
-      removed: [...this.removed],
+      removed: [...this.removedVersions],
     };
   }
 
-  /** Takes over the entities of a snapshot. */
+  /** Adds the entities of a snapshot. */
   restore(encoded: EncodedConfiguration): void {
     const edits: Edit[] = [];
     for (const {version, value} of encoded.entities) {
@@ -82,19 +93,19 @@
       edits.push({entity: key, baseVersion: version, value});
     }
     for (const [key, version] of encoded.removed) {
-      this.removed.set(key, version);
+      this.removedVersions.set(key, version);
     }
-    this.present = this.preview(edits);
+    this.currentConfiguration = this.preview(edits);
   }
 }
 
-/** The entities in a snapshot. */
+/** Form of the store in a snapshot. */
 export interface EncodedConfiguration {
   entities: VersionedEntity[];
   removed: [key: string, version: number][];
 }
 
-/** Configuration whose maps make cheap changed copies. */
+/** A configuration whose maps can be copied cheaply with changes. */
 export interface OverlayConfiguration extends Configuration {
   readonly domains: OverlayMap<Domain>;
   readonly targets: OverlayMap<Target>;
@@ -102,14 +113,14 @@
 }
 
 function applyEdits(
-  present: OverlayConfiguration,
+  current: OverlayConfiguration,
   edits: readonly Edit[],
 ): OverlayConfiguration {
   return {
-    domains: applyToMap(present.domains, 'domain', edits),
-    targets: applyToMap(present.targets, 'target', edits),
-    workspaces: applyToMap(present.workspaces, 'workspace', edits),
-    rules: applyToRules(present.rules, edits),
+    domains: applyToMap(current.domains, 'domain', edits),
+    targets: applyToMap(current.targets, 'target', edits),
+    workspaces: applyToMap(current.workspaces, 'workspace', edits),
+    rules: applyToRules(current.rules, edits),
   };
 }
 
@@ -118,28 +129,30 @@
   kind: Value['kind'],
   edits: readonly Edit[],
 ): OverlayMap<Value> {
-  const ofKind = edits.filter(edit => parseEntityKind(edit.entity) === kind);
-  const removed = ofKind.filter(edit => !edit.value);
-  const set = ofKind.flatMap(({value}) => value ?? []) as Value[];
+  const editsOfKind = edits.filter(
+    edit => parseEntityKind(edit.entity) === kind,
+  );
+  const removals = editsOfKind.filter(edit => !edit.value);
+  const newValues = editsOfKind.flatMap(({value}) => value ?? []) as Value[];
   return map
-    .without(removed.map(edit => parseEntityId(edit.entity)))
-    .with(set.map(value => [value.id, value] as const));
+    .without(removals.map(edit => parseEntityId(edit.entity)))
+    .with(newValues.map(value => [value.id, value] as const));
 }
 
-function applyToRules(present: Rules, edits: readonly Edit[]): Rules {
+function applyToRules(current: Rules, edits: readonly Edit[]): Rules {
   const edit = edits.find(({entity: key}) => parseEntityKind(key) === 'rules');
   if (!edit) {
-    return present;
+    return current;
   }
   return edit.value?.kind === 'rules' ? edit.value : DEFAULT_RULES;
 }
 
-/** The kind that an entity key names. */
+/** Returns the kind part of an entity key, which has the form `kind/id`. */
 export function parseEntityKind(key: string): Entity['kind'] {
   return key.slice(0, key.indexOf('/')) as Entity['kind'];
 }
 
-/** The id that an entity key names. */
+/** Returns the id part of an entity key, which has the form `kind/id`. */
 export function parseEntityId(key: string): string {
   return key.slice(key.indexOf('/') + 1);
 }
--- a/packages/ledger/src/finished_jobs.ts
+++ b/packages/ledger/src/finished_jobs.ts
@@ -1,28 +1,28 @@
-/** Finished jobs: remembered for the request window, their results within a bound of bytes. */
+/** Finished jobs: kept for the request window, their results up to a total size. */
 import type {Job} from './job.js';
 import {type PackedJob, packJob, unpackJob} from './packed_job.js';
 
-/** Finished jobs in the order in which they ended. */
+/** Stores finished jobs in the order in which they ended. */
 export class FinishedJobs {
   private readonly byId = new Map<string, PackedJob>();
   private readonly idByRequest = new Map<string, string>();
-  /** Ids of the jobs whose results are kept. */
-  private readonly kept = new Set<string>();
-  private bytes = 0;
+  /** Ids of the jobs whose results are in memory, oldest first. */
+  private readonly idsWithResults = new Set<string>();
+  private totalResultBytes = 0;
 
-  /** @param resultBytes Most bytes of JSON of the kept results. */
-  constructor(private readonly resultBytes: number) {}
+  /** @param maxResultBytes Largest total size of the retained results, as JSON. */
+  constructor(private readonly maxResultBytes: number) {}
 
   get size(): number {
     return this.byId.size;
   }
 
-  /** Bytes of JSON of the kept results. */
+  /** Total size of the retained results, as JSON. */
   get retainedResultBytes(): number {
-    return this.bytes;
+    return this.totalResultBytes;
   }
 
-  /** The job, as a new object at each call. */
+  /** Returns the job as a new object on each call. */
   get(jobId: string): Job | undefined {
     const packed = this.byId.get(jobId);
     return packed && unpackJob(packed);
@@ -32,38 +32,38 @@
     return this.get(this.idByRequest.get(requestId) ?? '');
   }
 
-  /** Jobs, earliest end first. */
+  /** Lists the jobs, earliest end first. */
   *listJobs(): Iterable<Job> {
     for (const packed of this.byId.values()) {
       yield unpackJob(packed);
     }
   }
 
-  /** Packed copies that later changes do not reach, earliest end first. */
+  /** Returns copies of the packed jobs that later changes do not affect, earliest end first. */
   capture(): PackedJob[] {
     return [...this.byId.values()].map(packed => ({...packed}));
   }
 
-  /** Adds a job that has ended, and drops the oldest results beyond the bound. */
+  /** Adds a job that has ended, and drops the oldest results beyond `maxResultBytes`. */
   add(job: Job): void {
     const packed = packJob(job);
     this.byId.set(job.jobId, packed);
     this.idByRequest.set(packed.requestId, job.jobId);
     if (packed.results !== undefined) {
-      this.kept.add(job.jobId);
-      this.bytes += packed.resultBytes;
+      this.idsWithResults.add(job.jobId);
+      this.totalResultBytes += packed.resultBytes;
       this.dropOldResults();
     }
   }
 
   /**
-   * Removes the jobs whose request ids need not be remembered at `logTime`. A
-   * copy of such a request was created before log time minus the window, so
-   * that it is refused as expired.
+   * Removes the jobs whose request window has passed at `logTime`. A later copy
+   * of such a request was created more than `windowMs` before log time, so the
+   * fold rejects it as expired. Times are in milliseconds.
    */
-  removeExpired(logTime: number, window: number): void {
+  removeExpired(logTime: number, windowMs: number): void {
     for (const [jobId, packed] of this.byId) {
-      if (logTime > packed.rememberedFrom + window) {
+      if (logTime > packed.rememberedFrom + windowMs) {
         this.dropResults(jobId);
         this.byId.delete(jobId);
         this.idByRequest.delete(packed.requestId);
@@ -72,8 +72,8 @@
   }
 
   private dropOldResults(): void {
-    for (const jobId of this.kept) {
-      if (this.bytes <= this.resultBytes) {
+    for (const jobId of this.idsWithResults) {
+      if (this.totalResultBytes <= this.maxResultBytes) {
         return;
       }
       this.dropResults(jobId);
@@ -82,8 +82,8 @@
 
   private dropResults(jobId: string): void {
     const packed = this.byId.get(jobId);
-    if (packed && this.kept.delete(jobId)) {
-      this.bytes -= packed.resultBytes;
+    if (packed && this.idsWithResults.delete(jobId)) {
+      this.totalResultBytes -= packed.resultBytes;
       packed.results = undefined;
     }
   }
--- a/packages/ledger/src/fold/attempts.ts
+++ b/packages/ledger/src/fold/attempts.ts
@@ -1,4 +1,4 @@
-/** Verdicts on what the scheduler of a domain records about attempts. */
+/** Folds the records of a domain's scheduler about the attempts of jobs. */
 import {
   type Assignment,
   type Finished,
@@ -22,20 +22,22 @@
 
 type AttemptRecord = Placed | Started | Unplaced | Finished;
 
-/** The intent to start a gang, if nothing stands against it at this offset. */
+/** Folds the intent to start a gang. Accepts it only if the job may start at this offset. */
 export function foldPlaced(state: LedgerState, record: Placed): FoldDecision {
   const job = state.getJob(record.jobId);
-  const refusal =
-    refuseAttempt(state, job, record) ??
-    refuseStart(state, job!, record) ??
-    refuseAssignments(state, job!, record);
-  if (refusal) {
-    return refusal;
+  const rejection =
+    checkAttempt(state, job, record) ??
+    checkStart(state, job!, record) ??
+    checkAssignments(state, job!, record);
+  if (rejection) {
+    return rejection;
   }
-  const assignments = record.assignments.map(part => shareName(state, part));
+  const assignments = record.assignments.map(assignment =>
+    internTargetId(state, assignment),
+  );
   state.unfinishedJobs.update(job!, {phase: 'placed', assignments});
   job!.attempts = record.attempt;
-  job!.term = shareTerm(state, record);
+  job!.term = internTerm(state, record);
   job!.guaranteed = record.guaranteed;
   job!.placedAt = record.at;
   job!.startedAt = undefined;
@@ -43,13 +45,13 @@
   return ACCEPTED;
 }
 
-/** Every task of the attempt runs. */
+/** Folds the report that every task of the attempt runs. */
 export function foldStarted(state: LedgerState, record: Started): FoldDecision {
   const job = state.getJob(record.jobId);
-  const refusal =
-    refuseAttempt(state, job, record) ?? refuseInactive(job!, record);
-  if (refusal) {
-    return refusal;
+  const rejection =
+    checkAttempt(state, job, record) ?? checkActive(job!, record);
+  if (rejection) {
+    return rejection;
   }
   if (job!.phase === 'running') {
     return DUPLICATE;
@@ -60,54 +62,57 @@
   return ACCEPTED;
 }
 
-/** The attempt ended without a result: the job waits again, unless it must not. */
+/**
+ * Folds the end of an attempt without a result: the job is queued again, unless
+ * it must not run again.
+ */
 export function foldUnplaced(
   state: LedgerState,
   record: Unplaced,
   offset: number,
 ): FoldDecision {
   const job = state.getJob(record.jobId);
-  const refusal =
-    refuseAttempt(state, job, record) ?? refuseInactive(job!, record);
-  if (refusal) {
-    return refusal;
+  const rejection =
+    checkAttempt(state, job, record) ?? checkActive(job!, record);
+  if (rejection) {
+    return rejection;
   }
-  const released = job!.assignments;
-  noteUnplaced(job!, record);
-  const outcome = outcomeOfUnplaced(job!);
+  const releasedAssignments = job!.assignments;
+  applyUnplaced(job!, record);
+  const outcome = computeOutcomeAfterUnplaced(job!);
   if (outcome) {
     endJob(state, job!, {at: record.at, offset, outcome});
   } else {
     state.unfinishedJobs.update(job!, {phase: 'queued', assignments: []});
   }
-  return {accepted: true, releasedAssignments: released};
+  return {accepted: true, releasedAssignments};
 }
 
-/** The job has ended, with its whole answer. */
+/** Folds the end of a job, with its outcome and results. */
 export function foldFinished(
   state: LedgerState,
   record: Finished,
   offset: number,
 ): FoldDecision {
   const job = state.getJob(record.jobId);
-  const refusal =
-    refuseAttempt(state, job, record) ?? refuseOutcome(job!, record);
-  if (refusal) {
-    return refusal;
+  const rejection =
+    checkAttempt(state, job, record) ?? checkOutcome(job!, record);
+  if (rejection) {
+    return rejection;
   }
   addRecordToHistory(job!, record, record.reason);
   const {at, outcome, results, resultHash} = record;
-  const released = endJob(state, job!, {
+  const releasedAssignments = endJob(state, job!, {
     at,
     offset,
     outcome,
     results,
     resultHash,
   });
-  return {accepted: true, releasedAssignments: released};
+  return {accepted: true, releasedAssignments};
 }
 
-function refuseAttempt(
+function checkAttempt(
   state: LedgerState,
   job: Job | undefined,
   record: AttemptRecord,
@@ -127,7 +132,7 @@
   return undefined;
 }
 
-function refuseInactive(
+function checkActive(
   job: Job,
   record: AttemptRecord,
 ): FoldDecision | undefined {
@@ -137,7 +142,7 @@
   return isActive(job) ? undefined : reject('job-not-active');
 }
 
-function refuseStart(
+function checkStart(
   state: LedgerState,
   job: Job,
   record: Placed,
@@ -161,13 +166,16 @@
   return undefined;
 }
 
-/** Checks that the whole gang, and no more, lies on targets that take its workspace's new work. */
-function refuseAssignments(
+/**
+ * Checks that the assignments cover exactly the gang, on targets that accept
+ * new work of its workspace.
+ */
+function checkAssignments(
   state: LedgerState,
   job: Job,
   {assignments, domain}: Placed,
 ): FoldDecision | undefined {
-  const targets = new Set(assignments.map(part => part.target));
+  const targets = new Set(assignments.map(assignment => assignment.target));
   if (targets.size !== assignments.length || !isWholeGang(job, assignments)) {
     return reject('wrong-gang');
   }
@@ -189,24 +197,24 @@
   return undefined;
 }
 
-/** Tells whether the parts cover each task of the gang once. */
+/** Tells whether the assignments cover each task of the gang exactly once. */
 function isWholeGang(job: Job, assignments: readonly Assignment[]): boolean {
-  const parts = [...assignments].sort((a, b) => a.firstTask - b.firstTask);
-  let next = 0;
-  for (const {firstTask, tasks} of parts) {
-    if (firstTask !== next) {
+  const sorted = [...assignments].sort((a, b) => a.firstTask - b.firstTask);
+  let nextTask = 0;
+  for (const {firstTask, tasks} of sorted) {
+    if (firstTask !== nextTask) {
       return false;
     }
-    next += tasks;
+    nextTask += tasks;
   }
-  return next === job.request.gang.tasks;
+  return nextTask === job.request.gang.tasks;
 }
 
 /**
- * A queued job may be ended without an attempt. "Not run" is accepted only
- * where it is true.
+ * Checks the outcome of a finished job. A queued job may end without an attempt
+ * (attempt 0). `not-run` is accepted only if no task of the job may have run.
  */
-function refuseOutcome(job: Job, record: Finished): FoldDecision | undefined {
+function checkOutcome(job: Job, record: Finished): FoldDecision | undefined {
   const {attempt, outcome} = record;
   const isQueued = job.phase === 'queued';
   if (attempt === 0 ? !isQueued : attempt !== job.attempts) {
@@ -224,7 +232,7 @@
   return undefined;
 }
 
-function noteUnplaced(job: Job, record: Unplaced): void {
+function applyUnplaced(job: Job, record: Unplaced): void {
   job.mayHaveRun ||= record.mayHaveRun;
   job.progressSeconds = Math.max(job.progressSeconds, record.progressSeconds);
   job.lastUnplacedAt = record.at;
@@ -236,21 +244,29 @@
   addRecordToHistory(job, record, record.reason);
 }
 
-/** The outcome of a job that must not run again, or undefined when it waits again. */
-function outcomeOfUnplaced(job: Job): 'lost' | 'cancelled' | undefined {
+/** Returns the outcome of a job that must not run again; undefined when it is queued again. */
+function computeOutcomeAfterUnplaced(
+  job: Job,
+): 'lost' | 'cancelled' | undefined {
   if (job.mayHaveRun && !job.request.repeatable) {
     return 'lost';
   }
   return job.cancelRequested ? 'cancelled' : undefined;
 }
 
-/** Uses the domain's copy of the term, where it is the same. */
-function shareTerm(state: LedgerState, {domain, term}: Placed): Term {
-  const present = state.terms.get(domain);
-  return present && isSameTerm(present, term) ? present : term;
+/** Returns the domain's copy of the term if it is equal, which saves memory. */
+function internTerm(state: LedgerState, {domain, term}: Placed): Term {
+  const current = state.terms.get(domain);
+  return current && isSameTerm(current, term) ? current : term;
 }
 
-/** Uses the configuration's copy of the target's name, which saves memory. */
-function shareName(state: LedgerState, part: Assignment): Assignment {
-  return {...part, target: state.getTarget(part.target)?.id ?? part.target};
+/** Replaces the target id with the configuration's copy of the string, which saves memory. */
+function internTargetId(
+  state: LedgerState,
+  assignment: Assignment,
+): Assignment {
+  return {
+    ...assignment,
+    target: state.getTarget(assignment.target)?.id ?? assignment.target,
+  };
 }
--- a/packages/ledger/src/fold/claims.ts
+++ b/packages/ledger/src/fold/claims.ts
@@ -1,12 +1,12 @@
-/** Verdicts on claims: which instance schedules a failure domain. */
+/** Folds claims, which decide which instance schedules a failure domain. */
 import type {Claimed, Term} from '@galenavalve/model';
 import {ACCEPTED, type FoldDecision, reject} from '../fold_result.js';
 import type {LedgerState} from '../state.js';
 
-/** The first claim of the next term wins. */
+/** Folds a claim. Accepts the first claim of the next term. */
 export function foldClaimed(state: LedgerState, record: Claimed): FoldDecision {
-  const present = state.terms.get(record.domain);
-  if (record.term.log !== (present?.log ?? 0) + 1) {
+  const current = state.terms.get(record.domain);
+  if (record.term.log !== (current?.log ?? 0) + 1) {
     return reject('term-taken');
   }
   state.terms.set(record.domain, record.term);
@@ -14,17 +14,17 @@
 }
 
 /**
- * Tells whether a record's term is the present one of its domain. The outage
- * part may differ: the log knows only the terms that it raised itself.
+ * Tells whether a record has the current term of its domain. The `outage` part
+ * may differ: the state contains only terms that were raised by claims in the log.
  */
 export function hasCurrentTerm(
   state: LedgerState,
   record: {domain: string; term: Term},
 ): boolean {
-  const present = state.terms.get(record.domain);
+  const current = state.terms.get(record.domain);
   return (
-    present !== undefined &&
-    present.log === record.term.log &&
-    present.instance === record.term.instance
+    current !== undefined &&
+    current.log === record.term.log &&
+    current.instance === record.term.instance
   );
 }
--- a/packages/ledger/src/fold/configuration.ts
+++ b/packages/ledger/src/fold/configuration.ts
@@ -1,4 +1,4 @@
-/** Verdicts on configuration changes. */
+/** Folds configuration changes. */
 import {isDeepStrictEqual} from 'node:util';
 import {
   type Configuration,
@@ -20,7 +20,10 @@
 import type {LedgerState} from '../state.js';
 import {findReferenceProblem} from './references.js';
 
-/** The first change of a version wins; the same change again gets the same verdict. */
+/**
+ * Folds a change. The first change of a version wins; a copy of a change gets
+ * the same decision as the first.
+ */
 export function foldConfigured(
   state: LedgerState,
   record: Configured,
@@ -29,7 +32,7 @@
   const {change} = record;
   const earlier = state.changeHistory.get(change.changeId);
   if (earlier) {
-    return verdictOf(earlier);
+    return createRepeatedDecision(earlier);
   }
   const problem = decideChange(state, change);
   state.changeHistory.add({
@@ -45,7 +48,7 @@
   return problem ? reject(problem.code as Rejection, problem) : ACCEPTED;
 }
 
-/** Puts the change in force, or returns why it is refused. */
+/** Applies the change as a whole, or returns why it is rejected. */
 function decideChange(
   state: LedgerState,
   change: ConfigurationChange,
@@ -56,11 +59,11 @@
     return problem;
   }
   const next = state.configurationStore.preview(change.edits);
-  const refusal = findUnsuitable(state, next, change.edits);
-  if (!refusal) {
+  const rejection = findConfigurationProblem(state, next, change.edits);
+  if (!rejection) {
     state.configurationStore.commit(change.edits, next);
   }
-  return refusal;
+  return rejection;
 }
 
 function findConflict(
@@ -110,28 +113,31 @@
   return findUseProblem(state, edit);
 }
 
-/** What is in use must not disappear under a job: its tasks could not be stopped. */
+/**
+ * Checks that the entity is not in use by an unfinished job, whose tasks could
+ * then not be stopped.
+ */
 function findUseProblem(state: LedgerState, edit: Edit): string | undefined {
   const id = parseEntityId(edit.entity);
   const count = edit.value
-    ? countOfMovedTarget(state, edit)
-    : countOfUsers(state, edit);
+    ? countActiveOnMovedTarget(state, edit)
+    : countUnfinishedUsers(state, edit);
   return count
     ? `${parseEntityKind(edit.entity)} ${id} is still used by ${count} unfinished jobs`
     : undefined;
 }
 
-function countOfMovedTarget(state: LedgerState, {value}: Edit): number {
+function countActiveOnMovedTarget(state: LedgerState, {value}: Edit): number {
   if (value?.kind !== 'target') {
     return 0;
   }
-  const present = state.getTarget(value.id);
-  return present && present.domain !== value.domain
+  const current = state.getTarget(value.id);
+  return current && current.domain !== value.domain
     ? state.unfinishedJobs.countActiveOnTarget(value.id)
     : 0;
 }
 
-function countOfUsers(state: LedgerState, {entity: key}: Edit): number {
+function countUnfinishedUsers(state: LedgerState, {entity: key}: Edit): number {
   const id = parseEntityId(key);
   switch (parseEntityKind(key)) {
     case 'domain':
@@ -145,7 +151,7 @@
   }
 }
 
-function findUnsuitable(
+function findConfigurationProblem(
   state: LedgerState,
   next: Configuration,
   edits: readonly Edit[],
@@ -154,29 +160,34 @@
   if (problem) {
     return new Failure('config-invalid', {problem});
   }
-  const changesMore = edits.some(edit => !changesOnlyServiceState(state, edit));
-  return changesMore
+  const hasOtherChanges = edits.some(
+    edit => !isServiceStateChange(state, edit),
+  );
+  return hasOtherChanges
     ? state.options.validateConfiguration?.(next, state.configuration)
     : undefined;
 }
 
-function changesOnlyServiceState(state: LedgerState, edit: Edit): boolean {
-  const present = state.getEntity(edit.entity)?.value;
+function isServiceStateChange(state: LedgerState, edit: Edit): boolean {
+  const current = state.getEntity(edit.entity)?.value;
   return (
-    present !== undefined &&
+    current !== undefined &&
     edit.value !== null &&
     isDeepStrictEqual(
-      {...present, state: undefined},
+      {...current, state: undefined},
       {...edit.value, state: undefined},
     )
   );
 }
 
-function verdictOf({accepted, problem}: RecordedChange): FoldDecision {
+function createRepeatedDecision({
+  accepted,
+  problem,
+}: RecordedChange): FoldDecision {
   if (accepted || !problem) {
     return DUPLICATE;
   }
-  const known =
+  const code =
     problem.code in ERROR_TEMPLATES ? problem.code : 'config-invalid';
-  return reject(known as Rejection, new Failure(known, problem.details));
+  return reject(code as Rejection, new Failure(code, problem.details));
 }
--- a/packages/ledger/src/fold/end_job.ts
+++ b/packages/ledger/src/fold/end_job.ts
@@ -1,4 +1,4 @@
-/** The end of a job. */
+/** Ends jobs in the state. */
 import type {Assignment, Outcome} from '@galenavalve/model';
 import type {Job} from '../job.js';
 import type {LedgerState} from '../state.js';
@@ -7,19 +7,20 @@
 export interface JobEnd {
   /** Wall-clock time of the record in milliseconds since the Unix epoch. */
   at: number;
+  /** Offset of the record. */
   offset: number;
   outcome: Outcome;
   results?: unknown[];
   resultHash?: string;
 }
 
-/** Ends a job, and returns where it was placed. */
+/** Ends a job, and returns the assignments that it released. Drops its payload. */
 export function endJob(
   state: LedgerState,
   job: Job,
   end: JobEnd,
 ): readonly Assignment[] {
-  const released = job.assignments;
+  const releasedAssignments = job.assignments;
   state.unfinishedJobs.remove(job);
   job.phase = 'finished';
   job.assignments = [];
@@ -30,5 +31,5 @@
   job.resultHash = end.resultHash;
   job.request = {...job.request, payload: {}};
   state.finishedJobs.add(job);
-  return released;
+  return releasedAssignments;
 }
--- a/packages/ledger/src/fold/fold.ts
+++ b/packages/ledger/src/fold/fold.ts
@@ -1,6 +1,7 @@
 /**
- * The fold: a pure function of the state and the next entry. Every instance
- * reaches the same verdict, because it uses nothing but the log's content.
+ * The fold: the reducer of the ledger, a pure function of the state and the next
+ * entry. Every instance gets the same results, since it uses only the content of
+ * the log.
  */
 import {type LogRecord, record as recordSchema} from '@galenavalve/model';
 import {Failure, MAX_JSON_DEPTH, isTooDeep} from '@galenavalve/shared';
@@ -28,10 +29,10 @@
   foldWithdrawn,
 } from './jobs.js';
 
-/** How often in log time forgotten things are looked for. */
+/** Interval of the sweeps for expired items, in log time. */
 const SWEEP_INTERVAL_MS = 60_000;
 
-/** Applies the next entry of the log, and returns the verdict on it. */
+/** Applies the next entry of the log to the state. Invalid records are skipped and counted. */
 export function applyEntry(state: LedgerState, entry: LogEntry): FoldResult {
   state.nextOffset = entry.offset + 1;
   if (isTooDeep(entry.value)) {
@@ -45,8 +46,8 @@
   const record = parsed.data;
   state.logTime.observe(record.by, record.at);
   sweep(state);
-  const verdict = foldRecord(state, record, entry.offset);
-  return {offset: entry.offset, record, ...verdict};
+  const decision = foldRecord(state, record, entry.offset);
+  return {offset: entry.offset, record, ...decision};
 }
 
 function foldRecord(
@@ -93,12 +94,12 @@
   const path = issue?.path.map(String).join('.') || 'record';
   const problem = new Failure('record-invalid', {
     offset: entry.offset,
-    problem: `${path}: ${issue?.message ?? 'not valid'}`,
+    problem: `${path}: ${issue?.message ?? 'does not match the record schema'}`,
   });
   return {offset: entry.offset, ...reject('record-invalid', problem)};
 }
 
-/** Forgets what is older than the request window, by log time. */
+/** Removes items whose request window has passed, at most once per sweep interval of log time. */
 function sweep(state: LedgerState): void {
   const logTime = state.logTime.value;
   const sweepNumber = Math.floor(logTime / SWEEP_INTERVAL_MS);
--- a/packages/ledger/src/fold/jobs.ts
+++ b/packages/ledger/src/fold/jobs.ts
@@ -1,4 +1,4 @@
-/** Verdicts on what callers and operators want of a job. */
+/** Folds the records of callers and operators about jobs. */
 import type {
   Approved,
   Cancelled,
@@ -20,40 +20,40 @@
 import type {LedgerState} from '../state.js';
 import {endJob} from './end_job.js';
 
-/** Furthest that a request's creation time may be ahead of its record's time. */
+/** How far the creation time of a request may be ahead of the time of its record. */
 export const MAX_CREATION_SKEW_MS = 60 * 60 * 1000;
 
-/** Most `moved` records of a job whose copies are recognised. */
-const MAX_MOVE_IDS = 16;
+/** Number of latest `moved` records of a job whose copies are recognized. */
+const MAX_RETAINED_MOVE_IDS = 16;
 
-/** Shared by the jobs that have none of something. */
-const NONE: readonly never[] = [];
+/** Shared empty list, which saves memory. */
+const EMPTY_LIST: readonly never[] = [];
 
-/** The first request of an id wins; the same again is a duplicate. */
+/** Folds a request. The first request with an id wins; an equal one is a duplicate. */
 export function foldSubmitted(
   state: LedgerState,
   record: Submitted,
   offset: number,
 ): FoldDecision {
   const {requestId} = record.request;
-  const known = state.getJobByRequest(requestId);
-  if (known) {
-    return known.bodyHash === record.bodyHash
+  const existing = state.getJobByRequest(requestId);
+  if (existing) {
+    return existing.bodyHash === record.bodyHash
       ? DUPLICATE
       : reject(
           'request-conflict',
           new Failure('request-conflict', {requestId}),
         );
   }
-  const refusal = refuseSubmitted(state, record);
-  if (refusal) {
-    return refusal;
+  const rejection = checkSubmitted(state, record);
+  if (rejection) {
+    return rejection;
   }
   state.unfinishedJobs.add(createJob(state, record, offset));
   return ACCEPTED;
 }
 
-/** A request id that has no job yet will never have one. */
+/** Folds a withdrawal: a request id that has no job yet never gets one. */
 export function foldWithdrawn(
   state: LedgerState,
   record: Withdrawn,
@@ -64,13 +64,14 @@
   if (state.isWithdrawn(record.requestId)) {
     return DUPLICATE;
   }
-  const latest = Math.max(record.at, state.logTime.value);
-  const until = latest + MAX_CREATION_SKEW_MS + state.options.requestWindow;
-  state.withdrawnRequests.add(record.requestId, until);
+  const latestTime = Math.max(record.at, state.logTime.value);
+  const expiresAt =
+    latestTime + MAX_CREATION_SKEW_MS + state.options.requestWindow;
+  state.withdrawnRequests.add(record.requestId, expiresAt);
   return ACCEPTED;
 }
 
-/** A queued job goes from one failure domain to another. */
+/** Folds the move of a queued job from one failure domain to another. */
 export function foldMoved(state: LedgerState, record: Moved): FoldDecision {
   const job = state.getJob(record.jobId);
   if (!job) {
@@ -89,12 +90,12 @@
     return reject('unknown-domain');
   }
   state.unfinishedJobs.update(job, {phase: 'queued', domain: record.to});
-  job.moveIds = [...job.moveIds, record.recordId].slice(-MAX_MOVE_IDS);
+  job.moveIds = [...job.moveIds, record.recordId].slice(-MAX_RETAINED_MOVE_IDS);
   addRecordToHistory(job, record, record.reason);
   return ACCEPTED;
 }
 
-/** An operator lets a job start. */
+/** Folds the approval of a job by an operator. */
 export function foldApproved(
   state: LedgerState,
   record: Approved,
@@ -114,7 +115,10 @@
   return ACCEPTED;
 }
 
-/** A queued job ends at once; a placed or running one is to be stopped. */
+/**
+ * Folds a cancellation: a queued job ends at once; a placed or running one is
+ * marked to be stopped.
+ */
 export function foldCancelled(
   state: LedgerState,
   record: Cancelled,
@@ -155,7 +159,7 @@
   addHistoryEntry(job, entry);
 }
 
-function refuseSubmitted(
+function checkSubmitted(
   state: LedgerState,
   record: Submitted,
 ): FoldDecision | undefined {
@@ -171,26 +175,27 @@
     return reject('job-id-taken', new Failure('request-conflict', {requestId}));
   }
   return (
-    refuseCreationTime(state, record) ??
-    refuseReferences(state, record) ??
-    refuseQueueLimit(state, workspace)
+    checkCreationTime(state, record) ??
+    checkReferences(state, record) ??
+    checkQueueLimit(state, workspace)
   );
 }
 
 /**
- * Refuses what may be a copy of a forgotten request. A time far ahead would
- * make the id remembered for too long.
+ * Rejects a request that is older than the request window, since it may be a
+ * copy of one whose id has expired. Also rejects a creation time far in the
+ * future, which would keep the request id for too long.
  */
-function refuseCreationTime(
+function checkCreationTime(
   state: LedgerState,
   record: Submitted,
 ): FoldDecision | undefined {
   const {createdAt} = record.request;
   const {requestWindow} = state.options;
-  const age = state.logTime.value - createdAt;
-  if (age > requestWindow) {
+  const ageMs = state.logTime.value - createdAt;
+  if (ageMs > requestWindow) {
     const problem = new Failure('request-expired', {
-      ageSeconds: Math.round(age / 1000),
+      ageSeconds: Math.round(ageMs / 1000),
       windowSeconds: Math.round(requestWindow / 1000),
     });
     return reject('request-expired', problem);
@@ -204,7 +209,7 @@
   return undefined;
 }
 
-function refuseReferences(
+function checkReferences(
   state: LedgerState,
   record: Submitted,
 ): FoldDecision | undefined {
@@ -222,7 +227,7 @@
   return undefined;
 }
 
-function refuseQueueLimit(
+function checkQueueLimit(
   state: LedgerState,
   workspace: string,
 ): FoldDecision | undefined {
@@ -240,7 +245,7 @@
   const workspace = state.getWorkspace(record.request.workspace)!;
   const job: Job = {
     jobId: record.jobId,
-    // The configuration's copies of the names save memory.
+    // Uses the configuration's copies of the id strings, which saves memory.
     request: {...record.request, workspace: workspace.id},
     bodyHash: record.bodyHash,
     domain: state.getDomain(record.domain)!.id,
@@ -250,13 +255,13 @@
     submittedAt: record.at,
     approved: false,
     cancelRequested: false,
-    assignments: NONE,
+    assignments: EMPTY_LIST,
     guaranteed: false,
     progressSeconds: 0,
-    failures: NONE,
+    failures: EMPTY_LIST,
     mayHaveRun: false,
-    history: NONE,
-    moveIds: NONE,
+    history: EMPTY_LIST,
+    moveIds: EMPTY_LIST,
   };
   addRecordToHistory(job, record, record.reason);
   return job;
--- a/packages/ledger/src/fold/references.ts
+++ b/packages/ledger/src/fold/references.ts
@@ -1,4 +1,4 @@
-/** Checks that the entities of a configuration name only entities that exist. */
+/** Checks that the entities of a configuration refer only to entities that exist. */
 import type {
   Configuration,
   Edit,
@@ -8,20 +8,20 @@
 } from '@galenavalve/model';
 
 /**
- * The first name that leads nowhere, as a sentence; undefined when there is
- * none. Only edited entities are checked, unless an edit removes something
- * that others may name.
+ * Returns a message about the first reference to an entity that does not exist;
+ * undefined when there is none. Checks only edited entities, unless an edit
+ * removes an entity that others may refer to.
  */
 export function findReferenceProblem(
   next: Configuration,
   edits: readonly Edit[],
 ): string | undefined {
-  const isAnyRemoved = edits.some(({value}) => value === null);
-  const entities = isAnyRemoved
+  const hasRemoval = edits.some(({value}) => value === null);
+  const entities = hasRemoval
     ? [...next.targets.values(), ...next.workspaces.values()]
     : edits.flatMap(({value}) => value ?? []);
   for (const entity of entities) {
-    const problem = findProblem(next, entity);
+    const problem = findEntityProblem(next, entity);
     if (problem) {
       return problem;
     }
@@ -29,7 +29,10 @@
   return undefined;
 }
 
-function findProblem(next: Configuration, entity: Entity): string | undefined {
+function findEntityProblem(
+  next: Configuration,
+  entity: Entity,
+): string | undefined {
   switch (entity.kind) {
     case 'target':
       return findTargetProblem(next, entity);
--- a/packages/ledger/src/fold_result.ts
+++ b/packages/ledger/src/fold_result.ts
@@ -1,4 +1,4 @@
-/** What the fold made of one log entry. */
+/** The outcome of folding one log entry. */
 import type {Assignment, LogRecord} from '@galenavalve/model';
 import type {Failure} from '@galenavalve/shared';
 
@@ -33,31 +33,31 @@
   | 'config-invalid'
   | 'guarantee-shortfall';
 
-/** The verdict on one entry, the same on every instance. */
+/** The outcome of one entry: accepted or rejected. It is the same on every instance. */
 export interface FoldResult {
   offset: number;
   accepted: boolean;
-  /** Absent when the entry is not a valid record. */
+  /** Undefined when the entry is not a valid record. */
   record?: LogRecord;
   rejection?: Rejection;
-  /** The rejection as an error for the caller, where there is one. */
+  /** The rejection as an error for the caller, if the rejection has one. */
   problem?: Failure;
-  /** An accepted copy that changed nothing, such as a request submitted again. */
+  /** Whether this is an accepted copy that changed nothing, such as a request submitted again. */
   duplicate?: boolean;
-  /** Where an attempt was placed that the record ended. */
+  /** Assignments of the attempt that the record ended. */
   releasedAssignments?: readonly Assignment[];
 }
 
-/** A verdict before the offset and the record are added. */
+/** A fold result before the offset and the record are added. */
 export type FoldDecision = Omit<FoldResult, 'offset' | 'record'>;
 
-/** The verdict on a record that takes effect. */
+/** Decision for a record that takes effect. */
 export const ACCEPTED: FoldDecision = {accepted: true};
 
-/** The verdict on a copy of a record that took effect before. */
+/** Decision for a copy of a record that took effect before. */
 export const DUPLICATE: FoldDecision = {accepted: true, duplicate: true};
 
-/** A verdict against a record. */
+/** Creates the decision that rejects a record. */
 export function reject(rejection: Rejection, problem?: Failure): FoldDecision {
   return problem
     ? {accepted: false, rejection, problem}
--- a/packages/ledger/src/follower.ts
+++ b/packages/ledger/src/follower.ts
@@ -1,4 +1,4 @@
-/** Follows the log: reads, folds, and tells listeners the verdicts. */
+/** Follows the log: reads entries, folds them, and notifies listeners of the results. */
 import {
   type Clock,
   type Instant,
@@ -17,15 +17,18 @@
 import type {RetainedRange} from './snapshot/snapshot_policy.js';
 import type {LedgerState} from './state.js';
 
-/** Times and sizes of the reads. */
+/** Limits, timeouts and retry pauses of the reads. Durations are in milliseconds. */
 export interface LogFollowerOptions {
-  /** Most entries of one read; fewer are asked for while entries are large. */
+  /** Largest number of entries of one read. Fewer are requested while entries are large. */
   pageLimit: number;
-  /** How long the log may hold an answer back; short, since freshness counts from the sending. */
+  /**
+   * How long the log may delay a response while it has no new record. It is
+   * short, since freshness is measured from the time at which a read is sent.
+   */
   readWait: Milliseconds;
-  /** After how long a read is given up. */
+  /** Timeout of a read. */
   readTimeout: Milliseconds;
-  /** First and longest pause after a failed read. */
+  /** Base and upper limit of the backoff after failed reads. */
   backoffBase: Milliseconds;
   backoffCap: Milliseconds;
 }
@@ -38,15 +41,15 @@
   backoffCap: 1000,
 };
 
-/** What a follower needs. */
+/** Dependencies of a `LogFollower`. */
 export interface LogFollowerDependencies {
   log: Log;
   state: LedgerState;
   clock: Clock;
   logger: Logger;
-  /** Spreads retries; the generator of the runtime by default. */
+  /** Source of the backoff jitter; `Math.random` by default. */
   random?: Random;
-  /** Gets a state when the log no longer holds what this one needs. */
+  /** Restores a state when the log no longer retains the entries that this one needs. */
   restorer?: StateRestorer;
   options?: Partial<LogFollowerOptions>;
 }
@@ -54,27 +57,29 @@
 /** Entries that a peer read from the log. */
 export interface RelayedEntries {
   entries: readonly LogEntry[];
-  /** Offset after the last of them. */
+  /** Offset after the last entry. */
   nextOffset: number;
 }
 
-type AppliedListener = (applied: FoldResult) => void;
+type FoldResultListener = (result: FoldResult) => void;
 
-/** Keeps the state up with the log. */
+/** Keeps the state up to date with the log. */
 export class LogFollower {
   private readonly options: LogFollowerOptions;
-  private readonly listeners = new Set<AppliedListener>();
+  private readonly listeners = new Set<FoldResultListener>();
   private readonly freshListeners = new Set<() => void>();
   private freshAt: Instant | undefined;
-  private readonly replacedListeners = new Set<() => void>();
-  private held: Promise<unknown> | undefined;
-  private keptOffsets: RetainedRange | undefined;
-  private readonly pageSize: AdaptivePageLimit;
+  private readonly stateReplacedListeners = new Set<() => void>();
+  /** Settles when the current pause of folding ends. */
+  private foldingPause: Promise<unknown> | undefined;
+  private latestLogRange: RetainedRange | undefined;
+  private readonly pageLimit: AdaptivePageLimit;
+  /** Failed reads since the last successful one. */
   private failures = 0;
 
   constructor(private readonly dependencies: LogFollowerDependencies) {
     this.options = {...DEFAULT_OPTIONS, ...dependencies.options};
-    this.pageSize = new AdaptivePageLimit(this.options.pageLimit);
+    this.pageLimit = new AdaptivePageLimit(this.options.pageLimit);
   }
 
   get state(): LedgerState {
@@ -87,54 +92,64 @@
   }
 
   /**
-   * Latest time at which the state is known to have included the end of the
-   * log: the sending of the read that showed it, not its answer.
+   * Returns the latest time at which the state is known to have included the
+   * end of the log: the time at which the read was sent, not that of its
+   * response. Undefined until then.
    */
   getFreshAt(): Instant | undefined {
     return this.freshAt;
   }
 
-  /** Calls `listener` after each entry; returns a function that ends this. */
-  onApplied(listener: AppliedListener): () => void {
+  /** Calls `listener` after each folded entry. Returns a function that removes it. */
+  onApplied(listener: FoldResultListener): () => void {
     this.listeners.add(listener);
     return () => this.listeners.delete(listener);
   }
 
-  /** Calls `listener` whenever `lastFresh` rises; returns a function that ends this. */
+  /**
+   * Calls `listener` whenever the time of `getFreshAt` increases. Returns a
+   * function that removes it.
+   */
   onFresh(listener: () => void): () => void {
     this.freshListeners.add(listener);
     return () => this.freshListeners.delete(listener);
   }
 
   /**
-   * Calls `listener` when another state took the place of the folded one, so
-   * that no verdicts were told for the offsets between; returns a function
-   * that ends this.
+   * Calls `listener` when a restored state replaced the folded one. The
+   * `onApplied` listeners are not called for the offsets that were skipped.
+   * Returns a function that removes the listener.
    */
   onStateReplaced(listener: () => void): () => void {
-    this.replacedListeners.add(listener);
-    return () => this.replacedListeners.delete(listener);
+    this.stateReplacedListeners.add(listener);
+    return () => this.stateReplacedListeners.delete(listener);
   }
 
-  /** Offsets that the log held at the latest answer. */
+  /** Offsets that the log retained at the latest response; undefined before the first. */
   get logRange(): RetainedRange | undefined {
-    return this.keptOffsets;
+    return this.latestLogRange;
   }
 
-  /** Folds nothing until `action` has ended. */
+  /**
+   * Pauses folding until `action` has settled, and returns its result. This keeps
+   * the state at one offset, for example while it is encoded.
+   */
   async pauseWhile<T>(action: () => Promise<T>): Promise<T> {
-    while (this.held) {
-      await this.held;
+    while (this.foldingPause) {
+      await this.foldingPause;
     }
-    const running = Promise.resolve().then(action);
-    const ended = running.catch(() => undefined);
-    this.held = ended;
-    await ended;
-    this.held = undefined;
-    return running;
+    const result = Promise.resolve().then(action);
+    const settled = result.catch(() => undefined);
+    this.foldingPause = settled;
+    await settled;
+    this.foldingPause = undefined;
+    return result;
   }
 
-  /** Reads until `signal` aborts. A new state starts from the latest snapshot. */
+  /**
+   * Reads and folds until `signal` aborts. An empty state is first restored
+   * from the latest snapshot.
+   */
   async run(signal: AbortSignal): Promise<void> {
     if (this.state.nextOffset === 0) {
       await this.restore();
@@ -149,27 +164,28 @@
     }
   }
 
-  /** Reads one page and folds it. Throws what the log throws. */
+  /** Reads one page and folds it. Rethrows errors of the log. */
   async readOnce(): Promise<void> {
     const {log, clock} = this.dependencies;
     const sentAt = clock.now();
     const page = await log.read(this.state.nextOffset, {
-      limit: this.pageSize.limit,
+      limit: this.pageLimit.limit,
       wait: this.options.readWait,
       timeout: this.options.readTimeout,
     });
-    this.pageSize.observe(page.entries);
-    await this.held;
+    this.pageLimit.observe(page.entries);
+    await this.foldingPause;
     this.applyPage(page, sentAt);
   }
 
   /**
-   * Folds entries that a peer relays. Ignored while folding is held, and
-   * unless they continue the state; returns whether it includes them now.
+   * Folds entries that a peer relays. Ignores them while folding is paused, or
+   * when entries before them are missing. Returns whether the state includes
+   * them.
    */
   applyRelayedEntries({entries, nextOffset}: RelayedEntries): boolean {
-    const first = entries[0]?.offset ?? nextOffset;
-    if (this.held || first > this.state.nextOffset) {
+    const firstOffset = entries[0]?.offset ?? nextOffset;
+    if (this.foldingPause || firstOffset > this.state.nextOffset) {
       return false;
     }
     this.applyEntries(entries);
@@ -178,71 +194,74 @@
   }
 
   /**
-   * Takes over a peer's word that its state, up to `nextOffset`, included the
-   * end of the log at the local time `at`. Ignored if this state is behind.
+   * Applies the report of a peer that its state, up to `nextOffset`, included
+   * the end of the log at the local time `at`. Ignores it if this state is behind.
    */
   applyRelayedFreshness(nextOffset: number, at: Instant): void {
     if (this.state.nextOffset >= nextOffset) {
-      this.noteFresh(at);
+      this.markFresh(at);
     }
   }
 
-  /** Resolves to whether the state includes the record at `offset` within `timeout`. */
+  /**
+   * Waits for at most `timeout` until the state includes the record at
+   * `offset`; resolves to whether it does.
+   */
   async waitForOffset(offset: number, timeout: Milliseconds): Promise<boolean> {
     const isIncluded = () => this.state.nextOffset > offset;
     if (isIncluded()) {
       return true;
     }
     const controller = new AbortController();
-    const stop = this.onApplied(() => {
+    const removeListener = this.onApplied(() => {
       if (isIncluded()) {
         controller.abort();
       }
     });
     await this.dependencies.clock.sleep(timeout, controller.signal);
-    stop();
+    removeListener();
     return isIncluded();
   }
 
   private applyPage(page: LogPage, sentAt: Instant): void {
     const {oldestOffset, endOffset} = page;
-    this.keptOffsets = {oldestOffset, endOffset};
+    this.latestLogRange = {oldestOffset, endOffset};
     this.applyEntries(page.entries);
     this.state.nextOffset = Math.max(this.state.nextOffset, page.nextOffset);
     if (endOffset <= this.state.nextOffset) {
-      this.noteFresh(sentAt);
+      this.markFresh(sentAt);
     }
   }
 
   private applyEntries(entries: readonly LogEntry[]): void {
     for (const entry of entries) {
-      // Entries that came another way while the read was on its way.
+      // Skips entries that a peer relayed while the read was in flight.
       if (entry.offset < this.state.nextOffset) {
         continue;
       }
-      const applied = applyEntry(this.state, entry);
-      if (applied.rejection === 'record-invalid') {
+      const result = applyEntry(this.state, entry);
+      if (result.rejection === 'record-invalid') {
         this.dependencies.logger.warn('record-skipped', {
           offset: entry.offset,
-          problem: applied.problem?.message,
+          problem: result.problem?.message,
         });
       }
-      this.tell(applied);
+      this.notifyApplied(result);
     }
   }
 
-  /** Replaces the state by one that is further, if one can be had. */
+  /** Replaces the state with a restored one if that has a higher offset. */
   private async restore(): Promise<void> {
     const restored = await this.dependencies.restorer?.restore();
     if (restored && restored.nextOffset > this.state.nextOffset) {
       this.state.replaceWith(restored);
-      for (const listener of [...this.replacedListeners]) {
+      for (const listener of [...this.stateReplacedListeners]) {
         listener();
       }
     }
   }
 
-  private noteFresh(at: Instant): void {
+  private markFresh(at: Instant): void {
     if (this.freshAt !== undefined && at <= this.freshAt) {
       return;
     }
@@ -252,13 +271,13 @@
     }
   }
 
-  private tell(applied: FoldResult): void {
+  private notifyApplied(result: FoldResult): void {
     for (const listener of [...this.listeners]) {
       try {
-        listener(applied);
+        listener(result);
       } catch (error) {
         this.dependencies.logger.error('listener-failed', {
-          offset: applied.offset,
+          offset: result.offset,
           problem: describeError(error),
         });
       }
@@ -269,7 +288,7 @@
     const {clock, logger, random = {next: Math.random}} = this.dependencies;
     const {backoffBase, backoffCap} = this.options;
     this.failures += 1;
-    const pause = computeJitteredBackoff(
+    const pauseMs = computeJitteredBackoff(
       this.failures,
       backoffBase,
       backoffCap,
@@ -283,6 +302,6 @@
     if (isEmpty || isFailure(error, 'offset-expired')) {
       await this.restore();
     }
-    await clock.sleep(pause, signal);
+    await clock.sleep(pauseMs, signal);
   }
 }
--- a/packages/ledger/src/index.ts
+++ b/packages/ledger/src/index.ts
@@ -1,4 +1,7 @@
-/** The fold of log records to state, snapshots, idempotent append and group commit. */
+/**
+ * The ledger: folds log records to state, encodes and restores snapshots, and
+ * appends records idempotently in group commits.
+ */
 
 // The platform's log
 export type {
--- a/packages/ledger/src/job.ts
+++ b/packages/ledger/src/job.ts
@@ -1,4 +1,4 @@
-/** Jobs as the log tells them. */
+/** Jobs as the fold derives them from the log. */
 import type {
   Assignment,
   HistoryEntry,
@@ -9,10 +9,13 @@
   Term,
 } from '@galenavalve/model';
 
-/** Most entries of a job's history; older ones but the first are dropped. */
+/**
+ * Largest number of history entries of a job. When it is exceeded, the oldest
+ * entry after the first is dropped.
+ */
 export const MAX_HISTORY_ENTRIES = 24;
 
-/** Most failures that are kept of a job. */
+/** Number of latest failures that are retained for a job. */
 export const MAX_RETAINED_FAILURES = 16;
 
 /** A failed attempt, with the target that caused it. */
@@ -23,8 +26,8 @@
 }
 
 /**
- * A job as the accepted records leave it. Only the fold changes it. Times are
- * wall-clock milliseconds since the Unix epoch, as the writers gave them.
+ * A job as the accepted records define it. Only the fold changes it. Times are
+ * wall-clock milliseconds since the Unix epoch, as the writers recorded them.
  */
 export interface Job {
   readonly jobId: string;
@@ -33,29 +36,29 @@
   readonly bodyHash: string;
   domain: string;
   phase: JobPhase;
-  /** Number of the latest attempt that was placed; 0 when there was none. */
+  /** Number of the latest placed attempt; 0 if there was none. */
   attempts: number;
   readonly submittedOffset: number;
   readonly submittedAt: number;
   approved: boolean;
   cancelRequested: boolean;
   cancelReason?: Reason;
-  /** Where the present attempt is placed; empty when there is none. */
+  /** Placement of the current attempt; empty if there is none. */
   assignments: readonly Assignment[];
-  /** Whether the present attempt lies within the workspace's guarantee. */
+  /** Whether the current attempt is within the guarantee of the workspace. */
   guaranteed: boolean;
   /** Term under which the latest attempt was placed. */
   term?: Term;
   placedAt?: number;
   startedAt?: number;
   finishedAt?: number;
-  /** Progress that checkpoints saved, in seconds of run time of the whole job. */
+  /** Progress saved by checkpoints, in seconds of run time of the whole job. */
   progressSeconds: number;
   failures: readonly JobFailure[];
-  /** Whether any task of any attempt may have run; then "not run" is never said. */
+  /** Whether any task of any attempt may have run. If so, the outcome is never `not-run`. */
   mayHaveRun: boolean;
   outcome?: Outcome;
-  /** Absent when the results were dropped to bound memory; the log may still hold them. */
+  /** Undefined when the results were dropped to bound memory; the log may still retain them. */
   results?: unknown[];
   resultHash?: string;
   /** Offset of the record that ended the job. */
@@ -63,7 +66,7 @@
   lastReason?: Reason;
   lastUnplacedAt?: number;
   history: readonly HistoryEntry[];
-  /** Ids of the accepted `moved` records, which make a late copy harmless. */
+  /** Ids of the latest accepted `moved` records, used to reject late copies of them. */
   moveIds: readonly string[];
 }
 
@@ -72,11 +75,11 @@
   return job.phase === 'placed' || job.phase === 'running';
 }
 
-/** Adds an entry to the history, and drops the second-oldest when it is full. */
+/** Adds an entry to the history, and drops the second-oldest entry when the history is full. */
 export function addHistoryEntry(job: Job, entry: HistoryEntry): void {
-  const kept =
+  const retained =
     job.history.length < MAX_HISTORY_ENTRIES
       ? job.history
       : [job.history[0]!, ...job.history.slice(2)];
-  job.history = [...kept, entry];
+  job.history = [...retained, entry];
 }
--- a/packages/ledger/src/log.ts
+++ b/packages/ledger/src/log.ts
@@ -1,51 +1,54 @@
-/** The platform's append-only log, as the ledger sees it. */
+/** Interface of the platform's append-only log. */
 import type {Milliseconds} from '@galenavalve/shared';
 
-/** A record as it stands in the log: unchecked JSON. */
+/** A record of the log as unvalidated JSON. */
 export interface LogEntry {
   offset: number;
   value: unknown;
 }
 
-/** A part of the log. */
+/** The result of one read. */
 export interface LogPage {
   entries: LogEntry[];
-  /** Offset after the last entry of this page, from where the next read goes on. */
+  /** Offset after the last entry of this page, at which the next read continues. */
   nextOffset: number;
-  /** Offset after the last record of the log when the answer was made. */
+  /** Offset after the last record of the log at the time of the response. */
   endOffset: number;
-  /** Oldest offset that the log still keeps. */
+  /** Oldest offset that the log still retains. */
   oldestOffset: number;
 }
 
-/** Limits of one read. */
+/** Limits of one read. Durations are in milliseconds. */
 export interface ReadOptions {
-  /** Most entries to return. */
+  /** Largest number of entries to return. */
   limit: number;
-  /** How long the log may hold the answer back until there is a record. */
+  /** How long the log may delay the response until there is a record. */
   wait: Milliseconds;
-  /** After how long the read is given up. */
+  /** Timeout of the read. */
   timeout: Milliseconds;
 }
 
-/** Where the values of an append stand. */
+/** Offsets of the appended values. */
 export interface AppendReceipt {
   firstOffset: number;
   nextOffset: number;
 }
 
-/** The log service. Errors are `Failure`s. */
+/** The log service. Its errors are `Failure`s. */
 export interface Log {
   /**
-   * Appends values, all or none, in order.
-   * Throws `append-rejected` when nothing was written for certain, and
-   * `append-uncertain` when the append may have taken effect.
+   * Appends values atomically and in order. `timeout` is in milliseconds.
+   * Throws `append-rejected` when nothing was written, and `append-uncertain`
+   * when the append may have taken effect or may still do so.
    */
   append(
     values: readonly unknown[],
     timeout: Milliseconds,
   ): Promise<AppendReceipt>;
 
-  /** Reads from `offset`. Throws `read-failed`, or `offset-expired` before the oldest kept record. */
+  /**
+   * Reads from `offset`. Throws `read-failed`, or `offset-expired` when
+   * `offset` is before the oldest retained record.
+   */
   read(offset: number, options: ReadOptions): Promise<LogPage>;
 }
--- a/packages/ledger/src/log_time.ts
+++ b/packages/ledger/src/log_time.ts
@@ -1,58 +1,59 @@
 /**
- * A time that every instance derives alike from the records of the log, for
- * forgetting. One writer with a wrong clock cannot move it.
+ * Log time: a time that every instance derives identically from the records of
+ * the log. It determines which items have expired. One writer with a wrong
+ * clock cannot change it.
  */
 
-/** Latest records whose writers are counted. */
-const SAMPLES = 32;
+/** Number of latest records whose times are used. */
+const MAX_SAMPLES = 32;
 
-/** One sample: a writer and the time that it gave. */
+/** The writer of a record, and its wall-clock time in milliseconds since the Unix epoch. */
 export interface TimeSample {
   by: string;
   at: number;
 }
 
 /**
- * The lower median, over the writers of the latest records, of the latest
- * time that each gave. It never falls.
+ * Computes log time: the lower median of the latest time of each writer among
+ * the latest records. It never decreases.
  */
 export class LogTime {
   private samples: TimeSample[] = [];
-  private current = 0;
+  private currentMs = 0;
 
   /** Milliseconds since the Unix epoch; 0 before the first record. */
   get value(): number {
-    return this.current;
+    return this.currentMs;
   }
 
-  /** Counts a record. */
+  /** Updates log time from a record. */
   observe(by: string, at: number): void {
     this.samples.push({by, at});
-    if (this.samples.length > SAMPLES) {
+    if (this.samples.length > MAX_SAMPLES) {
       this.samples.shift();
     }
-    if (at > this.current) {
-      this.current = Math.max(this.current, this.median());
+    if (at > this.currentMs) {
+      this.currentMs = Math.max(this.currentMs, this.computeMedian());
     }
   }
 
-  /** The whole state, for a snapshot. */
+  /** Returns the state, for a snapshot. */
   encode(): {value: number; samples: TimeSample[]} {
-    return {value: this.current, samples: this.samples};
+    return {value: this.currentMs, samples: this.samples};
   }
 
-  /** Takes over the state of a snapshot. */
+  /** Sets the state from a snapshot. */
   restore(encoded: {value: number; samples: TimeSample[]}): void {
-    this.current = encoded.value;
+    this.currentMs = encoded.value;
     this.samples = [...encoded.samples];
   }
 
-  private median(): number {
-    const latest = new Map<string, number>();
+  private computeMedian(): number {
+    const latestByWriter = new Map<string, number>();
     for (const {by, at} of this.samples) {
-      latest.set(by, at);
+      latestByWriter.set(by, at);
     }
-    const times = [...latest.values()].sort((a, b) => a - b);
+    const times = [...latestByWriter.values()].sort((a, b) => a - b);
     return times[Math.floor((times.length - 1) / 2)] ?? 0;
   }
 }
--- a/packages/ledger/src/notifier.ts
+++ b/packages/ledger/src/notifier.ts
@@ -1,38 +1,38 @@
-/** Wakes loops that wait for a time or an event, whichever comes first. */
+/** Notifies loops that sleep until an event or a timeout, whichever comes first. */
 import type {Clock, Milliseconds} from '@galenavalve/shared';
 
-/** An event that loops wait for. */
+/** An event that loops can wait for. */
 export class Notifier {
-  private readonly waiting = new Set<AbortController>();
-  private isRaised = false;
+  private readonly waiters = new Set<AbortController>();
+  private hasPendingNotification = false;
 
-  /** Wakes every waiter, or the next one when none waits. */
+  /** Wakes every waiter. If there is none, the next `wait` returns at once. */
   notify(): void {
-    if (this.waiting.size === 0) {
-      this.isRaised = true;
+    if (this.waiters.size === 0) {
+      this.hasPendingNotification = true;
       return;
     }
-    for (const controller of [...this.waiting]) {
+    for (const controller of [...this.waiters]) {
       controller.abort();
     }
   }
 
-  /** Resolves when notified, after `duration`, or when `signal` aborts. */
+  /** Resolves when notified, after `duration` in milliseconds, or when `signal` aborts. */
   async wait(
     clock: Clock,
     duration: Milliseconds,
     signal?: AbortSignal,
   ): Promise<void> {
-    if (this.isRaised || signal?.aborted) {
-      this.isRaised = false;
+    if (this.hasPendingNotification || signal?.aborted) {
+      this.hasPendingNotification = false;
       return;
     }
     const controller = new AbortController();
     const stop = () => controller.abort();
     signal?.addEventListener('abort', stop, {once: true});
-    this.waiting.add(controller);
+    this.waiters.add(controller);
     await clock.sleep(duration, controller.signal);
-    this.waiting.delete(controller);
+    this.waiters.delete(controller);
     signal?.removeEventListener('abort', stop);
   }
 }
--- a/packages/ledger/src/overlay_map.ts
+++ b/packages/ledger/src/overlay_map.ts
@@ -1,57 +1,57 @@
-/** An immutable map that shares most entries with the one that it was made from. */
+/** An immutable map whose changed copies share most entries with it. */
 
-/** Changed entries after which the map is copied whole. */
-const MAX_CHANGED = 256;
+/** Number of changed entries above which a change copies the whole map. */
+const MAX_OVERLAY_ENTRIES = 256;
 
 /**
- * A map by text keys. A changed copy costs what has changed since the latest
- * whole copy, not what the map holds. The order of iteration is that of a
- * `Map` that had the same changes.
+ * An immutable map with string keys: a base map and an overlay of changed
+ * entries. A copy with entries set costs time in proportion to the overlay, not
+ * to the map. The iteration order is that of a `Map` with the same changes.
  */
 export class OverlayMap<V extends object> implements ReadonlyMap<string, V> {
   readonly size: number;
 
   constructor(
     private readonly base: ReadonlyMap<string, V> = new Map(),
-    private readonly changed: ReadonlyMap<string, V> = new Map(),
+    private readonly overlay: ReadonlyMap<string, V> = new Map(),
   ) {
-    this.size = base.size + countAdded(base, changed);
+    this.size = base.size + countAdded(base, overlay);
   }
 
   get(key: string): V | undefined {
-    return this.changed.get(key) ?? this.base.get(key);
+    return this.overlay.get(key) ?? this.base.get(key);
   }
 
   has(key: string): boolean {
-    return this.changed.has(key) || this.base.has(key);
+    return this.overlay.has(key) || this.base.has(key);
   }
 
-  /** A copy with some entries set. */
+  /** Returns a copy with the given entries set. */
   with(entries: readonly (readonly [string, V])[]): OverlayMap<V> {
     if (entries.length === 0) {
       return this;
     }
-    if (this.changed.size + entries.length > MAX_CHANGED) {
+    if (this.overlay.size + entries.length > MAX_OVERLAY_ENTRIES) {
       return new OverlayMap(setAll(new Map(this), entries));
     }
-    return new OverlayMap(this.base, setAll(new Map(this.changed), entries));
+    return new OverlayMap(this.base, setAll(new Map(this.overlay), entries));
   }
 
-  /** A copy without some keys. */
+  /** Returns a copy without the given keys. Copies the whole map. */
   without(keys: readonly string[]): OverlayMap<V> {
     if (keys.length === 0) {
       return this;
     }
-    const copy = new Map(this);
-    keys.forEach(key => copy.delete(key));
-    return new OverlayMap(copy);
+    const remaining = new Map(this);
+    keys.forEach(key => remaining.delete(key));
+    return new OverlayMap(remaining);
   }
 
   *entries(): MapIterator<[string, V]> {
     for (const [key, value] of this.base) {
-      yield [key, this.changed.get(key) ?? value];
+      yield [key, this.overlay.get(key) ?? value];
     }
-    for (const entry of this.changed) {
+    for (const entry of this.overlay) {
       if (!this.base.has(entry[0])) {
         yield entry;
       }
@@ -95,10 +95,10 @@
 
 function countAdded(
   base: ReadonlyMap<string, unknown>,
-  changed: ReadonlyMap<string, unknown>,
+  overlay: ReadonlyMap<string, unknown>,
 ): number {
   let added = 0;
-  for (const key of changed.keys()) {
+  for (const key of overlay.keys()) {
     added += base.has(key) ? 0 : 1;
   }
   return added;
--- a/packages/ledger/src/packed_job.ts
+++ b/packages/ledger/src/packed_job.ts
@@ -1,15 +1,15 @@
 /**
- * Finished jobs are rarely read, so memory holds them as compressed JSON. The
- * form never leaves the process.
+ * Compressed form of finished jobs. They are rarely read, so they are kept in
+ * memory as compressed JSON. This form never leaves the process.
  */
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import type {Job} from './job.js';
 
 /**
- * Text that most jobs share, so that small jobs compress well too. A text
- * that is not in it costs bytes, not correctness.
+ * Preset dictionary with text that most jobs share, so that small jobs compress
+ * well too. Text that is missing here only costs memory.
  */
-const DICTIONARY = Buffer.from(
+const COMPRESSION_DICTIONARY = Buffer.from(
   '"placed within the guarantee of ","reason":{"code":"placed-borrowed","details":{"targets":"","workspace":"' +
     '"reason":{"code":"task-failed","details":{"problem":"","target":"","task":' +
     '"reason":{"code":"preempted-reclaim","details":{"workspace":"' +
@@ -27,36 +27,41 @@
     '"term":{"log":,"outage":0,"instance":""}}',
 );
 
-/** Small windows: the buffers of the library cost more than a job is long. */
-const PACKING = {level: 3, windowBits: 12, memLevel: 5, dictionary: DICTIONARY};
+/** Small window and memory level, since the default buffers of zlib are larger than a job. */
+const DEFLATE_OPTIONS = {
+  level: 3,
+  windowBits: 12,
+  memLevel: 5,
+  dictionary: COMPRESSION_DICTIONARY,
+};
 
-/** A finished job, and what is asked of it often. */
+/** A compressed finished job, with the fields that are often read. */
 export interface PackedJob {
   readonly requestId: string;
-  /** Milliseconds since the Unix epoch from which the window of the request id counts. */
+  /** Start of the request window, in milliseconds since the Unix epoch. */
   readonly rememberedFrom: number;
-  /** The job without its results, one byte a character. */
+  /** The compressed job without its results, one byte per character. */
   readonly data: string;
-  /** The results; absent when they were dropped. */
+  /** The compressed results; undefined when there are none or they were dropped. */
   results?: string;
-  /** Bytes of the results as JSON; 0 when there are none. */
+  /** Size of the results as JSON; 0 when there are none. */
   readonly resultBytes: number;
 }
 
-/** Packs a finished job. */
+/** Compresses a finished job. */
 export function packJob(job: Job): PackedJob {
   const {results, ...rest} = job;
-  const text = results && JSON.stringify(results);
+  const resultsJson = results && JSON.stringify(results);
   return {
     requestId: job.request.requestId,
     rememberedFrom: Math.max(job.finishedAt ?? 0, job.request.createdAt),
     data: packText(JSON.stringify(rest)),
-    results: text && packText(text),
-    resultBytes: text ? Buffer.byteLength(text) : 0,
+    results: resultsJson && packText(resultsJson),
+    resultBytes: resultsJson ? Buffer.byteLength(resultsJson) : 0,
   };
 }
 
-/** The job, as a new object. */
+/** Decompresses a job, as a new object. */
 export function unpackJob({data, results}: PackedJob): Job {
   const job = JSON.parse(unpackText(data)) as Job;
   if (results !== undefined) {
@@ -66,9 +71,12 @@
 }
 
 function packText(text: string): string {
-  return deflateRawSync(text, PACKING).toString('latin1');
+  return deflateRawSync(text, DEFLATE_OPTIONS).toString('latin1');
 }
 
 function unpackText(packed: string): string {
-  return inflateRawSync(Buffer.from(packed, 'latin1'), PACKING).toString();
+  return inflateRawSync(
+    Buffer.from(packed, 'latin1'),
+    DEFLATE_OPTIONS,
+  ).toString();
 }
--- a/packages/ledger/src/pending_record.ts
+++ b/packages/ledger/src/pending_record.ts
@@ -1,26 +1,28 @@
-/** Records on their way into the log. */
+/** Records that are being appended to the log. */
 import type {LogRecord} from '@galenavalve/model';
 import type {Instant} from '@galenavalve/shared';
 import type {FoldResult} from './fold_result.js';
 
 /**
- * Where a record is on its way: waiting for an append, in one, recorded but
- * not folded yet, or possibly recorded after an append without an answer.
+ * Stage of a pending record: waiting for an append (`queued`), in an append
+ * that is in flight (`sent`), appended but not folded yet (`recorded`), or
+ * possibly appended (`uncertain`). An uncertain append is one whose outcome is
+ * not known, such as an append without a response.
  */
 export type PendingStage = 'queued' | 'sent' | 'recorded' | 'uncertain';
 
-/** A record that a caller waits for. */
+/** A record whose fold result a caller awaits. */
 export interface PendingRecord {
   readonly record: LogRecord;
-  /** Bytes of the record as JSON. */
+  /** Size of the record as JSON. */
   readonly bytes: number;
   readonly deadline: Instant;
   readonly signal?: AbortSignal;
   stage: PendingStage;
-  /** Whether an append without an answer may have written the record. */
+  /** Whether an uncertain append may have written the record. */
   hasUncertainAppend: boolean;
-  /** When the latest append without an answer ended. */
+  /** End of the latest uncertain append of the record. */
   uncertainAt: Instant;
-  resolve(applied: FoldResult): void;
+  resolve(result: FoldResult): void;
   reject(error: unknown): void;
 }
--- a/packages/ledger/src/pending_records.ts
+++ b/packages/ledger/src/pending_records.ts
@@ -1,22 +1,28 @@
-/** The records that a writer has not heard the verdict of. */
+/** The records of a writer whose fold results are pending. */
 import type {Instant} from '@galenavalve/shared';
 import type {PendingRecord} from './pending_record.js';
 
-/** Bounds of what waits and of one batch. */
+/** Limits of the pending records and of one batch. */
 export interface QueueLimits {
-  /** Most records and bytes of one append. */
+  /** Largest number of records of one append, and their largest total size as JSON. */
   batchRecords: number;
   batchBytes: number;
-  /** Most records and bytes that wait; more are refused as overloaded. */
+  /**
+   * Largest number of pending records and their largest total size; more are
+   * rejected as `overloaded`.
+   */
   queueRecords: number;
   queueBytes: number;
 }
 
-/** Records by id, in the order in which they are to be sent. */
+/** Stores pending records by id, in the order in which they are sent. */
 export class PendingRecords {
   private readonly byId = new Map<string, PendingRecord>();
-  private bytes = 0;
-  /** Halved when the log rejects a batch, so that one bad record does not hold up others. */
+  private totalBytes = 0;
+  /**
+   * Current limit of records per batch. It is halved when the log rejects a
+   * batch, so that one bad record does not block others.
+   */
   private batchLimit: number;
 
   constructor(private readonly limits: QueueLimits) {
@@ -29,30 +35,30 @@
 
   hasCapacity(bytes: number): boolean {
     const {queueRecords, queueBytes} = this.limits;
-    return this.size < queueRecords && this.bytes + bytes <= queueBytes;
+    return this.size < queueRecords && this.totalBytes + bytes <= queueBytes;
   }
 
   get(recordId: string): PendingRecord | undefined {
     return this.byId.get(recordId);
   }
 
-  /** All records; removing one meanwhile is allowed. */
+  /** Lists all records. Records may be removed during the iteration. */
   listAll(): Iterable<PendingRecord> {
     return this.byId.values();
   }
 
   add(item: PendingRecord): void {
     this.byId.set(item.record.recordId, item);
-    this.bytes += item.bytes;
+    this.totalBytes += item.bytes;
   }
 
   remove(item: PendingRecord): void {
     if (this.byId.delete(item.record.recordId)) {
-      this.bytes -= item.bytes;
+      this.totalBytes -= item.bytes;
     }
   }
 
-  /** The next records to send together; empty when none waits. */
+  /** Marks the records of the next batch as sent and returns them; empty when none is queued. */
   dequeueBatch(): PendingRecord[] {
     const batch: PendingRecord[] = [];
     let bytes = 0;
@@ -72,13 +78,13 @@
     return batch;
   }
 
-  /** The log has the batch. */
+  /** Marks a batch that the log has appended. */
   markRecorded(batch: readonly PendingRecord[]): void {
     setStage(batch, 'recorded');
     this.batchLimit = Math.min(this.limits.batchRecords, this.batchLimit * 2);
   }
 
-  /** The log certainly does not have the batch: it is sent again after what else waits. */
+  /** Requeues a batch that the log did not append, behind the other queued records. */
   markRejected(batch: readonly PendingRecord[]): void {
     setStage(batch, 'queued');
     this.batchLimit = Math.max(1, Math.floor(batch.length / 2));
@@ -89,7 +95,7 @@
     }
   }
 
-  /** The log may have the batch. */
+  /** Marks a batch that the log may have appended. */
   markUncertain(batch: readonly PendingRecord[], now: Instant): void {
     setStage(batch, 'uncertain');
     for (const item of batch) {
@@ -99,9 +105,9 @@
   }
 
   /**
-   * Queues again what a read, sent at `freshAt` after the append without an
-   * answer, did not show. The append may still take effect later: the fold
-   * makes the second copy harmless.
+   * Requeues the records that are still uncertain although a read to the end of
+   * the log was sent at `freshAt`, after the uncertain append. That append may
+   * still take effect later; the fold ignores the second copy.
    */
   requeueUncertain(freshAt: Instant): void {
     for (const item of this.byId.values()) {
--- a/packages/ledger/src/recorded_results.ts
+++ b/packages/ledger/src/recorded_results.ts
@@ -1,13 +1,13 @@
-/** Results that memory dropped, read again from the log. */
+/** Reads results from the log that were dropped from memory. */
 import {record as recordSchema} from '@galenavalve/model';
 import {type Milliseconds, hashValue} from '@galenavalve/shared';
 import type {Job} from './job.js';
 import type {Log} from './log.js';
 
 /**
- * The results of a finished job: from memory, or else from the record that
- * ended it. Undefined when it has none or the log no longer holds them.
- * Throws what the log throws.
+ * Returns the results of a finished job: from memory, or else from the record
+ * that ended it. Undefined when it has none or the log no longer retains them.
+ * `timeout` is in milliseconds. Rethrows errors of the log.
  */
 export async function readResults(
   log: Log,
@@ -20,8 +20,9 @@
   const page = await log.read(job.finishedOffset, {limit: 1, wait: 0, timeout});
   const parsed = recordSchema.safeParse(page.entries[0]?.value);
   const record = parsed.data;
-  const isEnd = record?.type === 'finished' && record.jobId === job.jobId;
-  return isEnd && hashValue(record.results) === job.resultHash
+  const isFinishOfJob =
+    record?.type === 'finished' && record.jobId === job.jobId;
+  return isFinishOfJob && hashValue(record.results) === job.resultHash
     ? record.results
     : undefined;
 }
--- a/packages/ledger/src/request_withdrawal.ts
+++ b/packages/ledger/src/request_withdrawal.ts
@@ -1,14 +1,18 @@
-/** Makes a "not run" certain after a submission whose fate is unknown. */
+/**
+ * Withdraws a request whose submission had no known outcome, so that the caller
+ * can be told "not run".
+ */
 import {type Instant, isFailure} from '@galenavalve/shared';
 import type {LogWriter} from './writer.js';
 
 /**
- * `withdrawn`: the request has not run and never will, also when its record
- * arrives late. `recorded`: it has a job. `unknown`: the log did not say.
+ * `withdrawn`: the request has not run and never will, even if its record is
+ * appended late. `recorded`: it has a job. `unknown`: the outcome of the
+ * withdrawal itself is not known.
  */
 export type WithdrawalResult = 'withdrawn' | 'recorded' | 'unknown';
 
-/** Withdraws a request id unless it has a job already. The id cannot be used again. */
+/** Withdraws a request id unless it already has a job. The id cannot be used again. */
 export async function withdrawRequest(
   writer: Pick<LogWriter, 'append'>,
   requestId: string,
--- a/packages/ledger/src/snapshot/capture.ts
+++ b/packages/ledger/src/snapshot/capture.ts
@@ -1,7 +1,7 @@
 /**
- * A state at one offset, taken in one step that copies references only. The
- * fold replaces the values that these lead to and changes none of them, so
- * that it can go on while the capture is encoded.
+ * Captures a state at one offset in one synchronous step that copies only
+ * references. The fold replaces the referenced values and never mutates them, so
+ * it can continue while the capture is encoded.
  */
 import type {VersionedEntity} from '@galenavalve/model';
 import type {RecordedChange} from '../change_history.js';
@@ -10,21 +10,21 @@
 import type {LedgerState} from '../state.js';
 import {type HeaderSection, SNAPSHOT_FORMAT_VERSION} from './sections.js';
 
-/** What a snapshot is made of. */
+/** The content of a snapshot before it is encoded. */
 export interface StateCapture {
   readonly nextOffset: number;
   /** The header as JSON. */
   readonly header: string;
   readonly entities: readonly VersionedEntity[];
   readonly removed: readonly [key: string, version: number][];
-  /** In an order from which the indexes are rebuilt as they are. */
+  /** In an order from which a restore rebuilds the indexes in the same order. */
   readonly unfinished: readonly Job[];
   readonly finished: readonly PackedJob[];
   readonly changes: readonly RecordedChange[];
-  readonly withdrawn: readonly [requestId: string, until: number][];
+  readonly withdrawn: readonly [requestId: string, expiresAt: number][];
 }
 
-/** Captures a state. */
+/** Captures the current state. */
 export function captureState(state: LedgerState): StateCapture {
   const {entities, removed} = state.configurationStore.encode();
   return {
@@ -32,7 +32,7 @@
     header: JSON.stringify(createHeader(state)),
     entities,
     removed,
-    unfinished: copyUnfinished(state),
+    unfinished: copyUnfinishedJobs(state),
     finished: state.finishedJobs.capture(),
     changes: state.changeHistory.encode(),
     withdrawn: state.withdrawnRequests.encode(),
@@ -52,7 +52,7 @@
   };
 }
 
-function copyUnfinished(state: LedgerState): Job[] {
+function copyUnfinishedJobs(state: LedgerState): Job[] {
   const copies: Job[] = [];
   for (const domain of state.unfinishedJobs.listDomains()) {
     for (const job of state.listUnfinishedJobs(domain)) {
--- a/packages/ledger/src/snapshot/chunks.ts
+++ b/packages/ledger/src/snapshot/chunks.ts
@@ -1,8 +1,8 @@
-/** Snapshots as records of the log, one section a record. */
+/** Snapshot chunks: records of the log that each hold one section of a snapshot. */
 import type {RecordBody, SnapshotChunk} from '@galenavalve/model';
 import type {Snapshot} from './codec.js';
 
-/** The records of a snapshot, without headers. */
+/** Creates the chunk records of a snapshot, without record headers. */
 export function createChunks(snapshot: Snapshot): RecordBody[] {
   const {snapshotId, nextOffset, hash, sections} = snapshot;
   return sections.map((data, index) => ({
@@ -16,11 +16,11 @@
   }));
 }
 
-/** Puts chunks together that come in any order, and more than once. */
+/** Assembles snapshots from chunks, which may arrive in any order and more than once. */
 export class ChunkCollector {
   private readonly bySnapshot = new Map<string, Map<number, SnapshotChunk>>();
 
-  /** Adds a chunk; returns its snapshot once all chunks are there. */
+  /** Adds a chunk. Returns its snapshot when all chunks have been added. */
   add(chunk: SnapshotChunk): Snapshot | undefined {
     const {snapshotId} = chunk;
     const chunks = this.bySnapshot.get(snapshotId) ?? new Map();
--- a/packages/ledger/src/snapshot/codec.ts
+++ b/packages/ledger/src/snapshot/codec.ts
@@ -1,4 +1,4 @@
-/** Snapshots: the state as compressed sections with a checksum. */
+/** Encodes a state as a snapshot: compressed sections with a checksum. */
 import {createHash} from 'node:crypto';
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {Failure, describeError} from '@galenavalve/shared';
@@ -11,13 +11,13 @@
   createSections,
 } from './sections.js';
 
-/** Speed goes before size: the loop waits for each section. */
+/** Low level, since compression blocks the event loop for each section. */
 const COMPRESSION_LEVEL = 3;
 
-/** A state at one offset. */
+/** An encoded state at one offset. */
 export interface Snapshot {
   snapshotId: string;
-  /** The snapshot holds the effect of every record before this offset. */
+  /** The snapshot includes the effect of every record before this offset. */
   nextOffset: number;
   /** Sections as compressed JSON in base64. */
   sections: string[];
@@ -25,15 +25,15 @@
   hash: string;
 }
 
-/** Encodes a state at once. */
+/** Encodes a state synchronously. */
 export function encodeState(state: LedgerState, snapshotId: string): Snapshot {
   const sections = [...createSections(captureState(state))].map(compress);
   return createSnapshot(snapshotId, state.nextOffset, sections);
 }
 
 /**
- * Encodes a state with a turn of the loop between sections. The snapshot is of
- * the moment of the call; the state may change meanwhile.
+ * Encodes a state and yields to the event loop between sections. The snapshot
+ * is of the state at the call; the state may change during the encoding.
  */
 export async function encodeStateAsync(
   state: LedgerState,
@@ -48,14 +48,17 @@
   return createSnapshot(snapshotId, capture.nextOffset, sections);
 }
 
-/** Restores a state. Throws `snapshot-invalid` when the snapshot is damaged. */
+/**
+ * Decodes a state. Throws `snapshot-invalid` when the snapshot is damaged or of
+ * an unsupported format.
+ */
 export function decodeState(
   snapshot: Snapshot,
   options: Partial<LedgerOptions> = {},
 ): LedgerState {
   const {snapshotId, nextOffset, sections, hash} = snapshot;
   if (hashSections(sections) !== hash) {
-    throw invalid(snapshotId, 'its checksum does not match');
+    throw createInvalidFailure(snapshotId, 'checksum mismatch');
   }
   const state = new LedgerState(options);
   try {
@@ -63,15 +66,18 @@
       applySection(state, decompress(data));
     }
   } catch (error) {
-    throw invalid(snapshotId, describeError(error));
+    throw createInvalidFailure(snapshotId, describeError(error));
   }
   if (state.nextOffset !== nextOffset) {
-    throw invalid(snapshotId, `it is of offset ${state.nextOffset}`);
+    throw createInvalidFailure(
+      snapshotId,
+      `its header has another offset: ${state.nextOffset}`,
+    );
   }
   return state;
 }
 
-/** SHA-256 of sections, in hexadecimal. */
+/** Computes the SHA-256 of sections, in hexadecimal. */
 export function hashSections(sections: readonly string[]): string {
   const hash = createHash('sha256');
   for (const section of sections) {
@@ -97,11 +103,11 @@
   const text = inflateRawSync(Buffer.from(data, 'base64')).toString();
   const section = JSON.parse(text) as Section;
   if (section.kind === 'header' && section.format !== SNAPSHOT_FORMAT_VERSION) {
-    throw new Error(`format ${section.format} is not known`);
+    throw new Error(`unsupported snapshot format ${section.format}`);
   }
   return section;
 }
 
-function invalid(snapshotId: string, problem: string): Failure {
+function createInvalidFailure(snapshotId: string, problem: string): Failure {
   return new Failure('snapshot-invalid', {snapshotId, problem});
 }
--- a/packages/ledger/src/snapshot/log_snapshots.ts
+++ b/packages/ledger/src/snapshot/log_snapshots.ts
@@ -1,23 +1,25 @@
-/** Finds snapshots in the records that the log still keeps. */
+/** Finds snapshots in the records that the log retains. */
 import {record as recordSchema} from '@galenavalve/model';
 import {type Milliseconds, isFailure} from '@galenavalve/shared';
 import type {Log, LogEntry, LogPage} from '../log.js';
 import {ChunkCollector} from './chunks.js';
 import type {Snapshot} from './codec.js';
 
-/** Which offsets the log holds. */
+/** Offsets that the log retains. */
 export interface LogRange {
   oldestOffset: number;
   endOffset: number;
 }
 
-/** Sizes and times of the reads. */
+/** Page size and timeout of the reads. */
 export interface ScanOptions {
+  /** Largest number of entries of one read. */
   pageLimit: number;
+  /** Timeout of one read in milliseconds. */
   readTimeout: Milliseconds;
 }
 
-/** Asks the log which offsets it holds. Throws what the log throws. */
+/** Reads which offsets the log retains. Rethrows errors of the log. */
 export async function readLogRange(
   log: Log,
   options: ScanOptions,
@@ -33,8 +35,9 @@
 }
 
 /**
- * Yields whole snapshots, latest first, by reading pages backwards from the
- * end. Ends at the oldest kept record, or where it expires meanwhile.
+ * Yields complete snapshots, latest first, by reading pages backwards from the
+ * end of the log. Stops at the oldest retained record; pages that expire during
+ * the scan are skipped.
  */
 export async function* findSnapshots(
   log: Log,
@@ -55,7 +58,10 @@
   }
 }
 
-/** Entries from `start` up to `end`, latest first; empty when they have expired. */
+/**
+ * Reads the entries from `start` up to but excluding `end`, latest first; empty
+ * when they have expired.
+ */
 async function readBackwards(
   log: Log,
   start: number,
--- a/packages/ledger/src/snapshot/sections.ts
+++ b/packages/ledger/src/snapshot/sections.ts
@@ -1,6 +1,6 @@
 /**
- * The state as a list of sections, each small enough to be encoded between
- * two turns of the loop and to be one record of the log.
+ * Splits a state into sections. Each is small enough to be encoded in one turn of
+ * the event loop, and to fit in one record of the log.
  */
 import type {Term, VersionedEntity} from '@galenavalve/model';
 import type {RecordedChange} from '../change_history.js';
@@ -14,10 +14,10 @@
 /** Version of the snapshot format. */
 export const SNAPSHOT_FORMAT_VERSION = 1;
 
-/** Text after which a section is closed, in bytes before compression. */
-const SECTION_BYTES = 256 * 1024;
+/** Length of the uncompressed JSON text at which a section is closed. */
+const SECTION_THRESHOLD_BYTES = 256 * 1024;
 
-/** What is not a list of many items. */
+/** The parts of the state that are not long lists. */
 export interface HeaderSection {
   kind: 'header';
   format: number;
@@ -29,33 +29,34 @@
   snapshots: EncodedSnapshotTracker;
 }
 
-/** The types of the items by kind of section. */
+/** Item types by kind of section. */
 export interface SectionItems {
   entities: VersionedEntity;
   removed: [key: string, version: number];
   jobs: Job;
   changes: RecordedChange;
-  withdrawn: [requestId: string, until: number];
+  withdrawn: [requestId: string, expiresAt: number];
 }
 
-/** A list of items of one kind. */
+/** A section with items of one kind. */
 export type ItemSection = {
   [Kind in keyof SectionItems]: {kind: Kind; items: SectionItems[Kind][]};
 }[keyof SectionItems];
 
+/** One section of a snapshot. */
 export type Section = HeaderSection | ItemSection;
 
-/** Yields the sections of a captured state as JSON. */
+/** Yields the sections of a captured state as JSON text. */
 export function* createSections(capture: StateCapture): Generator<string> {
   yield capture.header;
   yield* splitItems('entities', capture.entities);
   yield* splitItems('removed', capture.removed);
-  yield* splitItems('jobs', jobsOf(capture));
+  yield* splitItems('jobs', listCapturedJobs(capture));
   yield* splitItems('changes', capture.changes);
   yield* splitItems('withdrawn', capture.withdrawn);
 }
 
-/** Adds what a section holds to a new state. Sections come in their order. */
+/** Adds the content of a section to a new state. Sections must be applied in their order. */
 export function applySection(state: LedgerState, section: Section): void {
   switch (section.kind) {
     case 'header':
@@ -90,17 +91,23 @@
   state.snapshotTracker.restore(header.snapshots);
 }
 
-function* jobsOf({unfinished, finished}: StateCapture): Generator<Job> {
+function* listCapturedJobs({
+  unfinished,
+  finished,
+}: StateCapture): Generator<Job> {
   for (const job of unfinished) {
-    yield orderFields(job);
+    yield sortFields(job);
   }
   for (const packed of finished) {
-    yield orderFields(unpackJob(packed));
+    yield sortFields(unpackJob(packed));
   }
 }
 
-/** Equal jobs get equal text, whatever the order in which their fields were set. */
-function orderFields(job: Job): Job {
+/**
+ * Sorts the fields of a job, so that equal jobs have equal JSON whatever the
+ * order in which their fields were set.
+ */
+function sortFields(job: Job): Job {
   const names = Object.keys(job).sort() as (keyof Job)[];
   return Object.fromEntries(names.map(name => [name, job[name]])) as never;
 }
@@ -115,7 +122,7 @@
     const text = JSON.stringify(item);
     texts.push(text);
     bytes += text.length;
-    if (bytes >= SECTION_BYTES) {
+    if (bytes >= SECTION_THRESHOLD_BYTES) {
       yield joinItems(kind, texts);
       texts = [];
       bytes = 0;
--- a/packages/ledger/src/snapshot/snapshot_policy.ts
+++ b/packages/ledger/src/snapshot/snapshot_policy.ts
@@ -1,56 +1,69 @@
-/** Decides when an instance records a snapshot. */
+/** Decides when an instance appends a snapshot to the log. */
 import type {Milliseconds} from '@galenavalve/shared';
 import type {LedgerState} from '../state.js';
 
-/** How often snapshots are recorded. */
+/** Limits that determine when a snapshot is due. */
 export interface SnapshotSchedule {
-  /** Time between snapshots; well below the time that the log keeps records. */
+  /** Time between snapshots in milliseconds; well below the retention time of the log. */
   interval: Milliseconds;
-  /** Records after which one is due earlier, to bound how many a new process folds. */
+  /**
+   * Number of newer records at which a snapshot is due earlier, to limit how
+   * many records a new process folds.
+   */
   maxNewRecords: number;
-  /** Share of the kept records that may be newer than the snapshot once the log forgets. */
+  /**
+   * Largest share of the retained records that may be newer than the snapshot,
+   * once records expire from the log.
+   */
   maxNewerShare: number;
 }
 
-/** The offsets that the log holds. */
+/** Offsets that the log retains. */
 export interface RetainedRange {
   oldestOffset: number;
   endOffset: number;
 }
 
-/** How much later each further domain's scheduler steps in, as a share of the schedule. */
-const STAGGER = 0.25;
+/** Delay of the scheduler of each further domain, as a share of the limits of the schedule. */
+const DELAY_SHARE_PER_RANK = 0.25;
 
 /**
- * Tells whether the instance should record a snapshot now. The scheduler of
- * the first failure domain is first to; if it does not, those of the others
- * follow. `wallTime` is in milliseconds since the Unix epoch; a snapshot too
- * many, by a wrong clock, does no harm.
+ * Tells whether the instance should append a snapshot now. The scheduler of the
+ * first failure domain does so first; if it does not, the schedulers of the
+ * other domains follow with growing delay. `wallTime` is in milliseconds since
+ * the Unix epoch. An additional snapshot, caused by a wrong clock, does no harm.
  */
 export function isSnapshotDue(
   state: LedgerState,
   instance: string,
   wallTime: number,
-  retention: RetainedRange,
+  logRange: RetainedRange,
   schedule: SnapshotSchedule,
 ): boolean {
-  const rank = rankOf(state, instance);
+  const rank = findSchedulerRank(state, instance);
   if (rank === undefined || state.nextOffset === 0) {
     return false;
   }
-  const patience = 1 + STAGGER * rank;
+  const delayFactor = 1 + DELAY_SHARE_PER_RANK * rank;
   const {latest} = state.snapshotTracker;
-  const tail = state.nextOffset - (latest?.nextOffset ?? 0);
-  const age = wallTime - (latest?.completedAt ?? 0);
+  const newRecordCount = state.nextOffset - (latest?.nextOffset ?? 0);
+  const ageMs = wallTime - (latest?.completedAt ?? 0);
   return (
-    tail >= schedule.maxNewRecords * patience ||
-    (tail > (latest?.chunks ?? 0) && age >= schedule.interval * patience) ||
-    isNearExpiry(latest?.firstOffset ?? 0, retention, schedule, patience)
+    newRecordCount >= schedule.maxNewRecords * delayFactor ||
+    (newRecordCount > (latest?.chunks ?? 0) &&
+      ageMs >= schedule.interval * delayFactor) ||
+    isNearExpiry(latest?.firstOffset ?? 0, logRange, schedule, delayFactor)
   );
 }
 
-/** Position of the first domain that the instance schedules; undefined when it has none. */
-function rankOf(state: LedgerState, instance: string): number | undefined {
+/**
+ * Returns the position of the first domain that the instance schedules;
+ * undefined if there is none.
+ */
+function findSchedulerRank(
+  state: LedgerState,
+  instance: string,
+): number | undefined {
   const domains = [...state.configuration.domains.keys()].sort();
   const rank = domains.findIndex(
     domain => state.getSchedulerTerm(domain)?.instance === instance,
@@ -58,15 +71,16 @@
   return rank < 0 ? undefined : rank;
 }
 
+/** Tells whether the snapshot that begins at `firstOffset` is about to expire from the log. */
 function isNearExpiry(
   firstOffset: number,
   {oldestOffset, endOffset}: RetainedRange,
-  {maxNewerShare: keptShare}: SnapshotSchedule,
-  patience: number,
+  {maxNewerShare}: SnapshotSchedule,
+  delayFactor: number,
 ): boolean {
   if (oldestOffset === 0) {
     return false;
   }
-  const newer = (endOffset - firstOffset) / (endOffset - oldestOffset);
-  return newer >= Math.min(0.9, keptShare * patience);
+  const newerShare = (endOffset - firstOffset) / (endOffset - oldestOffset);
+  return newerShare >= Math.min(0.9, maxNewerShare * delayFactor);
 }
--- a/packages/ledger/src/snapshot/snapshot_tracker.ts
+++ b/packages/ledger/src/snapshot/snapshot_tracker.ts
@@ -1,55 +1,57 @@
-/** Which snapshots the log holds whole, as the fold has seen them. */
+/** Tracks in the fold which snapshots are complete in the log. */
 import type {SnapshotChunk} from '@galenavalve/model';
 
-/** Snapshots that may be incomplete and are tracked at once. */
-const MAX_PARTIAL = 8;
+/** Number of incomplete snapshots that are tracked; the oldest are dropped. */
+const MAX_PARTIAL_SNAPSHOTS = 8;
 
-/** Most chunks of a snapshot. */
-const MAX_CHUNKS = 10_000;
+/** Largest number of chunks of a snapshot; bounds the list of missing chunks. */
+const MAX_CHUNKS_PER_SNAPSHOT = 10_000;
 
-/** A snapshot whose chunks are all in the log. */
+/** A complete snapshot: all of its chunks are in the log. */
 export interface RecordedSnapshot {
   snapshotId: string;
   nextOffset: number;
   /** Offset of its first chunk. */
   firstOffset: number;
-  /** Log time of its completion, in milliseconds since the Unix epoch. */
+  /** Log time of its last chunk, in milliseconds since the Unix epoch. */
   completedAt: number;
-  /** Bytes of its sections in base64. */
+  /** Total size of its sections in base64. */
   bytes: number;
   /** Number of its chunks. */
   chunks: number;
 }
 
+/** A snapshot of which chunks are missing. */
 interface PartialSnapshot {
   snapshotId: string;
   firstOffset: number;
+  /** Indexes of the missing chunks. */
   missing: number[];
   bytes: number;
 }
 
-/** The tracker in a snapshot. */
+/** Form of the tracker in a snapshot. */
 export interface EncodedSnapshotTracker {
   latest?: RecordedSnapshot;
   partial: PartialSnapshot[];
 }
 
-/** Follows the chunks in log order. */
+/** Tracks snapshots from their chunks, in log order. */
 export class SnapshotTracker {
-  private partial: PartialSnapshot[] = [];
-  private current: RecordedSnapshot | undefined;
+  private partialSnapshots: PartialSnapshot[] = [];
+  private latestSnapshot: RecordedSnapshot | undefined;
 
   /** The complete snapshot with the highest offset. */
   get latest(): RecordedSnapshot | undefined {
-    return this.current;
+    return this.latestSnapshot;
   }
 
-  /** Returns false when the chunk cannot be part of a snapshot. */
+  /** Adds a chunk at `offset`. Returns false when it cannot be part of a snapshot. */
   observe(chunk: SnapshotChunk, offset: number, logTime: number): boolean {
-    if (chunk.count > MAX_CHUNKS || chunk.index >= chunk.count) {
+    if (chunk.count > MAX_CHUNKS_PER_SNAPSHOT || chunk.index >= chunk.count) {
       return false;
     }
-    const snapshot = this.find(chunk, offset);
+    const snapshot = this.findOrAddPartial(chunk, offset);
     const position = snapshot.missing.indexOf(chunk.index);
     if (position < 0) {
       return true;
@@ -57,41 +59,47 @@
     snapshot.missing.splice(position, 1);
     snapshot.bytes += chunk.data.length;
     if (snapshot.missing.length === 0) {
-      this.complete(snapshot, chunk, logTime);
+      this.completeSnapshot(snapshot, chunk, logTime);
     }
     return true;
   }
 
-  /** Everything, for a snapshot. */
+  /** Returns the state of the tracker, for a snapshot. */
   encode(): EncodedSnapshotTracker {
-    return {latest: this.current, partial: this.partial};
+    return {latest: this.latestSnapshot, partial: this.partialSnapshots};
   }
 
-  /** Takes over the state of a snapshot. */
+  /** Sets the state of the tracker from a snapshot. */
   restore({latest, partial}: EncodedSnapshotTracker): void {
-    this.current = latest;
-    this.partial = partial;
+    this.latestSnapshot = latest;
+    this.partialSnapshots = partial;
   }
 
-  private find({snapshotId, count}: SnapshotChunk, offset: number) {
-    const known = this.partial.find(item => item.snapshotId === snapshotId);
-    if (known) {
-      return known;
+  private findOrAddPartial({snapshotId, count}: SnapshotChunk, offset: number) {
+    const existing = this.partialSnapshots.find(
+      item => item.snapshotId === snapshotId,
+    );
+    if (existing) {
+      return existing;
     }
     const missing = Array.from({length: count}, (_, i) => i);
     const created = {snapshotId, firstOffset: offset, missing, bytes: 0};
-    this.partial = [...this.partial, created].slice(-MAX_PARTIAL);
+    this.partialSnapshots = [...this.partialSnapshots, created].slice(
+      -MAX_PARTIAL_SNAPSHOTS,
+    );
     return created;
   }
 
-  private complete(
+  private completeSnapshot(
     {snapshotId, firstOffset, bytes}: PartialSnapshot,
     {nextOffset, count}: SnapshotChunk,
     completedAt: number,
   ): void {
-    this.partial = this.partial.filter(item => item.snapshotId !== snapshotId);
-    if (nextOffset > (this.current?.nextOffset ?? -1)) {
-      this.current = {
+    this.partialSnapshots = this.partialSnapshots.filter(
+      item => item.snapshotId !== snapshotId,
+    );
+    if (nextOffset > (this.latestSnapshot?.nextOffset ?? -1)) {
+      this.latestSnapshot = {
         snapshotId,
         nextOffset,
         firstOffset,
--- a/packages/ledger/src/snapshot/snapshot_writer.ts
+++ b/packages/ledger/src/snapshot/snapshot_writer.ts
@@ -1,4 +1,4 @@
-/** Records snapshots in the log, well before the records that they replace expire. */
+/** Appends snapshots to the log, well before the records that they replace expire. */
 import {
   type Clock,
   type Logger,
@@ -17,13 +17,16 @@
   maxNewerShare: 0.4,
 };
 
-/** How often the schedule is looked at. */
+/**
+ * Mean interval of the checks whether a snapshot is due; each pause is a random
+ * 50 to 150 % of it.
+ */
 const CHECK_INTERVAL_MS = 5000;
 
-/** Time that one chunk may take to be recorded. */
+/** Timeout of the append of one chunk. */
 const CHUNK_TIMEOUT_MS = 20_000;
 
-/** What a snapshot writer needs. */
+/** Dependencies of a `SnapshotWriter`. */
 export interface SnapshotWriterDependencies {
   follower: LogFollower;
   writer: LogWriter;
@@ -34,7 +37,7 @@
   schedule?: Partial<SnapshotSchedule>;
 }
 
-/** Records a snapshot whenever this instance is to. */
+/** Appends a snapshot whenever one is due for this instance. */
 export class SnapshotWriter {
   private readonly schedule: SnapshotSchedule;
 
@@ -42,7 +45,7 @@
     this.schedule = {...DEFAULT_SCHEDULE, ...dependencies.schedule};
   }
 
-  /** Checks the schedule until `signal` aborts. */
+  /** Checks whether a snapshot is due until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const {clock, random} = this.dependencies;
     while (!signal.aborted) {
@@ -53,13 +56,14 @@
     }
   }
 
-  /** Records a snapshot now. Throws what the writer throws. */
+  /** Appends a snapshot now. Rethrows errors of the writer. */
   async record(): Promise<void> {
     const {follower, writer, clock, logger, instance} = this.dependencies;
     const snapshotId = `${instance}-${follower.state.nextOffset}-${Math.round(clock.wallTime())}`;
     const snapshot = await encodeStateAsync(follower.state, snapshotId);
     const chunks = createChunks(snapshot);
-    // One by one: a large snapshot must not fill the queue before requests.
+    // Appends chunks one by one, so that a large snapshot does not fill the queue
+    // ahead of requests.
     for (const chunk of chunks) {
       await writer.append(chunk, {deadline: clock.now() + CHUNK_TIMEOUT_MS});
     }
@@ -72,10 +76,10 @@
 
   private isDue(): boolean {
     const {follower, clock, instance} = this.dependencies;
-    const {logRange: retention, state} = follower;
+    const {logRange, state} = follower;
     return (
-      retention !== undefined &&
-      isSnapshotDue(state, instance, clock.wallTime(), retention, this.schedule)
+      logRange !== undefined &&
+      isSnapshotDue(state, instance, clock.wallTime(), logRange, this.schedule)
     );
   }
 
--- a/packages/ledger/src/snapshot/state_restorer.ts
+++ b/packages/ledger/src/snapshot/state_restorer.ts
@@ -1,4 +1,4 @@
-/** Gets a state for a process that starts, or that was left behind by the log. */
+/** Restores a state for a process that starts, or whose next record has expired from the log. */
 import {type Logger, describeError} from '@galenavalve/shared';
 import type {Log} from '../log.js';
 import {type LedgerOptions, LedgerState} from '../state.js';
@@ -13,18 +13,21 @@
 
 const DEFAULT_OPTIONS: ScanOptions = {pageLimit: 500, readTimeout: 3000};
 
-/** What a restorer needs. */
+/** Dependencies of a `StateRestorer`. */
 export interface StateRestorerDependencies {
   log: Log;
   logger: Logger;
-  /** The peers that can be asked now. */
+  /** Lists the peers that can currently be called. */
   listSources: () => readonly StateSource[];
-  /** Parameters of the fold; the same as those of the running state. */
+  /** Parameters of the fold; must equal those of the running state. */
   ledgerOptions: Partial<LedgerOptions>;
   options?: Partial<ScanOptions>;
 }
 
-/** Chooses the state with the highest offset among the log's snapshots and the peers' states. */
+/**
+ * Restores the state with the highest offset among the snapshots in the log and
+ * the states of peers.
+ */
 export class StateRestorer {
   private readonly options: ScanOptions;
 
@@ -33,29 +36,32 @@
   }
 
   /**
-   * A state from which the log can be followed: empty when the log still has
-   * its first record and holds no snapshot. Undefined when there is none yet.
+   * Returns a state from which the log can be followed. It is empty when the log
+   * retains its first record and contains no snapshot. Undefined when no state is
+   * available yet. Errors of the log and of peers are logged, not thrown.
    */
   async restore(): Promise<LedgerState | undefined> {
-    const range = await this.readRange();
-    const oldest = range?.oldestOffset ?? 0;
+    const range = await this.tryReadLogRange();
+    const oldestOffset = range?.oldestOffset ?? 0;
     const fromLog = range && (await this.restoreFromLog(range));
-    const fromPeer = await this.restoreFromPeer(fromLog?.nextOffset ?? oldest);
+    const fromPeer = await this.restoreFromPeer(
+      fromLog?.nextOffset ?? oldestOffset,
+    );
     const state = fromPeer ?? fromLog;
     if (state) {
       return state;
     }
-    const isWhole = range?.oldestOffset === 0;
-    return isWhole
+    const hasFirstRecord = range?.oldestOffset === 0;
+    return hasFirstRecord
       ? new LedgerState(this.dependencies.ledgerOptions)
       : undefined;
   }
 
-  private async readRange(): Promise<LogRange | undefined> {
+  private async tryReadLogRange(): Promise<LogRange | undefined> {
     try {
       return await readLogRange(this.dependencies.log, this.options);
     } catch (error) {
-      this.warn('log-range-unknown', error);
+      this.logWarning('log-range-unknown', error);
       return undefined;
     }
   }
@@ -63,7 +69,7 @@
   private async restoreFromLog(
     range: LogRange,
   ): Promise<LedgerState | undefined> {
-    const {log, ledgerOptions: ledger, logger} = this.dependencies;
+    const {log, ledgerOptions, logger} = this.dependencies;
     try {
       for await (const snapshot of findSnapshots(log, range, this.options)) {
         if (snapshot.nextOffset < range.oldestOffset) {
@@ -71,7 +77,7 @@
         }
         const {snapshotId, nextOffset} = snapshot;
         const state = this.tryDecode(snapshotId, () =>
-          decodeState(snapshot, ledger),
+          decodeState(snapshot, ledgerOptions),
         );
         if (state) {
           logger.info('snapshot-restored', {snapshotId, nextOffset});
@@ -79,23 +85,23 @@
         }
       }
     } catch (error) {
-      this.warn('log-scan-failed', error);
+      this.logWarning('log-scan-failed', error);
     }
     return undefined;
   }
 
-  /** The state of the peer that is furthest, if that is beyond `offset`. */
+  /** Returns the state of the peer with the highest offset, if that is above `offset`. */
   private async restoreFromPeer(
     offset: number,
   ): Promise<LedgerState | undefined> {
-    const offers = await Promise.all(
-      this.dependencies.listSources().map(source => this.askOffset(source)),
+    const sourceOffsets = await Promise.all(
+      this.dependencies.listSources().map(source => this.fetchOffset(source)),
     );
-    const useful = offers
-      .filter(offer => offer.nextOffset > offset)
+    const newerSources = sourceOffsets
+      .filter(item => item.nextOffset > offset)
       .sort((a, b) => b.nextOffset - a.nextOffset);
-    for (const {source} of useful) {
-      const state = await this.fetch(source);
+    for (const {source} of newerSources) {
+      const state = await this.tryFetchState(source);
       if (state && state.nextOffset > offset) {
         return state;
       }
@@ -103,16 +109,18 @@
     return undefined;
   }
 
-  private async askOffset(source: StateSource) {
+  private async fetchOffset(source: StateSource) {
     try {
       return {source, nextOffset: await source.fetchNextOffset()};
     } catch (error) {
-      this.warn('peer-state-unknown', error, source.name);
+      this.logWarning('peer-state-unknown', error, source.name);
       return {source, nextOffset: -1};
     }
   }
 
-  private async fetch(source: StateSource): Promise<LedgerState | undefined> {
+  private async tryFetchState(
+    source: StateSource,
+  ): Promise<LedgerState | undefined> {
     try {
       const snapshot = await source.fetchSnapshot();
       const state = decodeState(snapshot, this.dependencies.ledgerOptions);
@@ -121,7 +129,7 @@
       this.dependencies.logger.info('peer-state-restored', {peer, nextOffset});
       return state;
     } catch (error) {
-      this.warn('peer-state-failed', error, source.name);
+      this.logWarning('peer-state-failed', error, source.name);
       return undefined;
     }
   }
@@ -133,12 +141,12 @@
     try {
       return decode();
     } catch (error) {
-      this.warn('snapshot-skipped', error, snapshotId);
+      this.logWarning('snapshot-skipped', error, snapshotId);
       return undefined;
     }
   }
 
-  private warn(event: string, error: unknown, source?: string): void {
+  private logWarning(event: string, error: unknown, source?: string): void {
     const problem = describeError(error);
     this.dependencies.logger.warn(event, {source, problem});
   }
--- a/packages/ledger/src/snapshot/state_source.ts
+++ b/packages/ledger/src/snapshot/state_source.ts
@@ -1,14 +1,17 @@
-/** Where a state can be had from besides the log: from peers. */
+/** Interface of peers as sources of a state, in addition to the log. */
 import type {Snapshot} from './codec.js';
 
-/** A peer that can hand over its state. Implementations stream the sections. */
+/** A peer that can send its state. Implementations stream the sections. */
 export interface StateSource {
-  /** Names the source in log lines. */
+  /** Name of the source in log lines. */
   readonly name: string;
 
-  /** Offset up to which the source has folded. Throws a `Failure` when it cannot be asked. */
+  /**
+   * Fetches the next offset of the source's state. Throws a `Failure` when the
+   * source cannot be reached.
+   */
   fetchNextOffset(): Promise<number>;
 
-  /** The whole state. Throws a `Failure` when it cannot be had. */
+  /** Fetches a snapshot of the source's state. Throws a `Failure` when that fails. */
   fetchSnapshot(): Promise<Snapshot>;
 }
--- a/packages/ledger/src/state.ts
+++ b/packages/ledger/src/state.ts
@@ -1,4 +1,4 @@
-/** The state that all instances fold from the same records. */
+/** The state that every instance folds from the same records. */
 import type {
   Configuration,
   Domain,
@@ -17,20 +17,26 @@
 import {SnapshotTracker} from './snapshot/snapshot_tracker.js';
 import {WithdrawnRequests} from './withdrawn_requests.js';
 
-/** How long a request id is remembered after its job ended. */
+/**
+ * Request window: how long a request id is kept after its job ended, to
+ * recognize copies of the request.
+ */
 export const REQUEST_WINDOW_MS = 24 * 60 * 60 * 1000;
 
-/** Most bytes of JSON of the results that are kept in memory. */
+/** Largest total size of the results that are kept in memory, as JSON. */
 export const MAX_RETAINED_RESULT_BYTES = 8 * 1024 * 1024;
 
-/** Parameters of the fold. They must be the same on every instance. */
+/** Parameters of the fold. Every instance must use the same values. */
 export interface LedgerOptions {
+  /** Request window in milliseconds; `REQUEST_WINDOW_MS` by default. */
   requestWindow: Milliseconds;
+  /** Largest total size of the retained results; `MAX_RETAINED_RESULT_BYTES` by default. */
   resultBytes: number;
   /**
-   * A further check of a configuration before it goes over the one in force: a
-   * pure function. It must not depend on the service states of domains and
-   * targets: operators can always take them out, and it is not called for that.
+   * Additional check of a configuration before it replaces the current one. It
+   * must be a pure function, and must not depend on the service states of
+   * domains and targets: operators can always take these out of service, and it
+   * is not called for such a change.
    */
   validateConfiguration?: (
     next: Configuration,
@@ -38,29 +44,32 @@
   ) => Failure | undefined;
 }
 
-/** The folded state. One loop owns it, and only the fold changes it. */
+/** The folded state. A single loop owns it, and only the fold changes it. */
 export class LedgerState {
   /** Offset of the first record that is not folded yet. */
   nextOffset = 0;
-  /** Entries that were no valid records. */
+  /** Number of entries that were not valid records. */
   skippedCount = 0;
   readonly options: LedgerOptions;
-  /** For the fold. */
+  /** Used only by the fold. */
   unfinishedJobs = new UnfinishedJobIndex();
-  /** For the fold. */
+  /** Used only by the fold. */
   configurationStore = new ConfigurationStore();
-  /** For the fold. */
+  /** Used only by the fold. */
   finishedJobs: FinishedJobs;
-  /** For the fold. */
+  /** Used only by the fold. */
   withdrawnRequests = new WithdrawnRequests();
-  /** For the fold. */
+  /** Used only by the fold. */
   changeHistory = new ChangeHistory();
-  /** For the fold. */
+  /** Used only by the fold. */
   terms = new Map<string, Term>();
   logTime = new LogTime();
-  /** Snapshots that the log holds whole. */
+  /** Tracks the snapshots whose chunks are all in the log. */
   snapshotTracker = new SnapshotTracker();
-  /** Log time of the latest sweep, in whole sweep intervals. For the fold. */
+  /**
+   * Log time of the latest sweep for expired items, in whole sweep intervals.
+   * Used only by the fold.
+   */
   sweepNumber = 0;
 
   constructor(options: Partial<LedgerOptions> = {}) {
@@ -72,7 +81,10 @@
     this.finishedJobs = new FinishedJobs(this.options.resultBytes);
   }
 
-  /** Becomes a copy of `other`, which must not be used further. */
+  /**
+   * Replaces the content with that of `other`, which must not be used
+   * afterwards. Keeps its own options.
+   */
   replaceWith(other: LedgerState): void {
     const {options} = this;
     Object.assign(this, other, {options});
@@ -87,7 +99,7 @@
     }
   }
 
-  /** An immutable snapshot of the configuration; a change replaces it. */
+  /** The current configuration. It is immutable; a change replaces it. */
   get configuration(): Configuration {
     return this.configurationStore.configuration;
   }
@@ -104,7 +116,7 @@
     return this.configuration.workspaces.get(id);
   }
 
-  /** Version of an entity; 0 for one that never existed. */
+  /** Returns the version of an entity; 0 if it never existed. */
   getEntityVersion(key: string): number {
     return this.configurationStore.getVersion(key);
   }
@@ -113,7 +125,7 @@
     return this.configurationStore.getEntity(key);
   }
 
-  /** A job by its id. One that has finished is a new object at each call. */
+  /** Returns a job by its id. A finished job is a new object on each call. */
   getJob(jobId: string): Job | undefined {
     return this.unfinishedJobs.get(jobId) ?? this.finishedJobs.get(jobId);
   }
@@ -129,38 +141,38 @@
     return this.withdrawnRequests.has(requestId);
   }
 
-  /** Unfinished jobs of a domain: those that are placed or running first. */
+  /** Lists the unfinished jobs of a domain: placed and running jobs first, then queued ones. */
   *listUnfinishedJobs(domain: string): Iterable<Job> {
     yield* this.listActiveJobs(domain);
     yield* this.listQueuedJobs(domain);
   }
 
-  /** Waiting jobs of a domain, in the order in which they began to wait. */
+  /** Lists the queued jobs of a domain, in the order in which they were queued. */
   listQueuedJobs(domain: string): Iterable<Job> {
     return this.unfinishedJobs.listQueued(domain);
   }
 
-  /** Placed and running jobs of a domain, in the order in which they were placed. */
+  /** Lists the placed and running jobs of a domain, in the order of their latest phase change. */
   listActiveJobs(domain: string): Iterable<Job> {
     return this.unfinishedJobs.listActive(domain);
   }
 
-  /** Jobs that have ended and are still remembered, earliest end first. */
+  /** Lists the finished jobs whose request window has not passed, earliest end first. */
   listFinishedJobs(): Iterable<Job> {
     return this.finishedJobs.listJobs();
   }
 
-  /** Waiting jobs of a workspace. */
+  /** Counts the queued jobs of a workspace. */
   countQueuedJobs(workspace: string): number {
     return this.unfinishedJobs.countQueuedInWorkspace(workspace);
   }
 
-  /** Term of the latest accepted claim of a domain. */
+  /** Returns the term of the latest accepted claim of a domain. */
   getSchedulerTerm(domain: string): Term | undefined {
     return this.terms.get(domain);
   }
 
-  /** The latest configuration changes with their verdicts, newest first. */
+  /** Lists the latest configuration changes with their outcomes, newest first. */
   listChanges(limit: number): RecordedChange[] {
     return this.changeHistory.listLatest(limit);
   }
--- a/packages/ledger/src/testing/memory_log.ts
+++ b/packages/ledger/src/testing/memory_log.ts
@@ -1,4 +1,4 @@
-/** A log in memory with faults that tests switch on. */
+/** An in-memory log with injectable faults, for tests. */
 import {
   type Clock,
   type Instant,
@@ -14,24 +14,24 @@
 } from '../log.js';
 import {Notifier} from '../notifier.js';
 
-/** How the log behaves. */
+/** Injected faults. Durations are in milliseconds. */
 export interface LogFaults {
-  /** `refused`: each call fails at once; `silent`: each call gets no answer. */
+  /** `refused`: each call fails at once; `silent`: each call gets no response. */
   outage: 'none' | 'refused' | 'silent';
-  /** Time that each append takes. */
+  /** Duration of each append. */
   appendLatency: Milliseconds;
-  /** Time that each read takes. */
+  /** Duration of each read. */
   readLatency: Milliseconds;
-  /** Appends to come that take effect while their answer is lost. */
+  /** Number of next appends that take effect but whose response is lost. */
   lostAnswers: number;
-  /** Appends to come that get no answer and take effect `lateBy` afterwards. */
+  /** Number of next appends that get no response and take effect `lateBy` after the call. */
   lateAppends: number;
   lateBy: Milliseconds;
-  /** Appends to come that get no answer and never take effect. */
+  /** Number of next appends that get no response and never take effect. */
   lostAppends: number;
-  /** Appends that are accepted in one second; more are rejected. */
+  /** Number of appends that are accepted per second; more are rejected. */
   appendsPerSecond: number;
-  /** Number of latest records that are kept. */
+  /** Number of latest records that are retained. */
   retention: number;
 }
 
@@ -47,14 +47,14 @@
   retention: Infinity,
 };
 
-/** Keeps records in memory. */
+/** A log that keeps its records in memory. */
 export class MemoryLog implements Log {
   readonly faults: LogFaults;
   /** Number of appends that took effect. */
   appendCount = 0;
-  private readonly texts: string[] = [];
-  private readonly grown = new Notifier();
-  private oldest = 0;
+  private readonly serializedRecords: string[] = [];
+  private readonly appendNotifier = new Notifier();
+  private oldestOffset = 0;
   private secondStart: Instant = -Infinity;
   private secondCount = 0;
 
@@ -67,20 +67,20 @@
 
   /** Offset after the last record. */
   get endOffset(): number {
-    return this.oldest + this.texts.length;
+    return this.oldestOffset + this.serializedRecords.length;
   }
 
-  /** Every kept record. */
+  /** Lists every retained record. */
   entries(): LogEntry[] {
-    return this.slice(this.oldest, Infinity);
+    return this.slice(this.oldestOffset, Infinity);
   }
 
-  /** Appends without faults, as another writer would. */
+  /** Appends without faults, like another writer. */
   write(...values: unknown[]): AppendReceipt {
     const firstOffset = this.endOffset;
-    this.texts.push(...values.map(value => JSON.stringify(value)));
+    this.serializedRecords.push(...values.map(value => JSON.stringify(value)));
     this.expire();
-    this.grown.notify();
+    this.appendNotifier.notify();
     return {firstOffset, nextOffset: this.endOffset};
   }
 
@@ -93,19 +93,21 @@
       throw new Failure('append-rejected', {problem: 'connection refused'});
     }
     if (faults.outage === 'silent') {
-      return this.loseAnswer(timeout);
+      return this.failUncertain(timeout);
     }
-    if (!this.isWithinBudget()) {
-      throw new Failure('append-rejected', {problem: 'too many appends'});
+    if (!this.isWithinRateLimit()) {
+      throw new Failure('append-rejected', {
+        problem: 'append rate limit exceeded',
+      });
     }
     if (faults.lostAppends > 0) {
       faults.lostAppends -= 1;
-      return this.loseAnswer(timeout);
+      return this.failUncertain(timeout);
     }
     if (faults.lateAppends > 0) {
       faults.lateAppends -= 1;
       this.appendLate(values);
-      return this.loseAnswer(timeout);
+      return this.failUncertain(timeout);
     }
     return this.appendNow(values, timeout);
   }
@@ -120,21 +122,21 @@
     }
     await this.pause(this.faults.readLatency);
     if (offset >= this.endOffset && options.wait > 0) {
-      await this.grown.wait(this.clock, options.wait);
+      await this.appendNotifier.wait(this.clock, options.wait);
     }
     return this.createPage(offset, options.limit);
   }
 
   private createPage(offset: number, limit: number): LogPage {
-    if (offset < this.oldest) {
-      throw new Failure('offset-expired', {offset, oldest: this.oldest});
+    if (offset < this.oldestOffset) {
+      throw new Failure('offset-expired', {offset, oldest: this.oldestOffset});
     }
     const entries = this.slice(offset, limit);
     return {
       entries,
       nextOffset: offset + entries.length,
       endOffset: this.endOffset,
-      oldestOffset: this.oldest,
+      oldestOffset: this.oldestOffset,
     };
   }
 
@@ -143,14 +145,15 @@
     timeout: Milliseconds,
   ): Promise<AppendReceipt> {
     const {appendLatency} = this.faults;
-    const isAnswered = appendLatency <= timeout && !this.isAnswerLost();
+    const hasResponse = appendLatency <= timeout && !this.consumeLostAnswer();
     await this.pause(Math.min(appendLatency, timeout));
     this.appendCount += 1;
     const receipt = this.write(...values);
-    return isAnswered ? receipt : this.loseAnswer(timeout - appendLatency);
+    return hasResponse ? receipt : this.failUncertain(timeout - appendLatency);
   }
 
-  private isAnswerLost(): boolean {
+  /** Tells whether the response of this append is lost, and counts it. */
+  private consumeLostAnswer(): boolean {
     if (this.faults.lostAnswers === 0) {
       return false;
     }
@@ -166,7 +169,7 @@
     });
   }
 
-  private async loseAnswer(timeout: Milliseconds): Promise<never> {
+  private async failUncertain(timeout: Milliseconds): Promise<never> {
     await this.pause(timeout);
     throw new Failure('append-uncertain', {problem: 'timeout'});
   }
@@ -177,7 +180,8 @@
     }
   }
 
-  private isWithinBudget(): boolean {
+  /** Counts an append, and tells whether it is within the rate limit. */
+  private isWithinRateLimit(): boolean {
     const now = this.clock.now();
     if (now >= this.secondStart + 1000) {
       this.secondStart = now;
@@ -188,16 +192,16 @@
   }
 
   private expire(): void {
-    const surplus = this.texts.length - this.faults.retention;
-    if (surplus > 0) {
-      this.texts.splice(0, surplus);
-      this.oldest += surplus;
+    const excess = this.serializedRecords.length - this.faults.retention;
+    if (excess > 0) {
+      this.serializedRecords.splice(0, excess);
+      this.oldestOffset += excess;
     }
   }
 
   private slice(offset: number, limit: number): LogEntry[] {
-    const start = offset - this.oldest;
-    return this.texts
+    const start = offset - this.oldestOffset;
+    return this.serializedRecords
       .slice(start, start + limit)
       .map((text, i) => ({offset: offset + i, value: JSON.parse(text)}));
   }
--- a/packages/ledger/src/unfinished_job_index.ts
+++ b/packages/ledger/src/unfinished_job_index.ts
@@ -1,4 +1,4 @@
-/** Unfinished jobs by id, request, domain and phase. */
+/** Index of the unfinished jobs by id, request, domain and phase. */
 import type {JobPhase} from '@galenavalve/model';
 import {type Job, isActive} from './job.js';
 
@@ -7,40 +7,40 @@
   active: Map<string, Job>;
 }
 
-/** The unfinished jobs, and the indexes that follow their changes. */
+/** Stores the unfinished jobs, with indexes and counts that are updated with them. */
 export class UnfinishedJobIndex {
-  private readonly jobs = new Map<string, Job>();
+  private readonly byId = new Map<string, Job>();
   private readonly byRequest = new Map<string, Job>();
-  private readonly domains = new Map<string, DomainJobs>();
+  private readonly jobsByDomain = new Map<string, DomainJobs>();
   private readonly queuedByWorkspace = new Map<string, number>();
   private readonly unfinishedByWorkspace = new Map<string, number>();
   private readonly activeByTarget = new Map<string, number>();
 
   get size(): number {
-    return this.jobs.size;
+    return this.byId.size;
   }
 
   get(jobId: string): Job | undefined {
-    return this.jobs.get(jobId);
+    return this.byId.get(jobId);
   }
 
   getByRequest(requestId: string): Job | undefined {
     return this.byRequest.get(requestId);
   }
 
-  /** Waiting jobs of a domain, in the order in which they began to wait. */
+  /** Lists the queued jobs of a domain, in the order in which they were queued. */
   listQueued(domain: string): Iterable<Job> {
-    return this.domains.get(domain)?.queued.values() ?? [];
+    return this.jobsByDomain.get(domain)?.queued.values() ?? [];
   }
 
-  /** Placed and running jobs of a domain, in the order in which they were placed. */
+  /** Lists the placed and running jobs of a domain, in the order of their latest phase change. */
   listActive(domain: string): Iterable<Job> {
-    return this.domains.get(domain)?.active.values() ?? [];
+    return this.jobsByDomain.get(domain)?.active.values() ?? [];
   }
 
-  /** Domains that have or had unfinished jobs, sorted. */
+  /** Lists the domains that have or had unfinished jobs, sorted. */
   listDomains(): string[] {
-    return [...this.domains.keys()].sort();
+    return [...this.jobsByDomain.keys()].sort();
   }
 
   countQueuedInWorkspace(workspace: string): number {
@@ -52,86 +52,86 @@
   }
 
   countUnfinishedInDomain(domain: string): number {
-    const jobs = this.domains.get(domain);
+    const jobs = this.jobsByDomain.get(domain);
     return jobs ? jobs.queued.size + jobs.active.size : 0;
   }
 
-  /** Placed and running jobs that use a target. */
+  /** Counts the placed and running jobs that use a target. */
   countActiveOnTarget(target: string): number {
     return this.activeByTarget.get(target) ?? 0;
   }
 
   add(job: Job): void {
-    this.jobs.set(job.jobId, job);
+    this.byId.set(job.jobId, job);
     this.byRequest.set(job.request.requestId, job);
-    this.link(job);
+    this.addToIndexes(job);
   }
 
   /** Removes a job that ends. */
   remove(job: Job): void {
-    this.unlink(job);
-    this.jobs.delete(job.jobId);
+    this.removeFromIndexes(job);
+    this.byId.delete(job.jobId);
     this.byRequest.delete(job.request.requestId);
   }
 
-  /** Changes the fields of a job on which the indexes depend. */
+  /** Changes fields of a job on which the indexes depend. */
   update(
     job: Job,
     fields: Partial<Pick<Job, 'domain' | 'assignments'>> & {phase: JobPhase},
   ): void {
-    this.unlink(job);
+    this.removeFromIndexes(job);
     Object.assign(job, fields);
-    this.link(job);
+    this.addToIndexes(job);
   }
 
-  private link(job: Job): void {
+  private addToIndexes(job: Job): void {
     const {workspace} = job.request;
-    addCount(this.unfinishedByWorkspace, workspace, 1);
-    const jobs = this.jobsOf(job.domain);
+    adjustCount(this.unfinishedByWorkspace, workspace, 1);
+    const jobs = this.getOrCreateDomainJobs(job.domain);
     if (isActive(job)) {
       jobs.active.set(job.jobId, job);
-      this.countTargets(job, 1);
+      this.adjustTargetCounts(job, 1);
     } else {
       jobs.queued.set(job.jobId, job);
-      addCount(this.queuedByWorkspace, workspace, 1);
+      adjustCount(this.queuedByWorkspace, workspace, 1);
     }
   }
 
-  private unlink(job: Job): void {
+  private removeFromIndexes(job: Job): void {
     const {workspace} = job.request;
-    addCount(this.unfinishedByWorkspace, workspace, -1);
-    const jobs = this.jobsOf(job.domain);
+    adjustCount(this.unfinishedByWorkspace, workspace, -1);
+    const jobs = this.getOrCreateDomainJobs(job.domain);
     if (isActive(job)) {
       jobs.active.delete(job.jobId);
-      this.countTargets(job, -1);
+      this.adjustTargetCounts(job, -1);
     } else {
       jobs.queued.delete(job.jobId);
-      addCount(this.queuedByWorkspace, workspace, -1);
+      adjustCount(this.queuedByWorkspace, workspace, -1);
     }
   }
 
-  private countTargets(job: Job, step: number): void {
+  private adjustTargetCounts(job: Job, delta: number): void {
     for (const {target} of job.assignments) {
-      addCount(this.activeByTarget, target, step);
+      adjustCount(this.activeByTarget, target, delta);
     }
   }
 
-  private jobsOf(domain: string): DomainJobs {
-    let jobs = this.domains.get(domain);
+  private getOrCreateDomainJobs(domain: string): DomainJobs {
+    let jobs = this.jobsByDomain.get(domain);
     if (!jobs) {
       jobs = {queued: new Map(), active: new Map()};
-      this.domains.set(domain, jobs);
+      this.jobsByDomain.set(domain, jobs);
     }
     return jobs;
   }
 }
 
-function addCount(
+function adjustCount(
   counts: Map<string, number>,
   key: string,
-  step: number,
+  delta: number,
 ): void {
-  const count = (counts.get(key) ?? 0) + step;
+  const count = (counts.get(key) ?? 0) + delta;
   if (count === 0) {
     counts.delete(key);
   } else {
--- a/packages/ledger/src/withdrawn_requests.ts
+++ b/packages/ledger/src/withdrawn_requests.ts
@@ -1,40 +1,43 @@
-/** Request ids that will never run. */
+/** Ids of withdrawn requests, which never become jobs. */
 
-/** Withdrawn request ids, in the order of their records. */
+/** Stores withdrawn request ids in the order of their records. */
 export class WithdrawnRequests {
-  private readonly until = new Map<string, number>();
+  private readonly expiryById = new Map<string, number>();
 
   get size(): number {
-    return this.until.size;
+    return this.expiryById.size;
   }
 
   has(requestId: string): boolean {
-    return this.until.has(requestId);
+    return this.expiryById.has(requestId);
   }
 
-  /** Remembers a request id until log time `until`. */
-  add(requestId: string, until: number): void {
-    this.until.set(requestId, until);
+  /**
+   * Adds a request id that expires at log time `expiresAt`, in milliseconds
+   * since the Unix epoch.
+   */
+  add(requestId: string, expiresAt: number): void {
+    this.expiryById.set(requestId, expiresAt);
   }
 
-  /** Forgets what need not be remembered at `logTime`. */
+  /** Removes the request ids that have expired at `logTime`. */
   removeExpired(logTime: number): void {
-    for (const [requestId, until] of this.until) {
-      if (logTime > until) {
-        this.until.delete(requestId);
+    for (const [requestId, expiresAt] of this.expiryById) {
+      if (logTime > expiresAt) {
+        this.expiryById.delete(requestId);
       }
     }
   }
 
-  /** Everything, for a snapshot. */
-  encode(): [requestId: string, until: number][] {
-    return [...this.until];
+  /** Returns all request ids with their expiry times, for a snapshot. */
+  encode(): [requestId: string, expiresAt: number][] {
+    return [...this.expiryById];
   }
 
-  /** Takes over the ids of a snapshot. */
-  restore(encoded: readonly [requestId: string, until: number][]): void {
-    for (const [requestId, until] of encoded) {
-      this.until.set(requestId, until);
+  /** Adds the request ids of a snapshot. */
+  restore(encoded: readonly [requestId: string, expiresAt: number][]): void {
+    for (const [requestId, expiresAt] of encoded) {
+      this.expiryById.set(requestId, expiresAt);
     }
   }
 }
--- a/packages/ledger/src/writer.ts
+++ b/packages/ledger/src/writer.ts
@@ -1,6 +1,6 @@
 /**
- * Group commit: batches the records that wait into one append, and learns the
- * fate of an append whose answer was lost.
+ * Group commit: sends the queued records in batches, one append per batch, and
+ * finds out from the log whether an uncertain append took effect.
  */
 import {
   type LogRecord,
@@ -26,15 +26,15 @@
 import {type QueueLimits, PendingRecords} from './pending_records.js';
 import {Notifier} from './notifier.js';
 
-/** Sizes and times of the appends. */
+/** Limits, timeouts and retry pauses of the appends. Durations are in milliseconds. */
 export interface LogWriterOptions extends QueueLimits {
-  /** Appends a second that this instance allows itself. */
+  /** Rate limit of the appends of this instance. */
   appendsPerSecond: number;
-  /** Appends that may be under way at once. */
+  /** Largest number of appends in flight. */
   appendsInFlight: number;
-  /** After how long an append is given up as uncertain. */
+  /** Timeout after which an append counts as uncertain. */
   appendTimeout: Milliseconds;
-  /** First and longest pause after a failed append. */
+  /** Base and upper limit of the backoff after failed appends. */
   backoffBase: Milliseconds;
   backoffCap: Milliseconds;
 }
@@ -51,37 +51,37 @@
   backoffCap: 1000,
 };
 
-/** Longest sleep of the loop. */
-const IDLE_MS = 1000;
+/** Longest time that the loop sleeps between two rounds. */
+const MAX_SLEEP_MS = 1000;
 
-/** What a writer needs. */
+/** Dependencies of a `LogWriter`. */
 export interface LogWriterDependencies {
   log: Log;
   follower: LogFollower;
   clock: Clock;
   random: Random;
   logger: Logger;
-  /** The instance's id, which stands in each record. */
+  /** Id of the instance, written to each record. */
   instance: string;
   options?: Partial<LogWriterOptions>;
 }
 
-/** Until when the caller wants to know the verdict. */
+/** When to stop waiting for the fold result of a record. */
 export interface AppendOptions {
-  /** `Infinity` for a record that must not be given up. */
+  /** Time at which the append is abandoned; `Infinity` to wait without limit. */
   deadline: Instant;
-  /** Gives the record up when it aborts, as the deadline does. */
+  /** Abandons the append when it aborts, as the deadline does. */
   signal?: AbortSignal;
 }
 
-/** Appends records and reports the verdicts that the own fold reached. */
+/** Appends records and reports the results of the local fold. */
 export class LogWriter {
   private readonly options: LogWriterOptions;
   private readonly pending: PendingRecords;
-  private readonly budget: AppendRateLimiter;
-  private readonly work = new Notifier();
+  private readonly rateLimiter: AppendRateLimiter;
+  private readonly workNotifier = new Notifier();
   private readonly idPrefix: string;
-  private readonly wake = () => this.work.notify();
+  private readonly wakeLoop = () => this.workNotifier.notify();
   private sequence = 0;
   private inFlight = 0;
   private failures = 0;
@@ -91,25 +91,26 @@
     const {instance, random, clock, follower, options} = dependencies;
     this.options = {...DEFAULT_OPTIONS, ...options};
     this.pending = new PendingRecords(this.options);
-    this.budget = new AppendRateLimiter(this.options.appendsPerSecond);
+    this.rateLimiter = new AppendRateLimiter(this.options.appendsPerSecond);
     const salt = Math.floor(random.next() * 2 ** 32).toString(36);
-    // Instances restart under the same id, so the wall time and salt make ids unique.
+    // Instances restart under the same id, so the wall time and a random salt make
+    // record ids unique.
     this.idPrefix = `${instance}-${clock.wallTime().toString(36)}${salt}`;
-    follower.onApplied(applied => this.onApplied(applied));
-    follower.onFresh(this.wake);
-    follower.onStateReplaced(() => this.onReplaced());
+    follower.onApplied(result => this.onApplied(result));
+    follower.onFresh(this.wakeLoop);
+    follower.onStateReplaced(() => this.onStateReplaced());
   }
 
-  /** Records whose verdict is not known yet. */
+  /** Number of records whose fold result is not known yet. */
   get pendingCount(): number {
     return this.pending.size;
   }
 
   /**
-   * Appends a record. Resolves with the verdict of the own fold. Throws
-   * `overloaded`, `body-too-large` or `log-unavailable` when the record is certainly not in the
-   * log and never will be, and `append-uncertain` when the deadline passed
-   * before its fate was known.
+   * Appends a record. Resolves with the result of the local fold. Throws
+   * `overloaded`, `body-too-large`, `stopping` or `log-unavailable` when the
+   * record is not in the log and never will be, and `append-uncertain` when its
+   * outcome was not known at the deadline.
    */
   append(body: RecordBody, options: AppendOptions): Promise<FoldResult> {
     const record = this.addHeader(body);
@@ -136,12 +137,12 @@
         resolve,
         reject,
       });
-      this.work.notify();
-      options.signal?.addEventListener('abort', this.wake, {once: true});
+      this.workNotifier.notify();
+      options.signal?.addEventListener('abort', this.wakeLoop, {once: true});
     });
   }
 
-  /** Appends records, in as few appends as they fit in. */
+  /** Appends records, in as few appends as possible. */
   appendAll(
     bodies: readonly RecordBody[],
     options: AppendOptions,
@@ -149,23 +150,26 @@
     return Promise.all(bodies.map(body => this.append(body, options)));
   }
 
-  /** Changes the rate of appends, such as when the number of instances changes. */
+  /** Changes the rate limit of appends, such as when the number of instances changes. */
   setAppendRate(appendsPerSecond: number): void {
-    this.budget.setRate(appendsPerSecond, this.dependencies.clock.now());
+    this.rateLimiter.setRate(appendsPerSecond, this.dependencies.clock.now());
   }
 
-  /** Sends what waits until `signal` aborts; then what still waits is refused. */
+  /**
+   * Sends queued records until `signal` aborts, then rejects the records that
+   * are still pending.
+   */
   async run(signal: AbortSignal): Promise<void> {
     const {clock, follower} = this.dependencies;
     while (!signal.aborted) {
       const now = clock.now();
-      this.refuseOverdue(now);
+      this.rejectOverdue(now);
       this.pending.requeueUncertain(follower.getFreshAt() ?? -Infinity);
-      this.send(now);
-      await this.work.wait(clock, this.pauseFrom(now), signal);
+      this.sendNextBatch(now);
+      await this.workNotifier.wait(clock, this.computeSleepMs(now), signal);
     }
     this.isStopped = true;
-    this.refuseAll();
+    this.rejectAll();
   }
 
   private addHeader(body: RecordBody): LogRecord {
@@ -180,14 +184,14 @@
     };
   }
 
-  private send(now: Instant): void {
+  private sendNextBatch(now: Instant): void {
     const isBusy = this.inFlight >= this.options.appendsInFlight;
-    if (isBusy || now < this.budget.getNextAllowedAt(now)) {
+    if (isBusy || now < this.rateLimiter.getNextAllowedAt(now)) {
       return;
     }
     const batch = this.pending.dequeueBatch();
     if (batch.length > 0) {
-      this.budget.consume(now);
+      this.rateLimiter.consume(now);
       void this.appendBatch(batch);
     }
   }
@@ -208,7 +212,7 @@
       this.onAppendFailed(batch, error, clock.now());
     }
     this.inFlight -= 1;
-    this.work.notify();
+    this.workNotifier.notify();
   }
 
   private onAppendFailed(
@@ -218,13 +222,13 @@
   ): void {
     const {backoffBase, backoffCap} = this.options;
     this.failures += 1;
-    const pause = computeJitteredBackoff(
+    const pauseMs = computeJitteredBackoff(
       this.failures,
       backoffBase,
       backoffCap,
       this.dependencies.random,
     );
-    this.budget.pause(now + pause);
+    this.rateLimiter.pause(now + pauseMs);
     if (isFailure(error, 'append-rejected')) {
       this.pending.markRejected(batch);
     } else {
@@ -232,67 +236,68 @@
     }
   }
 
-  private refuseOverdue(now: Instant): void {
+  private rejectOverdue(now: Instant): void {
     for (const item of this.pending.listAll()) {
       if (now >= item.deadline || item.signal?.aborted) {
-        this.refuse(item);
+        this.rejectPending(item);
       }
     }
   }
 
-  private refuseAll(): void {
+  private rejectAll(): void {
     for (const item of this.pending.listAll()) {
-      this.refuse(item);
+      this.rejectPending(item);
     }
   }
 
-  private refuse(item: PendingRecord): void {
-    this.forget(item);
-    const isAbsent = item.stage === 'queued' && !item.hasUncertainAppend;
-    const problem = `${item.record.type} record was ${item.stage}`;
+  private rejectPending(item: PendingRecord): void {
+    this.removePending(item);
+    const isNotWritten = item.stage === 'queued' && !item.hasUncertainAppend;
+    const problem = `the ${item.record.type} record was in stage "${item.stage}" when its append was abandoned`;
     item.reject(
-      isAbsent
+      isNotWritten
         ? new Failure('log-unavailable')
         : new Failure('append-uncertain', {problem}),
     );
   }
 
-  private onApplied(applied: FoldResult): void {
-    const item = this.pending.get(applied.record?.recordId ?? '');
+  private onApplied(result: FoldResult): void {
+    const item = this.pending.get(result.record?.recordId ?? '');
     if (item) {
-      this.forget(item);
-      item.resolve(applied);
+      this.removePending(item);
+      item.resolve(result);
     }
   }
 
   /**
-   * The new state may include records whose verdicts were not told. Sending
-   * them again would show the verdicts on the copies.
+   * Rejects the records that the new state may already include. Their fold
+   * results are not known, and sending them again would return the results of
+   * the copies.
    */
-  private onReplaced(): void {
+  private onStateReplaced(): void {
     for (const item of this.pending.listAll()) {
       if (item.stage !== 'queued' || item.hasUncertainAppend) {
-        this.refuse(item);
+        this.rejectPending(item);
       }
     }
   }
 
-  private forget(item: PendingRecord): void {
-    item.signal?.removeEventListener('abort', this.wake);
+  private removePending(item: PendingRecord): void {
+    item.signal?.removeEventListener('abort', this.wakeLoop);
     this.pending.remove(item);
   }
 
-  /** How long the loop may sleep: until a deadline, or until it may send. */
-  private pauseFrom(now: Instant): Milliseconds {
-    let wakeAt = now + IDLE_MS;
-    let isWaiting = false;
+  /** Returns how long the loop may sleep: until the next deadline, or until it may send again. */
+  private computeSleepMs(now: Instant): Milliseconds {
+    let wakeAt = now + MAX_SLEEP_MS;
+    let hasQueued = false;
     for (const item of this.pending.listAll()) {
       wakeAt = Math.min(wakeAt, item.deadline);
-      isWaiting ||= item.stage === 'queued';
+      hasQueued ||= item.stage === 'queued';
     }
-    const maySend = this.inFlight < this.options.appendsInFlight;
-    if (isWaiting && maySend) {
-      wakeAt = Math.min(wakeAt, this.budget.getNextAllowedAt(now));
+    const canSend = this.inFlight < this.options.appendsInFlight;
+    if (hasQueued && canSend) {
+      wakeAt = Math.min(wakeAt, this.rateLimiter.getNextAllowedAt(now));
     }
     return Math.max(0, wakeAt - now);
   }
