--- a/packages/scheduler/__tests__/fixtures.ts
+++ b/packages/scheduler/__tests__/fixtures.ts
@@ -1,4 +1,4 @@
-/** Fixtures: schedulers over a log and targets in memory, on a clock that only the spec moves. */
+/** Fixtures: schedulers with an in-memory log and in-memory targets, on a manual clock. */
 import {
   LedgerState,
   LogFollower,
@@ -33,7 +33,7 @@
 
 export const LEASE_MS: Milliseconds = 6_000;
 const CALL_TIMEOUT_MS: Milliseconds = 500;
-const FRESH_MS: Milliseconds = 2_000;
+const FRESHNESS_MS: Milliseconds = 2_000;
 const ACCELERATORS = 8;
 const CAPACITY = {
   slots: 8,
@@ -42,12 +42,13 @@
   memoryMb: 131_072,
 };
 
-/** One instance that can schedule domain "d1". */
+/** An instance that can schedule domain `d1`. */
 export type Instance = ReturnType<typeof createInstance>;
 
-/** The world of one spec. */
+/** The log, targets and clock of one spec, and all starts and ends of tasks. */
 export type TestCluster = ReturnType<typeof createTestCluster>;
 
+/** Creates a log and targets `t1`, `t2`, ..., and appends their configuration. */
 export function createTestCluster(targetCount = 2) {
   const clock = new ManualClock(1_000_000);
   const log = new MemoryLog(clock, {appendLatency: 5});
@@ -57,8 +58,8 @@
     const id = `t${index}`;
     targets.add({id, capacity: CAPACITY, onRun: event => runs.push(event)});
   }
-  const world = {clock, log, targets, runs};
-  appendDirectly(world, {
+  const cluster = {clock, log, targets, runs};
+  appendDirectly(cluster, {
     type: 'configured',
     change: {
       changeId: 'first',
@@ -70,11 +71,12 @@
       })),
     },
   });
-  return world;
+  return cluster;
 }
 
-export function createInstance(world: TestCluster, name: string) {
-  const {clock, log, targets} = world;
+/** Creates an instance and starts reading the log; it schedules nothing before `claim`. */
+export function createInstance(cluster: TestCluster, name: string) {
+  const {clock, log, targets} = cluster;
   const random = new SeededRandom(7);
   const logger = new SilentLogger();
   const state = new LedgerState();
@@ -89,26 +91,31 @@
     options: {appendsPerSecond: 1000},
   });
   const policy = new GuaranteePolicy();
-  const mirror = new CellsProjection('d1', state, policy);
+  const projection = new CellsProjection('d1', state, policy);
   const client = targets.createClient(name);
-  const parts = {client, findAddress: targets.findAddress, clock, logger};
+  const dependencies = {
+    client,
+    findAddress: targets.findAddress,
+    clock,
+    logger,
+  };
   const scheduler = new Scheduler({
     domain: 'd1',
     state,
     writer,
     policy,
-    projection: mirror,
+    projection,
     clock,
     random,
     logger,
     client,
     findAddress: targets.findAddress,
     starter: new GangStarter({
-      ...parts,
+      ...dependencies,
       options: {callTimeoutMs: CALL_TIMEOUT_MS, leaseMs: LEASE_MS},
     }),
     leaseRenewer: new LeaseRenewer({
-      ...parts,
+      ...dependencies,
       options: {
         callTimeoutMs: CALL_TIMEOUT_MS,
         leaseMs: LEASE_MS,
@@ -116,27 +123,27 @@
       },
     }),
     targetFencer: new TargetFencer({
-      ...parts,
+      ...dependencies,
       options: {callTimeoutMs: CALL_TIMEOUT_MS},
     }),
     health: new TargetHealth(() => state.configuration.rules),
     findStartBlocker: now => {
       const freshAt = follower.getFreshAt() ?? -Infinity;
-      return now - freshAt > FRESH_MS
+      return now - freshAt > FRESHNESS_MS
         ? createReason('waiting-stale')
         : undefined;
     },
     chooseMove: () => undefined,
   });
   follower.onApplied(applied => {
-    mirror.onApplied(applied);
+    projection.onApplied(applied);
     scheduler.onApplied(applied);
   });
   const abort = new AbortController();
   void follower.run(abort.signal);
   void writer.run(abort.signal);
   void scheduler.renewLeases(abort.signal);
-  /** Ends the instance as a kill would. */
+  /** Stops the instance without a planned stop, as when its process is killed. */
   const kill = () => {
     scheduler.deactivate('killed');
     abort.abort();
@@ -144,25 +151,25 @@
   return {name, state, follower, writer, scheduler, kill};
 }
 
-/** Lets `instance` claim the domain under the next term. */
+/** Makes `instance` claim the domain under the next term. */
 export async function claim(
-  world: TestCluster,
+  cluster: TestCluster,
   instance: Instance,
 ): Promise<void> {
-  await world.clock.advance(500);
+  await cluster.clock.advance(500);
   const term = {
     log: (instance.state.getSchedulerTerm('d1')?.log ?? 0) + 1,
     outage: 0,
     instance: instance.name,
   };
-  appendDirectly(world, {type: 'claimed', domain: 'd1', term});
-  await world.clock.advance(500);
+  appendDirectly(cluster, {type: 'claimed', domain: 'd1', term});
+  await cluster.clock.advance(500);
   instance.scheduler.activate(term);
 }
 
 let recordCount = 0;
 
-/** Appends as another instance would. */
+/** Appends a record as another instance would. */
 export function appendDirectly(
   {log, clock}: Pick<TestCluster, 'log' | 'clock'>,
   body: RecordBody,
@@ -178,7 +185,7 @@
 
 /** Submits a job; returns its id. */
 export function submit(
-  world: TestCluster,
+  cluster: TestCluster,
   requestId: string,
   changes: Partial<JobRequest> = {},
 ): string {
@@ -187,12 +194,12 @@
     workspace: 'escorts',
     gang: {tasks: 2, perTask: {accelerators: 8}},
     expectedSeconds: 5,
-    createdAt: Math.round(world.clock.wallTime()),
+    createdAt: Math.round(cluster.clock.wallTime()),
     payload: {durationMs: 5_000, output: requestId},
     ...changes,
   });
   const jobId = `job-${requestId}`;
-  appendDirectly(world, {
+  appendDirectly(cluster, {
     type: 'submitted',
     jobId,
     request,
@@ -203,26 +210,26 @@
   return jobId;
 }
 
-/** Moves time until `isDone`, at most `limit`; returns whether it was done. */
+/** Advances the clock until `isDone` or for `limit` milliseconds; returns the final `isDone()`. */
 export async function advanceUntil(
-  world: TestCluster,
+  cluster: TestCluster,
   isDone: () => boolean,
   limit: Milliseconds = 60_000,
 ): Promise<boolean> {
   for (let waited = 0; waited < limit && !isDone(); waited += 50) {
-    await world.clock.advance(50);
-    world.targets.advance();
+    await cluster.clock.advance(50);
+    cluster.targets.advance();
   }
   return isDone();
 }
 
-/** Changes the domain's state as an operator would. */
+/** Changes the state of domain `d1` as an operator would. */
 export function setDomainState(
-  world: TestCluster,
+  cluster: TestCluster,
   baseVersion: number,
   state: 'in-service' | 'out',
 ): void {
-  appendDirectly(world, {
+  appendDirectly(cluster, {
     type: 'configured',
     change: {
       changeId: `domain-${state}-${baseVersion}`,
--- a/packages/scheduler/src/append_with_retry.ts
+++ b/packages/scheduler/src/append_with_retry.ts
@@ -1,4 +1,4 @@
-/** Appends a record that must not be forgotten, for as long as the term is held. */
+/** Appends a record to the log and retries until it is written or the caller aborts. */
 import type {LogWriter} from '@galenavalve/ledger';
 import type {RecordBody} from '@galenavalve/model';
 import {
@@ -11,11 +11,12 @@
   computeJitteredBackoff,
 } from '@galenavalve/shared';
 
+/** Limit on the exponent of the backoff. */
 const MAX_DOUBLINGS = 10;
-const RETRY_BASE_MS: Milliseconds = 50;
-const RETRY_CAP_MS: Milliseconds = 2_000;
+const RETRY_BASE_DELAY_MS: Milliseconds = 50;
+const MAX_RETRY_DELAY_MS: Milliseconds = 2_000;
 
-/** What an append that is retried needs. */
+/** Dependencies of an append with retries. */
 export interface AppendRetryDependencies {
   writer: Pick<LogWriter, 'append'>;
   clock: Clock;
@@ -24,23 +25,24 @@
 }
 
 /**
- * Appends `body` for as long as it takes. Resolves to whether the fold
- * accepted it; false too when `signal` aborts first. The writer repeats an
- * append of unknown fate under the same record id, so the verdict is that of
- * the first copy. Only a full queue, which wrote nothing, is tried again here.
+ * Appends `body` without a deadline. Resolves to whether the fold accepted the
+ * record, and to false when `signal` aborts first or the append fails. The
+ * writer retries an append with an unknown outcome under the same record id, so
+ * the fold result is that of the first copy. Only `overloaded`, which means that
+ * the writer's queue was full and nothing was written, is retried here.
  */
 export async function appendWithRetry(
-  parts: AppendRetryDependencies,
+  dependencies: AppendRetryDependencies,
   body: RecordBody,
   signal: AbortSignal,
 ): Promise<boolean> {
   for (let attempt = 0; !signal.aborted; attempt++) {
     try {
       const options = {deadline: Infinity, signal};
-      const applied = await parts.writer.append(body, options);
+      const applied = await dependencies.writer.append(body, options);
       return applied.accepted;
     } catch (error) {
-      parts.logger.warn('append-failed', {
+      dependencies.logger.warn('append-failed', {
         type: body.type,
         attempt,
         problem: describeError(error),
@@ -49,13 +51,13 @@
         return false;
       }
     }
-    const pause = computeJitteredBackoff(
+    const delayMs = computeJitteredBackoff(
       Math.min(attempt, MAX_DOUBLINGS),
-      RETRY_BASE_MS,
-      RETRY_CAP_MS,
-      parts.random,
+      RETRY_BASE_DELAY_MS,
+      MAX_RETRY_DELAY_MS,
+      dependencies.random,
     );
-    await parts.clock.sleep(pause, signal);
+    await dependencies.clock.sleep(delayMs, signal);
   }
   return false;
 }
--- a/packages/scheduler/src/cells_projection.ts
+++ b/packages/scheduler/src/cells_projection.ts
@@ -1,7 +1,7 @@
 /**
- * Keeps the cells of one failure domain in step with the ledger. Every instance
- * mirrors every domain, to route and to plan; the domain's scheduler also
- * adds the gangs that it is about to start.
+ * Projection of the ledger onto the cells of one failure domain. Every instance
+ * maintains one for every domain, for routing and planning. The domain's
+ * scheduler also adds the gangs that it is about to start.
  */
 import type {Configuration} from '@galenavalve/model';
 import type {FoldResult, Job, LedgerState} from '@galenavalve/ledger';
@@ -12,13 +12,14 @@
   TargetCondition,
 } from '@galenavalve/placement';
 
-/** The cells of one domain, derived from the ledger. */
+/** The cells of one failure domain, derived from the ledger. */
 export class CellsProjection {
   cells: Cells;
   private configuration: Configuration;
-  private readonly observed = new Map<string, TargetCondition>();
-  /** Gangs that are about to start but are not in the ledger yet. */
-  private readonly pending = new Set<string>();
+  /** Latest condition of each target that has been reported. */
+  private readonly conditions = new Map<string, TargetCondition>();
+  /** Jobs whose gangs are about to start but are not in the ledger yet. */
+  private readonly pendingJobIds = new Set<string>();
 
   constructor(
     readonly domain: string,
@@ -29,60 +30,60 @@
     this.cells = this.createCells();
   }
 
-  /** Derives the cells anew; for a state that was replaced. */
+  /** Derives the cells from scratch after the ledger state was replaced. */
   rebuild(): void {
     this.configuration = this.state.configuration;
-    this.pending.clear();
+    this.pendingJobIds.clear();
     this.cells = this.createCells();
-    for (const [target, condition] of this.observed) {
+    for (const [target, condition] of this.conditions) {
       this.cells.setCondition(target, condition);
     }
   }
 
-  /** Takes over the effect of an accepted record. */
+  /** Applies the effect of an accepted record; ignores rejected ones. */
   onApplied(applied: FoldResult): void {
     const record = applied.record;
     if (!applied.accepted || !record) {
       return;
     }
     if (record.type === 'configured') {
-      this.followConfiguration();
+      this.applyConfiguration();
     }
     if ('jobId' in record) {
-      this.followJob(record.jobId);
+      this.applyJob(record.jobId);
     }
   }
 
   /** Occupies cells for a gang whose `placed` record is not accepted yet. */
   addPending(gang: RunningGang): void {
-    this.pending.add(gang.jobId);
+    this.pendingJobIds.add(gang.jobId);
     this.cells.addGang(gang);
   }
 
-  /** Frees the cells of a pending gang, unless the ledger holds it by now. */
+  /** Frees the cells of a pending gang unless the ledger has it as active. */
   removePending(jobId: string): void {
-    this.pending.delete(jobId);
-    this.followJob(jobId);
+    this.pendingJobIds.delete(jobId);
+    this.applyJob(jobId);
   }
 
-  /** Notes what is seen of a target; `well` when there is nothing against it. */
+  /** Sets the observed condition of a target; `well` means no known problem. */
   setCondition(target: string, condition: TargetCondition): void {
-    if ((this.observed.get(target) ?? 'well') === condition) {
+    if ((this.conditions.get(target) ?? 'well') === condition) {
       return;
     }
-    this.observed.set(target, condition);
+    this.conditions.set(target, condition);
     this.cells.setCondition(target, condition);
   }
 
-  /** Forgets what was seen of targets: after the term it would only mislead routing. */
+  /** Resets all target conditions; after the term ends, stale ones would mislead routing. */
   clearConditions(): void {
-    for (const target of this.observed.keys()) {
+    for (const target of this.conditions.keys()) {
       this.cells.setCondition(target, 'well');
     }
-    this.observed.clear();
+    this.conditions.clear();
   }
 
-  /** Marks a gang that was told to stop, so that it is not chosen again as a victim. */
+  /** Marks a gang as stopping, so that it is not chosen again as a victim. */
   markStopping(jobId: string): void {
     const job = this.state.getJob(jobId);
     if (job) {
@@ -99,35 +100,35 @@
     return cells;
   }
 
-  private followConfiguration(): void {
+  private applyConfiguration(): void {
     if (this.configuration === this.state.configuration) {
       return;
     }
     this.configuration = this.state.configuration;
     this.cells.configure(this.configuration);
-    for (const [target, condition] of this.observed) {
+    for (const [target, condition] of this.conditions) {
       this.cells.setCondition(target, condition);
     }
   }
 
-  private followJob(jobId: string): void {
+  private applyJob(jobId: string): void {
     const job = this.state.getJob(jobId);
-    const isHere =
+    const isActiveHere =
       job?.domain === this.domain &&
       (job.phase === 'placed' || job.phase === 'running');
-    if (isHere && !this.pending.has(jobId)) {
+    if (isActiveHere && !this.pendingJobIds.has(jobId)) {
       this.cells.removeGang(jobId);
       this.cells.addGang(toRunningGang(job));
     }
-    if (!isHere && !this.pending.has(jobId)) {
+    if (!isActiveHere && !this.pendingJobIds.has(jobId)) {
       this.cells.removeGang(jobId);
     }
     if (job?.domain === this.domain && job.outcome === 'succeeded') {
-      this.learnFrom(job);
+      this.recordRunTime(job);
     }
   }
 
-  private learnFrom(job: Job): void {
+  private recordRunTime(job: Job): void {
     if (job.startedAt === undefined || job.finishedAt === undefined) {
       return;
     }
@@ -142,7 +143,7 @@
   }
 }
 
-/** An active job as the placement package sees it. */
+/** Converts an active job to the input type of the placement package. */
 export function toRunningGang(job: Job): RunningGang {
   const startedAt = job.startedAt ?? job.placedAt ?? job.submittedAt;
   return {
@@ -162,7 +163,7 @@
   };
 }
 
-/** The caller's estimate of the run time that is left, in seconds. */
+/** Computes the remaining run time in seconds from the caller's estimate; at least 1. */
 export function computeRemainingSeconds(job: Job): number {
   return Math.max(1, job.request.expectedSeconds - job.progressSeconds);
 }
--- a/packages/scheduler/src/evacuation.ts
+++ b/packages/scheduler/src/evacuation.ts
@@ -1,19 +1,22 @@
-/** Empties what is leaving: a failure domain or a target that goes out of service. */
+/** Evacuation of failure domains and targets that go out of service. */
 import {decideEvacuation} from '@galenavalve/placement';
 import type {GangStopCoordinator} from './gang_stop_coordinator.js';
 import type {SchedulerContext} from './scheduler_context.js';
 
-/** Stops the gangs that have to go, with a checkpoint where they can; others end by themselves. */
+/**
+ * Stops the gangs that must leave, with a checkpoint if the placement package
+ * decides so. Gangs for which it decides `wait` run to their end.
+ */
 export function evacuate(
   context: SchedulerContext,
-  stop: GangStopCoordinator,
+  stopCoordinator: GangStopCoordinator,
 ): void {
-  const {projection: mirror, state, clock} = context;
-  const decisions = decideEvacuation(mirror.cells, {}, clock.wallTime());
-  for (const {jobId, action: step, reason} of decisions) {
+  const {projection, state, clock} = context;
+  const decisions = decideEvacuation(projection.cells, {}, clock.wallTime());
+  for (const {jobId, action, reason} of decisions) {
     const job = state.getJob(jobId);
-    if (job?.phase === 'running' && step !== 'wait') {
-      stop.begin(job, {reason, checkpoint: step === 'checkpoint'});
+    if (job?.phase === 'running' && action !== 'wait') {
+      stopCoordinator.begin(job, {reason, checkpoint: action === 'checkpoint'});
     }
   }
 }
--- a/packages/scheduler/src/gang_attempt.ts
+++ b/packages/scheduler/src/gang_attempt.ts
@@ -1,9 +1,9 @@
-/** The order that starts, keeps and stops one attempt of a job. */
+/** Creates the gang attempts with which a job is started, renewed and stopped. */
 import type {Job} from '@galenavalve/ledger';
 import type {Assignment, Term} from '@galenavalve/model';
 import type {GangAttempt} from '@galenavalve/targets';
 
-/** The order for an attempt of `job` on `assignments`. */
+/** Creates the gang attempt for attempt number `attempt` of `job` on `assignments`. */
 export function createGangAttempt(
   job: Job,
   attempt: number,
@@ -25,12 +25,12 @@
   };
 }
 
-/** The order for the present attempt of an active job. */
+/** Creates the gang attempt for the current attempt of an active job. */
 export function toCurrentGangAttempt(job: Job, term: Term): GangAttempt {
   return createGangAttempt(job, job.attempts, term, job.assignments);
 }
 
-/** The names of the targets of a gang, for people. */
+/** Formats the target names of a gang for log messages; shows at most eight. */
 export function formatTargets(assignments: readonly Assignment[]): string {
   const names = assignments.map(({target}) => target);
   const shown = names.slice(0, 8).join(', ');
--- a/packages/scheduler/src/gang_launch_coordinator.ts
+++ b/packages/scheduler/src/gang_launch_coordinator.ts
@@ -1,7 +1,8 @@
 /**
- * Starts one gang whole or not at all: reserve on every target, record the
- * intent, start. Each step can fail; none leaves a part of the gang running
- * beyond the bound that the targets package states.
+ * Two-phase start of gangs: reserves on every target, appends `placed` to the
+ * log, then starts. A gang starts on all of its targets or on none. When a step
+ * fails, no part of the gang runs for longer than
+ * `computeLongestPartialRunMs` of the targets package.
  */
 import type {FoldResult, Job} from '@galenavalve/ledger';
 import {type Reason, createReason, describeReason} from '@galenavalve/model';
@@ -14,47 +15,47 @@
 import type {WaitReasonTracker} from './wait_reason_tracker.js';
 import type {StartBackoff} from './waiting_queue.js';
 
-/** Longest time that reservations are kept while the append is pending. */
-const APPEND_BOUND_MS: Milliseconds = 4_000;
+/** Longest time for which reservations are renewed while the append is pending. */
+const APPEND_TIMEOUT_MS: Milliseconds = 4_000;
 
 /** Launches gangs for one term of a domain's scheduler. */
 export class GangLaunchCoordinator {
-  private readonly starting = new Map<string, Promise<void>>();
+  private readonly launches = new Map<string, Promise<void>>();
 
   constructor(
     private readonly context: SchedulerContext,
     private readonly backoff: StartBackoff,
-    private readonly waits: WaitReasonTracker,
+    private readonly waitReasons: WaitReasonTracker,
   ) {}
 
-  /** Tells whether the job is between decision and start. */
+  /** Returns whether the job is between its placement decision and its start. */
   isStarting(jobId: string): boolean {
-    return this.starting.has(jobId);
+    return this.launches.has(jobId);
   }
 
-  /** Begins to carry out a decision. */
+  /** Begins to launch a placed gang; does nothing unless the job is queued and not starting. */
   begin(decision: PlacementDecision): void {
     const job = this.context.state.getJob(decision.jobId);
     if (!job || job.phase !== 'queued' || this.isStarting(job.jobId)) {
       return;
     }
-    this.occupy(job, decision);
+    this.addPendingGang(job, decision);
     const launch = this.launch(job, decision)
-      .catch(error => this.onUnexpected(job.jobId, error))
+      .catch(error => this.onUnexpectedError(job.jobId, error))
       .finally(() => {
-        this.starting.delete(job.jobId);
+        this.launches.delete(job.jobId);
         this.context.projection.removePending(job.jobId);
         this.context.requestPass();
       });
-    this.starting.set(job.jobId, launch);
+    this.launches.set(job.jobId, launch);
   }
 
-  /** Resolves when no launch is under way. */
+  /** Resolves when all launches that are in progress have ended. */
   async waitUntilIdle(): Promise<void> {
-    await Promise.all(this.starting.values());
+    await Promise.all(this.launches.values());
   }
 
-  private occupy(job: Job, decision: PlacementDecision): void {
+  private addPendingGang(job: Job, decision: PlacementDecision): void {
     const now = this.context.clock.wallTime();
     const {request} = job;
     this.context.projection.addPending({
@@ -75,116 +76,118 @@
   }
 
   private async launch(job: Job, decision: PlacementDecision): Promise<void> {
-    const order = createGangAttempt(
+    const gangAttempt = createGangAttempt(
       job,
       job.attempts + 1,
       this.context.term,
       decision.assignments,
     );
-    const bar = this.findBar(order);
-    if (bar) {
-      this.giveUp(order, bar);
+    const blocker = this.findStartBlocker(gangAttempt);
+    if (blocker) {
+      this.recordFailedStart(gangAttempt, blocker);
       return;
     }
-    const reserved = await this.context.starter.reserve(order);
+    const reserved = await this.context.starter.reserve(gangAttempt);
     if (reserved.kind === 'refused') {
-      this.giveUp(order, reserved.reason, reserved.culprit);
+      this.recordFailedStart(gangAttempt, reserved.reason, reserved.culprit);
       return;
     }
-    const isPlaced = await this.recordIntent(order, decision);
+    const isPlaced = await this.recordIntent(gangAttempt, decision);
     if (!isPlaced) {
-      await this.release(order);
+      await this.release(gangAttempt);
       return;
     }
-    await this.start(order);
+    await this.start(gangAttempt);
   }
 
-  /** Appends `placed` while the reservations are renewed. */
+  /**
+   * Appends `placed` while the reservations are renewed. Resolves to whether
+   * the fold accepted it.
+   */
   private async recordIntent(
-    order: GangAttempt,
+    gangAttempt: GangAttempt,
     decision: PlacementDecision,
   ): Promise<boolean> {
     const {clock, starter, writer, domain, term} = this.context;
-    const deadline = clock.now() + APPEND_BOUND_MS;
-    const appended = new AbortController();
-    const kept = starter.renewReservations(order, deadline, appended.signal);
+    const deadline = clock.now() + APPEND_TIMEOUT_MS;
+    const appendEnded = new AbortController();
+    const renewals = starter.renewReservations(
+      gangAttempt,
+      deadline,
+      appendEnded.signal,
+    );
     try {
       const applied = await writer.append(
         {
           type: 'placed',
-          jobId: order.jobId,
-          attempt: order.attempt,
+          jobId: gangAttempt.jobId,
+          attempt: gangAttempt.attempt,
           domain,
           term,
-          assignments: [...order.assignments],
+          assignments: [...gangAttempt.assignments],
           guaranteed: decision.guaranteed,
           reason: decision.reason,
         },
         {deadline},
       );
-      return this.isAccepted(order, applied);
+      return this.isAccepted(gangAttempt, applied);
     } catch (error) {
-      // An append of unknown fate may still be accepted later; the scheduler
-      // then sees a `placed` that it is not starting, and takes it back.
-      const isKnown = isFailure(error, 'log-unavailable');
-      this.giveUp(
-        order,
-        createReason(isKnown ? 'waiting-stale' : 'start-unknown', {
+      // An append with an unknown outcome may still be accepted later. The next
+      // pass then finds a `placed` that is not starting, and appends `unplaced`.
+      const isOutcomeKnown = isFailure(error, 'log-unavailable');
+      this.recordFailedStart(
+        gangAttempt,
+        createReason(isOutcomeKnown ? 'waiting-stale' : 'start-unknown', {
           target: 'no target',
         }),
       );
       return false;
     } finally {
-      appended.abort();
-      await kept;
+      appendEnded.abort();
+      await renewals;
     }
   }
 
-  private isAccepted(order: GangAttempt, applied: FoldResult): boolean {
+  private isAccepted(gangAttempt: GangAttempt, applied: FoldResult): boolean {
     if (applied.accepted) {
       return true;
     }
     this.context.logger.info('placement-rejected', {
-      jobId: order.jobId,
-      attempt: order.attempt,
+      jobId: gangAttempt.jobId,
+      attempt: gangAttempt.attempt,
       rejection: applied.rejection,
     });
     return false;
   }
 
-  private async start(order: GangAttempt): Promise<void> {
-    const {
-      starter,
-      leaseRenewer: keeper,
-      record,
-      domain,
-      term,
-      logger,
-    } = this.context;
-    const result = await starter.start(order, () => this.findBar(order));
-    const attempt = {
-      jobId: order.jobId,
-      attempt: order.attempt,
+  private async start(gangAttempt: GangAttempt): Promise<void> {
+    const {starter, leaseRenewer, record, domain, term, logger} = this.context;
+    const result = await starter.start(gangAttempt, () =>
+      this.findStartBlocker(gangAttempt),
+    );
+    const attemptFields = {
+      jobId: gangAttempt.jobId,
+      attempt: gangAttempt.attempt,
       domain,
       term,
     };
     if (result.kind === 'started') {
       logger.info('started', {
-        ...attempt,
-        targets: formatTargets(order.assignments),
+        ...attemptFields,
+        targets: formatTargets(gangAttempt.assignments),
       });
-      this.backoff.reset(order.jobId);
-      keeper.addGang(order);
-      await record({type: 'started', ...attempt});
+      this.backoff.reset(gangAttempt.jobId);
+      leaseRenewer.addGang(gangAttempt);
+      await record({type: 'started', ...attemptFields});
       return;
     }
-    this.giveUp(order, result.reason, result.culprit);
+    this.recordFailedStart(gangAttempt, result.reason, result.culprit);
     if (result.mayHaveRun) {
-      await stopGangAndWait(this.context, order, STOP_NOW);
+      await stopGangAndWait(this.context, gangAttempt, STOP_NOW);
     }
     await record({
       type: 'unplaced',
-      ...attempt,
+      ...attemptFields,
       mayHaveRun: result.mayHaveRun,
       progressSeconds: 0,
       culprit: result.culprit,
@@ -192,39 +195,43 @@
     });
   }
 
-  private findBar(order: GangAttempt): Reason | undefined {
+  private findStartBlocker(gangAttempt: GangAttempt): Reason | undefined {
     if (this.context.signal.aborted) {
       return createReason('waiting-scheduler', {domain: this.context.domain});
     }
-    const job = this.context.state.getJob(order.jobId);
+    const job = this.context.state.getJob(gangAttempt.jobId);
     if (!job || job.cancelRequested || job.phase === 'finished') {
       return createReason('cancelled', {by: 'its caller'});
     }
-    const targets = order.assignments.map(({target}) => target);
+    const targets = gangAttempt.assignments.map(({target}) => target);
     return this.context.findStartBlocker(this.context.clock.now(), targets);
   }
 
-  private async release(order: GangAttempt): Promise<void> {
-    await this.context.starter.stop(order, STOP_NOW);
+  private async release(gangAttempt: GangAttempt): Promise<void> {
+    await this.context.starter.stop(gangAttempt, STOP_NOW);
   }
 
-  private giveUp(order: GangAttempt, reason: Reason, culprit?: string): void {
+  private recordFailedStart(
+    gangAttempt: GangAttempt,
+    reason: Reason,
+    culprit?: string,
+  ): void {
     const {clock, random, logger, health} = this.context;
     if (culprit !== undefined) {
       health.noteRefusal(culprit, clock.now());
     }
-    this.backoff.noteFailure(order.jobId, clock.now(), random.next());
-    this.waits.setReason(order.jobId, reason);
+    this.backoff.noteFailure(gangAttempt.jobId, clock.now(), random.next());
+    this.waitReasons.setReason(gangAttempt.jobId, reason);
     logger.info('not-started', {
-      jobId: order.jobId,
-      attempt: order.attempt,
-      targets: formatTargets(order.assignments),
+      jobId: gangAttempt.jobId,
+      attempt: gangAttempt.attempt,
+      targets: formatTargets(gangAttempt.assignments),
       reason: reason.code,
       text: describeReason(reason),
     });
   }
 
-  private onUnexpected(jobId: string, error: unknown): void {
+  private onUnexpectedError(jobId: string, error: unknown): void {
     this.context.logger.error('launch-failed', {
       jobId,
       problem: describeError(error),
--- a/packages/scheduler/src/gang_stop_coordinator.ts
+++ b/packages/scheduler/src/gang_stop_coordinator.ts
@@ -1,4 +1,7 @@
-/** Stops whole gangs: for cancellation, reclaim, a leaving target or a lost member. */
+/**
+ * Stops whole gangs because of a cancellation, a reclaim, a leaving target, or
+ * a failed or lost member.
+ */
 import type {Job} from '@galenavalve/ledger';
 import {type Reason, describeReason} from '@galenavalve/model';
 import {type Milliseconds, describeError} from '@galenavalve/shared';
@@ -6,51 +9,51 @@
 import {toCurrentGangAttempt} from './gang_attempt.js';
 import type {SchedulerContext} from './scheduler_context.js';
 
-/** Pause between two tries to stop a gang. */
-const RETRY_MS: Milliseconds = 500;
+/** Delay before the unreachable members of a gang are stopped again. */
+const STOP_RETRY_DELAY_MS: Milliseconds = 500;
 
-/** Ends the members at once, without saving. */
+/** Stops the members at once, without a checkpoint. */
 export const STOP_NOW = {checkpoint: false, graceMs: 0};
 
-/** Options of a stop. */
+/** Options for stopping a gang. */
 export interface GangStopOptions {
   reason: Reason;
-  /** Target that caused the stop, if one did. */
+  /** Target that caused the stop, if any. */
   culprit?: string;
-  /** Whether progress is saved first, if the job can. */
+  /** Whether progress is saved first, if the job is checkpointable. */
   checkpoint: boolean;
 }
 
 /** Stops gangs for one term of a domain's scheduler. */
 export class GangStopCoordinator {
-  private readonly stopping = new Map<string, Promise<void>>();
-  /** Jobs whose end is being recorded: there is nothing left to stop. */
-  private readonly ending = new Set<string>();
+  private readonly stops = new Map<string, Promise<void>>();
+  /** Jobs whose end is being recorded; their gangs have already ended. */
+  private readonly endingJobIds = new Set<string>();
 
   constructor(private readonly context: SchedulerContext) {}
 
-  /** Keeps a job from being stopped while `record` records its end. */
+  /** Runs `record`, which records the end of a job; stops of the job are ignored meanwhile. */
   async blockStopsDuring(
     jobId: string,
     record: () => Promise<boolean>,
   ): Promise<boolean> {
-    this.ending.add(jobId);
+    this.endingJobIds.add(jobId);
     try {
       return await record();
     } finally {
-      this.ending.delete(jobId);
+      this.endingJobIds.delete(jobId);
     }
   }
 
-  /** Tells whether the job is being stopped. */
+  /** Returns whether the job is being stopped. */
   isStopping(jobId: string): boolean {
-    return this.stopping.has(jobId);
+    return this.stops.has(jobId);
   }
 
-  /** Begins to stop a gang; a second call for the same job changes nothing. */
+  /** Begins to stop a gang; does nothing when the job is already stopping or has ended. */
   begin(job: Job, options: GangStopOptions): void {
-    const isOver = this.ending.has(job.jobId) || !isActive(job);
-    if (this.isStopping(job.jobId) || isOver) {
+    const hasEnded = this.endingJobIds.has(job.jobId) || !isActive(job);
+    if (this.isStopping(job.jobId) || hasEnded) {
       return;
     }
     this.context.projection.markStopping(job.jobId);
@@ -62,23 +65,23 @@
         });
       })
       .finally(() => {
-        this.stopping.delete(job.jobId);
+        this.stops.delete(job.jobId);
         this.context.requestPass();
       });
-    this.stopping.set(job.jobId, stop);
+    this.stops.set(job.jobId, stop);
   }
 
-  /** Resolves when no stop is under way. */
+  /** Resolves when all stops that are in progress have ended. */
   async waitUntilIdle(): Promise<void> {
-    await Promise.all(this.stopping.values());
+    await Promise.all(this.stops.values());
   }
 
   private async stop(job: Job, options: GangStopOptions): Promise<void> {
-    const {leaseRenewer: keeper, record, domain, term, logger} = this.context;
+    const {leaseRenewer, record, domain, term, logger} = this.context;
     const {attempts: attempt, jobId} = job;
     const rules = this.context.state.configuration.rules;
     const checkpoint = options.checkpoint && job.request.checkpointable;
-    const order = toCurrentGangAttempt(job, term);
+    const gangAttempt = toCurrentGangAttempt(job, term);
     logger.info('stopping', {
       jobId,
       attempt,
@@ -89,10 +92,10 @@
     const graceMs = checkpoint ? rules.checkpointGraceSeconds * 1000 : 0;
     const result = await stopGangAndWait(
       this.context,
-      order,
+      gangAttempt,
       {checkpoint, graceMs},
-      // Its leases must lapse from now on where the stop did not arrive.
-      () => keeper.removeGang(jobId),
+      // Where the stop did not arrive, the lease must not be renewed again.
+      () => leaseRenewer.removeGang(jobId),
     );
     await record({
       type: 'unplaced',
@@ -111,30 +114,33 @@
 }
 
 /**
- * Stops every member of a gang. One that cannot be reached runs on until its
- * lease lapses, so this resolves only then; a job that is queued again
- * afterwards never overlaps with its earlier attempt. `onAsked` is called once
- * every member that answers has stopped.
+ * Stops every member of a gang. A member that is unreachable keeps running until
+ * its lease expires, and the promise resolves only then, so that a job that is
+ * queued again never overlaps with its earlier attempt. Calls
+ * `onReachableStopped` once every reachable member has stopped.
  */
 export async function stopGangAndWait(
   context: SchedulerContext,
   gang: GangMembers,
   options: {checkpoint: boolean; graceMs: Milliseconds},
-  onAsked: () => void = () => {},
+  onReachableStopped: () => void = () => {},
 ): Promise<GangStopResult> {
-  const {clock, leaseRenewer: keeper, signal, starter} = context;
-  const end = clock.now() + options.graceMs + keeper.leaseMs;
+  const {clock, leaseRenewer, signal, starter} = context;
+  const deadline = clock.now() + options.graceMs + leaseRenewer.leaseMs;
   const result = await starter.stop(gang, options);
-  onAsked();
+  onReachableStopped();
   let unreachable = result.unreachable;
-  while (unreachable.length > 0 && clock.now() < end && !signal.aborted) {
-    await clock.sleep(Math.min(RETRY_MS, end - clock.now()), signal);
-    const silent = new Set(unreachable);
-    const assignments = gang.assignments.filter(part =>
-      silent.has(part.target),
+  while (unreachable.length > 0 && clock.now() < deadline && !signal.aborted) {
+    await clock.sleep(
+      Math.min(STOP_RETRY_DELAY_MS, deadline - clock.now()),
+      signal,
+    );
+    const unreachableTargets = new Set(unreachable);
+    const assignments = gang.assignments.filter(assignment =>
+      unreachableTargets.has(assignment.target),
     );
-    const again = await starter.stop({...gang, assignments}, STOP_NOW);
-    unreachable = again.unreachable;
+    const retryResult = await starter.stop({...gang, assignments}, STOP_NOW);
+    unreachable = retryResult.unreachable;
   }
   return result;
 }
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,10 +1,10 @@
 /** The scheduler role of one failure domain: passes, gang start, takeover and preemption. */
 
-// The role
+// Scheduler
 export {Scheduler} from './scheduler.js';
 export type {SchedulerDependencies} from './scheduler_context.js';
 
-// What the ledger says, as the placement package sees it
+// Conversion of ledger state to input of the placement package
 export {CellsProjection, toRunningGang} from './cells_projection.js';
 export {toWaitingJob} from './waiting_queue.js';
 
--- a/packages/scheduler/src/lease_renewer_event_handler.ts
+++ b/packages/scheduler/src/lease_renewer_event_handler.ts
@@ -1,4 +1,7 @@
-/** Turns what the lease keeper sees into records: results, failures and lost members. */
+/**
+ * Handles the events of the lease renewer: records job ends, stops gangs and
+ * updates target health.
+ */
 import type {Job} from '@galenavalve/ledger';
 import {
   MAX_RESULT_BYTES,
@@ -17,22 +20,22 @@
 import {toCurrentGangAttempt} from './gang_attempt.js';
 import type {SchedulerContext} from './scheduler_context.js';
 
-/** The end of a job, ready to be recorded. */
-interface Ending {
+/** The end of a job, as it is recorded. */
+interface JobEnd {
   outcome: Outcome;
   results: unknown[];
   ranSeconds: number;
   reason: Reason;
 }
 
-/** Watches the running gangs for one term of a domain's scheduler. */
+/** Handles lease renewer events during one term of a domain's scheduler. */
 export class LeaseRenewerEventHandler {
   constructor(
     private readonly context: SchedulerContext,
-    private readonly stop: GangStopCoordinator,
+    private readonly stopCoordinator: GangStopCoordinator,
   ) {}
 
-  /** Handles one event of the lease keeper. */
+  /** Handles one event; ignores gang events of attempts that are not current. */
   onEvent(event: LeaseRenewerEvent): void {
     switch (event.kind) {
       case 'succeeded':
@@ -63,7 +66,7 @@
   }
 
   private onSucceeded(event: LeaseRenewerEvent & {kind: 'succeeded'}): void {
-    const job = this.findPresent(event.jobId, event.attempt);
+    const job = this.findCurrentAttempt(event.jobId, event.attempt);
     if (!job) {
       return;
     }
@@ -71,12 +74,12 @@
       this.context.health.noteSuccess(target, this.context.clock.now());
     }
     const bytes = JSON.stringify(event.results).length;
-    const tooLarge = bytes > MAX_RESULT_BYTES;
+    const isTooLarge = bytes > MAX_RESULT_BYTES;
     void this.finish(job, {
-      outcome: tooLarge ? 'failed' : 'succeeded',
-      results: tooLarge ? [] : event.results,
+      outcome: isTooLarge ? 'failed' : 'succeeded',
+      results: isTooLarge ? [] : event.results,
       ranSeconds: event.ranSeconds,
-      reason: tooLarge
+      reason: isTooLarge
         ? createReason('result-too-large', {
             bytes,
             limitBytes: MAX_RESULT_BYTES,
@@ -86,8 +89,8 @@
   }
 
   private onFailed(event: LeaseRenewerEvent & {kind: 'failed'}): void {
-    const job = this.findPresent(event.jobId, event.attempt);
-    if (!job || this.stop.isStopping(job.jobId)) {
+    const job = this.findCurrentAttempt(event.jobId, event.attempt);
+    if (!job || this.stopCoordinator.isStopping(job.jobId)) {
       return;
     }
     const {clock, health, logger} = this.context;
@@ -106,35 +109,40 @@
     const failedTargets = new Set(job.failures.map(({target}) => target));
     failedTargets.add(event.culprit);
     const limit = this.context.state.configuration.rules.jobFailures;
-    // A gang that fits in few places cannot fail on many targets.
-    const isHopeless =
+    // A gang that fits on few targets cannot fail on `limit` different ones, so
+    // its total number of failures is limited too.
+    const hasReachedFailureLimit =
       failedTargets.size >= limit || job.failures.length + 1 >= 2 * limit;
-    if (!job.request.repeatable || isHopeless) {
-      void this.endFailing(job, failedTargets.size, reason);
+    if (!job.request.repeatable || hasReachedFailureLimit) {
+      void this.failJob(job, failedTargets.size, reason);
       return;
     }
-    this.stop.begin(job, {reason, culprit: event.culprit, checkpoint: false});
+    this.stopCoordinator.begin(job, {
+      reason,
+      culprit: event.culprit,
+      checkpoint: false,
+    });
   }
 
   private onMemberLost(event: LeaseRenewerEvent & {kind: 'member-lost'}): void {
-    const job = this.findPresent(event.jobId, event.attempt);
+    const job = this.findCurrentAttempt(event.jobId, event.attempt);
     if (job) {
       const reason = createReason('stopped-member', {
         target: event.culprit,
         problem: event.problem,
       });
-      this.stop.begin(job, {reason, checkpoint: false});
+      this.stopCoordinator.begin(job, {reason, checkpoint: false});
     }
   }
 
-  /** Ends a job that failed for good: its other tasks are stopped first. */
-  private async endFailing(
+  /** Ends a job as failed, after stopping the other tasks of its gang. */
+  private async failJob(
     job: Job,
     failures: number,
     cause: Reason,
   ): Promise<void> {
-    const order = toCurrentGangAttempt(job, this.context.term);
-    await stopGangAndWait(this.context, order, STOP_NOW);
+    const gangAttempt = toCurrentGangAttempt(job, this.context.term);
+    await stopGangAndWait(this.context, gangAttempt, STOP_NOW);
     await this.finish(job, {
       outcome: 'failed',
       results: [],
@@ -143,44 +151,44 @@
     });
   }
 
-  private async finish(job: Job, ending: Ending): Promise<void> {
-    const {leaseRenewer: keeper, record, domain, term, logger} = this.context;
+  private async finish(job: Job, jobEnd: JobEnd): Promise<void> {
+    const {leaseRenewer, record, domain, term, logger} = this.context;
     const {jobId, attempts: attempt} = job;
     logger.info('finished', {
       jobId,
       attempt,
-      outcome: ending.outcome,
-      text: describeReason(ending.reason),
+      outcome: jobEnd.outcome,
+      text: describeReason(jobEnd.reason),
     });
-    const isAccepted = await this.stop.blockStopsDuring(jobId, () =>
+    const isAccepted = await this.stopCoordinator.blockStopsDuring(jobId, () =>
       record({
         type: 'finished',
         jobId,
         attempt,
         domain,
         term,
-        outcome: ending.outcome,
-        results: ending.results as never[],
-        resultHash: hashValue(ending.results),
-        ranSeconds: ending.ranSeconds,
-        reason: ending.reason,
+        outcome: jobEnd.outcome,
+        results: jobEnd.results as never[],
+        resultHash: hashValue(jobEnd.results),
+        ranSeconds: jobEnd.ranSeconds,
+        reason: jobEnd.reason,
       }),
     );
     if (isAccepted) {
-      keeper.acknowledgeEnd(jobId, attempt);
+      leaseRenewer.acknowledgeEnd(jobId, attempt);
     }
-    // The record may come too late, when another attempt is already kept.
+    // The record may be late, when a newer attempt of the job is already renewed.
     if (this.context.state.getJob(jobId)?.attempts === attempt) {
-      keeper.removeGang(jobId);
+      leaseRenewer.removeGang(jobId);
     }
     this.context.requestPass();
   }
 
-  private findPresent(jobId: string, attempt: number): Job | undefined {
+  private findCurrentAttempt(jobId: string, attempt: number): Job | undefined {
     const job = this.context.state.getJob(jobId);
-    const isPresent =
+    const isCurrent =
       job?.attempts === attempt &&
       (job.phase === 'placed' || job.phase === 'running');
-    return isPresent ? job : undefined;
+    return isCurrent ? job : undefined;
   }
 }
--- a/packages/scheduler/src/queue_pass.ts
+++ b/packages/scheduler/src/queue_pass.ts
@@ -1,4 +1,7 @@
-/** One pass over the queue of a failure domain: decides, and sets off what was decided. */
+/**
+ * A pass over the queue of a failure domain: decides which jobs to start, stop
+ * or move, and begins to carry out the decisions.
+ */
 import {
   type Configuration,
   type Reason,
@@ -17,7 +20,7 @@
 import type {WaitReasonTracker} from './wait_reason_tracker.js';
 import {type StartBackoff, readQueue} from './waiting_queue.js';
 
-/** What a pass works with. */
+/** Dependencies of a pass. */
 export interface QueuePassDependencies {
   context: SchedulerContext;
   launchCoordinator: GangLaunchCoordinator;
@@ -26,71 +29,73 @@
   waitReasons: WaitReasonTracker;
 }
 
-/** The passes of one term of a domain's scheduler. */
+/** Runs the passes of one term of a domain's scheduler. */
 export class QueuePass {
-  private readonly moves: QueuedJobMover;
-  /** The domain's targets, remembered while the configuration stays the same. */
-  private targets?: {configuration: Configuration; names: string[]};
+  private readonly jobMover: QueuedJobMover;
+  /** Names of the domain's targets, cached per configuration. */
+  private targetCache?: {configuration: Configuration; names: string[]};
 
-  constructor(private readonly parts: QueuePassDependencies) {
-    this.moves = new QueuedJobMover(parts.context);
+  constructor(private readonly dependencies: QueuePassDependencies) {
+    this.jobMover = new QueuedJobMover(dependencies.context);
   }
 
-  /** Runs a pass now. */
+  /** Runs one pass. */
   run(): void {
-    const {context, launchCoordinator: launch, waitReasons: waits} = this.parts;
+    const {context, launchCoordinator, waitReasons} = this.dependencies;
     const now = context.clock.now();
-    this.refreshConditions(now);
-    this.takeBackOrphans();
+    this.updateConditions(now);
+    this.unplaceAbandonedJobs();
     this.stopCancelled();
-    evacuate(context, this.parts.stopCoordinator);
-    const waiting = this.readWaiting(now);
-    const bar = context.findStartBlocker(now, []);
-    if (bar) {
-      waiting.forEach(({jobId}) => waits.setReason(jobId, bar));
+    evacuate(context, this.dependencies.stopCoordinator);
+    const waiting = this.readWaitingJobs(now);
+    const blocker = context.findStartBlocker(now, []);
+    if (blocker) {
+      waiting.forEach(({jobId}) => waitReasons.setReason(jobId, blocker));
     } else {
       this.decide(waiting);
     }
-    const staying = waiting.filter(({jobId}) => !launch.isStarting(jobId));
-    this.moves.moveUnservableJobs(staying, now, context.clock.wallTime());
+    const queuedJobs = waiting.filter(
+      ({jobId}) => !launchCoordinator.isStarting(jobId),
+    );
+    this.jobMover.moveUnservableJobs(queuedJobs, now, context.clock.wallTime());
   }
 
-  private readWaiting(now: Instant): WaitingJob[] {
-    const {
-      context,
-      launchCoordinator: launch,
-      backoff,
-      waitReasons: waits,
-    } = this.parts;
+  private readWaitingJobs(now: Instant): WaitingJob[] {
+    const {context, launchCoordinator, backoff, waitReasons} =
+      this.dependencies;
     const {state, domain, clock} = context;
-    const {waiting, held} = readQueue(
+    const {waiting, deferred} = readQueue(
       state,
       domain,
-      jobId => launch.isStarting(jobId),
+      jobId => launchCoordinator.isStarting(jobId),
       backoff,
       now,
       clock.wallTime(),
     );
-    held.forEach(({jobId, reason}) => waits.setReason(jobId, reason));
+    deferred.forEach(({jobId, reason}) => waitReasons.setReason(jobId, reason));
     return waiting;
   }
 
   private decide(waiting: readonly WaitingJob[]): void {
-    const {context, waitReasons: waits} = this.parts;
-    const {policy, projection: mirror, clock} = context;
-    const decisions = policy.decide(mirror.cells, waiting, clock.wallTime());
+    const {context, waitReasons} = this.dependencies;
+    const {policy, projection, clock} = context;
+    const decisions = policy.decide(
+      projection.cells,
+      waiting,
+      clock.wallTime(),
+    );
     this.launchPlaced(decisions);
     for (const {forJob, victims, reason} of decisions.reclaims) {
-      waits.setReason(forJob, reason);
+      waitReasons.setReason(forJob, reason);
       this.reclaim(forJob, victims);
     }
     for (const {jobId, reason} of decisions.waits) {
-      waits.setReason(jobId, reason);
+      waitReasons.setReason(jobId, reason);
     }
   }
 
   private launchPlaced({placements}: PassDecisions): void {
-    const {context, launchCoordinator: launch, waitReasons: waits} = this.parts;
+    const {context, launchCoordinator, waitReasons} = this.dependencies;
     for (const decision of placements) {
       context.logger.info('placed', {
         jobId: decision.jobId,
@@ -99,44 +104,42 @@
         reason: decision.reason.code,
         text: describeReason(decision.reason),
       });
-      waits.remove(decision.jobId);
-      launch.begin(decision);
+      waitReasons.remove(decision.jobId);
+      launchCoordinator.begin(decision);
     }
   }
 
   private reclaim(forJob: string, victims: readonly string[]): void {
-    const {context, stopCoordinator: stop} = this.parts;
+    const {context, stopCoordinator} = this.dependencies;
     const workspace = context.state.getJob(forJob)?.request.workspace ?? '';
     const reason = createReason('preempted-reclaim', {workspace});
     context.logger.info('reclaim', {forJob, victims});
     for (const jobId of victims) {
       const job = context.state.getJob(jobId);
       if (job) {
-        stop.begin(job, {reason, checkpoint: true});
+        stopCoordinator.begin(job, {reason, checkpoint: true});
       }
     }
   }
 
   /**
-   * An append of unknown fate can be accepted after its launch was given up.
-   * This scheduler started nothing for it, and nobody else can under its term.
+   * Appends `unplaced` for jobs that the ledger has as placed though no launch is
+   * in progress. This happens when an append with an unknown outcome is accepted
+   * after its launch ended. This scheduler has started no task for such a job,
+   * and no other scheduler can start one under its term.
    */
-  private takeBackOrphans(): void {
-    const {
-      context,
-      launchCoordinator: launch,
-      stopCoordinator: stop,
-    } = this.parts;
-    const {state, domain, term, leaseRenewer: keeper} = context;
+  private unplaceAbandonedJobs(): void {
+    const {context, launchCoordinator, stopCoordinator} = this.dependencies;
+    const {state, domain, term, leaseRenewer} = context;
     for (const job of state.listActiveJobs(domain)) {
-      const isOrphan =
+      const isAbandoned =
         job.phase === 'placed' &&
         job.term !== undefined &&
         isSameTerm(job.term, term) &&
-        !launch.isStarting(job.jobId) &&
-        !stop.isStopping(job.jobId) &&
-        !keeper.hasGang(job.jobId);
-      if (isOrphan) {
+        !launchCoordinator.isStarting(job.jobId) &&
+        !stopCoordinator.isStopping(job.jobId) &&
+        !leaseRenewer.hasGang(job.jobId);
+      if (isAbandoned) {
         void context.record({
           type: 'unplaced',
           jobId: job.jobId,
@@ -151,42 +154,41 @@
     }
   }
 
-  /** Stops gangs that were cancelled, also those that were then about to start. */
+  /** Stops running gangs whose job was cancelled, including jobs cancelled during the launch. */
   private stopCancelled(): void {
-    const {context, stopCoordinator: stop} = this.parts;
+    const {context, stopCoordinator} = this.dependencies;
     const cancelled = [...context.state.listActiveJobs(context.domain)].filter(
       job => job.phase === 'running' && job.cancelRequested,
     );
     for (const job of cancelled) {
       const reason: Reason =
         job.cancelReason ?? createReason('cancelled', {by: 'its caller'});
-      stop.begin(job, {reason, checkpoint: false});
+      stopCoordinator.begin(job, {reason, checkpoint: false});
     }
   }
 
-  /** Shows the policy what is known of the targets' health; quarantines end with time. */
-  private refreshConditions(now: Instant): void {
-    const {
-      health,
-      projection: mirror,
-      leaseRenewer: keeper,
-    } = this.parts.context;
+  /**
+   * Passes the current target conditions to the placement policy. Quarantines
+   * expire with time, so every pass does this.
+   */
+  private updateConditions(now: Instant): void {
+    const {health, projection, leaseRenewer} = this.dependencies.context;
     const targets = this.listTargets();
-    keeper.setPolledTargets(targets);
+    leaseRenewer.setPolledTargets(targets);
     for (const target of targets) {
-      mirror.setCondition(target, health.getCondition(target, now));
+      projection.setCondition(target, health.getCondition(target, now));
     }
   }
 
   private listTargets(): string[] {
-    const {state, domain} = this.parts.context;
+    const {state, domain} = this.dependencies.context;
     const {configuration} = state;
-    if (this.targets?.configuration !== configuration) {
+    if (this.targetCache?.configuration !== configuration) {
       const names = [...configuration.targets.values()]
         .filter(target => target.domain === domain)
         .map(target => target.id);
-      this.targets = {configuration, names};
+      this.targetCache = {configuration, names};
     }
-    return this.targets.names;
+    return this.targetCache.names;
   }
 }
--- a/packages/scheduler/src/queued_job_mover.ts
+++ b/packages/scheduler/src/queued_job_mover.ts
@@ -1,57 +1,60 @@
-/** Sends queued jobs that their failure domain cannot serve to others. */
+/** Moves queued jobs that their failure domain cannot serve to other domains. */
 import {type Reason, describeReason} from '@galenavalve/model';
 import type {WaitingJob} from '@galenavalve/placement';
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {SchedulerContext} from './scheduler_context.js';
 
-/** Jobs that are looked at in one pass; the bound keeps passes short when queues are long. */
-const MAX_CONSIDERED = 32;
+/** Largest number of jobs checked in one pass; keeps passes short when queues are long. */
+const MAX_JOBS_PER_PASS = 32;
 
-/** Time after which a job that stayed is looked at again. */
-const RECONSIDER_MS: Milliseconds = 2_000;
+/** Time after which a job that was not moved is checked again. */
+const RECHECK_INTERVAL_MS: Milliseconds = 2_000;
 
-/** The moves of one term of a domain's scheduler. */
+/** Moves queued jobs during one term of a domain's scheduler. */
 export class QueuedJobMover {
-  private readonly moving = new Set<string>();
-  /** When each waiting job was looked at last. */
-  private consideredAt = new Map<string, Instant>();
+  private readonly movingJobIds = new Set<string>();
+  /** Time of the latest check of each waiting job. */
+  private checkedAt = new Map<string, Instant>();
 
   constructor(private readonly context: SchedulerContext) {}
 
-  /** Looks at the jobs that were not looked at lately. `wallNow` is wall-clock time. */
+  /**
+   * Checks the jobs whose check is due, and moves those with a better domain.
+   * `wallNow` is wall-clock time.
+   */
   moveUnservableJobs(
     waiting: readonly WaitingJob[],
     now: Instant,
     wallNow: number,
   ): void {
-    const before = this.consideredAt;
-    this.consideredAt = new Map();
-    let considered = 0;
+    const previouslyCheckedAt = this.checkedAt;
+    this.checkedAt = new Map();
+    let checkedCount = 0;
     for (const {jobId} of waiting) {
-      const at = before.get(jobId);
-      const isDue = at === undefined || now - at >= RECONSIDER_MS;
-      if (isDue && considered < MAX_CONSIDERED) {
-        considered++;
-        this.consideredAt.set(jobId, now);
-        this.considerJob(jobId, wallNow);
+      const at = previouslyCheckedAt.get(jobId);
+      const isDue = at === undefined || now - at >= RECHECK_INTERVAL_MS;
+      if (isDue && checkedCount < MAX_JOBS_PER_PASS) {
+        checkedCount++;
+        this.checkedAt.set(jobId, now);
+        this.checkJob(jobId, wallNow);
       } else if (at !== undefined) {
-        this.consideredAt.set(jobId, at);
+        this.checkedAt.set(jobId, at);
       }
     }
   }
 
-  private considerJob(jobId: string, wallNow: number): void {
+  private checkJob(jobId: string, wallNow: number): void {
     const isQueued = this.context.state.getJob(jobId)?.phase === 'queued';
-    if (!isQueued || this.moving.has(jobId)) {
+    if (!isQueued || this.movingJobIds.has(jobId)) {
       return;
     }
     const move = this.context.chooseMove(jobId, wallNow);
     if (!move || move.domain === this.context.domain) {
       return;
     }
-    this.moving.add(jobId);
+    this.movingJobIds.add(jobId);
     void this.move(jobId, move.domain, move.reason).finally(() =>
-      this.moving.delete(jobId),
+      this.movingJobIds.delete(jobId),
     );
   }
 
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -1,7 +1,7 @@
 /**
- * The scheduler of one failure domain. It acts only while it holds the
- * domain's term; everything it does is fenced by that term, at the targets
- * and in the ledger.
+ * The scheduler of one failure domain. It acts only while it holds the domain's
+ * term. The term is a fencing token: targets refuse commands, and the ledger
+ * rejects records, that carry a lower one.
  */
 import {setMaxListeners} from 'node:events';
 import type {FoldResult} from '@galenavalve/ledger';
@@ -22,209 +22,228 @@
 import {WaitReasonTracker} from './wait_reason_tracker.js';
 import {StartBackoff} from './waiting_queue.js';
 
-/** Longest time between two passes over the queue. */
-const IDLE_PASS_MS: Milliseconds = 1_000;
+/** Longest time between two passes over the queue when none is requested. */
+const MAX_PASS_INTERVAL_MS: Milliseconds = 1_000;
 
-/** A pass waits this many times the length of the one before, so that passes take a bounded share of the processor. */
-const PASS_SPACING = 4;
+/**
+ * Delay before the next pass, as a multiple of the duration of the previous one.
+ * Limits the share of processor time that passes take.
+ */
+const PASS_DELAY_FACTOR = 4;
 
-/** One term of a scheduler. */
-interface Tenure {
+/** State of the term that the scheduler holds. */
+interface ActiveTerm {
   context: SchedulerContext;
   abort: AbortController;
-  launch: GangLaunchCoordinator;
-  stop: GangStopCoordinator;
-  watch: LeaseRenewerEventHandler;
+  launchCoordinator: GangLaunchCoordinator;
+  stopCoordinator: GangStopCoordinator;
+  eventHandler: LeaseRenewerEventHandler;
   throttle: UsageThrottle;
   pass: QueuePass;
   done: Promise<void>;
 }
 
-/** The scheduler role of one instance for its own failure domain. */
+/** Runs the scheduler role of one instance for its own failure domain. */
 export class Scheduler {
-  private tenure: Tenure | undefined;
+  private activeTerm: ActiveTerm | undefined;
   private readonly backoff = new StartBackoff();
-  private readonly waits: WaitReasonTracker;
+  private readonly waitReasons: WaitReasonTracker;
   private wake: (() => void) | undefined;
-  private isPoked = false;
-  private listedLeaving: ReadonlySet<string> = new Set();
+  private isPassRequested = false;
+  private listedLeavingTargets: ReadonlySet<string> = new Set();
 
-  constructor(private readonly parts: SchedulerDependencies) {
-    this.waits = new WaitReasonTracker(parts.logger);
-    parts.leaseRenewer.onEvent(event => this.onKeeperEvent(event));
+  constructor(private readonly dependencies: SchedulerDependencies) {
+    this.waitReasons = new WaitReasonTracker(dependencies.logger);
+    dependencies.leaseRenewer.onEvent(event => this.onLeaseRenewerEvent(event));
   }
 
   // Queries
 
-  /** The term that this instance schedules under, if it does. */
+  /** Term under which this instance schedules; undefined while it is inactive. */
   get term(): Term | undefined {
-    return this.tenure?.context.term;
+    return this.activeTerm?.context.term;
   }
 
-  /** What a queued job waits for, as of the last pass. */
+  /** Returns why a queued job waits, as of the latest pass. */
   getWaitReason(jobId: string): Reason | undefined {
-    return this.waits.getReason(jobId);
+    return this.waitReasons.getReason(jobId);
   }
 
   // Commands
 
-  /** Takes over the domain under a term that the ledger has accepted. */
+  /** Begins a takeover of the domain under a term that the ledger has accepted. */
   activate(term: Term): void {
-    if (this.tenure && isSameTerm(this.tenure.context.term, term)) {
+    if (this.activeTerm && isSameTerm(this.activeTerm.context.term, term)) {
       return;
     }
-    this.deactivate('a newer term of its own');
+    this.deactivate('this instance has a newer term');
     const abort = new AbortController();
-    // Every launch and stop under way listens to the end of the term.
+    // Every launch and stop in progress adds a listener to this signal.
     setMaxListeners(0, abort.signal);
     const context = this.createContext(term, abort.signal);
-    const stop = new GangStopCoordinator(context);
-    const launch = new GangLaunchCoordinator(context, this.backoff, this.waits);
-    const tenure: Tenure = {
+    const stopCoordinator = new GangStopCoordinator(context);
+    const launchCoordinator = new GangLaunchCoordinator(
+      context,
+      this.backoff,
+      this.waitReasons,
+    );
+    const activeTerm: ActiveTerm = {
       context,
       abort,
-      stop,
-      launch,
-      watch: new LeaseRenewerEventHandler(context, stop),
+      stopCoordinator,
+      launchCoordinator,
+      eventHandler: new LeaseRenewerEventHandler(context, stopCoordinator),
       throttle: new UsageThrottle(context),
       pass: new QueuePass({
         context,
-        launchCoordinator: launch,
-        stopCoordinator: stop,
+        launchCoordinator,
+        stopCoordinator,
         backoff: this.backoff,
-        waitReasons: this.waits,
+        waitReasons: this.waitReasons,
       }),
       done: Promise.resolve(),
     };
-    this.tenure = tenure;
-    this.parts.leaseRenewer.setTerm(term);
-    tenure.done = this.run(tenure).catch(error => {
-      this.parts.logger.error('scheduler-failed', {
-        domain: this.parts.domain,
+    this.activeTerm = activeTerm;
+    this.dependencies.leaseRenewer.setTerm(term);
+    activeTerm.done = this.run(activeTerm).catch(error => {
+      this.dependencies.logger.error('scheduler-failed', {
+        domain: this.dependencies.domain,
         problem: describeError(error),
       });
     });
   }
 
-  /** Stops acting as the scheduler at once; running gangs stay with the targets. */
+  /** Stops acting as the scheduler at once; gangs keep running on their targets. */
   deactivate(cause: string): void {
-    if (!this.tenure) {
+    if (!this.activeTerm) {
       return;
     }
-    this.parts.logger.info('term-ended', {
-      domain: this.parts.domain,
-      term: this.tenure.context.term,
+    this.dependencies.logger.info('term-ended', {
+      domain: this.dependencies.domain,
+      term: this.activeTerm.context.term,
       cause,
     });
-    this.tenure.abort.abort();
-    this.tenure = undefined;
-    this.waits.clear();
-    this.parts.leaseRenewer.clear();
-    this.parts.projection.clearConditions();
+    this.activeTerm.abort.abort();
+    this.activeTerm = undefined;
+    this.waitReasons.clear();
+    this.dependencies.leaseRenewer.clear();
+    this.dependencies.projection.clearConditions();
   }
 
   /** Renews leases until `signal` aborts. */
   renewLeases(signal: AbortSignal): Promise<void> {
-    return this.parts.leaseRenewer.run(signal);
+    return this.dependencies.leaseRenewer.run(signal);
   }
 
-  /** Waits for launches and stops under way; for a planned stop. */
+  /** Resolves when all launches and stops in progress have ended; used for a planned stop. */
   async waitUntilIdle(): Promise<void> {
-    await this.tenure?.launch.waitUntilIdle();
-    await this.tenure?.stop.waitUntilIdle();
+    await this.activeTerm?.launchCoordinator.waitUntilIdle();
+    await this.activeTerm?.stopCoordinator.waitUntilIdle();
   }
 
-  /** Takes notice of a folded record. The mirror must have seen it before. */
+  /** Handles a folded record. The projection must have applied it before. */
   onApplied(applied: FoldResult): void {
     const record = applied.record;
-    if (!this.tenure || !applied.accepted || !record) {
+    if (!this.activeTerm || !applied.accepted || !record) {
       return;
     }
-    if (record.type === 'claimed' && record.domain === this.parts.domain) {
-      if (!isSameTerm(record.term, this.tenure.context.term)) {
+    if (
+      record.type === 'claimed' &&
+      record.domain === this.dependencies.domain
+    ) {
+      if (!isSameTerm(record.term, this.activeTerm.context.term)) {
         this.deactivate(`${record.term.instance} claimed the domain`);
         return;
       }
     }
     if (record.type === 'finished' || record.type === 'cancelled') {
-      this.waits.remove(record.jobId);
+      this.waitReasons.remove(record.jobId);
     }
     this.requestPass();
   }
 
   /**
-   * Takes notice of the targets that the platform's list calls leaving. The list
-   * lags: only its changes count, so that it never overrules a target's own word.
+   * Handles the targets that the platform's list marks as leaving. The list lags
+   * behind the targets, so only changes in it are applied; otherwise it would
+   * override newer reports of the targets themselves.
    */
   onTargetsListed(leaving: ReadonlySet<string>): void {
     for (const target of leaving) {
-      if (!this.listedLeaving.has(target)) {
-        this.parts.logger.info('target-listed-leaving', {target});
-        this.parts.health.setLeaving(target, true);
+      if (!this.listedLeavingTargets.has(target)) {
+        this.dependencies.logger.info('target-listed-leaving', {target});
+        this.dependencies.health.setLeaving(target, true);
         this.requestPass();
       }
     }
-    for (const target of this.listedLeaving) {
+    for (const target of this.listedLeavingTargets) {
       if (!leaving.has(target)) {
-        this.parts.logger.info('target-listed-live', {target});
-        this.parts.health.setLeaving(target, false);
+        this.dependencies.logger.info('target-listed-live', {target});
+        this.dependencies.health.setLeaving(target, false);
         this.requestPass();
       }
     }
-    this.listedLeaving = leaving;
+    this.listedLeavingTargets = leaving;
   }
 
-  /** Asks for a pass over the queue. */
+  /** Requests another pass over the queue. */
   requestPass(): void {
-    this.isPoked = true;
+    this.isPassRequested = true;
     this.wake?.();
   }
 
   private createContext(term: Term, signal: AbortSignal): SchedulerContext {
     return {
-      ...this.parts,
+      ...this.dependencies,
       term,
       signal,
-      record: body => appendWithRetry(this.parts, body, signal),
+      record: body => appendWithRetry(this.dependencies, body, signal),
       requestPass: () => this.requestPass(),
     };
   }
 
-  private async run(tenure: Tenure): Promise<void> {
-    const {signal} = tenure.context;
-    await fenceAndReconcile(tenure.context);
+  private async run(activeTerm: ActiveTerm): Promise<void> {
+    const {signal} = activeTerm.context;
+    await fenceAndReconcile(activeTerm.context);
     while (!signal.aborted) {
-      const begin = this.parts.clock.now();
-      this.isPoked = false;
-      tenure.pass.run();
-      const length = this.parts.clock.now() - begin;
-      if (length * PASS_SPACING > 1) {
-        await this.parts.clock.sleep(length * PASS_SPACING, signal);
+      const startedAt = this.dependencies.clock.now();
+      this.isPassRequested = false;
+      activeTerm.pass.run();
+      const durationMs = this.dependencies.clock.now() - startedAt;
+      if (durationMs * PASS_DELAY_FACTOR > 1) {
+        await this.dependencies.clock.sleep(
+          durationMs * PASS_DELAY_FACTOR,
+          signal,
+        );
       }
-      await this.waitForPoke(signal);
+      await this.waitForPassRequest(signal);
     }
   }
 
-  private onKeeperEvent(event: LeaseRenewerEvent): void {
+  private onLeaseRenewerEvent(event: LeaseRenewerEvent): void {
     if (event.kind === 'usage') {
-      this.tenure?.throttle.onUsage(event);
+      this.activeTerm?.throttle.onUsage(event);
     } else {
-      this.tenure?.watch.onEvent(event);
+      this.activeTerm?.eventHandler.onEvent(event);
     }
   }
 
-  private async waitForPoke(signal: AbortSignal): Promise<void> {
-    if (this.isPoked || signal.aborted) {
+  private async waitForPassRequest(signal: AbortSignal): Promise<void> {
+    if (this.isPassRequested || signal.aborted) {
       return;
     }
-    const due = this.backoff.getNextDueMs(this.parts.clock.now());
-    const timeout = Math.min(IDLE_PASS_MS, due ?? IDLE_PASS_MS);
-    const woken = new AbortController();
-    const onAbort = () => woken.abort();
-    this.wake = onAbort;
-    signal.addEventListener('abort', onAbort, {once: true});
-    await this.parts.clock.sleep(timeout, woken.signal);
-    signal.removeEventListener('abort', onAbort);
+    const nextRetryMs = this.backoff.getNextDueMs(
+      this.dependencies.clock.now(),
+    );
+    const timeoutMs = Math.min(
+      MAX_PASS_INTERVAL_MS,
+      nextRetryMs ?? MAX_PASS_INTERVAL_MS,
+    );
+    const wakeController = new AbortController();
+    const wakeUp = () => wakeController.abort();
+    this.wake = wakeUp;
+    signal.addEventListener('abort', wakeUp, {once: true});
+    await this.dependencies.clock.sleep(timeoutMs, wakeController.signal);
+    signal.removeEventListener('abort', wakeUp);
     this.wake = undefined;
   }
 }
--- a/packages/scheduler/src/scheduler_context.ts
+++ b/packages/scheduler/src/scheduler_context.ts
@@ -1,4 +1,4 @@
-/** What the parts of a domain's scheduler share. */
+/** Dependencies and context that the components of a domain's scheduler share. */
 import type {LedgerState, LogWriter} from '@galenavalve/ledger';
 import type {Reason, RecordBody, Term} from '@galenavalve/model';
 import type {GuaranteePolicy} from '@galenavalve/placement';
@@ -13,7 +13,7 @@
 } from '@galenavalve/targets';
 import type {CellsProjection} from './cells_projection.js';
 
-/** Parts that the daemon injects. */
+/** Dependencies that the daemon injects. */
 export interface SchedulerDependencies {
   domain: string;
   state: LedgerState;
@@ -30,27 +30,34 @@
   random: Random;
   logger: Logger;
   /**
-   * Why nothing may start now, or undefined. The daemon answers from the
-   * freshness of the configuration and the holds of its peers.
+   * Returns the reason why nothing may start now on `targets`, or undefined. The
+   * daemon decides from the freshness of the configuration and the holds that it
+   * knows from peers.
    */
   findStartBlocker(
     now: Instant,
     targets: readonly string[],
   ): Reason | undefined;
-  /** Where to send a queued job that this domain cannot serve; undefined to keep it. */
+  /**
+   * Chooses the domain to which a queued job is moved; undefined when it stays.
+   * `now` is wall-clock time.
+   */
   chooseMove(
     jobId: string,
     now: number,
   ): {domain: string; reason: Reason} | undefined;
 }
 
-/** The parts, with the term that is held. */
+/** The dependencies together with the term that the scheduler holds. */
 export interface SchedulerContext extends SchedulerDependencies {
   term: Term;
-  /** Aborted when the term is lost or the daemon stops. */
+  /** Aborts when the term is lost or the daemon stops. */
   signal: AbortSignal;
-  /** Appends until the record is in the log or the term is lost. */
+  /**
+   * Appends a record, with retries until the term is lost. Resolves to whether
+   * the fold accepted it.
+   */
   record(body: RecordBody): Promise<boolean>;
-  /** Asks for another pass over the queue. */
+  /** Requests another pass over the queue. */
   requestPass(): void;
 }
--- a/packages/scheduler/src/takeover.ts
+++ b/packages/scheduler/src/takeover.ts
@@ -1,7 +1,8 @@
 /**
- * What a new scheduler of a domain does first: fence every target by its term,
- * read back the leases, and finish or stop every gang that its predecessor left
- * half done.
+ * Takeover of a failure domain by a new scheduler: fences every target with the
+ * new term, which also reads its leases, then reconciles every active gang and
+ * stops orphans. An orphan is a run on a target that the ledger does not have as
+ * active.
  */
 import type {Job} from '@galenavalve/ledger';
 import {createReason} from '@galenavalve/model';
@@ -11,20 +12,20 @@
 import {STOP_NOW, stopGangAndWait} from './gang_stop_coordinator.js';
 import type {SchedulerContext} from './scheduler_context.js';
 
-/** Pause between two tries to fence targets that did not answer. */
-const RETRY_MS: Milliseconds = 300;
+/** Delay before unreachable targets are fenced again. */
+const FENCE_RETRY_DELAY_MS: Milliseconds = 300;
 
-type Reports = Map<string, TargetReport>;
+type ReportsByTarget = Map<string, TargetReport>;
 
-/** Fences and reconciles. Resolves when passes over the queue may begin. */
+/** Fences all targets and reconciles all gangs. Resolves when passes over the queue may begin. */
 export async function fenceAndReconcile(
   context: SchedulerContext,
 ): Promise<void> {
-  const {state, domain, targetFencer: takeover, term, logger} = context;
+  const {state, domain, targetFencer, term, logger} = context;
   const targets = [...state.configuration.targets.values()]
     .filter(target => target.domain === domain)
     .map(target => target.id);
-  const {reports, unreachable} = await takeover.fenceAll(targets, term);
+  const {reports, unreachable} = await targetFencer.fenceAll(targets, term);
   logger.info('took-over', {
     domain,
     term,
@@ -36,90 +37,96 @@
   }
   const active = [...state.listActiveJobs(domain)];
   await Promise.all(active.map(job => reconcile(context, job, reports)));
-  await stopStrays(context, reports);
+  await stopOrphans(context, reports);
 }
 
-/** Follows a gang that runs whole, and ends one that does not. */
+/** Adds a gang whose members all run to the lease renewer, and ends one that runs partially. */
 async function reconcile(
   context: SchedulerContext,
   job: Job,
-  reports: Reports,
+  reports: ReportsByTarget,
 ): Promise<void> {
   const leases = await readLeases(context, job, reports);
-  if (job.phase === 'running' || isWhole(job, leases)) {
-    const order = toCurrentGangAttempt(job, context.term);
-    context.leaseRenewer.addGang(order);
+  if (job.phase === 'running' || isRunningWhole(job, leases)) {
+    const gangAttempt = toCurrentGangAttempt(job, context.term);
+    context.leaseRenewer.addGang(gangAttempt);
     if (job.phase === 'placed') {
-      await context.record({type: 'started', ...attemptOf(context, job)});
+      await context.record({
+        type: 'started',
+        ...getAttemptFields(context, job),
+      });
     }
     return;
   }
-  await endPartial(context, job, leases);
+  await endPartialGang(context, job, leases);
 }
 
 /**
- * The leases of the job's present attempt by target. Members that did not
- * answer are asked again until their lease must have lapsed.
+ * Returns the leases of the job's current attempt by target. Members that are
+ * unreachable are fenced again until their lease must have expired.
  */
 async function readLeases(
   context: SchedulerContext,
   job: Job,
-  reports: Reports,
+  reports: ReportsByTarget,
 ): Promise<Map<string, LeaseReport | undefined>> {
   const leases = new Map<string, LeaseReport | undefined>();
   const members = job.assignments.map(({target}) => target);
-  const end = context.clock.now() + context.leaseRenewer.leaseMs;
-  const noteReports = (from: Reports) => {
+  const deadline = context.clock.now() + context.leaseRenewer.leaseMs;
+  const addReports = (received: ReportsByTarget) => {
     for (const target of members) {
-      const report = from.get(target);
+      const report = received.get(target);
       if (report) {
         leases.set(target, findLease(report, job));
       }
     }
   };
-  noteReports(reports);
+  addReports(reports);
   while (
     job.phase === 'placed' &&
     leases.size < members.length &&
-    context.clock.now() < end &&
+    context.clock.now() < deadline &&
     !context.signal.aborted
   ) {
-    await context.clock.sleep(RETRY_MS, context.signal);
+    await context.clock.sleep(FENCE_RETRY_DELAY_MS, context.signal);
     const missing = members.filter(target => !leases.has(target));
-    const again = await context.targetFencer.fenceAll(missing, context.term);
-    noteReports(again.reports);
+    const retryResult = await context.targetFencer.fenceAll(
+      missing,
+      context.term,
+    );
+    addReports(retryResult.reports);
   }
   return leases;
 }
 
-async function endPartial(
+async function endPartialGang(
   context: SchedulerContext,
   job: Job,
   leases: Map<string, LeaseReport | undefined>,
 ): Promise<void> {
-  const order = toCurrentGangAttempt(job, context.term);
-  await stopGangAndWait(context, order, STOP_NOW);
-  // Only a reservation proves that a member has not started: a target that was
-  // restarted since does not know what it ran before.
-  const suspect = job.assignments.find(
+  const gangAttempt = toCurrentGangAttempt(job, context.term);
+  await stopGangAndWait(context, gangAttempt, STOP_NOW);
+  // Only a reservation proves that a member has not started. A target that was
+  // restarted has lost its leases and does not report earlier runs.
+  const unprovenMember = job.assignments.find(
     ({target}) => leases.get(target)?.state !== 'reserved',
   );
-  const mayHaveRun = suspect !== undefined;
+  const mayHaveRun = unprovenMember !== undefined;
   await context.record({
     type: 'unplaced',
-    ...attemptOf(context, job),
+    ...getAttemptFields(context, job),
     mayHaveRun,
     progressSeconds: job.progressSeconds,
-    reason: suspect
-      ? createReason('start-unknown', {target: suspect.target})
+    reason: unprovenMember
+      ? createReason('start-unknown', {target: unprovenMember.target})
       : createReason('fenced-not-started'),
   });
 }
 
-/** Stops attempts on targets that the ledger does not hold as active. */
-async function stopStrays(
+/** Stops attempts on targets that the ledger does not have as active. */
+async function stopOrphans(
   context: SchedulerContext,
-  reports: Reports,
+  reports: ReportsByTarget,
 ): Promise<void> {
   const stops: Promise<unknown>[] = [];
   for (const [target, report] of reports) {
@@ -139,7 +146,7 @@
         jobId: lease.jobId,
         attempt: lease.attempt,
       });
-      const stray = {
+      const orphan = {
         jobId: lease.jobId,
         attempt: lease.attempt,
         term: context.term,
@@ -152,13 +159,13 @@
           },
         ],
       };
-      stops.push(context.starter.stop(stray, STOP_NOW));
+      stops.push(context.starter.stop(orphan, STOP_NOW));
     }
   }
   await Promise.all(stops);
 }
 
-function isWhole(
+function isRunningWhole(
   job: Job,
   leases: Map<string, LeaseReport | undefined>,
 ): boolean {
@@ -174,7 +181,7 @@
   );
 }
 
-function attemptOf(context: SchedulerContext, job: Job) {
+function getAttemptFields(context: SchedulerContext, job: Job) {
   return {
     jobId: job.jobId,
     attempt: job.attempts,
--- a/packages/scheduler/src/usage_throttle.ts
+++ b/packages/scheduler/src/usage_throttle.ts
@@ -1,4 +1,4 @@
-/** Throttles the gangs that use more than they declared, at their targets. */
+/** Throttles tasks that use more processors or memory than their job declared. */
 import {
   MAX_REPORT_AGE_MS,
   type Throttle,
@@ -8,19 +8,20 @@
 import type {LeaseRenewerEvent} from '@galenavalve/targets';
 import type {SchedulerContext} from './scheduler_context.js';
 
-const CALL_TIMEOUT_MS: Milliseconds = 1_000;
+/** Timeout of a throttle call. */
+const THROTTLE_TIMEOUT_MS: Milliseconds = 1_000;
 
-/** Lifts a throttle: more processors than any target has. */
+/** Processor limit that lifts a throttle; more than any target has. */
 const UNLIMITED_PROCESSORS = 1e6;
 
-/** Carries out throttles for one term of a domain's scheduler. */
+/** Applies and lifts throttles during one term of a domain's scheduler. */
 export class UsageThrottle {
-  /** Attempts that are throttled, by target. */
-  private readonly throttled = new Set<string>();
+  /** Throttled attempts, as `target jobId/attempt`. */
+  private readonly throttledKeys = new Set<string>();
 
   constructor(private readonly context: SchedulerContext) {}
 
-  /** Judges the usage that a target reported; what is too old tells nothing. */
+  /** Evaluates the usage that a target reported; ignores reports older than `MAX_REPORT_AGE_MS`. */
   onUsage(event: LeaseRenewerEvent & {kind: 'usage'}): void {
     if (event.ageMs > MAX_REPORT_AGE_MS) {
       return;
@@ -28,15 +29,17 @@
     const now = this.context.clock.wallTime();
     for (const {jobId, attempt, processors, memoryMb} of event.usage) {
       const job = this.context.state.getJob(jobId);
-      const part = job?.assignments.find(({target}) => target === event.target);
-      if (!job || !part || job.attempts !== attempt) {
+      const assignment = job?.assignments.find(
+        ({target}) => target === event.target,
+      );
+      if (!job || !assignment || job.attempts !== attempt) {
         continue;
       }
       const throttle = decideThrottle(
         {
           jobId,
           target: event.target,
-          tasks: part.tasks,
+          tasks: assignment.tasks,
           processors,
           memoryMb,
           measuredAt: now - event.ageMs,
@@ -55,13 +58,13 @@
     throttle: Throttle | null | undefined,
   ): void {
     const key = `${target} ${jobId}/${attempt}`;
-    const isThrottled = this.throttled.has(key);
+    const isThrottled = this.throttledKeys.has(key);
     if (throttle && !isThrottled) {
-      this.throttled.add(key);
+      this.throttledKeys.add(key);
       void this.send(target, jobId, attempt, throttle.processors);
     }
     if (throttle === null && isThrottled) {
-      this.throttled.delete(key);
+      this.throttledKeys.delete(key);
       void this.send(target, jobId, attempt, UNLIMITED_PROCESSORS);
     }
   }
@@ -72,17 +75,17 @@
     attempt: number,
     processors: number,
   ): Promise<void> {
-    const {client, findAddress: addressOf, term, logger} = this.context;
-    const address = addressOf(target);
+    const {client, findAddress, term, logger} = this.context;
+    const address = findAddress(target);
     if (!address) {
       return;
     }
     logger.info('throttled', {target, jobId, attempt, processors});
     try {
-      const order = {jobId, attempt, term, processors};
-      await client.throttle(address, order, CALL_TIMEOUT_MS);
+      const command = {jobId, attempt, term, processors};
+      await client.throttle(address, command, THROTTLE_TIMEOUT_MS);
     } catch (error) {
-      this.throttled.delete(`${target} ${jobId}/${attempt}`);
+      this.throttledKeys.delete(`${target} ${jobId}/${attempt}`);
       logger.warn('throttle-failed', {
         target,
         jobId,
--- a/packages/scheduler/src/wait_reason_tracker.ts
+++ b/packages/scheduler/src/wait_reason_tracker.ts
@@ -1,18 +1,18 @@
-/** What each queued job of a failure domain waits for. */
+/** Tracks why the queued jobs of a failure domain wait. */
 import {type Reason, describeReason} from '@galenavalve/model';
 import type {Logger} from '@galenavalve/shared';
 
-/** Remembers the latest reason of each job, and logs when it changes. */
+/** Stores the latest reason of each job, and logs changes of its code. */
 export class WaitReasonTracker {
   private readonly reasons = new Map<string, Reason>();
 
   constructor(private readonly logger: Logger) {}
 
-  /** Notes why a job waits. */
+  /** Sets the reason why a job waits. */
   setReason(jobId: string, reason: Reason): void {
-    const before = this.reasons.get(jobId);
+    const previous = this.reasons.get(jobId);
     this.reasons.set(jobId, reason);
-    if (before?.code !== reason.code) {
+    if (previous?.code !== reason.code) {
       this.logger.info('waits', {
         jobId,
         reason: reason.code,
@@ -21,17 +21,17 @@
     }
   }
 
-  /** Forgets a job that waits no longer. */
+  /** Removes a job that no longer waits. */
   remove(jobId: string): void {
     this.reasons.delete(jobId);
   }
 
-  /** Forgets every job. */
+  /** Removes all jobs. */
   clear(): void {
     this.reasons.clear();
   }
 
-  /** Why a job waits, as of the latest pass. */
+  /** Returns why a job waits, as of the latest pass. */
   getReason(jobId: string): Reason | undefined {
     return this.reasons.get(jobId);
   }
--- a/packages/scheduler/src/waiting_queue.ts
+++ b/packages/scheduler/src/waiting_queue.ts
@@ -1,82 +1,88 @@
-/** The queue of a failure domain as the placement package sees it. */
+/**
+ * Conversion of a failure domain's queue to input of the placement package, and
+ * backoff after failed starts.
+ */
 import type {Job, LedgerState} from '@galenavalve/ledger';
 import {type Reason, createReason} from '@galenavalve/model';
 import type {WaitingJob} from '@galenavalve/placement';
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import {computeRemainingSeconds} from './cells_projection.js';
 
-/** Waiting time after the first failure of a job's start, doubled at each repetition. */
+/** Delay after the first failed start of a job; doubled at each further failure. */
 const BACKOFF_BASE_MS: Milliseconds = 200;
 
-/** Longest waiting time between two tries of one job. */
-const BACKOFF_CAP_MS: Milliseconds = 10_000;
+/** Longest delay between two starts of one job. */
+const MAX_BACKOFF_MS: Milliseconds = 10_000;
 
-/** How long a job avoids a target on which it failed. */
+/** Time for which a job avoids a target on which it failed. */
 const FAILURE_AVOIDANCE_MS: Milliseconds = 60_000;
 
-/** A job that is not offered to the policy, and why. */
-export interface HeldJob {
+/** A queued job that is not passed to the placement policy, and the reason. */
+export interface DeferredJob {
   jobId: string;
   reason: Reason;
 }
 
-/** Jobs that may start now, and those that may not yet. */
+/** Queued jobs that may start now, and those that are deferred. */
 export interface WaitingQueue {
   waiting: WaitingJob[];
-  held: HeldJob[];
+  deferred: DeferredJob[];
 }
 
 interface FailedStart {
   failures: number;
-  until: Instant;
+  retryAt: Instant;
 }
 
-/** Delays the next try of jobs whose start failed. */
+/** Delays the next start of jobs whose start failed. */
 export class StartBackoff {
   private readonly entries = new Map<string, FailedStart>();
 
-  /** Notes a failed start; `jitter` in [0, 1) spreads the tries. */
+  /** Records a failed start; `jitter` in [0, 1) spreads the retries. */
   noteFailure(jobId: string, now: Instant, jitter: number): void {
     const failures = (this.entries.get(jobId)?.failures ?? 0) + 1;
-    const ceiling = Math.min(
-      BACKOFF_CAP_MS,
+    const maxDelayMs = Math.min(
+      MAX_BACKOFF_MS,
       BACKOFF_BASE_MS * 2 ** (failures - 1),
     );
     this.entries.set(jobId, {
       failures,
-      until: now + ceiling * (0.5 + jitter / 2),
+      retryAt: now + maxDelayMs * (0.5 + jitter / 2),
     });
   }
 
-  /** Forgets a job that started or ended. */
+  /** Removes the failures of a job that started or ended. */
   reset(jobId: string): void {
     this.entries.delete(jobId);
   }
 
-  /** Milliseconds until the job may be tried again; 0 when it may be tried now. */
+  /** Returns the milliseconds until the job may be started again; 0 when it may start now. */
   getRemainingMs(jobId: string, now: Instant): Milliseconds {
-    return Math.max(0, (this.entries.get(jobId)?.until ?? now) - now);
+    return Math.max(0, (this.entries.get(jobId)?.retryAt ?? now) - now);
   }
 
-  /** Milliseconds until the next waiting job may be tried; undefined when none waits. */
+  /**
+   * Returns the milliseconds until the next delayed job may start; undefined
+   * when none is delayed.
+   */
   getNextDueMs(now: Instant): Milliseconds | undefined {
     let next: Milliseconds | undefined;
-    for (const {until} of this.entries.values()) {
-      const remaining = until - now;
-      if (remaining > 0 && (next === undefined || remaining < next)) {
-        next = remaining;
+    for (const {retryAt} of this.entries.values()) {
+      const remainingMs = retryAt - now;
+      if (remainingMs > 0 && (next === undefined || remainingMs < next)) {
+        next = remainingMs;
       }
     }
     return next;
   }
 
-  /** Failed starts in a row. */
+  /** Returns the number of consecutive failed starts. */
   countFailures(jobId: string): number {
     return this.entries.get(jobId)?.failures ?? 0;
   }
 }
 
-/** Reads the queue of `domain` from the ledger. */
+/** Reads the queue of `domain` from the ledger. Leaves out jobs that are starting. */
 export function readQueue(
   state: LedgerState,
   domain: string,
@@ -85,14 +91,14 @@
   now: Instant,
   wallNow: number,
 ): WaitingQueue {
-  const queue: WaitingQueue = {waiting: [], held: []};
+  const queue: WaitingQueue = {waiting: [], deferred: []};
   for (const job of state.listQueuedJobs(domain)) {
     if (isStarting(job.jobId)) {
       continue;
     }
-    const reason = findHold(state, job, backoff, now);
+    const reason = findDeferralReason(state, job, backoff, now);
     if (reason) {
-      queue.held.push({jobId: job.jobId, reason});
+      queue.deferred.push({jobId: job.jobId, reason});
     } else {
       queue.waiting.push(toWaitingJob(job, wallNow));
     }
@@ -101,8 +107,9 @@
 }
 
 /**
- * A queued job as the placement package sees it. `wallNow` is wall-clock time;
- * targets on which the job failed lately are avoided.
+ * Converts a queued job to the input type of the placement package. `wallNow` is
+ * wall-clock time. The job avoids targets on which it failed within the last
+ * `FAILURE_AVOIDANCE_MS`.
  */
 export function toWaitingJob(job: Job, wallNow: number): WaitingJob {
   const {request} = job;
@@ -124,7 +131,7 @@
   };
 }
 
-function findHold(
+function findDeferralReason(
   state: LedgerState,
   job: Job,
   backoff: StartBackoff,
@@ -134,10 +141,10 @@
   if (workspace?.requiresApproval && !job.approved) {
     return createReason('waiting-approval');
   }
-  const remaining = backoff.getRemainingMs(job.jobId, now);
-  if (remaining > 0) {
+  const remainingMs = backoff.getRemainingMs(job.jobId, now);
+  if (remainingMs > 0) {
     return createReason('waiting-backoff', {
-      seconds: Math.ceil(remaining / 100) / 10,
+      seconds: Math.ceil(remainingMs / 100) / 10,
       failures: backoff.countFailures(job.jobId),
     });
   }
