--- a/packages/targets/__tests__/fixtures.ts
+++ b/packages/targets/__tests__/fixtures.ts
@@ -1,4 +1,4 @@
-/** Fixtures of the specs of this package. */
+/** Fixtures for the specs of this package. */
 import {type Term, gangShape} from '@galenavalve/model';
 import {ManualClock, SilentLogger} from '@galenavalve/shared';
 import {
@@ -28,7 +28,7 @@
   return {log, outage: 0, instance};
 }
 
-/** Targets t0, t1, ... with a clock and a record of all runs. */
+/** Creates targets t0, t1, ... with a manual clock and a list of all run events. */
 export function createTargets(count: number) {
   const clock = new ManualClock(1000);
   const targets = new MemoryTargets(clock);
@@ -40,7 +40,7 @@
   return {clock, targets, runs};
 }
 
-/** A gang with one task on each of the first `members` targets. */
+/** Creates a gang attempt with one task on each of the first `members` targets. */
 export function createGangAttempt(
   members: number,
   changes: Partial<GangAttempt> = {},
@@ -65,6 +65,7 @@
   };
 }
 
+/** Creates a gang starter that reaches the targets as `caller`. */
 export function createStarter(
   clock: ManualClock,
   targets: MemoryTargets,
@@ -83,13 +84,14 @@
   });
 }
 
+/** Creates a lease renewer with term 1, and collects its events. */
 export function createLeaseRenewer(
   clock: ManualClock,
   targets: MemoryTargets,
-  times: Partial<LeaseRenewerOptions> = {},
+  options: Partial<LeaseRenewerOptions> = {},
   client: TargetClient = targets.createClient('i1'),
 ) {
-  const keeper = new LeaseRenewer({
+  const leaseRenewer = new LeaseRenewer({
     client,
     findAddress: targets.findAddress,
     clock,
@@ -98,11 +100,11 @@
       leaseMs: LEASE_MS,
       renewMs: RENEW_MS,
       callTimeoutMs: CALL_TIMEOUT_MS,
-      ...times,
+      ...options,
     },
   });
   const events: LeaseRenewerEvent[] = [];
-  keeper.onEvent(event => events.push(event));
-  keeper.setTerm(createTerm(1));
-  return {keeper, events};
+  leaseRenewer.onEvent(event => events.push(event));
+  leaseRenewer.setTerm(createTerm(1));
+  return {leaseRenewer, events};
 }
--- a/packages/targets/__tests__/gang_faults.spec.ts
+++ b/packages/targets/__tests__/gang_faults.spec.ts
@@ -1,4 +1,8 @@
-/** Seeded faults against starting and keeping gangs. */
+/**
+ * Property tests of gang starts and renewals under seeded faults. They guard
+ * against partial gangs that run beyond the bound, and against two attempts of a
+ * job that run at the same time because an earlier scheduler was not fenced.
+ */
 import t from 'tap';
 import fc from 'fast-check';
 import {ManualClock, SilentLogger} from '@galenavalve/shared';
@@ -32,18 +36,18 @@
   callTimeoutMs: CALL_TIMEOUT_MS,
 });
 
-/** Something that goes wrong at a time. */
+/** A fault that begins `at` milliseconds after the start and lasts `lengthMs`. */
 interface Incident {
   at: number;
   target: number;
   lengthMs: number;
   kind:
-    | 'silent'
-    | 'late'
-    | 'answers-lost'
+    | 'unreachable'
+    | 'delayed'
+    | 'responses-lost'
     | 'killed'
-    | 'keeper-paused'
-    | 'keeper-dies';
+    | 'renewer-paused'
+    | 'renewer-killed';
 }
 
 const incident: fc.Arbitrary<Incident> = fc.record({
@@ -51,16 +55,16 @@
   target: fc.nat(MEMBERS - 1),
   lengthMs: fc.integer({min: 100, max: 15_000}),
   kind: fc.constantFrom(
-    'silent',
-    'late',
-    'answers-lost',
+    'unreachable',
+    'delayed',
+    'responses-lost',
     'killed',
-    'keeper-paused',
-    'keeper-dies',
+    'renewer-paused',
+    'renewer-killed',
   ),
 });
 
-/** A clock that can be stopped for one process while time goes on. */
+/** A clock of one process that can be paused while the base clock advances. */
 class PausableClock extends ManualClock {
   pausedUntil = 0;
 
@@ -80,21 +84,24 @@
   }
 }
 
-function faultOf({kind, lengthMs}: Incident): TargetFault | undefined {
+function createFault({kind, lengthMs}: Incident): TargetFault | undefined {
   switch (kind) {
-    case 'silent':
+    case 'unreachable':
       return {silent: true};
-    case 'late':
+    case 'delayed':
       return {delayMs: lengthMs};
-    case 'answers-lost':
+    case 'responses-lost':
       return {losesAnswers: true};
     default:
       return undefined;
   }
 }
 
-/** Runs one kept gang through the incidents; returns the longest partial run. */
-async function runThrough(
+/**
+ * Runs one gang with lease renewal through the incidents; returns the longest
+ * partial run in milliseconds.
+ */
+async function runWithIncidents(
   incidents: readonly Incident[],
   guards: Partial<TargetGuards> = {},
 ): Promise<number> {
@@ -109,70 +116,71 @@
       guards,
     });
   }
-  const keeperClock = new PausableClock(clock);
-  const {keeper} = createLeaseRenewer(keeperClock, targets);
-  const dead = new AbortController();
+  const renewerClock = new PausableClock(clock);
+  const {leaseRenewer} = createLeaseRenewer(renewerClock, targets);
+  const killed = new AbortController();
   const inject = async (item: Incident) => {
     await clock.sleep(item.at);
     const target = `t${item.target}`;
     if (item.kind === 'killed') {
       targets.kill(target);
-    } else if (item.kind === 'keeper-paused') {
-      keeperClock.pausedUntil = clock.now() + item.lengthMs;
-    } else if (item.kind === 'keeper-dies') {
-      dead.abort();
+    } else if (item.kind === 'renewer-paused') {
+      renewerClock.pausedUntil = clock.now() + item.lengthMs;
+    } else if (item.kind === 'renewer-killed') {
+      killed.abort();
     } else {
-      targets.setFault(target, faultOf(item));
+      targets.setFault(target, createFault(item));
       await clock.sleep(item.lengthMs);
       targets.setFault(target, undefined);
     }
   };
   const injected = incidents.map(inject);
-  const order = createGangAttempt(MEMBERS);
+  const gangAttempt = createGangAttempt(MEMBERS);
   const starter = createStarter(clock, targets);
   const launch = async () => {
-    const reserved = await starter.reserve(order);
-    if (reserved.kind === 'refused' || dead.signal.aborted) {
+    const reserved = await starter.reserve(gangAttempt);
+    if (reserved.kind === 'refused' || killed.signal.aborted) {
       return;
     }
-    const started = await starter.start(order, () => undefined);
+    const started = await starter.start(gangAttempt, () => undefined);
     if (started.kind === 'started') {
-      keeper.addGang(order);
-      await keeper.run(dead.signal);
+      leaseRenewer.addGang(gangAttempt);
+      await leaseRenewer.run(killed.signal);
     }
   };
   void launch();
   await clock.advance(0);
   await clock.advance(END_MS);
-  dead.abort();
+  killed.abort();
   await clock.advance(0);
   await Promise.all(injected);
   targets.advance();
-  return audit.measureLongestPartialRunMs(order, MEMBERS, clock.now());
+  return audit.measureLongestPartialRunMs(gangAttempt, MEMBERS, clock.now());
 }
 
-t.test('no gang runs in part beyond the bound', async t => {
-  t.test('whatever fails, for whichever time', async () => {
+t.test('no gang runs partially beyond the bound', async t => {
+  t.test('under any sequence of faults', async () => {
     await fc.assert(
       fc.asyncProperty(fc.array(incident, {maxLength: 5}), async incidents => {
-        return (await runThrough(incidents)) <= BOUND_MS;
+        return (await runWithIncidents(incidents)) <= BOUND_MS;
       }),
       {seed: SEED, numRuns: 300},
     );
   });
 
-  t.test('which the check finds broken without leases', async t => {
+  t.test('which is violated without leases', async t => {
     const killed: Incident = {at: 5000, target: 1, lengthMs: 0, kind: 'killed'};
-    t.ok((await runThrough([killed], {leases: false})) > BOUND_MS);
+    t.ok((await runWithIncidents([killed], {leases: false})) > BOUND_MS);
   });
 });
 
 /**
- * A scheduler starts a job while its successor fences the targets, stops what
- * it finds in part, and starts the job again unless it runs whole. Messages
- * go in any order. Returns whether tasks of both attempts ran at once.
+ * Runs a scheduler that starts a job while its successor fences the targets, and
+ * stops and restarts the job unless all of its members run. Messages are
+ * delivered in any order. Returns whether tasks of both attempts ran at the same
+ * time.
  */
-async function haveRivalsOverlapped(
+async function haveAttemptsOverlapped(
   scheduler: fc.Scheduler,
   guards: Partial<TargetGuards> = {},
 ): Promise<boolean> {
@@ -189,24 +197,24 @@
       guards,
     });
   }
-  const first = createRivalOrder(1);
-  const second = createRivalOrder(2);
+  const first = createCompetingAttempt(1);
+  const second = createCompetingAttempt(2);
   const predecessor = createStarter(clock, targets, 'i1');
   const successor = createStarter(clock, targets, 'i2');
-  const reader = new TargetFencer({
+  const fencer = new TargetFencer({
     client: targets.createClient('i2'),
     findAddress: targets.findAddress,
     logger: new SilentLogger(),
     options: {callTimeoutMs: CALL_TIMEOUT_MS},
   });
-  const precede = async () => {
+  const runPredecessor = async () => {
     const {kind} = await predecessor.reserve(first);
     if (kind === 'reserved') {
       await predecessor.start(first, () => undefined);
     }
   };
-  const succeed = async () => {
-    const {reports} = await reader.fenceAll(targets.listIds(), second.term);
+  const runSuccessor = async () => {
+    const {reports} = await fencer.fenceAll(targets.listIds(), second.term);
     const leases = [...reports.values()].flatMap(report => report.leases);
     if (leases.filter(({state}) => state === 'running').length === MEMBERS) {
       return;
@@ -217,11 +225,11 @@
       await successor.start(second, () => undefined);
     }
   };
-  await scheduler.waitFor(Promise.all([precede(), succeed()]));
+  await scheduler.waitFor(Promise.all([runPredecessor(), runSuccessor()]));
   return hasOverlap(audit);
 }
 
-function createRivalOrder(attempt: number): GangAttempt {
+function createCompetingAttempt(attempt: number): GangAttempt {
   const term = createTerm(attempt, `i${attempt}`);
   const {assignments} = createGangAttempt(MEMBERS);
   return createGangAttempt(MEMBERS, {
@@ -244,21 +252,23 @@
 }
 
 t.test('a scheduler and its successor', async t => {
-  t.test('never run two attempts at once', async () => {
+  t.test('never run two attempts at the same time', async () => {
     await fc.assert(
       fc.asyncProperty(
         fc.scheduler(),
-        async scheduler => !(await haveRivalsOverlapped(scheduler)),
+        async scheduler => !(await haveAttemptsOverlapped(scheduler)),
       ),
       {seed: SEED, numRuns: 500},
     );
   });
 
-  t.test('which the check finds broken without fencing', async t => {
+  t.test('which is violated without fencing', async t => {
     const found = await fc.check(
       fc.asyncProperty(fc.scheduler(), async scheduler => {
-        const isBroken = await haveRivalsOverlapped(scheduler, {terms: false});
-        return !isBroken;
+        const hasOverlapped = await haveAttemptsOverlapped(scheduler, {
+          terms: false,
+        });
+        return !hasOverlapped;
       }),
       {seed: SEED, numRuns: 500},
     );
--- a/packages/targets/__tests__/lease_renewer.spec.ts
+++ b/packages/targets/__tests__/lease_renewer.spec.ts
@@ -15,72 +15,72 @@
   createTargets,
 } from './fixtures.js';
 
-/** A gang on three targets that runs and is kept. */
+/** Starts a gang on three targets and renews its leases. */
 async function runGang(
   changes: Partial<GangAttempt> = {},
-  times: Partial<LeaseRenewerOptions> = {},
+  options: Partial<LeaseRenewerOptions> = {},
 ) {
   const {clock, targets, runs} = createTargets(3);
   const starter = createStarter(clock, targets);
-  const order = createGangAttempt(3, changes);
-  await starter.reserve(order);
-  await starter.start(order, () => undefined);
-  const {keeper, events} = createLeaseRenewer(clock, targets, times);
-  keeper.addGang(order);
+  const gangAttempt = createGangAttempt(3, changes);
+  await starter.reserve(gangAttempt);
+  await starter.start(gangAttempt, () => undefined);
+  const {leaseRenewer, events} = createLeaseRenewer(clock, targets, options);
+  leaseRenewer.addGang(gangAttempt);
   const stop = new AbortController();
   t.teardown(() => stop.abort());
-  void keeper.run(stop.signal);
+  void leaseRenewer.run(stop.signal);
   await clock.advance(0);
-  return {clock, targets, runs, order, keeper, events, stop};
+  return {clock, targets, runs, gangAttempt, leaseRenewer, events, stop};
 }
 
-function endsOf(runs: readonly RunEvent[]): number[] {
+function listEndTimes(runs: readonly RunEvent[]): number[] {
   return runs.filter(run => run.kind === 'ended').map(run => run.at);
 }
 
-function kindsOf(events: readonly LeaseRenewerEvent[]): string[] {
+function listEventKinds(events: readonly LeaseRenewerEvent[]): string[] {
   return events.map(event => event.kind).filter(kind => kind !== 'usage');
 }
 
-t.test('a kept gang', async t => {
-  t.test('runs on beyond its first lease, and gives all results', async t => {
+t.test('a gang whose leases are renewed', async t => {
+  t.test('runs beyond its first lease, and returns all results', async t => {
     const {clock, events} = await runGang({payload: {durationMs: 20_000}});
     await clock.advance(25_000);
     const succeeded = events.find(event => event.kind === 'succeeded');
     t.match(succeeded, {jobId: 'job1', results: [0, 1, 2], ranSeconds: 20});
   });
 
-  t.test('keeps its results until they are forgotten', async t => {
-    const {clock, targets, order, keeper} = await runGang({
+  t.test('keeps its results until its end is acknowledged', async t => {
+    const {clock, targets, gangAttempt, leaseRenewer} = await runGang({
       payload: {durationMs: 1000},
     });
     await clock.advance(60_000);
     t.equal(targets.getModel('t0').report(clock.now()).leases.length, 1);
-    keeper.acknowledgeEnd(order.jobId, order.attempt);
-    keeper.removeGang(order.jobId);
+    leaseRenewer.acknowledgeEnd(gangAttempt.jobId, gangAttempt.attempt);
+    leaseRenewer.removeGang(gangAttempt.jobId);
     await clock.advance(3000);
     t.same(targets.getModel('t0').report(clock.now()).leases, []);
   });
 
-  t.test('survives a silence shorter than its lease', async t => {
+  t.test('survives a target unreachable for less than its lease', async t => {
     const {clock, targets, runs, events} = await runGang();
     await clock.advance(5000);
-    const firstAnswers = kindsOf(events).length;
+    const firstEventCount = listEventKinds(events).length;
     targets.setFault('t1', {silent: true});
     await clock.advance(2000);
     targets.setFault('t1', undefined);
     await clock.advance(20_000);
-    t.same(endsOf(runs), []);
-    t.same(kindsOf(events).slice(firstAnswers), [
+    t.same(listEndTimes(runs), []);
+    t.same(listEventKinds(events).slice(firstEventCount), [
       'target-silent',
       'target-answering',
     ]);
   });
 
-  t.test('ends in all members soon after one has died', async t => {
+  t.test('ends on all members soon after one has died', async t => {
     const {clock, targets, runs, events} = await runGang();
     await clock.advance(5000);
-    const diedAt = clock.now();
+    const killedAt = clock.now();
     targets.kill('t1');
     await clock.advance(60_000);
     targets.advance();
@@ -88,12 +88,12 @@
       events.find(event => event.kind === 'member-lost'),
       {culprit: 't1'},
     );
-    t.equal(endsOf(runs).length, 3);
-    const bound = diedAt + LEASE_MS + 2 * CALL_TIMEOUT_MS;
-    t.ok(Math.max(...endsOf(runs)) <= bound);
+    t.equal(listEndTimes(runs).length, 3);
+    const bound = killedAt + LEASE_MS + 2 * CALL_TIMEOUT_MS;
+    t.ok(Math.max(...listEndTimes(runs)) <= bound);
   });
 
-  t.test('is lost when a target comes back without it', async t => {
+  t.test('is lost when a target restarts without it', async t => {
     const {clock, targets, events} = await runGang();
     await clock.advance(5000);
     targets.kill('t1');
@@ -105,17 +105,17 @@
     );
   });
 
-  t.test('is kept while another target is silent for long', async t => {
+  t.test('is renewed while another target is unreachable for long', async t => {
     const slow = {renewMs: 1000, callTimeoutMs: 1100};
-    const {clock, targets, runs, keeper} = await runGang({}, slow);
+    const {clock, targets, runs, leaseRenewer} = await runGang({}, slow);
     targets.add({id: 'idle', capacity: CAPACITY});
-    const [part] = createGangAttempt(1).assignments;
-    const assignments = [{...part!, target: 'idle'}];
-    keeper.addGang(createGangAttempt(1, {jobId: 'job2', assignments}));
+    const [assignment] = createGangAttempt(1).assignments;
+    const assignments = [{...assignment!, target: 'idle'}];
+    leaseRenewer.addGang(createGangAttempt(1, {jobId: 'job2', assignments}));
     targets.setFault('idle', {silent: true});
     await clock.advance(30_000);
     targets.advance();
-    t.same(endsOf(runs), []);
+    t.same(listEndTimes(runs), []);
   });
 
   t.test('names the task that failed', async t => {
@@ -129,31 +129,35 @@
     );
   });
 
-  t.test('is read again after a pause, and not renewed in part', async t => {
-    const {clock, targets, runs, order, keeper, events, stop} = await runGang();
-    await clock.advance(5000);
-    stop.abort();
-    await clock.advance(LEASE_MS + 2000);
-    await keeper.runRound();
-    targets.advance();
-    t.equal(endsOf(runs).length, 3);
-    t.match(events.at(-1), {kind: 'member-lost', jobId: order.jobId});
-  });
+  t.test(
+    'is polled again after a pause, and not renewed partially',
+    async t => {
+      const {clock, targets, runs, gangAttempt, leaseRenewer, events, stop} =
+        await runGang();
+      await clock.advance(5000);
+      stop.abort();
+      await clock.advance(LEASE_MS + 2000);
+      await leaseRenewer.runRound();
+      targets.advance();
+      t.equal(listEndTimes(runs).length, 3);
+      t.match(events.at(-1), {kind: 'member-lost', jobId: gangAttempt.jobId});
+    },
+  );
 });
 
 t.test('a renewal has the same size for one lease and for many', async t => {
-  const sizes = await Promise.all([1, 23].map(measureRound));
+  const sizes = await Promise.all([1, 23].map(measureRenewalBytes));
   t.equal(sizes[0], sizes[1]);
   t.ok(Number(sizes[1]) < 500);
 });
 
-/** Bytes of one renewal and its answer, as JSON, with so many gangs on one target. */
-async function measureRound(gangs: number): Promise<number> {
+/** Returns the bytes of one renewal and its response, as JSON, with `gangs` gangs on one target. */
+async function measureRenewalBytes(gangs: number): Promise<number> {
   const {clock, targets} = createTargets(1);
   const starter = createStarter(clock, targets);
   const client = targets.createClient('i1');
   let bytes = 0;
-  const {keeper} = createLeaseRenewer(
+  const {leaseRenewer} = createLeaseRenewer(
     clock,
     targets,
     {},
@@ -167,29 +171,29 @@
     },
   );
   for (let i = 0; i < gangs; i++) {
-    const order = createGangAttempt(1, {
+    const gangAttempt = createGangAttempt(1, {
       jobId: `job${i}`,
       assignments: [{target: 't0', firstTask: 0, tasks: 1, accelerators: 0}],
     });
-    await starter.reserve(order);
-    await starter.start(order, () => undefined);
-    keeper.addGang(order);
+    await starter.reserve(gangAttempt);
+    await starter.start(gangAttempt, () => undefined);
+    leaseRenewer.addGang(gangAttempt);
   }
   for (let round = 0; round < 3; round++) {
     await clock.advance(1000);
-    await keeper.runRound();
+    await leaseRenewer.runRound();
   }
   return bytes;
 }
 
-t.test('an idle target is asked, and tells that it leaves', async t => {
+t.test('an idle target is polled and reported as leaving', async t => {
   const {clock, targets} = createTargets(1);
-  const {keeper, events} = createLeaseRenewer(clock, targets);
-  keeper.setPolledTargets(['t0']);
-  await keeper.runRound();
+  const {leaseRenewer, events} = createLeaseRenewer(clock, targets);
+  leaseRenewer.setPolledTargets(['t0']);
+  await leaseRenewer.runRound();
   targets.getModel('t0').leaving = true;
   await clock.advance(10_000);
-  await keeper.runRound();
+  await leaseRenewer.runRound();
   t.same(events, [
     {kind: 'target-answering', target: 't0'},
     {kind: 'target-staying', target: 't0'},
--- a/packages/targets/__tests__/target_health.spec.ts
+++ b/packages/targets/__tests__/target_health.spec.ts
@@ -21,21 +21,24 @@
     t.ok(health.isOnProbation('t0', 60 * SECOND));
   });
 
-  t.test('is not blamed for one job that fails again and again', async t => {
+  t.test('is not quarantined for one job that fails repeatedly', async t => {
     t.equal(createHealth(['a', 'a', 'a', 'a']).getCondition('t0', 0), 'well');
   });
 
-  t.test('is not blamed for jobs that fail elsewhere too', async t => {
-    const health = new TargetHealth(() => RULES);
-    for (const job of ['a', 'b', 'c']) {
-      health.noteFailure('t1', job, 0);
-      health.noteSuccess('t1', 0);
-      health.noteFailure('t0', job, 0);
-    }
-    t.equal(health.getCondition('t0', 0), 'well');
-  });
+  t.test(
+    'is not quarantined for jobs that also fail on other targets',
+    async t => {
+      const health = new TargetHealth(() => RULES);
+      for (const job of ['a', 'b', 'c']) {
+        health.noteFailure('t1', job, 0);
+        health.noteSuccess('t1', 0);
+        health.noteFailure('t0', job, 0);
+      }
+      t.equal(health.getCondition('t0', 0), 'well');
+    },
+  );
 
-  t.test('is quarantined for longer when its probe fails', async t => {
+  t.test('is quarantined for longer when its probation run fails', async t => {
     const health = createHealth(['a', 'b', 'c']);
     health.noteFailure('t0', 'd', 60 * SECOND);
     t.equal(health.getCondition('t0', 179 * SECOND), 'quarantined');
@@ -51,7 +54,7 @@
     t.equal(health.getCondition('t0', 500), 'well');
   });
 
-  t.test('gets no work while it is silent or leaving', async t => {
+  t.test('gets no work while it is unreachable or leaving', async t => {
     const health = createHealth([]);
     health.setUnreachable('t0', true);
     t.equal(health.getCondition('t0', 0), 'unreachable');
--- a/packages/targets/src/gang_attempt.ts
+++ b/packages/targets/src/gang_attempt.ts
@@ -1,8 +1,8 @@
-/** What is to run where: the input of starting, keeping and stopping a gang. */
+/** Gang attempts: the input for starting, renewing and stopping a gang. */
 import type {Assignment, GangShape, JobRequest, Term} from '@galenavalve/model';
 import type {LeaseKey, Reservation, TargetAddress} from './target_client.js';
 
-/** One attempt to run a gang on given targets. */
+/** One attempt to run a gang on given targets. `attempt` counts from 1. */
 export interface GangAttempt {
   jobId: string;
   attempt: number;
@@ -17,42 +17,42 @@
   progressSeconds: number;
 }
 
-/** What is needed to stop a gang. */
+/** The part of a gang attempt that is needed to stop the gang. */
 export type GangMembers = Pick<
   GangAttempt,
   'jobId' | 'attempt' | 'term' | 'assignments'
 >;
 
-/** Finds where a target is reached; undefined for one that is no longer in the inventory. */
+/** Returns the address of a target; undefined when it is no longer in the inventory. */
 export type AddressLookup = (target: string) => TargetAddress | undefined;
 
-/** The reservation of one member. */
+/** Creates the reservation of one member; `ttlMs` is its time to live. */
 export function createReservation(
-  order: GangAttempt,
+  gangAttempt: GangAttempt,
   assignment: Assignment,
   ttlMs: number,
 ): Reservation {
-  const {processors, memoryMb} = order.gang.perTask;
+  const {processors, memoryMb} = gangAttempt.gang.perTask;
   return {
-    ...toLeaseKey(order),
-    term: order.term,
-    workspace: order.workspace,
+    ...toLeaseKey(gangAttempt),
+    term: gangAttempt.term,
+    workspace: gangAttempt.workspace,
     firstTask: assignment.firstTask,
     tasks: assignment.tasks,
     accelerators: assignment.accelerators,
     processors,
     memoryMb,
-    checkpointable: order.checkpointable,
+    checkpointable: gangAttempt.checkpointable,
     ttlMs,
   };
 }
 
-/** The lease key of an attempt, the same on each of its targets. */
-export function toLeaseKey(order: LeaseKey): LeaseKey {
-  return {jobId: order.jobId, attempt: order.attempt};
+/** Returns the lease key of an attempt, which is the same on all of its targets. */
+export function toLeaseKey(key: LeaseKey): LeaseKey {
+  return {jobId: key.jobId, attempt: key.attempt};
 }
 
-/** The lease key as a text, for maps. */
+/** Formats a lease key as a map key. */
 export function formatLeaseKey(key: LeaseKey): string {
   return `${key.jobId}/${key.attempt}`;
 }
--- a/packages/targets/src/gang_monitor.ts
+++ b/packages/targets/src/gang_monitor.ts
@@ -1,48 +1,51 @@
-/** Judges one gang by what its members' targets report. */
+/** Tracks the reports on the members of one gang, and decides the outcome of the gang. */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import {type GangAttempt, toLeaseKey} from './gang_attempt.js';
 import type {GangOutcome} from './lease_renewer_event.js';
 import type {LeaseReport} from './target_client.js';
 
-/** Age at which a gang's members are asked first, before the next round. */
-const FIRST_LOOK_MS: Milliseconds = 50;
+/** Age of a gang at its first poll between rounds. */
+const FIRST_POLL_AGE_MS: Milliseconds = 50;
 
-/** Age from which the rounds alone ask a gang's members. */
-const LAST_LOOK_MS: Milliseconds = 2_000;
+/** Age from which a gang is polled only by the rounds. */
+const MAX_POLL_AGE_MS: Milliseconds = 2_000;
 
-/** One member as last heard of. */
+/** State of one member as last reported. */
 interface Member {
   target: string;
   firstTask: number;
-  /** Absent until the target has reported, and when it knows nothing of the tasks. */
+  /** Absent until the target has reported, and when it has no lease of the tasks. */
   report?: LeaseReport;
-  /** Whether its target answered in the latest round. */
-  isAnswering: boolean;
-  /** Local time before which its lease cannot have lapsed. */
+  /**
+   * Whether its target responded to the latest renewal call; stays true once
+   * the member succeeded.
+   */
+  isReachable: boolean;
+  /** Local time before which its lease cannot have expired. */
   expiresAt: Instant;
 }
 
-/** The members of one gang, and the verdict on it. */
+/** Monitors the members of one gang, and decides its outcome once. */
 export class GangMonitor {
-  /** When its members are asked next in between rounds; infinite once the rounds suffice. */
+  /** Local time of the next poll between rounds; infinite once only rounds poll the gang. */
   nextPollAt: Instant;
   private readonly members: Map<string, Member>;
-  private verdict?: GangOutcome;
+  private outcome?: GangOutcome;
 
   constructor(
     readonly gangAttempt: GangAttempt,
-    private readonly followedAt: Instant,
+    private readonly addedAt: Instant,
     leaseMs: Milliseconds,
   ) {
-    this.nextPollAt = followedAt + FIRST_LOOK_MS;
+    this.nextPollAt = addedAt + FIRST_POLL_AGE_MS;
     this.members = new Map(
       gangAttempt.assignments.map(({target, firstTask}) => [
         target,
         {
           target,
           firstTask,
-          isAnswering: false,
-          expiresAt: followedAt + leaseMs,
+          isReachable: false,
+          expiresAt: addedAt + leaseMs,
         },
       ]),
     );
@@ -50,25 +53,25 @@
 
   // Commands
 
-  /** Takes in what a target said of this gang; undefined when it said nothing of it. */
+  /** Applies a target's report on this gang; undefined when the target has no lease of it. */
   onReport(target: string, report: LeaseReport | undefined): void {
     const member = this.members.get(target);
     if (!member || member.report?.state === 'succeeded') {
       return;
     }
-    member.isAnswering = true;
+    member.isReachable = true;
     member.report = report;
   }
 
-  /** The target did not answer. */
+  /** Handles a target that did not respond. */
   onUnreachable(target: string): void {
     const member = this.members.get(target);
     if (member) {
-      member.isAnswering = member.report?.state === 'succeeded';
+      member.isReachable = member.report?.state === 'succeeded';
     }
   }
 
-  /** The target acknowledged a renewal that lasts at least until then. */
+  /** Handles a renewal that the target acknowledged; the lease lasts at least until `expiresAt`. */
   onRenewed(target: string, expiresAt: Instant): void {
     const member = this.members.get(target);
     if (member) {
@@ -76,75 +79,85 @@
     }
   }
 
-  /** Its members were asked; the next look comes when the gang is twice as old. */
+  /** Handles a poll of the members; schedules the next one for when the gang is twice as old. */
   onPolled(now: Instant): void {
-    const age = now - this.followedAt;
-    this.nextPollAt = age < LAST_LOOK_MS ? now + age : Infinity;
+    const age = now - this.addedAt;
+    this.nextPollAt = age < MAX_POLL_AGE_MS ? now + age : Infinity;
   }
 
-  /** Nothing that was heard before counts any more. */
+  /** Invalidates earlier reports, except those of succeeded members. */
   invalidateReports(): void {
     for (const member of this.members.values()) {
-      member.isAnswering = member.report?.state === 'succeeded';
+      member.isReachable = member.report?.state === 'succeeded';
     }
   }
 
-  /** Decides; returns the verdict only when it is new. A member that is silent until `marginMs` before its lease ends is lost. */
+  /**
+   * Decides the outcome, and returns it only on the call that decides it. A
+   * member that is unreachable until `marginMs` before its lease expires is lost.
+   */
   evaluate(now: Instant, marginMs: Milliseconds): GangOutcome | undefined {
-    if (this.verdict) {
+    if (this.outcome) {
       return undefined;
     }
-    for (const member of this.listSilentFirst()) {
-      this.judgeMember(member, now, marginMs);
+    for (const member of this.listUnreachableFirst()) {
+      this.evaluateMember(member, now, marginMs);
     }
-    if (!this.verdict && this.isComplete()) {
-      this.verdict = this.succeed();
+    if (!this.outcome && this.isComplete()) {
+      this.outcome = this.createSuccess();
     }
-    return this.verdict;
+    return this.outcome;
   }
 
   // Queries
 
+  /** Targets of the members. */
   get targets(): Iterable<string> {
     return this.members.keys();
   }
 
-  /** Whether every member was well in the latest round. */
+  /** Returns whether every member is reachable and is running or has succeeded. */
   isRenewable(): boolean {
-    if (this.verdict) {
+    if (this.outcome) {
       return false;
     }
     return [...this.members.values()].every(
       member =>
-        member.isAnswering &&
+        member.isReachable &&
         (member.report?.state === 'running' ||
           member.report?.state === 'succeeded'),
     );
   }
 
-  /** The others' leases lapse because of a silent member, which is then the culprit. */
-  private listSilentFirst(): Member[] {
+  /**
+   * Lists unreachable members first. The leases of the other members expire
+   * because of an unreachable one, which must then be named as the culprit.
+   */
+  private listUnreachableFirst(): Member[] {
     const members = [...this.members.values()];
     return members.sort(
-      (a, b) => Number(a.isAnswering) - Number(b.isAnswering),
+      (a, b) => Number(a.isReachable) - Number(b.isReachable),
     );
   }
 
-  private judgeMember(
+  private evaluateMember(
     member: Member,
     now: Instant,
     marginMs: Milliseconds,
   ): void {
-    if (this.verdict) {
+    if (this.outcome) {
       return;
     }
     const {target, report} = member;
-    if (!member.isAnswering) {
+    if (!member.isReachable) {
       if (now >= member.expiresAt - marginMs) {
-        this.conclude(target, 'it was silent until its lease ended');
+        this.setMemberLost(
+          target,
+          'it was unreachable until its lease expired',
+        );
       }
     } else if (report?.state === 'failed') {
-      this.verdict = {
+      this.outcome = {
         kind: 'failed',
         ...toLeaseKey(this.gangAttempt),
         culprit: target,
@@ -152,15 +165,15 @@
         problem: report.problem ?? 'the task failed',
       };
     } else if (report?.state !== 'running' && report?.state !== 'succeeded') {
-      this.conclude(
+      this.setMemberLost(
         target,
-        `its tasks are ${report?.state ?? 'unknown to it'}`,
+        `the state of its tasks is ${report?.state ?? 'unknown'}`,
       );
     }
   }
 
-  private conclude(culprit: string, problem: string): void {
-    this.verdict ??= {
+  private setMemberLost(culprit: string, problem: string): void {
+    this.outcome ??= {
       kind: 'member-lost',
       ...toLeaseKey(this.gangAttempt),
       culprit,
@@ -174,7 +187,7 @@
     );
   }
 
-  private succeed(): GangOutcome {
+  private createSuccess(): GangOutcome {
     const members = [...this.members.values()];
     members.sort((a, b) => a.firstTask - b.firstTask);
     const progress = members.map(item => item.report?.progressSeconds ?? 0);
--- a/packages/targets/src/gang_starter.ts
+++ b/packages/targets/src/gang_starter.ts
@@ -1,4 +1,4 @@
-/** Starts gangs whole or not at all. */
+/** Two-phase start of gangs: reserves every member, then starts every member or none. */
 import type {Assignment, Reason} from '@galenavalve/model';
 import {createReason} from '@galenavalve/model';
 import {
@@ -41,16 +41,16 @@
       reason: Reason;
     };
 
-/** Times of the start path. */
+/** Timings of the gang starter. */
 export interface GangStarterOptions {
-  /** Time to live of a reservation, in milliseconds. */
+  /** Time to live of a reservation; 2000 by default. */
   reservationTtlMs?: Milliseconds;
   callTimeoutMs: Milliseconds;
-  /** Run time lease of a started task, in milliseconds. */
+  /** Length of the first lease of started tasks. */
   leaseMs: Milliseconds;
 }
 
-/** What the starter works with. */
+/** Dependencies of a gang starter. */
 export interface GangStarterDependencies {
   client: TargetClient;
   findAddress: AddressLookup;
@@ -61,131 +61,155 @@
 
 const DEFAULT_RESERVATION_TTL_MS = 2000;
 
-/** Part of its time to live after which a reservation is renewed. */
-const RENEW_SHARE = 1 / 3;
+/** Share of its time to live after which a reservation is renewed. */
+const RENEWAL_TTL_SHARE = 1 / 3;
 
-/** Ends the members at once, without saving. */
+/** Stops the members at once, without a checkpoint. */
 const STOP_NOW: StopOptions = {checkpoint: false, graceMs: 0};
 
-/** The reservations that a gang holds. */
-interface HeldGang {
-  /** Local deadline, before that of every target. */
+/** The reservations of one gang. */
+interface GangReservation {
+  /** Local expiry time, which is earlier than that of every target. */
   expiresAt: Instant;
-  /** Latest grant by target, in the target's own clock. */
+  /** Latest grant by target, in milliseconds of the target's own clock. */
   grants: Map<string, number>;
 }
 
-/** The outcome of one call to one member. */
-type MemberAnswer =
+/** The response to one call to one member. */
+type MemberResponse =
   | {target: string; kind: 'ok'; grantedAt: number}
   | {target: string; kind: 'refused' | 'unreachable'; problem: string};
 
 /** Reserves, starts and stops gangs. */
 export class GangStarter {
-  private readonly held = new Map<string, HeldGang>();
+  private readonly reservations = new Map<string, GangReservation>();
   private readonly stopper: GangStopper;
   private readonly ttlMs: Milliseconds;
 
-  constructor(private readonly parts: GangStarterDependencies) {
-    const {callTimeoutMs, reservationTtlMs} = parts.options;
-    this.stopper = new GangStopper({...parts, callTimeoutMs});
+  constructor(private readonly dependencies: GangStarterDependencies) {
+    const {callTimeoutMs, reservationTtlMs} = dependencies.options;
+    this.stopper = new GangStopper({...dependencies, callTimeoutMs});
     this.ttlMs = reservationTtlMs ?? DEFAULT_RESERVATION_TTL_MS;
   }
 
-  /** Reserves every member in parallel. After a refusal all are released. */
-  async reserve(order: GangAttempt): Promise<ReservationResult> {
-    const sentAt = this.parts.clock.now();
-    const answers = await this.reserveAll(order);
-    const failed = answers.find(answer => answer.kind !== 'ok');
+  /** Reserves every member in parallel. If one is refused or unreachable, all are released. */
+  async reserve(gangAttempt: GangAttempt): Promise<ReservationResult> {
+    const sentAt = this.dependencies.clock.now();
+    const responses = await this.reserveAll(gangAttempt);
+    const failed = responses.find(response => response.kind !== 'ok');
     if (failed) {
-      await this.release(order);
+      await this.release(gangAttempt);
       const reason = createReason('waiting-targets', {
         target: failed.target,
         problem: failed.problem,
       });
-      this.log('gang-refused', order, {reason});
+      this.log('gang-refused', gangAttempt, {reason});
       return {kind: 'refused', culprit: failed.target, reason};
     }
-    const held = {expiresAt: sentAt + this.ttlMs, grants: grantsOf(answers)};
-    this.held.set(formatLeaseKey(order), held);
-    return {kind: 'reserved', expiresAt: held.expiresAt};
+    const reservation = {
+      expiresAt: sentAt + this.ttlMs,
+      grants: collectGrants(responses),
+    };
+    this.reservations.set(formatLeaseKey(gangAttempt), reservation);
+    return {kind: 'reserved', expiresAt: reservation.expiresAt};
   }
 
-  /** Renews the reservations until `until` or the abort, while an append is pending. */
+  /** Renews the reservations while an append is pending, until `until` or the abort. */
   async renewReservations(
-    order: GangAttempt,
+    gangAttempt: GangAttempt,
     until: Instant,
     signal: AbortSignal,
   ): Promise<void> {
-    const {clock} = this.parts;
+    const {clock} = this.dependencies;
     while (!signal.aborted && clock.now() < until) {
-      await clock.sleep(this.ttlMs * RENEW_SHARE, signal);
-      const held = this.held.get(formatLeaseKey(order));
-      if (signal.aborted || !held) {
+      await clock.sleep(this.ttlMs * RENEWAL_TTL_SHARE, signal);
+      const reservation = this.reservations.get(formatLeaseKey(gangAttempt));
+      if (signal.aborted || !reservation) {
         return;
       }
       const sentAt = clock.now();
-      const answers = await this.reserveAll(order);
-      if (answers.some(answer => answer.kind !== 'ok')) {
+      const responses = await this.reserveAll(gangAttempt);
+      if (responses.some(response => response.kind !== 'ok')) {
         continue;
       }
-      held.expiresAt = sentAt + this.ttlMs;
-      held.grants = grantsOf(answers);
+      reservation.expiresAt = sentAt + this.ttlMs;
+      reservation.grants = collectGrants(responses);
     }
   }
 
-  /** Releases reservations that will not be started. */
-  async release(order: GangMembers): Promise<void> {
-    this.held.delete(formatLeaseKey(order));
-    await this.stopper.stop(order, STOP_NOW);
+  /** Releases reservations that are not going to be started. */
+  async release(gangAttempt: GangMembers): Promise<void> {
+    this.reservations.delete(formatLeaseKey(gangAttempt));
+    await this.stopper.stop(gangAttempt, STOP_NOW);
   }
 
   /**
-   * Starts every member, or none. `isStillAllowed` is asked immediately before
-   * the first order leaves, and gives the reason against the start, if any.
+   * Starts every member or none. `findStartBlocker` is called immediately before
+   * the first start command is sent, and returns the reason why the gang must not
+   * start, if any.
    */
   async start(
-    order: GangAttempt,
-    isStillAllowed: (now: Instant) => Reason | undefined,
+    gangAttempt: GangAttempt,
+    findStartBlocker: (now: Instant) => Reason | undefined,
   ): Promise<GangStartResult> {
-    const now = this.parts.clock.now();
-    const held = this.held.get(formatLeaseKey(order));
-    const objection = this.findLapse(order, held, now) ?? isStillAllowed(now);
-    if (objection || !held) {
-      await this.release(order);
-      return this.refuse(order, false, objection ?? lapseReason(order));
+    const now = this.dependencies.clock.now();
+    const reservation = this.reservations.get(formatLeaseKey(gangAttempt));
+    const blocker =
+      this.findExpiredReason(gangAttempt, reservation, now) ??
+      findStartBlocker(now);
+    if (blocker || !reservation) {
+      await this.release(gangAttempt);
+      return this.createNotStartedResult(
+        gangAttempt,
+        false,
+        blocker ?? createExpiredReason(gangAttempt),
+      );
     }
-    this.held.delete(formatLeaseKey(order));
-    const answers = await Promise.all(
-      order.assignments.map(item => this.startMember(order, item, held)),
+    this.reservations.delete(formatLeaseKey(gangAttempt));
+    const responses = await Promise.all(
+      gangAttempt.assignments.map(assignment =>
+        this.startMember(gangAttempt, assignment, reservation),
+      ),
     );
-    const failed = answers.find(answer => answer.kind !== 'ok');
+    const failed = responses.find(response => response.kind !== 'ok');
     if (!failed) {
-      this.log('gang-started', order, {});
+      this.log('gang-started', gangAttempt, {});
       return {kind: 'started'};
     }
-    const stopped = await this.stopper.stop(order, STOP_NOW);
-    const mayHaveRun = !isProvenUnstarted(order, answers, stopped);
+    const stopResult = await this.stopper.stop(gangAttempt, STOP_NOW);
+    const mayHaveRun = !isProvenUnstarted(gangAttempt, responses, stopResult);
     const reason = createReason('start-refused', {
       target: failed.target,
       problem: failed.problem,
     });
-    return this.refuse(order, mayHaveRun, reason, failed.target);
+    return this.createNotStartedResult(
+      gangAttempt,
+      mayHaveRun,
+      reason,
+      failed.target,
+    );
   }
 
-  /** Stops every member, and tells what became of it. */
-  stop(order: GangMembers, options: StopOptions): Promise<GangStopResult> {
-    this.held.delete(formatLeaseKey(order));
-    return this.stopper.stop(order, options);
+  /** Stops every member, and returns the final state of each. */
+  stop(
+    gangAttempt: GangMembers,
+    options: StopOptions,
+  ): Promise<GangStopResult> {
+    this.reservations.delete(formatLeaseKey(gangAttempt));
+    return this.stopper.stop(gangAttempt, options);
   }
 
-  private reserveAll(order: GangAttempt): Promise<MemberAnswer[]> {
+  private reserveAll(gangAttempt: GangAttempt): Promise<MemberResponse[]> {
     return Promise.all(
-      order.assignments.map(assignment =>
-        this.ask(assignment.target, async address => {
-          const reservation = createReservation(order, assignment, this.ttlMs);
-          const {callTimeoutMs} = this.parts.options;
-          const grant = await this.parts.client.reserve(
+      gangAttempt.assignments.map(assignment =>
+        this.callMember(assignment.target, async address => {
+          const reservation = createReservation(
+            gangAttempt,
+            assignment,
+            this.ttlMs,
+          );
+          const {callTimeoutMs} = this.dependencies.options;
+          const grant = await this.dependencies.client.reserve(
             address,
             reservation,
             callTimeoutMs,
@@ -197,32 +221,32 @@
   }
 
   private startMember(
-    order: GangAttempt,
+    gangAttempt: GangAttempt,
     {target}: Assignment,
-    held: HeldGang,
-  ): Promise<MemberAnswer> {
-    return this.ask(target, async address => {
-      const {callTimeoutMs, leaseMs} = this.parts.options;
-      const grantedAt = held.grants.get(target) ?? 0;
-      const startOrder = {
-        ...toLeaseKey(order),
-        term: order.term,
+    reservation: GangReservation,
+  ): Promise<MemberResponse> {
+    return this.callMember(target, async address => {
+      const {callTimeoutMs, leaseMs} = this.dependencies.options;
+      const grantedAt = reservation.grants.get(target) ?? 0;
+      const command = {
+        ...toLeaseKey(gangAttempt),
+        term: gangAttempt.term,
         grantedAt,
         leaseMs,
-        progressSeconds: order.progressSeconds,
-        payload: order.payload,
+        progressSeconds: gangAttempt.progressSeconds,
+        payload: gangAttempt.payload,
       };
-      await this.parts.client.start(address, startOrder, callTimeoutMs);
+      await this.dependencies.client.start(address, command, callTimeoutMs);
       return grantedAt;
     });
   }
 
-  private async ask(
+  private async callMember(
     target: string,
     call: (address: TargetAddress) => Promise<number>,
-  ): Promise<MemberAnswer> {
+  ): Promise<MemberResponse> {
     try {
-      const address = this.parts.findAddress(target);
+      const address = this.dependencies.findAddress(target);
       if (!address) {
         const problem = 'it is not in the inventory';
         throw new Failure('target-refused', {target, problem});
@@ -231,75 +255,83 @@
     } catch (error) {
       const isRefusal = isFailure(error, 'target-refused');
       const kind = isRefusal ? 'refused' : 'unreachable';
-      return {target, kind, problem: problemOf(error)};
+      return {target, kind, problem: describeProblem(error)};
     }
   }
 
-  private findLapse(
-    order: GangAttempt,
-    held: HeldGang | undefined,
+  private findExpiredReason(
+    gangAttempt: GangAttempt,
+    reservation: GangReservation | undefined,
     now: Instant,
   ): Reason | undefined {
-    const isHeld = held !== undefined && now < held.expiresAt;
-    return isHeld ? undefined : lapseReason(order);
+    const isReserved = reservation !== undefined && now < reservation.expiresAt;
+    return isReserved ? undefined : createExpiredReason(gangAttempt);
   }
 
-  private refuse(
-    order: GangAttempt,
+  private createNotStartedResult(
+    gangAttempt: GangAttempt,
     mayHaveRun: boolean,
     reason: Reason,
     culprit?: string,
   ): GangStartResult {
-    this.log('gang-not-started', order, {mayHaveRun, culprit, reason});
+    this.log('gang-not-started', gangAttempt, {mayHaveRun, culprit, reason});
     return {kind: 'not-started', mayHaveRun, culprit, reason};
   }
 
   private log(
     event: string,
-    order: GangAttempt,
+    gangAttempt: GangAttempt,
     fields: Record<string, unknown>,
   ): void {
-    const targets = order.assignments.map(assignment => assignment.target);
-    this.parts.logger.info(event, {...toLeaseKey(order), targets, ...fields});
+    const targets = gangAttempt.assignments.map(
+      assignment => assignment.target,
+    );
+    this.dependencies.logger.info(event, {
+      ...toLeaseKey(gangAttempt),
+      targets,
+      ...fields,
+    });
   }
 }
 
-function grantsOf(answers: readonly MemberAnswer[]): Map<string, number> {
+function collectGrants(
+  responses: readonly MemberResponse[],
+): Map<string, number> {
   const grants = new Map<string, number>();
-  for (const answer of answers) {
-    if (answer.kind === 'ok') {
-      grants.set(answer.target, answer.grantedAt);
+  for (const response of responses) {
+    if (response.kind === 'ok') {
+      grants.set(response.target, response.grantedAt);
     }
   }
   return grants;
 }
 
 /**
- * Proof that no task has started and none will: each target refused the
- * start, or said at the stop that it had only a reservation.
+ * Returns whether no task has started or will start: each target refused the
+ * start, or reported at the stop that it had only a reservation.
  */
 function isProvenUnstarted(
-  order: GangMembers,
-  answers: readonly MemberAnswer[],
-  stopped: GangStopResult,
+  gangAttempt: GangMembers,
+  responses: readonly MemberResponse[],
+  stopResult: GangStopResult,
 ): boolean {
   const stateByFirstTask = new Map(
-    stopped.reports.map(report => [report.firstTask, report.state]),
+    stopResult.reports.map(report => [report.firstTask, report.state]),
   );
-  return order.assignments.every((assignment, i) => {
+  return gangAttempt.assignments.every((assignment, i) => {
     const isReleased =
       stateByFirstTask.get(assignment.firstTask) === 'reserved';
-    return answers[i]?.kind === 'refused' || isReleased;
+    return responses[i]?.kind === 'refused' || isReleased;
   });
 }
 
-function lapseReason(order: GangAttempt): Reason {
-  const target = order.assignments[0]?.target ?? '';
-  const problem = 'the reservations lapsed before the start';
+function createExpiredReason(gangAttempt: GangAttempt): Reason {
+  const target = gangAttempt.assignments[0]?.target ?? '';
+  const problem = 'the reservations expired before the start';
   return createReason('start-refused', {target, problem});
 }
 
-function problemOf(error: unknown): string {
+function describeProblem(error: unknown): string {
   return isFailure(error) && typeof error.details.problem === 'string'
     ? error.details.problem
     : describeError(error);
--- a/packages/targets/src/gang_stopper.ts
+++ b/packages/targets/src/gang_stopper.ts
@@ -1,4 +1,4 @@
-/** Stops gangs, and learns what became of their tasks. */
+/** Stops gangs, and collects the final state of their members. */
 import {
   type Clock,
   type Instant,
@@ -13,30 +13,30 @@
 } from './gang_attempt.js';
 import type {LeaseReport, TargetClient} from './target_client.js';
 
-/** Time between two questions whether progress is saved. */
-const SAVE_POLL_MS = 100;
+/** Interval at which a member is polled while it saves its progress. */
+const CHECKPOINT_POLL_MS = 100;
 
-/** How a gang is stopped. */
+/** Options for stopping a gang. */
 export interface StopOptions {
-  /** True to save progress first. */
+  /** Whether progress is saved first. */
   checkpoint: boolean;
-  /** Time that the tasks get to save their progress, in milliseconds. */
+  /** Time in which the tasks may save their progress, in milliseconds. */
   graceMs: Milliseconds;
 }
 
-/** What became of a gang that was stopped. */
+/** Result of stopping a gang. */
 export interface GangStopResult {
-  /** By member; a target that knew nothing of the gang gives none. */
+  /** Report of each member that had a lease. */
   reports: LeaseReport[];
-  /** Targets that did not answer. Their tasks end with their lease. */
+  /** Targets that did not respond. Their tasks end when their lease expires. */
   unreachable: string[];
-  /** Targets that knew nothing of the gang. */
+  /** Targets that had no lease of the gang. */
   targetsWithoutLease: string[];
-  /** Progress that every member has saved, in seconds. */
+  /** Progress that every member has saved, in seconds; 0 unless all members reported. */
   progressSeconds: number;
 }
 
-/** What the stopper works with. */
+/** Dependencies of a gang stopper. */
 export interface GangStopperDependencies {
   client: TargetClient;
   findAddress: AddressLookup;
@@ -46,40 +46,37 @@
 
 /** Stops whole gangs. */
 export class GangStopper {
-  constructor(private readonly parts: GangStopperDependencies) {}
+  constructor(private readonly dependencies: GangStopperDependencies) {}
 
-  /** Stops every member; idempotent. Waits at most the grace and one timeout. */
-  async stop(
-    order: GangMembers,
-    options: StopOptions,
-  ): Promise<GangStopResult> {
-    const deadline = this.parts.clock.now() + options.graceMs;
-    const ends = await Promise.all(
-      order.assignments.map(assignment =>
-        this.stopMember(order, assignment, options, deadline),
+  /** Stops every member. Idempotent; takes at most the grace period and one call timeout. */
+  async stop(gang: GangMembers, options: StopOptions): Promise<GangStopResult> {
+    const deadline = this.dependencies.clock.now() + options.graceMs;
+    const outcomes = await Promise.all(
+      gang.assignments.map(assignment =>
+        this.stopMember(gang, assignment, options, deadline),
       ),
     );
-    return summarize(order, ends);
+    return summarize(gang, outcomes);
   }
 
   private async stopMember(
-    order: GangMembers,
+    gang: GangMembers,
     assignment: Assignment,
     options: StopOptions,
     deadline: Instant,
-  ): Promise<MemberEnd> {
+  ): Promise<MemberOutcome> {
     try {
       for (;;) {
-        const isLate = this.parts.clock.now() >= deadline;
-        const checkpoint = options.checkpoint && !isLate;
-        const report = await this.call(order, assignment, {
+        const isGraceOver = this.dependencies.clock.now() >= deadline;
+        const checkpoint = options.checkpoint && !isGraceOver;
+        const report = await this.call(gang, assignment, {
           ...options,
           checkpoint,
         });
         if (report?.state !== 'running') {
           return report ?? 'unknown';
         }
-        await this.parts.clock.sleep(SAVE_POLL_MS);
+        await this.dependencies.clock.sleep(CHECKPOINT_POLL_MS);
       }
     } catch {
       return 'unreachable';
@@ -87,39 +84,40 @@
   }
 
   private call(
-    order: GangMembers,
+    gang: GangMembers,
     assignment: Assignment,
     options: StopOptions,
   ): Promise<LeaseReport | undefined> {
-    const address = this.parts.findAddress(assignment.target);
+    const address = this.dependencies.findAddress(assignment.target);
     if (!address) {
       throw new Failure('target-unreachable', {
         target: assignment.target,
         problem: 'it is not in the inventory',
       });
     }
-    return this.parts.client.stop(
+    return this.dependencies.client.stop(
       address,
-      {...toLeaseKey(order), term: order.term, ...options},
-      this.parts.callTimeoutMs,
+      {...toLeaseKey(gang), term: gang.term, ...options},
+      this.dependencies.callTimeoutMs,
     );
   }
 }
 
-type MemberEnd = LeaseReport | 'unknown' | 'unreachable';
+/** Final report of a member; `unknown` when its target had no lease of the gang. */
+type MemberOutcome = LeaseReport | 'unknown' | 'unreachable';
 
 function summarize(
-  order: GangMembers,
-  ends: readonly MemberEnd[],
+  gang: GangMembers,
+  outcomes: readonly MemberOutcome[],
 ): GangStopResult {
-  const targets = order.assignments.map(assignment => assignment.target);
-  const reports = ends.filter(end => typeof end !== 'string');
-  const isWhole = reports.length === ends.length;
-  const saved = reports.map(report => report.progressSeconds);
+  const targets = gang.assignments.map(assignment => assignment.target);
+  const reports = outcomes.filter(outcome => typeof outcome !== 'string');
+  const hasAllReports = reports.length === outcomes.length;
+  const savedSeconds = reports.map(report => report.progressSeconds);
   return {
     reports,
-    unreachable: targets.filter((_, i) => ends[i] === 'unreachable'),
-    targetsWithoutLease: targets.filter((_, i) => ends[i] === 'unknown'),
-    progressSeconds: isWhole ? Math.min(...saved) : 0,
+    unreachable: targets.filter((_, i) => outcomes[i] === 'unreachable'),
+    targetsWithoutLease: targets.filter((_, i) => outcomes[i] === 'unknown'),
+    progressSeconds: hasAllReports ? Math.min(...savedSeconds) : 0,
   };
 }
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -1,6 +1,6 @@
-/** Reservations, whole-gang start, lease keeping and target health. */
+/** Reservations, two-phase start of gangs, lease renewal, fencing and target health. */
 
-// The platform's targets
+// Client interface of targets
 export * from './target_client.js';
 
 // Starting and stopping gangs
@@ -26,7 +26,7 @@
   computeLongestPartialRunMs,
 } from './partial_run_bound.js';
 
-// Keeping leases
+// Lease renewal
 export * from './lease_renewer_event.js';
 export {LeaseRenewer} from './lease_renewer.js';
 export type {
@@ -36,7 +36,7 @@
 
 export {computeLeaseDigest} from './lease_digest.js';
 
-// Taking over from an earlier scheduler
+// Fencing at a takeover
 export {
   TargetFencer,
   type TargetFencerDependencies,
--- a/packages/targets/src/lease_renewer.ts
+++ b/packages/targets/src/lease_renewer.ts
@@ -1,4 +1,8 @@
-/** Renews the leases of running gangs, each as a whole, and tells what became of them. */
+/**
+ * Renews the leases of running gangs and reports their outcomes. A gang is renewed
+ * as a whole: when one member fails, is lost or is unreachable, no member is
+ * renewed, so that all of them end.
+ */
 import {NO_TERM, type Term} from '@galenavalve/model';
 import {type Instant, type Milliseconds, isFailure} from '@galenavalve/shared';
 import type {GangAttempt} from './gang_attempt.js';
@@ -13,284 +17,320 @@
 } from './lease_renewer_options.js';
 import {type RenewalCall, TargetMonitor} from './target_monitor.js';
 
-/** Share of the call timeout that a look may take. */
-const LOOK_SHARE = 0.5;
+/** Timeout of a poll between rounds, as a share of the call timeout. */
+const POLL_TIMEOUT_SHARE = 0.5;
 
-/** Keeps the leases of gangs. */
+/** Renews leases in rounds, and polls targets and young gangs between them. */
 export class LeaseRenewer {
   /** Length of a lease in milliseconds. */
   readonly leaseMs: Milliseconds;
   private readonly gangs = new Map<string, GangMonitor>();
   private readonly targets = new Map<string, TargetMonitor>();
   private readonly listeners: ((event: LeaseRenewerEvent) => void)[] = [];
-  private idle = new Set<string>();
+  /** Targets that are polled even without work. */
+  private polledTargets = new Set<string>();
   private term: Term = NO_TERM;
-  private lastTickAt?: Instant;
-  /** Aborted when a gang is followed, to end a sleep between rounds. */
+  private lastRoundAt?: Instant;
+  /** Aborted when a gang is added, to end a sleep between rounds. */
   private wake = new AbortController();
-  private readonly times: ResolvedLeaseRenewerOptions;
+  private readonly options: ResolvedLeaseRenewerOptions;
 
-  constructor(private readonly parts: LeaseRenewerDependencies) {
-    this.times = resolveLeaseRenewerOptions(parts.options);
-    this.leaseMs = this.times.leaseMs;
+  constructor(private readonly dependencies: LeaseRenewerDependencies) {
+    this.options = resolveLeaseRenewerOptions(dependencies.options);
+    this.leaseMs = this.options.leaseMs;
   }
 
   // Commands
 
+  /** Sets the term that calls to targets carry. */
   setTerm(term: Term): void {
     this.term = term;
   }
 
-  /** Keeps a gang that was started, or that an earlier keeper has kept. */
-  addGang(order: GangAttempt): void {
-    this.removeGang(order.jobId);
-    const watch = new GangMonitor(order, this.parts.clock.now(), this.leaseMs);
-    this.gangs.set(order.jobId, watch);
-    for (const target of watch.targets) {
-      this.watch(target).gangs.set(order.jobId, watch);
+  /** Adds a gang that was started here or by an earlier scheduler. */
+  addGang(gangAttempt: GangAttempt): void {
+    this.removeGang(gangAttempt.jobId);
+    const monitor = new GangMonitor(
+      gangAttempt,
+      this.dependencies.clock.now(),
+      this.leaseMs,
+    );
+    this.gangs.set(gangAttempt.jobId, monitor);
+    for (const target of monitor.targets) {
+      this.getOrCreateMonitor(target).gangs.set(gangAttempt.jobId, monitor);
     }
     this.wake.abort();
   }
 
-  /** Renews the leases of a job no longer. */
+  /** Stops renewing the leases of a job. */
   removeGang(jobId: string): void {
-    const watch = this.gangs.get(jobId);
+    const monitor = this.gangs.get(jobId);
     this.gangs.delete(jobId);
-    for (const target of watch?.targets ?? []) {
+    for (const target of monitor?.targets ?? []) {
       this.targets.get(target)?.gangs.delete(jobId);
     }
   }
 
-  /** Also asks these targets for their reports, slowly while they have no work. */
+  /** Sets the targets that are polled even without work, then at `idlePollMs`. */
   setPolledTargets(targets: readonly string[]): void {
-    this.idle = new Set(targets);
+    this.polledTargets = new Set(targets);
     for (const target of targets) {
-      this.watch(target);
+      this.getOrCreateMonitor(target);
     }
   }
 
-  /** Keeps nothing any more; for a scheduler whose term ended. */
+  /** Removes all gangs and targets; used when the scheduler's term ends. */
   clear(): void {
     this.gangs.clear();
     this.targets.clear();
-    this.idle = new Set();
-    this.lastTickAt = undefined;
+    this.polledTargets = new Set();
+    this.lastRoundAt = undefined;
   }
 
-  /** Lets the targets of a kept attempt forget it, now that its end is recorded. */
+  /** Allows the targets of an attempt to remove its lease, once the end is recorded. */
   acknowledgeEnd(jobId: string, attempt: number): void {
-    const order = this.gangs.get(jobId)?.gangAttempt;
-    if (order?.attempt !== attempt) {
+    const gangAttempt = this.gangs.get(jobId)?.gangAttempt;
+    if (gangAttempt?.attempt !== attempt) {
       return;
     }
-    for (const {target} of order.assignments) {
-      this.watch(target).acknowledgeLease(order);
+    for (const {target} of gangAttempt.assignments) {
+      this.getOrCreateMonitor(target).acknowledgeLease(gangAttempt);
     }
   }
 
+  /** Adds a listener for events. */
   onEvent(listener: (event: LeaseRenewerEvent) => void): void {
     this.listeners.push(listener);
   }
 
-  /** Runs rounds until the abort; asks silent members again in between. */
+  /** Runs rounds until the abort; calls unreachable targets with gangs again between rounds. */
   async run(signal: AbortSignal): Promise<void> {
-    const {clock} = this.parts;
+    const {clock} = this.dependencies;
     while (!signal.aborted) {
-      const nextAt = clock.now() + this.times.renewMs;
+      const nextAt = clock.now() + this.options.renewMs;
       await this.runRound();
       while (!signal.aborted && this.canProbeBefore(nextAt)) {
-        await clock.sleep(this.times.callTimeoutMs / 2, signal);
+        await clock.sleep(this.options.callTimeoutMs / 2, signal);
         await this.probeUnreachable();
       }
-      await this.lookUntil(nextAt, signal);
+      await this.pollUntil(nextAt, signal);
     }
   }
 
-  /** One round: renews each gang that is well, reads all members, judges. */
+  /**
+   * Runs one round: renews each healthy gang, reads the reports of all members
+   * and evaluates the gangs.
+   */
   async runRound(): Promise<void> {
-    const now = this.parts.clock.now();
-    this.doubtAfterPause(now);
-    this.dropUnused();
-    const renewable = this.findRenewable();
-    await this.askAll(this.findDue(now), renewable, MAX_CALLS_PER_ROUND);
-    const isOnTime = this.parts.clock.now() <= now + this.times.renewMs;
+    const now = this.dependencies.clock.now();
+    this.invalidateReportsAfterPause(now);
+    this.removeUnusedTargets();
+    const renewable = this.listRenewableGangs();
+    await this.callTargets(
+      this.listDueTargets(now),
+      renewable,
+      MAX_CALLS_PER_ROUND,
+    );
+    const isOnTime =
+      this.dependencies.clock.now() <= now + this.options.renewMs;
     if (isOnTime) {
       await this.renewRecovered(renewable);
     }
-    this.judge();
+    this.evaluateGangs();
   }
 
-  /** Asks young gangs in between rounds, so that the end of a short task is seen soon. */
-  private async lookUntil(nextAt: Instant, signal: AbortSignal): Promise<void> {
-    const {clock} = this.parts;
+  /** Polls young gangs until the next round, so that the end of a short task is detected early. */
+  private async pollUntil(nextAt: Instant, signal: AbortSignal): Promise<void> {
+    const {clock} = this.dependencies;
     while (!signal.aborted && clock.now() < nextAt) {
       this.wake = new AbortController();
-      const wakeAt = Math.min(nextAt, this.findNextLook());
-      const either = AbortSignal.any([signal, this.wake.signal]);
-      await clock.sleep(Math.max(0, wakeAt - clock.now()), either);
-      await this.look();
+      const wakeAt = Math.min(nextAt, this.findNextPollAt());
+      const wakeSignal = AbortSignal.any([signal, this.wake.signal]);
+      await clock.sleep(Math.max(0, wakeAt - clock.now()), wakeSignal);
+      await this.pollDueGangs();
     }
   }
 
-  private findNextLook(): Instant {
-    const looks = [...this.gangs.values()].map(watch => watch.nextPollAt);
-    return Math.min(Infinity, ...looks);
+  private findNextPollAt(): Instant {
+    const pollTimes = [...this.gangs.values()].map(
+      monitor => monitor.nextPollAt,
+    );
+    return Math.min(Infinity, ...pollTimes);
   }
 
   /**
-   * Asks the targets of the gangs whose next look is due, and judges. A look
-   * renews nothing, and its silence says nothing: the rounds do that, and a
-   * look must not hold them up.
+   * Polls the targets of the gangs whose poll is due, and evaluates the gangs. A
+   * poll renews no lease, and a target that does not respond to it does not count
+   * as unreachable. Only rounds do both, and a poll must not delay them.
    */
-  private async look(): Promise<void> {
-    const now = this.parts.clock.now();
+  private async pollDueGangs(): Promise<void> {
+    const now = this.dependencies.clock.now();
     const targets = new Set<TargetMonitor>();
-    for (const watch of this.gangs.values()) {
-      if (watch.nextPollAt <= now) {
-        watch.onPolled(now);
-        [...watch.targets].forEach(target => targets.add(this.watch(target)));
+    for (const monitor of this.gangs.values()) {
+      if (monitor.nextPollAt <= now) {
+        monitor.onPolled(now);
+        [...monitor.targets].forEach(target =>
+          targets.add(this.getOrCreateMonitor(target)),
+        );
       }
     }
-    const answering = [...targets].filter(target => !target.isUnreachable);
-    await Promise.all(answering.map(target => this.lookAt(target)));
-    this.judge();
-  }
-
-  private async lookAt(target: TargetMonitor): Promise<void> {
-    const terms = {term: this.term, leaseMs: this.leaseMs};
-    const question = target.createRenewalCall(terms, new Set(), false);
-    const sentAt = this.parts.clock.now();
-    const timeout = this.times.callTimeoutMs * LOOK_SHARE;
-    const report = await this.renew(target, question.renewal, timeout);
-    if (report && report !== 'superseded' && !this.isLate(sentAt)) {
-      this.onReport(target, report, question, sentAt);
+    const reachable = [...targets].filter(target => !target.isUnreachable);
+    await Promise.all(reachable.map(target => this.pollTarget(target)));
+    this.evaluateGangs();
+  }
+
+  private async pollTarget(target: TargetMonitor): Promise<void> {
+    const parameters = {term: this.term, leaseMs: this.leaseMs};
+    const call = target.createRenewalCall(parameters, new Set(), false);
+    const sentAt = this.dependencies.clock.now();
+    const timeoutMs = this.options.callTimeoutMs * POLL_TIMEOUT_SHARE;
+    const report = await this.renew(target, call.renewal, timeoutMs);
+    if (report && report !== 'superseded' && !this.isResponseLate(sentAt)) {
+      this.onReport(target, report, call, sentAt);
     }
   }
 
-  /** Asks the silent members of gangs once more, and renews the gangs that are well again. */
+  /**
+   * Calls the unreachable targets with gangs once more, and renews the gangs
+   * that have recovered.
+   */
   async probeUnreachable(): Promise<void> {
-    const renewable = this.findRenewable();
-    await this.askAll(this.findSuspects(), new Set(), 1);
+    const renewable = this.listRenewableGangs();
+    await this.callTargets(this.listUnreachableMembers(), new Set(), 1);
     await this.renewRecovered(renewable);
   }
 
   // Queries
 
-  /** Tells whether the job is kept. */
+  /** Returns whether the leases of the job are renewed. */
   hasGang(jobId: string): boolean {
     return this.gangs.has(jobId);
   }
 
-  /** Jobs that are kept. */
+  /** Lists the jobs whose leases are renewed. */
   listJobIds(): string[] {
     return [...this.gangs.keys()];
   }
 
-  /** A pause makes every lease suspect: the members are read before any is renewed. */
-  private doubtAfterPause(now: Instant): void {
-    const gap = now - (this.lastTickAt ?? now);
-    this.lastTickAt = now;
-    if (gap <= this.times.renewMs + this.times.callTimeoutMs) {
+  /**
+   * Invalidates all reports after a pause of the process. Leases may have expired
+   * meanwhile, so all members are read before any lease is renewed.
+   */
+  private invalidateReportsAfterPause(now: Instant): void {
+    const gapMs = now - (this.lastRoundAt ?? now);
+    this.lastRoundAt = now;
+    if (gapMs <= this.options.renewMs + this.options.callTimeoutMs) {
       return;
     }
-    this.parts.logger.warn('lease-keeper-paused', {gapMs: gap});
-    for (const watch of this.gangs.values()) {
-      watch.invalidateReports();
+    this.dependencies.logger.warn('lease-keeper-paused', {gapMs});
+    for (const monitor of this.gangs.values()) {
+      monitor.invalidateReports();
     }
   }
 
-  private findSuspects(): TargetMonitor[] {
+  private listUnreachableMembers(): TargetMonitor[] {
     return [...this.targets.values()].filter(
       target => target.isUnreachable === true && target.gangs.size > 0,
     );
   }
 
   private canProbeBefore(nextAt: Instant): boolean {
-    const probeMs = 1.5 * this.times.callTimeoutMs;
+    const probeMs = 1.5 * this.options.callTimeoutMs;
     return (
-      this.findSuspects().length > 0 &&
-      this.parts.clock.now() + probeMs <= nextAt
+      this.listUnreachableMembers().length > 0 &&
+      this.dependencies.clock.now() + probeMs <= nextAt
     );
   }
 
-  private findRenewable(): Set<GangMonitor> {
-    const watches = [...this.gangs.values()];
-    return new Set(watches.filter(watch => watch.isRenewable()));
+  private listRenewableGangs(): Set<GangMonitor> {
+    const monitors = [...this.gangs.values()];
+    return new Set(monitors.filter(monitor => monitor.isRenewable()));
   }
 
-  /** Renews gangs whose members all answered well, but not yet when the round began. */
+  /** Renews the gangs that became renewable after `renewed` was determined. */
   private async renewRecovered(
     renewed: ReadonlySet<GangMonitor>,
   ): Promise<void> {
     const targets = new Set<TargetMonitor>();
-    for (const watch of this.findRenewable()) {
-      if (!renewed.has(watch)) {
-        [...watch.targets].forEach(target => targets.add(this.watch(target)));
+    for (const monitor of this.listRenewableGangs()) {
+      if (!renewed.has(monitor)) {
+        [...monitor.targets].forEach(target =>
+          targets.add(this.getOrCreateMonitor(target)),
+        );
       }
     }
-    await this.askAll([...targets], this.findRenewable(), MAX_CALLS_PER_ROUND);
+    await this.callTargets(
+      [...targets],
+      this.listRenewableGangs(),
+      MAX_CALLS_PER_ROUND,
+    );
   }
 
-  private findDue(now: Instant): TargetMonitor[] {
+  private listDueTargets(now: Instant): TargetMonitor[] {
     return [...this.targets.values()].filter(
       target =>
-        target.hasWork || now - target.lastPolledAt >= this.times.idlePollMs,
+        target.hasWork || now - target.lastPolledAt >= this.options.idlePollMs,
     );
   }
 
-  private async askAll(
+  private async callTargets(
     targets: readonly TargetMonitor[],
     renewable: ReadonlySet<GangMonitor>,
-    calls: number,
+    maxCalls: number,
   ): Promise<void> {
-    const now = this.parts.clock.now();
-    const terms = {term: this.term, leaseMs: this.leaseMs};
-    const questions = targets.map(target => {
+    const now = this.dependencies.clock.now();
+    const parameters = {term: this.term, leaseMs: this.leaseMs};
+    const calls = targets.map(target => {
       target.lastPolledAt = now;
-      const withUsage = target.isUsageDue(now, this.times.usagePollMs);
-      const question = target.createRenewalCall(terms, renewable, withUsage);
-      return this.ask(target, question, calls);
+      const withUsage = target.isUsageDue(now, this.options.usagePollMs);
+      const call = target.createRenewalCall(parameters, renewable, withUsage);
+      return this.callTarget(target, call, maxCalls);
     });
-    await Promise.all(questions);
+    await Promise.all(calls);
   }
 
-  private async ask(
+  private async callTarget(
     target: TargetMonitor,
-    question: RenewalCall,
-    calls: number,
+    call: RenewalCall,
+    maxCalls: number,
   ): Promise<void> {
-    for (let call = 0; call < calls; call++) {
-      const sentAt = this.parts.clock.now();
-      const report = await this.renew(target, question.renewal);
+    for (let attempt = 0; attempt < maxCalls; attempt++) {
+      const sentAt = this.dependencies.clock.now();
+      const report = await this.renew(target, call.renewal);
       if (report === 'superseded') {
         this.emit({kind: 'target-superseded', target: target.id});
         break;
       }
-      if (report && !this.isLate(sentAt)) {
-        this.onReport(target, report, question, sentAt);
+      if (report && !this.isResponseLate(sentAt)) {
+        this.onReport(target, report, call, sentAt);
         return;
       }
     }
-    this.onSilence(target, question);
+    this.onUnreachable(target, call);
   }
 
-  /** An answer that lay unread while the process was paused is too old to act on. */
-  private isLate(sentAt: Instant): boolean {
-    return this.parts.clock.now() > sentAt + 2 * this.times.callTimeoutMs;
+  /**
+   * Returns whether a response is too old to act on, because the process was
+   * paused before it read it.
+   */
+  private isResponseLate(sentAt: Instant): boolean {
+    return (
+      this.dependencies.clock.now() > sentAt + 2 * this.options.callTimeoutMs
+    );
   }
 
   private async renew(
     target: TargetMonitor,
-    order: Renewal,
-    timeout = this.times.callTimeoutMs,
+    renewal: Renewal,
+    timeoutMs = this.options.callTimeoutMs,
   ): Promise<TargetReport | 'superseded' | undefined> {
-    const address = this.parts.findAddress(target.id);
+    const address = this.dependencies.findAddress(target.id);
     if (!address) {
       return undefined;
     }
     try {
-      const {client} = this.parts;
-      return await client.renew(address, order, timeout);
+      const {client} = this.dependencies;
+      return await client.renew(address, renewal, timeoutMs);
     } catch (error) {
       return isFailure(error, 'target-refused') ? 'superseded' : undefined;
     }
@@ -299,13 +339,14 @@
   private onReport(
     target: TargetMonitor,
     report: TargetReport,
-    question: RenewalCall,
+    call: RenewalCall,
     sentAt: Instant,
   ): void {
-    const {id, isUnreachable: isSilent, isLeaving} = target;
-    target.onReport(report, question, sentAt);
-    // Also at the first answer: an earlier keeper may have found it otherwise.
-    if (isSilent !== false) {
+    const {id, isUnreachable: wasUnreachable, isLeaving} = target;
+    target.onReport(report, call, sentAt);
+    // Also emitted at the first response, because an earlier scheduler may have
+    // found the target unreachable.
+    if (wasUnreachable !== false) {
       target.isUnreachable = false;
       this.emit({kind: 'target-answering', target: id});
     }
@@ -313,7 +354,7 @@
       const kind = target.isLeaving ? 'target-leaving' : 'target-staying';
       this.emit({kind, target: id});
     }
-    if (question.renewal.withUsage) {
+    if (call.renewal.withUsage) {
       target.onUsageRequested(sentAt);
       const {usage, usageAgeMs: ageMs} = report;
       if (usage.length > 0) {
@@ -322,33 +363,33 @@
     }
   }
 
-  private onSilence(target: TargetMonitor, question: RenewalCall): void {
-    question.monitors.forEach(watch => watch.onUnreachable(target.id));
+  private onUnreachable(target: TargetMonitor, call: RenewalCall): void {
+    call.monitors.forEach(monitor => monitor.onUnreachable(target.id));
     if (!target.isUnreachable) {
       target.isUnreachable = true;
       this.emit({kind: 'target-silent', target: target.id});
     }
   }
 
-  private judge(): void {
-    const now = this.parts.clock.now();
-    for (const watch of [...this.gangs.values()]) {
-      const verdict = watch.evaluate(now, this.times.callTimeoutMs);
-      if (verdict) {
-        this.emit(verdict);
+  private evaluateGangs(): void {
+    const now = this.dependencies.clock.now();
+    for (const monitor of [...this.gangs.values()]) {
+      const outcome = monitor.evaluate(now, this.options.callTimeoutMs);
+      if (outcome) {
+        this.emit(outcome);
       }
     }
   }
 
-  private watch(target: string): TargetMonitor {
-    const watched = this.targets.get(target) ?? new TargetMonitor(target);
-    this.targets.set(target, watched);
-    return watched;
+  private getOrCreateMonitor(target: string): TargetMonitor {
+    const monitor = this.targets.get(target) ?? new TargetMonitor(target);
+    this.targets.set(target, monitor);
+    return monitor;
   }
 
-  private dropUnused(): void {
+  private removeUnusedTargets(): void {
     for (const [id, target] of this.targets) {
-      if (!target.hasWork && !this.idle.has(id)) {
+      if (!target.hasWork && !this.polledTargets.has(id)) {
         this.targets.delete(id);
       }
     }
@@ -356,7 +397,7 @@
 
   private emit(event: LeaseRenewerEvent): void {
     const level = event.kind === 'usage' ? 'debug' : 'info';
-    this.parts.logger[level](`keeper-${event.kind}`, {...event});
+    this.dependencies.logger[level](`keeper-${event.kind}`, {...event});
     for (const listener of this.listeners) {
       listener(event);
     }
--- a/packages/targets/src/lease_renewer_event.ts
+++ b/packages/targets/src/lease_renewer_event.ts
@@ -1,4 +1,4 @@
-/** What a lease keeper tells the scheduler. */
+/** Events that a lease renewer emits to the scheduler. */
 import type {UsageReport} from './target_client.js';
 
 interface AttemptEvent {
@@ -6,43 +6,46 @@
   attempt: number;
 }
 
-/** Every task of a gang has ended well. */
+/** All tasks of a gang have succeeded. */
 export interface GangSucceeded extends AttemptEvent {
   kind: 'succeeded';
-  /** By task index. */
+  /** Results by task index. */
   results: unknown[];
   ranSeconds: number;
 }
 
-/** A task of a gang has failed; the others have to be stopped. */
+/** A task of a gang has failed; the other members must be stopped. */
 export interface GangFailed extends AttemptEvent {
   kind: 'failed';
   culprit: string;
-  /** Index of the task that failed, if the target said so. */
+  /** Index of the task that failed, if the target reported it. */
   task?: number;
   problem: string;
 }
 
-/** A member of a gang is gone or silent beyond its lease; the others have to be stopped. */
+/**
+ * A target lost its lease of a gang, or was unreachable until the lease
+ * expired; the other members must be stopped.
+ */
 export interface MemberLost extends AttemptEvent {
   kind: 'member-lost';
   culprit: string;
   problem: string;
 }
 
-/** What a target shows of itself. */
+/** A change in the state of a target. */
 export interface TargetEvent {
   kind:
     | 'target-leaving'
     | 'target-staying'
     | 'target-silent'
     | 'target-answering'
-    /** The target has seen a higher term. */
+    /** The target refused the call because it has seen a higher term. */
     | 'target-superseded';
   target: string;
 }
 
-/** Usage that a target measured a while ago. */
+/** Usage that a target measured `ageMs` before its report. */
 export interface UsageMeasured {
   kind: 'usage';
   target: string;
@@ -51,9 +54,9 @@
   usage: UsageReport[];
 }
 
-/** Any event of a lease keeper. */
+/** Any event of a lease renewer. */
 export type LeaseRenewerEvent =
   GangSucceeded | GangFailed | MemberLost | TargetEvent | UsageMeasured;
 
-/** The verdict on a gang. */
+/** The outcome of a gang. */
 export type GangOutcome = GangSucceeded | GangFailed | MemberLost;
--- a/packages/targets/src/lease_renewer_options.ts
+++ b/packages/targets/src/lease_renewer_options.ts
@@ -1,22 +1,26 @@
-/** What a lease keeper works with, and its times. */
+/** Dependencies and timings of a lease renewer. */
 import type {Clock, Logger, Milliseconds} from '@galenavalve/shared';
 import type {AddressLookup} from './gang_attempt.js';
 import type {TargetClient} from './target_client.js';
 
-/** Times of the lease keeper, in milliseconds. */
+/** Timings of a lease renewer, in milliseconds. */
 export interface LeaseRenewerOptions {
+  /** Length of a lease. */
   leaseMs?: Milliseconds;
   /** Time between two rounds. */
   renewMs?: Milliseconds;
-  /** Shortened to a quarter of `renewMs`, so that a round with silent targets ends before the next. */
+  /**
+   * Limited to a quarter of `renewMs`, so that a round with unreachable targets
+   * ends before the next.
+   */
   callTimeoutMs: Milliseconds;
-  /** Time between two questions to a target without work. */
+  /** Time between two polls of a target without work. */
   idlePollMs?: Milliseconds;
-  /** Time between two questions for usage. */
+  /** Time between two requests for usage. */
   usagePollMs?: Milliseconds;
 }
 
-/** What the keeper works with. */
+/** Dependencies of a lease renewer. */
 export interface LeaseRenewerDependencies {
   client: TargetClient;
   findAddress: AddressLookup;
@@ -28,18 +32,18 @@
 const DEFAULT_LEASE_MS = 6000;
 const DEFAULT_RENEW_MS = 2000;
 const DEFAULT_IDLE_POLL_MS = 10_000;
-const DEFAULT_USAGE_MS = 30_000;
+const DEFAULT_USAGE_POLL_MS = 30_000;
 
-/** Times that a target is asked before it counts as silent. */
+/** Number of failed calls in a round after which a target counts as unreachable. */
 export const MAX_CALLS_PER_ROUND = 2;
 
-/** Calls one after the other in a round in which gangs recover. */
-const CALLS_OF_LONGEST_ROUND = 2 * MAX_CALLS_PER_ROUND;
+/** Number of sequential calls in the longest round, which also renews recovered gangs. */
+const MAX_SEQUENTIAL_CALLS_PER_ROUND = 2 * MAX_CALLS_PER_ROUND;
 
-/** The times with all defaults. */
+/** The timings with all defaults applied. */
 export type ResolvedLeaseRenewerOptions = Required<LeaseRenewerOptions>;
 
-/** Fills in the defaults, and fits the call timeout into a round. */
+/** Applies the defaults, and limits the call timeout so that the calls of a round fit into it. */
 export function resolveLeaseRenewerOptions(
   options: LeaseRenewerOptions,
 ): ResolvedLeaseRenewerOptions {
@@ -48,10 +52,10 @@
     leaseMs: options.leaseMs ?? DEFAULT_LEASE_MS,
     renewMs,
     idlePollMs: options.idlePollMs ?? DEFAULT_IDLE_POLL_MS,
-    usagePollMs: options.usagePollMs ?? DEFAULT_USAGE_MS,
+    usagePollMs: options.usagePollMs ?? DEFAULT_USAGE_POLL_MS,
     callTimeoutMs: Math.min(
       options.callTimeoutMs,
-      renewMs / CALLS_OF_LONGEST_ROUND,
+      renewMs / MAX_SEQUENTIAL_CALLS_PER_ROUND,
     ),
   };
 }
--- a/packages/targets/src/partial_run_bound.ts
+++ b/packages/targets/src/partial_run_bound.ts
@@ -1,18 +1,21 @@
-/** How long a part of a gang can run; docs/design/targets.md has the argument. */
+/** Bound on the time for which a gang runs partially; docs/design/targets.md derives it. */
 import type {Milliseconds} from '@galenavalve/shared';
 
-/** The times that the bound depends on, in milliseconds. */
+/** The timings that determine the bound, in milliseconds. */
 export interface LeaseTimings {
   leaseMs: Milliseconds;
-  /** Time between two rounds of the keeper. */
+  /** Time between two rounds of the lease renewer. */
   renewMs: Milliseconds;
   callTimeoutMs: Milliseconds;
 }
 
 /**
- * Longest time that some members of a gang run while another does not, with
- * every message lost, late or repeated and every process dead or paused.
+ * Computes the longest time for which some members of a gang run while another
+ * does not. Holds when any message is lost, delayed or repeated, and when any
+ * process is killed or paused.
  */
-export function computeLongestPartialRunMs(times: LeaseTimings): Milliseconds {
-  return times.leaseMs + times.renewMs + 2 * times.callTimeoutMs;
+export function computeLongestPartialRunMs(
+  timings: LeaseTimings,
+): Milliseconds {
+  return timings.leaseMs + timings.renewMs + 2 * timings.callTimeoutMs;
 }
--- a/packages/targets/src/target_client.ts
+++ b/packages/targets/src/target_client.ts
@@ -1,27 +1,27 @@
 /**
- * Targets as the scheduler sees them. A target arbitrates what runs on it: it
- * refuses a term lower than the highest it has seen, and a start without an
+ * Client interface and messages of targets. A target decides what runs on it: it
+ * refuses a term lower than the highest that it has seen, and a start without an
  * unexpired reservation of the same term.
  */
 import {z} from 'zod';
 import {resourceName, term} from '@galenavalve/model';
 import type {Milliseconds} from '@galenavalve/shared';
 
-/** Where a target is reached. */
+/** Address of a target. */
 export interface TargetAddress {
   id: string;
   /** Base URL of the control interface. */
   endpoint: string;
 }
 
-/** Names one part of one attempt on one target. */
+/** Identifies the lease of one attempt on a target. */
 export const leaseKey = z.strictObject({
   jobId: z.string().min(1).max(100),
   attempt: z.int().positive(),
 });
 export type LeaseKey = z.infer<typeof leaseKey>;
 
-/** Asks a target to keep room for the tasks of an attempt. */
+/** Reserves capacity of a target for the tasks of an attempt. */
 export const reservation = z.strictObject({
   ...leaseKey.shape,
   term,
@@ -30,34 +30,34 @@
   tasks: z.int().positive(),
   /** Bit mask of accelerators. */
   accelerators: z.int().nonnegative(),
-  /** Of one task. */
+  /** Per task. */
   processors: z.number().nonnegative(),
-  /** Of one task, in mebibytes. */
+  /** Per task, in mebibytes. */
   memoryMb: z.number().nonnegative(),
   checkpointable: z.boolean(),
-  /** The reservation lapses after this many milliseconds if it is not started or renewed. */
+  /** Time in milliseconds after which the reservation expires unless it is started or renewed. */
   ttlMs: z.number().positive(),
 });
 export type Reservation = z.infer<typeof reservation>;
 
-/** A target's answer to a reservation. */
+/** A target's response to a reservation. */
 export const grant = z.strictObject({
-  /** The target's own monotonic clock in milliseconds; only handed back to it. */
+  /** The target's own monotonic clock in milliseconds; only meaningful to the target. */
   grantedAt: z.number(),
 });
 export type Grant = z.infer<typeof grant>;
 
 /**
  * Starts the reserved tasks of an attempt. The target counts the reservation's
- * time to live and the lease from `grantedAt`, which it stamped itself, so
- * that an order that was delayed on its way starts nothing late.
+ * time to live and the lease from `grantedAt`, which is a time of its own clock,
+ * so that a command that is delayed in the network starts nothing late.
  */
 export const startCommand = z.strictObject({
   ...leaseKey.shape,
   term,
-  /** The latest grant that the sender has seen. */
+  /** Time of the latest grant that the sender has received. */
   grantedAt: z.number(),
-  /** Run time lease in milliseconds: the tasks stop when it is not renewed. */
+  /** Length of the lease in milliseconds; the tasks stop when it is not renewed. */
   leaseMs: z.number().positive(),
   /** Progress to resume from, in seconds. */
   progressSeconds: z.number().nonnegative(),
@@ -65,39 +65,42 @@
 });
 export type StartCommand = z.infer<typeof startCommand>;
 
-/** Ends an attempt on a target, whether it is reserved or running. */
+/** Stops an attempt on a target, whether it is reserved or running. */
 export const stopCommand = z.strictObject({
   ...leaseKey.shape,
   term,
-  /** True to save progress first, if the tasks can. */
+  /** Whether progress is saved first, if the tasks are checkpointable. */
   checkpoint: z.boolean(),
-  /** Time that the tasks get to save their progress, in milliseconds. */
+  /** Time in which the tasks may save their progress, in milliseconds. */
   graceMs: z.number().nonnegative(),
 });
 export type StopCommand = z.infer<typeof stopCommand>;
 
 /**
- * Keeps the leases on a target alive, all in one message. A lease is extended
- * to `leaseMs` after `basedOn`, so that a delayed renewal extends nothing
- * beyond what its sender knew.
+ * Renews leases on a target, all in one message. A lease is extended until
+ * `leaseMs` after `basedOn`, so that a delayed renewal extends no lease beyond
+ * what the sender's latest report justifies.
  */
 export const renewal = z.strictObject({
   term,
-  /** `clock` of the latest report that the sender has seen; absent when it has seen none, and then nothing is renewed. */
+  /**
+   * `clock` of the latest report that the sender has received; absent before
+   * the first one, and then nothing is renewed.
+   */
   basedOn: z.number().optional(),
   leaseMs: z.number().positive(),
-  /** Leases to renew; those not named lapse. */
+  /** Leases to renew; the others expire. */
   leases: z.array(leaseKey).max(4096),
   /**
-   * Digest of the leases that the sender knows of, beyond reservations. If it
-   * is the target's own, the report holds only what changed since `basedOn`.
+   * Digest of the leases that the sender knows, without reservations. If it
+   * equals the target's own, the report holds only changes since `basedOn`.
    */
   digest: z.string().max(64).optional(),
-  /** Renews every running lease in place of `leases`, if the digest is the target's own. */
+  /** Renews every running lease instead of `leases`, if the digest equals the target's own. */
   renewsAll: z.boolean().optional(),
-  /** Asks for usage too. */
+  /** Requests usage in the report. */
   withUsage: z.boolean().optional(),
-  /** Finished leases whose result is recorded: the target may forget them. */
+  /** Ended leases whose result is recorded; the target may remove them. */
   forget: z.array(leaseKey).max(4096),
 });
 export type Renewal = z.infer<typeof renewal>;
@@ -109,19 +112,19 @@
   'succeeded',
   'failed',
   'stopped',
-  /** The lease was not renewed in time and the tasks were stopped. */
+  /** The lease expired because it was not renewed in time, and the tasks were stopped. */
   'lapsed',
 ]);
 export type LeaseState = z.infer<typeof leaseState>;
 
-/** What a target says of one attempt. */
+/** A target's report on the lease of one attempt. */
 export const leaseReport = z.strictObject({
   ...leaseKey.shape,
   term,
   state: leaseState,
   firstTask: z.int().nonnegative(),
   tasks: z.int().positive(),
-  /** Saved or made progress in seconds. */
+  /** Progress in seconds: current while the tasks run, otherwise as saved. */
   progressSeconds: z.number().nonnegative(),
   /** Outputs by task, in order, once succeeded. */
   results: z.array(z.json()).optional(),
@@ -132,7 +135,7 @@
 });
 export type LeaseReport = z.infer<typeof leaseReport>;
 
-/** Use of one attempt, measured a while ago. */
+/** Usage of one attempt, measured `usageAgeMs` before the report. */
 export const usageReport = z.strictObject({
   ...leaseKey.shape,
   processors: z.number().nonnegative(),
@@ -140,10 +143,10 @@
 });
 export type UsageReport = z.infer<typeof usageReport>;
 
-/** What a target says of itself. */
+/** A target's report on itself and its leases. */
 export const targetReport = z.strictObject({
   target: resourceName,
-  /** The target's own monotonic clock in milliseconds; only handed back to it. */
+  /** The target's own monotonic clock in milliseconds; only meaningful to the target. */
   clock: z.number(),
   /** Highest term that the target has seen. */
   term,
@@ -158,46 +161,46 @@
 export type TargetReport = z.infer<typeof targetReport>;
 
 /**
- * Commands to targets. Each throws `target-refused` when the target said no,
- * and `target-unreachable` when its answer did not come; the command may then
+ * Commands to targets. Each fails with `target-refused` when the target refused
+ * it, and with `target-unreachable` when no response arrived; the command may then
  * have taken effect. Each is idempotent.
  */
 export interface TargetClient {
   reserve(
     target: TargetAddress,
-    order: Reservation,
+    request: Reservation,
     timeout: Milliseconds,
   ): Promise<Grant>;
   start(
     target: TargetAddress,
-    order: StartCommand,
+    command: StartCommand,
     timeout: Milliseconds,
   ): Promise<void>;
   /**
-   * Ends an attempt. The report tells what it was: `reserved` proves that no
-   * task had started and none will, `running` that tasks still save their
-   * progress. Undefined when the target knows nothing of it.
+   * Stops an attempt. The state in the report is `reserved` if no task has started
+   * or will start, and `running` while tasks save their progress. Resolves to
+   * undefined when the target has no such lease.
    */
   stop(
     target: TargetAddress,
-    order: StopCommand,
+    command: StopCommand,
     timeout: Milliseconds,
   ): Promise<LeaseReport | undefined>;
   renew(
     target: TargetAddress,
-    order: Renewal,
+    request: Renewal,
     timeout: Milliseconds,
   ): Promise<TargetReport>;
-  /** Makes the target refuse every lower term, and reads back its leases. */
+  /** Makes the target refuse every lower term, and returns its leases. */
   fence(
     target: TargetAddress,
-    order: {term: Renewal['term']},
+    request: {term: Renewal['term']},
     timeout: Milliseconds,
   ): Promise<TargetReport>;
-  /** Limits an attempt to a share of one processor count. */
+  /** Limits the processors that the tasks of an attempt use on the target, in total. */
   throttle(
     target: TargetAddress,
-    order: LeaseKey & {term: Renewal['term']; processors: number},
+    request: LeaseKey & {term: Renewal['term']; processors: number},
     timeout: Milliseconds,
   ): Promise<void>;
 }
--- a/packages/targets/src/target_fencer.ts
+++ b/packages/targets/src/target_fencer.ts
@@ -1,18 +1,18 @@
-/** Reads back what runs on a domain's targets when a new scheduler takes over. */
+/** Fences the targets of a domain at a takeover, and reads the leases on them. */
 import type {Term} from '@galenavalve/model';
 import type {Logger, Milliseconds} from '@galenavalve/shared';
 import type {AddressLookup} from './gang_attempt.js';
 import type {TargetClient, TargetReport} from './target_client.js';
 
-/** What the targets answered to a new term. */
+/** Result of fencing targets with a new term. */
 export interface FencingResult {
-  /** By target. Each of these refuses every lower term from now on. */
+  /** Reports by target. Each of these targets refuses every lower term from now on. */
   reports: Map<string, TargetReport>;
-  /** May still run work of a lower term, until its lease lapses. */
+  /** Targets that may still run work of a lower term, until its lease expires. */
   unreachable: string[];
 }
 
-/** What the reader works with. */
+/** Dependencies of a target fencer. */
 export interface TargetFencerDependencies {
   client: TargetClient;
   findAddress: AddressLookup;
@@ -20,11 +20,14 @@
   options: {callTimeoutMs: Milliseconds};
 }
 
-/** Fences targets against earlier schedulers. */
+/** Makes targets refuse the commands of earlier schedulers. */
 export class TargetFencer {
-  constructor(private readonly parts: TargetFencerDependencies) {}
+  constructor(private readonly dependencies: TargetFencerDependencies) {}
 
-  /** Fences every target in parallel. A target that has seen a higher term counts as unreachable. */
+  /**
+   * Fences every target in parallel. A target that has seen a higher term
+   * counts as unreachable.
+   */
   async fenceAll(
     targets: readonly string[],
     term: Term,
@@ -42,7 +45,11 @@
       }),
     );
     const fenced = reports.size;
-    this.parts.logger.info('targets-fenced', {term, fenced, unreachable});
+    this.dependencies.logger.info('targets-fenced', {
+      term,
+      fenced,
+      unreachable,
+    });
     return {reports, unreachable};
   }
 
@@ -50,11 +57,11 @@
     target: string,
     term: Term,
   ): Promise<TargetReport | undefined> {
-    const address = this.parts.findAddress(target);
+    const address = this.dependencies.findAddress(target);
     if (!address) {
       return undefined;
     }
-    const {client, options} = this.parts;
+    const {client, options} = this.dependencies;
     try {
       return await client.fence(address, {term}, options.callTimeoutMs);
     } catch {
--- a/packages/targets/src/target_health.ts
+++ b/packages/targets/src/target_health.ts
@@ -1,12 +1,15 @@
-/** Decides from evidence whether a target can take work. */
+/** Tracks the health of targets, and decides whether a target can take work. */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {TargetCondition} from '@galenavalve/placement';
 
-/** When a target is quarantined, and for how long. */
+/**
+ * Rules of the quarantine: the time in which a target on which different jobs
+ * failed gets no work.
+ */
 export interface QuarantineRules {
-  /** Failures of different jobs, without a success in between. */
+  /** Number of different jobs that fail without a success in between before the quarantine. */
   quarantineFailures: number;
-  /** First length in seconds; doubled at each repetition. */
+  /** Length of the first quarantine in seconds; doubled at each repetition. */
   quarantineSeconds: number;
 }
 
@@ -16,12 +19,12 @@
 const BASE_BACKOFF_MS: Milliseconds = 500;
 const MAX_BACKOFF_MS: Milliseconds = 30_000;
 
-/** Jobs whose failures are remembered. */
+/** Largest number of jobs whose failures are stored. */
 const MAX_REMEMBERED_JOBS = 10_000;
 
-/** Evidence on one target. */
+/** Evidence about the health of one target. */
 interface Evidence {
-  isSilent: boolean;
+  isUnreachable: boolean;
   isLeaving: boolean;
   /** Jobs that failed on it since its last success. */
   failedJobs: Set<string>;
@@ -32,41 +35,48 @@
   quarantinedUntil: Instant;
 }
 
-/** The health of a domain's targets. */
+/** Tracks the health of a domain's targets. */
 export class TargetHealth {
   private readonly evidence = new Map<string, Evidence>();
-  /** Targets on which a job failed; a job that fails everywhere blames none. */
-  private readonly failuresOfJob = new Map<string, Set<string>>();
+  /** Targets on which each job failed; a job that fails on all targets must not quarantine them. */
+  private readonly failedTargetsByJob = new Map<string, Set<string>>();
 
-  /** `rules` gives those in force. */
-  constructor(private readonly rules: () => QuarantineRules) {}
+  /** `getRules` returns the rules of the current configuration. */
+  constructor(private readonly getRules: () => QuarantineRules) {}
 
   // Commands
 
-  /** A task of the job failed on the target, or the target lost it. */
+  /** Records that a task of the job failed on the target, or that the target lost it. */
   noteFailure(target: string, jobId: string, now: Instant): void {
-    const evidence = this.of(target);
+    const evidence = this.getOrCreateEvidence(target);
     evidence.failedJobs.add(jobId);
     this.rememberJob(jobId, target);
-    const isProbe =
+    const isProbationRun =
       evidence.quarantines > 0 && now >= evidence.quarantinedUntil;
-    const isEnough = this.weigh(evidence) >= this.rules().quarantineFailures;
-    if (now >= evidence.quarantinedUntil && (isProbe || isEnough)) {
+    const hasReachedLimit =
+      this.computeFailureWeight(evidence) >= this.getRules().quarantineFailures;
+    if (
+      now >= evidence.quarantinedUntil &&
+      (isProbationRun || hasReachedLimit)
+    ) {
       this.quarantine(evidence, now);
     }
   }
 
-  /** The target refused a reservation or a start, or did not answer it. */
+  /** Records that the target refused a reservation or a start, or did not respond to it. */
   noteRefusal(target: string, now: Instant): void {
-    const evidence = this.of(target);
+    const evidence = this.getOrCreateEvidence(target);
     evidence.refusals += 1;
-    const backoff = BASE_BACKOFF_MS * 2 ** (evidence.refusals - 1);
-    evidence.avoidedUntil = now + Math.min(backoff, MAX_BACKOFF_MS);
+    const backoffMs = BASE_BACKOFF_MS * 2 ** (evidence.refusals - 1);
+    evidence.avoidedUntil = now + Math.min(backoffMs, MAX_BACKOFF_MS);
   }
 
-  /** A gang with a member on the target succeeded. One that started before a quarantine does not end it. */
+  /**
+   * Records that a gang with a member on the target succeeded. A success during a
+   * quarantine does not end it, because the gang started before.
+   */
   noteSuccess(target: string, now: Instant): void {
-    const evidence = this.of(target);
+    const evidence = this.getOrCreateEvidence(target);
     evidence.refusals = 0;
     evidence.avoidedUntil = -Infinity;
     evidence.failedJobs.clear();
@@ -75,15 +85,15 @@
     }
   }
 
-  setUnreachable(target: string, isSilent: boolean): void {
-    this.of(target).isSilent = isSilent;
+  setUnreachable(target: string, isUnreachable: boolean): void {
+    this.getOrCreateEvidence(target).isUnreachable = isUnreachable;
   }
 
   setLeaving(target: string, isLeaving: boolean): void {
-    this.of(target).isLeaving = isLeaving;
+    this.getOrCreateEvidence(target).isLeaving = isLeaving;
   }
 
-  /** The target is no longer in the inventory. */
+  /** Removes a target that is no longer in the inventory. */
   remove(target: string): void {
     this.evidence.delete(target);
   }
@@ -98,14 +108,17 @@
     if (evidence.isLeaving) {
       return 'leaving';
     }
-    if (evidence.isSilent) {
+    if (evidence.isUnreachable) {
       return 'unreachable';
     }
     const until = Math.max(evidence.quarantinedUntil, evidence.avoidedUntil);
     return now < until ? 'quarantined' : 'well';
   }
 
-  /** Whether the target has left a quarantine and has not succeeded since: it gets repeatable work only. */
+  /**
+   * Returns whether the target is on probation: its quarantine is over and no gang
+   * has succeeded on it since. It then gets repeatable work only.
+   */
   isOnProbation(target: string, now: Instant): boolean {
     const evidence = this.evidence.get(target);
     return (
@@ -116,37 +129,37 @@
   }
 
   private quarantine(evidence: Evidence, now: Instant): void {
-    const length =
-      this.rules().quarantineSeconds * 1000 * 2 ** evidence.quarantines;
-    evidence.quarantinedUntil = now + Math.min(length, MAX_QUARANTINE_MS);
+    const lengthMs =
+      this.getRules().quarantineSeconds * 1000 * 2 ** evidence.quarantines;
+    evidence.quarantinedUntil = now + Math.min(lengthMs, MAX_QUARANTINE_MS);
     evidence.quarantines += 1;
     evidence.failedJobs.clear();
   }
 
-  /** A job that failed on several targets counts for a part on each. */
-  private weigh(evidence: Evidence): number {
+  /** Computes the number of failed jobs; a job that failed on n targets counts 1/n on each. */
+  private computeFailureWeight(evidence: Evidence): number {
     let weight = 0;
     for (const jobId of evidence.failedJobs) {
-      weight += 1 / (this.failuresOfJob.get(jobId)?.size ?? 1);
+      weight += 1 / (this.failedTargetsByJob.get(jobId)?.size ?? 1);
     }
     return weight;
   }
 
   private rememberJob(jobId: string, target: string): void {
-    const targets = this.failuresOfJob.get(jobId) ?? new Set();
+    const targets = this.failedTargetsByJob.get(jobId) ?? new Set();
     targets.add(target);
-    this.failuresOfJob.set(jobId, targets);
-    if (this.failuresOfJob.size > MAX_REMEMBERED_JOBS) {
-      const oldest = this.failuresOfJob.keys().next().value;
-      this.failuresOfJob.delete(oldest ?? jobId);
+    this.failedTargetsByJob.set(jobId, targets);
+    if (this.failedTargetsByJob.size > MAX_REMEMBERED_JOBS) {
+      const oldest = this.failedTargetsByJob.keys().next().value;
+      this.failedTargetsByJob.delete(oldest ?? jobId);
     }
   }
 
-  private of(target: string): Evidence {
+  private getOrCreateEvidence(target: string): Evidence {
     let evidence = this.evidence.get(target);
     if (!evidence) {
       evidence = {
-        isSilent: false,
+        isUnreachable: false,
         isLeaving: false,
         failedJobs: new Set(),
         refusals: 0,
--- a/packages/targets/src/target_monitor.ts
+++ b/packages/targets/src/target_monitor.ts
@@ -1,4 +1,4 @@
-/** One target as a lease keeper last heard of it, and what to tell it next. */
+/** Tracks the reports of one target, and creates the renewals that are sent to it. */
 import type {Term} from '@galenavalve/model';
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import {toLeaseKey, formatLeaseKey} from './gang_attempt.js';
@@ -11,140 +11,146 @@
   TargetReport,
 } from './target_client.js';
 
-/** Values that are the same for all targets of a round. */
+/** Parameters that are the same for all targets of a round. */
 export interface RenewalParameters {
   term: Term;
   leaseMs: Milliseconds;
 }
 
-/** A renewal about to be sent, with what its answer will be about. */
+/** A renewal that is about to be sent, with the gangs that its response concerns. */
 export interface RenewalCall {
   renewal: Renewal;
-  /** Gangs that were followed when it was made; the answer says nothing of others. */
+  /** Gangs on the target when the renewal was created; the response says nothing about others. */
   monitors: GangMonitor[];
-  /** Those of them that it renews. */
+  /** The gangs of `monitors` that it renews. */
   renewedMonitors: GangMonitor[];
-  /** Local time before which `order.basedOn` was not stamped. */
+  /** Local time that is not later than `renewal.basedOn`. */
   basisAskedAt: Instant;
 }
 
-/** One target of a keeper. */
+/** Monitors one target of a lease renewer. */
 export class TargetMonitor {
   /** Gangs with a member on the target, by job. */
   readonly gangs = new Map<string, GangMonitor>();
-  /** Absent until it has answered, or failed to. */
+  /** Absent until the first call has ended. */
   isUnreachable?: boolean;
-  /** Absent until it has said. */
+  /** Absent until the first report. */
   isLeaving?: boolean;
-  /** Local time of the latest try to ask it. */
+  /** Local time of the latest renewal call, not counting polls between rounds. */
   lastPolledAt: Instant = -Infinity;
-  private readonly forgettable = new Map<string, LeaseKey>();
-  /** Its leases beyond reservations, as far as reported. */
-  private known = new Map<string, LeaseReport>();
+  /** Ended leases that the target may remove but has not confirmed yet. */
+  private readonly acknowledgedLeases = new Map<string, LeaseKey>();
+  /** Reported leases of the target, without reservations. */
+  private knownLeases = new Map<string, LeaseReport>();
   private digest = computeLeaseDigest([]);
-  /** The target's own clock at its latest report, and the local time when that was asked for. */
-  private heard?: {clock: number; askedAt: Instant};
-  private usageAskedAt: Instant = -Infinity;
+  /**
+   * The target's own clock in its latest report, and the local time when that
+   * report was requested.
+   */
+  private lastReport?: {clock: number; askedAt: Instant};
+  private usageRequestedAt: Instant = -Infinity;
 
   constructor(readonly id: string) {}
 
   // Commands
 
+  /** Allows the target to remove an ended lease, from the next renewal on. */
   acknowledgeLease(key: LeaseKey): void {
-    this.forgettable.set(formatLeaseKey(key), toLeaseKey(key));
+    this.acknowledgedLeases.set(formatLeaseKey(key), toLeaseKey(key));
   }
 
-  /** Makes the next renewal, for those gangs that are in `renewable`. */
+  /** Creates the next renewal, which renews the target's gangs that are in `renewable`. */
   createRenewalCall(
     {term, leaseMs}: RenewalParameters,
     renewable: ReadonlySet<GangMonitor>,
     withUsage: boolean,
   ): RenewalCall {
-    const watches = [...this.gangs.values()];
-    const renewed = watches.filter(watch => renewable.has(watch));
-    const renewsAll = this.coversAllRunning(renewed);
-    const order: Renewal = {
+    const monitors = [...this.gangs.values()];
+    const renewedMonitors = monitors.filter(monitor => renewable.has(monitor));
+    const renewsAll = this.coversAllRunning(renewedMonitors);
+    const renewal: Renewal = {
       term,
       leaseMs,
-      basedOn: this.heard?.clock,
+      basedOn: this.lastReport?.clock,
       leases: renewsAll
         ? []
-        : renewed.map(watch => toLeaseKey(watch.gangAttempt)),
+        : renewedMonitors.map(monitor => toLeaseKey(monitor.gangAttempt)),
       digest: this.digest,
       ...(renewsAll && {renewsAll}),
       ...(withUsage && {withUsage}),
-      forget: [...this.forgettable.values()],
+      forget: [...this.acknowledgedLeases.values()],
     };
-    const basedAt = this.heard?.askedAt ?? -Infinity;
+    const basisAskedAt = this.lastReport?.askedAt ?? -Infinity;
     return {
-      renewal: order,
-      monitors: watches,
-      renewedMonitors: renewed,
-      basisAskedAt: basedAt,
+      renewal,
+      monitors,
+      renewedMonitors,
+      basisAskedAt,
     };
   }
 
-  /** Takes in an answer that came in time. */
-  onReport(report: TargetReport, question: RenewalCall, sentAt: Instant): void {
-    this.heard = {clock: report.clock, askedAt: sentAt};
+  /** Applies the report of a response that arrived in time. */
+  onReport(report: TargetReport, call: RenewalCall, sentAt: Instant): void {
+    this.lastReport = {clock: report.clock, askedAt: sentAt};
     this.isLeaving = report.leaving;
-    this.noteForgotten(question.renewal.forget);
-    this.noteLeases(report);
-    for (const watch of question.monitors) {
-      const key = formatLeaseKey(watch.gangAttempt);
-      watch.onReport(this.id, this.known.get(key));
+    this.removeAcknowledgedLeases(call.renewal.forget);
+    this.updateKnownLeases(report);
+    for (const monitor of call.monitors) {
+      const key = formatLeaseKey(monitor.gangAttempt);
+      monitor.onReport(this.id, this.knownLeases.get(key));
     }
-    const isRenewed = !question.renewal.renewsAll || report.changesOnly;
+    const isRenewed = !call.renewal.renewsAll || report.changesOnly;
     if (isRenewed) {
-      const expiresAt = question.basisAskedAt + question.renewal.leaseMs;
-      question.renewedMonitors.forEach(watch =>
-        watch.onRenewed(this.id, expiresAt),
+      const expiresAt = call.basisAskedAt + call.renewal.leaseMs;
+      call.renewedMonitors.forEach(monitor =>
+        monitor.onRenewed(this.id, expiresAt),
       );
     }
   }
 
   onUsageRequested(now: Instant): void {
-    this.usageAskedAt = now;
+    this.usageRequestedAt = now;
   }
 
   // Queries
 
+  /** Whether the target has gangs or leases that it may remove. */
   get hasWork(): boolean {
-    return this.gangs.size > 0 || this.forgettable.size > 0;
+    return this.gangs.size > 0 || this.acknowledgedLeases.size > 0;
   }
 
-  isUsageDue(now: Instant, usageMs: Milliseconds): boolean {
-    return now - this.usageAskedAt >= usageMs;
+  isUsageDue(now: Instant, usagePollMs: Milliseconds): boolean {
+    return now - this.usageRequestedAt >= usagePollMs;
   }
 
-  /** Whether a renewal of all that runs there renews nothing else than these. */
-  private coversAllRunning(renewed: readonly GangMonitor[]): boolean {
+  /** Returns whether renewing all running leases of the target renews only these gangs. */
+  private coversAllRunning(renewedMonitors: readonly GangMonitor[]): boolean {
     const keys = new Set(
-      renewed.map(watch => formatLeaseKey(watch.gangAttempt)),
+      renewedMonitors.map(monitor => formatLeaseKey(monitor.gangAttempt)),
     );
-    return [...this.known].every(
+    return [...this.knownLeases].every(
       ([key, {state}]) => state !== 'running' || keys.has(key),
     );
   }
 
-  private noteForgotten(keys: readonly LeaseKey[]): void {
+  private removeAcknowledgedLeases(keys: readonly LeaseKey[]): void {
     for (const key of keys) {
-      this.forgettable.delete(formatLeaseKey(key));
-      if (this.known.get(formatLeaseKey(key))?.state !== 'running') {
-        this.known.delete(formatLeaseKey(key));
+      this.acknowledgedLeases.delete(formatLeaseKey(key));
+      if (this.knownLeases.get(formatLeaseKey(key))?.state !== 'running') {
+        this.knownLeases.delete(formatLeaseKey(key));
       }
     }
   }
 
-  private noteLeases(report: TargetReport): void {
+  private updateKnownLeases(report: TargetReport): void {
     if (!report.changesOnly) {
-      this.known = new Map();
+      this.knownLeases = new Map();
     }
     for (const lease of report.leases) {
       if (lease.state !== 'reserved') {
-        this.known.set(formatLeaseKey(lease), lease);
+        this.knownLeases.set(formatLeaseKey(lease), lease);
       }
     }
-    this.digest = computeLeaseDigest([...this.known.keys()]);
+    this.digest = computeLeaseDigest([...this.knownLeases.keys()]);
   }
 }
--- a/packages/targets/src/testing/lease_model.ts
+++ b/packages/targets/src/testing/lease_model.ts
@@ -1,4 +1,4 @@
-/** One attempt on a modelled target: its reservation, its run and its end. */
+/** Model of one attempt on one target: its reservation, its run and its end. */
 import type {Term} from '@galenavalve/model';
 import type {Instant} from '@galenavalve/shared';
 import type {
@@ -19,7 +19,7 @@
   term: Term;
   firstTask: number;
   tasks: number;
-  /** State that the tasks are in from now on. */
+  /** State of the tasks after the event. */
   state: LeaseState;
   at: Instant;
 }
@@ -30,11 +30,11 @@
   plan: TaskPlan;
 }
 
-/** The life of one attempt on one target. */
+/** State machine of the lease of one attempt on one target. */
 export class LeaseModel {
   term: Term;
   state: LeaseState = 'reserved';
-  /** Processor limit of the whole lease, once throttled. */
+  /** Processor limit of all tasks of the lease; infinite unless throttled. */
   processorLimit = Infinity;
   /** Time of the latest change of state. */
   changedAt: Instant;
@@ -47,13 +47,14 @@
   constructor(
     readonly reservation: Reservation,
     readonly createdAt: Instant,
-    private readonly observe: (kind: RunEvent['kind'], at: Instant) => void,
+    private readonly onRunEvent: (kind: RunEvent['kind'], at: Instant) => void,
   ) {
     this.term = reservation.term;
     this.changedAt = createdAt;
     this.expiresAt = createdAt + reservation.ttlMs;
   }
 
+  /** Whether the attempt takes up capacity of the target. */
   get isOccupying(): boolean {
     return this.state === 'reserved' || this.state === 'running';
   }
@@ -71,31 +72,31 @@
     return Math.min(this.processorLimit, wanted * this.reservation.tasks);
   }
 
-  /** Keeps the reservation for another time to live. */
+  /** Extends the reservation until `ttlMs` from now. */
   extendReservation(ttlMs: number, now: Instant): void {
     if (this.state === 'reserved') {
       this.expiresAt = now + ttlMs;
     }
   }
 
-  /** Whether a start based on this grant is in time. */
+  /** Returns whether a start that is based on this grant is in time. */
   isGrantValid(grantedAt: Instant, now: Instant): boolean {
     const deadline = grantedAt + this.reservation.ttlMs;
     return this.createdAt <= grantedAt && grantedAt <= now && now < deadline;
   }
 
-  start(order: StartCommand, plan: TaskPlan, now: Instant): void {
+  start(command: StartCommand, plan: TaskPlan, now: Instant): void {
     this.state = 'running';
     this.changedAt = now;
-    this.term = order.term;
-    this.savedSeconds = order.progressSeconds;
+    this.term = command.term;
+    this.savedSeconds = command.progressSeconds;
     this.run = {
       startedAt: now,
-      resumedFromSeconds: order.progressSeconds,
+      resumedFromSeconds: command.progressSeconds,
       plan,
     };
-    this.expiresAt = Math.max(now, order.grantedAt + order.leaseMs);
-    this.observe('started', now);
+    this.expiresAt = Math.max(now, command.grantedAt + command.leaseMs);
+    this.onRunEvent('started', now);
   }
 
   /** Extends the lease of running tasks; never shortens it. */
@@ -106,30 +107,33 @@
     }
   }
 
-  /** Ends the tasks, at once or after they have saved their progress. */
-  stop(order: StopCommand, now: Instant): void {
+  /** Stops the tasks, at once or after they have saved their progress. */
+  stop(command: StopCommand, now: Instant): void {
     if (this.state !== 'running' || !this.run) {
       return;
     }
-    const saveMs = this.run.plan.checkpointMs;
+    const checkpointMs = this.run.plan.checkpointMs;
     const canSave =
-      order.checkpoint &&
+      command.checkpoint &&
       this.reservation.checkpointable &&
-      saveMs <= order.graceMs;
+      checkpointMs <= command.graceMs;
     if (!canSave) {
       this.end('stopped', now);
     } else if (this.stopsAt === undefined) {
-      this.stopsAt = now + saveMs;
+      this.stopsAt = now + checkpointMs;
       this.expiresAt = Math.max(this.expiresAt, this.stopsAt + 1);
     }
   }
 
-  /** Lets everything happen that is due by `now`; what does not lapse lasts for ever. */
+  /**
+   * Applies all changes that are due by `now`. Reservations and leases expire
+   * only if `expiring` says so.
+   */
   advance(
     now: Instant,
-    lapses: {reservations: boolean; leases: boolean},
+    expiring: {reservations: boolean; leases: boolean},
   ): void {
-    const isLapsed = lapses.reservations && this.expiresAt <= now;
+    const isLapsed = expiring.reservations && this.expiresAt <= now;
     if (this.state === 'reserved' && isLapsed) {
       this.state = 'lapsed';
     }
@@ -141,24 +145,24 @@
       startedAt,
       this.run.resumedFromSeconds,
     );
-    const expiresAt = lapses.leases ? this.expiresAt : Infinity;
+    const expiresAt = expiring.leases ? this.expiresAt : Infinity;
     const next = Math.min(at, expiresAt, this.stopsAt ?? Infinity);
     if (next > now) {
       return;
     }
     if (next === this.stopsAt) {
-      this.savedSeconds = this.madeSeconds(next);
+      this.savedSeconds = this.computeProgressSeconds(next);
       this.end('stopped', next);
     } else if (next === expiresAt) {
       this.end('lapsed', next);
     } else {
-      this.savedSeconds = this.madeSeconds(next);
+      this.savedSeconds = this.computeProgressSeconds(next);
       this.failedTask = failedTask;
       this.end(failedTask === undefined ? 'succeeded' : 'failed', next);
     }
   }
 
-  /** The target died with everything on it. */
+  /** Stops the tasks because the target was killed. */
   kill(now: Instant): void {
     this.end('stopped', now);
   }
@@ -172,7 +176,9 @@
       state: this.state,
       firstTask: this.reservation.firstTask,
       tasks: this.reservation.tasks,
-      progressSeconds: isRunning ? this.madeSeconds(now) : this.savedSeconds,
+      progressSeconds: isRunning
+        ? this.computeProgressSeconds(now)
+        : this.savedSeconds,
       ...(this.state === 'succeeded' && {
         results: this.run?.plan.createResults(),
       }),
@@ -183,7 +189,7 @@
     };
   }
 
-  private madeSeconds(now: Instant): number {
+  private computeProgressSeconds(now: Instant): number {
     if (!this.run) {
       return 0;
     }
@@ -195,7 +201,7 @@
     this.state = state;
     this.changedAt = at;
     if (hasRun) {
-      this.observe('ended', at);
+      this.onRunEvent('ended', at);
     }
   }
 }
--- a/packages/targets/src/testing/memory_targets.ts
+++ b/packages/targets/src/testing/memory_targets.ts
@@ -1,4 +1,4 @@
-/** Targets in memory behind the client interface, with faults. */
+/** In-memory targets behind the client interface, with fault injection. */
 import {
   type Clock,
   Failure,
@@ -17,32 +17,33 @@
 /** A command of the client interface. */
 export type TargetCommand = keyof TargetClient;
 
-/** What goes wrong with the messages to one target. */
+/** A fault of the messages between callers and one target. */
 export interface TargetFault {
-  /** Neither commands nor answers get through. */
+  /** Neither commands nor responses arrive. */
   silent?: boolean;
-  /** Commands take effect, but their answers are lost. */
+  /** Commands take effect, but their responses are lost. */
   losesAnswers?: boolean;
-  /** Commands arrive this much later, even after their sender has given up. */
+  /** Delay of commands; they arrive even after the sender's timeout. */
   delayMs?: Milliseconds;
-  /** Callers whose messages do not get through. */
+  /** Callers whose messages do not arrive. */
   cutFrom?: ReadonlySet<string>;
-  /** Commands that the fault concerns; all when absent. */
+  /** Commands that the fault affects; all when absent. */
   commands?: ReadonlySet<TargetCommand>;
 }
 
-/** Holds modelled targets, and the network between them and their callers. */
+/** A set of target models, and the network between them and their callers. */
 export class MemoryTargets {
   private readonly models = new Map<string, TargetModel>();
   private readonly faults = new Map<string, TargetFault>();
-  private readonly dead = new Set<string>();
+  private readonly killedTargets = new Set<string>();
   /** Commands sent so far. */
   commandCount = 0;
 
-  /** Each command and each answer waits for `network`, which decides their order. */
+  /** Each command and each response waits for `waitForNetwork`, which determines their order. */
   constructor(
     private readonly clock: Clock,
-    private readonly network: () => Promise<void> = () => Promise.resolve(),
+    private readonly waitForNetwork: () => Promise<void> = () =>
+      Promise.resolve(),
   ) {}
 
   // Commands
@@ -61,18 +62,18 @@
     }
   }
 
-  /** Ends a target and all its tasks. */
+  /** Kills a target and all of its tasks. */
   kill(target: string): void {
     this.getModel(target).restart(this.clock.now());
-    this.dead.add(target);
+    this.killedTargets.add(target);
   }
 
-  /** Brings a killed target back, empty. */
+  /** Restarts a killed target, without leases. */
   recover(target: string): void {
-    this.dead.delete(target);
+    this.killedTargets.delete(target);
   }
 
-  /** Lets everything on the targets happen that is due. */
+  /** Applies all changes on the targets that are due. */
   advance(): void {
     for (const model of this.models.values()) {
       model.advance(this.clock.now());
@@ -81,6 +82,7 @@
 
   // Queries
 
+  /** Returns the model of a target; throws `not-found` when there is none. */
   getModel(target: string): TargetModel {
     const model = this.models.get(target);
     if (!model) {
@@ -93,52 +95,52 @@
     return [...this.models.keys()];
   }
 
-  /** The address of a target, for `findAddress`. */
+  /** Finds the address of a target; undefined when there is none. */
   findAddress = (target: string): TargetAddress | undefined =>
     this.models.has(target)
       ? {id: target, endpoint: `memory:${target}`}
       : undefined;
 
-  /** The targets as `caller` reaches them. */
+  /** Creates a client that sends commands as `caller`. */
   createClient(caller: string): TargetClient {
     return new MemoryTargetClient(this, caller);
   }
 
-  /** Carries one command to a target, and its answer back. */
+  /** Delivers one command to a target, and its response to the caller. */
   async deliver<T>(
     call: MemoryCall,
     apply: (model: TargetModel, now: number) => T,
   ): Promise<T> {
     this.commandCount += 1;
     const {target, timeout} = call;
-    const fault = this.faultOf(call);
+    const fault = this.findFault(call);
     const isLost = fault.silent || fault.cutFrom?.has(call.caller);
     const delayMs = fault.delayMs ?? 0;
     if (isLost || delayMs >= timeout) {
       if (!isLost) {
         this.deliverLate(call, delayMs, apply);
       }
-      return this.giveUp(target, timeout);
+      return this.failAfterTimeout(target, timeout);
     }
     if (delayMs > 0) {
       await this.clock.sleep(delayMs);
     }
-    await this.network();
-    if (this.dead.has(target)) {
+    await this.waitForNetwork();
+    if (this.killedTargets.has(target)) {
       throw new Failure('target-unreachable', {
         target,
         problem: 'the connection was refused',
       });
     }
-    const answer = apply(this.getModel(target), this.clock.now());
+    const response = apply(this.getModel(target), this.clock.now());
     if (fault.losesAnswers) {
-      return this.giveUp(target, timeout - delayMs);
+      return this.failAfterTimeout(target, timeout - delayMs);
     }
-    await this.network();
-    return answer;
+    await this.waitForNetwork();
+    return response;
   }
 
-  private faultOf(call: MemoryCall): TargetFault {
+  private findFault(call: MemoryCall): TargetFault {
     const fault = this.faults.get(call.target) ?? {};
     const applies = !fault.commands || fault.commands.has(call.command);
     return applies ? fault : {};
@@ -150,7 +152,7 @@
     apply: (model: TargetModel, now: number) => T,
   ): void {
     void this.clock.sleep(delayMs).then(() => {
-      if (this.dead.has(call.target)) {
+      if (this.killedTargets.has(call.target)) {
         return;
       }
       try {
@@ -163,11 +165,14 @@
     });
   }
 
-  private async giveUp(target: string, after: Milliseconds): Promise<never> {
-    await this.clock.sleep(after);
+  private async failAfterTimeout(
+    target: string,
+    timeoutMs: Milliseconds,
+  ): Promise<never> {
+    await this.clock.sleep(timeoutMs);
     throw new Failure('target-unreachable', {
       target,
-      problem: `no answer within ${after} ms`,
+      problem: `no response within ${timeoutMs} ms`,
     });
   }
 }
@@ -189,71 +194,71 @@
 
   reserve(
     target: TargetAddress,
-    order: Parameter<'reserve'>,
+    command: Parameter<'reserve'>,
     timeout: Milliseconds,
   ): Promise<Grant> {
     return this.targets.deliver(
-      this.call(target, 'reserve', timeout),
-      (model, now) => model.reserve(order, now),
+      this.createCall(target, 'reserve', timeout),
+      (model, now) => model.reserve(command, now),
     );
   }
 
   start(
     target: TargetAddress,
-    order: Parameter<'start'>,
+    command: Parameter<'start'>,
     timeout: Milliseconds,
   ): Promise<void> {
     return this.targets.deliver(
-      this.call(target, 'start', timeout),
-      (model, now) => model.start(order, now),
+      this.createCall(target, 'start', timeout),
+      (model, now) => model.start(command, now),
     );
   }
 
   stop(
     target: TargetAddress,
-    order: Parameter<'stop'>,
+    command: Parameter<'stop'>,
     timeout: Milliseconds,
   ): Promise<LeaseReport | undefined> {
     return this.targets.deliver(
-      this.call(target, 'stop', timeout),
-      (model, now) => model.stop(order, now),
+      this.createCall(target, 'stop', timeout),
+      (model, now) => model.stop(command, now),
     );
   }
 
   renew(
     target: TargetAddress,
-    order: Parameter<'renew'>,
+    command: Parameter<'renew'>,
     timeout: Milliseconds,
   ): Promise<TargetReport> {
     return this.targets.deliver(
-      this.call(target, 'renew', timeout),
-      (model, now) => model.renew(order, now),
+      this.createCall(target, 'renew', timeout),
+      (model, now) => model.renew(command, now),
     );
   }
 
   fence(
     target: TargetAddress,
-    order: Parameter<'fence'>,
+    command: Parameter<'fence'>,
     timeout: Milliseconds,
   ): Promise<TargetReport> {
     return this.targets.deliver(
-      this.call(target, 'fence', timeout),
-      (model, now) => model.fence(order, now),
+      this.createCall(target, 'fence', timeout),
+      (model, now) => model.fence(command, now),
     );
   }
 
   throttle(
     target: TargetAddress,
-    order: Parameter<'throttle'>,
+    command: Parameter<'throttle'>,
     timeout: Milliseconds,
   ): Promise<void> {
     return this.targets.deliver(
-      this.call(target, 'throttle', timeout),
-      (model, now) => model.throttle(order, now),
+      this.createCall(target, 'throttle', timeout),
+      (model, now) => model.throttle(command, now),
     );
   }
 
-  private call(
+  private createCall(
     target: TargetAddress,
     command: TargetCommand,
     timeout: Milliseconds,
--- a/packages/targets/src/testing/target_model.ts
+++ b/packages/targets/src/testing/target_model.ts
@@ -1,4 +1,4 @@
-/** A target as a pure state machine: every call names the present time. */
+/** Model of a target as a pure state machine; every call passes the current time. */
 import {NO_TERM, type Term, compareTerms, isSameTerm} from '@galenavalve/model';
 import {Failure, type Instant, type Milliseconds} from '@galenavalve/shared';
 import type {
@@ -17,7 +17,7 @@
 import {LeaseModel, type RunEvent} from './lease_model.js';
 import {TaskPlan} from './task_plan.js';
 
-/** What a target holds. */
+/** Capacity of a target. */
 export interface TargetCapacity {
   slots: number;
   accelerators: number;
@@ -25,32 +25,32 @@
   memoryMb: number;
 }
 
-/** Checks that a test can switch off, to show what they prevent. */
+/** Checks of a target that a test can disable, to show which faults they prevent. */
 export interface TargetGuards {
   /** Refuses lower terms. */
   terms: boolean;
-  /** Ends reservations that were not renewed, and refuses a start without one. */
+  /** Expires reservations that are not renewed, and refuses a start without a reservation. */
   reservations: boolean;
-  /** Stops tasks whose lease was not renewed. */
+  /** Stops tasks whose lease is not renewed. */
   leases: boolean;
-  /** Refuses new work while it is leaving. */
+  /** Refuses new work while the target is leaving. */
   leaving: boolean;
 }
 
-/** Settings of a modelled target. */
+/** Options of a target model. */
 export interface TargetModelOptions {
   id: string;
   capacity: TargetCapacity;
   /** Time between two measurements of usage. */
   usageIntervalMs?: Milliseconds;
   guards?: Partial<TargetGuards>;
-  /** Is told of each start and end of tasks. */
+  /** Called at each start and end of tasks. */
   onRun?: (event: RunEvent) => void;
 }
 
-/** What a report holds. */
+/** Contents of a report. */
 interface ReportOptions {
-  /** Leaves out leases that have not changed since then. */
+  /** Leaves out leases that have not changed since this time. */
   since?: Instant;
   withUsage?: boolean;
 }
@@ -61,20 +61,20 @@
   leases: true,
   leaving: true,
 };
-const DEFAULT_USAGE_LAG_MS = 5000;
+const DEFAULT_USAGE_INTERVAL_MS = 5000;
 
-/** One target, in memory. */
+/** One in-memory target. */
 export class TargetModel {
   readonly id: string;
   readonly capacity: TargetCapacity;
   /** Whether it fails every task. */
   behavior: 'well' | 'fails-every-task' = 'well';
-  /** Whether it refuses new work because it is about to go. */
+  /** Whether it refuses new work because it is about to leave. */
   leaving = false;
   private term: Term = NO_TERM;
   private leases = new Map<string, LeaseModel>();
   private readonly guards: TargetGuards;
-  private readonly usageLagMs: Milliseconds;
+  private readonly usageIntervalMs: Milliseconds;
   private readonly onRun?: (event: RunEvent) => void;
   private usage: UsageReport[] = [];
   private measuredAt?: Instant;
@@ -83,99 +83,108 @@
     this.id = options.id;
     this.capacity = options.capacity;
     this.guards = {...ALL_GUARDS, ...options.guards};
-    this.usageLagMs = options.usageIntervalMs ?? DEFAULT_USAGE_LAG_MS;
+    this.usageIntervalMs = options.usageIntervalMs ?? DEFAULT_USAGE_INTERVAL_MS;
     this.onRun = options.onRun;
   }
 
   // Commands of schedulers
 
-  reserve(order: Reservation, now: Instant): Grant {
+  reserve(request: Reservation, now: Instant): Grant {
     this.advance(now);
-    this.checkTerm(order.term);
-    const known = this.leases.get(formatLeaseKey(order));
-    if (known && isSameTerm(known.term, order.term) && known.isOccupying) {
-      known.extendReservation(order.ttlMs, now);
+    this.checkTerm(request.term);
+    const existing = this.leases.get(formatLeaseKey(request));
+    if (
+      existing &&
+      isSameTerm(existing.term, request.term) &&
+      existing.isOccupying
+    ) {
+      existing.extendReservation(request.ttlMs, now);
       return {grantedAt: now};
     }
-    if (known) {
-      throw this.refuse('the attempt has ended here');
+    if (existing) {
+      throw this.createRefusal('the attempt has ended on this target');
     }
-    this.checkRoom(order);
-    const lease = new LeaseModel(order, now, (kind, at) =>
-      this.observe(lease, kind, at),
+    this.checkCapacity(request);
+    const lease = new LeaseModel(request, now, (kind, at) =>
+      this.emitRunEvent(lease, kind, at),
     );
-    this.leases.set(formatLeaseKey(order), lease);
+    this.leases.set(formatLeaseKey(request), lease);
     return {grantedAt: now};
   }
 
-  start(order: StartCommand, now: Instant): void {
+  start(command: StartCommand, now: Instant): void {
     this.advance(now);
-    this.checkTerm(order.term);
-    const lease = this.leases.get(formatLeaseKey(order));
+    this.checkTerm(command.term);
+    const lease = this.leases.get(formatLeaseKey(command));
     if (!lease) {
-      throw this.refuse('there is no reservation');
+      throw this.createRefusal('there is no reservation');
     }
     if (lease.state !== 'reserved') {
-      this.checkRepeatedStart(lease, order);
+      this.checkRepeatedStart(lease, command);
       return;
     }
     if (this.guards.reservations) {
-      this.checkReservation(lease, order, now);
+      this.checkReservation(lease, command, now);
     }
     const {firstTask, tasks} = lease.reservation;
     const failsEveryTask = this.behavior === 'fails-every-task';
-    const plan = new TaskPlan(order.payload, firstTask, tasks, failsEveryTask);
-    lease.start(order, plan, now);
+    const plan = new TaskPlan(
+      command.payload,
+      firstTask,
+      tasks,
+      failsEveryTask,
+    );
+    lease.start(command, plan, now);
   }
 
-  stop(order: StopCommand, now: Instant): LeaseReport | undefined {
+  stop(command: StopCommand, now: Instant): LeaseReport | undefined {
     this.advance(now);
-    this.checkTerm(order.term);
-    const lease = this.leases.get(formatLeaseKey(order));
+    this.checkTerm(command.term);
+    const lease = this.leases.get(formatLeaseKey(command));
     if (lease?.state === 'reserved') {
-      this.leases.delete(formatLeaseKey(order));
+      this.leases.delete(formatLeaseKey(command));
     }
-    lease?.stop(order, now);
+    lease?.stop(command, now);
     return lease?.report(now);
   }
 
-  renew(order: Renewal, now: Instant): TargetReport {
+  renew(request: Renewal, now: Instant): TargetReport {
     this.advance(now);
-    this.checkTerm(order.term);
+    this.checkTerm(request.term);
     const isKnown =
-      order.basedOn !== undefined && order.digest === this.digest();
-    for (const lease of this.findRenewed(order, isKnown, now)) {
-      lease.renew(order.term, (order.basedOn ?? now) + order.leaseMs);
+      request.basedOn !== undefined && request.digest === this.computeDigest();
+    for (const lease of this.findRenewed(request, isKnown, now)) {
+      lease.renew(request.term, (request.basedOn ?? now) + request.leaseMs);
     }
-    for (const key of order.forget) {
-      this.forget(key);
+    for (const key of request.forget) {
+      this.removeEndedLease(key);
     }
-    const since = isKnown ? order.basedOn : undefined;
-    return this.report(now, {since, withUsage: order.withUsage === true});
+    const since = isKnown ? request.basedOn : undefined;
+    return this.report(now, {since, withUsage: request.withUsage === true});
   }
 
-  fence(order: {term: Term}, now: Instant): TargetReport {
+  fence(request: {term: Term}, now: Instant): TargetReport {
     this.advance(now);
-    this.checkTerm(order.term);
+    this.checkTerm(request.term);
     return this.report(now);
   }
 
   throttle(
-    order: LeaseKey & {term: Term; processors: number},
+    request: LeaseKey & {term: Term; processors: number},
     now: Instant,
   ): void {
     this.advance(now);
-    this.checkTerm(order.term);
-    const lease = this.leases.get(formatLeaseKey(order));
+    this.checkTerm(request.term);
+    const lease = this.leases.get(formatLeaseKey(request));
     if (!lease) {
-      throw this.refuse('the attempt is not known');
+      throw this.createRefusal('it has no lease of the attempt');
     }
-    lease.processorLimit = order.processors;
+    lease.processorLimit = request.processors;
   }
 
   // Events
 
-  /** Lets everything happen that is due by `now`. */
+  /** Applies all changes that are due by `now`. */
   advance(now: Instant): void {
     for (const [key, lease] of this.leases) {
       lease.advance(now, this.guards);
@@ -183,7 +192,7 @@
         this.leases.delete(key);
       }
     }
-    if (now - (this.measuredAt ?? -Infinity) >= this.usageLagMs) {
+    if (now - (this.measuredAt ?? -Infinity) >= this.usageIntervalMs) {
       this.measureUsage(now);
     }
   }
@@ -201,6 +210,7 @@
 
   // Queries
 
+  /** Creates a report at `now`; holds all leases and usage by default. */
   report(now: Instant, options: ReportOptions = {}): TargetReport {
     const {since, withUsage = true} = options;
     const leases = [...this.leases.values()].filter(
@@ -218,7 +228,7 @@
     };
   }
 
-  private digest(): string {
+  private computeDigest(): string {
     const started = [...this.leases].filter(
       ([, lease]) => lease.state !== 'reserved',
     );
@@ -226,17 +236,17 @@
   }
 
   private findRenewed(
-    order: Renewal,
+    request: Renewal,
     isKnown: boolean,
     now: Instant,
   ): LeaseModel[] {
-    if (order.basedOn === undefined || order.basedOn > now) {
+    if (request.basedOn === undefined || request.basedOn > now) {
       return [];
     }
-    if (order.renewsAll) {
+    if (request.renewsAll) {
       return isKnown ? [...this.leases.values()] : [];
     }
-    return order.leases.flatMap(
+    return request.leases.flatMap(
       key => this.leases.get(formatLeaseKey(key)) ?? [],
     );
   }
@@ -245,17 +255,17 @@
     if (!this.guards.terms) {
       return;
     }
-    const order = compareTerms(term, this.term);
-    if (order < 0) {
-      throw this.refuse('the term is lower than one seen before');
+    const comparison = compareTerms(term, this.term);
+    if (comparison < 0) {
+      throw this.createRefusal('the term is lower than the highest one seen');
     }
-    if (order > 0) {
+    if (comparison > 0) {
       this.term = term;
       this.dropReservations();
     }
   }
 
-  /** Reservations of a lower term can never be started. */
+  /** Drops reservations of lower terms, which can never be started. */
   private dropReservations(): void {
     for (const [key, lease] of this.leases) {
       if (lease.state === 'reserved') {
@@ -264,56 +274,58 @@
     }
   }
 
-  private checkRoom(order: Reservation): void {
+  private checkCapacity(request: Reservation): void {
     if (this.leaving && this.guards.leaving) {
-      throw this.refuse('it is leaving');
+      throw this.createRefusal('it is leaving');
     }
-    const held = [...this.leases.values()]
+    const occupied = [...this.leases.values()]
       .filter(lease => lease.isOccupying)
       .map(lease => lease.reservation);
-    const all = [...held, order];
-    if (sum(all, item => item.tasks) > this.capacity.slots) {
-      throw this.refuse('no slot is free');
+    const all = [...occupied, request];
+    if (sumBy(all, item => item.tasks) > this.capacity.slots) {
+      throw this.createRefusal('no slot is free');
     }
-    const processors = sum(all, item => item.tasks * item.processors);
+    const processors = sumBy(all, item => item.tasks * item.processors);
     if (processors > this.capacity.processors) {
-      throw this.refuse('too few processors are free');
+      throw this.createRefusal('too few processors are free');
     }
-    if (sum(all, item => item.tasks * item.memoryMb) > this.capacity.memoryMb) {
-      throw this.refuse('too little memory is free');
+    if (
+      sumBy(all, item => item.tasks * item.memoryMb) > this.capacity.memoryMb
+    ) {
+      throw this.createRefusal('too little memory is free');
     }
-    if (held.some(item => item.accelerators & order.accelerators)) {
-      throw this.refuse('an accelerator is taken');
+    if (occupied.some(item => item.accelerators & request.accelerators)) {
+      throw this.createRefusal('an accelerator is taken');
     }
-    if (order.accelerators >= 2 ** this.capacity.accelerators) {
-      throw this.refuse('it has fewer accelerators');
+    if (request.accelerators >= 2 ** this.capacity.accelerators) {
+      throw this.createRefusal('it has fewer accelerators');
     }
   }
 
   private checkReservation(
     lease: LeaseModel,
-    order: StartCommand,
+    command: StartCommand,
     now: Instant,
   ): void {
     if (this.leaving && this.guards.leaving) {
-      throw this.refuse('it is leaving');
+      throw this.createRefusal('it is leaving');
     }
-    if (!isSameTerm(lease.term, order.term)) {
-      throw this.refuse('the reservation is of another term');
+    if (!isSameTerm(lease.term, command.term)) {
+      throw this.createRefusal('the reservation has another term');
     }
-    if (!lease.isGrantValid(order.grantedAt, now)) {
-      throw this.refuse('the reservation has lapsed');
+    if (!lease.isGrantValid(command.grantedAt, now)) {
+      throw this.createRefusal('the reservation has expired');
     }
   }
 
-  private checkRepeatedStart(lease: LeaseModel, order: StartCommand): void {
-    const isDuplicate = isSameTerm(lease.term, order.term);
+  private checkRepeatedStart(lease: LeaseModel, command: StartCommand): void {
+    const isDuplicate = isSameTerm(lease.term, command.term);
     if (!isDuplicate || lease.state === 'stopped' || lease.state === 'lapsed') {
-      throw this.refuse('the attempt has ended here');
+      throw this.createRefusal('the attempt has ended on this target');
     }
   }
 
-  private forget(key: LeaseKey): void {
+  private removeEndedLease(key: LeaseKey): void {
     const lease = this.leases.get(formatLeaseKey(key));
     if (lease && !lease.isOccupying) {
       this.leases.delete(formatLeaseKey(key));
@@ -332,7 +344,7 @@
       }));
   }
 
-  private observe(
+  private emitRunEvent(
     lease: LeaseModel,
     kind: RunEvent['kind'],
     at: Instant,
@@ -352,11 +364,11 @@
     });
   }
 
-  private refuse(problem: string): Failure {
+  private createRefusal(problem: string): Failure {
     return new Failure('target-refused', {target: this.id, problem});
   }
 }
 
-function sum<T>(items: readonly T[], valueOf: (item: T) => number): number {
-  return items.reduce((total, item) => total + valueOf(item), 0);
+function sumBy<T>(items: readonly T[], getValue: (item: T) => number): number {
+  return items.reduce((total, item) => total + getValue(item), 0);
 }
--- a/packages/targets/src/testing/task_plan.ts
+++ b/packages/targets/src/testing/task_plan.ts
@@ -1,29 +1,29 @@
-/** What the tasks of an attempt do on a modelled target, as their payload says. */
+/** Behavior of the tasks of an attempt on a target model, as their payload specifies it. */
 import {z} from 'zod';
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {LeaseReport} from '../target_client.js';
 
-/** Time after which every task fails on a target that fails them all. */
-const BAD_TARGET_FAILURE_MS = 5;
+/** Run time of tasks on a target that fails every task. */
+const FAILING_TARGET_TASK_MS = 5;
 
-/** Time in which a task saves its progress unless the payload says otherwise. */
+/** Time in which a task saves its progress unless the payload specifies another. */
 const DEFAULT_CHECKPOINT_MS = 50;
 
-/** The fields of a payload that modelled tasks obey; others are ignored. */
+/** The fields of a payload that the model uses; others are ignored. */
 const taskPayload = z.object({
   durationMs: z.number().nonnegative().default(0),
   /** Run times by task index, where they differ. */
   durationsMs: z.record(z.string(), z.number().nonnegative()).default({}),
   /** True when every task fails at its end, or the index of the one that does. */
   fail: z.union([z.boolean(), z.int()]).default(false),
-  /** Output of every task; its index when absent. */
+  /** Output of every task; the index of the task when absent. */
   output: z.json().optional(),
   /** Processors that one task uses; what it reserved when absent. */
   usesProcessors: z.number().nonnegative().optional(),
   checkpointMs: z.number().nonnegative().default(DEFAULT_CHECKPOINT_MS),
 });
 
-/** When and how the tasks end. */
+/** Time and outcome of the end of the tasks. */
 export interface TaskEnd {
   at: Instant;
   /** Index of the task that fails; absent when all succeed. */
@@ -51,12 +51,12 @@
     return this.payload.checkpointMs;
   }
 
-  /** The first failure, or the end of the last task. */
+  /** Finds the first failure, or the end of the last task when none fails. */
   findEnd(startedAt: Instant, resumedFromSeconds: number): TaskEnd {
     let last = startedAt;
     let failure: TaskEnd | undefined;
-    for (const task of this.indexes()) {
-      const remaining = this.durationOf(task) - resumedFromSeconds * 1000;
+    for (const task of this.listTaskIndexes()) {
+      const remaining = this.getDuration(task) - resumedFromSeconds * 1000;
       const at = startedAt + this.clampDuration(remaining);
       last = Math.max(last, at);
       if (this.isFailing(task) && at < (failure?.at ?? Infinity)) {
@@ -66,22 +66,23 @@
     return failure ?? {at: last};
   }
 
+  /** Creates the outputs of the tasks, in order. */
   createResults(): NonNullable<LeaseReport['results']> {
-    return this.indexes().map(task => this.payload.output ?? task);
+    return this.listTaskIndexes().map(task => this.payload.output ?? task);
   }
 
-  private indexes(): number[] {
+  private listTaskIndexes(): number[] {
     return Array.from({length: this.tasks}, (_, i) => this.firstTask + i);
   }
 
-  private durationOf(task: number): Milliseconds {
+  private getDuration(task: number): Milliseconds {
     return this.payload.durationsMs[String(task)] ?? this.payload.durationMs;
   }
 
   private clampDuration(remaining: Milliseconds): Milliseconds {
     const duration = Math.max(0, remaining);
     return this.failsEveryTask
-      ? Math.min(duration, BAD_TARGET_FAILURE_MS)
+      ? Math.min(duration, FAILING_TARGET_TASK_MS)
       : duration;
   }
 
