--- a/packages/bench/src/slopes/peer_slopes.ts
+++ b/packages/bench/src/slopes/peer_slopes.ts
@@ -1,10 +1,10 @@
 /** What heartbeats and relays cost an instance. */
 import {
   PeerMesh,
-  type PeerSeed,
+  type PeerEndpoint,
   RECORDS_METHOD,
-  RecordRelay,
-  type SelfReport,
+  RecordCache,
+  type InstanceReport,
   pullRecords,
   recordsRequest,
 } from '@galenavalve/membership';
@@ -69,7 +69,7 @@
 
 /** The cost of one instance among `peers` others, in one heartbeat interval. */
 async function measureBeats(peers: number): Promise<Cost> {
-  const seeds: PeerSeed[] = [];
+  const seeds: PeerEndpoint[] = [];
   const instances: Instance[] = [];
   for (let index = 0; index <= peers; index++) {
     const instance = await startInstance(`entry-north-${index}`, [...seeds]);
@@ -94,13 +94,13 @@
 /** The cost of pulling `records` records of jobs from a peer. */
 async function measureRelay(records: number): Promise<Cost> {
   const {server, client} = createEnds('entry-north-1');
-  const relay = new RecordRelay();
+  const relay = new RecordCache();
   const bodies = Array.from({length: records / 4}, (_, index) =>
     createJobRecords(index, 4),
   ).flat();
-  relay.note(createEntries(bodies, 0), records);
+  relay.add(createEntries(bodies, 0), records);
   server.handle(RECORDS_METHOD, recordsRequest, async body =>
-    relay.serve(body),
+    relay.readPage(body),
   );
   const {port} = await server.start();
   const peer = {instance: 'entry-north-1', host: HOST, port};
@@ -124,7 +124,7 @@
 }
 
 interface Instance {
-  seed: PeerSeed;
+  seed: PeerEndpoint;
   server: PeerServer;
   client: PeerClient;
   stop(): Promise<void>;
@@ -132,7 +132,7 @@
 
 async function startInstance(
   instance: string,
-  seeds: readonly PeerSeed[],
+  seeds: readonly PeerEndpoint[],
 ): Promise<Instance> {
   const {server, client, random} = createEnds(instance);
   const {port} = await server.start();
@@ -146,7 +146,7 @@
     clock,
     logger,
     random,
-    report: () => createReport(instance),
+    createReport: () => createReport(instance),
     options: {heartbeatMs: HEARTBEAT_MS},
   });
   const stopping = new AbortController();
@@ -168,7 +168,7 @@
   return {server, client, random};
 }
 
-function createReport(instance: string): SelfReport {
+function createReport(instance: string): InstanceReport {
   return {
     instance,
     domain: DOMAIN,
--- a/packages/cli/__tests__/command_line.spec.ts
+++ b/packages/cli/__tests__/command_line.spec.ts
@@ -7,8 +7,8 @@
   createConfigurationView,
   createJobView,
   refuse,
-  type Script,
-  type SeenRequest,
+  type ScriptedResponse,
+  type ReceivedRequest,
   startEntry,
   startFakeEntry,
 } from './fake_entry.js';
@@ -32,7 +32,7 @@
 
 async function runAgainst(
   test: Test,
-  script: Script,
+  script: ScriptedResponse,
   ...args: string[]
 ): Promise<Run> {
   const {url} = await startFakeEntry(test, script);
@@ -62,7 +62,7 @@
 
 t.test('the exit code tells how a submit ended', async t => {
   const running = createJobView({phase: 'running', outcome: undefined});
-  const cases: [string, Script, ExitCode][] = [
+  const cases: [string, ScriptedResponse, ExitCode][] = [
     ['success', {status: 200, body: createJobView()}, ExitCode.ok],
     ['not run', refuse('overloaded'), ExitCode.notRun],
     ['rejected', refuse('request-conflict'), ExitCode.rejected],
@@ -111,7 +111,7 @@
       expectedSeconds: 9,
       repeatable: false,
     });
-    const {url, seen} = await startFakeEntry(t, {
+    const {url, requests: seen} = await startFakeEntry(t, {
       status: 200,
       body: createJobView(),
     });
@@ -244,8 +244,8 @@
   test: Test,
   file: object,
   present: Entity = createDomain(),
-): Promise<SeenRequest> {
-  const {url, seen} = await startEntry(test, ({method}) =>
+): Promise<ReceivedRequest> {
+  const {url, requests: seen} = await startEntry(test, ({method}) =>
     method === 'GET'
       ? {status: 200, body: createConfigurationView([present], 3)}
       : {status: 200, body: {changeId: 'c', offset: 12, versions: {}}},
@@ -253,5 +253,5 @@
   const path = writeFile(test, file);
   const result = await run('--entry', url, 'config', 'apply', path);
   test.equal(result.exitCode, ExitCode.ok, result.error);
-  return seen.at(-1) as SeenRequest;
+  return seen.at(-1) as ReceivedRequest;
 }
--- a/packages/cli/__tests__/entry_client.spec.ts
+++ b/packages/cli/__tests__/entry_client.spec.ts
@@ -16,10 +16,10 @@
     entries,
     random: new SeededRandom(7),
     policy: {
-      queryTimeout: 150,
-      commandTimeout: 150,
-      backoffBase: 5,
-      backoffCap: 5,
+      queryTimeoutMs: 150,
+      commandTimeoutMs: 150,
+      backoffBaseMs: 5,
+      backoffCapMs: 5,
       ...policy,
     },
   });
@@ -44,19 +44,23 @@
     const client = createClient(t, [first.url, second.url]);
     const job = await client.submit(createRequest(), 0);
     t.equal(job.jobId, 'job-1');
-    t.same(first.seen[0], second.seen[0], 'with the same request id and body');
+    t.same(
+      first.requests[0],
+      second.requests[0],
+      'with the same request id and body',
+    );
     await client.readJob('job-1', 0);
-    t.equal(first.seen.length, 1, 'and stays with the one that answers');
+    t.equal(first.requests.length, 1, 'and stays with the one that answers');
   });
 
   t.test('does not wait out an instance that is slow', async t => {
     const slow = await startFakeEntry(t, 'silent');
     const second = await startFakeEntry(t, answered);
     const entries = [slow.url, second.url];
-    const policy = {hedgeDelay: 20, commandTimeout: 60_000};
+    const policy = {hedgeDelayMs: 20, commandTimeoutMs: 60_000};
     const client = createClient(t, entries, policy);
     t.equal((await client.submit(createRequest(), 0)).jobId, 'job-1');
-    t.same(slow.seen, second.seen);
+    t.same(slow.requests, second.requests);
   });
 
   t.test('asks every entry while the first is slow', async t => {
@@ -64,7 +68,11 @@
     const stopping = await startFakeEntry(t, refuse('stopping'));
     const fourth = await startFakeEntry(t, answered);
     const entries = [slow.url, 'http://127.0.0.1:1', stopping.url, fourth.url];
-    const policy = {hedgeDelay: 20, commandTimeout: 60_000, deadline: 1000};
+    const policy = {
+      hedgeDelayMs: 20,
+      commandTimeoutMs: 60_000,
+      callTimeoutMs: 1000,
+    };
     const client = createClient(t, entries, policy);
     t.equal((await client.submit(createRequest(), 0)).jobId, 'job-1');
   });
@@ -74,7 +82,7 @@
     for (const code of ['overloaded', 'unknown-workspace'] as const) {
       const second = await startFakeEntry(t, refuse(code));
       const entries = [slow.url, second.url];
-      const policy = {hedgeDelay: 20, maxAttempts: 1};
+      const policy = {hedgeDelayMs: 20, maxAttempts: 1};
       const client = createClient(t, entries, policy);
       const submit = client.submit(createRequest(), 0);
       await t.rejects(submit, {code: 'outcome-unknown'}, code);
@@ -86,21 +94,21 @@
     const entry = await startFakeEntry(t, unknown, 'cut', answered);
     const client = createClient(t, [entry.url]);
     await t.resolves(client.submit(createRequest(), 0));
-    t.equal(entry.seen.length, 3);
-    t.same(entry.seen[0]?.body, entry.seen[2]?.body);
+    t.equal(entry.requests.length, 3);
+    t.same(entry.requests[0]?.body, entry.requests[2]?.body);
   });
 
   t.test('is repeated after "not run" until the deadline', async t => {
     const entry = await startFakeEntry(t, refuse('overloaded'));
-    const client = createClient(t, [entry.url], {deadline: 400});
+    const client = createClient(t, [entry.url], {callTimeoutMs: 400});
     const submit = client.submit(createRequest(), 0);
     await t.rejects(submit, {code: 'overloaded'});
-    t.ok(entry.seen.length > 1);
+    t.ok(entry.requests.length > 1);
   });
 
   t.test('makes no attempt that its deadline would cut short', async t => {
     const entry = await startFakeEntry(t, refuse('overloaded'), 'silent');
-    const client = createClient(t, [entry.url], {deadline: 140});
+    const client = createClient(t, [entry.url], {callTimeoutMs: 140});
     const submit = client.submit(createRequest(), 0);
     await t.rejects(submit, {code: 'overloaded'}, 'which stays true');
   });
@@ -110,7 +118,7 @@
     const entry = await startFakeEntry(t, later);
     const client = createClient(t, [entry.url]);
     await t.rejects(client.submit(createRequest(), 0), {code: 'overloaded'});
-    t.equal(entry.seen.length, 1);
+    t.equal(entry.requests.length, 1);
   });
 
   t.test('is not repeated after a refusal', async t => {
@@ -118,7 +126,7 @@
     const client = createClient(t, [entry.url]);
     const submit = client.submit(createRequest(), 0);
     await t.rejects(submit, {code: 'request-conflict'});
-    t.equal(entry.seen.length, 1);
+    t.equal(entry.requests.length, 1);
   });
 
   t.test('was not run when nothing listens', async t => {
--- a/packages/cli/__tests__/fake_entry.ts
+++ b/packages/cli/__tests__/fake_entry.ts
@@ -7,13 +7,13 @@
 import {ERROR_TEMPLATES, type ErrorCode, Failure} from '@galenavalve/shared';
 
 /** One scripted answer; 'silent' never answers, 'cut' closes the connection. */
-export type Script =
+export type ScriptedResponse =
   | 'silent'
   | 'cut'
   | {status: number; body: unknown; headers?: Record<string, string>};
 
 /** A request as an entry instance saw it. */
-export interface SeenRequest {
+export interface ReceivedRequest {
   method: string;
   path: string;
   body: unknown;
@@ -22,13 +22,13 @@
 /** A fake entry instance. */
 export interface FakeEntry {
   url: string;
-  seen: SeenRequest[];
+  requests: ReceivedRequest[];
 }
 
 /** Starts an entry instance that gives the scripted answers; the last one again and again. */
 export async function startFakeEntry(
   test: Test,
-  ...scripts: Script[]
+  ...scripts: ScriptedResponse[]
 ): Promise<FakeEntry> {
   return startEntry(test, () =>
     scripts.length > 1 ? scripts.shift() : scripts[0],
@@ -38,9 +38,9 @@
 /** Starts an entry instance whose answer depends on the request. */
 export async function startEntry(
   test: Test,
-  answer: (request: SeenRequest) => Script | undefined,
+  answer: (request: ReceivedRequest) => ScriptedResponse | undefined,
 ): Promise<FakeEntry> {
-  const seen: SeenRequest[] = [];
+  const seen: ReceivedRequest[] = [];
   const server = createServer(async (request, response) => {
     const {method = '', url: path = ''} = request;
     const seenRequest = {method, path, body: await readBody(request)};
@@ -59,7 +59,7 @@
     server.close();
   });
   const {port} = server.address() as AddressInfo;
-  return {url: `http://127.0.0.1:${port}`, seen};
+  return {url: `http://127.0.0.1:${port}`, requests: seen};
 }
 
 /** A daemon's refusal. */
@@ -67,7 +67,7 @@
   code: ErrorCode,
   details: Record<string, string | number> = {},
   headers: Record<string, string> = {},
-): Script {
+): ScriptedResponse {
   const {status} = ERROR_TEMPLATES[code];
   return {status, body: new Failure(code, details).toJSON(), headers};
 }
--- a/packages/cli/src/client/attempt_result.ts
+++ b/packages/cli/src/client/attempt_result.ts
@@ -23,7 +23,9 @@
   | {kind: 'uncertain'; problem: string};
 
 /** Why a further attempt is needed; undefined when none is. */
-export function problemOf(result: AttemptResult<unknown>): string | undefined {
+export function findProblem(
+  result: AttemptResult<unknown>,
+): string | undefined {
   switch (result.kind) {
     case 'not-run':
       return result.failure.message;
@@ -36,7 +38,7 @@
 }
 
 /** Reads what `sendJson` threw. */
-export function readError(error: unknown): AttemptResult<never> {
+export function classifyError(error: unknown): AttemptResult<never> {
   if (!(error instanceof NoAnswer)) {
     throw error;
   }
@@ -48,7 +50,7 @@
  * Reads an answer. Only a body in the daemon's own form counts as its word: a
  * balancer's 503 may come after the request was recorded.
  */
-export function readAnswer<T>(
+export function classifyResponse<T>(
   answer: JsonAnswer,
   schema: z.ZodType<T>,
 ): AttemptResult<T> {
--- a/packages/cli/src/client/call_fate.ts
+++ b/packages/cli/src/client/call_outcome.ts
@@ -6,7 +6,7 @@
  * Collects the results of attempts. Once one attempt may have taken effect, a
  * later "not run" is about that later attempt only, so the call stays unknown.
  */
-export class CallFate {
+export class CallOutcome {
   private maybeDone = false;
   private lastFailure: Failure | undefined;
   private lastProblem = 'no attempt was made before the deadline';
@@ -23,7 +23,7 @@
   }
 
   /** Notes the result of an attempt. */
-  note(result: AttemptResult<unknown>): void {
+  addResult(result: AttemptResult<unknown>): void {
     if (result.kind === 'not-run') {
       this.lastFailure = result.failure;
     }
@@ -37,14 +37,14 @@
   }
 
   /** The failure to report when an instance refused for good. */
-  settle(refusal: Failure): Failure {
+  createRefusalFailure(refusal: Failure): Failure {
     return this.isUnknown() && isStateDependent(refusal)
       ? this.createUnknown()
       : refusal;
   }
 
   /** The failure to report when the attempts are over. */
-  conclude(): Failure {
+  createFinalFailure(): Failure {
     if (this.isUnknown()) {
       return this.createUnknown();
     }
--- a/packages/cli/src/client/entry_caller.ts
+++ b/packages/cli/src/client/entry_caller.ts
@@ -2,8 +2,12 @@
 import type {z} from 'zod';
 import {ConnectionPool, sendJson} from '@galenavalve/platform';
 import type {Clock, Milliseconds, Random} from '@galenavalve/shared';
-import {type AttemptResult, readAnswer, readError} from './attempt_result.js';
-import {CallRun} from './call_run.js';
+import {
+  type AttemptResult,
+  classifyResponse,
+  classifyError,
+} from './attempt_result.js';
+import {RetryingCall} from './retrying_call.js';
 import type {RetryPolicy} from './retry_policy.js';
 
 /** Largest answer, in bytes: an inventory of 8,200 targets has about 2 MB. */
@@ -17,7 +21,7 @@
   body?: unknown;
   schema: z.ZodType<T>;
   /** How long the instance may hold the answer back. */
-  wait?: Milliseconds;
+  waitMs?: Milliseconds;
   /** Idempotency key of a command; undefined for a query. */
   commandId?: string;
 }
@@ -48,12 +52,12 @@
   /** Makes a call. Throws a `Failure` that tells what is known of it. */
   call<T>(call: EntryCall<T>): Promise<T> {
     const {policy, clock, random} = this.options;
-    const run = new CallRun<T>({
+    const run = new RetryingCall<T>({
       attempt: (entry, timeout) => this.attempt(call, entry, timeout),
       entryCount: this.entries.length,
       firstEntry: this.current,
       commandId: call.commandId,
-      wait: call.wait ?? 0,
+      waitMs: call.waitMs ?? 0,
       onProblem: (entry, problem) =>
         this.options.onRetry?.(this.entries[entry] ?? '', problem),
       policy,
@@ -81,8 +85,8 @@
       timeout,
       maxAnswerBytes: MAX_ANSWER_BYTES,
     }).then(
-      answer => readAnswer(answer, call.schema),
-      (error: unknown) => readError(error),
+      answer => classifyResponse(answer, call.schema),
+      (error: unknown) => classifyError(error),
     );
     if (result.kind === 'answered') {
       this.current = index;
--- a/packages/cli/src/client/http_entry_client.ts
+++ b/packages/cli/src/client/http_entry_client.ts
@@ -30,7 +30,7 @@
 } from '@galenavalve/shared';
 import type {EntryClient, JobFilter} from './entry_client.js';
 import {EntryCaller, type RetryListener} from './entry_caller.js';
-import {defaultRetryPolicy, type RetryPolicy} from './retry_policy.js';
+import {DEFAULT_RETRY_POLICY, type RetryPolicy} from './retry_policy.js';
 
 /** Longest time that one request asks an instance to wait; a longer one would hide its silence. */
 const MAX_WAIT_MS = 5000;
@@ -52,7 +52,7 @@
   constructor(options: HttpEntryClientOptions) {
     this.caller = new EntryCaller({
       entries: options.entries,
-      policy: {...defaultRetryPolicy, ...options.policy},
+      policy: {...DEFAULT_RETRY_POLICY, ...options.policy},
       clock: options.clock ?? new SystemClock(),
       random: options.random ?? new SeededRandom(Date.now() % 2 ** 31),
       onRetry: options.onRetry,
@@ -67,7 +67,7 @@
       path: `/v1/jobs${waitQuery(wait)}`,
       body: request,
       schema: jobView,
-      wait: boundWait(wait),
+      waitMs: boundWait(wait),
       commandId: request.requestId,
     });
   }
@@ -116,7 +116,7 @@
       method: 'GET',
       path: `${jobPath(jobId)}${waitQuery(wait)}`,
       schema: jobView,
-      wait: boundWait(wait),
+      waitMs: boundWait(wait),
     });
   }
 
--- a/packages/cli/src/client/retry_policy.ts
+++ b/packages/cli/src/client/retry_policy.ts
@@ -4,26 +4,26 @@
 /** Limits of the attempts of one call. */
 export interface RetryPolicy {
   /** The whole call is given up after this time, besides the time it asks the instance to wait. */
-  deadline: Milliseconds;
+  callTimeoutMs: Milliseconds;
   /** An instance that does not answer a query for this time counts as silent. */
-  queryTimeout: Milliseconds;
+  queryTimeoutMs: Milliseconds;
   /** The same for a command; longer than a daemon waits for the log. */
-  commandTimeout: Milliseconds;
+  commandTimeoutMs: Milliseconds;
   /** After this time the next instance is asked as well; the first answer counts. */
-  hedgeDelay: Milliseconds;
+  hedgeDelayMs: Milliseconds;
   maxAttempts: number;
-  /** Pauses are a random share of `backoffBase * 2^round`, at most `backoffCap`. */
-  backoffBase: Milliseconds;
-  backoffCap: Milliseconds;
+  /** Pauses are a random share of `backoffBaseMs * 2^round`, at most `backoffCapMs`. */
+  backoffBaseMs: Milliseconds;
+  backoffCapMs: Milliseconds;
 }
 
 /** The policy of the command line. */
-export const defaultRetryPolicy: RetryPolicy = {
-  deadline: 30_000,
-  queryTimeout: 3000,
-  commandTimeout: 8000,
-  hedgeDelay: 2000,
+export const DEFAULT_RETRY_POLICY: RetryPolicy = {
+  callTimeoutMs: 30_000,
+  queryTimeoutMs: 3000,
+  commandTimeoutMs: 8000,
+  hedgeDelayMs: 2000,
   maxAttempts: 30,
-  backoffBase: 100,
-  backoffCap: 5000,
+  backoffBaseMs: 100,
+  backoffCapMs: 5000,
 };
--- a/packages/cli/src/client/call_run.ts
+++ b/packages/cli/src/client/retrying_call.ts
@@ -6,8 +6,8 @@
   type Milliseconds,
   type Random,
 } from '@galenavalve/shared';
-import {type AttemptResult, problemOf} from './attempt_result.js';
-import {CallFate} from './call_fate.js';
+import {type AttemptResult, findProblem} from './attempt_result.js';
+import {CallOutcome} from './call_outcome.js';
 import type {RetryPolicy} from './retry_policy.js';
 
 /** Makes one attempt with the entry instance of an index; never rejects for a failed attempt. */
@@ -17,7 +17,7 @@
 ) => Promise<AttemptResult<T>>;
 
 /** What a run needs. */
-export interface CallRunOptions<T> {
+export interface RetryingCallOptions<T> {
   attempt: Attempt<T>;
   entryCount: number;
   /** Index of the entry instance that is asked first. */
@@ -25,7 +25,7 @@
   /** Idempotency key of a command; undefined for a query. */
   commandId?: string;
   /** How long the instance may hold the answer back. */
-  wait: Milliseconds;
+  waitMs: Milliseconds;
   /** Told why another attempt is needed. */
   onProblem: (entry: number, problem: string) => void;
   policy: RetryPolicy;
@@ -38,17 +38,17 @@
  * as soon as the latest has failed or is slow: commands carry ids, so that
  * several attempts at once do no harm. Rounds are apart by full jitter.
  */
-export class CallRun<T> {
-  private readonly fate: CallFate;
+export class RetryingCall<T> {
+  private readonly fate: CallOutcome;
   private readonly deadline: Instant;
   private readonly pending = new Set<Promise<AttemptResult<T>>>();
   private attempts = 0;
   private isOver = false;
 
-  constructor(private readonly options: CallRunOptions<T>) {
-    const {clock, policy, wait, commandId} = options;
-    this.fate = new CallFate(commandId);
-    this.deadline = clock.now() + policy.deadline + wait;
+  constructor(private readonly options: RetryingCallOptions<T>) {
+    const {clock, policy, waitMs: wait, commandId} = options;
+    this.fate = new CallOutcome(commandId);
+    this.deadline = clock.now() + policy.callTimeoutMs + wait;
   }
 
   /** Resolves to the answer. Throws a `Failure` that tells what is known of the call. */
@@ -67,11 +67,11 @@
         return result.value;
       }
       if (result?.kind === 'refused') {
-        throw this.fate.settle(result.failure);
+        throw this.fate.createRefusalFailure(result.failure);
       }
       const pause = this.choosePause(round, result);
       if (!this.mayAttempt(pause)) {
-        throw this.fate.conclude();
+        throw this.fate.createFinalFailure();
       }
       await this.options.clock.sleep(pause);
     }
@@ -110,8 +110,8 @@
   }
 
   private note(entry: number, result: AttemptResult<T>): void {
-    this.fate.note(result);
-    const problem = problemOf(result);
+    this.fate.addResult(result);
+    const problem = findProblem(result);
     if (problem !== undefined && !this.isOver) {
       this.options.onProblem(entry, problem);
     }
@@ -119,10 +119,10 @@
 
   /** The next result; undefined when all pending attempts are slow. */
   private async nextResult(): Promise<AttemptResult<T> | undefined> {
-    const {clock, policy, wait} = this.options;
+    const {clock, policy, waitMs: wait} = this.options;
     const stop = new AbortController();
     const isSlow = clock
-      .sleep(policy.hedgeDelay + wait, stop.signal)
+      .sleep(policy.hedgeDelayMs + wait, stop.signal)
       .then(() => undefined);
     try {
       return await Promise.race([...this.pending, isSlow]);
@@ -149,8 +149,8 @@
   }
 
   private get attemptTimeout(): Milliseconds {
-    const {policy, commandId, wait} = this.options;
-    const timeout = commandId ? policy.commandTimeout : policy.queryTimeout;
+    const {policy, commandId, waitMs: wait} = this.options;
+    const timeout = commandId ? policy.commandTimeoutMs : policy.queryTimeoutMs;
     return timeout + wait;
   }
 
@@ -164,7 +164,7 @@
     result: AttemptResult<T> | undefined,
   ): Milliseconds {
     const {policy, random} = this.options;
-    const {backoffBase, backoffCap} = policy;
+    const {backoffBaseMs: backoffBase, backoffCapMs: backoffCap} = policy;
     const backoff = computeJitteredBackoff(
       round,
       backoffBase,
--- a/packages/cli/src/session.ts
+++ b/packages/cli/src/command_context.ts
@@ -5,12 +5,12 @@
 import type {Output} from './output/output.js';
 
 /** One run of a command that needs no entry instance. */
-export interface OfflineSession {
+export interface OfflineCommandContext {
   output: Output;
 }
 
 /** One run of a command. */
-export interface Session extends OfflineSession {
+export interface CommandContext extends OfflineCommandContext {
   client: EntryClient;
   settings: Settings;
   clock: Clock;
--- a/packages/cli/src/command_line.ts
+++ b/packages/cli/src/command_line.ts
@@ -2,20 +2,20 @@
 import {CommanderError, type Command} from 'commander';
 import {type Clock, SystemClock} from '@galenavalve/shared';
 import {HttpEntryClient} from './client/http_entry_client.js';
-import {ExitCode, exitCodeOf} from './exit_code.js';
+import {ExitCode, getExitCode} from './exit_code.js';
 import {
-  type Environment,
+  type EnvironmentVariables,
   type GlobalOptions,
   loadSettings,
   type Settings,
 } from './input/settings.js';
 import {Output, type Writer} from './output/output.js';
 import {createProgram, type Runner} from './program.js';
-import type {OfflineSession, Session} from './session.js';
+import type {OfflineCommandContext, CommandContext} from './command_context.js';
 
 /** What surrounds the command line. */
-export interface Surroundings {
-  environment: Environment;
+export interface CommandLineOptions {
+  environment: EnvironmentVariables;
   writeOut: Writer;
   writeError: Writer;
   clock?: Clock;
@@ -24,7 +24,7 @@
 /** Runs a command line; `args` are the words after the name of the program. */
 export async function runCommandLine(
   args: readonly string[],
-  surroundings: Surroundings,
+  surroundings: CommandLineOptions,
 ): Promise<ExitCode> {
   const {writeOut, writeError} = surroundings;
   let exitCode: ExitCode = ExitCode.ok;
@@ -43,22 +43,24 @@
     }
     const {json} = program.opts<GlobalOptions>();
     new Output(writeOut, writeError, json === true).printError(error);
-    return exitCodeOf(error);
+    return getExitCode(error);
   }
 }
 
 function createRunner(
   options: GlobalOptions,
-  surroundings: Surroundings,
+  surroundings: CommandLineOptions,
   onExit: (code: ExitCode) => void,
 ): Runner {
   const {environment, writeOut, writeError} = surroundings;
   const output = new Output(writeOut, writeError, options.json === true);
   return {
-    async runOffline(command: (session: OfflineSession) => Promise<ExitCode>) {
+    async runOffline(
+      command: (session: OfflineCommandContext) => Promise<ExitCode>,
+    ) {
       onExit(await command({output}));
     },
-    async run(command: (session: Session) => Promise<ExitCode>) {
+    async run(command: (session: CommandContext) => Promise<ExitCode>) {
       const settings = loadSettings(options, environment);
       const clock = surroundings.clock ?? new SystemClock();
       const client = createClient(settings, clock, output);
@@ -79,7 +81,7 @@
   return new HttpEntryClient({
     entries,
     clock,
-    policy: {deadline: deadlineSeconds * 1000},
+    policy: {callTimeoutMs: deadlineSeconds * 1000},
     onRetry: (entry, problem) =>
       output.printProgress(`asking again: ${entry}: ${problem}`),
   });
@@ -88,7 +90,7 @@
 /** Makes commander throw where it would end the process. */
 function catchExits(
   command: Command,
-  {writeOut, writeError}: Surroundings,
+  {writeOut, writeError}: CommandLineOptions,
 ): void {
   command.exitOverride();
   command.configureOutput({writeOut, writeErr: writeError});
--- a/packages/cli/src/commands/apply_configuration.ts
+++ b/packages/cli/src/commands/apply_configuration.ts
@@ -12,8 +12,8 @@
   findDifferences,
 } from '../input/desired_configuration.js';
 import {renderDifferences} from '../output/configuration_text.js';
-import {formatTime} from '../output/text.js';
-import type {Session} from '../session.js';
+import {formatTime} from '../output/format.js';
+import type {CommandContext} from '../command_context.js';
 
 /** Options of `config apply`. */
 export interface ApplyOptions {
@@ -25,7 +25,7 @@
 
 /** Changes the configuration in force to what the file lists, all or nothing. */
 export async function applyConfiguration(
-  {client, settings, output}: Session,
+  {client, settings, output}: CommandContext,
   desired: DesiredConfiguration,
   {changeId, prune}: ApplyOptions,
 ): Promise<ExitCode> {
--- a/packages/cli/src/commands/approve.ts
+++ b/packages/cli/src/commands/approve.ts
@@ -1,11 +1,11 @@
 /** `galenavalve approve`. */
 import {ExitCode} from '../exit_code.js';
 import {renderJob} from '../output/job_text.js';
-import type {Session} from '../session.js';
+import type {CommandContext} from '../command_context.js';
 
 /** Lets a job of a workspace with approval start. */
 export async function approve(
-  {client, settings, output}: Session,
+  {client, settings, output}: CommandContext,
   jobId: string,
 ): Promise<ExitCode> {
   output.printResult(await client.approve(jobId, settings.author), renderJob);
--- a/packages/cli/src/commands/cancel.ts
+++ b/packages/cli/src/commands/cancel.ts
@@ -1,12 +1,12 @@
 /** `galenavalve cancel`. */
 import type {JobView} from '@galenavalve/model';
-import {ExitCode, exitCodeOf} from '../exit_code.js';
+import {ExitCode, getExitCode} from '../exit_code.js';
 import {renderJobs} from '../output/job_text.js';
-import type {Session} from '../session.js';
+import type {CommandContext} from '../command_context.js';
 
 /** Cancels each job; one that cannot be cancelled does not keep the others. */
 export async function cancel(
-  {client, output}: Session,
+  {client, output}: CommandContext,
   jobIds: readonly string[],
 ): Promise<ExitCode> {
   const jobs: JobView[] = [];
@@ -16,7 +16,7 @@
       jobs.push(await client.cancel(jobId));
     } catch (error) {
       output.printError(error);
-      exitCode = exitCodeOf(error);
+      exitCode = getExitCode(error);
     }
   }
   if (jobs.length > 0) {
--- a/packages/cli/src/commands/change_service.ts
+++ b/packages/cli/src/commands/change_domain_state.ts
@@ -8,13 +8,13 @@
 import type {EntryClient} from '../client/entry_client.js';
 import {ExitCode} from '../exit_code.js';
 import {renderDomainProgress} from '../output/cluster_text.js';
-import type {Session} from '../session.js';
+import type {CommandContext} from '../command_context.js';
 
 const POLL_INTERVAL_MS = 1000;
 
 /** Takes a failure domain out of service, and waits up to `wait` until nothing runs there. */
 export async function drain(
-  session: Session,
+  session: CommandContext,
   domain: string,
   wait: Milliseconds,
 ): Promise<ExitCode> {
@@ -24,7 +24,7 @@
 
 /** Brings a failure domain back, and waits up to `wait` until it is scheduled again. */
 export async function restore(
-  session: Session,
+  session: CommandContext,
   domain: string,
   wait: Milliseconds,
 ): Promise<ExitCode> {
@@ -35,7 +35,7 @@
 
 /** Without a record only a hold may keep starts back, which the failure does not say. */
 async function recordDrain(
-  {client, settings, output}: Session,
+  {client, settings, output}: CommandContext,
   domain: string,
 ): Promise<ConfigurationResult> {
   try {
@@ -59,7 +59,7 @@
 }
 
 async function watchDomain(
-  {client, clock, output}: Session,
+  {client, clock, output}: CommandContext,
   {domain, offset, wait, isDone}: Watch,
 ): Promise<ExitCode> {
   output.printProgress(`recorded at offset ${offset}`);
--- a/packages/cli/src/commands/submit.ts
+++ b/packages/cli/src/commands/submit.ts
@@ -1,14 +1,14 @@
 /** `galenavalve submit`. */
 import type {JobRequest, JobView} from '@galenavalve/model';
 import {isFailure, type Milliseconds} from '@galenavalve/shared';
-import {ExitCode, exitCodeOfJob} from '../exit_code.js';
+import {ExitCode, getJobExitCode} from '../exit_code.js';
 import {describeState, renderJob} from '../output/job_text.js';
-import type {Session} from '../session.js';
+import type {CommandContext} from '../command_context.js';
 import {followJob} from './follow_job.js';
 
 /** Submits a job and waits for it up to `wait`. The exit code tells how it stands. */
 export async function submit(
-  session: Session,
+  session: CommandContext,
   request: JobRequest,
   wait: Milliseconds,
 ): Promise<ExitCode> {
@@ -23,12 +23,12 @@
   });
   output.printResult(job, renderJob);
   return wait > 0 || job.phase === 'finished'
-    ? exitCodeOfJob(job)
+    ? getJobExitCode(job)
     : ExitCode.ok;
 }
 
 async function submitOrTellHow(
-  {client, output}: Session,
+  {client, output}: CommandContext,
   request: JobRequest,
 ): Promise<JobView> {
   try {
--- a/packages/cli/src/exit_code.ts
+++ b/packages/cli/src/exit_code.ts
@@ -24,7 +24,7 @@
 export type ExitCode = (typeof ExitCode)[keyof typeof ExitCode];
 
 /** The exit code that belongs to an error. */
-export function exitCodeOf(error: unknown): ExitCode {
+export function getExitCode(error: unknown): ExitCode {
   if (!(error instanceof Failure)) {
     return ExitCode.internal;
   }
@@ -44,7 +44,7 @@
 }
 
 /** The exit code that tells how a job stands. */
-export function exitCodeOfJob(job: JobView): ExitCode {
+export function getJobExitCode(job: JobView): ExitCode {
   if (job.phase !== 'finished') {
     return ExitCode.unfinished;
   }
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -7,11 +7,11 @@
   type HttpEntryClientOptions,
 } from './client/http_entry_client.js';
 export type {RetryListener} from './client/entry_caller.js';
-export {defaultRetryPolicy, type RetryPolicy} from './client/retry_policy.js';
+export {DEFAULT_RETRY_POLICY, type RetryPolicy} from './client/retry_policy.js';
 export {followJob, type FollowOptions} from './commands/follow_job.js';
 
 // The command line
-export {runCommandLine, type Surroundings} from './command_line.js';
+export {runCommandLine, type CommandLineOptions} from './command_line.js';
 export {ExitCode} from './exit_code.js';
 
 // Configuration files
--- a/packages/cli/src/input/settings.ts
+++ b/packages/cli/src/input/settings.ts
@@ -35,12 +35,12 @@
 }
 
 /** Variables that are read: GALENAVALVE_ENTRIES, GALENAVALVE_SETTINGS and USER. */
-export type Environment = Readonly<Record<string, string | undefined>>;
+export type EnvironmentVariables = Readonly<Record<string, string | undefined>>;
 
 /** Settles the settings. Throws `settings-invalid`. */
 export function loadSettings(
   options: GlobalOptions,
-  environment: Environment,
+  environment: EnvironmentVariables,
 ): Settings {
   const path = options.settings ?? environment['GALENAVALVE_SETTINGS'];
   const file = path ? checkValue(settingsFile, readJsonc(path), path) : {};
--- a/packages/cli/src/output/cluster_text.ts
+++ b/packages/cli/src/output/cluster_text.ts
@@ -7,7 +7,7 @@
   WorkspaceView,
 } from '@galenavalve/model';
 import {type Column, renderTable} from './table.js';
-import {formatCount, formatDuration} from './text.js';
+import {formatCount, formatDuration} from './format.js';
 
 const workspaceColumns: Column<WorkspaceView>[] = [
   {title: 'workspace', text: view => view.id},
--- a/packages/cli/src/output/configuration_text.ts
+++ b/packages/cli/src/output/configuration_text.ts
@@ -2,7 +2,7 @@
 import type {ChangeView, Entity} from '@galenavalve/model';
 import type {Difference} from '../input/desired_configuration.js';
 import {type Column, renderTable} from './table.js';
-import {formatCount, formatTime} from './text.js';
+import {formatCount, formatTime} from './format.js';
 
 /** Entities of a change that are named in a table. */
 const MAX_NAMED_ENTITIES = 3;
--- a/packages/cli/src/output/job_text.ts
+++ b/packages/cli/src/output/job_text.ts
@@ -6,7 +6,7 @@
   PlanView,
 } from '@galenavalve/model';
 import {type Column, renderTable} from './table.js';
-import {formatAssignment, formatDuration, formatTime} from './text.js';
+import {formatAssignment, formatDuration, formatTime} from './format.js';
 
 const jobColumns: Column<JobView>[] = [
   {title: 'job', text: job => job.jobId},
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -6,7 +6,7 @@
 import {applyConfiguration} from './commands/apply_configuration.js';
 import {approve} from './commands/approve.js';
 import {cancel} from './commands/cancel.js';
-import {drain, restore} from './commands/change_service.js';
+import {drain, restore} from './commands/change_domain_state.js';
 import {submit} from './commands/submit.js';
 import type {ExitCode} from './exit_code.js';
 import {readDesiredConfiguration} from './input/desired_configuration.js';
@@ -21,17 +21,17 @@
 } from './queries/read_configuration.js';
 import {explainJob, listJobs, planJob, showJob} from './queries/read_jobs.js';
 import {traceJob} from './queries/trace_job.js';
-import type {OfflineSession, Session} from './session.js';
+import type {OfflineCommandContext, CommandContext} from './command_context.js';
 
 const DEFAULT_DRAIN_WAIT_SECONDS = 120;
 
 /** Runs commands; each resolves to the exit code. */
 export interface Runner {
   /** Runs with the entry instances of the settings. */
-  run(command: (session: Session) => Promise<ExitCode>): Promise<void>;
+  run(command: (session: CommandContext) => Promise<ExitCode>): Promise<void>;
   /** Runs without any entry instance. */
   runOffline(
-    command: (session: OfflineSession) => Promise<ExitCode>,
+    command: (session: OfflineCommandContext) => Promise<ExitCode>,
   ): Promise<void>;
 }
 
--- a/packages/cli/src/queries/check_configuration.ts
+++ b/packages/cli/src/queries/check_configuration.ts
@@ -4,8 +4,8 @@
 import {findGuaranteeFailure} from '@galenavalve/placement';
 import {ExitCode} from '../exit_code.js';
 import {readDesiredConfiguration} from '../input/desired_configuration.js';
-import {formatCount} from '../output/text.js';
-import type {OfflineSession} from '../session.js';
+import {formatCount} from '../output/format.js';
+import type {OfflineCommandContext} from '../command_context.js';
 
 /** Result of a check. */
 export interface CheckResult {
@@ -18,7 +18,7 @@
 
 /** Tells whether the daemons of an empty cluster would accept a configuration file. */
 export async function checkConfiguration(
-  {output}: OfflineSession,
+  {output}: OfflineCommandContext,
   file: string,
 ): Promise<ExitCode> {
   const desired = readDesiredConfiguration(file);
--- a/packages/cli/src/queries/read_cluster.ts
+++ b/packages/cli/src/queries/read_cluster.ts
@@ -1,20 +1,20 @@
 /** `galenavalve workspaces` and `inventory`. */
 import {ExitCode} from '../exit_code.js';
 import {renderInventory, renderWorkspaces} from '../output/cluster_text.js';
-import type {Session} from '../session.js';
+import type {CommandContext} from '../command_context.js';
 
 /** Prints workspaces with their guarantees. */
 export async function showWorkspaces({
   client,
   output,
-}: Session): Promise<ExitCode> {
+}: CommandContext): Promise<ExitCode> {
   output.printResult(await client.listWorkspaces(), renderWorkspaces);
   return ExitCode.ok;
 }
 
 /** Prints failure domains, or one with its targets. */
 export async function showInventory(
-  {client, output}: Session,
+  {client, output}: CommandContext,
   {domain, targets}: {domain?: string; targets: boolean},
 ): Promise<ExitCode> {
   const inventory = await client.readInventory();
--- a/packages/cli/src/queries/read_configuration.ts
+++ b/packages/cli/src/queries/read_configuration.ts
@@ -9,13 +9,13 @@
   renderChanges,
   renderDifferences,
 } from '../output/configuration_text.js';
-import type {Session} from '../session.js';
+import type {CommandContext} from '../command_context.js';
 
 /** Prints the configuration in force as a file that `config apply` takes. */
 export async function showConfiguration({
   client,
   output,
-}: Session): Promise<ExitCode> {
+}: CommandContext): Promise<ExitCode> {
   const file = createFile(await client.readConfiguration());
   output.printResult(file, value => JSON.stringify(value, null, 2));
   return ExitCode.ok;
@@ -23,7 +23,7 @@
 
 /** Prints what `config apply` would change. */
 export async function showDifferences(
-  {client, output}: Session,
+  {client, output}: CommandContext,
   desired: DesiredConfiguration,
   prune: boolean,
 ): Promise<ExitCode> {
@@ -37,7 +37,7 @@
 export async function showChanges({
   client,
   output,
-}: Session): Promise<ExitCode> {
+}: CommandContext): Promise<ExitCode> {
   output.printResult(await client.listChanges(), renderChanges);
   return ExitCode.ok;
 }
--- a/packages/cli/src/queries/read_jobs.ts
+++ b/packages/cli/src/queries/read_jobs.ts
@@ -8,11 +8,11 @@
   renderJobs,
   renderPlan,
 } from '../output/job_text.js';
-import type {Session} from '../session.js';
+import type {CommandContext} from '../command_context.js';
 
 /** Prints a job. */
 export async function showJob(
-  {client, output}: Session,
+  {client, output}: CommandContext,
   jobId: string,
 ): Promise<ExitCode> {
   output.printResult(await client.readJob(jobId, 0), renderJob);
@@ -21,7 +21,7 @@
 
 /** Prints a job with its history and what it waits for. */
 export async function explainJob(
-  {client, output}: Session,
+  {client, output}: CommandContext,
   jobId: string,
 ): Promise<ExitCode> {
   output.printResult(await client.explain(jobId), renderExplanation);
@@ -30,7 +30,7 @@
 
 /** Prints jobs. */
 export async function listJobs(
-  {client, output}: Session,
+  {client, output}: CommandContext,
   filter: JobFilter,
 ): Promise<ExitCode> {
   output.printResult(await client.listJobs(filter), renderJobs);
@@ -39,7 +39,7 @@
 
 /** Prints what would happen to a job that was submitted now. */
 export async function planJob(
-  {client, output}: Session,
+  {client, output}: CommandContext,
   request: JobRequest,
 ): Promise<ExitCode> {
   const plan = await client.plan(request);
--- a/packages/cli/src/queries/trace_job.ts
+++ b/packages/cli/src/queries/trace_job.ts
@@ -3,7 +3,7 @@
 import {Failure} from '@galenavalve/shared';
 import {ExitCode} from '../exit_code.js';
 import {renderTable} from '../output/table.js';
-import type {OfflineSession} from '../session.js';
+import type {OfflineCommandContext} from '../command_context.js';
 
 /** Fields that stand in columns of their own. */
 const OWN_COLUMNS = new Set([
@@ -29,7 +29,7 @@
 
 /** Prints the lines of a job from log files, in the order of time. */
 export async function traceJob(
-  {output}: OfflineSession,
+  {output}: OfflineCommandContext,
   jobId: string,
   files: readonly string[],
 ): Promise<ExitCode> {
--- a/packages/daemon/__tests__/commands.spec.ts
+++ b/packages/daemon/__tests__/commands.spec.ts
@@ -44,7 +44,7 @@
 async function startConfigured(test: Parameters<typeof startDaemon>[0]) {
   const daemon = await startDaemon(test);
   daemon.log.write(createConfigured('first', DOMAIN, WORKSPACE, TARGET));
-  const {follower} = daemon.daemon.node;
+  const {follower} = daemon.daemon.context;
   await follower.waitForOffset(daemon.log.endOffset - 1, 5_000);
   return daemon;
 }
@@ -75,7 +75,7 @@
     const gang = {tasks: 9, perTask: {accelerators: 8}};
     const answer = await post(daemon, '/v1/jobs', createJob('r1', {gang}));
     t.match(answer, {statusCode: 422, body: {code: 'never-runnable'}});
-    t.equal(daemon.daemon.node.state.getJobByRequest('r1'), undefined);
+    t.equal(daemon.daemon.context.state.getJobByRequest('r1'), undefined);
   });
 
   t.test('over the limit of its workspace is refused as "not run"', async t => {
@@ -105,7 +105,7 @@
     const daemon = await startConfigured(t);
     const job = createJob('r1');
     await post(daemon, '/v1/jobs', job);
-    daemon.daemon.node.stage = 'stopping';
+    daemon.daemon.context.stage = 'stopping';
     const repeated = await post(daemon, '/v1/jobs', job);
     t.match(repeated, {statusCode: 202, body: {requestId: 'r1'}});
     const other = await post(daemon, '/v1/jobs', createJob('r2'));
@@ -116,7 +116,7 @@
 t.test('a take-out while the log is down', async t => {
   t.test('is in force at once, and recorded when the log returns', async t => {
     const daemon = await startConfigured(t);
-    const {node} = daemon.daemon;
+    const {context: node} = daemon.daemon;
     daemon.log.faults.outage = 'refused';
     const answer = await post(daemon, '/v1/domains/jnb/drain', {author: 'op'});
     t.match(answer, {statusCode: 504, body: {code: 'take-out-pending'}});
--- a/packages/daemon/__tests__/decoders.spec.ts
+++ b/packages/daemon/__tests__/decoders.spec.ts
@@ -168,7 +168,7 @@
 t.test('damaged log records are skipped and counted', async t => {
   const running = await startDaemon(t);
   const {log} = running;
-  const {state} = running.daemon.node;
+  const {state} = running.daemon.context;
   const domain = {
     kind: 'domain',
     id: 'jnb',
@@ -205,7 +205,7 @@
       reason: {code: 'routed-only'},
     });
     await untilFolded(running);
-    t.equal(running.daemon.node.state.skippedCount, 1);
+    t.equal(running.daemon.context.state.skippedCount, 1);
   },
 );
 
@@ -227,7 +227,7 @@
 });
 
 async function untilFolded({daemon, log}: RunningDaemon): Promise<void> {
-  const {state, clock} = daemon.node;
+  const {state, clock} = daemon.context;
   while (state.nextOffset < log.endOffset) {
     await clock.sleep(10);
   }
--- a/packages/daemon/src/backlog_book.ts
+++ b/packages/daemon/src/backlog_estimator.ts
@@ -16,7 +16,7 @@
 }
 
 /** Estimates of the time until a domain has done what it has. */
-export class BacklogBook {
+export class BacklogEstimator {
   private readonly estimates = new Map<string, Estimate>();
 
   constructor(
@@ -25,7 +25,7 @@
   ) {}
 
   /** Backlog of a domain in seconds. `now` is wall-clock time. */
-  secondsOf(domain: string, now: number): number {
+  estimateSeconds(domain: string, now: number): number {
     const known = this.estimates.get(domain);
     if (known && Math.abs(now - known.madeAt) < MAX_AGE_MS) {
       return known.seconds;
--- a/packages/daemon/src/commands/append_command.ts
+++ b/packages/daemon/src/commands/append_command.ts
@@ -2,19 +2,20 @@
 import type {FoldResult} from '@galenavalve/ledger';
 import type {RecordBody} from '@galenavalve/model';
 import {Failure, isFailure} from '@galenavalve/shared';
-import type {Node} from '../node.js';
+import type {DaemonContext} from '../daemon_context.js';
 import {checkServing} from './check_serving.js';
 
 /** Throws `outcome-unknown` when the log did not say in time whether it took the record. */
 export async function appendCommand(
-  node: Node,
+  context: DaemonContext,
   requestId: string,
   body: RecordBody,
 ): Promise<FoldResult> {
-  checkServing(node);
-  const deadline = node.clock.now() + node.settings.timings.appendTimeoutMs;
+  checkServing(context);
+  const deadline =
+    context.clock.now() + context.settings.timings.appendTimeoutMs;
   try {
-    return await node.writer.append(body, {deadline});
+    return await context.writer.append(body, {deadline});
   } catch (error) {
     if (isFailure(error, 'append-uncertain')) {
       throw new Failure('outcome-unknown', {requestId}, {cause: error});
--- a/packages/daemon/src/commands/apply_configuration.ts
+++ b/packages/daemon/src/commands/apply_configuration.ts
@@ -9,7 +9,7 @@
 import type {FoldResult} from '@galenavalve/ledger';
 import {Failure, describeError} from '@galenavalve/shared';
 import {parseBody} from '../http/parse_body.js';
-import type {Node} from '../node.js';
+import type {DaemonContext} from '../daemon_context.js';
 import {appendCommand} from './append_command.js';
 import {checkServing} from './check_serving.js';
 
@@ -18,43 +18,43 @@
  * `config-invalid` or `guarantee-shortfall` when nothing of it is in force.
  */
 export async function applyConfiguration(
-  node: Node,
+  context: DaemonContext,
   body: unknown,
 ): Promise<ConfigurationResult> {
-  checkServing(node);
+  checkServing(context);
   const change = parseBody(configurationChange, body);
-  if (!node.state.changeHistory.get(change.changeId)) {
-    checkVersions(node, change.edits);
+  if (!context.state.changeHistory.get(change.changeId)) {
+    checkVersions(context, change.edits);
   }
-  const applied = await appendCommand(node, change.changeId, {
+  const applied = await appendCommand(context, change.changeId, {
     type: 'configured',
     change,
   });
-  return conclude(node, change, applied);
+  return conclude(context, change, applied);
 }
 
 /** Takes a failure domain out of service, or brings it back. */
 export async function setDomainState(
-  node: Node,
+  context: DaemonContext,
   domainId: string,
   state: Domain['state'],
   author: string,
 ): Promise<ConfigurationResult> {
-  checkServing(node);
-  const domain = node.state.configuration.domains.get(domainId);
+  checkServing(context);
+  const domain = context.state.configuration.domains.get(domainId);
   if (!domain) {
     throw new Failure('not-found', {kind: 'failure domain', id: domainId});
   }
   const entity = `domain/${domainId}`;
-  const baseVersion = node.state.getEntityVersion(entity);
+  const baseVersion = context.state.getEntityVersion(entity);
   const change: ConfigurationChange = {
     changeId: `${entity}-${state}-after-${baseVersion}`,
     author,
     edits: [{entity, baseVersion, value: {...domain, state}}],
   };
   return state === 'in-service'
-    ? applyConfiguration(node, change)
-    : takeOut(node, entity, change);
+    ? applyConfiguration(context, change)
+    : takeOut(context, entity, change);
 }
 
 /**
@@ -63,24 +63,24 @@
  * log has not taken it in time.
  */
 async function takeOut(
-  node: Node,
+  context: DaemonContext,
   entity: string,
   change: ConfigurationChange,
 ): Promise<ConfigurationResult> {
   const {author: by, changeId: id} = change;
-  node.mesh.addHold({entity, by, id});
-  node.scheduler.requestPass();
-  const recorded = node.writer.append(
+  context.mesh.addHold({entity, by, id});
+  context.scheduler.requestPass();
+  const recorded = context.writer.append(
     {type: 'configured', change},
     {deadline: Infinity},
   );
   recorded.catch(error => {
     const problem = describeError(error);
-    node.logger.error('take-out-not-recorded', {entity, problem});
+    context.logger.error('take-out-not-recorded', {entity, problem});
   });
   const limit = new AbortController();
-  const {appendTimeoutMs} = node.settings.timings;
-  const late = node.clock
+  const {appendTimeoutMs} = context.settings.timings;
+  const late = context.clock
     .sleep(appendTimeoutMs, limit.signal)
     .then(() => undefined);
   const applied = await Promise.race([recorded, late]).finally(() =>
@@ -89,16 +89,16 @@
   if (!applied) {
     throw new Failure('take-out-pending', {entity});
   }
-  return conclude(node, change, applied);
+  return conclude(context, change, applied);
 }
 
 /** Says what became of a change that the fold has seen. */
 function conclude(
-  node: Node,
+  context: DaemonContext,
   change: ConfigurationChange,
   applied: FoldResult,
 ): ConfigurationResult {
-  node.logger.info('configured', {
+  context.logger.info('configured', {
     changeId: change.changeId,
     author: change.author,
     accepted: applied.accepted,
@@ -110,16 +110,16 @@
       new Failure('config-invalid', {problem: applied.rejection ?? 'rejected'})
     );
   }
-  return describeResult(node, change, applied.offset);
+  return describeResult(context, change, applied.offset);
 }
 
 /**
  * Finds conflicts early, before the log is troubled; the fold decides. A change
  * that was decided before keeps its verdict, however the versions went on.
  */
-function checkVersions(node: Node, edits: readonly Edit[]): void {
+function checkVersions(context: DaemonContext, edits: readonly Edit[]): void {
   for (const {entity, baseVersion} of edits) {
-    const currentVersion = node.state.getEntityVersion(entity);
+    const currentVersion = context.state.getEntityVersion(entity);
     if (currentVersion > baseVersion) {
       throw new Failure('config-conflict', {
         entity,
@@ -131,14 +131,14 @@
 }
 
 function describeResult(
-  node: Node,
+  context: DaemonContext,
   change: ConfigurationChange,
   offset: number,
 ): ConfigurationResult {
   const versions = Object.fromEntries(
     change.edits.map(({entity}) => [
       entity,
-      node.state.getEntityVersion(entity),
+      context.state.getEntityVersion(entity),
     ]),
   );
   return {changeId: change.changeId, offset, versions};
--- a/packages/daemon/src/commands/check_serving.ts
+++ b/packages/daemon/src/commands/check_serving.ts
@@ -1,13 +1,13 @@
 /** Refuses commands while the daemon starts or stops. */
 import {Failure} from '@galenavalve/shared';
-import type {Node} from '../node.js';
+import type {DaemonContext} from '../daemon_context.js';
 
 /** Throws `not-ready` or `stopping`; nothing has been recorded then. */
-export function checkServing(node: Node): void {
-  if (node.stage === 'starting') {
+export function checkServing(context: DaemonContext): void {
+  if (context.stage === 'starting') {
     throw new Failure('not-ready');
   }
-  if (node.stage === 'stopping') {
+  if (context.stage === 'stopping') {
     throw new Failure('stopping');
   }
 }
--- a/packages/daemon/src/commands/route_job.ts
+++ b/packages/daemon/src/commands/route_job.ts
@@ -8,11 +8,15 @@
   summarizeDomain,
 } from '@galenavalve/placement';
 import {Failure} from '@galenavalve/shared';
-import type {Node} from '../node.js';
+import type {DaemonContext} from '../daemon_context.js';
 
 /** Chooses the failure domain of a job. `now` is wall-clock time. Throws `never-runnable`. */
-export function routeJob(node: Node, job: WaitingJob, now: number): Route {
-  const summaries = summarizeDomains(node, job, now);
+export function routeJob(
+  context: DaemonContext,
+  job: WaitingJob,
+  now: number,
+): Route {
+  const summaries = summarizeDomains(context, job, now);
   const route = chooseDomain(summaries);
   if (!route) {
     throw new Failure('never-runnable', {
@@ -24,21 +28,21 @@
 
 /** What each failure domain that the workspace may use can do for the job. */
 export function summarizeDomains(
-  node: Node,
+  context: DaemonContext,
   job: WaitingJob,
   now: number,
 ): DomainSummary[] {
-  return listPermitted(node, job.workspace).map(domain => {
-    const {cells} = node.mirrorOf(domain);
-    const backlog = node.backlogs.secondsOf(domain, now);
+  return listPermitted(context, job.workspace).map(domain => {
+    const {cells} = context.getProjection(domain);
+    const backlog = context.backlogEstimator.estimateSeconds(domain, now);
     const summary = summarizeDomain(cells, backlog, job, now);
-    const isHeld = node.mesh.isHeld(`domain/${domain}`);
+    const isHeld = context.mesh.isHeld(`domain/${domain}`);
     return isHeld ? {...summary, isInService: false} : summary;
   });
 }
 
-function listPermitted(node: Node, workspaceId: string): string[] {
-  const {workspaces, domains} = node.state.configuration;
+function listPermitted(context: DaemonContext, workspaceId: string): string[] {
+  const {workspaces, domains} = context.state.configuration;
   const permitted = workspaces.get(workspaceId)?.permittedDomains;
   return [...domains.keys()].filter(
     domain => !permitted || permitted.includes(domain),
--- a/packages/daemon/src/commands/submit_job.ts
+++ b/packages/daemon/src/commands/submit_job.ts
@@ -3,7 +3,7 @@
 import {type JobRequest, describeReason, jobRequest} from '@galenavalve/model';
 import type {Route, WaitingJob} from '@galenavalve/placement';
 import {Failure, hashText, hashValue} from '@galenavalve/shared';
-import type {Node} from '../node.js';
+import type {DaemonContext} from '../daemon_context.js';
 import {parseBody} from '../http/parse_body.js';
 import {appendCommand} from './append_command.js';
 import {routeJob} from './route_job.js';
@@ -13,27 +13,30 @@
  * Records the job once, however often its request is sent. Returns when the
  * job is durable. Throws a `Failure` that says truthfully whether it may run.
  */
-export async function submitJob(node: Node, body: unknown): Promise<Job> {
+export async function submitJob(
+  context: DaemonContext,
+  body: unknown,
+): Promise<Job> {
   const request = parseBody(jobRequest, body);
   const bodyHash = hashRequest(request);
-  const known = findKnown(node, request.requestId, bodyHash);
+  const known = findKnown(context, request.requestId, bodyHash);
   if (known) {
     return known;
   }
-  checkServing(node);
-  checkAge(node, request);
-  checkWorkspace(node, request);
-  const now = node.clock.wallTime();
-  const route = routeJob(node, describeWaiting(request, now), now);
+  checkServing(context);
+  checkAge(context, request);
+  checkWorkspace(context, request);
+  const now = context.clock.wallTime();
+  const route = routeJob(context, createWaitingJob(request, now), now);
   const jobId = createJobId(request.requestId);
-  node.logger.info('routed', {
+  context.logger.info('routed', {
     jobId,
     requestId: request.requestId,
     to: route.domain,
     reason: route.reason.code,
     text: describeReason(route.reason),
   });
-  return record(node, request, bodyHash, jobId, route);
+  return record(context, request, bodyHash, jobId, route);
 }
 
 /** The id of a job: the same for the same request id on every instance. */
@@ -42,7 +45,7 @@
 }
 
 /** A request as the placement package sees it. */
-export function describeWaiting(request: JobRequest, now: number): WaitingJob {
+export function createWaitingJob(request: JobRequest, now: number): WaitingJob {
   return {
     jobId: createJobId(request.requestId),
     workspace: request.workspace,
@@ -62,20 +65,20 @@
 }
 
 function findKnown(
-  node: Node,
+  context: DaemonContext,
   requestId: string,
   bodyHash: string,
 ): Job | undefined {
-  const job = node.state.getJobByRequest(requestId);
+  const job = context.state.getJobByRequest(requestId);
   if (job && job.bodyHash !== bodyHash) {
     throw new Failure('request-conflict', {requestId});
   }
   return job;
 }
 
-function checkAge(node: Node, request: JobRequest): void {
+function checkAge(context: DaemonContext, request: JobRequest): void {
   const ageSeconds = Math.round(
-    (node.clock.wallTime() - request.createdAt) / 1000,
+    (context.clock.wallTime() - request.createdAt) / 1000,
   );
   const windowSeconds = REQUEST_WINDOW_MS / 1000;
   if (ageSeconds > windowSeconds) {
@@ -83,8 +86,8 @@
   }
 }
 
-function checkWorkspace(node: Node, request: JobRequest): void {
-  const {state} = node;
+function checkWorkspace(context: DaemonContext, request: JobRequest): void {
+  const {state} = context;
   const workspace = state.configuration.workspaces.get(request.workspace);
   if (!workspace) {
     throw new Failure('unknown-workspace', {workspace: request.workspace});
@@ -96,13 +99,13 @@
 }
 
 async function record(
-  node: Node,
+  context: DaemonContext,
   request: JobRequest,
   bodyHash: string,
   jobId: string,
   route: Route,
 ): Promise<Job> {
-  const applied = await appendCommand(node, request.requestId, {
+  const applied = await appendCommand(context, request.requestId, {
     type: 'submitted',
     jobId,
     request,
@@ -110,7 +113,7 @@
     domain: route.domain,
     reason: route.reason,
   });
-  const job = findKnown(node, request.requestId, bodyHash);
+  const job = findKnown(context, request.requestId, bodyHash);
   if (!job) {
     // Other writers came first: the fold decided on a later state than the checks above.
     const problem = applied.rejection ?? 'it was not recorded';
--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -9,7 +9,7 @@
   SnapshotWriter,
   StateRestorer,
 } from '@galenavalve/ledger';
-import {FreshnessTracker, PeerMesh, RecordRelay} from '@galenavalve/membership';
+import {FreshnessTracker, PeerMesh, RecordCache} from '@galenavalve/membership';
 import type {InstanceList} from '@galenavalve/membership';
 import {GuaranteePolicy, findGuaranteeFailure} from '@galenavalve/placement';
 import {
@@ -34,17 +34,17 @@
   TargetHealth,
 } from '@galenavalve/targets';
 import {PeerClient, PeerServer} from '@galenavalve/wire';
-import {BacklogBook} from './backlog_book.js';
+import {BacklogEstimator} from './backlog_estimator.js';
 import {Daemon} from './daemon.js';
 import {JobWaiters} from './job_waiters.js';
-import type {Node} from './node.js';
+import type {DaemonContext} from './daemon_context.js';
 import {Metrics} from './observability/metrics.js';
 import {listStateSources} from './roles/peer_catch_up.js';
-import {ObservedInstanceList} from './roles/observed_instance_list.js';
-import {RelayingLog} from './roles/relaying_log.js';
-import {createSelfReport} from './roles/self_report.js';
+import {ObservableInstanceList} from './roles/observable_instance_list.js';
+import {RecordCachingLog} from './roles/record_caching_log.js';
+import {createInstanceReport} from './roles/instance_report.js';
 import {chooseMove} from './roles/queue_moves.js';
-import {findStartBar} from './roles/start_bar.js';
+import {findStartBlocker} from './roles/start_blocker.js';
 import type {Settings} from './settings/settings.js';
 import {tokens} from './tokens.js';
 
@@ -79,14 +79,14 @@
   container
     .bind<Log>(tokens.platformLog)
     .toDynamicValue(() => new HttpLog({baseUrl: logUrl}));
-  container.bind(tokens.relay).toDynamicValue(() => new RecordRelay());
+  container.bind(tokens.recordCache).toDynamicValue(() => new RecordCache());
   container
     .bind<Log>(tokens.log)
     .toDynamicValue(
       context =>
-        new RelayingLog(
+        new RecordCachingLog(
           context.get(tokens.platformLog),
-          context.get(tokens.relay),
+          context.get(tokens.recordCache),
         ),
     );
   container
@@ -95,7 +95,7 @@
   container
     .bind(tokens.instanceList)
     .toDynamicValue(
-      context => new ObservedInstanceList(context.get(tokens.platformList)),
+      context => new ObservableInstanceList(context.get(tokens.platformList)),
     );
   container
     .bind<TargetClient>(tokens.targetClient)
@@ -126,7 +126,8 @@
       restorer: new StateRestorer({
         log: context.get(tokens.log),
         logger: context.get(tokens.logger),
-        listSources: () => listStateSources(context.get<Node>(tokens.node)),
+        listSources: () =>
+          listStateSources(context.get<DaemonContext>(tokens.context)),
         ledgerOptions: context.get(tokens.ledgerOptions),
       }),
       options: {
@@ -186,7 +187,8 @@
       clock: context.get(tokens.clock),
       random: context.get(tokens.random),
       logger: context.get(tokens.logger),
-      report: () => createSelfReport(context.get<Node>(tokens.node)),
+      createReport: () =>
+        createInstanceReport(context.get<DaemonContext>(tokens.context)),
       options: {
         heartbeatMs: timings.heartbeatMs,
         suspectMs: timings.suspectMs,
@@ -197,11 +199,11 @@
 
 function bindNode(container: Container): void {
   container
-    .bind<Node>(tokens.node)
+    .bind<DaemonContext>(tokens.context)
     .toDynamicValue(context => createNode(name => context.get(name)));
 }
 
-function createNode(get: Getter): Node {
+function createNode(get: Getter): DaemonContext {
   const state = get<LedgerState>(tokens.state);
   const clock = get<Clock>(tokens.clock);
   const policy = get<GuaranteePolicy>(tokens.policy);
@@ -212,7 +214,7 @@
     mirrors.set(domain, mirror);
     return mirror;
   };
-  const node: Omit<Node, 'scheduler'> = {
+  const node: Omit<DaemonContext, 'scheduler'> = {
     settings: get(tokens.settings),
     clock,
     random: get<Random>(tokens.random),
@@ -225,17 +227,19 @@
     policy,
     mesh: get(tokens.mesh),
     freshness: get(tokens.freshness),
-    backlogs: new BacklogBook(state, mirrorOf),
+    backlogEstimator: new BacklogEstimator(state, mirrorOf),
     waiters: new JobWaiters(state, clock),
     stage: 'starting',
-    mirrorOf,
-    mirrors: () => mirrors.values(),
+    getProjection: mirrorOf,
+    listProjections: () => mirrors.values(),
   };
-  return Object.assign(node, {scheduler: createScheduler(node as Node, get)});
+  return Object.assign(node, {
+    scheduler: createScheduler(node as DaemonContext, get),
+  });
 }
 
-function createScheduler(node: Node, get: Getter): Scheduler {
-  const {settings, state, clock, logger} = node;
+function createScheduler(context: DaemonContext, get: Getter): Scheduler {
+  const {settings, state, clock, logger} = context;
   const {timings} = settings;
   const client = get<TargetClient>(tokens.targetClient);
   const findAddress = (id: string): TargetAddress | undefined => {
@@ -246,9 +250,9 @@
   return new Scheduler({
     domain: settings.domain,
     state,
-    writer: node.writer,
-    policy: node.policy,
-    projection: node.mirrorOf(settings.domain),
+    writer: context.writer,
+    policy: context.policy,
+    projection: context.getProjection(settings.domain),
     client,
     findAddress,
     starter: new GangStarter({
@@ -273,21 +277,21 @@
     }),
     health: new TargetHealth(() => state.configuration.rules),
     clock,
-    random: node.random,
+    random: context.random,
     logger,
-    findStartBlocker: (now, targets) => findStartBar(node, now, targets),
-    chooseMove: (jobId, now) => chooseMove(node, jobId, now),
+    findStartBlocker: (now, targets) => findStartBlocker(context, now, targets),
+    chooseMove: (jobId, now) => chooseMove(context, jobId, now),
   });
 }
 
 function createDaemon(get: Getter): Daemon {
-  const node = get<Node>(tokens.node);
+  const node = get<DaemonContext>(tokens.context);
   return new Daemon(node, {
     peerServer: get(tokens.peerServer),
     peerClient: get(tokens.peerClient),
-    relay: get(tokens.relay),
+    recordCache: get(tokens.recordCache),
     instanceList: get(tokens.instanceList),
-    snapshots: new SnapshotWriter({
+    snapshotWriter: new SnapshotWriter({
       follower: node.follower,
       writer: node.writer,
       clock: node.clock,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,16 +1,16 @@
 /** One daemon: starts its loops, serves, and stops without cutting a request. */
 import {setMaxListeners} from 'node:events';
 import type {FoldResult, SnapshotWriter} from '@galenavalve/ledger';
-import type {RecordRelay, StateServer} from '@galenavalve/membership';
+import type {RecordCache, StateServer} from '@galenavalve/membership';
 import {platformTraffic} from '@galenavalve/platform';
 import {type Milliseconds, describeError} from '@galenavalve/shared';
 import type {PeerClient, PeerServer} from '@galenavalve/wire';
 import {type HttpServer, startHttpServer} from './http/http_server.js';
-import type {Node} from './node.js';
+import type {DaemonContext} from './daemon_context.js';
 import {Election} from './roles/election.js';
-import {catchUpByPeers} from './roles/peer_catch_up.js';
-import type {ObservedInstanceList} from './roles/observed_instance_list.js';
-import {servePeers} from './roles/peer_services.js';
+import {catchUpFromPeers} from './roles/peer_catch_up.js';
+import type {ObservableInstanceList} from './roles/observable_instance_list.js';
+import {registerPeerHandlers} from './roles/peer_handlers.js';
 
 /** Time between two ticks of the freshness loop. */
 const TICK_MS: Milliseconds = 200;
@@ -22,12 +22,12 @@
 const UNLISTED_MS: Milliseconds = 500;
 
 /** Network parts that only the daemon itself opens and closes. */
-export interface DaemonParts {
+export interface DaemonDependencies {
   peerServer: PeerServer;
   peerClient: PeerClient;
-  relay: RecordRelay;
-  instanceList: ObservedInstanceList;
-  snapshots: SnapshotWriter;
+  recordCache: RecordCache;
+  instanceList: ObservableInstanceList;
+  snapshotWriter: SnapshotWriter;
 }
 
 /** The daemon of one entry instance. */
@@ -40,14 +40,14 @@
   private states: StateServer | undefined;
 
   constructor(
-    readonly node: Node,
-    private readonly parts: DaemonParts,
+    readonly context: DaemonContext,
+    private readonly parts: DaemonDependencies,
   ) {
-    this.election = new Election(node);
+    this.election = new Election(context);
     // Every loop listens to the end of the daemon.
     setMaxListeners(0, this.loops.signal);
-    node.follower.onApplied(applied => this.onApplied(applied));
-    node.follower.onStateReplaced(() => this.onReplaced());
+    context.follower.onApplied(applied => this.onApplied(applied));
+    context.follower.onStateReplaced(() => this.onReplaced());
   }
 
   /** Port of the HTTP interface. */
@@ -57,7 +57,7 @@
 
   /** Starts all loops; resolves when the daemon serves. */
   async start(): Promise<void> {
-    const {node} = this;
+    const {context: node} = this;
     const {signal} = this.loops;
     this.handlePeers();
     await this.parts.peerServer.start();
@@ -66,8 +66,8 @@
     await this.waitForPeers(signal);
     this.keep('follower', node.follower.run(signal));
     this.keep('writer', node.writer.run(signal));
-    this.keep('catch-up', catchUpByPeers(node, signal));
-    this.keep('snapshots', this.parts.snapshots.run(signal));
+    this.keep('catch-up', catchUpFromPeers(node, signal));
+    this.keep('snapshots', this.parts.snapshotWriter.run(signal));
     this.keep('keeper', node.scheduler.renewLeases(signal));
     this.keep('freshness', this.tickFreshness(signal));
     await this.waitUntilCaughtUp(signal);
@@ -88,7 +88,7 @@
   }
 
   private async drain(cause: string): Promise<void> {
-    const {node} = this;
+    const {context: node} = this;
     const {clock, settings} = node;
     node.logger.info('stopping', {cause});
     node.stage = 'stopping';
@@ -111,23 +111,23 @@
 
   /** A restored state took the place of the folded one. */
   private onReplaced(): void {
-    const {node} = this;
+    const {context: node} = this;
     node.logger.info('state-replaced', {offset: node.state.nextOffset});
     node.scheduler.deactivate('the state was replaced');
-    for (const mirror of node.mirrors()) {
+    for (const mirror of node.listProjections()) {
       mirror.rebuild();
     }
     node.waiters.recheck();
   }
 
   private onApplied(applied: FoldResult): void {
-    const {node} = this;
+    const {context: node} = this;
     const {record} = applied;
-    node.metrics.records.inc({
+    node.metrics.foldedRecords.inc({
       type: record?.type ?? 'invalid',
       verdict: applied.accepted ? 'accepted' : 'rejected',
     });
-    for (const mirror of node.mirrors()) {
+    for (const mirror of node.listProjections()) {
       mirror.onApplied(applied);
     }
     this.endHolds(applied);
@@ -143,15 +143,15 @@
   private endHolds({record, accepted, offset}: FoldResult): void {
     if (record?.type === 'configured' && accepted) {
       for (const {entity} of record.change.edits) {
-        this.node.mesh.noteAccepted(entity, offset);
+        this.context.mesh.onEntityAccepted(entity, offset);
       }
     }
   }
 
   private observeStart(jobId: string): void {
-    const job = this.node.state.getJob(jobId);
+    const job = this.context.state.getJob(jobId);
     if (job?.attempts === 1 && job.startedAt !== undefined) {
-      this.node.metrics.submitToStart.observe(
+      this.context.metrics.submitToStart.observe(
         {urgent: String(job.request.urgent)},
         (job.startedAt - job.submittedAt) / 1000,
       );
@@ -159,28 +159,32 @@
   }
 
   private handlePeers(): void {
-    const {node} = this;
-    this.states = servePeers(node, this.parts.peerServer, this.parts.relay);
-    this.parts.instanceList.onListed(instances => {
+    const {context: node} = this;
+    this.states = registerPeerHandlers(
+      node,
+      this.parts.peerServer,
+      this.parts.recordCache,
+    );
+    this.parts.instanceList.addListener(instances => {
       const leaving = instances
         .filter(({role, state}) => role === 'target' && state === 'leaving')
         .filter(({domain}) => domain === node.settings.domain)
         .map(({id}) => id);
       node.scheduler.onTargetsListed(new Set(leaving));
     });
-    node.mesh.onReport(({report, madeAfter}) => {
+    node.mesh.addReportListener(({report, madeAfter}) => {
       if (madeAfter !== undefined) {
-        node.freshness.notePeer(report, node.state.nextOffset, madeAfter);
+        node.freshness.onPeerReport(report, node.state.nextOffset, madeAfter);
       }
     });
   }
 
   /** Joins what the follower and the peers know of freshness, and sees pauses. */
   private async tickFreshness(signal: AbortSignal): Promise<void> {
-    const {node} = this;
+    const {context: node} = this;
     while (!signal.aborted) {
       const now = node.clock.now();
-      if (node.freshness.tick(now)) {
+      if (node.freshness.detectPause(now)) {
         node.logger.warn('paused', {
           remedy:
             'the process was paused; starts wait for a new read of the log',
@@ -188,9 +192,9 @@
       }
       const readAt = node.follower.getFreshAt();
       if (readAt !== undefined) {
-        node.freshness.noteRead(readAt);
+        node.freshness.onRead(readAt);
       }
-      node.freshness.noteOffset(node.state.nextOffset);
+      node.freshness.onOffsetReached(node.state.nextOffset);
       this.states?.dropUnused(now);
       this.shareBudget(now);
       this.updateMetrics(now);
@@ -200,20 +204,20 @@
 
   /** The log's appends are shared by all live instances. */
   private shareBudget(now: number): void {
-    const {node} = this;
+    const {context: node} = this;
     const alive = node.mesh
-      .peers()
+      .listPeers()
       .filter(({address}) => node.mesh.isAlive(address.instance, now));
     const {appendsPerSecond} = node.settings.limits;
     node.writer.setAppendRate(appendsPerSecond / (alive.length + 1));
   }
 
   private updateMetrics(now: number): void {
-    const {node, parts} = this;
+    const {context: node, parts} = this;
     const {metrics} = node;
-    metrics.offset.set(node.state.nextOffset);
-    metrics.freshness.set(node.freshness.ageAt(now) / 1000);
-    metrics.scheduling.set(node.scheduler.term ? 1 : 0);
+    metrics.logOffset.set(node.state.nextOffset);
+    metrics.freshnessAge.set(node.freshness.getAge(now) / 1000);
+    metrics.schedulerActive.set(node.scheduler.term ? 1 : 0);
     metrics.heldCallers.set(node.waiters.count);
     const sent = parts.peerClient.bytesSent + parts.peerServer.bytesSent;
     const received =
@@ -229,27 +233,27 @@
 
   /** Gives peers a moment to answer, so that a state can be had from them too. */
   private async waitForPeers(signal: AbortSignal): Promise<void> {
-    const {clock, mesh, settings} = this.node;
+    const {clock, mesh, settings} = this.context;
     const end = clock.now() + settings.timings.heartbeatMs;
     while (
       settings.seeds.length > 0 &&
       clock.now() < end &&
       !signal.aborted &&
-      !mesh.peers().some(({report}) => report?.ready)
+      !mesh.listPeers().some(({report}) => report?.ready)
     ) {
       await clock.sleep(START_POLL_MS, signal);
     }
   }
 
   private async waitUntilCaughtUp(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted && !this.node.follower.isCaughtUp) {
-      await this.node.clock.sleep(START_POLL_MS, signal);
+    while (!signal.aborted && !this.context.follower.isCaughtUp) {
+      await this.context.clock.sleep(START_POLL_MS, signal);
     }
   }
 
   private keep(name: string, loop: Promise<unknown>): void {
     const guarded = loop.catch(error => {
-      this.node.logger.error('loop-failed', {
+      this.context.logger.error('loop-failed', {
         loop: name,
         problem: describeError(error),
       });
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/daemon_context.ts
@@ -10,7 +10,7 @@
 import type {CellsProjection, Scheduler} from '@galenavalve/scheduler';
 import type {Clock, Logger, Random} from '@galenavalve/shared';
 import type {Metrics} from './observability/metrics.js';
-import type {BacklogBook} from './backlog_book.js';
+import type {BacklogEstimator} from './backlog_estimator.js';
 import type {JobWaiters} from './job_waiters.js';
 import type {Settings} from './settings/settings.js';
 
@@ -18,7 +18,7 @@
 export type Stage = 'starting' | 'serving' | 'stopping';
 
 /** The parts of one daemon. */
-export interface Node {
+export interface DaemonContext {
   settings: Settings;
   clock: Clock;
   random: Random;
@@ -33,11 +33,11 @@
   mesh: PeerMesh;
   freshness: FreshnessTracker;
   scheduler: Scheduler;
-  backlogs: BacklogBook;
+  backlogEstimator: BacklogEstimator;
   waiters: JobWaiters;
   stage: Stage;
   /** The cells of a failure domain; made on first use. */
-  mirrorOf(domain: string): CellsProjection;
+  getProjection(domain: string): CellsProjection;
   /** The cells of every failure domain that has been asked for. */
-  mirrors(): Iterable<CellsProjection>;
+  listProjections(): Iterable<CellsProjection>;
 }
--- a/packages/daemon/src/http/body_reader.ts
+++ b/packages/daemon/src/http/body_reader.ts
@@ -18,7 +18,7 @@
 }
 
 /** Length of the body as it came, in bytes; a chunked body announces none. */
-export function bodyBytes(request: Request): number {
+export function getBodyBytes(request: Request): number {
   const {rawBody} = request as {rawBody?: unknown};
   return typeof rawBody === 'string' || Buffer.isBuffer(rawBody)
     ? Buffer.byteLength(rawBody)
--- a/packages/daemon/src/http/cluster_routes.ts
+++ b/packages/daemon/src/http/cluster_routes.ts
@@ -4,7 +4,7 @@
   applyConfiguration,
   setDomainState,
 } from '../commands/apply_configuration.js';
-import type {Node} from '../node.js';
+import type {DaemonContext} from '../daemon_context.js';
 import {viewConfiguration, viewHistory} from '../queries/config_queries.js';
 import {viewInventory, viewWorkspaces} from '../queries/cluster_queries.js';
 import type {Router} from './http_server.js';
@@ -16,26 +16,26 @@
 });
 
 /** Adds the routes of operators. */
-export function addClusterRoutes(node: Node, router: Router): void {
+export function addClusterRoutes(context: DaemonContext, router: Router): void {
   router.add('get', '/v1/workspaces', () => ({
     status: 200,
-    body: {workspaces: viewWorkspaces(node)},
+    body: {workspaces: viewWorkspaces(context)},
   }));
   router.add('get', '/v1/inventory', () => ({
     status: 200,
-    body: viewInventory(node),
+    body: viewInventory(context),
   }));
   router.add('get', '/v1/config', () => ({
     status: 200,
-    body: viewConfiguration(node),
+    body: viewConfiguration(context),
   }));
   router.add('get', '/v1/config/history', request => {
     const {limit} = parseBody(historyQuery, request.query);
-    return {status: 200, body: viewHistory(node, limit)};
+    return {status: 200, body: viewHistory(context, limit)};
   });
   router.add('post', '/v1/config', async request => ({
     status: 200,
-    body: await applyConfiguration(node, request.body),
+    body: await applyConfiguration(context, request.body),
   }));
   for (const [verb, state] of [
     ['drain', 'out'],
@@ -44,7 +44,7 @@
     router.add('post', `/v1/domains/:id/${verb}`, async request => {
       const {author} = parseBody(authored, request.body);
       const {id} = request.params as {id: string};
-      const result = await setDomainState(node, id, state, author);
+      const result = await setDomainState(context, id, state, author);
       return {status: 200, body: result};
     });
   }
--- a/packages/daemon/src/http/http_server.ts
+++ b/packages/daemon/src/http/http_server.ts
@@ -2,8 +2,8 @@
 import restify, {type Request, type Response, type Server} from 'restify';
 import {MAX_REQUEST_BYTES} from '@galenavalve/model';
 import {Failure, describeError} from '@galenavalve/shared';
-import type {Node} from '../node.js';
-import {bodyBytes, createBodyReader} from './body_reader.js';
+import type {DaemonContext} from '../daemon_context.js';
+import {getBodyBytes, createBodyReader} from './body_reader.js';
 import {addClusterRoutes} from './cluster_routes.js';
 import {addJobRoutes} from './job_routes.js';
 import {addProbeRoutes} from './probe_routes.js';
@@ -15,13 +15,13 @@
 const RETRY_AFTER_SECONDS = 1;
 
 /** Answers one request. What it returns is the body; errors become typed bodies. */
-export type Route = (
+export type RouteHandler = (
   request: Request,
   response: Response,
-) => Promise<Reply> | Reply;
+) => Promise<HttpResponse> | HttpResponse;
 
 /** A status with its body. */
-export interface Reply {
+export interface HttpResponse {
   status: number;
   body: unknown;
   /** Content type; JSON when absent. */
@@ -30,7 +30,7 @@
 
 /** Registers routes on the server. */
 export interface Router {
-  add(method: 'get' | 'post' | 'del', path: string, route: Route): void;
+  add(method: 'get' | 'post' | 'del', path: string, route: RouteHandler): void;
 }
 
 /** The running server. */
@@ -41,13 +41,15 @@
 }
 
 /** Starts the server of a daemon. */
-export async function startHttpServer(node: Node): Promise<HttpServer> {
+export async function startHttpServer(
+  context: DaemonContext,
+): Promise<HttpServer> {
   const server = restify.createServer({
     name: 'galenavalved',
     handleUncaughtExceptions: false,
   });
   server.pre((request: Request, response: Response, next: restify.Next) => {
-    if (node.stage === 'stopping') {
+    if (context.stage === 'stopping') {
       // Lets the balancer move its connections to other instances.
       response.setHeader('Connection', 'close');
     }
@@ -56,27 +58,27 @@
   server.use(restify.plugins.queryParser({mapParams: false}));
   server.use(...createBodyReader(MAX_CONFIGURATION_BYTES));
   server.on('restifyError', onRestifyError);
-  const router = createRouter(node, server);
-  addJobRoutes(node, router);
-  addClusterRoutes(node, router);
-  addProbeRoutes(node, router);
-  await listen(server, node.settings.http.port, node.settings.http.host);
+  const router = createRouter(context, server);
+  addJobRoutes(context, router);
+  addClusterRoutes(context, router);
+  addProbeRoutes(context, router);
+  await listen(server, context.settings.http.port, context.settings.http.host);
   return {port: server.address().port, close: () => closeServer(server)};
 }
 
 /** Throws `body-too-large` for a job request that is too long. */
 export function checkRequestSize(request: Request): void {
-  if (bodyBytes(request) > MAX_REQUEST_BYTES) {
+  if (getBodyBytes(request) > MAX_REQUEST_BYTES) {
     throw new Failure('body-too-large', {limitBytes: MAX_REQUEST_BYTES});
   }
 }
 
-function createRouter(node: Node, server: Server): Router {
+function createRouter(context: DaemonContext, server: Server): Router {
   return {
     add(method, path, route) {
       server[method](path, async (request: Request, response: Response) => {
-        const reply = await answer(node, route, request, response);
-        node.metrics.requests.inc({route: path, status: reply.status});
+        const reply = await answer(context, route, request, response);
+        context.metrics.requests.inc({route: path, status: reply.status});
         send(response, reply);
       });
     },
@@ -84,11 +86,11 @@
 }
 
 async function answer(
-  node: Node,
-  route: Route,
+  context: DaemonContext,
+  route: RouteHandler,
   request: Request,
   response: Response,
-): Promise<Reply> {
+): Promise<HttpResponse> {
   try {
     return await route(request, response);
   } catch (error) {
@@ -96,7 +98,7 @@
     if (failure.status === 429 || failure.status === 503) {
       response.setHeader('Retry-After', String(RETRY_AFTER_SECONDS));
     }
-    node.logger.info('refused', {
+    context.logger.info('refused', {
       path: request.path(),
       code: failure.code,
       text: failure.message,
@@ -105,7 +107,7 @@
   }
 }
 
-function send(response: Response, reply: Reply): void {
+function send(response: Response, reply: HttpResponse): void {
   if (reply.contentType) {
     response.sendRaw(reply.status, String(reply.body), {
       'Content-Type': reply.contentType,
--- a/packages/daemon/src/http/job_routes.ts
+++ b/packages/daemon/src/http/job_routes.ts
@@ -5,7 +5,7 @@
 import {jobPhase} from '@galenavalve/model';
 import {approveJob, cancelJob} from '../commands/job_commands.js';
 import {submitJob} from '../commands/submit_job.js';
-import type {Node} from '../node.js';
+import type {DaemonContext} from '../daemon_context.js';
 import {
   explainJob,
   findJob,
@@ -13,7 +13,11 @@
   viewJob,
 } from '../queries/job_queries.js';
 import {planJob} from '../queries/plan_job.js';
-import {type Reply, type Router, checkRequestSize} from './http_server.js';
+import {
+  type HttpResponse,
+  type Router,
+  checkRequestSize,
+} from './http_server.js';
 import {parseBody} from './parse_body.js';
 
 /** Longest time that a caller is held, in seconds. */
@@ -32,57 +36,57 @@
 const approval = z.strictObject({author: z.string().min(1).max(128)});
 
 /** Adds the routes under `/v1/jobs`, and `/v1/plan`. */
-export function addJobRoutes(node: Node, router: Router): void {
+export function addJobRoutes(context: DaemonContext, router: Router): void {
   router.add('post', '/v1/jobs', async request => {
     checkRequestSize(request);
     const {wait} = parseBody(waitQuery, request.query);
-    const job = await submitJob(node, request.body);
-    return replyWhenEnded(node, job, canHold(node) ? wait : 0);
+    const job = await submitJob(context, request.body);
+    return replyWhenEnded(context, job, canHold(context) ? wait : 0);
   });
   router.add('get', '/v1/jobs', request => {
     const filter = parseBody(listQuery, request.query);
-    return {status: 200, body: {jobs: listJobs(node, filter)}};
+    return {status: 200, body: {jobs: listJobs(context, filter)}};
   });
   router.add('get', '/v1/jobs/:id', async request => {
     const {wait} = parseBody(waitQuery, request.query);
-    const job = findJob(node, idOf(request));
+    const job = findJob(context, idOf(request));
     const latest =
-      (await node.waiters.waitForEnd(job.jobId, wait * 1000)) ?? job;
-    return {status: 200, body: await viewJob(node, latest)};
+      (await context.waiters.waitForEnd(job.jobId, wait * 1000)) ?? job;
+    return {status: 200, body: await viewJob(context, latest)};
   });
   router.add('get', '/v1/jobs/:id/explain', async request => ({
     status: 200,
-    body: await explainJob(node, idOf(request)),
+    body: await explainJob(context, idOf(request)),
   }));
   router.add('del', '/v1/jobs/:id', async request => {
-    const job = await cancelJob(node, idOf(request), 'its caller');
-    return {status: 200, body: await viewJob(node, job)};
+    const job = await cancelJob(context, idOf(request), 'its caller');
+    return {status: 200, body: await viewJob(context, job)};
   });
   router.add('post', '/v1/jobs/:id/approve', async request => {
     const {author} = parseBody(approval, request.body);
-    const job = await approveJob(node, idOf(request), author);
-    return {status: 200, body: await viewJob(node, job)};
+    const job = await approveJob(context, idOf(request), author);
+    return {status: 200, body: await viewJob(context, job)};
   });
   router.add('post', '/v1/plan', request => {
     checkRequestSize(request);
-    return {status: 200, body: planJob(node, request.body)};
+    return {status: 200, body: planJob(context, request.body)};
   });
 }
 
 /** With too many callers held, the next ones are told at once where their job stands. */
-function canHold(node: Node): boolean {
-  return node.waiters.count < node.settings.limits.heldCallers;
+function canHold(context: DaemonContext): boolean {
+  return context.waiters.count < context.settings.limits.heldCallers;
 }
 
 async function replyWhenEnded(
-  node: Node,
+  context: DaemonContext,
   job: Job,
   waitSeconds: number,
-): Promise<Reply> {
+): Promise<HttpResponse> {
   const latest =
-    (await node.waiters.waitForEnd(job.jobId, waitSeconds * 1000)) ?? job;
+    (await context.waiters.waitForEnd(job.jobId, waitSeconds * 1000)) ?? job;
   const status = latest.phase === 'finished' ? 200 : 202;
-  return {status, body: await viewJob(node, latest)};
+  return {status, body: await viewJob(context, latest)};
 }
 
 function idOf(request: Request): string {
--- a/packages/daemon/src/http/probe_routes.ts
+++ b/packages/daemon/src/http/probe_routes.ts
@@ -1,28 +1,30 @@
 /** Routes for the balancer and for metrics. */
-import type {Node} from '../node.js';
+import type {DaemonContext} from '../daemon_context.js';
 import type {Router} from './http_server.js';
 
 /** Adds `/healthz`, `/readyz` and `/metrics`. */
-export function addProbeRoutes(node: Node, router: Router): void {
+export function addProbeRoutes(context: DaemonContext, router: Router): void {
   router.add('get', '/healthz', () => ({
     status: 200,
-    body: {instance: node.settings.instance, stage: node.stage},
+    body: {instance: context.settings.instance, stage: context.stage},
   }));
   router.add('get', '/readyz', () => {
-    const isReady = node.stage === 'serving';
+    const isReady = context.stage === 'serving';
     return {
       status: isReady ? 200 : 503,
       body: {
         ready: isReady,
-        stage: node.stage,
-        offset: node.state.nextOffset,
-        freshnessAgeMs: Math.round(node.freshness.ageAt(node.clock.now())),
+        stage: context.stage,
+        offset: context.state.nextOffset,
+        freshnessAgeMs: Math.round(
+          context.freshness.getAge(context.clock.now()),
+        ),
       },
     };
   });
   router.add('get', '/metrics', async () => ({
     status: 200,
-    body: await node.metrics.render(),
-    contentType: node.metrics.registry.contentType,
+    body: await context.metrics.render(),
+    contentType: context.metrics.registry.contentType,
   }));
 }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,15 +1,15 @@
 /** galenavalved: the entry, scheduler and lease keeper roles in one program. */
 
 // The daemon
-export {Daemon, type DaemonParts} from './daemon.js';
-export type {Node, Stage} from './node.js';
+export {Daemon, type DaemonDependencies} from './daemon.js';
+export type {DaemonContext, Stage} from './daemon_context.js';
 
 // Commands
 export {submitJob} from './commands/submit_job.js';
 export {cancelJob} from './commands/job_commands.js';
 
 // Decisions of roles
-export {BacklogBook} from './backlog_book.js';
+export {BacklogEstimator} from './backlog_estimator.js';
 export {chooseMove} from './roles/queue_moves.js';
 
 // Putting one together
--- a/packages/daemon/src/observability/metrics.ts
+++ b/packages/daemon/src/observability/metrics.ts
@@ -24,26 +24,26 @@
     registers: [this.registry],
   });
 
-  readonly records = new Counter({
+  readonly foldedRecords = new Counter({
     name: 'galenavalve_records_folded_total',
     help: 'Records folded by type and verdict.',
     labelNames: ['type', 'verdict'],
     registers: [this.registry],
   });
 
-  readonly offset = new Gauge({
+  readonly logOffset = new Gauge({
     name: 'galenavalve_log_offset',
     help: 'Offset up to which the log is folded.',
     registers: [this.registry],
   });
 
-  readonly freshness = new Gauge({
+  readonly freshnessAge = new Gauge({
     name: 'galenavalve_freshness_age_seconds',
     help: 'Time since the configuration was known to be current.',
     registers: [this.registry],
   });
 
-  readonly scheduling = new Gauge({
+  readonly schedulerActive = new Gauge({
     name: 'galenavalve_scheduler_active',
     help: 'Whether this instance schedules its failure domain.',
     registers: [this.registry],
@@ -61,7 +61,7 @@
     registers: [this.registry],
   });
 
-  readonly memory = new Gauge({
+  readonly residentMemory = new Gauge({
     name: 'galenavalve_process_resident_memory_bytes',
     help: 'Resident memory of the process.',
     registers: [this.registry],
@@ -85,7 +85,7 @@
   async render(): Promise<string> {
     const usage = process.cpuUsage();
     this.cpu.set((usage.user + usage.system) / 1e6);
-    this.memory.set(process.memoryUsage.rss());
+    this.residentMemory.set(process.memoryUsage.rss());
     return this.registry.metrics();
   }
 }
--- a/packages/daemon/src/queries/cluster_queries.ts
+++ b/packages/daemon/src/queries/cluster_queries.ts
@@ -14,51 +14,54 @@
   listGuaranteeViews,
   createInServiceFilter,
 } from '@galenavalve/placement';
-import type {Node} from '../node.js';
+import type {DaemonContext} from '../daemon_context.js';
 
 /** The inventory as this instance knows it, with its age. */
-export function viewInventory(node: Node): InventoryView {
-  const domains = [...node.state.configuration.domains.keys()].sort();
+export function viewInventory(context: DaemonContext): InventoryView {
+  const domains = [...context.state.configuration.domains.keys()].sort();
   return {
-    offset: node.state.nextOffset,
-    freshnessAgeMs: freshnessAge(node),
-    domains: domains.map(id => viewDomain(node, id)),
+    offset: context.state.nextOffset,
+    freshnessAgeMs: freshnessAge(context),
+    domains: domains.map(id => viewDomain(context, id)),
   };
 }
 
-function freshnessAge(node: Node): number | null {
-  const age = node.freshness.ageAt(node.clock.now());
+function freshnessAge(context: DaemonContext): number | null {
+  const age = context.freshness.getAge(context.clock.now());
   return Number.isFinite(age) ? Math.round(age) : null;
 }
 
 /** Every workspace with its promises and what it uses. */
-export function viewWorkspaces(node: Node): WorkspaceView[] {
-  const {workspaces, domains} = node.state.configuration;
+export function viewWorkspaces(context: DaemonContext): WorkspaceView[] {
+  const {workspaces, domains} = context.state.configuration;
   const active = [...domains.keys()].flatMap(id => [
-    ...node.state.listActiveJobs(id),
+    ...context.state.listActiveJobs(id),
   ]);
-  const guarantees = describeAvailable(node);
+  const guarantees = describeAvailable(context);
   const ids = [...workspaces.keys()].sort();
   return ids.map(id => ({
-    ...viewWorkspace(node, workspaces.get(id)!, active),
+    ...viewWorkspace(context, workspaces.get(id)!, active),
     guarantees: guarantees.get(id) ?? [],
   }));
 }
 
 /** Every guarantee, as it can be met with the targets that are in service and well. */
-function describeAvailable(node: Node): Map<string, GuaranteeView[]> {
-  const {configuration} = node.state;
+function describeAvailable(
+  context: DaemonContext,
+): Map<string, GuaranteeView[]> {
+  const {configuration} = context.state;
   const isInService = createInServiceFilter(configuration);
   return listGuaranteeViews(
     configuration,
     target =>
       isInService(target) &&
-      node.mirrorOf(target.domain).cells.getCondition(target.id) === 'well',
+      context.getProjection(target.domain).cells.getCondition(target.id) ===
+        'well',
   );
 }
 
-function viewDomain(node: Node, id: string): DomainView {
-  const {state} = node;
+function viewDomain(context: DaemonContext, id: string): DomainView {
+  const {state} = context;
   const domain = state.configuration.domains.get(id)!;
   const targets = [...state.configuration.targets.values()].filter(
     target => target.domain === id,
@@ -68,26 +71,26 @@
     id,
     region: domain.region,
     version: state.getEntityVersion(`domain/${id}`),
-    state: viewState(node, domain),
+    state: viewState(context, domain),
     scheduler: state.getSchedulerTerm(id)?.instance,
     queued: count(state.listQueuedJobs(id)),
     running: count(state.listActiveJobs(id)),
-    targets: targets.map(target => viewTarget(node, target)),
+    targets: targets.map(target => viewTarget(context, target)),
   };
 }
 
 /** A hold keeps starts back before, or without, a record in the log. */
-function viewState(node: Node, {id, state}: Domain): string {
-  const isHeld = state === 'in-service' && node.mesh.isHeld(`domain/${id}`);
+function viewState(context: DaemonContext, {id, state}: Domain): string {
+  const isHeld = state === 'in-service' && context.mesh.isHeld(`domain/${id}`);
   return isHeld ? 'held' : state;
 }
 
-function viewTarget(node: Node, target: Target): TargetView {
-  const {cells} = node.mirrorOf(target.domain);
+function viewTarget(context: DaemonContext, target: Target): TargetView {
+  const {cells} = context.getProjection(target.domain);
   return {
     id: target.id,
     rack: target.rack,
-    version: node.state.getEntityVersion(`target/${target.id}`),
+    version: context.state.getEntityVersion(`target/${target.id}`),
     state: target.state,
     accelerators: target.accelerators,
     acceleratorsUsed: cells.countUsedAccelerators(target.id),
@@ -97,16 +100,16 @@
 }
 
 function viewWorkspace(
-  node: Node,
+  context: DaemonContext,
   workspace: Workspace,
   active: readonly Job[],
 ): Omit<WorkspaceView, 'guarantees'> {
   const own = active.filter(job => job.request.workspace === workspace.id);
   return {
     id: workspace.id,
-    version: node.state.getEntityVersion(`workspace/${workspace.id}`),
+    version: context.state.getEntityVersion(`workspace/${workspace.id}`),
     weight: workspace.weight,
-    queued: node.state.countQueuedJobs(workspace.id),
+    queued: context.state.countQueuedJobs(workspace.id),
     running: own.length,
     acceleratorsGuaranteed: sumAccelerators(own.filter(job => job.guaranteed)),
     acceleratorsBorrowed: sumAccelerators(own.filter(job => !job.guaranteed)),
--- a/packages/daemon/src/queries/config_queries.ts
+++ b/packages/daemon/src/queries/config_queries.ts
@@ -4,7 +4,7 @@
   type VersionedEntity,
   getEntityKey,
 } from '@galenavalve/model';
-import type {Node} from '../node.js';
+import type {DaemonContext} from '../daemon_context.js';
 
 /** One entity with its key. */
 export interface KeyedEntity extends VersionedEntity {
@@ -12,11 +12,11 @@
 }
 
 /** Every entity with the version to base a change on. */
-export function viewConfiguration(node: Node): {
+export function viewConfiguration(context: DaemonContext): {
   offset: number;
   entities: KeyedEntity[];
 } {
-  const {domains, targets, workspaces, rules} = node.state.configuration;
+  const {domains, targets, workspaces, rules} = context.state.configuration;
   const keys = [
     ...domains.values(),
     ...targets.values(),
@@ -24,15 +24,18 @@
     rules,
   ].map(getEntityKey);
   const entities = keys.flatMap(entity => {
-    const versioned = node.state.getEntity(entity);
+    const versioned = context.state.getEntity(entity);
     return versioned ? [{entity, ...versioned}] : [];
   });
-  return {offset: node.state.nextOffset, entities};
+  return {offset: context.state.nextOffset, entities};
 }
 
 /** The latest changes with their verdicts, newest first. */
-export function viewHistory(node: Node, limit: number): ChangeListView {
-  const changes = node.state.listChanges(limit).map(change => ({
+export function viewHistory(
+  context: DaemonContext,
+  limit: number,
+): ChangeListView {
+  const changes = context.state.listChanges(limit).map(change => ({
     ...change,
     problem: change.problem?.message,
   }));
--- a/packages/daemon/src/queries/job_queries.ts
+++ b/packages/daemon/src/queries/job_queries.ts
@@ -11,8 +11,8 @@
   reason as reasonSchema,
 } from '@galenavalve/model';
 import {Failure, hashValue} from '@galenavalve/shared';
-import type {Node} from '../node.js';
-import {WAIT_REASON_METHOD} from '../roles/peer_services.js';
+import type {DaemonContext} from '../daemon_context.js';
+import {WAIT_REASON_METHOD} from '../roles/peer_handlers.js';
 
 const PEER_TIMEOUT_MS = 1_000;
 
@@ -24,8 +24,9 @@
 }
 
 /** The job, or `not-found`. */
-export function findJob(node: Node, jobId: string): Job {
-  const job = node.state.getJob(jobId) ?? node.state.getJobByRequest(jobId);
+export function findJob(context: DaemonContext, jobId: string): Job {
+  const job =
+    context.state.getJob(jobId) ?? context.state.getJobByRequest(jobId);
   if (!job) {
     throw new Failure('not-found', {kind: 'job', id: jobId});
   }
@@ -36,9 +37,12 @@
  * The job as its caller sees it, with its whole answer. Results that memory has
  * dropped are read back from the log. Throws `internal` when they are damaged.
  */
-export async function viewJob(node: Node, job: Job): Promise<JobView> {
-  const timeout = node.settings.timings.platformTimeoutMs;
-  const results = await readResults(node.log, job, timeout);
+export async function viewJob(
+  context: DaemonContext,
+  job: Job,
+): Promise<JobView> {
+  const timeout = context.settings.timings.platformTimeoutMs;
+  const results = await readResults(context.log, job, timeout);
   if (results && job.resultHash !== hashValue(results)) {
     throw new Failure('internal', {
       problem: `the results of ${job.jobId} do not match their hash`,
@@ -68,9 +72,9 @@
 }
 
 /** Jobs that match, newest first, without their results. */
-export function listJobs(node: Node, filter: JobFilter): JobView[] {
+export function listJobs(context: DaemonContext, filter: JobFilter): JobView[] {
   const found: Job[] = [];
-  for (const job of allJobs(node)) {
+  for (const job of allJobs(context)) {
     const matches =
       (!filter.workspace || job.request.workspace === filter.workspace) &&
       (!filter.phase || job.phase === filter.phase);
@@ -82,23 +86,23 @@
   return found.slice(0, filter.limit).map(summarizeJob);
 }
 
-function* allJobs(node: Node): Iterable<Job> {
-  for (const domain of node.state.configuration.domains.keys()) {
-    yield* node.state.listUnfinishedJobs(domain);
+function* allJobs(context: DaemonContext): Iterable<Job> {
+  for (const domain of context.state.configuration.domains.keys()) {
+    yield* context.state.listUnfinishedJobs(domain);
   }
-  yield* node.state.listFinishedJobs();
+  yield* context.state.listFinishedJobs();
 }
 
 /** Why the job did or did not run, and what it waits for now. */
 export async function explainJob(
-  node: Node,
+  context: DaemonContext,
   jobId: string,
 ): Promise<ExplanationView> {
-  const job = findJob(node, jobId);
+  const job = findJob(context, jobId);
   const waitingFor =
-    job.phase === 'queued' ? await findWaitReason(node, job) : undefined;
+    job.phase === 'queued' ? await findWaitReason(context, job) : undefined;
   return {
-    ...(await viewJob(node, job)),
+    ...(await viewJob(context, job)),
     request: job.request,
     assignments: [...job.assignments],
     history: job.history.map(describeEntry),
@@ -108,17 +112,20 @@
 }
 
 /** The scheduler of the job's domain knows what it waits for. */
-async function findWaitReason(node: Node, job: Job): Promise<Reason> {
-  const holder = node.state.getSchedulerTerm(job.domain)?.instance;
+async function findWaitReason(
+  context: DaemonContext,
+  job: Job,
+): Promise<Reason> {
+  const holder = context.state.getSchedulerTerm(job.domain)?.instance;
   const noScheduler = createReason('waiting-scheduler', {domain: job.domain});
   if (!holder) {
     return noScheduler;
   }
-  if (holder === node.settings.instance) {
-    return node.scheduler.getWaitReason(job.jobId) ?? pending();
+  if (holder === context.settings.instance) {
+    return context.scheduler.getWaitReason(job.jobId) ?? pending();
   }
   try {
-    const answer = await node.mesh.ask(
+    const answer = await context.mesh.call(
       holder,
       WAIT_REASON_METHOD,
       {jobId: job.jobId},
--- a/packages/daemon/src/queries/plan_job.ts
+++ b/packages/daemon/src/queries/plan_job.ts
@@ -8,21 +8,21 @@
 import {Failure} from '@galenavalve/shared';
 import {toWaitingJob} from '@galenavalve/scheduler';
 import {routeJob} from '../commands/route_job.js';
-import {describeWaiting} from '../commands/submit_job.js';
+import {createWaitingJob} from '../commands/submit_job.js';
 import {parseBody} from '../http/parse_body.js';
-import type {Node} from '../node.js';
+import type {DaemonContext} from '../daemon_context.js';
 
 /** The plan for a job request. Nothing is recorded. */
-export function planJob(node: Node, body: unknown): PlanView {
+export function planJob(context: DaemonContext, body: unknown): PlanView {
   const request = parseBody(jobRequest, body);
-  if (!node.state.configuration.workspaces.has(request.workspace)) {
+  if (!context.state.configuration.workspaces.has(request.workspace)) {
     throw new Failure('unknown-workspace', {workspace: request.workspace});
   }
-  const now = node.clock.wallTime();
-  const job = describeWaiting(request, now);
+  const now = context.clock.wallTime();
+  const job = createWaitingJob(request, now);
   let route;
   try {
-    route = routeJob(node, job, now);
+    route = routeJob(context, job, now);
   } catch (error) {
     if (error instanceof Failure && error.code === 'never-runnable') {
       return {
@@ -39,11 +39,11 @@
     }
     throw error;
   }
-  const queue = [...node.state.listQueuedJobs(route.domain)].map(queued =>
+  const queue = [...context.state.listQueuedJobs(route.domain)].map(queued =>
     toWaitingJob(queued, now),
   );
-  const {cells} = node.mirrorOf(route.domain);
-  const decisions = node.policy.decide(cells, [...queue, job], now);
+  const {cells} = context.getProjection(route.domain);
+  const decisions = context.policy.decide(cells, [...queue, job], now);
   const placement = decisions.placements.find(p => p.jobId === job.jobId);
   const reclaim = decisions.reclaims.find(r => r.forJob === job.jobId);
   const wait = decisions.waits.find(w => w.jobId === job.jobId);
--- a/packages/daemon/src/roles/election.ts
+++ b/packages/daemon/src/roles/election.ts
@@ -5,15 +5,15 @@
   type ClaimSituation,
   TAKEOVER_WINDOW_MS,
   decideClaim,
-  nextClaimAt,
+  computeNextClaimTime,
 } from '@galenavalve/membership';
 import {
   type Instant,
   type Milliseconds,
   describeError,
 } from '@galenavalve/shared';
-import type {Node} from '../node.js';
-import {isFit} from './self_report.js';
+import type {DaemonContext} from '../daemon_context.js';
+import {isEligible} from './instance_report.js';
 
 /** Time between two decisions. */
 const INTERVAL_MS: Milliseconds = 250;
@@ -30,15 +30,15 @@
   private notBefore: Instant | undefined;
   private takeovers: Instant[] = [];
 
-  constructor(private readonly node: Node) {
-    this.termSeenAt = node.clock.now();
+  constructor(private readonly context: DaemonContext) {
+    this.termSeenAt = context.clock.now();
   }
 
   /** Runs until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.step();
-      await this.node.clock.sleep(INTERVAL_MS, signal);
+      await this.context.clock.sleep(INTERVAL_MS, signal);
     }
   }
 
@@ -51,16 +51,16 @@
       applied.accepted
     ) {
       this.noteTerm(record.term);
-      this.takeovers.push(this.node.clock.now());
+      this.takeovers.push(this.context.clock.now());
     }
   }
 
   private get domain(): string {
-    return this.node.settings.domain;
+    return this.context.settings.domain;
   }
 
   private async step(): Promise<void> {
-    const {node} = this;
+    const {context: node} = this;
     const now = node.clock.now();
     this.noteTerm(node.state.getSchedulerTerm(this.domain));
     const decision = decideClaim(this.describe(now));
@@ -76,13 +76,13 @@
   }
 
   private async claim(): Promise<void> {
-    const {node} = this;
+    const {context: node} = this;
     const term: Term = {
       log: (this.presentTerm?.log ?? 0) + 1,
       outage: 0,
       instance: node.settings.instance,
     };
-    this.notBefore = nextClaimAt(
+    this.notBefore = computeNextClaimTime(
       node.clock.now(),
       this.attempts++,
       node.random,
@@ -102,15 +102,15 @@
   }
 
   private onClaimed(term: Term): void {
-    const present = this.node.state.getSchedulerTerm(this.domain);
+    const present = this.context.state.getSchedulerTerm(this.domain);
     if (
       present &&
       isSameTerm(present, term) &&
-      this.node.stage !== 'stopping'
+      this.context.stage !== 'stopping'
     ) {
       this.heldTerm = term;
       this.attempts = 0;
-      this.node.scheduler.activate(term);
+      this.context.scheduler.activate(term);
     }
   }
 
@@ -120,30 +120,30 @@
       (this.presentTerm !== undefined && isSameTerm(term, this.presentTerm));
     if (!isKnown) {
       this.presentTerm = term;
-      this.termSeenAt = this.node.clock.now();
+      this.termSeenAt = this.context.clock.now();
     }
   }
 
   private describe(now: Instant): ClaimSituation {
-    const {node} = this;
+    const {context: node} = this;
     this.takeovers = this.takeovers.filter(at => now - at < TAKEOVER_WINDOW_MS);
     const holder = this.presentTerm?.instance;
     const status = node.mesh
-      .peers()
+      .listPeers()
       .find(peer => peer.address.instance === holder);
     const heardAt =
-      holder === undefined ? undefined : node.mesh.lastHeard(holder);
+      holder === undefined ? undefined : node.mesh.findLastHeardAt(holder);
     return {
       now,
       domain: this.domain,
       self: node.settings.instance,
-      selfReady: isFit(node),
-      selfLeaving: node.stage === 'stopping',
-      presentTerm: this.presentTerm,
+      isSelfReady: isEligible(node),
+      isSelfLeaving: node.stage === 'stopping',
+      currentTerm: this.presentTerm,
       termSeenAt: this.termSeenAt,
       heldTerm: this.heldTerm,
-      aliveInDomain: node.mesh.fitIn(this.domain, now),
-      lastHeardFromHolder: heardAt,
+      eligibleInstances: node.mesh.listEligible(this.domain, now),
+      holderLastHeardAt: heardAt,
       holderLeavingSince: status?.leavingSince,
       holderNotReadySince: status?.notReadySince,
       recentTakeovers: this.takeovers.length,
--- a/packages/daemon/src/roles/observed_instance_list.ts
+++ b/packages/daemon/src/roles/observable_instance_list.ts
@@ -2,15 +2,17 @@
 import type {InstanceList, ListedInstance} from '@galenavalve/membership';
 
 /** Is told of every list that was read. */
-export type ListListener = (instances: readonly ListedInstance[]) => void;
+export type InstanceListListener = (
+  instances: readonly ListedInstance[],
+) => void;
 
 /** A list of instances whose answers are observed. */
-export class ObservedInstanceList implements InstanceList {
-  private readonly listeners: ListListener[] = [];
+export class ObservableInstanceList implements InstanceList {
+  private readonly listeners: InstanceListListener[] = [];
 
   constructor(private readonly platformList: InstanceList) {}
 
-  onListed(listener: ListListener): void {
+  addListener(listener: InstanceListListener): void {
     this.listeners.push(listener);
   }
 
--- a/packages/daemon/src/roles/peer_services.ts
+++ b/packages/daemon/src/roles/peer_handlers.ts
@@ -3,7 +3,7 @@
 import {encodeStateAsync} from '@galenavalve/ledger';
 import {
   RECORDS_METHOD,
-  type RecordRelay,
+  type RecordCache,
   STATE_OPEN_METHOD,
   STATE_SECTION_METHOD,
   StateServer,
@@ -13,7 +13,7 @@
 } from '@galenavalve/membership';
 import {Failure} from '@galenavalve/shared';
 import type {PeerServer} from '@galenavalve/wire';
-import type {Node} from '../node.js';
+import type {DaemonContext} from '../daemon_context.js';
 
 /** Method that asks a domain's scheduler what a job waits for. */
 export const WAIT_REASON_METHOD = 'wait-reason';
@@ -21,33 +21,33 @@
 const waitQuestion = z.strictObject({jobId: z.string().max(100)});
 
 /** Registers every method. Returns what frees the memory of unused offers. */
-export function servePeers(
-  node: Node,
+export function registerPeerHandlers(
+  context: DaemonContext,
   server: PeerServer,
-  relay: RecordRelay,
+  relay: RecordCache,
 ): StateServer {
   server.handle(WAIT_REASON_METHOD, waitQuestion, async ({jobId}) => {
-    const reason = node.scheduler.getWaitReason(jobId);
+    const reason = context.scheduler.getWaitReason(jobId);
     if (!reason) {
       throw new Failure('not-found', {kind: 'waiting reason', id: jobId});
     }
     return reason;
   });
   server.handle(RECORDS_METHOD, recordsRequest, async request =>
-    relay.serve(request),
+    relay.readPage(request),
   );
-  const states = new StateServer(() => encodeState(node));
+  const states = new StateServer(() => encodeState(context));
   server.handle(STATE_OPEN_METHOD, emptyBody, () =>
-    states.open(node.clock.now()),
+    states.open(context.clock.now()),
   );
   server.handle(STATE_SECTION_METHOD, sectionRequest, request =>
-    states.section(request, node.clock.now()),
+    states.readSection(request, context.clock.now()),
   );
   return states;
 }
 
-function encodeState(node: Node) {
-  const {instance} = node.settings;
-  const {state} = node;
+function encodeState(context: DaemonContext) {
+  const {instance} = context.settings;
+  const {state} = context;
   return encodeStateAsync(state, `${instance}-${state.nextOffset}`);
 }
--- a/packages/daemon/src/roles/queue_moves.ts
+++ b/packages/daemon/src/roles/queue_moves.ts
@@ -3,7 +3,7 @@
 import {toWaitingJob} from '@galenavalve/scheduler';
 import type {Reason} from '@galenavalve/model';
 import {summarizeDomains} from '../commands/route_job.js';
-import type {Node} from '../node.js';
+import type {DaemonContext} from '../daemon_context.js';
 
 /** Where a queued job is sent, and why. */
 export interface QueueMove {
@@ -13,16 +13,16 @@
 
 /** A better domain for the job, or undefined. `now` is wall-clock time. */
 export function chooseMove(
-  node: Node,
+  context: DaemonContext,
   jobId: string,
   now: number,
 ): QueueMove | undefined {
-  const job = node.state.getJob(jobId);
+  const job = context.state.getJob(jobId);
   if (job?.phase !== 'queued') {
     return undefined;
   }
   const waiting = toWaitingJob(job, now);
-  const summaries = summarizeDomains(node, waiting, now);
+  const summaries = summarizeDomains(context, waiting, now);
   const from = summaries.find(({domain}) => domain === job.domain);
   if (!from) {
     return undefined;
--- a/packages/daemon/src/roles/relaying_log.ts
+++ b/packages/daemon/src/roles/record_caching_log.ts
@@ -5,14 +5,14 @@
   LogPage,
   ReadOptions,
 } from '@galenavalve/ledger';
-import type {RecordRelay} from '@galenavalve/membership';
+import type {RecordCache} from '@galenavalve/membership';
 import type {Milliseconds} from '@galenavalve/shared';
 
 /** A log whose reads are kept in a relay. */
-export class RelayingLog implements Log {
+export class RecordCachingLog implements Log {
   constructor(
     private readonly log: Log,
-    private readonly relay: RecordRelay,
+    private readonly relay: RecordCache,
   ) {}
 
   append(
@@ -24,7 +24,7 @@
 
   async read(offset: number, options: ReadOptions): Promise<LogPage> {
     const page = await this.log.read(offset, options);
-    this.relay.note(page.entries, page.nextOffset);
+    this.relay.add(page.entries, page.nextOffset);
     return page;
   }
 }
--- a/packages/daemon/src/tokens.ts
+++ b/packages/daemon/src/tokens.ts
@@ -8,7 +8,7 @@
   platformLog: Symbol('platform log'),
   /** The log as the ledger reads it; what is read is kept for peers. */
   log: Symbol('log'),
-  relay: Symbol('relay'),
+  recordCache: Symbol('record cache'),
   ledgerOptions: Symbol('ledger options'),
   /** The platform's list itself. */
   platformList: Symbol('platform list'),
@@ -23,5 +23,5 @@
   peerServer: Symbol('peer server'),
   peerClient: Symbol('peer client'),
   mesh: Symbol('mesh'),
-  node: Symbol('node'),
+  context: Symbol('daemon context'),
 } as const;
--- a/packages/faults/src/instance.ts
+++ b/packages/faults/src/instance.ts
@@ -6,8 +6,8 @@
   type MemoryLog,
 } from '@galenavalve/ledger';
 import {
-  BacklogBook,
-  type Node,
+  BacklogEstimator,
+  type DaemonContext,
   chooseMove,
   settings,
 } from '@galenavalve/daemon';
@@ -60,7 +60,7 @@
   readonly writer: LogWriter;
   readonly follower: LogFollower;
   /** The parts that the commands of the daemon use. */
-  readonly node: Node;
+  readonly node: DaemonContext;
   private readonly mirrors = new Map<string, CellsProjection>();
   private readonly random: SeededRandom;
   private readonly clock: Clock;
@@ -220,10 +220,10 @@
   }
 
   /** Only what submitting and cancelling use of a daemon. */
-  private createNode(): Node {
+  private createNode(): DaemonContext {
     const {state, clock, random, logger, follower, writer, policy} = this;
     const endpoint = {host: '127.0.0.1', port: 0};
-    const node: Partial<Node> = {
+    const node: Partial<DaemonContext> = {
       settings: settings.parse({
         instance: this.name,
         domain: this.domain,
@@ -242,12 +242,14 @@
       writer,
       policy,
       scheduler: this.scheduler,
-      mesh: {isHeld: () => false} as unknown as Node['mesh'],
+      mesh: {isHeld: () => false} as unknown as DaemonContext['mesh'],
       stage: 'serving',
-      backlogs: new BacklogBook(state, domain => this.mirrorOf(domain)),
-      mirrorOf: domain => this.mirrorOf(domain),
-      mirrors: () => this.mirrors.values(),
+      backlogEstimator: new BacklogEstimator(state, domain =>
+        this.mirrorOf(domain),
+      ),
+      getProjection: domain => this.mirrorOf(domain),
+      listProjections: () => this.mirrors.values(),
     };
-    return node as Node;
+    return node as DaemonContext;
   }
 }
--- a/packages/membership/__tests__/claim.spec.ts
+++ b/packages/membership/__tests__/claim.spec.ts
@@ -7,7 +7,7 @@
   SUCCESSION_STEP_MS,
   SUSPECT_AFTER_MS,
   decideClaim,
-  nextClaimAt,
+  computeNextClaimTime,
 } from '../src/index.js';
 
 const TERM: Term = {log: 3, outage: 0, instance: 'a'};
@@ -20,11 +20,11 @@
     now: 10_000,
     domain: 'north',
     self: 'b',
-    selfReady: true,
-    selfLeaving: false,
-    presentTerm: TERM,
+    isSelfReady: true,
+    isSelfLeaving: false,
+    currentTerm: TERM,
     termSeenAt: 0,
-    aliveInDomain: ['b'],
+    eligibleInstances: ['b'],
     recentTakeovers: 0,
     ...changes,
   };
@@ -33,13 +33,17 @@
 t.test('an instance', async t => {
   t.test('leaves a term to a holder that is heard', async t => {
     const lastHeardFromHolder = 10_000 - SUSPECT_AFTER_MS + 1;
-    const decision = decideClaim(createSituation({lastHeardFromHolder}));
+    const decision = decideClaim(
+      createSituation({holderLastHeardAt: lastHeardFromHolder}),
+    );
     t.same(decision, {kind: 'wait', reason: 'holder-alive'});
   });
 
   t.test('claims the term of a holder that fell silent', async t => {
     const lastHeardFromHolder = 10_000 - SUSPECT_AFTER_MS;
-    const decision = decideClaim(createSituation({lastHeardFromHolder}));
+    const decision = decideClaim(
+      createSituation({holderLastHeardAt: lastHeardFromHolder}),
+    );
     t.same(decision, {kind: 'claim', reason: 'holder-silent'});
   });
 
@@ -47,12 +51,12 @@
     const lastHeardFromHolder = 9_999;
     const holderLeavingSince = 9_999;
     const situation = createSituation({
-      lastHeardFromHolder,
+      holderLastHeardAt: lastHeardFromHolder,
       holderLeavingSince,
     });
     t.equal(decideClaim({...situation, now: 10_000}).kind, 'claim');
-    t.equal(decideClaim({...situation, selfLeaving: true}).kind, 'wait');
-    t.equal(decideClaim({...situation, selfReady: false}).kind, 'wait');
+    t.equal(decideClaim({...situation, isSelfLeaving: true}).kind, 'wait');
+    t.equal(decideClaim({...situation, isSelfReady: false}).kind, 'wait');
   });
 
   t.test('keeps its own term, but not that of its former process', async t => {
@@ -88,11 +92,11 @@
         createSituation({
           now,
           self,
-          presentTerm: term,
+          currentTerm: term,
           termSeenAt,
           heldTerm: held.get(self),
-          aliveInDomain: [self, ...election.instances.filter(hears)],
-          lastHeardFromHolder: isHolderHeard ? now : undefined,
+          eligibleInstances: [self, ...election.instances.filter(hears)],
+          holderLastHeardAt: isHolderHeard ? now : undefined,
           recentTakeovers: accepted.filter(at => now - at < 60_000).length,
           notBefore: notBefore.get(self),
         }),
@@ -100,7 +104,7 @@
       return decision.kind === 'claim';
     });
     for (const self of claims) {
-      notBefore.set(self, nextClaimAt(now, 0, random));
+      notBefore.set(self, computeNextClaimTime(now, 0, random));
     }
     const winner = claims[Math.floor(random.next() * claims.length)];
     if (winner) {
--- a/packages/membership/__tests__/fixtures.ts
+++ b/packages/membership/__tests__/fixtures.ts
@@ -4,19 +4,19 @@
 import {
   type ListedInstance,
   PeerMesh,
-  type PeerSeed,
-  type SelfReport,
+  type PeerEndpoint,
+  type InstanceReport,
 } from '../src/index.js';
 
 /** One running instance. */
-export interface Node {
-  seed: PeerSeed;
+export interface RunningInstance {
+  seed: PeerEndpoint;
   mesh: PeerMesh;
   client: PeerClient;
   server: PeerServer;
   /** Stands before the server. */
   relay: TcpProxy;
-  report: SelfReport;
+  report: InstanceReport;
   stop(): Promise<void>;
 }
 
@@ -24,8 +24,8 @@
 export function createReport(
   instance: string,
   domain: string,
-  changes: Partial<SelfReport> = {},
-): SelfReport {
+  changes: Partial<InstanceReport> = {},
+): InstanceReport {
   return {
     instance,
     domain,
@@ -39,12 +39,12 @@
 }
 
 /** Starts an instance whose seeds are `known`. */
-export async function startNode(
+export async function startInstance(
   instance: string,
   domain: string,
-  known: readonly PeerSeed[],
+  known: readonly PeerEndpoint[],
   listed: readonly ListedInstance[] = [],
-): Promise<Node> {
+): Promise<RunningInstance> {
   const clock = new SystemClock();
   const logger = new SilentLogger();
   const random = new SeededRandom(instance.length + known.length);
@@ -76,7 +76,7 @@
     clock,
     logger,
     random,
-    report: () => report,
+    createReport: () => report,
     options: {heartbeatMs: 100, suspectMs: 600},
   });
   const stopping = new AbortController();
--- a/packages/membership/__tests__/freshness.spec.ts
+++ b/packages/membership/__tests__/freshness.spec.ts
@@ -2,7 +2,7 @@
 import t from 'tap';
 import {
   FreshnessTracker,
-  type HeardPeer,
+  type PeerObservation,
   PAUSE_THRESHOLD_MS,
   decideOutageMode,
 } from '../src/index.js';
@@ -49,8 +49,8 @@
       const sentAt = this.localTime(step.who);
       this.offsets[step.who] = this.end;
       this.time += step.ms;
-      this.trackers[step.who]!.noteRead(sentAt);
-      this.trackers[step.who]!.noteOffset(this.offsets[step.who]!);
+      this.trackers[step.who]!.onRead(sentAt);
+      this.trackers[step.who]!.onOffsetReached(this.offsets[step.who]!);
     } else if (step.who !== step.peer) {
       this.ask(step.who, step.peer, step.there, step.back);
     }
@@ -59,7 +59,7 @@
   /** Whether any instance claims an age below the true one: the time since its state was superseded. */
   claimsTooYoung(): boolean {
     return this.trackers.some((tracker, index) => {
-      const age = tracker.ageAt(this.localTime(index));
+      const age = tracker.getAge(this.localTime(index));
       const supersededAt = this.endSince[this.offsets[index]! + 1];
       const trueAge = supersededAt === undefined ? 0 : this.time - supersededAt;
       return age < trueAge;
@@ -70,10 +70,10 @@
     const askedAt = this.localTime(asker);
     this.time += there;
     const offset = this.offsets[peer]!;
-    const freshnessAgeMs = this.trackers[peer]!.ageAt(this.localTime(peer));
+    const freshnessAgeMs = this.trackers[peer]!.getAge(this.localTime(peer));
     this.time += back;
     const report = {offset, freshnessAgeMs};
-    this.trackers[asker]!.notePeer(report, this.offsets[asker]!, askedAt);
+    this.trackers[asker]!.onPeerReport(report, this.offsets[asker]!, askedAt);
   }
 
   private localTime(index: number): number {
@@ -98,28 +98,32 @@
 
   t.test('is taken from a peer only once its records are here', async t => {
     const tracker = new FreshnessTracker();
-    tracker.notePeer({offset: 5, freshnessAgeMs: 100}, 4, 1000);
-    t.equal(tracker.ageAt(1000), Infinity);
-    tracker.noteOffset(5);
-    t.equal(tracker.ageAt(1000), 100);
+    tracker.onPeerReport({offset: 5, freshnessAgeMs: 100}, 4, 1000);
+    t.equal(tracker.getAge(1000), Infinity);
+    tracker.onOffsetReached(5);
+    t.equal(tracker.getAge(1000), 100);
   });
 
   t.test('is lost by a pause of the process', async t => {
     const tracker = new FreshnessTracker();
-    tracker.tick(0);
-    tracker.noteRead(0);
+    tracker.detectPause(0);
+    tracker.onRead(0);
     const later = PAUSE_THRESHOLD_MS + 1;
     t.notOk(tracker.isFresh(later, 60_000), 'before a tick has seen it');
-    t.ok(tracker.tick(later));
+    t.ok(tracker.detectPause(later));
     t.notOk(tracker.isFresh(later, 60_000), 'after it');
   });
 });
 
 t.test('the outage mode', async t => {
   const domains = ['north', 'south'];
-  const stale: HeardPeer = {lastHeardAt: 1000, freshnessAgeMs: 60_000};
+  const stale: PeerObservation = {lastHeardAt: 1000, freshnessAgeMs: 60_000};
 
-  function decide(north: HeardPeer[], south: HeardPeer[], isOn = true) {
+  function decide(
+    north: PeerObservation[],
+    south: PeerObservation[],
+    isOn = true,
+  ) {
     return decideOutageMode({
       now: 1000,
       freshness: new FreshnessTracker(),
@@ -127,9 +131,9 @@
         ['north', north],
         ['south', south],
       ]),
-      domains,
+      otherDomains: domains,
       setting: isOn ? 'finish-placed' : 'off',
-      freshMs: 2000,
+      freshnessBoundMs: 2000,
       suspectMs: 1600,
     });
   }
--- a/packages/membership/__tests__/peer_mesh.spec.ts
+++ b/packages/membership/__tests__/peer_mesh.spec.ts
@@ -1,48 +1,48 @@
 import t, {type Test} from 'tap';
 import {SystemClock} from '@galenavalve/shared';
 import type {ReportEvent} from '../src/index.js';
-import {type Node, startNode, waitFor} from './fixtures.js';
+import {type RunningInstance, startInstance, waitFor} from './fixtures.js';
 
 const clock = new SystemClock();
 
-async function startPair(t: Test): Promise<[Node, Node]> {
-  const first = await startNode('a1', 'north', []);
-  const second = await startNode('a2', 'north', [first.seed]);
+async function startPair(t: Test): Promise<[RunningInstance, RunningInstance]> {
+  const first = await startInstance('a1', 'north', []);
+  const second = await startInstance('a2', 'north', [first.seed]);
   t.teardown(() => Promise.all([first.stop(), second.stop()]));
   await waitFor(() => knows(first, second) && knows(second, first));
   return [first, second];
 }
 
-function knows(node: Node, other: Node): boolean {
+function knows(node: RunningInstance, other: RunningInstance): boolean {
   return node.mesh.isAlive(other.seed.instance, clock.now());
 }
 
 t.test('a mesh', async t => {
   t.test('learns of a peer that opens a connection', async t => {
     const [first, second] = await startPair(t);
-    t.match(first.mesh.addressOf('a2'), {port: second.seed.port});
-    t.same(second.mesh.aliveIn('north', clock.now()).sort(), ['a1', 'a2']);
+    t.match(first.mesh.findAddress('a2'), {port: second.seed.port});
+    t.same(second.mesh.listAlive('north', clock.now()).sort(), ['a1', 'a2']);
   });
 
   t.test('suspects a peer that stops, and finds it again', async t => {
     const [first, second] = await startPair(t);
     await second.stop();
     await waitFor(() => !knows(first, second));
-    const again = await startNode('a2', 'north', [first.seed]);
+    const again = await startInstance('a2', 'north', [first.seed]);
     t.teardown(() => again.stop());
     await waitFor(() => knows(first, again));
-    t.equal(first.mesh.addressOf('a2')?.port, again.seed.port);
+    t.equal(first.mesh.findAddress('a2')?.port, again.seed.port);
   });
 
   t.test('passes a hold on across failure domains', async t => {
     const [first, second] = await startPair(t);
-    const third = await startNode('b1', 'south', [second.seed]);
+    const third = await startInstance('b1', 'south', [second.seed]);
     t.teardown(() => third.stop());
     third.mesh.addHold({entity: 'domain/north', by: 'ops', id: 'h1'});
     await waitFor(() => first.mesh.isHeld('domain/north'));
-    first.mesh.noteAccepted('domain/north', 20);
-    second.mesh.noteAccepted('domain/north', 20);
-    third.mesh.noteAccepted('domain/north', 20);
+    first.mesh.onEntityAccepted('domain/north', 20);
+    second.mesh.onEntityAccepted('domain/north', 20);
+    third.mesh.onEntityAccepted('domain/north', 20);
     t.notOk(first.mesh.isHeld('domain/north'));
   });
 
@@ -70,7 +70,7 @@
   t.test('bounds the age of a report by the echo of its own beat', async t => {
     const [first, second] = await startPair(t);
     const events: ReportEvent[] = [];
-    first.mesh.onReport(event => events.push(event));
+    first.mesh.addReportListener(event => events.push(event));
     second.report.freshnessAgeMs = 70;
     await waitFor(() =>
       events.some(({report}) => report.freshnessAgeMs === 70),
--- a/packages/membership/__tests__/relay.spec.ts
+++ b/packages/membership/__tests__/relay.spec.ts
@@ -4,12 +4,12 @@
 import {
   type PeerCall,
   PeerStateSource,
-  RecordRelay,
+  RecordCache,
   STATE_OPEN_METHOD,
   type SectionRequest,
   StateServer,
   assignRacks,
-  chooseLinks,
+  chooseHeartbeatPeers,
   pullRecords,
 } from '../src/index.js';
 import type {PeerStatus} from '../src/index.js';
@@ -23,10 +23,10 @@
 
 t.test('a record relay', async t => {
   t.test('serves every kept record once, in order, page by page', async t => {
-    const relay = new RecordRelay({maxEntries: 20_000, maxBytes: 1e9});
-    relay.note(createEntries(5, 10_000), 10_005);
+    const relay = new RecordCache({maxEntries: 20_000, maxBytes: 1e9});
+    relay.add(createEntries(5, 10_000), 10_005);
     const call: PeerCall = async (_peer, _method, body) =>
-      relay.serve(body as {from: number});
+      relay.readPage(body as {from: number});
     const sources = [{instance: 'a', offset: 10_005}];
     const offsets: number[] = [];
     for (let from = 7; from < 10_005;) {
@@ -43,16 +43,16 @@
     const batch = fc.record({skip: fc.nat({max: 3}), count: fc.nat({max: 30})});
     fc.assert(
       fc.property(fc.array(batch), fc.nat(), (batches, wanted) => {
-        const relay = new RecordRelay({maxEntries: 40});
+        const relay = new RecordCache({maxEntries: 40});
         let next = 0;
         for (const {skip, count} of batches) {
           next += skip;
-          relay.note(createEntries(next, count), next + count);
+          relay.add(createEntries(next, count), next + count);
           next += count;
         }
         const from = wanted % (next + 1);
         try {
-          const {entries} = relay.serve({from});
+          const {entries} = relay.readPage({from});
           const isDense = entries.every(
             (entry, index) => entry.offset === from + index,
           );
@@ -81,7 +81,7 @@
     const call: PeerCall = async (_instance, method, body) =>
       method === STATE_OPEN_METHOD
         ? server.open(now)
-        : server.section(body as SectionRequest, now);
+        : server.readSection(body as SectionRequest, now);
     const advance = (duration: number) => (now += duration);
     return {call, advance, encodings: () => encoded};
   }
@@ -131,7 +131,7 @@
     );
     const self = {instance: 'north0', domain: 'north'};
     const choose = (isAlive: (peer: PeerStatus) => boolean) =>
-      chooseLinks(self, peers.slice(1), 2, isAlive).length;
+      chooseHeartbeatPeers(self, peers.slice(1), 2, isAlive).length;
     t.equal(
       choose(() => true),
       19 + 2 + 2,
--- a/packages/membership/src/claim.ts
+++ b/packages/membership/src/claim.ts
@@ -34,18 +34,18 @@
   /** This instance. */
   self: string;
   /** This instance has caught up with the log and its knowledge is fresh. */
-  selfReady: boolean;
-  selfLeaving: boolean;
+  isSelfReady: boolean;
+  isSelfLeaving: boolean;
   /** The domain's term in the log; undefined when it never had one. */
-  presentTerm?: Term;
+  currentTerm?: Term;
   /** When this instance first saw `presentTerm`, or became ready if there is none. */
   termSeenAt: Instant;
   /** The term that this process claimed itself and still holds. */
   heldTerm?: Term;
   /** Instances of the domain that are alive, ready and not leaving; may hold `self`. */
-  aliveInDomain: readonly string[];
+  eligibleInstances: readonly string[];
   /** When the holder was last heard: directly, by a peer's word, or by a record that it wrote. */
-  lastHeardFromHolder?: Instant;
+  holderLastHeardAt?: Instant;
   /** Since when the holder, or the platform's list, says that it is leaving. */
   holderLeavingSince?: Instant;
   /** Since when the holder says that it is not ready, such as cut off from the log. */
@@ -79,14 +79,14 @@
 
 /** Decides whether `self` keeps the term, waits, or claims the next term. */
 export function decideClaim(situation: ClaimSituation): ClaimDecision {
-  const {now, self, presentTerm, heldTerm} = situation;
+  const {now, self, currentTerm: presentTerm, heldTerm} = situation;
   if (presentTerm && heldTerm && isSameTerm(presentTerm, heldTerm)) {
     return {kind: 'keep', reason: 'holder-is-self'};
   }
-  if (situation.selfLeaving) {
+  if (situation.isSelfLeaving) {
     return {kind: 'wait', reason: 'self-leaving'};
   }
-  if (!situation.selfReady) {
+  if (!situation.isSelfReady) {
     return {kind: 'wait', reason: 'self-not-ready'};
   }
   const vacancy = findVacancy(situation);
@@ -105,7 +105,7 @@
 }
 
 /** Earliest time of the next claim after `attempts` own claims that lost or failed, with jitter. */
-export function nextClaimAt(
+export function computeNextClaimTime(
   now: Instant,
   attempts: number,
   random: Random,
@@ -121,7 +121,7 @@
 }
 
 function findVacancy(situation: ClaimSituation): Vacancy {
-  const {presentTerm, termSeenAt} = situation;
+  const {currentTerm: presentTerm, termSeenAt} = situation;
   if (!presentTerm) {
     return {since: termSeenAt, reason: 'no-holder'};
   }
@@ -138,7 +138,7 @@
     const since = Math.max(termSeenAt, holderNotReadySince) + silence;
     return {since, reason: 'holder-not-ready'};
   }
-  const heardAt = situation.lastHeardFromHolder ?? -Infinity;
+  const heardAt = situation.holderLastHeardAt ?? -Infinity;
   const since = Math.max(termSeenAt, heardAt) + silence;
   return {since, reason: 'holder-silent'};
 }
@@ -152,7 +152,12 @@
 
 /** Place of `self` in the order of succession, by rendezvous hashing over the term that ended. */
 function rankOf(situation: ClaimSituation): number {
-  const {domain, self, presentTerm, aliveInDomain} = situation;
+  const {
+    domain,
+    self,
+    currentTerm: presentTerm,
+    eligibleInstances: aliveInDomain,
+  } = situation;
   const key = `${domain} ${presentTerm?.log ?? 0} ${presentTerm?.outage ?? 0}`;
   const ownScore = hashText(`${key} ${self}`);
   return aliveInDomain.filter(
--- a/packages/membership/src/freshness.ts
+++ b/packages/membership/src/freshness.ts
@@ -28,7 +28,7 @@
   private tickedAt: Instant | undefined;
 
   /** Notes a read that reached the log's end; `sentAt` is the time before the read was sent. */
-  noteRead(sentAt: Instant): void {
+  onRead(sentAt: Instant): void {
     this.prove(sentAt);
   }
 
@@ -36,7 +36,11 @@
    * Notes a peer's report. `sentAt` is when this instance asked for it, or a
    * time that is certainly not after the peer made it.
    */
-  notePeer(report: RelayedFreshness, ownOffset: number, sentAt: Instant): void {
+  onPeerReport(
+    report: RelayedFreshness,
+    ownOffset: number,
+    sentAt: Instant,
+  ): void {
     const provenAt = sentAt - report.freshnessAgeMs;
     if (!Number.isFinite(provenAt)) {
       return;
@@ -49,7 +53,7 @@
   }
 
   /** Notes that the state now holds every record before `offset`. */
-  noteOffset(offset: number): void {
+  onOffsetReached(offset: number): void {
     if (this.waiting && offset >= this.waiting.offset) {
       this.prove(this.waiting.provenAt);
       this.waiting = undefined;
@@ -60,7 +64,7 @@
    * Called by the loop. A long time between two calls shows that the process
    * was paused; what it knew before is then dropped. Returns whether it was.
    */
-  tick(now: Instant): boolean {
+  detectPause(now: Instant): boolean {
     const wasPaused =
       this.tickedAt !== undefined && now - this.tickedAt > PAUSE_THRESHOLD_MS;
     this.tickedAt = now;
@@ -72,7 +76,7 @@
   }
 
   /** Age of the newest proof in milliseconds; infinite when there is none. */
-  ageAt(now: Instant): Milliseconds {
+  getAge(now: Instant): Milliseconds {
     return this.provenAt === undefined ? Infinity : now - this.provenAt;
   }
 
@@ -80,7 +84,7 @@
   isFresh(now: Instant, bound: Milliseconds): boolean {
     const isPaused =
       this.tickedAt !== undefined && now - this.tickedAt > PAUSE_THRESHOLD_MS;
-    return !isPaused && this.ageAt(now) <= bound;
+    return !isPaused && this.getAge(now) <= bound;
   }
 
   private prove(at: Instant): void {
--- a/packages/membership/src/beat.ts
+++ b/packages/membership/src/heartbeat.ts
@@ -7,10 +7,14 @@
 import {z} from 'zod';
 import type {Instant} from '@galenavalve/shared';
 import type {PeerAddress} from '@galenavalve/wire';
-import {type Hold, type SelfReport, selfReport} from './report.js';
+import {
+  type Hold,
+  type InstanceReport,
+  instanceReport,
+} from './instance_report.js';
 
 /** What a peer learns besides the report. */
-const beatDetails = selfReport
+const beatDetails = instanceReport
   .omit({
     offset: true,
     freshnessAgeMs: true,
@@ -25,10 +29,10 @@
   });
 
 /** The slowly changing part of a report, and the sender's address. */
-export type BeatDetails = z.infer<typeof beatDetails>;
+export type HeartbeatDetails = z.infer<typeof beatDetails>;
 
 /** One heartbeat. */
-export interface Beat {
+export interface Heartbeat {
   /** The sender's local time; only the sender understands it. */
   sentAt: Instant;
   /** The latest `sentAt` that the sender received from the other end: proves that this beat was made after it. */
@@ -40,15 +44,15 @@
   offset: number;
   freshnessAgeMs: number;
   schedulerHeardAgeMs?: number;
-  load?: SelfReport['load'];
+  load?: InstanceReport['load'];
   /** Absent when the other end has the present version. */
-  details?: BeatDetails;
+  details?: HeartbeatDetails;
 }
 
 const count = z.int().nonnegative();
 
 /** The form on the wire: the fields of `Beat` in their order. */
-export const compactBeat = z.tuple([
+export const compactHeartbeat = z.tuple([
   count,
   count.nullable(),
   count,
@@ -59,10 +63,10 @@
   z.tuple([count, count]).nullable(),
   beatDetails.nullable(),
 ]);
-export type CompactBeat = z.infer<typeof compactBeat>;
+export type CompactHeartbeat = z.infer<typeof compactHeartbeat>;
 
 /** Puts a beat into the form on the wire. Times are rounded to the safe side. */
-export function encodeBeat(beat: Beat): CompactBeat {
+export function encodeHeartbeat(beat: Heartbeat): CompactHeartbeat {
   return [
     Math.floor(beat.sentAt),
     beat.echo ?? null,
@@ -77,7 +81,7 @@
 }
 
 /** Reads a beat from the form on the wire. */
-export function decodeBeat(compact: CompactBeat): Beat {
+export function decodeHeartbeat(compact: CompactHeartbeat): Heartbeat {
   const [
     sentAt,
     echo,
@@ -103,11 +107,11 @@
 }
 
 /** The details of this instance's report. */
-export function toDetails(
-  report: SelfReport,
+export function toHeartbeatDetails(
+  report: InstanceReport,
   {host, port}: PeerAddress,
   holds: readonly Hold[],
-): BeatDetails {
+): HeartbeatDetails {
   const {domain, schedules, leaving, ready, racks} = report;
   return {
     domain,
@@ -124,9 +128,9 @@
 /** The report that a beat stands for, given the sender's latest details. */
 export function toReport(
   instance: string,
-  beat: Beat,
-  details: BeatDetails,
-): SelfReport {
+  beat: Heartbeat,
+  details: HeartbeatDetails,
+): InstanceReport {
   const {domain, schedules, leaving, ready, racks, holds} = details;
   const {offset, freshnessAgeMs, schedulerHeardAgeMs, load} = beat;
   return {
--- a/packages/membership/src/exchange.ts
+++ b/packages/membership/src/heartbeat_exchange.ts
@@ -1,7 +1,7 @@
 /** The exchange of beats with one peer: which details it has seen, and what its echoes prove. */
 import {type Instant, type Random, nextInteger} from '@galenavalve/shared';
-import {type Beat, type BeatDetails, toReport} from './beat.js';
-import type {SelfReport} from './report.js';
+import {type Heartbeat, type HeartbeatDetails, toReport} from './heartbeat.js';
+import type {InstanceReport} from './instance_report.js';
 
 /** Sent beats whose echo is accepted. */
 const KEPT_TOKENS = 4;
@@ -9,12 +9,12 @@
 const MAX_BASE_VERSION = 2 ** 31;
 
 /** This instance's details with their version, which rises with each change. */
-export class OwnDetails {
+export class LocalDetails {
   /** Random, so that versions of a former process of the same name are not taken for own ones. */
   private readonly baseVersion: number;
   private current: number;
   private text = '';
-  private value: BeatDetails | undefined;
+  private value: HeartbeatDetails | undefined;
 
   constructor(random: Random) {
     this.baseVersion = 1 + nextInteger(random, MAX_BASE_VERSION);
@@ -25,12 +25,12 @@
     return this.current;
   }
 
-  get details(): BeatDetails | undefined {
+  get details(): HeartbeatDetails | undefined {
     return this.value;
   }
 
   /** Takes over the present details. */
-  update(details: BeatDetails): void {
+  update(details: HeartbeatDetails): void {
     const text = JSON.stringify(details);
     if (text !== this.text) {
       this.text = text;
@@ -40,27 +40,27 @@
   }
 
   /** Tells whether this process had the given version. */
-  includes(version: number): boolean {
+  hasIssuedVersion(version: number): boolean {
     return version > this.baseVersion && version <= this.current;
   }
 }
 
 /** The fields of a beat that are the same for every peer. */
-export type BeatNews = Pick<
-  Beat,
+export type HeartbeatStatus = Pick<
+  Heartbeat,
   'offset' | 'freshnessAgeMs' | 'schedulerHeardAgeMs' | 'load'
 >;
 
 /** A report from a beat. */
 export interface ReceivedReport {
-  report: SelfReport;
-  details: BeatDetails;
+  report: InstanceReport;
+  details: HeartbeatDetails;
   /** A local time that is certainly not after the report was made; undefined when none is known. */
   madeAfter?: Instant;
 }
 
 /** What is remembered about the exchange with one peer. */
-export class Exchange {
+export class HeartbeatExchange {
   /** A beat is on its way. */
   isPending = false;
   /** The `sentAt` of the latest beats to the peer, newest first. */
@@ -68,18 +68,18 @@
   /** Latest `sentAt` that the peer sent. */
   private peerSentAt: Instant | undefined;
   /** The peer's details and their version. */
-  private details: BeatDetails | undefined;
+  private details: HeartbeatDetails | undefined;
   private seenVersion = 0;
   /** Version of this instance's details that the peer has. */
   private ackedVersion = 0;
 
   constructor(
     private readonly peer: string,
-    private readonly own: OwnDetails,
+    private readonly own: LocalDetails,
   ) {}
 
   /** Makes the next beat to the peer. */
-  createBeat(news: BeatNews, now: Instant): Beat {
+  createHeartbeat(news: HeartbeatStatus, now: Instant): Heartbeat {
     const sentAt = Math.floor(now);
     this.sentTokens = [sentAt, ...this.sentTokens].slice(0, KEPT_TOKENS);
     const isSeen = this.ackedVersion === this.own.version;
@@ -94,7 +94,7 @@
   }
 
   /** Takes in a beat. Undefined while the peer's details are not known. */
-  receive(beat: Beat): ReceivedReport | undefined {
+  receive(beat: Heartbeat): ReceivedReport | undefined {
     if (beat.details) {
       this.details = beat.details;
       this.seenVersion = beat.version;
@@ -113,8 +113,8 @@
   }
 
   /** An echo of a former process of the same name is refused: it names another version. */
-  private findMadeAfter(beat: Beat): Instant | undefined {
-    const isOfThisProcess = this.own.includes(beat.seenVersion);
+  private findMadeAfter(beat: Heartbeat): Instant | undefined {
+    const isOfThisProcess = this.own.hasIssuedVersion(beat.seenVersion);
     const isKnown =
       beat.echo !== undefined && this.sentTokens.includes(beat.echo);
     return isOfThisProcess && isKnown ? beat.echo : undefined;
@@ -122,16 +122,16 @@
 }
 
 /** The exchanges of an instance, one a peer. */
-export class ExchangeTable {
-  private readonly exchanges = new Map<string, Exchange>();
+export class HeartbeatExchangeTable {
+  private readonly exchanges = new Map<string, HeartbeatExchange>();
 
-  constructor(private readonly own: OwnDetails) {}
+  constructor(private readonly own: LocalDetails) {}
 
   /** The exchange with a peer; begun when there was none. */
-  with(peer: string): Exchange {
+  getOrCreate(peer: string): HeartbeatExchange {
     let exchange = this.exchanges.get(peer);
     if (!exchange) {
-      exchange = new Exchange(peer, this.own);
+      exchange = new HeartbeatExchange(peer, this.own);
       this.exchanges.set(peer, exchange);
     }
     return exchange;
--- a/packages/membership/src/links.ts
+++ b/packages/membership/src/heartbeat_peers.ts
@@ -3,7 +3,7 @@
 import type {PeerStatus} from './peer_table.js';
 
 /** Peers of each other failure domain that an instance exchanges beats with. */
-export const DEFAULT_DEGREE = 1;
+export const DEFAULT_PEERS_PER_REMOTE_DOMAIN = 1;
 
 /** Silent peers of another failure domain that are still tried, beside the links that work. */
 const MAX_SILENT_LINKS = 2;
@@ -13,7 +13,7 @@
  * are not silent. The choices of a domain's instances differ, so that news
  * crosses between two domains over about as many links as they have instances.
  */
-export function chooseLinks(
+export function chooseHeartbeatPeers(
   self: {instance: string; domain: string},
   peers: readonly PeerStatus[],
   degree: number,
--- a/packages/membership/src/hold_book.ts
+++ b/packages/membership/src/hold_registry.ts
@@ -1,21 +1,21 @@
 /** Take-outs that are in force by gossip before the log has them. */
-import type {Hold} from './report.js';
+import type {Hold} from './instance_report.js';
 
 /** A hold with the offset that its author had read up to. */
-export type DatedHold = Hold & {offset: number};
+export type PositionedHold = Hold & {offset: number};
 
 /**
  * The holds in force, one an entity: the one that ends last. A hold ends only
  * by an accepted record about its entity at or after the hold's offset, never
  * by time or by a peer's word.
  */
-export class HoldBook {
-  private readonly holds = new Map<string, DatedHold>();
+export class HoldRegistry {
+  private readonly holds = new Map<string, PositionedHold>();
   /** Offset of the latest accepted record about each entity. */
   private readonly acceptedAt = new Map<string, number>();
 
   /** Adds a hold, unless a later record ended it already. Returns whether it is new. */
-  add(hold: DatedHold): boolean {
+  add(hold: PositionedHold): boolean {
     const held = this.holds.get(hold.entity);
     if (this.isEnded(hold) || (held && held.offset >= hold.offset)) {
       return false;
@@ -25,7 +25,7 @@
   }
 
   /** Notes an accepted record about `entity`. Returns the hold that it ends. */
-  noteAccepted(entity: string, offset: number): DatedHold | undefined {
+  onEntityAccepted(entity: string, offset: number): PositionedHold | undefined {
     const latest = Math.max(offset, this.acceptedAt.get(entity) ?? -1);
     this.acceptedAt.set(entity, latest);
     const held = this.holds.get(entity);
@@ -37,7 +37,7 @@
   }
 
   /** The holds in force. */
-  list(): DatedHold[] {
+  list(): PositionedHold[] {
     return [...this.holds.values()];
   }
 
@@ -46,7 +46,7 @@
     return this.holds.has(entity);
   }
 
-  private isEnded(hold: DatedHold): boolean {
+  private isEnded(hold: PositionedHold): boolean {
     const offset = this.acceptedAt.get(hold.entity);
     return offset !== undefined && offset >= hold.offset;
   }
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -4,17 +4,25 @@
 export * from './instance_list.js';
 
 // Peers
-export {type Hold, type SelfReport, hold, selfReport} from './report.js';
-export {type PeerSeed, type PeerStatus, PeerTable} from './peer_table.js';
-export {BEAT_METHOD, PeerMesh} from './peer_mesh.js';
+export {
+  type Hold,
+  type InstanceReport,
+  hold,
+  instanceReport,
+} from './instance_report.js';
+export {type PeerEndpoint, type PeerStatus, PeerTable} from './peer_table.js';
+export {HEARTBEAT_METHOD, PeerMesh} from './peer_mesh.js';
 export type {
   PeerMeshOptions,
-  PeerMeshSettings,
+  PeerMeshDependencies,
   ReportEvent,
   ReportListener,
-} from './mesh_settings.js';
-export {type DatedHold, HoldBook} from './hold_book.js';
-export {DEFAULT_DEGREE, chooseLinks} from './links.js';
+} from './peer_mesh_options.js';
+export {type PositionedHold, HoldRegistry} from './hold_registry.js';
+export {
+  DEFAULT_PEERS_PER_REMOTE_DOMAIN,
+  chooseHeartbeatPeers,
+} from './heartbeat_peers.js';
 
 // Freshness and the log's outage
 export {
@@ -23,7 +31,7 @@
   type RelayedFreshness,
 } from './freshness.js';
 export {
-  type HeardPeer,
+  type PeerObservation,
   type OutageDecision,
   type OutageSetting,
   type OutageSituation,
@@ -34,15 +42,15 @@
 export {
   type PeerCall,
   RECORDS_METHOD,
-  RecordRelay,
-  type RecordRelayOptions,
+  RecordCache,
+  type RecordCacheOptions,
   type RecordSource,
   type RecordsPage,
   type RecordsRequest,
   type RelayedEntry,
   pullRecords,
   recordsRequest,
-} from './record_relay.js';
+} from './record_cache.js';
 export {
   type PeerSnapshot,
   PeerStateSource,
@@ -64,6 +72,6 @@
   SUSPECT_AFTER_MS,
   TAKEOVER_WINDOW_MS,
   decideClaim,
-  nextClaimAt,
+  computeNextClaimTime,
 } from './claim.js';
-export {assignRacks} from './racks.js';
+export {assignRacks} from './rack_assignment.js';
--- a/packages/membership/src/follow_list.ts
+++ b/packages/membership/src/instance_list_poller.ts
@@ -9,7 +9,7 @@
 import type {PeerTable} from './peer_table.js';
 
 /** What is followed, and how often. */
-export interface ListFollowing {
+export interface InstanceListPollerOptions {
   instanceList: InstanceList;
   table: PeerTable;
   clock: Clock;
@@ -18,14 +18,14 @@
 }
 
 /** Reads the list until `signal` aborts. What was known stays while it cannot be read. */
-export async function followList(
-  {instanceList, table, clock, logger, intervalMs}: ListFollowing,
+export async function pollInstanceList(
+  {instanceList, table, clock, logger, intervalMs}: InstanceListPollerOptions,
   signal: AbortSignal,
 ): Promise<void> {
   while (!signal.aborted) {
     try {
       const listed = await instanceList.list(intervalMs);
-      table.noteList(listed, clock.now());
+      table.applyInstanceList(listed, clock.now());
     } catch (error) {
       logger.warn('instance-list-failed', {problem: describeError(error)});
     }
--- a/packages/membership/src/report.ts
+++ b/packages/membership/src/instance_report.ts
@@ -28,7 +28,7 @@
 export const MAX_HOLDS = 10_000;
 
 /** The state of an instance. */
-export const selfReport = z.strictObject({
+export const instanceReport = z.strictObject({
   instance,
   domain: resourceName,
   /** Offset up to which the instance has read the log. */
@@ -53,4 +53,4 @@
     })
     .optional(),
 });
-export type SelfReport = z.infer<typeof selfReport>;
+export type InstanceReport = z.infer<typeof instanceReport>;
--- a/packages/membership/src/outage_mode.ts
+++ b/packages/membership/src/outage_mode.ts
@@ -14,7 +14,7 @@
 export type OutageSetting = 'off' | 'finish-placed';
 
 /** An instance as it was heard last. */
-export interface HeardPeer {
+export interface PeerObservation {
   /** Minus infinity when it was never heard. */
   lastHeardAt: Instant;
   /** Age of its newest proof of freshness when it was heard, in milliseconds. */
@@ -26,12 +26,12 @@
   now: Instant;
   freshness: Pick<FreshnessTracker, 'isFresh'>;
   /** Every known instance by failure domain, except this one. */
-  peersByDomain: ReadonlyMap<string, readonly HeardPeer[]>;
+  peersByDomain: ReadonlyMap<string, readonly PeerObservation[]>;
   /** The other failure domains of the configuration. */
-  domains: readonly string[];
+  otherDomains: readonly string[];
   setting: OutageSetting;
   /** Bound of freshness in milliseconds. */
-  freshMs: Milliseconds;
+  freshnessBoundMs: Milliseconds;
   /** Silence after which a peer counts as out of reach, in milliseconds. */
   suspectMs: Milliseconds;
 }
@@ -55,14 +55,14 @@
  * partition, so it ends the outage mode, and so does one that is fresh.
  */
 export function decideOutageMode(situation: OutageSituation): OutageDecision {
-  const {now, freshness, freshMs} = situation;
+  const {now, freshness, freshnessBoundMs: freshMs} = situation;
   if (freshness.isFresh(now, freshMs)) {
     return {mode: 'normal', reason: 'fresh'};
   }
   if (situation.setting === 'off') {
     return {mode: 'cut-off', reason: 'setting-off'};
   }
-  const unknown = situation.domains.find(
+  const unknown = situation.otherDomains.find(
     domain => !situation.peersByDomain.get(domain)?.length,
   );
   if (unknown !== undefined) {
@@ -79,11 +79,17 @@
   return {mode: 'finish-placed', reason: 'outage-everywhere'};
 }
 
-function isSilent(peer: HeardPeer, {now, suspectMs}: OutageSituation): boolean {
+function isSilent(
+  peer: PeerObservation,
+  {now, suspectMs}: OutageSituation,
+): boolean {
   return now - peer.lastHeardAt > suspectMs;
 }
 
-function isPeerFresh(peer: HeardPeer, situation: OutageSituation): boolean {
+function isPeerFresh(
+  peer: PeerObservation,
+  situation: OutageSituation,
+): boolean {
   const age = peer.freshnessAgeMs + (situation.now - peer.lastHeardAt);
-  return age <= situation.freshMs;
+  return age <= situation.freshnessBoundMs;
 }
--- a/packages/membership/src/peer_mesh.ts
+++ b/packages/membership/src/peer_mesh.ts
@@ -7,30 +7,37 @@
 } from '@galenavalve/shared';
 import type {PeerAddress} from '@galenavalve/wire';
 import {
-  type Beat,
-  type CompactBeat,
-  compactBeat,
-  decodeBeat,
-  encodeBeat,
-  toDetails,
-} from './beat.js';
-import {followList} from './follow_list.js';
-import {type Exchange, ExchangeTable, OwnDetails} from './exchange.js';
-import {type DatedHold, HoldBook} from './hold_book.js';
-import {chooseLinks} from './links.js';
-import {FAR_BEAT_RATIO, Liveness} from './liveness.js';
+  type Heartbeat,
+  type CompactHeartbeat,
+  compactHeartbeat,
+  decodeHeartbeat,
+  encodeHeartbeat,
+  toHeartbeatDetails,
+} from './heartbeat.js';
+import {pollInstanceList} from './instance_list_poller.js';
+import {
+  type HeartbeatExchange,
+  HeartbeatExchangeTable,
+  LocalDetails,
+} from './heartbeat_exchange.js';
+import {type PositionedHold, HoldRegistry} from './hold_registry.js';
+import {chooseHeartbeatPeers} from './heartbeat_peers.js';
+import {REMOTE_HEARTBEAT_RATIO, FailureDetector} from './failure_detector.js';
 import {
   DEFAULT_MESH_OPTIONS,
   type PeerMeshOptions,
-  type PeerMeshSettings,
+  type PeerMeshDependencies,
   type ReportListener,
-} from './mesh_settings.js';
-import {type PeerStatus, PeerTable, isFit} from './peer_table.js';
-import type {Hold} from './report.js';
-import {lastHeardOf, schedulerHeardAge} from './scheduler_watch.js';
+} from './peer_mesh_options.js';
+import {type PeerStatus, PeerTable, isEligible} from './peer_table.js';
+import type {Hold} from './instance_report.js';
+import {
+  findLastHeardAt,
+  computeSchedulerHeardAge,
+} from './scheduler_liveness.js';
 
 /** Method of the peer protocol that exchanges beats. */
-export const BEAT_METHOD = 'beat';
+export const HEARTBEAT_METHOD = 'beat';
 
 /** Quiet heartbeats after which the passive end of a pair opens a connection too. */
 const PASSIVE_PATIENCE = 2;
@@ -39,40 +46,49 @@
 export class PeerMesh {
   private readonly options: PeerMeshOptions;
   private readonly table: PeerTable;
-  private readonly book = new HoldBook();
-  private readonly exchanges: ExchangeTable;
-  private readonly liveness: Liveness;
+  private readonly book = new HoldRegistry();
+  private readonly exchanges: HeartbeatExchangeTable;
+  private readonly liveness: FailureDetector;
   private readonly listeners: ReportListener[] = [];
-  private readonly ownDetails: OwnDetails;
+  private readonly ownDetails: LocalDetails;
   private wake = new AbortController();
   private round = 0;
   /** A hold was added since the last round. */
   private hasNews = false;
 
-  constructor(private readonly settings: PeerMeshSettings) {
+  constructor(private readonly settings: PeerMeshDependencies) {
     this.options = {...DEFAULT_MESH_OPTIONS, ...settings.options};
     const {self, seeds, clock, server, random, logger} = settings;
-    this.ownDetails = new OwnDetails(random);
-    this.exchanges = new ExchangeTable(this.ownDetails);
+    this.ownDetails = new LocalDetails(random);
+    this.exchanges = new HeartbeatExchangeTable(this.ownDetails);
     this.table = new PeerTable(self.instance, seeds, clock.now());
     const {suspectMs} = this.options;
-    this.liveness = new Liveness(self.domain, this.table, suspectMs, logger);
-    server.handle(BEAT_METHOD, compactBeat, async (compact, from) =>
-      this.onBeat(from, decodeBeat(compact)),
+    this.liveness = new FailureDetector(
+      self.domain,
+      this.table,
+      suspectMs,
+      logger,
+    );
+    server.handle(HEARTBEAT_METHOD, compactHeartbeat, async (compact, from) =>
+      this.onBeat(from, decodeHeartbeat(compact)),
     );
   }
 
   /** Exchanges beats and reads the list until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const listed = followList(
-      {...this.settings, intervalMs: this.options.listMs, table: this.table},
+    const listed = pollInstanceList(
+      {
+        ...this.settings,
+        intervalMs: this.options.listIntervalMs,
+        table: this.table,
+      },
       signal,
     );
     await Promise.all([this.runBeats(signal), listed]);
   }
 
   /** All known peers, without this instance. */
-  peers(): PeerStatus[] {
+  listPeers(): PeerStatus[] {
     return this.table.list();
   }
 
@@ -81,25 +97,25 @@
     const status = this.table.get(instance);
     return (
       instance === this.settings.self.instance ||
-      (status !== undefined && this.liveness.isHeard(status, now))
+      (status !== undefined && this.liveness.isAlive(status, now))
     );
   }
 
   /** Instances of a failure domain that are alive, this one included. */
-  aliveIn(domain: string, now: Instant): string[] {
+  listAlive(domain: string, now: Instant): string[] {
     const {self} = this.settings;
     const others = this.liveness
-      .listHeard(domain, now)
+      .listAlive(domain, now)
       .map(peer => peer.address.instance);
     return self.domain === domain ? [self.instance, ...others] : others;
   }
 
   /** Alive instances of a failure domain that may take over roles: ready and not leaving. */
-  fitIn(domain: string, now: Instant): string[] {
-    const {self, report} = this.settings;
+  listEligible(domain: string, now: Instant): string[] {
+    const {self, createReport: report} = this.settings;
     const fit = this.liveness
-      .listHeard(domain, now)
-      .filter(isFit)
+      .listAlive(domain, now)
+      .filter(isEligible)
       .map(peer => peer.address.instance);
     const {ready, leaving} = report();
     const isSelfFit = self.domain === domain && ready && !leaving;
@@ -107,34 +123,38 @@
   }
 
   /** When a scheduler of this failure domain was last heard, directly or by a peer's word. */
-  lastHeard(instance: string): Instant | undefined {
-    return lastHeardOf(this.peers(), this.settings.self.domain, instance);
+  findLastHeardAt(instance: string): Instant | undefined {
+    return findLastHeardAt(
+      this.listPeers(),
+      this.settings.self.domain,
+      instance,
+    );
   }
 
   /** Where an instance is reached; undefined when it is not known. */
-  addressOf(instance: string): PeerAddress | undefined {
+  findAddress(instance: string): PeerAddress | undefined {
     return this.table.get(instance)?.address;
   }
 
   /** Registers a listener for reports. */
-  onReport(listener: ReportListener): void {
+  addReportListener(listener: ReportListener): void {
     this.listeners.push(listener);
   }
 
   /** Calls a method of a peer. Throws `peer-unavailable` when its address is not known. */
-  async ask(
+  async call(
     instance: string,
     method: string,
     body: unknown,
     timeoutMs: Milliseconds,
   ): Promise<unknown> {
-    const address = this.addressOf(instance) ?? {instance, host: '', port: 0};
+    const address = this.findAddress(instance) ?? {instance, host: '', port: 0};
     return this.settings.client.call(address, method, body, timeoutMs);
   }
 
   /** Puts a hold in force here and, at once, at every peer in reach. */
   addHold(hold: Hold): void {
-    const offset = hold.offset ?? this.settings.report().offset;
+    const offset = hold.offset ?? this.settings.createReport().offset;
     if (this.book.add({...hold, offset})) {
       this.settings.logger.info('hold-added', {...hold, offset});
       this.tellNews();
@@ -142,7 +162,7 @@
   }
 
   /** The holds in force. */
-  holds(): DatedHold[] {
+  listHolds(): PositionedHold[] {
     return this.book.list();
   }
 
@@ -152,8 +172,8 @@
   }
 
   /** Notes an accepted configuration record about `entity`; it ends older holds. */
-  noteAccepted(entity: string, offset: number): void {
-    const ended = this.book.noteAccepted(entity, offset);
+  onEntityAccepted(entity: string, offset: number): void {
+    const ended = this.book.onEntityAccepted(entity, offset);
     if (ended) {
       this.settings.logger.info('hold-ended', {...ended, endedBy: offset});
     }
@@ -183,11 +203,14 @@
     const now = clock.now();
     this.round += 1;
     this.exchanges.retain(peer => this.table.get(peer) !== undefined);
-    const links = chooseLinks(self, this.peers(), this.options.degree, peer =>
-      this.liveness.isHeard(peer, now),
+    const links = chooseHeartbeatPeers(
+      self,
+      this.listPeers(),
+      this.options.peersPerRemoteDomain,
+      peer => this.liveness.isAlive(peer, now),
     );
     for (const peer of links) {
-      this.liveness.logChange(peer, now);
+      this.liveness.logLivenessChange(peer, now);
       if (this.isDue(peer) && this.isInitiator(peer, now)) {
         void this.beat(peer);
       }
@@ -196,8 +219,8 @@
 
   /** Peers of other failure domains are sent a beat less often, but news at once. */
   private isDue(peer: PeerStatus): boolean {
-    const isNear = this.liveness.isNear(peer);
-    return isNear || this.hasNews || this.round % FAR_BEAT_RATIO === 0;
+    const isNear = this.liveness.isInOwnDomain(peer);
+    return isNear || this.hasNews || this.round % REMOTE_HEARTBEAT_RATIO === 0;
   }
 
   /** One end of a pair in the same failure domain opens the connection; the other only after a silence. */
@@ -212,14 +235,14 @@
 
   private async beat(peer: PeerStatus): Promise<void> {
     const {instance} = peer.address;
-    const exchange = this.exchanges.with(instance);
+    const exchange = this.exchanges.getOrCreate(instance);
     if (exchange.isPending) {
       return;
     }
     exchange.isPending = true;
     try {
       const answer = await this.sendBeat(peer, exchange);
-      this.receive(instance, decodeBeat(compactBeat.parse(answer)));
+      this.receive(instance, decodeHeartbeat(compactHeartbeat.parse(answer)));
     } catch (error) {
       // A peer that does not answer is seen by its silence.
       this.settings.logger.debug('beat-failed', {
@@ -234,13 +257,13 @@
   /** A beat without an answer is sent again at once: its connection may have gone silent, and the next is new. */
   private async sendBeat(
     peer: PeerStatus,
-    exchange: Exchange,
+    exchange: HeartbeatExchange,
   ): Promise<unknown> {
     const {client} = this.settings;
     const send = () =>
       client.call(
         peer.address,
-        BEAT_METHOD,
+        HEARTBEAT_METHOD,
         this.createBeat(exchange),
         this.options.heartbeatMs,
       );
@@ -254,38 +277,42 @@
     }
   }
 
-  private onBeat(from: string, beat: Beat): CompactBeat {
+  private onBeat(from: string, beat: Heartbeat): CompactHeartbeat {
     this.receive(from, beat);
-    return this.createBeat(this.exchanges.with(from));
+    return this.createBeat(this.exchanges.getOrCreate(from));
   }
 
-  private createBeat(exchange: Exchange): CompactBeat {
-    const {report, self, clock} = this.settings;
+  private createBeat(exchange: HeartbeatExchange): CompactHeartbeat {
+    const {createReport: report, self, clock} = this.settings;
     const now = clock.now();
     const own = report();
-    this.ownDetails.update(toDetails(own, self, this.book.list()));
+    this.ownDetails.update(toHeartbeatDetails(own, self, this.book.list()));
     const news = {
       offset: own.offset,
       freshnessAgeMs: own.freshnessAgeMs,
-      schedulerHeardAgeMs: schedulerHeardAge(this.peers(), self.domain, now),
+      schedulerHeardAgeMs: computeSchedulerHeardAge(
+        this.listPeers(),
+        self.domain,
+        now,
+      ),
       load: own.load,
     };
-    return encodeBeat(exchange.createBeat(news, now));
+    return encodeHeartbeat(exchange.createHeartbeat(news, now));
   }
 
-  private receive(from: string, beat: Beat): void {
+  private receive(from: string, beat: Heartbeat): void {
     const now = this.settings.clock.now();
-    const received = this.exchanges.with(from).receive(beat);
+    const received = this.exchanges.getOrCreate(from).receive(beat);
     if (!received) {
       return;
     }
     const {report, details, madeAfter} = received;
     const {host, port, domain} = details;
-    const status = this.table.learn({instance: from, host, port, domain}, now);
+    const status = this.table.upsert({instance: from, host, port, domain}, now);
     if (!status) {
       return;
     }
-    this.table.noteReport(status, report, madeAfter, now);
+    this.table.applyReport(status, report, madeAfter, now);
     this.takeHolds(report.holds);
     for (const listener of this.listeners) {
       listener({report, madeAfter, receivedAt: now});
--- a/packages/membership/src/mesh_settings.ts
+++ b/packages/membership/src/peer_mesh_options.ts
@@ -8,9 +8,9 @@
 } from '@galenavalve/shared';
 import type {PeerClient, PeerServer} from '@galenavalve/wire';
 import type {InstanceList} from './instance_list.js';
-import {DEFAULT_DEGREE} from './links.js';
-import type {PeerSeed} from './peer_table.js';
-import type {SelfReport} from './report.js';
+import {DEFAULT_PEERS_PER_REMOTE_DOMAIN} from './heartbeat_peers.js';
+import type {PeerEndpoint} from './peer_table.js';
+import type {InstanceReport} from './instance_report.js';
 
 /** Intervals of a mesh. */
 export interface PeerMeshOptions {
@@ -18,29 +18,29 @@
   /** Silence after which a peer no longer counts as alive. */
   suspectMs: Milliseconds;
   /** Peers of each other failure domain that beats are exchanged with. */
-  degree: number;
+  peersPerRemoteDomain: number;
   /** Time between two reads of the platform's list. */
-  listMs: Milliseconds;
+  listIntervalMs: Milliseconds;
 }
 
 /** What a mesh needs. */
-export interface PeerMeshSettings {
-  self: PeerSeed;
+export interface PeerMeshDependencies {
+  self: PeerEndpoint;
   client: PeerClient;
   server: PeerServer;
   instanceList: InstanceList;
-  seeds: readonly PeerSeed[];
+  seeds: readonly PeerEndpoint[];
   clock: Clock;
   logger: Logger;
   random: Random;
   /** Makes this instance's report, without the holds that the mesh adds. */
-  report: () => SelfReport;
+  createReport: () => InstanceReport;
   options?: Partial<PeerMeshOptions>;
 }
 
 /** A report that was received. */
 export interface ReportEvent {
-  report: SelfReport;
+  report: InstanceReport;
   /** A local time that is certainly not after the report was made; undefined when none is known. */
   madeAfter?: Instant;
   receivedAt: Instant;
@@ -53,6 +53,6 @@
 export const DEFAULT_MESH_OPTIONS: PeerMeshOptions = {
   heartbeatMs: 500,
   suspectMs: 1600,
-  degree: DEFAULT_DEGREE,
-  listMs: 2000,
+  peersPerRemoteDomain: DEFAULT_PEERS_PER_REMOTE_DOMAIN,
+  listIntervalMs: 2000,
 };
--- a/packages/membership/src/peer_table.ts
+++ b/packages/membership/src/peer_table.ts
@@ -2,10 +2,10 @@
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {PeerAddress} from '@galenavalve/wire';
 import type {ListedInstance} from './instance_list.js';
-import type {SelfReport} from './report.js';
+import type {InstanceReport} from './instance_report.js';
 
 /** A peer protocol address with its failure domain. */
-export type PeerSeed = PeerAddress & {domain: string};
+export type PeerEndpoint = PeerAddress & {domain: string};
 
 /** What is known about a peer. */
 export interface PeerStatus {
@@ -13,7 +13,7 @@
   domain: string;
   /** When a beat of it was last received; minus infinity when never. */
   lastHeardAt: Instant;
-  report?: SelfReport;
+  report?: InstanceReport;
   /** A local time that is certainly not after the report was made; minus infinity when none is known. */
   reportMadeAfter: Instant;
   /** What the platform's list said last; `unlisted` also while the list was never read. */
@@ -39,12 +39,12 @@
 
   constructor(
     private readonly self: string,
-    seeds: readonly PeerSeed[],
+    seeds: readonly PeerEndpoint[],
     now: Instant,
   ) {
     this.seeds = new Set(seeds.map(seed => seed.instance));
     for (const seed of seeds) {
-      this.learn(seed, now);
+      this.upsert(seed, now);
     }
   }
 
@@ -57,7 +57,7 @@
   }
 
   /** Notes where a peer is. Returns its status; undefined for the instance itself. */
-  learn(seed: PeerSeed, now: Instant): PeerStatus | undefined {
+  upsert(seed: PeerEndpoint, now: Instant): PeerStatus | undefined {
     if (seed.instance === this.self) {
       return undefined;
     }
@@ -82,9 +82,9 @@
   }
 
   /** Notes a report that a peer sent. */
-  noteReport(
+  applyReport(
     status: PeerStatus,
-    report: SelfReport,
+    report: InstanceReport,
     madeAfter: Instant | undefined,
     now: Instant,
   ): void {
@@ -98,7 +98,7 @@
   }
 
   /** Takes over the platform's list, which lags: a peer that it does not name may still live. */
-  noteList(listed: readonly ListedInstance[], now: Instant): void {
+  applyInstanceList(listed: readonly ListedInstance[], now: Instant): void {
     for (const status of this.peers.values()) {
       status.listed = 'unlisted';
     }
@@ -121,7 +121,7 @@
     const isHeard = known && now - known.lastHeardAt < TRUST_AFTER_BEAT_MS;
     const status = isHeard
       ? known
-      : this.learn({instance: id, host, port, domain}, now);
+      : this.upsert({instance: id, host, port, domain}, now);
     if (status) {
       status.listed = state;
     }
@@ -144,6 +144,6 @@
 }
 
 /** Tells whether a peer may take over roles: it is ready and not leaving. */
-export function isFit(peer: PeerStatus): boolean {
+export function isEligible(peer: PeerStatus): boolean {
   return peer.report?.ready === true && peer.leavingSince === undefined;
 }
--- a/packages/membership/src/record_relay.ts
+++ b/packages/membership/src/record_cache.ts
@@ -32,16 +32,16 @@
 export type RecordsPage = z.infer<typeof recordsPage>;
 
 /** Most bytes of JSON of one page; well under the largest frame. */
-export const PAGE_BYTES = 262_144;
+export const MAX_PAGE_BYTES = 262_144;
 
 /** Limits of the ring of recent records. */
-export interface RecordRelayOptions {
+export interface RecordCacheOptions {
   maxEntries: number;
   /** Most bytes of JSON of the records that are kept. */
   maxBytes: number;
 }
 
-const DEFAULT_OPTIONS: RecordRelayOptions = {
+const DEFAULT_OPTIONS: RecordCacheOptions = {
   maxEntries: 4096,
   maxBytes: 4_194_304,
 };
@@ -51,20 +51,20 @@
 }
 
 /** Keeps the latest records of the log and serves them to peers. */
-export class RecordRelay {
-  private readonly options: RecordRelayOptions;
+export class RecordCache {
+  private readonly options: RecordCacheOptions;
   private kept: KeptEntry[] = [];
   private bytes = 0;
   /** Offset from which every record is kept. */
   private firstOffset: number | undefined;
   private nextOffset = 0;
 
-  constructor(options: Partial<RecordRelayOptions> = {}) {
+  constructor(options: Partial<RecordCacheOptions> = {}) {
     this.options = {...DEFAULT_OPTIONS, ...options};
   }
 
   /** Notes records that were read, without gaps, up to `nextOffset`. A gap to earlier ones drops those. */
-  note(entries: readonly RelayedEntry[], nextOffset: number): void {
+  add(entries: readonly RelayedEntry[], nextOffset: number): void {
     const first = entries[0]?.offset ?? nextOffset;
     if (this.firstOffset === undefined || first > this.nextOffset) {
       this.clear(first);
@@ -79,7 +79,7 @@
   }
 
   /** The records from `from` on, as many as fit. Throws `offset-expired` when they are no longer kept. */
-  serve({from}: RecordsRequest): RecordsPage {
+  readPage({from}: RecordsRequest): RecordsPage {
     const oldest = this.firstOffset ?? this.nextOffset;
     if (from < oldest) {
       throw new Failure('offset-expired', {offset: from, oldest});
@@ -88,7 +88,7 @@
     let bytes = 0;
     for (let index = this.indexOf(from); index < this.kept.length; index++) {
       const {offset, value, bytes: size} = this.kept[index]!;
-      if (entries.length > 0 && bytes + size > PAGE_BYTES) {
+      if (entries.length > 0 && bytes + size > MAX_PAGE_BYTES) {
         return {entries, nextOffset: offset};
       }
       entries.push({offset, value});
@@ -166,18 +166,18 @@
   call: PeerCall,
   timeoutMs: Milliseconds,
 ): Promise<RecordsPage | undefined> {
-  const source = findFarthest(sources);
+  const source = findMostAdvanced(sources);
   if (!source || source.offset <= from) {
     return undefined;
   }
   const request: RecordsRequest = {from};
   const {instance} = source;
   const answer = await call(instance, RECORDS_METHOD, request, timeoutMs);
-  return parseAnswer(recordsPage, answer, instance);
+  return parseResponse(recordsPage, answer, instance);
 }
 
 /** The source with the highest offset. */
-export function findFarthest<Source extends RecordSource>(
+export function findMostAdvanced<Source extends RecordSource>(
   sources: readonly Source[],
 ): Source | undefined {
   return sources.reduce<Source | undefined>(
@@ -187,7 +187,7 @@
 }
 
 /** Checks a peer's answer. Throws `peer-unavailable` when it has another form. */
-export function parseAnswer<Schema extends z.ZodType>(
+export function parseResponse<Schema extends z.ZodType>(
   schema: Schema,
   answer: unknown,
   peer: string,
--- a/packages/membership/src/scheduler_watch.ts
+++ b/packages/membership/src/scheduler_liveness.ts
@@ -23,7 +23,7 @@
 }
 
 /** How long ago the scheduler of `domain` was heard, for relay to the domain's other instances. */
-export function schedulerHeardAge(
+export function computeSchedulerHeardAge(
   peers: readonly PeerStatus[],
   domain: string,
   now: Instant,
@@ -36,7 +36,7 @@
  * When `instance`, a scheduler of `domain`, was last heard: directly, or by the
  * word of another instance of the domain. So one cut connection ends no term.
  */
-export function lastHeardOf(
+export function findLastHeardAt(
   peers: readonly PeerStatus[],
   domain: string,
   instance: string,
--- a/packages/membership/src/state_transfer.ts
+++ b/packages/membership/src/state_transfer.ts
@@ -4,7 +4,7 @@
  */
 import {z} from 'zod';
 import {Failure, type Instant, type Milliseconds} from '@galenavalve/shared';
-import {type PeerCall, parseAnswer} from './record_relay.js';
+import {type PeerCall, parseResponse} from './record_cache.js';
 
 /** Methods of the peer protocol for a transfer. */
 export const STATE_OPEN_METHOD = 'state-open';
@@ -61,7 +61,7 @@
   }
 
   /** One section of an offered state. Throws `not-found` once the offer is dropped. */
-  async section(
+  async readSection(
     {snapshotId, index}: SectionRequest,
     now: Instant,
   ): Promise<string> {
@@ -115,14 +115,14 @@
     for (let index = 0; index < count; index++) {
       const request: SectionRequest = {snapshotId: offer.snapshotId, index};
       const answer = await this.ask(STATE_SECTION_METHOD, request);
-      sections.push(parseAnswer(z.string(), answer, this.name));
+      sections.push(parseResponse(z.string(), answer, this.name));
     }
     return {...offer, sections};
   }
 
   private async open(): Promise<StateOffer> {
     const answer = await this.ask(STATE_OPEN_METHOD, {});
-    return parseAnswer(stateOffer, answer, this.name);
+    return parseResponse(stateOffer, answer, this.name);
   }
 
   private ask(method: string, body: unknown): Promise<unknown> {
