--- a/packages/bench/src/policy/command.ts
+++ b/packages/bench/src/policy/command.ts
@@ -6,12 +6,12 @@
   QuotaPolicy,
 } from '@galenavalve/placement';
 import type {Command} from 'commander';
-import {deployments} from './deployment.js';
-import {findLowerBound} from './lower_bound.js';
-import type {RunFigures} from './metrics.js';
+import {DEPLOYMENTS} from './deployment.js';
+import {computeLowerBound} from './lower_bound.js';
+import type {RunFigures} from './run_figures.js';
 import {PolicyRun} from './policy_run.js';
 import {formatReport} from './report.js';
-import {type ScenarioName, createScenario, scenarioNames} from './stream.js';
+import {type ScenarioName, createScenario, SCENARIO_NAMES} from './scenario.js';
 
 interface PolicyOptions {
   json?: boolean;
@@ -49,8 +49,8 @@
 /** Runs every policy on every stream that the options name. */
 export function runPolicies(options: PolicyOptions): RunFigures[] {
   const runs: RunFigures[] = [];
-  for (const deployment of deployments.filter(isNamed(options.deployment))) {
-    for (const scenario of scenarioNames) {
+  for (const deployment of DEPLOYMENTS.filter(isNamed(options.deployment))) {
+    for (const scenario of SCENARIO_NAMES) {
       if (options.scenario && options.scenario !== scenario) {
         continue;
       }
@@ -63,13 +63,13 @@
 }
 
 function runSeed(
-  deployment: (typeof deployments)[number],
+  deployment: (typeof DEPLOYMENTS)[number],
   name: ScenarioName,
   seed: number,
   options: PolicyOptions,
 ): RunFigures[] {
   const scenario = createScenario(deployment, name, seed);
-  const {serviceMean, relaxedMean} = findLowerBound(scenario.jobs);
+  const {serviceMean, relaxedMean} = computeLowerBound(scenario.jobs);
   const bound = Math.max(serviceMean, relaxedMean);
   return policies
     .filter(isNamed(options.policy))
--- a/packages/bench/src/policy/deployment.ts
+++ b/packages/bench/src/policy/deployment.ts
@@ -130,7 +130,7 @@
 };
 
 /** Both deployments. */
-export const deployments: readonly Deployment[] = [kestrelway, txingudi];
+export const DEPLOYMENTS: readonly Deployment[] = [kestrelway, txingudi];
 
 /** The configuration of a deployment. */
 export function createDeploymentConfiguration(
--- a/packages/bench/src/policy/domain_state.ts
+++ b/packages/bench/src/policy/domain_state.ts
@@ -7,9 +7,9 @@
   type WaitingJob,
   estimateBacklog,
 } from '@galenavalve/placement';
-import {countFragmented} from './fragmentation.js';
+import {countFragmentedAccelerators} from './fragmentation.js';
 import type {JobState} from './job_state.js';
-import {PromiseCheck} from './promise_check.js';
+import {GuaranteeCheck} from './guarantee_check.js';
 
 /** Time within which promised work has to start, in seconds: the grace for victims and some passes. */
 const PROMISE_SECONDS = 10;
@@ -18,11 +18,11 @@
 export class DomainState {
   readonly cells: Cells;
   readonly queue = new Map<string, JobState>();
-  fragmented = 0;
-  busy = 0;
+  fragmentedAccelerators = 0;
+  busyAccelerators = 0;
   private backlogAt = -1;
   private backlogSeconds = 0;
-  private readonly checks = new Map<string, PromiseCheck>();
+  private readonly checks = new Map<string, GuaranteeCheck>();
 
   constructor(
     readonly id: string,
@@ -34,38 +34,42 @@
       const promises = this.cells.guarantees.filter(
         promise => promise.workspace === workspace,
       );
-      this.checks.set(workspace, new PromiseCheck(this.cells, promises));
+      this.checks.set(workspace, new GuaranteeCheck(this.cells, promises));
     }
   }
 
   /** Time in seconds that the domain's work takes, computed once a moment. */
-  backlog(now: number): number {
+  getBacklogSeconds(now: number): number {
     if (this.backlogAt !== now) {
       this.backlogAt = now;
-      this.backlogSeconds = estimateBacklog(this.cells, this.waiting(), now);
+      this.backlogSeconds = estimateBacklog(
+        this.cells,
+        this.listWaitingJobs(),
+        now,
+      );
     }
     return this.backlogSeconds;
   }
 
-  waiting(): WaitingJob[] {
+  listWaitingJobs(): WaitingJob[] {
     return [...this.queue.values()].map(job => job.toWaitingJob());
   }
 
   start(job: JobState, gang: RunningGang): void {
     this.cells.addGang(gang);
     this.queue.delete(gang.jobId);
-    this.busy += job.size;
+    this.busyAccelerators += job.acceleratorCount;
     this.checks.get(gang.workspace)!.onStart(gang);
   }
 
   end(job: JobState): void {
-    this.cells.removeGang(job.stream.id);
-    this.busy -= job.size;
-    this.checks.get(job.stream.workspace)!.onEnd(job.stream.id);
+    this.cells.removeGang(job.spec.id);
+    this.busyAccelerators -= job.acceleratorCount;
+    this.checks.get(job.spec.workspace)!.onEnd(job.spec.id);
   }
 
   /** Accelerators of targets that can take work, and those that work on elsewhere in the domain. */
-  capacity(): number {
+  countUsableAccelerators(): number {
     let capacity = 0;
     for (const target of this.cells.targets.values()) {
       const canStart = this.cells.isInService && target.isSchedulable;
@@ -77,8 +81,12 @@
   }
 
   measureFragmentation(): void {
-    this.fragmented = this.cells.isInService
-      ? countFragmented(this.cells, this.waiting(), this.promisedLevels())
+    this.fragmentedAccelerators = this.cells.isInService
+      ? countFragmentedAccelerators(
+          this.cells,
+          this.listWaitingJobs(),
+          this.promisedLevels(),
+        )
       : 0;
   }
 
@@ -94,15 +102,18 @@
     const fits = new Map<string, boolean>();
     const largest = new Map<string, number>();
     for (const job of this.inOrderOfArrival()) {
-      const {workspace} = job.stream;
-      const key = `${workspace} ${JSON.stringify(job.stream.gang)}`;
+      const {workspace} = job.spec;
+      const key = `${workspace} ${JSON.stringify(job.spec.gang)}`;
       if (!fits.has(key)) {
         const check = this.checks.get(workspace)!;
-        fits.set(key, check.holds(job.toWaitingJob()));
+        fits.set(key, check.hasRoomFor(job.toWaitingJob()));
       }
       // Behind an older and larger job the order is the workspace's own.
-      const isBehind = (largest.get(workspace) ?? 0) > job.size;
-      largest.set(workspace, Math.max(largest.get(workspace) ?? 0, job.size));
+      const isBehind = (largest.get(workspace) ?? 0) > job.acceleratorCount;
+      largest.set(
+        workspace,
+        Math.max(largest.get(workspace) ?? 0, job.acceleratorCount),
+      );
       const isPromised = !short.has(workspace) && fits.get(key)! && !isBehind;
       count += this.noteWait(job, isPromised, now) ? 1 : 0;
     }
@@ -111,8 +122,10 @@
 
   /** Notes whether a job waits against the promise; true when it is late for the first time. */
   private noteWait(job: JobState, isPromised: boolean, now: number): boolean {
-    job.promisedSince = isPromised ? (job.promisedSince ?? now) : undefined;
-    const isLate = now - (job.promisedSince ?? now) > PROMISE_SECONDS;
+    job.guaranteeUnmetSince = isPromised
+      ? (job.guaranteeUnmetSince ?? now)
+      : undefined;
+    const isLate = now - (job.guaranteeUnmetSince ?? now) > PROMISE_SECONDS;
     const isNew = isLate && !job.isViolated;
     job.isViolated ||= isLate;
     return isNew;
@@ -120,7 +133,7 @@
 
   private inOrderOfArrival(): JobState[] {
     return [...this.queue.values()].sort(
-      (a, b) => a.stream.arrival - b.stream.arrival,
+      (a, b) => a.spec.arrivalSeconds - b.spec.arrivalSeconds,
     );
   }
 
--- a/packages/bench/src/policy/fragmentation.ts
+++ b/packages/bench/src/policy/fragmentation.ts
@@ -10,7 +10,7 @@
 } from '@galenavalve/placement';
 
 /** Counts the free accelerators of a domain that neither a queued nor an promised shape can use. */
-export function countFragmented(
+export function countFragmentedAccelerators(
   cells: Cells,
   queue: readonly WaitingJob[],
   promisedLevels: ReadonlySet<CellLevel>,
--- a/packages/bench/src/policy/promise_check.ts
+++ b/packages/bench/src/policy/guarantee_check.ts
@@ -12,7 +12,7 @@
 } from '@galenavalve/placement';
 
 /** The promised cells of one workspace in one domain, with what it runs. */
-export class PromiseCheck {
+export class GuaranteeCheck {
   private readonly own: Cells;
   /** Gangs that run beyond the promise. */
   private readonly beyond = new Map<string, RunningGang>();
@@ -22,7 +22,7 @@
   }
 
   /** Whether the unused part of the promise holds a job. */
-  holds(job: WaitingJob): boolean {
+  hasRoomFor(job: WaitingJob): boolean {
     return findBestFit(this.own, {...job, avoidTargets: []}) !== undefined;
   }
 
--- a/packages/bench/src/policy/job_state.ts
+++ b/packages/bench/src/policy/job_state.ts
@@ -1,11 +1,11 @@
 /** What the event loop knows of one job. */
 import type {RunningGang, WaitingJob} from '@galenavalve/placement';
-import type {StreamJob} from './stream.js';
+import type {StreamJob} from './scenario.js';
 
 /** A job from its arrival to its end. */
 export class JobState {
   /** Run time that is still missing, in seconds. */
-  remaining: number;
+  remainingSeconds: number;
   domain = '';
   /** Seconds at which it came to its domain. */
   arrivedAt: number;
@@ -17,23 +17,23 @@
   /** Seconds since which it waits for gangs to stop. */
   reclaimSince: number | undefined;
   /** Seconds since which it waits although its workspace's unused promise holds it. */
-  promisedSince: number | undefined;
+  guaranteeUnmetSince: number | undefined;
   isViolated = false;
 
-  constructor(readonly stream: StreamJob) {
-    this.remaining = stream.seconds;
-    this.arrivedAt = stream.arrival;
+  constructor(readonly spec: StreamJob) {
+    this.remainingSeconds = spec.runSeconds;
+    this.arrivedAt = spec.arrivalSeconds;
   }
 
-  get size(): number {
-    const {tasks, perTask} = this.stream.gang;
+  get acceleratorCount(): number {
+    const {tasks, perTask} = this.spec.gang;
     return tasks * perTask.accelerators;
   }
 
   /** The job as a policy sees it. */
   toWaitingJob(): WaitingJob {
-    const {stream} = this;
-    const share = this.remaining / stream.seconds;
+    const {spec: stream} = this;
+    const share = this.remainingSeconds / stream.runSeconds;
     return {
       jobId: stream.id,
       workspace: stream.workspace,
@@ -43,7 +43,7 @@
       repeatable: true,
       checkpointable: stream.checkpointable,
       expectedSeconds: Math.max(1, stream.declaredSeconds * share),
-      submittedAt: stream.arrival * 1000,
+      submittedAt: stream.arrivalSeconds * 1000,
       avoidTargets: this.avoidTargets,
     };
   }
--- a/packages/bench/src/policy/lower_bound.ts
+++ b/packages/bench/src/policy/lower_bound.ts
@@ -1,7 +1,7 @@
 /** Completion times that no policy can beat. */
 import {Heap} from 'heap-js';
 import {TOTAL_ACCELERATORS} from './deployment.js';
-import type {StreamJob} from './stream.js';
+import type {StreamJob} from './scenario.js';
 
 /** Bounds of the mean completion time of a stream, in seconds. */
 export interface LowerBound {
@@ -15,8 +15,8 @@
 }
 
 /** The bounds of a stream. */
-export function findLowerBound(jobs: readonly StreamJob[]): LowerBound {
-  const service = jobs.reduce((sum, {seconds}) => sum + seconds, 0);
+export function computeLowerBound(jobs: readonly StreamJob[]): LowerBound {
+  const service = jobs.reduce((sum, {runSeconds: seconds}) => sum + seconds, 0);
   return {
     serviceMean: service / jobs.length,
     relaxedMean: relaxedTotal(jobs) / jobs.length,
@@ -30,12 +30,14 @@
 
 function relaxedTotal(jobs: readonly StreamJob[]): number {
   const heap = new Heap<RemainingWork>((a, b) => a.seconds - b.seconds);
-  const arrivals = [...jobs].sort((a, b) => a.arrival - b.arrival);
+  const arrivals = [...jobs].sort(
+    (a, b) => a.arrivalSeconds - b.arrivalSeconds,
+  );
   let now = 0;
   let total = 0;
   let next = 0;
   while (next < arrivals.length || heap.size() > 0) {
-    const arrivalAt = arrivals[next]?.arrival ?? Infinity;
+    const arrivalAt = arrivals[next]?.arrivalSeconds ?? Infinity;
     const head = heap.peek();
     if (head && now + head.seconds <= arrivalAt) {
       heap.pop();
@@ -46,7 +48,11 @@
     if (head) {
       head.seconds -= arrivalAt - now;
     }
-    const {gang, seconds, arrival} = arrivals[next++]!;
+    const {
+      gang,
+      runSeconds: seconds,
+      arrivalSeconds: arrival,
+    } = arrivals[next++]!;
     const work = gang.tasks * gang.perTask.accelerators * seconds;
     now = arrivalAt;
     heap.push({arrival, seconds: work / TOTAL_ACCELERATORS});
--- a/packages/bench/src/policy/policy_run.ts
+++ b/packages/bench/src/policy/policy_run.ts
@@ -13,8 +13,13 @@
 import {type Deployment, createDeploymentConfiguration} from './deployment.js';
 import {DomainState} from './domain_state.js';
 import {JobState} from './job_state.js';
-import {type RunFigures, TimeIntegral, meanOf, quantileOf} from './metrics.js';
-import {STREAM_SECONDS, type Scenario} from './stream.js';
+import {
+  type RunFigures,
+  TimeIntegral,
+  computeMean,
+  computeQuantile,
+} from './run_figures.js';
+import {STREAM_SECONDS, type Scenario} from './scenario.js';
 
 /** Accelerators from which a job counts as large. */
 const LARGE = 16;
@@ -85,7 +90,7 @@
       const job = new JobState(stream);
       this.jobs.set(stream.id, job);
       this.unfinished++;
-      this.at(stream.arrival, () => this.onArrival(job));
+      this.at(stream.arrivalSeconds, () => this.onArrival(job));
     }
     const {domainOut, badTargets} = this.scenario;
     if (domainOut) {
@@ -106,7 +111,7 @@
   }
 
   private onArrival(job: JobState): void {
-    this.outstanding += job.size;
+    this.outstanding += job.acceleratorCount;
     this.enqueue(job, this.route(job));
   }
 
@@ -124,16 +129,16 @@
     if (job.attempt !== attempt || !job.gang) {
       return;
     }
-    const {stream, gang} = job;
+    const {spec: stream, gang} = job;
     this.vacate(job);
     for (const {cells} of this.domains) {
-      const {workspace, kind, declaredSeconds, seconds} = stream;
+      const {workspace, kind, declaredSeconds, runSeconds: seconds} = stream;
       cells.recordRunTime(workspace, kind, declaredSeconds, seconds);
     }
     gang.assignments.forEach(({target}) =>
       this.evidence.recordSuccess(stream.id, target),
     );
-    job.remaining = 0;
+    job.remainingSeconds = 0;
     this.end(job);
   }
 
@@ -143,10 +148,10 @@
       return;
     }
     const ran = this.now - job.gang.startedAt / 1000;
-    if (job.stream.checkpointable) {
-      job.remaining = Math.max(0.1, job.remaining - ran);
+    if (job.spec.checkpointable) {
+      job.remainingSeconds = Math.max(0.1, job.remainingSeconds - ran);
     } else {
-      this.wasted += ran * job.size;
+      this.wasted += ran * job.acceleratorCount;
     }
     const domain = this.domainOf(job);
     this.vacate(job);
@@ -158,16 +163,16 @@
       return;
     }
     const domain = this.domainOf(job);
-    this.wasted += BAD_TARGET_FAILS_AFTER_SECONDS * job.size;
+    this.wasted += BAD_TARGET_FAILS_AFTER_SECONDS * job.acceleratorCount;
     this.vacate(job);
-    this.evidence.recordFailure(job.stream.id, target, this.now * 1000);
+    this.evidence.recordFailure(job.spec.id, target, this.now * 1000);
     this.applyStanding(domain, target);
-    if (this.evidence.isJobFailing(job.stream.id)) {
+    if (this.evidence.isJobFailing(job.spec.id)) {
       this.failedJobs++;
       this.end(job);
       return;
     }
-    job.avoidTargets = this.evidence.listFailedTargets(job.stream.id);
+    job.avoidTargets = this.evidence.listFailedTargets(job.spec.id);
     this.enqueue(job, domain);
   }
 
@@ -207,13 +212,18 @@
     const window = this.scenario.domainOut ?? {from: 0, to: STREAM_SECONDS};
     const seconds = Math.min(to, window.to) - Math.max(this.now, window.from);
     if (seconds > 0) {
-      const capacity = sum(this.domains, domain => domain.capacity());
-      const busy = sum(this.domains, domain => domain.busy);
+      const capacity = sum(this.domains, domain =>
+        domain.countUsableAccelerators(),
+      );
+      const busy = sum(this.domains, domain => domain.busyAccelerators);
       this.usefulWork.add(busy, seconds);
       this.allowedWork.add(Math.min(capacity, this.outstanding), seconds);
     }
     if (this.now < STREAM_SECONDS) {
-      const fragmented = sum(this.domains, domain => domain.fragmented);
+      const fragmented = sum(
+        this.domains,
+        domain => domain.fragmentedAccelerators,
+      );
       this.fragmentation.add(fragmented, to - this.now);
     }
     this.now = to;
@@ -239,7 +249,11 @@
 
   private pass(domain: DomainState): void {
     const {cells, policy} = domain;
-    const decisions = policy.decide(cells, domain.waiting(), this.now * 1000);
+    const decisions = policy.decide(
+      cells,
+      domain.listWaitingJobs(),
+      this.now * 1000,
+    );
     for (const {victims, forJob, reason} of decisions.reclaims) {
       if (reason.code === 'preempted-reclaim') {
         this.jobs.get(forJob)!.reclaimSince ??= this.now;
@@ -267,8 +281,8 @@
       job.reclaimSince = undefined;
     }
     const attempt = ++job.attempt;
-    if (attempt === 1 && job.size >= LARGE) {
-      const wait = this.now - job.stream.arrival;
+    if (attempt === 1 && job.acceleratorCount >= LARGE) {
+      const wait = this.now - job.spec.arrivalSeconds;
       this.largeWait = Math.max(this.largeWait, wait);
     }
     const bad = job.gang!.assignments.find(({target}) =>
@@ -278,7 +292,7 @@
       const at = this.now + BAD_TARGET_FAILS_AFTER_SECONDS;
       this.at(at, () => this.onBadTarget(job, attempt, bad.target));
     } else {
-      const at = this.now + job.remaining;
+      const at = this.now + job.remainingSeconds;
       this.at(at, () => this.onFinish(job, attempt));
     }
   }
@@ -304,7 +318,7 @@
   }
 
   private end(job: JobState): void {
-    this.outstanding -= job.size;
+    this.outstanding -= job.acceleratorCount;
     this.unfinished--;
     job.finishedAt = this.now;
   }
@@ -312,7 +326,7 @@
   private enqueue(job: JobState, domain: DomainState): void {
     job.domain = domain.id;
     job.arrivedAt = this.now;
-    domain.queue.set(job.stream.id, job);
+    domain.queue.set(job.spec.id, job);
     this.changed.add(domain);
   }
 
@@ -336,7 +350,7 @@
         this.now * 1000,
       );
       if (move) {
-        domain.queue.delete(job.stream.id);
+        domain.queue.delete(job.spec.id);
         this.enqueue(
           job,
           this.domains.find(({id}) => id === move.to)!,
@@ -350,14 +364,14 @@
     return this.domains.map(domain => {
       const {cells} = domain;
       const now = this.now * 1000;
-      const backlog = domain.backlog(now);
+      const backlog = domain.getBacklogSeconds(now);
       const summary = summarizeDomain(cells, backlog, waiting, now);
       if (this.policy.name === 'galenavalve') {
         return summary;
       }
       // The baselines know no shapes: they look at free capacity only.
-      const free = cells.getMaxFreeAccelerators(job.stream.gang.adjacency);
-      const startOption = free >= job.size ? 'borrowed' : 'none';
+      const free = cells.getMaxFreeAccelerators(job.spec.gang.adjacency);
+      const startOption = free >= job.acceleratorCount ? 'borrowed' : 'none';
       return {...summary, startOption};
     });
   }
@@ -368,8 +382,12 @@
 
   private toFigures(seed: number, boundMean: number): RunFigures {
     const done = [...this.jobs.values()];
-    const completions = done.map(job => job.finishedAt! - job.stream.arrival);
-    const large = completions.filter((_, i) => done[i]!.size >= LARGE);
+    const completions = done.map(
+      job => job.finishedAt! - job.spec.arrivalSeconds,
+    );
+    const large = completions.filter(
+      (_, i) => done[i]!.acceleratorCount >= LARGE,
+    );
     const total = sum(
       [...this.configuration.targets.values()],
       target => target.accelerators,
@@ -380,14 +398,14 @@
       scenario: this.scenario.name,
       seed,
       completionSeconds: {
-        mean: meanOf(completions),
-        p50: quantileOf(completions, 0.5),
-        p99: quantileOf(completions, 0.99),
-        largeP99: quantileOf(large, 0.99),
+        mean: computeMean(completions),
+        p50: computeQuantile(completions, 0.5),
+        p99: computeQuantile(completions, 0.99),
+        largeP99: computeQuantile(large, 0.99),
       },
       fragmentation: this.fragmentation.mean / total,
       goodput: (this.usefulWork.total - this.wasted) / this.allowedWork.total,
-      reclaimSeconds: {p99: quantileOf(this.reclaimSeconds, 0.99)},
+      reclaimSeconds: {p99: computeQuantile(this.reclaimSeconds, 0.99)},
       promiseViolations: this.violations,
       failedJobs: this.failedJobs,
       largeWaitSeconds: this.largeWait,
--- a/packages/bench/src/policy/report.ts
+++ b/packages/bench/src/policy/report.ts
@@ -1,5 +1,5 @@
 /** Prints the figures of policies as a table and a plot. */
-import {type RunFigures, meanOf} from './metrics.js';
+import {type RunFigures, computeMean} from './run_figures.js';
 
 /** Figures of one policy in one scenario, averaged over seeds. */
 interface Row {
@@ -38,7 +38,7 @@
   }
   return [...groups.values()].map(group => {
     const mean = (value: (run: RunFigures) => number) =>
-      meanOf(group.map(value));
+      computeMean(group.map(value));
     return {
       scenario: group[0]!.scenario,
       policy: group[0]!.policy,
--- a/packages/bench/src/policy/metrics.ts
+++ b/packages/bench/src/policy/run_figures.ts
@@ -1,5 +1,5 @@
 /** Sums up one run of a policy. */
-import type {ScenarioName} from './stream.js';
+import type {ScenarioName} from './scenario.js';
 
 /** The figures of one run. */
 export interface RunFigures {
@@ -46,13 +46,13 @@
 }
 
 /** The mean of some values; 0 when there are none. */
-export function meanOf(values: readonly number[]): number {
+export function computeMean(values: readonly number[]): number {
   const sum = values.reduce((total, value) => total + value, 0);
   return values.length === 0 ? 0 : sum / values.length;
 }
 
 /** The value that a share `quantile` of the values does not exceed; 0 when there are none. */
-export function quantileOf(
+export function computeQuantile(
   values: readonly number[],
   quantile: number,
 ): number {
--- a/packages/bench/src/policy/stream.ts
+++ b/packages/bench/src/policy/scenario.ts
@@ -8,7 +8,7 @@
 } from './deployment.js';
 
 /** The scenarios of the benchmark. */
-export const scenarioNames = [
+export const SCENARIO_NAMES = [
   'steady',
   'small-burst',
   'large-burst',
@@ -16,7 +16,7 @@
   'domain-out-and-back',
   'bad-targets',
 ] as const;
-export type ScenarioName = (typeof scenarioNames)[number];
+export type ScenarioName = (typeof SCENARIO_NAMES)[number];
 
 /** A job of a stream. */
 export interface StreamJob {
@@ -26,9 +26,9 @@
   gang: GangShape;
   checkpointable: boolean;
   /** Seconds since the start of the stream. */
-  arrival: number;
+  arrivalSeconds: number;
   /** True run time, in seconds. */
-  seconds: number;
+  runSeconds: number;
   /** The caller's estimate, in seconds. */
   declaredSeconds: number;
 }
@@ -85,7 +85,7 @@
     }
   });
   jobs.push(...createBursts(deployment, name, random));
-  jobs.sort((a, b) => a.arrival - b.arrival);
+  jobs.sort((a, b) => a.arrivalSeconds - b.arrivalSeconds);
   jobs.forEach((job, i) => {
     job.id = `j${i}`;
   });
@@ -145,8 +145,8 @@
       adjacency: kind.adjacency,
     },
     checkpointable: kind.checkpointable,
-    arrival,
-    seconds,
+    arrivalSeconds: arrival,
+    runSeconds: seconds,
     declaredSeconds: lognormal(seconds * factor, sigma, random),
   };
 }
--- a/packages/bench/src/slopes/decision_slopes.ts
+++ b/packages/bench/src/slopes/decision_slopes.ts
@@ -7,14 +7,14 @@
   type WaitingJob,
 } from '@galenavalve/placement';
 import {
-  TASKS_PER_PART,
+  TASKS_PER_ASSIGNMENT,
   createAssignments,
-  createConfigured,
+  createConfiguredRecord,
   createEntities,
   createRequest,
   foldAll,
 } from './fixtures.js';
-import {timeOf} from './meter.js';
+import {measureTimeMs} from './measurement.js';
 import {type Slope, measureSlope} from './slope.js';
 
 const TARGET_COUNTS = [150, 300, 600, 1200];
@@ -63,7 +63,7 @@
   const queue = Array.from({length: waiting}, (_, index) =>
     createWaiting(index),
   );
-  const time = timeOf(
+  const time = measureTimeMs(
     () => createCells(targets),
     cells => {
       for (let pass = 0; pass < PASSES; pass++) {
@@ -76,9 +76,9 @@
 
 function createCells(targets: number): DomainCells {
   const state = new LedgerState();
-  foldAll(state, [createConfigured(createEntities(targets, 80), 0)]);
+  foldAll(state, [createConfiguredRecord(createEntities(targets, 80), 0)]);
   const cells = policy.createCells('north', state.configuration);
-  const partsPerGang = GANG_TASKS / TASKS_PER_PART;
+  const partsPerGang = GANG_TASKS / TASKS_PER_ASSIGNMENT;
   const gangs = Math.floor((targets * PARTS_PER_TARGET) / partsPerGang);
   for (let index = 0; index < gangs; index++) {
     cells.addGang(createRunning(index, (index * partsPerGang) % targets));
--- a/packages/bench/src/slopes/fixtures.ts
+++ b/packages/bench/src/slopes/fixtures.ts
@@ -16,7 +16,7 @@
 const RACK_SIZE = 8;
 
 /** Tasks that one target runs at once in these fixtures. */
-export const TASKS_PER_PART = 4;
+export const TASKS_PER_ASSIGNMENT = 4;
 
 const AT = 1_800_000_000_000;
 const DOMAIN = 'north';
@@ -24,7 +24,7 @@
 const TERM: Term = {log: 1, outage: 0, instance: INSTANCE};
 
 /** The claim of the domain's scheduler. */
-export const CLAIM = {
+export const CLAIM_RECORD = {
   type: 'claimed',
   domain: DOMAIN,
   term: TERM,
@@ -92,11 +92,11 @@
 /** The parts of a gang on consecutive targets, the first of which is `first`. */
 export function createAssignments(tasks: number, first: number): Assignment[] {
   const assignments: Assignment[] = [];
-  for (let task = 0; task < tasks; task += TASKS_PER_PART) {
+  for (let task = 0; task < tasks; task += TASKS_PER_ASSIGNMENT) {
     assignments.push({
       target: targetId(first + assignments.length),
       firstTask: task,
-      tasks: Math.min(TASKS_PER_PART, tasks - task),
+      tasks: Math.min(TASKS_PER_ASSIGNMENT, tasks - task),
       accelerators: 0,
     });
   }
@@ -142,7 +142,7 @@
 }
 
 /** The record that configures all entities, or changes some of them. */
-export function createConfigured(
+export function createConfiguredRecord(
   entities: readonly Entity[],
   baseVersion: number,
   change = `change-${baseVersion}`,
@@ -176,7 +176,7 @@
 }
 
 /** Bytes of a record as JSON. */
-export function bytesOf(body: RecordBody): number {
+export function countRecordBytes(body: RecordBody): number {
   const [entry] = createEntries([body], 1_000_000);
   return Buffer.byteLength(JSON.stringify(entry!.value));
 }
@@ -186,11 +186,11 @@
   state: LedgerState,
   bodies: readonly RecordBody[],
 ): void {
-  foldTexts(state, toTexts(bodies, state.nextOffset));
+  foldSerializedEntries(state, serializeEntries(bodies, state.nextOffset));
 }
 
 /** Entries as a reader of the log receives them. */
-export function toTexts(
+export function serializeEntries(
   bodies: readonly RecordBody[],
   offset: number,
 ): string[] {
@@ -198,7 +198,10 @@
 }
 
 /** Parses and folds entries. */
-export function foldTexts(state: LedgerState, texts: readonly string[]): void {
+export function foldSerializedEntries(
+  state: LedgerState,
+  texts: readonly string[],
+): void {
   for (const text of texts) {
     const applied = applyEntry(state, JSON.parse(text) as LogEntry);
     if (!applied.accepted) {
@@ -212,9 +215,9 @@
 
 /** A configuration and waiting jobs: `records` records. */
 export function createLogBodies(records: number): RecordBody[] {
-  const bodies = [createConfigured(createEntities(64, 4), 0, 'setup')];
+  const bodies = [createConfiguredRecord(createEntities(64, 4), 0, 'setup')];
   for (let index = 1; index < records; index++) {
-    bodies.push(createJobRecords(index, TASKS_PER_PART)[0]!);
+    bodies.push(createJobRecords(index, TASKS_PER_ASSIGNMENT)[0]!);
   }
   return bodies;
 }
@@ -223,8 +226,8 @@
 export function createState(targets: number, workspaces: number): LedgerState {
   const state = new LedgerState();
   foldAll(state, [
-    createConfigured(createEntities(targets, workspaces), 0),
-    CLAIM,
+    createConfiguredRecord(createEntities(targets, workspaces), 0),
+    CLAIM_RECORD,
   ]);
   return state;
 }
--- a/packages/bench/src/slopes/gang_slopes.ts
+++ b/packages/bench/src/slopes/gang_slopes.ts
@@ -3,12 +3,12 @@
 import {SilentLogger, SystemClock} from '@galenavalve/shared';
 import {type GangAttempt, GangStarter} from '@galenavalve/targets';
 import {
-  CLAIM,
-  TASKS_PER_PART,
+  CLAIM_RECORD,
+  TASKS_PER_ASSIGNMENT,
   createAssignments,
   createRequest,
 } from './fixtures.js';
-import {busyTimeOf} from './meter.js';
+import {measureBusyTimeMs} from './measurement.js';
 import {PlatformThread} from './platform_thread.js';
 import {type Slope, measureSlopes} from './slope.js';
 
@@ -30,7 +30,7 @@
 };
 
 /** All slopes of starts. */
-export async function measureGangs(): Promise<Slope[]> {
+export async function measureGangStarts(): Promise<Slope[]> {
   return measureSlopes(titles, PART_COUNTS, measureGang);
 }
 
@@ -57,7 +57,7 @@
   // The first gang opens the connections, which are open in daily work.
   await startGang(starter, createOrder(0, parts));
   const startedAt = clock.now();
-  const busyMs = await busyTimeOf(() =>
+  const busyMs = await measureBusyTimeMs(() =>
     startGang(starter, createOrder(1, parts)),
   );
   const wallMs = clock.now() - startedAt;
@@ -81,12 +81,12 @@
 }
 
 function createOrder(index: number, parts: number): GangAttempt {
-  const tasks = parts * TASKS_PER_PART;
+  const tasks = parts * TASKS_PER_ASSIGNMENT;
   const {workspace, gang} = createRequest(index, tasks);
   return {
     jobId: `job-${index}`,
     attempt: 1,
-    term: CLAIM.term,
+    term: CLAIM_RECORD.term,
     workspace,
     gang,
     assignments: createAssignments(tasks, 0),
--- a/packages/bench/src/slopes/ledger_slopes.ts
+++ b/packages/bench/src/slopes/ledger_slopes.ts
@@ -1,18 +1,18 @@
 /** What jobs, tasks and configuration cost in the folded state and in the log. */
 import type {RecordBody} from '@galenavalve/model';
 import {
-  TASKS_PER_PART,
-  bytesOf,
-  createConfigured,
+  TASKS_PER_ASSIGNMENT,
+  countRecordBytes,
+  createConfiguredRecord,
   createEntities,
   createJobRecords,
   createState,
   createTarget,
   foldAll,
-  foldTexts,
-  toTexts,
+  foldSerializedEntries,
+  serializeEntries,
 } from './fixtures.js';
-import {heapOf, timeOf} from './meter.js';
+import {measureHeapBytes, measureTimeMs} from './measurement.js';
 import {type Slope, measureSlope} from './slope.js';
 
 const JOB_COUNTS = [400, 800, 1600, 3200];
@@ -42,7 +42,7 @@
         measured: 'heap bytes of the state',
       },
       JOB_COUNTS,
-      jobs => measureJobs(jobs, TASKS_PER_PART, QUEUED),
+      jobs => measureJobs(jobs, TASKS_PER_ASSIGNMENT, QUEUED),
     ),
     await measureSlope(
       {
@@ -51,30 +51,30 @@
         measured: 'heap bytes of the state',
       },
       JOB_COUNTS,
-      jobs => measureJobs(jobs, TASKS_PER_PART, RUNNING),
+      jobs => measureJobs(jobs, TASKS_PER_ASSIGNMENT, RUNNING),
     ),
     await measureSlope(
       {
         id: 'state-running-part',
-        over: `parts (${TASKS_PER_PART} tasks on one target) of ${PARTED_JOBS} running gangs`,
+        over: `parts (${TASKS_PER_ASSIGNMENT} tasks on one target) of ${PARTED_JOBS} running gangs`,
         measured: 'heap bytes of the state',
       },
       PART_COUNTS.map(parts => parts * PARTED_JOBS),
       parts =>
         measureJobs(
           PARTED_JOBS,
-          (parts / PARTED_JOBS) * TASKS_PER_PART,
+          (parts / PARTED_JOBS) * TASKS_PER_ASSIGNMENT,
           RUNNING,
         ),
     ),
     await measureSlope(
       {
         id: 'state-finished-job',
-        over: `finished jobs of ${TASKS_PER_PART} tasks`,
+        over: `finished jobs of ${TASKS_PER_ASSIGNMENT} tasks`,
         measured: 'heap bytes of the state',
       },
       JOB_COUNTS,
-      jobs => measureJobs(jobs, TASKS_PER_PART, FINISHED),
+      jobs => measureJobs(jobs, TASKS_PER_ASSIGNMENT, FINISHED),
     ),
     await measureSlope(
       {
@@ -83,7 +83,7 @@
         measured: 'heap bytes of the state',
       },
       ENTITY_COUNTS,
-      targets => heapOf(() => createState(targets, WORKSPACES)),
+      targets => measureHeapBytes(() => createState(targets, WORKSPACES)),
     ),
     await measureSlope(
       {
@@ -92,12 +92,12 @@
         measured: 'heap bytes of the state',
       },
       ENTITY_COUNTS,
-      workspaces => heapOf(() => createState(TARGETS, workspaces)),
+      workspaces => measureHeapBytes(() => createState(TARGETS, workspaces)),
     ),
     await measureSlope(
       {
         id: 'fold-record',
-        over: `records of jobs of ${TASKS_PER_PART} tasks`,
+        over: `records of jobs of ${TASKS_PER_ASSIGNMENT} tasks`,
         measured: 'ms to parse and fold',
       },
       JOB_COUNTS.map(jobs => jobs * FINISHED),
@@ -129,7 +129,9 @@
       },
       [1, 8, 64, 512],
       targets =>
-        bytesOf(createConfigured(createEntities(targets, 0).slice(2), 1)),
+        countRecordBytes(
+          createConfiguredRecord(createEntities(targets, 0).slice(2), 1),
+        ),
     ),
   ];
 }
@@ -144,30 +146,33 @@
 
 function measureJobs(jobs: number, tasks: number, perJob: number): number {
   const state = createState(TARGETS, WORKSPACES);
-  return heapOf(() => {
+  return measureHeapBytes(() => {
     foldAll(state, listRecords(jobs, tasks, perJob));
     return state;
   });
 }
 
 function timeFold(jobs: number): number {
-  const records = listRecords(jobs, TASKS_PER_PART, FINISHED);
-  const texts = toTexts(records, createState(TARGETS, WORKSPACES).nextOffset);
-  return timeOf(
+  const records = listRecords(jobs, TASKS_PER_ASSIGNMENT, FINISHED);
+  const texts = serializeEntries(
+    records,
+    createState(TARGETS, WORKSPACES).nextOffset,
+  );
+  return measureTimeMs(
     () => createState(TARGETS, WORKSPACES),
-    state => foldTexts(state, texts),
+    state => foldSerializedEntries(state, texts),
   );
 }
 
 function timeChange(targets: number): number {
-  const time = timeOf(
+  const time = measureTimeMs(
     () => {
       const state = createState(targets, WORKSPACES);
       return {state, texts: createChanges(state.nextOffset)};
     },
     ({state, texts}) => {
       for (const text of texts) {
-        foldTexts(state, [text]);
+        foldSerializedEntries(state, [text]);
         // Deciding code reads the new configuration after every change.
         void state.configuration.targets.size;
       }
@@ -178,11 +183,11 @@
 
 function createChanges(offset: number): string[] {
   const bodies = Array.from({length: CHANGES}, (_, index) =>
-    createConfigured([createTarget(0, 1024 * (index + 2))], index + 1),
+    createConfiguredRecord([createTarget(0, 1024 * (index + 2))], index + 1),
   );
-  return toTexts(bodies, offset);
+  return serializeEntries(bodies, offset);
 }
 
 function sumBytes(records: readonly RecordBody[]): number {
-  return records.reduce((total, record) => total + bytesOf(record), 0);
+  return records.reduce((total, record) => total + countRecordBytes(record), 0);
 }
--- a/packages/bench/src/slopes/catch_up_slopes.ts
+++ b/packages/bench/src/slopes/log_read_slopes.ts
@@ -2,8 +2,12 @@
 import {LedgerState, LogFollower} from '@galenavalve/ledger';
 import {HttpLog} from '@galenavalve/platform';
 import {SilentLogger, SystemClock} from '@galenavalve/shared';
-import {createConfigured, createEntries, createTarget} from './fixtures.js';
-import {busyTimeOf} from './meter.js';
+import {
+  createConfiguredRecord,
+  createEntries,
+  createTarget,
+} from './fixtures.js';
+import {measureBusyTimeMs} from './measurement.js';
 import {PlatformThread} from './platform_thread.js';
 import {type Slope, measureSlope, measureSlopes} from './slope.js';
 
@@ -31,7 +35,7 @@
 };
 
 /** All slopes of reading the log. */
-export async function measureReading(): Promise<Slope[]> {
+export async function measureLogReads(): Promise<Slope[]> {
   const catchUp = {
     id: 'catch-up',
     over: 'records of the log',
@@ -71,7 +75,7 @@
   const options = {limit: Math.max(1, records), wait: 0, timeout: TIMEOUT_MS};
   await log.read(from, options);
   const before = await platform.countBytes();
-  const busyMs = await busyTimeOf(async () => {
+  const busyMs = await measureBusyTimeMs(async () => {
     for (let count = 0; count < READS; count++) {
       await log.read(from, options);
     }
@@ -107,7 +111,11 @@
   followers: readonly LogFollower[],
   change: number,
 ): Promise<number> {
-  const body = createConfigured([createTarget(0)], change, `change-${change}`);
+  const body = createConfiguredRecord(
+    [createTarget(0)],
+    change,
+    `change-${change}`,
+  );
   const startedAt = clock.now();
   const [entry] = createEntries([body], 1 + change);
   const {firstOffset} = await log.append([entry!.value], TIMEOUT_MS);
--- a/packages/bench/src/slopes/meter.ts
+++ b/packages/bench/src/slopes/measurement.ts
@@ -7,7 +7,7 @@
 const REPETITIONS = 3;
 
 /** Milliseconds that `work` takes: the median of a few runs, each on a fresh `prepare()`. */
-export function timeOf<Input>(
+export function measureTimeMs<Input>(
   prepare: () => Input,
   work: (input: Input) => void,
 ): number {
@@ -23,7 +23,7 @@
 }
 
 /** Bytes of heap that the result of `create` takes. */
-export function heapOf(create: () => unknown): number {
+export function measureHeapBytes(create: () => unknown): number {
   const before = usedHeap();
   const created = create();
   const after = usedHeap();
@@ -32,7 +32,9 @@
 }
 
 /** Milliseconds in which this thread's loop was busy while `work` ran. */
-export async function busyTimeOf(work: () => Promise<void>): Promise<number> {
+export async function measureBusyTimeMs(
+  work: () => Promise<void>,
+): Promise<number> {
   const before = performance.eventLoopUtilization();
   await work();
   return performance.eventLoopUtilization(before).active;
--- a/packages/bench/src/slopes/peer_slopes.ts
+++ b/packages/bench/src/slopes/peer_slopes.ts
@@ -11,7 +11,7 @@
 import {SeededRandom, SilentLogger, SystemClock} from '@galenavalve/shared';
 import {PeerClient, PeerServer} from '@galenavalve/wire';
 import {createEntries, createJobRecords} from './fixtures.js';
-import {busyTimeOf} from './meter.js';
+import {measureBusyTimeMs} from './measurement.js';
 import {type Slope, measureSlopes} from './slope.js';
 
 const PEER_COUNTS = [1, 2, 4, 8, 16];
@@ -78,7 +78,7 @@
   }
   await clock.sleep(WARM_UP_MS);
   const before = instances.map(bytesOfInstance);
-  const busyMs = await busyTimeOf(() => clock.sleep(MEASURED_MS));
+  const busyMs = await measureBusyTimeMs(() => clock.sleep(MEASURED_MS));
   const bytes = instances.map(
     (instance, index) => bytesOfInstance(instance) - before[index]!,
   );
@@ -105,7 +105,7 @@
   const {port} = await server.start();
   const peer = {instance: 'entry-north-1', host: HOST, port};
   const sources = [{instance: peer.instance, offset: records}];
-  const busyMs = await busyTimeOf(async () => {
+  const busyMs = await measureBusyTimeMs(async () => {
     for (let from = 0; from < records;) {
       const page = await pullRecords(
         from,
--- a/packages/bench/src/slopes/renewal_slopes.ts
+++ b/packages/bench/src/slopes/renewal_slopes.ts
@@ -7,8 +7,8 @@
   TargetReport,
   UsageReport,
 } from '@galenavalve/targets';
-import {TASKS_PER_PART} from './fixtures.js';
-import {busyTimeOf} from './meter.js';
+import {TASKS_PER_ASSIGNMENT} from './fixtures.js';
+import {measureBusyTimeMs} from './measurement.js';
 import {PlatformThread} from './platform_thread.js';
 import {type Slope, measureSlopes} from './slope.js';
 
@@ -61,7 +61,7 @@
   const keys = await startLeases(client, target, leases);
   let report = await renew(client, target, keys, undefined);
   const before = await platform.countBytes();
-  const busyMs = await busyTimeOf(async () => {
+  const busyMs = await measureBusyTimeMs(async () => {
     for (let count = 0; count < RENEWALS; count++) {
       report = await renew(client, target, keys, report.clock);
     }
@@ -101,7 +101,7 @@
     term: TERM,
     workspace: 'workspace-17',
     firstTask: 0,
-    tasks: TASKS_PER_PART,
+    tasks: TASKS_PER_ASSIGNMENT,
     accelerators: 0,
     processors: 1,
     memoryMb: 4096,
--- a/packages/bench/src/slopes/run_slopes.ts
+++ b/packages/bench/src/slopes/run_slopes.ts
@@ -1,9 +1,9 @@
 /** Measures every slope, and shows them. */
 import {arch, cpus, release} from 'node:os';
-import {measureReading} from './catch_up_slopes.js';
+import {measureLogReads} from './log_read_slopes.js';
 import {measureDaemons} from './daemon_slopes.js';
 import {measureDecisions} from './decision_slopes.js';
-import {measureGangs} from './gang_slopes.js';
+import {measureGangStarts} from './gang_slopes.js';
 import {measureLedger} from './ledger_slopes.js';
 import {measurePeers} from './peer_slopes.js';
 import {measureRenewals} from './renewal_slopes.js';
@@ -29,10 +29,10 @@
 const MEASUREMENTS = [
   measureLedger,
   measureSnapshots,
-  measureReading,
+  measureLogReads,
   measureDecisions,
   measureRenewals,
-  measureGangs,
+  measureGangStarts,
   measurePeers,
   measureDaemons,
 ];
--- a/packages/bench/src/slopes/snapshot_slopes.ts
+++ b/packages/bench/src/slopes/snapshot_slopes.ts
@@ -6,8 +6,8 @@
   decodeState,
   encodeState,
 } from '@galenavalve/ledger';
-import {bytesOf, foldAll} from './fixtures.js';
-import {timeOf} from './meter.js';
+import {countRecordBytes, foldAll} from './fixtures.js';
+import {measureTimeMs} from './measurement.js';
 import {type Slope, measureSlopes} from './slope.js';
 import {createClusterRecords} from './two_year_size.js';
 
@@ -44,11 +44,11 @@
   const snapshot = encodeState(state, 'snapshot-1');
   return {
     bytes: sumBytes(snapshot),
-    encodeMs: timeOf(
+    encodeMs: measureTimeMs(
       () => state,
       input => void encodeState(input, 'snapshot-2'),
     ),
-    decodeMs: timeOf(
+    decodeMs: measureTimeMs(
       () => snapshot,
       input => void decodeState(input),
     ),
@@ -57,7 +57,7 @@
 
 function sumBytes(snapshot: Snapshot): number {
   return createChunks(snapshot).reduce(
-    (total, chunk) => total + bytesOf(chunk),
+    (total, chunk) => total + countRecordBytes(chunk),
     0,
   );
 }
--- a/packages/bench/src/slopes/two_year_size.ts
+++ b/packages/bench/src/slopes/two_year_size.ts
@@ -1,8 +1,8 @@
 /** The size that the system is designed for, and states of a share of it. */
 import type {RecordBody} from '@galenavalve/model';
 import {
-  CLAIM,
-  createConfigured,
+  CLAIM_RECORD,
+  createConfiguredRecord,
   createEntities,
   createJobRecords,
 } from './fixtures.js';
@@ -36,9 +36,9 @@
   const bodies: RecordBody[] = [];
   for (let first = 0; first < entities.length; first += EDITS_PER_RECORD) {
     const edited = entities.slice(first, first + EDITS_PER_RECORD);
-    bodies.push(createConfigured(edited, 0, `setup-${first}`));
+    bodies.push(createConfiguredRecord(edited, 0, `setup-${first}`));
   }
-  bodies.push(CLAIM);
+  bodies.push(CLAIM_RECORD);
   const finished = Math.round(size.finishedJobs * share);
   const running = Math.round(size.runningJobs * share);
   for (let index = 0; index < finished + running; index++) {
--- a/packages/cli/src/client/attempt_result.ts
+++ b/packages/cli/src/client/attempt_result.ts
@@ -1,7 +1,7 @@
 /** What one attempt of a call tells about its fate. */
 import type {z} from 'zod';
 import {failureView, type FailureView} from '@galenavalve/model';
-import {type JsonAnswer, NoAnswer} from '@galenavalve/platform';
+import {type JsonResponse, NoResponse} from '@galenavalve/platform';
 import {
   type ErrorCode,
   ERROR_TEMPLATES,
@@ -39,7 +39,7 @@
 
 /** Reads what `sendJson` threw. */
 export function classifyError(error: unknown): AttemptResult<never> {
-  if (!(error instanceof NoAnswer)) {
+  if (!(error instanceof NoResponse)) {
     throw error;
   }
   const kind = error.wasSent ? 'uncertain' : 'unsent';
@@ -51,7 +51,7 @@
  * balancer's 503 may come after the request was recorded.
  */
 export function classifyResponse<T>(
-  answer: JsonAnswer,
+  answer: JsonResponse,
   schema: z.ZodType<T>,
 ): AttemptResult<T> {
   if (answer.status >= 200 && answer.status < 300) {
@@ -66,7 +66,7 @@
 }
 
 function readSuccess<T>(
-  answer: JsonAnswer,
+  answer: JsonResponse,
   schema: z.ZodType<T>,
 ): AttemptResult<T> {
   const parsed = schema.safeParse(answer.body);
@@ -80,7 +80,7 @@
 
 function readFailure(
   {code, message, remedy, details}: FailureView,
-  {status, retryAfter}: JsonAnswer,
+  {status, retryAfterMs: retryAfter}: JsonResponse,
 ): AttemptResult<never> {
   const isClientError = status >= 400 && status < 500 && status !== 429;
   if (!isErrorCode(code)) {
--- a/packages/cli/src/client/entry_caller.ts
+++ b/packages/cli/src/client/entry_caller.ts
@@ -82,8 +82,8 @@
       method: call.method,
       url: entry + call.path,
       body: call.body,
-      timeout,
-      maxAnswerBytes: MAX_ANSWER_BYTES,
+      timeoutMs: timeout,
+      maxResponseBytes: MAX_ANSWER_BYTES,
     }).then(
       answer => classifyResponse(answer, call.schema),
       (error: unknown) => classifyError(error),
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -224,10 +224,10 @@
       parts.peerClient.bytesReceived + parts.peerServer.bytesReceived;
     metrics.peerBytes.set({direction: 'sent'}, sent);
     metrics.peerBytes.set({direction: 'received'}, received);
-    metrics.platformBytes.set({direction: 'sent'}, platformTraffic.sent);
+    metrics.platformBytes.set({direction: 'sent'}, platformTraffic.bytesSent);
     metrics.platformBytes.set(
       {direction: 'received'},
-      platformTraffic.received,
+      platformTraffic.bytesReceived,
     );
   }
 
--- a/packages/demo/__tests__/failures.spec.ts
+++ b/packages/demo/__tests__/failures.spec.ts
@@ -2,23 +2,23 @@
 import t from 'tap';
 import got from 'got';
 import {
-  Stream,
+  JobStream,
   findScheduler,
   pause,
   setLogFaults,
-  startRelayedCluster,
+  startProxiedCluster,
 } from './fixtures.js';
 
 /** Runs side by side must not meet on one port, nor on one that the kernel gives out (32768 and above). */
 const PORT_BASE = 20_000 + (process.pid % 120) * 100;
 const LEASE_MS = 6_000;
 
-const cluster = await startRelayedCluster(PORT_BASE);
+const cluster = await startProxiedCluster(PORT_BASE);
 t.teardown(() => cluster.stop());
 t.setTimeout(0);
 
 t.test('a scheduler that is killed loses and doubles nothing', async t => {
-  const stream = new Stream(cluster);
+  const stream = new JobStream(cluster);
   const victim = await findScheduler(cluster, 'za-1');
   stream.submit('killed', 20);
   await cluster.processes.kill(victim.instance);
@@ -31,7 +31,7 @@
 t.test(
   'a scheduler that is paused beyond its leases starts nothing on waking',
   async t => {
-    const stream = new Stream(cluster);
+    const stream = new JobStream(cluster);
     const victim = await findScheduler(cluster, 'za-2');
     stream.submit('paused', 20);
     cluster.processes.signal(victim.instance, 'SIGSTOP');
@@ -46,10 +46,10 @@
 t.test(
   'connections to the log that go silent for good are replaced',
   async t => {
-    const stream = new Stream(cluster);
+    const stream = new JobStream(cluster);
     stream.submit('silent', 10);
-    for (const relay of cluster.relays.values()) {
-      relay.silenceOpen();
+    for (const relay of cluster.proxies.values()) {
+      relay.stallConnections();
     }
     stream.submit('after-silence', 10);
     t.strictSame(await stream.findViolations(), []);
@@ -59,12 +59,12 @@
 t.test(
   'an instance that is cut off from the log alone leaves its domain at work',
   async t => {
-    const stream = new Stream(cluster);
+    const stream = new JobStream(cluster);
     const victim = await findScheduler(cluster, 'za-3');
-    cluster.relays.get(victim.instance)!.cut();
+    cluster.proxies.get(victim.instance)!.blockTraffic();
     stream.submit('cut', 15);
     await findScheduler(cluster, 'za-3', victim);
-    cluster.relays.get(victim.instance)!.heal();
+    cluster.proxies.get(victim.instance)!.unblockTraffic();
     t.strictSame(await stream.findViolations(), []);
   },
 );
@@ -73,7 +73,7 @@
   t.test(
     'is told truthfully, and what was refused is run later on request',
     async t => {
-      const stream = new Stream(cluster);
+      const stream = new JobStream(cluster);
       stream.submit('before-outage', 10);
       await setLogFaults(cluster, {outage: true});
       await pause(1_000);
@@ -97,13 +97,13 @@
       await setLogFaults(cluster, {outage: false});
       stream.submit('after-outage', 10);
       t.strictSame(await stream.findViolations(), []);
-      const unknown = await cluster.api.job('during-outage');
+      const unknown = await cluster.api.getJob('during-outage');
       t.equal(unknown.status, 404, 'what was "not run" was not recorded');
     },
   );
 
   t.test('that loses answers runs nothing twice', async t => {
-    const stream = new Stream(cluster);
+    const stream = new JobStream(cluster);
     await setLogFaults(cluster, {loseAnswers: 12});
     stream.submit('lost-answers', 20);
     t.strictSame(await stream.findViolations(), []);
@@ -111,7 +111,7 @@
 });
 
 t.test('a planned stop of every daemon in turn cuts no request', async t => {
-  const stream = new Stream(cluster);
+  const stream = new JobStream(cluster);
   let isDone = false;
   const cut: string[] = [];
   const caller = async (id: number) => {
--- a/packages/demo/__tests__/fixtures.ts
+++ b/packages/demo/__tests__/fixtures.ts
@@ -4,12 +4,12 @@
 import {join} from 'node:path';
 import type {JobView} from '@galenavalve/model';
 import {SeededRandom} from '@galenavalve/shared';
-import {type TcpRelay, startTcpRelay} from '@galenavalve/standins';
+import {type FaultProxy, startFaultProxy} from '@galenavalve/standins';
 import {
   type Cluster,
-  type Entry,
+  type EntryInstance,
   type JobDraft,
-  type Outage,
+  type OutOfServicePeriod,
   checkPromises,
   createJobs,
   readRuns,
@@ -21,24 +21,24 @@
 const TAKEOVER_LIMIT_MS = 30_000;
 
 /** A cluster whose daemons reach the log through relays of their own. */
-export interface RelayedCluster extends Cluster {
-  relays: Map<string, TcpRelay>;
+export interface ProxiedCluster extends Cluster {
+  proxies: Map<string, FaultProxy>;
   stop(): Promise<void>;
 }
 
 /** Starts a cluster on ports of its own. */
-export async function startRelayedCluster(
+export async function startProxiedCluster(
   portBase: number,
-): Promise<RelayedCluster> {
-  const relays = new Map<string, TcpRelay>();
+): Promise<ProxiedCluster> {
+  const relays = new Map<string, FaultProxy>();
   const dir = mkdtempSync(join(tmpdir(), 'galenavalve-failures-'));
   const cluster = await startCluster(dir, {
     httpPortBase: portBase,
     peerPortBase: portBase + 50,
-    logUrlOf: async (instance, logUrl) => {
+    resolveLogUrl: async (instance, logUrl) => {
       const {hostname, port} = new URL(logUrl);
       const relay =
-        relays.get(instance) ?? (await startTcpRelay(hostname, Number(port)));
+        relays.get(instance) ?? (await startFaultProxy(hostname, Number(port)));
       relays.set(instance, relay);
       return `http://${relay.host}:${relay.port}`;
     },
@@ -47,11 +47,11 @@
     await cluster.processes.stopAll();
     await Promise.all([...relays.values()].map(relay => relay.close()));
   };
-  return {...cluster, relays, stop};
+  return {...cluster, proxies: relays, stop};
 }
 
 /** Jobs on their way, and what became of them. */
-export class Stream {
+export class JobStream {
   private readonly drafts: JobDraft[] = [];
   private readonly calls: Promise<[string, JobView]>[] = [];
 
@@ -68,11 +68,16 @@
   }
 
   /** The violations of every promise, once each caller has its answer. */
-  async findViolations(outages: Outage[] = []): Promise<string[]> {
+  async findViolations(outages: OutOfServicePeriod[] = []): Promise<string[]> {
     const answers = new Map(await Promise.all(this.calls));
     const runs = await readRuns(this.cluster.targetUrls.values());
     const {drafts} = this;
-    const verdicts = checkPromises({drafts, answers, runs, outages});
+    const verdicts = checkPromises({
+      drafts,
+      finalJobs: answers,
+      runs,
+      outOfServicePeriods: outages,
+    });
     return verdicts.flatMap(({promise, violations}) =>
       violations.map(violation => `${promise}: ${violation}`),
     );
@@ -92,10 +97,10 @@
 export async function findScheduler(
   {api, entries}: Cluster,
   domain: string,
-  not?: Entry,
-): Promise<Entry> {
+  not?: EntryInstance,
+): Promise<EntryInstance> {
   for (let waited = 0; waited < TAKEOVER_LIMIT_MS; waited += POLL_MS) {
-    const {body} = await api.inventory();
+    const {body} = await api.getInventory();
     const name = body.domains.find(({id}) => id === domain)?.scheduler;
     const entry = entries.find(({instance}) => instance === name);
     if (entry && entry !== not) {
--- a/packages/demo/src/child_processes.ts
+++ b/packages/demo/src/child_processes.ts
@@ -15,7 +15,7 @@
 }
 
 /** How to start a process. */
-export interface Launch {
+export interface LaunchOptions {
   name: string;
   script: string;
   args: readonly string[];
@@ -30,7 +30,7 @@
   }
 
   /** Starts a process; its output goes to a file of its own. */
-  start(launch: Launch): Child {
+  start(launch: LaunchOptions): Child {
     const child = spawn(process.execPath, [launch.script, ...launch.args], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
@@ -48,7 +48,7 @@
   }
 
   /** Starts a stand-in and resolves to the URL that it announces. */
-  async startServer(launch: Launch): Promise<string> {
+  async startServer(launch: LaunchOptions): Promise<string> {
     const child = this.start(launch);
     const lines = createInterface({input: child.process.stdout!});
     return new Promise((resolve, reject) => {
--- a/packages/demo/src/cluster.ts
+++ b/packages/demo/src/cluster.ts
@@ -4,7 +4,7 @@
 import {fileURLToPath} from 'node:url';
 import {ChildProcesses} from './child_processes.js';
 import {EntryApi} from './entry_api.js';
-import {DOMAINS, createConfiguration, targetsOf} from './kestrelway.js';
+import {DOMAINS, createConfiguration, listTargets} from './deployment.js';
 
 const HOST = '127.0.0.1';
 const ENTRIES_PER_DOMAIN = 2;
@@ -12,7 +12,7 @@
 const PEER_PORT_BASE = 19_100;
 
 /** One daemon of the demonstration. */
-export interface Entry {
+export interface EntryInstance {
   instance: string;
   domain: string;
   url: string;
@@ -28,7 +28,7 @@
   /** Settings that are merged into those of every daemon. */
   settings?: Record<string, unknown>;
   /** The log as an instance reaches it, given its URL; by default directly. */
-  logUrlOf?: (instance: string, logUrl: string) => Promise<string>;
+  resolveLogUrl?: (instance: string, logUrl: string) => Promise<string>;
   /** Waiting jobs that each workspace may have. */
   queueLimit?: number;
 }
@@ -36,13 +36,13 @@
 /** The running demonstration. */
 export interface Cluster {
   processes: ChildProcesses;
-  entries: Entry[];
+  entries: EntryInstance[];
   /** Server of the targets, by failure domain. */
   targetUrls: Map<string, string>;
   logUrl: string;
   instanceListUrl: string;
   api: EntryApi;
-  startEntry(entry: Entry): Promise<void>;
+  startEntry(entry: EntryInstance): Promise<void>;
 }
 
 /** Starts everything and puts the configuration in force. `dir` holds settings and output. */
@@ -64,9 +64,9 @@
     targetUrls.set(domain, url);
   }
   const api = new EntryApi(entries.map(entry => entry.url));
-  const startEntry = async (entry: Entry) => {
+  const startEntry = async (entry: EntryInstance) => {
     const ownLogUrl =
-      (await options.logUrlOf?.(entry.instance, logUrl)) ?? logUrl;
+      (await options.resolveLogUrl?.(entry.instance, logUrl)) ?? logUrl;
     const file = writeSettings(dir, entry, entries, {
       ...options.settings,
       platform: {logUrl: ownLogUrl, instanceListUrl},
@@ -96,7 +96,7 @@
   };
 }
 
-function listEntries(options: ClusterOptions): Entry[] {
+function listEntries(options: ClusterOptions): EntryInstance[] {
   const httpPortBase = options.httpPortBase ?? HTTP_PORT_BASE;
   const peerPortBase = options.peerPortBase ?? PEER_PORT_BASE;
   return DOMAINS.flatMap((domain, domainIndex) =>
@@ -113,7 +113,7 @@
   );
 }
 
-function listInstances(entries: Entry[]): unknown[] {
+function listInstances(entries: EntryInstance[]): unknown[] {
   const entryList = entries.map(({instance, domain, peerPort}) => ({
     id: instance,
     domain,
@@ -123,7 +123,12 @@
     port: peerPort,
   }));
   const targetList = DOMAINS.flatMap(domain =>
-    targetsOf(domain).map(id => ({id, domain, role: 'target', state: 'live'})),
+    listTargets(domain).map(id => ({
+      id,
+      domain,
+      role: 'target',
+      state: 'live',
+    })),
   );
   return [...entryList, ...targetList];
 }
@@ -133,7 +138,7 @@
   dir: string,
   domain: string,
 ): Promise<string> {
-  const targets = targetsOf(domain).map(id => ({
+  const targets = listTargets(domain).map(id => ({
     id,
     slots: 8,
     accelerators: 8,
@@ -162,8 +167,8 @@
 
 function writeSettings(
   dir: string,
-  entry: Entry,
-  entries: Entry[],
+  entry: EntryInstance,
+  entries: EntryInstance[],
   settings: Record<string, unknown>,
 ): string {
   const seeds = entries
--- a/packages/demo/src/kestrelway.ts
+++ b/packages/demo/src/deployment.ts
@@ -18,7 +18,7 @@
 const DEFAULT_QUEUE_LIMIT = 1_000;
 
 /** Names of the targets of a failure domain. */
-export function targetsOf(domain: string): string[] {
+export function listTargets(domain: string): string[] {
   return Array.from(
     {length: TARGETS_PER_DOMAIN},
     (_, index) => `${domain}-t${String(index + 1).padStart(2, '0')}`,
@@ -40,7 +40,7 @@
 }
 
 function createTargets(domain: string, url: string): Target[] {
-  return targetsOf(domain).map((id, index) => ({
+  return listTargets(domain).map((id, index) => ({
     kind: 'target',
     id,
     domain,
--- a/packages/demo/src/entry_api.ts
+++ b/packages/demo/src/entry_api.ts
@@ -16,7 +16,7 @@
 const CALL_TIMEOUT_MS = 12_000;
 
 /** What an entry instance answered. */
-export interface Answer<T> {
+export interface ApiResponse<T> {
   status: number;
   body: T;
 }
@@ -43,31 +43,31 @@
   }
 
   /** Submits a job and holds the call until it ends or `waitSeconds` are over. */
-  submit(draft: JobDraft, waitSeconds: number): Promise<Answer<JobView>> {
+  submit(draft: JobDraft, waitSeconds: number): Promise<ApiResponse<JobView>> {
     return this.call('post', `/v1/jobs?wait=${waitSeconds}`, draft);
   }
 
-  job(jobId: string, waitSeconds = 0): Promise<Answer<JobView>> {
+  getJob(jobId: string, waitSeconds = 0): Promise<ApiResponse<JobView>> {
     return this.call('get', `/v1/jobs/${jobId}?wait=${waitSeconds}`);
   }
 
-  explain(jobId: string): Promise<Answer<ExplanationView>> {
+  explain(jobId: string): Promise<ApiResponse<ExplanationView>> {
     return this.call('get', `/v1/jobs/${jobId}/explain`);
   }
 
-  cancel(jobId: string): Promise<Answer<JobView>> {
+  cancel(jobId: string): Promise<ApiResponse<JobView>> {
     return this.call('delete', `/v1/jobs/${jobId}`);
   }
 
-  inventory(): Promise<Answer<InventoryView>> {
+  getInventory(): Promise<ApiResponse<InventoryView>> {
     return this.call('get', '/v1/inventory');
   }
 
-  workspaces(): Promise<Answer<{workspaces: WorkspaceView[]}>> {
+  getWorkspaces(): Promise<ApiResponse<{workspaces: WorkspaceView[]}>> {
     return this.call('get', '/v1/workspaces');
   }
 
-  configure(entities: Entity[]): Promise<Answer<ConfigurationResult>> {
+  configure(entities: Entity[]): Promise<ApiResponse<ConfigurationResult>> {
     return this.call('post', '/v1/config', {
       changeId: 'demo-configuration',
       author: 'demo',
@@ -79,10 +79,10 @@
     });
   }
 
-  setDomain(
+  setDomainState(
     domain: string,
     verb: 'drain' | 'restore',
-  ): Promise<Answer<ConfigurationResult>> {
+  ): Promise<ApiResponse<ConfigurationResult>> {
     return this.call('post', `/v1/domains/${domain}/${verb}`, {author: 'demo'});
   }
 
@@ -108,8 +108,8 @@
     method: 'get' | 'post' | 'delete',
     path: string,
     json?: unknown,
-  ): Promise<Answer<T>> {
-    let last: Answer<T> | undefined;
+  ): Promise<ApiResponse<T>> {
+    let last: ApiResponse<T> | undefined;
     for (let attempt = 0; attempt < TRIES; attempt++) {
       const entry = this.entries[this.turn++ % this.entries.length];
       const response = await this.http<T>(`${entry}${path}`, {
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -4,7 +4,7 @@
 import {join} from 'node:path';
 import {Command} from 'commander';
 import {type Cluster, startCluster} from './cluster.js';
-import {printReport, say} from './report.js';
+import {printReport, printLine} from './report.js';
 import {runScenario} from './scenario.js';
 
 const program = new Command('demo')
@@ -14,7 +14,9 @@
 const options = program.opts<{keep: boolean; seed: number}>();
 
 const dir = mkdtempSync(join(tmpdir(), 'galenavalve-demo-'));
-say(`starting the stand-ins and six daemons; their output goes to ${dir}`);
+printLine(
+  `starting the stand-ins and six daemons; their output goes to ${dir}`,
+);
 let cluster: Cluster | undefined;
 try {
   cluster = await startCluster(dir);
@@ -32,7 +34,7 @@
 
 async function keepUp({entries}: Cluster): Promise<void> {
   const url = entries.map(entry => entry.url).join(',');
-  say('The cluster stays up until Ctrl-C. In another terminal, try:');
+  printLine('The cluster stays up until Ctrl-C. In another terminal, try:');
   for (const command of [
     'inventory',
     'workspaces',
@@ -40,7 +42,7 @@
     'drain za-2',
     'restore za-2',
   ]) {
-    say(`  npx galenavalve --entry ${url} ${command}`);
+    printLine(`  npx galenavalve --entry ${url} ${command}`);
   }
   await new Promise<void>(resolve => {
     process.once('SIGINT', () => resolve());
--- a/packages/demo/src/promises.ts
+++ b/packages/demo/src/promises.ts
@@ -4,26 +4,26 @@
 import type {RunEvent} from './run_history.js';
 
 /** A promise with what was found against it. */
-export interface Verdict {
+export interface PromiseResult {
   promise: string;
   checked: number;
   violations: string[];
 }
 
 /** A time in which a failure domain was out of service, in wall-clock milliseconds. */
-export interface Outage {
+export interface OutOfServicePeriod {
   domain: string;
   from: number;
   until: number;
 }
 
 /** What the checks look at. */
-export interface Evidence {
+export interface PromiseCheckInput {
   drafts: readonly JobDraft[];
   /** What callers were told at last, by request id. */
-  answers: ReadonlyMap<string, JobView>;
+  finalJobs: ReadonlyMap<string, JobView>;
   runs: readonly RunEvent[];
-  outages: readonly Outage[];
+  outOfServicePeriods: readonly OutOfServicePeriod[];
 }
 
 /** Time after a take-out in which a start may still happen: "a few seconds". */
@@ -33,7 +33,7 @@
 const PARTIAL_BOUND_MS = 8_000;
 
 /** Checks every promise that the demonstration can see. */
-export function checkPromises(evidence: Evidence): Verdict[] {
+export function checkPromises(evidence: PromiseCheckInput): PromiseResult[] {
   return [
     checkAnswers(evidence),
     checkWholeAnswers(evidence),
@@ -44,7 +44,10 @@
   ];
 }
 
-function checkAnswers({drafts, answers}: Evidence): Verdict {
+function checkAnswers({
+  drafts,
+  finalJobs: answers,
+}: PromiseCheckInput): PromiseResult {
   const violations = drafts
     .filter(({requestId}) => answers.get(requestId)?.phase !== 'finished')
     .map(({requestId}) => `${requestId} has no final answer`);
@@ -55,7 +58,10 @@
   };
 }
 
-function checkWholeAnswers({drafts, answers}: Evidence): Verdict {
+function checkWholeAnswers({
+  drafts,
+  finalJobs: answers,
+}: PromiseCheckInput): PromiseResult {
   const violations: string[] = [];
   let checked = 0;
   for (const draft of drafts) {
@@ -76,7 +82,7 @@
   };
 }
 
-function checkGangs(evidence: Evidence): Verdict {
+function checkGangs(evidence: PromiseCheckInput): PromiseResult {
   const violations: string[] = [];
   const attempts = groupByAttempt(evidence.runs);
   for (const [key, events] of attempts) {
@@ -92,7 +98,11 @@
   };
 }
 
-function checkNotRepeatable({drafts, answers, runs}: Evidence): Verdict {
+function checkNotRepeatable({
+  drafts,
+  finalJobs: answers,
+  runs,
+}: PromiseCheckInput): PromiseResult {
   const once = drafts.filter(draft => draft.repeatable === false);
   const violations = once.flatMap(({requestId}) => {
     const jobId = answers.get(requestId)?.jobId;
@@ -110,7 +120,10 @@
   };
 }
 
-function checkNotRun({answers, runs}: Evidence): Verdict {
+function checkNotRun({
+  finalJobs: answers,
+  runs,
+}: PromiseCheckInput): PromiseResult {
   const notRun = [...answers.values()].filter(
     answer => answer.outcome === 'not-run',
   );
@@ -124,7 +137,10 @@
   };
 }
 
-function checkTakenOut({runs, outages}: Evidence): Verdict {
+function checkTakenOut({
+  runs,
+  outOfServicePeriods: outages,
+}: PromiseCheckInput): PromiseResult {
   const violations = outages.flatMap(({domain, from, until}) =>
     runs
       .filter(
@@ -157,7 +173,7 @@
 /** Longest time that some but not all tasks of an attempt had started, before the first end. */
 function longestPartialRun(
   events: readonly RunEvent[],
-  {drafts, answers}: Evidence,
+  {drafts, finalJobs: answers}: PromiseCheckInput,
 ): number {
   const first = events[0];
   const draft = drafts.find(
--- a/packages/demo/src/report.ts
+++ b/packages/demo/src/report.ts
@@ -1,36 +1,36 @@
 /** Prints what the demonstration saw. */
 import type {JobView} from '@galenavalve/model';
-import type {Result} from './scenario.js';
+import type {ScenarioResult} from './scenario.js';
 
 /** Prints a line. */
-export function say(line: string): void {
+export function printLine(line: string): void {
   console.log(line);
 }
 
 /** Prints the report; returns whether every promise held. */
-export function printReport(result: Result): boolean {
-  printJobs(result.answers);
+export function printReport(result: ScenarioResult): boolean {
+  printJobs(result.finalJobs);
   printFigures(result);
-  say('');
-  for (const {promise, checked, violations} of result.verdicts) {
-    say(
+  printLine('');
+  for (const {promise, checked, violations} of result.promiseResults) {
+    printLine(
       `${violations.length === 0 ? 'held  ' : 'BROKEN'}  ${promise} (${checked} checked)`,
     );
     for (const violation of violations) {
-      say(`        ${violation}`);
+      printLine(`        ${violation}`);
     }
   }
-  return result.verdicts.every(({violations}) => violations.length === 0);
+  return result.promiseResults.every(({violations}) => violations.length === 0);
 }
 
 function printJobs(answers: readonly JobView[]): void {
-  say('');
-  say(
+  printLine('');
+  printLine(
     'request    workspace        domain  outcome    attempts  waited ms  last word',
   );
   for (const answer of answers) {
     const waited = waitedMs(answer);
-    say(
+    printLine(
       [
         answer.requestId.padEnd(10),
         answer.workspace.padEnd(16),
@@ -44,17 +44,21 @@
   }
 }
 
-function printFigures({answers, runs, takeoverMs}: Result): void {
+function printFigures({
+  finalJobs: answers,
+  runs,
+  takeoverMs,
+}: ScenarioResult): void {
   const waits = answers.flatMap(answer => waitedMs(answer) ?? []);
   const urgent = answers
     .filter(answer => answer.urgent)
     .flatMap(answer => waitedMs(answer) ?? []);
   const starts = runs.filter(run => run.kind === 'started').length;
-  say('');
-  say(`jobs: ${answers.length}; starts on targets: ${starts}`);
-  say(`submit to last start, all: ${describe(waits)}`);
-  say(`submit to last start, urgent: ${describe(urgent)}`);
-  say(`takeover after a killed scheduler: ${takeoverMs} ms`);
+  printLine('');
+  printLine(`jobs: ${answers.length}; starts on targets: ${starts}`);
+  printLine(`submit to last start, all: ${describe(waits)}`);
+  printLine(`submit to last start, urgent: ${describe(urgent)}`);
+  printLine(`takeover after a killed scheduler: ${takeoverMs} ms`);
 }
 
 function waitedMs(answer: JobView): number | undefined {
--- a/packages/demo/src/scenario.ts
+++ b/packages/demo/src/scenario.ts
@@ -1,11 +1,15 @@
 /** What happens in the demonstration, step by step. */
 import type {JobView} from '@galenavalve/model';
 import {SeededRandom} from '@galenavalve/shared';
-import type {Cluster, Entry} from './cluster.js';
+import type {Cluster, EntryInstance} from './cluster.js';
 import type {JobDraft} from './entry_api.js';
-import {DOMAINS} from './kestrelway.js';
-import {type Outage, type Verdict, checkPromises} from './promises.js';
-import {say} from './report.js';
+import {DOMAINS} from './deployment.js';
+import {
+  type OutOfServicePeriod,
+  type PromiseResult,
+  checkPromises,
+} from './promises.js';
+import {printLine} from './report.js';
 import {type RunEvent, readRuns} from './run_history.js';
 import {createJobs} from './workload.js';
 
@@ -15,10 +19,10 @@
 const OUTAGE_MS = 6_000;
 
 /** What the demonstration saw. */
-export interface Result {
-  answers: JobView[];
+export interface ScenarioResult {
+  finalJobs: JobView[];
   runs: RunEvent[];
-  verdicts: Verdict[];
+  promiseResults: PromiseResult[];
   /** Time from the kill of a scheduler until its domain had another, in milliseconds. */
   takeoverMs: number;
 }
@@ -27,7 +31,7 @@
 export async function runScenario(
   cluster: Cluster,
   seed: number,
-): Promise<Result> {
+): Promise<ScenarioResult> {
   const random = new SeededRandom(seed);
   const drafts: JobDraft[] = [];
   const calls: Promise<[string, JobView]>[] = [];
@@ -36,17 +40,27 @@
     drafts.push(...jobs);
     calls.push(...jobs.map(draft => followJob(cluster, draft)));
   };
-  say(`submitting ${JOBS_PER_STEP} jobs to six entry instances`);
+  printLine(`submitting ${JOBS_PER_STEP} jobs to six entry instances`);
   submit('calm');
   await pause(STEP_MS);
   const takeoverMs = await killScheduler(cluster, () => submit('kill'));
   const outage = await takeDomainOut(cluster, () => submit('out'));
   submit('back');
-  say('waiting for every answer');
+  printLine('waiting for every answer');
   const answers = new Map(await Promise.all(calls));
   const runs = await readRuns(cluster.targetUrls.values());
-  const verdicts = checkPromises({drafts, answers, runs, outages: [outage]});
-  return {answers: [...answers.values()], runs, verdicts, takeoverMs};
+  const verdicts = checkPromises({
+    drafts,
+    finalJobs: answers,
+    runs,
+    outOfServicePeriods: [outage],
+  });
+  return {
+    finalJobs: [...answers.values()],
+    runs,
+    promiseResults: verdicts,
+    takeoverMs,
+  };
 }
 
 /** Submits and waits, as a caller does who asks again with the same request id. */
@@ -67,7 +81,7 @@
   submit: () => void,
 ): Promise<number> {
   const victim = await findScheduler(cluster, DOMAINS[0]);
-  say(`killing ${victim.instance}, the scheduler of ${victim.domain}`);
+  printLine(`killing ${victim.instance}, the scheduler of ${victim.domain}`);
   submit();
   await cluster.processes.kill(victim.instance);
   const killedAt = Date.now();
@@ -77,9 +91,9 @@
     successor = await findScheduler(cluster, DOMAINS[0]);
   }
   const takeoverMs = Date.now() - killedAt;
-  say(`${successor.instance} took over after ${takeoverMs} ms`);
+  printLine(`${successor.instance} took over after ${takeoverMs} ms`);
   await cluster.startEntry(victim);
-  say(`${victim.instance} was replaced by a fresh process`);
+  printLine(`${victim.instance} was replaced by a fresh process`);
   return takeoverMs;
 }
 
@@ -87,25 +101,25 @@
 async function takeDomainOut(
   {api}: Cluster,
   submit: () => void,
-): Promise<Outage> {
+): Promise<OutOfServicePeriod> {
   const domain = DOMAINS[1];
-  say(`taking ${domain} out of service`);
-  await api.setDomain(domain, 'drain');
+  printLine(`taking ${domain} out of service`);
+  await api.setDomainState(domain, 'drain');
   const from = Date.now();
   submit();
   await pause(OUTAGE_MS);
   const until = Date.now();
-  await api.setDomain(domain, 'restore');
-  say(`${domain} is back in service`);
+  await api.setDomainState(domain, 'restore');
+  printLine(`${domain} is back in service`);
   return {domain, from, until};
 }
 
 async function findScheduler(
   {api, entries}: Cluster,
   domain: string,
-): Promise<Entry> {
+): Promise<EntryInstance> {
   for (;;) {
-    const {body} = await api.inventory();
+    const {body} = await api.getInventory();
     const name = body.domains.find(({id}) => id === domain)?.scheduler;
     const entry = entries.find(({instance}) => instance === name);
     if (entry) {
--- a/packages/faults/__tests__/guards.spec.ts
+++ b/packages/faults/__tests__/guards.spec.ts
@@ -3,11 +3,11 @@
 import {
   ALL_GUARDS,
   type Guards,
-  PromiseBook,
+  PromiseChecker,
   type PromiseName,
   type Violation,
-  World,
-  checkEnds,
+  SimulatedCluster,
+  checkTermination,
   checkReclaim,
   createDomain,
   createRequest,
@@ -17,24 +17,27 @@
 t.setTimeout(0);
 
 /** What happens, and what the checks say at its end. */
-type Scenario = (world: World) => Promise<Violation[]>;
+type Scenario = (world: SimulatedCluster) => Promise<Violation[]>;
 
 const START = new Set(['start' as const]);
 const STOP = new Set(['stop' as const]);
 
 /** A world in which both domains have a scheduler. */
-async function createWorld(guards: Partial<Guards>): Promise<World> {
-  const world = new World(1, {...ALL_GUARDS, ...guards});
+async function createWorld(guards: Partial<Guards>): Promise<SimulatedCluster> {
+  const world = new SimulatedCluster(1, {...ALL_GUARDS, ...guards});
   await world.advance(3000);
   return world;
 }
 
-function check(world: World): Violation[] {
-  return new PromiseBook().check(world);
+function check(world: SimulatedCluster): Violation[] {
+  return new PromiseChecker().check(world);
 }
 
 /** Submits a job to the first domain, and waits until the log holds its placement. */
-async function place(world: World, changes: Record<string, unknown>) {
+async function place(
+  world: SimulatedCluster,
+  changes: Record<string, unknown>,
+) {
   world.configure([createDomain('d2', 'out')]);
   await world.advance(1000);
   const request = createRequest('r1', world.clock.wallTime(), changes);
@@ -50,7 +53,7 @@
 }
 
 /** A start that is on its way when its scheduler dies, and that the successor cannot see. */
-async function delayStart(world: World) {
+async function delayStart(world: SimulatedCluster) {
   for (const id of listTargets()) {
     world.targets.setFault(id, {delayMs: 12_000, commands: START});
   }
@@ -118,7 +121,7 @@
 };
 
 const restart: Scenario = async world => {
-  const book = new PromiseBook();
+  const book = new PromiseChecker();
   book.check(world);
   world.instances.get('d1-i1')?.kill();
   world.startInstance('d1-i1');
@@ -129,7 +132,7 @@
 
 /** The log loses the answer to a submission, and has an outage right after it. */
 async function loseAnswer(
-  world: World,
+  world: SimulatedCluster,
   entries: readonly string[],
 ): Promise<Violation[]> {
   // The entry's read is still without an answer when its append takes effect.
@@ -151,10 +154,10 @@
     const holder = world.observer.getSchedulerTerm(domain)?.instance;
     world.instances.get(holder ?? '')?.kill();
   }
-  const [entry] = world.servingInstances();
+  const [entry] = world.listServingInstances();
   void world.submit(createRequest('r1', world.clock.wallTime()), [entry!]);
   await world.advance(60_000);
-  return checkEnds(world);
+  return checkTermination(world);
 };
 
 /** By guard: what it protects, what goes wrong, and the world without it. */
@@ -180,7 +183,7 @@
     {targets: {leaving: false}},
   ],
   ['catching up', 'versions-never-fall', restart, {catchUp: false}],
-  ['an honest log', 'true-not-run', lostAnswer, {honestLog: false}],
+  ['an honest log', 'true-not-run', lostAnswer, {accurateLogErrors: false}],
   ['succession', 'every-request-ends', deadSchedulers, {succession: false}],
   ['reclaim', 'reclaim', checkReclaim, {guarantees: false}],
 ];
--- a/packages/faults/src/exploration.ts
+++ b/packages/faults/src/exploration.ts
@@ -5,15 +5,19 @@
   nextInteger,
 } from '@galenavalve/shared';
 import {ALL_GUARDS, type Guards} from './guards.js';
-import {cause} from './incidents.js';
+import {applyRandomIncident} from './incidents.js';
 import {
-  PromiseBook,
+  PromiseChecker,
   RECLAIM_BOUND_MS,
   type Violation,
-  checkEnds,
+  checkTermination,
   hasStarted,
 } from './promises.js';
-import {TARGETS_PER_DOMAIN, World, createRequest} from './world.js';
+import {
+  TARGETS_PER_DOMAIN,
+  SimulatedCluster,
+  createRequest,
+} from './simulated_cluster.js';
 
 /** Incidents of one exploration. */
 const STEPS = 60;
@@ -25,58 +29,63 @@
 const SETTLE_MS: Milliseconds = 500_000;
 
 /** What an exploration found. */
-export interface Finding {
+export interface ExplorationResult {
   seed: number;
   /** The first broken promises; empty when all held. */
   violations: Violation[];
   /** What happened, with its time in milliseconds. */
-  story: string[];
+  trace: string[];
 }
 
 /** Explores one seed. Stops at the first broken promise. */
 export async function explore(
   seed: number,
   changes: Partial<Guards> = {},
-): Promise<Finding> {
+): Promise<ExplorationResult> {
   const random = new SeededRandom(seed);
-  const world = new World(seed, {...ALL_GUARDS, ...changes});
-  const book = new PromiseBook();
+  const world = new SimulatedCluster(seed, {...ALL_GUARDS, ...changes});
+  const book = new PromiseChecker();
   const story: string[] = [];
   const startedAt = world.clock.now();
   await world.advance(3000);
   for (let step = 0; step < STEPS; step++) {
-    const what = cause(world, random, step);
+    const what = applyRandomIncident(world, random, step);
     story.push(`${world.clock.now() - startedAt} ${what}`);
     await world.advance(50 + nextInteger(random, MAX_GAP_MS));
     const violations = book.check(world);
     if (violations.length > 0) {
-      return {seed, violations, story};
+      return {seed, violations, trace: story};
     }
   }
-  world.heal();
+  world.clearFaults();
   story.push(`${world.clock.now() - startedAt} all faults are over`);
   const violations = await settle(world, book);
-  return {seed, violations, story};
+  return {seed, violations, trace: story};
 }
 
 /** Lets all work end, then checks that a promise can still be reclaimed. */
-async function settle(world: World, book: PromiseBook): Promise<Violation[]> {
+async function settle(
+  world: SimulatedCluster,
+  book: PromiseChecker,
+): Promise<Violation[]> {
   for (let passed = 0; passed < SETTLE_MS; passed += 5000) {
     await world.advance(5000);
     const violations = book.check(world);
     if (violations.length > 0) {
       return violations;
     }
-    if (checkEnds(world).length === 0) {
+    if (checkTermination(world).length === 0) {
       return checkReclaim(world);
     }
   }
-  return checkEnds(world);
+  return checkTermination(world);
 }
 
 /** Others fill the domain, then the workspace asks for what it is promised. */
-export async function checkReclaim(world: World): Promise<Violation[]> {
-  const [entry] = world.servingInstances();
+export async function checkReclaim(
+  world: SimulatedCluster,
+): Promise<Violation[]> {
+  const [entry] = world.listServingInstances();
   if (entry === undefined) {
     return [];
   }
--- a/packages/faults/src/facts.ts
+++ b/packages/faults/src/exploration_history.ts
@@ -3,20 +3,20 @@
 import type {Instant} from '@galenavalve/shared';
 
 /** What a caller was told last. */
-export type CallerAnswer = 'accepted' | 'not-run' | 'unknown' | 'none';
+export type SubmitOutcome = 'accepted' | 'not-run' | 'unknown' | 'none';
 
 /** One request of a caller. */
-export interface RequestFact {
+export interface ObservedRequest {
   request: JobRequest;
   jobId: string;
-  answer: CallerAnswer;
+  reportedOutcome: SubmitOutcome;
   /** Whether an earlier answer left it open. */
   wasUnknown: boolean;
   isCancelled: boolean;
 }
 
 /** A time in which something took no new work by order of operators, or of the target itself. */
-export interface OutOfServiceFact {
+export interface OutOfServicePeriod {
   /** Failure domain or target. */
   entity: string;
   since: Instant;
@@ -24,27 +24,27 @@
 }
 
 /** Everything noted. */
-export class Facts {
-  readonly requests = new Map<string, RequestFact>();
-  readonly outages: OutOfServiceFact[] = [];
+export class ExplorationHistory {
+  readonly requests = new Map<string, ObservedRequest>();
+  readonly outOfServicePeriods: OutOfServicePeriod[] = [];
   /** Whether any target ever failed every task. */
-  hadBadTargets = false;
+  hadFailingTargets = false;
 
-  noteOut(entity: string, since: Instant): void {
+  onOutOfService(entity: string, since: Instant): void {
     if (!this.present(entity)) {
-      this.outages.push({entity, since, until: Infinity});
+      this.outOfServicePeriods.push({entity, since, until: Infinity});
     }
   }
 
-  noteIn(entity: string, now: Instant): void {
+  onInService(entity: string, now: Instant): void {
     const present = this.present(entity);
     if (present) {
       present.until = now;
     }
   }
 
-  private present(entity: string): OutOfServiceFact | undefined {
-    return this.outages.find(
+  private present(entity: string): OutOfServicePeriod | undefined {
+    return this.outOfServicePeriods.find(
       fact => fact.entity === entity && fact.until === Infinity,
     );
   }
--- a/packages/faults/src/guards.ts
+++ b/packages/faults/src/guards.ts
@@ -3,10 +3,10 @@
 import type {TargetGuards} from '@galenavalve/targets';
 
 /** Longest age of the configuration at which work starts. */
-export const FRESH_MS: Milliseconds = 2000;
+export const FRESHNESS_BOUND_MS: Milliseconds = 2000;
 
 /** Time to live of a reservation. */
-export const RESERVATION_MS: Milliseconds = 2000;
+export const RESERVATION_TTL_MS: Milliseconds = 2000;
 
 /** The guards of one exploration. */
 export interface Guards {
@@ -19,7 +19,7 @@
   /** A process serves only after it has caught up with the log. */
   catchUp: boolean;
   /** The log never says that nothing was written when something was. */
-  honestLog: boolean;
+  accurateLogErrors: boolean;
   /** Placement keeps what is promised within reach. */
   guarantees: boolean;
 }
@@ -28,9 +28,9 @@
 export const ALL_GUARDS: Guards = {
   targets: {},
   freshness: true,
-  reservationMs: RESERVATION_MS,
+  reservationMs: RESERVATION_TTL_MS,
   succession: true,
   catchUp: true,
-  honestLog: true,
+  accurateLogErrors: true,
   guarantees: true,
 };
--- a/packages/faults/src/incidents.ts
+++ b/packages/faults/src/incidents.ts
@@ -2,15 +2,19 @@
 import {type Random, nextInteger} from '@galenavalve/shared';
 import {DOMAINS} from './instance.js';
 import {
-  type World,
+  type SimulatedCluster,
   createDomain,
   createRequest,
   createTarget,
   listTargets,
-} from './world.js';
+} from './simulated_cluster.js';
 
 /** Does one thing to a world, and returns what it did. */
-type Incident = (world: World, random: Random, index: number) => string;
+type Incident = (
+  world: SimulatedCluster,
+  random: Random,
+  index: number,
+) => string;
 
 /** Incidents with the weight of their choice. */
 const incidents: readonly [number, Incident][] = [
@@ -37,7 +41,11 @@
 ];
 
 /** Chooses an incident and lets it happen. */
-export function cause(world: World, random: Random, index: number): string {
+export function applyRandomIncident(
+  world: SimulatedCluster,
+  random: Random,
+  index: number,
+): string {
   const total = incidents.reduce((sum, [weight]) => sum + weight, 0);
   let choice = nextInteger(random, total);
   for (const [weight, incident] of incidents) {
@@ -49,7 +57,11 @@
   return '';
 }
 
-function submit(world: World, random: Random, index: number): string {
+function submit(
+  world: SimulatedCluster,
+  random: Random,
+  index: number,
+): string {
   const tasks = 1 + nextInteger(random, 3);
   const request = createRequest(`r${index}`, world.clock.wallTime(), {
     workspace: pick(random, ['escorts', 'borders']),
@@ -71,10 +83,10 @@
   return `submit r${index} (${tasks} tasks)`;
 }
 
-function cancelWave(world: World, random: Random): string {
+function cancelWave(world: SimulatedCluster, random: Random): string {
   const entry = pick(random, [...world.instances.keys()]);
   const share = random.next();
-  for (const fact of world.facts.requests.values()) {
+  for (const fact of world.history.requests.values()) {
     if (random.next() < share) {
       void world.cancel(fact, entry);
     }
@@ -82,13 +94,13 @@
   return `cancel wave through ${entry}`;
 }
 
-function killInstance(world: World, random: Random): string {
+function killInstance(world: SimulatedCluster, random: Random): string {
   const name = pick(random, [...world.instances.keys()]);
   world.instances.get(name)?.kill();
   return `kill ${name}`;
 }
 
-function restartInstance(world: World): string {
+function restartInstance(world: SimulatedCluster): string {
   const dead = [...world.instances.values()].find(
     ({process}) => process.isDead,
   );
@@ -98,59 +110,59 @@
   return `restart ${dead?.name ?? 'nobody'}`;
 }
 
-function pauseInstance(world: World, random: Random): string {
+function pauseInstance(world: SimulatedCluster, random: Random): string {
   const name = pick(random, [...world.instances.keys()]);
   const length = pick(random, [300, 1500, 3000, 9000]);
   world.instances.get(name)?.process.pause(length);
   return `pause ${name} for ${length} ms`;
 }
 
-function rivalClaim(world: World, random: Random): string {
+function rivalClaim(world: SimulatedCluster, random: Random): string {
   const name = pick(random, [...world.instances.keys()]);
   void world.instances.get(name)?.claim();
   return `${name} claims`;
 }
 
-function cutInstance(world: World, random: Random): string {
+function cutInstance(world: SimulatedCluster, random: Random): string {
   const name = pick(random, [...world.instances.keys()]);
   const process = world.instances.get(name)?.process;
   if (process) {
-    process.isCutFromLog = !process.isCutFromLog;
+    process.isDisconnectedFromLog = !process.isDisconnectedFromLog;
   }
   return `cut ${name} from the log, or mend it`;
 }
 
-function logOutage(world: World, random: Random): string {
+function logOutage(world: SimulatedCluster, random: Random): string {
   const outage = pick(random, ['refused', 'silent'] as const);
   world.log.faults.outage = outage;
   return `log outage: ${outage}`;
 }
 
-function logRecovery(world: World): string {
+function logRecovery(world: SimulatedCluster): string {
   world.log.faults.outage = 'none';
   for (const {process} of world.instances.values()) {
-    process.isCutFromLog = false;
+    process.isDisconnectedFromLog = false;
   }
   return 'log recovery';
 }
 
-function loseLogAnswers(world: World, random: Random): string {
+function loseLogAnswers(world: SimulatedCluster, random: Random): string {
   world.log.faults.lostAnswers = 1 + nextInteger(random, 3);
   return 'lost answers of appends';
 }
 
-function delayAppends(world: World, random: Random): string {
+function delayAppends(world: SimulatedCluster, random: Random): string {
   world.log.faults.lateAppends = 1 + nextInteger(random, 2);
   world.log.faults.lateBy = pick(random, [1500, 4000, 9000]);
   return `appends late by ${world.log.faults.lateBy} ms`;
 }
 
-function loseAppends(world: World): string {
+function loseAppends(world: SimulatedCluster): string {
   world.log.faults.lostAppends = 1;
   return 'lost append';
 }
 
-function targetFault(world: World, random: Random): string {
+function targetFault(world: SimulatedCluster, random: Random): string {
   const target = pick(random, listTargets());
   const fault = pick(random, [
     {silent: true},
@@ -167,7 +179,7 @@
   return `${target} ${Object.keys(fault).join(' ')}`;
 }
 
-function targetRecovery(world: World): string {
+function targetRecovery(world: SimulatedCluster): string {
   for (const id of listTargets()) {
     world.targets.setFault(id, undefined);
     world.targets.recover(id);
@@ -177,20 +189,20 @@
   return 'targets recover';
 }
 
-function killTarget(world: World, random: Random): string {
+function killTarget(world: SimulatedCluster, random: Random): string {
   const target = pick(random, listTargets());
   world.targets.kill(target);
   return `kill ${target}`;
 }
 
-function badTarget(world: World, random: Random): string {
+function badTarget(world: SimulatedCluster, random: Random): string {
   const target = pick(random, listTargets());
   world.targets.getModel(target).behavior = 'fails-every-task';
-  world.facts.hadBadTargets = true;
+  world.history.hadFailingTargets = true;
   return `${target} fails every task`;
 }
 
-function leavingTarget(world: World, random: Random): string {
+function leavingTarget(world: SimulatedCluster, random: Random): string {
   const target = pick(random, listTargets());
   if (random.next() < 0.5) {
     world.setLeaving(target, true);
@@ -200,13 +212,13 @@
   return `operators let ${target} leave`;
 }
 
-function domainOut(world: World, random: Random): string {
+function domainOut(world: SimulatedCluster, random: Random): string {
   const domain = pick(random, DOMAINS);
   const isDone = world.configure([createDomain(domain, 'out')]);
   return `${domain} out: ${isDone}`;
 }
 
-function domainIn(world: World): string {
+function domainIn(world: SimulatedCluster): string {
   const values = [
     ...DOMAINS.map(domain => createDomain(domain)),
     ...listTargets().map(id => createTarget(id)),
@@ -215,7 +227,7 @@
 }
 
 /** Two operators change the same entity; the later is based on the version before. */
-function configurationRace(world: World, random: Random): string {
+function configurationRace(world: SimulatedCluster, random: Random): string {
   const domain = pick(random, DOMAINS);
   const state = pick(random, ['in-service', 'out']);
   world.configure([createDomain(domain, 'out')]);
--- a/packages/faults/src/index.ts
+++ b/packages/faults/src/index.ts
@@ -1,18 +1,23 @@
 /** Seeded explorations of faults over the whole system in one process. */
 
 // Explorations
-export {type Finding, checkReclaim, explore} from './exploration.js';
+export {type ExplorationResult, checkReclaim, explore} from './exploration.js';
 export {ALL_GUARDS, type Guards} from './guards.js';
 
 // Promises
 export {
-  PARTIAL_BOUND_MS,
-  PromiseBook,
-  checkEnds,
+  PARTIAL_RUN_BOUND_MS,
+  PromiseChecker,
+  checkTermination,
   type PromiseName,
   TAKE_OUT_BOUND_MS,
   type Violation,
 } from './promises.js';
 
 // The world
-export {World, createDomain, createRequest, listTargets} from './world.js';
+export {
+  SimulatedCluster,
+  createDomain,
+  createRequest,
+  listTargets,
+} from './simulated_cluster.js';
--- a/packages/faults/src/instance.ts
+++ b/packages/faults/src/instance.ts
@@ -31,7 +31,7 @@
   TargetFencer,
   TargetHealth,
 } from '@galenavalve/targets';
-import {FRESH_MS, type Guards} from './guards.js';
+import {FRESHNESS_BOUND_MS, type Guards} from './guards.js';
 import {SimulatedProcess} from './simulated_process.js';
 
 export const LEASE_MS: Milliseconds = 6000;
@@ -40,11 +40,11 @@
 export const DOMAINS = ['d1', 'd2'];
 
 /** What an instance is made of. */
-export interface InstanceParts {
+export interface InstanceOptions {
   name: string;
   domain: string;
   seed: number;
-  base: Clock;
+  baseClock: Clock;
   log: MemoryLog;
   targets: MemoryTargets;
   guards: Guards;
@@ -60,17 +60,17 @@
   readonly writer: LogWriter;
   readonly follower: LogFollower;
   /** The parts that the commands of the daemon use. */
-  readonly node: DaemonContext;
+  readonly context: DaemonContext;
   private readonly mirrors = new Map<string, CellsProjection>();
   private readonly random: SeededRandom;
   private readonly clock: Clock;
   private readonly logger = new SilentLogger();
   private readonly policy: GuaranteePolicy;
 
-  constructor(private readonly parts: InstanceParts) {
+  constructor(private readonly parts: InstanceOptions) {
     this.name = parts.name;
     this.domain = parts.domain;
-    this.process = new SimulatedProcess(parts.base);
+    this.process = new SimulatedProcess(parts.baseClock);
     this.clock = this.process.createClock();
     this.random = new SeededRandom(parts.seed);
     this.policy = parts.guards.guarantees
@@ -88,7 +88,7 @@
       instance: parts.name,
     });
     this.scheduler = this.createScheduler();
-    this.node = this.createNode();
+    this.context = this.createNode();
     this.follower.onApplied(applied => {
       for (const mirror of this.mirrors.values()) {
         mirror.onApplied(applied);
@@ -104,10 +104,12 @@
   }
 
   /** Whether it could do the scheduler's work now. */
-  isFit(now: Instant): boolean {
-    const isRunning = !this.process.isDead && this.process.pauseAge(now) === 0;
+  isEligible(now: Instant): boolean {
+    const isRunning =
+      !this.process.isDead && this.process.getPauseDuration(now) === 0;
     return (
-      isRunning && now - (this.follower.getFreshAt() ?? -Infinity) < FRESH_MS
+      isRunning &&
+      now - (this.follower.getFreshAt() ?? -Infinity) < FRESHNESS_BOUND_MS
     );
   }
 
@@ -154,7 +156,7 @@
   ): Reason | undefined {
     const {configuration} = this.state;
     const age = now - (this.follower.getFreshAt() ?? -Infinity);
-    if (this.parts.guards.freshness && age > FRESH_MS) {
+    if (this.parts.guards.freshness && age > FRESHNESS_BOUND_MS) {
       return createReason('waiting-stale');
     }
     if (configuration.domains.get(this.domain)?.state !== 'in-service') {
@@ -196,14 +198,14 @@
       targetFencer: new TargetFencer({...parts, options}),
       health: new TargetHealth(() => state.configuration.rules),
       findStartBlocker: (now, ids) => this.findBar(now, ids),
-      chooseMove: (jobId, now) => chooseMove(this.node, jobId, now),
+      chooseMove: (jobId, now) => chooseMove(this.context, jobId, now),
     });
   }
 
   /** A log that may lie about lost answers, to show that the check sees it. */
   private chooseLog(): MemoryLog {
     const {log, guards} = this.parts;
-    if (guards.honestLog) {
+    if (guards.accurateLogErrors) {
       return log;
     }
     const append: MemoryLog['append'] = async (values, timeout) => {
--- a/packages/faults/src/main.ts
+++ b/packages/faults/src/main.ts
@@ -25,7 +25,7 @@
     console.log(`seed ${run}: ${promise}: ${detail}`);
   }
   if (story) {
-    console.log(finding.story.map(line => `    ${line}`).join('\n'));
+    console.log(finding.trace.map(line => `    ${line}`).join('\n'));
   }
 }
 console.log(`${runs - broken} runs kept every promise, ${broken} did not`);
--- a/packages/faults/src/promises.ts
+++ b/packages/faults/src/promises.ts
@@ -2,10 +2,10 @@
 import type {Job} from '@galenavalve/ledger';
 import {type Instant, type Milliseconds, hashValue} from '@galenavalve/shared';
 import {type RunEvent, computeLongestPartialRunMs} from '@galenavalve/targets';
-import type {RequestFact} from './facts.js';
-import {FRESH_MS, RESERVATION_MS} from './guards.js';
+import type {ObservedRequest} from './exploration_history.js';
+import {FRESHNESS_BOUND_MS, RESERVATION_TTL_MS} from './guards.js';
 import {CALL_TIMEOUT_MS, LEASE_MS, RENEW_MS} from './instance.js';
-import type {World} from './world.js';
+import type {SimulatedCluster} from './simulated_cluster.js';
 
 /** What can be broken. */
 export type PromiseName =
@@ -33,10 +33,11 @@
 const STEP_MS: Milliseconds = 50;
 
 /** How long after a take-out a task may still start: a fresh configuration, then a reservation that lives. */
-export const TAKE_OUT_BOUND_MS = FRESH_MS + RESERVATION_MS + STEP_MS;
+export const TAKE_OUT_BOUND_MS =
+  FRESHNESS_BOUND_MS + RESERVATION_TTL_MS + STEP_MS;
 
 /** How long a part of a gang may run. */
-export const PARTIAL_BOUND_MS =
+export const PARTIAL_RUN_BOUND_MS =
   computeLongestPartialRunMs({
     leaseMs: LEASE_MS,
     renewMs: RENEW_MS,
@@ -44,13 +45,13 @@
   }) + STEP_MS;
 
 /** Remembers what must not change between two checks. */
-export class PromiseBook {
+export class PromiseChecker {
   private readonly versions = new Map<string, number>();
   private readonly hashes = new Map<number, string>();
   private readonly offsets = new Map<string, number>();
 
   /** Checks all that must hold at any moment. */
-  check(world: World): Violation[] {
+  check(world: SimulatedCluster): Violation[] {
     return [
       ...checkRuns(world),
       ...checkAnswers(world),
@@ -59,7 +60,7 @@
     ];
   }
 
-  private checkVersions(world: World): Violation[] {
+  private checkVersions(world: SimulatedCluster): Violation[] {
     const found: Violation[] = [];
     for (const instance of world.instances.values()) {
       if (!instance.isServing) {
@@ -80,7 +81,7 @@
   }
 
   /** Instances at the same offset have the same state. */
-  private checkStates(world: World): Violation[] {
+  private checkStates(world: SimulatedCluster): Violation[] {
     const found: Violation[] = [];
     for (const {name, state} of world.instances.values()) {
       if (this.offsets.get(name) === state.nextOffset) {
@@ -103,10 +104,12 @@
 }
 
 /** Checks what must hold once all faults are over and time has passed. */
-export function checkEnds(world: World): Violation[] {
-  return [...world.facts.requests.values()].flatMap((fact): Violation[] => {
+export function checkTermination(world: SimulatedCluster): Violation[] {
+  return [...world.history.requests.values()].flatMap((fact): Violation[] => {
     const job = findJob(world, fact);
-    const isOpen = job ? job.phase !== 'finished' : fact.answer === 'accepted';
+    const isOpen = job
+      ? job.phase !== 'finished'
+      : fact.reportedOutcome === 'accepted';
     const phase = job?.phase ?? 'unknown';
     const reason = job?.lastReason?.code ?? '';
     const detail = `${fact.request.requestId} is ${phase} ${reason}`;
@@ -114,37 +117,39 @@
   });
 }
 
-function checkRuns(world: World): Violation[] {
+function checkRuns(world: SimulatedCluster): Violation[] {
   const events = world.audit.listEvents();
   const starts = events.filter(event => event.kind === 'started');
   return [
     ...starts.flatMap(start => checkService(world, start)),
-    ...[...world.facts.requests.values()].flatMap(fact =>
+    ...[...world.history.requests.values()].flatMap(fact =>
       checkJobRuns(world, fact, events),
     ),
   ];
 }
 
 /** No start on what is out of service or leaving. */
-function checkService(world: World, start: RunEvent): Violation[] {
+function checkService(world: SimulatedCluster, start: RunEvent): Violation[] {
   const domain = start.target.split('-')[0];
-  return world.facts.outages.flatMap(({entity, since, until}): Violation[] => {
-    const isLate = (bound: Milliseconds) =>
-      start.at > since + bound && start.at < until;
-    const detail = `${start.jobId} started on ${start.target} at ${start.at}, ${start.at - since} ms after ${entity} went out`;
-    if (entity === `domain/${domain}` && isLate(TAKE_OUT_BOUND_MS)) {
-      return [{promise: 'no-start-after-take-out', detail}];
-    }
-    const isLeaving =
-      (entity === `target/${start.target}` && isLate(TAKE_OUT_BOUND_MS)) ||
-      (entity === `self/${start.target}` && isLate(STEP_MS));
-    return isLeaving ? [{promise: 'no-work-on-leaving-target', detail}] : [];
-  });
+  return world.history.outOfServicePeriods.flatMap(
+    ({entity, since, until}): Violation[] => {
+      const isLate = (bound: Milliseconds) =>
+        start.at > since + bound && start.at < until;
+      const detail = `${start.jobId} started on ${start.target} at ${start.at}, ${start.at - since} ms after ${entity} went out`;
+      if (entity === `domain/${domain}` && isLate(TAKE_OUT_BOUND_MS)) {
+        return [{promise: 'no-start-after-take-out', detail}];
+      }
+      const isLeaving =
+        (entity === `target/${start.target}` && isLate(TAKE_OUT_BOUND_MS)) ||
+        (entity === `self/${start.target}` && isLate(STEP_MS));
+      return isLeaving ? [{promise: 'no-work-on-leaving-target', detail}] : [];
+    },
+  );
 }
 
 function checkJobRuns(
-  world: World,
-  fact: RequestFact,
+  world: SimulatedCluster,
+  fact: ObservedRequest,
   events: readonly RunEvent[],
 ): Violation[] {
   const job = findJob(world, fact);
@@ -158,7 +163,7 @@
     const key = {jobId: job.jobId, attempt};
     const now = world.clock.now();
     const partial = world.audit.measureLongestPartialRunMs(key, count, now);
-    if (partial > PARTIAL_BOUND_MS) {
+    if (partial > PARTIAL_RUN_BOUND_MS) {
       const detail = `${job.jobId}/${attempt} ran in part for ${partial} ms`;
       found.push({promise: 'no-gang-in-part', detail});
     }
@@ -178,12 +183,12 @@
 /** Number of members of each attempt that has run in any part. */
 function memberCounts(
   events: readonly RunEvent[],
-  world: World,
+  world: SimulatedCluster,
   job: Job,
 ): Map<number, number> {
   const counts = new Map<number, number>();
   for (const {attempt} of events) {
-    counts.set(attempt, world.membersOf(job.jobId, attempt));
+    counts.set(attempt, world.getMemberCount(job.jobId, attempt));
   }
   return counts;
 }
@@ -202,15 +207,16 @@
   });
 }
 
-function checkAnswers(world: World): Violation[] {
-  return [...world.facts.requests.values()].flatMap((fact): Violation[] => {
+function checkAnswers(world: SimulatedCluster): Violation[] {
+  return [...world.history.requests.values()].flatMap((fact): Violation[] => {
     const {requestId} = fact.request;
     const job = findJob(world, fact);
     if (!job) {
       return [];
     }
     const hasRun = world.audit.findStartedAttempts(job.jobId).size > 0;
-    const isSaidNotRun = fact.answer === 'not-run' || job.outcome === 'not-run';
+    const isSaidNotRun =
+      fact.reportedOutcome === 'not-run' || job.outcome === 'not-run';
     if (isSaidNotRun && hasRun) {
       const detail = `${requestId} was said not to have run`;
       const promise = fact.wasUnknown
@@ -225,8 +231,8 @@
 }
 
 function findFalseOutcome(
-  world: World,
-  fact: RequestFact,
+  world: SimulatedCluster,
+  fact: ObservedRequest,
   job: Job,
 ): string | undefined {
   const {request} = fact;
@@ -238,7 +244,7 @@
       return isWhole ? undefined : `results ${JSON.stringify(results)}`;
     }
     case 'failed':
-      return request.payload.fail || world.facts.hadBadTargets
+      return request.payload.fail || world.history.hadFailingTargets
         ? undefined
         : 'it failed although nothing failed it';
     case 'cancelled':
@@ -250,7 +256,10 @@
   }
 }
 
-function findJob(world: World, fact: RequestFact): Job | undefined {
+function findJob(
+  world: SimulatedCluster,
+  fact: ObservedRequest,
+): Job | undefined {
   return world.observer.getJobByRequest(fact.request.requestId);
 }
 
@@ -258,7 +267,11 @@
 export const RECLAIM_BOUND_MS: Milliseconds = 15_000;
 
 /** Whether the job has begun to run by `now`. */
-export function hasStarted(world: World, jobId: string, now: Instant): boolean {
+export function hasStarted(
+  world: SimulatedCluster,
+  jobId: string,
+  now: Instant,
+): boolean {
   return world.audit
     .listEvents()
     .some(event => event.jobId === jobId && event.at <= now);
--- a/packages/faults/src/world.ts
+++ b/packages/faults/src/simulated_cluster.ts
@@ -15,7 +15,11 @@
   isFailure,
 } from '@galenavalve/shared';
 import {MemoryTargets, RunAudit, formatLeaseKey} from '@galenavalve/targets';
-import {type CallerAnswer, Facts, type RequestFact} from './facts.js';
+import {
+  type SubmitOutcome,
+  ExplorationHistory,
+  type ObservedRequest,
+} from './exploration_history.js';
 import type {Guards} from './guards.js';
 import {DOMAINS, Instance} from './instance.js';
 
@@ -36,12 +40,12 @@
 const UNKNOWN_CODES = new Set(['outcome-unknown', 'internal']);
 
 /** One world. */
-export class World {
+export class SimulatedCluster {
   readonly clock = new ManualClock(1_000_000);
   readonly log = new MemoryLog(this.clock, {appendLatency: 5});
   readonly targets = new MemoryTargets(this.clock);
   readonly audit = new RunAudit();
-  readonly facts = new Facts();
+  readonly history = new ExplorationHistory();
   readonly instances = new Map<string, Instance>();
   /** Folds every record as soon as it is in the log. */
   readonly observer = new LedgerState();
@@ -78,9 +82,9 @@
 
   startInstance(name: string): Instance {
     const domain = name.split('-')[0] ?? '';
-    const {clock: base, log, targets, guards} = this;
+    const {clock: baseClock, log, targets, guards} = this;
     const seed = this.seed * 1000 + this.starts++;
-    const parts = {name, domain, seed, base, log, targets, guards};
+    const parts = {name, domain, seed, baseClock, log, targets, guards};
     const instance = new Instance(parts);
     this.instances.set(name, instance);
     instance.start();
@@ -89,17 +93,17 @@
 
   /** Sends a request as a caller does: again with the same id when the answer is missing. */
   async submit(request: JobRequest, entries: readonly string[]): Promise<void> {
-    const fact: RequestFact = {
+    const fact: ObservedRequest = {
       request,
       jobId: '',
-      answer: 'none',
+      reportedOutcome: 'none',
       wasUnknown: false,
       isCancelled: false,
     };
-    this.facts.requests.set(request.requestId, fact);
+    this.history.requests.set(request.requestId, fact);
     for (const name of entries.slice(0, CALLER_TRIES)) {
-      fact.answer = await this.ask(name, fact);
-      if (fact.answer !== 'unknown') {
+      fact.reportedOutcome = await this.ask(name, fact);
+      if (fact.reportedOutcome !== 'unknown') {
         return;
       }
       fact.wasUnknown = true;
@@ -107,7 +111,7 @@
   }
 
   /** Cancels a request through one instance. */
-  async cancel(fact: RequestFact, entry: string): Promise<void> {
+  async cancel(fact: ObservedRequest, entry: string): Promise<void> {
     const instance = this.instances.get(entry);
     const job = this.observer.getJobByRequest(fact.request.requestId);
     if (!instance?.isServing || !job) {
@@ -115,7 +119,7 @@
     }
     fact.isCancelled = true;
     try {
-      await cancelJob(instance.node, job.jobId, 'its caller');
+      await cancelJob(instance.context, job.jobId, 'its caller');
     } catch {
       // The caller asks again, or lets the job run.
     }
@@ -151,7 +155,7 @@
   }
 
   /** Puts everything right: nothing is wrong any more after this. */
-  heal(): void {
+  clearFaults(): void {
     Object.assign(this.log.faults, {
       outage: 'none',
       lostAnswers: 0,
@@ -165,7 +169,7 @@
       this.setLeaving(id, false);
     }
     for (const [name, instance] of this.instances) {
-      instance.process.isCutFromLog = false;
+      instance.process.isDisconnectedFromLog = false;
       if (instance.process.isDead) {
         this.startInstance(name);
       }
@@ -177,26 +181,29 @@
     this.targets.getModel(target).leaving = isLeaving;
     const now = this.clock.now();
     if (isLeaving) {
-      this.facts.noteOut(`self/${target}`, now);
+      this.history.onOutOfService(`self/${target}`, now);
     } else {
-      this.facts.noteIn(`self/${target}`, now);
+      this.history.onInService(`self/${target}`, now);
     }
   }
 
   // Queries
 
-  servingInstances(): string[] {
+  listServingInstances(): string[] {
     return [...this.instances.values()]
       .filter(instance => instance.isServing)
       .map(instance => instance.name);
   }
 
   /** Number of targets of an attempt. */
-  membersOf(jobId: string, attempt: number): number {
+  getMemberCount(jobId: string, attempt: number): number {
     return this.memberCounts.get(formatLeaseKey({jobId, attempt})) ?? 0;
   }
 
-  private async ask(name: string, fact: RequestFact): Promise<CallerAnswer> {
+  private async ask(
+    name: string,
+    fact: ObservedRequest,
+  ): Promise<SubmitOutcome> {
     const instance = this.instances.get(name);
     if (!instance?.isServing) {
       return 'unknown';
@@ -204,16 +211,16 @@
     const answer = this.submitTo(instance, fact);
     const timeout = this.clock
       .sleep(CALLER_TIMEOUT_MS)
-      .then((): CallerAnswer => 'unknown');
+      .then((): SubmitOutcome => 'unknown');
     return Promise.race([answer, timeout]);
   }
 
   private async submitTo(
     instance: Instance,
-    fact: RequestFact,
-  ): Promise<CallerAnswer> {
+    fact: ObservedRequest,
+  ): Promise<SubmitOutcome> {
     try {
-      const job = await submitJob(instance.node, fact.request);
+      const job = await submitJob(instance.context, fact.request);
       fact.jobId = job.jobId;
       return 'accepted';
     } catch (error) {
@@ -245,9 +252,9 @@
     }
     const now = this.clock.now();
     if (value.state === 'in-service') {
-      this.facts.noteIn(getEntityKey(value), now);
+      this.history.onInService(getEntityKey(value), now);
     } else {
-      this.facts.noteOut(getEntityKey(value), now);
+      this.history.onOutOfService(getEntityKey(value), now);
     }
   }
 
@@ -258,7 +265,7 @@
       const holder = this.instances.get(
         this.observer.getSchedulerTerm(domain)?.instance ?? '',
       );
-      if (holder?.isFit(now) && holder.scheduler.term) {
+      if (holder?.isEligible(now) && holder.scheduler.term) {
         this.unfitSince.set(domain, now);
         continue;
       }
@@ -268,7 +275,7 @@
         continue;
       }
       const fit = [...this.instances.values()].find(
-        instance => instance.domain === domain && instance.isFit(now),
+        instance => instance.domain === domain && instance.isEligible(now),
       );
       this.unfitSince.set(domain, now);
       void fit?.claim();
--- a/packages/faults/src/simulated_process.ts
+++ b/packages/faults/src/simulated_process.ts
@@ -14,7 +14,7 @@
 export class SimulatedProcess {
   isDead = false;
   /** Whether its messages to the log, and the answers, are lost. */
-  isCutFromLog = false;
+  isDisconnectedFromLog = false;
   private pausedUntil: Instant = -Infinity;
   private pausedSince: Instant = -Infinity;
 
@@ -27,12 +27,12 @@
   }
 
   /** Time for which it has been paused now. */
-  pauseAge(now: Instant): Milliseconds {
+  getPauseDuration(now: Instant): Milliseconds {
     return now < this.pausedUntil ? now - this.pausedSince : 0;
   }
 
   /** Holds every continuation while the process is paused, and for ever once it is dead. */
-  async hold(): Promise<void> {
+  async waitUntilRunning(): Promise<void> {
     while (!this.isDead && this.base.now() < this.pausedUntil) {
       await this.base.sleep(this.pausedUntil - this.base.now());
     }
@@ -44,7 +44,7 @@
     try {
       return await call;
     } finally {
-      await this.hold();
+      await this.waitUntilRunning();
     }
   }
 
@@ -63,13 +63,13 @@
     return {
       append: (values, timeout) =>
         this.receive(
-          this.isCutFromLog
+          this.isDisconnectedFromLog
             ? this.timeOutAppend(timeout)
             : log.append(values, timeout),
         ),
       read: (offset, options) =>
         this.receive(
-          this.isCutFromLog
+          this.isDisconnectedFromLog
             ? this.timeOutRead(offset, options)
             : log.read(offset, options),
         ),
--- a/packages/platform/src/http/connection_pool.ts
+++ b/packages/platform/src/http/connection_pool.ts
@@ -33,7 +33,7 @@
   }
 
   /** Closes the sockets that carry no request, so that the next request opens a new one. */
-  dropIdle(): void {
+  closeIdle(): void {
     for (const sockets of Object.values(this.agent.freeSockets)) {
       for (const socket of [...(sockets ?? [])]) {
         socket.destroy();
--- a/packages/platform/src/http/json_client.ts
+++ b/packages/platform/src/http/json_client.ts
@@ -23,21 +23,21 @@
   method: 'GET' | 'POST' | 'DELETE';
   url: string;
   body?: unknown;
-  timeout: Milliseconds;
+  timeoutMs: Milliseconds;
   /** A longer answer is given up, in bytes. */
-  maxAnswerBytes: number;
+  maxResponseBytes: number;
 }
 
 /** An answer that came whole; `body` is undefined when it is not JSON. */
-export interface JsonAnswer {
+export interface JsonResponse {
   status: number;
   body: unknown;
   /** Time that the service asks to wait before another request. */
-  retryAfter?: Milliseconds;
+  retryAfterMs?: Milliseconds;
 }
 
 /** No whole answer came. */
-export class NoAnswer extends Error {
+export class NoResponse extends Error {
   constructor(
     /** False only when no byte of the request can have reached the service. */
     readonly wasSent: boolean,
@@ -45,23 +45,23 @@
     options?: ErrorOptions,
   ) {
     super(problem, options);
-    this.name = 'NoAnswer';
+    this.name = 'NoResponse';
   }
 }
 
-/** Sends one request. Throws `NoAnswer`. */
+/** Sends one request. Throws `NoResponse`. */
 export async function sendJson(
   pool: ConnectionPool,
   request: JsonRequest,
-): Promise<JsonAnswer> {
+): Promise<JsonResponse> {
   const call = got(request.url, {
     method: request.method,
     json: request.body,
     agent: {http: pool.agent},
     retry: {limit: 0},
     timeout: {
-      connect: Math.min(CONNECT_TIMEOUT_MS, request.timeout),
-      request: request.timeout,
+      connect: Math.min(CONNECT_TIMEOUT_MS, request.timeoutMs),
+      request: request.timeoutMs,
     },
     throwHttpErrors: false,
     followRedirect: false,
@@ -70,7 +70,7 @@
   });
   let isTooLong = false;
   void call.on('downloadProgress', ({transferred}) => {
-    if (transferred > request.maxAnswerBytes && !isTooLong) {
+    if (transferred > request.maxResponseBytes && !isTooLong) {
       isTooLong = true;
       call.cancel();
     }
@@ -80,19 +80,19 @@
     return {
       status: answer.statusCode,
       body: parseJson(answer.body),
-      retryAfter: parseRetryAfter(answer.headers['retry-after']),
+      retryAfterMs: parseRetryAfter(answer.headers['retry-after']),
     };
   } catch (error) {
     if (isTooLong) {
-      const problem = `the answer has more than ${request.maxAnswerBytes} bytes`;
-      throw new NoAnswer(true, problem, {cause: error});
+      const problem = `the answer has more than ${request.maxResponseBytes} bytes`;
+      throw new NoResponse(true, problem, {cause: error});
     }
     if (error instanceof TimeoutError) {
-      pool.dropIdle();
-      const problem = `no answer within ${request.timeout} ms`;
-      throw new NoAnswer(wasSent(error), problem, {cause: error});
+      pool.closeIdle();
+      const problem = `no answer within ${request.timeoutMs} ms`;
+      throw new NoResponse(wasSent(error), problem, {cause: error});
     }
-    throw new NoAnswer(wasSent(error), describeError(error), {cause: error});
+    throw new NoResponse(wasSent(error), describeError(error), {cause: error});
   }
 }
 
--- a/packages/platform/src/http/traffic.ts
+++ b/packages/platform/src/http/traffic.ts
@@ -18,7 +18,7 @@
   }
 
   /** Bytes sent. */
-  get sent(): number {
+  get bytesSent(): number {
     return [...this.open].reduce(
       (sum, socket) => sum + socket.bytesWritten,
       this.closedSent,
@@ -26,7 +26,7 @@
   }
 
   /** Bytes received. */
-  get received(): number {
+  get bytesReceived(): number {
     return [...this.open].reduce(
       (sum, socket) => sum + socket.bytesRead,
       this.closedReceived,
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -4,9 +4,9 @@
 export {ConnectionPool} from './http/connection_pool.js';
 export {TrafficCounter, platformTraffic} from './http/traffic.js';
 export {
-  type JsonAnswer,
+  type JsonResponse,
   type JsonRequest,
-  NoAnswer,
+  NoResponse,
   sendJson,
 } from './http/json_client.js';
 
--- a/packages/platform/src/instances/http_instance_list.ts
+++ b/packages/platform/src/instances/http_instance_list.ts
@@ -8,7 +8,7 @@
 } from '@galenavalve/membership';
 import {describeError, Failure, type Milliseconds} from '@galenavalve/shared';
 import {ConnectionPool} from '../http/connection_pool.js';
-import {type JsonAnswer, sendJson} from '../http/json_client.js';
+import {type JsonResponse, sendJson} from '../http/json_client.js';
 
 /** Largest list, in bytes: about 10,000 instances. */
 const MAX_LIST_BYTES = 4 * 1024 * 1024;
@@ -46,13 +46,13 @@
     this.pool.close();
   }
 
-  private async fetch(timeout: Milliseconds): Promise<JsonAnswer> {
+  private async fetch(timeout: Milliseconds): Promise<JsonResponse> {
     try {
       return await sendJson(this.pool, {
         method: 'GET',
         url: this.url,
-        timeout,
-        maxAnswerBytes: MAX_LIST_BYTES,
+        timeoutMs: timeout,
+        maxResponseBytes: MAX_LIST_BYTES,
       });
     } catch (error) {
       const problem = describeError(error);
--- a/packages/platform/src/log/http_log.ts
+++ b/packages/platform/src/log/http_log.ts
@@ -8,7 +8,7 @@
 } from '@galenavalve/ledger';
 import {describeError, Failure, type Milliseconds} from '@galenavalve/shared';
 import {ConnectionPool} from '../http/connection_pool.js';
-import {type JsonAnswer, NoAnswer, sendJson} from '../http/json_client.js';
+import {type JsonResponse, NoResponse, sendJson} from '../http/json_client.js';
 import {appendReceipt, logPage, logRefusal} from './log_protocol.js';
 
 /** Largest answer to an append, in bytes. */
@@ -67,17 +67,17 @@
   private async send(
     values: readonly unknown[],
     timeout: Milliseconds,
-  ): Promise<JsonAnswer> {
+  ): Promise<JsonResponse> {
     try {
       return await sendJson(this.pool, {
         method: 'POST',
         url: this.url,
         body: {values},
-        timeout,
-        maxAnswerBytes: MAX_RECEIPT_BYTES,
+        timeoutMs: timeout,
+        maxResponseBytes: MAX_RECEIPT_BYTES,
       });
     } catch (error) {
-      const isRejected = error instanceof NoAnswer && !error.wasSent;
+      const isRejected = error instanceof NoResponse && !error.wasSent;
       const code = isRejected ? 'append-rejected' : 'append-uncertain';
       throw new Failure(code, {problem: describeError(error)}, {cause: error});
     }
@@ -86,14 +86,14 @@
   private async fetchPage(
     offset: number,
     {limit, wait, timeout}: ReadOptions,
-  ): Promise<JsonAnswer> {
+  ): Promise<JsonResponse> {
     const query = `offset=${offset}&limit=${limit}&waitMs=${Math.round(wait)}`;
     try {
       return await sendJson(this.pool, {
         method: 'GET',
         url: `${this.url}?${query}`,
-        timeout,
-        maxAnswerBytes: MAX_PAGE_BYTES,
+        timeoutMs: timeout,
+        maxResponseBytes: MAX_PAGE_BYTES,
       });
     } catch (error) {
       const problem = describeError(error);
@@ -112,7 +112,7 @@
 }
 
 /** A refusal counts only when the service itself says that it wrote nothing. */
-function createAppendFailure({status, body}: JsonAnswer): Failure {
+function createAppendFailure({status, body}: JsonResponse): Failure {
   const refusal = logRefusal.safeParse(body);
   if (status >= 400 && refusal.success) {
     return new Failure('append-rejected', {problem: refusal.data.message});
@@ -121,7 +121,7 @@
   return new Failure('append-uncertain', {problem});
 }
 
-function createReadFailure(offset: number, answer: JsonAnswer): Failure {
+function createReadFailure(offset: number, answer: JsonResponse): Failure {
   const refusal = logRefusal.safeParse(answer.body);
   if (refusal.data?.code === 'offset-expired') {
     const oldest = refusal.data.oldestOffset ?? offset + 1;
--- a/packages/platform/src/targets/http_target_client.ts
+++ b/packages/platform/src/targets/http_target_client.ts
@@ -21,12 +21,12 @@
   targetReport,
 } from '@galenavalve/targets';
 import {ConnectionPool} from '../http/connection_pool.js';
-import {type JsonAnswer, sendJson} from '../http/json_client.js';
+import {type JsonResponse, sendJson} from '../http/json_client.js';
 import {
   REFUSED_STATUS,
   type fenceOrder,
-  emptyAnswer,
-  stopAnswer,
+  emptyResponse,
+  stopResponse,
   targetRefusal,
   type throttleOrder,
 } from './target_protocol.js';
@@ -64,7 +64,7 @@
     order: StartCommand,
     timeout: Milliseconds,
   ): Promise<void> {
-    await this.send(target, 'start', order, timeout, emptyAnswer);
+    await this.send(target, 'start', order, timeout, emptyResponse);
   }
 
   async stop(
@@ -72,7 +72,13 @@
     order: StopCommand,
     timeout: Milliseconds,
   ): Promise<LeaseReport | undefined> {
-    const answer = await this.send(target, 'stop', order, timeout, stopAnswer);
+    const answer = await this.send(
+      target,
+      'stop',
+      order,
+      timeout,
+      stopResponse,
+    );
     return answer.report;
   }
 
@@ -97,7 +103,7 @@
     order: z.infer<typeof throttleOrder>,
     timeout: Milliseconds,
   ): Promise<void> {
-    await this.send(target, 'throttle', order, timeout, emptyAnswer);
+    await this.send(target, 'throttle', order, timeout, emptyResponse);
   }
 
   /** Closes every connection. */
@@ -151,14 +157,14 @@
     command: Command,
     order: unknown,
     timeout: Milliseconds,
-  ): Promise<JsonAnswer> {
+  ): Promise<JsonResponse> {
     try {
       return await sendJson(this.poolOf(target), {
         method: 'POST',
         url: `${target.endpoint.replace(/\/+$/, '')}/v1/${command}`,
         body: order,
-        timeout,
-        maxAnswerBytes: MAX_ANSWER_BYTES,
+        timeoutMs: timeout,
+        maxResponseBytes: MAX_ANSWER_BYTES,
       });
     } catch (error) {
       const details = {target: target.id, problem: describeError(error)};
@@ -187,7 +193,7 @@
 /** A refusal counts only in the target's own words; anything else may have taken effect. */
 function createFailure(
   {id: target}: TargetAddress,
-  {status, body}: JsonAnswer,
+  {status, body}: JsonResponse,
 ): Failure {
   const refusal = targetRefusal.safeParse(body);
   if (status === REFUSED_STATUS && refusal.success) {
--- a/packages/platform/src/targets/target_protocol.ts
+++ b/packages/platform/src/targets/target_protocol.ts
@@ -14,10 +14,10 @@
 });
 
 /** The answer to a stop; without a report when the target knows nothing of the attempt. */
-export const stopAnswer = z.object({report: leaseReport.optional()});
+export const stopResponse = z.object({report: leaseReport.optional()});
 
 /** The answer to a command that has nothing to tell. */
-export const emptyAnswer = z.object({});
+export const emptyResponse = z.object({});
 
 /** Status with which a target refuses an order. */
 export const REFUSED_STATUS = 409;
--- a/packages/standins/__tests__/log_server.spec.ts
+++ b/packages/standins/__tests__/log_server.spec.ts
@@ -69,7 +69,7 @@
 
   t.test('may lose an answer after the append took effect', async t => {
     const {log, server} = await startLog(t);
-    server.control({loseAnswers: 1});
+    server.applyControl({loseAnswers: 1});
     await t.rejects(log.append([1], 1000), {code: 'append-uncertain'});
     t.equal(server.log.endOffset, 1);
   });
@@ -80,7 +80,7 @@
   async t => {
     const clock = new ManualClock();
     const {log, server} = await startLog(t, {clock});
-    server.control({delayedAppendMs: 5000});
+    server.applyControl({delayedAppendMs: 5000});
     await t.rejects(log.append([1], 1000), {code: 'append-uncertain'});
     t.equal(server.log.endOffset, 0);
     await clock.advance(5000);
@@ -101,10 +101,10 @@
     list.close();
     await server.close();
   });
-  server.change({states: {a: 'leaving'}, remove: ['b']});
+  server.applyChange({states: {a: 'leaving'}, remove: ['b']});
   t.equal((await list.list(1000)).length, 2);
   await clock.advance(500);
   t.same(await list.list(1000), [{...createInstance('a'), state: 'leaving'}]);
-  server.change({outage: true});
+  server.applyChange({outage: true});
   await t.rejects(list.list(1000), {code: 'instances-unavailable'});
 });
--- a/packages/standins/__tests__/target_server.spec.ts
+++ b/packages/standins/__tests__/target_server.spec.ts
@@ -94,11 +94,11 @@
     const fence = (to: TargetAddress, timeout: number) =>
       client.fence(to, {term: TERM}, timeout);
     await t.rejects(fence({...address, id: 't9'}, TIMEOUT_MS), unreachable);
-    control.set({target: 't0', silent: true});
+    control.applyChange({target: 't0', silent: true});
     await t.rejects(fence(address, SHORT_TIMEOUT_MS), unreachable);
-    control.set({target: 't0', silent: false, dead: true});
+    control.applyChange({target: 't0', silent: false, dead: true});
     await t.rejects(fence(address, TIMEOUT_MS), unreachable);
-    control.set({target: 't0', dead: false});
+    control.applyChange({target: 't0', dead: false});
     t.match(await fence(address, TIMEOUT_MS), {target: 't0'});
   });
 });
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -9,10 +9,14 @@
 } from './http/http_server.js';
 
 // The log
-export {controlLog, type LogControl, logControl} from './log/log_control.js';
+export {
+  applyLogControl,
+  type LogControl,
+  logControl,
+} from './log/log_control.js';
 export {
   type LogServerOptions,
-  type RunningLog,
+  type RunningLogServer,
   startLogServer,
 } from './log/log_server.js';
 
@@ -21,7 +25,7 @@
   type InstanceChange,
   instanceChange,
   type InstanceServerOptions,
-  type RunningInstanceList,
+  type RunningInstanceServer,
   startInstanceServer,
 } from './instances/instance_server.js';
 
@@ -29,10 +33,10 @@
 export {
   TargetControl,
   type TargetControlChange,
-  targetControl,
+  targetControlChange,
 } from './targets/target_control.js';
 export {
-  type RunningTargets,
+  type RunningTargetServer,
   type TargetDefinition,
   targetDefinition,
   type TargetServerOptions,
@@ -40,4 +44,4 @@
 } from './targets/target_server.js';
 
 // The network
-export {type TcpRelay, startTcpRelay} from './relay/tcp_relay.js';
+export {type FaultProxy, startFaultProxy} from './relay/fault_proxy.js';
--- a/packages/standins/src/instances/instance_server.ts
+++ b/packages/standins/src/instances/instance_server.ts
@@ -9,7 +9,7 @@
   type ListenAddress,
   type RunningServer,
 } from '../http/http_server.js';
-import {LaggingList} from './lagging_list.js';
+import {LaggingInstanceList} from './lagging_instance_list.js';
 
 /** A change of the list: the body of `POST /control`. */
 export const instanceChange = z.strictObject({
@@ -33,21 +33,21 @@
 }
 
 /** A list of instances that listens. */
-export interface RunningInstanceList extends RunningServer {
-  change(change: InstanceChange): void;
+export interface RunningInstanceServer extends RunningServer {
+  applyChange(change: InstanceChange): void;
 }
 
 /** Starts the stand-in. */
 export async function startInstanceServer(
   options: InstanceServerOptions,
-): Promise<RunningInstanceList> {
+): Promise<RunningInstanceServer> {
   const clock = options.clock ?? new SystemClock();
-  const list = new LaggingList(options.instances, options.lagMs ?? 0);
+  const list = new LaggingInstanceList(options.instances, options.lagMs ?? 0);
   let isOut = false;
   const change = (input: InstanceChange) => {
     const parsed = instanceChange.parse(input);
     isOut = parsed.outage ?? isOut;
-    list.change(parsed, clock.now());
+    list.applyChange(parsed, clock.now());
   };
   const server = createHttpServer('instances');
   server.get('/v1/instances', async (_request: Request, response: Response) => {
@@ -66,5 +66,5 @@
     change(body.data);
     response.send(200, {});
   });
-  return {...(await listen(server, options)), change};
+  return {...(await listen(server, options)), applyChange: change};
 }
--- a/packages/standins/src/instances/lagging_list.ts
+++ b/packages/standins/src/instances/lagging_instance_list.ts
@@ -15,7 +15,7 @@
 }
 
 /** Keeps the versions that do not show yet. */
-export class LaggingList {
+export class LaggingInstanceList {
   private versions: Version[];
 
   constructor(
@@ -26,7 +26,7 @@
   }
 
   /** Changes the list; the change shows after the lag. */
-  change(change: ListChange, now: Instant): void {
+  applyChange(change: ListChange, now: Instant): void {
     const latest = this.versions.at(-1)?.instances ?? [];
     const byId = new Map(latest.map(instance => [instance.id, instance]));
     for (const id of change.remove) {
--- a/packages/standins/src/log/log_control.ts
+++ b/packages/standins/src/log/log_control.ts
@@ -18,7 +18,10 @@
 export type LogControl = z.infer<typeof logControl>;
 
 /** Puts faults in force. */
-export function controlLog({faults}: MemoryLog, control: LogControl): void {
+export function applyLogControl(
+  {faults}: MemoryLog,
+  control: LogControl,
+): void {
   if (control.outage !== undefined || control.silent !== undefined) {
     faults.outage = chooseOutage(control);
   }
--- a/packages/standins/src/log/log_server.ts
+++ b/packages/standins/src/log/log_server.ts
@@ -15,7 +15,7 @@
   type ListenAddress,
   type RunningServer,
 } from '../http/http_server.js';
-import {controlLog, type LogControl, logControl} from './log_control.js';
+import {applyLogControl, type LogControl, logControl} from './log_control.js';
 
 const DEFAULT_APPENDS_PER_SECOND = 400;
 const DEFAULT_RETENTION_RECORDS = 1_000_000;
@@ -43,16 +43,16 @@
 }
 
 /** A log stand-in that listens. */
-export interface RunningLog extends RunningServer {
+export interface RunningLogServer extends RunningServer {
   log: MemoryLog;
   /** Does what `POST /control` does. */
-  control(control: LogControl): void;
+  applyControl(control: LogControl): void;
 }
 
 /** Starts the log stand-in. */
 export async function startLogServer(
   options: LogServerOptions,
-): Promise<RunningLog> {
+): Promise<RunningLogServer> {
   const log = new MemoryLog(options.clock ?? new SystemClock(), {
     appendsPerSecond: options.appendsPerSecond ?? DEFAULT_APPENDS_PER_SECOND,
     retention: options.retentionRecords ?? DEFAULT_RETENTION_RECORDS,
@@ -68,7 +68,11 @@
     serveControl(log, request, response),
   );
   const running = await listen(server, options);
-  return {...running, log, control: control => controlLog(log, control)};
+  return {
+    ...running,
+    log,
+    applyControl: control => applyLogControl(log, control),
+  };
 }
 
 async function serveAppend(
@@ -135,7 +139,7 @@
     response.send(400, {message: z.prettifyError(control.error)});
     return;
   }
-  controlLog(log, control.data);
+  applyLogControl(log, control.data);
   response.send(200, log.faults);
 }
 
--- a/packages/standins/src/relay/tcp_relay.ts
+++ b/packages/standins/src/relay/fault_proxy.ts
@@ -10,23 +10,23 @@
 }
 
 /** A relay that listens. */
-export interface TcpRelay {
+export interface FaultProxy {
   host: string;
   port: number;
   /** Open connections carry nothing any more, without an end; new ones work. */
-  silenceOpen(): void;
+  stallConnections(): void;
   /** Nothing gets through, and new connections get no answer. */
-  cut(): void;
+  blockTraffic(): void;
   /** New connections work again; silenced ones stay silent. */
-  heal(): void;
+  unblockTraffic(): void;
   close(): Promise<void>;
 }
 
 /** Starts a relay to `host`:`port` on a free port of the same address. */
-export async function startTcpRelay(
+export async function startFaultProxy(
   host: string,
   port: number,
-): Promise<TcpRelay> {
+): Promise<FaultProxy> {
   const links = new Set<Link>();
   let isCut = false;
   const server = createServer(near => {
@@ -45,12 +45,12 @@
   return {
     host,
     port: (server.address() as AddressInfo).port,
-    silenceOpen,
-    cut: () => {
+    stallConnections: silenceOpen,
+    blockTraffic: () => {
       isCut = true;
       silenceOpen();
     },
-    heal: () => {
+    unblockTraffic: () => {
       isCut = false;
     },
     close: () => closeAll(server, links),
--- a/packages/standins/src/targets/target_control.ts
+++ b/packages/standins/src/targets/target_control.ts
@@ -4,7 +4,7 @@
 import type {TargetModel} from '@galenavalve/targets';
 
 /** A change of one target; settings not named stay as they are. */
-export const targetControl = z.strictObject({
+export const targetControlChange = z.strictObject({
   target: z.string(),
   /** It has crashed: all tasks are gone and connections are closed. False brings it back, empty. */
   dead: z.boolean().optional(),
@@ -19,7 +19,7 @@
   /** It fails every task. */
   failsEveryTask: z.boolean().optional(),
 });
-export type TargetControlChange = z.infer<typeof targetControl>;
+export type TargetControlChange = z.infer<typeof targetControlChange>;
 
 /** The faults of one target. */
 export interface TargetServerFaults {
@@ -45,29 +45,29 @@
     readonly clock: Clock,
   ) {}
 
-  model(target: string): TargetModel | undefined {
+  findModel(target: string): TargetModel | undefined {
     return this.models.get(target);
   }
 
-  faultsOf(target: string): TargetServerFaults {
+  getFaults(target: string): TargetServerFaults {
     return this.faults.get(target) ?? NO_FAULTS;
   }
 
   /** Returns false when there is no such target. */
-  set(change: TargetControlChange): boolean {
+  applyChange(change: TargetControlChange): boolean {
     const {target, leaving, failsEveryTask, ...faults} = change;
     const model = this.models.get(target);
     if (!model) {
       return false;
     }
-    if (faults.dead && !this.faultsOf(target).dead) {
+    if (faults.dead && !this.getFaults(target).dead) {
       model.restart(this.clock.now());
     }
     model.leaving = leaving ?? model.leaving;
     if (failsEveryTask !== undefined) {
       model.behavior = failsEveryTask ? 'fails-every-task' : 'well';
     }
-    this.faults.set(target, {...this.faultsOf(target), ...faults});
+    this.faults.set(target, {...this.getFaults(target), ...faults});
     return true;
   }
 }
--- a/packages/standins/src/targets/target_server.ts
+++ b/packages/standins/src/targets/target_server.ts
@@ -17,7 +17,7 @@
   createHttpServer,
   listen,
 } from '../http/http_server.js';
-import {TargetControl, targetControl} from './target_control.js';
+import {TargetControl, targetControlChange} from './target_control.js';
 
 /** Latest starts and ends of tasks that `GET /control/runs` tells. */
 const MAX_RUNS = 100_000;
@@ -39,7 +39,7 @@
 }
 
 /** A target stand-in that listens. */
-export interface RunningTargets extends RunningServer {
+export interface RunningTargetServer extends RunningServer {
   control: TargetControl;
   models: ReadonlyMap<string, TargetModel>;
 }
@@ -62,7 +62,7 @@
 /** Starts the target stand-in. */
 export async function startTargetServer(
   options: TargetServerOptions,
-): Promise<RunningTargets> {
+): Promise<RunningTargetServer> {
   const clock = options.clock ?? new SystemClock();
   const runs: RunEvent[] = [];
   const models = createModels(options.targets, event => {
@@ -79,8 +79,8 @@
     );
   }
   server.post('/control', async (request, response) => {
-    const change = targetControl.safeParse(request.body);
-    if (!change.success || !control.set(change.data)) {
+    const change = targetControlChange.safeParse(request.body);
+    if (!change.success || !control.applyChange(change.data)) {
       response.send(400, {message: 'no such target or setting'});
       return;
     }
@@ -110,12 +110,12 @@
   handler: Handler,
 ): Promise<void> {
   const id = String(request.params.id);
-  const model = control.model(id);
+  const model = control.findModel(id);
   if (!model) {
     response.send(404, {message: 'there is no such target'});
     return;
   }
-  const {dead, silent, losesAnswers, delayMs} = control.faultsOf(id);
+  const {dead, silent, losesAnswers, delayMs} = control.getFaults(id);
   if (dead) {
     response.socket?.destroy();
     return;
