--- a/packages/cli/src/client/attempt_result.ts
+++ b/packages/cli/src/client/attempt_result.ts
@@ -1,7 +1,7 @@
 /** What one attempt of a call tells about its fate. */
 import type {z} from 'zod';
 import {failureView, type FailureView} from '@galenavalve/model';
-import {type JsonAnswer, NoAnswer} from '@galenavalve/platform';
+import {type JsonResponse, NoResponse} from '@galenavalve/platform';
 import {
   type ErrorCode,
   ERROR_TEMPLATES,
@@ -23,7 +23,9 @@
   | {kind: 'uncertain'; problem: string};
 
 /** Why a further attempt is needed; undefined when none is. */
-export function problemOf(result: AttemptResult<unknown>): string | undefined {
+export function findProblem(
+  result: AttemptResult<unknown>,
+): string | undefined {
   switch (result.kind) {
     case 'not-run':
       return result.failure.message;
@@ -36,8 +38,8 @@
 }
 
 /** Reads what `sendJson` threw. */
-export function readError(error: unknown): AttemptResult<never> {
-  if (!(error instanceof NoAnswer)) {
+export function classifyError(error: unknown): AttemptResult<never> {
+  if (!(error instanceof NoResponse)) {
     throw error;
   }
   const kind = error.wasSent ? 'uncertain' : 'unsent';
@@ -48,8 +50,8 @@
  * Reads an answer. Only a body in the daemon's own form counts as its word: a
  * balancer's 503 may come after the request was recorded.
  */
-export function readAnswer<T>(
-  answer: JsonAnswer,
+export function classifyResponse<T>(
+  answer: JsonResponse,
   schema: z.ZodType<T>,
 ): AttemptResult<T> {
   if (answer.status >= 200 && answer.status < 300) {
@@ -64,7 +66,7 @@
 }
 
 function readSuccess<T>(
-  answer: JsonAnswer,
+  answer: JsonResponse,
   schema: z.ZodType<T>,
 ): AttemptResult<T> {
   const parsed = schema.safeParse(answer.body);
@@ -78,7 +80,7 @@
 
 function readFailure(
   {code, message, remedy, details}: FailureView,
-  {status, retryAfter}: JsonAnswer,
+  {status, retryAfterMs: retryAfter}: JsonResponse,
 ): AttemptResult<never> {
   const isClientError = status >= 400 && status < 500 && status !== 429;
   if (!isErrorCode(code)) {
