--- a/packages/cli/__tests__/fake_entry.ts
+++ b/packages/cli/__tests__/fake_entry.ts
@@ -1,4 +1,4 @@
-/** Fixtures: entry instances that answer by script, and views. */
+/** Fixtures: fake entry instances with scripted responses, and views. */
 import {createServer, type IncomingMessage} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {Test} from 'tap';
@@ -6,46 +6,50 @@
 import {getEntityKey} from '@galenavalve/model';
 import {ERROR_TEMPLATES, type ErrorCode, Failure} from '@galenavalve/shared';
 
-/** One scripted answer; 'silent' never answers, 'cut' closes the connection. */
+/** A scripted response; 'silent' sends none, 'cut' closes the connection. */
 export type ScriptedResponse =
   | 'silent'
   | 'cut'
   | {status: number; body: unknown; headers?: Record<string, string>};
 
-/** A request as an entry instance saw it. */
+/** A request that a fake entry instance received. */
 export interface ReceivedRequest {
   method: string;
   path: string;
   body: unknown;
 }
 
-/** A fake entry instance. */
+/** A fake entry instance that runs. */
 export interface FakeEntry {
   url: string;
+  /** Requests received so far, in order. */
   requests: ReceivedRequest[];
 }
 
-/** Starts an entry instance that gives the scripted answers; the last one again and again. */
+/**
+ * Starts an entry instance that sends the scripted responses in order and
+ * repeats the last one.
+ */
 export async function startFakeEntry(
   test: Test,
-  ...scripts: ScriptedResponse[]
+  ...responses: ScriptedResponse[]
 ): Promise<FakeEntry> {
   return startEntry(test, () =>
-    scripts.length > 1 ? scripts.shift() : scripts[0],
+    responses.length > 1 ? responses.shift() : responses[0],
   );
 }
 
-/** Starts an entry instance whose answer depends on the request. */
+/** Starts an entry instance whose response depends on the request; undefined sends none. */
 export async function startEntry(
   test: Test,
-  answer: (request: ReceivedRequest) => ScriptedResponse | undefined,
+  respond: (request: ReceivedRequest) => ScriptedResponse | undefined,
 ): Promise<FakeEntry> {
-  const seen: ReceivedRequest[] = [];
+  const requests: ReceivedRequest[] = [];
   const server = createServer(async (request, response) => {
     const {method = '', url: path = ''} = request;
-    const seenRequest = {method, path, body: await readBody(request)};
-    seen.push(seenRequest);
-    const script = answer(seenRequest) ?? 'silent';
+    const receivedRequest = {method, path, body: await readBody(request)};
+    requests.push(receivedRequest);
+    const script = respond(receivedRequest) ?? 'silent';
     if (script === 'cut') {
       request.socket.destroy();
     } else if (script !== 'silent') {
@@ -59,10 +63,10 @@
     server.close();
   });
   const {port} = server.address() as AddressInfo;
-  return {url: `http://127.0.0.1:${port}`, requests: seen};
+  return {url: `http://127.0.0.1:${port}`, requests};
 }
 
-/** A daemon's refusal. */
+/** Creates an error response of a daemon. */
 export function refuse(
   code: ErrorCode,
   details: Record<string, string | number> = {},
@@ -72,7 +76,7 @@
   return {status, body: new Failure(code, details).toJSON(), headers};
 }
 
-/** A job's view. */
+/** Creates the view of a job, by default one that has succeeded. */
 export function createJobView(fields: Partial<JobView> = {}): JobView {
   return {
     jobId: 'job-1',
@@ -89,7 +93,7 @@
   };
 }
 
-/** The configuration in force, every entity at the same version. */
+/** Creates the view of a configuration whose entities all have the same version. */
 export function createConfigurationView(
   values: readonly Entity[],
   version: number,
--- a/packages/cli/__tests__/trace.spec.ts
+++ b/packages/cli/__tests__/trace.spec.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
 import {findLines} from '../src/queries/trace_job.js';
 
-const JOB = '5c0e7a21d94b36f8';
+const JOB_ID = '5c0e7a21d94b36f8';
 
 function createLine(values: object): string {
   return JSON.stringify({
@@ -10,13 +10,13 @@
     domain: 'd',
     level: 'info',
     message: 'placed',
-    job: JOB,
+    job: JOB_ID,
     ...values,
   });
 }
 
 t.test(
-  'the lines of a refused, a late and a repeated request are found by id alone',
+  'the lines of a refused, a late and a repeated request are found by job id alone',
   t => {
     const log = [
       createLine({message: 'submitted', answer: {kind: 'refused'}}),
@@ -31,7 +31,7 @@
       `12.5 front-1 ${createLine({message: 'placed', run: 2})}`,
       '{"cut',
     ].join('\n');
-    const lines = findLines(log, JOB);
+    const lines = findLines(log, JOB_ID);
     t.same(
       lines.map(({message}) => message),
       ['submitted', 'urgent-waits', 'run-failed', 'job-ended', 'placed'],
--- a/packages/cli/src/client/attempt_result.ts
+++ b/packages/cli/src/client/attempt_result.ts
@@ -1,4 +1,4 @@
-/** What one attempt of a call tells about its fate. */
+/** Classifies the result of one attempt of a call. */
 import type {z} from 'zod';
 import {failureView, type FailureView} from '@galenavalve/model';
 import {type JsonAnswer, NoAnswer} from '@galenavalve/platform';
@@ -11,18 +11,18 @@
 
 /** The result of one attempt. */
 export type AttemptResult<T> =
-  /** The whole answer came. */
-  | {kind: 'answered'; value: T}
-  /** The instance refused for good; repeating changes nothing. */
+  /** A complete response arrived. */
+  | {kind: 'completed'; value: T}
+  /** The instance refused the call; a retry would be refused as well. */
   | {kind: 'refused'; failure: Failure}
-  /** The instance says that this attempt did nothing. */
+  /** The instance reported that this attempt had no effect. */
   | {kind: 'not-run'; failure: Failure; retryAfter?: Milliseconds}
-  /** Nothing was sent. */
+  /** The request was not sent. */
   | {kind: 'unsent'; problem: string}
   /** The attempt may have taken effect. */
   | {kind: 'uncertain'; problem: string};
 
-/** Why a further attempt is needed; undefined when none is. */
+/** Returns the reason for which another attempt is needed; undefined if none is. */
 export function findProblem(
   result: AttemptResult<unknown>,
 ): string | undefined {
@@ -37,7 +37,7 @@
   }
 }
 
-/** Reads what `sendJson` threw. */
+/** Classifies an error that `sendJson` threw; rethrows errors other than `NoAnswer`. */
 export function classifyError(error: unknown): AttemptResult<never> {
   if (!(error instanceof NoAnswer)) {
     throw error;
@@ -47,44 +47,45 @@
 }
 
 /**
- * Reads an answer. Only a body in the daemon's own form counts as its word: a
- * balancer's 503 may come after the request was recorded.
+ * Classifies a response. A refusal or "not run" counts only if its body has the
+ * error format of the daemon: a load balancer may send a 503 after the request
+ * was recorded.
  */
 export function classifyResponse<T>(
-  answer: JsonAnswer,
+  response: JsonAnswer,
   schema: z.ZodType<T>,
 ): AttemptResult<T> {
-  if (answer.status >= 200 && answer.status < 300) {
-    return readSuccess(answer, schema);
+  if (response.status >= 200 && response.status < 300) {
+    return parseSuccess(response, schema);
   }
-  const body = failureView.safeParse(answer.body);
+  const body = failureView.safeParse(response.body);
   if (!body.success) {
-    const problem = `an answer with status ${answer.status} that is not the daemon's`;
+    const problem = `response with status ${response.status} is not in the error format of the daemon`;
     return {kind: 'uncertain', problem};
   }
-  return readFailure(body.data, answer);
+  return parseFailure(body.data, response);
 }
 
-function readSuccess<T>(
-  answer: JsonAnswer,
+function parseSuccess<T>(
+  response: JsonAnswer,
   schema: z.ZodType<T>,
 ): AttemptResult<T> {
-  const parsed = schema.safeParse(answer.body);
+  const parsed = schema.safeParse(response.body);
   if (parsed.success) {
-    return {kind: 'answered', value: parsed.data};
+    return {kind: 'completed', value: parsed.data};
   }
   const issue = parsed.error.issues[0];
-  const problem = `an answer that cannot be read: ${issue?.path.join('.')} ${issue?.message}`;
+  const problem = `response does not match the schema: ${issue?.path.join('.')} ${issue?.message}`;
   return {kind: 'uncertain', problem};
 }
 
-function readFailure(
+function parseFailure(
   {code, message, remedy, details}: FailureView,
   {status, retryAfter}: JsonAnswer,
 ): AttemptResult<never> {
   const isClientError = status >= 400 && status < 500 && status !== 429;
   if (!isErrorCode(code)) {
-    // Codes of a newer daemon: its refusal is believed, its "not run" is not.
+    // The daemon is newer and its code unknown: accept a refusal, but not a "not run".
     const problem = `${message} ${remedy}`.trim();
     return isClientError
       ? {kind: 'refused', failure: new Failure('bad-request', {problem})}
--- a/packages/cli/src/client/call_outcome.ts
+++ b/packages/cli/src/client/call_outcome.ts
@@ -1,34 +1,36 @@
-/** What is known of a call after all of its attempts. */
+/** Derives the outcome of a call from the results of its attempts. */
 import {Failure} from '@galenavalve/shared';
 import type {AttemptResult} from './attempt_result.js';
 
 /**
- * Collects the results of attempts. Once one attempt may have taken effect, a
- * later "not run" is about that later attempt only, so the call stays unknown.
+ * Collects the results of attempts. A "not run" is about one attempt only: if
+ * another attempt may have taken effect, the outcome stays unknown.
  */
 export class CallOutcome {
-  private maybeDone = false;
+  private mayHaveTakenEffect = false;
   private lastFailure: Failure | undefined;
   private lastProblem = 'no attempt was made before the deadline';
 
   constructor(
-    /** Id of the command; undefined for a query, which changes nothing. */
+    /** Idempotency key of a command; undefined for a query, which changes nothing. */
     private readonly commandId: string | undefined,
   ) {}
 
-  /** True for a command once an instance said "not run" and none may have run it. */
+  /** True for a command that an instance reported as "not run" and no attempt may have run. */
   get isNotRun(): boolean {
     const isCommand = this.commandId !== undefined;
-    return isCommand && !this.maybeDone && this.lastFailure !== undefined;
+    return (
+      isCommand && !this.mayHaveTakenEffect && this.lastFailure !== undefined
+    );
   }
 
-  /** Notes the result of an attempt. */
+  /** Adds the result of an attempt. */
   addResult(result: AttemptResult<unknown>): void {
     if (result.kind === 'not-run') {
       this.lastFailure = result.failure;
     }
     if (result.kind === 'uncertain') {
-      this.maybeDone = true;
+      this.mayHaveTakenEffect = true;
       this.lastProblem = result.problem;
     }
     if (result.kind === 'unsent') {
@@ -36,27 +38,27 @@
     }
   }
 
-  /** The failure to report when an instance refused for good. */
+  /** Returns the failure to report after a refusal. */
   createRefusalFailure(refusal: Failure): Failure {
     return this.isUnknown() && isStateDependent(refusal)
-      ? this.createUnknown()
+      ? this.createUnknownFailure()
       : refusal;
   }
 
-  /** The failure to report when the attempts are over. */
+  /** Returns the failure to report when no further attempt is made. */
   createFinalFailure(): Failure {
     if (this.isUnknown()) {
-      return this.createUnknown();
+      return this.createUnknownFailure();
     }
     const problem = this.lastProblem;
     return this.lastFailure ?? new Failure('entry-unreachable', {problem});
   }
 
   private isUnknown(): boolean {
-    return this.maybeDone && this.commandId !== undefined;
+    return this.mayHaveTakenEffect && this.commandId !== undefined;
   }
 
-  private createUnknown(): Failure {
+  private createUnknownFailure(): Failure {
     const requestId = this.commandId ?? '';
     return new Failure('outcome-unknown', {
       requestId,
@@ -65,7 +67,7 @@
   }
 }
 
-/** Another instance, which has read more of the log, may have decided otherwise. */
+/** Checks whether an instance that has read more of the log might have decided otherwise. */
 function isStateDependent(failure: Failure): boolean {
   return failure.status === 422;
 }
--- a/packages/cli/src/client/entry_caller.ts
+++ b/packages/cli/src/client/entry_caller.ts
@@ -1,4 +1,4 @@
-/** Sends calls to entry instances. */
+/** Sends calls to entry instances, with retries and hedged requests. */
 import type {z} from 'zod';
 import {ConnectionPool, sendJson} from '@galenavalve/platform';
 import type {Clock, Milliseconds, Random} from '@galenavalve/shared';
@@ -10,26 +10,27 @@
 import {RetryingCall} from './retrying_call.js';
 import type {RetryPolicy} from './retry_policy.js';
 
-/** Largest answer, in bytes: an inventory of 8,200 targets has about 2 MB. */
-const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
+/** Size limit of a response; an inventory of 8,200 targets has about 2 MB. */
+const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
 
 /** A call that any entry instance can serve. */
 export interface EntryCall<T> {
   method: 'GET' | 'POST' | 'DELETE';
-  /** Path and query. */
+  /** Path with query string. */
   path: string;
   body?: unknown;
+  /** Schema of a successful response. */
   schema: z.ZodType<T>;
-  /** How long the instance may hold the answer back. */
+  /** Time for which the instance may delay the response. */
   waitMs?: Milliseconds;
   /** Idempotency key of a command; undefined for a query. */
   commandId?: string;
 }
 
-/** Told of each attempt that did not settle its call. */
+/** Called with the base URL and the reason when an attempt has to be followed by another one. */
 export type RetryListener = (entry: string, problem: string) => void;
 
-/** What a caller needs. */
+/** Options of an `EntryCaller`. */
 export interface EntryCallerOptions {
   /** Base URLs of entry instances. */
   entries: readonly string[];
@@ -39,23 +40,24 @@
   onRetry?: RetryListener;
 }
 
-/** Asks the entry instance that answered last, and the others when it fails or is slow. */
+/** Calls the entry instance that responded last, and the others when it fails or is slow. */
 export class EntryCaller {
   private readonly pool = new ConnectionPool();
   private readonly entries: string[];
-  private current = 0;
+  /** Index of the entry instance that responded last. */
+  private preferredEntry = 0;
 
   constructor(private readonly options: EntryCallerOptions) {
     this.entries = options.entries.map(entry => entry.replace(/\/+$/, ''));
   }
 
-  /** Makes a call. Throws a `Failure` that tells what is known of it. */
+  /** Makes a call. Throws a `Failure` that says whether the call may have taken effect. */
   call<T>(call: EntryCall<T>): Promise<T> {
     const {policy, clock, random} = this.options;
-    const run = new RetryingCall<T>({
-      attempt: (entry, timeout) => this.attempt(call, entry, timeout),
+    const retryingCall = new RetryingCall<T>({
+      attempt: (entry, timeoutMs) => this.attempt(call, entry, timeoutMs),
       entryCount: this.entries.length,
-      firstEntry: this.current,
+      firstEntry: this.preferredEntry,
       commandId: call.commandId,
       waitMs: call.waitMs ?? 0,
       onProblem: (entry, problem) =>
@@ -64,10 +66,10 @@
       clock,
       random,
     });
-    return run.run();
+    return retryingCall.run();
   }
 
-  /** Closes the connections; attempts that are not answered yet end. */
+  /** Closes the connections; pending attempts fail. */
   close(): void {
     this.pool.close();
   }
@@ -75,21 +77,21 @@
   private async attempt<T>(
     call: EntryCall<T>,
     index: number,
-    timeout: Milliseconds,
+    timeoutMs: Milliseconds,
   ): Promise<AttemptResult<T>> {
     const entry = this.entries[index] ?? '';
     const result = await sendJson(this.pool, {
       method: call.method,
       url: entry + call.path,
       body: call.body,
-      timeout,
-      maxAnswerBytes: MAX_ANSWER_BYTES,
+      timeout: timeoutMs,
+      maxAnswerBytes: MAX_RESPONSE_BYTES,
     }).then(
-      answer => classifyResponse(answer, call.schema),
+      response => classifyResponse(response, call.schema),
       (error: unknown) => classifyError(error),
     );
-    if (result.kind === 'answered') {
-      this.current = index;
+    if (result.kind === 'completed') {
+      this.preferredEntry = index;
     }
     return result;
   }
--- a/packages/cli/src/client/entry_client.ts
+++ b/packages/cli/src/client/entry_client.ts
@@ -1,4 +1,4 @@
-/** What entry instances do for callers and operators. */
+/** Client interface of the entry instances, for callers and operators. */
 import type {
   ChangeView,
   ConfigurationChange,
@@ -14,26 +14,32 @@
 } from '@galenavalve/model';
 import type {Milliseconds} from '@galenavalve/shared';
 
-/** Which jobs to list. */
+/** Selects the jobs to list. */
 export interface JobFilter {
   workspace?: string;
   phase?: JobPhase;
-  /** Most jobs to list. */
+  /** Maximum number of jobs to list. */
   limit?: number;
 }
 
 /**
- * The entry instances of a cluster as one service. Every call throws a
- * `Failure`. For commands, a failure of status 429 or 503 means that nothing
- * was recorded, and `outcome-unknown` that it may have been: the same command
- * can be given again, with the same ids, until the answer is known.
+ * Client of the entry instances of a cluster. Every call throws a `Failure` when
+ * it does not succeed. For a command, status 429 or 503 means that nothing was
+ * recorded. `outcome-unknown` means that the command may have been recorded: it
+ * can be retried with the same ids until its outcome is known.
  */
 export interface EntryClient {
   // Commands
-  /** Submits a job; the answer may come before the job has finished. */
-  submit(request: JobRequest, wait: Milliseconds): Promise<JobView>;
+  /**
+   * Submits a job; resolves when it has finished, or after at most `waitMs`
+   * with its current state.
+   */
+  submit(request: JobRequest, waitMs: Milliseconds): Promise<JobView>;
+  /** Requests the cancellation of a job. */
   cancel(jobId: string): Promise<JobView>;
+  /** Approves a job of a workspace that requires approval. */
   approve(jobId: string, author: string): Promise<JobView>;
+  /** Applies a configuration change, all of its edits or none. */
   configure(change: ConfigurationChange): Promise<ConfigurationResult>;
   /** Takes a failure domain out of service. */
   drain(domain: string, author: string): Promise<ConfigurationResult>;
@@ -41,14 +47,23 @@
   restore(domain: string, author: string): Promise<ConfigurationResult>;
 
   // Queries
-  /** Reads a job; the answer is held back for up to `wait` until the job has finished. */
-  readJob(jobId: string, wait: Milliseconds): Promise<JobView>;
+  /**
+   * Reads a job; resolves when it has finished, or after at most `waitMs` with
+   * its current state.
+   */
+  readJob(jobId: string, waitMs: Milliseconds): Promise<JobView>;
+  /** Lists the jobs that match a filter. */
   listJobs(filter: JobFilter): Promise<JobView[]>;
+  /** Reads a job with its history and the reason for which it waits. */
   explain(jobId: string): Promise<ExplanationView>;
+  /** Computes what would happen to a job, without submitting it. */
   plan(request: JobRequest): Promise<PlanView>;
+  /** Lists workspaces with their guarantees. */
   listWorkspaces(): Promise<WorkspaceView[]>;
+  /** Reads failure domains and targets. */
   readInventory(): Promise<InventoryView>;
+  /** Reads the current configuration. */
   readConfiguration(): Promise<ConfigurationView>;
-  /** The latest changes of the configuration, newest first. */
+  /** Lists the latest configuration changes, newest first. */
   listChanges(): Promise<ChangeView[]>;
 }
--- a/packages/cli/src/client/http_entry_client.ts
+++ b/packages/cli/src/client/http_entry_client.ts
@@ -1,4 +1,4 @@
-/** The entry instances over HTTP. */
+/** Implements the entry client over HTTP. */
 import {z} from 'zod';
 import {
   changeListView,
@@ -32,20 +32,25 @@
 import {EntryCaller, type RetryListener} from './entry_caller.js';
 import {DEFAULT_RETRY_POLICY, type RetryPolicy} from './retry_policy.js';
 
-/** Longest time that one request asks an instance to wait; a longer one would hide its silence. */
+/**
+ * Longest wait of one request; a longer one would delay the detection of an
+ * unresponsive instance.
+ */
 const MAX_WAIT_MS = 5000;
 
-/** Where the entry instances are, and how to call them. */
+/** Options of an `HttpEntryClient`. */
 export interface HttpEntryClientOptions {
   /** Base URLs of entry instances, at least one. */
   entries: readonly string[];
+  /** Overrides fields of `DEFAULT_RETRY_POLICY`. */
   policy?: Partial<RetryPolicy>;
   clock?: Clock;
+  /** Source of the jitter. */
   random?: Random;
   onRetry?: RetryListener;
 }
 
-/** Calls the entry instances over HTTP, and the next one when one is silent. */
+/** Calls the entry instances over HTTP; retries with the next one when one does not respond. */
 export class HttpEntryClient implements EntryClient {
   private readonly caller: EntryCaller;
 
@@ -61,13 +66,13 @@
 
   // Commands
 
-  submit(request: JobRequest, wait: Milliseconds): Promise<JobView> {
+  submit(request: JobRequest, waitMs: Milliseconds): Promise<JobView> {
     return this.caller.call({
       method: 'POST',
-      path: `/v1/jobs${waitQuery(wait)}`,
+      path: `/v1/jobs${formatWaitQuery(waitMs)}`,
       body: request,
       schema: jobView,
-      waitMs: boundWait(wait),
+      waitMs: capWaitMs(waitMs),
       commandId: request.requestId,
     });
   }
@@ -75,7 +80,7 @@
   cancel(jobId: string): Promise<JobView> {
     return this.caller.call({
       method: 'DELETE',
-      path: jobPath(jobId),
+      path: getJobPath(jobId),
       schema: jobView,
       commandId: `cancel ${jobId}`,
     });
@@ -84,7 +89,7 @@
   approve(jobId: string, author: string): Promise<JobView> {
     return this.caller.call({
       method: 'POST',
-      path: `${jobPath(jobId)}/approve`,
+      path: `${getJobPath(jobId)}/approve`,
       body: {author},
       schema: jobView,
       commandId: `approve ${jobId}`,
@@ -111,12 +116,12 @@
 
   // Queries
 
-  readJob(jobId: string, wait: Milliseconds): Promise<JobView> {
+  readJob(jobId: string, waitMs: Milliseconds): Promise<JobView> {
     return this.caller.call({
       method: 'GET',
-      path: `${jobPath(jobId)}${waitQuery(wait)}`,
+      path: `${getJobPath(jobId)}${formatWaitQuery(waitMs)}`,
       schema: jobView,
-      waitMs: boundWait(wait),
+      waitMs: capWaitMs(waitMs),
     });
   }
 
@@ -132,7 +137,7 @@
   }
 
   explain(jobId: string): Promise<ExplanationView> {
-    return this.get(`${jobPath(jobId)}/explain`, explanationView);
+    return this.get(`${getJobPath(jobId)}/explain`, explanationView);
   }
 
   plan(request: JobRequest): Promise<PlanView> {
@@ -186,14 +191,14 @@
   }
 }
 
-function jobPath(jobId: string): string {
+function getJobPath(jobId: string): string {
   return `/v1/jobs/${encodeURIComponent(jobId)}`;
 }
 
-function boundWait(wait: Milliseconds): Milliseconds {
-  return Math.min(wait, MAX_WAIT_MS);
+function capWaitMs(waitMs: Milliseconds): Milliseconds {
+  return Math.min(waitMs, MAX_WAIT_MS);
 }
 
-function waitQuery(wait: Milliseconds): string {
-  return wait > 0 ? `?wait=${boundWait(wait) / 1000}` : '';
+function formatWaitQuery(waitMs: Milliseconds): string {
+  return waitMs > 0 ? `?wait=${capWaitMs(waitMs) / 1000}` : '';
 }
--- a/packages/cli/src/client/retry_policy.ts
+++ b/packages/cli/src/client/retry_policy.ts
@@ -1,23 +1,24 @@
-/** How often and how long a call is repeated. */
+/** Timeouts and limits of retries. */
 import type {Milliseconds} from '@galenavalve/shared';
 
 /** Limits of the attempts of one call. */
 export interface RetryPolicy {
-  /** The whole call is given up after this time, besides the time it asks the instance to wait. */
+  /** Timeout of the whole call, to which the wait that the call requests is added. */
   callTimeoutMs: Milliseconds;
-  /** An instance that does not answer a query for this time counts as silent. */
+  /** Timeout of one attempt of a query, to which the wait is added. */
   queryTimeoutMs: Milliseconds;
-  /** The same for a command; longer than a daemon waits for the log. */
+  /** Timeout of one attempt of a command; longer than a daemon waits for the log. */
   commandTimeoutMs: Milliseconds;
-  /** After this time the next instance is asked as well; the first answer counts. */
+  /** Delay before a hedged request goes to the next instance; the first response counts. */
   hedgeDelayMs: Milliseconds;
+  /** Maximum number of attempts of one call. */
   maxAttempts: number;
-  /** Pauses are a random share of `backoffBaseMs * 2^round`, at most `backoffCapMs`. */
+  /** A backoff is a random fraction of `backoffBaseMs * 2^round`, at most `backoffCapMs`. */
   backoffBaseMs: Milliseconds;
   backoffCapMs: Milliseconds;
 }
 
-/** The policy of the command line. */
+/** Default retry policy, which the command line uses. */
 export const DEFAULT_RETRY_POLICY: RetryPolicy = {
   callTimeoutMs: 30_000,
   queryTimeoutMs: 3000,
--- a/packages/cli/src/client/retrying_call.ts
+++ b/packages/cli/src/client/retrying_call.ts
@@ -1,4 +1,4 @@
-/** One call from its first attempt to its fate. */
+/** Runs one call with retries, backoff and hedged requests. */
 import {
   type Clock,
   type Instant,
@@ -10,23 +10,26 @@
 import {CallOutcome} from './call_outcome.js';
 import type {RetryPolicy} from './retry_policy.js';
 
-/** Makes one attempt with the entry instance of an index; never rejects for a failed attempt. */
+/**
+ * Makes one attempt with the entry instance of an index; does not reject when
+ * the attempt fails.
+ */
 export type Attempt<T> = (
   entry: number,
-  timeout: Milliseconds,
+  timeoutMs: Milliseconds,
 ) => Promise<AttemptResult<T>>;
 
-/** What a run needs. */
+/** Options of a `RetryingCall`. */
 export interface RetryingCallOptions<T> {
   attempt: Attempt<T>;
   entryCount: number;
-  /** Index of the entry instance that is asked first. */
+  /** Index of the entry instance that is called first. */
   firstEntry: number;
   /** Idempotency key of a command; undefined for a query. */
   commandId?: string;
-  /** How long the instance may hold the answer back. */
+  /** Time for which the instance may delay the response. */
   waitMs: Milliseconds;
-  /** Told why another attempt is needed. */
+  /** Called with the reason when another attempt is needed. */
   onProblem: (entry: number, problem: string) => void;
   policy: RetryPolicy;
   clock: Clock;
@@ -34,63 +37,70 @@
 }
 
 /**
- * Asks the entry instances in rounds. In a round each is asked once, the next
- * as soon as the latest has failed or is slow: commands carry ids, so that
- * several attempts at once do no harm. Rounds are apart by full jitter.
+ * Calls the entry instances in rounds. A round calls each instance at most once,
+ * the next one as soon as the latest attempt has failed or is slow. Concurrent
+ * attempts are safe because commands carry idempotency keys. A backoff with full
+ * jitter separates the rounds.
  */
 export class RetryingCall<T> {
-  private readonly fate: CallOutcome;
+  private readonly outcome: CallOutcome;
   private readonly deadline: Instant;
-  private readonly pending = new Set<Promise<AttemptResult<T>>>();
-  private attempts = 0;
-  private isOver = false;
+  private readonly pendingAttempts = new Set<Promise<AttemptResult<T>>>();
+  private attemptCount = 0;
+  private isSettled = false;
 
   constructor(private readonly options: RetryingCallOptions<T>) {
-    const {clock, policy, waitMs: wait, commandId} = options;
-    this.fate = new CallOutcome(commandId);
-    this.deadline = clock.now() + policy.callTimeoutMs + wait;
+    const {clock, policy, waitMs, commandId} = options;
+    this.outcome = new CallOutcome(commandId);
+    this.deadline = clock.now() + policy.callTimeoutMs + waitMs;
   }
 
-  /** Resolves to the answer. Throws a `Failure` that tells what is known of the call. */
+  /**
+   * Resolves to the response. Throws a `Failure` that says whether the call may
+   * have taken effect.
+   */
   async run(): Promise<T> {
     try {
-      return await this.askInRounds();
+      return await this.runRounds();
     } finally {
-      this.isOver = true;
+      this.isSettled = true;
     }
   }
 
-  private async askInRounds(): Promise<T> {
+  private async runRounds(): Promise<T> {
     for (let round = 0; ; round++) {
-      const result = await this.askEach();
-      if (result?.kind === 'answered') {
+      const result = await this.runRound();
+      if (result?.kind === 'completed') {
         return result.value;
       }
       if (result?.kind === 'refused') {
-        throw this.fate.createRefusalFailure(result.failure);
+        throw this.outcome.createRefusalFailure(result.failure);
       }
-      const pause = this.choosePause(round, result);
-      if (!this.mayAttempt(pause)) {
-        throw this.fate.createFinalFailure();
+      const pauseMs = this.computePauseMs(round, result);
+      if (!this.canAttempt(pauseMs)) {
+        throw this.outcome.createFinalFailure();
       }
-      await this.options.clock.sleep(pause);
+      await this.options.clock.sleep(pauseMs);
     }
   }
 
-  /** One round. A refusal waits for pending attempts, which may have been recorded meanwhile. */
-  private async askEach(): Promise<AttemptResult<T> | undefined> {
+  /**
+   * Runs one round. Unless a response completes it, awaits all pending
+   * attempts: after a refusal too, since they may have been recorded meanwhile.
+   */
+  private async runRound(): Promise<AttemptResult<T> | undefined> {
     const {entryCount, firstEntry} = this.options;
     let latest: AttemptResult<T> | undefined;
-    for (let i = 0; i < entryCount && this.mayAttempt(0); i++) {
+    for (let i = 0; i < entryCount && this.canAttempt(0); i++) {
       this.startAttempt((firstEntry + i) % entryCount);
-      latest = (await this.nextResult()) ?? latest;
-      if (latest?.kind === 'answered' || latest?.kind === 'refused') {
+      latest = (await this.waitForResult()) ?? latest;
+      if (latest?.kind === 'completed' || latest?.kind === 'refused') {
         break;
       }
     }
-    while (latest?.kind !== 'answered' && this.pending.size > 0) {
-      const result = await Promise.race(this.pending);
-      if (result.kind === 'answered' || latest?.kind !== 'refused') {
+    while (latest?.kind !== 'completed' && this.pendingAttempts.size > 0) {
+      const result = await Promise.race(this.pendingAttempts);
+      if (result.kind === 'completed' || latest?.kind !== 'refused') {
         latest = result;
       }
     }
@@ -98,80 +108,85 @@
   }
 
   private startAttempt(entry: number): void {
-    const remaining = Math.max(1, this.remaining());
-    const timeout = Math.ceil(Math.min(this.attemptTimeout, remaining));
-    this.attempts++;
-    const attempt = this.options.attempt(entry, timeout).then(result => {
-      this.pending.delete(attempt);
-      this.note(entry, result);
+    const remainingMs = Math.max(1, this.getRemainingMs());
+    const timeoutMs = Math.ceil(Math.min(this.attemptTimeoutMs, remainingMs));
+    this.attemptCount++;
+    const attempt = this.options.attempt(entry, timeoutMs).then(result => {
+      this.pendingAttempts.delete(attempt);
+      this.recordResult(entry, result);
       return result;
     });
-    this.pending.add(attempt);
+    this.pendingAttempts.add(attempt);
   }
 
-  private note(entry: number, result: AttemptResult<T>): void {
-    this.fate.addResult(result);
+  private recordResult(entry: number, result: AttemptResult<T>): void {
+    this.outcome.addResult(result);
     const problem = findProblem(result);
-    if (problem !== undefined && !this.isOver) {
+    if (problem !== undefined && !this.isSettled) {
       this.options.onProblem(entry, problem);
     }
   }
 
-  /** The next result; undefined when all pending attempts are slow. */
-  private async nextResult(): Promise<AttemptResult<T> | undefined> {
-    const {clock, policy, waitMs: wait} = this.options;
-    const stop = new AbortController();
-    const isSlow = clock
-      .sleep(policy.hedgeDelayMs + wait, stop.signal)
+  /** Awaits the next result; undefined if none arrives within the hedge delay plus `waitMs`. */
+  private async waitForResult(): Promise<AttemptResult<T> | undefined> {
+    const {clock, policy, waitMs} = this.options;
+    const timerAbort = new AbortController();
+    const hedgeTimer = clock
+      .sleep(policy.hedgeDelayMs + waitMs, timerAbort.signal)
       .then(() => undefined);
     try {
-      return await Promise.race([...this.pending, isSlow]);
+      return await Promise.race([...this.pendingAttempts, hedgeTimer]);
     } finally {
-      stop.abort();
+      timerAbort.abort();
     }
   }
 
   /**
-   * Tells whether an attempt after `pause` is of use. One that the deadline
-   * cuts short could turn a certain "not run" into "unknown".
+   * Checks whether another attempt may start after `pauseMs`. It may not if the
+   * deadline could cut it off and so turn a certain "not run" into "unknown".
    */
-  private mayAttempt(pause: Milliseconds): boolean {
-    const remaining = this.remaining() - pause;
+  private canAttempt(pauseMs: Milliseconds): boolean {
+    const remainingMs = this.getRemainingMs() - pauseMs;
     const isRisky =
-      this.fate.isNotRun &&
-      this.pending.size === 0 &&
-      remaining < this.attemptTimeout;
+      this.outcome.isNotRun &&
+      this.pendingAttempts.size === 0 &&
+      remainingMs < this.attemptTimeoutMs;
     return (
-      remaining > 0 &&
-      this.attempts < this.options.policy.maxAttempts &&
+      remainingMs > 0 &&
+      this.attemptCount < this.options.policy.maxAttempts &&
       !isRisky
     );
   }
 
-  private get attemptTimeout(): Milliseconds {
-    const {policy, commandId, waitMs: wait} = this.options;
-    const timeout = commandId ? policy.commandTimeoutMs : policy.queryTimeoutMs;
-    return timeout + wait;
+  private get attemptTimeoutMs(): Milliseconds {
+    const {policy, commandId, waitMs} = this.options;
+    const timeoutMs = commandId
+      ? policy.commandTimeoutMs
+      : policy.queryTimeoutMs;
+    return timeoutMs + waitMs;
   }
 
-  private remaining(): Milliseconds {
+  private getRemainingMs(): Milliseconds {
     return this.deadline - this.options.clock.now();
   }
 
-  /** Full jitter, after what the instance asks for. */
-  private choosePause(
+  /**
+   * Computes the pause before the next round: the backoff, added to the
+   * instance's Retry-After.
+   */
+  private computePauseMs(
     round: number,
     result: AttemptResult<T> | undefined,
   ): Milliseconds {
     const {policy, random} = this.options;
-    const {backoffBaseMs: backoffBase, backoffCapMs: backoffCap} = policy;
-    const backoff = computeJitteredBackoff(
+    const {backoffBaseMs, backoffCapMs} = policy;
+    const backoffMs = computeJitteredBackoff(
       round,
-      backoffBase,
-      backoffCap,
+      backoffBaseMs,
+      backoffCapMs,
       random,
     );
-    const retryAfter = result?.kind === 'not-run' ? result.retryAfter : 0;
-    return (retryAfter ?? 0) + backoff;
+    const retryAfterMs = result?.kind === 'not-run' ? result.retryAfter : 0;
+    return (retryAfterMs ?? 0) + backoffMs;
   }
 }
--- a/packages/cli/src/command_line.ts
+++ b/packages/cli/src/command_line.ts
@@ -1,4 +1,4 @@
-/** Runs one command line from its arguments to its exit code. */
+/** Parses a command line, runs its command and returns the exit code. */
 import {CommanderError, type Command} from 'commander';
 import {type Clock, SystemClock} from '@galenavalve/shared';
 import {HttpEntryClient} from './client/http_entry_client.js';
@@ -13,27 +13,33 @@
 import {createProgram, type Runner} from './program.js';
 import type {OfflineCommandContext, CommandContext} from './command_context.js';
 
-/** What surrounds the command line. */
+/** Environment, output streams and clock of a command line. */
 export interface CommandLineOptions {
   environment: EnvironmentVariables;
+  /** Writes to stdout. */
   writeOut: Writer;
+  /** Writes to stderr. */
   writeError: Writer;
+  /** The system clock by default. */
   clock?: Clock;
 }
 
-/** Runs a command line; `args` are the words after the name of the program. */
+/**
+ * Runs a command line. `args` are the arguments after the program name.
+ * Errors of the command are printed and mapped to the exit code.
+ */
 export async function runCommandLine(
   args: readonly string[],
-  surroundings: CommandLineOptions,
+  options: CommandLineOptions,
 ): Promise<ExitCode> {
-  const {writeOut, writeError} = surroundings;
+  const {writeOut, writeError} = options;
   let exitCode: ExitCode = ExitCode.ok;
-  const program = createProgram(options =>
-    createRunner(options, surroundings, code => {
+  const program = createProgram(globalOptions =>
+    createRunner(globalOptions, options, code => {
       exitCode = code;
     }),
   );
-  catchExits(program, surroundings);
+  disableProcessExit(program, options);
   try {
     await program.parseAsync(args, {from: 'user'});
     return exitCode;
@@ -48,21 +54,21 @@
 }
 
 function createRunner(
-  options: GlobalOptions,
-  surroundings: CommandLineOptions,
+  globalOptions: GlobalOptions,
+  options: CommandLineOptions,
   onExit: (code: ExitCode) => void,
 ): Runner {
-  const {environment, writeOut, writeError} = surroundings;
-  const output = new Output(writeOut, writeError, options.json === true);
+  const {environment, writeOut, writeError} = options;
+  const output = new Output(writeOut, writeError, globalOptions.json === true);
   return {
     async runOffline(
-      command: (session: OfflineCommandContext) => Promise<ExitCode>,
+      command: (context: OfflineCommandContext) => Promise<ExitCode>,
     ) {
       onExit(await command({output}));
     },
-    async run(command: (session: CommandContext) => Promise<ExitCode>) {
-      const settings = loadSettings(options, environment);
-      const clock = surroundings.clock ?? new SystemClock();
+    async run(command: (context: CommandContext) => Promise<ExitCode>) {
+      const settings = loadSettings(globalOptions, environment);
+      const clock = options.clock ?? new SystemClock();
       const client = createClient(settings, clock, output);
       try {
         onExit(await command({client, settings, output, clock}));
@@ -83,18 +89,18 @@
     clock,
     policy: {callTimeoutMs: deadlineSeconds * 1000},
     onRetry: (entry, problem) =>
-      output.printProgress(`asking again: ${entry}: ${problem}`),
+      output.printProgress(`retrying: ${entry}: ${problem}`),
   });
 }
 
-/** Makes commander throw where it would end the process. */
-function catchExits(
+/** Makes commander throw a `CommanderError` instead of ending the process. */
+function disableProcessExit(
   command: Command,
   {writeOut, writeError}: CommandLineOptions,
 ): void {
   command.exitOverride();
   command.configureOutput({writeOut, writeErr: writeError});
   command.commands.forEach(subcommand =>
-    catchExits(subcommand, {environment: {}, writeOut, writeError}),
+    disableProcessExit(subcommand, {environment: {}, writeOut, writeError}),
   );
 }
--- a/packages/cli/src/commands/apply_configuration.ts
+++ b/packages/cli/src/commands/apply_configuration.ts
@@ -1,4 +1,4 @@
-/** `galenavalve config apply`. */
+/** Implements `galenavalve config apply`. */
 import type {
   ConfigurationChange,
   ConfigurationResult,
@@ -23,14 +23,14 @@
   prune: boolean;
 }
 
-/** Changes the configuration in force to what the file lists, all or nothing. */
+/** Applies all differences between the current configuration and the file, or none. */
 export async function applyConfiguration(
   {client, settings, output}: CommandContext,
   desired: DesiredConfiguration,
   {changeId, prune}: ApplyOptions,
 ): Promise<ExitCode> {
-  const present = await client.readConfiguration();
-  const differences = findDifferences(desired, present, prune);
+  const current = await client.readConfiguration();
+  const differences = findDifferences(desired, current, prune);
   output.printProgress(renderDifferences(differences));
   if (differences.length === 0) {
     return ExitCode.ok;
@@ -38,12 +38,12 @@
   const edits = differences.map(({edit}) => edit);
   const change = {changeId, author: settings.author, edits};
   output.printProgress(`change ${changeId}`);
-  const result = await configure(client, change, differences);
+  const result = await sendChange(client, change, differences);
   output.printResult(result, renderResult);
   return ExitCode.ok;
 }
 
-async function configure(
+async function sendChange(
   client: EntryClient,
   change: ConfigurationChange,
   differences: readonly Difference[],
@@ -52,28 +52,29 @@
     return await client.configure(change);
   } catch (error) {
     throw isFailure(error, 'config-conflict')
-      ? await nameAuthor(client, error, differences)
+      ? await addConflictAuthor(client, error, differences)
       : error;
   }
 }
 
-/** Adds who made the change that came first. */
-async function nameAuthor(
+/** Adds the author, time and id of the conflicting change to a conflict. */
+async function addConflictAuthor(
   client: EntryClient,
   conflict: Failure,
   differences: readonly Difference[],
 ): Promise<Failure> {
   const changes = await client.listChanges().catch(() => []);
   const keys = new Set(differences.map(({edit}) => edit.entity));
-  const named = conflict.details['entity'];
-  const rival = changes.find(
+  const conflictKey = conflict.details['entity'];
+  const conflictingChange = changes.find(
     ({accepted, entities}) =>
-      accepted && entities.some(key => (named ? key === named : keys.has(key))),
+      accepted &&
+      entities.some(key => (conflictKey ? key === conflictKey : keys.has(key))),
   );
-  if (!rival) {
+  if (!conflictingChange) {
     return conflict;
   }
-  const entity = `${named} (changed by ${rival.author} at ${formatTime(rival.at)}, change ${rival.changeId})`;
+  const entity = `${conflictKey} (changed by ${conflictingChange.author} at ${formatTime(conflictingChange.at)}, change ${conflictingChange.changeId})`;
   return new Failure('config-conflict', {...conflict.details, entity});
 }
 
--- a/packages/cli/src/commands/approve.ts
+++ b/packages/cli/src/commands/approve.ts
@@ -1,9 +1,9 @@
-/** `galenavalve approve`. */
+/** Implements `galenavalve approve`. */
 import {ExitCode} from '../exit_code.js';
 import {renderJob} from '../output/job_text.js';
 import type {CommandContext} from '../command_context.js';
 
-/** Lets a job of a workspace with approval start. */
+/** Approves a job of a workspace that requires approval. */
 export async function approve(
   {client, settings, output}: CommandContext,
   jobId: string,
--- a/packages/cli/src/commands/cancel.ts
+++ b/packages/cli/src/commands/cancel.ts
@@ -1,10 +1,13 @@
-/** `galenavalve cancel`. */
+/** Implements `galenavalve cancel`. */
 import type {JobView} from '@galenavalve/model';
 import {ExitCode, getExitCode} from '../exit_code.js';
 import {renderJobs} from '../output/job_text.js';
 import type {CommandContext} from '../command_context.js';
 
-/** Cancels each job; one that cannot be cancelled does not keep the others. */
+/**
+ * Cancels each job, also when another one cannot be cancelled. Returns the exit
+ * code of the last failure.
+ */
 export async function cancel(
   {client, output}: CommandContext,
   jobIds: readonly string[],
--- a/packages/cli/src/commands/change_domain_state.ts
+++ b/packages/cli/src/commands/change_domain_state.ts
@@ -1,4 +1,4 @@
-/** `galenavalve drain` and `galenavalve restore`. */
+/** Implements `galenavalve drain` and `galenavalve restore`. */
 import type {
   ConfigurationResult,
   DomainView,
@@ -10,30 +10,37 @@
 import {renderDomainProgress} from '../output/cluster_text.js';
 import type {CommandContext} from '../command_context.js';
 
+/** Pause between two reads of the inventory. */
 const POLL_INTERVAL_MS = 1000;
 
-/** Takes a failure domain out of service, and waits up to `wait` until nothing runs there. */
+/** Takes a failure domain out of service, and waits up to `waitMs` until nothing runs there. */
 export async function drain(
-  session: CommandContext,
+  context: CommandContext,
   domain: string,
-  wait: Milliseconds,
+  waitMs: Milliseconds,
 ): Promise<ExitCode> {
-  const {offset} = await recordDrain(session, domain);
-  return watchDomain(session, {domain, offset, wait, isDone: isDrained});
+  const {offset} = await recordDrain(context, domain);
+  return watchDomain(context, {domain, offset, waitMs, isDone: isDrained});
 }
 
-/** Brings a failure domain back, and waits up to `wait` until it is scheduled again. */
+/**
+ * Brings a failure domain back into service, and waits up to `waitMs` until it
+ * has a scheduler.
+ */
 export async function restore(
-  session: CommandContext,
+  context: CommandContext,
   domain: string,
-  wait: Milliseconds,
+  waitMs: Milliseconds,
 ): Promise<ExitCode> {
-  const {client, settings} = session;
+  const {client, settings} = context;
   const {offset} = await client.restore(domain, settings.author);
-  return watchDomain(session, {domain, offset, wait, isDone: isRestored});
+  return watchDomain(context, {domain, offset, waitMs, isDone: isRestored});
 }
 
-/** Without a record only a hold may keep starts back, which the failure does not say. */
+/**
+ * Records the drain. If that fails, prints that a hold may be in effect, which
+ * prevents starts in the domain and which the failure does not mention.
+ */
 async function recordDrain(
   {client, settings, output}: CommandContext,
   domain: string,
@@ -50,54 +57,65 @@
   }
 }
 
-interface Watch {
+/** Failure domain to watch, and the state to wait for. */
+interface WatchOptions {
   domain: string;
-  /** Offset of the change; an older view does not show it. */
+  /** Offset of the change; a view that was read only up to it does not show the change. */
   offset: number;
-  wait: Milliseconds;
+  waitMs: Milliseconds;
   isDone: (view: DomainView) => boolean;
 }
 
+/**
+ * Prints the progress of a failure domain until it reaches the desired state or
+ * the wait ends.
+ */
 async function watchDomain(
   {client, clock, output}: CommandContext,
-  {domain, offset, wait, isDone}: Watch,
+  {domain, offset, waitMs, isDone}: WatchOptions,
 ): Promise<ExitCode> {
   output.printProgress(`recorded at offset ${offset}`);
-  const deadline = clock.now() + wait;
-  let shown = '';
+  const deadline = clock.now() + waitMs;
+  let lastText = '';
   for (;;) {
     const view = await findDomain(client, domain, offset);
-    const text = view ? renderDomainProgress(view) : shown;
+    const text = view ? renderDomainProgress(view) : lastText;
     if (view && isDone(view)) {
       output.printResult(view, renderDomainProgress);
       return ExitCode.ok;
     }
-    if (text !== shown) {
+    if (text !== lastText) {
       output.printProgress(text);
-      shown = text;
+      lastText = text;
     }
     if (clock.now() + POLL_INTERVAL_MS > deadline) {
-      return wait > 0 ? ExitCode.unfinished : ExitCode.ok;
+      return waitMs > 0 ? ExitCode.unfinished : ExitCode.ok;
     }
     await clock.sleep(POLL_INTERVAL_MS);
   }
 }
 
-/** The failure domain as it is after the change; undefined while no instance shows it. */
+/**
+ * Returns the failure domain after the change; undefined if the response does
+ * not show the change.
+ */
 async function findDomain(
   client: EntryClient,
   id: string,
   offset: number,
 ): Promise<DomainView | undefined> {
-  const inventory = await readIfPossible(client);
+  const inventory = await tryReadInventory(client);
   if (!inventory || inventory.offset <= offset) {
     return undefined;
   }
   return inventory.domains.find(domain => domain.id === id);
 }
 
-/** The change is recorded, so a failed question says nothing about it. */
-async function readIfPossible(
+/**
+ * Returns undefined for a failed query: the change is recorded, whether or not
+ * it can be read.
+ */
+async function tryReadInventory(
   client: EntryClient,
 ): Promise<InventoryView | undefined> {
   try {
--- a/packages/cli/src/commands/follow_job.ts
+++ b/packages/cli/src/commands/follow_job.ts
@@ -1,4 +1,4 @@
-/** Waits for a job, whatever becomes of single requests. */
+/** Follows a job until it finishes, also when single requests fail. */
 import type {JobView} from '@galenavalve/model';
 import {
   type Clock,
@@ -8,65 +8,68 @@
 } from '@galenavalve/shared';
 import type {EntryClient} from '../client/entry_client.js';
 
-/** Shortest time between two requests. */
+/** Minimum time between the starts of two requests. */
 const POLL_INTERVAL_MS = 250;
 
-/** An instance that does not know a recorded job has not read it yet; it gets this long. */
-const MAX_LAG_MS = 10_000;
+/**
+ * Time for which "not found" is taken to mean that the instance has not yet
+ * read the job's record.
+ */
+const MAX_READ_LAG_MS = 10_000;
 
-/** How to follow a job. */
+/** Options of `followJob`. */
 export interface FollowOptions {
   clock: Clock;
   deadline: Instant;
-  /** Told at the start and at each change. */
+  /** Called with the job at the start and after each change. */
   onChange: (job: JobView) => void;
 }
 
-/** Resolves to the job when it has finished, or as it was last seen when the deadline has passed. */
+/** Resolves to the finished job, or to its latest known state when the deadline passes. */
 export async function followJob(
   client: EntryClient,
   accepted: JobView,
   {clock, deadline, onChange}: FollowOptions,
 ): Promise<JobView> {
   let job = accepted;
-  let seenAt = clock.now();
+  let lastReadAt = clock.now();
   onChange(job);
   while (job.phase !== 'finished' && clock.now() < deadline) {
-    const askedAt = clock.now();
-    const next = await readIfPossible(client, job.jobId, deadline - askedAt);
-    if (next === 'unknown-job' && clock.now() - seenAt > MAX_LAG_MS) {
-      // Let the caller see the instance's own answer.
+    const requestedAt = clock.now();
+    const next = await tryReadJob(client, job.jobId, deadline - requestedAt);
+    if (next === 'unknown-job' && clock.now() - lastReadAt > MAX_READ_LAG_MS) {
+      // Reads once more, so that the caller gets the instance's own failure.
       return client.readJob(job.jobId, 0);
     }
     if (typeof next === 'object') {
-      seenAt = clock.now();
+      lastReadAt = clock.now();
       if (hasChanged(job, next)) {
         onChange(next);
       }
       job = next;
     }
-    const spent = clock.now() - askedAt;
-    if (job.phase !== 'finished' && spent < POLL_INTERVAL_MS) {
-      await clock.sleep(POLL_INTERVAL_MS - spent);
+    const elapsedMs = clock.now() - requestedAt;
+    if (job.phase !== 'finished' && elapsedMs < POLL_INTERVAL_MS) {
+      await clock.sleep(POLL_INTERVAL_MS - elapsedMs);
     }
   }
   return job;
 }
 
-/** The job is recorded, so a failed question says nothing about it. */
-async function readIfPossible(
+/** Does not throw for a failed query: the job is recorded, whether or not it can be read. */
+async function tryReadJob(
   client: EntryClient,
   jobId: string,
-  wait: Milliseconds,
-): Promise<JobView | 'unknown-job' | 'no-answer'> {
+  waitMs: Milliseconds,
+): Promise<JobView | 'unknown-job' | 'no-response'> {
   try {
-    return await client.readJob(jobId, Math.max(0, wait));
+    return await client.readJob(jobId, Math.max(0, waitMs));
   } catch (error) {
     if (isFailure(error, 'not-found')) {
       return 'unknown-job';
     }
     if (isFailure(error)) {
-      return 'no-answer';
+      return 'no-response';
     }
     throw error;
   }
--- a/packages/cli/src/commands/submit.ts
+++ b/packages/cli/src/commands/submit.ts
@@ -1,4 +1,4 @@
-/** `galenavalve submit`. */
+/** Implements `galenavalve submit`. */
 import type {JobRequest, JobView} from '@galenavalve/model';
 import {isFailure, type Milliseconds} from '@galenavalve/shared';
 import {ExitCode, getJobExitCode} from '../exit_code.js';
@@ -6,39 +6,42 @@
 import type {CommandContext} from '../command_context.js';
 import {followJob} from './follow_job.js';
 
-/** Submits a job and waits for it up to `wait`. The exit code tells how it stands. */
+/**
+ * Submits a job and waits up to `waitMs` until it finishes. Returns the exit
+ * code of its state.
+ */
 export async function submit(
-  session: CommandContext,
+  context: CommandContext,
   request: JobRequest,
-  wait: Milliseconds,
+  waitMs: Milliseconds,
 ): Promise<ExitCode> {
-  const {client, clock, output} = session;
-  const deadline = clock.now() + wait;
+  const {client, clock, output} = context;
+  const deadline = clock.now() + waitMs;
   output.printProgress(`request ${request.requestId}`);
-  const accepted = await submitOrTellHow(session, request);
+  const accepted = await submitOrPrintRetryHint(context, request);
   const job = await followJob(client, accepted, {
     clock,
     deadline,
     onChange: view => output.printProgress(describeProgress(view)),
   });
   output.printResult(job, renderJob);
-  return wait > 0 || job.phase === 'finished'
+  return waitMs > 0 || job.phase === 'finished'
     ? getJobExitCode(job)
     : ExitCode.ok;
 }
 
-async function submitOrTellHow(
+async function submitOrPrintRetryHint(
   {client, output}: CommandContext,
   request: JobRequest,
 ): Promise<JobView> {
   try {
-    // A wait would hide an instance that went silent; followJob waits instead.
+    // A wait would delay the detection of an unresponsive instance; followJob waits instead.
     return await client.submit(request, 0);
   } catch (error) {
     if (isFailure(error, 'outcome-unknown')) {
       const {requestId, createdAt} = request;
       output.printProgress(
-        `to ask again, add --request-id ${requestId} --created-at ${createdAt}`,
+        `to retry, add --request-id ${requestId} --created-at ${createdAt}`,
       );
     }
     throw error;
--- a/packages/cli/src/exit_code.ts
+++ b/packages/cli/src/exit_code.ts
@@ -2,28 +2,28 @@
 import type {JobView} from '@galenavalve/model';
 import {Failure} from '@galenavalve/shared';
 
-/** What the exit code of the command line tells. */
+/** Exit codes by meaning. */
 export const ExitCode = {
-  /** The command was carried out, and the job, if one was waited for, succeeded. */
+  /** The command succeeded, and so did the job if the command waited for one. */
   ok: 0,
-  /** A fault of the tool itself. */
+  /** Internal error of the tool. */
   internal: 1,
-  /** Wrong arguments, settings or files; nothing was sent. */
+  /** Invalid arguments, settings or files; nothing was sent. */
   usage: 2,
-  /** Nothing was recorded or run: the same command can be given again later. */
+  /** Nothing was recorded or run; the same command can be retried later. */
   notRun: 3,
-  /** Refused for good: the request has to be changed. */
+  /** Rejected; a retry fails as well unless the request is changed. */
   rejected: 4,
-  /** Not known yet: give the same command again with the same ids. */
+  /** Outcome unknown; retry the same command with the same ids. */
   unknown: 5,
-  /** The job has ended without success. */
+  /** The job finished without success. */
   failedJob: 6,
-  /** The job is recorded and had not finished when the wait was over. */
+  /** The job is recorded but did not finish within the wait. */
   unfinished: 7,
 } as const;
 export type ExitCode = (typeof ExitCode)[keyof typeof ExitCode];
 
-/** The exit code that belongs to an error. */
+/** Returns the exit code of an error; errors other than `Failure` are internal errors. */
 export function getExitCode(error: unknown): ExitCode {
   if (!(error instanceof Failure)) {
     return ExitCode.internal;
@@ -43,7 +43,7 @@
   }
 }
 
-/** The exit code that tells how a job stands. */
+/** Returns the exit code of a job's current state. */
 export function getJobExitCode(job: JobView): ExitCode {
   if (job.phase !== 'finished') {
     return ExitCode.unfinished;
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,6 +1,6 @@
-/** galenavalve: the command-line tool, and the client of entry instances for programs. */
+/** Package of the command-line tool `galenavalve` and of the entry client for programs. */
 
-// The client
+// Entry client
 export type {EntryClient, JobFilter} from './client/entry_client.js';
 export {
   HttpEntryClient,
@@ -10,7 +10,7 @@
 export {DEFAULT_RETRY_POLICY, type RetryPolicy} from './client/retry_policy.js';
 export {followJob, type FollowOptions} from './commands/follow_job.js';
 
-// The command line
+// Command line
 export {runCommandLine, type CommandLineOptions} from './command_line.js';
 export {ExitCode} from './exit_code.js';
 
--- a/packages/cli/src/input/desired_configuration.ts
+++ b/packages/cli/src/input/desired_configuration.ts
@@ -1,4 +1,4 @@
-/** The file of a cluster configuration, and what has to change to reach it. */
+/** Reads configuration files and computes their differences from the current configuration. */
 import {z} from 'zod';
 import {
   type ConfigurationView,
@@ -11,39 +11,43 @@
 import {Failure, hashValue} from '@galenavalve/shared';
 import {checkValue, readJsonc} from './jsonc_file.js';
 
-/** A file of desired entities. */
+/** Schema of a configuration file. */
 const configurationFile = z.strictObject({
   entities: z.array(z.record(z.string(), z.unknown())),
   /**
-   * Versions that the file was made from, by entity key, as `config show`
-   * prints them. With them, a change that somebody else made since is a
-   * conflict; without them, it is overwritten.
+   * Entity versions on which the file is based, by entity key, as `config show`
+   * prints them. A change that was made to an entity since then is a
+   * conflict if the file gives its version, and is overwritten if it does not.
    */
   versions: z.record(z.string(), z.int().nonnegative()).default({}),
 });
 
-/** An entity as the file lists it. */
+/** An entity that a configuration file lists. */
 export interface DesiredEntity {
   value: Entity;
-  /** False when the file leaves the service state as it is. */
+  /** False when the file does not set the service state. */
   setsState: boolean;
 }
 
-/** A checked file. */
+/** Content of a valid configuration file. */
 export interface DesiredConfiguration {
+  /** Entities by entity key. */
   entities: Map<string, DesiredEntity>;
+  /** Versions on which the file is based, by entity key. */
   versions: Record<string, number>;
 }
 
-/** One difference between the configuration in force and the file. */
+/** One difference between the current configuration and the file. */
 export interface Difference {
+  /** Edit that removes the difference. */
   edit: Edit;
-  /** Present value and version; undefined and 0 for an entity that does not exist. */
+  /** Current value; undefined for an entity that does not exist. */
   before: Entity | undefined;
+  /** Current version; 0 for an entity that does not exist. */
   presentVersion: number;
 }
 
-/** Reads a configuration file. Throws `settings-invalid`. */
+/** Reads a configuration file. Throws `settings-invalid` when it is not valid. */
 export function readDesiredConfiguration(file: string): DesiredConfiguration {
   const content = checkValue(configurationFile, readJsonc(file), file);
   const entities = new Map<string, DesiredEntity>();
@@ -59,26 +63,27 @@
 }
 
 /**
- * What has to change. An entity that the file does not list stays, unless
- * `prune` is set. A service state that the file does not name stays as well,
- * so that applying a file does not bring a drained failure domain back.
+ * Computes the edits that make the configuration match the file. An entity
+ * that the file does not list is kept unless `prune` is set. A service state
+ * that the file does not set is kept as well, so that applying a file does not
+ * bring a drained failure domain back into service.
  */
 export function findDifferences(
   desired: DesiredConfiguration,
-  present: ConfigurationView,
+  current: ConfigurationView,
   prune: boolean,
 ): Difference[] {
-  const byKey = new Map(present.entities.map(view => [view.entity, view]));
+  const byKey = new Map(current.entities.map(view => [view.entity, view]));
   const differences: Difference[] = [];
   for (const [key, {value, setsState}] of desired.entities) {
     const view = byKey.get(key);
-    const target = setsState ? value : keepState(value, view?.value);
-    if (!view || hashValue(view.value) !== hashValue(target)) {
-      differences.push(createDifference(key, target, view, desired));
+    const desiredValue = setsState ? value : keepState(value, view?.value);
+    if (!view || hashValue(view.value) !== hashValue(desiredValue)) {
+      differences.push(createDifference(key, desiredValue, view, desired));
     }
   }
   if (prune) {
-    for (const view of present.entities) {
+    for (const view of current.entities) {
       if (!desired.entities.has(view.entity)) {
         differences.push(createDifference(view.entity, null, view, desired));
       }
@@ -99,9 +104,9 @@
   return {edit, before: view?.value, presentVersion};
 }
 
-function keepState(value: Entity, present: Entity | undefined): Entity {
-  const hasState = 'state' in value && present && 'state' in present;
-  return hasState ? {...value, state: present.state} : value;
+function keepState(value: Entity, current: Entity | undefined): Entity {
+  const hasState = 'state' in value && current && 'state' in current;
+  return hasState ? {...value, state: current.state} : value;
 }
 
 function createDuplicateFailure(file: string, key: string): Failure {
@@ -109,6 +114,6 @@
     file,
     key,
     problem: 'the entity is listed twice',
-    remedy: 'remove one of the two',
+    remedy: 'remove one of the two entries',
   });
 }
--- a/packages/cli/src/input/job_input.ts
+++ b/packages/cli/src/input/job_input.ts
@@ -1,10 +1,10 @@
-/** Builds a job request from a file and options. */
+/** Builds job requests from files and options. */
 import {randomUUID} from 'node:crypto';
 import type {z} from 'zod';
 import {jobRequest, type JobRequest} from '@galenavalve/model';
 import {checkValue, parseJsonc, readJsonc} from './jsonc_file.js';
 
-/** Options of `submit` and `plan`; each goes before the same field of the file. */
+/** Options of `submit` and `plan`; each overrides the same field of the file. */
 export interface JobOptions {
   workspace?: string;
   tasks?: number;
@@ -19,14 +19,18 @@
   kind?: string;
   payload?: string;
   requestId?: string;
+  /** Milliseconds since the Unix epoch. */
   createdAt?: number;
 }
 
-type Draft = Partial<z.input<typeof jobRequest>>;
+/** Fields of a job request that a file gives. */
+type JobRequestDraft = Partial<z.input<typeof jobRequest>>;
 
 /**
- * Builds the request. `wallTime` is the time of creation unless one is given;
- * to ask again for the same request, give its id and time of creation.
+ * Builds a job request. Its creation time is `wallTime`, in milliseconds since
+ * the Unix epoch, unless a file or option gives one. A retry of a request needs
+ * the same id and creation time. Throws `settings-invalid` when the request is
+ * not valid.
  */
 export function buildJobRequest(
   file: string | undefined,
@@ -39,32 +43,35 @@
     requestId: options.requestId ?? draft.requestId ?? randomUUID(),
     createdAt: options.createdAt ?? draft.createdAt ?? wallTime,
     gang: buildGang(draft.gang, options),
-    ...pickOptions(options),
+    ...pickRequestFields(options),
   };
   return checkValue(jobRequest, request, file ?? 'the options');
 }
 
-function readDraft(file: string): Draft {
+function readDraft(file: string): JobRequestDraft {
   const value = readJsonc(file);
   return typeof value === 'object' && value !== null ? value : {};
 }
 
-function buildGang(draft: Draft['gang'], options: JobOptions): unknown {
+function buildGang(
+  draft: JobRequestDraft['gang'],
+  options: JobOptions,
+): unknown {
   const {tasks, accelerators, processors, memoryMb, adjacency} = options;
   return {
     ...draft,
     tasks: tasks ?? draft?.tasks ?? 1,
     perTask: {
       ...draft?.perTask,
-      ...omitMissing({accelerators, processors, memoryMb}),
+      ...omitUndefined({accelerators, processors, memoryMb}),
     },
-    ...omitMissing({adjacency}),
+    ...omitUndefined({adjacency}),
   };
 }
 
-function pickOptions(options: JobOptions): object {
+function pickRequestFields(options: JobOptions): object {
   const {workspace, expectedSeconds, kind, urgent, checkpointable} = options;
-  return omitMissing({
+  return omitUndefined({
     workspace,
     expectedSeconds,
     kind,
@@ -75,9 +82,9 @@
   });
 }
 
-function omitMissing(values: Record<string, unknown>): object {
-  const given = Object.entries(values).filter(
+function omitUndefined(values: Record<string, unknown>): object {
+  const definedEntries = Object.entries(values).filter(
     ([, value]) => value !== undefined,
   );
-  return Object.fromEntries(given);
+  return Object.fromEntries(definedEntries);
 }
--- a/packages/cli/src/input/jsonc_file.ts
+++ b/packages/cli/src/input/jsonc_file.ts
@@ -1,4 +1,4 @@
-/** Files in JSON with comments, checked by schema. */
+/** Reads files in JSON with comments and validates values against schemas. */
 import {readFileSync} from 'node:fs';
 import {
   parse,
@@ -9,21 +9,27 @@
 import type {z} from 'zod';
 import {describeError, Failure} from '@galenavalve/shared';
 
-/** File name that stands for the standard input. */
-const STANDARD_INPUT = '-';
-const STANDARD_INPUT_DESCRIPTOR = 0;
+/** File name that stands for stdin. */
+const STDIN_FILE_NAME = '-';
+const STDIN_FILE_DESCRIPTOR = 0;
 
-const parseOptions: ParseOptions = {allowTrailingComma: true};
+const PARSE_OPTIONS: ParseOptions = {allowTrailingComma: true};
 
-/** Reads a file as JSON with comments. Throws `settings-invalid`. */
+/**
+ * Reads a file in JSON with comments. Throws `settings-invalid` when it cannot
+ * be read or parsed.
+ */
 export function readJsonc(file: string): unknown {
   return parseJsonc(readText(file), file);
 }
 
-/** Parses JSON with comments. `file` names the text in errors. */
+/**
+ * Parses JSON with comments. Throws `settings-invalid`, in which `file` names
+ * the source of the text.
+ */
 export function parseJsonc(text: string, file: string): unknown {
   const errors: ParseError[] = [];
-  const value: unknown = parse(text, errors, parseOptions);
+  const value: unknown = parse(text, errors, PARSE_OPTIONS);
   const error = errors[0];
   if (error) {
     const line = text.slice(0, error.offset).split('\n').length;
@@ -31,13 +37,13 @@
       file,
       key: `line ${line}`,
       problem: printParseErrorCode(error.error),
-      remedy: 'it has to be JSON; comments and trailing commas are allowed',
+      remedy: 'use valid JSON; comments and trailing commas are allowed',
     });
   }
   return value;
 }
 
-/** Checks a value of a file. Throws `settings-invalid` that names the first wrong key. */
+/** Validates a value of a file. Throws `settings-invalid`, which names the first invalid key. */
 export function checkValue<T>(
   schema: z.ZodType<T>,
   value: unknown,
@@ -52,20 +58,20 @@
     file,
     key: issue?.path.join('.') || 'the whole file',
     problem: issue?.message ?? 'not valid',
-    remedy: 'give the named key a value of the stated form, or remove it',
+    remedy: 'set the key to a valid value, or remove it',
   });
 }
 
 function readText(file: string): string {
   try {
-    const source = file === STANDARD_INPUT ? STANDARD_INPUT_DESCRIPTOR : file;
+    const source = file === STDIN_FILE_NAME ? STDIN_FILE_DESCRIPTOR : file;
     return readFileSync(source, 'utf8');
   } catch (error) {
     throw new Failure('settings-invalid', {
       file,
       key: 'the file',
       problem: describeError(error),
-      remedy: 'give the path of a file that can be read',
+      remedy: 'pass the path of a readable file',
     });
   }
 }
--- a/packages/cli/src/input/settings.ts
+++ b/packages/cli/src/input/settings.ts
@@ -1,43 +1,54 @@
-/** Settings of the command line: options before environment before file. */
+/**
+ * Loads the settings of the command line from options, environment variables
+ * and the settings file.
+ */
 import {z} from 'zod';
 import {Failure} from '@galenavalve/shared';
 import {checkValue, readJsonc} from './jsonc_file.js';
 
+/** Timeout of a call when neither an option nor the settings file gives one. */
 const DEFAULT_DEADLINE_SECONDS = 30;
 
 const entryUrl = z.url({protocol: /^https?$/});
 
-/** The settings file of the command line. */
+/** Schema of the settings file. */
 export const settingsFile = z.strictObject({
-  /** Base URLs of entry instances, or of the balancer in front of them. */
+  /** Base URLs of entry instances, or of the load balancer in front of them. */
   entries: z.array(entryUrl).min(1).optional(),
-  /** Name that stands in the history of changes. */
+  /** Author to record in the change history. */
   author: z.string().min(1).max(128).optional(),
-  /** A call is given up after this time, in seconds. */
+  /** Timeout of a call, in seconds. */
   deadlineSeconds: z.number().positive().max(3600).optional(),
 });
 export type SettingsFile = z.infer<typeof settingsFile>;
 
-/** The settings in force. */
+/** Resolved settings. */
 export interface Settings {
+  /** Base URLs of entry instances, at least one. */
   entries: string[];
   author: string;
+  /** Timeout of a call. */
   deadlineSeconds: number;
 }
 
-/** Options of every command. */
+/** Options that all commands share. */
 export interface GlobalOptions {
   entry?: string;
   settings?: string;
   author?: string;
+  /** Timeout of a call, in seconds. */
   deadline?: number;
   json?: boolean;
 }
 
-/** Variables that are read: GALENAVALVE_ENTRIES, GALENAVALVE_SETTINGS and USER. */
+/** Environment variables; GALENAVALVE_ENTRIES, GALENAVALVE_SETTINGS and USER are read. */
 export type EnvironmentVariables = Readonly<Record<string, string | undefined>>;
 
-/** Settles the settings. Throws `settings-invalid`. */
+/**
+ * Loads the settings. An option overrides an environment variable, which
+ * overrides the settings file; the variable USER is only the default author.
+ * Throws `settings-invalid`.
+ */
 export function loadSettings(
   options: GlobalOptions,
   environment: EnvironmentVariables,
@@ -47,7 +58,8 @@
   const {entry} = options;
   const variable = environment['GALENAVALVE_ENTRIES'];
   return {
-    entries: parseEntries(entry ?? variable) ?? file.entries ?? failNoEntries(),
+    entries:
+      parseEntries(entry ?? variable) ?? file.entries ?? throwNoEntries(),
     author:
       options.author ?? file.author ?? environment['USER'] ?? 'unknown author',
     deadlineSeconds:
@@ -63,11 +75,12 @@
   return checkValue(z.array(entryUrl).min(1), entries, '--entry');
 }
 
-function failNoEntries(): never {
+function throwNoEntries(): never {
   throw new Failure('settings-invalid', {
     file: 'galenavalve',
     key: 'entries',
-    problem: 'no entry instance is named',
-    remedy: 'give --entry URL, GALENAVALVE_ENTRIES, or a settings file',
+    problem: 'no entry instance is configured',
+    remedy:
+      'pass --entry URL, set GALENAVALVE_ENTRIES, or list entries in the settings file',
   });
 }
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-/** The program `galenavalve`. */
+/** Entry point of the program `galenavalve`. */
 import {runCommandLine} from './command_line.js';
 
 process.exitCode = await runCommandLine(process.argv.slice(2), {
--- a/packages/cli/src/output/cluster_text.ts
+++ b/packages/cli/src/output/cluster_text.ts
@@ -1,4 +1,4 @@
-/** Workspaces and inventory as text. */
+/** Formats workspaces and the inventory as text. */
 import type {
   DomainView,
   GuaranteeView,
@@ -36,7 +36,7 @@
   {title: 'scheduler', text: view => view.scheduler ?? '-'},
   {title: 'queued', text: view => String(view.queued), alignRight: true},
   {title: 'running', text: view => String(view.running), alignRight: true},
-  {title: 'accelerators', text: describeUse, alignRight: true},
+  {title: 'accelerators', text: formatAcceleratorUse, alignRight: true},
 ];
 
 const targetColumns: Column<TargetView>[] = [
@@ -52,14 +52,14 @@
   },
 ];
 
-/** Workspaces as a table. */
+/** Renders workspaces as a table. */
 export function renderWorkspaces(views: readonly WorkspaceView[]): string {
   return views.length === 0
     ? 'no workspaces'
     : renderTable(workspaceColumns, views);
 }
 
-/** Failure domains as a table, and with `targets` the targets of each. */
+/** Renders failure domains as a table, followed by the targets of each if `targets` is set. */
 export function renderInventory(
   view: InventoryView,
   {targets}: {targets: boolean},
@@ -76,7 +76,7 @@
   return parts.join('\n');
 }
 
-/** How far a failure domain has come out of service or back. */
+/** Renders the state of a failure domain that is being drained or restored. */
 export function renderDomainProgress(view: DomainView): string {
   const running = formatCount(view.running, 'job');
   const queued = formatCount(view.queued, 'job');
@@ -90,14 +90,14 @@
 }
 
 function describeGuarantee(view: GuaranteeView): string {
-  const promise = `${view.promised} ${view.level} in ${view.domain}`;
+  const guarantee = `${view.promised} ${view.level} in ${view.domain}`;
   return view.satisfiable < view.promised
-    ? `${promise} (short: ${view.satisfiable} can be met)`
-    : promise;
+    ? `${guarantee} (short: ${view.satisfiable} can be met)`
+    : guarantee;
 }
 
-function describeUse({targets}: DomainView): string {
+function formatAcceleratorUse({targets}: DomainView): string {
   const used = targets.reduce((sum, view) => sum + view.acceleratorsUsed, 0);
-  const all = targets.reduce((sum, view) => sum + view.accelerators, 0);
-  return `${used}/${all}`;
+  const total = targets.reduce((sum, view) => sum + view.accelerators, 0);
+  return `${used}/${total}`;
 }
--- a/packages/cli/src/output/configuration_text.ts
+++ b/packages/cli/src/output/configuration_text.ts
@@ -1,18 +1,18 @@
-/** Configuration changes as text. */
+/** Formats configuration changes and differences as text. */
 import type {ChangeView, Entity} from '@galenavalve/model';
 import type {Difference} from '../input/desired_configuration.js';
 import {type Column, renderTable} from './table.js';
 import {formatCount, formatTime} from './format.js';
 
-/** Entities of a change that are named in a table. */
-const MAX_NAMED_ENTITIES = 3;
+/** Maximum number of entities of a change that the table lists. */
+const MAX_LISTED_ENTITIES = 3;
 
 const changeColumns: Column<ChangeView>[] = [
   {title: 'time', text: change => formatTime(change.at)},
   {title: 'author', text: change => change.author},
   {title: 'change', text: change => change.changeId},
   {title: 'offset', text: change => String(change.offset), alignRight: true},
-  {title: 'entities', text: nameEntities},
+  {title: 'entities', text: formatEntities},
   {
     title: 'result',
     text: change =>
@@ -20,14 +20,17 @@
   },
 ];
 
-/** Changes as a table. */
+/** Renders changes as a table. */
 export function renderChanges(changes: readonly ChangeView[]): string {
   return changes.length === 0
     ? 'no changes'
     : renderTable(changeColumns, changes);
 }
 
-/** Differences field by field: + added, - removed, ~ changed. */
+/**
+ * Renders differences field by field; + marks an added entity, - a removed and
+ * ~ a changed one.
+ */
 export function renderDifferences(differences: readonly Difference[]): string {
   return differences.length === 0
     ? 'no differences'
@@ -53,21 +56,30 @@
 }
 
 function renderFields(before: Entity, after: Entity): string[] {
-  const old = new Map<string, unknown>(Object.entries(before));
-  const fresh = new Map<string, unknown>(Object.entries(after));
-  const keys = [...new Set([...old.keys(), ...fresh.keys()])];
+  const oldFields = new Map<string, unknown>(Object.entries(before));
+  const newFields = new Map<string, unknown>(Object.entries(after));
+  const keys = [...new Set([...oldFields.keys(), ...newFields.keys()])];
   return keys
-    .map(key => [key, show(old.get(key)), show(fresh.get(key))] as const)
+    .map(
+      key =>
+        [
+          key,
+          formatValue(oldFields.get(key)),
+          formatValue(newFields.get(key)),
+        ] as const,
+    )
     .filter(([, from, to]) => from !== to)
     .map(([key, from, to]) => `    ${key}: ${from} -> ${to}`);
 }
 
-function show(value: unknown): string {
+function formatValue(value: unknown): string {
   return value === undefined ? 'unset' : JSON.stringify(value);
 }
 
-function nameEntities({entities, edits}: ChangeView): string {
-  const named = entities.slice(0, MAX_NAMED_ENTITIES).join(' ');
-  const others = edits - Math.min(entities.length, MAX_NAMED_ENTITIES);
-  return others > 0 ? `${named} and ${formatCount(others, 'other')}` : named;
+function formatEntities({entities, edits}: ChangeView): string {
+  const listed = entities.slice(0, MAX_LISTED_ENTITIES).join(' ');
+  const otherCount = edits - Math.min(entities.length, MAX_LISTED_ENTITIES);
+  return otherCount > 0
+    ? `${listed} and ${formatCount(otherCount, 'other')}`
+    : listed;
 }
--- a/packages/cli/src/output/format.ts
+++ b/packages/cli/src/output/format.ts
@@ -1,16 +1,19 @@
-/** Small pieces of text for people. */
+/** Formats single values for text output. */
 import type {Assignment} from '@galenavalve/model';
 
-/** A wall-clock time in milliseconds since the Unix epoch, to the second. */
+/**
+ * Formats a time, in milliseconds since the Unix epoch, as ISO 8601 with a
+ * precision of one second; "-" if undefined.
+ */
 export function formatTime(wallTime: number | undefined): string {
   return wallTime === undefined
     ? '-'
     : new Date(wallTime).toISOString().replace(/\.\d+Z$/, 'Z');
 }
 
-/** A length of time in milliseconds, such as "2.5 s" or "3 min 5 s". */
-export function formatDuration(milliseconds: number): string {
-  const seconds = milliseconds / 1000;
+/** Formats a duration, such as "2.5 s" or "3 min 5 s". */
+export function formatDuration(durationMs: number): string {
+  const seconds = durationMs / 1000;
   if (seconds < 60) {
     return `${seconds.toFixed(1)} s`;
   }
@@ -21,24 +24,27 @@
   return `${Math.floor(minutes / 60)} h ${minutes % 60} min`;
 }
 
-/** A number with its noun, such as "1 job" or "3 jobs". */
+/** Formats a count with its noun, such as "1 job" or "3 jobs". */
 export function formatCount(count: number, noun: string): string {
   return `${count} ${noun}${count === 1 ? '' : 's'}`;
 }
 
-/** Where the tasks of a gang are, such as "jnb-r1-t3: tasks 0-7, accelerators 0-7". */
+/**
+ * Formats the tasks of a gang on one target, such as "jnb-r1-t3: tasks 0-7,
+ * accelerators 0-7".
+ */
 export function formatAssignment(assignment: Assignment): string {
   const {target, firstTask, tasks} = assignment;
   const last = firstTask + tasks - 1;
   const range =
     tasks === 1 ? `task ${firstTask}` : `tasks ${firstTask}-${last}`;
-  const accelerators = listBits(assignment.accelerators);
+  const accelerators = listSetBits(assignment.accelerators);
   return accelerators.length === 0
     ? `${target}: ${range}`
     : `${target}: ${range}, accelerators ${formatRanges(accelerators)}`;
 }
 
-/** Ascending numbers as ranges, such as "0-3 6". */
+/** Formats ascending numbers as ranges, such as "0-3 6". */
 function formatRanges(numbers: readonly number[]): string {
   const ranges: {first: number; last: number}[] = [];
   for (const number of numbers) {
@@ -54,7 +60,8 @@
     .join(' ');
 }
 
-function listBits(mask: number): number[] {
+/** Lists the positions of the bits that are set, lowest first. */
+function listSetBits(mask: number): number[] {
   const bits: number[] = [];
   for (let bit = 0; 2 ** bit <= mask; bit++) {
     if (Math.floor(mask / 2 ** bit) % 2 === 1) {
--- a/packages/cli/src/output/job_text.ts
+++ b/packages/cli/src/output/job_text.ts
@@ -1,4 +1,4 @@
-/** Jobs as text. */
+/** Formats jobs, explanations and plans as text. */
 import type {
   ExplanationView,
   HistoryEntry,
@@ -25,19 +25,19 @@
   {title: 'reason', text: entry => entry.text ?? ''},
 ];
 
-/** The outcome of a finished job, and the phase of any other. */
+/** Returns the outcome of a finished job, or the phase of any other. */
 export function describeState(job: JobView): string {
   const state = job.outcome ?? job.phase;
-  const isStopping = job.cancelRequested && job.phase !== 'finished';
-  return isStopping ? `${state}, cancelling` : state;
+  const isCancelling = job.cancelRequested && job.phase !== 'finished';
+  return isCancelling ? `${state}, cancelling` : state;
 }
 
-/** Jobs as a table. */
+/** Renders jobs as a table. */
 export function renderJobs(jobs: readonly JobView[]): string {
   return jobs.length === 0 ? 'no jobs' : renderTable(jobColumns, jobs);
 }
 
-/** One job with its results. */
+/** Renders one job with its results. */
 export function renderJob(job: JobView): string {
   const lines = [
     `job        ${job.jobId}`,
@@ -53,8 +53,8 @@
     lines.push(`started    ${formatTime(job.startedAt)}, after ${waited}`);
   }
   if (job.finishedAt !== undefined) {
-    const whole = formatDuration(job.finishedAt - job.submittedAt);
-    lines.push(`finished   ${formatTime(job.finishedAt)}, after ${whole}`);
+    const total = formatDuration(job.finishedAt - job.submittedAt);
+    lines.push(`finished   ${formatTime(job.finishedAt)}, after ${total}`);
   }
   if (job.text) {
     lines.push(`reason     ${job.text}`);
@@ -65,7 +65,7 @@
   return lines.join('\n');
 }
 
-/** A job with its history and what it waits for. */
+/** Renders a job with its history and the reason for which it waits. */
 export function renderExplanation(view: ExplanationView): string {
   const {gang} = view.request;
   const lines = [
@@ -82,20 +82,20 @@
   return lines.join('\n');
 }
 
-/** What would happen to a job. */
+/** Renders the result of a dry run. */
 export function renderPlan(plan: PlanView): string {
-  const verdicts = {
+  const verdictTexts = {
     'starts-now': 'would start now',
     waits: 'would wait',
     never: 'can never run',
   };
-  const place = plan.domain ? ` in ${plan.domain}` : '';
-  const lines = [verdicts[plan.verdict] + place];
+  const location = plan.domain ? ` in ${plan.domain}` : '';
+  const lines = [verdictTexts[plan.verdict] + location];
   for (const assignment of plan.assignments) {
     lines.push(`on      ${formatAssignment(assignment)}`);
   }
-  for (const victim of plan.victims) {
-    lines.push(`stops   ${victim}`);
+  for (const jobId of plan.victims) {
+    lines.push(`stops   ${jobId}`);
   }
   for (const {text} of plan.reasons) {
     lines.push(`reason  ${text}`);
--- a/packages/cli/src/output/output.ts
+++ b/packages/cli/src/output/output.ts
@@ -1,10 +1,13 @@
-/** Where results, progress and errors go. */
+/** Prints results, progress and errors. */
 import {describeError, isFailure} from '@galenavalve/shared';
 
-/** Writes a text. */
+/** Writes text to a stream. */
 export type Writer = (text: string) => unknown;
 
-/** Writes results and errors to the standard output or error, as text or as JSON. */
+/**
+ * Prints results to stdout, as text or JSON, and progress to stderr. Errors go
+ * to stderr as text, or to stdout as JSON.
+ */
 export class Output {
   constructor(
     private readonly writeOut: Writer,
@@ -12,18 +15,21 @@
     readonly isJson: boolean,
   ) {}
 
-  /** Prints a result: as one JSON document, or as `render` shows it to people. */
+  /** Prints a result as one JSON document, or as the text that `render` returns. */
   printResult<T>(value: T, render: (value: T) => string): void {
     const text = this.isJson ? JSON.stringify(value) : render(value);
     this.writeOut(`${text}\n`);
   }
 
-  /** Prints progress, for people. */
+  /** Prints a line of progress to stderr, also when results are printed as JSON. */
   printProgress(text: string): void {
     this.writeError(`${text}\n`);
   }
 
-  /** Prints an error with its remedy. With JSON, the standard output holds it as `error`. */
+  /**
+   * Prints an error with its remedy; as JSON, it is the field `error` of a
+   * document on stdout.
+   */
   printError(error: unknown): void {
     if (this.isJson) {
       const body = isFailure(error)
--- a/packages/cli/src/output/table.ts
+++ b/packages/cli/src/output/table.ts
@@ -1,16 +1,18 @@
-/** Tables in plain text. */
+/** Renders tables in plain text. */
 
 const COLUMN_GAP = '  ';
 
-/** A column: its title and the text of a row's cell. */
+/** Column of a table. */
 export interface Column<Row> {
+  /** Title, printed in upper case. */
   title: string;
+  /** Returns the text of a row's cell. */
   text: (row: Row) => string;
-  /** True for numbers. */
+  /** True for columns of numbers. */
   alignRight?: boolean;
 }
 
-/** Renders rows as lines of equally wide columns. */
+/** Renders rows as lines; each column is as wide as its longest cell. */
 export function renderTable<Row>(
   columns: readonly Column<Row>[],
   rows: readonly Row[],
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -23,33 +23,37 @@
 import {traceJob} from './queries/trace_job.js';
 import type {OfflineCommandContext, CommandContext} from './command_context.js';
 
+/** Default wait of `drain` and `restore`. */
 const DEFAULT_DRAIN_WAIT_SECONDS = 120;
 
-/** Runs commands; each resolves to the exit code. */
+/** Runs commands and passes on their exit codes. */
 export interface Runner {
-  /** Runs with the entry instances of the settings. */
-  run(command: (session: CommandContext) => Promise<ExitCode>): Promise<void>;
-  /** Runs without any entry instance. */
+  /** Runs a command that calls the entry instances of the settings. */
+  run(command: (context: CommandContext) => Promise<ExitCode>): Promise<void>;
+  /** Runs a command that calls no entry instance. */
   runOffline(
-    command: (session: OfflineCommandContext) => Promise<ExitCode>,
+    command: (context: OfflineCommandContext) => Promise<ExitCode>,
   ): Promise<void>;
 }
 
-/** Creates the commander program. `runner` is made from the options of all commands. */
+/** Creates the commander program. `createRunner` gets the options that all commands share. */
 export function createProgram(
   createRunner: (options: GlobalOptions) => Runner,
 ): Command {
   const program = new Command('galenavalve')
-    .description('Submits jobs to galenavalve, and operates it.')
-    .option('--entry <urls>', 'entry instances, separated by commas')
-    .option('--settings <file>', 'settings in JSON with comments')
-    .option('--author <name>', 'name that stands in the history of changes')
+    .description('Submits jobs to galenavalve and operates a cluster.')
+    .option(
+      '--entry <urls>',
+      'base URLs of entry instances, separated by commas',
+    )
+    .option('--settings <file>', 'settings file, in JSON with comments')
+    .option('--author <name>', 'author to record in the change history')
     .addOption(
-      new Option('--deadline <seconds>', 'give a call up after').argParser(
+      new Option('--deadline <seconds>', 'timeout of a call').argParser(
         parsePositive,
       ),
     )
-    .option('--json', 'print JSON');
+    .option('--json', 'print results as JSON');
   const runner = () => createRunner(program.opts<GlobalOptions>());
   addJobCommands(program, runner);
   addClusterCommands(program, runner);
@@ -63,71 +67,71 @@
     .option('--wait [seconds]', 'wait until the job has finished', parseSeconds)
     .action(
       async (file: string | undefined, options: JobOptions & WaitOption) =>
-        runner().run(session => {
-          const now = session.clock.wallTime();
+        runner().run(context => {
+          const now = context.clock.wallTime();
           const request = buildJobRequest(file, options, now);
-          return submit(session, request, waitOf(options, 0));
+          return submit(context, request, getWaitMs(options, 0));
         }),
     );
 
   addJobOptions(program.command('plan [file]'))
-    .description('tell what would happen to a job, without running it')
+    .description('dry run: print what would happen to a job')
     .action(async (file: string | undefined, options: JobOptions) =>
-      runner().run(session => {
-        const now = session.clock.wallTime();
-        return planJob(session, buildJobRequest(file, options, now));
+      runner().run(context => {
+        const now = context.clock.wallTime();
+        return planJob(context, buildJobRequest(file, options, now));
       }),
     );
 
   program
     .command('status <job>')
-    .description('print a job, by its id or its request id')
+    .description('print a job, by job id or request id')
     .action(async (jobId: string) =>
-      runner().run(session => showJob(session, jobId)),
+      runner().run(context => showJob(context, jobId)),
     );
 
   program
     .command('explain <job>')
-    .description('print why a job ran or did not run, by either id')
+    .description('print why a job ran or did not run, by job id or request id')
     .action(async (jobId: string) =>
-      runner().run(session => explainJob(session, jobId)),
+      runner().run(context => explainJob(context, jobId)),
     );
 
   program
     .command('trace <job> <logs...>')
     .description(
-      'print the log lines of a job in the order of time, such as: galenavalve trace 5c0e7a21d94b36f8 *.log',
+      'print the log lines of a job in chronological order, for example: galenavalve trace 5c0e7a21d94b36f8 *.log',
     )
     .action(async (jobId: string, files: string[]) =>
-      runner().runOffline(session => traceJob(session, jobId, files)),
+      runner().runOffline(context => traceJob(context, jobId, files)),
     );
 
   program
     .command('list')
     .description('print jobs')
-    .option('--workspace <id>', 'only of this workspace')
+    .option('--workspace <id>', 'only jobs of this workspace')
     .addOption(
-      new Option('--phase <phase>', 'only in this phase').choices(
+      new Option('--phase <phase>', 'only jobs in this phase').choices(
         jobPhase.options,
       ),
     )
-    .option('--limit <count>', 'most jobs to print', parsePositive)
+    .option('--limit <count>', 'maximum number of jobs to print', parsePositive)
     .action(async (filter: JobFilter) =>
-      runner().run(session => listJobs(session, filter)),
+      runner().run(context => listJobs(context, filter)),
     );
 
   program
     .command('cancel <jobs...>')
     .description('cancel jobs')
     .action(async (jobIds: string[]) =>
-      runner().run(session => cancel(session, jobIds)),
+      runner().run(context => cancel(context, jobIds)),
     );
 
   program
     .command('approve <job>')
-    .description('let a job start that waits for approval')
+    .description('approve a job that waits for approval')
     .action(async (jobId: string) =>
-      runner().run(session => approve(session, jobId)),
+      runner().run(context => approve(context, jobId)),
     );
 }
 
@@ -140,10 +144,10 @@
   program
     .command('inventory')
     .description('print failure domains and targets')
-    .option('--domain <id>', 'one failure domain with its targets')
-    .option('--targets', 'with the targets of every failure domain', false)
+    .option('--domain <id>', 'print only this failure domain, with its targets')
+    .option('--targets', 'print the targets of every failure domain', false)
     .action(async (options: {domain?: string; targets: boolean}) =>
-      runner().run(session => showInventory(session, options)),
+      runner().run(context => showInventory(context, options)),
     );
 
   program
@@ -151,18 +155,26 @@
     .description('take a failure domain out of service')
     .option('--wait [seconds]', 'wait until nothing runs there', parseSeconds)
     .action(async (domain: string, options: WaitOption) =>
-      runner().run(session =>
-        drain(session, domain, waitOf(options, DEFAULT_DRAIN_WAIT_SECONDS)),
+      runner().run(context =>
+        drain(context, domain, getWaitMs(options, DEFAULT_DRAIN_WAIT_SECONDS)),
       ),
     );
 
   program
     .command('restore <domain>')
     .description('bring a failure domain back into service')
-    .option('--wait [seconds]', 'wait until it is scheduled', parseSeconds)
+    .option(
+      '--wait [seconds]',
+      'wait until the domain has a scheduler',
+      parseSeconds,
+    )
     .action(async (domain: string, options: WaitOption) =>
-      runner().run(session =>
-        restore(session, domain, waitOf(options, DEFAULT_DRAIN_WAIT_SECONDS)),
+      runner().run(context =>
+        restore(
+          context,
+          domain,
+          getWaitMs(options, DEFAULT_DRAIN_WAIT_SECONDS),
+        ),
       ),
     );
 }
@@ -175,7 +187,7 @@
     .command('check <file>')
     .description('check a configuration file without any entry instance')
     .action(async (file: string) =>
-      runner().runOffline(session => checkConfiguration(session, file)),
+      runner().runOffline(context => checkConfiguration(context, file)),
     );
 
   const config = program
@@ -184,24 +196,24 @@
 
   config
     .command('show')
-    .description('print the configuration in force as a file for "apply"')
+    .description('print the current configuration as a file for "apply"')
     .action(async () => runner().run(showConfiguration));
 
   addPruneOption(config.command('diff <file>'))
     .description('print what "apply" would change')
     .action(async (file: string, {prune}: {prune: boolean}) =>
-      runner().run(session =>
-        showDifferences(session, readDesiredConfiguration(file), prune),
+      runner().run(context =>
+        showDifferences(context, readDesiredConfiguration(file), prune),
       ),
     );
 
   addPruneOption(config.command('apply <file>'))
-    .description('change the configuration to what the file lists')
+    .description('change the configuration to match the file')
     .option('--change-id <id>', 'idempotency key of the change')
     .action(
       async (file: string, options: {prune: boolean; changeId?: string}) =>
-        runner().run(session =>
-          applyConfiguration(session, readDesiredConfiguration(file), {
+        runner().run(context =>
+          applyConfiguration(context, readDesiredConfiguration(file), {
             prune: options.prune,
             changeId: options.changeId ?? randomUUID(),
           }),
@@ -215,55 +227,73 @@
 }
 
 function addPruneOption(command: Command): Command {
-  return command.option('--prune', 'remove what the file does not list', false);
+  return command.option(
+    '--prune',
+    'remove entities that the file does not list',
+    false,
+  );
 }
 
 function addJobOptions(command: Command): Command {
   return command
     .option('--workspace <id>', 'workspace of the job')
-    .option('--tasks <count>', 'tasks of the gang', parsePositive)
-    .option('--accelerators <count>', 'of each task', parseAmount)
-    .option('--processors <count>', 'of each task', parseAmount)
-    .option('--memory-mb <mebibytes>', 'of each task', parseAmount)
-    .option('--adjacency <level>', 'all tasks in one target, rack or domain')
+    .option('--tasks <count>', 'number of tasks of the gang', parsePositive)
+    .option('--accelerators <count>', 'accelerators per task', parseNonNegative)
+    .option('--processors <count>', 'processors per task', parseNonNegative)
+    .option('--memory-mb <mebibytes>', 'memory per task', parseNonNegative)
+    .option(
+      '--adjacency <level>',
+      'place all tasks in one target, rack or domain',
+    )
     .option('--expected-seconds <seconds>', 'expected run time', parsePositive)
     .option('--not-repeatable', 'start the job at most once')
-    .option('--urgent', 'start before others of its class')
+    .option('--urgent', 'start before other jobs of its class')
     .option('--checkpointable', 'the tasks can save their progress')
-    .option('--kind <name>', 'jobs of a kind have similar run times')
-    .option('--payload <json>', 'handed to every task')
-    .option('--request-id <id>', 'idempotency key, to ask again')
-    .option('--created-at <milliseconds>', 'to ask again', parsePositive);
+    .option(
+      '--kind <name>',
+      'kind of job; jobs of a kind have similar run times',
+    )
+    .option('--payload <json>', 'payload passed to every task')
+    .option(
+      '--request-id <id>',
+      'idempotency key; pass the same key to retry a request',
+    )
+    .option(
+      '--created-at <milliseconds>',
+      'creation time of the request that is retried, since the Unix epoch',
+      parsePositive,
+    );
 }
 
+/** The option `--wait`. */
 interface WaitOption {
-  /** Seconds; true when no number is given. */
+  /** Seconds; true, for no limit, when no number is given. */
   wait?: number | true;
 }
 
-function waitOf({wait}: WaitOption, defaultSeconds: number): number {
+function getWaitMs({wait}: WaitOption, defaultSeconds: number): number {
   if (wait === true) {
     return Infinity;
   }
   return (wait ?? defaultSeconds) * 1000;
 }
 
-function parseAmount(text: string): number {
+function parseNonNegative(text: string): number {
   const value = Number(text);
   if (text.trim() === '' || !Number.isFinite(value) || value < 0) {
-    throw new InvalidArgumentError('It has to be a number, 0 or more.');
+    throw new InvalidArgumentError('It must be a number, 0 or more.');
   }
   return value;
 }
 
 function parseSeconds(text: string): number {
-  return parseAmount(text);
+  return parseNonNegative(text);
 }
 
 function parsePositive(text: string): number {
-  const value = parseAmount(text);
+  const value = parseNonNegative(text);
   if (value === 0) {
-    throw new InvalidArgumentError('It has to be more than 0.');
+    throw new InvalidArgumentError('It must be greater than 0.');
   }
   return value;
 }
--- a/packages/cli/src/queries/check_configuration.ts
+++ b/packages/cli/src/queries/check_configuration.ts
@@ -1,4 +1,4 @@
-/** `galenavalve check`. */
+/** Implements `galenavalve check`. */
 import {applyEntry, LedgerState} from '@galenavalve/ledger';
 import {type Entity, getEntityKey, RECORD_VERSION} from '@galenavalve/model';
 import {findGuaranteeFailure} from '@galenavalve/placement';
@@ -11,26 +11,32 @@
 export interface CheckResult {
   /** Number of entities by kind. */
   counts: Record<string, number>;
+  /** Total accelerators of all targets. */
   accelerators: number;
-  /** Why the configuration would be refused. */
+  /** Reason for which the configuration would be rejected; undefined if it would be accepted. */
   problem?: string;
 }
 
-/** Tells whether the daemons of an empty cluster would accept a configuration file. */
+/** Checks whether the daemons of an empty cluster would accept a configuration file. */
 export async function checkConfiguration(
   {output}: OfflineCommandContext,
   file: string,
 ): Promise<ExitCode> {
   const desired = readDesiredConfiguration(file);
   const entities = [...desired.entities.values()].map(({value}) => value);
-  const problem = findProblem(entities);
+  const problem = findConfigurationProblem(entities);
   const result: CheckResult = {...countEntities(entities), problem};
-  output.printResult(result, renderCheck);
+  output.printResult(result, renderCheckResult);
   return problem === undefined ? ExitCode.ok : ExitCode.rejected;
 }
 
-/** Folds the file as the first record of a log, as every daemon would. */
-function findProblem(entities: readonly Entity[]): string | undefined {
+/**
+ * Applies the file as the first record of a log, as every daemon would. Returns
+ * the reason of a rejection.
+ */
+function findConfigurationProblem(
+  entities: readonly Entity[],
+): string | undefined {
   const edits = entities.map(value => ({
     entity: getEntityKey(value),
     baseVersion: 0,
@@ -56,7 +62,11 @@
   return {counts, accelerators};
 }
 
-function renderCheck({counts, accelerators, problem}: CheckResult): string {
+function renderCheckResult({
+  counts,
+  accelerators,
+  problem,
+}: CheckResult): string {
   if (problem !== undefined) {
     return problem;
   }
--- a/packages/cli/src/queries/read_cluster.ts
+++ b/packages/cli/src/queries/read_cluster.ts
@@ -1,4 +1,4 @@
-/** `galenavalve workspaces` and `inventory`. */
+/** Implements `galenavalve workspaces` and `galenavalve inventory`. */
 import {ExitCode} from '../exit_code.js';
 import {renderInventory, renderWorkspaces} from '../output/cluster_text.js';
 import type {CommandContext} from '../command_context.js';
@@ -12,7 +12,7 @@
   return ExitCode.ok;
 }
 
-/** Prints failure domains, or one with its targets. */
+/** Prints all failure domains, or only `domain` with its targets. */
 export async function showInventory(
   {client, output}: CommandContext,
   {domain, targets}: {domain?: string; targets: boolean},
--- a/packages/cli/src/queries/read_configuration.ts
+++ b/packages/cli/src/queries/read_configuration.ts
@@ -1,4 +1,4 @@
-/** `galenavalve config show`, `config diff` and `config history`. */
+/** Implements `galenavalve config show`, `config diff` and `config history`. */
 import type {ConfigurationView} from '@galenavalve/model';
 import {ExitCode} from '../exit_code.js';
 import {
@@ -11,12 +11,12 @@
 } from '../output/configuration_text.js';
 import type {CommandContext} from '../command_context.js';
 
-/** Prints the configuration in force as a file that `config apply` takes. */
+/** Prints the current configuration as a file for `config apply`. */
 export async function showConfiguration({
   client,
   output,
 }: CommandContext): Promise<ExitCode> {
-  const file = createFile(await client.readConfiguration());
+  const file = createConfigurationFile(await client.readConfiguration());
   output.printResult(file, value => JSON.stringify(value, null, 2));
   return ExitCode.ok;
 }
@@ -27,13 +27,13 @@
   desired: DesiredConfiguration,
   prune: boolean,
 ): Promise<ExitCode> {
-  const present = await client.readConfiguration();
-  const differences = findDifferences(desired, present, prune);
+  const current = await client.readConfiguration();
+  const differences = findDifferences(desired, current, prune);
   output.printResult(differences, renderDifferences);
   return ExitCode.ok;
 }
 
-/** Prints the latest changes, accepted or rejected. */
+/** Prints the latest changes, both accepted and rejected. */
 export async function showChanges({
   client,
   output,
@@ -42,7 +42,7 @@
   return ExitCode.ok;
 }
 
-function createFile({entities}: ConfigurationView): object {
+function createConfigurationFile({entities}: ConfigurationView): object {
   const versions = entities.map(({entity, version}) => [entity, version]);
   return {
     entities: entities.map(({value}) => value),
--- a/packages/cli/src/queries/read_jobs.ts
+++ b/packages/cli/src/queries/read_jobs.ts
@@ -1,4 +1,4 @@
-/** `galenavalve status`, `explain`, `list` and `plan`. */
+/** Implements `galenavalve status`, `explain`, `list` and `plan`. */
 import type {JobRequest} from '@galenavalve/model';
 import type {JobFilter} from '../client/entry_client.js';
 import {ExitCode} from '../exit_code.js';
@@ -19,7 +19,7 @@
   return ExitCode.ok;
 }
 
-/** Prints a job with its history and what it waits for. */
+/** Prints a job with its history and the reason for which it waits. */
 export async function explainJob(
   {client, output}: CommandContext,
   jobId: string,
@@ -28,7 +28,7 @@
   return ExitCode.ok;
 }
 
-/** Prints jobs. */
+/** Prints the jobs that match a filter. */
 export async function listJobs(
   {client, output}: CommandContext,
   filter: JobFilter,
@@ -37,7 +37,10 @@
   return ExitCode.ok;
 }
 
-/** Prints what would happen to a job that was submitted now. */
+/**
+ * Prints what would happen to a job if it were submitted now. Returns
+ * `rejected` if it can never run.
+ */
 export async function planJob(
   {client, output}: CommandContext,
   request: JobRequest,
--- a/packages/cli/src/queries/trace_job.ts
+++ b/packages/cli/src/queries/trace_job.ts
@@ -1,12 +1,15 @@
-/** `galenavalve trace`: the story of one job from the logs of all instances. */
+/**
+ * Implements `galenavalve trace`, which merges the log lines of one job from
+ * the logs of all instances.
+ */
 import {readFileSync} from 'node:fs';
 import {Failure} from '@galenavalve/shared';
 import {ExitCode} from '../exit_code.js';
 import {renderTable} from '../output/table.js';
 import type {OfflineCommandContext} from '../command_context.js';
 
-/** Fields that stand in columns of their own. */
-const OWN_COLUMNS = new Set([
+/** Fields that the column "details" leaves out. */
+const COLUMN_FIELDS = new Set([
   'timestamp',
   'instance',
   'message',
@@ -15,8 +18,8 @@
   'job',
 ]);
 
-/** Longest text of a line's other fields. */
-const MAX_DETAIL_LENGTH = 160;
+/** Length limit of the column "details"; longer texts are cut off. */
+const MAX_DETAILS_CHARACTERS = 160;
 
 /** A log line of a job. */
 export interface TracedLine {
@@ -27,7 +30,10 @@
   details: Record<string, unknown>;
 }
 
-/** Prints the lines of a job from log files, in the order of time. */
+/**
+ * Prints the lines of a job from log files in chronological order. Throws
+ * `not-found` if there are none.
+ */
 export async function traceJob(
   {output}: OfflineCommandContext,
   jobId: string,
@@ -44,7 +50,10 @@
   return ExitCode.ok;
 }
 
-/** The lines of a job in one log; whatever else stands on a line is passed over. */
+/**
+ * Returns the lines of a job in one log. Skips all other lines, and text before
+ * the JSON object of a line.
+ */
 export function findLines(log: string, jobId: string): TracedLine[] {
   const lines: TracedLine[] = [];
   for (const text of log.split('\n')) {
@@ -55,7 +64,7 @@
         instance: String(line.instance),
         message: String(line.message),
         details: Object.fromEntries(
-          Object.entries(line).filter(([name]) => !OWN_COLUMNS.has(name)),
+          Object.entries(line).filter(([name]) => !COLUMN_FIELDS.has(name)),
         ),
       });
     }
@@ -67,7 +76,7 @@
   try {
     return JSON.parse(text.slice(text.indexOf('{'))) as Record<string, unknown>;
   } catch {
-    // A line that was cut by rotation tells nothing.
+    // Ignores a line that log rotation cut off.
     return undefined;
   }
 }
@@ -80,7 +89,8 @@
       {title: 'event', text: line => line.message},
       {
         title: 'details',
-        text: line => JSON.stringify(line.details).slice(0, MAX_DETAIL_LENGTH),
+        text: line =>
+          JSON.stringify(line.details).slice(0, MAX_DETAILS_CHARACTERS),
       },
     ],
     lines,
