--- a/packages/membership/__tests__/claim.spec.ts
+++ b/packages/membership/__tests__/claim.spec.ts
@@ -31,27 +31,26 @@
 }
 
 t.test('an instance', async t => {
-  t.test('leaves a term to a holder that is heard', async t => {
-    const lastHeardFromHolder = 10_000 - SUSPECT_AFTER_MS + 1;
-    const decision = decideClaim(
-      createSituation({holderLastHeardAt: lastHeardFromHolder}),
-    );
+  t.test('waits while the holder of the term is alive', async t => {
+    const holderLastHeardAt = 10_000 - SUSPECT_AFTER_MS + 1;
+    const decision = decideClaim(createSituation({holderLastHeardAt}));
     t.same(decision, {kind: 'wait', reason: 'holder-alive'});
   });
 
-  t.test('claims the term of a holder that fell silent', async t => {
-    const lastHeardFromHolder = 10_000 - SUSPECT_AFTER_MS;
-    const decision = decideClaim(
-      createSituation({holderLastHeardAt: lastHeardFromHolder}),
-    );
-    t.same(decision, {kind: 'claim', reason: 'holder-silent'});
-  });
+  t.test(
+    'claims the next term when the holder has been silent for the suspicion timeout',
+    async t => {
+      const holderLastHeardAt = 10_000 - SUSPECT_AFTER_MS;
+      const decision = decideClaim(createSituation({holderLastHeardAt}));
+      t.same(decision, {kind: 'claim', reason: 'holder-silent'});
+    },
+  );
 
-  t.test('takes over at once from a holder that is leaving', async t => {
-    const lastHeardFromHolder = 9_999;
+  t.test('takes over immediately from a holder that is leaving', async t => {
+    const holderLastHeardAt = 9_999;
     const holderLeavingSince = 9_999;
     const situation = createSituation({
-      holderLastHeardAt: lastHeardFromHolder,
+      holderLastHeardAt,
       holderLeavingSince,
     });
     t.equal(decideClaim({...situation, now: 10_000}).kind, 'claim');
@@ -59,44 +58,51 @@
     t.equal(decideClaim({...situation, isSelfReady: false}).kind, 'wait');
   });
 
-  t.test('keeps its own term, but not that of its former process', async t => {
-    const situation = createSituation({self: 'a'});
-    t.equal(decideClaim({...situation, heldTerm: TERM}).kind, 'keep');
-    t.same(decideClaim(situation), {kind: 'claim', reason: 'restarted'});
-  });
+  t.test(
+    'keeps its own term, but replaces that of its earlier process',
+    async t => {
+      const situation = createSituation({self: 'a'});
+      t.equal(decideClaim({...situation, heldTerm: TERM}).kind, 'keep');
+      t.same(decideClaim(situation), {kind: 'claim', reason: 'restarted'});
+    },
+  );
 });
 
-/** A log that keeps the first claim of each term, and instances that hear those listed. */
-interface Election {
+/** A log that accepts the first claim of each term, and instances with limited connectivity. */
+interface SimulatedElection {
   instances: string[];
-  /** Pairs of instances that hear each other, as "a b". */
-  hearing: Set<string>;
+  /** Pairs "a b" in which instance a receives the heartbeats of instance b. */
+  reachablePairs: Set<string>;
   seed: number;
 }
 
-/** Runs an election; returns the times of the accepted claims. */
-function runElection(election: Election, duration: number): Instant[] {
+/** Runs an election for `durationMs`; returns the times of the accepted claims. */
+function runElection(
+  election: SimulatedElection,
+  durationMs: number,
+): Instant[] {
   const random = new SeededRandom(election.seed);
   const accepted: Instant[] = [];
   let term: Term | undefined;
   let termSeenAt = 0;
-  const held = new Map<string, Term>();
+  const heldTerms = new Map<string, Term>();
   const notBefore = new Map<string, Instant>();
-  for (let now = 0; now < duration; now += TICK_MS) {
-    // Claims of one tick are appended in an order that nobody controls.
+  for (let now = 0; now < durationMs; now += TICK_MS) {
+    // The claims of one tick reach the log in an arbitrary order.
     const claims = election.instances.filter(self => {
-      const hears = (other: string) => election.hearing.has(`${self} ${other}`);
+      const receivesFrom = (other: string) =>
+        election.reachablePairs.has(`${self} ${other}`);
       const holder = term?.instance;
-      const isHolderHeard = holder !== undefined && hears(holder);
+      const isHolderReachable = holder !== undefined && receivesFrom(holder);
       const decision = decideClaim(
         createSituation({
           now,
           self,
           currentTerm: term,
           termSeenAt,
-          heldTerm: held.get(self),
-          eligibleInstances: [self, ...election.instances.filter(hears)],
-          holderLastHeardAt: isHolderHeard ? now : undefined,
+          heldTerm: heldTerms.get(self),
+          eligibleInstances: [self, ...election.instances.filter(receivesFrom)],
+          holderLastHeardAt: isHolderReachable ? now : undefined,
           recentTakeovers: accepted.filter(at => now - at < 60_000).length,
           notBefore: notBefore.get(self),
         }),
@@ -109,7 +115,7 @@
     const winner = claims[Math.floor(random.next() * claims.length)];
     if (winner) {
       term = {log: (term?.log ?? 0) + 1, outage: 0, instance: winner};
-      held.set(winner, term);
+      heldTerms.set(winner, term);
       termSeenAt = now;
       accepted.push(now);
     }
@@ -117,37 +123,48 @@
   return accepted;
 }
 
-function countInMinute(times: Instant[], start: Instant): number {
+function countClaimsInMinute(times: Instant[], start: Instant): number {
   return times.filter(at => at >= start && at < start + 60_000).length;
 }
 
 t.test('an election', async t => {
   const instances = ['a', 'b', 'c', 'd', 'e'];
-  const pairs = instances.flatMap(one => instances.map(two => `${one} ${two}`));
+  const pairs = instances.flatMap(first =>
+    instances.map(second => `${first} ${second}`),
+  );
 
-  t.test('has one claim when all hear each other', async t => {
-    const step = instances.length * SUCCESSION_STEP_MS;
-    fc.assert(
-      fc.property(fc.nat(), seed => {
-        const hearing = new Set(pairs);
-        const claims = runElection({instances, hearing, seed}, 60_000);
-        return claims.length === 1 && claims[0]! < step;
-      }),
-      {seed: 11, numRuns: 20},
-    );
-    t.pass();
-  });
+  t.test(
+    'has exactly one claim when all instances reach each other',
+    async t => {
+      const maxClaimTime = instances.length * SUCCESSION_STEP_MS;
+      fc.assert(
+        fc.property(fc.nat(), seed => {
+          const reachablePairs = new Set(pairs);
+          const claims = runElection({instances, reachablePairs, seed}, 60_000);
+          return claims.length === 1 && claims[0]! < maxClaimTime;
+        }),
+        {seed: 11, numRuns: 20},
+      );
+      t.pass();
+    },
+  );
 
-  // The gaps double from 1.6 s: the eighth claim of a minute would come after 102 s.
-  t.test('slows down between rivals that cannot hear each other', async t => {
-    fc.assert(
-      fc.property(fc.subarray(pairs), fc.nat(), (heard, seed) => {
-        const hearing = new Set(heard);
-        const claims = runElection({instances, hearing, seed}, 600_000);
-        return claims.every(start => countInMinute(claims, start) <= 7);
-      }),
-      {seed: 12, numRuns: 30},
-    );
-    t.pass();
-  });
+  // The intervals between takeovers double from 1.6 s, so an eighth claim would follow after 102 s.
+  t.test(
+    'slows down between instances that cannot reach each other',
+    async t => {
+      fc.assert(
+        fc.property(fc.subarray(pairs), fc.nat(), (subset, seed) => {
+          const reachablePairs = new Set(subset);
+          const claims = runElection(
+            {instances, reachablePairs, seed},
+            600_000,
+          );
+          return claims.every(start => countClaimsInMinute(claims, start) <= 7);
+        }),
+        {seed: 12, numRuns: 30},
+      );
+      t.pass();
+    },
+  );
 });
--- a/packages/membership/__tests__/fixtures.ts
+++ b/packages/membership/__tests__/fixtures.ts
@@ -1,4 +1,4 @@
-/** Meshes over real sockets on the loopback interface. */
+/** Fixtures: meshes over TCP on the loopback interface. */
 import {SeededRandom, SilentLogger, SystemClock} from '@galenavalve/shared';
 import {PeerClient, PeerServer, TcpProxy} from '@galenavalve/wire';
 import {
@@ -8,19 +8,20 @@
   type InstanceReport,
 } from '../src/index.js';
 
-/** One running instance. */
+/** A running instance. */
 export interface RunningInstance {
-  seed: PeerEndpoint;
+  endpoint: PeerEndpoint;
   mesh: PeerMesh;
   client: PeerClient;
   server: PeerServer;
-  /** Stands before the server. */
-  relay: TcpProxy;
+  /** Proxy in front of the peer server. */
+  proxy: TcpProxy;
+  /** The report that the instance sends; may be changed by the test. */
   report: InstanceReport;
   stop(): Promise<void>;
 }
 
-/** A report of an instance that is well. */
+/** Creates the report of an instance that is ready. */
 export function createReport(
   instance: string,
   domain: string,
@@ -38,7 +39,7 @@
   };
 }
 
-/** Starts an instance whose seeds are `known`. */
+/** Starts an instance that knows the peers in `known` from its settings. */
 export async function startInstance(
   instance: string,
   domain: string,
@@ -54,8 +55,8 @@
     minSilentCallDuration: 100,
     connectTimeout: 300,
   };
-  const settings = {instance, host: '127.0.0.1', port: 0};
-  const server = new PeerServer({...settings, logger, clock, options});
+  const serverOptions = {instance, host: '127.0.0.1', port: 0};
+  const server = new PeerServer({...serverOptions, logger, clock, options});
   const client = new PeerClient({
     instance,
     logger,
@@ -63,12 +64,12 @@
     random,
     options,
   });
-  const relay = new TcpProxy((await server.start()).port);
-  const port = await relay.start();
-  const seed = {instance, host: '127.0.0.1', port, domain};
+  const proxy = new TcpProxy((await server.start()).port);
+  const port = await proxy.start();
+  const endpoint = {instance, host: '127.0.0.1', port, domain};
   const report = createReport(instance, domain);
   const mesh = new PeerMesh({
-    self: seed,
+    self: endpoint,
     client,
     server,
     instanceList: {list: async () => [...listed]},
@@ -79,26 +80,26 @@
     createReport: () => report,
     options: {heartbeatMs: 100, suspectMs: 600},
   });
-  const stopping = new AbortController();
-  const running = mesh.run(stopping.signal);
+  const stopController = new AbortController();
+  const running = mesh.run(stopController.signal);
   return {
-    seed,
+    endpoint,
     mesh,
     client,
     server,
-    relay,
+    proxy,
     report,
     stop: async () => {
-      stopping.abort();
+      stopController.abort();
       client.close();
-      await relay.close();
+      await proxy.close();
       await server.close();
       await running;
     },
   };
 }
 
-/** Resolves when `condition` holds; throws after `limitMs`. */
+/** Resolves when `condition` returns true; throws after `limitMs`. */
 export async function waitFor(
   condition: () => boolean,
   limitMs = 10_000,
@@ -107,7 +108,7 @@
   const end = clock.now() + limitMs;
   while (!condition()) {
     if (clock.now() > end) {
-      throw new Error('the condition did not come to hold');
+      throw new Error('condition not met within the time limit');
     }
     await clock.sleep(5);
   }
--- a/packages/membership/__tests__/relay.spec.ts
+++ b/packages/membership/__tests__/relay.spec.ts
@@ -21,12 +21,12 @@
   }));
 }
 
-t.test('a record relay', async t => {
-  t.test('serves every kept record once, in order, page by page', async t => {
-    const relay = new RecordCache({maxEntries: 20_000, maxBytes: 1e9});
-    relay.add(createEntries(5, 10_000), 10_005);
+t.test('a record cache', async t => {
+  t.test('serves every cached record once, in order, page by page', async t => {
+    const cache = new RecordCache({maxEntries: 20_000, maxBytes: 1e9});
+    cache.add(createEntries(5, 10_000), 10_005);
     const call: PeerCall = async (_peer, _method, body) =>
-      relay.readPage(body as {from: number});
+      cache.readPage(body as {from: number});
     const sources = [{instance: 'a', offset: 10_005}];
     const offsets: number[] = [];
     for (let from = 7; from < 10_005;) {
@@ -39,24 +39,24 @@
     t.equal(await pullRecords(10_005, sources, call, 1000), undefined);
   });
 
-  t.test('never serves across a gap, and stays within its size', async t => {
+  t.test('never serves across a gap, and stays within its limits', async t => {
     const batch = fc.record({skip: fc.nat({max: 3}), count: fc.nat({max: 30})});
     fc.assert(
-      fc.property(fc.array(batch), fc.nat(), (batches, wanted) => {
-        const relay = new RecordCache({maxEntries: 40});
-        let next = 0;
+      fc.property(fc.array(batch), fc.nat(), (batches, requested) => {
+        const cache = new RecordCache({maxEntries: 40});
+        let nextOffset = 0;
         for (const {skip, count} of batches) {
-          next += skip;
-          relay.add(createEntries(next, count), next + count);
-          next += count;
+          nextOffset += skip;
+          cache.add(createEntries(nextOffset, count), nextOffset + count);
+          nextOffset += count;
         }
-        const from = wanted % (next + 1);
+        const from = requested % (nextOffset + 1);
         try {
-          const {entries} = relay.readPage({from});
-          const isDense = entries.every(
+          const {entries} = cache.readPage({from});
+          const isContiguous = entries.every(
             (entry, index) => entry.offset === from + index,
           );
-          return isDense && from + entries.length === next;
+          return isContiguous && from + entries.length === nextOffset;
         } catch (error) {
           return (error as Failure).code === 'offset-expired';
         }
@@ -71,10 +71,10 @@
   const sections = ['one', 'two', 'three'];
 
   function createPeer() {
-    let encoded = 0;
+    let encodingCount = 0;
     const server = new StateServer(async () => {
-      encoded += 1;
-      const snapshotId = `s${encoded}`;
+      encodingCount += 1;
+      const snapshotId = `s${encodingCount}`;
       return {snapshotId, nextOffset: 9, sections, hash: 'h'};
     });
     let now = 0;
@@ -83,42 +83,47 @@
         ? server.open(now)
         : server.readSection(body as SectionRequest, now);
     const advance = (duration: number) => (now += duration);
-    return {call, advance, encodings: () => encoded};
+    return {call, advance, countEncodings: () => encodingCount};
   }
 
-  t.test('brings the state whole, encoded once for all who ask', async t => {
-    const {call, encodings} = createPeer();
-    const sources = ['a', 'b'].map(name => new PeerStateSource(name, call, 1));
-    const states = await Promise.all(
-      sources.map(source => source.fetchSnapshot()),
-    );
-    t.match(states, [{sections}, {sections}]);
-    t.equal(encodings(), 1);
-  });
+  t.test(
+    'delivers the whole state, encoded once for concurrent clients',
+    async t => {
+      const {call, countEncodings} = createPeer();
+      const sources = ['a', 'b'].map(
+        name => new PeerStateSource(name, call, 1),
+      );
+      const states = await Promise.all(
+        sources.map(source => source.fetchSnapshot()),
+      );
+      t.match(states, [{sections}, {sections}]);
+      t.equal(countEncodings(), 1);
+    },
+  );
 
-  t.test('fails rather than mix two states', async t => {
+  t.test('fails instead of mixing sections of two states', async t => {
     const {call, advance} = createPeer();
-    const slowCall: PeerCall = (...question) => {
+    const slowCall: PeerCall = (...request) => {
       advance(40_000);
-      return call(...question);
+      return call(...request);
     };
     const fetched = new PeerStateSource('a', slowCall, 1).fetchSnapshot();
     await t.rejects(fetched, {code: 'not-found'});
   });
 });
 
-t.test('shares', async t => {
-  t.test('of a lost instance alone move to others', async t => {
+t.test('an assignment', async t => {
+  t.test('of racks changes only for the racks of a lost instance', async t => {
     const racks = Array.from({length: 147}, (_, index) => `r${index}`);
     const before = assignRacks(racks, ['a', 'b', 'c', 'd']);
     const after = assignRacks(racks, ['a', 'b', 'c']);
     for (const rack of racks) {
-      const kept = before.get(rack);
-      t.ok(kept === 'd' || kept === after.get(rack), rack);
+      const previous = before.get(rack);
+      t.ok(previous === 'd' || previous === after.get(rack), rack);
     }
   });
 
-  t.test('of links stay bounded across failure domains', async t => {
+  t.test('of heartbeat peers is bounded across failure domains', async t => {
     const peers = ['north', 'south', 'west'].flatMap(domain =>
       Array.from(
         {length: 20},
@@ -130,17 +135,17 @@
       ),
     );
     const self = {instance: 'north0', domain: 'north'};
-    const choose = (isAlive: (peer: PeerStatus) => boolean) =>
+    const countChosen = (isAlive: (peer: PeerStatus) => boolean) =>
       chooseHeartbeatPeers(self, peers.slice(1), 2, isAlive).length;
     t.equal(
-      choose(() => true),
+      countChosen(() => true),
       19 + 2 + 2,
     );
     t.equal(
-      choose(() => false),
+      countChosen(() => false),
       19 + 3 + 3,
-      'no link works',
+      'no peer is alive',
     );
-    t.ok(choose(peer => peer.address.instance !== 'south3') <= 19 + 3 + 3);
+    t.ok(countChosen(peer => peer.address.instance !== 'south3') <= 19 + 3 + 3);
   });
 });
--- a/packages/membership/src/claim.ts
+++ b/packages/membership/src/claim.ts
@@ -1,9 +1,10 @@
 /**
  * Decides which instance claims the scheduler's term of a failure domain.
  *
- * The decision is only a restraint: the log lets the first claim of a term
- * win, and the targets refuse lower terms. It keeps takeovers quick, rare and
- * without rivals.
+ * A term is the fencing token of a domain's scheduler, and its holder is the
+ * instance that claimed it. Safety does not depend on this decision: the log
+ * accepts only the first claim of a term, and targets refuse lower terms. The
+ * decision keeps takeovers fast and rare, and avoids competing claims.
  */
 import {
   type Instant,
@@ -14,50 +15,52 @@
 } from '@galenavalve/shared';
 import {type Term, isSameTerm} from '@galenavalve/model';
 
-/** Silence of a holder after which its successor claims. */
+/** Time without a heartbeat from the holder after which its successor claims the next term. */
 export const SUSPECT_AFTER_MS = 1600;
 
-/** Lead that each instance in the order of succession has over the next. */
+/** Delay between the claims of two instances that are adjacent in the order of succession. */
 export const SUCCESSION_STEP_MS = 400;
 
-/** Time in which takeovers are counted; each doubles the silence that the next one needs. */
+/** Window in which takeovers are counted; each one after the first doubles the silence that the next one requires. */
 export const TAKEOVER_WINDOW_MS = 60_000;
 
-const MAX_DOUBLINGS = 5;
-const FIRST_RETRY_MS = 300;
-const MAX_RETRY_DOUBLINGS = 4;
+const MAX_SILENCE_DOUBLINGS = 5;
+const INITIAL_BACKOFF_MS = 300;
+const MAX_BACKOFF_DOUBLINGS = 4;
 
-/** What the decision rests on. */
+/** Input of `decideClaim`. Instants are times of the local monotonic clock. */
 export interface ClaimSituation {
   now: Instant;
   domain: string;
-  /** This instance. */
+  /** Name of this instance. */
   self: string;
-  /** This instance has caught up with the log and its knowledge is fresh. */
+  /** Whether this instance has caught up with the log and its state is fresh. */
   isSelfReady: boolean;
+  /** Whether this instance is shutting down gracefully. */
   isSelfLeaving: boolean;
-  /** The domain's term in the log; undefined when it never had one. */
+  /** The domain's latest term in the log; undefined when the domain never had one. */
   currentTerm?: Term;
-  /** When this instance first saw `presentTerm`, or became ready if there is none. */
+  /** When this instance first saw `currentTerm`, or was started if there is none. */
   termSeenAt: Instant;
-  /** The term that this process claimed itself and still holds. */
+  /** The latest term that this process has claimed successfully. */
   heldTerm?: Term;
-  /** Instances of the domain that are alive, ready and not leaving; may hold `self`. */
+  /** Instances of the domain that are alive, ready and not leaving; may include `self`. */
   eligibleInstances: readonly string[];
-  /** When the holder was last heard: directly, by a peer's word, or by a record that it wrote. */
+  /** When the holder was last known to be alive, from its own heartbeats or from the reports of other peers. */
   holderLastHeardAt?: Instant;
-  /** Since when the holder, or the platform's list, says that it is leaving. */
+  /** Since when the holder or the platform's instance list has reported that it is leaving. */
   holderLeavingSince?: Instant;
-  /** Since when the holder says that it is not ready, such as cut off from the log. */
+  /** Since when the holder has reported that it is not ready, for example because it cannot reach the log. */
   holderNotReadySince?: Instant;
-  /** Claims for the domain in the log within the last `TAKEOVER_WINDOW_MS`. */
+  /** Number of accepted claims for the domain within the last `TAKEOVER_WINDOW_MS`. */
   recentTakeovers: number;
-  /** Earliest time of the next own claim, from `nextClaimAt`. */
+  /** Earliest time of the next claim by this instance, from `computeNextClaimTime`. */
   notBefore?: Instant;
+  /** Silence after which the holder is suspected; `SUSPECT_AFTER_MS` when absent. */
   suspectMs?: Milliseconds;
 }
 
-/** Why a decision about a term was taken. */
+/** Reason of a claim decision. */
 export type ClaimReason =
   | 'holder-is-self'
   | 'holder-alive'
@@ -71,16 +74,16 @@
   | 'holder-not-ready'
   | 'restarted';
 
-/** What to do about the domain's term. */
+/** Outcome of `decideClaim`. */
 export interface ClaimDecision {
   kind: 'keep' | 'wait' | 'claim';
   reason: ClaimReason;
 }
 
-/** Decides whether `self` keeps the term, waits, or claims the next term. */
+/** Decides whether `self` keeps its term, waits, or claims the next term. */
 export function decideClaim(situation: ClaimSituation): ClaimDecision {
-  const {now, self, currentTerm: presentTerm, heldTerm} = situation;
-  if (presentTerm && heldTerm && isSameTerm(presentTerm, heldTerm)) {
+  const {now, self, currentTerm, heldTerm} = situation;
+  if (currentTerm && heldTerm && isSameTerm(currentTerm, heldTerm)) {
     return {kind: 'keep', reason: 'holder-is-self'};
   }
   if (situation.isSelfLeaving) {
@@ -89,81 +92,82 @@
   if (!situation.isSelfReady) {
     return {kind: 'wait', reason: 'self-not-ready'};
   }
-  const vacancy = findVacancy(situation);
-  if (now < vacancy.since) {
+  const claimWindow = computeClaimWindow(situation);
+  if (now < claimWindow.opensAt) {
     return {kind: 'wait', reason: 'holder-alive'};
   }
   if (situation.notBefore !== undefined && now < situation.notBefore) {
     return {kind: 'wait', reason: 'backing-off'};
   }
-  const isRestarted = presentTerm?.instance === self;
-  const rank = isRestarted ? 0 : rankOf(situation);
-  if (now < vacancy.since + rank * SUCCESSION_STEP_MS) {
+  const isRestarted = currentTerm?.instance === self;
+  const rank = isRestarted ? 0 : computeSuccessionRank(situation);
+  if (now < claimWindow.opensAt + rank * SUCCESSION_STEP_MS) {
     return {kind: 'wait', reason: 'other-successor-first'};
   }
-  return {kind: 'claim', reason: vacancy.reason};
+  return {kind: 'claim', reason: claimWindow.reason};
 }
 
-/** Earliest time of the next claim after `attempts` own claims that lost or failed, with jitter. */
+/** Returns the earliest time of the next claim after `attempts` consecutive claims that were rejected or failed: exponential backoff with jitter. */
 export function computeNextClaimTime(
   now: Instant,
   attempts: number,
   random: Random,
 ): Instant {
-  const range = FIRST_RETRY_MS * 2 ** Math.min(attempts, MAX_RETRY_DOUBLINGS);
-  return now + range / 2 + nextInteger(random, range);
+  const backoffMs =
+    INITIAL_BACKOFF_MS * 2 ** Math.min(attempts, MAX_BACKOFF_DOUBLINGS);
+  return now + backoffMs / 2 + nextInteger(random, backoffMs);
 }
 
-interface Vacancy {
-  /** When the first in the order of succession may claim. */
-  since: Instant;
+/** Time from which the next term may be claimed. */
+interface ClaimWindow {
+  /** When the first instance in the order of succession may claim. */
+  opensAt: Instant;
   reason: ClaimReason;
 }
 
-function findVacancy(situation: ClaimSituation): Vacancy {
-  const {currentTerm: presentTerm, termSeenAt} = situation;
-  if (!presentTerm) {
-    return {since: termSeenAt, reason: 'no-holder'};
+function computeClaimWindow(situation: ClaimSituation): ClaimWindow {
+  const {currentTerm, termSeenAt} = situation;
+  if (!currentTerm) {
+    return {opensAt: termSeenAt, reason: 'no-holder'};
   }
-  if (presentTerm.instance === situation.self) {
-    return {since: termSeenAt, reason: 'restarted'};
+  if (currentTerm.instance === situation.self) {
+    return {opensAt: termSeenAt, reason: 'restarted'};
   }
   const {holderLeavingSince, holderNotReadySince} = situation;
   if (holderLeavingSince !== undefined) {
-    const since = Math.max(termSeenAt, holderLeavingSince);
-    return {since, reason: 'holder-leaving'};
+    const opensAt = Math.max(termSeenAt, holderLeavingSince);
+    return {opensAt, reason: 'holder-leaving'};
   }
-  const silence = requiredSilence(situation);
+  const silenceMs = computeRequiredSilence(situation);
   if (holderNotReadySince !== undefined) {
-    const since = Math.max(termSeenAt, holderNotReadySince) + silence;
-    return {since, reason: 'holder-not-ready'};
+    const opensAt = Math.max(termSeenAt, holderNotReadySince) + silenceMs;
+    return {opensAt, reason: 'holder-not-ready'};
   }
-  const heardAt = situation.holderLastHeardAt ?? -Infinity;
-  const since = Math.max(termSeenAt, heardAt) + silence;
-  return {since, reason: 'holder-silent'};
+  const lastHeardAt = situation.holderLastHeardAt ?? -Infinity;
+  const opensAt = Math.max(termSeenAt, lastHeardAt) + silenceMs;
+  return {opensAt, reason: 'holder-silent'};
 }
 
-/** Two rivals that cannot hear each other but reach the log would take turns; doubling ends it. */
-function requiredSilence(situation: ClaimSituation): Milliseconds {
+/**
+ * Returns the silence that a takeover requires. Two instances that both reach
+ * the log but not each other would keep taking over from one another; doubling
+ * the required silence with each recent takeover prevents this.
+ */
+function computeRequiredSilence(situation: ClaimSituation): Milliseconds {
   const extraTakeovers = Math.max(0, situation.recentTakeovers - 1);
-  const doublings = Math.min(MAX_DOUBLINGS, extraTakeovers);
+  const doublings = Math.min(MAX_SILENCE_DOUBLINGS, extraTakeovers);
   return (situation.suspectMs ?? SUSPECT_AFTER_MS) * 2 ** doublings;
 }
 
-/** Place of `self` in the order of succession, by rendezvous hashing over the term that ended. */
-function rankOf(situation: ClaimSituation): number {
-  const {
-    domain,
-    self,
-    currentTerm: presentTerm,
-    eligibleInstances: aliveInDomain,
-  } = situation;
-  const key = `${domain} ${presentTerm?.log ?? 0} ${presentTerm?.outage ?? 0}`;
+/** Returns the zero-based rank of `self` in the order of succession, by rendezvous hashing over the current term. */
+function computeSuccessionRank(situation: ClaimSituation): number {
+  const {domain, self, currentTerm, eligibleInstances} = situation;
+  const key = `${domain} ${currentTerm?.log ?? 0} ${currentTerm?.outage ?? 0}`;
   const ownScore = hashText(`${key} ${self}`);
-  return aliveInDomain.filter(
+  return eligibleInstances.filter(
     other =>
       other !== self &&
-      other !== presentTerm?.instance &&
+      other !== currentTerm?.instance &&
       hashText(`${key} ${other}`) > ownScore,
   ).length;
 }
--- a/packages/membership/src/freshness.ts
+++ b/packages/membership/src/freshness.ts
@@ -1,40 +1,41 @@
 /**
- * Tracks how old the knowledge of the log is.
+ * Tracks freshness: the age of the newest proof that the log was read to its
+ * end.
  *
- * A read of the log's end proves that the state was current when the read was
- * sent. A peer relays such a proof with its age. Ages add up over relays and
- * are counted with local monotonic clocks only, so the claimed age is never
- * below the true one.
+ * A read that reaches the log's end proves that the state was current when the
+ * read was sent. Peers report such proofs with their age. Ages add up along a
+ * chain of reports and are measured only with local monotonic clocks, so the
+ * reported age is never below the true age.
  */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 
-/** The proof that a peer relays. */
+/** The freshness that a peer reports. */
 export interface RelayedFreshness {
   /** Offset up to which the peer has read the log. */
   offset: number;
-  /** Age of the peer's own proof when it sent the report, in milliseconds; it counts on while the report travels. */
+  /** Age of the peer's proof when it made the report; the time since then is added to it. */
   freshnessAgeMs: Milliseconds;
 }
 
-/** Longest time between two ticks of the loop that is not taken for a pause. */
+/** Time between two calls of `detectPause` above which the process is considered to have been paused. */
 export const PAUSE_THRESHOLD_MS = 1000;
 
-/** The newest proof that this instance's state is current. */
+/** Tracks the newest proof that this instance's state is current. */
 export class FreshnessTracker {
-  /** When the state was last known to be current; undefined when it is not known. */
+  /** Latest time at which the state was proven to be current; undefined without a proof. */
   private provenAt: Instant | undefined;
-  /** Relayed proofs for offsets that this instance has not reached yet, by offset. */
-  private waiting: {offset: number; provenAt: Instant} | undefined;
-  private tickedAt: Instant | undefined;
+  /** Newest reported proof for an offset that this instance has not reached yet. */
+  private pendingProof: {offset: number; provenAt: Instant} | undefined;
+  private lastTickAt: Instant | undefined;
 
-  /** Notes a read that reached the log's end; `sentAt` is the time before the read was sent. */
+  /** Handles a read that reached the log's end; `sentAt` is a time not after the read was sent. */
   onRead(sentAt: Instant): void {
-    this.prove(sentAt);
+    this.recordProof(sentAt);
   }
 
   /**
-   * Notes a peer's report. `sentAt` is when this instance asked for it, or a
-   * time that is certainly not after the peer made it.
+   * Handles a peer's report. `sentAt` is when this instance requested the
+   * report, or another local time that is not after the peer made it.
    */
   onPeerReport(
     report: RelayedFreshness,
@@ -46,48 +47,54 @@
       return;
     }
     if (ownOffset >= report.offset) {
-      this.prove(provenAt);
-    } else if (!this.waiting || provenAt > this.waiting.provenAt) {
-      this.waiting = {offset: report.offset, provenAt};
+      this.recordProof(provenAt);
+    } else if (!this.pendingProof || provenAt > this.pendingProof.provenAt) {
+      this.pendingProof = {offset: report.offset, provenAt};
     }
   }
 
-  /** Notes that the state now holds every record before `offset`. */
+  /** Handles that every record before `offset` has been folded into the state. */
   onOffsetReached(offset: number): void {
-    if (this.waiting && offset >= this.waiting.offset) {
-      this.prove(this.waiting.provenAt);
-      this.waiting = undefined;
+    if (this.pendingProof && offset >= this.pendingProof.offset) {
+      this.recordProof(this.pendingProof.provenAt);
+      this.pendingProof = undefined;
     }
   }
 
   /**
-   * Called by the loop. A long time between two calls shows that the process
-   * was paused; what it knew before is then dropped. Returns whether it was.
+   * Detects pauses of the process. The caller calls this periodically; more
+   * than `PAUSE_THRESHOLD_MS` between two calls means that the process was
+   * paused, and all proofs are dropped. Returns whether a pause was detected.
    */
   detectPause(now: Instant): boolean {
     const wasPaused =
-      this.tickedAt !== undefined && now - this.tickedAt > PAUSE_THRESHOLD_MS;
-    this.tickedAt = now;
+      this.lastTickAt !== undefined &&
+      now - this.lastTickAt > PAUSE_THRESHOLD_MS;
+    this.lastTickAt = now;
     if (wasPaused) {
       this.provenAt = undefined;
-      this.waiting = undefined;
+      this.pendingProof = undefined;
     }
     return wasPaused;
   }
 
-  /** Age of the newest proof in milliseconds; infinite when there is none. */
+  /** Returns the age of the newest proof; `Infinity` when there is none. */
   getAge(now: Instant): Milliseconds {
     return this.provenAt === undefined ? Infinity : now - this.provenAt;
   }
 
-  /** Tells whether the state is known to be current to within `bound`. A pause that no tick has noticed yet makes it false. */
-  isFresh(now: Instant, bound: Milliseconds): boolean {
+  /**
+   * Returns whether the state was proven to be current within the last
+   * `boundMs`. Also false after a pause that `detectPause` has not seen yet.
+   */
+  isFresh(now: Instant, boundMs: Milliseconds): boolean {
     const isPaused =
-      this.tickedAt !== undefined && now - this.tickedAt > PAUSE_THRESHOLD_MS;
-    return !isPaused && this.getAge(now) <= bound;
+      this.lastTickAt !== undefined &&
+      now - this.lastTickAt > PAUSE_THRESHOLD_MS;
+    return !isPaused && this.getAge(now) <= boundMs;
   }
 
-  private prove(at: Instant): void {
+  private recordProof(at: Instant): void {
     if (this.provenAt === undefined || at > this.provenAt) {
       this.provenAt = at;
     }
--- a/packages/membership/src/heartbeat.ts
+++ b/packages/membership/src/heartbeat.ts
@@ -1,8 +1,9 @@
 /**
- * Heartbeats between peers, in a compact form.
+ * Heartbeats between peers and their compact encoding.
  *
- * Every beat carries what changes all the time. The rest of the report, the
- * details, is sent only until the other end has seen its present version.
+ * Every heartbeat carries the fields of the instance report that change often.
+ * The remaining fields, the details, are sent only until the peer has
+ * acknowledged their current version.
  */
 import {z} from 'zod';
 import type {Instant} from '@galenavalve/shared';
@@ -13,8 +14,8 @@
   instanceReport,
 } from './instance_report.js';
 
-/** What a peer learns besides the report. */
-const beatDetails = instanceReport
+/** Schema of the details. */
+const heartbeatDetails = instanceReport
   .omit({
     offset: true,
     freshnessAgeMs: true,
@@ -23,64 +24,67 @@
     instance: true,
   })
   .extend({
-    /** Where the sender serves the peer protocol. */
+    /** Address at which the sender serves the peer protocol. */
     host: z.string().max(64),
     port: z.int().nonnegative(),
   });
 
-/** The slowly changing part of a report, and the sender's address. */
-export type HeartbeatDetails = z.infer<typeof beatDetails>;
+/** The fields of a report that change rarely, and the sender's address. */
+export type HeartbeatDetails = z.infer<typeof heartbeatDetails>;
 
 /** One heartbeat. */
 export interface Heartbeat {
-  /** The sender's local time; only the sender understands it. */
+  /** Time of the sender's local clock, in milliseconds; meaningful only to the sender. */
   sentAt: Instant;
-  /** The latest `sentAt` that the sender received from the other end: proves that this beat was made after it. */
+  /** The latest `sentAt` that the sender received from the peer; proves that this heartbeat was made after it. */
   echo?: Instant;
-  /** Version of the sender's details; 0 is none. */
+  /** Version of the sender's details. */
   version: number;
-  /** Version of the other end's details that the sender has. */
+  /** Version of the peer's details that the sender has; 0 when it has none. */
   seenVersion: number;
   offset: number;
   freshnessAgeMs: number;
   schedulerHeardAgeMs?: number;
   load?: InstanceReport['load'];
-  /** Absent when the other end has the present version. */
+  /** Absent when the peer has acknowledged the current version. */
   details?: HeartbeatDetails;
 }
 
-const count = z.int().nonnegative();
+const nonNegativeInteger = z.int().nonnegative();
 
-/** The form on the wire: the fields of `Beat` in their order. */
+/** Schema of the wire format: the fields of `Heartbeat` in their order. */
 export const compactHeartbeat = z.tuple([
-  count,
-  count.nullable(),
-  count,
-  count,
-  count,
-  count.nullable(),
-  count.nullable(),
-  z.tuple([count, count]).nullable(),
-  beatDetails.nullable(),
+  nonNegativeInteger,
+  nonNegativeInteger.nullable(),
+  nonNegativeInteger,
+  nonNegativeInteger,
+  nonNegativeInteger,
+  nonNegativeInteger.nullable(),
+  nonNegativeInteger.nullable(),
+  z.tuple([nonNegativeInteger, nonNegativeInteger]).nullable(),
+  heartbeatDetails.nullable(),
 ]);
+/** A heartbeat in the wire format. */
 export type CompactHeartbeat = z.infer<typeof compactHeartbeat>;
 
-/** Puts a beat into the form on the wire. Times are rounded to the safe side. */
-export function encodeHeartbeat(beat: Heartbeat): CompactHeartbeat {
+/** Encodes a heartbeat. Rounds `sentAt` down and ages up, so that no report appears younger than it is. */
+export function encodeHeartbeat(heartbeat: Heartbeat): CompactHeartbeat {
   return [
-    Math.floor(beat.sentAt),
-    beat.echo ?? null,
-    beat.version,
-    beat.seenVersion,
-    beat.offset,
-    roundAge(beat.freshnessAgeMs),
-    roundAge(beat.schedulerHeardAgeMs ?? Infinity),
-    beat.load ? [beat.load.queued, beat.load.freeAccelerators] : null,
-    beat.details ?? null,
+    Math.floor(heartbeat.sentAt),
+    heartbeat.echo ?? null,
+    heartbeat.version,
+    heartbeat.seenVersion,
+    heartbeat.offset,
+    roundAgeUp(heartbeat.freshnessAgeMs),
+    roundAgeUp(heartbeat.schedulerHeardAgeMs ?? Infinity),
+    heartbeat.load
+      ? [heartbeat.load.queued, heartbeat.load.freeAccelerators]
+      : null,
+    heartbeat.details ?? null,
   ];
 }
 
-/** Reads a beat from the form on the wire. */
+/** Decodes a heartbeat. */
 export function decodeHeartbeat(compact: CompactHeartbeat): Heartbeat {
   const [
     sentAt,
@@ -88,8 +92,8 @@
     version,
     seenVersion,
     offset,
-    age,
-    heard,
+    freshnessAgeMs,
+    schedulerHeardAgeMs,
     load,
     details,
   ] = compact;
@@ -99,14 +103,14 @@
     version,
     seenVersion,
     offset,
-    freshnessAgeMs: age ?? Infinity,
-    schedulerHeardAgeMs: heard ?? undefined,
+    freshnessAgeMs: freshnessAgeMs ?? Infinity,
+    schedulerHeardAgeMs: schedulerHeardAgeMs ?? undefined,
     load: load ? {queued: load[0], freeAccelerators: load[1]} : undefined,
     details: details ?? undefined,
   };
 }
 
-/** The details of this instance's report. */
+/** Returns the details of this instance's report. */
 export function toHeartbeatDetails(
   report: InstanceReport,
   {host, port}: PeerAddress,
@@ -125,14 +129,14 @@
   };
 }
 
-/** The report that a beat stands for, given the sender's latest details. */
+/** Restores the report from a heartbeat and the sender's latest details. */
 export function toReport(
   instance: string,
-  beat: Heartbeat,
+  heartbeat: Heartbeat,
   details: HeartbeatDetails,
 ): InstanceReport {
   const {domain, schedules, leaving, ready, racks, holds} = details;
-  const {offset, freshnessAgeMs, schedulerHeardAgeMs, load} = beat;
+  const {offset, freshnessAgeMs, schedulerHeardAgeMs, load} = heartbeat;
   return {
     instance,
     domain,
@@ -148,6 +152,7 @@
   };
 }
 
-function roundAge(age: number): number | null {
-  return Number.isFinite(age) ? Math.ceil(age) : null;
+/** Rounds an age up to whole milliseconds; null for an infinite age. */
+function roundAgeUp(ageMs: number): number | null {
+  return Number.isFinite(ageMs) ? Math.ceil(ageMs) : null;
 }
--- a/packages/membership/src/heartbeat_peers.ts
+++ b/packages/membership/src/heartbeat_peers.ts
@@ -1,22 +1,23 @@
-/** Chooses the peers that an instance exchanges beats with. */
+/** Chooses the peers with which an instance exchanges heartbeats. */
 import {hashText} from '@galenavalve/shared';
 import type {PeerStatus} from './peer_table.js';
 
-/** Peers of each other failure domain that an instance exchanges beats with. */
+/** Default number of alive peers in each remote failure domain with which an instance exchanges heartbeats. */
 export const DEFAULT_PEERS_PER_REMOTE_DOMAIN = 1;
 
-/** Silent peers of another failure domain that are still tried, beside the links that work. */
-const MAX_SILENT_LINKS = 2;
+/** The selection in a remote failure domain ends once it includes more peers than this that are not alive. */
+const SILENT_PEER_THRESHOLD = 2;
 
 /**
- * All peers of the own failure domain, and `degree` of each other domain that
- * are not silent. The choices of a domain's instances differ, so that news
- * crosses between two domains over about as many links as they have instances.
+ * Returns all peers of the own failure domain, and peers of each remote domain
+ * until `peersPerRemoteDomain` of them are alive. The instances of a domain
+ * choose different peers, so that updates cross between two domains over about
+ * as many links as the domains have instances.
  */
 export function chooseHeartbeatPeers(
   self: {instance: string; domain: string},
   peers: readonly PeerStatus[],
-  degree: number,
+  peersPerRemoteDomain: number,
   isAlive: (peer: PeerStatus) => boolean,
 ): PeerStatus[] {
   const byDomain = new Map<string, PeerStatus[]>();
@@ -27,32 +28,45 @@
   }
   const own = byDomain.get(self.domain) ?? [];
   byDomain.delete(self.domain);
-  const others = [...byDomain.values()].flatMap(group =>
-    chooseFrom(orderFor(self.instance, group), degree, isAlive),
+  const remote = [...byDomain.values()].flatMap(group =>
+    selectUntilEnoughAlive(
+      sortByRendezvousHash(self.instance, group),
+      peersPerRemoteDomain,
+      isAlive,
+    ),
   );
-  return [...own, ...others];
+  return [...own, ...remote];
 }
 
-/** The first in order, until `degree` of them are alive. */
-function chooseFrom(
+/**
+ * Selects peers in the given order until `peersPerRemoteDomain` of them are
+ * alive, or more than `SILENT_PEER_THRESHOLD` of them are not.
+ */
+function selectUntilEnoughAlive(
   ordered: readonly PeerStatus[],
-  degree: number,
+  peersPerRemoteDomain: number,
   isAlive: (peer: PeerStatus) => boolean,
 ): PeerStatus[] {
   const chosen: PeerStatus[] = [];
-  let alive = 0;
+  let aliveCount = 0;
   for (const peer of ordered) {
-    if (alive === degree || chosen.length - alive > MAX_SILENT_LINKS) {
+    if (
+      aliveCount === peersPerRemoteDomain ||
+      chosen.length - aliveCount > SILENT_PEER_THRESHOLD
+    ) {
       break;
     }
     chosen.push(peer);
-    alive += isAlive(peer) ? 1 : 0;
+    aliveCount += isAlive(peer) ? 1 : 0;
   }
   return chosen;
 }
 
-/** The peers in the order of rendezvous hashing for `self`. */
-function orderFor(self: string, group: readonly PeerStatus[]): PeerStatus[] {
+/** Sorts peers by their rendezvous hash with `self`, highest first. */
+function sortByRendezvousHash(
+  self: string,
+  group: readonly PeerStatus[],
+): PeerStatus[] {
   const scored = group.map(peer => ({
     peer,
     score: hashText(`${self} ${peer.address.instance}`),
--- a/packages/membership/src/hold_registry.ts
+++ b/packages/membership/src/hold_registry.ts
@@ -1,47 +1,47 @@
-/** Take-outs that are in force by gossip before the log has them. */
+/** Holds: take-outs that peers know by gossip before the log has them. */
 import type {Hold} from './instance_report.js';
 
-/** A hold with the offset that its author had read up to. */
+/** A hold with its offset: that of its record, or else the one up to which the instance that added it had read the log. */
 export type PositionedHold = Hold & {offset: number};
 
 /**
- * The holds in force, one an entity: the one that ends last. A hold ends only
- * by an accepted record about its entity at or after the hold's offset, never
- * by time or by a peer's word.
+ * The holds in force. Keeps one hold per entity, the one with the highest
+ * offset. A hold ends only with an accepted record about its entity at or after
+ * the hold's offset; it never expires, and no peer can end it.
  */
 export class HoldRegistry {
   private readonly holds = new Map<string, PositionedHold>();
   /** Offset of the latest accepted record about each entity. */
   private readonly acceptedAt = new Map<string, number>();
 
-  /** Adds a hold, unless a later record ended it already. Returns whether it is new. */
+  /** Adds a hold unless an accepted record has already ended it. Returns whether the registry changed. */
   add(hold: PositionedHold): boolean {
-    const held = this.holds.get(hold.entity);
-    if (this.isEnded(hold) || (held && held.offset >= hold.offset)) {
+    const current = this.holds.get(hold.entity);
+    if (this.isEnded(hold) || (current && current.offset >= hold.offset)) {
       return false;
     }
     this.holds.set(hold.entity, hold);
     return true;
   }
 
-  /** Notes an accepted record about `entity`. Returns the hold that it ends. */
+  /** Handles an accepted record about `entity`. Returns the hold that it ends, if any. */
   onEntityAccepted(entity: string, offset: number): PositionedHold | undefined {
-    const latest = Math.max(offset, this.acceptedAt.get(entity) ?? -1);
-    this.acceptedAt.set(entity, latest);
-    const held = this.holds.get(entity);
-    if (!held || !this.isEnded(held)) {
+    const latestOffset = Math.max(offset, this.acceptedAt.get(entity) ?? -1);
+    this.acceptedAt.set(entity, latestOffset);
+    const current = this.holds.get(entity);
+    if (!current || !this.isEnded(current)) {
       return undefined;
     }
     this.holds.delete(entity);
-    return held;
+    return current;
   }
 
-  /** The holds in force. */
+  /** Returns the holds in force. */
   list(): PositionedHold[] {
     return [...this.holds.values()];
   }
 
-  /** Tells whether a hold takes `entity` out. */
+  /** Returns whether a hold takes `entity` out of service. */
   isHeld(entity: string): boolean {
     return this.holds.has(entity);
   }
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,6 +1,6 @@
-/** Peers, configuration freshness, terms and rack shards. */
+/** Cluster membership: peers, freshness, outage mode, scheduler terms and the assignment of racks. */
 
-// The platform's list of instances
+// The platform's instance list
 export * from './instance_list.js';
 
 // Peers
@@ -24,7 +24,7 @@
   chooseHeartbeatPeers,
 } from './heartbeat_peers.js';
 
-// Freshness and the log's outage
+// Freshness and outage mode
 export {
   FreshnessTracker,
   PAUSE_THRESHOLD_MS,
@@ -38,7 +38,7 @@
   decideOutageMode,
 } from './outage_mode.js';
 
-// Records and states from peers
+// Records and state from peers
 export {
   type PeerCall,
   RECORDS_METHOD,
--- a/packages/membership/src/instance_list.ts
+++ b/packages/membership/src/instance_list.ts
@@ -1,20 +1,23 @@
-/** The platform's list of instances. It lags behind what happens. */
+/** The platform's instance list. The list lags behind the actual state of the cluster. */
 import {z} from 'zod';
 import {resourceName} from '@galenavalve/model';
 
-/** An entry instance or a target as the platform lists it. */
+/** Schema of an entry instance or a target in the list. */
 export const listedInstance = z.strictObject({
   id: resourceName,
   domain: resourceName,
   role: z.enum(['entry', 'target']),
   state: z.enum(['live', 'leaving']),
-  /** IP number and port of the peer protocol; only for entry instances. */
+  /** IP address of the peer protocol; only for entry instances. */
   host: z.string().optional(),
+  /** Port of the peer protocol; only for entry instances. */
   port: z.int().optional(),
 });
+/** An entry instance or a target in the list. */
 export type ListedInstance = z.infer<typeof listedInstance>;
 
-/** The list of instances. Throws a `Failure` when it cannot be read. */
+/** Reads the instance list. */
 export interface InstanceList {
+  /** Returns the listed instances. Throws a `Failure` when the list cannot be read. */
   list(timeoutMs: number): Promise<ListedInstance[]>;
 }
--- a/packages/membership/src/instance_list_poller.ts
+++ b/packages/membership/src/instance_list_poller.ts
@@ -1,4 +1,4 @@
-/** Keeps the peers up with the platform's list of instances. */
+/** Updates the peer table periodically from the platform's instance list. */
 import {
   type Clock,
   type Logger,
@@ -8,16 +8,17 @@
 import type {InstanceList} from './instance_list.js';
 import type {PeerTable} from './peer_table.js';
 
-/** What is followed, and how often. */
+/** Options of `pollInstanceList`. */
 export interface InstanceListPollerOptions {
   instanceList: InstanceList;
   table: PeerTable;
   clock: Clock;
   logger: Logger;
+  /** Time between two reads, and the timeout of each. */
   intervalMs: Milliseconds;
 }
 
-/** Reads the list until `signal` aborts. What was known stays while it cannot be read. */
+/** Reads the list periodically until `signal` aborts. A failed read leaves the peer table unchanged. */
 export async function pollInstanceList(
   {instanceList, table, clock, logger, intervalMs}: InstanceListPollerOptions,
   signal: AbortSignal,
--- a/packages/membership/src/outage_mode.ts
+++ b/packages/membership/src/outage_mode.ts
@@ -1,45 +1,47 @@
 /**
- * Decides whether a failure domain may start work while the log cannot be
- * read. See docs/design/outage.md.
+ * Decides the outage mode: whether a failure domain may start work while the
+ * log cannot be read. See docs/design/outage.md.
  */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {FreshnessTracker} from './freshness.js';
 
 /**
- * The operators' choice. `off` starts nothing without fresh knowledge of the
- * log. `finish-placed` also starts jobs whose `placed` record was accepted
- * before an outage that every known instance sees; it gives up the promise
- * about take-outs towards operators who write to the log by other ways.
+ * Setting of the operators for outages of the log. `off` starts nothing while
+ * the state is not fresh. `finish-placed` also starts jobs whose `placed` record
+ * was accepted before an outage that every known instance observes; it gives up
+ * the promise about take-outs for operators who write to the log by other means.
  */
 export type OutageSetting = 'off' | 'finish-placed';
 
-/** An instance as it was heard last. */
+/** The latest heartbeat of an instance. */
 export interface PeerObservation {
-  /** Minus infinity when it was never heard. */
+  /** When the heartbeat was received; `-Infinity` when there was none. */
   lastHeardAt: Instant;
-  /** Age of its newest proof of freshness when it was heard, in milliseconds. */
+  /** Age of the newest freshness proof of the instance at that time. */
   freshnessAgeMs: Milliseconds;
 }
 
-/** What the decision rests on. */
+/** Input of `decideOutageMode`. */
 export interface OutageSituation {
   now: Instant;
+  /** Freshness of this instance. */
   freshness: Pick<FreshnessTracker, 'isFresh'>;
-  /** Every known instance by failure domain, except this one. */
+  /** All known instances except this one, by failure domain. */
   peersByDomain: ReadonlyMap<string, readonly PeerObservation[]>;
-  /** The other failure domains of the configuration. */
+  /** Failure domains of the configuration other than that of this instance. */
   otherDomains: readonly string[];
   setting: OutageSetting;
-  /** Bound of freshness in milliseconds. */
+  /** Highest age at which a state counts as fresh. */
   freshnessBoundMs: Milliseconds;
-  /** Silence after which a peer counts as out of reach, in milliseconds. */
+  /** Time without a heartbeat after which a peer is suspected. */
   suspectMs: Milliseconds;
 }
 
-/** `normal`: start as usual; `finish-placed`: finish the starts of placed jobs; `cut-off`: start nothing. */
+/** Outcome of `decideOutageMode`. */
 export interface OutageDecision {
+  /** `normal`: start as usual; `finish-placed`: finish the starts of placed jobs; `cut-off`: start nothing. */
   mode: 'normal' | 'finish-placed' | 'cut-off';
-  /** The failure domain that decided, if one did. */
+  /** The failure domain that determined the mode, if any. */
   domain?: string;
   reason:
     | 'fresh'
@@ -51,22 +53,23 @@
 }
 
 /**
- * Decides the mode. One silent instance may be on the log's side of a
- * partition, so it ends the outage mode, and so does one that is fresh.
+ * Decides the outage mode. A single suspected or fresh peer rules out
+ * `finish-placed`: a suspected peer may still reach the log from the other side
+ * of a network partition.
  */
 export function decideOutageMode(situation: OutageSituation): OutageDecision {
-  const {now, freshness, freshnessBoundMs: freshMs} = situation;
-  if (freshness.isFresh(now, freshMs)) {
+  const {now, freshness, freshnessBoundMs} = situation;
+  if (freshness.isFresh(now, freshnessBoundMs)) {
     return {mode: 'normal', reason: 'fresh'};
   }
   if (situation.setting === 'off') {
     return {mode: 'cut-off', reason: 'setting-off'};
   }
-  const unknown = situation.otherDomains.find(
+  const unknownDomain = situation.otherDomains.find(
     domain => !situation.peersByDomain.get(domain)?.length,
   );
-  if (unknown !== undefined) {
-    return {mode: 'cut-off', domain: unknown, reason: 'domain-unknown'};
+  if (unknownDomain !== undefined) {
+    return {mode: 'cut-off', domain: unknownDomain, reason: 'domain-unknown'};
   }
   for (const [domain, peers] of situation.peersByDomain) {
     if (peers.some(peer => isSilent(peer, situation))) {
@@ -90,6 +93,6 @@
   peer: PeerObservation,
   situation: OutageSituation,
 ): boolean {
-  const age = peer.freshnessAgeMs + (situation.now - peer.lastHeardAt);
-  return age <= situation.freshnessBoundMs;
+  const ageMs = peer.freshnessAgeMs + (situation.now - peer.lastHeardAt);
+  return ageMs <= situation.freshnessBoundMs;
 }
--- a/packages/membership/src/peer_mesh.ts
+++ b/packages/membership/src/peer_mesh.ts
@@ -1,4 +1,4 @@
-/** Exchanges heartbeats with peers, and knows which of them are alive. */
+/** Exchanges heartbeats with peers, tracks which of them are alive and spreads holds by gossip. */
 import {
   type Instant,
   type Milliseconds,
@@ -36,112 +36,113 @@
   computeSchedulerHeardAge,
 } from './scheduler_liveness.js';
 
-/** Method of the peer protocol that exchanges beats. */
+/** Method of the peer protocol that exchanges heartbeats. */
 export const HEARTBEAT_METHOD = 'beat';
 
-/** Quiet heartbeats after which the passive end of a pair opens a connection too. */
-const PASSIVE_PATIENCE = 2;
+/** Number of heartbeat intervals without a heartbeat after which the passive side of a pair opens a connection too. */
+const PASSIVE_SILENCE_HEARTBEATS = 2;
 
-/** The peers of this instance. */
+/** The mesh of this instance and its peers. */
 export class PeerMesh {
   private readonly options: PeerMeshOptions;
   private readonly table: PeerTable;
-  private readonly book = new HoldRegistry();
+  private readonly holdRegistry = new HoldRegistry();
   private readonly exchanges: HeartbeatExchangeTable;
-  private readonly liveness: FailureDetector;
+  private readonly failureDetector: FailureDetector;
   private readonly listeners: ReportListener[] = [];
   private readonly ownDetails: LocalDetails;
-  private wake = new AbortController();
+  /** Aborted to start the next round early. */
+  private wakeUp = new AbortController();
   private round = 0;
-  /** A hold was added since the last round. */
-  private hasNews = false;
+  /** Whether a hold was added since the last round. */
+  private hasNewHolds = false;
 
-  constructor(private readonly settings: PeerMeshDependencies) {
-    this.options = {...DEFAULT_MESH_OPTIONS, ...settings.options};
-    const {self, seeds, clock, server, random, logger} = settings;
+  constructor(private readonly dependencies: PeerMeshDependencies) {
+    this.options = {...DEFAULT_MESH_OPTIONS, ...dependencies.options};
+    const {self, seeds, clock, server, random, logger} = dependencies;
     this.ownDetails = new LocalDetails(random);
     this.exchanges = new HeartbeatExchangeTable(this.ownDetails);
     this.table = new PeerTable(self.instance, seeds, clock.now());
     const {suspectMs} = this.options;
-    this.liveness = new FailureDetector(
+    this.failureDetector = new FailureDetector(
       self.domain,
       this.table,
       suspectMs,
       logger,
     );
     server.handle(HEARTBEAT_METHOD, compactHeartbeat, async (compact, from) =>
-      this.onBeat(from, decodeHeartbeat(compact)),
+      this.onHeartbeat(from, decodeHeartbeat(compact)),
     );
   }
 
-  /** Exchanges beats and reads the list until `signal` aborts. */
+  /** Exchanges heartbeats and polls the instance list until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const listed = pollInstanceList(
+    const polling = pollInstanceList(
       {
-        ...this.settings,
+        ...this.dependencies,
         intervalMs: this.options.listIntervalMs,
         table: this.table,
       },
       signal,
     );
-    await Promise.all([this.runBeats(signal), listed]);
+    await Promise.all([this.runHeartbeats(signal), polling]);
   }
 
-  /** All known peers, without this instance. */
+  /** Returns all known peers; never includes this instance. */
   listPeers(): PeerStatus[] {
     return this.table.list();
   }
 
-  /** Tells whether an instance was heard within the suspicion time. This instance is always alive. */
+  /** Returns whether an instance is alive according to the failure detector. This instance is always alive. */
   isAlive(instance: string, now: Instant): boolean {
     const status = this.table.get(instance);
     return (
-      instance === this.settings.self.instance ||
-      (status !== undefined && this.liveness.isAlive(status, now))
+      instance === this.dependencies.self.instance ||
+      (status !== undefined && this.failureDetector.isAlive(status, now))
     );
   }
 
-  /** Instances of a failure domain that are alive, this one included. */
+  /** Returns the instances of a failure domain that are alive, including this one. */
   listAlive(domain: string, now: Instant): string[] {
-    const {self} = this.settings;
-    const others = this.liveness
+    const {self} = this.dependencies;
+    const others = this.failureDetector
       .listAlive(domain, now)
       .map(peer => peer.address.instance);
     return self.domain === domain ? [self.instance, ...others] : others;
   }
 
-  /** Alive instances of a failure domain that may take over roles: ready and not leaving. */
+  /** Returns the instances of a failure domain that are eligible for roles: alive, ready and not leaving. */
   listEligible(domain: string, now: Instant): string[] {
-    const {self, createReport: report} = this.settings;
-    const fit = this.liveness
+    const {self, createReport} = this.dependencies;
+    const eligiblePeers = this.failureDetector
       .listAlive(domain, now)
       .filter(isEligible)
       .map(peer => peer.address.instance);
-    const {ready, leaving} = report();
-    const isSelfFit = self.domain === domain && ready && !leaving;
-    return isSelfFit ? [self.instance, ...fit] : fit;
+    const {ready, leaving} = createReport();
+    const isSelfEligible = self.domain === domain && ready && !leaving;
+    return isSelfEligible ? [self.instance, ...eligiblePeers] : eligiblePeers;
   }
 
-  /** When a scheduler of this failure domain was last heard, directly or by a peer's word. */
+  /** Returns when a scheduler of this failure domain was last heard, directly or according to the reports of peers. */
   findLastHeardAt(instance: string): Instant | undefined {
     return findLastHeardAt(
       this.listPeers(),
-      this.settings.self.domain,
+      this.dependencies.self.domain,
       instance,
     );
   }
 
-  /** Where an instance is reached; undefined when it is not known. */
+  /** Returns the peer protocol address of an instance; undefined when it is not known. */
   findAddress(instance: string): PeerAddress | undefined {
     return this.table.get(instance)?.address;
   }
 
-  /** Registers a listener for reports. */
+  /** Registers a listener that is called for every received report. */
   addReportListener(listener: ReportListener): void {
     this.listeners.push(listener);
   }
 
-  /** Calls a method of a peer. Throws `peer-unavailable` when its address is not known. */
+  /** Calls a method of a peer. Throws `peer-unavailable` when the address of the peer is not known. */
   async call(
     instance: string,
     method: string,
@@ -149,91 +150,99 @@
     timeoutMs: Milliseconds,
   ): Promise<unknown> {
     const address = this.findAddress(instance) ?? {instance, host: '', port: 0};
-    return this.settings.client.call(address, method, body, timeoutMs);
+    return this.dependencies.client.call(address, method, body, timeoutMs);
   }
 
-  /** Puts a hold in force here and, at once, at every peer in reach. */
+  /** Adds a hold on this instance and spreads it to the peers immediately. */
   addHold(hold: Hold): void {
-    const offset = hold.offset ?? this.settings.createReport().offset;
-    if (this.book.add({...hold, offset})) {
-      this.settings.logger.info('hold-added', {...hold, offset});
-      this.tellNews();
+    const offset = hold.offset ?? this.dependencies.createReport().offset;
+    if (this.holdRegistry.add({...hold, offset})) {
+      this.dependencies.logger.info('hold-added', {...hold, offset});
+      this.triggerRound();
     }
   }
 
-  /** The holds in force. */
+  /** Returns the holds in force. */
   listHolds(): PositionedHold[] {
-    return this.book.list();
+    return this.holdRegistry.list();
   }
 
-  /** Tells whether a hold takes an entity out, such as "target/w1". */
+  /** Returns whether a hold takes an entity such as "target/w1" out of service. */
   isHeld(entity: string): boolean {
-    return this.book.isHeld(entity);
+    return this.holdRegistry.isHeld(entity);
   }
 
-  /** Notes an accepted configuration record about `entity`; it ends older holds. */
+  /** Handles an accepted configuration record about `entity`, which ends a hold with the same or a lower offset. */
   onEntityAccepted(entity: string, offset: number): void {
-    const ended = this.book.onEntityAccepted(entity, offset);
+    const ended = this.holdRegistry.onEntityAccepted(entity, offset);
     if (ended) {
-      this.settings.logger.info('hold-ended', {...ended, endedBy: offset});
+      this.dependencies.logger.info('hold-ended', {...ended, endedBy: offset});
     }
   }
 
-  private async runBeats(signal: AbortSignal): Promise<void> {
-    const {clock, random} = this.settings;
-    signal.addEventListener('abort', () => this.wake.abort(), {once: true});
+  private async runHeartbeats(signal: AbortSignal): Promise<void> {
+    const {clock, random} = this.dependencies;
+    signal.addEventListener('abort', () => this.wakeUp.abort(), {once: true});
     while (!signal.aborted) {
-      this.beatAll();
-      this.hasNews = false;
+      this.sendHeartbeats();
+      this.hasNewHolds = false;
       const jitter = 0.9 + 0.2 * random.next();
-      await clock.sleep(this.options.heartbeatMs * jitter, this.wake.signal);
+      await clock.sleep(this.options.heartbeatMs * jitter, this.wakeUp.signal);
       if (!signal.aborted) {
-        this.wake = new AbortController();
+        this.wakeUp = new AbortController();
       }
     }
   }
 
-  private tellNews(): void {
-    this.hasNews = true;
-    this.wake.abort();
+  private triggerRound(): void {
+    this.hasNewHolds = true;
+    this.wakeUp.abort();
   }
 
-  private beatAll(): void {
-    const {self, clock} = this.settings;
+  private sendHeartbeats(): void {
+    const {self, clock} = this.dependencies;
     const now = clock.now();
     this.round += 1;
     this.exchanges.retain(peer => this.table.get(peer) !== undefined);
-    const links = chooseHeartbeatPeers(
+    const peers = chooseHeartbeatPeers(
       self,
       this.listPeers(),
       this.options.peersPerRemoteDomain,
-      peer => this.liveness.isAlive(peer, now),
+      peer => this.failureDetector.isAlive(peer, now),
     );
-    for (const peer of links) {
-      this.liveness.logLivenessChange(peer, now);
+    for (const peer of peers) {
+      this.failureDetector.logLivenessChange(peer, now);
       if (this.isDue(peer) && this.isInitiator(peer, now)) {
-        void this.beat(peer);
+        void this.exchangeHeartbeat(peer);
       }
     }
   }
 
-  /** Peers of other failure domains are sent a beat less often, but news at once. */
+  /** Returns whether a heartbeat to a peer is due: remote domains get fewer heartbeats, but new holds immediately. */
   private isDue(peer: PeerStatus): boolean {
-    const isNear = this.liveness.isInOwnDomain(peer);
-    return isNear || this.hasNews || this.round % REMOTE_HEARTBEAT_RATIO === 0;
+    const isInOwnDomain = this.failureDetector.isInOwnDomain(peer);
+    return (
+      isInOwnDomain ||
+      this.hasNewHolds ||
+      this.round % REMOTE_HEARTBEAT_RATIO === 0
+    );
   }
 
-  /** One end of a pair in the same failure domain opens the connection; the other only after a silence. */
+  /**
+   * Returns whether this side of a pair sends the heartbeat. Within a failure
+   * domain only one side opens a connection; the other does so only after
+   * `PASSIVE_SILENCE_HEARTBEATS` intervals without a heartbeat.
+   */
   private isInitiator(peer: PeerStatus, now: Instant): boolean {
-    const {self} = this.settings;
+    const {self} = this.dependencies;
     if (peer.domain !== self.domain || self.instance < peer.address.instance) {
       return true;
     }
-    const quiet = now - Math.max(peer.lastHeardAt, peer.knownSince);
-    return quiet > PASSIVE_PATIENCE * this.options.heartbeatMs;
+    const silenceMs = now - Math.max(peer.lastHeardAt, peer.knownSince);
+    return silenceMs > PASSIVE_SILENCE_HEARTBEATS * this.options.heartbeatMs;
   }
 
-  private async beat(peer: PeerStatus): Promise<void> {
+  private async exchangeHeartbeat(peer: PeerStatus): Promise<void> {
     const {instance} = peer.address;
     const exchange = this.exchanges.getOrCreate(instance);
     if (exchange.isPending) {
@@ -241,11 +250,14 @@
     }
     exchange.isPending = true;
     try {
-      const answer = await this.sendBeat(peer, exchange);
-      this.receive(instance, decodeHeartbeat(compactHeartbeat.parse(answer)));
+      const response = await this.sendWithRetry(peer, exchange);
+      this.applyHeartbeat(
+        instance,
+        decodeHeartbeat(compactHeartbeat.parse(response)),
+      );
     } catch (error) {
-      // A peer that does not answer is seen by its silence.
-      this.settings.logger.debug('beat-failed', {
+      // The failure detector suspects a peer that does not respond.
+      this.dependencies.logger.debug('beat-failed', {
         peer: instance,
         problem: describeError(error),
       });
@@ -254,17 +266,17 @@
     }
   }
 
-  /** A beat without an answer is sent again at once: its connection may have gone silent, and the next is new. */
-  private async sendBeat(
+  /** Sends a heartbeat, and retries once after a timeout: the connection may have stalled, and the retry opens a new one. */
+  private async sendWithRetry(
     peer: PeerStatus,
     exchange: HeartbeatExchange,
   ): Promise<unknown> {
-    const {client} = this.settings;
+    const {client} = this.dependencies;
     const send = () =>
       client.call(
         peer.address,
         HEARTBEAT_METHOD,
-        this.createBeat(exchange),
+        this.createHeartbeat(exchange),
         this.options.heartbeatMs,
       );
     try {
@@ -277,32 +289,34 @@
     }
   }
 
-  private onBeat(from: string, beat: Heartbeat): CompactHeartbeat {
-    this.receive(from, beat);
-    return this.createBeat(this.exchanges.getOrCreate(from));
+  private onHeartbeat(from: string, heartbeat: Heartbeat): CompactHeartbeat {
+    this.applyHeartbeat(from, heartbeat);
+    return this.createHeartbeat(this.exchanges.getOrCreate(from));
   }
 
-  private createBeat(exchange: HeartbeatExchange): CompactHeartbeat {
-    const {createReport: report, self, clock} = this.settings;
+  private createHeartbeat(exchange: HeartbeatExchange): CompactHeartbeat {
+    const {createReport, self, clock} = this.dependencies;
     const now = clock.now();
-    const own = report();
-    this.ownDetails.update(toHeartbeatDetails(own, self, this.book.list()));
-    const news = {
-      offset: own.offset,
-      freshnessAgeMs: own.freshnessAgeMs,
+    const ownReport = createReport();
+    this.ownDetails.update(
+      toHeartbeatDetails(ownReport, self, this.holdRegistry.list()),
+    );
+    const status = {
+      offset: ownReport.offset,
+      freshnessAgeMs: ownReport.freshnessAgeMs,
       schedulerHeardAgeMs: computeSchedulerHeardAge(
         this.listPeers(),
         self.domain,
         now,
       ),
-      load: own.load,
+      load: ownReport.load,
     };
-    return encodeHeartbeat(exchange.createHeartbeat(news, now));
+    return encodeHeartbeat(exchange.createHeartbeat(status, now));
   }
 
-  private receive(from: string, beat: Heartbeat): void {
-    const now = this.settings.clock.now();
-    const received = this.exchanges.getOrCreate(from).receive(beat);
+  private applyHeartbeat(from: string, heartbeat: Heartbeat): void {
+    const now = this.dependencies.clock.now();
+    const received = this.exchanges.getOrCreate(from).receive(heartbeat);
     if (!received) {
       return;
     }
@@ -313,19 +327,21 @@
       return;
     }
     this.table.applyReport(status, report, madeAfter, now);
-    this.takeHolds(report.holds);
+    this.applyHolds(report.holds);
     for (const listener of this.listeners) {
       listener({report, madeAfter, receivedAt: now});
     }
   }
 
-  private takeHolds(holds: readonly Hold[]): void {
-    let isNews = false;
+  private applyHolds(holds: readonly Hold[]): void {
+    let hasChanged = false;
     for (const hold of holds) {
-      isNews = this.book.add({...hold, offset: hold.offset ?? 0}) || isNews;
+      hasChanged =
+        this.holdRegistry.add({...hold, offset: hold.offset ?? 0}) ||
+        hasChanged;
     }
-    if (isNews) {
-      this.tellNews();
+    if (hasChanged) {
+      this.triggerRound();
     }
   }
 }
--- a/packages/membership/src/peer_mesh_options.ts
+++ b/packages/membership/src/peer_mesh_options.ts
@@ -1,4 +1,4 @@
-/** What a mesh of peers needs, and what it tells. */
+/** Options, dependencies and events of the peer mesh. */
 import type {
   Clock,
   Instant,
@@ -12,44 +12,48 @@
 import type {PeerEndpoint} from './peer_table.js';
 import type {InstanceReport} from './instance_report.js';
 
-/** Intervals of a mesh. */
+/** Intervals and limits of a mesh. */
 export interface PeerMeshOptions {
+  /** Time between two heartbeat rounds, before jitter; also the timeout of each heartbeat call. */
   heartbeatMs: Milliseconds;
-  /** Silence after which a peer no longer counts as alive. */
+  /** Time without a heartbeat after which a peer of the own failure domain is suspected. */
   suspectMs: Milliseconds;
-  /** Peers of each other failure domain that beats are exchanged with. */
+  /** Number of alive peers in each remote failure domain with which heartbeats are exchanged. */
   peersPerRemoteDomain: number;
-  /** Time between two reads of the platform's list. */
+  /** Time between two reads of the platform's instance list. */
   listIntervalMs: Milliseconds;
 }
 
-/** What a mesh needs. */
+/** Dependencies of a mesh. */
 export interface PeerMeshDependencies {
+  /** This instance. */
   self: PeerEndpoint;
   client: PeerClient;
   server: PeerServer;
   instanceList: InstanceList;
+  /** Peers known from the settings. */
   seeds: readonly PeerEndpoint[];
   clock: Clock;
   logger: Logger;
   random: Random;
-  /** Makes this instance's report, without the holds that the mesh adds. */
+  /** Creates this instance's report; the mesh adds the holds. */
   createReport: () => InstanceReport;
   options?: Partial<PeerMeshOptions>;
 }
 
-/** A report that was received. */
+/** A received report. */
 export interface ReportEvent {
   report: InstanceReport;
-  /** A local time that is certainly not after the report was made; undefined when none is known. */
+  /** Local time that is not after the report was made; undefined when none is known. */
   madeAfter?: Instant;
+  /** Local time at which the report was received. */
   receivedAt: Instant;
 }
 
-/** Told of every report that is received. */
+/** Called for every received report. */
 export type ReportListener = (event: ReportEvent) => void;
 
-/** The intervals that hold where none are given. */
+/** Default options of a mesh. */
 export const DEFAULT_MESH_OPTIONS: PeerMeshOptions = {
   heartbeatMs: 500,
   suspectMs: 1600,
--- a/packages/membership/src/peer_table.ts
+++ b/packages/membership/src/peer_table.ts
@@ -1,4 +1,4 @@
-/** The instances that are known, from settings, the platform's list and their own beats. */
+/** The known peers, from the settings, the platform's instance list and their heartbeats. */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {PeerAddress} from '@galenavalve/wire';
 import type {ListedInstance} from './instance_list.js';
@@ -7,61 +7,67 @@
 /** A peer protocol address with its failure domain. */
 export type PeerEndpoint = PeerAddress & {domain: string};
 
-/** What is known about a peer. */
+/** The known state of a peer. */
 export interface PeerStatus {
   address: PeerAddress;
   domain: string;
-  /** When a beat of it was last received; minus infinity when never. */
+  /** When a heartbeat of the peer was last received; `-Infinity` when there was none. */
   lastHeardAt: Instant;
+  /** Latest report of the peer. */
   report?: InstanceReport;
-  /** A local time that is certainly not after the report was made; minus infinity when none is known. */
+  /** Local time that is not after the report was made; `-Infinity` when none is known. */
   reportMadeAfter: Instant;
-  /** What the platform's list said last; `unlisted` also while the list was never read. */
+  /** State of the peer in the latest instance list; `unlisted` also before the first read of the list. */
   listed: 'live' | 'leaving' | 'unlisted';
-  /** Since when it says, or the list says, that it is leaving. */
+  /** Since when the peer or the instance list has reported that the peer is leaving. */
   leavingSince?: Instant;
-  /** Since when it says that it is not ready. */
+  /** Since when the peer has reported that it is not ready. */
   notReadySince?: Instant;
-  /** When it became known. */
+  /** When the peer was added to the table. */
   knownSince: Instant;
 }
 
-/** After this silence a peer that the list does not name is forgotten. */
+/** Time without a heartbeat after which a peer that is not listed is removed. */
 export const FORGET_AFTER_MS: Milliseconds = 60_000;
 
-/** After this silence the list's word about an address counts more than the peer's own. */
-const TRUST_AFTER_BEAT_MS: Milliseconds = 5000;
+/** Time after its last heartbeat during which a peer's own address takes precedence over the listed one. */
+const HEARTBEAT_TRUST_MS: Milliseconds = 5000;
 
-/** Known peers by instance; never holds the instance itself. */
+/** The known peers by instance; never includes the instance itself. */
 export class PeerTable {
   private readonly peers = new Map<string, PeerStatus>();
-  private readonly seeds: Set<string>;
+  /** Instances known from the settings; never removed. */
+  private readonly configuredInstances: Set<string>;
 
   constructor(
     private readonly self: string,
     seeds: readonly PeerEndpoint[],
     now: Instant,
   ) {
-    this.seeds = new Set(seeds.map(seed => seed.instance));
-    for (const seed of seeds) {
-      this.upsert(seed, now);
+    this.configuredInstances = new Set(
+      seeds.map(endpoint => endpoint.instance),
+    );
+    for (const endpoint of seeds) {
+      this.upsert(endpoint, now);
     }
   }
 
+  /** Returns the status of a peer; undefined when it is not known. */
   get(instance: string): PeerStatus | undefined {
     return this.peers.get(instance);
   }
 
+  /** Returns the status of every known peer. */
   list(): PeerStatus[] {
     return [...this.peers.values()];
   }
 
-  /** Notes where a peer is. Returns its status; undefined for the instance itself. */
-  upsert(seed: PeerEndpoint, now: Instant): PeerStatus | undefined {
-    if (seed.instance === this.self) {
+  /** Adds a peer or updates its address. Returns its status; undefined for the instance itself. */
+  upsert(endpoint: PeerEndpoint, now: Instant): PeerStatus | undefined {
+    if (endpoint.instance === this.self) {
       return undefined;
     }
-    const {instance, host, port, domain} = seed;
+    const {instance, host, port, domain} = endpoint;
     const address = {instance, host, port};
     const known = this.peers.get(instance);
     if (known) {
@@ -81,7 +87,7 @@
     return status;
   }
 
-  /** Notes a report that a peer sent. */
+  /** Applies a report that a peer sent. */
   applyReport(
     status: PeerStatus,
     report: InstanceReport,
@@ -97,29 +103,30 @@
     this.updateLeaving(status, now);
   }
 
-  /** Takes over the platform's list, which lags: a peer that it does not name may still live. */
+  /** Applies the platform's instance list. The list lags, so a peer that is not listed may still be alive. */
   applyInstanceList(listed: readonly ListedInstance[], now: Instant): void {
     for (const status of this.peers.values()) {
       status.listed = 'unlisted';
     }
     for (const entry of listed) {
-      this.noteListed(entry, now);
+      this.applyListedInstance(entry, now);
     }
-    this.forgetOld(now);
+    this.removeStalePeers(now);
     for (const status of this.peers.values()) {
       this.updateLeaving(status, now);
     }
   }
 
-  private noteListed(entry: ListedInstance, now: Instant): void {
+  private applyListedInstance(entry: ListedInstance, now: Instant): void {
     const {id, role, host, port, domain, state} = entry;
     if (role !== 'entry' || host === undefined || port === undefined) {
       return;
     }
     const known = this.peers.get(id);
-    // What a live peer says about itself is newer than the list.
-    const isHeard = known && now - known.lastHeardAt < TRUST_AFTER_BEAT_MS;
-    const status = isHeard
+    // An alive peer's own address is newer than the one in the list.
+    const isRecentlyHeard =
+      known && now - known.lastHeardAt < HEARTBEAT_TRUST_MS;
+    const status = isRecentlyHeard
       ? known
       : this.upsert({instance: id, host, port, domain}, now);
     if (status) {
@@ -132,18 +139,22 @@
     status.leavingSince = isLeaving ? (status.leavingSince ?? now) : undefined;
   }
 
-  private forgetOld(now: Instant): void {
+  private removeStalePeers(now: Instant): void {
     for (const [instance, status] of this.peers) {
-      const since = Math.max(status.lastHeardAt, status.knownSince);
-      const isOld = now - since > FORGET_AFTER_MS;
-      if (isOld && status.listed === 'unlisted' && !this.seeds.has(instance)) {
+      const lastActiveAt = Math.max(status.lastHeardAt, status.knownSince);
+      const isSilent = now - lastActiveAt > FORGET_AFTER_MS;
+      if (
+        isSilent &&
+        status.listed === 'unlisted' &&
+        !this.configuredInstances.has(instance)
+      ) {
         this.peers.delete(instance);
       }
     }
   }
 }
 
-/** Tells whether a peer may take over roles: it is ready and not leaving. */
+/** Returns whether a peer is eligible for roles: it is ready and not leaving. */
 export function isEligible(peer: PeerStatus): boolean {
   return peer.report?.ready === true && peer.leavingSince === undefined;
 }
--- a/packages/membership/src/rack_assignment.ts
+++ b/packages/membership/src/rack_assignment.ts
@@ -1,17 +1,20 @@
-/** Shares the racks of a failure domain among its lease keepers. */
+/** Assigns the racks of a failure domain to the instances that renew their leases. */
 import {chooseByRendezvous} from '@galenavalve/shared';
 
-/** The keeper of each rack. An instance that leaves moves only its own racks. */
+/**
+ * Returns the instance that renews the leases of each rack, by rendezvous
+ * hashing: when an instance leaves, only its own racks are reassigned.
+ */
 export function assignRacks(
   racks: readonly string[],
   instances: readonly string[],
 ): Map<string, string> {
-  const keepers = new Map<string, string>();
+  const assignments = new Map<string, string>();
   for (const rack of racks) {
-    const keeper = chooseByRendezvous(rack, instances);
-    if (keeper !== undefined) {
-      keepers.set(rack, keeper);
+    const instance = chooseByRendezvous(rack, instances);
+    if (instance !== undefined) {
+      assignments.set(rack, instance);
     }
   }
-  return keepers;
+  return assignments;
 }
--- a/packages/membership/src/record_cache.ts
+++ b/packages/membership/src/record_cache.ts
@@ -1,8 +1,8 @@
 /**
- * Relays records of the log to an instance that is cut off from it.
+ * Serves cached records of the log to peers that cannot reach the log.
  *
- * The relayed records are copies with their offsets, so the order of the log
- * still decides; a relay only shortens the way.
+ * Served records keep their offsets, so the order of the log still determines
+ * the state.
  */
 import {z} from 'zod';
 import {Failure, type Milliseconds} from '@galenavalve/shared';
@@ -10,60 +10,66 @@
 /** Method of the peer protocol that serves records. */
 export const RECORDS_METHOD = 'records-since';
 
-/** A record as it stands in the log. */
+/** Schema of a record with its offset. */
 export const relayedEntry = z.strictObject({
   offset: z.int().nonnegative(),
   value: z.unknown(),
 });
+/** A record with its offset in the log. */
 export type RelayedEntry = z.infer<typeof relayedEntry>;
 
-/** Asks for the records from an offset on. */
+/** Schema of a request for the records from an offset on. */
 export const recordsRequest = z.strictObject({
   from: z.int().nonnegative(),
 });
+/** Request for the records from an offset on. */
 export type RecordsRequest = z.infer<typeof recordsRequest>;
 
-/** Records in their order, without gaps. */
+/** Schema of a page of consecutive records. */
 export const recordsPage = z.strictObject({
   entries: z.array(relayedEntry).max(10_000),
-  /** Offset after the last of them. */
+  /** Offset after the last record. */
   nextOffset: z.int().nonnegative(),
 });
+/** A page of consecutive records. */
 export type RecordsPage = z.infer<typeof recordsPage>;
 
-/** Most bytes of JSON of one page; well under the largest frame. */
+/** Maximum size of the records of one page as JSON; well below the maximum frame size. A single larger record gets its own page. */
 export const MAX_PAGE_BYTES = 262_144;
 
-/** Limits of the ring of recent records. */
+/** Limits of the cache. */
 export interface RecordCacheOptions {
   maxEntries: number;
-  /** Most bytes of JSON of the records that are kept. */
+  /** Maximum size of the cached records as JSON, in bytes. */
   maxBytes: number;
 }
 
-const DEFAULT_OPTIONS: RecordCacheOptions = {
+const DEFAULT_CACHE_OPTIONS: RecordCacheOptions = {
   maxEntries: 4096,
   maxBytes: 4_194_304,
 };
 
-interface KeptEntry extends RelayedEntry {
+interface CachedEntry extends RelayedEntry {
   bytes: number;
 }
 
-/** Keeps the latest records of the log and serves them to peers. */
+/** Caches the latest records of the log. */
 export class RecordCache {
   private readonly options: RecordCacheOptions;
-  private kept: KeptEntry[] = [];
-  private bytes = 0;
-  /** Offset from which every record is kept. */
+  private cachedEntries: CachedEntry[] = [];
+  private cachedBytes = 0;
+  /** Offset from which all records are cached; undefined while the cache is unused. */
   private firstOffset: number | undefined;
   private nextOffset = 0;
 
   constructor(options: Partial<RecordCacheOptions> = {}) {
-    this.options = {...DEFAULT_OPTIONS, ...options};
+    this.options = {...DEFAULT_CACHE_OPTIONS, ...options};
   }
 
-  /** Notes records that were read, without gaps, up to `nextOffset`. A gap to earlier ones drops those. */
+  /**
+   * Adds the records that a read returned, without gaps, up to `nextOffset`.
+   * Clears the cache when there is a gap between them and the cached records.
+   */
   add(entries: readonly RelayedEntry[], nextOffset: number): void {
     const first = entries[0]?.offset ?? nextOffset;
     if (this.firstOffset === undefined || first > this.nextOffset) {
@@ -71,14 +77,14 @@
     }
     for (const entry of entries) {
       if (entry.offset >= this.nextOffset) {
-        this.keep(entry);
+        this.appendEntry(entry);
       }
     }
     this.nextOffset = Math.max(this.nextOffset, nextOffset);
-    this.trim();
+    this.evictOldest();
   }
 
-  /** The records from `from` on, as many as fit. Throws `offset-expired` when they are no longer kept. */
+  /** Returns the records from `from` on, as many as fit in a page. Throws `offset-expired` when they are no longer cached. */
   readPage({from}: RecordsRequest): RecordsPage {
     const oldest = this.firstOffset ?? this.nextOffset;
     if (from < oldest) {
@@ -86,8 +92,12 @@
     }
     const entries: RelayedEntry[] = [];
     let bytes = 0;
-    for (let index = this.indexOf(from); index < this.kept.length; index++) {
-      const {offset, value, bytes: size} = this.kept[index]!;
+    for (
+      let index = this.findIndex(from);
+      index < this.cachedEntries.length;
+      index++
+    ) {
+      const {offset, value, bytes: size} = this.cachedEntries[index]!;
       if (entries.length > 0 && bytes + size > MAX_PAGE_BYTES) {
         return {entries, nextOffset: offset};
       }
@@ -98,39 +108,41 @@
   }
 
   private clear(firstOffset: number): void {
-    this.kept = [];
-    this.bytes = 0;
+    this.cachedEntries = [];
+    this.cachedBytes = 0;
     this.firstOffset = firstOffset;
     this.nextOffset = firstOffset;
   }
 
-  private keep({offset, value}: RelayedEntry): void {
+  private appendEntry({offset, value}: RelayedEntry): void {
     const bytes = JSON.stringify(value)?.length ?? 0;
-    this.kept.push({offset, value, bytes});
-    this.bytes += bytes;
+    this.cachedEntries.push({offset, value, bytes});
+    this.cachedBytes += bytes;
     this.nextOffset = offset + 1;
   }
 
-  private trim(): void {
+  private evictOldest(): void {
     const {maxEntries, maxBytes} = this.options;
-    let dropped = 0;
+    let evicted = 0;
     while (
-      dropped < this.kept.length &&
-      (this.kept.length - dropped > maxEntries || this.bytes > maxBytes)
+      evicted < this.cachedEntries.length &&
+      (this.cachedEntries.length - evicted > maxEntries ||
+        this.cachedBytes > maxBytes)
     ) {
-      this.bytes -= this.kept[dropped]!.bytes;
-      this.firstOffset = this.kept[dropped]!.offset + 1;
-      dropped += 1;
+      this.cachedBytes -= this.cachedEntries[evicted]!.bytes;
+      this.firstOffset = this.cachedEntries[evicted]!.offset + 1;
+      evicted += 1;
     }
-    this.kept.splice(0, dropped);
+    this.cachedEntries.splice(0, evicted);
   }
 
-  private indexOf(offset: number): number {
+  /** Returns the index of the first cached record at or after `offset`, by binary search. */
+  private findIndex(offset: number): number {
     let low = 0;
-    let high = this.kept.length;
+    let high = this.cachedEntries.length;
     while (low < high) {
       const middle = (low + high) >> 1;
-      if (this.kept[middle]!.offset < offset) {
+      if (this.cachedEntries[middle]!.offset < offset) {
         low = middle + 1;
       } else {
         high = middle;
@@ -140,7 +152,7 @@
   }
 }
 
-/** Asks one peer to run a method. */
+/** Calls a method of a peer. */
 export type PeerCall = (
   instance: string,
   method: string,
@@ -148,17 +160,17 @@
   timeoutMs: Milliseconds,
 ) => Promise<unknown>;
 
-/** A peer that records or a state can be fetched from. */
+/** A peer from which records can be fetched. */
 export interface RecordSource {
   instance: string;
-  /** Offset up to which it has read the log. */
+  /** Offset up to which the peer has read the log. */
   offset: number;
 }
 
 /**
- * Fetches one page of records from the source that is farthest ahead.
- * Undefined when none is ahead of `from`. Throws what the call throws, and
- * `offset-expired` when the source no longer keeps the records.
+ * Fetches one page of records from the source with the highest offset. Returns
+ * undefined when no source is ahead of `from`. Throws the errors of the call,
+ * and `offset-expired` when the source no longer caches the records.
  */
 export async function pullRecords(
   from: number,
@@ -172,11 +184,11 @@
   }
   const request: RecordsRequest = {from};
   const {instance} = source;
-  const answer = await call(instance, RECORDS_METHOD, request, timeoutMs);
-  return parseResponse(recordsPage, answer, instance);
+  const response = await call(instance, RECORDS_METHOD, request, timeoutMs);
+  return parseResponse(recordsPage, response, instance);
 }
 
-/** The source with the highest offset. */
+/** Returns the source with the highest offset. */
 export function findMostAdvanced<Source extends RecordSource>(
   sources: readonly Source[],
 ): Source | undefined {
@@ -186,15 +198,15 @@
   );
 }
 
-/** Checks a peer's answer. Throws `peer-unavailable` when it has another form. */
+/** Parses a peer's response. Throws `peer-unavailable` when it does not match the schema. */
 export function parseResponse<Schema extends z.ZodType>(
   schema: Schema,
-  answer: unknown,
+  response: unknown,
   peer: string,
 ): z.output<Schema> {
-  const parsed = schema.safeParse(answer);
+  const parsed = schema.safeParse(response);
   if (!parsed.success) {
-    const problem = 'its answer has another form';
+    const problem = 'the response does not match the schema';
     throw new Failure('peer-unavailable', {peer, problem});
   }
   return parsed.data;
--- a/packages/membership/src/scheduler_liveness.ts
+++ b/packages/membership/src/scheduler_liveness.ts
@@ -1,28 +1,28 @@
-/** What peers say about the scheduler of a failure domain. */
+/** Derives from the reports of peers whether the scheduler of a failure domain is alive. */
 import {compareTerms} from '@galenavalve/model';
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {PeerStatus} from './peer_table.js';
 
-/** The peer that says it schedules `domain`; of several, the one with the highest term. */
+/** Returns the peer that reports to schedule `domain`; if several do, the one with the highest term. */
 export function findScheduler(
   peers: readonly PeerStatus[],
   domain: string,
 ): PeerStatus | undefined {
-  let found: PeerStatus | undefined;
+  let scheduler: PeerStatus | undefined;
   for (const peer of peers) {
     const schedules = peer.report?.schedules;
     if (schedules?.domain !== domain) {
       continue;
     }
-    const highest = found?.report?.schedules?.term;
-    if (!highest || compareTerms(schedules.term, highest) > 0) {
-      found = peer;
+    const highestTerm = scheduler?.report?.schedules?.term;
+    if (!highestTerm || compareTerms(schedules.term, highestTerm) > 0) {
+      scheduler = peer;
     }
   }
-  return found;
+  return scheduler;
 }
 
-/** How long ago the scheduler of `domain` was heard, for relay to the domain's other instances. */
+/** Returns the time since the scheduler of `domain` was heard directly, for reports to the domain's other instances. */
 export function computeSchedulerHeardAge(
   peers: readonly PeerStatus[],
   domain: string,
@@ -33,30 +33,35 @@
 }
 
 /**
- * When `instance`, a scheduler of `domain`, was last heard: directly, or by the
- * word of another instance of the domain. So one cut connection ends no term.
+ * Returns when `instance`, a scheduler of `domain`, was last heard, directly or
+ * according to the report of another instance of the domain, so that a single
+ * broken connection does not cause a takeover.
  */
 export function findLastHeardAt(
   peers: readonly PeerStatus[],
   domain: string,
   instance: string,
 ): Instant | undefined {
-  const direct = peers.find(peer => peer.address.instance === instance);
+  const directPeer = peers.find(peer => peer.address.instance === instance);
   const isScheduler =
     findScheduler(peers, domain)?.address.instance === instance;
-  const times = isScheduler ? listRelayedTimes(peers, domain) : [];
-  const latest = Math.max(direct?.lastHeardAt ?? -Infinity, ...times);
-  return Number.isFinite(latest) ? latest : undefined;
+  const reportedTimes = isScheduler ? listReportedTimes(peers, domain) : [];
+  const latestAt = Math.max(
+    directPeer?.lastHeardAt ?? -Infinity,
+    ...reportedTimes,
+  );
+  return Number.isFinite(latestAt) ? latestAt : undefined;
 }
 
-function listRelayedTimes(
+/** Lists the times at which the peers of `domain` report to have heard its scheduler. */
+function listReportedTimes(
   peers: readonly PeerStatus[],
   domain: string,
 ): Instant[] {
   return peers
     .filter(peer => peer.domain === domain)
     .map(({reportMadeAfter, report}) => {
-      const age = report?.schedulerHeardAgeMs;
-      return age === undefined ? -Infinity : reportMadeAfter - age;
+      const ageMs = report?.schedulerHeardAgeMs;
+      return ageMs === undefined ? -Infinity : reportMadeAfter - ageMs;
     });
 }
