--- a/packages/daemon/__tests__/commands.spec.ts
+++ b/packages/daemon/__tests__/commands.spec.ts
@@ -41,7 +41,7 @@
   };
 }
 
-async function startConfigured(test: Parameters<typeof startDaemon>[0]) {
+async function startConfiguredDaemon(test: Parameters<typeof startDaemon>[0]) {
   const daemon = await startDaemon(test);
   daemon.log.write(createConfigured('first', DOMAIN, WORKSPACE, TARGET));
   const {follower} = daemon.daemon.context;
@@ -50,8 +50,8 @@
 }
 
 t.test('a request', async t => {
-  t.test('that is sent twice is one job', async t => {
-    const daemon = await startConfigured(t);
+  t.test('that is sent twice creates one job', async t => {
+    const daemon = await startConfiguredDaemon(t);
     const job = createJob('r1');
     const first = await post(daemon, '/v1/jobs', job);
     const second = await post(daemon, '/v1/jobs', job);
@@ -62,37 +62,40 @@
     });
   });
 
-  t.test('with a used id and another body is a conflict', async t => {
-    const daemon = await startConfigured(t);
-    await post(daemon, '/v1/jobs', createJob('r1'));
-    const other = createJob('r1', {expectedSeconds: 2});
-    const answer = await post(daemon, '/v1/jobs', other);
-    t.match(answer, {statusCode: 409, body: {code: 'request-conflict'}});
-  });
+  t.test(
+    'with a used request id and a different body is a conflict',
+    async t => {
+      const daemon = await startConfiguredDaemon(t);
+      await post(daemon, '/v1/jobs', createJob('r1'));
+      const other = createJob('r1', {expectedSeconds: 2});
+      const response = await post(daemon, '/v1/jobs', other);
+      t.match(response, {statusCode: 409, body: {code: 'request-conflict'}});
+    },
+  );
 
   t.test('that no target can hold is refused with the constraint', async t => {
-    const daemon = await startConfigured(t);
+    const daemon = await startConfiguredDaemon(t);
     const gang = {tasks: 9, perTask: {accelerators: 8}};
-    const answer = await post(daemon, '/v1/jobs', createJob('r1', {gang}));
-    t.match(answer, {statusCode: 422, body: {code: 'never-runnable'}});
+    const response = await post(daemon, '/v1/jobs', createJob('r1', {gang}));
+    t.match(response, {statusCode: 422, body: {code: 'never-runnable'}});
     t.equal(daemon.daemon.context.state.getJobByRequest('r1'), undefined);
   });
 
   t.test('over the limit of its workspace is refused as "not run"', async t => {
-    const daemon = await startConfigured(t);
+    const daemon = await startConfiguredDaemon(t);
     await post(daemon, '/v1/jobs', createJob('r1'));
-    const answer = await post(daemon, '/v1/jobs', createJob('r2'));
-    t.match(answer, {statusCode: 429, body: {code: 'workspace-limit'}});
-    t.ok(answer.headers['retry-after']);
+    const response = await post(daemon, '/v1/jobs', createJob('r2'));
+    t.match(response, {statusCode: 429, body: {code: 'workspace-limit'}});
+    t.ok(response.headers['retry-after']);
   });
 
   t.test(
-    'is "not run" while the log is down, and was not recorded',
+    'is refused as "not run" and not recorded while the log is unavailable',
     async t => {
-      const daemon = await startConfigured(t);
+      const daemon = await startConfiguredDaemon(t);
       daemon.log.faults.outage = 'refused';
-      const answer = await post(daemon, '/v1/jobs', createJob('r1'));
-      t.match(answer, {statusCode: 503, body: {code: 'log-unavailable'}});
+      const response = await post(daemon, '/v1/jobs', createJob('r1'));
+      t.match(response, {statusCode: 503, body: {code: 'log-unavailable'}});
       daemon.log.faults.outage = 'none';
       const accepted = await post(daemon, '/v1/jobs', createJob('r1'));
       t.equal(accepted.statusCode, 202);
@@ -101,29 +104,37 @@
 });
 
 t.test('an instance that is stopping', async t => {
-  t.test('takes no new request, and knows those that it has', async t => {
-    const daemon = await startConfigured(t);
-    const job = createJob('r1');
-    await post(daemon, '/v1/jobs', job);
-    daemon.daemon.context.stage = 'stopping';
-    const repeated = await post(daemon, '/v1/jobs', job);
-    t.match(repeated, {statusCode: 202, body: {requestId: 'r1'}});
-    const other = await post(daemon, '/v1/jobs', createJob('r2'));
-    t.match(other, {statusCode: 503, body: {code: 'stopping'}});
-  });
+  t.test(
+    'refuses new requests, and recognizes those that it has recorded',
+    async t => {
+      const daemon = await startConfiguredDaemon(t);
+      const job = createJob('r1');
+      await post(daemon, '/v1/jobs', job);
+      daemon.daemon.context.stage = 'stopping';
+      const repeated = await post(daemon, '/v1/jobs', job);
+      t.match(repeated, {statusCode: 202, body: {requestId: 'r1'}});
+      const other = await post(daemon, '/v1/jobs', createJob('r2'));
+      t.match(other, {statusCode: 503, body: {code: 'stopping'}});
+    },
+  );
 });
 
-t.test('a take-out while the log is down', async t => {
-  t.test('is in force at once, and recorded when the log returns', async t => {
-    const daemon = await startConfigured(t);
-    const {context: node} = daemon.daemon;
-    daemon.log.faults.outage = 'refused';
-    const answer = await post(daemon, '/v1/domains/jnb/drain', {author: 'op'});
-    t.match(answer, {statusCode: 504, body: {code: 'take-out-pending'}});
-    t.ok(node.mesh.isHeld('domain/jnb'));
-    const recordedAt = daemon.log.endOffset;
-    daemon.log.faults.outage = 'none';
-    t.ok(await node.follower.waitForOffset(recordedAt, 10_000));
-    t.equal(node.state.configuration.domains.get('jnb')?.state, 'out');
-  });
+t.test('a take-out while the log is unavailable', async t => {
+  t.test(
+    'takes effect immediately, and is recorded once the log is available',
+    async t => {
+      const daemon = await startConfiguredDaemon(t);
+      const {context} = daemon.daemon;
+      daemon.log.faults.outage = 'refused';
+      const response = await post(daemon, '/v1/domains/jnb/drain', {
+        author: 'op',
+      });
+      t.match(response, {statusCode: 504, body: {code: 'take-out-pending'}});
+      t.ok(context.mesh.isHeld('domain/jnb'));
+      const recordedAt = daemon.log.endOffset;
+      daemon.log.faults.outage = 'none';
+      t.ok(await context.follower.waitForOffset(recordedAt, 10_000));
+      t.equal(context.state.configuration.domains.get('jnb')?.state, 'out');
+    },
+  );
 });
--- a/packages/daemon/__tests__/decoders.spec.ts
+++ b/packages/daemon/__tests__/decoders.spec.ts
@@ -14,7 +14,7 @@
 
 const JSON_HEADERS = {'content-type': 'application/json'};
 
-interface Answer {
+interface TestResponse {
   status: number;
   body: {code?: string};
 }
@@ -24,7 +24,7 @@
   path: string,
   body: string | Buffer,
   headers: Record<string, string> = {},
-): Promise<Answer> {
+): Promise<TestResponse> {
   return new Promise((resolve, reject) => {
     const call = httpRequest(
       url + path,
@@ -45,7 +45,7 @@
   });
 }
 
-function nest(depth: number): string {
+function createNestedArrays(depth: number): string {
   return '['.repeat(depth) + ']'.repeat(depth);
 }
 
@@ -60,8 +60,8 @@
   };
 }
 
-/** JSON that starts as `valid` and has some of its values replaced. */
-function damage(valid: unknown): fc.Arbitrary<unknown> {
+/** Generates variants of `valid` in which values are replaced, left out or added. */
+function mutateJson(valid: unknown): fc.Arbitrary<unknown> {
   if (typeof valid !== 'object' || valid === null) {
     return fc.oneof(
       {weight: 6, arbitrary: fc.constant(valid)},
@@ -69,10 +69,10 @@
     );
   }
   if (Array.isArray(valid)) {
-    return fc.tuple(...valid.map(damage));
+    return fc.tuple(...valid.map(mutateJson));
   }
   const fields = Object.entries(valid).map(
-    ([key, value]) => [key, damage(value)] as const,
+    ([key, value]) => [key, mutateJson(value)] as const,
   );
   return fc
     .tuple(
@@ -84,58 +84,61 @@
 
 t.test('the example settings are valid', async t => {
   for (const user of ['kestrelway', 'txingudi']) {
-    // Compiled specs lie in packages/daemon/dist/__tests__.
+    // Compiled specs are in packages/daemon/dist/__tests__.
     const path = `../../../../examples/${user}/daemon.jsonc`;
     const file = fileURLToPath(new URL(path, import.meta.url));
     t.equal(loadSettings(file).seeds.length, 5);
   }
 });
 
-t.test('settings of any form are read or refused with a remedy', async t => {
-  const text = fc.oneof(
-    damage(createSettings()).map(value => JSON.stringify(value)),
-    fc.string(),
-  );
-  fc.assert(
-    fc.property(text, text => {
-      try {
-        parseSettings(text, 'settings.jsonc');
-      } catch (error) {
-        t.ok(isFailure(error, 'settings-invalid'), String(error));
-      }
-    }),
-    {numRuns: 500, seed: 21},
-  );
-});
+t.test(
+  'settings of any form are accepted or refused with a remedy',
+  async t => {
+    const text = fc.oneof(
+      mutateJson(createSettings()).map(value => JSON.stringify(value)),
+      fc.string(),
+    );
+    fc.assert(
+      fc.property(text, text => {
+        try {
+          parseSettings(text, 'settings.jsonc');
+        } catch (error) {
+          t.ok(isFailure(error, 'settings-invalid'), String(error));
+        }
+      }),
+      {numRuns: 500, seed: 21},
+    );
+  },
+);
 
-t.test('bodies of any form get a typed answer', async t => {
+t.test('bodies of any form get a typed response', async t => {
   const running = await startDaemon(t);
   const edits = [{entity: 'domain/jnb', baseVersion: 0, value: null}];
   const call = fc.oneof(
-    fc.tuple(fc.constant('/v1/jobs'), damage(createRequest({a: [1]}))),
-    fc.tuple(fc.constant('/v1/plan'), damage(createRequest({}))),
+    fc.tuple(fc.constant('/v1/jobs'), mutateJson(createRequest({a: [1]}))),
+    fc.tuple(fc.constant('/v1/plan'), mutateJson(createRequest({}))),
     fc.tuple(
       fc.constantFrom('/v1/config', '/v1/jobs', '/v1/domains/jnb/drain'),
-      damage({changeId: 'c', author: 'a', edits}),
+      mutateJson({changeId: 'c', author: 'a', edits}),
     ),
   );
   await fc.assert(
-    fc.asyncProperty(call, fc.boolean(), async ([path, body], isCut) => {
+    fc.asyncProperty(call, fc.boolean(), async ([path, body], isTruncated) => {
       const text = JSON.stringify(body) ?? '';
-      const sent = isCut ? text.slice(0, text.length / 2) : text;
-      const answer = await send(running, path, sent);
-      t.ok(answer.status < 500, `${path} ${sent} ${answer.status}`);
-      t.type(answer.body.code, 'string', `${path} ${sent}`);
+      const sent = isTruncated ? text.slice(0, text.length / 2) : text;
+      const response = await send(running, path, sent);
+      t.ok(response.status < 500, `${path} ${sent} ${response.status}`);
+      t.type(response.body.code, 'string', `${path} ${sent}`);
     }),
     {numRuns: 200, seed: 22},
   );
 });
 
-t.test('bodies that are made to do harm are refused', async t => {
+t.test('malicious bodies are refused', async t => {
   const running = await startDaemon(t);
   const cases: [string, string | Buffer, Record<string, string>, number][] = [
-    ['deep nesting', `{"payload":${nest(30_000)}}`, {}, 400],
-    ['damaged gzip', 'not gzip', {'content-encoding': 'gzip'}, 400],
+    ['deep nesting', `{"payload":${createNestedArrays(30_000)}}`, {}, 400],
+    ['corrupt gzip data', 'not gzip', {'content-encoding': 'gzip'}, 400],
     [
       'a gzip that unpacks to 64 MB',
       gzipSync(Buffer.alloc(64 * 1024 * 1024, ' ')),
@@ -158,14 +161,14 @@
   ];
   for (const [name, body, headers, status] of cases) {
     t.test(name, async t => {
-      const answer = await send(running, '/v1/jobs', body, headers);
-      t.equal(answer.status, status);
-      t.type(answer.body.code, 'string');
+      const response = await send(running, '/v1/jobs', body, headers);
+      t.equal(response.status, status);
+      t.type(response.body.code, 'string');
     });
   }
 });
 
-t.test('damaged log records are skipped and counted', async t => {
+t.test('invalid log records are skipped and counted', async t => {
   const running = await startDaemon(t);
   const {log} = running;
   const {state} = running.daemon.context;
@@ -176,20 +179,20 @@
     state: 'in-service',
   } as const;
   const valid = createConfigured('c-0', {...domain, id: 'cpt'});
-  const values = fc.sample(damage(valid), {numRuns: 300, seed: 23});
+  const values = fc.sample(mutateJson(valid), {numRuns: 300, seed: 23});
   log.write(
     ...values.map(value => value ?? null),
     {...valid, v: 2, recordId: 'of a later version'},
     {...valid, type: 'of-a-later-version', recordId: 'c-1'},
     createConfigured('c-3', domain),
   );
-  await untilFolded(running);
+  await waitUntilFolded(running);
   t.ok(state.skippedCount > 100, `${state.skippedCount} were skipped`);
-  t.ok(state.getDomain('jnb'), 'the valid record after them is in force');
+  t.ok(state.getDomain('jnb'), 'the valid record after them is applied');
 });
 
 t.test(
-  'a record that is nested too deeply is skipped by its depth alone',
+  'an otherwise valid record that is nested too deeply is skipped',
   async t => {
     const running = await startDaemon(t);
     running.log.write({
@@ -199,17 +202,17 @@
       at: 1,
       by: 'somebody',
       jobId: 'j',
-      request: createRequest({a: JSON.parse(nest(2000))}),
+      request: createRequest({a: JSON.parse(createNestedArrays(2000))}),
       bodyHash: 'h',
       domain: 'jnb',
       reason: {code: 'routed-only'},
     });
-    await untilFolded(running);
+    await waitUntilFolded(running);
     t.equal(running.daemon.context.state.skippedCount, 1);
   },
 );
 
-t.test('a change that is sent again keeps its verdict', async t => {
+t.test('a change that is sent again keeps its outcome', async t => {
   const running = await startDaemon(t);
   const domain = {kind: 'domain', id: 'jnb', region: 'za'};
   const createChange = (changeId: string) =>
@@ -220,13 +223,13 @@
     });
   const first = await send(running, '/v1/config', createChange('c-1'));
   t.equal(first.status, 200);
-  const again = await send(running, '/v1/config', createChange('c-1'));
-  t.equal(again.status, 200, 'as a caller does whose answer was lost');
-  const rival = await send(running, '/v1/config', createChange('c-2'));
-  t.equal(rival.body.code, 'config-conflict');
+  const repeated = await send(running, '/v1/config', createChange('c-1'));
+  t.equal(repeated.status, 200, 'repeated after the response was lost');
+  const conflicting = await send(running, '/v1/config', createChange('c-2'));
+  t.equal(conflicting.body.code, 'config-conflict');
 });
 
-async function untilFolded({daemon, log}: RunningDaemon): Promise<void> {
+async function waitUntilFolded({daemon, log}: RunningDaemon): Promise<void> {
   const {state, clock} = daemon.context;
   while (state.nextOffset < log.endOffset) {
     await clock.sleep(10);
--- a/packages/daemon/__tests__/fixtures.ts
+++ b/packages/daemon/__tests__/fixtures.ts
@@ -1,4 +1,4 @@
-/** Fixtures: a daemon over a log in memory. */
+/** Fixtures: a daemon with an in-memory log. */
 import type {Test} from 'tap';
 import {MemoryLog} from '@galenavalve/ledger';
 import type {InstanceList, ListedInstance} from '@galenavalve/membership';
@@ -11,14 +11,14 @@
   tokens,
 } from '../src/index.js';
 
-/** A daemon that serves. */
+/** A daemon that is serving. */
 export interface RunningDaemon {
   url: string;
   daemon: Daemon;
   log: MemoryLog;
 }
 
-/** Settings of a daemon that listens on free local ports. */
+/** Creates the settings of a daemon that listens on free local ports. */
 export function createSettings(): object {
   return {
     instance: 'jnb-entry-1',
@@ -33,7 +33,7 @@
   };
 }
 
-/** Starts a daemon over an empty log, and stops it with the test. */
+/** Starts a daemon with an empty log; stops it at the end of the test. */
 export async function startDaemon(test: Test): Promise<RunningDaemon> {
   const clock = new SystemClock();
   const log = new MemoryLog(clock);
@@ -49,7 +49,7 @@
   return {url: `http://127.0.0.1:${daemon.port}`, daemon, log};
 }
 
-/** A `configured` record as operators append it themselves. */
+/** Creates a `configured` record as operators append it directly to the log. */
 export function createConfigured(
   changeId: string,
   ...values: Entity[]
--- a/packages/daemon/src/backlog_estimator.ts
+++ b/packages/daemon/src/backlog_estimator.ts
@@ -1,48 +1,49 @@
-/** Remembers the backlog of each failure domain for a moment, so that a burst of requests stays cheap. */
+/** Caches the estimated backlog of each failure domain for a short time, so that bursts of requests stay cheap. */
 import type {LedgerState} from '@galenavalve/ledger';
 import {estimateBacklog} from '@galenavalve/placement';
 import {type CellsProjection, toWaitingJob} from '@galenavalve/scheduler';
 import type {Milliseconds} from '@galenavalve/shared';
 
-/** How long an estimate is used. */
-const MAX_AGE_MS: Milliseconds = 250;
+/** Age up to which a cached estimate is used. */
+const MAX_ESTIMATE_AGE_MS: Milliseconds = 250;
 
-/** Most queued jobs of a domain that an estimate is made from. */
-const SAMPLE_SIZE = 500;
+/** Maximum number of queued jobs of a domain from which an estimate is computed. */
+const MAX_SAMPLED_JOBS = 500;
 
 interface Estimate {
   seconds: number;
-  madeAt: number;
+  /** Wall-clock time in milliseconds. */
+  computedAt: number;
 }
 
-/** Estimates of the time until a domain has done what it has. */
+/** Estimates the time that a domain needs to finish its running and queued jobs. */
 export class BacklogEstimator {
   private readonly estimates = new Map<string, Estimate>();
 
   constructor(
     private readonly state: LedgerState,
-    private readonly mirrorOf: (domain: string) => CellsProjection,
+    private readonly getProjection: (domain: string) => CellsProjection,
   ) {}
 
-  /** Backlog of a domain in seconds. `now` is wall-clock time. */
+  /** Returns the backlog of a domain in seconds. `now` is wall-clock time. */
   estimateSeconds(domain: string, now: number): number {
-    const known = this.estimates.get(domain);
-    if (known && Math.abs(now - known.madeAt) < MAX_AGE_MS) {
-      return known.seconds;
+    const cached = this.estimates.get(domain);
+    if (cached && Math.abs(now - cached.computedAt) < MAX_ESTIMATE_AGE_MS) {
+      return cached.seconds;
     }
-    const seconds = this.estimate(domain, now);
-    this.estimates.set(domain, {seconds, madeAt: now});
+    const seconds = this.computeEstimate(domain, now);
+    this.estimates.set(domain, {seconds, computedAt: now});
     return seconds;
   }
 
-  /** The first jobs stand for all: a longer queue counts in proportion. */
-  private estimate(domain: string, now: number): number {
+  /** Computes the backlog of the first queued jobs and scales it in proportion to the length of the queue. */
+  private computeEstimate(domain: string, now: number): number {
     const queue = [...this.state.listQueuedJobs(domain)];
     const sample = queue
-      .slice(0, SAMPLE_SIZE)
+      .slice(0, MAX_SAMPLED_JOBS)
       .map(job => toWaitingJob(job, now));
-    const {cells} = this.mirrorOf(domain);
+    const {cells} = this.getProjection(domain);
     const seconds = estimateBacklog(cells, sample, now);
-    return seconds * Math.max(1, queue.length / SAMPLE_SIZE);
+    return seconds * Math.max(1, queue.length / MAX_SAMPLED_JOBS);
   }
 }
--- a/packages/daemon/src/command_line.ts
+++ b/packages/daemon/src/command_line.ts
@@ -8,15 +8,15 @@
 import {loadSettings} from './settings/load_settings.js';
 import type {Settings} from './settings/settings.js';
 
-const EXIT_SETTINGS = 2;
-const EXIT_FAILED = 1;
+const EXIT_CODE_INVALID_SETTINGS = 2;
+const EXIT_CODE_START_FAILED = 1;
 
-/** Reads the settings and runs the daemon until it is told to stop. */
+/** Parses the arguments, reads the settings and runs the daemon until SIGTERM or SIGINT. */
 export async function runCommandLine(argv: string[]): Promise<void> {
   const program = new Command('galenavalved')
     .description('The galenavalve daemon of one entry instance.')
     .argument('<settings>', 'settings file: JSON with comments')
-    .option('--check', 'only check the settings', false)
+    .option('--check', 'check the settings and exit', false)
     .action(async (file: string, options: {check: boolean}) => {
       const settings = readSettings(file);
       if (!settings) {
@@ -37,7 +37,7 @@
   } catch (error) {
     const remedy = error instanceof Failure ? ` ${error.remedy}` : '';
     console.error(`${describeError(error)}${remedy}`);
-    process.exitCode = EXIT_SETTINGS;
+    process.exitCode = EXIT_CODE_INVALID_SETTINGS;
     return undefined;
   }
 }
@@ -61,7 +61,7 @@
     await daemon.start();
   } catch (error) {
     logger.error('start-failed', {problem: describeError(error)});
-    process.exitCode = EXIT_FAILED;
-    await daemon.stop('a failed start');
+    process.exitCode = EXIT_CODE_START_FAILED;
+    await daemon.stop('failed start');
   }
 }
--- a/packages/daemon/src/commands/append_command.ts
+++ b/packages/daemon/src/commands/append_command.ts
@@ -1,11 +1,15 @@
-/** Appends the record of a command and says truthfully what became of it. */
+/** Appends the record of a command to the log. */
 import type {FoldResult} from '@galenavalve/ledger';
 import type {RecordBody} from '@galenavalve/model';
 import {Failure, isFailure} from '@galenavalve/shared';
 import type {DaemonContext} from '../daemon_context.js';
 import {checkServing} from './check_serving.js';
 
-/** Throws `outcome-unknown` when the log did not say in time whether it took the record. */
+/**
+ * Appends a record and returns its fold result. Throws `outcome-unknown` when
+ * the log did not acknowledge the record in time, and `not-ready` or `stopping`
+ * when the daemon is not serving.
+ */
 export async function appendCommand(
   context: DaemonContext,
   requestId: string,
--- a/packages/daemon/src/commands/apply_configuration.ts
+++ b/packages/daemon/src/commands/apply_configuration.ts
@@ -14,8 +14,8 @@
 import {checkServing} from './check_serving.js';
 
 /**
- * Records a change and says whether it was accepted. Throws `config-conflict`,
- * `config-invalid` or `guarantee-shortfall` when nothing of it is in force.
+ * Records a configuration change. Throws `config-conflict`, `config-invalid` or
+ * `guarantee-shortfall` when the change was rejected as a whole.
  */
 export async function applyConfiguration(
   context: DaemonContext,
@@ -30,10 +30,10 @@
     type: 'configured',
     change,
   });
-  return conclude(context, change, applied);
+  return resolveOutcome(context, change, applied);
 }
 
-/** Takes a failure domain out of service, or brings it back. */
+/** Takes a failure domain out of service or brings it back into service. */
 export async function setDomainState(
   context: DaemonContext,
   domainId: string,
@@ -54,15 +54,16 @@
   };
   return state === 'in-service'
     ? applyConfiguration(context, change)
-    : takeOut(context, entity, change);
+    : takeOutOfService(context, entity, change);
 }
 
 /**
- * Peers hold back starts at once; the record, which makes the take-out last, is
- * appended however long the log is down. Throws `take-out-pending` when the
- * log has not taken it in time.
+ * Takes an entity out of service. A hold stops new starts on all peers
+ * immediately; the record that makes the take-out durable is appended without a
+ * deadline, however long the log is unavailable. Throws `take-out-pending` when
+ * the log has not accepted the record within the append timeout.
  */
-async function takeOut(
+async function takeOutOfService(
   context: DaemonContext,
   entity: string,
   change: ConfigurationChange,
@@ -70,30 +71,30 @@
   const {author: by, changeId: id} = change;
   context.mesh.addHold({entity, by, id});
   context.scheduler.requestPass();
-  const recorded = context.writer.append(
+  const appending = context.writer.append(
     {type: 'configured', change},
     {deadline: Infinity},
   );
-  recorded.catch(error => {
+  appending.catch(error => {
     const problem = describeError(error);
     context.logger.error('take-out-not-recorded', {entity, problem});
   });
-  const limit = new AbortController();
+  const timeoutAbort = new AbortController();
   const {appendTimeoutMs} = context.settings.timings;
-  const late = context.clock
-    .sleep(appendTimeoutMs, limit.signal)
+  const timeout = context.clock
+    .sleep(appendTimeoutMs, timeoutAbort.signal)
     .then(() => undefined);
-  const applied = await Promise.race([recorded, late]).finally(() =>
-    limit.abort(),
+  const applied = await Promise.race([appending, timeout]).finally(() =>
+    timeoutAbort.abort(),
   );
   if (!applied) {
     throw new Failure('take-out-pending', {entity});
   }
-  return conclude(context, change, applied);
+  return resolveOutcome(context, change, applied);
 }
 
-/** Says what became of a change that the fold has seen. */
-function conclude(
+/** Logs the outcome of a folded change and returns its result. Throws the problem of a rejected change. */
+function resolveOutcome(
   context: DaemonContext,
   change: ConfigurationChange,
   applied: FoldResult,
@@ -110,12 +111,13 @@
       new Failure('config-invalid', {problem: applied.rejection ?? 'rejected'})
     );
   }
-  return describeResult(context, change, applied.offset);
+  return createResult(context, change, applied.offset);
 }
 
 /**
- * Finds conflicts early, before the log is troubled; the fold decides. A change
- * that was decided before keeps its verdict, however the versions went on.
+ * Detects version conflicts before anything is appended to the log; the fold
+ * has the final decision. Callers skip this for a change that the fold has
+ * already decided, because its outcome stays the same when versions increase.
  */
 function checkVersions(context: DaemonContext, edits: readonly Edit[]): void {
   for (const {entity, baseVersion} of edits) {
@@ -130,7 +132,7 @@
   }
 }
 
-function describeResult(
+function createResult(
   context: DaemonContext,
   change: ConfigurationChange,
   offset: number,
--- a/packages/daemon/src/commands/job_commands.ts
+++ b/packages/daemon/src/commands/job_commands.ts
@@ -1,11 +1,11 @@
-/** Commands on a job that exists: cancel and approve. */
+/** Commands on an existing job: cancel and approve. */
 import type {Job} from '@galenavalve/ledger';
 import {createReason} from '@galenavalve/model';
 import {findJob} from '../queries/job_queries.js';
 import type {DaemonContext} from '../daemon_context.js';
 import {appendCommand} from './append_command.js';
 
-/** Asks for the end of a job. A queued one ends at once; one that has ended stays as it is. */
+/** Requests the cancellation of a job. A queued job ends immediately; a finished job does not change. */
 export async function cancelJob(
   context: DaemonContext,
   jobId: string,
@@ -22,7 +22,7 @@
   return findJob(context, jobId);
 }
 
-/** Lets a job of a workspace with approval start. */
+/** Approves a job of a workspace that requires approval, so that it may start. */
 export async function approveJob(
   context: DaemonContext,
   jobId: string,
--- a/packages/daemon/src/commands/route_job.ts
+++ b/packages/daemon/src/commands/route_job.ts
@@ -10,7 +10,7 @@
 import {Failure} from '@galenavalve/shared';
 import type {DaemonContext} from '../daemon_context.js';
 
-/** Chooses the failure domain of a job. `now` is wall-clock time. Throws `never-runnable`. */
+/** Chooses the failure domain of a job. `now` is wall-clock time. Throws `never-runnable` when no permitted domain can ever run it. */
 export function routeJob(
   context: DaemonContext,
   job: WaitingJob,
@@ -26,13 +26,13 @@
   return route;
 }
 
-/** What each failure domain that the workspace may use can do for the job. */
+/** Summarizes for the job each failure domain that its workspace may use. A domain with a hold counts as out of service. */
 export function summarizeDomains(
   context: DaemonContext,
   job: WaitingJob,
   now: number,
 ): DomainSummary[] {
-  return listPermitted(context, job.workspace).map(domain => {
+  return listPermittedDomains(context, job.workspace).map(domain => {
     const {cells} = context.getProjection(domain);
     const backlog = context.backlogEstimator.estimateSeconds(domain, now);
     const summary = summarizeDomain(cells, backlog, job, now);
@@ -41,7 +41,10 @@
   });
 }
 
-function listPermitted(context: DaemonContext, workspaceId: string): string[] {
+function listPermittedDomains(
+  context: DaemonContext,
+  workspaceId: string,
+): string[] {
   const {workspaces, domains} = context.state.configuration;
   const permitted = workspaces.get(workspaceId)?.permittedDomains;
   return [...domains.keys()].filter(
@@ -53,9 +56,7 @@
   job: WaitingJob,
   summaries: readonly DomainSummary[],
 ): Reason {
-  const constraint = summaries.find(
-    ({infeasibility: impossibility}) => impossibility,
-  );
+  const constraint = summaries.find(({infeasibility}) => infeasibility);
   return (
     constraint?.infeasibility ??
     createReason('never-permitted', {workspace: job.workspace})
--- a/packages/daemon/src/commands/submit_job.ts
+++ b/packages/daemon/src/commands/submit_job.ts
@@ -1,4 +1,4 @@
-/** Admits a job: checks it, routes it to a failure domain and records it. */
+/** Submits a job: validates it, routes it to a failure domain and records it. */
 import {type Job, REQUEST_WINDOW_MS} from '@galenavalve/ledger';
 import {type JobRequest, describeReason, jobRequest} from '@galenavalve/model';
 import type {Route, WaitingJob} from '@galenavalve/placement';
@@ -10,8 +10,9 @@
 import {checkServing} from './check_serving.js';
 
 /**
- * Records the job once, however often its request is sent. Returns when the
- * job is durable. Throws a `Failure` that says truthfully whether it may run.
+ * Records a job exactly once for any number of requests with the same request
+ * id, the idempotency key. Returns when the job is durable. Throws a `Failure`
+ * that states whether the job may still run.
  */
 export async function submitJob(
   context: DaemonContext,
@@ -19,12 +20,12 @@
 ): Promise<Job> {
   const request = parseBody(jobRequest, body);
   const bodyHash = hashRequest(request);
-  const known = findKnown(context, request.requestId, bodyHash);
-  if (known) {
-    return known;
+  const existing = findSubmittedJob(context, request.requestId, bodyHash);
+  if (existing) {
+    return existing;
   }
   checkServing(context);
-  checkAge(context, request);
+  checkRequestAge(context, request);
   checkWorkspace(context, request);
   const now = context.clock.wallTime();
   const route = routeJob(context, createWaitingJob(request, now), now);
@@ -36,15 +37,15 @@
     reason: route.reason.code,
     text: describeReason(route.reason),
   });
-  return record(context, request, bodyHash, jobId, route);
+  return recordJob(context, request, bodyHash, jobId, route);
 }
 
-/** The id of a job: the same for the same request id on every instance. */
+/** Derives the id of a job from its request id, so that every instance creates the same id. */
 export function createJobId(requestId: string): string {
   return `job-${hashText(requestId).slice(0, 20)}`;
 }
 
-/** A request as the placement package sees it. */
+/** Converts a request to a waiting job of the placement package. `now` is wall-clock time. */
 export function createWaitingJob(request: JobRequest, now: number): WaitingJob {
   return {
     jobId: createJobId(request.requestId),
@@ -64,7 +65,7 @@
   return hashValue({...request, createdAt: undefined});
 }
 
-function findKnown(
+function findSubmittedJob(
   context: DaemonContext,
   requestId: string,
   bodyHash: string,
@@ -76,7 +77,7 @@
   return job;
 }
 
-function checkAge(context: DaemonContext, request: JobRequest): void {
+function checkRequestAge(context: DaemonContext, request: JobRequest): void {
   const ageSeconds = Math.round(
     (context.clock.wallTime() - request.createdAt) / 1000,
   );
@@ -98,7 +99,7 @@
   }
 }
 
-async function record(
+async function recordJob(
   context: DaemonContext,
   request: JobRequest,
   bodyHash: string,
@@ -113,10 +114,10 @@
     domain: route.domain,
     reason: route.reason,
   });
-  const job = findKnown(context, request.requestId, bodyHash);
+  const job = findSubmittedJob(context, request.requestId, bodyHash);
   if (!job) {
-    // Other writers came first: the fold decided on a later state than the checks above.
-    const problem = applied.rejection ?? 'it was not recorded';
+    // Records of other writers came first, so that the fold decided on a later state than the checks above.
+    const problem = applied.rejection ?? 'the job was not recorded';
     throw applied.problem ?? new Failure('internal', {problem});
   }
   return job;
--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -1,4 +1,4 @@
-/** Binds the parts of a daemon, by inversify. Adapters for the platform are injected here. */
+/** Dependency injection container of a daemon, by inversify. Binds the adapters for the platform. */
 import {Container} from 'inversify';
 import {
   type LedgerOptions,
@@ -48,7 +48,7 @@
 import type {Settings} from './settings/settings.js';
 import {tokens} from './tokens.js';
 
-/** Creates the container of one daemon. Rebind a platform token to inject another adapter. */
+/** Creates the container of a daemon. Rebind a platform token to inject another adapter. */
 export function createContainer(
   settings: Settings,
   clock: Clock,
@@ -65,13 +65,14 @@
   bindPlatform(container, settings);
   bindLedger(container);
   bindPeers(container);
-  bindNode(container);
+  bindContext(container);
   container
     .bind(Daemon)
     .toDynamicValue(context => createDaemon(name => context.get(name)));
   return container;
 }
 
+/** Resolves a token in the container. */
 type Getter = <T>(name: symbol) => T;
 
 function bindPlatform(container: Container, settings: Settings): void {
@@ -106,7 +107,7 @@
 }
 
 function bindLedger(container: Container): void {
-  // The fold's parameters are no settings: they must be the same on every instance.
+  // The parameters of the fold are not settings, because they must be the same on every instance.
   container
     .bind<Partial<LedgerOptions>>(tokens.ledgerOptions)
     .toConstantValue({validateConfiguration: findGuaranteeFailure});
@@ -197,24 +198,24 @@
   });
 }
 
-function bindNode(container: Container): void {
+function bindContext(container: Container): void {
   container
     .bind<DaemonContext>(tokens.context)
-    .toDynamicValue(context => createNode(name => context.get(name)));
+    .toDynamicValue(context => createDaemonContext(name => context.get(name)));
 }
 
-function createNode(get: Getter): DaemonContext {
+function createDaemonContext(get: Getter): DaemonContext {
   const state = get<LedgerState>(tokens.state);
   const clock = get<Clock>(tokens.clock);
   const policy = get<GuaranteePolicy>(tokens.policy);
-  const mirrors = new Map<string, CellsProjection>();
-  const mirrorOf = (domain: string): CellsProjection => {
-    const mirror =
-      mirrors.get(domain) ?? new CellsProjection(domain, state, policy);
-    mirrors.set(domain, mirror);
-    return mirror;
+  const projections = new Map<string, CellsProjection>();
+  const getProjection = (domain: string): CellsProjection => {
+    const projection =
+      projections.get(domain) ?? new CellsProjection(domain, state, policy);
+    projections.set(domain, projection);
+    return projection;
   };
-  const node: Omit<DaemonContext, 'scheduler'> = {
+  const daemonContext: Omit<DaemonContext, 'scheduler'> = {
     settings: get(tokens.settings),
     clock,
     random: get<Random>(tokens.random),
@@ -227,14 +228,14 @@
     policy,
     mesh: get(tokens.mesh),
     freshness: get(tokens.freshness),
-    backlogEstimator: new BacklogEstimator(state, mirrorOf),
+    backlogEstimator: new BacklogEstimator(state, getProjection),
     waiters: new JobWaiters(state, clock),
     stage: 'starting',
-    getProjection: mirrorOf,
-    listProjections: () => mirrors.values(),
+    getProjection,
+    listProjections: () => projections.values(),
   };
-  return Object.assign(node, {
-    scheduler: createScheduler(node as DaemonContext, get),
+  return Object.assign(daemonContext, {
+    scheduler: createScheduler(daemonContext as DaemonContext, get),
   });
 }
 
@@ -246,7 +247,7 @@
     const target = state.configuration.targets.get(id);
     return target && {id, endpoint: target.endpoint};
   };
-  const parts = {client, findAddress, clock, logger};
+  const targetDependencies = {client, findAddress, clock, logger};
   return new Scheduler({
     domain: settings.domain,
     state,
@@ -256,7 +257,7 @@
     client,
     findAddress,
     starter: new GangStarter({
-      ...parts,
+      ...targetDependencies,
       options: {
         reservationTtlMs: timings.reservationMs,
         callTimeoutMs: timings.targetTimeoutMs,
@@ -264,7 +265,7 @@
       },
     }),
     leaseRenewer: new LeaseRenewer({
-      ...parts,
+      ...targetDependencies,
       options: {
         leaseMs: timings.leaseMs,
         renewMs: timings.renewMs,
@@ -272,7 +273,7 @@
       },
     }),
     targetFencer: new TargetFencer({
-      ...parts,
+      ...targetDependencies,
       options: {callTimeoutMs: timings.targetTimeoutMs},
     }),
     health: new TargetHealth(() => state.configuration.rules),
@@ -285,19 +286,19 @@
 }
 
 function createDaemon(get: Getter): Daemon {
-  const node = get<DaemonContext>(tokens.context);
-  return new Daemon(node, {
+  const context = get<DaemonContext>(tokens.context);
+  return new Daemon(context, {
     peerServer: get(tokens.peerServer),
     peerClient: get(tokens.peerClient),
     recordCache: get(tokens.recordCache),
     instanceList: get(tokens.instanceList),
     snapshotWriter: new SnapshotWriter({
-      follower: node.follower,
-      writer: node.writer,
-      clock: node.clock,
-      random: node.random,
-      logger: node.logger,
-      instance: node.settings.instance,
+      follower: context.follower,
+      writer: context.writer,
+      clock: context.clock,
+      random: context.random,
+      logger: context.logger,
+      instance: context.settings.instance,
     }),
   });
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,4 +1,4 @@
-/** One daemon: starts its loops, serves, and stops without cutting a request. */
+/** The daemon: starts its loops, serves requests and shuts down gracefully, so that no request is interrupted. */
 import {setMaxListeners} from 'node:events';
 import type {FoldResult, SnapshotWriter} from '@galenavalve/ledger';
 import type {RecordCache, StateServer} from '@galenavalve/membership';
@@ -13,15 +13,15 @@
 import {registerPeerHandlers} from './roles/peer_handlers.js';
 
 /** Time between two ticks of the freshness loop. */
-const TICK_MS: Milliseconds = 200;
+const TICK_INTERVAL_MS: Milliseconds = 200;
 
-/** Time between two looks at whether a starting daemon is ready. */
-const START_POLL_MS: Milliseconds = 25;
+/** Time between two checks of whether a starting daemon has caught up. */
+const START_POLL_INTERVAL_MS: Milliseconds = 25;
 
-/** How long a balancer may still send requests after `/readyz` says no. */
-const UNLISTED_MS: Milliseconds = 500;
+/** Time for which a load balancer may still send requests after `/readyz` has reported not ready. */
+const LOAD_BALANCER_GRACE_MS: Milliseconds = 500;
 
-/** Network parts that only the daemon itself opens and closes. */
+/** Dependencies that only the daemon itself starts and stops. */
 export interface DaemonDependencies {
   peerServer: PeerServer;
   peerClient: PeerClient;
@@ -32,114 +32,117 @@
 
 /** The daemon of one entry instance. */
 export class Daemon {
-  private readonly loops = new AbortController();
+  private readonly loopsAbort = new AbortController();
   private readonly election: Election;
-  private running: Promise<unknown>[] = [];
-  private http: HttpServer | undefined;
-  private stopped: Promise<void> | undefined;
-  private states: StateServer | undefined;
+  private runningLoops: Promise<unknown>[] = [];
+  private httpServer: HttpServer | undefined;
+  private stopPromise: Promise<void> | undefined;
+  private stateServer: StateServer | undefined;
 
   constructor(
     readonly context: DaemonContext,
-    private readonly parts: DaemonDependencies,
+    private readonly dependencies: DaemonDependencies,
   ) {
     this.election = new Election(context);
-    // Every loop listens to the end of the daemon.
-    setMaxListeners(0, this.loops.signal);
+    // Every loop adds a listener to the signal, so the limit on listeners is disabled.
+    setMaxListeners(0, this.loopsAbort.signal);
     context.follower.onApplied(applied => this.onApplied(applied));
-    context.follower.onStateReplaced(() => this.onReplaced());
+    context.follower.onStateReplaced(() => this.onStateReplaced());
   }
 
-  /** Port of the HTTP interface. */
+  /** Port of the HTTP interface; undefined before the start. */
   get port(): number | undefined {
-    return this.http?.port;
+    return this.httpServer?.port;
   }
 
-  /** Starts all loops; resolves when the daemon serves. */
+  /** Starts all loops; resolves when the daemon has caught up with the log and serves. */
   async start(): Promise<void> {
-    const {context: node} = this;
-    const {signal} = this.loops;
-    this.handlePeers();
-    await this.parts.peerServer.start();
-    this.http = await startHttpServer(node);
-    this.keep('mesh', node.mesh.run(signal));
+    const {context} = this;
+    const {signal} = this.loopsAbort;
+    this.registerHandlers();
+    await this.dependencies.peerServer.start();
+    this.httpServer = await startHttpServer(context);
+    this.trackLoop('mesh', context.mesh.run(signal));
     await this.waitForPeers(signal);
-    this.keep('follower', node.follower.run(signal));
-    this.keep('writer', node.writer.run(signal));
-    this.keep('catch-up', catchUpFromPeers(node, signal));
-    this.keep('snapshots', this.parts.snapshotWriter.run(signal));
-    this.keep('keeper', node.scheduler.renewLeases(signal));
-    this.keep('freshness', this.tickFreshness(signal));
+    this.trackLoop('follower', context.follower.run(signal));
+    this.trackLoop('writer', context.writer.run(signal));
+    this.trackLoop('catch-up', catchUpFromPeers(context, signal));
+    this.trackLoop('snapshots', this.dependencies.snapshotWriter.run(signal));
+    this.trackLoop('keeper', context.scheduler.renewLeases(signal));
+    this.trackLoop('freshness', this.tickFreshness(signal));
     await this.waitUntilCaughtUp(signal);
-    if (node.stage === 'starting') {
-      node.stage = 'serving';
-      node.logger.info('serving', {
-        port: this.http.port,
-        offset: node.state.nextOffset,
+    if (context.stage === 'starting') {
+      context.stage = 'serving';
+      context.logger.info('serving', {
+        port: this.httpServer.port,
+        offset: context.state.nextOffset,
       });
     }
-    this.keep('election', this.election.run(signal));
+    this.trackLoop('election', this.election.run(signal));
   }
 
-  /** Stops in order: no new requests, roles handed over, callers answered, loops ended. */
+  /** Shuts down gracefully: refuses new requests, gives up roles, responds to held callers and stops the loops. */
   stop(cause: string): Promise<void> {
-    this.stopped ??= this.drain(cause);
-    return this.stopped;
+    this.stopPromise ??= this.shutDown(cause);
+    return this.stopPromise;
   }
 
-  private async drain(cause: string): Promise<void> {
-    const {context: node} = this;
-    const {clock, settings} = node;
-    node.logger.info('stopping', {cause});
-    node.stage = 'stopping';
+  private async shutDown(cause: string): Promise<void> {
+    const {context} = this;
+    const {clock, settings} = context;
+    context.logger.info('stopping', {cause});
+    context.stage = 'stopping';
     const deadline = clock.now() + settings.timings.drainMs;
-    await clock.sleep(UNLISTED_MS);
-    await withDeadline(node.scheduler.waitUntilIdle(), deadline - clock.now());
-    node.scheduler.deactivate('a planned stop');
-    // Callers that still wait learn where their job stands, and resume
-    // elsewhere by their request id.
-    node.waiters.close();
-    if (this.http) {
-      await withDeadline(this.http.close(), deadline - clock.now());
+    await clock.sleep(LOAD_BALANCER_GRACE_MS);
+    await waitWithTimeout(
+      context.scheduler.waitUntilIdle(),
+      deadline - clock.now(),
+    );
+    context.scheduler.deactivate('graceful shutdown');
+    // Held callers get the current state of their job, and resume at another
+    // instance with their request id.
+    context.waiters.close();
+    if (this.httpServer) {
+      await waitWithTimeout(this.httpServer.close(), deadline - clock.now());
     }
-    this.loops.abort();
-    await withDeadline(Promise.all(this.running), 1_000);
-    this.parts.peerClient.close();
-    await this.parts.peerServer.close();
-    node.logger.info('stopped', {cause});
+    this.loopsAbort.abort();
+    await waitWithTimeout(Promise.all(this.runningLoops), 1_000);
+    this.dependencies.peerClient.close();
+    await this.dependencies.peerServer.close();
+    context.logger.info('stopped', {cause});
   }
 
-  /** A restored state took the place of the folded one. */
-  private onReplaced(): void {
-    const {context: node} = this;
-    node.logger.info('state-replaced', {offset: node.state.nextOffset});
-    node.scheduler.deactivate('the state was replaced');
-    for (const mirror of node.listProjections()) {
-      mirror.rebuild();
+  /** Handles the replacement of the folded state by a restored one. */
+  private onStateReplaced(): void {
+    const {context} = this;
+    context.logger.info('state-replaced', {offset: context.state.nextOffset});
+    context.scheduler.deactivate('the state was replaced');
+    for (const projection of context.listProjections()) {
+      projection.rebuild();
     }
-    node.waiters.recheck();
+    context.waiters.recheck();
   }
 
   private onApplied(applied: FoldResult): void {
-    const {context: node} = this;
+    const {context} = this;
     const {record} = applied;
-    node.metrics.foldedRecords.inc({
+    context.metrics.foldedRecords.inc({
       type: record?.type ?? 'invalid',
       verdict: applied.accepted ? 'accepted' : 'rejected',
     });
-    for (const mirror of node.listProjections()) {
-      mirror.onApplied(applied);
+    for (const projection of context.listProjections()) {
+      projection.onApplied(applied);
     }
     this.endHolds(applied);
     this.election.onApplied(applied);
-    node.scheduler.onApplied(applied);
-    node.waiters.onApplied(applied);
+    context.scheduler.onApplied(applied);
+    context.waiters.onApplied(applied);
     if (record?.type === 'started' && applied.accepted) {
       this.observeStart(record.jobId);
     }
   }
 
-  /** A hold ends only by a later accepted record about its entity. */
+  /** Ends the holds on the entities of an accepted configuration record; nothing else ends a hold. */
   private endHolds({record, accepted, offset}: FoldResult): void {
     if (record?.type === 'configured' && accepted) {
       for (const {entity} of record.change.edits) {
@@ -158,70 +161,76 @@
     }
   }
 
-  private handlePeers(): void {
-    const {context: node} = this;
-    this.states = registerPeerHandlers(
-      node,
-      this.parts.peerServer,
-      this.parts.recordCache,
+  private registerHandlers(): void {
+    const {context} = this;
+    this.stateServer = registerPeerHandlers(
+      context,
+      this.dependencies.peerServer,
+      this.dependencies.recordCache,
     );
-    this.parts.instanceList.addListener(instances => {
+    this.dependencies.instanceList.addListener(instances => {
       const leaving = instances
         .filter(({role, state}) => role === 'target' && state === 'leaving')
-        .filter(({domain}) => domain === node.settings.domain)
+        .filter(({domain}) => domain === context.settings.domain)
         .map(({id}) => id);
-      node.scheduler.onTargetsListed(new Set(leaving));
+      context.scheduler.onTargetsListed(new Set(leaving));
     });
-    node.mesh.addReportListener(({report, madeAfter}) => {
+    context.mesh.addReportListener(({report, madeAfter}) => {
       if (madeAfter !== undefined) {
-        node.freshness.onPeerReport(report, node.state.nextOffset, madeAfter);
+        context.freshness.onPeerReport(
+          report,
+          context.state.nextOffset,
+          madeAfter,
+        );
       }
     });
   }
 
-  /** Joins what the follower and the peers know of freshness, and sees pauses. */
+  /** Periodically detects pauses, updates the freshness from the follower's reads, and runs the other periodic updates. */
   private async tickFreshness(signal: AbortSignal): Promise<void> {
-    const {context: node} = this;
+    const {context} = this;
     while (!signal.aborted) {
-      const now = node.clock.now();
-      if (node.freshness.detectPause(now)) {
-        node.logger.warn('paused', {
+      const now = context.clock.now();
+      if (context.freshness.detectPause(now)) {
+        context.logger.warn('paused', {
           remedy:
-            'the process was paused; starts wait for a new read of the log',
+            'the process was paused; no work starts until the log has been read again',
         });
       }
-      const readAt = node.follower.getFreshAt();
+      const readAt = context.follower.getFreshAt();
       if (readAt !== undefined) {
-        node.freshness.onRead(readAt);
+        context.freshness.onRead(readAt);
       }
-      node.freshness.onOffsetReached(node.state.nextOffset);
-      this.states?.dropUnused(now);
-      this.shareBudget(now);
+      context.freshness.onOffsetReached(context.state.nextOffset);
+      this.stateServer?.dropUnused(now);
+      this.updateAppendRate(now);
       this.updateMetrics(now);
-      await node.clock.sleep(TICK_MS, signal);
+      await context.clock.sleep(TICK_INTERVAL_MS, signal);
     }
   }
 
-  /** The log's appends are shared by all live instances. */
-  private shareBudget(now: number): void {
-    const {context: node} = this;
-    const alive = node.mesh
+  /** Limits this instance to its share of the log's append rate, which all alive instances divide evenly. */
+  private updateAppendRate(now: number): void {
+    const {context} = this;
+    const alive = context.mesh
       .listPeers()
-      .filter(({address}) => node.mesh.isAlive(address.instance, now));
-    const {appendsPerSecond} = node.settings.limits;
-    node.writer.setAppendRate(appendsPerSecond / (alive.length + 1));
+      .filter(({address}) => context.mesh.isAlive(address.instance, now));
+    const {appendsPerSecond} = context.settings.limits;
+    context.writer.setAppendRate(appendsPerSecond / (alive.length + 1));
   }
 
   private updateMetrics(now: number): void {
-    const {context: node, parts} = this;
-    const {metrics} = node;
-    metrics.logOffset.set(node.state.nextOffset);
-    metrics.freshnessAge.set(node.freshness.getAge(now) / 1000);
-    metrics.schedulerActive.set(node.scheduler.term ? 1 : 0);
-    metrics.heldCallers.set(node.waiters.count);
-    const sent = parts.peerClient.bytesSent + parts.peerServer.bytesSent;
+    const {context, dependencies} = this;
+    const {metrics} = context;
+    metrics.logOffset.set(context.state.nextOffset);
+    metrics.freshnessAge.set(context.freshness.getAge(now) / 1000);
+    metrics.schedulerActive.set(context.scheduler.term ? 1 : 0);
+    metrics.heldCallers.set(context.waiters.count);
+    const sent =
+      dependencies.peerClient.bytesSent + dependencies.peerServer.bytesSent;
     const received =
-      parts.peerClient.bytesReceived + parts.peerServer.bytesReceived;
+      dependencies.peerClient.bytesReceived +
+      dependencies.peerServer.bytesReceived;
     metrics.peerBytes.set({direction: 'sent'}, sent);
     metrics.peerBytes.set({direction: 'received'}, received);
     metrics.platformBytes.set({direction: 'sent'}, platformTraffic.sent);
@@ -231,7 +240,7 @@
     );
   }
 
-  /** Gives peers a moment to answer, so that a state can be had from them too. */
+  /** Waits up to one heartbeat interval for a ready peer, so that the state can also be restored from peers. */
   private async waitForPeers(signal: AbortSignal): Promise<void> {
     const {clock, mesh, settings} = this.context;
     const end = clock.now() + settings.timings.heartbeatMs;
@@ -241,17 +250,18 @@
       !signal.aborted &&
       !mesh.listPeers().some(({report}) => report?.ready)
     ) {
-      await clock.sleep(START_POLL_MS, signal);
+      await clock.sleep(START_POLL_INTERVAL_MS, signal);
     }
   }
 
   private async waitUntilCaughtUp(signal: AbortSignal): Promise<void> {
     while (!signal.aborted && !this.context.follower.isCaughtUp) {
-      await this.context.clock.sleep(START_POLL_MS, signal);
+      await this.context.clock.sleep(START_POLL_INTERVAL_MS, signal);
     }
   }
 
-  private keep(name: string, loop: Promise<unknown>): void {
+  /** Tracks a loop until it ends; stops the daemon if the loop fails. */
+  private trackLoop(name: string, loop: Promise<unknown>): void {
     const guarded = loop.catch(error => {
       this.context.logger.error('loop-failed', {
         loop: name,
@@ -259,18 +269,18 @@
       });
       void this.stop(`the ${name} loop failed`);
     });
-    this.running.push(guarded);
+    this.runningLoops.push(guarded);
   }
 }
 
-/** Resolves when `work` has ended, or after `timeout` milliseconds. */
-async function withDeadline(
+/** Resolves when `work` has ended or after `timeoutMs`, whichever is first. */
+async function waitWithTimeout(
   work: Promise<unknown>,
-  timeout: Milliseconds,
+  timeoutMs: Milliseconds,
 ): Promise<void> {
   let timer: NodeJS.Timeout | undefined;
   const expired = new Promise<void>(resolve => {
-    timer = setTimeout(resolve, Math.max(0, timeout));
+    timer = setTimeout(resolve, Math.max(0, timeoutMs));
   });
   await Promise.race([work, expired]);
   clearTimeout(timer);
--- a/packages/daemon/src/daemon_context.ts
+++ b/packages/daemon/src/daemon_context.ts
@@ -1,4 +1,4 @@
-/** What the roles, commands and queries of one daemon share. */
+/** The dependencies that the roles, commands and queries of a daemon share. */
 import type {
   LedgerState,
   Log,
@@ -14,17 +14,17 @@
 import type {JobWaiters} from './job_waiters.js';
 import type {Settings} from './settings/settings.js';
 
-/** Where the daemon is in its life. */
+/** Lifecycle stage of the daemon. */
 export type Stage = 'starting' | 'serving' | 'stopping';
 
-/** The parts of one daemon. */
+/** Shared dependencies and stage of a daemon. */
 export interface DaemonContext {
   settings: Settings;
   clock: Clock;
   random: Random;
   logger: Logger;
   metrics: Metrics;
-  /** The platform's log, for results that memory has dropped. */
+  /** The platform's log, for results that are no longer in memory. */
   log: Log;
   state: LedgerState;
   follower: LogFollower;
@@ -36,8 +36,8 @@
   backlogEstimator: BacklogEstimator;
   waiters: JobWaiters;
   stage: Stage;
-  /** The cells of a failure domain; made on first use. */
+  /** Returns the cells of a failure domain; creates the projection on first use. */
   getProjection(domain: string): CellsProjection;
-  /** The cells of every failure domain that has been asked for. */
+  /** Returns the projections created so far. */
   listProjections(): Iterable<CellsProjection>;
 }
--- a/packages/daemon/src/http/body_reader.ts
+++ b/packages/daemon/src/http/body_reader.ts
@@ -1,23 +1,23 @@
 /**
- * Reads JSON bodies. Compressed bodies are refused before anything is read:
- * restify unpacks them without a bound and without catching what is damaged,
- * and its parser of forms writes files, which instances have no disk for.
+ * Reads JSON bodies. Rejects all others before they are read: restify
+ * decompresses bodies without a size limit and without handling corrupt data,
+ * and its form parser writes files, for which instances have no disk.
  */
 import restify, {type Next, type Request, type Response} from 'restify';
 import {Failure} from '@galenavalve/shared';
 
 const JSON_TYPE = /^application\/(.+\+)?json$/;
 
-/** The handlers that read a JSON body of at most `maxBodySize` bytes. */
+/** Creates the request handlers that read a JSON body of at most `maxBodySize` bytes. */
 export function createBodyReader(
   maxBodySize: number,
 ): restify.RequestHandlerType[] {
-  // The body reader inside the JSON parser takes the limit.
+  // The JSON parser passes the limit to its body reader.
   const options = {mapParams: false, maxBodySize};
-  return [refuseOtherBodies, ...restify.plugins.jsonBodyParser(options)];
+  return [rejectUnsupportedBodies, ...restify.plugins.jsonBodyParser(options)];
 }
 
-/** Length of the body as it came, in bytes; a chunked body announces none. */
+/** Returns the length of the received body in bytes; a chunked request has no Content-Length. */
 export function getBodyBytes(request: Request): number {
   const {rawBody} = request as {rawBody?: unknown};
   return typeof rawBody === 'string' || Buffer.isBuffer(rawBody)
@@ -25,12 +25,12 @@
     : 0;
 }
 
-function refuseOtherBodies(
+function rejectUnsupportedBodies(
   request: Request,
   response: Response,
   next: Next,
 ): void {
-  const problem = findProblem(request);
+  const problem = findBodyProblem(request);
   if (problem === undefined) {
     next();
     return;
@@ -41,12 +41,12 @@
   next(false);
 }
 
-function findProblem(request: Request): string | undefined {
+function findBodyProblem(request: Request): string | undefined {
   if (request.headers['content-encoding'] !== undefined) {
-    return 'a body must not be compressed';
+    return 'the body must not be compressed';
   }
   const hasBody = request.getContentLength() > 0 || request.isChunked();
   return hasBody && !JSON_TYPE.test(request.getContentType())
-    ? 'a body has to be JSON, with the content type application/json'
+    ? 'the body must be JSON with the content type application/json'
     : undefined;
 }
--- a/packages/daemon/src/http/cluster_routes.ts
+++ b/packages/daemon/src/http/cluster_routes.ts
@@ -1,4 +1,4 @@
-/** Routes on the inventory, the workspaces and the configuration. */
+/** Routes for the inventory, the workspaces and the configuration. */
 import {z} from 'zod';
 import {
   applyConfiguration,
@@ -10,12 +10,12 @@
 import type {Router} from './http_server.js';
 import {parseBody} from './parse_body.js';
 
-const authored = z.strictObject({author: z.string().min(1).max(128)});
+const authorBody = z.strictObject({author: z.string().min(1).max(128)});
 const historyQuery = z.object({
   limit: z.coerce.number().int().min(1).max(1000).default(50),
 });
 
-/** Adds the routes of operators. */
+/** Adds the routes for operators. */
 export function addClusterRoutes(context: DaemonContext, router: Router): void {
   router.add('get', '/v1/workspaces', () => ({
     status: 200,
@@ -42,7 +42,7 @@
     ['restore', 'in-service'],
   ] as const) {
     router.add('post', `/v1/domains/:id/${verb}`, async request => {
-      const {author} = parseBody(authored, request.body);
+      const {author} = parseBody(authorBody, request.body);
       const {id} = request.params as {id: string};
       const result = await setDomainState(context, id, state, author);
       return {status: 200, body: result};
--- a/packages/daemon/src/http/http_server.ts
+++ b/packages/daemon/src/http/http_server.ts
@@ -8,19 +8,19 @@
 import {addJobRoutes} from './job_routes.js';
 import {addProbeRoutes} from './probe_routes.js';
 
-/** Largest body of a configuration change, in bytes. */
+/** Maximum size of the body of any request, in bytes; configuration changes need the most. */
 const MAX_CONFIGURATION_BYTES = 4_194_304;
 
-/** Seconds after which a caller that was told "not run" may try again. */
+/** Value of the `Retry-After` header of a request that was refused as "not run". */
 const RETRY_AFTER_SECONDS = 1;
 
-/** Answers one request. What it returns is the body; errors become typed bodies. */
+/** Handles a request and returns the response. Errors that it throws become responses with a typed body. */
 export type RouteHandler = (
   request: Request,
   response: Response,
 ) => Promise<HttpResponse> | HttpResponse;
 
-/** A status with its body. */
+/** An HTTP response. */
 export interface HttpResponse {
   status: number;
   body: unknown;
@@ -28,15 +28,19 @@
   contentType?: string;
 }
 
-/** Registers routes on the server. */
+/** Registers request handlers on the server. */
 export interface Router {
-  add(method: 'get' | 'post' | 'del', path: string, route: RouteHandler): void;
+  add(
+    method: 'get' | 'post' | 'del',
+    path: string,
+    handler: RouteHandler,
+  ): void;
 }
 
 /** The running server. */
 export interface HttpServer {
   port: number;
-  /** Stops taking connections and resolves when the last answer is sent. */
+  /** Stops accepting connections; resolves when the last response has been sent. */
   close(): Promise<void>;
 }
 
@@ -50,7 +54,7 @@
   });
   server.pre((request: Request, response: Response, next: restify.Next) => {
     if (context.stage === 'stopping') {
-      // Lets the balancer move its connections to other instances.
+      // Makes the load balancer move its connections to other instances.
       response.setHeader('Connection', 'close');
     }
     next();
@@ -66,7 +70,7 @@
   return {port: server.address().port, close: () => closeServer(server)};
 }
 
-/** Throws `body-too-large` for a job request that is too long. */
+/** Throws `body-too-large` for a job request above `MAX_REQUEST_BYTES`. */
 export function checkRequestSize(request: Request): void {
   if (getBodyBytes(request) > MAX_REQUEST_BYTES) {
     throw new Failure('body-too-large', {limitBytes: MAX_REQUEST_BYTES});
@@ -75,24 +79,24 @@
 
 function createRouter(context: DaemonContext, server: Server): Router {
   return {
-    add(method, path, route) {
+    add(method, path, handler) {
       server[method](path, async (request: Request, response: Response) => {
-        const reply = await answer(context, route, request, response);
-        context.metrics.requests.inc({route: path, status: reply.status});
-        send(response, reply);
+        const result = await handleRequest(context, handler, request, response);
+        context.metrics.requests.inc({route: path, status: result.status});
+        sendResponse(response, result);
       });
     },
   };
 }
 
-async function answer(
+async function handleRequest(
   context: DaemonContext,
-  route: RouteHandler,
+  handler: RouteHandler,
   request: Request,
   response: Response,
 ): Promise<HttpResponse> {
   try {
-    return await route(request, response);
+    return await handler(request, response);
   } catch (error) {
     const failure = toFailure(error);
     if (failure.status === 429 || failure.status === 503) {
@@ -107,19 +111,19 @@
   }
 }
 
-function send(response: Response, reply: HttpResponse): void {
-  if (reply.contentType) {
-    response.sendRaw(reply.status, String(reply.body), {
-      'Content-Type': reply.contentType,
+function sendResponse(response: Response, result: HttpResponse): void {
+  if (result.contentType) {
+    response.sendRaw(result.status, String(result.body), {
+      'Content-Type': result.contentType,
     });
     return;
   }
-  response.sendRaw(reply.status, JSON.stringify(reply.body), {
+  response.sendRaw(result.status, JSON.stringify(result.body), {
     'Content-Type': 'application/json',
   });
 }
 
-/** Errors of restify itself, such as a body that is not JSON, get a typed body too. */
+/** Gives errors of restify itself, such as a body that is not JSON, a typed body. */
 function onRestifyError(
   _request: Request,
   _response: Response,
--- a/packages/daemon/src/http/job_routes.ts
+++ b/packages/daemon/src/http/job_routes.ts
@@ -1,4 +1,4 @@
-/** Routes on jobs. */
+/** Routes for jobs. */
 import type {Request} from 'restify';
 import {z} from 'zod';
 import type {Job} from '@galenavalve/ledger';
@@ -20,7 +20,7 @@
 } from './http_server.js';
 import {parseBody} from './parse_body.js';
 
-/** Longest time that a caller is held, in seconds. */
+/** Maximum time for which a caller is held. */
 const MAX_WAIT_SECONDS = 3_600;
 
 const waitQuery = z.object({
@@ -33,7 +33,7 @@
   limit: z.coerce.number().int().min(1).max(1000).default(100),
 });
 
-const approval = z.strictObject({author: z.string().min(1).max(128)});
+const approvalBody = z.strictObject({author: z.string().min(1).max(128)});
 
 /** Adds the routes under `/v1/jobs`, and `/v1/plan`. */
 export function addJobRoutes(context: DaemonContext, router: Router): void {
@@ -41,7 +41,7 @@
     checkRequestSize(request);
     const {wait} = parseBody(waitQuery, request.query);
     const job = await submitJob(context, request.body);
-    return replyWhenEnded(context, job, canHold(context) ? wait : 0);
+    return respondWhenFinished(context, job, canHoldCaller(context) ? wait : 0);
   });
   router.add('get', '/v1/jobs', request => {
     const filter = parseBody(listQuery, request.query);
@@ -49,22 +49,22 @@
   });
   router.add('get', '/v1/jobs/:id', async request => {
     const {wait} = parseBody(waitQuery, request.query);
-    const job = findJob(context, idOf(request));
+    const job = findJob(context, getJobId(request));
     const latest =
       (await context.waiters.waitForEnd(job.jobId, wait * 1000)) ?? job;
     return {status: 200, body: await viewJob(context, latest)};
   });
   router.add('get', '/v1/jobs/:id/explain', async request => ({
     status: 200,
-    body: await explainJob(context, idOf(request)),
+    body: await explainJob(context, getJobId(request)),
   }));
   router.add('del', '/v1/jobs/:id', async request => {
-    const job = await cancelJob(context, idOf(request), 'its caller');
+    const job = await cancelJob(context, getJobId(request), 'its caller');
     return {status: 200, body: await viewJob(context, job)};
   });
   router.add('post', '/v1/jobs/:id/approve', async request => {
-    const {author} = parseBody(approval, request.body);
-    const job = await approveJob(context, idOf(request), author);
+    const {author} = parseBody(approvalBody, request.body);
+    const job = await approveJob(context, getJobId(request), author);
     return {status: 200, body: await viewJob(context, job)};
   });
   router.add('post', '/v1/plan', request => {
@@ -73,12 +73,13 @@
   });
 }
 
-/** With too many callers held, the next ones are told at once where their job stands. */
-function canHold(context: DaemonContext): boolean {
+/** Returns whether another caller may be held; beyond the limit, callers get the current state of their job immediately. */
+function canHoldCaller(context: DaemonContext): boolean {
   return context.waiters.count < context.settings.limits.heldCallers;
 }
 
-async function replyWhenEnded(
+/** Holds the caller until its job has finished or `waitSeconds` have passed. */
+async function respondWhenFinished(
   context: DaemonContext,
   job: Job,
   waitSeconds: number,
@@ -89,6 +90,6 @@
   return {status, body: await viewJob(context, latest)};
 }
 
-function idOf(request: Request): string {
+function getJobId(request: Request): string {
   return String((request.params as Record<string, unknown>)['id']);
 }
--- a/packages/daemon/src/http/parse_body.ts
+++ b/packages/daemon/src/http/parse_body.ts
@@ -1,8 +1,8 @@
-/** Checks what callers send against a schema. */
+/** Validation of request bodies and queries. */
 import type {z} from 'zod';
 import {Failure, MAX_BODY_DEPTH, isTooDeep} from '@galenavalve/shared';
 
-/** Returns the checked value. Throws `bad-request`, which names the field. */
+/** Returns the parsed value. Throws `bad-request`, which names the first invalid field. */
 export function parseBody<T extends z.ZodType>(
   schema: T,
   body: unknown,
@@ -18,6 +18,6 @@
   const issue = result.error.issues[0];
   const field = issue?.path.join('.') || 'body';
   throw new Failure('bad-request', {
-    problem: `${field}: ${issue?.message ?? 'not valid'}`,
+    problem: `${field}: ${issue?.message ?? 'invalid'}`,
   });
 }
--- a/packages/daemon/src/http/probe_routes.ts
+++ b/packages/daemon/src/http/probe_routes.ts
@@ -1,4 +1,4 @@
-/** Routes for the balancer and for metrics. */
+/** Routes for liveness and readiness probes and for metrics. */
 import type {DaemonContext} from '../daemon_context.js';
 import type {Router} from './http_server.js';
 
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,4 +1,4 @@
-/** galenavalved: the entry, scheduler and lease keeper roles in one program. */
+/** galenavalved: the entry, scheduler and lease renewer roles in one program. */
 
 // The daemon
 export {Daemon, type DaemonDependencies} from './daemon.js';
@@ -12,7 +12,7 @@
 export {BacklogEstimator} from './backlog_estimator.js';
 export {chooseMove} from './roles/queue_moves.js';
 
-// Putting one together
+// Dependency injection
 export {createContainer} from './container.js';
 export {tokens} from './tokens.js';
 export {createJsonLogger} from './observability/json_logger.js';
--- a/packages/daemon/src/job_waiters.ts
+++ b/packages/daemon/src/job_waiters.ts
@@ -1,47 +1,48 @@
-/** Callers that are held until their job has ended. */
+/** Holds callers until their job has finished. */
 import type {FoldResult, LedgerState, Job} from '@galenavalve/ledger';
 import type {Clock, Milliseconds} from '@galenavalve/shared';
 
-/** Wakes callers when their job has finished. */
+/** Tracks held callers and wakes them when their job has finished. */
 export class JobWaiters {
-  private readonly waiting = new Map<string, Set<AbortController>>();
+  /** Abort controllers that wake the callers, by job. */
+  private readonly waitersByJob = new Map<string, Set<AbortController>>();
   private isClosed = false;
-  private held = 0;
+  private heldCallers = 0;
 
   constructor(
     private readonly state: LedgerState,
     private readonly clock: Clock,
   ) {}
 
-  /** Number of callers held now. */
+  /** Number of callers that are currently held. */
   get count(): number {
-    return this.held;
+    return this.heldCallers;
   }
 
-  /** Resolves to the job when it has finished or `timeout` is over, whichever is first. */
+  /** Resolves to the job when it has finished or after `timeoutMs`, whichever is first. */
   async waitForEnd(
     jobId: string,
-    timeout: Milliseconds,
+    timeoutMs: Milliseconds,
   ): Promise<Job | undefined> {
-    const isOver = this.state.getJob(jobId)?.phase === 'finished';
-    if (isOver || this.isClosed || timeout <= 0) {
+    const isFinished = this.state.getJob(jobId)?.phase === 'finished';
+    if (isFinished || this.isClosed || timeoutMs <= 0) {
       return this.state.getJob(jobId);
     }
-    const woken = new AbortController();
-    const waiters = this.waiting.get(jobId) ?? new Set();
-    waiters.add(woken);
-    this.waiting.set(jobId, waiters);
-    this.held++;
-    await this.clock.sleep(timeout, woken.signal);
-    this.held--;
-    waiters.delete(woken);
+    const waiter = new AbortController();
+    const waiters = this.waitersByJob.get(jobId) ?? new Set();
+    waiters.add(waiter);
+    this.waitersByJob.set(jobId, waiters);
+    this.heldCallers++;
+    await this.clock.sleep(timeoutMs, waiter.signal);
+    this.heldCallers--;
+    waiters.delete(waiter);
     if (waiters.size === 0) {
-      this.waiting.delete(jobId);
+      this.waitersByJob.delete(jobId);
     }
     return this.state.getJob(jobId);
   }
 
-  /** Wakes the callers of a job that ended. */
+  /** Wakes the callers of a job that a record has finished. */
   onApplied(applied: FoldResult): void {
     const record = applied.record;
     if (!record || !('jobId' in record)) {
@@ -52,25 +53,25 @@
     }
   }
 
-  /** Wakes the callers whose jobs have ended; for a state that was replaced. */
+  /** Wakes the callers whose jobs have finished; called after the state was replaced. */
   recheck(): void {
-    for (const jobId of [...this.waiting.keys()]) {
+    for (const jobId of [...this.waitersByJob.keys()]) {
       if (this.state.getJob(jobId)?.phase === 'finished') {
         this.wake(jobId);
       }
     }
   }
 
-  /** Answers all callers with what is known now; for a planned stop. */
+  /** Wakes all callers, and no longer holds new ones; called on graceful shutdown. */
   close(): void {
     this.isClosed = true;
-    for (const jobId of [...this.waiting.keys()]) {
+    for (const jobId of [...this.waitersByJob.keys()]) {
       this.wake(jobId);
     }
   }
 
   private wake(jobId: string): void {
-    for (const waiter of this.waiting.get(jobId) ?? []) {
+    for (const waiter of this.waitersByJob.get(jobId) ?? []) {
       waiter.abort();
     }
   }
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,7 +1,7 @@
 #!/usr/bin/env node
 /**
- * The entry of galenavalved. V8's limits are set before anything else is
- * loaded: the memory bound of a control node is 128 MB.
+ * Entry point of galenavalved. Sets the limits of V8 before any other module is
+ * loaded, because the daemon may use at most 128 MB of memory.
  */
 import {setFlagsFromString} from 'node:v8';
 
--- a/packages/daemon/src/observability/json_logger.ts
+++ b/packages/daemon/src/observability/json_logger.ts
@@ -1,8 +1,8 @@
-/** Log lines as JSON, by winston. */
+/** Logger that writes JSON lines, by winston. */
 import {createLogger, format, transports} from 'winston';
 import type {LogFields, Logger} from '@galenavalve/shared';
 
-/** Creates a logger whose lines carry the instance and its failure domain. */
+/** Creates a logger whose lines include the instance and its failure domain. Writes errors and warnings to stderr. */
 export function createJsonLogger(
   level: string,
   instance: string,
@@ -14,8 +14,8 @@
     format: format.combine(format.timestamp(), format.json()),
     transports: [new transports.Console({stderrLevels: ['error', 'warn']})],
   });
-  const write = (lineLevel: string) => (event: string, fields?: LogFields) => {
-    winston.log({level: lineLevel, message: event, ...fields});
+  const write = (severity: string) => (event: string, fields?: LogFields) => {
+    winston.log({level: severity, message: event, ...fields});
   };
   return {
     debug: write('debug'),
--- a/packages/daemon/src/observability/metrics.ts
+++ b/packages/daemon/src/observability/metrics.ts
@@ -1,4 +1,4 @@
-/** Metrics of one daemon, by prom-client. */
+/** Metrics of a daemon, by prom-client. */
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 const LATENCY_BUCKETS_SECONDS = [
@@ -81,7 +81,7 @@
     registers: [this.registry],
   });
 
-  /** The text that `/metrics` answers with. */
+  /** Returns the body of `/metrics` in the text format of Prometheus. */
   async render(): Promise<string> {
     const usage = process.cpuUsage();
     this.cpu.set((usage.user + usage.system) / 1e6);
--- a/packages/daemon/src/queries/cluster_queries.ts
+++ b/packages/daemon/src/queries/cluster_queries.ts
@@ -1,4 +1,4 @@
-/** Questions about the inventory, the workspaces and the configuration. */
+/** Queries for the inventory and the workspaces. */
 import type {Job} from '@galenavalve/ledger';
 import type {
   Domain,
@@ -16,28 +16,29 @@
 } from '@galenavalve/placement';
 import type {DaemonContext} from '../daemon_context.js';
 
-/** The inventory as this instance knows it, with its age. */
+/** Returns the inventory in the state of this instance, with the freshness age of that state. */
 export function viewInventory(context: DaemonContext): InventoryView {
   const domains = [...context.state.configuration.domains.keys()].sort();
   return {
     offset: context.state.nextOffset,
-    freshnessAgeMs: freshnessAge(context),
+    freshnessAgeMs: getFreshnessAge(context),
     domains: domains.map(id => viewDomain(context, id)),
   };
 }
 
-function freshnessAge(context: DaemonContext): number | null {
-  const age = context.freshness.getAge(context.clock.now());
-  return Number.isFinite(age) ? Math.round(age) : null;
+/** Returns the freshness age in whole milliseconds; null without a freshness proof. */
+function getFreshnessAge(context: DaemonContext): number | null {
+  const ageMs = context.freshness.getAge(context.clock.now());
+  return Number.isFinite(ageMs) ? Math.round(ageMs) : null;
 }
 
-/** Every workspace with its promises and what it uses. */
+/** Returns every workspace with its guarantees and its usage. */
 export function viewWorkspaces(context: DaemonContext): WorkspaceView[] {
   const {workspaces, domains} = context.state.configuration;
   const active = [...domains.keys()].flatMap(id => [
     ...context.state.listActiveJobs(id),
   ]);
-  const guarantees = describeAvailable(context);
+  const guarantees = findAvailableGuarantees(context);
   const ids = [...workspaces.keys()].sort();
   return ids.map(id => ({
     ...viewWorkspace(context, workspaces.get(id)!, active),
@@ -45,8 +46,8 @@
   }));
 }
 
-/** Every guarantee, as it can be met with the targets that are in service and well. */
-function describeAvailable(
+/** Returns the guarantees of each workspace as far as the healthy targets in service can satisfy them. */
+function findAvailableGuarantees(
   context: DaemonContext,
 ): Map<string, GuaranteeView[]> {
   const {configuration} = context.state;
@@ -73,13 +74,13 @@
     version: state.getEntityVersion(`domain/${id}`),
     state: viewState(context, domain),
     scheduler: state.getSchedulerTerm(id)?.instance,
-    queued: count(state.listQueuedJobs(id)),
-    running: count(state.listActiveJobs(id)),
+    queued: countItems(state.listQueuedJobs(id)),
+    running: countItems(state.listActiveJobs(id)),
     targets: targets.map(target => viewTarget(context, target)),
   };
 }
 
-/** A hold keeps starts back before, or without, a record in the log. */
+/** Returns the state of a domain: `held` if a hold takes it out before the log has the record. */
 function viewState(context: DaemonContext, {id, state}: Domain): string {
   const isHeld = state === 'in-service' && context.mesh.isHeld(`domain/${id}`);
   return isHeld ? 'held' : state;
@@ -104,15 +105,19 @@
   workspace: Workspace,
   active: readonly Job[],
 ): Omit<WorkspaceView, 'guarantees'> {
-  const own = active.filter(job => job.request.workspace === workspace.id);
+  const ownJobs = active.filter(job => job.request.workspace === workspace.id);
   return {
     id: workspace.id,
     version: context.state.getEntityVersion(`workspace/${workspace.id}`),
     weight: workspace.weight,
     queued: context.state.countQueuedJobs(workspace.id),
-    running: own.length,
-    acceleratorsGuaranteed: sumAccelerators(own.filter(job => job.guaranteed)),
-    acceleratorsBorrowed: sumAccelerators(own.filter(job => !job.guaranteed)),
+    running: ownJobs.length,
+    acceleratorsGuaranteed: sumAccelerators(
+      ownJobs.filter(job => job.guaranteed),
+    ),
+    acceleratorsBorrowed: sumAccelerators(
+      ownJobs.filter(job => !job.guaranteed),
+    ),
   };
 }
 
@@ -122,6 +127,6 @@
   }, 0);
 }
 
-function count(items: Iterable<unknown>): number {
+function countItems(items: Iterable<unknown>): number {
   return [...items].length;
 }
--- a/packages/daemon/src/queries/config_queries.ts
+++ b/packages/daemon/src/queries/config_queries.ts
@@ -1,4 +1,4 @@
-/** Questions about the configuration and its history. */
+/** Queries for the configuration and its history. */
 import {
   type ChangeListView,
   type VersionedEntity,
@@ -6,12 +6,12 @@
 } from '@galenavalve/model';
 import type {DaemonContext} from '../daemon_context.js';
 
-/** One entity with its key. */
+/** A versioned entity with its key. */
 export interface KeyedEntity extends VersionedEntity {
   entity: string;
 }
 
-/** Every entity with the version to base a change on. */
+/** Returns every entity with its version, on which a change is based. */
 export function viewConfiguration(context: DaemonContext): {
   offset: number;
   entities: KeyedEntity[];
@@ -30,7 +30,7 @@
   return {offset: context.state.nextOffset, entities};
 }
 
-/** The latest changes with their verdicts, newest first. */
+/** Returns the latest changes with their outcomes, newest first. */
 export function viewHistory(
   context: DaemonContext,
   limit: number,
--- a/packages/daemon/src/queries/job_queries.ts
+++ b/packages/daemon/src/queries/job_queries.ts
@@ -1,4 +1,4 @@
-/** Questions about jobs. */
+/** Queries for jobs. */
 import {type Job, readResults} from '@galenavalve/ledger';
 import {
   type ExplanationView,
@@ -14,16 +14,16 @@
 import type {DaemonContext} from '../daemon_context.js';
 import {WAIT_REASON_METHOD} from '../roles/peer_handlers.js';
 
-const PEER_TIMEOUT_MS = 1_000;
+const WAIT_REASON_TIMEOUT_MS = 1_000;
 
-/** Filter of a list of jobs. */
+/** Filter of `listJobs`. */
 export interface JobFilter {
   workspace?: string;
   phase?: JobPhase;
   limit: number;
 }
 
-/** The job, or `not-found`. */
+/** Returns the job with the given job id or request id. Throws `not-found`. */
 export function findJob(context: DaemonContext, jobId: string): Job {
   const job =
     context.state.getJob(jobId) ?? context.state.getJobByRequest(jobId);
@@ -34,15 +34,15 @@
 }
 
 /**
- * The job as its caller sees it, with its whole answer. Results that memory has
- * dropped are read back from the log. Throws `internal` when they are damaged.
+ * Returns a job with its results. Results that are no longer in memory are read
+ * from the log. Throws `internal` when they do not match their hash.
  */
 export async function viewJob(
   context: DaemonContext,
   job: Job,
 ): Promise<JobView> {
-  const timeout = context.settings.timings.platformTimeoutMs;
-  const results = await readResults(context.log, job, timeout);
+  const timeoutMs = context.settings.timings.platformTimeoutMs;
+  const results = await readResults(context.log, job, timeoutMs);
   if (results && job.resultHash !== hashValue(results)) {
     throw new Failure('internal', {
       problem: `the results of ${job.jobId} do not match their hash`,
@@ -51,7 +51,7 @@
   return {...summarizeJob(job), results, resultHash: job.resultHash};
 }
 
-/** The job without its results. */
+/** Returns a job without its results. */
 export function summarizeJob(job: Job): JobView {
   return {
     jobId: job.jobId,
@@ -71,29 +71,29 @@
   };
 }
 
-/** Jobs that match, newest first, without their results. */
+/** Returns the matching jobs without their results, newest first. */
 export function listJobs(context: DaemonContext, filter: JobFilter): JobView[] {
-  const found: Job[] = [];
-  for (const job of allJobs(context)) {
-    const matches =
+  const matchingJobs: Job[] = [];
+  for (const job of iterateJobs(context)) {
+    const isMatch =
       (!filter.workspace || job.request.workspace === filter.workspace) &&
       (!filter.phase || job.phase === filter.phase);
-    if (matches) {
-      found.push(job);
+    if (isMatch) {
+      matchingJobs.push(job);
     }
   }
-  found.sort((a, b) => b.submittedOffset - a.submittedOffset);
-  return found.slice(0, filter.limit).map(summarizeJob);
+  matchingJobs.sort((a, b) => b.submittedOffset - a.submittedOffset);
+  return matchingJobs.slice(0, filter.limit).map(summarizeJob);
 }
 
-function* allJobs(context: DaemonContext): Iterable<Job> {
+function* iterateJobs(context: DaemonContext): Iterable<Job> {
   for (const domain of context.state.configuration.domains.keys()) {
     yield* context.state.listUnfinishedJobs(domain);
   }
   yield* context.state.listFinishedJobs();
 }
 
-/** Why the job did or did not run, and what it waits for now. */
+/** Returns a job with its history and, if it is queued, the reason why it waits. */
 export async function explainJob(
   context: DaemonContext,
   jobId: string,
@@ -105,44 +105,44 @@
     ...(await viewJob(context, job)),
     request: job.request,
     assignments: [...job.assignments],
-    history: job.history.map(describeEntry),
+    history: job.history.map(addReasonText),
     waitingFor,
     waitingText: waitingFor && describeReason(waitingFor),
   };
 }
 
-/** The scheduler of the job's domain knows what it waits for. */
+/** Returns the reason why a queued job waits, from the scheduler of its domain. */
 async function findWaitReason(
   context: DaemonContext,
   job: Job,
 ): Promise<Reason> {
-  const holder = context.state.getSchedulerTerm(job.domain)?.instance;
+  const scheduler = context.state.getSchedulerTerm(job.domain)?.instance;
   const noScheduler = createReason('waiting-scheduler', {domain: job.domain});
-  if (!holder) {
+  if (!scheduler) {
     return noScheduler;
   }
-  if (holder === context.settings.instance) {
-    return context.scheduler.getWaitReason(job.jobId) ?? pending();
+  if (scheduler === context.settings.instance) {
+    return context.scheduler.getWaitReason(job.jobId) ?? createPendingReason();
   }
   try {
-    const answer = await context.mesh.call(
-      holder,
+    const response = await context.mesh.call(
+      scheduler,
       WAIT_REASON_METHOD,
       {jobId: job.jobId},
-      PEER_TIMEOUT_MS,
+      WAIT_REASON_TIMEOUT_MS,
     );
-    const parsed = reasonSchema.safeParse(answer);
-    return parsed.success ? parsed.data : pending();
+    const parsed = reasonSchema.safeParse(response);
+    return parsed.success ? parsed.data : createPendingReason();
   } catch {
     return noScheduler;
   }
 }
 
-/** The next pass over the queue has not come to the job yet. */
-function pending(): Reason {
+/** Creates the reason of a job that no pass over the queue has considered yet. */
+function createPendingReason(): Reason {
   return createReason('waiting-order', {ahead: 0});
 }
 
-function describeEntry(entry: HistoryEntry): HistoryEntry {
+function addReasonText(entry: HistoryEntry): HistoryEntry {
   return {...entry, text: entry.reason && describeReason(entry.reason)};
 }
--- a/packages/daemon/src/queries/plan_job.ts
+++ b/packages/daemon/src/queries/plan_job.ts
@@ -1,4 +1,4 @@
-/** Says what would happen to a job that was submitted now, without running it. */
+/** Dry run: determines what would happen to a job if it were submitted now. */
 import {
   type PlanView,
   type Reason,
@@ -12,7 +12,7 @@
 import {parseBody} from '../http/parse_body.js';
 import type {DaemonContext} from '../daemon_context.js';
 
-/** The plan for a job request. Nothing is recorded. */
+/** Returns the plan for a job request without recording anything. Throws `bad-request` or `unknown-workspace`. */
 export function planJob(context: DaemonContext, body: unknown): PlanView {
   const request = parseBody(jobRequest, body);
   if (!context.state.configuration.workspaces.has(request.workspace)) {
@@ -58,10 +58,10 @@
     domain: route.domain,
     assignments: placement?.assignments ?? [],
     victims: reclaim?.victims ?? [],
-    reasons: reasons.flatMap(reason => (reason ? [explain(reason)] : [])),
+    reasons: reasons.flatMap(reason => (reason ? [addReasonText(reason)] : [])),
   };
 }
 
-function explain(reason: Reason): {reason: Reason; text: string} {
+function addReasonText(reason: Reason): {reason: Reason; text: string} {
   return {reason, text: describeReason(reason)};
 }
--- a/packages/daemon/src/roles/election.ts
+++ b/packages/daemon/src/roles/election.ts
@@ -1,4 +1,4 @@
-/** Decides, again and again, whether this instance should schedule its failure domain. */
+/** Election of the scheduler: decides periodically whether this instance claims the term of its failure domain. */
 import type {FoldResult} from '@galenavalve/ledger';
 import {type Term, isSameTerm} from '@galenavalve/model';
 import {
@@ -16,33 +16,35 @@
 import {isEligible} from './instance_report.js';
 
 /** Time between two decisions. */
-const INTERVAL_MS: Milliseconds = 250;
+const ELECTION_INTERVAL_MS: Milliseconds = 250;
 
-/** After how long a claim that the log does not answer is given up. */
+/** Timeout of a claim that the log does not acknowledge. */
 const CLAIM_TIMEOUT_MS: Milliseconds = 3_000;
 
-/** The election of the scheduler of this instance's failure domain. */
+/** Takes part in the election of the scheduler of this instance's failure domain. */
 export class Election {
+  /** The latest term that this process has claimed successfully. */
   private heldTerm: Term | undefined;
-  private presentTerm: Term | undefined;
+  private currentTerm: Term | undefined;
   private termSeenAt: Instant;
-  private attempts = 0;
+  private claimAttempts = 0;
+  /** Earliest time of the next claim. */
   private notBefore: Instant | undefined;
-  private takeovers: Instant[] = [];
+  private takeoverTimes: Instant[] = [];
 
   constructor(private readonly context: DaemonContext) {
     this.termSeenAt = context.clock.now();
   }
 
-  /** Runs until `signal` aborts. */
+  /** Decides periodically until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      await this.step();
-      await this.context.clock.sleep(INTERVAL_MS, signal);
+      await this.decideOnce();
+      await this.context.clock.sleep(ELECTION_INTERVAL_MS, signal);
     }
   }
 
-  /** Takes notice of claims. */
+  /** Handles a folded record: tracks the accepted claims of the domain. */
   onApplied(applied: FoldResult): void {
     const {record} = applied;
     if (
@@ -50,8 +52,8 @@
       record.domain === this.domain &&
       applied.accepted
     ) {
-      this.noteTerm(record.term);
-      this.takeovers.push(this.context.clock.now());
+      this.updateCurrentTerm(record.term);
+      this.takeoverTimes.push(this.context.clock.now());
     }
   }
 
@@ -59,37 +61,37 @@
     return this.context.settings.domain;
   }
 
-  private async step(): Promise<void> {
-    const {context: node} = this;
-    const now = node.clock.now();
-    this.noteTerm(node.state.getSchedulerTerm(this.domain));
-    const decision = decideClaim(this.describe(now));
+  private async decideOnce(): Promise<void> {
+    const {context} = this;
+    const now = context.clock.now();
+    this.updateCurrentTerm(context.state.getSchedulerTerm(this.domain));
+    const decision = decideClaim(this.createSituation(now));
     if (decision.kind !== 'claim') {
       return;
     }
-    node.logger.info('claiming', {
+    context.logger.info('claiming', {
       domain: this.domain,
-      after: this.presentTerm,
+      after: this.currentTerm,
       reason: decision.reason,
     });
     await this.claim();
   }
 
   private async claim(): Promise<void> {
-    const {context: node} = this;
+    const {context} = this;
     const term: Term = {
-      log: (this.presentTerm?.log ?? 0) + 1,
+      log: (this.currentTerm?.log ?? 0) + 1,
       outage: 0,
-      instance: node.settings.instance,
+      instance: context.settings.instance,
     };
     this.notBefore = computeNextClaimTime(
-      node.clock.now(),
-      this.attempts++,
-      node.random,
+      context.clock.now(),
+      this.claimAttempts++,
+      context.random,
     );
     try {
-      const deadline = node.clock.now() + CLAIM_TIMEOUT_MS;
-      const applied = await node.writer.append(
+      const deadline = context.clock.now() + CLAIM_TIMEOUT_MS;
+      const applied = await context.writer.append(
         {type: 'claimed', domain: this.domain, term},
         {deadline},
       );
@@ -97,58 +99,60 @@
         this.onClaimed(term);
       }
     } catch (error) {
-      node.logger.warn('claim-failed', {problem: describeError(error)});
+      context.logger.warn('claim-failed', {problem: describeError(error)});
     }
   }
 
   private onClaimed(term: Term): void {
-    const present = this.context.state.getSchedulerTerm(this.domain);
+    const latestTerm = this.context.state.getSchedulerTerm(this.domain);
     if (
-      present &&
-      isSameTerm(present, term) &&
+      latestTerm &&
+      isSameTerm(latestTerm, term) &&
       this.context.stage !== 'stopping'
     ) {
       this.heldTerm = term;
-      this.attempts = 0;
+      this.claimAttempts = 0;
       this.context.scheduler.activate(term);
     }
   }
 
-  private noteTerm(term: Term | undefined): void {
+  private updateCurrentTerm(term: Term | undefined): void {
     const isKnown =
       term === undefined ||
-      (this.presentTerm !== undefined && isSameTerm(term, this.presentTerm));
+      (this.currentTerm !== undefined && isSameTerm(term, this.currentTerm));
     if (!isKnown) {
-      this.presentTerm = term;
+      this.currentTerm = term;
       this.termSeenAt = this.context.clock.now();
     }
   }
 
-  private describe(now: Instant): ClaimSituation {
-    const {context: node} = this;
-    this.takeovers = this.takeovers.filter(at => now - at < TAKEOVER_WINDOW_MS);
-    const holder = this.presentTerm?.instance;
-    const status = node.mesh
+  private createSituation(now: Instant): ClaimSituation {
+    const {context} = this;
+    this.takeoverTimes = this.takeoverTimes.filter(
+      at => now - at < TAKEOVER_WINDOW_MS,
+    );
+    const holder = this.currentTerm?.instance;
+    const status = context.mesh
       .listPeers()
       .find(peer => peer.address.instance === holder);
-    const heardAt =
-      holder === undefined ? undefined : node.mesh.findLastHeardAt(holder);
+    const lastHeardAt =
+      holder === undefined ? undefined : context.mesh.findLastHeardAt(holder);
     return {
       now,
       domain: this.domain,
-      self: node.settings.instance,
-      isSelfReady: isEligible(node),
-      isSelfLeaving: node.stage === 'stopping',
-      currentTerm: this.presentTerm,
+      self: context.settings.instance,
+      isSelfReady: isEligible(context),
+      isSelfLeaving: context.stage === 'stopping',
+      currentTerm: this.currentTerm,
       termSeenAt: this.termSeenAt,
       heldTerm: this.heldTerm,
-      eligibleInstances: node.mesh.listEligible(this.domain, now),
-      holderLastHeardAt: heardAt,
+      eligibleInstances: context.mesh.listEligible(this.domain, now),
+      holderLastHeardAt: lastHeardAt,
       holderLeavingSince: status?.leavingSince,
       holderNotReadySince: status?.notReadySince,
-      recentTakeovers: this.takeovers.length,
+      recentTakeovers: this.takeoverTimes.length,
       notBefore: this.notBefore,
-      suspectMs: node.settings.timings.suspectMs,
+      suspectMs: context.settings.timings.suspectMs,
     };
   }
 }
--- a/packages/daemon/src/roles/peer_catch_up.ts
+++ b/packages/daemon/src/roles/peer_catch_up.ts
@@ -1,6 +1,6 @@
 /**
- * Reads the log through peers while the log itself cannot be reached: a cut
- * between this failure domain and the platform need not stop it.
+ * Catches up from peers while the log cannot be read, so that a network
+ * partition between this failure domain and the platform does not stop it.
  */
 import {
   PeerStateSource,
@@ -11,38 +11,38 @@
 import {type Milliseconds, describeError, isFailure} from '@galenavalve/shared';
 import type {DaemonContext} from '../daemon_context.js';
 
-/** Time between two pulls while the log cannot be read. */
+/** Time between two requests to peers while the log cannot be read. */
 const PULL_INTERVAL_MS: Milliseconds = 500;
 
-/** After how long a pull is given up. */
+/** Timeout of a request for records. */
 const PULL_TIMEOUT_MS: Milliseconds = 1_500;
 
-/** After how long a peer is given up that offers its state. */
+/** Timeout of each call of a state transfer. */
 const STATE_TIMEOUT_MS: Milliseconds = 5_000;
 
-/** Pulls records from the peer that is farthest ahead, whenever own reads fail. */
+/** Fetches records from the peer with the highest offset whenever the log cannot be read. Runs until `signal` aborts. */
 export async function catchUpFromPeers(
   context: DaemonContext,
   signal: AbortSignal,
 ): Promise<void> {
   while (!signal.aborted) {
     await context.clock.sleep(PULL_INTERVAL_MS, signal);
-    if (!signal.aborted && isCutOff(context)) {
+    if (!signal.aborted && isLogUnreachable(context)) {
       await pullOnce(context);
     }
   }
 }
 
-/** The states of the peers in reach that are ahead, for a process that starts. */
+/** Returns the alive peers with a report as sources of a state, for a process that starts. */
 export function listStateSources(context: DaemonContext): StateSource[] {
   const call = context.mesh.call.bind(context.mesh);
-  return listSources(context).map(
+  return listRecordSources(context).map(
     ({instance}) => new PeerStateSource(instance, call, STATE_TIMEOUT_MS),
   );
 }
 
-/** Tells whether no read of the log has been answered for longer than reads take. */
-function isCutOff(context: DaemonContext): boolean {
+/** Returns whether the last successful read of the log is longer ago than two reads may take, or 75 % of the freshness bound if that is longer. */
+function isLogUnreachable(context: DaemonContext): boolean {
   const readAt = context.follower.getFreshAt() ?? -Infinity;
   const {logWaitMs, freshnessMs} = context.settings.timings;
   return (
@@ -54,7 +54,7 @@
   try {
     const page = await pullRecords(
       context.state.nextOffset,
-      listSources(context),
+      listRecordSources(context),
       context.mesh.call.bind(context.mesh),
       PULL_TIMEOUT_MS,
     );
@@ -70,7 +70,7 @@
       });
     }
   } catch (error) {
-    // A peer that no longer keeps the records can still hand over its state.
+    // A peer that no longer caches the records can still transfer its state.
     const level = isFailure(error, 'offset-expired') ? 'warn' : 'info';
     context.logger[level]('pull-failed', {
       problem: describeError(error),
@@ -78,7 +78,8 @@
   }
 }
 
-function listSources(context: DaemonContext): RecordSource[] {
+/** Lists the alive peers with a report. */
+function listRecordSources(context: DaemonContext): RecordSource[] {
   const now = context.clock.now();
   return context.mesh
     .listPeers()
--- a/packages/daemon/src/roles/peer_handlers.ts
+++ b/packages/daemon/src/roles/peer_handlers.ts
@@ -1,4 +1,4 @@
-/** What this instance answers to its peers. */
+/** Request handlers of the peer protocol. */
 import {z} from 'zod';
 import {encodeStateAsync} from '@galenavalve/ledger';
 import {
@@ -15,18 +15,18 @@
 import type {PeerServer} from '@galenavalve/wire';
 import type {DaemonContext} from '../daemon_context.js';
 
-/** Method that asks a domain's scheduler what a job waits for. */
+/** Method of the peer protocol that requests from a domain's scheduler the reason why a job waits. */
 export const WAIT_REASON_METHOD = 'wait-reason';
 
-const waitQuestion = z.strictObject({jobId: z.string().max(100)});
+const waitReasonRequest = z.strictObject({jobId: z.string().max(100)});
 
-/** Registers every method. Returns what frees the memory of unused offers. */
+/** Registers the handlers. Returns the state server, whose unused offers the caller must drop periodically. */
 export function registerPeerHandlers(
   context: DaemonContext,
   server: PeerServer,
-  relay: RecordCache,
+  recordCache: RecordCache,
 ): StateServer {
-  server.handle(WAIT_REASON_METHOD, waitQuestion, async ({jobId}) => {
+  server.handle(WAIT_REASON_METHOD, waitReasonRequest, async ({jobId}) => {
     const reason = context.scheduler.getWaitReason(jobId);
     if (!reason) {
       throw new Failure('not-found', {kind: 'waiting reason', id: jobId});
@@ -34,16 +34,16 @@
     return reason;
   });
   server.handle(RECORDS_METHOD, recordsRequest, async request =>
-    relay.readPage(request),
+    recordCache.readPage(request),
   );
-  const states = new StateServer(() => encodeState(context));
+  const stateServer = new StateServer(() => encodeState(context));
   server.handle(STATE_OPEN_METHOD, emptyBody, () =>
-    states.open(context.clock.now()),
+    stateServer.open(context.clock.now()),
   );
   server.handle(STATE_SECTION_METHOD, sectionRequest, request =>
-    states.readSection(request, context.clock.now()),
+    stateServer.readSection(request, context.clock.now()),
   );
-  return states;
+  return stateServer;
 }
 
 function encodeState(context: DaemonContext) {
--- a/packages/daemon/src/roles/queue_moves.ts
+++ b/packages/daemon/src/roles/queue_moves.ts
@@ -1,17 +1,17 @@
-/** Chooses where to send a queued job that its failure domain cannot serve. */
+/** Chooses another failure domain for a queued job that its own domain cannot serve. */
 import {findMove} from '@galenavalve/placement';
 import {toWaitingJob} from '@galenavalve/scheduler';
 import type {Reason} from '@galenavalve/model';
 import {summarizeDomains} from '../commands/route_job.js';
 import type {DaemonContext} from '../daemon_context.js';
 
-/** Where a queued job is sent, and why. */
+/** The failure domain to which a queued job is moved, and the reason. */
 export interface QueueMove {
   domain: string;
   reason: Reason;
 }
 
-/** A better domain for the job, or undefined. `now` is wall-clock time. */
+/** Returns a better domain for the job, if there is one. `now` is wall-clock time. */
 export function chooseMove(
   context: DaemonContext,
   jobId: string,
@@ -27,7 +27,7 @@
   if (!from) {
     return undefined;
   }
-  const arrivedAt = job.lastUnplacedAt ?? job.submittedAt;
-  const move = findMove(waiting, from, summaries, arrivedAt, now);
+  const queuedAt = job.lastUnplacedAt ?? job.submittedAt;
+  const move = findMove(waiting, from, summaries, queuedAt, now);
   return move && {domain: move.to, reason: move.reason};
 }
--- a/packages/daemon/src/roles/record_caching_log.ts
+++ b/packages/daemon/src/roles/record_caching_log.ts
@@ -1,4 +1,4 @@
-/** Notes what is read of the log, so that it can be relayed to peers. */
+/** Caches the records that are read from the log, so that they can be served to peers. */
 import type {
   AppendReceipt,
   Log,
@@ -8,23 +8,25 @@
 import type {RecordCache} from '@galenavalve/membership';
 import type {Milliseconds} from '@galenavalve/shared';
 
-/** A log whose reads are kept in a relay. */
+/** A log that adds the records of every read to a record cache. */
 export class RecordCachingLog implements Log {
   constructor(
     private readonly log: Log,
-    private readonly relay: RecordCache,
+    private readonly recordCache: RecordCache,
   ) {}
 
+  /** Appends to the log unchanged. */
   append(
     values: readonly unknown[],
-    timeout: Milliseconds,
+    timeoutMs: Milliseconds,
   ): Promise<AppendReceipt> {
-    return this.log.append(values, timeout);
+    return this.log.append(values, timeoutMs);
   }
 
+  /** Reads a page and adds its records to the cache. */
   async read(offset: number, options: ReadOptions): Promise<LogPage> {
     const page = await this.log.read(offset, options);
-    this.relay.add(page.entries, page.nextOffset);
+    this.recordCache.add(page.entries, page.nextOffset);
     return page;
   }
 }
--- a/packages/daemon/src/roles/start_blocker.ts
+++ b/packages/daemon/src/roles/start_blocker.ts
@@ -1,9 +1,9 @@
-/** Why nothing may start in this failure domain at the moment. */
+/** Start blocker: the reason why no work may start now. */
 import {type Reason, createReason} from '@galenavalve/model';
 import type {Instant} from '@galenavalve/shared';
 import type {DaemonContext} from '../daemon_context.js';
 
-/** The reason that bars a start on `targets`, or undefined. */
+/** Returns the reason why no work may start on `targets` now: the state is not fresh, or the domain or a target is out of service. */
 export function findStartBlocker(
   context: DaemonContext,
   now: Instant,
--- a/packages/daemon/src/settings/load_settings.ts
+++ b/packages/daemon/src/settings/load_settings.ts
@@ -1,16 +1,16 @@
-/** Reads and checks the settings file. */
+/** Reads and validates the settings file. */
 import {readFileSync} from 'node:fs';
 import {type ParseError, parse, printParseErrorCode} from 'jsonc-parser';
 import type {z} from 'zod';
 import {Failure, describeError} from '@galenavalve/shared';
 import {type Settings, settings} from './settings.js';
 
-/** Reads `file`. Throws `settings-invalid`, which names the key, the file and the remedy. */
+/** Reads and parses `file`. Throws `settings-invalid`, which names the key, the file and the remedy. */
 export function loadSettings(file: string): Settings {
   return parseSettings(readText(file), file);
 }
 
-/** Checks the text of a settings file. */
+/** Parses the text of a settings file. `file` is its name in errors. Throws `settings-invalid`. */
 export function parseSettings(text: string, file: string): Settings {
   const errors: ParseError[] = [];
   const value: unknown = parse(text, errors, {allowTrailingComma: true});
@@ -18,14 +18,14 @@
   if (first) {
     throw new Failure('settings-invalid', {
       file,
-      key: `line ${lineAt(text, first.offset)}`,
-      problem: `it is not JSON with comments (${printParseErrorCode(first.error)})`,
-      remedy: 'mend the syntax at that line',
+      key: `line ${getLineNumber(text, first.offset)}`,
+      problem: `invalid JSON with comments (${printParseErrorCode(first.error)})`,
+      remedy: 'fix the syntax error in that line',
     });
   }
   const result = settings.safeParse(value);
   if (!result.success) {
-    throw describeIssue(file, result.error.issues);
+    throw createIssueFailure(file, result.error.issues);
   }
   return result.data;
 }
@@ -37,13 +37,13 @@
     throw new Failure('settings-invalid', {
       file,
       key: 'file',
-      problem: `it cannot be read (${describeError(error)})`,
-      remedy: 'name a settings file that exists and may be read',
+      problem: `the file cannot be read (${describeError(error)})`,
+      remedy: 'pass a settings file that exists and is readable',
     });
   }
 }
 
-function describeIssue(file: string, issues: z.core.$ZodIssue[]): Failure {
+function createIssueFailure(file: string, issues: z.core.$ZodIssue[]): Failure {
   const issue = issues[0];
   const path = issue?.path.join('.') ?? '';
   if (issue?.code === 'unrecognized_keys') {
@@ -51,19 +51,19 @@
     return new Failure('settings-invalid', {
       file,
       key,
-      problem: 'there is no such setting',
-      remedy: `remove ${key}, or look its name up in docs/operators/settings.md`,
+      problem: 'unknown setting',
+      remedy: `remove ${key}, or correct its name as in docs/operators/settings.md`,
     });
   }
   const key = path || 'file';
   return new Failure('settings-invalid', {
     file,
     key,
-    problem: issue?.message ?? 'it is not valid',
-    remedy: `set ${key} as docs/operators/settings.md says`,
+    problem: issue?.message ?? 'invalid value',
+    remedy: `set ${key} as described in docs/operators/settings.md`,
   });
 }
 
-function lineAt(text: string, offset: number): number {
+function getLineNumber(text: string, offset: number): number {
   return text.slice(0, offset).split('\n').length;
 }
--- a/packages/daemon/src/tokens.ts
+++ b/packages/daemon/src/tokens.ts
@@ -1,18 +1,18 @@
-/** Names of the parts in the container. */
+/** Tokens of the dependency injection container. */
 export const tokens = {
   settings: Symbol('settings'),
   clock: Symbol('clock'),
   logger: Symbol('logger'),
   random: Symbol('random'),
-  /** The platform's log itself. */
+  /** The platform's log, without the record cache. */
   platformLog: Symbol('platform log'),
-  /** The log as the ledger reads it; what is read is kept for peers. */
+  /** The log as the ledger reads it; caches the records that are read for peers. */
   log: Symbol('log'),
   recordCache: Symbol('record cache'),
   ledgerOptions: Symbol('ledger options'),
-  /** The platform's list itself. */
+  /** The platform's instance list. */
   platformList: Symbol('platform list'),
-  /** The list as the daemon reads and observes it. */
+  /** The instance list as the daemon reads it, with listeners. */
   instanceList: Symbol('instance list'),
   targetClient: Symbol('target client'),
   policy: Symbol('policy'),
