Name the log events of leadership, runs and targets in the terms of the field

Cause: the events office-claimed, office-held, office-not-held, office-lost, claim-left, run-still, target-reborn, target-succeeded and stray-stopped used words that the code and the documents no longer have.

Ruled out: keeping the old names as aliases. No program matches them: `galenavalve trace` selects lines by their fields and prints whatever event they name, so it still reads logs of older builds.

No test matched an old name.

--- a/packages/dispatch/src/dispatch_service.ts
+++ b/packages/dispatch/src/dispatch_service.ts
@@ -200,14 +200,14 @@
       const isCurrent = await this.follower.readToEnd(CLAIM_TIMEOUT_MS);
       const isVacant = this.monitor.isClaimDue(clock.now());
       if (!isCurrent || !isVacant || this.isClosed) {
-        logger.info('claim-left', {attempt, isCurrent, isVacant});
+        logger.info('claim-abandoned', {attempt, isCurrent, isVacant});
         return;
       }
       const leadership: Leadership = {
         epoch: chooseNextEpoch(table.leadership, random),
         holder: this.leaderName,
       };
-      logger.info('office-claimed', {
+      logger.info('leadership-claimed', {
         epoch: leadership.epoch,
         before: table.leadership,
         attempt,
@@ -229,7 +229,7 @@
         await this.dispatch(leadership, clock.now());
         return;
       }
-      logger.info('office-not-held', {epoch: leadership.epoch, result});
+      logger.info('leadership-not-held', {epoch: leadership.epoch, result});
       if (result.kind !== 'moved') {
         this.monitor.onClaimFailed(clock.now());
         return;
@@ -275,7 +275,7 @@
       return;
     }
     this.dispatcher = dispatcher;
-    this.dependencies.logger.info('office-held', {
+    this.dependencies.logger.info('leadership-held', {
       epoch: leadership.epoch,
       targets: targets.length,
     });
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -284,7 +284,7 @@
   /** Ends leadership, since the log or a target has seen a higher epoch. */
   onFenced(): void {
     if (!this.isClosed) {
-      this.dependencies.logger.warn('office-lost', {epoch: this.epoch});
+      this.dependencies.logger.warn('leadership-lost', {epoch: this.epoch});
       this.close();
       this.dependencies.onLeadershipLost();
     }
--- a/packages/dispatch/src/incarnation_cleanup.ts
+++ b/packages/dispatch/src/incarnation_cleanup.ts
@@ -25,7 +25,7 @@
    * `next`.
    */
   onReplaced(target: TargetState, next: TargetState): void {
-    this.logger.info('target-reborn', {
+    this.logger.info('target-restarted', {
       target: target.info.id,
       from: target.info.born,
       to: next.info.born,
@@ -46,7 +46,7 @@
    * commands to it are refused.
    */
   onAddressReassigned(target: TargetState): void {
-    this.logger.info('target-succeeded', {
+    this.logger.info('target-address-reassigned', {
       target: target.info.id,
       runs: target.allocations.size,
     });
--- a/packages/dispatch/src/stragglers.ts
+++ b/packages/dispatch/src/stragglers.ts
@@ -104,7 +104,7 @@
     ({percent}) => percent <= maxPercent - MIN_LAG_PERCENT,
   );
   const suspects = unit.allocations.length === 1 ? unit.allocations : lagging;
-  logger.warn('run-still', {
+  logger.warn('run-stalled', {
     job: unit.job.id,
     step: unit.stepIndex,
     unit: unit.unitIndex,
--- a/packages/scheduler/src/takeover.ts
+++ b/packages/scheduler/src/takeover.ts
@@ -141,7 +141,7 @@
       ) {
         continue;
       }
-      context.logger.warn('stray-stopped', {
+      context.logger.warn('orphan-stopped', {
         target,
         jobId: lease.jobId,
         attempt: lease.attempt,
