--- a/packages/bench/__tests__/fit.spec.ts
+++ b/packages/bench/__tests__/fit.spec.ts
@@ -1,13 +1,13 @@
 import t from 'tap';
 import {fitLine} from '../src/slopes/fit.js';
 
-t.test('a fitted line', async t => {
-  t.test('goes through points on a line', async t => {
+t.test('fitLine', async t => {
+  t.test('fits points on a line exactly', async t => {
     const points = [1, 2, 5, 9].map(x => ({x, y: 7 + 3 * x}));
     t.match(fitLine(points), {slope: 3, intercept: 7, residual: 0});
   });
 
-  t.test('tells how far the points are from it', async t => {
+  t.test('reports the largest distance of a point as the residual', async t => {
     const points = [
       {x: 0, y: 0},
       {x: 1, y: 10},
--- a/packages/bench/src/decide/fixture.ts
+++ b/packages/bench/src/decide/fixture.ts
@@ -1,4 +1,4 @@
-/** Large domains, filled with running gangs, for measurements of single decisions. */
+/** Creates large domains with running gangs, in which `bench decide` measures single decisions. */
 import {
   type Configuration,
   type Domain,
@@ -9,42 +9,46 @@
 } from '@galenavalve/model';
 import {Cells, type WaitingJob, findBestFit} from '@galenavalve/placement';
 
-/** The size of one measured domain. */
+/** Size of one measured domain. */
 export interface DecideSize {
   targets: number;
   workspaces: number;
-  /** Running tasks. */
+  /** Number of running tasks. */
   tasks: number;
 }
 
 const TARGETS_PER_RACK = 8;
-const ACCELERATORS = 8;
-const SLOTS = 32;
-/** Racks that stay free for the measured gang. */
+const ACCELERATORS_PER_TARGET = 8;
+const SLOTS_PER_TARGET = 32;
+/** Number of racks that stay free for the measured gang. */
 const FREE_RACKS = 64;
-/** Share of the targets that is promised. */
-const PROMISED_SHARE = 0.5;
+/** Share of the targets that is guaranteed to workspaces. */
+const GUARANTEED_TARGET_SHARE = 0.5;
 
-/** Fills a domain; the last racks stay free as far as the inventory allows. */
+/** Creates a domain with running tasks; up to 64 of the last racks stay free, and at most half of all racks. */
 export function createFilledCells(size: DecideSize): Cells {
   const cells = new Cells('d', createConfiguration(size));
   const racks = [...cells.racks.values()];
   const freeRacks = Math.min(FREE_RACKS, Math.floor(racks.length / 2));
-  const used = racks.slice(0, racks.length - freeRacks);
-  const targets = used.flatMap(rack => rack.targets);
-  let count = 0;
-  for (let round = 0; count < size.tasks && round < SLOTS; round++) {
+  const usedRacks = racks.slice(0, racks.length - freeRacks);
+  const targets = usedRacks.flatMap(rack => rack.targets);
+  let taskCount = 0;
+  for (
+    let round = 0;
+    taskCount < size.tasks && round < SLOTS_PER_TARGET;
+    round++
+  ) {
     for (const target of targets) {
-      if (count < size.tasks) {
-        const mask = round < ACCELERATORS ? 1 << round : 0;
-        occupyOne(cells, target.id, count++, mask, size);
+      if (taskCount < size.tasks) {
+        const mask = round < ACCELERATORS_PER_TARGET ? 1 << round : 0;
+        addSingleTaskGang(cells, target.id, taskCount++, mask, size);
       }
     }
   }
   return cells;
 }
 
-/** A job of a workspace that waits. */
+/** Creates a waiting job; tasks default to 1 and adjacency to `domain`. */
 export function createWaitingJob(
   jobId: string,
   workspace: string,
@@ -72,12 +76,12 @@
   };
 }
 
-/** Whether the domain has a free place for a job. */
+/** Returns whether a job fits into the free capacity of the domain. */
 export function hasPlace(cells: Cells, job: WaitingJob): boolean {
   return findBestFit(cells, job) !== undefined;
 }
 
-function occupyOne(
+function addSingleTaskGang(
   cells: Cells,
   target: string,
   index: number,
@@ -110,17 +114,17 @@
     const target = createTarget(i);
     inventory.set(target.id, target);
   }
-  const count = Math.max(
+  const guaranteedTargets = Math.max(
     1,
-    Math.floor((targets * PROMISED_SHARE) / workspaces),
+    Math.floor((targets * GUARANTEED_TARGET_SHARE) / workspaces),
   );
-  const customers = new Map<string, Workspace>();
+  const workspaceEntities = new Map<string, Workspace>();
   for (let i = 0; i < workspaces; i++) {
-    customers.set(`w${i}`, {
+    workspaceEntities.set(`w${i}`, {
       kind: 'workspace',
       id: `w${i}`,
       weight: 1,
-      guarantees: [{level: 'target', count}],
+      guarantees: [{level: 'target', count: guaranteedTargets}],
       queueLimit: 1000,
       requiresApproval: false,
     });
@@ -128,7 +132,7 @@
   return {
     domains: new Map([['d', domain]]),
     targets: inventory,
-    workspaces: customers,
+    workspaces: workspaceEntities,
     rules: DEFAULT_RULES,
   };
 }
@@ -140,10 +144,10 @@
     domain: 'd',
     rack: `r${String(Math.floor(index / TARGETS_PER_RACK)).padStart(5, '0')}`,
     endpoint: 'http://127.0.0.1:1',
-    accelerators: ACCELERATORS,
+    accelerators: ACCELERATORS_PER_TARGET,
     processors: 64,
     memoryMb: 130_000,
-    slots: SLOTS,
+    slots: SLOTS_PER_TARGET,
     state: 'in-service',
   };
 }
--- a/packages/bench/src/dispatch/command.ts
+++ b/packages/bench/src/dispatch/command.ts
@@ -1,50 +1,54 @@
-/** `bench dispatch`: time of a dispatcher's pass over waiting jobs, and size of the records of wide jobs, by size. */
+/** Implements `bench dispatch`: time of a dispatch pass by cluster size, and size of the progress record of a job by its number of units. */
 import type {Command} from 'commander';
 import {decide} from '@galenavalve/dispatch';
 import {formatProgress, parseProgress} from '@galenavalve/workload';
 import {
   type DispatchSize,
-  createFullSituation,
+  createLoadedSnapshot,
   createWideProgress,
 } from './fixture.js';
 
-/** Figures of one pass. */
+/** Figures of a pass at one cluster size. */
 interface PassFigures extends DispatchSize {
-  /** Times in milliseconds. */
+  /** Median time, in milliseconds. */
   median: number;
+  /** Longest time, in milliseconds. */
   most: number;
   starts: number;
   stops: number;
 }
 
-/** Figures of the record of one job of single tasks that all run. */
+/** Figures of the progress record of one job whose single tasks all run. */
 interface RecordFigures {
   units: number;
-  /** Characters a unit. */
+  /** Characters of the record per unit. */
   perUnit: number;
-  /** Times to read what everybody needs, and the units, in milliseconds. */
+  /** Time to parse the summary alone. */
   summaryMs: number;
+  /** Time to parse the whole record with all units. */
   wholeMs: number;
 }
 
-const sizes: readonly DispatchSize[] = [
+const DISPATCH_SIZES: readonly DispatchSize[] = [
   {targets: 33, workspaces: 4, waiting: 1000},
   {targets: 245, workspaces: 10, waiting: 1000},
   {targets: 1000, workspaces: 60, waiting: 1000},
 ];
-const widths: readonly number[] = [138, 512, 4096];
+const JOB_UNIT_COUNTS: readonly number[] = [138, 512, 4096];
 const REPETITIONS = 15;
-const NOW = 100_000;
+const NOW_MS = 100_000;
 
-/** Adds `dispatch` to the command line. */
+/** Registers the command `dispatch`. */
 export function registerDispatchCommand(program: Command): void {
   program
     .command('dispatch')
-    .description('measures passes of the dispatcher, and records of wide jobs')
+    .description(
+      'measures dispatch passes, and progress records of jobs with many units',
+    )
     .option('--json', 'prints JSON')
     .action((options: {json?: boolean}) => {
-      const passes = sizes.map(measurePass);
-      const records = widths.map(measureRecord);
+      const passes = DISPATCH_SIZES.map(measurePass);
+      const records = JOB_UNIT_COUNTS.map(measureRecord);
       if (options.json) {
         console.log(JSON.stringify({passes, records}, null, 2));
       } else {
@@ -55,19 +59,19 @@
 }
 
 function measurePass(size: DispatchSize): PassFigures {
-  const situation = createFullSituation(size, NOW);
-  const times: number[] = [];
-  let decision = decide(situation, NOW);
+  const snapshot = createLoadedSnapshot(size, NOW_MS);
+  const timesMs: number[] = [];
+  let decision = decide(snapshot, NOW_MS);
   for (let i = 0; i < REPETITIONS; i++) {
     const startedAt = performance.now();
-    decision = decide(situation, NOW);
-    times.push(performance.now() - startedAt);
+    decision = decide(snapshot, NOW_MS);
+    timesMs.push(performance.now() - startedAt);
   }
-  times.sort((a, b) => a - b);
+  timesMs.sort((a, b) => a - b);
   return {
     ...size,
-    median: times[times.length >> 1]!,
-    most: times.at(-1)!,
+    median: timesMs[timesMs.length >> 1]!,
+    most: timesMs.at(-1)!,
     starts: decision.starts.length,
     stops: decision.stops.length,
   };
@@ -78,16 +82,16 @@
   return {
     units,
     perUnit: value.length / units,
-    summaryMs: averageTime(() => parseProgress(value)),
-    wholeMs: averageTime(() => parseProgress(value).read()),
+    summaryMs: measureMeanTimeMs(() => parseProgress(value)),
+    wholeMs: measureMeanTimeMs(() => parseProgress(value).read()),
   };
 }
 
-function averageTime(act: () => unknown): number {
-  act();
+function measureMeanTimeMs(action: () => unknown): number {
+  action();
   const startedAt = performance.now();
   for (let i = 0; i < REPETITIONS; i++) {
-    act();
+    action();
   }
   return (performance.now() - startedAt) / REPETITIONS;
 }
--- a/packages/bench/src/dispatch/fixture.ts
+++ b/packages/bench/src/dispatch/fixture.ts
@@ -1,4 +1,4 @@
-/** Full installations and wide jobs for `bench dispatch`. */
+/** Creates loaded clusters and jobs with many units for `bench dispatch`. */
 import {
   DEFAULT_SETTINGS,
   DurationEstimator,
@@ -14,33 +14,36 @@
   createOccurrence,
 } from '@galenavalve/workload';
 
-/** Size of one measurement. */
+/** Cluster size of one measurement. */
 export interface DispatchSize {
   targets: number;
   workspaces: number;
-  /** Jobs that wait. */
+  /** Number of waiting jobs. */
   waiting: number;
 }
 
-/** Targets of a rack, and racks of a failure domain, in the grown installations. */
+/** Targets of a rack at the size to which the clusters of the users grow. */
 const TARGETS_PER_RACK = 20;
-const DOMAINS = 7;
+/** Failure domains at that size. */
+const DOMAIN_COUNT = 7;
 
-/** Accelerators that each workspace is promised, together half of all. */
-const PROMISED_SHARE = 0.5;
+/** Share of all accelerators that is guaranteed, divided equally among the workspaces. */
+const GUARANTEED_ACCELERATOR_SHARE = 0.5;
 
 /** Every tenth target is half free. */
-const PARTLY_FREE = 10;
+const HALF_FREE_INTERVAL = 10;
 
-/** Targets that are full with work of low priority, and jobs of all priorities that wait. */
-export function createFullSituation(
+/** Creates a snapshot in which nearly all targets are full with low-priority work and jobs of all priorities wait. */
+export function createLoadedSnapshot(
   {targets, workspaces, waiting}: DispatchSize,
   now: number,
 ): SchedulingSnapshot {
-  const rooms = Array.from({length: targets}, (_, index) =>
-    createRoom(index, now),
+  const targetStates = Array.from({length: targets}, (_, index) =>
+    createTargetState(index, now),
+  );
+  const running = targetStates.map((targetState, index) =>
+    fillTarget(targetState, index, now),
   );
-  const running = rooms.map((room, index) => fill(room, index, now));
   const queue = Array.from({length: waiting}, (_, index) =>
     createJob(`w${index}`, index % 3, `w${index % workspaces}`, {
       count: 1 + (index % 16),
@@ -53,13 +56,18 @@
       },
     }),
   );
-  const promised = Math.floor((targets * 8 * PROMISED_SHARE) / workspaces);
+  const guaranteedAccelerators = Math.floor(
+    (targets * 8 * GUARANTEED_ACCELERATOR_SHARE) / workspaces,
+  );
   return {
     jobs: [...running, ...queue],
-    targets: rooms,
+    targets: targetStates,
     estimator: new DurationEstimator(),
     guarantees: new Map(
-      Array.from({length: workspaces}, (_, index) => [`w${index}`, promised]),
+      Array.from({length: workspaces}, (_, index) => [
+        `w${index}`,
+        guaranteedAccelerators,
+      ]),
     ),
     evacuated: new Set(),
     settings: DEFAULT_SETTINGS,
@@ -67,7 +75,7 @@
   };
 }
 
-/** Progress of a job of single tasks that all run, each with a checkpoint. */
+/** Creates the progress of a job whose single tasks all run, each with a checkpoint. */
 export function createWideProgress(units: number): Progress {
   const step = createStep({count: units});
   const occurrence = createOccurrence({payload: '', steps: [step]}, 0);
@@ -85,15 +93,15 @@
   };
 }
 
-function createRoom(index: number, now: number): TargetState {
+function createTargetState(index: number, now: number): TargetState {
   const rack = Math.floor(index / TARGETS_PER_RACK);
-  const room = new TargetState(
+  const targetState = new TargetState(
     {
       id: `t${index}`,
       born: 1,
       address: `t${index}`,
       pool: 'p',
-      domain: `d${rack % DOMAINS}`,
+      domain: `d${rack % DOMAIN_COUNT}`,
       rack: `r${rack}`,
       labels: [],
       capacity: {cpu: 64_000, memoryMb: 131_072, accelerators: 8},
@@ -101,26 +109,30 @@
     },
     0,
   );
-  room.hasListing = true;
-  room.lastResponseAt = now;
-  return room;
+  targetState.hasListing = true;
+  targetState.lastResponseAt = now;
+  return targetState;
 }
 
-/** A gang that takes the target, or half of it. */
-function fill(room: TargetState, index: number, now: number): ActiveJob {
-  const count = index % PARTLY_FREE === 0 ? 4 : 8;
-  const job = createJob(`r${index}`, 2, 'w0', {count, isGang: true});
+/** Allocates a gang that fills the target, or half of it. */
+function fillTarget(
+  targetState: TargetState,
+  index: number,
+  now: number,
+): ActiveJob {
+  const taskCount = index % HALF_FREE_INTERVAL === 0 ? 4 : 8;
+  const job = createJob(`r${index}`, 2, 'w0', {count: taskCount, isGang: true});
   const unit = job.units[0]!;
   unit.phase = 'running';
   unit.placedAt = now - 5000;
   unit.progress.run = 1;
-  for (let member = 0; member < count; member++) {
-    const booking = createAllocation(
+  for (let member = 0; member < taskCount; member++) {
+    const allocation = createAllocation(
       {
         task: `${job.id}.0.0.${member}`,
         run: 1,
         demand: unit.step.demand,
-        target: room,
+        target: targetState,
         unit,
         memberIndex: member,
         state: 'confirmed',
@@ -128,8 +140,8 @@
       },
       now - 5000,
     );
-    unit.allocations.push(booking);
-    room.allocate(booking);
+    unit.allocations.push(allocation);
+    targetState.allocate(allocation);
   }
   return job;
 }
--- a/packages/bench/src/fold/fold_records.ts
+++ b/packages/bench/src/fold/fold_records.ts
@@ -1,4 +1,4 @@
-/** A log of given sizes: an inventory, workspaces, and jobs in every phase. */
+/** Generates the records of a log of a given size: targets, workspaces, and jobs in every phase. */
 import {
   type Assignment,
   type Edit,
@@ -12,27 +12,27 @@
 } from '@galenavalve/model';
 import {hashValue} from '@galenavalve/shared';
 
-/** Sizes of the cluster and of its work. */
+/** Sizes of the cluster and of its workload. */
 export interface FoldSizes {
   domains: number;
   targets: number;
   workspaces: number;
   runningJobs: number;
-  /** Tasks of each gang. */
+  /** Number of tasks of each gang. */
   gangTasks: number;
   queuedJobs: number;
   finishedJobs: number;
-  /** Bytes of the result of each finished job. */
+  /** Size of the result of each finished job, in bytes. */
   resultBytes: number;
-  /** Changes of single targets after the first configuration. */
+  /** Number of changes of single targets after the first configuration. */
   changes: number;
 }
 
 const START_MS = 1_700_000_000_000;
 const TASKS_PER_TARGET = 8;
-const MAX_EDITS = 5000;
+const MAX_EDITS_PER_RECORD = 5000;
 
-/** The records, in log order. */
+/** Generates the records in log order. */
 export function* createRecords(sizes: FoldSizes): Generator<LogRecord> {
   let sequence = 0;
   for (const body of createBodies(sizes)) {
@@ -48,29 +48,29 @@
 }
 
 function* createBodies(sizes: FoldSizes): Generator<RecordBody> {
-  yield* configureAll(sizes);
+  yield* createConfigurationRecords(sizes);
   for (let d = 0; d < sizes.domains; d++) {
-    yield {type: 'claimed', domain: `d${d}`, term: termOf(d)};
+    yield {type: 'claimed', domain: `d${d}`, term: createTerm(d)};
   }
   for (let i = 0; i < sizes.finishedJobs; i++) {
-    yield* runJob(sizes, `f${i}`, i);
-    yield finishJob(sizes, `f${i}`, i);
+    yield* createRunningJobRecords(sizes, `f${i}`, i);
+    yield createFinishedRecord(sizes, `f${i}`, i);
   }
   for (let i = 0; i < sizes.runningJobs; i++) {
-    yield* runJob(sizes, `a${i}`, i);
+    yield* createRunningJobRecords(sizes, `a${i}`, i);
   }
   for (let i = 0; i < sizes.queuedJobs; i++) {
-    yield submitJob(sizes, `q${i}`, i);
+    yield createSubmittedRecord(sizes, `q${i}`, i);
   }
   for (let i = 0; i < sizes.changes; i++) {
-    yield changeTarget(sizes, i);
+    yield createTargetChange(sizes, i);
   }
 }
 
-function* configureAll(sizes: FoldSizes): Generator<RecordBody> {
+function* createConfigurationRecords(sizes: FoldSizes): Generator<RecordBody> {
   const entities = createEntities(sizes);
-  for (let start = 0; start < entities.length; start += MAX_EDITS) {
-    const values = entities.slice(start, start + MAX_EDITS);
+  for (let start = 0; start < entities.length; start += MAX_EDITS_PER_RECORD) {
+    const values = entities.slice(start, start + MAX_EDITS_PER_RECORD);
     const edits = values.map(value => createEdit(value, 0));
     yield createChange(`initial-${start}`, edits);
   }
@@ -116,7 +116,7 @@
   });
 }
 
-function changeTarget(sizes: FoldSizes, i: number): RecordBody {
+function createTargetChange(sizes: FoldSizes, i: number): RecordBody {
   const index = i % sizes.targets;
   const baseVersion = 1 + Math.floor(i / sizes.targets);
   const value = createTarget(sizes, index, i % 2 ? 'in-service' : 'leaving');
@@ -134,18 +134,18 @@
   };
 }
 
-function* runJob(
+function* createRunningJobRecords(
   sizes: FoldSizes,
   jobId: string,
   i: number,
 ): Generator<RecordBody> {
-  yield submitJob(sizes, jobId, i);
+  yield createSubmittedRecord(sizes, jobId, i);
   const domain = i % sizes.domains;
   const attempt = {
     jobId,
     attempt: 1,
     domain: `d${domain}`,
-    term: termOf(domain),
+    term: createTerm(domain),
   };
   yield {
     type: 'placed',
@@ -154,13 +154,17 @@
     guaranteed: true,
     reason: createReason('placed-guaranteed', {
       targets: `${Math.ceil(sizes.gangTasks / TASKS_PER_TARGET)} targets`,
-      workspace: workspaceOf(sizes, i),
+      workspace: getWorkspaceId(sizes, i),
     }),
   };
   yield {type: 'started', ...attempt};
 }
 
-function submitJob(sizes: FoldSizes, jobId: string, i: number): RecordBody {
+function createSubmittedRecord(
+  sizes: FoldSizes,
+  jobId: string,
+  i: number,
+): RecordBody {
   const request = createRequest(sizes, jobId, i);
   const domain = `d${i % sizes.domains}`;
   return {
@@ -176,7 +180,7 @@
 function createRequest(sizes: FoldSizes, jobId: string, i: number): JobRequest {
   return {
     requestId: `request-${jobId}`,
-    workspace: workspaceOf(sizes, i),
+    workspace: getWorkspaceId(sizes, i),
     gang: {
       tasks: sizes.gangTasks,
       perTask: {accelerators: 1, processors: 4, memoryMb: 8192},
@@ -192,7 +196,11 @@
   };
 }
 
-function finishJob(sizes: FoldSizes, jobId: string, i: number): RecordBody {
+function createFinishedRecord(
+  sizes: FoldSizes,
+  jobId: string,
+  i: number,
+): RecordBody {
   const domain = i % sizes.domains;
   const results = [`${i}-`.padEnd(sizes.resultBytes, 'x')];
   return {
@@ -200,7 +208,7 @@
     jobId,
     attempt: 1,
     domain: `d${domain}`,
-    term: termOf(domain),
+    term: createTerm(domain),
     outcome: 'succeeded',
     results,
     resultHash: hashValue(results),
@@ -209,15 +217,19 @@
   };
 }
 
-/** Whole targets of the gang's domain; the accelerators of the last may stay free. */
+/** Assigns whole targets of the gang's domain; accelerators of the last target can stay free. */
 function assignGang(sizes: FoldSizes, i: number): Assignment[] {
-  const perDomain = Math.floor(sizes.targets / sizes.domains);
-  const needed = Math.ceil(sizes.gangTasks / TASKS_PER_TARGET);
+  const targetsPerDomain = Math.floor(sizes.targets / sizes.domains);
+  const targetCount = Math.ceil(sizes.gangTasks / TASKS_PER_TARGET);
   const assignments: Assignment[] = [];
-  for (let part = 0; part < needed; part++) {
-    const firstTask = part * TASKS_PER_TARGET;
+  for (
+    let assignmentIndex = 0;
+    assignmentIndex < targetCount;
+    assignmentIndex++
+  ) {
+    const firstTask = assignmentIndex * TASKS_PER_TARGET;
     const tasks = Math.min(TASKS_PER_TARGET, sizes.gangTasks - firstTask);
-    const index = (i * needed + part) % perDomain;
+    const index = (i * targetCount + assignmentIndex) % targetsPerDomain;
     assignments.push({
       target: `target-${index * sizes.domains + (i % sizes.domains)}`,
       firstTask,
@@ -228,10 +240,10 @@
   return assignments;
 }
 
-function workspaceOf(sizes: FoldSizes, i: number): string {
+function getWorkspaceId(sizes: FoldSizes, i: number): string {
   return `workspace-${i % sizes.workspaces}`;
 }
 
-function termOf(domain: number) {
+function createTerm(domain: number) {
   return {log: 1, outage: 0, instance: `i${domain % 8}`};
 }
--- a/packages/bench/src/fold/measure_fold.ts
+++ b/packages/bench/src/fold/measure_fold.ts
@@ -1,4 +1,4 @@
-/** Measures how the ledger's fold grows with the cluster: rate, memory, and size of a snapshot. */
+/** Measures the fold of the ledger by cluster size: rate, memory, and size of a snapshot. */
 import {
   type LogEntry,
   LedgerState,
@@ -8,36 +8,36 @@
 } from '@galenavalve/ledger';
 import {createRecords, type FoldSizes} from './fold_records.js';
 
-/** Figures of one size. */
+/** Figures of one cluster size. */
 export interface FoldFigures extends FoldSizes {
   records: number;
   recordsPerSecond: number;
-  /** Milliseconds of the slowest single record, such as a configuration of the whole inventory. */
+  /** Time of the slowest single record, such as a configuration of all targets. */
   slowestRecordMs: number;
-  /** Growth of the heap by the whole state, in bytes; 0 where the runtime cannot collect on request. */
+  /** Heap growth by the whole state, in bytes; 0 when the runtime does not expose the garbage collector. */
   stateBytes: number;
   stateBytesPerJob: number;
-  /** Bytes of the snapshot's records, compressed and in base64. */
+  /** Size of the snapshot's records, compressed and base64-encoded, in bytes. */
   snapshotBytes: number;
   encodeMs: number;
   decodeMs: number;
 }
 
-/** Folds a log of the given sizes, and measures it. Run with `--expose-gc` for the memory. */
+/** Folds a log of the given sizes and measures it. Memory figures need the Node flag `--expose-gc`. */
 export function measureFold(sizes: FoldSizes): FoldFigures {
-  const before = usedHeap();
+  const heapBeforeBytes = measureUsedHeapBytes();
   const state = new LedgerState();
   let records = 0;
   let busyMs = 0;
   let slowestRecordMs = 0;
   for (const value of createRecords(sizes)) {
     const entry = parseEntry(records, value);
-    const took = timeOf(() => applyEntry(state, entry));
-    busyMs += took;
-    slowestRecordMs = Math.max(slowestRecordMs, took);
+    const durationMs = measureTimeMs(() => applyEntry(state, entry));
+    busyMs += durationMs;
+    slowestRecordMs = Math.max(slowestRecordMs, durationMs);
     records += 1;
   }
-  const stateBytes = usedHeap() - before;
+  const stateBytes = measureUsedHeapBytes() - heapBeforeBytes;
   const jobs = sizes.runningJobs + sizes.queuedJobs + sizes.finishedJobs;
   return {
     ...sizes,
@@ -54,10 +54,10 @@
   state: LedgerState,
 ): Pick<FoldFigures, 'snapshotBytes' | 'encodeMs' | 'decodeMs'> {
   let snapshot = encodeState(new LedgerState(), 'empty');
-  const encodeMs = timeOf(() => {
+  const encodeMs = measureTimeMs(() => {
     snapshot = encodeState(state, 'measured');
   });
-  const decodeMs = timeOf(() => decodeState(snapshot));
+  const decodeMs = measureTimeMs(() => decodeState(snapshot));
   const snapshotBytes = snapshot.sections.reduce(
     (sum, section) => sum + section.length,
     0,
@@ -69,18 +69,18 @@
   };
 }
 
-/** An entry as a reader gets it: parsed from text, so that nothing is shared with the writer. */
+/** Creates an entry as a reader receives it: parsed from text, so that it shares no objects with the writer. */
 function parseEntry(offset: number, value: unknown): LogEntry {
   return {offset, value: JSON.parse(JSON.stringify(value)) as unknown};
 }
 
-function timeOf(action: () => unknown): number {
-  const start = performance.now();
+function measureTimeMs(action: () => unknown): number {
+  const startedAt = performance.now();
   action();
-  return performance.now() - start;
+  return performance.now() - startedAt;
 }
 
-function usedHeap(): number {
+function measureUsedHeapBytes(): number {
   if (!global.gc) {
     return 0;
   }
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,2 +1,2 @@
-/** Benchmarks: policy, decision time, slopes and the whole path. */
+/** Benchmark program without a library interface; its command line is in main.ts. */
 export {};
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,4 +1,4 @@
-/** The benchmarks' command line: `npm run bench NAME -- [--json]`. */
+/** Command line of the benchmarks: `npm run bench NAME -- [--json]`. */
 import {Command} from 'commander';
 import {registerDecideCommand} from './decide/command.js';
 import {registerDispatchCommand} from './dispatch/command.js';
@@ -7,7 +7,7 @@
 import {registerSlopesCommand} from './slopes/command.js';
 
 const program = new Command('bench').description(
-  'Measures galenavalve; --json prints figures for programs.',
+  'Runs the benchmarks of galenavalve; --json prints the figures as JSON.',
 );
 registerPolicyCommand(program);
 registerDecideCommand(program);
--- a/packages/bench/src/path/command.ts
+++ b/packages/bench/src/path/command.ts
@@ -1,4 +1,4 @@
-/** `npm run bench path`: the whole path, with every process apart. */
+/** Implements `bench path`: measures submission and execution end to end, with every process separate. */
 import {mkdtempSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -8,36 +8,40 @@
 import {type DaemonLoad, measureLoad} from './daemon_load.js';
 import {type Throughput, measureThroughput} from './throughput.js';
 
-/** Time in which compilation and the first takeovers end. */
-const SETTLE_SECONDS = 15;
-const IDLE_SECONDS = 15;
-const QUEUE_LIMIT = 100_000;
+/** Time after which compilation and the first takeovers are over. */
+const WARM_UP_SECONDS = 15;
+const IDLE_MEASUREMENT_SECONDS = 15;
+const QUEUE_LIMIT_JOBS = 100_000;
 const HTTP_PORT_BASE = 18_300;
 const PEER_PORT_BASE = 19_300;
 
-/** Figures of the whole path. */
+/** End-to-end figures. */
 export interface PathFigures {
+  /** Load of each daemon without jobs. */
   idle: DaemonLoad[];
+  /** Load of each daemon during the throughput run. */
   loaded: DaemonLoad[];
   latencies: Latency[];
   throughput: Throughput;
 }
 
-/** Registers `path`. */
+/** Registers the command `path`. */
 export function registerPathCommand(program: Command): void {
   program
     .command('path')
-    .description('latency, throughput and load of the whole path')
+    .description(
+      'measures end-to-end latency, throughput and load of the daemons',
+    )
     .option('--json', 'print JSON', false)
     .option('--jobs <count>', 'jobs of each shape', Number, 60)
     .option('--seconds <count>', 'length of the throughput run', Number, 8)
     .action(async (options: {json: boolean; jobs: number; seconds: number}) => {
       const figures = await measurePath(options.jobs, options.seconds);
-      print(figures, options.json);
+      printFigures(figures, options.json);
     });
 }
 
-/** Starts a cluster of its own and measures it. */
+/** Starts a separate cluster, measures it and stops it. */
 export async function measurePath(
   jobs: number,
   seconds: number,
@@ -46,11 +50,13 @@
   const cluster = await startCluster(dir, {
     httpPortBase: HTTP_PORT_BASE,
     peerPortBase: PEER_PORT_BASE,
-    queueLimit: QUEUE_LIMIT,
+    queueLimit: QUEUE_LIMIT_JOBS,
   });
   try {
-    await pause(SETTLE_SECONDS);
-    const idle = await measureLoad(cluster, () => pause(IDLE_SECONDS));
+    await sleepSeconds(WARM_UP_SECONDS);
+    const idle = await measureLoad(cluster, () =>
+      sleepSeconds(IDLE_MEASUREMENT_SECONDS),
+    );
     const latencies = await measureLatencies(cluster, jobs);
     let throughput: Throughput | undefined;
     const loaded = await measureLoad(cluster, async () => {
@@ -62,20 +68,20 @@
   }
 }
 
-function print(figures: PathFigures, isJson: boolean): void {
+function printFigures(figures: PathFigures, isJson: boolean): void {
   if (isJson) {
     console.log(JSON.stringify(figures, null, 2));
     return;
   }
-  console.log('latency, milliseconds');
+  console.log('latency in milliseconds');
   console.table(figures.latencies);
-  console.log('a daemon while idle');
+  console.log('load of each daemon while idle');
   console.table(figures.idle);
-  console.log('a daemon under load');
+  console.log('load of each daemon during the throughput run');
   console.table(figures.loaded);
   console.table([figures.throughput]);
 }
 
-function pause(seconds: number): Promise<void> {
+function sleepSeconds(seconds: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, seconds * 1000));
 }
--- a/packages/bench/src/path/daemon_load.ts
+++ b/packages/bench/src/path/daemon_load.ts
@@ -1,4 +1,4 @@
-/** Processor time, memory and traffic of each daemon, from its own metrics. */
+/** Measures processor time, memory and traffic of each daemon from the metrics that it exports. */
 import got from 'got';
 import type {Cluster} from '@galenavalve/demo';
 
@@ -6,19 +6,19 @@
 export interface DaemonLoad {
   instance: string;
   isScheduler: boolean;
-  /** Share of one core in percent. */
+  /** Processor time as a share of one core, in percent. */
   cpuPercent: number;
   /** Resident memory at the end, in MiB. */
   rssMb: number;
-  /** Bytes a second with peers, both directions. */
+  /** Traffic with peers in both directions, in bytes per second. */
   peerBytesPerSecond: number;
-  /** Bytes a second with the log, the list and the targets, both directions. */
+  /** Traffic with the log, the instance list and the targets in both directions, in bytes per second. */
   platformBytesPerSecond: number;
 }
 
-type Sample = Map<string, number>;
+type MetricSample = Map<string, number>;
 
-/** Runs `work` and measures every daemon meanwhile. */
+/** Runs `work` and measures the load of every daemon during it. */
 export async function measureLoad(
   {entries}: Cluster,
   work: () => Promise<void>,
@@ -30,44 +30,47 @@
   const after = await Promise.all(urls.map(readMetrics));
   const seconds = (performance.now() - startedAt) / 1000;
   return entries.map(({instance}, index) =>
-    describeLoad(instance, before[index]!, after[index]!, seconds),
+    computeLoad(instance, before[index]!, after[index]!, seconds),
   );
 }
 
-async function readMetrics(url: string): Promise<Sample> {
+async function readMetrics(url: string): Promise<MetricSample> {
   const text = await got(`${url}/metrics`).text();
   const lines = text.split('\n').filter(line => line && !line.startsWith('#'));
   return new Map(
     lines.map(line => {
-      const split = line.lastIndexOf(' ');
-      return [line.slice(0, split), Number(line.slice(split + 1))];
+      const separator = line.lastIndexOf(' ');
+      return [line.slice(0, separator), Number(line.slice(separator + 1))];
     }),
   );
 }
 
-function describeLoad(
+function computeLoad(
   instance: string,
-  before: Sample,
-  after: Sample,
+  before: MetricSample,
+  after: MetricSample,
   seconds: number,
 ): DaemonLoad {
-  const rise = (key: string) =>
+  const ratePerSecond = (key: string) =>
     ((after.get(key) ?? 0) - (before.get(key) ?? 0)) / seconds;
-  const bytes = (name: string) =>
+  const bytesPerSecond = (name: string) =>
     Math.round(
-      rise(`${name}{direction="sent"}`) + rise(`${name}{direction="received"}`),
+      ratePerSecond(`${name}{direction="sent"}`) +
+        ratePerSecond(`${name}{direction="received"}`),
     );
-  const rss = after.get('galenavalve_process_resident_memory_bytes') ?? 0;
+  const rssBytes = after.get('galenavalve_process_resident_memory_bytes') ?? 0;
   return {
     instance,
     isScheduler: after.get('galenavalve_scheduler_active') === 1,
-    cpuPercent: round(rise('galenavalve_process_cpu_seconds') * 100),
-    rssMb: round(rss / 1024 / 1024),
-    peerBytesPerSecond: bytes('galenavalve_peer_bytes'),
-    platformBytesPerSecond: bytes('galenavalve_platform_bytes'),
+    cpuPercent: roundToHundredths(
+      ratePerSecond('galenavalve_process_cpu_seconds') * 100,
+    ),
+    rssMb: roundToHundredths(rssBytes / 1024 / 1024),
+    peerBytesPerSecond: bytesPerSecond('galenavalve_peer_bytes'),
+    platformBytesPerSecond: bytesPerSecond('galenavalve_platform_bytes'),
   };
 }
 
-function round(value: number): number {
+function roundToHundredths(value: number): number {
   return Math.round(value * 100) / 100;
 }
--- a/packages/bench/src/path/throughput.ts
+++ b/packages/bench/src/path/throughput.ts
@@ -1,35 +1,38 @@
-/** Requests a second that the entry instances hold. */
+/** Measures the rate of job submissions that the entry instances sustain. */
 import {build} from 'hdr-histogram-js';
 import type {Cluster} from '@galenavalve/demo';
 
-const CALLERS = 96;
-const RUN_MS = 5;
+const CALLER_COUNT = 96;
+const TASK_RUN_MS = 5;
 
-/** What callers saw who sent one request after another. */
+/** Figures of concurrent callers, each of which sends one request after another. */
 export interface Throughput {
   callers: number;
   seconds: number;
+  /** Responses with status 200 or 202. */
   accepted: number;
+  /** Responses with status 429 or 503: the job will not run. */
   notRun: number;
+  /** Responses with any other status. */
   other: number;
   acceptedPerSecond: number;
   acceptMsP50: number;
   acceptMsP99: number;
 }
 
-/** Lets callers submit small jobs for `seconds`, without waiting for their ends. */
+/** Submits small jobs from 96 concurrent callers for `seconds`, without waiting for the jobs to end. */
 export async function measureThroughput(
   {api}: Cluster,
   seconds: number,
 ): Promise<Throughput> {
-  const end = performance.now() + seconds * 1000;
+  const endAt = performance.now() + seconds * 1000;
   const latency = build();
   const counts = {accepted: 0, notRun: 0, other: 0};
-  let next = 0;
-  const call = async () => {
-    while (performance.now() < end) {
+  let nextIndex = 0;
+  const submitUntilEnd = async () => {
+    while (performance.now() < endAt) {
       const sentAt = performance.now();
-      const {status} = await api.submit(createDraft(next++), 0);
+      const {status} = await api.submit(createDraft(nextIndex++), 0);
       latency.recordValue(performance.now() - sentAt);
       if (status === 202 || status === 200) {
         counts.accepted++;
@@ -40,9 +43,9 @@
       }
     }
   };
-  await Promise.all(Array.from({length: CALLERS}, call));
+  await Promise.all(Array.from({length: CALLER_COUNT}, submitUntilEnd));
   return {
-    callers: CALLERS,
+    callers: CALLER_COUNT,
     seconds,
     ...counts,
     acceptedPerSecond: Math.round(counts.accepted / seconds),
@@ -62,6 +65,6 @@
     },
     expectedSeconds: 1,
     createdAt: Date.now(),
-    payload: {durationMs: RUN_MS},
+    payload: {durationMs: TASK_RUN_MS},
   };
 }
--- a/packages/bench/src/policy/command.ts
+++ b/packages/bench/src/policy/command.ts
@@ -1,4 +1,4 @@
-/** `bench policy`: completion time, fragmentation, goodput and promises of each policy. */
+/** Implements `bench policy`: completion time, fragmentation, goodput and guarantee violations of each policy. */
 import {
   FirstFitPolicy,
   GuaranteePolicy,
@@ -21,17 +21,17 @@
   policy?: string;
 }
 
-const policies: readonly Policy[] = [
+const POLICIES: readonly Policy[] = [
   new FirstFitPolicy(),
   new QuotaPolicy(),
   new GuaranteePolicy(),
 ];
 
-/** Adds `policy` to the command line. */
+/** Registers the command `policy`. */
 export function registerPolicyCommand(program: Command): void {
   program
     .command('policy')
-    .description('compares policies on the same seeded streams')
+    .description('compares policies on the same seeded workload streams')
     .option('--json', 'prints JSON')
     .option('--seeds <count>', 'number of seeds', '3')
     .option('--deployment <name>', 'only this deployment')
@@ -46,10 +46,12 @@
     });
 }
 
-/** Runs every policy on every stream that the options name. */
+/** Runs every policy on every workload stream that the options select. */
 export function runPolicies(options: PolicyOptions): RunFigures[] {
   const runs: RunFigures[] = [];
-  for (const deployment of DEPLOYMENTS.filter(isNamed(options.deployment))) {
+  for (const deployment of DEPLOYMENTS.filter(
+    matchesName(options.deployment),
+  )) {
     for (const scenario of SCENARIO_NAMES) {
       if (options.scenario && options.scenario !== scenario) {
         continue;
@@ -71,14 +73,12 @@
   const scenario = createScenario(deployment, name, seed);
   const {serviceMean, relaxedMean} = computeLowerBound(scenario.jobs);
   const bound = Math.max(serviceMean, relaxedMean);
-  return policies
-    .filter(isNamed(options.policy))
-    .map(policy =>
-      new PolicyRun(policy, deployment, scenario).run(seed, bound),
-    );
+  return POLICIES.filter(matchesName(options.policy)).map(policy =>
+    new PolicyRun(policy, deployment, scenario).run(seed, bound),
+  );
 }
 
-function isNamed(
+function matchesName(
   name: string | undefined,
 ): (item: {readonly name: string}) => boolean {
   return item => !name || item.name === name;
--- a/packages/bench/src/policy/deployment.ts
+++ b/packages/bench/src/policy/deployment.ts
@@ -1,4 +1,4 @@
-/** The two deployments of the benchmark, with the sizes of the users' letters. */
+/** Defines the two deployments of the policy benchmark, with the cluster sizes that their users specified. */
 import {
   type Adjacency,
   type Configuration,
@@ -9,38 +9,40 @@
   DEFAULT_RULES,
 } from '@galenavalve/model';
 
-/** A class of jobs. */
+/** Kind of job, with its size, run time and submitters. */
 export interface JobKind {
   name: string;
-  /** Share of the offered work, in accelerator seconds. */
+  /** Share of the offered work, which is measured in accelerator seconds. */
   workShare: number;
-  /** Numbers of tasks, one of which is chosen for each job. */
+  /** Possible numbers of tasks; each job draws one with equal probability. */
   tasks: readonly number[];
   acceleratorsPerTask: number;
   adjacency: Adjacency;
   /** Median run time, in seconds. */
   medianSeconds: number;
   checkpointable: boolean;
-  /** Workspaces that submit such jobs, with their shares. */
+  /** Share of these jobs by the workspace that submits them. */
   workspaces: Readonly<Record<string, number>>;
 }
 
-/** A user's workspaces and jobs. */
+/** Targets, workspaces and kinds of jobs of one user. */
 export interface Deployment {
   name: string;
+  /** Processors of one target. */
   processors: number;
+  /** Memory of one target, in MB. */
   memoryMb: number;
   guarantees: Readonly<Record<string, Guarantee[]>>;
   kinds: readonly JobKind[];
 }
 
-const DOMAINS = ['d1', 'd2', 'd3'];
+const DOMAIN_IDS = ['d1', 'd2', 'd3'];
 const TARGETS_PER_DOMAIN = 10;
 const TARGETS_PER_RACK = 8;
-const ACCELERATORS = 8;
+const ACCELERATORS_PER_TARGET = 8;
 
-/** Many short jobs of four teams; a few large ones. */
-const kestrelway: Deployment = {
+/** Deployment with many short jobs and few large ones, submitted by four teams. */
+const KESTRELWAY: Deployment = {
   name: 'kestrelway',
   processors: 64,
   memoryMb: 130_000,
@@ -84,8 +86,8 @@
   ],
 };
 
-/** Large layout jobs of the head office, and small previews of the workshops. */
-const txingudi: Deployment = {
+/** Deployment with large layout jobs of the head office and small preview jobs of the workshops. */
+const TXINGUDI: Deployment = {
   name: 'txingudi',
   processors: 32,
   memoryMb: 64_000,
@@ -129,17 +131,17 @@
   ],
 };
 
-/** Both deployments. */
-export const DEPLOYMENTS: readonly Deployment[] = [kestrelway, txingudi];
+/** Deployments on which policies are compared. */
+export const DEPLOYMENTS: readonly Deployment[] = [KESTRELWAY, TXINGUDI];
 
-/** The configuration of a deployment. */
+/** Creates the configuration of a deployment: three domains, their targets and its workspaces. */
 export function createDeploymentConfiguration(
   deployment: Deployment,
 ): Configuration {
   const domains = new Map<string, Domain>();
   const targets = new Map<string, Target>();
   const workspaces = new Map<string, Workspace>();
-  for (const id of DOMAINS) {
+  for (const id of DOMAIN_IDS) {
     domains.set(id, {kind: 'domain', id, region: 'r1', state: 'in-service'});
     for (let i = 0; i < TARGETS_PER_DOMAIN; i++) {
       const target = createTarget(deployment, id, i);
@@ -159,9 +161,9 @@
   return {domains, targets, workspaces, rules: DEFAULT_RULES};
 }
 
-/** Accelerators of all targets. */
+/** Accelerators of all targets of a deployment. */
 export const TOTAL_ACCELERATORS =
-  DOMAINS.length * TARGETS_PER_DOMAIN * ACCELERATORS;
+  DOMAIN_IDS.length * TARGETS_PER_DOMAIN * ACCELERATORS_PER_TARGET;
 
 function createTarget(
   {processors, memoryMb}: Deployment,
@@ -174,10 +176,10 @@
     domain,
     rack: `${domain}-r${Math.floor(index / TARGETS_PER_RACK)}`,
     endpoint: 'http://127.0.0.1:1',
-    accelerators: ACCELERATORS,
+    accelerators: ACCELERATORS_PER_TARGET,
     processors,
     memoryMb,
-    slots: ACCELERATORS,
+    slots: ACCELERATORS_PER_TARGET,
     state: 'in-service',
   };
 }
--- a/packages/bench/src/policy/domain_state.ts
+++ b/packages/bench/src/policy/domain_state.ts
@@ -1,4 +1,4 @@
-/** One failure domain in the event loop. */
+/** Simulates one failure domain during the run of a policy. */
 import type {CellLevel, Configuration} from '@galenavalve/model';
 import {
   Cells,
@@ -11,16 +11,16 @@
 import type {JobState} from './job_state.js';
 import {GuaranteeCheck} from './guarantee_check.js';
 
-/** Time within which promised work has to start, in seconds: the grace for victims and some passes. */
-const PROMISE_SECONDS = 10;
+/** Time within which guaranteed work has to start: the grace period of victims plus a few passes. */
+const GUARANTEE_START_LIMIT_SECONDS = 10;
 
-/** Cells, queue and promise checks of one domain. */
+/** Cells, queue and guarantee checks of one domain. */
 export class DomainState {
   readonly cells: Cells;
   readonly queue = new Map<string, JobState>();
   fragmentedAccelerators = 0;
   busyAccelerators = 0;
-  private backlogAt = -1;
+  private backlogComputedAtMs = -1;
   private backlogSeconds = 0;
   private readonly checks = new Map<string, GuaranteeCheck>();
 
@@ -31,30 +31,32 @@
   ) {
     this.cells = policy.createCells(id, configuration) as Cells;
     for (const workspace of configuration.workspaces.keys()) {
-      const promises = this.cells.guarantees.filter(
-        promise => promise.workspace === workspace,
+      const guarantees = this.cells.guarantees.filter(
+        guarantee => guarantee.workspace === workspace,
       );
-      this.checks.set(workspace, new GuaranteeCheck(this.cells, promises));
+      this.checks.set(workspace, new GuaranteeCheck(this.cells, guarantees));
     }
   }
 
-  /** Time in seconds that the domain's work takes, computed once a moment. */
-  getBacklogSeconds(now: number): number {
-    if (this.backlogAt !== now) {
-      this.backlogAt = now;
+  /** Estimates the time that the queued and running work takes, in seconds; computed once per instant `nowMs`. */
+  getBacklogSeconds(nowMs: number): number {
+    if (this.backlogComputedAtMs !== nowMs) {
+      this.backlogComputedAtMs = nowMs;
       this.backlogSeconds = estimateBacklog(
         this.cells,
         this.listWaitingJobs(),
-        now,
+        nowMs,
       );
     }
     return this.backlogSeconds;
   }
 
+  /** Lists the queued jobs as the input of a policy. */
   listWaitingJobs(): WaitingJob[] {
     return [...this.queue.values()].map(job => job.toWaitingJob());
   }
 
+  /** Starts a queued job as the given gang. */
   start(job: JobState, gang: RunningGang): void {
     this.cells.addGang(gang);
     this.queue.delete(gang.jobId);
@@ -62,82 +64,92 @@
     this.checks.get(gang.workspace)!.onStart(gang);
   }
 
+  /** Removes the gang of a job. */
   end(job: JobState): void {
     this.cells.removeGang(job.spec.id);
     this.busyAccelerators -= job.acceleratorCount;
     this.checks.get(job.spec.workspace)!.onEnd(job.spec.id);
   }
 
-  /** Accelerators of targets that can take work, and those that work on elsewhere in the domain. */
+  /** Counts the accelerators of schedulable targets, and the occupied accelerators of all other targets. */
   countUsableAccelerators(): number {
-    let capacity = 0;
+    let acceleratorCount = 0;
     for (const target of this.cells.targets.values()) {
       const canStart = this.cells.isInService && target.isSchedulable;
-      capacity += canStart
+      acceleratorCount += canStart
         ? target.spec.accelerators
         : target.spec.accelerators - target.freeAccelerators;
     }
-    return capacity;
+    return acceleratorCount;
   }
 
+  /** Updates `fragmentedAccelerators`; a domain that is out of service counts none. */
   measureFragmentation(): void {
     this.fragmentedAccelerators = this.cells.isInService
       ? countFragmentedAccelerators(
           this.cells,
           this.listWaitingJobs(),
-          this.promisedLevels(),
+          this.getGuaranteeLevels(),
         )
       : 0;
   }
 
-  /** Counts jobs whose promise is broken now for the first time. */
-  countViolations(now: number): number {
+  /** Counts the jobs whose guarantee is violated at `nowSeconds` for the first time. */
+  countViolations(nowSeconds: number): number {
     if (!this.cells.isInService) {
       return 0;
     }
-    const short = new Set(
+    const shortWorkspaces = new Set(
       this.cells.unplacedCells.map(({workspace}) => workspace),
     );
     let count = 0;
-    const fits = new Map<string, boolean>();
-    const largest = new Map<string, number>();
-    for (const job of this.inOrderOfArrival()) {
+    const fitsByShape = new Map<string, boolean>();
+    const largestQueued = new Map<string, number>();
+    for (const job of this.listByArrival()) {
       const {workspace} = job.spec;
       const key = `${workspace} ${JSON.stringify(job.spec.gang)}`;
-      if (!fits.has(key)) {
+      if (!fitsByShape.has(key)) {
         const check = this.checks.get(workspace)!;
-        fits.set(key, check.hasRoomFor(job.toWaitingJob()));
+        fitsByShape.set(key, check.hasRoomFor(job.toWaitingJob()));
       }
-      // Behind an older and larger job the order is the workspace's own.
-      const isBehind = (largest.get(workspace) ?? 0) > job.acceleratorCount;
-      largest.set(
+      // A workspace sets the order of its own jobs, so waiting behind an older and larger job is no violation.
+      const isBehind =
+        (largestQueued.get(workspace) ?? 0) > job.acceleratorCount;
+      largestQueued.set(
         workspace,
-        Math.max(largest.get(workspace) ?? 0, job.acceleratorCount),
+        Math.max(largestQueued.get(workspace) ?? 0, job.acceleratorCount),
       );
-      const isPromised = !short.has(workspace) && fits.get(key)! && !isBehind;
-      count += this.noteWait(job, isPromised, now) ? 1 : 0;
+      const isGuaranteed =
+        !shortWorkspaces.has(workspace) && fitsByShape.get(key)! && !isBehind;
+      count += this.updateGuaranteeWait(job, isGuaranteed, nowSeconds) ? 1 : 0;
     }
     return count;
   }
 
-  /** Notes whether a job waits against the promise; true when it is late for the first time. */
-  private noteWait(job: JobState, isPromised: boolean, now: number): boolean {
-    job.guaranteeUnmetSince = isPromised
-      ? (job.guaranteeUnmetSince ?? now)
+  /** Updates since when a job waits in spite of its guarantee; returns true when it is late for the first time. */
+  private updateGuaranteeWait(
+    job: JobState,
+    isGuaranteed: boolean,
+    nowSeconds: number,
+  ): boolean {
+    job.guaranteeUnmetSince = isGuaranteed
+      ? (job.guaranteeUnmetSince ?? nowSeconds)
       : undefined;
-    const isLate = now - (job.guaranteeUnmetSince ?? now) > PROMISE_SECONDS;
+    const isLate =
+      nowSeconds - (job.guaranteeUnmetSince ?? nowSeconds) >
+      GUARANTEE_START_LIMIT_SECONDS;
     const isNew = isLate && !job.isViolated;
     job.isViolated ||= isLate;
     return isNew;
   }
 
-  private inOrderOfArrival(): JobState[] {
+  private listByArrival(): JobState[] {
     return [...this.queue.values()].sort(
       (a, b) => a.spec.arrivalSeconds - b.spec.arrivalSeconds,
     );
   }
 
-  private promisedLevels(): Set<CellLevel> {
+  private getGuaranteeLevels(): Set<CellLevel> {
     const levels = new Set<CellLevel>();
     for (const {level} of this.cells.guarantees) {
       levels.add(level);
--- a/packages/bench/src/policy/fragmentation.ts
+++ b/packages/bench/src/policy/fragmentation.ts
@@ -1,4 +1,4 @@
-/** Free accelerators that no shape can use. */
+/** Measures fragmentation: free accelerators that no queued or guaranteed gang shape can use. */
 import type {CellLevel, GangShape} from '@galenavalve/model';
 import {
   type Cells,
@@ -9,19 +9,19 @@
   listHalfMasks,
 } from '@galenavalve/placement';
 
-/** Counts the free accelerators of a domain that neither a queued nor an promised shape can use. */
+/** Counts the free accelerators of a domain that neither a queued gang nor a guaranteed cell can use. */
 export function countFragmentedAccelerators(
   cells: Cells,
   queue: readonly WaitingJob[],
-  promisedLevels: ReadonlySet<CellLevel>,
+  guaranteeLevels: ReadonlySet<CellLevel>,
 ): number {
   const usable = new Map<TargetCell, number>();
-  const shapes = distinctShapes(queue);
+  const shapes = listDistinctShapes(queue);
   for (const {targets} of cells.racks.values()) {
     for (const target of targets) {
-      usable.set(target, guaranteedUsable(target, promisedLevels));
+      usable.set(target, countUsableByGuarantees(target, guaranteeLevels));
     }
-    if (promisedLevels.has('rack') && targets.every(isEmpty)) {
+    if (guaranteeLevels.has('rack') && targets.every(isEmpty)) {
       targets.forEach(target => usable.set(target, target.freeAccelerators));
     }
   }
@@ -35,7 +35,7 @@
   return fragmented;
 }
 
-function guaranteedUsable(
+function countUsableByGuarantees(
   target: TargetCell,
   levels: ReadonlySet<CellLevel>,
 ): number {
@@ -54,7 +54,7 @@
     .reduce((sum, half) => sum + countBits(half), 0);
 }
 
-/** Adds what a shape can use wherever a whole gang of it fits. */
+/** Marks accelerators as usable by a gang shape wherever a whole gang of that shape fits. */
 function markUsable(
   cells: Cells,
   gang: GangShape,
@@ -68,12 +68,12 @@
         ? groups
         : [groups.flat()];
   for (const scope of scopes) {
-    const fits = scope.map(target =>
+    const taskCounts = scope.map(target =>
       target.isSchedulable ? countFitting(target.free, gang.perTask) : 0,
     );
-    if (fits.reduce((sum, n) => sum + n, 0) >= gang.tasks) {
+    if (taskCounts.reduce((sum, n) => sum + n, 0) >= gang.tasks) {
       scope.forEach((target, i) => {
-        const count = fits[i]! * gang.perTask.accelerators;
+        const count = taskCounts[i]! * gang.perTask.accelerators;
         usable.set(target, Math.max(usable.get(target) ?? 0, count));
       });
     }
@@ -86,7 +86,7 @@
   );
 }
 
-function distinctShapes(queue: readonly WaitingJob[]): WaitingJob[] {
+function listDistinctShapes(queue: readonly WaitingJob[]): WaitingJob[] {
   const shapes = new Map<string, WaitingJob>();
   for (const job of queue) {
     shapes.set(JSON.stringify(job.gang), job);
--- a/packages/bench/src/policy/guarantee_check.ts
+++ b/packages/bench/src/policy/guarantee_check.ts
@@ -1,6 +1,6 @@
 /**
- * Checks promises in the same way for every policy: each workspace is compared
- * with a cluster of its own that consists of the cells it is promised.
+ * Checks guarantees in the same way for every policy: each workspace is compared
+ * with a dedicated cluster that consists of its guaranteed cells alone.
  */
 import type {CellLevel, Configuration, Target} from '@galenavalve/model';
 import {
@@ -11,60 +11,74 @@
   findBestFit,
 } from '@galenavalve/placement';
 
-/** The promised cells of one workspace in one domain, with what it runs. */
+/** Dedicated cluster of one workspace in one domain, with the gangs that the workspace runs. */
 export class GuaranteeCheck {
-  private readonly own: Cells;
-  /** Gangs that run beyond the promise. */
-  private readonly beyond = new Map<string, RunningGang>();
+  private readonly dedicatedCells: Cells;
+  /** Running gangs that do not fit into the guarantee. */
+  private readonly excessGangs = new Map<string, RunningGang>();
 
-  constructor(cells: Cells, promises: readonly DomainGuarantee[]) {
-    this.own = new Cells('own', toConfiguration(cells, promises));
+  constructor(cells: Cells, guarantees: readonly DomainGuarantee[]) {
+    this.dedicatedCells = new Cells(
+      'own',
+      createGuaranteeConfiguration(cells, guarantees),
+    );
   }
 
-  /** Whether the unused part of the promise holds a job. */
+  /** Returns whether a job fits into the unused part of the guarantee. */
   hasRoomFor(job: WaitingJob): boolean {
-    return findBestFit(this.own, {...job, avoidTargets: []}) !== undefined;
+    return (
+      findBestFit(this.dedicatedCells, {...job, avoidTargets: []}) !== undefined
+    );
   }
 
-  /** Counts a gang against the promise, now or as soon as it fits. */
+  /** Charges a gang to the guarantee, now or as soon as it fits. */
   onStart(gang: RunningGang): void {
-    if (!this.fit(gang)) {
-      this.beyond.set(gang.jobId, gang);
+    if (!this.addIfFits(gang)) {
+      this.excessGangs.set(gang.jobId, gang);
     }
   }
 
+  /** Removes a gang, and charges excess gangs that fit into the freed part. */
   onEnd(jobId: string): void {
-    this.own.removeGang(jobId);
-    this.beyond.delete(jobId);
-    for (const gang of [...this.beyond.values()]) {
-      if (this.fit(gang)) {
-        this.beyond.delete(gang.jobId);
+    this.dedicatedCells.removeGang(jobId);
+    this.excessGangs.delete(jobId);
+    for (const gang of [...this.excessGangs.values()]) {
+      if (this.addIfFits(gang)) {
+        this.excessGangs.delete(gang.jobId);
       }
     }
   }
 
-  private fit(gang: RunningGang): boolean {
-    const assignments = findBestFit(this.own, {...gang, avoidTargets: []});
+  private addIfFits(gang: RunningGang): boolean {
+    const assignments = findBestFit(this.dedicatedCells, {
+      ...gang,
+      avoidTargets: [],
+    });
     if (assignments) {
-      this.own.addGang({...gang, assignments, guaranteed: false});
+      this.dedicatedCells.addGang({...gang, assignments, guaranteed: false});
     }
     return assignments !== undefined;
   }
 }
 
-function toConfiguration(
+function createGuaranteeConfiguration(
   cells: Cells,
-  promises: readonly DomainGuarantee[],
+  guarantees: readonly DomainGuarantee[],
 ): Configuration {
   const [sample] = cells.targets.values();
   const targets = new Map<string, Target>();
-  let rack = 0;
-  for (const {level, count} of promises) {
+  let rackIndex = 0;
+  for (const {level, count} of guarantees) {
     for (let i = 0; i < count; i++) {
-      for (const target of toTargets(cells, sample!.spec, level, `r${rack}`)) {
+      for (const target of createCellTargets(
+        cells,
+        sample!.spec,
+        level,
+        `r${rackIndex}`,
+      )) {
         targets.set(target.id, target);
       }
-      rack++;
+      rackIndex++;
     }
   }
   const domain = {
@@ -81,22 +95,22 @@
   };
 }
 
-function toTargets(
+function createCellTargets(
   cells: Cells,
   sample: Target,
   level: CellLevel,
   rack: string,
 ): Target[] {
   const accelerators = cells.getMaxCellSize(level);
-  const perTarget = Math.min(accelerators, sample.accelerators);
-  const share = perTarget / sample.accelerators;
-  const count = accelerators / perTarget;
+  const acceleratorsPerTarget = Math.min(accelerators, sample.accelerators);
+  const share = acceleratorsPerTarget / sample.accelerators;
+  const count = accelerators / acceleratorsPerTarget;
   return Array.from({length: count}, (_, i) => ({
     ...sample,
     id: `${rack}-t${i}`,
     domain: 'own',
     rack,
-    accelerators: perTarget,
+    accelerators: acceleratorsPerTarget,
     processors: sample.processors * share,
     memoryMb: sample.memoryMb * share,
     slots: Math.floor(sample.slots * share),
--- a/packages/bench/src/policy/job_state.ts
+++ b/packages/bench/src/policy/job_state.ts
@@ -1,23 +1,25 @@
-/** What the event loop knows of one job. */
+/** Tracks one job in the simulation of a policy. */
 import type {RunningGang, WaitingJob} from '@galenavalve/placement';
 import type {StreamJob} from './scenario.js';
 
-/** A job from its arrival to its end. */
+/** State of a job from its arrival to its end. */
 export class JobState {
-  /** Run time that is still missing, in seconds. */
+  /** Run time that is left, in seconds. */
   remainingSeconds: number;
   domain = '';
-  /** Seconds at which it came to its domain. */
+  /** Time at which the job entered the queue of its domain, in seconds. */
   arrivedAt: number;
-  /** Counts attempts, so that events of earlier ones are dropped. */
+  /** Number of the current attempt; events of earlier attempts are ignored. */
   attempt = 0;
   gang: RunningGang | undefined;
   avoidTargets: string[] = [];
+  /** Time at which the job ended, in seconds. */
   finishedAt: number | undefined;
-  /** Seconds since which it waits for gangs to stop. */
+  /** Time of the reclaim decision whose victims the job waits for, in seconds. */
   reclaimSince: number | undefined;
-  /** Seconds since which it waits although its workspace's unused promise holds it. */
+  /** Time since which the job waits although it fits into the unused guarantee of its workspace, in seconds. */
   guaranteeUnmetSince: number | undefined;
+  /** Whether the job has been counted as a violation of the guarantee. */
   isViolated = false;
 
   constructor(readonly spec: StreamJob) {
@@ -25,25 +27,26 @@
     this.arrivedAt = spec.arrivalSeconds;
   }
 
+  /** Accelerators of the whole gang. */
   get acceleratorCount(): number {
     const {tasks, perTask} = this.spec.gang;
     return tasks * perTask.accelerators;
   }
 
-  /** The job as a policy sees it. */
+  /** Returns the job as the input of a policy; `submittedAt` is in milliseconds. */
   toWaitingJob(): WaitingJob {
-    const {spec: stream} = this;
-    const share = this.remainingSeconds / stream.runSeconds;
+    const {spec} = this;
+    const remainingShare = this.remainingSeconds / spec.runSeconds;
     return {
-      jobId: stream.id,
-      workspace: stream.workspace,
-      gang: stream.gang,
-      kind: stream.kind,
+      jobId: spec.id,
+      workspace: spec.workspace,
+      gang: spec.gang,
+      kind: spec.kind,
       urgent: false,
       repeatable: true,
-      checkpointable: stream.checkpointable,
-      expectedSeconds: Math.max(1, stream.declaredSeconds * share),
-      submittedAt: stream.arrivalSeconds * 1000,
+      checkpointable: spec.checkpointable,
+      expectedSeconds: Math.max(1, spec.declaredSeconds * remainingShare),
+      submittedAt: spec.arrivalSeconds * 1000,
       avoidTargets: this.avoidTargets,
     };
   }
--- a/packages/bench/src/policy/lower_bound.ts
+++ b/packages/bench/src/policy/lower_bound.ts
@@ -1,61 +1,66 @@
-/** Completion times that no policy can beat. */
+/** Computes lower bounds of the mean completion time that no policy can beat. */
 import {Heap} from 'heap-js';
 import {TOTAL_ACCELERATORS} from './deployment.js';
 import type {StreamJob} from './scenario.js';
 
-/** Bounds of the mean completion time of a stream, in seconds. */
+/** Lower bounds of the mean completion time of a workload stream, in seconds. */
 export interface LowerBound {
-  /** Mean run time: as if no job ever waited. */
+  /** Mean run time, which is the mean completion time if no job waits. */
   serviceMean: number;
   /**
-   * Mean under shortest remaining work first on one machine as fast as all
-   * accelerators together, which any job may use whole.
+   * Mean completion time under shortest remaining work first on a single
+   * machine as fast as all accelerators together, which one job can use whole.
    */
   relaxedMean: number;
 }
 
-/** The bounds of a stream. */
+/** Computes the lower bounds of a workload stream. */
 export function computeLowerBound(jobs: readonly StreamJob[]): LowerBound {
-  const service = jobs.reduce((sum, {runSeconds: seconds}) => sum + seconds, 0);
+  const totalRunSeconds = jobs.reduce(
+    (sum, {runSeconds}) => sum + runSeconds,
+    0,
+  );
   return {
-    serviceMean: service / jobs.length,
-    relaxedMean: relaxedTotal(jobs) / jobs.length,
+    serviceMean: totalRunSeconds / jobs.length,
+    relaxedMean: computeRelaxedTotalSeconds(jobs) / jobs.length,
   };
 }
 
 interface RemainingWork {
-  arrival: number;
-  seconds: number;
+  arrivalSeconds: number;
+  /** Time that the work takes on the combined machine, in seconds. */
+  remainingSeconds: number;
 }
 
-function relaxedTotal(jobs: readonly StreamJob[]): number {
-  const heap = new Heap<RemainingWork>((a, b) => a.seconds - b.seconds);
+function computeRelaxedTotalSeconds(jobs: readonly StreamJob[]): number {
+  const heap = new Heap<RemainingWork>(
+    (a, b) => a.remainingSeconds - b.remainingSeconds,
+  );
   const arrivals = [...jobs].sort(
     (a, b) => a.arrivalSeconds - b.arrivalSeconds,
   );
-  let now = 0;
-  let total = 0;
+  let nowSeconds = 0;
+  let totalSeconds = 0;
   let next = 0;
   while (next < arrivals.length || heap.size() > 0) {
-    const arrivalAt = arrivals[next]?.arrivalSeconds ?? Infinity;
+    const nextArrivalSeconds = arrivals[next]?.arrivalSeconds ?? Infinity;
     const head = heap.peek();
-    if (head && now + head.seconds <= arrivalAt) {
+    if (head && nowSeconds + head.remainingSeconds <= nextArrivalSeconds) {
       heap.pop();
-      now += head.seconds;
-      total += now - head.arrival;
+      nowSeconds += head.remainingSeconds;
+      totalSeconds += nowSeconds - head.arrivalSeconds;
       continue;
     }
     if (head) {
-      head.seconds -= arrivalAt - now;
+      head.remainingSeconds -= nextArrivalSeconds - nowSeconds;
     }
-    const {
-      gang,
-      runSeconds: seconds,
-      arrivalSeconds: arrival,
-    } = arrivals[next++]!;
-    const work = gang.tasks * gang.perTask.accelerators * seconds;
-    now = arrivalAt;
-    heap.push({arrival, seconds: work / TOTAL_ACCELERATORS});
+    const {gang, runSeconds, arrivalSeconds} = arrivals[next++]!;
+    const work = gang.tasks * gang.perTask.accelerators * runSeconds;
+    nowSeconds = nextArrivalSeconds;
+    heap.push({
+      arrivalSeconds,
+      remainingSeconds: work / TOTAL_ACCELERATORS,
+    });
   }
-  return total;
+  return totalSeconds;
 }
--- a/packages/bench/src/policy/policy_run.ts
+++ b/packages/bench/src/policy/policy_run.ts
@@ -1,4 +1,4 @@
-/** Drives the decisions of one policy with one stream: arrivals, ends and disturbances in order of time. */
+/** Simulates one policy on one workload stream, with arrivals, ends and injected failures as timed events. */
 import type {Configuration} from '@galenavalve/model';
 import {
   type DomainSummary,
@@ -21,44 +21,49 @@
 } from './run_figures.js';
 import {STREAM_SECONDS, type Scenario} from './scenario.js';
 
-/** Accelerators from which a job counts as large. */
-const LARGE = 16;
+/** Smallest number of accelerators of a large job. */
+const LARGE_JOB_ACCELERATORS = 16;
 
-const TICK_SECONDS = 30;
-const BAD_TARGET_FAILS_AFTER_SECONDS = 5;
-const STOP_SECONDS = 0.2;
+/** Time between two checks for queued jobs to move to another domain. */
+const TICK_INTERVAL_SECONDS = 30;
+/** Time after which a task fails on a failing target. */
+const BAD_TARGET_FAILURE_DELAY_SECONDS = 5;
+/** Time that a gang without checkpoints takes to stop. */
+const STOP_DURATION_SECONDS = 0.2;
+/** Time between a change and the pass that reacts to it. */
 const PASS_DELAY_SECONDS = 0.5;
 
 interface TimedEvent {
-  at: number;
-  order: number;
+  atSeconds: number;
+  /** Keeps events of the same time in the order in which they were scheduled. */
+  sequence: number;
   apply: () => void;
 }
 
-/** One run; `run` gives its figures. */
+/** Run of one policy on one workload stream; an instance is used for a single call of `run`. */
 export class PolicyRun {
   private readonly events = new Heap<TimedEvent>(
-    (a, b) => a.at - b.at || a.order - b.order,
+    (a, b) => a.atSeconds - b.atSeconds || a.sequence - b.sequence,
   );
   private readonly domains: DomainState[];
   private readonly jobs = new Map<string, JobState>();
-  private readonly evidence: FailureTracker;
+  private readonly failureTracker: FailureTracker;
   private readonly badTargets = new Set<string>();
-  private readonly changed = new Set<DomainState>();
+  private readonly changedDomains = new Set<DomainState>();
   private readonly fragmentation = new TimeIntegral();
   private readonly usefulWork = new TimeIntegral();
-  private readonly allowedWork = new TimeIntegral();
+  private readonly attainableWork = new TimeIntegral();
   private readonly reclaimSeconds: number[] = [];
   private configuration: Configuration;
-  private now = 0;
-  private order = 0;
-  private isPassDue = false;
-  private unfinished = 0;
-  private outstanding = 0;
-  private wasted = 0;
-  private violations = 0;
+  private nowSeconds = 0;
+  private nextEventSequence = 0;
+  private isPassScheduled = false;
+  private unfinishedJobs = 0;
+  private outstandingAccelerators = 0;
+  private wastedAcceleratorSeconds = 0;
+  private guaranteeViolations = 0;
   private failedJobs = 0;
-  private largeWait = 0;
+  private maxLargeWaitSeconds = 0;
 
   constructor(
     private readonly policy: Policy,
@@ -66,199 +71,226 @@
     private readonly scenario: Scenario,
   ) {
     this.configuration = createDeploymentConfiguration(deployment);
-    this.evidence = new FailureTracker(this.configuration.rules);
+    this.failureTracker = new FailureTracker(this.configuration.rules);
     this.domains = [...this.configuration.domains.keys()].map(
       id => new DomainState(id, policy, this.configuration),
     );
-    this.schedule();
+    this.scheduleScenarioEvents();
   }
 
+  /** Runs until every job has ended, and returns the figures. */
   run(seed: number, boundMean: number): RunFigures {
-    while (this.unfinished > 0) {
+    while (this.unfinishedJobs > 0) {
       const event = this.events.pop()!;
-      this.advance(event.at);
+      this.advanceTo(event.atSeconds);
       event.apply();
       this.schedulePass();
     }
-    return this.toFigures(seed, boundMean);
+    return this.createFigures(seed, boundMean);
   }
 
   // Events
 
-  private schedule(): void {
-    for (const stream of this.scenario.jobs) {
-      const job = new JobState(stream);
-      this.jobs.set(stream.id, job);
-      this.unfinished++;
-      this.at(stream.arrivalSeconds, () => this.onArrival(job));
+  private scheduleScenarioEvents(): void {
+    for (const spec of this.scenario.jobs) {
+      const job = new JobState(spec);
+      this.jobs.set(spec.id, job);
+      this.unfinishedJobs++;
+      this.scheduleEvent(spec.arrivalSeconds, () => this.onArrival(job));
     }
     const {domainOut, badTargets} = this.scenario;
     if (domainOut) {
-      this.at(domainOut.from, () => this.setDomain('d2', 'out'));
-      this.at(domainOut.to, () => this.setDomain('d2', 'in-service'));
+      this.scheduleEvent(domainOut.from, () =>
+        this.setDomainState('d2', 'out'),
+      );
+      this.scheduleEvent(domainOut.to, () =>
+        this.setDomainState('d2', 'in-service'),
+      );
     }
     if (badTargets) {
-      this.at(badTargets.from, () => {
+      this.scheduleEvent(badTargets.from, () => {
         badTargets.ids.forEach(id => this.badTargets.add(id));
       });
-      this.at(badTargets.to, () => this.badTargets.clear());
+      this.scheduleEvent(badTargets.to, () => this.badTargets.clear());
     }
-    this.at(TICK_SECONDS, () => this.onTick());
+    this.scheduleEvent(TICK_INTERVAL_SECONDS, () => this.onTick());
   }
 
-  private at(at: number, apply: () => void): void {
-    this.events.push({at, order: this.order++, apply});
+  private scheduleEvent(atSeconds: number, apply: () => void): void {
+    this.events.push({
+      atSeconds,
+      sequence: this.nextEventSequence++,
+      apply,
+    });
   }
 
   private onArrival(job: JobState): void {
-    this.outstanding += job.acceleratorCount;
-    this.enqueue(job, this.route(job));
+    this.outstandingAccelerators += job.acceleratorCount;
+    this.enqueue(job, this.chooseJobDomain(job));
   }
 
   private onTick(): void {
     for (const domain of this.domains) {
       if (domain.queue.size > 0) {
-        this.moveFrom(domain);
-        this.changed.add(domain);
+        this.moveQueuedJobs(domain);
+        this.changedDomains.add(domain);
       }
     }
-    this.at(this.now + TICK_SECONDS, () => this.onTick());
+    this.scheduleEvent(this.nowSeconds + TICK_INTERVAL_SECONDS, () =>
+      this.onTick(),
+    );
   }
 
   private onFinish(job: JobState, attempt: number): void {
     if (job.attempt !== attempt || !job.gang) {
       return;
     }
-    const {spec: stream, gang} = job;
-    this.vacate(job);
+    const {spec, gang} = job;
+    this.removeGang(job);
     for (const {cells} of this.domains) {
-      const {workspace, kind, declaredSeconds, runSeconds: seconds} = stream;
-      cells.recordRunTime(workspace, kind, declaredSeconds, seconds);
+      const {workspace, kind, declaredSeconds, runSeconds} = spec;
+      cells.recordRunTime(workspace, kind, declaredSeconds, runSeconds);
     }
     gang.assignments.forEach(({target}) =>
-      this.evidence.recordSuccess(stream.id, target),
+      this.failureTracker.recordSuccess(spec.id, target),
     );
     job.remainingSeconds = 0;
-    this.end(job);
+    this.completeJob(job);
   }
 
-  /** A gang that was told to stop has stopped; checkpointable ones kept their progress. */
+  /** Handles the end of a stop; the progress of checkpointable gangs is kept, other progress is lost. */
   private onStopped(job: JobState, attempt: number, isRouted: boolean): void {
     if (job.attempt !== attempt || !job.gang) {
       return;
     }
-    const ran = this.now - job.gang.startedAt / 1000;
+    const ranSeconds = this.nowSeconds - job.gang.startedAt / 1000;
     if (job.spec.checkpointable) {
-      job.remainingSeconds = Math.max(0.1, job.remainingSeconds - ran);
+      job.remainingSeconds = Math.max(0.1, job.remainingSeconds - ranSeconds);
     } else {
-      this.wasted += ran * job.acceleratorCount;
+      this.wastedAcceleratorSeconds += ranSeconds * job.acceleratorCount;
     }
-    const domain = this.domainOf(job);
-    this.vacate(job);
-    this.enqueue(job, isRouted ? this.route(job) : domain);
+    const domain = this.getDomain(job);
+    this.removeGang(job);
+    this.enqueue(job, isRouted ? this.chooseJobDomain(job) : domain);
   }
 
   private onBadTarget(job: JobState, attempt: number, target: string): void {
     if (job.attempt !== attempt || !job.gang) {
       return;
     }
-    const domain = this.domainOf(job);
-    this.wasted += BAD_TARGET_FAILS_AFTER_SECONDS * job.acceleratorCount;
-    this.vacate(job);
-    this.evidence.recordFailure(job.spec.id, target, this.now * 1000);
-    this.applyStanding(domain, target);
-    if (this.evidence.isJobFailing(job.spec.id)) {
+    const domain = this.getDomain(job);
+    this.wastedAcceleratorSeconds +=
+      BAD_TARGET_FAILURE_DELAY_SECONDS * job.acceleratorCount;
+    this.removeGang(job);
+    this.failureTracker.recordFailure(
+      job.spec.id,
+      target,
+      this.nowSeconds * 1000,
+    );
+    this.applyQuarantineState(domain, target);
+    if (this.failureTracker.isJobFailing(job.spec.id)) {
       this.failedJobs++;
-      this.end(job);
+      this.completeJob(job);
       return;
     }
-    job.avoidTargets = this.evidence.listFailedTargets(job.spec.id);
+    job.avoidTargets = this.failureTracker.listFailedTargets(job.spec.id);
     this.enqueue(job, domain);
   }
 
-  private applyStanding(domain: DomainState, target: string): void {
-    const standing = this.evidence.getQuarantineState(target, this.now * 1000);
-    if (standing === 'quarantined') {
+  private applyQuarantineState(domain: DomainState, target: string): void {
+    const quarantineState = this.failureTracker.getQuarantineState(
+      target,
+      this.nowSeconds * 1000,
+    );
+    if (quarantineState === 'quarantined') {
       domain.cells.setCondition(target, 'quarantined');
-      const until = this.evidence.getQuarantineEnd(target)!;
-      this.at(until / 1000, () => this.applyStanding(domain, target));
+      const untilMs = this.failureTracker.getQuarantineEnd(target)!;
+      this.scheduleEvent(untilMs / 1000, () =>
+        this.applyQuarantineState(domain, target),
+      );
     } else {
       domain.cells.setCondition(target, 'well');
-      this.changed.add(domain);
+      this.changedDomains.add(domain);
     }
   }
 
-  private setDomain(id: string, state: 'out' | 'in-service'): void {
+  private setDomainState(id: string, state: 'out' | 'in-service'): void {
     const domains = new Map(this.configuration.domains);
     domains.set(id, {...domains.get(id)!, state});
     this.configuration = {...this.configuration, domains};
     for (const domain of this.domains) {
       domain.cells.configure(this.configuration);
-      this.changed.add(domain);
+      this.changedDomains.add(domain);
     }
     const domain = this.domains.find(other => other.id === id)!;
-    const steps = decideEvacuation(domain.cells, {}, this.now * 1000);
+    const steps = decideEvacuation(domain.cells, {}, this.nowSeconds * 1000);
     for (const {jobId, action: step} of steps) {
       if (step === 'checkpoint') {
-        this.stop(this.jobs.get(jobId)!, true);
+        this.stopJob(this.jobs.get(jobId)!, true);
       }
     }
-    this.moveFrom(domain);
+    this.moveQueuedJobs(domain);
   }
 
-  // Steps
+  // Simulation steps
 
-  private advance(to: number): void {
+  private advanceTo(toSeconds: number): void {
     const window = this.scenario.domainOut ?? {from: 0, to: STREAM_SECONDS};
-    const seconds = Math.min(to, window.to) - Math.max(this.now, window.from);
+    const seconds =
+      Math.min(toSeconds, window.to) - Math.max(this.nowSeconds, window.from);
     if (seconds > 0) {
       const capacity = sum(this.domains, domain =>
         domain.countUsableAccelerators(),
       );
       const busy = sum(this.domains, domain => domain.busyAccelerators);
       this.usefulWork.add(busy, seconds);
-      this.allowedWork.add(Math.min(capacity, this.outstanding), seconds);
+      this.attainableWork.add(
+        Math.min(capacity, this.outstandingAccelerators),
+        seconds,
+      );
     }
-    if (this.now < STREAM_SECONDS) {
+    if (this.nowSeconds < STREAM_SECONDS) {
       const fragmented = sum(
         this.domains,
         domain => domain.fragmentedAccelerators,
       );
-      this.fragmentation.add(fragmented, to - this.now);
+      this.fragmentation.add(fragmented, toSeconds - this.nowSeconds);
     }
-    this.now = to;
+    this.nowSeconds = toSeconds;
   }
 
-  /** A scheduler decides a moment after a change, for all changes of that moment. */
+  /** Schedules one pass shortly after a change, so that the pass covers all changes until then. */
   private schedulePass(): void {
-    if (this.changed.size > 0 && !this.isPassDue) {
-      this.isPassDue = true;
-      this.at(this.now + PASS_DELAY_SECONDS, () => this.decide());
+    if (this.changedDomains.size > 0 && !this.isPassScheduled) {
+      this.isPassScheduled = true;
+      this.scheduleEvent(this.nowSeconds + PASS_DELAY_SECONDS, () =>
+        this.runPasses(),
+      );
     }
   }
 
-  private decide(): void {
-    this.isPassDue = false;
-    for (const domain of this.changed) {
-      this.pass(domain);
-      this.violations += domain.countViolations(this.now);
+  private runPasses(): void {
+    this.isPassScheduled = false;
+    for (const domain of this.changedDomains) {
+      this.runPass(domain);
+      this.guaranteeViolations += domain.countViolations(this.nowSeconds);
       domain.measureFragmentation();
     }
-    this.changed.clear();
+    this.changedDomains.clear();
   }
 
-  private pass(domain: DomainState): void {
+  private runPass(domain: DomainState): void {
     const {cells, policy} = domain;
     const decisions = policy.decide(
       cells,
       domain.listWaitingJobs(),
-      this.now * 1000,
+      this.nowSeconds * 1000,
     );
     for (const {victims, forJob, reason} of decisions.reclaims) {
       if (reason.code === 'preempted-reclaim') {
-        this.jobs.get(forJob)!.reclaimSince ??= this.now;
+        this.jobs.get(forJob)!.reclaimSince ??= this.nowSeconds;
       }
-      victims.forEach(id => this.stop(this.jobs.get(id)!, false));
+      victims.forEach(id => this.stopJob(this.jobs.get(id)!, false));
     }
     for (const {jobId, assignments, guaranteed} of decisions.placements) {
       const job = this.jobs.get(jobId)!;
@@ -266,38 +298,43 @@
         ...job.toWaitingJob(),
         assignments,
         guaranteed,
-        startedAt: this.now * 1000,
-        savedAt: this.now * 1000,
+        startedAt: this.nowSeconds * 1000,
+        savedAt: this.nowSeconds * 1000,
         stopping: false,
       };
-      this.start(job, domain);
+      this.startJob(job, domain);
     }
   }
 
-  private start(job: JobState, domain: DomainState): void {
+  private startJob(job: JobState, domain: DomainState): void {
     domain.start(job, job.gang!);
     if (job.reclaimSince !== undefined) {
-      this.reclaimSeconds.push(this.now - job.reclaimSince);
+      this.reclaimSeconds.push(this.nowSeconds - job.reclaimSince);
       job.reclaimSince = undefined;
     }
     const attempt = ++job.attempt;
-    if (attempt === 1 && job.acceleratorCount >= LARGE) {
-      const wait = this.now - job.spec.arrivalSeconds;
-      this.largeWait = Math.max(this.largeWait, wait);
+    if (attempt === 1 && job.acceleratorCount >= LARGE_JOB_ACCELERATORS) {
+      const waitSeconds = this.nowSeconds - job.spec.arrivalSeconds;
+      this.maxLargeWaitSeconds = Math.max(
+        this.maxLargeWaitSeconds,
+        waitSeconds,
+      );
     }
-    const bad = job.gang!.assignments.find(({target}) =>
+    const badAssignment = job.gang!.assignments.find(({target}) =>
       this.badTargets.has(target),
     );
-    if (bad) {
-      const at = this.now + BAD_TARGET_FAILS_AFTER_SECONDS;
-      this.at(at, () => this.onBadTarget(job, attempt, bad.target));
+    if (badAssignment) {
+      const atSeconds = this.nowSeconds + BAD_TARGET_FAILURE_DELAY_SECONDS;
+      this.scheduleEvent(atSeconds, () =>
+        this.onBadTarget(job, attempt, badAssignment.target),
+      );
     } else {
-      const at = this.now + job.remainingSeconds;
-      this.at(at, () => this.onFinish(job, attempt));
+      const atSeconds = this.nowSeconds + job.remainingSeconds;
+      this.scheduleEvent(atSeconds, () => this.onFinish(job, attempt));
     }
   }
 
-  private stop(job: JobState, isRouted: boolean): void {
+  private stopJob(job: JobState, isRouted: boolean): void {
     const {gang, attempt} = job;
     if (!gang || gang.stopping) {
       return;
@@ -305,49 +342,49 @@
     gang.stopping = true;
     const seconds = gang.checkpointable
       ? this.configuration.rules.checkpointGraceSeconds
-      : STOP_SECONDS;
-    const at = this.now + seconds;
-    this.at(at, () => this.onStopped(job, attempt, isRouted));
+      : STOP_DURATION_SECONDS;
+    const atSeconds = this.nowSeconds + seconds;
+    this.scheduleEvent(atSeconds, () => this.onStopped(job, attempt, isRouted));
   }
 
-  private vacate(job: JobState): void {
-    const domain = this.domainOf(job);
+  private removeGang(job: JobState): void {
+    const domain = this.getDomain(job);
     domain.end(job);
-    this.changed.add(domain);
+    this.changedDomains.add(domain);
     job.gang = undefined;
   }
 
-  private end(job: JobState): void {
-    this.outstanding -= job.acceleratorCount;
-    this.unfinished--;
-    job.finishedAt = this.now;
+  private completeJob(job: JobState): void {
+    this.outstandingAccelerators -= job.acceleratorCount;
+    this.unfinishedJobs--;
+    job.finishedAt = this.nowSeconds;
   }
 
   private enqueue(job: JobState, domain: DomainState): void {
     job.domain = domain.id;
-    job.arrivedAt = this.now;
+    job.arrivedAt = this.nowSeconds;
     domain.queue.set(job.spec.id, job);
-    this.changed.add(domain);
+    this.changedDomains.add(domain);
   }
 
   // Routing
 
-  private route(job: JobState): DomainState {
-    const route = chooseDomain(this.summaries(job))!;
+  private chooseJobDomain(job: JobState): DomainState {
+    const route = chooseDomain(this.summarizeDomains(job))!;
     return this.domains.find(({id}) => id === route.domain)!;
   }
 
-  private moveFrom(domain: DomainState): void {
+  private moveQueuedJobs(domain: DomainState): void {
     for (const job of [...domain.queue.values()]) {
-      const summaries = this.summaries(job);
-      const from = summaries.find(one => one.domain === domain.id)!;
-      const arrivedAt = job.arrivedAt * 1000;
+      const summaries = this.summarizeDomains(job);
+      const currentSummary = summaries.find(one => one.domain === domain.id)!;
+      const arrivedAtMs = job.arrivedAt * 1000;
       const move = findMove(
         job.toWaitingJob(),
-        from,
+        currentSummary,
         summaries,
-        arrivedAt,
-        this.now * 1000,
+        arrivedAtMs,
+        this.nowSeconds * 1000,
       );
       if (move) {
         domain.queue.delete(job.spec.id);
@@ -359,36 +396,36 @@
     }
   }
 
-  private summaries(job: JobState): DomainSummary[] {
+  private summarizeDomains(job: JobState): DomainSummary[] {
     const waiting = job.toWaitingJob();
     return this.domains.map(domain => {
       const {cells} = domain;
-      const now = this.now * 1000;
-      const backlog = domain.getBacklogSeconds(now);
-      const summary = summarizeDomain(cells, backlog, waiting, now);
+      const nowMs = this.nowSeconds * 1000;
+      const backlog = domain.getBacklogSeconds(nowMs);
+      const summary = summarizeDomain(cells, backlog, waiting, nowMs);
       if (this.policy.name === 'galenavalve') {
         return summary;
       }
-      // The baselines know no shapes: they look at free capacity only.
+      // The baseline policies consider free capacity alone, not the shape of a gang.
       const free = cells.getMaxFreeAccelerators(job.spec.gang.adjacency);
       const startOption = free >= job.acceleratorCount ? 'borrowed' : 'none';
       return {...summary, startOption};
     });
   }
 
-  private domainOf(job: JobState): DomainState {
+  private getDomain(job: JobState): DomainState {
     return this.domains.find(({id}) => id === job.domain)!;
   }
 
-  private toFigures(seed: number, boundMean: number): RunFigures {
-    const done = [...this.jobs.values()];
-    const completions = done.map(
+  private createFigures(seed: number, boundMean: number): RunFigures {
+    const finishedJobs = [...this.jobs.values()];
+    const completions = finishedJobs.map(
       job => job.finishedAt! - job.spec.arrivalSeconds,
     );
-    const large = completions.filter(
-      (_, i) => done[i]!.acceleratorCount >= LARGE,
+    const largeCompletions = completions.filter(
+      (_, i) => finishedJobs[i]!.acceleratorCount >= LARGE_JOB_ACCELERATORS,
     );
-    const total = sum(
+    const totalAccelerators = sum(
       [...this.configuration.targets.values()],
       target => target.accelerators,
     );
@@ -401,14 +438,16 @@
         mean: computeMean(completions),
         p50: computeQuantile(completions, 0.5),
         p99: computeQuantile(completions, 0.99),
-        largeP99: computeQuantile(large, 0.99),
+        largeP99: computeQuantile(largeCompletions, 0.99),
       },
-      fragmentation: this.fragmentation.mean / total,
-      goodput: (this.usefulWork.total - this.wasted) / this.allowedWork.total,
+      fragmentation: this.fragmentation.mean / totalAccelerators,
+      goodput:
+        (this.usefulWork.total - this.wastedAcceleratorSeconds) /
+        this.attainableWork.total,
       reclaimSeconds: {p99: computeQuantile(this.reclaimSeconds, 0.99)},
-      promiseViolations: this.violations,
+      promiseViolations: this.guaranteeViolations,
       failedJobs: this.failedJobs,
-      largeWaitSeconds: this.largeWait,
+      largeWaitSeconds: this.maxLargeWaitSeconds,
       boundMean,
     };
   }
--- a/packages/bench/src/policy/report.ts
+++ b/packages/bench/src/policy/report.ts
@@ -1,8 +1,8 @@
-/** Prints the figures of policies as a table and a plot. */
+/** Formats the figures of policy runs as a table and a text plot. */
 import {type RunFigures, computeMean} from './run_figures.js';
 
-/** Figures of one policy in one scenario, averaged over seeds. */
-interface Row {
+/** Figures of one policy in one scenario: means over the seeds, except the sum of violations and the longest wait. */
+interface ReportRow {
   scenario: string;
   policy: string;
   mean: number;
@@ -17,20 +17,20 @@
   bound: number;
 }
 
-const BAR_WIDTH = 40;
+const BAR_WIDTH_CHARS = 40;
 
-/** The figures as text. */
+/** Formats the figures, with one table and one plot for each deployment. */
 export function formatReport(runs: readonly RunFigures[]): string {
   const names = [...new Set(runs.map(run => run.deployment))];
   return names
     .map(name => {
-      const rows = toRows(runs.filter(run => run.deployment === name));
+      const rows = createRows(runs.filter(run => run.deployment === name));
       return [`# ${name}`, formatTable(rows), '', formatPlot(rows)].join('\n');
     })
     .join('\n\n');
 }
 
-function toRows(runs: readonly RunFigures[]): Row[] {
+function createRows(runs: readonly RunFigures[]): ReportRow[] {
   const groups = new Map<string, RunFigures[]>();
   for (const run of runs) {
     const key = `${run.scenario} ${run.policy}`;
@@ -56,7 +56,7 @@
   });
 }
 
-function formatTable(rows: readonly Row[]): string {
+function formatTable(rows: readonly ReportRow[]): string {
   const header =
     'scenario             policy        mean   bound     p50      p99  large p99  fragm.  goodput  reclaim p99  violations  large wait';
   const lines = rows.map(row =>
@@ -78,13 +78,14 @@
   return [header, ...lines].join('\n');
 }
 
-/** Mean completion times as bars; `|` marks the lower bound. */
-function formatPlot(rows: readonly Row[]): string {
+/** Formats mean completion times as bars; `|` marks the lower bound. */
+function formatPlot(rows: readonly ReportRow[]): string {
   const longest = Math.max(...rows.map(row => row.mean));
-  const scale = (value: number) => Math.round((value / longest) * BAR_WIDTH);
+  const scale = (value: number) =>
+    Math.round((value / longest) * BAR_WIDTH_CHARS);
   const lines = rows.map(row => {
-    const bar = '#'.repeat(scale(row.mean)).padEnd(BAR_WIDTH).split('');
-    bar[Math.min(BAR_WIDTH - 1, scale(row.bound))] = '|';
+    const bar = '#'.repeat(scale(row.mean)).padEnd(BAR_WIDTH_CHARS).split('');
+    bar[Math.min(BAR_WIDTH_CHARS - 1, scale(row.bound))] = '|';
     const name = `${row.scenario.padEnd(20)} ${row.policy.padEnd(12)}`;
     return `${name} ${bar.join('')} ${row.mean.toFixed(0)} s`;
   });
--- a/packages/bench/src/policy/run_figures.ts
+++ b/packages/bench/src/policy/run_figures.ts
@@ -1,21 +1,21 @@
-/** Sums up one run of a policy. */
+/** Defines the figures of one run of a policy, and computes means, percentiles and time integrals. */
 import type {ScenarioName} from './scenario.js';
 
-/** The figures of one run. */
+/** Figures of one run. */
 export interface RunFigures {
   deployment: string;
   policy: string;
   scenario: ScenarioName;
   seed: number;
-  /** Time from submission to the end, in seconds. */
+  /** Time from submission to completion; `largeP99` covers large jobs alone. */
   completionSeconds: {mean: number; p50: number; p99: number; largeP99: number};
-  /** Free accelerators that no shape can use, as a share of all, over time. */
+  /** Free accelerators that no gang shape can use, as a share of all, averaged over time. */
   fragmentation: number;
-  /** Work that counted, as a share of what the capacity in service allowed. */
+  /** Useful work as a share of the work that the jobs and the capacity in service allowed. */
   goodput: number;
-  /** Time from the decision to reclaim to the start, in seconds. */
+  /** Time from the decision to reclaim until the start of the job. */
   reclaimSeconds: {p99: number};
-  /** Jobs that waited although their workspace's unused promise held them. */
+  /** Jobs that waited too long although they fitted into the unused guarantee of their workspace. */
   promiseViolations: number;
   /** Jobs that were ended without a result. */
   failedJobs: number;
@@ -25,33 +25,37 @@
   boundMean: number;
 }
 
-/** A sum over time of values that hold from one moment to the next. */
+/** Integral over time of a value that changes in steps. */
 export class TimeIntegral {
-  private sum = 0;
-  private seconds = 0;
+  private weightedSum = 0;
+  private durationSeconds = 0;
 
-  /** Adds a value that held for some seconds. */
+  /** Adds a value that held for the given time. */
   add(value: number, seconds: number): void {
-    this.sum += value * seconds;
-    this.seconds += seconds;
+    this.weightedSum += value * seconds;
+    this.durationSeconds += seconds;
   }
 
+  /** Sum of the values, each multiplied by its duration in seconds. */
   get total(): number {
-    return this.sum;
+    return this.weightedSum;
   }
 
+  /** Time-weighted mean; 0 when nothing was added. */
   get mean(): number {
-    return this.seconds === 0 ? 0 : this.sum / this.seconds;
+    return this.durationSeconds === 0
+      ? 0
+      : this.weightedSum / this.durationSeconds;
   }
 }
 
-/** The mean of some values; 0 when there are none. */
+/** Computes the arithmetic mean; 0 when there are no values. */
 export function computeMean(values: readonly number[]): number {
   const sum = values.reduce((total, value) => total + value, 0);
   return values.length === 0 ? 0 : sum / values.length;
 }
 
-/** The value that a share `quantile` of the values does not exceed; 0 when there are none. */
+/** Computes the smallest value that a share `quantile` (0 to 1) of the values does not exceed; 0 when there are no values. */
 export function computeQuantile(
   values: readonly number[],
   quantile: number,
--- a/packages/bench/src/policy/scenario.ts
+++ b/packages/bench/src/policy/scenario.ts
@@ -1,4 +1,4 @@
-/** Seeded streams of jobs for each scenario. */
+/** Generates a seeded workload stream for each scenario. */
 import type {GangShape} from '@galenavalve/model';
 import {type Random, SeededRandom, nextInteger} from '@galenavalve/shared';
 import {
@@ -7,7 +7,7 @@
   TOTAL_ACCELERATORS,
 } from './deployment.js';
 
-/** The scenarios of the benchmark. */
+/** Names of the benchmark scenarios. */
 export const SCENARIO_NAMES = [
   'steady',
   'small-burst',
@@ -16,9 +16,10 @@
   'domain-out-and-back',
   'bad-targets',
 ] as const;
+/** Name of a benchmark scenario. */
 export type ScenarioName = (typeof SCENARIO_NAMES)[number];
 
-/** A job of a stream. */
+/** Job of a workload stream. */
 export interface StreamJob {
   id: string;
   workspace: string;
@@ -27,36 +28,39 @@
   checkpointable: boolean;
   /** Seconds since the start of the stream. */
   arrivalSeconds: number;
-  /** True run time, in seconds. */
+  /** Actual run time, in seconds. */
   runSeconds: number;
-  /** The caller's estimate, in seconds. */
+  /** Run time that the caller declares, in seconds. */
   declaredSeconds: number;
 }
 
-/** A stream and the disturbances of its scenario. */
+/** Workload stream with the failures that its scenario injects. */
 export interface Scenario {
   name: ScenarioName;
   jobs: StreamJob[];
-  /** Seconds between which domain d2 is out of service. */
+  /** Interval in which domain d2 is out of service, in seconds since the start of the stream. */
   domainOut?: {from: number; to: number};
-  /** Targets that fail every task between these seconds. */
+  /** Targets that fail every task, and the interval in seconds since the start of the stream. */
   badTargets?: {ids: string[]; from: number; to: number};
 }
 
-/** Length of the arrivals, in seconds. */
+/** Length of the period in which jobs arrive, in seconds. */
 export const STREAM_SECONDS = 6 * 3600;
 
-const BURST_EVERY_SECONDS = 3600;
-/** Share of each burst's work in the work of an hour. */
+const BURST_INTERVAL_SECONDS = 3600;
+/** Work of one burst as a share of the accelerator time of one hour. */
 const BURST_SHARE = 0.35;
+/** Standard deviation of the natural logarithm of run times. */
 const RUN_TIME_SIGMA = 0.6;
+/** The same of the ratio of declared to actual run time. */
 const DECLARED_SIGMA = 0.25;
-const WRONG_SIGMA = 0.9;
+/** The same in the scenario wrong-runtimes. */
+const WRONG_DECLARED_SIGMA = 0.9;
 const PROCESSORS_PER_ACCELERATOR = 2;
 const MEMORY_PER_ACCELERATOR_MB = 4096;
 
-/** Offered work over capacity, without bursts. */
-const loads: Readonly<Record<ScenarioName, number>> = {
+/** Offered work divided by capacity, without bursts. */
+const OFFERED_LOADS: Readonly<Record<ScenarioName, number>> = {
   steady: 0.95,
   'small-burst': 0.7,
   'large-burst': 0.7,
@@ -65,10 +69,10 @@
   'bad-targets': 0.85,
 };
 
-/** How far the declared run times of each kind are off in wrong-runtimes. */
-const wrongFactors = [0.3, 2.5, 0.6];
+/** Median ratio of declared to actual run time by kind of job in the scenario wrong-runtimes. */
+const DECLARED_TIME_FACTORS = [0.3, 2.5, 0.6];
 
-/** Creates the stream of one scenario. */
+/** Creates the workload stream and the injected failures of one scenario; the same seed gives the same stream. */
 export function createScenario(
   deployment: Deployment,
   name: ScenarioName,
@@ -77,11 +81,11 @@
   const random = new SeededRandom(seed);
   const jobs: StreamJob[] = [];
   deployment.kinds.forEach((kind, index) => {
-    const work = loads[name] * TOTAL_ACCELERATORS * STREAM_SECONDS;
+    const work = OFFERED_LOADS[name] * TOTAL_ACCELERATORS * STREAM_SECONDS;
     const count = countJobs(kind, work * kind.workShare);
     for (let i = 0; i < count; i++) {
-      const arrival = random.next() * STREAM_SECONDS;
-      jobs.push(createJob(kind, index, arrival, name, random));
+      const arrivalSeconds = random.next() * STREAM_SECONDS;
+      jobs.push(createJob(kind, index, arrivalSeconds, name, random));
     }
   });
   jobs.push(...createBursts(deployment, name, random));
@@ -89,7 +93,7 @@
   jobs.forEach((job, i) => {
     job.id = `j${i}`;
   });
-  return {name, jobs, ...disturbancesOf(name)};
+  return {name, jobs, ...createDisturbances(name)};
 }
 
 function createBursts(
@@ -102,9 +106,9 @@
     return [];
   }
   const jobs: StreamJob[] = [];
-  const work = BURST_SHARE * TOTAL_ACCELERATORS * BURST_EVERY_SECONDS;
-  const start = BURST_EVERY_SECONDS / 2;
-  for (let at = start; at < STREAM_SECONDS; at += BURST_EVERY_SECONDS) {
+  const work = BURST_SHARE * TOTAL_ACCELERATORS * BURST_INTERVAL_SECONDS;
+  const start = BURST_INTERVAL_SECONDS / 2;
+  for (let at = start; at < STREAM_SECONDS; at += BURST_INTERVAL_SECONDS) {
     const kind = kinds[index]!;
     for (let i = 0; i < countJobs(kind, work); i++) {
       jobs.push(createJob(kind, index, at + random.next() * 30, name, random));
@@ -114,22 +118,25 @@
 }
 
 function countJobs(kind: JobKind, work: number): number {
-  const tasks = kind.tasks.reduce((sum, n) => sum + n, 0) / kind.tasks.length;
-  const seconds = kind.medianSeconds * Math.exp(RUN_TIME_SIGMA ** 2 / 2);
-  return Math.round(work / (tasks * kind.acceleratorsPerTask * seconds));
+  const meanTasks =
+    kind.tasks.reduce((sum, n) => sum + n, 0) / kind.tasks.length;
+  const meanSeconds = kind.medianSeconds * Math.exp(RUN_TIME_SIGMA ** 2 / 2);
+  return Math.round(
+    work / (meanTasks * kind.acceleratorsPerTask * meanSeconds),
+  );
 }
 
 function createJob(
   kind: JobKind,
   kindIndex: number,
-  arrival: number,
+  arrivalSeconds: number,
   scenario: ScenarioName,
   random: Random,
 ): StreamJob {
-  const seconds = lognormal(kind.medianSeconds, RUN_TIME_SIGMA, random);
+  const runSeconds = drawLognormal(kind.medianSeconds, RUN_TIME_SIGMA, random);
   const isWrong = scenario === 'wrong-runtimes';
-  const factor = isWrong ? wrongFactors[kindIndex]! : 1;
-  const sigma = isWrong ? WRONG_SIGMA : DECLARED_SIGMA;
+  const factor = isWrong ? DECLARED_TIME_FACTORS[kindIndex]! : 1;
+  const sigma = isWrong ? WRONG_DECLARED_SIGMA : DECLARED_SIGMA;
   const accelerators = kind.acceleratorsPerTask;
   return {
     id: '',
@@ -145,31 +152,31 @@
       adjacency: kind.adjacency,
     },
     checkpointable: kind.checkpointable,
-    arrivalSeconds: arrival,
-    runSeconds: seconds,
-    declaredSeconds: lognormal(seconds * factor, sigma, random),
+    arrivalSeconds,
+    runSeconds,
+    declaredSeconds: drawLognormal(runSeconds * factor, sigma, random),
   };
 }
 
 function chooseWorkspace({workspaces}: JobKind, random: Random): string {
-  let rest = random.next();
+  let remainingShare = random.next();
   const entries = Object.entries(workspaces);
   for (const [workspace, share] of entries) {
-    rest -= share;
-    if (rest < 0) {
+    remainingShare -= share;
+    if (remainingShare < 0) {
       return workspace;
     }
   }
   return entries[entries.length - 1]![0];
 }
 
-function lognormal(median: number, sigma: number, random: Random): number {
+function drawLognormal(median: number, sigma: number, random: Random): number {
   const radius = Math.sqrt(-2 * Math.log(1 - random.next()));
   const normal = radius * Math.cos(2 * Math.PI * random.next());
   return median * Math.exp(sigma * normal);
 }
 
-function disturbancesOf(
+function createDisturbances(
   name: ScenarioName,
 ): Pick<Scenario, 'domainOut' | 'badTargets'> {
   const from = STREAM_SECONDS / 3;
--- a/packages/bench/src/slopes/command.ts
+++ b/packages/bench/src/slopes/command.ts
@@ -1,14 +1,12 @@
-/** The subcommand that measures what one more of everything costs. */
+/** Implements `bench slopes`: the cost of each additional job, target, workspace, lease, record or peer. */
 import type {Command} from 'commander';
 import {formatSlopes, runSlopes} from './run_slopes.js';
 
-/** Registers `slopes`. */
+/** Registers the command `slopes`. */
 export function registerSlopesCommand(program: Command): void {
   program
     .command('slopes')
-    .description(
-      'Measures the slopes that docs/CAPACITY.md is worked out from.',
-    )
+    .description('measures the slopes from which docs/CAPACITY.md is computed')
     .option('--json', 'print JSON')
     .action(async (options: {json?: boolean}) => {
       const report = await runSlopes();
--- a/packages/bench/src/slopes/daemon_slopes.ts
+++ b/packages/bench/src/slopes/daemon_slopes.ts
@@ -1,7 +1,7 @@
 /**
- * What a whole daemon takes at rest, by shares of the two-year size. The daemon
- * is a process of its own, as in service; its domain has no targets, so that
- * only what every entry instance does is measured.
+ * Measures the resources of an idle daemon by shares of the two-year size. The
+ * daemon runs as a separate process, as in service. Its domain has no targets,
+ * so that the figures cover only the work of every entry instance.
  */
 import {type ChildProcess, spawn} from 'node:child_process';
 import {
@@ -21,14 +21,14 @@
 import {PlatformThread} from './platform_thread.js';
 import {type Slope, createSlope} from './slope.js';
 
-const SHARES = [0.05, 0.25, 0.5, 1];
+const SIZE_SHARES = [0.05, 0.25, 0.5, 1];
 const HOST = '127.0.0.1';
 const START_TIMEOUT_MS = 30_000;
 
-/** Long enough for the takeover. */
+/** Covers the takeover. */
 const WARM_UP_MS = 6000;
 
-const MEASURED_MS = 8000;
+const MEASUREMENT_MS = 8000;
 
 const NANOSECONDS_PER_SECOND = 1e9;
 const BYTES_PER_KB = 1024;
@@ -43,36 +43,36 @@
   logBytesPerSecond: number;
 }
 
-/** All slopes of a daemon at rest. The points are measured side by side. */
+/** Measures all slopes of an idle daemon. The points are measured concurrently. */
 export async function measureDaemons(): Promise<Slope[]> {
-  const costs = await Promise.all(SHARES.map(measureDaemon));
+  const costs = await Promise.all(SIZE_SHARES.map(measureDaemon));
   const over = 'share of the two-year size';
-  const slopeOf = (
+  const createDaemonSlope = (
     id: string,
     measured: string,
-    valueOf: (cost: DaemonCost) => number,
+    getValue: (cost: DaemonCost) => number,
   ) =>
     createSlope(
       {id, over, measured},
-      costs.map(cost => ({x: cost.share, y: valueOf(cost)})),
+      costs.map(cost => ({x: cost.share, y: getValue(cost)})),
     );
   return [
-    slopeOf(
+    createDaemonSlope(
       'daemon-memory',
       'MB of resident memory of a daemon at rest',
       cost => cost.memoryMb,
     ),
-    slopeOf(
+    createDaemonSlope(
       'daemon-memory-peak',
       'MB of resident memory of a daemon at most, from its start',
       cost => cost.peakMemoryMb,
     ),
-    slopeOf(
+    createDaemonSlope(
       'daemon-processor',
       'percent of a core of a daemon at rest',
       cost => cost.processorPercent,
     ),
-    slopeOf(
+    createDaemonSlope(
       'daemon-log-bytes',
       'bytes a second with the log of a daemon at rest',
       cost => cost.logBytesPerSecond,
@@ -107,20 +107,24 @@
   platform: PlatformThread,
 ): Promise<DaemonCost> {
   const pid = child.pid!;
-  const timeBefore = readProcessorTime(pid);
-  const bytes = await platform.countBytes();
+  const timeBeforeNs = readProcessorTimeNs(pid);
+  const bytesBefore = await platform.countBytes();
   const startedAt = clock.now();
-  await clock.sleep(MEASURED_MS);
+  await clock.sleep(MEASUREMENT_MS);
   const seconds = (clock.now() - startedAt) / 1000;
   const bytesAfter = await platform.countBytes();
-  const used = (readProcessorTime(pid) - timeBefore) / NANOSECONDS_PER_SECOND;
+  const usedSeconds =
+    (readProcessorTimeNs(pid) - timeBeforeNs) / NANOSECONDS_PER_SECOND;
   const logBytes =
-    bytesAfter.toLog + bytesAfter.fromLog - bytes.toLog - bytes.fromLog;
+    bytesAfter.toLog +
+    bytesAfter.fromLog -
+    bytesBefore.toLog -
+    bytesBefore.fromLog;
   return {
     share,
-    memoryMb: readMb(pid, 'VmRSS'),
-    peakMemoryMb: readMb(pid, 'VmHWM'),
-    processorPercent: (100 * used) / seconds,
+    memoryMb: readMemoryMb(pid, 'VmRSS'),
+    peakMemoryMb: readMemoryMb(pid, 'VmHWM'),
+    processorPercent: (100 * usedSeconds) / seconds,
     logBytesPerSecond: logBytes / seconds,
   };
 }
@@ -143,8 +147,8 @@
   port: number,
   child: ChildProcess,
 ): Promise<void> {
-  const end = clock.now() + START_TIMEOUT_MS;
-  while (clock.now() < end && child.exitCode === null) {
+  const deadline = clock.now() + START_TIMEOUT_MS;
+  while (clock.now() < deadline && child.exitCode === null) {
     try {
       await got(`http://${HOST}:${port}/readyz`, {retry: {limit: 0}});
       return;
@@ -152,7 +156,9 @@
       await clock.sleep(100);
     }
   }
-  throw new Error(`the daemon did not become ready: exit ${child.exitCode}`);
+  throw new Error(
+    `the daemon did not become ready: exit code ${child.exitCode}`,
+  );
 }
 
 function findFreePort(): Promise<number> {
@@ -165,8 +171,8 @@
   });
 }
 
-/** Processor time of all threads of a process so far, in nanoseconds. */
-function readProcessorTime(pid: number): number {
+/** Reads the processor time of all threads of a process since its start, in nanoseconds. */
+function readProcessorTimeNs(pid: number): number {
   const threads = readdirSync(`/proc/${pid}/task`);
   return threads.reduce((total, thread) => {
     const path = `/proc/${pid}/task/${thread}/schedstat`;
@@ -174,8 +180,8 @@
   }, 0);
 }
 
-/** A size from the kernel's status of a process, in MB. */
-function readMb(pid: number, field: 'VmRSS' | 'VmHWM'): number {
+/** Reads a memory size from the kernel's status of a process, in MB of 1024 kB. */
+function readMemoryMb(pid: number, field: 'VmRSS' | 'VmHWM'): number {
   const text = readFileSync(`/proc/${pid}/status`, 'utf8');
   const match = new RegExp(`${field}:\\s+(\\d+) kB`).exec(text);
   return Number(match?.[1]) / BYTES_PER_KB;
--- a/packages/bench/src/slopes/decision_slopes.ts
+++ b/packages/bench/src/slopes/decision_slopes.ts
@@ -1,4 +1,4 @@
-/** How long the decisions of a failure domain take at its size in two years. */
+/** Measures the time of scheduling passes in a failure domain of the two-year size. */
 import {LedgerState} from '@galenavalve/ledger';
 import {
   type DomainCells,
@@ -20,22 +20,22 @@
 const TARGET_COUNTS = [150, 300, 600, 1200];
 const QUEUE_LENGTHS = [50, 100, 200, 400];
 
-/** Targets of one failure domain in two years: 8,200 / 7. */
-const DOMAIN_TARGETS = 1172;
+/** Targets of one failure domain at the two-year size: 8,200 / 7. */
+const TARGETS_PER_DOMAIN = 1172;
 
-/** Tasks of one running gang and of one waiting job. */
+/** Number of tasks of a running gang and of a waiting job. */
 const GANG_TASKS = 64;
 
-/** Parts that run on each target of a busy domain. */
-const PARTS_PER_TARGET = 6;
+/** Number of gangs that have tasks on each target of a busy domain. */
+const ASSIGNMENTS_PER_TARGET = 6;
 
-/** Passes that are measured together; a pass leaves the cells as they were. */
-const PASSES = 10;
+/** Number of passes that are measured together; a pass does not change the cells. */
+const PASS_REPETITIONS = 10;
 
-const NOW = 1_800_000_000_000;
+const NOW_MS = 1_800_000_000_000;
 const policy = new GuaranteePolicy();
 
-/** All slopes of decisions. */
+/** Measures all slopes of scheduling passes. */
 export async function measureDecisions(): Promise<Slope[]> {
   return [
     await measureSlope(
@@ -45,48 +45,52 @@
         measured: 'ms of a pass with one urgent job',
       },
       TARGET_COUNTS,
-      targets => timePass(targets, 1),
+      targets => measurePassMs(targets, 1),
     ),
     await measureSlope(
       {
         id: 'decide-queue',
-        over: `waiting jobs at ${DOMAIN_TARGETS} targets`,
+        over: `waiting jobs at ${TARGETS_PER_DOMAIN} targets`,
         measured: 'ms of a pass',
       },
       QUEUE_LENGTHS,
-      jobs => timePass(DOMAIN_TARGETS, jobs),
+      jobs => measurePassMs(TARGETS_PER_DOMAIN, jobs),
     ),
   ];
 }
 
-function timePass(targets: number, waiting: number): number {
+function measurePassMs(targets: number, waiting: number): number {
   const queue = Array.from({length: waiting}, (_, index) =>
-    createWaiting(index),
+    createWaitingJob(index),
   );
-  const time = measureTimeMs(
+  const timeMs = measureTimeMs(
     () => createCells(targets),
     cells => {
-      for (let pass = 0; pass < PASSES; pass++) {
-        policy.decide(cells, queue, NOW);
+      for (let pass = 0; pass < PASS_REPETITIONS; pass++) {
+        policy.decide(cells, queue, NOW_MS);
       }
     },
   );
-  return time / PASSES;
+  return timeMs / PASS_REPETITIONS;
 }
 
 function createCells(targets: number): DomainCells {
   const state = new LedgerState();
   foldAll(state, [createConfiguredRecord(createEntities(targets, 80), 0)]);
   const cells = policy.createCells('north', state.configuration);
-  const partsPerGang = GANG_TASKS / TASKS_PER_ASSIGNMENT;
-  const gangs = Math.floor((targets * PARTS_PER_TARGET) / partsPerGang);
+  const assignmentsPerGang = GANG_TASKS / TASKS_PER_ASSIGNMENT;
+  const gangs = Math.floor(
+    (targets * ASSIGNMENTS_PER_TARGET) / assignmentsPerGang,
+  );
   for (let index = 0; index < gangs; index++) {
-    cells.addGang(createRunning(index, (index * partsPerGang) % targets));
+    cells.addGang(
+      createRunningGang(index, (index * assignmentsPerGang) % targets),
+    );
   }
   return cells;
 }
 
-function createWaiting(index: number): WaitingJob {
+function createWaitingJob(index: number): WaitingJob {
   const {workspace, gang, kind, expectedSeconds} = createRequest(
     index,
     GANG_TASKS,
@@ -100,12 +104,12 @@
     repeatable: true,
     checkpointable: true,
     expectedSeconds,
-    submittedAt: NOW - 1000 * index,
+    submittedAt: NOW_MS - 1000 * index,
     avoidTargets: [],
   };
 }
 
-function createRunning(index: number, first: number): RunningGang {
+function createRunningGang(index: number, first: number): RunningGang {
   const {workspace, gang, kind, expectedSeconds} = createRequest(
     index,
     GANG_TASKS,
@@ -120,8 +124,8 @@
     urgent: false,
     repeatable: true,
     checkpointable: true,
-    startedAt: NOW - 3_600_000,
-    savedAt: NOW - 600_000,
+    startedAt: NOW_MS - 3_600_000,
+    savedAt: NOW_MS - 600_000,
     expectedSeconds,
     stopping: false,
   };
--- a/packages/bench/src/slopes/fit.ts
+++ b/packages/bench/src/slopes/fit.ts
@@ -1,26 +1,28 @@
-/** Straight lines through measured points, by least squares. */
+/** Fits straight lines to measured points by least squares. */
 
-/** One measured point. */
+/** Measured point. */
 export interface Point {
   x: number;
   y: number;
 }
 
-/** The line y = intercept + slope * x. */
+/** Line y = intercept + slope * x. */
 export interface Fit {
   slope: number;
   intercept: number;
-  /** Largest distance of a point from the line, as a share of the largest y. */
+  /** Largest vertical distance of a point from the line, as a share of the largest absolute y. */
   residual: number;
 }
 
-/** Fits a line. Needs two different x at least. */
+/** Fits a line. Needs points with at least two different x. */
 export function fitLine(points: readonly Point[]): Fit {
-  const meanX = mean(points.map(point => point.x));
-  const meanY = mean(points.map(point => point.y));
-  const spread = sum(points.map(({x}) => (x - meanX) ** 2));
-  const product = sum(points.map(({x, y}) => (x - meanX) * (y - meanY)));
-  const slope = product / spread;
+  const meanX = computeMean(points.map(point => point.x));
+  const meanY = computeMean(points.map(point => point.y));
+  const sumOfSquares = computeSum(points.map(({x}) => (x - meanX) ** 2));
+  const sumOfProducts = computeSum(
+    points.map(({x, y}) => (x - meanX) * (y - meanY)),
+  );
+  const slope = sumOfProducts / sumOfSquares;
   const intercept = meanY - slope * meanX;
   const distances = points.map(({x, y}) => Math.abs(y - intercept - slope * x));
   const largest = Math.max(...points.map(point => Math.abs(point.y)));
@@ -28,10 +30,10 @@
   return {slope, intercept, residual};
 }
 
-function mean(values: readonly number[]): number {
-  return sum(values) / values.length;
+function computeMean(values: readonly number[]): number {
+  return computeSum(values) / values.length;
 }
 
-function sum(values: readonly number[]): number {
+function computeSum(values: readonly number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
--- a/packages/bench/src/slopes/fixtures.ts
+++ b/packages/bench/src/slopes/fixtures.ts
@@ -1,4 +1,4 @@
-/** Configurations, jobs and records of any size, as the two-year target has them. */
+/** Creates configurations, jobs and records of any size, with the proportions of the two-year size. */
 import {type LogEntry, LedgerState, applyEntry} from '@galenavalve/ledger';
 import {
   type Assignment,
@@ -12,40 +12,40 @@
 } from '@galenavalve/model';
 import {hashValue} from '@galenavalve/shared';
 
-/** Targets of one rack. */
-const RACK_SIZE = 8;
+/** Number of targets of one rack. */
+const TARGETS_PER_RACK = 8;
 
-/** Tasks that one target runs at once in these fixtures. */
+/** Number of a gang's tasks that one target runs in these fixtures. */
 export const TASKS_PER_ASSIGNMENT = 4;
 
-const AT = 1_800_000_000_000;
-const DOMAIN = 'north';
-const INSTANCE = 'entry-north-1';
-const TERM: Term = {log: 1, outage: 0, instance: INSTANCE};
+const RECORD_TIME_MS = 1_800_000_000_000;
+const DOMAIN_ID = 'north';
+const INSTANCE_ID = 'entry-north-1';
+const TERM: Term = {log: 1, outage: 0, instance: INSTANCE_ID};
 
-/** The claim of the domain's scheduler. */
+/** Record by which an instance becomes the domain's scheduler. */
 export const CLAIM_RECORD = {
   type: 'claimed',
-  domain: DOMAIN,
+  domain: DOMAIN_ID,
   term: TERM,
 } as const satisfies RecordBody;
 
-/** The entities of two failure domains, one of them with `targets` targets and `workspaces` workspaces. */
+/** Creates two failure domains, of which the first holds all `targets` targets and the guarantees of `workspaces` workspaces. */
 export function createEntities(targets: number, workspaces: number): Entity[] {
   const entities: Entity[] = [
-    {kind: 'domain', id: DOMAIN, region: 'eu', state: 'in-service'},
+    {kind: 'domain', id: DOMAIN_ID, region: 'eu', state: 'in-service'},
     {kind: 'domain', id: 'south', region: 'eu', state: 'in-service'},
   ];
   for (let index = 0; index < targets; index++) {
     entities.push(createTarget(index));
   }
-  // Guarantees are refused before the targets that they need.
+  // The ledger rejects a guarantee that precedes the targets it needs.
   for (let index = 0; index < workspaces; index++) {
     entities.push({
       kind: 'workspace',
       id: `workspace-${index}`,
       weight: 1,
-      guarantees: [{level: 'accelerator', count: 1, domain: DOMAIN}],
+      guarantees: [{level: 'accelerator', count: 1, domain: DOMAIN_ID}],
       queueLimit: 1000,
       requiresApproval: false,
     });
@@ -53,13 +53,13 @@
   return entities;
 }
 
-/** One target. */
+/** Creates one target; its memory is in MB. */
 export function createTarget(index: number, memoryMb = 262_144): Entity {
   return {
     kind: 'target',
-    id: targetId(index),
-    domain: DOMAIN,
-    rack: `rack-${Math.floor(index / RACK_SIZE)}`,
+    id: formatTargetId(index),
+    domain: DOMAIN_ID,
+    rack: `rack-${Math.floor(index / TARGETS_PER_RACK)}`,
     endpoint: `http://10.0.${index >> 8}.${index & 255}:7100`,
     accelerators: 8,
     processors: 64,
@@ -69,7 +69,7 @@
   };
 }
 
-/** The request of a gang of `tasks` tasks. */
+/** Creates the request of a gang of `tasks` tasks. */
 export function createRequest(index: number, tasks: number): JobRequest {
   return {
     requestId: `request-2028-0000-${index}`,
@@ -84,17 +84,17 @@
     urgent: false,
     checkpointable: true,
     kind: 'layout',
-    createdAt: AT,
+    createdAt: RECORD_TIME_MS,
     payload: {input: `store/inputs/${index}`, seed: index},
   };
 }
 
-/** The parts of a gang on consecutive targets, the first of which is `first`. */
+/** Creates the assignments of a gang to consecutive targets, beginning with target number `first`. */
 export function createAssignments(tasks: number, first: number): Assignment[] {
   const assignments: Assignment[] = [];
   for (let task = 0; task < tasks; task += TASKS_PER_ASSIGNMENT) {
     assignments.push({
-      target: targetId(first + assignments.length),
+      target: formatTargetId(first + assignments.length),
       firstTask: task,
       tasks: Math.min(TASKS_PER_ASSIGNMENT, tasks - task),
       accelerators: 0,
@@ -103,11 +103,11 @@
   return assignments;
 }
 
-/** The records of one job, from its request to its end. */
+/** Creates the four records of one job: submitted, placed, started, finished. */
 export function createJobRecords(index: number, tasks: number): RecordBody[] {
   const request = createRequest(index, tasks);
   const jobId = `job-${index}`;
-  const attempt = {jobId, attempt: 1, domain: DOMAIN, term: TERM};
+  const attempt = {jobId, attempt: 1, domain: DOMAIN_ID, term: TERM};
   const results = Array.from({length: tasks}, (_, task) => ({task, ok: true}));
   return [
     {
@@ -115,8 +115,8 @@
       jobId,
       request,
       bodyHash: hashValue(request),
-      domain: DOMAIN,
-      reason: createReason('routed-capacity', {domain: DOMAIN}),
+      domain: DOMAIN_ID,
+      reason: createReason('routed-capacity', {domain: DOMAIN_ID}),
     },
     {
       type: 'placed',
@@ -141,11 +141,11 @@
   ];
 }
 
-/** The record that configures all entities, or changes some of them. */
+/** Creates the record that configures the given entities. */
 export function createConfiguredRecord(
   entities: readonly Entity[],
   baseVersion: number,
-  change = `change-${baseVersion}`,
+  changeId = `change-${baseVersion}`,
 ): RecordBody {
   const edits = entities.map(value => ({
     entity: getEntityKey(value),
@@ -154,11 +154,11 @@
   }));
   return {
     type: 'configured',
-    change: {changeId: change, author: 'operator', edits},
+    change: {changeId, author: 'operator', edits},
   };
 }
 
-/** Entries of the log that hold the bodies, from `offset` on. */
+/** Creates log entries with the given records, beginning at `offset`. */
 export function createEntries(
   bodies: readonly RecordBody[],
   offset: number,
@@ -166,22 +166,22 @@
   return bodies.map((body, index) => {
     const record = {
       v: 1,
-      recordId: `${INSTANCE}-kd83jf0a-${offset + index}`,
-      at: AT,
-      by: INSTANCE,
+      recordId: `${INSTANCE_ID}-kd83jf0a-${offset + index}`,
+      at: RECORD_TIME_MS,
+      by: INSTANCE_ID,
       ...body,
     } as LogRecord;
     return {offset: offset + index, value: record};
   });
 }
 
-/** Bytes of a record as JSON. */
+/** Counts the bytes of a record as JSON. */
 export function countRecordBytes(body: RecordBody): number {
   const [entry] = createEntries([body], 1_000_000);
   return Buffer.byteLength(JSON.stringify(entry!.value));
 }
 
-/** Folds bodies; throws when one is rejected, since then nothing would be measured. */
+/** Folds records into the state; throws when a record is rejected, because the measurement would be void. */
 export function foldAll(
   state: LedgerState,
   bodies: readonly RecordBody[],
@@ -189,7 +189,7 @@
   foldSerializedEntries(state, serializeEntries(bodies, state.nextOffset));
 }
 
-/** Entries as a reader of the log receives them. */
+/** Serializes log entries to JSON, as a reader of the log receives them. */
 export function serializeEntries(
   bodies: readonly RecordBody[],
   offset: number,
@@ -197,23 +197,23 @@
   return createEntries(bodies, offset).map(entry => JSON.stringify(entry));
 }
 
-/** Parses and folds entries. */
+/** Parses and folds serialized entries; throws when one is rejected. */
 export function foldSerializedEntries(
   state: LedgerState,
   texts: readonly string[],
 ): void {
   for (const text of texts) {
-    const applied = applyEntry(state, JSON.parse(text) as LogEntry);
-    if (!applied.accepted) {
-      const {rejection, problem} = applied;
+    const result = applyEntry(state, JSON.parse(text) as LogEntry);
+    if (!result.accepted) {
+      const {rejection, problem} = result;
       throw new Error(
-        `a record was rejected: ${rejection} ${problem?.message}`,
+        `the ledger rejected a record: ${rejection} ${problem?.message}`,
       );
     }
   }
 }
 
-/** A configuration and waiting jobs: `records` records. */
+/** Creates `records` records: one configuration, then submitted jobs. */
 export function createLogBodies(records: number): RecordBody[] {
   const bodies = [createConfiguredRecord(createEntities(64, 4), 0, 'setup')];
   for (let index = 1; index < records; index++) {
@@ -222,7 +222,7 @@
   return bodies;
 }
 
-/** A state with a configured domain that has a scheduler. */
+/** Creates a state with a configured domain whose scheduler has been claimed. */
 export function createState(targets: number, workspaces: number): LedgerState {
   const state = new LedgerState();
   foldAll(state, [
@@ -232,6 +232,6 @@
   return state;
 }
 
-function targetId(index: number): string {
+function formatTargetId(index: number): string {
   return `target-${index}`;
 }
--- a/packages/bench/src/slopes/gang_slopes.ts
+++ b/packages/bench/src/slopes/gang_slopes.ts
@@ -1,4 +1,4 @@
-/** What starting a gang on many targets costs. */
+/** Measures the cost of starting a gang, by its number of targets. */
 import {HttpTargetClient} from '@galenavalve/platform';
 import {SilentLogger, SystemClock} from '@galenavalve/shared';
 import {type GangAttempt, GangStarter} from '@galenavalve/targets';
@@ -12,11 +12,11 @@
 import {PlatformThread} from './platform_thread.js';
 import {type Slope, measureSlopes} from './slope.js';
 
-const PART_COUNTS = [1, 16, 32, 64, 128];
+const ASSIGNMENT_COUNTS = [1, 16, 32, 64, 128];
 const TIMEOUT_MS = 5000;
 const LEASE_MS = 60_000;
 
-const titles = {
+const TITLES = {
   wallMs: {
     id: 'gang-start',
     over: 'targets of one gang',
@@ -29,15 +29,15 @@
   },
 };
 
-/** All slopes of starts. */
+/** Measures all slopes of gang starts. */
 export async function measureGangStarts(): Promise<Slope[]> {
-  return measureSlopes(titles, PART_COUNTS, measureGang);
+  return measureSlopes(TITLES, ASSIGNMENT_COUNTS, measureGang);
 }
 
 async function measureGang(
-  parts: number,
-): Promise<Record<keyof typeof titles, number>> {
-  const platform = await PlatformThread.start({targets: parts});
+  targetCount: number,
+): Promise<Record<keyof typeof TITLES, number>> {
+  const platform = await PlatformThread.start({targets: targetCount});
   const client = new HttpTargetClient();
   const clock = new SystemClock();
   const starter = new GangStarter({
@@ -54,11 +54,11 @@
       leaseMs: LEASE_MS,
     },
   });
-  // The first gang opens the connections, which are open in daily work.
-  await startGang(starter, createOrder(0, parts));
+  // Warm-up: the first gang opens the connections, which are already open in regular operation.
+  await startGang(starter, createAttempt(0, targetCount));
   const startedAt = clock.now();
   const busyMs = await measureBusyTimeMs(() =>
-    startGang(starter, createOrder(1, parts)),
+    startGang(starter, createAttempt(1, targetCount)),
   );
   const wallMs = clock.now() - startedAt;
   client.close();
@@ -68,20 +68,20 @@
 
 async function startGang(
   starter: GangStarter,
-  order: GangAttempt,
+  attempt: GangAttempt,
 ): Promise<void> {
-  const reserved = await starter.reserve(order);
+  const reserved = await starter.reserve(attempt);
   if (reserved.kind !== 'reserved') {
-    throw new Error('the gang was not reserved');
+    throw new Error('the targets did not grant the reservation of the gang');
   }
-  const started = await starter.start(order, () => undefined);
+  const started = await starter.start(attempt, () => undefined);
   if (started.kind !== 'started') {
-    throw new Error('the gang was not started');
+    throw new Error('the targets did not start the gang');
   }
 }
 
-function createOrder(index: number, parts: number): GangAttempt {
-  const tasks = parts * TASKS_PER_ASSIGNMENT;
+function createAttempt(index: number, targetCount: number): GangAttempt {
+  const tasks = targetCount * TASKS_PER_ASSIGNMENT;
   const {workspace, gang} = createRequest(index, tasks);
   return {
     jobId: `job-${index}`,
--- a/packages/bench/src/slopes/ledger_slopes.ts
+++ b/packages/bench/src/slopes/ledger_slopes.ts
@@ -1,4 +1,4 @@
-/** What jobs, tasks and configuration cost in the folded state and in the log. */
+/** Measures the cost of jobs, tasks and configuration in the folded state and in the log. */
 import type {RecordBody} from '@galenavalve/model';
 import {
   TASKS_PER_ASSIGNMENT,
@@ -16,23 +16,23 @@
 import {type Slope, measureSlope} from './slope.js';
 
 const JOB_COUNTS = [400, 800, 1600, 3200];
-const PART_COUNTS = [1, 8, 32, 128];
+const ASSIGNMENT_COUNTS = [1, 8, 32, 128];
 const ENTITY_COUNTS = [1000, 2000, 4000, 8000];
 const TARGETS = 400;
 const WORKSPACES = 4;
 
-/** Jobs of which the parts are measured. */
-const PARTED_JOBS = 200;
+/** Number of running gangs whose assignments are varied. */
+const MULTI_TARGET_JOBS = 200;
 
-/** Records of a job that bring it to a phase. */
-const QUEUED = 1;
-const RUNNING = 3;
-const FINISHED = 4;
+/** Number of records after which a job is queued, running or finished. */
+const QUEUED_RECORDS = 1;
+const RUNNING_RECORDS = 3;
+const FINISHED_RECORDS = 4;
 
-/** Changes whose time is measured together. */
-const CHANGES = 20;
+/** Number of changes that are measured together. */
+const CHANGE_REPETITIONS = 20;
 
-/** All slopes of the ledger. */
+/** Measures all slopes of the ledger. */
 export async function measureLedger(): Promise<Slope[]> {
   return [
     await measureSlope(
@@ -42,7 +42,7 @@
         measured: 'heap bytes of the state',
       },
       JOB_COUNTS,
-      jobs => measureJobs(jobs, TASKS_PER_ASSIGNMENT, QUEUED),
+      jobs => measureJobsHeapBytes(jobs, TASKS_PER_ASSIGNMENT, QUEUED_RECORDS),
     ),
     await measureSlope(
       {
@@ -51,20 +51,20 @@
         measured: 'heap bytes of the state',
       },
       JOB_COUNTS,
-      jobs => measureJobs(jobs, TASKS_PER_ASSIGNMENT, RUNNING),
+      jobs => measureJobsHeapBytes(jobs, TASKS_PER_ASSIGNMENT, RUNNING_RECORDS),
     ),
     await measureSlope(
       {
         id: 'state-running-part',
-        over: `parts (${TASKS_PER_ASSIGNMENT} tasks on one target) of ${PARTED_JOBS} running gangs`,
+        over: `parts (${TASKS_PER_ASSIGNMENT} tasks on one target) of ${MULTI_TARGET_JOBS} running gangs`,
         measured: 'heap bytes of the state',
       },
-      PART_COUNTS.map(parts => parts * PARTED_JOBS),
-      parts =>
-        measureJobs(
-          PARTED_JOBS,
-          (parts / PARTED_JOBS) * TASKS_PER_ASSIGNMENT,
-          RUNNING,
+      ASSIGNMENT_COUNTS.map(assignments => assignments * MULTI_TARGET_JOBS),
+      assignments =>
+        measureJobsHeapBytes(
+          MULTI_TARGET_JOBS,
+          (assignments / MULTI_TARGET_JOBS) * TASKS_PER_ASSIGNMENT,
+          RUNNING_RECORDS,
         ),
     ),
     await measureSlope(
@@ -74,7 +74,8 @@
         measured: 'heap bytes of the state',
       },
       JOB_COUNTS,
-      jobs => measureJobs(jobs, TASKS_PER_ASSIGNMENT, FINISHED),
+      jobs =>
+        measureJobsHeapBytes(jobs, TASKS_PER_ASSIGNMENT, FINISHED_RECORDS),
     ),
     await measureSlope(
       {
@@ -100,8 +101,8 @@
         over: `records of jobs of ${TASKS_PER_ASSIGNMENT} tasks`,
         measured: 'ms to parse and fold',
       },
-      JOB_COUNTS.map(jobs => jobs * FINISHED),
-      records => timeFold(records / FINISHED),
+      JOB_COUNTS.map(jobs => jobs * FINISHED_RECORDS),
+      records => measureFoldMs(records / FINISHED_RECORDS),
     ),
     await measureSlope(
       {
@@ -110,7 +111,7 @@
         measured: 'ms to parse and fold one change of one target',
       },
       ENTITY_COUNTS,
-      timeChange,
+      measureChangeMs,
     ),
     await measureSlope(
       {
@@ -119,7 +120,7 @@
         measured: 'bytes of its four records',
       },
       [4, 32, 128, 512],
-      tasks => sumBytes(createJobRecords(1, tasks)),
+      tasks => sumRecordBytes(createJobRecords(1, tasks)),
     ),
     await measureSlope(
       {
@@ -136,7 +137,7 @@
   ];
 }
 
-function listRecords(jobs: number, tasks: number, perJob: number) {
+function createRecords(jobs: number, tasks: number, perJob: number) {
   const records: RecordBody[] = [];
   for (let index = 0; index < jobs; index++) {
     records.push(...createJobRecords(index, tasks).slice(0, perJob));
@@ -144,16 +145,20 @@
   return records;
 }
 
-function measureJobs(jobs: number, tasks: number, perJob: number): number {
+function measureJobsHeapBytes(
+  jobs: number,
+  tasks: number,
+  perJob: number,
+): number {
   const state = createState(TARGETS, WORKSPACES);
   return measureHeapBytes(() => {
-    foldAll(state, listRecords(jobs, tasks, perJob));
+    foldAll(state, createRecords(jobs, tasks, perJob));
     return state;
   });
 }
 
-function timeFold(jobs: number): number {
-  const records = listRecords(jobs, TASKS_PER_ASSIGNMENT, FINISHED);
+function measureFoldMs(jobs: number): number {
+  const records = createRecords(jobs, TASKS_PER_ASSIGNMENT, FINISHED_RECORDS);
   const texts = serializeEntries(
     records,
     createState(TARGETS, WORKSPACES).nextOffset,
@@ -164,8 +169,8 @@
   );
 }
 
-function timeChange(targets: number): number {
-  const time = measureTimeMs(
+function measureChangeMs(targets: number): number {
+  const timeMs = measureTimeMs(
     () => {
       const state = createState(targets, WORKSPACES);
       return {state, texts: createChanges(state.nextOffset)};
@@ -173,21 +178,21 @@
     ({state, texts}) => {
       for (const text of texts) {
         foldSerializedEntries(state, [text]);
-        // Deciding code reads the new configuration after every change.
+        // Includes the read of the new configuration, which scheduling does after every change.
         void state.configuration.targets.size;
       }
     },
   );
-  return time / CHANGES;
+  return timeMs / CHANGE_REPETITIONS;
 }
 
 function createChanges(offset: number): string[] {
-  const bodies = Array.from({length: CHANGES}, (_, index) =>
+  const bodies = Array.from({length: CHANGE_REPETITIONS}, (_, index) =>
     createConfiguredRecord([createTarget(0, 1024 * (index + 2))], index + 1),
   );
   return serializeEntries(bodies, offset);
 }
 
-function sumBytes(records: readonly RecordBody[]): number {
+function sumRecordBytes(records: readonly RecordBody[]): number {
   return records.reduce((total, record) => total + countRecordBytes(record), 0);
 }
--- a/packages/bench/src/slopes/log_read_slopes.ts
+++ b/packages/bench/src/slopes/log_read_slopes.ts
@@ -1,4 +1,4 @@
-/** What reading the log over HTTP costs, and how long news take to every reader. */
+/** Measures the cost of log reads over HTTP, and the time until all followers have folded a change. */
 import {LedgerState, LogFollower} from '@galenavalve/ledger';
 import {HttpLog} from '@galenavalve/platform';
 import {SilentLogger, SystemClock} from '@galenavalve/shared';
@@ -12,16 +12,16 @@
 import {type Slope, measureSlope, measureSlopes} from './slope.js';
 
 const RECORD_COUNTS = [1000, 2000, 4000, 8000];
-const PAGE_RECORDS = [0, 8, 32, 128, 512];
+const PAGE_RECORD_COUNTS = [0, 8, 32, 128, 512];
 const READER_COUNTS = [1, 4, 8, 16];
-const READS = 50;
-const CHANGES = 20;
+const READ_REPETITIONS = 50;
+const CHANGE_REPETITIONS = 20;
 const TIMEOUT_MS = 5000;
 
 const clock = new SystemClock();
 const logger = new SilentLogger();
 
-const readTitles = {
+const READ_TITLES = {
   bytes: {
     id: 'read-bytes',
     over: 'records in the answer',
@@ -34,40 +34,40 @@
   },
 };
 
-/** All slopes of reading the log. */
+/** Measures all slopes of log reads. */
 export async function measureLogReads(): Promise<Slope[]> {
   const catchUp = {
     id: 'catch-up',
     over: 'records of the log',
     measured: 'ms until a new follower is fresh',
   };
-  const spread = {
+  const changeSpread = {
     id: 'change-spread',
     over: 'followers of the log',
     measured: 'ms from the append of a change until all have folded it',
   };
   return [
-    await measureSlope(catchUp, RECORD_COUNTS, timeCatchUp),
-    ...(await measureSlopes(readTitles, PAGE_RECORDS, measureReads)),
-    await measureSlope(spread, READER_COUNTS, timeSpread),
+    await measureSlope(catchUp, RECORD_COUNTS, measureCatchUpMs),
+    ...(await measureSlopes(READ_TITLES, PAGE_RECORD_COUNTS, measureReads)),
+    await measureSlope(changeSpread, READER_COUNTS, measureSpreadMs),
   ];
 }
 
-async function timeCatchUp(records: number): Promise<number> {
+async function measureCatchUpMs(records: number): Promise<number> {
   const platform = await PlatformThread.start({records});
   const follower = createFollower(platform);
   const startedAt = clock.now();
   while (!follower.isCaughtUp) {
     await follower.readOnce();
   }
-  const duration = clock.now() - startedAt;
+  const durationMs = clock.now() - startedAt;
   await platform.stop();
-  return duration;
+  return durationMs;
 }
 
 async function measureReads(
   records: number,
-): Promise<Record<keyof typeof readTitles, number>> {
+): Promise<Record<keyof typeof READ_TITLES, number>> {
   const platform = await PlatformThread.start({records: records + 1});
   const log = new HttpLog({baseUrl: platform.urls.log});
   // The first record is the configuration, which is larger than the others.
@@ -76,7 +76,7 @@
   await log.read(from, options);
   const before = await platform.countBytes();
   const busyMs = await measureBusyTimeMs(async () => {
-    for (let count = 0; count < READS; count++) {
+    for (let count = 0; count < READ_REPETITIONS; count++) {
       await log.read(from, options);
     }
   });
@@ -84,11 +84,14 @@
   await platform.stop();
   const sent = after.toLog - before.toLog;
   const received = after.fromLog - before.fromLog;
-  return {bytes: (sent + received) / READS, busyMs: busyMs / READS};
+  return {
+    bytes: (sent + received) / READ_REPETITIONS,
+    busyMs: busyMs / READ_REPETITIONS,
+  };
 }
 
-/** Mean over a few changes. */
-async function timeSpread(readers: number): Promise<number> {
+/** Measures the mean time, in milliseconds, from the append of a change until all followers have folded it. */
+async function measureSpreadMs(readers: number): Promise<number> {
   const platform = await PlatformThread.start({records: 1});
   const followers = Array.from({length: readers}, () =>
     createFollower(platform),
@@ -96,17 +99,17 @@
   const stopping = new AbortController();
   const running = followers.map(follower => follower.run(stopping.signal));
   const log = new HttpLog({baseUrl: platform.urls.log});
-  let total = 0;
-  for (let change = 0; change < CHANGES; change++) {
-    total += await timeChange(log, followers, change);
+  let totalMs = 0;
+  for (let change = 0; change < CHANGE_REPETITIONS; change++) {
+    totalMs += await measureChangeMs(log, followers, change);
   }
   stopping.abort();
   await Promise.all(running);
   await platform.stop();
-  return total / CHANGES;
+  return totalMs / CHANGE_REPETITIONS;
 }
 
-async function timeChange(
+async function measureChangeMs(
   log: HttpLog,
   followers: readonly LogFollower[],
   change: number,
@@ -123,7 +126,7 @@
     follower.waitForOffset(firstOffset, TIMEOUT_MS),
   );
   if ((await Promise.all(folded)).includes(false)) {
-    throw new Error('a follower did not fold the change in time');
+    throw new Error('a follower did not fold the change before the timeout');
   }
   return clock.now() - startedAt;
 }
--- a/packages/bench/src/slopes/measurement.ts
+++ b/packages/bench/src/slopes/measurement.ts
@@ -1,53 +1,53 @@
-/** Measures time, heap and the loop's busy time. */
+/** Measures run time, heap use and the busy time of the event loop. */
 import {performance} from 'node:perf_hooks';
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
 
-/** Repetitions of which the middle one counts. */
+/** Number of repetitions, of which the median counts. */
 const REPETITIONS = 3;
 
-/** Milliseconds that `work` takes: the median of a few runs, each on a fresh `prepare()`. */
+/** Measures the time of `work` in milliseconds: the median of three runs, each with a new input from `prepare`. */
 export function measureTimeMs<Input>(
   prepare: () => Input,
   work: (input: Input) => void,
 ): number {
-  const times: number[] = [];
+  const timesMs: number[] = [];
   for (let run = 0; run < REPETITIONS; run++) {
     const input = prepare();
     const startedAt = performance.now();
     work(input);
-    times.push(performance.now() - startedAt);
+    timesMs.push(performance.now() - startedAt);
   }
-  times.sort((a, b) => a - b);
-  return times[Math.floor(REPETITIONS / 2)]!;
+  timesMs.sort((a, b) => a - b);
+  return timesMs[Math.floor(REPETITIONS / 2)]!;
 }
 
-/** Bytes of heap that the result of `create` takes. */
+/** Measures the heap that the result of `create` takes, in bytes. */
 export function measureHeapBytes(create: () => unknown): number {
-  const before = usedHeap();
+  const heapBeforeBytes = measureUsedHeapBytes();
   const created = create();
-  const after = usedHeap();
-  // Keeps the result alive until the heap was measured.
-  return created === undefined ? 0 : after - before;
+  const heapAfterBytes = measureUsedHeapBytes();
+  // The reference keeps the result reachable until the heap has been measured.
+  return created === undefined ? 0 : heapAfterBytes - heapBeforeBytes;
 }
 
-/** Milliseconds in which this thread's loop was busy while `work` ran. */
+/** Measures how long this thread's event loop was busy during `work`, in milliseconds. */
 export async function measureBusyTimeMs(
   work: () => Promise<void>,
 ): Promise<number> {
-  const before = performance.eventLoopUtilization();
+  const utilizationBefore = performance.eventLoopUtilization();
   await work();
-  return performance.eventLoopUtilization(before).active;
+  return performance.eventLoopUtilization(utilizationBefore).active;
 }
 
-let collect: (() => void) | undefined;
+let collectGarbage: (() => void) | undefined;
 
-function usedHeap(): number {
-  if (!collect) {
+function measureUsedHeapBytes(): number {
+  if (!collectGarbage) {
     setFlagsFromString('--expose-gc');
-    collect = runInNewContext('gc') as () => void;
+    collectGarbage = runInNewContext('gc') as () => void;
   }
-  collect();
-  collect();
+  collectGarbage();
+  collectGarbage();
   return process.memoryUsage().heapUsed;
 }
--- a/packages/bench/src/slopes/peer_slopes.ts
+++ b/packages/bench/src/slopes/peer_slopes.ts
@@ -1,4 +1,4 @@
-/** What heartbeats and relays cost an instance. */
+/** Measures the cost of heartbeats and of record pulls between peers. */
 import {
   PeerMesh,
   type PeerEndpoint,
@@ -17,22 +17,22 @@
 const PEER_COUNTS = [1, 2, 4, 8, 16];
 const RECORD_COUNTS = [400, 800, 1600, 3200];
 
-/** Short, so that many beats are measured in a short time. */
+/** Shorter than in service, so that a short measurement covers many heartbeats. */
 const HEARTBEAT_MS = 100;
 const WARM_UP_MS = 800;
-const MEASURED_MS = 1500;
+const MEASUREMENT_MS = 1500;
 
 const HOST = '127.0.0.1';
-const DOMAIN = 'north';
+const DOMAIN_ID = 'north';
 const clock = new SystemClock();
 const logger = new SilentLogger();
 
-/** Bytes both ways, and busy time, of a part of an instance's work. */
-type Cost = Record<'bytes' | 'busyMs', number>;
+/** Bytes sent and received, and busy time of the event loop. */
+type PeerCost = Record<'bytes' | 'busyMs', number>;
 
-/** All slopes of the peer protocol. */
+/** Measures all slopes of the peer protocol. */
 export async function measurePeers(): Promise<Slope[]> {
-  const beats = await measureSlopes(
+  const heartbeatSlopes = await measureSlopes(
     {
       bytes: {
         id: 'beat-bytes',
@@ -46,9 +46,9 @@
       },
     },
     PEER_COUNTS,
-    measureBeats,
+    measureHeartbeats,
   );
-  const relays = await measureSlopes(
+  const pullSlopes = await measureSlopes(
     {
       bytes: {
         id: 'relay-bytes',
@@ -62,45 +62,45 @@
       },
     },
     RECORD_COUNTS,
-    measureRelay,
+    measureRecordPull,
   );
-  return [...beats, ...relays];
+  return [...heartbeatSlopes, ...pullSlopes];
 }
 
-/** The cost of one instance among `peers` others, in one heartbeat interval. */
-async function measureBeats(peers: number): Promise<Cost> {
+/** Measures the mean cost of one instance with `peers` peers, per heartbeat interval. */
+async function measureHeartbeats(peers: number): Promise<PeerCost> {
   const seeds: PeerEndpoint[] = [];
-  const instances: Instance[] = [];
+  const instances: MeshInstance[] = [];
   for (let index = 0; index <= peers; index++) {
     const instance = await startInstance(`entry-north-${index}`, [...seeds]);
     instances.push(instance);
     seeds.push(instance.seed);
   }
   await clock.sleep(WARM_UP_MS);
-  const before = instances.map(bytesOfInstance);
-  const busyMs = await measureBusyTimeMs(() => clock.sleep(MEASURED_MS));
+  const bytesBefore = instances.map(countInstanceBytes);
+  const busyMs = await measureBusyTimeMs(() => clock.sleep(MEASUREMENT_MS));
   const bytes = instances.map(
-    (instance, index) => bytesOfInstance(instance) - before[index]!,
+    (instance, index) => countInstanceBytes(instance) - bytesBefore[index]!,
   );
   await Promise.all(instances.map(instance => instance.stop()));
-  const intervals = MEASURED_MS / HEARTBEAT_MS;
-  const total = bytes.reduce((sum, value) => sum + value, 0);
+  const intervals = MEASUREMENT_MS / HEARTBEAT_MS;
+  const totalBytes = bytes.reduce((sum, value) => sum + value, 0);
   return {
-    bytes: total / instances.length / intervals,
+    bytes: totalBytes / instances.length / intervals,
     busyMs: busyMs / instances.length / intervals,
   };
 }
 
-/** The cost of pulling `records` records of jobs from a peer. */
-async function measureRelay(records: number): Promise<Cost> {
-  const {server, client} = createEnds('entry-north-1');
-  const relay = new RecordCache();
+/** Measures the cost of pulling `records` records of jobs from a peer. */
+async function measureRecordPull(records: number): Promise<PeerCost> {
+  const {server, client} = createServerAndClient('entry-north-1');
+  const cache = new RecordCache();
   const bodies = Array.from({length: records / 4}, (_, index) =>
     createJobRecords(index, 4),
   ).flat();
-  relay.add(createEntries(bodies, 0), records);
+  cache.add(createEntries(bodies, 0), records);
   server.handle(RECORDS_METHOD, recordsRequest, async body =>
-    relay.readPage(body),
+    cache.readPage(body),
   );
   const {port} = await server.start();
   const peer = {instance: 'entry-north-1', host: HOST, port};
@@ -123,7 +123,7 @@
   return {bytes, busyMs};
 }
 
-interface Instance {
+interface MeshInstance {
   seed: PeerEndpoint;
   server: PeerServer;
   client: PeerClient;
@@ -133,10 +133,10 @@
 async function startInstance(
   instance: string,
   seeds: readonly PeerEndpoint[],
-): Promise<Instance> {
-  const {server, client, random} = createEnds(instance);
+): Promise<MeshInstance> {
+  const {server, client, random} = createServerAndClient(instance);
   const {port} = await server.start();
-  const seed = {instance, host: HOST, port, domain: DOMAIN};
+  const seed = {instance, host: HOST, port, domain: DOMAIN_ID};
   const mesh = new PeerMesh({
     self: seed,
     client,
@@ -160,7 +160,7 @@
   return {seed, server, client, stop};
 }
 
-function createEnds(instance: string) {
+function createServerAndClient(instance: string) {
   const random = new SeededRandom(1);
   const listen = {host: HOST, port: 0};
   const server = new PeerServer({...listen, instance, logger, clock});
@@ -171,8 +171,8 @@
 function createReport(instance: string): InstanceReport {
   return {
     instance,
-    domain: DOMAIN,
-    // The size of numbers on the wire grows with them.
+    domain: DOMAIN_ID,
+    // Large numbers take more bytes on the wire, so the offset is as large as in service.
     offset: 10_000_000 + Math.floor(clock.now()),
     freshnessAgeMs: 300,
     leaving: false,
@@ -182,7 +182,7 @@
   };
 }
 
-function bytesOfInstance({server, client}: Instance): number {
+function countInstanceBytes({server, client}: MeshInstance): number {
   return (
     server.bytesSent +
     server.bytesReceived +
--- a/packages/bench/src/slopes/platform_thread.ts
+++ b/packages/bench/src/slopes/platform_thread.ts
@@ -1,25 +1,25 @@
-/** The platform's stand-ins in a thread of their own, so that their work is not measured. */
+/** Runs the platform's stand-ins in a separate thread, so that their work is not measured. */
 import {once} from 'node:events';
 import {Worker} from 'node:worker_threads';
 
-/** What the thread stands in for. */
+/** Contents of the emulated platform. */
 export interface PlatformSettings {
-  /** Targets named "target-0" and so on. */
+  /** Number of targets, named "target-0" and so on. */
   targets: number;
-  /** Records of waiting jobs that the log holds. */
+  /** Number of records that the log holds: one configuration, then waiting jobs. */
   records: number;
-  /** In place of those, the records of a cluster of this share of the two-year size. */
+  /** When set, the log instead holds the records and a snapshot of a cluster of this share of the two-year size. */
   clusterShare?: number;
 }
 
-/** Where the stand-ins listen. */
+/** URLs of the stand-ins; log and targets are reached through the counting proxies. */
 export interface PlatformUrls {
   log: string;
   instances: string;
   targets: string;
 }
 
-/** Bytes so far. */
+/** Bytes transferred since the start of the thread. */
 export interface ByteCounts {
   toLog: number;
   fromLog: number;
@@ -27,14 +27,14 @@
   fromTargets: number;
 }
 
-/** A running thread. */
+/** Running worker thread with the stand-ins. */
 export class PlatformThread {
   private constructor(
     private readonly worker: Worker,
     readonly urls: PlatformUrls,
   ) {}
 
-  /** Starts a thread; resolves when its stand-ins listen. */
+  /** Starts a thread; resolves when its stand-ins accept connections. */
   static async start(
     settings: Partial<PlatformSettings>,
   ): Promise<PlatformThread> {
@@ -45,14 +45,14 @@
     return new PlatformThread(worker, urls);
   }
 
-  /** Bytes through the relays so far. */
+  /** Returns the bytes that passed the proxies since the start. */
   async countBytes(): Promise<ByteCounts> {
-    const answer = once(this.worker, 'message') as Promise<[ByteCounts]>;
+    const response = once(this.worker, 'message') as Promise<[ByteCounts]>;
     this.worker.postMessage('bytes');
-    return (await answer)[0];
+    return (await response)[0];
   }
 
-  /** Ends the thread. */
+  /** Terminates the thread. */
   async stop(): Promise<void> {
     await this.worker.terminate();
   }
--- a/packages/bench/src/slopes/platform_worker.ts
+++ b/packages/bench/src/slopes/platform_worker.ts
@@ -1,4 +1,4 @@
-/** A thread with the platform's stand-ins behind relays that count bytes. */
+/** Worker thread that runs the platform's stand-ins behind TCP proxies that count bytes. */
 import {parentPort, workerData} from 'node:worker_threads';
 import {
   LedgerState,
@@ -25,12 +25,16 @@
 
 if (parentPort) {
   const port = parentPort;
-  const {urls, count} = await start(workerData as PlatformSettings);
+  const {urls, count} = await startStandIns(workerData as PlatformSettings);
   port.postMessage(urls);
   port.on('message', () => port.postMessage(count()));
 }
 
-async function start({targets, records, clusterShare}: PlatformSettings) {
+async function startStandIns({
+  targets,
+  records,
+  clusterShare,
+}: PlatformSettings) {
   const listen = {host: HOST, port: 0};
   const log = await startLogServer(listen);
   const bodies =
@@ -50,23 +54,23 @@
     memoryMb: 67_108_864,
   }));
   const server = await startTargetServer({...listen, targets: definitions});
-  const logRelay = new TcpProxy(portOf(log.url));
-  const targetRelay = new TcpProxy(portOf(server.url));
+  const logProxy = new TcpProxy(getPort(log.url));
+  const targetProxy = new TcpProxy(getPort(server.url));
   const urls: PlatformUrls = {
-    log: `http://${HOST}:${await logRelay.start()}`,
+    log: `http://${HOST}:${await logProxy.start()}`,
     instances: list.url,
-    targets: `http://${HOST}:${await targetRelay.start()}`,
+    targets: `http://${HOST}:${await targetProxy.start()}`,
   };
   const count = (): ByteCounts => ({
-    toLog: logRelay.bytesFromClients,
-    fromLog: logRelay.bytesFromServer,
-    toTargets: targetRelay.bytesFromClients,
-    fromTargets: targetRelay.bytesFromServer,
+    toLog: logProxy.bytesFromClients,
+    fromLog: logProxy.bytesFromServer,
+    toTargets: targetProxy.bytesFromClients,
+    fromTargets: targetProxy.bytesFromServer,
   });
   return {urls, count};
 }
 
-/** Adds the snapshot that the log of a running cluster holds. */
+/** Appends a snapshot, as the log of a running cluster holds one. */
 function writeSnapshot(log: MemoryLog, bodies: readonly RecordBody[]): void {
   const state = new LedgerState();
   foldAll(state, bodies);
@@ -75,6 +79,6 @@
   log.write(...entries.map(entry => entry.value));
 }
 
-function portOf(url: string): number {
+function getPort(url: string): number {
   return Number(new URL(url).port);
 }
--- a/packages/bench/src/slopes/renewal_slopes.ts
+++ b/packages/bench/src/slopes/renewal_slopes.ts
@@ -1,4 +1,4 @@
-/** What renewing the leases of a target costs, and the usage that the answer reports. */
+/** Measures the cost of renewing a target's leases, and of the usage in the response. */
 import type {Term} from '@galenavalve/model';
 import {HttpTargetClient} from '@galenavalve/platform';
 import type {
@@ -13,15 +13,15 @@
 import {type Slope, measureSlopes} from './slope.js';
 
 const LEASE_COUNTS = [1, 4, 8, 16, 32];
-const RENEWALS = 100;
+const RENEWAL_REPETITIONS = 100;
 const TIMEOUT_MS = 5000;
 
-/** Longer than the measurement. */
+/** Exceeds the duration of the measurement, so that no lease expires. */
 const LEASE_MS = 600_000;
 
 const TERM: Term = {log: 12, outage: 0, instance: 'entry-north-1'};
 
-const titles = {
+const TITLES = {
   sent: {
     id: 'renewal-sent',
     over: 'leases on a target',
@@ -44,14 +44,14 @@
   },
 };
 
-/** All slopes of renewals. */
+/** Measures all slopes of lease renewals. */
 export async function measureRenewals(): Promise<Slope[]> {
-  return measureSlopes(titles, LEASE_COUNTS, measureTarget);
+  return measureSlopes(TITLES, LEASE_COUNTS, measureRenewal);
 }
 
-async function measureTarget(
+async function measureRenewal(
   leases: number,
-): Promise<Record<keyof typeof titles, number>> {
+): Promise<Record<keyof typeof TITLES, number>> {
   const platform = await PlatformThread.start({targets: 1});
   const client = new HttpTargetClient();
   const target: TargetAddress = {
@@ -62,7 +62,7 @@
   let report = await renew(client, target, keys, undefined);
   const before = await platform.countBytes();
   const busyMs = await measureBusyTimeMs(async () => {
-    for (let count = 0; count < RENEWALS; count++) {
+    for (let count = 0; count < RENEWAL_REPETITIONS; count++) {
       report = await renew(client, target, keys, report.clock);
     }
   });
@@ -70,10 +70,10 @@
   client.close();
   await platform.stop();
   return {
-    sent: (after.toTargets - before.toTargets) / RENEWALS,
-    received: (after.fromTargets - before.fromTargets) / RENEWALS,
+    sent: (after.toTargets - before.toTargets) / RENEWAL_REPETITIONS,
+    received: (after.fromTargets - before.fromTargets) / RENEWAL_REPETITIONS,
     usage: Buffer.byteLength(JSON.stringify(keys.map(createUsage))),
-    busyMs: busyMs / RENEWALS,
+    busyMs: busyMs / RENEWAL_REPETITIONS,
   };
 }
 
@@ -109,7 +109,7 @@
     ttlMs: TIMEOUT_MS,
   };
   const {grantedAt} = await client.reserve(target, reservation, TIMEOUT_MS);
-  const order = {
+  const startCommand = {
     ...key,
     term: TERM,
     grantedAt,
@@ -117,7 +117,7 @@
     progressSeconds: 0,
     payload: {durationMs: LEASE_MS},
   };
-  await client.start(target, order, TIMEOUT_MS);
+  await client.start(target, startCommand, TIMEOUT_MS);
 }
 
 function renew(
@@ -126,8 +126,8 @@
   leases: LeaseKey[],
   basedOn: number | undefined,
 ): Promise<TargetReport> {
-  const order = {term: TERM, basedOn, leaseMs: LEASE_MS, leases, forget: []};
-  return client.renew(target, order, TIMEOUT_MS);
+  const renewal = {term: TERM, basedOn, leaseMs: LEASE_MS, leases, forget: []};
+  return client.renew(target, renewal, TIMEOUT_MS);
 }
 
 function createUsage(key: LeaseKey): UsageReport {
--- a/packages/bench/src/slopes/run_slopes.ts
+++ b/packages/bench/src/slopes/run_slopes.ts
@@ -1,4 +1,4 @@
-/** Measures every slope, and shows them. */
+/** Measures every slope and formats the report. */
 import {arch, cpus, release} from 'node:os';
 import {measureLogReads} from './log_read_slopes.js';
 import {measureDaemons} from './daemon_slopes.js';
@@ -10,9 +10,9 @@
 import type {Slope} from './slope.js';
 import {measureSnapshots} from './snapshot_slopes.js';
 
-/** All slopes with the machine that they were measured on. */
+/** All slopes, with the machine on which they were measured. */
 export interface SlopeReport {
-  /** When the run began, as an ISO date. */
+  /** Start time of the run in ISO 8601 format. */
   date: string;
   machine: {
     processor: string;
@@ -21,7 +21,7 @@
     architecture: string;
     node: string;
   };
-  /** Length of the run in seconds. */
+  /** Duration of the run. */
   seconds: number;
   slopes: Slope[];
 }
@@ -37,7 +37,7 @@
   measureDaemons,
 ];
 
-/** Measures every slope. Takes less than two minutes. */
+/** Measures every slope; takes less than two minutes. */
 export async function runSlopes(): Promise<SlopeReport> {
   const startedAt = performance.now();
   const date = new Date().toISOString();
@@ -53,11 +53,11 @@
   };
 }
 
-/** The slopes as a table. */
+/** Formats one line of text for each slope. */
 export function formatSlopes({slopes}: SlopeReport): string {
   const rows = slopes.map(slope => {
     const {id, over, measured, intercept, residual, points} = slope;
-    const line = `${format(intercept)} + ${format(slope.slope)} x`;
+    const line = `${formatNumber(intercept)} + ${formatNumber(slope.slope)} x`;
     const share = `${(residual * 100).toFixed(1)}%`;
     return `${id}: ${measured} over ${over}: ${line} (${points.length} points, residual ${share})`;
   });
@@ -75,6 +75,6 @@
   };
 }
 
-function format(value: number): string {
+function formatNumber(value: number): string {
   return Number(value.toPrecision(4)).toString();
 }
--- a/packages/bench/src/slopes/slope.ts
+++ b/packages/bench/src/slopes/slope.ts
@@ -1,29 +1,29 @@
-/** A measured slope: what one more of something costs. */
+/** Measures slopes: a slope is the cost of one additional item, such as bytes per queued job. */
 import {type Fit, type Point, fitLine} from './fit.js';
 
-/** What was measured, over what. */
+/** Name and quantities of a slope. */
 export interface SlopeTitle {
-  /** Stable name, by which docs/CAPACITY.md refers to it. */
+  /** Stable name by which docs/CAPACITY.md refers to the slope. */
   id: string;
-  /** What x counts, such as "queued jobs". */
+  /** Quantity x, such as "queued jobs". */
   over: string;
-  /** What y is, with its unit, such as "heap bytes". */
+  /** Quantity y with its unit, such as "heap bytes". */
   measured: string;
 }
 
-/** A slope with its points. */
+/** Slope with its measured points. */
 export interface Slope extends SlopeTitle, Fit {
   points: Point[];
 }
 
-/** Measures y for each x, and fits a line. */
+/** Measures y for each x and fits a line. */
 export async function measureSlope(
   title: SlopeTitle,
   xs: readonly number[],
   measure: (x: number) => number | Promise<number>,
 ): Promise<Slope> {
   const points: Point[] = [];
-  // The first run compiles code, which would count as the first point's.
+  // Warm-up: the first run compiles code, whose time would otherwise count towards the first point.
   await measure(xs[0]!);
   for (const x of xs) {
     points.push({x, y: await measure(x)});
@@ -31,12 +31,12 @@
   return createSlope(title, points);
 }
 
-/** The slope of points that were measured before. */
+/** Creates a slope from points that have been measured. */
 export function createSlope(title: SlopeTitle, points: Point[]): Slope {
   return {...title, ...fitLine(points), points};
 }
 
-/** Several values that are measured together, each over the same x. */
+/** Measures several quantities together over the same x, and fits a line to each. */
 export async function measureSlopes<Key extends string>(
   titles: Record<Key, SlopeTitle>,
   xs: readonly number[],
--- a/packages/bench/src/slopes/snapshot_slopes.ts
+++ b/packages/bench/src/slopes/snapshot_slopes.ts
@@ -1,4 +1,4 @@
-/** What a snapshot of the state costs, by shares of the two-year size. */
+/** Measures the size and the time of a state snapshot by shares of the two-year size. */
 import {
   LedgerState,
   type Snapshot,
@@ -11,9 +11,9 @@
 import {type Slope, measureSlopes} from './slope.js';
 import {createClusterRecords} from './two_year_size.js';
 
-const SHARES = [0.1, 0.25, 0.5, 1];
+const SIZE_SHARES = [0.1, 0.25, 0.5, 1];
 
-const titles = {
+const TITLES = {
   bytes: {
     id: 'snapshot-bytes',
     over: 'share of the two-year size',
@@ -31,19 +31,19 @@
   },
 };
 
-/** All slopes of snapshots. */
+/** Measures all slopes of snapshots. */
 export async function measureSnapshots(): Promise<Slope[]> {
-  return measureSlopes(titles, SHARES, measureSnapshot);
+  return measureSlopes(TITLES, SIZE_SHARES, measureSnapshot);
 }
 
 async function measureSnapshot(
   share: number,
-): Promise<Record<keyof typeof titles, number>> {
+): Promise<Record<keyof typeof TITLES, number>> {
   const state = new LedgerState();
   foldAll(state, createClusterRecords(share));
   const snapshot = encodeState(state, 'snapshot-1');
   return {
-    bytes: sumBytes(snapshot),
+    bytes: countSnapshotBytes(snapshot),
     encodeMs: measureTimeMs(
       () => state,
       input => void encodeState(input, 'snapshot-2'),
@@ -55,7 +55,7 @@
   };
 }
 
-function sumBytes(snapshot: Snapshot): number {
+function countSnapshotBytes(snapshot: Snapshot): number {
   return createChunks(snapshot).reduce(
     (total, chunk) => total + countRecordBytes(chunk),
     0,
