--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,4 +1,4 @@
-/** The Google TypeScript rules (gts), and the direction in which packages may depend on each other. */
+/** Configures ESLint: the Google TypeScript rules (gts), and no imports of the inner modules of other packages. */
 import gts from 'gts';
 
 export default [
@@ -24,7 +24,7 @@
     },
   },
   {
-    // tap queues subtests by itself; a spec need not await them.
+    // tap queues subtests, so specs do not have to await them.
     files: ['packages/*/__tests__/**/*.ts', 'platform/__tests__/**/*.ts'],
     rules: {'@typescript-eslint/no-floating-promises': 'off'},
   },
--- a/scripts/bench.mjs
+++ b/scripts/bench.mjs
@@ -1,2 +1,2 @@
-/** Runs a benchmark by name: `npm run bench NAME -- [--json]`. */
+/** Runs the benchmark NAME: `npm run bench NAME -- [--json]`. */
 await import('../packages/bench/dist/src/main.js');
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,4 +1,4 @@
-/** Compiles every package, in the order of their references. */
+/** Compiles every package in the order of the project references. */
 import {spawnSync} from 'node:child_process';
 
 const build = spawnSync(
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,4 +1,4 @@
-/** Bundles the program that runs on the users' platform into target/. */
+/** Bundles the daemon for the users' platform into a single file in target/. */
 import {fileURLToPath} from 'node:url';
 import {build} from 'esbuild';
 
@@ -11,13 +11,13 @@
   format: 'esm',
   mainFields: ['module', 'main'],
   legalComments: 'none',
-  // An instance pays for its memory: the text of the program is a part of it. Names stay for the logs.
+  // Node keeps the program text in memory, so a smaller bundle saves memory on every instance. Identifiers stay readable in logs.
   minifyWhitespace: true,
   minifySyntax: true,
-  // The codec without its native part, which a bundle of one file cannot carry.
+  // Uses the codec without its native addon, which a single-file bundle cannot contain.
   alias: {'cbor-x': fileURLToPath(import.meta.resolve('cbor-x/decode'))},
   banner: {
-    // Packages in the older module format expect these names.
+    // CommonJS packages expect these variables.
     js: "import {createRequire as makeRequire} from 'node:module';import {fileURLToPath as toPath} from 'node:url';const require=makeRequire(import.meta.url);const __filename=toPath(import.meta.url);const __dirname=__filename.slice(0,__filename.lastIndexOf('/'));",
   },
 });
--- a/scripts/capacity/entry_tables.mjs
+++ b/scripts/capacity/entry_tables.mjs
@@ -1,15 +1,15 @@
-/** How many entry instances a failure domain needs. */
-import {figure, table} from './format.mjs';
+/** Creates the tables about the number of entry instances that a failure domain needs. */
+import {formatFigure, formatTable} from './format.mjs';
 import {
-  WHOLE,
-  entryBytes,
-  fewestEntries,
-  fixedBytes,
-  renewal,
+  FULL_SHARE,
+  computeEntryBytes,
+  findMinEntries,
+  computeFixedBytes,
+  computeRenewalCost,
 } from './model.mjs';
-import {assumed, derived, limits} from './sizes.mjs';
+import {assumptions, derived, limits} from './sizes.mjs';
 
-/** Time between two renewals, in seconds, and whether a report has only what changed. */
+/** Compared renewal intervals, each with full reports or with reports of changes only. */
 const VARIANTS = [
   {renewSeconds: 1, isFull: true},
   {renewSeconds: 2, isFull: true},
@@ -19,67 +19,67 @@
   {renewSeconds: 30, isFull: false},
 ];
 
-/** Peers of the domain that an instance would beat if a full mesh cost too much. */
-const MOST_PEERS = 8;
+/** Number of peers in its domain to which an instance sends heartbeats when a full mesh costs too much. */
+const MAX_PEERS = 8;
 
-/** The tables about the number of entry instances. */
-export function entryTables(slopes) {
+/** Creates the tables by the name of their markers. */
+export function createEntryTables(slopes) {
   return {
-    'entry-bytes': bytesTable(slopes),
-    'entry-counts': countTable(slopes),
+    'entry-bytes': createBytesTable(slopes),
+    'entry-counts': createCountTable(slopes),
   };
 }
 
-function bytesTable(slopes) {
-  const entries = assumed.entriesPerDomain;
-  const fixed = fixedBytes(slopes, entries);
+function createBytesTable(slopes) {
+  const entries = assumptions.entriesPerDomain;
+  const fixed = computeFixedBytes(slopes, entries);
   const rows = [
     ['reads of the log', fixed.log],
     ['records', fixed.records],
-    ['heartbeats', fixed.beats],
+    ['heartbeats', fixed.heartbeats],
     ['before any lease', fixed.total],
     ['left for leases', limits.bytesPerSecond - fixed.total],
   ];
-  return table(
+  return formatTable(
     [`an entry instance, of ${entries} of its domain`, 'bytes a second'],
-    rows.map(([what, value]) => [what, figure(value)]),
+    rows.map(([what, value]) => [what, formatFigure(value)]),
   );
 }
 
-function countTable(slopes) {
-  const cost = renewal(slopes, derived.leasesPerTarget);
-  const rest = slopes.measured('daemon-processor', WHOLE);
-  const entries = assumed.entriesPerDomain;
+function createCountTable(slopes) {
+  const cost = computeRenewalCost(slopes, derived.leasesPerTarget);
+  const idlePercent = slopes.getMeasured('daemon-processor', FULL_SHARE);
+  const entries = assumptions.entriesPerDomain;
   const rows = VARIANTS.map(({renewSeconds, isFull}) => {
     const bytes = isFull ? cost.full : cost.empty;
-    const keeping =
+    const renewalBusyMsPerSecond =
       (derived.targetsPerDomain / renewSeconds / entries) * cost.busyMs;
-    const fewest = mostPeers =>
-      fewestEntries(
+    const findMin = maxPeers =>
+      findMinEntries(
         slopes,
         bytes,
         renewSeconds,
         limits.bytesPerSecond,
-        mostPeers,
+        maxPeers,
       );
     return [
       `${renewSeconds} s`,
       isFull ? 'whole report' : 'only what changed',
-      figure(bytes),
-      figure(entryBytes(slopes, entries, bytes, renewSeconds)),
-      figure(fewest(Infinity)),
-      figure(fewest(MOST_PEERS)),
-      figure(keeping / 10 + rest),
+      formatFigure(bytes),
+      formatFigure(computeEntryBytes(slopes, entries, bytes, renewSeconds)),
+      formatFigure(findMin(Infinity)),
+      formatFigure(findMin(MAX_PEERS)),
+      formatFigure(renewalBusyMsPerSecond / 10 + idlePercent),
     ];
   });
-  return table(
+  return formatTable(
     [
       'renewal every',
       'report',
       'bytes a renewal',
       `bytes a second of an instance, of ${entries}`,
       'fewest instances within 5 KB/s, beats to all of the domain',
-      `the same, beats to ${MOST_PEERS} of them`,
+      `the same, beats to ${MAX_PEERS} of them`,
       `processor of an instance, of ${entries}, %`,
     ],
     rows,
--- a/scripts/capacity/format.mjs
+++ b/scripts/capacity/format.mjs
@@ -1,7 +1,7 @@
-/** Writes figures and tables as Markdown. */
+/** Formats figures and tables as Markdown. */
 
-/** Three digits, with thousands separated. */
-export function figure(value) {
+/** Formats a number with three significant digits and thousands separators; `none` when it is not finite. */
+export function formatFigure(value) {
   if (!Number.isFinite(value)) {
     return 'none';
   }
@@ -9,17 +9,17 @@
   return rounded.toLocaleString('en-US', {maximumFractionDigits: 6});
 }
 
-/** A table from its heads and rows. */
-export function table(heads, rows) {
-  const lines = [heads, heads.map(() => '---'), ...rows];
+/** Formats a Markdown table. */
+export function formatTable(headers, rows) {
+  const lines = [headers, headers.map(() => '---'), ...rows];
   return lines.map(cells => `| ${cells.join(' | ')} |`).join('\n');
 }
 
-/** How far a value is below its limit, or above it. */
-export function verdict(value, limit) {
+/** Formats whether a value meets its limit, and by how much. */
+export function formatVerdict(value, limit) {
   const share = value / limit;
   if (share <= 1) {
-    return `met, ${figure((1 - share) * 100)}% to spare`;
+    return `met, ${formatFigure((1 - share) * 100)}% to spare`;
   }
-  return `**missed**, ${figure(share)} times the limit`;
+  return `**missed**, ${formatFigure(share)} times the limit`;
 }
--- a/scripts/capacity/limit_table.mjs
+++ b/scripts/capacity/limit_table.mjs
@@ -1,107 +1,112 @@
-/** Each limit of the users, met or missed. */
-import {figure, table, verdict} from './format.mjs';
+/** Compares the computed figures with the limits that users set. */
+import {formatFigure, formatTable, formatVerdict} from './format.mjs';
 import {
-  WHOLE,
-  entryBytes,
-  recordRates,
-  renewal,
-  urgentStart,
+  FULL_SHARE,
+  computeEntryBytes,
+  computeRecordRates,
+  computeRenewalCost,
+  computeUrgentStart,
 } from './model.mjs';
-import {assumed, derived, limits, settings, target} from './sizes.mjs';
-import {appendsPerSecond} from './log_table.mjs';
+import {assumptions, derived, limits, settings, twoYearSize} from './sizes.mjs';
+import {computeAppendsPerSecond} from './log_table.mjs';
 
-/** The table of limits. */
-export function limitTable(slopes) {
-  const cost = renewal(slopes, derived.leasesPerTarget);
+/** Creates the table of limits, each with its figure and whether it is met. */
+export function createLimitTable(slopes) {
+  const cost = computeRenewalCost(slopes, derived.leasesPerTarget);
   const {renewSeconds} = settings;
-  const entries = assumed.entriesPerDomain;
-  const rest = slopes.measured('daemon-processor', WHOLE);
-  const rate = derived.targetsPerDomain / renewSeconds;
-  const keeping = (rate * cost.busyMs) / 10;
-  const sharded = entryBytes(slopes, entries, cost.full, renewSeconds);
-  const single = entryBytes(slopes, 1, cost.full, renewSeconds);
-  const urgent = urgentStart(slopes);
-  const reclaimed = urgent.total + 2000;
-  const bound = settings.freshnessMs + settings.reservationMs;
-  const rates = recordRates(slopes, target, derived.tasksPerJob);
+  const entries = assumptions.entriesPerDomain;
+  const idlePercent = slopes.getMeasured('daemon-processor', FULL_SHARE);
+  const renewalsPerSecond = derived.targetsPerDomain / renewSeconds;
+  const renewalPercent = (renewalsPerSecond * cost.busyMs) / 10;
+  const shardedBytes = computeEntryBytes(
+    slopes,
+    entries,
+    cost.full,
+    renewSeconds,
+  );
+  const singleBytes = computeEntryBytes(slopes, 1, cost.full, renewSeconds);
+  const urgent = computeUrgentStart(slopes);
+  const reclaimedMs = urgent.total + 2000;
+  const configurationMs = settings.freshnessMs + settings.reservationMs;
+  const rates = computeRecordRates(slopes, twoYearSize, derived.tasksPerJob);
   const rows = [
-    line(
+    createRow(
       'processor of an entry instance at rest, %',
       '`daemon-processor` at the whole size',
-      rest,
+      idlePercent,
       limits.processorPercent,
     ),
-    line(
+    createRow(
       'processor of the instance that keeps a domain’s leases, %',
-      `${figure(rest)} + ${figure(keeping)}`,
-      rest + keeping,
+      `${formatFigure(idlePercent)} + ${formatFigure(renewalPercent)}`,
+      idlePercent + renewalPercent,
       limits.processorPercent,
     ),
-    line(
+    createRow(
       'memory of an entry instance, MB',
       '`daemon-memory` at the whole size',
-      slopes.measured('daemon-memory', WHOLE),
+      slopes.getMeasured('daemon-memory', FULL_SHARE),
       limits.memoryMb,
     ),
-    line(
+    createRow(
       'memory of an entry instance at most, MB',
       '`daemon-memory-peak` at the whole size',
-      slopes.measured('daemon-memory-peak', WHOLE),
+      slopes.getMeasured('daemon-memory-peak', FULL_SHARE),
       limits.memoryMb,
     ),
-    line(
+    createRow(
       'control bytes a second of a target',
-      `${figure(cost.full)} / ${renewSeconds} s`,
+      `${formatFigure(cost.full)} / ${renewSeconds} s`,
       cost.full / renewSeconds,
       limits.bytesPerSecond,
     ),
-    line(
+    createRow(
       'control bytes a second of the instance that keeps a domain’s leases',
-      `${figure(derived.targetsPerDomain)} targets * ${figure(cost.full)} / ${renewSeconds} s + the rest`,
-      single,
+      `${formatFigure(derived.targetsPerDomain)} targets * ${formatFigure(cost.full)} / ${renewSeconds} s + the rest`,
+      singleBytes,
       limits.bytesPerSecond,
     ),
-    line(
+    createRow(
       `the same, sharded over ${entries} instances`,
-      `${figure(derived.targetsPerDomain / entries)} targets * ${figure(cost.full)} / ${renewSeconds} s + the rest`,
-      sharded,
+      `${formatFigure(derived.targetsPerDomain / entries)} targets * ${formatFigure(cost.full)} / ${renewSeconds} s + the rest`,
+      shardedBytes,
       limits.bytesPerSecond,
     ),
-    line(
+    createRow(
       'urgent start of a gang of 512 without reclaim, ms',
-      `2 appends with ${figure(urgent.appends)} + passes ${figure(urgent.queue + urgent.decide)} + start ${figure(urgent.start)}`,
+      `2 appends with ${formatFigure(urgent.appends)} + passes ${formatFigure(urgent.queue + urgent.decide)} + start ${formatFigure(urgent.start)}`,
       urgent.total,
       limits.urgentMs,
     ),
-    line(
+    createRow(
       'the same after a reclaim that uses the whole default grace, ms',
-      `${figure(urgent.total)} + 2,000`,
-      reclaimed,
+      `${formatFigure(urgent.total)} + 2,000`,
+      reclaimedMs,
       limits.urgentMs,
     ),
-    line(
+    createRow(
       'configuration in force at the latest, ms',
-      `freshness ${figure(settings.freshnessMs)} + reservation ${figure(settings.reservationMs)}`,
-      bound,
+      `freshness ${formatFigure(settings.freshnessMs)} + reservation ${formatFigure(settings.reservationMs)}`,
+      configurationMs,
       limits.configurationMs,
     ),
-    line(
+    createRow(
       'appends a second in a normal hour',
-      `see the log budget; ${figure(rates.recordsPerSecond)} records a second`,
-      appendsPerSecond(slopes),
+      `see the log budget; ${formatFigure(rates.recordsPerSecond)} records a second`,
+      computeAppendsPerSecond(slopes),
       limits.appendsPerSecond,
     ),
   ];
-  const heads = ['what', 'calculation', 'figure', 'limit', 'verdict'];
-  return table(heads, rows);
+  const headers = ['what', 'calculation', 'figure', 'limit', 'verdict'];
+  return formatTable(headers, rows);
 }
 
-function line(what, calculation, value, limit) {
+function createRow(what, calculation, value, limit) {
   return [
     what,
     calculation,
-    figure(value),
-    figure(limit),
-    verdict(value, limit),
+    formatFigure(value),
+    formatFigure(limit),
+    formatVerdict(value, limit),
   ];
 }
--- a/scripts/capacity/model.mjs
+++ b/scripts/capacity/model.mjs
@@ -1,35 +1,45 @@
-/** The cost model: every figure is a slope times a count. */
-import {SECONDS_PER_DAY, assumed, derived, settings, target} from './sizes.mjs';
+/** Cost model: computes the cost of control from measured slopes and counts. */
+import {
+  SECONDS_PER_DAY,
+  assumptions,
+  derived,
+  settings,
+  twoYearSize,
+} from './sizes.mjs';
 
-/** Records of one job: submitted, placed, started, finished. */
+/** Number of records of one job: submitted, placed, started, finished. */
 export const RECORDS_PER_JOB = 4;
 
-/** Two-year share at which whole states were measured. */
-export const WHOLE = 1;
+/** Share of the two-year size at which whole states are measured. */
+export const FULL_SHARE = 1;
 
-/** Access to the measured slopes by name. */
-export function slopesOf(report) {
+/** Creates a lookup of the measured slopes by id; an unknown id throws. */
+export function createSlopeLookup(report) {
   const byId = new Map(report.slopes.map(slope => [slope.id, slope]));
   const get = id => {
     const slope = byId.get(id);
     if (!slope) {
-      throw new Error(`${id} was not measured`);
+      throw new Error(`the slope report has no slope "${id}"`);
     }
     return slope;
   };
   return {
     get,
-    /** The line's value at x. */
-    at: (id, x) => get(id).intercept + get(id).slope * x,
-    /** The value that was measured at x itself. */
-    measured: (id, x) => get(id).points.find(point => point.x === x).y,
+    /** Evaluates the fitted line at x. */
+    evaluate: (id, x) => get(id).intercept + get(id).slope * x,
+    /** Returns the value that was measured at x; throws when x is not a measured point. */
+    getMeasured: (id, x) => get(id).points.find(point => point.x === x).y,
   };
 }
 
-/** Bytes a second of records that a cluster with these rates writes. */
-export function recordRates(slopes, {jobsPerDay, changesPerDay}, tasksPerJob) {
-  const jobBytes = slopes.at('record-job', tasksPerJob);
-  const changeBytes = slopes.at('record-change', 1);
+/** Computes the rates at which a cluster writes records, in records and bytes. */
+export function computeRecordRates(
+  slopes,
+  {jobsPerDay, changesPerDay},
+  tasksPerJob,
+) {
+  const jobBytes = slopes.evaluate('record-job', tasksPerJob);
+  const changeBytes = slopes.evaluate('record-change', 1);
   const bytesPerDay = jobsPerDay * jobBytes + changesPerDay * changeBytes;
   const recordsPerDay = jobsPerDay * RECORDS_PER_JOB + changesPerDay;
   return {
@@ -41,11 +51,14 @@
   };
 }
 
-/** What one renewal of a target costs, with everything in it or only with what changed. */
-export function renewal(slopes, leases) {
-  const sent = slopes.at('renewal-sent', leases);
-  const received = slopes.at('renewal-received', leases);
-  const usage = slopes.at('usage-received', leases);
+/**
+ * Computes the cost of one lease renewal of a target: `full` and `empty` are the
+ * bytes with a whole report and with a report without changes.
+ */
+export function computeRenewalCost(slopes, leases) {
+  const sent = slopes.evaluate('renewal-sent', leases);
+  const received = slopes.evaluate('renewal-received', leases);
+  const usage = slopes.evaluate('usage-received', leases);
   const empty =
     slopes.get('renewal-sent').intercept +
     slopes.get('renewal-received').intercept;
@@ -55,67 +68,80 @@
     usage,
     full: sent + received + usage,
     empty,
-    busyMs: Math.max(0, slopes.at('renewal-time', leases)),
+    busyMs: Math.max(0, slopes.evaluate('renewal-time', leases)),
   };
 }
 
-/** Bytes a second of heartbeats of one of `entries` instances of a domain, with at most `mostPeers` of them. */
-export function beats(slopes, entries, mostPeers = Infinity) {
+/**
+ * Computes the heartbeat traffic of one of `entries` instances of a domain, in
+ * bytes per second, with at most `maxPeers` peers in its own domain.
+ */
+export function computeHeartbeatTraffic(slopes, entries, maxPeers = Infinity) {
   const bytes = slopes.get('beat-bytes').slope;
-  const peers = Math.min(entries - 1, mostPeers);
-  const near = (peers * bytes) / settings.heartbeatSeconds;
-  const farLinks = 2 * (target.domains - 1);
-  const farSeconds = settings.heartbeatSeconds * settings.farBeatRatio;
-  const far = (farLinks * bytes) / farSeconds;
-  return {bytes, near, farLinks, far, total: near + far};
+  const peers = Math.min(entries - 1, maxPeers);
+  const ownDomain = (peers * bytes) / settings.heartbeatSeconds;
+  const remoteLinks = 2 * (twoYearSize.domains - 1);
+  const remoteIntervalSeconds =
+    settings.heartbeatSeconds * settings.remoteHeartbeatRatio;
+  const otherDomains = (remoteLinks * bytes) / remoteIntervalSeconds;
+  return {
+    bytes,
+    ownDomain,
+    remoteLinks,
+    otherDomains,
+    total: ownDomain + otherDomains,
+  };
 }
 
-/** Bytes a second that an entry instance spends before it keeps any lease. */
-export function fixedBytes(slopes, entries, mostPeers = Infinity) {
-  const log = slopes.measured('daemon-log-bytes', WHOLE);
-  const records = recordRates(slopes, target, derived.tasksPerJob);
-  const beat = beats(slopes, entries, mostPeers);
+/** Computes the traffic of an entry instance that renews no leases, in bytes per second. */
+export function computeFixedBytes(slopes, entries, maxPeers = Infinity) {
+  const log = slopes.getMeasured('daemon-log-bytes', FULL_SHARE);
+  const records = computeRecordRates(slopes, twoYearSize, derived.tasksPerJob);
+  const heartbeats = computeHeartbeatTraffic(slopes, entries, maxPeers);
   return {
     log,
     records: records.bytesPerSecond,
-    beats: beat.total,
-    total: log + records.bytesPerSecond + beat.total,
+    heartbeats: heartbeats.total,
+    total: log + records.bytesPerSecond + heartbeats.total,
   };
 }
 
-/** Bytes a second of an entry instance that keeps its share of a domain's leases. */
-export function entryBytes(
+/** Computes the traffic of an entry instance that renews its share of a domain's leases, in bytes per second. */
+export function computeEntryBytes(
   slopes,
   entries,
   renewalBytes,
   renewSeconds,
-  mostPeers = Infinity,
+  maxPeers = Infinity,
 ) {
-  const perTarget = renewalBytes / renewSeconds;
-  const shard = derived.targetsPerDomain / entries;
-  return fixedBytes(slopes, entries, mostPeers).total + shard * perTarget;
+  const bytesPerTarget = renewalBytes / renewSeconds;
+  const targetsPerEntry = derived.targetsPerDomain / entries;
+  return (
+    computeFixedBytes(slopes, entries, maxPeers).total +
+    targetsPerEntry * bytesPerTarget
+  );
 }
 
 /**
- * The fewest entry instances of a domain that stay within `limit` bytes a
- * second, each with beats to at most `mostPeers` of them; Infinity when no
- * number does.
+ * Finds the smallest number of entry instances of a domain at which each stays
+ * within `limit` bytes per second and sends heartbeats to at most `maxPeers` of
+ * them; Infinity when no number does.
  */
-export function fewestEntries(
+export function findMinEntries(
   slopes,
   renewalBytes,
   renewSeconds,
   limit,
-  mostPeers,
+  maxPeers,
 ) {
-  const most = derived.targetsPerDomain;
-  for (let entries = 1; entries <= most; entries++) {
-    const bytes = entryBytes(
+  const maxEntries = derived.targetsPerDomain;
+  for (let entries = 1; entries <= maxEntries; entries++) {
+    const bytes = computeEntryBytes(
       slopes,
       entries,
       renewalBytes,
       renewSeconds,
-      mostPeers,
+      maxPeers,
     );
     if (bytes <= limit) {
       return entries;
@@ -124,16 +150,16 @@
   return Infinity;
 }
 
-/** The parts of the time from an urgent request to its start, in milliseconds. */
-export function urgentStart(slopes) {
-  const parts = target.largestGang / assumed.tasksPerPart;
+/** Computes the components of the time from an urgent request to its start, in milliseconds, and the number of targets. */
+export function computeUrgentStart(slopes) {
+  const targets = twoYearSize.largestGang / assumptions.tasksPerAssignment;
   const append = slopes.get('change-spread').intercept;
-  const decide = slopes.at('decide-urgent', derived.targetsPerDomain);
-  const queue = slopes.at('decide-queue', assumed.waitingJobs);
-  const start = slopes.at('gang-start', parts);
+  const decide = slopes.evaluate('decide-urgent', derived.targetsPerDomain);
+  const queue = slopes.evaluate('decide-queue', assumptions.waitingJobs);
+  const start = slopes.evaluate('gang-start', targets);
   const appends = 2 * (settings.appendSpacingMs + append);
   return {
-    parts,
+    targets,
     append,
     appends,
     decide,
--- a/scripts/capacity/role_tables.mjs
+++ b/scripts/capacity/role_tables.mjs
@@ -1,288 +1,302 @@
-/** What each role costs at the two-year size. */
-import {figure, table} from './format.mjs';
+/** Creates the tables of the cost of each role of an instance at the two-year size. */
+import {formatFigure, formatTable} from './format.mjs';
 import {
   RECORDS_PER_JOB,
-  WHOLE,
-  beats,
-  recordRates,
-  renewal,
-  urgentStart,
+  FULL_SHARE,
+  computeHeartbeatTraffic,
+  computeRecordRates,
+  computeRenewalCost,
+  computeUrgentStart,
 } from './model.mjs';
-import {SECONDS_PER_DAY, assumed, derived, settings, target} from './sizes.mjs';
+import {
+  SECONDS_PER_DAY,
+  assumptions,
+  derived,
+  settings,
+  twoYearSize,
+} from './sizes.mjs';
 
-const HEADS = ['what', 'calculation', 'figure'];
-const KB = 1000;
-const MB = 1_000_000;
+const HEADERS = ['what', 'calculation', 'figure'];
+const BYTES_PER_KB = 1000;
+const BYTES_PER_MB = 1_000_000;
 
-/** One table a role. */
-export function roleTables(slopes) {
+/** Creates one table for each role, by the name of its markers. */
+export function createRoleTables(slopes) {
   return {
-    sizes: sizeTable(),
-    'role-entry': entryTable(slopes),
-    'role-reader': readerTable(slopes),
-    'role-snapshot': snapshotTable(slopes),
-    'role-scheduler': schedulerTable(slopes),
-    'role-keeper': keeperTable(slopes),
-    'role-membership': membershipTable(slopes),
-    'role-configuration': configurationTable(slopes),
+    sizes: createSizeTable(),
+    'role-entry': createEntryTable(slopes),
+    'role-reader': createReaderTable(slopes),
+    'role-snapshot': createSnapshotTable(slopes),
+    'role-scheduler': createSchedulerTable(slopes),
+    'role-keeper': createLeaseRenewalTable(slopes),
+    'role-membership': createMembershipTable(slopes),
+    'role-configuration': createConfigurationTable(slopes),
   };
 }
 
-function sizeTable() {
+function createSizeTable() {
   const {targetsPerDomain, leasesPerTarget, tasksPerJob, runningJobs} = derived;
-  const {tasksPerPart, runHours, entriesPerDomain} = assumed;
-  return table(HEADS, [
-    row(
+  const {tasksPerAssignment, runHours, entriesPerDomain} = assumptions;
+  return formatTable(HEADERS, [
+    createRow(
       'targets of a domain',
-      `${figure(target.workers)} / ${target.domains}`,
+      `${formatFigure(twoYearSize.workers)} / ${twoYearSize.domains}`,
       targetsPerDomain,
     ),
-    row(
+    createRow(
       'running jobs',
-      `${figure(target.jobsPerDay)} a day * ${runHours} h / 24 h (run time assumed)`,
+      `${formatFigure(twoYearSize.jobsPerDay)} a day * ${runHours} h / 24 h (run time assumed)`,
       runningJobs,
     ),
-    row(
+    createRow(
       'tasks of a job',
-      `${figure(target.tasks)} / ${figure(runningJobs)}`,
+      `${formatFigure(twoYearSize.tasks)} / ${formatFigure(runningJobs)}`,
       tasksPerJob,
     ),
-    row(
+    createRow(
       'leases of a target',
-      `${figure(target.tasks)} / ${tasksPerPart} (tasks of a gang on one target, assumed) / ${figure(target.workers)}`,
+      `${formatFigure(twoYearSize.tasks)} / ${tasksPerAssignment} (tasks of a gang on one target, assumed) / ${formatFigure(twoYearSize.workers)}`,
       leasesPerTarget,
     ),
-    row(
+    createRow(
       'entry instances',
-      `${entriesPerDomain} a domain * ${target.domains}`,
+      `${entriesPerDomain} a domain * ${twoYearSize.domains}`,
       derived.entries,
     ),
   ]);
 }
 
-function entryTable(slopes) {
-  return table(HEADS, [
-    row(
+function createEntryTable(slopes) {
+  return formatTable(HEADERS, [
+    createRow(
       'memory, MB',
       '`daemon-memory` as measured at the whole size',
-      slopes.measured('daemon-memory', WHOLE),
+      slopes.getMeasured('daemon-memory', FULL_SHARE),
     ),
-    row(
+    createRow(
       'memory at most, MB',
       '`daemon-memory-peak` as measured at the whole size',
-      slopes.measured('daemon-memory-peak', WHOLE),
+      slopes.getMeasured('daemon-memory-peak', FULL_SHARE),
     ),
-    row(
+    createRow(
       'of it before any state, MB',
       'intercept of `daemon-memory`',
       slopes.get('daemon-memory').intercept,
     ),
-    row(
+    createRow(
       'processor at rest, % of a core',
       '`daemon-processor` as measured at the whole size',
-      slopes.measured('daemon-processor', WHOLE),
+      slopes.getMeasured('daemon-processor', FULL_SHARE),
     ),
-    row(
+    createRow(
       'requests a second of an instance',
-      `(${figure(target.jobsPerDay)} + ${figure(target.changesPerDay)}) / ${figure(SECONDS_PER_DAY)} / ${derived.entries}`,
-      (target.jobsPerDay + target.changesPerDay) /
+      `(${formatFigure(twoYearSize.jobsPerDay)} + ${formatFigure(twoYearSize.changesPerDay)}) / ${formatFigure(SECONDS_PER_DAY)} / ${derived.entries}`,
+      (twoYearSize.jobsPerDay + twoYearSize.changesPerDay) /
         SECONDS_PER_DAY /
         derived.entries,
     ),
   ]);
 }
 
-function readerTable(slopes) {
-  const rates = recordRates(slopes, target, derived.tasksPerJob);
+function createReaderTable(slopes) {
+  const rates = computeRecordRates(slopes, twoYearSize, derived.tasksPerJob);
   const fold = slopes.get('fold-record').slope;
-  const log = slopes.measured('daemon-log-bytes', WHOLE);
-  const decode = slopes.at('snapshot-decode', WHOLE);
-  const tail = rates.recordsPerDay / settings.snapshotsPerDay;
+  const idleLogBytes = slopes.getMeasured('daemon-log-bytes', FULL_SHARE);
+  const decode = slopes.evaluate('snapshot-decode', FULL_SHARE);
+  const tailRecords = rates.recordsPerDay / settings.snapshotsPerDay;
   const perRecord = slopes.get('catch-up').slope;
-  return table(HEADS, [
-    row(
+  return formatTable(HEADERS, [
+    createRow(
       'bytes a second while nothing happens',
       `\`daemon-log-bytes\`: a read every ${settings.logWaitSeconds} s`,
-      log,
+      idleLogBytes,
     ),
-    row(
+    createRow(
       'bytes a second of records',
-      `(${figure(target.jobsPerDay)} jobs * ${figure(rates.jobBytes)} + ${figure(target.changesPerDay)} changes * ${figure(rates.changeBytes)}) / ${figure(SECONDS_PER_DAY)}`,
+      `(${formatFigure(twoYearSize.jobsPerDay)} jobs * ${formatFigure(rates.jobBytes)} + ${formatFigure(twoYearSize.changesPerDay)} changes * ${formatFigure(rates.changeBytes)}) / ${formatFigure(SECONDS_PER_DAY)}`,
       rates.bytesPerSecond,
     ),
-    row(
+    createRow(
       'processor to fold, % of a core',
-      `${figure(rates.recordsPerSecond)} records a second * ${figure(fold)} ms / 10`,
+      `${formatFigure(rates.recordsPerSecond)} records a second * ${formatFigure(fold)} ms / 10`,
       (rates.recordsPerSecond * fold) / 10,
     ),
-    row(
+    createRow(
       'state of a running job, KB',
-      `${figure(slopes.get('state-running-job').slope)} + ${figure(derived.tasksPerJob / assumed.tasksPerPart)} parts * ${figure(slopes.get('state-running-part').slope)} bytes`,
+      `${formatFigure(slopes.get('state-running-job').slope)} + ${formatFigure(derived.tasksPerJob / assumptions.tasksPerAssignment)} parts * ${formatFigure(slopes.get('state-running-part').slope)} bytes`,
       (slopes.get('state-running-job').slope +
-        (derived.tasksPerJob / assumed.tasksPerPart) *
+        (derived.tasksPerJob / assumptions.tasksPerAssignment) *
           slopes.get('state-running-part').slope) /
-        KB,
+        BYTES_PER_KB,
     ),
-    row(
+    createRow(
       'time of a replaced instance to be fresh, ms',
-      `${figure(decode)} to restore a snapshot + ${figure(tail)} records since * ${figure(perRecord)}`,
-      decode + tail * perRecord,
+      `${formatFigure(decode)} to restore a snapshot + ${formatFigure(tailRecords)} records since * ${formatFigure(perRecord)}`,
+      decode + tailRecords * perRecord,
     ),
-    row(
+    createRow(
       'its reading, MB',
-      `${figure(slopes.at('snapshot-bytes', WHOLE) / MB)} of snapshot + ${figure(tail)} records`,
-      (slopes.at('snapshot-bytes', WHOLE) +
+      `${formatFigure(slopes.evaluate('snapshot-bytes', FULL_SHARE) / BYTES_PER_MB)} of snapshot + ${formatFigure(tailRecords)} records`,
+      (slopes.evaluate('snapshot-bytes', FULL_SHARE) +
         (rates.bytesPerSecond * SECONDS_PER_DAY) / settings.snapshotsPerDay) /
-        MB,
+        BYTES_PER_MB,
     ),
   ]);
 }
 
-function snapshotTable(slopes) {
-  const bytes = slopes.at('snapshot-bytes', WHOLE);
-  const encode = slopes.at('snapshot-encode', WHOLE);
+function createSnapshotTable(slopes) {
+  const bytes = slopes.evaluate('snapshot-bytes', FULL_SHARE);
+  const encode = slopes.evaluate('snapshot-encode', FULL_SHARE);
   const {snapshotsPerDay, bytesPerAppend} = settings;
-  return table(HEADS, [
-    row('bytes of a snapshot, MB', '`snapshot-bytes` at 1', bytes / MB),
-    row('processor a snapshot, ms', '`snapshot-encode` at 1', encode),
-    row(
+  return formatTable(HEADERS, [
+    createRow(
+      'bytes of a snapshot, MB',
+      '`snapshot-bytes` at 1',
+      bytes / BYTES_PER_MB,
+    ),
+    createRow('processor a snapshot, ms', '`snapshot-encode` at 1', encode),
+    createRow(
       'processor, % of a core',
-      `${figure(encode)} ms * ${snapshotsPerDay} / ${figure(SECONDS_PER_DAY)} s / 10`,
+      `${formatFigure(encode)} ms * ${snapshotsPerDay} / ${formatFigure(SECONDS_PER_DAY)} s / 10`,
       (encode * snapshotsPerDay) / SECONDS_PER_DAY / 10,
     ),
-    row(
+    createRow(
       'log bytes a day, MB',
-      `${figure(bytes / MB)} * ${snapshotsPerDay}`,
-      (bytes * snapshotsPerDay) / MB,
+      `${formatFigure(bytes / BYTES_PER_MB)} * ${snapshotsPerDay}`,
+      (bytes * snapshotsPerDay) / BYTES_PER_MB,
     ),
-    row(
+    createRow(
       'appends a day',
-      `${snapshotsPerDay} * ${figure(bytes)} / ${figure(bytesPerAppend)}, rounded up`,
+      `${snapshotsPerDay} * ${formatFigure(bytes)} / ${formatFigure(bytesPerAppend)}, rounded up`,
       snapshotsPerDay * Math.ceil(bytes / bytesPerAppend),
     ),
   ]);
 }
 
-function schedulerTable(slopes) {
-  const urgent = urgentStart(slopes);
-  const jobs = target.jobsPerDay / target.domains / SECONDS_PER_DAY;
-  const parts = derived.tasksPerJob / assumed.tasksPerPart;
-  const startMs = slopes.at('gang-start-time', parts);
-  return table(HEADS, [
-    row(
+function createSchedulerTable(slopes) {
+  const urgent = computeUrgentStart(slopes);
+  const jobsPerSecond =
+    twoYearSize.jobsPerDay / twoYearSize.domains / SECONDS_PER_DAY;
+  const targetsPerJob = derived.tasksPerJob / assumptions.tasksPerAssignment;
+  const startMs = slopes.evaluate('gang-start-time', targetsPerJob);
+  return formatTable(HEADERS, [
+    createRow(
       'a pass with one urgent job, ms',
-      `\`decide-urgent\` at ${figure(derived.targetsPerDomain)} targets`,
+      `\`decide-urgent\` at ${formatFigure(derived.targetsPerDomain)} targets`,
       urgent.decide,
     ),
-    row(
-      `a pass over ${assumed.waitingJobs} waiting jobs, ms`,
-      `\`decide-queue\` at ${assumed.waitingJobs}`,
+    createRow(
+      `a pass over ${assumptions.waitingJobs} waiting jobs, ms`,
+      `\`decide-queue\` at ${assumptions.waitingJobs}`,
       urgent.queue,
     ),
-    row(
+    createRow(
       'start of the largest gang, ms',
-      `\`gang-start\` at ${target.largestGang} / ${assumed.tasksPerPart} = ${urgent.parts} targets`,
+      `\`gang-start\` at ${twoYearSize.largestGang} / ${assumptions.tasksPerAssignment} = ${urgent.targets} targets`,
       urgent.start,
     ),
-    row(
+    createRow(
       'processor, % of a core',
-      `${figure(jobs)} jobs a second * (${figure(urgent.queue)} + ${figure(startMs)}) ms / 10`,
-      (jobs * (urgent.queue + startMs)) / 10,
+      `${formatFigure(jobsPerSecond)} jobs a second * (${formatFigure(urgent.queue)} + ${formatFigure(startMs)}) ms / 10`,
+      (jobsPerSecond * (urgent.queue + startMs)) / 10,
     ),
-    row(
+    createRow(
       'records a day',
-      `${figure(target.jobsPerDay / target.domains)} jobs * ${RECORDS_PER_JOB - 1} (placed, started, finished)`,
-      (target.jobsPerDay / target.domains) * (RECORDS_PER_JOB - 1),
+      `${formatFigure(twoYearSize.jobsPerDay / twoYearSize.domains)} jobs * ${RECORDS_PER_JOB - 1} (placed, started, finished)`,
+      (twoYearSize.jobsPerDay / twoYearSize.domains) * (RECORDS_PER_JOB - 1),
     ),
   ]);
 }
 
-function keeperTable(slopes) {
+function createLeaseRenewalTable(slopes) {
   const leases = derived.leasesPerTarget;
-  const cost = renewal(slopes, leases);
+  const cost = computeRenewalCost(slopes, leases);
   const {renewSeconds} = settings;
-  const rate = derived.targetsPerDomain / renewSeconds;
-  return table(HEADS, [
-    row(
+  const renewalsPerSecond = derived.targetsPerDomain / renewSeconds;
+  return formatTable(HEADERS, [
+    createRow(
       'bytes a renewal',
-      `${figure(cost.sent)} to the target + ${figure(cost.received)} back + ${figure(cost.usage)} usage, at ${figure(leases)} leases`,
+      `${formatFigure(cost.sent)} to the target + ${formatFigure(cost.received)} back + ${formatFigure(cost.usage)} usage, at ${formatFigure(leases)} leases`,
       cost.full,
     ),
-    row(
+    createRow(
       'bytes a second of a target',
-      `${figure(cost.full)} / ${renewSeconds} s`,
+      `${formatFigure(cost.full)} / ${renewSeconds} s`,
       cost.full / renewSeconds,
     ),
-    row(
+    createRow(
       'KB a second of a domain, one keeper',
-      `${figure(derived.targetsPerDomain)} targets * ${figure(cost.full)} / ${renewSeconds} s`,
-      (rate * cost.full) / KB,
+      `${formatFigure(derived.targetsPerDomain)} targets * ${formatFigure(cost.full)} / ${renewSeconds} s`,
+      (renewalsPerSecond * cost.full) / BYTES_PER_KB,
     ),
-    row(
+    createRow(
       'processor of a domain, % of a core',
-      `${figure(rate)} renewals a second * ${figure(cost.busyMs)} ms / 10`,
-      (rate * cost.busyMs) / 10,
+      `${formatFigure(renewalsPerSecond)} renewals a second * ${formatFigure(cost.busyMs)} ms / 10`,
+      (renewalsPerSecond * cost.busyMs) / 10,
     ),
   ]);
 }
 
-function membershipTable(slopes) {
-  const {entriesPerDomain} = assumed;
-  const cost = beats(slopes, entriesPerDomain);
-  const {heartbeatSeconds, farBeatRatio} = settings;
-  const beatMs = slopes.get('beat-time');
-  const links = entriesPerDomain - 1 + cost.farLinks / farBeatRatio;
-  const relay = slopes.get('relay-bytes').slope;
-  const rates = recordRates(slopes, target, derived.tasksPerJob);
-  return table(HEADS, [
-    row(
+function createMembershipTable(slopes) {
+  const {entriesPerDomain} = assumptions;
+  const cost = computeHeartbeatTraffic(slopes, entriesPerDomain);
+  const {heartbeatSeconds, remoteHeartbeatRatio} = settings;
+  const heartbeatTime = slopes.get('beat-time');
+  const linkCount =
+    entriesPerDomain - 1 + cost.remoteLinks / remoteHeartbeatRatio;
+  const bytesPerRecord = slopes.get('relay-bytes').slope;
+  const rates = computeRecordRates(slopes, twoYearSize, derived.tasksPerJob);
+  return formatTable(HEADERS, [
+    createRow(
       'bytes a second within the domain',
-      `${entriesPerDomain - 1} peers * ${figure(cost.bytes)} / ${heartbeatSeconds} s`,
-      cost.near,
+      `${entriesPerDomain - 1} peers * ${formatFigure(cost.bytes)} / ${heartbeatSeconds} s`,
+      cost.ownDomain,
     ),
-    row(
+    createRow(
       'bytes a second to other domains',
-      `(${target.domains - 1} own links + ${target.domains - 1} of others) * ${figure(cost.bytes)} / ${heartbeatSeconds * farBeatRatio} s`,
-      cost.far,
+      `(${twoYearSize.domains - 1} own links + ${twoYearSize.domains - 1} of others) * ${formatFigure(cost.bytes)} / ${heartbeatSeconds * remoteHeartbeatRatio} s`,
+      cost.otherDomains,
     ),
-    row(
+    createRow(
       'processor, % of a core',
-      `(${figure(beatMs.intercept)} + ${figure(links)} * ${figure(beatMs.slope)}) ms / ${heartbeatSeconds} s / 10`,
-      (beatMs.intercept + links * beatMs.slope) / heartbeatSeconds / 10,
+      `(${formatFigure(heartbeatTime.intercept)} + ${formatFigure(linkCount)} * ${formatFigure(heartbeatTime.slope)}) ms / ${heartbeatSeconds} s / 10`,
+      (heartbeatTime.intercept + linkCount * heartbeatTime.slope) /
+        heartbeatSeconds /
+        10,
     ),
-    row(
+    createRow(
       'bytes a second of an instance that lives by the relay',
-      `${figure(rates.recordsPerSecond)} records a second * ${figure(relay)}`,
-      rates.recordsPerSecond * relay,
+      `${formatFigure(rates.recordsPerSecond)} records a second * ${formatFigure(bytesPerRecord)}`,
+      rates.recordsPerSecond * bytesPerRecord,
     ),
   ]);
 }
 
-function configurationTable(slopes) {
-  const perDay = target.changesPerDay;
-  const fold = slopes.at('fold-change', target.workers);
+function createConfigurationTable(slopes) {
+  const changesPerDay = twoYearSize.changesPerDay;
+  const fold = slopes.evaluate('fold-change', twoYearSize.workers);
   const spread = slopes.get('change-spread').intercept;
-  return table(HEADS, [
-    row(
+  return formatTable(HEADERS, [
+    createRow(
       'processor to fold, ms a day',
-      `${figure(perDay)} changes * ${figure(fold)}`,
-      perDay * fold,
+      `${formatFigure(changesPerDay)} changes * ${formatFigure(fold)}`,
+      changesPerDay * fold,
     ),
-    row(
+    createRow(
       'from the append to every fold, ms',
       'intercept of `change-spread`: the rest of that slope is the followers sharing one process',
       spread,
     ),
-    row(
+    createRow(
       'state, MB',
-      `${figure(target.workers)} targets * ${figure(slopes.get('state-target').slope)} + ${target.workspaces} workspaces * ${figure(slopes.get('state-workspace').slope)} bytes`,
-      (target.workers * slopes.get('state-target').slope +
-        target.workspaces * slopes.get('state-workspace').slope) /
-        MB,
+      `${formatFigure(twoYearSize.workers)} targets * ${formatFigure(slopes.get('state-target').slope)} + ${twoYearSize.workspaces} workspaces * ${formatFigure(slopes.get('state-workspace').slope)} bytes`,
+      (twoYearSize.workers * slopes.get('state-target').slope +
+        twoYearSize.workspaces * slopes.get('state-workspace').slope) /
+        BYTES_PER_MB,
     ),
   ]);
 }
 
-function row(what, calculation, value) {
-  return [what, calculation, figure(value)];
+function createRow(what, calculation, value) {
+  return [what, calculation, formatFigure(value)];
 }
--- a/scripts/capacity/sizes.mjs
+++ b/scripts/capacity/sizes.mjs
@@ -1,9 +1,9 @@
-/** The sizes that docs/CAPACITY.md is worked out for, and the settings that it assumes. */
+/** Defines the sizes for which docs/CAPACITY.md is computed, and the settings that it assumes. */
 
 export const SECONDS_PER_DAY = 86_400;
 
-/** Two years ahead, as the users named it. */
-export const target = {
+/** Two-year size: the size that users expect in two years. */
+export const twoYearSize = {
   workers: 8200,
   domains: 7,
   regions: 2,
@@ -15,8 +15,8 @@
   lossesPerDay: 1747,
 };
 
-/** Kestrelway today. The users name no rates; these two are assumed. */
-export const today = {
+/** Kestrelway's present size. Its users state no rates of jobs and changes, so both are assumed. */
+export const todaySize = {
   workers: 30,
   domains: 3,
   entriesPerDomain: 2,
@@ -24,33 +24,33 @@
   changesPerDay: 100,
 };
 
-/** What the users allow a node for control, and the times that they ask for. */
+/** Resources that users allow for control on a machine, and times that they require. */
 export const limits = {
   processorPercent: 3.2,
   memoryMb: 128,
   bytesPerSecond: 5000,
   urgentMs: 1700,
   configurationMs: 7000,
-  /** "Several hundred", for everyone. */
+  /** Limit for all instances together; users state it as "several hundred". */
   appendsPerSecond: 300,
 };
 
-/** What is not known, and therefore assumed. */
-export const assumed = {
-  /** Tasks of one gang on one target. */
-  tasksPerPart: 4,
-  /** Mean run time of a job in hours. */
+/** Values that are assumed because they are not known. */
+export const assumptions = {
+  /** Number of tasks of one gang on one target. */
+  tasksPerAssignment: 4,
+  /** Mean run time of a job. */
   runHours: 8,
-  /** Entry instances of a failure domain. */
+  /** Number of entry instances of a failure domain. */
   entriesPerDomain: 10,
   waitingJobs: 200,
 };
 
-/** Settings at the two-year size; the defaults are for the sizes of today. */
+/** Settings at the two-year size; the defaults of the program are for present sizes. */
 export const settings = {
   heartbeatSeconds: 1,
-  /** Heartbeats within a domain for one to another domain. */
-  farBeatRatio: 2,
+  /** Number of heartbeats within a domain for each heartbeat to another domain. */
+  remoteHeartbeatRatio: 2,
   renewSeconds: 1,
   logWaitSeconds: 0.5,
   appendSpacingMs: 1000 / 40,
@@ -61,11 +61,13 @@
   bytesPerAppend: 1_048_576,
 };
 
-/** Figures that follow from the sizes alone. */
+/** Quantities that are derived from the sizes alone. */
 export const derived = {
-  targetsPerDomain: Math.ceil(target.workers / target.domains),
-  leasesPerTarget: target.tasks / assumed.tasksPerPart / target.workers,
-  tasksPerJob: target.tasks / ((target.jobsPerDay * assumed.runHours) / 24),
-  runningJobs: (target.jobsPerDay * assumed.runHours) / 24,
-  entries: assumed.entriesPerDomain * target.domains,
+  targetsPerDomain: Math.ceil(twoYearSize.workers / twoYearSize.domains),
+  leasesPerTarget:
+    twoYearSize.tasks / assumptions.tasksPerAssignment / twoYearSize.workers,
+  tasksPerJob:
+    twoYearSize.tasks / ((twoYearSize.jobsPerDay * assumptions.runHours) / 24),
+  runningJobs: (twoYearSize.jobsPerDay * assumptions.runHours) / 24,
+  entries: assumptions.entriesPerDomain * twoYearSize.domains,
 };
--- a/scripts/capacity/tables.mjs
+++ b/scripts/capacity/tables.mjs
@@ -1,21 +1,21 @@
-/** The tables of docs/CAPACITY.md. */
-import {entryTables} from './entry_tables.mjs';
-import {figure, table} from './format.mjs';
-import {limitTable} from './limit_table.mjs';
-import {logTable} from './log_table.mjs';
-import {slopesOf} from './model.mjs';
-import {roleTables} from './role_tables.mjs';
+/** Creates the tables of docs/CAPACITY.md. */
+import {createEntryTables} from './entry_tables.mjs';
+import {formatFigure, formatTable} from './format.mjs';
+import {createLimitTable} from './limit_table.mjs';
+import {createLogTable} from './log_table.mjs';
+import {createSlopeLookup} from './model.mjs';
+import {createRoleTables} from './role_tables.mjs';
 
-/** All tables by name. */
-export function tables(report) {
-  const slopes = slopesOf(report);
+/** Creates the Markdown text of each table by the name of its markers. */
+export function createTables(report) {
+  const slopes = createSlopeLookup(report);
   return {
     machine: describeRun(report),
-    slopes: slopeTable(report),
-    ...roleTables(slopes),
-    ...entryTables(slopes),
-    limits: limitTable(slopes),
-    log: logTable(slopes),
+    slopes: createSlopeTable(report),
+    ...createRoleTables(slopes),
+    ...createEntryTables(slopes),
+    limits: createLimitTable(slopes),
+    log: createLogTable(slopes),
   };
 }
 
@@ -24,15 +24,17 @@
   return `Measured at ${date} on ${cores} cores (${processor}), Linux ${kernel}, Node ${node}, in ${seconds} s.`;
 }
 
-function slopeTable({slopes}) {
+function createSlopeTable({slopes}) {
   const rows = slopes.map(slope => [
     `\`${slope.id}\``,
     slope.measured,
     slope.over,
-    `${figure(slope.intercept)} + ${figure(slope.slope)} x`,
-    slope.points.map(({x, y}) => `${figure(x)}: ${figure(y)}`).join('; '),
-    `${figure(slope.residual * 100)}%`,
+    `${formatFigure(slope.intercept)} + ${formatFigure(slope.slope)} x`,
+    slope.points
+      .map(({x, y}) => `${formatFigure(x)}: ${formatFigure(y)}`)
+      .join('; '),
+    `${formatFigure(slope.residual * 100)}%`,
   ]);
-  const heads = ['slope', 'measured', 'over x', 'line', 'points', 'residual'];
-  return table(heads, rows);
+  const headers = ['slope', 'measured', 'over x', 'line', 'points', 'residual'];
+  return formatTable(headers, rows);
 }
--- a/scripts/check_fault_matrix.mjs
+++ b/scripts/check_fault_matrix.mjs
@@ -1,11 +1,12 @@
-/** Checks that every test which docs/fault-matrix.md names exists, and that every cell names a known test. */
+/** Checks that every test listed in docs/fault-matrix.md exists, and that every cell of the matrix names a listed test. */
 import {existsSync, readFileSync} from 'node:fs';
 
 const PAGE = 'docs/fault-matrix.md';
-const UNPROVED = '-';
+/** Content of a cell that no test covers. */
+const UNCOVERED = '-';
 
 const lines = readFileSync(PAGE, 'utf8').split('\n');
-const tests = readTests(lines);
+const tests = parseTests(lines);
 const problems = [...checkTests(tests), ...checkCells(lines, tests)];
 for (const problem of problems) {
   console.log(`${PAGE}: ${problem}`);
@@ -19,9 +20,11 @@
     .map(cell => cell.trim());
 }
 
-/** The rows of the table of tests, by id. */
-function readTests(page) {
-  const rows = page.filter(line => /^\| [A-Z]+\d+ +\| `packages\//.test(line));
+/** Parses the table of tests into a map from test id to file and test name. */
+function parseTests(pageLines) {
+  const rows = pageLines.filter(line =>
+    /^\| [A-Z]+\d+ +\| `packages\//.test(line),
+  );
   return new Map(
     rows
       .map(splitRow)
@@ -29,11 +32,11 @@
   );
 }
 
-function* checkTests(known) {
-  if (known.size === 0) {
+function* checkTests(listedTests) {
+  if (listedTests.size === 0) {
     yield 'names no tests';
   }
-  for (const [id, {file, name}] of known) {
+  for (const [id, {file, name}] of listedTests) {
     if (!existsSync(file)) {
       yield `${id}: ${file} does not exist`;
     } else if (!readFileSync(file, 'utf8').includes(name)) {
@@ -42,23 +45,23 @@
   }
 }
 
-function* checkCells(page, known) {
-  const head = page.findIndex(line => line.startsWith('| step'));
-  if (head < 0) {
+function* checkCells(pageLines, listedTests) {
+  const headerIndex = pageLines.findIndex(line => line.startsWith('| step'));
+  if (headerIndex < 0) {
     yield 'has no matrix';
     return;
   }
-  const columns = splitRow(page[head]).length;
-  for (const line of page.slice(head + 2)) {
+  const columnCount = splitRow(pageLines[headerIndex]).length;
+  for (const line of pageLines.slice(headerIndex + 2)) {
     if (!line.startsWith('|')) {
       return;
     }
     const [step, , ...cells] = splitRow(line);
-    if (cells.length !== columns - 2) {
+    if (cells.length !== columnCount - 2) {
       yield `${step}: has ${cells.length} cells`;
     }
     for (const id of cells.flatMap(cell => cell.split(/\s+/))) {
-      if (id !== UNPROVED && !/^x[1-4]$/.test(id) && !known.has(id)) {
+      if (id !== UNCOVERED && !/^x[1-4]$/.test(id) && !listedTests.has(id)) {
         yield `${step}: ${id} is not a known test`;
       }
     }
--- a/scripts/clean.mjs
+++ b/scripts/clean.mjs
@@ -1,4 +1,4 @@
-/** Removes everything that the build writes. */
+/** Deletes the build output of every package in packages/. */
 import {readdirSync, rmSync} from 'node:fs';
 
 for (const name of readdirSync('packages')) {
--- a/scripts/demo.mjs
+++ b/scripts/demo.mjs
@@ -1,2 +1,2 @@
-/** Runs the demonstration; `--keep` leaves it up. */
+/** Runs the demo; `--keep` leaves its processes running. */
 await import('../packages/demo/dist/src/main.js');
--- a/scripts/ensure_installed.mjs
+++ b/scripts/ensure_installed.mjs
@@ -1,4 +1,4 @@
-/** Installs the dependencies when the repository was cloned without them. */
+/** Installs the dependencies when they are missing, for instance in a new clone. */
 import {spawnSync} from 'node:child_process';
 import {existsSync} from 'node:fs';
 
--- a/scripts/regression.mjs
+++ b/scripts/regression.mjs
@@ -1,14 +1,15 @@
 /**
- * Scores the sites that every landing is measured on, one after the other.
+ * Runs the score regression: scores each benchmark site in sequence.
  *
- * Usage: node scripts/regression.mjs BENCH SITES [--why TEXT]; BENCH is the bench's program,
- * SITES the folder that holds the site files. Ends with 1 when a gate failed.
+ * Usage: node scripts/regression.mjs BENCH SITES [--older] [--why TEXT]. BENCH is
+ * the path of the scoring program, SITES the folder with the site files. The exit
+ * code is 1 when a gate fails and 2 when an argument is missing.
  */
 import {spawnSync} from 'node:child_process';
 import {join} from 'node:path';
 import {parseArgs} from 'node:util';
 
-/** Largest first: what falls over shows there. */
+/** Sites that every change is scored on, the largest first because faults show there first. */
 const SITES = [
   'large/kwjt-grid-large',
   'further-grown/menon-terrain-grown',
@@ -16,15 +17,15 @@
   'grown/txingudi-sched-grown',
 ];
 
-/** Scored once before a landing. */
+/** Further sites, scored once before a change is merged. */
 const OLDER_SITES = [
   'further/menon-terrain',
   'sites/kwjt-grid',
   'sites/txingudi-sched',
 ];
 
-/** Days played side by side: a day of the largest site takes up to 4 GB. */
-const JOBS = '2';
+/** Number of emulated days that run in parallel; a day of the largest site takes up to 4 GB of memory. */
+const PARALLEL_DAYS = '2';
 
 const {values, positionals} = parseArgs({
   allowPositionals: true,
@@ -41,14 +42,16 @@
   process.exit(2);
 }
 const sites = values.older ? [...SITES, ...OLDER_SITES] : SITES;
-const failed = sites.filter(site => !isPassed(join(folder, `${site}.toml`)));
+const failed = sites.filter(
+  site => !hasPassedGate(join(folder, `${site}.toml`)),
+);
 console.log(failed.length === 0 ? 'all gates passed' : `failed: ${failed}`);
 process.exitCode = failed.length === 0 ? 0 : 1;
 
-function isPassed(site) {
+function hasPassedGate(site) {
   const {stdout} = spawnSync(
     bench,
-    ['score', site, '--jobs', JOBS, '--why', values.why],
+    ['score', site, '--jobs', PARALLEL_DAYS, '--why', values.why],
     {encoding: 'utf8', stdio: ['ignore', 'pipe', 'inherit']},
   );
   process.stdout.write(stdout);
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -1,15 +1,16 @@
 /**
- * Runs every spec and closes with a line `N passed, N failed`, which counts
- * the innermost tests.
+ * Runs every spec and ends with the line `N passed, N failed`, which counts the
+ * innermost tests.
  *
- * A test named in KNOWN-RED.txt may fail; it is printed and counted as
- * neither. Arguments name the spec files to run instead of all.
+ * A test listed in KNOWN-RED.txt may fail; the failure is printed and counted as
+ * neither passed nor failed. Arguments select the compiled spec files to run
+ * instead of all.
  */
 import {spawn} from 'node:child_process';
 import {existsSync, readFileSync, readdirSync} from 'node:fs';
 import {Parser} from 'tap-parser';
 
-const MAX_JOBS = 4;
+const MAX_PARALLEL_SPECS = 4;
 const SPEC_TIMEOUT_MS = 900_000;
 
 const knownRed = readKnownRed();
@@ -28,7 +29,7 @@
 }
 
 function findSpecs() {
-  const found = [];
+  const specFiles = [];
   const packages = readdirSync('packages').sort();
   for (const root of [
     'platform',
@@ -41,38 +42,38 @@
     for (const file of readdirSync(dir).sort()) {
       if (file.endsWith('.spec.ts')) {
         const compiled = file.replace(/\.ts$/, '.js');
-        found.push(`${root}/dist/__tests__/${compiled}`);
+        specFiles.push(`${root}/dist/__tests__/${compiled}`);
       }
     }
   }
-  return found;
+  return specFiles;
 }
 
 async function runAll(files) {
-  const waiting = [...files];
+  const queue = [...files];
   const results = [];
   const worker = async () => {
-    for (let file = waiting.shift(); file; file = waiting.shift()) {
+    for (let file = queue.shift(); file; file = queue.shift()) {
       results.push(...(await runSpec(file)));
     }
   };
-  await Promise.all(Array.from({length: MAX_JOBS}, worker));
+  await Promise.all(Array.from({length: MAX_PARALLEL_SPECS}, worker));
   return results;
 }
 
-/** Resolves to `{name, ok, problem}` of every innermost test of one file. */
+/** Runs one spec file; resolves to `{name, ok, problem}` for each of its innermost tests. */
 function runSpec(file) {
   const child = spawn(process.execPath, ['--enable-source-maps', file], {
     stdio: ['ignore', 'pipe', 'pipe'],
     timeout: SPEC_TIMEOUT_MS,
-    // tap's own limit of 30 s counts wall-clock time, which a busy machine stretches.
+    // The default limit of tap, 30 s of wall-clock time, fails correct tests on a busy machine.
     env: {...process.env, TAP_TIMEOUT: '0'},
     killSignal: 'SIGKILL',
   });
   const spec = file.replace('/dist/', '/').replace(/\.js$/, '.ts');
   const tests = [];
   const parser = new Parser();
-  collect(parser, spec, tests);
+  collectTests(parser, spec, tests);
   child.stdout.pipe(parser);
   let stderr = '';
   child.stderr.on('data', data => {
@@ -81,20 +82,20 @@
   const exited = new Promise(resolve => child.on('close', resolve));
   const parsed = new Promise(resolve => parser.on('complete', resolve));
   return Promise.all([exited, parsed]).then(([code, summary]) => {
-    const isExplained = tests.some(test => !test.ok);
-    if ((code !== 0 || !summary.ok || tests.length === 0) && !isExplained) {
+    const hasFailedTest = tests.some(test => !test.ok);
+    if ((code !== 0 || !summary.ok || tests.length === 0) && !hasFailedTest) {
       tests.push({name: spec, ok: false, problem: `exit ${code}: ${stderr}`});
     }
     return tests;
   });
 }
 
-function collect(parser, path, tests) {
+function collectTests(parser, path, tests) {
   const failures = [];
   let hasChildren = false;
   parser.on('child', child => {
     hasChildren = true;
-    collect(child, `${path} > ${child.name}`, tests);
+    collectTests(child, `${path} > ${child.name}`, tests);
   });
   parser.on('assert', assertion => {
     if (!assertion.ok && !assertion.todo && !assertion.skip) {
--- a/scripts/test_faults.mjs
+++ b/scripts/test_faults.mjs
@@ -1,2 +1,2 @@
-/** Explores faults: `npm run test:faults -- --runs N --seed S`. */
+/** Runs the fault exploration: `npm run test:faults -- --runs N --seed S`. */
 await import('../packages/faults/dist/src/main.js');
