Reword the stand-ins in the terms of the field

Newcomers stopped at private words for ordinary things: a relay with a near and a far end, links that fall silent, orders, answers and cuts.

Comments, locals, private names, help texts and test titles now speak of proxies, client and server sockets, stalled connections, commands and responses. Exported names, paths, control bodies, flags and the "listening" line were ruled out: other programs read them. No code was moved.

--- a/packages/standins/__tests__/log_server.spec.ts
+++ b/packages/standins/__tests__/log_server.spec.ts
@@ -24,8 +24,8 @@
   return {id, domain: 'jnb', role: 'entry', state: 'live'};
 }
 
-t.test('the log stand-in', async t => {
-  t.test('gives back what was appended', async t => {
+t.test('log stand-in', async t => {
+  t.test('returns appended records', async t => {
     const {log} = await startLog(t);
     t.same(await log.append([{a: 1}, {a: 2}], 1000), {
       firstOffset: 0,
@@ -40,34 +40,40 @@
     });
   });
 
-  t.test('answers a waiting read as soon as there is a record', async t => {
-    const {log} = await startLog(t);
-    const read = log.read(0, {limit: 10, wait: 20_000, timeout: 30_000});
-    await log.append(['x'], 1000);
-    t.same((await read).entries, [{offset: 0, value: 'x'}]);
-  });
+  t.test(
+    'responds to a waiting read as soon as a record is appended',
+    async t => {
+      const {log} = await startLog(t);
+      const read = log.read(0, {limit: 10, wait: 20_000, timeout: 30_000});
+      await log.append(['x'], 1000);
+      t.same((await read).entries, [{offset: 0, value: 'x'}]);
+    },
+  );
 
-  t.test('forgets the oldest records', async t => {
+  t.test('drops the oldest records beyond its retention', async t => {
     const {log} = await startLog(t, {retentionRecords: 2});
     await log.append([1, 2, 3], 1000);
     const read = log.read(0, {limit: 10, wait: 0, timeout: 1000});
     await t.rejects(read, {code: 'offset-expired', details: {oldest: 1}});
   });
 
-  t.test('writes nothing beyond its budget or in an outage', async t => {
-    const clock = new ManualClock();
-    const {log, server} = await startLog(t, {appendsPerSecond: 1, clock});
-    const control = {method: 'POST', body: '{"outage":true}'};
-    const headers = {'content-type': 'application/json'};
-    await log.append([1], 1000);
-    await t.rejects(log.append([2], 1000), {code: 'append-rejected'});
-    await fetch(`${server.url}/control`, {...control, headers});
-    await clock.advance(1000);
-    await t.rejects(log.append([3], 1000), {code: 'append-rejected'});
-    t.equal(server.log.endOffset, 1);
-  });
+  t.test(
+    'rejects appends beyond its rate limit or during an outage',
+    async t => {
+      const clock = new ManualClock();
+      const {log, server} = await startLog(t, {appendsPerSecond: 1, clock});
+      const control = {method: 'POST', body: '{"outage":true}'};
+      const headers = {'content-type': 'application/json'};
+      await log.append([1], 1000);
+      await t.rejects(log.append([2], 1000), {code: 'append-rejected'});
+      await fetch(`${server.url}/control`, {...control, headers});
+      await clock.advance(1000);
+      await t.rejects(log.append([3], 1000), {code: 'append-rejected'});
+      t.equal(server.log.endOffset, 1);
+    },
+  );
 
-  t.test('may lose an answer after the append took effect', async t => {
+  t.test('can drop the response of an append that took effect', async t => {
     const {log, server} = await startLog(t);
     server.applyControl({loseAnswers: 1});
     await t.rejects(log.append([1], 1000), {code: 'append-uncertain'});
@@ -76,7 +82,7 @@
 });
 
 t.test(
-  'an append may take effect long after its connection was cut',
+  'an append can take effect long after its connection was closed',
   async t => {
     const clock = new ManualClock();
     const {log, server} = await startLog(t, {clock});
@@ -88,7 +94,7 @@
   },
 );
 
-t.test('the list of instances shows changes late', async t => {
+t.test('the instance list shows changes after a lag', async t => {
   const clock = new ManualClock();
   const server = await startInstanceServer({
     ...LOCAL,
--- a/packages/standins/__tests__/target_server.spec.ts
+++ b/packages/standins/__tests__/target_server.spec.ts
@@ -60,14 +60,14 @@
   };
 }
 
-t.test('a target over HTTP', async t => {
+t.test('target stand-in over HTTP', async t => {
   t.test('reserves, starts, renews, throttles and stops', async t => {
     const {client, address} = await createTarget(t);
-    const reserved = createReservation();
-    const {grantedAt} = await client.reserve(address, reserved, TIMEOUT_MS);
+    const reservation = createReservation();
+    const {grantedAt} = await client.reserve(address, reservation, TIMEOUT_MS);
     await client.start(address, createStart(grantedAt, 60_000), TIMEOUT_MS);
-    const order = {term: TERM, leaseMs: 60_000, leases: [KEY], forget: []};
-    const report = await client.renew(address, order, TIMEOUT_MS);
+    const renewal = {term: TERM, leaseMs: 60_000, leases: [KEY], forget: []};
+    const report = await client.renew(address, renewal, TIMEOUT_MS);
     t.match(report, {target: 't0', leases: [{...KEY, state: 'running'}]});
     const limit = {...KEY, term: TERM, processors: 0.5};
     await client.throttle(address, limit, TIMEOUT_MS);
@@ -78,21 +78,27 @@
     t.equal(await client.stop(address, other, TIMEOUT_MS), undefined);
   });
 
-  t.test('refuses in words that the client passes on', async t => {
-    const {client, address} = await createTarget(t);
-    const term = {...TERM, log: 2};
-    await client.fence(address, {term}, TIMEOUT_MS);
-    await t.rejects(client.reserve(address, createReservation(), TIMEOUT_MS), {
-      code: 'target-refused',
-      details: {target: 't0'},
-    });
-  });
+  t.test(
+    'refuses a lower term, and the client reports the refusal',
+    async t => {
+      const {client, address} = await createTarget(t);
+      const term = {...TERM, log: 2};
+      await client.fence(address, {term}, TIMEOUT_MS);
+      await t.rejects(
+        client.reserve(address, createReservation(), TIMEOUT_MS),
+        {
+          code: 'target-refused',
+          details: {target: 't0'},
+        },
+      );
+    },
+  );
 
-  t.test('is unreachable when dead, silent or another one', async t => {
+  t.test('is unreachable when crashed, silent or unknown', async t => {
     const {client, address, control} = await createTarget(t);
     const unreachable = {code: 'target-unreachable'};
-    const fence = (to: TargetAddress, timeout: number) =>
-      client.fence(to, {term: TERM}, timeout);
+    const fence = (target: TargetAddress, timeoutMs: number) =>
+      client.fence(target, {term: TERM}, timeoutMs);
     await t.rejects(fence({...address, id: 't9'}, TIMEOUT_MS), unreachable);
     control.applyChange({target: 't0', silent: true});
     await t.rejects(fence(address, SHORT_TIMEOUT_MS), unreachable);
--- a/packages/standins/src/http/http_server.ts
+++ b/packages/standins/src/http/http_server.ts
@@ -1,36 +1,37 @@
-/** The HTTP server that every stand-in listens with. */
+/** HTTP server shared by the stand-ins. */
 import restify from 'restify';
 
 /** Largest request body, in bytes. */
 const MAX_BODY_BYTES = 64 * 1024 * 1024;
 
-/** `maxBodySize` is an option of the body reader inside the JSON parser. */
-const bodyOptions = {mapParams: false, maxBodySize: MAX_BODY_BYTES};
+/** Options of the JSON parser; `maxBodySize` is passed on to its body reader. */
+const BODY_PARSER_OPTIONS = {mapParams: false, maxBodySize: MAX_BODY_BYTES};
 
-/** Where a stand-in listens. */
+/** Address on which a stand-in listens. */
 export interface ListenAddress {
-  /** IP number. */
+  /** IP address. */
   host: string;
-  /** Port; 0 for any free one. */
+  /** Port; 0 selects any free port. */
   port: number;
 }
 
-/** A stand-in that listens. */
+/** Handle of a stand-in that accepts connections. */
 export interface RunningServer {
+  /** Base URL with the actual port. */
   url: string;
-  /** Closes the listener and every connection. */
+  /** Stops listening and closes every connection, also those with open requests. */
   close(): Promise<void>;
 }
 
-/** Creates a server that reads JSON bodies and query strings. */
+/** Creates a server that parses JSON bodies and query strings. */
 export function createHttpServer(name: string): restify.Server {
   const server = restify.createServer({name});
   server.use(restify.plugins.queryParser({mapParams: false}));
-  server.use(restify.plugins.jsonBodyParser(bodyOptions));
+  server.use(restify.plugins.jsonBodyParser(BODY_PARSER_OPTIONS));
   return server;
 }
 
-/** Starts to listen. Rejects when the address is taken. */
+/** Starts listening. Rejects when the address is in use. */
 export async function listen(
   server: restify.Server,
   {host, port}: ListenAddress,
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,4 +1,7 @@
-/** Small stand-ins for the platform: the log, the instance list and the targets. */
+/**
+ * Stand-ins for the platform's services (log, instance list and targets) with
+ * fault injection, for tests and the demonstration.
+ */
 
 // Servers
 export {
@@ -8,7 +11,7 @@
   type RunningServer,
 } from './http/http_server.js';
 
-// The log
+// Log
 export {
   applyLogControl,
   type LogControl,
@@ -20,7 +23,7 @@
   startLogServer,
 } from './log/log_server.js';
 
-// The list of instances
+// Instance list
 export {
   type InstanceChange,
   instanceChange,
@@ -29,7 +32,7 @@
   startInstanceServer,
 } from './instances/instance_server.js';
 
-// The targets
+// Targets
 export {
   TargetControl,
   type TargetControlChange,
@@ -43,5 +46,5 @@
   startTargetServer,
 } from './targets/target_server.js';
 
-// The network
+// Network
 export {type FaultProxy, startFaultProxy} from './relay/fault_proxy.js';
--- a/packages/standins/src/instances/lagging_instance_list.ts
+++ b/packages/standins/src/instances/lagging_instance_list.ts
@@ -1,31 +1,35 @@
-/** A list of instances whose changes show late. */
+/** Instance list that shows changes after a lag. */
 import type {ListedInstance} from '@galenavalve/membership';
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 
-/** A change of the list. */
+/** Change of the list; applied in the order remove, put, states. */
 export interface ListChange {
+  /** Instances to add, or to replace by id. */
   put: readonly ListedInstance[];
+  /** Ids of instances to remove. */
   remove: readonly string[];
+  /** New states by instance id; unknown ids are ignored. */
   states: Readonly<Record<string, ListedInstance['state']>>;
 }
 
+/** Content of the list from one instant on. */
 interface Version {
   shownFrom: Instant;
   instances: ListedInstance[];
 }
 
-/** Keeps the versions that do not show yet. */
+/** Keeps the visible version of the list and the later ones that are still hidden by the lag. */
 export class LaggingInstanceList {
   private versions: Version[];
 
   constructor(
     instances: readonly ListedInstance[],
-    private readonly lag: Milliseconds,
+    private readonly lagMs: Milliseconds,
   ) {
     this.versions = [{shownFrom: -Infinity, instances: [...instances]}];
   }
 
-  /** Changes the list; the change shows after the lag. */
+  /** Applies a change, which shows after the lag. */
   applyChange(change: ListChange, now: Instant): void {
     const latest = this.versions.at(-1)?.instances ?? [];
     const byId = new Map(latest.map(instance => [instance.id, instance]));
@@ -42,12 +46,12 @@
       }
     }
     this.versions.push({
-      shownFrom: now + this.lag,
+      shownFrom: now + this.lagMs,
       instances: [...byId.values()],
     });
   }
 
-  /** The list as it shows now. */
+  /** Returns the version that is visible at `now`. */
   read(now: Instant): ListedInstance[] {
     while (this.versions[1] && this.versions[1].shownFrom <= now) {
       this.versions.shift();
--- a/packages/standins/src/log/log_control.ts
+++ b/packages/standins/src/log/log_control.ts
@@ -1,23 +1,27 @@
-/** Faults of the log stand-in as `POST /control` sets them. */
+/** Fault injection for the log stand-in, set by `POST /control`. */
 import {z} from 'zod';
 import type {MemoryLog} from '@galenavalve/ledger';
 
-/** Faults to set; those not named stay as they are. */
+/** Faults to set; omitted ones keep their value. */
 export const logControl = z.strictObject({
-  /** Every request is refused, and nothing is written. */
+  /** True rejects every request; nothing is written. */
   outage: z.boolean().optional(),
-  /** No request is answered; connections stay open. */
+  /** True leaves every request without a response and its connection open. */
   silent: z.boolean().optional(),
-  /** Time that each append and each read takes, in milliseconds. */
+  /** Latency of each append and each read, in milliseconds. */
   delayMs: z.number().nonnegative().optional(),
-  /** The connections of this many appends are cut after the append took effect. */
+  /** Number of next appends whose connection is closed after the append took effect. */
   loseAnswers: z.int().nonnegative().optional(),
-  /** The connection of the next append is cut, and it takes effect this much later, in milliseconds. */
+  /**
+   * Closes the connection of the next append, which takes effect after this
+   * delay, in milliseconds.
+   */
   delayedAppendMs: z.number().positive().optional(),
 });
+/** Body of `POST /control` of the log stand-in. */
 export type LogControl = z.infer<typeof logControl>;
 
-/** Puts faults in force. */
+/** Sets the faults of `log`. */
 export function applyLogControl(
   {faults}: MemoryLog,
   control: LogControl,
@@ -34,6 +38,7 @@
   }
 }
 
+/** Returns the kind of outage; `silent` takes precedence over `outage`. */
 function chooseOutage({
   outage,
   silent,
--- a/packages/standins/src/log/log_server.ts
+++ b/packages/standins/src/log/log_server.ts
@@ -1,4 +1,4 @@
-/** The log stand-in over HTTP. */
+/** HTTP stand-in for the platform's log. */
 import type {Request, Response} from 'restify';
 import {z} from 'zod';
 import {MemoryLog} from '@galenavalve/ledger';
@@ -20,32 +20,34 @@
 const DEFAULT_APPENDS_PER_SECOND = 400;
 const DEFAULT_RETENTION_RECORDS = 1_000_000;
 
-/** Longest time that a read waits for a record, in milliseconds. */
+/** Longest `waitMs` of a read. */
 const MAX_WAIT_MS = 30_000;
 
-/** Most records of one page. */
+/** Largest `limit` of a read. */
 const MAX_PAGE_RECORDS = 10_000;
 
-/** The query of `GET /v1/records`. */
+/** Query parameters of `GET /v1/records`. */
 const readQuery = z.object({
   offset: z.coerce.number().int().nonnegative(),
   limit: z.coerce.number().int().positive().max(MAX_PAGE_RECORDS),
   waitMs: z.coerce.number().nonnegative().max(MAX_WAIT_MS).default(0),
 });
 
-/** Address and limits of the log stand-in. */
+/** Options of the log stand-in. */
 export interface LogServerOptions extends ListenAddress {
-  /** Appends that the log takes in a second, whatever their size. */
+  /** Rate limit in appends per second, regardless of their size; 400 by default. */
   appendsPerSecond?: number;
-  /** Number of latest records that are kept. */
+  /** Number of latest records to keep; 1,000,000 by default. */
   retentionRecords?: number;
+  /** Clock of the rate limit and the injected delays; the system clock by default. */
   clock?: Clock;
 }
 
-/** A log stand-in that listens. */
+/** Handle of a running log stand-in. */
 export interface RunningLogServer extends RunningServer {
+  /** Log behind the server, for direct access. */
   log: MemoryLog;
-  /** Does what `POST /control` does. */
+  /** Has the same effect as `POST /control`. */
   applyControl(control: LogControl): void;
 }
 
@@ -75,6 +77,10 @@
   };
 }
 
+/**
+ * Serves `POST /v1/records`. Closes the connection without a response when the
+ * outcome of the append is uncertain.
+ */
 async function serveAppend(
   log: MemoryLog,
   request: Request,
@@ -82,7 +88,7 @@
 ): Promise<void> {
   const body = appendBody.safeParse(request.body);
   if (!body.success) {
-    refuse(response, 400, 'bad-request', z.prettifyError(body.error));
+    sendRefusal(response, 400, 'bad-request', z.prettifyError(body.error));
     return;
   }
   const {outage, appendLatency} = log.faults;
@@ -95,13 +101,14 @@
     if (!isFailure(error, 'append-rejected')) {
       response.socket?.destroy();
     } else if (outage === 'refused') {
-      refuse(response, 503, 'outage', error.message);
+      sendRefusal(response, 503, 'outage', error.message);
     } else {
-      refuse(response, 429, 'append-budget-used', error.message);
+      sendRefusal(response, 429, 'append-budget-used', error.message);
     }
   }
 }
 
+/** Serves `GET /v1/records`. */
 async function serveRead(
   log: MemoryLog,
   request: Request,
@@ -109,7 +116,7 @@
 ): Promise<void> {
   const query = readQuery.safeParse(request.query);
   if (!query.success) {
-    refuse(response, 400, 'bad-request', z.prettifyError(query.error));
+    sendRefusal(response, 400, 'bad-request', z.prettifyError(query.error));
     return;
   }
   const {offset, limit, waitMs} = query.data;
@@ -122,13 +129,14 @@
   } catch (error) {
     if (isFailure(error, 'offset-expired')) {
       const oldest = Number(error.details['oldest']);
-      refuse(response, 410, 'offset-expired', error.message, oldest);
+      sendRefusal(response, 410, 'offset-expired', error.message, oldest);
     } else {
-      refuse(response, 503, 'outage', describeError(error));
+      sendRefusal(response, 503, 'outage', describeError(error));
     }
   }
 }
 
+/** Serves `POST /control`; responds with the faults in force. */
 async function serveControl(
   log: MemoryLog,
   request: Request,
@@ -143,7 +151,8 @@
   response.send(200, log.faults);
 }
 
-function refuse(
+/** Sends a refusal, which states that nothing was written. */
+function sendRefusal(
   response: Response,
   status: number,
   code: LogRefusal['code'],
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -1,4 +1,4 @@
-/** Starts one stand-in as a process of its own. */
+/** Command line of the stand-ins; each command runs one stand-in as a process. */
 import {readFileSync} from 'node:fs';
 import {Command, Option} from 'commander';
 import {z} from 'zod';
@@ -29,45 +29,49 @@
 }
 
 const program = new Command('standins').description(
-  'stand-ins for the platform, for tests and the demonstration',
+  'stand-ins for the platform services, for tests and the demonstration',
 );
 
 addAddressOptions(program.command('log'))
-  .addOption(numberOption('--appends-per-second <count>', 400))
-  .addOption(numberOption('--retention-records <count>', 1_000_000))
+  .addOption(createNumberOption('--appends-per-second <count>', 400))
+  .addOption(createNumberOption('--retention-records <count>', 1_000_000))
   .action(async (options: LogCommandOptions) => {
-    announce(await startLogServer(options));
+    printAddress(await startLogServer(options));
   });
 
 addAddressOptions(program.command('instances'))
-  .requiredOption('--file <path>', 'JSON file with the list of instances')
-  .addOption(numberOption('--lag-ms <milliseconds>', 500))
+  .requiredOption('--file <path>', 'JSON file with the initial instance list')
+  .addOption(createNumberOption('--lag-ms <milliseconds>', 500))
   .action(async (options: InstancesCommandOptions) => {
     const text = readFileSync(options.file, 'utf8');
     const instances = z.array(listedInstance).parse(JSON.parse(text));
-    announce(await startInstanceServer({...options, instances}));
+    printAddress(await startInstanceServer({...options, instances}));
   });
 
 addAddressOptions(program.command('targets'))
-  .requiredOption('--file <path>', 'JSON file with the list of targets')
+  .requiredOption(
+    '--file <path>',
+    'JSON file with the definitions of the targets',
+  )
   .action(async (options: TargetsCommandOptions) => {
     const text = readFileSync(options.file, 'utf8');
     const targets = z.array(targetDefinition).parse(JSON.parse(text));
-    announce(await startTargetServer({...options, targets}));
+    printAddress(await startTargetServer({...options, targets}));
   });
 
 await program.parseAsync();
 
 function addAddressOptions(command: Command): Command {
   return command
-    .option('--host <ip>', 'IP number to listen on', '127.0.0.1')
-    .addOption(numberOption('--port <port>', 0));
+    .option('--host <ip>', 'IP address to listen on', '127.0.0.1')
+    .addOption(createNumberOption('--port <port>', 0));
 }
 
-function numberOption(flags: string, value: number): Option {
-  return new Option(flags).default(value).argParser(Number);
+function createNumberOption(flags: string, defaultValue: number): Option {
+  return new Option(flags).default(defaultValue).argParser(Number);
 }
 
-function announce({url}: RunningServer): void {
+/** Prints the line from which the starting process reads the URL. */
+function printAddress({url}: RunningServer): void {
   console.log(JSON.stringify({event: 'listening', url}));
 }
--- a/packages/standins/src/relay/fault_proxy.ts
+++ b/packages/standins/src/relay/fault_proxy.ts
@@ -1,88 +1,101 @@
-/** A TCP relay that can lose track of the connections that run through it. */
+/** TCP proxy that injects network faults: connections that carry no data, without a reset. */
 import {type Server, type Socket, connect, createServer} from 'node:net';
 import type {AddressInfo} from 'node:net';
 
-/** The two sockets of one relayed connection. */
-interface Link {
-  near: Socket;
-  far: Socket;
-  isSilent: boolean;
+/** Client and server socket of one proxied connection. */
+interface ProxiedConnection {
+  client: Socket;
+  server: Socket;
+  /** True when data and closes of either side are no longer forwarded. */
+  isStalled: boolean;
 }
 
-/** A relay that listens. */
+/** Handle of a running proxy. */
 export interface FaultProxy {
   host: string;
   port: number;
-  /** Open connections carry nothing any more, without an end; new ones work. */
+  /** Stalls open connections: they stay open but carry no data. New connections work. */
   stallConnections(): void;
-  /** Nothing gets through, and new connections get no answer. */
+  /** Stalls open connections and all new ones, which are accepted but carry no data. */
   blockTraffic(): void;
-  /** New connections work again; silenced ones stay silent. */
+  /** Lets new connections work again; stalled ones stay stalled. */
   unblockTraffic(): void;
+  /** Stops listening and closes every connection. */
   close(): Promise<void>;
 }
 
-/** Starts a relay to `host`:`port` on a free port of the same address. */
+/** Starts a proxy to `host`:`port` on a free port of the same host. */
 export async function startFaultProxy(
   host: string,
   port: number,
 ): Promise<FaultProxy> {
-  const links = new Set<Link>();
-  let isCut = false;
-  const server = createServer(near => {
-    const link: Link = {near, far: connect(port, host), isSilent: isCut};
-    links.add(link);
-    join(link, link.near, link.far);
-    join(link, link.far, link.near);
-    near.once('close', () => links.delete(link));
+  const connections = new Set<ProxiedConnection>();
+  let isBlocked = false;
+  const proxy = createServer(client => {
+    const connection: ProxiedConnection = {
+      client,
+      server: connect(port, host),
+      isStalled: isBlocked,
+    };
+    connections.add(connection);
+    forward(connection, connection.client, connection.server);
+    forward(connection, connection.server, connection.client);
+    client.once('close', () => connections.delete(connection));
   });
-  await listen(server, host);
-  const silenceOpen = () => {
-    for (const link of links) {
-      link.isSilent = true;
+  await listen(proxy, host);
+  const stallConnections = () => {
+    for (const connection of connections) {
+      connection.isStalled = true;
     }
   };
   return {
     host,
-    port: (server.address() as AddressInfo).port,
-    stallConnections: silenceOpen,
+    port: (proxy.address() as AddressInfo).port,
+    stallConnections,
     blockTraffic: () => {
-      isCut = true;
-      silenceOpen();
+      isBlocked = true;
+      stallConnections();
     },
     unblockTraffic: () => {
-      isCut = false;
+      isBlocked = false;
     },
-    close: () => closeAll(server, links),
+    close: () => closeAll(proxy, connections),
   };
 }
 
-/** Carries data from one socket to the other for as long as the link is heard. */
-function join(link: Link, from: Socket, to: Socket): void {
+/** Forwards data and the close of `from` to `to` until the connection is stalled. */
+function forward(
+  connection: ProxiedConnection,
+  from: Socket,
+  to: Socket,
+): void {
   from.on('data', data => {
-    if (!link.isSilent) {
+    if (!connection.isStalled) {
       to.write(data);
     }
   });
   from.on('error', () => to.destroy());
   from.on('close', () => {
-    if (!link.isSilent) {
+    if (!connection.isStalled) {
       to.destroy();
     }
   });
 }
 
-function listen(server: Server, host: string): Promise<void> {
+function listen(proxy: Server, host: string): Promise<void> {
   return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(0, host, () => resolve());
+    proxy.once('error', reject);
+    proxy.listen(0, host, () => resolve());
   });
 }
 
-function closeAll(server: Server, links: ReadonlySet<Link>): Promise<void> {
-  for (const {near, far} of links) {
-    near.destroy();
-    far.destroy();
+function closeAll(
+  proxy: Server,
+  connections: ReadonlySet<ProxiedConnection>,
+): Promise<void> {
+  for (const {client, server} of connections) {
+    client.destroy();
+    server.destroy();
   }
-  return new Promise(resolve => server.close(() => resolve()));
+  return new Promise(resolve => proxy.close(() => resolve()));
 }
--- a/packages/standins/src/targets/target_control.ts
+++ b/packages/standins/src/targets/target_control.ts
@@ -1,27 +1,32 @@
-/** Faults of the target stand-in, set by `POST /control`. */
+/** Fault injection for the target stand-in, set by `POST /control`. */
 import {z} from 'zod';
 import type {Clock} from '@galenavalve/shared';
 import type {TargetModel} from '@galenavalve/targets';
 
-/** A change of one target; settings not named stay as they are. */
+/** Change of one target's faults; omitted settings keep their value. */
 export const targetControlChange = z.strictObject({
+  /** Id of the target. */
   target: z.string(),
-  /** It has crashed: all tasks are gone and connections are closed. False brings it back, empty. */
+  /**
+   * True crashes the target: its tasks are lost and requests to it are closed
+   * without a response. False restarts it without tasks.
+   */
   dead: z.boolean().optional(),
-  /** No command takes effect or is answered; connections stay open. */
+  /** True ignores commands: they have no effect and no response, and connections stay open. */
   silent: z.boolean().optional(),
-  /** Commands take effect, but are not answered. */
+  /** True withholds the response of commands, which still take effect. */
   losesAnswers: z.boolean().optional(),
-  /** Commands take effect this late, in milliseconds. */
+  /** Delay before a command takes effect, in milliseconds. */
   delayMs: z.number().nonnegative().optional(),
-  /** It says that it is leaving, and takes no new work. */
+  /** True makes the target report that it is leaving and accept no new work. */
   leaving: z.boolean().optional(),
-  /** It fails every task. */
+  /** True makes every task on the target fail. */
   failsEveryTask: z.boolean().optional(),
 });
+/** Body of `POST /control` of the target stand-in. */
 export type TargetControlChange = z.infer<typeof targetControlChange>;
 
-/** The faults of one target. */
+/** Faults that the server injects into requests to one target. */
 export interface TargetServerFaults {
   dead: boolean;
   silent: boolean;
@@ -36,7 +41,7 @@
   delayMs: 0,
 };
 
-/** The faults in force. */
+/** Faults in force, by target. */
 export class TargetControl {
   private readonly faults = new Map<string, TargetServerFaults>();
 
@@ -45,15 +50,17 @@
     readonly clock: Clock,
   ) {}
 
+  /** Returns the model of a target, or undefined when there is none. */
   findModel(target: string): TargetModel | undefined {
     return this.models.get(target);
   }
 
+  /** Returns the faults of a target; none of them when it is unknown. */
   getFaults(target: string): TargetServerFaults {
     return this.faults.get(target) ?? NO_FAULTS;
   }
 
-  /** Returns false when there is no such target. */
+  /** Applies a change. Returns false when there is no such target. */
   applyChange(change: TargetControlChange): boolean {
     const {target, leaving, failsEveryTask, ...faults} = change;
     const model = this.models.get(target);
--- a/packages/standins/src/targets/target_server.ts
+++ b/packages/standins/src/targets/target_server.ts
@@ -1,4 +1,4 @@
-/** The target stand-in over HTTP: many modelled targets in one process. */
+/** HTTP stand-in for targets: many modelled targets in one process. */
 import type {Request, Response} from 'restify';
 import {z} from 'zod';
 import {REFUSED_STATUS, fenceOrder, throttleOrder} from '@galenavalve/platform';
@@ -19,10 +19,10 @@
 } from '../http/http_server.js';
 import {TargetControl, targetControlChange} from './target_control.js';
 
-/** Latest starts and ends of tasks that `GET /control/runs` tells. */
-const MAX_RUNS = 100_000;
+/** Number of latest run events (starts and ends of tasks) that `GET /control/runs` returns. */
+const MAX_RUN_EVENTS = 100_000;
 
-/** One target to stand in for. */
+/** Id and capacity of one modelled target. */
 export const targetDefinition = z.object({
   id: z.string().min(1).max(100),
   slots: z.int().positive(),
@@ -30,24 +30,32 @@
   processors: z.number().positive(),
   memoryMb: z.number().positive(),
 });
+/** Id and capacity of one modelled target. */
 export type TargetDefinition = z.infer<typeof targetDefinition>;
 
-/** Address and targets of the stand-in. */
+/** Options of the target stand-in. */
 export interface TargetServerOptions extends ListenAddress {
   targets: readonly TargetDefinition[];
+  /** Clock of the models; the system clock by default. */
   clock?: Clock;
 }
 
-/** A target stand-in that listens. */
+/** Handle of a running target stand-in. */
 export interface RunningTargetServer extends RunningServer {
+  /** Fault injection; has the same effect as `POST /control`. */
   control: TargetControl;
+  /** Models by target id. */
   models: ReadonlyMap<string, TargetModel>;
 }
 
-/** What a model does with one order. */
-type Handler = (model: TargetModel, body: unknown, now: number) => unknown;
+/** Validates the body of one command and applies it to a model. */
+type CommandHandler = (
+  model: TargetModel,
+  body: unknown,
+  now: number,
+) => unknown;
 
-const handlers: Record<string, Handler> = {
+const COMMAND_HANDLERS: Record<string, CommandHandler> = {
   reserve: (model, body, now) => model.reserve(reservation.parse(body), now),
   start: (model, body, now) => model.start(startCommand.parse(body), now),
   stop: (model, body, now) => ({
@@ -66,22 +74,24 @@
   const clock = options.clock ?? new SystemClock();
   const runs: RunEvent[] = [];
   const models = createModels(options.targets, event => {
-    // Run events carry the clock of the process; readers need wall-clock time.
+    // Events carry the monotonic time of this process; readers in other processes need wall-clock time.
     const at = event.at + clock.wallTime() - clock.now();
     runs.push({...event, at});
-    runs.splice(0, runs.length - MAX_RUNS);
+    runs.splice(0, runs.length - MAX_RUN_EVENTS);
   });
   const control = new TargetControl(models, clock);
   const server = createHttpServer('targets');
-  for (const [command, handler] of Object.entries(handlers)) {
+  for (const [command, handler] of Object.entries(COMMAND_HANDLERS)) {
     server.post(`/targets/:id/v1/${command}`, async (request, response) =>
-      serve(request, response, control, handler),
+      serveCommand(request, response, control, handler),
     );
   }
   server.post('/control', async (request, response) => {
     const change = targetControlChange.safeParse(request.body);
     if (!change.success || !control.applyChange(change.data)) {
-      response.send(400, {message: 'no such target or setting'});
+      response.send(400, {
+        message: 'the target is unknown or a setting is invalid',
+      });
       return;
     }
     response.send(200, {});
@@ -103,16 +113,20 @@
   return models;
 }
 
-async function serve(
+/**
+ * Serves one command of a target, with the faults in force: a crashed target
+ * closes the connection, a silent one never responds.
+ */
+async function serveCommand(
   request: Request,
   response: Response,
   control: TargetControl,
-  handler: Handler,
+  handler: CommandHandler,
 ): Promise<void> {
   const id = String(request.params.id);
   const model = control.findModel(id);
   if (!model) {
-    response.send(404, {message: 'there is no such target'});
+    response.send(404, {message: 'unknown target'});
     return;
   }
   const {dead, silent, losesAnswers, delayMs} = control.getFaults(id);
@@ -124,7 +138,7 @@
     return;
   }
   await control.clock.sleep(delayMs);
-  const [status, body] = apply(
+  const [status, body] = toResponse(
     () => handler(model, request.body, control.clock.now()) ?? {},
   );
   if (!losesAnswers) {
@@ -132,7 +146,8 @@
   }
 }
 
-function apply(handle: () => unknown): [number, unknown] {
+/** Returns status and body of the response to a command. */
+function toResponse(handle: () => unknown): [number, unknown] {
   try {
     return [200, handle()];
   } catch (error) {
