Reword the platform clients in the terms of the field

Newcomers stopped at orders, answers and refusals "in their own words", and at a pool that holds "evidence against" its sockets.

Comments, locals, private names, messages and test titles now use commands, responses, timeouts and protocols; clients state the failures they throw. Protocol bodies, paths and failure codes stay. Messages changed only where no test or program matches them. No code was moved.

--- a/packages/platform/__tests__/http_log.spec.ts
+++ b/packages/platform/__tests__/http_log.spec.ts
@@ -8,6 +8,7 @@
 
 const TIMEOUT_MS = 200;
 
+/** HTTP server with a test's own request listener. */
 interface Service {
   url: string;
   server: Server;
@@ -36,7 +37,7 @@
   return log;
 }
 
-function answerWith(status: number, body: unknown): RequestListener {
+function respondWith(status: number, body: unknown): RequestListener {
   return (request, response) => {
     request.resume();
     response.writeHead(status, {'content-type': 'application/json'});
@@ -44,16 +45,16 @@
   };
 }
 
-t.test('an append', async t => {
+t.test('HttpLog append', async t => {
   const cases: [string, RequestListener, ErrorCode][] = [
     [
-      'that the service refuses in an outage was rejected',
-      answerWith(503, {code: 'outage', message: 'outage', written: false}),
+      'is rejected when the service refuses it during an outage',
+      respondWith(503, {code: 'outage', message: 'outage', written: false}),
       'append-rejected',
     ],
     [
-      'over the budget was rejected',
-      answerWith(429, {
+      'is rejected beyond the rate limit',
+      respondWith(429, {
         code: 'append-budget-used',
         message: 'used up',
         written: false,
@@ -61,28 +62,28 @@
       'append-rejected',
     ],
     [
-      'that something else answers with 503 is uncertain',
-      answerWith(503, {message: 'bad gateway'}),
+      'is uncertain when the 503 is not a refusal of the log service',
+      respondWith(503, {message: 'bad gateway'}),
       'append-uncertain',
     ],
     [
-      'with a receipt for another number of values is uncertain',
-      answerWith(200, {firstOffset: 4, nextOffset: 9}),
+      'is uncertain when the receipt is for another number of values',
+      respondWith(200, {firstOffset: 4, nextOffset: 9}),
       'append-uncertain',
     ],
     [
-      'with a broken answer is uncertain',
+      'is uncertain when the response is truncated',
       (_request, response) => response.end('{"firstOff'),
       'append-uncertain',
     ],
     [
-      'whose connection is cut is uncertain',
+      'is uncertain when the connection is closed',
       request => request.socket.destroy(),
       'append-uncertain',
     ],
-    ['that is never answered is uncertain', () => {}, 'append-uncertain'],
+    ['is uncertain when there is no response', () => {}, 'append-uncertain'],
     [
-      'with an endless answer is uncertain',
+      'is uncertain when the response does not end',
       (_request, response) => {
         const timer = setInterval(() => response.write('x'.repeat(4096)), 1);
         response.on('close', () => clearInterval(timer));
@@ -97,7 +98,7 @@
     });
   }
 
-  t.test('that finds no listener was rejected', async t => {
+  t.test('is rejected when the connection is refused', async t => {
     const {url, server} = await startService(t, () => {});
     await new Promise(resolve => server.close(resolve));
     const log = createLog(t, url);
@@ -105,40 +106,43 @@
   });
 });
 
-t.test('a read', async t => {
-  t.test('tells the oldest offset when its own has expired', async t => {
-    const refusal = {
-      code: 'offset-expired',
-      message: 'expired',
-      written: false,
-      oldestOffset: 7,
-    };
-    const {url} = await startService(t, answerWith(410, refusal));
-    const read = createLog(t, url).read(3, {limit: 9, wait: 0, timeout: 500});
-    await t.rejects(read, {code: 'offset-expired', details: {oldest: 7}});
-  });
+t.test('HttpLog read', async t => {
+  t.test(
+    'reports the oldest offset when the requested one has expired',
+    async t => {
+      const refusal = {
+        code: 'offset-expired',
+        message: 'expired',
+        written: false,
+        oldestOffset: 7,
+      };
+      const {url} = await startService(t, respondWith(410, refusal));
+      const read = createLog(t, url).read(3, {limit: 9, wait: 0, timeout: 500});
+      await t.rejects(read, {code: 'offset-expired', details: {oldest: 7}});
+    },
+  );
 
-  t.test('refuses a page that skips a record', async t => {
+  t.test('rejects a page that skips a record', async t => {
     const page = {
       entries: [{offset: 4, value: 1}],
       nextOffset: 5,
       endOffset: 5,
       oldestOffset: 0,
     };
-    const {url} = await startService(t, answerWith(200, page));
+    const {url} = await startService(t, respondWith(200, page));
     const read = createLog(t, url).read(3, {limit: 9, wait: 0, timeout: 500});
     await t.rejects(read, {code: 'read-failed'});
   });
 });
 
-t.test('a pooled connection that went silent is not used again', async t => {
+t.test('a pooled connection that stopped responding is not reused', async t => {
   const silent = new Set<Socket>();
   const {url, sockets} = await startService(t, (request, response) => {
     if (silent.has(request.socket)) {
       return;
     }
-    const answer = answerWith(200, {firstOffset: 0, nextOffset: 1});
-    setTimeout(() => void answer(request, response), 20);
+    const respond = respondWith(200, {firstOffset: 0, nextOffset: 1});
+    setTimeout(() => void respond(request, response), 20);
   });
   const log = createLog(t, url);
   await Promise.all([1, 2, 3].map(() => log.append([{}], 1000)));
@@ -146,10 +150,13 @@
   t.equal(silent.size, 3);
 
   await t.rejects(log.append([{}], TIMEOUT_MS), {code: 'append-uncertain'});
-  await t.resolves(log.append([{}], 1000), 'the next one opens a connection');
+  await t.resolves(
+    log.append([{}], 1000),
+    'the next append opens a new connection',
+  );
 });
 
-t.test('answers of any form end in a page, a receipt or a failure', t => {
+t.test('any response yields a page, a receipt or a Failure', t => {
   const entries = fc.array(
     fc.record({offset: fc.nat(4), value: fc.jsonValue()}),
     {maxLength: 3},
@@ -167,7 +174,7 @@
   const status = fc.constantFrom(200, 204, 302, 400, 410, 429, 500, 503);
   return fc.assert(
     fc.asyncProperty(status, body, async (status, body) => {
-      const {url} = await startService(t, answerWith(status, body));
+      const {url} = await startService(t, respondWith(status, body));
       const log = createLog(t, url);
       const options = {limit: 9, wait: 0, timeout: 1000};
       const page = await log.read(1, options).catch((error: unknown) => error);
@@ -180,7 +187,7 @@
   );
 });
 
-/** A page that the fold can take: no record is skipped or repeated. */
+/** Whether the fold can apply the page: no record is skipped or repeated. */
 function isPageFrom(offset: number, page: LogPage): boolean {
   const {entries, nextOffset} = page;
   return (
--- a/packages/platform/src/http/connection_pool.ts
+++ b/packages/platform/src/http/connection_pool.ts
@@ -1,29 +1,30 @@
-/** Keep-alive connections that are dropped as soon as one of them goes silent. */
+/** Keep-alive connection pool that closes its idle sockets when a request times out. */
 import {Agent, type AgentOptions} from 'node:http';
 import type {Socket} from 'node:net';
 import {platformTraffic} from './traffic.js';
 
-/** Most sockets to one service. */
+/** Maximum number of sockets to one service. */
 const MAX_SOCKETS = 32;
 
-/** Most idle sockets that are kept for the next request. */
+/** Maximum number of idle sockets that are kept for reuse. */
 const MAX_IDLE_SOCKETS = 8;
 
-/** An idle socket is closed after this time, in milliseconds. */
+/** Time after which an idle socket is closed. */
 const IDLE_TIMEOUT_MS = 15_000;
 
 /**
- * The pooled sockets to one service. Something between the two ends may lose
- * track of open connections, all of them at once and without a reset; a
- * request that timed out is therefore evidence against every idle socket.
+ * Pool of keep-alive sockets to one service. A middlebox can drop the state of
+ * all open connections at once and without a reset, so after a request timed
+ * out no idle socket can be trusted.
  */
 export class ConnectionPool {
+  /** Agent to pass to the HTTP client. */
   readonly agent: Agent;
 
   constructor(agent?: Agent) {
     this.agent =
       agent ??
-      new CountedAgent({
+      new TrafficCountingAgent({
         keepAlive: true,
         maxSockets: MAX_SOCKETS,
         maxFreeSockets: MAX_IDLE_SOCKETS,
@@ -32,7 +33,7 @@
       });
   }
 
-  /** Closes the sockets that carry no request, so that the next request opens a new one. */
+  /** Closes idle sockets, so that the next request opens a new one. */
   closeIdle(): void {
     for (const sockets of Object.values(this.agent.freeSockets)) {
       for (const socket of [...(sockets ?? [])]) {
@@ -47,8 +48,8 @@
   }
 }
 
-/** Counts the traffic of its connections. */
-class CountedAgent extends Agent {
+/** Adds the sockets it opens to `platformTraffic`. */
+class TrafficCountingAgent extends Agent {
   constructor(options: AgentOptions) {
     super(options);
   }
--- a/packages/platform/src/http/json_client.ts
+++ b/packages/platform/src/http/json_client.ts
@@ -1,13 +1,13 @@
-/** One JSON request over HTTP with a deadline, without retries. */
+/** HTTP client for a single JSON request with a timeout and without retries. */
 import got, {RequestError, TimeoutError} from 'got';
 import {describeError, type Milliseconds} from '@galenavalve/shared';
 import type {ConnectionPool} from './connection_pool.js';
 
-/** Longest time to open a connection, in milliseconds. */
+/** Longest time to open a connection. */
 const CONNECT_TIMEOUT_MS = 1000;
 
-/** Codes of errors that precede the first byte of a request. */
-const CONNECT_ERRORS = new Set([
+/** Error codes that occur before any byte of a request is sent. */
+const CONNECT_ERROR_CODES = new Set([
   'ECONNREFUSED',
   'EHOSTUNREACH',
   'ENETUNREACH',
@@ -15,31 +15,33 @@
   'EADDRNOTAVAIL',
 ]);
 
-/** Phases of a request, by got's names, in which nothing was sent yet. */
+/** Timeout phases, by got's names, in which nothing was sent yet. */
 const CONNECT_PHASES = new Set(['lookup', 'connect']);
 
-/** A request with a JSON body and a JSON answer. */
+/** Request with a JSON body and a JSON response. */
 export interface JsonRequest {
   method: 'GET' | 'POST' | 'DELETE';
   url: string;
   body?: unknown;
+  /** Time for the whole request, including the connection. */
   timeoutMs: Milliseconds;
-  /** A longer answer is given up, in bytes. */
+  /** Largest response in bytes; a larger one is aborted. */
   maxResponseBytes: number;
 }
 
-/** An answer that came whole; `body` is undefined when it is not JSON. */
+/** Complete response. */
 export interface JsonResponse {
   status: number;
+  /** Parsed body; undefined when it is not JSON. */
   body: unknown;
-  /** Time that the service asks to wait before another request. */
+  /** Value of the Retry-After header. */
   retryAfterMs?: Milliseconds;
 }
 
-/** No whole answer came. */
+/** Error for a request without a complete response. */
 export class NoResponse extends Error {
   constructor(
-    /** False only when no byte of the request can have reached the service. */
+    /** False only when no byte of the request can have reached the service; such a request is safe to repeat. */
     readonly wasSent: boolean,
     problem: string,
     options?: ErrorOptions,
@@ -49,12 +51,12 @@
   }
 }
 
-/** Sends one request. Throws `NoResponse`. */
+/** Sends one request and returns its response, whatever the status. Throws `NoResponse`. */
 export async function sendJson(
   pool: ConnectionPool,
   request: JsonRequest,
 ): Promise<JsonResponse> {
-  const call = got(request.url, {
+  const responsePromise = got(request.url, {
     method: request.method,
     json: request.body,
     agent: {http: pool.agent},
@@ -69,45 +71,51 @@
     responseType: 'text',
   });
   let isTooLong = false;
-  void call.on('downloadProgress', ({transferred}) => {
+  void responsePromise.on('downloadProgress', ({transferred}) => {
     if (transferred > request.maxResponseBytes && !isTooLong) {
       isTooLong = true;
-      call.cancel();
+      responsePromise.cancel();
     }
   });
   try {
-    const answer = await call;
+    const response = await responsePromise;
     return {
-      status: answer.statusCode,
-      body: parseJson(answer.body),
-      retryAfterMs: parseRetryAfter(answer.headers['retry-after']),
+      status: response.statusCode,
+      body: parseJson(response.body),
+      retryAfterMs: parseRetryAfter(response.headers['retry-after']),
     };
   } catch (error) {
     if (isTooLong) {
-      const problem = `the answer has more than ${request.maxResponseBytes} bytes`;
+      const problem = `the response is larger than ${request.maxResponseBytes} bytes`;
       throw new NoResponse(true, problem, {cause: error});
     }
     if (error instanceof TimeoutError) {
       pool.closeIdle();
-      const problem = `no answer within ${request.timeoutMs} ms`;
-      throw new NoResponse(wasSent(error), problem, {cause: error});
+      const problem = `no response within ${request.timeoutMs} ms`;
+      throw new NoResponse(mayHaveBeenSent(error), problem, {cause: error});
     }
-    throw new NoResponse(wasSent(error), describeError(error), {cause: error});
+    throw new NoResponse(mayHaveBeenSent(error), describeError(error), {
+      cause: error,
+    });
   }
 }
 
-function wasSent(error: unknown): boolean {
+/** Whether any byte of a failed request may have been sent. */
+function mayHaveBeenSent(error: unknown): boolean {
   if (error instanceof TimeoutError) {
     return !CONNECT_PHASES.has(error.event);
   }
-  return !(error instanceof RequestError && CONNECT_ERRORS.has(error.code));
+  return !(
+    error instanceof RequestError && CONNECT_ERROR_CODES.has(error.code)
+  );
 }
 
-/** Reads a Retry-After header in seconds; dates are ignored. */
+/** Parses a Retry-After header in seconds; dates are ignored. */
 function parseRetryAfter(value: string | undefined): Milliseconds | undefined {
   return value && /^\d{1,5}$/.test(value) ? Number(value) * 1000 : undefined;
 }
 
+/** Returns undefined when `text` is not JSON. */
 function parseJson(text: string): unknown {
   try {
     return JSON.parse(text);
--- a/packages/platform/src/http/traffic.ts
+++ b/packages/platform/src/http/traffic.ts
@@ -1,38 +1,38 @@
-/** Counts the bytes that go to and come from the platform. */
+/** Counts the bytes exchanged with the platform's services. */
 import type {Socket} from 'node:net';
 
-/** Bytes of all sockets that were added, open or closed. */
+/** Counts the bytes of all added sockets, open or closed. */
 export class TrafficCounter {
-  private readonly open = new Set<Socket>();
-  private closedSent = 0;
-  private closedReceived = 0;
+  private readonly openSockets = new Set<Socket>();
+  private closedSocketsBytesSent = 0;
+  private closedSocketsBytesReceived = 0;
 
-  /** Counts the bytes of `socket` from now on. */
+  /** Adds a socket, with the bytes it has carried so far. */
   add(socket: Socket): void {
-    this.open.add(socket);
+    this.openSockets.add(socket);
     socket.once('close', () => {
-      this.open.delete(socket);
-      this.closedSent += socket.bytesWritten;
-      this.closedReceived += socket.bytesRead;
+      this.openSockets.delete(socket);
+      this.closedSocketsBytesSent += socket.bytesWritten;
+      this.closedSocketsBytesReceived += socket.bytesRead;
     });
   }
 
-  /** Bytes sent. */
+  /** Bytes written to all added sockets. */
   get bytesSent(): number {
-    return [...this.open].reduce(
+    return [...this.openSockets].reduce(
       (sum, socket) => sum + socket.bytesWritten,
-      this.closedSent,
+      this.closedSocketsBytesSent,
     );
   }
 
-  /** Bytes received. */
+  /** Bytes read from all added sockets. */
   get bytesReceived(): number {
-    return [...this.open].reduce(
+    return [...this.openSockets].reduce(
       (sum, socket) => sum + socket.bytesRead,
-      this.closedReceived,
+      this.closedSocketsBytesReceived,
     );
   }
 }
 
-/** The traffic of every pool of this process. */
+/** Traffic of every connection pool of this process that has no agent of its own. */
 export const platformTraffic = new TrafficCounter();
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,4 +1,4 @@
-/** HTTP adapters for the log, the instance list and the targets of the platform. */
+/** HTTP clients and protocols of the platform's log, instance list and targets. */
 
 // Connections
 export {ConnectionPool} from './http/connection_pool.js';
@@ -10,16 +10,16 @@
   sendJson,
 } from './http/json_client.js';
 
-// The log
+// Log
 export {HttpLog, type HttpLogOptions} from './log/http_log.js';
 export * from './log/log_protocol.js';
 
-// The list of instances
+// Instance list
 export {
   HttpInstanceList,
   type HttpInstanceListOptions,
 } from './instances/http_instance_list.js';
 
-// The targets
+// Targets
 export {HttpTargetClient} from './targets/http_target_client.js';
 export * from './targets/target_protocol.js';
--- a/packages/platform/src/instances/http_instance_list.ts
+++ b/packages/platform/src/instances/http_instance_list.ts
@@ -1,4 +1,4 @@
-/** The platform's list of instances over HTTP. */
+/** HTTP client of the platform's instance list. */
 import type {Agent} from 'node:http';
 import {z} from 'zod';
 import {
@@ -10,18 +10,18 @@
 import {ConnectionPool} from '../http/connection_pool.js';
 import {type JsonResponse, sendJson} from '../http/json_client.js';
 
-/** Largest list, in bytes: about 10,000 instances. */
+/** Largest response; enough for about 10,000 instances. */
 const MAX_LIST_BYTES = 4 * 1024 * 1024;
 
-/** Where the list is. */
+/** Options of the instance list client. */
 export interface HttpInstanceListOptions {
-  /** Base URL of the service, by IP number. */
+  /** Base URL of the service, with an IP address as host. */
   baseUrl: string;
-  /** Connections to use; by default a pool of its own. */
+  /** Agent to send requests with; by default a new connection pool. */
   agent?: Agent;
 }
 
-/** The list of instances over HTTP. Throws `instances-unavailable`. */
+/** Instance list over HTTP. Fails with `instances-unavailable`. */
 export class HttpInstanceList implements InstanceList {
   private readonly url: string;
   private readonly pool: ConnectionPool;
@@ -37,7 +37,7 @@
     if (status === 200 && list.success) {
       return list.data;
     }
-    const problem = `the answer with status ${status} is not a list`;
+    const problem = `the response with status ${status} is not an instance list`;
     throw new Failure('instances-unavailable', {problem});
   }
 
@@ -46,12 +46,12 @@
     this.pool.close();
   }
 
-  private async fetch(timeout: Milliseconds): Promise<JsonResponse> {
+  private async fetch(timeoutMs: Milliseconds): Promise<JsonResponse> {
     try {
       return await sendJson(this.pool, {
         method: 'GET',
         url: this.url,
-        timeoutMs: timeout,
+        timeoutMs,
         maxResponseBytes: MAX_LIST_BYTES,
       });
     } catch (error) {
--- a/packages/platform/src/log/http_log.ts
+++ b/packages/platform/src/log/http_log.ts
@@ -1,4 +1,4 @@
-/** The platform's log over HTTP. */
+/** HTTP client of the platform's log. */
 import type {Agent} from 'node:http';
 import type {
   AppendReceipt,
@@ -11,23 +11,27 @@
 import {type JsonResponse, NoResponse, sendJson} from '../http/json_client.js';
 import {appendReceipt, logPage, logRefusal} from './log_protocol.js';
 
-/** Largest answer to an append, in bytes. */
+/** Largest response to an append. */
 const MAX_RECEIPT_BYTES = 4096;
 
-/** Largest page of records, in bytes. */
+/** Largest page of records. */
 const MAX_PAGE_BYTES = 64 * 1024 * 1024;
 
-/** Where the log service is. */
+/** Options of the log client. */
 export interface HttpLogOptions {
-  /** Base URL of the service, by IP number. */
+  /** Base URL of the service, with an IP address as host. */
   baseUrl: string;
-  /** Connections to use; by default a pool of its own. */
+  /** Agent to send requests with; by default a new connection pool. */
   agent?: Agent;
 }
 
 /**
- * The log service over HTTP. Requests are never repeated here: whether an
- * append may be repeated is for the caller to decide, who knows its record ids.
+ * Log over HTTP. Does not retry: only the caller, who knows the record ids, can
+ * decide whether an append may be repeated.
+ *
+ * An append fails with `append-rejected` when nothing was written and with
+ * `append-uncertain` when it may have taken effect. A read fails with
+ * `offset-expired` or `read-failed`.
  */
 export class HttpLog implements Log {
   private readonly url: string;
@@ -40,23 +44,23 @@
 
   async append(
     values: readonly unknown[],
-    timeout: Milliseconds,
+    timeoutMs: Milliseconds,
   ): Promise<AppendReceipt> {
-    const answer = await this.send(values, timeout);
-    const receipt = appendReceipt.safeParse(answer.body);
-    if (answer.status === 200 && isReceiptFor(values.length, receipt.data)) {
+    const response = await this.send(values, timeoutMs);
+    const receipt = appendReceipt.safeParse(response.body);
+    if (response.status === 200 && isReceiptFor(values.length, receipt.data)) {
       return receipt.data;
     }
-    throw createAppendFailure(answer);
+    throw createAppendFailure(response);
   }
 
   async read(offset: number, options: ReadOptions): Promise<LogPage> {
-    const answer = await this.fetchPage(offset, options);
-    const page = logPage.safeParse(answer.body);
-    if (answer.status === 200 && page.success) {
+    const response = await this.fetchPage(offset, options);
+    const page = logPage.safeParse(response.body);
+    if (response.status === 200 && page.success) {
       return checkPage(offset, page.data as LogPage);
     }
-    throw createReadFailure(offset, answer);
+    throw createReadFailure(offset, response);
   }
 
   /** Closes the connections. */
@@ -66,14 +70,14 @@
 
   private async send(
     values: readonly unknown[],
-    timeout: Milliseconds,
+    timeoutMs: Milliseconds,
   ): Promise<JsonResponse> {
     try {
       return await sendJson(this.pool, {
         method: 'POST',
         url: this.url,
         body: {values},
-        timeoutMs: timeout,
+        timeoutMs,
         maxResponseBytes: MAX_RECEIPT_BYTES,
       });
     } catch (error) {
@@ -102,6 +106,7 @@
   }
 }
 
+/** Whether the receipt covers exactly `count` values. */
 function isReceiptFor(
   count: number,
   receipt: AppendReceipt | undefined,
@@ -111,29 +116,29 @@
   );
 }
 
-/** A refusal counts only when the service itself says that it wrote nothing. */
+/** Treats an append as rejected only if the log service itself states that nothing was written. */
 function createAppendFailure({status, body}: JsonResponse): Failure {
   const refusal = logRefusal.safeParse(body);
   if (status >= 400 && refusal.success) {
     return new Failure('append-rejected', {problem: refusal.data.message});
   }
-  const problem = `the answer with status ${status} is not one of the log's`;
+  const problem = `the response with status ${status} does not follow the log protocol`;
   return new Failure('append-uncertain', {problem});
 }
 
-function createReadFailure(offset: number, answer: JsonResponse): Failure {
-  const refusal = logRefusal.safeParse(answer.body);
+function createReadFailure(offset: number, response: JsonResponse): Failure {
+  const refusal = logRefusal.safeParse(response.body);
   if (refusal.data?.code === 'offset-expired') {
     const oldest = refusal.data.oldestOffset ?? offset + 1;
     return new Failure('offset-expired', {offset, oldest});
   }
   const problem =
     refusal.data?.message ??
-    `the answer with status ${answer.status} is not one of the log's`;
+    `the response with status ${response.status} does not follow the log protocol`;
   return new Failure('read-failed', {offset, problem});
 }
 
-/** Offsets that do not fit the question would make the fold skip or repeat records. */
+/** Checks that the page continues at `offset` without gaps; the fold would otherwise skip or repeat records. */
 function checkPage(offset: number, page: LogPage): LogPage {
   let expected = offset;
   for (const entry of page.entries) {
@@ -153,6 +158,6 @@
   expected: number,
   found: number,
 ): Failure {
-  const problem = `offset ${expected} was expected, but ${found} was sent`;
+  const problem = `expected offset ${expected}, but received ${found}`;
   return new Failure('read-failed', {offset, problem});
 }
--- a/packages/platform/src/log/log_protocol.ts
+++ b/packages/platform/src/log/log_protocol.ts
@@ -1,20 +1,20 @@
-/** Bodies of the log service's HTTP protocol. */
+/** Request and response bodies of the log's HTTP protocol. */
 import {z} from 'zod';
 
 const offset = z.int().nonnegative();
 
-/** The body of `POST /v1/records`. */
+/** Body of `POST /v1/records`. */
 export const appendBody = z.strictObject({
   values: z.array(z.unknown()).min(1).max(10_000),
 });
 
-/** The answer to an append that took effect. */
+/** Response to a successful append. */
 export const appendReceipt = z.object({
   firstOffset: offset,
   nextOffset: offset,
 });
 
-/** The answer to `GET /v1/records`. */
+/** Response to `GET /v1/records`. */
 export const logPage = z.object({
   entries: z.array(z.object({offset, value: z.unknown()})),
   nextOffset: offset,
@@ -22,7 +22,7 @@
   oldestOffset: offset,
 });
 
-/** Why the service refused a request. `written` is false: nothing was written. */
+/** Response to a refused request. `written` is always false: nothing was written. */
 export const logRefusal = z.object({
   code: z.enum([
     'outage',
@@ -32,7 +32,8 @@
   ]),
   message: z.string(),
   written: z.literal(false),
-  /** With `offset-expired`: the oldest offset that is kept. */
+  /** Oldest retained offset; set with `offset-expired`. */
   oldestOffset: offset.optional(),
 });
+/** Response to a refused request. */
 export type LogRefusal = z.infer<typeof logRefusal>;
--- a/packages/platform/src/targets/http_target_client.ts
+++ b/packages/platform/src/targets/http_target_client.ts
@@ -1,4 +1,4 @@
-/** The platform's targets over HTTP. */
+/** HTTP client of the targets. */
 import {Agent} from 'node:http';
 import type {z} from 'zod';
 import {
@@ -31,79 +31,83 @@
   type throttleOrder,
 } from './target_protocol.js';
 
-/** Largest answer of a target, in bytes: the results of its tasks are in it. */
-const MAX_ANSWER_BYTES = 4 * 1024 * 1024;
+/** Largest response of a target, which includes the results of its tasks. */
+const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 
-/** Most sockets to one address. */
+/** Maximum number of sockets to one host and port. */
 const MAX_SOCKETS = 8;
 
-/** An idle socket is closed after this time, in milliseconds; longer than the slowest poll. */
+/** Time after which an idle socket is closed; longer than the slowest poll. */
 const IDLE_TIMEOUT_MS = 30_000;
 
+/** Last segment of a command's path. */
 type Command = 'reserve' | 'start' | 'stop' | 'renew' | 'fence' | 'throttle';
 
 /**
- * Sends commands to targets. Nothing is repeated here. After a timeout the
- * idle sockets to that address are dropped, so that the next command opens a
- * new one; the other targets keep theirs.
+ * Sends commands to targets, without retries. After a timeout the idle sockets
+ * to that host and port are closed, so that the next command opens a new one;
+ * sockets to other hosts and ports are kept.
+ *
+ * A command fails with `target-refused` when the target did not execute it, and
+ * with `target-unreachable` when it may have taken effect.
  */
 export class HttpTargetClient implements TargetClient {
-  /** By host and port. */
+  /** Connection pools by host and port. */
   private readonly pools = new Map<string, ConnectionPool>();
 
   async reserve(
     target: TargetAddress,
-    order: Reservation,
-    timeout: Milliseconds,
+    reservation: Reservation,
+    timeoutMs: Milliseconds,
   ): Promise<Grant> {
-    return this.send(target, 'reserve', order, timeout, grant);
+    return this.send(target, 'reserve', reservation, timeoutMs, grant);
   }
 
   async start(
     target: TargetAddress,
-    order: StartCommand,
-    timeout: Milliseconds,
+    command: StartCommand,
+    timeoutMs: Milliseconds,
   ): Promise<void> {
-    await this.send(target, 'start', order, timeout, emptyResponse);
+    await this.send(target, 'start', command, timeoutMs, emptyResponse);
   }
 
   async stop(
     target: TargetAddress,
-    order: StopCommand,
-    timeout: Milliseconds,
+    command: StopCommand,
+    timeoutMs: Milliseconds,
   ): Promise<LeaseReport | undefined> {
-    const answer = await this.send(
+    const response = await this.send(
       target,
       'stop',
-      order,
-      timeout,
+      command,
+      timeoutMs,
       stopResponse,
     );
-    return answer.report;
+    return response.report;
   }
 
   async renew(
     target: TargetAddress,
-    order: Renewal,
-    timeout: Milliseconds,
+    renewal: Renewal,
+    timeoutMs: Milliseconds,
   ): Promise<TargetReport> {
-    return this.readReport(target, 'renew', order, timeout);
+    return this.fetchReport(target, 'renew', renewal, timeoutMs);
   }
 
   async fence(
     target: TargetAddress,
-    order: z.infer<typeof fenceOrder>,
-    timeout: Milliseconds,
+    command: z.infer<typeof fenceOrder>,
+    timeoutMs: Milliseconds,
   ): Promise<TargetReport> {
-    return this.readReport(target, 'fence', order, timeout);
+    return this.fetchReport(target, 'fence', command, timeoutMs);
   }
 
   async throttle(
     target: TargetAddress,
-    order: z.infer<typeof throttleOrder>,
-    timeout: Milliseconds,
+    command: z.infer<typeof throttleOrder>,
+    timeoutMs: Milliseconds,
   ): Promise<void> {
-    await this.send(target, 'throttle', order, timeout, emptyResponse);
+    await this.send(target, 'throttle', command, timeoutMs, emptyResponse);
   }
 
   /** Closes every connection. */
@@ -114,21 +118,21 @@
     this.pools.clear();
   }
 
-  private async readReport(
+  private async fetchReport(
     target: TargetAddress,
     command: Command,
-    order: unknown,
-    timeout: Milliseconds,
+    commandBody: unknown,
+    timeoutMs: Milliseconds,
   ): Promise<TargetReport> {
     const report = await this.send(
       target,
       command,
-      order,
-      timeout,
+      commandBody,
+      timeoutMs,
       targetReport,
     );
     if (report.target !== target.id) {
-      const problem = `the answer is of target ${report.target}`;
+      const problem = `the response came from target ${report.target}`;
       throw new Failure('target-unreachable', {target: target.id, problem});
     }
     return report;
@@ -137,34 +141,34 @@
   private async send<S extends z.ZodType>(
     target: TargetAddress,
     command: Command,
-    order: unknown,
-    timeout: Milliseconds,
+    commandBody: unknown,
+    timeoutMs: Milliseconds,
     schema: S,
   ): Promise<z.infer<S>> {
-    const answer = await this.post(target, command, order, timeout);
-    if (isTooDeep(answer.body)) {
-      throw createFailure(target, {...answer, body: undefined});
+    const response = await this.post(target, command, commandBody, timeoutMs);
+    if (isTooDeep(response.body)) {
+      throw createFailure(target, {...response, body: undefined});
     }
-    const body = schema.safeParse(answer.body);
-    if (answer.status === 200 && body.success) {
+    const body = schema.safeParse(response.body);
+    if (response.status === 200 && body.success) {
       return body.data;
     }
-    throw createFailure(target, answer);
+    throw createFailure(target, response);
   }
 
   private async post(
     target: TargetAddress,
     command: Command,
-    order: unknown,
-    timeout: Milliseconds,
+    commandBody: unknown,
+    timeoutMs: Milliseconds,
   ): Promise<JsonResponse> {
     try {
-      return await sendJson(this.poolOf(target), {
+      return await sendJson(this.getPool(target), {
         method: 'POST',
         url: `${target.endpoint.replace(/\/+$/, '')}/v1/${command}`,
-        body: order,
-        timeoutMs: timeout,
-        maxResponseBytes: MAX_ANSWER_BYTES,
+        body: commandBody,
+        timeoutMs,
+        maxResponseBytes: MAX_RESPONSE_BYTES,
       });
     } catch (error) {
       const details = {target: target.id, problem: describeError(error)};
@@ -172,7 +176,8 @@
     }
   }
 
-  private poolOf({endpoint}: TargetAddress): ConnectionPool {
+  /** Returns the pool of the endpoint's host and port; creates it at first use. */
+  private getPool({endpoint}: TargetAddress): ConnectionPool {
     const {host} = new URL(endpoint);
     let pool = this.pools.get(host);
     if (!pool) {
@@ -190,7 +195,7 @@
   }
 }
 
-/** A refusal counts only in the target's own words; anything else may have taken effect. */
+/** Treats a command as refused only if the target itself refuses it; after any other response it may have taken effect. */
 function createFailure(
   {id: target}: TargetAddress,
   {status, body}: JsonResponse,
@@ -200,6 +205,6 @@
     const problem = refusal.data.refused;
     return new Failure('target-refused', {target, problem});
   }
-  const problem = `the answer with status ${status} is not one of a target's`;
+  const problem = `the response with status ${status} does not follow the target protocol`;
   return new Failure('target-unreachable', {target, problem});
 }
--- a/packages/platform/src/targets/target_protocol.ts
+++ b/packages/platform/src/targets/target_protocol.ts
@@ -1,26 +1,26 @@
-/** Bodies of the targets' HTTP protocol. Orders and answers are those of the targets package. */
+/** Bodies of the targets' HTTP protocol that the targets package does not define. */
 import {z} from 'zod';
 import {leaseKey, leaseReport} from '@galenavalve/targets';
 import {term} from '@galenavalve/model';
 
-/** The body of `POST .../v1/fence`. */
+/** Body of `POST .../v1/fence`. */
 export const fenceOrder = z.strictObject({term});
 
-/** The body of `POST .../v1/throttle`. */
+/** Body of `POST .../v1/throttle`. */
 export const throttleOrder = z.strictObject({
   ...leaseKey.shape,
   term,
   processors: z.number().nonnegative(),
 });
 
-/** The answer to a stop; without a report when the target knows nothing of the attempt. */
+/** Response to a stop; without a report when the target does not know the attempt. */
 export const stopResponse = z.object({report: leaseReport.optional()});
 
-/** The answer to a command that has nothing to tell. */
+/** Response to a command without a result. */
 export const emptyResponse = z.object({});
 
-/** Status with which a target refuses an order. */
+/** HTTP status with which a target refuses a command. */
 export const REFUSED_STATUS = 409;
 
-/** The body of a refusal: the target did not do what it was told. */
+/** Response to a refused command, which the target did not execute. */
 export const targetRefusal = z.object({refused: z.string().min(1).max(500)});
