--- a/packages/faults/__tests__/guards.spec.ts
+++ b/packages/faults/__tests__/guards.spec.ts
@@ -1,4 +1,7 @@
-/** Each check holds with its guard, and finds what happens without. */
+/**
+ * Shows for each safeguard that its promise holds with it, and that the checks
+ * detect the violation without it.
+ */
 import t from 'tap';
 import {
   ALL_GUARDS,
@@ -16,193 +19,216 @@
 
 t.setTimeout(0);
 
-/** What happens, and what the checks say at its end. */
-type Scenario = (world: SimulatedCluster) => Promise<Violation[]>;
+/** Runs a sequence of events and returns the violations found at its end. */
+type Scenario = (cluster: SimulatedCluster) => Promise<Violation[]>;
 
-const START = new Set(['start' as const]);
-const STOP = new Set(['stop' as const]);
+const START_COMMANDS = new Set(['start' as const]);
+const STOP_COMMANDS = new Set(['stop' as const]);
 
-/** A world in which both domains have a scheduler. */
-async function createWorld(guards: Partial<Guards>): Promise<SimulatedCluster> {
-  const world = new SimulatedCluster(1, {...ALL_GUARDS, ...guards});
-  await world.advance(3000);
-  return world;
+/** Creates a cluster in which both domains have a scheduler. */
+async function createCluster(
+  guards: Partial<Guards>,
+): Promise<SimulatedCluster> {
+  const cluster = new SimulatedCluster(1, {...ALL_GUARDS, ...guards});
+  await cluster.advance(3000);
+  return cluster;
 }
 
-function check(world: SimulatedCluster): Violation[] {
-  return new PromiseChecker().check(world);
+function check(cluster: SimulatedCluster): Violation[] {
+  return new PromiseChecker().check(cluster);
 }
 
-/** Submits a job to the first domain, and waits until the log holds its placement. */
-async function place(
-  world: SimulatedCluster,
+/** Submits a job to the first domain and waits until its placement is in the log. */
+async function placeJob(
+  cluster: SimulatedCluster,
   changes: Record<string, unknown>,
 ) {
-  world.configure([createDomain('d2', 'out')]);
-  await world.advance(1000);
-  const request = createRequest('r1', world.clock.wallTime(), changes);
-  void world.submit(request, ['d1-i1']);
+  cluster.configure([createDomain('d2', 'out')]);
+  await cluster.advance(1000);
+  const request = createRequest('r1', cluster.clock.wallTime(), changes);
+  void cluster.submit(request, ['d1-i1']);
   for (let i = 0; i < 100; i++) {
-    await world.advance(50);
-    const job = world.observer.getJobByRequest('r1');
+    await cluster.advance(50);
+    const job = cluster.observer.getJobByRequest('r1');
     if (job?.phase === 'placed' || job?.phase === 'running') {
-      return {job, holder: world.observer.getSchedulerTerm('d1')!.instance};
+      return {
+        job,
+        scheduler: cluster.observer.getSchedulerTerm('d1')!.instance,
+      };
     }
   }
-  throw new Error('the job was not placed');
+  throw new Error('the job was not placed within 5 s of virtual time');
 }
 
-/** A start that is on its way when its scheduler dies, and that the successor cannot see. */
-async function delayStart(world: SimulatedCluster) {
+/**
+ * Kills a scheduler while its start command is delayed, and keeps the other
+ * instances from the target, so that the successor cannot see the start.
+ */
+async function delayStart(cluster: SimulatedCluster) {
   for (const id of listTargets()) {
-    world.targets.setFault(id, {delayMs: 12_000, commands: START});
+    cluster.targets.setFault(id, {delayMs: 12_000, commands: START_COMMANDS});
   }
-  const {job, holder} = await place(world, {payload: {durationMs: 30_000}});
-  world.instances.get(holder)?.kill();
-  const others = [...world.instances.keys()].filter(name => name !== holder);
+  const {job, scheduler} = await placeJob(cluster, {
+    payload: {durationMs: 30_000},
+  });
+  cluster.instances.get(scheduler)?.kill();
+  const others = [...cluster.instances.keys()].filter(
+    name => name !== scheduler,
+  );
   for (const id of listTargets()) {
     const isMember = job.assignments.some(({target}) => target === id);
-    world.targets.setFault(
+    cluster.targets.setFault(
       id,
       isMember ? {cutFrom: new Set(others)} : undefined,
     );
   }
 }
 
-const partOfGang: Scenario = async world => {
-  const {job} = await place(world, {
+const loseGangMember: Scenario = async cluster => {
+  const {job} = await placeJob(cluster, {
     gang: {tasks: 2, perTask: {accelerators: 8}},
     payload: {durationMs: 60_000},
   });
-  await world.advance(2000);
+  await cluster.advance(2000);
   const [first, second] = job.assignments;
-  world.targets.setFault(first!.target, {silent: true});
-  world.targets.kill(second!.target);
-  await world.advance(20_000);
-  return check(world);
+  cluster.targets.setFault(first!.target, {silent: true});
+  cluster.targets.kill(second!.target);
+  await cluster.advance(20_000);
+  return check(cluster);
 };
 
-const lateStart: Scenario = async world => {
-  await delayStart(world);
-  await world.advance(20_000);
-  return check(world);
+const delayStartBeyondTakeover: Scenario = async cluster => {
+  await delayStart(cluster);
+  await cluster.advance(20_000);
+  return check(cluster);
 };
 
-const takeOut: Scenario = async world => {
-  await delayStart(world);
-  world.configure([createDomain('d1', 'out')]);
-  await world.advance(20_000);
-  return check(world);
+const delayStartBeyondTakeOut: Scenario = async cluster => {
+  await delayStart(cluster);
+  cluster.configure([createDomain('d1', 'out')]);
+  await cluster.advance(20_000);
+  return check(cluster);
 };
 
-const rivals: Scenario = async world => {
+const claimWhileStarting: Scenario = async cluster => {
   for (const id of listTargets()) {
-    world.targets.setFault(id, {delayMs: 1200, commands: START});
+    cluster.targets.setFault(id, {delayMs: 1200, commands: START_COMMANDS});
   }
-  const {holder} = await place(world, {
+  const {scheduler} = await placeJob(cluster, {
     repeatable: false,
     payload: {durationMs: 30_000},
   });
   for (const id of listTargets()) {
-    world.targets.setFault(id, {silent: true, commands: STOP});
+    cluster.targets.setFault(id, {silent: true, commands: STOP_COMMANDS});
   }
-  const rival = holder === 'd1-i1' ? 'd1-i2' : 'd1-i1';
-  void world.instances.get(rival)?.claim();
-  await world.advance(10_000);
-  return check(world);
+  const rival = scheduler === 'd1-i1' ? 'd1-i2' : 'd1-i1';
+  void cluster.instances.get(rival)?.claim();
+  await cluster.advance(10_000);
+  return check(cluster);
 };
 
-const leaving: Scenario = async world => {
-  listTargets().forEach(id => world.setLeaving(id, true));
-  await world.advance(100);
-  void world.submit(createRequest('r1', world.clock.wallTime()), ['d1-i1']);
-  await world.advance(5000);
-  return check(world);
+const submitToLeavingTargets: Scenario = async cluster => {
+  listTargets().forEach(id => cluster.setLeaving(id, true));
+  await cluster.advance(100);
+  void cluster.submit(createRequest('r1', cluster.clock.wallTime()), ['d1-i1']);
+  await cluster.advance(5000);
+  return check(cluster);
 };
 
-const restart: Scenario = async world => {
-  const book = new PromiseChecker();
-  book.check(world);
-  world.instances.get('d1-i1')?.kill();
-  world.startInstance('d1-i1');
-  return book.check(world);
+const restartInstance: Scenario = async cluster => {
+  const checker = new PromiseChecker();
+  checker.check(cluster);
+  cluster.instances.get('d1-i1')?.kill();
+  cluster.startInstance('d1-i1');
+  return checker.check(cluster);
 };
 
-const lostAnswer: Scenario = world => loseAnswer(world, ['d1-i1']);
+const loseResponseAtOneEntry: Scenario = cluster =>
+  loseAppendResponse(cluster, ['d1-i1']);
 
-/** The log loses the answer to a submission, and has an outage right after it. */
-async function loseAnswer(
-  world: SimulatedCluster,
+/** Loses the response to the append of a submission and starts a log outage right after it. */
+async function loseAppendResponse(
+  cluster: SimulatedCluster,
   entries: readonly string[],
 ): Promise<Violation[]> {
-  // The entry's read is still without an answer when its append takes effect.
-  world.log.faults.outage = 'silent';
-  await world.advance(1000);
-  world.log.faults.outage = 'none';
-  world.log.faults.lostAnswers = 1;
-  void world.submit(createRequest('r1', world.clock.wallTime()), entries);
-  await world.advance(50);
-  world.log.faults.outage = 'refused';
-  await world.advance(9000 * entries.length);
-  world.log.faults.outage = 'none';
-  await world.advance(20_000);
-  return check(world);
+  // Leaves the entry's read pending, so that it does not see its append take effect.
+  cluster.log.faults.outage = 'silent';
+  await cluster.advance(1000);
+  cluster.log.faults.outage = 'none';
+  cluster.log.faults.lostAnswers = 1;
+  void cluster.submit(createRequest('r1', cluster.clock.wallTime()), entries);
+  await cluster.advance(50);
+  cluster.log.faults.outage = 'refused';
+  await cluster.advance(9000 * entries.length);
+  cluster.log.faults.outage = 'none';
+  await cluster.advance(20_000);
+  return check(cluster);
 }
 
-const deadSchedulers: Scenario = async world => {
+const killSchedulers: Scenario = async cluster => {
   for (const domain of ['d1', 'd2']) {
-    const holder = world.observer.getSchedulerTerm(domain)?.instance;
-    world.instances.get(holder ?? '')?.kill();
+    const scheduler = cluster.observer.getSchedulerTerm(domain)?.instance;
+    cluster.instances.get(scheduler ?? '')?.kill();
   }
-  const [entry] = world.listServingInstances();
-  void world.submit(createRequest('r1', world.clock.wallTime()), [entry!]);
-  await world.advance(60_000);
-  return checkTermination(world);
+  const [entry] = cluster.listServingInstances();
+  void cluster.submit(createRequest('r1', cluster.clock.wallTime()), [entry!]);
+  await cluster.advance(60_000);
+  return checkTermination(cluster);
 };
 
-/** By guard: what it protects, what goes wrong, and the world without it. */
+/** Name of the safeguard, promise that it protects, scenario that violates it otherwise, and the changed safeguards. */
 const CASES: readonly [string, PromiseName, Scenario, Partial<Guards>][] = [
-  ['leases', 'no-gang-in-part', partOfGang, {targets: {leases: false}}],
+  ['leases', 'no-gang-in-part', loseGangMember, {targets: {leases: false}}],
   [
     'reservations and leases',
     'no-overlapping-attempts',
-    lateStart,
+    delayStartBeyondTakeover,
     {targets: {reservations: false, leases: false}},
   ],
   [
     'short reservations',
     'no-start-after-take-out',
-    takeOut,
+    delayStartBeyondTakeOut,
     {reservationMs: 60_000},
   ],
-  ['terms', 'at-most-once', rivals, {targets: {terms: false}}],
+  ['terms', 'at-most-once', claimWhileStarting, {targets: {terms: false}}],
   [
-    'targets that refuse when they leave',
+    'refusals by leaving targets',
     'no-work-on-leaving-target',
-    leaving,
+    submitToLeavingTargets,
     {targets: {leaving: false}},
   ],
-  ['catching up', 'versions-never-fall', restart, {catchUp: false}],
-  ['an honest log', 'true-not-run', lostAnswer, {accurateLogErrors: false}],
-  ['succession', 'every-request-ends', deadSchedulers, {succession: false}],
+  ['catch-up', 'versions-never-fall', restartInstance, {catchUp: false}],
+  [
+    'accurate log errors',
+    'true-not-run',
+    loseResponseAtOneEntry,
+    {accurateLogErrors: false},
+  ],
+  [
+    'scheduler takeover',
+    'every-request-ends',
+    killSchedulers,
+    {succession: false},
+  ],
   ['reclaim', 'reclaim', checkReclaim, {guarantees: false}],
 ];
 
 for (const [name, promise, scenario, guards] of CASES) {
   t.test(`${promise} holds with ${name}`, async t => {
-    t.same(await scenario(await createWorld({})), []);
+    t.same(await scenario(await createCluster({})), []);
   });
 
-  t.test(`${promise} is seen broken without ${name}`, async t => {
-    const violations = await scenario(await createWorld(guards));
+  t.test(`${promise} is violated without ${name}`, async t => {
+    const violations = await scenario(await createCluster(guards));
     t.ok(violations.some(violation => violation.promise === promise));
   });
 }
 
 t.test(
-  'an entry says "not run" only of what no other entry recorded',
+  'an entry reports "not run" only if no other entry recorded the request',
   async t => {
-    const world = await createWorld({});
-    t.same(await loseAnswer(world, ['d1-i1', 'd2-i1']), []);
+    const cluster = await createCluster({});
+    t.same(await loseAppendResponse(cluster, ['d1-i1', 'd2-i1']), []);
   },
 );
--- a/packages/faults/src/exploration.ts
+++ b/packages/faults/src/exploration.ts
@@ -1,4 +1,7 @@
-/** One exploration: a world, incidents by a seed, and all promises after each step. */
+/**
+ * Runs one exploration: a simulated cluster, pseudorandom incidents chosen by a
+ * seed, and a check of every promise after each step.
+ */
 import {
   type Milliseconds,
   SeededRandom,
@@ -19,95 +22,98 @@
   createRequest,
 } from './simulated_cluster.js';
 
-/** Incidents of one exploration. */
-const STEPS = 60;
+/** Number of incidents of one exploration. */
+const INCIDENT_COUNT = 60;
 
-/** Longest time between two incidents. */
+/** Upper bound of the random part of the time between two incidents. */
 const MAX_GAP_MS: Milliseconds = 900;
 
-/** Time for everything to end after the last fault. */
+/** Time within which every request must end once all faults are cleared. */
 const SETTLE_MS: Milliseconds = 500_000;
 
-/** What an exploration found. */
+/** Result of one exploration. */
 export interface ExplorationResult {
   seed: number;
-  /** The first broken promises; empty when all held. */
+  /** Violations found by the first failing check; empty when every promise held. */
   violations: Violation[];
-  /** What happened, with its time in milliseconds. */
+  /** Incidents in their order, each preceded by its virtual time in milliseconds. */
   trace: string[];
 }
 
-/** Explores one seed. Stops at the first broken promise. */
+/** Explores one seed, with some safeguards changed; stops at the first check that finds a violation. */
 export async function explore(
   seed: number,
   changes: Partial<Guards> = {},
 ): Promise<ExplorationResult> {
   const random = new SeededRandom(seed);
-  const world = new SimulatedCluster(seed, {...ALL_GUARDS, ...changes});
-  const book = new PromiseChecker();
-  const story: string[] = [];
-  const startedAt = world.clock.now();
-  await world.advance(3000);
-  for (let step = 0; step < STEPS; step++) {
-    const what = applyRandomIncident(world, random, step);
-    story.push(`${world.clock.now() - startedAt} ${what}`);
-    await world.advance(50 + nextInteger(random, MAX_GAP_MS));
-    const violations = book.check(world);
+  const cluster = new SimulatedCluster(seed, {...ALL_GUARDS, ...changes});
+  const checker = new PromiseChecker();
+  const trace: string[] = [];
+  const startedAt = cluster.clock.now();
+  await cluster.advance(3000);
+  for (let step = 0; step < INCIDENT_COUNT; step++) {
+    const incident = applyRandomIncident(cluster, random, step);
+    trace.push(`${cluster.clock.now() - startedAt} ${incident}`);
+    await cluster.advance(50 + nextInteger(random, MAX_GAP_MS));
+    const violations = checker.check(cluster);
     if (violations.length > 0) {
-      return {seed, violations, trace: story};
+      return {seed, violations, trace};
     }
   }
-  world.clearFaults();
-  story.push(`${world.clock.now() - startedAt} all faults are over`);
-  const violations = await settle(world, book);
-  return {seed, violations, trace: story};
+  cluster.clearFaults();
+  trace.push(`${cluster.clock.now() - startedAt} all faults cleared`);
+  const violations = await settle(cluster, checker);
+  return {seed, violations, trace};
 }
 
-/** Lets all work end, then checks that a promise can still be reclaimed. */
+/** Waits until every request has ended, then checks that guaranteed capacity can still be reclaimed. */
 async function settle(
-  world: SimulatedCluster,
-  book: PromiseChecker,
+  cluster: SimulatedCluster,
+  checker: PromiseChecker,
 ): Promise<Violation[]> {
-  for (let passed = 0; passed < SETTLE_MS; passed += 5000) {
-    await world.advance(5000);
-    const violations = book.check(world);
+  for (let elapsedMs = 0; elapsedMs < SETTLE_MS; elapsedMs += 5000) {
+    await cluster.advance(5000);
+    const violations = checker.check(cluster);
     if (violations.length > 0) {
       return violations;
     }
-    if (checkTermination(world).length === 0) {
-      return checkReclaim(world);
+    if (checkTermination(cluster).length === 0) {
+      return checkReclaim(cluster);
     }
   }
-  return checkTermination(world);
+  return checkTermination(cluster);
 }
 
-/** Others fill the domain, then the workspace asks for what it is promised. */
+/**
+ * Checks that a workspace gets its guaranteed cell within `RECLAIM_BOUND_MS`
+ * after another workspace has filled the domain.
+ */
 export async function checkReclaim(
-  world: SimulatedCluster,
+  cluster: SimulatedCluster,
 ): Promise<Violation[]> {
-  const [entry] = world.listServingInstances();
+  const [entry] = cluster.listServingInstances();
   if (entry === undefined) {
     return [];
   }
   const payload = {durationMs: 600_000};
   for (let i = 0; i < 2 * TARGETS_PER_DOMAIN; i++) {
-    const filler = createRequest(`filler${i}`, world.clock.wallTime(), {
+    const filler = createRequest(`filler${i}`, cluster.clock.wallTime(), {
       checkpointable: true,
       payload,
     });
-    void world.submit(filler, [entry]);
-    await world.advance(1000);
+    void cluster.submit(filler, [entry]);
+    await cluster.advance(1000);
   }
-  await world.advance(5000);
-  const request = createRequest('reclaim', world.clock.wallTime(), {
+  await cluster.advance(5000);
+  const request = createRequest('reclaim', cluster.clock.wallTime(), {
     workspace: 'escorts',
     payload,
   });
-  void world.submit(request, [entry]);
-  await world.advance(RECLAIM_BOUND_MS);
-  const job = world.observer.getJobByRequest('reclaim');
+  void cluster.submit(request, [entry]);
+  await cluster.advance(RECLAIM_BOUND_MS);
+  const job = cluster.observer.getJobByRequest('reclaim');
   const isStarted =
-    job !== undefined && hasStarted(world, job.jobId, world.clock.now());
-  const detail = `after ${RECLAIM_BOUND_MS} ms it is ${job?.phase}, ${job?.lastReason?.code}`;
+    job !== undefined && hasStarted(cluster, job.jobId, cluster.clock.now());
+  const detail = `after ${RECLAIM_BOUND_MS} ms the job is ${job?.phase}, ${job?.lastReason?.code}`;
   return isStarted ? [] : [{promise: 'reclaim', detail}];
 }
--- a/packages/faults/src/exploration_history.ts
+++ b/packages/faults/src/exploration_history.ts
@@ -1,51 +1,60 @@
-/** What an exploration noted down, for the promises to be checked against. */
+/** Requests and out-of-service periods of an exploration, against which promises are checked. */
 import type {JobRequest} from '@galenavalve/model';
 import type {Instant} from '@galenavalve/shared';
 
-/** What a caller was told last. */
+/**
+ * Latest outcome reported to a caller: `unknown` if the request may have been
+ * recorded, `none` before the first response.
+ */
 export type SubmitOutcome = 'accepted' | 'not-run' | 'unknown' | 'none';
 
-/** One request of a caller. */
+/** Request of a caller, with what the caller knows of it. */
 export interface ObservedRequest {
   request: JobRequest;
+  /** Empty until the request is accepted. */
   jobId: string;
   reportedOutcome: SubmitOutcome;
-  /** Whether an earlier answer left it open. */
+  /** Whether an earlier attempt to submit it had an unknown outcome. */
   wasUnknown: boolean;
+  /** Whether the caller has asked to cancel it. */
   isCancelled: boolean;
 }
 
-/** A time in which something took no new work by order of operators, or of the target itself. */
+/** Period in which operators, or a leaving target itself, allow no new work. */
 export interface OutOfServicePeriod {
-  /** Failure domain or target. */
+  /** Key such as `domain/d1` or `target/d1-t1`; `self/d1-t1` for a target that reports that it is leaving. */
   entity: string;
   since: Instant;
+  /** Infinity while the period lasts. */
   until: Instant;
 }
 
-/** Everything noted. */
+/** Collects the requests and out-of-service periods of one exploration. */
 export class ExplorationHistory {
+  /** Requests by request id. */
   readonly requests = new Map<string, ObservedRequest>();
   readonly outOfServicePeriods: OutOfServicePeriod[] = [];
-  /** Whether any target ever failed every task. */
+  /** Whether any target has been set to fail every task. */
   hadFailingTargets = false;
 
+  /** Opens a period for `entity` unless one is open. */
   onOutOfService(entity: string, since: Instant): void {
-    if (!this.present(entity)) {
+    if (!this.findOpenPeriod(entity)) {
       this.outOfServicePeriods.push({entity, since, until: Infinity});
     }
   }
 
+  /** Closes the open period of `entity`, if any. */
   onInService(entity: string, now: Instant): void {
-    const present = this.present(entity);
-    if (present) {
-      present.until = now;
+    const period = this.findOpenPeriod(entity);
+    if (period) {
+      period.until = now;
     }
   }
 
-  private present(entity: string): OutOfServicePeriod | undefined {
+  private findOpenPeriod(entity: string): OutOfServicePeriod | undefined {
     return this.outOfServicePeriods.find(
-      fact => fact.entity === entity && fact.until === Infinity,
+      period => period.entity === entity && period.until === Infinity,
     );
   }
 }
--- a/packages/faults/src/guards.ts
+++ b/packages/faults/src/guards.ts
@@ -1,30 +1,32 @@
-/** What protects the promises; each can be switched off to show what it prevents. */
+/** Safeguards of the promises; tests switch each off to show that the checks detect its absence. */
 import type {Milliseconds} from '@galenavalve/shared';
 import type {TargetGuards} from '@galenavalve/targets';
 
-/** Longest age of the configuration at which work starts. */
+/** Largest age of the configuration at which work may start. */
 export const FRESHNESS_BOUND_MS: Milliseconds = 2000;
 
 /** Time to live of a reservation. */
 export const RESERVATION_TTL_MS: Milliseconds = 2000;
 
-/** The guards of one exploration. */
+/** Safeguards of one exploration. */
 export interface Guards {
+  /** Safeguards of the targets; those omitted are on. */
   targets: Partial<TargetGuards>;
-  /** Starts only with a configuration that is known to be fresh. */
+  /** Work starts only while the configuration is at most `FRESHNESS_BOUND_MS` old. */
   freshness: boolean;
+  /** Time to live of reservations. */
   reservationMs: Milliseconds;
-  /** Another instance takes over from one that is silent. */
+  /** Another instance takes over from a scheduler that is silent. */
   succession: boolean;
-  /** A process serves only after it has caught up with the log. */
+  /** A process serves callers only after it has caught up with the log. */
   catchUp: boolean;
-  /** The log never says that nothing was written when something was. */
+  /** The log reports an append as rejected only if nothing was written. */
   accurateLogErrors: boolean;
-  /** Placement keeps what is promised within reach. */
+  /** Placement reclaims borrowed capacity for guaranteed jobs. */
   guarantees: boolean;
 }
 
-/** All guards in place. */
+/** Every safeguard is on. */
 export const ALL_GUARDS: Guards = {
   targets: {},
   freshness: true,
--- a/packages/faults/src/incidents.ts
+++ b/packages/faults/src/incidents.ts
@@ -1,4 +1,4 @@
-/** What callers, operators and faults do to a world, chosen by a seed. */
+/** Random actions of callers and operators and random faults, chosen by a seed. */
 import {type Random, nextInteger} from '@galenavalve/shared';
 import {DOMAINS} from './instance.js';
 import {
@@ -9,61 +9,61 @@
   listTargets,
 } from './simulated_cluster.js';
 
-/** Does one thing to a world, and returns what it did. */
+/** Applies one incident to a cluster and returns its description for the trace. */
 type Incident = (
-  world: SimulatedCluster,
+  cluster: SimulatedCluster,
   random: Random,
   index: number,
 ) => string;
 
-/** Incidents with the weight of their choice. */
-const incidents: readonly [number, Incident][] = [
-  [30, submit],
-  [4, cancelWave],
+/** Incidents with their relative weights. */
+const WEIGHTED_INCIDENTS: readonly [number, Incident][] = [
+  [30, submitRequest],
+  [4, cancelRequests],
   [4, killInstance],
   [6, restartInstance],
   [6, pauseInstance],
-  [3, rivalClaim],
-  [4, cutInstance],
-  [3, logOutage],
-  [8, logRecovery],
-  [5, loseLogAnswers],
+  [3, claimDomain],
+  [4, toggleLogConnection],
+  [3, startLogOutage],
+  [8, endLogOutage],
+  [5, loseAppendResponses],
   [4, delayAppends],
-  [2, loseAppends],
-  [10, targetFault],
-  [10, targetRecovery],
+  [2, loseAppend],
+  [10, injectTargetFault],
+  [10, clearTargetFaults],
   [3, killTarget],
-  [2, badTarget],
-  [3, leavingTarget],
-  [4, domainOut],
-  [6, domainIn],
-  [3, configurationRace],
+  [2, failTasksOnTarget],
+  [3, drainTarget],
+  [4, takeDomainOut],
+  [6, restoreService],
+  [3, conflictConfiguration],
 ];
 
-/** Chooses an incident and lets it happen. */
+/** Applies a randomly chosen incident and returns its description. `index` makes request ids unique. */
 export function applyRandomIncident(
-  world: SimulatedCluster,
+  cluster: SimulatedCluster,
   random: Random,
   index: number,
 ): string {
-  const total = incidents.reduce((sum, [weight]) => sum + weight, 0);
+  const total = WEIGHTED_INCIDENTS.reduce((sum, [weight]) => sum + weight, 0);
   let choice = nextInteger(random, total);
-  for (const [weight, incident] of incidents) {
+  for (const [weight, incident] of WEIGHTED_INCIDENTS) {
     choice -= weight;
     if (choice < 0) {
-      return incident(world, random, index);
+      return incident(cluster, random, index);
     }
   }
   return '';
 }
 
-function submit(
-  world: SimulatedCluster,
+function submitRequest(
+  cluster: SimulatedCluster,
   random: Random,
   index: number,
 ): string {
   const tasks = 1 + nextInteger(random, 3);
-  const request = createRequest(`r${index}`, world.clock.wallTime(), {
+  const request = createRequest(`r${index}`, cluster.clock.wallTime(), {
     workspace: pick(random, ['escorts', 'borders']),
     repeatable: random.next() < 0.5,
     checkpointable: random.next() < 0.5,
@@ -77,92 +77,98 @@
     },
   });
   const entries = [0, 1, 2].map(() =>
-    pick(random, [...world.instances.keys()]),
+    pick(random, [...cluster.instances.keys()]),
   );
-  void world.submit(request, entries);
+  void cluster.submit(request, entries);
   return `submit r${index} (${tasks} tasks)`;
 }
 
-function cancelWave(world: SimulatedCluster, random: Random): string {
-  const entry = pick(random, [...world.instances.keys()]);
+function cancelRequests(cluster: SimulatedCluster, random: Random): string {
+  const entry = pick(random, [...cluster.instances.keys()]);
   const share = random.next();
-  for (const fact of world.history.requests.values()) {
+  for (const observed of cluster.history.requests.values()) {
     if (random.next() < share) {
-      void world.cancel(fact, entry);
+      void cluster.cancel(observed, entry);
     }
   }
-  return `cancel wave through ${entry}`;
+  return `cancel some requests through ${entry}`;
 }
 
-function killInstance(world: SimulatedCluster, random: Random): string {
-  const name = pick(random, [...world.instances.keys()]);
-  world.instances.get(name)?.kill();
+function killInstance(cluster: SimulatedCluster, random: Random): string {
+  const name = pick(random, [...cluster.instances.keys()]);
+  cluster.instances.get(name)?.kill();
   return `kill ${name}`;
 }
 
-function restartInstance(world: SimulatedCluster): string {
-  const dead = [...world.instances.values()].find(
+function restartInstance(cluster: SimulatedCluster): string {
+  const deadInstance = [...cluster.instances.values()].find(
     ({process}) => process.isDead,
   );
-  if (dead) {
-    world.startInstance(dead.name);
+  if (deadInstance) {
+    cluster.startInstance(deadInstance.name);
   }
-  return `restart ${dead?.name ?? 'nobody'}`;
+  return `restart ${deadInstance?.name ?? 'none'}`;
 }
 
-function pauseInstance(world: SimulatedCluster, random: Random): string {
-  const name = pick(random, [...world.instances.keys()]);
-  const length = pick(random, [300, 1500, 3000, 9000]);
-  world.instances.get(name)?.process.pause(length);
-  return `pause ${name} for ${length} ms`;
+function pauseInstance(cluster: SimulatedCluster, random: Random): string {
+  const name = pick(random, [...cluster.instances.keys()]);
+  const durationMs = pick(random, [300, 1500, 3000, 9000]);
+  cluster.instances.get(name)?.process.pause(durationMs);
+  return `pause ${name} for ${durationMs} ms`;
 }
 
-function rivalClaim(world: SimulatedCluster, random: Random): string {
-  const name = pick(random, [...world.instances.keys()]);
-  void world.instances.get(name)?.claim();
-  return `${name} claims`;
+function claimDomain(cluster: SimulatedCluster, random: Random): string {
+  const name = pick(random, [...cluster.instances.keys()]);
+  void cluster.instances.get(name)?.claim();
+  return `${name} claims its domain`;
 }
 
-function cutInstance(world: SimulatedCluster, random: Random): string {
-  const name = pick(random, [...world.instances.keys()]);
-  const process = world.instances.get(name)?.process;
+function toggleLogConnection(
+  cluster: SimulatedCluster,
+  random: Random,
+): string {
+  const name = pick(random, [...cluster.instances.keys()]);
+  const process = cluster.instances.get(name)?.process;
   if (process) {
     process.isDisconnectedFromLog = !process.isDisconnectedFromLog;
   }
-  return `cut ${name} from the log, or mend it`;
+  return `toggle the log connection of ${name}`;
 }
 
-function logOutage(world: SimulatedCluster, random: Random): string {
+function startLogOutage(cluster: SimulatedCluster, random: Random): string {
   const outage = pick(random, ['refused', 'silent'] as const);
-  world.log.faults.outage = outage;
+  cluster.log.faults.outage = outage;
   return `log outage: ${outage}`;
 }
 
-function logRecovery(world: SimulatedCluster): string {
-  world.log.faults.outage = 'none';
-  for (const {process} of world.instances.values()) {
+function endLogOutage(cluster: SimulatedCluster): string {
+  cluster.log.faults.outage = 'none';
+  for (const {process} of cluster.instances.values()) {
     process.isDisconnectedFromLog = false;
   }
-  return 'log recovery';
+  return 'log recovers';
 }
 
-function loseLogAnswers(world: SimulatedCluster, random: Random): string {
-  world.log.faults.lostAnswers = 1 + nextInteger(random, 3);
-  return 'lost answers of appends';
+function loseAppendResponses(
+  cluster: SimulatedCluster,
+  random: Random,
+): string {
+  cluster.log.faults.lostAnswers = 1 + nextInteger(random, 3);
+  return 'lose append responses';
 }
 
-function delayAppends(world: SimulatedCluster, random: Random): string {
-  world.log.faults.lateAppends = 1 + nextInteger(random, 2);
-  world.log.faults.lateBy = pick(random, [1500, 4000, 9000]);
-  return `appends late by ${world.log.faults.lateBy} ms`;
+function delayAppends(cluster: SimulatedCluster, random: Random): string {
+  cluster.log.faults.lateAppends = 1 + nextInteger(random, 2);
+  cluster.log.faults.lateBy = pick(random, [1500, 4000, 9000]);
+  return `delay appends by ${cluster.log.faults.lateBy} ms`;
 }
 
-function loseAppends(world: SimulatedCluster): string {
-  world.log.faults.lostAppends = 1;
-  return 'lost append';
+function loseAppend(cluster: SimulatedCluster): string {
+  cluster.log.faults.lostAppends = 1;
+  return 'lose an append';
 }
 
-function targetFault(world: SimulatedCluster, random: Random): string {
+function injectTargetFault(cluster: SimulatedCluster, random: Random): string {
   const target = pick(random, listTargets());
   const fault = pick(random, [
     {silent: true},
@@ -173,66 +179,69 @@
     {losesAnswers: true, commands: new Set(['start' as const])},
     {losesAnswers: true, commands: new Set(['reserve' as const])},
     {delayMs: 1500, commands: new Set(['start' as const])},
-    {cutFrom: new Set([pick(random, [...world.instances.keys()])])},
+    {cutFrom: new Set([pick(random, [...cluster.instances.keys()])])},
   ]);
-  world.targets.setFault(target, fault);
-  return `${target} ${Object.keys(fault).join(' ')}`;
+  cluster.targets.setFault(target, fault);
+  return `fault of ${target}: ${Object.keys(fault).join(' ')}`;
 }
 
-function targetRecovery(world: SimulatedCluster): string {
+function clearTargetFaults(cluster: SimulatedCluster): string {
   for (const id of listTargets()) {
-    world.targets.setFault(id, undefined);
-    world.targets.recover(id);
-    world.targets.getModel(id).behavior = 'well';
-    world.setLeaving(id, false);
+    cluster.targets.setFault(id, undefined);
+    cluster.targets.recover(id);
+    cluster.targets.getModel(id).behavior = 'well';
+    cluster.setLeaving(id, false);
   }
   return 'targets recover';
 }
 
-function killTarget(world: SimulatedCluster, random: Random): string {
+function killTarget(cluster: SimulatedCluster, random: Random): string {
   const target = pick(random, listTargets());
-  world.targets.kill(target);
+  cluster.targets.kill(target);
   return `kill ${target}`;
 }
 
-function badTarget(world: SimulatedCluster, random: Random): string {
+function failTasksOnTarget(cluster: SimulatedCluster, random: Random): string {
   const target = pick(random, listTargets());
-  world.targets.getModel(target).behavior = 'fails-every-task';
-  world.history.hadFailingTargets = true;
+  cluster.targets.getModel(target).behavior = 'fails-every-task';
+  cluster.history.hadFailingTargets = true;
   return `${target} fails every task`;
 }
 
-function leavingTarget(world: SimulatedCluster, random: Random): string {
+function drainTarget(cluster: SimulatedCluster, random: Random): string {
   const target = pick(random, listTargets());
   if (random.next() < 0.5) {
-    world.setLeaving(target, true);
-    return `${target} says that it leaves`;
+    cluster.setLeaving(target, true);
+    return `${target} reports that it is leaving`;
   }
-  world.configure([createTarget(target, 'leaving')]);
-  return `operators let ${target} leave`;
+  cluster.configure([createTarget(target, 'leaving')]);
+  return `operators drain ${target}`;
 }
 
-function domainOut(world: SimulatedCluster, random: Random): string {
+function takeDomainOut(cluster: SimulatedCluster, random: Random): string {
   const domain = pick(random, DOMAINS);
-  const isDone = world.configure([createDomain(domain, 'out')]);
-  return `${domain} out: ${isDone}`;
+  const isWritten = cluster.configure([createDomain(domain, 'out')]);
+  return `take ${domain} out of service: ${isWritten}`;
 }
 
-function domainIn(world: SimulatedCluster): string {
+function restoreService(cluster: SimulatedCluster): string {
   const values = [
     ...DOMAINS.map(domain => createDomain(domain)),
     ...listTargets().map(id => createTarget(id)),
   ];
-  return `all in service: ${world.configure(values)}`;
+  return `put everything into service: ${cluster.configure(values)}`;
 }
 
-/** Two operators change the same entity; the later is based on the version before. */
-function configurationRace(world: SimulatedCluster, random: Random): string {
+/** Two operators change the same entity; the second change is based on an outdated version. */
+function conflictConfiguration(
+  cluster: SimulatedCluster,
+  random: Random,
+): string {
   const domain = pick(random, DOMAINS);
   const state = pick(random, ['in-service', 'out']);
-  world.configure([createDomain(domain, 'out')]);
-  world.configure([createDomain(domain, state)], 1);
-  return `operators race over ${domain}`;
+  cluster.configure([createDomain(domain, 'out')]);
+  cluster.configure([createDomain(domain, state)], 1);
+  return `conflicting configuration changes of ${domain}`;
 }
 
 function pick<T>(random: Random, choices: readonly T[]): T {
--- a/packages/faults/src/index.ts
+++ b/packages/faults/src/index.ts
@@ -1,4 +1,4 @@
-/** Seeded explorations of faults over the whole system in one process. */
+/** Seeded fault exploration of the whole system in one process and in virtual time. */
 
 // Explorations
 export {type ExplorationResult, checkReclaim, explore} from './exploration.js';
@@ -14,7 +14,7 @@
   type Violation,
 } from './promises.js';
 
-// The world
+// Simulated cluster
 export {
   SimulatedCluster,
   createDomain,
--- a/packages/faults/src/instance.ts
+++ b/packages/faults/src/instance.ts
@@ -1,4 +1,4 @@
-/** One instance of the system in the simulated process: entry, scheduler and lease keeper. */
+/** Instance of the system in a simulated process: entry, scheduler and lease renewer. */
 import {
   LedgerState,
   LogFollower,
@@ -34,23 +34,28 @@
 import {FRESHNESS_BOUND_MS, type Guards} from './guards.js';
 import {SimulatedProcess} from './simulated_process.js';
 
+/** Duration of a lease. */
 export const LEASE_MS: Milliseconds = 6000;
+/** Interval between lease renewals. */
 export const RENEW_MS: Milliseconds = 1000;
+/** Timeout of a call to a target. */
 export const CALL_TIMEOUT_MS: Milliseconds = 500;
+/** Failure domains of the simulated cluster. */
 export const DOMAINS = ['d1', 'd2'];
 
-/** What an instance is made of. */
+/** Options of an instance. */
 export interface InstanceOptions {
   name: string;
   domain: string;
   seed: number;
+  /** Virtual clock of the cluster. */
   baseClock: Clock;
   log: MemoryLog;
   targets: MemoryTargets;
   guards: Guards;
 }
 
-/** One instance. */
+/** Instance that shares the log, the targets and the virtual clock of its cluster. */
 export class Instance {
   readonly name: string;
   readonly domain: string;
@@ -59,21 +64,21 @@
   readonly scheduler: Scheduler;
   readonly writer: LogWriter;
   readonly follower: LogFollower;
-  /** The parts that the commands of the daemon use. */
+  /** Context for the daemon's request handlers. */
   readonly context: DaemonContext;
-  private readonly mirrors = new Map<string, CellsProjection>();
+  private readonly projections = new Map<string, CellsProjection>();
   private readonly random: SeededRandom;
   private readonly clock: Clock;
   private readonly logger = new SilentLogger();
   private readonly policy: GuaranteePolicy;
 
-  constructor(private readonly parts: InstanceOptions) {
-    this.name = parts.name;
-    this.domain = parts.domain;
-    this.process = new SimulatedProcess(parts.baseClock);
+  constructor(private readonly options: InstanceOptions) {
+    this.name = options.name;
+    this.domain = options.domain;
+    this.process = new SimulatedProcess(options.baseClock);
     this.clock = this.process.createClock();
-    this.random = new SeededRandom(parts.seed);
-    this.policy = parts.guards.guarantees
+    this.random = new SeededRandom(options.seed);
+    this.policy = options.guards.guarantees
       ? new GuaranteePolicy()
       : new PolicyWithoutReclaim();
     const {state, clock, random, logger} = this;
@@ -85,25 +90,25 @@
       clock,
       random,
       logger,
-      instance: parts.name,
+      instance: options.name,
     });
     this.scheduler = this.createScheduler();
-    this.context = this.createNode();
+    this.context = this.createContext();
     this.follower.onApplied(applied => {
-      for (const mirror of this.mirrors.values()) {
-        mirror.onApplied(applied);
+      for (const projection of this.projections.values()) {
+        projection.onApplied(applied);
       }
       this.scheduler.onApplied(applied);
     });
   }
 
-  /** Whether it answers callers. */
+  /** Whether the instance serves callers. */
   get isServing(): boolean {
-    const isReady = this.follower.isCaughtUp || !this.parts.guards.catchUp;
+    const isReady = this.follower.isCaughtUp || !this.options.guards.catchUp;
     return !this.process.isDead && isReady;
   }
 
-  /** Whether it could do the scheduler's work now. */
+  /** Whether the instance can act as a scheduler: it runs, and its log is fresh. */
   isEligible(now: Instant): boolean {
     const isRunning =
       !this.process.isDead && this.process.getPauseDuration(now) === 0;
@@ -113,98 +118,113 @@
     );
   }
 
+  /** Starts the background loops, which run until the process is killed. */
   start(): void {
-    const never = new AbortController().signal;
-    void this.follower.run(never);
-    void this.writer.run(never);
-    void this.scheduler.renewLeases(never);
+    const neverAborted = new AbortController().signal;
+    void this.follower.run(neverAborted);
+    void this.writer.run(neverAborted);
+    void this.scheduler.renewLeases(neverAborted);
   }
 
+  /** Kills the process: its pending calls never settle. */
   kill(): void {
     this.process.isDead = true;
   }
 
-  /** Claims its failure domain under the next term. */
+  /** Claims the instance's failure domain under the next term. */
   async claim(): Promise<void> {
-    const present = this.state.getSchedulerTerm(this.domain);
-    const log = (present?.log ?? 0) + 1;
+    const current = this.state.getSchedulerTerm(this.domain);
+    const log = (current?.log ?? 0) + 1;
     const term = {log, outage: 0, instance: this.name};
     try {
       const deadline = this.clock.now() + 3000;
       const body = {type: 'claimed' as const, domain: this.domain, term};
       const {accepted} = await this.writer.append(body, {deadline});
-      const isPresent = this.state.getSchedulerTerm(this.domain)?.log === log;
-      if (accepted && isPresent) {
+      const isCurrent = this.state.getSchedulerTerm(this.domain)?.log === log;
+      if (accepted && isCurrent) {
         this.scheduler.activate(term);
       }
     } catch {
-      // The next look at the domain claims again.
+      // The cluster has an instance claim again while the domain has no scheduler.
     }
   }
 
-  private mirrorOf(domain: string): CellsProjection {
-    const mirror =
-      this.mirrors.get(domain) ??
+  /** Returns the projection of a domain; creates it at first use. */
+  private getProjection(domain: string): CellsProjection {
+    const projection =
+      this.projections.get(domain) ??
       new CellsProjection(domain, this.state, this.policy);
-    this.mirrors.set(domain, mirror);
-    return mirror;
+    this.projections.set(domain, projection);
+    return projection;
   }
 
-  private findBar(
+  /** Returns the reason why work may not start on `targets` now, if any. */
+  private findStartBlocker(
     now: Instant,
     targets: readonly string[],
   ): Reason | undefined {
     const {configuration} = this.state;
-    const age = now - (this.follower.getFreshAt() ?? -Infinity);
-    if (this.parts.guards.freshness && age > FRESHNESS_BOUND_MS) {
+    const ageMs = now - (this.follower.getFreshAt() ?? -Infinity);
+    if (this.options.guards.freshness && ageMs > FRESHNESS_BOUND_MS) {
       return createReason('waiting-stale');
     }
     if (configuration.domains.get(this.domain)?.state !== 'in-service') {
       return createReason('waiting-domain', {domain: this.domain});
     }
-    const out = targets.find(
+    const unavailable = targets.find(
       id => configuration.targets.get(id)?.state !== 'in-service',
     );
-    return out === undefined
+    return unavailable === undefined
       ? undefined
-      : createReason('waiting-targets', {target: out, problem: 'it is out'});
+      : createReason('waiting-targets', {
+          target: unavailable,
+          problem: 'it is out of service',
+        });
   }
 
   private createScheduler(): Scheduler {
     const {state, writer, policy, clock, random, logger} = this;
-    const {targets, guards, name, domain} = this.parts;
+    const {targets, guards, name, domain} = this.options;
     const client = this.process.createTargetClient(targets.createClient(name));
-    const parts = {client, findAddress: targets.findAddress, clock, logger};
-    const options = {callTimeoutMs: CALL_TIMEOUT_MS, leaseMs: LEASE_MS};
+    const dependencies = {
+      client,
+      findAddress: targets.findAddress,
+      clock,
+      logger,
+    };
+    const timing = {callTimeoutMs: CALL_TIMEOUT_MS, leaseMs: LEASE_MS};
     return new Scheduler({
       domain,
       state,
       writer,
       policy,
-      projection: this.mirrorOf(domain),
+      projection: this.getProjection(domain),
       clock,
       random,
       logger,
       client,
       findAddress: targets.findAddress,
       starter: new GangStarter({
-        ...parts,
-        options: {...options, reservationTtlMs: guards.reservationMs},
+        ...dependencies,
+        options: {...timing, reservationTtlMs: guards.reservationMs},
       }),
       leaseRenewer: new LeaseRenewer({
-        ...parts,
-        options: {...options, renewMs: RENEW_MS},
+        ...dependencies,
+        options: {...timing, renewMs: RENEW_MS},
       }),
-      targetFencer: new TargetFencer({...parts, options}),
+      targetFencer: new TargetFencer({...dependencies, options: timing}),
       health: new TargetHealth(() => state.configuration.rules),
-      findStartBlocker: (now, ids) => this.findBar(now, ids),
+      findStartBlocker: (now, ids) => this.findStartBlocker(now, ids),
       chooseMove: (jobId, now) => chooseMove(this.context, jobId, now),
     });
   }
 
-  /** A log that may lie about lost answers, to show that the check sees it. */
+  /**
+   * Returns the log. Without accurate log errors, appends of uncertain outcome
+   * are reported as rejected, so that tests show that the checks detect it.
+   */
   private chooseLog(): MemoryLog {
-    const {log, guards} = this.parts;
+    const {log, guards} = this.options;
     if (guards.accurateLogErrors) {
       return log;
     }
@@ -221,11 +241,11 @@
     return Object.assign(Object.create(log) as MemoryLog, {append});
   }
 
-  /** Only what submitting and cancelling use of a daemon. */
-  private createNode(): DaemonContext {
+  /** Creates a context with only those members that submitting and cancelling use. */
+  private createContext(): DaemonContext {
     const {state, clock, random, logger, follower, writer, policy} = this;
     const endpoint = {host: '127.0.0.1', port: 0};
-    const node: Partial<DaemonContext> = {
+    const context: Partial<DaemonContext> = {
       settings: settings.parse({
         instance: this.name,
         domain: this.domain,
@@ -247,11 +267,11 @@
       mesh: {isHeld: () => false} as unknown as DaemonContext['mesh'],
       stage: 'serving',
       backlogEstimator: new BacklogEstimator(state, domain =>
-        this.mirrorOf(domain),
+        this.getProjection(domain),
       ),
-      getProjection: domain => this.mirrorOf(domain),
-      listProjections: () => this.mirrors.values(),
+      getProjection: domain => this.getProjection(domain),
+      listProjections: () => this.projections.values(),
     };
-    return node as DaemonContext;
+    return context as DaemonContext;
   }
 }
--- a/packages/faults/src/main.ts
+++ b/packages/faults/src/main.ts
@@ -1,32 +1,38 @@
-/** Explores many seeds and prints what broke. */
+/** Command line: explores consecutive seeds and prints the violations that it found. */
 import {Command} from 'commander';
 import {explore} from './exploration.js';
 
 const program = new Command('test:faults')
-  .description('explores faults, each run by a seed')
+  .description('explores random faults; each run has its own seed')
   .option('--runs <count>', 'number of runs', Number, 20)
   .option('--seed <number>', 'seed of the first run', Number, 1)
-  .option('--story', 'prints what happened in each broken run', false)
+  .option('--story', 'prints the incidents of each failed run', false)
   .parse();
 
-const {runs, seed, story} = program.opts<{
+const {
+  runs,
+  seed,
+  story: printsTrace,
+} = program.opts<{
   runs: number;
   seed: number;
   story: boolean;
 }>();
-let broken = 0;
+let failedRuns = 0;
 for (let run = seed; run < seed + runs; run++) {
-  const finding = await explore(run);
-  if (finding.violations.length === 0) {
+  const result = await explore(run);
+  if (result.violations.length === 0) {
     continue;
   }
-  broken++;
-  for (const {promise, detail} of finding.violations.slice(0, 3)) {
+  failedRuns++;
+  for (const {promise, detail} of result.violations.slice(0, 3)) {
     console.log(`seed ${run}: ${promise}: ${detail}`);
   }
-  if (story) {
-    console.log(finding.trace.map(line => `    ${line}`).join('\n'));
+  if (printsTrace) {
+    console.log(result.trace.map(line => `    ${line}`).join('\n'));
   }
 }
-console.log(`${runs - broken} runs kept every promise, ${broken} did not`);
-process.exitCode = broken > 0 ? 1 : 0;
+console.log(
+  `${runs - failedRuns} runs kept every promise, ${failedRuns} did not`,
+);
+process.exitCode = failedRuns > 0 ? 1 : 0;
--- a/packages/faults/src/policy_without_reclaim.ts
+++ b/packages/faults/src/policy_without_reclaim.ts
@@ -1,11 +1,11 @@
-/** A policy that never takes back what others borrowed, to show that the check sees it. */
+/** Placement policy without reclaim, with which tests show that the checks detect its absence. */
 import {GuaranteePolicy, type PassDecisions} from '@galenavalve/placement';
 
-/** Leaves out every reclaim. */
+/** Guarantee policy that never reclaims borrowed capacity. */
 export class PolicyWithoutReclaim extends GuaranteePolicy {
   override decide(
-    ...situation: Parameters<GuaranteePolicy['decide']>
+    ...args: Parameters<GuaranteePolicy['decide']>
   ): PassDecisions {
-    return {...super.decide(...situation), reclaims: []};
+    return {...super.decide(...args), reclaims: []};
   }
 }
--- a/packages/faults/src/promises.ts
+++ b/packages/faults/src/promises.ts
@@ -1,4 +1,4 @@
-/** The promises of the system, as checks over what an exploration noted. */
+/** Checks of the system's promises against the history of an exploration and the runs on its targets. */
 import type {Job} from '@galenavalve/ledger';
 import {type Instant, type Milliseconds, hashValue} from '@galenavalve/shared';
 import {type RunEvent, computeLongestPartialRunMs} from '@galenavalve/targets';
@@ -7,14 +7,14 @@
 import {CALL_TIMEOUT_MS, LEASE_MS, RENEW_MS} from './instance.js';
 import type {SimulatedCluster} from './simulated_cluster.js';
 
-/** What can be broken. */
+/** Names of the checked promises. */
 export type PromiseName =
   | 'no-start-after-take-out'
   | 'no-gang-in-part'
   | 'at-most-once'
   | 'no-overlapping-attempts'
   | 'true-not-run'
-  /** The same, said to a caller who asks again after an answer that left it open. */
+  /** As `true-not-run`, for a caller that submits again after an unknown outcome. */
   | 'true-not-run-when-repeated'
   | 'true-outcome'
   | 'every-request-ends'
@@ -23,20 +23,23 @@
   | 'no-work-on-leaving-target'
   | 'reclaim';
 
-/** One broken promise. */
+/** Violation of a promise. */
 export interface Violation {
   promise: PromiseName;
   detail: string;
 }
 
-/** Messages to targets take no time here, but the world is looked at every 50 ms. */
+/** Interval at which the cluster is checked; messages to targets take no time unless a fault delays them. */
 const STEP_MS: Milliseconds = 50;
 
-/** How long after a take-out a task may still start: a fresh configuration, then a reservation that lives. */
+/**
+ * Longest time after a take-out within which a task may still start: the
+ * configuration counts as fresh, and then the reservation is still valid.
+ */
 export const TAKE_OUT_BOUND_MS =
   FRESHNESS_BOUND_MS + RESERVATION_TTL_MS + STEP_MS;
 
-/** How long a part of a gang may run. */
+/** Longest time for which only a part of a gang may run. */
 export const PARTIAL_RUN_BOUND_MS =
   computeLongestPartialRunMs({
     leaseMs: LEASE_MS,
@@ -44,46 +47,50 @@
     callTimeoutMs: CALL_TIMEOUT_MS,
   }) + STEP_MS;
 
-/** Remembers what must not change between two checks. */
+/** Checks promises, some of them against the state seen by earlier checks. */
 export class PromiseChecker {
+  /** Latest entity versions by instance and entity. */
   private readonly versions = new Map<string, number>();
+  /** State hashes by offset. */
   private readonly hashes = new Map<number, string>();
+  /** Offsets of the latest compared state, by instance. */
   private readonly offsets = new Map<string, number>();
 
-  /** Checks all that must hold at any moment. */
-  check(world: SimulatedCluster): Violation[] {
+  /** Checks the promises that must hold at any time. */
+  check(cluster: SimulatedCluster): Violation[] {
     return [
-      ...checkRuns(world),
-      ...checkAnswers(world),
-      ...this.checkVersions(world),
-      ...this.checkStates(world),
+      ...checkRuns(cluster),
+      ...checkReportedOutcomes(cluster),
+      ...this.checkVersions(cluster),
+      ...this.checkStates(cluster),
     ];
   }
 
-  private checkVersions(world: SimulatedCluster): Violation[] {
-    const found: Violation[] = [];
-    for (const instance of world.instances.values()) {
+  /** Checks that the entity versions that an instance serves never decrease. */
+  private checkVersions(cluster: SimulatedCluster): Violation[] {
+    const violations: Violation[] = [];
+    for (const instance of cluster.instances.values()) {
       if (!instance.isServing) {
         continue;
       }
       for (const id of ['domain/d1', 'domain/d2', 'workspace/escorts']) {
         const key = `${instance.name} ${id}`;
         const version = instance.state.getEntityVersion(id);
-        const before = this.versions.get(key) ?? 0;
-        if (version < before) {
-          const detail = `${key} fell from ${before} to ${version}`;
-          found.push({promise: 'versions-never-fall', detail});
+        const previous = this.versions.get(key) ?? 0;
+        if (version < previous) {
+          const detail = `${key} decreased from ${previous} to ${version}`;
+          violations.push({promise: 'versions-never-fall', detail});
         }
         this.versions.set(key, version);
       }
     }
-    return found;
+    return violations;
   }
 
-  /** Instances at the same offset have the same state. */
-  private checkStates(world: SimulatedCluster): Violation[] {
-    const found: Violation[] = [];
-    for (const {name, state} of world.instances.values()) {
+  /** Checks that instances at the same offset have the same state. */
+  private checkStates(cluster: SimulatedCluster): Violation[] {
+    const violations: Violation[] = [];
+    for (const {name, state} of cluster.instances.values()) {
       if (this.offsets.get(name) === state.nextOffset) {
         continue;
       }
@@ -92,50 +99,56 @@
         ...state.listUnfinishedJobs('d1'),
         ...state.listUnfinishedJobs('d2'),
       ]);
-      const other = this.hashes.get(state.nextOffset) ?? hash;
-      this.hashes.set(state.nextOffset, other);
-      if (other !== hash) {
-        const detail = `${name} differs at offset ${state.nextOffset}`;
-        found.push({promise: 'same-state', detail});
+      const expected = this.hashes.get(state.nextOffset) ?? hash;
+      this.hashes.set(state.nextOffset, expected);
+      if (expected !== hash) {
+        const detail = `${name} has a different state at offset ${state.nextOffset}`;
+        violations.push({promise: 'same-state', detail});
       }
     }
-    return found;
+    return violations;
   }
 }
 
-/** Checks what must hold once all faults are over and time has passed. */
-export function checkTermination(world: SimulatedCluster): Violation[] {
-  return [...world.history.requests.values()].flatMap((fact): Violation[] => {
-    const job = findJob(world, fact);
-    const isOpen = job
-      ? job.phase !== 'finished'
-      : fact.reportedOutcome === 'accepted';
-    const phase = job?.phase ?? 'unknown';
-    const reason = job?.lastReason?.code ?? '';
-    const detail = `${fact.request.requestId} is ${phase} ${reason}`;
-    return isOpen ? [{promise: 'every-request-ends', detail}] : [];
-  });
+/** Checks that every request has ended; holds some time after all faults are cleared. */
+export function checkTermination(cluster: SimulatedCluster): Violation[] {
+  return [...cluster.history.requests.values()].flatMap(
+    (observed): Violation[] => {
+      const job = findJob(cluster, observed);
+      const isOpen = job
+        ? job.phase !== 'finished'
+        : observed.reportedOutcome === 'accepted';
+      const phase = job?.phase ?? 'unknown';
+      const reason = job?.lastReason?.code ?? '';
+      const detail = `${observed.request.requestId} is ${phase} ${reason}`;
+      return isOpen ? [{promise: 'every-request-ends', detail}] : [];
+    },
+  );
 }
 
-function checkRuns(world: SimulatedCluster): Violation[] {
-  const events = world.audit.listEvents();
+/** Checks the promises about the runs on the targets. */
+function checkRuns(cluster: SimulatedCluster): Violation[] {
+  const events = cluster.audit.listEvents();
   const starts = events.filter(event => event.kind === 'started');
   return [
-    ...starts.flatMap(start => checkService(world, start)),
-    ...[...world.history.requests.values()].flatMap(fact =>
-      checkJobRuns(world, fact, events),
+    ...starts.flatMap(start => checkOutOfService(cluster, start)),
+    ...[...cluster.history.requests.values()].flatMap(observed =>
+      checkJobRuns(cluster, observed, events),
     ),
   ];
 }
 
-/** No start on what is out of service or leaving. */
-function checkService(world: SimulatedCluster, start: RunEvent): Violation[] {
+/** Checks that no task started on a domain or target that was out of service or leaving. */
+function checkOutOfService(
+  cluster: SimulatedCluster,
+  start: RunEvent,
+): Violation[] {
   const domain = start.target.split('-')[0];
-  return world.history.outOfServicePeriods.flatMap(
+  return cluster.history.outOfServicePeriods.flatMap(
     ({entity, since, until}): Violation[] => {
-      const isLate = (bound: Milliseconds) =>
-        start.at > since + bound && start.at < until;
-      const detail = `${start.jobId} started on ${start.target} at ${start.at}, ${start.at - since} ms after ${entity} went out`;
+      const isLate = (boundMs: Milliseconds) =>
+        start.at > since + boundMs && start.at < until;
+      const detail = `${start.jobId} started on ${start.target} at ${start.at}, ${start.at - since} ms after ${entity} went out of service`;
       if (entity === `domain/${domain}` && isLate(TAKE_OUT_BOUND_MS)) {
         return [{promise: 'no-start-after-take-out', detail}];
       }
@@ -147,57 +160,64 @@
   );
 }
 
+/** Checks the runs of one job. */
 function checkJobRuns(
-  world: SimulatedCluster,
-  fact: ObservedRequest,
+  cluster: SimulatedCluster,
+  observed: ObservedRequest,
   events: readonly RunEvent[],
 ): Violation[] {
-  const job = findJob(world, fact);
+  const job = findJob(cluster, observed);
   if (!job) {
     return [];
   }
-  const own = events.filter(event => event.jobId === job.jobId);
-  const members = memberCounts(own, world, job);
-  const found: Violation[] = [];
+  const jobEvents = events.filter(event => event.jobId === job.jobId);
+  const members = countMembers(jobEvents, cluster, job);
+  const violations: Violation[] = [];
   for (const [attempt, count] of members) {
     const key = {jobId: job.jobId, attempt};
-    const now = world.clock.now();
-    const partial = world.audit.measureLongestPartialRunMs(key, count, now);
-    if (partial > PARTIAL_RUN_BOUND_MS) {
-      const detail = `${job.jobId}/${attempt} ran in part for ${partial} ms`;
-      found.push({promise: 'no-gang-in-part', detail});
+    const now = cluster.clock.now();
+    const partialRunMs = cluster.audit.measureLongestPartialRunMs(
+      key,
+      count,
+      now,
+    );
+    if (partialRunMs > PARTIAL_RUN_BOUND_MS) {
+      const detail = `${job.jobId}/${attempt} ran in part for ${partialRunMs} ms`;
+      violations.push({promise: 'no-gang-in-part', detail});
     }
   }
-  const isTwice = members.size > 1 || hasRepeatedTask(own);
-  if (!fact.request.repeatable && isTwice) {
+  const hasRunTwice = members.size > 1 || hasRepeatedTask(jobEvents);
+  if (!observed.request.repeatable && hasRunTwice) {
     const detail = `${job.jobId} ran in attempts ${[...members.keys()].join()}`;
-    found.push({promise: 'at-most-once', detail});
+    violations.push({promise: 'at-most-once', detail});
   }
-  if (haveAttemptsOverlapped(own)) {
-    const detail = `${job.jobId} ran twice at once`;
-    found.push({promise: 'no-overlapping-attempts', detail});
+  if (haveAttemptsOverlapped(jobEvents)) {
+    const detail = `two attempts of ${job.jobId} ran at the same time`;
+    violations.push({promise: 'no-overlapping-attempts', detail});
   }
-  return found;
+  return violations;
 }
 
-/** Number of members of each attempt that has run in any part. */
-function memberCounts(
+/** Counts the members of each attempt of which any member has run. */
+function countMembers(
   events: readonly RunEvent[],
-  world: SimulatedCluster,
+  cluster: SimulatedCluster,
   job: Job,
 ): Map<number, number> {
   const counts = new Map<number, number>();
   for (const {attempt} of events) {
-    counts.set(attempt, world.getMemberCount(job.jobId, attempt));
+    counts.set(attempt, cluster.getMemberCount(job.jobId, attempt));
   }
   return counts;
 }
 
+/** Whether any member started more than once. */
 function hasRepeatedTask(events: readonly RunEvent[]): boolean {
   const starts = events.filter(event => event.kind === 'started');
   return new Set(starts.map(event => event.firstTask)).size < starts.length;
 }
 
+/** Whether two attempts ran at the same time. */
 function haveAttemptsOverlapped(events: readonly RunEvent[]): boolean {
   const running = new Map<number, number>();
   return events.some(({attempt, kind}) => {
@@ -207,72 +227,80 @@
   });
 }
 
-function checkAnswers(world: SimulatedCluster): Violation[] {
-  return [...world.history.requests.values()].flatMap((fact): Violation[] => {
-    const {requestId} = fact.request;
-    const job = findJob(world, fact);
-    if (!job) {
-      return [];
-    }
-    const hasRun = world.audit.findStartedAttempts(job.jobId).size > 0;
-    const isSaidNotRun =
-      fact.reportedOutcome === 'not-run' || job.outcome === 'not-run';
-    if (isSaidNotRun && hasRun) {
-      const detail = `${requestId} was said not to have run`;
-      const promise = fact.wasUnknown
-        ? 'true-not-run-when-repeated'
-        : 'true-not-run';
-      return [{promise, detail}];
-    }
-    const problem = job.outcome && findFalseOutcome(world, fact, job);
-    const detail = `${requestId}: ${problem}`;
-    return problem ? [{promise: 'true-outcome', detail}] : [];
-  });
+/** Checks the outcomes that were reported to callers against what has run. */
+function checkReportedOutcomes(cluster: SimulatedCluster): Violation[] {
+  return [...cluster.history.requests.values()].flatMap(
+    (observed): Violation[] => {
+      const {requestId} = observed.request;
+      const job = findJob(cluster, observed);
+      if (!job) {
+        return [];
+      }
+      const hasRun = cluster.audit.findStartedAttempts(job.jobId).size > 0;
+      const isReportedNotRun =
+        observed.reportedOutcome === 'not-run' || job.outcome === 'not-run';
+      if (isReportedNotRun && hasRun) {
+        const detail = `${requestId} was reported as not run, but has run`;
+        const promise = observed.wasUnknown
+          ? 'true-not-run-when-repeated'
+          : 'true-not-run';
+        return [{promise, detail}];
+      }
+      const problem = job.outcome && findFalseOutcome(cluster, observed, job);
+      const detail = `${requestId}: ${problem}`;
+      return problem ? [{promise: 'true-outcome', detail}] : [];
+    },
+  );
 }
 
+/** Returns what contradicts the job's outcome, if anything. */
 function findFalseOutcome(
-  world: SimulatedCluster,
-  fact: ObservedRequest,
+  cluster: SimulatedCluster,
+  observed: ObservedRequest,
   job: Job,
 ): string | undefined {
-  const {request} = fact;
+  const {request} = observed;
   switch (job.outcome) {
     case 'succeeded': {
-      const whole = Array.from({length: request.gang.tasks}, (_, i) => i);
-      const results = job.results ?? whole;
-      const isWhole = hashValue(results) === hashValue(whole);
-      return isWhole ? undefined : `results ${JSON.stringify(results)}`;
+      const expected = Array.from({length: request.gang.tasks}, (_, i) => i);
+      const results = job.results ?? expected;
+      const isComplete = hashValue(results) === hashValue(expected);
+      return isComplete ? undefined : `results ${JSON.stringify(results)}`;
     }
     case 'failed':
-      return request.payload.fail || world.history.hadFailingTargets
+      return request.payload.fail || cluster.history.hadFailingTargets
         ? undefined
-        : 'it failed although nothing failed it';
+        : 'it failed, but neither its payload nor a target made it fail';
     case 'cancelled':
-      return fact.isCancelled ? undefined : 'nobody cancelled it';
+      return observed.isCancelled
+        ? undefined
+        : 'it was cancelled without a request to cancel it';
     case 'lost':
-      return request.repeatable ? 'it could have been repeated' : undefined;
+      return request.repeatable
+        ? 'it is lost although it may be repeated'
+        : undefined;
     default:
       return undefined;
   }
 }
 
 function findJob(
-  world: SimulatedCluster,
-  fact: ObservedRequest,
+  cluster: SimulatedCluster,
+  observed: ObservedRequest,
 ): Job | undefined {
-  return world.observer.getJobByRequest(fact.request.requestId);
+  return cluster.observer.getJobByRequest(observed.request.requestId);
 }
 
-/** Time until a guaranteed job must have started although others use its cells. */
+/** Time within which a guaranteed job must have started although others use its cells. */
 export const RECLAIM_BOUND_MS: Milliseconds = 15_000;
 
-/** Whether the job has begun to run by `now`. */
+/** Whether any task of the job has started by `now`. */
 export function hasStarted(
-  world: SimulatedCluster,
+  cluster: SimulatedCluster,
   jobId: string,
   now: Instant,
 ): boolean {
-  return world.audit
+  return cluster.audit
     .listEvents()
     .some(event => event.jobId === jobId && event.at <= now);
 }
--- a/packages/faults/src/simulated_cluster.ts
+++ b/packages/faults/src/simulated_cluster.ts
@@ -1,4 +1,7 @@
-/** The whole system in one process: a log, targets, and the instances of two failure domains. */
+/**
+ * Simulated cluster: a log, targets and the instances of two failure domains in
+ * one process and in virtual time.
+ */
 import {submitJob, cancelJob} from '@galenavalve/daemon';
 import {LedgerState, MemoryLog, applyEntry} from '@galenavalve/ledger';
 import {
@@ -23,36 +26,46 @@
 import type {Guards} from './guards.js';
 import {DOMAINS, Instance} from './instance.js';
 
+/** Number of targets of each failure domain. */
 export const TARGETS_PER_DOMAIN = 3;
 const INSTANCES_PER_DOMAIN = 2;
-const CAPACITY = {slots: 8, accelerators: 8, processors: 64, memoryMb: 65_536};
+const TARGET_CAPACITY = {
+  slots: 8,
+  accelerators: 8,
+  processors: 64,
+  memoryMb: 65_536,
+};
 
-/** Silence after which another instance takes over. */
+/** Time without an eligible scheduler after which another instance claims its domain. */
 const SUSPECT_MS: Milliseconds = 1600;
 
-/** Time for which a caller waits for one answer. */
+/** Time for which a caller waits for one response. */
 const CALLER_TIMEOUT_MS: Milliseconds = 8000;
 
-/** Times that a caller asks again with the same request id. */
-const CALLER_TRIES = 3;
+/** Number of times that a caller submits a request with the same id, the first included. */
+const CALLER_ATTEMPTS = 3;
 
-/** Errors after which a caller does not know what became of the request. */
-const UNKNOWN_CODES = new Set(['outcome-unknown', 'internal']);
+/** Error codes that leave the outcome of a submission unknown. */
+const UNKNOWN_OUTCOME_CODES = new Set(['outcome-unknown', 'internal']);
 
-/** One world. */
+/** Simulated cluster; its clock advances only through `advance`. */
 export class SimulatedCluster {
   readonly clock = new ManualClock(1_000_000);
   readonly log = new MemoryLog(this.clock, {appendLatency: 5});
   readonly targets = new MemoryTargets(this.clock);
+  /** Starts and ends of tasks on all targets. */
   readonly audit = new RunAudit();
   readonly history = new ExplorationHistory();
+  /** Latest process of each instance, by name. */
   readonly instances = new Map<string, Instance>();
-  /** Folds every record as soon as it is in the log. */
+  /** State with every record of the log applied, independent of the instances. */
   readonly observer = new LedgerState();
+  /** Number of targets of each attempt, by lease key. */
   private readonly memberCounts = new Map<string, number>();
-  private readonly unfitSince = new Map<string, Instant>();
-  private starts = 0;
-  private records = 0;
+  /** Latest instant at which the domain had an eligible scheduler or was claimed, by domain. */
+  private readonly lastEligibleAt = new Map<string, Instant>();
+  private startCount = 0;
+  private changeCount = 0;
 
   constructor(
     private readonly seed: number,
@@ -69,76 +82,80 @@
 
   // Commands
 
-  /** Moves time, in steps in which the domains look for a scheduler. */
-  async advance(duration: Milliseconds): Promise<void> {
-    const step = 50;
-    for (let passed = 0; passed < duration; passed += step) {
-      await this.clock.advance(step);
+  /** Advances virtual time in steps of 50 ms; after each, domains without a scheduler get a new one. */
+  async advance(durationMs: Milliseconds): Promise<void> {
+    const stepMs = 50;
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += stepMs) {
+      await this.clock.advance(stepMs);
       this.targets.advance();
-      this.observe();
-      this.elect();
+      this.applyNewEntries();
+      this.replaceSilentSchedulers();
     }
   }
 
+  /** Starts a new process of the instance, which replaces the earlier one. */
   startInstance(name: string): Instance {
     const domain = name.split('-')[0] ?? '';
     const {clock: baseClock, log, targets, guards} = this;
-    const seed = this.seed * 1000 + this.starts++;
-    const parts = {name, domain, seed, baseClock, log, targets, guards};
-    const instance = new Instance(parts);
+    const seed = this.seed * 1000 + this.startCount++;
+    const options = {name, domain, seed, baseClock, log, targets, guards};
+    const instance = new Instance(options);
     this.instances.set(name, instance);
     instance.start();
     return instance;
   }
 
-  /** Sends a request as a caller does: again with the same id when the answer is missing. */
+  /** Submits a request as a caller does: retries with the same id while the outcome is unknown. */
   async submit(request: JobRequest, entries: readonly string[]): Promise<void> {
-    const fact: ObservedRequest = {
+    const observed: ObservedRequest = {
       request,
       jobId: '',
       reportedOutcome: 'none',
       wasUnknown: false,
       isCancelled: false,
     };
-    this.history.requests.set(request.requestId, fact);
-    for (const name of entries.slice(0, CALLER_TRIES)) {
-      fact.reportedOutcome = await this.ask(name, fact);
-      if (fact.reportedOutcome !== 'unknown') {
+    this.history.requests.set(request.requestId, observed);
+    for (const name of entries.slice(0, CALLER_ATTEMPTS)) {
+      observed.reportedOutcome = await this.submitWithTimeout(name, observed);
+      if (observed.reportedOutcome !== 'unknown') {
         return;
       }
-      fact.wasUnknown = true;
+      observed.wasUnknown = true;
     }
   }
 
-  /** Cancels a request through one instance. */
-  async cancel(fact: ObservedRequest, entry: string): Promise<void> {
+  /** Cancels a request through one instance; does nothing if the instance does not serve or the job is not recorded. */
+  async cancel(observed: ObservedRequest, entry: string): Promise<void> {
     const instance = this.instances.get(entry);
-    const job = this.observer.getJobByRequest(fact.request.requestId);
+    const job = this.observer.getJobByRequest(observed.request.requestId);
     if (!instance?.isServing || !job) {
       return;
     }
-    fact.isCancelled = true;
+    observed.isCancelled = true;
     try {
       await cancelJob(instance.context, job.jobId, 'its caller');
     } catch {
-      // The caller asks again, or lets the job run.
+      // A caller may cancel again or let the job run, so a failure violates no promise.
     }
   }
 
-  /** Appends a configuration change as operators do; false when the log refuses. */
+  /**
+   * Appends a configuration change as operators do. The change is based on the
+   * current version minus `baseOffset`. Returns false during a log outage.
+   */
   configure(values: readonly Entity[], baseOffset = 0): boolean {
     if (this.log.faults.outage !== 'none') {
       return false;
     }
-    this.observe();
+    this.applyNewEntries();
     this.log.write({
       v: 1,
-      recordId: `operator-${this.records}`,
+      recordId: `operator-${this.changeCount}`,
       at: this.clock.wallTime(),
       by: 'operator',
       type: 'configured',
       change: {
-        changeId: `change-${this.records++}`,
+        changeId: `change-${this.changeCount++}`,
         author: 'operator',
         edits: values.map(value => ({
           entity: getEntityKey(value),
@@ -150,11 +167,11 @@
         })),
       },
     });
-    this.observe();
+    this.applyNewEntries();
     return true;
   }
 
-  /** Puts everything right: nothing is wrong any more after this. */
+  /** Ends every fault, restarts dead instances and restores the initial configuration. */
   clearFaults(): void {
     Object.assign(this.log.faults, {
       outage: 'none',
@@ -177,6 +194,7 @@
     this.configure(createEntities());
   }
 
+  /** Makes a target report that it is leaving, or no longer. */
   setLeaving(target: string, isLeaving: boolean): void {
     this.targets.getModel(target).leaving = isLeaving;
     const now = this.clock.now();
@@ -189,50 +207,51 @@
 
   // Queries
 
+  /** Lists the names of the instances that serve callers. */
   listServingInstances(): string[] {
     return [...this.instances.values()]
       .filter(instance => instance.isServing)
       .map(instance => instance.name);
   }
 
-  /** Number of targets of an attempt. */
+  /** Returns the number of targets of an attempt; 0 when it was not placed. */
   getMemberCount(jobId: string, attempt: number): number {
     return this.memberCounts.get(formatLeaseKey({jobId, attempt})) ?? 0;
   }
 
-  private async ask(
+  private async submitWithTimeout(
     name: string,
-    fact: ObservedRequest,
+    observed: ObservedRequest,
   ): Promise<SubmitOutcome> {
     const instance = this.instances.get(name);
     if (!instance?.isServing) {
       return 'unknown';
     }
-    const answer = this.submitTo(instance, fact);
+    const outcome = this.submitTo(instance, observed);
     const timeout = this.clock
       .sleep(CALLER_TIMEOUT_MS)
       .then((): SubmitOutcome => 'unknown');
-    return Promise.race([answer, timeout]);
+    return Promise.race([outcome, timeout]);
   }
 
   private async submitTo(
     instance: Instance,
-    fact: ObservedRequest,
+    observed: ObservedRequest,
   ): Promise<SubmitOutcome> {
     try {
-      const job = await submitJob(instance.context, fact.request);
-      fact.jobId = job.jobId;
+      const job = await submitJob(instance.context, observed.request);
+      observed.jobId = job.jobId;
       return 'accepted';
     } catch (error) {
       if (!isFailure(error)) {
         throw error;
       }
-      return UNKNOWN_CODES.has(error.code) ? 'unknown' : 'not-run';
+      return UNKNOWN_OUTCOME_CODES.has(error.code) ? 'unknown' : 'not-run';
     }
   }
 
-  /** Folds what is new in the log, and notes what operators took out and brought back. */
-  private observe(): void {
+  /** Applies new log entries to the observer, and records placements and out-of-service periods. */
+  private applyNewEntries(): void {
     for (const entry of this.log.entries().slice(this.observer.nextOffset)) {
       const {record, accepted} = applyEntry(this.observer, entry);
       this.observer.nextOffset = entry.offset + 1;
@@ -241,12 +260,14 @@
         this.memberCounts.set(key, record.assignments.length);
       }
       if (record?.type === 'configured' && accepted) {
-        record.change.edits.forEach(({value}) => this.noteService(value));
+        record.change.edits.forEach(({value}) =>
+          this.recordServiceState(value),
+        );
       }
     }
   }
 
-  private noteService(value: Entity | null): void {
+  private recordServiceState(value: Entity | null): void {
     if (value?.kind !== 'domain' && value?.kind !== 'target') {
       return;
     }
@@ -258,27 +279,27 @@
     }
   }
 
-  /** Lets an instance claim a domain whose scheduler is silent. */
-  private elect(): void {
+  /** Lets an eligible instance claim each domain whose scheduler is silent. */
+  private replaceSilentSchedulers(): void {
     const now = this.clock.now();
     for (const domain of DOMAINS) {
-      const holder = this.instances.get(
+      const current = this.instances.get(
         this.observer.getSchedulerTerm(domain)?.instance ?? '',
       );
-      if (holder?.isEligible(now) && holder.scheduler.term) {
-        this.unfitSince.set(domain, now);
+      if (current?.isEligible(now) && current.scheduler.term) {
+        this.lastEligibleAt.set(domain, now);
         continue;
       }
-      const since = this.unfitSince.get(domain) ?? -Infinity;
+      const since = this.lastEligibleAt.get(domain) ?? -Infinity;
       const isFirst = !this.observer.getSchedulerTerm(domain);
       if (now - since < SUSPECT_MS || !(this.guards.succession || isFirst)) {
         continue;
       }
-      const fit = [...this.instances.values()].find(
+      const candidate = [...this.instances.values()].find(
         instance => instance.domain === domain && instance.isEligible(now),
       );
-      this.unfitSince.set(domain, now);
-      void fit?.claim();
+      this.lastEligibleAt.set(domain, now);
+      void candidate?.claim();
     }
   }
 
@@ -287,7 +308,7 @@
     for (const id of listTargets()) {
       this.targets.add({
         id,
-        capacity: CAPACITY,
+        capacity: TARGET_CAPACITY,
         onRun: audit.addEvent,
         guards: guards.targets,
       });
@@ -295,28 +316,28 @@
   }
 }
 
-/** Names of all targets, such as "d1-t2". */
+/** Lists the ids of all targets, such as `d1-t2`. */
 export function listTargets(): string[] {
   return DOMAINS.flatMap(domain =>
     Array.from({length: TARGETS_PER_DOMAIN}, (_, i) => `${domain}-t${i + 1}`),
   );
 }
 
-/** The value of a domain in the configuration. */
+/** Creates the configuration entity of a domain. */
 export function createDomain(id: string, state = 'in-service'): Entity {
   return entity.parse({kind: 'domain', id, region: 'r1', state});
 }
 
-/** The value of a target in the configuration. */
+/** Creates the configuration entity of a target. */
 export function createTarget(id: string, state = 'in-service'): Entity {
   const domain = id.split('-')[0];
   const rack = `${domain}-rack1`;
   const endpoint = `http://127.0.0.1:1/targets/${id}`;
-  const place = {kind: 'target', id, domain, rack, endpoint, state};
-  return entity.parse({...place, ...CAPACITY});
+  const fields = {kind: 'target', id, domain, rack, endpoint, state};
+  return entity.parse({...fields, ...TARGET_CAPACITY});
 }
 
-/** A request with defaults for what is not given. */
+/** Creates a request, with defaults for the fields that `changes` omits. */
 export function createRequest(
   requestId: string,
   now: number,
@@ -333,11 +354,11 @@
 }
 
 function createEntities(): Entity[] {
-  const promise = {level: 'target', count: 1, domain: 'd1'};
+  const guarantee = {level: 'target', count: 1, domain: 'd1'};
   return [
     ...DOMAINS.map(domain => createDomain(domain)),
     ...listTargets().map(id => createTarget(id)),
-    entity.parse({kind: 'workspace', id: 'escorts', guarantees: [promise]}),
+    entity.parse({kind: 'workspace', id: 'escorts', guarantees: [guarantee]}),
     entity.parse({kind: 'workspace', id: 'borders'}),
   ];
 }
--- a/packages/faults/src/simulated_process.ts
+++ b/packages/faults/src/simulated_process.ts
@@ -1,4 +1,4 @@
-/** One process that can be paused and killed while time goes on for the others. */
+/** Simulated process that can be paused and killed independently of the others. */
 import type {Log, LogPage, ReadOptions} from '@galenavalve/ledger';
 import {
   type Clock,
@@ -8,38 +8,39 @@
 } from '@galenavalve/shared';
 import type {TargetClient} from '@galenavalve/targets';
 
-const NEVER = new Promise<never>(() => {});
+const NEVER_SETTLES = new Promise<never>(() => {});
 
-/** Whether one process runs, and what it can reach. */
+/** Run state of one process, and its access to the clock, the log and the targets. */
 export class SimulatedProcess {
+  /** Whether the process was killed; its pending calls then never settle. */
   isDead = false;
-  /** Whether its messages to the log, and the answers, are lost. */
+  /** Whether its requests to the log time out without reaching it. */
   isDisconnectedFromLog = false;
   private pausedUntil: Instant = -Infinity;
   private pausedSince: Instant = -Infinity;
 
   constructor(private readonly base: Clock) {}
 
-  /** Stops it for a while, as a suspended machine would. */
-  pause(duration: Milliseconds): void {
+  /** Pauses the process, as a suspended machine would. */
+  pause(durationMs: Milliseconds): void {
     this.pausedSince = this.base.now();
-    this.pausedUntil = this.pausedSince + duration;
+    this.pausedUntil = this.pausedSince + durationMs;
   }
 
-  /** Time for which it has been paused now. */
+  /** Returns for how long the process has been paused at `now`; 0 when it runs. */
   getPauseDuration(now: Instant): Milliseconds {
     return now < this.pausedUntil ? now - this.pausedSince : 0;
   }
 
-  /** Holds every continuation while the process is paused, and for ever once it is dead. */
+  /** Resolves as soon as the process is not paused; never settles once it is dead. */
   async waitUntilRunning(): Promise<void> {
     while (!this.isDead && this.base.now() < this.pausedUntil) {
       await this.base.sleep(this.pausedUntil - this.base.now());
     }
-    return this.isDead ? NEVER : undefined;
+    return this.isDead ? NEVER_SETTLES : undefined;
   }
 
-  /** The result of a call of this process, once it runs. */
+  /** Returns the result of `call`, delayed until the process runs. */
   async receive<T>(call: Promise<T>): Promise<T> {
     try {
       return await call;
@@ -48,7 +49,7 @@
     }
   }
 
-  /** The clock as the process reads it. */
+  /** Creates the clock of this process, whose sleeps end only while it runs. */
   createClock(): Clock {
     const {base} = this;
     return {
@@ -58,7 +59,7 @@
     };
   }
 
-  /** The log as the process reaches it. */
+  /** Creates this process's access to `log`. */
   createLog(log: Log): Log {
     return {
       append: (values, timeout) =>
@@ -76,20 +77,20 @@
     };
   }
 
-  /** The targets as the process reaches them. */
+  /** Creates this process's access to the targets. */
   createTargetClient(client: TargetClient): TargetClient {
     return {
-      reserve: (...call) => this.receive(client.reserve(...call)),
-      start: (...call) => this.receive(client.start(...call)),
-      stop: (...call) => this.receive(client.stop(...call)),
-      renew: (...call) => this.receive(client.renew(...call)),
-      fence: (...call) => this.receive(client.fence(...call)),
-      throttle: (...call) => this.receive(client.throttle(...call)),
+      reserve: (...args) => this.receive(client.reserve(...args)),
+      start: (...args) => this.receive(client.start(...args)),
+      stop: (...args) => this.receive(client.stop(...args)),
+      renew: (...args) => this.receive(client.renew(...args)),
+      fence: (...args) => this.receive(client.fence(...args)),
+      throttle: (...args) => this.receive(client.throttle(...args)),
     };
   }
 
-  private async timeOutAppend(timeout: Milliseconds): Promise<never> {
-    await this.base.sleep(timeout);
+  private async timeOutAppend(timeoutMs: Milliseconds): Promise<never> {
+    await this.base.sleep(timeoutMs);
     throw new Failure('append-uncertain', {problem: 'timeout'});
   }
 
