Reword the demonstration in the terms of the field

Newcomers stopped at "answers" that were at once HTTP responses and jobs, at "verdicts", "evidence" and "outages" for periods out of service, and at test titles that read as riddles.

Comments, locals, private names, printed lines and test titles now speak of responses, final jobs, promise results, out-of-service periods and proxies. Names of promises, request ids and the "held" and "BROKEN" lines stay. The title of P5 no longer claims that the refused request is run later, which the test does not do; it checks that the request was not recorded and that jobs are accepted after the outage, as before. No code was moved.

A comparison of the programs finds only renames and texts.

--- a/packages/demo/__tests__/failures.spec.ts
+++ b/packages/demo/__tests__/failures.spec.ts
@@ -1,4 +1,7 @@
-/** Failures of real processes over loopback; the promises are checked over what the targets ran. */
+/**
+ * Injects failures into real processes over loopback, and checks the promises
+ * against the runs on the targets.
+ */
 import t from 'tap';
 import got from 'got';
 import {
@@ -9,15 +12,17 @@
   startProxiedCluster,
 } from './fixtures.js';
 
-/** Runs side by side must not meet on one port, nor on one that the kernel gives out (32768 and above). */
+/** Concurrent test runs must not share ports, nor use ephemeral ports (32768 and above). */
 const PORT_BASE = 20_000 + (process.pid % 120) * 100;
+
+/** Duration of a lease. */
 const LEASE_MS = 6_000;
 
 const cluster = await startProxiedCluster(PORT_BASE);
 t.teardown(() => cluster.stop());
 t.setTimeout(0);
 
-t.test('a scheduler that is killed loses and doubles nothing', async t => {
+t.test('no job is lost or duplicated when a scheduler is killed', async t => {
   const stream = new JobStream(cluster);
   const victim = await findScheduler(cluster, 'za-1');
   stream.submit('killed', 20);
@@ -29,7 +34,7 @@
 });
 
 t.test(
-  'a scheduler that is paused beyond its leases starts nothing on waking',
+  'a scheduler that resumes after its leases expired starts nothing',
   async t => {
     const stream = new JobStream(cluster);
     const victim = await findScheduler(cluster, 'za-2');
@@ -43,21 +48,18 @@
   },
 );
 
-t.test(
-  'connections to the log that go silent for good are replaced',
-  async t => {
-    const stream = new JobStream(cluster);
-    stream.submit('silent', 10);
-    for (const relay of cluster.proxies.values()) {
-      relay.stallConnections();
-    }
-    stream.submit('after-silence', 10);
-    t.strictSame(await stream.findViolations(), []);
-  },
-);
+t.test('stalled connections to the log are replaced', async t => {
+  const stream = new JobStream(cluster);
+  stream.submit('silent', 10);
+  for (const proxy of cluster.proxies.values()) {
+    proxy.stallConnections();
+  }
+  stream.submit('after-silence', 10);
+  t.strictSame(await stream.findViolations(), []);
+});
 
 t.test(
-  'an instance that is cut off from the log alone leaves its domain at work',
+  'a domain keeps working when a single instance of it cannot reach the log',
   async t => {
     const stream = new JobStream(cluster);
     const victim = await findScheduler(cluster, 'za-3');
@@ -69,15 +71,15 @@
   },
 );
 
-t.test("an outage of the platform's log", async t => {
+t.test("faults of the platform's log", async t => {
   t.test(
-    'is told truthfully, and what was refused is run later on request',
+    'an outage refuses submissions as not run; jobs are accepted after it',
     async t => {
       const stream = new JobStream(cluster);
       stream.submit('before-outage', 10);
       await setLogFaults(cluster, {outage: true});
       await pause(1_000);
-      const answer = await got.post(`${cluster.entries[0]!.url}/v1/jobs`, {
+      const response = await got.post(`${cluster.entries[0]!.url}/v1/jobs`, {
         json: {
           requestId: 'during-outage',
           workspace: 'reports',
@@ -90,19 +92,19 @@
         throwHttpErrors: false,
         retry: {limit: 0},
       });
-      t.match(answer, {
+      t.match(response, {
         statusCode: 503,
         body: {code: 'log-unavailable', message: /not run/},
       });
       await setLogFaults(cluster, {outage: false});
       stream.submit('after-outage', 10);
       t.strictSame(await stream.findViolations(), []);
-      const unknown = await cluster.api.getJob('during-outage');
-      t.equal(unknown.status, 404, 'what was "not run" was not recorded');
+      const refusedJob = await cluster.api.getJob('during-outage');
+      t.equal(refusedJob.status, 404, 'the refused request was not recorded');
     },
   );
 
-  t.test('that loses answers runs nothing twice', async t => {
+  t.test('no job runs twice when append responses are lost', async t => {
     const stream = new JobStream(cluster);
     await setLogFaults(cluster, {loseAnswers: 12});
     stream.submit('lost-answers', 20);
@@ -110,33 +112,36 @@
   });
 });
 
-t.test('a planned stop of every daemon in turn cuts no request', async t => {
-  const stream = new JobStream(cluster);
-  let isDone = false;
-  const cut: string[] = [];
-  const caller = async (id: number) => {
-    for (let turn = 0; !isDone; turn++) {
-      const entry = cluster.entries[(id + turn) % cluster.entries.length]!;
-      const problem = await callOnce(entry.url, `planned-${id}-${turn}`);
-      if (problem) {
-        cut.push(problem);
+t.test(
+  'a planned stop of every daemon in turn interrupts no request',
+  async t => {
+    const stream = new JobStream(cluster);
+    let isDone = false;
+    const problems: string[] = [];
+    const runCaller = async (id: number) => {
+      for (let call = 0; !isDone; call++) {
+        const entry = cluster.entries[(id + call) % cluster.entries.length]!;
+        const problem = await callOnce(entry.url, `planned-${id}-${call}`);
+        if (problem) {
+          problems.push(problem);
+        }
       }
+    };
+    const callers = Array.from({length: 6}, (_, id) => runCaller(id));
+    for (const entry of cluster.entries) {
+      stream.submit(`stop-${entry.instance}`, 4);
+      const code = await cluster.processes.stop(entry.instance);
+      t.equal(code, 0, `${entry.instance} exits with code 0 after SIGTERM`);
+      await cluster.startEntry(entry);
     }
-  };
-  const callers = Array.from({length: 6}, (_, id) => caller(id));
-  for (const entry of cluster.entries) {
-    stream.submit(`stop-${entry.instance}`, 4);
-    const code = await cluster.processes.stop(entry.instance);
-    t.equal(code, 0, `${entry.instance} ends by itself`);
-    await cluster.startEntry(entry);
-  }
-  isDone = true;
-  await Promise.all(callers);
-  t.strictSame(cut, []);
-  t.strictSame(await stream.findViolations(), []);
-});
+    isDone = true;
+    await Promise.all(callers);
+    t.strictSame(problems, []);
+    t.strictSame(await stream.findViolations(), []);
+  },
+);
 
-/** Submits one job; returns what went wrong if its connection was cut after it was made. */
+/** Submits one job; returns the error if the request failed after its connection was made. */
 async function callOnce(
   url: string,
   requestId: string,
@@ -158,7 +163,7 @@
     return undefined;
   } catch (error) {
     const {code} = error as {code?: string};
-    // Nobody listens while the instance is down; the balancer goes elsewhere.
+    // A stopped instance refuses connections; a load balancer would choose another.
     if (code === 'ECONNREFUSED') {
       await pause(20);
       return undefined;
--- a/packages/demo/__tests__/fixtures.ts
+++ b/packages/demo/__tests__/fixtures.ts
@@ -1,4 +1,4 @@
-/** Fixtures: a cluster of processes of its own, and a stream of jobs through it. */
+/** Fixtures: a cluster of child processes whose log connections go through proxies, and streams of jobs. */
 import {mkdtempSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -17,40 +17,43 @@
 } from '../src/index.js';
 
 const WAIT_SECONDS = 8;
-const POLL_MS = 100;
-const TAKEOVER_LIMIT_MS = 30_000;
+const POLL_INTERVAL_MS = 100;
+const TAKEOVER_TIMEOUT_MS = 30_000;
 
-/** A cluster whose daemons reach the log through relays of their own. */
+/** Cluster whose daemons each reach the log through a proxy of their own. */
 export interface ProxiedCluster extends Cluster {
+  /** Proxies by instance. */
   proxies: Map<string, FaultProxy>;
+  /** Kills every process and closes the proxies. */
   stop(): Promise<void>;
 }
 
-/** Starts a cluster on ports of its own. */
+/** Starts a cluster; uses HTTP ports from `portBase` and peer ports from `portBase + 50`. */
 export async function startProxiedCluster(
   portBase: number,
 ): Promise<ProxiedCluster> {
-  const relays = new Map<string, FaultProxy>();
+  const proxies = new Map<string, FaultProxy>();
   const dir = mkdtempSync(join(tmpdir(), 'galenavalve-failures-'));
   const cluster = await startCluster(dir, {
     httpPortBase: portBase,
     peerPortBase: portBase + 50,
     resolveLogUrl: async (instance, logUrl) => {
       const {hostname, port} = new URL(logUrl);
-      const relay =
-        relays.get(instance) ?? (await startFaultProxy(hostname, Number(port)));
-      relays.set(instance, relay);
-      return `http://${relay.host}:${relay.port}`;
+      const proxy =
+        proxies.get(instance) ??
+        (await startFaultProxy(hostname, Number(port)));
+      proxies.set(instance, proxy);
+      return `http://${proxy.host}:${proxy.port}`;
     },
   });
   const stop = async () => {
     await cluster.processes.stopAll();
-    await Promise.all([...relays.values()].map(relay => relay.close()));
+    await Promise.all([...proxies.values()].map(proxy => proxy.close()));
   };
-  return {...cluster, proxies: relays, stop};
+  return {...cluster, proxies, stop};
 }
 
-/** Jobs on their way, and what became of them. */
+/** Submits jobs concurrently and checks the promises against their outcomes. */
 export class JobStream {
   private readonly drafts: JobDraft[] = [];
   private readonly calls: Promise<[string, JobView]>[] = [];
@@ -60,55 +63,63 @@
     private readonly random = new SeededRandom(11),
   ) {}
 
-  /** Submits `count` jobs; each caller holds on until it knows the end. */
+  /** Submits `count` jobs without waiting; each caller retries until its job has ended. */
   submit(prefix: string, count: number): void {
     const jobs = createJobs(prefix, count, this.random);
     this.drafts.push(...jobs);
-    this.calls.push(...jobs.map(draft => this.follow(draft)));
+    this.calls.push(...jobs.map(draft => this.submitUntilFinished(draft)));
   }
 
-  /** The violations of every promise, once each caller has its answer. */
-  async findViolations(outages: OutOfServicePeriod[] = []): Promise<string[]> {
-    const answers = new Map(await Promise.all(this.calls));
+  /** Waits until every job has ended and returns the violations of all promises. */
+  async findViolations(
+    outOfServicePeriods: OutOfServicePeriod[] = [],
+  ): Promise<string[]> {
+    const finalJobs = new Map(await Promise.all(this.calls));
     const runs = await readRuns(this.cluster.targetUrls.values());
     const {drafts} = this;
-    const verdicts = checkPromises({
+    const promiseResults = checkPromises({
       drafts,
-      finalJobs: answers,
+      finalJobs,
       runs,
-      outOfServicePeriods: outages,
+      outOfServicePeriods,
     });
-    return verdicts.flatMap(({promise, violations}) =>
+    return promiseResults.flatMap(({promise, violations}) =>
       violations.map(violation => `${promise}: ${violation}`),
     );
   }
 
-  private async follow(draft: JobDraft): Promise<[string, JobView]> {
+  private async submitUntilFinished(
+    draft: JobDraft,
+  ): Promise<[string, JobView]> {
     const {api} = this.cluster;
-    let answer = await api.submit(draft, WAIT_SECONDS);
-    while (answer.status === 202) {
-      answer = await api.submit(draft, WAIT_SECONDS);
+    let response = await api.submit(draft, WAIT_SECONDS);
+    while (response.status === 202) {
+      response = await api.submit(draft, WAIT_SECONDS);
     }
-    return [draft.requestId, answer.body];
+    return [draft.requestId, response.body];
   }
 }
 
-/** The instance that schedules a failure domain; waits until it is another than `not`. */
+/** Waits until a failure domain has a scheduler other than `excluded`, and returns its instance. */
 export async function findScheduler(
   {api, entries}: Cluster,
   domain: string,
-  not?: EntryInstance,
+  excluded?: EntryInstance,
 ): Promise<EntryInstance> {
-  for (let waited = 0; waited < TAKEOVER_LIMIT_MS; waited += POLL_MS) {
+  for (
+    let waitedMs = 0;
+    waitedMs < TAKEOVER_TIMEOUT_MS;
+    waitedMs += POLL_INTERVAL_MS
+  ) {
     const {body} = await api.getInventory();
     const name = body.domains.find(({id}) => id === domain)?.scheduler;
     const entry = entries.find(({instance}) => instance === name);
-    if (entry && entry !== not) {
+    if (entry && entry !== excluded) {
       return entry;
     }
-    await pause(POLL_MS);
+    await pause(POLL_INTERVAL_MS);
   }
-  throw new Error(`${domain} has no new scheduler`);
+  throw new Error(`${domain} did not get a new scheduler in time`);
 }
 
 /** Sets faults of the log stand-in. */
@@ -123,6 +134,7 @@
   });
 }
 
-export function pause(milliseconds: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, milliseconds));
+/** Waits for a number of milliseconds. */
+export function pause(durationMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, durationMs));
 }
--- a/packages/demo/src/child_processes.ts
+++ b/packages/demo/src/child_processes.ts
@@ -1,63 +1,72 @@
-/** Starts and ends the processes of the demonstration, by their process ids. */
+/** Starts and ends the child processes of the demonstration. */
 import {type ChildProcess, spawn} from 'node:child_process';
 import {createWriteStream, mkdirSync} from 'node:fs';
 import {join} from 'node:path';
 import {createInterface} from 'node:readline';
 
+/** Time within which a stand-in must print its URL. */
 const START_TIMEOUT_MS = 15_000;
 
-/** A process of the demonstration. */
+/** Child process of the demonstration. */
 export interface Child {
   name: string;
   process: ChildProcess;
-  /** Resolves to the exit code; null after a signal. */
+  /** Resolves to the exit code, or to null if a signal ended the process. */
   exited: Promise<number | null>;
 }
 
-/** How to start a process. */
+/** Options of a child process. */
 export interface LaunchOptions {
+  /** Unique name, also of the output file. */
   name: string;
+  /** Path of the Node.js script to run. */
   script: string;
   args: readonly string[];
 }
 
-/** The processes that this demonstration started. */
+/** Child processes by name; only processes that it started are ever signalled. */
 export class ChildProcesses {
   private readonly children = new Map<string, Child>();
 
+  /** Creates `logDir`, which receives the output of every child. */
   constructor(private readonly logDir: string) {
     mkdirSync(logDir, {recursive: true});
   }
 
-  /** Starts a process; its output goes to a file of its own. */
-  start(launch: LaunchOptions): Child {
-    const child = spawn(process.execPath, [launch.script, ...launch.args], {
-      stdio: ['ignore', 'pipe', 'pipe'],
-    });
-    const log = createWriteStream(join(this.logDir, `${launch.name}.log`), {
+  /** Starts a process and appends its output to a file of its own. */
+  start(options: LaunchOptions): Child {
+    const childProcess = spawn(
+      process.execPath,
+      [options.script, ...options.args],
+      {
+        stdio: ['ignore', 'pipe', 'pipe'],
+      },
+    );
+    const log = createWriteStream(join(this.logDir, `${options.name}.log`), {
       flags: 'a',
     });
-    child.stdout.pipe(log, {end: false});
-    child.stderr.pipe(log, {end: false});
+    childProcess.stdout.pipe(log, {end: false});
+    childProcess.stderr.pipe(log, {end: false});
     const exited = new Promise<number | null>(resolve =>
-      child.once('exit', code => resolve(code)),
+      childProcess.once('exit', code => resolve(code)),
     );
-    const entry = {name: launch.name, process: child, exited};
-    this.children.set(launch.name, entry);
-    return entry;
+    const child = {name: options.name, process: childProcess, exited};
+    this.children.set(options.name, child);
+    return child;
   }
 
-  /** Starts a stand-in and resolves to the URL that it announces. */
-  async startServer(launch: LaunchOptions): Promise<string> {
-    const child = this.start(launch);
+  /** Starts a stand-in and resolves to the URL that it prints. Rejects after a timeout. */
+  async startServer(options: LaunchOptions): Promise<string> {
+    const child = this.start(options);
     const lines = createInterface({input: child.process.stdout!});
     return new Promise((resolve, reject) => {
       const timer = setTimeout(
-        () => reject(new Error(`${launch.name} did not start`)),
+        () =>
+          reject(new Error(`${options.name} did not print its URL in time`)),
         START_TIMEOUT_MS,
       );
       lines.on('line', line => {
-        const url = readAnnouncement(line);
+        const url = parseListeningUrl(line);
         if (url) {
           clearTimeout(timer);
           resolve(url);
@@ -66,7 +75,7 @@
     });
   }
 
-  /** Kills a process at once. */
+  /** Kills a process with SIGKILL and waits for its exit. */
   async kill(name: string): Promise<void> {
     const child = this.children.get(name);
     child?.process.kill('SIGKILL');
@@ -74,12 +83,12 @@
     this.children.delete(name);
   }
 
-  /** Freezes a process, or lets it go on. */
+  /** Suspends a process with SIGSTOP, or resumes it with SIGCONT. */
   signal(name: string, signal: 'SIGSTOP' | 'SIGCONT'): void {
     this.children.get(name)?.process.kill(signal);
   }
 
-  /** Asks a process to stop, and resolves to its exit code. */
+  /** Stops a process with SIGTERM and resolves to its exit code. */
   async stop(name: string): Promise<number | null> {
     const child = this.children.get(name);
     child?.process.kill('SIGTERM');
@@ -88,14 +97,15 @@
     return code;
   }
 
-  /** Ends everything that was started. */
+  /** Kills every process that was started. */
   async stopAll(): Promise<void> {
     const names = [...this.children.keys()];
     await Promise.all(names.map(name => this.kill(name)));
   }
 }
 
-function readAnnouncement(line: string): string | undefined {
+/** Returns the URL of a "listening" line; undefined for any other line. */
+function parseListeningUrl(line: string): string | undefined {
   try {
     const value = JSON.parse(line) as {event?: string; url?: string};
     return value.event === 'listening' ? value.url : undefined;
--- a/packages/demo/src/cluster.ts
+++ b/packages/demo/src/cluster.ts
@@ -1,4 +1,4 @@
-/** Starts the stand-ins and the daemons of the demonstration. */
+/** Starts the stand-ins and daemons of the demonstration as child processes. */
 import {mkdirSync, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
@@ -11,41 +11,47 @@
 const HTTP_PORT_BASE = 18_100;
 const PEER_PORT_BASE = 19_100;
 
-/** One daemon of the demonstration. */
+/** Daemon of the demonstration, which serves callers as an entry instance. */
 export interface EntryInstance {
   instance: string;
   domain: string;
+  /** Base URL of its HTTP API. */
   url: string;
   httpPort: number;
   peerPort: number;
 }
 
-/** What of the deployment can be changed. */
+/** Options of the cluster. */
 export interface ClusterOptions {
-  /** First HTTP port and first peer port of the daemons. */
+  /** HTTP port of the first daemon; the others use the following ports. */
   httpPortBase?: number;
+  /** Peer port of the first daemon; the others use the following ports. */
   peerPortBase?: number;
-  /** Settings that are merged into those of every daemon. */
+  /** Settings that override those of every daemon, except `platform`. */
   settings?: Record<string, unknown>;
-  /** The log as an instance reaches it, given its URL; by default directly. */
+  /** Returns the URL at which an instance reaches the log; by default the log's own. */
   resolveLogUrl?: (instance: string, logUrl: string) => Promise<string>;
-  /** Waiting jobs that each workspace may have. */
+  /** Largest number of waiting jobs of a workspace. */
   queueLimit?: number;
 }
 
-/** The running demonstration. */
+/** Running cluster of the demonstration. */
 export interface Cluster {
   processes: ChildProcesses;
   entries: EntryInstance[];
-  /** Server of the targets, by failure domain. */
+  /** Base URL of the target stand-in, by failure domain. */
   targetUrls: Map<string, string>;
   logUrl: string;
   instanceListUrl: string;
   api: EntryApi;
+  /** Starts a daemon and waits until it is ready. */
   startEntry(entry: EntryInstance): Promise<void>;
 }
 
-/** Starts everything and puts the configuration in force. `dir` holds settings and output. */
+/**
+ * Starts the stand-ins and daemons and applies the configuration. `dir` receives
+ * the settings and the output of the processes.
+ */
 export async function startCluster(
   dir: string,
   options: ClusterOptions = {},
@@ -65,25 +71,25 @@
   }
   const api = new EntryApi(entries.map(entry => entry.url));
   const startEntry = async (entry: EntryInstance) => {
-    const ownLogUrl =
+    const instanceLogUrl =
       (await options.resolveLogUrl?.(entry.instance, logUrl)) ?? logUrl;
     const file = writeSettings(dir, entry, entries, {
       ...options.settings,
-      platform: {logUrl: ownLogUrl, instanceListUrl},
+      platform: {logUrl: instanceLogUrl, instanceListUrl},
     });
     processes.start({
       name: entry.instance,
-      script: scriptOf('daemon'),
+      script: getScriptPath('daemon'),
       args: [file],
     });
     await api.waitUntilReady(entry.url);
   };
   await Promise.all(entries.map(startEntry));
-  const answer = await api.configure(
+  const response = await api.configure(
     createConfiguration(targetUrls, options.queueLimit),
   );
-  if (answer.status !== 200) {
-    throw new Error(`configuration refused: ${JSON.stringify(answer.body)}`);
+  if (response.status !== 200) {
+    throw new Error(`configuration refused: ${JSON.stringify(response.body)}`);
   }
   return {
     processes,
@@ -101,20 +107,21 @@
   const peerPortBase = options.peerPortBase ?? PEER_PORT_BASE;
   return DOMAINS.flatMap((domain, domainIndex) =>
     Array.from({length: ENTRIES_PER_DOMAIN}, (_, index) => {
-      const port = domainIndex * ENTRIES_PER_DOMAIN + index;
+      const portOffset = domainIndex * ENTRIES_PER_DOMAIN + index;
       return {
         instance: `${domain}-entry-${index + 1}`,
         domain,
-        url: `http://${HOST}:${httpPortBase + port}`,
-        httpPort: httpPortBase + port,
-        peerPort: peerPortBase + port,
+        url: `http://${HOST}:${httpPortBase + portOffset}`,
+        httpPort: httpPortBase + portOffset,
+        peerPort: peerPortBase + portOffset,
       };
     }),
   );
 }
 
+/** Lists the daemons and targets in the form of the instance list. */
 function listInstances(entries: EntryInstance[]): unknown[] {
-  const entryList = entries.map(({instance, domain, peerPort}) => ({
+  const listedEntries = entries.map(({instance, domain, peerPort}) => ({
     id: instance,
     domain,
     role: 'entry',
@@ -122,7 +129,7 @@
     host: HOST,
     port: peerPort,
   }));
-  const targetList = DOMAINS.flatMap(domain =>
+  const listedTargets = DOMAINS.flatMap(domain =>
     listTargets(domain).map(id => ({
       id,
       domain,
@@ -130,7 +137,7 @@
       state: 'live',
     })),
   );
-  return [...entryList, ...targetList];
+  return [...listedEntries, ...listedTargets];
 }
 
 function startTargets(
@@ -148,7 +155,7 @@
   const file = writeJson(dir, `targets-${domain}.json`, targets);
   return processes.startServer({
     name: `targets-${domain}`,
-    script: scriptOf('standins'),
+    script: getScriptPath('standins'),
     args: ['targets', '--host', HOST, '--file', file],
   });
 }
@@ -160,11 +167,12 @@
 ): Promise<string> {
   return processes.startServer({
     name,
-    script: scriptOf('standins'),
+    script: getScriptPath('standins'),
     args: [name, '--host', HOST, ...args],
   });
 }
 
+/** Writes the settings of a daemon, with the other daemons as seeds; returns the file's path. */
 function writeSettings(
   dir: string,
   entry: EntryInstance,
@@ -195,7 +203,7 @@
   return file;
 }
 
-function scriptOf(packageName: string): string {
+function getScriptPath(packageName: string): string {
   const url = new URL(
     `../../../${packageName}/dist/src/main.js`,
     import.meta.url,
--- a/packages/demo/src/deployment.ts
+++ b/packages/demo/src/deployment.ts
@@ -1,23 +1,26 @@
-/** The deployment of the demonstration: the sizes of Kestrelway Junior Travel Desk. */
+/** Deployment of the demonstration, with the sizes of Kestrelway Junior Travel Desk. */
 import type {Entity, Target} from '@galenavalve/model';
 import {entity} from '@galenavalve/model';
 
-/** The failure domains, all in one region. */
+/** Failure domains, all in one region. */
 export const DOMAINS = ['za-1', 'za-2', 'za-3'] as const;
 
-/** Targets of each failure domain, in racks of eight. */
+/** Number of targets of each failure domain. */
 const TARGETS_PER_DOMAIN = 10;
-const RACK_SIZE = 8;
 
+/** Number of targets of each rack; the last rack of a domain may have fewer. */
+const TARGETS_PER_RACK = 8;
+
+/** Capacity of each target. */
 const ACCELERATORS = 8;
 const SLOTS = 8;
 const PROCESSORS = 64;
 const MEMORY_MB = 130 * 1024;
 
-/** Waiting jobs that a workspace may have, unless said otherwise. */
+/** Default largest number of waiting jobs of a workspace. */
 const DEFAULT_QUEUE_LIMIT = 1_000;
 
-/** Names of the targets of a failure domain. */
+/** Lists the ids of the targets of a failure domain. */
 export function listTargets(domain: string): string[] {
   return Array.from(
     {length: TARGETS_PER_DOMAIN},
@@ -25,7 +28,10 @@
   );
 }
 
-/** The whole configuration. `targetUrls` gives the server of the targets of each domain. */
+/**
+ * Creates the whole configuration. `targetUrls` holds the base URL of the target
+ * stand-in of each domain.
+ */
 export function createConfiguration(
   targetUrls: ReadonlyMap<string, string>,
   queueLimit = DEFAULT_QUEUE_LIMIT,
@@ -44,7 +50,7 @@
     kind: 'target',
     id,
     domain,
-    rack: `${domain}-r${Math.floor(index / RACK_SIZE) + 1}`,
+    rack: `${domain}-r${Math.floor(index / TARGETS_PER_RACK) + 1}`,
     endpoint: `${url}/targets/${id}`,
     accelerators: ACCELERATORS,
     processors: PROCESSORS,
@@ -55,13 +61,13 @@
 }
 
 function createWorkspaces(queueLimit: number): unknown[] {
-  const halfRack = {level: 'target', count: 4};
+  const fourTargets = {level: 'target', count: 4};
   const workspaces = [
     {
       kind: 'workspace',
       id: 'handover-plans',
       weight: 4,
-      guarantees: DOMAINS.map(domain => ({...halfRack, domain})),
+      guarantees: DOMAINS.map(domain => ({...fourTargets, domain})),
     },
     {
       kind: 'workspace',
--- a/packages/demo/src/entry_api.ts
+++ b/packages/demo/src/entry_api.ts
@@ -1,4 +1,4 @@
-/** Calls the entry instances over HTTP, as the callers' balancer would. */
+/** HTTP client of the entry instances; spreads calls over them as a load balancer would. */
 import got, {type Got} from 'got';
 import type {
   ConfigurationResult,
@@ -11,27 +11,32 @@
 } from '@galenavalve/model';
 import {getEntityKey} from '@galenavalve/model';
 
-const TRIES = 40;
-const PAUSE_MS = 250;
+/** Maximum number of attempts of a call, over all entry instances. */
+const MAX_ATTEMPTS = 40;
+
+/** Delay before the next attempt. */
+const RETRY_DELAY_MS = 250;
+
+/** Timeout of one attempt. */
 const CALL_TIMEOUT_MS = 12_000;
 
-/** What an entry instance answered. */
+/** Response of an entry instance. */
 export interface ApiResponse<T> {
   status: number;
   body: T;
 }
 
-/** A job as the demonstration submits it: defaults are filled in by the schema. */
+/** Job request as the demonstration submits it; the server's schema fills in defaults. */
 export type JobDraft = Pick<
   JobRequest,
   'requestId' | 'workspace' | 'expectedSeconds' | 'payload'
 > &
   Partial<JobRequest> & {gang: unknown};
 
-/** A caller that goes round the entry instances until one answers. */
+/** Client that calls the entry instances in turn, until one of them responds. */
 export class EntryApi {
   private readonly http: Got;
-  private turn = 0;
+  private callCount = 0;
 
   constructor(private readonly entries: string[]) {
     this.http = got.extend({
@@ -42,31 +47,37 @@
     });
   }
 
-  /** Submits a job and holds the call until it ends or `waitSeconds` are over. */
+  /** Submits a job; the response arrives when the job has ended or after `waitSeconds`, whichever is first. */
   submit(draft: JobDraft, waitSeconds: number): Promise<ApiResponse<JobView>> {
     return this.call('post', `/v1/jobs?wait=${waitSeconds}`, draft);
   }
 
+  /** Gets a job; waits for its end for up to `waitSeconds`. */
   getJob(jobId: string, waitSeconds = 0): Promise<ApiResponse<JobView>> {
     return this.call('get', `/v1/jobs/${jobId}?wait=${waitSeconds}`);
   }
 
+  /** Gets the explanation of a job's state. */
   explain(jobId: string): Promise<ApiResponse<ExplanationView>> {
     return this.call('get', `/v1/jobs/${jobId}/explain`);
   }
 
+  /** Cancels a job. */
   cancel(jobId: string): Promise<ApiResponse<JobView>> {
     return this.call('delete', `/v1/jobs/${jobId}`);
   }
 
+  /** Gets the state of domains and targets. */
   getInventory(): Promise<ApiResponse<InventoryView>> {
     return this.call('get', '/v1/inventory');
   }
 
+  /** Gets the workspaces. */
   getWorkspaces(): Promise<ApiResponse<{workspaces: WorkspaceView[]}>> {
     return this.call('get', '/v1/workspaces');
   }
 
+  /** Creates `entities` in a configuration that has none of them yet. */
   configure(entities: Entity[]): Promise<ApiResponse<ConfigurationResult>> {
     return this.call('post', '/v1/config', {
       changeId: 'demo-configuration',
@@ -79,6 +90,7 @@
     });
   }
 
+  /** Drains a failure domain, or restores it to service. */
   setDomainState(
     domain: string,
     verb: 'drain' | 'restore',
@@ -86,51 +98,52 @@
     return this.call('post', `/v1/domains/${domain}/${verb}`, {author: 'demo'});
   }
 
-  /** Resolves when `entry` says that it is ready. */
+  /** Resolves when the entry at this base URL reports that it is ready. */
   async waitUntilReady(entry: string): Promise<void> {
-    for (let attempt = 0; attempt < TRIES * 2; attempt++) {
+    for (let attempt = 0; attempt < MAX_ATTEMPTS * 2; attempt++) {
       const response = await this.http(`${entry}/readyz`).catch(
         () => undefined,
       );
       if (response?.statusCode === 200) {
         return;
       }
-      await pause();
+      await waitBeforeRetry();
     }
     throw new Error(`${entry} did not become ready`);
   }
 
   /**
-   * Sends a request to one entry after another until one gives an answer that
-   * is final. Every request is idempotent, so a repetition does no harm.
+   * Sends a request to one entry after another until one gives a final response,
+   * which is any status except 429, 503 and 504. Retries are safe because every
+   * request is idempotent.
    */
   private async call<T>(
     method: 'get' | 'post' | 'delete',
     path: string,
     json?: unknown,
   ): Promise<ApiResponse<T>> {
-    let last: ApiResponse<T> | undefined;
-    for (let attempt = 0; attempt < TRIES; attempt++) {
-      const entry = this.entries[this.turn++ % this.entries.length];
+    let lastResponse: ApiResponse<T> | undefined;
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+      const entry = this.entries[this.callCount++ % this.entries.length];
       const response = await this.http<T>(`${entry}${path}`, {
         method,
         json,
       }).catch(() => undefined);
       if (response) {
-        last = {status: response.statusCode, body: response.body};
-        if (![429, 503, 504].includes(last.status)) {
-          return last;
+        lastResponse = {status: response.statusCode, body: response.body};
+        if (![429, 503, 504].includes(lastResponse.status)) {
+          return lastResponse;
         }
       }
-      await pause();
+      await waitBeforeRetry();
     }
-    if (last) {
-      return last;
+    if (lastResponse) {
+      return lastResponse;
     }
-    throw new Error(`no entry instance answered ${method} ${path}`);
+    throw new Error(`no entry instance responded to ${method} ${path}`);
   }
 }
 
-function pause(): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, PAUSE_MS));
+function waitBeforeRetry(): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, RETRY_DELAY_MS));
 }
--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -1,4 +1,4 @@
-/** The demonstration: daemons in three failure domains, with the stand-ins. */
+/** Demonstration: daemons in three failure domains, with stand-ins for the platform. */
 export {createConfiguration, DOMAINS, listTargets} from './deployment.js';
 export {
   ChildProcesses,
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -1,4 +1,4 @@
-/** `npm run demo`: real gangs in three failure domains, with failures on the way. */
+/** Entry point of `npm run demo`: runs gangs in three failure domains while failures are injected. */
 import {mkdtempSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -8,7 +8,7 @@
 import {runScenario} from './scenario.js';
 
 const program = new Command('demo')
-  .option('--keep', 'leave the cluster up and print commands to try', false)
+  .option('--keep', 'keep the cluster running and print commands to try', false)
   .option('--seed <number>', 'seed of the workload', Number, 1);
 program.parse();
 const options = program.opts<{keep: boolean; seed: number}>();
@@ -23,7 +23,7 @@
   const result = await runScenario(cluster, options.seed);
   process.exitCode = printReport(result) ? 0 : 1;
   if (options.keep) {
-    await keepUp(cluster);
+    await keepRunning(cluster);
   }
 } catch (error) {
   console.error(error);
@@ -32,9 +32,10 @@
   await cluster?.processes.stopAll();
 }
 
-async function keepUp({entries}: Cluster): Promise<void> {
+/** Prints commands to try and waits for SIGINT or SIGTERM. */
+async function keepRunning({entries}: Cluster): Promise<void> {
   const url = entries.map(entry => entry.url).join(',');
-  printLine('The cluster stays up until Ctrl-C. In another terminal, try:');
+  printLine('The cluster runs until Ctrl-C. In another terminal, try:');
   for (const command of [
     'inventory',
     'workspaces',
--- a/packages/demo/src/promises.ts
+++ b/packages/demo/src/promises.ts
@@ -1,56 +1,59 @@
-/** Checks of the promises over what the targets ran and what callers were told. */
+/** Checks the promises against the runs on the targets and the responses to callers. */
 import type {JobRequest, JobView} from '@galenavalve/model';
 import type {JobDraft} from './entry_api.js';
 import type {RunEvent} from './run_history.js';
 
-/** A promise with what was found against it. */
+/** Result of the check of one promise. */
 export interface PromiseResult {
   promise: string;
+  /** Number of checked requests, attempts or periods. */
   checked: number;
   violations: string[];
 }
 
-/** A time in which a failure domain was out of service, in wall-clock milliseconds. */
+/** Period in which a failure domain was out of service, in wall-clock milliseconds. */
 export interface OutOfServicePeriod {
   domain: string;
   from: number;
   until: number;
 }
 
-/** What the checks look at. */
+/** Input of the checks. */
 export interface PromiseCheckInput {
+  /** Submitted requests. */
   drafts: readonly JobDraft[];
-  /** What callers were told at last, by request id. */
+  /** Jobs as last reported to callers, by request id. */
   finalJobs: ReadonlyMap<string, JobView>;
+  /** Starts and ends on all targets, in the order of their time. */
   runs: readonly RunEvent[];
   outOfServicePeriods: readonly OutOfServicePeriod[];
 }
 
-/** Time after a take-out in which a start may still happen: "a few seconds". */
+/** Time after a take-out within which a task may still start; the promise allows "a few seconds". */
 const TAKE_OUT_BOUND_MS = 3_000;
 
-/** Longest time that a gang may run in part while it starts or stops. */
-const PARTIAL_BOUND_MS = 8_000;
+/** Longest time for which a gang may run in part while it starts or stops. */
+const PARTIAL_RUN_BOUND_MS = 8_000;
 
-/** Checks every promise that the demonstration can see. */
-export function checkPromises(evidence: PromiseCheckInput): PromiseResult[] {
+/** Checks every promise that the demonstration can observe. */
+export function checkPromises(input: PromiseCheckInput): PromiseResult[] {
   return [
-    checkAnswers(evidence),
-    checkWholeAnswers(evidence),
-    checkGangs(evidence),
-    checkNotRepeatable(evidence),
-    checkNotRun(evidence),
-    checkTakenOut(evidence),
+    checkFinalOutcomes(input),
+    checkResults(input),
+    checkGangs(input),
+    checkNotRepeatable(input),
+    checkNotRun(input),
+    checkOutOfService(input),
   ];
 }
 
-function checkAnswers({
+function checkFinalOutcomes({
   drafts,
-  finalJobs: answers,
+  finalJobs,
 }: PromiseCheckInput): PromiseResult {
   const violations = drafts
-    .filter(({requestId}) => answers.get(requestId)?.phase !== 'finished')
-    .map(({requestId}) => `${requestId} has no final answer`);
+    .filter(({requestId}) => finalJobs.get(requestId)?.phase !== 'finished')
+    .map(({requestId}) => `${requestId} has no final outcome`);
   return {
     promise: 'every caller learns what became of its request',
     checked: drafts.length,
@@ -58,21 +61,18 @@
   };
 }
 
-function checkWholeAnswers({
-  drafts,
-  finalJobs: answers,
-}: PromiseCheckInput): PromiseResult {
+function checkResults({drafts, finalJobs}: PromiseCheckInput): PromiseResult {
   const violations: string[] = [];
   let checked = 0;
   for (const draft of drafts) {
-    const answer = answers.get(draft.requestId);
-    if (answer?.outcome !== 'succeeded') {
+    const job = finalJobs.get(draft.requestId);
+    if (job?.outcome !== 'succeeded') {
       continue;
     }
     checked++;
-    const expected = Array(tasksOf(draft)).fill(draft.payload['output']);
-    if (JSON.stringify(answer.results) !== JSON.stringify(expected)) {
-      violations.push(`${draft.requestId} got another answer`);
+    const expected = Array(countTasks(draft)).fill(draft.payload['output']);
+    if (JSON.stringify(job.results) !== JSON.stringify(expected)) {
+      violations.push(`${draft.requestId} got other results than expected`);
     }
   }
   return {
@@ -82,12 +82,12 @@
   };
 }
 
-function checkGangs(evidence: PromiseCheckInput): PromiseResult {
+function checkGangs(input: PromiseCheckInput): PromiseResult {
   const violations: string[] = [];
-  const attempts = groupByAttempt(evidence.runs);
+  const attempts = groupByAttempt(input.runs);
   for (const [key, events] of attempts) {
-    const partialMs = longestPartialRun(events, evidence);
-    if (partialMs > PARTIAL_BOUND_MS) {
+    const partialMs = measureLongestPartialRunMs(events, input);
+    if (partialMs > PARTIAL_RUN_BOUND_MS) {
       violations.push(`${key} ran in part for ${partialMs} ms`);
     }
   }
@@ -100,12 +100,12 @@
 
 function checkNotRepeatable({
   drafts,
-  finalJobs: answers,
+  finalJobs,
   runs,
 }: PromiseCheckInput): PromiseResult {
-  const once = drafts.filter(draft => draft.repeatable === false);
-  const violations = once.flatMap(({requestId}) => {
-    const jobId = answers.get(requestId)?.jobId;
+  const nonRepeatable = drafts.filter(draft => draft.repeatable === false);
+  const violations = nonRepeatable.flatMap(({requestId}) => {
+    const jobId = finalJobs.get(requestId)?.jobId;
     const attempts = new Set(
       runs
         .filter(run => run.jobId === jobId && run.kind === 'started')
@@ -115,21 +115,18 @@
   });
   return {
     promise: 'a request that may not be repeated runs at most once',
-    checked: once.length,
+    checked: nonRepeatable.length,
     violations,
   };
 }
 
-function checkNotRun({
-  finalJobs: answers,
-  runs,
-}: PromiseCheckInput): PromiseResult {
-  const notRun = [...answers.values()].filter(
-    answer => answer.outcome === 'not-run',
+function checkNotRun({finalJobs, runs}: PromiseCheckInput): PromiseResult {
+  const notRun = [...finalJobs.values()].filter(
+    job => job.outcome === 'not-run',
   );
   const violations = notRun
-    .filter(answer => runs.some(run => run.jobId === answer.jobId))
-    .map(answer => `${answer.requestId} ran all the same`);
+    .filter(job => runs.some(run => run.jobId === job.jobId))
+    .map(job => `${job.requestId} was reported as not run, but has run`);
   return {
     promise: '"not run" is true',
     checked: notRun.length,
@@ -137,11 +134,11 @@
   };
 }
 
-function checkTakenOut({
+function checkOutOfService({
   runs,
-  outOfServicePeriods: outages,
+  outOfServicePeriods,
 }: PromiseCheckInput): PromiseResult {
-  const violations = outages.flatMap(({domain, from, until}) =>
+  const violations = outOfServicePeriods.flatMap(({domain, from, until}) =>
     runs
       .filter(
         run =>
@@ -154,7 +151,7 @@
   );
   return {
     promise: `no start in a domain ${TAKE_OUT_BOUND_MS / 1000} s after it was taken out`,
-    checked: outages.length,
+    checked: outOfServicePeriods.length,
     violations,
   };
 }
@@ -170,25 +167,28 @@
   return groups;
 }
 
-/** Longest time that some but not all tasks of an attempt had started, before the first end. */
-function longestPartialRun(
+/**
+ * Returns how long some but not all tasks of an attempt had started, until all
+ * had started or the first one ended.
+ */
+function measureLongestPartialRunMs(
   events: readonly RunEvent[],
-  {drafts, finalJobs: answers}: PromiseCheckInput,
+  {drafts, finalJobs}: PromiseCheckInput,
 ): number {
   const first = events[0];
   const draft = drafts.find(
-    ({requestId}) => answers.get(requestId)?.jobId === first?.jobId,
+    ({requestId}) => finalJobs.get(requestId)?.jobId === first?.jobId,
   );
   if (!first || !draft) {
     return 0;
   }
-  let started = 0;
+  let startedTasks = 0;
   for (const event of events) {
     if (event.kind === 'ended') {
       break;
     }
-    started += event.tasks;
-    if (started === tasksOf(draft)) {
+    startedTasks += event.tasks;
+    if (startedTasks === countTasks(draft)) {
       return event.at - first.at;
     }
   }
@@ -196,6 +196,6 @@
   return (end?.at ?? Date.now()) - first.at;
 }
 
-function tasksOf(draft: JobDraft): number {
+function countTasks(draft: JobDraft): number {
   return (draft.gang as JobRequest['gang']).tasks;
 }
--- a/packages/demo/src/scenario.ts
+++ b/packages/demo/src/scenario.ts
@@ -1,4 +1,4 @@
-/** What happens in the demonstration, step by step. */
+/** Scenario of the demonstration: submits jobs, kills a scheduler and takes a domain out of service. */
 import type {JobView} from '@galenavalve/model';
 import {SeededRandom} from '@galenavalve/shared';
 import type {Cluster, EntryInstance} from './cluster.js';
@@ -14,11 +14,17 @@
 import {createJobs} from './workload.js';
 
 const JOBS_PER_STEP = 20;
+
+/** Time for which a call waits for the end of its job. */
 const WAIT_SECONDS = 10;
+
+/** Time between the first jobs and the first failure. */
 const STEP_MS = 1_500;
-const OUTAGE_MS = 6_000;
 
-/** What the demonstration saw. */
+/** Time for which the domain is out of service. */
+const OUT_OF_SERVICE_MS = 6_000;
+
+/** Result of the scenario. */
 export interface ScenarioResult {
   finalJobs: JobView[];
   runs: RunEvent[];
@@ -27,7 +33,7 @@
   takeoverMs: number;
 }
 
-/** Runs every step; resolves when each job has its answer. */
+/** Runs the scenario; resolves when every caller has its final response. */
 export async function runScenario(
   cluster: Cluster,
   seed: number,
@@ -38,44 +44,47 @@
   const submit = (prefix: string) => {
     const jobs = createJobs(prefix, JOBS_PER_STEP, random);
     drafts.push(...jobs);
-    calls.push(...jobs.map(draft => followJob(cluster, draft)));
+    calls.push(...jobs.map(draft => submitUntilFinished(cluster, draft)));
   };
   printLine(`submitting ${JOBS_PER_STEP} jobs to six entry instances`);
   submit('calm');
   await pause(STEP_MS);
   const takeoverMs = await killScheduler(cluster, () => submit('kill'));
-  const outage = await takeDomainOut(cluster, () => submit('out'));
+  const outOfServicePeriod = await takeDomainOut(cluster, () => submit('out'));
   submit('back');
-  printLine('waiting for every answer');
-  const answers = new Map(await Promise.all(calls));
+  printLine('waiting for the final response to every request');
+  const finalJobs = new Map(await Promise.all(calls));
   const runs = await readRuns(cluster.targetUrls.values());
-  const verdicts = checkPromises({
+  const promiseResults = checkPromises({
     drafts,
-    finalJobs: answers,
+    finalJobs,
     runs,
-    outOfServicePeriods: [outage],
+    outOfServicePeriods: [outOfServicePeriod],
   });
   return {
-    finalJobs: [...answers.values()],
+    finalJobs: [...finalJobs.values()],
     runs,
-    promiseResults: verdicts,
+    promiseResults,
     takeoverMs,
   };
 }
 
-/** Submits and waits, as a caller does who asks again with the same request id. */
-async function followJob(
+/** Submits a job and retries with the same request id until it has ended. */
+async function submitUntilFinished(
   {api}: Cluster,
   draft: JobDraft,
 ): Promise<[string, JobView]> {
-  let answer = await api.submit(draft, WAIT_SECONDS);
-  while (answer.status === 202) {
-    answer = await api.submit(draft, WAIT_SECONDS);
+  let response = await api.submit(draft, WAIT_SECONDS);
+  while (response.status === 202) {
+    response = await api.submit(draft, WAIT_SECONDS);
   }
-  return [draft.requestId, answer.body];
+  return [draft.requestId, response.body];
 }
 
-/** Kills the scheduler of the first domain while jobs arrive, and replaces its instance. */
+/**
+ * Kills the scheduler of the first domain while jobs arrive, and restarts its
+ * instance. Returns the time until another instance took over, in milliseconds.
+ */
 async function killScheduler(
   cluster: Cluster,
   submit: () => void,
@@ -93,11 +102,11 @@
   const takeoverMs = Date.now() - killedAt;
   printLine(`${successor.instance} took over after ${takeoverMs} ms`);
   await cluster.startEntry(victim);
-  printLine(`${victim.instance} was replaced by a fresh process`);
+  printLine(`${victim.instance} was restarted`);
   return takeoverMs;
 }
 
-/** Takes the second domain out of service while jobs arrive, and brings it back. */
+/** Takes the second domain out of service while jobs arrive, and restores it. */
 async function takeDomainOut(
   {api}: Cluster,
   submit: () => void,
@@ -107,13 +116,14 @@
   await api.setDomainState(domain, 'drain');
   const from = Date.now();
   submit();
-  await pause(OUTAGE_MS);
+  await pause(OUT_OF_SERVICE_MS);
   const until = Date.now();
   await api.setDomainState(domain, 'restore');
   printLine(`${domain} is back in service`);
   return {domain, from, until};
 }
 
+/** Waits until a domain has a scheduler and returns its instance. */
 async function findScheduler(
   {api, entries}: Cluster,
   domain: string,
--- a/packages/demo/src/workload.ts
+++ b/packages/demo/src/workload.ts
@@ -1,4 +1,4 @@
-/** The jobs of the demonstration. */
+/** Generates the jobs of the demonstration. */
 import {type Random, nextInteger} from '@galenavalve/shared';
 import type {JobDraft} from './entry_api.js';
 
@@ -9,8 +9,8 @@
   'reports',
 ] as const;
 
-/** Shapes of gangs: most are small, a few take whole targets. */
-const SHAPES = [
+/** Shapes of gangs with their relative weights: most are small, a few need whole targets. */
+const GANG_SHAPES = [
   {tasks: 1, accelerators: 1, adjacency: 'target', weight: 6},
   {tasks: 2, accelerators: 2, adjacency: 'target', weight: 4},
   {tasks: 4, accelerators: 2, adjacency: 'rack', weight: 3},
@@ -21,7 +21,7 @@
 const MIN_RUN_MS = 300;
 const RUN_RANGE_MS = 2_500;
 
-/** Makes `count` jobs whose ids begin with `prefix`. */
+/** Creates `count` jobs with request ids `prefix-1`, `prefix-2` and so on. */
 export function createJobs(
   prefix: string,
   count: number,
@@ -43,7 +43,7 @@
       perTask: {accelerators: shape.accelerators, processors: 1, memoryMb: 512},
       adjacency: shape.adjacency,
     },
-    // Declared run times are often far off.
+    // Makes the declared run time inaccurate, as callers' estimates often are.
     expectedSeconds: (durationMs / 1000) * (0.3 + 3 * random.next()),
     repeatable: random.next() < 0.8,
     checkpointable: random.next() < 0.5,
@@ -53,14 +53,14 @@
   };
 }
 
-function chooseShape(random: Random): (typeof SHAPES)[number] {
-  const total = SHAPES.reduce((sum, {weight}) => sum + weight, 0);
-  let rest = nextInteger(random, total);
-  for (const shape of SHAPES) {
-    rest -= shape.weight;
-    if (rest < 0) {
+function chooseShape(random: Random): (typeof GANG_SHAPES)[number] {
+  const total = GANG_SHAPES.reduce((sum, {weight}) => sum + weight, 0);
+  let choice = nextInteger(random, total);
+  for (const shape of GANG_SHAPES) {
+    choice -= shape.weight;
+    if (choice < 0) {
       return shape;
     }
   }
-  return SHAPES[0];
+  return GANG_SHAPES[0];
 }
