Name the rest of the dispatch half and of placement in the terms of the field

Cause: readers of the reworded packages reported leftovers of the old vocabulary, names that said less than their use, and project terms that were not explained where they are declared.

Ruled out: renaming fields of logs, messages and metrics (`said`, `present`, `answer`, `other-life`, `room`, the `target-silent` events, the faults `silentTo` and `lostAnswers`), which leave the process; and `well` and `on-trial`, which stay and are now described.

Texts: a shortfall says "is guaranteed", two refusals of the gateway say "cannot currently be read". Change, comments: how an epoch is composed and why, what a read of the log costs, the advice call that a job's objective counts; incarnation, slice, guaranteed cell, tentative gang, target condition and slack are explained where they are declared.

Tests: command_line.spec.ts matches the new shortfall text, word for word as before; trace.spec.ts has the dispatcher's present reason as its sample line; the other specs follow the renames.

--- a/packages/cli/__tests__/command_line.spec.ts
+++ b/packages/cli/__tests__/command_line.spec.ts
@@ -225,7 +225,7 @@
     const file = writeFile(t, {entities: [createDomain(), workspace]});
     const {exitCode, out} = await runCli('check', file);
     t.equal(exitCode, ExitCode.rejected);
-    t.match(out, 'escorts is promised 1 cells of level target in jnb');
+    t.match(out, 'escorts is guaranteed 1 cells of level target in jnb');
   },
 );
 
--- a/packages/cli/__tests__/trace.spec.ts
+++ b/packages/cli/__tests__/trace.spec.ts
@@ -23,7 +23,7 @@
       createLine({message: 'log-unreachable', job: undefined}),
       createLine({
         message: 'urgent-waits',
-        reason: 'no room can be made for it',
+        reason: 'no units can be stopped to free enough capacity',
       }),
       createLine({message: 'run-failed', failures: 1}),
       createLine({job: '0000000000000001'}),
--- a/packages/cli/src/client/attempt_result.ts
+++ b/packages/cli/src/client/attempt_result.ts
@@ -16,7 +16,7 @@
   /** The instance refused the call; a retry would be refused as well. */
   | {kind: 'refused'; failure: Failure}
   /** The instance reported that this attempt had no effect. */
-  | {kind: 'not-run'; failure: Failure; retryAfter?: Milliseconds}
+  | {kind: 'not-run'; failure: Failure; retryAfterMs?: Milliseconds}
   /** The request was not sent. */
   | {kind: 'unsent'; problem: string}
   /** The attempt may have taken effect. */
@@ -81,7 +81,7 @@
 
 function parseFailure(
   {code, message, remedy, details}: FailureView,
-  {status, retryAfterMs: retryAfter}: JsonResponse,
+  {status, retryAfterMs}: JsonResponse,
 ): AttemptResult<never> {
   const isClientError = status >= 400 && status < 500 && status !== 429;
   if (!isErrorCode(code)) {
@@ -95,7 +95,7 @@
     return {kind: 'refused', failure: new Failure(code, details)};
   }
   if (status === 429 || status === 503) {
-    return {kind: 'not-run', failure: new Failure(code, details), retryAfter};
+    return {kind: 'not-run', failure: new Failure(code, details), retryAfterMs};
   }
   return {kind: 'uncertain', problem: message};
 }
--- a/packages/cli/src/client/retrying_call.ts
+++ b/packages/cli/src/client/retrying_call.ts
@@ -186,7 +186,7 @@
       backoffCapMs,
       random,
     );
-    const retryAfterMs = result?.kind === 'not-run' ? result.retryAfter : 0;
+    const retryAfterMs = result?.kind === 'not-run' ? result.retryAfterMs : 0;
     return (retryAfterMs ?? 0) + backoffMs;
   }
 }
--- a/packages/dispatch/src/active_job.ts
+++ b/packages/dispatch/src/active_job.ts
@@ -70,8 +70,8 @@
   /** Targets on which runs of this unit failed or stalled. */
   avoidedTargets: Set<string>;
   /**
-   * Whether the unit runs away from its data or, though rack-sensitive, across
-   * racks. Such runs take longer by the rack factor.
+   * Whether the unit runs outside the rack of its data or, though
+   * rack-sensitive, across racks. Such runs take longer by the rack factor.
    */
   hasLocalityPenalty: boolean;
   /** Last logged reason why the unit waits, with numbers masked. */
@@ -117,7 +117,7 @@
   epoch: number;
   /**
    * Target clock in milliseconds; a listing with a later clock that lacks the
-   * run proves that the run is gone.
+   * run proves that the run has ended.
    */
   acknowledgedClock?: number;
   /** Progress in whole percent. */
--- a/packages/dispatch/src/advice_cache.ts
+++ b/packages/dispatch/src/advice_cache.ts
@@ -7,8 +7,8 @@
 import type {TargetState} from './target_state.js';
 
 /**
- * Targets per call; the platform provides for one call with 30 targets per
- * step.
+ * Targets per call. The platform's objective for a job counts one advice call
+ * with 30 targets per step.
  */
 const MAX_TARGETS_PER_CALL = 30;
 
--- a/packages/dispatch/src/dispatch_service.ts
+++ b/packages/dispatch/src/dispatch_service.ts
@@ -64,7 +64,7 @@
    */
   open(events: {
     onTarget(info: TargetInfo): void;
-    onTargetGone(id: string): void;
+    onTargetRemoved(id: string): void;
   }): Promise<TargetInfo[]>;
   /** Stops watching. */
   close(): void;
@@ -104,7 +104,8 @@
 
   /**
    * How long to let records of the job log accumulate before the next read.
-   * Every read costs processor time, which is scarce on followers.
+   * Each read of the log is charged to the system's cost, and the instance's
+   * processor is small.
    */
   get readDelay(): Milliseconds {
     if (this.isDispatching) {
@@ -239,14 +240,14 @@
 
   /**
    * Whether the claim is in the log and the newest. A concurrent claim with the
-   * same epoch is answered with the offset of this claim or its own, and a
+   * same epoch receives the offset of this claim or of its own, and a
    * repeated claim with `moved`, so only the log itself is conclusive.
    */
   private async isClaimed(
     leadership: Leadership,
     result: FencedAppendOutcome,
   ): Promise<boolean> {
-    const isRead =
+    const isApplied =
       result.kind === 'appended'
         ? await this.follower.waitForOffset(result.offset, CLAIM_TIMEOUT_MS)
         : result.kind === 'moved' &&
@@ -254,7 +255,7 @@
     const newest = this.dependencies.table.leadership;
     const isOwn =
       newest?.epoch === leadership.epoch && newest.holder === this.leaderName;
-    return isRead && isOwn && !this.isClosed;
+    return isApplied && isOwn && !this.isClosed;
   }
 
   private async dispatch(leadership: Leadership, now: Instant): Promise<void> {
@@ -268,7 +269,7 @@
     const defer = (call: () => void) => (isReady ? call() : queued.push(call));
     const targets = await this.registry.open({
       onTarget: info => defer(() => dispatcher.onTarget(info)),
-      onTargetGone: id => defer(() => dispatcher.onTargetGone(id)),
+      onTargetRemoved: id => defer(() => dispatcher.onTargetRemoved(id)),
     });
     if (this.isClosed) {
       await dispatcher.resign();
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -214,7 +214,7 @@
   }
 
   /** Called when a target is removed from the registry. */
-  onTargetGone(id: string): void {
+  onTargetRemoved(id: string): void {
     this.directory.onUnregistered(id);
   }
 
--- a/packages/dispatch/src/incarnation_cleanup.ts
+++ b/packages/dispatch/src/incarnation_cleanup.ts
@@ -42,7 +42,7 @@
 
   /**
    * Called when a target with another id responds at the address. An address
-   * serves one incarnation, so this one and its runs are gone, and late
+   * serves one incarnation, so this one and its runs have ended, and late
    * commands to it are refused.
    */
   onAddressReassigned(target: TargetState): void {
--- a/packages/dispatch/src/leader_monitor.ts
+++ b/packages/dispatch/src/leader_monitor.ts
@@ -7,16 +7,22 @@
 
 /**
  * Number of incarnations of one target that the epochs of a leader's commands
- * can tell apart.
+ * can tell apart: a command to the nth incarnation of a target that the leader
+ * has seen carries the leader's epoch plus n, counted from 0. So a target
+ * refuses late commands to its former incarnations.
  */
 export const MAX_INCARNATIONS = 256;
 
 /**
- * Each claimant picks one of this many epochs of a round at random, so that
- * concurrent claims rarely pick the same.
+ * Each claimant picks one of this many epochs of a round at random. Concurrent
+ * claimants are in the same round, and rarely pick the same epoch.
  */
 const EPOCH_CHOICES_PER_ROUND = 4096;
 
+/**
+ * Size of a round. A claim uses the round after that of the newest leader, so
+ * its epoch is higher than those of all earlier commands and records.
+ */
 const EPOCH_VALUES_PER_ROUND = EPOCH_CHOICES_PER_ROUND * MAX_INCARNATIONS;
 
 /** Maximum interval between two appends of the leader. */
@@ -174,9 +180,11 @@
 }
 
 /**
- * Chooses an epoch above the one of `leadership` that a concurrent claimant is
- * unlikely to choose. The `MAX_INCARNATIONS` values from the epoch on are
- * reserved for its commands.
+ * Chooses the epoch of a claim. It is composed of a round, one above that of
+ * `leadership`, a random choice within the round, and `MAX_INCARNATIONS` values
+ * that are left for the incarnation offsets of commands. The round fences the
+ * previous leader, the choice distinguishes concurrent claimants, and the
+ * offset distinguishes commands to successive incarnations of a target.
  */
 export function chooseNextEpoch(
   leadership: Leadership | undefined,
--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -16,7 +16,7 @@
 import {type DispatchSettings, MAX_LISTING_AGE_MS} from '../settings.js';
 import type {TargetState} from '../target_state.js';
 import {findGuaranteedJobs} from './guarantee.js';
-import {findSilentDomains} from './silent_domains.js';
+import {findUnresponsiveDomains} from './unresponsive_domains.js';
 import {planReclaim} from './reclaim.js';
 import {reserveTargets} from './reservation.js';
 import {
@@ -64,15 +64,15 @@
 const TARGET_CLAIM_MARGIN_MS = 100;
 
 /**
- * Share of its slack that an urgent job waits for other runs to end, since
- * their estimates are rough. The wait never exceeds the time of a stop, which
- * is the alternative.
+ * Share of its slack, the time until its latest start, that an urgent job waits
+ * for other runs to end, since their estimates are rough. The wait never exceeds
+ * the time of a stop, which is the alternative.
  */
 const MAX_SLACK_WAIT_SHARE = 0.25;
 
 /**
- * A guaranteed job stops waiting for other runs to end this long before its
- * start bound.
+ * A guaranteed job stops waiting for other runs to end this long before it must
+ * have started by `DispatchSettings.reclaimTime`.
  */
 const RECLAIM_MARGIN_MS = 1200;
 
@@ -169,13 +169,13 @@
 
   private createCandidates(): CandidateTarget[] {
     const {evacuated, targets} = this.snapshot;
-    const silentDomains = findSilentDomains(targets, this.now);
+    const unresponsiveDomains = findUnresponsiveDomains(targets, this.now);
     const candidates: CandidateTarget[] = [];
     for (const target of targets) {
       const {info} = target;
       const isSchedulable = target.isSchedulable(this.now, MAX_LISTING_AGE_MS);
       const isExcluded =
-        evacuated.has(info.domain) || silentDomains.has(info.domain);
+        evacuated.has(info.domain) || unresponsiveDomains.has(info.domain);
       if (!isSchedulable || isExcluded) {
         continue;
       }
--- a/packages/dispatch/src/policy/placement_search.ts
+++ b/packages/dispatch/src/policy/placement_search.ts
@@ -22,7 +22,7 @@
   shares: PlacementShare[];
   /**
    * Whether the placement spans racks though the unit is rack-sensitive, or is
-   * away from its data.
+   * outside the rack of its data. The unit then takes longer by the rack factor.
    */
   hasLocalityPenalty: boolean;
 }
--- a/packages/dispatch/src/policy/silent_domains.ts
+++ b/packages/dispatch/src/policy/unresponsive_domains.ts
@@ -15,7 +15,7 @@
  * Returns the domains in which at least `MIN_LATE_TARGETS` responses are late
  * and no target has responded since the first of those was due.
  */
-export function findSilentDomains(
+export function findUnresponsiveDomains(
   targets: Iterable<TargetState>,
   now: Instant,
 ): ReadonlySet<string> {
@@ -40,11 +40,11 @@
       entry.firstDueAt = Math.min(entry.firstDueAt, target.responseDueAt);
     }
   }
-  const silentDomains = new Set<string>();
+  const unresponsiveDomains = new Set<string>();
   for (const [domain, {late, firstDueAt, lastResponseAt}] of domains) {
     if (late >= MIN_LATE_TARGETS && lastResponseAt < firstDueAt) {
-      silentDomains.add(domain);
+      unresponsiveDomains.add(domain);
     }
   }
-  return silentDomains;
+  return unresponsiveDomains;
 }
--- a/packages/dispatch/src/policy/urgency.ts
+++ b/packages/dispatch/src/policy/urgency.ts
@@ -1,6 +1,6 @@
 /**
  * Orders jobs by the value that they still have for their callers and by their
- * slack.
+ * slack, the time until the latest start with which they end on time.
  */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import {
--- a/packages/dispatch/src/run_tracker.ts
+++ b/packages/dispatch/src/run_tracker.ts
@@ -166,8 +166,8 @@
   }
 
   /**
-   * Called when a run has ended without a listed end: its target or its lease
-   * is gone, or it never started.
+   * Called when a run has ended without a listed end: its target was replaced,
+   * its lease has expired, or it never started.
    */
   onRunLost(allocation: Allocation, reason: string): void {
     const {unit} = allocation;
--- a/packages/dispatch/src/target_listing.ts
+++ b/packages/dispatch/src/target_listing.ts
@@ -31,7 +31,7 @@
 
 /**
  * Applies a listing of `target` under `epoch`. Returns whether a run ended, is
- * gone or is an orphan.
+ * no longer listed, or is an orphan.
  */
 export function applyListing(
   target: TargetState,
@@ -111,7 +111,7 @@
 }
 
 /**
- * Releases runs that the listing proves to be gone, and returns their number.
+ * Releases runs that the listing proves to have ended, and returns their number.
  */
 function dropAbsentRuns(
   target: TargetState,
@@ -141,7 +141,10 @@
   return dropped;
 }
 
-/** Allocates capacity for an orphan, which holds it until it is gone. */
+/**
+ * Allocates capacity for an orphan, a run that the leader does not expect on
+ * the target; it holds the capacity until it has ended.
+ */
 function allocateOrphan(
   target: TargetState,
   {task, run}: ListedRun,
--- a/packages/dispatch/src/target_sessions.ts
+++ b/packages/dispatch/src/target_sessions.ts
@@ -27,7 +27,7 @@
  * Time without a response after which a target's lease is no longer extended;
  * one lost poll is tolerated.
  */
-const MAX_LEASE_EXTENSION_SILENCE_MS = 2000;
+const MAX_LEASE_EXTENSION_RESPONSE_AGE_MS = 2000;
 
 /** Maximum wait for ends to be written to the log before the next poll. */
 const MAX_RECORD_WAIT_MS = 60;
@@ -126,7 +126,7 @@
     // The lease of a target that does not respond must expire, since only then
     // can its work start elsewhere.
     const isResponsive =
-      now - target.lastResponseAt <= MAX_LEASE_EXTENSION_SILENCE_MS;
+      now - target.lastResponseAt <= MAX_LEASE_EXTENSION_RESPONSE_AGE_MS;
     const leaseEnd =
       isResponsive && this.delegate.isLeaseExtensionAllowed()
         ? computeLeaseEnd(target, this.settings, now)
--- a/packages/dispatch/src/target_state.ts
+++ b/packages/dispatch/src/target_state.ts
@@ -1,6 +1,7 @@
 /**
  * State of one incarnation of a target: its allocations, its lease and its last
- * listing.
+ * listing. An incarnation is one process lifetime of a target, identified by the
+ * target's id and its start time.
  */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {Demand} from '@galenavalve/workload';
--- a/packages/emulator/src/emulated_fleet.ts
+++ b/packages/emulator/src/emulated_fleet.ts
@@ -50,7 +50,7 @@
   };
   private readonly listeners = new Set<{
     onTarget(info: TargetInfo): void;
-    onTargetGone(id: string): void;
+    onTargetRemoved(id: string): void;
   }>();
 
   constructor(
@@ -89,7 +89,7 @@
   crashTarget(id: string): void {
     this.targets.get(id)?.crash();
     void this.clock.sleep(REGISTRY_LAG_MS).then(() => {
-      this.listeners.forEach(listener => listener.onTargetGone(id));
+      this.listeners.forEach(listener => listener.onTargetRemoved(id));
     });
   }
 
--- a/packages/emulator/src/run_auditor.ts
+++ b/packages/emulator/src/run_auditor.ts
@@ -56,7 +56,7 @@
     this.cancelledAt.set(id, this.cancelledAt.get(id) ?? now);
   }
 
-  /** Checks all invariants at the start of a run; `all` are the present runs of all targets. */
+  /** Checks all invariants at the start of a run; `all` are the current runs of all targets. */
   onStart(
     target: EmulatedTarget,
     run: EmulatedRun,
--- a/packages/gateway/__tests__/gateway.spec.ts
+++ b/packages/gateway/__tests__/gateway.spec.ts
@@ -66,7 +66,7 @@
     random,
     logger,
   );
-  follower.lastAnswerAt = clock.now();
+  follower.lastResponseAt = clock.now();
   const gateway = new Gateway({
     table,
     follower,
@@ -145,7 +145,7 @@
   'a submission is refused without an append if the log is unreachable',
   async t => {
     const {gateway, request, clock, appended, follower} = createGateway([]);
-    follower.lastAnswerAt = clock.now() - 5000;
+    follower.lastResponseAt = clock.now() - 5000;
     const response = await waitForResponse(
       clock,
       gateway.submit(request, spec),
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -43,7 +43,7 @@
   }
   if (now - desiredState.confirmedAt > MAX_CONFIRMATION_AGE_MS) {
     return refuse(
-      'the configuration cannot be read at present, and a newer version may contain the queue or the key; retry later',
+      'the configuration cannot currently be read, and a newer version may contain the queue or the key; retry later',
     );
   }
   return {kind: queue ? 'unknown-key' : 'unknown-queue'};
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -47,9 +47,9 @@
 const RETRY_AFTER_SECONDS = 1;
 
 /** Response for a job that this instance does not know while it cannot read the log to its end. */
-const LOG_STALE: GatewayResponse = {
+const LOG_UNREADABLE_RESPONSE: GatewayResponse = {
   kind: 'refused',
-  problem: 'the log cannot be read at present',
+  problem: 'the log cannot currently be read',
   retryAfterSeconds: RETRY_AFTER_SECONDS,
 };
 
@@ -90,11 +90,11 @@
 
 /** The part of an instance that handles callers' requests. */
 export class Gateway {
-  constructor(private readonly deps: GatewayDependencies) {}
+  constructor(private readonly dependencies: GatewayDependencies) {}
 
   /** Whether this instance can serve requests: it has a configuration, has caught up with the log and can reach it. */
   get isReady(): boolean {
-    const {follower, desiredState} = this.deps;
+    const {follower, desiredState} = this.dependencies;
     return (
       follower.isCaughtUp &&
       desiredState.version !== undefined &&
@@ -111,17 +111,18 @@
     if (problem) {
       return {kind: 'invalid', problem};
     }
-    if (this.deps.table.find(request.jobId)) {
+    if (this.dependencies.table.find(request.jobId)) {
       return {kind: 'accepted'};
     }
     const record = encodeAccepted(request.jobId, {
       queue: request.queue.name,
       workspace: request.workspace ?? '',
-      acceptedAt: this.deps.clock.wallTime(),
+      acceptedAt: this.dependencies.clock.wallTime(),
       terms: request.queue.terms,
       spec,
     });
-    const isRecorded = () => this.deps.table.find(request.jobId) !== undefined;
+    const isRecorded = () =>
+      this.dependencies.table.find(request.jobId) !== undefined;
     const failure = await this.appendWithRetries(request, record, isRecorded);
     const response = failure ?? {kind: 'accepted' as const};
     this.logResponse('submitted', request, response);
@@ -140,7 +141,7 @@
     }
     const record = encodeCancelled(request.jobId);
     const isRecorded = () =>
-      this.deps.table.find(request.jobId)?.isCancelled ?? false;
+      this.dependencies.table.find(request.jobId)?.isCancelled ?? false;
     const failure = await this.appendWithRetries(request, record, isRecorded);
     const response = failure ?? {kind: 'cancelled' as const};
     this.logResponse('cancel', request, response);
@@ -156,35 +157,38 @@
     }
     const isLogReachable = this.computeLogAge() < LOG_TIMEOUT_MS;
     if (!isEnded(entry) && isLogReachable) {
-      await this.deps.follower.readPending(STATE_READ_TIMEOUT_MS);
+      await this.dependencies.follower.readPending(STATE_READ_TIMEOUT_MS);
     }
     return {kind: 'state', state: getJobState(entry)};
   }
 
   /** Counts the accepted jobs of a queue of which no task has started. */
   countQueuedJobs(queue: Queue): number {
-    return this.deps.table.countQueuedJobs(queue.name);
+    return this.dependencies.table.countQueuedJobs(queue.name);
   }
 
   /** Finds the job of a request. Reads the log to its end before the job is reported as unknown. */
   private async findEntry(
     request: GatewayRequest,
   ): Promise<JobEntry | GatewayResponse> {
-    const knownEntry = this.lookUp(request);
+    const knownEntry = this.findVisibleEntry(request);
     if (knownEntry) {
       return knownEntry;
     }
     const isLogReachable = this.computeLogAge() < LOG_TIMEOUT_MS;
-    const isRead =
+    const isReadToEnd =
       isLogReachable &&
-      (await this.deps.follower.readToEnd(CATCH_UP_TIMEOUT_MS));
+      (await this.dependencies.follower.readToEnd(CATCH_UP_TIMEOUT_MS));
     // A job is certain to be unknown only if the log was just read to its end.
-    return this.lookUp(request) ?? (isRead ? {kind: 'unknown-job'} : LOG_STALE);
+    return (
+      this.findVisibleEntry(request) ??
+      (isReadToEnd ? {kind: 'unknown-job'} : LOG_UNREADABLE_RESPONSE)
+    );
   }
 
-  /** Looks up a job in the table, unless it belongs to another workspace, in which case the caller is told that it does not exist. */
-  private lookUp(request: GatewayRequest): JobEntry | undefined {
-    const entry = this.deps.table.find(request.jobId);
+  /** Finds the job of a request in the table. For a caller of another workspace, the job does not exist. */
+  private findVisibleEntry(request: GatewayRequest): JobEntry | undefined {
+    const entry = this.dependencies.table.find(request.jobId);
     const isOfOtherWorkspace =
       entry !== undefined &&
       request.workspace !== undefined &&
@@ -198,7 +202,7 @@
     record: KeyedRecord,
     isRecorded: () => boolean,
   ): Promise<GatewayResponse | undefined> {
-    const {clock, random, log} = this.deps;
+    const {clock, random, log} = this.dependencies;
     const deadline = clock.now() + request.timeout * APPEND_TIMEOUT_SHARE;
     let isUncertain = false;
     let refusals = 0;
@@ -231,7 +235,9 @@
   }
 
   private computeLogAge(): Milliseconds {
-    return this.deps.clock.now() - this.deps.follower.lastAnswerAt;
+    return (
+      this.dependencies.clock.now() - this.dependencies.follower.lastResponseAt
+    );
   }
 
   private logResponse(
@@ -239,11 +245,11 @@
     request: GatewayRequest,
     response: GatewayResponse,
   ): void {
-    this.deps.logger.info(event, {
+    this.dependencies.logger.info(event, {
       job: request.jobId,
       queue: request.queue.name,
       workspace: request.workspace,
-      config: this.deps.desiredState.version,
+      config: this.dependencies.desiredState.version,
       logAgeMs: Math.round(this.computeLogAge()),
       answer: response,
     });
--- a/packages/ledger/src/configuration_store.ts
+++ b/packages/ledger/src/configuration_store.ts
@@ -48,7 +48,7 @@
   }
 
   /**
-   * Tells whether `baseVersion` is the current version of an entity. 0 is also
+   * Returns whether `baseVersion` is the current version of an entity. 0 is also
    * valid for a removed entity.
    */
   isCurrent(key: string, baseVersion: number): boolean {
--- a/packages/ledger/src/job.ts
+++ b/packages/ledger/src/job.ts
@@ -70,7 +70,7 @@
   moveIds: readonly string[];
 }
 
-/** Tells whether an attempt of the job is placed or running. */
+/** Returns whether an attempt of the job is placed or running. */
 export function isActive(job: Job): boolean {
   return job.phase === 'placed' || job.phase === 'running';
 }
--- a/packages/ledger/src/request_withdrawal.ts
+++ b/packages/ledger/src/request_withdrawal.ts
@@ -1,6 +1,6 @@
 /**
- * Withdraws a request whose submission had no known outcome, so that the caller
- * can be told "not run".
+ * Withdraws a request whose submission had no known outcome, so that the
+ * response to the caller can be "not run".
  */
 import {type Instant, isFailure} from '@galenavalve/shared';
 import type {LogWriter} from './writer.js';
--- a/packages/placement/src/cells.ts
+++ b/packages/placement/src/cells.ts
@@ -45,7 +45,7 @@
   guarantees: readonly DomainGuarantee[] = NO_GUARANTEES;
   /** Targets that are reserved for the oldest large job. */
   reservation: Reservation | undefined;
-  /** Jobs for which gangs were told to stop; they are first to use the freed capacity. */
+  /** Jobs for which gangs are being stopped; they are first to use the freed capacity. */
   readonly reclaimingJobs = new Set<string>();
   private plan: CellPlan | undefined;
   private previousCells: GuaranteedCellMap | undefined;
--- a/packages/placement/src/decision_pass.ts
+++ b/packages/placement/src/decision_pass.ts
@@ -42,7 +42,11 @@
     reclaims: [],
     waits: [],
   };
-  /** Ids of gangs that are in the cells only during the pass. */
+  /**
+   * Ids of tentative gangs: those that the pass has decided to start. They are
+   * in the cells only during the pass, so that later jobs find their capacity
+   * taken; the ledger does not have them yet.
+   */
   private readonly tentativeGangs: string[] = [];
   /**
    * Keys of shapes that do not fit; they need no second search, since capacity
@@ -84,7 +88,7 @@
   }
 
   /**
-   * Puts jobs whose victims were told to stop first, so that no other job takes
+   * Puts jobs whose victims are being stopped first, so that no other job takes
    * the freed capacity, and forgets those that are no longer queued.
    */
   private orderReclaimingFirst(order: readonly RankedJob[]): WaitingJob[] {
--- a/packages/placement/src/guaranteed_cell.ts
+++ b/packages/placement/src/guaranteed_cell.ts
@@ -12,16 +12,20 @@
 import type {TargetResources, TargetCell} from './target_cell.js';
 import {addTasks, getCapacity, subtractTasks} from './target_cell.js';
 
-/** Accelerators of one target, as a bit mask. */
+/** A slice: the accelerators of one target that belong to a cell, as a bit mask. */
 export interface TargetSlice {
   target: TargetCell;
   mask: number;
 }
 
-/** A part of the capacity hierarchy that currently backs one cell of a guarantee. */
+/**
+ * A part of the capacity hierarchy (an accelerator, half a target, a target, a
+ * rack or the domain) that currently backs one cell of a guarantee.
+ */
 export interface GuaranteedCell {
   readonly workspace: string;
   readonly level: CellLevel;
+  /** The accelerators of the cell, one slice for each of its targets. */
   slices: TargetSlice[];
 }
 
--- a/packages/placement/src/policy.ts
+++ b/packages/placement/src/policy.ts
@@ -12,11 +12,21 @@
 } from '@galenavalve/model';
 
 /**
- * Whether a target can take work, as far as its scheduler knows; only `well`
- * targets get new work.
+ * Whether a target can take work, as far as its scheduler knows. Only `well`
+ * targets get new work. A target on probation, the time after a quarantine that
+ * `QuarantineState` names `on-trial`, is `well` but gets repeatable work only.
  */
 export type TargetCondition =
-  'well' | 'leaving' | 'out' | 'unreachable' | 'quarantined';
+  /** No problem is known. */
+  | 'well'
+  /** The target reports that it is leaving. */
+  | 'leaving'
+  /** The target is not in the inventory. */
+  | 'out'
+  /** The target does not respond. */
+  | 'unreachable'
+  /** The target gets no work for a while, after failures or refusals. */
+  | 'quarantined';
 
 /** A job that waits for placement. */
 export interface WaitingJob {
@@ -56,7 +66,7 @@
   savedAt: number;
   /** The caller's estimate of the run time, in seconds. */
   expectedSeconds: number;
-  /** Whether the gang was told to stop. */
+  /** Whether the gang is being stopped. */
   stopping: boolean;
 }
 
--- a/packages/placement/src/quota_policy.ts
+++ b/packages/placement/src/quota_policy.ts
@@ -57,7 +57,7 @@
     reclaims: [],
     waits: [],
   };
-  /** Ids of gangs that are in the cells only during the pass. */
+  /** Ids of tentative gangs, which are in the cells only during the pass. */
   private readonly tentativeGangs: string[] = [];
   /** Accelerators that each workspace may still use within its quota. */
   private readonly remainingQuotas: Map<string, number>;
--- a/packages/placement/src/reclaim.ts
+++ b/packages/placement/src/reclaim.ts
@@ -26,7 +26,7 @@
 /** A placement within the guarantee, and the borrowers that have to stop for it. */
 export interface ReclaimPlan {
   assignments: Assignment[];
-  /** Borrowers that were already told to stop. */
+  /** Borrowers that are already being stopped. */
   stopping: RunningGang[];
   /** Borrowers to stop now. */
   victims: RunningGang[];
--- a/packages/placement/src/shortfall.ts
+++ b/packages/placement/src/shortfall.ts
@@ -42,8 +42,8 @@
 }
 
 /**
- * Lists the guarantees of every workspace, with the cells promised and the
- * cells that available targets can satisfy.
+ * Lists the guarantees of every workspace, with the number of cells in each
+ * domain and the number that available targets can satisfy.
  */
 export function listGuaranteeViews(
   configuration: Configuration,
@@ -77,7 +77,7 @@
 /** Formats a shortfall for errors and status. */
 export function describeShortfall(shortfall: Shortfall): string {
   const {workspace, level, count, satisfiable, domain} = shortfall;
-  return `${workspace} is promised ${count} cells of level ${level} in ${domain}, which can hold ${satisfiable}`;
+  return `${workspace} is guaranteed ${count} cells of level ${level} in ${domain}, which can hold ${satisfiable}`;
 }
 
 function findUnplacedCells(
--- a/packages/relay/src/announce_peer.ts
+++ b/packages/relay/src/announce_peer.ts
@@ -27,7 +27,7 @@
 /** Writes the entry of `self` at every refresh interval until the process ends. Failed appends are retried. */
 export async function announcePeer(
   self: Omit<PeerEntry, 'writtenAt'>,
-  deps: {
+  dependencies: {
     log: SharedLog;
     peers: PeerDirectory;
     clock: Clock;
@@ -35,7 +35,7 @@
     logger: Logger;
   },
 ): Promise<never> {
-  const {log, peers, clock, random, logger} = deps;
+  const {log, peers, clock, random, logger} = dependencies;
   for (;;) {
     for (let attempt = 0; ; attempt++) {
       const now = clock.wallTime();
--- a/packages/scheduler/src/gang_launch_coordinator.ts
+++ b/packages/scheduler/src/gang_launch_coordinator.ts
@@ -218,9 +218,9 @@
   ): void {
     const {clock, random, logger, health} = this.context;
     if (culprit !== undefined) {
-      health.noteRefusal(culprit, clock.now());
+      health.recordRefusal(culprit, clock.now());
     }
-    this.backoff.noteFailure(gangAttempt.jobId, clock.now(), random.next());
+    this.backoff.recordFailure(gangAttempt.jobId, clock.now(), random.next());
     this.waitReasons.setReason(gangAttempt.jobId, reason);
     logger.info('not-started', {
       jobId: gangAttempt.jobId,
@@ -237,6 +237,6 @@
       problem: describeError(error),
     });
     const {clock, random} = this.context;
-    this.backoff.noteFailure(jobId, clock.now(), random.next());
+    this.backoff.recordFailure(jobId, clock.now(), random.next());
   }
 }
--- a/packages/scheduler/src/lease_renewer_event_handler.ts
+++ b/packages/scheduler/src/lease_renewer_event_handler.ts
@@ -71,7 +71,7 @@
       return;
     }
     for (const {target} of job.assignments) {
-      this.context.health.noteSuccess(target, this.context.clock.now());
+      this.context.health.recordSuccess(target, this.context.clock.now());
     }
     const bytes = JSON.stringify(event.results).length;
     const isTooLarge = bytes > MAX_RESULT_BYTES;
@@ -105,7 +105,7 @@
       target: event.culprit,
       text: describeReason(reason),
     });
-    health.noteFailure(event.culprit, job.jobId, clock.now());
+    health.recordFailure(event.culprit, job.jobId, clock.now());
     const failedTargets = new Set(job.failures.map(({target}) => target));
     failedTargets.add(event.culprit);
     const limit = this.context.state.configuration.rules.jobFailures;
--- a/packages/scheduler/src/waiting_queue.ts
+++ b/packages/scheduler/src/waiting_queue.ts
@@ -39,7 +39,7 @@
   private readonly entries = new Map<string, FailedStart>();
 
   /** Records a failed start; `jitter` in [0, 1) spreads the retries. */
-  noteFailure(jobId: string, now: Instant, jitter: number): void {
+  recordFailure(jobId: string, now: Instant, jitter: number): void {
     const failures = (this.entries.get(jobId)?.failures ?? 0) + 1;
     const maxDelayMs = Math.min(
       MAX_BACKOFF_MS,
--- a/packages/targets/__tests__/target_health.spec.ts
+++ b/packages/targets/__tests__/target_health.spec.ts
@@ -7,7 +7,7 @@
 function createHealth(failedJobs: readonly string[]): TargetHealth {
   const health = new TargetHealth(() => RULES);
   for (const job of failedJobs) {
-    health.noteFailure('t0', job, 0);
+    health.recordFailure('t0', job, 0);
   }
   return health;
 }
@@ -30,9 +30,9 @@
     async t => {
       const health = new TargetHealth(() => RULES);
       for (const job of ['a', 'b', 'c']) {
-        health.noteFailure('t1', job, 0);
-        health.noteSuccess('t1', 0);
-        health.noteFailure('t0', job, 0);
+        health.recordFailure('t1', job, 0);
+        health.recordSuccess('t1', 0);
+        health.recordFailure('t0', job, 0);
       }
       t.equal(health.getCondition('t0', 0), 'well');
     },
@@ -40,16 +40,16 @@
 
   t.test('is quarantined for longer when its probation run fails', async t => {
     const health = createHealth(['a', 'b', 'c']);
-    health.noteFailure('t0', 'd', 60 * SECOND);
+    health.recordFailure('t0', 'd', 60 * SECOND);
     t.equal(health.getCondition('t0', 179 * SECOND), 'quarantined');
     t.equal(health.getCondition('t0', 180 * SECOND), 'well');
-    health.noteSuccess('t0', 180 * SECOND);
+    health.recordSuccess('t0', 180 * SECOND);
     t.notOk(health.isOnProbation('t0', 180 * SECOND));
   });
 
   t.test('is avoided for a while after a refusal', async t => {
     const health = createHealth([]);
-    health.noteRefusal('t0', 0);
+    health.recordRefusal('t0', 0);
     t.equal(health.getCondition('t0', 499), 'quarantined');
     t.equal(health.getCondition('t0', 500), 'well');
   });
--- a/packages/targets/src/target_health.ts
+++ b/packages/targets/src/target_health.ts
@@ -47,7 +47,7 @@
   // Commands
 
   /** Records that a task of the job failed on the target, or that the target lost it. */
-  noteFailure(target: string, jobId: string, now: Instant): void {
+  recordFailure(target: string, jobId: string, now: Instant): void {
     const evidence = this.getOrCreateEvidence(target);
     evidence.failedJobs.add(jobId);
     this.rememberJob(jobId, target);
@@ -64,7 +64,7 @@
   }
 
   /** Records that the target refused a reservation or a start, or did not respond to it. */
-  noteRefusal(target: string, now: Instant): void {
+  recordRefusal(target: string, now: Instant): void {
     const evidence = this.getOrCreateEvidence(target);
     evidence.refusals += 1;
     const backoffMs = BASE_BACKOFF_MS * 2 ** (evidence.refusals - 1);
@@ -75,7 +75,7 @@
    * Records that a gang with a member on the target succeeded. A success during a
    * quarantine does not end it, because the gang started before.
    */
-  noteSuccess(target: string, now: Instant): void {
+  recordSuccess(target: string, now: Instant): void {
     const evidence = this.getOrCreateEvidence(target);
     evidence.refusals = 0;
     evidence.avoidedUntil = -Infinity;
--- a/packages/targets/src/target_monitor.ts
+++ b/packages/targets/src/target_monitor.ts
@@ -25,7 +25,7 @@
   /** The gangs of `monitors` that it renews. */
   renewedMonitors: GangMonitor[];
   /** Local time that is not later than `renewal.basedOn`. */
-  basisAskedAt: Instant;
+  basisRequestedAt: Instant;
 }
 
 /** Monitors one target of a lease renewer. */
@@ -47,7 +47,7 @@
    * The target's own clock in its latest report, and the local time when that
    * report was requested.
    */
-  private lastReport?: {clock: number; askedAt: Instant};
+  private lastReport?: {clock: number; requestedAt: Instant};
   private usageRequestedAt: Instant = -Infinity;
 
   constructor(readonly id: string) {}
@@ -80,18 +80,18 @@
       ...(withUsage && {withUsage}),
       forget: [...this.acknowledgedLeases.values()],
     };
-    const basisAskedAt = this.lastReport?.askedAt ?? -Infinity;
+    const basisRequestedAt = this.lastReport?.requestedAt ?? -Infinity;
     return {
       renewal,
       monitors,
       renewedMonitors,
-      basisAskedAt,
+      basisRequestedAt,
     };
   }
 
   /** Applies the report of a response that arrived in time. */
   onReport(report: TargetReport, call: RenewalCall, sentAt: Instant): void {
-    this.lastReport = {clock: report.clock, askedAt: sentAt};
+    this.lastReport = {clock: report.clock, requestedAt: sentAt};
     this.isLeaving = report.leaving;
     this.removeAcknowledgedLeases(call.renewal.forget);
     this.updateKnownLeases(report);
@@ -101,7 +101,7 @@
     }
     const isRenewed = !call.renewal.renewsAll || report.changesOnly;
     if (isRenewed) {
-      const expiresAt = call.basisAskedAt + call.renewal.leaseMs;
+      const expiresAt = call.basisRequestedAt + call.renewal.leaseMs;
       call.renewedMonitors.forEach(monitor =>
         monitor.onRenewed(this.id, expiresAt),
       );
--- a/packages/wire/src/peer_client.ts
+++ b/packages/wire/src/peer_client.ts
@@ -68,11 +68,11 @@
   /** Closes links without calls for `idleTimeout`, until the client is closed. */
   private async closeIdleLinks(): Promise<void> {
     const {clock} = this.settings;
-    const {idleTimeout: idleTimeoutMs} = this.options;
+    const {idleTimeout} = this.options;
     while (!this.closed.signal.aborted) {
-      await clock.sleep(idleTimeoutMs / 2, this.closed.signal);
+      await clock.sleep(idleTimeout / 2, this.closed.signal);
       for (const [key, link] of this.links) {
-        if (clock.now() - link.lastUsedAt > idleTimeoutMs) {
+        if (clock.now() - link.lastUsedAt > idleTimeout) {
           this.links.delete(key);
           link.close('the connection was idle');
         }
--- a/packages/workload/src/follower.ts
+++ b/packages/workload/src/follower.ts
@@ -34,7 +34,7 @@
   /** Whether the log has been read to its end at least once. */
   isCaughtUp = false;
   /** Time of the log's last response. */
-  lastAnswerAt: Instant = -Infinity;
+  lastResponseAt: Instant = -Infinity;
   private hasNewRecords = false;
   /** Whether the next read is delayed so that one read returns several records; otherwise a read is in progress that returns each new record immediately. */
   private isReadDelayed = false;
@@ -149,7 +149,7 @@
       }
     }
     this.nextOffset = Math.max(this.nextOffset, page.next);
-    this.lastAnswerAt = this.clock.now();
+    this.lastResponseAt = this.clock.now();
     this.resolveWaiters();
   }
 
@@ -205,7 +205,7 @@
 
   private onResponse(failures: number): void {
     const now = this.clock.now();
-    this.lastAnswerAt = now;
+    this.lastResponseAt = now;
     if (failures > 0) {
       this.logger.info('log-reached', {log: this.name, failures});
     }
--- a/packages/workload/src/job_table.ts
+++ b/packages/workload/src/job_table.ts
@@ -119,7 +119,7 @@
       case 'progress':
         this.setProgress(record.id, record.progress);
         return;
-      case 'forgotten':
+      case 'deleted':
         this.entries.delete(record.id);
         this.pendingCancellations.delete(record.id);
         this.pendingProgress.delete(record.id);
--- a/packages/workload/src/keyed_record.ts
+++ b/packages/workload/src/keyed_record.ts
@@ -38,12 +38,12 @@
 /** Key of the leadership record. */
 const LEADERSHIP = 'lead';
 
-/** A decoded record. Of kind `forgotten` is the tombstone of a job's acceptance, which deletes the job. */
+/** A decoded record. The kind `deleted` is the tombstone of a job's acceptance, which deletes the job. */
 export type JobRecord =
   | {kind: 'accepted'; id: string; job: AcceptedJob}
   | {kind: 'cancelled'; id: string}
   | {kind: 'progress'; id: string; progress: StoredProgress}
-  | {kind: 'forgotten'; id: string}
+  | {kind: 'deleted'; id: string}
   | {kind: 'leadership'; leadership: Leadership};
 
 /** Encodes the record that creates a job. */
@@ -83,7 +83,7 @@
   const id = key.slice(2);
   if (key.startsWith(ACCEPTED)) {
     return value === ''
-      ? {kind: 'forgotten', id}
+      ? {kind: 'deleted', id}
       : {kind: 'accepted', id, job: acceptedJobSchema.parse(JSON.parse(value))};
   }
   if (value === '') {
