--- a/packages/bench/src/slopes/daemon_slopes.ts
+++ b/packages/bench/src/slopes/daemon_slopes.ts
@@ -1,6 +1,6 @@
 /**
- * Measures the resources of an idle daemon by shares of the two-year size. The
- * daemon runs as a separate process, as in service. Its domain has no targets,
+ * Measures the resources of an idle daemon by shares of the two-year size, the
+ * cluster size that users expect in two years. The daemon runs as a separate process, as in service. Its domain has no targets,
  * so that the figures cover only the work of every entry instance.
  */
 import {type ChildProcess, spawn} from 'node:child_process';
--- a/packages/bench/src/slopes/decision_slopes.ts
+++ b/packages/bench/src/slopes/decision_slopes.ts
@@ -1,4 +1,4 @@
-/** Measures the time of scheduling passes in a failure domain of the two-year size. */
+/** Measures the time of scheduling passes in a failure domain of the two-year size, which users expect in two years. */
 import {LedgerState} from '@galenavalve/ledger';
 import {
   type DomainCells,
--- a/packages/bench/src/slopes/fixtures.ts
+++ b/packages/bench/src/slopes/fixtures.ts
@@ -1,4 +1,4 @@
-/** Creates configurations, jobs and records of any size, with the proportions of the two-year size. */
+/** Creates configurations, jobs and records of any size, with the proportions of the two-year size (see two_year_size.ts). */
 import {type LogEntry, LedgerState, applyEntry} from '@galenavalve/ledger';
 import {
   type Assignment,
--- a/packages/bench/src/slopes/platform_thread.ts
+++ b/packages/bench/src/slopes/platform_thread.ts
@@ -1,4 +1,7 @@
-/** Runs the platform's stand-ins in a separate thread, so that their work is not measured. */
+/**
+ * Runs stand-ins for the services of the platform (log, instance list, targets)
+ * in a separate thread, so that their work is not measured.
+ */
 import {once} from 'node:events';
 import {Worker} from 'node:worker_threads';
 
--- a/packages/bench/src/slopes/platform_worker.ts
+++ b/packages/bench/src/slopes/platform_worker.ts
@@ -1,4 +1,7 @@
-/** Worker thread that runs the platform's stand-ins behind TCP proxies that count bytes. */
+/**
+ * Worker thread that runs stand-ins for the services of the platform: the
+ * instance list, and behind TCP proxies that count bytes the log and the targets.
+ */
 import {parentPort, workerData} from 'node:worker_threads';
 import {
   LedgerState,
--- a/packages/bench/src/slopes/snapshot_slopes.ts
+++ b/packages/bench/src/slopes/snapshot_slopes.ts
@@ -1,4 +1,4 @@
-/** Measures the size and the time of a state snapshot by shares of the two-year size. */
+/** Measures the size and the time of a state snapshot by shares of the two-year size, the cluster size that users expect in two years. */
 import {
   LedgerState,
   type Snapshot,
--- a/packages/bench/src/slopes/two_year_size.ts
+++ b/packages/bench/src/slopes/two_year_size.ts
@@ -1,4 +1,8 @@
-/** Defines the two-year size, which the system is designed for, and creates records of clusters of a share of it. */
+/**
+ * Defines the two-year size, the cluster size that users expect in two years and
+ * that the system is designed for, and creates records of clusters of a share of
+ * it.
+ */
 import type {RecordBody} from '@galenavalve/model';
 import {
   CLAIM_RECORD,
--- a/packages/cli/src/client/call_outcome.ts
+++ b/packages/cli/src/client/call_outcome.ts
@@ -16,7 +16,7 @@
     private readonly commandId: string | undefined,
   ) {}
 
-  /** True for a command that an instance reported as "not run" and no attempt may have run. */
+  /** True for a command if an instance reported that it was not run and no attempt may have taken effect. */
   get isNotRun(): boolean {
     const isCommand = this.commandId !== undefined;
     return (
@@ -51,6 +51,8 @@
       return this.createUnknownFailure();
     }
     const problem = this.lastProblem;
+    // Without a failure, no attempt got a conclusive response from an entry
+    // instance, one that serves callers.
     return this.lastFailure ?? new Failure('entry-unreachable', {problem});
   }
 
--- a/packages/cli/src/input/jsonc_file.ts
+++ b/packages/cli/src/input/jsonc_file.ts
@@ -67,6 +67,8 @@
     const source = file === STDIN_FILE_NAME ? STDIN_FILE_DESCRIPTOR : file;
     return readFileSync(source, 'utf8');
   } catch (error) {
+    // The code covers every file that the tool reads. The problem concerns the
+    // file as a whole, so `key` does not name one of its keys.
     throw new Failure('settings-invalid', {
       file,
       key: 'the file',
--- a/packages/daemon/src/daemon_context.ts
+++ b/packages/daemon/src/daemon_context.ts
@@ -36,7 +36,7 @@
   backlogEstimator: BacklogEstimator;
   waiters: JobWaiters;
   stage: Stage;
-  /** Returns the cells of a failure domain; creates the projection on first use. */
+  /** Returns the projection of a failure domain: its cells, derived from the ledger. Creates it at first use. */
   getProjection(domain: string): CellsProjection;
   /** Returns the projections created so far. */
   listProjections(): Iterable<CellsProjection>;
--- a/packages/daemon/src/http/http_server.ts
+++ b/packages/daemon/src/http/http_server.ts
@@ -1,4 +1,4 @@
-/** The HTTP interface for callers and operators, by restify. */
+/** The HTTP interface for callers and operators, implemented with restify. */
 import restify, {type Request, type Response, type Server} from 'restify';
 import {MAX_REQUEST_BYTES} from '@galenavalve/model';
 import {Failure, describeError} from '@galenavalve/shared';
@@ -102,6 +102,7 @@
     if (failure.status === 429 || failure.status === 503) {
       response.setHeader('Retry-After', String(RETRY_AFTER_SECONDS));
     }
+    // Logged for every request that fails in a handler, also with an internal error.
     context.logger.info('refused', {
       path: request.path(),
       code: failure.code,
--- a/packages/daemon/src/job_waiters.ts
+++ b/packages/daemon/src/job_waiters.ts
@@ -1,8 +1,8 @@
-/** Holds callers until their job has finished. */
+/** Keeps callers' requests open until their job has finished. */
 import type {FoldResult, LedgerState, Job} from '@galenavalve/ledger';
 import type {Clock, Milliseconds} from '@galenavalve/shared';
 
-/** Tracks held callers and wakes them when their job has finished. */
+/** Tracks held callers, whose requests are kept open, and wakes them when their job has finished. */
 export class JobWaiters {
   /** Abort controllers that wake the callers, by job. */
   private readonly waitersByJob = new Map<string, Set<AbortController>>();
--- a/packages/daemon/src/roles/election.ts
+++ b/packages/daemon/src/roles/election.ts
@@ -69,6 +69,8 @@
     if (decision.kind !== 'claim') {
       return;
     }
+    // Logged when this instance claims to be the domain's scheduler, with a term
+    // higher than `after`.
     context.logger.info('claiming', {
       domain: this.domain,
       after: this.currentTerm,
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -21,7 +21,7 @@
 const limits = z.strictObject({
   /** Maximum number of records of this instance that wait to be appended to the log. */
   pendingAppends: z.int().positive().default(2_000),
-  /** Maximum number of callers that are held until their job has finished. */
+  /** Maximum number of requests that are kept open until their job has finished. */
   heldCallers: z.int().positive().default(5_000),
   /** Maximum number of appends per second to the log, divided evenly among the alive instances. */
   appendsPerSecond: z.number().positive().default(240),
--- a/packages/daemon/src/tokens.ts
+++ b/packages/daemon/src/tokens.ts
@@ -6,7 +6,7 @@
   random: Symbol('random'),
   /** The platform's log, without the record cache. */
   platformLog: Symbol('platform log'),
-  /** The log as the ledger reads it; caches the records that are read for peers. */
+  /** The log as the ledger reads it; caches the records read, to serve them to peers that cannot reach the log. */
   log: Symbol('log'),
   recordCache: Symbol('record cache'),
   ledgerOptions: Symbol('ledger options'),
--- a/packages/dispatch/src/command_sender.ts
+++ b/packages/dispatch/src/command_sender.ts
@@ -21,7 +21,7 @@
  */
 const MAX_START_RETRIES = 6;
 
-/** What the command sender needs of the dispatcher. */
+/** What the command sender needs from the dispatcher. */
 export interface CommandDelegate {
   readonly epoch: number;
   /** Whether leadership has ended. */
@@ -138,6 +138,7 @@
         }
         return;
       }
+      // Logged before the start command is sent again, unless the outcome is unknown.
       if (outcome.kind !== 'unknown') {
         this.logger.debug('start-again', {task: allocation.task, outcome});
       }
--- a/packages/dispatch/src/dispatch_service.ts
+++ b/packages/dispatch/src/dispatch_service.ts
@@ -230,6 +230,7 @@
         await this.dispatch(leadership, clock.now());
         return;
       }
+      // Logged when the claim did not make this instance leader.
       logger.info('leadership-not-held', {epoch: leadership.epoch, result});
       if (result.kind !== 'moved') {
         this.monitor.onClaimFailed(clock.now());
@@ -276,6 +277,7 @@
       return;
     }
     this.dispatcher = dispatcher;
+    // Logged when this instance has become leader and starts to dispatch.
     this.dependencies.logger.info('leadership-held', {
       epoch: leadership.epoch,
       targets: targets.length,
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -1,6 +1,6 @@
 /**
- * The leader's work: decides on jobs and targets, and carries the decisions
- * out.
+ * The leader's work: decides which units run on which targets, and carries the
+ * decisions out.
  */
 import {
   type Clock,
@@ -248,7 +248,7 @@
     }
   }
 
-  /** Called for every listing of a target. */
+  /** Called for every listing of a target, its report of runs and ends. */
   onListing(target: TargetState, listing: TargetListing): void {
     const context = {
       tracker: this.tracker,
@@ -346,7 +346,7 @@
     this.writer.close();
   }
 
-  /** Allocates capacity for the run that, by the log, may be alive. */
+  /** Takes over a unit: allocates capacity for its latest run if, according to the log, that may be alive. */
   private adopt(unit: ActiveUnit, now: Instant): void {
     const {placedOn} = unit.progress;
     if (!placedOn) {
--- a/packages/dispatch/src/pass_runner.ts
+++ b/packages/dispatch/src/pass_runner.ts
@@ -31,7 +31,7 @@
     private readonly logger: Logger,
   ) {}
 
-  /** Requests a pass after an event that may allow a unit to start. */
+  /** Requests a pass after an event that may allow a unit (a gang or a single task) to start. */
   request(): void {
     if (this.isRequested || this.leadership.isClosed) {
       return;
--- a/packages/dispatch/src/policy/candidate_target.ts
+++ b/packages/dispatch/src/policy/candidate_target.ts
@@ -23,7 +23,7 @@
   reservedFrom: Instant;
 }
 
-/** What a unit needs from targets. */
+/** What a unit (a gang or a single task) needs from targets. */
 export interface PlacementRequest {
   /** Demand of each member. */
   demand: Demand;
--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -1,6 +1,6 @@
 /**
- * The scheduling decision: which waiting units start where, and which running
- * units are stopped for them.
+ * The scheduling decision: which waiting units (gangs or single tasks) start
+ * where, and which running units are stopped for them.
  */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import {isStepReady} from '@galenavalve/workload';
@@ -54,11 +54,12 @@
  */
 const ON_TIME_COST_RATIO = 4;
 
-/** The same limit for a job that ends late in any case. */
+/** The same limit if the job ends late in any case. */
 const LATE_COST_RATIO = 0.5;
 
 /**
- * Time that a target claim outlasts the expected end of the runs it waits for.
+ * Time that a target claim, which keeps targets free for one unit, outlasts the
+ * expected end of the runs it waits for.
  * After that, capacity is freed on other targets as well.
  */
 const TARGET_CLAIM_MARGIN_MS = 100;
--- a/packages/dispatch/src/policy/guarantee.ts
+++ b/packages/dispatch/src/policy/guarantee.ts
@@ -1,5 +1,6 @@
 /**
- * Determines which urgent jobs are covered by the guarantee of their workspace.
+ * Determines which urgent jobs, those of priority 0, are covered by the guarantee
+ * of their workspace.
  */
 import type {ActiveJob} from '../active_job.js';
 
--- a/packages/dispatch/src/policy/reclaim.ts
+++ b/packages/dispatch/src/policy/reclaim.ts
@@ -1,6 +1,6 @@
 /**
- * Chooses which units to stop so that urgent work gets capacity, at the lowest
- * cost in lost work.
+ * Chooses which units (gangs or single tasks) to stop so that urgent work gets
+ * capacity, at the lowest cost in lost work.
  */
 import type {Demand} from '@galenavalve/workload';
 import type {Allocation, ActiveUnit} from '../active_job.js';
@@ -29,6 +29,7 @@
 /** Units to stop, and the targets that then have capacity. */
 export interface ReclaimPlan {
   victims: ActiveUnit[];
+  /** Targets that together have room for all members once the victims and the awaited runs have ended. */
   candidates: CandidateTarget[];
   /** Lost work in core-seconds. */
   cost: number;
@@ -114,7 +115,7 @@
   return {victims, candidates: chooseFewestTargets(request, free), cost};
 }
 
-/** Chooses the unit that frees capacity at the lowest cost per member. */
+/** Chooses the unit to stop with the lowest cost per member of the request that then fits. */
 function chooseVictim(
   request: PlacementRequest,
   free: ReadonlyMap<CandidateTarget, Demand>,
@@ -136,8 +137,9 @@
       gain -= countFittingMembers(request, candidate, free.get(candidate)!);
     }
     gain = Math.min(gain, missing);
-    // A member may fit only after several small units are stopped, so a unit
-    // that gains nothing by itself remains eligible with a gain of 0.1.
+    // One member of the request may need the capacity of several small units. A
+    // unit whose stop alone makes room for no member therefore remains eligible,
+    // with a gain of 0.1 members.
     const costPerMember = (estimateStopCost(unit) + 1e-6) / Math.max(gain, 0.1);
     if (costPerMember < bestCostPerMember) {
       best = unit;
--- a/packages/dispatch/src/policy/reservation.ts
+++ b/packages/dispatch/src/policy/reservation.ts
@@ -1,6 +1,6 @@
 /**
- * Reserves targets for a unit that does not fit yet, so that small units do not
- * starve it.
+ * Reserves targets for a unit (a gang or a single task) that does not fit yet, so
+ * that small units do not starve it.
  */
 import type {Instant} from '@galenavalve/shared';
 import type {Demand} from '@galenavalve/workload';
@@ -20,6 +20,7 @@
 interface ReservationPlan {
   /** When the unit is expected to fit. */
   at: Instant;
+  /** Targets to reserve: the fewest that then fit all members. */
   candidates: CandidateTarget[];
 }
 
@@ -47,8 +48,9 @@
 }
 
 /**
- * Releases the allocations of a group in the order of their expected ends until
- * the unit fits.
+ * Plans the reservation within one group of targets: simulates the release of
+ * their allocations in the order of the expected ends until the unit fits.
+ * Returns undefined if it does not fit even when all are released.
  */
 function planReservation(
   request: PlacementRequest,
--- a/packages/dispatch/src/policy/unresponsive_domains.ts
+++ b/packages/dispatch/src/policy/unresponsive_domains.ts
@@ -6,14 +6,14 @@
 import type {TargetState} from '../target_state.js';
 
 /**
- * Late responses from which on a domain is suspected; a single late target has
- * a fault of its own.
+ * Number of targets with a late response from which on their domain counts as
+ * suspect; a single late target is assumed to have a fault of its own.
  */
 const MIN_LATE_TARGETS = 2;
 
 /**
- * Returns the domains in which at least `MIN_LATE_TARGETS` responses are late
- * and no target has responded since the first of those was due.
+ * Returns the domains in which at least `MIN_LATE_TARGETS` targets are late with a
+ * response and no target has responded since the first of these was due.
  */
 export function findUnresponsiveDomains(
   targets: Iterable<TargetState>,
--- a/packages/dispatch/src/policy/urgency.ts
+++ b/packages/dispatch/src/policy/urgency.ts
@@ -12,8 +12,8 @@
 import type {ActiveJob} from '../active_job.js';
 
 /**
- * Multiple of its objective up to which a late job is still of use; the
- * platform defines it.
+ * Multiple of its objective, the time within which it ends on time, up to which a
+ * late job is still of use; the platform defines it.
  */
 export const USEFUL_LATENESS_FACTOR = 3;
 
--- a/packages/dispatch/src/run_tracker.ts
+++ b/packages/dispatch/src/run_tracker.ts
@@ -39,7 +39,7 @@
   onStop(allocation: Allocation): void;
 }
 
-/** Tracks the runs of one dispatcher. */
+/** Tracks the runs that one dispatcher started or took over from an earlier leader. */
 export class RunTracker {
   constructor(
     private readonly events: RunEvents,
--- a/packages/dispatch/src/stragglers.ts
+++ b/packages/dispatch/src/stragglers.ts
@@ -15,7 +15,7 @@
  */
 const STALL_SHARE = 0.12;
 
-/** Minimum time without progress; two listings. */
+/** Minimum time without progress; two listings, a target's reports of its runs. */
 const MIN_STALL_MS: Milliseconds = 1300;
 
 /**
@@ -49,8 +49,8 @@
 
 /**
  * Time that a stop on a draining target needs: 800 ms by which the registry may
- * lag behind the drain notice, 400 ms for the stop, and 400 ms for the listing
- * of its end.
+ * lag behind the drain notice, 400 ms for the stop, and 400 ms until the target
+ * lists the end of the run in its response to a poll.
  */
 const DRAIN_STOP_MARGIN_MS: Milliseconds = 1600;
 
--- a/packages/dispatch/src/target_listing.ts
+++ b/packages/dispatch/src/target_listing.ts
@@ -1,6 +1,7 @@
 /**
- * Applies a target's listing to its state: ends, progress, orphans, and runs
- * that are no longer listed.
+ * Applies a target's listing, its report of the runs on it and of ends that have
+ * not been acknowledged, to its state: ends, progress, orphans, and runs that are
+ * no longer listed.
  */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {Demand} from '@galenavalve/workload';
--- a/packages/dispatch/src/target_sessions.ts
+++ b/packages/dispatch/src/target_sessions.ts
@@ -1,6 +1,7 @@
 /**
- * Polls every target continuously, which renews its lease, acknowledges ends
- * and returns a listing.
+ * Polls every target continuously. A poll renews the target's lease, acknowledges
+ * the ends of runs, and returns a listing: the target's runs and unacknowledged
+ * ends.
  */
 import {
   type Clock,
@@ -29,10 +30,10 @@
  */
 const MAX_LEASE_EXTENSION_RESPONSE_AGE_MS = 2000;
 
-/** Maximum wait for ends to be written to the log before the next poll. */
+/** Maximum wait for the ends of runs to be written to the log before the next poll. */
 const MAX_RECORD_WAIT_MS = 60;
 
-/** What the sessions need of the dispatcher. */
+/** What the sessions need from the dispatcher. */
 export interface SessionDelegate {
   readonly epoch: number;
   /** Whether leadership has ended. */
@@ -99,7 +100,7 @@
     }
   }
 
-  /** Requests one listing without waiting for an end. */
+  /** Requests one listing, to which the target responds at once instead of when a run ends. */
   async pollOnce(target: TargetState): Promise<void> {
     await this.pacer.waitForSlot();
     if (!this.isClosed(target)) {
--- a/packages/emulator/src/emulated_cluster.ts
+++ b/packages/emulator/src/emulated_cluster.ts
@@ -51,6 +51,7 @@
   readonly clock = new ManualClock(1_000_000);
   readonly random: SeededRandom;
   readonly log: EmulatedLog;
+  /** The emulated targets and the network between them and the instances. */
   readonly fleet: EmulatedFleet;
   readonly peers = new EmulatedPeerNetwork(this.clock);
   readonly auditor = new RunAuditor();
--- a/packages/emulator/src/emulated_target.ts
+++ b/packages/emulator/src/emulated_target.ts
@@ -80,7 +80,7 @@
   /** Ends that have not been acknowledged. */
   private ends: ListedEnd[] = [];
   private endCount = 0;
-  /** Highest run number that was stopped or ended, by task; runs up to it are not started. */
+  /** Number of the highest run that was revoked (stopped or ended), by task; runs up to it are not started any more. */
   private readonly highestRevokedRuns = new Map<string, number>();
   private advancedAt: Instant;
 
@@ -138,10 +138,10 @@
       return {kind: 'refused', reason: 'fenced', clock};
     }
     this.fence = command.epoch;
-    const revokedRun = this.highestRevokedRuns.get(command.task) ?? 0;
+    const highestRevokedRun = this.highestRevokedRuns.get(command.task) ?? 0;
     this.highestRevokedRuns.set(
       command.task,
-      Math.max(revokedRun, command.run),
+      Math.max(highestRevokedRun, command.run),
     );
     const run = this.runs.get(command.task);
     if (run && run.run <= command.run) {
@@ -212,8 +212,8 @@
   /** Ends a run and lists its end; also called when another member of its gang has ended. */
   endRun(run: EmulatedRun, kind: EndKind): void {
     this.runs.delete(run.task);
-    const revokedRun = this.highestRevokedRuns.get(run.task) ?? 0;
-    this.highestRevokedRuns.set(run.task, Math.max(revokedRun, run.run));
+    const highestRevokedRun = this.highestRevokedRuns.get(run.task) ?? 0;
+    this.highestRevokedRuns.set(run.task, Math.max(highestRevokedRun, run.run));
     this.ends.push({
       number: ++this.endCount,
       task: run.task,
--- a/packages/faults/src/instance.ts
+++ b/packages/faults/src/instance.ts
@@ -149,7 +149,7 @@
     }
   }
 
-  /** Returns the projection of a domain; creates it at first use. */
+  /** Returns the projection of a domain: its cells, derived from the ledger. Creates it at first use. */
   private getProjection(domain: string): CellsProjection {
     const projection =
       this.projections.get(domain) ??
--- a/packages/ledger/src/writer.ts
+++ b/packages/ledger/src/writer.ts
@@ -119,6 +119,8 @@
       return Promise.reject(new Failure('stopping'));
     }
     const {batchBytes: limitBytes} = this.options;
+    // The record fits in no batch. The code is the one for request bodies, though
+    // the size is that of the whole record.
     if (bytes > limitBytes) {
       return Promise.reject(new Failure('body-too-large', {limitBytes}));
     }
--- a/packages/membership/src/heartbeat.ts
+++ b/packages/membership/src/heartbeat.ts
@@ -38,7 +38,7 @@
   sentAt: Instant;
   /** The latest `sentAt` that the sender received from the peer; proves that this heartbeat was made after it. */
   echo?: Instant;
-  /** Version of the sender's details. */
+  /** Version of the sender's details, the fields that change rarely. */
   version: number;
   /** Version of the peer's details that the sender has; 0 when it has none. */
   seenVersion: number;
--- a/packages/membership/src/heartbeat_exchange.ts
+++ b/packages/membership/src/heartbeat_exchange.ts
@@ -8,7 +8,7 @@
 
 const MAX_BASE_VERSION = 2 ** 31;
 
-/** This instance's details with their version, which increases with each change. */
+/** This instance's details, the report fields that change rarely, with their version, which increases with each change. */
 export class LocalDetails {
   /** Random, so that versions of an earlier process of the same instance are not mistaken for versions of this one. */
   private readonly baseVersion: number;
--- a/packages/membership/src/instance_list.ts
+++ b/packages/membership/src/instance_list.ts
@@ -2,15 +2,15 @@
 import {z} from 'zod';
 import {resourceName} from '@galenavalve/model';
 
-/** Schema of an entry instance or a target in the list. */
+/** Schema of an entry instance, which serves callers, or of a target in the list. */
 export const listedInstance = z.strictObject({
   id: resourceName,
   domain: resourceName,
   role: z.enum(['entry', 'target']),
   state: z.enum(['live', 'leaving']),
-  /** IP address of the peer protocol; only for entry instances. */
+  /** IP address at which an entry instance serves the peer protocol; absent for targets. */
   host: z.string().optional(),
-  /** Port of the peer protocol; only for entry instances. */
+  /** Port at which an entry instance serves the peer protocol; absent for targets. */
   port: z.int().optional(),
 });
 /** An entry instance or a target in the list. */
--- a/packages/model/src/term.ts
+++ b/packages/model/src/term.ts
@@ -27,7 +27,7 @@
   return a.instance < b.instance ? -1 : a.instance > b.instance ? 1 : 0;
 }
 
-/** Returns whether two terms are equal. */
+/** Returns whether two terms, the fencing tokens of schedulers, are equal. */
 export function isSameTerm(a: Term, b: Term): boolean {
   return compareTerms(a, b) === 0;
 }
--- a/packages/placement/src/apportionment.ts
+++ b/packages/placement/src/apportionment.ts
@@ -61,7 +61,7 @@
   readonly guarantees: DomainGuarantee[] = [];
   /** Accelerators that no guarantee claims; negative when the domain is overcommitted. */
   private remaining = 0;
-  /** Accelerators of the largest cell of each level. */
+  /** Number of accelerators of the largest cell of each level, such as the largest rack. */
   private readonly cellSizes: Record<CellLevel, number>;
   private readonly isRestricted: boolean;
 
--- a/packages/placement/src/cell_binding.ts
+++ b/packages/placement/src/cell_binding.ts
@@ -74,7 +74,7 @@
   }
 }
 
-/** Finds the same slices in the planner's inventory, which may have been rebuilt. */
+/** Finds the same slices (accelerators of single targets) in the planner's inventory, which may have been rebuilt. */
 function findCurrentSlices(
   planner: CellPlanner,
   level: CellLevel,
--- a/packages/placement/src/cell_planner.ts
+++ b/packages/placement/src/cell_planner.ts
@@ -35,7 +35,7 @@
 
 /** The result of planning. */
 export interface CellPlan {
-  /** All placed cells, including degraded ones. */
+  /** All placed cells, including degraded ones, which lack some targets of their rack or domain. */
   guaranteedCells: GuaranteedCellMap;
   unplaced: UnplacedCells[];
 }
@@ -48,7 +48,7 @@
   isAvailable: (target: TargetCell) => boolean;
   /** Gangs that run within a guarantee; the cells around them are bound. */
   guaranteedGangs: Iterable<RunningGang>;
-  /** The cells of the previous plan; bound cells are kept. */
+  /** The cells of the previous plan; bound cells, in which guaranteed work runs, are kept. */
   previous?: GuaranteedCellMap;
 }
 
@@ -110,7 +110,7 @@
     return counts;
   }
 
-  /** Returns whether no accelerator of the slices is taken. */
+  /** Returns whether no accelerator of the slices is taken. A slice is a set of accelerators of one target. */
   isFree(slices: readonly TargetSlice[]): boolean {
     return slices.every(
       ({target, mask}) => ((this.takenMasks.get(target) ?? 0) & mask) === 0,
@@ -188,8 +188,9 @@
   }
 
   /**
-   * Places cells that fit nowhere completely on the free targets of a group,
-   * the group with the most free targets first.
+   * Places cells that fit nowhere as a whole in degraded form: each on the free
+   * targets of one rack or of the domain, the one with the most free targets
+   * first.
    */
   private placeDegraded(workspace: string, level: CellLevel): void {
     if (level !== 'domain' && level !== 'rack') {
--- a/packages/placement/src/cell_relocation.ts
+++ b/packages/placement/src/cell_relocation.ts
@@ -3,7 +3,8 @@
  * workspace can use its guarantee where capacity is free instead of stopping
  * borrowers.
  *
- * Each exchange swaps complete blocks of equal shape in which no guaranteed work
+ * A block is a list of slices, each a set of accelerators of one target. Each
+ * exchange swaps complete blocks of equal shape in which no guaranteed work
  * runs, so cells stay disjoint and complete after every step.
  */
 import type {Assignment, CellLevel, GangShape} from '@galenavalve/model';
@@ -223,7 +224,12 @@
   );
 }
 
-/** Returns the position of a slice after its block is exchanged for another of the same shape. */
+/**
+ * Returns the slice that corresponds to `slice` after the block `from` that
+ * contains it is exchanged for the block `to`. A slice is a set of accelerators
+ * of one target; a block is a list of slices. Blocks have the same shape if
+ * their slices have the same sizes, on targets of the same size.
+ */
 function translateSlice(
   slice: TargetSlice,
   from: readonly TargetSlice[],
--- a/packages/placement/src/cells.ts
+++ b/packages/placement/src/cells.ts
@@ -32,7 +32,7 @@
 export class Cells implements DomainCells {
   targets = new Map<string, TargetCell>();
   racks = new Map<string, RackCell>();
-  /** Racks by their number of free accelerators on schedulable targets. */
+  /** Racks; the index is their number of free accelerators on schedulable targets. */
   readonly racksByFree: Set<RackCell>[] = [];
   readonly running = new Map<string, RunningGang>();
   readonly estimates = new RunTimeEstimator();
@@ -169,7 +169,10 @@
     return target ? target.spec.slots - target.free.slots : 0;
   }
 
-  /** Returns the number of accelerators of the largest cell of a level. */
+  /**
+   * Returns the number of accelerators of the largest cell of a level. A cell is
+   * a part of the capacity hierarchy, such as a target or a rack.
+   */
   getMaxCellSize(level: CellLevel): number {
     const racks = [...this.racks.values()].map(({targets}) =>
       targets.reduce((sum, {spec}) => sum + spec.accelerators, 0),
@@ -219,7 +222,10 @@
     this.plan = undefined;
   }
 
-  /** Binds cells to a guaranteed gang; invalidates the plan if no cells can be moved to it. */
+  /**
+   * Binds the cells in which a guaranteed gang runs, after moving cells to its
+   * accelerators if necessary; invalidates the plan if they cannot be moved there.
+   */
   private bindGuaranteedCells(gang: RunningGang): void {
     const slices = this.listSlices(gang);
     const {guaranteedCells} = this;
--- a/packages/placement/src/decision_pass.ts
+++ b/packages/placement/src/decision_pass.ts
@@ -49,8 +49,8 @@
    */
   private readonly tentativeGangs: string[] = [];
   /**
-   * Keys of shapes that do not fit; they need no second search, since capacity
-   * only shrinks during a pass.
+   * Keys of job shapes that do not fit; a job of the same shape needs no second
+   * search, since capacity only shrinks during a pass.
    */
   private readonly failedShapes = new Set<string>();
   /** Gangs that this pass chose to stop for a reclaim. */
@@ -63,8 +63,8 @@
   ) {}
 
   /**
-   * Decides for every job of the queue. Gangs that the pass adds to the cells
-   * are removed at its end.
+   * Decides for every job of the queue whether it starts, reclaims capacity or
+   * waits. Gangs that the pass adds to the cells are removed at its end.
    */
   run(queue: readonly WaitingJob[]): PassDecisions {
     if (!this.cells.isInService) {
--- a/packages/placement/src/reservation.ts
+++ b/packages/placement/src/reservation.ts
@@ -38,7 +38,7 @@
 /** Remaining run time of an overdue gang, as a share of its run time so far. */
 const OVERDUE_EXTENSION_SHARE = 0.5;
 
-/** A target, the number of tasks that it can hold, and when. */
+/** A target, the number of tasks of the job that it can hold, and the time from which on it can. */
 interface Opening {
   target: TargetCell;
   tasks: number;
--- a/packages/placement/src/routing.ts
+++ b/packages/placement/src/routing.ts
@@ -47,8 +47,9 @@
 }
 
 /**
- * Minimum time that a job stays in a domain before it moves to free capacity.
- * Prevents thrashing when a domain returns to service.
+ * Minimum time that a job stays in a domain before it may move to another domain
+ * that has free capacity for it. Prevents thrashing when a domain returns to
+ * service.
  */
 const MIN_STAY_MS = 10_000;
 
--- a/packages/relay/src/peer_log_client.ts
+++ b/packages/relay/src/peer_log_client.ts
@@ -32,7 +32,7 @@
     call: AppendCall,
     timeout: Milliseconds,
   ): Promise<FencedAppendOutcome>;
-  /** Reads a page of newest records through a peer. Rejects if no complete response arrives within `timeout` milliseconds. */
+  /** Reads a page of the newest record of each key through a peer. Rejects if no complete response arrives within `timeout` milliseconds. */
   readNewest(
     peer: PeerEntry,
     log: string,
--- a/packages/relay/src/relayed_log.ts
+++ b/packages/relay/src/relayed_log.ts
@@ -56,7 +56,7 @@
     return this.appendOnAnyPath({records, fencing}, timeout);
   }
 
-  /** Reads a page of newest records, directly or through a peer. */
+  /** Reads a page of the newest record of each key, directly or through a peer. */
   readNewest(after: string | undefined): Promise<NewestPage> {
     return this.read(
       () => this.direct.readNewest(after),
@@ -234,7 +234,8 @@
       );
       return page.kind === 'expired' || page.records.length > 0;
     } catch (error) {
-      // The peer cannot read either, so the direct read continues.
+      // The peer did not return records, which proves nothing about the direct path,
+      // so the direct read that is in progress is not abandoned.
       this.pathTracker.onPeerFailure(
         peer,
         describeError(error),
--- a/packages/relay/src/serve_logs.ts
+++ b/packages/relay/src/serve_logs.ts
@@ -39,13 +39,13 @@
   z.object({kind: z.literal('unknown'), problem: z.string()}),
 ]);
 
-/** Request for the page of newest records after a key. */
+/** Request for a page of the newest record of each key; `after` is the cursor of the previous page. */
 export const newestRequestSchema = z.object({
   log: z.string(),
   after: z.string().optional(),
 });
 
-/** Response with a page of newest records: a `NewestPage`. */
+/** Response with a page of the newest record of each key: a `NewestPage`. */
 export const newestResponseSchema = z.object({
   records: z.array(storedRecordSchema),
   end: z.number().int(),
--- a/packages/relay/src/wire_peer_log_client.ts
+++ b/packages/relay/src/wire_peer_log_client.ts
@@ -44,7 +44,7 @@
     }
   }
 
-  /** Reads a page of newest records through a peer. */
+  /** Reads a page of the newest record of each key through a peer. */
   readNewest(
     peer: PeerEntry,
     log: string,
--- a/packages/scheduler/src/gang_stop_coordinator.ts
+++ b/packages/scheduler/src/gang_stop_coordinator.ts
@@ -94,7 +94,8 @@
       this.context,
       gangAttempt,
       {checkpoint, graceMs},
-      // Where the stop did not arrive, the lease must not be renewed again.
+      // On a target that the stop did not reach, the lease must expire, so it is
+      // not renewed any more.
       () => leaseRenewer.removeGang(jobId),
     );
     await record({
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -141,7 +141,7 @@
     await this.activeTerm?.stopCoordinator.waitUntilIdle();
   }
 
-  /** Handles a folded record. The projection must have applied it before. */
+  /** Handles a folded record. The domain's `CellsProjection` must have applied it before. */
   onApplied(applied: FoldResult): void {
     const record = applied.record;
     if (!this.activeTerm || !applied.accepted || !record) {
--- a/packages/shared/src/error_codes.ts
+++ b/packages/shared/src/error_codes.ts
@@ -178,6 +178,8 @@
     message: 'The list of instances could not be read: {problem}.',
     remedy: 'The last known list stays in use, and the read is retried.',
   },
+  // Reported by the client of the command line tool. An entry instance is one that serves
+  // callers; the entry addresses are the base URLs in the tool's settings.
   'entry-unreachable': {
     status: 503,
     message:
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -65,6 +65,7 @@
 export interface SoakEnvironment {
   daemons: DaemonProcess[];
   jobLog: EmulatedLog;
+  /** The emulated targets and the network between them and the instances. */
   fleet: EmulatedFleet;
   /** Crashes a target and starts a new incarnation of it under the same id. */
   restartTarget(id: string): void;
--- a/packages/standins/src/targets/target_server.ts
+++ b/packages/standins/src/targets/target_server.ts
@@ -48,7 +48,7 @@
   models: ReadonlyMap<string, TargetModel>;
 }
 
-/** Validates the body of one command and applies it to a model. */
+/** Validates the body of one command and applies it to the model of a target. */
 type CommandHandler = (
   model: TargetModel,
   body: unknown,
--- a/packages/targets/src/target_client.ts
+++ b/packages/targets/src/target_client.ts
@@ -126,7 +126,7 @@
   tasks: z.int().positive(),
   /** Progress in seconds: current while the tasks run, otherwise as saved. */
   progressSeconds: z.number().nonnegative(),
-  /** Outputs by task, in order, once succeeded. */
+  /** Outputs of the tasks, in their order; present once all of them have succeeded. */
   results: z.array(z.json()).optional(),
   /** Index of the task that failed. */
   failedTask: z.int().nonnegative().optional(),
--- a/packages/targets/src/testing/memory_targets.ts
+++ b/packages/targets/src/testing/memory_targets.ts
@@ -106,7 +106,7 @@
     return new MemoryTargetClient(this, caller);
   }
 
-  /** Delivers one command to a target, and its response to the caller. */
+  /** Delivers one command to a target, and its response to the caller; `apply` executes the command on the target's model. */
   async deliver<T>(
     call: MemoryCall,
     apply: (model: TargetModel, now: number) => T,
@@ -199,7 +199,7 @@
   ): Promise<Grant> {
     return this.targets.deliver(
       this.createCall(target, 'reserve', timeout),
-      (model, now) => model.reserve(command, now),
+      (targetModel, now) => targetModel.reserve(command, now),
     );
   }
 
@@ -210,7 +210,7 @@
   ): Promise<void> {
     return this.targets.deliver(
       this.createCall(target, 'start', timeout),
-      (model, now) => model.start(command, now),
+      (targetModel, now) => targetModel.start(command, now),
     );
   }
 
@@ -221,7 +221,7 @@
   ): Promise<LeaseReport | undefined> {
     return this.targets.deliver(
       this.createCall(target, 'stop', timeout),
-      (model, now) => model.stop(command, now),
+      (targetModel, now) => targetModel.stop(command, now),
     );
   }
 
@@ -232,7 +232,7 @@
   ): Promise<TargetReport> {
     return this.targets.deliver(
       this.createCall(target, 'renew', timeout),
-      (model, now) => model.renew(command, now),
+      (targetModel, now) => targetModel.renew(command, now),
     );
   }
 
@@ -243,7 +243,7 @@
   ): Promise<TargetReport> {
     return this.targets.deliver(
       this.createCall(target, 'fence', timeout),
-      (model, now) => model.fence(command, now),
+      (targetModel, now) => targetModel.fence(command, now),
     );
   }
 
@@ -254,7 +254,7 @@
   ): Promise<void> {
     return this.targets.deliver(
       this.createCall(target, 'throttle', timeout),
-      (model, now) => model.throttle(command, now),
+      (targetModel, now) => targetModel.throttle(command, now),
     );
   }
 
--- a/packages/targets/src/testing/target_model.ts
+++ b/packages/targets/src/testing/target_model.ts
@@ -281,20 +281,33 @@
     const occupied = [...this.leases.values()]
       .filter(lease => lease.isOccupying)
       .map(lease => lease.reservation);
-    const all = [...occupied, request];
-    if (sumBy(all, item => item.tasks) > this.capacity.slots) {
+    const reservations = [...occupied, request];
+    if (
+      sumBy(reservations, reservation => reservation.tasks) >
+      this.capacity.slots
+    ) {
       throw this.createRefusal('no slot is free');
     }
-    const processors = sumBy(all, item => item.tasks * item.processors);
+    const processors = sumBy(
+      reservations,
+      reservation => reservation.tasks * reservation.processors,
+    );
     if (processors > this.capacity.processors) {
       throw this.createRefusal('too few processors are free');
     }
     if (
-      sumBy(all, item => item.tasks * item.memoryMb) > this.capacity.memoryMb
+      sumBy(
+        reservations,
+        reservation => reservation.tasks * reservation.memoryMb,
+      ) > this.capacity.memoryMb
     ) {
       throw this.createRefusal('too little memory is free');
     }
-    if (occupied.some(item => item.accelerators & request.accelerators)) {
+    if (
+      occupied.some(
+        reservation => reservation.accelerators & request.accelerators,
+      )
+    ) {
       throw this.createRefusal('an accelerator is taken');
     }
     if (request.accelerators >= 2 ** this.capacity.accelerators) {
--- a/packages/wire/src/testing/tcp_proxy.ts
+++ b/packages/wire/src/testing/tcp_proxy.ts
@@ -107,7 +107,10 @@
   }
 }
 
-/** Writes data to a socket unless the connection's mode discards it; `droppedBy` is the mode for this direction. */
+/**
+ * Writes data to a socket unless the connection's mode discards it. `droppedBy`
+ * is the mode that discards only data in the direction of `to`.
+ */
 function forward(
   connection: ProxiedConnection,
   to: Socket,
--- a/packages/workload/src/keyed_log.ts
+++ b/packages/workload/src/keyed_log.ts
@@ -20,7 +20,11 @@
 
 /** Reads a keyed log. The methods reject if no complete response arrives. */
 export interface KeyedLog {
-  /** Reads the page of newest records after a key. The pages do not form a consistent snapshot. */
+  /**
+   * Reads one page of the newest record of each key. `after` is the cursor of the
+   * previous page, or undefined for the first page. The pages do not form a
+   * consistent snapshot.
+   */
   readNewest(after: string | undefined): Promise<NewestPage>;
   /** Reads the records from `offset` on; waits up to `wait` milliseconds for the first one. */
   readTail(offset: number, wait: Milliseconds): Promise<TailPage>;
--- a/packages/workload/src/stored_progress.ts
+++ b/packages/workload/src/stored_progress.ts
@@ -41,7 +41,7 @@
   done: countSchema,
   /** Incarnations of targets, to which units refer by index. */
   targets: z.array(z.string()),
-  /** Index and steps of each occurrence. A unit whose items after the run are all omitted is stored as the number of the run. */
+  /** Index and steps of each occurrence; a step is the list of its units, each a gang or a single task. A unit whose items after the run are all omitted is stored as the number of the run. */
   occurrences: z.array(
     z.tuple([
       countSchema,
@@ -81,7 +81,9 @@
       doneOccurrences: done,
       occurrences: occurrences.map(([index, steps]) => ({
         index,
-        steps: steps.map(units => units.map(unit => decodeUnit(unit, targets))),
+        steps: steps.map(storedUnits =>
+          storedUnits.map(stored => decodeUnit(stored, targets)),
+        ),
       })),
     };
   }
