Log each run that ends without a listed end

On-call could not see which runs were lost with a target, how long they had run, or whether the target had listed them: the loss of a single task wrote no line. `run-lost` gives task, run, target, ages, and the number of runs on the target.

No decision changes.

--- a/packages/dispatch/src/active_job.ts
+++ b/packages/dispatch/src/active_job.ts
@@ -134,7 +134,11 @@
   percent: number;
   /** When `percent` last increased. */
   percentAt: Instant;
-  /** When the target last listed the run. */
+  /** When the allocation was made. */
+  createdAt: Instant;
+  /** Whether the target has listed the run as running to this leader. */
+  isListed: boolean;
+  /** When the target last listed the run; when it was placed if it has not. */
   listedAt: Instant;
   /**
    * Time for which the run was listed without progress. Time in which the
@@ -218,6 +222,8 @@
     ...values,
     percent: 0,
     percentAt: now,
+    createdAt: now,
+    isListed: false,
     listedAt: now,
     stalledFor: 0,
     firstPercent: 0,
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -160,7 +160,7 @@
       {
         onTargetAdded: target => void this.sessions.maintain(target),
         onTargetReplaced: (target, next) =>
-          this.incarnationCleanup.onReplaced(target, next),
+          this.incarnationCleanup.onReplaced(target, next, clock.now()),
       },
       earlierLeasesExpireAt,
     );
@@ -319,7 +319,8 @@
 
   /** Called when a target with another id responds at a target's address. */
   onAddressReassigned(target: TargetState): void {
-    this.incarnationCleanup.onAddressReassigned(target);
+    const now = this.dependencies.clock.now();
+    this.incarnationCleanup.onAddressReassigned(target, now);
   }
 
   /** Called when a listing is needed before the poll in progress returns. */
--- a/packages/dispatch/src/incarnation_cleanup.ts
+++ b/packages/dispatch/src/incarnation_cleanup.ts
@@ -24,7 +24,7 @@
    * allocations, except those whose commands are still pending: they move to
    * `next`.
    */
-  onReplaced(target: TargetState, next: TargetState): void {
+  onReplaced(target: TargetState, next: TargetState, now: Instant): void {
     this.logger.info('target-restarted', {
       target: target.info.id,
       from: target.info.born,
@@ -35,7 +35,7 @@
       if (this.isCommandPending(allocation)) {
         this.moveAllocation(allocation, next);
       } else {
-        this.tracker.onRunLost(allocation, 'the target restarted');
+        this.tracker.onRunLost(allocation, 'the target restarted', now);
       }
     }
   }
@@ -45,16 +45,21 @@
    * serves one incarnation, so this one and its runs have ended, and late
    * commands to it are refused.
    */
-  onAddressReassigned(target: TargetState): void {
-    this.logger.info('target-address-reassigned', {
-      target: target.info.id,
-      runs: target.allocations.size,
-    });
+  onAddressReassigned(target: TargetState, now: Instant): void {
+    // Polls of the former incarnation go on until its entry expires; only the
+    // first response of the other target is news.
+    if (target.isRegistered || target.allocations.size > 0) {
+      this.logger.info('target-address-reassigned', {
+        target: target.info.id,
+        runs: target.allocations.size,
+      });
+    }
     target.isRegistered = false;
     for (const allocation of [...target.allocations.values()]) {
       this.tracker.onRunLost(
         allocation,
         'another target uses the address of its target',
+        now,
       );
     }
   }
@@ -69,7 +74,11 @@
     }
     for (const allocation of [...target.allocations.values()]) {
       if (allocation.state !== 'planned') {
-        this.tracker.onRunLost(allocation, 'the lease of its target expired');
+        this.tracker.onRunLost(
+          allocation,
+          'the lease of its target expired',
+          now,
+        );
       }
     }
   }
--- a/packages/dispatch/src/run_tracker.ts
+++ b/packages/dispatch/src/run_tracker.ts
@@ -172,8 +172,20 @@
    * Called when a run has ended without a listed end: its target was replaced,
    * its lease has expired, or it never started.
    */
-  onRunLost(allocation: Allocation, reason: string): void {
+  onRunLost(allocation: Allocation, reason: string, now: Instant): void {
     const {unit} = allocation;
+    this.logger.info('run-lost', {
+      task: allocation.task,
+      run: allocation.run,
+      target: allocation.target.key,
+      state: allocation.state,
+      ageMs: Math.round(now - allocation.createdAt),
+      listedAgeMs: allocation.isListed
+        ? Math.round(allocation.listedAt - allocation.createdAt)
+        : undefined,
+      onTarget: allocation.target.allocations.size,
+      reason,
+    });
     this.release(allocation);
     if (unit && !unit.progress.isDone && unit.allocations.length > 0) {
       this.stop(unit, reason);
--- a/packages/dispatch/src/target_listing.ts
+++ b/packages/dispatch/src/target_listing.ts
@@ -78,7 +78,7 @@
     }
   }
   if (listing.ended.length < MAX_LISTED_ENDS) {
-    const dropped = dropAbsentRuns(target, listed, listing.clock, context);
+    const dropped = dropAbsentRuns(target, listed, listing.clock, context, now);
     hasChanged ||= dropped > 0;
   }
   return hasChanged;
@@ -94,6 +94,7 @@
   tracker.onStarted(allocation, clock, now);
   const sinceListed = now - allocation.listedAt;
   allocation.listedAt = now;
+  allocation.isListed = true;
   allocation.stalledFor += Math.min(sinceListed, MAX_LISTING_GAP_MS);
   if (run.percent > allocation.percent) {
     allocation.stalledFor = 0;
@@ -119,6 +120,7 @@
   listed: ReadonlySet<Allocation>,
   clock: number,
   context: {tracker: RunTracker; epoch: number},
+  now: Instant,
 ): number {
   let dropped = 0;
   for (const allocation of [...target.allocations.values()]) {
@@ -135,6 +137,7 @@
       context.tracker.onRunLost(
         allocation,
         'the target no longer lists the run',
+        now,
       );
       dropped++;
     }
