Emulate tasks that crash their targets, and capacity that shrinks

Targets now crash at an age of a run that the behavior of its task names, and restart after 3 s, with the same id or with another one at the same address. The auditor counts crashes under each task, checks the starts after the third one, checks that a job shown as failed has a task that may be given up, and checks starts against a capacity that may have shrunk.

--- a/packages/emulator/src/emulated_cluster.ts
+++ b/packages/emulator/src/emulated_cluster.ts
@@ -229,7 +229,11 @@
   getJobState(id: string): string | undefined {
     const instance = this.pickInstance();
     const entry = instance.table.find(id);
-    return entry?.progress?.outcome ?? (entry ? 'active' : undefined);
+    const outcome = entry?.progress?.outcome;
+    if (outcome === 'failed') {
+      this.auditor.onShownAsFailed(id, this.clock.now());
+    }
+    return outcome ?? (entry ? 'active' : undefined);
   }
 
   /** Ends the emulation; pending calls of the instances never settle. */
--- a/packages/emulator/src/emulated_fleet.ts
+++ b/packages/emulator/src/emulated_fleet.ts
@@ -11,6 +11,7 @@
   TargetRegistry,
 } from '@galenavalve/dispatch';
 import type {Clock, Instant, Milliseconds, Random} from '@galenavalve/shared';
+import type {Demand} from '@galenavalve/workload';
 import type {RunAuditor} from './run_auditor.js';
 import {
   type EmulatedRun,
@@ -33,12 +34,20 @@
 /** Delay until instances see a change of the registry. */
 const REGISTRY_LAG_MS = 300;
 
+/** Time from the crash of a target under a run to its next incarnation. */
+const RESTART_DELAY_MS = 3000;
+
+/** Time after a crash for which the entry of the crashed incarnation stays in the registry. */
+const REGISTRY_EXPIRY_MS = 4500;
+
 /** Injectable faults of the network. */
 export interface FleetFaults {
   /** Ids of targets that no instance can reach. */
   unreachableTargets: Set<string>;
   /** Share of commands, from 0 to 1, that get no response and are executed late. */
   delayedCommands: number;
+  /** Whether targets that crash under a run restart with a new id at the same address. */
+  newIdAfterCrash: boolean;
 }
 
 /** Is told of the end of every run, for measurements. */
@@ -57,6 +66,7 @@
   readonly faults: FleetFaults = {
     unreachableTargets: new Set(),
     delayedCommands: 0,
+    newIdAfterCrash: true,
   };
   readonly observers = new Set<RunObserver>();
   private readonly listeners = new Set<{
@@ -104,6 +114,15 @@
     });
   }
 
+  /** Changes a target's capacity, which its registry entry shows from then on. */
+  resizeTarget(id: string, capacity: Demand): void {
+    const target = this.targets.get(id);
+    if (target) {
+      target.resize(capacity, this.clock.now());
+      this.updateRegistration(target.info);
+    }
+  }
+
   /** Advances every target in time until `isFinished` returns true. */
   async run(isFinished: () => boolean): Promise<void> {
     while (!isFinished()) {
@@ -202,6 +221,15 @@
     }
   }
 
+  onTargetCrash(target: EmulatedTarget): void {
+    this.auditor.onTargetCrash(target);
+    target.refusesConnections = true;
+    target.crash();
+    void this.clock
+      .sleep(RESTART_DELAY_MS)
+      .then(() => this.restartAfterCrash(target.info));
+  }
+
   onCheckpoint(task: string, checkpoint: string): void {
     this.auditor.onCheckpoint(task, checkpoint);
   }
@@ -223,6 +251,23 @@
     }
   }
 
+  private restartAfterCrash(crashed: TargetInfo): void {
+    const born = this.clock.wallTime();
+    if (!this.faults.newIdAfterCrash) {
+      this.addTarget({...crashed, born});
+      return;
+    }
+    this.targets.delete(crashed.id);
+    this.addTarget({...crashed, id: `${crashed.id}+`, born});
+    void this.clock
+      .sleep(REGISTRY_EXPIRY_MS - RESTART_DELAY_MS)
+      .then(() =>
+        this.listeners.forEach(listener =>
+          listener.onTargetRemoved(crashed.id),
+        ),
+      );
+  }
+
   private listRuns(): EmulatedRun[] {
     return [...this.targets.values()].flatMap(({runs}) => [...runs.values()]);
   }
@@ -240,7 +285,11 @@
       // The lease is extended when the request arrives, not when the response is sent.
       target.poll(request, this.clock.now());
     }
-    while (this.clock.now() < until && !target?.hasEndAfter(before)) {
+    while (
+      this.clock.now() < until &&
+      !target?.hasEndAfter(before) &&
+      !target?.refusesConnections
+    ) {
       await this.clock.sleep(ADVANCE_INTERVAL_MS);
     }
     return poll();
@@ -260,6 +309,12 @@
     await this.clock.sleep(ONE_WAY_LATENCY_MS);
     const target = this.targets.get(address.id);
     const reachable = this.isUnreachable(address.id) ? undefined : target;
+    if (!target && this.isAddressInUse(address.address)) {
+      return {kind: 'other-life'} as T;
+    }
+    if (reachable?.refusesConnections) {
+      return noResponse;
+    }
     if (!reachable?.isUp) {
       await this.clock.sleep(timeout);
       return noResponse;
@@ -287,6 +342,12 @@
     return outcome;
   }
 
+  private isAddressInUse(address: string): boolean {
+    return [...this.targets.values()].some(
+      ({info, isUp}) => isUp && info.address === address,
+    );
+  }
+
   private isUnreachable(id: string): boolean {
     return this.faults.unreachableTargets.has(id);
   }
--- a/packages/emulator/src/emulated_target.ts
+++ b/packages/emulator/src/emulated_target.ts
@@ -10,6 +10,7 @@
   TargetInfo,
 } from '@galenavalve/dispatch';
 import type {Instant, Milliseconds} from '@galenavalve/shared';
+import type {Demand} from '@galenavalve/workload';
 
 /** How long a task really takes and whether it fails, independent of the caller's estimate. */
 export interface TaskBehavior {
@@ -17,6 +18,8 @@
   work: Milliseconds;
   /** Share of the work, from 0 to 1, after which the run fails; undefined if it succeeds. */
   failsAt?: number;
+  /** Age of the run at which it crashes its target, in milliseconds; undefined if it does not. */
+  crashesTargetAt?: Milliseconds;
   savesProgress: boolean;
   /** Number of members that must be present before any makes progress; 1 for a single task. */
   gangSize: number;
@@ -67,6 +70,8 @@
   spansRacks(task: string, run: number): boolean;
   onStart(target: EmulatedTarget, run: EmulatedRun): void;
   onEnd(target: EmulatedTarget, run: EmulatedRun, kind: EndKind): void;
+  /** Called when a run has reached the age at which it crashes its target. */
+  onTargetCrash(target: EmulatedTarget): void;
   onCheckpoint(task: string, checkpoint: string): void;
   onAcknowledged(target: EmulatedTarget, end: ListedEnd): void;
 }
@@ -77,6 +82,13 @@
   readonly runs = new Map<string, EmulatedRun>();
   /** False after a crash. */
   isUp = true;
+  /** Whether connections to the crashed target fail at once rather than time out. */
+  refusesConnections = false;
+  /** Capacities that were in force, each with the end of its validity. */
+  private readonly formerCapacities: Array<{
+    capacity: Demand;
+    until: Instant;
+  }> = [];
   /** Highest epoch of a command so far. */
   private fence = 0;
   /** End of the lease on the target's own clock, in milliseconds. */
@@ -97,6 +109,27 @@
     this.advancedAt = startedAt;
   }
 
+  /** Changes the capacity; runs that no longer fit go on. */
+  resize(capacity: Demand, now: Instant): void {
+    this.formerCapacities.push({capacity: this.info.capacity, until: now});
+    this.info = {...this.info, capacity};
+  }
+
+  /** Returns the highest capacity that was in force at or after `since`, by resource. */
+  findMaxCapacity(since: Instant): Demand {
+    const capacities = this.formerCapacities
+      .filter(({until}) => until >= since)
+      .map(({capacity}) => capacity);
+    capacities.push(this.info.capacity);
+    return {
+      cpu: Math.max(...capacities.map(({cpu}) => cpu)),
+      memoryMb: Math.max(...capacities.map(({memoryMb}) => memoryMb)),
+      accelerators: Math.max(
+        ...capacities.map(({accelerators}) => accelerators),
+      ),
+    };
+  }
+
   /** Starts a run; refuses an older epoch, an expired lease and a run that is not newer. */
   start(command: StartCommand, now: Instant): CommandOutcome {
     this.advance(now);
@@ -239,6 +272,11 @@
       return;
     }
     const {behavior} = run;
+    const {crashesTargetAt = Infinity} = behavior;
+    if (now - run.startedAt >= crashesTargetAt) {
+      this.environment.onTargetCrash(this);
+      return;
+    }
     const present = this.environment.countPresentMembers(run.task, run.run);
     if (present < behavior.gangSize) {
       if (now - run.startedAt > this.bounds.gangTime) {
--- a/packages/emulator/src/run_auditor.ts
+++ b/packages/emulator/src/run_auditor.ts
@@ -17,6 +17,10 @@
     | 'order'
     /** A unit starts although it has failed as often as its job allows. */
     | 'attempts'
+    /** A task that crashes its targets starts too often after its third crash. */
+    | 'crash-budget'
+    /** A job is shown as failed though no task of it was entitled to be given up. */
+    | 'failed-without-cause'
     /** A task runs that was not submitted, has another payload or was cancelled. */
     | 'unasked'
     /** A gang member ended because the other members were not present in time. */
@@ -32,6 +36,16 @@
 /** Time after a cancellation in which tasks of the job may still start; a bound of the platform. */
 const MAX_START_AFTER_CANCEL_MS = 3000;
 
+/** Number of crashes under a task after which the platform counts its starts, and of starts that break its rule. */
+const MAX_CRASHES = 3;
+const MAX_STARTS_AFTER_CRASHES = 3;
+
+/** Number of crashes under a task from which on it may be given up; stated by the platform. */
+const MIN_CRASHES_TO_GIVE_UP = 2;
+
+/** Time for which the capacity before a reduction still counts: that in which instances are told of it, and one report of the target. */
+const CAPACITY_GRACE_MS = 3000 + 1500;
+
 /** Receives every start, end and acknowledgement of a run and collects violations. */
 export class RunAuditor {
   readonly violations: Violation[] = [];
@@ -46,6 +60,12 @@
   /** Checkpoints that were listed, by unit. */
   private readonly checkpoints = new Map<string, Set<string>>();
 
+  /** Number of targets that crashed while a task ran on them, by task. */
+  readonly crashes = new Map<string, number>();
+  /** Failed runs, acknowledged or not, by attempt key. */
+  private readonly failedRuns = new Map<string, Set<number>>();
+  private readonly startsAfterCrashes = new Map<string, number>();
+
   /** Registers a job that a caller submits; only submitted jobs may run. */
   onSubmitted(id: string, job: AcceptedJob): void {
     this.jobs.set(id, job);
@@ -77,6 +97,7 @@
       );
     }
     this.checkCapacity(target, now);
+    this.checkCrashBudget(run, now);
     this.checkDoubleRun(run, all, now);
     this.checkStepOrder(run, now);
     this.checkAttempts(run, job, now);
@@ -109,20 +130,41 @@
   ): void {
     if (kind === 'done') {
       this.doneTasks.add(run.task);
+    } else if (kind === 'failed') {
+      addRun(this.failedRuns, this.getAttemptKey(run.task), run.run);
     } else if (kind === 'alone') {
       this.report('gang-alone', now, `${run.task} ended run ${run.run}`);
     }
   }
 
+  /** Records that a target crashes with the runs on it. */
+  onTargetCrash(target: EmulatedTarget): void {
+    for (const task of target.runs.keys()) {
+      this.crashes.set(task, (this.crashes.get(task) ?? 0) + 1);
+    }
+  }
+
+  /** Checks that a job that is shown as failed has a task that may be given up. */
+  onShownAsFailed(id: string, now: Instant): void {
+    const isOfJob = (task: string) => task.startsWith(`${id}.`);
+    const mayCrash = [...this.crashes].some(
+      ([task, count]) => isOfJob(task) && count >= MIN_CRASHES_TO_GIVE_UP,
+    );
+    const maxAttempts = this.jobs.get(id)?.terms.maxAttempts ?? 0;
+    const hasFailed = [...this.failedRuns].some(
+      ([key, runs]) => isOfJob(key) && runs.size >= maxAttempts,
+    );
+    if (!mayCrash && !hasFailed) {
+      this.report('failed-without-cause', now, `${id} is shown as failed`);
+    }
+  }
+
   /** Records an end that the leader has acknowledged. */
   onAcknowledged(end: ListedEnd): void {
     if (end.kind === 'done') {
       this.acknowledgedDone.add(end.task);
     } else if (end.kind === 'failed') {
-      const key = this.getAttemptKey(end.task);
-      const runs = this.failures.get(key) ?? new Set();
-      runs.add(end.run);
-      this.failures.set(key, runs);
+      addRun(this.failures, this.getAttemptKey(end.task), end.run);
     }
   }
 
@@ -143,7 +185,8 @@
       used.memoryMb += step?.demand.memoryMb ?? 0;
       used.accelerators += step?.demand.accelerators ?? 0;
     }
-    const {capacity, id} = target.info;
+    const {id} = target.info;
+    const capacity = target.findMaxCapacity(now - CAPACITY_GRACE_MS);
     const isExceeded =
       used.cpu > capacity.cpu ||
       used.memoryMb > capacity.memoryMb ||
@@ -157,6 +200,22 @@
     }
   }
 
+  private checkCrashBudget({task, behavior}: EmulatedRun, now: Instant): void {
+    const crashes = this.crashes.get(task) ?? 0;
+    if (behavior.crashesTargetAt === undefined || crashes < MAX_CRASHES) {
+      return;
+    }
+    const starts = (this.startsAfterCrashes.get(task) ?? 0) + 1;
+    this.startsAfterCrashes.set(task, starts);
+    if (starts >= MAX_STARTS_AFTER_CRASHES) {
+      this.report(
+        'crash-budget',
+        now,
+        `${task} starts after ${crashes} crashes`,
+      );
+    }
+  }
+
   private checkDoubleRun(
     run: EmulatedRun,
     all: readonly EmulatedRun[],
@@ -250,3 +309,13 @@
 function getUnitKey(run: EmulatedRun): string {
   return run.task.slice(0, run.task.lastIndexOf('.'));
 }
+
+function addRun(
+  runs: Map<string, Set<number>>,
+  key: string,
+  run: number,
+): void {
+  const known = runs.get(key) ?? new Set();
+  known.add(run);
+  runs.set(key, known);
+}
