Give up a task under which targets crash again and again

Callers saw: a job that is running for ever, and everything else on the targets that it crashed, one every 3.3 s, started again.

Cause: the loss of a run with its target left no trace in the progress of its unit. Attempts count only ends that a target lists, and a crashed target lists nothing, so the unit was placed again at once, without a limit. Ruled out with run-lost lines: the targets themselves (the same few tasks are on every one that crashes).

Change: when an incarnation has ended without being drained, the crash is counted against the runs that may have caused it: those that the target never listed, and those under suspicion; if there are none, all. Crashes add up while the ages of the runs can be the same; a run that outlives them clears its task. After three such crashes, or five of any age, the job fails. The counts are in the job log with the run numbers. Weighed: a plain counter (jobs that shared targets with the task reached it as fast as the task), and a limit of two, which the platform allows too (two crashes of other causes would do).

--- a/packages/dispatch/__tests__/stragglers.spec.ts
+++ b/packages/dispatch/__tests__/stragglers.spec.ts
@@ -1,5 +1,9 @@
 import t from 'tap';
-import {DurationEstimator, type ActiveUnit} from '@galenavalve/dispatch';
+import {
+  type ActiveUnit,
+  CrashAttribution,
+  DurationEstimator,
+} from '@galenavalve/dispatch';
 import {SilentLogger} from '@galenavalve/shared';
 import {applyListing} from '../src/target_listing.js';
 import {RunTracker} from '../src/run_tracker.js';
@@ -19,6 +23,7 @@
   const tracker = new RunTracker(events, estimator, logger);
   const context = {
     tracker,
+    crashes: new CrashAttribution(() => undefined, logger),
     epoch: 1,
     findUnit: () => unit,
     onOrphan: () => undefined,
--- a/packages/dispatch/src/active_job.ts
+++ b/packages/dispatch/src/active_job.ts
@@ -12,6 +12,12 @@
 } from '@galenavalve/workload';
 import type {TargetState} from './target_state.js';
 
+/** Number of targets that may crash under a task at the same age of its runs before it is given up. */
+const MAX_CRASHES = 3;
+
+/** Number of targets that may crash under a task at any age of its runs before it is given up. */
+const MAX_TOTAL_CRASHES = 5;
+
 /** A job that has not ended, as the leader tracks it. */
 export interface ActiveJob {
   id: string;
@@ -75,6 +81,8 @@
   runningSince: Instant;
   /** When the latest run failed. */
   lastFailureAt: Instant;
+  /** When a target last crashed that a run of the unit may have crashed. */
+  lastCrashAt: Instant;
   /** Earliest time of the next placement. */
   retryAt: Instant;
   /** Targets on which runs of this unit failed or stalled. */
@@ -136,6 +144,8 @@
   percentAt: Instant;
   /** When the allocation was made. */
   createdAt: Instant;
+  /** When the first start command was sent; undefined for a run that was taken over. */
+  startedAt?: Instant;
   /** Whether the target has listed the run as running to this leader. */
   isListed: boolean;
   /** When the target last listed the run; when it was placed if it has not. */
@@ -195,12 +205,18 @@
 }
 
 /**
- * Whether a unit has failed as often as its queue allows. Long-running steps
- * have no such limit.
+ * Whether a unit has failed as often as its queue allows, or has crashed too
+ * many targets. Long-running steps have no limit of failures.
  */
-export function hasNoAttemptLeft(unit: ActiveUnit): boolean {
-  const {maxAttempts} = unit.job.accepted.terms;
-  return !unit.step.isLongRunning && unit.progress.failureCount >= maxAttempts;
+export function hasNoAttemptLeft({step, progress, job}: ActiveUnit): boolean {
+  const {maxAttempts} = job.accepted.terms;
+  const hasCrashedTargets = progress.crashes?.some(
+    ({count, total}) => count >= MAX_CRASHES || total >= MAX_TOTAL_CRASHES,
+  );
+  return (
+    hasCrashedTargets ||
+    (!step.isLongRunning && progress.failureCount >= maxAttempts)
+  );
 }
 
 /** Creates an allocation without any progress. */
--- a/packages/dispatch/src/command_sender.ts
+++ b/packages/dispatch/src/command_sender.ts
@@ -64,6 +64,7 @@
     unit.phase = 'starting';
     for (const allocation of unit.allocations) {
       allocation.state = 'starting';
+      allocation.startedAt = this.clock.now();
     }
     for (const allocation of [...unit.allocations]) {
       void this.start(allocation);
--- /dev/null
+++ b/packages/dispatch/src/crash_attribution.ts
@@ -0,0 +1,160 @@
+/**
+ * Attributes the crash of a target to the runs that may have caused it, and gives
+ * up a task under which targets crash again and again.
+ *
+ * A crash leaves no trace of its cause. Runs that the target never listed as
+ * running may have crashed it when they started, and so may runs that are under
+ * suspicion already; only if there are none, any run on the target may be the
+ * cause. Crashes count together if the member's runs were, or may have been, of
+ * the same age: one that outlived the age of an earlier crash did not cause it.
+ */
+import type {Instant, Logger, Milliseconds} from '@galenavalve/shared';
+import type {CrashEvidence} from '@galenavalve/workload';
+import {
+  type ActiveJob,
+  type ActiveUnit,
+  type Allocation,
+  hasNoAttemptLeft,
+} from './active_job.js';
+import type {TargetState} from './target_state.js';
+
+/** Range of ages of a run, in milliseconds. */
+interface AgeRange {
+  minAge: Milliseconds;
+  maxAge: Milliseconds;
+}
+
+/** Attributes crashes of targets for one dispatcher. */
+export class CrashAttribution {
+  constructor(
+    private readonly onChange: (job: ActiveJob) => void,
+    private readonly logger: Logger,
+  ) {}
+
+  /**
+   * Called when an incarnation of a target has ended without being drained,
+   * before its allocations are released.
+   */
+  onCrash(target: TargetState, now: Instant): void {
+    const suspects = findSuspects(target);
+    if (suspects.length === 0) {
+      return;
+    }
+    for (const allocation of suspects) {
+      const {unit} = allocation;
+      addCrash(unit, allocation.memberIndex, computeCrashAge(allocation, now));
+      unit.lastCrashAt = now;
+    }
+    this.logger.info('target-crashed', {
+      target: target.key,
+      runs: target.allocations.size,
+      suspects: suspects.slice(0, 8).map(({task, unit, memberIndex}) => ({
+        task,
+        ...findCrashEvidence(unit, memberIndex),
+      })),
+    });
+    for (const job of new Set(suspects.map(({unit}) => unit.job))) {
+      this.giveUpIfExhausted(job);
+      this.onChange(job);
+    }
+  }
+
+  /** Called when a target lists a run as running. */
+  onListed(allocation: Allocation, now: Instant): void {
+    const {unit, memberIndex} = allocation;
+    const evidence = unit && findCrashEvidence(unit, memberIndex);
+    if (!evidence || evidence.count === 0) {
+      return;
+    }
+    const age = now - (allocation.startedAt ?? allocation.createdAt);
+    if (age > evidence.maxAge) {
+      clearEvidence(unit, evidence);
+      this.onChange(unit.job);
+    }
+  }
+
+  private giveUpIfExhausted(job: ActiveJob): void {
+    const exhausted = job.units.find(hasNoAttemptLeft);
+    if (exhausted && !job.hasFailed) {
+      job.hasFailed = true;
+      this.logger.warn('job-given-up', {
+        job: job.id,
+        step: exhausted.stepIndex,
+        unit: exhausted.unitIndex,
+        runs: exhausted.progress.run,
+        crashes: exhausted.progress.crashes,
+      });
+    }
+  }
+}
+
+/** Returns the evidence against a member of a unit; undefined if there is none. */
+export function findCrashEvidence(
+  unit: ActiveUnit,
+  member: number,
+): CrashEvidence | undefined {
+  return unit.progress.crashes?.find(evidence => evidence.member === member);
+}
+
+/** Whether a member is under suspicion of crashing its targets. */
+export function isSuspect(unit: ActiveUnit, member: number): boolean {
+  const {count = 0} = findCrashEvidence(unit, member) ?? {};
+  return count > 0;
+}
+
+type PlacedAllocation = Allocation & {unit: ActiveUnit};
+
+/** Returns the allocations of a crashed target whose runs may have caused the crash. */
+function findSuspects(target: TargetState): PlacedAllocation[] {
+  const started = [...target.allocations.values()].filter(isStarted);
+  const suspects = started.filter(
+    ({isListed, unit, memberIndex}) =>
+      !isListed || isSuspect(unit, memberIndex),
+  );
+  return suspects.length > 0 ? suspects : started;
+}
+
+/** Whether a start command of the unit's current run may have reached the target. */
+function isStarted(allocation: Allocation): allocation is PlacedAllocation {
+  const {unit, state, run} = allocation;
+  return (
+    unit !== undefined &&
+    state !== 'planned' &&
+    run === unit.progress.run &&
+    !unit.progress.isDone
+  );
+}
+
+function computeCrashAge(
+  {unit, startedAt, createdAt, listedAt, isListed}: PlacedAllocation,
+  now: Instant,
+): AgeRange {
+  // A run that was taken over may have started at any time since its job was accepted.
+  return {
+    minAge: isListed ? listedAt - (startedAt ?? createdAt) : 0,
+    maxAge: now - (startedAt ?? unit.job.acceptedAt),
+  };
+}
+
+function addCrash(unit: ActiveUnit, member: number, age: AgeRange): void {
+  const evidence = findCrashEvidence(unit, member);
+  if (!evidence) {
+    unit.progress.crashes ??= [];
+    unit.progress.crashes.push({member, count: 1, total: 1, ...age});
+    return;
+  }
+  const minAge = Math.max(evidence.minAge, age.minAge);
+  const maxAge = Math.min(evidence.maxAge, age.maxAge);
+  const hasSameAge = evidence.count > 0 && minAge <= maxAge;
+  Object.assign(evidence, hasSameAge ? {minAge, maxAge} : age);
+  evidence.count = hasSameAge ? evidence.count + 1 : 1;
+  evidence.total++;
+}
+
+/** Clears a member of suspicion. The total remains, unless the unit runs for so long that crashes of any cause add up. */
+function clearEvidence(unit: ActiveUnit, evidence: CrashEvidence): void {
+  evidence.count = 0;
+  if (unit.step.isLongRunning) {
+    evidence.total = 0;
+  }
+}
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -30,6 +30,7 @@
 import {applyListing} from './target_listing.js';
 import {ExpiredJobs} from './expired_jobs.js';
 import {CommandSender} from './command_sender.js';
+import {CrashAttribution} from './crash_attribution.js';
 import {CallPacer} from './call_pacer.js';
 import {PassRunner} from './pass_runner.js';
 import {
@@ -101,6 +102,7 @@
   private readonly commands: CommandSender;
   private readonly sessions: TargetSessions;
   private readonly writer: RecordWriter;
+  private readonly crashes: CrashAttribution;
   private readonly incarnationCleanup: IncarnationCleanup;
   private readonly expiredJobs: ExpiredJobs;
   private readonly passRunner: PassRunner;
@@ -138,10 +140,12 @@
       clock,
       logger,
     );
+    this.crashes = new CrashAttribution(job => this.onChange(job), logger);
     this.incarnationCleanup = new IncarnationCleanup(
       this.epoch,
       this.tracker,
       this.commands,
+      this.crashes,
       logger,
     );
     const {table} = dependencies;
@@ -298,6 +302,7 @@
   onListing(target: TargetState, listing: TargetListing): void {
     const context = {
       tracker: this.tracker,
+      crashes: this.crashes,
       epoch: this.epoch,
       findUnit: (task: string) => this.findUnit(task),
       onOrphan: (orphan: Allocation) => void this.commands.stop(orphan),
--- a/packages/dispatch/src/incarnation_cleanup.ts
+++ b/packages/dispatch/src/incarnation_cleanup.ts
@@ -2,6 +2,7 @@
  * Cleans up the allocations of targets whose incarnation or lease has ended.
  */
 import type {Instant, Logger} from '@galenavalve/shared';
+import type {CrashAttribution} from './crash_attribution.js';
 import type {CommandSender} from './command_sender.js';
 import type {RunTracker} from './run_tracker.js';
 import type {Allocation} from './active_job.js';
@@ -16,6 +17,7 @@
     private readonly epoch: number,
     private readonly tracker: RunTracker,
     private readonly commands: CommandSender,
+    private readonly crashes: CrashAttribution,
     private readonly logger: Logger,
   ) {}
 
@@ -31,6 +33,7 @@
       to: next.info.born,
       runs: target.allocations.size,
     });
+    this.onEnded(target, now);
     for (const allocation of [...target.allocations.values()]) {
       if (this.isCommandPending(allocation)) {
         this.moveAllocation(allocation, next);
@@ -55,6 +58,7 @@
       });
     }
     target.isRegistered = false;
+    this.onEnded(target, now);
     for (const allocation of [...target.allocations.values()]) {
       this.tracker.onRunLost(
         allocation,
@@ -83,6 +87,13 @@
     }
   }
 
+  /** A target that has ended without being drained has crashed. */
+  private onEnded(target: TargetState, now: Instant): void {
+    if (target.drainingSince === undefined) {
+      this.crashes.onCrash(target, now);
+    }
+  }
+
   /**
    * Whether a command of this epoch to the former incarnation is
    * unacknowledged, so that the new one may still receive it.
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -38,6 +38,7 @@
   countMembers,
   createAllocation,
 } from './active_job.js';
+export {CrashAttribution, findCrashEvidence} from './crash_attribution.js';
 export {RunTracker} from './run_tracker.js';
 export {TargetState} from './target_state.js';
 export {createActiveJob} from './job_lifecycle.js';
--- a/packages/dispatch/src/job_lifecycle.ts
+++ b/packages/dispatch/src/job_lifecycle.ts
@@ -154,6 +154,7 @@
         placedAt: job.acceptedAt,
         runningSince: job.acceptedAt,
         lastFailureAt: -Infinity,
+        lastCrashAt: -Infinity,
         retryAt: -Infinity,
         avoidedTargets: new Set(),
         hasLocalityPenalty: false,
--- a/packages/dispatch/src/target_listing.ts
+++ b/packages/dispatch/src/target_listing.ts
@@ -5,6 +5,7 @@
  */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {Demand} from '@galenavalve/workload';
+import type {CrashAttribution} from './crash_attribution.js';
 import {sampleProgressRate} from './progress_rate.js';
 import type {RunTracker} from './run_tracker.js';
 import {
@@ -39,6 +40,7 @@
   listing: TargetListing,
   context: {
     tracker: RunTracker;
+    crashes: CrashAttribution;
     findUnit: UnitLookup;
     epoch: number;
     onOrphan: (allocation: Allocation) => void;
@@ -65,6 +67,7 @@
     if (allocation) {
       listed.add(allocation);
       applyProgress(allocation, run, listing.clock, context.tracker, now);
+      context.crashes.onListed(allocation, now);
     } else {
       const orphan = allocateOrphan(
         target,
--- a/packages/workload/__tests__/stored_progress.spec.ts
+++ b/packages/workload/__tests__/stored_progress.spec.ts
@@ -7,6 +7,14 @@
   parseProgress,
 } from '@galenavalve/workload';
 
+const crashEvidence = fc.record({
+  member: fc.nat(20),
+  count: fc.nat(3),
+  total: fc.nat(5),
+  minAge: fc.nat(10_000),
+  maxAge: fc.nat(20_000),
+});
+
 const unit = fc.record(
   {
     run: fc.nat(1000),
@@ -18,6 +26,7 @@
       minLength: 1,
       maxLength: 4,
     }),
+    crashes: fc.array(crashEvidence, {minLength: 1, maxLength: 3}),
   },
   {
     requiredKeys: [
--- a/packages/workload/src/progress.ts
+++ b/packages/workload/src/progress.ts
@@ -16,6 +16,20 @@
 /** Outcome of a job; `active` until it ends. */
 export type JobOutcome = z.infer<typeof jobOutcomeSchema>;
 
+/** Crashes of targets on which runs of one member of a unit were. */
+export interface CrashEvidence {
+  /** Index of the member; 0 for a single task. */
+  member: number;
+  /** Number of crashes that the member may have caused at one and the same age of its runs. */
+  count: number;
+  /** Number of all crashes. */
+  total: number;
+  /** Lowest age of a run, in milliseconds, that is consistent with the counted crashes. */
+  minAge: number;
+  /** Highest age of a run, in milliseconds, that is consistent with the counted crashes. */
+  maxAge: number;
+}
+
 /** The state of a unit that is stored in the log. */
 export interface UnitProgress {
   /** Number of the latest run, which is recorded before the run is started; 0 before the first run. */
@@ -29,6 +43,8 @@
   checkpoint: string;
   /** Incarnation of the target of each member, while the run may still be active. */
   placedOn?: string[];
+  /** Crashes under members that may have caused them; undefined if there are none. */
+  crashes?: CrashEvidence[];
 }
 
 /** Progress of one occurrence of a job's steps: the units of each step. */
--- a/packages/workload/src/stored_progress.ts
+++ b/packages/workload/src/stored_progress.ts
@@ -41,6 +41,21 @@
   done: countSchema,
   /** Incarnations of targets, to which units refer by index. */
   targets: z.array(z.string()),
+  /** Crashes of targets: positions of the occurrence, step and unit, then the fields of `CrashEvidence` in their order. */
+  crashes: z
+    .array(
+      z.tuple([
+        countSchema,
+        countSchema,
+        countSchema,
+        countSchema,
+        countSchema,
+        countSchema,
+        countSchema,
+        countSchema,
+      ]),
+    )
+    .default([]),
   /** Index and steps of each occurrence; a step is the list of its units, each a gang or a single task. A unit whose items after the run are all omitted is stored as the number of the run. */
   occurrences: z.array(
     z.tuple([
@@ -53,6 +68,8 @@
 /** Stored form of a unit, as `unitSchema` describes it. */
 type StoredUnit = number | Array<number | string>;
 
+type StoredDetails = z.infer<typeof detailsSchema>;
+
 /** Progress whose units are parsed on demand. */
 export class StoredProgress {
   readonly outcome: JobOutcome;
@@ -71,10 +88,10 @@
 
   /** Parses the complete progress into a new object. Throws if the record is malformed. */
   read(): Progress {
-    const {done, targets, occurrences} = detailsSchema.parse(
+    const {done, targets, occurrences, crashes} = detailsSchema.parse(
       JSON.parse(this.details),
     );
-    return {
+    const progress: Progress = {
       outcome: this.outcome,
       hasBegun: this.hasBegun,
       endedAt: this.endedAt,
@@ -86,6 +103,8 @@
         ),
       })),
     };
+    decodeCrashes(crashes, progress);
+    return progress;
   }
 }
 
@@ -108,6 +127,7 @@
     done: doneOccurrences,
     targets: [...targets.keys()],
     occurrences: stored,
+    ...encodeCrashes(occurrences),
   };
   const summary = JSON.stringify({outcome, hasBegun, endedAt});
   return `${summary}\n${JSON.stringify(details)}`;
@@ -159,3 +179,44 @@
     ...(placedOn.length > 0 ? {placedOn} : {}),
   };
 }
+
+/** Returns the crashes under all units; nothing if there are none, as for most jobs. */
+function encodeCrashes(
+  occurrences: readonly Occurrence[],
+): Pick<StoredDetails, 'crashes'> | undefined {
+  const crashes: StoredDetails['crashes'] = [];
+  for (const [occurrence, {steps}] of occurrences.entries()) {
+    for (const [step, units] of steps.entries()) {
+      for (const [unit, progress] of units.entries()) {
+        for (const evidence of progress.crashes ?? []) {
+          const {member, count, total, minAge, maxAge} = evidence;
+          crashes.push([
+            occurrence,
+            step,
+            unit,
+            member,
+            count,
+            total,
+            Math.floor(minAge),
+            Math.ceil(maxAge),
+          ]);
+        }
+      }
+    }
+  }
+  return crashes.length > 0 ? {crashes} : undefined;
+}
+
+function decodeCrashes(
+  crashes: StoredDetails['crashes'],
+  {occurrences}: Progress,
+): void {
+  for (const [occurrence, step, unit, ...evidence] of crashes) {
+    const progress = occurrences[occurrence]?.steps[step]?.[unit];
+    if (progress) {
+      const [member, count, total, minAge, maxAge] = evidence;
+      progress.crashes ??= [];
+      progress.crashes.push({member, count, total, minAge, maxAge});
+    }
+  }
+}
