Count a crash that the former leader did not live to record

Callers saw: with a leader killed after each crash, the task went on crashing targets as if nothing had been counted.

Cause: a new leader knew the former target only by id and start time. A target that restarts with another id at the same address could not be recognized as its successor, so the run counted as alive until the longest lease had expired, and then as lost for no reason.

Change: the record of a placement names the addresses of its targets (one string a record, absent ones are read as empty), and an incarnation has ended once the registry lists a later one with its id or at its address. The crash is counted, and the runs are placed again at once. Ruled out: polling targets that have left the registry (it would bring back those that left for good), and counting every expired lease (a partition would count as a crash).

--- a/packages/bench/src/dispatch/fixture.ts
+++ b/packages/bench/src/dispatch/fixture.ts
@@ -84,7 +84,9 @@
     unit.run = 2;
     unit.checkpoint = '00000bb87a21d94b';
     const target = (index % 1000).toString(16).padStart(10, '0');
-    unit.placedOn = [`i-${target}@1783141169063`];
+    unit.placedOn = [
+      {incarnation: `i-${target}@1783141169063`, address: `target-${target}`},
+    ];
   }
   return {
     outcome: 'active',
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -377,6 +377,9 @@
       }
     }
     for (const target of [...this.directory.listTargets()]) {
+      if (target.allocations.size > 0) {
+        this.endIfSucceeded(target, now);
+      }
       this.incarnationCleanup.dropExpiredRuns(target, now);
     }
     stopStragglers(
@@ -393,6 +396,16 @@
     this.writer.writeHeartbeatIfDue(now);
   }
 
+  /** Ends the runs of an incarnation if the registry lists a later one in its place. */
+  private endIfSucceeded(target: TargetState, now: Instant): void {
+    const successor = this.directory.findSuccessor(target);
+    if (successor?.info.id === target.info.id) {
+      this.incarnationCleanup.onReplaced(target, successor, now);
+    } else if (successor) {
+      this.incarnationCleanup.onAddressReassigned(target, now);
+    }
+  }
+
   private close(): void {
     this.isClosed = true;
     this.writer.close();
@@ -404,8 +417,8 @@
     if (!placedOn) {
       return;
     }
-    for (const [member, incarnationKey] of placedOn.entries()) {
-      const target = this.directory.findOrCreateIncarnation(incarnationKey);
+    for (const [member, reference] of placedOn.entries()) {
+      const target = this.directory.findOrCreateIncarnation(reference);
       const allocation = this.tracker.allocate(unit, member, target, 0, now);
       allocation.state = 'starting';
     }
--- a/packages/dispatch/src/run_tracker.ts
+++ b/packages/dispatch/src/run_tracker.ts
@@ -69,7 +69,10 @@
     for (const [member, target] of targets.entries()) {
       this.allocate(unit, member, target, epoch, now);
     }
-    unit.progress.placedOn = targets.map(target => target.key);
+    unit.progress.placedOn = targets.map(({key, info}) => ({
+      incarnation: key,
+      address: info.address,
+    }));
     this.events.onChange(unit.job);
     this.logger.info('placed', {
       job: unit.job.id,
--- a/packages/dispatch/src/target_directory.ts
+++ b/packages/dispatch/src/target_directory.ts
@@ -1,5 +1,6 @@
 /** Directory of target states, updated from the registry. */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
+import type {TargetReference} from '@galenavalve/workload';
 import {MAX_INCARNATIONS} from './leader_monitor.js';
 import {type TargetInfo, formatIncarnationKey} from './target_info.js';
 import {TargetState} from './target_state.js';
@@ -16,6 +17,7 @@
 export class TargetDirectory {
   private readonly byIncarnation = new Map<string, TargetState>();
   private readonly byId = new Map<string, TargetState>();
+  private readonly byAddress = new Map<string, TargetState>();
 
   /**
    * `earlierLeasesExpireAt` is the time at which all leases that previous
@@ -56,6 +58,7 @@
     }
     current.info = info;
     current.isRegistered = true;
+    this.byAddress.set(info.address, current);
     if (info.isDraining) {
       current.drainingSince ??= now;
     }
@@ -73,7 +76,10 @@
    * Returns the state of an incarnation that a record names. Creates a
    * placeholder if the registry does not list it.
    */
-  findOrCreateIncarnation(key: string): TargetState {
+  findOrCreateIncarnation({
+    incarnation: key,
+    address,
+  }: TargetReference): TargetState {
     const known = this.byIncarnation.get(key);
     if (known) {
       return known;
@@ -82,7 +88,7 @@
     const info: TargetInfo = {
       id: id ?? key,
       born: Number(born ?? 0),
-      address: '',
+      address,
       pool: '',
       domain: '',
       rack: '',
@@ -103,6 +109,15 @@
     }
   }
 
+  /**
+   * Returns the registered incarnation that has started later with the same id
+   * or at the same address, which proves that `target` has ended.
+   */
+  findSuccessor({info}: TargetState): TargetState | undefined {
+    const later = [this.byId.get(info.id), this.byAddress.get(info.address)];
+    return later.find(other => other && other.info.born > info.born);
+  }
+
   /**
    * Removes targets that are not registered, have no allocations and have not
    * responded for longer than `idleTimeout`.
@@ -130,6 +145,7 @@
     const current = unregistered ?? target;
     this.byIncarnation.set(current.key, current);
     this.byId.set(info.id, current);
+    this.byAddress.set(info.address, current);
     current.epochOffset = epochOffset;
     this.events.onTargetAdded(current);
     return current;
@@ -148,8 +164,12 @@
   private remove(target: TargetState): void {
     target.isRemoved = true;
     this.byIncarnation.delete(target.key);
-    if (this.byId.get(target.info.id) === target) {
-      this.byId.delete(target.info.id);
+    const {id, address} = target.info;
+    if (this.byId.get(id) === target) {
+      this.byId.delete(id);
+    }
+    if (this.byAddress.get(address) === target) {
+      this.byAddress.delete(address);
     }
   }
 }
--- a/packages/workload/__tests__/stored_progress.spec.ts
+++ b/packages/workload/__tests__/stored_progress.spec.ts
@@ -7,6 +7,11 @@
   parseProgress,
 } from '@galenavalve/workload';
 
+const targets = ['a@1', 'b@2', 'c@3'].map(incarnation => ({
+  incarnation,
+  address: `${incarnation}:80`,
+}));
+
 const crashEvidence = fc.record({
   member: fc.nat(20),
   count: fc.nat(3),
@@ -22,7 +27,7 @@
     lastFailedRun: fc.nat(1000),
     isDone: fc.boolean(),
     checkpoint: fc.string({maxLength: 16}),
-    placedOn: fc.array(fc.constantFrom('a@1', 'b@2', 'c@3'), {
+    placedOn: fc.array(fc.constantFrom(...targets), {
       minLength: 1,
       maxLength: 4,
     }),
@@ -92,7 +97,12 @@
       unitProgress.isDone = index % 2 === 0;
       unitProgress.placedOn = unitProgress.isDone
         ? undefined
-        : [`i-${index % 40}abcdef@1783141169063`];
+        : [
+            {
+              incarnation: `i-${index % 40}abcdef@1783141169063`,
+              address: `10.3.64.${100 + (index % 40)}:8747`,
+            },
+          ];
     }
     const value = formatProgress({
       outcome: 'active',
--- a/packages/workload/src/progress.ts
+++ b/packages/workload/src/progress.ts
@@ -30,6 +30,14 @@
   maxAge: number;
 }
 
+/** One incarnation of a target, as the log names it. */
+export interface TargetReference {
+  /** Key of the incarnation: the target's id and its start time. */
+  incarnation: string;
+  /** Address at which it listens; empty in records that do not name it. */
+  address: string;
+}
+
 /** The state of a unit that is stored in the log. */
 export interface UnitProgress {
   /** Number of the latest run, which is recorded before the run is started; 0 before the first run. */
@@ -41,8 +49,8 @@
   isDone: boolean;
   /** Newest checkpoint; empty if there is none. */
   checkpoint: string;
-  /** Incarnation of the target of each member, while the run may still be active. */
-  placedOn?: string[];
+  /** Target of each member, while the run may still be active. */
+  placedOn?: TargetReference[];
   /** Crashes under members that may have caused them; undefined if there are none. */
   crashes?: CrashEvidence[];
 }
--- a/packages/workload/src/stored_progress.ts
+++ b/packages/workload/src/stored_progress.ts
@@ -11,6 +11,7 @@
   type Occurrence,
   type JobOutcome,
   type Progress,
+  type TargetReference,
   type UnitProgress,
   jobOutcomeSchema,
 } from './progress.js';
@@ -41,6 +42,8 @@
   done: countSchema,
   /** Incarnations of targets, to which units refer by index. */
   targets: z.array(z.string()),
+  /** Addresses of `targets`, in the same order, separated by spaces. */
+  addresses: z.string().default(''),
   /** Crashes of targets: positions of the occurrence, step and unit, then the fields of `CrashEvidence` in their order. */
   crashes: z
     .array(
@@ -88,9 +91,13 @@
 
   /** Parses the complete progress into a new object. Throws if the record is malformed. */
   read(): Progress {
-    const {done, targets, occurrences, crashes} = detailsSchema.parse(
-      JSON.parse(this.details),
-    );
+    const {done, targets, addresses, occurrences, crashes} =
+      detailsSchema.parse(JSON.parse(this.details));
+    const addressList = addresses.split(' ');
+    const references = targets.map((incarnation, index) => ({
+      incarnation,
+      address: addressList[index] ?? '',
+    }));
     const progress: Progress = {
       outcome: this.outcome,
       hasBegun: this.hasBegun,
@@ -99,7 +106,7 @@
       occurrences: occurrences.map(([index, steps]) => ({
         index,
         steps: steps.map(storedUnits =>
-          storedUnits.map(stored => decodeUnit(stored, targets)),
+          storedUnits.map(stored => decodeUnit(stored, references)),
         ),
       })),
     };
@@ -112,9 +119,11 @@
 export function formatProgress(progress: Progress): string {
   const {outcome, hasBegun, endedAt, doneOccurrences, occurrences} = progress;
   const targets = new Map<string, number>();
-  const getTargetIndex = (target: string): number => {
-    const index = targets.get(target) ?? targets.size;
-    targets.set(target, index);
+  const addresses: string[] = [];
+  const getTargetIndex = ({incarnation, address}: TargetReference): number => {
+    const index = targets.get(incarnation) ?? targets.size;
+    targets.set(incarnation, index);
+    addresses[index] = address;
     return index;
   };
   const stored = occurrences.map((occurrence: Occurrence) => [
@@ -126,6 +135,7 @@
   const details = {
     done: doneOccurrences,
     targets: [...targets.keys()],
+    addresses: addresses.join(' '),
     occurrences: stored,
     ...encodeCrashes(occurrences),
   };
@@ -142,7 +152,7 @@
 
 function encodeUnit(
   unit: UnitProgress,
-  getTargetIndex: (target: string) => number,
+  getTargetIndex: (target: TargetReference) => number,
 ): StoredUnit {
   const targetIndexes = (unit.placedOn ?? []).map(getTargetIndex);
   const {run, failureCount, lastFailedRun, isDone, checkpoint} = unit;
@@ -164,7 +174,7 @@
 
 function decodeUnit(
   stored: number | z.infer<typeof unitSchema>,
-  targets: readonly string[],
+  targets: readonly TargetReference[],
 ): UnitProgress {
   const items = typeof stored === 'number' ? [stored, 0, 0, 0, ''] : stored;
   const [run, failureCount, lastFailedRun, done, checkpoint, ...targetIndexes] =
