Isolate tasks that a crash has made suspects

Cause: all runs of a crashed target are released in one step and are placed again in the same pass, by the same tightest fit, on the same target. None of them was ever listed, so nothing told them apart. Besides, a start that was sent to a target which had crashed already was counted.

Change: a task under which a target crashed at its start, or twice at any age, is isolated: a single task starts on an empty target, a gang on targets without unlisted runs, and its target takes nothing else until the run has outlived the crashes. It waits up to 2 s for such targets. After two crashes nothing is stopped for it. A start that was not acknowledged counts only if the target still responded when it was sent.

--- a/packages/dispatch/src/active_job.ts
+++ b/packages/dispatch/src/active_job.ts
@@ -146,6 +146,8 @@
   createdAt: Instant;
   /** When the first start command was sent; undefined for a run that was taken over. */
   startedAt?: Instant;
+  /** Whether the target has acknowledged or listed the run. */
+  isConfirmed: boolean;
   /** Whether the target has listed the run as running to this leader. */
   isListed: boolean;
   /** When the target last listed the run; when it was placed if it has not. */
@@ -239,6 +241,7 @@
     percent: 0,
     percentAt: now,
     createdAt: now,
+    isConfirmed: false,
     isListed: false,
     listedAt: now,
     stalledFor: 0,
--- a/packages/dispatch/src/crash_attribution.ts
+++ b/packages/dispatch/src/crash_attribution.ts
@@ -18,6 +18,12 @@
 } from './active_job.js';
 import type {TargetState} from './target_state.js';
 
+/** Age of a run, in milliseconds, below which a crash may have been caused by its start: the interval of listings. */
+const MAX_START_AGE_MS: Milliseconds = 1000;
+
+/** Number of crashes from which on a member is isolated whatever the age of its runs. */
+const MIN_REPEATED_CRASHES = 2;
+
 /** Range of ages of a run, in milliseconds. */
 interface AgeRange {
   minAge: Milliseconds;
@@ -50,7 +56,7 @@
       runs: target.allocations.size,
       suspects: suspects.slice(0, 8).map(({task, unit, memberIndex}) => ({
         task,
-        ...findCrashEvidence(unit, memberIndex),
+        crashes: findCrashEvidence(unit, memberIndex)?.count,
       })),
     });
     for (const job of new Set(suspects.map(({unit}) => unit.job))) {
@@ -102,6 +108,36 @@
   return count > 0;
 }
 
+/** Whether targets have crashed repeatedly under runs of the unit. */
+export function hasRepeatedCrashes({progress}: ActiveUnit): boolean {
+  return (progress.crashes ?? []).some(
+    ({count}) => count >= MIN_REPEATED_CRASHES,
+  );
+}
+
+/**
+ * Whether a member runs apart from other work, so that a further crash harms
+ * nothing else and tells whether the member causes it.
+ */
+export function needsIsolation(unit: ActiveUnit, member: number): boolean {
+  const evidence = findCrashEvidence(unit, member);
+  return (
+    evidence !== undefined &&
+    (evidence.count >= MIN_REPEATED_CRASHES ||
+      (evidence.count > 0 && evidence.minAge < MAX_START_AGE_MS))
+  );
+}
+
+/** Whether a run on the target needs isolation; the target then takes no other work. */
+export function isClosedToOthers({allocations}: TargetState): boolean {
+  for (const {unit, memberIndex} of allocations.values()) {
+    if (unit && needsIsolation(unit, memberIndex)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 type PlacedAllocation = Allocation & {unit: ActiveUnit};
 
 /** Returns the allocations of a crashed target whose runs may have caused the crash. */
@@ -121,10 +157,17 @@
     unit !== undefined &&
     state !== 'planned' &&
     run === unit.progress.run &&
-    !unit.progress.isDone
+    !unit.progress.isDone &&
+    (allocation.isConfirmed || wasTargetResponsive(allocation))
   );
 }
 
+/** Whether the target responded, as far as is known, when the start command was sent; false if it may have crashed before. */
+function wasTargetResponsive({target, startedAt}: Allocation): boolean {
+  const {unresponsiveSince = Infinity} = target;
+  return startedAt === undefined || startedAt <= unresponsiveSince;
+}
+
 function computeCrashAge(
   {unit, startedAt, createdAt, listedAt, isListed}: PlacedAllocation,
   now: Instant,
--- a/packages/dispatch/src/policy/candidate_target.ts
+++ b/packages/dispatch/src/policy/candidate_target.ts
@@ -18,6 +18,12 @@
   slowness: number;
   /** Whether runs failed on the target for which it may be at fault. */
   isDoubted: boolean;
+  /** Whether the target has no runs. */
+  isEmpty: boolean;
+  /** Whether the target has a run that it has not listed yet. */
+  hasUnlistedRun: boolean;
+  /** Whether a run on the target is isolated, so that no other may start there. */
+  isClosed: boolean;
   /**
    * Reserved for a larger unit from this instant on: units placed here must be
    * expected to end by then. Infinity if there is no reservation.
@@ -103,6 +109,8 @@
     memoryMb: candidate.free.memoryMb - demand.memoryMb * members,
     accelerators: candidate.free.accelerators - demand.accelerators * members,
   };
+  candidate.isEmpty = false;
+  candidate.hasUnlistedRun = true;
 }
 
 /** Returns `free` plus the capacity of an allocation. */
--- a/packages/dispatch/src/policy/create_candidates.ts
+++ b/packages/dispatch/src/policy/create_candidates.ts
@@ -1,6 +1,8 @@
 /** Creates the working copies of targets for one scheduling pass. */
 import type {Instant} from '@galenavalve/shared';
+import {isClosedToOthers} from '../crash_attribution.js';
 import {MAX_LISTING_AGE_MS} from '../settings.js';
+import type {TargetState} from '../target_state.js';
 import type {CandidateTarget} from './candidate_target.js';
 import type {SchedulingSnapshot} from './scheduling_snapshot.js';
 import {findUnresponsiveDomains} from './unresponsive_domains.js';
@@ -28,8 +30,20 @@
       labels: info.labels,
       slowness: target.slowness,
       isDoubted: target.faults.isDoubted(now),
+      isEmpty: target.allocations.size === 0,
+      hasUnlistedRun: hasUnlistedRun(target),
+      isClosed: isClosedToOthers(target),
       reservedFrom: Infinity,
     });
   }
   return candidates;
 }
+
+function hasUnlistedRun({allocations}: TargetState): boolean {
+  for (const {isListed} of allocations.values()) {
+    if (!isListed) {
+      return true;
+    }
+  }
+  return false;
+}
--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -3,6 +3,7 @@
  * where, and which running units are stopped for them.
  */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
+import {hasRepeatedCrashes} from '../crash_attribution.js';
 import {isProgressRateKnown, estimateRemainingTime} from '../progress_rate.js';
 import {
   type Allocation,
@@ -15,6 +16,12 @@
 import {createCandidates} from './create_candidates.js';
 import {findGuaranteedJobs} from './guarantee.js';
 import {type WaitingUnit, listReadyUnits} from './ready_units.js';
+import {
+  closeTargets,
+  listIsolatedCandidates,
+  listIsolatedMembers,
+  mayWaitForIsolation,
+} from './isolation.js';
 import {planReclaim} from './reclaim.js';
 import {
   computeLocalWaitLimit,
@@ -148,19 +155,33 @@
       this.snapshot.findAllowedTargets(unit),
     );
     const allCandidates = this.listCandidates(unit);
-    const trusted = this.listTrusted(allCandidates);
-    const candidates = this.needsTrustedTargets(unit) ? trusted : allCandidates;
-    let placement = this.place(unit, request, trusted, allCandidates);
+    const openCandidates = allCandidates.filter(({isClosed}) => !isClosed);
+    const isolatedMembers = listIsolatedMembers(unit);
+    const trusted = this.listTrusted(openCandidates);
+    const candidates = this.needsTrustedTargets(unit)
+      ? trusted
+      : openCandidates;
+    let placement: Placement | undefined;
+    if (isolatedMembers.length > 0) {
+      const isolated = listIsolatedCandidates(unit, openCandidates);
+      placement = this.place(unit, request, isolated, allCandidates);
+      if (!placement && mayWaitForIsolation(unit, this.now)) {
+        return;
+      }
+    }
+    placement ??= this.place(unit, request, trusted, allCandidates);
     if (!placement && candidates.length > trusted.length) {
       placement = this.place(unit, request, candidates, allCandidates);
     }
     if (placement) {
       this.addStart(unit, request, placement);
+      closeTargets(placement, isolatedMembers);
       return;
     }
     this.unplaceableShapes.add(shapeKey);
     const isReclaimed =
       urgency.tier === UrgencyTier.URGENT &&
+      !hasRepeatedCrashes(unit) &&
       (this.hasTargetClaim(unit) ||
         this.reclaim(unit, urgency, request, candidates));
     if (!isReclaimed && this.reservationCount < MAX_RESERVATIONS) {
--- a/packages/dispatch/src/run_tracker.ts
+++ b/packages/dispatch/src/run_tracker.ts
@@ -117,6 +117,7 @@
       return;
     }
     allocation.state = 'confirmed';
+    allocation.isConfirmed = true;
     allocation.acknowledgedClock = clock;
     allocation.percentAt = now;
     allocation.firstPercentAt = now;
--- a/packages/dispatch/src/target_sessions.ts
+++ b/packages/dispatch/src/target_sessions.ts
@@ -96,6 +96,7 @@
         });
       }
       failures++;
+      target.unresponsiveSince ??= this.clock.now();
       await this.clock.sleep(POLL_RETRY_DELAY_MS);
     }
   }
--- a/packages/dispatch/src/target_state.ts
+++ b/packages/dispatch/src/target_state.ts
@@ -44,6 +44,8 @@
   /** Whether this leader has received a listing. */
   hasListing = false;
   lastResponseAt: Instant = -Infinity;
+  /** When the first call failed since the last response; undefined if none has. */
+  unresponsiveSince?: Instant;
   /**
    * When the response to the poll in progress is due; Infinity if there is
    * none.
@@ -157,6 +159,7 @@
   onResponse(clock: number, now: Instant): void {
     this.lastResponseAt = now;
     this.responseDueAt = Infinity;
+    this.unresponsiveSince = undefined;
     if (!this.clockSample || clock > this.clockSample.clock) {
       this.clockSample = {clock, at: now};
     }
