Send no start to a target that has shrunk since the placement

Cause: capacity is checked when a placement is decided. Its record may be delayed, by an outage of the log for seconds, and a start is retried for up to 1.8 s; neither looked at the capacity again. And a target that lacks one resource could still take a task that needs none of it.

Change: a start is sent only while all runs of the target fit; otherwise the unit is stopped and placed elsewhere, at no fault of the target. A target that is over its capacity in any resource takes no run.

--- a/packages/dispatch/src/command_sender.ts
+++ b/packages/dispatch/src/command_sender.ts
@@ -137,6 +137,11 @@
       if (!this.isStartPending(allocation)) {
         return;
       }
+      // The record of the placement may have been delayed, and this may be a retry.
+      if (target.isOvercommitted && unit) {
+        this.tracker.stop(unit, 'the capacity of a target has shrunk');
+        return;
+      }
       const outcome = await this.sendStart(allocation);
       const now = this.clock.now();
       if (this.checkFenced(target, outcome) || !unit) {
--- a/packages/dispatch/src/policy/candidate_target.ts
+++ b/packages/dispatch/src/policy/candidate_target.ts
@@ -5,7 +5,7 @@
 import type {Instant} from '@galenavalve/shared';
 import type {Demand} from '@galenavalve/workload';
 import type {Allocation} from '../active_job.js';
-import type {TargetState} from '../target_state.js';
+import {type TargetState, isNegative} from '../target_state.js';
 
 /** A target with its free capacity during one scheduling pass. */
 export interface CandidateTarget {
@@ -66,6 +66,10 @@
   demand: Demand,
   maxMembers: number,
 ): number {
+  // A target that lacks one resource takes no run, not even one that does not need it.
+  if (isNegative(free)) {
+    return 0;
+  }
   let fits = maxMembers;
   if (demand.cpu > 0) {
     fits = Math.min(fits, Math.floor(free.cpu / demand.cpu));
--- a/packages/dispatch/src/target_state.ts
+++ b/packages/dispatch/src/target_state.ts
@@ -140,6 +140,11 @@
     };
   }
 
+  /** Whether the runs need more than the capacity, because it has shrunk. */
+  get isOvercommitted(): boolean {
+    return isNegative(this.computeFreeCapacity());
+  }
+
   /** Called when the log has the ends up to `number`. */
   onEndsRecorded(number: number): void {
     this.recordedEnd = number;
@@ -237,6 +242,11 @@
   }
 }
 
+/** Whether a resource is negative, as for free capacity that has shrunk below what runs need. */
+export function isNegative({cpu, memoryMb, accelerators}: Demand): boolean {
+  return cpu < 0 || memoryMb < 0 || accelerators < 0;
+}
+
 function formatRunKey(task: string, run: number): string {
   return `${task}#${run}`;
 }
