Wait for the registry entry of a restarted target before it is used

Callers would see: a target that restarted as a smaller kind is started by the capacity of its former incarnation (LIMIT), or tasks run on labels that it no longer has (ROUTE).

Cause: a listing of another start time replaced the state of the target with a copy of the former registry entry, which was then used until the new one arrived, at least one report later.

Change: the new incarnation receives no runs until it is registered. Its listings, stops and leases do not wait.

--- a/packages/dispatch/src/target_directory.ts
+++ b/packages/dispatch/src/target_directory.ts
@@ -105,7 +105,9 @@
   /** Called when another incarnation responds at the target's address. */
   onOtherIncarnation(target: TargetState, born: number): void {
     if (!target.isRemoved && this.byId.get(target.info.id) === target) {
-      this.replace(target, {...target.info, born});
+      // The next incarnation may be of another kind, so its capacity and labels
+      // are unknown until it is registered.
+      this.replace(target, {...target.info, born}).isRegistered = false;
     }
   }
 
@@ -151,7 +153,7 @@
     return current;
   }
 
-  private replace(target: TargetState, info: TargetInfo): void {
+  private replace(target: TargetState, info: TargetInfo): TargetState {
     this.remove(target);
     const next = this.byIncarnation.get(
       formatIncarnationKey(info.id, info.born),
@@ -159,6 +161,7 @@
     const offset = Math.min(target.epochOffset + 1, MAX_INCARNATIONS - 1);
     const replacement = next ?? this.add(info, offset);
     this.events.onTargetReplaced(target, replacement);
+    return replacement;
   }
 
   private remove(target: TargetState): void {
