Do not start a run twice that the next incarnation acknowledged

Callers would see: two runs of one task at once (TWICE), after a target restarts with the id that it had.

Cause: an incarnation that starts again before its restart is known acknowledges a start that was meant for the former one. The acknowledgement names no incarnation, so the run was taken for one of the former incarnation, which has ended, and was placed again.

Change: when an incarnation is replaced, a run that it never listed moves to the next one and is stopped there, as unacknowledged starts already did.

--- a/packages/dispatch/src/incarnation_cleanup.ts
+++ b/packages/dispatch/src/incarnation_cleanup.ts
@@ -95,15 +95,17 @@
   }
 
   /**
-   * Whether a command of this epoch to the former incarnation is
-   * unacknowledged, so that the new one may still receive it.
+   * Whether a command of this epoch may reach the new incarnation, or has reached
+   * it: a start that was acknowledged, but whose run the former incarnation never
+   * listed, may have been acknowledged by the new one.
    */
   private isCommandPending(allocation: Allocation): boolean {
-    const isUnacknowledged =
-      allocation.state === 'starting' ||
-      (allocation.state === 'stopping' &&
-        allocation.acknowledgedClock === undefined);
-    return allocation.epoch === this.epoch && isUnacknowledged;
+    const {state, isListed, acknowledgedClock, epoch} = allocation;
+    const isPending =
+      state === 'starting' ||
+      (state === 'confirmed' && !isListed) ||
+      (state === 'stopping' && (acknowledgedClock === undefined || !isListed));
+    return epoch === this.epoch && isPending;
   }
 
   private moveAllocation(allocation: Allocation, next: TargetState): void {
--- a/packages/emulator/src/emulated_fleet.ts
+++ b/packages/emulator/src/emulated_fleet.ts
@@ -89,6 +89,7 @@
       this.bounds,
       this,
       this.clock.now(),
+      this.targets.get(info.id)?.info.capacity,
     );
     this.targets.set(info.id, target);
     this.updateRegistration(info);
--- a/packages/emulator/src/emulated_target.ts
+++ b/packages/emulator/src/emulated_target.ts
@@ -105,6 +105,8 @@
     private readonly bounds: TargetBounds,
     private readonly environment: TargetEnvironment,
     private readonly startedAt: Instant,
+    /** Capacity of the former incarnation with the same id; undefined if there is none. */
+    private formerCapacity?: Demand,
   ) {
     this.advancedAt = startedAt;
   }
@@ -115,12 +117,19 @@
     this.info = {...this.info, capacity};
   }
 
-  /** Returns the highest capacity that was in force at or after `since`, by resource. */
+  /**
+   * Returns the highest capacity that was in force at or after `since`, by
+   * resource. That of the former incarnation is in force until an instance can
+   * learn from a listing that there is another one.
+   */
   findMaxCapacity(since: Instant): Demand {
     const capacities = this.formerCapacities
       .filter(({until}) => until >= since)
       .map(({capacity}) => capacity);
     capacities.push(this.info.capacity);
+    if (this.formerCapacity) {
+      capacities.push(this.formerCapacity);
+    }
     return {
       cpu: Math.max(...capacities.map(({cpu}) => cpu)),
       memoryMb: Math.max(...capacities.map(({memoryMb}) => memoryMb)),
@@ -195,6 +204,7 @@
       return {kind: 'refused', reason: 'fenced', clock};
     }
     this.fence = request.epoch;
+    this.formerCapacity = undefined;
     if (request.leaseUntil !== undefined) {
       this.extendLease(request.leaseUntil, clock);
     }
