Count the capacity of runs that no active job expects

Callers would see: after a takeover, more is started on a target than fits (LIMIT), while the last runs of jobs that have ended are being stopped there.

Cause: a run that the new leader does not expect held the capacity of its unit, and none if its job was not active any more. A job is recorded as complete while a second run of one of its tasks is still being stopped.

Change: the demand of such a run comes from the table of jobs, which keeps ended ones; a run of an unknown job holds the whole target until it has ended. It is stopped at once in both cases, as before.

Evidence: with a demand of zero both new tests fail (8 free accelerators in place of 5 and 0).

--- a/packages/dispatch/__tests__/stragglers.spec.ts
+++ b/packages/dispatch/__tests__/stragglers.spec.ts
@@ -26,6 +26,7 @@
     crashes: new CrashAttribution(() => undefined, logger),
     epoch: 1,
     findUnit: () => unit,
+    findDemand: () => undefined,
     onOrphan: () => undefined,
   };
   const list = (percent: number, now: number, clock = now) => {
--- /dev/null
+++ b/packages/dispatch/__tests__/target_listing.spec.ts
@@ -0,0 +1,40 @@
+import t from 'tap';
+import {
+  CrashAttribution,
+  DurationEstimator,
+  RunTracker,
+  type TargetState,
+} from '@galenavalve/dispatch';
+import {SilentLogger} from '@galenavalve/shared';
+import type {Demand} from '@galenavalve/workload';
+import {applyListing} from '../src/target_listing.js';
+import {createTarget} from './fixtures.js';
+
+/** Lists a run of a task that no active job expects; returns the free accelerators. */
+function listOrphan(target: TargetState, demand: Demand | undefined): number {
+  const logger = new SilentLogger();
+  const events = {onChange: () => undefined, onStop: () => undefined};
+  const tracker = new RunTracker(events, new DurationEstimator(), logger);
+  const context = {
+    tracker,
+    crashes: new CrashAttribution(() => undefined, logger),
+    epoch: 2,
+    findUnit: () => undefined,
+    findDemand: () => demand,
+    onOrphan: () => undefined,
+  };
+  const run = {task: 'ended.0.0.0', run: 2, checkpoint: '', percent: 5};
+  const listing = {born: 1, clock: 100, running: [run], ended: []};
+  applyListing(target, listing, context, 100);
+  return target.computeFreeCapacity().accelerators;
+}
+
+// Guards against starts over the capacity after a takeover, while the last runs of ended jobs are being stopped.
+t.test('a run of an ended job holds its capacity until it is gone', async t => {
+  const demand = {cpu: 4000, memoryMb: 8000, accelerators: 3};
+  t.equal(listOrphan(createTarget('a', 'r', 0), demand), 5);
+});
+
+t.test('a run of an unknown job holds the whole target', async t => {
+  t.equal(listOrphan(createTarget('a', 'r', 0), undefined), 0);
+});
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -10,6 +10,7 @@
   describeError,
 } from '@galenavalve/shared';
 import {
+  type Demand,
   type JobEntry,
   type JobTable,
   type Leadership,
@@ -46,6 +47,7 @@
   type Allocation,
   type ActiveJob,
   type ActiveUnit,
+  computeAllocatedDemand,
   findMaxRunCount,
 } from './active_job.js';
 import {
@@ -305,6 +307,7 @@
       crashes: this.crashes,
       epoch: this.epoch,
       findUnit: (task: string) => this.findUnit(task),
+      findDemand: (task: string) => this.findDemand(task),
       onOrphan: (orphan: Allocation) => void this.commands.stop(orphan),
     };
     const now = this.dependencies.clock.now();
@@ -485,6 +488,13 @@
     );
   }
 
+  private findDemand(task: string): Demand | undefined {
+    const name = parseTaskName(task);
+    const entry = name && this.dependencies.table.find(name.jobId);
+    const step = entry?.job.spec.steps[name!.step];
+    return step && computeAllocatedDemand(step);
+  }
+
   private onJobEnded(job: ActiveJob): void {
     this.jobs.delete(job.id);
     this.adviceCache.removeJob(job.id);
--- a/packages/dispatch/src/target_listing.ts
+++ b/packages/dispatch/src/target_listing.ts
@@ -42,6 +42,8 @@
     tracker: RunTracker;
     crashes: CrashAttribution;
     findUnit: UnitLookup;
+    /** Returns what a task of any job, also of an ended one, needs; undefined if the job is unknown. */
+    findDemand: (task: string) => Demand | undefined;
     epoch: number;
     onOrphan: (allocation: Allocation) => void;
   },
@@ -69,12 +71,8 @@
       applyProgress(allocation, run, listing.clock, context.tracker, now);
       context.crashes.onListed(allocation, now);
     } else {
-      const orphan = allocateOrphan(
-        target,
-        run,
-        context.findUnit(run.task),
-        now,
-      );
+      const demand = context.findDemand(run.task);
+      const orphan = allocateOrphan(target, run, demand, now);
       listed.add(orphan);
       context.onOrphan(orphan);
       hasChanged = true;
@@ -150,20 +148,20 @@
 
 /**
  * Allocates capacity for an orphan, a run that the leader does not expect on
- * the target; it holds the capacity until it has ended.
+ * the target; it holds the capacity until it has ended. A run of which the
+ * demand is unknown may need the whole target.
  */
 function allocateOrphan(
   target: TargetState,
   {task, run}: ListedRun,
-  unit: ActiveUnit | undefined,
+  demand: Demand = target.info.capacity,
   now: Instant,
 ): Allocation {
-  const noDemand: Demand = {cpu: 0, memoryMb: 0, accelerators: 0};
   const allocation = createAllocation(
     {
       task,
       run,
-      demand: unit?.step.demand ?? noDemand,
+      demand,
       target,
       unit: undefined,
       memberIndex: 0,
