Soak: tasks that crash their targets, and capacity that shrinks

The soak of real daemons could not show either fault. One job in eight now crashes each target that starts its first task and must end as failed, all others must complete; capacity shrinks and grows beside the other faults. Both are drawn from a generator of their own, so that a seed injects the same other faults as before.

--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -3,6 +3,9 @@
 import type {DaemonProcess} from './daemon_process.js';
 import type {SoakEnvironment} from './soak.js';
 
+/** Accelerators of a target whose capacity has not shrunk. */
+export const MAX_ACCELERATORS = 8;
+
 /** A kind of fault. */
 export interface Fault {
   /** Name of the fault in the report. */
@@ -99,6 +102,24 @@
   },
 ];
 
+/** Changes of capacity, which are injected beside the other faults. */
+export const CAPACITY_FAULTS: readonly Fault[] = [
+  {
+    name: 'the capacity of a target shrinks',
+    run: async environment => {
+      const {fleet, random} = environment;
+      const id = pickTarget(environment);
+      const {capacity} = fleet.targets.get(id)!.info;
+      fleet.resizeTarget(id, {
+        ...capacity,
+        accelerators: nextInteger(random, 5),
+      });
+      await sleep(3000 + random.next() * 3000);
+      fleet.resizeTarget(id, {...capacity, accelerators: MAX_ACCELERATORS});
+    },
+  },
+];
+
 function pickDaemon({daemons, random}: SoakEnvironment): DaemonProcess {
   return daemons[nextInteger(random, daemons.length)]!;
 }
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -13,7 +13,12 @@
 import {decodeJob} from '@galenavalve/users-platform';
 import {Caller} from './caller.js';
 import {DaemonProcess} from './daemon_process.js';
-import {FAULTS} from './faults.js';
+import {
+  CAPACITY_FAULTS,
+  FAULTS,
+  type Fault,
+  MAX_ACCELERATORS,
+} from './faults.js';
 import {
   createDesiredState,
   createRegistryEntry,
@@ -32,6 +37,13 @@
 /** Longest delay before a job is submitted. */
 const MAX_JOB_INTERVAL_MS = 800;
 
+/** Share of jobs whose first task crashes each target that starts it, and the age of the run at the crash. */
+const CRASHING_SHARE = 0.12;
+const CRASH_AGE_MS = 20;
+
+/** Added to the seed for choices that leave those of earlier soak runs with the seed as they were. */
+const ADDED_CHOICES_SEED = 1_000_000;
+
 /** Time after the last fault within which all accepted jobs must have completed. */
 const SETTLE_TIMEOUT_MS = 60_000;
 
@@ -80,7 +92,9 @@
   const jobLog = new EmulatedLog(clock, random);
   const operatorLog = new EmulatedLog(clock, random);
   const registryLog = new EmulatedLog(clock, random);
+  const addedRandom = new SeededRandom(options.seed + ADDED_CHOICES_SEED);
   const steps = new Map<string, {gangSize: number; work: number}>();
+  const crashingJobs = new Set<string>();
   const bounds = {maxLease: 5000, stopTime: 400, gangTime: 3000};
   const fleet = new EmulatedFleet(
     clock,
@@ -91,9 +105,14 @@
       savesProgress: false,
       gangSize: 1,
       ...steps.get(parseTaskName(task)?.jobId ?? ''),
+      crashesTargetAt: isCrashing(task, crashingJobs)
+        ? CRASH_AGE_MS
+        : undefined,
     }),
     auditor,
   );
+  // The address of a stand-in serves one id.
+  fleet.faults.newIdAfterCrash = false;
   let isFinished = false;
   const standins = await Promise.all(
     Array.from({length: TARGET_COUNT}, (_, index) =>
@@ -102,6 +121,9 @@
   );
   const register = (info: TargetInfo) =>
     registryLog.put({key: info.id, value: createRegistryEntry(info)});
+  void fleet
+    .createTargetRegistry()
+    .open({onTarget: register, onTargetRemoved: () => undefined});
   standins.forEach(({address}, index) => {
     const info = createTarget(index, address);
     fleet.addTarget(info);
@@ -143,18 +165,26 @@
     void fleet.run(() => isFinished);
     daemons.forEach(daemon => daemon.start());
     let isSubmissionDone = false;
-    const injection = injectFaults(
-      environment,
-      options,
-      report,
-      () => isSubmissionDone,
-    );
+    const isDone = () => isSubmissionDone;
+    const injection = Promise.all([
+      injectFaults(FAULTS, environment, options, report, isDone),
+      injectFaults(
+        CAPACITY_FAULTS,
+        {...environment, random: addedRandom},
+        options,
+        report,
+        isDone,
+      ),
+    ]);
     const accepted = new Map<string, number>();
     const rejected: string[] = [];
     for (let index = 0; index < options.jobs; index++) {
       const id = (options.seed * 1000 + index).toString(16).padStart(16, '0');
       const priority = nextInteger(random, 3);
       const body = createJobBody(random);
+      if (addedRandom.next() < CRASHING_SHARE) {
+        crashingJobs.add(id);
+      }
       const decoded = decodeJob(body);
       if ('spec' in decoded) {
         const [step] = decoded.spec.steps;
@@ -183,7 +213,7 @@
     report.rejected = rejected.length;
     isSubmissionDone = true;
     await injection;
-    report.unfinished = await waitForJobs(caller, accepted);
+    report.unfinished = await waitForJobs(caller, accepted, crashingJobs);
     report.falselyRejected = rejected.filter(id =>
       jobLog.history.some(({key}) => key === `s/${id}`),
     );
@@ -202,6 +232,7 @@
 
 /** Injects random faults, which may overlap, until `isFinished` returns true; resolves once all have ended. */
 async function injectFaults(
+  faults: readonly Fault[],
   environment: SoakEnvironment,
   {meanFaultIntervalMs}: SoakOptions,
   report: SoakReport,
@@ -211,7 +242,7 @@
   while (!isFinished()) {
     await sleep(meanFaultIntervalMs * (0.5 + environment.random.next()));
     if (!isFinished()) {
-      const fault = FAULTS[nextInteger(environment.random, FAULTS.length)]!;
+      const fault = faults[nextInteger(environment.random, faults.length)]!;
       report.faults.push(fault.name);
       running.push(fault.run(environment));
     }
@@ -219,10 +250,11 @@
   await Promise.all(running);
 }
 
-/** Polls until every accepted job is complete or the timeout has passed; returns the others with their last state. */
+/** Polls until every accepted job is complete, or has failed if it crashes targets, or the timeout has passed; returns the others with their last state. */
 async function waitForJobs(
   caller: Caller,
   accepted: ReadonlyMap<string, number>,
+  crashingJobs: ReadonlySet<string>,
 ): Promise<string[]> {
   const pending = new Map(accepted);
   const states = new Map<string, string | undefined>();
@@ -231,7 +263,7 @@
     for (const [id, priority] of [...pending]) {
       const state = await caller.getState(id, priority);
       states.set(id, state);
-      if (state === 'complete') {
+      if (state === (crashingJobs.has(id) ? 'failed' : 'complete')) {
         pending.delete(id);
       }
     }
@@ -240,6 +272,11 @@
   return [...pending.keys()].map(id => `${id}: ${states.get(id)}`);
 }
 
+function isCrashing(task: string, crashingJobs: ReadonlySet<string>): boolean {
+  const name = parseTaskName(task);
+  return name?.index === 0 && crashingJobs.has(name.jobId);
+}
+
 function createDaemon(seed: number, index: number, storeAddress: string) {
   const block = seed % PORT_BLOCK_COUNT;
   const firstPort = FIRST_PORT + block * PORTS_PER_RUN + index * 4;
@@ -263,7 +300,7 @@
     domain: `d${index % 3}`,
     rack,
     labels: [rack],
-    capacity: {cpu: 64_000, memoryMb: 131_072, accelerators: 8},
+    capacity: {cpu: 64_000, memoryMb: 131_072, accelerators: MAX_ACCELERATORS},
     isDraining: false,
   };
 }
