Show that the own interface restarts a crashing job without a limit

The test crashes the target of each of five starts and expects the job to have failed; it does not end.

--- a/packages/scheduler/__tests__/scheduler.spec.ts
+++ b/packages/scheduler/__tests__/scheduler.spec.ts
@@ -79,6 +79,36 @@
     t.equal(findStarts(cluster, jobId).length, 2, 'each member started once');
   });
 
+  // Guards against one job that crashes its targets taking down target after target.
+  t.test('that crashes each target that starts it ends as failed', async t => {
+    const maxStarts = 5;
+    const {cluster, instance} = await createScheduled(10);
+    const jobId = submit(cluster, 'r1', {
+      gang: {
+        tasks: 1,
+        perTask: {accelerators: 8, processors: 1, memoryMb: 1},
+        adjacency: 'domain',
+      },
+      payload: {durationMs: 20_000},
+    });
+    const hasEnded = isFinished(instance, jobId);
+    const hasStarted = isRunning(instance, jobId);
+    const killed = new Set<string>();
+    for (let start = 0; start < maxStarts && !hasEnded(); start++) {
+      const isOnNewTarget = () =>
+        hasStarted() &&
+        !killed.has(instance.state.getJob(jobId)!.assignments[0]!.target);
+      await advanceUntil(cluster, () => isOnNewTarget() || hasEnded(), 90_000);
+      if (!hasEnded()) {
+        const {target} = instance.state.getJob(jobId)!.assignments[0]!;
+        killed.add(target);
+        cluster.targets.kill(target);
+      }
+    }
+    t.ok(await advanceUntil(cluster, hasEnded, 20_000));
+    t.equal(instance.state.getJob(jobId)?.outcome, 'failed');
+  });
+
   t.test('that fails on every target ends as failed', async t => {
     const {cluster, instance} = await createScheduled(4);
     const jobId = submit(cluster, 'r1', {
