Split the lookups of tasks from the dispatcher

What it knows of a task by name, and the end of an incarnation that the registry shows, move to the modules that they belong to. No behavior changes; the tests of dispatch and emulator pass as before.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -10,11 +10,9 @@
   describeError,
 } from '@galenavalve/shared';
 import {
-  type Demand,
   type JobEntry,
   type JobTable,
   type Leadership,
-  parseTaskName,
 } from '@galenavalve/workload';
 import {AdviceCache} from './advice_cache.js';
 import type {Advisor} from './advisor.js';
@@ -47,7 +45,6 @@
   type Allocation,
   type ActiveJob,
   type ActiveUnit,
-  computeAllocatedDemand,
   findMaxRunCount,
 } from './active_job.js';
 import {
@@ -59,6 +56,7 @@
   TAKEOVER_LISTING_MS,
 } from './settings.js';
 import {stopStragglers} from './stragglers.js';
+import {findDemand, findUnit} from './task_lookup.js';
 import type {TargetInfo} from './target_info.js';
 import type {TargetListing, TargetPort} from './target_port.js';
 import type {TargetState} from './target_state.js';
@@ -306,8 +304,8 @@
       tracker: this.tracker,
       crashes: this.crashes,
       epoch: this.epoch,
-      findUnit: (task: string) => this.findUnit(task),
-      findDemand: (task: string) => this.findDemand(task),
+      findUnit: (task: string) => findUnit(this.jobs, task),
+      findDemand: (task: string) => findDemand(this.dependencies.table, task),
       onOrphan: (orphan: Allocation) => void this.commands.stop(orphan),
     };
     const now = this.dependencies.clock.now();
@@ -380,8 +378,9 @@
       }
     }
     for (const target of [...this.directory.listTargets()]) {
-      if (target.allocations.size > 0) {
-        this.endIfSucceeded(target, now);
+      const successor = this.directory.findSuccessor(target);
+      if (successor) {
+        this.incarnationCleanup.onSucceeded(target, successor, now);
       }
       this.incarnationCleanup.dropExpiredRuns(target, now);
     }
@@ -399,16 +398,6 @@
     this.writer.writeHeartbeatIfDue(now);
   }
 
-  /** Ends the runs of an incarnation if the registry lists a later one in its place. */
-  private endIfSucceeded(target: TargetState, now: Instant): void {
-    const successor = this.directory.findSuccessor(target);
-    if (successor?.info.id === target.info.id) {
-      this.incarnationCleanup.onReplaced(target, successor, now);
-    } else if (successor) {
-      this.incarnationCleanup.onAddressReassigned(target, now);
-    }
-  }
-
   private close(): void {
     this.isClosed = true;
     this.writer.close();
@@ -477,24 +466,6 @@
     };
   }
 
-  private findUnit(task: string): ActiveUnit | undefined {
-    const name = parseTaskName(task);
-    const job = name && this.jobs.get(name.jobId);
-    return job?.units.find(
-      unit =>
-        unit.occurrence === name!.occurrence &&
-        unit.stepIndex === name!.step &&
-        (unit.step.isGang || unit.unitIndex === name!.index),
-    );
-  }
-
-  private findDemand(task: string): Demand | undefined {
-    const name = parseTaskName(task);
-    const entry = name && this.dependencies.table.find(name.jobId);
-    const step = entry?.job.spec.steps[name!.step];
-    return step && computeAllocatedDemand(step);
-  }
-
   private onJobEnded(job: ActiveJob): void {
     this.jobs.delete(job.id);
     this.adviceCache.removeJob(job.id);
--- a/packages/dispatch/src/incarnation_cleanup.ts
+++ b/packages/dispatch/src/incarnation_cleanup.ts
@@ -68,6 +68,21 @@
     }
   }
 
+  /**
+   * Called when the registry lists a later incarnation with the id or at the
+   * address of `target`, of which this leader may have heard from records only.
+   */
+  onSucceeded(target: TargetState, successor: TargetState, now: Instant): void {
+    if (target.allocations.size === 0) {
+      return;
+    }
+    if (successor.info.id === target.info.id) {
+      this.onReplaced(target, successor, now);
+    } else {
+      this.onAddressReassigned(target, now);
+    }
+  }
+
   /**
    * Releases the allocations of a target whose lease has expired; its tasks
    * have stopped by then whether or not it can be reached.
