--- a/packages/dispatch/__tests__/crash_attribution.spec.ts
+++ b/packages/dispatch/__tests__/crash_attribution.spec.ts
@@ -116,3 +116,18 @@
     t.notOk(unit.job.hasFailed);
   },
 );
+
+// Guards against jobs that are blamed for a crash before their start command was sent.
+t.test(
+  'an unacknowledged start counts only if the target still responded when it was sent',
+  async t => {
+    const unit = createUnit('1');
+    const target = startRun(unit, 1000);
+    target.unresponsiveSince = 900;
+    crashes.onCrash(target, 4000);
+    t.equal(countCrashes(unit), 0);
+    target.unresponsiveSince = 1100;
+    crashes.onCrash(target, 4000);
+    t.equal(countCrashes(unit), 1);
+  },
+);
