--- /dev/null
+++ b/packages/dispatch/__tests__/incarnation_cleanup.spec.ts
@@ -0,0 +1,36 @@
+import t from 'tap';
+import {
+  CrashAttribution,
+  DurationEstimator,
+  RunTracker,
+  findCrashEvidence,
+} from '@galenavalve/dispatch';
+import {SilentLogger} from '@galenavalve/shared';
+import type {CommandSender} from '../src/command_sender.js';
+import {IncarnationCleanup} from '../src/incarnation_cleanup.js';
+import {addRun, createJob, createStep, createTarget} from './fixtures.js';
+
+/** Restarts a target with a run; returns the number of crashes that are counted. */
+function countCrashesAfterRestart(drainingSince?: number): number | undefined {
+  const logger = new SilentLogger();
+  const events = {onChange: () => undefined, onStop: () => undefined};
+  const tracker = new RunTracker(events, new DurationEstimator(), logger);
+  const commands = {stop: async () => undefined} as unknown as CommandSender;
+  const crashes = new CrashAttribution(() => undefined, logger);
+  const cleanup = new IncarnationCleanup(1, tracker, commands, crashes, logger);
+  const target = createTarget('a', 'r', 0);
+  target.drainingSince = drainingSince;
+  const unit = createJob('1', createStep({isGang: false, count: 1})).units[0]!;
+  addRun(unit, target, 0);
+  cleanup.onReplaced(target, createTarget('a', 'r', 5000), 5000);
+  return findCrashEvidence(unit, 0)?.count;
+}
+
+// Guards against jobs that fail because their targets were taken out of service.
+t.test(
+  'a target that was draining before it ended has not crashed',
+  async t => {
+    t.equal(countCrashesAfterRestart(4000), undefined);
+    t.equal(countCrashesAfterRestart(), 1);
+  },
+);
