Do not blame a run that was only moved to the next incarnation

Found in reading the diff: a start that may still arrive moves to the next incarnation to be stopped there. If that one crashed too, within the few hundred milliseconds until the stop is confirmed, the run was blamed again, although it had never started there.

A moved run is blamed only if the new incarnation lists it. The test counted three crashes before and counts one. The decision for isolated units is one block now.

--- a/packages/dispatch/__tests__/incarnation_cleanup.spec.ts
+++ b/packages/dispatch/__tests__/incarnation_cleanup.spec.ts
@@ -10,8 +10,11 @@
 import {IncarnationCleanup} from '../src/incarnation_cleanup.js';
 import {addRun, createJob, createStep, createTarget} from './fixtures.js';
 
-/** Restarts a target with a run; returns the number of crashes that are counted. */
-function countCrashesAfterRestart(drainingSince?: number): number | undefined {
+/** Restarts a target with an unlisted run; returns the number of crashes that are counted. */
+function countCrashesAfterRestart(
+  drainingSince?: number,
+  restarts = 1,
+): number | undefined {
   const logger = new SilentLogger();
   const events = {onChange: () => undefined, onStop: () => undefined};
   const tracker = new RunTracker(events, new DurationEstimator(), logger);
@@ -22,7 +25,12 @@
   target.drainingSince = drainingSince;
   const unit = createJob('1', createStep({isGang: false, count: 1})).units[0]!;
   addRun(unit, target, 0);
-  cleanup.onReplaced(target, createTarget('a', 'r', 5000), 5000);
+  let current = target;
+  for (let restart = 1; restart <= restarts; restart++) {
+    const next = createTarget('a', 'r', restart * 5000);
+    cleanup.onReplaced(current, next, restart * 5000);
+    current = next;
+  }
   return findCrashEvidence(unit, 0)?.count;
 }
 
@@ -34,3 +42,11 @@
     t.equal(countCrashesAfterRestart(), 1);
   },
 );
+
+// Guards against crashes that are counted against a run which is only being kept from starting.
+t.test(
+  'a run that was moved to the next incarnation is not blamed if that one crashes too',
+  async t => {
+    t.equal(countCrashesAfterRestart(undefined, 3), 1);
+  },
+);
--- a/packages/dispatch/src/active_job.ts
+++ b/packages/dispatch/src/active_job.ts
@@ -146,6 +146,8 @@
   createdAt: Instant;
   /** When the first start command was sent; undefined for a run that was taken over. */
   startedAt?: Instant;
+  /** Whether the allocation was moved from the former incarnation, so that only a late command can start the run here. */
+  isMoved: boolean;
   /** Whether the target has acknowledged or listed the run. */
   isConfirmed: boolean;
   /** Whether the target has listed the run as running to this leader. */
@@ -241,6 +243,7 @@
     percent: 0,
     percentAt: now,
     createdAt: now,
+    isMoved: false,
     isConfirmed: false,
     isListed: false,
     listedAt: now,
--- a/packages/dispatch/src/crash_attribution.ts
+++ b/packages/dispatch/src/crash_attribution.ts
@@ -150,20 +150,25 @@
   return suspects.length > 0 ? suspects : started;
 }
 
-/** Whether a start command of the unit's current run may have reached the target. */
+/** Whether a run of a unit that is not done may have been on the target when it crashed. */
 function isStarted(allocation: Allocation): allocation is PlacedAllocation {
-  const {unit, state, run} = allocation;
+  const {unit, run} = allocation;
+  const isCurrentRun =
+    unit !== undefined && run === unit.progress.run && !unit.progress.isDone;
   return (
-    unit !== undefined &&
-    state !== 'planned' &&
-    run === unit.progress.run &&
-    !unit.progress.isDone &&
-    (allocation.isConfirmed || wasTargetResponsive(allocation))
+    isCurrentRun &&
+    (allocation.isConfirmed ||
+      allocation.isListed ||
+      mayHaveStarted(allocation))
   );
 }
 
-/** Whether the target responded, as far as is known, when the start command was sent; false if it may have crashed before. */
-function wasTargetResponsive({target, startedAt}: Allocation): boolean {
+/** Whether a start command without a response may have been carried out before the target crashed. */
+function mayHaveStarted(allocation: Allocation): boolean {
+  const {state, isMoved, startedAt, target} = allocation;
+  if (state === 'planned' || isMoved) {
+    return false;
+  }
   const {unresponsiveSince = Infinity} = target;
   return startedAt === undefined || startedAt <= unresponsiveSince;
 }
--- a/packages/dispatch/src/incarnation_cleanup.ts
+++ b/packages/dispatch/src/incarnation_cleanup.ts
@@ -126,6 +126,9 @@
   private moveAllocation(allocation: Allocation, next: TargetState): void {
     allocation.target.release(allocation);
     allocation.target = next;
+    allocation.isMoved = true;
+    allocation.isConfirmed = false;
+    allocation.isListed = false;
     allocation.isBeingStopped = false;
     next.allocate(allocation);
     void this.commands.stop(allocation);
--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -157,19 +157,23 @@
     const allCandidates = this.listCandidates(unit);
     const openCandidates = allCandidates.filter(({isClosed}) => !isClosed);
     const isolatedMembers = listIsolatedMembers(unit);
-    const trusted = this.listTrusted(openCandidates);
-    const candidates = this.needsTrustedTargets(unit)
-      ? trusted
-      : openCandidates;
-    let placement: Placement | undefined;
     if (isolatedMembers.length > 0) {
       const isolated = listIsolatedCandidates(unit, openCandidates);
-      placement = this.place(unit, request, isolated, allCandidates);
-      if (!placement && mayWaitForIsolation(unit, this.now)) {
+      const placement = this.place(unit, request, isolated, allCandidates);
+      if (placement) {
+        this.addStart(unit, request, placement);
+        closeTargets(placement, isolatedMembers);
+        return;
+      }
+      if (mayWaitForIsolation(unit, this.now)) {
         return;
       }
     }
-    placement ??= this.place(unit, request, trusted, allCandidates);
+    const trusted = this.listTrusted(openCandidates);
+    const candidates = this.needsTrustedTargets(unit)
+      ? trusted
+      : openCandidates;
+    let placement = this.place(unit, request, trusted, allCandidates);
     if (!placement && candidates.length > trusted.length) {
       placement = this.place(unit, request, candidates, allCandidates);
     }
