Report idle jobs and what keeps them idle

Callers saw a job that could run and did not; logs and metrics could not tell whether a pass refused it, a run was believed alive, or the targets were believed unusable.

Each pass now names the obstacle of every ready unit that it does not start. No decision changes.

--- a/packages/bench/src/policy/baseline_policies.ts
+++ b/packages/bench/src/policy/baseline_policies.ts
@@ -54,6 +54,7 @@
     starts: [],
     stops: [],
     waits: [],
+    obstacles: [],
     targetClaims: [],
   };
   private candidates: CandidateTarget[];
--- a/packages/dispatch/src/active_job.ts
+++ b/packages/dispatch/src/active_job.ts
@@ -3,13 +3,15 @@
  * allocations of those on targets.
  */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
-import type {
-  AcceptedJob,
-  Demand,
-  Progress,
-  Step,
-  UnitProgress,
+import {
+  type AcceptedJob,
+  type Demand,
+  type Progress,
+  type Step,
+  type UnitProgress,
+  isStepReady,
 } from '@galenavalve/workload';
+import type {Obstacle} from './obstacle.js';
 import type {TargetState} from './target_state.js';
 
 /** Number of targets that may crash under a task at the same age of its runs before it is given up. */
@@ -92,6 +94,8 @@
    * rack-sensitive, across racks. Such runs take longer by the rack factor.
    */
   hasLocalityPenalty: boolean;
+  /** What kept the unit from starting in the latest pass. */
+  obstacle?: Obstacle;
   /** Last logged reason why the unit waits, with numbers masked. */
   waitReason?: string;
   /**
@@ -208,6 +212,14 @@
   );
 }
 
+/** Whether all steps are done that the unit's step depends on. */
+export function isUnitReady({job, occurrence, step}: ActiveUnit): boolean {
+  const found = job.progress.occurrences.find(
+    ({index}) => index === occurrence,
+  );
+  return found !== undefined && isStepReady(step, found);
+}
+
 /**
  * Whether a unit has failed as often as its queue allows, or has crashed too
  * many targets. Long-running steps have no limit of failures.
--- a/packages/dispatch/src/dispatch_service.ts
+++ b/packages/dispatch/src/dispatch_service.ts
@@ -16,6 +16,7 @@
 import {encodeLeadership} from '@galenavalve/workload';
 import {Dispatcher, type DispatcherDependencies} from './dispatcher.js';
 import type {FencedAppendOutcome} from './fenced_log.js';
+import type {IdleCause} from './idle_jobs.js';
 import {
   LeaderMonitor,
   type CandidateRank,
@@ -116,6 +117,11 @@
     return this.isDispatching && this.dispatcher!.isJobDone(id);
   }
 
+  /** Counts the jobs that could run and have no run, by what keeps them idle; empty unless this instance leads. */
+  countIdleJobs(): ReadonlyMap<IdleCause, number> {
+    return this.isDispatching ? this.dispatcher!.countIdleJobs() : new Map();
+  }
+
   /**
    * How long to let records of the job log accumulate before the next read.
    * Each read of the log is charged to the system's cost, and the instance's
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -25,6 +25,7 @@
   isJobDone,
   markJobDone,
 } from './job_lifecycle.js';
+import {type IdleCause, IdleJobs} from './idle_jobs.js';
 import {IncarnationCleanup} from './incarnation_cleanup.js';
 import {applyListing} from './target_listing.js';
 import {ExpiredJobs} from './expired_jobs.js';
@@ -106,6 +107,7 @@
   private readonly incarnationCleanup: IncarnationCleanup;
   private readonly expiredJobs: ExpiredJobs;
   private readonly passRunner: PassRunner;
+  private readonly idleJobs: IdleJobs;
 
   constructor(
     private readonly dependencies: DispatcherDependencies,
@@ -140,6 +142,7 @@
       clock,
       logger,
     );
+    this.idleJobs = new IdleJobs(logger);
     this.crashes = new CrashAttribution(job => this.onChange(job), logger);
     this.incarnationCleanup = new IncarnationCleanup(
       this.epoch,
@@ -298,6 +301,11 @@
     return job !== undefined && !job.isCancelled && isJobDone(job);
   }
 
+  /** Counts the jobs that could run and have no run, by what keeps them idle. */
+  countIdleJobs(): ReadonlyMap<IdleCause, number> {
+    return this.idleJobs.countByCause();
+  }
+
   /** Called for every listing of a target, its report of runs and ends. */
   onListing(target: TargetState, listing: TargetListing): void {
     const context = {
@@ -391,6 +399,7 @@
       now,
       logger,
     );
+    this.idleJobs.onTick(this.jobs.values(), this.directory.listTargets(), now);
     this.directory.sweep(now, settings.maxLease);
     this.writer.add(this.expiredJobs.encodeDueRemovals(now));
     this.passRunner.onTick(now);
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -40,5 +40,7 @@
 } from './active_job.js';
 export {CrashAttribution, findCrashEvidence} from './crash_attribution.js';
 export {RunTracker} from './run_tracker.js';
+export type {Obstacle} from './obstacle.js';
+export {IdleJobs, type IdleCause} from './idle_jobs.js';
 export {TargetState} from './target_state.js';
 export {createActiveJob} from './job_lifecycle.js';
--- a/packages/dispatch/src/pass_runner.ts
+++ b/packages/dispatch/src/pass_runner.ts
@@ -63,6 +63,9 @@
     for (const start of decision.starts) {
       this.tracker.place(start, this.leadership.epoch, now);
     }
+    for (const {unit, obstacle} of decision.obstacles) {
+      unit.obstacle = obstacle;
+    }
     for (const {unit, reason} of decision.waits) {
       this.logWait(unit, reason);
     }
--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -22,6 +22,7 @@
   listIsolatedMembers,
   mayWaitForIsolation,
 } from './isolation.js';
+import type {Obstacle} from '../obstacle.js';
 import {planReclaim} from './reclaim.js';
 import {
   computeLocalWaitLimit,
@@ -92,6 +93,7 @@
     stops: [],
     targetClaims: [],
     waits: [],
+    obstacles: [],
   };
   private readonly candidates: CandidateTarget[];
   private readonly hasDoubted: boolean;
@@ -141,12 +143,16 @@
         a.urgency.tier - b.urgency.tier ||
         a.urgency.sortKey - b.urgency.sortKey,
     );
+    for (const {unit} of waiting.slice(MAX_CONSIDERED_UNITS)) {
+      this.addObstacle(unit, 'not-considered');
+    }
     return waiting.slice(0, MAX_CONSIDERED_UNITS);
   }
 
   private consider(unit: ActiveUnit, urgency: Urgency): void {
     const shapeKey = createShapeKey(unit);
     if (this.unplaceableShapes.has(shapeKey) && !this.hasTargetClaim(unit)) {
+      this.addObstacle(unit, 'same-shape');
       return;
     }
     const request = createPlacementRequest(
@@ -166,6 +172,7 @@
         return;
       }
       if (mayWaitForIsolation(unit, this.now)) {
+        this.addObstacle(unit, 'isolation');
         return;
       }
     }
@@ -182,6 +189,7 @@
       closeTargets(placement, isolatedMembers);
       return;
     }
+    this.addObstacle(unit, this.findObstacle(unit, request));
     this.unplaceableShapes.add(shapeKey);
     const isReclaimed =
       urgency.tier === UrgencyTier.URGENT &&
@@ -247,6 +255,20 @@
     return undefined;
   }
 
+  private addObstacle(unit: ActiveUnit, obstacle: Obstacle): void {
+    this.decision.obstacles.push({unit, obstacle});
+  }
+
+  private findObstacle(
+    unit: ActiveUnit,
+    {isRackSensitive, dataRack}: PlacementRequest,
+  ): Obstacle {
+    if (this.hasDoubted && this.needsTrustedTargets(unit)) {
+      return 'doubted-targets';
+    }
+    return isRackSensitive || dataRack !== undefined ? 'locality' : 'capacity';
+  }
+
   private addStart(
     unit: ActiveUnit,
     request: PlacementRequest,
--- a/packages/dispatch/src/policy/ready_units.ts
+++ b/packages/dispatch/src/policy/ready_units.ts
@@ -1,7 +1,6 @@
 /** Lists the units (gangs or single tasks) that could start now. */
 import type {Instant} from '@galenavalve/shared';
-import {isStepReady} from '@galenavalve/workload';
-import {type ActiveUnit, isUnitWaiting} from '../active_job.js';
+import {type ActiveUnit, isUnitReady, isUnitWaiting} from '../active_job.js';
 import type {SchedulingSnapshot} from './scheduling_snapshot.js';
 import {type Urgency, rateUrgency} from './urgency.js';
 
@@ -26,7 +25,7 @@
       if (!isUnitWaiting(unit) || unit.retryAt > now) {
         continue;
       }
-      if (isReady(unit)) {
+      if (isUnitReady(unit)) {
         urgency ??= rateUrgency(job, estimator, now);
         ready.push({unit, urgency});
       }
@@ -34,10 +33,3 @@
   }
   return ready;
 }
-
-function isReady(unit: ActiveUnit): boolean {
-  const occurrence = unit.job.progress.occurrences.find(
-    ({index}) => index === unit.occurrence,
-  );
-  return occurrence !== undefined && isStepReady(unit.step, occurrence);
-}
--- a/packages/dispatch/src/policy/scheduling_snapshot.ts
+++ b/packages/dispatch/src/policy/scheduling_snapshot.ts
@@ -4,6 +4,7 @@
 import type {DurationEstimator} from '../duration_estimator.js';
 import type {DispatchSettings} from '../settings.js';
 import type {TargetState} from '../target_state.js';
+import type {Obstacle} from '../obstacle.js';
 import type {PlannedStart} from './placement_request.js';
 
 /** Input of a scheduling pass. */
@@ -38,6 +39,8 @@
   stops: Array<{unit: ActiveUnit; for: string}>;
   /** Reasons why urgent units do not start now. */
   waits: Array<{unit: ActiveUnit; reason: string}>;
+  /** What kept the other ready units from starting. */
+  obstacles: Array<{unit: ActiveUnit; obstacle: Obstacle}>;
   /** Targets to keep free of other work until the unit fits. */
   targetClaims: Array<{
     unit: ActiveUnit;
