Log an idle job once capacity is free, even if it was idle before

A job that became idle while the pool was full was marked as logged without a line, so the waits that matter, after the load has gone, were never logged.

A cause counts as logged only once its line is written. The spec on jobs that wait for each other failed before with 0 lines instead of 1.

--- a/packages/dispatch/__tests__/idle_jobs.spec.ts
+++ b/packages/dispatch/__tests__/idle_jobs.spec.ts
@@ -101,6 +101,9 @@
       searchUntil(4000, monitor, [job], [target]);
       t.same(lines, []);
       t.strictSame([...monitor.countByCause()], [['capacity', 1]]);
+      target.allocations.forEach(allocation => target.release(allocation));
+      monitor.onTick([job], [target], 4500);
+      t.equal(lines.length, 1, 'logged once capacity is free');
     },
   );
 });
--- a/packages/dispatch/src/idle_jobs.ts
+++ b/packages/dispatch/src/idle_jobs.ts
@@ -46,7 +46,15 @@
 
 interface IdleJob {
   since: Instant;
+  /** Undefined until the job counts as idle. */
   cause?: IdleCause;
+  loggedCause?: IdleCause;
+}
+
+/** The unit of an idle job that could run. */
+interface IdleUnit {
+  unit: ActiveUnit;
+  entry: IdleJob;
 }
 
 /** Idle jobs of one leader. */
@@ -66,24 +74,28 @@
       return;
     }
     this.checkedAt = now;
-    const found: Array<{job: ActiveJob; unit: ActiveUnit; since: Instant}> = [];
     const known = new Map(this.idle);
     this.idle.clear();
+    const unlogged: IdleUnit[] = [];
     for (const job of jobs) {
       const unit = findIdleUnit(job);
       if (!unit) {
         continue;
       }
-      const {since, cause: loggedCause} = known.get(job) ?? {since: now};
+      const {since, loggedCause} = known.get(job) ?? {since: now};
       const isIdle = now - since >= MIN_IDLE_MS;
-      const cause = isIdle ? findCause(unit, now) : undefined;
-      this.idle.set(job, {since, cause});
-      if (cause !== undefined && cause !== loggedCause) {
-        found.push({job, unit, since});
+      const entry: IdleJob = {
+        since,
+        cause: isIdle ? findCause(unit, now) : undefined,
+        loggedCause,
+      };
+      this.idle.set(job, entry);
+      if (isIdle && entry.cause !== loggedCause) {
+        unlogged.push({unit, entry});
       }
     }
-    if (found.length > 0) {
-      this.log(found, [...targets], now);
+    if (unlogged.length > 0) {
+      this.log(unlogged, [...targets], now);
     }
   }
 
@@ -99,7 +111,7 @@
   }
 
   private log(
-    found: ReadonlyArray<{job: ActiveJob; unit: ActiveUnit; since: Instant}>,
+    unlogged: readonly IdleUnit[],
     targets: readonly TargetState[],
     now: Instant,
   ): void {
@@ -107,14 +119,15 @@
     if (usage.freeShare < MIN_LOGGED_FREE_SHARE) {
       return;
     }
-    for (const {job, unit, since} of found.slice(0, MAX_LINES_PER_CHECK)) {
+    for (const {unit, entry} of unlogged.slice(0, MAX_LINES_PER_CHECK)) {
+      entry.loggedCause = entry.cause;
       this.logger.warn('job-idle', {
-        job: job.id,
+        job: unit.job.id,
         step: unit.stepIndex,
         unit: unit.unitIndex,
         run: unit.progress.run,
-        cause: findCause(unit, now),
-        idleMs: Math.round(now - since),
+        cause: entry.cause,
+        idleMs: Math.round(now - entry.since),
         allocations: unit.allocations
           .slice(0, MAX_LOGGED_ALLOCATIONS)
           .map(allocation => describeAllocation(allocation, now)),
