Emulator: report jobs that are idle, unknown or open without cause

The auditor checked what starts, but not that anything starts. A job with nothing running for 3 s, although a task's turn has come, that task fits twice over and under half of the pool is in use, is now reported: at the end, 14 s after submissions and faults, for every accepted job; and for each long-running task whenever it is calm. At the end, jobs that a new instance does not know, and open jobs that must have ended, are reported too.

Emulated targets can refuse starts that do not fit, the registry keeps entries of crashed targets until they expire, as the platform's does, and its entries can be sent late or out of order.

--- a/packages/emulator/src/emulated_cluster.ts
+++ b/packages/emulator/src/emulated_cluster.ts
@@ -25,17 +25,23 @@
   StoredRecord,
 } from '@galenavalve/workload';
 import {parseTaskName} from '@galenavalve/workload';
+import type {ClusterView, ObservedJob, ObservedTarget} from './cluster_view.js';
+import {Disturbances} from './disturbances.js';
 import {EmulatedFleet} from './emulated_fleet.js';
 import {EmulatedInstance} from './emulated_instance.js';
 import {EmulatedLog} from './emulated_log.js';
 import {EmulatedPeerNetwork} from './emulated_peer_network.js';
 import type {TaskBehavior} from './emulated_target.js';
 import {InstanceClock, EmulatedProcess} from './emulated_process.js';
+import {IdleJobCheck} from './idle_job_check.js';
 import {RunAuditor} from './run_auditor.js';
 
 /** Virtual time between two checks of the condition in `waitUntil`. */
 const CLOCK_STEP_MS = 10;
 
+/** Interval at which the cluster is looked at for idle jobs. */
+const OBSERVATION_INTERVAL_MS = 100;
+
 /** Size, settings and task behavior of an emulated cluster. */
 export interface EmulatedClusterOptions {
   seed: number;
@@ -50,6 +56,8 @@
   advisor: Advisor;
   /** Scheduling policy of the leader; that of the dispatcher unless given. */
   policy?: SchedulingPolicy;
+  /** Whether targets refuse starts that do not fit. */
+  guardsCapacity: boolean;
   queues: Queue[];
   workspaces: Workspace[];
   /** Returns the processor share of an instance, in cores. */
@@ -70,6 +78,14 @@
   readonly fleet: EmulatedFleet;
   readonly peers = new EmulatedPeerNetwork(this.clock);
   readonly auditor = new RunAuditor();
+  /** Times of faults and changes. */
+  readonly disturbances = new Disturbances();
+  /** Whether submissions and faults ended so long ago that no job may be idle. */
+  isEndDue = false;
+  private readonly idleJobs = new IdleJobCheck(this.auditor.violations);
+  /** Jobs that callers were told are accepted, and those that they asked to cancel. */
+  private readonly accepted = new Set<string>();
+  private readonly cancelled = new Set<string>();
   readonly desiredState = new DesiredStateStore();
   readonly instances = new Map<string, EmulatedInstance>();
   readonly jobs = new Map<string, AcceptedJob>();
@@ -88,6 +104,7 @@
       logger: new SilentLogger(),
       settings: DEFAULT_SETTINGS,
       advisor: new NoAdvisor(),
+      guardsCapacity: false,
       queues: [0, 1, 2].map(createQueue),
       workspaces: [{name: 'w', keys: ['k'], guaranteedAccelerators: 16}],
       getCores: () => 1,
@@ -102,7 +119,9 @@
       this.options.settings,
       task => this.options.getTaskBehavior(task, this),
       this.auditor,
+      this.disturbances,
     );
+    this.fleet.guardsCapacity = this.options.guardsCapacity;
     this.desiredState.apply({
       version: 1,
       queues: this.options.queues,
@@ -115,10 +134,12 @@
       this.startInstance(`instance-${index}`);
     }
     void this.fleet.run(() => this.isClosed);
+    void this.observe();
   }
 
   /** Starts an instance, or a new incarnation of one that was killed. */
   startInstance(name: string): EmulatedInstance {
+    this.disturbances.record(this.clock.now());
     const process = new EmulatedProcess();
     const log = process.wrap(this.log.createClient(name));
     const instance = new EmulatedInstance({
@@ -155,6 +176,7 @@
 
   /** Kills an instance without a shutdown. */
   killInstance(name: string): void {
+    this.disturbances.record(this.clock.now());
     this.processes.get(name)!.isRunning = false;
   }
 
@@ -211,11 +233,117 @@
     this.jobs.set(id, job);
     this.auditor.onSubmitted(id, job);
     const request = {queue, workspace, jobId: id, timeout: 3000};
-    return at.gateway.submit(request, spec);
+    return this.trackAccepted(id, at.gateway.submit(request, spec));
+  }
+
+  /** Lists the jobs that callers were told are accepted. */
+  listAcceptedJobs(): readonly string[] {
+    return [...this.accepted];
+  }
+
+  /** Whether a caller has asked to cancel a job. */
+  isCancelRequested(id: string): boolean {
+    return this.cancelled.has(id);
+  }
+
+  private async trackAccepted(
+    id: string,
+    submission: ReturnType<EmulatedInstance['gateway']['submit']>,
+  ): ReturnType<EmulatedInstance['gateway']['submit']> {
+    const response = await submission;
+    if (response.kind === 'accepted') {
+      this.accepted.add(id);
+    }
+    return response;
+  }
+
+  /** Looks for idle jobs until the cluster is closed. */
+  private async observe(): Promise<void> {
+    while (!this.isClosed) {
+      await this.clock.sleep(OBSERVATION_INTERVAL_MS);
+      const now = this.clock.now();
+      if (this.hasStandingFault()) {
+        this.disturbances.record(now);
+      }
+      this.idleJobs.observe(
+        this.createView(),
+        duration => this.disturbances.isCalmFor(duration, now),
+        this.isEndDue,
+        now,
+      );
+    }
+  }
+
+  private hasStandingFault(): boolean {
+    const {log, fleet} = this;
+    const {silentTo, busyTo, lostAnswers, slowness, hiddenFrom} = log.faults;
+    return (
+      silentTo.size > 0 ||
+      busyTo.size > 0 ||
+      lostAnswers > 0 ||
+      slowness !== 1 ||
+      hiddenFrom !== undefined ||
+      fleet.faults.delayedCommands > 0 ||
+      fleet.faults.unreachableTargets.size > 0 ||
+      this.listRunningInstances().length < this.instances.size ||
+      [...fleet.targets.values()].some(
+        ({faults, info}) =>
+          faults.hangs ||
+          faults.failsAll ||
+          faults.slowness > 1 ||
+          info.isDraining,
+      )
+    );
+  }
+
+  private createView(): ClusterView {
+    const {auditor} = this;
+    return {
+      jobs: this.listOpenJobs(),
+      targets: this.listObservedTargets(),
+      isDone: task => auditor.doneTasks.has(task),
+      findStep: task => auditor.findStep(task),
+      wallTime: this.clock.wallTime(),
+    };
+  }
+
+  private listOpenJobs(): ObservedJob[] {
+    if (this.listRunningInstances().length === 0) {
+      return [];
+    }
+    const {table} = this.pickInstance();
+    const open = [...this.accepted].filter(id => {
+      const outcome = table.find(id)?.progress?.outcome ?? 'active';
+      return outcome === 'active' && !this.cancelled.has(id);
+    });
+    return open.map(id => ({
+      id,
+      job: this.jobs.get(id)!,
+      describe: () => {
+        const progress = table.find(id)?.progress?.read();
+        return `progress ${JSON.stringify(progress ?? 'none').slice(0, 1000)}`;
+      },
+    }));
+  }
+
+  private listObservedTargets(): ObservedTarget[] {
+    const {evacuated} = this.desiredState;
+    const {unreachableTargets} = this.fleet.faults;
+    return [...this.fleet.targets.values()]
+      .filter(({isUp}) => isUp)
+      .map(({info, runs}) => ({
+        info,
+        tasks: [...runs.keys()],
+        isOpen:
+          !info.isDraining &&
+          !evacuated.has(info.domain) &&
+          !unreachableTargets.has(info.id),
+      }));
   }
 
   /** Cancels a job at an instance and records a confirmed cancellation with the auditor. */
   async cancel(id: string, at = this.pickInstance()): Promise<void> {
+    this.cancelled.add(id);
     const {terms, queue: name, workspace} = this.jobs.get(id)!;
     const queue = {...createQueue(terms.priority), name, terms};
     const request = {queue, workspace, jobId: id, timeout: 3000};
@@ -299,7 +427,7 @@
   };
 }
 
-/** Returns the default behavior: the run takes the estimated time and succeeds. */
+/** Returns the default behavior: the run takes the estimated time and succeeds; a long-running one goes on. */
 function createDefaultBehavior(
   task: string,
   cluster: EmulatedCluster,
@@ -307,7 +435,7 @@
   const name = parseTaskName(task)!;
   const step = cluster.jobs.get(name.jobId)?.spec.steps[name.step];
   return {
-    work: step?.estimateMs ?? 1000,
+    work: step?.isLongRunning ? Infinity : (step?.estimateMs ?? 1000),
     savesProgress: step?.savesProgress ?? false,
     gangSize: step?.isGang ? step.count : 1,
   };
--- a/packages/emulator/src/emulated_fleet.ts
+++ b/packages/emulator/src/emulated_fleet.ts
@@ -12,6 +12,7 @@
 } from '@galenavalve/dispatch';
 import type {Clock, Instant, Milliseconds, Random} from '@galenavalve/shared';
 import type {Demand} from '@galenavalve/workload';
+import {Disturbances} from './disturbances.js';
 import type {RunAuditor} from './run_auditor.js';
 import {
   type EmulatedRun,
@@ -48,6 +49,8 @@
   delayedCommands: number;
   /** Whether targets that crash under a run restart with a new id at the same address. */
   newIdAfterCrash: boolean;
+  /** Whether targets that crash under a run never restart. */
+  staysDownAfterCrash: boolean;
 }
 
 /** Is told of the end of every run, for measurements. */
@@ -67,8 +70,13 @@
     unreachableTargets: new Set(),
     delayedCommands: 0,
     newIdAfterCrash: true,
+    staysDownAfterCrash: false,
   };
   readonly observers = new Set<RunObserver>();
+  /** Whether targets that are added from now on refuse starts that do not fit. */
+  guardsCapacity = false;
+  /** Registry entries by id, as instances read them. */
+  private readonly registry = new Map<string, TargetInfo>();
   private readonly listeners = new Set<{
     onTarget(info: TargetInfo): void;
     onTargetRemoved(id: string): void;
@@ -80,6 +88,7 @@
     private readonly bounds: TargetBounds,
     private readonly chooseBehavior: (task: string) => TaskBehavior,
     private readonly auditor: RunAuditor,
+    private readonly disturbances = new Disturbances(),
   ) {}
 
   /** Adds a target, or a new incarnation of it if the id exists, and registers it. */
@@ -91,6 +100,7 @@
       this.clock.now(),
       this.targets.get(info.id)?.info.capacity,
     );
+    target.guardsCapacity = this.guardsCapacity;
     this.targets.set(info.id, target);
     this.updateRegistration(info);
     return target;
@@ -102,17 +112,36 @@
     if (target) {
       target.info = info;
     }
-    void this.clock.sleep(REGISTRY_LAG_MS).then(() => {
+    this.sendRegistration(info);
+  }
+
+  /** Writes an entry to the registry that instances see after `delay`, whatever the target itself says. */
+  sendRegistration(
+    info: TargetInfo,
+    delay: Milliseconds = REGISTRY_LAG_MS,
+  ): void {
+    this.disturbances.record(this.clock.now());
+    void this.clock.sleep(delay).then(() => {
+      this.disturbances.record(this.clock.now());
+      this.registry.set(info.id, info);
       this.listeners.forEach(listener => listener.onTarget(info));
     });
   }
 
+  /** Removes an entry from the registry, which instances see after `delay`. */
+  removeRegistration(id: string, delay: Milliseconds = REGISTRY_LAG_MS): void {
+    void this.clock.sleep(delay).then(() => {
+      this.disturbances.record(this.clock.now());
+      this.registry.delete(id);
+      this.listeners.forEach(listener => listener.onTargetRemoved(id));
+    });
+  }
+
   /** Stops a target at once, without a shutdown, and removes it from the registry. */
   crashTarget(id: string): void {
+    this.disturbances.record(this.clock.now());
     this.targets.get(id)?.crash();
-    void this.clock.sleep(REGISTRY_LAG_MS).then(() => {
-      this.listeners.forEach(listener => listener.onTargetRemoved(id));
-    });
+    this.removeRegistration(id);
   }
 
   /** Changes a target's capacity, which its registry entry shows from then on. */
@@ -167,9 +196,7 @@
       open: async events => {
         listener = events;
         this.listeners.add(events);
-        return [...this.targets.values()]
-          .filter(({isUp}) => isUp)
-          .map(({info}) => info);
+        return [...this.registry.values()];
       },
       close: () => {
         if (listener) {
@@ -183,6 +210,10 @@
     return this.chooseBehavior(task);
   }
 
+  findDemand(task: string): Demand | undefined {
+    return this.auditor.findStep(task)?.demand;
+  }
+
   countPresentMembers(task: string, run: number): number {
     const gang = getGangKey(task);
     let count = 0;
@@ -223,9 +254,14 @@
   }
 
   onTargetCrash(target: EmulatedTarget): void {
+    this.disturbances.record(this.clock.now());
     this.auditor.onTargetCrash(target);
     target.refusesConnections = true;
     target.crash();
+    if (this.faults.staysDownAfterCrash) {
+      this.removeRegistration(target.info.id, REGISTRY_EXPIRY_MS);
+      return;
+    }
     void this.clock
       .sleep(RESTART_DELAY_MS)
       .then(() => this.restartAfterCrash(target.info));
@@ -260,13 +296,7 @@
     }
     this.targets.delete(crashed.id);
     this.addTarget({...crashed, id: `${crashed.id}+`, born});
-    void this.clock
-      .sleep(REGISTRY_EXPIRY_MS - RESTART_DELAY_MS)
-      .then(() =>
-        this.listeners.forEach(listener =>
-          listener.onTargetRemoved(crashed.id),
-        ),
-      );
+    this.removeRegistration(crashed.id, REGISTRY_EXPIRY_MS - RESTART_DELAY_MS);
   }
 
   private listRuns(): EmulatedRun[] {
--- a/packages/emulator/src/emulated_target.ts
+++ b/packages/emulator/src/emulated_target.ts
@@ -64,6 +64,8 @@
 /** Task behavior, state of other targets and listeners of a target. */
 export interface TargetEnvironment {
   getTaskBehavior(task: string): TaskBehavior;
+  /** Returns what a task needs; undefined if nobody submitted it. */
+  findDemand(task: string): Demand | undefined;
   /** Counts the members of a gang's run that are present on all targets. */
   countPresentMembers(task: string, run: number): number;
   /** Whether the members of a gang's run are on more than one rack. */
@@ -84,6 +86,8 @@
   isUp = true;
   /** Whether connections to the crashed target fail at once rather than time out. */
   refusesConnections = false;
+  /** Whether the target refuses starts that do not fit into its capacity. */
+  guardsCapacity = false;
   /** Capacities that were in force, each with the end of its validity. */
   private readonly formerCapacities: Array<{
     capacity: Demand;
@@ -159,6 +163,9 @@
     if (isRevoked || this.runs.has(command.task)) {
       return {kind: 'refused', reason: 'superseded', clock};
     }
+    if (this.guardsCapacity && !this.hasRoom(command.task)) {
+      return {kind: 'refused', reason: 'room', clock};
+    }
     const behavior = this.environment.getTaskBehavior(command.task);
     const savedWork =
       command.checkpoint === '' ? 0 : Number(command.checkpoint);
@@ -287,8 +294,11 @@
       this.environment.onTargetCrash(this);
       return;
     }
-    const present = this.environment.countPresentMembers(run.task, run.run);
-    if (present < behavior.gangSize) {
+    if (
+      behavior.gangSize > 1 &&
+      this.environment.countPresentMembers(run.task, run.run) <
+        behavior.gangSize
+    ) {
       if (now - run.startedAt > this.bounds.gangTime) {
         this.endRun(run, 'alone');
       }
@@ -311,6 +321,18 @@
     }
   }
 
+  private hasRoom(task: string): boolean {
+    const demands = [task, ...this.runs.keys()].map(
+      name => this.environment.findDemand(name) ?? this.info.capacity,
+    );
+    const {capacity} = this.info;
+    return (['cpu', 'memoryMb', 'accelerators'] as const).every(
+      resource =>
+        demands.reduce((sum, demand) => sum + demand[resource], 0) <=
+        capacity[resource],
+    );
+  }
+
   private createListing(now: Instant) {
     return {
       born: this.info.born,
--- a/packages/emulator/src/index.ts
+++ b/packages/emulator/src/index.ts
@@ -23,4 +23,11 @@
 } from './emulated_target.js';
 
 // Invariant checks
+export {
+  type ClusterView,
+  type ObservedJob,
+  type ObservedTarget,
+} from './cluster_view.js';
+export {IdleJobCheck} from './idle_job_check.js';
+export {auditEnd} from './end_audit.js';
 export {RunAuditor, type Violation} from './run_auditor.js';
--- a/packages/emulator/src/run_auditor.ts
+++ b/packages/emulator/src/run_auditor.ts
@@ -1,7 +1,11 @@
 /** Checks the invariants of runs from events at the targets. */
 import type {EndKind, ListedEnd} from '@galenavalve/dispatch';
 import type {Instant} from '@galenavalve/shared';
-import {type AcceptedJob, parseTaskName} from '@galenavalve/workload';
+import {
+  type AcceptedJob,
+  type Step,
+  parseTaskName,
+} from '@galenavalve/workload';
 import type {EmulatedRun, EmulatedTarget} from './emulated_target.js';
 
 /** A violated invariant. */
@@ -28,7 +32,13 @@
     /** A run resumes from a checkpoint that its unit did not save. */
     | 'checkpoint'
     /** A run violates a required label or the limit of tasks per target. */
-    | 'constraint';
+    | 'constraint'
+    /** A job has nothing running although there is plenty of capacity for it. */
+    | 'idle-job'
+    /** An accepted job is not known to an instance that has read the log. */
+    | 'unknown-job'
+    /** A job is open although all of its tasks are done, a task has used up its attempts, or it was cancelled. */
+    | 'open-job';
   at: Instant;
   detail: string;
 }
@@ -71,6 +81,20 @@
     this.jobs.set(id, job);
   }
 
+  /** Finds the step of a task; undefined if nobody submitted it. */
+  findStep(task: string): Step | undefined {
+    const name = parseTaskName(task);
+    return name && this.jobs.get(name.jobId)?.spec.steps[name.step];
+  }
+
+  /** Whether a task has failed as often as its job allows. */
+  hasNoAttemptLeft(task: string): boolean {
+    const maxAttempts =
+      this.jobs.get(task.split('.')[0]!)?.terms.maxAttempts ?? Infinity;
+    const failed = this.failures.get(this.getAttemptKey(task))?.size ?? 0;
+    return !this.findStep(task)?.isLongRunning && failed >= maxAttempts;
+  }
+
   /** Records that the cancellation of a job was confirmed to its caller. */
   onCancelled(id: string, now: Instant): void {
     this.cancelledAt.set(id, this.cancelledAt.get(id) ?? now);
