--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -9,7 +9,11 @@
   FencedAppendOutcome,
   FencedLog,
 } from './fenced_log.js';
-export {type TargetInfo, formatIncarnationKey} from './target_info.js';
+export {
+  type TargetInfo,
+  formatIncarnationKey,
+  targetInfoSchema,
+} from './target_info.js';
 
 export {type Advice, type Advisor, NoAdvisor} from './advisor.js';
 
