Follow a log past a record at which its sink fails

A record at which the sink throws made the follower read the same page again and again: the error counted as a failed read ("log-unreachable"), and no later record was passed on. A reload went the same way. Each instance that reads the log is stopped by the same record.

Change: such a record is logged ("record-failed", with log, key and offset) and left out. Evidence: the two new tests of follower.spec.ts failed before (nothing after the odd record was received, never caught up).

--- a/packages/workload/__tests__/follower.spec.ts
+++ b/packages/workload/__tests__/follower.spec.ts
@@ -3,14 +3,20 @@
 import {Follower, type StoredRecord} from '@galenavalve/workload';
 
 /** Creates a follower with a read delay of `readDelay` milliseconds, over a log to which `push` appends. */
-function createFollower(readDelay: number) {
+function createFollower(
+  readDelay: number,
+  onRecord: (key: string) => void = () => undefined,
+) {
   const clock = new ManualClock(1000);
   const records: StoredRecord[] = [];
   const receivedKeys: string[] = [];
-  const faults = {isSilent: false};
+  const faults = {isSilent: false, isCompacted: false};
   let readCount = 0;
   const log = {
-    readNewest: async () => ({records: [], end: 0}),
+    readNewest: async () =>
+      faults.isCompacted
+        ? {records: [...records], end: records.length}
+        : {records: [], end: 0},
     readTail: async (offset: number, wait: number) => {
       readCount++;
       if (faults.isSilent) {
@@ -32,7 +38,10 @@
     'jobs',
     log,
     {
-      onRecord: ({key}) => receivedKeys.push(key),
+      onRecord: ({key}) => {
+        onRecord(key);
+        receivedKeys.push(key);
+      },
       readDelay: () => readDelay,
     },
     500,
@@ -52,6 +61,16 @@
   };
 }
 
+/** Advances virtual time until `promise` has settled. */
+async function settle<T>(clock: ManualClock, promise: Promise<T>): Promise<T> {
+  let isSettled = false;
+  void promise.finally(() => (isSettled = true)).catch(() => undefined);
+  for (let step = 0; step < 1000 && !isSettled; step++) {
+    await clock.advance(10);
+  }
+  return promise;
+}
+
 t.test(
   'records are read in batches while no caller waits for them',
   async t => {
@@ -112,3 +131,48 @@
     follower.close();
   },
 );
+
+// Guards against a follower that reads the same page again and again because of one record (issue 33).
+t.test(
+  'a record at which the sink fails does not stop the follower',
+  async t => {
+    const {clock, follower, receivedKeys, push} = createFollower(0, key => {
+      if (key.startsWith('odd')) {
+        throw new TypeError('unexpected');
+      }
+    });
+    ['a', 'odd-1', 'b', 'odd-2'].forEach(push);
+    void follower.run();
+    await clock.advance(2000);
+    t.same(receivedKeys, ['a', 'b']);
+    t.ok(follower.isCaughtUp);
+    push('odd-3');
+    push('c');
+    await clock.advance(2000);
+    t.same(receivedKeys, ['a', 'b', 'c']);
+    push('odd-4');
+    push('d');
+    t.ok(await settle(clock, follower.readToEnd(1000)));
+    t.same(receivedKeys, ['a', 'b', 'c', 'd']);
+    follower.close();
+  },
+);
+
+t.test('a record at which the sink fails does not stop a reload', async t => {
+  const isOdd = (key: string) => key.startsWith('odd');
+  const {clock, follower, receivedKeys, push, faults} = createFollower(
+    0,
+    key => {
+      if (isOdd(key)) {
+        throw new TypeError('unexpected');
+      }
+    },
+  );
+  ['odd-1', 'a', 'odd-2', 'b'].forEach(push);
+  faults.isCompacted = true;
+  void follower.run();
+  await clock.advance(2000);
+  t.same(receivedKeys, ['a', 'b']);
+  t.ok(follower.isCaughtUp);
+  follower.close();
+});
--- a/packages/workload/src/follower.ts
+++ b/packages/workload/src/follower.ts
@@ -145,7 +145,7 @@
   private applyPage(page: Extract<TailPage, {kind: 'records'}>): void {
     for (const record of page.records) {
       if (record.offset >= this.nextOffset) {
-        this.sink.onRecord(record);
+        this.passOn(record);
       }
     }
     this.nextOffset = Math.max(this.nextOffset, page.next);
@@ -153,6 +153,20 @@
     this.resolveWaiters();
   }
 
+  /** Passes on a record. A record at which the sink fails is left out, since reading it again would keep the later ones from being read. */
+  private passOn(record: StoredRecord): void {
+    try {
+      this.sink.onRecord(record);
+    } catch (error) {
+      this.logger.error('record-failed', {
+        log: this.name,
+        key: record.key,
+        offset: record.offset,
+        problem: describeError(error),
+      });
+    }
+  }
+
   private async reload(): Promise<void> {
     const keys = new Set<string>();
     const records: StoredRecord[] = [];
@@ -168,7 +182,7 @@
     records.sort((a, b) => a.offset - b.offset);
     for (const record of records) {
       keys.add(record.key);
-      this.sink.onRecord(record);
+      this.passOn(record);
     }
     this.sink.onReload?.(keys);
     this.nextOffset = next;
