Check records of the leadership

Any JSON under the key of the leadership was taken for one. `null` threw out of the fold of records; an epoch of 1e308 or 2^53 - 1, a text or none at all became the newest leadership, fenced the leader, and no later epoch is higher: no instance leads, and every job waits.

Change: a schema for the record; epochs up to 2^52, so that the epochs of later leaders are exact.

--- a/packages/workload/__tests__/job_table.spec.ts
+++ b/packages/workload/__tests__/job_table.spec.ts
@@ -110,3 +110,51 @@
   t.equal(parseTaskName('odd.name'), undefined);
   t.end();
 });
+
+// Guards against instances that end or stop reading at a record of another writer (issue 33).
+t.test('an odd record is not applied, and the records after it are', t => {
+  const table = new JobTable(new SilentLogger());
+  const job = createJob();
+  const depth = 200_000;
+  const deep = '['.repeat(depth) + ']'.repeat(depth);
+  const deepObject = '{"a":'.repeat(depth) + '1' + '}'.repeat(depth);
+  const progress = (summary: string) => `${summary}\n${deep}`;
+  const values = [
+    ...['', 'no json', 'null', '7', '[]', '{}', deep, deepObject, '\uFFFD\0'],
+    ...['{"epoch":1e999,"holder":"x"}', '{"epoch":1e308,"holder":"x"}'],
+    ...['{"epoch":-1,"holder":"x"}', '{"epoch":9007199254740991,"holder":"x"}'],
+    ...['{"epoch":5.5,"holder":"x"}', '{"epoch":"7","holder":"x"}'],
+    ...[
+      '{"epoch":7}',
+      '{"epoch":7,"holder":5}',
+      `{"epoch":7,"holder":${deep}}`,
+    ],
+    JSON.stringify({...job, spec: {...job.spec, steps: []}}),
+    JSON.stringify({...job, acceptedAt: 0}).replace(
+      '"acceptedAt":0',
+      '"acceptedAt":1e999',
+    ),
+    JSON.stringify(job).replace('"cpu":1', '"cpu":-1e300'),
+    JSON.stringify(job).replace('"cpu":1', `"cpu":${deep}`),
+    progress('{"outcome":"odd","hasBegun":true}'),
+    progress('{"outcome":"active","hasBegun":true,"endedAt":1e999}'),
+  ];
+  const keys = ['lead', 'a/1', 's/1', 'q/1', '', '__proto__', 'a', '\uFFFD'];
+  let offset = 0;
+  for (const key of keys) {
+    for (const value of values) {
+      const applied = table.apply({key, value, offset: offset++});
+      t.ok(
+        applied === undefined || applied.kind === 'deleted',
+        `${key} ${value.slice(0, 40)}`,
+      );
+    }
+  }
+  t.equal(table.leadership, undefined);
+  t.equal(table.find('1'), undefined);
+  table.apply({...encodeLeadership({epoch: 7, holder: 'x'}), offset: offset++});
+  table.apply({...encodeAccepted('1', job), offset: offset++});
+  t.equal(table.leadership?.epoch, 7);
+  t.equal(getJobState(table.find('1')!), 'queued');
+  t.end();
+});
--- a/packages/workload/src/keyed_record.ts
+++ b/packages/workload/src/keyed_record.ts
@@ -1,4 +1,5 @@
 /** Encodes and decodes the records of the job log, in which the newest record of a key replaces earlier ones. */
+import * as z from 'zod';
 import {acceptedJobSchema, type AcceptedJob} from './accepted_job.js';
 import type {Progress} from './progress.js';
 import {
@@ -18,17 +19,26 @@
   offset: number;
 }
 
+/**
+ * Highest epoch of a leadership record; a higher one comes from another writer.
+ * The epochs of later leaders, which are higher, stay exact.
+ */
+const MAX_EPOCH = 2 ** 52;
+
 /** Leadership: the right to dispatch, which one instance (the leader) holds. */
-export interface Leadership {
+const leadershipSchema = z.object({
   /** Number of the leadership period; increases with every leader. Targets refuse commands with a lower epoch. */
-  epoch: number;
+  epoch: z.number().int().nonnegative().max(MAX_EPOCH),
   /** Identifies the leader: one incarnation of an instance. */
-  holder: string;
+  holder: z.string().min(1),
   /** Wall-clock time of the record, in Unix milliseconds. */
-  writtenAt?: number;
+  writtenAt: z.number().optional(),
   /** Whether the leader has resigned. */
-  hasResigned?: boolean;
-}
+  hasResigned: z.boolean().optional(),
+});
+
+/** Leadership: the right to dispatch, which one instance (the leader) holds. */
+export type Leadership = z.infer<typeof leadershipSchema>;
 
 /** Key prefixes of the records of a job; the job's id follows. */
 const ACCEPTED = 'a/';
@@ -85,7 +95,8 @@
 export function decodeRecord(record: KeyedRecord): JobRecord | undefined {
   const {key, value} = record;
   if (key === LEADERSHIP) {
-    return {kind: 'leadership', leadership: JSON.parse(value) as Leadership};
+    const leadership = leadershipSchema.parse(JSON.parse(value));
+    return {kind: 'leadership', leadership};
   }
   const id = key.slice(2);
   if (key.startsWith(ACCEPTED)) {
