Take over the jobs whose progress is readable when one's is not

Callers would see every job stall: a new leader reads the progress of all jobs, and one unreadable record ended the takeover with an error ("claim-failed"). The dispatcher stayed half started: it counted as dispatching, so its instance made no further claim, but its loop did not run, so it wrote no heartbeats, and the next instance claimed after 1.2 s and failed at the same record, in turn, for as long as the record was there.

Change: a job whose progress is unreadable or does not fit its steps is logged and left alone; it does not run, since its former runs are unknown. A dispatcher whose run ends with an error resigns.

Open: the job itself stays without an end until its progress is written again.

--- a/packages/dispatch/src/dispatch_service.ts
+++ b/packages/dispatch/src/dispatch_service.ts
@@ -301,8 +301,13 @@
     isReady = true;
     const running = dispatcher.run(targets);
     queued.forEach(call => call());
-    await running;
-    this.registry.close();
+    try {
+      await running;
+    } finally {
+      this.registry.close();
+      // Only a dispatcher that has ended lets this instance claim again.
+      await dispatcher.resign();
+    }
   }
 }
 
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -247,8 +247,20 @@
     }
   }
 
-  /** Adds a job that has not ended; returns undefined if it is known or has ended. */
+  /**
+   * Adds a job that has not ended; returns undefined if it is known, has ended
+   * or its progress is unreadable. Such a job does not run, since its former
+   * runs are unknown, and it must not keep the others from running.
+   */
   private addJob(entry: JobEntry): ActiveJob | undefined {
+    let job: ActiveJob | undefined;
+    this.runGuarded(`job ${entry.id}`, () => {
+      job = this.createJob(entry);
+    });
+    return job;
+  }
+
+  private createJob(entry: JobEntry): ActiveJob | undefined {
     const {clock} = this.dependencies;
     const outcome = entry.progress?.outcome ?? 'active';
     if (this.jobs.has(entry.id) || outcome !== 'active') {
--- a/packages/dispatch/src/job_lifecycle.ts
+++ b/packages/dispatch/src/job_lifecycle.ts
@@ -9,6 +9,7 @@
   countOccurrences,
   createOccurrence,
   createProgress,
+  isProgressOf,
   isStepDone,
 } from '@galenavalve/workload';
 import {
@@ -19,20 +20,25 @@
 
 /**
  * Creates the state of an accepted job, which a previous leader may have
- * started. `wallNow` is in Unix milliseconds.
+ * started. `wallNow` is in Unix milliseconds. Throws if the progress in the log
+ * is malformed or that of another job.
  */
 export function createActiveJob(
   entry: JobEntry,
   now: Instant,
   wallNow: number,
 ): ActiveJob {
+  const progress = entry.progress?.read() ?? createProgress(entry.job.spec);
+  if (!isProgressOf(entry.job.spec, progress)) {
+    throw new RangeError('the progress does not fit the steps of the job');
+  }
   const age = Math.max(0, wallNow - entry.job.acceptedAt);
   const job: ActiveJob = {
     id: entry.id,
     accepted: entry.job,
     acceptedAt: now - age,
     acknowledgedAt: now - age,
-    progress: entry.progress?.read() ?? createProgress(entry.job.spec),
+    progress,
     isCancelled: entry.isCancelled,
     hasFailed: false,
     failedTargets: new Set(),
--- a/packages/workload/src/progress.ts
+++ b/packages/workload/src/progress.ts
@@ -89,6 +89,24 @@
   return {index, steps: spec.steps.map(createUnits)};
 }
 
+/** Returns whether progress can be that of a job with the given steps. */
+export function isProgressOf(spec: JobSpec, progress: Progress): boolean {
+  const isUnit = (step: Step, {placedOn = []}: UnitProgress) =>
+    placedOn.length <= (step.isGang ? step.count : 1);
+  return progress.occurrences.every(
+    ({index, steps}) =>
+      index < countOccurrences(spec) &&
+      steps.length === spec.steps.length &&
+      spec.steps.every((step, position) => {
+        const units = steps[position]!;
+        const count = step.isGang ? 1 : step.count;
+        return (
+          units.length === count && units.every(unit => isUnit(step, unit))
+        );
+      }),
+  );
+}
+
 /** Returns whether every unit of a step is done. */
 export function isStepDone(units: readonly UnitProgress[]): boolean {
   return units.every(unit => unit.isDone);
--- a/packages/workload/src/stored_progress.ts
+++ b/packages/workload/src/stored_progress.ts
@@ -179,7 +179,15 @@
   const items = typeof stored === 'number' ? [stored, 0, 0, 0, ''] : stored;
   const [run, failureCount, lastFailedRun, done, checkpoint, ...targetIndexes] =
     items as z.infer<typeof unitSchema>;
-  const placedOn = targetIndexes.map(index => targets[index]!);
+  const placedOn = targetIndexes.map(index => {
+    const target = targets[index];
+    if (!target) {
+      throw new RangeError(
+        `progress names target ${index}, which is not listed`,
+      );
+    }
+    return target;
+  });
   return {
     run,
     failureCount,
