--- a/packages/dispatch/__tests__/fixtures.ts
+++ b/packages/dispatch/__tests__/fixtures.ts
@@ -80,6 +80,17 @@
   return target;
 }
 
+/** Creates `count` schedulable targets in racks `r0`, `r1`, and so on, of `perRack` targets each. */
+export function createTargets(
+  count: number,
+  perRack: number,
+  now: number,
+): TargetState[] {
+  return Array.from({length: count}, (_, index) =>
+    createTarget(`t${index}`, `r${Math.floor(index / perRack)}`, now),
+  );
+}
+
 /** Adds a confirmed run of `unit` on `target` that started at `startedAt`. */
 export function addRun(
   unit: ActiveUnit,
--- a/packages/dispatch/src/active_job.ts
+++ b/packages/dispatch/src/active_job.ts
@@ -85,6 +85,8 @@
   lastFailureAt: Instant;
   /** When a target last crashed that a run of the unit may have crashed. */
   lastCrashAt: Instant;
+  /** When the unit was first found ready since its last run; undefined if it has not been. */
+  waitingSince?: Instant;
   /** Earliest time of the next placement. */
   retryAt: Instant;
   /** Targets on which runs of this unit failed or stalled. */
