Reserve no targets for ends that don't come

Callers saw tasks wait while targets with free room took nothing. A long-running task at 100 percent was expected to end now, and so was a run that had outlasted its estimate, in each pass anew; a gang that waited for them held its targets free from now on. The remaining time of a restored run with an estimate beyond all bounds was NaN, with the same result.

A long-running task has no end, and an overdue run is expected to last as long again as it is overdue.

--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -4,7 +4,7 @@
  */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import {hasRepeatedCrashes} from '../crash_attribution.js';
-import {isProgressRateKnown, estimateRemainingTime} from '../progress_rate.js';
+import {isProgressRateKnown} from '../progress_rate.js';
 import {
   type Allocation,
   type ActiveJob,
@@ -46,6 +46,7 @@
   type CandidateTarget,
   deductCapacity,
 } from './candidate_target.js';
+import {estimateAwaitedEnd, estimateRunEnd} from './run_ends.js';
 import type {Decision, SchedulingSnapshot} from './scheduling_snapshot.js';
 import {computeStopCost} from './stop_cost.js';
 import {UrgencyTier, type Urgency, rateUrgency} from './urgency.js';
@@ -198,7 +199,7 @@
         this.reclaim(unit, urgency, request, candidates));
     if (!isReclaimed && this.reservationCount < MAX_RESERVATIONS) {
       const estimateEnd = (allocation: Allocation) =>
-        this.estimateEnd(allocation);
+        estimateAwaitedEnd(allocation, this.snapshot, this.now);
       if (reserveTargets(request, candidates, estimateEnd, this.now)) {
         this.reservationCount++;
       }
@@ -317,7 +318,7 @@
     const endsInTime = (allocation: Allocation) =>
       !hasWaited &&
       isProgressRateKnown(allocation) &&
-      this.estimateEnd(allocation) <= startDeadline;
+      estimateRunEnd(allocation, this.snapshot, this.now) <= startDeadline;
     let plan = planReclaim(request, candidates, estimateStopCost, endsInTime);
     const waited = computeWait(unit.job, this.now);
     if (
@@ -393,22 +394,6 @@
       unit.step.estimateMs,
     );
   }
-
-  private estimateEnd(allocation: Allocation): Instant {
-    const {unit} = allocation;
-    if (!unit) {
-      return this.now + this.snapshot.settings.stopTime;
-    }
-    if (unit.phase === 'stopping') {
-      return this.now + this.snapshot.settings.stopTime;
-    }
-    const {estimator, settings} = this.snapshot;
-    const {rackFactor} = settings;
-    return (
-      this.now +
-      estimateRemainingTime(allocation, unit, estimator, rackFactor, this.now)
-    );
-  }
 }
 
 /** Returns the estimated work of a unit in core-seconds. */
--- a/packages/dispatch/src/policy/reservation.ts
+++ b/packages/dispatch/src/policy/reservation.ts
@@ -50,7 +50,8 @@
 /**
  * Plans the reservation within one group of targets: simulates the release of
  * their allocations in the order of the expected ends until the unit fits.
- * Returns undefined if it does not fit even when all are released.
+ * Returns undefined if it does not fit even when all are released, or if some of
+ * them have no end.
  */
 function planReservation(
   request: PlacementRequest,
@@ -94,7 +95,7 @@
     total -= countFittingMembers(request, end.candidate, before);
     at = end.at;
   }
-  if (total < request.count) {
+  if (total < request.count || at === Infinity) {
     return undefined;
   }
   return {at, candidates: chooseFewestTargets(request, free)};
