Wait for locality only while the wait is of use

Callers saw a task near its data, or a rack-sensitive gang, wait without an end while most targets were empty: the rack was full of long runs, or each rack had one small one. Meanwhile the unit's reservation or claim, which ignored the rack of the data, kept other targets free on which the unit was not placed.

place() accepted the locality penalty only if the unit did not fit into empty racks. Now it does so as soon as no local placement is expected before the penalty would be over, from the expected ends of the runs there. An urgent unit has capacity reclaimed first. Reservations and claims are made where the unit waits. Placing a unit is a file of its own.

The one on reservations has got a run with known progress, so that the gang still waits for its rack; with the group of the data rack taken out of the build, it fails.

--- a/packages/dispatch/__tests__/idle_capacity.spec.ts
+++ b/packages/dispatch/__tests__/idle_capacity.spec.ts
@@ -141,6 +141,9 @@
     const runs = targets
       .slice(0, 2)
       .map(target => occupy(target, {demand: whole, estimateMs: 21_000}));
+    for (const {units} of runs) {
+      Object.assign(units[0]!.allocations[0]!, {percent: 95, percentAt: NOW});
+    }
     // It waits a second for its rack, in which it fits; the other 18 targets are of no use to it.
     const gang = createTask('gang', {
       count: 2,
--- a/packages/dispatch/src/policy/candidate_target.ts
+++ b/packages/dispatch/src/policy/candidate_target.ts
@@ -4,7 +4,6 @@
  */
 import type {Instant} from '@galenavalve/shared';
 import type {Demand} from '@galenavalve/workload';
-import type {Allocation} from '../active_job.js';
 import {type TargetState, isNegative} from '../target_state.js';
 
 /** A target with its free capacity during one scheduling pass. */
@@ -29,6 +28,8 @@
    * expected to end by then. Infinity if there is no reservation.
    */
   reservedFrom: Instant;
+  /** Members that were placed on the target in this pass. */
+  plannedRuns: Array<{demand: Demand; endsAt: Instant}>;
 }
 
 /** What a unit (a gang or a single task) needs from targets. */
@@ -117,8 +118,11 @@
   candidate.hasUnlistedRun = true;
 }
 
-/** Returns `free` plus the capacity of an allocation. */
-export function addAllocation(free: Demand, {demand}: Allocation): Demand {
+/** Returns `free` plus the capacity that a run holds. */
+export function addAllocation(
+  free: Demand,
+  {demand}: {demand: Demand},
+): Demand {
   return {
     cpu: free.cpu + demand.cpu,
     memoryMb: free.memoryMb + demand.memoryMb,
@@ -143,13 +147,17 @@
 }
 
 /**
- * Returns groups of candidates, one of which must take all members: racks for a
- * rack-sensitive request, otherwise all candidates.
+ * Returns groups of candidates, one of which must take all members without a
+ * locality penalty: the rack of the data, or each rack for a rack-sensitive
+ * request, otherwise all candidates.
  */
 export function listPlacementGroups(
   request: PlacementRequest,
   candidates: readonly CandidateTarget[],
 ): Array<readonly CandidateTarget[]> {
+  if (request.dataRack !== undefined) {
+    return [candidates.filter(({rack}) => rack === request.dataRack)];
+  }
   return request.isRackSensitive
     ? [...groupByRack(candidates).values()]
     : [candidates];
--- a/packages/dispatch/src/policy/create_candidates.ts
+++ b/packages/dispatch/src/policy/create_candidates.ts
@@ -34,6 +34,7 @@
       hasUnlistedRun: hasUnlistedRun(target),
       isClosed: isClosedToOthers(target),
       reservedFrom: Infinity,
+      plannedRuns: [],
     });
   }
   return candidates;
--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -31,16 +31,8 @@
   isReclaimForced,
 } from './reclaim_limits.js';
 import {reserveTargets} from './reservation.js';
-import {
-  type Placement,
-  findPlacementAnywhere,
-  findLocalPlacement,
-} from './placement_search.js';
-import {
-  isFeasibleWithLocality,
-  createPlacementRequest,
-  createShapeKey,
-} from './placement_request.js';
+import type {Placement} from './placement_search.js';
+import {createPlacementRequest, createShapeKey} from './placement_request.js';
 import {
   type PlacementRequest,
   type CandidateTarget,
@@ -49,6 +41,11 @@
 import {estimateAwaitedEnd, estimateRunEnd} from './run_ends.js';
 import type {Decision, SchedulingSnapshot} from './scheduling_snapshot.js';
 import {computeStopCost} from './stop_cost.js';
+import {
+  type LocalWait,
+  UnitPlacement,
+  withoutLocality,
+} from './unit_placement.js';
 import {UrgencyTier, type Urgency, rateUrgency} from './urgency.js';
 
 /**
@@ -105,6 +102,7 @@
    * cannot be placed either.
    */
   private readonly unplaceableShapes = new Set<string>();
+  private readonly placement: UnitPlacement;
   private reservationCount = 0;
 
   constructor(
@@ -117,6 +115,7 @@
       snapshot.jobs,
       snapshot.guarantees,
     );
+    this.placement = new UnitPlacement(snapshot, this.guaranteedJobs, now);
     for (const unit of snapshot.jobs.flatMap(({units}) => units)) {
       if (
         unit.targetClaim &&
@@ -166,10 +165,15 @@
     const isolatedMembers = listIsolatedMembers(unit);
     if (isolatedMembers.length > 0) {
       const isolated = listIsolatedCandidates(unit, openCandidates);
-      const placement = this.place(unit, request, isolated, allCandidates);
+      const placement = this.placement.place(
+        unit,
+        request,
+        isolated,
+        allCandidates,
+        'while-useful',
+      );
       if (placement) {
         this.addStart(unit, request, placement);
-        closeTargets(placement, isolatedMembers);
         return;
       }
       if (mayWaitForIsolation(unit, this.now)) {
@@ -181,28 +185,62 @@
     const candidates = this.needsTrustedTargets(unit)
       ? trusted
       : openCandidates;
-    let placement = this.place(unit, request, trusted, allCandidates);
-    if (!placement && candidates.length > trusted.length) {
-      placement = this.place(unit, request, candidates, allCandidates);
-    }
+    const place = (localWait: LocalWait) =>
+      this.placement.place(unit, request, trusted, allCandidates, localWait) ??
+      (candidates.length > trusted.length
+        ? this.placement.place(
+            unit,
+            request,
+            candidates,
+            allCandidates,
+            localWait,
+          )
+        : undefined);
+    const isUrgent = urgency.tier === UrgencyTier.URGENT;
+    const placement = place(isUrgent ? 'while-feasible' : 'while-useful');
     if (placement) {
       this.addStart(unit, request, placement);
-      closeTargets(placement, isolatedMembers);
       return;
     }
-    this.addObstacle(unit, this.findObstacle(unit, request));
-    this.unplaceableShapes.add(shapeKey);
     const isReclaimed =
-      urgency.tier === UrgencyTier.URGENT &&
+      isUrgent &&
       !hasRepeatedCrashes(unit) &&
       (this.hasTargetClaim(unit) ||
-        this.reclaim(unit, urgency, request, candidates));
+        this.reclaim(unit, urgency, request, candidates, allCandidates));
+    const farPlacement =
+      isUrgent && !isReclaimed ? place('while-useful') : undefined;
+    if (farPlacement) {
+      this.addStart(unit, request, farPlacement);
+      return;
+    }
+    this.addObstacle(unit, this.findObstacle(unit, request));
+    this.unplaceableShapes.add(shapeKey);
     if (!isReclaimed && this.reservationCount < MAX_RESERVATIONS) {
-      const estimateEnd = (allocation: Allocation) =>
-        estimateAwaitedEnd(allocation, this.snapshot, this.now);
-      if (reserveTargets(request, candidates, estimateEnd, this.now)) {
-        this.reservationCount++;
-      }
+      this.reserve(unit, request, candidates, allCandidates);
+    }
+  }
+
+  /** Keeps targets for a unit from the time on from which it is expected to fit there. */
+  private reserve(
+    unit: ActiveUnit,
+    request: PlacementRequest,
+    candidates: readonly CandidateTarget[],
+    allCandidates: readonly CandidateTarget[],
+  ): void {
+    const acceptsPenalty = this.placement.acceptsPenalty(
+      unit,
+      request,
+      allCandidates,
+      'while-useful',
+    );
+    const isReserved = reserveTargets(
+      acceptsPenalty ? withoutLocality(request) : request,
+      candidates,
+      allocation => estimateAwaitedEnd(allocation, this.snapshot, this.now),
+      this.now,
+    );
+    if (isReserved) {
+      this.reservationCount++;
     }
   }
 
@@ -221,41 +259,6 @@
     return progress.failureCount > 0 && sinceFailure < MAX_TRUST_WAIT_MS;
   }
 
-  /** Places a unit on `candidates`, which may be a part of `allCandidates`. */
-  private place(
-    unit: ActiveUnit,
-    request: PlacementRequest,
-    candidates: readonly CandidateTarget[],
-    allCandidates: readonly CandidateTarget[],
-  ): Placement | undefined {
-    const expectedDuration = this.estimateDuration(unit);
-    const localPlacement = findLocalPlacement(
-      request,
-      candidates,
-      this.now + expectedDuration,
-    );
-    const hasLocalityPreference = request.isRackSensitive || request.dataRack;
-    if (localPlacement || !hasLocalityPreference) {
-      return localPlacement;
-    }
-    // With a locality penalty the run takes longer, so it is accepted only if
-    // no rack can ever hold the unit, or to keep a guarantee.
-    const waited = computeWait(unit.job, this.now);
-    const isGuaranteed = this.guaranteedJobs.has(unit.job);
-    const isOverdue =
-      isGuaranteed && waited > computeLocalWaitLimit(this.snapshot.settings);
-    if (isOverdue || !isFeasibleWithLocality(request, allCandidates)) {
-      const penalizedDuration =
-        expectedDuration * this.snapshot.settings.rackFactor;
-      return findPlacementAnywhere(
-        request,
-        candidates,
-        this.now + penalizedDuration,
-      );
-    }
-    return undefined;
-  }
-
   private addObstacle(unit: ActiveUnit, obstacle: Obstacle): void {
     this.decision.obstacles.push({unit, obstacle});
   }
@@ -275,9 +278,20 @@
     request: PlacementRequest,
     placement: Placement,
   ): void {
+    const {demand} = request;
+    const {hasLocalityPenalty} = placement;
+    const {rackFactor} = this.snapshot.settings;
+    const duration = unit.step.isLongRunning
+      ? Infinity
+      : this.placement.estimateDuration(unit);
+    const endsAt = this.now + duration * (hasLocalityPenalty ? rackFactor : 1);
     for (const {candidate, members} of placement.shares) {
-      deductCapacity(candidate, request.demand, members);
+      deductCapacity(candidate, demand, members);
+      for (let member = 0; member < members; member++) {
+        candidate.plannedRuns.push({demand, endsAt});
+      }
     }
+    closeTargets(placement, listIsolatedMembers(unit));
     this.decision.starts.push({unit, placement});
   }
 
@@ -294,6 +308,7 @@
     urgency: Urgency,
     request: PlacementRequest,
     candidates: readonly CandidateTarget[],
+    allCandidates: readonly CandidateTarget[],
   ): boolean {
     const isGuaranteed = this.guaranteedJobs.has(unit.job);
     const {settings, areTargetsListed} = this.snapshot;
@@ -321,14 +336,17 @@
       estimateRunEnd(allocation, this.snapshot, this.now) <= startDeadline;
     let plan = planReclaim(request, candidates, estimateStopCost, endsInTime);
     const waited = computeWait(unit.job, this.now);
-    if (
-      !plan &&
-      isGuaranteed &&
-      waited > computeLocalWaitLimit(this.snapshot.settings) / 2
-    ) {
-      const relaxedRequest = {...request, isRackSensitive: false};
+    const mayRunFar =
+      (isGuaranteed && waited > computeLocalWaitLimit(settings) / 2) ||
+      this.placement.acceptsPenalty(
+        unit,
+        request,
+        allCandidates,
+        'while-feasible',
+      );
+    if (!plan && mayRunFar) {
       plan = planReclaim(
-        relaxedRequest,
+        withoutLocality(request),
         candidates,
         estimateStopCost,
         endsInTime,
@@ -386,14 +404,6 @@
       return isUnclaimed && target.info.pool === pool;
     });
   }
-
-  private estimateDuration(unit: ActiveUnit): Milliseconds {
-    const {estimator} = this.snapshot;
-    return estimator.estimateDuration(
-      unit.job.accepted.queue,
-      unit.step.estimateMs,
-    );
-  }
 }
 
 /** Returns the estimated work of a unit in core-seconds. */
