Bound the wait of an idle job while most of the pool is free

Callers saw a job with nothing running for over 3 s while most targets were free. Each of these kept it waiting: targets reserved for a wide gang, targets closed by suspects, targets avoided for up to 15 s after failures that a hopeless job caused on all of them, and the targets that a unit itself avoids, which it does until its job ends.

These are preferences. Once a job has had no run for 1.5 s, half of what the platform allows from end to start, and under half of its pool is in use, in cores as the platform counts them, they no longer keep it out: first locality and reservations are given up, then avoidance, then isolation. waitingSince is set by the pass that first leaves a unit waiting, and ends when a run is confirmed, so that refused starts don't prolong the wait. If most of a pool is avoided, the jobs are at fault and not the targets, and avoidance is dropped at once.

The one that guards reservations in a used pool now fills the cores of its targets as well; with only the accelerators in use, the pool was 40 percent in use by that count.

--- a/packages/bench/src/policy/baseline_policies.ts
+++ b/packages/bench/src/policy/baseline_policies.ts
@@ -63,7 +63,9 @@
     private readonly snapshot: SchedulingSnapshot,
     private readonly now: Instant,
   ) {
-    this.candidates = createCandidates(snapshot, now);
+    this.candidates = createCandidates(snapshot, now).filter(
+      ({isAvoided}) => !isAvoided,
+    );
   }
 
   /** Starts a unit if it fits; returns whether it does. */
--- a/packages/dispatch/__tests__/idle_capacity.spec.ts
+++ b/packages/dispatch/__tests__/idle_capacity.spec.ts
@@ -201,7 +201,9 @@
     const targets = createTargets(4, 4, NOW);
     const runs = targets
       .slice(0, 3)
-      .map(target => occupy(target, {demand: whole, estimateMs: 50_000}));
+      .map(target =>
+        occupy(target, {demand: {...whole, cpu: 64_000}, estimateMs: 50_000}),
+      );
     const wide = {count: 4, isGang: true, demand: whole, estimateMs: 4000};
     const gang = createTask('gang', wide);
     const task = createOverdueTask('task', {}, {acceptedAt: NOW - 500});
--- a/packages/dispatch/src/pass_runner.ts
+++ b/packages/dispatch/src/pass_runner.ts
@@ -65,6 +65,7 @@
     }
     for (const {unit, obstacle} of decision.obstacles) {
       unit.obstacle = obstacle;
+      unit.waitingSince ??= now;
     }
     for (const {unit, reason} of decision.waits) {
       this.logWait(unit, reason);
--- a/packages/dispatch/src/policy/candidate_target.ts
+++ b/packages/dispatch/src/policy/candidate_target.ts
@@ -17,6 +17,8 @@
   slowness: number;
   /** Whether runs failed on the target for which it may be at fault. */
   isDoubted: boolean;
+  /** Whether so many runs failed on the target that others should be used. */
+  isAvoided: boolean;
   /** Whether the target has no runs. */
   isEmpty: boolean;
   /** Whether the target has a run that it has not listed yet. */
--- a/packages/dispatch/src/policy/create_candidates.ts
+++ b/packages/dispatch/src/policy/create_candidates.ts
@@ -7,7 +7,7 @@
 import type {SchedulingSnapshot} from './scheduling_snapshot.js';
 import {findUnresponsiveDomains} from './unresponsive_domains.js';
 
-/** Returns the targets that may receive new runs, with their free capacity. */
+/** Returns the targets that can receive new runs, avoided ones included, with their free capacity. */
 export function createCandidates(
   {evacuated, targets}: SchedulingSnapshot,
   now: Instant,
@@ -16,10 +16,10 @@
   const candidates: CandidateTarget[] = [];
   for (const target of targets) {
     const {info} = target;
-    const isSchedulable = target.isSchedulable(now, MAX_LISTING_AGE_MS);
+    const isUsable = target.isUsable(now, MAX_LISTING_AGE_MS);
     const isExcluded =
       evacuated.has(info.domain) || unresponsiveDomains.has(info.domain);
-    if (!isSchedulable || isExcluded) {
+    if (!isUsable || isExcluded) {
       continue;
     }
     candidates.push({
@@ -30,6 +30,7 @@
       labels: info.labels,
       slowness: target.slowness,
       isDoubted: target.faults.isDoubted(now),
+      isAvoided: target.isAvoided(now),
       isEmpty: target.allocations.size === 0,
       hasUnlistedRun: hasUnlistedRun(target),
       isClosed: isClosedToOthers(target),
@@ -37,9 +38,32 @@
       plannedRuns: [],
     });
   }
+  dropAvoidanceOfMost(candidates);
   return candidates;
 }
 
+/**
+ * Uses the avoided targets of a pool if they are more than half of it: it is not
+ * the targets that are at fault then, but the jobs.
+ */
+function dropAvoidanceOfMost(candidates: readonly CandidateTarget[]): void {
+  const pools = new Map<string, {total: number; avoided: CandidateTarget[]}>();
+  for (const candidate of candidates) {
+    const {pool} = candidate.target.info;
+    const entry = pools.get(pool) ?? {total: 0, avoided: []};
+    pools.set(pool, entry);
+    entry.total++;
+    if (candidate.isAvoided) {
+      entry.avoided.push(candidate);
+    }
+  }
+  for (const {total, avoided} of pools.values()) {
+    if (avoided.length > total / 2) {
+      avoided.forEach(candidate => (candidate.isAvoided = false));
+    }
+  }
+}
+
 function hasUnlistedRun({allocations}: TargetState): boolean {
   for (const {isListed} of allocations.values()) {
     if (!isListed) {
--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -23,6 +23,7 @@
   mayWaitForIsolation,
 } from './isolation.js';
 import type {Obstacle} from '../obstacle.js';
+import {IdleWaits} from './idle_waits.js';
 import {planReclaim} from './reclaim.js';
 import {
   computeLocalWaitLimit,
@@ -103,6 +104,7 @@
    */
   private readonly unplaceableShapes = new Set<string>();
   private readonly placement: UnitPlacement;
+  private readonly idleWaits: IdleWaits;
   private reservationCount = 0;
 
   constructor(
@@ -115,6 +117,7 @@
       snapshot.jobs,
       snapshot.guarantees,
     );
+    this.idleWaits = new IdleWaits(snapshot.targets, now);
     this.placement = new UnitPlacement(snapshot, this.guaranteedJobs, now);
     for (const unit of snapshot.jobs.flatMap(({units}) => units)) {
       if (
@@ -150,7 +153,8 @@
   }
 
   private consider(unit: ActiveUnit, urgency: Urgency): void {
-    const shapeKey = createShapeKey(unit);
+    const isWaitOver = this.idleWaits.isOver(unit);
+    const shapeKey = `${createShapeKey(unit)}|${isWaitOver}`;
     if (this.unplaceableShapes.has(shapeKey) && !this.hasTargetClaim(unit)) {
       this.addObstacle(unit, 'same-shape');
       return;
@@ -160,7 +164,8 @@
       this.decision.starts,
       this.snapshot.findAllowedTargets(unit),
     );
-    const allCandidates = this.listCandidates(unit);
+    const unclaimed = this.listUnclaimed(unit);
+    const allCandidates = unclaimed.filter(({isAvoided}) => !isAvoided);
     const openCandidates = allCandidates.filter(({isClosed}) => !isClosed);
     const isolatedMembers = listIsolatedMembers(unit);
     if (isolatedMembers.length > 0) {
@@ -176,7 +181,7 @@
         this.addStart(unit, request, placement);
         return;
       }
-      if (mayWaitForIsolation(unit, this.now)) {
+      if (mayWaitForIsolation(unit, this.now) && !isWaitOver) {
         this.addObstacle(unit, 'isolation');
         return;
       }
@@ -197,7 +202,11 @@
           )
         : undefined);
     const isUrgent = urgency.tier === UrgencyTier.URGENT;
-    const placement = place(isUrgent ? 'while-feasible' : 'while-useful');
+    const placement =
+      place(isUrgent ? 'while-feasible' : 'while-useful') ??
+      (isWaitOver && !this.needsTrustedTargets(unit)
+        ? this.placeAtOnce(request, unclaimed)
+        : undefined);
     if (placement) {
       this.addStart(unit, request, placement);
       return;
@@ -220,6 +229,21 @@
     }
   }
 
+  /** Places a unit where it prefers not to be, on targets that keep others out only if need be. */
+  private placeAtOnce(
+    request: PlacementRequest,
+    candidates: readonly CandidateTarget[],
+  ): Placement | undefined {
+    const open = candidates.filter(({isClosed}) => !isClosed);
+    const preferred = open.filter(({isAvoided}) => !isAvoided);
+    const anyTarget = {...request, avoidedTargets: new Set<string>()};
+    return (
+      this.placement.placeAtOnce(request, preferred) ??
+      this.placement.placeAtOnce(anyTarget, open) ??
+      this.placement.placeAtOnce(anyTarget, candidates)
+    );
+  }
+
   /** Keeps targets for a unit from the time on from which it is expected to fit there. */
   private reserve(
     unit: ActiveUnit,
@@ -292,6 +316,7 @@
       }
     }
     closeTargets(placement, listIsolatedMembers(unit));
+    this.idleWaits.onStart(unit);
     this.decision.starts.push({unit, placement});
   }
 
@@ -396,7 +421,8 @@
     };
   }
 
-  private listCandidates(unit: ActiveUnit): readonly CandidateTarget[] {
+  /** Returns the targets of the unit's pool that are not kept for another unit. */
+  private listUnclaimed(unit: ActiveUnit): readonly CandidateTarget[] {
     const {pool} = unit.job.accepted.terms;
     return this.candidates.filter(({target}) => {
       const claimant = this.claimants.get(target);
--- /dev/null
+++ b/packages/dispatch/src/policy/idle_waits.ts
@@ -0,0 +1,76 @@
+/**
+ * Bounds the time for which a job has no run although most of the capacity of
+ * its pool is free. Past it, no preference keeps the job from a target.
+ */
+import type {Instant, Milliseconds} from '@galenavalve/shared';
+import type {ActiveJob, ActiveUnit} from '../active_job.js';
+import type {TargetState} from '../target_state.js';
+import {countCores} from './stop_cost.js';
+
+/**
+ * Longest wait of a unit whose job has no run. The platform allows 3 s from the
+ * end of a run to the start of the next; the rest is for noticing the end and
+ * for the start.
+ */
+const MAX_IDLE_WAIT_MS: Milliseconds = 1500;
+
+/** Share of the capacity in use from which on the platform lets jobs wait. */
+const MAX_USED_SHARE = 0.5;
+
+/** Waits of idle jobs in one scheduling pass. */
+export class IdleWaits {
+  private readonly freePools = new Map<string, boolean>();
+  private readonly idleJobs = new Map<ActiveJob, boolean>();
+
+  constructor(
+    private readonly targets: readonly TargetState[],
+    private readonly now: Instant,
+  ) {}
+
+  /** Whether a unit has waited as long as it may while most of its pool is free. */
+  isOver(unit: ActiveUnit): boolean {
+    const {waitingSince = Infinity, job, step} = unit;
+    return (
+      this.now - waitingSince >= MAX_IDLE_WAIT_MS &&
+      (step.isLongRunning || this.isIdle(job)) &&
+      this.isMostlyFree(job.accepted.terms.pool)
+    );
+  }
+
+  /** Called when a unit of a job has been placed. */
+  onStart({job}: ActiveUnit): void {
+    this.idleJobs.set(job, false);
+  }
+
+  private isIdle(job: ActiveJob): boolean {
+    let isIdle = this.idleJobs.get(job);
+    if (isIdle === undefined) {
+      isIdle = job.units.every(({phase}) => phase === 'waiting');
+      this.idleJobs.set(job, isIdle);
+    }
+    return isIdle;
+  }
+
+  private isMostlyFree(pool: string): boolean {
+    let isFree = this.freePools.get(pool);
+    if (isFree === undefined) {
+      isFree = isMostlyFree(
+        this.targets.filter(({info}) => info.pool === pool),
+      );
+      this.freePools.set(pool, isFree);
+    }
+    return isFree;
+  }
+}
+
+function isMostlyFree(targets: readonly TargetState[]): boolean {
+  let capacity = 0;
+  let free = 0;
+  for (const target of targets) {
+    if (target.isRegistered && !target.isRemoved) {
+      capacity += countCores(target.info.capacity);
+      free += Math.max(0, countCores(target.computeFreeCapacity()));
+    }
+  }
+  return capacity - free < capacity * MAX_USED_SHARE;
+}
--- a/packages/dispatch/src/policy/stop_cost.ts
+++ b/packages/dispatch/src/policy/stop_cost.ts
@@ -1,5 +1,6 @@
 /** Computes the work that is lost when a unit is stopped. */
 import type {Instant} from '@galenavalve/shared';
+import type {Demand} from '@galenavalve/workload';
 import {type ActiveJob, type ActiveUnit, countMembers} from '../active_job.js';
 import type {DispatchSettings} from '../settings.js';
 import {UrgencyTier, type Urgency} from './urgency.js';
@@ -45,8 +46,7 @@
   const unsavedTime = step.savesProgress
     ? Math.min(runTime, settings.restoreTime)
     : runTime;
-  const cores =
-    step.demand.cpu / 1000 + step.demand.accelerators * CORES_PER_ACCELERATOR;
+  const cores = countCores(step.demand);
   const lostWork =
     cores * countMembers(victim) * (unsavedTime / 1000 + RESTART_COST_SECONDS);
   const repeatedWork = step.savesProgress ? 0 : runTime;
@@ -56,3 +56,8 @@
   const totalWork = (cores * countMembers(victim) * step.estimateMs) / 1000;
   return lostWork + (becomesLate ? LATENESS_SHARE * totalWork : 0);
 }
+
+/** Returns cores plus accelerators, each of which counts as several cores. */
+export function countCores({cpu, accelerators}: Demand): number {
+  return cpu / 1000 + accelerators * CORES_PER_ACCELERATOR;
+}
--- a/packages/dispatch/src/policy/unit_placement.ts
+++ b/packages/dispatch/src/policy/unit_placement.ts
@@ -58,6 +58,17 @@
     return findPlacementAnywhere(request, candidates, endsBy);
   }
 
+  /** Places a unit on `candidates` with or without a penalty, whether or not they are reserved. */
+  placeAtOnce(
+    request: PlacementRequest,
+    candidates: readonly CandidateTarget[],
+  ): Placement | undefined {
+    return (
+      findLocalPlacement(request, candidates, -Infinity) ??
+      findPlacementAnywhere(request, candidates, -Infinity)
+    );
+  }
+
   /** Whether a unit with a locality preference starts with a penalty rather than wait. */
   acceptsPenalty(
     unit: ActiveUnit,
--- a/packages/dispatch/src/run_tracker.ts
+++ b/packages/dispatch/src/run_tracker.ts
@@ -128,6 +128,7 @@
     if (unit && isComplete && unit.phase === 'starting') {
       unit.phase = 'running';
       unit.runningSince = now;
+      unit.waitingSince = undefined;
     }
   }
 
--- a/packages/dispatch/src/target_state.ts
+++ b/packages/dispatch/src/target_state.ts
@@ -64,7 +64,7 @@
   lastListingClock = -1;
   /** Time at which every lease of the target has expired at the latest. */
   leaseExpiresAt: Instant;
-  /** Time until which no new runs are placed on the target. */
+  /** Time until which new runs are placed on other targets if these have room. */
   avoidUntil: Instant = -Infinity;
   /** Failures of runs for which the target may be at fault. */
   readonly faults = new FaultScore();
@@ -220,16 +220,25 @@
   }
 
   /**
-   * Whether new runs may be placed on the target, regardless of its capacity.
+   * Whether new runs should be placed on the target, regardless of its capacity.
    * `freshness` is the maximum age of the last response.
    */
   isSchedulable(now: Instant, freshness: Milliseconds): boolean {
+    return this.isUsable(now, freshness) && !this.isAvoided(now);
+  }
+
+  /** Whether other targets should be used because runs have failed on this one. */
+  isAvoided(now: Instant): boolean {
+    return now < this.avoidUntil;
+  }
+
+  /** Whether new runs can be placed on the target, be it avoided or not. */
+  isUsable(now: Instant, freshness: Milliseconds): boolean {
     return (
       this.isRegistered &&
       !this.isRemoved &&
       this.hasListing &&
       !this.info.isDraining &&
-      now >= this.avoidUntil &&
       !this.isResponseLate(now) &&
       now - this.lastResponseAt <= freshness
     );
