Tell units apart that differ in what lets them start

Callers saw jobs of a queue wait without an end after the queue's service had changed, a guaranteed job wait for a rack although its guarantee lets it run elsewhere, and an urgent one get no capacity behind a suspect. A unit that can't be placed keeps later ones of its shape out of the pass, and the key of the shape lacked the pool, the guarantee, and whether capacity is reclaimed for the unit or its targets must be trusted.

The key now holds all of these. Units of a step that differ by target share it if they avoid the same targets; it was unique for each, so that each was tried.

--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -154,7 +154,14 @@
 
   private consider(unit: ActiveUnit, urgency: Urgency): void {
     const isWaitOver = this.idleWaits.isOver(unit);
-    const shapeKey = `${createShapeKey(unit)}|${isWaitOver}`;
+    const shapeKey = [
+      createShapeKey(unit),
+      isWaitOver,
+      this.guaranteedJobs.has(unit.job),
+      this.placement.isLocalWaitOver(unit),
+      hasRepeatedCrashes(unit),
+      this.needsTrustedTargets(unit),
+    ].join('|');
     if (this.unplaceableShapes.has(shapeKey) && !this.hasTargetClaim(unit)) {
       this.addObstacle(unit, 'same-shape');
       return;
--- a/packages/dispatch/src/policy/placement_request.ts
+++ b/packages/dispatch/src/policy/placement_request.ts
@@ -52,20 +52,17 @@
 }
 
 /**
- * Returns a key that units with equal demand and constraints share; either all
- * of them can be placed or none.
+ * Returns a key that units share whose requests are equal; either all of them can
+ * be placed or none.
  */
 export function createShapeKey(unit: ActiveUnit): string {
   const {step, job} = unit;
-  const isUnique =
-    unit.avoidedTargets.size > 0 ||
-    step.maxPerTarget !== undefined ||
-    job.accepted.terms.needsAdvice;
-  const uniqueKey = isUnique
-    ? `${job.id}.${unit.stepIndex}.${unit.unitIndex}`
-    : '';
+  const {pool, needsAdvice} = job.accepted.terms;
+  // What differs by target is equal for the units of a step that avoid the same.
+  const differsByTarget = step.maxPerTarget !== undefined || needsAdvice;
   const {cpu, memoryMb, accelerators} = step.demand;
   return [
+    pool,
     countMembers(unit),
     cpu,
     memoryMb,
@@ -75,7 +72,8 @@
     step.dataRack,
     step.estimateMs,
     job.accepted.queue,
-    uniqueKey,
+    differsByTarget ? `${job.id}.${unit.occurrence}.${unit.stepIndex}` : '',
+    [...unit.avoidedTargets].sort().join(),
   ].join('|');
 }
 
--- a/packages/dispatch/src/policy/unit_placement.ts
+++ b/packages/dispatch/src/policy/unit_placement.ts
@@ -79,13 +79,18 @@
     if (!request.isRackSensitive && request.dataRack === undefined) {
       return false;
     }
-    const {settings} = this.snapshot;
-    const isOverdue =
-      this.guaranteedJobs.has(unit.job) &&
-      computeWait(unit.job, this.now) > computeLocalWaitLimit(settings);
-    const penalty = this.estimateDuration(unit) * (settings.rackFactor - 1);
+    const {rackFactor} = this.snapshot.settings;
+    const penalty = this.estimateDuration(unit) * (rackFactor - 1);
     const by = localWait === 'while-useful' ? this.now + penalty : Infinity;
-    return isOverdue || !this.fitsLocallyBy(request, candidates, by);
+    return (
+      this.isLocalWaitOver(unit) || !this.fitsLocallyBy(request, candidates, by)
+    );
+  }
+
+  /** Whether a guaranteed unit has waited for locality as long as its guarantee allows. */
+  isLocalWaitOver({job}: ActiveUnit): boolean {
+    const limit = computeLocalWaitLimit(this.snapshot.settings);
+    return this.guaranteedJobs.has(job) && computeWait(job, this.now) > limit;
   }
 
   estimateDuration({job, step}: ActiveUnit): Milliseconds {
