Try every waiting unit at times

Callers would see a job wait without an end behind 1,500 units that no target can take, for example one job with thousands of tasks and an unknown label: a pass considered only the first 1,500 units in order, the same ones each time.

The limit now counts tries to place a unit; units of a shape that could not be placed cost none. A fifth of the tries go to those units that have not been tried for the longest time.

--- a/packages/dispatch/__tests__/idle_capacity.spec.ts
+++ b/packages/dispatch/__tests__/idle_capacity.spec.ts
@@ -269,6 +269,31 @@
   },
 );
 
+// Guards against units of different shapes that can never start and fill the limit of each pass.
+t.test(
+  'a task is considered within a second behind thousands of jobs that no target can take',
+  async t => {
+    const jobs = Array.from({length: 3000}, (_, index) =>
+      createTask(`${index}`, {requiredLabel: `unknown-${index}`}),
+    );
+    const task = createTask('task', {}, {acceptedAt: NOW - 500});
+    const targets = createTargets(4, 2, NOW);
+    const snapshot = createSnapshot([...jobs, task], targets);
+    const started = new Set<string>();
+    for (let pass = 0; pass < 12 && !started.has('task'); pass++) {
+      const now = NOW + pass * 100;
+      const {starts, obstacles} = decide(snapshot, now);
+      starts.forEach(({unit}) => started.add(unit.job.id));
+      for (const {unit, obstacle} of obstacles) {
+        if (obstacle !== 'not-considered') {
+          unit.triedAt = now;
+        }
+      }
+    }
+    t.ok(started.has('task'));
+  },
+);
+
 // Guards against a pool of which most targets are avoided because many tasks failed by their own fault.
 t.test('a hopeless job does not stop all other work', async t => {
   const targets = createTargets(10, 5, NOW);
--- a/packages/dispatch/src/active_job.ts
+++ b/packages/dispatch/src/active_job.ts
@@ -87,6 +87,8 @@
   lastCrashAt: Instant;
   /** When the unit was first found ready since its last run; undefined if it has not been. */
   waitingSince?: Instant;
+  /** When a pass last tried to place the unit or one of its shape; undefined if none has. */
+  triedAt?: Instant;
   /** Earliest time of the next placement. */
   retryAt: Instant;
   /** Targets on which runs of this unit failed or stalled. */
--- a/packages/dispatch/src/pass_runner.ts
+++ b/packages/dispatch/src/pass_runner.ts
@@ -66,6 +66,9 @@
     for (const {unit, obstacle} of decision.obstacles) {
       unit.obstacle = obstacle;
       unit.waitingSince ??= now;
+      if (obstacle !== 'not-considered') {
+        unit.triedAt = now;
+      }
     }
     for (const {unit, reason} of decision.waits) {
       this.logWait(unit, reason);
--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -55,8 +55,14 @@
  */
 const MAX_RESERVATIONS = 2;
 
-/** Limit of waiting units per pass; bounds its duration when thousands wait. */
-const MAX_CONSIDERED_UNITS = 1500;
+/** Limit of units that a pass tries to place; bounds its duration when thousands of different ones wait. */
+const MAX_TRIES = 1200;
+
+/**
+ * Limit of further units, those that have not been tried for the longest time, so
+ * that each is tried at times however many are before it.
+ */
+const MAX_LATER_TRIES = 300;
 
 /**
  * Maximum stop cost that an urgent job beyond its guarantee may impose on
@@ -133,39 +139,62 @@
   }
 
   run(): Decision {
-    for (const {unit, urgency} of this.listWaiting()) {
-      this.consider(unit, urgency);
+    const untried = this.tryAll(this.listWaiting(), MAX_TRIES);
+    untried.sort(
+      (a, b) => (a.unit.triedAt ?? -Infinity) - (b.unit.triedAt ?? -Infinity),
+    );
+    for (const {unit} of this.tryAll(untried, MAX_LATER_TRIES)) {
+      this.addObstacle(unit, 'not-considered');
     }
     return this.decision;
   }
 
+  /** Tries to place units in order, and returns those beyond the limit. */
+  private tryAll(
+    waiting: readonly WaitingUnit[],
+    maxTries: number,
+  ): WaitingUnit[] {
+    const untried: WaitingUnit[] = [];
+    let tries = 0;
+    for (const item of waiting) {
+      const shapeKey = this.createShapeKey(item.unit);
+      if (
+        this.unplaceableShapes.has(shapeKey) &&
+        !this.hasTargetClaim(item.unit)
+      ) {
+        this.addObstacle(item.unit, 'same-shape');
+      } else if (tries < maxTries) {
+        tries++;
+        this.consider(item.unit, item.urgency, shapeKey);
+      } else {
+        untried.push(item);
+      }
+    }
+    return untried;
+  }
+
   private listWaiting(): WaitingUnit[] {
     const waiting = listReadyUnits(this.snapshot, this.now);
-    waiting.sort(
+    return waiting.sort(
       (a, b) =>
         a.urgency.tier - b.urgency.tier ||
         a.urgency.sortKey - b.urgency.sortKey,
     );
-    for (const {unit} of waiting.slice(MAX_CONSIDERED_UNITS)) {
-      this.addObstacle(unit, 'not-considered');
-    }
-    return waiting.slice(0, MAX_CONSIDERED_UNITS);
   }
 
-  private consider(unit: ActiveUnit, urgency: Urgency): void {
-    const isWaitOver = this.idleWaits.isOver(unit);
-    const shapeKey = [
+  private createShapeKey(unit: ActiveUnit): string {
+    return [
       createShapeKey(unit),
-      isWaitOver,
+      this.idleWaits.isOver(unit),
       this.guaranteedJobs.has(unit.job),
       this.placement.isLocalWaitOver(unit),
       hasRepeatedCrashes(unit),
       this.needsTrustedTargets(unit),
     ].join('|');
-    if (this.unplaceableShapes.has(shapeKey) && !this.hasTargetClaim(unit)) {
-      this.addObstacle(unit, 'same-shape');
-      return;
-    }
+  }
+
+  private consider(unit: ActiveUnit, urgency: Urgency, shapeKey: string): void {
+    const isWaitOver = this.idleWaits.isOver(unit);
     const request = createPlacementRequest(
       unit,
       this.decision.starts,
