--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -4,7 +4,7 @@
  */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import {hasRepeatedCrashes} from '../crash_attribution.js';
-import {isProgressRateKnown, estimateRemainingTime} from '../progress_rate.js';
+import {isProgressRateKnown} from '../progress_rate.js';
 import {
   type Allocation,
   type ActiveJob,
@@ -23,6 +23,7 @@
   mayWaitForIsolation,
 } from './isolation.js';
 import type {Obstacle} from '../obstacle.js';
+import {IdleWaits} from './idle_waits.js';
 import {planReclaim} from './reclaim.js';
 import {
   computeLocalWaitLimit,
@@ -31,23 +32,21 @@
   isReclaimForced,
 } from './reclaim_limits.js';
 import {reserveTargets} from './reservation.js';
-import {
-  type Placement,
-  findPlacementAnywhere,
-  findLocalPlacement,
-} from './placement_search.js';
-import {
-  isFeasibleWithLocality,
-  createPlacementRequest,
-  createShapeKey,
-} from './placement_request.js';
+import type {Placement} from './placement_search.js';
+import {createPlacementRequest, createShapeKey} from './placement_request.js';
 import {
   type PlacementRequest,
   type CandidateTarget,
   deductCapacity,
 } from './candidate_target.js';
+import {estimateAwaitedEnd, estimateRunEnd} from './run_ends.js';
 import type {Decision, SchedulingSnapshot} from './scheduling_snapshot.js';
 import {computeStopCost} from './stop_cost.js';
+import {
+  type LocalWait,
+  UnitPlacement,
+  withoutLocality,
+} from './unit_placement.js';
 import {UrgencyTier, type Urgency, rateUrgency} from './urgency.js';
 
 /**
@@ -56,8 +55,14 @@
  */
 const MAX_RESERVATIONS = 2;
 
-/** Limit of waiting units per pass; bounds its duration when thousands wait. */
-const MAX_CONSIDERED_UNITS = 1500;
+/** Limit of units that a pass tries to place; bounds its duration when thousands of different ones wait. */
+const MAX_TRIES = 1200;
+
+/**
+ * Limit of further units, those that have not been tried for the longest time, so
+ * that each is tried at times however many are before it.
+ */
+const MAX_LATER_TRIES = 300;
 
 /**
  * Maximum stop cost that an urgent job beyond its guarantee may impose on
@@ -104,6 +109,8 @@
    * cannot be placed either.
    */
   private readonly unplaceableShapes = new Set<string>();
+  private readonly placement: UnitPlacement;
+  private readonly idleWaits: IdleWaits;
   private reservationCount = 0;
 
   constructor(
@@ -116,6 +123,8 @@
       snapshot.jobs,
       snapshot.guarantees,
     );
+    this.idleWaits = new IdleWaits(snapshot.targets, now);
+    this.placement = new UnitPlacement(snapshot, this.guaranteedJobs, now);
     for (const unit of snapshot.jobs.flatMap(({units}) => units)) {
       if (
         unit.targetClaim &&
@@ -130,48 +139,85 @@
   }
 
   run(): Decision {
-    for (const {unit, urgency} of this.listWaiting()) {
-      this.consider(unit, urgency);
+    const untried = this.tryAll(this.listWaiting(), MAX_TRIES);
+    untried.sort(
+      (a, b) => (a.unit.triedAt ?? -Infinity) - (b.unit.triedAt ?? -Infinity),
+    );
+    for (const {unit} of this.tryAll(untried, MAX_LATER_TRIES)) {
+      this.addObstacle(unit, 'not-considered');
     }
     return this.decision;
   }
 
+  /** Tries to place units in order, and returns those beyond the limit. */
+  private tryAll(
+    waiting: readonly WaitingUnit[],
+    maxTries: number,
+  ): WaitingUnit[] {
+    const untried: WaitingUnit[] = [];
+    let tries = 0;
+    for (const item of waiting) {
+      const shapeKey = this.createShapeKey(item.unit);
+      if (
+        this.unplaceableShapes.has(shapeKey) &&
+        !this.hasTargetClaim(item.unit)
+      ) {
+        this.addObstacle(item.unit, 'same-shape');
+      } else if (tries < maxTries) {
+        tries++;
+        this.consider(item.unit, item.urgency, shapeKey);
+      } else {
+        untried.push(item);
+      }
+    }
+    return untried;
+  }
+
   private listWaiting(): WaitingUnit[] {
     const waiting = listReadyUnits(this.snapshot, this.now);
-    waiting.sort(
+    return waiting.sort(
       (a, b) =>
         a.urgency.tier - b.urgency.tier ||
         a.urgency.sortKey - b.urgency.sortKey,
     );
-    for (const {unit} of waiting.slice(MAX_CONSIDERED_UNITS)) {
-      this.addObstacle(unit, 'not-considered');
-    }
-    return waiting.slice(0, MAX_CONSIDERED_UNITS);
   }
 
-  private consider(unit: ActiveUnit, urgency: Urgency): void {
-    const shapeKey = createShapeKey(unit);
-    if (this.unplaceableShapes.has(shapeKey) && !this.hasTargetClaim(unit)) {
-      this.addObstacle(unit, 'same-shape');
-      return;
-    }
+  private createShapeKey(unit: ActiveUnit): string {
+    return [
+      createShapeKey(unit),
+      this.idleWaits.isOver(unit),
+      this.guaranteedJobs.has(unit.job),
+      this.placement.isLocalWaitOver(unit),
+      hasRepeatedCrashes(unit),
+      this.needsTrustedTargets(unit),
+    ].join('|');
+  }
+
+  private consider(unit: ActiveUnit, urgency: Urgency, shapeKey: string): void {
+    const isWaitOver = this.idleWaits.isOver(unit);
     const request = createPlacementRequest(
       unit,
       this.decision.starts,
       this.snapshot.findAllowedTargets(unit),
     );
-    const allCandidates = this.listCandidates(unit);
+    const unclaimed = this.listUnclaimed(unit);
+    const allCandidates = unclaimed.filter(({isAvoided}) => !isAvoided);
     const openCandidates = allCandidates.filter(({isClosed}) => !isClosed);
     const isolatedMembers = listIsolatedMembers(unit);
     if (isolatedMembers.length > 0) {
       const isolated = listIsolatedCandidates(unit, openCandidates);
-      const placement = this.place(unit, request, isolated, allCandidates);
+      const placement = this.placement.place(
+        unit,
+        request,
+        isolated,
+        allCandidates,
+        'while-useful',
+      );
       if (placement) {
         this.addStart(unit, request, placement);
-        closeTargets(placement, isolatedMembers);
         return;
       }
-      if (mayWaitForIsolation(unit, this.now)) {
+      if (mayWaitForIsolation(unit, this.now) && !isWaitOver) {
         this.addObstacle(unit, 'isolation');
         return;
       }
@@ -180,28 +226,81 @@
     const candidates = this.needsTrustedTargets(unit)
       ? trusted
       : openCandidates;
-    let placement = this.place(unit, request, trusted, allCandidates);
-    if (!placement && candidates.length > trusted.length) {
-      placement = this.place(unit, request, candidates, allCandidates);
-    }
+    const place = (localWait: LocalWait) =>
+      this.placement.place(unit, request, trusted, allCandidates, localWait) ??
+      (candidates.length > trusted.length
+        ? this.placement.place(
+            unit,
+            request,
+            candidates,
+            allCandidates,
+            localWait,
+          )
+        : undefined);
+    const isUrgent = urgency.tier === UrgencyTier.URGENT;
+    const placement =
+      place(isUrgent ? 'while-feasible' : 'while-useful') ??
+      (isWaitOver && !this.needsTrustedTargets(unit)
+        ? this.placeAtOnce(request, unclaimed)
+        : undefined);
     if (placement) {
       this.addStart(unit, request, placement);
-      closeTargets(placement, isolatedMembers);
       return;
     }
-    this.addObstacle(unit, this.findObstacle(unit, request));
-    this.unplaceableShapes.add(shapeKey);
     const isReclaimed =
-      urgency.tier === UrgencyTier.URGENT &&
+      isUrgent &&
       !hasRepeatedCrashes(unit) &&
       (this.hasTargetClaim(unit) ||
-        this.reclaim(unit, urgency, request, candidates));
+        this.reclaim(unit, urgency, request, candidates, allCandidates));
+    const farPlacement =
+      isUrgent && !isReclaimed ? place('while-useful') : undefined;
+    if (farPlacement) {
+      this.addStart(unit, request, farPlacement);
+      return;
+    }
+    this.addObstacle(unit, this.findObstacle(unit, request));
+    this.unplaceableShapes.add(shapeKey);
     if (!isReclaimed && this.reservationCount < MAX_RESERVATIONS) {
-      const estimateEnd = (allocation: Allocation) =>
-        this.estimateEnd(allocation);
-      if (reserveTargets(request, candidates, estimateEnd, this.now)) {
-        this.reservationCount++;
-      }
+      this.reserve(unit, request, candidates, allCandidates);
+    }
+  }
+
+  /** Places a unit where it prefers not to be, on targets that keep others out only if need be. */
+  private placeAtOnce(
+    request: PlacementRequest,
+    candidates: readonly CandidateTarget[],
+  ): Placement | undefined {
+    const open = candidates.filter(({isClosed}) => !isClosed);
+    const preferred = open.filter(({isAvoided}) => !isAvoided);
+    const anyTarget = {...request, avoidedTargets: new Set<string>()};
+    return (
+      this.placement.placeAtOnce(request, preferred) ??
+      this.placement.placeAtOnce(anyTarget, open) ??
+      this.placement.placeAtOnce(anyTarget, candidates)
+    );
+  }
+
+  /** Keeps targets for a unit from the time on from which it is expected to fit there. */
+  private reserve(
+    unit: ActiveUnit,
+    request: PlacementRequest,
+    candidates: readonly CandidateTarget[],
+    allCandidates: readonly CandidateTarget[],
+  ): void {
+    const acceptsPenalty = this.placement.acceptsPenalty(
+      unit,
+      request,
+      allCandidates,
+      'while-useful',
+    );
+    const isReserved = reserveTargets(
+      acceptsPenalty ? withoutLocality(request) : request,
+      candidates,
+      allocation => estimateAwaitedEnd(allocation, this.snapshot, this.now),
+      this.now,
+    );
+    if (isReserved) {
+      this.reservationCount++;
     }
   }
 
@@ -220,41 +319,6 @@
     return progress.failureCount > 0 && sinceFailure < MAX_TRUST_WAIT_MS;
   }
 
-  /** Places a unit on `candidates`, which may be a part of `allCandidates`. */
-  private place(
-    unit: ActiveUnit,
-    request: PlacementRequest,
-    candidates: readonly CandidateTarget[],
-    allCandidates: readonly CandidateTarget[],
-  ): Placement | undefined {
-    const expectedDuration = this.estimateDuration(unit);
-    const localPlacement = findLocalPlacement(
-      request,
-      candidates,
-      this.now + expectedDuration,
-    );
-    const hasLocalityPreference = request.isRackSensitive || request.dataRack;
-    if (localPlacement || !hasLocalityPreference) {
-      return localPlacement;
-    }
-    // With a locality penalty the run takes longer, so it is accepted only if
-    // no rack can ever hold the unit, or to keep a guarantee.
-    const waited = computeWait(unit.job, this.now);
-    const isGuaranteed = this.guaranteedJobs.has(unit.job);
-    const isOverdue =
-      isGuaranteed && waited > computeLocalWaitLimit(this.snapshot.settings);
-    if (isOverdue || !isFeasibleWithLocality(request, allCandidates)) {
-      const penalizedDuration =
-        expectedDuration * this.snapshot.settings.rackFactor;
-      return findPlacementAnywhere(
-        request,
-        candidates,
-        this.now + penalizedDuration,
-      );
-    }
-    return undefined;
-  }
-
   private addObstacle(unit: ActiveUnit, obstacle: Obstacle): void {
     this.decision.obstacles.push({unit, obstacle});
   }
@@ -274,9 +338,21 @@
     request: PlacementRequest,
     placement: Placement,
   ): void {
+    const {demand} = request;
+    const {hasLocalityPenalty} = placement;
+    const {rackFactor} = this.snapshot.settings;
+    const duration = unit.step.isLongRunning
+      ? Infinity
+      : this.placement.estimateDuration(unit);
+    const endsAt = this.now + duration * (hasLocalityPenalty ? rackFactor : 1);
     for (const {candidate, members} of placement.shares) {
-      deductCapacity(candidate, request.demand, members);
+      deductCapacity(candidate, demand, members);
+      for (let member = 0; member < members; member++) {
+        candidate.plannedRuns.push({demand, endsAt});
+      }
     }
+    closeTargets(placement, listIsolatedMembers(unit));
+    this.idleWaits.onStart(unit);
     this.decision.starts.push({unit, placement});
   }
 
@@ -293,6 +369,7 @@
     urgency: Urgency,
     request: PlacementRequest,
     candidates: readonly CandidateTarget[],
+    allCandidates: readonly CandidateTarget[],
   ): boolean {
     const isGuaranteed = this.guaranteedJobs.has(unit.job);
     const {settings, areTargetsListed} = this.snapshot;
@@ -317,17 +394,20 @@
     const endsInTime = (allocation: Allocation) =>
       !hasWaited &&
       isProgressRateKnown(allocation) &&
-      this.estimateEnd(allocation) <= startDeadline;
+      estimateRunEnd(allocation, this.snapshot, this.now) <= startDeadline;
     let plan = planReclaim(request, candidates, estimateStopCost, endsInTime);
     const waited = computeWait(unit.job, this.now);
-    if (
-      !plan &&
-      isGuaranteed &&
-      waited > computeLocalWaitLimit(this.snapshot.settings) / 2
-    ) {
-      const relaxedRequest = {...request, isRackSensitive: false};
+    const mayRunFar =
+      (isGuaranteed && waited > computeLocalWaitLimit(settings) / 2) ||
+      this.placement.acceptsPenalty(
+        unit,
+        request,
+        allCandidates,
+        'while-feasible',
+      );
+    if (!plan && mayRunFar) {
       plan = planReclaim(
-        relaxedRequest,
+        withoutLocality(request),
         candidates,
         estimateStopCost,
         endsInTime,
@@ -377,7 +457,8 @@
     };
   }
 
-  private listCandidates(unit: ActiveUnit): readonly CandidateTarget[] {
+  /** Returns the targets of the unit's pool that are not kept for another unit. */
+  private listUnclaimed(unit: ActiveUnit): readonly CandidateTarget[] {
     const {pool} = unit.job.accepted.terms;
     return this.candidates.filter(({target}) => {
       const claimant = this.claimants.get(target);
@@ -385,30 +466,6 @@
       return isUnclaimed && target.info.pool === pool;
     });
   }
-
-  private estimateDuration(unit: ActiveUnit): Milliseconds {
-    const {estimator} = this.snapshot;
-    return estimator.estimateDuration(
-      unit.job.accepted.queue,
-      unit.step.estimateMs,
-    );
-  }
-
-  private estimateEnd(allocation: Allocation): Instant {
-    const {unit} = allocation;
-    if (!unit) {
-      return this.now + this.snapshot.settings.stopTime;
-    }
-    if (unit.phase === 'stopping') {
-      return this.now + this.snapshot.settings.stopTime;
-    }
-    const {estimator, settings} = this.snapshot;
-    const {rackFactor} = settings;
-    return (
-      this.now +
-      estimateRemainingTime(allocation, unit, estimator, rackFactor, this.now)
-    );
-  }
 }
 
 /** Returns the estimated work of a unit in core-seconds. */
