Let an entry end a target only when that is silent or another answers for it

One entry of another writer ended a working target. With the target's id and a later birth, or with another id, a later birth and the target's address, it counted as proof of a restart: the target's runs were released and started elsewhere while they went on, and the target was shut out, since each later entry of the id had an earlier birth. With the target's own birth and another address, the target was called where it is not; at the address of another target its runs were given up at the first answer (421).

The entry replaces the target when another incarnation answers at the address, or when the target has been silent for 2 s (a target that is silent already is replaced at once, as before). - An incarnation that has answered keeps its address. - A successor at the address, or with the id, of a target that is known from records counts once it has answered. - An entry that never answers gives way to one with an earlier birth. A target that was replaced wrongly is registered again when it answers. - An incarnation that records name is polled when it becomes the current one; it was not, as the session starts only with a new state.

The price: a restart at another address that is noticed less than 2 s after the silent end of the former incarnation is taken up to 2 s later. A restart at the same address is seen by its answer, as before.

Emulator: an entry can be written by another writer, and a target answers only at its address.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -165,6 +165,16 @@
         onTargetAdded: target => void this.sessions.maintain(target),
         onTargetReplaced: (target, next) =>
           this.incarnationCleanup.onReplaced(target, next, clock.now()),
+        onTargetContested: (target, info) => {
+          logger.warn('target-contested', {target: info.id, born: info.born});
+          this.requestListing(target);
+        },
+        onEntryIgnored: info =>
+          logger.warn('target-entry-ignored', {
+            target: info.id,
+            born: info.born,
+            address: info.address,
+          }),
       },
       earlierLeasesExpireAt,
     );
@@ -207,7 +217,7 @@
     const {clock, table} = this.dependencies;
     const now = clock.now();
     for (const info of targets) {
-      this.directory.onRegistered(info, now);
+      this.directory.onRegistered(info, now, clock.wallTime());
     }
     for (const entry of table.listEntries()) {
       this.addJob(entry);
@@ -228,7 +238,8 @@
 
   /** Called when a target is registered or its entry changes. */
   onTarget(info: TargetInfo): void {
-    this.directory.onRegistered(info, this.dependencies.clock.now());
+    const {clock} = this.dependencies;
+    this.directory.onRegistered(info, clock.now(), clock.wallTime());
     this.passRunner.request();
   }
 
@@ -389,6 +400,7 @@
         this.onChange(job);
       }
     }
+    this.directory.settleContested(now);
     for (const target of [...this.directory.listTargets()]) {
       const successor = this.directory.findSuccessor(target);
       if (successor) {
--- a/packages/dispatch/src/target_directory.ts
+++ b/packages/dispatch/src/target_directory.ts
@@ -2,15 +2,31 @@
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {TargetReference} from '@galenavalve/workload';
 import {MAX_INCARNATIONS} from './leader_monitor.js';
-import {type TargetInfo, formatIncarnationKey} from './target_info.js';
+import type {TargetInfo} from './target_info.js';
 import {TargetState} from './target_state.js';
 
+/**
+ * Time by which a start may lie after this instance's clock. An entry beyond it
+ * names no target; the clocks of working machines differ by far less.
+ */
+const MAX_BIRTH_LEAD_MS: Milliseconds = 24 * 3_600_000;
+
+/**
+ * Time without a response after which an entry that contradicts a target
+ * replaces it. Until then the target itself tells whether it has restarted.
+ */
+const SILENCE_MS: Milliseconds = 2000;
+
 /** Events of the directory. */
 export interface TargetDirectoryEvents {
   /** Called when an incarnation was registered for the first time. */
   onTargetAdded(target: TargetState): void;
   /** Called when incarnation `next` has replaced `target`. */
   onTargetReplaced(target: TargetState, next: TargetState): void;
+  /** Called when entry `info` contradicts `target`, which has not fallen silent. */
+  onTargetContested(target: TargetState, info: TargetInfo): void;
+  /** Called when an entry names no target. */
+  onEntryIgnored(info: TargetInfo): void;
 }
 
 /** Target states by incarnation, and the current incarnation by target id. */
@@ -18,6 +34,10 @@
   private readonly byIncarnation = new Map<string, TargetState>();
   private readonly byId = new Map<string, TargetState>();
   private readonly byAddress = new Map<string, TargetState>();
+  /** Entries that contradict a target which responds, by id. */
+  private readonly contested = new Map<string, TargetInfo>();
+  /** Entry of the last incarnation that has responded and was replaced, by id. */
+  private readonly displaced = new Map<string, TargetInfo>();
 
   /**
    * `earlierLeasesExpireAt` is the time at which all leases that previous
@@ -42,30 +62,49 @@
     );
   }
 
-  /** Adds or updates a target from its registry entry. */
-  onRegistered(info: TargetInfo, now: Instant): void {
+  /**
+   * Adds or updates a target from its registry entry. Anyone may write there, so
+   * an entry does not end a target that responds: that needs the target's
+   * silence, or the response of another incarnation.
+   */
+  onRegistered(info: TargetInfo, now: Instant, wallNow: number): void {
+    if (info.born > wallNow + MAX_BIRTH_LEAD_MS) {
+      this.events.onEntryIgnored(info);
+      return;
+    }
     const current = this.byId.get(info.id);
+    this.contested.delete(info.id);
     if (!current) {
       this.add(info);
-      return;
-    }
-    if (info.born < current.info.born) {
-      return;
-    }
-    if (info.born > current.info.born) {
+    } else if (info.born === current.info.born) {
+      this.update(current, info, now);
+    } else if (mayReplace(current, info, now)) {
       this.replace(current, info);
-      return;
+    } else if (info.born > current.info.born || !current.hasListing) {
+      this.contested.set(info.id, info);
+      this.events.onTargetContested(current, info);
     }
-    current.info = info;
-    current.isRegistered = true;
-    this.byAddress.set(info.address, current);
-    if (info.isDraining) {
-      current.drainingSince ??= now;
+  }
+
+  /** Applies the entries that contradict targets which have fallen silent since. */
+  settleContested(now: Instant): void {
+    for (const [id, info] of this.contested) {
+      const current = this.byId.get(id);
+      if (!current || mayReplace(current, info, now)) {
+        this.contested.delete(id);
+        if (current) {
+          this.replace(current, info);
+        } else {
+          this.add(info);
+        }
+      }
     }
   }
 
   /** Marks a target that was removed from the registry. */
   onUnregistered(id: string): void {
+    this.contested.delete(id);
+    this.displaced.delete(id);
     const target = this.byId.get(id);
     if (target) {
       target.isRegistered = false;
@@ -104,7 +143,16 @@
 
   /** Called when another incarnation responds at the target's address. */
   onOtherIncarnation(target: TargetState, born: number): void {
-    if (!target.isRemoved && this.byId.get(target.info.id) === target) {
+    const {id} = target.info;
+    if (target.isRemoved || this.byId.get(id) !== target) {
+      return;
+    }
+    const entries = [this.contested.get(id), this.displaced.get(id)];
+    const entry = entries.find(other => other?.born === born);
+    if (entry) {
+      this.contested.delete(id);
+      this.replace(target, entry);
+    } else {
       // The next incarnation may be of another kind, so its capacity and labels
       // are unknown until it is registered.
       this.replace(target, {...target.info, born}).isRegistered = false;
@@ -113,11 +161,14 @@
 
   /**
    * Returns the registered incarnation that has started later with the same id
-   * or at the same address, which proves that `target` has ended.
+   * or at the same address, and responds there, which proves that `target` has
+   * ended.
    */
   findSuccessor({info}: TargetState): TargetState | undefined {
     const later = [this.byId.get(info.id), this.byAddress.get(info.address)];
-    return later.find(other => other && other.info.born > info.born);
+    return later.find(
+      other => other?.hasListing && other.info.born > info.born,
+    );
   }
 
   /**
@@ -153,13 +204,27 @@
     return current;
   }
 
+  private update(target: TargetState, info: TargetInfo, now: Instant): void {
+    // The address of an incarnation that has responded at it cannot change.
+    if (target.hasListing && info.address !== target.info.address) {
+      this.events.onEntryIgnored(info);
+      return;
+    }
+    target.info = info;
+    target.isRegistered = true;
+    this.byAddress.set(info.address, target);
+    if (info.isDraining) {
+      target.drainingSince ??= now;
+    }
+  }
+
   private replace(target: TargetState, info: TargetInfo): TargetState {
     this.remove(target);
-    const next = this.byIncarnation.get(
-      formatIncarnationKey(info.id, info.born),
-    );
+    if (target.hasListing) {
+      this.displaced.set(target.info.id, target.info);
+    }
     const offset = Math.min(target.epochOffset + 1, MAX_INCARNATIONS - 1);
-    const replacement = next ?? this.add(info, offset);
+    const replacement = this.add(info, offset);
     this.events.onTargetReplaced(target, replacement);
     return replacement;
   }
@@ -176,3 +241,16 @@
     }
   }
 }
+
+/** Whether an entry of another incarnation replaces `target`. */
+function mayReplace(
+  target: TargetState,
+  info: TargetInfo,
+  now: Instant,
+): boolean {
+  const isEmpty = !target.hasListing && target.allocations.size === 0;
+  return (
+    target.isSilent(now, SILENCE_MS) &&
+    (info.born > target.info.born || isEmpty)
+  );
+}
--- a/packages/dispatch/src/target_state.ts
+++ b/packages/dispatch/src/target_state.ts
@@ -219,6 +219,15 @@
     return now > this.responseDueAt + RESPONSE_GRACE_MS;
   }
 
+  /** Whether calls have failed, or the response to a poll is overdue, for `duration`. */
+  isSilent(now: Instant, duration: Milliseconds): boolean {
+    const since = Math.min(
+      this.unresponsiveSince ?? Infinity,
+      this.responseDueAt,
+    );
+    return now - since >= duration;
+  }
+
   /**
    * Whether new runs may be placed on the target, regardless of its capacity.
    * `freshness` is the maximum age of the last response.
--- a/packages/emulator/src/emulated_fleet.ts
+++ b/packages/emulator/src/emulated_fleet.ts
@@ -69,6 +69,8 @@
     newIdAfterCrash: true,
   };
   readonly observers = new Set<RunObserver>();
+  /** Newest entries of other writers, by the id that they name. */
+  private readonly foreignEntries = new Map<string, TargetInfo>();
   private readonly listeners = new Set<{
     onTarget(info: TargetInfo): void;
     onTargetRemoved(id: string): void;
@@ -102,6 +104,15 @@
     if (target) {
       target.info = info;
     }
+    this.foreignEntries.delete(info.id);
+    void this.clock.sleep(REGISTRY_LAG_MS).then(() => {
+      this.listeners.forEach(listener => listener.onTarget(info));
+    });
+  }
+
+  /** Writes an entry to the registry as another writer would; no target changes. */
+  registerForeign(info: TargetInfo): void {
+    this.foreignEntries.set(info.id, info);
     void this.clock.sleep(REGISTRY_LAG_MS).then(() => {
       this.listeners.forEach(listener => listener.onTarget(info));
     });
@@ -152,7 +163,7 @@
           found.stop(command, this.clock.now()),
         ),
       poll: (target, request, timeout) =>
-        this.longPoll(request, target.id, () =>
+        this.longPoll(request, target, () =>
           call<PollOutcome>(target, timeout, false, found =>
             found.poll(request, this.clock.now()),
           ),
@@ -167,9 +178,10 @@
       open: async events => {
         listener = events;
         this.listeners.add(events);
-        return [...this.targets.values()]
-          .filter(({isUp}) => isUp)
+        const infos = [...this.targets.values()]
+          .filter(({isUp, info}) => isUp && !this.foreignEntries.has(info.id))
           .map(({info}) => info);
+        return [...infos, ...this.foreignEntries.values()];
       },
       close: () => {
         if (listener) {
@@ -276,13 +288,13 @@
   /** Extends the lease, waits until a new end can be listed or the wait time is over, and then polls. */
   private async longPoll(
     request: PollRequest,
-    id: string,
+    address: TargetAddress,
     poll: () => Promise<PollOutcome>,
   ): Promise<PollOutcome> {
-    const target = this.targets.get(id);
+    const target = this.findAt(address);
     const before = target?.lastEndNumber ?? 0;
     const until = this.clock.now() + request.wait;
-    if (request.wait > 0 && target?.isUp && !this.isUnreachable(id)) {
+    if (request.wait > 0 && target?.isUp && !this.isUnreachable(address.id)) {
       // The lease is extended when the request arrives, not when the response is sent.
       target.poll(request, this.clock.now());
     }
@@ -308,7 +320,7 @@
   ): Promise<T> {
     const noResponse = {kind: 'unknown', problem: 'no response'} as T;
     await this.clock.sleep(ONE_WAY_LATENCY_MS);
-    const target = this.targets.get(address.id);
+    const target = this.findAt(address);
     const reachable = this.isUnreachable(address.id) ? undefined : target;
     if (!target && this.isAddressInUse(address.address)) {
       return {kind: 'other-life'} as T;
@@ -326,7 +338,7 @@
         this.random.next() * (MAX_COMMAND_DELAY_MS - MIN_COMMAND_DELAY_MS);
       void this.clock.sleep(delay).then(() => {
         // The command reaches the incarnation that is at the address by then.
-        const later = this.targets.get(address.id);
+        const later = this.findAt(address);
         if (later?.isUp) {
           execute(later);
         }
@@ -343,6 +355,12 @@
     return outcome;
   }
 
+  /** Returns the target with an id, if it listens at the address. */
+  private findAt({id, address}: TargetAddress): EmulatedTarget | undefined {
+    const target = this.targets.get(id);
+    return target?.info.address === address ? target : undefined;
+  }
+
   private isAddressInUse(address: string): boolean {
     return [...this.targets.values()].some(
       ({info, isUp}) => isUp && info.address === address,
