A call to a peer at an odd address ends

An entry of an instance with port 99999 is one that anyone may write. A call to such a peer threw in the handler of the failed connection ("Cannot read properties of undefined", logged as an unexpected error), and never ended: an instance that reaches the log only through its peers stopped following it, and its callers waited without an end, until its own path to the log was back.

Cause: the error of the platform, which has a code of its own, was taken for one of ours, which has a template for each code. Change: other errors become `peer-unavailable`.

Odd pages of a peer were and are errors of the call.

--- a/packages/relay/__tests__/peer_directory.spec.ts
+++ b/packages/relay/__tests__/peer_directory.spec.ts
@@ -42,3 +42,36 @@
   directory.apply({key: 'p/b', value: ''});
   t.same(directory.listPeers(), []);
 });
+
+// Guards against calls to a peer that cannot be reached, by an entry of another writer (issue 33).
+t.test('odd entries add no peer and leave the others as they are', async t => {
+  const depth = 200_000;
+  const deep = '['.repeat(depth) + ']'.repeat(depth);
+  const directory = createPeerDirectory(createPeer('a'), [createPeer('b')]);
+  const before = directory.listPeers();
+  const format = (values: object) =>
+    JSON.stringify({...createPeer('odd'), ...values});
+  const values = [
+    ...['null', '[]', '{}', '1e999', deep, '\uFFFD', format({port: 99_999})],
+    ...[0, -1, 1.5, '80', 65_536].map(port => format({port})),
+    ...['', 'x'.repeat(100_000), 7, ['127.0.0.1']].map(host => format({host})),
+    ...[0, -1, 1e308, '1'].map(cores => format({cores})),
+    format({cores: 7}).replace('"cores":7', '"cores":1e999'),
+    format({cores: 7}).replace('"cores":7', `"cores":${deep}`),
+    format({instance: 'b'}),
+    format({domain: 'x'.repeat(100_000)}),
+    format({writtenAt: '7'}),
+  ];
+  for (const key of ['p/odd', 'p/', 'p/b']) {
+    for (const value of values.filter(
+      text => key !== 'p/b' || !text.includes('"b"'),
+    )) {
+      directory.apply({key, value});
+      t.same(directory.listPeers(), before, `${key} ${value.slice(0, 80)}`);
+    }
+  }
+  const more = format({odd: 7}).replace('"odd":7', `"odd":${deep}`);
+  directory.apply({key: 'p/odd', value: more});
+  t.equal(directory.listPeers().length, 2);
+  t.match(directory.candidateRank, {rank: 0, isWeak: false});
+});
--- a/packages/wire/src/peer_link.ts
+++ b/packages/wire/src/peer_link.ts
@@ -10,6 +10,8 @@
   type Random,
   ERROR_TEMPLATES,
   computeJitteredBackoff,
+  describeError,
+  isFailure,
 } from '@galenavalve/shared';
 import {type ByteCounter, Connection} from './connection.js';
 import {type Message, type Refusal, WIRE_VERSION} from './message.js';
@@ -99,7 +101,7 @@
     this.lastUsedAt = this.settings.clock.now();
     this.getConnection().then(
       connection => this.send(connection, id, message),
-      error => this.reject(id, error as Failure),
+      error => this.reject(id, this.toFailure(error)),
     );
   }
 
@@ -119,10 +121,17 @@
         call.isSent = true;
       }
     } catch (error) {
-      this.reject(id, error as Failure);
+      this.reject(id, this.toFailure(error));
     }
   }
 
+  /** Translates errors of the platform, such as for a port out of range. */
+  private toFailure(error: unknown): Failure {
+    return isFailure(error)
+      ? error
+      : this.createUnavailableFailure(describeError(error));
+  }
+
   /** Rejects a call with `peer-timeout` unless it settles in time. */
   private async failAfterTimeout(
     id: number,
