Poll and use an incarnation that a record named before it was registered

Callers would see jobs wait though a restarted target is idle: after a takeover the leader neither polls nor uses that target until its registry entry changes again, which for an idle target may be never.

Cause: a placement in the log names the next incarnation while this leader's registry still lists the former one. The directory keeps a placeholder for it; `replace` returned the placeholder as it was, without a session, unregistered, and unknown by its id. By reading, two more in the same place: a target that was swept and came back lost its epoch offset, so the target refused the leader's polls as fenced and the leader resigned; and an id with the separator was cut.

--- a/packages/dispatch/src/target_directory.ts
+++ b/packages/dispatch/src/target_directory.ts
@@ -2,7 +2,7 @@
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {TargetReference} from '@galenavalve/workload';
 import {MAX_INCARNATIONS} from './leader_monitor.js';
-import {type TargetInfo, formatIncarnationKey} from './target_info.js';
+import type {TargetInfo} from './target_info.js';
 import {TargetState} from './target_state.js';
 
 /** Events of the directory. */
@@ -18,6 +18,14 @@
   private readonly byIncarnation = new Map<string, TargetState>();
   private readonly byId = new Map<string, TargetState>();
   private readonly byAddress = new Map<string, TargetState>();
+  /**
+   * Newest incarnation, by target id, whose commands carry an epoch offset. It
+   * is kept when the target is swept, since the target keeps its fence.
+   */
+  private readonly epochOffsets = new Map<
+    string,
+    {born: number; offset: number}
+  >();
 
   /**
    * `earlierLeasesExpireAt` is the time at which all leases that previous
@@ -84,10 +92,10 @@
     if (known) {
       return known;
     }
-    const [id, born] = key.split('@');
+    const separator = key.lastIndexOf('@');
     const info: TargetInfo = {
-      id: id ?? key,
-      born: Number(born ?? 0),
+      id: key.slice(0, separator),
+      born: Number(key.slice(separator + 1)),
       address,
       pool: '',
       domain: '',
@@ -137,7 +145,7 @@
     }
   }
 
-  private add(info: TargetInfo, epochOffset = 0): TargetState {
+  private add(info: TargetInfo): TargetState {
     const target = new TargetState(info, this.earlierLeasesExpireAt);
     const unregistered = this.byIncarnation.get(target.key);
     if (unregistered) {
@@ -148,20 +156,28 @@
     this.byIncarnation.set(current.key, current);
     this.byId.set(info.id, current);
     this.byAddress.set(info.address, current);
-    current.epochOffset = epochOffset;
+    current.epochOffset = this.chooseEpochOffset(info);
     this.events.onTargetAdded(current);
     return current;
   }
 
   private replace(target: TargetState, info: TargetInfo): TargetState {
     this.remove(target);
-    const next = this.byIncarnation.get(
-      formatIncarnationKey(info.id, info.born),
-    );
-    const offset = Math.min(target.epochOffset + 1, MAX_INCARNATIONS - 1);
-    const replacement = next ?? this.add(info, offset);
-    this.events.onTargetReplaced(target, replacement);
-    return replacement;
+    // A record may have named the next incarnation already; it is registered only now.
+    const next = this.add(info);
+    this.events.onTargetReplaced(target, next);
+    return next;
+  }
+
+  /** Returns the offset of commands to an incarnation, one above that of the former one. */
+  private chooseEpochOffset({id, born}: TargetInfo): number {
+    const known = this.epochOffsets.get(id) ?? {born, offset: 0};
+    const offset =
+      born > known.born
+        ? Math.min(known.offset + 1, MAX_INCARNATIONS - 1)
+        : known.offset;
+    this.epochOffsets.set(id, {born: Math.max(born, known.born), offset});
+    return offset;
   }
 
   private remove(target: TargetState): void {
