Release the runs of a target at once when a command meets another target at its address

Callers would see their work wait for the rest of a lease although its target is known to have ended.

Cause: `stop` returned for ever on `other-life` and relied on the poll, but an incarnation that is only known from a record has no session, so nobody polls it. `start` repeated the command six times, then blamed the target and went on to `stop`.

Change: both report it like the poll does, so that all allocations of the target are released. A run whose first start meets another target was never on the former one and isn't blamed for its crash.

--- /dev/null
+++ b/packages/dispatch/__tests__/command_sender.spec.ts
@@ -0,0 +1,123 @@
+import t from 'tap';
+import {
+  type ActiveUnit,
+  type CommandOutcome,
+  DEFAULT_SETTINGS,
+  DurationEstimator,
+  RunTracker,
+  type TargetPort,
+  TargetState,
+} from '@galenavalve/dispatch';
+import {ManualClock, SilentLogger} from '@galenavalve/shared';
+import {CallPacer} from '../src/call_pacer.js';
+import {type CommandDelegate, CommandSender} from '../src/command_sender.js';
+import {createJob, createStep, createTarget} from './fixtures.js';
+
+const NOW = 10_000;
+
+/** Creates a sender; the port records commands and responds to each with `respond`. */
+function createSender(
+  respond: (command: string) => CommandOutcome | Promise<CommandOutcome>,
+  values: Partial<CommandDelegate> = {},
+) {
+  const clock = new ManualClock(NOW);
+  const logger = new SilentLogger();
+  const commands: string[] = [];
+  const reassigned: TargetState[] = [];
+  const send = (command: string) => async () => {
+    commands.push(command);
+    return respond(command);
+  };
+  const port: TargetPort = {
+    start: send('start'),
+    stop: send('stop'),
+    poll: async () => ({kind: 'unknown', problem: 'not used'}),
+  };
+  const tracker = new RunTracker(
+    {
+      onChange: () => undefined,
+      onStop: allocation => void sender.stop(allocation),
+    },
+    new DurationEstimator(),
+    logger,
+  );
+  const delegate: CommandDelegate = {
+    epoch: 1,
+    isClosed: false,
+    onFenced: () => undefined,
+    requestListing: () => undefined,
+    onAddressReassigned: target => reassigned.push(target),
+    onTicketRefused: () => undefined,
+    findTicket: () => undefined,
+    ...values,
+  };
+  const sender = new CommandSender(
+    delegate,
+    port,
+    tracker,
+    DEFAULT_SETTINGS,
+    new CallPacer(clock),
+    clock,
+    logger,
+  );
+  return {clock, sender, tracker, commands, reassigned};
+}
+
+/** Places a single task on `target`; its start command has not been sent. */
+function placeUnit(tracker: RunTracker, target: TargetState): ActiveUnit {
+  const unit = createJob('1', createStep({isGang: false, count: 1})).units[0]!;
+  unit.progress.run = 1;
+  unit.phase = 'recording';
+  tracker.allocate(unit, 0, target, 1, NOW);
+  return unit;
+}
+
+function createRespondingTarget(): TargetState {
+  const target = createTarget('a', 'r', NOW);
+  target.onResponse(500, NOW);
+  return target;
+}
+
+const DONE: CommandOutcome = {kind: 'done', clock: 600};
+const UNKNOWN: CommandOutcome = {kind: 'unknown', problem: 'no response'};
+
+t.test('a placement is started on a target that takes work', async t => {
+  const {sender, tracker, commands, clock} = createSender(() => DONE);
+  const unit = placeUnit(tracker, createRespondingTarget());
+  sender.startUnit(unit);
+  await clock.advance(10);
+  t.same(commands, ['start']);
+  t.equal(unit.phase, 'running');
+});
+
+// Guards against capacity and work that wait for a lease although the target is known to have ended.
+t.test(
+  'a command to an address that another target uses reports that at once',
+  async t => {
+    const OTHER: CommandOutcome = {kind: 'other-life'};
+    const {sender, tracker, clock, reassigned} = createSender(() => OTHER);
+    const target = createRespondingTarget();
+    const unit = placeUnit(tracker, target);
+    const allocation = unit.allocations[0]!;
+    allocation.state = 'starting';
+    void sender.stop(allocation);
+    await clock.advance(10);
+    t.same(reassigned, [target]);
+  },
+);
+
+// Guards against a run that is blamed for a crash of its target which was over before the start was sent.
+t.test(
+  'a run whose first start meets another target was never there',
+  async t => {
+    const OTHER: CommandOutcome = {kind: 'other-life'};
+    const {sender, tracker, clock, reassigned} = createSender(() => OTHER);
+    const target = createRespondingTarget();
+    const unit = placeUnit(tracker, target);
+    sender.startUnit(unit);
+    await clock.advance(10);
+    t.same(reassigned, [target]);
+    t.equal(unit.phase, 'waiting');
+    t.equal(target.allocations.size, 0);
+  },
+);
--- a/packages/dispatch/src/command_sender.ts
+++ b/packages/dispatch/src/command_sender.ts
@@ -35,6 +35,10 @@
   onFenced(): void;
   /** Called when a listing is needed before the poll in progress returns. */
   requestListing(target: TargetState): void;
+  /**
+   * Called when a target with another id responds at the address of `target`.
+   */
+  onAddressReassigned(target: TargetState): void;
   /** Called when a target refuses the ticket of a start command. */
   onTicketRefused(unit: ActiveUnit, targetId: string): void;
   /**
@@ -121,7 +125,11 @@
         }
         return;
       }
-      if (this.checkFenced(target, outcome) || outcome.kind === 'other-life') {
+      if (this.checkFenced(target, outcome)) {
+        return;
+      }
+      if (outcome.kind === 'other-life') {
+        this.delegate.onAddressReassigned(target);
         return;
       }
       await this.clock.sleep(COMMAND_RETRY_DELAY_MS);
@@ -147,6 +155,15 @@
       if (this.checkFenced(target, outcome) || !unit) {
         return;
       }
+      if (outcome.kind === 'other-life') {
+        // A run whose first start meets another target was never on this one.
+        if (attempt === 0 && this.isAllocated(allocation)) {
+          const reason = 'another target uses the address of its target';
+          this.tracker.onRunLost(allocation, reason, now);
+        }
+        this.delegate.onAddressReassigned(target);
+        return;
+      }
       if (outcome.kind === 'done') {
         this.tracker.onStarted(allocation, outcome.clock, now);
         return;
