Start no placement on a target that drains, or in a domain that was evacuated, since it was made

Callers would see work start on a leaving target or in an evacuated domain, seconds after that was acknowledged.

Cause: draining and evacuation were checked when a unit is placed; the record of the placement may take as long as an outage of the log, and a start without an answer is repeated for up to 1.8 s.

Evidence: two tests of command_sender.spec.ts failed before.

Change: both are checked at the moment of sending, like the capacity. The unit is stopped and placed again.

--- a/packages/dispatch/__tests__/command_sender.spec.ts
+++ b/packages/dispatch/__tests__/command_sender.spec.ts
@@ -47,6 +47,7 @@
     onFenced: () => undefined,
     requestListing: () => undefined,
     onAddressReassigned: target => reassigned.push(target),
+    isEvacuated: () => false,
     onTicketRefused: () => undefined,
     findTicket: () => undefined,
     ...values,
@@ -90,6 +91,40 @@
   t.equal(unit.phase, 'running');
 });
 
+// Guards against work that starts on a leaving target because the record of its placement was delayed by an outage.
+t.test(
+  'a placement is not started on a target that drains since it was made',
+  async t => {
+    const {sender, tracker, commands, clock} = createSender(() => DONE);
+    const target = createRespondingTarget();
+    const unit = placeUnit(tracker, target);
+    target.info = {...target.info, isDraining: true};
+    sender.startUnit(unit);
+    await clock.advance(10);
+    t.notOk(commands.includes('start'));
+    t.equal(unit.stopReason, 'a target drains');
+  },
+);
+
+// Guards against work that starts in a failure domain seconds after its evacuation was acknowledged.
+t.test(
+  'a start is not sent again in a domain that was evacuated meanwhile',
+  async t => {
+    let isEvacuated = false;
+    const {sender, tracker, commands, clock} = createSender(
+      command => (command === 'start' ? UNKNOWN : DONE),
+      {isEvacuated: () => isEvacuated},
+    );
+    const unit = placeUnit(tracker, createRespondingTarget());
+    sender.startUnit(unit);
+    await clock.advance(50);
+    isEvacuated = true;
+    await clock.advance(1000);
+    t.same(commands, ['start', 'stop']);
+    t.equal(unit.phase, 'stopping');
+  },
+);
+
 // Guards against capacity and work that wait for a lease although the target is known to have ended.
 t.test(
   'a command to an address that another target uses reports that at once',
--- a/packages/dispatch/src/command_sender.ts
+++ b/packages/dispatch/src/command_sender.ts
@@ -39,6 +39,8 @@
    * Called when a target with another id responds at the address of `target`.
    */
   onAddressReassigned(target: TargetState): void;
+  /** Whether the failure domain takes no new work. */
+  isEvacuated(domain: string): boolean;
   /** Called when a target refuses the ticket of a start command. */
   onTicketRefused(unit: ActiveUnit, targetId: string): void;
   /**
@@ -145,9 +147,9 @@
       if (!this.isStartPending(allocation)) {
         return;
       }
-      // The record of the placement may have been delayed, and this may be a retry.
-      if (target.isOvercommitted && unit) {
-        this.tracker.stop(unit, 'the capacity of a target has shrunk');
+      const obstacle = this.findStartObstacle(target);
+      if (obstacle && unit) {
+        this.tracker.stop(unit, obstacle);
         return;
       }
       const outcome = await this.sendStart(allocation);
@@ -189,6 +191,23 @@
     }
   }
 
+  /**
+   * Returns the reason why a placement must not be started any more; undefined
+   * if there is none. The record of the placement may have been delayed, the
+   * process may have been paused, and the command may be a retry.
+   */
+  private findStartObstacle(target: TargetState): string | undefined {
+    if (target.isOvercommitted) {
+      return 'the capacity of a target has shrunk';
+    }
+    if (target.info.isDraining) {
+      return 'a target drains';
+    }
+    return this.delegate.isEvacuated(target.info.domain)
+      ? 'the failure domain of a target was evacuated'
+      : undefined;
+  }
+
   private onStartFailed(
     allocation: Allocation,
     unit: ActiveUnit,
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -363,6 +363,11 @@
     return Math.max(sinceConfirmed, wallSinceConfirmed) < MAX_UNCONFIRMED_MS;
   }
 
+  /** Whether the failure domain takes no new work. */
+  isEvacuated(domain: string): boolean {
+    return this.dependencies.rules().evacuated.has(domain);
+  }
+
   /**
    * Returns the advisor's ticket for a start on a target; undefined if there is
    * none.
