Send no start command without recent proof of leadership

Callers would see a task run twice at a time: a leader that was paused after its record of a placement was confirmed sends the start when it wakes up. A target that the next leader can't reach has seen no higher epoch and starts it, after that leader has given the run up.

Cause: lease extensions required an append that was confirmed within 3 s by both clocks, start commands did not.

Evidence: "a leader whose leadership was not confirmed recently sends no start" failed before.

Change: the same condition holds for starts and their retries; the unit is stopped and placed again by whoever leads.

--- a/packages/dispatch/__tests__/command_sender.spec.ts
+++ b/packages/dispatch/__tests__/command_sender.spec.ts
@@ -47,6 +47,7 @@
     onFenced: () => undefined,
     requestListing: () => undefined,
     onAddressReassigned: target => reassigned.push(target),
+    isLeaseExtensionAllowed: () => true,
     isEvacuated: () => false,
     onTicketRefused: () => undefined,
     findTicket: () => undefined,
@@ -125,6 +126,19 @@
   },
 );
 
+// Guards against a paused leader that starts work after another one has taken over and given the run up.
+t.test(
+  'a leader whose leadership was not confirmed recently sends no start',
+  async t => {
+    const {sender, tracker, commands, clock} = createSender(() => DONE, {
+      isLeaseExtensionAllowed: () => false,
+    });
+    sender.startUnit(placeUnit(tracker, createRespondingTarget()));
+    await clock.advance(10);
+    t.notOk(commands.includes('start'));
+  },
+);
+
 // Guards against capacity and work that wait for a lease although the target is known to have ended.
 t.test(
   'a command to an address that another target uses reports that at once',
--- a/packages/dispatch/src/command_sender.ts
+++ b/packages/dispatch/src/command_sender.ts
@@ -39,6 +39,8 @@
    * Called when a target with another id responds at the address of `target`.
    */
   onAddressReassigned(target: TargetState): void;
+  /** Whether leadership was confirmed recently enough to extend leases and to start runs. */
+  isLeaseExtensionAllowed(): boolean;
   /** Whether the failure domain takes no new work. */
   isEvacuated(domain: string): boolean;
   /** Called when a target refuses the ticket of a start command. */
@@ -203,9 +205,12 @@
     if (target.info.isDraining) {
       return 'a target drains';
     }
-    return this.delegate.isEvacuated(target.info.domain)
-      ? 'the failure domain of a target was evacuated'
-      : undefined;
+    if (this.delegate.isEvacuated(target.info.domain)) {
+      return 'the failure domain of a target was evacuated';
+    }
+    return this.delegate.isLeaseExtensionAllowed()
+      ? undefined
+      : 'leadership was not confirmed recently';
   }
 
   private onStartFailed(
