Report the end of the widest job

Cause: `findMaxRunCount` spread the units of the job into the arguments of one call, which throws a RangeError inside the callback of the append.

Evidence: "the run count of the widest job can be computed" failed before.

Change: a loop.

Result: it passes.

--- a/packages/dispatch/src/active_job.ts
+++ b/packages/dispatch/src/active_job.ts
@@ -192,7 +192,8 @@
 
 /** Returns the highest run count of the job's units. */
 export function findMaxRunCount({units}: ActiveJob): number {
-  return Math.max(0, ...units.map(({progress}) => progress.run));
+  // A job may have more units than a call may have arguments.
+  return units.reduce((max, {progress}) => Math.max(max, progress.run), 0);
 }
 
 /**
