Limit the open occurrences of a job

Callers would see no work start at all: one schedule of a billion times, all due, fills the memory of leader after leader, and each is busy with it until then.

Cause: every tick opened all occurrences that are due; their number is the caller's, without a limit, and an interval of 0 is valid.

Evidence: the test opens 1000 occurrences at once before; the limit is 256 occurrences, or 65,536 units beyond the first occurrence.

Change: the further ones open as earlier ones end.

Result: "a schedule with any number of due times opens a limited number of occurrences, and the next ones as they end" passes. Schedules of the users' sites have far fewer open times at once; a job that has more starts some of them late.

--- a/packages/dispatch/src/job_lifecycle.ts
+++ b/packages/dispatch/src/job_lifecycle.ts
@@ -17,6 +17,13 @@
   hasNoAttemptLeft,
 } from './active_job.js';
 
+/**
+ * Limits of the occurrences of one job that are open at a time. A schedule may have any number of times
+ * that are due at once; further ones are added as earlier ones end.
+ */
+const MAX_OPEN_OCCURRENCES = 256;
+const MAX_OPEN_UNITS = 65_536;
+
 /**
  * Creates the state of an accepted job, which a previous leader may have
  * started. `wallNow` is in Unix milliseconds.
@@ -48,8 +55,8 @@
 }
 
 /**
- * Adds the occurrences that are due at `wallNow`, in Unix milliseconds. Returns
- * whether any was added.
+ * Adds the occurrences that are due at `wallNow`, in Unix milliseconds, up to the
+ * limits of open ones. Returns whether any was added.
  */
 export function addDueOccurrences(job: ActiveJob, wallNow: number): boolean {
   const {schedule} = job.accepted.spec;
@@ -65,7 +72,8 @@
       ...openIndexes.map(index => index + 1),
     );
     const dueAt = schedule.startAt + next * schedule.intervalMs;
-    if (next >= schedule.times || wallNow < dueAt) {
+    const isDue = next < schedule.times && wallNow >= dueAt;
+    if (!isDue || hasMaxOpenOccurrences(job)) {
       return hasAdded;
     }
     const occurrence = createOccurrence(job.accepted.spec, next);
@@ -75,6 +83,14 @@
   }
 }
 
+function hasMaxOpenOccurrences({progress, units}: ActiveJob): boolean {
+  const openCount = progress.occurrences.length;
+  return (
+    openCount >= MAX_OPEN_OCCURRENCES ||
+    (openCount > 0 && units.length >= MAX_OPEN_UNITS)
+  );
+}
+
 /** Whether every task of every occurrence of the job has ended as done. */
 export function isJobDone({accepted, progress}: ActiveJob): boolean {
   const doneOccurrences = progress.occurrences.filter(({steps}) =>
