--- a/packages/dispatch/src/command_sender.ts
+++ b/packages/dispatch/src/command_sender.ts
@@ -35,6 +35,14 @@
   onFenced(): void;
   /** Called when a listing is needed before the poll in progress returns. */
   requestListing(target: TargetState): void;
+  /**
+   * Called when a target with another id responds at the address of `target`.
+   */
+  onAddressReassigned(target: TargetState): void;
+  /** Whether leadership was confirmed recently enough to extend leases and to start runs. */
+  isLeaseExtensionAllowed(): boolean;
+  /** Whether the failure domain takes no new work. */
+  isEvacuated(domain: string): boolean;
   /** Called when a target refuses the ticket of a start command. */
   onTicketRefused(unit: ActiveUnit, targetId: string): void;
   /**
@@ -121,7 +129,11 @@
         }
         return;
       }
-      if (this.checkFenced(target, outcome) || outcome.kind === 'other-life') {
+      if (this.checkFenced(target, outcome)) {
+        return;
+      }
+      if (outcome.kind === 'other-life') {
+        this.delegate.onAddressReassigned(target);
         return;
       }
       await this.clock.sleep(COMMAND_RETRY_DELAY_MS);
@@ -137,9 +149,9 @@
       if (!this.isStartPending(allocation)) {
         return;
       }
-      // The record of the placement may have been delayed, and this may be a retry.
-      if (target.isOvercommitted && unit) {
-        this.tracker.stop(unit, 'the capacity of a target has shrunk');
+      const obstacle = this.findStartObstacle(target);
+      if (obstacle && unit) {
+        this.tracker.stop(unit, obstacle);
         return;
       }
       const outcome = await this.sendStart(allocation);
@@ -147,6 +159,15 @@
       if (this.checkFenced(target, outcome) || !unit) {
         return;
       }
+      if (outcome.kind === 'other-life') {
+        // A run whose first start meets another target was never on this one.
+        if (attempt === 0 && this.isAllocated(allocation)) {
+          const reason = 'another target uses the address of its target';
+          this.tracker.onRunLost(allocation, reason, now);
+        }
+        this.delegate.onAddressReassigned(target);
+        return;
+      }
       if (outcome.kind === 'done') {
         this.tracker.onStarted(allocation, outcome.clock, now);
         return;
@@ -172,6 +193,26 @@
     }
   }
 
+  /**
+   * Returns the reason why a placement must not be started any more; undefined
+   * if there is none. The record of the placement may have been delayed, the
+   * process may have been paused, and the command may be a retry.
+   */
+  private findStartObstacle(target: TargetState): string | undefined {
+    if (target.isOvercommitted) {
+      return 'the capacity of a target has shrunk';
+    }
+    if (target.info.isDraining) {
+      return 'a target drains';
+    }
+    if (this.delegate.isEvacuated(target.info.domain)) {
+      return 'the failure domain of a target was evacuated';
+    }
+    return this.delegate.isLeaseExtensionAllowed()
+      ? undefined
+      : 'leadership was not confirmed recently';
+  }
+
   private onStartFailed(
     allocation: Allocation,
     unit: ActiveUnit,
--- a/packages/dispatch/src/target_directory.ts
+++ b/packages/dispatch/src/target_directory.ts
@@ -38,6 +38,14 @@
   private readonly contested = new Map<string, TargetInfo>();
   /** Entry of the last incarnation that has responded and was replaced, by id. */
   private readonly displaced = new Map<string, TargetInfo>();
+  /**
+   * Newest incarnation, by target id, whose commands carry an epoch offset. It
+   * is kept when the target is swept, since the target keeps its fence.
+   */
+  private readonly epochOffsets = new Map<
+    string,
+    {born: number; offset: number}
+  >();
 
   /**
    * `earlierLeasesExpireAt` is the time at which all leases that previous
@@ -123,10 +131,10 @@
     if (known) {
       return known;
     }
-    const [id, born] = key.split('@');
+    const separator = key.lastIndexOf('@');
     const info: TargetInfo = {
-      id: id ?? key,
-      born: Number(born ?? 0),
+      id: key.slice(0, separator),
+      born: Number(key.slice(separator + 1)),
       address,
       pool: '',
       domain: '',
@@ -188,7 +196,7 @@
     }
   }
 
-  private add(info: TargetInfo, epochOffset = 0): TargetState {
+  private add(info: TargetInfo): TargetState {
     const target = new TargetState(info, this.earlierLeasesExpireAt);
     const unregistered = this.byIncarnation.get(target.key);
     if (unregistered) {
@@ -199,7 +207,7 @@
     this.byIncarnation.set(current.key, current);
     this.byId.set(info.id, current);
     this.byAddress.set(info.address, current);
-    current.epochOffset = epochOffset;
+    current.epochOffset = this.chooseEpochOffset(info);
     this.events.onTargetAdded(current);
     return current;
   }
@@ -223,10 +231,20 @@
     if (target.hasListing) {
       this.displaced.set(target.info.id, target.info);
     }
-    const offset = Math.min(target.epochOffset + 1, MAX_INCARNATIONS - 1);
-    const replacement = this.add(info, offset);
-    this.events.onTargetReplaced(target, replacement);
-    return replacement;
+    const next = this.add(info);
+    this.events.onTargetReplaced(target, next);
+    return next;
+  }
+
+  /** Returns the offset of commands to an incarnation, one above that of the former one. */
+  private chooseEpochOffset({id, born}: TargetInfo): number {
+    const known = this.epochOffsets.get(id) ?? {born, offset: 0};
+    const offset =
+      born > known.born
+        ? Math.min(known.offset + 1, MAX_INCARNATIONS - 1)
+        : known.offset;
+    this.epochOffsets.set(id, {born: Math.max(born, known.born), offset});
+    return offset;
   }
 
   private remove(target: TargetState): void {
