Run far instead of waiting only while most of the pool is free

A run across racks takes three times as long, and its capacity from others.

While at least half of the pool is in use, a unit waits as before for a rack that could hold it, but not for runs that have no end.

--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -211,7 +211,7 @@
         request,
         isolated,
         allCandidates,
-        'while-useful',
+        this.chooseLocalWait(unit),
       );
       if (placement) {
         this.addStart(unit, request, placement);
@@ -239,7 +239,7 @@
         : undefined);
     const isUrgent = urgency.tier === UrgencyTier.URGENT;
     const placement =
-      place(isUrgent ? 'while-feasible' : 'while-useful') ??
+      place(isUrgent ? 'while-feasible' : this.chooseLocalWait(unit)) ??
       (isWaitOver && !this.needsTrustedTargets(unit)
         ? this.placeAtOnce(request, unclaimed)
         : undefined);
@@ -253,7 +253,7 @@
       (this.hasTargetClaim(unit) ||
         this.reclaim(unit, urgency, request, candidates, allCandidates));
     const farPlacement =
-      isUrgent && !isReclaimed ? place('while-useful') : undefined;
+      isUrgent && !isReclaimed ? place(this.chooseLocalWait(unit)) : undefined;
     if (farPlacement) {
       this.addStart(unit, request, farPlacement);
       return;
@@ -280,6 +280,13 @@
     );
   }
 
+  /** A longer run takes capacity from others, so it replaces a wait only while most of the pool is free. */
+  private chooseLocalWait({job}: ActiveUnit): LocalWait {
+    return this.idleWaits.isMostlyFree(job.accepted.terms.pool)
+      ? 'while-useful'
+      : 'while-feasible';
+  }
+
   /** Keeps targets for a unit from the time on from which it is expected to fit there. */
   private reserve(
     unit: ActiveUnit,
@@ -291,7 +298,7 @@
       unit,
       request,
       allCandidates,
-      'while-useful',
+      this.chooseLocalWait(unit),
     );
     const isReserved = reserveTargets(
       acceptsPenalty ? withoutLocality(request) : request,
--- a/packages/dispatch/src/policy/idle_waits.ts
+++ b/packages/dispatch/src/policy/idle_waits.ts
@@ -51,7 +51,8 @@
     return isIdle;
   }
 
-  private isMostlyFree(pool: string): boolean {
+  /** Whether so much of a pool is free that jobs need not wait for each other. */
+  isMostlyFree(pool: string): boolean {
     let isFree = this.freePools.get(pool);
     if (isFree === undefined) {
       isFree = isMostlyFree(
--- a/packages/dispatch/src/policy/unit_placement.ts
+++ b/packages/dispatch/src/policy/unit_placement.ts
@@ -21,7 +21,7 @@
 
 /** How long a unit waits for a placement without a locality penalty. */
 export type LocalWait =
-  /** As long as targets could hold it if they were empty. */
+  /** As long as targets could hold it once all runs have ended that have an end. */
   | 'while-feasible'
   /** As long as it is expected to end no later than with the penalty. */
   | 'while-useful';
@@ -81,7 +81,8 @@
     }
     const {rackFactor} = this.snapshot.settings;
     const penalty = this.estimateDuration(unit) * (rackFactor - 1);
-    const by = localWait === 'while-useful' ? this.now + penalty : Infinity;
+    const by =
+      localWait === 'while-useful' ? this.now + penalty : Number.MAX_VALUE;
     return (
       this.isLocalWaitOver(unit) || !this.fitsLocallyBy(request, candidates, by)
     );
@@ -116,9 +117,6 @@
 
   /** Returns the capacity of a target that is expected to be free at `by`. */
   private freeBy(candidate: CandidateTarget, by: Instant): Demand {
-    if (by === Infinity) {
-      return candidate.target.info.capacity;
-    }
     let {free} = candidate;
     for (const allocation of candidate.target.allocations.values()) {
       if (estimateAwaitedEnd(allocation, this.snapshot, this.now) <= by) {
