--- a/packages/dispatch/__tests__/target_incarnations.spec.ts
+++ b/packages/dispatch/__tests__/target_incarnations.spec.ts
@@ -29,6 +29,7 @@
     directory.onRegistered(createInfo('a', 1), 0, 0);
     const reference = {incarnation: 'a@2', address: 'a:1'};
     const named = directory.findOrCreateIncarnation(reference);
+    sessions[0]!.unresponsiveSince = 0;
     directory.onRegistered(createInfo('a', 2), 5000, 5000);
     t.equal(sessions.at(-1), named);
     t.ok(named.isRegistered);
@@ -61,6 +62,7 @@
   async t => {
     const {directory, sessions} = createDirectory();
     directory.onRegistered(createInfo('a', 1), 0, 0);
+    sessions[0]!.unresponsiveSince = 0;
     directory.onRegistered(createInfo('a', 2), 5000, 5000);
     const before = sessions.at(-1)!;
     directory.onUnregistered('a');
