Give up locality for idle jobs only where the platform's rule would break

Rack-sensitive gangs gave up their rack after 1.5 s and took three times as long.

Locality now keeps 2.5 s, the allowed 3 s less the time of a start, and the bound holds only if there is room for the unit twice over, as the rule says.

--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -186,6 +186,7 @@
     return [
       createShapeKey(unit),
       this.idleWaits.isOver(unit),
+      this.idleWaits.isLocalWaitOver(unit),
       this.guaranteedJobs.has(unit.job),
       this.placement.isLocalWaitOver(unit),
       hasRepeatedCrashes(unit),
@@ -241,7 +242,7 @@
     const placement =
       place(isUrgent ? 'while-feasible' : 'while-useful') ??
       (isWaitOver && !this.needsTrustedTargets(unit)
-        ? this.placeAtOnce(request, unclaimed)
+        ? this.placeAtOnce(unit, request, unclaimed)
         : undefined);
     if (placement) {
       this.addStart(unit, request, placement);
@@ -265,18 +266,28 @@
     }
   }
 
-  /** Places a unit where it prefers not to be, on targets that keep others out only if need be. */
+  /**
+   * Places a unit where it prefers not to be, on targets that keep others out
+   * only if need be. It waits if there is no room for it twice over; a wait for
+   * capacity has no bound.
+   */
   private placeAtOnce(
+    unit: ActiveUnit,
     request: PlacementRequest,
     candidates: readonly CandidateTarget[],
   ): Placement | undefined {
+    const anyTarget = {...request, avoidedTargets: new Set<string>()};
+    const twice = {...anyTarget, count: request.count * 2};
+    if (!this.placement.placeAtOnce(twice, candidates, true)) {
+      return undefined;
+    }
+    const isFar = this.idleWaits.isLocalWaitOver(unit);
     const open = candidates.filter(({isClosed}) => !isClosed);
     const preferred = open.filter(({isAvoided}) => !isAvoided);
-    const anyTarget = {...request, avoidedTargets: new Set<string>()};
     return (
-      this.placement.placeAtOnce(request, preferred) ??
-      this.placement.placeAtOnce(anyTarget, open) ??
-      this.placement.placeAtOnce(anyTarget, candidates)
+      this.placement.placeAtOnce(request, preferred, isFar) ??
+      this.placement.placeAtOnce(anyTarget, open, isFar) ??
+      this.placement.placeAtOnce(anyTarget, candidates, isFar)
     );
   }
 
--- a/packages/dispatch/src/policy/idle_waits.ts
+++ b/packages/dispatch/src/policy/idle_waits.ts
@@ -8,11 +8,12 @@
 import {countCores} from './stop_cost.js';
 
 /**
- * Longest wait of a unit whose job has no run. The platform allows 3 s from the
- * end of a run to the start of the next; the rest is for noticing the end and
- * for the start.
+ * Longest waits of a unit whose job has no run. The platform allows 3 s from the
+ * end of a run to the start of the next. For locality, all of it is used but the
+ * time of a start, since a run without it takes several times as long.
  */
 const MAX_IDLE_WAIT_MS: Milliseconds = 1500;
+const MAX_IDLE_LOCAL_WAIT_MS: Milliseconds = 2500;
 
 /** Share of the capacity in use from which on the platform lets jobs wait. */
 const MAX_USED_SHARE = 0.5;
@@ -29,9 +30,18 @@
 
   /** Whether a unit has waited as long as it may while most of its pool is free. */
   isOver(unit: ActiveUnit): boolean {
+    return this.hasWaited(unit, MAX_IDLE_WAIT_MS);
+  }
+
+  /** Whether a unit has waited for locality as long as it may while most of its pool is free. */
+  isLocalWaitOver(unit: ActiveUnit): boolean {
+    return this.hasWaited(unit, MAX_IDLE_LOCAL_WAIT_MS);
+  }
+
+  private hasWaited(unit: ActiveUnit, limit: Milliseconds): boolean {
     const {waitingSince = Infinity, job, step} = unit;
     return (
-      this.now - waitingSince >= MAX_IDLE_WAIT_MS &&
+      this.now - waitingSince >= limit &&
       (step.isLongRunning || this.isIdle(job)) &&
       this.isMostlyFree(job.accepted.terms.pool)
     );
--- a/packages/dispatch/src/policy/unit_placement.ts
+++ b/packages/dispatch/src/policy/unit_placement.ts
@@ -58,14 +58,17 @@
     return findPlacementAnywhere(request, candidates, endsBy);
   }
 
-  /** Places a unit on `candidates` with or without a penalty, whether or not they are reserved. */
+  /** Places a unit on `candidates`, whether or not they are reserved. */
   placeAtOnce(
     request: PlacementRequest,
     candidates: readonly CandidateTarget[],
+    acceptsPenalty: boolean,
   ): Placement | undefined {
     return (
       findLocalPlacement(request, candidates, -Infinity) ??
-      findPlacementAnywhere(request, candidates, -Infinity)
+      (acceptsPenalty
+        ? findPlacementAnywhere(request, candidates, -Infinity)
+        : undefined)
     );
   }
 
