Let suspects of a crash close at most half of a pool

Cause: a crash makes suspects of the runs that the leader had not seen listed; a new leader has seen none. Each suspect closes a target of its own, without a bound: 235 of 246 targets were closed at 46 s, each with one innocent run.

Suspects of one crash now close at most half of a pool's targets; others of them are placed like any work. Those of repeated crashes are always isolated. Whether a run was placed apart is kept with its allocation, since it no longer follows from the suspicion. The spec of suspects that start apart has six targets in place of three, so that three of them are half of the pool.

--- a/packages/dispatch/__tests__/fixtures.ts
+++ b/packages/dispatch/__tests__/fixtures.ts
@@ -114,6 +114,8 @@
     },
     startedAt,
   );
+  // Of no effect unless the unit is a suspect.
+  allocation.isIsolated = true;
   unit.allocations.push(allocation);
   target.allocate(allocation);
 }
--- a/packages/dispatch/__tests__/isolation.spec.ts
+++ b/packages/dispatch/__tests__/isolation.spec.ts
@@ -41,10 +41,37 @@
 // Guards against jobs that are placed beside a crashing task again and again and are blamed for its crashes.
 t.test('tasks that a crash has made suspects start apart', async t => {
   const jobs = ['1', '2', '3'].map(id => createSuspect(id, NOW));
-  const targets = ['a', 'b', 'c'].map(id => createTarget(id, 'r', NOW));
+  const targets = Array.from('abcdef', id => createTarget(id, 'r', NOW));
   t.same(listStarts(jobs, targets), ['1 on a', '2 on b', '3 on c']);
 });
 
+// Guards against a pool that is closed as a whole after many crashes at once.
+t.test('suspects close at most half of the targets of a pool', async t => {
+  const targets = Array.from('abcd', id => createTarget(id, 'r', NOW));
+  const suspects = ['1', '2', '3', '4'].map(id => createSuspect(id, NOW));
+  const others = ['x', 'y'].map(id =>
+    createJob(id, createStep({isGang: false, count: 1})),
+  );
+  t.same(listStarts([...suspects, ...others], targets), [
+    '1 on a',
+    '2 on b',
+    '3 on c',
+    '4 on c',
+    'x on d',
+    'y on d',
+  ]);
+});
+
+// Guards against targets that are closed by suspects for which the share was used up.
+t.test('a suspect that was not isolated closes no target', async t => {
+  const target = createTarget('a', 'r', NOW);
+  const suspect = createSuspect('1', NOW - 500).units[0]!;
+  addRun(suspect, target, NOW - 100);
+  suspect.allocations[0]!.isIsolated = false;
+  const other = createJob('2', createStep({isGang: false, count: 1}));
+  t.same(listStarts([other], [target]), ['2 on a']);
+});
+
 t.test('no other work starts beside a suspect', async t => {
   const target = createTarget('a', 'r', NOW);
   addRun(createSuspect('1', NOW - 500).units[0]!, target, NOW - 100);
--- a/packages/dispatch/src/active_job.ts
+++ b/packages/dispatch/src/active_job.ts
@@ -154,6 +154,8 @@
   createdAt: Instant;
   /** When the first start command was sent; undefined for a run that was taken over. */
   startedAt?: Instant;
+  /** Whether the target takes no other work while the run is under suspicion. */
+  isIsolated: boolean;
   /** Whether the allocation was moved from the former incarnation, so that only a late command can start the run here. */
   isMoved: boolean;
   /** Whether the target has acknowledged or listed the run. */
@@ -260,6 +262,7 @@
     percent: 0,
     percentAt: now,
     createdAt: now,
+    isIsolated: false,
     isMoved: false,
     isConfirmed: false,
     isListed: false,
--- a/packages/dispatch/src/crash_attribution.ts
+++ b/packages/dispatch/src/crash_attribution.ts
@@ -128,10 +128,10 @@
   );
 }
 
-/** Whether a run on the target needs isolation; the target then takes no other work. */
+/** Whether a run on the target is isolated and still under suspicion; the target then takes no other work. */
 export function isClosedToOthers({allocations}: TargetState): boolean {
-  for (const {unit, memberIndex} of allocations.values()) {
-    if (unit && needsIsolation(unit, memberIndex)) {
+  for (const {unit, memberIndex, isIsolated} of allocations.values()) {
+    if (unit && isIsolated && needsIsolation(unit, memberIndex)) {
       return true;
     }
   }
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -30,7 +30,7 @@
 import {applyListing} from './target_listing.js';
 import {ExpiredJobs} from './expired_jobs.js';
 import {CommandSender} from './command_sender.js';
-import {CrashAttribution} from './crash_attribution.js';
+import {CrashAttribution, needsIsolation} from './crash_attribution.js';
 import {CallPacer} from './call_pacer.js';
 import {PassRunner} from './pass_runner.js';
 import {
@@ -451,6 +451,7 @@
       const target = this.directory.findOrCreateIncarnation(reference);
       const allocation = this.tracker.allocate(unit, member, target, 0, now);
       allocation.state = 'starting';
+      allocation.isIsolated = needsIsolation(unit, member);
     }
     unit.phase = unit.progress.isDone ? 'running' : 'starting';
   }
--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -20,6 +20,7 @@
   closeTargets,
   listIsolatedCandidates,
   listIsolatedMembers,
+  mayIsolate,
   mayWaitForIsolation,
 } from './isolation.js';
 import type {Obstacle} from '../obstacle.js';
@@ -204,8 +205,9 @@
     const unclaimed = this.listUnclaimed(unit);
     const allCandidates = unclaimed.filter(({isAvoided}) => !isAvoided);
     const openCandidates = allCandidates.filter(({isClosed}) => !isClosed);
-    const isolatedMembers = listIsolatedMembers(unit);
-    if (isolatedMembers.length > 0) {
+    const isIsolated =
+      listIsolatedMembers(unit).length > 0 && mayIsolate(unit, allCandidates);
+    if (isIsolated) {
       const isolated = listIsolatedCandidates(unit, openCandidates);
       const placement = this.placement.place(
         unit,
@@ -215,7 +217,7 @@
         this.chooseLocalWait(unit),
       );
       if (placement) {
-        this.addStart(unit, request, placement);
+        this.addStart(unit, request, placement, isIsolated);
         return;
       }
       if (mayWaitForIsolation(unit, this.now) && !isWaitOver) {
@@ -245,7 +247,7 @@
         ? this.placeAtOnce(unit, request, unclaimed)
         : undefined);
     if (placement) {
-      this.addStart(unit, request, placement);
+      this.addStart(unit, request, placement, isIsolated);
       return;
     }
     const isReclaimed =
@@ -256,7 +258,7 @@
     const farPlacement =
       isUrgent && !isReclaimed ? place(this.chooseLocalWait(unit)) : undefined;
     if (farPlacement) {
-      this.addStart(unit, request, farPlacement);
+      this.addStart(unit, request, farPlacement, isIsolated);
       return;
     }
     this.addObstacle(unit, this.findObstacle(unit, request));
@@ -355,6 +357,7 @@
     unit: ActiveUnit,
     request: PlacementRequest,
     placement: Placement,
+    isIsolated: boolean,
   ): void {
     const {demand} = request;
     const {hasLocalityPenalty} = placement;
@@ -369,9 +372,11 @@
         candidate.plannedRuns.push({demand, endsAt});
       }
     }
-    closeTargets(placement, listIsolatedMembers(unit));
+    if (isIsolated) {
+      closeTargets(placement, listIsolatedMembers(unit));
+    }
     this.idleWaits.onStart(unit);
-    this.decision.starts.push({unit, placement});
+    this.decision.starts.push({unit, placement, isIsolated});
   }
 
   private hasTargetClaim(unit: ActiveUnit): boolean {
--- a/packages/dispatch/src/policy/isolation.ts
+++ b/packages/dispatch/src/policy/isolation.ts
@@ -4,13 +4,32 @@
  */
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import {type ActiveUnit, countMembers} from '../active_job.js';
-import {needsIsolation} from '../crash_attribution.js';
+import {hasRepeatedCrashes, needsIsolation} from '../crash_attribution.js';
 import type {CandidateTarget} from './candidate_target.js';
 import type {Placement} from './placement_search.js';
 
 /** Time after a crash for which a unit waits for targets on which it can be isolated. */
 const MAX_ISOLATION_WAIT_MS: Milliseconds = 2000;
 
+/**
+ * Share of a pool's targets that units under which one target crashed may close.
+ * Many crashes at once have a cause outside of the tasks; isolating all suspects
+ * would close the pool.
+ */
+const MAX_CLOSED_SHARE = 0.5;
+
+/** Whether a suspect may be isolated on targets of a pool, whose targets are `candidates`. */
+export function mayIsolate(
+  unit: ActiveUnit,
+  candidates: readonly CandidateTarget[],
+): boolean {
+  const closed = candidates.filter(({isClosed}) => isClosed).length;
+  return (
+    hasRepeatedCrashes(unit) ||
+    closed < Math.max(1, candidates.length * MAX_CLOSED_SHARE)
+  );
+}
+
 /** Returns the indexes of the members of a unit that are to be isolated. */
 export function listIsolatedMembers(unit: ActiveUnit): number[] {
   return (unit.progress.crashes ?? [])
--- a/packages/dispatch/src/policy/placement_request.ts
+++ b/packages/dispatch/src/policy/placement_request.ts
@@ -23,6 +23,8 @@
 export interface PlannedStart {
   unit: ActiveUnit;
   placement: Placement;
+  /** Whether suspects among the members close their targets to other work. */
+  isIsolated?: boolean;
 }
 
 /**
--- a/packages/dispatch/src/run_tracker.ts
+++ b/packages/dispatch/src/run_tracker.ts
@@ -54,7 +54,11 @@
    * Allocates capacity for a placement. The start commands are sent once it is
    * in the log.
    */
-  place({unit, placement}: PlannedStart, epoch: number, now: Instant): void {
+  place(
+    {unit, placement, isIsolated = false}: PlannedStart,
+    epoch: number,
+    now: Instant,
+  ): void {
     unit.progress.run++;
     unit.phase = 'recording';
     unit.placedAt = now;
@@ -67,7 +71,8 @@
       Array.from({length: members}, () => candidate.target),
     );
     for (const [member, target] of targets.entries()) {
-      this.allocate(unit, member, target, epoch, now);
+      const allocation = this.allocate(unit, member, target, epoch, now);
+      allocation.isIsolated = isIsolated;
     }
     unit.progress.placedOn = targets.map(({key, info}) => ({
       incarnation: key,
