Bound how many occurrences of a schedule are open at a time

A caller's schedule with 2^53 - 1 occurrences that are due at once, or one each millisecond since 1970, took the leader down, and after it each next leader: the loop that adds the due occurrences did not end, so the process did nothing else and had to be killed. 5000 occurrences at once took long, as each addition went over all open ones.

Change: occurrences are added while fewer than 4096 tasks of the job are open (a step may have as many), or fewer than 16 occurrences; the others follow as these end. Adding is linear.

--- a/packages/dispatch/src/job_lifecycle.ts
+++ b/packages/dispatch/src/job_lifecycle.ts
@@ -18,6 +18,16 @@
   hasNoAttemptLeft,
 } from './active_job.js';
 
+/**
+ * Number of tasks up to which further occurrences of a schedule are added; as
+ * many as a single step may have. A schedule may have any number of occurrences
+ * due at once.
+ */
+const MAX_OPEN_TASKS = 4096;
+
+/** Number of occurrences that may be open whatever their number of tasks. */
+const MIN_OPEN_OCCURRENCES = 16;
+
 /**
  * Creates the state of an accepted job, which a previous leader may have
  * started. `wallNow` is in Unix milliseconds. Throws if the progress in the log
@@ -63,22 +73,23 @@
     return false;
   }
   const {progress} = job;
-  let hasAdded = false;
-  for (;;) {
-    const openIndexes = progress.occurrences.map(({index}) => index);
-    const next = Math.max(
-      progress.doneOccurrences,
-      ...openIndexes.map(index => index + 1),
-    );
-    const dueAt = schedule.startAt + next * schedule.intervalMs;
-    if (next >= schedule.times || wallNow < dueAt) {
-      return hasAdded;
-    }
+  const first = progress.occurrences.reduce(
+    (next, {index}) => Math.max(next, index + 1),
+    progress.doneOccurrences,
+  );
+  const maxOpen = computeMaxOpenOccurrences(job);
+  let next = first;
+  while (
+    next < schedule.times &&
+    wallNow >= schedule.startAt + next * schedule.intervalMs &&
+    progress.occurrences.length < maxOpen
+  ) {
     const occurrence = createOccurrence(job.accepted.spec, next);
     progress.occurrences.push(occurrence);
     addUnits(job, occurrence);
-    hasAdded = true;
+    next++;
   }
+  return next > first;
 }
 
 /** Whether every task of every occurrence of the job has ended as done. */
@@ -145,6 +156,15 @@
   }
 }
 
+/** Returns how many occurrences of the job may be open at a time. */
+function computeMaxOpenOccurrences({accepted}: ActiveJob): number {
+  const taskCount = accepted.spec.steps.reduce(
+    (sum, {count}) => sum + count,
+    0,
+  );
+  return Math.max(MIN_OPEN_OCCURRENCES, Math.floor(MAX_OPEN_TASKS / taskCount));
+}
+
 function addUnits(job: ActiveJob, occurrence: Occurrence): void {
   for (const [stepIndex, units] of occurrence.steps.entries()) {
     for (const [unitIndex, progress] of units.entries()) {
