Test that a deeply nested message of a peer is a typed failure

The decoder recurses; 200,000 levels exhaust the stack, which it reports as an invalid frame. The test passed at once; nothing else changes.

--- a/packages/wire/__tests__/frame.spec.ts
+++ b/packages/wire/__tests__/frame.spec.ts
@@ -110,6 +110,17 @@
     );
   });
 
+  // Guards against a peer whose message exhausts the stack of the process (issue 33).
+  t.test('is rejected with a typed failure when it nests deeply', async t => {
+    const request = Buffer.from([0x85, 1, 1, 0x61, 0x61, 1]);
+    const array = Buffer.alloc(200_000, 0x81);
+    const map = Buffer.alloc(600_000, Buffer.from([0xa1, 0x61, 0x61]));
+    for (const deep of [array, map]) {
+      const payload = Buffer.concat([request, deep, Buffer.from([1])]);
+      t.throws(() => decodeMessage(payload), {code: 'frame-invalid'});
+    }
+  });
+
   t.test('is rejected with a typed failure for any invalid bytes', async () => {
     fc.assert(
       fc.property(payloads, payload => {
