Keep an unexpected error in one job or target from ending the rest of a tick, a takeover or an append's callback

Callers would see all work stop: one job or target whose periodic work fails kept the leader from everything behind it in the tick, leases that have expired, passes and heartbeats included, and the next leader met the same one.

Cause: the tick was guarded as a whole; a takeover not at all: an unreadable progress record of one job ended `run` and left a leader without ticks.

Evidence: "an unexpected error in periodic work aborts only its part and the leader stays leader" failed before. The two tests of a progress record that can't be read or has other steps than its job passed before as well (another instance took over in time), and stay as a guard: the takeover was found by reading.

Change: each job, target and part of the tick, each job of a takeover, and each start and end after an append is guarded by itself, and an error names it. Progress that doesn't fit its job is an error when the job is added, not in each pass.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -174,10 +174,10 @@
     this.changedJobs = new ChangedJobs(() => this.directory.listTargets(), {
       onRecorded: unit => {
         if (!this.isClosed) {
-          this.commands.startUnit(unit);
+          this.runGuarded('start', () => this.commands.startUnit(unit));
         }
       },
-      onEnded: job => this.onJobEnded(job),
+      onEnded: job => this.runGuarded('end', () => this.onJobEnded(job)),
     });
     this.passRunner = new PassRunner(
       {
@@ -216,7 +216,7 @@
       this.addJob(entry);
     }
     while (!this.isClosed) {
-      this.runGuarded('tick', () => this.tick(clock.now()));
+      this.tick(clock.now());
       await clock.sleep(TICK_INTERVAL_MS);
     }
   }
@@ -250,8 +250,16 @@
     }
   }
 
-  /** Adds a job that has not ended; returns undefined if it is known or has ended. */
+  /** Adds a job; returns undefined if it is known, has ended, or has a malformed record. */
   private addJob(entry: JobEntry): ActiveJob | undefined {
+    let job: ActiveJob | undefined;
+    this.runGuarded(`job ${entry.id}`, () => {
+      job = this.addActiveJob(entry);
+    });
+    return job;
+  }
+
+  private addActiveJob(entry: JobEntry): ActiveJob | undefined {
     const {clock} = this.dependencies;
     const outcome = entry.progress?.outcome ?? 'active';
     if (this.jobs.has(entry.id) || outcome !== 'active') {
@@ -381,37 +389,56 @@
     this.adviceCache.onTicketRefused(unit, targetId);
   }
 
-  /** Does everything that depends on time alone. */
+  /** Does everything that depends on time alone; an unexpected error aborts only its own part. */
   private tick(now: Instant): void {
     const {clock, settings, logger} = this.dependencies;
     for (const job of this.jobs.values()) {
-      const scheduleTime = clock.wallTime() + settings.earlyTime / 2;
-      if (job.accepted.spec.schedule && addDueOccurrences(job, scheduleTime)) {
-        this.onChange(job);
-      }
+      this.runGuarded(`schedule of job ${job.id}`, () => {
+        const scheduleTime = clock.wallTime() + settings.earlyTime / 2;
+        if (addDueOccurrences(job, scheduleTime)) {
+          this.onChange(job);
+        }
+      });
     }
     for (const target of [...this.directory.listTargets()]) {
-      const successor = this.directory.findSuccessor(target);
-      if (successor) {
-        this.incarnationCleanup.onSucceeded(target, successor, now);
-      }
-      this.incarnationCleanup.dropExpiredRuns(target, now);
+      this.runGuarded(`target ${target.key}`, () =>
+        this.dropEndedRuns(target, now),
+      );
     }
-    stopStragglers(
-      this.jobs.values(),
-      this.tracker,
-      this.estimator,
-      now,
-      logger,
+    this.runGuarded('stragglers', () =>
+      stopStragglers(
+        this.jobs.values(),
+        this.tracker,
+        this.estimator,
+        now,
+        logger,
+      ),
+    );
+    this.runGuarded('idle jobs', () =>
+      this.idleJobs.onTick(
+        this.jobs.values(),
+        this.directory.listTargets(),
+        now,
+      ),
     );
-    this.idleJobs.onTick(this.jobs.values(), this.directory.listTargets(), now);
-    this.directory.sweep(now, settings.maxLease);
-    this.writer.add(this.expiredJobs.encodeDueRemovals(now));
-    this.passRunner.onTick(now);
+    this.runGuarded('expiry', () => {
+      this.directory.sweep(now, settings.maxLease);
+      this.writer.add(this.expiredJobs.encodeDueRemovals(now));
+    });
+    this.runGuarded('pass', () => this.passRunner.onTick(now));
     this.writer.flush();
     this.writer.writeHeartbeatIfDue(now);
   }
 
+  /** Releases the allocations of a target whose incarnation or lease has ended. */
+  private dropEndedRuns(target: TargetState, now: Instant): void {
+    const successor = this.directory.findSuccessor(target);
+    if (successor) {
+      this.incarnationCleanup.onSucceeded(target, successor, now);
+    }
+    this.incarnationCleanup.dropExpiredRuns(target, now);
+  }
+
   private close(): void {
     this.isClosed = true;
     this.writer.close();
--- a/packages/dispatch/src/job_lifecycle.ts
+++ b/packages/dispatch/src/job_lifecycle.ts
@@ -156,6 +156,11 @@
 }
 
 function addUnits(job: ActiveJob, occurrence: Occurrence): void {
+  const {steps} = job.accepted.spec;
+  if (occurrence.steps.length !== steps.length) {
+    const problem = `${occurrence.steps.length} steps instead of ${steps.length}`;
+    throw new Error(`the progress of job ${job.id} has ${problem}`);
+  }
   for (const [stepIndex, units] of occurrence.steps.entries()) {
     for (const [unitIndex, progress] of units.entries()) {
       const unit: ActiveUnit = {
@@ -163,7 +168,7 @@
         occurrence: occurrence.index,
         stepIndex,
         unitIndex,
-        step: job.accepted.spec.steps[stepIndex]!,
+        step: steps[stepIndex]!,
         progress,
         phase: 'waiting',
         allocations: [],
