Count a leader's confirmation from the sending of its claim

Callers would see a task run twice at a time: a process that is frozen or suspended right after its claim wakes up as a leader that believes itself confirmed, and extends leases at targets which the next leader can't reach, up to 3 s long.

Cause: the time of the last confirmed append started with the creation of the writer, after the pause, instead of with the sending of the claim.

Evidence: "a leader that was suspended between its claim and its first poll extends no lease before its next append" failed before.

Change: the claim's send times by both clocks go to the writer; they are one value now.

Result: it passes, and so does the test of a claim without a pause.

--- a/packages/dispatch/src/dispatch_service.ts
+++ b/packages/dispatch/src/dispatch_service.ts
@@ -17,6 +17,7 @@
 import {Dispatcher, type DispatcherDependencies} from './dispatcher.js';
 import type {FencedAppendOutcome} from './fenced_log.js';
 import type {IdleCause} from './idle_jobs.js';
+import type {ConfirmationTime} from './record_writer.js';
 import {
   LeaderMonitor,
   type CandidateRank,
@@ -243,13 +244,14 @@
           attempt < MAX_CLAIM_ATTEMPTS ? this.follower.nextOffset : undefined,
       };
       const record = encodeLeadership(leadership);
+      const claimedAt = {at: clock.now(), wallTime: clock.wallTime()};
       const result = await log.appendFenced(
         fencing,
         [record],
         CLAIM_TIMEOUT_MS,
       );
       if (await this.isClaimed(leadership, result)) {
-        await this.dispatch(leadership, clock.now());
+        await this.dispatch(leadership, claimedAt, clock.now());
         return;
       }
       // Logged when the claim did not make this instance leader.
@@ -281,10 +283,16 @@
     return isApplied && isOwn && !this.isClosed;
   }
 
-  private async dispatch(leadership: Leadership, now: Instant): Promise<void> {
+  /** `claimedAt` is when the claim was sent; the process may have been paused since. */
+  private async dispatch(
+    leadership: Leadership,
+    claimedAt: ConfirmationTime,
+    now: Instant,
+  ): Promise<void> {
     const dispatcher = new Dispatcher(
       {...this.dependencies, onLeadershipLost: () => this.registry.close()},
       leadership,
+      claimedAt,
       now,
     );
     const queued: Array<() => void> = [];
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -39,7 +39,7 @@
   SlackPolicy,
   computeObjective,
 } from './policy/index.js';
-import {RecordWriter} from './record_writer.js';
+import {type ConfirmationTime, RecordWriter} from './record_writer.js';
 import {TargetDirectory} from './target_directory.js';
 import {RunTracker} from './run_tracker.js';
 import {
@@ -112,6 +112,7 @@
   constructor(
     private readonly dependencies: DispatcherDependencies,
     leadership: Leadership,
+    claimedAt: ConfirmationTime,
     private readonly startedAt: Instant,
   ) {
     const now = startedAt;
@@ -194,6 +195,7 @@
     this.writer = new RecordWriter(
       dependencies.log,
       leadership,
+      claimedAt,
       maxLength => this.changedJobs.takeBatch(maxLength, clock.wallTime()),
       () => this.onFenced(),
       clock,
@@ -365,9 +367,9 @@
    */
   isLeaseExtensionAllowed(): boolean {
     const {clock} = this.dependencies;
-    const sinceConfirmed = clock.now() - this.writer.lastConfirmedAt;
-    const wallSinceConfirmed =
-      clock.wallTime() - this.writer.lastConfirmedWallTime;
+    const {at, wallTime} = this.writer.lastConfirmed;
+    const sinceConfirmed = clock.now() - at;
+    const wallSinceConfirmed = clock.wallTime() - wallTime;
     return Math.max(sinceConfirmed, wallSinceConfirmed) < MAX_UNCONFIRMED_MS;
   }
 
--- a/packages/dispatch/src/record_writer.ts
+++ b/packages/dispatch/src/record_writer.ts
@@ -43,15 +43,18 @@
  */
 export type BatchSource = (maxLength: number) => Batch | undefined;
 
-/** Writes records for one leader. */
-export class RecordWriter {
-  /** Send time of the last append that was confirmed. */
-  lastConfirmedAt: Instant;
+/** Send time of an append that was confirmed. */
+export interface ConfirmationTime {
+  at: Instant;
   /**
    * The same in Unix milliseconds; the wall clock also advances while an
    * instance is suspended.
    */
-  lastConfirmedWallTime: number;
+  wallTime: number;
+}
+
+/** Writes records for one leader. */
+export class RecordWriter {
   private sequence = 1;
   private isWriting = false;
   private extraRecords: KeyedRecord[] = [];
@@ -60,15 +63,14 @@
   constructor(
     private readonly log: FencedLog,
     private readonly leadership: Leadership,
+    /** Send time of the last append that was confirmed; at first that of the claim. */
+    public lastConfirmed: ConfirmationTime,
     private readonly takeBatch: BatchSource,
     private readonly onFenced: () => void,
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly logger: Logger,
-  ) {
-    this.lastConfirmedAt = clock.now();
-    this.lastConfirmedWallTime = clock.wallTime();
-  }
+  ) {}
 
   /** Adds records to the next append. */
   add(records: readonly KeyedRecord[]): void {
@@ -90,7 +92,7 @@
    * interval.
    */
   writeHeartbeatIfDue(now: Instant): void {
-    if (!this.isWriting && now - this.lastConfirmedAt >= LEADER_HEARTBEAT_MS) {
+    if (!this.isWriting && now - this.lastConfirmed.at >= LEADER_HEARTBEAT_MS) {
       void this.writeAll(true);
     }
   }
@@ -153,16 +155,17 @@
   private async write(records: readonly KeyedRecord[]): Promise<boolean> {
     const fencing = this.createFencingToken();
     for (let attempt = 0; !this.isClosed; attempt++) {
-      const sentAt = this.clock.now();
-      const sentWallTime = this.clock.wallTime();
+      const sentAt = {
+        at: this.clock.now(),
+        wallTime: this.clock.wallTime(),
+      };
       const result = await this.log.appendFenced(
         fencing,
         records,
         APPEND_TIMEOUT_MS,
       );
       if (result.kind === 'appended') {
-        this.lastConfirmedAt = sentAt;
-        this.lastConfirmedWallTime = sentWallTime;
+        this.lastConfirmed = sentAt;
         return !this.isClosed;
       }
       if (result.kind === 'fenced') {
