Do not begin to dispatch once a higher claim was read

Callers would see two leaders at once: while the registry is read, a leader writes no heartbeat; on a slow store another instance claims, and the first one began to poll, extend leases and start runs under its old epoch until a target or the log refused it.

Cause: a higher claim fences the dispatcher that is in use, and there is none before the registry is read.

Evidence: "a claim that is superseded while the registry is read never leads" failed before.

Change: the newest claim is compared before the dispatcher is used.

Result: it passes.

--- a/packages/dispatch/__tests__/dispatch_service.spec.ts
+++ b/packages/dispatch/__tests__/dispatch_service.spec.ts
@@ -128,3 +128,19 @@
     t.notOk(polls.some(({leaseUntil}) => leaseUntil !== undefined));
   },
 );
+
+// Guards against a former leader that polls, starts and stops after a hand-over which it has read of before it began.
+t.test(
+  'a claim that is superseded while the registry is read never leads',
+  async t => {
+    const {service, claim, polls} = createService({
+      onRegistryOpened: table => {
+        const record = encodeLeadership({epoch: 1e9, holder: 'b/1'});
+        table.apply({...record, offset: 1});
+      },
+    });
+    await claim();
+    t.notOk(service.isDispatching);
+    t.same(polls, []);
+  },
+);
--- a/packages/dispatch/src/dispatch_service.ts
+++ b/packages/dispatch/src/dispatch_service.ts
@@ -306,6 +306,12 @@
       await dispatcher.resign();
       return;
     }
+    const newest = this.dependencies.table.leadership;
+    if (newest && newest.epoch > leadership.epoch) {
+      // Another instance has claimed leadership while the registry was read.
+      dispatcher.onFenced();
+      return;
+    }
     this.dispatcher = dispatcher;
     // Logged when this instance has become leader and starts to dispatch.
     this.dependencies.logger.info('leadership-held', {
