Hold a run whose start got no response while a later incarnation may carry it out

Callers would see a task run twice at a time: its start gets no response, its target restarts under the same id and can't be reached, the run is given up, and the late start begins it there beside its second run.

Cause: such an allocation moves to the next incarnation so that it is stopped there first, but the lease of that one is taken as expired (this leader has granted none), so the next tick released it.

Change: until the next incarnation responds, the allocation is held for the longest delay of a command and a lease after its last start without a response. With a response it is released within milliseconds, as before.

The price: if the next incarnation never responds, the work starts elsewhere after up to 22 s. A run taken over from a former leader is still given up at once when its target restarts.

--- a/packages/dispatch/src/active_job.ts
+++ b/packages/dispatch/src/active_job.ts
@@ -150,6 +150,12 @@
   createdAt: Instant;
   /** When the first start command was sent; undefined for a run that was taken over. */
   startedAt?: Instant;
+  /**
+   * Time until which a start command that got no response may bring the run to
+   * life, or have it alive, at an incarnation that has seen no later command;
+   * -Infinity if there is none.
+   */
+  lateRunUntil: Instant;
   /** Whether the allocation was moved from the former incarnation, so that only a late command can start the run here. */
   isMoved: boolean;
   /** Whether the target has acknowledged or listed the run. */
@@ -256,6 +262,7 @@
     percent: 0,
     percentAt: now,
     createdAt: now,
+    lateRunUntil: -Infinity,
     isMoved: false,
     isConfirmed: false,
     isListed: false,
--- a/packages/dispatch/src/command_sender.ts
+++ b/packages/dispatch/src/command_sender.ts
@@ -10,6 +10,8 @@
   LEASE_MARGIN_MS,
   COMMAND_RETRY_DELAY_MS,
   COMMAND_TIMEOUT_MS,
+  MAX_COMMAND_DELAY_MS,
+  MIN_CLOCK_RATE,
   type DispatchSettings,
 } from './settings.js';
 import type {CommandOutcome, TargetPort} from './target_port.js';
@@ -232,17 +234,21 @@
     this.tracker.stop(unit, 'a member could not be started');
   }
 
-  private sendStart(allocation: Allocation): Promise<CommandOutcome> {
+  private async sendStart(allocation: Allocation): Promise<CommandOutcome> {
     const {target, unit} = allocation;
-    const leaseEnd = computeLeaseEnd(target, this.settings, this.clock.now());
+    const now = this.clock.now();
+    const leaseEnd = computeLeaseEnd(target, this.settings, now);
     if (leaseEnd === undefined || !unit) {
-      return Promise.resolve({
+      return {
         kind: 'unknown',
         problem: 'the target has not reported its clock yet',
-      });
+      };
     }
     target.onLeaseSent(leaseEnd);
-    return this.send(target, timeout =>
+    const {lateRunUntil} = allocation;
+    allocation.lateRunUntil =
+      now + MAX_COMMAND_DELAY_MS + this.settings.maxLease / MIN_CLOCK_RATE;
+    const outcome = await this.send(target, timeout =>
       this.port.start(
         target.info,
         {
@@ -257,6 +263,10 @@
         timeout,
       ),
     );
+    if (outcome.kind !== 'unknown') {
+      allocation.lateRunUntil = lateRunUntil;
+    }
+    return outcome;
   }
 
   private sendStop(allocation: Allocation): Promise<CommandOutcome> {
--- a/packages/dispatch/src/incarnation_cleanup.ts
+++ b/packages/dispatch/src/incarnation_cleanup.ts
@@ -131,6 +131,11 @@
     allocation.isListed = false;
     allocation.isBeingStopped = false;
     next.allocate(allocation);
+    // Unless `next` responds, the run may be there without a lease that this leader granted.
+    next.leaseExpiresAt = Math.max(
+      next.leaseExpiresAt,
+      allocation.lateRunUntil,
+    );
     void this.commands.stop(allocation);
   }
 }
--- a/packages/dispatch/src/settings.ts
+++ b/packages/dispatch/src/settings.ts
@@ -67,6 +67,9 @@
 /** Timeout of a command; targets usually respond within a few milliseconds. */
 export const COMMAND_TIMEOUT_MS: Milliseconds = 300;
 
+/** Longest time after which a command that got no response may still be carried out. */
+export const MAX_COMMAND_DELAY_MS: Milliseconds = 12_000;
+
 /** Delay before a command is repeated that was refused or not acknowledged. */
 export const COMMAND_RETRY_DELAY_MS: Milliseconds = 100;
 
