Repeat an append that throws

Callers would see jobs wait for ever: the records of an append that throws were taken from the changed jobs and never written, so their units stay in `recording`.

Cause: the writer trusted the log never to throw; the error ended `writeAll` as an unhandled rejection.

Evidence: "an append that throws is repeated like one without a response" failed before. No way in which the relay's log throws is known.

Change: an unexpected error is an append of unknown outcome, which is repeated under the same sequence number.

Result: it passes.

--- a/packages/dispatch/src/record_writer.ts
+++ b/packages/dispatch/src/record_writer.ts
@@ -8,6 +8,7 @@
   type Logger,
   type Random,
   computeJitteredBackoff,
+  describeError,
 } from '@galenavalve/shared';
 import {
   type KeyedRecord,
@@ -15,7 +16,11 @@
   encodeLeadership,
   sleepUntilRecovery,
 } from '@galenavalve/workload';
-import type {FencingToken, FencedLog} from './fenced_log.js';
+import type {
+  FencedAppendOutcome,
+  FencingToken,
+  FencedLog,
+} from './fenced_log.js';
 import {LEADER_HEARTBEAT_MS} from './leader_monitor.js';
 
 /** Timeout of an append; about a hundred times the usual latency. */
@@ -159,11 +164,7 @@
         at: this.clock.now(),
         wallTime: this.clock.wallTime(),
       };
-      const result = await this.log.appendFenced(
-        fencing,
-        records,
-        APPEND_TIMEOUT_MS,
-      );
+      const result = await this.appendSafely(fencing, records);
       if (result.kind === 'appended') {
         this.lastConfirmed = sentAt;
         return !this.isClosed;
@@ -193,4 +194,16 @@
     }
     return false;
   }
+
+  /** Appends once; an unexpected error leaves the outcome unknown. */
+  private async appendSafely(
+    fencing: FencingToken,
+    records: readonly KeyedRecord[],
+  ): Promise<FencedAppendOutcome> {
+    try {
+      return await this.log.appendFenced(fencing, records, APPEND_TIMEOUT_MS);
+    } catch (error) {
+      return {kind: 'unknown', problem: describeError(error)};
+    }
+  }
 }
