--- a/packages/dispatch/src/active_job.ts
+++ b/packages/dispatch/src/active_job.ts
@@ -156,6 +156,12 @@
   startedAt?: Instant;
   /** Whether the target takes no other work while the run is under suspicion. */
   isIsolated: boolean;
+  /**
+   * Time until which a start command that got no response may bring the run to
+   * life, or have it alive, at an incarnation that has seen no later command;
+   * -Infinity if there is none.
+   */
+  lateRunUntil: Instant;
   /** Whether the allocation was moved from the former incarnation, so that only a late command can start the run here. */
   isMoved: boolean;
   /** Whether the target has acknowledged or listed the run. */
@@ -263,6 +269,7 @@
     percentAt: now,
     createdAt: now,
     isIsolated: false,
+    lateRunUntil: -Infinity,
     isMoved: false,
     isConfirmed: false,
     isListed: false,
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -39,7 +39,7 @@
   SlackPolicy,
   computeObjective,
 } from './policy/index.js';
-import {RecordWriter} from './record_writer.js';
+import {type ConfirmationTime, RecordWriter} from './record_writer.js';
 import {TargetDirectory} from './target_directory.js';
 import {RunTracker} from './run_tracker.js';
 import {
@@ -112,6 +112,7 @@
   constructor(
     private readonly dependencies: DispatcherDependencies,
     leadership: Leadership,
+    claimedAt: ConfirmationTime,
     private readonly startedAt: Instant,
   ) {
     const now = startedAt;
@@ -184,10 +185,10 @@
     this.changedJobs = new ChangedJobs(() => this.directory.listTargets(), {
       onRecorded: unit => {
         if (!this.isClosed) {
-          this.commands.startUnit(unit);
+          this.runGuarded('start', () => this.commands.startUnit(unit));
         }
       },
-      onEnded: job => this.onJobEnded(job),
+      onEnded: job => this.runGuarded('end', () => this.onJobEnded(job)),
     });
     this.passRunner = new PassRunner(
       {
@@ -204,6 +205,7 @@
     this.writer = new RecordWriter(
       dependencies.log,
       leadership,
+      claimedAt,
       maxLength => this.changedJobs.takeBatch(maxLength, clock.wallTime()),
       () => this.onFenced(),
       clock,
@@ -226,7 +228,7 @@
       this.addJob(entry);
     }
     while (!this.isClosed) {
-      this.runGuarded('tick', () => this.tick(clock.now()));
+      this.tick(clock.now());
       await clock.sleep(TICK_INTERVAL_MS);
     }
   }
@@ -380,9 +382,9 @@
    */
   isLeaseExtensionAllowed(): boolean {
     const {clock} = this.dependencies;
-    const sinceConfirmed = clock.now() - this.writer.lastConfirmedAt;
-    const wallSinceConfirmed =
-      clock.wallTime() - this.writer.lastConfirmedWallTime;
+    const {at, wallTime} = this.writer.lastConfirmed;
+    const sinceConfirmed = clock.now() - at;
+    const wallSinceConfirmed = clock.wallTime() - wallTime;
     return Math.max(sinceConfirmed, wallSinceConfirmed) < MAX_UNCONFIRMED_MS;
   }
 
@@ -404,38 +406,57 @@
     this.adviceCache.onTicketRefused(unit, targetId);
   }
 
-  /** Does everything that depends on time alone. */
+  /** Does everything that depends on time alone; an unexpected error aborts only its own part. */
   private tick(now: Instant): void {
     const {clock, settings, logger} = this.dependencies;
     for (const job of this.jobs.values()) {
-      const scheduleTime = clock.wallTime() + settings.earlyTime / 2;
-      if (job.accepted.spec.schedule && addDueOccurrences(job, scheduleTime)) {
-        this.onChange(job);
-      }
+      this.runGuarded(`schedule of job ${job.id}`, () => {
+        const scheduleTime = clock.wallTime() + settings.earlyTime / 2;
+        if (addDueOccurrences(job, scheduleTime)) {
+          this.onChange(job);
+        }
+      });
     }
     this.directory.settleContested(now);
     for (const target of [...this.directory.listTargets()]) {
-      const successor = this.directory.findSuccessor(target);
-      if (successor) {
-        this.incarnationCleanup.onSucceeded(target, successor, now);
-      }
-      this.incarnationCleanup.dropExpiredRuns(target, now);
+      this.runGuarded(`target ${target.key}`, () =>
+        this.dropEndedRuns(target, now),
+      );
     }
-    stopStragglers(
-      this.jobs.values(),
-      this.tracker,
-      this.estimator,
-      now,
-      logger,
+    this.runGuarded('stragglers', () =>
+      stopStragglers(
+        this.jobs.values(),
+        this.tracker,
+        this.estimator,
+        now,
+        logger,
+      ),
+    );
+    this.runGuarded('idle jobs', () =>
+      this.idleJobs.onTick(
+        this.jobs.values(),
+        this.directory.listTargets(),
+        now,
+      ),
     );
-    this.idleJobs.onTick(this.jobs.values(), this.directory.listTargets(), now);
-    this.directory.sweep(now, settings.maxLease);
-    this.writer.add(this.expiredJobs.encodeDueRemovals(now));
-    this.passRunner.onTick(now);
+    this.runGuarded('expiry', () => {
+      this.directory.sweep(now, settings.maxLease);
+      this.writer.add(this.expiredJobs.encodeDueRemovals(now));
+    });
+    this.runGuarded('pass', () => this.passRunner.onTick(now));
     this.writer.flush();
     this.writer.writeHeartbeatIfDue(now);
   }
 
+  /** Releases the allocations of a target whose incarnation or lease has ended. */
+  private dropEndedRuns(target: TargetState, now: Instant): void {
+    const successor = this.directory.findSuccessor(target);
+    if (successor) {
+      this.incarnationCleanup.onSucceeded(target, successor, now);
+    }
+    this.incarnationCleanup.dropExpiredRuns(target, now);
+  }
+
   private close(): void {
     this.isClosed = true;
     this.writer.close();
--- a/packages/dispatch/src/job_lifecycle.ts
+++ b/packages/dispatch/src/job_lifecycle.ts
@@ -25,8 +25,9 @@
  */
 const MAX_OPEN_TASKS = 4096;
 
-/** Number of occurrences that may be open whatever their number of tasks. */
+/** Number of occurrences that may be open whatever their number of tasks, and the limit of open ones. */
 const MIN_OPEN_OCCURRENCES = 16;
+const MAX_OPEN_OCCURRENCES = 256;
 
 /**
  * Creates the state of an accepted job, which a previous leader may have
@@ -162,10 +163,18 @@
     (sum, {count}) => sum + count,
     0,
   );
-  return Math.max(MIN_OPEN_OCCURRENCES, Math.floor(MAX_OPEN_TASKS / taskCount));
+  return Math.min(
+    MAX_OPEN_OCCURRENCES,
+    Math.max(MIN_OPEN_OCCURRENCES, Math.floor(MAX_OPEN_TASKS / taskCount)),
+  );
 }
 
 function addUnits(job: ActiveJob, occurrence: Occurrence): void {
+  const {steps} = job.accepted.spec;
+  if (occurrence.steps.length !== steps.length) {
+    const problem = `${occurrence.steps.length} steps instead of ${steps.length}`;
+    throw new Error(`the progress of job ${job.id} has ${problem}`);
+  }
   for (const [stepIndex, units] of occurrence.steps.entries()) {
     for (const [unitIndex, progress] of units.entries()) {
       const unit: ActiveUnit = {
@@ -173,7 +182,7 @@
         occurrence: occurrence.index,
         stepIndex,
         unitIndex,
-        step: job.accepted.spec.steps[stepIndex]!,
+        step: steps[stepIndex]!,
         progress,
         phase: 'waiting',
         allocations: [],
--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -214,7 +214,7 @@
         request,
         isolated,
         allCandidates,
-        this.chooseLocalWait(unit),
+        this.chooseLocalWait(unit, request, allCandidates),
       );
       if (placement) {
         this.addStart(unit, request, placement, isIsolated);
@@ -242,7 +242,11 @@
         : undefined);
     const isUrgent = urgency.tier === UrgencyTier.URGENT;
     const placement =
-      place(isUrgent ? 'while-feasible' : this.chooseLocalWait(unit)) ??
+      place(
+        isUrgent
+          ? 'while-feasible'
+          : this.chooseLocalWait(unit, request, allCandidates),
+      ) ??
       (isWaitOver && !this.needsTrustedTargets(unit)
         ? this.placeAtOnce(unit, request, unclaimed)
         : undefined);
@@ -256,7 +260,9 @@
       (this.hasTargetClaim(unit) ||
         this.reclaim(unit, urgency, request, candidates, allCandidates));
     const farPlacement =
-      isUrgent && !isReclaimed ? place(this.chooseLocalWait(unit)) : undefined;
+      isUrgent && !isReclaimed
+        ? place(this.chooseLocalWait(unit, request, allCandidates))
+        : undefined;
     if (farPlacement) {
       this.addStart(unit, request, farPlacement, isIsolated);
       return;
@@ -279,8 +285,7 @@
     candidates: readonly CandidateTarget[],
   ): Placement | undefined {
     const anyTarget = {...request, avoidedTargets: new Set<string>()};
-    const twice = {...anyTarget, count: request.count * 2};
-    if (!this.placement.placeAtOnce(twice, candidates, true)) {
+    if (!this.placement.fitsTwice(anyTarget, candidates)) {
       return undefined;
     }
     const isFar = this.idleWaits.isLocalWaitOver(unit);
@@ -293,9 +298,17 @@
     );
   }
 
-  /** A longer run takes capacity from others, so it replaces a wait only while most of the pool is free. */
-  private chooseLocalWait({job}: ActiveUnit): LocalWait {
-    return this.idleWaits.isMostlyFree(job.accepted.terms.pool)
+  /**
+   * A longer run takes capacity from others, so it replaces a wait only while
+   * most of the pool is free and the unit fits twice over.
+   */
+  private chooseLocalWait(
+    {job}: ActiveUnit,
+    request: PlacementRequest,
+    candidates: readonly CandidateTarget[],
+  ): LocalWait {
+    return this.idleWaits.isMostlyFree(job.accepted.terms.pool) &&
+      this.placement.fitsTwice(request, candidates)
       ? 'while-useful'
       : 'while-feasible';
   }
@@ -311,7 +324,7 @@
       unit,
       request,
       allCandidates,
-      this.chooseLocalWait(unit),
+      this.chooseLocalWait(unit, request, allCandidates),
     );
     const isReserved = reserveTargets(
       acceptsPenalty ? withoutLocality(request) : request,
--- a/packages/dispatch/src/policy/unit_placement.ts
+++ b/packages/dispatch/src/policy/unit_placement.ts
@@ -58,6 +58,15 @@
     return findPlacementAnywhere(request, candidates, endsBy);
   }
 
+  /** Whether twice the members fit on `candidates`, wherever they are and whether or not they are reserved. */
+  fitsTwice(
+    request: PlacementRequest,
+    candidates: readonly CandidateTarget[],
+  ): boolean {
+    const twice = {...withoutLocality(request), count: request.count * 2};
+    return findLocalPlacement(twice, candidates, -Infinity) !== undefined;
+  }
+
   /** Places a unit on `candidates`, whether or not they are reserved. */
   placeAtOnce(
     request: PlacementRequest,
--- a/packages/dispatch/src/record_writer.ts
+++ b/packages/dispatch/src/record_writer.ts
@@ -8,6 +8,7 @@
   type Logger,
   type Random,
   computeJitteredBackoff,
+  describeError,
 } from '@galenavalve/shared';
 import {
   type KeyedRecord,
@@ -15,7 +16,11 @@
   encodeLeadership,
   sleepUntilRecovery,
 } from '@galenavalve/workload';
-import type {FencingToken, FencedLog} from './fenced_log.js';
+import type {
+  FencedAppendOutcome,
+  FencingToken,
+  FencedLog,
+} from './fenced_log.js';
 import {LEADER_HEARTBEAT_MS} from './leader_monitor.js';
 
 /** Timeout of an append; about a hundred times the usual latency. */
@@ -43,15 +48,18 @@
  */
 export type BatchSource = (maxLength: number) => Batch | undefined;
 
-/** Writes records for one leader. */
-export class RecordWriter {
-  /** Send time of the last append that was confirmed. */
-  lastConfirmedAt: Instant;
+/** Send time of an append that was confirmed. */
+export interface ConfirmationTime {
+  at: Instant;
   /**
    * The same in Unix milliseconds; the wall clock also advances while an
    * instance is suspended.
    */
-  lastConfirmedWallTime: number;
+  wallTime: number;
+}
+
+/** Writes records for one leader. */
+export class RecordWriter {
   private sequence = 1;
   private isWriting = false;
   private extraRecords: KeyedRecord[] = [];
@@ -60,15 +68,14 @@
   constructor(
     private readonly log: FencedLog,
     private readonly leadership: Leadership,
+    /** Send time of the last append that was confirmed; at first that of the claim. */
+    public lastConfirmed: ConfirmationTime,
     private readonly takeBatch: BatchSource,
     private readonly onFenced: () => void,
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly logger: Logger,
-  ) {
-    this.lastConfirmedAt = clock.now();
-    this.lastConfirmedWallTime = clock.wallTime();
-  }
+  ) {}
 
   /** Adds records to the next append. */
   add(records: readonly KeyedRecord[]): void {
@@ -90,7 +97,7 @@
    * interval.
    */
   writeHeartbeatIfDue(now: Instant): void {
-    if (!this.isWriting && now - this.lastConfirmedAt >= LEADER_HEARTBEAT_MS) {
+    if (!this.isWriting && now - this.lastConfirmed.at >= LEADER_HEARTBEAT_MS) {
       void this.writeAll(true);
     }
   }
@@ -153,16 +160,13 @@
   private async write(records: readonly KeyedRecord[]): Promise<boolean> {
     const fencing = this.createFencingToken();
     for (let attempt = 0; !this.isClosed; attempt++) {
-      const sentAt = this.clock.now();
-      const sentWallTime = this.clock.wallTime();
-      const result = await this.log.appendFenced(
-        fencing,
-        records,
-        APPEND_TIMEOUT_MS,
-      );
+      const sentAt = {
+        at: this.clock.now(),
+        wallTime: this.clock.wallTime(),
+      };
+      const result = await this.appendSafely(fencing, records);
       if (result.kind === 'appended') {
-        this.lastConfirmedAt = sentAt;
-        this.lastConfirmedWallTime = sentWallTime;
+        this.lastConfirmed = sentAt;
         return !this.isClosed;
       }
       if (result.kind === 'fenced') {
@@ -190,4 +194,16 @@
     }
     return false;
   }
+
+  /** Appends once; an unexpected error leaves the outcome unknown. */
+  private async appendSafely(
+    fencing: FencingToken,
+    records: readonly KeyedRecord[],
+  ): Promise<FencedAppendOutcome> {
+    try {
+      return await this.log.appendFenced(fencing, records, APPEND_TIMEOUT_MS);
+    } catch (error) {
+      return {kind: 'unknown', problem: describeError(error)};
+    }
+  }
 }
