Emulator: a target that crashes during a call does not answer it; crash notices

A start during which another run crashed its target was added to the crashed target and counted as a present member of its gang, which then ended done; a poll returned an empty listing of it. Calls to a target that crashes meanwhile now get no response, as from the users' targets.

A run that is lost in a crash is no idle time of its job until instances can know of the crash: until the target's restart is seen, or, if it stays down, until its lease has expired even for a leader that took over.

--- a/packages/emulator/src/cluster_view.ts
+++ b/packages/emulator/src/cluster_view.ts
@@ -1,5 +1,6 @@
 /** What an observer outside the cluster sees of it at one moment. */
 import type {TargetInfo} from '@galenavalve/dispatch';
+import type {Instant} from '@galenavalve/shared';
 import {
   type AcceptedJob,
   type Demand,
@@ -21,6 +22,8 @@
 export interface ObservedJob {
   id: string;
   job: AcceptedJob;
+  /** Time until which a run of it may have been lost in a crash that no instance can know of. */
+  mayBeLostUntil: Instant;
   /** State of its units as an instance knows it, for reports. */
   describe: () => string;
 }
@@ -48,7 +51,7 @@
 
 /** Lists the units of a job of which the turn has come and that are not done. */
 export function listDueUnits(
-  {id, job}: ObservedJob,
+  {id, job}: Pick<ObservedJob, 'id' | 'job'>,
   {isDone, wallTime}: Pick<ClusterView, 'isDone' | 'wallTime'>,
 ): DueUnit[] {
   const {steps, schedule} = job.spec;
--- a/packages/emulator/src/emulated_cluster.ts
+++ b/packages/emulator/src/emulated_cluster.ts
@@ -241,11 +241,6 @@
     return [...this.accepted];
   }
 
-  /** Whether a caller has asked to cancel a job. */
-  isCancelRequested(id: string): boolean {
-    return this.cancelled.has(id);
-  }
-
   private async trackAccepted(
     id: string,
     submission: ReturnType<EmulatedInstance['gateway']['submit']>,
@@ -319,6 +314,7 @@
     return open.map(id => ({
       id,
       job: this.jobs.get(id)!,
+      mayBeLostUntil: this.auditor.findLastCrash(id) + this.fleet.crashNotice,
       describe: () => {
         const progress = table.find(id)?.progress?.read();
         return `progress ${JSON.stringify(progress ?? 'none').slice(0, 1000)}`;
@@ -384,7 +380,7 @@
     const {domains, targetsPerRack} = this.options;
     return {
       id: `t${index}`,
-      born: 1,
+      born: 1000,
       address: `target-${index}`,
       pool: POOL,
       domain: `d${index % domains}`,
--- a/packages/emulator/src/emulated_fleet.ts
+++ b/packages/emulator/src/emulated_fleet.ts
@@ -41,6 +41,12 @@
 /** Time after a crash for which the entry of the crashed incarnation stays in the registry. */
 const REGISTRY_EXPIRY_MS = 4500;
 
+/** Time in which an instance notices that a target has restarted. */
+const RESTART_NOTICE_MS = 1000;
+
+/** Time in which instances know that the lease of a target has expired that does not restart, also after a takeover. */
+const MAX_LEASE_END_MS = 14_000;
+
 /** Injectable faults of the network. */
 export interface FleetFaults {
   /** Ids of targets that no instance can reach. */
@@ -153,6 +159,13 @@
     }
   }
 
+  /** Returns the time after a crash from which on instances can know that the runs on the target have ended. */
+  get crashNotice(): Milliseconds {
+    return this.faults.staysDownAfterCrash
+      ? MAX_LEASE_END_MS
+      : RESTART_DELAY_MS + RESTART_NOTICE_MS;
+  }
+
   /** Advances every target in time until `isFinished` returns true. */
   async run(isFinished: () => boolean): Promise<void> {
     while (!isFinished()) {
@@ -255,7 +268,7 @@
 
   onTargetCrash(target: EmulatedTarget): void {
     this.disturbances.record(this.clock.now());
-    this.auditor.onTargetCrash(target);
+    this.auditor.onTargetCrash(target, this.clock.now());
     target.refusesConnections = true;
     target.crash();
     if (this.faults.staysDownAfterCrash) {
--- a/packages/emulator/src/emulated_target.ts
+++ b/packages/emulator/src/emulated_target.ts
@@ -78,6 +78,9 @@
   onAcknowledged(target: EmulatedTarget, end: ListedEnd): void;
 }
 
+/** Outcome of a call during which the target crashes. */
+const CRASHED = {kind: 'unknown', problem: 'no response'} as const;
+
 /** One incarnation of a target. */
 export class EmulatedTarget {
   readonly faults: TargetFaults = {hangs: false, failsAll: false, slowness: 1};
@@ -146,6 +149,9 @@
   /** Starts a run; refuses an older epoch, an expired lease and a run that is not newer. */
   start(command: StartCommand, now: Instant): CommandOutcome {
     this.advance(now);
+    if (!this.isUp) {
+      return CRASHED;
+    }
     const clock = this.readClock(now);
     if (command.epoch < this.fence) {
       return {kind: 'refused', reason: 'fenced', clock};
@@ -186,6 +192,9 @@
   /** Stops a run, or prevents it from being started later. */
   stop(command: StopCommand, now: Instant): CommandOutcome {
     this.advance(now);
+    if (!this.isUp) {
+      return CRASHED;
+    }
     const clock = this.readClock(now);
     if (command.epoch < this.fence) {
       return {kind: 'refused', reason: 'fenced', clock};
@@ -206,6 +215,9 @@
   /** Extends the lease, drops acknowledged ends and returns a listing. */
   poll(request: PollRequest, now: Instant): PollOutcome {
     this.advance(now);
+    if (!this.isUp) {
+      return CRASHED;
+    }
     const clock = this.readClock(now);
     if (request.epoch < this.fence) {
       return {kind: 'refused', reason: 'fenced', clock};
--- a/packages/emulator/src/end_audit.ts
+++ b/packages/emulator/src/end_audit.ts
@@ -41,12 +41,12 @@
   id: string,
 ): string | undefined {
   const {auditor, clock} = cluster;
-  if (cluster.isCancelRequested(id)) {
+  if (auditor.isCancelConfirmed(id)) {
     return 'it was cancelled';
   }
   const job = cluster.jobs.get(id)!;
   const units = listDueUnits(
-    {id, job, describe: () => id},
+    {id, job},
     {
       isDone: task => auditor.doneTasks.has(task),
       wallTime: clock.wallTime(),
--- a/packages/emulator/src/idle_job_check.ts
+++ b/packages/emulator/src/idle_job_check.ts
@@ -83,7 +83,8 @@
         }
       };
       const fitting = units.find(unit => hasPlentyOfRoom(unit, pool));
-      if (isEnd && fitting && !runningJobs.has(job.id)) {
+      const isKnown = now >= job.mayBeLostUntil;
+      if (isEnd && isKnown && fitting && !runningJobs.has(job.id)) {
         check(job.id, fitting, MAX_IDLE_MS);
       }
       for (const unit of units.filter(({step}) => step.isLongRunning)) {
--- a/packages/emulator/src/run_auditor.ts
+++ b/packages/emulator/src/run_auditor.ts
@@ -72,6 +72,8 @@
 
   /** Number of targets that crashed while a task ran on them, by task. */
   readonly crashes = new Map<string, number>();
+  /** When a target last crashed under a task, by job. */
+  private readonly lastCrashes = new Map<string, Instant>();
   /** Failed runs, acknowledged or not, by attempt key. */
   private readonly failedRuns = new Map<string, Set<number>>();
   private readonly startsAfterCrashes = new Map<string, number>();
@@ -100,6 +102,11 @@
     this.cancelledAt.set(id, this.cancelledAt.get(id) ?? now);
   }
 
+  /** Whether the cancellation of a job was confirmed to its caller. */
+  isCancelConfirmed(id: string): boolean {
+    return this.cancelledAt.has(id);
+  }
+
   /** Checks all invariants at the start of a run; `all` are the current runs of all targets. */
   onStart(
     target: EmulatedTarget,
@@ -162,12 +169,18 @@
   }
 
   /** Records that a target crashes with the runs on it. */
-  onTargetCrash(target: EmulatedTarget): void {
+  onTargetCrash(target: EmulatedTarget, now: Instant): void {
     for (const task of target.runs.keys()) {
+      this.lastCrashes.set(task.split('.')[0]!, now);
       this.crashes.set(task, (this.crashes.get(task) ?? 0) + 1);
     }
   }
 
+  /** Returns when a target last crashed under a task of a job. */
+  findLastCrash(id: string): Instant {
+    return this.lastCrashes.get(id) ?? -Infinity;
+  }
+
   /** Checks that a job that is shown as failed has a task that may be given up. */
   onShownAsFailed(id: string, now: Instant): void {
     const isOfJob = (task: string) => task.startsWith(`${id}.`);
