--- a/packages/emulator/src/emulated_fleet.ts
+++ b/packages/emulator/src/emulated_fleet.ts
@@ -13,7 +13,7 @@
 import type {Clock, Instant, Milliseconds, Random} from '@galenavalve/shared';
 import type {Demand} from '@galenavalve/workload';
 import {Disturbances} from './disturbances.js';
-import type {RunAuditor} from './run_auditor.js';
+import {CAPACITY_GRACE_MS, type RunAuditor} from './run_auditor.js';
 import {
   type EmulatedRun,
   EmulatedTarget,
@@ -104,7 +104,9 @@
       this.bounds,
       this,
       this.clock.now(),
-      this.targets.get(info.id)?.info.capacity,
+      this.targets
+        .get(info.id)
+        ?.findMaxCapacity(this.clock.now() - CAPACITY_GRACE_MS),
     );
     target.guardsCapacity = this.guardsCapacity;
     this.targets.set(info.id, target);
--- a/packages/emulator/src/emulated_target.ts
+++ b/packages/emulator/src/emulated_target.ts
@@ -112,7 +112,7 @@
     private readonly bounds: TargetBounds,
     private readonly environment: TargetEnvironment,
     private readonly startedAt: Instant,
-    /** Capacity of the former incarnation with the same id; undefined if there is none. */
+    /** Highest capacity of the former incarnation with the same id that instances may know; undefined if there is none. */
     private formerCapacity?: Demand,
   ) {
     this.advancedAt = startedAt;
