Poll an incarnation that a record names when its entry comes second

A new leader makes a placeholder for an incarnation that a record names. If the registry lists an older incarnation of the id first, the newer entry replaced that one by the placeholder without registering or polling it: the target took no work and its runs lapsed until its entry changed again. A replacement is now always added, as a first entry is, which registers and polls a placeholder.

--- a/packages/dispatch/src/target_directory.ts
+++ b/packages/dispatch/src/target_directory.ts
@@ -2,7 +2,7 @@
 import type {Instant, Milliseconds} from '@galenavalve/shared';
 import type {TargetReference} from '@galenavalve/workload';
 import {MAX_INCARNATIONS} from './leader_monitor.js';
-import {type TargetInfo, formatIncarnationKey} from './target_info.js';
+import type {TargetInfo} from './target_info.js';
 import {TargetState} from './target_state.js';
 
 /** Events of the directory. */
@@ -155,11 +155,8 @@
 
   private replace(target: TargetState, info: TargetInfo): TargetState {
     this.remove(target);
-    const next = this.byIncarnation.get(
-      formatIncarnationKey(info.id, info.born),
-    );
     const offset = Math.min(target.epochOffset + 1, MAX_INCARNATIONS - 1);
-    const replacement = next ?? this.add(info, offset);
+    const replacement = this.add(info, offset);
     this.events.onTargetReplaced(target, replacement);
     return replacement;
   }
