Avoid at most a quarter of a pool's targets at a time

A wide step whose tasks fail, or starts sent to targets that have just shrunk, put several failures on every target at once, and then no target took anything, though all were empty. That many targets with failures say that the tasks are at fault. A target is now avoided only while under a quarter of the others of its pool are; further ones stay doubted, so that others are preferred to them.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -122,6 +122,7 @@
       },
       this.estimator,
       logger,
+      () => this.directory.listTargets(),
     );
     this.adviceCache = new AdviceCache(
       dependencies.advisor,
--- a/packages/dispatch/src/run_tracker.ts
+++ b/packages/dispatch/src/run_tracker.ts
@@ -31,6 +31,12 @@
  */
 const AVOIDANCE_FAILURE_THRESHOLD = 2;
 
+/**
+ * Share of a pool's targets that may be avoided at a time. If more of them have
+ * failures, the tasks are at fault rather than the targets.
+ */
+const MAX_AVOIDED_SHARE = 0.25;
+
 /** Weight of a failure of a job that has failed on other targets before. */
 const REPEATED_FAILURE_WEIGHT = 0.5;
 
@@ -48,6 +54,7 @@
     private readonly events: RunEvents,
     private readonly estimator: DurationEstimator,
     private readonly logger: Logger,
+    private readonly listTargets: () => Iterable<TargetState> = () => [],
   ) {}
 
   /**
@@ -198,11 +205,12 @@
 
   /**
    * Counts `failures` of runs that failed or stalled on a target, and avoids it
-   * from a threshold on. Each further failure doubles the time.
+   * from a threshold on, unless many others are avoided. Each further failure
+   * doubles the time.
    */
   onTargetFault(target: TargetState, failures: number, now: Instant): void {
     const score = target.faults.add(failures, now);
-    if (score < AVOIDANCE_FAILURE_THRESHOLD) {
+    if (score < AVOIDANCE_FAILURE_THRESHOLD || !this.mayAvoid(target, now)) {
       return;
     }
     const doublings = score - AVOIDANCE_FAILURE_THRESHOLD;
@@ -236,6 +244,19 @@
     }
   }
 
+  /** Whether few enough other targets of the pool are avoided. */
+  private mayAvoid({info}: TargetState, now: Instant): boolean {
+    let others = 0;
+    let avoided = 0;
+    for (const other of this.listTargets()) {
+      if (other.info.pool === info.pool && other.info.id !== info.id) {
+        others++;
+        avoided += other.avoidUntil > now ? 1 : 0;
+      }
+    }
+    return avoided === 0 || avoided < others * MAX_AVOIDED_SHARE;
+  }
+
   /**
    * Marks a unit as done by an earlier run that was given up, for example
    * because its target was cut off, but completed nevertheless.
--- a/packages/emulator/__tests__/starved_jobs.spec.ts
+++ b/packages/emulator/__tests__/starved_jobs.spec.ts
@@ -5,14 +5,9 @@
 const STARVED = createId(1);
 const FULL = {cpu: 64_000, memoryMb: 131_072, accelerators: 8};
 
-interface StarvingClusterOptions {
-  targets: number;
-  targetsPerRack?: number;
-}
+type ClusterOptions = ConstructorParameters<typeof EmulatedCluster>[0];
 
-async function startCluster(
-  options: StarvingClusterOptions,
-): Promise<EmulatedCluster> {
+async function startCluster(options: ClusterOptions): Promise<EmulatedCluster> {
   const cluster = new EmulatedCluster({targetsPerRack: 4, ...options});
   await cluster.waitUntil(() => cluster.findLeader() !== undefined, 5000);
   await cluster.advance(1000);
@@ -111,3 +106,45 @@
     cluster.close();
   },
 );
+
+// Guards against a step of failing tasks that has all targets avoided, as if each were at fault.
+t.test(
+  'a job starts although the tasks of a wide step fail on every target',
+  async t => {
+    const wide = createId(2);
+    const cluster = await startCluster({
+      targets: 12,
+      getTaskBehavior: task => ({
+        work: 1000,
+        failsAt: task.startsWith(wide) ? 0.5 : undefined,
+        savesProgress: false,
+        gangSize: 1,
+      }),
+    });
+    void cluster.submit(wide, createSpec([createStep({count: 96})]), 1);
+    await cluster.advance(1000);
+    void cluster.submit(STARVED, createSpec(), 2);
+    t.same(await listIdleJobs(cluster, 8000), []);
+    cluster.close();
+  },
+);
+
+// Guards against starts that are refused for want of room and have all targets avoided.
+t.test(
+  'a job starts although starts were refused on every target that has shrunk',
+  async t => {
+    const cluster = await startCluster({targets: 12, guardsCapacity: true});
+    const wide = createStep({count: 96, estimateMs: 300});
+    for (const id of cluster.fleet.targets.keys()) {
+      cluster.fleet.resizeTarget(id, {...FULL, accelerators: 3});
+    }
+    void cluster.submit(createId(2), createSpec([wide]), 1);
+    await cluster.advance(1000);
+    for (const id of cluster.fleet.targets.keys()) {
+      cluster.fleet.resizeTarget(id, FULL);
+    }
+    void cluster.submit(STARVED, createSpec(), 2);
+    t.same(await listIdleJobs(cluster, 8000), []);
+    cluster.close();
+  },
+);
