Show that a crashing task stays unblamed beside other suspects

A crash blames runs that the target never listed and those under suspicion, and others only if there are none.

--- a/packages/dispatch/__tests__/crash_attribution.spec.ts
+++ b/packages/dispatch/__tests__/crash_attribution.spec.ts
@@ -131,3 +131,19 @@
     t.equal(countCrashes(unit), 1);
   },
 );
+
+// Guards against a chain of crashes whose cause is never blamed, since each target also has a run that it has not listed yet.
+t.test(
+  'a task that crashes targets that listed it is given up although another run is suspected each time',
+  async t => {
+    const unit = createUnit('1');
+    for (let round = 0; round < 5; round++) {
+      const start = round * 10_000;
+      const target = startRun(unit, start, start + 1400);
+      const other = createUnit(`other-${round}`);
+      startRun(other, start + 1450, undefined, target);
+      crashes.onCrash(target, start + 4500);
+    }
+    t.ok(unit.job.hasFailed);
+  },
+);
