--- a/packages/emulator/__tests__/starved_jobs.spec.ts
+++ b/packages/emulator/__tests__/starved_jobs.spec.ts
@@ -148,3 +148,25 @@
     cluster.close();
   },
 );
+
+// Guards against a task that has failed on each target that may run it, and avoids them all for good.
+t.test(
+  'a task that has failed on every target with its label is tried again',
+  async t => {
+    const cluster = await startCluster({
+      targets: 12,
+      targetsPerRack: 2,
+      getTaskBehavior: () => ({
+        work: 500,
+        failsAt: 0.5,
+        savesProgress: false,
+        gangSize: 1,
+      }),
+    });
+    const task = createStep({count: 1, requiredLabel: 'r0'});
+    void cluster.submit(STARVED, createSpec([task]));
+    t.same(await listIdleJobs(cluster, 12_000), []);
+    t.equal(cluster.getJobState(STARVED), 'failed');
+    cluster.close();
+  },
+);
