--- a/packages/dispatch/__tests__/target_incarnations.spec.ts
+++ b/packages/dispatch/__tests__/target_incarnations.spec.ts
@@ -56,6 +56,40 @@
   },
 );
 
+// Guards against a target that no poll reaches any more, so that its runs lapse and its capacity is lost.
+t.test(
+  'an incarnation that a record names is polled once the registry lists it, although an older entry came first',
+  async t => {
+    const {directory, sessions} = createDirectory();
+    const reference = {incarnation: 'a@2', address: 'a:1'};
+    const named = directory.findOrCreateIncarnation(reference);
+    directory.onRegistered(createInfo('a', 1), 0, 0);
+    const former = sessions[0]!;
+    former.unresponsiveSince = 0;
+    directory.onRegistered(createInfo('a', 2), 5000, 5000);
+    t.same(
+      sessions.map(({key}) => key),
+      ['a@1', 'a@2'],
+    );
+    t.equal(sessions[1], named);
+    t.ok(named.isRegistered);
+    t.equal(named.info.pool, 'p');
+    t.ok(former.isRemoved);
+  },
+);
+
+t.test('an older entry does not replace a newer incarnation', async t => {
+  const {directory, sessions} = createDirectory();
+  directory.onRegistered(createInfo('a', 2), 0, 0);
+  sessions[0]!.hasListing = true;
+  directory.onRegistered(createInfo('a', 1), 5000, 5000);
+  t.same(
+    sessions.map(({key}) => key),
+    ['a@2'],
+  );
+  t.ok(sessions[0]!.isRegistered);
+});
+
 // Guards against a leader that resigns because a target which was away for long refuses its epoch.
 t.test(
   'a target that was swept and comes back gets no lower epoch than before',
--- a/packages/emulator/src/run_auditor.ts
+++ b/packages/emulator/src/run_auditor.ts
@@ -54,7 +54,7 @@
 const MIN_CRASHES_TO_GIVE_UP = 2;
 
 /** Time for which the capacity before a reduction still counts: that in which instances are told of it, and one report of the target. */
-const CAPACITY_GRACE_MS = 3000 + 1500;
+export const CAPACITY_GRACE_MS = 3000 + 1500;
 
 /** Receives every start, end and acknowledgement of a run and collects violations. */
 export class RunAuditor {
@@ -72,6 +72,8 @@
 
   /** Number of targets that crashed while a task ran on them, by task. */
   readonly crashes = new Map<string, number>();
+  /** When a target last crashed under a task, by job. */
+  private readonly lastCrashes = new Map<string, Instant>();
   /** Failed runs, acknowledged or not, by attempt key. */
   private readonly failedRuns = new Map<string, Set<number>>();
   private readonly startsAfterCrashes = new Map<string, number>();
@@ -100,6 +102,11 @@
     this.cancelledAt.set(id, this.cancelledAt.get(id) ?? now);
   }
 
+  /** Whether the cancellation of a job was confirmed to its caller. */
+  isCancelConfirmed(id: string): boolean {
+    return this.cancelledAt.has(id);
+  }
+
   /** Checks all invariants at the start of a run; `all` are the current runs of all targets. */
   onStart(
     target: EmulatedTarget,
@@ -162,12 +169,18 @@
   }
 
   /** Records that a target crashes with the runs on it. */
-  onTargetCrash(target: EmulatedTarget): void {
+  onTargetCrash(target: EmulatedTarget, now: Instant): void {
     for (const task of target.runs.keys()) {
+      this.lastCrashes.set(task.split('.')[0]!, now);
       this.crashes.set(task, (this.crashes.get(task) ?? 0) + 1);
     }
   }
 
+  /** Returns when a target last crashed under a task of a job. */
+  findLastCrash(id: string): Instant {
+    return this.lastCrashes.get(id) ?? -Infinity;
+  }
+
   /** Checks that a job that is shown as failed has a task that may be given up. */
   onShownAsFailed(id: string, now: Instant): void {
     const isOfJob = (task: string) => task.startsWith(`${id}.`);
