Note the crash of a run that is too short to be looked at

The watch looks every 50 ms and had not seen these runs, so it did not allow the 3.3 s that the notice of a crash takes.

It now learns of each crash from the target. The bounds are the same; a job that does not crash targets gets no allowance.

--- a/packages/emulator/__tests__/idle_capacity.spec.ts
+++ b/packages/emulator/__tests__/idle_capacity.spec.ts
@@ -1,10 +1,6 @@
 /** Incident LOST: a job could run and does not, while most of the capacity is free. */
 import t from 'tap';
-import {
-  EmulatedCluster,
-  type EmulatedTarget,
-  type TaskBehavior,
-} from '@galenavalve/emulator';
+import {EmulatedCluster, type TaskBehavior} from '@galenavalve/emulator';
 import {SeededRandom, nextInteger} from '@galenavalve/shared';
 import type {Step} from '@galenavalve/workload';
 import {createId, createSpec, createStep} from './fixtures.js';
@@ -48,11 +44,18 @@
   /** Longest time by job, in milliseconds. */
   readonly longest = new Map<string, number>();
   private readonly idleSince = new Map<string, number>();
-  /** Targets that were seen with runs of a job, by job. */
-  private readonly runsOn = new Map<string, Set<EmulatedTarget>>();
-  private readonly crashedAt = new Map<EmulatedTarget, number>();
+  /** When a target last crashed under a run of a job, by job; the run may have been too short to be looked at. */
+  private readonly crashedAt = new Map<string, number>();
 
-  constructor(private readonly cluster: EmulatedCluster) {}
+  constructor(private readonly cluster: EmulatedCluster) {
+    cluster.fleet.observers.add({
+      onEnd: ({isUp}, {task}, _kind, now) => {
+        if (!isUp) {
+          this.crashedAt.set(task.split('.')[0]!, now);
+        }
+      },
+    });
+  }
 
   /** Advances virtual time by `duration` milliseconds. */
   async advance(duration: number): Promise<void> {
@@ -69,16 +72,11 @@
     let used = 0;
     const now = cluster.clock.now();
     for (const target of cluster.fleet.targets.values()) {
-      if (!target.isUp && !this.crashedAt.has(target)) {
-        this.crashedAt.set(target, now);
-      }
       let left = target.isUp ? target.info.capacity.accelerators : 0;
       for (const {task} of target.isUp ? target.runs.values() : []) {
         const id = task.split('.')[0]!;
         const {demand} = cluster.jobs.get(id)!.spec.steps[0]!;
         running.add(id);
-        const seenOn = this.runsOn.get(id) ?? new Set();
-        this.runsOn.set(id, seenOn.add(target));
         left -= demand.accelerators;
         used += demand.accelerators;
       }
@@ -101,10 +99,8 @@
         continue;
       }
       // A crash can be noticed when the next incarnation is registered.
-      const crashes = [...(this.runsOn.get(id) ?? [])].map(
-        target => (this.crashedAt.get(target) ?? -Infinity) + CRASH_NOTICE_MS,
-      );
-      const since = Math.max(this.idleSince.get(id) ?? now, ...crashes);
+      const noticedAt = (this.crashedAt.get(id) ?? -Infinity) + CRASH_NOTICE_MS;
+      const since = Math.max(this.idleSince.get(id) ?? now, noticedAt);
       this.idleSince.set(id, since);
       this.longest.set(id, Math.max(this.longest.get(id) ?? 0, now - since));
     }
