--- a/packages/dispatch/__tests__/target_directory.spec.ts
+++ b/packages/dispatch/__tests__/target_directory.spec.ts
@@ -149,3 +149,16 @@
   targets.get('odd')!.hasListing = true;
   t.equal(directory.findSuccessor(target), targets.get('odd'));
 });
+
+// Guards against a restart at another address that is never polled because the former entry is read once more.
+t.test('a repeated entry does not drop that of a restart', async t => {
+  const {directory, info, respond, targets} = createDirectory();
+  const restarted = createInfo({born: WALL_NOW, address: 'b:1'});
+  const target = targets.get('w')!;
+  respond(1000);
+  directory.onRegistered(restarted, 1010, WALL_NOW);
+  directory.onRegistered(info, 1020, WALL_NOW);
+  target.unresponsiveSince = 1100;
+  directory.settleContested(3200);
+  t.equal(targets.get('w')!.info.born, restarted.born);
+});
--- a/packages/dispatch/src/policy/decision.ts
+++ b/packages/dispatch/src/policy/decision.ts
@@ -268,7 +268,9 @@
       return;
     }
     this.addObstacle(unit, this.findObstacle(unit, request));
-    this.unplaceableShapes.add(shapeKey);
+    if (!isReclaimed) {
+      this.unplaceableShapes.add(shapeKey);
+    }
     if (!isReclaimed && this.reservationCount < MAX_RESERVATIONS) {
       this.reserve(unit, request, candidates, allCandidates);
     }
--- a/packages/dispatch/src/policy/idle_waits.ts
+++ b/packages/dispatch/src/policy/idle_waits.ts
@@ -15,6 +15,9 @@
 const MAX_IDLE_WAIT_MS: Milliseconds = 1500;
 const MAX_IDLE_LOCAL_WAIT_MS: Milliseconds = 2500;
 
+/** Time without a response from which on the runs of a target do not count as use. */
+const SILENCE_MS: Milliseconds = 1000;
+
 /** Share of the capacity in use from which on the platform lets jobs wait. */
 const MAX_USED_SHARE = 0.5;
 
@@ -42,8 +45,8 @@
     const {waitingSince = Infinity, job, step} = unit;
     return (
       this.now - waitingSince >= limit &&
-      (step.isLongRunning || this.isIdle(job)) &&
-      this.isMostlyFree(job.accepted.terms.pool)
+      (step.isLongRunning ||
+        (this.isIdle(job) && this.isMostlyFree(job.accepted.terms.pool)))
     );
   }
 
@@ -55,7 +58,9 @@
   private isIdle(job: ActiveJob): boolean {
     let isIdle = this.idleJobs.get(job);
     if (isIdle === undefined) {
-      isIdle = job.units.every(({phase}) => phase === 'waiting');
+      isIdle = job.units.every(
+        ({phase}) => phase === 'waiting' || phase === 'stopping',
+      );
       this.idleJobs.set(job, isIdle);
     }
     return isIdle;
@@ -67,6 +72,7 @@
     if (isFree === undefined) {
       isFree = isMostlyFree(
         this.targets.filter(({info}) => info.pool === pool),
+        this.now,
       );
       this.freePools.set(pool, isFree);
     }
@@ -74,11 +80,15 @@
   }
 }
 
-function isMostlyFree(targets: readonly TargetState[]): boolean {
+function isMostlyFree(targets: readonly TargetState[], now: Instant): boolean {
   let capacity = 0;
   let free = 0;
   for (const target of targets) {
-    if (target.isRegistered && !target.isRemoved) {
+    if (
+      target.isRegistered &&
+      !target.isRemoved &&
+      !target.isSilent(now, SILENCE_MS)
+    ) {
       capacity += countCores(target.info.capacity);
       free += Math.max(0, countCores(target.computeFreeCapacity()));
     }
--- a/packages/dispatch/src/target_directory.ts
+++ b/packages/dispatch/src/target_directory.ts
@@ -81,7 +81,9 @@
       return;
     }
     const current = this.byId.get(info.id);
-    this.contested.delete(info.id);
+    if (info.born >= (this.contested.get(info.id)?.born ?? 0)) {
+      this.contested.delete(info.id);
+    }
     if (!current) {
       this.add(info);
     } else if (info.born === current.info.born) {
--- a/packages/emulator/src/cluster_view.ts
+++ b/packages/emulator/src/cluster_view.ts
@@ -49,6 +49,9 @@
   members: number;
 }
 
+/** Limit of occurrences that are looked at; a schedule may have any number of times due at once. */
+const MAX_OCCURRENCES = 500;
+
 /** Lists the units of a job of which the turn has come and that are not done. */
 export function listDueUnits(
   {id, job}: Pick<ObservedJob, 'id' | 'job'>,
@@ -56,11 +59,8 @@
 ): DueUnit[] {
   const {steps, schedule} = job.spec;
   const units: DueUnit[] = [];
-  for (
-    let occurrence = 0;
-    occurrence < countOccurrences(job.spec);
-    occurrence++
-  ) {
+  const count = Math.min(countOccurrences(job.spec), MAX_OCCURRENCES);
+  for (let occurrence = 0; occurrence < count; occurrence++) {
     const {startAt = 0, intervalMs = 0} = schedule ?? {};
     if (schedule && wallTime < startAt + occurrence * intervalMs) {
       break;
--- a/packages/emulator/src/idle_job_check.ts
+++ b/packages/emulator/src/idle_job_check.ts
@@ -149,9 +149,9 @@
   return {targets: states, shareInUse};
 }
 
-/** Whether a unit fits twice over while under half of the pool is in use. */
+/** Whether a unit fits twice over while under half of the pool is in use, however full it is for a long-running task. */
 function hasPlentyOfRoom(unit: DueUnit, pool: PoolState): boolean {
-  if (pool.shareInUse >= MAX_SHARE_IN_USE) {
+  if (!unit.step.isLongRunning && pool.shareInUse >= MAX_SHARE_IN_USE) {
     return false;
   }
   const fits = sum(pool.targets, target => countFits(unit, target));
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -116,7 +116,11 @@
   let isFinished = false;
   const standins = await Promise.all(
     Array.from({length: TARGET_COUNT}, (_, index) =>
-      serveTarget(fleet.createTargetPort(), `t${index}`),
+      serveTarget(
+        fleet.createTargetPort(),
+        `t${index}`,
+        () => fleet.targets.get(`t${index}`)!.info.address,
+      ),
     ),
   );
   const register = (info: TargetInfo) =>
--- a/packages/soak/src/standins/target_standin.ts
+++ b/packages/soak/src/standins/target_standin.ts
@@ -18,11 +18,15 @@
   ticket: 'ticket',
 };
 
-/** Serves the emulated target with the given id. */
-export function serveTarget(port: TargetPort, id: string): Promise<Standin> {
+/** Serves the emulated target with the given id; `findAddress` returns the address that the target is registered with. */
+export function serveTarget(
+  port: TargetPort,
+  id: string,
+  findAddress: () => string,
+): Promise<Standin> {
   return serveHttp(async ({path, body}) => {
     const request = JSON.parse(body.toString('utf8'));
-    const target = {id, address: id};
+    const target = {id, address: findAddress()};
     switch (path) {
       case '/v1/run-start':
         return createResponse(
