Review: a job that was shown as complete runs again

While the store is down, the leader alone knows that the job is complete and says so; with the leader killed and the target crashed, the next leader runs the job again.

--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -25,6 +25,8 @@
    * response and is carried out after that time, nothing for a usual one.
    */
   decideAppend = () => undefined;
+  /** Whether the store is down: it answers no call and accepts no writing. */
+  isDown = false;
   /** Called when records are in the log. */
   onAppended = () => {};
 
@@ -44,6 +46,9 @@
 
   /** Writes a record as the operator or a worker. */
   write(topicName, key, value) {
+    if (this.isDown) {
+      return;
+    }
     const topic = this.findTopic(topicName);
     this.add(topic, [{key, value: Buffer.from(value)}]);
   }
@@ -87,8 +92,8 @@
     }
     const url = new URL(request.url, 'http://store');
     const body = Buffer.concat(chunks);
-    const reply = await this.handle(url, body);
-    if (!reply) {
+    const reply = this.isDown ? undefined : await this.handle(url, body);
+    if (!reply || this.isDown) {
       // The connection returns nothing further.
       return;
     }
--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -161,21 +161,32 @@
     });
   }
 
-  /** Stops the instance that wrote as the leader last, and starts it again. */
-  stopLeader() {
+  /** Returns the index of the instance that wrote as the leader last. */
+  findLeader() {
     const holder = this.leader?.split('/')[0];
-    const daemon = this.daemons.find(({name}) => name === holder);
-    if (!daemon) {
+    const index = this.daemons.findIndex(({name}) => name === holder);
+    if (index < 0) {
       throw new Error('there is no leader');
     }
-    this.record(`${daemon.name}, the leader, gets SIGTERM`);
+    return index;
+  }
+
+  /** Stops the leader, and starts it again. */
+  stopLeader() {
+    this.endDaemon(this.findLeader(), 'SIGTERM', 300);
+  }
+
+  /** Sends a signal to an instance, and starts it again `delayMs` after its end. */
+  endDaemon(index, signal, delayMs) {
+    const daemon = this.daemons[index];
+    this.record(`${daemon.name} gets ${signal}`);
     daemon.wanted = false;
     const {child} = daemon;
     child.once('exit', () => {
       this.record(`${daemon.name} has ended, and is started again`);
-      setTimeout(() => this.isStopped || this.startDaemon(daemon), 300);
+      setTimeout(() => this.isStopped || this.startDaemon(daemon), delayMs);
     });
-    child.kill('SIGTERM');
+    child.kill(signal);
   }
 
   async waitUntilReady(timeoutMs = 20_000) {
