Review: tasks run again after their target restarted

The first poll of a new incarnation acknowledges its ends unread, so tasks that were done run again.

--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -62,7 +62,13 @@
     writeFileSync(this.recordFile, this.lines.join('\n') + '\n');
   }
 
-  async start({instances, workers, config, cpu = 32_000}) {
+  async start({
+    instances,
+    workers,
+    config,
+    cpu = 32_000,
+    chooseKind = () => 'a',
+  }) {
     this.store = new Store();
     await this.store.start();
     this.store.onAppended = (topic, records) => this.watchLeader(records);
@@ -73,7 +79,7 @@
           id: `w${index}-${'0123456789abcdef'[index % 16]}7`,
           zone: ZONES[index % ZONES.length],
           service: SERVICE,
-          labels: ['a', `r${index % ZONES.length}-1`],
+          labels: [chooseKind(index), `r${index % ZONES.length}-1`],
           capacity: {cpu, mem_mb: 65_536, gpu: 8},
         },
         {
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -88,8 +88,7 @@
     this.port = this.server.address().port;
     this.isUp = true;
     clearTimeout(this.expiry);
-    this.report();
-    this.heartbeat = setInterval(() => this.report(), HEARTBEAT_MS);
+    this.startReports();
     this.check = setInterval(() => this.advance(), CHECK_MS);
   }
 
@@ -154,6 +153,30 @@
     }, durationMs);
   }
 
+  /**
+   * The machine of the worker loses power for `downMs`: calls get no answer. It
+   * then starts again at its address and under its id, and reports itself after
+   * `reportMs`.
+   */
+  loseMachine(downMs, reportMs) {
+    const runs = [...this.running.keys()];
+    this.onEvent('crash', {worker: this.info.id, runs});
+    this.isCutOff = true;
+    clearInterval(this.heartbeat);
+    this.reset();
+    setTimeout(() => {
+      this.reset();
+      this.isCutOff = false;
+      this.onEvent('back', {worker: this.info.id});
+      setTimeout(() => this.startReports(), reportMs);
+    }, downMs);
+  }
+
+  startReports() {
+    this.report();
+    this.heartbeat = setInterval(() => this.report(), HEARTBEAT_MS);
+  }
+
   halt() {
     this.isUp = false;
     clearInterval(this.heartbeat);
@@ -213,11 +236,12 @@
     }
     const expected = request.headers['expect-instance'];
     const body = JSON.parse(Buffer.concat(chunks).toString());
+    const {born} = this;
     const reply =
       expected !== undefined && expected !== this.info.id
         ? {status: 421, body: {}}
         : await this.handle(request.url, body);
-    if (this.isCutOff) {
+    if (this.isCutOff || this.born !== born) {
       // The answer is lost.
       return;
     }
@@ -275,9 +299,17 @@
     return {status: 200, body: {}};
   }
 
+  forgetEnds(acknowledged) {
+    const noted = this.ended.filter(([number]) => number <= acknowledged);
+    this.ended = this.ended.filter(([number]) => number > acknowledged);
+    for (const [number, task, run, how] of noted) {
+      this.onEvent('noted', {worker: this.info.id, number, task, run, how});
+    }
+  }
+
   async hold({ack_offset: acknowledged, until_ms: until, wait_ms: wait = 0}) {
     this.extendLease(until);
-    this.ended = this.ended.filter(([number]) => number > acknowledged);
+    this.forgetEnds(acknowledged);
     if (this.ended.length === 0 && wait > 0) {
       await new Promise(resolve => {
         const wake = () => {
