--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -131,7 +131,15 @@
       bounds: BOUNDS,
     };
     writeFileSync(settingsFile, renderTemplate(fields));
-    return {name, settingsFile, front, ready, exits: 0, wanted: false};
+    return {
+      name,
+      zone: fields.zone,
+      settingsFile,
+      front,
+      ready,
+      exits: 0,
+      wanted: false,
+    };
   }
 
   startDaemon(daemon) {
