Review: stand-ins reset connections of an earlier lifetime, and ports are free

A restarted worker answers on new connections only. Case 2 leaves out starts by the instance that had lost power. Ports lie below those of outgoing connections, which had taken some when cases ran side by side.

--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -80,8 +80,11 @@
   }
 
   const starts = system.events.filter(
-    ({kind, at}) =>
-      kind === 'start' && at > shownAt + SHOWN_MS && at > upAt + CONTACT_MS,
+    ({kind, at, leader: starter}) =>
+      kind === 'start' &&
+      at > shownAt + SHOWN_MS &&
+      at > upAt + CONTACT_MS &&
+      starter?.split('/')[0] !== system.daemons[leader].name,
   );
   system.record(`shown as ${shown}; ${starts.length} starts afterwards`);
   return shown === 'complete' && starts.length > 0
--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -30,6 +30,8 @@
 export const HOST = 'queues.example';
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
 const SERVICE = 'pool';
+const MIN_PORT = 12_000;
+const MAX_PORT = 31_000;
 
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
 
@@ -113,7 +115,8 @@
   }
 
   onEvent(kind, details) {
-    this.events.push({kind, at: this.now(), ...details});
+    const {leader} = this;
+    this.events.push({kind, at: this.now(), leader, ...details});
     this.record(`worker: ${kind} ${JSON.stringify(details)}`);
   }
 
@@ -321,17 +324,24 @@
   );
 }
 
+/** Finds ports below those that the system gives to outgoing connections. */
 async function findFreePorts(count) {
-  const servers = await Promise.all(
-    Array.from({length: count}, async () => {
-      const server = createServer();
-      await new Promise(resolve => server.listen(0, '127.0.0.1', resolve));
-      return server;
-    }),
-  );
-  const ports = servers.map(server => server.address().port);
-  servers.forEach(server => server.close());
-  return ports;
+  const ports = new Set();
+  while (ports.size < count) {
+    const port = MIN_PORT + Math.floor(Math.random() * (MAX_PORT - MIN_PORT));
+    if (await isFree(port)) {
+      ports.add(port);
+    }
+  }
+  return [...ports];
+}
+
+function isFree(port) {
+  return new Promise(resolve => {
+    const server = createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
 }
 
 function call({port, method = 'GET', path, headers, body, timeoutMs = 3000}) {
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -81,6 +81,7 @@
       this.respond(request, response).catch(() => request.destroy());
     });
     this.server.keepAliveTimeout = 60_000;
+    this.server.on('connection', socket => (socket.born = this.born));
     await new Promise((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen(this.port ?? 0, '127.0.0.1', resolve);
@@ -234,6 +235,11 @@
       // The call does not arrive.
       return;
     }
+    if (request.socket.born !== this.born) {
+      // A worker that has started again knows no earlier connection.
+      request.socket.resetAndDestroy();
+      return;
+    }
     const expected = request.headers['expect-instance'];
     const body = JSON.parse(Buffer.concat(chunks).toString());
     const {born} = this;
