Count the crash of a target once over all leaders

Cause: a run's targets stay in the record until all members of its gang are released. A member that is cut off prevents that, so each new leader finds the crashed incarnation there and counts its crash again; the evidence was a number and did not say which crashes it included.

Change: the evidence names the incarnations; a leader that takes over does not attribute such a crash again, neither to the same run nor to another.

The fixture of crash_attribution.spec used one incarnation for all crashes; it now creates a target for each, as in life, and checks as much as before.

--- a/packages/dispatch/__tests__/crash_attribution.spec.ts
+++ b/packages/dispatch/__tests__/crash_attribution.spec.ts
@@ -6,6 +6,7 @@
   type TargetState,
 } from '@galenavalve/dispatch';
 import {SilentLogger} from '@galenavalve/shared';
+import {formatProgress, parseProgress} from '@galenavalve/workload';
 import {addRun, createJob, createStep, createTarget} from './fixtures.js';
 
 const crashes = new CrashAttribution(() => undefined, new SilentLogger());
@@ -15,12 +16,15 @@
   return createJob(id, step).units[0]!;
 }
 
-/** Starts a run of `unit` on a new target; it is listed until `listedUntil`, if given. */
+/** Number of targets that were created; each has an id of its own. */
+let targetCount = 0;
+
+/** Starts a run of `unit` on another target than earlier runs; it is listed until `listedUntil`, if given. */
 function startRun(
   unit: ActiveUnit,
   startedAt: number,
   listedUntil?: number,
-  target = createTarget('a', 'r', startedAt),
+  target = createTarget(`t${targetCount++}`, 'r', startedAt),
 ): TargetState {
   unit.allocations = [];
   addRun(unit, target, startedAt);
@@ -132,6 +136,43 @@
   },
 );
 
+// Guards against a job that is given up since each leader counts the same crash while a member of its gang is cut off.
+t.test(
+  'a crash that an earlier leader counted is not counted again',
+  async t => {
+    const unit = createUnit('1');
+    const target = startRun(unit, 0);
+    crashes.onCrash(target, 3000);
+    for (const now of [6000, 9000, 12_000]) {
+      const next = new CrashAttribution(() => undefined, new SilentLogger());
+      const stored = parseProgress(formatProgress(unit.job.progress)).read();
+      unit.progress = stored.occurrences[0]!.steps[0]![0]!;
+      next.onAdopted(unit);
+      next.onCrash(target, now);
+      t.equal(countCrashes(unit), 1);
+    }
+    t.notOk(unit.job.hasFailed);
+  },
+);
+
+// Guards against a job that is blamed by a later leader for a crash that was attributed to another.
+t.test(
+  'a crash that was attributed to a run is not attributed to others later',
+  async t => {
+    const suspect = createUnit('1');
+    const other = createUnit('2');
+    const target = startRun(other, 0, 900);
+    startRun(suspect, 1000, undefined, target);
+    crashes.onCrash(target, 4000);
+    const next = new CrashAttribution(() => undefined, new SilentLogger());
+    next.onAdopted(suspect);
+    next.onAdopted(other);
+    target.release(suspect.allocations[0]!);
+    next.onCrash(target, 6000);
+    t.same([suspect, other].map(countCrashes), [1, 0]);
+  },
+);
+
 // Guards against a chain of crashes whose cause is never blamed, since each target also has a run that it has not listed yet.
 t.test(
   'a task that crashes targets that listed it is given up although another run is suspected each time',
--- a/packages/dispatch/__tests__/idle_capacity.spec.ts
+++ b/packages/dispatch/__tests__/idle_capacity.spec.ts
@@ -116,7 +116,14 @@
     });
     suspect.units[0]!.lastCrashAt = NOW - 2500;
     suspect.units[0]!.progress.crashes = [
-      {member: 0, count: 2, total: 2, minAge: 0, maxAge: 3000},
+      {
+        member: 0,
+        count: 2,
+        total: 2,
+        minAge: 0,
+        maxAge: 3000,
+        incarnations: [],
+      },
     ];
     const other = createTask('2', urgent, {
       priority: 0,
@@ -219,7 +226,14 @@
     const suspects = targets.map(target => {
       const run = occupy(target);
       run.units[0]!.progress.crashes = [
-        {member: 0, count: 2, total: 2, minAge: 0, maxAge: 60_000},
+        {
+          member: 0,
+          count: 2,
+          total: 2,
+          minAge: 0,
+          maxAge: 60_000,
+          incarnations: [],
+        },
       ];
       return run;
     });
@@ -230,7 +244,14 @@
     const suspect = createOverdueTask('suspect');
     suspect.units[0]!.lastCrashAt = NOW - 2500;
     suspect.units[0]!.progress.crashes = [
-      {member: 0, count: 2, total: 2, minAge: 0, maxAge: 3000},
+      {
+        member: 0,
+        count: 2,
+        total: 2,
+        minAge: 0,
+        maxAge: 3000,
+        incarnations: [],
+      },
     ];
     t.ok(isStarted(suspect, [suspect, ...suspects], targets));
   },
@@ -246,7 +267,14 @@
     // The crash was noticed a second after it.
     suspect.units[0]!.lastCrashAt = NOW - 1000;
     suspect.units[0]!.progress.crashes = [
-      {member: 0, count: 1, total: 1, minAge: 0, maxAge: 3000},
+      {
+        member: 0,
+        count: 1,
+        total: 1,
+        minAge: 0,
+        maxAge: 3000,
+        incarnations: [],
+      },
     ];
     t.ok(isStarted(suspect, [suspect, ...runs], targets));
   },
--- a/packages/dispatch/__tests__/isolation.spec.ts
+++ b/packages/dispatch/__tests__/isolation.spec.ts
@@ -17,7 +17,7 @@
   unit.lastCrashAt = crashedAt;
   unit.progress.run = count;
   unit.progress.crashes = [
-    {member: 0, count, total: count, minAge: 0, maxAge: 3000},
+    {member: 0, count, total: count, minAge: 0, maxAge: 3000, incarnations: []},
   ];
   return job;
 }
@@ -112,7 +112,7 @@
   const gang = createJob('1', createStep({count: 2}));
   gang.units[0]!.lastCrashAt = NOW;
   gang.units[0]!.progress.crashes = [
-    {member: 1, count: 1, total: 1, minAge: 0, maxAge: 3000},
+    {member: 1, count: 1, total: 1, minAge: 0, maxAge: 3000, incarnations: []},
   ];
   const fresh = createTarget('a', 'r', NOW);
   addRun(createJob('2', createStep()).units[0]!, fresh, NOW - 100);
--- a/packages/dispatch/src/crash_attribution.ts
+++ b/packages/dispatch/src/crash_attribution.ts
@@ -7,6 +7,9 @@
  * suspicion already; only if there are none, any run on the target may be the
  * cause. Crashes count together if the member's runs were, or may have been, of
  * the same age: one that outlived the age of an earlier crash did not cause it.
+ *
+ * The evidence names the incarnations that have crashed. A new leader that finds
+ * a run of such an incarnation in the log does not count its crash again.
  */
 import type {Instant, Logger, Milliseconds} from '@galenavalve/shared';
 import type {CrashEvidence} from '@galenavalve/workload';
@@ -24,6 +27,9 @@
 /** Number of crashes from which on a member is isolated whatever the age of its runs. */
 const MIN_REPEATED_CRASHES = 2;
 
+/** Limit of incarnations that the evidence against a member names; a record stays small however long its task runs. */
+const MAX_NAMED_INCARNATIONS = 8;
+
 /** Range of ages of a run, in milliseconds. */
 interface AgeRange {
   minAge: Milliseconds;
@@ -32,11 +38,21 @@
 
 /** Attributes crashes of targets for one dispatcher. */
 export class CrashAttribution {
+  /** Incarnations whose crashes have been counted, by this leader or an earlier one. */
+  private readonly counted = new Set<string>();
+
   constructor(
     private readonly onChange: (job: ActiveJob) => void,
     private readonly logger: Logger,
   ) {}
 
+  /** Called when a unit was read from the log. */
+  onAdopted({progress}: ActiveUnit): void {
+    for (const {incarnations} of progress.crashes ?? []) {
+      incarnations.forEach(incarnation => this.counted.add(incarnation));
+    }
+  }
+
   /**
    * Called when an incarnation of a target has ended without being drained,
    * before its allocations are released.
@@ -46,9 +62,21 @@
     if (suspects.length === 0) {
       return;
     }
+    if (this.counted.has(target.key)) {
+      this.logger.info('crash-known', {
+        target: target.key,
+        runs: target.allocations.size,
+      });
+      return;
+    }
+    this.counted.add(target.key);
     for (const allocation of suspects) {
-      const {unit} = allocation;
-      addCrash(unit, allocation.memberIndex, computeCrashAge(allocation, now));
+      const {unit, memberIndex} = allocation;
+      const age = computeCrashAge(allocation, now);
+      const evidence = addCrash(unit, memberIndex, age);
+      evidence.incarnations = [...evidence.incarnations, target.key].slice(
+        -MAX_NAMED_INCARNATIONS,
+      );
       unit.lastCrashAt = now;
     }
     this.logger.info('target-crashed', {
@@ -184,12 +212,18 @@
   };
 }
 
-function addCrash(unit: ActiveUnit, member: number, age: AgeRange): void {
+/** Counts a crash against a member and returns the evidence against it. */
+function addCrash(
+  unit: ActiveUnit,
+  member: number,
+  age: AgeRange,
+): CrashEvidence {
   const evidence = findCrashEvidence(unit, member);
   if (!evidence) {
+    const first = {member, count: 1, total: 1, ...age, incarnations: []};
     unit.progress.crashes ??= [];
-    unit.progress.crashes.push({member, count: 1, total: 1, ...age});
-    return;
+    unit.progress.crashes.push(first);
+    return first;
   }
   const minAge = Math.max(evidence.minAge, age.minAge);
   const maxAge = Math.min(evidence.maxAge, age.maxAge);
@@ -197,6 +231,7 @@
   Object.assign(evidence, hasSameAge ? {minAge, maxAge} : age);
   evidence.count = hasSameAge ? evidence.count + 1 : 1;
   evidence.total++;
+  return evidence;
 }
 
 /** Clears a member of suspicion. The total remains, unless the unit runs for so long that crashes of any cause add up. */
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -286,6 +286,7 @@
     const job = createActiveJob(entry, now, clock.wallTime());
     this.jobs.set(job.id, job);
     for (const unit of job.units) {
+      this.crashes.onAdopted(unit);
       this.adopt(unit, now);
     }
     if (entry.isKnownComplete) {
--- a/packages/emulator/__tests__/crashing_tasks.spec.ts
+++ b/packages/emulator/__tests__/crashing_tasks.spec.ts
@@ -165,6 +165,40 @@
   }
 });
 
+// Guards against a job that is given up since each leader counts the same crash while a member of its gang is cut off.
+t.test(
+  'one crash fails no gang although leaders change while another member is cut off',
+  async t => {
+    for (const newIdAfterCrash of [true, false]) {
+      const cluster = await startCluster({
+        seed: 1,
+        crashingTasks: new Set(),
+        newIdAfterCrash,
+      });
+      const id = createId(1);
+      const gang = createStep({isGang: true, estimateMs: 12_000});
+      const demand = {cpu: 13_000, memoryMb: 1024, accelerators: 8};
+      void cluster.submit(id, createSpec([{...gang, demand}]));
+      await cluster.advance(3000);
+      const [first, second] = [...cluster.fleet.targets.values()].filter(
+        ({runs}) => runs.size > 0,
+      );
+      const {unreachableTargets} = cluster.fleet.faults;
+      unreachableTargets.add(second!.info.id);
+      cluster.fleet.onTargetCrash(first!);
+      await cluster.advance(3200);
+      for (let stop = 0; stop < 3; stop++) {
+        restartLeader(cluster);
+        await cluster.advance(1300);
+      }
+      unreachableTargets.clear();
+      t.ok(await hasOutcome(cluster, id, 'complete'));
+      t.same(cluster.auditor.violations, []);
+      cluster.close();
+    }
+  },
+);
+
 // Guards against jobs that fail because targets crashed for reasons of their own.
 t.test('targets that crash by themselves fail no job', async t => {
   for (const seed of [1, 2, 3, 4]) {
--- a/packages/workload/__tests__/stored_progress.spec.ts
+++ b/packages/workload/__tests__/stored_progress.spec.ts
@@ -18,6 +18,7 @@
   total: fc.nat(5),
   minAge: fc.nat(10_000),
   maxAge: fc.nat(20_000),
+  incarnations: fc.array(fc.constantFrom('a@1', 'b@2'), {maxLength: 3}),
 });
 
 const unit = fc.record(
--- a/packages/workload/src/progress.ts
+++ b/packages/workload/src/progress.ts
@@ -28,6 +28,8 @@
   minAge: number;
   /** Highest age of a run, in milliseconds, that is consistent with the counted crashes. */
   maxAge: number;
+  /** Incarnations whose crashes were counted, the newest ones last. */
+  incarnations: string[];
 }
 
 /** One incarnation of a target, as the log names it. */
--- a/packages/workload/src/stored_progress.ts
+++ b/packages/workload/src/stored_progress.ts
@@ -59,6 +59,8 @@
       ]),
     )
     .default([]),
+  /** Incarnations whose crashes were counted, for each item of `crashes`; absent in records of earlier versions. */
+  crashed: z.array(z.array(z.string())).default([]),
   /** Index and steps of each occurrence; a step is the list of its units, each a gang or a single task. A unit whose items after the run are all omitted is stored as the number of the run. */
   occurrences: z.array(
     z.tuple([
@@ -91,7 +93,7 @@
 
   /** Parses the complete progress into a new object. Throws if the record is malformed. */
   read(): Progress {
-    const {done, targets, addresses, occurrences, crashes} =
+    const {done, targets, addresses, occurrences, crashes, crashed} =
       detailsSchema.parse(JSON.parse(this.details));
     const addressList = addresses.split(' ');
     const references = targets.map((incarnation, index) => ({
@@ -110,7 +112,7 @@
         ),
       })),
     };
-    decodeCrashes(crashes, progress);
+    decodeCrashes(crashes, crashed, progress);
     return progress;
   }
 }
@@ -201,8 +203,9 @@
 /** Returns the crashes under all units; nothing if there are none, as for most jobs. */
 function encodeCrashes(
   occurrences: readonly Occurrence[],
-): Pick<StoredDetails, 'crashes'> | undefined {
+): Pick<StoredDetails, 'crashes' | 'crashed'> | undefined {
   const crashes: StoredDetails['crashes'] = [];
+  const crashed: StoredDetails['crashed'] = [];
   for (const [occurrence, {steps}] of occurrences.entries()) {
     for (const [step, units] of steps.entries()) {
       for (const [unit, progress] of units.entries()) {
@@ -218,23 +221,34 @@
             Math.floor(minAge),
             Math.ceil(maxAge),
           ]);
+          crashed.push(evidence.incarnations);
         }
       }
     }
   }
-  return crashes.length > 0 ? {crashes} : undefined;
+  return crashes.length > 0 ? {crashes, crashed} : undefined;
 }
 
 function decodeCrashes(
   crashes: StoredDetails['crashes'],
+  crashed: StoredDetails['crashed'],
   {occurrences}: Progress,
 ): void {
-  for (const [occurrence, step, unit, ...evidence] of crashes) {
+  for (const [position, stored] of crashes.entries()) {
+    const [occurrence, step, unit, ...evidence] = stored;
     const progress = occurrences[occurrence]?.steps[step]?.[unit];
     if (progress) {
       const [member, count, total, minAge, maxAge] = evidence;
       progress.crashes ??= [];
-      progress.crashes.push({member, count, total, minAge, maxAge});
+      const incarnations = crashed[position] ?? [];
+      progress.crashes.push({
+        member,
+        count,
+        total,
+        minAge,
+        maxAge,
+        incarnations,
+      });
     }
   }
 }
