Record the cancellation of a job that the log does not have

Cause: a cancellation that found no job was acknowledged and not recorded, though an append of the submission, at any instance, may be carried out seconds late.

Change: the cancellation is a record of its own, appended before the 410. It names the caller, so that it cancels only jobs which the caller may access, and keeps its effect over takeovers and restarts of all instances. It is removed like ended jobs; at most 10,000 are kept. The auditor of the emulator counts a cancellation that was answered "no such job" like any other.

--- a/packages/dispatch/src/dispatch_service.ts
+++ b/packages/dispatch/src/dispatch_service.ts
@@ -13,7 +13,10 @@
   JobRecord,
   Leadership,
 } from '@galenavalve/workload';
-import {encodeLeadership} from '@galenavalve/workload';
+import {
+  encodeLeadership,
+  parseEarlyCancellationKey,
+} from '@galenavalve/workload';
 import {Dispatcher, type DispatcherDependencies} from './dispatcher.js';
 import type {FencedAppendOutcome} from './fenced_log.js';
 import type {IdleCause} from './idle_jobs.js';
@@ -178,11 +181,20 @@
       }
     } else if (record.kind === 'cancelled') {
       this.dispatcher?.onJobCancelled(record.id);
+    } else if (record.kind === 'early-cancellation') {
+      this.onEarlyCancellation(parseEarlyCancellationKey(record.key));
     } else if (record.kind === 'completed') {
       this.dispatcher?.onJobCompleted(record.id);
     }
   }
 
+  /** Cancels a job that was accepted meanwhile. */
+  private onEarlyCancellation(id: string): void {
+    if (this.dependencies.table.find(id)?.isCancelled) {
+      this.dispatcher?.onJobCancelled(id);
+    }
+  }
+
   private onAccepted(entry: JobEntry): void {
     if (this.isDispatching) {
       this.dispatcher!.onJobAccepted(entry);
--- a/packages/dispatch/src/expired_jobs.ts
+++ b/packages/dispatch/src/expired_jobs.ts
@@ -3,6 +3,7 @@
 import {
   type JobTable,
   type KeyedRecord,
+  encodeEarlyCancellationTombstone,
   encodeJobTombstones,
 } from '@galenavalve/workload';
 
@@ -12,13 +13,16 @@
 /** Limit of jobs that are removed in one append. */
 const MAX_REMOVALS_PER_APPEND = 50;
 
+/** Limit of early cancellations that are removed in one append. */
+const MAX_CANCELLATION_REMOVALS_PER_APPEND = 500;
+
 /**
  * Ended jobs are kept this many times longer than callers may query them, since
  * clocks differ.
  */
 const RETENTION_FACTOR = 2;
 
-/** Finds jobs that can no longer be queried. */
+/** Finds jobs that can no longer be queried, and cancellations whose jobs can no longer appear. */
 export class ExpiredJobs {
   constructor(
     private readonly table: JobTable,
@@ -28,7 +32,8 @@
   ) {}
 
   /**
-   * Returns the tombstones of expired jobs; none until the next search is due.
+   * Returns the tombstones of expired jobs and early cancellations; none until
+   * the next search is due.
    */
   encodeDueRemovals(now: Instant): KeyedRecord[] {
     if (now - this.lastCheckedAt < REMOVAL_INTERVAL_MS) {
@@ -41,8 +46,23 @@
       ({progress}) =>
         progress?.endedAt !== undefined && progress.endedAt < oldestKept,
     );
-    return expired
+    const removals = expired
       .slice(0, MAX_REMOVALS_PER_APPEND)
       .flatMap(({id}) => encodeJobTombstones(id));
+    return [...removals, ...this.encodeCancellationRemovals(oldestKept)];
+  }
+
+  /** A submission that got no response is appended within seconds, if at all, so its cancellation is kept far longer than needed. */
+  private encodeCancellationRemovals(oldestKept: number): KeyedRecord[] {
+    return this.table.earlyCancellations
+      .listBefore(oldestKept)
+      .filter(({id}) => !this.isOpen(id))
+      .slice(0, MAX_CANCELLATION_REMOVALS_PER_APPEND)
+      .map(({key}) => encodeEarlyCancellationTombstone(key));
+  }
+
+  private isOpen(id: string): boolean {
+    const entry = this.table.find(id);
+    return entry !== undefined && entry.progress?.endedAt === undefined;
   }
 }
--- a/packages/emulator/src/emulated_cluster.ts
+++ b/packages/emulator/src/emulated_cluster.ts
@@ -337,14 +337,14 @@
       }));
   }
 
-  /** Cancels a job at an instance and records a confirmed cancellation with the auditor. */
+  /** Cancels a job at an instance and records an acknowledged cancellation with the auditor. A job that is unknown, as callers are told, must not run later either. */
   async cancel(id: string, at = this.pickInstance()): Promise<void> {
     this.cancelled.add(id);
     const {terms, queue: name, workspace} = this.jobs.get(id)!;
     const queue = {...createQueue(terms.priority), name, terms};
     const request = {queue, workspace, jobId: id, timeout: 3000};
     const response = await at.gateway.cancel(request);
-    if (response.kind === 'cancelled') {
+    if (response.kind === 'cancelled' || response.kind === 'unknown-job') {
       this.auditor.onCancelled(id, this.clock.now());
     }
   }
--- a/packages/gateway/__tests__/gateway.spec.ts
+++ b/packages/gateway/__tests__/gateway.spec.ts
@@ -12,6 +12,7 @@
   type JobSpec,
   type KeyedRecord,
   encodeAccepted,
+  encodeEarlyCancellation,
   encodeProgress,
   createProgress,
 } from '@galenavalve/workload';
@@ -246,3 +247,50 @@
     t.same(appended, [], 'questions write nothing');
   },
 );
+
+// Guards against a job that runs although its cancelling was acknowledged, since its submission was appended late.
+t.test(
+  'a cancellation of an unknown job is acknowledged once its record is in the log',
+  async t => {
+    const unknown: AppendOutcome = {kind: 'unknown', problem: 'silent'};
+    const {gateway, request, clock, appended, passed} = createGateway([
+      unknown,
+    ]);
+    const response = await waitForResponse(clock, gateway.cancel(request));
+    t.equal(response.kind, 'unknown-job');
+    const caller = {queue: 'q', workspace: 'w'};
+    const {key} = encodeEarlyCancellation('1', caller, 0);
+    t.same(
+      appended.map(record => record.key),
+      [key, key],
+    );
+    t.same(passed, [key], 'the leader is told');
+  },
+);
+
+t.test(
+  'a cancellation of an unknown job is not acknowledged if its record cannot be written',
+  async t => {
+    const refused: AppendOutcome = {kind: 'refused', problem: 'busy'};
+    const outcomes = [refused, refused, refused];
+    const {gateway, request, clock} = createGateway(outcomes);
+    const response = await waitForResponse(clock, gateway.cancel(request));
+    t.match(response, {kind: 'refused', retryAfterSeconds: 1});
+  },
+);
+
+// Guards against a log that grows without a limit with cancellations of ids that were never submitted.
+t.test(
+  'cancellations of unknown jobs are refused while the log keeps ten thousand',
+  async t => {
+    const {gateway, request, clock, table, appended} = createGateway([]);
+    const caller = {queue: 'q', workspace: 'w'};
+    for (let index = 0; index < 10_000; index++) {
+      const record = encodeEarlyCancellation(`id-${index}`, caller, 0);
+      table.apply({...record, offset: index});
+    }
+    const response = await waitForResponse(clock, gateway.cancel(request));
+    t.match(response, {kind: 'refused', retryAfterSeconds: 1});
+    t.same(appended, []);
+  },
+);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,7 +15,9 @@
   type KeyedRecord,
   encodeAccepted,
   encodeCancelled,
+  encodeEarlyCancellation,
   findSpecProblem,
+  formatEarlyCancellationKey,
   getJobState,
 } from '@galenavalve/workload';
 import type {DesiredStateStore, Queue} from './desired_state.js';
@@ -44,6 +46,9 @@
 /** Maximum time to read pending records of a known job; after that, the last known state is returned. */
 const STATE_READ_TIMEOUT_MS: Milliseconds = 150;
 
+/** Limit of cancellations of unknown jobs that the log keeps; several minutes of them at the rate of submissions of the largest cluster. */
+const MAX_EARLY_CANCELLATIONS = 10_000;
+
 /** Time after which a caller should retry if the log is unreachable; outages last seconds. */
 const RETRY_AFTER_SECONDS = 1;
 
@@ -135,8 +140,12 @@
   async cancel(request: GatewayRequest): Promise<GatewayResponse> {
     const entry = await this.findEntry(request);
     if ('kind' in entry) {
-      this.logResponse('cancel', request, entry);
-      return entry;
+      const response =
+        entry.kind === 'unknown-job'
+          ? await this.cancelUnknown(request)
+          : entry;
+      this.logResponse('cancel', request, response);
+      return response;
     }
     if (isEnded(entry)) {
       return {kind: 'cancelled'};
@@ -150,6 +159,38 @@
     return response;
   }
 
+  /**
+   * Cancels a job that the log does not have. A submission that got no response,
+   * at any instance, may still be appended; the record keeps it from running.
+   */
+  private async cancelUnknown(
+    request: GatewayRequest,
+  ): Promise<GatewayResponse> {
+    const {table, clock} = this.dependencies;
+    const {earlyCancellations} = table;
+    if (earlyCancellations.size >= MAX_EARLY_CANCELLATIONS) {
+      return {
+        kind: 'refused',
+        problem: 'too many unknown jobs were cancelled lately',
+        retryAfterSeconds: RETRY_AFTER_SECONDS,
+      };
+    }
+    const caller = {
+      queue: request.queue.name,
+      workspace: request.workspace,
+    };
+    const key = formatEarlyCancellationKey(request.jobId, caller);
+    const record = encodeEarlyCancellation(
+      request.jobId,
+      caller,
+      clock.wallTime(),
+    );
+    const failure = await this.appendWithRetries(request, record, () =>
+      earlyCancellations.has(key),
+    );
+    return failure ?? {kind: 'unknown-job'};
+  }
+
   /**
    * Returns the state of a job according to the log. During an outage of the log
    * a job that has ended meanwhile is still `running`: what only instances know
--- a/packages/workload/__tests__/job_table.spec.ts
+++ b/packages/workload/__tests__/job_table.spec.ts
@@ -6,6 +6,9 @@
   createProgress,
   encodeAccepted,
   encodeCancelled,
+  encodeEarlyCancellation,
+  encodeEarlyCancellationTombstone,
+  formatEarlyCancellationKey,
   encodeJobTombstones,
   encodeLeadership,
   encodeProgress,
@@ -73,6 +76,57 @@
   },
 );
 
+// Guards against a job that runs although its cancelling was acknowledged before its late acceptance.
+t.test(
+  'a job that its caller cancelled before it was accepted is cancelled',
+  t => {
+    const callers = [
+      {caller: {queue: 'q', workspace: 'w'}, state: 'cancelled'},
+      {caller: {queue: 'other', workspace: 'w'}, state: 'cancelled'},
+      {caller: {queue: 'q', workspace: 'other'}, state: 'queued'},
+      {caller: {queue: 'q'}, state: 'queued'},
+    ];
+    for (const {caller, state} of callers) {
+      for (const isCancelledFirst of [true, false]) {
+        const table = new JobTable(new SilentLogger());
+        const records = [
+          {...encodeEarlyCancellation('1', caller, 9), offset: 1},
+          {...encodeAccepted('1', createJob()), offset: 2},
+        ];
+        (isCancelledFirst ? records : records.reverse()).forEach(record =>
+          table.apply(record),
+        );
+        t.equal(getJobState(table.find('1')!), state);
+      }
+    }
+    t.end();
+  },
+);
+
+// Guards against callers who cancel each other's jobs by the same id.
+t.test('early cancellations of two callers do not replace each other', t => {
+  const callers = [{queue: 'q', workspace: 'w'}, {queue: 'q'}];
+  const keys = callers.map(
+    caller => encodeEarlyCancellation('1', caller, 9).key,
+  );
+  t.not(keys[0], keys[1]);
+  t.end();
+});
+
+t.test('an early cancellation ends with its tombstone', t => {
+  const table = new JobTable(new SilentLogger());
+  const caller = {queue: 'q', workspace: 'w'};
+  const key = formatEarlyCancellationKey('1', caller);
+  table.apply({...encodeEarlyCancellation('1', caller, 9), offset: 1});
+  t.same(table.earlyCancellations.listBefore(10), [{key, id: '1'}]);
+  t.same(table.earlyCancellations.listBefore(9), []);
+  table.apply({...encodeEarlyCancellationTombstone(key), offset: 2});
+  t.equal(table.earlyCancellations.size, 0);
+  table.apply({...encodeAccepted('1', createJob()), offset: 3});
+  t.equal(getJobState(table.find('1')!), 'queued');
+  t.end();
+});
+
 t.test(
   'a record with a lower offset than the newest of its key is ignored',
   t => {
--- a/packages/workload/src/index.ts
+++ b/packages/workload/src/index.ts
@@ -28,6 +28,8 @@
   decodeRecord,
   encodeAccepted,
   encodeCancelled,
+  encodeEarlyCancellation,
+  encodeEarlyCancellationTombstone,
   encodeJobTombstones,
   encodeLeadership,
   encodeProgress,
@@ -41,3 +43,10 @@
   sleepUntilRecovery,
 } from './keyed_log.js';
 export {Follower, type FollowerSink} from './follower.js';
+export {type Caller, mayAccess} from './caller.js';
+export {
+  type EarlyCancellation,
+  EarlyCancellations,
+  formatEarlyCancellationKey,
+  parseEarlyCancellationKey,
+} from './early_cancellation.js';
--- a/packages/workload/src/job_table.ts
+++ b/packages/workload/src/job_table.ts
@@ -1,6 +1,10 @@
 /** State of the job log. Every instance derives the same table from the same records. */
 import {type Logger, describeError} from '@galenavalve/shared';
 import type {AcceptedJob} from './accepted_job.js';
+import {
+  EarlyCancellations,
+  parseEarlyCancellationKey,
+} from './early_cancellation.js';
 import {
   type JobRecord,
   type Leadership,
@@ -27,6 +31,8 @@
 /** Table of jobs, derived from the records of the job log. */
 export class JobTable {
   private readonly entries = new Map<string, JobEntry>();
+  /** Cancellations of jobs that the log did not have at that time. */
+  readonly earlyCancellations = new EarlyCancellations();
   /** Jobs whose cancellation was read before their acceptance. */
   private readonly pendingCancellations = new Set<string>();
   /** Jobs whose completion was read before their acceptance. */
@@ -120,6 +126,9 @@
       case 'cancelled':
         this.cancelJob(record.id);
         return;
+      case 'early-cancellation':
+        this.applyEarlyCancellation(record);
+        return;
       case 'completed':
         this.completeJob(record.id);
         return;
@@ -138,7 +147,9 @@
     this.entries.set(id, {
       id,
       job,
-      isCancelled: this.pendingCancellations.delete(id),
+      isCancelled:
+        this.pendingCancellations.delete(id) ||
+        this.earlyCancellations.isCancelled(id, job),
       isKnownComplete: this.pendingCompletions.delete(id),
       progress: this.pendingProgress.get(id),
     });
@@ -155,6 +166,23 @@
     }
   }
 
+  /** Cancels the job that a caller has cancelled, if it is its own, and remembers the cancellation for a later acceptance. */
+  private applyEarlyCancellation({
+    key,
+    value,
+  }: Extract<JobRecord, {kind: 'early-cancellation'}>): void {
+    if (!value) {
+      this.earlyCancellations.delete(key);
+      return;
+    }
+    this.earlyCancellations.set(key, value);
+    const id = parseEarlyCancellationKey(key);
+    const entry = this.entries.get(id);
+    if (entry && this.earlyCancellations.isCancelled(id, entry.job)) {
+      entry.isCancelled = true;
+    }
+  }
+
   /** Marks a job as complete, or remembers that for its acceptance. */
   private completeJob(id: string): void {
     const entry = this.entries.get(id);
--- a/packages/workload/src/keyed_record.ts
+++ b/packages/workload/src/keyed_record.ts
@@ -1,6 +1,12 @@
 /** Encodes and decodes the records of the job log, in which the newest record of a key replaces earlier ones. */
 import * as z from 'zod';
 import {acceptedJobSchema, type AcceptedJob} from './accepted_job.js';
+import type {Caller} from './caller.js';
+import {
+  type EarlyCancellation,
+  earlyCancellationSchema,
+  formatEarlyCancellationKey,
+} from './early_cancellation.js';
 import type {Progress} from './progress.js';
 import {
   type StoredProgress,
@@ -47,6 +53,9 @@
 /** Earlier versions told callers of a completion before its progress was recorded, and wrote this record then. */
 const COMPLETED = 'c/';
 
+/** Key prefix of a cancellation that precedes the acceptance of its job; the job's id and a hash of the caller follow. */
+const EARLY_CANCELLATION = 'e/';
+
 /** Key of the leadership record. */
 const LEADERSHIP = 'lead';
 
@@ -54,6 +63,8 @@
 export type JobRecord =
   | {kind: 'accepted'; id: string; job: AcceptedJob}
   | {kind: 'cancelled'; id: string}
+  /** `key` is the record's key without its prefix; no value is a tombstone. */
+  | {kind: 'early-cancellation'; key: string; value?: EarlyCancellation}
   | {kind: 'progress'; id: string; progress: StoredProgress}
   | {kind: 'completed'; id: string}
   | {kind: 'deleted'; id: string}
@@ -69,6 +80,28 @@
   return {key: CANCELLED + id, value: '1'};
 }
 
+/** Encodes the record that cancels a job which the log does not have. */
+export function encodeEarlyCancellation(
+  id: string,
+  caller: Caller,
+  cancelledAt: number,
+): KeyedRecord {
+  const value = {
+    queue: caller.queue,
+    workspace: caller.workspace,
+    cancelledAt,
+  } satisfies EarlyCancellation;
+  return {
+    key: EARLY_CANCELLATION + formatEarlyCancellationKey(id, caller),
+    value: JSON.stringify(value),
+  };
+}
+
+/** Encodes the tombstone of an early cancellation; `key` is that of `formatEarlyCancellationKey`. */
+export function encodeEarlyCancellationTombstone(key: string): KeyedRecord {
+  return {key: EARLY_CANCELLATION + key, value: ''};
+}
+
 /** Encodes the record of a job's progress. */
 export function encodeProgress(id: string, progress: Progress): KeyedRecord {
   return {key: PROGRESS + id, value: formatProgress(progress)};
@@ -87,7 +120,7 @@
   }));
 }
 
-/** Decodes a record. Returns undefined for other kinds of keys, and for tombstones other than that of an acceptance. Throws if the value is malformed. */
+/** Decodes a record. Returns undefined for other kinds of keys, and for tombstones other than those of an acceptance and of an early cancellation. Throws if the value is malformed. */
 export function decodeRecord(record: KeyedRecord): JobRecord | undefined {
   const {key, value} = record;
   if (key === LEADERSHIP) {
@@ -100,6 +133,13 @@
       ? {kind: 'deleted', id}
       : {kind: 'accepted', id, job: acceptedJobSchema.parse(JSON.parse(value))};
   }
+  if (key.startsWith(EARLY_CANCELLATION)) {
+    const parsed =
+      value === ''
+        ? undefined
+        : earlyCancellationSchema.parse(JSON.parse(value));
+    return {kind: 'early-cancellation', key: id, value: parsed};
+  }
   if (value === '') {
     return undefined;
   }
