Keep a run allocated while a late copy of its start may be carried out

Cause: a run was released when its target's lease had expired or its incarnation had been replaced. A copy of its start that got no response may still reach the next incarnation with the same id, which has seen no fence.

Change: until such a copy can no longer bring the run to life, the run moves to the next incarnation, where a stop ends it, or stays allocated. That holds for starts that were acknowledged at a later attempt and for those of former leaders. New log lines: start-unanswered, run-unexpected.

--- a/packages/dispatch/src/command_sender.ts
+++ b/packages/dispatch/src/command_sender.ts
@@ -1,7 +1,7 @@
 /**
  * Sends start and stop commands, and retries each until its outcome is known.
  */
-import type {Clock, Logger, Milliseconds} from '@galenavalve/shared';
+import type {Clock, Instant, Logger, Milliseconds} from '@galenavalve/shared';
 import type {CallPacer} from './call_pacer.js';
 import type {RunTracker} from './run_tracker.js';
 import type {Allocation, ActiveUnit} from './active_job.js';
@@ -183,10 +183,7 @@
         }
         return;
       }
-      // Logged before the start command is sent again, unless the outcome is unknown.
-      if (outcome.kind !== 'unknown') {
-        this.logger.debug('start-again', {task: allocation.task, outcome});
-      }
+      this.logRepeatedStart(allocation, outcome, attempt, now);
       target.avoidUntil = Math.max(
         target.avoidUntil,
         now + COMMAND_RETRY_DELAY_MS,
@@ -215,6 +212,27 @@
       : 'leadership was not confirmed recently';
   }
 
+  /** A start command without a response may be carried out later, also by the target's next incarnation. */
+  private logRepeatedStart(
+    {task, run, target, lateRunUntil}: Allocation,
+    outcome: CommandOutcome,
+    attempt: number,
+    now: Instant,
+  ): void {
+    if (outcome.kind === 'unknown') {
+      this.logger.info('start-unanswered', {
+        task,
+        run,
+        target: target.key,
+        attempt,
+        mayRunForMs: Math.round(lateRunUntil - now),
+        problem: outcome.problem,
+      });
+    } else {
+      this.logger.debug('start-again', {task, outcome});
+    }
+  }
+
   private onStartFailed(
     allocation: Allocation,
     unit: ActiveUnit,
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -50,6 +50,7 @@
 } from './active_job.js';
 import {
   type DispatchSettings,
+  MAX_COMMAND_DELAY_MS,
   MAX_LISTING_AGE_MS,
   MIN_CLOCK_RATE,
   TICK_INTERVAL_MS,
@@ -96,6 +97,8 @@
   readonly epoch: number;
   readonly estimator = new DurationEstimator();
   private readonly jobs = new Map<string, ActiveJob>();
+  /** Time until which late start commands of earlier leaders may bring runs to life, or have them alive. */
+  private readonly earlierRunsUntil: Instant;
   private readonly changedJobs: ChangedJobs;
   private readonly directory: TargetDirectory;
   private readonly tracker: RunTracker;
@@ -164,6 +167,7 @@
     );
     const earlierLeasesExpireAt =
       now + MAX_UNCONFIRMED_MS + settings.maxLease / MIN_CLOCK_RATE;
+    this.earlierRunsUntil = earlierLeasesExpireAt + MAX_COMMAND_DELAY_MS;
     this.directory = new TargetDirectory(
       {
         onTargetAdded: target => void this.sessions.maintain(target),
@@ -335,7 +339,7 @@
       epoch: this.epoch,
       findUnit: (task: string) => findUnit(this.jobs, task),
       findDemand: (task: string) => findDemand(this.dependencies.table, task),
-      onOrphan: (orphan: Allocation) => void this.commands.stop(orphan),
+      onOrphan: (orphan: Allocation) => this.onOrphan(orphan),
     };
     const now = this.dependencies.clock.now();
     const wasSchedulable = target.isSchedulable(now, MAX_LISTING_AGE_MS);
@@ -347,6 +351,17 @@
     this.writer.flush();
   }
 
+  /** Stops a run that this leader does not expect on its target. */
+  private onOrphan(orphan: Allocation): void {
+    const {task, run, target} = orphan;
+    this.dependencies.logger.info('run-unexpected', {
+      task,
+      run,
+      target: target.key,
+    });
+    void this.commands.stop(orphan);
+  }
+
   /** Called when another incarnation responds at a target's address. */
   onOtherIncarnation(target: TargetState, born: number): void {
     this.directory.onOtherIncarnation(target, born);
@@ -479,6 +494,7 @@
     }
     this.changedJobs.add(job);
     if (job.hasFailed) {
+      allocation.lateRunUntil = this.earlierRunsUntil;
       this.stopJob(job, 'the job has failed');
     }
     this.passRunner.request();
--- a/packages/dispatch/src/incarnation_cleanup.ts
+++ b/packages/dispatch/src/incarnation_cleanup.ts
@@ -23,8 +23,7 @@
 
   /**
    * Called when incarnation `next` has replaced `target`. Releases its
-   * allocations, except those whose commands are still pending: they move to
-   * `next`.
+   * allocations, except those that `next` may still start: they move to it.
    */
   onReplaced(target: TargetState, next: TargetState, now: Instant): void {
     this.logger.info('target-restarted', {
@@ -35,7 +34,7 @@
     });
     this.onEnded(target, now);
     for (const allocation of [...target.allocations.values()]) {
-      if (this.isCommandPending(allocation)) {
+      if (this.mayStartAgain(allocation, now)) {
         this.moveAllocation(allocation, next);
       } else {
         this.tracker.onRunLost(allocation, 'the target restarted', now);
@@ -85,14 +84,16 @@
 
   /**
    * Releases the allocations of a target whose lease has expired; its tasks
-   * have stopped by then whether or not it can be reached.
+   * have stopped by then whether or not it can be reached. One that the next
+   * incarnation with the same id may still start, unseen by this leader, is kept.
    */
   dropExpiredRuns(target: TargetState, now: Instant): void {
     if (now <= target.leaseExpiresAt || target.allocations.size === 0) {
       return;
     }
     for (const allocation of [...target.allocations.values()]) {
-      if (allocation.state !== 'planned') {
+      const isEnded = now > allocation.lateRunUntil;
+      if (allocation.state !== 'planned' && isEnded) {
         this.tracker.onRunLost(
           allocation,
           'the lease of its target expired',
@@ -110,13 +111,18 @@
   }
 
   /**
-   * Whether a command of this epoch may reach the new incarnation, or has reached
-   * it: a start that was acknowledged, but whose run the former incarnation never
-   * listed, may have been acknowledged by the new one.
+   * Whether the new incarnation may start the run, or has started it. A command
+   * of this epoch may be under way: a start that was acknowledged, but whose run
+   * the former incarnation never listed, may have been acknowledged by the new
+   * one. An earlier copy of a start, also of one whose run was listed, may be
+   * carried out late.
    */
-  private isCommandPending(allocation: Allocation): boolean {
+  private mayStartAgain(allocation: Allocation, now: Instant): boolean {
     const {state, isListed, acknowledgedClock, epoch} = allocation;
     const isPending =
+    if (now <= allocation.lateRunUntil) {
+      return true;
+    }
       state === 'starting' ||
       (state === 'confirmed' && !isListed) ||
       (state === 'stopping' && (acknowledgedClock === undefined || !isListed));
@@ -138,4 +144,7 @@
     );
     void this.commands.stop(allocation);
   }
+    if (allocation.unit) {
+      this.tracker.stop(allocation.unit, 'the target restarted');
+    }
 }
--- a/packages/emulator/src/emulated_fleet.ts
+++ b/packages/emulator/src/emulated_fleet.ts
@@ -99,8 +99,8 @@
     private readonly disturbances = new Disturbances(),
   ) {}
 
-  /** Adds a target, or a new incarnation of it if the id exists, and registers it. */
-  addTarget(info: TargetInfo): EmulatedTarget {
+  /** Adds a target, or a new incarnation of it if the id exists. Registers it unless it cannot reach the registry. */
+  addTarget(info: TargetInfo, isRegistered = true): EmulatedTarget {
     const target = new EmulatedTarget(
       info,
       this.bounds,
@@ -112,7 +112,9 @@
     );
     target.guardsCapacity = this.guardsCapacity;
     this.targets.set(info.id, target);
-    this.updateRegistration(info);
+    if (isRegistered) {
+      this.updateRegistration(info);
+    }
     return target;
   }
 
