Acknowledge ends only to the incarnation that listed them

Cause: the first poll after the restart carried the number of the last end of the former incarnation, and the target forgot ends that nobody had read.

Change: after a call without a response a poll acknowledges nothing until the known incarnation has answered. The emulator no longer lets the next incarnation answer a poll that was waiting at the former one.

--- a/packages/dispatch/src/command_sender.ts
+++ b/packages/dispatch/src/command_sender.ts
@@ -310,6 +310,9 @@
       };
     }
     const outcome = await call(COMMAND_TIMEOUT_MS);
+    if (outcome.kind === 'unknown') {
+      target.isIncarnationProven = false;
+    }
     if ('clock' in outcome) {
       target.onResponse(outcome.clock, this.clock.now());
     }
--- a/packages/dispatch/src/target_sessions.ts
+++ b/packages/dispatch/src/target_sessions.ts
@@ -142,11 +142,15 @@
       {
         epoch: this.delegate.epoch + target.epochOffset,
         leaseUntil: leaseEnd,
-        acknowledgedEnd: target.recordedEnd,
+        // Another incarnation numbers its ends anew and would forget them unread.
+        acknowledgedEnd: target.isIncarnationProven ? target.recordedEnd : 0,
         wait,
       },
       wait + RESPONSE_TIMEOUT_MS,
     );
+    target.isIncarnationProven =
+      outcome.kind === 'listed' &&
+      !isOtherIncarnation(target, outcome.listing.born);
     this.applyOutcome(target, outcome);
     return outcome;
   }
@@ -161,7 +165,7 @@
       this.delegate.onAddressReassigned(target);
     } else if (outcome.kind === 'listed') {
       const {born} = outcome.listing;
-      if (born !== 0 && target.info.born !== 0 && born !== target.info.born) {
+      if (isOtherIncarnation(target, born)) {
         this.delegate.onOtherIncarnation(target, born);
       } else {
         this.delegate.onListing(target, outcome.listing);
@@ -186,6 +190,11 @@
   }
 }
 
+/** Whether a listing is that of another incarnation; `born` is 0 if the listing does not tell. */
+function isOtherIncarnation({info}: TargetState, born: number): boolean {
+  return born !== 0 && info.born !== 0 && born !== info.born;
+}
+
 /**
  * Returns the wait of the next poll. Targets with urgent work are polled twice
  * as often, so that a stall is noticed early.
--- a/packages/dispatch/src/target_state.ts
+++ b/packages/dispatch/src/target_state.ts
@@ -49,6 +49,8 @@
   /**
    * When the response to the poll in progress is due; Infinity if there is
    * none.
+  /** Whether the last poll was answered by this incarnation; another one may have replaced it since a call failed. */
+  isIncarnationProven = false;
    */
   responseDueAt: Instant = Infinity;
   /** Number of the last end that was processed. */
--- a/packages/emulator/src/emulated_fleet.ts
+++ b/packages/emulator/src/emulated_fleet.ts
@@ -358,6 +358,10 @@
   private async callTarget<T extends CommandOutcome | PollOutcome>(
     address: TargetAddress,
     timeout: Milliseconds,
+    if (target && this.findAt(address) !== target) {
+      // The connection ended with the incarnation that had the request.
+      return {kind: 'unknown', problem: 'the connection was closed'};
+    }
     isCommand: boolean,
     execute: (target: EmulatedTarget) => T,
   ): Promise<T> {
