Count crashes of targets that are away longer than their last lease

Cause: the runs of such a target are released with its lease; the later incarnation that proves the crash found no run to blame.

Change: released runs stay suspects of their target until it lists its runs again or a later incarnation proves the crash.

--- a/packages/dispatch/src/crash_attribution.ts
+++ b/packages/dispatch/src/crash_attribution.ts
@@ -65,7 +65,7 @@
     if (this.counted.has(target.key)) {
       this.logger.info('crash-known', {
         target: target.key,
-        runs: target.allocations.size,
+        runs: target.allocations.size + target.lapsedRuns.length,
       });
       return;
     }
@@ -81,7 +81,7 @@
     }
     this.logger.info('target-crashed', {
       target: target.key,
-      runs: target.allocations.size,
+      runs: target.allocations.size + target.lapsedRuns.length,
       suspects: suspects.slice(0, 8).map(({task, unit, memberIndex}) => ({
         task,
         crashes: findCrashEvidence(unit, memberIndex)?.count,
@@ -170,7 +170,10 @@
 
 /** Returns the allocations of a crashed target whose runs may have caused the crash. */
 function findSuspects(target: TargetState): PlacedAllocation[] {
-  const started = [...target.allocations.values()].filter(isStarted);
+  const started = [
+    ...[...target.allocations.values()].filter(isStarted),
+    ...target.lapsedRuns.filter(isLapsedSuspect),
+  ];
   const suspects = started.filter(
     ({isListed, unit, memberIndex}) =>
       !isListed || isSuspect(unit, memberIndex),
@@ -178,17 +181,25 @@
   return suspects.length > 0 ? suspects : started;
 }
 
+/** Whether a run that was released with its lease belongs to a unit that is not done; the unit may have started again since. */
+function isLapsedSuspect(
+  allocation: Allocation,
+): allocation is PlacedAllocation {
+  const {unit} = allocation;
+  return unit !== undefined && !unit.progress.isDone && mayHaveRun(allocation);
+}
+
 /** Whether a run of a unit that is not done may have been on the target when it crashed. */
 function isStarted(allocation: Allocation): allocation is PlacedAllocation {
   const {unit, run} = allocation;
   const isCurrentRun =
     unit !== undefined && run === unit.progress.run && !unit.progress.isDone;
-  return (
-    isCurrentRun &&
-    (allocation.isConfirmed ||
-      allocation.isListed ||
-      mayHaveStarted(allocation))
-  );
+  return isCurrentRun && mayHaveRun(allocation);
+}
+
+function mayHaveRun(allocation: Allocation): boolean {
+  const {isConfirmed, isListed} = allocation;
+  return isConfirmed || isListed || mayHaveStarted(allocation);
 }
 
 /** Whether a start command without a response may have been carried out before the target crashed. */
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -434,6 +434,11 @@
         this.dropEndedRuns(target, now),
       );
     }
+    for (const target of this.directory.listAbsentTargets()) {
+      this.runGuarded(`target ${target.key}`, () =>
+        this.findCrash(target, now),
+      );
+    }
     this.runGuarded('stragglers', () =>
       stopStragglers(
         this.jobs.values(),
@@ -461,11 +466,16 @@
 
   /** Releases the allocations of a target whose incarnation or lease has ended. */
   private dropEndedRuns(target: TargetState, now: Instant): void {
+    this.findCrash(target, now);
+    this.incarnationCleanup.dropExpiredRuns(target, now);
+  }
+
+  /** Looks for a later incarnation, which proves that a target has ended. */
+  private findCrash(target: TargetState, now: Instant): void {
     const successor = this.directory.findSuccessor(target);
     if (successor) {
       this.incarnationCleanup.onSucceeded(target, successor, now);
     }
-    this.incarnationCleanup.dropExpiredRuns(target, now);
   }
 
   private close(): void {
@@ -484,6 +494,7 @@
       const allocation = this.tracker.allocate(unit, member, target, 0, now);
       allocation.state = 'starting';
       allocation.isIsolated = needsIsolation(unit, member);
+      allocation.lateRunUntil = this.earlierRunsUntil;
     }
     unit.phase = unit.progress.isDone ? 'running' : 'starting';
   }
@@ -494,7 +505,6 @@
     }
     this.changedJobs.add(job);
     if (job.hasFailed) {
-      allocation.lateRunUntil = this.earlierRunsUntil;
       this.stopJob(job, 'the job has failed');
     }
     this.passRunner.request();
--- a/packages/dispatch/src/incarnation_cleanup.ts
+++ b/packages/dispatch/src/incarnation_cleanup.ts
@@ -72,7 +72,7 @@
    * address of `target`, of which this leader may have heard from records only.
    */
   onSucceeded(target: TargetState, successor: TargetState, now: Instant): void {
-    if (target.allocations.size === 0) {
+    if (target.allocations.size === 0 && target.lapsedRuns.length === 0) {
       return;
     }
     if (successor.info.id === target.info.id) {
@@ -94,6 +94,7 @@
     for (const allocation of [...target.allocations.values()]) {
       const isEnded = now > allocation.lateRunUntil;
       if (allocation.state !== 'planned' && isEnded) {
+        target.lapsedRuns.push(allocation);
         this.tracker.onRunLost(
           allocation,
           'the lease of its target expired',
@@ -108,6 +109,7 @@
     if (target.drainingSince === undefined) {
       this.crashes.onCrash(target, now);
     }
+    target.lapsedRuns = [];
   }
 
   /**
@@ -119,10 +121,10 @@
    */
   private mayStartAgain(allocation: Allocation, now: Instant): boolean {
     const {state, isListed, acknowledgedClock, epoch} = allocation;
-    const isPending =
     if (now <= allocation.lateRunUntil) {
       return true;
     }
+    const isPending =
       state === 'starting' ||
       (state === 'confirmed' && !isListed) ||
       (state === 'stopping' && (acknowledgedClock === undefined || !isListed));
@@ -143,8 +145,8 @@
       allocation.lateRunUntil,
     );
     void this.commands.stop(allocation);
-  }
     if (allocation.unit) {
       this.tracker.stop(allocation.unit, 'the target restarted');
     }
+  }
 }
--- a/packages/dispatch/src/target_directory.ts
+++ b/packages/dispatch/src/target_directory.ts
@@ -17,6 +17,14 @@
  */
 const SILENCE_MS: Milliseconds = 2000;
 
+/**
+ * Time for which a target that was removed after its runs had lapsed is
+ * remembered, and the limit of such targets. One that comes back later is not
+ * taken for crashed under these runs.
+ */
+const MAX_ABSENCE_MS: Milliseconds = 600_000;
+const MAX_ABSENT_TARGETS = 1000;
+
 /** Events of the directory. */
 export interface TargetDirectoryEvents {
   /** Called when an incarnation was registered for the first time. */
@@ -34,6 +42,11 @@
   private readonly byIncarnation = new Map<string, TargetState>();
   private readonly byId = new Map<string, TargetState>();
   private readonly byAddress = new Map<string, TargetState>();
+  /** Targets that were swept after runs on them had lapsed, by incarnation. */
+  private readonly absent = new Map<
+    string,
+    {target: TargetState; since: Instant}
+  >();
   /** Entries that contradict a target which responds, by id. */
   private readonly contested = new Map<string, TargetInfo>();
   /** Entry of the last incarnation that has responded and was replaced, by id. */
@@ -61,6 +74,11 @@
     return this.byIncarnation.values();
   }
 
+  /** Returns the targets that were swept after runs on them had lapsed; a successor proves that they had crashed. */
+  listAbsentTargets(): TargetState[] {
+    return [...this.absent.values()].map(({target}) => target);
+  }
+
   /** Whether there are targets and all registered ones have listed their runs. */
   get areAllListed(): boolean {
     const targets = [...this.byIncarnation.values()];
@@ -194,6 +212,18 @@
         isUnresponsive
       ) {
         this.remove(target);
+        if (target.lapsedRuns.length > 0) {
+          this.absent.set(target.key, {target, since: now});
+        }
+      }
+    }
+    for (const [key, {target, since}] of this.absent) {
+      const isOver =
+        now - since > MAX_ABSENCE_MS ||
+        this.absent.size > MAX_ABSENT_TARGETS ||
+        target.lapsedRuns.length === 0;
+      if (isOver) {
+        this.absent.delete(key);
       }
     }
   }
@@ -206,6 +236,7 @@
       unregistered.isRegistered = true;
     }
     const current = unregistered ?? target;
+    this.absent.delete(current.key);
     this.byIncarnation.set(current.key, current);
     this.byId.set(info.id, current);
     this.byAddress.set(info.address, current);
--- a/packages/dispatch/src/target_listing.ts
+++ b/packages/dispatch/src/target_listing.ts
@@ -56,6 +56,8 @@
   let hasChanged = false;
   target.lastListingClock = listing.clock;
   target.hasListing = true;
+  // The target has not crashed.
+  target.lapsedRuns = [];
   for (const end of [...listing.ended].sort((a, b) => a.number - b.number)) {
     if (end.number > target.processedEnd) {
       target.processedEnd = end.number;
--- a/packages/dispatch/src/target_state.ts
+++ b/packages/dispatch/src/target_state.ts
@@ -35,6 +35,12 @@
 export class TargetState {
   /** Key of the incarnation; see `formatIncarnationKey`. */
   readonly key: string;
+  /**
+   * Runs that were released because their lease had expired while the target did
+   * not respond. One of them may have crashed it, which only a later incarnation
+   * proves.
+   */
+  lapsedRuns: Allocation[] = [];
   /** Allocations by task and run. */
   readonly allocations = new Map<string, Allocation>();
   /** Whether the registry lists this incarnation. */
@@ -43,14 +49,14 @@
   isRemoved = false;
   /** Whether this leader has received a listing. */
   hasListing = false;
+  /** Whether the last poll was answered by this incarnation; another one may have replaced it since a call failed. */
+  isIncarnationProven = false;
   lastResponseAt: Instant = -Infinity;
   /** When the first call failed since the last response; undefined if none has. */
   unresponsiveSince?: Instant;
   /**
    * When the response to the poll in progress is due; Infinity if there is
    * none.
-  /** Whether the last poll was answered by this incarnation; another one may have replaced it since a call failed. */
-  isIncarnationProven = false;
    */
   responseDueAt: Instant = Infinity;
   /** Number of the last end that was processed. */
--- a/packages/emulator/__tests__/crashing_tasks.spec.ts
+++ b/packages/emulator/__tests__/crashing_tasks.spec.ts
@@ -199,6 +199,27 @@
   },
 );
 
+// Guards against a chain of crashes that nobody counts, since each target is away for longer than its last lease.
+t.test(
+  'a task that crashes its targets is given up although they are away for longer than their leases',
+  async t => {
+    for (const newIdAfterCrash of [true, false]) {
+      const id = createId(1);
+      const cluster = await startCluster({
+        seed: 1,
+        crashingTasks: new Set([formatTask(id)]),
+        newIdAfterCrash,
+      });
+      cluster.fleet.faults.restartDelay = 18_000;
+      void cluster.submit(id, createSpec([createStep({count: 1})]));
+      const hasFailed = () => cluster.getJobState(id) === 'failed';
+      t.ok(await cluster.waitUntil(hasFailed, 150_000));
+      t.same(cluster.auditor.violations, []);
+      cluster.close();
+    }
+  },
+);
+
 // Guards against jobs that fail because targets crashed for reasons of their own.
 t.test('targets that crash by themselves fail no job', async t => {
   for (const seed of [1, 2, 3, 4]) {
--- a/packages/emulator/src/emulated_fleet.ts
+++ b/packages/emulator/src/emulated_fleet.ts
@@ -55,6 +55,8 @@
   delayedCommands: number;
   /** Whether targets that crash under a run restart with a new id at the same address. */
   newIdAfterCrash: boolean;
+  /** Time after which a target that crashed under a run is up again. */
+  restartDelay: Milliseconds;
   /** Whether targets that crash under a run never restart. */
   staysDownAfterCrash: boolean;
 }
@@ -76,6 +78,7 @@
     unreachableTargets: new Set(),
     delayedCommands: 0,
     newIdAfterCrash: true,
+    restartDelay: RESTART_DELAY_MS,
     staysDownAfterCrash: false,
   };
   readonly observers = new Set<RunObserver>();
@@ -169,7 +172,7 @@
   get crashNotice(): Milliseconds {
     return this.faults.staysDownAfterCrash
       ? MAX_LEASE_END_MS
-      : RESTART_DELAY_MS + RESTART_NOTICE_MS;
+      : this.faults.restartDelay + RESTART_NOTICE_MS;
   }
 
   /** Advances every target in time until `isFinished` returns true. */
@@ -287,8 +290,12 @@
       this.removeRegistration(target.info.id, REGISTRY_EXPIRY_MS);
       return;
     }
+    const {restartDelay} = this.faults;
+    if (restartDelay > REGISTRY_EXPIRY_MS) {
+      this.removeRegistration(target.info.id, REGISTRY_EXPIRY_MS);
+    }
     void this.clock
-      .sleep(RESTART_DELAY_MS)
+      .sleep(restartDelay)
       .then(() => this.restartAfterCrash(target.info));
   }
 
@@ -321,7 +328,10 @@
     }
     this.targets.delete(crashed.id);
     this.addTarget({...crashed, id: `${crashed.id}+`, born});
-    this.removeRegistration(crashed.id, REGISTRY_EXPIRY_MS - RESTART_DELAY_MS);
+    this.removeRegistration(
+      crashed.id,
+      Math.max(0, REGISTRY_EXPIRY_MS - this.faults.restartDelay),
+    );
   }
 
   private listRuns(): EmulatedRun[] {
@@ -348,6 +358,10 @@
     ) {
       await this.clock.sleep(ADVANCE_INTERVAL_MS);
     }
+    if (target && this.findAt(address) !== target) {
+      // The connection ended with the incarnation that had the request.
+      return {kind: 'unknown', problem: 'the connection was closed'};
+    }
     return poll();
   }
 
@@ -358,10 +372,6 @@
   private async callTarget<T extends CommandOutcome | PollOutcome>(
     address: TargetAddress,
     timeout: Milliseconds,
-    if (target && this.findAt(address) !== target) {
-      // The connection ended with the incarnation that had the request.
-      return {kind: 'unknown', problem: 'the connection was closed'};
-    }
     isCommand: boolean,
     execute: (target: EmulatedTarget) => T,
   ): Promise<T> {
