Let only its owner read, cancel and repeat a job

Cause: workspaces were compared only if the caller had one; a submission did not compare owners.

Change: one function decides for reads, cancellations, repeated submissions and early cancellations.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
   computeJitteredBackoff,
 } from '@galenavalve/shared';
 import {
+  type Caller,
   type Follower,
   type JobEntry,
   type JobSpec,
@@ -19,6 +20,7 @@
   findSpecProblem,
   formatEarlyCancellationKey,
   getJobState,
+  mayAccess,
 } from '@galenavalve/workload';
 import type {DesiredStateStore, Queue} from './desired_state.js';
 import type {LeaderPort} from './leader_port.js';
@@ -76,6 +78,8 @@
   | {kind: 'cancelled'}
   /** The job does not exist. */
   | {kind: 'unknown-job'}
+  /** A job that the caller may not access has the id; the caller's job was not accepted. */
+  | {kind: 'id-in-use'}
   /** The job's specification is invalid; the job was not accepted. */
   | {kind: 'invalid'; problem: string}
   /** The request was not carried out and will not be. */
@@ -118,8 +122,13 @@
     if (problem) {
       return {kind: 'invalid', problem};
     }
-    if (this.dependencies.table.find(request.jobId)) {
-      return {kind: 'accepted'};
+    const known = this.dependencies.table.find(request.jobId);
+    if (known) {
+      const response: GatewayResponse = mayAccess(toCaller(request), known.job)
+        ? {kind: 'accepted'}
+        : {kind: 'id-in-use'};
+      this.logResponse('submitted', request, response);
+      return response;
     }
     const record = encodeAccepted(request.jobId, {
       queue: request.queue.name,
@@ -175,10 +184,7 @@
         retryAfterSeconds: RETRY_AFTER_SECONDS,
       };
     }
-    const caller = {
-      queue: request.queue.name,
-      workspace: request.workspace,
-    };
+    const caller = toCaller(request);
     const key = formatEarlyCancellationKey(request.jobId, caller);
     const record = encodeEarlyCancellation(
       request.jobId,
@@ -233,14 +239,10 @@
     );
   }
 
-  /** Finds the job of a request in the table. For a caller of another workspace, the job does not exist. */
+  /** Finds the job of a request in the table. For a caller who may not access it, the job does not exist. */
   private findVisibleEntry(request: GatewayRequest): JobEntry | undefined {
     const entry = this.dependencies.table.find(request.jobId);
-    const isOfOtherWorkspace =
-      entry !== undefined &&
-      request.workspace !== undefined &&
-      entry.job.workspace !== request.workspace;
-    return isOfOtherWorkspace ? undefined : entry;
+    return entry && mayAccess(toCaller(request), entry.job) ? entry : undefined;
   }
 
   /** Appends a record, with retries, until it is known to be in the log; it may be appended more than once. Returns the response to a failure, or undefined on success. */
@@ -308,6 +310,10 @@
   }
 }
 
+function toCaller({queue, workspace}: GatewayRequest): Caller {
+  return {queue: queue.name, workspace};
+}
+
 function isEnded(entry: JobEntry): boolean {
   const state = getJobState(entry);
   return state !== 'queued' && state !== 'running';
