Bound the open tasks that the system accepts by the leader's memory

Cause: limits for a step and for the number of steps, none for all open jobs.

Change: the table counts open tasks, of all jobs and by workspace. Beyond 0.2 of the heap at 700 bytes a task a submission is refused with Retry-After; one workspace gets half. A job of more than 4,096 tasks is invalid, since its progress would not fit into one record.

The limits of a schedule's occurrences moved unchanged.

--- a/packages/bench/src/dispatch/fixture.ts
+++ b/packages/bench/src/dispatch/fixture.ts
@@ -9,7 +9,9 @@
   createActiveJob,
 } from '@galenavalve/dispatch';
 import {
+  type JobSpec,
   type Progress,
+  MAX_STEP_TASKS,
   type Step,
   createOccurrence,
 } from '@galenavalve/workload';
@@ -76,11 +78,19 @@
   };
 }
 
+/** Creates a job of single tasks, in steps that are as wide as they may be. */
+export function createWideSpec(units: number): JobSpec {
+  const steps: Step[] = [];
+  for (let left = units; left > 0; left -= MAX_STEP_TASKS) {
+    steps.push(createStep({count: Math.min(left, MAX_STEP_TASKS)}));
+  }
+  return {payload: '', steps};
+}
+
 /** Creates the progress of a job whose single tasks all run, each with a checkpoint. */
 export function createWideProgress(units: number): Progress {
-  const step = createStep({count: units});
-  const occurrence = createOccurrence({payload: '', steps: [step]}, 0);
-  for (const [index, unit] of occurrence.steps[0]!.entries()) {
+  const occurrence = createOccurrence(createWideSpec(units), 0);
+  for (const [index, unit] of occurrence.steps.flat().entries()) {
     unit.run = 2;
     unit.checkpoint = '00000bb87a21d94b';
     const target = (index % 1000).toString(16).padStart(10, '0');
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -2,6 +2,7 @@
 import {Command} from 'commander';
 import {registerDecideCommand} from './decide/command.js';
 import {registerDispatchCommand} from './dispatch/command.js';
+import {registerMemoryCommand} from './memory/command.js';
 import {registerPathCommand} from './path/command.js';
 import {registerPolicyCommand} from './policy/command.js';
 import {registerSlopesCommand} from './slopes/command.js';
@@ -12,6 +13,7 @@
 registerPolicyCommand(program);
 registerDecideCommand(program);
 registerDispatchCommand(program);
+registerMemoryCommand(program);
 registerPathCommand(program);
 registerSlopesCommand(program);
 await program.parseAsync();
--- a/packages/dispatch/src/job_lifecycle.ts
+++ b/packages/dispatch/src/job_lifecycle.ts
@@ -6,6 +6,7 @@
 import {
   type JobEntry,
   type Occurrence,
+  computeMaxOpenOccurrences,
   countOccurrences,
   createOccurrence,
   createProgress,
@@ -18,17 +19,6 @@
   hasNoAttemptLeft,
 } from './active_job.js';
 
-/**
- * Number of tasks up to which further occurrences of a schedule are added; as
- * many as a single step may have. A schedule may have any number of occurrences
- * due at once.
- */
-const MAX_OPEN_TASKS = 4096;
-
-/** Number of occurrences that may be open whatever their number of tasks, and the limit of open ones. */
-const MIN_OPEN_OCCURRENCES = 16;
-const MAX_OPEN_OCCURRENCES = 256;
-
 /**
  * Creates the state of an accepted job, which a previous leader may have
  * started. `wallNow` is in Unix milliseconds. Throws if the progress in the log
@@ -78,7 +68,7 @@
     (next, {index}) => Math.max(next, index + 1),
     progress.doneOccurrences,
   );
-  const maxOpen = computeMaxOpenOccurrences(job);
+  const maxOpen = computeMaxOpenOccurrences(job.accepted.spec);
   let next = first;
   while (
     next < schedule.times &&
@@ -157,18 +147,6 @@
   }
 }
 
-/** Returns how many occurrences of the job may be open at a time. */
-function computeMaxOpenOccurrences({accepted}: ActiveJob): number {
-  const taskCount = accepted.spec.steps.reduce(
-    (sum, {count}) => sum + count,
-    0,
-  );
-  return Math.min(
-    MAX_OPEN_OCCURRENCES,
-    Math.max(MIN_OPEN_OCCURRENCES, Math.floor(MAX_OPEN_TASKS / taskCount)),
-  );
-}
-
 function addUnits(job: ActiveJob, occurrence: Occurrence): void {
   const {steps} = job.accepted.spec;
   if (occurrence.steps.length !== steps.length) {
--- a/packages/emulator/src/emulated_cluster.ts
+++ b/packages/emulator/src/emulated_cluster.ts
@@ -9,8 +9,10 @@
 } from '@galenavalve/dispatch';
 import {
   DesiredStateStore,
+  type OpenTaskLimit,
   type Queue,
   type Workspace,
+  computeOpenTaskLimit,
 } from '@galenavalve/gateway';
 import {
   type Logger,
@@ -39,6 +41,9 @@
 /** Virtual time between two checks of the condition in `waitUntil`. */
 const CLOCK_STEP_MS = 10;
 
+/** Heap of an instance; that of the deployed ones. */
+const INSTANCE_HEAP_BYTES = 120 * 2 ** 20;
+
 /** Interval at which the cluster is looked at for idle jobs. */
 const OBSERVATION_INTERVAL_MS = 100;
 
@@ -53,6 +58,8 @@
   targetCapacity: Demand;
   logger: Logger;
   settings: DispatchSettings;
+  /** Open tasks that instances accept. */
+  openTaskLimit: OpenTaskLimit;
   advisor: Advisor;
   /** Scheduling policy of the leader; that of the dispatcher unless given. */
   policy?: SchedulingPolicy;
@@ -103,6 +110,7 @@
       targetCapacity: {cpu: 64_000, memoryMb: 131_072, accelerators: 8},
       logger: new SilentLogger(),
       settings: DEFAULT_SETTINGS,
+      openTaskLimit: computeOpenTaskLimit(INSTANCE_HEAP_BYTES),
       advisor: new NoAdvisor(),
       guardsCapacity: false,
       queues: [0, 1, 2].map(createQueue),
@@ -153,6 +161,7 @@
       registry: process.wrap(this.fleet.createTargetRegistry()),
       desiredState: this.desiredState,
       settings: this.options.settings,
+      openTaskLimit: this.options.openTaskLimit,
       policy: this.options.policy,
       clock: new InstanceClock(this.clock, process),
       random: this.random,
--- a/packages/emulator/src/emulated_instance.ts
+++ b/packages/emulator/src/emulated_instance.ts
@@ -7,7 +7,11 @@
   type TargetPort,
   type TargetRegistry,
 } from '@galenavalve/dispatch';
-import {DesiredStateStore, Gateway} from '@galenavalve/gateway';
+import {
+  DesiredStateStore,
+  Gateway,
+  type OpenTaskLimit,
+} from '@galenavalve/gateway';
 import {
   LeaderClient,
   LogPathTracker,
@@ -39,6 +43,7 @@
   registry: TargetRegistry;
   desiredState: DesiredStateStore;
   settings: DispatchSettings;
+  openTaskLimit: OpenTaskLimit;
   policy?: SchedulingPolicy;
   clock: Clock;
   random: Random;
@@ -109,6 +114,7 @@
       () => this.peerDirectory.candidateRank,
     );
     this.gateway = new Gateway({
+      openTaskLimit: dependencies.openTaskLimit,
       table: this.table,
       follower: this.follower,
       desiredState,
--- a/packages/gateway/__tests__/access.spec.ts
+++ b/packages/gateway/__tests__/access.spec.ts
@@ -84,6 +84,7 @@
   );
   follower.lastResponseAt = NOW;
   const gateway = new Gateway({
+    openTaskLimit: {total: 1000, perWorkspace: 1000},
     table,
     follower,
     desiredState,
--- a/packages/gateway/__tests__/gateway.spec.ts
+++ b/packages/gateway/__tests__/gateway.spec.ts
@@ -3,7 +3,9 @@
   type AppendOutcome,
   DesiredStateStore,
   Gateway,
+  type OpenTaskLimit,
   type Queue,
+  computeOpenTaskLimit,
 } from '@galenavalve/gateway';
 import {ManualClock, SeededRandom, SilentLogger} from '@galenavalve/shared';
 import {
@@ -11,6 +13,7 @@
   JobTable,
   type JobSpec,
   type KeyedRecord,
+  type Progress,
   encodeAccepted,
   encodeEarlyCancellation,
   encodeProgress,
@@ -25,6 +28,9 @@
   terms: {pool: 'p', priority: 1, maxAttempts: 2, stretch: 2, latencyMs: 100},
 };
 
+/** Limits of open tasks that the specs of other matters do not reach. */
+const LIMIT: OpenTaskLimit = {total: 1000, perWorkspace: 500};
+
 const spec: JobSpec = {
   payload: 'x',
   steps: [
@@ -74,6 +80,7 @@
   );
   follower.lastResponseAt = clock.now();
   const gateway = new Gateway({
+    openTaskLimit: LIMIT,
     table,
     follower,
     desiredState: new DesiredStateStore(),
@@ -294,3 +301,63 @@
     t.same(appended, []);
   },
 );
+
+/** Returns a job of single tasks. */
+function createWideSpec(count: number): JobSpec {
+  return {...spec, steps: [{...spec.steps[0]!, count}]};
+}
+
+// Guards against jobs that every leader ends on for want of memory, so that no job of any workspace runs.
+t.test(
+  'a submission is refused while the open jobs have as many tasks as fit into memory',
+  async t => {
+    const {gateway, request, clock, table, appended} = createGateway([]);
+    const submit = (jobId: string, workspace: string, count: number) =>
+      waitForResponse(
+        clock,
+        gateway.submit({...request, jobId, workspace}, createWideSpec(count)),
+      );
+    const read = () => {
+      const offset = appended.length - 1;
+      table.apply({...appended[offset]!, offset});
+    };
+    for (const [index, workspace] of ['a', 'b'].entries()) {
+      t.equal((await submit(`${index}`, workspace, 500)).kind, 'accepted');
+      read();
+      t.match(await submit('more', workspace, 1), {
+        kind: 'refused',
+        problem: /workspace/,
+        retryAfterSeconds: 1,
+      });
+    }
+    t.match(await submit('last', 'c', 1), {kind: 'refused', problem: /memory/});
+    const ended = {...createProgress(createWideSpec(500)), outcome: 'failed'};
+    table.apply({...encodeProgress('0', ended as Progress), offset: 10});
+    t.equal((await submit('last', 'c', 500)).kind, 'accepted');
+    t.equal(appended.length, 3, 'nothing is written for a refused job');
+  },
+);
+
+t.test(
+  'a job that can never fit into memory or into its record is invalid',
+  async t => {
+    const {gateway, request, clock, appended} = createGateway([]);
+    const schedule = {times: 1000, startAt: 0, intervalMs: 1};
+    const steps = Array.from({length: 2}, () => createWideSpec(4096).steps[0]!);
+    for (const wide of [
+      createWideSpec(501),
+      {...createWideSpec(100), schedule},
+      {...spec, steps},
+    ]) {
+      const submission = gateway.submit(request, wide);
+      t.equal((await waitForResponse(clock, submission)).kind, 'invalid');
+    }
+    t.same(appended, []);
+  },
+);
+
+t.test('the limit of open tasks follows from the heap', async t => {
+  const {total, perWorkspace} = computeOpenTaskLimit(120 * 2 ** 20);
+  t.equal(total, 35_951);
+  t.equal(perWorkspace, Math.floor(total / 2));
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
   type JobState,
   type JobTable,
   type KeyedRecord,
+  countOpenTasks,
   encodeAccepted,
   encodeCancelled,
   encodeEarlyCancellation,
@@ -24,6 +25,7 @@
 } from '@galenavalve/workload';
 import type {DesiredStateStore, Queue} from './desired_state.js';
 import type {LeaderPort} from './leader_port.js';
+import type {OpenTaskLimit} from './open_task_limit.js';
 import type {RecordAppender} from './record_appender.js';
 
 /** Timeout of one append. According to the platform, an append usually takes a few milliseconds, and a hundred times as long when the log is slow. */
@@ -97,6 +99,8 @@
   clock: Clock;
   random: Random;
   logger: Logger;
+  /** Open tasks that the system accepts. */
+  openTaskLimit: OpenTaskLimit;
 }
 
 /** The part of an instance that handles callers' requests. */
@@ -130,6 +134,11 @@
       this.logResponse('submitted', request, response);
       return response;
     }
+    const obstacle = this.findSizeProblem(request, spec);
+    if (obstacle) {
+      this.logResponse('submitted', request, obstacle);
+      return obstacle;
+    }
     const record = encodeAccepted(request.jobId, {
       queue: request.queue.name,
       workspace: request.workspace ?? '',
@@ -145,6 +154,31 @@
     return response;
   }
 
+  /** Returns the response to a job that, with the open ones, would not fit into the memory of a leader; undefined if it fits. */
+  private findSizeProblem(
+    {workspace = ''}: GatewayRequest,
+    spec: JobSpec,
+  ): GatewayResponse | undefined {
+    const {table, openTaskLimit} = this.dependencies;
+    const tasks = countOpenTasks(spec);
+    const {total, perWorkspace} = openTaskLimit;
+    if (tasks > perWorkspace) {
+      const problem = `the job has up to ${tasks} open tasks, and at most ${perWorkspace} fit into memory`;
+      return {kind: 'invalid', problem};
+    }
+    const isFull = table.countOpenTasks() + tasks > total;
+    const isOverShare = table.countOpenTasks(workspace) + tasks > perWorkspace;
+    return isFull || isOverShare
+      ? {
+          kind: 'refused',
+          problem: isOverShare
+            ? 'the open jobs of the workspace have as many tasks as it may have'
+            : 'the open jobs have as many tasks as fit into memory',
+          retryAfterSeconds: RETRY_AFTER_SECONDS,
+        }
+      : undefined;
+  }
+
   /** Cancels a job; reports success once the record of the cancellation is in the log. */
   async cancel(request: GatewayRequest): Promise<GatewayResponse> {
     const entry = await this.findEntry(request);
--- a/packages/workload/__tests__/job_table.spec.ts
+++ b/packages/workload/__tests__/job_table.spec.ts
@@ -230,3 +230,31 @@
   t.equal(getJobState(table.find('1')!), 'queued');
   t.end();
 });
+
+t.test('the open tasks of a job count until it ends or is deleted', t => {
+  const table = new JobTable(new SilentLogger());
+  const job = createJob();
+  const progress = createProgress(job.spec);
+  const ended = {...progress, outcome: 'complete' as const};
+  table.apply({...encodeAccepted('1', job), offset: 1});
+  table.apply({...encodeAccepted('1', job), offset: 2});
+  table.apply({...encodeAccepted('2', job), offset: 3});
+  table.apply({...encodeAccepted('3', {...job, workspace: 'v'}), offset: 4});
+  t.equal(table.countOpenTasks(), 9);
+  t.equal(table.countOpenTasks('w'), 6);
+  table.apply({...encodeProgress('1', progress), offset: 5});
+  table.apply({...encodeProgress('1', ended), offset: 6});
+  table.apply({...encodeProgress('1', ended), offset: 7});
+  t.equal(table.countOpenTasks('w'), 3);
+  encodeJobTombstones('1').forEach((record, index) =>
+    table.apply({...record, offset: 8 + index}),
+  );
+  encodeJobTombstones('2').forEach((record, index) =>
+    table.apply({...record, offset: 20 + index}),
+  );
+  t.equal(table.countOpenTasks('w'), 0);
+  table.apply({...encodeProgress('4', ended), offset: 30});
+  table.apply({...encodeAccepted('4', job), offset: 31});
+  t.equal(table.countOpenTasks(), 3, 'an ended job that is read late');
+  t.end();
+});
--- a/packages/workload/src/job_spec.ts
+++ b/packages/workload/src/job_spec.ts
@@ -71,14 +71,3 @@
 export type Schedule = z.infer<typeof scheduleSchema>;
 /** A job as the caller specifies it. */
 export type JobSpec = z.infer<typeof jobSpecSchema>;
-
-/** Describes the first error in a job that the schema cannot detect; returns undefined if there is none. */
-export function findSpecProblem(spec: JobSpec): string | undefined {
-  for (const [index, step] of spec.steps.entries()) {
-    const invalid = step.dependsOn.find(other => other >= index);
-    if (invalid !== undefined) {
-      return `step ${index} depends on step ${invalid}, which is not an earlier step`;
-    }
-  }
-  return undefined;
-}
--- a/packages/workload/src/job_table.ts
+++ b/packages/workload/src/job_table.ts
@@ -11,6 +11,7 @@
   type StoredRecord,
   decodeRecord,
 } from './keyed_record.js';
+import {countOpenTasks} from './job_size.js';
 import type {StoredProgress} from './stored_progress.js';
 
 /** State of a job as callers see it. */
@@ -42,6 +43,9 @@
   /** Offset of the newest applied record of each key; needed because the pages of newest records overlap the tail of the log. */
   private readonly newestOffsets = new Map<string, number>();
   private newestLeadership?: Leadership;
+  /** Tasks of the jobs that have not ended, by workspace. */
+  private readonly openTasks = new Map<string, number>();
+  private openTaskCount = 0;
 
   constructor(private readonly logger: Logger) {}
 
@@ -82,6 +86,13 @@
     return this.newestLeadership;
   }
 
+  /** Counts the tasks of all jobs that have not ended, or of those of one workspace. */
+  countOpenTasks(workspace?: string): number {
+    return workspace === undefined
+      ? this.openTaskCount
+      : (this.openTasks.get(workspace) ?? 0);
+  }
+
   /** Counts the jobs of a queue of which no task has started; schedules are not considered. */
   countQueuedJobs(queue: string): number {
     let count = 0;
@@ -136,7 +147,7 @@
         this.setProgress(record.id, record.progress);
         return;
       case 'deleted':
-        this.entries.delete(record.id);
+        this.deleteJob(record.id);
         this.pendingCancellations.delete(record.id);
         this.pendingCompletions.delete(record.id);
         this.pendingProgress.delete(record.id);
@@ -144,7 +155,7 @@
   }
 
   private addJob(id: string, job: AcceptedJob): void {
-    this.entries.set(id, {
+    const entry: JobEntry = {
       id,
       job,
       isCancelled:
@@ -152,8 +163,31 @@
         this.earlyCancellations.isCancelled(id, job),
       isKnownComplete: this.pendingCompletions.delete(id),
       progress: this.pendingProgress.get(id),
-    });
+    };
+    this.entries.set(id, entry);
     this.pendingProgress.delete(id);
+    if (isOpen(entry)) {
+      this.addOpenTasks(job, 1);
+    }
+  }
+
+  private deleteJob(id: string): void {
+    const entry = this.entries.get(id);
+    if (entry && isOpen(entry)) {
+      this.addOpenTasks(entry.job, -1);
+    }
+    this.entries.delete(id);
+  }
+
+  private addOpenTasks({workspace, spec}: AcceptedJob, sign: 1 | -1): void {
+    const count = sign * countOpenTasks(spec);
+    const ofWorkspace = this.countOpenTasks(workspace) + count;
+    this.openTaskCount += count;
+    if (ofWorkspace === 0) {
+      this.openTasks.delete(workspace);
+    } else {
+      this.openTasks.set(workspace, ofWorkspace);
+    }
   }
 
   /** Marks a job as cancelled, or remembers that for its acceptance: the pages of newest records may list the records of a job in any order. */
@@ -196,13 +230,22 @@
   private setProgress(id: string, progress: StoredProgress): void {
     const entry = this.entries.get(id);
     if (entry) {
+      const wasOpen = isOpen(entry);
       entry.progress = progress;
+      if (wasOpen && !isOpen(entry)) {
+        this.addOpenTasks(entry.job, -1);
+      }
     } else {
       this.pendingProgress.set(id, progress);
     }
   }
 }
 
+/** Whether the leader keeps the job's tasks, since its progress says that it has not ended. */
+function isOpen({progress}: JobEntry): boolean {
+  return (progress?.outcome ?? 'active') === 'active';
+}
+
 /** Returns the state of a job as callers see it. */
 export function getJobState(entry: JobEntry): JobState {
   if (entry.isKnownComplete) {
