--- a/packages/gateway/__tests__/access.spec.ts
+++ b/packages/gateway/__tests__/access.spec.ts
@@ -1,50 +1,13 @@
 import t from 'tap';
-import {
-  DesiredStateStore,
-  Gateway,
-  type Queue,
-  admit,
-} from '@galenavalve/gateway';
+import {DesiredStateStore, Gateway, admit} from '@galenavalve/gateway';
 import {ManualClock, SeededRandom, SilentLogger} from '@galenavalve/shared';
-import {
-  Follower,
-  type JobSpec,
-  JobTable,
-  type KeyedRecord,
-} from '@galenavalve/workload';
+import {Follower, JobTable, type KeyedRecord} from '@galenavalve/workload';
+import {createQueue, createSpec} from './fixtures.js';
 
 const HOST = 'h';
 const NOW = 10_000;
 const ID = '5c0e7a21d94b36f8';
 
-const spec: JobSpec = {
-  payload: 'x',
-  steps: [
-    {
-      count: 1,
-      demand: {cpu: 1, memoryMb: 1, accelerators: 0},
-      estimateMs: 10,
-      dependsOn: [],
-      isGang: false,
-      isRackSensitive: false,
-      savesProgress: false,
-      isLongRunning: false,
-      usesIdleCpu: false,
-      maxUnavailable: 0,
-    },
-  ],
-};
-
-function createQueue(name: string, isPublic: boolean): Queue {
-  return {
-    name,
-    host: HOST,
-    pathPrefix: `/${name}/`,
-    isPublic,
-    terms: {pool: 'p', priority: 1, maxAttempts: 2, stretch: 2, latencyMs: 100},
-  };
-}
-
 /** Creates an instance with two private and two public queues, and two workspaces with a key each. */
 function createInstance(log: KeyedRecord[] = [], publicQueues = ['c', 'd']) {
   const clock = new ManualClock(NOW);
@@ -124,7 +87,7 @@
   const request = {queue, workspace, jobId: ID, timeout: 3000};
   const response =
     method === 'submit'
-      ? await gateway.submit(request, spec)
+      ? await gateway.submit(request, createSpec())
       : method === 'read'
         ? await gateway.getState(request)
         : await gateway.cancel(request);
@@ -210,7 +173,7 @@
   const instance = createInstance();
   await call(instance, 'submit', 'a', 'key-w');
   for (const name of ['a', 'b', 'c', 'd']) {
-    const queue = createQueue(name, false);
+    const queue = createQueue(name);
     const count = instance.gateway.countQueuedJobs(queue);
     t.equal(count, name === 'a' ? 1 : 0);
   }
--- a/packages/gateway/__tests__/gateway.spec.ts
+++ b/packages/gateway/__tests__/gateway.spec.ts
@@ -4,14 +4,12 @@
   DesiredStateStore,
   Gateway,
   type OpenTaskLimit,
-  type Queue,
   computeOpenTaskLimit,
 } from '@galenavalve/gateway';
 import {ManualClock, SeededRandom, SilentLogger} from '@galenavalve/shared';
 import {
   Follower,
   JobTable,
-  type JobSpec,
   type KeyedRecord,
   type Progress,
   encodeAccepted,
@@ -19,35 +17,14 @@
   encodeProgress,
   createProgress,
 } from '@galenavalve/workload';
+import {createQueue, createSpec} from './fixtures.js';
 
-const queue: Queue = {
-  name: 'q',
-  host: 'h',
-  pathPrefix: '/p/',
-  isPublic: false,
-  terms: {pool: 'p', priority: 1, maxAttempts: 2, stretch: 2, latencyMs: 100},
-};
+const queue = createQueue('q');
 
 /** Limits of open tasks that the specs of other matters do not reach. */
 const LIMIT: OpenTaskLimit = {total: 1000, perWorkspace: 500};
 
-const spec: JobSpec = {
-  payload: 'x',
-  steps: [
-    {
-      count: 1,
-      demand: {cpu: 1, memoryMb: 1, accelerators: 0},
-      estimateMs: 10,
-      dependsOn: [],
-      isGang: false,
-      isRackSensitive: false,
-      savesProgress: false,
-      isLongRunning: false,
-      usesIdleCpu: false,
-      maxUnavailable: 0,
-    },
-  ],
-};
+const spec = createSpec();
 
 /** Creates a gateway over a log whose first appends have the given outcomes; later ones succeed. */
 function createGateway(outcomes: AppendOutcome[]) {
@@ -302,11 +279,6 @@
   },
 );
 
-/** Returns a job of single tasks. */
-function createWideSpec(count: number): JobSpec {
-  return {...spec, steps: [{...spec.steps[0]!, count}]};
-}
-
 // Guards against jobs that every leader ends on for want of memory, so that no job of any workspace runs.
 t.test(
   'a submission is refused while the open jobs have as many tasks as fit into memory',
@@ -315,7 +287,7 @@
     const submit = (jobId: string, workspace: string, count: number) =>
       waitForResponse(
         clock,
-        gateway.submit({...request, jobId, workspace}, createWideSpec(count)),
+        gateway.submit({...request, jobId, workspace}, createSpec(count)),
       );
     const read = () => {
       const offset = appended.length - 1;
@@ -331,7 +303,7 @@
       });
     }
     t.match(await submit('last', 'c', 1), {kind: 'refused', problem: /memory/});
-    const ended = {...createProgress(createWideSpec(500)), outcome: 'failed'};
+    const ended = {...createProgress(createSpec(500)), outcome: 'failed'};
     table.apply({...encodeProgress('0', ended as Progress), offset: 10});
     t.equal((await submit('last', 'c', 500)).kind, 'accepted');
     t.equal(appended.length, 3, 'nothing is written for a refused job');
@@ -343,10 +315,10 @@
   async t => {
     const {gateway, request, clock, appended} = createGateway([]);
     const schedule = {times: 1000, startAt: 0, intervalMs: 1};
-    const steps = Array.from({length: 2}, () => createWideSpec(4096).steps[0]!);
+    const steps = Array.from({length: 2}, () => createSpec(4096).steps[0]!);
     for (const wide of [
-      createWideSpec(501),
-      {...createWideSpec(100), schedule},
+      createSpec(501),
+      {...createSpec(100), schedule},
       {...spec, steps},
     ]) {
       const submission = gateway.submit(request, wide);
