Look for ended targets in one place

The dispatcher walked over present and absent targets with code of its own for each; the cleanup of incarnations now does both, and unexpected runs are stopped where commands are sent.

--- a/packages/dispatch/src/command_sender.ts
+++ b/packages/dispatch/src/command_sender.ts
@@ -142,6 +142,13 @@
     }
   }
 
+  /** Stops a run that this leader does not expect on its target. */
+  stopOrphan(orphan: Allocation): void {
+    const {task, run, target} = orphan;
+    this.logger.info('run-unexpected', {task, run, target: target.key});
+    void this.stop(orphan);
+  }
+
   private async start(allocation: Allocation): Promise<void> {
     const {unit, target} = allocation;
     const deadline =
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -339,7 +339,7 @@
       epoch: this.epoch,
       findUnit: (task: string) => findUnit(this.jobs, task),
       findDemand: (task: string) => findDemand(this.dependencies.table, task),
-      onOrphan: (orphan: Allocation) => this.onOrphan(orphan),
+      onOrphan: (orphan: Allocation) => this.commands.stopOrphan(orphan),
     };
     const now = this.dependencies.clock.now();
     const wasSchedulable = target.isSchedulable(now, MAX_LISTING_AGE_MS);
@@ -351,17 +351,6 @@
     this.writer.flush();
   }
 
-  /** Stops a run that this leader does not expect on its target. */
-  private onOrphan(orphan: Allocation): void {
-    const {task, run, target} = orphan;
-    this.dependencies.logger.info('run-unexpected', {
-      task,
-      run,
-      target: target.key,
-    });
-    void this.commands.stop(orphan);
-  }
-
   /** Called when another incarnation responds at a target's address. */
   onOtherIncarnation(target: TargetState, born: number): void {
     this.directory.onOtherIncarnation(target, born);
@@ -429,15 +418,11 @@
       });
     }
     this.directory.settleContested(now);
-    for (const target of [...this.directory.listTargets()]) {
-      this.runGuarded(`target ${target.key}`, () =>
-        this.dropEndedRuns(target, now),
-      );
-    }
-    for (const target of this.directory.listAbsentTargets()) {
-      this.runGuarded(`target ${target.key}`, () =>
-        this.findCrash(target, now),
-      );
+    for (const target of this.directory.listAllTargets()) {
+      this.runGuarded(`target ${target.key}`, () => {
+        const successor = this.directory.findSuccessor(target);
+        this.incarnationCleanup.onTick(target, successor, now);
+      });
     }
     this.runGuarded('stragglers', () =>
       stopStragglers(
@@ -464,20 +449,6 @@
     this.writer.writeHeartbeatIfDue(now);
   }
 
-  /** Releases the allocations of a target whose incarnation or lease has ended. */
-  private dropEndedRuns(target: TargetState, now: Instant): void {
-    this.findCrash(target, now);
-    this.incarnationCleanup.dropExpiredRuns(target, now);
-  }
-
-  /** Looks for a later incarnation, which proves that a target has ended. */
-  private findCrash(target: TargetState, now: Instant): void {
-    const successor = this.directory.findSuccessor(target);
-    if (successor) {
-      this.incarnationCleanup.onSucceeded(target, successor, now);
-    }
-  }
-
   private close(): void {
     this.isClosed = true;
     this.writer.close();
--- a/packages/dispatch/src/incarnation_cleanup.ts
+++ b/packages/dispatch/src/incarnation_cleanup.ts
@@ -67,11 +67,30 @@
     }
   }
 
+  /**
+   * Releases the allocations of a target whose incarnation or lease has ended;
+   * `successor` is the later incarnation that proves its end, if there is one.
+   */
+  onTick(
+    target: TargetState,
+    successor: TargetState | undefined,
+    now: Instant,
+  ): void {
+    if (successor) {
+      this.onSucceeded(target, successor, now);
+    }
+    this.dropExpiredRuns(target, now);
+  }
+
   /**
    * Called when the registry lists a later incarnation with the id or at the
    * address of `target`, of which this leader may have heard from records only.
    */
-  onSucceeded(target: TargetState, successor: TargetState, now: Instant): void {
+  private onSucceeded(
+    target: TargetState,
+    successor: TargetState,
+    now: Instant,
+  ): void {
     if (target.allocations.size === 0 && target.lapsedRuns.length === 0) {
       return;
     }
@@ -87,7 +106,7 @@
    * have stopped by then whether or not it can be reached. One that the next
    * incarnation with the same id may still start, unseen by this leader, is kept.
    */
-  dropExpiredRuns(target: TargetState, now: Instant): void {
+  private dropExpiredRuns(target: TargetState, now: Instant): void {
     if (now <= target.leaseExpiresAt || target.allocations.size === 0) {
       return;
     }
--- a/packages/dispatch/src/target_directory.ts
+++ b/packages/dispatch/src/target_directory.ts
@@ -74,9 +74,10 @@
     return this.byIncarnation.values();
   }
 
-  /** Returns the targets that were swept after runs on them had lapsed; a successor proves that they had crashed. */
-  listAbsentTargets(): TargetState[] {
-    return [...this.absent.values()].map(({target}) => target);
+  /** Returns all target states, and those that were swept after runs on them had lapsed; a successor proves that these had crashed. */
+  listAllTargets(): TargetState[] {
+    const absent = [...this.absent.values()].map(({target}) => target);
+    return [...this.listTargets(), ...absent];
   }
 
   /** Whether there are targets and all registered ones have listed their runs. */
