--- a/packages/emulator/src/emulated_fleet.ts
+++ b/packages/emulator/src/emulated_fleet.ts
@@ -22,7 +22,7 @@
   type TaskBehavior,
 } from './emulated_target.js';
 
-/** One-way latency between an instance and a target. */
+/** Usual one-way latency between an instance and a target. */
 const ONE_WAY_LATENCY_MS = 1;
 
 /** Interval at which the targets advance in time. */
@@ -53,12 +53,18 @@
   unreachableTargets: Set<string>;
   /** Share of commands, from 0 to 1, that get no response and are executed late. */
   delayedCommands: number;
+  /** Share of polls, from 0 to 1, that get no response and are executed late. */
+  delayedPolls: number;
   /** Whether targets that crash under a run restart with a new id at the same address. */
   newIdAfterCrash: boolean;
   /** Time after which a target that crashed under a run is up again. */
   restartDelay: Milliseconds;
   /** Whether targets that crash under a run never restart. */
   staysDownAfterCrash: boolean;
+  /** One-way latency between instances and targets. */
+  latency: Milliseconds;
+  /** Whether polls hang until they time out, rather than fail at once, when the incarnation that they are connected to ends. */
+  keepsDeadConnections: boolean;
 }
 
 /** Is told of the end of every run, for measurements. */
@@ -77,13 +83,18 @@
   readonly faults: FleetFaults = {
     unreachableTargets: new Set(),
     delayedCommands: 0,
+    delayedPolls: 0,
     newIdAfterCrash: true,
     restartDelay: RESTART_DELAY_MS,
     staysDownAfterCrash: false,
+    latency: ONE_WAY_LATENCY_MS,
+    keepsDeadConnections: false,
   };
   readonly observers = new Set<RunObserver>();
   /** Whether targets that are added from now on refuse starts that do not fit. */
   guardsCapacity = false;
+  /** Returns the value at which the clock of the next incarnation starts, in milliseconds. */
+  chooseClockStart: () => Milliseconds = () => 0;
   /** Whether the command that is being carried out is late. */
   private isCarryingOutLate = false;
   /** Registry entries by id, as instances read them. */
@@ -114,6 +125,7 @@
         ?.findMaxCapacity(this.clock.now() - CAPACITY_GRACE_MS),
     );
     target.guardsCapacity = this.guardsCapacity;
+    target.clockStart = this.chooseClockStart();
     this.targets.set(info.id, target);
     if (isRegistered) {
       this.updateRegistration(info);
@@ -168,6 +180,18 @@
     }
   }
 
+  /** Stops a target without a trace in the registry, and starts its next incarnation under the same id after `downtime`. */
+  async restartTarget(id: string, downtime: Milliseconds): Promise<void> {
+    const target = this.targets.get(id);
+    if (!target?.isUp) {
+      return;
+    }
+    this.disturbances.record(this.clock.now());
+    target.crash();
+    await this.clock.sleep(downtime);
+    this.addTarget({...target.info, born: this.clock.wallTime()});
+  }
+
   /** Returns the time after a crash from which on instances can know that the runs on the target have ended. */
   get crashNotice(): Milliseconds {
     return this.faults.staysDownAfterCrash
@@ -187,6 +211,7 @@
 
   /** Returns a port through which an instance calls the targets. */
   createTargetPort(): TargetPort {
+    const connections = new Map<string, EmulatedTarget>();
     const call = <T extends CommandOutcome | PollOutcome>(
       target: TargetAddress,
       timeout: Milliseconds,
@@ -203,9 +228,11 @@
           found.stop(command, this.clock.now()),
         ),
       poll: (target, request, timeout) =>
-        this.longPoll(request, target, () =>
-          call<PollOutcome>(target, timeout, false, found =>
-            found.poll(request, this.clock.now()),
+        this.pollConnected(connections, target, timeout, () =>
+          this.longPoll(request, target, () =>
+            call<PollOutcome>(target, timeout, false, found =>
+              found.poll(request, this.clock.now()),
+            ),
           ),
         ),
     };
@@ -338,6 +365,35 @@
     return [...this.targets.values()].flatMap(({runs}) => [...runs.values()]);
   }
 
+  /** Polls on the pooled connection to a target, which is replaced once a poll on it has timed out. */
+  private async pollConnected(
+    connections: Map<string, EmulatedTarget>,
+    address: TargetAddress,
+    timeout: Milliseconds,
+    poll: () => Promise<PollOutcome>,
+  ): Promise<PollOutcome> {
+    const sentAt = this.clock.now();
+    const current = this.findAt(address);
+    const connected = connections.get(address.id) ?? current;
+    if (connected) {
+      connections.set(address.id, connected);
+    }
+    const isDead = () =>
+      this.faults.keepsDeadConnections && this.findAt(address) !== connected;
+    const outcome = isDead() ? undefined : await poll();
+    if (outcome && !isDead()) {
+      if (outcome.kind === 'unknown') {
+        connections.delete(address.id);
+      }
+      return outcome;
+    }
+    await this.clock.sleep(Math.max(0, sentAt + timeout - this.clock.now()));
+    if (connections.get(address.id) === connected) {
+      connections.delete(address.id);
+    }
+    return {kind: 'unknown', problem: 'no response'};
+  }
+
   /** Extends the lease, waits until a new end can be listed or the wait time is over, and then polls. */
   private async longPoll(
     request: PollRequest,
@@ -376,7 +432,7 @@
     execute: (target: EmulatedTarget) => T,
   ): Promise<T> {
     const noResponse = {kind: 'unknown', problem: 'no response'} as T;
-    await this.clock.sleep(ONE_WAY_LATENCY_MS);
+    await this.clock.sleep(this.faults.latency);
     const target = this.findAt(address);
     const reachable = this.isUnreachable(address.id) ? undefined : target;
     if (!target && this.isAddressInUse(address.address)) {
@@ -389,7 +445,11 @@
       await this.clock.sleep(timeout);
       return noResponse;
     }
-    if (isCommand && this.random.next() < this.faults.delayedCommands) {
+    const {delayedCommands, delayedPolls} = this.faults;
+    const isDelayed = isCommand
+      ? this.random.next() < delayedCommands
+      : delayedPolls > 0 && this.random.next() < delayedPolls;
+    if (isDelayed) {
       const delay =
         MIN_COMMAND_DELAY_MS +
         this.random.next() * (MAX_COMMAND_DELAY_MS - MIN_COMMAND_DELAY_MS);
@@ -406,7 +466,7 @@
       return noResponse;
     }
     const outcome = execute(reachable);
-    await this.clock.sleep(ONE_WAY_LATENCY_MS);
+    await this.clock.sleep(this.faults.latency);
     if (this.isUnreachable(address.id)) {
       await this.clock.sleep(timeout);
       return noResponse;
--- a/packages/emulator/src/emulated_target.ts
+++ b/packages/emulator/src/emulated_target.ts
@@ -91,6 +91,8 @@
   refusesConnections = false;
   /** Whether the target refuses starts that do not fit into its capacity. */
   guardsCapacity = false;
+  /** Value of the target's own clock at its start, in milliseconds. */
+  clockStart = 0;
   /** Capacities that were in force, each with the end of its validity. */
   private readonly formerCapacities: Array<{
     capacity: Demand;
@@ -378,8 +380,8 @@
     this.leaseUntil = Math.max(this.leaseUntil, Math.min(until, maxUntil));
   }
 
-  /** Returns the target's own clock in milliseconds, which starts at 1. */
+  /** Returns the target's own clock in whole milliseconds. */
   private readClock(now: Instant): number {
-    return Math.floor(now - this.startedAt) + 1;
+    return this.clockStart + Math.floor(now - this.startedAt) + 1;
   }
 }
