Credit a response only to the incarnation of a target that gave it

Cause: an incarnation of a target was identified by polls alone, while responses to starts and stops, which carry only a clock, counted for whichever incarnation the leader believed to be there. Polls hang on connections to the former one for up to 1 s; meanwhile it counted as responsive, runs were placed on it, and the next one answered the starts. When the restart was noticed, such a run moved to the next incarnation, whose state knew no lease, and the next tick released it as lapsed. The task started elsewhere while the run went on.

Change: a response whose clock does not fit the incarnation counts as none. It contests the target like an entry of the registry does; a contested target gets no runs and no starts until a listing on a new connection has told which incarnation responds. Allocations hold until when their starts may be carried out by an unknown incarnation; those go to the next incarnation with the leases that former calls may still grant there, and are released by its first listing, which refuses what was meant for the former one, or by time. Runs that the former incarnation has proven to have had end with it.

--- a/packages/dispatch/__tests__/command_sender.spec.ts
+++ b/packages/dispatch/__tests__/command_sender.spec.ts
@@ -45,6 +45,7 @@
     epoch: 1,
     isClosed: false,
     onFenced: () => undefined,
+    onContested: target => target.onContested(clock.now()),
     requestListing: () => undefined,
     onAddressReassigned: target => reassigned.push(target),
     isLeaseExtensionAllowed: () => true,
@@ -76,7 +77,7 @@
 
 function createRespondingTarget(): TargetState {
   const target = createTarget('a', 'r', NOW);
-  target.onResponse(500, NOW);
+  target.onResponse(500, NOW, NOW);
   return target;
 }
 
--- a/packages/dispatch/__tests__/incarnation_cleanup.spec.ts
+++ b/packages/dispatch/__tests__/incarnation_cleanup.spec.ts
@@ -1,6 +1,7 @@
 import t from 'tap';
 import {
   CrashAttribution,
+  DEFAULT_SETTINGS,
   DurationEstimator,
   RunTracker,
   findCrashEvidence,
@@ -10,6 +11,8 @@
 import {IncarnationCleanup} from '../src/incarnation_cleanup.js';
 import {addRun, createJob, createStep, createTarget} from './fixtures.js';
 
+const MAX_LEASE = DEFAULT_SETTINGS.maxLease;
+
 /** Restarts a target with an unlisted run; returns the number of crashes that are counted. */
 function countCrashesAfterRestart(
   drainingSince?: number,
@@ -20,7 +23,13 @@
   const tracker = new RunTracker(events, new DurationEstimator(), logger);
   const commands = {stop: async () => undefined} as unknown as CommandSender;
   const crashes = new CrashAttribution(() => undefined, logger);
-  const cleanup = new IncarnationCleanup(1, tracker, commands, crashes, logger);
+  const cleanup = new IncarnationCleanup(
+    MAX_LEASE,
+    tracker,
+    commands,
+    crashes,
+    logger,
+  );
   const target = createTarget('a', 'r', 0);
   target.drainingSince = drainingSince;
   const unit = createJob('1', createStep({isGang: false, count: 1})).units[0]!;
--- a/packages/dispatch/__tests__/stragglers.spec.ts
+++ b/packages/dispatch/__tests__/stragglers.spec.ts
@@ -2,6 +2,7 @@
 import {
   type ActiveUnit,
   CrashAttribution,
+  DEFAULT_SETTINGS,
   DurationEstimator,
 } from '@galenavalve/dispatch';
 import {SilentLogger} from '@galenavalve/shared';
@@ -25,6 +26,7 @@
     tracker,
     crashes: new CrashAttribution(() => undefined, logger),
     epoch: 1,
+    maxLease: DEFAULT_SETTINGS.maxLease,
     findUnit: () => unit,
     findDemand: () => undefined,
     onOrphan: () => undefined,
@@ -36,7 +38,8 @@
       checkpoint: '',
       percent,
     }));
-    applyListing(target, {born: 0, clock, running, ended: []}, context, now);
+    const listing = {born: 0, clock, running, ended: []};
+    applyListing(target, listing, context, now, now);
   };
   const check = (now: number) =>
     stopStragglers([unit.job], tracker, estimator, now, logger);
@@ -60,7 +63,7 @@
     [1000, 2000, 3000].forEach(now => list(now / 100, now));
     // The target is cut off until 9000. The response to a stop of another run
     // is the first to arrive.
-    target.onResponse(9000, 9000);
+    target.onResponse(9000, 9000, 9000);
     check(9005);
     t.same(stopped, []);
     list(90, 9010);
--- a/packages/dispatch/__tests__/target_directory.spec.ts
+++ b/packages/dispatch/__tests__/target_directory.spec.ts
@@ -34,7 +34,7 @@
   const target = targets.get('w')!;
   const respond = (now: number) => {
     target.hasListing = true;
-    target.onResponse(1, now);
+    target.onResponse(1, now, now);
   };
   events.length = 0;
   return {directory, events, info, respond, target, targets};
--- a/packages/dispatch/__tests__/target_listing.spec.ts
+++ b/packages/dispatch/__tests__/target_listing.spec.ts
@@ -1,6 +1,7 @@
 import t from 'tap';
 import {
   CrashAttribution,
+  DEFAULT_SETTINGS,
   DurationEstimator,
   RunTracker,
   type TargetState,
@@ -19,13 +20,14 @@
     tracker,
     crashes: new CrashAttribution(() => undefined, logger),
     epoch: 2,
+    maxLease: DEFAULT_SETTINGS.maxLease,
     findUnit: () => undefined,
     findDemand: () => demand,
     onOrphan: () => undefined,
   };
   const run = {task: 'ended.0.0.0', run: 2, checkpoint: '', percent: 5};
   const listing = {born: 1, clock: 100, running: [run], ended: []};
-  applyListing(target, listing, context, 100);
+  applyListing(target, listing, context, 100, 100);
   return target.computeFreeCapacity().accelerators;
 }
 
--- a/packages/dispatch/__tests__/unresponsive_domains.spec.ts
+++ b/packages/dispatch/__tests__/unresponsive_domains.spec.ts
@@ -35,7 +35,7 @@
     const [first, second, third] = targets;
     first!.responseDueAt = 1200;
     second!.responseDueAt = 1250;
-    third!.onResponse(1, 1500);
+    third!.onResponse(1, 1500, 1500);
     t.same(findPlacedDomains(targets, 1600), new Set(['d2']));
     t.end();
   },
@@ -55,7 +55,7 @@
   targets[4]!.info.domain = 'd1';
   targets[0]!.responseDueAt = 1200;
   targets[1]!.responseDueAt = 1250;
-  targets[4]!.onResponse(1, 1550);
+  targets[4]!.onResponse(1, 1550, 1550);
   t.same(findPlacedDomains(targets, 1600), new Set(['d1', 'd2']));
   t.end();
 });
--- a/packages/dispatch/src/active_job.ts
+++ b/packages/dispatch/src/active_job.ts
@@ -137,8 +137,8 @@
   memberIndex: number;
   state: AllocationState;
   /**
-   * Epoch under which the start command was sent. Once a target has seen a
-   * newer epoch, it refuses commands of this one.
+   * Epoch of the start command; 0 if a former leader sent it. Once a target has
+   * seen a newer epoch, it refuses commands of this one.
    */
   epoch: number;
   /**
@@ -157,12 +157,12 @@
   /** Whether the target takes no other work while the run is under suspicion. */
   isIsolated: boolean;
   /**
-   * Time until which a start command that got no response may bring the run to
-   * life, or have it alive, at an incarnation that has seen no later command;
-   * -Infinity if there is none.
+   * Time until which start commands without a response may be carried out, by
+   * whichever incarnation of the target is up then; -Infinity if all of them
+   * were answered by the incarnation that they were meant for.
    */
-  lateRunUntil: Instant;
-  /** Whether the allocation was moved from the former incarnation, so that only a late command can start the run here. */
+  mayStartUntil: Instant;
+  /** Whether the allocation was moved from the former incarnation, to which the start commands were sent. */
   isMoved: boolean;
   /** Whether the target has acknowledged or listed the run. */
   isConfirmed: boolean;
@@ -269,7 +269,7 @@
     percentAt: now,
     createdAt: now,
     isIsolated: false,
-    lateRunUntil: -Infinity,
+    mayStartUntil: -Infinity,
     isMoved: false,
     isConfirmed: false,
     isListed: false,
--- a/packages/dispatch/src/command_sender.ts
+++ b/packages/dispatch/src/command_sender.ts
@@ -11,7 +11,6 @@
   COMMAND_RETRY_DELAY_MS,
   COMMAND_TIMEOUT_MS,
   MAX_COMMAND_DELAY_MS,
-  MIN_CLOCK_RATE,
   type DispatchSettings,
 } from './settings.js';
 import type {CommandOutcome, TargetPort} from './target_port.js';
@@ -35,6 +34,8 @@
    * Called when a target refuses a command because it has seen a higher epoch.
    */
   onFenced(): void;
+  /** Called when another incarnation may have replaced the target. */
+  onContested(target: TargetState): void;
   /** Called when a listing is needed before the poll in progress returns. */
   requestListing(target: TargetState): void;
   /**
@@ -106,7 +107,7 @@
     if (allocation.isBeingStopped) {
       return;
     }
-    const wasListed = allocation.state === 'confirmed';
+    const wasListed = allocation.isListed;
     allocation.isBeingStopped = true;
     allocation.state = 'stopping';
     allocation.acknowledgedClock = undefined;
@@ -221,7 +222,7 @@
 
   /** A start command without a response may be carried out later, also by the target's next incarnation. */
   private logRepeatedStart(
-    {task, run, target, lateRunUntil}: Allocation,
+    {task, run, target, mayStartUntil}: Allocation,
     outcome: CommandOutcome,
     attempt: number,
     now: Instant,
@@ -232,7 +233,7 @@
         run,
         target: target.key,
         attempt,
-        mayRunForMs: Math.round(lateRunUntil - now),
+        mayStartForMs: Math.round(mayStartUntil - now),
         problem: outcome.problem,
       });
     } else {
@@ -265,14 +266,22 @@
     const leaseEnd = computeLeaseEnd(target, this.settings, now);
     if (leaseEnd === undefined || !unit) {
       return {
-        kind: 'unknown',
+        kind: 'unsent',
         problem: 'the target has not reported its clock yet',
       };
     }
-    target.onLeaseSent(leaseEnd);
-    const {lateRunUntil} = allocation;
-    allocation.lateRunUntil =
-      now + MAX_COMMAND_DELAY_MS + this.settings.maxLease / MIN_CLOCK_RATE;
+    if (target.contestedAt !== undefined) {
+      return {
+        kind: 'unsent',
+        problem: 'another incarnation may have replaced the target',
+      };
+    }
+    target.onLeaseSent(leaseEnd, now);
+    const {mayStartUntil} = allocation;
+    allocation.mayStartUntil = Math.max(
+      mayStartUntil,
+      now + MAX_COMMAND_DELAY_MS,
+    );
     const outcome = await this.send(target, timeout =>
       this.port.start(
         target.info,
@@ -289,7 +298,7 @@
       ),
     );
     if (outcome.kind !== 'unknown') {
-      allocation.lateRunUntil = lateRunUntil;
+      allocation.mayStartUntil = mayStartUntil;
     }
     return outcome;
   }
@@ -312,26 +321,29 @@
   ): Promise<CommandOutcome> {
     if (target.info.address === '') {
       return {
-        kind: 'unknown',
+        kind: 'unsent',
         problem: 'the target is not in the registry',
       };
     }
     const sentAt = this.clock.now();
     const outcome = await call(COMMAND_TIMEOUT_MS);
     const now = this.clock.now();
-    if ('clock' in outcome && !target.isOwnClock(outcome.clock, sentAt, now)) {
+    if (outcome.kind === 'unknown') {
+      target.isIncarnationProven = false;
+    }
+    if (!('clock' in outcome)) {
+      return outcome;
+    }
+    if (!target.isOwnClock(outcome.clock, sentAt, now)) {
       this.logger.warn('response-of-other-incarnation', {
         target: target.key,
         outcome,
         minClock: target.estimateMinClock(sentAt),
       });
+      this.delegate.onContested(target);
+      return {kind: 'unknown', problem: 'another incarnation responded'};
     }
-    if (outcome.kind === 'unknown') {
-      target.isIncarnationProven = false;
-    }
-    if ('clock' in outcome) {
-      target.onResponse(outcome.clock, this.clock.now());
-    }
+    target.onResponse(outcome.clock, sentAt, now);
     return outcome;
   }
 
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -97,8 +97,8 @@
   readonly epoch: number;
   readonly estimator = new DurationEstimator();
   private readonly jobs = new Map<string, ActiveJob>();
-  /** Time until which late start commands of earlier leaders may bring runs to life, or have them alive. */
-  private readonly earlierRunsUntil: Instant;
+  /** Time until which start commands of earlier leaders may be carried out. */
+  private readonly earlierStartsUntil: Instant;
   private readonly changedJobs: ChangedJobs;
   private readonly directory: TargetDirectory;
   private readonly tracker: RunTracker;
@@ -149,7 +149,7 @@
     this.idleJobs = new IdleJobs(logger);
     this.crashes = new CrashAttribution(job => this.onChange(job), logger);
     this.incarnationCleanup = new IncarnationCleanup(
-      this.epoch,
+      settings.maxLease,
       this.tracker,
       this.commands,
       this.crashes,
@@ -167,7 +167,7 @@
     );
     const earlierLeasesExpireAt =
       now + MAX_UNCONFIRMED_MS + settings.maxLease / MIN_CLOCK_RATE;
-    this.earlierRunsUntil = earlierLeasesExpireAt + MAX_COMMAND_DELAY_MS;
+    this.earlierStartsUntil = now + MAX_UNCONFIRMED_MS + MAX_COMMAND_DELAY_MS;
     this.directory = new TargetDirectory(
       {
         onTargetAdded: target => void this.sessions.maintain(target),
@@ -175,7 +175,7 @@
           this.incarnationCleanup.onReplaced(target, next, clock.now()),
         onTargetContested: (target, info) => {
           logger.warn('target-contested', {target: info.id, born: info.born});
-          this.requestListing(target);
+          this.onContested(target);
         },
         onEntryIgnored: info =>
           logger.warn('target-entry-ignored', {
@@ -331,9 +331,14 @@
     return this.idleJobs.countByCause();
   }
 
-  /** Called for every listing of a target, its report of runs and ends. */
-  onListing(target: TargetState, listing: TargetListing): void {
+  /** Called for every listing of a target, its report of runs and ends, with the time at which it was requested. */
+  onListing(
+    target: TargetState,
+    listing: TargetListing,
+    sentAt: Instant,
+  ): void {
     const context = {
+      maxLease: this.dependencies.settings.maxLease,
       tracker: this.tracker,
       crashes: this.crashes,
       epoch: this.epoch,
@@ -343,7 +348,7 @@
     };
     const now = this.dependencies.clock.now();
     const wasSchedulable = target.isSchedulable(now, MAX_LISTING_AGE_MS);
-    const hasChanged = applyListing(target, listing, context, now);
+    const hasChanged = applyListing(target, listing, context, sentAt, now);
     // Progress alone cannot allow a start; it is evaluated at the next tick.
     if (hasChanged || !wasSchedulable) {
       this.passRunner.request();
@@ -362,6 +367,14 @@
     this.incarnationCleanup.onAddressReassigned(target, now);
   }
 
+  /** Called when another incarnation may have replaced the target. */
+  onContested(target: TargetState): void {
+    if (target.contestedAt === undefined) {
+      target.onContested(this.dependencies.clock.now());
+      void this.sessions.identify(target);
+    }
+  }
+
   /** Called when a listing is needed before the poll in progress returns. */
   requestListing(target: TargetState): void {
     void this.sessions.pollOnce(target);
@@ -465,7 +478,7 @@
       const allocation = this.tracker.allocate(unit, member, target, 0, now);
       allocation.state = 'starting';
       allocation.isIsolated = needsIsolation(unit, member);
-      allocation.lateRunUntil = this.earlierRunsUntil;
+      allocation.mayStartUntil = this.earlierStartsUntil;
     }
     unit.phase = unit.progress.isDone ? 'running' : 'starting';
   }
--- a/packages/dispatch/src/incarnation_cleanup.ts
+++ b/packages/dispatch/src/incarnation_cleanup.ts
@@ -1,20 +1,21 @@
 /**
  * Cleans up the allocations of targets whose incarnation or lease has ended.
  */
-import type {Instant, Logger} from '@galenavalve/shared';
+import type {Instant, Logger, Milliseconds} from '@galenavalve/shared';
 import type {CrashAttribution} from './crash_attribution.js';
 import type {CommandSender} from './command_sender.js';
 import type {RunTracker} from './run_tracker.js';
+import {MIN_CLOCK_RATE} from './settings.js';
 import type {Allocation} from './active_job.js';
 import type {TargetState} from './target_state.js';
 
 /**
  * Releases or moves allocations of ended incarnations, for the dispatcher of
- * one epoch.
+ * one epoch. `maxLease` is the longest lease that targets grant.
  */
 export class IncarnationCleanup {
   constructor(
-    private readonly epoch: number,
+    private readonly maxLease: Milliseconds,
     private readonly tracker: RunTracker,
     private readonly commands: CommandSender,
     private readonly crashes: CrashAttribution,
@@ -23,7 +24,7 @@
 
   /**
    * Called when incarnation `next` has replaced `target`. Releases its
-   * allocations, except those that `next` may still start: they move to it.
+   * allocations, except those whose runs `next` may have: they move to it.
    */
   onReplaced(target: TargetState, next: TargetState, now: Instant): void {
     this.logger.info('target-restarted', {
@@ -34,8 +35,9 @@
       lastResponseAgeMs: Math.round(now - target.lastResponseAt),
     });
     this.onEnded(target, now);
+    next.onReplaced(target, this.maxLease);
     for (const allocation of [...target.allocations.values()]) {
-      if (this.mayStartAgain(allocation, now)) {
+      if (target.mayHaveMoved(allocation)) {
         this.moveAllocation(allocation, next);
       } else {
         this.tracker.onRunLost(allocation, 'the target restarted', now);
@@ -104,15 +106,19 @@
 
   /**
    * Releases the allocations of a target whose lease has expired; its tasks
-   * have stopped by then whether or not it can be reached. One that the next
-   * incarnation with the same id may still start, unseen by this leader, is kept.
+   * have stopped by then whether or not it can be reached. A run that a later
+   * incarnation with the same id, unseen by this leader, may have started is
+   * kept until the lease of that one has expired too.
    */
   private dropExpiredRuns(target: TargetState, now: Instant): void {
     if (now <= target.leaseExpiresAt || target.allocations.size === 0) {
       return;
     }
+    const lateLeaseEnd = target.computeLateLeaseEnd(this.maxLease);
     for (const allocation of [...target.allocations.values()]) {
-      const isEnded = now > allocation.lateRunUntil;
+      const isEnded =
+        !target.mayHaveMoved(allocation) ||
+        now > Math.max(lateLeaseEnd, this.computeLateRunEnd(allocation));
       if (allocation.state !== 'planned' && isEnded) {
         target.lapsedRuns.push(allocation);
         this.tracker.onRunLost(
@@ -124,6 +130,11 @@
     }
   }
 
+  /** Returns the time at which the lease of a run has expired that starts as late as it may. */
+  private computeLateRunEnd({mayStartUntil}: Allocation): Instant {
+    return mayStartUntil + this.maxLease / MIN_CLOCK_RATE;
+  }
+
   /** A target that has ended without being drained has crashed. */
   private onEnded(target: TargetState, now: Instant): void {
     if (target.drainingSince === undefined) {
@@ -132,25 +143,7 @@
     target.lapsedRuns = [];
   }
 
-  /**
-   * Whether the new incarnation may start the run, or has started it. A command
-   * of this epoch may be under way: a start that was acknowledged, but whose run
-   * the former incarnation never listed, may have been acknowledged by the new
-   * one. An earlier copy of a start, also of one whose run was listed, may be
-   * carried out late.
-   */
-  private mayStartAgain(allocation: Allocation, now: Instant): boolean {
-    const {state, isListed, acknowledgedClock, epoch} = allocation;
-    if (now <= allocation.lateRunUntil) {
-      return true;
-    }
-    const isPending =
-      state === 'starting' ||
-      (state === 'confirmed' && !isListed) ||
-      (state === 'stopping' && (acknowledgedClock === undefined || !isListed));
-    return epoch === this.epoch && isPending;
-  }
-
+  /** Moves an allocation to the next incarnation, which may have the run, and stops it there. */
   private moveAllocation(allocation: Allocation, next: TargetState): void {
     allocation.target.release(allocation);
     allocation.target = next;
@@ -159,11 +152,6 @@
     allocation.isListed = false;
     allocation.isBeingStopped = false;
     next.allocate(allocation);
-    // Unless `next` responds, the run may be there without a lease that this leader granted.
-    next.leaseExpiresAt = Math.max(
-      next.leaseExpiresAt,
-      allocation.lateRunUntil,
-    );
     void this.commands.stop(allocation);
     if (allocation.unit) {
       this.tracker.stop(allocation.unit, 'the target restarted');
--- a/packages/dispatch/src/run_tracker.ts
+++ b/packages/dispatch/src/run_tracker.ts
@@ -90,7 +90,7 @@
     });
   }
 
-  /** Allocates capacity for one member's run. */
+  /** Allocates capacity for one member's run, whose commands have the leader's `epoch`; 0 if a former leader sent them. */
   allocate(
     unit: ActiveUnit,
     member: number,
@@ -107,7 +107,7 @@
         unit,
         memberIndex: member,
         state: 'planned',
-        epoch,
+        epoch: epoch === 0 ? 0 : epoch + target.epochOffset,
       },
       now,
     );
--- a/packages/dispatch/src/target_listing.ts
+++ b/packages/dispatch/src/target_listing.ts
@@ -32,7 +32,7 @@
 export type UnitLookup = (task: string) => ActiveUnit | undefined;
 
 /**
- * Applies a listing of `target` under `epoch`. Returns whether a run ended, is
+ * Applies a listing of `target` that was requested at `sentAt` under `epoch`. Returns whether a run ended, is
  * no longer listed, or is an orphan.
  */
 export function applyListing(
@@ -45,14 +45,17 @@
     /** Returns what a task of any job, also of an ended one, needs; undefined if the job is unknown. */
     findDemand: (task: string) => Demand | undefined;
     epoch: number;
+    maxLease: Milliseconds;
     onOrphan: (allocation: Allocation) => void;
   },
+  sentAt: Instant,
   now: Instant,
 ): boolean {
-  target.onResponse(listing.clock, now);
+  target.onResponse(listing.clock, sentAt, now);
   if (listing.clock < target.lastListingClock) {
     return false;
   }
+  target.onListed(now, context.maxLease);
   let hasChanged = false;
   target.lastListingClock = listing.clock;
   target.hasListing = true;
@@ -134,8 +137,8 @@
       allocation.acknowledgedClock !== undefined &&
       allocation.acknowledgedClock < clock;
     // The first listing under a new epoch makes the target refuse all commands
-    // of older epochs.
-    const isFenced = allocation.epoch < context.epoch;
+    // of older epochs, those to its former incarnations included.
+    const isFenced = allocation.epoch < context.epoch + target.epochOffset;
     if (isStopAcknowledged || isFenced) {
       context.tracker.onRunLost(
         allocation,
--- a/packages/dispatch/src/target_port.ts
+++ b/packages/dispatch/src/target_port.ts
@@ -51,6 +51,8 @@
   acknowledgedEnd: number;
   /** Time that the target waits for a new end before it responds. */
   wait: Milliseconds;
+  /** Whether connections that are open may lead to a former incarnation and must not be used. */
+  needsNewConnection?: boolean;
 }
 
 /** Reason why a target refused a command. */
@@ -67,6 +69,8 @@
   | {kind: 'unhealthy'}
   /** The command is not valid for this target. */
   | {kind: 'invalid'; problem: string}
+  /** The command was not sent. */
+  | {kind: 'unsent'; problem: string}
   /** No response: the command may have been carried out, or may be later. */
   | {kind: 'unknown'; problem: string};
 
--- a/packages/dispatch/src/target_sessions.ts
+++ b/packages/dispatch/src/target_sessions.ts
@@ -5,6 +5,7 @@
  */
 import {
   type Clock,
+  type Instant,
   type Logger,
   type Milliseconds,
   describeError,
@@ -42,8 +43,8 @@
    * Whether leases may be extended, which requires recent proof of leadership.
    */
   isLeaseExtensionAllowed(): boolean;
-  /** Called for every listing of a target. */
-  onListing(target: TargetState, listing: TargetListing): void;
+  /** Called for every listing of a target, with the time at which it was requested. */
+  onListing(target: TargetState, listing: TargetListing, sentAt: Instant): void;
   /** Called when another incarnation responds at the address of `target`. */
   onOtherIncarnation(target: TargetState, born: number): void;
   /**
@@ -109,13 +110,22 @@
     }
   }
 
+  /** Asks which incarnation responds at the target's address; connections to a former one may hang. */
+  async identify(target: TargetState): Promise<void> {
+    await this.pacer.waitForSlot();
+    if (!this.isClosed(target)) {
+      await this.pollSafely(target, 0, true);
+    }
+  }
+
   /** Polls once; an unexpected error counts as a failed poll. */
   private async pollSafely(
     target: TargetState,
     wait: number,
+    needsNewConnection = false,
   ): Promise<PollOutcome> {
     try {
-      return await this.poll(target, wait);
+      return await this.poll(target, wait, needsNewConnection);
     } catch (error) {
       const problem = describeError(error);
       this.logger.error('listing-failed', {target: target.info.id, problem});
@@ -123,7 +133,11 @@
     }
   }
 
-  private async poll(target: TargetState, wait: number): Promise<PollOutcome> {
+  private async poll(
+    target: TargetState,
+    wait: number,
+    needsNewConnection: boolean,
+  ): Promise<PollOutcome> {
     const now = this.clock.now();
     // The lease of a target that does not respond must expire, since only then
     // can its work start elsewhere.
@@ -134,7 +148,7 @@
         ? computeLeaseEnd(target, this.settings, now)
         : undefined;
     if (leaseEnd !== undefined) {
-      target.onLeaseSent(leaseEnd);
+      target.onLeaseSent(leaseEnd, now);
     }
     target.responseDueAt = Math.min(target.responseDueAt, now + wait);
     const outcome = await this.port.poll(
@@ -145,17 +159,22 @@
         // Another incarnation numbers its ends anew and would forget them unread.
         acknowledgedEnd: target.isIncarnationProven ? target.recordedEnd : 0,
         wait,
+        needsNewConnection,
       },
       wait + RESPONSE_TIMEOUT_MS,
     );
     target.isIncarnationProven =
       outcome.kind === 'listed' &&
       !isOtherIncarnation(target, outcome.listing.born);
-    this.applyOutcome(target, outcome);
+    this.applyOutcome(target, outcome, now);
     return outcome;
   }
 
-  private applyOutcome(target: TargetState, outcome: PollOutcome): void {
+  private applyOutcome(
+    target: TargetState,
+    outcome: PollOutcome,
+    sentAt: Instant,
+  ): void {
     if (this.isClosed(target)) {
       return;
     }
@@ -168,7 +187,7 @@
       if (isOtherIncarnation(target, born)) {
         this.delegate.onOtherIncarnation(target, born);
       } else {
-        this.delegate.onListing(target, outcome.listing);
+        this.delegate.onListing(target, outcome.listing, sentAt);
       }
     }
   }
--- a/packages/dispatch/src/target_state.ts
+++ b/packages/dispatch/src/target_state.ts
@@ -7,7 +7,7 @@
 import type {Demand} from '@galenavalve/workload';
 import type {Allocation} from './active_job.js';
 import {FaultScore} from './fault_score.js';
-import {MIN_CLOCK_RATE} from './settings.js';
+import {MAX_COMMAND_DELAY_MS, MIN_CLOCK_RATE} from './settings.js';
 import {type TargetInfo, formatIncarnationKey} from './target_info.js';
 
 /** Weight of the newest ratio in the moving average. */
@@ -55,6 +55,10 @@
   /** Whether the last poll was answered by this incarnation; another one may have replaced it since a call failed. */
   isIncarnationProven = false;
   lastResponseAt: Instant = -Infinity;
+  /** Latest time at which the incarnation is known to have been alive. */
+  aliveAt: Instant = -Infinity;
+  /** Since when another incarnation may have replaced this one, by the registry or by a response; undefined if it has responded since. */
+  contestedAt?: Instant;
   /** When the first call failed since the last response; undefined if none has. */
   unresponsiveSince?: Instant;
   /**
@@ -92,6 +96,8 @@
   slowness = 1;
   private durationRatio = 1;
   private durationRatioCount = 0;
+  /** When the last call that may extend the lease was sent, to this incarnation or a former one. */
+  private lastLeaseSentAt: Instant = -Infinity;
   private clockSample?: {clock: number; at: Instant};
   private used: Demand = {cpu: 0, memoryMb: 0, accelerators: 0};
   private recordListener?: () => void;
@@ -171,8 +177,12 @@
     this.recordListener = listener;
   }
 
-  /** Records a response that arrived at `now` with the target's clock. */
-  onResponse(clock: number, now: Instant): void {
+  /** Records that this incarnation responded at `now`, with its clock, to a call that was sent at `sentAt`. */
+  onResponse(clock: number, sentAt: Instant, now: Instant): void {
+    this.aliveAt = Math.max(this.aliveAt, sentAt);
+    if (this.contestedAt !== undefined && sentAt >= this.contestedAt) {
+      this.contestedAt = undefined;
+    }
     this.lastResponseAt = now;
     this.responseDueAt = Infinity;
     this.unresponsiveSince = undefined;
@@ -195,11 +205,12 @@
 
   /**
    * Whether `clock`, of a response to a call that was sent at `sentAt`, fits the
-   * clock of this incarnation. That of another one starts anew, at any value.
+   * clock of this incarnation, as far as that is known. That of another one
+   * starts anew, at any value.
    */
   isOwnClock(clock: number, sentAt: Instant, now: Instant): boolean {
     if (!this.clockSample) {
-      return false;
+      return true;
     }
     const {clock: sampled, at} = this.clockSample;
     const minClock = sampled + (sentAt - at) * MIN_CLOCK_RATE;
@@ -210,11 +221,53 @@
     );
   }
 
+  /** Records that another incarnation may have replaced this one. */
+  onContested(now: Instant): void {
+    this.contestedAt = now;
+    this.isIncarnationProven = false;
+  }
+
+  /** Takes over what commands to the former incarnation may still do here, until this one has responded and refuses them. */
+  onReplaced(former: TargetState, maxLease: Milliseconds): void {
+    this.lastLeaseSentAt = Math.max(
+      this.lastLeaseSentAt,
+      former.lastLeaseSentAt,
+    );
+    this.leaseExpiresAt = Math.max(
+      this.leaseExpiresAt,
+      this.computeLateLeaseEnd(maxLease),
+    );
+  }
+
+  /** Records a listing, which commands of earlier epochs cannot change any more: no lease lasts longer than one granted now. */
+  onListed(now: Instant, maxLease: Milliseconds): void {
+    this.leaseExpiresAt = Math.min(
+      this.leaseExpiresAt,
+      now + maxLease / MIN_CLOCK_RATE,
+    );
+  }
+
+  /** Returns the time at which the leases have expired that commands without a response may still grant to a later incarnation. */
+  computeLateLeaseEnd(maxLease: Milliseconds): Instant {
+    return (
+      this.lastLeaseSentAt + MAX_COMMAND_DELAY_MS + maxLease / MIN_CLOCK_RATE
+    );
+  }
+
+  /**
+   * Whether a run may be on a later incarnation: a start command for it may have
+   * been carried out after this incarnation was last alive.
+   */
+  mayHaveMoved({mayStartUntil}: Allocation): boolean {
+    return mayStartUntil > this.aliveAt;
+  }
+
   /**
    * Records that a lease until `until` of the target's clock was sent. It
    * counts whether or not the target responds.
    */
-  onLeaseSent(until: number): void {
+  onLeaseSent(until: number, now: Instant): void {
+    this.lastLeaseSentAt = now;
     if (this.clockSample) {
       const {clock, at} = this.clockSample;
       const expiresAt = at + (until - clock) / MIN_CLOCK_RATE;
@@ -275,6 +328,7 @@
       this.isRegistered &&
       !this.isRemoved &&
       this.hasListing &&
+      this.contestedAt === undefined &&
       !this.info.isDraining &&
       !this.isResponseLate(now) &&
       now - this.lastResponseAt <= freshness
--- a/packages/emulator/src/emulated_fleet.ts
+++ b/packages/emulator/src/emulated_fleet.ts
@@ -228,7 +228,7 @@
           found.stop(command, this.clock.now()),
         ),
       poll: (target, request, timeout) =>
-        this.pollConnected(connections, target, timeout, () =>
+        this.pollConnected(connections, target, request, timeout, () =>
           this.longPoll(request, target, () =>
             call<PollOutcome>(target, timeout, false, found =>
               found.poll(request, this.clock.now()),
@@ -369,11 +369,15 @@
   private async pollConnected(
     connections: Map<string, EmulatedTarget>,
     address: TargetAddress,
+    {needsNewConnection}: PollRequest,
     timeout: Milliseconds,
     poll: () => Promise<PollOutcome>,
   ): Promise<PollOutcome> {
     const sentAt = this.clock.now();
     const current = this.findAt(address);
+    if (needsNewConnection) {
+      connections.delete(address.id);
+    }
     const connected = connections.get(address.id) ?? current;
     if (connected) {
       connections.set(address.id, connected);
