Release a run at once whose starts were never sent

Cause: the client knows whether a request was sent, and dropped that. Change: 'unsent' is an outcome of its own; a run of which no start can have been carried out is released without a stop. A start without a response still counts, whatever follows it.

Two specs of the command sender.

--- a/packages/dispatch/__tests__/command_sender.spec.ts
+++ b/packages/dispatch/__tests__/command_sender.spec.ts
@@ -156,6 +156,40 @@
   },
 );
 
+// Guards against a task that waits for a lease although no target can have received its start (review/8).
+t.test(
+  'a run whose starts all met refused connections is released when they are given up',
+  async t => {
+    const UNSENT: CommandOutcome = {kind: 'unsent', problem: 'refused'};
+    const {sender, tracker, commands, clock} = createSender(() => UNSENT);
+    const target = createRespondingTarget();
+    const unit = placeUnit(tracker, target);
+    sender.startUnit(unit);
+    await clock.advance(2000);
+    t.ok(commands.length > 1);
+    t.notOk(commands.includes('stop'));
+    t.equal(unit.phase, 'waiting');
+    t.equal(target.allocations.size, 0);
+  },
+);
+
+// Guards against two runs of a task because a start without a response was taken for one that was never sent.
+t.test(
+  'a run with a start that got no response is stopped although a later start met a refused connection',
+  async t => {
+    let starts = 0;
+    const {sender, tracker, commands, clock} = createSender(() =>
+      starts++ === 0 ? UNKNOWN : {kind: 'unsent', problem: 'refused'},
+    );
+    const target = createRespondingTarget();
+    const unit = placeUnit(tracker, target);
+    sender.startUnit(unit);
+    await clock.advance(2000);
+    t.ok(commands.includes('stop'));
+    t.equal(target.allocations.size, 1);
+  },
+);
+
 // Guards against a run that is blamed for a crash of its target which was over before the start was sent.
 t.test(
   'a run whose first start meets another target was never there',
--- a/packages/dispatch/src/active_job.ts
+++ b/packages/dispatch/src/active_job.ts
@@ -248,6 +248,12 @@
   );
 }
 
+/** Whether no start command of the run can have been carried out. */
+export function hasNeverStarted({state, mayStartUntil}: Allocation): boolean {
+  const isUnsent = state === 'starting' && mayStartUntil === -Infinity;
+  return state === 'planned' || isUnsent;
+}
+
 /** Creates an allocation without any progress. */
 export function createAllocation(
   values: Pick<
--- a/packages/dispatch/src/command_sender.ts
+++ b/packages/dispatch/src/command_sender.ts
@@ -328,7 +328,7 @@
     const sentAt = this.clock.now();
     const outcome = await call(COMMAND_TIMEOUT_MS);
     const now = this.clock.now();
-    if (outcome.kind === 'unknown') {
+    if (outcome.kind === 'unknown' || outcome.kind === 'unsent') {
       target.isIncarnationProven = false;
     }
     if (!('clock' in outcome)) {
--- a/packages/dispatch/src/run_tracker.ts
+++ b/packages/dispatch/src/run_tracker.ts
@@ -10,6 +10,7 @@
   type ActiveUnit,
   computeAllocatedDemand,
   createAllocation,
+  hasNeverStarted,
   hasNoAttemptLeft,
 } from './active_job.js';
 import type {ListedEnd} from './target_port.js';
@@ -152,7 +153,7 @@
       reason,
     });
     for (const allocation of [...unit.allocations]) {
-      if (allocation.state === 'planned') {
+      if (hasNeverStarted(allocation)) {
         this.release(allocation);
       } else {
         this.events.onStop(allocation);
--- a/packages/emulator/src/emulated_fleet.ts
+++ b/packages/emulator/src/emulated_fleet.ts
@@ -443,7 +443,7 @@
       return {kind: 'other-life'} as T;
     }
     if (reachable?.refusesConnections) {
-      return noResponse;
+      return {kind: 'unsent', problem: 'the connection was refused'} as T;
     }
     if (!reachable?.isUp) {
       await this.clock.sleep(timeout);
