Hold back the acknowledgement of an end while a start of its run may come

Change: an end counts once it is acknowledged; until no start of the unit can be carried out any more, ends of done and failed runs stay unacknowledged, so that the end is not counted if the target forgets it. A target that has such ends responds to polls at once, so it is polled every 250 ms meanwhile. Starts of former leaders are not known and not held for.

--- a/packages/dispatch/src/active_job.ts
+++ b/packages/dispatch/src/active_job.ts
@@ -91,6 +91,8 @@
   triedAt?: Instant;
   /** Earliest time of the next placement. */
   retryAt: Instant;
+  /** Time until which start commands of runs that were released may be carried out; see `Allocation.mayStartUntil`. */
+  mayStartUntil: Instant;
   /** Targets on which runs of this unit failed or stalled. */
   avoidedTargets: Set<string>;
   /**
@@ -248,6 +250,28 @@
   );
 }
 
+/**
+ * Whether a start command of the run may be carried out after its release. Those
+ * of former leaders are unknown, and the incarnation that an allocation was moved to refuses them.
+ */
+export function isStartOutstanding({
+  epoch,
+  isMoved,
+  mayStartUntil,
+}: Allocation): boolean {
+  return epoch !== 0 && !isMoved && mayStartUntil > -Infinity;
+}
+
+/** Returns the time until which a start command of the unit may be carried out. */
+export function findLatestStart(unit: ActiveUnit): Instant {
+  return unit.allocations
+    .filter(isStartOutstanding)
+    .reduce(
+      (latest, {mayStartUntil}) => Math.max(latest, mayStartUntil),
+      unit.mayStartUntil,
+    );
+}
+
 /** Whether no start command of the run can have been carried out. */
 export function hasNeverStarted({state, mayStartUntil}: Allocation): boolean {
   const isUnsent = state === 'starting' && mayStartUntil === -Infinity;
--- a/packages/dispatch/src/incarnation_cleanup.ts
+++ b/packages/dispatch/src/incarnation_cleanup.ts
@@ -62,6 +62,7 @@
     target.isRegistered = false;
     this.onEnded(target, now);
     for (const allocation of [...target.allocations.values()]) {
+      allocation.mayStartUntil = -Infinity;
       this.tracker.onRunLost(
         allocation,
         'another target uses the address of its target',
--- a/packages/dispatch/src/job_lifecycle.ts
+++ b/packages/dispatch/src/job_lifecycle.ts
@@ -169,6 +169,7 @@
         lastFailureAt: -Infinity,
         lastCrashAt: -Infinity,
         retryAt: -Infinity,
+        mayStartUntil: -Infinity,
         avoidedTargets: new Set(),
         hasLocalityPenalty: false,
         resumeCheckpoint: '',
--- a/packages/dispatch/src/run_tracker.ts
+++ b/packages/dispatch/src/run_tracker.ts
@@ -10,8 +10,10 @@
   type ActiveUnit,
   computeAllocatedDemand,
   createAllocation,
+  findLatestStart,
   hasNeverStarted,
   hasNoAttemptLeft,
+  isStartOutstanding,
 } from './active_job.js';
 import type {ListedEnd} from './target_port.js';
 import type {TargetState} from './target_state.js';
@@ -169,6 +171,10 @@
     now: Instant,
   ): void {
     const allocation = target.findAllocation(end.task, end.run);
+    const isCounted = end.kind === 'done' || end.kind === 'failed';
+    if (unit && isCounted && findLatestStart(unit) > now) {
+      target.holdEnd(end.number, findLatestStart(unit));
+    }
     if (unit && unit.progress.run === end.run) {
       this.applyEnd(target, unit, end, allocation, now);
     } else if (unit && end.kind === 'done') {
@@ -239,6 +245,12 @@
     if (!unit) {
       return;
     }
+    if (isStartOutstanding(allocation)) {
+      unit.mayStartUntil = Math.max(
+        unit.mayStartUntil,
+        allocation.mayStartUntil,
+      );
+    }
     unit.allocations = unit.allocations.filter(other => other !== allocation);
     if (unit.allocations.length === 0) {
       unit.phase = 'waiting';
--- a/packages/dispatch/src/target_sessions.ts
+++ b/packages/dispatch/src/target_sessions.ts
@@ -31,6 +31,9 @@
  */
 const MAX_LEASE_EXTENSION_RESPONSE_AGE_MS = 2000;
 
+/** Pause between polls while an end is held back, since the target then responds without a wait. */
+const HELD_END_PAUSE_MS = 250;
+
 /** Maximum wait for the ends of runs to be written to the log before the next poll. */
 const MAX_RECORD_WAIT_MS = 60;
 
@@ -88,6 +91,9 @@
         }
         failures = 0;
         await this.waitForRecord(target);
+        if (target.hasHeldEnds(this.clock.now())) {
+          await this.clock.sleep(HELD_END_PAUSE_MS);
+        }
         continue;
       }
       if (failures === 0) {
@@ -157,7 +163,9 @@
         epoch: this.delegate.epoch + target.epochOffset,
         leaseUntil: leaseEnd,
         // Another incarnation numbers its ends anew and would forget them unread.
-        acknowledgedEnd: target.isIncarnationProven ? target.recordedEnd : 0,
+        acknowledgedEnd: target.isIncarnationProven
+          ? target.findAcknowledgedEnd(now)
+          : 0,
         wait,
         needsNewConnection,
       },
--- a/packages/dispatch/src/target_state.ts
+++ b/packages/dispatch/src/target_state.ts
@@ -73,6 +73,8 @@
    * it.
    */
   recordedEnd = 0;
+  /** Ends that must not be acknowledged before `until`, in the order of their numbers. */
+  private heldEnds: Array<{number: number; until: Instant}> = [];
   /**
    * Clock of the newest listing that was applied; older listings are ignored.
    */
@@ -169,6 +171,27 @@
     this.recordListener = undefined;
   }
 
+  /**
+   * Keeps an end from being acknowledged until `until`, when no start command of
+   * its run can be carried out any more. A later incarnation that carries one
+   * out does not know of the end, which must not count by then.
+   */
+  holdEnd(number: number, until: Instant): void {
+    this.heldEnds.push({number, until});
+  }
+
+  /** Whether an end is kept from being acknowledged. */
+  hasHeldEnds(now: Instant): boolean {
+    this.heldEnds = this.heldEnds.filter(({until}) => now <= until);
+    return this.heldEnds.length > 0;
+  }
+
+  /** Returns the number of the last end that the target may forget. */
+  findAcknowledgedEnd(now: Instant): number {
+    const held = this.hasHeldEnds(now) ? this.heldEnds[0]!.number : Infinity;
+    return Math.min(this.recordedEnd, held - 1);
+  }
+
   /**
    * Registers a listener that is called once when more ends are in the log. It
    * replaces an earlier listener.
