Begin a read of the log after the question that it answers

What callers saw: a caller whose job had been accepted by one instance was told by another, up to half a second later, that the job does not exist.

Cause: Follower.readToEnd promised to read all that was written before the call, and shared a read in progress, whose page may have been made before. The emulator made a page only when it arrived, so it could not show this. A shared read that got no response also failed every caller that came after.

Change: a read to the end begins after its call. Callers that ask while one is in progress share the next one, which begins when that ends or 150 ms later, whichever is first. The emulator delays pages (pageDelay) and reports a response that denies a job which was accepted before the caller asked and which reads returned throughout the call (shown-as-unknown).

--- a/packages/emulator/src/emulated_cluster.ts
+++ b/packages/emulator/src/emulated_cluster.ts
@@ -9,6 +9,7 @@
 } from '@galenavalve/dispatch';
 import {
   DesiredStateStore,
+  type GatewayResponse,
   type OpenTaskLimit,
   type Queue,
   type Workspace,
@@ -26,7 +27,7 @@
   JobSpec,
   StoredRecord,
 } from '@galenavalve/workload';
-import {parseTaskName} from '@galenavalve/workload';
+import {formatAcceptedKey, parseTaskName} from '@galenavalve/workload';
 import type {ClusterView, ObservedJob, ObservedTarget} from './cluster_view.js';
 import {Disturbances} from './disturbances.js';
 import {EmulatedFleet} from './emulated_fleet.js';
@@ -90,8 +91,7 @@
   /** Whether submissions and faults ended so long ago that no job may be idle. */
   isEndDue = false;
   private readonly idleJobs = new IdleJobCheck(this.auditor.violations);
-  /** Jobs that callers were told are accepted, and those that they asked to cancel. */
-  private readonly accepted = new Set<string>();
+  /** Jobs that callers asked to cancel. */
   private readonly cancelled = new Set<string>();
   readonly desiredState = new DesiredStateStore();
   readonly instances = new Map<string, EmulatedInstance>();
@@ -247,7 +247,7 @@
 
   /** Lists the jobs that callers were told are accepted. */
   listAcceptedJobs(): readonly string[] {
-    return [...this.accepted];
+    return this.auditor.listAcceptedJobs();
   }
 
   private async trackAccepted(
@@ -256,7 +256,7 @@
   ): ReturnType<EmulatedInstance['gateway']['submit']> {
     const response = await submission;
     if (response.kind === 'accepted') {
-      this.accepted.add(id);
+      this.auditor.onAccepted(id, this.clock.now());
     }
     return response;
   }
@@ -316,7 +316,7 @@
       return [];
     }
     const {table} = this.pickInstance();
-    const open = [...this.accepted].filter(id => {
+    const open = this.listAcceptedJobs().filter(id => {
       const outcome = table.find(id)?.progress?.outcome ?? 'active';
       return outcome === 'active' && !this.cancelled.has(id);
     });
@@ -352,7 +352,7 @@
     const {terms, queue: name, workspace} = this.jobs.get(id)!;
     const queue = {...createQueue(terms.priority), name, terms};
     const request = {queue, workspace, jobId: id, timeout: 3000};
-    const response = await at.gateway.cancel(request);
+    const response = await this.auditResponse(id, at.gateway.cancel(request));
     if (response.kind === 'cancelled' || response.kind === 'unknown-job') {
       this.auditor.onCancelled(id, this.clock.now());
     }
@@ -363,7 +363,7 @@
     const {terms, queue: name, workspace} = this.jobs.get(id)!;
     const queue = {...createQueue(terms.priority), name, terms};
     const request = {queue, workspace, jobId: id, timeout: 3000};
-    const response = await at.gateway.getState(request);
+    const response = await this.auditResponse(id, at.gateway.getState(request));
     if (response.kind !== 'state') {
       return response.kind;
     }
@@ -373,6 +373,21 @@
     return response.state;
   }
 
+  /** Reports a response that denies a job which reads of the log returned throughout the call. */
+  private async auditResponse(
+    id: string,
+    call: Promise<GatewayResponse>,
+  ): Promise<GatewayResponse> {
+    const askedAt = this.clock.now();
+    const isReadable = () => this.log.isReadable(formatAcceptedKey(id));
+    const wasReadable = isReadable();
+    const response = await call;
+    if (response.kind === 'unknown-job' && wasReadable && isReadable()) {
+      this.auditor.onShownAsUnknown(id, askedAt, this.clock.now());
+    }
+    return response;
+  }
+
   /** Returns the state of a job at a running instance; undefined if that instance does not know the job. */
   getJobState(id: string): string | undefined {
     const instance = this.pickInstance();
--- a/packages/emulator/src/emulated_log.ts
+++ b/packages/emulator/src/emulated_log.ts
@@ -19,6 +19,9 @@
 /** Appends that would queue for longer than this are refused, as the platform does. */
 const MAX_APPEND_WAIT_MS = 2000;
 
+/** Timeout of a read from an offset, beyond the time that it waits for records. */
+const READ_TIMEOUT_MS = 1000;
+
 /** Interval at which a waiting read checks for new records. */
 const TAIL_CHECK_INTERVAL_MS = 5;
 
@@ -42,6 +45,8 @@
   slowness: number;
   /** Offset of the first record that reads do not return, as if it had not been appended; undefined if they return all. */
   hiddenFrom?: number;
+  /** Longest time, in milliseconds, from when a page of a read from an offset is made until it arrives. */
+  pageDelay: Milliseconds;
 }
 
 /** Highest epoch seen, with its latest appends for deduplication. */
@@ -58,6 +63,7 @@
     lostAnswers: 0,
     lateAppends: 0,
     slowness: 1,
+    pageDelay: 0,
   };
   private records: StoredRecord[] = [];
   private oldestOffset = 0;
@@ -90,6 +96,14 @@
     return this.records;
   }
 
+  /** Whether reads return a value of a key: it was written, not deleted, and is not hidden. */
+  isReadable(key: string): boolean {
+    const newest = this.records
+      .slice(0, this.visibleEnd)
+      .findLast(record => record.key === key);
+    return newest !== undefined && newest.value !== '';
+  }
+
   /** Appends a record without latency or faults, as an operator would, and returns its offset. */
   put(record: KeyedRecord): number {
     return this.storeRecords([record]);
@@ -160,12 +174,12 @@
     offset: number,
     wait: Milliseconds,
   ): Promise<TailPage> {
-    await this.sendRequestOrThrow(instance, wait + 1000);
+    await this.sendRequestOrThrow(instance, wait + READ_TIMEOUT_MS);
     const until = this.clock.now() + wait;
     while (this.visibleEnd <= offset && this.clock.now() < until) {
       await this.clock.sleep(TAIL_CHECK_INTERVAL_MS);
       if (this.isSilentTo(instance)) {
-        await this.clock.sleep(1000);
+        await this.clock.sleep(READ_TIMEOUT_MS);
         throw new Error('no response');
       }
     }
@@ -174,9 +188,22 @@
     }
     const end = this.visibleEnd;
     const records = this.records.slice(offset, end);
+    await this.delayPage();
     return {kind: 'records', records, next: Math.max(offset, end), end};
   }
 
+  /** Waits while a page is on its way; throws when it does not arrive within the timeout of a read. */
+  private async delayPage(): Promise<void> {
+    const {pageDelay} = this.faults;
+    if (pageDelay > 0) {
+      const delay = this.random.next() * pageDelay;
+      await this.clock.sleep(Math.min(delay, READ_TIMEOUT_MS));
+      if (delay > READ_TIMEOUT_MS) {
+        throw new Error('no response');
+      }
+    }
+  }
+
   /** Offset after the last record that reads return. */
   private get visibleEnd(): number {
     return Math.min(this.end, this.faults.hiddenFrom ?? Infinity);
--- a/packages/emulator/src/run_auditor.ts
+++ b/packages/emulator/src/run_auditor.ts
@@ -39,6 +39,8 @@
     | 'idle-job'
     /** An accepted job is not known to an instance that has read the log. */
     | 'unknown-job'
+    /** A caller was told that a job does not exist although it was accepted before the caller asked. */
+    | 'shown-as-unknown'
     /** A job is open although all of its tasks are done, a task has used up its attempts, or it was cancelled. */
     | 'open-job';
   at: Instant;
@@ -74,6 +76,8 @@
   private readonly cancelledAt = new Map<string, Instant>();
   /** When callers were first told that a job is complete, by job. */
   private readonly shownCompleteAt = new Map<string, Instant>();
+  /** When callers were first told that a job is accepted, by job. */
+  private readonly acceptedAt = new Map<string, Instant>();
   /** Checkpoints that were listed, by unit. */
   private readonly checkpoints = new Map<string, Set<string>>();
 
@@ -90,6 +94,28 @@
     this.jobs.set(id, job);
   }
 
+  /** Records that a caller was told that a job is accepted. */
+  onAccepted(id: string, now: Instant): void {
+    this.acceptedAt.set(id, this.acceptedAt.get(id) ?? now);
+  }
+
+  /** Lists the jobs that callers were told are accepted. */
+  listAcceptedJobs(): readonly string[] {
+    return [...this.acceptedAt.keys()];
+  }
+
+  /** Checks that a job of which a caller was told that it does not exist was not accepted before the caller asked. */
+  onShownAsUnknown(id: string, askedAt: Instant, now: Instant): void {
+    const acceptedAt = this.acceptedAt.get(id) ?? Infinity;
+    if (acceptedAt < askedAt) {
+      this.report(
+        'shown-as-unknown',
+        now,
+        `${id} is shown as unknown ${askedAt - acceptedAt} ms after it was accepted`,
+      );
+    }
+  }
+
   /** Finds the step of a task; undefined if nobody submitted it. */
   findStep(task: string): Step | undefined {
     const name = parseTaskName(task);
--- a/packages/workload/__tests__/follower.spec.ts
+++ b/packages/workload/__tests__/follower.spec.ts
@@ -10,7 +10,7 @@
   const clock = new ManualClock(1000);
   const records: StoredRecord[] = [];
   const receivedKeys: string[] = [];
-  const faults = {isSilent: false, isCompacted: false};
+  const faults = {isSilent: false, isCompacted: false, pageDelay: 0};
   let readCount = 0;
   const log = {
     readNewest: async () =>
@@ -26,12 +26,16 @@
       while (records.length <= offset && clock.now() < deadline) {
         await clock.sleep(10);
       }
-      return {
+      const page = {
         kind: 'records' as const,
         records: records.slice(offset),
         next: records.length,
         end: records.length,
       };
+      if (faults.pageDelay > 0) {
+        await clock.sleep(faults.pageDelay);
+      }
+      return page;
     },
   };
   const follower = new Follower(
@@ -176,3 +180,88 @@
   t.ok(follower.isCaughtUp);
   follower.close();
 });
+
+// Guards against an absence, or a claim of leadership, that rests on a read of the log which began before it was asked for (issue 47).
+t.test('a read to the end returns what was written before it', async t => {
+  const {clock, follower, receivedKeys, faults, push, countReads} =
+    createFollower(400);
+  void follower.run();
+  await clock.advance(50);
+  push('a');
+  await clock.advance(30);
+  faults.pageDelay = 100;
+  const first = follower.readToEnd(1000);
+  await clock.advance(20);
+  const readsBefore = countReads();
+  push('b');
+  const others = [1, 2, 3].map(async () => ({
+    isAtEnd: await follower.readToEnd(300),
+    keys: [...receivedKeys],
+  }));
+  t.ok(await settle(clock, first));
+  t.same(receivedKeys, ['a'], 'the first read began before the second record');
+  for (const result of await settle(clock, Promise.all(others))) {
+    t.same(result, {isAtEnd: true, keys: ['a', 'b']});
+  }
+  t.equal(countReads() - readsBefore, 1, 'the later callers share one read');
+  follower.close();
+});
+
+// Guards against callers who wait twice as long, or are refused, because an earlier read is slow.
+t.test('a read to the end is not held up by an earlier one', async t => {
+  const {clock, follower, faults, push, countReads} = createFollower(400);
+  void follower.run();
+  await clock.advance(50);
+  push('a');
+  await clock.advance(30);
+  faults.pageDelay = 400;
+  const readsBefore = countReads();
+  void follower.readToEnd(600);
+  const results: boolean[] = [];
+  for (let time = 0; time < 400; time += 20) {
+    await clock.advance(20);
+    void follower.readToEnd(600).then(result => results.push(result));
+  }
+  await clock.advance(600);
+  t.same(results, Array(20).fill(true));
+  t.ok(countReads() - readsBefore <= 5, 'callers share reads');
+  follower.close();
+});
+
+t.test(
+  'a read to the end succeeds although an earlier one gets no response',
+  async t => {
+    const {clock, follower, faults, push} = createFollower(400);
+    void follower.run();
+    await clock.advance(50);
+    push('a');
+    await clock.advance(30);
+    faults.isSilent = true;
+    t.notOk(await settle(clock, follower.readToEnd(100)));
+    faults.isSilent = false;
+    t.ok(await settle(clock, follower.readToEnd(300)));
+    follower.close();
+  },
+);
+
+t.test(
+  'reads to the end that get no response end after their timeouts',
+  async t => {
+    const {clock, follower, faults, push} = createFollower(400);
+    void follower.run();
+    await clock.advance(50);
+    push('a');
+    await clock.advance(30);
+    faults.isSilent = true;
+    const results: boolean[] = [];
+    for (const timeout of [1000, 100]) {
+      void follower.readToEnd(timeout).then(result => results.push(result));
+      await clock.advance(20);
+    }
+    await clock.advance(100);
+    t.same(results, [false]);
+    await clock.advance(900);
+    t.same(results, [false, false]);
+    follower.close();
+  },
+);
--- a/packages/workload/src/follower.ts
+++ b/packages/workload/src/follower.ts
@@ -15,6 +15,9 @@
 const RETRY_BASE_MS = 60;
 const RETRY_CAP_MS = 500;
 
+/** Time for which callers gather before a read to the end overlaps an earlier one that is still in progress. */
+const READ_OVERLAP_DELAY_MS: Milliseconds = 150;
+
 /** Receives what a follower reads. */
 export interface FollowerSink {
   /** Called for each record in offset order; a reload may pass on a record again. */
@@ -38,7 +41,9 @@
   private hasNewRecords = false;
   /** Whether the next read is delayed so that one read returns several records; otherwise a read is in progress that returns each new record immediately. */
   private isReadDelayed = false;
-  private reading?: Promise<boolean>;
+  /** The read to the end that began last, if it is in progress, and the next one, which all callers share that asked meanwhile. */
+  private currentRead?: Promise<boolean>;
+  private nextRead?: Promise<boolean>;
   private isClosed = false;
   private waiters: Array<{offset: number; resolve: () => void}> = [];
 
@@ -108,10 +113,7 @@
   async readToEnd(timeout: Milliseconds): Promise<boolean> {
     const timer = new AbortController();
     const expired = this.clock.sleep(timeout, timer.signal).then(() => false);
-    this.reading ??= this.readOnce().finally(() => {
-      this.reading = undefined;
-    });
-    const hasReachedEnd = await Promise.race([this.reading, expired]);
+    const hasReachedEnd = await Promise.race([this.readFromNow(), expired]);
     timer.abort();
     return hasReachedEnd;
   }
@@ -123,6 +125,39 @@
     }
   }
 
+  /** Reads once, beginning after this call: a read in progress may return a page that was made before. */
+  private readFromNow(): Promise<boolean> {
+    if (!this.currentRead) {
+      return this.beginRead();
+    }
+    this.nextRead ??= this.waitFor(this.currentRead).then(() => {
+      this.nextRead = undefined;
+      return this.beginRead();
+    });
+    return this.nextRead;
+  }
+
+  private beginRead(): Promise<boolean> {
+    const read = this.readOnce().finally(() => {
+      if (this.currentRead === read) {
+        this.currentRead = undefined;
+      }
+    });
+    this.currentRead = read;
+    return read;
+  }
+
+  /** Waits until a read has ended, or until the next one may overlap it. */
+  private async waitFor(read: Promise<boolean>): Promise<void> {
+    const timer = new AbortController();
+    await Promise.race([
+      read,
+      this.clock.sleep(READ_OVERLAP_DELAY_MS, timer.signal),
+    ]);
+    timer.abort();
+  }
+
+  /** Reads one page. Returns whether the log ended with it. */
   private async readOnce(): Promise<boolean> {
     try {
       const page = await this.log.readTail(this.nextOffset, 0);
--- a/packages/workload/src/index.ts
+++ b/packages/workload/src/index.ts
@@ -33,6 +33,7 @@
   encodeEarlyCancellation,
   encodeEarlyCancellationTombstone,
   encodeJobTombstones,
+  formatAcceptedKey,
   encodeLeadership,
   encodeProgress,
 } from './keyed_record.js';
--- a/packages/workload/src/keyed_record.ts
+++ b/packages/workload/src/keyed_record.ts
@@ -70,9 +70,14 @@
   | {kind: 'deleted'; id: string}
   | {kind: 'leadership'; leadership: Leadership};
 
+/** Returns the key of the record that creates a job. */
+export function formatAcceptedKey(id: string): string {
+  return ACCEPTED + id;
+}
+
 /** Encodes the record that creates a job. */
 export function encodeAccepted(id: string, job: AcceptedJob): KeyedRecord {
-  return {key: ACCEPTED + id, value: JSON.stringify(job)};
+  return {key: formatAcceptedKey(id), value: JSON.stringify(job)};
 }
 
 /** Encodes the record that cancels a job. */
