Deny no job while reads lack records that were appended here

Cause: a read counted as complete when it reached the end that it reported itself. The instance had proof of a later end, the offset of its own append, and did not use it.

The emulator's auditor excuses late reads, but not at the instance that accepted the job.

Change: the gateway keeps the end of its own appends. A question for a job that it cannot find is refused with Retry-After while the follower has read less than what was appended before the question. A job of another caller with the id is still proof of absence. Cancellations stay as they are: that of an unknown job is recorded and takes effect. Weighed: adding own records to the table ahead of the log, as the leader does; tables of instances could then differ for good if two callers use one id.

--- a/packages/emulator/src/emulated_cluster.ts
+++ b/packages/emulator/src/emulated_cluster.ts
@@ -91,6 +91,8 @@
   /** Whether submissions and faults ended so long ago that no job may be idle. */
   isEndDue = false;
   private readonly idleJobs = new IdleJobCheck(this.auditor.violations);
+  /** Instances that told a caller that they accepted a job, by job. */
+  private readonly acceptedBy = new Map<string, Set<EmulatedInstance>>();
   /** Jobs that callers asked to cancel. */
   private readonly cancelled = new Set<string>();
   readonly desiredState = new DesiredStateStore();
@@ -242,7 +244,7 @@
     this.jobs.set(id, job);
     this.auditor.onSubmitted(id, job);
     const request = {queue, workspace, jobId: id, timeout: 3000};
-    return this.trackAccepted(id, at.gateway.submit(request, spec));
+    return this.trackAccepted(id, at, at.gateway.submit(request, spec));
   }
 
   /** Lists the jobs that callers were told are accepted. */
@@ -252,11 +254,14 @@
 
   private async trackAccepted(
     id: string,
+    at: EmulatedInstance,
     submission: ReturnType<EmulatedInstance['gateway']['submit']>,
   ): ReturnType<EmulatedInstance['gateway']['submit']> {
     const response = await submission;
     if (response.kind === 'accepted') {
       this.auditor.onAccepted(id, this.clock.now());
+      const instances = this.acceptedBy.get(id) ?? new Set();
+      this.acceptedBy.set(id, instances.add(at));
     }
     return response;
   }
@@ -352,7 +357,9 @@
     const {terms, queue: name, workspace} = this.jobs.get(id)!;
     const queue = {...createQueue(terms.priority), name, terms};
     const request = {queue, workspace, jobId: id, timeout: 3000};
-    const response = await this.auditResponse(id, at.gateway.cancel(request));
+    const call = at.gateway.cancel(request);
+    const isKnowable = () => this.log.isReadable(formatAcceptedKey(id));
+    const response = await this.auditResponse(id, call, isKnowable);
     if (response.kind === 'cancelled' || response.kind === 'unknown-job') {
       this.auditor.onCancelled(id, this.clock.now());
     }
@@ -363,7 +370,13 @@
     const {terms, queue: name, workspace} = this.jobs.get(id)!;
     const queue = {...createQueue(terms.priority), name, terms};
     const request = {queue, workspace, jobId: id, timeout: 3000};
-    const response = await this.auditResponse(id, at.gateway.getState(request));
+    const call = at.gateway.getState(request);
+    const isOwn = this.acceptedBy.get(id)?.has(at) ?? false;
+    const key = formatAcceptedKey(id);
+    // An instance need not read a record to know that it was written by itself.
+    const isKnowable = () =>
+      isOwn ? this.log.isStored(key) : this.log.isReadable(key);
+    const response = await this.auditResponse(id, call, isKnowable);
     if (response.kind !== 'state') {
       return response.kind;
     }
@@ -373,16 +386,16 @@
     return response.state;
   }
 
-  /** Reports a response that denies a job which reads of the log returned throughout the call. */
+  /** Reports a response that denies a job of which the instance could know throughout the call. */
   private async auditResponse(
     id: string,
     call: Promise<GatewayResponse>,
+    isKnowable: () => boolean,
   ): Promise<GatewayResponse> {
     const askedAt = this.clock.now();
-    const isReadable = () => this.log.isReadable(formatAcceptedKey(id));
-    const wasReadable = isReadable();
+    const wasKnowable = isKnowable();
     const response = await call;
-    if (response.kind === 'unknown-job' && wasReadable && isReadable()) {
+    if (response.kind === 'unknown-job' && wasKnowable && isKnowable()) {
       this.auditor.onShownAsUnknown(id, askedAt, this.clock.now());
     }
     return response;
--- a/packages/emulator/src/emulated_log.ts
+++ b/packages/emulator/src/emulated_log.ts
@@ -96,12 +96,14 @@
     return this.records;
   }
 
-  /** Whether reads return a value of a key: it was written, not deleted, and is not hidden. */
+  /** Whether a key was written and not deleted. */
+  isStored(key: string): boolean {
+    return hasValue(this.records, key);
+  }
+
+  /** Whether reads return a value of a key: the same, as far as records are not hidden. */
   isReadable(key: string): boolean {
-    const newest = this.records
-      .slice(0, this.visibleEnd)
-      .findLast(record => record.key === key);
-    return newest !== undefined && newest.value !== '';
+    return hasValue(this.records.slice(0, this.visibleEnd), key);
   }
 
   /** Appends a record without latency or faults, as an operator would, and returns its offset. */
@@ -281,6 +283,11 @@
   }
 }
 
+function hasValue(records: readonly StoredRecord[], key: string): boolean {
+  const newest = records.findLast(record => record.key === key);
+  return newest !== undefined && newest.value !== '';
+}
+
 /** The log as one instance accesses it. */
 class LogClient implements SharedLog {
   constructor(
--- a/packages/gateway/__tests__/gateway.spec.ts
+++ b/packages/gateway/__tests__/gateway.spec.ts
@@ -201,6 +201,25 @@
   },
 );
 
+// Guards against a caller who is told "accepted" and then "no such job" by the same instance.
+t.test(
+  'a job is not reported as unknown while the log returns less than was appended to it',
+  async t => {
+    const {gateway, request, clock, follower, table, appended} = createGateway(
+      [],
+    );
+    await waitForResponse(clock, gateway.submit(request, spec));
+    const getState = async (jobId: string) =>
+      waitForResponse(clock, gateway.getState({...request, jobId}));
+    t.match(await getState('1'), {kind: 'refused', retryAfterSeconds: 1});
+    t.equal((await getState('2')).kind, 'refused');
+    table.apply({...appended[0]!, offset: 1});
+    follower.nextOffset = 2;
+    t.same(await getState('1'), {kind: 'state', state: 'queued'});
+    t.same(await getState('2'), {kind: 'unknown-job'});
+  },
+);
+
 t.test(
   'a job is reported as complete only once the log has its completion, however long the log does not respond',
   async t => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -105,6 +105,9 @@
 
 /** The part of an instance that handles callers' requests. */
 export class Gateway {
+  /** Offset after the newest record that was appended here; the log does not end before it. */
+  private appendedEnd = 0;
+
   constructor(private readonly dependencies: GatewayDependencies) {}
 
   /** Whether this instance can serve requests: it has a configuration, has caught up with the log and can reach it. */
@@ -234,13 +237,20 @@
   /**
    * Returns the state of a job according to the log. During an outage of the log
    * a job that has ended meanwhile is still `running`: what only instances know
-   * can be lost with them, and the job would run again.
+   * can be lost with them, and the job would run again. A job is not denied
+   * while reads return records late, as those that were appended here show.
    */
   async getState(request: GatewayRequest): Promise<GatewayResponse> {
+    const {appendedEnd} = this;
     const entry = await this.findEntry(request);
     if ('kind' in entry) {
-      this.logResponse('state', request, entry);
-      return entry;
+      const {table, follower} = this.dependencies;
+      // A job of another caller that has the id proves that the job does not exist.
+      const isLate =
+        follower.nextOffset < appendedEnd && !table.find(request.jobId);
+      const response = isLate ? LOG_UNREADABLE_RESPONSE : entry;
+      this.logResponse('state', request, response);
+      return response;
     }
     const isLogReachable = this.computeLogAge() < LOG_TIMEOUT_MS;
     if (!isEnded(entry) && isLogReachable) {
@@ -298,6 +308,7 @@
       const outcome = await log.append([record], timeout);
       if (outcome.kind === 'appended') {
         const {offset} = outcome;
+        this.appendedEnd = Math.max(this.appendedEnd, offset + 1);
         this.dependencies.leader.onAppended({...record, offset});
         return undefined;
       }
