--- a/packages/emulator/src/emulated_peer_network.ts
+++ b/packages/emulator/src/emulated_peer_network.ts
@@ -45,10 +45,20 @@
     return {
       append: async (peer, _log, call, timeout) =>
         this.append(await reach(peer, timeout), call, timeout),
-      readNewest: async (peer, _log, after, timeout): Promise<NewestPage> =>
-        requireLog(await reach(peer, timeout)).readNewest(after),
-      readTail: async (peer, _log, offset, wait, timeout): Promise<TailPage> =>
-        requireLog(await reach(peer, timeout)).readTail(offset, wait),
+      readNewest: async (peer, _log, after, timeout): Promise<NewestPage> => {
+        const log = requireLog(await reach(peer, timeout));
+        return this.read(log.readNewest(after), timeout);
+      },
+      readTail: async (
+        peer,
+        _log,
+        offset,
+        wait,
+        timeout,
+      ): Promise<TailPage> => {
+        const log = requireLog(await reach(peer, timeout));
+        return this.read(log.readTail(offset, wait), wait + timeout);
+      },
     };
   }
 
@@ -84,6 +94,24 @@
       : {kind: 'refused', problem: 'the peer cannot reach the log'};
   }
 
+  /** Rejects when a page does not come within `timeout`, as from a process that was killed. */
+  private async read<Page>(
+    page: Promise<Page>,
+    timeout: Milliseconds,
+  ): Promise<Page> {
+    const timer = new AbortController();
+    const expired = this.clock.sleep(timeout, timer.signal).then(() => {
+      throw new Error('the peer does not respond');
+    });
+    try {
+      return await Promise.race([page, expired]);
+    } finally {
+      timer.abort();
+      expired.catch(() => undefined);
+      page.catch(() => undefined);
+    }
+  }
+
   /** Returns an unknown outcome after `timeout`. */
   private async timeOut(timeout: Milliseconds): Promise<FencedAppendOutcome> {
     await this.clock.sleep(timeout);
