--- a/packages/emulator/src/emulated_cluster.ts
+++ b/packages/emulator/src/emulated_cluster.ts
@@ -9,6 +9,7 @@
 } from '@galenavalve/dispatch';
 import {
   DesiredStateStore,
+  type GatewayResponse,
   type OpenTaskLimit,
   type Queue,
   type Workspace,
@@ -26,7 +27,7 @@
   JobSpec,
   StoredRecord,
 } from '@galenavalve/workload';
-import {parseTaskName} from '@galenavalve/workload';
+import {formatAcceptedKey, parseTaskName} from '@galenavalve/workload';
 import type {ClusterView, ObservedJob, ObservedTarget} from './cluster_view.js';
 import {Disturbances} from './disturbances.js';
 import {EmulatedFleet} from './emulated_fleet.js';
@@ -90,8 +91,9 @@
   /** Whether submissions and faults ended so long ago that no job may be idle. */
   isEndDue = false;
   private readonly idleJobs = new IdleJobCheck(this.auditor.violations);
-  /** Jobs that callers were told are accepted, and those that they asked to cancel. */
-  private readonly accepted = new Set<string>();
+  /** Instances that told a caller that they accepted a job, by job. */
+  private readonly acceptedBy = new Map<string, Set<EmulatedInstance>>();
+  /** Jobs that callers asked to cancel. */
   private readonly cancelled = new Set<string>();
   readonly desiredState = new DesiredStateStore();
   readonly instances = new Map<string, EmulatedInstance>();
@@ -242,21 +244,24 @@
     this.jobs.set(id, job);
     this.auditor.onSubmitted(id, job);
     const request = {queue, workspace, jobId: id, timeout: 3000};
-    return this.trackAccepted(id, at.gateway.submit(request, spec));
+    return this.trackAccepted(id, at, at.gateway.submit(request, spec));
   }
 
   /** Lists the jobs that callers were told are accepted. */
   listAcceptedJobs(): readonly string[] {
-    return [...this.accepted];
+    return this.auditor.listAcceptedJobs();
   }
 
   private async trackAccepted(
     id: string,
+    at: EmulatedInstance,
     submission: ReturnType<EmulatedInstance['gateway']['submit']>,
   ): ReturnType<EmulatedInstance['gateway']['submit']> {
     const response = await submission;
     if (response.kind === 'accepted') {
-      this.accepted.add(id);
+      this.auditor.onAccepted(id, this.clock.now());
+      const instances = this.acceptedBy.get(id) ?? new Set();
+      this.acceptedBy.set(id, instances.add(at));
     }
     return response;
   }
@@ -316,7 +321,7 @@
       return [];
     }
     const {table} = this.pickInstance();
-    const open = [...this.accepted].filter(id => {
+    const open = this.listAcceptedJobs().filter(id => {
       const outcome = table.find(id)?.progress?.outcome ?? 'active';
       return outcome === 'active' && !this.cancelled.has(id);
     });
@@ -352,7 +357,9 @@
     const {terms, queue: name, workspace} = this.jobs.get(id)!;
     const queue = {...createQueue(terms.priority), name, terms};
     const request = {queue, workspace, jobId: id, timeout: 3000};
-    const response = await at.gateway.cancel(request);
+    const call = at.gateway.cancel(request);
+    const isKnowable = () => this.log.isReadable(formatAcceptedKey(id));
+    const response = await this.auditResponse(id, call, isKnowable);
     if (response.kind === 'cancelled' || response.kind === 'unknown-job') {
       this.auditor.onCancelled(id, this.clock.now());
     }
@@ -363,7 +370,13 @@
     const {terms, queue: name, workspace} = this.jobs.get(id)!;
     const queue = {...createQueue(terms.priority), name, terms};
     const request = {queue, workspace, jobId: id, timeout: 3000};
-    const response = await at.gateway.getState(request);
+    const call = at.gateway.getState(request);
+    const isOwn = this.acceptedBy.get(id)?.has(at) ?? false;
+    const key = formatAcceptedKey(id);
+    // An instance need not read a record to know that it was written by itself.
+    const isKnowable = () =>
+      isOwn ? this.log.isStored(key) : this.log.isReadable(key);
+    const response = await this.auditResponse(id, call, isKnowable);
     if (response.kind !== 'state') {
       return response.kind;
     }
@@ -373,6 +386,21 @@
     return response.state;
   }
 
+  /** Reports a response that denies a job of which the instance could know throughout the call. */
+  private async auditResponse(
+    id: string,
+    call: Promise<GatewayResponse>,
+    isKnowable: () => boolean,
+  ): Promise<GatewayResponse> {
+    const askedAt = this.clock.now();
+    const wasKnowable = isKnowable();
+    const response = await call;
+    if (response.kind === 'unknown-job' && wasKnowable && isKnowable()) {
+      this.auditor.onShownAsUnknown(id, askedAt, this.clock.now());
+    }
+    return response;
+  }
+
   /** Returns the state of a job at a running instance; undefined if that instance does not know the job. */
   getJobState(id: string): string | undefined {
     const instance = this.pickInstance();
