Keep a unit from starting while an orphan of it is being stopped

A run that the leader does not expect on a target (run-unexpected) belonged to no unit, so a waiting unit, or one whose placement was being recorded, could start elsewhere while the run was being stopped: two runs of one task (TWICE).

Change: the orphan becomes an allocation of its unit if that has not started again, and the unit waits until the orphan has ended.

--- a/packages/dispatch/src/run_tracker.ts
+++ b/packages/dispatch/src/run_tracker.ts
@@ -163,6 +163,25 @@
     }
   }
 
+  /**
+   * Called when a target lists a run that the leader does not expect there. Its
+   * unit does not start again before the orphan has ended, unless it has
+   * started already.
+   */
+  onOrphan(orphan: Allocation, unit: ActiveUnit | undefined): void {
+    if (!unit || unit.progress.isDone) {
+      return;
+    }
+    if (unit.phase === 'recording') {
+      this.stop(unit, 'an earlier run of the unit is alive');
+    }
+    if (unit.phase === 'waiting' || unit.phase === 'stopping') {
+      orphan.unit = unit;
+      unit.allocations.push(orphan);
+      unit.phase = 'stopping';
+    }
+  }
+
   /** Called when a target lists the end of a run. */
   onEnd(
     target: TargetState,
--- a/packages/dispatch/src/target_listing.ts
+++ b/packages/dispatch/src/target_listing.ts
@@ -79,6 +79,7 @@
       const demand = context.findDemand(run.task);
       const orphan = allocateOrphan(target, run, demand, now);
       listed.add(orphan);
+      context.tracker.onOrphan(orphan, context.findUnit(run.task));
       context.onOrphan(orphan);
       hasChanged = true;
     }
