--- a/packages/emulator/__tests__/disturbed_day.ts
+++ b/packages/emulator/__tests__/disturbed_day.ts
@@ -13,6 +13,9 @@
 
 const FULL = {cpu: 64_000, memoryMb: 131_072, accelerators: 8};
 
+/** Highest value at which the clock of a target starts. */
+const MAX_CLOCK_START_MS = 10_000_000;
+
 /** Number of jobs that are submitted in a day. */
 const JOBS = 30;
 
@@ -74,6 +77,8 @@
   private readonly random: SeededRandom;
   /** Choices of the callers that ask for states, apart from those of the day. */
   private readonly callerRandom: SeededRandom;
+  /** Choices of connections and clocks, apart from those of the day. */
+  private readonly networkRandom: SeededRandom;
   readonly cluster: EmulatedCluster;
   private readonly crashAge: number;
   private readonly faultyShare: number;
@@ -84,6 +89,7 @@
     only?: readonly Kind[],
   ) {
     this.random = new SeededRandom(hash(`day ${seed * 7919}`));
+    this.networkRandom = new SeededRandom(hash(`network ${seed}`));
     this.callerRandom = new SeededRandom(hash(`callers ${seed}`));
     for (let skipped = 0; skipped < 10; skipped++) {
       this.random.next();
@@ -103,10 +109,24 @@
       settings: DEFAULT_SETTINGS,
       getTaskBehavior: task => this.chooseBehavior(task),
     });
+    this.chooseNetwork();
     this.cluster.fleet.faults.newIdAfterCrash = this.random.next() < 0.5;
     this.cluster.fleet.faults.staysDownAfterCrash = this.random.next() < 0.15;
   }
 
+  /** Chooses how connections and clocks behave when targets restart. */
+  private chooseNetwork(): void {
+    const {networkRandom: random} = this;
+    const {fleet} = this.cluster;
+    fleet.faults.keepsDeadConnections = random.next() < 0.5;
+    fleet.faults.latency = random.next() < 0.3 ? 20 : 1;
+    if (this.has('late commands')) {
+      fleet.faults.delayedPolls = random.next() < 0.5 ? 0.05 : 0;
+    }
+    fleet.chooseClockStart = () =>
+      random.next() < 0.5 ? 0 : nextInteger(random, MAX_CLOCK_START_MS);
+  }
+
   async play(): Promise<void> {
     const {cluster} = this;
     await cluster.waitUntil(() => cluster.findLeader() !== undefined, 5000);
@@ -329,6 +349,10 @@
 
   private async restart({info}: EmulatedTarget): Promise<void> {
     const {fleet, clock} = this.cluster;
+    if (fleet.faults.keepsDeadConnections) {
+      await fleet.restartTarget(info.id, this.pick([100, 1000]));
+      return;
+    }
     fleet.crashTarget(info.id);
     await clock.sleep(this.pick([100, 1000]));
     fleet.addTarget({...info, born: clock.wallTime()});
@@ -337,6 +361,7 @@
   private calmDown(): void {
     const {fleet, log, desiredState} = this.cluster;
     fleet.faults.delayedCommands = 0;
+    fleet.faults.delayedPolls = 0;
     fleet.faults.unreachableTargets.clear();
     log.faults.silentTo.clear();
     desiredState.evacuated.clear();
