Take back crashes that have a common cause

Callers saw a job as failed although its task had failed once: half of the targets restarted together every 2.5 s, and each crash counted against the tasks that had been, or might have been, on the target.

Cause: the count took crashes for independent of each other. A task that is placed on targets whose crashes are not known yet, one after the other, collects three crashes from one event; one that runs through several such events is under a crash in each.

The leader remembers the span in which each target crashed, also of those without runs. A crash is taken back if others of its moment need at least three causes besides tasks that are alike. A crash fails no job for 1.5 s, in which its task does not start again. A new leader lets a task start once more after a third crash, not after a fifth.

--- a/packages/dispatch/src/active_job.ts
+++ b/packages/dispatch/src/active_job.ts
@@ -14,12 +14,6 @@
 import type {Obstacle} from './obstacle.js';
 import type {TargetState} from './target_state.js';
 
-/** Number of targets that may crash under a task at the same age of its runs before it is given up. */
-const MAX_CRASHES = 3;
-
-/** Number of targets that may crash under a task at any age of its runs before it is given up. */
-const MAX_TOTAL_CRASHES = 5;
-
 /** A job that has not ended, as the leader tracks it. */
 export interface ActiveJob {
   id: string;
@@ -233,19 +227,10 @@
   return found !== undefined && isStepReady(step, found);
 }
 
-/**
- * Whether a unit has failed as often as its queue allows, or has crashed too
- * many targets. Long-running steps have no limit of failures.
- */
+/** Whether a unit has failed as often as its queue allows. Long-running steps have no limit. */
 export function hasNoAttemptLeft({step, progress, job}: ActiveUnit): boolean {
   const {maxAttempts} = job.accepted.terms;
-  const hasCrashedTargets = progress.crashes?.some(
-    ({count, total}) => count >= MAX_CRASHES || total >= MAX_TOTAL_CRASHES,
-  );
-  return (
-    hasCrashedTargets ||
-    (!step.isLongRunning && progress.failureCount >= maxAttempts)
-  );
+  return !step.isLongRunning && progress.failureCount >= maxAttempts;
 }
 
 /** Creates an allocation without any progress. */
--- a/packages/dispatch/src/crash_attribution.ts
+++ b/packages/dispatch/src/crash_attribution.ts
@@ -8,6 +8,10 @@
  * cause. Crashes count together if the member's runs were, or may have been, of
  * the same age: one that outlived the age of an earlier crash did not cause it.
  *
+ * Many targets that crash at one moment have a common cause, which is known only
+ * when several of them are back. Until then a crash counts, but fails no job; it
+ * is taken back if the cause turns out to be common.
+ *
  * The evidence names the incarnations that have crashed. A new leader that finds
  * a run of such an incarnation in the log does not count its crash again.
  */
@@ -17,29 +21,43 @@
   type ActiveJob,
   type ActiveUnit,
   type Allocation,
-  hasNoAttemptLeft,
 } from './active_job.js';
+import {type AgeRange, EvidenceFold} from './crash_evidence.js';
+import {
+  CRASH_MEMORY_MS,
+  type Crash,
+  CrashMoments,
+  createCrash,
+} from './crash_moments.js';
 import type {TargetState} from './target_state.js';
 
+/** Number of targets that may crash under a task at the same age of its runs before it is given up. */
+const MAX_CRASHES = 3;
+
+/** Number of targets that may crash under a task at any age of its runs before it is given up. */
+const MAX_TOTAL_CRASHES = 5;
+
+/** Time after a crash in which other targets that crashed with it are found; before it has passed, the crash fails no job. */
+const VERDICT_DELAY_MS: Milliseconds = 1500;
+
 /** Age of a run, in milliseconds, below which a crash may have been caused by its start: the interval of listings. */
 const MAX_START_AGE_MS: Milliseconds = 1000;
 
 /** Number of crashes from which on a member is isolated whatever the age of its runs. */
 const MIN_REPEATED_CRASHES = 2;
 
-/** Limit of incarnations that the evidence against a member names; a record stays small however long its task runs. */
-const MAX_NAMED_INCARNATIONS = 8;
-
-/** Range of ages of a run, in milliseconds. */
-interface AgeRange {
-  minAge: Milliseconds;
-  maxAge: Milliseconds;
-}
-
 /** Attributes crashes of targets for one dispatcher. */
 export class CrashAttribution {
   /** Incarnations whose crashes have been counted, by this leader or an earlier one. */
   private readonly counted = new Set<string>();
+  /** Crashes that this leader has found. */
+  private readonly found = new WeakMap<TargetState, Crash>();
+  private readonly moments = new CrashMoments();
+  /** Evidence of which a part may be taken back. */
+  private readonly unsettled = new Map<
+    CrashEvidence,
+    {unit: ActiveUnit; fold: EvidenceFold}
+  >();
 
   constructor(
     private readonly onChange: (job: ActiveJob) => void,
@@ -47,9 +65,12 @@
   ) {}
 
   /** Called when a unit was read from the log. */
-  onAdopted({progress}: ActiveUnit): void {
-    for (const {incarnations} of progress.crashes ?? []) {
-      incarnations.forEach(incarnation => this.counted.add(incarnation));
+  onAdopted({job, progress}: ActiveUnit): void {
+    for (const evidence of progress.crashes ?? []) {
+      evidence.incarnations.forEach(key => this.counted.add(key));
+      // The previous leader may have found the last crash too late to tell whether others crashed with it.
+      evidence.count = Math.min(evidence.count, MAX_CRASHES - 1);
+      job.hasFailed ||= isExhausted(evidence);
     }
   }
 
@@ -58,7 +79,16 @@
    * before its allocations are released.
    */
   onCrash(target: TargetState, now: Instant): void {
-    const suspects = findSuspects(target);
+    const runs = listStartedRuns(target);
+    const likely = runs.filter(isLikelySuspect);
+    const crash =
+      this.found.get(target) ??
+      createCrash(target, {suspects: likely, runs}, now);
+    if (!this.found.has(target)) {
+      this.found.set(target, crash);
+      this.moments.add(crash);
+    }
+    const suspects = likely.length > 0 ? likely : runs;
     if (suspects.length === 0) {
       return;
     }
@@ -70,14 +100,18 @@
       return;
     }
     this.counted.add(target.key);
-    for (const allocation of suspects) {
-      const {unit, memberIndex} = allocation;
-      const age = computeCrashAge(allocation, now);
-      const evidence = addCrash(unit, memberIndex, age);
-      evidence.incarnations = [...evidence.incarnations, target.key].slice(
-        -MAX_NAMED_INCARNATIONS,
-      );
+    for (const suspect of suspects) {
+      const {unit, memberIndex} = suspect;
+      const evidence = findOrAddCrashEvidence(unit, memberIndex);
+      const known = this.unsettled.get(evidence);
+      const fold = known?.fold ?? new EvidenceFold(evidence);
+      const age = computeCrashAge(suspect, now);
+      fold.add({crash, suspect, age}, target.key);
+      this.unsettled.set(evidence, {unit, fold});
       unit.lastCrashAt = now;
+      if (isExhausted(evidence)) {
+        unit.retryAt = Math.max(unit.retryAt, now + VERDICT_DELAY_MS);
+      }
     }
     this.logger.info('target-crashed', {
       target: target.key,
@@ -87,10 +121,7 @@
         crashes: findCrashEvidence(unit, memberIndex)?.count,
       })),
     });
-    for (const job of new Set(suspects.map(({unit}) => unit.job))) {
-      this.giveUpIfExhausted(job);
-      this.onChange(job);
-    }
+    new Set(suspects.map(({unit}) => unit.job)).forEach(this.onChange);
   }
 
   /** Called when a target lists a run as running. */
@@ -103,23 +134,73 @@
     const age = now - (allocation.startedAt ?? allocation.createdAt);
     if (age > evidence.maxAge) {
       clearEvidence(unit, evidence);
+      this.unsettled.delete(evidence);
       this.onChange(unit.job);
     }
   }
 
-  private giveUpIfExhausted(job: ActiveJob): void {
-    const exhausted = job.units.find(hasNoAttemptLeft);
-    if (exhausted && !job.hasFailed) {
-      job.hasFailed = true;
-      this.logger.warn('job-given-up', {
-        job: job.id,
-        step: exhausted.stepIndex,
-        unit: exhausted.unitIndex,
-        runs: exhausted.progress.run,
-        crashes: exhausted.progress.crashes,
-      });
+  /** Takes back crashes that have turned out to have a common cause, and gives up tasks under which too many others happened. */
+  onTick(now: Instant): void {
+    const hasNews = this.moments.onTick(now);
+    for (const [evidence, {unit, fold}] of this.unsettled) {
+      const wasExhausted = isExhausted(evidence);
+      const hasChanged = fold.settle(
+        ({crash, suspect}) =>
+          hasNews && this.moments.hasCommonCause(crash, suspect),
+        ({crash}) => now - crash.detectedAt > CRASH_MEMORY_MS,
+      );
+      if (fold.isSettled) {
+        this.unsettled.delete(evidence);
+      }
+      if (hasChanged) {
+        this.onTakenBack(unit, evidence, wasExhausted, now);
+      }
+      if (now - fold.lastCrashAt >= VERDICT_DELAY_MS) {
+        this.giveUpIfExhausted(unit, evidence);
+      }
     }
   }
+
+  private onTakenBack(
+    unit: ActiveUnit,
+    evidence: CrashEvidence,
+    wasExhausted: boolean,
+    now: Instant,
+  ): void {
+    this.logger.info('crash-taken-back', {
+      job: unit.job.id,
+      step: unit.stepIndex,
+      unit: unit.unitIndex,
+      member: evidence.member,
+      crashes: evidence.count,
+      total: evidence.total,
+    });
+    if (wasExhausted && !isExhausted(evidence)) {
+      unit.retryAt = Math.min(unit.retryAt, now);
+    }
+    this.onChange(unit.job);
+  }
+
+  private giveUpIfExhausted(unit: ActiveUnit, evidence: CrashEvidence): void {
+    const {job} = unit;
+    if (!isExhausted(evidence) || unit.progress.isDone || job.hasFailed) {
+      return;
+    }
+    job.hasFailed = true;
+    this.logger.warn('job-given-up', {
+      job: job.id,
+      step: unit.stepIndex,
+      unit: unit.unitIndex,
+      runs: unit.progress.run,
+      crashes: unit.progress.crashes,
+    });
+    this.onChange(job);
+  }
+}
+
+/** Whether too many targets have crashed under a member. */
+function isExhausted({count, total}: CrashEvidence): boolean {
+  return count >= MAX_CRASHES || total >= MAX_TOTAL_CRASHES;
 }
 
 /** Returns the evidence against a member of a unit; undefined if there is none. */
@@ -168,17 +249,21 @@
 
 type PlacedAllocation = Allocation & {unit: ActiveUnit};
 
-/** Returns the allocations of a crashed target whose runs may have caused the crash. */
-function findSuspects(target: TargetState): PlacedAllocation[] {
-  const started = [
+/** Returns the allocations of a crashed target whose runs may have been on it. */
+function listStartedRuns(target: TargetState): PlacedAllocation[] {
+  return [
     ...[...target.allocations.values()].filter(isStarted),
     ...target.lapsedRuns.filter(isLapsedSuspect),
   ];
-  const suspects = started.filter(
-    ({isListed, unit, memberIndex}) =>
-      !isListed || isSuspect(unit, memberIndex),
-  );
-  return suspects.length > 0 ? suspects : started;
+}
+
+/** Whether a run may have crashed its target when it started, or was a suspect before. */
+function isLikelySuspect({
+  isListed,
+  unit,
+  memberIndex,
+}: PlacedAllocation): boolean {
+  return !isListed || isSuspect(unit, memberIndex);
 }
 
 /** Whether a run that was released with its lease belongs to a unit that is not done; the unit may have started again since. */
@@ -223,26 +308,25 @@
   };
 }
 
-/** Counts a crash against a member and returns the evidence against it. */
-function addCrash(
+function findOrAddCrashEvidence(
   unit: ActiveUnit,
   member: number,
-  age: AgeRange,
 ): CrashEvidence {
-  const evidence = findCrashEvidence(unit, member);
-  if (!evidence) {
-    const first = {member, count: 1, total: 1, ...age, incarnations: []};
-    unit.progress.crashes ??= [];
-    unit.progress.crashes.push(first);
-    return first;
+  const known = findCrashEvidence(unit, member);
+  if (known) {
+    return known;
   }
-  const minAge = Math.max(evidence.minAge, age.minAge);
-  const maxAge = Math.min(evidence.maxAge, age.maxAge);
-  const hasSameAge = evidence.count > 0 && minAge <= maxAge;
-  Object.assign(evidence, hasSameAge ? {minAge, maxAge} : age);
-  evidence.count = hasSameAge ? evidence.count + 1 : 1;
-  evidence.total++;
-  return evidence;
+  const first = {
+    member,
+    count: 0,
+    total: 0,
+    minAge: 0,
+    maxAge: 0,
+    incarnations: [],
+  };
+  unit.progress.crashes ??= [];
+  unit.progress.crashes.push(first);
+  return first;
 }
 
 /** Clears a member of suspicion. The total remains, unless the unit runs for so long that crashes of any cause add up. */
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -424,6 +424,7 @@
         this.incarnationCleanup.onTick(target, successor, now);
       });
     }
+    this.runGuarded('crashes', () => this.crashes.onTick(now));
     this.runGuarded('stragglers', () =>
       stopStragglers(
         this.jobs.values(),
--- a/packages/dispatch/src/target_state.ts
+++ b/packages/dispatch/src/target_state.ts
@@ -202,6 +202,11 @@
     }
   }
 
+  /** When a response last continued the target's clock, which starts anew with each incarnation. */
+  get lastClockAt(): Instant {
+    return this.clockSample?.at ?? -Infinity;
+  }
+
   /** Records the ratio of a run's actual to its expected duration. */
   recordDurationRatio(ratio: number): void {
     const boundedRatio = Math.min(
