Blame no run for a crash whose start was never sent

A run in state 'starting' was a suspect of its target's crash although each of its starts had met a refused connection.

--- a/packages/dispatch/src/crash_attribution.ts
+++ b/packages/dispatch/src/crash_attribution.ts
@@ -21,6 +21,7 @@
   type ActiveJob,
   type ActiveUnit,
   type Allocation,
+  hasNeverStarted,
 } from './active_job.js';
 import {type AgeRange, EvidenceFold} from './crash_evidence.js';
 import {
@@ -289,8 +290,8 @@
 
 /** Whether a start command without a response may have been carried out before the target crashed. */
 function mayHaveStarted(allocation: Allocation): boolean {
-  const {state, isMoved, startedAt, target} = allocation;
-  if (state === 'planned' || isMoved) {
+  const {isMoved, startedAt, target} = allocation;
+  if (hasNeverStarted(allocation) || isMoved) {
     return false;
   }
   const {unresponsiveSince = Infinity} = target;
