Split the progress of a job that outgrows one record

Cause: the progress of a job was one record. Beyond 256 KiB the store refuses the append; the leader repeated it unchanged, with the records and heartbeats of everything else behind it, and so did each leader after it. Evidence: large_records.spec on the encoding before: the jobs 2 and 3 are not done after 8 s each. The emulated log had no limit of sizes, so no spec could show it; it refuses what the platform refuses now. Change: the details of a job above 64 KiB go into parts, each a record of its own, appended together with the summary; parts that are no longer needed are deleted. Beyond 900,000 bytes checkpoints and evidence of crashes are left out. A batch holds one job at least and no more than its limit beside it. Ends are acknowledged once each job that had changed by then is written; before, only when a batch had taken all, which several large jobs could put off for ever. Result: large_records.spec and progress_records.spec pass.

--- a/packages/dispatch/src/active_job.ts
+++ b/packages/dispatch/src/active_job.ts
@@ -37,6 +37,8 @@
   acknowledgedAt: Instant;
   /** Progress as it is written to the log. */
   progress: Progress;
+  /** Number of records into which the progress in the log is split; 0 if it is one record. */
+  recordedParts: number;
   isCancelled: boolean;
   /** Whether a task has used up its attempts. */
   hasFailed: boolean;
--- a/packages/dispatch/src/changed_jobs.ts
+++ b/packages/dispatch/src/changed_jobs.ts
@@ -2,7 +2,7 @@
  * Collects jobs whose progress must be written to the log, and runs what
  * depends on the write.
  */
-import {type KeyedRecord, encodeProgress} from '@galenavalve/workload';
+import {type KeyedRecord, encodeProgressRecords} from '@galenavalve/workload';
 import {updateJobOutcome} from './job_lifecycle.js';
 import type {Batch} from './record_writer.js';
 import type {ActiveJob, ActiveUnit} from './active_job.js';
@@ -16,9 +16,16 @@
   onEnded(job: ActiveJob): void;
 }
 
+/** Ends that targets have listed, and the changed jobs that must be written before they are acknowledged. */
+interface PendingEnds {
+  ends: Array<{target: TargetState; number: number}>;
+  jobs: Set<ActiveJob>;
+}
+
 /** Jobs that have changed since their progress was last written. */
 export class ChangedJobs {
   private readonly changed = new Set<ActiveJob>();
+  private pendingEnds?: PendingEnds;
 
   constructor(
     private readonly listTargets: () => Iterable<TargetState>,
@@ -31,25 +38,20 @@
   }
 
   /**
-   * Takes changed jobs until their records exceed `maxLength` characters.
-   * `wallNow` is in Unix milliseconds. Returns undefined if nothing has
-   * changed.
+   * Takes changed jobs, one at least, until their records would exceed
+   * `maxLength` characters. `wallNow` is in Unix milliseconds. Returns undefined
+   * if nothing has changed.
    */
   takeBatch(maxLength: number, wallNow: number): Batch | undefined {
-    const ends = [...this.listTargets()]
-      .filter(target => target.processedEnd > target.recordedEnd)
-      .map(target => ({target, number: target.processedEnd}));
+    // The ends may belong to jobs that are left for a later batch.
+    const pendingEnds = (this.pendingEnds ??= this.collectEnds());
     const {records, jobs} = this.takeRecords(maxLength, wallNow);
-    // The ends may belong to jobs that are left for the next batch.
-    const hasTakenAll = this.changed.size === 0;
     const starting = jobs.flatMap(job =>
       job.units.filter(({phase}) => phase === 'recording'),
     );
     const runs = starting.map(unit => unit.progress.run);
     const onWritten = () => {
-      if (hasTakenAll) {
-        ends.forEach(({target, number}) => target.onEndsRecorded(number));
-      }
+      this.onRecorded(jobs, pendingEnds);
       jobs.forEach(job => this.onWritten(job));
       starting.forEach((unit, index) => {
         const isSameRun = unit.progress.run === runs[index];
@@ -65,6 +67,26 @@
     return {records, onWritten};
   }
 
+  private collectEnds(): PendingEnds | undefined {
+    const ends = [...this.listTargets()]
+      .filter(target => target.processedEnd > target.recordedEnd)
+      .map(target => ({target, number: target.processedEnd}));
+    return ends.length > 0 ? {ends, jobs: new Set(this.changed)} : undefined;
+  }
+
+  private onRecorded(
+    jobs: readonly ActiveJob[],
+    pendingEnds: PendingEnds | undefined,
+  ): void {
+    jobs.forEach(job => pendingEnds?.jobs.delete(job));
+    if (pendingEnds?.jobs.size === 0) {
+      pendingEnds.ends.forEach(({target, number}) =>
+        target.onEndsRecorded(number),
+      );
+      this.pendingEnds = undefined;
+    }
+  }
+
   private takeRecords(
     maxLength: number,
     wallNow: number,
@@ -73,14 +95,19 @@
     const jobs: ActiveJob[] = [];
     let length = 0;
     for (const job of this.changed) {
-      if (length > maxLength) {
+      updateJobOutcome(job, wallNow);
+      const encoded = encodeProgressRecords(
+        job.id,
+        job.progress,
+        job.recordedParts,
+      );
+      if (jobs.length > 0 && length + encoded.size > maxLength) {
         break;
       }
-      updateJobOutcome(job, wallNow);
-      const record = encodeProgress(job.id, job.progress);
-      records.push(record);
+      records.push(...encoded.records);
       jobs.push(job);
-      length += record.value.length;
+      job.recordedParts = encoded.partCount;
+      length += encoded.size;
       this.changed.delete(job);
     }
     return {records, jobs};
--- a/packages/dispatch/src/expired_jobs.ts
+++ b/packages/dispatch/src/expired_jobs.ts
@@ -48,7 +48,9 @@
     );
     const removals = expired
       .slice(0, MAX_REMOVALS_PER_APPEND)
-      .flatMap(({id}) => encodeJobTombstones(id));
+      .flatMap(({id, progressParts}) =>
+        encodeJobTombstones(id, progressParts?.keys()),
+      );
     return [...removals, ...this.encodeCancellationRemovals(oldestKept)];
   }
 
--- a/packages/dispatch/src/job_lifecycle.ts
+++ b/packages/dispatch/src/job_lifecycle.ts
@@ -29,7 +29,8 @@
   now: Instant,
   wallNow: number,
 ): ActiveJob {
-  const progress = entry.progress?.read() ?? createProgress(entry.job.spec);
+  const progress =
+    entry.progress?.read(entry.progressParts) ?? createProgress(entry.job.spec);
   if (!isProgressOf(entry.job.spec, progress)) {
     throw new RangeError('the progress does not fit the steps of the job');
   }
@@ -40,6 +41,7 @@
     acceptedAt: now - age,
     acknowledgedAt: now - age,
     progress,
+    recordedParts: countRecordedParts(entry),
     isCancelled: entry.isCancelled,
     hasFailed: false,
     failedTargets: new Set(),
@@ -147,6 +149,11 @@
   }
 }
 
+/** Returns the number of parts up to the last one that the log has; the earlier ones may include deleted ones. */
+function countRecordedParts({progressParts}: JobEntry): number {
+  return Math.max(0, ...Array.from(progressParts?.keys() ?? [], i => i + 1));
+}
+
 function addUnits(job: ActiveJob, occurrence: Occurrence): void {
   const {steps} = job.accepted.spec;
   if (occurrence.steps.length !== steps.length) {
--- a/packages/emulator/src/emulated_log.ts
+++ b/packages/emulator/src/emulated_log.ts
@@ -28,6 +28,14 @@
 /** Number of latest appends of an epoch among which a repeated sequence number is recognized. */
 const MAX_REMEMBERED_APPENDS = 5;
 
+/** Maximum size of a record, and of the records of one append, in bytes; set by the platform. */
+const MAX_RECORD_BYTES = 262_144;
+const MAX_APPEND_BYTES = 2_097_152;
+
+/** Size of the length field of a record, and of that of its key. */
+const LENGTH_BYTES = 4;
+const KEY_LENGTH_BYTES = 1;
+
 /** Injectable faults of the log. */
 export interface LogFaults {
   /** Names of instances whose requests time out; `all` matches every instance. */
@@ -105,6 +113,10 @@
     timeout: Milliseconds,
     fencing?: FencingToken,
   ): Promise<FencedAppendOutcome> {
+    if (!isWithinLimits(records)) {
+      await this.clock.sleep(RESPONSE_TIME_MS);
+      return {kind: 'refused', problem: 'too large'};
+    }
     const {lostAnswers, lateAppends, slowness} = this.faults;
     const waiting = Math.max(0, this.appendQueueEndsAt - this.clock.now());
     if (waiting > MAX_APPEND_WAIT_MS) {
@@ -286,3 +298,14 @@
     return this.log.readTailFor(this.instance, offset, wait);
   }
 }
+
+function isWithinLimits(records: readonly KeyedRecord[]): boolean {
+  const sizes = records.map(
+    ({key, value}) =>
+      Buffer.byteLength(key) + Buffer.byteLength(value) + KEY_LENGTH_BYTES,
+  );
+  const total = sizes.reduce((sum, size) => sum + size + LENGTH_BYTES, 0);
+  return (
+    total <= MAX_APPEND_BYTES && sizes.every(size => size <= MAX_RECORD_BYTES)
+  );
+}
--- a/packages/workload/src/index.ts
+++ b/packages/workload/src/index.ts
@@ -14,6 +14,10 @@
   formatProgress,
   parseProgress,
 } from './stored_progress.js';
+export {
+  type ProgressRecords,
+  encodeProgressRecords,
+} from './progress_records.js';
 export {
   type JobEntry,
   type JobState,
--- a/packages/workload/src/job_table.ts
+++ b/packages/workload/src/job_table.ts
@@ -27,6 +27,8 @@
   isKnownComplete: boolean;
   /** Absent until the leader has written the first progress record. */
   progress?: StoredProgress;
+  /** Values of the records that hold the details of `progress`, by index; absent if it was never split. */
+  progressParts?: Map<number, string>;
 }
 
 /** Table of jobs, derived from the records of the job log. */
@@ -40,6 +42,8 @@
   private readonly pendingCompletions = new Set<string>();
   /** Progress that was read before the acceptance of its job, by job. */
   private readonly pendingProgress = new Map<string, StoredProgress>();
+  /** Parts of progress that was split, by job, whether or not its acceptance was read. */
+  private readonly progressParts = new Map<string, Map<number, string>>();
   /** Offset of the newest applied record of each key; needed because the pages of newest records overlap the tail of the log. */
   private readonly newestOffsets = new Map<string, number>();
   private newestLeadership?: Leadership;
@@ -146,11 +150,15 @@
       case 'progress':
         this.setProgress(record.id, record.progress);
         return;
+      case 'progress-part':
+        this.setProgressPart(record);
+        return;
       case 'deleted':
         this.deleteJob(record.id);
         this.pendingCancellations.delete(record.id);
         this.pendingCompletions.delete(record.id);
         this.pendingProgress.delete(record.id);
+        this.progressParts.delete(record.id);
     }
   }
 
@@ -163,6 +171,7 @@
         this.earlyCancellations.isCancelled(id, job),
       isKnownComplete: this.pendingCompletions.delete(id),
       progress: this.pendingProgress.get(id),
+      progressParts: this.progressParts.get(id),
     };
     this.entries.set(id, entry);
     this.pendingProgress.delete(id);
@@ -227,6 +236,28 @@
     }
   }
 
+  private setProgressPart({
+    id,
+    index,
+    value,
+  }: Extract<JobRecord, {kind: 'progress-part'}>): void {
+    const parts = this.progressParts.get(id) ?? new Map<number, string>();
+    if (value === undefined) {
+      parts.delete(index);
+    } else {
+      parts.set(index, value);
+    }
+    if (parts.size > 0) {
+      this.progressParts.set(id, parts);
+    } else {
+      this.progressParts.delete(id);
+    }
+    const entry = this.entries.get(id);
+    if (entry) {
+      entry.progressParts = this.progressParts.get(id);
+    }
+  }
+
   private setProgress(id: string, progress: StoredProgress): void {
     const entry = this.entries.get(id);
     if (entry) {
--- a/packages/workload/src/keyed_record.ts
+++ b/packages/workload/src/keyed_record.ts
@@ -50,6 +50,8 @@
 const ACCEPTED = 'a/';
 const CANCELLED = 'x/';
 const PROGRESS = 's/';
+/** A part of progress that was split; the job's id, a slash and the index of the part follow. */
+const PROGRESS_PART = 'p/';
 /** Earlier versions told callers of a completion before its progress was recorded, and wrote this record then. */
 const COMPLETED = 'c/';
 
@@ -66,6 +68,8 @@
   /** `key` is the record's key without its prefix; no value is a tombstone. */
   | {kind: 'early-cancellation'; key: string; value?: EarlyCancellation}
   | {kind: 'progress'; id: string; progress: StoredProgress}
+  /** No value is a tombstone. */
+  | {kind: 'progress-part'; id: string; index: number; value?: string}
   | {kind: 'completed'; id: string}
   | {kind: 'deleted'; id: string}
   | {kind: 'leadership'; leadership: Leadership};
@@ -107,20 +111,35 @@
   return {key: PROGRESS + id, value: formatProgress(progress)};
 }
 
+/** Encodes one part of a job's progress; an empty value deletes it. */
+export function encodeProgressPart(
+  id: string,
+  index: number,
+  value: string,
+): KeyedRecord {
+  return {key: `${PROGRESS_PART}${id}/${index}`, value};
+}
+
 /** Encodes the record of the current leadership. */
 export function encodeLeadership(leadership: Leadership): KeyedRecord {
   return {key: LEADERSHIP, value: JSON.stringify(leadership)};
 }
 
-/** Encodes the tombstones that delete all records of a job; the acceptance is deleted last. */
-export function encodeJobTombstones(id: string): KeyedRecord[] {
-  return [PROGRESS, CANCELLED, COMPLETED, ACCEPTED].map(prefix => ({
-    key: prefix + id,
-    value: '',
-  }));
+/** Encodes the tombstones that delete all records of a job, of which `parts` are parts of its progress; the acceptance is deleted last. */
+export function encodeJobTombstones(
+  id: string,
+  parts: Iterable<number> = [],
+): KeyedRecord[] {
+  return [
+    ...Array.from(parts, index => encodeProgressPart(id, index, '')),
+    ...[PROGRESS, CANCELLED, COMPLETED, ACCEPTED].map(prefix => ({
+      key: prefix + id,
+      value: '',
+    })),
+  ];
 }
 
-/** Decodes a record. Returns undefined for other kinds of keys, and for tombstones other than those of an acceptance and of an early cancellation. Throws if the value is malformed. */
+/** Decodes a record. Returns undefined for other kinds of keys, and for tombstones other than those of an acceptance of an early cancellation and of a part of progress. Throws if the value is malformed. */
 export function decodeRecord(record: KeyedRecord): JobRecord | undefined {
   const {key, value} = record;
   if (key === LEADERSHIP) {
@@ -140,6 +159,9 @@
         : earlyCancellationSchema.parse(JSON.parse(value));
     return {kind: 'early-cancellation', key: id, value: parsed};
   }
+  if (key.startsWith(PROGRESS_PART)) {
+    return decodeProgressPart(id, value);
+  }
   if (value === '') {
     return undefined;
   }
@@ -154,3 +176,21 @@
   }
   return undefined;
 }
+
+/** `name` is the key without its prefix. */
+function decodeProgressPart(
+  name: string,
+  value: string,
+): JobRecord | undefined {
+  const end = name.lastIndexOf('/');
+  const index = name.slice(end + 1);
+  if (end < 0 || !/^\d{1,6}$/.test(index)) {
+    return undefined;
+  }
+  return {
+    kind: 'progress-part',
+    id: name.slice(0, end),
+    index: Number(index),
+    value: value === '' ? undefined : value,
+  };
+}
--- a/packages/workload/src/stored_progress.ts
+++ b/packages/workload/src/stored_progress.ts
@@ -20,6 +20,8 @@
   outcome: jobOutcomeSchema,
   hasBegun: z.boolean(),
   endedAt: z.number().optional(),
+  /** Number of records that hold the details; absent if they follow the summary. */
+  parts: z.number().int().positive().optional(),
 });
 
 type Summary = z.infer<typeof summarySchema>;
@@ -81,6 +83,7 @@
   readonly hasBegun: boolean;
   /** Wall-clock time of the end, in Unix milliseconds. */
   readonly endedAt?: number;
+  private readonly partCount: number;
 
   constructor(
     summary: Summary,
@@ -89,12 +92,17 @@
     this.outcome = summary.outcome;
     this.hasBegun = summary.hasBegun;
     this.endedAt = summary.endedAt;
+    this.partCount = summary.parts ?? 0;
   }
 
-  /** Parses the complete progress into a new object. Throws if the record is malformed. */
-  read(): Progress {
+  /**
+   * Parses the complete progress into a new object. `parts` are the values of
+   * the records with the details, if they were split, by index. Throws if a
+   * record is malformed or missing.
+   */
+  read(parts: ReadonlyMap<number, string> = new Map()): Progress {
     const {done, targets, addresses, occurrences, crashes, crashed} =
-      detailsSchema.parse(JSON.parse(this.details));
+      detailsSchema.parse(JSON.parse(this.joinDetails(parts)));
     const addressList = addresses.split(' ');
     const references = targets.map((incarnation, index) => ({
       incarnation,
@@ -115,9 +123,29 @@
     decodeCrashes(crashes, crashed, progress);
     return progress;
   }
+
+  private joinDetails(parts: ReadonlyMap<number, string>): string {
+    let joined = this.details;
+    for (let index = 0; index < this.partCount; index++) {
+      const part = parts.get(index);
+      if (part === undefined) {
+        throw new RangeError(`part ${index} of the progress is missing`);
+      }
+      joined += part;
+    }
+    return joined;
+  }
 }
 
-/** Formats progress as the value of a record. */
+/** Formats the value of the record of progress whose details are in `parts` other records. */
+export function formatSplitSummary(
+  {outcome, hasBegun, endedAt}: Progress,
+  parts: number,
+): string {
+  return `${JSON.stringify({outcome, hasBegun, endedAt, parts})}\n`;
+}
+
+/** Formats progress as the value of a record, in ASCII: its length is its size in bytes, and it may be cut anywhere. */
 export function formatProgress(progress: Progress): string {
   const {outcome, hasBegun, endedAt, doneOccurrences, occurrences} = progress;
   const targets = new Map<string, number>();
@@ -142,7 +170,7 @@
     ...encodeCrashes(occurrences),
   };
   const summary = JSON.stringify({outcome, hasBegun, endedAt});
-  return `${summary}\n${JSON.stringify(details)}`;
+  return `${summary}\n${escapeNonAscii(JSON.stringify(details))}`;
 }
 
 /** Parses the value of a record. Throws if its first line is malformed. */
@@ -152,6 +180,14 @@
   return new StoredProgress(summary, value.slice(end + 1));
 }
 
+/** Replaces characters beyond ASCII in JSON by escape sequences. */
+function escapeNonAscii(json: string): string {
+  return json.replace(
+    /[\u0080-\uffff]/g,
+    char => `\\u${char.charCodeAt(0).toString(16).padStart(4, '0')}`,
+  );
+}
+
 function encodeUnit(
   unit: UnitProgress,
   getTargetIndex: (target: TargetReference) => number,
