Hold the bound of open tasks across instances and at the leader

Cause: an instance decides on what it has read, and neither the others' submissions nor its own pending ones are in that. The leader made units for whatever the log held. Change: a job of 600 tasks and more is appended on the condition that the log ends where it was read; after eight vain attempts it goes without the condition if it fits into half of the limit, else the caller is told that it is unresolved. Smaller jobs, as those of all sites, are accepted as before. A leader defers jobs without progress that exceed the limit: it keeps no units for them until others have ended, by priority and then by acceptance, each workspace in its share. A deferred job that is cancelled ends without units. The limit moves from gateway to workload, since dispatch needs it too.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -13,10 +13,12 @@
   type JobEntry,
   type JobTable,
   type Leadership,
+  type OpenTaskLimit,
 } from '@galenavalve/workload';
 import {AdviceCache} from './advice_cache.js';
 import type {Advisor} from './advisor.js';
 import {ChangedJobs} from './changed_jobs.js';
+import {DeferredJobs} from './deferred_jobs.js';
 import {DurationEstimator} from './duration_estimator.js';
 import type {FencedLog} from './fenced_log.js';
 import {
@@ -81,6 +83,8 @@
   /** Returns the current rules. */
   rules: () => DispatchRules;
   settings: DispatchSettings;
+  /** Open tasks that the leader keeps units of; no limit unless given. */
+  openTaskLimit?: OpenTaskLimit;
   /** A `SlackPolicy` unless given. */
   policy?: SchedulingPolicy;
   clock: Clock;
@@ -111,6 +115,7 @@
   private readonly expiredJobs: ExpiredJobs;
   private readonly passRunner: PassRunner;
   private readonly idleJobs: IdleJobs;
+  private readonly deferredJobs: DeferredJobs;
 
   constructor(
     private readonly dependencies: DispatcherDependencies,
@@ -147,6 +152,7 @@
       logger,
     );
     this.idleJobs = new IdleJobs(logger);
+    this.deferredJobs = new DeferredJobs(dependencies.openTaskLimit);
     this.crashes = new CrashAttribution(job => this.onChange(job), logger);
     this.incarnationCleanup = new IncarnationCleanup(
       this.epoch,
@@ -228,8 +234,13 @@
     for (const info of targets) {
       this.directory.onRegistered(info, now, clock.wallTime());
     }
-    for (const entry of table.listEntries()) {
-      this.addJob(entry);
+    // Jobs with progress are never deferred, so they take their room first.
+    for (const isRecorded of [true, false]) {
+      for (const entry of table.listEntries()) {
+        if ((entry.progress !== undefined) === isRecorded) {
+          this.addJob(entry);
+        }
+      }
     }
     while (!this.isClosed) {
       this.tick(clock.now());
@@ -268,8 +279,8 @@
   }
 
   /**
-   * Adds a job that has not ended; returns undefined if it is known, has ended
-   * or its progress is unreadable. Such a job does not run, since its former
+   * Adds a job that has not ended; returns undefined if it is known, has ended,
+   * is deferred or its progress is unreadable. Such a job does not run, since its former
    * runs are unknown, and it must not keep the others from running.
    */
   private addJob(entry: JobEntry): ActiveJob | undefined {
@@ -286,9 +297,17 @@
     if (this.jobs.has(entry.id) || outcome !== 'active') {
       return undefined;
     }
+    if (this.deferredJobs.defer(entry)) {
+      this.dependencies.logger.warn('job-deferred', {
+        job: entry.id,
+        deferred: this.deferredJobs.size,
+      });
+      return undefined;
+    }
     const now = clock.now();
     const job = createActiveJob(entry, now, clock.wallTime());
     this.jobs.set(job.id, job);
+    this.deferredJobs.onAdded(job.accepted);
     for (const unit of job.units) {
       this.crashes.onAdopted(unit);
       this.adopt(unit, now);
@@ -306,6 +325,7 @@
 
   /** Called when a job was cancelled. */
   onJobCancelled(id: string): void {
+    this.admitDeferred(id);
     const job = this.jobs.get(id);
     if (job && !job.isCancelled) {
       job.isCancelled = true;
@@ -319,6 +339,7 @@
    * run again.
    */
   onJobCompleted(id: string): void {
+    this.admitDeferred(id);
     const job = this.jobs.get(id);
     if (job && !isJobDone(job)) {
       markJobDone(job);
@@ -417,6 +438,11 @@
         }
       });
     }
+    for (const {id, job} of this.deferredJobs.listDue()) {
+      if (this.deferredJobs.fits(job)) {
+        this.admitDeferred(id);
+      }
+    }
     this.directory.settleContested(now);
     for (const target of this.directory.listAllTargets()) {
       this.runGuarded(`target ${target.key}`, () => {
@@ -449,6 +475,14 @@
     this.writer.writeHeartbeatIfDue(now);
   }
 
+  /** Adds a deferred job, unless it was deleted from the log. */
+  private admitDeferred(id: string): void {
+    const entry = this.deferredJobs.take(id);
+    if (entry && this.dependencies.table.find(id) === entry) {
+      this.addJob(entry);
+    }
+  }
+
   private close(): void {
     this.isClosed = true;
     this.writer.close();
@@ -521,6 +555,7 @@
 
   private onJobEnded(job: ActiveJob): void {
     this.jobs.delete(job.id);
+    this.deferredJobs.onRemoved(job.accepted);
     this.adviceCache.removeJob(job.id);
     this.dependencies.logger.info('job-ended', {
       job: job.id,
--- a/packages/dispatch/src/job_lifecycle.ts
+++ b/packages/dispatch/src/job_lifecycle.ts
@@ -6,6 +6,7 @@
 import {
   type JobEntry,
   type Occurrence,
+  type Progress,
   computeMaxOpenOccurrences,
   countOccurrences,
   createOccurrence,
@@ -30,7 +31,7 @@
   wallNow: number,
 ): ActiveJob {
   const progress =
-    entry.progress?.read(entry.progressParts) ?? createProgress(entry.job.spec);
+    entry.progress?.read(entry.progressParts) ?? createFirstProgress(entry);
   if (!isProgressOf(entry.job.spec, progress)) {
     throw new RangeError('the progress does not fit the steps of the job');
   }
@@ -149,6 +150,13 @@
   }
 }
 
+/** Creates the progress of a job of which the log has none. A cancelled job has no tasks to keep. */
+function createFirstProgress({job, isCancelled}: JobEntry): Progress {
+  return isCancelled
+    ? {outcome: 'active', hasBegun: false, doneOccurrences: 0, occurrences: []}
+    : createProgress(job.spec);
+}
+
 /** Returns the number of parts up to the last one that the log has; the earlier ones may include deleted ones. */
 function countRecordedParts({progressParts}: JobEntry): number {
   return Math.max(0, ...Array.from(progressParts?.keys() ?? [], i => i + 1));
--- a/packages/emulator/src/emulated_cluster.ts
+++ b/packages/emulator/src/emulated_cluster.ts
@@ -9,10 +9,8 @@
 } from '@galenavalve/dispatch';
 import {
   DesiredStateStore,
-  type OpenTaskLimit,
   type Queue,
   type Workspace,
-  computeOpenTaskLimit,
 } from '@galenavalve/gateway';
 import {
   type Logger,
@@ -24,9 +22,10 @@
   AcceptedJob,
   Demand,
   JobSpec,
+  OpenTaskLimit,
   StoredRecord,
 } from '@galenavalve/workload';
-import {parseTaskName} from '@galenavalve/workload';
+import {computeOpenTaskLimit, parseTaskName} from '@galenavalve/workload';
 import type {ClusterView, ObservedJob, ObservedTarget} from './cluster_view.js';
 import {Disturbances} from './disturbances.js';
 import {EmulatedFleet} from './emulated_fleet.js';
--- a/packages/emulator/src/emulated_instance.ts
+++ b/packages/emulator/src/emulated_instance.ts
@@ -7,11 +7,7 @@
   type TargetPort,
   type TargetRegistry,
 } from '@galenavalve/dispatch';
-import {
-  DesiredStateStore,
-  Gateway,
-  type OpenTaskLimit,
-} from '@galenavalve/gateway';
+import {DesiredStateStore, Gateway} from '@galenavalve/gateway';
 import {
   LeaderClient,
   LogPathTracker,
@@ -25,7 +21,12 @@
   announcePeer,
 } from '@galenavalve/relay';
 import type {Clock, Logger, Random} from '@galenavalve/shared';
-import {Follower, JobTable, type StoredRecord} from '@galenavalve/workload';
+import {
+  Follower,
+  JobTable,
+  type OpenTaskLimit,
+  type StoredRecord,
+} from '@galenavalve/workload';
 
 /** Time for which a read of the log waits for new records. */
 const READ_WAIT_MS = 500;
@@ -103,6 +104,7 @@
         advisor: dependencies.advisor,
         rules: () => desiredState,
         settings: dependencies.settings,
+        openTaskLimit: dependencies.openTaskLimit,
         policy: dependencies.policy,
         clock,
         random,
--- a/packages/emulator/src/emulated_log.ts
+++ b/packages/emulator/src/emulated_log.ts
@@ -58,6 +58,13 @@
   appends: Array<{sequence: number; offset: number}>;
 }
 
+/** Conditions of an append. */
+interface AppendCondition {
+  fencing?: FencingToken;
+  /** Offset at which the log must end. */
+  endsAt?: number;
+}
+
 /** One keyed partition of the log. */
 export class EmulatedLog {
   readonly faults: LogFaults = {
@@ -111,7 +118,7 @@
     instance: string,
     records: readonly KeyedRecord[],
     timeout: Milliseconds,
-    fencing?: FencingToken,
+    condition: AppendCondition = {},
   ): Promise<FencedAppendOutcome> {
     if (!isWithinLimits(records)) {
       await this.clock.sleep(RESPONSE_TIME_MS);
@@ -129,7 +136,7 @@
       // The append is still executed after the caller has timed out.
       void this.clock
         .sleep(responseTime)
-        .then(() => this.applyAppend(records, fencing));
+        .then(() => this.applyAppend(records, condition));
       await this.clock.sleep(timeout);
       return {kind: 'unknown', problem: 'no response'};
     }
@@ -143,11 +150,11 @@
       const delay = isLate ? this.random.next() * MAX_LATE_APPEND_DELAY_MS : 0;
       void this.clock
         .sleep(delay)
-        .then(() => this.applyAppend(records, fencing));
+        .then(() => this.applyAppend(records, condition));
       await this.clock.sleep(timeout);
       return {kind: 'unknown', problem: 'no response'};
     }
-    return this.applyAppend(records, fencing);
+    return this.applyAppend(records, condition);
   }
 
   /** Returns the newest record of each key; throws when the log refuses or does not respond. */
@@ -197,15 +204,15 @@
   /** Executes an append, with the platform's fencing by epoch and deduplication by sequence number. */
   private applyAppend(
     records: readonly KeyedRecord[],
-    fencing?: FencingToken,
+    {fencing, endsAt}: AppendCondition,
   ): FencedAppendOutcome {
-    if (!fencing) {
-      return {kind: 'appended', offset: this.storeRecords(records)};
-    }
-    const {epoch, sequence, endsAt} = fencing;
     if (endsAt !== undefined && endsAt !== this.end) {
       return {kind: 'moved'};
     }
+    if (!fencing) {
+      return {kind: 'appended', offset: this.storeRecords(records)};
+    }
+    const {epoch, sequence} = fencing;
     if (!this.fence || epoch > this.fence.epoch) {
       this.fence = {epoch, appends: []};
     } else if (epoch < this.fence.epoch) {
@@ -276,9 +283,10 @@
   async append(
     records: readonly KeyedRecord[],
     timeout: Milliseconds,
+    endsAt?: number,
   ): Promise<AppendOutcome> {
     return toUnfencedOutcome(
-      await this.log.appendFor(this.instance, records, timeout),
+      await this.log.appendFor(this.instance, records, timeout, {endsAt}),
     );
   }
 
@@ -287,7 +295,9 @@
     records: readonly KeyedRecord[],
     timeout: Milliseconds,
   ): Promise<FencedAppendOutcome> {
-    return this.log.appendFor(this.instance, records, timeout, fencing);
+    const {endsAt} = fencing;
+    const condition = {fencing, endsAt};
+    return this.log.appendFor(this.instance, records, timeout, condition);
   }
 
   readNewest(): Promise<NewestPage> {
--- a/packages/gateway/__tests__/gateway.spec.ts
+++ b/packages/gateway/__tests__/gateway.spec.ts
@@ -3,15 +3,15 @@
   type AppendOutcome,
   DesiredStateStore,
   Gateway,
-  type OpenTaskLimit,
-  computeOpenTaskLimit,
 } from '@galenavalve/gateway';
 import {ManualClock, SeededRandom, SilentLogger} from '@galenavalve/shared';
 import {
   Follower,
   JobTable,
   type KeyedRecord,
+  type OpenTaskLimit,
   type Progress,
+  computeOpenTaskLimit,
   encodeAccepted,
   encodeEarlyCancellation,
   encodeProgress,
@@ -27,12 +27,13 @@
 const spec = createSpec();
 
 /** Creates a gateway over a log whose first appends have the given outcomes; later ones succeed. */
-function createGateway(outcomes: AppendOutcome[]) {
+function createGateway(outcomes: AppendOutcome[], openTaskLimit = LIMIT) {
   const clock = new ManualClock(10_000);
   const random = new SeededRandom(1);
   const logger = new SilentLogger();
   const table = new JobTable(logger);
   const appended: KeyedRecord[] = [];
+  const conditions: Array<number | undefined> = [];
   /** Number of records by which the end of the log is ahead of every read. */
   const unread = {count: 0};
   /** Keys of the records that were passed to the leader. */
@@ -57,13 +58,14 @@
   );
   follower.lastResponseAt = clock.now();
   const gateway = new Gateway({
-    openTaskLimit: LIMIT,
+    openTaskLimit,
     table,
     follower,
     desiredState: new DesiredStateStore(),
     log: {
-      append: async records => {
+      append: async (records, _timeout, endsAt) => {
         appended.push(...records);
+        conditions.push(endsAt);
         return outcomes.shift() ?? {kind: 'appended', offset: 1};
       },
     },
@@ -79,6 +81,7 @@
     clock,
     table,
     appended,
+    conditions,
     gateway,
     request,
     follower,
@@ -333,3 +336,68 @@
   t.equal(total, 35_951);
   t.equal(perWorkspace, Math.floor(total / 2));
 });
+
+const LARGE_LIMIT: OpenTaskLimit = {total: 4000, perWorkspace: 2000};
+
+// Guards against large jobs that are accepted at several instances at once and exceed the limit together (issue 47).
+t.test(
+  'a large job is appended only to the log as it was read, and again after the log has grown',
+  async t => {
+    const setup = createGateway([{kind: 'moved'}], LARGE_LIMIT);
+    const {gateway, request, clock, follower, conditions} = setup;
+    follower.nextOffset = 7;
+    const submission = gateway.submit(request, createSpec(600));
+    t.equal((await waitForResponse(clock, submission)).kind, 'accepted');
+    t.same(conditions, [7, 7]);
+    const small = gateway.submit({...request, jobId: '2'}, createSpec(10));
+    t.equal((await waitForResponse(clock, small)).kind, 'accepted');
+    t.equal(conditions[2], undefined, 'a small job is not kept waiting');
+  },
+);
+
+t.test(
+  'a large job is appended to a log that grows without an end only while half of the limit is free',
+  async t => {
+    for (const [tasks, expected] of [
+      [1000, 'accepted'],
+      [1001, 'unresolved'],
+    ] as const) {
+      const moved = Array.from({length: 1000}, () => ({
+        kind: 'moved' as const,
+      }));
+      const setup = createGateway(moved, LARGE_LIMIT);
+      const {gateway, request, clock, conditions} = setup;
+      const submission = gateway.submit(request, createSpec(tasks));
+      await clock.advance(1000);
+      if (expected === 'accepted') {
+        moved.length = 0;
+      }
+      t.equal((await waitForResponse(clock, submission)).kind, expected);
+      t.equal(conditions.includes(undefined), expected === 'accepted');
+    }
+  },
+);
+
+// Guards against a refusal of a job whose record may be in the log.
+t.test('a large job that may have been appended is not refused', async t => {
+  const unread = createGateway([{kind: 'moved'}], LARGE_LIMIT);
+  const submission = unread.gateway.submit(unread.request, createSpec(600));
+  await unread.clock.advance(1);
+  unread.unread.count = 1;
+  t.equal((await waitForResponse(unread.clock, submission)).kind, 'unresolved');
+  const full = createGateway(
+    [{kind: 'unknown', problem: 'no response'}],
+    LARGE_LIMIT,
+  );
+  const uncertain = full.gateway.submit(full.request, createSpec(600));
+  await full.clock.advance(1);
+  const job = {
+    queue: 'q',
+    workspace: 'w',
+    acceptedAt: 1,
+    terms: queue.terms,
+    spec: createSpec(1900),
+  };
+  full.table.apply({...encodeAccepted('9', job), offset: 1});
+  t.equal((await waitForResponse(full.clock, uncertain)).kind, 'unresolved');
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
   type JobState,
   type JobTable,
   type KeyedRecord,
+  type OpenTaskLimit,
   countOpenTasks,
   encodeAccepted,
   encodeCancelled,
@@ -24,8 +25,8 @@
   mayAccess,
 } from '@galenavalve/workload';
 import type {DesiredStateStore, Queue} from './desired_state.js';
+import {findSizeProblem} from './find_size_problem.js';
 import type {LeaderPort} from './leader_port.js';
-import type {OpenTaskLimit} from './open_task_limit.js';
 import type {RecordAppender} from './record_appender.js';
 
 /** Timeout of one append. According to the platform, an append usually takes a few milliseconds, and a hundred times as long when the log is slow. */
@@ -38,6 +39,15 @@
 const RETRY_BASE_MS = 20;
 const RETRY_CAP_MS = 200;
 
+/**
+ * Number of tasks from which on a job is accepted only if the log has not grown
+ * since it was read; above the largest gang, so that few jobs wait for that.
+ */
+const MIN_CONDITIONAL_TASKS = 600;
+
+/** Number of such attempts after which a job that takes up to half of the limit is accepted although the log grows. */
+const MAX_CONDITIONAL_ATTEMPTS = 8;
+
 /** Number of refused appends after which the request fails. */
 const MAX_REFUSALS = 3;
 
@@ -89,6 +99,12 @@
   /** It is not known whether the request was carried out; the same request may be sent again. */
   | {kind: 'unresolved'; problem: string};
 
+/** Condition of an append. */
+interface AppendCondition {
+  /** Offset at which the log must end; undefined if it may end anywhere. */
+  endsAt?: number;
+}
+
 /** Dependencies of a gateway. */
 export interface GatewayDependencies {
   table: JobTable;
@@ -148,35 +164,59 @@
     });
     const isRecorded = () =>
       this.dependencies.table.find(request.jobId) !== undefined;
-    const failure = await this.appendWithRetries(request, record, isRecorded);
+    const isLarge = countOpenTasks(spec) >= MIN_CONDITIONAL_TASKS;
+    const failure = await this.appendWithRetries(
+      request,
+      record,
+      isRecorded,
+      isLarge
+        ? attempt => this.findCondition(request, spec, attempt)
+        : undefined,
+    );
     const response = failure ?? {kind: 'accepted' as const};
     this.logResponse('submitted', request, response);
     return response;
   }
 
-  /** Returns the response to a job that, with the open ones, would not fit into the memory of a leader; undefined if it fits. */
+  /** Returns the response to a job that, with the open ones, would not fit into `share` of the memory of a leader; undefined if it fits. */
   private findSizeProblem(
     {workspace = ''}: GatewayRequest,
     spec: JobSpec,
+    share = 1,
   ): GatewayResponse | undefined {
     const {table, openTaskLimit} = this.dependencies;
-    const tasks = countOpenTasks(spec);
-    const {total, perWorkspace} = openTaskLimit;
-    if (tasks > perWorkspace) {
-      const problem = `the job has up to ${tasks} open tasks, and at most ${perWorkspace} fit into memory`;
-      return {kind: 'invalid', problem};
+    const limit = {
+      total: openTaskLimit.total * share,
+      perWorkspace: openTaskLimit.perWorkspace * share,
+    };
+    const problem = findSizeProblem(spec, workspace, table, limit);
+    return problem?.kind === 'refused'
+      ? {...problem, retryAfterSeconds: RETRY_AFTER_SECONDS}
+      : problem;
+  }
+
+  /**
+   * Reads the log to its end and returns the condition of the append of a large
+   * job: large jobs that come at once at several instances must not exceed the
+   * limit together.
+   */
+  private async findCondition(
+    request: GatewayRequest,
+    spec: JobSpec,
+    attempt: number,
+  ): Promise<AppendCondition | GatewayResponse> {
+    const {follower} = this.dependencies;
+    if (!(await follower.readToEnd(CATCH_UP_TIMEOUT_MS))) {
+      return LOG_UNREADABLE_RESPONSE;
     }
-    const isFull = table.countOpenTasks() + tasks > total;
-    const isOverShare = table.countOpenTasks(workspace) + tasks > perWorkspace;
-    return isFull || isOverShare
-      ? {
-          kind: 'refused',
-          problem: isOverShare
-            ? 'the open jobs of the workspace have as many tasks as it may have'
-            : 'the open jobs have as many tasks as fit into memory',
-          retryAfterSeconds: RETRY_AFTER_SECONDS,
-        }
-      : undefined;
+    const obstacle = this.findSizeProblem(request, spec);
+    if (obstacle) {
+      return obstacle;
+    }
+    const isConditional =
+      attempt < MAX_CONDITIONAL_ATTEMPTS ||
+      this.findSizeProblem(request, spec, 0.5) !== undefined;
+    return {endsAt: isConditional ? follower.nextOffset : undefined};
   }
 
   /** Cancels a job; reports success once the record of the cancellation is in the log. */
@@ -279,23 +319,48 @@
     return entry && mayAccess(toCaller(request), entry.job) ? entry : undefined;
   }
 
-  /** Appends a record, with retries, until it is known to be in the log; it may be appended more than once. Returns the response to a failure, or undefined on success. */
+  /**
+   * Appends a record, with retries, until it is known to be in the log; it may be
+   * appended more than once. `findCondition` reads the log to its end and returns
+   * the condition of an attempt, or why there is none. Returns the response to a
+   * failure, or undefined on success.
+   */
   private async appendWithRetries(
     request: GatewayRequest,
     record: KeyedRecord,
     isRecorded: () => boolean,
+    findCondition?: (
+      attempt: number,
+    ) => Promise<AppendCondition | GatewayResponse>,
   ): Promise<GatewayResponse | undefined> {
     const {clock, random, log} = this.dependencies;
     const deadline = clock.now() + request.timeout * APPEND_TIMEOUT_SHARE;
     let isUncertain = false;
+    /** Whether the log has grown since it was read, perhaps by this record. */
+    let hasMoved = false;
     let refusals = 0;
     let problem = 'the log is not responding';
     for (let attempt = 0; clock.now() < deadline; attempt++) {
       if (this.computeLogAge() >= LOG_TIMEOUT_MS) {
         break;
       }
-      const timeout = Math.min(APPEND_TIMEOUT_MS, deadline - clock.now());
-      const outcome = await log.append([record], timeout);
+      const condition = await findCondition?.(attempt);
+      if (isRecorded()) {
+        return undefined;
+      }
+      if (condition && 'kind' in condition) {
+        const isRead = condition !== LOG_UNREADABLE_RESPONSE;
+        const isUnresolved = isUncertain || (hasMoved && !isRead);
+        return isUnresolved
+          ? {kind: 'unresolved', problem: 'the log is not responding'}
+          : condition;
+      }
+      hasMoved = false;
+      const timeout = Math.min(
+        APPEND_TIMEOUT_MS,
+        Math.max(1, deadline - clock.now()),
+      );
+      const outcome = await log.append([record], timeout, condition?.endsAt);
       if (outcome.kind === 'appended') {
         const {offset} = outcome;
         this.dependencies.leader.onAppended({...record, offset});
@@ -304,20 +369,30 @@
       if (isRecorded()) {
         return undefined;
       }
-      problem = outcome.problem;
-      isUncertain ||= outcome.kind === 'unknown';
-      refusals += outcome.kind === 'refused' ? 1 : 0;
+      if (outcome.kind === 'moved') {
+        hasMoved = true;
+        problem = 'the log grows faster than it can be read';
+      } else {
+        problem = outcome.problem;
+        isUncertain ||= outcome.kind === 'unknown';
+        refusals += outcome.kind === 'refused' ? 1 : 0;
+      }
       if (refusals >= MAX_REFUSALS) {
         break;
       }
       await clock.sleep(
-        computeJitteredBackoff(attempt, RETRY_BASE_MS, RETRY_CAP_MS, random),
+        computeJitteredBackoff(
+          hasMoved ? 0 : attempt,
+          RETRY_BASE_MS,
+          RETRY_CAP_MS,
+          random,
+        ),
       );
     }
     if (isRecorded()) {
       return undefined;
     }
-    return isUncertain
+    return isUncertain || hasMoved
       ? {kind: 'unresolved', problem}
       : {kind: 'refused', problem, retryAfterSeconds: RETRY_AFTER_SECONDS};
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,7 +6,6 @@
   type Queue,
   type Workspace,
 } from './desired_state.js';
-export {type OpenTaskLimit, computeOpenTaskLimit} from './open_task_limit.js';
 export type {LeaderPort} from './leader_port.js';
 export type {AppendOutcome, RecordAppender} from './record_appender.js';
 export {
--- a/packages/relay/src/peer_log_client.ts
+++ b/packages/relay/src/peer_log_client.ts
@@ -17,10 +17,11 @@
 /** The log as the parts of an instance share it: for reads, and for appends with or without a fencing token. */
 export type SharedLog = KeyedLog & RecordAppender & FencedLog;
 
-/** Arguments of an append; `fencing` is absent for appends that need no leadership. */
+/** Arguments of an append; `fencing` is absent for appends that need no leadership, whose condition is `endsAt`. */
 export interface AppendCall {
   records: readonly KeyedRecord[];
   fencing?: FencingToken;
+  endsAt?: number;
 }
 
 /** Sends calls to a peer, which executes them on its direct path to the log and does not forward them. */
@@ -52,17 +53,17 @@
 /** Appends to a log, with a fencing token if the call has one. */
 export function appendTo(
   log: SharedLog,
-  {records, fencing}: AppendCall,
+  {records, fencing, endsAt}: AppendCall,
   timeout: Milliseconds,
 ): Promise<FencedAppendOutcome> {
   return fencing
     ? log.appendFenced(fencing, records, timeout)
-    : log.append(records, timeout);
+    : log.append(records, timeout, endsAt);
 }
 
 /** Converts the outcome of an append without a fencing token, which cannot be fenced. */
 export function toUnfencedOutcome(outcome: FencedAppendOutcome): AppendOutcome {
-  return outcome.kind === 'fenced' || outcome.kind === 'moved'
+  return outcome.kind === 'fenced'
     ? {
         kind: 'refused',
         problem: 'the log fenced an append that has no fencing token',
--- a/packages/relay/src/relayed_log.ts
+++ b/packages/relay/src/relayed_log.ts
@@ -47,12 +47,14 @@
     private readonly hasHeartbeats = false,
   ) {}
 
-  /** Appends records without a fencing token, directly or through a peer. */
+  /** Appends records without a fencing token, directly or through a peer; `endsAt` is a condition as in `RecordAppender`. */
   async append(
     records: readonly KeyedRecord[],
     timeout: Milliseconds,
+    endsAt?: number,
   ): Promise<AppendOutcome> {
-    return toUnfencedOutcome(await this.appendOnAnyPath({records}, timeout));
+    const call = {records, endsAt};
+    return toUnfencedOutcome(await this.appendOnAnyPath(call, timeout));
   }
 
   /** Appends records with a fencing token, directly or through a peer. */
--- a/packages/relay/src/serve_logs.ts
+++ b/packages/relay/src/serve_logs.ts
@@ -16,7 +16,7 @@
 /** Schema of a record with its offset. */
 const storedRecordSchema = recordSchema.extend({offset: z.number().int()});
 
-/** Request to append `records` to a log; `fencing` is the fencing token and `timeout` is in milliseconds. */
+/** Request to append `records` to a log; `fencing` is the fencing token, `endsAt` the condition without one, and `timeout` is in milliseconds. */
 export const appendRequestSchema = z.object({
   log: z.string(),
   records: z.array(recordSchema),
@@ -27,6 +27,7 @@
       endsAt: z.number().int().optional(),
     })
     .optional(),
+  endsAt: z.number().int().optional(),
   timeout: z.number().positive(),
 });
 
@@ -84,8 +85,8 @@
     return log;
   };
   server.handle(APPEND_METHOD, appendRequestSchema, async request => {
-    const {log, records, fencing, timeout} = request;
-    return appendTo(findLog(log), {records, fencing}, timeout);
+    const {log, timeout, ...call} = request;
+    return appendTo(findLog(log), call, timeout);
   });
   server.handle(NEWEST_METHOD, newestRequestSchema, async request =>
     findLog(request.log).readNewest(request.after),
--- a/packages/workload/src/index.ts
+++ b/packages/workload/src/index.ts
@@ -3,6 +3,7 @@
 // Job specifications
 export * from './job_spec.js';
 export * from './job_size.js';
+export {type OpenTaskLimit, computeOpenTaskLimit} from './open_task_limit.js';
 export {findSpecProblem} from './find_spec_problem.js';
 export * from './accepted_job.js';
 export * from './task_name.js';
