--- a/packages/dispatch/src/active_job.ts
+++ b/packages/dispatch/src/active_job.ts
@@ -31,6 +31,8 @@
   acknowledgedAt: Instant;
   /** Progress as it is written to the log. */
   progress: Progress;
+  /** Number of records into which the progress in the log is split; 0 if it is one record. */
+  recordedParts: number;
   isCancelled: boolean;
   /** Whether a task has used up its attempts. */
   hasFailed: boolean;
@@ -278,11 +280,21 @@
   >,
   now: Instant,
 ): Allocation {
+  // All properties in one literal: spread or added later, they take twice the memory.
   return {
-    ...values,
+    task: values.task,
+    run: values.run,
+    demand: values.demand,
+    target: values.target,
+    unit: values.unit,
+    memberIndex: values.memberIndex,
+    state: values.state,
+    epoch: values.epoch,
+    acknowledgedClock: undefined,
     percent: 0,
     percentAt: now,
     createdAt: now,
+    startedAt: undefined,
     isIsolated: false,
     mayStartUntil: -Infinity,
     isMoved: false,
@@ -292,6 +304,8 @@
     stalledFor: 0,
     firstPercent: 0,
     firstPercentAt: now,
+    rateSample: undefined,
+    currentRate: undefined,
     bestRate: 0,
     isBeingStopped: false,
   };
--- a/packages/emulator/src/emulated_cluster.ts
+++ b/packages/emulator/src/emulated_cluster.ts
@@ -10,10 +10,8 @@
 import {
   DesiredStateStore,
   type GatewayResponse,
-  type OpenTaskLimit,
   type Queue,
   type Workspace,
-  computeOpenTaskLimit,
 } from '@galenavalve/gateway';
 import {
   type Logger,
@@ -25,9 +23,14 @@
   AcceptedJob,
   Demand,
   JobSpec,
+  OpenTaskLimit,
   StoredRecord,
 } from '@galenavalve/workload';
-import {formatAcceptedKey, parseTaskName} from '@galenavalve/workload';
+import {
+  computeOpenTaskLimit,
+  formatAcceptedKey,
+  parseTaskName,
+} from '@galenavalve/workload';
 import type {ClusterView, ObservedJob, ObservedTarget} from './cluster_view.js';
 import {Disturbances} from './disturbances.js';
 import {EmulatedFleet} from './emulated_fleet.js';
--- a/packages/emulator/src/emulated_log.ts
+++ b/packages/emulator/src/emulated_log.ts
@@ -31,6 +31,14 @@
 /** Number of latest appends of an epoch among which a repeated sequence number is recognized. */
 const MAX_REMEMBERED_APPENDS = 5;
 
+/** Maximum size of a record, and of the records of one append, in bytes; set by the platform. */
+const MAX_RECORD_BYTES = 262_144;
+const MAX_APPEND_BYTES = 2_097_152;
+
+/** Size of the length field of a record, and of that of its key. */
+const LENGTH_BYTES = 4;
+const KEY_LENGTH_BYTES = 1;
+
 /** Injectable faults of the log. */
 export interface LogFaults {
   /** Names of instances whose requests time out; `all` matches every instance. */
@@ -55,6 +63,13 @@
   appends: Array<{sequence: number; offset: number}>;
 }
 
+/** Conditions of an append. */
+interface AppendCondition {
+  fencing?: FencingToken;
+  /** Offset at which the log must end. */
+  endsAt?: number;
+}
+
 /** One keyed partition of the log. */
 export class EmulatedLog {
   readonly faults: LogFaults = {
@@ -119,8 +134,12 @@
     instance: string,
     records: readonly KeyedRecord[],
     timeout: Milliseconds,
-    fencing?: FencingToken,
+    condition: AppendCondition = {},
   ): Promise<FencedAppendOutcome> {
+    if (!isWithinLimits(records)) {
+      await this.clock.sleep(RESPONSE_TIME_MS);
+      return {kind: 'refused', problem: 'too large'};
+    }
     const {lostAnswers, lateAppends, slowness} = this.faults;
     const waiting = Math.max(0, this.appendQueueEndsAt - this.clock.now());
     if (waiting > MAX_APPEND_WAIT_MS) {
@@ -133,7 +152,7 @@
       // The append is still executed after the caller has timed out.
       void this.clock
         .sleep(responseTime)
-        .then(() => this.applyAppend(records, fencing));
+        .then(() => this.applyAppend(records, condition));
       await this.clock.sleep(timeout);
       return {kind: 'unknown', problem: 'no response'};
     }
@@ -147,11 +166,11 @@
       const delay = isLate ? this.random.next() * MAX_LATE_APPEND_DELAY_MS : 0;
       void this.clock
         .sleep(delay)
-        .then(() => this.applyAppend(records, fencing));
+        .then(() => this.applyAppend(records, condition));
       await this.clock.sleep(timeout);
       return {kind: 'unknown', problem: 'no response'};
     }
-    return this.applyAppend(records, fencing);
+    return this.applyAppend(records, condition);
   }
 
   /** Returns the newest record of each key; throws when the log refuses or does not respond. */
@@ -214,15 +233,15 @@
   /** Executes an append, with the platform's fencing by epoch and deduplication by sequence number. */
   private applyAppend(
     records: readonly KeyedRecord[],
-    fencing?: FencingToken,
+    {fencing, endsAt}: AppendCondition,
   ): FencedAppendOutcome {
-    if (!fencing) {
-      return {kind: 'appended', offset: this.storeRecords(records)};
-    }
-    const {epoch, sequence, endsAt} = fencing;
     if (endsAt !== undefined && endsAt !== this.end) {
       return {kind: 'moved'};
     }
+    if (!fencing) {
+      return {kind: 'appended', offset: this.storeRecords(records)};
+    }
+    const {epoch, sequence} = fencing;
     if (!this.fence || epoch > this.fence.epoch) {
       this.fence = {epoch, appends: []};
     } else if (epoch < this.fence.epoch) {
@@ -298,9 +317,10 @@
   async append(
     records: readonly KeyedRecord[],
     timeout: Milliseconds,
+    endsAt?: number,
   ): Promise<AppendOutcome> {
     return toUnfencedOutcome(
-      await this.log.appendFor(this.instance, records, timeout),
+      await this.log.appendFor(this.instance, records, timeout, {endsAt}),
     );
   }
 
@@ -309,7 +329,9 @@
     records: readonly KeyedRecord[],
     timeout: Milliseconds,
   ): Promise<FencedAppendOutcome> {
-    return this.log.appendFor(this.instance, records, timeout, fencing);
+    const {endsAt} = fencing;
+    const condition = {fencing, endsAt};
+    return this.log.appendFor(this.instance, records, timeout, condition);
   }
 
   readNewest(): Promise<NewestPage> {
@@ -320,3 +342,14 @@
     return this.log.readTailFor(this.instance, offset, wait);
   }
 }
+
+function isWithinLimits(records: readonly KeyedRecord[]): boolean {
+  const sizes = records.map(
+    ({key, value}) =>
+      Buffer.byteLength(key) + Buffer.byteLength(value) + KEY_LENGTH_BYTES,
+  );
+  const total = sizes.reduce((sum, size) => sum + size + LENGTH_BYTES, 0);
+  return (
+    total <= MAX_APPEND_BYTES && sizes.every(size => size <= MAX_RECORD_BYTES)
+  );
+}
--- a/packages/workload/src/job_table.ts
+++ b/packages/workload/src/job_table.ts
@@ -11,8 +11,10 @@
   type StoredRecord,
   decodeRecord,
 } from './keyed_record.js';
+import {estimateJobBytes} from './job_memory.js';
 import {countOpenTasks} from './job_size.js';
 import type {StoredProgress} from './stored_progress.js';
+import {WorkspaceTotals} from './workspace_totals.js';
 
 /** State of a job as callers see it. */
 export type JobState =
@@ -27,6 +29,8 @@
   isKnownComplete: boolean;
   /** Absent until the leader has written the first progress record. */
   progress?: StoredProgress;
+  /** Values of the records that hold the details of `progress`, by index; absent if it was never split. */
+  progressParts?: Map<number, string>;
 }
 
 /** Table of jobs, derived from the records of the job log. */
@@ -40,12 +44,15 @@
   private readonly pendingCompletions = new Set<string>();
   /** Progress that was read before the acceptance of its job, by job. */
   private readonly pendingProgress = new Map<string, StoredProgress>();
+  /** Parts of progress that was split, by job, whether or not its acceptance was read. */
+  private readonly progressParts = new Map<string, Map<number, string>>();
   /** Offset of the newest applied record of each key; needed because the pages of newest records overlap the tail of the log. */
   private readonly newestOffsets = new Map<string, number>();
   private newestLeadership?: Leadership;
   /** Tasks of the jobs that have not ended, by workspace. */
-  private readonly openTasks = new Map<string, number>();
-  private openTaskCount = 0;
+  private readonly openTasks = new WorkspaceTotals();
+  /** Estimated heap of all jobs in bytes, by workspace. */
+  private readonly jobBytes = new WorkspaceTotals();
 
   constructor(private readonly logger: Logger) {}
 
@@ -88,9 +95,12 @@
 
   /** Counts the tasks of all jobs that have not ended, or of those of one workspace. */
   countOpenTasks(workspace?: string): number {
-    return workspace === undefined
-      ? this.openTaskCount
-      : (this.openTasks.get(workspace) ?? 0);
+    return this.openTasks.get(workspace);
+  }
+
+  /** Returns the estimated heap in bytes of all jobs, open or not, or of those of one workspace. */
+  countJobBytes(workspace?: string): number {
+    return this.jobBytes.get(workspace);
   }
 
   /** Counts the jobs of a queue of which no task has started; schedules are not considered. */
@@ -146,11 +156,15 @@
       case 'progress':
         this.setProgress(record.id, record.progress);
         return;
+      case 'progress-part':
+        this.setProgressPart(record);
+        return;
       case 'deleted':
         this.deleteJob(record.id);
         this.pendingCancellations.delete(record.id);
         this.pendingCompletions.delete(record.id);
         this.pendingProgress.delete(record.id);
+        this.progressParts.delete(record.id);
     }
   }
 
@@ -163,31 +177,43 @@
         this.earlyCancellations.isCancelled(id, job),
       isKnownComplete: this.pendingCompletions.delete(id),
       progress: this.pendingProgress.get(id),
+      progressParts: this.progressParts.get(id),
     };
     this.entries.set(id, entry);
     this.pendingProgress.delete(id);
+    this.addJobBytes(entry, 1);
     if (isOpen(entry)) {
       this.addOpenTasks(job, 1);
+    } else {
+      this.dropPayload(entry);
     }
   }
 
   private deleteJob(id: string): void {
     const entry = this.entries.get(id);
-    if (entry && isOpen(entry)) {
-      this.addOpenTasks(entry.job, -1);
+    if (entry) {
+      this.addJobBytes(entry, -1);
+      if (isOpen(entry)) {
+        this.addOpenTasks(entry.job, -1);
+      }
     }
     this.entries.delete(id);
   }
 
+  private addJobBytes({job}: JobEntry, sign: 1 | -1): void {
+    this.jobBytes.add(job.workspace, sign * estimateJobBytes(job.spec));
+  }
+
+  /** Drops what nobody needs of a job that has ended. */
+  private dropPayload(entry: JobEntry): void {
+    this.addJobBytes(entry, -1);
+    const {job} = entry;
+    entry.job = {...job, spec: {...job.spec, payload: ''}};
+    this.addJobBytes(entry, 1);
+  }
+
   private addOpenTasks({workspace, spec}: AcceptedJob, sign: 1 | -1): void {
-    const count = sign * countOpenTasks(spec);
-    const ofWorkspace = this.countOpenTasks(workspace) + count;
-    this.openTaskCount += count;
-    if (ofWorkspace === 0) {
-      this.openTasks.delete(workspace);
-    } else {
-      this.openTasks.set(workspace, ofWorkspace);
-    }
+    this.openTasks.add(workspace, sign * countOpenTasks(spec));
   }
 
   /** Marks a job as cancelled, or remembers that for its acceptance: the pages of newest records may list the records of a job in any order. */
@@ -227,6 +253,28 @@
     }
   }
 
+  private setProgressPart({
+    id,
+    index,
+    value,
+  }: Extract<JobRecord, {kind: 'progress-part'}>): void {
+    const parts = this.progressParts.get(id) ?? new Map<number, string>();
+    if (value === undefined) {
+      parts.delete(index);
+    } else {
+      parts.set(index, value);
+    }
+    if (parts.size > 0) {
+      this.progressParts.set(id, parts);
+    } else {
+      this.progressParts.delete(id);
+    }
+    const entry = this.entries.get(id);
+    if (entry) {
+      entry.progressParts = this.progressParts.get(id);
+    }
+  }
+
   private setProgress(id: string, progress: StoredProgress): void {
     const entry = this.entries.get(id);
     if (entry) {
@@ -234,6 +282,7 @@
       entry.progress = progress;
       if (wasOpen && !isOpen(entry)) {
         this.addOpenTasks(entry.job, -1);
+        this.dropPayload(entry);
       }
     } else {
       this.pendingProgress.set(id, progress);
