Reproduce a started member that is released as never started

A start that was answered resets mayStartUntil before the state of the run changes, so that a stop of its unit in the same turn of the event loop takes the run for one that was never sent. The spec fails on the current code: no stop is sent and the unit is waiting.

--- a/packages/dispatch/__tests__/command_sender.spec.ts
+++ b/packages/dispatch/__tests__/command_sender.spec.ts
@@ -205,3 +205,30 @@
     t.equal(target.allocations.size, 0);
   },
 );
+
+// Guards against a member that runs unknown to the leader, and then twice, because another member was refused in the same turn in which its own start was answered.
+t.test(
+  'a member whose start was answered is stopped when another member is refused at the same time',
+  async t => {
+    const REFUSED: CommandOutcome = {
+      kind: 'refused',
+      reason: 'room',
+      clock: 600,
+    };
+    let starts = 0;
+    const {sender, tracker, commands, clock} = createSender(command =>
+      command === 'start' && starts++ === 0 ? REFUSED : DONE,
+    );
+    const target = createRespondingTarget();
+    const unit = createJob('1', createStep({count: 2})).units[0]!;
+    unit.progress.run = 1;
+    unit.phase = 'recording';
+    tracker.allocate(unit, 0, target, 1, NOW);
+    tracker.allocate(unit, 1, target, 1, NOW);
+    sender.startUnit(unit);
+    await clock.advance(100);
+    t.ok(commands.includes('stop'), 'the second member is stopped');
+    t.not(unit.phase, 'waiting', 'the unit waits for the end of its run');
+    t.ok(target.findAllocation('1.0.0.1', 1), 'its allocation is held');
+  },
+);
