Reproduce a restart that does not raise the epoch offset

The offset rises only if the start time of the next incarnation is later than the latest one ever seen for the id.

--- a/packages/dispatch/__tests__/target_directory.spec.ts
+++ b/packages/dispatch/__tests__/target_directory.spec.ts
@@ -162,3 +162,38 @@
   directory.settleContested(3200);
   t.equal(targets.get('w')!.info.born, restarted.born);
 });
+
+// Guards against late commands to a former incarnation that are accepted by the next one, since both have the same epoch after an entry of another writer.
+t.test(
+  'each restart raises the epoch offset also after an entry with a later start time',
+  async t => {
+    const {directory, info, respond, target, targets} = createDirectory();
+    respond(0);
+    const odd = createInfo({born: info.born + 3_600_000});
+    directory.onRegistered(odd, 1000, WALL_NOW);
+    target.unresponsiveSince = 1100;
+    directory.settleContested(4000);
+    t.equal(targets.get('w')!.info.born, odd.born, 'the entry applies');
+    directory.onOtherIncarnation(targets.get('w')!, info.born);
+    const back = targets.get('w')!;
+    t.equal(back.info.born, info.born, 'the target is back');
+    back.hasListing = true;
+    directory.onOtherIncarnation(back, info.born + 60_000);
+    const next = targets.get('w')!;
+    t.equal(next.info.born, info.born + 60_000, 'the target has restarted');
+    t.ok(next.epochOffset > back.epochOffset);
+  },
+);
+
+// Guards against late commands to a former incarnation that are accepted by the next one, since the clock of its machine was set back before it started.
+t.test(
+  'a restart raises the epoch offset also if its start time is earlier',
+  async t => {
+    const {directory, info, respond, target, targets} = createDirectory();
+    respond(0);
+    directory.onOtherIncarnation(target, info.born - 1000);
+    const next = targets.get('w')!;
+    t.equal(next.info.born, info.born - 1000, 'the target has restarted');
+    t.ok(next.epochOffset > target.epochOffset);
+  },
+);
