Reproduce late copies after a second restart and after a takeover

Ends are not held back for starts of a run that was moved to the next incarnation, nor for those of former leaders.

--- a/packages/emulator/__tests__/late_copies.spec.ts
+++ b/packages/emulator/__tests__/late_copies.spec.ts
@@ -98,3 +98,56 @@
     t.ok(lateStarts > 0, 'some late starts are carried out');
   },
 );
+
+// Guards against a task that runs again after its end was acknowledged because its target restarted twice and only the first of the next incarnations refuses the late copy of its start.
+t.test(
+  'a task that is done does not run again when its former target restarts twice',
+  async t => {
+    let lateStarts = 0;
+    for (const seed of SEEDS) {
+      const cluster = new EmulatedCluster({seed});
+      const {fleet} = cluster;
+      const id = await submitWithLateStart(cluster, {estimateMs: 500});
+      fleet.faults.delayedCommands = 0;
+      void fleet.restartTarget(id, 20);
+      const isDone = () => cluster.getJobState(ID) === 'complete';
+      t.ok(await cluster.waitUntil(isDone, 8000), `seed ${seed}`);
+      await cluster.advance(200);
+      await restartBehindCut(cluster, id);
+      const hasRun = () => fleet.targets.get(id)!.runs.size > 0;
+      lateStarts += (await cluster.waitUntil(hasRun, LATE_MS)) ? 1 : 0;
+      await cluster.advance(LATE_MS);
+      t.same(cluster.auditor.violations, [], `seed ${seed}`);
+      cluster.close();
+    }
+    t.ok(lateStarts > 0, 'some late starts are carried out');
+  },
+);
+
+// Guards against a task that runs again after its end was acknowledged by a leader that does not know of the late start of the former one.
+t.test(
+  'a task that is done does not run again after a takeover when a late start reaches a restarted target',
+  async t => {
+    let lateStarts = 0;
+    for (const seed of SEEDS) {
+      const cluster = new EmulatedCluster({seed});
+      const {fleet} = cluster;
+      const id = await submitWithLateStart(cluster, {estimateMs: 1500});
+      fleet.faults.delayedCommands = 0;
+      await cluster.advance(600);
+      cluster.killInstance(cluster.findLeader()!.name);
+      const isDone = () =>
+        cluster.findLeader() !== undefined &&
+        cluster.getJobState(ID) === 'complete';
+      t.ok(await cluster.waitUntil(isDone, 9000), `seed ${seed}`);
+      await cluster.advance(200);
+      await restartBehindCut(cluster, id);
+      const hasRun = () => fleet.targets.get(id)!.runs.size > 0;
+      lateStarts += (await cluster.waitUntil(hasRun, LATE_MS)) ? 1 : 0;
+      await cluster.advance(LATE_MS);
+      t.same(cluster.auditor.violations, [], `seed ${seed}`);
+      cluster.close();
+    }
+    t.ok(lateStarts > 0, 'some late starts are carried out');
+  },
+);
