Reproduce two runs after the restart of the incarnation that a run was moved to

The first listing of the next incarnation releases a moved run, which proves nothing about the incarnation after that.

--- a/packages/emulator/__tests__/restarted_targets.spec.ts
+++ b/packages/emulator/__tests__/restarted_targets.spec.ts
@@ -155,3 +155,23 @@
     },
   );
 }
+
+// Guards against two runs of a task because the incarnation that refuses a late start, for which its run was released, restarts before that is carried out.
+t.test(
+  'a start that reaches the incarnation after the next one: a wide step with late starts',
+  async t => {
+    for (const seed of [9, 10, 11, 12, 13, 14, 15, 16]) {
+      const {cluster} = await playRestart(seed, {
+        name: 'a wide step',
+        step: TASKS,
+        submitsAfter: 100,
+        delayedCommands: 0.5,
+        restartsAgain: true,
+      });
+      const isDone = () => cluster.getJobState(ID) === 'complete';
+      t.ok(await cluster.waitUntil(isDone, FINISH_MS), `seed ${seed}`);
+      t.same(cluster.auditor.violations, [], `seed ${seed}`);
+      cluster.close();
+    }
+  },
+);
