--- a/packages/emulator/__tests__/restarted_targets.spec.ts
+++ b/packages/emulator/__tests__/restarted_targets.spec.ts
@@ -175,3 +175,24 @@
     }
   },
 );
+
+// Guards against a job that is given up because its runs were placed on incarnations that had crashed before.
+t.test(
+  'a job is not given up for crashes that were over before its runs were placed',
+  async t => {
+    for (const seed of [17, 18, 19, 20]) {
+      const {cluster} = await playRestart(seed, {
+        name: 'a wide step',
+        step: TASKS,
+        submitsAfter: 100,
+        delayedCommands: 0.5,
+        restartsAgain: true,
+      });
+      const isEnded = () =>
+        ['complete', 'failed'].includes(cluster.getJobState(ID) ?? '');
+      t.ok(await cluster.waitUntil(isEnded, FINISH_MS), `seed ${seed}`);
+      t.equal(cluster.getJobState(ID), 'complete', `seed ${seed}`);
+      cluster.close();
+    }
+  },
+);
