Raise the epoch of commands with every restart of a target

A late poll extended its lease beyond the time at which the leader took its runs for ended.

Change: the offset rises whenever the start time differs from the last known one.

--- a/packages/dispatch/src/target_directory.ts
+++ b/packages/dispatch/src/target_directory.ts
@@ -273,11 +273,12 @@
   /** Returns the offset of commands to an incarnation, one above that of the former one. */
   private chooseEpochOffset({id, born}: TargetInfo): number {
     const known = this.epochOffsets.get(id) ?? {born, offset: 0};
+    // The clock by which start times are told may be set back.
     const offset =
-      born > known.born
-        ? Math.min(known.offset + 1, MAX_INCARNATIONS - 1)
-        : known.offset;
-    this.epochOffsets.set(id, {born: Math.max(born, known.born), offset});
+      born === known.born
+        ? known.offset
+        : Math.min(known.offset + 1, MAX_INCARNATIONS - 1);
+    this.epochOffsets.set(id, {born, offset});
     return offset;
   }
 
