Confirm an answered start before anything else can stop its unit

A member of a gang whose start had been answered could be released without a stop, and the task start elsewhere while it ran (TWICE): between the answer and its processing another member's refusal stopped the unit, and the run counted as never sent.

Change: the answer confirms the run in the step in which it arrives.

--- a/packages/dispatch/src/command_sender.ts
+++ b/packages/dispatch/src/command_sender.ts
@@ -179,7 +179,6 @@
         return;
       }
       if (outcome.kind === 'done') {
-        this.tracker.onStarted(allocation, outcome.clock, now);
         return;
       }
       const isPermanent =
@@ -297,6 +296,10 @@
         timeout,
       ),
     );
+    // Another member may stop the unit before the caller continues.
+    if (outcome.kind === 'done') {
+      this.tracker.onStarted(allocation, outcome.clock, this.clock.now());
+    }
     if (outcome.kind !== 'unknown') {
       allocation.mayStartUntil = mayStartUntil;
     }
