Hold back the end of a member whose job has ended with another

The end of one member completes a gang's job; the ends of the others were acknowledged at once, although starts of theirs could still be carried out and count as runs after done (TWICE).

--- a/packages/dispatch/src/run_tracker.ts
+++ b/packages/dispatch/src/run_tracker.ts
@@ -191,8 +191,10 @@
   ): void {
     const allocation = target.findAllocation(end.task, end.run);
     const isCounted = end.kind === 'done' || end.kind === 'failed';
-    if (unit && isCounted && findLatestStart(unit) > now) {
-      target.holdEnd(end.number, findLatestStart(unit));
+    // The job of a gang may have ended with another member.
+    const owner = unit ?? allocation?.unit;
+    if (owner && isCounted && findLatestStart(owner) > now) {
+      target.holdEnd(end.number, findLatestStart(owner));
     }
     if (unit && unit.progress.run === end.run) {
       this.applyEnd(target, unit, end, allocation, now);
