Hold back ends also for starts of runs that were moved

A run that moved to the next incarnation and was released there took its unanswered start with it; the incarnation after that could carry it out after the task was done and acknowledged (TWICE).

Change: such starts count as long as others.

--- a/packages/dispatch/src/active_job.ts
+++ b/packages/dispatch/src/active_job.ts
@@ -238,15 +238,14 @@
 }
 
 /**
- * Whether a start command of the run may be carried out after its release. Those
- * of former leaders are unknown, and the incarnation that an allocation was moved to refuses them.
+ * Whether a start command of the run may be carried out after its release, by a
+ * later incarnation of its target. Those of former leaders are unknown.
  */
 export function isStartOutstanding({
   epoch,
-  isMoved,
   mayStartUntil,
 }: Allocation): boolean {
-  return epoch !== 0 && !isMoved && mayStartUntil > -Infinity;
+  return epoch !== 0 && mayStartUntil > -Infinity;
 }
 
 /** Returns the time until which a start command of the unit may be carried out. */
