Measure a target's clock from the sending of the call that told it

A response that a busy leader processed more than 250 ms late made the next one look like that of another incarnation: its target was contested and its start counted as unanswered.

--- a/packages/dispatch/src/target_state.ts
+++ b/packages/dispatch/src/target_state.ts
@@ -100,7 +100,7 @@
   private durationRatioCount = 0;
   /** When the last call that may extend the lease was sent, to this incarnation or a former one. */
   private lastLeaseSentAt: Instant = -Infinity;
-  private clockSample?: {clock: number; at: Instant};
+  private clockSample?: {clock: number; sentAt: Instant; at: Instant};
   private used: Demand = {cpu: 0, memoryMb: 0, accelerators: 0};
   private recordListener?: () => void;
 
@@ -210,7 +210,7 @@
     this.responseDueAt = Infinity;
     this.unresponsiveSince = undefined;
     if (!this.clockSample || clock > this.clockSample.clock) {
-      this.clockSample = {clock, at: now};
+      this.clockSample = {clock, sentAt, at: now};
     }
   }
 
@@ -235,9 +235,9 @@
     if (!this.clockSample) {
       return true;
     }
-    const {clock: sampled, at} = this.clockSample;
+    const {clock: sampled, sentAt: sampledAfter, at} = this.clockSample;
     const minClock = sampled + (sentAt - at) * MIN_CLOCK_RATE;
-    const maxClock = sampled + (now - at);
+    const maxClock = sampled + (now - sampledAfter);
     return (
       clock >= minClock - CLOCK_TOLERANCE_MS &&
       clock <= maxClock + CLOCK_TOLERANCE_MS
