Wait for the answer of a contested target instead of failing its starts

Starts to a target that another incarnation may have replaced used up their attempts in 0.6 s without being sent; the unit was stopped, and the target was avoided for 3 s for a fault that it did not have. Its identity was asked for once.

Change: such starts wait until the target is identified or their time is over, count as no attempt and no fault, and the target is asked up to three times.

--- a/packages/dispatch/src/command_sender.ts
+++ b/packages/dispatch/src/command_sender.ts
@@ -159,6 +159,12 @@
       if (!this.isStartPending(allocation)) {
         return;
       }
+      if (target.contestedAt !== undefined && this.clock.now() < deadline) {
+        // Nothing was tried: which incarnation is there is being asked.
+        attempt--;
+        await this.clock.sleep(COMMAND_RETRY_DELAY_MS);
+        continue;
+      }
       const obstacle = this.findStartObstacle(target);
       if (obstacle && unit) {
         this.tracker.stop(unit, obstacle);
@@ -253,7 +259,7 @@
     });
     if (outcome.kind === 'refused' && outcome.reason === 'ticket') {
       this.delegate.onTicketRefused(unit, allocation.target.info.id);
-    } else {
+    } else if (allocation.target.contestedAt === undefined) {
       this.tracker.onTargetFault(allocation.target, 1, this.clock.now());
     }
     this.tracker.stop(unit, 'a member could not be started');
--- a/packages/dispatch/src/target_sessions.ts
+++ b/packages/dispatch/src/target_sessions.ts
@@ -22,6 +22,9 @@
  */
 const RESPONSE_TIMEOUT_MS = 500;
 
+/** Polls by which a contested target is asked which incarnation it is, beside those that go on. */
+const MAX_IDENTIFY_ATTEMPTS = 3;
+
 /** Delay before the retry of a failed poll. */
 const POLL_RETRY_DELAY_MS = 150;
 
@@ -118,9 +121,13 @@
 
   /** Asks which incarnation responds at the target's address; connections to a former one may hang. */
   async identify(target: TargetState): Promise<void> {
-    await this.pacer.waitForSlot();
-    if (!this.isClosed(target)) {
+    for (let attempt = 0; attempt < MAX_IDENTIFY_ATTEMPTS; attempt++) {
+      await this.pacer.waitForSlot();
+      if (this.isClosed(target) || target.contestedAt === undefined) {
+        return;
+      }
       await this.pollSafely(target, 0, true);
+      await this.clock.sleep(POLL_RETRY_DELAY_MS);
     }
   }
 
